Serve HTTP within bounds and stop without cutting calls off

Cause: callers, operators, servers and workers need one HTTP front with bounded memory that finishes every call on a stop. Change: HttpFront collects endpoints, bounds headers, bodies, connections, calls and held bytes, answers with the closed list as JSON, and leaves the balancer before it closes. Conclusion: the daemon can be wired to it.

--- /dev/null
+++ b/src/process/http/endpoint_table.ts
@@ -0,0 +1,60 @@
+/**
+ * Finds the endpoint of a call by its method and path.
+ *
+ * @module
+ */
+
+import findMyWay from "find-my-way";
+import { Right } from "purify-ts/Either";
+import { failure, type Result } from "../../base/sesame_error.ts";
+import type { HttpEndpoint } from "./http_endpoint.ts";
+
+/** An endpoint and the named parts of the path. */
+export interface EndpointMatch {
+  readonly endpoint: HttpEndpoint;
+  readonly parameters: Readonly<Record<string, string>>;
+}
+
+const METHODS = ["GET", "PUT", "POST", "DELETE"] as const;
+
+/** The endpoints of all parts; fixed once it is built. */
+export class EndpointTable {
+  readonly #router = findMyWay({ maxParamLength: 256 });
+
+  constructor(options: { endpoints: readonly HttpEndpoint[] }) {
+    for (const endpoint of options.endpoints) {
+      const { method, path } = endpoint;
+      this.#router.on(method, path, () => undefined, endpoint);
+    }
+  }
+
+  /** `notFound` for an unknown path, `methodNotAllowed` for a wrong method. */
+  find(method: string, path: string): Result<EndpointMatch> {
+    const known = METHODS.find((name) => name === method);
+    const found = known === undefined ? null : this.#router.find(known, path);
+    if (found !== null) {
+      return Right({
+        endpoint: found.store as HttpEndpoint,
+        parameters: definedOnly(found.params),
+      });
+    }
+    const allowed = METHODS.filter((name) =>
+      this.#router.find(name, path) !== null
+    );
+    if (allowed.length === 0) {
+      return failure("notFound", { detail: "There is no such path." });
+    }
+    return failure("methodNotAllowed", { facts: { allowed } });
+  }
+}
+
+function definedOnly(
+  parameters: Record<string, string | undefined>,
+): Record<string, string> {
+  const entries = Object.entries(parameters);
+  return Object.fromEntries(
+    entries.filter((entry): entry is [string, string] =>
+      entry[1] !== undefined
+    ),
+  );
+}
--- /dev/null
+++ b/src/process/http/http_exchange.ts
@@ -0,0 +1,183 @@
+/**
+ * One call from its headers to the last byte of its answer.
+ *
+ * @module
+ */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Clock } from "../../base/clock.ts";
+import type { EventLog } from "../../base/event_log.ts";
+import { failure, type Result, SesameError } from "../../base/sesame_error.ts";
+import { type ReadBody, readBody } from "./body_reader.ts";
+import type { ByteBudget } from "./byte_budget.ts";
+import type { EndpointMatch, EndpointTable } from "./endpoint_table.ts";
+import { errorAnswer } from "./error_answer.ts";
+import type { HttpAnswer, HttpCallHead } from "./http_endpoint.ts";
+import type { HttpLimits } from "./http_limits.ts";
+
+/** What an exchange needs of its front. */
+export interface HttpExchangeOptions {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly table: EndpointTable;
+  readonly clock: Clock;
+  readonly eventLog: EventLog;
+  readonly limits: HttpLimits;
+  readonly budget: ByteBudget;
+  /** Whether the caller waits for leave to send its body. */
+  readonly expectsContinue: boolean;
+  /** Whether the connection is to close after the answer. */
+  readonly isClosing: () => boolean;
+}
+
+/** Answers one call; the promise ends when the exchange holds nothing more. */
+export class HttpExchange {
+  readonly #options: HttpExchangeOptions;
+  readonly #abort = new AbortController();
+
+  constructor(options: HttpExchangeOptions) {
+    this.#options = options;
+    options.response.once("close", () => {
+      if (!options.response.writableFinished) {
+        this.#abort.abort();
+      }
+    });
+    options.response.on("error", () => this.#abort.abort());
+  }
+
+  /** Refuses the call without reading it. */
+  async refuse(error: SesameError): Promise<void> {
+    await this.#write(errorAnswer(error), error);
+  }
+
+  /** Reads, handles and answers the call. */
+  async run(): Promise<void> {
+    const head = this.#head();
+    const match = this.#match(head);
+    await match.caseOf({
+      Left: (error) => this.refuse(error),
+      Right: (found) => this.#runMatched(found, head),
+    });
+  }
+
+  #match(head: HttpCallHead): Result<EndpointMatch> {
+    const { request, limits, table } = this.#options;
+    if (request.rawHeaders.length / 2 > limits.headerFields) {
+      return failure("headersTooLarge", { detail: "Too many header fields." });
+    }
+    return table.find(head.method, head.path);
+  }
+
+  #head(): HttpCallHead {
+    const { request, clock } = this.#options;
+    const target = request.url ?? "/";
+    const queryAt = target.indexOf("?");
+    return {
+      method: request.method ?? "GET",
+      path: queryAt < 0 ? target : target.slice(0, queryAt),
+      query: new URLSearchParams(queryAt < 0 ? "" : target.slice(queryAt)),
+      parameters: {},
+      headers: request.headers,
+      receivedAtMs: clock.nowMs(),
+    };
+  }
+
+  async #runMatched(match: EndpointMatch, bare: HttpCallHead): Promise<void> {
+    const head = { ...bare, parameters: match.parameters };
+    const read = await this.#readBody(match, head);
+    await read.caseOf({
+      Left: (error) => this.refuse(error),
+      Right: (body) => this.#handle(match, head, body),
+    });
+  }
+
+  #readBody(
+    { endpoint }: EndpointMatch,
+    head: HttpCallHead,
+  ): Promise<Result<ReadBody>> {
+    const { request, response, clock, budget, limits } = this.#options;
+    const limit = endpoint.bodyLimitBytes;
+    const limitBytes = typeof limit === "function" ? limit(head) : limit;
+    const declaredBytes = Number(request.headers["content-length"] ?? 0);
+    if (this.#options.expectsContinue && declaredBytes <= limitBytes) {
+      response.writeContinue();
+    }
+    const deadlineMs = head.receivedAtMs + limits.bodyReadMs;
+    return readBody(request, { clock, budget, limitBytes, deadlineMs });
+  }
+
+  async #handle(
+    { endpoint }: EndpointMatch,
+    head: HttpCallHead,
+    { body, release }: ReadBody,
+  ): Promise<void> {
+    const { signal } = this.#abort;
+    try {
+      const result = await endpoint.handle({ ...head, body, signal });
+      release();
+      await result.caseOf({
+        Left: (error) => this.#write(errorAnswer(error), error),
+        Right: (answer) => this.#write(answer),
+      });
+    } catch (thrown) {
+      release();
+      const detail = thrown instanceof Error ? thrown.message : String(thrown);
+      this.#options.eventLog.emit("callFailed", { path: head.path, detail });
+      await this.refuse(new SesameError("internal"));
+    }
+  }
+
+  async #write(answer: HttpAnswer, error?: SesameError): Promise<void> {
+    const { request, response, eventLog, budget } = this.#options;
+    if (error !== undefined) {
+      const path = (request.url ?? "").slice(0, 200);
+      eventLog.emit("callRefused", { path, error: error.kind });
+    }
+    if (response.destroyed || response.headersSent) {
+      return;
+    }
+    const bytes = Buffer.byteLength(answer.body);
+    if (!budget.take(bytes)) {
+      request.socket.destroy();
+      eventLog.emit("answerAbandoned", { path: request.url ?? "" });
+      return;
+    }
+    await this.#send(answer, bytes);
+    budget.release(bytes);
+  }
+
+  /** Ends when the caller has taken the whole answer, or is given up. */
+  async #send(answer: HttpAnswer, bytes: number): Promise<void> {
+    const { request, response, clock, limits, eventLog } = this.#options;
+    const isUnread = !request.complete;
+    const closes = isUnread || this.#options.isClosing();
+    const timer = clock.after(limits.answerWriteMs, () => {
+      eventLog.emit("answerAbandoned", { path: request.url ?? "" });
+      request.socket.destroy();
+    });
+    response.writeHead(answer.status, {
+      ...answer.headers,
+      "content-length": bytes,
+      ...(closes ? { connection: "close" } : {}),
+    });
+    const closed = new Promise<void>((resolve) => {
+      response.once("finish", resolve);
+      response.once("close", resolve);
+    });
+    response.end(answer.body);
+    await closed;
+    timer.close();
+    if (isUnread) {
+      this.#discardInput();
+    }
+  }
+
+  /** Reads on a little, so that a reset doesn't overtake the answer. */
+  #discardInput(): void {
+    const { request, clock, limits } = this.#options;
+    const { socket } = request;
+    const timer = clock.after(limits.lingerMs, () => socket.destroy());
+    socket.once("close", () => timer.close());
+    request.resume();
+  }
+}
--- /dev/null
+++ b/src/process/http/http_front.ts
@@ -0,0 +1,249 @@
+/**
+ * The HTTP server of an instance: gives callers' calls to the endpoints of
+ * all parts, within bounds, and stops without cutting a call off.
+ *
+ * @module
+ */
+
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo, Socket } from "node:net";
+import type { Duplex } from "node:stream";
+import { Right } from "purify-ts/Either";
+import type { Clock } from "../../base/clock.ts";
+import { type EventLog, SILENT_EVENT_LOG } from "../../base/event_log.ts";
+import { failure, type Result, SesameError } from "../../base/sesame_error.ts";
+import { ByteBudget } from "./byte_budget.ts";
+import { EndpointTable } from "./endpoint_table.ts";
+import { errorBytes } from "./error_answer.ts";
+import { healthEndpoint, Readiness } from "./health_endpoint.ts";
+import type { HttpEndpoint } from "./http_endpoint.ts";
+import { HttpExchange } from "./http_exchange.ts";
+import { DEFAULT_HTTP_LIMITS, type HttpLimits } from "./http_limits.ts";
+
+/** What a front is built from. */
+export interface HttpFrontOptions {
+  readonly endpoints: readonly HttpEndpoint[];
+  readonly clock: Clock;
+  readonly eventLog?: EventLog;
+  readonly limits?: Partial<HttpLimits>;
+}
+
+/** How a front stops. */
+export interface HttpCloseOptions {
+  /**
+   * How long it still accepts while `/healthz` says that it is stopping; at
+   * least the keep-alive time, if no idle connection may be closed while a
+   * call is on its way. The keep-alive time when absent.
+   */
+  readonly leaveMs?: number;
+  /** When what is still held is cut off. */
+  readonly deadlineMs: number;
+}
+
+/** How often Node looks for callers that are late with their headers. */
+const HEADER_CHECK_MS = 1_000;
+
+/** Serves the endpoints of all parts over HTTP. */
+export class HttpFront {
+  readonly #clock: Clock;
+  readonly #eventLog: EventLog;
+  readonly #limits: HttpLimits;
+  readonly #table: EndpointTable;
+  readonly #budget: ByteBudget;
+  readonly #server: Server;
+  readonly #callsBySocket = new Map<Socket, number>();
+  #calls = 0;
+  #readiness: Readiness = Readiness.starting;
+  #closing: Promise<void> | undefined;
+
+  constructor(options: HttpFrontOptions) {
+    this.#clock = options.clock;
+    this.#eventLog = options.eventLog ?? SILENT_EVENT_LOG;
+    this.#limits = { ...DEFAULT_HTTP_LIMITS, ...options.limits };
+    this.#budget = new ByteBudget({ limitBytes: this.#limits.heldBytes });
+    const health = healthEndpoint(() => this.#readiness);
+    this.#table = new EndpointTable({
+      endpoints: [health, ...options.endpoints],
+    });
+    this.#server = this.#createServer();
+  }
+
+  /** Calls held now. */
+  get calls(): number {
+    return this.#calls;
+  }
+
+  /** Connections open now. */
+  get connections(): number {
+    return this.#callsBySocket.size;
+  }
+
+  /** Bytes of bodies and answers held now. */
+  get heldBytes(): number {
+    return this.#budget.heldBytes;
+  }
+
+  /** Starts to accept; `unavailable` when the address can't be had. */
+  listen(
+    address: { host: string; port: number },
+  ): Promise<Result<AddressInfo>> {
+    return new Promise((resolve) => {
+      this.#server.once("error", (error) => {
+        resolve(failure("unavailable", { detail: error.message }));
+      });
+      this.#server.listen(address, () => {
+        resolve(Right(this.#server.address() as AddressInfo));
+      });
+    });
+  }
+
+  /** From now on `/healthz` says that the instance is ready. */
+  markReady(): void {
+    if (this.#readiness === Readiness.starting) {
+      this.#readiness = Readiness.ready;
+    }
+  }
+
+  /** From now on `/healthz` says that it is stopping; calls go on. */
+  markStopping(): void {
+    this.#readiness = Readiness.stopping;
+  }
+
+  /** Leaves the balancer, finishes every call and closes. */
+  close(options: HttpCloseOptions): Promise<void> {
+    this.#closing ??= this.#stop(options);
+    return this.#closing;
+  }
+
+  async #stop(options: HttpCloseOptions): Promise<void> {
+    this.markStopping();
+    const leaveMs = options.leaveMs ?? this.#limits.keepAliveMs;
+    const lingerMs = Math.min(
+      leaveMs,
+      Math.max(0, options.deadlineMs - this.#clock.nowMs()),
+    );
+    if (lingerMs > 0) {
+      await new Promise<void>((done) => this.#clock.after(lingerMs, done));
+    }
+    const leftMs = options.deadlineMs - this.#clock.nowMs();
+    const timer = this.#clock.after(leftMs, () => this.#cutOff());
+    await new Promise<void>((done) => this.#server.close(() => done()));
+    timer.close();
+  }
+
+  #cutOff(): void {
+    this.#eventLog.emit("callsCutOff", { calls: this.#calls });
+    this.#server.closeAllConnections();
+  }
+
+  #createServer(): Server {
+    const limits = this.#limits;
+    const server = createServer({
+      maxHeaderSize: limits.headerBytes,
+      headersTimeout: limits.headerReadMs,
+      requestTimeout: 0,
+      keepAliveTimeout: limits.keepAliveMs,
+      connectionsCheckingInterval: HEADER_CHECK_MS,
+    });
+    server.maxHeadersCount = 0;
+    server.maxConnections = limits.connections + limits.refusedConnections;
+    server.on("connection", (socket) => this.#onConnection(socket));
+    server.on("clientError", (error, socket) => onClientError(error, socket));
+    server.on("request", (request, response) => {
+      void this.#onCall(request, response, false);
+    });
+    server.on("checkContinue", (request, response) => {
+      void this.#onCall(request, response, true);
+    });
+    return server;
+  }
+
+  #onConnection(socket: Socket): void {
+    if (this.#callsBySocket.size >= this.#limits.connections) {
+      const detail = "Too many connections are open.";
+      refuseSocket(socket, new SesameError("overloaded", { detail }));
+      return;
+    }
+    this.#callsBySocket.set(socket, 0);
+    socket.once("close", () => this.#callsBySocket.delete(socket));
+  }
+
+  async #onCall(
+    request: IncomingMessage,
+    response: ServerResponse,
+    expectsContinue: boolean,
+  ): Promise<void> {
+    const { socket } = request;
+    const exchange = this.#exchange(request, response, expectsContinue);
+    const callsHere = this.#callsBySocket.get(socket);
+    const isFull = callsHere === undefined ||
+      callsHere >= this.#limits.callsPerConnection ||
+      this.#calls >= this.#limits.calls;
+    if (isFull) {
+      const detail = "Too many calls are held.";
+      await exchange.refuse(new SesameError("overloaded", { detail }));
+      return;
+    }
+    this.#count(socket, 1);
+    await exchange.run();
+    this.#count(socket, -1);
+  }
+
+  #exchange(
+    request: IncomingMessage,
+    response: ServerResponse,
+    expectsContinue: boolean,
+  ): HttpExchange {
+    return new HttpExchange({
+      request,
+      response,
+      expectsContinue,
+      table: this.#table,
+      clock: this.#clock,
+      eventLog: this.#eventLog,
+      limits: this.#limits,
+      budget: this.#budget,
+      isClosing: () => this.#readiness === Readiness.stopping,
+    });
+  }
+
+  #count(socket: Socket, by: number): void {
+    this.#calls += by;
+    const callsHere = this.#callsBySocket.get(socket);
+    if (callsHere !== undefined) {
+      this.#callsBySocket.set(socket, callsHere + by);
+    }
+  }
+}
+
+/** Input that never became a call: bad, oversized or late headers. */
+function onClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
+  if (!socket.writable || error.code === "ECONNRESET") {
+    socket.destroy();
+    return;
+  }
+  refuseSocket(socket, clientError(error));
+}
+
+function clientError(error: NodeJS.ErrnoException): SesameError {
+  switch (error.code) {
+    case "HPE_HEADER_OVERFLOW":
+      return new SesameError("headersTooLarge");
+    case "ERR_HTTP_REQUEST_TIMEOUT":
+      return new SesameError("slowCaller", {
+        detail: "The headers came too slowly.",
+      });
+    default:
+      return new SesameError("malformed", { detail: "That is not HTTP/1.1." });
+  }
+}
+
+function refuseSocket(socket: Duplex, error: SesameError): void {
+  socket.on("error", () => socket.destroy());
+  socket.end(errorBytes(error), () => socket.destroy());
+}
