--- /dev/null
+++ b/src/process/routing/core/service_router.ts
@@ -0,0 +1,366 @@
+/**
+ * Routing of one service's calls: admits, queues, sends, retries and refuses.
+ *
+ * @module
+ */
+
+import type { ErrorKind } from "../../../base/error_kind.ts";
+import type {
+  BackendServerId,
+  DataCentreId,
+  ServiceId,
+} from "../../../base/identity.ts";
+import type { RandomSource } from "../../../base/random_source.ts";
+import type { Service } from "../../../version/document/document.ts";
+import { ClassQueues } from "./class_queues.ts";
+import { RemoteLoads } from "./remote_loads.ts";
+import type { RoutingDecision } from "./routing_decision.ts";
+import {
+  type AttemptId,
+  AttemptResult,
+  type CallKey,
+  type RoutedCall,
+} from "./routing_event.ts";
+import type { RoutingOptions } from "./routing_options.ts";
+import type { ServerEntry } from "./server_entry.ts";
+import { ServerTable } from "./server_table.ts";
+import { TokenBucket } from "./token_bucket.ts";
+
+/** What a service's router is built from. */
+export interface ServiceRouterOptions {
+  readonly serviceId: ServiceId;
+  readonly service: Service;
+  readonly selfDataCentre: DataCentreId;
+  readonly random: RandomSource;
+  readonly routing: RoutingOptions;
+  readonly nextAttemptId: () => AttemptId;
+  readonly createdAtMs: number;
+}
+
+/** A call that hasn't ended yet. */
+interface OpenCall extends RoutedCall {
+  readonly rank: number;
+  readonly triedServers: Set<BackendServerId>;
+  /** The attempt on its way; undefined while it waits. */
+  attemptId: AttemptId | undefined;
+  isForwardedOn: boolean;
+  /** Whether a server may have run it. */
+  mayHaveRun: boolean;
+}
+
+/** The calls and servers of one service. */
+export class ServiceRouter {
+  readonly #options: ServiceRouterOptions;
+  readonly #routing: RoutingOptions;
+  #service: Service;
+  readonly servers: ServerTable;
+  readonly remoteLoads: RemoteLoads;
+  readonly #queues = new ClassQueues<OpenCall>();
+  readonly #calls = new Map<CallKey, OpenCall>();
+  readonly #callByAttempt = new Map<AttemptId, OpenCall>();
+  readonly #retryBudget: TokenBucket;
+
+  constructor(options: ServiceRouterOptions) {
+    this.#options = options;
+    this.#routing = options.routing;
+    this.#service = options.service;
+    this.servers = new ServerTable(options);
+    this.remoteLoads = new RemoteLoads(options.routing);
+    const limit = options.routing.retryTokens;
+    this.#retryBudget = new TokenBucket({ limit });
+  }
+
+  /** Calls that wait for a slot. */
+  get queued(): number {
+    return this.#queues.size;
+  }
+
+  /** Calls that haven't ended. */
+  get open(): number {
+    return this.#calls.size;
+  }
+
+  configure(service: Service): void {
+    this.#service = service;
+    this.servers.configure(service);
+  }
+
+  arrive(call: RoutedCall, nowMs: number): RoutingDecision[] {
+    const known = this.#service.classes.find(({ name }) =>
+      name === call.requestClass
+    );
+    if (known === undefined) {
+      const detail = `The service has no class ${call.requestClass}.`;
+      return [endWithError(call.key, "invalid", detail)];
+    }
+    if (call.deadlineMs <= nowMs) {
+      return [endWithError(call.key, "deadlineExceeded", "It came too late.")];
+    }
+    const open = openCall(call, known.rank);
+    const refusal = this.#refusal(open, known.queueLimit, nowMs);
+    if (refusal !== undefined) {
+      return [this.#forward(open, nowMs) ?? refusal];
+    }
+    this.#retryBudget.add(this.#service.retryBudgetFraction);
+    this.#calls.set(open.key, open);
+    this.#queues.add(open);
+    return this.dispatch(nowMs);
+  }
+
+  /** The caller has gone; what is on its way goes on. */
+  abandon(key: CallKey): void {
+    const call = this.#calls.get(key);
+    if (call !== undefined && this.#queues.remove(call)) {
+      this.#calls.delete(key);
+    }
+  }
+
+  endAttempt(
+    attemptId: AttemptId,
+    { result, atMs }: { result: AttemptResult; atMs: number },
+  ): RoutingDecision[] {
+    const judged = this.servers.endAttempt(attemptId, { result, atMs });
+    const call = this.#callByAttempt.get(attemptId);
+    this.#callByAttempt.delete(attemptId);
+    const isOpen = call !== undefined && this.#calls.get(call.key) === call;
+    const ended = isOpen ? this.#settle(call, { result, atMs, attemptId }) : [];
+    return [...judged, ...ended, ...this.dispatch(atMs)];
+  }
+
+  endForward(key: CallKey, result: AttemptResult): RoutingDecision[] {
+    const call = this.#calls.get(key);
+    if (call === undefined) {
+      return [];
+    }
+    this.#calls.delete(key);
+    switch (result) {
+      case AttemptResult.answered:
+      case AttemptResult.serverError:
+        return [{ kind: "endWithAnswer", key, attemptId: undefined }];
+      case AttemptResult.notSent:
+        return [endWithError(key, "overloaded", "No data centre has room.")];
+      case AttemptResult.ambiguous:
+        return [endWithError(
+          key,
+          "outcomeUnknown",
+          "The other data centre gave no answer.",
+        )];
+    }
+  }
+
+  tick(nowMs: number): RoutingDecision[] {
+    const judged = this.servers.tick(nowMs);
+    const ended = [...this.#calls.values()]
+      .filter((call) => call.deadlineMs <= nowMs)
+      .map((call) => this.#expire(call));
+    return [...judged, ...ended, ...this.dispatch(nowMs)];
+  }
+
+  /** Sends waiting calls, in order, as far as slots are free. */
+  dispatch(nowMs: number): RoutingDecision[] {
+    const decisions: RoutingDecision[] = [];
+    if (this.#queues.size === 0) {
+      return decisions;
+    }
+    let free = this.servers.freeSlots(nowMs);
+    for (const call of [...this.#queues.calls]) {
+      if (free <= 0) {
+        break;
+      }
+      if (this.#isHopeless(call, nowMs)) {
+        decisions.push(this.#expire(call));
+        continue;
+      }
+      const server = this.#chooseFor(call, nowMs);
+      if (server !== undefined) {
+        decisions.push(this.#send(call, { server, nowMs }));
+        free -= 1;
+      }
+    }
+    return decisions;
+  }
+
+  /** Why a new call can't be taken on; undefined when it can. */
+  #refusal(
+    call: OpenCall,
+    queueLimit: number,
+    nowMs: number,
+  ): RoutingDecision | undefined {
+    const slots = this.#openSlots(nowMs);
+    const ageMs = nowMs - this.#options.createdAtMs;
+    if (slots === 0 && ageMs > this.#routing.discoveryMs) {
+      const detail = "No backend server of the service takes new work.";
+      return endWithError(call.key, "unavailable", detail);
+    }
+    const mustWait = this.#queues.size > 0 ||
+      this.servers.freeSlots(nowMs) === 0;
+    if (!mustWait) {
+      return undefined;
+    }
+    if (this.#queues.countOf(call.requestClass) >= queueLimit) {
+      return endWithError(call.key, "overloaded", "The class's queue is full.");
+    }
+    const waitMs = this.#expectedWaitMs(call, slots);
+    if (nowMs + waitMs + this.#serviceBoundMs() > call.deadlineMs) {
+      const detail = "It would miss its deadline.";
+      return endWithError(call.key, "overloaded", detail);
+    }
+    return undefined;
+  }
+
+  #openSlots(nowMs: number): number {
+    const weight =
+      this.#service.dataCentreWeights[this.#options.selfDataCentre] ?? 1;
+    return weight > 0 ? this.servers.openSlots(nowMs) : 0;
+  }
+
+  /** How long the calls that go first will keep the slots busy. */
+  #expectedWaitMs(call: OpenCall, slots: number): number {
+    const before = this.#queues.countBefore(call) + 1;
+    return before * this.servers.serviceTime.meanMs / Math.max(1, slots);
+  }
+
+  #serviceBoundMs(): number {
+    const deviations = this.#routing.serviceTimeDeviations;
+    return this.servers.serviceTime.boundMs(deviations);
+  }
+
+  #forward(call: OpenCall, nowMs: number): RoutingDecision | undefined {
+    if (call.isForwarded) {
+      return undefined;
+    }
+    const dataCentre = this.remoteLoads.claim(call, {
+      service: this.#service,
+      nowMs,
+      serviceTimeMs: this.#serviceBoundMs(),
+    });
+    if (dataCentre === undefined) {
+      return undefined;
+    }
+    call.isForwardedOn = true;
+    call.mayHaveRun = true;
+    this.#calls.set(call.key, call);
+    return { kind: "forwardCall", key: call.key, dataCentre };
+  }
+
+  /** Whether a slot is better spent on one of the others that wait. */
+  #isHopeless(call: OpenCall, nowMs: number): boolean {
+    if (call.deadlineMs <= nowMs) {
+      return true;
+    }
+    return this.#queues.size > 1 &&
+      nowMs + this.#serviceBoundMs() > call.deadlineMs;
+  }
+
+  #chooseFor(call: OpenCall, nowMs: number): ServerEntry | undefined {
+    const exclude = this.servers.hasOther(nowMs, call.triedServers)
+      ? call.triedServers
+      : new Set<BackendServerId>();
+    return this.servers.choose(nowMs, {
+      exclude,
+      mayProbe: call.isIdempotent,
+    });
+  }
+
+  #send(
+    call: OpenCall,
+    { server, nowMs }: { server: ServerEntry; nowMs: number },
+  ): RoutingDecision {
+    const attemptId = this.#options.nextAttemptId();
+    this.#queues.remove(call);
+    call.attemptId = attemptId;
+    call.triedServers.add(server.serverId);
+    this.#callByAttempt.set(attemptId, call);
+    this.servers.startAttempt(attemptId, { server, atMs: nowMs });
+    return {
+      kind: "sendAttempt",
+      key: call.key,
+      attemptId,
+      serverId: server.serverId,
+      address: server.announcement.address,
+      tryNumber: call.triedServers.size,
+      giveUpAtMs: call.deadlineMs + this.#routing.attemptGraceMs,
+    };
+  }
+
+  /** Ends or retries a call whose attempt has ended. */
+  #settle(
+    call: OpenCall,
+    end: { result: AttemptResult; atMs: number; attemptId: AttemptId },
+  ): RoutingDecision[] {
+    const { key } = call;
+    const { attemptId, result, atMs } = end;
+    call.attemptId = undefined;
+    switch (result) {
+      case AttemptResult.answered:
+        this.#calls.delete(key);
+        return [{ kind: "endWithAnswer", key, attemptId }];
+      case AttemptResult.serverError:
+        if (this.#retry(call, atMs)) {
+          return [];
+        }
+        this.#calls.delete(key);
+        return [{ kind: "endWithAnswer", key, attemptId }];
+      case AttemptResult.ambiguous:
+        call.mayHaveRun = true;
+        return this.#retry(call, atMs) ? [] : [this.#giveUp(call)];
+      case AttemptResult.notSent:
+        return this.#retry(call, atMs) ? [] : [this.#giveUp(call)];
+    }
+  }
+
+  /** Queues the call again, if the rules and the budget allow it. */
+  #retry(call: OpenCall, nowMs: number): boolean {
+    const mayRepeat = call.isIdempotent || !call.mayHaveRun;
+    const isAllowed = mayRepeat &&
+      call.triedServers.size <= this.#service.retryLimit &&
+      nowMs + this.servers.serviceTime.meanMs < call.deadlineMs &&
+      this.servers.hasOther(nowMs, call.triedServers) &&
+      this.#retryBudget.take(1);
+    if (isAllowed) {
+      this.#queues.add(call);
+    }
+    return isAllowed;
+  }
+
+  #giveUp(call: OpenCall): RoutingDecision {
+    this.#calls.delete(call.key);
+    if (call.mayHaveRun) {
+      const detail = "The backend server gave no whole answer of its own.";
+      return endWithError(call.key, "outcomeUnknown", detail);
+    }
+    const detail = "No backend server could be reached.";
+    return endWithError(call.key, "unavailable", detail);
+  }
+
+  #expire(call: OpenCall): RoutingDecision {
+    this.#calls.delete(call.key);
+    this.#queues.remove(call);
+    const mayRun = call.mayHaveRun || call.attemptId !== undefined;
+    if (mayRun) {
+      const detail = "No answer came before the deadline.";
+      return endWithError(call.key, "outcomeUnknown", detail);
+    }
+    const detail = "Its turn did not come before the deadline.";
+    return endWithError(call.key, "deadlineExceeded", detail);
+  }
+}
+
+function openCall(call: RoutedCall, rank: number): OpenCall {
+  return {
+    ...call,
+    rank,
+    triedServers: new Set(),
+    attemptId: undefined,
+    isForwardedOn: false,
+    mayHaveRun: false,
+  };
+}
+
+function endWithError(
+  key: CallKey,
+  error: ErrorKind,
+  detail: string,
+): RoutingDecision {
+  return { kind: "endWithError", key, error, detail };
+}
