Link instances, detect failures and keep a time line

Cause: instances must talk, know who is there and show what happened. Change: links by ws and msgpackr with a mutual proof of the cluster key; phi-accrual failure detection that tells slow, unreachable and dead apart; a hybrid logical clock and a time line merged over instances; settings with messages that name file, key and expectation. Conclusion: five membership cases and two settings cases pass; traffic and links under faults are not measured yet.

--- a/src/base/events/connection_events.ts
+++ b/src/base/events/connection_events.ts
@@ -26,4 +26,10 @@
     text: "A frame was refused and its connection closed.",
     fields: ["peer", "detail"],
   },
+  peerStateChanged: {
+    number: 2003,
+    level: "info",
+    text: "A peer is seen in another state.",
+    fields: ["peer", "before", "state", "incarnation"],
+  },
 } as const satisfies Record<string, EventDefinition>;
--- /dev/null
+++ b/src/connection/mod.ts
@@ -0,0 +1,19 @@
+/**
+ * Links between instances.
+ *
+ * @module
+ */
+
+export { ClusterKey } from "./cluster_key.ts";
+export type {
+  PeerChannel,
+  PeerChannelOptions,
+  PeerNetwork,
+  Received,
+} from "./peer_network.ts";
+export {
+  type PeerAddress,
+  type PeerTls,
+  WsPeerNetwork,
+  type WsPeerNetworkOptions,
+} from "./ws_peer_network.ts";
--- /dev/null
+++ b/src/connection/peer_frame.ts
@@ -0,0 +1,99 @@
+/**
+ * The frames on a link between two instances, encoded by `msgpackr`.
+ *
+ * The dialling side says `hello`, the accepting side answers `challenge`,
+ * the dialling side proves that it holds the cluster key with `proof`, and
+ * the accepting side proves it too with `welcome`. After that only the
+ * dialling side sends, and only `message` frames.
+ *
+ * @module
+ */
+
+import { Packr, Unpackr } from "msgpackr";
+import { Left, Right } from "purify-ts/Either";
+import { z } from "zod";
+import { failure, type Result, SesameError } from "../base/mod.ts";
+import { IDENTITY_PATTERN } from "../base/identity.ts";
+
+/** The version of the protocol between instances. */
+export const PEER_PROTOCOL_VERSION = 1;
+
+const identity = z.string().regex(IDENTITY_PATTERN);
+const nonce = bytesOf(16);
+const mac = bytesOf(32);
+
+const helloSchema = z.strictObject({
+  kind: z.literal("hello"),
+  protocolVersion: z.int(),
+  clusterName: identity,
+  from: identity,
+  to: identity,
+  nonce,
+});
+
+const challengeSchema = z.strictObject({
+  kind: z.literal("challenge"),
+  nonce,
+});
+
+const proofSchema = z.strictObject({ kind: z.literal("proof"), mac });
+
+const welcomeSchema = z.strictObject({ kind: z.literal("welcome"), mac });
+
+const messageSchema = z.strictObject({
+  kind: z.literal("message"),
+  channel: z.string().min(1).max(64),
+  /** The sender's hybrid clock, for the time line. */
+  wallMs: z.number(),
+  counter: z.int().min(0),
+  body: z.unknown(),
+});
+
+/** Every frame that may come over a link. */
+export const peerFrameSchema = z.discriminatedUnion("kind", [
+  helloSchema,
+  challengeSchema,
+  proofSchema,
+  welcomeSchema,
+  messageSchema,
+]);
+
+export type HelloFrame = z.infer<typeof helloSchema>;
+export type MessageFrame = z.infer<typeof messageSchema>;
+export type PeerFrame = z.infer<typeof peerFrameSchema>;
+
+const packr = new Packr({ useRecords: false, moreTypes: false });
+const unpackr = new Unpackr({ useRecords: false, moreTypes: false });
+
+/** The bytes of a frame. */
+export function encodeFrame(frame: PeerFrame): Uint8Array {
+  return packr.pack(frame);
+}
+
+/** The frame in the bytes; `malformed` for anything else. */
+export function decodeFrame(bytes: Uint8Array): Result<PeerFrame> {
+  return unpack(bytes).chain(checkFrame);
+}
+
+function unpack(bytes: Uint8Array): Result<unknown> {
+  try {
+    return Right(unpackr.unpack(bytes));
+  } catch {
+    return failure("malformed", { detail: "not a msgpack value" });
+  }
+}
+
+function checkFrame(value: unknown): Result<PeerFrame> {
+  const checked = peerFrameSchema.safeParse(value);
+  if (checked.success) {
+    return Right(checked.data);
+  }
+  const detail = checked.error.issues[0]?.message ?? "unknown frame";
+  return Left(new SesameError("malformed", { detail }));
+}
+
+function bytesOf(length: number): z.ZodType<Uint8Array> {
+  return z.custom<Uint8Array>((value) =>
+    value instanceof Uint8Array && value.length === length
+  );
+}
--- /dev/null
+++ b/src/connection/ws_peer_network.ts
@@ -0,0 +1,282 @@
+/**
+ * The peer network over `ws`: one dialled and one accepted connection for
+ * each peer.
+ *
+ * @module
+ */
+
+import { createServer as createHttpServer, type Server } from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import { type ClientOptions, type WebSocket, WebSocketServer } from "ws";
+import type { InstanceId } from "../base/identity.ts";
+import {
+  Channel,
+  type Clock,
+  type EventLog,
+  type RandomSource,
+} from "../base/mod.ts";
+import type { HybridClock } from "../process/timeline/hybrid_clock.ts";
+import type { ClusterKey } from "./cluster_key.ts";
+import { IncomingLink } from "./incoming_link.ts";
+import { OutgoingLink } from "./outgoing_link.ts";
+import type { MessageFrame } from "./peer_frame.ts";
+import type {
+  PeerChannel,
+  PeerChannelOptions,
+  PeerNetwork,
+  Received,
+} from "./peer_network.ts";
+
+/** The most bytes of one frame. */
+export const FRAME_LIMIT_BYTES = 4_194_304;
+
+/** The most connections at once that have not proved themselves. */
+const UNPROVED_LIMIT = 64;
+
+/** How long a connection may take to prove itself. */
+const PROOF_LIMIT_MS = 5_000;
+
+/** Where one peer listens. */
+export interface PeerAddress {
+  readonly id: InstanceId;
+  /** IP number and port. */
+  readonly address: string;
+}
+
+/** PEM texts for TLS between instances; both sides show certificates. */
+export interface PeerTls {
+  readonly certificate: string;
+  readonly key: string;
+  readonly authority: string;
+}
+
+/** How a {@link WsPeerNetwork} is made. */
+export interface WsPeerNetworkOptions {
+  readonly self: PeerAddress;
+  readonly peers: readonly PeerAddress[];
+  readonly clusterName: string;
+  readonly clusterKey: ClusterKey;
+  readonly tls?: PeerTls;
+  readonly clock: Clock;
+  readonly hybridClock: HybridClock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+}
+
+type Deliver = (from: InstanceId, body: unknown) => boolean;
+
+/** Counts of what the network has carried. */
+export interface PeerTraffic {
+  sentMessages: number;
+  droppedMessages: number;
+  receivedMessages: number;
+  rejectedConnections: number;
+}
+
+/** The links of this instance to its peers, over loopback or a network. */
+export class WsPeerNetwork implements PeerNetwork {
+  readonly selfId: InstanceId;
+  readonly peerIds: readonly InstanceId[];
+  readonly traffic: PeerTraffic = {
+    sentMessages: 0,
+    droppedMessages: 0,
+    receivedMessages: 0,
+    rejectedConnections: 0,
+  };
+  #options: WsPeerNetworkOptions;
+  #server: Server | undefined;
+  #outgoing = new Map<InstanceId, OutgoingLink>();
+  #incoming = new Set<IncomingLink>();
+  #channels = new Map<string, Deliver>();
+
+  constructor(options: WsPeerNetworkOptions) {
+    this.#options = options;
+    this.selfId = options.self.id;
+    this.peerIds = options.peers.map((peer) => peer.id);
+  }
+
+  /** Listens, and dials every peer; rejects when the address is taken. */
+  async open(): Promise<void> {
+    this.#server = createServer(this.#options.tls);
+    const sockets = new WebSocketServer({
+      server: this.#server,
+      maxPayload: FRAME_LIMIT_BYTES,
+      perMessageDeflate: false,
+    });
+    sockets.on("connection", (socket) => this.#accept(socket));
+    sockets.on("error", () => undefined);
+    await listen(this.#server, this.#options.self.address);
+    for (const peer of this.#options.peers) {
+      this.#outgoing.set(peer.id, this.#dial(peer));
+    }
+  }
+
+  linkedPeerIds(): readonly InstanceId[] {
+    return this.peerIds.filter((id) => this.#outgoing.get(id)?.isOpen);
+  }
+
+  channel<Message>(
+    options: PeerChannelOptions<Message>,
+  ): PeerChannel<Message> {
+    const received = new Channel<Received<Message>>();
+    this.#channels.set(options.name, (from, body) => {
+      const decoded = options.decode(body);
+      decoded.ifRight((message) => received.push({ from, message }));
+      return decoded.isRight();
+    });
+    return {
+      received: received.stream,
+      send: (to, message) => this.#send(to, options.name, message),
+      close: () => {
+        this.#channels.delete(options.name);
+        received.close();
+      },
+    };
+  }
+
+  close(): Promise<void> {
+    for (const link of this.#outgoing.values()) {
+      link.close();
+    }
+    for (const link of this.#incoming) {
+      link.close();
+    }
+    const server = this.#server;
+    if (server === undefined) {
+      return Promise.resolve();
+    }
+    return new Promise((resolve) => server.close(() => resolve()));
+  }
+
+  #send(to: InstanceId, channel: string, body: unknown): boolean {
+    const frame: MessageFrame = {
+      kind: "message",
+      channel,
+      ...this.#options.hybridClock.next(),
+      body,
+    };
+    const isSent = this.#outgoing.get(to)?.send(frame) ?? false;
+    if (isSent) {
+      this.traffic.sentMessages += 1;
+    } else {
+      this.traffic.droppedMessages += 1;
+    }
+    return isSent;
+  }
+
+  #dial(peer: PeerAddress): OutgoingLink {
+    const { tls, events } = this.#options;
+    const scheme = tls === undefined ? "ws" : "wss";
+    return new OutgoingLink({
+      url: `${scheme}://${peer.address}`,
+      socketOptions: clientOptions(tls),
+      selfId: this.selfId,
+      peerId: peer.id,
+      clusterName: this.#options.clusterName,
+      clusterKey: this.#options.clusterKey,
+      clock: this.#options.clock,
+      random: this.#options.random,
+      onOpened: () => events.emit("linkOpened", { peer: peer.id }),
+      onClosed: (detail) =>
+        events.emit("linkClosed", { peer: peer.id, detail }),
+    });
+  }
+
+  #accept(socket: WebSocket): void {
+    if (this.#countUnproved() >= UNPROVED_LIMIT) {
+      socket.terminate();
+      return;
+    }
+    const link: IncomingLink = new IncomingLink({
+      socket,
+      selfId: this.selfId,
+      peerIds: this.peerIds,
+      clusterName: this.#options.clusterName,
+      clusterKey: this.#options.clusterKey,
+      onMessage: (from, frame) => this.#deliver(link, from, frame),
+      onRejected: (from, detail) => this.#countRejected(from, detail),
+    });
+    this.#incoming.add(link);
+    const timer = this.#options.clock.after(PROOF_LIMIT_MS, () => {
+      if (link.from === undefined) {
+        link.reject("no proof in time");
+      }
+    });
+    socket.on("close", () => {
+      timer.close();
+      this.#incoming.delete(link);
+    });
+  }
+
+  #countUnproved(): number {
+    let unproved = 0;
+    for (const link of this.#incoming) {
+      unproved += link.from === undefined ? 1 : 0;
+    }
+    return unproved;
+  }
+
+  #deliver(link: IncomingLink, from: InstanceId, frame: MessageFrame): void {
+    this.#options.hybridClock.observe(frame);
+    const deliver = this.#channels.get(frame.channel);
+    if (deliver === undefined) {
+      return;
+    }
+    if (!deliver(from, frame.body)) {
+      link.reject(`a malformed message on channel ${frame.channel}`);
+      return;
+    }
+    this.traffic.receivedMessages += 1;
+  }
+
+  #countRejected(from: InstanceId | undefined, detail: string): void {
+    this.traffic.rejectedConnections += 1;
+    this.#options.events.emit("frameRejected", { peer: from, detail });
+  }
+}
+
+function createServer(tls: PeerTls | undefined): Server {
+  if (tls === undefined) {
+    return createHttpServer();
+  }
+  return createTlsServer({
+    cert: tls.certificate,
+    key: tls.key,
+    ca: tls.authority,
+    requestCert: true,
+    rejectUnauthorized: true,
+  });
+}
+
+function clientOptions(tls: PeerTls | undefined): ClientOptions {
+  const shared: ClientOptions = {
+    perMessageDeflate: false,
+    maxPayload: FRAME_LIMIT_BYTES,
+    handshakeTimeout: PROOF_LIMIT_MS,
+  };
+  if (tls === undefined) {
+    return shared;
+  }
+  return {
+    ...shared,
+    cert: tls.certificate,
+    key: tls.key,
+    ca: tls.authority,
+    // Peers are named by IP number, and the cluster key proves which one it
+    // is; a false value tells Node that the certificate's name is accepted.
+    checkServerIdentity: () => false,
+  };
+}
+
+function listen(server: Server, address: string): Promise<void> {
+  const at = address.lastIndexOf(":");
+  const host = address.slice(0, at).replace(/^\[|\]$/g, "");
+  const port = Number(address.slice(at + 1));
+  return new Promise((resolve, reject) => {
+    server.once("error", reject);
+    server.listen({ host, port }, () => {
+      server.off("error", reject);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/src/process/settings/load_settings.ts
@@ -0,0 +1,138 @@
+/**
+ * Reads and checks a daemon's settings file.
+ *
+ * @module
+ */
+
+import { readFileSync } from "node:fs";
+import { Left, Right } from "purify-ts/Either";
+import { parse } from "smol-toml";
+import type { z } from "zod";
+import { failure, type Result, SesameError } from "../../base/mod.ts";
+import { type Settings, settingsSchema } from "./settings.ts";
+
+/** Reads the settings file at `path`; every fault names file and key. */
+export function loadSettings(path: string): Result<Settings> {
+  return readText(path).chain((text) => parseSettings(text, { path }));
+}
+
+/** Checks the text of a settings file; `path` is for the messages. */
+export function parseSettings(
+  text: string,
+  options: { path: string },
+): Result<Settings> {
+  return parseToml(text, options.path)
+    .chain((raw) => checkShape(raw, options.path))
+    .chain((settings) => checkWhole(settings, options.path));
+}
+
+function readText(path: string): Result<string> {
+  try {
+    return Right(readFileSync(path, "utf8"));
+  } catch (error) {
+    return failure("notFound", {
+      detail: `${path}: can't be read: ${describe(error)}`,
+      location: path,
+    });
+  }
+}
+
+function parseToml(text: string, path: string): Result<unknown> {
+  try {
+    return Right(parse(text));
+  } catch (error) {
+    return failure("malformed", {
+      detail: `${path}: not TOML: ${describe(error)}`,
+      location: path,
+    });
+  }
+}
+
+function checkShape(raw: unknown, path: string): Result<Settings> {
+  const checked = settingsSchema.safeParse(raw);
+  if (checked.success) {
+    return Right(checked.data);
+  }
+  const lines = checked.error.issues.map((issue) => describeIssue(issue));
+  return invalid(path, lines);
+}
+
+function describeIssue(issue: z.core.$ZodIssue): string {
+  const key = issue.path.join(".") || "the file";
+  if (issue.code === "unrecognized_keys") {
+    return `${key}: unknown key ${issue.keys.join(", ")}`;
+  }
+  return `${key}: ${issue.message}`;
+}
+
+function checkWhole(settings: Settings, path: string): Result<Settings> {
+  const lines = [
+    ...findRepeatedAddresses(settings),
+    ...findRepeatedIds(settings),
+    ...findDiskFaults(settings),
+    ...findTlsFaults(settings),
+  ];
+  return lines.length === 0 ? Right(settings) : invalid(path, lines);
+}
+
+function findRepeatedAddresses(settings: Settings): string[] {
+  const seen = new Map<string, string>();
+  const faults: string[] = [];
+  for (const [key, address] of listAddresses(settings)) {
+    const other = seen.get(address);
+    if (other !== undefined) {
+      faults.push(`${key}: listen address ${address} is also ${other}`);
+    }
+    seen.set(address, key);
+  }
+  return faults;
+}
+
+function listAddresses(settings: Settings): [string, string][] {
+  const own: [string, string][] = [
+    ["instance.httpAddress", settings.instance.httpAddress],
+    ["instance.peerAddress", settings.instance.peerAddress],
+  ];
+  const peers = settings.peers.map((peer, at): [string, string] => [
+    `peers.${at}.peerAddress`,
+    peer.peerAddress,
+  ]);
+  return [...own, ...peers];
+}
+
+function findRepeatedIds(settings: Settings): string[] {
+  const ids = [settings.instance.id, ...settings.peers.map((peer) => peer.id)];
+  return ids
+    .filter((id, at) => ids.indexOf(id) !== at)
+    .map((id) => `peers: the instance id ${id} stands twice`);
+}
+
+function findDiskFaults(settings: Settings): string[] {
+  if (settings.instance.hasDisk && settings.storage.folder === undefined) {
+    return ["storage.folder: expected a folder, since instance.hasDisk"];
+  }
+  return [];
+}
+
+function findTlsFaults(settings: Settings): string[] {
+  const { tlsCertificateFile, tlsKeyFile, tlsAuthorityFile } = settings.cluster;
+  const given = [tlsCertificateFile, tlsKeyFile, tlsAuthorityFile]
+    .filter((file) => file !== undefined);
+  if (given.length === 0 || given.length === 3) {
+    return [];
+  }
+  return ["cluster: expected all three tls files or none"];
+}
+
+function invalid(path: string, lines: readonly string[]): Result<Settings> {
+  return Left(
+    new SesameError("invalid", {
+      detail: lines.map((line) => `${path}: ${line}`).join("\n"),
+      location: path,
+    }),
+  );
+}
+
+function describe(error: unknown): string {
+  return error instanceof Error ? error.message : String(error);
+}
--- /dev/null
+++ b/src/process/timeline/mod.ts
@@ -0,0 +1,24 @@
+/**
+ * The time line of events over all processes.
+ *
+ * @module
+ */
+
+export {
+  compareStamps,
+  HybridClock,
+  type HybridStamp,
+} from "./hybrid_clock.ts";
+export { Timeline, type TimelineOptions } from "./timeline.ts";
+export {
+  matchesQuery,
+  mergeRecords,
+  type TimelineQuery,
+  timelineQuerySchema,
+  type TimelineRecord,
+} from "./timeline_record.ts";
+export {
+  type MergedTimeline,
+  TimelineService,
+  type TimelineServiceOptions,
+} from "./timeline_service.ts";
