--- /dev/null
+++ b/src/connection/ws_peer_network_test.ts
@@ -0,0 +1,171 @@
+import { Buffer } from "node:buffer";
+import { once } from "node:events";
+import { createServer } from "node:net";
+import type { AddressInfo } from "node:net";
+import test from "ava";
+import { Right } from "purify-ts/Either";
+import { WebSocket } from "ws";
+import {
+  failure,
+  SeededRandom,
+  SILENT_EVENT_LOG,
+  SystemClock,
+} from "../base/mod.ts";
+import { HybridClock } from "../process/timeline/mod.ts";
+import { ClusterKey } from "./cluster_key.ts";
+import { encodeFrame, PEER_PROTOCOL_VERSION } from "./peer_frame.ts";
+import type { PeerChannel, Received } from "./peer_network.ts";
+import { FRAME_LIMIT_BYTES, WsPeerNetwork } from "./ws_peer_network.ts";
+
+async function freeAddress(): Promise<string> {
+  const server = createServer().listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  server.close();
+  await once(server, "close");
+  return `127.0.0.1:${port}`;
+}
+
+interface Pair {
+  readonly a: WsPeerNetwork;
+  readonly b: WsPeerNetwork;
+  readonly addressOfB: string;
+}
+
+function makeNetwork(
+  self: { id: string; address: string },
+  options: { peer: { id: string; address: string }; key: string },
+): WsPeerNetwork {
+  const clock = new SystemClock();
+  return new WsPeerNetwork({
+    self,
+    peers: [options.peer],
+    clusterName: "test",
+    clusterKey: new ClusterKey({ key: Buffer.from(options.key) }),
+    clock,
+    hybridClock: new HybridClock({ clock }),
+    random: new SeededRandom({ seed: 1 }),
+    events: SILENT_EVENT_LOG,
+  });
+}
+
+async function openPair(keys: { a: string; b: string }): Promise<Pair> {
+  const selfA = { id: "a", address: await freeAddress() };
+  const selfB = { id: "b", address: await freeAddress() };
+  const a = makeNetwork(selfA, { peer: selfB, key: keys.a });
+  const b = makeNetwork(selfB, { peer: selfA, key: keys.b });
+  await Promise.all([a.open(), b.open()]);
+  return { a, b, addressOfB: selfB.address };
+}
+
+async function closePair(pair: Pair): Promise<void> {
+  await Promise.all([pair.a.close(), pair.b.close()]);
+}
+
+function textChannel(network: WsPeerNetwork): PeerChannel<string> {
+  return network.channel<string>({
+    name: "text",
+    decode: (body) =>
+      typeof body === "string" ? Right(body) : failure("malformed"),
+  });
+}
+
+/** Waits for a condition that real sockets bring about. */
+async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
+
+test("messages reach the same channel of the peer, in order", async (t) => {
+  const pair = await openPair({ a: "secret", b: "secret" });
+  const heard: Received<string>[] = [];
+  textChannel(pair.b).received.observe((received) => {
+    heard.push(received);
+  });
+  const sender = textChannel(pair.a);
+  t.false(sender.send("nobody", "lost"));
+  await until(() => pair.a.linkedPeerIds().includes("b"));
+  t.true(sender.send("b", "one"));
+  t.true(sender.send("b", "two"));
+  await until(() => heard.length === 2);
+  t.deepEqual(heard, [
+    { from: "a", message: "one" },
+    { from: "a", message: "two" },
+  ]);
+  await closePair(pair);
+});
+
+test("a peer with another cluster key gets no link either way", async (t) => {
+  const pair = await openPair({ a: "secret", b: "guess" });
+  await until(() =>
+    pair.a.traffic.rejectedConnections > 0 &&
+    pair.b.traffic.rejectedConnections > 0
+  );
+  t.deepEqual(pair.a.linkedPeerIds(), []);
+  t.deepEqual(pair.b.linkedPeerIds(), []);
+  await closePair(pair);
+});
+
+test("bad frames close their connection, count, and do no more", async (t) => {
+  const pair = await openPair({ a: "secret", b: "secret" });
+  const hello = {
+    kind: "hello",
+    protocolVersion: PEER_PROTOCOL_VERSION,
+    clusterName: "test",
+    from: "a",
+    to: "b",
+    nonce: new Uint8Array(16),
+  } as const;
+  const frames: (Uint8Array | string)[] = [
+    "text",
+    Buffer.from([0xc1]),
+    encodeFrame({ ...hello, protocolVersion: 99 }),
+    encodeFrame({ ...hello, clusterName: "other" }),
+    encodeFrame({ ...hello, to: "c" }),
+    encodeFrame({ ...hello, from: "stranger" }),
+    encodeFrame({ kind: "proof", mac: new Uint8Array(32) }),
+    encodeFrame({
+      kind: "message",
+      channel: "text",
+      wallMs: 0,
+      counter: 0,
+      body: "unproved",
+    }),
+    new Uint8Array(FRAME_LIMIT_BYTES + 1),
+  ];
+  const heard: unknown[] = [];
+  textChannel(pair.b).received.observe((received) => {
+    heard.push(received);
+  });
+  for (const frame of frames) {
+    const socket = new WebSocket(`ws://${pair.addressOfB}`);
+    socket.on("error", () => undefined);
+    await once(socket, "open");
+    const before = pair.b.traffic.rejectedConnections;
+    socket.send(frame);
+    await once(socket, "close");
+    await until(() => pair.b.traffic.rejectedConnections > before);
+  }
+  t.is(pair.b.traffic.rejectedConnections, frames.length);
+  t.deepEqual(heard, []);
+  await until(() => pair.a.linkedPeerIds().includes("b"));
+  t.true(textChannel(pair.a).send("b", "still served"));
+  await until(() => heard.length === 1);
+  await closePair(pair);
+});
+
+test("a message that its channel can't read closes the link", async (t) => {
+  const pair = await openPair({ a: "secret", b: "secret" });
+  textChannel(pair.b);
+  const wrong = pair.a.channel<number>({
+    name: "text",
+    decode: () => failure("malformed"),
+  });
+  await until(() => pair.a.linkedPeerIds().includes("b"));
+  wrong.send("b", 5);
+  await until(() => pair.b.traffic.rejectedConnections === 1);
+  t.is(pair.b.traffic.receivedMessages, 0);
+  await until(() => pair.a.linkedPeerIds().includes("b"));
+  await closePair(pair);
+});
