--- a/src/connection/ws_peer_network.ts
+++ b/src/connection/ws_peer_network.ts
@@ -15,6 +15,7 @@
   type EventLog,
   type RandomSource,
 } from "../base/mod.ts";
+import { splitAddress } from "../base/split_address.ts";
 import type { HybridClock } from "../process/timeline/hybrid_clock.ts";
 import type { ClusterKey } from "./cluster_key.ts";
 import { IncomingLink } from "./incoming_link.ts";
@@ -269,9 +270,7 @@
 }
 
 function listen(server: Server, address: string): Promise<void> {
-  const at = address.lastIndexOf(":");
-  const host = address.slice(0, at).replace(/^\[|\]$/g, "");
-  const port = Number(address.slice(at + 1));
+  const { host, port } = splitAddress(address);
   return new Promise((resolve, reject) => {
     server.once("error", reject);
     server.listen({ host, port }, () => {
--- /dev/null
+++ b/src/process/daemon/cluster_files.ts
@@ -0,0 +1,76 @@
+/**
+ * Reads the key and the certificates that the settings name.
+ *
+ * @module
+ */
+
+import { readFileSync } from "node:fs";
+import { Right } from "purify-ts/Either";
+import { failure, type Result } from "../../base/mod.ts";
+import { ClusterKey, type PeerTls } from "../../connection/mod.ts";
+import type { Settings } from "../settings/mod.ts";
+
+/** A shorter key could be guessed. */
+const KEY_MINIMUM_BYTES = 16;
+
+/** The key of a system whose settings name no key file. */
+const OPEN_KEY = new TextEncoder().encode("sesamethread-open-cluster");
+
+/** What instances of one system share. */
+export interface ClusterFiles {
+  readonly clusterKey: ClusterKey;
+  readonly tls: PeerTls | undefined;
+}
+
+/** Reads all files that the settings of the cluster name. */
+export function readClusterFiles(
+  cluster: Settings["cluster"],
+): Result<ClusterFiles> {
+  return readKey(cluster.keyFile).chain((clusterKey) =>
+    readTls(cluster).map((tls) => ({ clusterKey, tls }))
+  );
+}
+
+function readKey(path: string | undefined): Result<ClusterKey> {
+  if (path === undefined) {
+    return Right(new ClusterKey({ key: OPEN_KEY }));
+  }
+  return readBytes(path).chain((bytes) => {
+    if (bytes.length < KEY_MINIMUM_BYTES) {
+      const detail = `${path}: expected at least ${KEY_MINIMUM_BYTES} bytes`;
+      return failure("invalid", { detail, location: path });
+    }
+    return Right(new ClusterKey({ key: bytes }));
+  });
+}
+
+function readTls(cluster: Settings["cluster"]): Result<PeerTls | undefined> {
+  const { tlsCertificateFile, tlsKeyFile, tlsAuthorityFile } = cluster;
+  const isNamed = tlsCertificateFile !== undefined &&
+    tlsKeyFile !== undefined && tlsAuthorityFile !== undefined;
+  if (!isNamed) {
+    return Right(undefined);
+  }
+  return readText(tlsCertificateFile).chain((certificate) =>
+    readText(tlsKeyFile).chain((key) =>
+      readText(tlsAuthorityFile).map((authority) => ({
+        certificate,
+        key,
+        authority,
+      }))
+    )
+  );
+}
+
+function readText(path: string): Result<string> {
+  return readBytes(path).map((bytes) => new TextDecoder().decode(bytes));
+}
+
+function readBytes(path: string): Result<Uint8Array> {
+  try {
+    return Right(new Uint8Array(readFileSync(path)));
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : String(error);
+    return failure("notFound", { detail, location: path });
+  }
+}
