--- a/src/base/events/routing_events.ts
+++ b/src/base/events/routing_events.ts
@@ -26,4 +26,22 @@
     text: "A request came to its end.",
     fields: ["requestId", "outcome"],
   },
+  serverEjected: {
+    number: 4003,
+    level: "warn",
+    text: "A backend server failed or was slow and gets probes only.",
+    fields: ["server", "service", "reason"],
+  },
+  serverReadmitted: {
+    number: 4004,
+    level: "info",
+    text: "A backend server answered its probe and takes its share again.",
+    fields: ["server", "service"],
+  },
+  answerRejected: {
+    number: 4005,
+    level: "warn",
+    text: "An answer of a backend server was kept from the caller.",
+    fields: ["server", "requestId", "fault"],
+  },
 } as const satisfies Record<string, EventDefinition>;
--- /dev/null
+++ b/src/process/http/metrics_registry.ts
@@ -0,0 +1,174 @@
+/**
+ * Counters and latency histograms of one instance, shown as Prometheus text.
+ *
+ * @module
+ */
+
+import int32Histogram from "hdr-histogram-js/dist/Int32Histogram.js";
+
+/** Names of labels with their values; from closed lists, never free text. */
+export type MetricLabels = Readonly<Record<string, string>>;
+
+/** A number that only grows. */
+export interface Counter {
+  add(by?: number): void;
+  readonly value: number;
+}
+
+/** A distribution of durations. */
+export interface DurationHistogram {
+  record(durationMs: number): void;
+  /** Milliseconds at the percentile from 0 to 100. */
+  percentileMs(percentile: number): number;
+  readonly count: number;
+}
+
+/** The longest duration that is told apart, in microseconds. */
+const LONGEST_US = 3_600_000_000;
+const SIGNIFICANT_DIGITS = 2;
+const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
+
+interface Family {
+  readonly kind: "counter" | "gauge" | "summary";
+  readonly help: string;
+  readonly lines: Map<string, () => string[]>;
+}
+
+/** All metrics of an instance, by name and labels. */
+export class MetricsRegistry {
+  readonly #families = new Map<string, Family>();
+  readonly #counters = new Map<string, Counter>();
+  readonly #histograms = new Map<string, DurationHistogram>();
+
+  /** The counter of this name and these labels; made when it is new. */
+  counter(
+    name: string,
+    options: { help: string; labels?: MetricLabels },
+  ): Counter {
+    const id = name + renderLabels(options.labels ?? {});
+    const known = this.#counters.get(id);
+    if (known !== undefined) {
+      return known;
+    }
+    const counter = new PlainCounter();
+    this.#counters.set(id, counter);
+    this.#family(name, "counter", options.help).lines.set(
+      id,
+      () => [`${id} ${counter.value}`],
+    );
+    return counter;
+  }
+
+  /** Shows a number that is read whenever the metrics are. */
+  gauge(
+    name: string,
+    options: { help: string; labels?: MetricLabels; read: () => number },
+  ): void {
+    const id = name + renderLabels(options.labels ?? {});
+    const family = this.#family(name, "gauge", options.help);
+    family.lines.set(id, () => [`${id} ${options.read()}`]);
+  }
+
+  /** The histogram of this name and these labels; made when it is new. */
+  histogram(
+    name: string,
+    options: { help: string; labels?: MetricLabels },
+  ): DurationHistogram {
+    const labels = options.labels ?? {};
+    const id = name + renderLabels(labels);
+    const known = this.#histograms.get(id);
+    if (known !== undefined) {
+      return known;
+    }
+    const histogram = new HdrDurations();
+    this.#histograms.set(id, histogram);
+    this.#family(name, "summary", options.help).lines.set(
+      id,
+      () => renderSummary(name, { labels, histogram }),
+    );
+    return histogram;
+  }
+
+  /** All metrics in the Prometheus text format. */
+  render(): string {
+    const lines: string[] = [];
+    for (const [name, family] of this.#families) {
+      lines.push(`# HELP ${name} ${family.help}`);
+      lines.push(`# TYPE ${name} ${family.kind}`);
+      for (const render of family.lines.values()) {
+        lines.push(...render());
+      }
+    }
+    return lines.join("\n") + "\n";
+  }
+
+  #family(name: string, kind: Family["kind"], help: string): Family {
+    const known = this.#families.get(name);
+    const family = known ?? { kind, help, lines: new Map() };
+    this.#families.set(name, family);
+    return family;
+  }
+}
+
+class PlainCounter implements Counter {
+  #value = 0;
+
+  get value(): number {
+    return this.#value;
+  }
+
+  add(by = 1): void {
+    this.#value += by;
+  }
+}
+
+class HdrDurations implements DurationHistogram {
+  readonly #histogram = new int32Histogram.default(
+    1,
+    LONGEST_US,
+    SIGNIFICANT_DIGITS,
+  );
+  #sumMs = 0;
+
+  get count(): number {
+    return this.#histogram.totalCount;
+  }
+
+  get sumMs(): number {
+    return this.#sumMs;
+  }
+
+  record(durationMs: number): void {
+    const durationUs = Math.round(durationMs * 1_000);
+    this.#histogram.recordValue(Math.min(Math.max(1, durationUs), LONGEST_US));
+    this.#sumMs += durationMs;
+  }
+
+  percentileMs(percentile: number): number {
+    return this.#histogram.getValueAtPercentile(percentile) / 1_000;
+  }
+}
+
+function renderSummary(
+  name: string,
+  options: { labels: MetricLabels; histogram: HdrDurations },
+): string[] {
+  const { labels, histogram } = options;
+  const quantiles = QUANTILES.map((quantile) => {
+    const text = renderLabels({ ...labels, quantile: String(quantile) });
+    return `${name}${text} ${histogram.percentileMs(quantile * 100)}`;
+  });
+  const text = renderLabels(labels);
+  return [
+    ...quantiles,
+    `${name}_sum${text} ${histogram.sumMs}`,
+    `${name}_count${text} ${histogram.count}`,
+  ];
+}
+
+function renderLabels(labels: MetricLabels): string {
+  const parts = Object.entries(labels).map(([name, value]) =>
+    `${name}="${value.replaceAll(/["\\\n]/g, "_")}"`
+  );
+  return parts.length === 0 ? "" : `{${parts.join(",")}}`;
+}
--- a/src/process/http/mod.ts
+++ b/src/process/http/mod.ts
@@ -20,3 +20,10 @@
   type HttpFrontOptions,
 } from "./http_front.ts";
 export { DEFAULT_HTTP_LIMITS, type HttpLimits } from "./http_limits.ts";
+export { metricsEndpoint } from "./metrics_endpoint.ts";
+export {
+  type Counter,
+  type DurationHistogram,
+  type MetricLabels,
+  MetricsRegistry,
+} from "./metrics_registry.ts";
--- a/src/process/routing/core/routing_core.ts
+++ b/src/process/routing/core/routing_core.ts
@@ -52,6 +52,16 @@
     return this.#services;
   }
 
+  /** Whether the call waits, so that no server can have run it. */
+  isQueued(key: CallKey): boolean {
+    return this.#serviceByCall.get(key)?.isQueued(key) === true;
+  }
+
+  /** Whether the call would be refused at once; changes nothing. */
+  wouldRefuse(call: RoutedCall, atMs: number): boolean {
+    return this.#services.get(call.service)?.preview(call, atMs) !== undefined;
+  }
+
   handle(event: RoutingEvent): RoutingDecision[] {
     const decisions = this.#handle(event);
     decisions.forEach((decision) => this.#track(decision));
--- a/src/process/routing/core/server_table.ts
+++ b/src/process/routing/core/server_table.ts
@@ -54,6 +54,10 @@
     return this.#servers.values();
   }
 
+  find(serverId: BackendServerId): ServerEntry | undefined {
+    return this.#servers.get(serverId);
+  }
+
   configure(service: Service): void {
     this.#service = service;
   }
--- a/src/process/routing/core/service_router.ts
+++ b/src/process/routing/core/service_router.ts
@@ -11,7 +11,10 @@
   ServiceId,
 } from "../../../base/identity.ts";
 import type { RandomSource } from "../../../base/random_source.ts";
-import type { Service } from "../../../version/document/document.ts";
+import type {
+  RequestClass,
+  Service,
+} from "../../../version/document/document.ts";
 import { ClassQueues } from "./class_queues.ts";
 import { RemoteLoads } from "./remote_loads.ts";
 import type { RoutingDecision } from "./routing_decision.ts";
@@ -86,9 +89,7 @@
   }
 
   arrive(call: RoutedCall, nowMs: number): RoutingDecision[] {
-    const known = this.#service.classes.find(({ name }) =>
-      name === call.requestClass
-    );
+    const known = this.#classOf(call);
     if (known === undefined) {
       const detail = `The service has no class ${call.requestClass}.`;
       return [endWithError(call.key, "invalid", detail)];
@@ -107,6 +108,24 @@
     return this.dispatch(nowMs);
   }
 
+  /** Whether the call waits, so that no server can have run it. */
+  isQueued(key: CallKey): boolean {
+    const call = this.#calls.get(key);
+    return call !== undefined && this.#queues.calls.includes(call) &&
+      !call.mayHaveRun;
+  }
+
+  /**
+   * Why the call would be refused at once; undefined when it would not.
+   * Changes nothing.
+   */
+  preview(call: RoutedCall, nowMs: number): RoutingDecision | undefined {
+    const known = this.#classOf(call);
+    return known === undefined
+      ? undefined
+      : this.#refusal(openCall(call, known.rank), known.queueLimit, nowMs);
+  }
+
   /** The caller has gone; what is on its way goes on. */
   abandon(key: CallKey): void {
     const call = this.#calls.get(key);
@@ -180,6 +199,10 @@
     return decisions;
   }
 
+  #classOf(call: RoutedCall): RequestClass | undefined {
+    return this.#service.classes.find(({ name }) => name === call.requestClass);
+  }
+
   /** Why a new call can't be taken on; undefined when it can. */
   #refusal(
     call: OpenCall,
@@ -296,6 +319,7 @@
         this.#calls.delete(key);
         return [{ kind: "endWithAnswer", key, attemptId }];
       case AttemptResult.serverError:
+        call.mayHaveRun = true;
         if (this.#retry(call, atMs)) {
           return [];
         }
--- /dev/null
+++ b/src/process/routing/request_headers.ts
@@ -0,0 +1,25 @@
+/**
+ * The HTTP headers of the caller's protocol and of the backend servers'.
+ *
+ * @module
+ */
+
+/** Header fields of requests and answers. */
+export const RequestHeader = {
+  /** The caller's name of its request; the same on every retry. */
+  requestId: "sesamethread-request",
+  requestClass: "sesamethread-class",
+  /** How long the caller waits. */
+  timeoutMs: "sesamethread-timeout-ms",
+  /** `true` or `false`; `false` when absent. */
+  idempotent: "sesamethread-idempotent",
+  clientAccount: "sesamethread-client-account",
+  /** The path that the backend server sees; `/` when absent. */
+  path: "sesamethread-path",
+  /** The backend server that answered. */
+  server: "sesamethread-server",
+  /** `true` on an answer that is given again from the ledger. */
+  recorded: "sesamethread-recorded",
+  /** Names one sending to a server, which must echo it. */
+  correlation: "sesamethread-correlation",
+} as const;
--- /dev/null
+++ b/src/process/routing/request_routing.ts
@@ -0,0 +1,185 @@
+/**
+ * Request routing as the daemon sees it: built, asked for its endpoints,
+ * drained and closed.
+ *
+ * @module
+ */
+
+import { type EventLog, SILENT_EVENT_LOG } from "../../base/event_log.ts";
+import type { Clock } from "../../base/clock.ts";
+import type {
+  DataCentreId,
+  InstanceId,
+  RegionId,
+} from "../../base/identity.ts";
+import type { RandomSource } from "../../base/random_source.ts";
+import type { PeerNetwork } from "../../connection/peer_network.ts";
+import type { ConfigurationSource } from "../configuration/configuration_source.ts";
+import type { HttpEndpoint, MetricsRegistry } from "../http/mod.ts";
+import { Ledger } from "../ledger/ledger.ts";
+import type { LedgerCommand, LedgerReply, LedgerState } from "../ledger/mod.ts";
+import type { ReplicatedLog } from "../replication/replicated_log.ts";
+import { BackendClient } from "./backend_client.ts";
+import { backendEndpoints } from "./backend_endpoints.ts";
+import type { RoutingOptions, ServerAnnouncement } from "./core/mod.ts";
+import { requestEndpoint } from "./request_endpoint.ts";
+import { RequestService } from "./request_service.ts";
+import { Router } from "./router.ts";
+import { RoutingMetrics } from "./routing_metrics.ts";
+import { ServerSpread } from "./server_spread.ts";
+
+/** Where an instance stands. */
+export interface RoutingInstance {
+  readonly id: InstanceId;
+  readonly dataCentre: DataCentreId;
+  readonly region: RegionId;
+}
+
+/** What routing is built from. */
+export interface RequestRoutingOptions {
+  readonly self: RoutingInstance;
+  /** Every other instance. */
+  readonly peers: readonly RoutingInstance[];
+  /** Greater than at any earlier start of this instance. */
+  readonly incarnation: number;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly network: PeerNetwork;
+  readonly configuration: ConfigurationSource;
+  /** The log of this data centre's ledger, and the state it applies to. */
+  readonly ledgerLog: ReplicatedLog<LedgerCommand, LedgerReply>;
+  readonly ledgerState: LedgerState;
+  readonly metrics: MetricsRegistry;
+  readonly eventLog?: EventLog;
+  readonly routing?: Partial<RoutingOptions>;
+  readonly connectionsPerServer?: number;
+}
+
+const CONNECTIONS_PER_SERVER = 60;
+
+/** The routing of one instance. */
+export class RequestRouting {
+  readonly #options: RequestRoutingOptions;
+  readonly #eventLog: EventLog;
+  readonly #router: Router;
+  readonly #ledger: Ledger;
+  readonly #service: RequestService;
+  readonly #spread: ServerSpread;
+
+  constructor(options: RequestRoutingOptions) {
+    this.#options = options;
+    this.#eventLog = options.eventLog ?? SILENT_EVENT_LOG;
+    const metrics = new RoutingMetrics({ registry: options.metrics });
+    const common = {
+      instanceId: options.self.id,
+      incarnation: options.incarnation,
+      dataCentre: options.self.dataCentre,
+      clock: options.clock,
+      eventLog: this.#eventLog,
+      configuration: options.configuration,
+      metrics,
+    };
+    const peerDataCentres = new Map(
+      options.peers.map(({ id, dataCentre }) => [id, dataCentre]),
+    );
+    this.#router = new Router({
+      ...common,
+      random: options.random,
+      ...(options.routing === undefined ? {} : { routing: options.routing }),
+      client: new BackendClient({
+        clock: options.clock,
+        connectionsPerServer: options.connectionsPerServer ??
+          CONNECTIONS_PER_SERVER,
+        onStrayInput: () => metrics.countFault("doubled"),
+      }),
+    });
+    this.#ledger = new Ledger({
+      dataCentre: options.self.dataCentre,
+      peerDataCentres,
+      clock: options.clock,
+      network: options.network,
+      log: options.ledgerLog,
+      state: options.ledgerState,
+    });
+    this.#service = new RequestService({
+      ...common,
+      router: this.#router,
+      ledger: this.#ledger,
+    });
+    this.#spread = new ServerSpread({
+      network: options.network,
+      peerDataCentres,
+      onAnnounced: (announcement) => this.#hear(announcement),
+    });
+    showGauges(metrics, this.#router, options.ledgerState);
+  }
+
+  /** For the HTTP front. */
+  get endpoints(): HttpEndpoint[] {
+    const { configuration, clock } = this.#options;
+    return [
+      requestEndpoint({ service: this.#service, configuration }),
+      ...backendEndpoints({
+        clock,
+        configuration,
+        router: this.#router,
+        onAnnounced: (announcement) => {
+          this.#hear(announcement);
+          this.#spread.spread(announcement);
+        },
+      }),
+    ];
+  }
+
+  /**
+   * To be called after the front has closed: returns once every attempt has
+   * ended and every outcome is recorded, or at the deadline.
+   */
+  async drain(options: { deadlineMs: number }): Promise<void> {
+    const leftMs = options.deadlineMs - this.#options.clock.nowMs();
+    const drained = this.#router.drain().then(() => this.#service.drain());
+    const deadline = new Promise<void>((resolve) => {
+      const timer = this.#options.clock.after(leftMs, resolve);
+      void drained.then(() => timer.close());
+    });
+    await Promise.race([drained, deadline]);
+  }
+
+  async close(): Promise<void> {
+    this.#spread.close();
+    this.#ledger.close();
+    await this.#router.close();
+  }
+
+  #hear(announcement: ServerAnnouncement): void {
+    const { serverId, service, leaving } = announcement;
+    const known = this.#router.core.services.get(service)?.servers
+      .find(serverId);
+    if (known === undefined) {
+      this.#eventLog.emit("serverAnnounced", { server: serverId, service });
+    }
+    if (leaving && known?.announcement.leaving !== true) {
+      this.#eventLog.emit("serverLeaving", { server: serverId, service });
+    }
+    this.#router.announce(announcement);
+  }
+}
+
+function showGauges(
+  metrics: RoutingMetrics,
+  router: Router,
+  ledgerState: LedgerState,
+): void {
+  metrics.showGauge("sesamethread_requests_open", {
+    help: "Requests of which more may become known.",
+    read: () => router.open,
+  });
+  metrics.showGauge("sesamethread_ledger_entries", {
+    help: "Non-idempotent requests that the ledger remembers.",
+    read: () => ledgerState.size,
+  });
+  metrics.showGauge("sesamethread_ledger_bytes", {
+    help: "Bytes that the ledger reckons to hold.",
+    read: () => ledgerState.bytes,
+  });
+}
--- /dev/null
+++ b/src/process/routing/request_routing_test.ts
@@ -0,0 +1,306 @@
+import test, { type ExecutionContext } from "ava";
+import { Agent, request } from "undici";
+import {
+  StandinBackendServer,
+  type StandinBackendServerOptions,
+} from "../../../standins/backend_server/mod.ts";
+import { Channel, SeededRandom, SystemClock } from "../../base/mod.ts";
+import type { ConfigurationVersion } from "../../version/configuration_version.ts";
+import { documentSchema } from "../../version/document/document.ts";
+import { HttpFront, metricsEndpoint, MetricsRegistry } from "../http/mod.ts";
+import { LedgerState } from "../ledger/mod.ts";
+import { MemoryGroup } from "../ledger/memory_group.ts";
+import { MemoryHub } from "./memory_network.ts";
+import { RequestRouting } from "./request_routing.ts";
+
+const SERVICE = {
+  owner: "operations",
+  classes: [
+    { name: "quote", rank: 0, defaultTimeoutMs: 5_000 },
+    { name: "normal", rank: 4, defaultTimeoutMs: 5_000 },
+  ],
+  retryBudgetFraction: 1,
+};
+
+const VERSION: ConfigurationVersion = {
+  version: 1,
+  acceptedAtMs: 0,
+  document: documentSchema.parse({
+    formatVersion: 1,
+    dataCentres: {
+      east: { owner: "operations", region: "r" },
+      west: { owner: "operations", region: "r" },
+    },
+    services: { loft: SERVICE },
+  }),
+};
+
+const INSTANCES = [
+  { id: "e1", dataCentre: "east", region: "r" },
+  { id: "e2", dataCentre: "east", region: "r" },
+  { id: "w1", dataCentre: "west", region: "r" },
+];
+
+/** Instances on loopback with the real clock, over in-memory links. */
+async function startSystem(t: ExecutionContext) {
+  const clock = new SystemClock();
+  const hub = new MemoryHub({ clock });
+  const states = new Map(["east", "west"].map((id) => [id, new LedgerState()]));
+  const groups = new Map(
+    [...states].map(([groupId, state]) => [
+      groupId,
+      new MemoryGroup({ groupId, state }),
+    ]),
+  );
+  const instances = await Promise.all(INSTANCES.map(async (self) => {
+    const metrics = new MetricsRegistry();
+    const state = states.get(self.dataCentre);
+    const group = groups.get(self.dataCentre);
+    if (state === undefined || group === undefined) {
+      throw new Error("no group");
+    }
+    const log = group.member(self.id);
+    const routing = new RequestRouting({
+      self,
+      peers: INSTANCES.filter(({ id }) => id !== self.id),
+      incarnation: 1,
+      clock,
+      random: new SeededRandom({ seed: 1 }),
+      network: hub.network(self.id),
+      configuration: {
+        current: () => VERSION,
+        versions: new Channel<ConfigurationVersion>().stream,
+        currentAtMs: () => clock.nowMs(),
+      },
+      ledgerLog: log,
+      ledgerState: state,
+      metrics,
+    });
+    const front = new HttpFront({
+      endpoints: [...routing.endpoints, metricsEndpoint(metrics)],
+      clock,
+    });
+    const listening = await front.listen({ host: "127.0.0.1", port: 0 });
+    const address = `127.0.0.1:${listening.unsafeCoerce().port}`;
+    front.markReady();
+    return { self, routing, front, address, log, metrics };
+  }));
+  const agent = new Agent({ connections: 400 });
+  const standins: StandinBackendServer[] = [];
+  t.teardown(async () => {
+    standins.forEach((standin) => standin.die());
+    await agent.destroy();
+    await Promise.all(instances.map(async ({ routing, front }) => {
+      await front.close({ leaveMs: 0, deadlineMs: clock.nowMs() });
+      await routing.close();
+    }));
+  });
+  const addServer = async (
+    serverId: string,
+    options: Partial<StandinBackendServerOptions> = {},
+  ) => {
+    const dataCentre = options.dataCentre ?? "east";
+    const standin = new StandinBackendServer({
+      serverId,
+      service: "loft",
+      instances: instances.filter(({ self }) => self.dataCentre === dataCentre)
+        .map(({ address }) => address),
+      clock,
+      random: new SeededRandom({ seed: standins.length + 1 }),
+      meanServiceMs: 2,
+      dataCentre,
+      ...options,
+    });
+    standins.push(standin);
+    await standin.start();
+    return standin;
+  };
+  const call = async (
+    at: number,
+    body: string,
+    headers: Record<string, string> = {},
+  ) => {
+    const address = instances[at]?.address ?? "";
+    const url = `http://${address}/v1/services/loft/requests`;
+    const response = await request(url, {
+      method: "POST",
+      body,
+      headers,
+      dispatcher: agent,
+    });
+    // deno-lint-ignore no-explicit-any
+    const json = await response.body.json() as any;
+    return { status: response.statusCode, headers: response.headers, json };
+  };
+  return { instances, addServer, call, clock };
+}
+
+test("a caller gets its own server's whole answer", async (t) => {
+  const { addServer, call } = await startSystem(t);
+  await addServer("s1");
+  const { status, headers, json } = await call(0, "loft of bale 7");
+  t.is(status, 200);
+  t.is(headers["sesamethread-server"], "s1");
+  t.is(json.body, "loft of bale 7");
+  t.is(json.requestId, headers["sesamethread-request"]);
+});
+
+test("an announcement to one instance reaches its data centre", async (t) => {
+  const { addServer, call } = await startSystem(t);
+  await addServer("s1");
+  const answers = await Promise.all([call(0, "a"), call(1, "b")]);
+  t.deepEqual(answers.map(({ json }) => json.body), ["a", "b"]);
+});
+
+test("a retry through another instance gets the same answer", async (t) => {
+  const { addServer, call } = await startSystem(t);
+  const server = await addServer("s1");
+  for (const requestId of ["east:order-1", "west:order-2", "order-3"]) {
+    const headers = { "sesamethread-request": requestId };
+    const first = await call(0, "bale", headers);
+    const second = await call(1, "bale", headers);
+    t.is(first.status, 200);
+    t.deepEqual(second.json, first.json);
+    t.is(second.headers["sesamethread-recorded"], "true");
+    t.is(server.truth.runs.get(requestId), 1);
+    const other = await call(1, "other bale", headers);
+    t.is(other.json.error.kind, "identityReused");
+  }
+});
+
+test("two tries at once run once", async (t) => {
+  const { addServer, call } = await startSystem(t);
+  const server = await addServer("s1", { meanServiceMs: 50 });
+  const headers = { "sesamethread-request": "order-1" };
+  const answers = await Promise.all(
+    [0, 1, 0, 1].map((at) => call(at, "bale", headers)),
+  );
+  answers.forEach(({ json }) => t.is(json.body, "bale"));
+  t.is(server.truth.runs.get("order-1"), 1);
+});
+
+test("no retry is sent while the home's ledger is out of reach", async (t) => {
+  const { addServer, call, instances } = await startSystem(t);
+  const server = await addServer("s1");
+  instances.forEach(({ log }) => log.fault = "unavailable");
+  const headers = { "sesamethread-request": "east:order-1" };
+  const { json } = await call(0, "bale", headers);
+  t.is(json.error.kind, "outcomeUnknown");
+  t.is(json.error.facts.isSentNow, false);
+  t.is(server.truth.runs.size, 0);
+});
+
+const WRONG_ANSWERS = ["crossed", "truncated", "drop"] as const;
+
+for (const fault of WRONG_ANSWERS) {
+  test(`an order with a ${fault} answer ends as unknown`, async (t) => {
+    const { addServer, call, instances } = await startSystem(t);
+    const servers = [await addServer("s1"), await addServer("s2")];
+    servers.forEach((server) =>
+      server.setFaults({ fault, fraction: 1, slowFactor: 1 })
+    );
+    const headers = { "sesamethread-request": "order-1" };
+    const first = await call(0, "bale", headers);
+    const second = await call(1, "bale", headers);
+    t.is(first.json.error.kind, "outcomeUnknown");
+    t.is(second.json.error.kind, "outcomeUnknown");
+    const runs = servers.map(({ truth }) => truth.runs.get("order-1") ?? 0);
+    t.is((runs[0] ?? 0) + (runs[1] ?? 0), 1);
+    if (fault !== "drop") {
+      t.regex(
+        instances[0]?.metrics.render() ?? "",
+        new RegExp(`answer_faults_total{fault="${fault}"} 1`),
+      );
+    }
+  });
+
+  test(`an idempotent ask with a ${fault} answer is retried`, async (t) => {
+    const { addServer, call } = await startSystem(t);
+    const bad = await addServer("s1");
+    await addServer("s2");
+    bad.setFaults({ fault, fraction: 1, slowFactor: 1 });
+    const headers = { "sesamethread-idempotent": "true" };
+    for (let at = 0; at < 10; at += 1) {
+      const { json } = await call(0, `ask ${at}`, headers);
+      t.is(json.body, `ask ${at}`);
+    }
+  });
+}
+
+test("a doubled answer reaches nobody else", async (t) => {
+  const { addServer, call } = await startSystem(t);
+  const server = await addServer("s1", { meanServiceMs: 1 });
+  server.setFaults({ fault: "doubled", fraction: 1, slowFactor: 1 });
+  for (let at = 0; at < 20; at += 1) {
+    const { json, headers } = await call(0, `ask ${at}`, {
+      "sesamethread-idempotent": "true",
+    });
+    const isOwn = json.body === `ask ${at}` &&
+      json.requestId === headers["sesamethread-request"];
+    t.true(isOwn || json.error?.kind === "outcomeUnknown");
+  }
+});
+
+test("a late answer is kept for the retry, not for others", async (t) => {
+  const { addServer, call, instances } = await startSystem(t);
+  const server = await addServer("s1");
+  server.setFaults({ fault: "late", fraction: 1, slowFactor: 1 });
+  const headers = {
+    "sesamethread-request": "order-1",
+    "sesamethread-timeout-ms": "100",
+  };
+  const first = await call(0, "bale", headers);
+  t.is(first.json.error.kind, "outcomeUnknown");
+  const patient = { ...headers, "sesamethread-timeout-ms": "5000" };
+  const second = await call(1, "bale", patient);
+  t.is(second.json.body, "bale");
+  t.is(server.truth.runs.get("order-1"), 1);
+  t.regex(instances[0]?.metrics.render() ?? "", /fault="late"} 1/);
+});
+
+test("malformed calls of callers and servers are refused", async (t) => {
+  const { call, instances } = await startSystem(t);
+  const cases = [
+    { "sesamethread-request": "bad identity" },
+    { "sesamethread-timeout-ms": "-1" },
+    { "sesamethread-idempotent": "perhaps" },
+    { "sesamethread-path": "no-slash" },
+  ];
+  for (const headers of cases) {
+    const { json } = await call(0, "", headers as Record<string, string>);
+    t.is(json.error.kind, "malformed");
+  }
+  const wrongClass = await call(0, "", { "sesamethread-class": "none" });
+  t.is(wrongClass.json.error.kind, "invalid");
+  const announcement = await request(
+    `http://${instances[0]?.address}/v1/backends/s1/announce`,
+    { method: "POST", body: JSON.stringify({ service: "loft" }) },
+  );
+  t.is(announcement.statusCode, 400);
+});
+
+test("a stop under load loses and doubles nothing", async (t) => {
+  const { addServer, call, instances, clock } = await startSystem(t);
+  const server = await addServer("s1", { meanServiceMs: 5 });
+  const requests = Array.from(
+    { length: 200 },
+    (_, at) =>
+      call(0, `bale ${at}`, {
+        "sesamethread-request": `order-${at}`,
+        "sesamethread-timeout-ms": "30000",
+      }),
+  );
+  const [first] = instances;
+  while ((first?.front.calls ?? 0) < 200 && server.truth.runs.size < 100) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+  const deadlineMs = clock.nowMs() + 30_000;
+  const stopped = first?.front.close({ leaveMs: 500, deadlineMs })
+    .then(() => first.routing.drain({ deadlineMs }));
+  const answers = await Promise.all(requests);
+  answers.forEach(({ json }, at) => t.is(json.body, `bale ${at}`));
+  await stopped;
+  t.is(server.truth.runs.size, 200);
+  t.true([...server.truth.runs.values()].every((runs) => runs === 1));
+  t.true(server.truth.mostAtOnce <= 8);
+});
