--- a/src/connection/ws_peer_network_test.ts
+++ b/src/connection/ws_peer_network_test.ts
@@ -1,5 +1,6 @@
 import { Buffer } from "node:buffer";
 import { once } from "node:events";
+import { readFileSync } from "node:fs";
 import { createServer } from "node:net";
 import type { AddressInfo } from "node:net";
 import test from "ava";
@@ -15,7 +16,11 @@
 import { ClusterKey } from "./cluster_key.ts";
 import { encodeFrame, PEER_PROTOCOL_VERSION } from "./peer_frame.ts";
 import type { PeerChannel, Received } from "./peer_network.ts";
-import { FRAME_LIMIT_BYTES, WsPeerNetwork } from "./ws_peer_network.ts";
+import {
+  FRAME_LIMIT_BYTES,
+  type PeerTls,
+  WsPeerNetwork,
+} from "./ws_peer_network.ts";
 
 async function freeAddress(): Promise<string> {
   const server = createServer().listen(0, "127.0.0.1");
@@ -34,7 +39,11 @@
 
 function makeNetwork(
   self: { id: string; address: string },
-  options: { peer: { id: string; address: string }; key: string },
+  options: {
+    peer: { id: string; address: string };
+    key: string;
+    tls?: PeerTls;
+  },
 ): WsPeerNetwork {
   const clock = new SystemClock();
   return new WsPeerNetwork({
@@ -42,6 +51,7 @@
     peers: [options.peer],
     clusterName: "test",
     clusterKey: new ClusterKey({ key: Buffer.from(options.key) }),
+    ...(options.tls === undefined ? {} : { tls: options.tls }),
     clock,
     hybridClock: new HybridClock({ clock }),
     random: new SeededRandom({ seed: 1 }),
@@ -49,11 +59,14 @@
   });
 }
 
-async function openPair(keys: { a: string; b: string }): Promise<Pair> {
+async function openPair(
+  keys: { a: string; b: string; tls?: PeerTls },
+): Promise<Pair> {
   const selfA = { id: "a", address: await freeAddress() };
   const selfB = { id: "b", address: await freeAddress() };
-  const a = makeNetwork(selfA, { peer: selfB, key: keys.a });
-  const b = makeNetwork(selfB, { peer: selfA, key: keys.b });
+  const tls = keys.tls === undefined ? {} : { tls: keys.tls };
+  const a = makeNetwork(selfA, { peer: selfB, key: keys.a, ...tls });
+  const b = makeNetwork(selfB, { peer: selfA, key: keys.b, ...tls });
   await Promise.all([a.open(), b.open()]);
   return { a, b, addressOfB: selfB.address };
 }
@@ -169,3 +182,30 @@
   await until(() => pair.a.linkedPeerIds().includes("b"));
   await closePair(pair);
 });
+
+test("with TLS, a peer without a certificate is not let in", async (t) => {
+  const read = (name: string) =>
+    readFileSync(`test/fixtures/tls/${name}`, "utf8");
+  const tls: PeerTls = {
+    certificate: read("instance.pem"),
+    key: read("instance.key"),
+    authority: read("authority.pem"),
+  };
+  const pair = await openPair({ a: "secret", b: "secret", tls });
+  const heard: Received<string>[] = [];
+  textChannel(pair.b).received.observe((received) => {
+    heard.push(received);
+  });
+  await until(() => pair.a.linkedPeerIds().includes("b"));
+  t.true(textChannel(pair.a).send("b", "sealed"));
+  await until(() => heard.length === 1);
+  const stranger = new WebSocket(`wss://${pair.addressOfB}`, {
+    ca: tls.authority,
+    checkServerIdentity: () => false,
+  });
+  const error = await new Promise<NodeJS.ErrnoException>((resolve) => {
+    stranger.once("error", resolve);
+  });
+  t.is(error.code, "ERR_SSL_TLSV13_ALERT_CERTIFICATE_REQUIRED");
+  await closePair(pair);
+});
--- a/src/process/daemon/daemon.ts
+++ b/src/process/daemon/daemon.ts
@@ -166,6 +166,10 @@
     ],
     clock,
     eventLog: timeline,
+    limits: {
+      connections: settings.limits.callerConnections,
+      bodyReadMs: settings.limits.bodyReadMs,
+    },
   });
   return { network, timeline, timelineService, membership, front };
 }
--- /dev/null
+++ b/src/process/timeline/timeline_test.ts
@@ -0,0 +1,53 @@
+import test from "ava";
+import { FakeClock } from "../../base/mod.ts";
+import { compareStamps, HybridClock } from "./hybrid_clock.ts";
+import { Timeline } from "./timeline.ts";
+import { mergeRecords } from "./timeline_record.ts";
+
+test("an effect is stamped after its cause, though its clock lags", (t) => {
+  const ahead = new HybridClock({ clock: new FakeClock({ startMs: 5_000 }) });
+  const behind = new HybridClock({ clock: new FakeClock({ startMs: 1_000 }) });
+  const cause = ahead.next();
+  behind.observe(cause);
+  const effect = behind.next();
+  t.true(compareStamps(cause, effect) < 0);
+});
+
+test("a stamp from a wild clock is not taken over", (t) => {
+  const sane = new HybridClock({ clock: new FakeClock({ startMs: 1_000 }) });
+  sane.observe({ wallMs: 10_000_000, counter: 0 });
+  t.is(sane.next().wallMs, 1_000);
+});
+
+function makeTimeline(instanceId: string, hybridClock: HybridClock): Timeline {
+  return new Timeline({ instanceId, hybridClock, capacity: 3 });
+}
+
+test("the oldest events go first when the time line is full", (t) => {
+  const hybridClock = new HybridClock({ clock: new FakeClock() });
+  const timeline = makeTimeline("a", hybridClock);
+  for (const jobId of ["1", "2", "3", "4", "5"]) {
+    timeline.emit("jobSubmitted", { jobId });
+  }
+  const ids = timeline.read({ limit: 10 }).map((each) => each.fields["jobId"]);
+  t.deepEqual(ids, ["3", "4", "5"]);
+  const one = timeline.read({ limit: 10, jobId: "4" });
+  t.deepEqual(one.map((each) => each.sequence), [3]);
+});
+
+test("the parts of several instances merge in causal order", (t) => {
+  const clocks = [9_000, 1_000].map((startMs) =>
+    new HybridClock({ clock: new FakeClock({ startMs }) })
+  );
+  const [ahead, behind] = clocks as [HybridClock, HybridClock];
+  const a = makeTimeline("a", ahead);
+  const b = makeTimeline("b", behind);
+  a.emit("jobSubmitted", { jobId: "1" });
+  behind.observe(ahead.next());
+  b.emit("gangStarted", { jobId: "1" });
+  ahead.observe(behind.next());
+  a.emit("jobEnded", { jobId: "1" });
+  const parts = [b, a].map((each) => each.read({ limit: 10 }));
+  const names = mergeRecords(parts, { limit: 10 }).map((each) => each.name);
+  t.deepEqual(names, ["jobSubmitted", "gangStarted", "jobEnded"]);
+});
--- /dev/null
+++ b/src/programs/commands/instance_commands.ts
@@ -0,0 +1,113 @@
+/**
+ * Commands that look at instances: `status` and `timeline`.
+ *
+ * @module
+ */
+
+import type { PeerView } from "../../process/membership/membership_core.ts";
+import type { MemberStatus } from "../../process/replication/replicated_log.ts";
+import type { TimelineRecord } from "../../process/timeline/timeline_record.ts";
+import { type CommandContext, report } from "./command_context.ts";
+import { renderTable } from "./table.ts";
+
+interface StatusView {
+  readonly instance: {
+    readonly id: string;
+    readonly dataCentre: string;
+    readonly region: string;
+    readonly incarnation: number;
+  };
+  readonly configurationVersion: number;
+  readonly groups: readonly MemberStatus[];
+  readonly peers: readonly PeerView[];
+}
+
+/** `status`: the instance that answers, its peers and its groups. */
+export async function showStatus(context: CommandContext): Promise<number> {
+  const result = await context.client.json({
+    method: "GET",
+    path: "/v1/status",
+  });
+  return report(context, {
+    result,
+    render: (value) => renderStatus(value as StatusView),
+  });
+}
+
+function renderStatus(view: StatusView): string {
+  const { instance } = view;
+  return [
+    `instance ${instance.id} in ${instance.dataCentre}, ${instance.region}`,
+    `configuration version ${view.configurationVersion}`,
+    "",
+    renderTable(
+      ["PEER", "DATA CENTRE", "STATE", "HTTP"],
+      view.peers.map((peer) => [
+        peer.id,
+        peer.dataCentre,
+        peer.state,
+        peer.httpAddress,
+      ]),
+    ),
+    "",
+    renderTable(
+      ["GROUP", "ROLE", "TERM", "LEADER", "APPLIED"],
+      view.groups.map((group) => [
+        group.groupId,
+        group.role,
+        group.term,
+        group.leaderId,
+        group.appliedIndex,
+      ]),
+    ),
+  ].join("\n");
+}
+
+/** Which events `timeline` shows. */
+export interface TimelineOptions {
+  readonly job?: string;
+  readonly request?: string;
+  readonly instance?: string;
+  readonly limit?: number;
+}
+
+interface TimelineView {
+  readonly records: readonly TimelineRecord[];
+  readonly missing: readonly string[];
+}
+
+/** `timeline`: the events of all instances, causes before effects. */
+export async function showTimeline(
+  context: CommandContext,
+  options: TimelineOptions,
+): Promise<number> {
+  const query = new URLSearchParams();
+  for (const [name, value] of Object.entries(options)) {
+    if (value !== undefined) {
+      query.set(name, String(value));
+    }
+  }
+  const result = await context.client.json({
+    method: "GET",
+    path: `/v1/timeline?${query}`,
+  });
+  return report(context, {
+    result,
+    render: (value) => renderTimeline(value as TimelineView),
+  });
+}
+
+function renderTimeline(view: TimelineView): string {
+  const lines = view.records.map((record) => {
+    const time = new Date(record.wallMs).toISOString().slice(11, 23);
+    const fields = Object.entries(record.fields)
+      .map(([name, value]) => `${name}=${value}`)
+      .join(" ");
+    return `${time}.${record.counter}  ${record.instance}  ${record.number} ` +
+      `${record.name}  ${fields}`;
+  });
+  if (view.missing.length > 0) {
+    lines.push(`no answer from: ${view.missing.join(", ")}`);
+  }
+  return lines.join("\n");
+}
