Replicate a log among the members of a group

State that must survive the loss of an instance had only an interface.

A voter is a member with its incarnation, so that one which lost its state never counts as what it was. Commits need a durable voter while one answers.

--- /dev/null
+++ b/src/process/replication/log_store.ts
@@ -0,0 +1,390 @@
+/**
+ * A member's log, snapshot and hard state in files.
+ *
+ * @module
+ */
+
+import { Buffer } from "node:buffer";
+import { pack, unpack } from "msgpackr";
+import { Right } from "purify-ts/Either";
+import { z } from "zod";
+import { failure, type Result } from "../../base/sesame_error.ts";
+import type { Storage } from "../../base/storage.ts";
+import {
+  encodeRecord,
+  readOnlyRecord,
+  scanRecords,
+} from "../storage/record_codec.ts";
+import { groupConfigurationSchema } from "./group_configuration.ts";
+import {
+  bytesSchema,
+  type HardState,
+  type LogEntry,
+  logEntrySchema,
+  type LogSnapshot,
+} from "./log_entry.ts";
+import type { PersistEffect } from "./raft_effect.ts";
+import { EMPTY_SNAPSHOT } from "./raft_log.ts";
+
+const FORMAT_VERSION = 1;
+
+const hardStateSchema = z.strictObject({
+  formatVersion: z.literal(FORMAT_VERSION),
+  incarnation: z.int(),
+  formationId: z.string().optional(),
+  term: z.int(),
+  votedFor: z.string().optional(),
+});
+
+const snapshotSchema = z.strictObject({
+  formatVersion: z.literal(FORMAT_VERSION),
+  index: z.int(),
+  term: z.int(),
+  configuration: groupConfigurationSchema,
+  data: bytesSchema,
+});
+
+const entryRecordSchema = z.tuple([
+  logEntrySchema.shape.index,
+  logEntrySchema.shape.term,
+  logEntrySchema.shape.kind,
+  bytesSchema,
+]);
+
+/** What a member kept. */
+export interface StoredLog {
+  readonly hardState: HardState;
+  readonly snapshot: LogSnapshot;
+  readonly entries: readonly LogEntry[];
+}
+
+/** What was found at the start of a member. */
+export type LoadedLog =
+  | { readonly kind: "empty" }
+  | { readonly kind: "corrupt"; readonly detail: string }
+  | { readonly kind: "whole"; readonly log: StoredLog };
+
+interface Segment {
+  readonly name: string;
+  lastIndex: number;
+  bytes: number;
+}
+
+/** The files of one group's member in the data folder. */
+export class LogStore {
+  #storage: Storage;
+  #prefix: string;
+  #segments: Segment[] = [];
+  #nextSegment = 1;
+
+  constructor(options: { storage: Storage; groupId: string }) {
+    this.#storage = options.storage;
+    this.#prefix = options.groupId.replaceAll(":", "_");
+  }
+
+  /** Reads everything; cuts a torn tail off. */
+  async load(): Promise<Result<LoadedLog>> {
+    const state = await this.#storage.read(this.#stateName);
+    const snapshot = await this.#storage.read(this.#snapshotName);
+    const segments = await this.#readSegments();
+    if (state.isLeft() || snapshot.isLeft() || segments.isLeft()) {
+      return state.chain(() => snapshot).chain(() => segments).map(() => ({
+        kind: "empty" as const,
+      }));
+    }
+    const stateBytes = state.extract() as Uint8Array | undefined;
+    if (stateBytes === undefined) {
+      return Right({ kind: "empty" });
+    }
+    return Right(parseLog({
+      state: stateBytes,
+      snapshot: snapshot.extract() as Uint8Array | undefined,
+      entries: segments.extract() as Result<LogEntry[]>,
+    }));
+  }
+
+  /** Makes the effects durable, in order, with as few syncs as possible. */
+  async persist(effects: readonly PersistEffect[]): Promise<Result<void>> {
+    let entries: LogEntry[] = [];
+    let result: Result<void> = Right(undefined);
+    for (const effect of effects) {
+      if (effect.snapshot !== undefined || effect.hardState !== undefined) {
+        result = await this.#writeEntries(entries);
+        entries = [];
+      }
+      if (result.isRight() && effect.snapshot !== undefined) {
+        result = await this.#writeSnapshot(effect);
+      }
+      if (result.isRight() && effect.hardState !== undefined) {
+        result = await this.#writeHardState(effect.hardState);
+      }
+      if (result.isLeft()) {
+        return result;
+      }
+      entries = entries.concat(effect.entries);
+    }
+    return await this.#writeEntries(entries);
+  }
+
+  /** Removes everything; what a crash leaves of it counts as nothing. */
+  async wipe(): Promise<Result<void>> {
+    const names = await this.#storage.list();
+    if (names.isLeft()) {
+      return names.map(() => undefined);
+    }
+    const own = (names.extract() as readonly string[]).filter((name) =>
+      name.startsWith(`${this.#prefix}.`)
+    );
+    // Without the state file the others mean nothing, so that it goes first.
+    const ordered = [
+      ...own.filter((name) => name === this.#stateName),
+      ...own.filter((name) => name !== this.#stateName),
+    ];
+    for (const name of ordered) {
+      const removed = await this.#storage.remove(name);
+      if (removed.isLeft()) {
+        return removed;
+      }
+    }
+    this.#segments = [];
+    return Right(undefined);
+  }
+
+  get #stateName(): string {
+    return `${this.#prefix}.state`;
+  }
+
+  get #snapshotName(): string {
+    return `${this.#prefix}.snapshot`;
+  }
+
+  #segmentName(number: number): string {
+    return `${this.#prefix}.log.${String(number).padStart(8, "0")}`;
+  }
+
+  /** The entries of all segments, or what is wrong with them. */
+  async #readSegments(): Promise<Result<Result<LogEntry[]>>> {
+    const names = await this.#storage.list();
+    if (names.isLeft()) {
+      return names.map(() => Right([]));
+    }
+    const own = (names.extract() as readonly string[]).filter((name) =>
+      name.startsWith(`${this.#prefix}.log.`)
+    );
+    const entries: LogEntry[] = [];
+    for (const [at, name] of own.entries()) {
+      const isLast = at === own.length - 1;
+      const read = await this.#readSegment(name, { isLast });
+      if (read.isLeft()) {
+        return read.map(() => Right([]));
+      }
+      const found = read.extract() as Result<LogEntry[]>;
+      if (found.isLeft()) {
+        return Right(found);
+      }
+      for (const entry of found.extract() as LogEntry[]) {
+        entries.push(entry);
+      }
+      this.#nextSegment = Number(name.slice(-8)) + 1;
+    }
+    return Right(Right(entries));
+  }
+
+  async #readSegment(
+    name: string,
+    options: { isLast: boolean },
+  ): Promise<Result<Result<LogEntry[]>>> {
+    const read = await this.#storage.read(name);
+    if (read.isLeft()) {
+      return read.map(() => Right([]));
+    }
+    const bytes = read.extract() as Uint8Array;
+    const scan = scanRecords(bytes);
+    const isDamaged = scan.state === "corrupt" ||
+      (scan.state === "torn" && !options.isLast);
+    if (isDamaged) {
+      const detail = `${name}: damaged at byte ${scan.wholeBytes}`;
+      return Right(failure("storageFailed", { detail }));
+    }
+    if (scan.state === "torn") {
+      const cut = await this.#storage.truncate(name, scan.wholeBytes);
+      if (cut.isLeft()) {
+        return cut.map(() => Right([]));
+      }
+    }
+    const entries = scan.payloads.map(decodeEntry);
+    const lastIndex = entries.reduce(
+      (largest, entry) => Math.max(largest, entry.index),
+      0,
+    );
+    this.#segments.push({ name, lastIndex, bytes: scan.wholeBytes });
+    return Right(Right(entries));
+  }
+
+  async #writeEntries(entries: readonly LogEntry[]): Promise<Result<void>> {
+    if (entries.length === 0) {
+      return Right(undefined);
+    }
+    const segment = this.#segments.at(-1) ?? this.#startSegment();
+    const records = entries.map((entry) =>
+      encodeRecord(encodeEntry(entry), { syncedBytes: segment.bytes })
+    );
+    const bytes = Buffer.concat(records);
+    const appended = await this.#storage.append(segment.name, bytes);
+    if (appended.isLeft()) {
+      return appended;
+    }
+    const synced = await this.#storage.sync(segment.name);
+    segment.bytes += bytes.byteLength;
+    for (const entry of entries) {
+      segment.lastIndex = Math.max(segment.lastIndex, entry.index);
+    }
+    return synced;
+  }
+
+  #startSegment(): Segment {
+    const name = this.#segmentName(this.#nextSegment);
+    this.#nextSegment += 1;
+    const segment = { name, lastIndex: 0, bytes: 0 };
+    this.#segments.push(segment);
+    return segment;
+  }
+
+  async #writeSnapshot(effect: PersistEffect): Promise<Result<void>> {
+    const snapshot = effect.snapshot!;
+    const { index, term, configuration, data } = snapshot;
+    const payload = pack({
+      formatVersion: FORMAT_VERSION,
+      index,
+      term,
+      configuration,
+      data,
+    });
+    const written = await this.#storage.replace(
+      this.#snapshotName,
+      encodeRecord(payload, { syncedBytes: 0 }),
+    );
+    if (written.isLeft()) {
+      return written;
+    }
+    const needed = effect.replacesEntries
+      ? []
+      : this.#segments.filter((segment) => segment.lastIndex > index);
+    const removed = this.#segments.filter((item) => !needed.includes(item));
+    this.#segments = needed;
+    this.#startSegment();
+    return await this.#removeSegments(removed);
+  }
+
+  async #removeSegments(segments: readonly Segment[]): Promise<Result<void>> {
+    for (const segment of segments) {
+      const removed = await this.#storage.remove(segment.name);
+      if (removed.isLeft()) {
+        return removed;
+      }
+    }
+    return Right(undefined);
+  }
+
+  #writeHardState(hardState: HardState): Promise<Result<void>> {
+    const { incarnation, formationId, term, votedFor } = hardState;
+    const payload = pack({
+      formatVersion: FORMAT_VERSION,
+      incarnation,
+      ...(formationId === undefined ? {} : { formationId }),
+      term,
+      ...(votedFor === undefined ? {} : { votedFor }),
+    });
+    return this.#storage.replace(
+      this.#stateName,
+      encodeRecord(payload, { syncedBytes: 0 }),
+    );
+  }
+}
+
+function encodeEntry(entry: LogEntry): Uint8Array {
+  return pack([entry.index, entry.term, entry.kind, entry.data]);
+}
+
+function decodeEntry(payload: Uint8Array): LogEntry {
+  const [index, term, kind, data] = entryRecordSchema.parse(unpack(payload));
+  return { index, term, kind, data };
+}
+
+function parseLog(
+  files: {
+    state: Uint8Array;
+    snapshot: Uint8Array | undefined;
+    entries: Result<LogEntry[]>;
+  },
+): LoadedLog {
+  const hardState = parseHardState(files.state);
+  if (hardState === undefined) {
+    return { kind: "corrupt", detail: "the state file is damaged" };
+  }
+  const snapshot = files.snapshot === undefined
+    ? EMPTY_SNAPSHOT
+    : parseSnapshot(files.snapshot);
+  if (snapshot === undefined) {
+    return { kind: "corrupt", detail: "the snapshot file is damaged" };
+  }
+  return files.entries.caseOf<LoadedLog>({
+    Left: (error) => ({ kind: "corrupt", detail: error.message }),
+    Right: (found) => joinLog(hardState, snapshot, found),
+  });
+}
+
+function parseHardState(bytes: Uint8Array): HardState | undefined {
+  const payload = readOnlyRecord(bytes);
+  if (payload === undefined) {
+    return undefined;
+  }
+  const parsed = hardStateSchema.safeParse(unpack(payload));
+  if (!parsed.success) {
+    return undefined;
+  }
+  const { incarnation, formationId, term, votedFor } = parsed.data;
+  return { incarnation, formationId, term, votedFor };
+}
+
+function parseSnapshot(bytes: Uint8Array): LogSnapshot | undefined {
+  const payload = readOnlyRecord(bytes);
+  if (payload === undefined) {
+    return undefined;
+  }
+  return snapshotSchema.safeParse(unpack(payload)).data;
+}
+
+/** Puts the entries in their places; later records replace earlier ones. */
+function joinLog(
+  hardState: HardState,
+  snapshot: LogSnapshot,
+  found: readonly LogEntry[],
+): LoadedLog {
+  const entries: LogEntry[] = [];
+  for (const entry of found) {
+    const at = entry.index - snapshot.index - 1;
+    if (at > entries.length) {
+      return { kind: "corrupt", detail: `entry ${entry.index} stands alone` };
+    }
+    if (at >= 0) {
+      entries.length = at;
+      entries.push(entry);
+    }
+  }
+  // A crash while a leader's snapshot replaced the log leaves entries of
+  // before, which it made void.
+  const isVoid = (entries[0]?.term ?? Infinity) < snapshot.term;
+  const kept = isVoid ? [] : entries;
+  const lastTerm = kept.at(-1)?.term ?? snapshot.term;
+  const term = Math.max(hardState.term, lastTerm);
+  const votedFor = term === hardState.term ? hardState.votedFor : undefined;
+  return {
+    kind: "whole",
+    log: {
+      hardState: { ...hardState, term, votedFor },
+      snapshot,
+      entries: kept,
+    },
+  };
+}
--- /dev/null
+++ b/src/process/replication/member_opening.ts
@@ -0,0 +1,95 @@
+/**
+ * What a member does with its disk before it takes part.
+ *
+ * @module
+ */
+
+import { Right } from "purify-ts/Either";
+import type { Clock } from "../../base/clock.ts";
+import { type EventLog, SILENT_EVENT_LOG } from "../../base/event_log.ts";
+import type { RandomSource } from "../../base/random_source.ts";
+import type { Result } from "../../base/sesame_error.ts";
+import type { LogStore, StoredLog } from "./log_store.ts";
+import { EMPTY_SNAPSHOT } from "./raft_log.ts";
+
+/** Incarnations that fit into one millisecond of the clock. */
+const INCARNATIONS_PER_MS = 1_024;
+
+/** What opening needs. */
+export interface OpeningOptions {
+  readonly groupId: string;
+  readonly store: LogStore | undefined;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events?: EventLog;
+}
+
+/**
+ * Reads the member's log. Where there is none, or it is damaged, the member
+ * starts with nothing under a new incarnation and is repaired by its peers.
+ */
+export async function openStore(
+  options: OpeningOptions,
+): Promise<Result<StoredLog>> {
+  const { store } = options;
+  if (store === undefined) {
+    return Right(emptyLog(options));
+  }
+  const loaded = await store.load();
+  if (loaded.isLeft()) {
+    return loaded.map(() => emptyLog(options));
+  }
+  const found = loaded.unsafeCoerce();
+  switch (found.kind) {
+    case "whole":
+      return Right(found.log);
+    case "corrupt":
+      (options.events ?? SILENT_EVENT_LOG).emit("logCorrupt", {
+        group: options.groupId,
+        detail: found.detail,
+      });
+      return await startAnew(options, store);
+    case "empty":
+      return await startAnew(options, store);
+  }
+}
+
+async function startAnew(
+  options: OpeningOptions,
+  store: LogStore,
+): Promise<Result<StoredLog>> {
+  const log = emptyLog(options);
+  const wiped = await store.wipe();
+  if (wiped.isLeft()) {
+    return wiped.map(() => log);
+  }
+  const persisted = await store.persist([{
+    kind: "persist",
+    sequence: 0,
+    hardState: log.hardState,
+    snapshot: undefined,
+    replacesEntries: false,
+    entries: [],
+  }]);
+  return persisted.map(() => log);
+}
+
+/**
+ * Nothing, under an incarnation that no start of this member has had: it
+ * grows with the clock, and a peer that knows a higher one says so.
+ */
+function emptyLog(options: OpeningOptions): StoredLog {
+  const nowMs = Math.max(1, Math.floor(options.clock.nowMs()));
+  const incarnation = nowMs * INCARNATIONS_PER_MS +
+    options.random.nextInt(INCARNATIONS_PER_MS);
+  return {
+    hardState: {
+      incarnation,
+      formationId: undefined,
+      term: 0,
+      votedFor: undefined,
+    },
+    snapshot: EMPTY_SNAPSHOT,
+    entries: [],
+  };
+}
--- /dev/null
+++ b/src/process/replication/membership.ts
@@ -0,0 +1,130 @@
+/**
+ * Changes of a group's voters: one at a time, each by an entry of its own.
+ *
+ * @module
+ */
+
+import type { InstanceId } from "../../base/identity.ts";
+import {
+  findVoter,
+  type GroupConfiguration,
+  type Voter,
+} from "./group_configuration.ts";
+import { appendConfiguration } from "./leader.ts";
+import type { LeaderProgress } from "./leader_progress.ts";
+import { confirmedAtMs } from "./lease.ts";
+import type { RaftState } from "./raft_state.ts";
+
+/** Whether a change of the voters may begin. */
+export function canChangeMembers(state: RaftState): boolean {
+  if (state.isLeader && state.hasMutation("changesOverlap")) {
+    return true;
+  }
+  return state.isLeader && state.commitIndex >= state.termStartIndex &&
+    state.log.configurationIndex <= state.commitIndex;
+}
+
+/** Begins the change that is most needed, if one is. */
+export function reconcileMembers(state: RaftState): void {
+  if (!canChangeMembers(state)) {
+    waiveDurability(state);
+    return;
+  }
+  const { voters } = state.configuration;
+  const gone = voters.find((voter) => state.isForgotten(voter.id));
+  if (gone !== undefined) {
+    changeVoters(state, voters.filter((voter) => voter !== gone));
+    return;
+  }
+  const ready = [...state.progress.values()].find((progress) =>
+    isReadyToVote(state, progress)
+  );
+  if (ready !== undefined) {
+    const { id, incarnation, isDurable } = ready;
+    changeVoters(state, [...voters, { id, incarnation, isDurable }]);
+    return;
+  }
+  waiveDurability(state);
+  restoreDurability(state);
+}
+
+function changeVoters(state: RaftState, voters: Voter[]): void {
+  appendConfiguration(state, { ...state.configuration, voters });
+}
+
+function isReadyToVote(state: RaftState, progress: LeaderProgress): boolean {
+  const { configuration } = state;
+  return progress.wantsVote &&
+    state.memberOf(progress.id)?.isVoter === true &&
+    findVoter(configuration, progress.id) === undefined &&
+    !configuration.removedIds.includes(progress.id) &&
+    state.nowMs - progress.lastHeardMs < state.timing.followMs * 2 &&
+    progress.matchIndex >= state.commitIndex;
+}
+
+/** Goes on without a durable voter after a while, and says so. */
+function waiveDurability(state: RaftState): void {
+  const { configuration } = state;
+  const silentMs = state.nowMs - state.durableSeenMs;
+  const isMissing = state.isLeader && !configuration.isDurabilityWaived &&
+    durableVoters(configuration).length > 0 &&
+    findVoter(configuration, state.selfId)?.isDurable !== true &&
+    silentMs >= state.timing.durableGraceMs &&
+    state.nowMs - confirmedAtMs(state) < state.timing.heartbeatMs * 2;
+  if (isMissing) {
+    appendConfiguration(state, { ...configuration, isDurabilityWaived: true });
+    state.event("durabilityWaived");
+  }
+}
+
+/** Asks for a durable voter again once one keeps all that is committed. */
+function restoreDurability(state: RaftState): void {
+  const { configuration } = state;
+  const isBack = configuration.isDurabilityWaived &&
+    durableVoters(configuration).some((voter) =>
+      voter.id === state.selfId ||
+      (state.progress.get(voter.id)?.matchIndex ?? 0) >= state.commitIndex
+    );
+  if (isBack) {
+    appendConfiguration(state, { ...configuration, isDurabilityWaived: false });
+    state.event("durabilityRestored");
+  }
+}
+
+function durableVoters(configuration: GroupConfiguration): Voter[] {
+  return configuration.voters.filter((voter) => voter.isDurable);
+}
+
+/** An operator takes a member out for good; false when it can't be now. */
+export function removeMember(state: RaftState, id: InstanceId): boolean {
+  const { configuration } = state;
+  const isLast = configuration.voters.length === 1 &&
+    findVoter(configuration, id) !== undefined;
+  if (!canChangeMembers(state) || isLast) {
+    return false;
+  }
+  if (configuration.removedIds.includes(id)) {
+    return true;
+  }
+  appendConfiguration(state, {
+    ...configuration,
+    voters: configuration.voters.filter((voter) => voter.id !== id),
+    removedIds: [...configuration.removedIds, id],
+  });
+  return true;
+}
+
+/** An operator lets a member vote again; it does once it has caught up. */
+export function addMember(state: RaftState, id: InstanceId): boolean {
+  const { configuration } = state;
+  if (!canChangeMembers(state)) {
+    return false;
+  }
+  if (configuration.removedIds.includes(id)) {
+    appendConfiguration(state, {
+      ...configuration,
+      removedIds: configuration.removedIds.filter((removed) => removed !== id),
+    });
+  }
+  return true;
+}
--- /dev/null
+++ b/src/process/replication/mod.ts
@@ -0,0 +1,24 @@
+/**
+ * Replicated logs: consensus among the instances of a group.
+ *
+ * @module
+ */
+
+export type { GroupMember } from "./raft_effect.ts";
+export {
+  MemberRole,
+  type MemberStatus,
+  type ReplicatedLog,
+  type StateMachine,
+} from "./replicated_log.ts";
+export {
+  type MemberChange,
+  ReplicationMember,
+  type ReplicationMemberOptions,
+} from "./replication_member.ts";
+export {
+  leaseMs,
+  MAX_CLOCK_DRIFT,
+  REPLICATION_TIMING,
+  type ReplicationTiming,
+} from "./replication_timing.ts";
--- /dev/null
+++ b/src/process/replication/persist_pump.ts
@@ -0,0 +1,97 @@
+/**
+ * Carries persist effects out, one sync for as many as have gathered, and
+ * holds back what must wait for them.
+ *
+ * @module
+ */
+
+import type { SesameError } from "../../base/sesame_error.ts";
+import type { LogStore } from "./log_store.ts";
+import type { PersistEffect, SendEffect } from "./raft_effect.ts";
+
+/** What the pump is made from. */
+export interface PersistPumpOptions {
+  /** Where to persist; absent for a member that keeps nothing. */
+  readonly store: LogStore | undefined;
+  readonly send: (effect: SendEffect) => void;
+  /** Everything up to this sequence is durable. */
+  readonly onPersisted: (sequence: number) => void;
+  /** The disk failed; nothing more is persisted or sent. */
+  readonly onFailure: (error: SesameError) => void;
+}
+
+/** Orders sends after the syncs that they depend on. */
+export class PersistPump {
+  #options: PersistPumpOptions;
+  #queue: PersistEffect[] = [];
+  #held: SendEffect[] = [];
+  #persistedSequence = 0;
+  #isRunning = false;
+  #isStopped = false;
+
+  constructor(options: PersistPumpOptions) {
+    this.#options = options;
+  }
+
+  persist(effect: PersistEffect): void {
+    if (this.#isStopped) {
+      return;
+    }
+    if (this.#options.store === undefined) {
+      this.#release(effect.sequence);
+      return;
+    }
+    this.#queue.push(effect);
+    if (!this.#isRunning) {
+      this.#isRunning = true;
+      void this.#run();
+    }
+  }
+
+  send(effect: SendEffect): void {
+    if (this.#isStopped) {
+      return;
+    }
+    if (effect.afterSequence <= this.#persistedSequence) {
+      this.#options.send(effect);
+    } else {
+      this.#held.push(effect);
+    }
+  }
+
+  /** Nothing is sent or begun any more. */
+  stop(): void {
+    this.#isStopped = true;
+    this.#queue = [];
+    this.#held = [];
+  }
+
+  async #run(): Promise<void> {
+    while (this.#queue.length > 0 && !this.#isStopped) {
+      const batch = this.#queue;
+      this.#queue = [];
+      const result = await this.#options.store!.persist(batch);
+      if (this.#isStopped) {
+        break;
+      }
+      result.caseOf({
+        Left: (error) => {
+          this.stop();
+          this.#options.onFailure(error);
+        },
+        Right: () => this.#release(batch.at(-1)!.sequence),
+      });
+    }
+    this.#isRunning = false;
+  }
+
+  #release(sequence: number): void {
+    this.#persistedSequence = sequence;
+    const ready = this.#held.filter((held) => held.afterSequence <= sequence);
+    this.#held = this.#held.filter((held) => held.afterSequence > sequence);
+    for (const effect of ready) {
+      this.#options.send(effect);
+    }
+    this.#options.onPersisted(sequence);
+  }
+}
--- /dev/null
+++ b/src/process/replication/persist_tracker.ts
@@ -0,0 +1,122 @@
+/**
+ * Which changes of a member's state still have to be persisted, and which
+ * messages must wait for them.
+ *
+ * @module
+ */
+
+import type { HardState, LogEntry, LogSnapshot } from "./log_entry.ts";
+import type { PersistEffect } from "./raft_effect.ts";
+import type { RaftMessage } from "./raft_message.ts";
+
+interface IssuedPersist {
+  readonly sequence: number;
+  lastIndex: number;
+}
+
+/** Gathers changes into persist effects and counts them. */
+export class PersistTracker {
+  #issuedSequence = 0;
+  #hardStateSequence = 0;
+  #hardState: HardState;
+  #snapshot: LogSnapshot | undefined;
+  #replacesEntries = false;
+  #entries: LogEntry[] = [];
+  #issued: IssuedPersist[] = [];
+  #persistedIndex: number;
+
+  constructor(options: { hardState: HardState; lastIndex: number }) {
+    this.#hardState = options.hardState;
+    this.#persistedIndex = options.lastIndex;
+  }
+
+  /** The last entry of the log that is synced here. */
+  get persistedIndex(): number {
+    return this.#persistedIndex;
+  }
+
+  addEntry(entry: LogEntry): void {
+    this.#entries.push(entry);
+  }
+
+  /** A snapshot made here: entries stay. */
+  addSnapshot(snapshot: LogSnapshot): void {
+    this.#snapshot = snapshot;
+  }
+
+  /** A snapshot of the leader's, in place of all entries. */
+  reset(snapshot: LogSnapshot): void {
+    this.#entries = [];
+    this.#snapshot = snapshot;
+    this.#replacesEntries = true;
+    this.#persistedIndex = Math.min(this.#persistedIndex, snapshot.index);
+    for (const issued of this.#issued) {
+      issued.lastIndex = Math.min(issued.lastIndex, snapshot.index);
+    }
+  }
+
+  truncateFrom(index: number): void {
+    this.#entries = this.#entries.filter((entry) => entry.index < index);
+    this.#persistedIndex = Math.min(this.#persistedIndex, index - 1);
+    for (const issued of this.#issued) {
+      issued.lastIndex = Math.min(issued.lastIndex, index - 1);
+    }
+  }
+
+  /** The changes since the last call, if there are any. */
+  take(hardState: HardState): PersistEffect | undefined {
+    const isChanged = !isSameHardState(hardState, this.#hardState);
+    if (
+      !isChanged && this.#snapshot === undefined && this.#entries.length === 0
+    ) {
+      return undefined;
+    }
+    const effect: PersistEffect = {
+      kind: "persist",
+      sequence: ++this.#issuedSequence,
+      hardState: isChanged ? hardState : undefined,
+      snapshot: this.#snapshot,
+      replacesEntries: this.#replacesEntries,
+      entries: this.#entries,
+    };
+    this.#remember(effect);
+    this.#hardState = hardState;
+    this.#snapshot = undefined;
+    this.#replacesEntries = false;
+    this.#entries = [];
+    return effect;
+  }
+
+  /** Everything up to this effect is synced. */
+  markPersisted(sequence: number): void {
+    while ((this.#issued[0]?.sequence ?? Infinity) <= sequence) {
+      const issued = this.#issued.shift()!;
+      this.#persistedIndex = Math.max(this.#persistedIndex, issued.lastIndex);
+    }
+  }
+
+  /**
+   * The persist effect that a message must wait for. A leader's entries may
+   * travel while it syncs them itself; all else waits for all.
+   */
+  sequenceFor(message: RaftMessage): number {
+    return message.kind === "append"
+      ? this.#hardStateSequence
+      : this.#issuedSequence;
+  }
+
+  #remember(effect: PersistEffect): void {
+    if (effect.hardState !== undefined) {
+      this.#hardStateSequence = effect.sequence;
+    }
+    const lastIndex = effect.entries.at(-1)?.index ?? effect.snapshot?.index ??
+      0;
+    this.#issued.push({ sequence: effect.sequence, lastIndex });
+  }
+}
+
+function isSameHardState(left: HardState, right: HardState): boolean {
+  return left.term === right.term && left.votedFor === right.votedFor &&
+    left.formationId === right.formationId &&
+    left.incarnation === right.incarnation;
+}
--- /dev/null
+++ b/src/process/storage/mod.ts
@@ -0,0 +1,14 @@
+/**
+ * The disk: a data folder, checksummed records, and a fake for tests.
+ *
+ * @module
+ */
+
+export { FakeStorage, type FakeStorageFaults } from "./fake_storage.ts";
+export { FileStorage } from "./file_storage.ts";
+export {
+  encodeRecord,
+  readOnlyRecord,
+  type RecordScan,
+  scanRecords,
+} from "./record_codec.ts";
