Serve a request end to end over separate processes

Cause: the thin whole path: callers, entry instances, backend servers. Change: the daemon composes configuration group, data-centre group and request routing; status shows where each member stands.

--- /dev/null
+++ b/src/process/daemon/configuration_part.ts
@@ -0,0 +1,148 @@
+/**
+ * The configuration of an instance: its member of the configuration group
+ * and the service on top of it.
+ *
+ * @module
+ */
+
+import { readFileSync } from "node:fs";
+import { Right } from "purify-ts/Either";
+import type { Storage } from "../../base/mod.ts";
+import { failure, type Result, type SesameError } from "../../base/mod.ts";
+import type {
+  ConfigurationCommand,
+  ConfigurationOutcome,
+} from "../configuration/configuration_command.ts";
+import { ConfigurationMachine } from "../configuration/configuration_machine.ts";
+import { ConfigurationService } from "../configuration/configuration_service.ts";
+import { type GroupMember, ReplicationMember } from "../replication/mod.ts";
+import type { Settings } from "../settings/mod.ts";
+import type { DaemonBase } from "./daemon_base.ts";
+
+/** The name of the one configuration group. */
+export const CONFIGURATION_GROUP = "configuration";
+
+/** Between two tries to hand in the first document. */
+const BOOTSTRAP_RETRY_MS = 1_000;
+
+/**
+ * Bytes a second that the catch-up of a peer in another region may take; a
+ * tenth of a link of 20 Mbit/s.
+ */
+const REMOTE_CATCH_UP_BYTES_PER_SECOND = 250_000;
+
+/** The same within the region. */
+const LOCAL_CATCH_UP_BYTES_PER_SECOND = 12_500_000;
+
+/** The configuration of an instance. */
+export class ConfigurationPart {
+  readonly service: ConfigurationService;
+  readonly member: ReplicationMember<
+    ConfigurationCommand,
+    ConfigurationOutcome
+  >;
+  #base: DaemonBase;
+  #isClosed = false;
+
+  private constructor(
+    base: DaemonBase,
+    options: {
+      machine: ConfigurationMachine;
+      member: ReplicationMember<ConfigurationCommand, ConfigurationOutcome>;
+    },
+  ) {
+    this.#base = base;
+    this.member = options.member;
+    this.service = new ConfigurationService({
+      machine: options.machine,
+      log: options.member,
+      network: base.network,
+      clock: base.clock,
+      events: base.timeline,
+      instances: [base.settings.instance, ...base.settings.peers],
+    });
+  }
+
+  /** Reads what the disk holds and joins the group. */
+  static async open(
+    base: DaemonBase,
+    options: { storage: Storage | undefined },
+  ): Promise<Result<ConfigurationPart>> {
+    const machine = new ConfigurationMachine({});
+    const member = await ReplicationMember.open({
+      groupId: CONFIGURATION_GROUP,
+      members: listMembers(base.settings),
+      network: base.network,
+      clock: base.clock,
+      random: base.random,
+      machine,
+      storage: options.storage,
+      events: base.timeline,
+      catchUpBytesPerSecond: (peer) => catchUpBudget(base.settings, peer),
+    });
+    return member.map((opened) =>
+      new ConfigurationPart(base, { machine, member: opened })
+    );
+  }
+
+  /** Hands in the first document, again and again, while there is none. */
+  bootstrap(): Result<void> {
+    const { documentFile } = this.#base.settings.bootstrap;
+    if (documentFile === undefined) {
+      return Right(undefined);
+    }
+    return readText(documentFile).map((text) => {
+      void this.#offer(text);
+    });
+  }
+
+  async close(): Promise<void> {
+    this.#isClosed = true;
+    this.service.close();
+    await this.member.handOver();
+    await this.member.close();
+  }
+
+  async #offer(text: string): Promise<void> {
+    if (this.#isClosed || this.service.current().version > 0) {
+      return;
+    }
+    const result = await this.service.bootstrap(text);
+    const isLasting = result.swap().map(isRefusal).orDefault(true);
+    if (!isLasting) {
+      this.#base.clock.after(
+        BOOTSTRAP_RETRY_MS,
+        () => void this.#offer(text),
+      );
+    }
+  }
+}
+
+/** Whether the document itself is at fault, so that no retry can help. */
+function isRefusal(error: SesameError): boolean {
+  return error.kind === "malformed" || error.kind === "invalid";
+}
+
+function listMembers(settings: Settings): GroupMember[] {
+  return [settings.instance, ...settings.peers].map(({ id, hasDisk }) => ({
+    id,
+    isVoter: hasDisk,
+    isDurable: hasDisk,
+  }));
+}
+
+function catchUpBudget(settings: Settings, peerId: string): number {
+  const peer = settings.peers.find(({ id }) => id === peerId);
+  return peer?.region === settings.instance.region
+    ? LOCAL_CATCH_UP_BYTES_PER_SECOND
+    : REMOTE_CATCH_UP_BYTES_PER_SECOND;
+}
+
+function readText(path: string): Result<string> {
+  try {
+    return Right(readFileSync(path, "utf8"));
+  } catch (error) {
+    const detail = error instanceof Error ? error.message : String(error);
+    return failure("notFound", { detail, location: path });
+  }
+}
--- a/src/process/daemon/daemon.ts
+++ b/src/process/daemon/daemon.ts
@@ -1,5 +1,6 @@
 /**
- * One entry instance: composes the parts and stops them in order.
+ * One entry instance: composes the parts, opens them in order and stops them
+ * in the reverse order.
  *
  * @module
  */
@@ -11,157 +12,124 @@
   type RandomSource,
   type Result,
   SeededRandom,
-  type SesameError,
+  type Storage,
   SystemClock,
 } from "../../base/mod.ts";
-import { WsPeerNetwork } from "../../connection/mod.ts";
-import { HttpFront } from "../http/mod.ts";
-import { Membership } from "../membership/mod.ts";
+import { splitAddress } from "../../base/split_address.ts";
+import type { WsPeerNetwork } from "../../connection/mod.ts";
+import { HttpFront, metricsEndpoint } from "../http/mod.ts";
 import type { Settings } from "../settings/mod.ts";
-import { HybridClock, Timeline, TimelineService } from "../timeline/mod.ts";
-import { type ClusterFiles, readClusterFiles } from "./cluster_files.ts";
+import { FileStorage } from "../storage/mod.ts";
+import { ConfigurationPart } from "./configuration_part.ts";
+import { createDaemonBase, type DaemonBase } from "./daemon_base.ts";
+import { DataCentrePart } from "./data_centre_part.ts";
 import { instanceEndpoints } from "./instance_endpoints.ts";
-import { createLogger } from "./logger.ts";
-import { splitAddress } from "../../base/split_address.ts";
 
 /** How a {@link Daemon} is started. */
 export interface DaemonOptions {
   readonly settings: Settings;
-  /** Called when the daemon can't go on. */
-  readonly onFailed: (error: SesameError) => void;
   readonly clock?: Clock;
   readonly random?: RandomSource;
 }
 
-/** The parts of a running daemon. */
+/** The opened parts of a running daemon. */
 interface DaemonParts {
-  readonly network: WsPeerNetwork;
-  readonly timeline: Timeline;
-  readonly timelineService: TimelineService;
-  readonly membership: Membership;
+  readonly base: DaemonBase;
+  readonly storage: Storage | undefined;
+  readonly configuration: ConfigurationPart;
+  readonly dataCentre: DataCentrePart;
   readonly front: HttpFront;
 }
 
 /** One running entry instance. */
 export class Daemon {
-  #settings: Settings;
-  #clock: Clock;
   #parts: DaemonParts;
 
-  private constructor(
-    settings: Settings,
-    options: { clock: Clock; parts: DaemonParts },
-  ) {
-    this.#settings = settings;
-    this.#clock = options.clock;
-    this.#parts = options.parts;
+  private constructor(parts: DaemonParts) {
+    this.#parts = parts;
   }
 
-  /** Opens everything; what was opened is closed again on a failure. */
+  /** Opens everything and serves. */
   static async start(options: DaemonOptions): Promise<Result<Daemon>> {
-    const { settings } = options;
-    const files = readClusterFiles(settings.cluster);
-    if (files.isLeft()) {
-      return files;
-    }
     const clock = options.clock ?? new SystemClock();
     const random = options.random ?? randomOfProcess(clock);
-    const parts = composeParts(settings, {
-      files: files.unsafeCoerce(),
-      clock,
-      random,
-    });
-    const daemon = new Daemon(settings, { clock, parts });
-    const opened = await daemon.#open();
-    return opened.map(() => daemon);
+    const base = createDaemonBase(options.settings, { clock, random });
+    const parts = await thenOpen(base, openParts);
+    const served = await thenOpen(parts, serve);
+    return served.map((opened) => new Daemon(opened));
   }
 
   /** A graceful stop: leaves the balancer first and cuts no call off. */
   async close(signal = "close"): Promise<void> {
-    const { front, membership, network, timeline, timelineService } =
-      this.#parts;
-    timeline.emit("processStopping", { signal });
-    membership.leave();
-    const deadlineMs = this.#clock.nowMs() + this.#settings.limits.stopMs;
+    const { base, configuration, dataCentre, front, storage } = this.#parts;
+    base.timeline.emit("processStopping", { signal });
+    base.membership.leave();
+    const deadlineMs = base.clock.nowMs() + base.settings.limits.stopMs;
     await front.close({ deadlineMs });
-    timelineService.close();
-    membership.close();
-    await network.close();
-    timeline.emit("processStopped");
+    await dataCentre.drain({ deadlineMs });
+    await dataCentre.close();
+    await configuration.close();
+    base.timelineService.close();
+    base.membership.close();
+    await base.network.close();
+    await storage?.close();
+    base.timeline.emit("processStopped");
   }
+}
 
-  async #open(): Promise<Result<void>> {
-    const { front, network, timeline } = this.#parts;
-    const opened = await openNetwork(network);
-    if (opened.isLeft()) {
-      return opened;
-    }
-    const { httpAddress } = this.#settings.instance;
-    const listening = await front.listen(splitAddress(httpAddress));
-    listening.ifRight(() => {
-      front.markReady();
-      timeline.emit("processStarted", { address: httpAddress });
-    });
-    if (listening.isLeft()) {
-      await network.close();
-    }
-    return listening.map(() => undefined);
+/** Goes on with the next step of opening, unless an earlier one failed. */
+async function thenOpen<T, U>(
+  result: Result<T>,
+  step: (value: T) => Promise<Result<U>>,
+): Promise<Result<U>> {
+  if (result.isLeft()) {
+    return result as unknown as Result<U>;
   }
+  return await step(result.unsafeCoerce());
 }
 
-function composeParts(
-  settings: Settings,
-  options: { files: ClusterFiles; clock: Clock; random: RandomSource },
-): DaemonParts {
-  const { files, clock, random } = options;
-  const { instance } = settings;
-  const incarnation = Math.floor(clock.nowMs());
-  const hybridClock = new HybridClock({ clock });
-  const timeline = new Timeline({
-    instanceId: instance.id,
-    hybridClock,
-    capacity: settings.log.timelineEvents,
-    logger: createLogger(settings.log),
-  });
-  const network = new WsPeerNetwork({
-    self: { id: instance.id, address: instance.peerAddress },
-    peers: settings.peers.map(({ id, peerAddress }) => ({
-      id,
-      address: peerAddress,
-    })),
-    clusterName: settings.cluster.name,
-    clusterKey: files.clusterKey,
-    ...(files.tls === undefined ? {} : { tls: files.tls }),
-    clock,
-    hybridClock,
-    random,
-    events: timeline,
-  });
-  const membership = new Membership({
-    self: instance,
-    httpAddress: instance.httpAddress,
-    peers: settings.peers.map(({ id, dataCentre, region }) => ({
-      id,
-      dataCentre,
-      region,
-    })),
-    incarnation,
-    network,
-    clock,
-    events: timeline,
+async function openParts(base: DaemonBase): Promise<Result<DaemonParts>> {
+  const network = await openNetwork(base.network);
+  const storage = await thenOpen(network, () => openStorage(base.settings));
+  return await thenOpen(storage, (opened) => openGroups(base, opened));
+}
+
+async function openGroups(
+  base: DaemonBase,
+  storage: Storage | undefined,
+): Promise<Result<DaemonParts>> {
+  const configuration = await ConfigurationPart.open(base, { storage });
+  return await thenOpen(configuration, async (opened) => {
+    const dataCentre = await DataCentrePart.open(base, {
+      storage,
+      configuration: opened.service,
+    });
+    return dataCentre.map((part) => ({
+      base,
+      storage,
+      configuration: opened,
+      dataCentre: part,
+      front: createFront(base, { configuration: opened, dataCentre: part }),
+    }));
   });
-  const timelineService = new TimelineService({ timeline, network, clock });
-  const front = new HttpFront({
+}
+
+function createFront(
+  base: DaemonBase,
+  parts: { configuration: ConfigurationPart; dataCentre: DataCentrePart },
+): HttpFront {
+  const { clock, settings, timeline } = base;
+  const { configuration, dataCentre } = parts;
+  return new HttpFront({
     endpoints: [
-      ...timelineService.endpoints(),
-      ...instanceEndpoints({
-        settings,
-        incarnation,
-        network,
-        membership,
-        clock,
-        groups: () => [],
-        configurationVersion: () => 0,
+      ...base.timelineService.endpoints(),
+      ...configuration.service.endpoints(),
+      ...dataCentre.endpoints(),
+      metricsEndpoint(base.metrics),
+      ...instanceEndpoints(base, {
+        groups:
+          () => [configuration.member.status(), dataCentre.member.status()],
+        configurationVersion: () => configuration.service.current().version,
       }),
     ],
     clock,
@@ -171,7 +139,17 @@
       bodyReadMs: settings.limits.bodyReadMs,
     },
   });
-  return { network, timeline, timelineService, membership, front };
+}
+
+async function serve(parts: DaemonParts): Promise<Result<DaemonParts>> {
+  const { base, configuration, front } = parts;
+  const { httpAddress } = base.settings.instance;
+  const listening = await front.listen(splitAddress(httpAddress));
+  return listening.chain(() => configuration.bootstrap()).map(() => {
+    front.markReady();
+    base.timeline.emit("processStarted", { address: httpAddress });
+    return parts;
+  });
 }
 
 async function openNetwork(network: WsPeerNetwork): Promise<Result<void>> {
@@ -184,6 +162,16 @@
   }
 }
 
+async function openStorage(
+  settings: Settings,
+): Promise<Result<Storage | undefined>> {
+  const { folder } = settings.storage;
+  if (!settings.instance.hasDisk || folder === undefined) {
+    return Right(undefined);
+  }
+  return await FileStorage.open({ folder });
+}
+
 function randomOfProcess(clock: Clock): RandomSource {
   return new SeededRandom({ seed: Math.floor(clock.nowMs()) | 0 });
 }
--- /dev/null
+++ b/src/process/daemon/daemon_base.ts
@@ -0,0 +1,104 @@
+/**
+ * What every part of a daemon stands on: time, randomness, the time line, the
+ * network and membership.
+ *
+ * @module
+ */
+
+import type { Clock, RandomSource, Result } from "../../base/mod.ts";
+import { WsPeerNetwork } from "../../connection/mod.ts";
+import { MetricsRegistry } from "../http/mod.ts";
+import { Membership } from "../membership/mod.ts";
+import type { Settings } from "../settings/mod.ts";
+import { HybridClock, Timeline, TimelineService } from "../timeline/mod.ts";
+import { type ClusterFiles, readClusterFiles } from "./cluster_files.ts";
+import { createLogger } from "./logger.ts";
+
+/** The foundation of one daemon. */
+export interface DaemonBase {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  /** Greater than that of any earlier run of this instance. */
+  readonly incarnation: number;
+  readonly timeline: Timeline;
+  readonly network: WsPeerNetwork;
+  readonly membership: Membership;
+  readonly timelineService: TimelineService;
+  readonly metrics: MetricsRegistry;
+}
+
+/** Makes the foundation; nothing is opened yet. */
+export function createDaemonBase(
+  settings: Settings,
+  options: { clock: Clock; random: RandomSource },
+): Result<DaemonBase> {
+  return readClusterFiles(settings.cluster)
+    .map((files) => composeBase(settings, { ...options, files }));
+}
+
+function composeBase(
+  settings: Settings,
+  options: { clock: Clock; random: RandomSource; files: ClusterFiles },
+): DaemonBase {
+  const { clock, random, files } = options;
+  const incarnation = Math.floor(clock.nowMs());
+  const hybridClock = new HybridClock({ clock });
+  const timeline = new Timeline({
+    instanceId: settings.instance.id,
+    hybridClock,
+    capacity: settings.log.timelineEvents,
+    logger: createLogger(settings.log),
+  });
+  const shared = { clock, random, hybridClock, events: timeline };
+  const network = createNetwork(settings, { ...shared, files });
+  const membership = new Membership({
+    self: settings.instance,
+    httpAddress: settings.instance.httpAddress,
+    peers: settings.peers.map(({ id, dataCentre, region }) => ({
+      id,
+      dataCentre,
+      region,
+    })),
+    incarnation,
+    network,
+    clock,
+    events: timeline,
+  });
+  return {
+    settings,
+    clock,
+    random,
+    incarnation,
+    timeline,
+    network,
+    membership,
+    timelineService: new TimelineService({ timeline, network, clock }),
+    metrics: new MetricsRegistry(),
+  };
+}
+
+function createNetwork(
+  settings: Settings,
+  options: {
+    clock: Clock;
+    random: RandomSource;
+    hybridClock: HybridClock;
+    events: Timeline;
+    files: ClusterFiles;
+  },
+): WsPeerNetwork {
+  const { files, ...shared } = options;
+  const { id, peerAddress } = settings.instance;
+  return new WsPeerNetwork({
+    ...shared,
+    self: { id, address: peerAddress },
+    peers: settings.peers.map((peer) => ({
+      id: peer.id,
+      address: peer.peerAddress,
+    })),
+    clusterName: settings.cluster.name,
+    clusterKey: files.clusterKey,
+    ...(files.tls === undefined ? {} : { tls: files.tls }),
+  });
+}
--- a/src/process/daemon/instance_endpoints.ts
+++ b/src/process/daemon/instance_endpoints.ts
@@ -5,20 +5,12 @@
  */
 
 import { Right } from "purify-ts/Either";
-import type { Clock } from "../../base/mod.ts";
-import type { WsPeerNetwork } from "../../connection/mod.ts";
 import { type HttpEndpoint, jsonAnswer } from "../http/mod.ts";
-import type { Membership } from "../membership/mod.ts";
 import type { MemberStatus } from "../replication/replicated_log.ts";
-import type { Settings } from "../settings/mod.ts";
+import type { DaemonBase } from "./daemon_base.ts";
 
-/** What the status endpoint looks at. */
+/** What the status endpoint looks at besides the foundation. */
 export interface InstanceEndpointsOptions {
-  readonly settings: Settings;
-  readonly incarnation: number;
-  readonly network: WsPeerNetwork;
-  readonly membership: Membership;
-  readonly clock: Clock;
   /** Where this instance stands in each of its groups. */
   readonly groups: () => readonly MemberStatus[];
   readonly configurationVersion: () => number;
@@ -26,6 +18,7 @@
 
 /** `GET /v1/status`. */
 export function instanceEndpoints(
+  base: DaemonBase,
   options: InstanceEndpointsOptions,
 ): HttpEndpoint[] {
   return [{
@@ -33,25 +26,28 @@
     path: "/v1/status",
     bodyLimitBytes: 0,
     handle: () =>
-      Promise.resolve(Right(jsonAnswer(200, describeInstance(options)))),
+      Promise.resolve(Right(jsonAnswer(200, describe(base, options)))),
   }];
 }
 
-function describeInstance(options: InstanceEndpointsOptions): unknown {
-  const { id, dataCentre, region, hasDisk } = options.settings.instance;
+function describe(
+  base: DaemonBase,
+  options: InstanceEndpointsOptions,
+): unknown {
+  const { id, dataCentre, region, hasDisk } = base.settings.instance;
   return {
     instance: {
       id,
       dataCentre,
       region,
       hasDisk,
-      incarnation: options.incarnation,
-      nowMs: Math.round(options.clock.nowMs()),
+      incarnation: base.incarnation,
+      nowMs: Math.round(base.clock.nowMs()),
     },
     configurationVersion: options.configurationVersion(),
     groups: options.groups(),
-    peers: options.membership.peers(),
-    linkedPeers: options.network.linkedPeerIds(),
-    traffic: options.network.traffic,
+    peers: base.membership.peers(),
+    linkedPeers: base.network.linkedPeerIds(),
+    traffic: base.network.traffic,
   };
 }
--- a/src/programs/sesamethreadd.ts
+++ b/src/programs/sesamethreadd.ts
@@ -55,10 +55,7 @@
 }
 
 async function serve(settings: Settings): Promise<void> {
-  const started = await Daemon.start({
-    settings,
-    onFailed: (error) => exitAfterFailure(error),
-  });
+  const started = await Daemon.start({ settings });
   started.caseOf({
     Left: (error) => exitAfterFailure(error),
     Right: (daemon) => stopOnSignal(daemon),
