--- /dev/null
+++ b/src/programs/commands/request_commands.ts
@@ -0,0 +1,119 @@
+/**
+ * Commands about requests: `request` and `backends`.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { Right } from "purify-ts/Either";
+import type { Result } from "../../base/sesame_error.ts";
+import { RequestHeader } from "../../process/routing/request_headers.ts";
+import { type CommandContext, report, reportError } from "./command_context.ts";
+import { renderTable } from "./table.ts";
+
+/** What `request` sends. */
+export interface RequestOptions {
+  readonly service: string;
+  /** The caller's name of the request; a new one when absent. */
+  readonly id?: string;
+  readonly requestClass?: string;
+  readonly timeoutMs?: number;
+  readonly isIdempotent: boolean;
+  readonly clientAccount?: string;
+  /** The body's file, `-` for standard input; empty when absent. */
+  readonly file?: string;
+}
+
+/** `request SERVICE`: one request, and its whole answer. */
+export async function sendRequest(
+  context: CommandContext,
+  options: RequestOptions,
+): Promise<number> {
+  const body = await readBody(context, options.file);
+  if (body.isLeft()) {
+    return reportError(context, body.extract());
+  }
+  const requestId = options.id ?? randomUUID();
+  const result = await context.client.call({
+    method: "POST",
+    path: `/v1/services/${encodeURIComponent(options.service)}/requests`,
+    headers: headersOf(options, requestId),
+    body: body.unsafeCoerce(),
+  });
+  const answered = result.map((answer) => ({
+    requestId,
+    server: answer.headers[RequestHeader.server],
+    isRecorded: answer.headers[RequestHeader.recorded] === "true",
+    status: answer.status,
+    body: answer.text,
+  }));
+  return report(context, {
+    result: answered,
+    render: (value) => value.body.trimEnd(),
+  });
+}
+
+function readBody(
+  context: CommandContext,
+  file: string | undefined,
+): Promise<Result<string>> {
+  return file === undefined
+    ? Promise.resolve(Right(""))
+    : context.io.read(file);
+}
+
+function headersOf(
+  options: RequestOptions,
+  requestId: string,
+): Record<string, string> {
+  const headers: Record<string, string> = {
+    [RequestHeader.requestId]: requestId,
+    [RequestHeader.idempotent]: String(options.isIdempotent),
+  };
+  if (options.requestClass !== undefined) {
+    headers[RequestHeader.requestClass] = options.requestClass;
+  }
+  if (options.timeoutMs !== undefined) {
+    headers[RequestHeader.timeoutMs] = String(options.timeoutMs);
+  }
+  if (options.clientAccount !== undefined) {
+    headers[RequestHeader.clientAccount] = options.clientAccount;
+  }
+  return headers;
+}
+
+interface BackendsAnswer {
+  readonly backends: readonly {
+    readonly serverId: string;
+    readonly service: string;
+    readonly dataCentre: string;
+    readonly address: string;
+    readonly slots: number;
+    readonly leaving: boolean;
+    readonly health: string;
+    readonly latencyMs: number;
+  }[];
+}
+
+/** `backends`: the backend servers that the instance knows. */
+export async function listBackends(context: CommandContext): Promise<number> {
+  const result = await context.client.json({
+    method: "GET",
+    path: "/v1/backends",
+  });
+  return report(context, {
+    result,
+    render: (value) =>
+      renderTable(
+        ["SERVER", "SERVICE", "DATA CENTRE", "SLOTS", "STATE", "LATENCY MS"],
+        (value as BackendsAnswer).backends.map((server) => [
+          server.serverId,
+          server.service,
+          server.dataCentre,
+          server.slots,
+          server.leaving ? "leaving" : server.health,
+          server.latencyMs,
+        ]),
+      ),
+  });
+}
