--- a/src/process/scheduler/core/scheduler_event.ts
+++ b/src/process/scheduler/core/scheduler_event.ts
@@ -118,6 +118,11 @@
   readonly kind: "jobSubmitted";
   readonly atMs: number;
   readonly job: JobSpecification;
+  /**
+   * The highest attempt number that the job has used, here or in the data
+   * centre it came from; the next start takes a higher one. Absent for none.
+   */
+  readonly attemptsUsed?: number;
 }
 
 /** Its submitter wants a job no more. */
--- /dev/null
+++ b/src/process/scheduler/runtime/decision_core.ts
@@ -0,0 +1,16 @@
+/**
+ * The narrow face of the scheduler core that the runtime drives.
+ *
+ * @module
+ */
+
+import type { SchedulerDecision } from "../core/scheduler_decision.ts";
+import type { SchedulerEvent } from "../core/scheduler_event.ts";
+
+/** Decides; holds no time, randomness or I/O of its own. */
+export interface DecisionCore {
+  handle(event: SchedulerEvent): readonly SchedulerDecision[];
+}
+
+/** Makes the core of a new leader, with nothing in it. */
+export type DecisionCoreFactory = () => DecisionCore;
--- /dev/null
+++ b/src/process/scheduler/runtime/worker_report.ts
@@ -0,0 +1,71 @@
+/**
+ * What a worker says of itself, about once a second, to any instance of its
+ * data centre.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import { IDENTITY_PATTERN } from "../../../base/identity.ts";
+
+const identity = z.string().regex(IDENTITY_PATTERN);
+const attemptNumber = z.int().min(1);
+
+/** The version of the worker protocol that this code speaks. */
+export const WORKER_PROTOCOL_VERSION = 1;
+
+/** Where a worker listens: an IP number and port. */
+export const workerAddressSchema = z.string().regex(
+  /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$/,
+);
+
+/** One task that a worker holds. */
+export const heldTaskSchema = z.strictObject({
+  jobId: identity,
+  attempt: attemptNumber,
+  taskIndex: z.int().min(0),
+  /** An ended task is listed until the leader says to forget it. */
+  state: z.enum(["reserved", "running", "ended"]),
+  outcome: z.enum(["succeeded", "failed", "checkpointed", "stopped", "lost"])
+    .optional(),
+});
+
+/** What one task was seen to use. */
+export const heldTaskUsageSchema = z.strictObject({
+  jobId: identity,
+  attempt: attemptNumber,
+  taskIndex: z.int().min(0),
+  cores: z.number().min(0),
+  memoryBytes: z.int().min(0),
+  accelerators: z.number().min(0),
+  /** How long ago the last checkpoint was finished; absent for never. */
+  checkpointAgeMs: z.number().min(0).optional(),
+});
+
+/** What a worker holds at a moment of its own clock. */
+export const workerHoldingsSchema = z.strictObject({
+  workerId: identity,
+  /** Grows with every start of the worker's process. */
+  incarnation: z.int().min(1),
+  /** The worker's own clock when it wrote this. */
+  workerClockMs: z.number().min(0),
+  highestTerm: z.int().min(0),
+  isLeaving: z.boolean(),
+  tasks: z.array(heldTaskSchema).max(4096),
+});
+
+/** One report. */
+export const workerReportSchema = workerHoldingsSchema.extend({
+  protocolVersion: z.literal(WORKER_PROTOCOL_VERSION),
+  address: workerAddressSchema,
+  rack: identity,
+  cores: z.number().min(0).max(4096),
+  memoryBytes: z.int().min(0),
+  accelerators: z.int().min(0).max(64),
+  usages: z.array(heldTaskUsageSchema).max(4096).default([]),
+});
+
+export type HeldTask = z.infer<typeof heldTaskSchema>;
+export type HeldTaskUsage = z.infer<typeof heldTaskUsageSchema>;
+export type WorkerHoldings = z.infer<typeof workerHoldingsSchema>;
+export type WorkerReport = z.infer<typeof workerReportSchema>;
