--- a/src/base/events/scheduler_events.ts
+++ b/src/base/events/scheduler_events.ts
@@ -32,4 +32,28 @@
     text: "A job came to its end.",
     fields: ["jobId", "outcome"],
   },
+  workerLost: {
+    number: 5004,
+    level: "warn",
+    text: "A worker was silent for a whole lease, or came back anew.",
+    fields: ["worker"],
+  },
+  schedulingBegan: {
+    number: 5005,
+    level: "info",
+    text: "This leader knows what runs and starts work.",
+    fields: ["term", "jobs"],
+  },
+  jobMoved: {
+    number: 5006,
+    level: "info",
+    text: "Another data centre has taken a job over.",
+    fields: ["jobId", "dataCentre"],
+  },
+  schedulingFailed: {
+    number: 5007,
+    level: "error",
+    text: "A period of leadership ended by a failure.",
+    fields: ["term", "detail"],
+  },
 } as const satisfies Record<string, EventDefinition>;
--- /dev/null
+++ b/src/process/jobs/json_body.ts
@@ -0,0 +1,27 @@
+/**
+ * Reads JSON bodies by their validators.
+ *
+ * @module
+ */
+
+import { Buffer } from "node:buffer";
+import { Right } from "purify-ts/Either";
+import { z } from "zod";
+import { failure, type Result } from "../../base/sesame_error.ts";
+
+/** The body as the validator's type, or `malformed` with the reason. */
+export function readJsonBody<T>(
+  body: Uint8Array,
+  schema: z.ZodType<T>,
+): Result<T> {
+  let raw: unknown;
+  try {
+    raw = JSON.parse(Buffer.from(body).toString("utf8"));
+  } catch {
+    return failure("malformed", { detail: "the body isn't JSON" });
+  }
+  const parsed = schema.safeParse(raw);
+  return parsed.success
+    ? Right(parsed.data)
+    : failure("malformed", { detail: z.prettifyError(parsed.error) });
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/data_centre_choice.ts
@@ -0,0 +1,127 @@
+/**
+ * Which data centre a job belongs in. Pure functions of the document.
+ *
+ * @module
+ */
+
+import { createHash } from "node:crypto";
+import type { DataCentreId } from "../../../base/identity.ts";
+import type {
+  DataCentre,
+  Document,
+  Rack,
+} from "../../../version/document/document.ts";
+import type { JobSpecification } from "../core/job.ts";
+
+/**
+ * The data centre whose log decides whether the job is new: the first that
+ * the job names, or one drawn by its identity. It depends on nothing that
+ * operators change in passing, so that a resent job finds the first one.
+ */
+export function homeDataCentre(
+  job: JobSpecification,
+  document: Document,
+): DataCentreId | undefined {
+  const named = job.dataCentres[0];
+  if (named !== undefined) {
+    return named;
+  }
+  const drawn = Object.keys(document.dataCentres)
+    .map((id) => ({ id, weight: drawWeight(job.jobId, id) }))
+    .sort((left, right) => left.weight.localeCompare(right.weight));
+  return drawn[0]?.id;
+}
+
+/**
+ * Where a job that waits in `here` is to go: nowhere when it can run here, or
+ * when no other data centre can take it.
+ */
+export function moveTarget(
+  job: JobSpecification,
+  options: { here: DataCentreId; document: Document },
+): DataCentreId | undefined {
+  const { here, document } = options;
+  const own = document.dataCentres[here];
+  if (own === undefined || canRun(job, { id: here, section: own })) {
+    return undefined;
+  }
+  const others = Object.entries(document.dataCentres)
+    .filter(([id]) => id !== here)
+    .filter(([id, section]) => isAllowed(job, id) && fits(job, section))
+    .sort(([leftId, left], [rightId, right]) =>
+      rankOf(left, own) - rankOf(right, own) || leftId.localeCompare(rightId)
+    );
+  const open = others.find(([, section]) => section.status === "in");
+  if (open !== undefined) {
+    return open[0];
+  }
+  // Nobody can take it now: it waits where it could run one day.
+  const couldRunHere = isAllowed(job, here) && fits(job, own);
+  return couldRunHere ? undefined : others[0]?.[0];
+}
+
+/** A name in the job that the document doesn't have, as a sentence. */
+export function findUnknownName(
+  job: JobSpecification,
+  document: Document,
+): string | undefined {
+  if (document.clientAccounts[job.clientAccount] === undefined) {
+    return `no client account ${job.clientAccount}`;
+  }
+  if (document.jobClasses[job.jobClass] === undefined) {
+    return `no job class ${job.jobClass}`;
+  }
+  const unknown = job.dataCentres
+    .find((id) => document.dataCentres[id] === undefined);
+  return unknown === undefined ? undefined : `no data centre ${unknown}`;
+}
+
+function canRun(
+  job: JobSpecification,
+  at: { id: DataCentreId; section: DataCentre },
+): boolean {
+  return isAllowed(job, at.id) && at.section.status === "in" &&
+    fits(job, at.section);
+}
+
+function isAllowed(job: JobSpecification, id: DataCentreId): boolean {
+  return job.dataCentres.length === 0 || job.dataCentres.includes(id);
+}
+
+/** Whether the declared hardware, all free, could hold the gang. */
+function fits(job: JobSpecification, section: DataCentre): boolean {
+  const byRack = section.racks.map((rack) => ({
+    perWorker: tasksPerWorker(job, rack),
+    workers: rack.workers,
+  }));
+  const most = byRack.map((rack) =>
+    job.adjacency === "worker" ? rack.perWorker : rack.perWorker * rack.workers
+  );
+  const tasks = job.adjacency === "any"
+    ? most.reduce((sum, each) => sum + each, 0)
+    : Math.max(0, ...most);
+  return tasks >= job.tasks;
+}
+
+function tasksPerWorker(job: JobSpecification, rack: Rack): number {
+  const { cores, memoryBytes, accelerators } = job.resources;
+  return Math.min(
+    share(rack.coresPerWorker, cores),
+    share(rack.memoryBytesPerWorker, memoryBytes),
+    share(rack.acceleratorsPerWorker, accelerators),
+    job.tasks,
+  );
+}
+
+function share(has: number, takes: number): number {
+  return takes === 0 ? Number.POSITIVE_INFINITY : Math.floor(has / takes);
+}
+
+/** The same region first: the link between regions is slow. */
+function rankOf(section: DataCentre, own: DataCentre): number {
+  return section.region === own.region ? 0 : 1;
+}
+
+function drawWeight(jobId: string, id: DataCentreId): string {
+  return createHash("sha256").update(`${jobId}\n${id}`).digest("hex");
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/gang.ts
@@ -0,0 +1,169 @@
+/**
+ * One attempt of a job as its leader follows it: what each worker was allowed
+ * and what each was seen to do.
+ *
+ * @module
+ */
+
+import type { JobId, WorkerId } from "../../../base/identity.ts";
+import type { TaskPlacement } from "../core/scheduler_decision.ts";
+import type { TaskOutcome, TaskReference } from "../core/scheduler_event.ts";
+import type { HeldTask } from "./worker_report.ts";
+
+/** Where an attempt stands. */
+export type GangPhase = "starting" | "running" | "stopping" | "over";
+
+/** Options of {@link Gang}. */
+export interface GangOptions {
+  readonly jobId: JobId;
+  readonly attempt: number;
+  readonly placements: readonly TaskPlacement[];
+  readonly phase: GangPhase;
+  /** Till when an earlier leader's leases may hold; 0 for none. */
+  readonly grantedUntilMs: number;
+}
+
+interface Member {
+  readonly taskIndexes: readonly number[];
+  /** The latest moment at which the worker surely held its tasks. */
+  provenAtMs: number;
+  /** Till when its tasks may run without another renewal. */
+  grantedUntilMs: number;
+}
+
+/** The attempt of one gang. */
+export class Gang {
+  readonly jobId: JobId;
+  readonly attempt: number;
+  readonly placements: readonly TaskPlacement[];
+  phase: GangPhase;
+  /** Whether a stop under way waits for checkpoints. */
+  isCheckpointing = false;
+  readonly #members = new Map<WorkerId, Member>();
+  readonly #outcomes = new Map<number, TaskOutcome>();
+
+  constructor(options: GangOptions) {
+    this.jobId = options.jobId;
+    this.attempt = options.attempt;
+    this.placements = options.placements;
+    this.phase = options.phase;
+    for (const { workerId } of options.placements) {
+      this.#members.set(workerId, {
+        taskIndexes: tasksOf(options.placements, workerId),
+        provenAtMs: 0,
+        grantedUntilMs: options.grantedUntilMs,
+      });
+    }
+  }
+
+  get workerIds(): readonly WorkerId[] {
+    return [...this.#members.keys()];
+  }
+
+  taskIndexes(workerId: WorkerId): readonly number[] {
+    return this.#members.get(workerId)?.taskIndexes ?? [];
+  }
+
+  outcome(taskIndex: number): TaskOutcome | undefined {
+    return this.#outcomes.get(taskIndex);
+  }
+
+  reference(taskIndex: number): TaskReference {
+    return { jobId: this.jobId, attempt: this.attempt, taskIndex };
+  }
+
+  /** Notes how a task ended; false when it was known. */
+  noteOutcome(taskIndex: number, outcome: TaskOutcome): boolean {
+    if (this.#outcomes.has(taskIndex)) {
+      return false;
+    }
+    this.#outcomes.set(taskIndex, outcome);
+    return true;
+  }
+
+  /** Whether its leases are to be renewed. */
+  get isRenewed(): boolean {
+    return this.phase === "running" ||
+      (this.phase === "stopping" && this.isCheckpointing);
+  }
+
+  get hasEnded(): boolean {
+    return this.#outcomes.size === this.placements.length;
+  }
+
+  /** Whether every task ended by a checkpoint or by itself, well. */
+  get isCheckpointed(): boolean {
+    return this.hasEnded && [...this.#outcomes.values()].every(endedWell);
+  }
+
+  prove(workerId: WorkerId, atMs: number): void {
+    const member = this.#members.get(workerId);
+    if (member !== undefined) {
+      member.provenAtMs = Math.max(member.provenAtMs, atMs);
+    }
+  }
+
+  grant(workerId: WorkerId, untilMs: number): void {
+    const member = this.#members.get(workerId);
+    if (member !== undefined) {
+      member.grantedUntilMs = Math.max(member.grantedUntilMs, untilMs);
+    }
+  }
+
+  grantedUntilMs(workerId: WorkerId): number {
+    return this.#members.get(workerId)?.grantedUntilMs ?? 0;
+  }
+
+  /**
+   * Till when each member may run: no longer than a lease after the moment
+   * at which every member still needed was last proven. Zero once a task
+   * ended badly, so that a broken gang isn't kept alive.
+   */
+  renewalEndMs(leaseMs: number): number {
+    if ([...this.#outcomes.values()].some((outcome) => !endedWell(outcome))) {
+      return 0;
+    }
+    let provenAtMs = Number.POSITIVE_INFINITY;
+    for (const member of this.#members.values()) {
+      if (!this.#isDone(member)) {
+        provenAtMs = Math.min(provenAtMs, member.provenAtMs);
+      }
+    }
+    return Number.isFinite(provenAtMs) ? provenAtMs + leaseMs : 0;
+  }
+
+  /** The gang's tasks among those that a worker lists. */
+  tasksAmong(tasks: readonly HeldTask[]): readonly HeldTask[] {
+    return tasks.filter((task) =>
+      task.jobId === this.jobId && task.attempt === this.attempt
+    );
+  }
+
+  /** Whether the worker lists all its tasks as running or ended well. */
+  isProvenBy(workerId: WorkerId, tasks: readonly HeldTask[]): boolean {
+    const listed = this.tasksAmong(tasks);
+    return this.taskIndexes(workerId).every((taskIndex) => {
+      const task = listed.find((each) => each.taskIndex === taskIndex);
+      return task?.state === "running" ||
+        (task?.state === "ended" && endedWell(task.outcome));
+    });
+  }
+
+  #isDone(member: Member): boolean {
+    return member.taskIndexes.every((index) => this.#outcomes.has(index));
+  }
+}
+
+/** Whether the other tasks of the gang may go on after such an end. */
+export function endedWell(outcome: TaskOutcome | undefined): boolean {
+  return outcome === "succeeded" || outcome === "checkpointed";
+}
+
+function tasksOf(
+  placements: readonly TaskPlacement[],
+  workerId: WorkerId,
+): number[] {
+  return placements
+    .filter((placement) => placement.workerId === workerId)
+    .map((placement) => placement.taskIndex);
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/gang_starter.ts
@@ -0,0 +1,150 @@
+/**
+ * Starts one attempt in two steps: reserve on every worker, commit the
+ * intent, start on every worker.
+ *
+ * @module
+ */
+
+import type { WorkerId } from "../../../base/identity.ts";
+import type { StartGang } from "../core/scheduler_decision.ts";
+import type { Gang } from "./gang.ts";
+import type { SessionContext } from "./session_context.ts";
+import type { WorkerCallOptions } from "./worker_caller.ts";
+
+/** How a start went. */
+export type StartOutcome =
+  | { readonly kind: "started" }
+  /** What was begun must be released. */
+  | {
+    readonly kind: "failed";
+    readonly workerIds: readonly WorkerId[];
+    readonly detail: string;
+  };
+
+const STARTED: StartOutcome = { kind: "started" };
+
+/** Starts attempts. */
+export class GangStarter {
+  readonly #context: SessionContext;
+
+  constructor(context: SessionContext) {
+    this.#context = context;
+  }
+
+  /** Starts every task, or tells why what was begun must be released. */
+  async start(
+    gang: Gang,
+    options: { decision: StartGang; command: readonly string[] },
+  ): Promise<StartOutcome> {
+    const { clock, gate, lease } = this.#context;
+    const beganAtMs = clock.nowMs();
+    if (gate.permittedUntilMs() <= beganAtMs) {
+      return failed("no permission to start");
+    }
+    const refusing = await this.#reserveAll(gang, options);
+    if (refusing.length > 0) {
+      return failed("not every worker reserved", refusing);
+    }
+    if (!this.#context.omits("intentFirst")) {
+      const isIntended = await this.#intend(gang, options.decision);
+      if (!isIntended) {
+        return failed("the intent was not committed");
+      }
+    }
+    if (gang.phase !== "starting") {
+      return failed("a stop was asked for");
+    }
+    return await this.#startAll(gang, beganAtMs + lease.leaseMs);
+  }
+
+  #reserveAll(
+    gang: Gang,
+    options: { decision: StartGang; command: readonly string[] },
+  ): Promise<WorkerId[]> {
+    const { clock, lease } = this.#context;
+    const { jobId, attempt } = gang;
+    const { resources } = options.decision;
+    const reservationEndMs = clock.nowMs() + lease.reservationMs;
+    return this.#callAll(gang, (workerId) => ({
+      write: (toWorkerMs) => ({
+        kind: "reserve",
+        jobId,
+        attempt,
+        resources,
+        taskIndexes: [...gang.taskIndexes(workerId)],
+        command: [...options.command],
+        reservationEndMs: toWorkerMs(reservationEndMs),
+      }),
+    }));
+  }
+
+  async #intend(gang: Gang, decision: StartGang): Promise<boolean> {
+    const { jobId, attempt } = gang;
+    const outcome = await this.#context.writer.write({
+      kind: "attemptIntended",
+      jobId,
+      attempt,
+      placements: [...decision.placements],
+      configurationVersion: decision.configurationVersion,
+    });
+    if (outcome?.kind === "applied") {
+      return true;
+    }
+    // An earlier try of this same command may have been committed unseen.
+    return outcome !== undefined &&
+      this.#context.openAttempt(jobId) === attempt;
+  }
+
+  async #startAll(gang: Gang, leaseEndMs: number): Promise<StartOutcome> {
+    const { clock, gate } = this.#context;
+    const permittedUntilMs = gate.permittedUntilMs();
+    const isPermitted = permittedUntilMs > clock.nowMs();
+    if (!isPermitted && !this.#context.omits("secondGate")) {
+      return failed("no permission to start");
+    }
+    const { jobId, attempt } = gang;
+    const isChecked = !this.#context.omits("startValidity");
+    const refusing = await this.#callAll(gang, (workerId) => {
+      gang.grant(workerId, leaseEndMs);
+      return {
+        ...(isChecked ? { validUntilMs: permittedUntilMs } : {}),
+        write: (toWorkerMs) => ({
+          kind: "start",
+          jobId,
+          attempt,
+          leaseEndMs: toWorkerMs(leaseEndMs),
+        }),
+      };
+    });
+    return refusing.length === 0
+      ? STARTED
+      : failed("not every worker started", refusing);
+  }
+
+  /** The workers that refused or stayed silent. */
+  async #callAll(
+    gang: Gang,
+    options: (workerId: WorkerId) => WorkerCallOptions,
+  ): Promise<WorkerId[]> {
+    const { caller } = this.#context;
+    const refusing: WorkerId[] = [];
+    const calls = gang.workerIds.map(async (workerId) => {
+      const result = await caller.call(workerId, options(workerId));
+      const answered = result.toMaybe().extract();
+      if (answered === undefined || answered.answer.refusal !== undefined) {
+        refusing.push(workerId);
+        return;
+      }
+      gang.prove(workerId, answered.sentAtMs);
+    });
+    await Promise.all(calls);
+    return refusing;
+  }
+}
+
+function failed(
+  detail: string,
+  workerIds: readonly WorkerId[] = [],
+): StartOutcome {
+  return { kind: "failed", workerIds, detail };
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/gang_stopper.ts
@@ -0,0 +1,112 @@
+/**
+ * Ends one attempt on every worker: by command, or by waiting until its last
+ * lease must have ended.
+ *
+ * @module
+ */
+
+import type { WorkerId } from "../../../base/identity.ts";
+import type { Gang } from "./gang.ts";
+import { pause } from "./ledger_writer.ts";
+import type { SessionContext } from "./session_context.ts";
+import type { Answered, CommandBody } from "./worker_caller.ts";
+
+/** How long to wait before a worker is told again. */
+const STOP_RETRY_MS = 250;
+
+/** How an attempt is to stop. */
+export interface StopManner {
+  readonly wantsCheckpoint: boolean;
+  readonly checkpointDeadlineMs: number;
+}
+
+/** Stop now, with nothing saved. */
+export const STOP_AT_ONCE: StopManner = {
+  wantsCheckpoint: false,
+  checkpointDeadlineMs: 0,
+};
+
+/** Stops attempts. */
+export class GangStopper {
+  readonly #context: SessionContext;
+
+  constructor(context: SessionContext) {
+    this.#context = context;
+  }
+
+  /** Returns once no task of the attempt runs, nor can one start. */
+  async stop(gang: Gang, manner: StopManner): Promise<void> {
+    await Promise.all(
+      gang.workerIds.map((workerId) => this.#stopOn(gang, workerId, manner)),
+    );
+  }
+
+  async #stopOn(
+    gang: Gang,
+    ...[workerId, manner]: [WorkerId, StopManner]
+  ): Promise<void> {
+    const { clock } = this.#context;
+    while (this.#context.isLive() && !this.#hasLapsed(gang, workerId)) {
+      const body = this.#body(gang, manner);
+      const isStopped = await this.#tell(gang, { workerId, body });
+      if (isStopped || this.#context.omits("lapseWait")) {
+        return;
+      }
+      await pause(clock, STOP_RETRY_MS);
+    }
+    // Not needed for safety: it frees the room of a mere reservation early.
+    void this.#tell(gang, { workerId, body: this.#body(gang, STOP_AT_ONCE) });
+  }
+
+  #hasLapsed(gang: Gang, workerId: WorkerId): boolean {
+    return this.#context.clock.nowMs() > gang.grantedUntilMs(workerId);
+  }
+
+  #body(gang: Gang, manner: StopManner): (
+    toWorkerMs: (atMs: number) => number,
+  ) => CommandBody {
+    const { jobId, attempt } = gang;
+    const { wantsCheckpoint, checkpointDeadlineMs } = manner;
+    if (!wantsCheckpoint) {
+      return () => ({ kind: "release", jobId, attempt });
+    }
+    return (toWorkerMs) => ({
+      kind: "stop",
+      jobId,
+      attempt,
+      wantsCheckpoint,
+      checkpointDeadlineMs: toWorkerMs(checkpointDeadlineMs),
+    });
+  }
+
+  async #tell(
+    gang: Gang,
+    options: {
+      workerId: WorkerId;
+      body: (toWorkerMs: (atMs: number) => number) => CommandBody;
+    },
+  ): Promise<boolean> {
+    const { workerId, body } = options;
+    const result = await this.#context.caller.call(workerId, { write: body });
+    return result.map((answered) => this.#note(gang, workerId, answered))
+      .orDefault(false);
+  }
+
+  #note(
+    gang: Gang,
+    ...[workerId, answered]: [WorkerId, Answered]
+  ): boolean {
+    const { refusal, holdings } = answered.answer;
+    const listed = gang.tasksAmong(holdings.tasks);
+    for (const task of listed) {
+      if (task.outcome !== undefined) {
+        gang.noteOutcome(task.taskIndex, task.outcome);
+      }
+    }
+    if (gang.isProvenBy(workerId, holdings.tasks)) {
+      gang.prove(workerId, answered.sentAtMs);
+    }
+    return refusal === undefined &&
+      listed.every((task) => task.state === "ended");
+  }
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/gang_table.ts
@@ -0,0 +1,281 @@
+/**
+ * The attempts that a leader follows, from the decision to start until
+ * nothing of them runs and the log says so.
+ *
+ * @module
+ */
+
+import type { JobId, WorkerId } from "../../../base/identity.ts";
+import type { StartGang, StopGang } from "../core/scheduler_decision.ts";
+import type { TaskOutcome } from "../core/scheduler_event.ts";
+import { Gang } from "./gang.ts";
+import { GangStarter, type StartOutcome } from "./gang_starter.ts";
+import { GangStopper, STOP_AT_ONCE } from "./gang_stopper.ts";
+import type { JobRecord } from "./job_record.ts";
+import { LeaseKeeper } from "./lease_keeper.ts";
+import { earlierLeasesEndMs } from "./lease_rule.ts";
+import type { SessionContext } from "./session_context.ts";
+import type { WorkerEntry } from "./worker_table.ts";
+
+/** Every attempt under way. */
+export class GangTable {
+  readonly #context: SessionContext;
+  readonly #gangs = new Map<string, Gang>();
+  readonly #starter: GangStarter;
+  readonly #stopper: GangStopper;
+  readonly #leases: LeaseKeeper;
+
+  constructor(context: SessionContext) {
+    this.#context = context;
+    this.#starter = new GangStarter(context);
+    this.#stopper = new GangStopper(context);
+    this.#leases = new LeaseKeeper({ context, gangs: () => this.gangs() });
+  }
+
+  gangs(): IterableIterator<Gang> {
+    return this.#gangs.values();
+  }
+
+  get(jobId: JobId, attempt: number): Gang | undefined {
+    return this.#gangs.get(key(jobId, attempt));
+  }
+
+  /** Follows the open attempt of a record that an earlier leader wrote. */
+  recover(record: JobRecord): Gang | undefined {
+    const open = record.openAttempt;
+    if (open === undefined) {
+      return undefined;
+    }
+    const { clock, lease } = this.#context;
+    const gang = new Gang({
+      jobId: record.specification.jobId,
+      attempt: open.attempt,
+      placements: open.placements,
+      phase: "starting",
+      grantedUntilMs: earlierLeasesEndMs(clock.nowMs(), lease),
+    });
+    this.#put(gang);
+    return gang;
+  }
+
+  /** A recovered gang is whole: it goes on. */
+  adopt(gang: Gang): void {
+    gang.phase = "running";
+    this.#leases.renewGang(gang);
+  }
+
+  /** A recovered gang isn't whole: nothing of it may run on. */
+  async breakUp(gang: Gang): Promise<void> {
+    gang.phase = "stopping";
+    await this.#stopper.stop(gang, STOP_AT_ONCE);
+    await this.#close(gang, "not whole after a change of leader");
+  }
+
+  async start(decision: StartGang, command: readonly string[]): Promise<void> {
+    const { jobId, attempt, placements } = decision;
+    const gang = new Gang({
+      jobId,
+      attempt,
+      placements,
+      phase: "starting",
+      grantedUntilMs: 0,
+    });
+    this.#put(gang);
+    const outcome = await this.#starter.start(gang, { decision, command });
+    if (outcome.kind === "started" && gang.phase === "starting") {
+      this.#beginRunning(gang);
+      return;
+    }
+    await this.#abandon(gang, outcome);
+  }
+
+  async stop(decision: StopGang): Promise<void> {
+    const { jobId, attempt, reason, wantsCheckpoint } = decision;
+    const gang = this.get(jobId, attempt);
+    if (gang === undefined || gang.phase === "over") {
+      this.#feedStopped({ jobId, attempt, isCheckpointed: false });
+      return;
+    }
+    const wasRunning = gang.phase === "running";
+    if (gang.phase === "stopping") {
+      return;
+    }
+    gang.phase = "stopping";
+    gang.isCheckpointing = wantsCheckpoint;
+    if (!wasRunning) {
+      return; // The start under way sees the phase and releases.
+    }
+    await this.#stopper.stop(gang, decision);
+    await this.#close(gang, reason);
+    this.#feedSuccesses(gang);
+    const { isCheckpointed } = gang;
+    this.#feedStopped({ jobId, attempt, isCheckpointed });
+  }
+
+  /** Compares what a worker holds with what it should hold. */
+  look(entry: WorkerEntry): void {
+    const { workerId } = entry.description;
+    for (const gang of this.#gangs.values()) {
+      if (gang.phase === "running") {
+        this.#lookAt(gang, entry);
+      }
+    }
+    const strangers = new Map<string, { jobId: JobId; attempt: number }>();
+    for (const task of entry.tasks) {
+      if (this.get(task.jobId, task.attempt) !== undefined) {
+        continue;
+      }
+      if (task.state === "ended") {
+        this.#leases.forget(workerId, task);
+      } else {
+        strangers.set(key(task.jobId, task.attempt), task);
+      }
+    }
+    if (!this.#context.omits("returnedTasks")) {
+      strangers.forEach((task) => this.#release(workerId, task));
+    }
+  }
+
+  /** Tasks whose leases must have ended are lost. */
+  noteLapses(): void {
+    const nowMs = this.#context.clock.nowMs();
+    for (const gang of [...this.#gangs.values()]) {
+      if (gang.phase !== "running") {
+        continue;
+      }
+      const lapsed = gang.workerIds
+        .filter((workerId) => gang.grantedUntilMs(workerId) < nowMs);
+      const ends: TaskEnd[] = lapsed.flatMap((workerId) =>
+        gang.taskIndexes(workerId)
+          .map((taskIndex) => ({ workerId, taskIndex, outcome: "lost" }))
+      );
+      this.#noteEnds(gang, ends);
+    }
+  }
+
+  renewLeases(): void {
+    this.#leases.renewAll();
+  }
+
+  #beginRunning(gang: Gang): void {
+    const { jobId, attempt } = gang;
+    gang.phase = "running";
+    this.#context.events.emit("gangStarted", { jobId, attempt });
+    void this.#context.writer.write({ kind: "attemptStarted", jobId, attempt });
+    const atMs = this.#context.clock.nowMs();
+    this.#context.feed({ kind: "gangStarted", atMs, jobId, attempt });
+  }
+
+  /** Ends a start that failed, or that a stop came in between. */
+  async #abandon(gang: Gang, outcome: StartOutcome): Promise<void> {
+    const wasStopped = gang.phase === "stopping";
+    const workerIds = outcome.kind === "failed" ? outcome.workerIds : [];
+    const detail = outcome.kind === "failed" ? outcome.detail : "stopped";
+    gang.phase = "stopping";
+    gang.isCheckpointing = false;
+    if (!this.#context.omits("releaseAll")) {
+      await this.#stopper.stop(gang, STOP_AT_ONCE);
+    }
+    await this.#close(gang, detail);
+    const { jobId, attempt } = gang;
+    if (wasStopped) {
+      this.#feedStopped({ jobId, attempt, isCheckpointed: false });
+      return;
+    }
+    const atMs = this.#context.clock.nowMs();
+    this.#context.feed({
+      kind: "gangStartFailed",
+      atMs,
+      jobId,
+      attempt,
+      workerIds,
+    });
+  }
+
+  /** Nothing of it runs: the log is told before anything else happens. */
+  async #close(gang: Gang, detail: string): Promise<void> {
+    const { jobId, attempt } = gang;
+    gang.phase = "over";
+    await this.#context.writer.write({
+      kind: "attemptEnded",
+      jobId,
+      attempt,
+      detail,
+    });
+    this.#gangs.delete(key(jobId, attempt));
+  }
+
+  #lookAt(gang: Gang, entry: WorkerEntry): void {
+    const { workerId } = entry.description;
+    const listed = gang.tasksAmong(entry.tasks);
+    const ends: TaskEnd[] = [];
+    for (const taskIndex of gang.taskIndexes(workerId)) {
+      const task = listed.find((each) => each.taskIndex === taskIndex);
+      const outcome = task === undefined ? "lost" : task.outcome;
+      if (outcome !== undefined) {
+        ends.push({ workerId, taskIndex, outcome });
+      }
+    }
+    this.#noteEnds(gang, ends);
+  }
+
+  #noteEnds(gang: Gang, ends: readonly TaskEnd[]): void {
+    const news = ends.filter((end) =>
+      gang.noteOutcome(end.taskIndex, end.outcome)
+    );
+    if (gang.hasEnded && gang.phase === "running") {
+      void this.#close(gang, "every task ended");
+    }
+    for (const end of news) {
+      this.#feedEnd(gang, end);
+    }
+  }
+
+  #feedSuccesses(gang: Gang): void {
+    for (const { taskIndex, workerId } of gang.placements) {
+      if (gang.outcome(taskIndex) === "succeeded") {
+        this.#feedEnd(gang, { taskIndex, workerId, outcome: "succeeded" });
+      }
+    }
+  }
+
+  #feedEnd(gang: Gang, end: TaskEnd): void {
+    this.#context.feed({
+      kind: "taskEnded",
+      atMs: this.#context.clock.nowMs(),
+      ...gang.reference(end.taskIndex),
+      workerId: end.workerId,
+      outcome: end.outcome,
+    });
+  }
+
+  #feedStopped(
+    stopped: { jobId: JobId; attempt: number; isCheckpointed: boolean },
+  ): void {
+    const atMs = this.#context.clock.nowMs();
+    this.#context.feed({ kind: "gangStopped", atMs, ...stopped });
+  }
+
+  #release(
+    workerId: WorkerId,
+    { jobId, attempt }: { jobId: JobId; attempt: number },
+  ): void {
+    void this.#context.caller.call(workerId, {
+      write: () => ({ kind: "release", jobId, attempt }),
+    });
+  }
+
+  #put(gang: Gang): void {
+    this.#gangs.set(key(gang.jobId, gang.attempt), gang);
+  }
+}
+
+interface TaskEnd {
+  readonly taskIndex: number;
+  readonly workerId: WorkerId;
+  readonly outcome: TaskOutcome;
+}
+
+function key(jobId: JobId, attempt: number): string {
+  return `${jobId}/${attempt}`;
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/job_ledger.ts
@@ -0,0 +1,400 @@
+/**
+ * The jobs of one data centre, as its instances replicate them.
+ *
+ * @module
+ */
+
+import { Buffer } from "node:buffer";
+import { isDeepStrictEqual } from "node:util";
+import { Right } from "purify-ts/Either";
+import { z } from "zod";
+import { Channel } from "../../../base/channel.ts";
+import type { JobId } from "../../../base/identity.ts";
+import { failure, type Result } from "../../../base/sesame_error.ts";
+import type { StateMachine } from "../../replication/replicated_log.ts";
+import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
+import {
+  type AttemptRecord,
+  isOwned,
+  type JobRecord,
+  jobRecordSchema,
+} from "./job_record.ts";
+import { migrate, type Migration } from "./migration.ts";
+
+/** The version of the snapshot's own format. */
+export const JOB_SNAPSHOT_FORMAT_VERSION = 1;
+
+const SNAPSHOT_MIGRATIONS: readonly Migration[] = [];
+
+const snapshotSchema = z.strictObject({
+  formatVersion: z.literal(JOB_SNAPSHOT_FORMAT_VERSION),
+  highestTerm: z.int().min(0),
+  records: z.array(jobRecordSchema),
+  endedJobIds: z.array(z.string()),
+});
+
+/** What the ledger keeps of the past. */
+export interface JobLedgerOptions {
+  /** How long an ended job can be asked about. */
+  readonly endedRetentionMs?: number;
+  /** How many ended jobs are kept at most. */
+  readonly endedLimit?: number;
+  /** How many ended attempts are kept of each job. */
+  readonly pastAttemptsLimit?: number;
+}
+
+/** What the ledger keeps unless told otherwise. */
+export const JOB_LEDGER_DEFAULTS: Required<JobLedgerOptions> = {
+  endedRetentionMs: 7 * 86_400_000,
+  endedLimit: 20_000,
+  pastAttemptsLimit: 4,
+};
+
+type CommandOf<Kind extends JobCommand["kind"]> = Extract<
+  JobCommand,
+  { kind: Kind }
+>;
+
+const APPLIED: JobCommandOutcome = { kind: "applied" };
+
+/** The replicated jobs of one data centre. */
+export class JobLedger implements StateMachine<JobCommand, JobCommandOutcome> {
+  readonly #options: Required<JobLedgerOptions>;
+  readonly #applied = new Channel<JobCommand>();
+  #records = new Map<JobId, JobRecord>();
+  /** Jobs that wait, run or are on their way. */
+  readonly #liveJobIds = new Set<JobId>();
+  /** Ended and moved jobs, in the order in which they left. */
+  #endedJobIds = new Set<JobId>();
+  #highestTerm = 0;
+
+  constructor(options: JobLedgerOptions = {}) {
+    this.#options = { ...JOB_LEDGER_DEFAULTS, ...options };
+  }
+
+  /** Each command that changed the jobs, after it was applied. */
+  get applied(): Channel<JobCommand>["stream"] {
+    return this.#applied.stream;
+  }
+
+  get(jobId: JobId): JobRecord | undefined {
+    return this.#records.get(jobId);
+  }
+
+  /** All jobs that are kept, oldest first. */
+  records(): IterableIterator<JobRecord> {
+    return this.#records.values();
+  }
+
+  /** Those that wait, run or are on their way to another data centre. */
+  *liveRecords(): Generator<JobRecord> {
+    for (const jobId of this.#liveJobIds) {
+      const record = this.#records.get(jobId);
+      if (record !== undefined) {
+        yield record;
+      }
+    }
+  }
+
+  /** The term of the newest leader that began. */
+  get highestTerm(): number {
+    return this.#highestTerm;
+  }
+
+  apply(command: JobCommand): JobCommandOutcome {
+    const outcome = this.#dispatch(command);
+    if (outcome.kind === "applied") {
+      this.#applied.push(command);
+    }
+    return outcome;
+  }
+
+  snapshot(): Uint8Array {
+    const snapshot: z.infer<typeof snapshotSchema> = {
+      formatVersion: JOB_SNAPSHOT_FORMAT_VERSION,
+      highestTerm: this.#highestTerm,
+      records: [...this.#records.values()],
+      endedJobIds: [...this.#endedJobIds],
+    };
+    return Buffer.from(JSON.stringify(snapshot));
+  }
+
+  restore(snapshot: Uint8Array): Result<void> {
+    return decodeSnapshot(snapshot).map((decoded) => {
+      this.#highestTerm = decoded.highestTerm;
+      this.#records = new Map(
+        decoded.records.map((record) => [record.specification.jobId, record]),
+      );
+      this.#endedJobIds = new Set(decoded.endedJobIds);
+      this.#liveJobIds.clear();
+      decoded.records.forEach((record) => this.#noteLive(record));
+    });
+  }
+
+  #dispatch(command: JobCommand): JobCommandOutcome {
+    if ("term" in command && command.term < this.#highestTerm) {
+      return refused("a newer leader has begun");
+    }
+    switch (command.kind) {
+      case "termBegan":
+        this.#highestTerm = command.term;
+        return APPLIED;
+      case "submitted":
+        return this.#submit(command);
+      case "cancelled":
+        return this.#cancel(command);
+      case "attemptIntended":
+        return this.#intendAttempt(command);
+      case "attemptStarted":
+        return this.#startAttempt(command);
+      case "attemptEnded":
+        return this.#endAttempt(command);
+      case "ended":
+        return this.#endJob(command);
+      case "transferIntended":
+        return this.#intendTransfer(command);
+      case "transferAccepted":
+        return this.#acceptTransfer(command);
+    }
+  }
+
+  #submit(command: CommandOf<"submitted">): JobCommandOutcome {
+    const { specification } = command;
+    const existing = this.#records.get(specification.jobId);
+    if (existing === undefined || returns(existing, command)) {
+      const record = newRecord(command);
+      this.#endedJobIds.delete(specification.jobId);
+      this.#put(record);
+      return { kind: "applied", record };
+    }
+    if (isSameContent(existing, command)) {
+      return { kind: "existing", record: existing };
+    }
+    return {
+      kind: "refused",
+      error: "identityReused",
+      detail: `job ${specification.jobId} was submitted with other content`,
+    };
+  }
+
+  #cancel(command: CommandOf<"cancelled">): JobCommandOutcome {
+    const record = this.#records.get(command.jobId);
+    if (record === undefined) {
+      return {
+        kind: "refused",
+        error: "notFound",
+        detail: `no job ${command.jobId}`,
+      };
+    }
+    if (record.end !== undefined || record.isCancelled) {
+      return { kind: "existing", record };
+    }
+    return this.#change(record, { isCancelled: true });
+  }
+
+  #intendAttempt(command: CommandOf<"attemptIntended">): JobCommandOutcome {
+    const record = this.#records.get(command.jobId);
+    if (record === undefined || !isOwned(record) || record.isCancelled) {
+      return refused("the job isn't to be started");
+    }
+    if (record.openAttempt !== undefined) {
+      return refused("an earlier attempt is still open");
+    }
+    if (command.attempt <= record.attemptsUsed) {
+      return refused("the attempt number was used before");
+    }
+    return this.#change(record, {
+      attemptsUsed: command.attempt,
+      openAttempt: {
+        attempt: command.attempt,
+        placements: command.placements,
+        configurationVersion: command.configurationVersion,
+        intendedAtMs: command.atMs,
+      },
+    });
+  }
+
+  #startAttempt(command: CommandOf<"attemptStarted">): JobCommandOutcome {
+    const record = this.#records.get(command.jobId);
+    const open = record?.openAttempt;
+    if (record === undefined || open?.attempt !== command.attempt) {
+      return refused("the attempt isn't open");
+    }
+    return this.#change(record, {
+      openAttempt: { ...open, startedAtMs: command.atMs },
+    });
+  }
+
+  /** Also marks the number of an attempt that was never intended as used. */
+  #endAttempt(command: CommandOf<"attemptEnded">): JobCommandOutcome {
+    const record = this.#records.get(command.jobId);
+    if (record === undefined) {
+      return refused("there is no such job");
+    }
+    const attemptsUsed = Math.max(record.attemptsUsed, command.attempt);
+    const open = record.openAttempt;
+    if (open === undefined || open.attempt > command.attempt) {
+      return this.#change(record, { attemptsUsed });
+    }
+    const { openAttempt: _closed, ...rest } = record;
+    return this.#put({
+      ...rest,
+      attemptsUsed,
+      pastAttempts: this.#past(record, {
+        ...open,
+        endedAtMs: command.atMs,
+        detail: command.detail,
+      }),
+    });
+  }
+
+  #endJob(command: CommandOf<"ended">): JobCommandOutcome {
+    const record = this.#records.get(command.jobId);
+    if (record === undefined || record.transfer !== undefined) {
+      return refused("the job isn't here");
+    }
+    if (record.end !== undefined) {
+      return { kind: "existing", record };
+    }
+    if (record.openAttempt !== undefined) {
+      return refused("an attempt is still open");
+    }
+    const { outcome, error, detail, atMs } = command;
+    this.#retire(command.jobId, atMs);
+    return this.#change(record, {
+      end: {
+        outcome,
+        atMs,
+        ...(error === undefined ? {} : { error }),
+        ...(detail === undefined ? {} : { detail }),
+      },
+    });
+  }
+
+  #intendTransfer(command: CommandOf<"transferIntended">): JobCommandOutcome {
+    const record = this.#records.get(command.jobId);
+    if (record === undefined || !isOwned(record) || record.isCancelled) {
+      return refused("the job isn't to be moved");
+    }
+    if (record.openAttempt !== undefined) {
+      return refused("an attempt is still open");
+    }
+    return this.#change(record, {
+      transfer: {
+        toDataCentre: command.toDataCentre,
+        intendedAtMs: command.atMs,
+      },
+    });
+  }
+
+  #acceptTransfer(command: CommandOf<"transferAccepted">): JobCommandOutcome {
+    const record = this.#records.get(command.jobId);
+    if (record?.transfer === undefined) {
+      return refused("no move was intended");
+    }
+    if (record.isCancelled && !command.isCancellationPassedOn) {
+      return refused("the cancellation must be passed on first");
+    }
+    this.#retire(command.jobId, command.atMs);
+    return this.#change(record, {
+      transfer: { ...record.transfer, acceptedAtMs: command.atMs },
+    });
+  }
+
+  #change(record: JobRecord, change: Partial<JobRecord>): JobCommandOutcome {
+    return this.#put({ ...record, ...change });
+  }
+
+  #put(record: JobRecord): JobCommandOutcome {
+    this.#records.set(record.specification.jobId, record);
+    this.#noteLive(record);
+    return { kind: "applied", record };
+  }
+
+  #noteLive(record: JobRecord): void {
+    const { jobId } = record.specification;
+    const hasLeft = record.end !== undefined ||
+      record.transfer?.acceptedAtMs !== undefined;
+    if (hasLeft) {
+      this.#liveJobIds.delete(jobId);
+    } else {
+      this.#liveJobIds.add(jobId);
+    }
+  }
+
+  #past(record: JobRecord, ended: AttemptRecord): AttemptRecord[] {
+    return [...record.pastAttempts, ended]
+      .slice(-this.#options.pastAttemptsLimit);
+  }
+
+  /** Notes that a job left, and forgets those that left long ago. */
+  #retire(jobId: JobId, atMs: number): void {
+    this.#endedJobIds.delete(jobId);
+    this.#endedJobIds.add(jobId);
+    for (const oldest of this.#endedJobIds) {
+      const isOverLimit = this.#endedJobIds.size > this.#options.endedLimit;
+      if (oldest === jobId || !(isOverLimit || this.#isOld(oldest, atMs))) {
+        return;
+      }
+      this.#endedJobIds.delete(oldest);
+      this.#records.delete(oldest);
+    }
+  }
+
+  #isOld(jobId: JobId, atMs: number): boolean {
+    const record = this.#records.get(jobId);
+    const leftAtMs = record?.end?.atMs ?? record?.transfer?.acceptedAtMs ?? 0;
+    return leftAtMs + this.#options.endedRetentionMs < atMs;
+  }
+}
+
+function newRecord(command: CommandOf<"submitted">): JobRecord {
+  return {
+    specification: command.specification,
+    submittedAtMs: command.submittedAtMs,
+    transfers: command.transfers,
+    attemptsUsed: command.attemptsUsed,
+    pastAttempts: [],
+    isCancelled: false,
+  };
+}
+
+/** Whether a job that was moved away comes back. */
+function returns(
+  existing: JobRecord,
+  command: CommandOf<"submitted">,
+): boolean {
+  return existing.transfer !== undefined &&
+    command.transfers > existing.transfers &&
+    isSameContent(existing, command);
+}
+
+function isSameContent(
+  existing: JobRecord,
+  command: CommandOf<"submitted">,
+): boolean {
+  return isDeepStrictEqual(existing.specification, command.specification);
+}
+
+function refused(detail: string): JobCommandOutcome {
+  return { kind: "refused", error: "conflict", detail };
+}
+
+function decodeSnapshot(
+  snapshot: Uint8Array,
+): Result<z.infer<typeof snapshotSchema>> {
+  try {
+    const raw: unknown = JSON.parse(Buffer.from(snapshot).toString("utf8"));
+    return migrate(raw, {
+      migrations: SNAPSHOT_MIGRATIONS,
+      currentVersion: JOB_SNAPSHOT_FORMAT_VERSION,
+    }).chain((current) => {
+      const parsed = snapshotSchema.safeParse(current);
+      return parsed.success
+        ? Right(parsed.data)
+        : failure("malformed", { detail: z.prettifyError(parsed.error) });
+    });
+  } catch {
+    return failure("malformed", { detail: "a snapshot that isn't JSON" });
+  }
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/job_record.ts
@@ -0,0 +1,74 @@
+/**
+ * What a data centre's log keeps of one job.
+ *
+ * @module
+ */
+
+import { z } from "zod";
+import { IDENTITY_PATTERN } from "../../../base/identity.ts";
+import { jobSpecificationSchema } from "../core/job.ts";
+import { JobOutcome } from "../core/scheduler_decision.ts";
+
+const identity = z.string().regex(IDENTITY_PATTERN);
+const moment = z.number();
+
+/** Where one task of a gang goes. */
+export const taskPlacementSchema = z.strictObject({
+  taskIndex: z.int().min(0),
+  workerId: identity,
+});
+
+/** One attempt whose start was intended. */
+export const attemptRecordSchema = z.strictObject({
+  attempt: z.int().min(1),
+  placements: z.array(taskPlacementSchema).min(1),
+  configurationVersion: z.int().min(0),
+  intendedAtMs: moment,
+  startedAtMs: moment.optional(),
+  endedAtMs: moment.optional(),
+  /** Why it ended, for people. */
+  detail: z.string().optional(),
+});
+
+/** How a job ended. */
+export const jobEndSchema = z.strictObject({
+  outcome: z.enum(JobOutcome),
+  atMs: moment,
+  error: z.string().optional(),
+  detail: z.string().optional(),
+});
+
+/** A move to another data centre. */
+export const jobTransferSchema = z.strictObject({
+  toDataCentre: identity,
+  intendedAtMs: moment,
+  /** When the other data centre acknowledged that it has the job. */
+  acceptedAtMs: moment.optional(),
+});
+
+/** One job. */
+export const jobRecordSchema = z.strictObject({
+  specification: jobSpecificationSchema,
+  submittedAtMs: moment,
+  /** How often the job has moved between data centres. */
+  transfers: z.int().min(0),
+  /** The highest attempt number used. */
+  attemptsUsed: z.int().min(0),
+  /** The attempt of which tasks may run. */
+  openAttempt: attemptRecordSchema.optional(),
+  /** The last attempts that ended, oldest first. */
+  pastAttempts: z.array(attemptRecordSchema),
+  isCancelled: z.boolean(),
+  transfer: jobTransferSchema.optional(),
+  end: jobEndSchema.optional(),
+});
+
+export type AttemptRecord = z.infer<typeof attemptRecordSchema>;
+export type JobEnd = z.infer<typeof jobEndSchema>;
+export type JobTransfer = z.infer<typeof jobTransferSchema>;
+export type JobRecord = z.infer<typeof jobRecordSchema>;
+
+/** Whether this data centre is the one that runs or queues the job. */
+export function isOwned(record: JobRecord): boolean {
+  return record.end === undefined && record.transfer === undefined;
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/leader_session.ts
@@ -0,0 +1,445 @@
+/**
+ * One period of leadership in a data centre: finds out what runs, then feeds
+ * the core and carries its decisions out, until the period ends.
+ *
+ * @module
+ */
+
+import type { Clock, Timer } from "../../../base/clock.ts";
+import type { EventLog } from "../../../base/event_log.ts";
+import type { DataCentreId, JobId } from "../../../base/identity.ts";
+import type { ConfigurationSource } from "../../configuration/configuration_source.ts";
+import type { ReplicatedLog } from "../../replication/replicated_log.ts";
+import type {
+  JobEnds,
+  SchedulerDecision,
+  StartGang,
+  ThrottleGang,
+  WaitReason,
+} from "../core/scheduler_decision.ts";
+import type { SchedulerEvent } from "../core/scheduler_event.ts";
+import type { DecisionCore } from "./decision_core.ts";
+import { GangTable } from "./gang_table.ts";
+import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
+import type { JobLedger } from "./job_ledger.ts";
+import { JobMover, type JobMoverOptions } from "./job_mover.ts";
+import { isOwned, type JobRecord } from "./job_record.ts";
+import type { LeaseOptions } from "./lease_rule.ts";
+import { LedgerWriter } from "./ledger_writer.ts";
+import { Recovery } from "./recovery.ts";
+import type { OmittedCheck, SessionContext } from "./session_context.ts";
+import { StartGate } from "./start_gate.ts";
+import { WorkerCaller } from "./worker_caller.ts";
+import type { WorkerClient } from "./worker_client.ts";
+import type { WorkerTable } from "./worker_table.ts";
+import { WorkerWatcher } from "./worker_watcher.ts";
+
+/** How often deadlines, silence and permissions are looked at. */
+const TICK_MS = 250;
+
+/** Options of {@link LeaderSession}. */
+export interface LeaderSessionOptions {
+  readonly clock: Clock;
+  readonly dataCentre: DataCentreId;
+  readonly term: number;
+  readonly core: DecisionCore;
+  readonly log: ReplicatedLog<JobCommand, JobCommandOutcome>;
+  readonly ledger: JobLedger;
+  readonly workers: WorkerTable;
+  readonly client: WorkerClient;
+  readonly configuration: ConfigurationSource;
+  readonly events: EventLog;
+  readonly lease: LeaseOptions;
+  /** Asks another data centre. */
+  readonly ask: JobMoverOptions["ask"];
+  /** Called when the core fails; the period of leadership is over. */
+  readonly onFailure: (error: unknown) => void;
+  readonly omittedChecks: readonly OmittedCheck[];
+}
+
+/** One period of leadership. */
+export class LeaderSession {
+  readonly #options: LeaderSessionOptions;
+  readonly #context: SessionContext;
+  readonly #gangs: GangTable;
+  readonly #watcher: WorkerWatcher;
+  readonly #waitReasons = new Map<JobId, WaitReason>();
+  readonly #quarantined = new Set<string>();
+  readonly #mover: JobMover;
+  /** Jobs that the core doesn't know, since they are to move. */
+  readonly #aside = new Set<JobId>();
+  readonly #closers: (() => void)[] = [];
+  #queue: SchedulerEvent[] = [];
+  #isRecovering = true;
+  #isFeeding = false;
+  #isClosed = false;
+  #permittedUntilMs = 0;
+
+  constructor(options: LeaderSessionOptions) {
+    this.#options = options;
+    this.#context = this.#makeContext();
+    this.#gangs = new GangTable(this.#context);
+    this.#watcher = new WorkerWatcher(this.#context);
+    this.#mover = new JobMover({
+      ...options,
+      writer: this.#context.writer,
+      forgetsAcknowledgement: this.#context.omits("transferOnce"),
+    });
+  }
+
+  get isRecovering(): boolean {
+    return this.#isRecovering;
+  }
+
+  get writer(): LedgerWriter {
+    return this.#context.writer;
+  }
+
+  waitReason(jobId: JobId): WaitReason | undefined {
+    return this.#isRecovering ? "recovering" : this.#waitReasons.get(jobId);
+  }
+
+  isQuarantined(workerId: string): boolean {
+    return this.#quarantined.has(workerId);
+  }
+
+  /** Begins; returns once it schedules or the period is over. */
+  async run(): Promise<void> {
+    const { clock, lease, log } = this.#options;
+    const began = await this.writer.write({ kind: "termBegan" });
+    if (began?.kind !== "applied") {
+      return;
+    }
+    await log.readBarrier({ deadlineMs: clock.nowMs() + lease.leaseMs });
+    const renewal = clock.every(
+      lease.renewPeriodMs,
+      () => this.#gangs.renewLeases(),
+    );
+    this.#closers.push(() => renewal.close());
+    await this.#recover();
+    if (this.#context.isLive()) {
+      this.#begin();
+    }
+  }
+
+  close(): void {
+    this.#isClosed = true;
+    this.#closers.forEach((close) => close());
+    this.#closers.length = 0;
+    this.#queue = [];
+  }
+
+  async #recover(): Promise<void> {
+    const recovery = new Recovery({
+      context: this.#context,
+      onWhole: (gang) => this.#gangs.adopt(gang),
+      onBroken: (gang) => this.#gangs.breakUp(gang),
+    });
+    const gangs = [...this.#options.ledger.liveRecords()]
+      .flatMap((record) => this.#gangs.recover(record) ?? []);
+    await recovery.run(gangs);
+  }
+
+  /** Tells the core all that is known, then lets it decide. */
+  #begin(): void {
+    const { clock, configuration, ledger, workers } = this.#options;
+    const atMs = clock.nowMs();
+    const early = this.#queue;
+    this.#queue = [];
+    this.#feedConfiguration();
+    const records = [...ledger.liveRecords()].filter(isOwned);
+    records.forEach((record) => this.#feedSubmitted(record));
+    this.#joinAll(atMs);
+    this.#feedAdopted(atMs);
+    records.filter((record) => record.isCancelled)
+      .forEach((record) => this.#feedCancelled(record));
+    this.#queue.push(...early);
+    this.#isRecovering = false;
+    this.#observe(ledger.applied, (command) => this.#follow(command));
+    this.#observe(configuration.versions, () => this.#feedConfiguration());
+    this.#observe(workers.news, (news) => {
+      this.#watcher.hear(news);
+      this.#gangs.look(news.entry);
+    });
+    const tick: Timer = clock.every(TICK_MS, () => this.#tick());
+    this.#closers.push(() => tick.close());
+    this.#options.events.emit("schedulingBegan", {
+      term: this.#options.term,
+      jobs: records.length,
+    });
+    [...workers.entries()].forEach((entry) => this.#gangs.look(entry));
+    this.#tick();
+  }
+
+  #observe<T>(
+    stream: { subscribe: Subscribe<T> },
+    action: (value: T) => void,
+  ): void {
+    const subscription = stream.subscribe({
+      next: action,
+      error: (error) => {
+        throw error;
+      },
+      complete: () => undefined,
+    });
+    this.#closers.push(() => subscription.unsubscribe());
+  }
+
+  #joinAll(atMs: number): void {
+    const { workers, lease } = this.#options;
+    for (const entry of workers.entries()) {
+      if (entry.anchor.receivedAtMs + lease.leaseMs < atMs) {
+        continue;
+      }
+      const { workerId } = entry.description;
+      const running = [...this.#gangs.gangs()]
+        .filter((gang) => gang.phase === "running")
+        .flatMap((gang) =>
+          gang.taskIndexes(workerId).map((index) => gang.reference(index))
+        );
+      this.#watcher.join(entry, running);
+    }
+  }
+
+  #feedAdopted(atMs: number): void {
+    for (const { jobId, attempt, phase } of this.#gangs.gangs()) {
+      if (phase === "running") {
+        this.#feed({ kind: "gangStarted", atMs, jobId, attempt });
+      }
+    }
+  }
+
+  #tick(): void {
+    if (!this.#context.isLive()) {
+      return;
+    }
+    this.#gangs.noteLapses();
+    this.#watcher.noteSilence();
+    const atMs = this.#options.clock.nowMs();
+    const permittedUntilMs = this.#context.gate.permittedUntilMs();
+    if (permittedUntilMs > this.#permittedUntilMs) {
+      this.#permittedUntilMs = permittedUntilMs;
+      this.#feed({ kind: "startPermissionExtended", atMs, permittedUntilMs });
+    }
+    this.#feed({ kind: "clockTicked", atMs });
+    this.#mover.tick();
+    this.#takeBackAside();
+  }
+
+  /** Hands the core what need not move after all. */
+  #takeBackAside(): void {
+    for (const jobId of [...this.#aside]) {
+      const record = this.#options.ledger.get(jobId);
+      if (record === undefined || !isOwned(record)) {
+        this.#aside.delete(jobId);
+      } else if (!this.#mover.isToMove(record)) {
+        this.#aside.delete(jobId);
+        this.#feedSubmitted(record);
+      }
+    }
+  }
+
+  #follow(command: JobCommand): void {
+    if (!("jobId" in command) && command.kind !== "submitted") {
+      return;
+    }
+    const jobId = command.kind === "submitted"
+      ? command.specification.jobId
+      : command.jobId;
+    const record = this.#options.ledger.get(jobId);
+    if (record === undefined) {
+      return;
+    }
+    if (command.kind === "submitted") {
+      this.#options.events.emit("jobSubmitted", { jobId });
+      this.#feedSubmitted(record);
+    }
+    // A job that moves away leaves the core the way a cancelled one does.
+    const leaves = command.kind === "cancelled" ||
+      command.kind === "transferIntended";
+    if (leaves && !this.#aside.has(jobId)) {
+      this.#feedCancelled(record);
+    }
+    if (command.kind === "ended") {
+      this.#waitReasons.delete(jobId);
+    }
+  }
+
+  #feedConfiguration(): void {
+    this.#feed({
+      kind: "configurationChanged",
+      atMs: this.#options.clock.nowMs(),
+      configuration: this.#options.configuration.current(),
+    });
+  }
+
+  #feedSubmitted(record: JobRecord): void {
+    const { specification, attemptsUsed } = record;
+    const { jobId } = specification;
+    if (this.#mover.isToMove(record)) {
+      this.#aside.add(jobId);
+      this.#waitReasons.set(jobId, "dataCentreOut");
+      return;
+    }
+    this.#feed({
+      kind: "jobSubmitted",
+      atMs: this.#options.clock.nowMs(),
+      job: specification,
+      attemptsUsed,
+    });
+    if (record.isCancelled && !this.#isRecovering) {
+      this.#feedCancelled(record);
+    }
+  }
+
+  #feedCancelled(record: JobRecord): void {
+    const { jobId } = record.specification;
+    const atMs = this.#options.clock.nowMs();
+    this.#feed({ kind: "jobCancelled", atMs, jobId });
+  }
+
+  /** Hands one event to the core at a time, in the order of coming. */
+  #feed(event: SchedulerEvent): void {
+    this.#queue.push(event);
+    if (this.#isRecovering || this.#isFeeding) {
+      return;
+    }
+    this.#isFeeding = true;
+    try {
+      this.#drain();
+    } finally {
+      this.#isFeeding = false;
+    }
+  }
+
+  #drain(): void {
+    let next = this.#queue.shift();
+    while (next !== undefined && this.#context.isLive()) {
+      this.#decide(next);
+      next = this.#queue.shift();
+    }
+  }
+
+  #decide(event: SchedulerEvent): void {
+    try {
+      const decisions = this.#options.core.handle(event);
+      decisions.forEach((decision) => this.#carryOut(decision));
+    } catch (error) {
+      this.close();
+      this.#options.onFailure(error);
+    }
+  }
+
+  #carryOut(decision: SchedulerDecision): void {
+    switch (decision.kind) {
+      case "startGang":
+        this.#startGang(decision);
+        return;
+      case "stopGang":
+        void this.#gangs.stop(decision);
+        return;
+      case "throttleGang":
+        this.#throttle(decision);
+        return;
+      case "jobWaits":
+        this.#waitReasons.set(decision.jobId, decision.reason);
+        return;
+      case "jobEnds":
+        void this.#endJob(decision);
+        return;
+      case "quarantineWorker":
+        this.#quarantined.add(decision.workerId);
+        return;
+      case "releaseWorker":
+        this.#quarantined.delete(decision.workerId);
+        return;
+    }
+  }
+
+  #startGang(decision: StartGang): void {
+    const { jobId, attempt } = decision;
+    const record = this.#options.ledger.get(jobId);
+    const isStartable = record !== undefined && isOwned(record) &&
+      attempt > record.attemptsUsed &&
+      this.#gangs.get(jobId, attempt) === undefined;
+    this.#waitReasons.delete(jobId);
+    if (!isStartable) {
+      const atMs = this.#options.clock.nowMs();
+      const workerIds: string[] = [];
+      this.#feed({
+        kind: "gangStartFailed",
+        atMs,
+        jobId,
+        attempt,
+        workerIds,
+      });
+      return;
+    }
+    void this.#gangs.start(decision, record.specification.command);
+  }
+
+  #throttle(decision: ThrottleGang): void {
+    const { jobId, attempt, coresFraction } = decision;
+    const gang = this.#gangs.get(jobId, attempt);
+    for (const workerId of gang?.workerIds ?? []) {
+      void this.#context.caller.call(workerId, {
+        write: () => ({ kind: "throttle", jobId, attempt, coresFraction }),
+      });
+    }
+  }
+
+  async #endJob(decision: JobEnds): Promise<void> {
+    const { jobId, outcome, error, detail } = decision;
+    const result = await this.writer.write({
+      kind: "ended",
+      jobId,
+      outcome,
+      ...(error === undefined ? {} : { error }),
+      ...(detail === undefined ? {} : { detail }),
+    });
+    if (result?.kind === "applied") {
+      this.#options.events.emit("jobEnded", { jobId, outcome });
+    }
+  }
+
+  #makeContext(): SessionContext {
+    const { clock, configuration, dataCentre, ledger, log, term } =
+      this.#options;
+    const { client, events, lease, omittedChecks, workers } = this.#options;
+    const isLive = () => this.#isLive();
+    const leadershipEndMs = () => isLive() ? log.status().leaseEndMs : 0;
+    return {
+      clock,
+      term,
+      lease,
+      events,
+      workers,
+      caller: new WorkerCaller({
+        clock,
+        client,
+        workers,
+        lease,
+        term,
+        leadershipEndMs,
+      }),
+      writer: new LedgerWriter({ clock, log, term, isLive }),
+      gate: new StartGate({ configuration, dataCentre }),
+      isLive,
+      openAttempt: (jobId) => ledger.get(jobId)?.openAttempt?.attempt,
+      feed: (event) => this.#feed(event),
+      omits: (check) => omittedChecks.includes(check),
+    };
+  }
+
+  #isLive(): boolean {
+    const status = this.#options.log.status();
+    return !this.#isClosed && status.role === "leader" &&
+      status.term === this.#options.term;
+  }
+}
+
+type Subscribe<T> = (subscriber: {
+  next: (value: T) => void;
+  error: (error: Error) => void;
+  complete: () => void;
+}) => { unsubscribe(): void };
--- /dev/null
+++ b/src/process/scheduler/runtime/lease_keeper.ts
@@ -0,0 +1,102 @@
+/**
+ * Renews the leases of whole gangs and tells workers what to forget.
+ *
+ * @module
+ */
+
+import type { WorkerId } from "../../../base/identity.ts";
+import type { Gang } from "./gang.ts";
+import type { SessionContext } from "./session_context.ts";
+import type { AttemptReference } from "./worker_command.ts";
+
+/** Options of {@link LeaseKeeper}. */
+export interface LeaseKeeperOptions {
+  readonly context: SessionContext;
+  readonly gangs: () => Iterable<Gang>;
+}
+
+/** Keeps whole gangs running. */
+export class LeaseKeeper {
+  readonly #options: LeaseKeeperOptions;
+  readonly #forget = new Map<WorkerId, Map<string, AttemptReference>>();
+
+  constructor(options: LeaseKeeperOptions) {
+    this.#options = options;
+  }
+
+  /** Has the worker forget an ended attempt at the next renewal. */
+  forget(workerId: WorkerId, reference: AttemptReference): void {
+    const { jobId, attempt } = reference;
+    const references = this.#forget.get(workerId) ?? new Map();
+    references.set(`${jobId}/${attempt}`, { jobId, attempt });
+    this.#forget.set(workerId, references);
+  }
+
+  /** One round over all workers that need one. */
+  renewAll(): void {
+    const byWorker = new Map<WorkerId, Gang[]>();
+    for (const gang of this.#options.gangs()) {
+      if (gang.isRenewed) {
+        gang.workerIds.forEach((workerId) => push(byWorker, workerId, gang));
+      }
+    }
+    const workerIds = new Set([...byWorker.keys(), ...this.#forget.keys()]);
+    for (const workerId of workerIds) {
+      void this.#renew(workerId, byWorker.get(workerId) ?? []);
+    }
+  }
+
+  /** Renews one gang out of turn. */
+  renewGang(gang: Gang): void {
+    gang.workerIds.forEach((workerId) => void this.#renew(workerId, [gang]));
+  }
+
+  async #renew(workerId: WorkerId, gangs: readonly Gang[]): Promise<void> {
+    const { caller, clock } = this.#options.context;
+    const forget = [...this.#forget.get(workerId)?.values() ?? []];
+    this.#forget.delete(workerId);
+    const leases = gangs.map((gang) => ({
+      gang,
+      endMs: this.#leaseEndMs(gang),
+    })).filter(({ endMs }) => endMs > clock.nowMs());
+    leases.forEach(({ gang, endMs }) => gang.grant(workerId, endMs));
+    const result = await caller.call(workerId, {
+      write: (toWorkerMs) => ({
+        kind: "renew",
+        leases: leases.map(({ gang, endMs }) => ({
+          jobId: gang.jobId,
+          attempt: gang.attempt,
+          leaseEndMs: toWorkerMs(endMs),
+        })),
+        forget,
+      }),
+    });
+    result.ifRight(({ answer, sentAtMs }) => {
+      if (answer.refusal !== undefined) {
+        return;
+      }
+      for (const gang of gangs) {
+        if (gang.isProvenBy(workerId, answer.holdings.tasks)) {
+          gang.prove(workerId, sentAtMs);
+        }
+      }
+    });
+  }
+
+  #leaseEndMs(gang: Gang): number {
+    const { lease, clock } = this.#options.context;
+    if (this.#options.context.omits("gangEvidence")) {
+      return clock.nowMs() + lease.leaseMs;
+    }
+    return gang.renewalEndMs(lease.leaseMs);
+  }
+}
+
+function push(
+  byWorker: Map<WorkerId, Gang[]>,
+  ...[workerId, gang]: [WorkerId, Gang]
+): void {
+  const gangs = byWorker.get(workerId) ?? [];
+  gangs.push(gang);
+  byWorker.set(workerId, gangs);
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/ledger_writer.ts
@@ -0,0 +1,90 @@
+/**
+ * Writes a leader's commands to the log: those of one job in the order in
+ * which they were given, each until it is known to be committed.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/clock.ts";
+import type { JobId } from "../../../base/identity.ts";
+import type { ReplicatedLog } from "../../replication/replicated_log.ts";
+import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
+import { JOB_COMMAND_FORMAT_VERSION } from "./job_command.ts";
+
+/** How long one try to commit may take. */
+const PROPOSAL_TIMEOUT_MS = 2_000;
+
+/** How long to wait before the next try. */
+const PROPOSAL_RETRY_MS = 100;
+
+type LeaderCommand = Extract<JobCommand, { term: number }>;
+
+/** A leader's command without what the writer adds. */
+export type LeaderCommandBody = LeaderCommand extends infer Command
+  ? Command extends LeaderCommand
+    ? Omit<Command, "formatVersion" | "atMs" | "term">
+  : never
+  : never;
+
+/** Options of {@link LedgerWriter}. */
+export interface LedgerWriterOptions {
+  readonly clock: Clock;
+  readonly log: ReplicatedLog<JobCommand, JobCommandOutcome>;
+  readonly term: number;
+  readonly isLive: () => boolean;
+}
+
+/** The commands of one period of leadership. */
+export class LedgerWriter {
+  readonly #options: LedgerWriterOptions;
+  readonly #chains = new Map<JobId, Promise<unknown>>();
+
+  constructor(options: LedgerWriterOptions) {
+    this.#options = options;
+  }
+
+  /**
+   * Commits the command after the earlier ones of its job, and tries again
+   * until it is done; undefined when leadership ended first.
+   */
+  write(body: LeaderCommandBody): Promise<JobCommandOutcome | undefined> {
+    const jobId = "jobId" in body ? body.jobId : "";
+    const before = this.#chains.get(jobId) ?? Promise.resolve();
+    const done = before.then(() => this.#commit(body));
+    this.#chains.set(jobId, done);
+    void done.then(() => {
+      if (this.#chains.get(jobId) === done) {
+        this.#chains.delete(jobId);
+      }
+    });
+    return done;
+  }
+
+  async #commit(
+    body: LeaderCommandBody,
+  ): Promise<JobCommandOutcome | undefined> {
+    const { clock, log, term, isLive } = this.#options;
+    while (isLive()) {
+      const atMs = clock.nowMs();
+      const command = {
+        ...body,
+        formatVersion: JOB_COMMAND_FORMAT_VERSION,
+        atMs,
+        term,
+      } as LeaderCommand;
+      const result = await log.propose(command, {
+        deadlineMs: atMs + PROPOSAL_TIMEOUT_MS,
+      });
+      if (result.isRight()) {
+        return result.extract();
+      }
+      await pause(clock, PROPOSAL_RETRY_MS);
+    }
+    return undefined;
+  }
+}
+
+/** Resolves after `delayMs`. */
+export function pause(clock: Clock, delayMs: number): Promise<void> {
+  return new Promise((resolve) => void clock.after(delayMs, resolve));
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/mod.ts
@@ -0,0 +1,32 @@
+/**
+ * The scheduler on an instance: what the daemon wires.
+ *
+ * @module
+ */
+
+export type { DecisionCore, DecisionCoreFactory } from "./decision_core.ts";
+export {
+  decodeJobCommand,
+  type JobCommand,
+  type JobCommandOutcome,
+} from "./job_command.ts";
+export {
+  JOB_LEDGER_DEFAULTS,
+  JobLedger,
+  type JobLedgerOptions,
+} from "./job_ledger.ts";
+export type { JobView, WorkerView } from "./job_view.ts";
+export { LEASE_DEFAULTS, type LeaseOptions } from "./lease_rule.ts";
+export type { InstancePlace } from "./peer_calls.ts";
+export {
+  type Found,
+  type JobAccepted,
+  SchedulerRuntime,
+  type SchedulerRuntimeOptions,
+} from "./scheduler_runtime.ts";
+export {
+  HttpWorkerClient,
+  type HttpWorkerClientOptions,
+  type WorkerClient,
+} from "./worker_client.ts";
+export { type WorkerReport, workerReportSchema } from "./worker_report.ts";
--- /dev/null
+++ b/src/process/scheduler/runtime/peer_calls.ts
@@ -0,0 +1,140 @@
+/**
+ * Calls with answers between instances, over their one-way messages.
+ *
+ * @module
+ */
+
+import { Right } from "purify-ts/Either";
+import type { Clock } from "../../../base/clock.ts";
+import type { DataCentreId, InstanceId } from "../../../base/identity.ts";
+import { failure, type Result } from "../../../base/sesame_error.ts";
+import type {
+  PeerChannel,
+  PeerNetwork,
+  Received,
+} from "../../../connection/peer_network.ts";
+import {
+  decodeSchedulerMessage,
+  type SchedulerAnswer,
+  type SchedulerCall,
+  type SchedulerMessage,
+} from "./scheduler_message.ts";
+import type { WorkerReport } from "./worker_report.ts";
+
+/** Which data centre an instance belongs to. */
+export interface InstancePlace {
+  readonly id: InstanceId;
+  readonly dataCentre: DataCentreId;
+}
+
+/** Options of {@link PeerCalls}. */
+export interface PeerCallsOptions {
+  readonly clock: Clock;
+  readonly network: PeerNetwork;
+  /** Every instance of the system. */
+  readonly instances: readonly InstancePlace[];
+  /** How long one instance may take to answer. */
+  readonly timeoutMs: number;
+  readonly onCall: (
+    call: SchedulerCall,
+    options: { isPassedOn: boolean },
+  ) => Promise<SchedulerAnswer>;
+  readonly onWorkerReport: (report: WorkerReport) => void;
+}
+
+/** The scheduler's channel between instances. */
+export class PeerCalls {
+  readonly #options: PeerCallsOptions;
+  readonly #channel: PeerChannel<SchedulerMessage>;
+  readonly #subscription: { unsubscribe(): void };
+  readonly #waiting = new Map<number, (answer: SchedulerAnswer) => void>();
+  #lastCallId = 0;
+
+  constructor(options: PeerCallsOptions) {
+    this.#options = options;
+    this.#channel = options.network.channel({
+      name: "scheduler",
+      decode: decodeSchedulerMessage,
+    });
+    this.#subscription = this.#channel.received.subscribe({
+      next: (received) => this.#take(received),
+      error: () => undefined,
+      complete: () => undefined,
+    });
+  }
+
+  passReport(to: InstanceId, report: WorkerReport): void {
+    this.#channel.send(to, { kind: "workerReport", report });
+  }
+
+  /** `unavailable` says nothing of whether the call arrived. */
+  call(
+    to: InstanceId,
+    call: SchedulerCall,
+    options: { isPassedOn: boolean },
+  ): Promise<Result<SchedulerAnswer>> {
+    const { clock, timeoutMs } = this.#options;
+    const callId = ++this.#lastCallId;
+    const { isPassedOn } = options;
+    return new Promise((resolve) => {
+      const timer = clock.after(timeoutMs, () => {
+        this.#waiting.delete(callId);
+        resolve(failure("unavailable", { detail: `${to} did not answer` }));
+      });
+      this.#waiting.set(callId, (answer) => {
+        timer.close();
+        resolve(Right(answer));
+      });
+      this.#channel.send(to, { kind: "call", callId, isPassedOn, call });
+    });
+  }
+
+  /** Asks one instance of the data centre after another. */
+  async askDataCentre(
+    dataCentre: DataCentreId,
+    call: SchedulerCall,
+  ): Promise<Result<SchedulerAnswer>> {
+    const linked = new Set(this.#options.network.linkedPeerIds());
+    const instances = this.#options.instances
+      .filter((each) => each.dataCentre === dataCentre && linked.has(each.id));
+    for (const { id } of instances) {
+      const result = await this.call(id, call, { isPassedOn: false });
+      if (result.isRight()) {
+        return result;
+      }
+    }
+    return failure("unavailable", {
+      detail: `no instance of ${dataCentre} answered`,
+    });
+  }
+
+  close(): void {
+    this.#subscription.unsubscribe();
+    this.#channel.close();
+  }
+
+  #take(received: Received<SchedulerMessage>): void {
+    const { from, message } = received;
+    switch (message.kind) {
+      case "workerReport":
+        this.#options.onWorkerReport(message.report);
+        return;
+      case "call":
+        void this.#answer(from, message);
+        return;
+      case "answer":
+        this.#waiting.get(message.callId)?.(message.answer);
+        this.#waiting.delete(message.callId);
+        return;
+    }
+  }
+
+  async #answer(
+    from: InstanceId,
+    message: Extract<SchedulerMessage, { kind: "call" }>,
+  ): Promise<void> {
+    const { call, callId, isPassedOn } = message;
+    const answer = await this.#options.onCall(call, { isPassedOn });
+    this.#channel.send(from, { kind: "answer", callId, answer });
+  }
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/scheduler_runtime.ts
@@ -0,0 +1,449 @@
+/**
+ * The scheduler on one instance: leads its data centre when the log says so,
+ * and otherwise passes things on to whoever leads.
+ *
+ * @module
+ */
+
+import { Left, Right } from "purify-ts/Either";
+import type { Clock, Timer } from "../../../base/clock.ts";
+import { type EventLog, SILENT_EVENT_LOG } from "../../../base/event_log.ts";
+import type { DataCentreId, JobId } from "../../../base/identity.ts";
+import {
+  failure,
+  type Result,
+  SesameError,
+} from "../../../base/sesame_error.ts";
+import type { PeerNetwork } from "../../../connection/peer_network.ts";
+import type { ConfigurationSource } from "../../configuration/configuration_source.ts";
+import type { ReplicatedLog } from "../../replication/replicated_log.ts";
+import type { JobSpecification } from "../core/job.ts";
+import { findUnknownName, homeDataCentre } from "./data_centre_choice.ts";
+import type { DecisionCoreFactory } from "./decision_core.ts";
+import {
+  JOB_COMMAND_FORMAT_VERSION,
+  type JobCommand,
+  type JobCommandOutcome,
+} from "./job_command.ts";
+import type { JobLedger } from "./job_ledger.ts";
+import type { JobRecord } from "./job_record.ts";
+import { type JobView, viewJob, type WorkerView } from "./job_view.ts";
+import { LeaderSession } from "./leader_session.ts";
+import { LEASE_DEFAULTS, type LeaseOptions } from "./lease_rule.ts";
+import { type InstancePlace, PeerCalls } from "./peer_calls.ts";
+import type { SchedulerAnswer, SchedulerCall } from "./scheduler_message.ts";
+import type { OmittedCheck } from "./session_context.ts";
+import type { WorkerClient } from "./worker_client.ts";
+import type { WorkerReport } from "./worker_report.ts";
+import { WorkerTable } from "./worker_table.ts";
+
+/** How often the role is looked at, besides on every change. */
+const ROLE_PERIOD_MS = 500;
+
+/** How long a submission or cancellation may take to be committed. */
+const PROPOSAL_TIMEOUT_MS = 3_000;
+
+/** How long one instance may take to answer another. */
+const PEER_TIMEOUT_MS = 1_500;
+
+/** Options of {@link SchedulerRuntime}. */
+export interface SchedulerRuntimeOptions {
+  readonly clock: Clock;
+  readonly dataCentre: DataCentreId;
+  /** Every instance of the system, this one among them. */
+  readonly instances: readonly InstancePlace[];
+  readonly network: PeerNetwork;
+  /** The data centre's log, whose state machine is `ledger`. */
+  readonly log: ReplicatedLog<JobCommand, JobCommandOutcome>;
+  readonly ledger: JobLedger;
+  readonly configuration: ConfigurationSource;
+  readonly client: WorkerClient;
+  readonly createCore: DecisionCoreFactory;
+  readonly events?: EventLog;
+  readonly lease?: Partial<LeaseOptions>;
+  /** Checks left out on purpose; in tests alone. */
+  readonly omittedChecks?: readonly OmittedCheck[];
+}
+
+/** An accepted submission or cancellation. */
+export interface JobAccepted {
+  /** Whether this call made it; false for an earlier one. */
+  readonly isNew: boolean;
+  readonly job: JobView;
+}
+
+/** What was found, and which data centres could not be asked. */
+export interface Found<T> {
+  readonly value: T;
+  readonly unaskedDataCentres: readonly DataCentreId[];
+}
+
+/** The scheduler on one instance. */
+export class SchedulerRuntime {
+  readonly #options: SchedulerRuntimeOptions;
+  readonly #lease: LeaseOptions;
+  readonly #workers = new WorkerTable();
+  readonly #peers: PeerCalls;
+  readonly #roleTimer: Timer;
+  readonly #statuses: { unsubscribe(): void };
+  #session: LeaderSession | undefined;
+  #sessionTerm = 0;
+  #notBeforeMs = 0;
+  #isClosed = false;
+
+  constructor(options: SchedulerRuntimeOptions) {
+    this.#options = options;
+    this.#lease = { ...LEASE_DEFAULTS, ...options.lease };
+    this.#peers = new PeerCalls({
+      ...options,
+      timeoutMs: PEER_TIMEOUT_MS,
+      onCall: (call, how) => this.#answer(call, how),
+      onWorkerReport: (report) => this.#takeReport(report),
+    });
+    this.#statuses = options.log.statuses.subscribe({
+      next: () => this.#followRole(),
+      error: () => undefined,
+      complete: () => undefined,
+    });
+    this.#roleTimer = options.clock.every(
+      ROLE_PERIOD_MS,
+      () => this.#followRole(),
+    );
+    this.#followRole();
+  }
+
+  /** Takes a worker's report, and passes it on to the leader. */
+  acceptWorkerReport(report: WorkerReport): void {
+    this.#takeReport(report);
+    const { leaderId } = this.#options.log.status();
+    if (leaderId !== undefined && leaderId !== this.#selfId) {
+      this.#peers.passReport(leaderId, report);
+    }
+  }
+
+  /** Queues a job in its home data centre; the same job again is no error. */
+  async submit(specification: JobSpecification): Promise<Result<JobAccepted>> {
+    const { configuration, clock } = this.#options;
+    const { document } = configuration.current();
+    const unknown = findUnknownName(specification, document);
+    if (unknown !== undefined) {
+      return failure("invalid", { detail: unknown });
+    }
+    const home = homeDataCentre(specification, document) ??
+      this.#options.dataCentre;
+    const answer = await this.#ask(home, {
+      kind: "submit",
+      specification,
+      submittedAtMs: clock.nowMs(),
+      transfers: 0,
+      attemptsUsed: 0,
+    });
+    return answer.chain(asAccepted);
+  }
+
+  /** Cancels a job wherever it is; one that has ended stays as it is. */
+  async cancel(jobId: JobId): Promise<Result<JobAccepted>> {
+    const found = await this.findJob(jobId);
+    if (found.isLeft()) {
+      return Left(found.extract());
+    }
+    const { dataCentre } = found.unsafeCoerce().value;
+    const answer = await this.#ask(dataCentre, { kind: "cancel", jobId });
+    return answer.chain(asAccepted);
+  }
+
+  /** Finds a job in this data centre or in the others. */
+  async findJob(jobId: JobId): Promise<Result<Found<JobView>>> {
+    const call: SchedulerCall = { kind: "job", jobId };
+    const own = await this.#ask(this.#options.dataCentre, call);
+    const ownJob = own.chain(asAccepted).toMaybe().extract()?.job;
+    if (ownJob !== undefined && ownJob.state !== "moved") {
+      return Right({ value: ownJob, unaskedDataCentres: [] });
+    }
+    const { answers, unaskedDataCentres } = await this.#askOthers(call);
+    const jobs = answers.flatMap((answer) =>
+      answer.kind === "job" ? [answer.job] : []
+    );
+    const value = jobs.find((job) => job.state !== "moved") ?? ownJob ??
+      jobs[0];
+    if (value !== undefined) {
+      return Right({ value, unaskedDataCentres });
+    }
+    return unaskedDataCentres.length === 0
+      ? failure("notFound", { detail: `no job ${jobId}` })
+      : failure("unavailable", {
+        detail: `no job ${jobId} in the data centres that could be asked`,
+        facts: { unaskedDataCentres },
+      });
+  }
+
+  /** The newest jobs of every data centre that can be asked. */
+  async listJobs(limit: number): Promise<Found<readonly JobView[]>> {
+    const call: SchedulerCall = { kind: "jobs", limit };
+    const { answers, unaskedDataCentres } = await this.#askAll(call);
+    const value = answers
+      .flatMap((answer) => answer.kind === "jobs" ? answer.jobs : [])
+      .sort((left, right) => right.submittedAtMs - left.submittedAtMs)
+      .slice(0, limit);
+    return { value, unaskedDataCentres };
+  }
+
+  /** The workers of every data centre that can be asked. */
+  async listWorkers(): Promise<Found<readonly WorkerView[]>> {
+    const call: SchedulerCall = { kind: "workers" };
+    const { answers, unaskedDataCentres } = await this.#askAll(call);
+    const value = answers
+      .flatMap((answer) => answer.kind === "workers" ? answer.workers : []);
+    return { value, unaskedDataCentres };
+  }
+
+  /** Whether this instance leads and has begun to schedule. */
+  get isScheduling(): boolean {
+    return this.#session !== undefined && !this.#session.isRecovering;
+  }
+
+  /** Stops leading and answering; what runs goes on under its leases. */
+  close(): Promise<void> {
+    this.#isClosed = true;
+    this.#endSession();
+    this.#statuses.unsubscribe();
+    this.#roleTimer.close();
+    this.#peers.close();
+    this.#workers.close();
+    return Promise.resolve();
+  }
+
+  get #selfId(): string {
+    return this.#options.network.selfId;
+  }
+
+  #takeReport(report: WorkerReport): void {
+    this.#workers.acceptReport(report, this.#options.clock.nowMs());
+  }
+
+  #followRole(): void {
+    const { role, term } = this.#options.log.status();
+    const leads = role === "leader" && !this.#isClosed;
+    if (this.#session !== undefined && (!leads || term !== this.#sessionTerm)) {
+      this.#endSession();
+    }
+    const isDue = this.#options.clock.nowMs() >= this.#notBeforeMs;
+    if (leads && isDue && this.#session === undefined) {
+      this.#beginSession(term);
+    }
+  }
+
+  #beginSession(term: number): void {
+    const { createCore, events, omittedChecks } = this.#options;
+    const session = new LeaderSession({
+      ...this.#options,
+      term,
+      core: createCore(),
+      workers: this.#workers,
+      events: events ?? SILENT_EVENT_LOG,
+      lease: this.#lease,
+      ask: (dataCentre, call) => this.#ask(dataCentre, call),
+      onFailure: (error) => this.#failSession(session, error),
+      omittedChecks: omittedChecks ?? [],
+    });
+    this.#session = session;
+    this.#sessionTerm = term;
+    session.run().catch((error) => this.#failSession(session, error));
+  }
+
+  /** Lets another instance lead; its own next try waits for a lease. */
+  #failSession(session: LeaderSession, error: unknown): void {
+    if (this.#session !== session) {
+      return;
+    }
+    const { events, clock, log } = this.#options;
+    events?.emit("schedulingFailed", {
+      term: this.#sessionTerm,
+      detail: error instanceof Error ? error.message : String(error),
+    });
+    this.#endSession();
+    this.#notBeforeMs = clock.nowMs() + this.#lease.leaseMs;
+    void log.handOver();
+  }
+
+  #endSession(): void {
+    this.#session?.close();
+    this.#session = undefined;
+  }
+
+  #ask(
+    dataCentre: DataCentreId,
+    call: SchedulerCall,
+  ): Promise<Result<SchedulerAnswer>> {
+    if (dataCentre !== this.#options.dataCentre) {
+      return this.#peers.askDataCentre(dataCentre, call);
+    }
+    return this.#answer(call, { isPassedOn: false })
+      .then((answer) => Right(answer));
+  }
+
+  async #askOthers(call: SchedulerCall) {
+    const others = new Set(
+      this.#options.instances.map((instance) => instance.dataCentre),
+    );
+    others.delete(this.#options.dataCentre);
+    const asked = [...others].map(async (dataCentre) => ({
+      dataCentre,
+      answer: (await this.#ask(dataCentre, call)).toMaybe().extract(),
+    }));
+    const results = await Promise.all(asked);
+    return {
+      answers: results.flatMap(({ answer }) => answer ?? []),
+      unaskedDataCentres: results
+        .filter(({ answer }) => answer === undefined)
+        .map(({ dataCentre }) => dataCentre),
+    };
+  }
+
+  async #askAll(call: SchedulerCall) {
+    const [own, others] = await Promise.all([
+      this.#answer(call, { isPassedOn: false }),
+      this.#askOthers(call),
+    ]);
+    return { ...others, answers: [own, ...others.answers] };
+  }
+
+  async #answer(
+    call: SchedulerCall,
+    how: { isPassedOn: boolean },
+  ): Promise<SchedulerAnswer> {
+    switch (call.kind) {
+      case "submit":
+        return await this.#propose({ ...call, kind: "submitted" });
+      case "cancel":
+        return await this.#cancelHere(call.jobId);
+      case "job":
+      case "jobs":
+      case "workers":
+        return await this.#query(call, how);
+    }
+  }
+
+  async #cancelHere(jobId: JobId): Promise<SchedulerAnswer> {
+    const answer = await this.#propose({ kind: "cancelled", jobId });
+    const movedTo = answer.kind === "job" && answer.job.state === "moved"
+      ? answer.job.movedTo
+      : undefined;
+    if (movedTo === undefined) {
+      return answer;
+    }
+    const passedOn = await this.#ask(movedTo, { kind: "cancel", jobId });
+    return passedOn.orDefault({
+      kind: "failed",
+      error: "unavailable",
+      detail: `the job went to ${movedTo}, which can't be asked`,
+    });
+  }
+
+  async #propose(body: ProposalBody): Promise<SchedulerAnswer> {
+    const { clock, log } = this.#options;
+    const atMs = clock.nowMs();
+    const command = {
+      ...body,
+      formatVersion: JOB_COMMAND_FORMAT_VERSION,
+      atMs,
+    } as JobCommand;
+    const result = await log.propose(command, {
+      deadlineMs: atMs + PROPOSAL_TIMEOUT_MS,
+    });
+    return result.caseOf({
+      Left: (error) => failedAnswer(error),
+      Right: (outcome) => this.#describeOutcome(outcome),
+    });
+  }
+
+  #describeOutcome(outcome: JobCommandOutcome): SchedulerAnswer {
+    if (outcome.kind === "refused") {
+      const { error, detail } = outcome;
+      return { kind: "failed", error, detail };
+    }
+    const { record } = outcome;
+    return record === undefined
+      ? { kind: "failed", error: "internal", detail: "no record" }
+      : {
+        kind: "job",
+        isNew: outcome.kind === "applied",
+        job: this.#view(record),
+      };
+  }
+
+  /** Lets the leader answer, which alone knows why jobs wait. */
+  async #query(
+    call: SchedulerCall,
+    how: { isPassedOn: boolean },
+  ): Promise<SchedulerAnswer> {
+    const { leaderId } = this.#options.log.status();
+    const knowsLeader = leaderId !== undefined && leaderId !== this.#selfId;
+    if (knowsLeader && !how.isPassedOn) {
+      const answer = await this.#peers.call(leaderId, call, {
+        isPassedOn: true,
+      });
+      if (answer.isRight()) {
+        return answer.unsafeCoerce();
+      }
+    }
+    return this.#queryHere(call);
+  }
+
+  #queryHere(call: SchedulerCall): SchedulerAnswer {
+    const { ledger } = this.#options;
+    if (call.kind === "workers") {
+      return { kind: "workers", workers: this.#viewWorkers() };
+    }
+    if (call.kind === "jobs") {
+      const newest = [...ledger.records()].slice(-call.limit);
+      return { kind: "jobs", jobs: newest.map((each) => this.#view(each)) };
+    }
+    const record = call.kind === "job" ? ledger.get(call.jobId) : undefined;
+    return record === undefined
+      ? { kind: "failed", error: "notFound", detail: "no such job" }
+      : { kind: "job", isNew: false, job: this.#view(record) };
+  }
+
+  #view(record: JobRecord): JobView {
+    return viewJob(record, {
+      dataCentre: this.#options.dataCentre,
+      waitReason: this.#session?.waitReason(record.specification.jobId),
+    });
+  }
+
+  #viewWorkers(): WorkerView[] {
+    return [...this.#workers.entries()].map((entry) => ({
+      ...entry.description,
+      dataCentre: this.#options.dataCentre,
+      address: entry.address,
+      incarnation: entry.incarnation,
+      isLeaving: entry.isLeaving,
+      isQuarantined: this.#session?.isQuarantined(entry.description.workerId) ??
+        false,
+      heardAtMs: entry.anchor.receivedAtMs,
+      runningTasks: entry.tasks
+        .filter((task) => task.state === "running").length,
+    }));
+  }
+}
+
+type ProposalBody =
+  & Pick<Extract<JobCommand, { kind: "submitted" | "cancelled" }>, "kind">
+  & Readonly<Record<string, unknown>>;
+
+function failedAnswer(error: SesameError): SchedulerAnswer {
+  return { kind: "failed", error: error.kind, detail: error.message };
+}
+
+function asAccepted(answer: SchedulerAnswer): Result<JobAccepted> {
+  switch (answer.kind) {
+    case "job":
+      return Right({ isNew: answer.isNew, job: answer.job });
+    case "failed":
+      return failure(answer.error, { detail: answer.detail });
+    case "jobs":
+    case "workers":
+      return Left(new SesameError("internal"));
+  }
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/scheduler_runtime_test.ts
@@ -0,0 +1,57 @@
+import test from "ava";
+import { makeWorld, TestBed } from "./testing/test_bed.ts";
+
+function makeBed(
+  options: Partial<ConstructorParameters<typeof TestBed>[0]> = {},
+): TestBed {
+  const world = makeWorld({ seed: 7, dataCentres: ["dc1"] });
+  return new TestBed({ world, ...options });
+}
+
+test("a gang is started whole, ends, and its job with it", async (t) => {
+  const bed = makeBed();
+  await bed.pass(2_000);
+  const submitted = bed.submit({ jobId: "j1", tasks: 4 });
+  await bed.pass(500);
+  t.true(await submitted);
+  t.is(bed.history.starts("j1"), 4);
+  t.is(bed.ledger.get("j1")?.openAttempt?.placements.length, 4);
+  await bed.pass(5_000);
+  t.is(bed.ledger.get("j1")?.end?.outcome, "succeeded");
+  t.is(bed.ledger.get("j1")?.openAttempt, undefined);
+  t.is(bed.history.starts("j1"), 4);
+  t.deepEqual(bed.history.violations, []);
+  t.true(
+    [...bed.workers.values()].every((worker) =>
+      worker.tasks?.report("10.0.0.1:1").tasks.length === 0
+    ),
+  );
+});
+
+test("a job is found from every instance, with its reason", async (t) => {
+  const bed = makeBed({ workers: 0 });
+  await bed.pass(1_000);
+  const submitted = bed.submit({ jobId: "j1" });
+  await bed.pass(500);
+  t.true(await submitted);
+  for (const id of bed.instanceIds) {
+    const found = bed.instance(id).runtime.findJob("j1");
+    await bed.pass(100);
+    const job = (await found).unsafeCoerce().value;
+    t.is(job.state, "queued");
+    t.is(job.waitReason, "capacity");
+  }
+});
+
+test("the same submission is accepted once, another refused", async (t) => {
+  const bed = makeBed();
+  await bed.pass(1_000);
+  const runs = [
+    bed.submit({ jobId: "j1" }),
+    bed.submit({ jobId: "j1" }),
+    bed.submit({ jobId: "j1", tasks: 2 }),
+  ];
+  await bed.pass(9_000);
+  t.deepEqual(await Promise.all(runs), [true, true, false]);
+  t.is(bed.history.starts("j1"), 1);
+});
--- /dev/null
+++ b/src/process/scheduler/runtime/start_gate.ts
@@ -0,0 +1,37 @@
+/**
+ * Till when tasks may be started in this data centre.
+ *
+ * @module
+ */
+
+import type { DataCentreId } from "../../../base/identity.ts";
+import type { ConfigurationSource } from "../../configuration/configuration_source.ts";
+
+/** Options of {@link StartGate}. */
+export interface StartGateOptions {
+  readonly configuration: ConfigurationSource;
+  readonly dataCentre: DataCentreId;
+}
+
+/**
+ * Starts are allowed for a while after the copy of the configuration was
+ * known to be the newest, and only when it says that the data centre is in.
+ */
+export class StartGate {
+  readonly #options: StartGateOptions;
+
+  constructor(options: StartGateOptions) {
+    this.#options = options;
+  }
+
+  /** The end of the permission, by this instance's clock; 0 for none. */
+  permittedUntilMs(): number {
+    const { configuration, dataCentre } = this.#options;
+    const { document } = configuration.current();
+    const section = document.dataCentres[dataCentre];
+    if (section === undefined || section.status === "out") {
+      return 0;
+    }
+    return configuration.currentAtMs() + section.startPermissionMs;
+  }
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/testing/fake_links.ts
@@ -0,0 +1,138 @@
+/**
+ * Links that delay, lose and double messages, for tests.
+ *
+ * @module
+ */
+
+import { Channel } from "../../../../base/channel.ts";
+import type { Clock } from "../../../../base/clock.ts";
+import type { RandomSource } from "../../../../base/random_source.ts";
+import type {
+  PeerChannel,
+  PeerChannelOptions,
+  PeerNetwork,
+  Received,
+} from "../../../../connection/peer_network.ts";
+
+/** How bad the links are. */
+export interface LinkWeather {
+  readonly lostPerMille: number;
+  readonly doubledPerMille: number;
+  readonly latePerMille: number;
+  /** How late a late message may be. */
+  readonly lateMs: number;
+  readonly delayMs: number;
+}
+
+/** Links that work. */
+export const FAIR_WEATHER: LinkWeather = {
+  lostPerMille: 0,
+  doubledPerMille: 0,
+  latePerMille: 0,
+  lateMs: 0,
+  delayMs: 2,
+};
+
+/** Links between any two named places; each direction may be cut. */
+export class FakeLinks {
+  weather: LinkWeather = FAIR_WEATHER;
+  readonly #clock: Clock;
+  readonly #random: RandomSource;
+  readonly #cuts = new Set<string>();
+
+  constructor(options: { clock: Clock; random: RandomSource }) {
+    this.#clock = options.clock;
+    this.#random = options.random;
+  }
+
+  cut(from: string, to: string): void {
+    this.#cuts.add(`${from}>${to}`);
+  }
+
+  heal(): void {
+    this.#cuts.clear();
+  }
+
+  isCut(from: string, to: string): boolean {
+    return this.#cuts.has(`${from}>${to}`);
+  }
+
+  /** Delivers none, one or two times, at some time. */
+  send(
+    route: { readonly from: string; readonly to: string },
+    deliver: () => void,
+  ): void {
+    const { lostPerMille, doubledPerMille } = this.weather;
+    const isLost = this.#random.nextInt(1_000) < lostPerMille;
+    if (isLost || this.isCut(route.from, route.to)) {
+      return;
+    }
+    const copies = this.#random.nextInt(1_000) < doubledPerMille ? 2 : 1;
+    for (let copy = 0; copy < copies; copy++) {
+      this.#clock.after(this.#delayMs(), deliver);
+    }
+  }
+
+  #delayMs(): number {
+    const { latePerMille, lateMs, delayMs } = this.weather;
+    const isLate = this.#random.nextInt(1_000) < latePerMille;
+    return isLate
+      ? this.#random.nextInt(lateMs + 1)
+      : 1 + this.#random.nextInt(delayMs);
+  }
+}
+
+/** One instance's place in a network of fakes. */
+export class FakePeerNetwork implements PeerNetwork {
+  readonly selfId: string;
+  readonly #links: FakeLinks;
+  readonly #peers: Map<string, FakePeerNetwork>;
+  readonly #channels = new Map<string, Channel<Received<unknown>>>();
+
+  constructor(options: {
+    selfId: string;
+    links: FakeLinks;
+    peers: Map<string, FakePeerNetwork>;
+  }) {
+    this.selfId = options.selfId;
+    this.#links = options.links;
+    this.#peers = options.peers;
+    options.peers.set(options.selfId, this);
+  }
+
+  get peerIds(): readonly string[] {
+    return [...this.#peers.keys()].filter((id) => id !== this.selfId);
+  }
+
+  linkedPeerIds(): readonly string[] {
+    return this.peerIds.filter((id) => !this.#links.isCut(this.selfId, id));
+  }
+
+  channel<Message>(
+    options: PeerChannelOptions<Message>,
+  ): PeerChannel<Message> {
+    const channel = new Channel<Received<Message>>();
+    const { name, decode } = options;
+    this.#channels.set(name, channel as Channel<Received<unknown>>);
+    return {
+      received: channel.stream,
+      send: (to, message) => {
+        const body: unknown = JSON.parse(JSON.stringify(message));
+        this.#links.send({ from: this.selfId, to }, () => {
+          decode(body).ifRight((decoded) =>
+            this.#peers.get(to)?.deliver(name, {
+              from: this.selfId,
+              message: decoded,
+            })
+          );
+        });
+        return true;
+      },
+      close: () => channel.close(),
+    };
+  }
+
+  deliver(name: string, received: Received<unknown>): void {
+    this.#channels.get(name)?.push(received);
+  }
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/testing/fake_worker.ts
@@ -0,0 +1,167 @@
+/**
+ * Workers without sockets, on clocks of their own, for tests.
+ *
+ * @module
+ */
+
+import { Right } from "purify-ts/Either";
+import type { Clock, Timer } from "../../../../base/clock.ts";
+import { failure, type Result } from "../../../../base/sesame_error.ts";
+import {
+  type TaskHappening,
+  WorkerTasks,
+  type WorkerTasksOptions,
+} from "../../../../../standins/worker/worker_tasks.ts";
+import type { WorkerClient } from "../worker_client.ts";
+import type { WorkerAnswer, WorkerCommand } from "../worker_command.ts";
+import type { WorkerReport } from "../worker_report.ts";
+import type { FakeLinks } from "./fake_links.ts";
+
+/** A clock with another origin and rate than the one it is made from. */
+export class DriftingClock implements Clock {
+  readonly #clock: Clock;
+  readonly #rate: number;
+  readonly #originMs: number;
+  readonly #beganAtMs: number;
+
+  constructor(options: { clock: Clock; rate: number; originMs: number }) {
+    this.#clock = options.clock;
+    this.#rate = options.rate;
+    this.#originMs = options.originMs;
+    this.#beganAtMs = options.clock.nowMs();
+  }
+
+  nowMs(): number {
+    const elapsedMs = this.#clock.nowMs() - this.#beganAtMs;
+    return this.#originMs + elapsedMs * this.#rate;
+  }
+
+  after(delayMs: number, action: () => void): Timer {
+    return this.#clock.after(delayMs / this.#rate, action);
+  }
+
+  every(periodMs: number, action: () => void): Timer {
+    return this.#clock.every(periodMs / this.#rate, action);
+  }
+}
+
+/** Options of {@link FakeWorker}. */
+export interface FakeWorkerOptions {
+  readonly clock: Clock;
+  readonly workerId: string;
+  readonly rack: string;
+  readonly accelerators: number;
+  readonly rate?: number;
+  readonly onHappening: (happening: TaskHappening) => void;
+  readonly omittedFences?: WorkerTasksOptions["omittedFences"];
+}
+
+/** A machine that can die and come back. */
+export class FakeWorker {
+  readonly #options: FakeWorkerOptions;
+  #tasks: WorkerTasks | undefined;
+  #incarnation = 0;
+
+  constructor(options: FakeWorkerOptions) {
+    this.#options = options;
+    this.revive();
+  }
+
+  get workerId(): string {
+    return this.#options.workerId;
+  }
+
+  get tasks(): WorkerTasks | undefined {
+    return this.#tasks;
+  }
+
+  die(): void {
+    this.#tasks?.close();
+    this.#tasks = undefined;
+  }
+
+  /** Comes back with nothing, as another incarnation. */
+  revive(): void {
+    if (this.#tasks !== undefined) {
+      return;
+    }
+    const { clock, workerId, rack, accelerators, rate } = this.#options;
+    this.#incarnation += 1;
+    this.#tasks = new WorkerTasks({
+      clock: new DriftingClock({
+        clock,
+        rate: rate ?? 1,
+        originMs: 1_000 * this.#incarnation,
+      }),
+      workerId,
+      capacity: {
+        rack,
+        cores: 1_000,
+        memoryBytes: 1_000_000_000_000,
+        accelerators,
+      },
+      incarnation: this.#incarnation,
+      onHappening: this.#options.onHappening,
+      omittedFences: this.#options.omittedFences ?? [],
+    });
+  }
+
+  report(): WorkerReport | undefined {
+    // The address is read as an identity by the fake client alone.
+    const number = this.#options.workerId.replace(/\D/g, "");
+    return this.#tasks?.report(`10.0.0.1:${number}`);
+  }
+}
+
+/** The worker number that a fake address carries. */
+function numberOf(address: string): string {
+  return address.slice(address.indexOf(":") + 1);
+}
+
+/** Reaches fake workers over fake links from one instance. */
+export class FakeWorkerClient implements WorkerClient {
+  readonly #clock: Clock;
+  readonly #links: FakeLinks;
+  readonly #selfId: string;
+  readonly #workers: ReadonlyMap<string, FakeWorker>;
+
+  constructor(options: {
+    clock: Clock;
+    links: FakeLinks;
+    selfId: string;
+    workers: ReadonlyMap<string, FakeWorker>;
+  }) {
+    this.#clock = options.clock;
+    this.#links = options.links;
+    this.#selfId = options.selfId;
+    this.#workers = options.workers;
+  }
+
+  call(
+    address: string,
+    command: WorkerCommand,
+    options: { timeoutMs: number },
+  ): Promise<Result<WorkerAnswer>> {
+    const to = `w${numberOf(address)}`;
+    return new Promise((resolve) => {
+      const timer = this.#clock.after(
+        options.timeoutMs,
+        () => resolve(failure("unavailable")),
+      );
+      this.#links.send({ from: this.#selfId, to }, () => {
+        const answer = this.#workers.get(to)?.tasks?.handle(command);
+        if (answer === undefined) {
+          return;
+        }
+        this.#links.send({ from: to, to: this.#selfId }, () => {
+          timer.close();
+          resolve(Right(answer));
+        });
+      });
+    });
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/testing/test_bed.ts
@@ -0,0 +1,267 @@
+/**
+ * One data centre of fakes under real runtimes, for tests.
+ *
+ * @module
+ */
+
+import { FakeClock } from "../../../../base/fake_clock.ts";
+import type { EventLog } from "../../../../base/event_log.ts";
+import { SeededRandom } from "../../../../base/random_source.ts";
+import type { OmittedFence } from "../../../../../standins/worker/worker_tasks.ts";
+import {
+  type JobSpecification,
+  jobSpecificationSchema,
+} from "../../core/job.ts";
+import type { JobCommand, JobCommandOutcome } from "../job_command.ts";
+import { JobLedger } from "../job_ledger.ts";
+import type { LeaseOptions } from "../lease_rule.ts";
+import type { InstancePlace } from "../peer_calls.ts";
+import { SchedulerRuntime } from "../scheduler_runtime.ts";
+import type { OmittedCheck } from "../session_context.ts";
+import {
+  FakeConfiguration,
+  type FakeCopy,
+  testDocument,
+} from "./fake_configuration.ts";
+import { FakeCore } from "./fake_core.ts";
+import { FakeGroup, type FakeMember } from "./fake_group.ts";
+import { FakeLinks, FakePeerNetwork } from "./fake_links.ts";
+import { FakeWorker, FakeWorkerClient } from "./fake_worker.ts";
+import { RunHistory } from "./run_history.ts";
+
+/** What several data centres have in common. */
+export interface TestWorld {
+  readonly clock: FakeClock;
+  readonly random: SeededRandom;
+  readonly links: FakeLinks;
+  readonly peers: Map<string, FakePeerNetwork>;
+  readonly configuration: FakeConfiguration;
+  readonly places: readonly InstancePlace[];
+}
+
+/** Makes a world; instances are named after their data centre. */
+export function makeWorld(
+  options: { seed: number; dataCentres: readonly string[]; instances?: number },
+): TestWorld {
+  const clock = new FakeClock({ startMs: 1_000_000 });
+  const random = new SeededRandom({ seed: options.seed });
+  const places = options.dataCentres.flatMap((dataCentre) =>
+    Array.from({ length: options.instances ?? 3 }, (_, at) => ({
+      id: `${dataCentre}-${at}`,
+      dataCentre,
+    }))
+  );
+  const document = testDocument(options.dataCentres);
+  return {
+    clock,
+    random,
+    links: new FakeLinks({ clock, random }),
+    peers: new Map(),
+    configuration: new FakeConfiguration({ clock, document }),
+    places,
+  };
+}
+
+/** Options of {@link TestBed}. */
+export interface TestBedOptions {
+  readonly world: TestWorld;
+  readonly dataCentre?: string;
+  readonly workers?: number;
+  readonly accelerators?: number;
+  readonly lease?: Partial<LeaseOptions>;
+  readonly omittedChecks?: readonly OmittedCheck[];
+  readonly omittedFences?: readonly OmittedFence[];
+  readonly lostAnswersPerMille?: number;
+  readonly events?: EventLog;
+}
+
+interface Instance {
+  readonly runtime: SchedulerRuntime;
+  readonly ledger: JobLedger;
+  readonly copy: FakeCopy;
+  readonly member: FakeMember<JobCommand, JobCommandOutcome>;
+}
+
+/** One data centre. */
+export class TestBed {
+  readonly world: TestWorld;
+  readonly dataCentre: string;
+  readonly group: FakeGroup<JobCommand, JobCommandOutcome>;
+  readonly instances = new Map<string, Instance>();
+  readonly workers = new Map<string, FakeWorker>();
+  readonly history = new RunHistory();
+  readonly #options: TestBedOptions;
+
+  constructor(options: TestBedOptions) {
+    const { world, dataCentre, lostAnswersPerMille } = options;
+    this.world = world;
+    this.#options = options;
+    this.dataCentre = dataCentre ?? "dc1";
+    this.group = new FakeGroup({
+      ...world,
+      lostAnswersPerMille: lostAnswersPerMille ?? 0,
+    });
+    for (const { id, dataCentre } of world.places) {
+      if (dataCentre === this.dataCentre) {
+        this.startInstance(id);
+      }
+    }
+    for (let at = 1; at <= (options.workers ?? 4); at++) {
+      this.#addWorker(at);
+    }
+    this.elect(this.instanceIds[0] ?? "");
+  }
+
+  get instanceIds(): readonly string[] {
+    return this.world.places
+      .filter((place) => place.dataCentre === this.dataCentre)
+      .map((place) => place.id);
+  }
+
+  instance(id: string): Instance {
+    const instance = this.instances.get(id);
+    if (instance === undefined) {
+      throw new Error(`instance ${id} is down`);
+    }
+    return instance;
+  }
+
+  /** The ledger of the instance that is furthest ahead. */
+  get ledger(): JobLedger {
+    const instances = [...this.instances.values()];
+    const ahead = instances.reduce((best, each) =>
+      each.member.status().appliedIndex > best.member.status().appliedIndex
+        ? each
+        : best
+    );
+    return ahead.ledger;
+  }
+
+  elect(id: string): boolean {
+    const isElected = this.instances.has(id) && this.group.elect(id);
+    if (isElected) {
+      this.history.noteTerm(this.group.term);
+    }
+    return isElected;
+  }
+
+  startInstance(id: string): void {
+    if (this.instances.has(id)) {
+      return;
+    }
+    const { world } = this;
+    const { clock, links, peers, places } = world;
+    const ledger = new JobLedger();
+    const member = this.group.join(id, ledger);
+    const copy = world.configuration.copy();
+    const runtime = new SchedulerRuntime({
+      clock,
+      dataCentre: this.dataCentre,
+      instances: places,
+      network: new FakePeerNetwork({ selfId: id, links, peers }),
+      log: member,
+      ledger,
+      configuration: copy,
+      client: new FakeWorkerClient({
+        clock,
+        links,
+        selfId: id,
+        workers: this.workers,
+      }),
+      createCore: () => new FakeCore({ dataCentre: this.dataCentre }),
+      lease: this.#options.lease ?? {},
+      omittedChecks: this.#options.omittedChecks ?? [],
+      ...(this.#options.events === undefined
+        ? {}
+        : { events: this.#options.events }),
+    });
+    this.instances.set(id, { runtime, ledger, member, copy });
+  }
+
+  /** The process dies at once. */
+  killInstance(id: string): void {
+    const instance = this.instances.get(id);
+    this.group.leave(id);
+    this.instances.delete(id);
+    this.world.peers.delete(id);
+    void instance?.runtime.close();
+  }
+
+  async submit(
+    job: Partial<JobSpecification> & { jobId: string },
+  ): Promise<boolean> {
+    const specification = jobSpecificationSchema.parse({
+      clientAccount: "lab",
+      jobClass: "batch",
+      tasks: 1,
+      resources: { cores: 1, memoryBytes: 1, accelerators: 1 },
+      declaredRunMs: 1_000,
+      command: ["run", "1000"],
+      dataCentres: [this.dataCentre],
+      ...job,
+    });
+    const [runtime] = [...this.instances.values()]
+      .map((instance) => instance.runtime);
+    const result = await runtime?.submit(specification);
+    return result?.isRight() ?? false;
+  }
+
+  async cancel(jobId: string): Promise<boolean> {
+    const [first] = this.instances.values();
+    const result = await first?.runtime.cancel(jobId);
+    return result?.isRight() ?? false;
+  }
+
+  /** Lets time go by, with all that happens in it. */
+  async pass(byMs: number): Promise<void> {
+    await passTime(this.world.clock, byMs);
+  }
+
+  #addWorker(at: number): void {
+    const { clock, random, links } = this.world;
+    const workerId = `w${at}`;
+    const worker = new FakeWorker({
+      clock,
+      workerId,
+      rack: `r${1 + at % 2}`,
+      accelerators: this.#options.accelerators ?? 8,
+      // Within the stated drift of one in a thousand, either way.
+      rate: 1 + (at % 2 === 0 ? 0.0004 : -0.0004),
+      onHappening: (happening) =>
+        this.history.note({ ...happening, atMs: clock.nowMs() }),
+      omittedFences: this.#options.omittedFences ?? [],
+    });
+    this.workers.set(workerId, worker);
+    clock.every(1_000, () => {
+      const report = worker.report();
+      const ids = [...this.instances.keys()];
+      const to = ids[random.nextInt(Math.max(1, ids.length))];
+      if (report === undefined || to === undefined) {
+        return;
+      }
+      links.send(
+        { from: workerId, to },
+        () => this.instances.get(to)?.runtime.acceptWorkerReport(report),
+      );
+    });
+  }
+}
+
+/** Moves the clock from timer to timer, with the promises in between. */
+export async function passTime(clock: FakeClock, byMs: number): Promise<void> {
+  const endMs = clock.nowMs() + byMs;
+  await settle();
+  let dueMs = clock.nextDueMs();
+  while (dueMs !== undefined && dueMs <= endMs) {
+    clock.advance(Math.max(0, dueMs - clock.nowMs()));
+    await settle();
+    dueMs = clock.nextDueMs();
+  }
+  clock.advance(Math.max(0, endMs - clock.nowMs()));
+  await settle();
+}
+
+/** Lets every promise that can go on do so. */
+function settle(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
--- /dev/null
+++ b/src/process/scheduler/runtime/worker_caller.ts
@@ -0,0 +1,98 @@
+/**
+ * Sends a leader's commands to workers, each under a fence.
+ *
+ * @module
+ */
+
+import { Right } from "purify-ts/Either";
+import type { Clock } from "../../../base/clock.ts";
+import type { WorkerId } from "../../../base/identity.ts";
+import { failure, type Result } from "../../../base/sesame_error.ts";
+import { type LeaseOptions, toWorkerClockMs } from "./lease_rule.ts";
+import type { WorkerClient } from "./worker_client.ts";
+import type { WorkerAnswer, WorkerCommand } from "./worker_command.ts";
+import { WORKER_PROTOCOL_VERSION } from "./worker_report.ts";
+import type { WorkerTable } from "./worker_table.ts";
+
+/** Options of {@link WorkerCaller}. */
+export interface WorkerCallerOptions {
+  readonly clock: Clock;
+  readonly client: WorkerClient;
+  readonly workers: WorkerTable;
+  readonly lease: LeaseOptions;
+  readonly term: number;
+  /** Till when this instance may act as the leader; 0 when it may not. */
+  readonly leadershipEndMs: () => number;
+}
+
+/** A command without its fence. */
+export type CommandBody = WorkerCommand extends infer Command
+  ? Command extends WorkerCommand ? Omit<Command, "fence"> : never
+  : never;
+
+/** A worker's answer, and when the command was sent. */
+export interface Answered {
+  readonly sentAtMs: number;
+  readonly answer: WorkerAnswer;
+}
+
+/** How a call is made. */
+export interface WorkerCallOptions {
+  /** When the command loses its validity, if before the usual moment. */
+  readonly validUntilMs?: number;
+  /** Writes the command; turns moments of the leader into the worker's. */
+  readonly write: (toWorkerMs: (atMs: number) => number) => CommandBody;
+}
+
+/** Calls workers in the name of one leader. */
+export class WorkerCaller {
+  readonly #options: WorkerCallerOptions;
+
+  constructor(options: WorkerCallerOptions) {
+    this.#options = options;
+  }
+
+  /** A failure says nothing of whether the command arrived. */
+  async call(
+    workerId: WorkerId,
+    options: WorkerCallOptions,
+  ): Promise<Result<Answered>> {
+    const { clock, client, workers, lease } = this.#options;
+    const entry = workers.get(workerId);
+    const sentAtMs = clock.nowMs();
+    const validUntilMs = Math.min(
+      sentAtMs + lease.callTimeoutMs,
+      this.#options.leadershipEndMs() - lease.leadershipMarginMs,
+      options.validUntilMs ?? Number.POSITIVE_INFINITY,
+    );
+    if (entry === undefined || validUntilMs <= sentAtMs) {
+      return failure("unavailable", { detail: "not sent" });
+    }
+    const { anchor, incarnation } = entry;
+    const { clockDriftFraction } = lease;
+    const toWorkerMs = (atMs: number) =>
+      toWorkerClockMs(atMs, { anchor, clockDriftFraction });
+    const command = {
+      ...options.write(toWorkerMs),
+      fence: {
+        protocolVersion: WORKER_PROTOCOL_VERSION,
+        term: this.#options.term,
+        incarnation,
+        validUntilMs: toWorkerMs(validUntilMs),
+      },
+    } as WorkerCommand;
+    const result = await client.call(entry.address, command, {
+      timeoutMs: lease.callTimeoutMs,
+    });
+    return result.chain((answer) => this.#take(workerId, { sentAtMs, answer }));
+  }
+
+  #take(workerId: WorkerId, answered: Answered): Result<Answered> {
+    const { holdings } = answered.answer;
+    if (holdings.workerId !== workerId) {
+      return failure("unavailable", { detail: "another worker answered" });
+    }
+    this.#options.workers.acceptHoldings(holdings, this.#options.clock.nowMs());
+    return Right(answered);
+  }
+}
--- a/src/process/scheduler/runtime/worker_command.ts
+++ b/src/process/scheduler/runtime/worker_command.ts
@@ -99,6 +99,7 @@
   late: "the command came after its validity",
   releasedAttempt: "the attempt was released before",
   unknownAttempt: "the attempt is not reserved here",
+  earlierAttemptRuns: "tasks of an earlier attempt of the job still run here",
   noRoom: "the worker has no room",
   leaving: "the worker is leaving",
 } as const;
@@ -115,6 +116,7 @@
     "late",
     "releasedAttempt",
     "unknownAttempt",
+    "earlierAttemptRuns",
     "noRoom",
     "leaving",
   ]).optional(),
--- a/src/process/scheduler/runtime/worker_report.ts
+++ b/src/process/scheduler/runtime/worker_report.ts
@@ -47,7 +47,7 @@
   workerId: identity,
   /** Grows with every start of the worker's process. */
   incarnation: z.int().min(1),
-  /** The worker's own clock when it wrote this. */
+  /** The worker's own clock when it wrote this; grows with every writing. */
   workerClockMs: z.number().min(0),
   highestTerm: z.int().min(0),
   isLeaving: z.boolean(),
--- /dev/null
+++ b/src/process/scheduler/runtime/worker_watcher.ts
@@ -0,0 +1,102 @@
+/**
+ * Turns what is heard of workers, and their silence, into events.
+ *
+ * @module
+ */
+
+import type { WorkerId } from "../../../base/identity.ts";
+import type { TaskReference } from "../core/scheduler_event.ts";
+import type { SessionContext } from "./session_context.ts";
+import type { WorkerEntry, WorkerNews } from "./worker_table.ts";
+
+interface Watched {
+  readonly incarnation: number;
+  isLeaving: boolean;
+}
+
+/** Watches the workers for one leader. */
+export class WorkerWatcher {
+  readonly #context: SessionContext;
+  readonly #watched = new Map<WorkerId, Watched>();
+
+  constructor(context: SessionContext) {
+    this.#context = context;
+  }
+
+  /** Joins a worker that runs `running` already. */
+  join(entry: WorkerEntry, running: readonly TaskReference[]): void {
+    const { description, incarnation } = entry;
+    const { workerId } = description;
+    const atMs = this.#context.clock.nowMs();
+    this.#watched.set(workerId, { incarnation, isLeaving: false });
+    this.#context.events.emit("workerJoined", { worker: workerId });
+    this.#context.feed({
+      kind: "workerJoined",
+      atMs,
+      worker: description,
+      running,
+    });
+    this.#noteLeaving(entry);
+  }
+
+  hear(news: WorkerNews): void {
+    const { entry } = news;
+    const { workerId } = entry.description;
+    const watched = this.#watched.get(workerId);
+    if (watched?.incarnation !== entry.incarnation) {
+      if (watched !== undefined) {
+        this.#lose(workerId);
+      }
+      this.join(entry, []);
+    }
+    this.#noteLeaving(entry);
+    if (news.hasUsages) {
+      this.#feedUsages(entry);
+    }
+  }
+
+  /** Loses workers that have been silent for a whole lease. */
+  noteSilence(): void {
+    const { clock, lease, workers } = this.#context;
+    const nowMs = clock.nowMs();
+    for (const workerId of [...this.#watched.keys()]) {
+      const heardAtMs = workers.get(workerId)?.anchor.receivedAtMs ?? 0;
+      if (heardAtMs + lease.leaseMs < nowMs) {
+        this.#lose(workerId);
+      }
+    }
+  }
+
+  #lose(workerId: WorkerId): void {
+    const atMs = this.#context.clock.nowMs();
+    this.#watched.delete(workerId);
+    this.#context.events.emit("workerLost", { worker: workerId });
+    this.#context.feed({ kind: "workerLost", atMs, workerId });
+  }
+
+  #noteLeaving(entry: WorkerEntry): void {
+    const { workerId } = entry.description;
+    const watched = this.#watched.get(workerId);
+    if (!entry.isLeaving || watched === undefined || watched.isLeaving) {
+      return;
+    }
+    watched.isLeaving = true;
+    const atMs = this.#context.clock.nowMs();
+    this.#context.feed({ kind: "workerLeaving", atMs, workerId });
+  }
+
+  #feedUsages(entry: WorkerEntry): void {
+    const { receivedAtMs } = entry.anchor;
+    this.#context.feed({
+      kind: "workerUsageReported",
+      atMs: this.#context.clock.nowMs(),
+      workerId: entry.description.workerId,
+      usages: entry.usages.map(({ checkpointAgeMs, ...usage }) => ({
+        ...usage,
+        ...(checkpointAgeMs === undefined
+          ? {}
+          : { checkpointedAtMs: receivedAtMs - checkpointAgeMs }),
+      })),
+    });
+  }
+}
