--- a/src/process/routing/request_routing_test.ts
+++ b/src/process/routing/request_routing_test.ts
@@ -10,7 +10,7 @@
 import { HttpFront, metricsEndpoint, MetricsRegistry } from "../http/mod.ts";
 import { LedgerState } from "../ledger/mod.ts";
 import { MemoryGroup } from "../ledger/memory_group.ts";
-import { MemoryHub } from "./memory_network.ts";
+import { FakePeerHub } from "../replication/fake_peer_network.ts";
 import { RequestRouting } from "./request_routing.ts";
 
 const SERVICE = {
@@ -44,7 +44,8 @@
 /** Instances on loopback with the real clock, over in-memory links. */
 async function startSystem(t: ExecutionContext) {
   const clock = new SystemClock();
-  const hub = new MemoryHub({ clock });
+  const hub = new FakePeerHub({ clock, random: new SeededRandom({ seed: 1 }) });
+  const peerIds = INSTANCES.map(({ id }) => id);
   const states = new Map(["east", "west"].map((id) => [id, new LedgerState()]));
   const groups = new Map(
     [...states].map(([groupId, state]) => [
@@ -66,7 +67,7 @@
       incarnation: 1,
       clock,
       random: new SeededRandom({ seed: 1 }),
-      network: hub.network(self.id),
+      network: hub.join(self.id, { peerIds }),
       configuration: {
         current: () => VERSION,
         versions: new Channel<ConfigurationVersion>().stream,
