--- a/src/version/document/parse_document.ts
+++ b/src/version/document/parse_document.ts
@@ -131,7 +131,8 @@
   if (parsed.success) {
     return Right(parsed.data);
   }
-  const issue = parsed.error.issues[0];
+  const { issues } = parsed.error;
+  const issue = issues.find(isUnknownKey) ?? issues[0];
   const path = [...source.prefix, ...(issue?.path ?? [])];
   const unknownKey = issue?.code === "unrecognized_keys" ? issue.keys[0] : "";
   const linePath = unknownKey ? [...path, unknownKey] : path;
@@ -146,6 +147,11 @@
   });
 }
 
+/** A misspelt field comes before the field that it leaves missing. */
+function isUnknownKey(issue: z.core.$ZodIssue): boolean {
+  return issue.code === "unrecognized_keys";
+}
+
 function checkWhole(document: Document, text: string): Result<Document> {
   const fault = checkDocument(document)[0];
   return fault === undefined ? Right(document) : refuseFault(fault, text);
