Add the scheduling core of one data centre

Guarantee cells, whole gangs, reservations, eviction, quarantine, corrections, recovery and the placing pass, with a stateful fuzz over a fake executor and a mutation for each check.

Cause: nothing decided placements yet.

--- /dev/null
+++ b/src/process/scheduler/core/core_context.ts
@@ -0,0 +1,186 @@
+/**
+ * The state of one data centre's scheduler that its managers share.
+ *
+ * @module
+ */
+
+import type { DataCentreId, JobId } from "../../../base/identity.ts";
+import { BinaryHeap } from "./binary_heap.ts";
+import { Corrections } from "./corrections.ts";
+import { GuaranteeCells } from "./guarantee_cells.ts";
+import { JobQueue } from "./job_queue.ts";
+import { JobPhase, type JobState } from "./job_state.ts";
+import { Ledger } from "./ledger.ts";
+import { Policy } from "./policy.ts";
+import { RackIndex } from "./rack_index.ts";
+import type { SchedulerDecision, WaitReason } from "./scheduler_decision.ts";
+import type { WorkerState } from "./worker_state.ts";
+
+/**
+ * Deliberate faults, which tests put in to see that the checks notice them.
+ *
+ * @internal
+ */
+export type Mutation =
+  | "startsWhileOut"
+  | "startsWithoutPermission"
+  | "startsWhileRecovering"
+  | "overcommitsWorkers"
+  | "breaksGangs"
+  | "ignoresAdjacency"
+  | "claimsForeignCells"
+  | "leavesCellsOnLostWorkers"
+  | "forgetsQueuedJobs"
+  | "keepsStaleIndex"
+  | "evictsGuarantees";
+
+/** What falls due at a moment. */
+export interface DueAction {
+  readonly atMs: number;
+  readonly action: () => void;
+}
+
+/** What the managers share. */
+export class CoreContext {
+  readonly dataCentre: DataCentreId;
+  readonly mutations: ReadonlySet<Mutation>;
+  readonly index: RackIndex;
+  readonly ledger: Ledger;
+  readonly cells: GuaranteeCells;
+  readonly queue = new JobQueue();
+  readonly corrections = new Corrections();
+  readonly jobs = new Map<JobId, JobState>();
+  /** Workers that run an attempt that nobody wants, by attempt. */
+  readonly staleWorkers = new Map<string, Set<WorkerState>>();
+  readonly due = new BinaryHeap<DueAction>({
+    isBefore: (left, right) => left.atMs < right.atMs,
+  });
+  /** Jobs that have waited long enough for a reservation. */
+  readonly aged = new Set<JobState>();
+  policy: Policy;
+  nowMs = 0;
+  permittedUntilMs = -Infinity;
+  /** When the data centre was last taken in again; absent for never out. */
+  returnedAtMs: number | undefined;
+  isRecovering = false;
+  /** Whether something changed that may let a waiting job start. */
+  isPlacingDue = true;
+  /** Whether room came free since shapes were last tried. */
+  isRoomFreed = true;
+  decisions: SchedulerDecision[] = [];
+
+  constructor(
+    options: { dataCentre: DataCentreId; mutations: ReadonlySet<Mutation> },
+  ) {
+    this.dataCentre = options.dataCentre;
+    this.mutations = options.mutations;
+    this.index = new RackIndex({
+      isFrozen: options.mutations.has("keepsStaleIndex"),
+    });
+    this.ledger = new Ledger({ index: this.index });
+    this.cells = new GuaranteeCells({ index: this.index });
+    this.policy = new Policy({
+      dataCentre: options.dataCentre,
+      configuration: {
+        version: 0,
+        acceptedAtMs: 0,
+        document: {
+          formatVersion: 1,
+          teams: {},
+          clientAccounts: {},
+          jobClasses: {},
+          dataCentres: {},
+          services: {},
+        },
+      },
+    });
+  }
+
+  decide(decision: SchedulerDecision): void {
+    this.decisions.push(decision);
+  }
+
+  at(atMs: number, action: () => void): void {
+    this.due.push({ atMs, action });
+  }
+
+  roomFreed(): void {
+    this.isPlacingDue = true;
+    this.isRoomFreed = true;
+  }
+
+  /** Why nothing at all may start now; undefined when starts are allowed. */
+  startBarrier(): WaitReason | undefined {
+    if (this.isRecovering && !this.mutations.has("startsWhileRecovering")) {
+      return "recovering";
+    }
+    if (!this.policy.isIn && !this.mutations.has("startsWhileOut")) {
+      return "dataCentreOut";
+    }
+    const isPermitted = this.nowMs <= this.permittedUntilMs ||
+      this.mutations.has("startsWithoutPermission");
+    return isPermitted ? undefined : "startPermission";
+  }
+
+  /** The reason for which a job waits, as of now. */
+  waitReasonOf(job: JobState): WaitReason | undefined {
+    if (job.phase === JobPhase.ended || job.phase === JobPhase.running) {
+      return undefined;
+    }
+    if (job.phase === JobPhase.starting) {
+      return "starting";
+    }
+    const barrier = this.startBarrier();
+    if (barrier !== undefined) {
+      return barrier;
+    }
+    return this.queue.groupOf(job)?.waitReason ?? job.waitReason;
+  }
+
+  /** Notes the reason for which a job waits, and tells of a change. */
+  setWaitReason(job: JobState, reason: WaitReason): void {
+    if (job.waitReason === reason) {
+      return;
+    }
+    job.waitReason = reason;
+    this.decide({
+      kind: "jobWaits",
+      jobId: job.specification.jobId,
+      reason,
+    });
+  }
+
+  /** Whether a job waits for a place, with none reserved for it. */
+  isQueued(job: JobState): boolean {
+    return job.phase === JobPhase.queued && job.queueGroup !== undefined;
+  }
+
+  /** Works out anew what a waiting job needs, and queues it. */
+  enqueue(job: JobState): void {
+    const { specification } = job;
+    const expectation = this.corrections.expect(specification, this.policy);
+    job.need = expectation.need;
+    job.expectedRunMs = expectation.expectedRunMs;
+    job.rank = this.policy.jobClass(specification.jobClass).rank;
+    this.queue.add(job);
+    this.isPlacingDue = true;
+    this.#armAging(job);
+  }
+
+  /** Has the job considered for a reservation once it has waited long. */
+  #armAging(job: JobState): void {
+    const queuedAtMs = job.queuedAtMs;
+    if (job.agingFromMs === queuedAtMs) {
+      return;
+    }
+    job.agingFromMs = queuedAtMs;
+    const { reservationAfterMs } = this.policy
+      .jobClass(job.specification.jobClass);
+    this.at(queuedAtMs + reservationAfterMs, () => {
+      if (job.phase === JobPhase.queued && job.queuedAtMs === queuedAtMs) {
+        this.aged.add(job);
+        this.isPlacingDue = true;
+      }
+    });
+  }
+}
--- /dev/null
+++ b/src/process/scheduler/core/policy.ts
@@ -0,0 +1,105 @@
+/**
+ * What one configuration version says to one data centre's scheduler.
+ *
+ * @module
+ */
+
+import type { ClientAccountId, DataCentreId } from "../../../base/identity.ts";
+import type { ConfigurationVersion } from "../../../version/configuration_version.ts";
+import {
+  type ClientAccount,
+  type DataCentre,
+  type JobClass,
+  jobClassSchema,
+} from "../../../version/document/document.ts";
+import { type Amounts, amountsOf } from "./amounts.ts";
+
+/** What holds for a job whose class was taken out of the document. */
+const FALLBACK_JOB_CLASS: JobClass = jobClassSchema.parse({
+  owner: "none",
+  rank: 9,
+});
+
+/** A rack as declared. */
+export interface DeclaredRack {
+  readonly workers: number;
+  readonly worker: Readonly<Amounts>;
+}
+
+/** One configuration version, as one data centre sees it. */
+export class Policy {
+  readonly version: number;
+  readonly acceptedAtMs: number;
+  readonly configuration: ConfigurationVersion;
+  readonly section: DataCentre | undefined;
+  readonly racks: readonly DeclaredRack[];
+  readonly declaredWorkers: number;
+  readonly declaredAccelerators: number;
+
+  constructor(
+    options: {
+      configuration: ConfigurationVersion;
+      dataCentre: DataCentreId;
+    },
+  ) {
+    const { configuration, dataCentre } = options;
+    this.configuration = configuration;
+    this.version = configuration.version;
+    this.acceptedAtMs = configuration.acceptedAtMs;
+    this.section = configuration.document.dataCentres[dataCentre];
+    this.racks = (this.section?.racks ?? []).map((rack) => ({
+      workers: rack.workers,
+      worker: amountsOf({
+        cores: rack.coresPerWorker,
+        memoryBytes: rack.memoryBytesPerWorker,
+        accelerators: rack.acceleratorsPerWorker,
+      }),
+    }));
+    this.declaredWorkers = sum(this.racks.map((rack) => rack.workers));
+    this.declaredAccelerators = sum(
+      this.racks.map((rack) => rack.workers * rack.worker.accelerators),
+    );
+  }
+
+  /** Whether the data centre takes new work; not when it isn't declared. */
+  get isIn(): boolean {
+    return this.section?.status === "in";
+  }
+
+  clientAccount(name: ClientAccountId): ClientAccount | undefined {
+    return this.configuration.document.clientAccounts[name];
+  }
+
+  jobClass(name: string): JobClass {
+    return this.configuration.document.jobClasses[name] ?? FALLBACK_JOB_CLASS;
+  }
+
+  hasJobClass(name: string): boolean {
+    return this.configuration.document.jobClasses[name] !== undefined;
+  }
+
+  /** The least processors and memory that go with so many accelerators. */
+  shareOf(accelerators: number): Amounts {
+    const share: Amounts = {
+      milliCores: Infinity,
+      memoryBytes: Infinity,
+      accelerators,
+    };
+    for (const { worker } of this.racks) {
+      const fraction = accelerators / Math.max(1, worker.accelerators);
+      share.milliCores = Math.min(
+        share.milliCores,
+        Math.floor(worker.milliCores * fraction),
+      );
+      share.memoryBytes = Math.min(
+        share.memoryBytes,
+        Math.floor(worker.memoryBytes * fraction),
+      );
+    }
+    return share;
+  }
+}
+
+function sum(values: readonly number[]): number {
+  return values.reduce((total, value) => total + value, 0);
+}
--- /dev/null
+++ b/src/process/scheduler/core/scheduler_core_fuzz_test.ts
@@ -0,0 +1,286 @@
+import test from "ava";
+import fc from "fast-check";
+import type { Mutation } from "./core_context.ts";
+import type { JobSpecification } from "./job.ts";
+import {
+  FakeExecutor,
+  makeDocument,
+  makeWorkers,
+} from "./testing/fake_executor.ts";
+
+const HARDWARE = { racks: 3, workersPerRack: 4, accelerators: 8 };
+const RUNS = Number(process.env["SCHEDULER_FUZZ_RUNS"] ?? 60);
+const SEED = Number(process.env["SCHEDULER_FUZZ_SEED"] ?? 20_261_204);
+const STEPS_LIMIT = 90;
+
+type Step =
+  | { kind: "submit"; job: JobSpecification }
+  | { kind: "cancel"; at: number }
+  | { kind: "cancelWave" }
+  | { kind: "deliver"; at: number; fails: boolean }
+  | { kind: "endGang"; at: number; fails: boolean }
+  | { kind: "tick"; byMs: number }
+  | { kind: "lose"; at: number; leavesZombies: boolean }
+  | { kind: "join"; at: number }
+  | { kind: "leave"; at: number }
+  | { kind: "status"; isOut: boolean }
+  | { kind: "permit"; forMs: number }
+  | { kind: "guarantees"; at: number }
+  | { kind: "leader"; startsArrive: boolean }
+  | { kind: "repeat" };
+
+const GUARANTEES = [
+  {
+    lakes: [
+      { racks: 1, workersPerRack: 2, acceleratorsPerWorker: 8, count: 1 },
+      { racks: 1, workersPerRack: 1, acceleratorsPerWorker: 2, count: 2 },
+    ],
+    mills: [
+      { racks: 2, workersPerRack: 2, acceleratorsPerWorker: 4, count: 1 },
+    ],
+    looms: [],
+  },
+  {
+    lakes: [
+      { racks: 1, workersPerRack: 3, acceleratorsPerWorker: 4, count: 1 },
+    ],
+    mills: [
+      { racks: 1, workersPerRack: 4, acceleratorsPerWorker: 8, count: 1 },
+    ],
+    looms: [
+      { racks: 1, workersPerRack: 1, acceleratorsPerWorker: 4, count: 2 },
+    ],
+  },
+];
+
+const index = fc.nat({ max: 50 });
+
+const jobs: fc.Arbitrary<JobSpecification> = fc.record({
+  jobId: fc.integer({ min: 1, max: 60 }).map((at) => `job-${at}`),
+  clientAccount: fc.constantFrom("lakes", "mills", "looms"),
+  jobClass: fc.constantFrom("urgent", "dispatch", "overnight"),
+  tasks: fc.constantFrom(1, 1, 2, 3, 4, 8),
+  resources: fc.record({
+    cores: fc.constantFrom(0.5, 1, 4),
+    memoryBytes: fc.constantFrom(100, 1_000),
+    accelerators: fc.constantFrom(0, 1, 2, 4, 8),
+  }),
+  adjacency: fc.constantFrom("any", "rack", "worker"),
+  declaredRunMs: fc.constantFrom(1_000, 60_000, 3_600_000),
+  dataCentres: fc.constant([]),
+  canCheckpoint: fc.boolean(),
+  command: fc.constant([]),
+});
+
+const steps: fc.Arbitrary<Step> = fc.oneof(
+  {
+    weight: 9,
+    arbitrary: fc.record({ kind: fc.constant("submit" as const), job: jobs }),
+  },
+  {
+    weight: 8,
+    arbitrary: fc.record({
+      kind: fc.constant("deliver" as const),
+      at: index,
+      fails: fc.integer({ min: 0, max: 9 }).map((at) => at === 0),
+    }),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.record({
+      kind: fc.constant("endGang" as const),
+      at: index,
+      fails: fc.integer({ min: 0, max: 3 }).map((at) => at === 0),
+    }),
+  },
+  {
+    weight: 7,
+    arbitrary: fc.record({
+      kind: fc.constant("tick" as const),
+      byMs: fc.constantFrom(100, 1_000, 20_000, 90_000),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("lose" as const),
+      at: index,
+      leavesZombies: fc.boolean(),
+    }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({ kind: fc.constant("join" as const), at: index }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant("leave" as const), at: index }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: fc.constant("cancel" as const), at: index }),
+  },
+  { weight: 1, arbitrary: fc.constant({ kind: "cancelWave" as const }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("status" as const),
+      isOut: fc.boolean(),
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant("permit" as const),
+      forMs: fc.constantFrom(1_000, 100_000),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("guarantees" as const),
+      at: index,
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("leader" as const),
+      startsArrive: fc.boolean(),
+    }),
+  },
+  { weight: 1, arbitrary: fc.constant({ kind: "repeat" as const }) },
+);
+
+class StepCommand implements fc.Command<object, FakeExecutor> {
+  readonly #step: Step;
+
+  constructor(step: Step) {
+    this.#step = step;
+  }
+
+  check(): boolean {
+    return true;
+  }
+
+  run(_model: object, world: FakeExecutor): void {
+    apply(this.#step, world);
+    if (world.broken.length > 0) {
+      throw new Error(world.broken.join("\n"));
+    }
+  }
+
+  toString(): string {
+    return JSON.stringify(this.#step);
+  }
+}
+
+function apply(step: Step, world: FakeExecutor): void {
+  switch (step.kind) {
+    case "submit":
+      return world.submit(step.job);
+    case "cancel":
+      return world.cancel(pick([...world.jobs.keys()], step.at) ?? "none");
+    case "cancelWave":
+      return [...world.jobs.keys()].forEach((jobId) => world.cancel(jobId));
+    case "deliver":
+      return world.deliver(step.at, { fails: step.fails });
+    case "endGang":
+      return world.endGang(step.at, { fails: step.fails });
+    case "tick":
+      return world.tick(step.byMs);
+    case "lose":
+      return world.lose(pick([...world.workers.keys()], step.at) ?? "", {
+        leavesZombies: step.leavesZombies,
+      });
+    case "join":
+      return world.join(pick([...world.workers.keys()], step.at) ?? "");
+    case "leave":
+      return world.leave(pick([...world.workers.keys()], step.at) ?? "");
+    case "status":
+      return world.setStatus(step.isOut ? "out" : "in");
+    case "permit":
+      return world.permit(step.forMs);
+    case "guarantees":
+      return world.configure({
+        clientAccounts: documentOf(step.at % GUARANTEES.length).clientAccounts,
+      });
+    case "leader":
+      return world.changeLeader({ startsArrive: step.startsArrive });
+    case "repeat":
+      return world.repeat();
+  }
+}
+
+function pick<T>(items: readonly T[], at: number): T | undefined {
+  return items[at % Math.max(1, items.length)];
+}
+
+function documentOf(at: number) {
+  return makeDocument({
+    ...HARDWARE,
+    guarantees: GUARANTEES[at] as (typeof GUARANTEES)[0],
+  });
+}
+
+function runFuzz(
+  options: { seed: number; runs: number; mutations?: readonly Mutation[] },
+): { failed: boolean; report: string } {
+  const commands = fc.commands(
+    [steps.map((step) => new StepCommand(step))],
+    { maxCommands: STEPS_LIMIT, size: "max" },
+  );
+  const property = fc.property(commands, (all) => {
+    const world = new FakeExecutor({
+      document: documentOf(0),
+      workers: makeWorkers(HARDWARE),
+      mutations: options.mutations ?? [],
+    });
+    fc.modelRun(() => ({ model: {}, real: world }), all);
+    world.settle();
+    if (world.broken.length > 0) {
+      throw new Error(world.broken.slice(0, 5).join("\n"));
+    }
+  });
+  const details = fc.check(property, {
+    seed: options.seed,
+    numRuns: options.runs,
+    endOnFailure: options.mutations !== undefined,
+  });
+  return {
+    failed: details.failed,
+    report: `${details.errorInstance}\n${fc.defaultReportMessage(details)}`,
+  };
+}
+
+test("no invariant breaks under any sequence of events", (t) => {
+  const details = runFuzz({ seed: SEED, runs: RUNS });
+  t.false(details.failed, details.report);
+});
+
+/** Each fault, and the check that must notice it. */
+const MUTATIONS: Readonly<Record<Mutation, RegExp>> = {
+  startsWhileOut: /while the data centre is out/,
+  startsWithoutPermission: /without permission/,
+  startsWhileRecovering: /during recovery/,
+  overcommitsWorkers: /more is used than it has/,
+  breaksGangs: /without every task|isn't whole/,
+  ignoresAdjacency: /aren't adjacent/,
+  claimsForeignCells: /more within its guarantee than its cells/,
+  leavesCellsOnLostWorkers: /out of use/,
+  forgetsQueuedJobs: /waits outside the queue/,
+  keepsStaleIndex: /index: rack/,
+  evictsGuarantees: /evicted from its guarantee/,
+};
+
+for (const [mutation, expected] of Object.entries(MUTATIONS)) {
+  test(`the checks notice a scheduler that ${mutation}`, (t) => {
+    const details = runFuzz({
+      seed: SEED,
+      runs: 200,
+      mutations: [mutation as Mutation],
+    });
+    t.true(details.failed);
+    t.regex(details.report, expected);
+  });
+}
--- a/src/process/scheduler/core/scheduler_decision.ts
+++ b/src/process/scheduler/core/scheduler_decision.ts
@@ -26,6 +26,7 @@
   fairShare: "its client account is over its share",
   borrowingLimit: "its client account is at its borrowing limit",
   dataCentreOut: "the data centre is out",
+  returning: "the data centre is back and takes work in step by step",
   startPermission: "the configuration may be out of date",
   workersMissing: "too few workers have announced themselves",
   retryDelay: "it failed and waits before the next attempt",
--- /dev/null
+++ b/src/process/scheduler/core/views.ts
@@ -0,0 +1,134 @@
+/**
+ * What others see of the scheduler's state.
+ *
+ * @module
+ */
+
+import type {
+  ClientAccountId,
+  JobId,
+  RackId,
+  WorkerId,
+} from "../../../base/identity.ts";
+import { resourcesOf } from "./amounts.ts";
+import type { CoreContext } from "./core_context.ts";
+import type { TaskResources } from "./job.ts";
+import { isLive, type JobPhase, type JobState } from "./job_state.ts";
+import { isQuarantined } from "./quarantine.ts";
+import {
+  type JobOutcome,
+  type TaskPlacement,
+  WaitReason,
+} from "./scheduler_decision.ts";
+import type { WorkerState, WorkerStatus } from "./worker_state.ts";
+
+/** One job as others see it. */
+export interface JobView {
+  readonly jobId: JobId;
+  readonly clientAccount: ClientAccountId;
+  readonly jobClass: string;
+  readonly tasks: number;
+  readonly phase: JobPhase;
+  readonly attempt: number;
+  readonly placements: readonly TaskPlacement[];
+  readonly isGuaranteed: boolean;
+  readonly submittedAtMs: number;
+  readonly startedAtMs: number | undefined;
+  /** Why it waits; absent when it runs or has ended. */
+  readonly waitReason: WaitReason | undefined;
+  /** The same in words. */
+  readonly waitText: string | undefined;
+  /** The configuration version under which it was last placed. */
+  readonly configurationVersion: number;
+  readonly expectedRunMs: number;
+  readonly outcome: JobOutcome | undefined;
+}
+
+/** One worker as others see it. */
+export interface WorkerView {
+  readonly workerId: WorkerId;
+  readonly rack: RackId;
+  readonly status: WorkerStatus;
+  readonly capacity: TaskResources;
+  readonly free: TaskResources;
+  /** Accelerators that guarantees take here. */
+  readonly promisedAccelerators: number;
+  readonly gangs: number;
+}
+
+/** Sums over the whole data centre. */
+export interface SchedulerMetrics {
+  readonly workers: number;
+  readonly quarantinedWorkers: number;
+  readonly freeAccelerators: number;
+  readonly liveAccelerators: number;
+  /** The most adjacent accelerators free in one rack. */
+  readonly largestStartableGang: number;
+  /** That over all free accelerators; 1 when nothing is free. */
+  readonly largestStartableFraction: number;
+  readonly queuedJobs: number;
+  readonly liveGangs: number;
+  readonly reservations: number;
+  readonly unplacedCells: number;
+}
+
+export function jobViewOf(job: JobState, context: CoreContext): JobView {
+  const waitReason = context.waitReasonOf(job);
+  return {
+    jobId: job.specification.jobId,
+    clientAccount: job.specification.clientAccount,
+    jobClass: job.specification.jobClass,
+    tasks: job.specification.tasks,
+    phase: job.phase,
+    attempt: job.attempt,
+    placements: job.placements,
+    isGuaranteed: job.isGuaranteed,
+    submittedAtMs: job.submittedAtMs,
+    startedAtMs: job.startedAtMs,
+    waitReason,
+    waitText: waitReason === undefined ? undefined : WaitReason[waitReason],
+    configurationVersion: job.configurationVersion,
+    expectedRunMs: job.expectedRunMs,
+    outcome: job.outcome,
+  };
+}
+
+export function workerViewOf(worker: WorkerState): WorkerView {
+  return {
+    workerId: worker.workerId,
+    rack: worker.rack.rackId,
+    status: worker.status,
+    capacity: resourcesOf(worker.capacity),
+    free: resourcesOf(worker.free()),
+    promisedAccelerators: worker.promised.accelerators,
+    gangs: worker.allocations.size,
+  };
+}
+
+export function metricsOf(
+  context: CoreContext,
+  options: { readonly reservations: number },
+): SchedulerMetrics {
+  const { index, cells, queue, ledger } = context;
+  let liveGangs = 0;
+  for (const account of ledger.accounts().values()) {
+    liveGangs += [...account.live].filter(isLive).length;
+  }
+  const largest = index.largestFree();
+  return {
+    workers: index.workers.size,
+    quarantinedWorkers: [...index.workers.values()].filter(isQuarantined)
+      .length,
+    freeAccelerators: index.freeAccelerators,
+    liveAccelerators: ledger.liveAccelerators,
+    largestStartableGang: largest,
+    largestStartableFraction: index.freeAccelerators === 0
+      ? 1
+      : largest / index.freeAccelerators,
+    queuedJobs: queue.size,
+    liveGangs,
+    reservations: options.reservations,
+    unplacedCells: [...cells.all()]
+      .filter((cell) => cell.workers.length === 0).length,
+  };
+}
