Run gangs on workers under the scheduling core

Cause: jobs need the core, the runtime and the data centre's log together. Change: the daemon runs scheduler and routing on one group a data centre; a new leader's core takes over everything at once before its first tick; a job that moved in keeps counting its attempts.

--- a/src/process/daemon/data_centre_part.ts
+++ b/src/process/daemon/data_centre_part.ts
@@ -1,6 +1,6 @@
 /**
  * What an instance does within its data centre: its member of the data
- * centre's group, and request routing on top of it.
+ * centre's group, and request routing and scheduling on top of it.
  *
  * @module
  */
@@ -13,6 +13,7 @@
   SharedMachine,
 } from "../data_centre/mod.ts";
 import type { HttpEndpoint } from "../http/mod.ts";
+import { jobEndpoints, workerEndpoints } from "../jobs/mod.ts";
 import {
   type LedgerCommand,
   type LedgerReply,
@@ -24,25 +25,45 @@
   type StateMachine,
 } from "../replication/mod.ts";
 import { RequestRouting } from "../routing/mod.ts";
+import { LeaderCore } from "../scheduler/leader_core.ts";
+import {
+  HttpWorkerClient,
+  type JobCommand,
+  type JobCommandOutcome,
+  JobLedger,
+  SchedulerRuntime,
+} from "../scheduler/runtime/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import type { DaemonBase } from "./daemon_base.ts";
 
 /** The parts that share the data centre's log. */
 const PartName = {
+  jobs: "jobs",
   requests: "requests",
 } as const;
 
+/** What the parts of a data centre stand on. */
+interface DataCentreState {
+  readonly member: ReplicationMember<PartCommand, unknown>;
+  readonly requests: LedgerState;
+  readonly jobs: JobLedger;
+  readonly configuration: ConfigurationSource;
+}
+
 /** An instance's share in its data centre. */
 export class DataCentrePart {
   readonly member: ReplicationMember<PartCommand, unknown>;
   readonly routing: RequestRouting;
+  readonly scheduler: SchedulerRuntime;
+  #workerClient = new HttpWorkerClient();
 
-  private constructor(options: {
-    member: ReplicationMember<PartCommand, unknown>;
-    routing: RequestRouting;
-  }) {
+  private constructor(base: DaemonBase, options: DataCentreState) {
     this.member = options.member;
-    this.routing = options.routing;
+    this.routing = createRouting(base, options);
+    this.scheduler = createScheduler(base, {
+      ...options,
+      client: this.#workerClient,
+    });
   }
 
   /** Reads what the disk holds and joins the data centre's group. */
@@ -54,10 +75,12 @@
     },
   ): Promise<Result<DataCentrePart>> {
     const { settings } = base;
-    const ledgerState = new LedgerState({});
+    const requests = new LedgerState({});
+    const jobs = new JobLedger({});
     const machine = new SharedMachine({
       parts: {
-        [PartName.requests]: ledgerState as StateMachine<unknown, unknown>,
+        [PartName.jobs]: jobs as StateMachine<unknown, unknown>,
+        [PartName.requests]: requests as StateMachine<unknown, unknown>,
       },
     });
     const opened = await ReplicationMember.open({
@@ -70,29 +93,19 @@
       storage: options.storage,
       events: base.timeline,
     });
-    return opened.map((member) => {
-      const routing = new RequestRouting({
-        self: settings.instance,
-        peers: settings.peers,
-        incarnation: base.incarnation,
-        clock: base.clock,
-        random: base.random,
-        network: base.network,
-        configuration: options.configuration,
-        ledgerLog: new PartLog<LedgerCommand, LedgerReply>({
-          part: PartName.requests,
-          log: member,
-        }),
-        ledgerState,
-        metrics: base.metrics,
-        eventLog: base.timeline,
-      });
-      return new DataCentrePart({ member, routing });
-    });
+    const { configuration } = options;
+    return opened.map((member) =>
+      new DataCentrePart(base, { member, requests, jobs, configuration })
+    );
   }
 
   endpoints(): HttpEndpoint[] {
-    return this.routing.endpoints;
+    const { routing, scheduler } = this;
+    return [
+      ...routing.endpoints,
+      ...jobEndpoints({ scheduler }),
+      ...workerEndpoints({ scheduler }),
+    ];
   }
 
   /** Returns once everything that was begun has ended, or at the deadline. */
@@ -103,10 +116,57 @@
   async close(): Promise<void> {
     await this.routing.close();
     await this.member.handOver();
+    await this.scheduler.close();
+    await this.#workerClient.close();
     await this.member.close();
   }
 }
 
+function createRouting(
+  base: DaemonBase,
+  state: DataCentreState,
+): RequestRouting {
+  return new RequestRouting({
+    self: base.settings.instance,
+    peers: base.settings.peers,
+    incarnation: base.incarnation,
+    clock: base.clock,
+    random: base.random,
+    network: base.network,
+    configuration: state.configuration,
+    ledgerLog: new PartLog<LedgerCommand, LedgerReply>({
+      part: PartName.requests,
+      log: state.member,
+    }),
+    ledgerState: state.requests,
+    metrics: base.metrics,
+    eventLog: base.timeline,
+  });
+}
+
+function createScheduler(
+  base: DaemonBase,
+  state: DataCentreState & { client: HttpWorkerClient },
+): SchedulerRuntime {
+  const { instance, peers } = base.settings;
+  const { dataCentre } = instance;
+  return new SchedulerRuntime({
+    clock: base.clock,
+    dataCentre,
+    instances: [instance, ...peers],
+    network: base.network,
+    log: new PartLog<JobCommand, JobCommandOutcome>({
+      part: PartName.jobs,
+      log: state.member,
+    }),
+    ledger: state.jobs,
+    configuration: state.configuration,
+    client: state.client,
+    createCore: () => new LeaderCore({ dataCentre }),
+    events: base.timeline,
+  });
+}
+
 /** The name of a data centre's group. */
 export function dataCentreGroup(dataCentre: string): string {
   return `data-centre.${dataCentre}`;
--- a/src/process/scheduler/core/job_events.ts
+++ b/src/process/scheduler/core/job_events.ts
@@ -10,13 +10,13 @@
 import type { CellUpkeep } from "./cell_upkeep.ts";
 import type { CoreContext } from "./core_context.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
-import type { JobSpecification } from "./job.ts";
 import { isLive, JobPhase, type JobState, newJobState } from "./job_state.ts";
 import { URGENT_RANK } from "./placer.ts";
 import type { PlacingPass } from "./placing_pass.ts";
 import { Policy } from "./policy.ts";
 import type { ReservationManager } from "./reservation_manager.ts";
 import { JobOutcome } from "./scheduler_decision.ts";
+import type { JobSubmitted } from "./scheduler_event.ts";
 
 /** Work that can't checkpoint may run on for this part of the drain time. */
 const UNCHECKPOINTED_DRAIN_FRACTION = 0.8;
@@ -52,8 +52,9 @@
   }
 
   /** Takes a job in; one that is known already is left as it is. */
-  submitted(specification: JobSpecification): void {
+  submitted(event: JobSubmitted): void {
     const context = this.#context;
+    const specification = event.job;
     if (context.jobs.has(specification.jobId)) {
       return;
     }
@@ -61,6 +62,7 @@
       submittedAtMs: context.nowMs,
       order: this.nextOrder(),
     });
+    job.attempt = event.attemptsUsed ?? 0;
     context.jobs.set(specification.jobId, job);
     const { deadlineMs } = specification;
     if (deadlineMs !== undefined && deadlineMs <= context.nowMs) {
--- a/src/process/scheduler/core/scheduler_core.ts
+++ b/src/process/scheduler/core/scheduler_core.ts
@@ -199,7 +199,7 @@
         this.#workerOut(event.workerId, event.kind);
         return;
       case "jobSubmitted":
-        this.#jobEvents.submitted(event.job);
+        this.#jobEvents.submitted(event);
         return;
       case "jobCancelled":
         if (this.#recovery?.cancel(event.jobId) !== true) {
