Give the tool its commands about the document

config get, edit, history and validate, datacentre out and in, and key hash, each a function of a context and options.

--- a/src/process/configuration/removal_confirmer.ts
+++ b/src/process/configuration/removal_confirmer.ts
@@ -17,6 +17,7 @@
   type MemberRole,
   type ReplicatedLog,
 } from "../replication/replicated_log.ts";
+import { MAX_CLOCK_DRIFT } from "../replication/replication_timing.ts";
 import type {
   ConfigurationCommand,
   ConfigurationOutcome,
@@ -48,7 +49,7 @@
   readonly instances: readonly PlacedInstance[];
   /** How often a pending removal is looked at. */
   readonly periodMs?: number;
-  /** How far two clocks may drift apart, as a fraction of the time passed. */
+  /** How far a clock may run fast or slow, as a fraction of the time. */
   readonly driftFraction?: number;
   /** How long a start may be under way that was permitted when it was sent. */
   readonly startInFlightMs?: number;
@@ -57,7 +58,7 @@
 /** The bounds of the product. */
 export const REMOVAL_DEFAULTS = {
   periodMs: 100,
-  driftFraction: 0.01,
+  driftFraction: MAX_CLOCK_DRIFT,
   startInFlightMs: 500,
 } as const;
 
@@ -102,13 +103,14 @@
    */
   holdsByMs(removal: Removal): number {
     const { machine, driftFraction, startInFlightMs } = this.#options;
+    const slowness = (1 + driftFraction) / (1 - driftFraction);
     let latestMs = this.#seenAtMs(removal.version);
     for (const permission of machine.removals.permissions()) {
       const counts = permission.dataCentre === removal.dataCentre &&
         permission.replacedByVersion <= removal.version;
       if (counts) {
         const lapseMs = this.#seenAtMs(permission.replacedByVersion) +
-          permission.startPermissionMs * (1 + driftFraction) +
+          permission.startPermissionMs * slowness +
           startInFlightMs;
         latestMs = Math.max(latestMs, lapseMs);
       }
--- /dev/null
+++ b/src/programs/commands/config/config_edit.ts
@@ -0,0 +1,156 @@
+/**
+ * `config edit SECTION --file F`: shows the difference, then makes the edit.
+ *
+ * @module
+ */
+
+import { randomUUID } from "node:crypto";
+import { createTwoFilesPatch } from "diff";
+import { Right } from "purify-ts/Either";
+import type { Clock } from "../../../base/clock.ts";
+import { failure, type Result } from "../../../base/sesame_error.ts";
+import { parseSection } from "../../../version/document/parse_document.ts";
+import {
+  formatSectionId,
+  parseSectionId,
+  type SectionId,
+} from "../../../version/document/section_id.ts";
+import {
+  type CommandContext,
+  report,
+  reportError,
+} from "../command_context.ts";
+import { renderEditView } from "./edit_view.ts";
+import { SectionClient, type SectionView } from "./section_client.ts";
+import { readSectionFile, type SectionFile } from "./section_file.ts";
+import { requireKey } from "./team_key_option.ts";
+
+/** What `config edit` is asked for. */
+export interface ConfigEditOptions {
+  /** `kind.name` of the section. */
+  readonly section: string;
+  /** The new text: a file, or `-` for the standard input. */
+  readonly file?: string;
+  /** Removes the section instead. */
+  readonly remove?: boolean;
+  /** `team:key`. */
+  readonly key?: string;
+  /** The version that the edit was made from. */
+  readonly base?: number;
+  /** Goes on with an edit whose answer was lost. */
+  readonly editId?: string;
+  /** Shows the difference and what would come, and changes nothing. */
+  readonly dryRun?: boolean;
+  readonly clock?: Clock;
+}
+
+/** Makes the edit; gives the exit code. */
+export async function editConfiguration(
+  context: CommandContext,
+  options: ConfigEditOptions,
+): Promise<number> {
+  const sectionId = parseSectionId(options.section);
+  const key = requireKey(options.key);
+  const file = await readNewText(context, options);
+  const input = sectionId.chain((id) =>
+    key.chain((presented) =>
+      file.chain((content) => checkFile(id, content)).map((checked) => ({
+        sectionId: id,
+        key: presented,
+        file: checked,
+      }))
+    )
+  );
+  return input.isLeft()
+    ? report(context, { result: input, render: String })
+    : await sendEdit(context, { ...options, ...input.unsafeCoerce() });
+}
+
+interface CheckedEdit extends Omit<ConfigEditOptions, "file"> {
+  readonly sectionId: SectionId;
+  readonly key: string;
+  /** Undefined for a removal. */
+  readonly file: SectionFile | undefined;
+}
+
+async function sendEdit(
+  context: CommandContext,
+  edit: CheckedEdit,
+): Promise<number> {
+  const { sectionId, file, key, clock } = edit;
+  const sections = new SectionClient({
+    client: context.client,
+    key,
+    ...(clock === undefined ? {} : { clock }),
+  });
+  const before = await sections.read(sectionId);
+  if (before.isLeft()) {
+    return report(context, { result: before, render: String });
+  }
+  const current = before.unsafeCoerce();
+  if (!context.wantsJson) {
+    context.io.out(differenceOf(sectionId, { current, file }));
+  }
+  const baseVersion = edit.base ?? file?.baseVersion ?? current.version;
+  const result = await sections.edit({
+    sectionId,
+    editId: edit.editId ?? randomUUID(),
+    baseVersion,
+    text: file?.text,
+    ...(edit.dryRun === undefined ? {} : { isDryRun: edit.dryRun }),
+  });
+  return result.caseOf({
+    Left: (error) => reportError(context, error),
+    Right: (view) =>
+      report(context, { result, render: () => renderEditView(view) }),
+  });
+}
+
+/** The file's text, or undefined for a removal. */
+async function readNewText(
+  context: CommandContext,
+  options: ConfigEditOptions,
+): Promise<Result<string | undefined>> {
+  const isRemoval = options.remove === true;
+  if (isRemoval === (options.file !== undefined)) {
+    return failure("malformed", {
+      detail: "give --file FILE, with - for the standard input, or --remove",
+    });
+  }
+  return options.file === undefined
+    ? Right(undefined)
+    : await context.io.read(options.file);
+}
+
+/** Finds faults in the text before any instance is asked. */
+function checkFile(
+  sectionId: SectionId,
+  content: string | undefined,
+): Result<SectionFile | undefined> {
+  if (content === undefined) {
+    return Right(undefined);
+  }
+  const file = readSectionFile(sectionId, content);
+  return parseSection(sectionId, file.text).map(() => file);
+}
+
+function differenceOf(
+  sectionId: SectionId,
+  texts: {
+    readonly current: SectionView;
+    readonly file: SectionFile | undefined;
+  },
+): string {
+  const name = formatSectionId(sectionId);
+  const { current, file } = texts;
+  const before = current.text ?? "";
+  const after = file?.text.trimStart() ?? "";
+  return createTwoFilesPatch(
+    `${name} at version ${current.version}`,
+    `${name} as edited`,
+    before,
+    after,
+    "",
+    "",
+  ).trimEnd();
+}
--- /dev/null
+++ b/src/programs/commands/config/config_get.ts
@@ -0,0 +1,75 @@
+/**
+ * `config get [SECTION]`: the document or one section, as TOML.
+ *
+ * @module
+ */
+
+import { parseSectionId } from "../../../version/document/section_id.ts";
+import { failure, type Result } from "../../../base/sesame_error.ts";
+import { type CommandContext, report } from "../command_context.ts";
+import { SectionClient } from "./section_client.ts";
+import { writeSectionFile } from "./section_file.ts";
+import { authorizationOf } from "./team_key_option.ts";
+
+/** What `config get` is asked for. */
+export interface ConfigGetOptions {
+  /** `kind.name`; the whole document when undefined. */
+  readonly section?: string;
+  /** `team:key`; shows key hashes. */
+  readonly key?: string;
+}
+
+/** Prints the document or a section; gives the exit code. */
+export async function getConfiguration(
+  context: CommandContext,
+  options: ConfigGetOptions,
+): Promise<number> {
+  return options.section === undefined
+    ? await getDocument(context, options.key)
+    : await getSection(context, { ...options, section: options.section });
+}
+
+async function getDocument(
+  context: CommandContext,
+  key: string | undefined,
+): Promise<number> {
+  const accept = context.wantsJson ? "application/json" : "application/toml";
+  const result = await context.client.call({
+    method: "GET",
+    path: "/v1/configuration",
+    headers: { accept, ...authorizationOf(key) },
+  });
+  return report(context, {
+    result: result.map((answer) =>
+      context.wantsJson ? JSON.parse(answer.text) : answer.text.trimEnd()
+    ),
+    render: (text) => String(text),
+  });
+}
+
+async function getSection(
+  context: CommandContext,
+  options: ConfigGetOptions & { section: string },
+): Promise<number> {
+  const { client } = context;
+  const sections = new SectionClient({ client, key: options.key });
+  const sectionId = parseSectionId(options.section);
+  if (sectionId.isLeft()) {
+    return report(context, { result: sectionId, render: String });
+  }
+  const id = sectionId.unsafeCoerce();
+  const view = await sections.read(id);
+  const found: Result<{ text: string; version: number }> = view.chain(
+    ({ text, version }) =>
+      text === undefined
+        ? failure("notFound", {
+          location: options.section,
+          detail: "there is no such section",
+        })
+        : view.map(() => ({ text, version })),
+  );
+  return report(context, {
+    result: found,
+    render: (source) => writeSectionFile(id, source).trimEnd(),
+  });
+}
--- /dev/null
+++ b/src/programs/commands/config/config_history.ts
@@ -0,0 +1,69 @@
+/**
+ * `config history`: who changed what, when, from which version, and where it
+ * is in force already.
+ *
+ * @module
+ */
+
+import { type CommandContext, report } from "../command_context.ts";
+import { renderTable } from "../table.ts";
+
+/** Which entries `config history` shows. */
+export interface ConfigHistoryOptions {
+  /** `kind.name`; all sections when undefined. */
+  readonly section?: string;
+  readonly limit?: number;
+}
+
+interface HistoryView {
+  readonly version: number;
+  readonly instances: readonly { instanceId: string; version: number }[];
+  readonly entries: readonly {
+    readonly version: number;
+    readonly section: string;
+    readonly change: string;
+    readonly team: string | null;
+    readonly baseVersion: number;
+    readonly atMs: number;
+    readonly inForceOn: readonly string[];
+  }[];
+}
+
+/** Prints the history, the newest first; gives the exit code. */
+export async function showConfigurationHistory(
+  context: CommandContext,
+  options: ConfigHistoryOptions,
+): Promise<number> {
+  const query = new URLSearchParams();
+  for (const [name, value] of Object.entries(options)) {
+    if (value !== undefined) {
+      query.set(name, String(value));
+    }
+  }
+  const result = await context.client.json({
+    method: "GET",
+    path: `/v1/configuration/history?${query}`,
+  });
+  return report(context, {
+    result,
+    render: (value) => renderHistory(value as HistoryView),
+  });
+}
+
+function renderHistory(view: HistoryView): string {
+  const count = view.instances.length;
+  return renderTable(
+    ["VERSION", "SECTION", "CHANGE", "TEAM", "FROM", "AT", "IN FORCE ON"],
+    view.entries.map((entry) => [
+      entry.version,
+      entry.section,
+      entry.change,
+      entry.team,
+      entry.baseVersion,
+      new Date(entry.atMs).toISOString(),
+      entry.inForceOn.length === count
+        ? `all ${count}`
+        : `${entry.inForceOn.length} of ${count}: ${entry.inForceOn.join(" ")}`,
+    ]),
+  );
+}
--- /dev/null
+++ b/src/programs/commands/config/mod.ts
@@ -0,0 +1,19 @@
+/**
+ * Commands about the document: `config`, `datacentre` and `key`.
+ *
+ * @module
+ */
+
+export { type ConfigEditOptions, editConfiguration } from "./config_edit.ts";
+export { type ConfigGetOptions, getConfiguration } from "./config_get.ts";
+export {
+  type ConfigHistoryOptions,
+  showConfigurationHistory,
+} from "./config_history.ts";
+export { validateConfiguration } from "./config_validate.ts";
+export {
+  type DataCentreSwitchOptions,
+  switchDataCentre,
+} from "./data_centre_switch.ts";
+export { type KeyHashOptions, printKeyHash } from "./key_hash.ts";
+export { KEY_VARIABLE } from "./team_key_option.ts";
--- /dev/null
+++ b/src/programs/commands/config/section_client.ts
@@ -0,0 +1,164 @@
+/**
+ * Reads and edits sections through an instance. An edit whose answer was
+ * lost is sent again with the same identity, so that it is made once.
+ *
+ * @module
+ */
+
+import { Left, Right } from "purify-ts/Either";
+import { z } from "zod";
+import { type Clock, SystemClock } from "../../../base/clock.ts";
+import {
+  failure,
+  type Result,
+  SesameError,
+} from "../../../base/sesame_error.ts";
+import type { SectionId } from "../../../version/document/section_id.ts";
+import type { ApiCall, ApiClient } from "../api_client.ts";
+import { authorizationOf } from "./team_key_option.ts";
+
+/** A section as an instance shows it; no text when there is none. */
+export interface SectionView {
+  readonly text: string | undefined;
+  readonly version: number;
+}
+
+/** An edit to be sent. */
+export interface SectionEdit {
+  readonly sectionId: SectionId;
+  readonly editId: string;
+  readonly baseVersion: number;
+  /** The new text; undefined removes the section. */
+  readonly text: string | undefined;
+  readonly isDryRun?: boolean;
+}
+
+const sectionSchema = z.object({ text: z.string(), version: z.int() });
+
+const editSchema = z.object({
+  state: z.enum(["accepted", "pending", "superseded", "wouldBeAccepted"]),
+  version: z.int().optional(),
+  dataCentre: z.string().optional(),
+  holdsByMs: z.number().optional(),
+});
+
+/** Where an edit stands, as an instance tells. */
+export type EditView = z.infer<typeof editSchema>;
+
+/** How to build a {@link SectionClient}. */
+export interface SectionClientOptions {
+  readonly client: Pick<ApiClient, "call" | "json">;
+  /** As `team:key`. */
+  readonly key: string | undefined;
+  readonly clock?: Clock;
+  /** How often an edit is sent before its fate is given up. */
+  readonly attemptsLimit?: number;
+  /** The pause before an edit is sent again. */
+  readonly pauseMs?: number;
+}
+
+/** The limits of the tool. */
+export const SECTION_CLIENT_DEFAULTS = {
+  attemptsLimit: 5,
+  pauseMs: 500,
+} as const;
+
+/** Reads and edits sections. */
+export class SectionClient {
+  readonly #options: Required<SectionClientOptions>;
+
+  constructor(options: SectionClientOptions) {
+    const clock = options.clock ?? new SystemClock();
+    this.#options = { ...SECTION_CLIENT_DEFAULTS, ...options, clock };
+  }
+
+  async read(sectionId: SectionId): Promise<Result<SectionView>> {
+    const result = await this.#json({
+      method: "GET",
+      path: pathOf(sectionId),
+      headers: { accept: "application/json" },
+    }, sectionSchema);
+    return result.chainLeft<SesameError, SectionView>((error) => {
+      const version = error.facts["currentVersion"];
+      return error.kind === "notFound" && typeof version === "number"
+        ? Right({ text: undefined, version })
+        : Left(error);
+    });
+  }
+
+  /** Sends the edit till its fate is known, or the attempts are used up. */
+  async edit(edit: SectionEdit): Promise<Result<EditView>> {
+    const { attemptsLimit, pauseMs } = this.#options;
+    let result = await this.#send(edit);
+    for (let attempt = 1; attempt < attemptsLimit; attempt++) {
+      if (!isWorthRetrying(result)) {
+        return result;
+      }
+      await this.pause(pauseMs);
+      result = await this.#send(edit);
+    }
+    return isWorthRetrying(result) ? giveUp(result, edit) : result;
+  }
+
+  /** Where an edit stands now. */
+  async fate(editId: string): Promise<Result<EditView>> {
+    const path = `/v1/configuration/edits/${encodeURIComponent(editId)}`;
+    return await this.#json({ method: "GET", path }, editSchema);
+  }
+
+  pause(delayMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#options.clock.after(delayMs, resolve);
+    });
+  }
+
+  /** The time now, by the clock that the pauses go by. */
+  nowMs(): number {
+    return this.#options.clock.nowMs();
+  }
+
+  #send(edit: SectionEdit): Promise<Result<EditView>> {
+    const query = edit.isDryRun ? "?dryRun=true" : "";
+    return this.#json({
+      method: edit.text === undefined ? "DELETE" : "PUT",
+      path: pathOf(edit.sectionId) + query,
+      headers: {
+        "idempotency-key": edit.editId,
+        "if-match": `"${edit.baseVersion}"`,
+      },
+      ...(edit.text === undefined ? {} : { body: edit.text }),
+    }, editSchema);
+  }
+
+  async #json<T>(call: ApiCall, schema: z.ZodType<T>): Promise<Result<T>> {
+    const headers = { ...authorizationOf(this.#options.key), ...call.headers };
+    const answer = await this.#options.client.json({ ...call, headers });
+    return answer.chain((value) => {
+      const parsed = schema.safeParse(value);
+      return parsed.success
+        ? Right(parsed.data)
+        : failure<T>("internal", { detail: "the answer has another shape" });
+    });
+  }
+}
+
+function pathOf(sectionId: SectionId): string {
+  const name = encodeURIComponent(sectionId.name);
+  return `/v1/configuration/sections/${sectionId.kind}/${name}`;
+}
+
+function isWorthRetrying(result: Result<EditView>): boolean {
+  return result.swap().map((error) =>
+    error.kind === "outcomeUnknown" || error.answer.isRetryable
+  ).orDefault(false);
+}
+
+function giveUp(result: Result<EditView>, edit: SectionEdit): Result<EditView> {
+  return result.mapLeft((error) =>
+    new SesameError(error.kind, {
+      detail: `${error.message}; to go on with this edit, repeat the ` +
+        `command with --edit-id ${edit.editId} --base ${edit.baseVersion}`,
+      facts: { ...error.facts, editId: edit.editId },
+    })
+  );
+}
