--- a/src/process/daemon/data_centre_part.ts
+++ b/src/process/daemon/data_centre_part.ts
@@ -6,7 +6,7 @@
  */
 
 import type { Result, Storage } from "../../base/mod.ts";
-import type { ConfigurationSource } from "../configuration/configuration_source.ts";
+import type { ConfigurationService } from "../configuration/configuration_service.ts";
 import {
   type PartCommand,
   PartLog,
@@ -26,6 +26,7 @@
 } from "../replication/mod.ts";
 import { RequestRouting } from "../routing/mod.ts";
 import { LeaderCore } from "../scheduler/leader_core.ts";
+import { RemovalAcknowledger } from "../scheduler/removal_acknowledger.ts";
 import {
   HttpWorkerClient,
   type JobCommand,
@@ -47,7 +48,7 @@
   readonly member: ReplicationMember<PartCommand, unknown>;
   readonly requests: LedgerState;
   readonly jobs: JobLedger;
-  readonly configuration: ConfigurationSource;
+  readonly configuration: ConfigurationService;
 }
 
 /** An instance's share in its data centre. */
@@ -56,6 +57,7 @@
   readonly routing: RequestRouting;
   readonly scheduler: SchedulerRuntime;
   #workerClient = new HttpWorkerClient();
+  #acknowledger: RemovalAcknowledger;
 
   private constructor(base: DaemonBase, options: DataCentreState) {
     this.member = options.member;
@@ -64,6 +66,10 @@
       ...options,
       client: this.#workerClient,
     });
+    this.#acknowledger = createAcknowledger(base, {
+      ...options,
+      scheduler: this.scheduler,
+    });
   }
 
   /** Reads what the disk holds and joins the data centre's group. */
@@ -71,7 +77,7 @@
     base: DaemonBase,
     options: {
       storage: Storage | undefined;
-      configuration: ConfigurationSource;
+      configuration: ConfigurationService;
     },
   ): Promise<Result<DataCentrePart>> {
     const { settings } = base;
@@ -116,6 +122,7 @@
   async close(): Promise<void> {
     await this.routing.close();
     await this.member.handOver();
+    this.#acknowledger.close();
     await this.scheduler.close();
     await this.#workerClient.close();
     await this.member.close();
@@ -167,6 +174,23 @@
   });
 }
 
+function createAcknowledger(
+  base: DaemonBase,
+  state: DataCentreState & { scheduler: SchedulerRuntime },
+): RemovalAcknowledger {
+  const { configuration, member, scheduler } = state;
+  const { dataCentre } = base.settings.instance;
+  return new RemovalAcknowledger({
+    clock: base.clock,
+    dataCentre,
+    configuration,
+    hasSettled: () => scheduler.hasSettled,
+    isLeaseHeld: () => member.status().leaseEndMs > base.clock.nowMs(),
+    acknowledge: (version) =>
+      configuration.acknowledgeRemoval(dataCentre, version),
+  });
+}
+
 /** The name of a data centre's group. */
 export function dataCentreGroup(dataCentre: string): string {
   return `data-centre.${dataCentre}`;
--- a/src/process/scheduler/runtime/gang_table.ts
+++ b/src/process/scheduler/runtime/gang_table.ts
@@ -36,6 +36,11 @@
     return this.#gangs.values();
   }
 
+  /** Whether the start of some gang has begun and not ended. */
+  hasStartsUnderWay(): boolean {
+    return [...this.gangs()].some((gang) => gang.phase === "starting");
+  }
+
   get(jobId: JobId, attempt: number): Gang | undefined {
     return this.#gangs.get(key(jobId, attempt));
   }
--- a/src/process/scheduler/runtime/leader_session.ts
+++ b/src/process/scheduler/runtime/leader_session.ts
@@ -95,6 +95,11 @@
     return this.#context.writer;
   }
 
+  /** Whether the start of some gang has begun and not ended. */
+  hasStartsUnderWay(): boolean {
+    return this.#gangs.hasStartsUnderWay();
+  }
+
   waitReason(jobId: JobId): WaitReason | undefined {
     return this.#isRecovering ? "recovering" : this.#waitReasons.get(jobId);
   }
--- a/src/process/scheduler/runtime/scheduler_runtime.ts
+++ b/src/process/scheduler/runtime/scheduler_runtime.ts
@@ -202,6 +202,15 @@
     return this.#session !== undefined && !this.#session.isRecovering;
   }
 
+  /**
+   * Whether this instance leads, decides under the configuration in force,
+   * and has no start under way that it began under an earlier one.
+   */
+  get hasSettled(): boolean {
+    return this.#session !== undefined && !this.#session.isRecovering &&
+      !this.#session.hasStartsUnderWay();
+  }
+
   /** Stops leading and answering; what runs goes on under its leases. */
   close(): Promise<void> {
     this.#isClosed = true;
