--- /dev/null
+++ b/demo/demo_api.ts
@@ -0,0 +1,147 @@
+/**
+ * What the demo's story asks of the instances.
+ *
+ * @module
+ */
+
+import { readFile } from "node:fs/promises";
+import process from "node:process";
+import { parse } from "smol-toml";
+import { ApiClient } from "../src/programs/commands/api_client.ts";
+import { switchDataCentre } from "../src/programs/commands/config/mod.ts";
+import { RequestHeader } from "../src/process/routing/mod.ts";
+
+/** The addresses of the demo's instances. */
+export const INSTANCES = {
+  "east-1": "127.0.0.1:7101",
+  "east-2": "127.0.0.1:7102",
+  "west-1": "127.0.0.1:7103",
+} as const;
+
+/** One of the demo's instances. */
+export type DemoInstance = keyof typeof INSTANCES;
+
+/** The demo's well-known key of the team that owns the data centres. */
+const OPERATIONS_KEY = "operations:demo-operations-key";
+
+const POLL_MS = 100;
+
+/** A job as the demo looks at it. */
+export interface DemoJob {
+  readonly jobId: string;
+  readonly dataCentre: string;
+  readonly state: string;
+  readonly waitText?: string;
+  readonly openAttempt?: {
+    readonly placements: readonly { readonly workerId: string }[];
+  };
+  readonly pastAttempts: readonly unknown[];
+  readonly end?: { readonly outcome: string; readonly detail?: string };
+}
+
+/** The answer to one request. */
+export interface DemoAnswer {
+  readonly requestId: string;
+  readonly server: string;
+  readonly body: string;
+  readonly run: number;
+}
+
+/** A client of one instance. */
+export function clientOf(instance: DemoInstance): ApiClient {
+  return new ApiClient({ servers: [INSTANCES[instance]] });
+}
+
+/** Asks until the condition holds; throws after `withinMs`. */
+export async function waitFor(
+  what: string,
+  options: { withinMs: number; isTrue: () => Promise<boolean> },
+): Promise<void> {
+  const endMs = Date.now() + options.withinMs;
+  while (!await options.isTrue()) {
+    if (Date.now() > endMs) {
+      throw new Error(`waited in vain: ${what}`);
+    }
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
+
+/** One JSON value, or undefined while it can't be had. */
+export async function get(
+  instance: DemoInstance,
+  path: string,
+): Promise<unknown> {
+  const result = await clientOf(instance).json({ method: "GET", path });
+  return result.toMaybe().extract();
+}
+
+/** Sends one request and gives its answer; throws on an error. */
+export async function ask(
+  instance: DemoInstance,
+  options: { requestId: string; requestClass: string; body: string },
+): Promise<DemoAnswer> {
+  const result = await clientOf(instance).json({
+    method: "POST",
+    path: "/v1/services/clearance/requests",
+    headers: {
+      [RequestHeader.requestId]: options.requestId,
+      [RequestHeader.requestClass]: options.requestClass,
+      [RequestHeader.idempotent]: "false",
+      [RequestHeader.timeoutMs]: "5000",
+    },
+    body: options.body,
+  });
+  return result.unsafeCoerce() as DemoAnswer;
+}
+
+/** Submits the job of one of the demo's files, changed as asked. */
+export async function submit(
+  file: string,
+  change: Readonly<Record<string, unknown>> = {},
+): Promise<DemoJob> {
+  const text = await readFile(`examples/demo/jobs/${file}.toml`, "utf8");
+  const result = await clientOf("east-2").json({
+    method: "POST",
+    path: "/v1/jobs",
+    body: JSON.stringify({ ...parse(text), ...change }),
+  });
+  return (result.unsafeCoerce() as { job: DemoJob }).job;
+}
+
+/** One job, asked through an instance that need not be its home. */
+export async function job(jobId: string): Promise<DemoJob | undefined> {
+  const answer = await get("west-1", `/v1/jobs/${jobId}`);
+  return (answer as { job: DemoJob } | undefined)?.job;
+}
+
+/** Waits until a job is in the state, and gives it. */
+export async function jobIn(
+  state: string,
+  options: { jobId: string; withinMs: number },
+): Promise<DemoJob> {
+  let seen: DemoJob | undefined;
+  await waitFor(`job ${options.jobId} ${state}`, {
+    withinMs: options.withinMs,
+    isTrue: async () => {
+      seen = await job(options.jobId);
+      return seen?.state === state;
+    },
+  });
+  return seen as DemoJob;
+}
+
+/** Takes a data centre out, or back in; gives the tool's exit code. */
+export function switchStatus(
+  dataCentre: string,
+  status: "in" | "out",
+): Promise<number> {
+  return switchDataCentre({
+    client: clientOf("west-1"),
+    wantsJson: false,
+    io: {
+      out: (line) => process.stdout.write(`  ${line}\n`),
+      error: (line) => process.stdout.write(`  ${line}\n`),
+      read: () => Promise.reject(new Error("nothing is read")),
+    },
+  }, { dataCentre, status, key: OPERATIONS_KEY });
+}
