--- /dev/null
+++ b/bench/scheduler/workload.ts
@@ -0,0 +1,286 @@
+/**
+ * Streams of jobs, drawn from a seed.
+ *
+ * @module
+ */
+
+import { SeededRandom } from "../../src/base/mod.ts";
+import type { JobSpecification } from "../../src/process/scheduler/core/mod.ts";
+import {
+  type Document,
+  documentSchema,
+  type Guarantee,
+} from "../../src/version/document/document.ts";
+
+/** The data centre of the bench. */
+export const DATA_CENTRE = "bench";
+
+const MINUTE_MS = 60_000;
+const HOUR_MS = 3_600_000;
+
+/** A size to measure. */
+export interface BenchSize {
+  readonly name: string;
+  readonly racks: number;
+  readonly workersPerRack: number;
+  readonly accelerators: number;
+  readonly cores: number;
+  readonly memoryBytes: number;
+  readonly clientAccounts: number;
+  readonly hours: number;
+}
+
+/** Both users' sizes of one data centre, and the size of two years on. */
+export const SIZES = {
+  lakeshore: {
+    name: "lakeshore",
+    racks: 8,
+    workersPerRack: 8,
+    accelerators: 8,
+    cores: 32,
+    memoryBytes: 64e9,
+    clientAccounts: 4,
+    hours: 24,
+  },
+  murshidabad: {
+    name: "murshidabad",
+    racks: 8,
+    workersPerRack: 8,
+    accelerators: 8,
+    cores: 128,
+    memoryBytes: 256e9,
+    clientAccounts: 4,
+    hours: 24,
+  },
+  twoYears: {
+    name: "twoYears",
+    racks: 90,
+    workersPerRack: 8,
+    accelerators: 8,
+    cores: 128,
+    memoryBytes: 256e9,
+    clientAccounts: 180,
+    hours: 8,
+  },
+} as const satisfies Record<string, BenchSize>;
+
+/** A job with the truth about it, which the scheduler isn't told. */
+export interface TrueJob {
+  readonly specification: JobSpecification;
+  readonly submittedAtMs: number;
+  readonly actualRunMs: number;
+  /** When its submitter gives it up; absent for never. */
+  readonly cancelledAtMs: number | undefined;
+  /** Whether it fails wherever it runs. */
+  readonly isBad: boolean;
+}
+
+/** What a stream is drawn with. */
+export interface WorkloadOptions {
+  readonly size: BenchSize;
+  readonly seed: number;
+  /** Work offered, as a fraction of all accelerators. */
+  readonly load: number;
+}
+
+interface Kind {
+  readonly weight: number;
+  readonly tasks: number;
+  readonly accelerators: number;
+  readonly adjacency: JobSpecification["adjacency"];
+}
+
+const KINDS: readonly Kind[] = [
+  { weight: 30, tasks: 1, accelerators: 1, adjacency: "worker" },
+  { weight: 25, tasks: 1, accelerators: 4, adjacency: "worker" },
+  { weight: 14, tasks: 1, accelerators: 8, adjacency: "worker" },
+  { weight: 16, tasks: 8, accelerators: 1, adjacency: "rack" },
+  { weight: 8, tasks: 32, accelerators: 1, adjacency: "rack" },
+  { weight: 4, tasks: 64, accelerators: 1, adjacency: "rack" },
+];
+
+const CLASSES = {
+  urgent: { weight: 15, fromMs: MINUTE_MS / 2, toMs: 5 * MINUTE_MS },
+  dispatch: { weight: 40, fromMs: 5 * MINUTE_MS, toMs: 40 * MINUTE_MS },
+  overnight: { weight: 45, fromMs: 20 * MINUTE_MS, toMs: 3 * HOUR_MS },
+} as const;
+
+type ClassName = keyof typeof CLASSES;
+
+/** Urgent work comes in gangs of at most this size. */
+const URGENT_KINDS = KINDS.slice(0, 4);
+const BURST_EVERY_MS = 2 * HOUR_MS;
+const BURST_JOBS_FRACTION = 0.25;
+const WAVE_EVERY_MS = 3 * HOUR_MS;
+const WAVE_FRACTION = 0.08;
+const BAD_JOB_FRACTION = 0.01;
+const DECLARED_FACTOR_LIMIT = 10;
+/** Half of all accelerators are promised, in whole workers. */
+const PROMISED_FRACTION = 0.5;
+
+/** Jobs over the whole time, in order of submission. */
+export function drawWorkload(options: WorkloadOptions): TrueJob[] {
+  const { size, load } = options;
+  const random = new SeededRandom({ seed: options.seed });
+  const total = size.racks * size.workersPerRack * size.accelerators;
+  const endMs = size.hours * HOUR_MS;
+  const wanted = total * endMs * load;
+  const jobs: TrueJob[] = [];
+  let work = 0;
+  while (work < wanted) {
+    const job = drawJob(random, { ...options, order: jobs.length, endMs });
+    const { tasks, resources } = job.specification;
+    work += tasks * resources.accelerators * job.actualRunMs;
+    jobs.push(job);
+  }
+  return jobs.sort((left, right) => left.submittedAtMs - right.submittedAtMs);
+}
+
+/** The document: hardware, classes and guarantees of half the hardware. */
+export function documentFor(size: BenchSize): Document {
+  const total = size.racks * size.workersPerRack;
+  const perAccount = Math.max(
+    1,
+    Math.floor(total * PROMISED_FRACTION / size.clientAccounts),
+  );
+  const clientAccounts = Object.fromEntries(
+    Array.from({ length: size.clientAccounts }, (_, at) => [accountName(at), {
+      owner: "team",
+      borrowingWeight: 1 + at % 3,
+      guarantees: guaranteesFor(size, perAccount),
+    }]),
+  );
+  const racks = Array.from({ length: size.racks }, (_, at) => ({
+    name: `rack-${at}`,
+    workers: size.workersPerRack,
+    coresPerWorker: size.cores,
+    memoryBytesPerWorker: size.memoryBytes,
+    acceleratorsPerWorker: size.accelerators,
+  }));
+  return documentSchema.parse({
+    formatVersion: 1,
+    clientAccounts,
+    jobClasses: {
+      urgent: { owner: "team", rank: 0, startTargetMs: 1_900 },
+      dispatch: { owner: "team", rank: 1, stopFactor: 50 },
+      overnight: { owner: "team", rank: 5, stopFactor: 50 },
+    },
+    dataCentres: {
+      [DATA_CENTRE]: { owner: "team", region: "bench", racks },
+    },
+  });
+}
+
+function guaranteesFor(size: BenchSize, workers: number): Guarantee[] {
+  const shape = {
+    dataCentre: DATA_CENTRE,
+    racks: 1,
+    acceleratorsPerWorker: size.accelerators,
+  };
+  const wholeRacks = Math.floor(workers / size.workersPerRack);
+  const rest = workers % size.workersPerRack;
+  const guarantees: Guarantee[] = [];
+  if (wholeRacks > 0) {
+    guarantees.push({
+      ...shape,
+      workersPerRack: size.workersPerRack,
+      count: wholeRacks,
+    });
+  }
+  if (rest > 0) {
+    guarantees.push({ ...shape, workersPerRack: rest, count: 1 });
+  }
+  return guarantees;
+}
+
+function drawJob(
+  random: SeededRandom,
+  options: WorkloadOptions & { order: number; endMs: number },
+): TrueJob {
+  const { size, endMs, order } = options;
+  const jobClass = pickWeighted(
+    random,
+    Object.entries(CLASSES),
+  )[0] as ClassName;
+  const kinds = jobClass === "urgent" ? URGENT_KINDS : KINDS;
+  const kind = pickWeighted(random, kinds.map((each) => [each, each] as const));
+  const { fromMs, toMs } = CLASSES[jobClass];
+  const actualRunMs = Math.round(logUniform(random, fromMs, toMs));
+  const factor = logUniform(
+    random,
+    1 / DECLARED_FACTOR_LIMIT,
+    DECLARED_FACTOR_LIMIT,
+  );
+  const coresShare = size.cores * kind[0].accelerators / size.accelerators;
+  const memoryShare = size.memoryBytes * kind[0].accelerators /
+    size.accelerators;
+  const submittedAtMs = drawSubmission(random, endMs);
+  const account = Math.floor(random.nextUnit() ** 2 * size.clientAccounts);
+  return {
+    submittedAtMs,
+    actualRunMs,
+    isBad: random.nextUnit() < BAD_JOB_FRACTION,
+    cancelledAtMs: drawCancellation(random, submittedAtMs),
+    specification: {
+      jobId: `job-${order}`,
+      clientAccount: accountName(account),
+      jobClass,
+      tasks: kind[0].tasks,
+      resources: {
+        cores: Math.max(0.1, coresShare * logUniform(random, 0.1, 1)),
+        memoryBytes: Math.round(memoryShare * logUniform(random, 0.1, 1)),
+        accelerators: kind[0].accelerators,
+      },
+      adjacency: kind[0].adjacency,
+      declaredRunMs: Math.max(1, Math.round(actualRunMs * factor)),
+      dataCentres: [],
+      canCheckpoint: random.nextUnit() < 0.9,
+      command: [],
+    },
+  };
+}
+
+/** A quarter of the jobs come in bursts of one minute. */
+function drawSubmission(random: SeededRandom, endMs: number): number {
+  const atMs = Math.floor(random.nextUnit() * endMs);
+  if (random.nextUnit() >= BURST_JOBS_FRACTION) {
+    return atMs;
+  }
+  return Math.floor(atMs / BURST_EVERY_MS) * BURST_EVERY_MS +
+    random.nextInt(MINUTE_MS);
+}
+
+/** Waves in which some of the jobs there are given up together. */
+function drawCancellation(
+  random: SeededRandom,
+  submittedAtMs: number,
+): number | undefined {
+  const waveAtMs = (Math.floor(submittedAtMs / WAVE_EVERY_MS) + 1) *
+    WAVE_EVERY_MS;
+  return random.nextUnit() < WAVE_FRACTION
+    ? waveAtMs + random.nextInt(2_000)
+    : undefined;
+}
+
+function accountName(at: number): string {
+  return `account-${at}`;
+}
+
+function logUniform(random: SeededRandom, from: number, to: number): number {
+  return from * (to / from) ** random.nextUnit();
+}
+
+function pickWeighted<T extends readonly [unknown, { weight: number }]>(
+  random: SeededRandom,
+  entries: readonly T[],
+): T {
+  const total = entries.reduce((sum, [, { weight }]) => sum + weight, 0);
+  let left = random.nextUnit() * total;
+  for (const entry of entries) {
+    left -= entry[1].weight;
+    if (left < 0) {
+      return entry;
+    }
+  }
+  return entries[entries.length - 1] as T;
+}
--- a/src/process/scheduler/core/cell_upkeep.ts
+++ b/src/process/scheduler/core/cell_upkeep.ts
@@ -105,7 +105,8 @@
   return true;
 }
 
-function hasExcess(worker: WorkerState, job: JobState): boolean {
+/** Whether the job's client account holds more there than its cells. */
+export function hasExcess(worker: WorkerState, job: JobState): boolean {
   const unused = worker.unusedPromise(job.specification.clientAccount);
   return !isWithin(noAmounts(), unused);
 }
--- a/src/process/scheduler/core/placer.ts
+++ b/src/process/scheduler/core/placer.ts
@@ -10,6 +10,7 @@
   minimumAmounts,
   noAmounts,
 } from "./amounts.ts";
+import { hasExcess } from "./cell_upkeep.ts";
 import type { CoreContext } from "./core_context.ts";
 import { type EvictionPlan, planEviction } from "./eviction.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
@@ -218,9 +219,26 @@
       return false;
     }
     this.#openEviction(job, ReservationKind.reclaim, plan);
+    this.#demoteLower(plan.block, isOwnLower);
     return true;
   }
 
+  /** Own lower work that needn't go counts as on loan where both can't be. */
+  #demoteLower(
+    block: Block,
+    isOwnLower: (job: JobState) => boolean,
+  ): void {
+    for (const worker of block.keys()) {
+      for (const { job } of worker.allocations.values()) {
+        const isDemoted = job.isGuaranteed && isOwnLower(job) &&
+          job.phase !== JobPhase.stopping && hasExcess(worker, job);
+        if (isDemoted) {
+          this.#context.ledger.setGuaranteed(job, false);
+        }
+      }
+    }
+  }
+
   /** Evicts lower work on loan for urgent work. */
   #preempt(job: JobState, request: BlockRequest): boolean {
     const mayPreempt = job.rank === URGENT_RANK && this.#mayBorrow(job);
--- a/src/process/scheduler/core/scheduler_core_fuzz_test.ts
+++ b/src/process/scheduler/core/scheduler_core_fuzz_test.ts
@@ -9,7 +9,7 @@
 } from "./testing/fake_executor.ts";
 
 const HARDWARE = { racks: 3, workersPerRack: 4, accelerators: 8 };
-const RUNS = Number(process.env["SCHEDULER_FUZZ_RUNS"] ?? 60);
+const RUNS = Number(process.env["SCHEDULER_FUZZ_RUNS"] ?? 400);
 const SEED = Number(process.env["SCHEDULER_FUZZ_SEED"] ?? 20_261_204);
 const STEPS_LIMIT = 90;
 
