--- a/src/process/scheduler/core/cell_upkeep.ts
+++ b/src/process/scheduler/core/cell_upkeep.ts
@@ -42,6 +42,15 @@
     this.#context.roomFreed();
   }
 
+  /** Promotes where something changed since the last time. */
+  promoteChanged(): void {
+    const { promotable } = this.#context;
+    for (const clientAccount of promotable) {
+      this.promote(clientAccount);
+    }
+    promotable.clear();
+  }
+
   /** Counts gangs on loan as within the guarantee where it has room. */
   promote(clientAccount: ClientAccountId): void {
     const { cells, ledger } = this.#context;
--- a/src/process/scheduler/core/core_context.ts
+++ b/src/process/scheduler/core/core_context.ts
@@ -4,7 +4,11 @@
  * @module
  */
 
-import type { DataCentreId, JobId } from "../../../base/identity.ts";
+import type {
+  ClientAccountId,
+  DataCentreId,
+  JobId,
+} from "../../../base/identity.ts";
 import { BinaryHeap } from "./binary_heap.ts";
 import { Corrections } from "./corrections.ts";
 import { GuaranteeCells } from "./guarantee_cells.ts";
@@ -57,6 +61,8 @@
   });
   /** Jobs that have waited long enough for a reservation. */
   readonly aged = new Set<JobState>();
+  /** Client accounts whose work on loan may now fit their guarantee. */
+  readonly promotable = new Set<ClientAccountId>();
   policy: Policy;
   nowMs = 0;
   permittedUntilMs = -Infinity;
--- a/src/process/scheduler/core/eviction.ts
+++ b/src/process/scheduler/core/eviction.ts
@@ -31,6 +31,8 @@
 /** What may be evicted for a request, and what is there for it. */
 export interface EvictionOptions {
   readonly nowMs: number;
+  /** Whether victims have the time for a checkpoint. */
+  readonly hasTimeToCheckpoint: boolean;
   /** What a worker has once all that may be evicted is gone. */
   readonly potentialOf: RoomOf;
   /** What a worker has once all that stops already is gone. */
@@ -38,6 +40,8 @@
   readonly isEvictable: (job: JobState) => boolean;
 }
 
+type RiskOptions = Pick<EvictionOptions, "nowMs" | "hasTimeToCheckpoint">;
+
 /** Every gang stopped counts like so much work lost on each accelerator. */
 const DISTURBANCE_MS = 60_000;
 /** Blocks whose victims are worked out before the cheapest is taken. */
@@ -55,7 +59,7 @@
     if (victims === undefined) {
       continue;
     }
-    const cost = costOf(victims, options.nowMs);
+    const cost = costOf(victims, options);
     if (best === undefined || cost < best.cost) {
       best = { block, victims, cost };
     }
@@ -139,7 +143,7 @@
       job.phase !== JobPhase.stopping && !chosen.has(job) &&
       goal.isEvictable(job)
     )
-    .sort((left, right) => compareVictims(left, right, goal.nowMs));
+    .sort((left, right) => compareVictims(left, right, goal));
   for (const { job, tasks } of candidates) {
     if (helps(job.need, missing)) {
       chosen.add(job);
@@ -160,9 +164,11 @@
     readonly chosen: Set<JobState>;
   },
 ): Set<JobState> {
-  const { chosen, nowMs } = options;
+  const { chosen } = options;
   const dearestFirst = [...chosen]
-    .sort((left, right) => workAtRisk(right, nowMs) - workAtRisk(left, nowMs));
+    .sort((left, right) =>
+      workAtRisk(right, options) - workAtRisk(left, options)
+    );
   for (const job of dearestFirst) {
     chosen.delete(job);
     const isNeedless = [...block].every(([worker, tasks]) =>
@@ -200,17 +206,20 @@
 function compareVictims(
   left: Allocation,
   right: Allocation,
-  nowMs: number,
+  options: RiskOptions,
 ): number {
-  return workAtRisk(left.job, nowMs) - workAtRisk(right.job, nowMs) ||
+  return workAtRisk(left.job, options) - workAtRisk(right.job, options) ||
     left.job.workers.size - right.job.workers.size ||
     right.job.order - left.job.order;
 }
 
-function costOf(victims: ReadonlySet<JobState>, nowMs: number): number {
+function costOf(
+  victims: ReadonlySet<JobState>,
+  options: RiskOptions,
+): number {
   let cost = 0;
   for (const job of victims) {
-    cost += workAtRisk(job, nowMs) +
+    cost += workAtRisk(job, options) +
       DISTURBANCE_MS * Math.max(1, gangAccelerators(job));
   }
   return cost;
--- a/src/process/scheduler/core/gang_lifecycle.ts
+++ b/src/process/scheduler/core/gang_lifecycle.ts
@@ -72,6 +72,9 @@
     this.#clearAttempt(job);
     context.ledger.setWaiting(job, false);
     context.ledger.occupy(job, block);
+    if (!isGuaranteed) {
+      context.promotable.add(job.specification.clientAccount);
+    }
     context.decide({
       kind: "startGang",
       jobId: job.specification.jobId,
@@ -94,6 +97,9 @@
     const wantsCheckpoint = options.checkpointDeadlineMs !== undefined &&
       job.specification.canCheckpoint && job.phase === JobPhase.running;
     job.stopReason = options.reason;
+    job.stopDeadlineMs = wantsCheckpoint
+      ? options.checkpointDeadlineMs as number
+      : this.#context.nowMs;
     job.outcomeAfterStop = options.outcome;
     this.#context.ledger.beginStopping(job);
     this.#context.decide({
@@ -102,9 +108,7 @@
       attempt: job.attempt,
       reason: options.reason,
       wantsCheckpoint,
-      checkpointDeadlineMs: wantsCheckpoint
-        ? options.checkpointDeadlineMs as number
-        : this.#context.nowMs,
+      checkpointDeadlineMs: job.stopDeadlineMs,
     });
   }
 
@@ -178,6 +182,7 @@
         Math.max(1, gangAccelerators(job));
     }
     const workers = [...job.workers.keys()];
+    context.promotable.add(job.specification.clientAccount);
     context.ledger.release(job);
     context.roomFreed();
     job.phase = JobPhase.queued;
--- a/src/process/scheduler/core/job_state.ts
+++ b/src/process/scheduler/core/job_state.ts
@@ -66,6 +66,8 @@
   /** Whether it counts among its client account's waiting jobs. */
   isWaiting: boolean;
   stopReason: StopReason | undefined;
+  /** By when the gang that is being stopped should be gone. */
+  stopDeadlineMs: number;
   /** What the job comes to once it has stopped; absent to queue again. */
   outcomeAfterStop: JobOutcome | undefined;
   outcome: JobOutcome | undefined;
@@ -111,6 +113,7 @@
     agingFromMs: undefined,
     isWaiting: false,
     stopReason: undefined,
+    stopDeadlineMs: 0,
     outcomeAfterStop: undefined,
     outcome: undefined,
     endedTasks: new Set(),
@@ -133,9 +136,18 @@
     job.phase === JobPhase.stopping;
 }
 
-/** Accelerator-milliseconds that would be lost if the gang stopped now. */
-export function workAtRisk(job: JobState, nowMs: number): number {
-  if (job.startedAtMs === undefined) {
+/**
+ * Accelerator-milliseconds that would be lost if the gang stopped now, or,
+ * with time for a checkpoint, if it can't make one.
+ */
+export function workAtRisk(
+  job: JobState,
+  options: { readonly nowMs: number; readonly hasTimeToCheckpoint: boolean },
+): number {
+  const { nowMs } = options;
+  const isSaved = options.hasTimeToCheckpoint &&
+    job.specification.canCheckpoint;
+  if (job.startedAtMs === undefined || isSaved) {
     return 0;
   }
   const sinceMs = Math.max(job.startedAtMs, job.checkpointedAtMs ?? 0);
--- a/src/process/scheduler/core/placer.ts
+++ b/src/process/scheduler/core/placer.ts
@@ -116,7 +116,7 @@
     const plan = planEviction(
       [...index.racks.values()].map((rack) => rack.workers),
       { ...requestOf(job), avoided: new Set() },
-      this.#evictionOptions((victim) => isDrainable(victim, job)),
+      this.#evictionOptions(job, (victim) => isDrainable(victim, job)),
     );
     if (plan === undefined) {
       return false;
@@ -210,8 +210,12 @@
       this.#context.mutations.has("evictsGuarantees");
     const plan = planEviction(racks, request, {
       nowMs: this.#context.nowMs,
+      hasTimeToCheckpoint: job.rank !== URGENT_RANK,
       potentialOf: (worker) => ownPotential(worker, account, isOwnLower),
-      roomOf: roomForGuarantees,
+      roomOf: (worker) => {
+        const room = roomForGuarantees(worker);
+        return withoutSlowStops(worker, room, this.#slowFromMs(job));
+      },
       isEvictable,
     });
     if (plan === undefined) {
@@ -249,11 +253,10 @@
     const plan = planEviction(
       this.#racksToPreempt(job),
       request,
-      this.#evictionOptions((victim) =>
+      this.#evictionOptions(job, (victim) =>
         victim.rank > job.rank &&
         (!victim.isGuaranteed ||
-          this.#context.mutations.has("evictsGuarantees"))
-      ),
+          this.#context.mutations.has("evictsGuarantees"))),
     );
     if (plan === undefined) {
       this.#noteVain(key, request);
@@ -328,18 +331,28 @@
     return candidates.slice(0, RACKS_WEIGHED).map(({ rack }) => rack.workers);
   }
 
-  #evictionOptions(isEvictable: (job: JobState) => boolean) {
+  /** Stops that end later than this are too slow for the job. */
+  #slowFromMs(job: JobState): number {
+    return job.rank === URGENT_RANK ? this.#checkpointDeadline(job) : Infinity;
+  }
+
+  #evictionOptions(job: JobState, isEvictable: (job: JobState) => boolean) {
+    const slowFromMs = this.#slowFromMs(job);
     const roomOf = (worker: WorkerState) =>
-      worker.isPlaceable ? worker.futureRoom() : NOTHING;
+      worker.isPlaceable
+        ? withoutSlowStops(worker, worker.futureRoom(), slowFromMs)
+        : NOTHING;
     return {
       nowMs: this.#context.nowMs,
+      hasTimeToCheckpoint: job.rank !== URGENT_RANK,
       isEvictable,
       roomOf,
       potentialOf: (worker: WorkerState) => {
         if (!worker.isPlaceable) {
           return NOTHING;
         }
-        return withEvictable(worker, worker.futureRoom(), isEvictable);
+        const room = withoutSlowStops(worker, worker.futureRoom(), slowFromMs);
+        return withEvictable(worker, room, isEvictable);
       },
     };
   }
@@ -419,6 +432,27 @@
   return room;
 }
 
+/** The room without that of gangs whose stop takes too long. */
+function withoutSlowStops(
+  worker: WorkerState,
+  room: Amounts,
+  slowFromMs: number,
+): Amounts {
+  const hasStops = worker.stopping.accelerators > 0 ||
+    worker.stopping.milliCores > 0 || worker.stopping.memoryBytes > 0;
+  if (slowFromMs === Infinity || !hasStops) {
+    return room;
+  }
+  for (const { job, tasks } of worker.allocations.values()) {
+    const isSlow = job.phase === JobPhase.stopping &&
+      job.stopDeadlineMs > slowFromMs;
+    if (isSlow) {
+      addAmounts(room, job.need, { factor: -tasks });
+    }
+  }
+  return room;
+}
+
 /** What is there for guarantees once all that stops has stopped. */
 function roomForGuarantees(worker: WorkerState): Amounts {
   const room = worker.free();
--- a/src/process/scheduler/core/reservation_manager.ts
+++ b/src/process/scheduler/core/reservation_manager.ts
@@ -210,6 +210,7 @@
     const { job, block } = reservation;
     return chooseVictims(block, job.need, {
       nowMs: this.#context.nowMs,
+      hasTimeToCheckpoint: true,
       roomOf: (worker) => {
         const room = worker.futureRoom();
         addAmounts(room, job.need, { factor: block.get(worker) ?? 0 });
@@ -220,9 +221,14 @@
   }
 }
 
-/** Whether a gang may be moved for a larger one that has waited long. */
+/**
+ * Whether a gang may be moved for a larger one that has waited long: work on
+ * loan, and what its own client account runs within the guarantee.
+ */
 export function isDrainable(victim: JobState, claimant: JobState): boolean {
-  return !victim.isGuaranteed && victim.rank >= claimant.rank &&
+  const isOwn = victim.specification.clientAccount ===
+    claimant.specification.clientAccount;
+  return (isOwn || !victim.isGuaranteed) && victim.rank >= claimant.rank &&
     gangAccelerators(victim) < gangAccelerators(claimant) &&
     victim.drainEvictions < DRAIN_EVICTIONS_LIMIT;
 }
--- a/src/process/scheduler/core/scheduler_core.ts
+++ b/src/process/scheduler/core/scheduler_core.ts
@@ -247,6 +247,7 @@
     this.#finishRecovery();
     this.#runDue();
     this.#upkeep.run();
+    this.#upkeep.promoteChanged();
     this.#pass.run();
   }
 
