--- a/src/process/configuration/configuration_machine_test.ts
+++ b/src/process/configuration/configuration_machine_test.ts
@@ -20,6 +20,7 @@
   ConfigurationMachine,
   type ConfigurationMachineOptions,
 } from "./configuration_machine.ts";
+import { decodeSnapshot } from "./configuration_snapshot.ts";
 import { evaluateEdit } from "./edit_evaluation.ts";
 
 const DAY_MS = 86_400_000;
@@ -284,6 +285,16 @@
     return outcomes[0] as EditOutcome;
   }
 
+  /** All members must hold the same state. */
+  compare(): void {
+    const snapshots = new Set(
+      this.members.map((member) =>
+        JSON.stringify(decodeSnapshot(member.snapshot()).extract())
+      ),
+    );
+    assert(snapshots.size === 1, "members differ in their state");
+  }
+
   restart(index: number): void {
     const member = this.members[index] as ConfigurationMachine;
     this.members[index] = restored(member, this.#options);
@@ -406,7 +417,13 @@
         model: new EditModel(),
         real: new EditSystem(options),
       });
-      fc.modelRun(setup, steps);
+      let system: EditSystem | undefined;
+      fc.modelRun(() => {
+        const start = setup();
+        system = start.real;
+        return start;
+      }, steps);
+      system?.compare();
     },
   );
   return fc.check(property, { seed: 20_261_204, numRuns: 150 });
--- a/src/process/configuration/edit_evaluation.ts
+++ b/src/process/configuration/edit_evaluation.ts
@@ -122,7 +122,7 @@
   }
   const document = withSection(context.document, sectionId, source.section);
   const text = keptSectionText(sectionId, source);
-  return accept({ document, text, edit, source: source.text });
+  return accept(context, { document, text, edit, source: source.text });
 }
 
 function evaluateRemoval(
@@ -149,18 +149,23 @@
     }
   }
   const document = withSection(context.document, sectionId, undefined);
-  return accept({ document, text: null, edit, source: undefined });
+  return accept(context, {
+    document,
+    text: null,
+    edit,
+    source: undefined,
+  });
 }
 
 /** Accepts when the document as a whole is sound with the change. */
-function accept(candidate: {
+function accept(context: EditContext, candidate: {
   readonly document: Document;
   readonly text: string | null;
   readonly edit: EditCommand;
   readonly source: string | undefined;
 }): AcceptableEdit | RefusedOutcome {
   const { document, text, edit, source } = candidate;
-  const fault = checkDocument(document)[0];
+  const fault = checkDocument(document, { before: context.document })[0];
   if (fault === undefined) {
     return { kind: "acceptable", document, text };
   }
--- a/src/version/document/check_document.ts
+++ b/src/version/document/check_document.ts
@@ -27,21 +27,42 @@
   readonly reason: string;
 }
 
+/** How to check a document. */
+export interface CheckDocumentOptions {
+  /**
+   * A sound document that this one was made from. What is the same object in
+   * both isn't fitted into the hardware again.
+   */
+  readonly before?: Document;
+}
+
 /** Every broken rule of the document; none when it is whole. */
-export function checkDocument(document: Document): DocumentFault[] {
+export function checkDocument(
+  document: Document,
+  options: CheckDocumentOptions = {},
+): DocumentFault[] {
   return [
     ...checkOwners(document),
     ...checkTeams(document),
     ...checkRacks(document),
-    ...checkGuarantees(document),
+    ...checkGuarantees(document, options.before),
     ...checkServices(document),
   ];
 }
 
+/** In the same order on every instance, however the document came about. */
+function sortedEntries<T>(
+  sections: Readonly<Record<string, T>>,
+): [string, T][] {
+  return Object.entries(sections).sort(([a], [b]) => a < b ? -1 : 1);
+}
+
 function checkOwners(document: Document): DocumentFault[] {
   const faults: DocumentFault[] = [];
   for (const kind of SECTION_KINDS) {
-    for (const [name, section] of Object.entries(document[kind])) {
+    for (
+      const [name, section] of sortedEntries<{ owner: string }>(document[kind])
+    ) {
       if (!Object.hasOwn(document.teams, section.owner)) {
         faults.push({
           sectionId: { kind, name },
@@ -57,7 +78,7 @@
 /** A team that owns itself and has no key could never be edited again. */
 function checkTeams(document: Document): DocumentFault[] {
   const faults: DocumentFault[] = [];
-  for (const [name, team] of Object.entries(document.teams)) {
+  for (const [name, team] of sortedEntries(document.teams)) {
     const sectionId: SectionId = { kind: "teams", name };
     if (team.owner === name && team.keyHashes.length === 0) {
       faults.push({
@@ -79,7 +100,7 @@
 
 function checkRacks(document: Document): DocumentFault[] {
   const faults: DocumentFault[] = [];
-  for (const [name, dataCentre] of Object.entries(document.dataCentres)) {
+  for (const [name, dataCentre] of sortedEntries(document.dataCentres)) {
     const sectionId: SectionId = { kind: "dataCentres", name };
     const index = firstRepeated(dataCentre.racks.map((rack) => rack.name));
     if (index !== undefined) {
@@ -111,13 +132,20 @@
   return undefined;
 }
 
-function checkGuarantees(document: Document): DocumentFault[] {
+function checkGuarantees(
+  document: Document,
+  before: Document | undefined,
+): DocumentFault[] {
   const held = new Map<DataCentreId, HeldGuarantee[]>();
   const faults: DocumentFault[] = [];
-  for (const [name, account] of Object.entries(document.clientAccounts)) {
+  for (const [name, account] of sortedEntries(document.clientAccounts)) {
     faults.push(...collectGuarantees({ name, account, document, held }));
   }
+  const same = unchangedDataCentres(document, before);
   for (const [dataCentre, guarantees] of held) {
+    if (same.has(dataCentre)) {
+      continue;
+    }
     const hardware = document.dataCentres[dataCentre] as DataCentre;
     const fault = checkFit({ dataCentre, hardware, guarantees });
     if (fault !== undefined) {
@@ -127,6 +155,31 @@
   return faults;
 }
 
+/** Data centres whose hardware and guarantees are those of `before`. */
+function unchangedDataCentres(
+  document: Document,
+  before: Document | undefined,
+): Set<DataCentreId> {
+  const unchanged = new Set<DataCentreId>();
+  if (before === undefined) {
+    return unchanged;
+  }
+  for (const [name, section] of Object.entries(before.dataCentres)) {
+    if (document.dataCentres[name] === section) {
+      unchanged.add(name);
+    }
+  }
+  const accounts = [document.clientAccounts, before.clientAccounts];
+  for (const name of accounts.flatMap((sections) => Object.keys(sections))) {
+    const [now, old] = accounts.map((sections) => sections[name]);
+    if (now !== old) {
+      const guarantees = [now, old].flatMap((entry) => entry?.guarantees ?? []);
+      guarantees.forEach(({ dataCentre }) => unchanged.delete(dataCentre));
+    }
+  }
+  return unchanged;
+}
+
 function collectGuarantees(options: {
   readonly name: string;
   readonly account: ClientAccount;
@@ -200,7 +253,7 @@
 
 function checkServices(document: Document): DocumentFault[] {
   const faults: DocumentFault[] = [];
-  for (const [name, service] of Object.entries(document.services)) {
+  for (const [name, service] of sortedEntries(document.services)) {
     const sectionId: SectionId = { kind: "services", name };
     for (const dataCentre of Object.keys(service.dataCentreWeights)) {
       if (!Object.hasOwn(document.dataCentres, dataCentre)) {
