--- a/src/process/configuration/in_force_tracker.ts
+++ b/src/process/configuration/in_force_tracker.ts
@@ -56,6 +56,9 @@
   idleReportMs: 5_000,
 } as const;
 
+/** A sender silent for so long may have come back with an earlier clock. */
+const SILENCE_MS = 15_000;
+
 /** This instance's view of what is in force where. */
 export class InForceTracker {
   readonly #clock: Clock;
@@ -64,7 +67,10 @@
   readonly #channel: PeerChannel<InForceReport>;
   readonly #subscription: Subscription<unknown>;
   readonly #idleTimer: Timer;
-  readonly #reports = new Map<InstanceId, InForceReport>();
+  readonly #reports = new Map<
+    InstanceId,
+    { report: InForceReport; receivedAtMs: number }
+  >();
   readonly #acknowledged = new Map<DataCentreId, number>();
   readonly #changes = new Channel<InstanceId>();
   #changeTimer: Timer | undefined;
@@ -118,7 +124,7 @@
   versionOn(instanceId: InstanceId): number {
     return instanceId === this.#network.selfId
       ? this.#version
-      : this.#reports.get(instanceId)?.version ?? 0;
+      : this.#reports.get(instanceId)?.report.version ?? 0;
   }
 
   /** Whether any scheduler leader has carried out the removal. */
@@ -126,7 +132,7 @@
     if ((this.#acknowledged.get(dataCentre) ?? 0) >= version) {
       return true;
     }
-    for (const report of this.#reports.values()) {
+    for (const { report } of this.#reports.values()) {
       const isHere = report.acknowledgements.some((entry) =>
         entry.dataCentre === dataCentre && entry.version >= version
       );
@@ -152,10 +158,15 @@
     this.#changes.close();
   }
 
+  /** Takes later reports; any at all from a sender that was long silent. */
   #take(from: InstanceId, report: InForceReport): void {
+    const receivedAtMs = this.#clock.nowMs();
     const before = this.#reports.get(from);
-    if (before === undefined || report.sentAtMs > before.sentAtMs) {
-      this.#reports.set(from, report);
+    const isNewer = before === undefined ||
+      report.sentAtMs > before.report.sentAtMs ||
+      receivedAtMs - before.receivedAtMs > SILENCE_MS;
+    if (isNewer) {
+      this.#reports.set(from, { report, receivedAtMs });
       this.#changes.push(from);
     }
   }
