Share slots by demand among instances and forward to other data centres

Cause: eight instances see one pool of slots each; without sharing a server gets more at once than its slots, with fixed parts a busy instance starves.

--- a/src/process/routing/core/remote_loads.ts
+++ b/src/process/routing/core/remote_loads.ts
@@ -19,6 +19,13 @@
   freeSlots: number;
 }
 
+/** What a choice among data centres looks at. */
+export interface RemoteOptions {
+  readonly service: Service;
+  readonly nowMs: number;
+  readonly serviceTimeMs: number;
+}
+
 /** The latest load reports of other data centres for one service. */
 export class RemoteLoads {
   readonly #options: RoutingOptions;
@@ -38,11 +45,28 @@
    * The data centre that can answer the call within its deadline, or
    * undefined; one within the region goes first, since its link is free.
    */
-  claim(
-    call: RoutedCall,
-    options: { service: Service; nowMs: number; serviceTimeMs: number },
-  ): DataCentreId | undefined {
+  claim(call: RoutedCall, options: RemoteOptions): DataCentreId | undefined {
+    const chosen = this.#find(call, options);
+    if (chosen === undefined) {
+      return undefined;
+    }
+    chosen.freeSlots -= 1;
+    if (chosen.load.isOtherRegion) {
+      this.#bytes.take(bytesOf(call));
+    }
+    return chosen.load.dataCentre;
+  }
+
+  /** Whether {@link claim} would find a data centre. */
+  canTake(call: RoutedCall, options: RemoteOptions): boolean {
+    return this.#find(call, options) !== undefined;
+  }
+
+  #find(call: RoutedCall, options: RemoteOptions): HeardLoad | undefined {
     const { service, nowMs, serviceTimeMs } = options;
+    if (call.isForwarded) {
+      return undefined;
+    }
     this.#fill(service, nowMs);
     const fitting = [...this.#loads.values()].filter((heard) => {
       const { roundTripMs, dataCentre } = heard.load;
@@ -53,14 +77,9 @@
         nowMs + roundTripMs + serviceTimeMs < call.deadlineMs;
     });
     fitting.sort((left, right) => compare(left, right, service));
-    const bytes = call.bodyBytes + ANSWER_BYTES;
-    const chosen = fitting.find((heard) =>
-      !heard.load.isOtherRegion || this.#bytes.take(bytes)
+    return fitting.find((heard) =>
+      !heard.load.isOtherRegion || this.#bytes.tokens >= bytesOf(call)
     );
-    if (chosen !== undefined) {
-      chosen.freeSlots -= 1;
-    }
-    return chosen?.load.dataCentre;
   }
 
   #fill(service: Service, nowMs: number): void {
@@ -70,6 +89,10 @@
   }
 }
 
+function bytesOf(call: RoutedCall): number {
+  return call.bodyBytes + ANSWER_BYTES;
+}
+
 function compare(left: HeardLoad, right: HeardLoad, service: Service): number {
   const byRegion = Number(left.load.isOtherRegion) -
     Number(right.load.isOtherRegion);
--- a/src/process/routing/core/routing_core.ts
+++ b/src/process/routing/core/routing_core.ts
@@ -59,7 +59,7 @@
 
   /** Whether the call would be refused at once; changes nothing. */
   wouldRefuse(call: RoutedCall, atMs: number): boolean {
-    return this.#services.get(call.service)?.preview(call, atMs) !== undefined;
+    return this.#services.get(call.service)?.wouldRefuse(call, atMs) === true;
   }
 
   handle(event: RoutingEvent): RoutingDecision[] {
@@ -89,10 +89,8 @@
         return this.#serviceByCall.get(event.key)
           ?.endForward(event.key, event.result) ?? [];
       case "slotsAllotted":
-        return this.#all((service) => {
-          service.servers.allot(event.slots);
-          return service.dispatch(event.atMs);
-        });
+        this.#services.get(event.service)?.servers.allot(event.slots);
+        return this.#services.get(event.service)?.dispatch(event.atMs) ?? [];
       case "remoteLoadReported":
         this.#services.get(event.load.service)?.remoteLoads
           .hear(event.load, event.atMs);
--- a/src/process/routing/core/routing_event.ts
+++ b/src/process/routing/core/routing_event.ts
@@ -94,6 +94,7 @@
   | {
     readonly kind: "slotsAllotted";
     readonly atMs: number;
+    readonly service: ServiceId;
     /** Slots of each server that this instance may use; the rest are 0. */
     readonly slots: ReadonlyMap<BackendServerId, number>;
   }
--- a/src/process/routing/core/server_table.ts
+++ b/src/process/routing/core/server_table.ts
@@ -88,6 +88,28 @@
       : Math.min(slots, allotted ?? 0);
   }
 
+  /** All slots, whoever may use them, of each server that takes new work. */
+  capacity(nowMs: number): Map<BackendServerId, number> {
+    const capacity = new Map<BackendServerId, number>();
+    for (const server of this.#servers.values()) {
+      if (server.isOpen(nowMs, this.#service)) {
+        capacity.set(server.serverId, server.slots(this.#service));
+      }
+    }
+    return capacity;
+  }
+
+  /** Slots of each server that this instance uses now. */
+  inUse(): Map<BackendServerId, number> {
+    const inUse = new Map<BackendServerId, number>();
+    for (const server of this.#servers.values()) {
+      if (server.attempts.size > 0) {
+        inUse.set(server.serverId, server.attempts.size);
+      }
+    }
+    return inUse;
+  }
+
   /** Slots over all servers that take new work. */
   openSlots(nowMs: number): number {
     let slots = 0;
--- a/src/process/routing/core/service_router.ts
+++ b/src/process/routing/core/service_router.ts
@@ -16,7 +16,7 @@
   Service,
 } from "../../../version/document/document.ts";
 import { ClassQueues } from "./class_queues.ts";
-import { RemoteLoads } from "./remote_loads.ts";
+import { RemoteLoads, type RemoteOptions } from "./remote_loads.ts";
 import type { RoutingDecision } from "./routing_decision.ts";
 import {
   type AttemptId,
@@ -40,6 +40,8 @@
   readonly createdAtMs: number;
 }
 
+const NO_SERVERS: ReadonlySet<BackendServerId> = new Set();
+
 /** A call that hasn't ended yet. */
 interface OpenCall extends RoutedCall {
   readonly rank: number;
@@ -99,8 +101,14 @@
     }
     const open = openCall(call, known.rank);
     const refusal = this.#refusal(open, known.queueLimit, nowMs);
-    if (refusal !== undefined) {
-      return [this.#forward(open, nowMs) ?? refusal];
+    const forwarding = refusal === undefined
+      ? undefined
+      : this.#forward(open, nowMs);
+    if (forwarding !== undefined) {
+      return [forwarding];
+    }
+    if (refusal !== undefined && !this.#mayYetDiscover(nowMs)) {
+      return [refusal];
     }
     this.#retryBudget.add(this.#service.retryBudgetFraction);
     this.#calls.set(open.key, open);
@@ -115,15 +123,16 @@
       !call.mayHaveRun;
   }
 
-  /**
-   * Why the call would be refused at once; undefined when it would not.
-   * Changes nothing.
-   */
-  preview(call: RoutedCall, nowMs: number): RoutingDecision | undefined {
+  /** Whether the call would be refused at once. */
+  wouldRefuse(call: RoutedCall, nowMs: number): boolean {
     const known = this.#classOf(call);
-    return known === undefined
-      ? undefined
-      : this.#refusal(openCall(call, known.rank), known.queueLimit, nowMs);
+    if (known === undefined) {
+      return false;
+    }
+    const open = openCall(call, known.rank);
+    return this.#refusal(open, known.queueLimit, nowMs) !== undefined &&
+      !this.#mayYetDiscover(nowMs) &&
+      !this.remoteLoads.canTake(call, this.#remoteOptions(nowMs));
   }
 
   /** The caller has gone; what is on its way goes on. */
@@ -172,7 +181,8 @@
     const ended = [...this.#calls.values()]
       .filter((call) => call.deadlineMs <= nowMs)
       .map((call) => this.#expire(call));
-    return [...judged, ...ended, ...this.dispatch(nowMs)];
+    const forwarded = this.#forwardStranded(nowMs);
+    return [...judged, ...ended, ...forwarded, ...this.dispatch(nowMs)];
   }
 
   /** Sends waiting calls, in order, as far as slots are free. */
@@ -209,9 +219,7 @@
     queueLimit: number,
     nowMs: number,
   ): RoutingDecision | undefined {
-    const slots = this.#openSlots(nowMs);
-    const ageMs = nowMs - this.#options.createdAtMs;
-    if (slots === 0 && ageMs > this.#routing.discoveryMs) {
+    if (!this.#hasServers(nowMs)) {
       const detail = "No backend server of the service takes new work.";
       return endWithError(call.key, "unavailable", detail);
     }
@@ -223,7 +231,7 @@
     if (this.#queues.countOf(call.requestClass) >= queueLimit) {
       return endWithError(call.key, "overloaded", "The class's queue is full.");
     }
-    const waitMs = this.#expectedWaitMs(call, slots);
+    const waitMs = this.#expectedWaitMs(call, nowMs);
     if (nowMs + waitMs + this.#serviceBoundMs() > call.deadlineMs) {
       const detail = "It would miss its deadline.";
       return endWithError(call.key, "overloaded", detail);
@@ -231,16 +239,23 @@
     return undefined;
   }
 
-  #openSlots(nowMs: number): number {
+  #hasServers(nowMs: number): boolean {
     const weight =
       this.#service.dataCentreWeights[this.#options.selfDataCentre] ?? 1;
-    return weight > 0 ? this.servers.openSlots(nowMs) : 0;
+    return weight > 0 && this.servers.hasOther(nowMs, NO_SERVERS);
+  }
+
+  /** Whether servers may be there that haven't announced themselves yet. */
+  #mayYetDiscover(nowMs: number): boolean {
+    const ageMs = nowMs - this.#options.createdAtMs;
+    return ageMs <= this.#routing.discoveryMs && !this.#hasServers(nowMs);
   }
 
   /** How long the calls that go first will keep the slots busy. */
-  #expectedWaitMs(call: OpenCall, slots: number): number {
+  #expectedWaitMs(call: OpenCall, nowMs: number): number {
     const before = this.#queues.countBefore(call) + 1;
-    return before * this.servers.serviceTime.meanMs / Math.max(1, slots);
+    const slots = Math.max(1, this.servers.openSlots(nowMs));
+    return before * this.servers.serviceTime.meanMs / slots;
   }
 
   #serviceBoundMs(): number {
@@ -249,14 +264,8 @@
   }
 
   #forward(call: OpenCall, nowMs: number): RoutingDecision | undefined {
-    if (call.isForwarded) {
-      return undefined;
-    }
-    const dataCentre = this.remoteLoads.claim(call, {
-      service: this.#service,
-      nowMs,
-      serviceTimeMs: this.#serviceBoundMs(),
-    });
+    const options = this.#remoteOptions(nowMs);
+    const dataCentre = this.remoteLoads.claim(call, options);
     if (dataCentre === undefined) {
       return undefined;
     }
@@ -266,6 +275,27 @@
     return { kind: "forwardCall", key: call.key, dataCentre };
   }
 
+  /** Forwards what waits here though no server is left. */
+  #forwardStranded(nowMs: number): RoutingDecision[] {
+    if (this.#queues.size === 0 || this.#hasServers(nowMs)) {
+      return [];
+    }
+    const decisions: RoutingDecision[] = [];
+    for (const call of [...this.#queues.calls]) {
+      const decision = this.#forward(call, nowMs);
+      if (decision !== undefined) {
+        this.#queues.remove(call);
+        decisions.push(decision);
+      }
+    }
+    return decisions;
+  }
+
+  #remoteOptions(nowMs: number): RemoteOptions {
+    const serviceTimeMs = this.#serviceBoundMs();
+    return { service: this.#service, nowMs, serviceTimeMs };
+  }
+
   /** Whether a slot is better spent on one of the others that wait. */
   #isHopeless(call: OpenCall, nowMs: number): boolean {
     if (call.deadlineMs <= nowMs) {
@@ -278,7 +308,7 @@
   #chooseFor(call: OpenCall, nowMs: number): ServerEntry | undefined {
     const exclude = this.servers.hasOther(nowMs, call.triedServers)
       ? call.triedServers
-      : new Set<BackendServerId>();
+      : NO_SERVERS;
     return this.servers.choose(nowMs, {
       exclude,
       mayProbe: call.isIdempotent,
--- /dev/null
+++ b/src/process/routing/forward_message.ts
@@ -0,0 +1,77 @@
+/**
+ * What instances of different data centres say to one another about requests.
+ *
+ * @module
+ */
+
+import { Right } from "purify-ts/Either";
+import { z } from "zod";
+import { IDENTITY_PATTERN } from "../../base/identity.ts";
+import { failure, type Result } from "../../base/sesame_error.ts";
+import { AttemptResult } from "./core/mod.ts";
+
+const identity = z.string().regex(IDENTITY_PATTERN);
+const bytes = z.instanceof(Uint8Array);
+
+const forwardMessageSchema = z.discriminatedUnion("kind", [
+  /** What the sender could take on; the receiver echoes it. */
+  z.strictObject({
+    kind: z.literal("load"),
+    sentAtMs: z.number(),
+    freeSlots: z.record(identity, z.int().min(0)),
+  }),
+  z.strictObject({ kind: z.literal("loadEcho"), sentAtMs: z.number() }),
+  /** A part of a packed call or of the packed end of one. */
+  z.strictObject({
+    kind: z.literal("part"),
+    flow: z.enum(["call", "end"]),
+    /** Grows with every run of the sender of the call. */
+    incarnation: z.int().min(0),
+    forwardId: z.int().min(1),
+    index: z.int().min(0),
+    count: z.int().min(1).max(1_024),
+    bytes,
+  }),
+]);
+
+/** A call for another data centre. */
+export const forwardedCallSchema = z.strictObject({
+  formatVersion: z.literal(1),
+  /** How long its caller still waits; clocks of instances may differ. */
+  timeoutMs: z.number(),
+  record: z.strictObject({
+    requestId: identity,
+    service: identity,
+    clientAccount: identity.optional(),
+    requestClass: identity,
+    isIdempotent: z.boolean(),
+    path: z.string(),
+    contentType: z.string().optional(),
+    body: bytes,
+    configurationVersion: z.int(),
+  }),
+});
+
+/** How a forwarded call ended. */
+export const forwardedEndSchema = z.strictObject({
+  formatVersion: z.literal(1),
+  result: z.enum(AttemptResult),
+  answer: z.strictObject({
+    httpStatus: z.int(),
+    contentType: z.string().optional(),
+    body: bytes,
+  }).optional(),
+});
+
+export type ForwardMessage = z.infer<typeof forwardMessageSchema>;
+export type ForwardPart = Extract<ForwardMessage, { kind: "part" }>;
+export type ForwardedCall = z.infer<typeof forwardedCallSchema>;
+export type ForwardedEnd = z.infer<typeof forwardedEndSchema>;
+
+/** Checks a message from a peer; `malformed` when it has another shape. */
+export function decodeForwardMessage(body: unknown): Result<ForwardMessage> {
+  const parsed = forwardMessageSchema.safeParse(body);
+  return parsed.success ? Right(parsed.data) : failure("malformed", {
+    detail: "A message about forwarded requests has a wrong shape.",
+  });
+}
--- a/src/process/routing/mod.ts
+++ b/src/process/routing/mod.ts
@@ -9,5 +9,5 @@
 export {
   RequestRouting,
   type RequestRoutingOptions,
-  type RoutingInstance,
 } from "./request_routing.ts";
+export type { RoutingInstance } from "./routing_instance.ts";
--- a/src/process/routing/request_routing.ts
+++ b/src/process/routing/request_routing.ts
@@ -7,11 +7,7 @@
 
 import { type EventLog, SILENT_EVENT_LOG } from "../../base/event_log.ts";
 import type { Clock } from "../../base/clock.ts";
-import type {
-  DataCentreId,
-  InstanceId,
-  RegionId,
-} from "../../base/identity.ts";
+import type { InstanceId } from "../../base/identity.ts";
 import type { RandomSource } from "../../base/random_source.ts";
 import type { PeerNetwork } from "../../connection/peer_network.ts";
 import type { ConfigurationSource } from "../configuration/configuration_source.ts";
@@ -26,14 +22,10 @@
 import { RequestService } from "./request_service.ts";
 import { Router } from "./router.ts";
 import { RoutingMetrics } from "./routing_metrics.ts";
+import { Forwarding } from "./forwarding.ts";
+import type { RoutingInstance } from "./routing_instance.ts";
 import { ServerSpread } from "./server_spread.ts";
-
-/** Where an instance stands. */
-export interface RoutingInstance {
-  readonly id: InstanceId;
-  readonly dataCentre: DataCentreId;
-  readonly region: RegionId;
-}
+import { SlotSharing } from "./slot_sharing.ts";
 
 /** What routing is built from. */
 export interface RequestRoutingOptions {
@@ -53,6 +45,11 @@
   readonly eventLog?: EventLog;
   readonly routing?: Partial<RoutingOptions>;
   readonly connectionsPerServer?: number;
+  /**
+   * The instances of this data centre that take new work, this one included
+   * unless it is leaving; all that are linked when absent.
+   */
+  readonly usableInstances?: () => readonly InstanceId[];
 }
 
 const CONNECTIONS_PER_SERVER = 60;
@@ -65,6 +62,8 @@
   readonly #ledger: Ledger;
   readonly #service: RequestService;
   readonly #spread: ServerSpread;
+  readonly #sharing: SlotSharing;
+  readonly #forwarding: Forwarding;
 
   constructor(options: RequestRoutingOptions) {
     this.#options = options;
@@ -111,6 +110,21 @@
       peerDataCentres,
       onAnnounced: (announcement) => this.#hear(announcement),
     });
+    const presentInstances = (): InstanceId[] => [
+      options.self.id,
+      ...options.network.linkedPeerIds().filter((id) =>
+        peerDataCentres.get(id) === options.self.dataCentre
+      ),
+    ];
+    this.#sharing = new SlotSharing({
+      selfId: options.self.id,
+      usableInstances: options.usableInstances ?? presentInstances,
+      presentInstances,
+      network: options.network,
+      clock: options.clock,
+      router: this.#router,
+    });
+    this.#forwarding = new Forwarding({ ...options, router: this.#router });
     showGauges(metrics, this.#router, options.ledgerState);
   }
 
@@ -146,6 +160,8 @@
   }
 
   async close(): Promise<void> {
+    this.#forwarding.close();
+    this.#sharing.close();
     this.#spread.close();
     this.#ledger.close();
     await this.#router.close();
--- a/src/process/routing/request_routing_test.ts
+++ b/src/process/routing/request_routing_test.ts
@@ -259,6 +259,23 @@
   t.regex(instances[0]?.metrics.render() ?? "", /fault="late"} 1/);
 });
 
+test("a request is forwarded when no server is near", async (t) => {
+  const { addServer, call, instances } = await startSystem(t);
+  await addServer("far", { dataCentre: "west" });
+  const large = "x".repeat(300_000);
+  const headers = { "sesamethread-request": "order-1" };
+  let answer = await call(0, large, headers);
+  while (answer.json.error?.kind === "deadlineExceeded") {
+    answer = await call(0, large, headers);
+  }
+  t.is(answer.json.error, undefined);
+  t.is(answer.json.body.length, large.length);
+  t.regex(
+    instances[0]?.metrics.render() ?? "",
+    /forwards_total{end="answered"} 1/,
+  );
+});
+
 test("malformed calls of callers and servers are refused", async (t) => {
   const { call, instances } = await startSystem(t);
   const cases = [
