--- /dev/null
+++ b/src/process/daemon/data_centre_part.ts
@@ -0,0 +1,204 @@
+/**
+ * What an instance does within its data centre: its member of the data
+ * centre's group, and request routing and scheduling on top of it.
+ *
+ * @module
+ */
+
+import type { Result, Storage } from "../../base/mod.ts";
+import type { ConfigurationService } from "../configuration/configuration_service.ts";
+import {
+  type PartCommand,
+  PartLog,
+  SharedMachine,
+} from "../data_centre/mod.ts";
+import type { HttpEndpoint } from "../http/mod.ts";
+import { jobEndpoints, workerEndpoints } from "../jobs/mod.ts";
+import {
+  type LedgerCommand,
+  type LedgerReply,
+  LedgerState,
+} from "../ledger/mod.ts";
+import {
+  type GroupMember,
+  ReplicationMember,
+  type StateMachine,
+} from "../replication/mod.ts";
+import { RequestRouting } from "../routing/mod.ts";
+import { LeaderCore } from "../scheduler/leader_core.ts";
+import { RemovalAcknowledger } from "../scheduler/removal_acknowledger.ts";
+import {
+  HttpWorkerClient,
+  type JobCommand,
+  type JobCommandOutcome,
+  JobLedger,
+  SchedulerRuntime,
+} from "../scheduler/runtime/mod.ts";
+import type { Settings } from "../settings/mod.ts";
+import type { DaemonBase } from "./daemon_base.ts";
+
+/** The parts that share the data centre's log. */
+const PartName = {
+  jobs: "jobs",
+  requests: "requests",
+} as const;
+
+/** What the parts of a data centre stand on. */
+interface DataCentreState {
+  readonly member: ReplicationMember<PartCommand, unknown>;
+  readonly requests: LedgerState;
+  readonly jobs: JobLedger;
+  readonly configuration: ConfigurationService;
+}
+
+/** An instance's share in its data centre. */
+export class DataCentrePart {
+  readonly member: ReplicationMember<PartCommand, unknown>;
+  readonly routing: RequestRouting;
+  readonly scheduler: SchedulerRuntime;
+  #workerClient = new HttpWorkerClient();
+  #acknowledger: RemovalAcknowledger;
+
+  private constructor(base: DaemonBase, options: DataCentreState) {
+    this.member = options.member;
+    this.routing = createRouting(base, options);
+    this.scheduler = createScheduler(base, {
+      ...options,
+      client: this.#workerClient,
+    });
+    this.#acknowledger = createAcknowledger(base, {
+      ...options,
+      scheduler: this.scheduler,
+    });
+  }
+
+  /** Reads what the disk holds and joins the data centre's group. */
+  static async open(
+    base: DaemonBase,
+    options: {
+      storage: Storage | undefined;
+      configuration: ConfigurationService;
+    },
+  ): Promise<Result<DataCentrePart>> {
+    const { settings } = base;
+    const requests = new LedgerState({});
+    const jobs = new JobLedger({});
+    const machine = new SharedMachine({
+      parts: {
+        [PartName.jobs]: jobs as StateMachine<unknown, unknown>,
+        [PartName.requests]: requests as StateMachine<unknown, unknown>,
+      },
+    });
+    const opened = await ReplicationMember.open({
+      groupId: dataCentreGroup(settings.instance.dataCentre),
+      members: listMembers(settings),
+      network: base.network,
+      clock: base.clock,
+      random: base.random,
+      machine,
+      storage: options.storage,
+      events: base.timeline,
+    });
+    const { configuration } = options;
+    return opened.map((member) =>
+      new DataCentrePart(base, { member, requests, jobs, configuration })
+    );
+  }
+
+  endpoints(): HttpEndpoint[] {
+    const { routing, scheduler } = this;
+    return [
+      ...routing.endpoints,
+      ...jobEndpoints({ scheduler }),
+      ...workerEndpoints({ scheduler }),
+    ];
+  }
+
+  /** Returns once everything that was begun has ended, or at the deadline. */
+  async drain(options: { deadlineMs: number }): Promise<void> {
+    await this.routing.drain(options);
+  }
+
+  async close(): Promise<void> {
+    await this.routing.close();
+    await this.member.handOver();
+    this.#acknowledger.close();
+    await this.scheduler.close();
+    await this.#workerClient.close();
+    await this.member.close();
+  }
+}
+
+function createRouting(
+  base: DaemonBase,
+  state: DataCentreState,
+): RequestRouting {
+  return new RequestRouting({
+    self: base.settings.instance,
+    peers: base.settings.peers,
+    incarnation: base.incarnation,
+    clock: base.clock,
+    random: base.random,
+    network: base.network,
+    configuration: state.configuration,
+    ledgerLog: new PartLog<LedgerCommand, LedgerReply>({
+      part: PartName.requests,
+      log: state.member,
+    }),
+    ledgerState: state.requests,
+    metrics: base.metrics,
+    eventLog: base.timeline,
+  });
+}
+
+function createScheduler(
+  base: DaemonBase,
+  state: DataCentreState & { client: HttpWorkerClient },
+): SchedulerRuntime {
+  const { instance, peers } = base.settings;
+  const { dataCentre } = instance;
+  return new SchedulerRuntime({
+    clock: base.clock,
+    dataCentre,
+    instances: [instance, ...peers],
+    network: base.network,
+    log: new PartLog<JobCommand, JobCommandOutcome>({
+      part: PartName.jobs,
+      log: state.member,
+    }),
+    ledger: state.jobs,
+    configuration: state.configuration,
+    client: state.client,
+    createCore: () => new LeaderCore({ dataCentre }),
+    events: base.timeline,
+  });
+}
+
+function createAcknowledger(
+  base: DaemonBase,
+  state: DataCentreState & { scheduler: SchedulerRuntime },
+): RemovalAcknowledger {
+  const { configuration, member, scheduler } = state;
+  const { dataCentre } = base.settings.instance;
+  return new RemovalAcknowledger({
+    clock: base.clock,
+    dataCentre,
+    configuration,
+    hasSettled: () => scheduler.hasSettled,
+    isLeaseHeld: () => member.status().leaseEndMs > base.clock.nowMs(),
+    acknowledge: (version) =>
+      configuration.acknowledgeRemoval(dataCentre, version),
+  });
+}
+
+/** The name of a data centre's group. */
+export function dataCentreGroup(dataCentre: string): string {
+  return `data-centre.${dataCentre}`;
+}
+
+function listMembers(settings: Settings): GroupMember[] {
+  const { dataCentre } = settings.instance;
+  return [settings.instance, ...settings.peers]
+    .filter((instance) => instance.dataCentre === dataCentre)
+    .map(({ id, hasDisk }) => ({ id, isVoter: true, isDurable: hasDisk }));
+}
