Ask the core why a job waits

Cause: a drained job was shown as waiting for capacity, because the runtime kept the last reason that the core had volunteered. Change: the runtime asks the core whenever somebody looks; its own table of reasons is gone. The demo judges the reason.

--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -6,6 +6,7 @@
  */
 
 import process from "node:process";
+import { WaitReason } from "../src/process/scheduler/core/mod.ts";
 import type { TimelineRecord } from "../src/process/timeline/mod.ts";
 import {
   ask,
@@ -134,7 +135,8 @@
   const { jobId } = await submit("urgent_gang", {
     jobId: "long-gang",
     jobClass: "normal",
-    declaredRunMs: 12_000,
+    declaredRunMs: 6_000,
+    command: ["run", "6000"],
     dataCentres: ["east"],
   });
   await jobIn("running", { jobId, withinMs: JOB_LIMIT_MS });
@@ -142,8 +144,8 @@
   expect(await switchStatus("east", "out") === 0, "the removal holds");
   const waiting = await jobIn("queued", { jobId, withinMs: JOB_LIMIT_MS });
   expect(
-    waiting.openAttempt === undefined,
-    `nothing of ${jobId} runs in east; it waits: ${waiting.waitText}`,
+    waiting.waitText === WaitReason.dataCentreOut,
+    `${jobId} was stopped; it waits: ${waiting.waitText}`,
   );
   const served = await ask("east-1", {
     requestId: "while-out",
--- a/src/process/scheduler/leader_core.ts
+++ b/src/process/scheduler/leader_core.ts
@@ -17,6 +17,7 @@
   type JobRecord,
   SchedulerCore,
   type SchedulerDecision,
+  type WaitReason,
 } from "./core/mod.ts";
 import type { DecisionCore } from "./runtime/mod.ts";
 
@@ -46,6 +47,10 @@
     return this.#takeOver(early, event.atMs);
   }
 
+  waitReason(jobId: JobId): WaitReason | undefined {
+    return this.#core.jobView(jobId)?.waitReason;
+  }
+
   #takeOver(
     early: readonly SchedulerEvent[],
     atMs: number,
--- a/src/process/scheduler/runtime/decision_core.ts
+++ b/src/process/scheduler/runtime/decision_core.ts
@@ -4,12 +4,18 @@
  * @module
  */
 
-import type { SchedulerDecision } from "../core/scheduler_decision.ts";
+import type { JobId } from "../../../base/identity.ts";
+import type {
+  SchedulerDecision,
+  WaitReason,
+} from "../core/scheduler_decision.ts";
 import type { SchedulerEvent } from "../core/scheduler_event.ts";
 
 /** Decides; holds no time, randomness or I/O of its own. */
 export interface DecisionCore {
   handle(event: SchedulerEvent): readonly SchedulerDecision[];
+  /** Why a job waits now; undefined when it doesn't, or isn't known. */
+  waitReason(jobId: JobId): WaitReason | undefined;
 }
 
 /** Makes the core of a new leader, with nothing in it. */
--- a/src/process/scheduler/runtime/leader_session.ts
+++ b/src/process/scheduler/runtime/leader_session.ts
@@ -63,7 +63,6 @@
   readonly #context: SessionContext;
   readonly #gangs: GangTable;
   readonly #watcher: WorkerWatcher;
-  readonly #waitReasons = new Map<JobId, WaitReason>();
   readonly #quarantined = new Set<string>();
   readonly #mover: JobMover;
   /** Jobs that the core doesn't know, since they are to move. */
@@ -101,7 +100,12 @@
   }
 
   waitReason(jobId: JobId): WaitReason | undefined {
-    return this.#isRecovering ? "recovering" : this.#waitReasons.get(jobId);
+    if (this.#isRecovering) {
+      return "recovering";
+    }
+    return this.#aside.has(jobId)
+      ? "dataCentreOut"
+      : this.#options.core.waitReason(jobId);
   }
 
   isQuarantined(workerId: string): boolean {
@@ -265,9 +269,6 @@
     if (leaves && !this.#aside.has(jobId)) {
       this.#feedCancelled(record);
     }
-    if (command.kind === "ended") {
-      this.#waitReasons.delete(jobId);
-    }
   }
 
   #feedConfiguration(): void {
@@ -283,7 +284,6 @@
     const { jobId } = specification;
     if (this.#mover.isToMove(record)) {
       this.#aside.add(jobId);
-      this.#waitReasons.set(jobId, "dataCentreOut");
       return;
     }
     this.#feed({
@@ -347,7 +347,7 @@
         this.#throttle(decision);
         return;
       case "jobWaits":
-        this.#waitReasons.set(decision.jobId, decision.reason);
+        // Whoever wants to know asks the core.
         return;
       case "jobEnds":
         void this.#endJob(decision);
@@ -367,7 +367,6 @@
     const isStartable = record !== undefined && isOwned(record) &&
       attempt > record.attemptsUsed &&
       this.#gangs.get(jobId, attempt) === undefined;
-    this.#waitReasons.delete(jobId);
     if (!isStartable) {
       const atMs = this.#options.clock.nowMs();
       const workerIds: string[] = [];
--- a/src/process/scheduler/runtime/testing/fake_core.ts
+++ b/src/process/scheduler/runtime/testing/fake_core.ts
@@ -4,7 +4,10 @@
  * @module
  */
 
-import type { SchedulerDecision } from "../../core/scheduler_decision.ts";
+import type {
+  SchedulerDecision,
+  WaitReason,
+} from "../../core/scheduler_decision.ts";
 import type { SchedulerEvent, TaskEnded } from "../../core/scheduler_event.ts";
 import type { JobSpecification } from "../../core/job.ts";
 import type { DecisionCore } from "../decision_core.ts";
@@ -44,6 +47,10 @@
     return [...decisions, ...this.#startAll(event.atMs)];
   }
 
+  waitReason(jobId: string): WaitReason | undefined {
+    return this.#jobs.get(jobId)?.state === "queued" ? "capacity" : undefined;
+  }
+
   #take(event: SchedulerEvent): SchedulerDecision[] {
     switch (event.kind) {
       case "configurationChanged":
