Fuzz the runtime against what workers truly did

A reservation now belongs to the term that made it: a fuzz run showed one of an earlier leader, under the same attempt number, started by the next.

--- /dev/null
+++ b/src/process/scheduler/runtime/data_centre_out_test.ts
@@ -0,0 +1,178 @@
+import test from "ava";
+import { makeWorld, TestBed, type TestBedOptions } from "./testing/test_bed.ts";
+
+function makePair(options: Partial<TestBedOptions> = {}) {
+  const world = makeWorld({ seed: 5, dataCentres: ["dc1", "dc2"] });
+  const first = new TestBed({ world, ...options });
+  const second = new TestBed({ world, ...options, dataCentre: "dc2" });
+  return { world, first, second };
+}
+
+function takeOut(bed: TestBed): void {
+  bed.world.configuration.setStatus(bed.dataCentre, "out");
+  bed.history.noteRemoval(bed.world.clock.nowMs());
+}
+
+/** Takes a data centre out and puts it back, over links that are bad. */
+async function removeInStorm(
+  options: Partial<TestBedOptions> & { isCutOff: boolean; seed: number },
+): Promise<{ bed: TestBed; waiting: number }> {
+  const world = makeWorld({ seed: options.seed, dataCentres: ["dc1"] });
+  const bed = new TestBed({ world, ...options });
+  world.links.weather = {
+    lostPerMille: 20,
+    doubledPerMille: 200,
+    latePerMille: 300,
+    lateMs: 4_000,
+    delayMs: 200,
+  };
+  await bed.pass(4_000);
+  for (let at = 0; at < 30; at++) {
+    void bed.submit({ jobId: `j${at}`, command: ["run", "700"] });
+  }
+  await bed.pass(2_500);
+  if (options.isCutOff) {
+    bed.instanceIds.forEach((id) => bed.instance(id).copy.cut());
+  }
+  takeOut(bed);
+  await bed.pass(60_000);
+  const waiting = [...bed.ledger.liveRecords()].length;
+  bed.history.noteRemoval(undefined);
+  world.configuration.setStatus("dc1", "in");
+  bed.instanceIds.forEach((id) => bed.instance(id).copy.heal());
+  await bed.pass(60_000);
+  return { bed, waiting };
+}
+
+test("no task starts two seconds after a removal, cut off or not", async (t) => {
+  for (let seed = 1; seed <= 10; seed++) {
+    const isCutOff = seed % 2 === 0;
+    const { bed, waiting } = await removeInStorm({ seed, isCutOff });
+    t.deepEqual(bed.history.violations, []);
+    t.true(waiting > 0, "some jobs still wait");
+    t.is([...bed.ledger.liveRecords()].length, 0);
+  }
+});
+
+const LATE_STARTS: readonly Partial<TestBedOptions>[] = [
+  { omittedChecks: ["startValidity", "secondGate"] },
+  { omittedFences: ["late"] },
+];
+
+for (const omitted of LATE_STARTS) {
+  test(`a late start is caught without ${JSON.stringify(omitted)}`, async (t) => {
+    let violations = 0;
+    for (let seed = 1; seed <= 20 && violations === 0; seed++) {
+      const options = { ...omitted, seed, isCutOff: true };
+      const { bed } = await removeInStorm(options);
+      violations = bed.history.violations.length;
+    }
+    t.not(violations, 0);
+  });
+}
+
+test("jobs of a removed data centre are checkpointed and run elsewhere", async (t) => {
+  const { first, second } = makePair();
+  await first.pass(2_000);
+  for (let at = 0; at < 6; at++) {
+    void first.submit({
+      jobId: `j${at}`,
+      tasks: 8,
+      dataCentres: ["dc1", "dc2"],
+      command: ["run", "8000"],
+    });
+  }
+  await first.pass(3_000);
+  takeOut(first);
+  await first.pass(60_000);
+  for (let at = 0; at < 6; at++) {
+    const jobId = `j${at}`;
+    const outcomes = [first, second]
+      .map((bed) => bed.ledger.get(jobId)?.end?.outcome);
+    t.deepEqual(outcomes, [undefined, "succeeded"]);
+    const moved = first.ledger.get(jobId);
+    t.not(moved?.transfer?.acceptedAtMs, undefined);
+    t.true(
+      (second.ledger.get(jobId)?.attemptsUsed ?? 0) >
+        (moved?.attemptsUsed ?? 0),
+    );
+  }
+  t.deepEqual(first.history.violations, []);
+  t.deepEqual(second.history.violations, []);
+});
+
+test("a submission to a removed data centre runs in one that is in", async (t) => {
+  const { first, second } = makePair();
+  takeOut(first);
+  await first.pass(3_000);
+  const job = { jobId: "j1", dataCentres: ["dc1", "dc2"] };
+  const submitted = [first.submit(job), second.submit(job)];
+  await first.pass(500);
+  t.deepEqual(await Promise.all(submitted), [true, true]);
+  await first.pass(10_000);
+  t.is(first.history.starts("j1"), 0);
+  t.is(second.history.starts("j1"), 1);
+  const found = first.instance("dc1-1").runtime.findJob("j1");
+  await first.pass(100);
+  const { value, unaskedDataCentres } = (await found).unsafeCoerce();
+  t.like(value, { dataCentre: "dc2", state: "ended" });
+  t.deepEqual(unaskedDataCentres, []);
+});
+
+test("a hand-over is done once, whatever answer or leader is lost", async (t) => {
+  for (let stepMs = 0; stepMs <= 40; stepMs += 2) {
+    const { world, first, second } = makePair();
+    await first.pass(2_000);
+    takeOut(first);
+    await first.pass(500); // Every copy knows, so that nothing starts here.
+    const job = { jobId: "j1", dataCentres: ["dc1", "dc2"] };
+    const submitted = first.submit(job);
+    await first.pass(250 + stepMs);
+    // The answers of dc2 are lost for a while, and a leader dies.
+    for (const to of first.instanceIds) {
+      second.instanceIds.forEach((from) => world.links.cut(from, to));
+    }
+    const [leader, next] = first.instanceIds as [string, string];
+    first.killInstance(leader);
+    await first.pass(1_600);
+    t.true(first.elect(next));
+    await first.pass(8_000);
+    world.links.heal();
+    await first.pass(15_000);
+    t.true(await submitted);
+    t.is(first.history.starts("j1") + second.history.starts("j1"), 1);
+    t.is(second.ledger.get("j1")?.end?.outcome, "succeeded");
+    t.not(first.ledger.get("j1")?.transfer?.acceptedAtMs, undefined);
+  }
+});
+
+test("a cancellation follows a job that moves", async (t) => {
+  for (let stepMs = 0; stepMs <= 30; stepMs += 3) {
+    const { first, second } = makePair({ workers: 0 });
+    await first.pass(2_000);
+    takeOut(first);
+    const job = { jobId: "j1", dataCentres: ["dc1", "dc2"] };
+    void first.submit(job);
+    await first.pass(8 + stepMs);
+    const cancelled = first.cancel("j1");
+    await first.pass(5_000);
+    t.true(await cancelled);
+    const ends = [first, second].map((bed) => bed.ledger.get("j1")?.end);
+    const outcomes = ends.flatMap((end) =>
+      end === undefined ? [] : end.outcome
+    );
+    t.deepEqual(outcomes, ["cancelled"], `step ${stepMs}`);
+  }
+});
+
+test("a job not found says which data centres could not be asked", async (t) => {
+  const { world, first, second } = makePair();
+  for (const to of second.instanceIds) {
+    first.instanceIds.forEach((from) => world.links.cut(from, to));
+  }
+  const found = first.instance("dc1-0").runtime.findJob("unknown");
+  await first.pass(5_000);
+  const error = (await found).swap().unsafeCoerce();
+  t.is(error.kind, "unavailable");
+  t.deepEqual(error.facts, { unaskedDataCentres: ["dc2"] });
+});
--- a/src/process/scheduler/runtime/gang_starter.ts
+++ b/src/process/scheduler/runtime/gang_starter.ts
@@ -91,8 +91,9 @@
       return true;
     }
     // An earlier try of this same command may have been committed unseen.
-    return outcome !== undefined &&
-      this.#context.openAttempt(jobId) === attempt;
+    const open = this.#context.openAttempt(jobId);
+    return outcome !== undefined && open?.attempt === attempt &&
+      open.term === this.#context.term;
   }
 
   async #startAll(gang: Gang, leaseEndMs: number): Promise<StartOutcome> {
--- a/src/process/scheduler/runtime/job_ledger.ts
+++ b/src/process/scheduler/runtime/job_ledger.ts
@@ -207,6 +207,7 @@
       attemptsUsed: command.attempt,
       openAttempt: {
         attempt: command.attempt,
+        term: command.term,
         placements: command.placements,
         configurationVersion: command.configurationVersion,
         intendedAtMs: command.atMs,
--- a/src/process/scheduler/runtime/job_record.ts
+++ b/src/process/scheduler/runtime/job_record.ts
@@ -21,6 +21,8 @@
 /** One attempt whose start was intended. */
 export const attemptRecordSchema = z.strictObject({
   attempt: z.int().min(1),
+  /** The term of the leader that intended it. */
+  term: z.int().min(0),
   placements: z.array(taskPlacementSchema).min(1),
   configurationVersion: z.int().min(0),
   intendedAtMs: moment,
--- a/src/process/scheduler/runtime/leader_session.ts
+++ b/src/process/scheduler/runtime/leader_session.ts
@@ -425,7 +425,7 @@
       writer: new LedgerWriter({ clock, log, term, isLive }),
       gate: new StartGate({ configuration, dataCentre }),
       isLive,
-      openAttempt: (jobId) => ledger.get(jobId)?.openAttempt?.attempt,
+      openAttempt: (jobId) => ledger.get(jobId)?.openAttempt,
       feed: (event) => this.#feed(event),
       omits: (check) => omittedChecks.includes(check),
     };
--- a/src/process/scheduler/runtime/session_context.ts
+++ b/src/process/scheduler/runtime/session_context.ts
@@ -8,6 +8,7 @@
 import type { EventLog } from "../../../base/event_log.ts";
 import type { JobId } from "../../../base/identity.ts";
 import type { SchedulerEvent } from "../core/scheduler_event.ts";
+import type { AttemptRecord } from "./job_record.ts";
 import type { LeaseOptions } from "./lease_rule.ts";
 import type { LedgerWriter } from "./ledger_writer.ts";
 import type { StartGate } from "./start_gate.ts";
@@ -39,7 +40,7 @@
   /** Whether this instance still leads in this term. */
   isLive(): boolean;
   /** The attempt of the job of which tasks may run, by the log. */
-  openAttempt(jobId: JobId): number | undefined;
+  openAttempt(jobId: JobId): AttemptRecord | undefined;
   /** Tells the core. */
   feed(event: SchedulerEvent): void;
   omits(check: OmittedCheck): boolean;
--- a/src/process/scheduler/runtime/testing/fake_core.ts
+++ b/src/process/scheduler/runtime/testing/fake_core.ts
@@ -22,10 +22,14 @@
 interface KnownWorker {
   readonly accelerators: number;
   isLeaving: boolean;
+  /** When it may be tried again after it refused or stayed silent. */
+  avoidedUntilMs: number;
 }
 
 const RETRY_MS = 500;
 
+const AVOIDANCE_MS = 3_000;
+
 /** Starts jobs in their order wherever there is room. */
 export class FakeCore implements DecisionCore {
   readonly #dataCentre: string;
@@ -55,6 +59,7 @@
         this.#workers.set(event.worker.workerId, {
           accelerators: event.worker.accelerators,
           isLeaving: false,
+          avoidedUntilMs: 0,
         });
         event.running.forEach((task) => {
           const known = this.#jobs.get(task.jobId);
@@ -96,6 +101,8 @@
           return [];
         });
       case "gangStartFailed":
+        event.workerIds.forEach((each) => this.#avoid(each, event.atMs));
+        return this.#change(event, (known) => this.#requeue(known, event.atMs));
       case "gangStopped":
         return this.#change(event, (known) => this.#requeue(known, event.atMs));
       case "taskEnded":
@@ -125,6 +132,13 @@
     return known?.attempt === event.attempt ? action(known) : [];
   }
 
+  #avoid(workerId: string, atMs: number): void {
+    const worker = this.#workers.get(workerId);
+    if (worker !== undefined) {
+      worker.avoidedUntilMs = atMs + AVOIDANCE_MS;
+    }
+  }
+
   #leave(workerId: string): SchedulerDecision[] {
     const worker = this.#workers.get(workerId);
     if (worker !== undefined) {
@@ -196,11 +210,11 @@
     }
     return [...this.#jobs.values()]
       .filter((known) => known.state === "queued" && known.notBeforeMs <= atMs)
-      .flatMap((known) => this.#start(known));
+      .flatMap((known) => this.#start(known, atMs));
   }
 
-  #start(known: KnownJob): SchedulerDecision[] {
-    const workerIds = this.#place(known.job);
+  #start(known: KnownJob, atMs: number): SchedulerDecision[] {
+    const workerIds = this.#place(known.job, atMs);
     if (workerIds === undefined) {
       return [];
     }
@@ -221,10 +235,10 @@
   }
 
   /** A worker for each task, on different ones where it can. */
-  #place(job: JobSpecification): string[] | undefined {
+  #place(job: JobSpecification, atMs: number): string[] | undefined {
     const free = new Map<string, number>();
     for (const [workerId, worker] of this.#workers) {
-      if (!worker.isLeaving) {
+      if (!worker.isLeaving && worker.avoidedUntilMs <= atMs) {
         free.set(workerId, worker.accelerators - this.#taken(workerId));
       }
     }
--- a/standins/worker/held_attempt.ts
+++ b/standins/worker/held_attempt.ts
@@ -12,6 +12,8 @@
   readonly clock: Clock;
   readonly jobId: string;
   readonly attempt: number;
+  /** The term of the leader that reserved it. */
+  readonly term: number;
   readonly tasks: readonly PretendTask[];
   /** Called when a reservation ends without a start. */
   readonly onReservationEnd: () => void;
@@ -36,6 +38,10 @@
     return this.#options.attempt;
   }
 
+  get term(): number {
+    return this.#options.term;
+  }
+
   get tasks(): readonly PretendTask[] {
     return this.#options.tasks;
   }
