--- a/standins/worker/main.ts
+++ b/standins/worker/main.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { appendFileSync } from "node:fs";
 import process from "node:process";
 import { cac } from "cac";
 import { z } from "zod";
@@ -20,6 +21,7 @@
   memoryBytes: z.coerce.number().int(),
   accelerators: z.coerce.number().int(),
   stopMs: z.coerce.number().int(),
+  history: z.coerce.string().optional(),
 });
 
 function readFlags(): z.infer<typeof flagsSchema> {
@@ -33,6 +35,7 @@
   tool.option("--memory-bytes <n>", "Memory", { default: 64_000_000_000 });
   tool.option("--accelerators <n>", "Accelerators", { default: 8 });
   tool.option("--stop-ms <n>", "Longest graceful stop", { default: 10_000 });
+  tool.option("--history <file>", "Where starts and ends are noted down");
   tool.help();
   return flagsSchema.parse(tool.parse().options);
 }
@@ -46,6 +49,14 @@
     host: flags.host,
     port: flags.port,
     clock,
+    tasks: {
+      onHappening: (happening) => {
+        if (flags.history !== undefined) {
+          const line = { ...happening, atMs: clock.nowMs() };
+          appendFileSync(flags.history, JSON.stringify(line) + "\n");
+        }
+      },
+    },
     capacity: {
       rack: flags.rack,
       cores: flags.cores,
