--- /dev/null
+++ b/bench/configuration/packing_completeness.ts
@@ -0,0 +1,157 @@
+/**
+ * How often the greedy packing of guaranteed shapes refuses what a full
+ * search would place, and how often a mere count of accelerators accepts what
+ * can't be placed.
+ *
+ *     node dist/bench/configuration/packing_completeness.js
+ *
+ * @module
+ */
+
+import process from "node:process";
+import { SeededRandom } from "../../src/base/random_source.ts";
+import {
+  compareShapes,
+  type PackingRack,
+  packShape,
+  type Shape,
+} from "../../src/version/document/guarantee_packing.ts";
+
+const CASES = 5_000;
+const SEED = 11;
+
+/** The most steps of one full search; beyond it the case is left out. */
+const SEARCH_LIMIT = 200_000;
+
+const random = new SeededRandom({ seed: SEED });
+
+function pick(least: number, most: number): number {
+  return least + random.nextInt(most - least + 1);
+}
+
+interface Case {
+  readonly racks: number[][];
+  readonly shapes: Shape[];
+}
+
+/** Racks of up to 4 workers and shapes that ask for most of them. */
+function makeCase(): Case {
+  const racks = Array.from(
+    { length: pick(2, 4) },
+    () => Array<number>(pick(2, 4)).fill(8),
+  );
+  const total = racks.flat().length * 8;
+  const wanted = total * (0.5 + random.nextUnit() * 0.5);
+  const shapes: Shape[] = [];
+  for (let sum = 0; shapes.length < 12;) {
+    const shape = {
+      racks: pick(1, 2),
+      workersPerRack: pick(1, 3),
+      acceleratorsPerWorker: [2, 4, 8][pick(0, 2)] ?? 8,
+    };
+    sum += shape.racks * shape.workersPerRack * shape.acceleratorsPerWorker;
+    if (sum > wanted) {
+      break;
+    }
+    shapes.push(shape);
+  }
+  return { racks, shapes: shapes.sort(compareShapes) };
+}
+
+function isPackedGreedily({ racks, shapes }: Case): boolean {
+  const free: PackingRack<undefined>[] = racks.map((rack) =>
+    rack.map((accelerators) => ({ item: undefined, accelerators }))
+  );
+  return shapes.every((shape) => packShape(free, shape) !== undefined);
+}
+
+/** Every way to choose `count` places out of `items`. */
+function* choose<T>(items: readonly T[], count: number): Iterable<T[]> {
+  if (count === 0) {
+    yield [];
+    return;
+  }
+  for (let at = 0; at + count <= items.length; at++) {
+    for (const rest of choose(items.slice(at + 1), count - 1)) {
+      yield [items[at] as T, ...rest];
+    }
+  }
+}
+
+class FullSearch {
+  steps = 0;
+
+  constructor(readonly racks: number[][]) {}
+
+  /** Whether all shapes fit; undefined when the search was cut short. */
+  fits(shapes: readonly Shape[]): boolean | undefined {
+    const [shape, ...rest] = shapes;
+    if (shape === undefined) {
+      return true;
+    }
+    const indexes = this.racks.map((_, index) => index);
+    for (const chosen of choose(indexes, shape.racks)) {
+      const result = this.#place(shape, chosen, rest);
+      if (result !== false) {
+        return result;
+      }
+    }
+    return false;
+  }
+
+  #place(
+    shape: Shape,
+    [rack, ...others]: readonly number[],
+    rest: readonly Shape[],
+  ): boolean | undefined {
+    if (this.steps++ > SEARCH_LIMIT) {
+      return undefined;
+    }
+    if (rack === undefined) {
+      return this.fits(rest);
+    }
+    const workers = this.racks[rack] as number[];
+    const usable = workers.flatMap((free, index) =>
+      free >= shape.acceleratorsPerWorker ? [index] : []
+    );
+    for (const taken of choose(usable, shape.workersPerRack)) {
+      this.#take(workers, taken, shape.acceleratorsPerWorker);
+      const result = this.#place(shape, others, rest);
+      this.#take(workers, taken, -shape.acceleratorsPerWorker);
+      if (result !== false) {
+        return result;
+      }
+    }
+    return false;
+  }
+
+  #take(workers: number[], taken: readonly number[], count: number): void {
+    for (const index of taken) {
+      workers[index] = (workers[index] ?? 0) - count;
+    }
+  }
+}
+
+const counts = { fit: 0, greedy: 0, misfit: 0, leftOut: 0 };
+for (let at = 0; at < CASES; at++) {
+  const one = makeCase();
+  const isGreedy = isPackedGreedily(one);
+  const fits = isGreedy || new FullSearch(one.racks).fits(one.shapes);
+  if (fits === undefined) {
+    counts.leftOut++;
+  } else if (fits) {
+    counts.fit++;
+    counts.greedy += isGreedy ? 1 : 0;
+  } else {
+    counts.misfit++;
+  }
+}
+process.stdout.write(
+  JSON.stringify({
+    cases: CASES,
+    seed: SEED,
+    ...counts,
+    greedyAcceptsOfFitting: Number((counts.greedy / counts.fit).toFixed(4)),
+    countAloneWouldAcceptMisfits: counts.misfit,
+  }) + "\n",
+);
--- a/src/version/document/guarantee_packing.ts
+++ b/src/version/document/guarantee_packing.ts
@@ -39,8 +39,8 @@
 
 /** Which of two shapes is packed first: the one that is harder to place. */
 export function compareShapes(left: Shape, right: Shape): number {
-  return rackVolume(right) - rackVolume(left) ||
-    right.racks - left.racks ||
+  return right.racks - left.racks ||
+    rackVolume(right) - rackVolume(left) ||
     right.workersPerRack - left.workersPerRack;
 }
 
