--- a/bench/configuration/edit_cost.ts
+++ b/bench/configuration/edit_cost.ts
@@ -7,12 +7,14 @@
  * @module
  */
 
+import { pack } from "msgpackr";
 import { performance } from "node:perf_hooks";
 import process from "node:process";
 import { FakeClock } from "../../src/base/fake_clock.ts";
 import { ConfigurationMachine } from "../../src/process/configuration/mod.ts";
 import type { EditCommand } from "../../src/process/configuration/configuration_command.ts";
-import { FakePeerLinks } from "../../src/process/configuration/fake_peer_network.ts";
+import { SeededRandom } from "../../src/base/random_source.ts";
+import { FakePeerHub } from "../../src/process/replication/fake_peer_network.ts";
 import { InForceTracker } from "../../src/process/configuration/in_force_tracker.ts";
 
 const HASH = "scrypt$00$00";
@@ -145,16 +147,24 @@
 function measureReports(): void {
   const instanceIds = Array.from({ length: 9 }, (_, at) => `instance-${at}`);
   const clock = new FakeClock();
-  const links = new FakePeerLinks({ instanceIds });
-  const trackers = instanceIds.map((id) =>
-    new InForceTracker({ clock, network: links.network(id) })
-  );
+  const sent = { bytes: 0 };
+  const hub = new FakePeerHub({
+    clock,
+    random: new SeededRandom({ seed: 1 }),
+    onSend: (_from, _to, body) => {
+      sent.bytes += pack(body).length;
+    },
+  });
+  const trackers = instanceIds.map((id) => {
+    const network = hub.join(id, { peerIds: instanceIds });
+    return new InForceTracker({ clock, network });
+  });
   clock.advance(100_000);
-  const idle = links.sent.bytes / 100 / instanceIds.length;
-  const before = links.sent.bytes;
+  const idle = sent.bytes / 100 / instanceIds.length;
+  const before = sent.bytes;
   trackers.forEach((tracker) => tracker.setVersion(123_456));
   clock.advance(100);
-  const perEdit = (links.sent.bytes - before) / instanceIds.length;
+  const perEdit = (sent.bytes - before) / instanceIds.length;
   trackers.forEach((tracker) => tracker.close());
   process.stdout.write(
     JSON.stringify({
--- a/src/process/configuration/configuration_service_test.ts
+++ b/src/process/configuration/configuration_service_test.ts
@@ -2,8 +2,10 @@
 import { setImmediate } from "node:timers/promises";
 import { FakeClock } from "../../base/fake_clock.ts";
 import type { EventFields } from "../../base/event_log.ts";
+import { SeededRandom } from "../../base/random_source.ts";
 import type { Result } from "../../base/sesame_error.ts";
 import type { HttpAnswer, HttpCall } from "../http/http_endpoint.ts";
+import { FakePeerHub } from "../replication/fake_peer_network.ts";
 import {
   FIXTURE_DOCUMENT,
   fixtureKey,
@@ -17,7 +19,6 @@
   FakeConfigurationGroup,
   type FakeMember,
 } from "./fake_configuration_group.ts";
-import { FakePeerLinks } from "./fake_peer_network.ts";
 import { KeyVerifier } from "./key_verifier.ts";
 
 const INSTANCES = [
@@ -34,21 +35,23 @@
 class ServiceSystem {
   readonly clock = new FakeClock({ startMs: 50_000 });
   readonly group = new FakeConfigurationGroup({ clock: this.clock });
-  readonly links = new FakePeerLinks({
-    instanceIds: INSTANCES.map((instance) => instance.id),
+  readonly hub = new FakePeerHub({
+    clock: this.clock,
+    random: new SeededRandom({ seed: 1 }),
   });
   readonly logged: string[] = [];
   readonly members: FakeMember[] = [];
   readonly services: ConfigurationService[];
 
   constructor() {
+    const peerIds = INSTANCES.map((instance) => instance.id);
     this.services = INSTANCES.map(({ id }) => {
       const member = this.group.join(id);
       this.members.push(member);
       return new ConfigurationService({
         machine: member.machine,
         log: member,
-        network: this.links.network(id),
+        network: this.hub.join(id, { peerIds }),
         clock: this.clock,
         events: {
           emit: (name: string, fields?: EventFields) =>
@@ -247,7 +250,7 @@
 test("a removal is pending till it holds, then accepted", async (t) => {
   const system = await new ServiceSystem().start();
   system.member(1).isConnected = false;
-  system.links.cutOff("north-1");
+  system.hub.isolate("north-1");
   const edit = {
     editId: "out-1",
     team: "operations",
--- a/src/process/configuration/in_force_tracker_test.ts
+++ b/src/process/configuration/in_force_tracker_test.ts
@@ -1,6 +1,7 @@
 import test from "ava";
 import { FakeClock } from "../../base/fake_clock.ts";
-import { FakePeerLinks } from "./fake_peer_network.ts";
+import { SeededRandom } from "../../base/random_source.ts";
+import { FakePeerHub } from "../replication/fake_peer_network.ts";
 import {
   decodeReport,
   type InForceReport,
@@ -11,27 +12,33 @@
 
 function setUp() {
   const clock = new FakeClock({ startMs: 1_000 });
-  const links = new FakePeerLinks({ instanceIds: INSTANCE_IDS });
-  const trackers = INSTANCE_IDS.map((id) =>
-    new InForceTracker({ clock, network: links.network(id) })
-  );
+  const sent = { messages: 0 };
+  const hub = new FakePeerHub({
+    clock,
+    random: new SeededRandom({ seed: 1 }),
+    onSend: () => void sent.messages++,
+  });
+  const trackers = INSTANCE_IDS.map((id) => {
+    const network = hub.join(id, { peerIds: INSTANCE_IDS });
+    return new InForceTracker({ clock, network });
+  });
   const [a, b, c] = trackers as [
     InForceTracker,
     InForceTracker,
     InForceTracker,
   ];
-  return { clock, links, a, b, c };
+  return { clock, hub, sent, a, b, c };
 }
 
 test("a change is told at once, and again after a lost report", (t) => {
-  const { clock, links, a, b } = setUp();
+  const { clock, hub, a, b } = setUp();
   a.setVersion(3);
   clock.advance(0);
   t.is(b.versionOn("a"), 3);
-  links.cutOff("b");
+  hub.isolate("b");
   a.setVersion(4);
   clock.advance(100);
-  links.reconnect("b");
+  hub.heal();
   t.is(b.versionOn("a"), 3);
   clock.advance(5_000);
   t.is(b.versionOn("a"), 4);
@@ -43,21 +50,24 @@
 });
 
 test("many changes at once are told in few reports", (t) => {
-  const { clock, links, a, b } = setUp();
+  const { clock, sent, a, b } = setUp();
   for (let version = 1; version <= 500; version++) {
     a.setVersion(version);
     clock.advance(1);
   }
   clock.advance(100);
   t.is(b.versionOn("a"), 500);
-  t.true(links.sent.messages <= 2 * (500 / 50 + 2));
+  t.true(sent.messages <= 2 * (500 / 50 + 2));
 });
 
 test("a report that comes late doesn't undo a later one", (t) => {
   const clock = new FakeClock({ startMs: 1_000 });
-  const links = new FakePeerLinks({ instanceIds: ["a", "b"] });
-  const tracker = new InForceTracker({ clock, network: links.network("a") });
-  const sender = links.network("b").channel<InForceReport>({
+  const random = new SeededRandom({ seed: 1 });
+  const hub = new FakePeerHub({ clock, random });
+  const peerIds = ["a", "b"];
+  const network = hub.join("a", { peerIds });
+  const tracker = new InForceTracker({ clock, network });
+  const sender = hub.join("b", { peerIds }).channel<InForceReport>({
     name: "configuration",
     decode: decodeReport,
   });
@@ -69,9 +79,11 @@
   });
   sender.send("a", reportOf(900, 5));
   sender.send("a", reportOf(800, 4));
+  clock.advance(0);
   t.is(tracker.versionOn("b"), 5);
   clock.advance(20_000);
   sender.send("a", reportOf(100, 6));
+  clock.advance(0);
   t.is(tracker.versionOn("b"), 6, "an earlier clock after a restart");
   tracker.close();
 });
--- a/src/process/configuration/removal_confirmer_test.ts
+++ b/src/process/configuration/removal_confirmer_test.ts
@@ -1,7 +1,9 @@
 import test from "ava";
 import fc from "fast-check";
 import { FakeClock } from "../../base/fake_clock.ts";
+import { SeededRandom } from "../../base/random_source.ts";
 import { SILENT_EVENT_LOG } from "../../base/event_log.ts";
+import { FakePeerHub } from "../replication/fake_peer_network.ts";
 import {
   FIXTURE_DOCUMENT,
   fixtureEdit,
@@ -11,7 +13,6 @@
   FakeConfigurationGroup,
   type FakeMember,
 } from "./fake_configuration_group.ts";
-import { FakePeerLinks } from "./fake_peer_network.ts";
 import { InForceTracker } from "./in_force_tracker.ts";
 import {
   RemovalConfirmer,
@@ -33,8 +34,9 @@
 /** Three instances, of which those in `north` can be cut off. */
 class RemovalSystem {
   readonly clock = new FakeClock({ startMs: 1_000_000 });
-  readonly links = new FakePeerLinks({
-    instanceIds: INSTANCES.map((instance) => instance.id),
+  readonly hub = new FakePeerHub({
+    clock: this.clock,
+    random: new SeededRandom({ seed: 1 }),
   });
   readonly group = new FakeConfigurationGroup({ clock: this.clock });
   readonly nodes: Node[];
@@ -50,7 +52,8 @@
   #createNode(id: string, options: Partial<RemovalConfirmerOptions>): Node {
     const { clock, group } = this;
     const member = group.join(id);
-    const network = this.links.network(id);
+    const peerIds = INSTANCES.map((instance) => instance.id);
+    const network = this.hub.join(id, { peerIds });
     const inForce = new InForceTracker({ clock, network });
     const { machine } = member;
     machine.changes.subscribe({
@@ -92,11 +95,9 @@
   setConnected(index: number, isConnected: boolean): void {
     const node = this.nodes[index] as Node;
     node.member.isConnected = isConnected;
-    if (isConnected) {
-      this.links.reconnect(node.member.instanceId);
-    } else {
-      this.links.cutOff(node.member.instanceId);
-    }
+    this.hub.heal();
+    this.nodes.filter(({ member }) => !member.isConnected)
+      .forEach(({ member }) => this.hub.isolate(member.instanceId));
   }
 
   /** The scheduler leader on the instance carries out the removal it knows. */
