--- a/src/process/scheduler/runtime/testing/fake_core.ts
+++ b/src/process/scheduler/runtime/testing/fake_core.ts
@@ -4,7 +4,10 @@
  * @module
  */
 
-import type { SchedulerDecision } from "../../core/scheduler_decision.ts";
+import type {
+  SchedulerDecision,
+  WaitReason,
+} from "../../core/scheduler_decision.ts";
 import type { SchedulerEvent, TaskEnded } from "../../core/scheduler_event.ts";
 import type { JobSpecification } from "../../core/job.ts";
 import type { DecisionCore } from "../decision_core.ts";
@@ -22,10 +25,14 @@
 interface KnownWorker {
   readonly accelerators: number;
   isLeaving: boolean;
+  /** When it may be tried again after it refused or stayed silent. */
+  avoidedUntilMs: number;
 }
 
 const RETRY_MS = 500;
 
+const AVOIDANCE_MS = 3_000;
+
 /** Starts jobs in their order wherever there is room. */
 export class FakeCore implements DecisionCore {
   readonly #dataCentre: string;
@@ -44,6 +51,10 @@
     return [...decisions, ...this.#startAll(event.atMs)];
   }
 
+  waitReason(jobId: string): WaitReason | undefined {
+    return this.#jobs.get(jobId)?.state === "queued" ? "capacity" : undefined;
+  }
+
   #take(event: SchedulerEvent): SchedulerDecision[] {
     switch (event.kind) {
       case "configurationChanged":
@@ -55,6 +66,7 @@
         this.#workers.set(event.worker.workerId, {
           accelerators: event.worker.accelerators,
           isLeaving: false,
+          avoidedUntilMs: 0,
         });
         event.running.forEach((task) => {
           const known = this.#jobs.get(task.jobId);
@@ -96,6 +108,8 @@
           return [];
         });
       case "gangStartFailed":
+        event.workerIds.forEach((each) => this.#avoid(each, event.atMs));
+        return this.#change(event, (known) => this.#requeue(known, event.atMs));
       case "gangStopped":
         return this.#change(event, (known) => this.#requeue(known, event.atMs));
       case "taskEnded":
@@ -125,6 +139,13 @@
     return known?.attempt === event.attempt ? action(known) : [];
   }
 
+  #avoid(workerId: string, atMs: number): void {
+    const worker = this.#workers.get(workerId);
+    if (worker !== undefined) {
+      worker.avoidedUntilMs = atMs + AVOIDANCE_MS;
+    }
+  }
+
   #leave(workerId: string): SchedulerDecision[] {
     const worker = this.#workers.get(workerId);
     if (worker !== undefined) {
@@ -196,11 +217,11 @@
     }
     return [...this.#jobs.values()]
       .filter((known) => known.state === "queued" && known.notBeforeMs <= atMs)
-      .flatMap((known) => this.#start(known));
+      .flatMap((known) => this.#start(known, atMs));
   }
 
-  #start(known: KnownJob): SchedulerDecision[] {
-    const workerIds = this.#place(known.job);
+  #start(known: KnownJob, atMs: number): SchedulerDecision[] {
+    const workerIds = this.#place(known.job, atMs);
     if (workerIds === undefined) {
       return [];
     }
@@ -221,10 +242,10 @@
   }
 
   /** A worker for each task, on different ones where it can. */
-  #place(job: JobSpecification): string[] | undefined {
+  #place(job: JobSpecification, atMs: number): string[] | undefined {
     const free = new Map<string, number>();
     for (const [workerId, worker] of this.#workers) {
-      if (!worker.isLeaving) {
+      if (!worker.isLeaving && worker.avoidedUntilMs <= atMs) {
         free.set(workerId, worker.accelerators - this.#taken(workerId));
       }
     }
