Keep a repeated removal pending till the first one holds

Taking a data centre out again, while its removal was pending, was answered as accepted: the second edit changed no status, so it was taken for one that needs no confirmation. An edit that leaves a data centre out now stands as its removal does. The removal's fuzz run checks the state of every edit that said out, and finds the old behaviour.

--- a/src/process/configuration/configuration_command.ts
+++ b/src/process/configuration/configuration_command.ts
@@ -55,7 +55,7 @@
   readonly kind: "accepted";
   readonly version: number;
   readonly atMs: number;
-  /** Set when the change takes this data centre out. */
+  /** Set when the change takes this data centre out, or leaves it out. */
   readonly removedDataCentre: DataCentreId | null;
 }
 
--- a/src/process/configuration/configuration_machine.ts
+++ b/src/process/configuration/configuration_machine.ts
@@ -308,7 +308,8 @@
     this.#current = { version, document, acceptedAtMs: atMs };
     this.#changes.push(this.#current);
     const removal = this.#removals.removals().find((entry) =>
-      entry.version === version
+      formatSectionId({ kind: "dataCentres", name: entry.dataCentre }) ===
+        cause.section
     );
     const removedDataCentre = removal?.dataCentre ?? null;
     return { kind: "accepted", version, atMs, removedDataCentre };
--- a/src/process/configuration/configuration_service.ts
+++ b/src/process/configuration/configuration_service.ts
@@ -264,7 +264,7 @@
       return this.#standing(outcome);
     }
     const { version, removedDataCentre: dataCentre } = outcome;
-    this.#confirmer.watch(version);
+    this.#confirmer.watch(dataCentre);
     const untilMs = this.#options.clock.nowMs() + this.#options.removalWaitMs;
     await waitUntil(() => this.#isSettled(outcome), {
       clock: this.#options.clock,
--- a/src/process/configuration/edit_state.ts
+++ b/src/process/configuration/edit_state.ts
@@ -46,7 +46,7 @@
     return { state: "accepted", version };
   }
   const removal = options.removals.removal(dataCentre);
-  if (removal === undefined || removal.version !== version) {
+  if (removal === undefined || removal.version > version) {
     return { state: "superseded", version, dataCentre };
   }
   if (removal.state === RemovalState.accepted) {
--- a/src/process/configuration/removal_confirmer.ts
+++ b/src/process/configuration/removal_confirmer.ts
@@ -76,8 +76,8 @@
   readonly #subscription: Subscription<unknown>;
   /** When each version was first seen here, by this instance's clock. */
   readonly #sightings: { version: number; atMs: number }[] = [];
-  /** Removals that this instance answers for, leader or not. */
-  readonly #watched = new Set<number>();
+  /** Data centres whose removal this instance sees to, leader or not. */
+  readonly #watched = new Set<DataCentreId>();
   #timer: Timer | undefined;
   #isConfirming = false;
 
@@ -92,9 +92,9 @@
     this.#look();
   }
 
-  /** Sees to the removal made by `version` even when not leading. */
-  watch(version: number): void {
-    this.#watched.add(version);
+  /** Sees to the data centre's pending removal even when not leading. */
+  watch(dataCentre: DataCentreId): void {
+    this.#watched.add(dataCentre);
   }
 
   /**
@@ -164,7 +164,7 @@
   #check(): void {
     const isLeader = this.#options.log.status().role === LEADER;
     const removal = this.#pending().find((entry) =>
-      (isLeader || this.#watched.has(entry.version)) && this.#holds(entry)
+      (isLeader || this.#watched.has(entry.dataCentre)) && this.#holds(entry)
     );
     if (removal !== undefined && !this.#isConfirming) {
       void this.#confirm(removal);
--- a/src/process/configuration/removal_confirmer_test.ts
+++ b/src/process/configuration/removal_confirmer_test.ts
@@ -9,6 +9,7 @@
   fixtureEdit,
   northText,
 } from "./configuration_fixture.ts";
+import { type EditState, editStateOf } from "./edit_state.ts";
 import {
   FakeConfigurationGroup,
   type FakeMember,
@@ -40,6 +41,7 @@
   });
   readonly group = new FakeConfigurationGroup({ clock: this.clock });
   readonly nodes: Node[];
+  readonly #outEditIds: string[] = [];
   #edits = 0;
 
   constructor(options: Partial<RemovalConfirmerOptions> = {}) {
@@ -79,8 +81,12 @@
 
   setNorth(status: "in" | "out", startPermissionMs: number): void {
     const sectionId = { kind: "dataCentres", name: "north" } as const;
+    const editId = `edit-${this.#edits++}`;
+    if (status === "out") {
+      this.#outEditIds.push(editId);
+    }
     this.group.commit(fixtureEdit({
-      editId: `edit-${this.#edits++}`,
+      editId,
       team: "operations",
       sectionId,
       baseVersion: this.machine.section(sectionId)?.version ?? 0,
@@ -131,13 +137,24 @@
     }
   }
 
+  /** No edit that took `north` out is called accepted too early. */
   check(): void {
-    const state = this.machine.removals.removal("north")?.state;
-    if (state === "accepted" && this.mayStart()) {
+    const states = this.#outEditIds.map((editId) => this.stateOf(editId));
+    if (states.includes("accepted") && this.mayStart()) {
       throw new Error("accepted, though a stale copy permits starts");
     }
   }
 
+  stateOf(editId: string): EditState["state"] | undefined {
+    const { machine } = this;
+    const kept = machine.findEdit(editId);
+    const outcome = kept === undefined ? undefined : machine.outcomeOf(kept);
+    return outcome?.kind !== "accepted" ? undefined : editStateOf(outcome, {
+      removals: machine.removals,
+      holdsByMs: () => 0,
+    }).state;
+  }
+
   close(): void {
     for (const { inForce, confirmer } of this.nodes) {
       confirmer.close();
@@ -186,6 +203,20 @@
   system.close();
 });
 
+test("saying out once more doesn't make it hold", async (t) => {
+  const system = new RemovalSystem();
+  system.setConnected(1, false);
+  system.setNorth("out", 30_000);
+  system.setNorth("out", 30_000);
+  t.is(system.stateOf("edit-0"), "pending");
+  t.is(system.stateOf("edit-1"), "pending");
+  await system.run(3_000);
+  t.is(system.stateOf("edit-1"), "accepted");
+  system.setNorth("in", 30_000);
+  t.is(system.stateOf("edit-1"), "superseded");
+  system.close();
+});
+
 type Step =
   | { kind: "set"; status: "in" | "out"; permissionMs: number }
   | { kind: "connect"; index: number; isConnected: boolean }
--- a/src/programs/commands/config/config_edit.ts
+++ b/src/programs/commands/config/config_edit.ts
@@ -5,7 +5,7 @@
  */
 
 import { randomUUID } from "node:crypto";
-import { createTwoFilesPatch } from "diff";
+import { createTwoFilesPatch, FILE_HEADERS_ONLY } from "diff";
 import { Right } from "purify-ts/Either";
 import type { Clock } from "../../../base/clock.ts";
 import { failure, type Result } from "../../../base/sesame_error.ts";
@@ -150,7 +150,8 @@
     `${name} as edited`,
     before,
     after,
-    "",
-    "",
+    undefined,
+    undefined,
+    { headerOptions: FILE_HEADERS_ONLY },
   ).trimEnd();
 }
