--- a/src/process/configuration/configuration_machine.ts
+++ b/src/process/configuration/configuration_machine.ts
@@ -7,7 +7,7 @@
 
 import type { Stream } from "most";
 import { Channel } from "../../base/channel.ts";
-import type { DataCentreId } from "../../base/identity.ts";
+import type { DataCentreId, TeamId } from "../../base/identity.ts";
 import type { Result } from "../../base/sesame_error.ts";
 import type { ConfigurationVersion } from "../../version/configuration_version.ts";
 import {
@@ -34,6 +34,7 @@
 import {
   CONFIGURATION_LIMITS,
   type ConfigurationLimits,
+  hasRoom,
 } from "./configuration_limits.ts";
 import {
   type ConfigurationSnapshot,
@@ -208,7 +209,8 @@
       Right: (document) => {
         const { atMs } = command;
         for (const entry of canonicalTexts(command.text)) {
-          this.#sections.put({ ...entry, version: 1, atMs: this.#nowMs });
+          const atMs = this.#nowMs;
+          this.#sections.put({ ...entry, version: 1, atMs }, WHOLE_DOCUMENT);
         }
         return this.#install(document, {
           section: WHOLE_DOCUMENT,
@@ -268,19 +270,29 @@
         detail: "the key is no longer one of the team's",
       });
     }
-    const hasRoom = this.#edits.hasRoom(edit.team) &&
-      this.#sections.replacedBytes < this.#limits.replacedTextBytesLimit;
-    return hasRoom ? undefined : refuse(sectionId, {
+    const mayKeep = this.#edits.hasRoom(edit.team) &&
+      this.#hasTextRoom(edit.team);
+    return mayKeep ? undefined : refuse(sectionId, {
       error: "overloaded",
       detail: "too many edits in a day; none can be remembered now",
     });
   }
 
+  #hasTextRoom(team: TeamId): boolean {
+    const own = this.#sections.replacedBytesOf(team);
+    return hasRoom({ own, total: this.#sections.replacedBytes }, {
+      limit: this.#limits.replacedBytesLimit,
+      perTeamLimit: this.#limits.replacedBytesPerTeamLimit,
+      perTeamReserve: this.#limits.replacedBytesPerTeamReserve,
+    });
+  }
+
   #accept(edit: EditCommand, acceptable: AcceptableEdit): AcceptedOutcome {
     const section = formatSectionId(edit.sectionId);
     const version = this.#current.version + 1;
     const { text } = acceptable;
-    this.#sections.put({ section, version, text, atMs: this.#nowMs });
+    const atMs = this.#nowMs;
+    this.#sections.put({ section, version, text, atMs }, edit.team);
     return this.#install(acceptable.document, {
       section,
       change: edit.change.kind,
@@ -347,6 +359,7 @@
       document: this.#current.document,
       sections: this.#sections,
       removals: this.#removals.removals(),
+      documentBytesLimit: this.#limits.documentBytesLimit,
     };
   }
 
--- a/src/process/configuration/configuration_snapshot.ts
+++ b/src/process/configuration/configuration_snapshot.ts
@@ -84,7 +84,10 @@
   nowMs: z.number(),
   prunedAtMs: z.number(),
   sections: z.array(sectionTextSchema),
-  replaced: z.array(sectionTextSchema.extend({ replacedAtMs: z.number() })),
+  replaced: z.array(sectionTextSchema.extend({
+    replacedAtMs: z.number(),
+    replacedBy: z.string(),
+  })),
   edits: z.array(keptEditSchema),
   history: z.array(historyEntrySchema),
   removals: z.array(removalSchema),
--- a/src/process/configuration/edit_evaluation.ts
+++ b/src/process/configuration/edit_evaluation.ts
@@ -34,6 +34,8 @@
   readonly document: Document;
   readonly sections: SectionStore;
   readonly removals: readonly Removal[];
+  /** The most bytes of all sections' texts. */
+  readonly documentBytesLimit: number;
 }
 
 /** An edit that may be accepted, with all that it changes. */
@@ -122,9 +124,27 @@
   }
   const document = withSection(context.document, sectionId, source.section);
   const text = keptSectionText(sectionId, source);
+  if (grownBytes(context, edit, text) > context.documentBytesLimit) {
+    return refuse(sectionId, {
+      error: "tooLarge",
+      detail: `a document has at most ${context.documentBytesLimit} bytes`,
+    });
+  }
   return accept(context, { document, text, edit, source: source.text });
 }
 
+/** Bytes of all texts with the section's new one. */
+function grownBytes(
+  context: EditContext,
+  edit: EditCommand,
+  text: string,
+): number {
+  const { sections } = context;
+  const before = sections.current(formatSectionId(edit.sectionId))?.text ?? "";
+  return sections.currentBytes - Buffer.byteLength(before) +
+    Buffer.byteLength(text);
+}
+
 function evaluateRemoval(
   context: EditContext,
   edit: EditCommand,
--- a/src/process/configuration/edit_memory.ts
+++ b/src/process/configuration/edit_memory.ts
@@ -12,7 +12,7 @@
   EditCommand,
   RefusedOutcome,
 } from "./configuration_command.ts";
-import type { ConfigurationLimits } from "./configuration_limits.ts";
+import { type ConfigurationLimits, hasRoom } from "./configuration_limits.ts";
 
 /** An outcome as kept: the text of a conflict is looked up again. */
 export type KeptOutcome =
@@ -55,9 +55,12 @@
 
   /** Whether one more edit of the team may be kept. */
   hasRoom(team: TeamId): boolean {
-    const ofTeam = this.#countByTeam.get(team) ?? 0;
-    return this.#edits.size < this.#limits.editsLimit &&
-      ofTeam < this.#limits.editsPerTeamLimit;
+    const own = this.#countByTeam.get(team) ?? 0;
+    return hasRoom({ own, total: this.#edits.size }, {
+      limit: this.#limits.editsLimit,
+      perTeamLimit: this.#limits.editsPerTeamLimit,
+      perTeamReserve: this.#limits.editsPerTeamReserve,
+    });
   }
 
   add(edit: KeptEdit): void {
--- a/src/process/configuration/section_store.ts
+++ b/src/process/configuration/section_store.ts
@@ -5,6 +5,8 @@
  * @module
  */
 
+import type { TeamId } from "../../base/identity.ts";
+
 /** A section's text at one version; null once it is removed. */
 export interface SectionText {
   /** `kind.name` of the section. */
@@ -19,12 +21,16 @@
 /** A text that is no longer current. */
 export interface ReplacedText extends SectionText {
   readonly replacedAtMs: number;
+  /** The team whose edit replaced it. */
+  readonly replacedBy: TeamId;
 }
 
 /** All sections, removed ones among them till they are forgotten. */
 export class SectionStore {
   readonly #current = new Map<string, SectionText>();
   #replaced: ReplacedText[] = [];
+  readonly #replacedBytesByTeam = new Map<TeamId, number>();
+  #currentBytes = 0;
   #replacedBytes = 0;
 
   constructor(
@@ -35,17 +41,28 @@
   ) {
     for (const entry of options.current ?? []) {
       this.#current.set(entry.section, entry);
+      this.#currentBytes += bytesOf(entry);
     }
     for (const entry of options.replaced ?? []) {
       this.#keep(entry);
     }
   }
 
+  /** Bytes of all current texts. */
+  get currentBytes(): number {
+    return this.#currentBytes;
+  }
+
   /** Bytes of all replaced texts. */
   get replacedBytes(): number {
     return this.#replacedBytes;
   }
 
+  /** Bytes of the texts that the team's edits replaced. */
+  replacedBytesOf(team: TeamId): number {
+    return this.#replacedBytesByTeam.get(team) ?? 0;
+  }
+
   current(section: string): SectionText | undefined {
     return this.#current.get(section);
   }
@@ -67,19 +84,22 @@
     return replaced?.text ?? null;
   }
 
-  put(entry: SectionText): void {
+  put(entry: SectionText, team: TeamId): void {
     const before = this.#current.get(entry.section);
     if (before !== undefined) {
-      this.#keep({ ...before, replacedAtMs: entry.atMs });
+      const replacedAtMs = entry.atMs;
+      this.#keep({ ...before, replacedAtMs, replacedBy: team });
+      this.#currentBytes -= bytesOf(before);
     }
     this.#current.set(entry.section, entry);
+    this.#currentBytes += bytesOf(entry);
   }
 
   /** Forgets replaced texts and removed sections from before a moment. */
   prune(beforeMs: number): void {
     let count = 0;
     while ((this.#replaced[count]?.replacedAtMs ?? Infinity) < beforeMs) {
-      this.#replacedBytes -= bytesOf(this.#replaced[count] as ReplacedText);
+      this.#count(this.#replaced[count] as ReplacedText, -1);
       count++;
     }
     this.#replaced.splice(0, count);
@@ -100,7 +120,18 @@
 
   #keep(entry: ReplacedText): void {
     this.#replaced.push(entry);
-    this.#replacedBytes += bytesOf(entry);
+    this.#count(entry, 1);
+  }
+
+  #count(entry: ReplacedText, factor: 1 | -1): void {
+    const change = factor * bytesOf(entry);
+    this.#replacedBytes += change;
+    const ofTeam = this.replacedBytesOf(entry.replacedBy) + change;
+    if (ofTeam === 0) {
+      this.#replacedBytesByTeam.delete(entry.replacedBy);
+    } else {
+      this.#replacedBytesByTeam.set(entry.replacedBy, ofTeam);
+    }
   }
 }
 
--- a/src/version/document/check_document.ts
+++ b/src/version/document/check_document.ts
@@ -80,6 +80,13 @@
   const faults: DocumentFault[] = [];
   for (const [name, team] of sortedEntries(document.teams)) {
     const sectionId: SectionId = { kind: "teams", name };
+    if (name.includes(":")) {
+      faults.push({
+        sectionId,
+        path: [],
+        reason: "a team's name has no colon, since its keys follow one",
+      });
+    }
     if (team.owner === name && team.keyHashes.length === 0) {
       faults.push({
         sectionId,
--- a/src/version/document/parse_document.ts
+++ b/src/version/document/parse_document.ts
@@ -30,7 +30,7 @@
 
 /** How to read a whole document. */
 export interface ParseDocumentOptions extends MigrationOptions {
-  /** Leaves out the rules between sections, for a document accepted before. */
+  /** Leaves out size and rules, for a document that was accepted before. */
   readonly skipsRules?: boolean;
 }
 
@@ -39,7 +39,8 @@
   text: string,
   options: ParseDocumentOptions = {},
 ): Result<Document> {
-  if (Buffer.byteLength(text) > DOCUMENT_LIMIT_BYTES) {
+  const isLarge = Buffer.byteLength(text) > DOCUMENT_LIMIT_BYTES;
+  if (isLarge && options.skipsRules !== true) {
     return failure("tooLarge", {
       detail: `a document has at most ${DOCUMENT_LIMIT_BYTES} bytes`,
     });
