--- a/src/process/configuration/configuration_machine_test.ts
+++ b/src/process/configuration/configuration_machine_test.ts
@@ -212,6 +212,25 @@
   t.deepEqual(machine.snapshot(), before);
 });
 
+test("a garbled snapshot never throws", (t) => {
+  const whole = bootstrapped().snapshot();
+  const property = fc.property(
+    fc.array(fc.tuple(fc.nat(whole.length - 1), fc.nat(255)), {
+      minLength: 1,
+      maxLength: 5,
+    }),
+    (changes) => {
+      const bytes = Uint8Array.from(whole);
+      changes.forEach(([at, byte]) => {
+        bytes[at] = byte;
+      });
+      new ConfigurationMachine().restore(bytes);
+    },
+  );
+  fc.assert(property, { seed: 12, numRuns: 500 });
+  t.pass();
+});
+
 test("memory is bounded by refusing, never by forgetting early", (t) => {
   const limits = { editsPerTeamLimit: 3, editsPerTeamReserve: 2 };
   const machine = bootstrapped({ limits });
--- a/src/version/document/parse_document_test.ts
+++ b/src/version/document/parse_document_test.ts
@@ -102,6 +102,17 @@
   t.is(error.location, "services.a");
 });
 
+test("the search for a line has a bounded cost", (t) => {
+  const filler = "x\n".repeat(30_000);
+  const text = `[jobClasses.a]\nowner = "x"\nrank = 1\n` +
+    `other = """${filler}"""\n`;
+  const sectionId = { kind: "jobClasses", name: "a" } as const;
+  const error = parseSection(sectionId, text).swap().unsafeCoerce();
+  t.is(error.kind, "malformed");
+  t.regex(error.message, /other/);
+  t.is(error.facts["line"] ?? 4, 4);
+});
+
 test("a section's text holds that section alone", (t) => {
   const sectionId = { kind: "jobClasses", name: "a" } as const;
   const own = '[jobClasses.a]\nowner = "x"\nrank = 1\n';
--- a/src/version/document/toml_text.ts
+++ b/src/version/document/toml_text.ts
@@ -43,15 +43,16 @@
 /**
  * The line, from 1, at which the value at `path` begins, or that of its
  * nearest ancestor. It is found by parsing ever shorter beginnings of the
- * text, so that the library stays the only parser.
+ * text, so that the library stays the only parser; undefined when that would
+ * take too long.
  */
 export function findLine(
   text: string,
   path: readonly PropertyKey[],
 ): number | undefined {
-  const lines = text.split("\n");
+  const search = new LineSearch(text);
   for (let depth = path.length; depth > 0; depth--) {
-    const line = firstLineWith(lines, path.slice(0, depth));
+    const line = search.firstLineWith(path.slice(0, depth));
     if (line !== undefined) {
       return line;
     }
@@ -59,49 +60,59 @@
   return undefined;
 }
 
-/** Binary search: once a beginning holds the path, longer ones do too. */
-function firstLineWith(
-  lines: readonly string[],
-  path: readonly PropertyKey[],
-): number | undefined {
-  if (!beginningHolds(lines, lines.length, path)) {
-    return undefined;
-  }
-  let low = 1;
-  let high = lines.length;
-  while (low < high) {
-    const middle = (low + high) >> 1;
-    if (beginningHolds(lines, middle, path)) {
-      high = middle;
-    } else {
-      low = middle + 1;
-    }
-  }
-  return low;
-}
-
 /** What may close a value that is open at the end of a beginning. */
-const CLOSINGS = ["", "\n]", "\n}\n]"];
+const CLOSINGS = ["", "\n]", "\n}\n]", '\n"""'];
 
 /** How many lines back to look for a beginning that parses. */
 const BACKWARD_LINES = 64;
 
-function beginningHolds(
-  lines: readonly string[],
-  count: number,
-  path: readonly PropertyKey[],
-): boolean {
-  const least = Math.max(0, count - BACKWARD_LINES);
-  for (let length = count; length > least; length--) {
-    const beginning = lines.slice(0, length).join("\n");
-    for (const closing of CLOSINGS) {
-      const table = parseToml(beginning + closing);
-      if (table.isRight()) {
-        return holds(table.extract(), path);
+/** How often the whole length of the text may be parsed in one search. */
+const PARSES_LIMIT = 64;
+
+/** Looks for lines in one text, at a bounded cost. */
+class LineSearch {
+  readonly #lines: readonly string[];
+  #budget: number;
+
+  constructor(text: string) {
+    this.#lines = text.split("\n");
+    this.#budget = text.length * PARSES_LIMIT;
+  }
+
+  /** Binary search: once a beginning holds the path, longer ones do too. */
+  firstLineWith(path: readonly PropertyKey[]): number | undefined {
+    if (!this.#beginningHolds(this.#lines.length, path)) {
+      return undefined;
+    }
+    let low = 1;
+    let high = this.#lines.length;
+    while (low < high) {
+      const middle = (low + high) >> 1;
+      if (this.#beginningHolds(middle, path)) {
+        high = middle;
+      } else {
+        low = middle + 1;
+      }
+    }
+    return this.#budget > 0 ? low : undefined;
+  }
+
+  #beginningHolds(count: number, path: readonly PropertyKey[]): boolean {
+    const least = Math.max(0, count - BACKWARD_LINES);
+    for (let length = count; length > least; length--) {
+      const beginning = this.#lines.slice(0, length).join("\n");
+      for (const closing of CLOSINGS) {
+        this.#budget -= beginning.length;
+        const table = this.#budget > 0
+          ? parseToml(beginning + closing)
+          : undefined;
+        if (table?.isRight()) {
+          return holds(table.extract(), path);
+        }
       }
     }
+    return false;
   }
-  return false;
 }
 
 function holds(table: unknown, path: readonly PropertyKey[]): boolean {
