Name no moment for a removal that this copy doesn't hold

An instance that knew from the leader that a removal was accepted, but had not applied it yet, worked the moment out of the versions it knew: an unseen longer permission could make that too early. It now names none.

--- a/src/process/configuration/configuration_service.ts
+++ b/src/process/configuration/configuration_service.ts
@@ -273,7 +273,7 @@
     });
     const report = this.#standing(outcome);
     if (report.standing?.state === "pending") {
-      const { holdsByMs } = report.standing;
+      const holdsByMs = report.standing.holdsByMs ?? undefined;
       const fields = { dataCentre, version, holdsByMs };
       this.#options.events.emit("removalPending", fields);
     }
@@ -291,24 +291,18 @@
       return { outcome, standing: undefined };
     }
     const { version, removedDataCentre: dataCentre } = outcome;
-    const holdsByMs = (id: DataCentreId) => this.#holdsByMs(id);
     if (dataCentre !== null && this.current().version < version) {
-      const standing = {
-        version,
-        dataCentre,
-        holdsByMs: holdsByMs(dataCentre),
-      };
+      const standing = { version, dataCentre, holdsByMs: null };
       return { outcome, standing: { state: "pending", ...standing } };
     }
     const { removals } = this.machine;
+    const holdsByMs = (id: DataCentreId) => this.#holdsByMs(id);
     return { outcome, standing: editStateOf(outcome, { removals, holdsByMs }) };
   }
 
-  #holdsByMs(dataCentre: DataCentreId): number {
-    const { version } = this.current();
-    const removal = this.machine.removals.removal(dataCentre) ??
-      { dataCentre, version, state: "pending" as const };
-    return this.#confirmer.holdsByMs(removal);
+  #holdsByMs(dataCentre: DataCentreId): number | null {
+    const removal = this.machine.removals.removal(dataCentre);
+    return removal === undefined ? null : this.#confirmer.holdsByMs(removal);
   }
 
   #logEdit(request: EditRequest, result: Result<ConfigurationOutcome>): void {
--- a/src/process/configuration/configuration_service_test.ts
+++ b/src/process/configuration/configuration_service_test.ts
@@ -8,6 +8,7 @@
 import { FakePeerHub } from "../replication/fake_peer_network.ts";
 import {
   FIXTURE_DOCUMENT,
+  fixtureHash,
   fixtureKey,
   jobClassText,
   matchesFixture,
@@ -271,6 +272,37 @@
   system.close();
 });
 
+test("a copy that lags names no moment for a removal", async (t) => {
+  const system = await new ServiceSystem().start();
+  const lagging = system.service(1);
+  const answering = lagging.edit({
+    editId: "out-1",
+    team: "operations",
+    keyHash: fixtureHash(fixtureKey("operations")),
+    sectionId: { kind: "dataCentres", name: "north" },
+    baseVersion: 1,
+    change: { kind: "replace", text: northText("out") },
+  });
+  await system.run(2_000);
+  t.is((await answering).unsafeCoerce().standing?.state, "pending");
+  system.member(1).holdsBack = true;
+  const again = lagging.edit({
+    editId: "out-2",
+    team: "operations",
+    keyHash: fixtureHash(fixtureKey("operations")),
+    sectionId: { kind: "dataCentres", name: "north" },
+    baseVersion: 2,
+    change: { kind: "replace", text: northText("out") },
+  });
+  await system.run(2_000);
+  t.like((await again).unsafeCoerce().standing, {
+    state: "pending",
+    version: 3,
+    holdsByMs: null,
+  });
+  system.close();
+});
+
 test("an acknowledged removal is answered as accepted", async (t) => {
   const system = await new ServiceSystem().start();
   const answering = system.put("dataCentres/north", {
--- a/src/process/configuration/edit_state.ts
+++ b/src/process/configuration/edit_state.ts
@@ -19,8 +19,11 @@
   readonly state: "pending";
   readonly version: number;
   readonly dataCentre: DataCentreId;
-  /** The latest moment at which it holds, by this instance's clock. */
-  readonly holdsByMs: number;
+  /**
+   * The latest moment at which it holds, by this instance's clock; null while
+   * this instance's copy is too old to tell.
+   */
+  readonly holdsByMs: number | null;
 }
 
 /** The edit was part of the document, but its removal was taken back. */
@@ -38,7 +41,7 @@
   outcome: Extract<EditOutcome, { kind: "accepted" }>,
   options: {
     readonly removals: RemovalLedger;
-    readonly holdsByMs: (dataCentre: DataCentreId) => number;
+    readonly holdsByMs: (dataCentre: DataCentreId) => number | null;
   },
 ): EditState {
   const { version, removedDataCentre: dataCentre } = outcome;
--- a/src/process/configuration/fake_configuration_group.ts
+++ b/src/process/configuration/fake_configuration_group.ts
@@ -31,6 +31,8 @@
   readonly #machineOptions: ConfigurationMachineOptions;
   readonly #commands: Uint8Array[] = [];
   readonly #members: FakeMember[] = [];
+  /** The newest outcome, from a member that has applied all. */
+  lastOutcome: ConfigurationOutcome | undefined;
 
   constructor(options: {
     clock: Clock;
@@ -73,8 +75,8 @@
   commit(command: ConfigurationCommand): void {
     this.#commands.push(pack(command));
     for (const member of this.#members) {
-      if (member.isConnected) {
-        member.catchUp();
+      if (member.isConnected && !member.holdsBack) {
+        this.lastOutcome = member.catchUp() ?? this.lastOutcome;
       }
     }
   }
@@ -87,11 +89,12 @@
   readonly #clock: Clock;
   readonly #group: FakeConfigurationGroup;
   readonly #statuses = new Channel<MemberStatus>();
-  readonly #outcomes = new Map<number, ConfigurationOutcome>();
   machine: ConfigurationMachine;
   #appliedIndex = 0;
   #currentAtMs = 0;
   #isConnected = true;
+  /** When set, the member learns outcomes, but its own copy stays behind. */
+  holdsBack = false;
   /** When set, the next answer is lost after its command was committed. */
   losesNextAnswer = false;
 
@@ -134,8 +137,8 @@
       this.losesNextAnswer = false;
       return Promise.resolve(failure("outcomeUnknown"));
     }
-    const outcome = this.#outcomes.get(this.#appliedIndex);
-    return Promise.resolve(Right(outcome as ConfigurationOutcome));
+    const outcome = this.#group.lastOutcome as ConfigurationOutcome;
+    return Promise.resolve(Right(outcome));
   }
 
   readBarrier(): Promise<Result<void>> {
@@ -160,13 +163,14 @@
     };
   }
 
-  /** Applies all that is committed. */
-  catchUp(): void {
+  /** Applies all that is committed; gives the outcome of the last one. */
+  catchUp(): ConfigurationOutcome | undefined {
+    let outcome: ConfigurationOutcome | undefined;
     while (this.#appliedIndex < this.#group.commitIndex) {
-      const index = ++this.#appliedIndex;
-      const command = this.#group.commandAt(index);
-      this.#outcomes.set(index, this.machine.apply(command));
+      const command = this.#group.commandAt(++this.#appliedIndex);
+      outcome = this.machine.apply(command);
     }
+    return outcome;
   }
 
   /** Goes on with a new machine made out of the old one's snapshot. */
--- a/src/programs/commands/config/edit_view.ts
+++ b/src/programs/commands/config/edit_view.ts
@@ -22,6 +22,8 @@
   }
 }
 
-function timeOf(atMs: number | undefined): string {
-  return atMs === undefined ? "an unknown time" : new Date(atMs).toISOString();
+function timeOf(atMs: number | null | undefined): string {
+  return typeof atMs === "number"
+    ? new Date(atMs).toISOString()
+    : "a time that isn't known yet";
 }
--- a/src/programs/commands/config/section_client.ts
+++ b/src/programs/commands/config/section_client.ts
@@ -39,7 +39,7 @@
   state: z.enum(["accepted", "pending", "superseded", "wouldBeAccepted"]),
   version: z.int().optional(),
   dataCentre: z.string().optional(),
-  holdsByMs: z.number().optional(),
+  holdsByMs: z.number().nullable().optional(),
 });
 
 /** Where an edit stands, as an instance tells. */
