Hold a session of operators as a golden file

Editing, resending, conflicts, refusals, rotating a key and taking out a data centre that is cut off, at the command line against three instances with the real log in virtual time. The tool now says when a text has no difference.

--- a/src/process/configuration/virtual_cluster.ts
+++ b/src/process/configuration/virtual_cluster.ts
@@ -24,6 +24,7 @@
   type ConfigurationMachineOptions,
 } from "./configuration_machine.ts";
 import { ConfigurationService } from "./configuration_service.ts";
+import { KeyVerifier, type KeyVerifierOptions } from "./key_verifier.ts";
 
 /** One instance of the cluster. */
 export interface VirtualInstance {
@@ -49,6 +50,8 @@
   readonly seed?: number;
   readonly machine?: ConfigurationMachineOptions;
   readonly timing?: Partial<ReplicationTiming>;
+  /** Compares a key with a hash. */
+  readonly matches?: KeyVerifierOptions["matches"];
 }
 
 /** One-way delays between instances, in milliseconds. */
@@ -108,6 +111,10 @@
         : { timing: this.#options.timing }),
     });
     const member = opened.unsafeCoerce();
+    const { matches } = this.#options;
+    const keys = matches === undefined
+      ? new KeyVerifier({ clock })
+      : new KeyVerifier({ clock, matches });
     const service = new ConfigurationService({
       machine,
       log: member,
@@ -115,6 +122,7 @@
       clock,
       events: SILENT_EVENT_LOG,
       instances,
+      keys,
     });
     this.nodes.set(id, { member, machine, service });
   }
--- a/src/programs/commands/config/config_edit.ts
+++ b/src/programs/commands/config/config_edit.ts
@@ -145,6 +145,9 @@
   const { current, file } = texts;
   const before = current.text ?? "";
   const after = file?.text.trimStart() ?? "";
+  if (before.trim() === after.trim()) {
+    return `${name} as edited is the same as version ${current.version}`;
+  }
   return createTwoFilesPatch(
     `${name} at version ${current.version}`,
     `${name} as edited`,
--- /dev/null
+++ b/test/operator_session_test.ts
@@ -0,0 +1,277 @@
+/**
+ * A whole session of operators at the command line, against three instances
+ * with their replicated log, compared to a golden file. Run with
+ * `UPDATE_GOLDEN=1` to write the file anew.
+ */
+
+import test from "ava";
+import { readFileSync, writeFileSync } from "node:fs";
+import process from "node:process";
+import { Right } from "purify-ts/Either";
+import { failure } from "../src/base/mod.ts";
+import { EndpointTable } from "../src/process/http/endpoint_table.ts";
+import type { HttpAnswer } from "../src/process/http/http_endpoint.ts";
+import {
+  FIXTURE_DOCUMENT,
+  fixtureKey,
+  jobClassText,
+  matchesFixture,
+  teamText,
+} from "../src/process/configuration/configuration_fixture.ts";
+import { VirtualCluster } from "../src/process/configuration/virtual_cluster.ts";
+import type {
+  ApiCall,
+  ApiClient,
+} from "../src/programs/commands/api_client.ts";
+import type { CommandContext } from "../src/programs/commands/command_context.ts";
+import {
+  editConfiguration,
+  getConfiguration,
+  showConfigurationHistory,
+  switchDataCentre,
+} from "../src/programs/commands/config/mod.ts";
+
+const GOLDEN = "test/golden/operator_session.txt";
+
+const INSTANCES = [
+  { id: "north-1", dataCentre: "north", region: "one", hasDisk: true },
+  { id: "south-1", dataCentre: "south", region: "two", hasDisk: true },
+  { id: "south-2", dataCentre: "south", region: "two", hasDisk: true },
+];
+
+/** The operators' terminal, and the instance that they call. */
+class Session {
+  readonly cluster = new VirtualCluster({
+    instances: INSTANCES,
+    matches: matchesFixture,
+  });
+  readonly lines: string[] = [];
+  readonly files = new Map<string, string>();
+  /** What the last command printed. */
+  printed = "";
+
+  async start(): Promise<void> {
+    await this.cluster.startAll();
+    await this.cluster.run(3_000);
+    const service = this.cluster.node("south-1")?.service;
+    await this.cluster.finish(
+      Promise.all([service?.bootstrap(FIXTURE_DOCUMENT)]),
+    );
+    await this.cluster.run(1_000);
+  }
+
+  /** Runs a command and writes down what it printed and its exit code. */
+  async run(
+    title: string,
+    command: (context: CommandContext) => Promise<number>,
+  ): Promise<void> {
+    this.lines.push(`$ ${title}`);
+    this.printed = "";
+    const code = await this.cluster.finish(command(this.#context()));
+    this.lines.push(`exit ${code}`, "");
+    await this.cluster.run(1_000);
+  }
+
+  /** Moments differ with the timing of other parts. */
+  text(): string {
+    return this.lines.join("\n")
+      .replaceAll(/\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d+Z/g, "<time>");
+  }
+
+  #context(): CommandContext {
+    const print = (text: string) => {
+      this.printed += text + "\n";
+      this.lines.push(text);
+    };
+    return {
+      client: {
+        call: (call: ApiCall) => this.#call(call),
+        json: async (call: ApiCall) => {
+          const answer = await this.#call(call);
+          return answer.map(({ text }) => JSON.parse(text));
+        },
+      } as unknown as ApiClient,
+      io: {
+        out: print,
+        error: print,
+        read: (path) => {
+          const text = this.files.get(path);
+          return Promise.resolve(
+            text === undefined ? failure("notFound") : Right(text),
+          );
+        },
+      },
+      wantsJson: false,
+    };
+  }
+
+  async #call(call: ApiCall) {
+    const endpoints = this.cluster.node("south-1")?.service.endpoints() ?? [];
+    const url = new URL(call.path, "http://localhost");
+    const found = new EndpointTable({ endpoints }).find(
+      call.method,
+      url.pathname,
+    );
+    const { endpoint, parameters } = found.unsafeCoerce();
+    const answer = await endpoint.handle({
+      method: call.method,
+      path: url.pathname,
+      parameters,
+      query: url.searchParams,
+      headers: { ...call.headers },
+      receivedAtMs: this.cluster.clock.nowMs(),
+      body: Buffer.from(call.body ?? ""),
+      signal: new AbortController().signal,
+    });
+    return answer.map(({ status, headers, body }: HttpAnswer) => ({
+      status,
+      headers,
+      text: String(body),
+    }));
+  }
+}
+
+const RATING = `rating:${fixtureKey("rating")}`;
+const OPERATIONS = `operations:${fixtureKey("operations")}`;
+const NORMAL = "jobClasses.normal";
+
+async function editSections(session: Session): Promise<void> {
+  await session.run(
+    `config get ${NORMAL}`,
+    (context) => getConfiguration(context, { section: NORMAL }),
+  );
+  session.files.set("mine", session.printed.replace("rank = 4", "rank = 5"));
+  const mine = { section: NORMAL, file: "mine", key: RATING };
+  await session.run(
+    `config edit ${NORMAL} --file mine --dry-run`,
+    (context) => editConfiguration(context, { ...mine, dryRun: true }),
+  );
+  await session.run(
+    `config edit ${NORMAL} --file mine --edit-id e-1`,
+    (context) => editConfiguration(context, { ...mine, editId: "e-1" }),
+  );
+  await session.run(
+    "the same once more: its first answer",
+    (context) => editConfiguration(context, { ...mine, editId: "e-1" }),
+  );
+  await session.run(
+    "another edit from the same version",
+    (context) => editConfiguration(context, { ...mine, editId: "e-2" }),
+  );
+  const other = jobClassText("normal", { owner: "rating", rank: 7 });
+  session.files.set("other", other);
+  await session.run(
+    "another edit under the first identity",
+    (context) =>
+      editConfiguration(context, { ...mine, file: "other", editId: "e-1" }),
+  );
+}
+
+async function refuseEdits(session: Session): Promise<void> {
+  const edit = (title: string, section: string, text: string, key: string) => {
+    session.files.set("file", text);
+    return session.run(
+      title,
+      (context) => editConfiguration(context, { section, file: "file", key }),
+    );
+  };
+  const normal = (rank: string) =>
+    `[${NORMAL}]\nowner = "rating"\nrank = ${rank}\n`;
+  await edit("another team's section", NORMAL, normal("1"), OPERATIONS);
+  await edit("a wrong key", NORMAL, normal("1"), "rating:wrong");
+  await edit("a value out of range", NORMAL, normal("99"), RATING);
+  await edit("broken TOML", NORMAL, normal("]"), RATING);
+  await edit(
+    "a guarantee that doesn't fit",
+    "clientAccounts.buyers",
+    `[clientAccounts.buyers]
+owner = "rating"
+
+[[clientAccounts.buyers.guarantees]]
+dataCentre = "north"
+racks = 1
+workersPerRack = 3
+acceleratorsPerWorker = 8
+count = 2
+`,
+    RATING,
+  );
+  await session.run(
+    "removing a section in use",
+    (context) =>
+      editConfiguration(context, {
+        section: "teams.trips",
+        remove: true,
+        key: OPERATIONS,
+      }),
+  );
+}
+
+async function rotateKey(session: Session): Promise<void> {
+  session.files.set("team", teamText("rating", "operations", ["fresh"]));
+  await session.run(
+    "a new key for rating",
+    (context) =>
+      editConfiguration(context, {
+        section: "teams.rating",
+        file: "team",
+        key: OPERATIONS,
+      }),
+  );
+  session.files.set(
+    "next",
+    jobClassText("normal", { owner: "rating", rank: 3 }),
+  );
+  for (const key of [RATING, "rating:fresh"]) {
+    const isOld = key === RATING;
+    await session.run(
+      `${isOld ? "the old" : "the new"} key`,
+      (context) =>
+        editConfiguration(context, { section: NORMAL, file: "next", key }),
+    );
+  }
+}
+
+async function switchNorth(session: Session): Promise<void> {
+  const { clock, hub } = session.cluster;
+  const north = { dataCentre: "north", key: OPERATIONS, clock };
+  hub.isolate("north-1");
+  await session.run(
+    "datacentre out north, cut off, --wait-ms 0",
+    (context) =>
+      switchDataCentre(context, { ...north, status: "out", waitMs: 0 }),
+  );
+  await session.run(
+    "datacentre out north, cut off",
+    (context) => switchDataCentre(context, { ...north, status: "out" }),
+  );
+  await session.run(
+    "config history --limit 3, while cut off",
+    (context) => showConfigurationHistory(context, { limit: 3 }),
+  );
+  hub.heal();
+  await session.cluster.run(8_000);
+  await session.run(
+    "datacentre in north, healed",
+    (context) => switchDataCentre(context, { ...north, status: "in" }),
+  );
+  await session.cluster.run(6_000);
+  await session.run(
+    "config history",
+    (context) => showConfigurationHistory(context, {}),
+  );
+}
+
+test("a session of operators reads as the golden file", async (t) => {
+  const session = new Session();
+  await session.start();
+  await editSections(session);
+  await refuseEdits(session);
+  await rotateKey(session);
+  await switchNorth(session);
+  await session.cluster.close();
+  if (process.env["UPDATE_GOLDEN"] === "1") {
+    writeFileSync(GOLDEN, session.text());
+  }
+  t.is(session.text(), readFileSync(GOLDEN, "utf8"));
+});
