--- a/src/process/configuration/configuration_machine.ts
+++ b/src/process/configuration/configuration_machine.ts
@@ -52,13 +52,11 @@
   refusedBy,
 } from "./edit_evaluation.ts";
 import { digestEdit, EditMemory, type KeptEdit } from "./edit_memory.ts";
+import { GroupTime } from "./group_time.ts";
 import { RemovalLedger } from "./removal_ledger.ts";
 import { SectionStore, type SectionText } from "./section_store.ts";
 import { canonicalTexts, documentOf, sectionsOf } from "./snapshot_document.ts";
 
-/** How often, by the group's time, old entries are looked for. */
-const PRUNE_PERIOD_MS = 60_000;
-
 /** The section under which the first document stands in the history. */
 export const WHOLE_DOCUMENT = "*";
 
@@ -89,13 +87,13 @@
   #edits: EditMemory;
   #history: HistoryEntry[] = [];
   #removals = new RemovalLedger();
-  #nowMs = 0;
-  #prunedAtMs = 0;
+  #time: GroupTime;
 
   constructor(options: ConfigurationMachineOptions = {}) {
     this.#limits = { ...CONFIGURATION_LIMITS, ...options.limits };
     this.#evaluate = options.evaluate ?? evaluateEdit;
     this.#edits = new EditMemory({ limits: this.#limits });
+    this.#time = new GroupTime({ stepLimitMs: this.#limits.clockStepLimitMs });
   }
 
   /** The version that came into force last. */
@@ -144,7 +142,9 @@
   }
 
   apply(command: ConfigurationCommand): ConfigurationOutcome {
-    this.#advance(command.atMs);
+    if (this.#time.advance(command.atMs)) {
+      this.#prune();
+    }
     switch (command.kind) {
       case "bootstrap":
         return this.#bootstrap(command);
@@ -161,8 +161,7 @@
       documentFormatVersion: DOCUMENT_FORMAT_VERSION,
       version: this.#current.version,
       acceptedAtMs: this.#current.acceptedAtMs,
-      nowMs: this.#nowMs,
-      prunedAtMs: this.#prunedAtMs,
+      ...this.#time.moments,
       sections: this.#sections.listCurrent(),
       replaced: this.#sections.listReplaced(),
       edits: this.#edits.list(),
@@ -194,8 +193,10 @@
     });
     this.#history = [...state.history];
     this.#removals = new RemovalLedger(state);
-    this.#nowMs = state.nowMs;
-    this.#prunedAtMs = state.prunedAtMs;
+    this.#time = new GroupTime({
+      stepLimitMs: this.#limits.clockStepLimitMs,
+      moments: state,
+    });
     this.#current = { version, document, acceptedAtMs };
     this.#changes.push(this.#current);
   }
@@ -209,7 +210,7 @@
       Right: (document) => {
         const { atMs } = command;
         for (const entry of canonicalTexts(command.text)) {
-          const atMs = this.#nowMs;
+          const atMs = this.#time.nowMs;
           this.#sections.put({ ...entry, version: 1, atMs }, WHOLE_DOCUMENT);
         }
         return this.#install(document, {
@@ -291,7 +292,7 @@
     const section = formatSectionId(edit.sectionId);
     const version = this.#current.version + 1;
     const { text } = acceptable;
-    const atMs = this.#nowMs;
+    const atMs = this.#time.nowMs;
     this.#sections.put({ section, version, text, atMs }, edit.team);
     return this.#install(acceptable.document, {
       section,
@@ -314,7 +315,7 @@
       before,
       after: document,
       version,
-      atMs: this.#nowMs,
+      atMs: this.#time.nowMs,
     });
     this.#history.push({ version, ...cause });
     this.#current = { version, document, acceptedAtMs: atMs };
@@ -336,7 +337,7 @@
       outcome: outcome.kind === "conflict"
         ? { kind: "conflict", currentVersion: outcome.currentVersion }
         : outcome,
-      atMs: this.#nowMs,
+      atMs: this.#time.nowMs,
     });
   }
 
@@ -363,22 +364,12 @@
     };
   }
 
-  /** The group's time follows the commands, but never jumps far ahead. */
-  #advance(atMs: number): void {
-    const furthestMs = this.#nowMs + this.#limits.clockStepLimitMs;
-    const reachedMs = this.#nowMs === 0 ? atMs : Math.min(atMs, furthestMs);
-    this.#nowMs = Math.max(this.#nowMs, reachedMs);
-    if (this.#nowMs - this.#prunedAtMs >= PRUNE_PERIOD_MS) {
-      this.#prune();
-    }
-  }
-
   #prune(): void {
-    this.#prunedAtMs = this.#nowMs;
-    this.#edits.prune(this.#nowMs);
-    this.#sections.prune(this.#nowMs - this.#limits.editRetentionMs);
+    const { nowMs } = this.#time;
+    this.#edits.prune(nowMs);
+    this.#sections.prune(nowMs - this.#limits.editRetentionMs);
     const { historyRetentionMs, historyLimit } = this.#limits;
-    const beforeMs = this.#nowMs - historyRetentionMs;
+    const beforeMs = nowMs - historyRetentionMs;
     this.#history = this.#history.filter((entry) => entry.atMs >= beforeMs)
       .slice(-historyLimit);
   }
--- a/src/process/configuration/configuration_service_test.ts
+++ b/src/process/configuration/configuration_service_test.ts
@@ -4,6 +4,7 @@
 import type { EventFields } from "../../base/event_log.ts";
 import { SeededRandom } from "../../base/random_source.ts";
 import type { Result } from "../../base/sesame_error.ts";
+import { EndpointTable } from "../http/endpoint_table.ts";
 import type { HttpAnswer, HttpCall } from "../http/http_endpoint.ts";
 import { FakePeerHub } from "../replication/fake_peer_network.ts";
 import {
@@ -91,16 +92,8 @@
     path: string,
     options: CallOptions = {},
   ): Promise<Result<HttpAnswer>> {
-    const parts = path.split("/");
-    const endpoint = this.service(0).endpoints().find((candidate) =>
-      candidate.method === method && isMatch(candidate.path, parts)
-    );
-    const names = (endpoint?.path ?? "").split("/");
-    const parameters = Object.fromEntries(
-      names.flatMap((name, at) =>
-        name.startsWith(":") ? [[name.slice(1), parts[at] ?? ""]] : []
-      ),
-    );
+    const table = new EndpointTable({ endpoints: this.service(0).endpoints() });
+    const { endpoint, parameters } = table.find(method, path).unsafeCoerce();
     const call: HttpCall = {
       method,
       path,
@@ -111,9 +104,7 @@
       body: Buffer.from(options.body ?? ""),
       signal: new AbortController().signal,
     };
-    return endpoint === undefined
-      ? Promise.reject(new Error("no such endpoint"))
-      : endpoint.handle(call);
+    return endpoint.handle(call);
   }
 
   put(section: string, options: {
@@ -141,12 +132,6 @@
   }
 }
 
-function isMatch(path: string, parts: readonly string[]): boolean {
-  const names = path.split("/");
-  return names.length === parts.length &&
-    names.every((name, at) => name.startsWith(":") || name === parts[at]);
-}
-
 function bodyOf(answer: Result<HttpAnswer>): Record<string, unknown> {
   return JSON.parse(String(answer.unsafeCoerce().body));
 }
