--- a/src/process/scheduler/core/gang_lifecycle.ts
+++ b/src/process/scheduler/core/gang_lifecycle.ts
@@ -170,7 +170,11 @@
     this.#ended.push(job);
     if (this.#ended.length > ENDED_JOBS_KEPT) {
       const oldest = this.#ended.shift();
-      context.jobs.delete(oldest?.specification.jobId ?? "");
+      const jobId = oldest?.specification.jobId ?? "";
+      // The job may have come back since.
+      if (context.jobs.get(jobId) === oldest) {
+        context.jobs.delete(jobId);
+      }
     }
   }
 
--- a/src/process/scheduler/core/job_events.ts
+++ b/src/process/scheduler/core/job_events.ts
@@ -51,11 +51,15 @@
     return this.#order;
   }
 
-  /** Takes a job in; one that is known already is left as it is. */
+  /**
+   * Takes a job in; one that is known already is left as it is, unless it
+   * ended here: then it comes back from another data centre.
+   */
   submitted(event: JobSubmitted): void {
     const context = this.#context;
     const specification = event.job;
-    if (context.jobs.has(specification.jobId)) {
+    const known = context.jobs.get(specification.jobId);
+    if (known !== undefined && known.phase !== JobPhase.ended) {
       return;
     }
     const job = newJobState(specification, {
--- a/src/process/scheduler/runtime/decision_core.ts
+++ b/src/process/scheduler/runtime/decision_core.ts
@@ -4,11 +4,14 @@
  * @module
  */
 
+import type { JobRecord, RestoreOptions } from "../core/mod.ts";
 import type { SchedulerDecision } from "../core/scheduler_decision.ts";
 import type { SchedulerEvent } from "../core/scheduler_event.ts";
 
 /** Decides; holds no time, randomness or I/O of its own. */
 export interface DecisionCore {
+  /** Takes over from an earlier leader; what runs is told by events. */
+  restore(records: readonly JobRecord[], options: RestoreOptions): void;
   handle(event: SchedulerEvent): readonly SchedulerDecision[];
 }
 
--- a/src/process/scheduler/runtime/gang.ts
+++ b/src/process/scheduler/runtime/gang.ts
@@ -87,6 +87,11 @@
       (this.phase === "stopping" && this.isCheckpointing);
   }
 
+  /** Whether a task failed by itself. */
+  get hasFailed(): boolean {
+    return [...this.#outcomes.values()].includes("failed");
+  }
+
   get hasEnded(): boolean {
     return this.#outcomes.size === this.placements.length;
   }
--- a/src/process/scheduler/runtime/gang_starter.ts
+++ b/src/process/scheduler/runtime/gang_starter.ts
@@ -85,6 +85,7 @@
       jobId,
       attempt,
       placements: [...decision.placements],
+      resources: decision.resources,
       configurationVersion: decision.configurationVersion,
     });
     if (outcome?.kind === "applied") {
--- a/src/process/scheduler/runtime/gang_table.ts
+++ b/src/process/scheduler/runtime/gang_table.ts
@@ -205,6 +205,7 @@
       kind: "attemptEnded",
       jobId,
       attempt,
+      hasFailed: gang.hasFailed,
       detail,
     });
     this.#gangs.delete(key(jobId, attempt));
--- a/src/process/scheduler/runtime/job_command.ts
+++ b/src/process/scheduler/runtime/job_command.ts
@@ -12,7 +12,7 @@
 import type { ErrorKind } from "../../../base/error_kind.ts";
 import { IDENTITY_PATTERN } from "../../../base/identity.ts";
 import { failure, type Result } from "../../../base/sesame_error.ts";
-import { jobSpecificationSchema } from "../core/job.ts";
+import { jobSpecificationSchema, taskResourcesSchema } from "../core/job.ts";
 import {
   jobEndSchema,
   type JobRecord,
@@ -59,6 +59,7 @@
     kind: z.literal("attemptIntended"),
     ...ofAttempt,
     placements: z.array(taskPlacementSchema).min(1).max(64),
+    resources: taskResourcesSchema,
     configurationVersion: z.int().min(0),
   }),
   z.strictObject({ kind: z.literal("attemptStarted"), ...ofAttempt }),
@@ -66,6 +67,8 @@
   z.strictObject({
     kind: z.literal("attemptEnded"),
     ...ofAttempt,
+    /** Whether a task failed by itself. */
+    hasFailed: z.boolean(),
     detail: z.string().max(256),
   }),
   z.strictObject({
--- a/src/process/scheduler/runtime/job_ledger.ts
+++ b/src/process/scheduler/runtime/job_ledger.ts
@@ -209,6 +209,7 @@
         attempt: command.attempt,
         term: command.term,
         placements: command.placements,
+        resources: command.resources,
         configurationVersion: command.configurationVersion,
         intendedAtMs: command.atMs,
       },
@@ -233,6 +234,7 @@
       return refused("there is no such job");
     }
     const attemptsUsed = Math.max(record.attemptsUsed, command.attempt);
+    const failures = record.failures + (command.hasFailed ? 1 : 0);
     const open = record.openAttempt;
     if (open === undefined || open.attempt > command.attempt) {
       return this.#change(record, { attemptsUsed });
@@ -241,6 +243,7 @@
     return this.#put({
       ...rest,
       attemptsUsed,
+      failures,
       pastAttempts: this.#past(record, {
         ...open,
         endedAtMs: command.atMs,
@@ -355,6 +358,7 @@
     submittedAtMs: command.submittedAtMs,
     transfers: command.transfers,
     attemptsUsed: command.attemptsUsed,
+    failures: 0,
     pastAttempts: [],
     isCancelled: false,
   };
--- a/src/process/scheduler/runtime/job_record.ts
+++ b/src/process/scheduler/runtime/job_record.ts
@@ -6,7 +6,7 @@
 
 import { z } from "zod";
 import { IDENTITY_PATTERN } from "../../../base/identity.ts";
-import { jobSpecificationSchema } from "../core/job.ts";
+import { jobSpecificationSchema, taskResourcesSchema } from "../core/job.ts";
 import { JobOutcome } from "../core/scheduler_decision.ts";
 
 const identity = z.string().regex(IDENTITY_PATTERN);
@@ -24,6 +24,8 @@
   /** The term of the leader that intended it. */
   term: z.int().min(0),
   placements: z.array(taskPlacementSchema).min(1),
+  /** What each task takes. */
+  resources: taskResourcesSchema,
   configurationVersion: z.int().min(0),
   intendedAtMs: moment,
   startedAtMs: moment.optional(),
@@ -56,6 +58,8 @@
   transfers: z.int().min(0),
   /** The highest attempt number used. */
   attemptsUsed: z.int().min(0),
+  /** In how many attempts a task failed by itself. */
+  failures: z.int().min(0),
   /** The attempt of which tasks may run. */
   openAttempt: attemptRecordSchema.optional(),
   /** The last attempts that ended, oldest first. */
--- a/src/process/scheduler/runtime/leader_session.ts
+++ b/src/process/scheduler/runtime/leader_session.ts
@@ -17,7 +17,8 @@
   ThrottleGang,
   WaitReason,
 } from "../core/scheduler_decision.ts";
-import type { SchedulerEvent } from "../core/scheduler_event.ts";
+import type { SchedulerEvent, TaskReference } from "../core/scheduler_event.ts";
+import { toCoreRecord } from "./core_record.ts";
 import type { DecisionCore } from "./decision_core.ts";
 import { GangTable } from "./gang_table.ts";
 import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
@@ -31,7 +32,7 @@
 import { StartGate } from "./start_gate.ts";
 import { WorkerCaller } from "./worker_caller.ts";
 import type { WorkerClient } from "./worker_client.ts";
-import type { WorkerTable } from "./worker_table.ts";
+import type { WorkerEntry, WorkerTable } from "./worker_table.ts";
 import { WorkerWatcher } from "./worker_watcher.ts";
 
 /** How often deadlines, silence and permissions are looked at. */
@@ -147,20 +148,29 @@
 
   /** Tells the core all that is known, then lets it decide. */
   #begin(): void {
-    const { clock, configuration, ledger, workers } = this.#options;
+    const { clock, core, ledger, workers, events, term } = this.#options;
     const atMs = clock.nowMs();
-    const early = this.#queue;
-    this.#queue = [];
-    this.#feedConfiguration();
     const records = [...ledger.liveRecords()].filter(isOwned);
-    records.forEach((record) => this.#feedSubmitted(record));
+    records.filter((record) => this.#mover.isToMove(record))
+      .forEach((record) => this.#setAside(record.specification.jobId));
+    const own = records
+      .filter(({ specification }) => !this.#aside.has(specification.jobId));
+    core.restore(own.map(toCoreRecord), { atMs, recoverUntilMs: atMs });
+    this.#isRecovering = false;
+    this.#feedConfiguration();
     this.#joinAll(atMs);
-    this.#feedAdopted(atMs);
-    records.filter((record) => record.isCancelled)
+    [...workers.entries()].forEach((entry) => this.#gangs.look(entry));
+    own.filter((record) => record.isCancelled)
       .forEach((record) => this.#feedCancelled(record));
-    this.#queue.push(...early);
-    this.#isRecovering = false;
-    this.#observe(ledger.applied, (command) => this.#follow(command));
+    this.#follow();
+    events.emit("schedulingBegan", { term, jobs: records.length });
+    this.#tick();
+  }
+
+  /** From now on hears what happens. */
+  #follow(): void {
+    const { clock, configuration, ledger, workers } = this.#options;
+    this.#observe(ledger.applied, (command) => this.#noteApplied(command));
     this.#observe(configuration.versions, () => this.#feedConfiguration());
     this.#observe(workers.news, (news) => {
       this.#watcher.hear(news);
@@ -168,12 +178,6 @@
     });
     const tick: Timer = clock.every(TICK_MS, () => this.#tick());
     this.#closers.push(() => tick.close());
-    this.#options.events.emit("schedulingBegan", {
-      term: this.#options.term,
-      jobs: records.length,
-    });
-    [...workers.entries()].forEach((entry) => this.#gangs.look(entry));
-    this.#tick();
   }
 
   #observe<T>(
@@ -193,25 +197,20 @@
   #joinAll(atMs: number): void {
     const { workers, lease } = this.#options;
     for (const entry of workers.entries()) {
-      if (entry.anchor.receivedAtMs + lease.leaseMs < atMs) {
-        continue;
+      if (entry.anchor.receivedAtMs + lease.leaseMs >= atMs) {
+        this.#watcher.join(entry, this.#runningOf(entry));
       }
-      const { workerId } = entry.description;
-      const running = [...this.#gangs.gangs()]
-        .filter((gang) => gang.phase === "running")
-        .flatMap((gang) =>
-          gang.taskIndexes(workerId).map((index) => gang.reference(index))
-        );
-      this.#watcher.join(entry, running);
     }
   }
 
-  #feedAdopted(atMs: number): void {
-    for (const { jobId, attempt, phase } of this.#gangs.gangs()) {
-      if (phase === "running") {
-        this.#feed({ kind: "gangStarted", atMs, jobId, attempt });
-      }
-    }
+  /** The tasks of whole gangs that the worker runs. */
+  #runningOf(entry: WorkerEntry): TaskReference[] {
+    return entry.tasks
+      .filter((task) =>
+        task.state === "running" &&
+        this.#gangs.get(task.jobId, task.attempt)?.phase === "running"
+      )
+      .map(({ jobId, attempt, taskIndex }) => ({ jobId, attempt, taskIndex }));
   }
 
   #tick(): void {
@@ -244,7 +243,7 @@
     }
   }
 
-  #follow(command: JobCommand): void {
+  #noteApplied(command: JobCommand): void {
     if (!("jobId" in command) && command.kind !== "submitted") {
       return;
     }
@@ -282,8 +281,7 @@
     const { specification, attemptsUsed } = record;
     const { jobId } = specification;
     if (this.#mover.isToMove(record)) {
-      this.#aside.add(jobId);
-      this.#waitReasons.set(jobId, "dataCentreOut");
+      this.#setAside(jobId);
       return;
     }
     this.#feed({
@@ -292,11 +290,16 @@
       job: specification,
       attemptsUsed,
     });
-    if (record.isCancelled && !this.#isRecovering) {
+    if (record.isCancelled) {
       this.#feedCancelled(record);
     }
   }
 
+  #setAside(jobId: JobId): void {
+    this.#aside.add(jobId);
+    this.#waitReasons.set(jobId, "dataCentreOut");
+  }
+
   #feedCancelled(record: JobRecord): void {
     const { jobId } = record.specification;
     const atMs = this.#options.clock.nowMs();
--- a/src/process/scheduler/runtime/testing/fake_core.ts
+++ b/src/process/scheduler/runtime/testing/fake_core.ts
@@ -6,6 +6,7 @@
 
 import type { SchedulerDecision } from "../../core/scheduler_decision.ts";
 import type { SchedulerEvent, TaskEnded } from "../../core/scheduler_event.ts";
+import type { JobRecord } from "../../core/mod.ts";
 import type { JobSpecification } from "../../core/job.ts";
 import type { DecisionCore } from "../decision_core.ts";
 
@@ -43,6 +44,12 @@
     this.#dataCentre = options.dataCentre;
   }
 
+  restore(records: readonly JobRecord[]): void {
+    for (const { specification, attempt } of records) {
+      this.#queue(specification, attempt);
+    }
+  }
+
   handle(event: SchedulerEvent): readonly SchedulerDecision[] {
     const decisions = this.#take(event);
     return [...decisions, ...this.#startAll(event.atMs)];
@@ -79,15 +86,7 @@
         this.#workers.delete(event.workerId);
         return [];
       case "jobSubmitted":
-        this.#jobs.set(event.job.jobId, {
-          job: event.job,
-          state: "queued",
-          attempt: event.attemptsUsed ?? 0,
-          isCancelled: false,
-          notBeforeMs: 0,
-          workerIds: [],
-          succeeded: new Set(),
-        });
+        this.#queue(event.job, event.attemptsUsed ?? 0);
         return [{
           kind: "jobWaits",
           jobId: event.job.jobId,
@@ -110,6 +109,18 @@
     }
   }
 
+  #queue(job: JobSpecification, attempt: number): void {
+    this.#jobs.set(job.jobId, {
+      job,
+      state: "queued",
+      attempt,
+      isCancelled: false,
+      notBeforeMs: 0,
+      workerIds: [],
+      succeeded: new Set(),
+    });
+  }
+
   #configure(
     configuration: Extract<
       SchedulerEvent,
--- a/src/process/scheduler/runtime/testing/test_bed.ts
+++ b/src/process/scheduler/runtime/testing/test_bed.ts
@@ -12,6 +12,7 @@
   type JobSpecification,
   jobSpecificationSchema,
 } from "../../core/job.ts";
+import type { DecisionCoreFactory } from "../decision_core.ts";
 import type { JobCommand, JobCommandOutcome } from "../job_command.ts";
 import { JobLedger } from "../job_ledger.ts";
 import type { LeaseOptions } from "../lease_rule.ts";
@@ -73,6 +74,7 @@
   readonly omittedFences?: readonly OmittedFence[];
   readonly lostAnswersPerMille?: number;
   readonly events?: EventLog;
+  readonly createCore?: DecisionCoreFactory;
 }
 
 interface Instance {
@@ -175,7 +177,8 @@
         selfId: id,
         workers: this.workers,
       }),
-      createCore: () => new FakeCore({ dataCentre: this.dataCentre }),
+      createCore: this.#options.createCore ??
+        (() => new FakeCore({ dataCentre: this.dataCentre })),
       lease: this.#options.lease ?? {},
       omittedChecks: this.#options.omittedChecks ?? [],
       ...(this.#options.events === undefined
