--- a/src/process/scheduler/core/job_events.ts
+++ b/src/process/scheduler/core/job_events.ts
@@ -51,15 +51,14 @@
     return this.#order;
   }
 
-  /**
-   * Takes a job in; one that is known already is left as it is, unless it
-   * ended here: then it comes back from another data centre.
-   */
+  /** Takes a job in; one that is known already is left as it is. */
   submitted(event: JobSubmitted): void {
     const context = this.#context;
     const specification = event.job;
     const known = context.jobs.get(specification.jobId);
-    if (known !== undefined && known.phase !== JobPhase.ended) {
+    const isBack = event.isReturned === true &&
+      known?.phase === JobPhase.ended;
+    if (known !== undefined && !isBack) {
       return;
     }
     const job = newJobState(specification, {
--- a/src/process/scheduler/runtime/data_centre_out_test.ts
+++ b/src/process/scheduler/runtime/data_centre_out_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { LeaderCore } from "../leader_core.ts";
 import { makeWorld, TestBed, type TestBedOptions } from "./testing/test_bed.ts";
 
 function makePair(options: Partial<TestBedOptions> = {}) {
@@ -176,3 +177,34 @@
   t.is(error.kind, "unavailable");
   t.deepEqual(error.facts, { unaskedDataCentres: ["dc2"] });
 });
+
+test("a job that moved away and came back runs under the real core", async (t) => {
+  const world = makeWorld({ seed: 6, dataCentres: ["dc1", "dc2"] });
+  const [first, second] = ["dc1", "dc2"].map((dataCentre) =>
+    new TestBed({
+      world,
+      dataCentre,
+      createCore: () => new LeaderCore({ dataCentre }),
+    })
+  ) as [TestBed, TestBed];
+  await first.pass(3_000);
+  void first.submit({
+    jobId: "j1",
+    dataCentres: ["dc1", "dc2"],
+    declaredRunMs: 60_000,
+    command: ["run", "60000"],
+  });
+  await first.pass(5_000);
+  t.true(first.history.isRunning("j1"));
+  world.configuration.setStatus("dc1", "out");
+  await first.pass(30_000);
+  t.true(second.history.isRunning("j1"));
+  world.configuration.setStatus("dc1", "in");
+  await first.pass(1_000);
+  world.configuration.setStatus("dc2", "out");
+  await first.pass(180_000);
+  t.is(first.ledger.get("j1")?.end?.outcome, "succeeded");
+  t.is(first.ledger.get("j1")?.transfers, 2);
+  t.deepEqual(first.history.violations, []);
+  t.deepEqual(second.history.violations, []);
+});
--- a/src/process/scheduler/runtime/leader_session.ts
+++ b/src/process/scheduler/runtime/leader_session.ts
@@ -26,7 +26,7 @@
 import { JobMover, type JobMoverOptions } from "./job_mover.ts";
 import { isOwned, type JobRecord } from "./job_record.ts";
 import type { LeaseOptions } from "./lease_rule.ts";
-import { LedgerWriter } from "./ledger_writer.ts";
+import { LedgerWriter, pause } from "./ledger_writer.ts";
 import { Recovery } from "./recovery.ts";
 import type { OmittedCheck, SessionContext } from "./session_context.ts";
 import { StartGate } from "./start_gate.ts";
@@ -38,6 +38,9 @@
 /** How often deadlines, silence and permissions are looked at. */
 const TICK_MS = 250;
 
+/** How long to wait before the log is asked again whether it is whole. */
+const CATCH_UP_RETRY_MS = 100;
+
 /** Options of {@link LeaderSession}. */
 export interface LeaderSessionOptions {
   readonly clock: Clock;
@@ -64,7 +67,6 @@
   readonly #context: SessionContext;
   readonly #gangs: GangTable;
   readonly #watcher: WorkerWatcher;
-  readonly #waitReasons = new Map<JobId, WaitReason>();
   readonly #quarantined = new Set<string>();
   readonly #mover: JobMover;
   /** Jobs that the core doesn't know, since they are to move. */
@@ -102,7 +104,12 @@
   }
 
   waitReason(jobId: JobId): WaitReason | undefined {
-    return this.#isRecovering ? "recovering" : this.#waitReasons.get(jobId);
+    if (this.#isRecovering) {
+      return "recovering";
+    }
+    return this.#aside.has(jobId)
+      ? "dataCentreOut"
+      : this.#options.core.waitReason(jobId);
   }
 
   isQuarantined(workerId: string): boolean {
@@ -111,12 +118,12 @@
 
   /** Begins; returns once it schedules or the period is over. */
   async run(): Promise<void> {
-    const { clock, lease, log } = this.#options;
+    const { clock, lease } = this.#options;
     const began = await this.writer.write({ kind: "termBegan" });
     if (began?.kind !== "applied") {
       return;
     }
-    await log.readBarrier({ deadlineMs: clock.nowMs() + lease.leaseMs });
+    await this.#catchUp();
     const renewal = clock.every(
       lease.renewPeriodMs,
       () => this.#gangs.renewLeases(),
@@ -135,6 +142,19 @@
     this.#queue = [];
   }
 
+  /** Returns once this member has applied all that earlier leaders wrote. */
+  async #catchUp(): Promise<void> {
+    const { clock, lease, log } = this.#options;
+    while (this.#context.isLive()) {
+      const deadlineMs = clock.nowMs() + lease.leaseMs;
+      const barrier = await log.readBarrier({ deadlineMs });
+      if (barrier.isRight()) {
+        return;
+      }
+      await pause(clock, CATCH_UP_RETRY_MS);
+    }
+  }
+
   async #recover(): Promise<void> {
     const recovery = new Recovery({
       context: this.#context,
@@ -152,12 +172,12 @@
     const atMs = clock.nowMs();
     const records = [...ledger.liveRecords()].filter(isOwned);
     records.filter((record) => this.#mover.isToMove(record))
-      .forEach((record) => this.#setAside(record.specification.jobId));
+      .forEach((record) => this.#aside.add(record.specification.jobId));
     const own = records
       .filter(({ specification }) => !this.#aside.has(specification.jobId));
-    core.restore(own.map(toCoreRecord), { atMs, recoverUntilMs: atMs });
     this.#isRecovering = false;
     this.#feedConfiguration();
+    core.restore(own.map(toCoreRecord), { atMs, recoverUntilMs: atMs });
     this.#joinAll(atMs);
     [...workers.entries()].forEach((entry) => this.#gangs.look(entry));
     own.filter((record) => record.isCancelled)
@@ -264,9 +284,6 @@
     if (leaves && !this.#aside.has(jobId)) {
       this.#feedCancelled(record);
     }
-    if (command.kind === "ended") {
-      this.#waitReasons.delete(jobId);
-    }
   }
 
   #feedConfiguration(): void {
@@ -281,7 +298,7 @@
     const { specification, attemptsUsed } = record;
     const { jobId } = specification;
     if (this.#mover.isToMove(record)) {
-      this.#setAside(jobId);
+      this.#aside.add(jobId);
       return;
     }
     this.#feed({
@@ -289,17 +306,13 @@
       atMs: this.#options.clock.nowMs(),
       job: specification,
       attemptsUsed,
+      isReturned: record.transfers > 0,
     });
     if (record.isCancelled) {
       this.#feedCancelled(record);
     }
   }
 
-  #setAside(jobId: JobId): void {
-    this.#aside.add(jobId);
-    this.#waitReasons.set(jobId, "dataCentreOut");
-  }
-
   #feedCancelled(record: JobRecord): void {
     const { jobId } = record.specification;
     const atMs = this.#options.clock.nowMs();
@@ -350,7 +363,7 @@
         this.#throttle(decision);
         return;
       case "jobWaits":
-        this.#waitReasons.set(decision.jobId, decision.reason);
+        // Whoever wants to know asks the core.
         return;
       case "jobEnds":
         void this.#endJob(decision);
@@ -370,7 +383,6 @@
     const isStartable = record !== undefined && isOwned(record) &&
       attempt > record.attemptsUsed &&
       this.#gangs.get(jobId, attempt) === undefined;
-    this.#waitReasons.delete(jobId);
     if (!isStartable) {
       const atMs = this.#options.clock.nowMs();
       const workerIds: string[] = [];
