--- a/src/process/scheduler/runtime/scheduler_runtime.ts
+++ b/src/process/scheduler/runtime/scheduler_runtime.ts
@@ -40,6 +40,9 @@
 /** How often the role is looked at, besides on every change. */
 const ROLE_PERIOD_MS = 500;
 
+/** How long a worker that has fallen silent is still listed. */
+const WORKER_MEMORY_MS = 600_000;
+
 /** How long a submission or cancellation may take to be committed. */
 const PROPOSAL_TIMEOUT_MS = 3_000;
 
@@ -231,12 +234,14 @@
   }
 
   #followRole(): void {
+    const nowMs = this.#options.clock.nowMs();
+    this.#workers.forgetSilent(nowMs - WORKER_MEMORY_MS);
     const { role, term } = this.#options.log.status();
     const leads = role === "leader" && !this.#isClosed;
     if (this.#session !== undefined && (!leads || term !== this.#sessionTerm)) {
       this.#endSession();
     }
-    const isDue = this.#options.clock.nowMs() >= this.#notBeforeMs;
+    const isDue = nowMs >= this.#notBeforeMs;
     if (leads && isDue && this.#session === undefined) {
       this.#beginSession(term);
     }
--- a/src/process/scheduler/runtime/worker_table.ts
+++ b/src/process/scheduler/runtime/worker_table.ts
@@ -88,9 +88,13 @@
     });
   }
 
-  /** Forgets a worker that has been silent for long. */
-  remove(workerId: WorkerId): void {
-    this.#entries.delete(workerId);
+  /** Forgets the workers that were last heard of before `beforeMs`. */
+  forgetSilent(beforeMs: number): void {
+    for (const [workerId, entry] of this.#entries) {
+      if (entry.anchor.receivedAtMs < beforeMs) {
+        this.#entries.delete(workerId);
+      }
+    }
   }
 
   close(): void {
--- a/standins/worker/worker.ts
+++ b/standins/worker/worker.ts
@@ -58,6 +58,7 @@
   readonly #server: Server;
   readonly #agent = new Agent({ connections: 2 });
   #timer: Timer | undefined;
+  #soon: Timer | undefined;
   #address = "";
   #turn = 0;
 
@@ -70,6 +71,12 @@
       capacity: options.capacity,
       incarnation: Math.max(1, Math.floor(this.#clock.nowMs())),
       ...options.tasks,
+      onHappening: (happening) => {
+        options.tasks?.onHappening?.(happening);
+        if (happening.kind === "ended") {
+          this.#reportSoon();
+        }
+      },
     });
     this.#server = createServer((call, answer) => {
       this.#serve(call, answer).catch(() => answer.destroy());
@@ -130,12 +137,24 @@
 
   async close(): Promise<void> {
     this.#timer?.close();
+    this.#timer = undefined;
+    this.#soon?.close();
     this.#tasks.close();
     this.#server.closeAllConnections();
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
     await this.#agent.destroy();
   }
 
+  /** One report for all that ends in this turn of the loop. */
+  #reportSoon(): void {
+    if (this.#timer !== undefined) {
+      this.#soon ??= this.#clock.after(0, () => {
+        this.#soon = undefined;
+        void this.report();
+      });
+    }
+  }
+
   async #reportTo(address: string): Promise<boolean> {
     const { workerId } = this.#options;
     const url = `http://${address}/v1/workers/${workerId}/report`;
