--- a/src/process/scheduler/runtime/gang_table.ts
+++ b/src/process/scheduler/runtime/gang_table.ts
@@ -21,6 +21,7 @@
 export class GangTable {
   readonly #context: SessionContext;
   readonly #gangs = new Map<string, Gang>();
+  readonly #byWorker = new Map<WorkerId, Set<Gang>>();
   readonly #starter: GangStarter;
   readonly #stopper: GangStopper;
   readonly #leases: LeaseKeeper;
@@ -120,7 +121,7 @@
   /** Compares what a worker holds with what it should hold. */
   look(entry: WorkerEntry): void {
     const { workerId } = entry.description;
-    for (const gang of this.#gangs.values()) {
+    for (const gang of this.#byWorker.get(workerId) ?? []) {
       if (gang.phase === "running") {
         this.#lookAt(gang, entry);
       }
@@ -208,7 +209,7 @@
       hasFailed: gang.hasFailed,
       detail,
     });
-    this.#gangs.delete(key(jobId, attempt));
+    this.#remove(gang);
   }
 
   #lookAt(gang: Gang, entry: WorkerEntry): void {
@@ -273,6 +274,21 @@
 
   #put(gang: Gang): void {
     this.#gangs.set(key(gang.jobId, gang.attempt), gang);
+    for (const workerId of gang.workerIds) {
+      const gangs = this.#byWorker.get(workerId) ?? new Set();
+      this.#byWorker.set(workerId, gangs.add(gang));
+    }
+  }
+
+  #remove(gang: Gang): void {
+    this.#gangs.delete(key(gang.jobId, gang.attempt));
+    for (const workerId of gang.workerIds) {
+      const gangs = this.#byWorker.get(workerId);
+      gangs?.delete(gang);
+      if (gangs?.size === 0) {
+        this.#byWorker.delete(workerId);
+      }
+    }
   }
 }
 
--- a/src/process/scheduler/runtime/job_mover.ts
+++ b/src/process/scheduler/runtime/job_mover.ts
@@ -40,6 +40,8 @@
 export class JobMover {
   readonly #options: JobMoverOptions;
   readonly #moving = new Set<JobId>();
+  /** Jobs that the log says are on their way. */
+  readonly #underWay = new Set<JobId>();
 
   constructor(options: JobMoverOptions) {
     this.#options = options;
@@ -50,22 +52,57 @@
     return this.#target(record) !== undefined;
   }
 
-  /** Takes up what waits to be moved. */
-  tick(): void {
+  /** Takes up again what an earlier leader began to move. */
+  resume(): void {
     for (const record of this.#options.ledger.liveRecords()) {
-      if (this.#moving.size >= MOVES_LIMIT) {
-        return;
-      }
-      const { jobId } = record.specification;
-      const isUnderWay = record.transfer !== undefined &&
-        record.transfer.acceptedAtMs === undefined;
-      if (!this.#moving.has(jobId) && (isUnderWay || this.isToMove(record))) {
-        this.#moving.add(jobId);
-        void this.#move(record).finally(() => this.#moving.delete(jobId));
+      this.noteIntended(record);
+    }
+  }
+
+  /** From now on the job is to be handed over until that is done. */
+  noteIntended(record: JobRecord): void {
+    if (isUnderWay(record)) {
+      this.#underWay.add(record.specification.jobId);
+    }
+  }
+
+  /** Takes up what waits to be moved: `aside`, or any job once out. */
+  tick(aside: Iterable<JobId>): void {
+    for (const jobId of this.#underWay) {
+      this.#begin(this.#options.ledger.get(jobId));
+    }
+    if (!this.#isOut()) {
+      for (const jobId of aside) {
+        this.#begin(this.#options.ledger.get(jobId));
       }
+      return;
+    }
+    for (const record of this.#options.ledger.liveRecords()) {
+      this.#begin(record);
+    }
+  }
+
+  #begin(record: JobRecord | undefined): void {
+    if (record === undefined || this.#moving.size >= MOVES_LIMIT) {
+      return;
+    }
+    const { jobId } = record.specification;
+    if (!isUnderWay(record)) {
+      this.#underWay.delete(jobId);
+    }
+    const isDue = isUnderWay(record) || this.isToMove(record);
+    if (isDue && !this.#moving.has(jobId)) {
+      this.#moving.add(jobId);
+      void this.#move(record).finally(() => this.#moving.delete(jobId));
     }
   }
 
+  #isOut(): boolean {
+    const { configuration, dataCentre } = this.#options;
+    const { document } = configuration.current();
+    return document.dataCentres[dataCentre]?.status === "out";
+  }
+
   #target(record: JobRecord): DataCentreId | undefined {
     const isFree = isOwned(record) && !record.isCancelled &&
       record.openAttempt === undefined;
@@ -131,6 +168,11 @@
   }
 }
 
+function isUnderWay(record: JobRecord): boolean {
+  return record.transfer !== undefined &&
+    record.transfer.acceptedAtMs === undefined;
+}
+
 function isJob(result: Result<SchedulerAnswer>): boolean {
   return result.map((answer) => answer.kind === "job").orDefault(false);
 }
--- a/src/process/scheduler/runtime/leader_session.ts
+++ b/src/process/scheduler/runtime/leader_session.ts
@@ -38,6 +38,9 @@
 /** How often deadlines, silence and permissions are looked at. */
 const TICK_MS = 250;
 
+/** How often jobs that are to move are looked at. */
+const MOVE_PERIOD_MS = 1_000;
+
 /** How long to wait before the log is asked again whether it is whole. */
 const CATCH_UP_RETRY_MS = 100;
 
@@ -77,6 +80,7 @@
   #isFeeding = false;
   #isClosed = false;
   #permittedUntilMs = 0;
+  #moveAtMs = 0;
 
   constructor(options: LeaderSessionOptions) {
     this.#options = options;
@@ -176,6 +180,7 @@
     const own = records
       .filter(({ specification }) => !this.#aside.has(specification.jobId));
     this.#isRecovering = false;
+    this.#mover.resume();
     this.#feedConfiguration();
     core.restore(own.map(toCoreRecord), { atMs, recoverUntilMs: atMs });
     this.#joinAll(atMs);
@@ -246,8 +251,11 @@
       this.#feed({ kind: "startPermissionExtended", atMs, permittedUntilMs });
     }
     this.#feed({ kind: "clockTicked", atMs });
-    this.#mover.tick();
-    this.#takeBackAside();
+    if (atMs >= this.#moveAtMs) {
+      this.#moveAtMs = atMs + MOVE_PERIOD_MS;
+      this.#takeBackAside();
+      this.#mover.tick(this.#aside);
+    }
   }
 
   /** Hands the core what need not move after all. */
@@ -279,6 +287,9 @@
       this.#feedSubmitted(record);
     }
     // A job that moves away leaves the core the way a cancelled one does.
+    if (command.kind === "transferIntended") {
+      this.#mover.noteIntended(record);
+    }
     const leaves = command.kind === "cancelled" ||
       command.kind === "transferIntended";
     if (leaves && !this.#aside.has(jobId)) {
