--- a/src/process/scheduler/runtime/job_ledger.ts
+++ b/src/process/scheduler/runtime/job_ledger.ts
@@ -4,34 +4,14 @@
  * @module
  */
 
-import { Buffer } from "node:buffer";
 import { isDeepStrictEqual } from "node:util";
-import { Right } from "purify-ts/Either";
-import { z } from "zod";
 import { Channel } from "../../../base/channel.ts";
 import type { JobId } from "../../../base/identity.ts";
-import { failure, type Result } from "../../../base/sesame_error.ts";
+import type { Result } from "../../../base/sesame_error.ts";
 import type { StateMachine } from "../../replication/replicated_log.ts";
 import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
-import {
-  type AttemptRecord,
-  isOwned,
-  type JobRecord,
-  jobRecordSchema,
-} from "./job_record.ts";
-import { migrate, type Migration } from "./migration.ts";
-
-/** The version of the snapshot's own format. */
-export const JOB_SNAPSHOT_FORMAT_VERSION = 1;
-
-const SNAPSHOT_MIGRATIONS: readonly Migration[] = [];
-
-const snapshotSchema = z.strictObject({
-  formatVersion: z.literal(JOB_SNAPSHOT_FORMAT_VERSION),
-  highestTerm: z.int().min(0),
-  records: z.array(jobRecordSchema),
-  endedJobIds: z.array(z.string()),
-});
+import { type AttemptRecord, isOwned, type JobRecord } from "./job_record.ts";
+import { decodeJobSnapshot, encodeJobSnapshot } from "./job_snapshot.ts";
 
 /** What the ledger keeps of the past. */
 export interface JobLedgerOptions {
@@ -110,17 +90,15 @@
   }
 
   snapshot(): Uint8Array {
-    const snapshot: z.infer<typeof snapshotSchema> = {
-      formatVersion: JOB_SNAPSHOT_FORMAT_VERSION,
+    return encodeJobSnapshot({
       highestTerm: this.#highestTerm,
       records: [...this.#records.values()],
       endedJobIds: [...this.#endedJobIds],
-    };
-    return Buffer.from(JSON.stringify(snapshot));
+    });
   }
 
   restore(snapshot: Uint8Array): Result<void> {
-    return decodeSnapshot(snapshot).map((decoded) => {
+    return decodeJobSnapshot(snapshot).map((decoded) => {
       this.#highestTerm = decoded.highestTerm;
       this.#records = new Map(
         decoded.records.map((record) => [record.specification.jobId, record]),
@@ -384,22 +362,3 @@
 function refused(detail: string): JobCommandOutcome {
   return { kind: "refused", error: "conflict", detail };
 }
-
-function decodeSnapshot(
-  snapshot: Uint8Array,
-): Result<z.infer<typeof snapshotSchema>> {
-  try {
-    const raw: unknown = JSON.parse(Buffer.from(snapshot).toString("utf8"));
-    return migrate(raw, {
-      migrations: SNAPSHOT_MIGRATIONS,
-      currentVersion: JOB_SNAPSHOT_FORMAT_VERSION,
-    }).chain((current) => {
-      const parsed = snapshotSchema.safeParse(current);
-      return parsed.success
-        ? Right(parsed.data)
-        : failure("malformed", { detail: z.prettifyError(parsed.error) });
-    });
-  } catch {
-    return failure("malformed", { detail: "a snapshot that isn't JSON" });
-  }
-}
--- a/src/process/scheduler/runtime/leader_session.ts
+++ b/src/process/scheduler/runtime/leader_session.ts
@@ -17,14 +17,16 @@
   ThrottleGang,
   WaitReason,
 } from "../core/scheduler_decision.ts";
-import type { SchedulerEvent, TaskReference } from "../core/scheduler_event.ts";
+import type { TaskReference } from "../core/scheduler_event.ts";
+import { CoreDriver } from "./core_driver.ts";
 import { toCoreRecord } from "./core_record.ts";
 import type { DecisionCore } from "./decision_core.ts";
 import { GangTable } from "./gang_table.ts";
 import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
+import { JobIntake } from "./job_intake.ts";
 import type { JobLedger } from "./job_ledger.ts";
 import { JobMover, type JobMoverOptions } from "./job_mover.ts";
-import { isOwned, type JobRecord } from "./job_record.ts";
+import { isOwned } from "./job_record.ts";
 import type { LeaseOptions } from "./lease_rule.ts";
 import { LedgerWriter, pause } from "./ledger_writer.ts";
 import { Recovery } from "./recovery.ts";
@@ -72,12 +74,10 @@
   readonly #watcher: WorkerWatcher;
   readonly #quarantined = new Set<string>();
   readonly #mover: JobMover;
-  /** Jobs that the core doesn't know, since they are to move. */
-  readonly #aside = new Set<JobId>();
+  readonly #intake: JobIntake;
+  readonly #driver: CoreDriver;
   readonly #closers: (() => void)[] = [];
-  #queue: SchedulerEvent[] = [];
   #isRecovering = true;
-  #isFeeding = false;
   #isClosed = false;
   #permittedUntilMs = 0;
   #moveAtMs = 0;
@@ -87,11 +87,22 @@
     this.#context = this.#makeContext();
     this.#gangs = new GangTable(this.#context);
     this.#watcher = new WorkerWatcher(this.#context);
+    this.#driver = new CoreDriver({
+      core: options.core,
+      isLive: () => this.#context.isLive(),
+      onDecision: (decision) => this.#carryOut(decision),
+      onFailure: (error) => this.#fail(error),
+    });
     this.#mover = new JobMover({
       ...options,
       writer: this.#context.writer,
       forgetsAcknowledgement: this.#context.omits("transferOnce"),
     });
+    this.#intake = new JobIntake({
+      ...options,
+      mover: this.#mover,
+      feed: this.#context.feed,
+    });
   }
 
   get isRecovering(): boolean {
@@ -111,7 +122,7 @@
     if (this.#isRecovering) {
       return "recovering";
     }
-    return this.#aside.has(jobId)
+    return this.#intake.aside.has(jobId)
       ? "dataCentreOut"
       : this.#options.core.waitReason(jobId);
   }
@@ -143,7 +154,6 @@
     this.#isClosed = true;
     this.#closers.forEach((close) => close());
     this.#closers.length = 0;
-    this.#queue = [];
   }
 
   /** Returns once this member has applied all that earlier leaders wrote. */
@@ -172,21 +182,16 @@
 
   /** Tells the core all that is known, then lets it decide. */
   #begin(): void {
-    const { clock, core, ledger, workers, events, term } = this.#options;
+    const { clock, core, workers, events, term } = this.#options;
     const atMs = clock.nowMs();
-    const records = [...ledger.liveRecords()].filter(isOwned);
-    records.filter((record) => this.#mover.isToMove(record))
-      .forEach((record) => this.#aside.add(record.specification.jobId));
-    const own = records
-      .filter(({ specification }) => !this.#aside.has(specification.jobId));
+    const records = this.#intake.takeOver();
     this.#isRecovering = false;
-    this.#mover.resume();
     this.#feedConfiguration();
-    core.restore(own.map(toCoreRecord), { atMs, recoverUntilMs: atMs });
+    core.restore(records.map(toCoreRecord), { atMs, recoverUntilMs: atMs });
     this.#joinAll(atMs);
     [...workers.entries()].forEach((entry) => this.#gangs.look(entry));
-    own.filter((record) => record.isCancelled)
-      .forEach((record) => this.#feedCancelled(record));
+    records.filter((record) => record.isCancelled)
+      .forEach((record) => this.#intake.feedCancelled(record));
     this.#follow();
     events.emit("schedulingBegan", { term, jobs: records.length });
     this.#tick();
@@ -195,7 +200,10 @@
   /** From now on hears what happens. */
   #follow(): void {
     const { clock, configuration, ledger, workers } = this.#options;
-    this.#observe(ledger.applied, (command) => this.#noteApplied(command));
+    this.#observe(
+      ledger.applied,
+      (command) => this.#intake.noteApplied(command),
+    );
     this.#observe(configuration.versions, () => this.#feedConfiguration());
     this.#observe(workers.news, (news) => {
       this.#watcher.hear(news);
@@ -248,118 +256,31 @@
     const permittedUntilMs = this.#context.gate.permittedUntilMs();
     if (permittedUntilMs > this.#permittedUntilMs) {
       this.#permittedUntilMs = permittedUntilMs;
-      this.#feed({ kind: "startPermissionExtended", atMs, permittedUntilMs });
+      this.#driver.feed({
+        kind: "startPermissionExtended",
+        atMs,
+        permittedUntilMs,
+      });
     }
-    this.#feed({ kind: "clockTicked", atMs });
+    this.#driver.feed({ kind: "clockTicked", atMs });
     if (atMs >= this.#moveAtMs) {
       this.#moveAtMs = atMs + MOVE_PERIOD_MS;
-      this.#takeBackAside();
-      this.#mover.tick(this.#aside);
-    }
-  }
-
-  /** Hands the core what need not move after all. */
-  #takeBackAside(): void {
-    for (const jobId of [...this.#aside]) {
-      const record = this.#options.ledger.get(jobId);
-      if (record === undefined || !isOwned(record)) {
-        this.#aside.delete(jobId);
-      } else if (!this.#mover.isToMove(record)) {
-        this.#aside.delete(jobId);
-        this.#feedSubmitted(record);
-      }
-    }
-  }
-
-  #noteApplied(command: JobCommand): void {
-    if (!("jobId" in command) && command.kind !== "submitted") {
-      return;
-    }
-    const jobId = command.kind === "submitted"
-      ? command.specification.jobId
-      : command.jobId;
-    const record = this.#options.ledger.get(jobId);
-    if (record === undefined) {
-      return;
-    }
-    if (command.kind === "submitted") {
-      this.#options.events.emit("jobSubmitted", { jobId });
-      this.#feedSubmitted(record);
-    }
-    // A job that moves away leaves the core the way a cancelled one does.
-    if (command.kind === "transferIntended") {
-      this.#mover.noteIntended(record);
-    }
-    const leaves = command.kind === "cancelled" ||
-      command.kind === "transferIntended";
-    if (leaves && !this.#aside.has(jobId)) {
-      this.#feedCancelled(record);
+      this.#intake.takeBack();
+      this.#mover.tick(this.#intake.aside);
     }
   }
 
   #feedConfiguration(): void {
-    this.#feed({
+    this.#driver.feed({
       kind: "configurationChanged",
       atMs: this.#options.clock.nowMs(),
       configuration: this.#options.configuration.current(),
     });
   }
 
-  #feedSubmitted(record: JobRecord): void {
-    const { specification, attemptsUsed } = record;
-    const { jobId } = specification;
-    if (this.#mover.isToMove(record)) {
-      this.#aside.add(jobId);
-      return;
-    }
-    this.#feed({
-      kind: "jobSubmitted",
-      atMs: this.#options.clock.nowMs(),
-      job: specification,
-      attemptsUsed,
-      isReturned: record.transfers > 0,
-    });
-    if (record.isCancelled) {
-      this.#feedCancelled(record);
-    }
-  }
-
-  #feedCancelled(record: JobRecord): void {
-    const { jobId } = record.specification;
-    const atMs = this.#options.clock.nowMs();
-    this.#feed({ kind: "jobCancelled", atMs, jobId });
-  }
-
-  /** Hands one event to the core at a time, in the order of coming. */
-  #feed(event: SchedulerEvent): void {
-    this.#queue.push(event);
-    if (this.#isRecovering || this.#isFeeding) {
-      return;
-    }
-    this.#isFeeding = true;
-    try {
-      this.#drain();
-    } finally {
-      this.#isFeeding = false;
-    }
-  }
-
-  #drain(): void {
-    let next = this.#queue.shift();
-    while (next !== undefined && this.#context.isLive()) {
-      this.#decide(next);
-      next = this.#queue.shift();
-    }
-  }
-
-  #decide(event: SchedulerEvent): void {
-    try {
-      const decisions = this.#options.core.handle(event);
-      decisions.forEach((decision) => this.#carryOut(decision));
-    } catch (error) {
-      this.close();
-      this.#options.onFailure(error);
-    }
+  #fail(error: unknown): void {
+    this.close();
+    this.#options.onFailure(error);
   }
 
   #carryOut(decision: SchedulerDecision): void {
@@ -397,7 +318,7 @@
     if (!isStartable) {
       const atMs = this.#options.clock.nowMs();
       const workerIds: string[] = [];
-      this.#feed({
+      this.#driver.feed({
         kind: "gangStartFailed",
         atMs,
         jobId,
@@ -457,7 +378,7 @@
       gate: new StartGate({ configuration, dataCentre }),
       isLive,
       openAttempt: (jobId) => ledger.get(jobId)?.openAttempt,
-      feed: (event) => this.#feed(event),
+      feed: (event) => this.#driver.feed(event),
       omits: (check) => omittedChecks.includes(check),
     };
   }
--- a/src/process/scheduler/runtime/runtime_fuzz_test.ts
+++ b/src/process/scheduler/runtime/runtime_fuzz_test.ts
@@ -5,7 +5,7 @@
 
 import test from "ava";
 import fc from "fast-check";
-import type { OmittedFence } from "../../../../standins/worker/worker_tasks.ts";
+import type { OmittedFence } from "../../../../standins/worker/worker_types.ts";
 import { LeaderCore } from "../leader_core.ts";
 import type { DecisionCoreFactory } from "./decision_core.ts";
 import { LEASE_DEFAULTS } from "./lease_rule.ts";
--- a/src/process/scheduler/runtime/scheduler_runtime.ts
+++ b/src/process/scheduler/runtime/scheduler_runtime.ts
@@ -20,14 +20,10 @@
 import type { JobSpecification } from "../core/job.ts";
 import { findUnknownName, homeDataCentre } from "./data_centre_choice.ts";
 import type { DecisionCoreFactory } from "./decision_core.ts";
-import {
-  JOB_COMMAND_FORMAT_VERSION,
-  type JobCommand,
-  type JobCommandOutcome,
-} from "./job_command.ts";
+import { CallAnswerer } from "./call_answerer.ts";
+import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
 import type { JobLedger } from "./job_ledger.ts";
-import type { JobRecord } from "./job_record.ts";
-import { type JobView, viewJob, type WorkerView } from "./job_view.ts";
+import type { JobView, WorkerView } from "./job_view.ts";
 import { LeaderSession } from "./leader_session.ts";
 import { LEASE_DEFAULTS, type LeaseOptions } from "./lease_rule.ts";
 import { type InstancePlace, PeerCalls } from "./peer_calls.ts";
@@ -43,9 +39,6 @@
 /** How long a worker that has fallen silent is still listed. */
 const WORKER_MEMORY_MS = 600_000;
 
-/** How long a submission or cancellation may take to be committed. */
-const PROPOSAL_TIMEOUT_MS = 3_000;
-
 /** How long one instance may take to answer another. */
 const PEER_TIMEOUT_MS = 1_500;
 
@@ -87,6 +80,7 @@
   readonly #lease: LeaseOptions;
   readonly #workers = new WorkerTable();
   readonly #peers: PeerCalls;
+  readonly #answerer: CallAnswerer;
   readonly #roleTimer: Timer;
   readonly #statuses: { unsubscribe(): void };
   #session: LeaderSession | undefined;
@@ -100,9 +94,18 @@
     this.#peers = new PeerCalls({
       ...options,
       timeoutMs: PEER_TIMEOUT_MS,
-      onCall: (call, how) => this.#answer(call, how),
+      onCall: (call, how) => this.#answerer.answer(call, how),
       onWorkerReport: (report) => this.#takeReport(report),
     });
+    this.#answerer = new CallAnswerer({
+      ...options,
+      selfId: options.network.selfId,
+      workers: this.#workers,
+      session: () => this.#session,
+      askInstance: (to, call) =>
+        this.#peers.call(to, call, { isPassedOn: true }),
+      askDataCentre: (dataCentre, call) => this.#ask(dataCentre, call),
+    });
     this.#statuses = options.log.statuses.subscribe({
       next: () => this.#followRole(),
       error: () => undefined,
@@ -292,7 +295,7 @@
     if (dataCentre !== this.#options.dataCentre) {
       return this.#peers.askDataCentre(dataCentre, call);
     }
-    return this.#answer(call, { isPassedOn: false })
+    return this.#answerer.answer(call, { isPassedOn: false })
       .then((answer) => Right(answer));
   }
 
@@ -316,138 +319,11 @@
 
   async #askAll(call: SchedulerCall) {
     const [own, others] = await Promise.all([
-      this.#answer(call, { isPassedOn: false }),
+      this.#answerer.answer(call, { isPassedOn: false }),
       this.#askOthers(call),
     ]);
     return { ...others, answers: [own, ...others.answers] };
   }
-
-  async #answer(
-    call: SchedulerCall,
-    how: { isPassedOn: boolean },
-  ): Promise<SchedulerAnswer> {
-    switch (call.kind) {
-      case "submit":
-        return await this.#propose({ ...call, kind: "submitted" });
-      case "cancel":
-        return await this.#cancelHere(call.jobId);
-      case "job":
-      case "jobs":
-      case "workers":
-        return await this.#query(call, how);
-    }
-  }
-
-  async #cancelHere(jobId: JobId): Promise<SchedulerAnswer> {
-    const answer = await this.#propose({ kind: "cancelled", jobId });
-    const movedTo = answer.kind === "job" && answer.job.state === "moved"
-      ? answer.job.movedTo
-      : undefined;
-    if (movedTo === undefined) {
-      return answer;
-    }
-    const passedOn = await this.#ask(movedTo, { kind: "cancel", jobId });
-    return passedOn.orDefault({
-      kind: "failed",
-      error: "unavailable",
-      detail: `the job went to ${movedTo}, which can't be asked`,
-    });
-  }
-
-  async #propose(body: ProposalBody): Promise<SchedulerAnswer> {
-    const { clock, log } = this.#options;
-    const atMs = clock.nowMs();
-    const command = {
-      ...body,
-      formatVersion: JOB_COMMAND_FORMAT_VERSION,
-      atMs,
-    } as JobCommand;
-    const result = await log.propose(command, {
-      deadlineMs: atMs + PROPOSAL_TIMEOUT_MS,
-    });
-    return result.caseOf({
-      Left: (error) => failedAnswer(error),
-      Right: (outcome) => this.#describeOutcome(outcome),
-    });
-  }
-
-  #describeOutcome(outcome: JobCommandOutcome): SchedulerAnswer {
-    if (outcome.kind === "refused") {
-      const { error, detail } = outcome;
-      return { kind: "failed", error, detail };
-    }
-    const { record } = outcome;
-    return record === undefined
-      ? { kind: "failed", error: "internal", detail: "no record" }
-      : {
-        kind: "job",
-        isNew: outcome.kind === "applied",
-        job: this.#view(record),
-      };
-  }
-
-  /** Lets the leader answer, which alone knows why jobs wait. */
-  async #query(
-    call: SchedulerCall,
-    how: { isPassedOn: boolean },
-  ): Promise<SchedulerAnswer> {
-    const { leaderId } = this.#options.log.status();
-    const knowsLeader = leaderId !== undefined && leaderId !== this.#selfId;
-    if (knowsLeader && !how.isPassedOn) {
-      const answer = await this.#peers.call(leaderId, call, {
-        isPassedOn: true,
-      });
-      if (answer.isRight()) {
-        return answer.unsafeCoerce();
-      }
-    }
-    return this.#queryHere(call);
-  }
-
-  #queryHere(call: SchedulerCall): SchedulerAnswer {
-    const { ledger } = this.#options;
-    if (call.kind === "workers") {
-      return { kind: "workers", workers: this.#viewWorkers() };
-    }
-    if (call.kind === "jobs") {
-      const newest = [...ledger.records()].slice(-call.limit);
-      return { kind: "jobs", jobs: newest.map((each) => this.#view(each)) };
-    }
-    const record = call.kind === "job" ? ledger.get(call.jobId) : undefined;
-    return record === undefined
-      ? { kind: "failed", error: "notFound", detail: "no such job" }
-      : { kind: "job", isNew: false, job: this.#view(record) };
-  }
-
-  #view(record: JobRecord): JobView {
-    return viewJob(record, {
-      dataCentre: this.#options.dataCentre,
-      waitReason: this.#session?.waitReason(record.specification.jobId),
-    });
-  }
-
-  #viewWorkers(): WorkerView[] {
-    return [...this.#workers.entries()].map((entry) => ({
-      ...entry.description,
-      dataCentre: this.#options.dataCentre,
-      address: entry.address,
-      incarnation: entry.incarnation,
-      isLeaving: entry.isLeaving,
-      isQuarantined: this.#session?.isQuarantined(entry.description.workerId) ??
-        false,
-      heardAtMs: entry.anchor.receivedAtMs,
-      runningTasks: entry.tasks
-        .filter((task) => task.state === "running").length,
-    }));
-  }
-}
-
-type ProposalBody =
-  & Pick<Extract<JobCommand, { kind: "submitted" | "cancelled" }>, "kind">
-  & Readonly<Record<string, unknown>>;
-
-function failedAnswer(error: SesameError): SchedulerAnswer {
-  return { kind: "failed", error: error.kind, detail: error.message };
 }
 
 function asAccepted(answer: SchedulerAnswer): Result<JobAccepted> {
--- a/src/process/scheduler/runtime/testing/fake_worker.ts
+++ b/src/process/scheduler/runtime/testing/fake_worker.ts
@@ -8,10 +8,10 @@
 import type { Clock, Timer } from "../../../../base/clock.ts";
 import { failure, type Result } from "../../../../base/sesame_error.ts";
 import {
-  type TaskHappening,
   WorkerTasks,
   type WorkerTasksOptions,
 } from "../../../../../standins/worker/worker_tasks.ts";
+import type { TaskHappening } from "../../../../../standins/worker/worker_types.ts";
 import type { WorkerClient } from "../worker_client.ts";
 import type { WorkerAnswer, WorkerCommand } from "../worker_command.ts";
 import type { WorkerReport } from "../worker_report.ts";
--- a/src/process/scheduler/runtime/testing/run_history.ts
+++ b/src/process/scheduler/runtime/testing/run_history.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import type { TaskHappening } from "../../../../../standins/worker/worker_tasks.ts";
+import type { TaskHappening } from "../../../../../standins/worker/worker_types.ts";
 import { endedWell } from "../gang.ts";
 
 /** One happening, at a moment of the true clock. */
--- a/src/process/scheduler/runtime/testing/test_bed.ts
+++ b/src/process/scheduler/runtime/testing/test_bed.ts
@@ -7,7 +7,7 @@
 import { FakeClock } from "../../../../base/fake_clock.ts";
 import type { EventLog } from "../../../../base/event_log.ts";
 import { SeededRandom } from "../../../../base/random_source.ts";
-import type { OmittedFence } from "../../../../../standins/worker/worker_tasks.ts";
+import type { OmittedFence } from "../../../../../standins/worker/worker_types.ts";
 import {
   type JobSpecification,
   jobSpecificationSchema,
--- a/standins/worker/worker.ts
+++ b/standins/worker/worker.ts
@@ -20,11 +20,8 @@
 } from "../../src/process/scheduler/runtime/worker_command.ts";
 import { WORKER_COMMANDS_PATH } from "../../src/process/scheduler/runtime/worker_client.ts";
 import { workerFaultsSchema } from "./worker_faults.ts";
-import {
-  type WorkerCapacity,
-  WorkerTasks,
-  type WorkerTasksOptions,
-} from "./worker_tasks.ts";
+import { WorkerTasks, type WorkerTasksOptions } from "./worker_tasks.ts";
+import type { WorkerCapacity } from "./worker_types.ts";
 
 /** Where faults are set, on loopback test beds. */
 export const FAULTS_PATH = "/faults";
--- a/standins/worker/worker_tasks.ts
+++ b/standins/worker/worker_tasks.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Clock } from "../../src/base/clock.ts";
+import type { TaskResources } from "../../src/process/scheduler/core/job.ts";
 import type { TaskOutcome } from "../../src/process/scheduler/core/scheduler_event.ts";
 import type {
   WorkerAnswer,
@@ -18,33 +19,15 @@
   type WorkerReport,
 } from "../../src/process/scheduler/runtime/worker_report.ts";
 import { HeldAttempt } from "./held_attempt.ts";
+import { LaggingUsages } from "./lagging_usages.ts";
 import { PretendTask } from "./pretend_task.ts";
+import type {
+  OmittedFence,
+  TaskHappening,
+  WorkerCapacity,
+} from "./worker_types.ts";
 import { NO_FAULTS, type WorkerFaults } from "./worker_faults.ts";
 
-/** How a worker announces itself. */
-export interface WorkerCapacity {
-  readonly rack: string;
-  readonly cores: number;
-  readonly memoryBytes: number;
-  readonly accelerators: number;
-}
-
-/** A start or an end of a task, as it truly happened. */
-export type TaskHappening =
-  & {
-    readonly workerId: string;
-    readonly jobId: string;
-    readonly attempt: number;
-    readonly taskIndex: number;
-  }
-  & (
-    | { readonly kind: "started"; readonly term: number }
-    | { readonly kind: "ended"; readonly outcome: TaskOutcome }
-  );
-
-/** A fence left out on purpose, in tests of the checks alone. */
-export type OmittedFence = "term" | "late" | "released" | "lease";
-
 /** Options of {@link WorkerTasks}. */
 export interface WorkerTasksOptions {
   readonly clock: Clock;
@@ -78,10 +61,11 @@
   #lastStampMs = 0;
   #isLeaving = false;
   #faults: WorkerFaults = NO_FAULTS;
-  #usages: { atMs: number; usages: WorkerReport["usages"] }[] = [];
+  readonly #usages: LaggingUsages;
 
   constructor(options: WorkerTasksOptions) {
     this.#options = options;
+    this.#usages = new LaggingUsages(options);
   }
 
   get faults(): WorkerFaults {
@@ -329,16 +313,12 @@
   }
 
   #hasRoom(command: CommandOf<"reserve">): boolean {
-    const { capacity } = this.#options;
-    const wanted = command.taskIndexes.length;
     const taken = [...this.#attempts.values()]
       .flatMap((held) => held.tasks)
       .filter((task) => task.state !== "ended")
       .map((task) => task.resources);
-    const fits = (of: "cores" | "memoryBytes" | "accelerators") =>
-      taken.reduce((sum, each) => sum + each[of], 0) +
-          wanted * command.resources[of] <= capacity[of];
-    return fits("cores") && fits("memoryBytes") && fits("accelerators");
+    const wanted = command.taskIndexes.map(() => command.resources);
+    return fits([...taken, ...wanted], this.#options.capacity);
   }
 
   #find(
@@ -367,16 +347,11 @@
   }
 
   #laggingUsages(): WorkerReport["usages"] {
-    const nowMs = this.#options.clock.nowMs();
-    const lagMs = this.#options.usageLagMs ?? 2_000;
     const usages = [...this.#attempts.values()]
       .flatMap((held) => held.tasks)
       .filter((task) => task.state === "running")
       .map((task) => task.usage(this.#faults.sizeFactor));
-    this.#usages.push({ atMs: nowMs, usages });
-    const ripe = this.#usages.filter((seen) => seen.atMs <= nowMs - lagMs);
-    this.#usages = this.#usages.slice(Math.max(0, ripe.length - 1));
-    return ripe.at(-1)?.usages ?? [];
+    return this.#usages.show(usages);
   }
 
   #tellEnd(task: PretendTask): void {
@@ -406,6 +381,17 @@
   }
 }
 
+/** Whether all of it together is within the capacity. */
+function fits(
+  takers: readonly TaskResources[],
+  capacity: WorkerCapacity,
+): boolean {
+  const isWithin = (of: keyof TaskResources) =>
+    takers.reduce((sum, each) => sum + each[of], 0) <= capacity[of];
+  return isWithin("cores") && isWithin("memoryBytes") &&
+    isWithin("accelerators");
+}
+
 function key(
   reference: { readonly jobId: string; readonly attempt: number },
 ): string {
--- a/standins/worker/worker_tasks_test.ts
+++ b/standins/worker/worker_tasks_test.ts
@@ -1,11 +1,8 @@
 import test from "ava";
 import { FakeClock } from "../../src/base/fake_clock.ts";
 import type { WorkerCommand } from "../../src/process/scheduler/runtime/worker_command.ts";
-import {
-  type OmittedFence,
-  type TaskHappening,
-  WorkerTasks,
-} from "./worker_tasks.ts";
+import { WorkerTasks } from "./worker_tasks.ts";
+import type { OmittedFence, TaskHappening } from "./worker_types.ts";
 
 type Body = WorkerCommand extends infer Command
   ? Command extends WorkerCommand ? Omit<Command, "fence"> : never
