--- a/src/process/scheduler/runtime/data_centre_choice.ts
+++ b/src/process/scheduler/runtime/data_centre_choice.ts
@@ -33,17 +33,17 @@
 }
 
 /**
- * Where a job that waits in `here` is to go: nowhere when it can run here, or
- * when no other data centre can take it.
+ * Where a job that waits in `here` may go, best first: nowhere when it can run
+ * here, or when no other data centre can take it.
  */
-export function moveTarget(
+export function moveTargets(
   job: JobSpecification,
   options: { here: DataCentreId; document: Document },
-): DataCentreId | undefined {
+): readonly DataCentreId[] {
   const { here, document } = options;
   const own = document.dataCentres[here];
   if (own === undefined || canRun(job, { id: here, section: own })) {
-    return undefined;
+    return [];
   }
   const others = Object.entries(document.dataCentres)
     .filter(([id]) => id !== here)
@@ -51,13 +51,13 @@
     .sort(([leftId, left], [rightId, right]) =>
       rankOf(left, own) - rankOf(right, own) || leftId.localeCompare(rightId)
     );
-  const open = others.find(([, section]) => section.status === "in");
-  if (open !== undefined) {
-    return open[0];
+  const open = others.filter(([, section]) => section.status === "in");
+  if (open.length > 0) {
+    return open.map(([id]) => id);
   }
   // Nobody can take it now: it waits where it could run one day.
   const couldRunHere = isAllowed(job, here) && fits(job, own);
-  return couldRunHere ? undefined : others[0]?.[0];
+  return couldRunHere ? [] : others.map(([id]) => id);
 }
 
 /** A name in the job that the document doesn't have, as a sentence. */
--- a/src/process/scheduler/runtime/data_centre_out_test.ts
+++ b/src/process/scheduler/runtime/data_centre_out_test.ts
@@ -208,3 +208,46 @@
   t.deepEqual(first.history.violations, []);
   t.deepEqual(second.history.violations, []);
 });
+
+test("a job moves to a data centre that can be reached", async (t) => {
+  const dataCentres = ["dc1", "dc2", "dc3"];
+  const world = makeWorld({ seed: 8, dataCentres });
+  const [first, second, third] = dataCentres
+    .map((dataCentre) => new TestBed({ world, dataCentre })) as [
+      TestBed,
+      TestBed,
+      TestBed,
+    ];
+  for (const from of first.instanceIds) {
+    second.instanceIds.forEach((to) => world.links.cut(from, to));
+  }
+  takeOut(first);
+  await first.pass(2_000);
+  void first.submit({ jobId: "j1", dataCentres });
+  await first.pass(10_000);
+  t.is(second.ledger.get("j1"), undefined);
+  t.is(third.ledger.get("j1")?.end?.outcome, "succeeded");
+});
+
+test("letting a job go before the other log has it is caught", async (t) => {
+  const { world, first, second } = makePair({
+    omittedChecks: ["transferOnce"],
+  });
+  takeOut(first);
+  await first.pass(2_000);
+  void first.submit({ jobId: "j1", dataCentres: ["dc1", "dc2"] });
+  // The question is answered, and the job itself is lost on its way.
+  let owner = first.ledger.get("j1")?.transfer;
+  while (owner === undefined) {
+    await first.pass(1);
+    owner = first.ledger.get("j1")?.transfer;
+  }
+  for (const from of first.instanceIds) {
+    second.instanceIds.forEach((to) => world.links.cut(from, to));
+  }
+  await first.pass(10_000);
+  world.links.heal();
+  await first.pass(20_000);
+  t.not(first.ledger.get("j1")?.transfer?.acceptedAtMs, undefined);
+  t.is(second.ledger.get("j1"), undefined);
+});
--- a/src/process/scheduler/runtime/job_mover.ts
+++ b/src/process/scheduler/runtime/job_mover.ts
@@ -11,7 +11,7 @@
 import type { DataCentreId, JobId } from "../../../base/identity.ts";
 import type { Result } from "../../../base/sesame_error.ts";
 import type { ConfigurationSource } from "../../configuration/configuration_source.ts";
-import { moveTarget } from "./data_centre_choice.ts";
+import { moveTargets } from "./data_centre_choice.ts";
 import type { JobLedger } from "./job_ledger.ts";
 import { isOwned, type JobRecord } from "./job_record.ts";
 import type { LedgerWriter } from "./ledger_writer.ts";
@@ -49,7 +49,7 @@
 
   /** Whether the job is to go elsewhere rather than to the core. */
   isToMove(record: JobRecord): boolean {
-    return this.#target(record) !== undefined;
+    return this.#targets(record).length > 0;
   }
 
   /** Takes up again what an earlier leader began to move. */
@@ -103,21 +103,22 @@
     return document.dataCentres[dataCentre]?.status === "out";
   }
 
-  #target(record: JobRecord): DataCentreId | undefined {
+  #targets(record: JobRecord): readonly DataCentreId[] {
     const isFree = isOwned(record) && !record.isCancelled &&
       record.openAttempt === undefined;
     if (!isFree) {
-      return undefined;
+      return [];
     }
     const { configuration, dataCentre } = this.#options;
     const { document } = configuration.current();
-    return moveTarget(record.specification, { here: dataCentre, document });
+    return moveTargets(record.specification, { here: dataCentre, document });
   }
 
   async #move(record: JobRecord): Promise<void> {
     const { writer, ledger, events } = this.#options;
     const { jobId } = record.specification;
-    const to = record.transfer?.toDataCentre ?? this.#target(record);
+    const to = record.transfer?.toDataCentre ??
+      await this.#findReachable(record);
     if (to === undefined) {
       return;
     }
@@ -146,6 +147,21 @@
     }
   }
 
+  /**
+   * The best data centre that answers now: once the log says where the job
+   * goes, it waits for that one, however long.
+   */
+  async #findReachable(record: JobRecord): Promise<DataCentreId | undefined> {
+    const { jobId } = record.specification;
+    for (const target of this.#targets(record)) {
+      const answer = await this.#options.ask(target, { kind: "job", jobId });
+      if (answer.isRight()) {
+        return target;
+      }
+    }
+    return undefined;
+  }
+
   /** Whether the other log has the job, and its cancellation if any. */
   async #handOver(record: JobRecord, to: DataCentreId): Promise<boolean> {
     const { ask } = this.#options;
--- a/standins/worker/lagging_usages.ts
+++ b/standins/worker/lagging_usages.ts
@@ -15,11 +15,15 @@
   readonly usages: HeldTaskUsage[];
 }
 
-/** Holds what was seen back for a while. */
+/** How often usage is shown, unless told otherwise. */
+const USAGE_PERIOD_MS = 5_000;
+
+/** Holds what was seen back for a while, and shows it now and then. */
 export class LaggingUsages {
   readonly #clock: Clock;
   readonly #lagMs: number;
   #seen: Seen[] = [];
+  #shownAtMs = Number.NEGATIVE_INFINITY;
 
   constructor(options: { clock: Clock; usageLagMs?: number }) {
     this.#clock = options.clock;
@@ -32,6 +36,11 @@
     this.#seen.push({ atMs: nowMs, usages });
     const ripe = this.#seen.filter((each) => each.atMs <= nowMs - this.#lagMs);
     this.#seen = this.#seen.slice(Math.max(0, ripe.length - 1));
-    return ripe.at(-1)?.usages ?? [];
+    const newest = ripe.at(-1);
+    if (newest === undefined || nowMs < this.#shownAtMs + USAGE_PERIOD_MS) {
+      return [];
+    }
+    this.#shownAtMs = nowMs;
+    return newest.usages;
   }
 }
