--- a/src/process/scheduler/runtime/gang_stopper.ts
+++ b/src/process/scheduler/runtime/gang_stopper.ts
@@ -37,14 +37,17 @@
   /** Returns once no task of the attempt runs, nor can one start. */
   async stop(gang: Gang, manner: StopManner): Promise<void> {
     await Promise.all(
-      gang.workerIds.map((workerId) => this.#stopOn(gang, workerId, manner)),
+      gang.workerIds.map((workerId) =>
+        this.#stopOn(gang, { workerId, manner })
+      ),
     );
   }
 
   async #stopOn(
     gang: Gang,
-    ...[workerId, manner]: [WorkerId, StopManner]
+    options: { workerId: WorkerId; manner: StopManner },
   ): Promise<void> {
+    const { workerId, manner } = options;
     const { clock } = this.#context;
     while (this.#context.isLive() && !this.#hasLapsed(gang, workerId)) {
       const body = this.#body(gang, manner);
@@ -88,14 +91,15 @@
   ): Promise<boolean> {
     const { workerId, body } = options;
     const result = await this.#context.caller.call(workerId, { write: body });
-    return result.map((answered) => this.#note(gang, workerId, answered))
+    return result.map((answered) => this.#note(gang, { workerId, answered }))
       .orDefault(false);
   }
 
   #note(
     gang: Gang,
-    ...[workerId, answered]: [WorkerId, Answered]
+    options: { workerId: WorkerId; answered: Answered },
   ): boolean {
+    const { workerId, answered } = options;
     const { refusal, holdings } = answered.answer;
     const listed = gang.tasksAmong(holdings.tasks);
     for (const task of listed) {
--- a/src/process/scheduler/runtime/lease_keeper.ts
+++ b/src/process/scheduler/runtime/lease_keeper.ts
@@ -37,7 +37,9 @@
     const byWorker = new Map<WorkerId, Gang[]>();
     for (const gang of this.#options.gangs()) {
       if (gang.isRenewed) {
-        gang.workerIds.forEach((workerId) => push(byWorker, workerId, gang));
+        gang.workerIds.forEach((workerId) => {
+          byWorker.set(workerId, [...byWorker.get(workerId) ?? [], gang]);
+        });
       }
     }
     const workerIds = new Set([...byWorker.keys(), ...this.#forget.keys()]);
@@ -91,12 +93,3 @@
     return gang.renewalEndMs(lease.leaseMs);
   }
 }
-
-function push(
-  byWorker: Map<WorkerId, Gang[]>,
-  ...[workerId, gang]: [WorkerId, Gang]
-): void {
-  const gangs = byWorker.get(workerId) ?? [];
-  gangs.push(gang);
-  byWorker.set(workerId, gangs);
-}
