Call a submission not run only when that is certain

A submission passed on to its home and not answered was reported as not run, though the home may have taken it; it is now reported as of unknown outcome.

--- a/src/process/scheduler/runtime/call_answerer.ts
+++ b/src/process/scheduler/runtime/call_answerer.ts
@@ -85,10 +85,9 @@
       kind: "cancel",
       jobId,
     });
-    return passedOn.orDefault({
-      kind: "failed",
-      error: "unavailable",
-      detail: `the job went to ${movedTo}, which can't be asked`,
+    return passedOn.caseOf({
+      Right: (value) => value,
+      Left: (error) => failedAnswer(error),
     });
   }
 
--- a/src/process/scheduler/runtime/data_centre_out_test.ts
+++ b/src/process/scheduler/runtime/data_centre_out_test.ts
@@ -251,3 +251,25 @@
   t.not(first.ledger.get("j1")?.transfer?.acceptedAtMs, undefined);
   t.is(second.ledger.get("j1"), undefined);
 });
+
+test("a submission is called not run only when it wasn't accepted", async (t) => {
+  for (const isHeard of [true, false]) {
+    const { world, first, second } = makePair();
+    await first.pass(1_000);
+    for (const away of first.instanceIds) {
+      for (const home of second.instanceIds) {
+        const [from, to] = isHeard ? [home, away] : [away, home];
+        world.links.cut(from, to);
+      }
+    }
+    const { runtime } = first.instance("dc1-0");
+    const submitted = runtime.submit(first.specify({
+      jobId: "j1",
+      dataCentres: ["dc2"],
+    }));
+    await first.pass(10_000);
+    const error = (await submitted).swap().unsafeCoerce();
+    t.is(error.kind, isHeard ? "outcomeUnknown" : "unavailable");
+    t.is(second.ledger.get("j1") !== undefined, isHeard);
+  }
+});
--- a/src/process/scheduler/runtime/peer_calls.ts
+++ b/src/process/scheduler/runtime/peer_calls.ts
@@ -6,6 +6,7 @@
 
 import { Right } from "purify-ts/Either";
 import type { Clock } from "../../../base/clock.ts";
+import type { ErrorKind } from "../../../base/error_kind.ts";
 import type { DataCentreId, InstanceId } from "../../../base/identity.ts";
 import { failure, type Result } from "../../../base/sesame_error.ts";
 import type {
@@ -21,6 +22,12 @@
 } from "./scheduler_message.ts";
 import type { WorkerReport } from "./worker_report.ts";
 
+/** What silence means after the call was sent. */
+function silenceOf(call: SchedulerCall): ErrorKind {
+  const changes = call.kind === "submit" || call.kind === "cancel";
+  return changes ? "outcomeUnknown" : "unavailable";
+}
+
 /** Which data centre an instance belongs to. */
 export interface InstancePlace {
   readonly id: InstanceId;
@@ -67,7 +74,10 @@
     this.#channel.send(to, { kind: "workerReport", report });
   }
 
-  /** `unavailable` says nothing of whether the call arrived. */
+  /**
+   * `unavailable` when the call changed nothing for certain; a change that
+   * was sent and not answered is `outcomeUnknown`.
+   */
   call(
     to: InstanceId,
     call: SchedulerCall,
@@ -79,13 +89,18 @@
     return new Promise((resolve) => {
       const timer = clock.after(timeoutMs, () => {
         this.#waiting.delete(callId);
-        resolve(failure("unavailable", { detail: `${to} did not answer` }));
+        resolve(failure(silenceOf(call), { detail: `${to} did not answer` }));
       });
       this.#waiting.set(callId, (answer) => {
         timer.close();
         resolve(Right(answer));
       });
-      this.#channel.send(to, { kind: "call", callId, isPassedOn, call });
+      const message = { kind: "call", callId, isPassedOn, call } as const;
+      if (!this.#channel.send(to, message)) {
+        timer.close();
+        this.#waiting.delete(callId);
+        resolve(failure("unavailable", { detail: `no link to ${to}` }));
+      }
     });
   }
 
@@ -97,13 +112,17 @@
     const linked = new Set(this.#options.network.linkedPeerIds());
     const instances = this.#options.instances
       .filter((each) => each.dataCentre === dataCentre && linked.has(each.id));
+    let error: ErrorKind = "unavailable";
     for (const { id } of instances) {
       const result = await this.call(id, call, { isPassedOn: false });
       if (result.isRight()) {
         return result;
       }
+      result.ifLeft(({ kind }) => {
+        error = kind === "outcomeUnknown" ? kind : error;
+      });
     }
-    return failure("unavailable", {
+    return failure(error, {
       detail: `no instance of ${dataCentre} answered`,
     });
   }
--- a/src/process/scheduler/runtime/testing/test_bed.ts
+++ b/src/process/scheduler/runtime/testing/test_bed.ts
@@ -203,10 +203,9 @@
     void instance?.runtime.close();
   }
 
-  async submit(
-    job: Partial<JobSpecification> & { jobId: string },
-  ): Promise<boolean> {
-    const specification = jobSpecificationSchema.parse({
+  /** A small job that runs here, but for what is said. */
+  specify(job: Partial<JobSpecification> & { jobId: string }) {
+    return jobSpecificationSchema.parse({
       clientAccount: "lab",
       jobClass: "batch",
       tasks: 1,
@@ -216,9 +215,13 @@
       dataCentres: [this.dataCentre],
       ...job,
     });
-    const [runtime] = [...this.instances.values()]
-      .map((instance) => instance.runtime);
-    const result = await runtime?.submit(specification);
+  }
+
+  async submit(
+    job: Partial<JobSpecification> & { jobId: string },
+  ): Promise<boolean> {
+    const [first] = this.instances.values();
+    const result = await first?.runtime.submit(this.specify(job));
     return result?.isRight() ?? false;
   }
 
