--- a/src/process/scheduler/runtime/data_centre_out_test.ts
+++ b/src/process/scheduler/runtime/data_centre_out_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { LeaderCore } from "../leader_core.ts";
 import { makeWorld, TestBed, type TestBedOptions } from "./testing/test_bed.ts";
 
 function makePair(options: Partial<TestBedOptions> = {}) {
@@ -176,3 +177,99 @@
   t.is(error.kind, "unavailable");
   t.deepEqual(error.facts, { unaskedDataCentres: ["dc2"] });
 });
+
+test("a job that moved away and came back runs under the real core", async (t) => {
+  const world = makeWorld({ seed: 6, dataCentres: ["dc1", "dc2"] });
+  const [first, second] = ["dc1", "dc2"].map((dataCentre) =>
+    new TestBed({
+      world,
+      dataCentre,
+      createCore: () => new LeaderCore({ dataCentre }),
+    })
+  ) as [TestBed, TestBed];
+  await first.pass(3_000);
+  void first.submit({
+    jobId: "j1",
+    dataCentres: ["dc1", "dc2"],
+    declaredRunMs: 60_000,
+    command: ["run", "60000"],
+  });
+  await first.pass(5_000);
+  t.true(first.history.isRunning("j1"));
+  world.configuration.setStatus("dc1", "out");
+  await first.pass(30_000);
+  t.true(second.history.isRunning("j1"));
+  world.configuration.setStatus("dc1", "in");
+  await first.pass(1_000);
+  world.configuration.setStatus("dc2", "out");
+  await first.pass(180_000);
+  t.is(first.ledger.get("j1")?.end?.outcome, "succeeded");
+  t.is(first.ledger.get("j1")?.transfers, 2);
+  t.deepEqual(first.history.violations, []);
+  t.deepEqual(second.history.violations, []);
+});
+
+test("a job moves to a data centre that can be reached", async (t) => {
+  const dataCentres = ["dc1", "dc2", "dc3"];
+  const world = makeWorld({ seed: 8, dataCentres });
+  const [first, second, third] = dataCentres
+    .map((dataCentre) => new TestBed({ world, dataCentre })) as [
+      TestBed,
+      TestBed,
+      TestBed,
+    ];
+  for (const from of first.instanceIds) {
+    second.instanceIds.forEach((to) => world.links.cut(from, to));
+  }
+  takeOut(first);
+  await first.pass(2_000);
+  void first.submit({ jobId: "j1", dataCentres });
+  await first.pass(10_000);
+  t.is(second.ledger.get("j1"), undefined);
+  t.is(third.ledger.get("j1")?.end?.outcome, "succeeded");
+});
+
+test("letting a job go before the other log has it is caught", async (t) => {
+  const { world, first, second } = makePair({
+    omittedChecks: ["transferOnce"],
+  });
+  takeOut(first);
+  await first.pass(2_000);
+  void first.submit({ jobId: "j1", dataCentres: ["dc1", "dc2"] });
+  // The question is answered, and the job itself is lost on its way.
+  let owner = first.ledger.get("j1")?.transfer;
+  while (owner === undefined) {
+    await first.pass(1);
+    owner = first.ledger.get("j1")?.transfer;
+  }
+  for (const from of first.instanceIds) {
+    second.instanceIds.forEach((to) => world.links.cut(from, to));
+  }
+  await first.pass(10_000);
+  world.links.heal();
+  await first.pass(20_000);
+  t.not(first.ledger.get("j1")?.transfer?.acceptedAtMs, undefined);
+  t.is(second.ledger.get("j1"), undefined);
+});
+
+test("a submission is called not run only when it wasn't accepted", async (t) => {
+  for (const isHeard of [true, false]) {
+    const { world, first, second } = makePair();
+    await first.pass(1_000);
+    for (const away of first.instanceIds) {
+      for (const home of second.instanceIds) {
+        const [from, to] = isHeard ? [home, away] : [away, home];
+        world.links.cut(from, to);
+      }
+    }
+    const { runtime } = first.instance("dc1-0");
+    const submitted = runtime.submit(first.specify({
+      jobId: "j1",
+      dataCentres: ["dc2"],
+    }));
+    await first.pass(10_000);
+    const error = (await submitted).swap().unsafeCoerce();
+    t.is(error.kind, isHeard ? "outcomeUnknown" : "unavailable");
+    t.is(second.ledger.get("j1") !== undefined, isHeard);
+  }
+});
--- a/src/process/scheduler/runtime/job_ledger.ts
+++ b/src/process/scheduler/runtime/job_ledger.ts
@@ -4,34 +4,14 @@
  * @module
  */
 
-import { Buffer } from "node:buffer";
 import { isDeepStrictEqual } from "node:util";
-import { Right } from "purify-ts/Either";
-import { z } from "zod";
 import { Channel } from "../../../base/channel.ts";
 import type { JobId } from "../../../base/identity.ts";
-import { failure, type Result } from "../../../base/sesame_error.ts";
+import type { Result } from "../../../base/sesame_error.ts";
 import type { StateMachine } from "../../replication/replicated_log.ts";
 import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
-import {
-  type AttemptRecord,
-  isOwned,
-  type JobRecord,
-  jobRecordSchema,
-} from "./job_record.ts";
-import { migrate, type Migration } from "./migration.ts";
-
-/** The version of the snapshot's own format. */
-export const JOB_SNAPSHOT_FORMAT_VERSION = 1;
-
-const SNAPSHOT_MIGRATIONS: readonly Migration[] = [];
-
-const snapshotSchema = z.strictObject({
-  formatVersion: z.literal(JOB_SNAPSHOT_FORMAT_VERSION),
-  highestTerm: z.int().min(0),
-  records: z.array(jobRecordSchema),
-  endedJobIds: z.array(z.string()),
-});
+import { type AttemptRecord, isOwned, type JobRecord } from "./job_record.ts";
+import { decodeJobSnapshot, encodeJobSnapshot } from "./job_snapshot.ts";
 
 /** What the ledger keeps of the past. */
 export interface JobLedgerOptions {
@@ -110,17 +90,15 @@
   }
 
   snapshot(): Uint8Array {
-    const snapshot: z.infer<typeof snapshotSchema> = {
-      formatVersion: JOB_SNAPSHOT_FORMAT_VERSION,
+    return encodeJobSnapshot({
       highestTerm: this.#highestTerm,
       records: [...this.#records.values()],
       endedJobIds: [...this.#endedJobIds],
-    };
-    return Buffer.from(JSON.stringify(snapshot));
+    });
   }
 
   restore(snapshot: Uint8Array): Result<void> {
-    return decodeSnapshot(snapshot).map((decoded) => {
+    return decodeJobSnapshot(snapshot).map((decoded) => {
       this.#highestTerm = decoded.highestTerm;
       this.#records = new Map(
         decoded.records.map((record) => [record.specification.jobId, record]),
@@ -209,6 +187,7 @@
         attempt: command.attempt,
         term: command.term,
         placements: command.placements,
+        resources: command.resources,
         configurationVersion: command.configurationVersion,
         intendedAtMs: command.atMs,
       },
@@ -233,6 +212,7 @@
       return refused("there is no such job");
     }
     const attemptsUsed = Math.max(record.attemptsUsed, command.attempt);
+    const failures = record.failures + (command.hasFailed ? 1 : 0);
     const open = record.openAttempt;
     if (open === undefined || open.attempt > command.attempt) {
       return this.#change(record, { attemptsUsed });
@@ -241,6 +221,7 @@
     return this.#put({
       ...rest,
       attemptsUsed,
+      failures,
       pastAttempts: this.#past(record, {
         ...open,
         endedAtMs: command.atMs,
@@ -355,6 +336,7 @@
     submittedAtMs: command.submittedAtMs,
     transfers: command.transfers,
     attemptsUsed: command.attemptsUsed,
+    failures: 0,
     pastAttempts: [],
     isCancelled: false,
   };
@@ -380,22 +362,3 @@
 function refused(detail: string): JobCommandOutcome {
   return { kind: "refused", error: "conflict", detail };
 }
-
-function decodeSnapshot(
-  snapshot: Uint8Array,
-): Result<z.infer<typeof snapshotSchema>> {
-  try {
-    const raw: unknown = JSON.parse(Buffer.from(snapshot).toString("utf8"));
-    return migrate(raw, {
-      migrations: SNAPSHOT_MIGRATIONS,
-      currentVersion: JOB_SNAPSHOT_FORMAT_VERSION,
-    }).chain((current) => {
-      const parsed = snapshotSchema.safeParse(current);
-      return parsed.success
-        ? Right(parsed.data)
-        : failure("malformed", { detail: z.prettifyError(parsed.error) });
-    });
-  } catch {
-    return failure("malformed", { detail: "a snapshot that isn't JSON" });
-  }
-}
--- a/src/process/scheduler/runtime/leader_session.ts
+++ b/src/process/scheduler/runtime/leader_session.ts
@@ -17,26 +17,35 @@
   ThrottleGang,
   WaitReason,
 } from "../core/scheduler_decision.ts";
-import type { SchedulerEvent } from "../core/scheduler_event.ts";
+import type { TaskReference } from "../core/scheduler_event.ts";
+import { CoreDriver } from "./core_driver.ts";
+import { toCoreRecord } from "./core_record.ts";
 import type { DecisionCore } from "./decision_core.ts";
 import { GangTable } from "./gang_table.ts";
 import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
+import { JobIntake } from "./job_intake.ts";
 import type { JobLedger } from "./job_ledger.ts";
 import { JobMover, type JobMoverOptions } from "./job_mover.ts";
-import { isOwned, type JobRecord } from "./job_record.ts";
+import { isOwned } from "./job_record.ts";
 import type { LeaseOptions } from "./lease_rule.ts";
-import { LedgerWriter } from "./ledger_writer.ts";
+import { LedgerWriter, pause } from "./ledger_writer.ts";
 import { Recovery } from "./recovery.ts";
 import type { OmittedCheck, SessionContext } from "./session_context.ts";
 import { StartGate } from "./start_gate.ts";
 import { WorkerCaller } from "./worker_caller.ts";
 import type { WorkerClient } from "./worker_client.ts";
-import type { WorkerTable } from "./worker_table.ts";
+import type { WorkerEntry, WorkerTable } from "./worker_table.ts";
 import { WorkerWatcher } from "./worker_watcher.ts";
 
 /** How often deadlines, silence and permissions are looked at. */
 const TICK_MS = 250;
 
+/** How often jobs that are to move are looked at. */
+const MOVE_PERIOD_MS = 1_000;
+
+/** How long to wait before the log is asked again whether it is whole. */
+const CATCH_UP_RETRY_MS = 100;
+
 /** Options of {@link LeaderSession}. */
 export interface LeaderSessionOptions {
   readonly clock: Clock;
@@ -65,25 +74,35 @@
   readonly #watcher: WorkerWatcher;
   readonly #quarantined = new Set<string>();
   readonly #mover: JobMover;
-  /** Jobs that the core doesn't know, since they are to move. */
-  readonly #aside = new Set<JobId>();
+  readonly #intake: JobIntake;
+  readonly #driver: CoreDriver;
   readonly #closers: (() => void)[] = [];
-  #queue: SchedulerEvent[] = [];
   #isRecovering = true;
-  #isFeeding = false;
   #isClosed = false;
   #permittedUntilMs = 0;
+  #moveAtMs = 0;
 
   constructor(options: LeaderSessionOptions) {
     this.#options = options;
     this.#context = this.#makeContext();
     this.#gangs = new GangTable(this.#context);
     this.#watcher = new WorkerWatcher(this.#context);
+    this.#driver = new CoreDriver({
+      core: options.core,
+      isLive: () => this.#context.isLive(),
+      onDecision: (decision) => this.#carryOut(decision),
+      onFailure: (error) => this.#fail(error),
+    });
     this.#mover = new JobMover({
       ...options,
       writer: this.#context.writer,
       forgetsAcknowledgement: this.#context.omits("transferOnce"),
     });
+    this.#intake = new JobIntake({
+      ...options,
+      mover: this.#mover,
+      feed: this.#context.feed,
+    });
   }
 
   get isRecovering(): boolean {
@@ -103,7 +122,7 @@
     if (this.#isRecovering) {
       return "recovering";
     }
-    return this.#aside.has(jobId)
+    return this.#intake.aside.has(jobId)
       ? "dataCentreOut"
       : this.#options.core.waitReason(jobId);
   }
@@ -114,12 +133,12 @@
 
   /** Begins; returns once it schedules or the period is over. */
   async run(): Promise<void> {
-    const { clock, lease, log } = this.#options;
+    const { clock, lease } = this.#options;
     const began = await this.writer.write({ kind: "termBegan" });
     if (began?.kind !== "applied") {
       return;
     }
-    await log.readBarrier({ deadlineMs: clock.nowMs() + lease.leaseMs });
+    await this.#catchUp();
     const renewal = clock.every(
       lease.renewPeriodMs,
       () => this.#gangs.renewLeases(),
@@ -135,7 +154,19 @@
     this.#isClosed = true;
     this.#closers.forEach((close) => close());
     this.#closers.length = 0;
-    this.#queue = [];
+  }
+
+  /** Returns once this member has applied all that earlier leaders wrote. */
+  async #catchUp(): Promise<void> {
+    const { clock, lease, log } = this.#options;
+    while (this.#context.isLive()) {
+      const deadlineMs = clock.nowMs() + lease.leaseMs;
+      const barrier = await log.readBarrier({ deadlineMs });
+      if (barrier.isRight()) {
+        return;
+      }
+      await pause(clock, CATCH_UP_RETRY_MS);
+    }
   }
 
   async #recover(): Promise<void> {
@@ -151,20 +182,28 @@
 
   /** Tells the core all that is known, then lets it decide. */
   #begin(): void {
-    const { clock, configuration, ledger, workers } = this.#options;
+    const { clock, core, workers, events, term } = this.#options;
     const atMs = clock.nowMs();
-    const early = this.#queue;
-    this.#queue = [];
+    const records = this.#intake.takeOver();
+    this.#isRecovering = false;
     this.#feedConfiguration();
-    const records = [...ledger.liveRecords()].filter(isOwned);
-    records.forEach((record) => this.#feedSubmitted(record));
+    core.restore(records.map(toCoreRecord), { atMs, recoverUntilMs: atMs });
     this.#joinAll(atMs);
-    this.#feedAdopted(atMs);
+    [...workers.entries()].forEach((entry) => this.#gangs.look(entry));
     records.filter((record) => record.isCancelled)
-      .forEach((record) => this.#feedCancelled(record));
-    this.#queue.push(...early);
-    this.#isRecovering = false;
-    this.#observe(ledger.applied, (command) => this.#follow(command));
+      .forEach((record) => this.#intake.feedCancelled(record));
+    this.#follow();
+    events.emit("schedulingBegan", { term, jobs: records.length });
+    this.#tick();
+  }
+
+  /** From now on hears what happens. */
+  #follow(): void {
+    const { clock, configuration, ledger, workers } = this.#options;
+    this.#observe(
+      ledger.applied,
+      (command) => this.#intake.noteApplied(command),
+    );
     this.#observe(configuration.versions, () => this.#feedConfiguration());
     this.#observe(workers.news, (news) => {
       this.#watcher.hear(news);
@@ -172,12 +211,6 @@
     });
     const tick: Timer = clock.every(TICK_MS, () => this.#tick());
     this.#closers.push(() => tick.close());
-    this.#options.events.emit("schedulingBegan", {
-      term: this.#options.term,
-      jobs: records.length,
-    });
-    [...workers.entries()].forEach((entry) => this.#gangs.look(entry));
-    this.#tick();
   }
 
   #observe<T>(
@@ -197,25 +230,20 @@
   #joinAll(atMs: number): void {
     const { workers, lease } = this.#options;
     for (const entry of workers.entries()) {
-      if (entry.anchor.receivedAtMs + lease.leaseMs < atMs) {
-        continue;
+      if (entry.anchor.receivedAtMs + lease.leaseMs >= atMs) {
+        this.#watcher.join(entry, this.#runningOf(entry));
       }
-      const { workerId } = entry.description;
-      const running = [...this.#gangs.gangs()]
-        .filter((gang) => gang.phase === "running")
-        .flatMap((gang) =>
-          gang.taskIndexes(workerId).map((index) => gang.reference(index))
-        );
-      this.#watcher.join(entry, running);
     }
   }
 
-  #feedAdopted(atMs: number): void {
-    for (const { jobId, attempt, phase } of this.#gangs.gangs()) {
-      if (phase === "running") {
-        this.#feed({ kind: "gangStarted", atMs, jobId, attempt });
-      }
-    }
+  /** The tasks of whole gangs that the worker runs. */
+  #runningOf(entry: WorkerEntry): TaskReference[] {
+    return entry.tasks
+      .filter((task) =>
+        task.state === "running" &&
+        this.#gangs.get(task.jobId, task.attempt)?.phase === "running"
+      )
+      .map(({ jobId, attempt, taskIndex }) => ({ jobId, attempt, taskIndex }));
   }
 
   #tick(): void {
@@ -228,111 +256,31 @@
     const permittedUntilMs = this.#context.gate.permittedUntilMs();
     if (permittedUntilMs > this.#permittedUntilMs) {
       this.#permittedUntilMs = permittedUntilMs;
-      this.#feed({ kind: "startPermissionExtended", atMs, permittedUntilMs });
-    }
-    this.#feed({ kind: "clockTicked", atMs });
-    this.#mover.tick();
-    this.#takeBackAside();
-  }
-
-  /** Hands the core what need not move after all. */
-  #takeBackAside(): void {
-    for (const jobId of [...this.#aside]) {
-      const record = this.#options.ledger.get(jobId);
-      if (record === undefined || !isOwned(record)) {
-        this.#aside.delete(jobId);
-      } else if (!this.#mover.isToMove(record)) {
-        this.#aside.delete(jobId);
-        this.#feedSubmitted(record);
-      }
-    }
-  }
-
-  #follow(command: JobCommand): void {
-    if (!("jobId" in command) && command.kind !== "submitted") {
-      return;
-    }
-    const jobId = command.kind === "submitted"
-      ? command.specification.jobId
-      : command.jobId;
-    const record = this.#options.ledger.get(jobId);
-    if (record === undefined) {
-      return;
-    }
-    if (command.kind === "submitted") {
-      this.#options.events.emit("jobSubmitted", { jobId });
-      this.#feedSubmitted(record);
+      this.#driver.feed({
+        kind: "startPermissionExtended",
+        atMs,
+        permittedUntilMs,
+      });
     }
-    // A job that moves away leaves the core the way a cancelled one does.
-    const leaves = command.kind === "cancelled" ||
-      command.kind === "transferIntended";
-    if (leaves && !this.#aside.has(jobId)) {
-      this.#feedCancelled(record);
+    this.#driver.feed({ kind: "clockTicked", atMs });
+    if (atMs >= this.#moveAtMs) {
+      this.#moveAtMs = atMs + MOVE_PERIOD_MS;
+      this.#intake.takeBack();
+      this.#mover.tick(this.#intake.aside);
     }
   }
 
   #feedConfiguration(): void {
-    this.#feed({
+    this.#driver.feed({
       kind: "configurationChanged",
       atMs: this.#options.clock.nowMs(),
       configuration: this.#options.configuration.current(),
     });
   }
 
-  #feedSubmitted(record: JobRecord): void {
-    const { specification, attemptsUsed } = record;
-    const { jobId } = specification;
-    if (this.#mover.isToMove(record)) {
-      this.#aside.add(jobId);
-      return;
-    }
-    this.#feed({
-      kind: "jobSubmitted",
-      atMs: this.#options.clock.nowMs(),
-      job: specification,
-      attemptsUsed,
-    });
-    if (record.isCancelled && !this.#isRecovering) {
-      this.#feedCancelled(record);
-    }
-  }
-
-  #feedCancelled(record: JobRecord): void {
-    const { jobId } = record.specification;
-    const atMs = this.#options.clock.nowMs();
-    this.#feed({ kind: "jobCancelled", atMs, jobId });
-  }
-
-  /** Hands one event to the core at a time, in the order of coming. */
-  #feed(event: SchedulerEvent): void {
-    this.#queue.push(event);
-    if (this.#isRecovering || this.#isFeeding) {
-      return;
-    }
-    this.#isFeeding = true;
-    try {
-      this.#drain();
-    } finally {
-      this.#isFeeding = false;
-    }
-  }
-
-  #drain(): void {
-    let next = this.#queue.shift();
-    while (next !== undefined && this.#context.isLive()) {
-      this.#decide(next);
-      next = this.#queue.shift();
-    }
-  }
-
-  #decide(event: SchedulerEvent): void {
-    try {
-      const decisions = this.#options.core.handle(event);
-      decisions.forEach((decision) => this.#carryOut(decision));
-    } catch (error) {
-      this.close();
-      this.#options.onFailure(error);
-    }
+  #fail(error: unknown): void {
+    this.close();
+    this.#options.onFailure(error);
   }
 
   #carryOut(decision: SchedulerDecision): void {
@@ -370,7 +318,7 @@
     if (!isStartable) {
       const atMs = this.#options.clock.nowMs();
       const workerIds: string[] = [];
-      this.#feed({
+      this.#driver.feed({
         kind: "gangStartFailed",
         atMs,
         jobId,
@@ -430,7 +378,7 @@
       gate: new StartGate({ configuration, dataCentre }),
       isLive,
       openAttempt: (jobId) => ledger.get(jobId)?.openAttempt,
-      feed: (event) => this.#feed(event),
+      feed: (event) => this.#driver.feed(event),
       omits: (check) => omittedChecks.includes(check),
     };
   }
