--- a/bench/scheduler/measurements.ts
+++ b/bench/scheduler/measurements.ts
@@ -21,12 +21,19 @@
   readonly completionSeconds: Readonly<Record<string, Spread>>;
   readonly startSeconds: Readonly<Record<string, Spread>>;
   readonly gangWaitSeconds: Readonly<Record<string, Spread>>;
+  /** Completion time beyond the run time, of the gangs that succeeded. */
+  readonly gangDelaySeconds: Readonly<Record<string, Spread>>;
   /** Most adjacent free accelerators over all free, mean over time. */
   readonly largestFreeFraction: number;
   readonly doneAcceleratorHours: number;
   readonly lostByPreemptionAcceleratorHours: number;
   readonly lostByFailureAcceleratorHours: number;
   readonly preemptions: number;
+  /** Accelerator-hours lost to stops, by the reason of the stop. */
+  readonly lostByReason: Readonly<Record<string, number>>;
+  readonly stopsByReason: Readonly<Record<string, number>>;
+  /** Quarantines of workers that really are bad, and of others. */
+  readonly quarantines: { readonly bad: number; readonly good: number };
   readonly outcomes: Readonly<Record<string, number>>;
   readonly unfinished: number;
   readonly decisionMilliseconds: Spread;
@@ -53,6 +60,9 @@
   #preemptionLoss = 0;
   #failureLoss = 0;
   #preemptions = 0;
+  readonly #lostByReason: Record<string, number> = {};
+  readonly #stopsByReason: Record<string, number> = {};
+  readonly #quarantines = { bad: 0, good: 0 };
 
   submitted(job: TrueJob, atMs: number): void {
     this.#times.set(job.specification.jobId, {
@@ -99,6 +109,16 @@
     this.#preemptions += 1;
   }
 
+  stopped(job: TrueJob, reason: string, lostRunMs: number): void {
+    const lost = weightOf(job) * lostRunMs / ACCELERATOR_HOUR_MS;
+    this.#lostByReason[reason] = (this.#lostByReason[reason] ?? 0) + lost;
+    this.#stopsByReason[reason] = (this.#stopsByReason[reason] ?? 0) + 1;
+  }
+
+  quarantined(isBad: boolean): void {
+    this.#quarantines[isBad ? "bad" : "good"] += 1;
+  }
+
   sampled(room: { total: number; largest: number }): void {
     if (room.total > 0) {
       this.#fractions.push(room.largest / room.total);
@@ -146,6 +166,15 @@
         (each) => `gang${each.job.specification.tasks}`,
         (each) => ((each.startedAtMs ?? 0) - each.submittedAtMs) / 1_000,
       ),
+      gangDelaySeconds: groupedSpread(
+        all.filter((each) =>
+          each.outcome === "succeeded" && each.job.specification.tasks >= 32
+        ),
+        (each) => `gang${each.job.specification.tasks}`,
+        (each) =>
+          ((each.endedAtMs ?? 0) - each.submittedAtMs - each.job.actualRunMs) /
+          1_000,
+      ),
       largestFreeFraction: rounded(meanOf(this.#fractions)),
       doneAcceleratorHours: rounded(this.#doneWork / ACCELERATOR_HOUR_MS),
       lostByPreemptionAcceleratorHours: rounded(
@@ -155,6 +184,9 @@
         this.#failureLoss / ACCELERATOR_HOUR_MS,
       ),
       preemptions: this.#preemptions,
+      lostByReason: this.#lostByReason,
+      stopsByReason: this.#stopsByReason,
+      quarantines: this.#quarantines,
       outcomes,
       unfinished: outcomes["unfinished"] ?? 0,
       decisionMilliseconds: spreadOf(this.#decisions),
--- a/bench/scheduler/simulation.ts
+++ b/bench/scheduler/simulation.ts
@@ -222,6 +222,11 @@
         }
         return;
       }
+      case "quarantineWorker":
+        this.#measurements.quarantined(
+          this.#badWorkers.has(decision.workerId),
+        );
+        return;
       default:
         return;
     }
@@ -346,6 +351,11 @@
         return;
       }
       const sinceMs = this.#sinceCheckpoint(running);
+      this.#measurements.stopped(
+        running.job,
+        stop.reason,
+        isCheckpointed ? 0 : sinceMs,
+      );
       if (isCheckpointed) {
         running.doneMs += sinceMs;
       } else if (isPreemption(stop)) {
--- a/src/process/scheduler/core/reservation_manager.ts
+++ b/src/process/scheduler/core/reservation_manager.ts
@@ -228,7 +228,8 @@
 export function isDrainable(victim: JobState, claimant: JobState): boolean {
   const isOwn = victim.specification.clientAccount ===
     claimant.specification.clientAccount;
-  return (isOwn || !victim.isGuaranteed) && victim.rank >= claimant.rank &&
+  return (isOwn || !victim.isGuaranteed) &&
+    victim.specification.canCheckpoint && victim.rank >= claimant.rank &&
     gangAccelerators(victim) < gangAccelerators(claimant) &&
     victim.drainEvictions < DRAIN_EVICTIONS_LIMIT;
 }
