--- a/bench/scheduler/workload.ts
+++ b/bench/scheduler/workload.ts
@@ -28,6 +28,8 @@
   readonly memoryBytes: number;
   readonly clientAccounts: number;
   readonly hours: number;
+  /** How much more of the work comes in gangs of 32 and 64. */
+  readonly largeGangFactor: number;
 }
 
 /** Both users' sizes of one data centre, and the size of two years on. */
@@ -41,6 +43,7 @@
     memoryBytes: 64e9,
     clientAccounts: 4,
     hours: 24,
+    largeGangFactor: 1,
   },
   murshidabad: {
     name: "murshidabad",
@@ -51,6 +54,7 @@
     memoryBytes: 256e9,
     clientAccounts: 4,
     hours: 24,
+    largeGangFactor: 1.5,
   },
   twoYears: {
     name: "twoYears",
@@ -61,6 +65,7 @@
     memoryBytes: 256e9,
     clientAccounts: 180,
     hours: 8,
+    largeGangFactor: 1,
   },
 } as const satisfies Record<string, BenchSize>;
 
@@ -203,7 +208,10 @@
     Object.entries(CLASSES),
   )[0] as ClassName;
   const kinds = jobClass === "urgent" ? URGENT_KINDS : KINDS;
-  const kind = pickWeighted(random, kinds.map((each) => [each, each] as const));
+  const kind = pickWeighted(
+    random,
+    kinds.map((each) => [each, weightedFor(each, size)] as const),
+  );
   const { fromMs, toMs } = CLASSES[jobClass];
   const actualRunMs = Math.round(logUniform(random, fromMs, toMs));
   const factor = logUniform(
@@ -240,6 +248,11 @@
   };
 }
 
+function weightedFor(kind: Kind, size: BenchSize): { weight: number } {
+  const factor = kind.tasks >= 32 ? size.largeGangFactor : 1;
+  return { weight: kind.weight * factor };
+}
+
 /** A quarter of the jobs come in bursts of one minute. */
 function drawSubmission(random: SeededRandom, endMs: number): number {
   const atMs = Math.floor(random.nextUnit() * endMs);
--- a/src/process/scheduler/core/placement.ts
+++ b/src/process/scheduler/core/placement.ts
@@ -20,6 +20,8 @@
   readonly adjacency: "any" | "rack" | "worker";
   /** Workers to leave alone. */
   readonly avoided: ReadonlySet<WorkerId>;
+  /** Whether workers that are promised to guarantees are left alone. */
+  readonly isOffPromises?: boolean;
 }
 
 /** What a worker has for the request. */
@@ -220,7 +222,9 @@
   request: BlockRequest,
   roomOf: RoomOf,
 ): number {
-  if (request.avoided.has(worker.workerId)) {
+  const isLeftAlone = request.avoided.has(worker.workerId) ||
+    (request.isOffPromises === true && worker.promised.accelerators > 0);
+  if (isLeftAlone) {
     return 0;
   }
   return tasksFitting(roomOf(worker), request.need);
--- a/src/process/scheduler/core/placer.ts
+++ b/src/process/scheduler/core/placer.ts
@@ -170,8 +170,25 @@
     return true;
   }
 
+  /** Work that can't be checkpointed keeps off what may be reclaimed. */
   #startOnLoan(job: JobState, request: BlockRequest): boolean {
-    return this.#mayBorrow(job) && this.#startFree(job, request, false);
+    if (!this.#mayBorrow(job)) {
+      return false;
+    }
+    const isFragile = !job.specification.canCheckpoint;
+    return (isFragile && this.#startOffPromises(job, request)) ||
+      this.#startFree(job, request, false);
+  }
+
+  #startOffPromises(job: JobState, request: BlockRequest): boolean {
+    const block = findFreeBlock(this.#context.index, {
+      ...request,
+      isOffPromises: true,
+    });
+    if (block !== undefined) {
+      this.#lifecycle.start(job, block, false);
+    }
+    return block !== undefined;
   }
 
   #startFree(
