Hold the return of work in every start, and let probes run

Cause: tests of the return and of the quarantine found that a reservation could start work faster than the return allows, and that no probe ever ran. Change: one barrier for every start; a probing worker takes one gang that fits wholly on it; gangs may be moved for a larger one of their own client account; the placer's evictions stand in a module of their own. Conclusion: both hold now and are tested.

--- /dev/null
+++ b/src/process/scheduler/core/borrowing.ts
@@ -0,0 +1,31 @@
+/**
+ * Whether a client account may hold more beyond its guarantee.
+ *
+ * @module
+ */
+
+import type { CoreContext } from "./core_context.ts";
+import { gangAccelerators, type JobState } from "./job_state.ts";
+import type { WaitReason } from "./scheduler_decision.ts";
+
+/** Why the job may not run on loan; undefined when it may. */
+export function borrowingBarrier(
+  job: JobState,
+  context: CoreContext,
+): WaitReason | undefined {
+  const { policy, ledger } = context;
+  const name = job.specification.clientAccount;
+  const section = policy.clientAccount(name);
+  if (section === undefined || section.borrowingWeight === 0) {
+    return "fairShare";
+  }
+  const limit = section.borrowingLimitAccelerators;
+  const held = ledger.account(name).borrowedAccelerators;
+  return limit !== undefined && held + gangAccelerators(job) > limit
+    ? "borrowingLimit"
+    : undefined;
+}
+
+export function mayBorrow(job: JobState, context: CoreContext): boolean {
+  return borrowingBarrier(job, context) === undefined;
+}
--- a/src/process/scheduler/core/core_context.ts
+++ b/src/process/scheduler/core/core_context.ts
@@ -38,6 +38,11 @@
   | "keepsStaleIndex"
   | "evictsGuarantees";
 
+/** The rank of job classes that start at once. */
+export const URGENT_RANK = 0;
+
+const MINUTE_MS = 60_000;
+
 /** What falls due at a moment. */
 export interface DueAction {
   readonly atMs: number;
@@ -128,6 +133,11 @@
     return isPermitted ? undefined : "startPermission";
   }
 
+  /** Why this job may not start now, whatever room there is. */
+  startBarrierFor(job: JobState): WaitReason | undefined {
+    return this.startBarrier() ?? this.#returnBarrier(job);
+  }
+
   /** The reason for which a job waits, as of now. */
   waitReasonOf(job: JobState): WaitReason | undefined {
     if (job.phase === JobPhase.ended || job.phase === JobPhase.running) {
@@ -173,6 +183,22 @@
     this.#armAging(job);
   }
 
+  /** Holds work back after a return, but for urgent work. */
+  #returnBarrier(job: JobState): WaitReason | undefined {
+    if (this.returnedAtMs === undefined || job.rank === URGENT_RANK) {
+      return undefined;
+    }
+    const minutes = (this.nowMs - this.returnedAtMs) / MINUTE_MS;
+    const fraction = minutes *
+      (this.policy.section?.returnFractionPerMinute ?? 1);
+    if (fraction >= 1) {
+      this.returnedAtMs = undefined;
+      return undefined;
+    }
+    const allowed = fraction * this.policy.declaredAccelerators;
+    return this.ledger.liveAccelerators < allowed ? undefined : "returning";
+  }
+
   /** Has the job considered for a reservation once it has waited long. */
   #armAging(job: JobState): void {
     const queuedAtMs = job.queuedAtMs;
--- a/src/process/scheduler/core/placement.ts
+++ b/src/process/scheduler/core/placement.ts
@@ -8,7 +8,7 @@
 import { type Amounts, tasksFitting } from "./amounts.ts";
 import type { JobState } from "./job_state.ts";
 import type { RackIndex, RackState } from "./rack_index.ts";
-import type { WorkerState } from "./worker_state.ts";
+import { type WorkerState, WorkerStatus } from "./worker_state.ts";
 
 /** How many tasks of a gang each worker takes. */
 export type Block = ReadonlyMap<WorkerState, number>;
@@ -227,7 +227,10 @@
   if (isLeftAlone) {
     return 0;
   }
-  return tasksFitting(roomOf(worker), request.need);
+  const fitting = tasksFitting(roomOf(worker), request.need);
+  const isTooWide = worker.status === WorkerStatus.probing &&
+    fitting < request.tasks;
+  return isTooWide ? 0 : fitting;
 }
 
 const NO_ROOM: Readonly<Amounts> = {
--- a/src/process/scheduler/core/placer.ts
+++ b/src/process/scheduler/core/placer.ts
@@ -4,18 +4,12 @@
  * @module
  */
 
-import {
-  addAmounts,
-  type Amounts,
-  minimumAmounts,
-  noAmounts,
-} from "./amounts.ts";
-import { hasExcess } from "./cell_upkeep.ts";
+import { type Amounts, minimumAmounts, noAmounts } from "./amounts.ts";
+import { borrowingBarrier, mayBorrow } from "./borrowing.ts";
 import type { CoreContext } from "./core_context.ts";
-import { type EvictionPlan, planEviction } from "./eviction.ts";
+import type { Evictor } from "./evictor.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
-import { gangAccelerators, JobPhase, type JobState } from "./job_state.ts";
-import { reservedForGuarantees } from "./ledger.ts";
+import { gangAccelerators, type JobState } from "./job_state.ts";
 import {
   type Block,
   type BlockRequest,
@@ -25,22 +19,10 @@
 } from "./placement.ts";
 import type { RackState } from "./rack_index.ts";
 import { type Reservation, ReservationKind } from "./reservation.ts";
-import { isDrainable, type ReservationManager } from "./reservation_manager.ts";
+import type { ReservationManager } from "./reservation_manager.ts";
 import type { WaitReason } from "./scheduler_decision.ts";
-import { RANK_COUNT, type WorkerState } from "./worker_state.ts";
-
-/** The rank of job classes that start at once. */
-export const URGENT_RANK = 0;
-/** Within what time urgent work starts when its class doesn't say. */
-const URGENT_START_TARGET_MS = 1_900;
-/** Left over of the start target for the start itself. */
-const START_MARGIN_MS = 700;
-/** Racks whose victims are weighed for one job. */
-const RACKS_WEIGHED = 12;
-/** Most of all accelerators that may be held by draining reservations. */
-const DRAINING_FRACTION = 0.25;
-/** The longest that a reservation drains. */
-const DRAIN_LIMIT_MS = 300_000;
+import type { VainTries } from "./vain_tries.ts";
+import type { WorkerState } from "./worker_state.ts";
 
 const NOTHING: Readonly<Amounts> = Object.freeze(noAmounts());
 
@@ -56,29 +38,28 @@
   readonly #context: CoreContext;
   readonly #lifecycle: GangLifecycle;
   readonly #reservations: ReservationManager;
-  /** What was tried in vain since room last came free. */
-  readonly #triedInVain = new Set<string>();
+  readonly #evictor: Evictor;
+  readonly #vain: VainTries;
 
   constructor(
     options: {
       context: CoreContext;
       lifecycle: GangLifecycle;
       reservations: ReservationManager;
+      evictor: Evictor;
+      vain: VainTries;
     },
   ) {
     this.#context = options.context;
     this.#lifecycle = options.lifecycle;
     this.#reservations = options.reservations;
-  }
-
-  /** Forgets what was tried in vain, since room came free. */
-  roomFreed(): void {
-    this.#triedInVain.clear();
+    this.#evictor = options.evictor;
+    this.#vain = options.vain;
   }
 
   /** Starts a queued job, or reserves a place for it, or says why not. */
   place(job: JobState): PlacingResult {
-    const barrier = this.#context.startBarrier() ?? this.#returnBarrier(job);
+    const barrier = this.#context.startBarrierFor(job);
     if (barrier !== undefined) {
       return waits(barrier);
     }
@@ -98,53 +79,8 @@
 
   #placeBy(job: JobState, request: BlockRequest): boolean {
     return this.#startInGuarantee(job, request) ||
-      this.#startOnLoan(job, request) || this.#reclaim(job, request) ||
-      this.#preempt(job, request) || this.#backfill(job, request);
-  }
-
-  /** Reserves a block that drains for a job that has waited long. */
-  drainFor(job: JobState): boolean {
-    const { index, policy, nowMs } = this.#context;
-    const limit = policy.declaredAccelerators * DRAINING_FRACTION;
-    const draining = this.#reservations.drainingAccelerators();
-    const accelerators = gangAccelerators(job);
-    const isAllowed = this.#mayBorrow(job) &&
-      (draining === 0 || draining + accelerators <= limit);
-    if (!isAllowed) {
-      return false;
-    }
-    const plan = planEviction(
-      [...index.racks.values()].map((rack) => rack.workers),
-      { ...requestOf(job), avoided: new Set() },
-      this.#evictionOptions(job, (victim) => isDrainable(victim, job)),
-    );
-    if (plan === undefined) {
-      return false;
-    }
-    const { reservationAfterMs } = policy.jobClass(job.specification.jobClass);
-    this.#reservations.open(job, {
-      kind: ReservationKind.drain,
-      block: plan.block,
-      victims: [],
-      deadlineMs: nowMs + Math.min(DRAIN_LIMIT_MS, reservationAfterMs / 2),
-    });
-    return true;
-  }
-
-  /** Holds work back after a return, but for urgent work. */
-  #returnBarrier(job: JobState): WaitReason | undefined {
-    const { returnedAtMs, policy, ledger, nowMs } = this.#context;
-    if (returnedAtMs === undefined || job.rank === URGENT_RANK) {
-      return undefined;
-    }
-    const minutes = (nowMs - returnedAtMs) / 60_000;
-    const fraction = minutes * (policy.section?.returnFractionPerMinute ?? 1);
-    if (fraction >= 1) {
-      this.#context.returnedAtMs = undefined;
-      return undefined;
-    }
-    const allowed = fraction * policy.declaredAccelerators;
-    return ledger.liveAccelerators < allowed ? undefined : "returning";
+      this.#startOnLoan(job, request) || this.#evictor.reclaim(job, request) ||
+      this.#evictor.preempt(job, request) || this.#backfill(job, request);
   }
 
   #startInGuarantee(job: JobState, request: BlockRequest): boolean {
@@ -172,7 +108,7 @@
 
   /** Work that can't be checkpointed keeps off what may be reclaimed. */
   #startOnLoan(job: JobState, request: BlockRequest): boolean {
-    if (!this.#mayBorrow(job)) {
+    if (!mayBorrow(job, this.#context)) {
       return false;
     }
     const isFragile = !job.specification.canCheckpoint;
@@ -197,95 +133,22 @@
     isGuaranteed: boolean,
   ): boolean {
     const shape = this.#context.queue.groupOf(job)?.shapeKey ?? "";
-    if (this.#triedInVain.has(shape)) {
+    if (this.#vain.has(shape)) {
       return false;
     }
     const block = findFreeBlock(this.#context.index, request) ??
       this.#overcommitted(request);
     if (block === undefined) {
-      this.#noteVain(shape, request);
+      this.#vain.note(shape, request);
       return false;
     }
     this.#lifecycle.start(job, block, isGuaranteed);
     return true;
   }
 
-  /** Evicts work beyond guarantees from the client account's own cells. */
-  #reclaim(job: JobState, request: BlockRequest): boolean {
-    const { cells } = this.#context;
-    const account = job.specification.clientAccount;
-    const racks = cells.racksOf(account);
-    const key = `reclaim|${this.#context.queue.groupOf(job)?.key}`;
-    if (racks.length === 0 || this.#triedInVain.has(key)) {
-      return false;
-    }
-    const isOwnLower = (victim: JobState) =>
-      job.rank === URGENT_RANK && victim.rank > job.rank &&
-      victim.specification.clientAccount === account;
-    const isEvictable = (victim: JobState) =>
-      !victim.isGuaranteed || isOwnLower(victim) ||
-      this.#context.mutations.has("evictsGuarantees");
-    const plan = planEviction(racks, request, {
-      nowMs: this.#context.nowMs,
-      hasTimeToCheckpoint: job.rank !== URGENT_RANK,
-      potentialOf: (worker) => ownPotential(worker, account, isOwnLower),
-      roomOf: (worker) => {
-        const room = roomForGuarantees(worker);
-        return withoutSlowStops(worker, room, this.#slowFromMs(job));
-      },
-      isEvictable,
-    });
-    if (plan === undefined) {
-      this.#noteVain(key, request);
-      return false;
-    }
-    this.#openEviction(job, ReservationKind.reclaim, plan);
-    this.#demoteLower(plan.block, isOwnLower);
-    return true;
-  }
-
-  /** Own lower work that needn't go counts as on loan where both can't be. */
-  #demoteLower(
-    block: Block,
-    isOwnLower: (job: JobState) => boolean,
-  ): void {
-    for (const worker of block.keys()) {
-      for (const { job } of worker.allocations.values()) {
-        const isDemoted = job.isGuaranteed && isOwnLower(job) &&
-          job.phase !== JobPhase.stopping && hasExcess(worker, job);
-        if (isDemoted) {
-          this.#context.ledger.setGuaranteed(job, false);
-        }
-      }
-    }
-  }
-
-  /** Evicts lower work on loan for urgent work. */
-  #preempt(job: JobState, request: BlockRequest): boolean {
-    const mayPreempt = job.rank === URGENT_RANK && this.#mayBorrow(job);
-    const key = `preempt|${this.#context.queue.groupOf(job)?.shapeKey}`;
-    if (!mayPreempt || this.#triedInVain.has(key)) {
-      return false;
-    }
-    const plan = planEviction(
-      this.#racksToPreempt(job),
-      request,
-      this.#evictionOptions(job, (victim) =>
-        victim.rank > job.rank &&
-        (!victim.isGuaranteed ||
-          this.#context.mutations.has("evictsGuarantees"))),
-    );
-    if (plan === undefined) {
-      this.#noteVain(key, request);
-      return false;
-    }
-    this.#openEviction(job, ReservationKind.preemption, plan);
-    return true;
-  }
-
   /** Runs short work on room that is being drained for a large gang. */
   #backfill(job: JobState, request: BlockRequest): boolean {
-    if (this.#reservations.size === 0 || !this.#mayBorrow(job)) {
+    if (this.#reservations.size === 0 || !mayBorrow(job, this.#context)) {
       return false;
     }
     const { corrections, nowMs } = this.#context;
@@ -304,76 +167,6 @@
     return false;
   }
 
-  #openEviction(
-    job: JobState,
-    kind: ReservationKind,
-    plan: EvictionPlan,
-  ): void {
-    this.#reservations.open(job, {
-      kind,
-      block: plan.block,
-      victims: plan.victims,
-      deadlineMs: this.#checkpointDeadline(job),
-    });
-    this.#reservations.startReady(plan.block.keys());
-  }
-
-  /** Until when victims may checkpoint for this job. */
-  #checkpointDeadline(job: JobState): number {
-    const { policy, nowMs } = this.#context;
-    const jobClass = policy.jobClass(job.specification.jobClass);
-    if (job.rank !== URGENT_RANK) {
-      return nowMs + jobClass.checkpointMs;
-    }
-    const targetMs = jobClass.startTargetMs ?? URGENT_START_TARGET_MS;
-    return Math.max(nowMs, job.queuedAtMs + targetMs - START_MARGIN_MS);
-  }
-
-  #racksToPreempt(job: JobState): WorkerState[][] {
-    const needed = gangAccelerators(job);
-    const candidates: { rack: RackState; missing: number }[] = [];
-    for (const rack of this.#context.index.racks.values()) {
-      const missing = Math.max(0, needed - rack.freeAccelerators);
-      const isCandidate = missing <= evictableAbove(rack, job.rank) ||
-        this.#context.mutations.has("evictsGuarantees");
-      if (isCandidate) {
-        candidates.push({ rack, missing });
-      }
-    }
-    if (candidates.length === 0 && job.specification.adjacency === "any") {
-      return [...this.#context.index.racks.values()]
-        .map((rack) => rack.workers);
-    }
-    candidates.sort((left, right) => left.missing - right.missing);
-    return candidates.slice(0, RACKS_WEIGHED).map(({ rack }) => rack.workers);
-  }
-
-  /** Stops that end later than this are too slow for the job. */
-  #slowFromMs(job: JobState): number {
-    return job.rank === URGENT_RANK ? this.#checkpointDeadline(job) : Infinity;
-  }
-
-  #evictionOptions(job: JobState, isEvictable: (job: JobState) => boolean) {
-    const slowFromMs = this.#slowFromMs(job);
-    const roomOf = (worker: WorkerState) =>
-      worker.isPlaceable
-        ? withoutSlowStops(worker, worker.futureRoom(), slowFromMs)
-        : NOTHING;
-    return {
-      nowMs: this.#context.nowMs,
-      hasTimeToCheckpoint: job.rank !== URGENT_RANK,
-      isEvictable,
-      roomOf,
-      potentialOf: (worker: WorkerState) => {
-        if (!worker.isPlaceable) {
-          return NOTHING;
-        }
-        const room = withoutSlowStops(worker, worker.futureRoom(), slowFromMs);
-        return withEvictable(worker, room, isEvictable);
-      },
-    };
-  }
-
   /** A block where there is no room, under the mutation that wants it. */
   #overcommitted(request: BlockRequest): Block | undefined {
     const { mutations, index } = this.#context;
@@ -383,32 +176,8 @@
     return isWanted ? new Map([[worker, request.tasks]]) : undefined;
   }
 
-  #noteVain(key: string, request: BlockRequest): void {
-    if (request.avoided.size === 0) {
-      this.#triedInVain.add(key);
-    }
-  }
-
-  #mayBorrow(job: JobState): boolean {
-    return this.#borrowingBarrier(job) === undefined;
-  }
-
-  #borrowingBarrier(job: JobState): WaitReason | undefined {
-    const { policy, ledger } = this.#context;
-    const name = job.specification.clientAccount;
-    const section = policy.clientAccount(name);
-    if (section === undefined || section.borrowingWeight === 0) {
-      return "fairShare";
-    }
-    const limit = section.borrowingLimitAccelerators;
-    const held = ledger.account(name).borrowedAccelerators;
-    return limit !== undefined && held + gangAccelerators(job) > limit
-      ? "borrowingLimit"
-      : undefined;
-  }
-
   #reasonFor(job: JobState): WaitReason {
-    const borrowing = this.#borrowingBarrier(job);
+    const borrowing = borrowingBarrier(job, this.#context);
     if (borrowing !== undefined) {
       return borrowing;
     }
@@ -428,71 +197,6 @@
   return { isPlaced: false, reason };
 }
 
-function evictableAbove(rack: RackState, rank: number): number {
-  let total = 0;
-  for (let index = rank + 1; index < RANK_COUNT; index++) {
-    total += rack.evictableByRank[index] ?? 0;
-  }
-  return total;
-}
-
-function withEvictable(
-  worker: WorkerState,
-  room: Amounts,
-  isEvictable: (job: JobState) => boolean,
-): Amounts {
-  for (const { job, tasks } of worker.allocations.values()) {
-    if (job.phase !== JobPhase.stopping && isEvictable(job)) {
-      addAmounts(room, job.need, { factor: tasks });
-    }
-  }
-  return room;
-}
-
-/** The room without that of gangs whose stop takes too long. */
-function withoutSlowStops(
-  worker: WorkerState,
-  room: Amounts,
-  slowFromMs: number,
-): Amounts {
-  const hasStops = worker.stopping.accelerators > 0 ||
-    worker.stopping.milliCores > 0 || worker.stopping.memoryBytes > 0;
-  if (slowFromMs === Infinity || !hasStops) {
-    return room;
-  }
-  for (const { job, tasks } of worker.allocations.values()) {
-    const isSlow = job.phase === JobPhase.stopping &&
-      job.stopDeadlineMs > slowFromMs;
-    if (isSlow) {
-      addAmounts(room, job.need, { factor: -tasks });
-    }
-  }
-  return room;
-}
-
-/** What is there for guarantees once all that stops has stopped. */
-function roomForGuarantees(worker: WorkerState): Amounts {
-  const room = worker.free();
-  addAmounts(room, worker.stopping);
-  addAmounts(room, reservedForGuarantees(worker), { factor: -1 });
-  return room;
-}
-
-function ownPotential(
-  worker: WorkerState,
-  account: string,
-  isOwnLower: (job: JobState) => boolean,
-): Readonly<Amounts> {
-  if (!worker.isPlaceable) {
-    return NOTHING;
-  }
-  return withEvictable(
-    worker,
-    worker.unusedPromise(account),
-    (job) => job.isGuaranteed && isOwnLower(job),
-  );
-}
-
 function backfillBlock(
   request: BlockRequest,
   reservation: Reservation,
--- a/src/process/scheduler/core/placing_pass.ts
+++ b/src/process/scheduler/core/placing_pass.ts
@@ -5,11 +5,13 @@
  */
 
 import { BinaryHeap } from "./binary_heap.ts";
-import type { CoreContext } from "./core_context.ts";
+import { type CoreContext, URGENT_RANK } from "./core_context.ts";
+import type { Evictor } from "./evictor.ts";
 import { compareJobs, type QueueGroup } from "./job_queue.ts";
 import type { JobState } from "./job_state.ts";
-import { type Placer, URGENT_RANK } from "./placer.ts";
+import type { Placer } from "./placer.ts";
 import type { ReservationManager } from "./reservation_manager.ts";
+import type { VainTries } from "./vain_tries.ts";
 
 /** Jobs tried in one pass; the rest follows on the next tick. */
 const TRIES_LIMIT = 96;
@@ -27,6 +29,8 @@
 export class PlacingPass {
   readonly #context: CoreContext;
   readonly #placer: Placer;
+  readonly #evictor: Evictor;
+  readonly #vain: VainTries;
   readonly #reservations: ReservationManager;
   /** Groups tried since the last whole pass. */
   readonly #tried = new Set<string>();
@@ -35,11 +39,15 @@
     options: {
       context: CoreContext;
       placer: Placer;
+      evictor: Evictor;
+      vain: VainTries;
       reservations: ReservationManager;
     },
   ) {
     this.#context = options.context;
     this.#placer = options.placer;
+    this.#evictor = options.evictor;
+    this.#vain = options.vain;
     this.#reservations = options.reservations;
   }
 
@@ -53,7 +61,7 @@
     const isNewRound = this.#tried.size === 0;
     if (isNewRound && context.isRoomFreed) {
       context.isRoomFreed = false;
-      this.#placer.roomFreed();
+      this.#vain.clear();
     }
     this.#drainForAged();
     const isWhole = this.#placeInOrder();
@@ -135,7 +143,7 @@
       }
       opened += 1;
       if (job.rank !== URGENT_RANK && !this.#try(job)) {
-        this.#placer.drainFor(job);
+        this.#evictor.drainFor(job);
       }
     }
   }
--- a/src/process/scheduler/core/reservation_manager.ts
+++ b/src/process/scheduler/core/reservation_manager.ts
@@ -139,7 +139,7 @@
   #startIfReady(reservation: Reservation): void {
     const { job, block, kind } = reservation;
     const isReady = this.#open.has(reservation) &&
-      this.#context.startBarrier() === undefined &&
+      this.#context.startBarrierFor(job) === undefined &&
       hasAllRoom(reservation);
     if (!isReady) {
       return;
--- a/src/process/scheduler/core/scheduler_core.ts
+++ b/src/process/scheduler/core/scheduler_core.ts
@@ -8,6 +8,7 @@
 import type { DataCentreId, JobId } from "../../../base/identity.ts";
 import { CellUpkeep } from "./cell_upkeep.ts";
 import { CoreContext, type Mutation } from "./core_context.ts";
+import { Evictor } from "./evictor.ts";
 import { GangEvents } from "./gang_events.ts";
 import { GangLifecycle } from "./gang_lifecycle.ts";
 import { findBrokenInvariants } from "./invariants.ts";
@@ -20,6 +21,7 @@
 import { ReservationManager } from "./reservation_manager.ts";
 import type { SchedulerDecision } from "./scheduler_decision.ts";
 import type { SchedulerEvent } from "./scheduler_event.ts";
+import { VainTries } from "./vain_tries.ts";
 import {
   type JobView,
   jobViewOf,
@@ -80,7 +82,15 @@
       onOut: (worker) => this.#workerEvents.outOfUse(worker),
     });
     const gangEvents = new GangEvents({ context, lifecycle, quarantine });
-    const placer = new Placer({ context, lifecycle, reservations });
+    const vain = new VainTries();
+    const evictor = new Evictor({ context, reservations, vain });
+    const placer = new Placer({
+      context,
+      lifecycle,
+      reservations,
+      evictor,
+      vain,
+    });
     this.#context = context;
     this.#lifecycle = lifecycle;
     this.#reservations = reservations;
@@ -94,7 +104,13 @@
       reservations,
       upkeep,
     });
-    this.#pass = new PlacingPass({ context, placer, reservations });
+    this.#pass = new PlacingPass({
+      context,
+      placer,
+      evictor,
+      vain,
+      reservations,
+    });
     this.#jobEvents = new JobEvents({
       context,
       lifecycle,
--- /dev/null
+++ b/src/process/scheduler/core/scheduler_core_test.ts
@@ -0,0 +1,417 @@
+import test from "ava";
+import type { Guarantee } from "../../../version/document/document.ts";
+import { type JobSpecification, jobSpecificationSchema } from "./job.ts";
+import type { SchedulerDecision } from "./scheduler_decision.ts";
+import {
+  DATA_CENTRE,
+  FakeExecutor,
+  makeDocument,
+  makeWorkers,
+} from "./testing/fake_executor.ts";
+
+const HARDWARE = { racks: 2, workersPerRack: 4, accelerators: 8 };
+const MINUTE_MS = 60_000;
+
+type Guarantees = Record<string, Omit<Guarantee, "dataCentre">[]>;
+
+const WHOLE_RACK = {
+  racks: 1,
+  workersPerRack: 4,
+  acceleratorsPerWorker: 8,
+  count: 1,
+};
+
+function makeWorld(guarantees: Guarantees = { lakes: [], mills: [] }) {
+  return new FakeExecutor({
+    document: makeDocument({ ...HARDWARE, guarantees }),
+    workers: makeWorkers(HARDWARE),
+  });
+}
+
+function makeJob(
+  jobId: string,
+  change: Partial<JobSpecification> = {},
+): JobSpecification {
+  return jobSpecificationSchema.parse({
+    jobId,
+    clientAccount: "lakes",
+    jobClass: "overnight",
+    tasks: 1,
+    resources: { cores: 1, memoryBytes: 100, accelerators: 8 },
+    declaredRunMs: 10 * MINUTE_MS,
+    ...change,
+  });
+}
+
+function ofKind<K extends SchedulerDecision["kind"]>(
+  world: FakeExecutor,
+  kind: K,
+): Extract<SchedulerDecision, { kind: K }>[] {
+  return world.decisions
+    .filter((each): each is Extract<SchedulerDecision, { kind: K }> =>
+      each.kind === kind
+    );
+}
+
+function run(world: FakeExecutor, byMs = 100): void {
+  world.permit(10 * MINUTE_MS);
+  world.tick(byMs);
+  world.deliverAll();
+}
+
+function fill(world: FakeExecutor, change: Partial<JobSpecification>): void {
+  for (let at = 0; at < 8; at++) {
+    world.submit(makeJob(`fill-${at}`, change));
+  }
+  run(world);
+}
+
+function reasonOf(world: FakeExecutor, jobId: string): string | undefined {
+  return world.core.jobView(jobId)?.waitReason;
+}
+
+test("a job that can never fit is refused at once with the reason", (t) => {
+  const world = makeWorld();
+  world.submit(makeJob("wide", { tasks: 5, adjacency: "rack" }));
+  world.submit(makeJob("thick", {
+    resources: { cores: 1, memoryBytes: 1, accelerators: 9 },
+  }));
+  world.submit(makeJob("huge", { tasks: 9 }));
+  const ends = ofKind(world, "jobEnds");
+  t.deepEqual(ends.map(({ error }) => error), [
+    "neverFits",
+    "neverFits",
+    "neverFits",
+  ]);
+  t.regex(ends[0]?.detail ?? "", /rack holds at most 4 of the 5/);
+  t.regex(ends[1]?.detail ?? "", /more than any worker/);
+  t.regex(ends[2]?.detail ?? "", /data centre holds at most 8 of the 9/);
+});
+
+test("a job waits with a reason when it could fit later", (t) => {
+  const world = makeWorld();
+  world.setStatus("out");
+  world.submit(makeJob("later"));
+  t.is(reasonOf(world, "later"), "dataCentreOut");
+  t.deepEqual(ofKind(world, "startGang"), []);
+});
+
+test("urgent work evicts work on loan and starts in its target", (t) => {
+  const world = makeWorld();
+  fill(world, { clientAccount: "mills" });
+  const submittedAtMs = world.nowMs;
+  world.submit(makeJob("now", { jobClass: "urgent" }));
+  const [stop] = ofKind(world, "stopGang");
+  t.is(stop?.reason, "preempted");
+  t.true((stop?.checkpointDeadlineMs ?? Infinity) < submittedAtMs + 1_900);
+  t.is(reasonOf(world, "now"), "preemption");
+  world.deliverAll();
+  t.is(world.core.jobView("now")?.phase, "running");
+  t.deepEqual(world.broken, []);
+});
+
+test("a guarantee is reclaimed from work on loan, and only from it", (t) => {
+  const world = makeWorld({ lakes: [WHOLE_RACK], mills: [WHOLE_RACK] });
+  fill(world, { clientAccount: "mills" });
+  const within = world.core.jobs().filter((each) => each.isGuaranteed);
+  t.is(within.length, 4);
+  world.submit(makeJob("mine", { tasks: 4, adjacency: "rack" }));
+  run(world);
+  const stopped = ofKind(world, "stopGang").map(({ jobId }) => jobId);
+  t.is(stopped.length, 4);
+  t.false(within.some(({ jobId }) => stopped.includes(jobId)));
+  t.is(world.core.jobView("mine")?.phase, "running");
+  t.true(world.core.jobView("mine")?.isGuaranteed);
+  t.deepEqual(world.broken, []);
+});
+
+test("the cheapest victim is the one that lost least", (t) => {
+  const world = makeWorld();
+  fill(world, { clientAccount: "mills" });
+  run(world, 5 * MINUTE_MS);
+  const kept = world.core.jobView("fill-3");
+  world.send({
+    kind: "workerUsageReported",
+    atMs: world.nowMs,
+    workerId: kept?.placements[0]?.workerId ?? "",
+    usages: [{
+      jobId: "fill-3",
+      attempt: 1,
+      taskIndex: 0,
+      cores: 1,
+      memoryBytes: 100,
+      accelerators: 8,
+      checkpointedAtMs: world.nowMs,
+    }],
+  });
+  world.submit(makeJob("now", { jobClass: "urgent" }));
+  t.deepEqual(ofKind(world, "stopGang").map(({ jobId }) => jobId), ["fill-3"]);
+});
+
+test("a guarantee moves to other workers when one is lost", (t) => {
+  const world = makeWorld({
+    lakes: [{ ...WHOLE_RACK, workersPerRack: 2 }],
+    mills: [{ ...WHOLE_RACK, workersPerRack: 2 }],
+  });
+  run(world);
+  const taken = world.core.workers().filter((each) => each.promisedAccelerators)
+    .map(({ workerId }) => workerId);
+  world.lose(taken[0] ?? "", { leavesZombies: false });
+  t.is(world.core.metrics().unplacedCells, 0);
+  t.deepEqual(world.broken, []);
+});
+
+test("a worker on which different jobs fail is quarantined and probed", (t) => {
+  const world = makeWorld();
+  const bad = "r0w0";
+  const placedOnBad = () =>
+    world.core.jobs().find((job) =>
+      job.phase === "running" &&
+      job.placements.some(({ workerId }) => workerId === bad)
+    );
+  for (let at = 0; at < 30; at++) {
+    world.submit(makeJob(`job-${at}`));
+  }
+  for (let round = 0; round < 3; round++) {
+    run(world, 100);
+    const failing = placedOnBad()?.jobId ?? "";
+    for (const { jobId, phase } of world.core.jobs()) {
+      if (phase === "running") {
+        world.endJob(jobId, { fails: jobId === failing });
+      }
+    }
+  }
+  t.deepEqual(ofKind(world, "quarantineWorker").map((each) => each.workerId), [
+    bad,
+  ]);
+  run(world, 30_000);
+  t.is(placedOnBad(), undefined);
+  run(world, MINUTE_MS);
+  const probe = placedOnBad();
+  t.truthy(probe);
+  world.endJob(probe?.jobId ?? "", { fails: false });
+  t.deepEqual(ofKind(world, "releaseWorker").map((each) => each.workerId), [
+    bad,
+  ]);
+});
+
+test("a job that fails on good workers ends; the workers stay", (t) => {
+  const world = makeWorld();
+  fill(world, {});
+  for (let at = 0; at < 8; at++) {
+    world.endJob(`fill-${at}`, { fails: false });
+  }
+  world.submit(makeJob("bad"));
+  for (let round = 0; round < 5; round++) {
+    run(world, MINUTE_MS);
+    world.endJob("bad", { fails: true });
+    world.deliverAll();
+  }
+  t.is(world.core.jobView("bad")?.outcome, "failed");
+  t.is(world.core.jobView("bad")?.attempt, 3);
+  t.deepEqual(ofKind(world, "quarantineWorker"), []);
+});
+
+test("an overrunning job is throttled, then stopped", (t) => {
+  const world = makeWorld();
+  world.submit(makeJob("long", { declaredRunMs: MINUTE_MS }));
+  run(world);
+  run(world, 3 * MINUTE_MS);
+  t.is(ofKind(world, "throttleGang").length, 1);
+  t.deepEqual(ofKind(world, "stopGang"), []);
+  run(world, 7 * MINUTE_MS);
+  t.is(ofKind(world, "stopGang")[0]?.reason, "overrun");
+  t.is(world.core.jobView("long")?.outcome, "overran");
+});
+
+test("run times are corrected from experience", (t) => {
+  const world = makeWorld();
+  for (let at = 0; at < 12; at++) {
+    world.submit(makeJob(`job-${at}`, { declaredRunMs: 4 * MINUTE_MS }));
+    run(world);
+    run(world, MINUTE_MS);
+    world.endJob(`job-${at}`, { fails: false });
+  }
+  world.submit(makeJob("next", { declaredRunMs: 4 * MINUTE_MS }));
+  const expectedMs = world.core.jobView("next")?.expectedRunMs ?? 0;
+  t.true(expectedMs > 0.8 * MINUTE_MS && expectedMs < 2 * MINUTE_MS);
+});
+
+test("a data centre taken out checkpoints and stops within its time", (t) => {
+  const world = makeWorld();
+  fill(world, { canCheckpoint: true });
+  world.endJob("fill-0", { fails: false });
+  world.submit(makeJob("fixed", { canCheckpoint: false }));
+  run(world);
+  const outAtMs = world.nowMs;
+  world.setStatus("out");
+  run(world, 100_000);
+  const stops = ofKind(world, "stopGang");
+  t.is(stops.length, 8);
+  for (const stop of stops) {
+    t.is(stop.reason, "drained");
+    t.true(stop.checkpointDeadlineMs <= outAtMs + 120_000);
+  }
+  t.is(reasonOf(world, "fixed"), "dataCentreOut");
+  t.is(world.core.metrics().liveGangs, 0);
+});
+
+test("work flows back step by step after a return", (t) => {
+  const world = makeWorld();
+  world.setStatus("out");
+  for (let at = 0; at < 8; at++) {
+    world.submit(makeJob(`job-${at}`));
+  }
+  world.setStatus("in");
+  const live: number[] = [];
+  for (let minute = 0; minute < 5; minute++) {
+    run(world, 30_000);
+    t.true(world.core.metrics().liveGangs <= 2 * minute + 2);
+    run(world, 30_000);
+    live.push(world.core.metrics().liveGangs);
+  }
+  t.true((live[0] ?? 0) < 8);
+  t.is(live[4], 8);
+  t.deepEqual(world.broken, []);
+});
+
+test("nothing starts without permission", (t) => {
+  const world = makeWorld();
+  world.tick(2 * MINUTE_MS);
+  world.submit(makeJob("job", { jobClass: "urgent" }));
+  world.tick(100);
+  t.is(reasonOf(world, "job"), "startPermission");
+  t.deepEqual(ofKind(world, "startGang"), []);
+  run(world);
+  t.is(world.core.jobView("job")?.phase, "running");
+});
+
+test("a large gang that waits gets a reservation with a deadline", (t) => {
+  const world = makeWorld();
+  fill(world, { clientAccount: "mills", declaredRunMs: 60 * MINUTE_MS });
+  world.submit(makeJob("large", { tasks: 4, adjacency: "rack" }));
+  run(world);
+  t.is(reasonOf(world, "large"), "capacity");
+  run(world, MINUTE_MS);
+  t.is(reasonOf(world, "large"), "reservation");
+  run(world, 5 * MINUTE_MS);
+  t.is(world.core.jobView("large")?.phase, "running");
+  t.deepEqual(
+    new Set(ofKind(world, "stopGang").map(({ reason }) => reason)),
+    new Set(["migrated"]),
+  );
+});
+
+test("short work goes on behind a reservation, long work doesn't", (t) => {
+  const world = makeWorld();
+  fill(world, { clientAccount: "mills", declaredRunMs: 60 * MINUTE_MS });
+  world.submit(makeJob("large", { tasks: 4, adjacency: "rack" }));
+  run(world, MINUTE_MS);
+  t.is(reasonOf(world, "large"), "reservation");
+  world.endJob("fill-0", { fails: false });
+  world.endJob("fill-4", { fails: false });
+  world.submit(makeJob("long-1", { declaredRunMs: 60 * MINUTE_MS }));
+  world.submit(makeJob("long-2", { declaredRunMs: 60 * MINUTE_MS }));
+  run(world);
+  world.submit(makeJob("short", { declaredRunMs: 10_000 }));
+  run(world);
+  const phases = ["long-1", "long-2", "short"]
+    .map((jobId) => world.core.jobView(jobId)?.phase);
+  t.deepEqual(phases, ["running", "queued", "running"]);
+});
+
+test("a borrowing limit and a weight of nothing hold work back", (t) => {
+  const world = makeWorld();
+  const { clientAccounts } = world.document;
+  const { lakes, mills } = clientAccounts;
+  if (lakes === undefined || mills === undefined) {
+    return t.fail();
+  }
+  world.configure({
+    clientAccounts: {
+      lakes: { ...lakes, borrowingLimitAccelerators: 8 },
+      mills: { ...mills, borrowingWeight: 0 },
+    },
+  });
+  world.submit(makeJob("first"));
+  run(world);
+  world.submit(makeJob("second", { tasks: 2 }));
+  world.submit(makeJob("other", { clientAccount: "mills" }));
+  run(world);
+  t.is(world.core.jobView("first")?.phase, "running");
+  t.is(reasonOf(world, "second"), "borrowingLimit");
+  t.is(reasonOf(world, "other"), "fairShare");
+});
+
+test("accounts borrow in proportion to their weights", (t) => {
+  const world = makeWorld();
+  const { lakes, mills } = world.document.clientAccounts;
+  if (lakes === undefined || mills === undefined) {
+    return t.fail();
+  }
+  world.configure({
+    clientAccounts: { lakes: { ...lakes, borrowingWeight: 3 }, mills },
+  });
+  for (let at = 0; at < 8; at++) {
+    world.submit(makeJob(`lakes-${at}`));
+    world.submit(makeJob(`mills-${at}`, { clientAccount: "mills" }));
+  }
+  run(world);
+  const running = world.core.jobs().filter(({ phase }) => phase === "running")
+    .map(({ clientAccount }) => clientAccount);
+  t.is(running.filter((name) => name === "lakes").length, 6);
+  t.is(running.filter((name) => name === "mills").length, 2);
+});
+
+test("a deadline ends a job that waits and one that runs", (t) => {
+  const world = makeWorld();
+  fill(world, { deadlineMs: world.nowMs + MINUTE_MS });
+  world.submit(makeJob("late", { deadlineMs: world.nowMs + 1_000 }));
+  run(world, 2_000);
+  t.is(world.core.jobView("late")?.outcome, "deadlinePassed");
+  run(world, MINUTE_MS);
+  t.is(world.core.jobView("fill-0")?.outcome, "deadlinePassed");
+  t.is(world.core.metrics().liveGangs, 0);
+});
+
+test("a new leader takes running gangs over and starts nothing early", (t) => {
+  const world = makeWorld();
+  fill(world, {});
+  world.submit(makeJob("next"));
+  world.changeLeader({ startsArrive: true });
+  t.true(world.core.isRecovering);
+  t.is(reasonOf(world, "next"), "recovering");
+  world.permit(MINUTE_MS);
+  world.tick(100);
+  t.false(world.core.isRecovering);
+  t.is(world.core.metrics().liveGangs, 8);
+  t.is(world.core.jobView("fill-0")?.attempt, 1);
+  world.settle();
+  t.deepEqual(world.broken, []);
+});
+
+test("tasks that the leader had given up are stopped on return", (t) => {
+  const world = makeWorld();
+  world.submit(makeJob("job"));
+  run(world);
+  const workerId = world.core.jobView("job")?.placements[0]?.workerId ?? "";
+  world.lose(workerId, { leavesZombies: true });
+  run(world, 2_000);
+  t.is(world.core.jobView("job")?.attempt, 2);
+  world.join(workerId);
+  const stops = ofKind(world, "stopGang");
+  t.deepEqual(stops.map(({ attempt, reason }) => [attempt, reason]), [
+    [1, "gangBroken"],
+  ]);
+  t.is(world.core.jobView("job")?.phase, "running");
+});
+
+test("a job of another data centre is refused, a resubmission is not", (t) => {
+  const world = makeWorld();
+  world.submit(makeJob("away", { dataCentres: ["howrah"] }));
+  world.submit(makeJob("here", { dataCentres: [DATA_CENTRE] }));
+  world.submit(makeJob("here", { dataCentres: [DATA_CENTRE] }));
+  run(world);
+  t.is(world.core.jobView("away")?.outcome, "refused");
+  t.is(ofKind(world, "startGang").length, 1);
+});
--- a/src/process/scheduler/core/testing/fake_executor.ts
+++ b/src/process/scheduler/core/testing/fake_executor.ts
@@ -62,9 +62,12 @@
   readonly workers = new Map<string, FakeWorker>();
   readonly gangs = new Map<string, FakeGang>();
   pending: (StartGang | StopGang)[] = [];
+  /** Every decision so far. */
+  readonly decisions: SchedulerDecision[] = [];
   readonly #mutations: readonly Mutation[];
   readonly #attempts = new Map<string, number>();
   #guaranteed = new Set<string>();
+  #promises = "";
   #quarantined = new Set<string>();
   #document: Document;
   #version = 1;
@@ -102,6 +105,7 @@
     this.#lastEvent = event;
     const wasRecovering = this.core.isRecovering;
     const decisions = this.core.handle(event);
+    this.decisions.push(...decisions);
     for (const decision of decisions) {
       this.#apply(decision, wasRecovering && this.core.isRecovering);
     }
@@ -225,6 +229,22 @@
     });
   }
 
+  /** Carries out all that is pending, in order. */
+  deliverAll(): void {
+    while (this.pending.length > 0) {
+      this.deliver(0, { fails: false });
+    }
+  }
+
+  /** Every task of a job's gang succeeds, or one of them fails. */
+  endJob(jobId: string, options: { fails: boolean }): void {
+    const running = [...this.gangs.values()].filter((gang) => gang.isRunning);
+    const at = running.findIndex((gang) => gang.start.jobId === jobId);
+    if (at >= 0) {
+      this.endGang(at, options);
+    }
+  }
+
   /** Every task of a running gang succeeds, or one of them fails. */
   endGang(at: number, options: { fails: boolean }): void {
     const running = [...this.gangs.values()].filter((gang) => gang.isRunning);
@@ -295,9 +315,7 @@
     for (let round = 0; round < 400 && !this.#isSettled(); round++) {
       this.permit(120_000);
       this.tick(5_000);
-      while (this.pending.length > 0) {
-        this.deliver(0, { fails: false });
-      }
+      this.deliverAll();
       this.endGang(0, { fails: false });
       this.endGang(0, { fails: false });
     }
@@ -407,9 +425,11 @@
   }
 
   #checkStop(stop: StopGang): void {
-    const isWithin = this.#guaranteed.has(keyOf(stop));
+    // A cell that moves in the same event leaves its work on loan.
+    const isWithin = this.#guaranteed.has(keyOf(stop)) &&
+      this.#promises === this.#readPromises();
     const isForOthers = stop.reason === "preempted" ||
-      stop.reason === "migrated" ||
+      (stop.reason === "migrated" && !this.#hasLargerOwn(stop.jobId)) ||
       (stop.reason === "guaranteeReclaimed" && !this.#mayBeForOwn(stop.jobId));
     if (isWithin && isForOthers) {
       this.broken.push(
@@ -428,6 +448,16 @@
       );
   }
 
+  /** Whether a larger gang of its own client account may want its room. */
+  #hasLargerOwn(jobId: string): boolean {
+    const job = this.jobs.get(jobId);
+    return job !== undefined &&
+      [...this.jobs.values()].some((other) =>
+        other.clientAccount === job.clientAccount &&
+        acceleratorsOf(other) > acceleratorsOf(job)
+      );
+  }
+
   #checkEnd(jobId: string, outcome: string): void {
     if (this.ended.has(jobId)) {
       this.broken.push(`oracle: job ${jobId} ended twice`);
@@ -463,8 +493,16 @@
     }
   }
 
+  /** Where the guarantee cells lie. */
+  #readPromises(): string {
+    return this.core.workers()
+      .map((each) => `${each.workerId}:${each.promisedAccelerators}`)
+      .sort().join();
+  }
+
   #noteGuaranteed(): void {
     this.#guaranteed = new Set();
+    this.#promises = this.#readPromises();
     for (const view of this.core.jobs()) {
       if (view.isGuaranteed) {
         this.#guaranteed.add(keyOf(view));
@@ -599,6 +637,10 @@
   });
 }
 
+function acceleratorsOf(job: JobSpecification): number {
+  return job.tasks * job.resources.accelerators;
+}
+
 function keyOf(attempt: { jobId: string; attempt: number }): string {
   return `${attempt.jobId}#${attempt.attempt}`;
 }
--- a/src/process/scheduler/core/worker_state.ts
+++ b/src/process/scheduler/core/worker_state.ts
@@ -77,9 +77,11 @@
     this.capacity = amountsOf(options.description);
   }
 
-  /** Whether ordinary work may be placed here. */
+  /** Whether work may be placed here; a probe only while nothing runs. */
   get isPlaceable(): boolean {
-    return this.status === WorkerStatus.up && this.staleAttempts.size === 0;
+    const isOpen = this.status === WorkerStatus.up ||
+      (this.status === WorkerStatus.probing && this.allocations.size === 0);
+    return isOpen && this.staleAttempts.size === 0;
   }
 
   /** Whether guarantee cells may lie here. */
