--- a/bench/scheduler/measurements.ts
+++ b/bench/scheduler/measurements.ts
@@ -21,6 +21,8 @@
   readonly completionSeconds: Readonly<Record<string, Spread>>;
   readonly startSeconds: Readonly<Record<string, Spread>>;
   readonly gangWaitSeconds: Readonly<Record<string, Spread>>;
+  /** From the order to evict until the start, by class. */
+  readonly evictionSeconds: Readonly<Record<string, Spread>>;
   /** Completion time beyond the run time, of the gangs that succeeded. */
   readonly gangDelaySeconds: Readonly<Record<string, Spread>>;
   /** Most adjacent free accelerators over all free, mean over time. */
@@ -54,6 +56,9 @@
 export class Measurements {
   readonly #times = new Map<string, JobTimes>();
   readonly #fractions: number[] = [];
+  readonly #evictingSince = new Map<string, number>();
+  readonly #evictions: { readonly job: TrueJob; readonly tookMs: number }[] =
+    [];
   readonly #decisions: number[] = [];
   #slowest = { ms: 0, kind: "" };
   #doneWork = 0;
@@ -79,6 +84,11 @@
     if (times !== undefined) {
       times.startedAtMs ??= atMs;
     }
+    const sinceMs = this.#evictingSince.get(job.specification.jobId);
+    if (sinceMs !== undefined) {
+      this.#evictingSince.delete(job.specification.jobId);
+      this.#evictions.push({ job, tookMs: atMs - sinceMs });
+    }
   }
 
   ended(job: TrueJob, outcome: string, atMs: number): void {
@@ -109,6 +119,10 @@
     this.#preemptions += 1;
   }
 
+  evicting(job: TrueJob, atMs: number): void {
+    this.#evictingSince.set(job.specification.jobId, atMs);
+  }
+
   stopped(job: TrueJob, reason: string, lostRunMs: number): void {
     const lost = weightOf(job) * lostRunMs / ACCELERATOR_HOUR_MS;
     this.#lostByReason[reason] = (this.#lostByReason[reason] ?? 0) + lost;
@@ -166,6 +180,11 @@
         (each) => `gang${each.job.specification.tasks}`,
         (each) => ((each.startedAtMs ?? 0) - each.submittedAtMs) / 1_000,
       ),
+      evictionSeconds: groupedSpread(
+        this.#evictions,
+        (each) => each.job.specification.jobClass,
+        (each) => each.tookMs / 1_000,
+      ),
       gangDelaySeconds: groupedSpread(
         all.filter((each) =>
           each.outcome === "succeeded" && each.job.specification.tasks >= 32
--- a/bench/scheduler/simulation.ts
+++ b/bench/scheduler/simulation.ts
@@ -29,6 +29,8 @@
 const STOP_TAKES_MS = 100;
 const CHECKPOINT_EVERY_MS = 10 * 60_000;
 const BAD_WORKER_FAILS_MS = 2_000;
+/** Invariants are looked at after every so many events. */
+const CHECKED_EVERY = 97;
 const SAMPLE_MS = 30_000;
 const PERMISSION_MS = 120_000;
 
@@ -43,6 +45,8 @@
   readonly outage?: { readonly fromMs: number; readonly toMs: number };
   /** Free accelerators, and the most adjacent ones, of the policy. */
   readonly freeRoom: () => { total: number; largest: number };
+  /** What is found broken, looked at now and then; absent for no look. */
+  readonly findBroken?: () => readonly string[];
   /** How long it goes on after the last submission. */
   readonly tailMs: number;
 }
@@ -65,6 +69,7 @@
   readonly #running = new Map<string, RunningJob>();
   readonly #badWorkers = new Set<string>();
   #isOver = false;
+  #events = 0;
 
   constructor(options: SimulationOptions) {
     this.#options = options;
@@ -200,6 +205,19 @@
     for (const decision of decisions) {
       this.#carryOut(decision);
     }
+    this.#lookForBroken();
+  }
+
+  #lookForBroken(): void {
+    const { findBroken } = this.#options;
+    this.#events += 1;
+    if (findBroken === undefined || this.#events % CHECKED_EVERY !== 0) {
+      return;
+    }
+    const broken = findBroken();
+    if (broken.length > 0) {
+      throw new Error(broken.join("\n"));
+    }
   }
 
   #carryOut(decision: SchedulerDecision): void {
@@ -222,6 +240,13 @@
         }
         return;
       }
+      case "jobWaits": {
+        const job = this.#running.get(decision.jobId)?.job;
+        if (job !== undefined && decision.reason === "preemption") {
+          this.#measurements.evicting(job, this.#clock.nowMs());
+        }
+        return;
+      }
       case "quarantineWorker":
         this.#measurements.quarantined(
           this.#badWorkers.has(decision.workerId),
--- a/src/process/scheduler/core/borrowing.ts
+++ b/src/process/scheduler/core/borrowing.ts
@@ -26,6 +26,16 @@
     : undefined;
 }
 
+/** Whether the job's client account holds more on loan than its fair part. */
+export function isOverShare(job: JobState, context: CoreContext): boolean {
+  const { policy, ledger } = context;
+  const name = job.specification.clientAccount;
+  const weight = policy.clientAccount(name)?.borrowingWeight ?? 0;
+  const held = ledger.account(name).borrowedAccelerators;
+  const fairPart = weight / Math.max(weight, policy.borrowingWeights);
+  return held > fairPart * ledger.borrowedAccelerators;
+}
+
 export function mayBorrow(job: JobState, context: CoreContext): boolean {
   return borrowingBarrier(job, context) === undefined;
 }
--- a/src/process/scheduler/core/ledger.ts
+++ b/src/process/scheduler/core/ledger.ts
@@ -28,6 +28,7 @@
   readonly #index: RackIndex;
   readonly #accounts = new Map<ClientAccountId, AccountState>();
   #liveAccelerators = 0;
+  #borrowedAccelerators = 0;
 
   constructor(options: { index: RackIndex }) {
     this.#index = options.index;
@@ -38,6 +39,11 @@
     return this.#liveAccelerators;
   }
 
+  /** Accelerators held beyond guarantees, by all client accounts. */
+  get borrowedAccelerators(): number {
+    return this.#borrowedAccelerators;
+  }
+
   account(clientAccount: ClientAccountId): AccountState {
     let account = this.#accounts.get(clientAccount);
     if (account === undefined) {
@@ -178,7 +184,9 @@
 
   #borrow(job: JobState, accelerators: number): void {
     const account = this.account(job.specification.clientAccount);
-    account.borrowedAccelerators += accelerators - job.borrowedAccelerators;
+    const change = accelerators - job.borrowedAccelerators;
+    account.borrowedAccelerators += change;
+    this.#borrowedAccelerators += change;
     job.borrowedAccelerators = accelerators;
   }
 }
--- a/src/process/scheduler/core/placer.ts
+++ b/src/process/scheduler/core/placer.ts
@@ -5,7 +5,7 @@
  */
 
 import { type Amounts, minimumAmounts, noAmounts } from "./amounts.ts";
-import { borrowingBarrier, mayBorrow } from "./borrowing.ts";
+import { borrowingBarrier, isOverShare, mayBorrow } from "./borrowing.ts";
 import type { CoreContext } from "./core_context.ts";
 import type { Evictor } from "./evictor.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
@@ -181,15 +181,19 @@
     if (borrowing !== undefined) {
       return borrowing;
     }
-    const { index, policy } = this.#context;
+    const { index, policy, ledger } = this.#context;
+    const free = index.freeAccelerators;
     const needed = gangAccelerators(job);
-    if (index.freeAccelerators >= needed && needed > 0) {
+    if (free >= needed && needed > 0) {
       return "fragmentation";
     }
-    const isShort = index.workers.size < policy.declaredWorkers &&
-      [...this.#reservations.all()].length === 0 &&
-      this.#context.ledger.liveAccelerators === 0;
-    return isShort ? "workersMissing" : "capacity";
+    if (index.workers.size < policy.declaredWorkers && free === 0) {
+      return ledger.liveAccelerators === 0 ? "workersMissing" : "capacity";
+    }
+    if (free + this.#reservations.reclaimingAccelerators() >= needed) {
+      return "guaranteeProtection";
+    }
+    return isOverShare(job, this.#context) ? "fairShare" : "capacity";
   }
 }
 
--- a/src/process/scheduler/core/policy.ts
+++ b/src/process/scheduler/core/policy.ts
@@ -34,6 +34,8 @@
   readonly section: DataCentre | undefined;
   readonly racks: readonly DeclaredRack[];
   readonly declaredWorkers: number;
+  /** The borrowing weights of all client accounts. */
+  readonly borrowingWeights: number;
   readonly declaredAccelerators: number;
 
   constructor(
@@ -55,6 +57,10 @@
         accelerators: rack.acceleratorsPerWorker,
       }),
     }));
+    this.borrowingWeights = sum(
+      Object.values(configuration.document.clientAccounts)
+        .map((account) => account.borrowingWeight),
+    );
     this.declaredWorkers = sum(this.racks.map((rack) => rack.workers));
     this.declaredAccelerators = sum(
       this.racks.map((rack) => rack.workers * rack.worker.accelerators),
--- a/src/process/scheduler/core/reservation_manager.ts
+++ b/src/process/scheduler/core/reservation_manager.ts
@@ -62,11 +62,12 @@
 
   /** Accelerators held by reservations that drain. */
   drainingAccelerators(): number {
-    let total = 0;
-    for (const { kind, job } of this.#open) {
-      total += kind === ReservationKind.drain ? gangAccelerators(job) : 0;
-    }
-    return total;
+    return this.#accelerators(ReservationKind.drain);
+  }
+
+  /** Accelerators held for guarantees whose borrowers are leaving. */
+  reclaimingAccelerators(): number {
+    return this.#accelerators(ReservationKind.reclaim);
   }
 
   /** Holds a block for a queued job, and evicts the victims. */
@@ -136,6 +137,14 @@
     }
   }
 
+  #accelerators(wanted: ReservationKind): number {
+    let total = 0;
+    for (const { kind, job } of this.#open) {
+      total += kind === wanted ? gangAccelerators(job) : 0;
+    }
+    return total;
+  }
+
   #startIfReady(reservation: Reservation): void {
     const { job, block, kind } = reservation;
     const isReady = this.#open.has(reservation) &&
