--- a/src/process/scheduler/core/placer.ts
+++ b/src/process/scheduler/core/placer.ts
@@ -6,7 +6,7 @@
 
 import { type Amounts, minimumAmounts, noAmounts } from "./amounts.ts";
 import { borrowingBarrier, isOverShare, mayBorrow } from "./borrowing.ts";
-import type { CoreContext } from "./core_context.ts";
+import { type CoreContext, URGENT_RANK } from "./core_context.ts";
 import type { Evictor } from "./evictor.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
 import { gangAccelerators, type JobState } from "./job_state.ts";
@@ -102,10 +102,28 @@
     if (block === undefined) {
       return false;
     }
-    this.#lifecycle.start(job, block, true);
+    const tighter = this.#tighterOnLoan(job, request, block);
+    this.#lifecycle.start(job, tighter ?? block, tighter === undefined);
     return true;
   }
 
+  /** A block on loan in a fuller rack, which keeps emptier racks whole. */
+  #tighterOnLoan(
+    job: JobState,
+    request: BlockRequest,
+    block: Block,
+  ): Block | undefined {
+    const isMovable = job.rank !== URGENT_RANK &&
+      job.specification.canCheckpoint && mayBorrow(job, this.#context);
+    if (!isMovable) {
+      return undefined;
+    }
+    const other = findFreeBlock(this.#context.index, request);
+    const isTighter = other !== undefined &&
+      emptiestRack(other) < emptiestRack(block);
+    return isTighter ? other : undefined;
+  }
+
   /** Work that can't be checkpointed keeps off what may be reclaimed. */
   #startOnLoan(job: JobState, request: BlockRequest): boolean {
     if (!mayBorrow(job, this.#context)) {
@@ -197,6 +215,15 @@
   }
 }
 
+/** Free accelerators of the emptiest rack that a block touches. */
+function emptiestRack(block: Block): number {
+  let most = 0;
+  for (const { rack } of block.keys()) {
+    most = Math.max(most, rack.freeAccelerators);
+  }
+  return most;
+}
+
 function waits(reason: WaitReason): PlacingResult {
   return { isPlaced: false, reason };
 }
