--- a/src/process/scheduler/core/evictor.ts
+++ b/src/process/scheduler/core/evictor.ts
@@ -32,7 +32,7 @@
 /** Most of all accelerators that may be held by draining reservations. */
 const DRAINING_FRACTION = 0.25;
 /** The longest that a reservation drains. */
-const DRAIN_LIMIT_MS = 300_000;
+const DRAIN_LIMIT_MS = 60_000;
 
 const NOTHING: Readonly<Amounts> = Object.freeze(noAmounts());
 
--- a/src/process/scheduler/core/placer.ts
+++ b/src/process/scheduler/core/placer.ts
@@ -24,6 +24,9 @@
 import type { VainTries } from "./vain_tries.ts";
 import type { WorkerState } from "./worker_state.ts";
 
+/** Longer work that can't be checkpointed keeps off promised workers. */
+const FRAGILE_RUN_LIMIT_MS = 600_000;
+
 const NOTHING: Readonly<Amounts> = Object.freeze(noAmounts());
 
 /** What came of looking for a place. */
@@ -129,9 +132,17 @@
     if (!mayBorrow(job, this.#context)) {
       return false;
     }
-    const isFragile = !job.specification.canCheckpoint;
-    return (isFragile && this.#startOffPromises(job, request)) ||
-      this.#startFree(job, request, false);
+    if (job.specification.canCheckpoint) {
+      return this.#startFree(job, request, false);
+    }
+    return this.#startOffPromises(job, request) ||
+      (!this.#isKeptOffPromises(job) && this.#startFree(job, request, false));
+  }
+
+  /** Whether a reclaim would cost so much that the job waits instead. */
+  #isKeptOffPromises(job: JobState): boolean {
+    return !job.specification.canCheckpoint && job.rank !== URGENT_RANK &&
+      job.expectedRunMs > FRAGILE_RUN_LIMIT_MS && !this.#context.aged.has(job);
   }
 
   #startOffPromises(job: JobState, request: BlockRequest): boolean {
@@ -202,6 +213,9 @@
     const { index, policy, ledger } = this.#context;
     const free = index.freeAccelerators;
     const needed = gangAccelerators(job);
+    if (free >= needed && this.#isKeptOffPromises(job)) {
+      return "guaranteeProtection";
+    }
     if (free >= needed && needed > 0) {
       return "fragmentation";
     }
