--- a/src/process/scheduler/core/cell_upkeep.ts
+++ b/src/process/scheduler/core/cell_upkeep.ts
@@ -151,6 +151,16 @@
   return workers.length === workersPerRack ? workers : undefined;
 }
 
+/** Whether a reclaim there would lose work that can't be checkpointed. */
+function holdsFragileLoan(worker: WorkerState): boolean {
+  for (const { job } of worker.allocations.values()) {
+    if (!job.isGuaranteed && !job.specification.canCheckpoint) {
+      return true;
+    }
+  }
+  return false;
+}
+
 /** Whether a worker outside the cell could take it in. */
 function hasRoomForCell(worker: WorkerState, cell: GuaranteeCell): boolean {
   const unpromised = worker.capacity.accelerators -
@@ -158,6 +168,6 @@
   const freed = cell.workers.includes(worker)
     ? cell.shape.acceleratorsPerWorker
     : 0;
-  return worker.isHealthy &&
+  return worker.isHealthy && !holdsFragileLoan(worker) &&
     unpromised + freed >= cell.shape.acceleratorsPerWorker;
 }
