--- a/src/process/scheduler/core/job_queue.ts
+++ b/src/process/scheduler/core/job_queue.ts
@@ -9,9 +9,9 @@
 import { gangAccelerators, type JobState } from "./job_state.ts";
 import type { WaitReason } from "./scheduler_decision.ts";
 
-/** Work in accelerator-milliseconds up to which a job is of level 0. */
-const FIRST_LEVEL_ACCELERATOR_MS = 600_000;
-/** By how much more work each further level is set apart. */
+/** Run time up to which a job is of level 0. */
+const FIRST_LEVEL_MS = 600_000;
+/** By how much more run time each further level is set apart. */
 const LEVEL_FACTOR = 8;
 
 /** Jobs of one client account, rank and shape, in order. */
@@ -88,14 +88,18 @@
     left.order - right.order;
 }
 
-/** The level of a job by the work that it had or is expected to need. */
+/**
+ * The level of a job by the run time that it had or is expected to need. The
+ * size of its gang doesn't count, so that small jobs don't always take the
+ * room that a large one waits for.
+ */
 export function levelOf(job: JobState): number {
   const accelerators = Math.max(1, gangAccelerators(job));
-  const work = Math.max(
-    job.attainedAcceleratorMs,
-    accelerators * job.expectedRunMs,
+  const runMs = Math.max(
+    job.attainedAcceleratorMs / accelerators,
+    job.expectedRunMs,
   );
-  const ratio = Math.max(1, work / FIRST_LEVEL_ACCELERATOR_MS);
+  const ratio = Math.max(1, runMs / FIRST_LEVEL_MS);
   return Math.floor(Math.log(ratio) / Math.log(LEVEL_FACTOR));
 }
 
