--- /dev/null
+++ b/src/process/replication/core_driver.ts
@@ -0,0 +1,189 @@
+/**
+ * Drives a core: feeds it inputs one by one and carries its effects out.
+ *
+ * @module
+ */
+
+import type { Clock, Timer } from "../../base/clock.ts";
+import type { EventLog } from "../../base/event_log.ts";
+import { SesameError } from "../../base/sesame_error.ts";
+import type { PeerChannel } from "../../connection/peer_network.ts";
+import type { AppliedState } from "./applied_state.ts";
+import type { LogSnapshot } from "./log_entry.ts";
+import type { LogStore } from "./log_store.ts";
+import { PersistPump } from "./persist_pump.ts";
+import { type ProposalListener, ProposalTable } from "./proposal_table.ts";
+import type { RaftCore, RaftView } from "./raft_core.ts";
+import type { RaftEffect, RaftInput } from "./raft_effect.ts";
+import type { RaftEnvelope } from "./raft_message.ts";
+
+/** What the driver is made from. */
+export interface CoreDriverOptions<Command, Outcome> {
+  readonly groupId: string;
+  readonly core: RaftCore;
+  readonly applied: AppliedState<Command, Outcome>;
+  readonly channel: PeerChannel<RaftEnvelope>;
+  readonly store: LogStore | undefined;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  /** Between two ticks of the core, in milliseconds. */
+  readonly tickMs: number;
+  /** After every step. */
+  readonly onStep: () => void;
+  /** The disk or the state machine failed; nothing more is done. */
+  readonly onFailure: (error: SesameError) => void;
+}
+
+/** Binds a core to the clock, the disk, the links and the state machine. */
+export class CoreDriver<Command, Outcome> {
+  #options: CoreDriverOptions<Command, Outcome>;
+  #pump: PersistPump;
+  #proposals = new ProposalTable<Outcome>();
+  #inputs: RaftInput[] = [];
+  #isStepping = false;
+  #isStopped = false;
+  #timer: Timer;
+
+  constructor(options: CoreDriverOptions<Command, Outcome>) {
+    this.#options = options;
+    const { channel, clock } = options;
+    this.#pump = new PersistPump({
+      store: options.store,
+      send: (effect) => void channel.send(effect.to, effect.envelope),
+      onPersisted: (sequence) => this.step({ kind: "persisted", sequence }),
+      onFailure: (error) => this.#fail(error),
+    });
+    this.#timer = clock.every(
+      options.tickMs,
+      () => this.step({ kind: "tick" }),
+    );
+  }
+
+  get view(): RaftView {
+    return this.#options.core.view;
+  }
+
+  get appliedIndex(): number {
+    return this.#options.applied.index;
+  }
+
+  get isStopped(): boolean {
+    return this.#isStopped;
+  }
+
+  get leaseEndMs(): number {
+    return this.#isStopped
+      ? 0
+      : this.#options.core.leaseEndMs(this.#options.clock.nowMs());
+  }
+
+  get currentAtMs(): number {
+    return this.#options.core.currentAtMs(this.#options.clock.nowMs());
+  }
+
+  /** Whether this member leads for certain at this moment. */
+  isLeaseHeld(): boolean {
+    return !this.#isStopped &&
+      this.#options.core.isLeaseHeld(this.#options.clock.nowMs());
+  }
+
+  /** Puts a command into this leader's log, if it may take one. */
+  propose(data: Uint8Array, listener: ProposalListener<Outcome>): void {
+    if (!this.isLeaseHeld() || !this.#options.core.isRedundant()) {
+      listener({ kind: "notAppended" });
+      return;
+    }
+    const token = this.#proposals.add(listener);
+    this.step({ kind: "propose", token, data });
+  }
+
+  /** Feeds an input; what it causes in turn comes after it. */
+  step(input: RaftInput): void {
+    if (this.#isStopped) {
+      return;
+    }
+    this.#inputs.push(input);
+    if (this.#isStepping) {
+      return;
+    }
+    this.#isStepping = true;
+    try {
+      this.#drain();
+    } catch (error) {
+      this.#fail(new SesameError("internal", { detail: String(error) }));
+    } finally {
+      this.#isStepping = false;
+    }
+    this.#options.onStep();
+  }
+
+  /** Nothing is taken, sent or persisted any more. */
+  stop(): void {
+    this.#isStopped = true;
+    this.#inputs = [];
+    this.#timer.close();
+    this.#pump.stop();
+    this.#proposals.endAll();
+  }
+
+  #drain(): void {
+    const { core, clock } = this.#options;
+    while (this.#inputs.length > 0) {
+      const inputs = this.#inputs;
+      this.#inputs = [];
+      for (const effect of core.step(inputs, clock.nowMs())) {
+        if (!this.#isStopped) {
+          this.#carryOut(effect);
+        }
+      }
+    }
+  }
+
+  #carryOut(effect: RaftEffect): void {
+    switch (effect.kind) {
+      case "send":
+        return this.#pump.send(effect);
+      case "persist":
+        return this.#pump.persist(effect);
+      case "commit":
+        return this.#applyAll(effect.entries);
+      case "restore":
+        return this.#restore(effect.snapshot);
+      case "proposalTaken":
+        return this.#proposals.markLogged(effect.token, effect);
+      case "proposalRefused":
+        return this.#proposals.markRefused(effect.token);
+      case "event":
+        return this.#options.events.emit(effect.name, {
+          group: this.#options.groupId,
+          ...effect.fields,
+        });
+    }
+  }
+
+  #applyAll(entries: Extract<RaftEffect, { kind: "commit" }>["entries"]): void {
+    const { applied } = this.#options;
+    for (const entry of entries) {
+      const command = applied.apply(entry);
+      this.#proposals.markApplied(entry.index, { term: entry.term, command });
+    }
+    const snapshot = applied.snapshotIfDue();
+    if (snapshot !== undefined) {
+      this.step({ kind: "snapshotMade", ...snapshot });
+    }
+  }
+
+  #restore(snapshot: LogSnapshot): void {
+    this.#options.applied.restore(snapshot).ifLeft((error) =>
+      this.#fail(error)
+    );
+    this.#proposals.markSkipped(snapshot.index);
+  }
+
+  #fail(error: SesameError): void {
+    if (!this.#isStopped) {
+      this.stop();
+      this.#options.onFailure(error);
+    }
+  }
+}
--- a/src/process/replication/election.ts
+++ b/src/process/replication/election.ts
@@ -15,6 +15,9 @@
 import type { RaftState } from "./raft_state.ts";
 import { becomeFollower, resetElectionTimer } from "./role.ts";
 
+/** How often the time for an election is doubled at most. */
+const SLOWDOWN_LIMIT = 4;
+
 /** Starts or repeats an election when it is due. */
 export function tickElection(state: RaftState): void {
   const mayCampaign = state.role === "follower" || state.role === "candidate";
@@ -40,7 +43,8 @@
   const { retryMinMs, retryMaxMs } = state.timing;
   state.role = "candidate";
   state.leaderId = undefined;
-  state.electionDueMs = state.nowMs + state.randomMs(retryMinMs, retryMaxMs);
+  state.electionDueMs = state.nowMs +
+    state.randomMs(retryMinMs, retryMaxMs) * slowdown(state);
   state.ballot = {
     isPreVote: options.isPreVote,
     granted: new Set([state.selfId]),
@@ -48,12 +52,18 @@
   if (!options.isPreVote) {
     state.term += 1;
     state.votedFor = state.selfId;
+    state.electionAttempts += 1;
   }
   if (!countBallot(state)) {
     askForVotes(state, options);
   }
 }
 
+/** Slow disks and networks get longer, attempt by attempt. */
+function slowdown(state: RaftState): number {
+  return 2 ** Math.min(state.electionAttempts, SLOWDOWN_LIMIT);
+}
+
 function askForVotes(
   state: RaftState,
   options: { isPreVote: boolean; isHandOver: boolean },
--- a/src/process/replication/following.ts
+++ b/src/process/replication/following.ts
@@ -7,6 +7,7 @@
 import { findVoter } from "./group_configuration.ts";
 import { addProgress } from "./leader.ts";
 import { sendHeartbeat, sendToMember } from "./leader_send.ts";
+import type { LeaderProgress } from "./leader_progress.ts";
 import type { RaftMessageOf, Sender } from "./raft_message.ts";
 import type { RaftState } from "./raft_state.ts";
 
@@ -66,7 +67,7 @@
   }
   const isOld = from.incarnation < (voter?.incarnation ?? 0);
   if (state.isLeader && !isOld) {
-    attend(state, from, message);
+    serve(state, from, message);
     return;
   }
   state.send(from.id, {
@@ -76,29 +77,40 @@
   }, from.incarnation);
 }
 
-function attend(
+/** Keeps track of a member that showed up, unless it is an old message. */
+export function attend(
+  state: RaftState,
+  from: Sender,
+): LeaderProgress | undefined {
+  const known = state.progress.get(from.id);
+  if (from.incarnation < (known?.incarnation ?? 0)) {
+    return undefined;
+  }
+  const progress = known?.incarnation === from.incarnation
+    ? known
+    : addProgress(state, from.id, from.incarnation);
+  progress.lastHeardMs = state.nowMs;
+  return progress;
+}
+
+function serve(
   state: RaftState,
   from: Sender,
   message: RaftMessageOf<"follow">,
 ): void {
-  let progress = state.progress.get(from.id);
-  if (from.incarnation < (progress?.incarnation ?? 0)) {
+  const progress = attend(state, from);
+  if (progress === undefined) {
     return;
   }
-  if (progress?.incarnation !== from.incarnation) {
-    progress = addProgress(state, from.id, from.incarnation);
-    progress.nextIndex = Math.min(
-      progress.nextIndex,
-      message.lastIndex + 1,
-    );
+  if (progress.matchIndex === 0) {
+    progress.nextIndex = Math.min(progress.nextIndex, message.lastIndex + 1);
   }
-  progress.lastHeardMs = state.nowMs;
   progress.stampMs = Math.max(progress.stampMs, message.stampMs);
   progress.wantsVote = message.wantsVote;
   progress.isDurable = message.isDurable;
-  const sentBeforeMs = progress.lastSentMs;
+  const sentBefore = progress.sentMessages;
   sendToMember(state, progress);
-  if (progress.lastSentMs === sentBeforeMs || sentBeforeMs === state.nowMs) {
+  if (progress.sentMessages === sentBefore) {
     sendHeartbeat(state, progress);
   }
 }
--- a/src/process/replication/group_configuration.ts
+++ b/src/process/replication/group_configuration.ts
@@ -51,6 +51,8 @@
   readonly hasAgreed: (id: InstanceId) => boolean;
   /** Whether the voter's state is proved to be gone. */
   readonly isForgotten: (id: InstanceId) => boolean;
+  /** Whether an operator takes the loss of what only this voter kept. */
+  readonly isDeclaredLost: (id: InstanceId) => boolean;
 }
 
 /** The voter of that name, if it is one. */
@@ -105,7 +107,9 @@
   configuration: GroupConfiguration,
   evidence: VoterEvidence,
 ): boolean {
-  const durable = configuration.voters.filter((voter) => voter.isDurable);
+  const durable = configuration.voters.filter((voter) =>
+    voter.isDurable && !evidence.isForgotten(voter.id)
+  );
   return configuration.isDurabilityWaived || durable.length === 0 ||
     durable.some((voter) => evidence.hasAgreed(voter.id));
 }
@@ -117,7 +121,7 @@
   const { voters } = configuration;
   return voters.some((voter) => evidence.hasAgreed(voter.id)) &&
     voters.every((voter) =>
-      evidence.hasAgreed(voter.id) ||
+      evidence.hasAgreed(voter.id) || evidence.isDeclaredLost(voter.id) ||
       (!voter.isDurable && evidence.isForgotten(voter.id))
     );
 }
--- a/src/process/replication/leader.ts
+++ b/src/process/replication/leader.ts
@@ -25,6 +25,7 @@
   state.role = "leader";
   state.leaderId = state.selfId;
   state.electionDueMs = Infinity;
+  state.electionAttempts = 0;
   state.leadsSinceMs = state.nowMs;
   state.durableSeenMs = state.nowMs;
   state.progress.clear();
--- a/src/process/replication/leader_progress.ts
+++ b/src/process/replication/leader_progress.ts
@@ -38,6 +38,7 @@
   answeredSentAtMs = -Infinity;
   lastHeardMs: number;
   lastSentMs = -Infinity;
+  sentMessages = 0;
   /** The newest stamp of the member's own clock. */
   stampMs = 0;
   sentCommitIndex = 0;
@@ -80,6 +81,11 @@
     this.nextIndex = sent.lastIndex + 1;
   }
 
+  markMessage(nowMs: number): void {
+    this.lastSentMs = nowMs;
+    this.sentMessages += 1;
+  }
+
   markMatched(index: number, nowMs: number): void {
     if (index > this.matchIndex) {
       this.matchIndex = index;
--- a/src/process/replication/leader_send.ts
+++ b/src/process/replication/leader_send.ts
@@ -97,7 +97,7 @@
     progress.markSent({ lastIndex, bytes }, state.nowMs);
   }
   progress.sentCommitIndex = state.commitIndex;
-  progress.lastSentMs = state.nowMs;
+  progress.markMessage(state.nowMs);
   state.send(progress.id, message, progress.incarnation);
 }
 
@@ -118,7 +118,7 @@
   const data = snapshot.data.subarray(start, start + state.timing.chunkBytes);
   transfer.sentAtMs = state.nowMs;
   progress.bucket.take(data.byteLength, state.nowMs);
-  progress.lastSentMs = state.nowMs;
+  progress.markMessage(state.nowMs);
   state.send(progress.id, {
     kind: "snapshotChunk",
     term: state.term,
@@ -177,7 +177,9 @@
   );
   progress.stampMs = Math.max(progress.stampMs, message.stampMs);
   const voter = findVoter(state.configuration, progress.id);
-  if (voter?.isDurable === true) {
+  const isDurable = voter?.isDurable === true &&
+    voter.incarnation === progress.incarnation;
+  if (isDurable) {
     state.durableSeenMs = state.nowMs;
   }
 }
--- a/src/process/replication/member_opening.ts
+++ b/src/process/replication/member_opening.ts
@@ -9,8 +9,9 @@
 import { type EventLog, SILENT_EVENT_LOG } from "../../base/event_log.ts";
 import type { RandomSource } from "../../base/random_source.ts";
 import type { Result } from "../../base/sesame_error.ts";
-import type { LogStore, StoredLog } from "./log_store.ts";
+import type { LogStore } from "./log_store.ts";
 import { EMPTY_SNAPSHOT } from "./raft_log.ts";
+import type { StoredLog } from "./stored_log.ts";
 
 /** Incarnations that fit into one millisecond of the clock. */
 const INCARNATIONS_PER_MS = 1_024;
--- a/src/process/replication/membership.ts
+++ b/src/process/replication/membership.ts
@@ -8,6 +8,7 @@
 import {
   findVoter,
   type GroupConfiguration,
+  isCommitQuorum,
   type Voter,
 } from "./group_configuration.ts";
 import { appendConfiguration } from "./leader.ts";
@@ -17,9 +18,6 @@
 
 /** Whether a change of the voters may begin. */
 export function canChangeMembers(state: RaftState): boolean {
-  if (state.isLeader && state.hasMutation("changesOverlap")) {
-    return true;
-  }
   return state.isLeader && state.commitIndex >= state.termStartIndex &&
     state.log.configurationIndex <= state.commitIndex;
 }
@@ -95,22 +93,39 @@
   return configuration.voters.filter((voter) => voter.isDurable);
 }
 
+/** Whether the voters that answer suffice for the configuration. */
+function canCommitUnder(
+  state: RaftState,
+  configuration: GroupConfiguration,
+): boolean {
+  const answers = (id: InstanceId) =>
+    id === state.selfId || isHeardFrom(state, id);
+  return isCommitQuorum(configuration, state.evidence(answers));
+}
+
+function isHeardFrom(state: RaftState, id: InstanceId): boolean {
+  const progress = state.progress.get(id);
+  return progress !== undefined && !state.isForgotten(id) &&
+    state.nowMs - progress.answeredSentAtMs < state.timing.electionMaxMs;
+}
+
 /** An operator takes a member out for good; false when it can't be now. */
 export function removeMember(state: RaftState, id: InstanceId): boolean {
   const { configuration } = state;
-  const isLast = configuration.voters.length === 1 &&
-    findVoter(configuration, id) !== undefined;
-  if (!canChangeMembers(state) || isLast) {
-    return false;
-  }
   if (configuration.removedIds.includes(id)) {
     return true;
   }
-  appendConfiguration(state, {
+  const changed: GroupConfiguration = {
     ...configuration,
     voters: configuration.voters.filter((voter) => voter.id !== id),
     removedIds: [...configuration.removedIds, id],
-  });
+  };
+  const mayChange = canChangeMembers(state) ||
+    (state.isLeader && state.hasMutation("changesOverlap"));
+  if (!mayChange || !canCommitUnder(state, changed)) {
+    return false;
+  }
+  appendConfiguration(state, changed);
   return true;
 }
 
--- a/src/process/replication/raft_core.ts
+++ b/src/process/replication/raft_core.ts
@@ -7,6 +7,7 @@
  */
 
 import type { InstanceId } from "../../base/identity.ts";
+import { isForThisMember, noteForgotten } from "./envelope_filter.ts";
 import {
   handleHandOver,
   handlePreVote,
@@ -15,7 +16,12 @@
   tickElection,
 } from "./election.ts";
 import { handleAppend, handleSnapshotChunk } from "./follower.ts";
-import { handleFollow, handleRedirect, tickFollowing } from "./following.ts";
+import {
+  attend,
+  handleFollow,
+  handleRedirect,
+  tickFollowing,
+} from "./following.ts";
 import {
   handleFormPledge,
   handleFormRequest,
@@ -33,6 +39,7 @@
 import {
   handleAppendReply,
   handleSnapshotReply,
+  sendHeartbeat,
   sendToMember,
 } from "./leader_send.ts";
 import { isLeaseHeld, leaseEndMs } from "./lease.ts";
@@ -205,85 +212,11 @@
 function declareLost(state: RaftState, id: InstanceId): void {
   const voter = findVoter(state.configuration, id);
   if (voter !== undefined && id !== state.selfId) {
+    state.declaredLost.add(id);
     noteForgotten(state, id, voter.incarnation);
   }
 }
 
-function noteForgotten(
-  state: RaftState,
-  id: InstanceId,
-  incarnation: number,
-): void {
-  if ((state.forgotten.get(id) ?? -1) < incarnation) {
-    state.forgotten.set(id, incarnation);
-    state.event("voterForgotten", { member: id });
-  }
-}
-
-/** Drops what isn't meant for this member as it is now. */
-function isForThisMember(
-  state: RaftState,
-  from: InstanceId,
-  envelope: RaftEnvelope,
-): boolean {
-  const isAddressed = envelope.toIncarnation === 0 ||
-    envelope.toIncarnation === state.incarnation;
-  if (!isAddressed || state.memberOf(from) === undefined) {
-    return false;
-  }
-  return isOfThisGroup(state, from, envelope) &&
-    isFromLatest(state, from, envelope);
-}
-
-const GROUPLESS_KINDS: ReadonlySet<RaftMessage["kind"]> = new Set([
-  "follow",
-  "formRequest",
-  "formPledge",
-]);
-
-const JOINING_KINDS: ReadonlySet<RaftMessage["kind"]> = new Set([
-  "append",
-  "snapshotChunk",
-  "redirect",
-  "welcome",
-]);
-
-function isOfThisGroup(
-  state: RaftState,
-  from: InstanceId,
-  envelope: RaftEnvelope,
-): boolean {
-  const { formationId, message } = envelope;
-  if (formationId === undefined) {
-    return GROUPLESS_KINDS.has(message.kind);
-  }
-  if (state.formationId === undefined) {
-    return JOINING_KINDS.has(message.kind) && envelope.toIncarnation !== 0;
-  }
-  if (formationId !== state.formationId) {
-    state.event("foreignGroupRefused", { peer: from, formationId });
-    return false;
-  }
-  return true;
-}
-
-/** Notices that a voter has lost its state, or that a message is old. */
-function isFromLatest(
-  state: RaftState,
-  from: InstanceId,
-  envelope: RaftEnvelope,
-): boolean {
-  const voter = findVoter(state.configuration, from);
-  if (voter === undefined) {
-    return true;
-  }
-  if (envelope.fromIncarnation > voter.incarnation) {
-    noteForgotten(state, from, voter.incarnation);
-  }
-  return envelope.fromIncarnation >= voter.incarnation ||
-    envelope.message.kind === "follow";
-}
-
 /** A member that holds nothing belongs to the first group that serves it. */
 function adoptGroup(state: RaftState, envelope: RaftEnvelope): void {
   const { kind } = envelope.message;
@@ -367,11 +300,12 @@
 
 /** A voter that missed its own removal would campaign for ever. */
 function tellRemoved(state: RaftState, from: Sender): void {
-  const progress = state.progress.get(from.id);
-  const isRemoved = state.isLeader && progress !== undefined &&
+  const isRemoved = state.isLeader &&
     findVoter(state.configuration, from.id) === undefined;
   if (isRemoved) {
-    progress.lastHeardMs = state.nowMs;
-    sendToMember(state, progress);
+    const progress = attend(state, from);
+    if (progress !== undefined) {
+      sendHeartbeat(state, progress);
+    }
   }
 }
--- /dev/null
+++ b/src/process/replication/raft_core_fuzz_test.ts
@@ -0,0 +1,56 @@
+import test from "ava";
+import * as fc from "fast-check";
+import type { GroupMember } from "./raft_effect.ts";
+import { RaftMutation } from "./raft_mutation.ts";
+import {
+  disks,
+  learners,
+  memories,
+  sessionProperty,
+} from "./testing/fault_session.ts";
+
+/** Sessions for each group. */
+const SESSIONS = 100;
+
+const GROUPS: Readonly<Record<string, readonly GroupMember[]>> = {
+  "three disks": disks("a", "b", "c"),
+  "five disks and two learners": [
+    ...disks("a", "b", "c", "d", "e"),
+    ...learners("f", "g"),
+  ],
+  "one disk of three": [...memories("a", "b"), ...disks("c")],
+  "no disk of three": memories("a", "b", "c"),
+};
+
+for (const [name, members] of Object.entries(GROUPS)) {
+  test(`sessions with faults keep every promise: ${name}`, (t) => {
+    t.notThrows(() =>
+      fc.assert(sessionProperty({ members }), {
+        seed: 41,
+        numRuns: SESSIONS,
+        includeErrorInReport: true,
+      })
+    );
+  });
+}
+
+/** Faults that the sessions find by themselves. */
+const FOUND_BY_SESSIONS: readonly RaftMutation[] = [
+  RaftMutation.forgottenMemberVotes,
+  RaftMutation.leaseTooLong,
+  RaftMutation.votesForOlderLog,
+  RaftMutation.formsWithoutAll,
+];
+
+for (const mutation of FOUND_BY_SESSIONS) {
+  test(`sessions notice the fault: ${mutation}`, (t) => {
+    const members = GROUPS["one disk of three"]!;
+    const property = sessionProperty({ members, mutations: [mutation] });
+    const run = fc.check(property, {
+      seed: 41,
+      numRuns: 300,
+      endOnFailure: true,
+    });
+    t.true(run.failed);
+  });
+}
--- /dev/null
+++ b/src/process/replication/raft_core_test.ts
@@ -0,0 +1,211 @@
+import test from "ava";
+import { pack } from "msgpackr";
+import { SeededRandom } from "../../base/random_source.ts";
+import { EMPTY_CONFIGURATION } from "./group_configuration.ts";
+import { RaftCore } from "./raft_core.ts";
+import type { RaftEffect, RaftInput } from "./raft_effect.ts";
+import type { RaftMessage } from "./raft_message.ts";
+import { RaftMutation } from "./raft_mutation.ts";
+import { EMPTY_SNAPSHOT } from "./raft_log.ts";
+import { REPLICATION_TIMING } from "./replication_timing.ts";
+import { disks, learners, memories, recover } from "./testing/fault_session.ts";
+import { BrokenPromise } from "./testing/group_oracle.ts";
+import {
+  RaftSimulation,
+  type RaftSimulationOptions,
+} from "./testing/raft_simulation.ts";
+
+type Scenario = (simulation: RaftSimulation) => void;
+
+/** A story that ends well, but with the fault, in a broken promise. */
+interface FaultScenario {
+  readonly mutation: RaftMutation;
+  readonly options: Omit<RaftSimulationOptions, "seed" | "mutations">;
+  readonly play: Scenario;
+}
+
+function leaderOf(simulation: RaftSimulation): string {
+  return simulation.leaseHolders()[0]!.id;
+}
+
+function others(simulation: RaftSimulation, id: string): string[] {
+  return simulation.ids.filter((other) => other !== id);
+}
+
+function separate(simulation: RaftSimulation, one: string, two: string): void {
+  simulation.cut(one, two);
+  simulation.cut(two, one);
+}
+
+function crashAll(simulation: RaftSimulation): void {
+  for (const id of simulation.ids) {
+    simulation.crash(id);
+  }
+}
+
+const SCENARIOS: readonly FaultScenario[] = [
+  {
+    mutation: RaftMutation.answersBeforeSync,
+    options: { members: disks("a", "b", "c"), syncMs: 900 },
+    play: (simulation) => {
+      simulation.run(5_000);
+      simulation.proposeToLeader();
+      simulation.run(80);
+      crashAll(simulation);
+    },
+  },
+  {
+    mutation: RaftMutation.promiseBroken,
+    options: { members: disks("a", "b", "c") },
+    play: (simulation) => {
+      const leader = leaderOf(simulation);
+      separate(simulation, leader, others(simulation, leader)[0]!);
+      simulation.run(6_000);
+    },
+  },
+  {
+    mutation: RaftMutation.promiseForgottenOnRestart,
+    options: { members: disks("a", "b", "c") },
+    play: (simulation) => {
+      const leader = leaderOf(simulation);
+      const [cutOff, between] = others(simulation, leader);
+      separate(simulation, leader, cutOff!);
+      simulation.run(3_000);
+      for (let at = 0; at < 5; at++) {
+        simulation.crash(between!);
+        simulation.start(between!);
+        simulation.run(1_000);
+      }
+    },
+  },
+  {
+    mutation: RaftMutation.commitsWithoutDurable,
+    options: { members: [...memories("a", "b"), ...disks("c")] },
+    play: (simulation) => {
+      simulation.isolate("c");
+      simulation.run(300);
+      simulation.proposeToLeader();
+      simulation.run(300);
+      crashAll(simulation);
+    },
+  },
+  {
+    mutation: RaftMutation.changesOverlap,
+    options: { members: disks("a", "b", "c", "d", "e") },
+    play: (simulation) => {
+      const leader = leaderOf(simulation);
+      const [near, ...far] = others(simulation, leader);
+      for (const id of far) {
+        separate(simulation, id, leader);
+        separate(simulation, id, near!);
+      }
+      simulation.input(leader, { kind: "removeMember", id: far[0]! });
+      simulation.input(leader, { kind: "removeMember", id: far[1]! });
+      simulation.run(6_000);
+    },
+  },
+  {
+    mutation: RaftMutation.currentAtReceipt,
+    options: {
+      members: [...disks("a", "b", "c"), ...learners("d")],
+      delayMs: 200,
+    },
+    play: (simulation) => {
+      for (let at = 0; at < 100; at++) {
+        simulation.proposeToLeader();
+        simulation.run(70);
+      }
+    },
+  },
+];
+
+function playOut(scenario: FaultScenario, mutations: RaftMutation[]): void {
+  for (let seed = 1; seed <= 8; seed++) {
+    const simulation = new RaftSimulation({
+      ...scenario.options,
+      seed,
+      mutations,
+    });
+    simulation.startAll();
+    simulation.run(3_000);
+    scenario.play(simulation);
+    recover(simulation);
+  }
+}
+
+for (const scenario of SCENARIOS) {
+  test(`a story ends well, but not with: ${scenario.mutation}`, (t) => {
+    t.notThrows(() => playOut(scenario, []));
+    t.throws(() => playOut(scenario, [scenario.mutation]), {
+      instanceOf: BrokenPromise,
+    });
+  });
+}
+
+/** A leader of term 2 whose log holds one entry of term 1. */
+function leaderWithOldEntry(mutations: RaftMutation[]) {
+  const voters = ["a", "b", "c"].map((id) => ({
+    id,
+    incarnation: 1,
+    isDurable: false,
+  }));
+  const core = new RaftCore({
+    selfId: "a",
+    members: memories("a", "b", "c"),
+    random: new SeededRandom({ seed: 1 }),
+    timing: REPLICATION_TIMING,
+    hardState: {
+      incarnation: 1,
+      formationId: "g",
+      term: 1,
+      votedFor: undefined,
+    },
+    snapshot: {
+      ...EMPTY_SNAPSHOT,
+      configuration: { ...EMPTY_CONFIGURATION, voters },
+    },
+    entries: [{ index: 1, term: 1, kind: "command", data: pack(1) }],
+    nowMs: 0,
+    catchUpBytesPerSecond: () => 1e9,
+    mutations: new Set(mutations),
+  });
+  const step = (input: RaftInput): RaftEffect[] => core.step([input], 5_000);
+  const hear = (message: RaftMessage) =>
+    step({
+      kind: "message",
+      from: "b",
+      envelope: {
+        formationId: "g",
+        fromIncarnation: 1,
+        toIncarnation: 1,
+        message,
+      },
+    });
+  step({ kind: "tick" });
+  for (const isPreVote of [true, false]) {
+    hear({ kind: "voteReply", term: 2, isPreVote, isGranted: true });
+  }
+  step({ kind: "persisted", sequence: 10 });
+  const acknowledge = (index: number) =>
+    hear({
+      kind: "appendReply",
+      term: 2,
+      isAccepted: true,
+      index,
+      sentAtMs: 5_000,
+      stampMs: 0,
+    });
+  return { core, acknowledge };
+}
+
+test("an entry of an earlier term is committed by a later one only", (t) => {
+  const { core, acknowledge } = leaderWithOldEntry([]);
+  t.is(core.view.role, "leader");
+  acknowledge(1);
+  t.is(core.view.commitIndex, 0);
+  acknowledge(2);
+  t.is(core.view.commitIndex, 2);
+  const mutant = leaderWithOldEntry([RaftMutation.commitsEarlierTerms]);
+  mutant.acknowledge(1);
+  t.is(mutant.core.view.commitIndex, 1);
+});
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -84,8 +84,12 @@
   electionDueMs = Infinity;
   followDueMs = 0;
   ballot: Ballot | undefined;
+  /** Elections since a leader was last known. */
+  electionAttempts = 0;
   /** Voters whose state is gone, with the incarnation that is. */
   readonly forgotten = new Map<InstanceId, number>();
+  /** Voters whose loss an operator took on. */
+  readonly declaredLost = new Set<InstanceId>();
   incoming: IncomingSnapshot | undefined;
 
   /** What the leader knows of each other member. */
@@ -119,7 +123,9 @@
       hardState: options.hardState,
       lastIndex: this.log.lastIndex,
     });
-    this.promiseEndMs = options.nowMs + options.timing.leaderSilenceMs;
+    const keepsPromise = !this.hasMutation("promiseForgottenOnRestart");
+    this.promiseEndMs = options.nowMs +
+      (keepsPromise ? options.timing.leaderSilenceMs : 0);
   }
 
   get selfId(): InstanceId {
@@ -174,7 +180,11 @@
 
   /** Evidence for quorums, given who agreed. */
   evidence(hasAgreed: (id: InstanceId) => boolean): VoterEvidence {
-    return { hasAgreed, isForgotten: (id) => this.isForgotten(id) };
+    return {
+      hasAgreed,
+      isForgotten: (id) => this.isForgotten(id),
+      isDeclaredLost: (id) => this.declaredLost.has(id) && this.isForgotten(id),
+    };
   }
 
   hasMutation(mutation: RaftMutation): boolean {
--- a/src/process/replication/replication_member.ts
+++ b/src/process/replication/replication_member.ts
@@ -5,11 +5,11 @@
  * @module
  */
 
-import { pack, unpack } from "msgpackr";
+import { pack } from "msgpackr";
 import type { Stream } from "most";
 import { Right } from "purify-ts/Either";
 import { Channel } from "../../base/channel.ts";
-import type { Clock, Timer } from "../../base/clock.ts";
+import type { Clock } from "../../base/clock.ts";
 import { type EventLog, SILENT_EVENT_LOG } from "../../base/event_log.ts";
 import type { InstanceId } from "../../base/identity.ts";
 import type { RandomSource } from "../../base/random_source.ts";
@@ -23,24 +23,14 @@
   PeerChannel,
   PeerNetwork,
 } from "../../connection/peer_network.ts";
-import type { LogEntry, LogSnapshot } from "./log_entry.ts";
-import { LogStore, type StoredLog } from "./log_store.ts";
+import { AppliedState } from "./applied_state.ts";
+import { CoreDriver } from "./core_driver.ts";
+import { LeaderCalls } from "./leader_calls.ts";
+import { LogStore } from "./log_store.ts";
 import { openStore } from "./member_opening.ts";
-import { PeerCalls, SeenCalls } from "./peer_calls.ts";
-import { PersistPump } from "./persist_pump.ts";
-import {
-  type ProposalEnd,
-  type ProposalListener,
-  ProposalTable,
-} from "./proposal_table.ts";
 import { RaftCore } from "./raft_core.ts";
-import type { GroupMember, RaftEffect, RaftInput } from "./raft_effect.ts";
-import {
-  decodeEnvelope,
-  type RaftEnvelope,
-  type RaftMessage,
-  type RaftMessageOf,
-} from "./raft_message.ts";
+import type { GroupMember } from "./raft_effect.ts";
+import { decodeEnvelope, type RaftEnvelope } from "./raft_message.ts";
 import type { RaftMutation } from "./raft_mutation.ts";
 import type {
   MemberStatus,
@@ -51,10 +41,14 @@
   REPLICATION_TIMING,
   type ReplicationTiming,
 } from "./replication_timing.ts";
+import type { StoredLog } from "./stored_log.ts";
 
 /** Between two looks at whether a waiting command can go on. */
 const RETRY_MS = 25;
 
+/** How long a leader waits for a member that is ready to take over. */
+const HAND_OVER_MS = 600;
+
 /** What a member is made from. */
 export interface ReplicationMemberOptions<Command, Outcome> {
   /** The group's name, the same on every member. */
@@ -83,88 +77,88 @@
 /** Bytes a second for catch-up where no budget is set. */
 const UNLIMITED_BYTES_PER_SECOND = 1e12;
 
+/** What opening a member found and made. */
+interface OpenedMember<Command, Outcome> {
+  readonly log: StoredLog;
+  readonly store: LogStore | undefined;
+  readonly applied: AppliedState<Command, Outcome>;
+  readonly timing: ReplicationTiming;
+}
+
 /** A hold on the group's log; open one with {@link ReplicationMember.open}. */
 export class ReplicationMember<Command, Outcome>
   implements ReplicatedLog<Command, Outcome> {
   #options: ReplicationMemberOptions<Command, Outcome>;
-  #core: RaftCore;
-  #pump: PersistPump;
+  #driver: CoreDriver<Command, Outcome>;
+  #calls: LeaderCalls<Command, Outcome>;
   #channel: PeerChannel<RaftEnvelope>;
   #statuses = new Channel<MemberStatus>();
-  #proposals = new ProposalTable<Outcome>();
-  #calls: PeerCalls;
-  #seen = new SeenCalls();
-  #timers: Timer[] = [];
   #subscription: { unsubscribe(): void };
-  #inputs: RaftInput[] = [];
-  #isStepping = false;
   #isClosed = false;
   #failure: SesameError | undefined;
-  #appliedIndex: number;
-  #snapshotIndex: number;
-  #bytesSinceSnapshot = 0;
   #lastStatusKey = "";
 
-  /** Reads what the disk holds and takes part in the group. */
+  /**
+   * Reads what the disk holds and takes part in the group: `storageFailed`
+   * when the disk can't be read or written.
+   */
   static async open<Command, Outcome>(
     options: ReplicationMemberOptions<Command, Outcome>,
   ): Promise<Result<ReplicationMember<Command, Outcome>>> {
-    const store = options.storage === undefined ? undefined : new LogStore({
-      storage: options.storage,
-      groupId: options.groupId,
-    });
+    const { storage, groupId, machine } = options;
+    const store = storage && new LogStore({ storage, groupId });
+    const timing = { ...REPLICATION_TIMING, ...options.timing };
+    const applied = new AppliedState({ machine, timing });
     const opened = await openStore({ ...options, store });
-    return opened.chain((log) => {
-      const { index, data } = log.snapshot;
-      const restored: Result<void> = index === 0
-        ? Right(undefined)
-        : options.machine.restore(data);
-      return restored.map(() => new ReplicationMember(options, { log, store }));
-    });
+    return opened.chain((log) =>
+      applied.restore(log.snapshot).map(() =>
+        new ReplicationMember(options, { log, store, applied, timing })
+      )
+    );
   }
 
   private constructor(
     options: ReplicationMemberOptions<Command, Outcome>,
-    opened: { log: StoredLog; store: LogStore | undefined },
+    opened: OpenedMember<Command, Outcome>,
   ) {
     this.#options = options;
-    const { clock, network } = options;
-    const timing = { ...REPLICATION_TIMING, ...options.timing };
-    this.#calls = new PeerCalls({ nowMs: clock.nowMs() });
-    this.#appliedIndex = opened.log.snapshot.index;
-    this.#snapshotIndex = opened.log.snapshot.index;
-    this.#core = new RaftCore({
+    const { clock, network, groupId, mutations } = options;
+    const { log, store, applied, timing } = opened;
+    const core = new RaftCore({
       selfId: network.selfId,
       members: options.members,
       random: options.random,
       timing,
-      ...opened.log,
+      ...log,
       nowMs: clock.nowMs(),
       catchUpBytesPerSecond: options.catchUpBytesPerSecond ??
         (() => UNLIMITED_BYTES_PER_SECOND),
-      ...(options.mutations === undefined
-        ? {}
-        : { mutations: options.mutations }),
+      ...(mutations === undefined ? {} : { mutations }),
     });
-    this.#channel = network.channel({
-      name: `replication.${options.groupId}`,
+    const channel = network.channel({
+      name: `replication.${groupId}`,
       decode: decodeEnvelope,
     });
-    this.#pump = new PersistPump({
-      store: opened.store,
-      send: (effect) => void this.#channel.send(effect.to, effect.envelope),
-      onPersisted: (sequence) => this.#step({ kind: "persisted", sequence }),
+    this.#channel = channel;
+    this.#driver = new CoreDriver({
+      groupId,
+      core,
+      applied,
+      channel,
+      store,
+      clock,
+      events: options.events ?? SILENT_EVENT_LOG,
+      tickMs: timing.tickMs,
+      onStep: () => this.#publishStatus(),
       onFailure: (error) => this.#fail(error),
     });
-    this.#subscription = this.#channel.received.subscribe({
+    this.#calls = new LeaderCalls({ driver: this.#driver, channel, clock });
+    this.#subscription = channel.received.subscribe({
       next: ({ from, message }) => this.#receive(from, message),
       error: () => undefined,
       complete: () => undefined,
     });
-    this.#timers.push(
-      clock.every(timing.tickMs, () => this.#step({ kind: "tick" })),
-    );
-    this.#step({ kind: "tick" });
+    this.#driver.step({ kind: "tick" });
   }
 
   get statuses(): Stream<MemberStatus> {
@@ -172,19 +166,18 @@
   }
 
   status(): MemberStatus {
-    const nowMs = this.#options.clock.nowMs();
-    const { view } = this.#core;
+    const driver = this.#driver;
+    const { view } = driver;
     const voterIds = view.configuration.voters.map((voter) => voter.id);
-    const isStopped = this.#isClosed || this.#failure !== undefined;
     return {
       groupId: this.#options.groupId,
-      role: isStopped ? "learner" : view.role,
+      role: driver.isStopped ? "learner" : view.role,
       term: view.term,
       leaderId: view.leaderId,
       commitIndex: view.commitIndex,
-      appliedIndex: this.#appliedIndex,
-      leaseEndMs: isStopped ? 0 : this.#core.leaseEndMs(nowMs),
-      currentAtMs: this.#core.currentAtMs(nowMs),
+      appliedIndex: driver.appliedIndex,
+      leaseEndMs: driver.leaseEndMs,
+      currentAtMs: driver.currentAtMs,
       voterIds,
       learnerIds: this.#options.members
         .map((member) => member.id)
@@ -202,7 +195,7 @@
       if (refusal !== undefined) {
         return refusal;
       }
-      const end = await this.#tryPropose(data, options.deadlineMs);
+      const end = await this.#calls.propose(data, options.deadlineMs);
       switch (end.kind) {
         case "applied":
           return Right(end.outcome);
@@ -210,7 +203,7 @@
           return failure("outcomeUnknown");
         case "notAppended":
         case "discarded":
-          await this.#pause(RETRY_MS);
+          await this.#pause();
       }
     }
   }
@@ -222,15 +215,18 @@
       if (refusal !== undefined) {
         return refusal;
       }
-      index ??= await this.#readIndex(options.deadlineMs);
-      if (index !== undefined && this.#appliedIndex >= index) {
+      index ??= await this.#calls.readIndex();
+      if (index !== undefined && this.#driver.appliedIndex >= index) {
         return Right(undefined);
       }
-      await this.#pause(RETRY_MS);
+      await this.#pause();
     }
   }
 
-  /** Changes who votes; done once it is committed. */
+  /**
+   * Changes who votes, from the leader; done once it is committed.
+   * `unavailable` when it could not be by the deadline.
+   */
   async changeMembers(
     change: MemberChange,
     options: { deadlineMs: number },
@@ -240,20 +236,14 @@
       if (refusal !== undefined) {
         return refusal;
       }
-      const { view } = this.#core;
-      const isVoter = view.configuration.voters.some((voter) =>
-        voter.id === change.id
-      );
-      const isRemoved = view.configuration.removedIds.includes(change.id);
-      const isDone = change.kind === "add" ? isVoter : !isVoter && isRemoved;
-      if (isDone && view.log.configurationIndex <= view.commitIndex) {
+      if (this.#isInEffect(change)) {
         return Right(undefined);
       }
-      if (!isDone && this.#core.isLeaseHeld(this.#options.clock.nowMs())) {
+      if (this.#driver.isLeaseHeld()) {
         const kind = change.kind === "add" ? "addMember" : "removeMember";
-        this.#step({ kind, id: change.id });
+        this.#driver.step({ kind, id: change.id });
       }
-      await this.#pause(RETRY_MS);
+      await this.#pause();
     }
   }
 
@@ -262,42 +252,42 @@
    * come back with it; see docs/operator/recovery.md.
    */
   declareLost(id: InstanceId): void {
-    this.#step({ kind: "declareLost", id });
+    this.#driver.step({ kind: "declareLost", id });
   }
 
   async handOver(): Promise<void> {
     const { clock } = this.#options;
-    const endMs = clock.nowMs() + REPLICATION_TIMING.resendMs;
-    while (this.#core.view.role === "leader" && clock.nowMs() < endMs) {
-      this.#step({ kind: "handOver" });
-      if (this.#core.view.role === "leader") {
-        await this.#pause(RETRY_MS);
+    const endMs = clock.nowMs() + HAND_OVER_MS;
+    while (this.#mayHandOver() && clock.nowMs() < endMs) {
+      this.#driver.step({ kind: "handOver" });
+      if (this.#mayHandOver()) {
+        await this.#pause();
       }
     }
   }
 
   close(): Promise<void> {
-    this.#stop();
     this.#isClosed = true;
+    this.#driver.stop();
+    this.#stop();
     return Promise.resolve();
   }
 
   #stop(): void {
-    for (const timer of this.#timers) {
-      timer.close();
-    }
-    this.#pump.stop();
     this.#subscription.unsubscribe();
     this.#channel.close();
-    this.#proposals.endAll();
-    this.#calls.endAll();
+    this.#calls.stop();
     this.#statuses.close();
   }
 
-  /** The disk failed: from now on this member says nothing. */
+  /** From now on this member says nothing. */
   #fail(error: SesameError): void {
     this.#failure = error;
-    this.#event("replicationStopped", { detail: error.message });
+    this.#options.events?.emit("replicationStopped", {
+      group: this.#options.groupId,
+      detail: error.message,
+    });
+    this.#statuses.push(this.status());
     this.#stop();
   }
 
@@ -314,255 +304,35 @@
     return undefined;
   }
 
-  #pause(delayMs: number): Promise<void> {
+  #pause(): Promise<void> {
     return new Promise((resolve) => {
-      this.#options.clock.after(delayMs, resolve);
+      this.#options.clock.after(RETRY_MS, resolve);
     });
   }
 
-  /** Whether a command may go into this member's log now. */
-  #mayServe(): boolean {
-    return this.#core.isLeaseHeld(this.#options.clock.nowMs()) &&
-      this.#core.isRedundant();
+  #mayHandOver(): boolean {
+    return !this.#driver.isStopped && this.#driver.view.role === "leader" &&
+      this.#driver.view.configuration.voters.length > 1;
   }
 
-  #tryPropose(
-    data: Uint8Array,
-    deadlineMs: number,
-  ): Promise<ProposalEnd<Outcome>> {
-    const { leaderId, role, term } = this.#core.view;
-    if (role === "leader") {
-      return this.#withDeadline(deadlineMs, (listener) => {
-        this.#proposeHere(data, listener);
-        return () => undefined;
-      });
-    }
-    if (leaderId === undefined) {
-      return Promise.resolve({ kind: "notAppended" });
-    }
-    return this.#withDeadline(deadlineMs, (listener) => {
-      const id = this.#calls.open((answer) => listener(readEnd(answer)));
-      if (!this.#tell(leaderId, { kind: "propose", id, term, data })) {
-        listener({ kind: "notAppended" });
-      }
-      return () => this.#calls.abandon(id);
-    });
-  }
-
-  async #withDeadline(
-    deadlineMs: number,
-    begin: (listener: ProposalListener<Outcome>) => () => void,
-  ): Promise<ProposalEnd<Outcome>> {
-    const { clock } = this.#options;
-    let forget = () => undefined as void;
-    const end = await new Promise<ProposalEnd<Outcome>>((resolve) => {
-      const timer = clock.after(
-        deadlineMs - clock.nowMs(),
-        () => resolve({ kind: "unknown" }),
-      );
-      forget = begin((found) => {
-        timer.close();
-        resolve(found);
-      });
-    });
-    forget();
-    return end;
-  }
-
-  #proposeHere(data: Uint8Array, listener: ProposalListener<Outcome>): void {
-    if (!this.#mayServe()) {
-      listener({ kind: "notAppended" });
-      return;
-    }
-    const token = this.#proposals.add(listener);
-    this.#step({ kind: "propose", token, data });
-  }
-
-  async #readIndex(deadlineMs: number): Promise<number | undefined> {
-    const { leaderId, role, commitIndex } = this.#core.view;
-    const { clock } = this.#options;
-    if (role === "leader") {
-      return this.#core.isLeaseHeld(clock.nowMs()) ? commitIndex : undefined;
-    }
-    if (leaderId === undefined) {
-      return undefined;
-    }
-    return await new Promise((resolve) => {
-      const id = this.#calls.open((answer) => {
-        timer.close();
-        resolve(answer?.kind === "readReply" ? answer.index : undefined);
-      });
-      const waitMs = Math.min(
-        deadlineMs - clock.nowMs(),
-        REPLICATION_TIMING.resendMs,
-      );
-      const timer = clock.after(waitMs, () => {
-        this.#calls.abandon(id);
-        resolve(undefined);
-      });
-      this.#tell(leaderId, { kind: "read", id });
-    });
-  }
-
-  /** Sends a message that needs nothing persisted. */
-  #tell(to: InstanceId, message: RaftMessage): boolean {
-    const { formationId, incarnation } = this.#core.view;
-    return this.#channel.send(to, {
-      ...(formationId === undefined ? {} : { formationId }),
-      fromIncarnation: incarnation,
-      toIncarnation: 0,
-      message,
-    });
+  #isInEffect(change: MemberChange): boolean {
+    const { configuration, log, commitIndex } = this.#driver.view;
+    const isVoter = configuration.voters.some((voter) =>
+      voter.id === change.id
+    );
+    const isRemoved = configuration.removedIds.includes(change.id);
+    const isDone = change.kind === "add" ? isVoter : !isVoter && isRemoved;
+    return isDone && log.configurationIndex <= commitIndex;
   }
 
   #receive(from: InstanceId, envelope: RaftEnvelope): void {
-    const { message } = envelope;
-    switch (message.kind) {
-      case "propose":
-        return this.#serveProposal(from, envelope, message);
-      case "read":
-        return this.#serveRead(from, envelope, message);
-      case "proposeReply":
-      case "readReply":
-        return this.#calls.answer(message);
-      default:
-        this.#step({ kind: "message", from, envelope });
-    }
-  }
-
-  #isOwnGroup(envelope: RaftEnvelope): boolean {
-    const { formationId } = this.#core.view;
-    return formationId !== undefined && envelope.formationId === formationId;
-  }
-
-  #serveProposal(
-    from: InstanceId,
-    envelope: RaftEnvelope,
-    message: RaftMessageOf<"propose">,
-  ): void {
-    const isNew = this.#seen.isNew(from, message.id);
-    if (!isNew || !this.#isOwnGroup(envelope)) {
-      return;
-    }
-    const { id } = message;
-    const listener = (end: ProposalEnd<Outcome>) => {
-      const outcome = end.kind === "applied" ? pack(end.outcome) : NO_BYTES;
-      this.#tell(from, {
-        kind: "proposeReply",
-        id,
-        status: end.kind,
-        data: outcome,
-      });
-    };
-    if (message.term === this.#core.view.term) {
-      this.#proposeHere(message.data, listener);
-    } else {
-      listener({ kind: "notAppended" });
-    }
-  }
-
-  #serveRead(
-    from: InstanceId,
-    envelope: RaftEnvelope,
-    message: RaftMessageOf<"read">,
-  ): void {
-    if (!this.#isOwnGroup(envelope)) {
-      return;
-    }
-    const isHeld = this.#core.isLeaseHeld(this.#options.clock.nowMs());
-    this.#tell(from, {
-      kind: "readReply",
-      id: message.id,
-      ...(isHeld ? { index: this.#core.view.commitIndex } : {}),
-    });
-  }
-
-  #step(input: RaftInput): void {
-    if (this.#isClosed || this.#failure !== undefined) {
-      return;
-    }
-    this.#inputs.push(input);
-    if (this.#isStepping) {
-      return;
-    }
-    this.#isStepping = true;
-    while (this.#inputs.length > 0) {
-      const inputs = this.#inputs;
-      this.#inputs = [];
-      const effects = this.#core.step(inputs, this.#options.clock.nowMs());
-      for (const effect of effects) {
-        this.#carryOut(effect);
-      }
-    }
-    this.#isStepping = false;
-    this.#publishStatus();
-  }
-
-  #carryOut(effect: RaftEffect): void {
-    switch (effect.kind) {
-      case "send":
-        return this.#pump.send(effect);
-      case "persist":
-        return this.#pump.persist(effect);
-      case "commit":
-        for (const entry of effect.entries) {
-          this.#apply(entry);
-        }
-        return this.#snapshotIfDue();
-      case "restore":
-        return this.#restore(effect.snapshot);
-      case "proposalTaken":
-        return this.#proposals.markLogged(effect.token, effect);
-      case "proposalRefused":
-        return this.#proposals.markRefused(effect.token);
-      case "event":
-        return this.#event(effect.name, effect.fields);
+    if (!this.#calls.receive(from, envelope)) {
+      this.#driver.step({ kind: "message", from, envelope });
     }
   }
 
-  #apply(entry: LogEntry): void {
-    this.#appliedIndex = entry.index;
-    this.#bytesSinceSnapshot += entry.data.byteLength;
-    const { index, term } = entry;
-    const command = entry.kind === "command"
-      ? { outcome: this.#applyCommand(entry) }
-      : undefined;
-    this.#proposals.markApplied(index, { term, command });
-  }
-
-  #applyCommand(entry: LogEntry): Outcome {
-    const command = unpack(entry.data) as Command;
-    return this.#options.machine.apply(command, entry.index);
-  }
-
-  #restore(snapshot: LogSnapshot): void {
-    const restored = this.#options.machine.restore(snapshot.data);
-    restored.ifLeft((error) => this.#fail(error));
-    this.#appliedIndex = snapshot.index;
-    this.#snapshotIndex = snapshot.index;
-    this.#bytesSinceSnapshot = 0;
-    this.#proposals.markSkipped(snapshot.index);
-  }
-
-  #snapshotIfDue(): void {
-    const timing = { ...REPLICATION_TIMING, ...this.#options.timing };
-    const entries = this.#appliedIndex - this.#snapshotIndex;
-    const isDue = entries >= timing.snapshotEntries ||
-      this.#bytesSinceSnapshot >= timing.snapshotBytes;
-    if (!isDue) {
-      return;
-    }
-    this.#snapshotIndex = this.#appliedIndex;
-    this.#bytesSinceSnapshot = 0;
-    this.#step({
-      kind: "snapshotMade",
-      index: this.#appliedIndex,
-      data: this.#options.machine.snapshot(),
-    });
-  }
-
   #publishStatus(): void {
-    const { view } = this.#core;
+    const { view } = this.#driver;
     const key = [
       view.role,
       view.term,
@@ -574,26 +344,4 @@
       this.#statuses.push(this.status());
     }
   }
-
-  #event(
-    name: Parameters<EventLog["emit"]>[0],
-    fields: Readonly<Record<string, string | number | boolean>>,
-  ): void {
-    const events = this.#options.events ?? SILENT_EVENT_LOG;
-    events.emit(name, { group: this.#options.groupId, ...fields });
-  }
-}
-
-const NO_BYTES = new Uint8Array();
-
-function readEnd<Outcome>(
-  answer: RaftMessageOf<"proposeReply" | "readReply"> | undefined,
-): ProposalEnd<Outcome> {
-  if (answer?.kind !== "proposeReply") {
-    return { kind: "unknown" };
-  }
-  if (answer.status === "applied") {
-    return { kind: "applied", outcome: unpack(answer.data) as Outcome };
-  }
-  return { kind: answer.status };
 }
--- a/src/process/replication/role.ts
+++ b/src/process/replication/role.ts
@@ -22,6 +22,9 @@
   state.role = state.isVoterNow() ? "follower" : "learner";
   state.leaderId = options.leaderId;
   state.ballot = undefined;
+  if (options.leaderId !== undefined) {
+    state.electionAttempts = 0;
+  }
   state.progress.clear();
   state.termStartIndex = Infinity;
   resetElectionTimer(state);
--- /dev/null
+++ b/src/process/replication/stored_log.ts
@@ -0,0 +1,173 @@
+/**
+ * A member's hard state, snapshot and entries as its files hold them.
+ *
+ * @module
+ */
+
+import { pack, unpack } from "msgpackr";
+import { z } from "zod";
+import type { Result } from "../../base/sesame_error.ts";
+import { encodeRecord, readOnlyRecord } from "../storage/record_codec.ts";
+import { groupConfigurationSchema } from "./group_configuration.ts";
+import {
+  bytesSchema,
+  type HardState,
+  type LogEntry,
+  logEntrySchema,
+  type LogSnapshot,
+} from "./log_entry.ts";
+import { EMPTY_SNAPSHOT } from "./raft_log.ts";
+
+const FORMAT_VERSION = 1;
+
+const hardStateSchema = z.strictObject({
+  formatVersion: z.literal(FORMAT_VERSION),
+  incarnation: z.int(),
+  formationId: z.string().optional(),
+  term: z.int(),
+  votedFor: z.string().optional(),
+});
+
+const snapshotSchema = z.strictObject({
+  formatVersion: z.literal(FORMAT_VERSION),
+  index: z.int(),
+  term: z.int(),
+  configuration: groupConfigurationSchema,
+  data: bytesSchema,
+});
+
+const entryRecordSchema = z.tuple([
+  logEntrySchema.shape.index,
+  logEntrySchema.shape.term,
+  logEntrySchema.shape.kind,
+  bytesSchema,
+]);
+
+/** What a member kept. */
+export interface StoredLog {
+  readonly hardState: HardState;
+  readonly snapshot: LogSnapshot;
+  readonly entries: readonly LogEntry[];
+}
+
+/** What was found at the start of a member. */
+export type LoadedLog =
+  | { readonly kind: "empty" }
+  | { readonly kind: "corrupt"; readonly detail: string }
+  | { readonly kind: "whole"; readonly log: StoredLog };
+
+/** The hard state as the content of its file. */
+export function encodeHardState(hardState: HardState): Uint8Array {
+  const { incarnation, formationId, term, votedFor } = hardState;
+  const payload = pack({
+    formatVersion: FORMAT_VERSION,
+    incarnation,
+    ...(formationId === undefined ? {} : { formationId }),
+    term,
+    ...(votedFor === undefined ? {} : { votedFor }),
+  });
+  return encodeRecord(payload, { syncedBytes: 0 });
+}
+
+/** A snapshot as the content of its file. */
+export function encodeSnapshot(snapshot: LogSnapshot): Uint8Array {
+  const { index, term, configuration, data } = snapshot;
+  const payload = pack({
+    formatVersion: FORMAT_VERSION,
+    index,
+    term,
+    configuration,
+    data,
+  });
+  return encodeRecord(payload, { syncedBytes: 0 });
+}
+
+/** An entry as its record's payload. */
+export function encodeEntry(entry: LogEntry): Uint8Array {
+  return pack([entry.index, entry.term, entry.kind, entry.data]);
+}
+
+/** An entry from its record's payload. */
+export function decodeEntry(payload: Uint8Array): LogEntry {
+  const [index, term, kind, data] = entryRecordSchema.parse(unpack(payload));
+  return { index, term, kind, data };
+}
+
+/** Puts together what the files hold, or says what is wrong. */
+export function parseLog(
+  files: {
+    state: Uint8Array;
+    snapshot: Uint8Array | undefined;
+    entries: Result<LogEntry[]>;
+  },
+): LoadedLog {
+  const hardState = parseHardState(files.state);
+  if (hardState === undefined) {
+    return { kind: "corrupt", detail: "the state file is damaged" };
+  }
+  const snapshot = files.snapshot === undefined
+    ? EMPTY_SNAPSHOT
+    : parseSnapshot(files.snapshot);
+  if (snapshot === undefined) {
+    return { kind: "corrupt", detail: "the snapshot file is damaged" };
+  }
+  return files.entries.caseOf<LoadedLog>({
+    Left: (error) => ({ kind: "corrupt", detail: error.message }),
+    Right: (found) => joinLog(hardState, snapshot, found),
+  });
+}
+
+function parseHardState(bytes: Uint8Array): HardState | undefined {
+  const payload = readOnlyRecord(bytes);
+  if (payload === undefined) {
+    return undefined;
+  }
+  const parsed = hardStateSchema.safeParse(unpack(payload));
+  if (!parsed.success) {
+    return undefined;
+  }
+  const { incarnation, formationId, term, votedFor } = parsed.data;
+  return { incarnation, formationId, term, votedFor };
+}
+
+function parseSnapshot(bytes: Uint8Array): LogSnapshot | undefined {
+  const payload = readOnlyRecord(bytes);
+  if (payload === undefined) {
+    return undefined;
+  }
+  return snapshotSchema.safeParse(unpack(payload)).data;
+}
+
+/** Puts the entries in their places; later records replace earlier ones. */
+function joinLog(
+  hardState: HardState,
+  snapshot: LogSnapshot,
+  found: readonly LogEntry[],
+): LoadedLog {
+  const entries: LogEntry[] = [];
+  for (const entry of found) {
+    const at = entry.index - snapshot.index - 1;
+    if (at > entries.length) {
+      return { kind: "corrupt", detail: `entry ${entry.index} stands alone` };
+    }
+    if (at >= 0) {
+      entries.length = at;
+      entries.push(entry);
+    }
+  }
+  // A crash while a leader's snapshot replaced the log leaves entries of
+  // before, which it made void.
+  const isVoid = (entries[0]?.term ?? Infinity) < snapshot.term;
+  const kept = isVoid ? [] : entries;
+  const lastTerm = kept.at(-1)?.term ?? snapshot.term;
+  const term = Math.max(hardState.term, lastTerm);
+  const votedFor = term === hardState.term ? hardState.votedFor : undefined;
+  return {
+    kind: "whole",
+    log: {
+      hardState: { ...hardState, term, votedFor },
+      snapshot,
+      entries: kept,
+    },
+  };
+}
--- /dev/null
+++ b/src/process/replication/testing/simulated_member.ts
@@ -0,0 +1,255 @@
+/**
+ * One member of a simulated group: its core, its drifting clock, its disk and
+ * a state machine that is a list of commands.
+ *
+ * @module
+ */
+
+import { pack, unpack } from "msgpackr";
+import type { RandomSource } from "../../../base/random_source.ts";
+import type { HardState, LogEntry, LogSnapshot } from "../log_entry.ts";
+import { RaftCore } from "../raft_core.ts";
+import type {
+  GroupMember,
+  PersistEffect,
+  RaftEffect,
+  RaftInput,
+  SendEffect,
+} from "../raft_effect.ts";
+import { EMPTY_SNAPSHOT } from "../raft_log.ts";
+import type { RaftMutation } from "../raft_mutation.ts";
+import type { ReplicationTiming } from "../replication_timing.ts";
+
+/** What survives a crash. */
+interface SimulatedDisk {
+  hardState: HardState | undefined;
+  snapshot: LogSnapshot;
+  entries: LogEntry[];
+}
+
+/** A clock that runs a little fast or slow. */
+export interface DriftingClock {
+  readonly rate: number;
+  readonly offsetMs: number;
+}
+
+/** What a member tells the simulation. */
+export interface MemberListener {
+  onSend(member: SimulatedMember, effect: SendEffect): void;
+  onCommit(member: SimulatedMember, entry: LogEntry): void;
+  onRestore(member: SimulatedMember, commands: readonly number[]): void;
+  onTaken(
+    member: SimulatedMember,
+    taken: { token: number; index: number; term: number },
+  ): void;
+  /** Later, unless the member crashes first. */
+  schedule(member: SimulatedMember, action: () => void): void;
+}
+
+/** What a member is made from. */
+export interface SimulatedMemberOptions {
+  readonly self: GroupMember;
+  readonly members: readonly GroupMember[];
+  readonly clock: DriftingClock;
+  readonly random: RandomSource;
+  readonly timing: ReplicationTiming;
+  readonly mutations: ReadonlySet<RaftMutation>;
+  readonly listener: MemberListener;
+}
+
+/** A member that can crash, forget and come back. */
+export class SimulatedMember {
+  readonly options: SimulatedMemberOptions;
+  core: RaftCore | undefined;
+  /** Counts the starts; what was scheduled for an earlier one is void. */
+  life = 0;
+  commands: number[] = [];
+  appliedIndex = 0;
+  startedAtMs = 0;
+  #snapshotIndex = 0;
+  #disk: SimulatedDisk = emptyDisk();
+  #keptIncarnation: number | undefined;
+  #inputs: RaftInput[] = [];
+  #held: SendEffect[] = [];
+  #persistedSequence = 0;
+
+  constructor(options: SimulatedMemberOptions) {
+    this.options = options;
+  }
+
+  get id(): string {
+    return this.options.self.id;
+  }
+
+  /** The last persist effect that is durable. */
+  get persistedSequence(): number {
+    return this.#persistedSequence;
+  }
+
+  /** This member's clock at a true moment. */
+  clockMs(trueMs: number): number {
+    const { rate, offsetMs } = this.options.clock;
+    return offsetMs + trueMs * rate;
+  }
+
+  /** The true moment at which this member's clock shows a time. */
+  trueMs(clockMs: number): number {
+    const { rate, offsetMs } = this.options.clock;
+    return (clockMs - offsetMs) / rate;
+  }
+
+  start(trueMs: number): void {
+    const { options } = this;
+    const disk = this.#disk;
+    this.life += 1;
+    this.startedAtMs = trueMs;
+    this.#held = [];
+    this.#persistedSequence = 0;
+    const nowMs = this.clockMs(trueMs);
+    disk.hardState ??= this.#newHardState(nowMs);
+    this.#keptIncarnation = disk.hardState.incarnation;
+    this.#become(disk.snapshot);
+    this.core = new RaftCore({
+      selfId: this.id,
+      members: options.members,
+      random: options.random,
+      timing: options.timing,
+      hardState: disk.hardState,
+      snapshot: disk.snapshot,
+      entries: disk.entries,
+      nowMs,
+      catchUpBytesPerSecond: () => 1e9,
+      mutations: options.mutations,
+    });
+  }
+
+  /** The process dies; a member without a disk forgets everything. */
+  crash(): void {
+    this.core = undefined;
+    this.life += 1;
+    if (!this.options.self.isDurable) {
+      this.forget();
+    }
+  }
+
+  /** The disk is lost. */
+  forget(): void {
+    this.#disk = emptyDisk();
+  }
+
+  step(input: RaftInput, trueMs: number): void {
+    this.#inputs.push(input);
+    if (this.#inputs.length > 1) {
+      return;
+    }
+    for (let next = input; next !== undefined; next = this.#inputs[0]!) {
+      const effects = this.core?.step([next], this.clockMs(trueMs)) ?? [];
+      for (const effect of effects) {
+        this.#carryOut(effect, trueMs);
+      }
+      this.#inputs.shift();
+    }
+  }
+
+  #newHardState(nowMs: number): HardState {
+    const mutated = this.options.mutations.has("forgottenMemberVotes");
+    const incarnation = mutated && this.#keptIncarnation !== undefined
+      ? this.#keptIncarnation
+      : Math.floor(nowMs) * 1_024 + this.options.random.nextInt(1_024);
+    return {
+      incarnation,
+      formationId: undefined,
+      term: 0,
+      votedFor: undefined,
+    };
+  }
+
+  #carryOut(effect: RaftEffect, trueMs: number): void {
+    const { listener } = this.options;
+    switch (effect.kind) {
+      case "send":
+        if (effect.afterSequence <= this.#persistedSequence) {
+          return listener.onSend(this, effect);
+        }
+        return void this.#held.push(effect);
+      case "persist":
+        return listener.schedule(this, () => this.#finish(effect));
+      case "commit":
+        for (const entry of effect.entries) {
+          this.#apply(entry);
+        }
+        return this.#snapshotIfDue(trueMs);
+      case "restore":
+        this.#become(effect.snapshot);
+        return listener.onRestore(this, this.commands);
+      case "proposalTaken":
+        return listener.onTaken(this, effect);
+      case "proposalRefused":
+      case "event":
+        return;
+    }
+  }
+
+  #finish(effect: PersistEffect): void {
+    keep(this.#disk, effect);
+    this.#persistedSequence = effect.sequence;
+    const ready = this.#held.filter((send) =>
+      send.afterSequence <= effect.sequence
+    );
+    this.#held = this.#held.filter((send) =>
+      send.afterSequence > effect.sequence
+    );
+    for (const send of ready) {
+      this.options.listener.onSend(this, send);
+    }
+  }
+
+  #apply(entry: LogEntry): void {
+    this.appliedIndex = entry.index;
+    if (entry.kind === "command") {
+      this.commands.push(unpack(entry.data) as number);
+    }
+    this.options.listener.onCommit(this, entry);
+  }
+
+  #become(snapshot: LogSnapshot): void {
+    this.appliedIndex = snapshot.index;
+    this.#snapshotIndex = snapshot.index;
+    this.commands = snapshot.data.byteLength === 0
+      ? []
+      : unpack(snapshot.data) as number[];
+  }
+
+  #snapshotIfDue(trueMs: number): void {
+    const { snapshotEntries } = this.options.timing;
+    if (this.appliedIndex - this.#snapshotIndex < snapshotEntries) {
+      return;
+    }
+    this.#snapshotIndex = this.appliedIndex;
+    const data = pack(this.commands);
+    this.step({ kind: "snapshotMade", index: this.appliedIndex, data }, trueMs);
+  }
+}
+
+function emptyDisk(): SimulatedDisk {
+  return { hardState: undefined, snapshot: EMPTY_SNAPSHOT, entries: [] };
+}
+
+function keep(disk: SimulatedDisk, effect: PersistEffect): void {
+  if (effect.snapshot !== undefined) {
+    const { index } = effect.snapshot;
+    disk.snapshot = effect.snapshot;
+    disk.entries = effect.replacesEntries
+      ? []
+      : disk.entries.filter((entry) => entry.index > index);
+  }
+  if (effect.hardState !== undefined) {
+    disk.hardState = effect.hardState;
+  }
+  for (const entry of effect.entries) {
+    if (entry.index > disk.snapshot.index) {
+      disk.entries = disk.entries.filter((kept) => kept.index < entry.index);
+      disk.entries.push(entry);
+    }
+  }
+}
