--- a/src/process/replication/testing/fake_peer_network.ts
+++ b/src/process/replication/fake_peer_network.ts
@@ -5,16 +5,16 @@
  * @module
  */
 
-import { Channel } from "../../../base/channel.ts";
-import type { Clock } from "../../../base/clock.ts";
-import type { InstanceId } from "../../../base/identity.ts";
-import type { RandomSource } from "../../../base/random_source.ts";
+import { Channel } from "../../base/channel.ts";
+import type { Clock } from "../../base/clock.ts";
+import type { InstanceId } from "../../base/identity.ts";
+import type { RandomSource } from "../../base/random_source.ts";
 import type {
   PeerChannel,
   PeerChannelOptions,
   PeerNetwork,
   Received,
-} from "../../../connection/peer_network.ts";
+} from "../../connection/peer_network.ts";
 
 /** How the links behave from now on. */
 export interface FakeLinkFaults {
--- a/src/process/replication/replication_member_test.ts
+++ b/src/process/replication/replication_member_test.ts
@@ -5,7 +5,7 @@
 import { SeededRandom } from "../../base/random_source.ts";
 import type { Result } from "../../base/sesame_error.ts";
 import { FakeStorage } from "../storage/fake_storage.ts";
-import { FakePeerHub } from "./testing/fake_peer_network.ts";
+import { FakePeerHub } from "./fake_peer_network.ts";
 import type { GroupMember } from "./raft_effect.ts";
 import type { StateMachine } from "./replicated_log.ts";
 import { ReplicationMember } from "./replication_member.ts";
