Prove the disk's failures and the operators' ways out

The disk had no tests, and a leader whose followers all lost their state stood still although it had everything. It now goes on, if its lease shows that nobody else led meanwhile; a group whose majority lost its disks while down waits for an operator's word instead.

--- a/src/process/replication/envelope_filter.ts
+++ b/src/process/replication/envelope_filter.ts
@@ -6,16 +6,24 @@
 
 import type { InstanceId } from "../../base/identity.ts";
 import { findVoter } from "./group_configuration.ts";
+import { leaseEndMs } from "./lease.ts";
 import type { RaftEnvelope, RaftMessage } from "./raft_message.ts";
 import type { RaftState } from "./raft_state.ts";
+import { becomeFollower } from "./role.ts";
 
-/** Remembers that a voter's state is gone. */
+/**
+ * Remembers that a voter's state is gone. A leader counts on others' loss of
+ * memory only if no other leader can have been among them.
+ */
 export function noteForgotten(
   state: RaftState,
   id: InstanceId,
   incarnation: number,
 ): void {
   if ((state.forgotten.get(id) ?? -1) < incarnation) {
+    if (state.isLeader && state.nowMs >= leaseEndMs(state)) {
+      becomeFollower(state, { term: state.term, leaderId: undefined });
+    }
     state.forgotten.set(id, incarnation);
     state.event("voterForgotten", { member: id });
   }
--- a/src/process/replication/group_configuration.ts
+++ b/src/process/replication/group_configuration.ts
@@ -84,19 +84,25 @@
   configuration: GroupConfiguration,
   evidence: VoterEvidence,
 ): boolean {
+  const isAccepted = (voter: Voter) =>
+    evidence.isDeclaredLost(voter.id) ||
+    (!voter.isDurable && evidence.isForgotten(voter.id));
   return isMajority(configuration, evidence) ||
-    isAllThatRemember(configuration, evidence);
+    isAllThatRemember(configuration, { evidence, isAccepted });
 }
 
 /**
- * Whether entries that these voters keep are committed: as for an election,
- * and one of the voters is durable while there is one that can be reached.
+ * Whether entries that these voters keep are committed: a majority, and one
+ * of the voters is durable while there is one that can be reached. Or all
+ * that remember anything: a leader has all that was ever committed, so that
+ * nothing is lost with those who forgot while it leads.
  */
 export function isCommitQuorum(
   configuration: GroupConfiguration,
   evidence: VoterEvidence,
 ): boolean {
-  if (isAllThatRemember(configuration, evidence)) {
+  const isAccepted = (voter: Voter) => evidence.isForgotten(voter.id);
+  if (isAllThatRemember(configuration, { evidence, isAccepted })) {
     return true;
   }
   return isMajority(configuration, evidence) &&
@@ -114,16 +120,18 @@
     durable.some((voter) => evidence.hasAgreed(voter.id));
 }
 
+/** Whether all agreed but those whose loss of memory is accepted. */
 function isAllThatRemember(
   configuration: GroupConfiguration,
-  evidence: VoterEvidence,
+  known: {
+    evidence: VoterEvidence;
+    isAccepted: (voter: Voter) => boolean;
+  },
 ): boolean {
   const { voters } = configuration;
+  const { evidence, isAccepted } = known;
   return voters.some((voter) => evidence.hasAgreed(voter.id)) &&
-    voters.every((voter) =>
-      evidence.hasAgreed(voter.id) || evidence.isDeclaredLost(voter.id) ||
-      (!voter.isDurable && evidence.isForgotten(voter.id))
-    );
+    voters.every((voter) => evidence.hasAgreed(voter.id) || isAccepted(voter));
 }
 
 /**
--- /dev/null
+++ b/src/process/replication/log_store_test.ts
@@ -0,0 +1,143 @@
+import test from "ava";
+import { pack } from "msgpackr";
+import * as fc from "fast-check";
+import { SeededRandom } from "../../base/random_source.ts";
+import { FakeStorage } from "../storage/fake_storage.ts";
+import { EMPTY_CONFIGURATION } from "./group_configuration.ts";
+import type { LogEntry, LogSnapshot } from "./log_entry.ts";
+import { LogStore } from "./log_store.ts";
+import type { PersistEffect } from "./raft_effect.ts";
+import type { LoadedLog } from "./stored_log.ts";
+
+function entry(index: number, term: number): LogEntry {
+  return { index, term, kind: "command", data: pack(index * 1_000 + term) };
+}
+
+function effect(parts: Partial<PersistEffect>): PersistEffect {
+  return {
+    kind: "persist",
+    sequence: 0,
+    hardState: undefined,
+    snapshot: undefined,
+    replacesEntries: false,
+    entries: [],
+    ...parts,
+  };
+}
+
+function hardState(term: number) {
+  return { incarnation: 7, formationId: "g", term, votedFor: "a" };
+}
+
+function snapshot(index: number, term: number): LogSnapshot {
+  return { index, term, configuration: EMPTY_CONFIGURATION, data: pack(index) };
+}
+
+async function load(storage: FakeStorage): Promise<LoadedLog> {
+  const store = new LogStore({ storage, groupId: "g" });
+  return (await store.load()).unsafeCoerce();
+}
+
+async function wholeLog(storage: FakeStorage) {
+  const loaded = await load(storage);
+  if (loaded.kind !== "whole") {
+    throw new Error(`the log is ${loaded.kind}`);
+  }
+  return loaded.log;
+}
+
+async function storeWith(count: number) {
+  const storage = new FakeStorage();
+  const store = new LogStore({ storage, groupId: "g" });
+  await store.persist([effect({ hardState: hardState(3) })]);
+  for (let index = 1; index <= count; index++) {
+    await store.persist([effect({ entries: [entry(index, 3)] })]);
+  }
+  return { storage, store };
+}
+
+test("later entries replace earlier ones of their index", async (t) => {
+  const { storage, store } = await storeWith(5);
+  await store.persist([effect({ entries: [entry(3, 4)] })]);
+  const log = await wholeLog(storage);
+  t.deepEqual(log.entries.map(({ index, term }) => [index, term]), [
+    [1, 3],
+    [2, 3],
+    [3, 4],
+  ]);
+  t.is(log.hardState.term, 4);
+  t.is(log.hardState.votedFor, undefined);
+});
+
+test("many effects take one sync", async (t) => {
+  const { storage, store } = await storeWith(1);
+  const before = storage.syncs;
+  const effects = [2, 3, 4, 5].map((index) =>
+    effect({ entries: [entry(index, 3)] })
+  );
+  await store.persist(effects);
+  t.is(storage.syncs, before + 1);
+});
+
+test("a snapshot of its own lets go of the entries before it", async (t) => {
+  const { storage, store } = await storeWith(5);
+  await store.persist([effect({ snapshot: snapshot(4, 3) })]);
+  await store.persist([effect({ entries: [entry(6, 3)] })]);
+  await store.persist([effect({ snapshot: snapshot(6, 3) })]);
+  const log = await wholeLog(storage);
+  t.is(log.snapshot.index, 6);
+  t.deepEqual(log.entries, []);
+  const segments = (await storage.list()).unsafeCoerce()
+    .filter((name) => name.includes(".log."));
+  t.true(segments.length <= 1, segments.join());
+});
+
+test("a leader's snapshot makes an older history void", async (t) => {
+  const { storage, store } = await storeWith(5);
+  await store.persist([
+    effect({ snapshot: snapshot(3, 9), replacesEntries: true }),
+  ]);
+  t.deepEqual((await wholeLog(storage)).entries, []);
+  // Between the new snapshot and the removal of the old entries.
+  const crashed = await storeWith(5);
+  const replaced = await storage.read("g.snapshot");
+  await crashed.storage.replace("g.snapshot", replaced.unsafeCoerce()!);
+  t.deepEqual((await wholeLog(crashed.storage)).entries, []);
+});
+
+test("a torn tail is cut and what was synced stays", async (t) => {
+  const property = fc.asyncProperty(fc.integer(), async (seed) => {
+    const { storage } = await storeWith(4);
+    await storage.append("g.log.00000001", pack("never synced, half written"));
+    storage.crash(new SeededRandom({ seed }));
+    const log = await wholeLog(storage);
+    return log.entries.length === 4;
+  });
+  await t.notThrowsAsync(fc.assert(property, { seed: 3, numRuns: 50 }));
+});
+
+test("damage in the middle is refused, in whatever file", async (t) => {
+  for (const name of ["g.log.00000001", "g.state", "g.snapshot"]) {
+    const { storage, store } = await storeWith(4);
+    await store.persist([effect({ snapshot: snapshot(1, 3) })]);
+    storage.corrupt(name, 25);
+    t.is((await load(storage)).kind, "corrupt", name);
+  }
+});
+
+test("a wiped store is empty, however far the wipe got", async (t) => {
+  const { storage, store } = await storeWith(4);
+  await storage.remove("g.state");
+  t.is((await load(storage)).kind, "empty");
+  await store.wipe();
+  t.deepEqual((await storage.list()).unsafeCoerce(), []);
+});
+
+test("a full disk and a failed sync are errors", async (t) => {
+  for (const fault of ["isFull", "syncFails"] as const) {
+    const { storage, store } = await storeWith(1);
+    storage.faults[fault] = true;
+    const result = await store.persist([effect({ entries: [entry(2, 3)] })]);
+    t.is(result.swap().unsafeCoerce().kind, "storageFailed", fault);
+  }
+});
--- a/src/process/replication/replication_member_test.ts
+++ b/src/process/replication/replication_member_test.ts
@@ -1,143 +1,9 @@
 import test from "ava";
-import { pack, unpack } from "msgpackr";
-import { Right } from "purify-ts/Either";
-import { FakeClock } from "../../base/fake_clock.ts";
-import { SeededRandom } from "../../base/random_source.ts";
-import type { Result } from "../../base/sesame_error.ts";
-import { FakeStorage } from "../storage/fake_storage.ts";
-import { FakePeerHub } from "./fake_peer_network.ts";
-import type { GroupMember } from "./raft_effect.ts";
-import type { StateMachine } from "./replicated_log.ts";
-import { ReplicationMember } from "./replication_member.ts";
-import type { ReplicationTiming } from "./replication_timing.ts";
-
-/** A list of texts; adding one gives its place. */
-class TextList implements StateMachine<string, number> {
-  texts: string[] = [];
-
-  apply(command: string): number {
-    this.texts.push(command);
-    return this.texts.length;
-  }
-
-  snapshot(): Uint8Array {
-    return pack(this.texts);
-  }
-
-  restore(snapshot: Uint8Array): Result<void> {
-    this.texts = unpack(snapshot) as string[];
-    return Right(undefined);
-  }
-}
-
-type Member = ReplicationMember<string, number>;
-
-/** Members over one fake clock, network and a disk each. */
-class Group {
-  readonly clock = new FakeClock({ startMs: 1_000_000 });
-  readonly random = new SeededRandom({ seed: 7 });
-  readonly hub = new FakePeerHub({
-    clock: this.clock,
-    random: this.random,
-    delayMs: () => 1,
-  });
-  readonly members = new Map<string, Member>();
-  readonly machines = new Map<string, TextList>();
-  readonly disks = new Map<string, FakeStorage>();
-  readonly settings: readonly GroupMember[];
-  readonly timing: Partial<ReplicationTiming>;
-
-  constructor(
-    settings: readonly GroupMember[],
-    timing: Partial<ReplicationTiming> = {},
-  ) {
-    this.settings = settings;
-    this.timing = timing;
-    for (const { id, isDurable } of settings) {
-      if (isDurable) {
-        this.disks.set(id, new FakeStorage());
-      }
-    }
-  }
-
-  async start(id: string): Promise<void> {
-    const machine = new TextList();
-    const opened = await ReplicationMember.open({
-      groupId: "test",
-      members: this.settings,
-      network: this.hub.join(id, {
-        peerIds: this.settings.map((member) => member.id),
-      }),
-      clock: this.clock,
-      random: this.random,
-      machine,
-      storage: this.disks.get(id),
-      timing: this.timing,
-    });
-    this.members.set(id, opened.unsafeCoerce());
-    this.machines.set(id, machine);
-  }
-
-  async startAll(): Promise<void> {
-    for (const { id } of this.settings) {
-      await this.start(id);
-    }
-  }
-
-  async stop(id: string): Promise<void> {
-    await this.members.get(id)?.close();
-    this.members.delete(id);
-    this.disks.get(id)?.crash(this.random);
-  }
-
-  async run(ms: number): Promise<void> {
-    for (let passedMs = 0; passedMs < ms; passedMs += 5) {
-      this.clock.advance(5);
-      await new Promise((resolve) => setImmediate(resolve));
-    }
-  }
-
-  async finish<T>(work: Promise<T>): Promise<T> {
-    let isDone = false;
-    void work.then(() => isDone = true);
-    while (!isDone) {
-      await this.run(5);
-    }
-    return await work;
-  }
-
-  propose(id: string, text: string): Promise<Result<number>> {
-    const deadlineMs = this.clock.nowMs() + 5_000;
-    return this.finish(this.members.get(id)!.propose(text, { deadlineMs }));
-  }
-
-  leader(): Member | undefined {
-    return [...this.members.values()].find((member) =>
-      member.status().leaseEndMs > this.clock.nowMs()
-    );
-  }
-
-  async close(): Promise<void> {
-    for (const member of this.members.values()) {
-      await member.close();
-    }
-  }
-}
-
-function disks(...ids: string[]): GroupMember[] {
-  return ids.map((id) => ({ id, isVoter: true, isDurable: true }));
-}
-
-function memories(...ids: string[]): GroupMember[] {
-  return ids.map((id) => ({ id, isVoter: true, isDurable: false }));
-}
-
-function learners(...ids: string[]): GroupMember[] {
-  return ids.map((id) => ({ id, isVoter: false, isDurable: false }));
-}
+import { disks, learners, memories } from "./testing/fault_session.ts";
+import { MemberGroup } from "./testing/member_group.ts";
 
 test("a group forms, commits from any member and keeps learners", async (t) => {
-  const group = new Group([...disks("a", "b", "c"), ...learners("d")]);
+  const group = new MemberGroup([...disks("a", "b", "c"), ...learners("d")]);
   await group.startAll();
   await group.run(1_000);
   for (const id of ["a", "b", "c", "d"]) {
@@ -155,7 +21,7 @@
 });
 
 test("a restart of every member keeps what was acknowledged", async (t) => {
-  const group = new Group(
+  const group = new MemberGroup(
     [...disks("a"), ...memories("b", "c")],
     { snapshotEntries: 20, tailEntries: 5 },
   );
@@ -177,7 +43,7 @@
 });
 
 test("a wiped member votes again only after it has caught up", async (t) => {
-  const group = new Group(disks("a", "b", "c"), {
+  const group = new MemberGroup(disks("a", "b", "c"), {
     snapshotEntries: 10,
     tailEntries: 2,
   });
@@ -199,7 +65,7 @@
 });
 
 test("a memory-only group goes on without its one disk", async (t) => {
-  const group = new Group([...disks("a"), ...memories("b", "c")]);
+  const group = new MemberGroup([...disks("a"), ...memories("b", "c")]);
   await group.startAll();
   await group.run(1_000);
   (await group.propose("b", "one")).unsafeCoerce();
@@ -213,7 +79,7 @@
 });
 
 test("a cut-off leader's lease ends and another leads within 3 s", async (t) => {
-  const group = new Group(disks("a", "b", "c"));
+  const group = new MemberGroup(disks("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
   const old = group.leader()!;
@@ -227,3 +93,157 @@
   t.not(next?.status().leaderId, oldId);
   await group.close();
 });
+
+test("a failed sync stops the member, which acknowledges nothing", async (t) => {
+  for (const fault of ["syncFails", "isFull"] as const) {
+    const group = new MemberGroup(disks("a", "b", "c"));
+    await group.startAll();
+    await group.run(1_000);
+    const leaderId = group.leader()!.status().leaderId!;
+    const old = group.members.get(leaderId)!;
+    group.disks.get(leaderId)!.faults[fault] = true;
+    const result = await group.propose(leaderId, "lost or not");
+    t.is(result.swap().unsafeCoerce().kind, "outcomeUnknown", fault);
+    t.is(old.status().role, "learner");
+    t.is(old.status().leaseEndMs, 0);
+    const refused = await group.propose(leaderId, "refused");
+    t.is(refused.swap().unsafeCoerce().kind, "unavailable", fault);
+    const other = ["a", "b", "c"].find((id) => id !== leaderId)!;
+    t.true((await group.propose(other, "goes on")).isRight(), fault);
+    await group.close();
+  }
+});
+
+test("a member with a damaged log is repaired by its peers", async (t) => {
+  const group = new MemberGroup(disks("a", "b", "c"));
+  await group.startAll();
+  await group.run(1_000);
+  for (let at = 0; at < 20; at++) {
+    (await group.propose("a", `text ${at}`)).unsafeCoerce();
+  }
+  await group.stop("b");
+  group.disks.get("b")!.corrupt("test.log.00000001", 20);
+  await group.start("b");
+  t.is(group.members.get("b")!.status().role, "learner");
+  t.is(group.members.get("b")!.status().appliedIndex, 0);
+  await group.run(3_000);
+  t.is(group.machines.get("b")!.texts.length, 20);
+  t.is(group.members.get("b")!.status().voterIds.length, 3);
+  await group.close();
+});
+
+test("leadership is handed over without a pause for an election", async (t) => {
+  const group = new MemberGroup(disks("a", "b", "c"));
+  await group.startAll();
+  await group.run(1_000);
+  const old = group.leader()!;
+  await group.finish(old.handOver());
+  await group.run(200);
+  t.not(group.leader(), undefined);
+  t.not(group.leader(), old);
+  await group.close();
+});
+
+test("members change one at a time and keep what is committed", async (t) => {
+  const group = new MemberGroup(disks("a", "b", "c"));
+  await group.startAll();
+  await group.run(1_000);
+  (await group.propose("a", "one")).unsafeCoerce();
+  const id = group.leader()!.status().leaderId!;
+  const deadlineMs = group.clock.nowMs() + 60_000;
+  const change = (kind: "add" | "remove") =>
+    group.finish(
+      group.leader()!.changeMembers({ kind, id }, { deadlineMs }),
+    );
+  t.true((await change("remove")).isRight());
+  await group.run(3_000);
+  t.false(group.leader()!.status().voterIds.includes(id));
+  (await group.propose(id, "two")).unsafeCoerce();
+  t.true((await change("add")).isRight());
+  t.true(group.leader()!.status().voterIds.includes(id));
+  t.deepEqual(group.machines.get(id)!.texts, ["one", "two"]);
+  await group.close();
+});
+
+test("a group whose majority lost its disks waits for an operator", async (t) => {
+  const group = new MemberGroup(disks("a", "b", "c"));
+  await group.startAll();
+  await group.run(1_000);
+  (await group.propose("a", "one")).unsafeCoerce();
+  await group.run(1_000);
+  for (const id of ["a", "b", "c"]) {
+    await group.stop(id);
+  }
+  group.disks.get("b")!.wipe();
+  group.disks.get("c")!.wipe();
+  await group.startAll();
+  await group.run(10_000);
+  t.is(group.leader(), undefined);
+  group.members.get("a")!.declareLost("b");
+  group.members.get("a")!.declareLost("c");
+  await group.run(6_000);
+  t.deepEqual((await group.propose("b", "two")).extract(), 2);
+  t.is(group.leader()?.status().voterIds.length, 3);
+  await group.close();
+});
+
+test("a leader goes on when all its followers lost their state", async (t) => {
+  const group = new MemberGroup(disks("a", "b", "c"));
+  await group.startAll();
+  await group.run(1_000);
+  (await group.propose("a", "one")).unsafeCoerce();
+  const leaderId = group.leader()!.status().leaderId!;
+  for (const id of ["a", "b", "c"].filter((other) => other !== leaderId)) {
+    await group.stop(id);
+    group.disks.get(id)!.wipe();
+    await group.start(id);
+  }
+  await group.run(3_000);
+  t.deepEqual((await group.propose(leaderId, "two")).extract(), 2);
+  t.is(group.leader()?.status().voterIds.length, 3);
+  await group.close();
+});
+
+test("only instances that lack everything form a group", async (t) => {
+  const group = new MemberGroup(disks("a", "b", "c"));
+  await group.start("a");
+  await group.start("b");
+  await group.run(5_000);
+  t.is(group.leader(), undefined);
+  await group.start("c");
+  await group.run(2_000);
+  t.not(group.leader(), undefined);
+  await group.close();
+});
+
+test("a command that can't reach a leader was certainly not run", async (t) => {
+  const group = new MemberGroup(disks("a", "b", "c"));
+  await group.start("a");
+  const result = await group.propose("a", "nobody there");
+  t.is(result.swap().unsafeCoerce().kind, "unavailable");
+  await group.close();
+});
+
+test("catch-up stays inside the byte budget of its peer", async (t) => {
+  const group = new MemberGroup(
+    [...disks("a", "b", "c"), ...learners("d")],
+    { snapshotEntries: 50, tailEntries: 5, chunkBytes: 4_096 },
+    { catchUpBytesPerSecond: (peer) => peer === "d" ? 20_000 : 1e9 },
+  );
+  for (const id of ["a", "b", "c"]) {
+    await group.start(id);
+  }
+  await group.run(1_000);
+  for (let at = 0; at < 100; at++) {
+    (await group.propose("a", "x".repeat(1_000))).unsafeCoerce();
+  }
+  const startMs = group.clock.nowMs();
+  await group.start("d");
+  while (group.machines.get("d")!.texts.length < 100) {
+    await group.run(100);
+  }
+  // 100 kB at 20 kB a second, with a quarter of a second saved up.
+  const elapsedMs = group.clock.nowMs() - startMs;
+  t.true(elapsedMs >= 4_500 && elapsedMs <= 8_000, `${elapsedMs} ms`);
+  await group.close();
+});
--- /dev/null
+++ b/src/process/replication/testing/member_group.ts
@@ -0,0 +1,139 @@
+/**
+ * Whole members over one fake clock and network, with a fake disk each.
+ *
+ * @module
+ */
+
+import { pack, unpack } from "msgpackr";
+import { Right } from "purify-ts/Either";
+import { FakeClock } from "../../../base/fake_clock.ts";
+import { SeededRandom } from "../../../base/random_source.ts";
+import type { Result } from "../../../base/sesame_error.ts";
+import { FakeStorage } from "../../storage/fake_storage.ts";
+import { FakePeerHub } from "../fake_peer_network.ts";
+import type { GroupMember } from "../raft_effect.ts";
+import type { StateMachine } from "../replicated_log.ts";
+import { ReplicationMember } from "../replication_member.ts";
+import type { ReplicationTiming } from "../replication_timing.ts";
+
+/** A list of texts; adding one gives its place. */
+export class TextList implements StateMachine<string, number> {
+  texts: string[] = [];
+
+  apply(command: string): number {
+    this.texts.push(command);
+    return this.texts.length;
+  }
+
+  snapshot(): Uint8Array {
+    return pack(this.texts);
+  }
+
+  restore(snapshot: Uint8Array): Result<void> {
+    this.texts = unpack(snapshot) as string[];
+    return Right(undefined);
+  }
+}
+
+export type Member = ReplicationMember<string, number>;
+
+/** Further options of each member. */
+export interface MoreOptions {
+  readonly catchUpBytesPerSecond?: (peer: string) => number;
+}
+
+/** Members over one fake clock, network and a disk each. */
+export class MemberGroup {
+  readonly clock = new FakeClock({ startMs: 1_000_000 });
+  readonly random = new SeededRandom({ seed: 7 });
+  readonly hub = new FakePeerHub({
+    clock: this.clock,
+    random: this.random,
+    delayMs: () => 1,
+  });
+  readonly members = new Map<string, Member>();
+  readonly machines = new Map<string, TextList>();
+  readonly disks = new Map<string, FakeStorage>();
+  readonly settings: readonly GroupMember[];
+  readonly timing: Partial<ReplicationTiming>;
+  readonly more: MoreOptions;
+
+  constructor(
+    settings: readonly GroupMember[],
+    timing: Partial<ReplicationTiming> = {},
+    more: MoreOptions = {},
+  ) {
+    this.settings = settings;
+    this.more = more;
+    this.timing = timing;
+    for (const { id, isDurable } of settings) {
+      if (isDurable) {
+        this.disks.set(id, new FakeStorage());
+      }
+    }
+  }
+
+  async start(id: string): Promise<void> {
+    const machine = new TextList();
+    const opened = await ReplicationMember.open({
+      groupId: "test",
+      members: this.settings,
+      network: this.hub.join(id, {
+        peerIds: this.settings.map((member) => member.id),
+      }),
+      clock: this.clock,
+      random: this.random,
+      machine,
+      storage: this.disks.get(id),
+      timing: this.timing,
+      ...this.more,
+    });
+    this.members.set(id, opened.unsafeCoerce());
+    this.machines.set(id, machine);
+  }
+
+  async startAll(): Promise<void> {
+    for (const { id } of this.settings) {
+      await this.start(id);
+    }
+  }
+
+  async stop(id: string): Promise<void> {
+    await this.members.get(id)?.close();
+    this.members.delete(id);
+    this.disks.get(id)?.crash(this.random);
+  }
+
+  async run(ms: number): Promise<void> {
+    for (let passedMs = 0; passedMs < ms; passedMs += 5) {
+      this.clock.advance(5);
+      await new Promise((resolve) => setImmediate(resolve));
+    }
+  }
+
+  async finish<T>(work: Promise<T>): Promise<T> {
+    let isDone = false;
+    void work.then(() => isDone = true);
+    while (!isDone) {
+      await this.run(5);
+    }
+    return await work;
+  }
+
+  propose(id: string, text: string): Promise<Result<number>> {
+    const deadlineMs = this.clock.nowMs() + 5_000;
+    return this.finish(this.members.get(id)!.propose(text, { deadlineMs }));
+  }
+
+  leader(): Member | undefined {
+    return [...this.members.values()].find((member) =>
+      member.status().leaseEndMs > this.clock.nowMs()
+    );
+  }
+
+  async close(): Promise<void> {
+    for (const member of this.members.values()) {
+      await member.close();
+    }
+  }
+}
