Mend two losses that long fuzzing found, and halve heartbeats

A cut-off member with an uncommitted change of voters could, after another one forgot, go on without the third: an election without a majority now needs a fresh answer of everyone who might vote.

Messages travel as lists instead of maps, a member without a vote no longer answers heartbeats that it asked for, and the group's identity is short.

--- a/src/process/replication/election.ts
+++ b/src/process/replication/election.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import type { InstanceId } from "../../base/identity.ts";
 import {
   findVoter,
   isElectionQuorum,
@@ -48,6 +49,7 @@
   state.ballot = {
     isPreVote: options.isPreVote,
     granted: new Set([state.selfId]),
+    successors: new Set(),
   };
   if (!options.isPreVote) {
     state.term += 1;
@@ -72,8 +74,8 @@
     lastIndex: state.log.lastIndex,
     lastTerm: state.log.lastTerm,
   };
-  for (const voter of state.configuration.voters) {
-    if (voter.id === state.selfId) {
+  for (const id of state.electorateIds()) {
+    if (id === state.selfId) {
       continue;
     }
     const message = options.isPreVote
@@ -84,7 +86,8 @@
         ...request,
         isHandOver: options.isHandOver,
       };
-    state.send(voter.id, message, voter.incarnation);
+    // Whatever incarnation it has now may answer; see handleVoteReply.
+    state.send(id, message, 0);
   }
 }
 
@@ -94,8 +97,17 @@
   if (ballot === undefined) {
     return false;
   }
-  const evidence = state.evidence((id) => ballot.granted.has(id));
-  if (!isElectionQuorum(state.configuration, evidence)) {
+  const evidence = {
+    hasAgreed: (id: InstanceId) => ballot.granted.has(id),
+    isForgotten: (id: InstanceId) => ballot.successors.has(id),
+    isDeclaredLost: (id: InstanceId) => state.isDeclaredLost(id),
+  };
+  const electorateIds = state.electorateIds();
+  const isElected = isElectionQuorum(state.configuration, {
+    evidence,
+    electorateIds,
+  });
+  if (!isElected) {
     return false;
   }
   if (ballot.isPreVote) {
@@ -114,6 +126,10 @@
   from: Sender,
   message: RaftMessageOf<"preVote">,
 ): void {
+  if (state.isFresh) {
+    sayNothingHeld(state, from, message);
+    return;
+  }
   const isGranted = message.term > state.term && !isPromiseKept(state) &&
     isLogRecent(state, message);
   state.send(from.id, {
@@ -130,6 +146,10 @@
   from: Sender,
   message: RaftMessageOf<"vote">,
 ): void {
+  if (state.isFresh) {
+    sayNothingHeld(state, from, message);
+    return;
+  }
   if (message.term > state.term) {
     if (isPromiseKept(state) && !message.isHandOver) {
       return;
@@ -151,6 +171,20 @@
   }, from.incarnation);
 }
 
+/** A member that holds nothing has no vote, and nothing against anyone. */
+function sayNothingHeld(
+  state: RaftState,
+  from: Sender,
+  message: RaftMessageOf<"preVote" | "vote">,
+): void {
+  state.send(from.id, {
+    kind: "voteReply",
+    term: message.term,
+    isPreVote: message.kind === "preVote",
+    isGranted: true,
+  }, from.incarnation);
+}
+
 /** Counts a vote, if it comes from a voter that still is what it was. */
 export function handleVoteReply(
   state: RaftState,
@@ -165,13 +199,18 @@
   }
   const { ballot } = state;
   const awaitedTerm = state.term + (message.isPreVote ? 1 : 0);
+  const isAwaited = ballot?.isPreVote === message.isPreVote &&
+    message.term === awaitedTerm;
+  if (!isAwaited) {
+    return;
+  }
   const voter = findVoter(state.configuration, from.id);
-  const isCounted = ballot?.isPreVote === message.isPreVote &&
-    message.term === awaitedTerm && voter?.incarnation === from.incarnation;
-  if (isCounted) {
+  if (voter === undefined || from.incarnation > voter.incarnation) {
+    ballot.successors.add(from.id);
+  } else if (!from.isGroupless) {
     ballot.granted.add(from.id);
-    countBallot(state);
   }
+  countBallot(state);
 }
 
 /** Whether this member must leave its leader alone for now. */
--- a/src/process/replication/envelope_filter.ts
+++ b/src/process/replication/envelope_filter.ts
@@ -45,11 +45,18 @@
 }
 
 const GROUPLESS_KINDS: ReadonlySet<RaftMessage["kind"]> = new Set([
+  "voteReply",
   "follow",
   "formRequest",
   "formPledge",
 ]);
 
+/** What tells nothing about the group to a member that holds nothing. */
+const ASKING_KINDS: ReadonlySet<RaftMessage["kind"]> = new Set([
+  "preVote",
+  "vote",
+]);
+
 const JOINING_KINDS: ReadonlySet<RaftMessage["kind"]> = new Set([
   "append",
   "snapshotChunk",
@@ -67,7 +74,8 @@
     return GROUPLESS_KINDS.has(message.kind);
   }
   if (state.formationId === undefined) {
-    return JOINING_KINDS.has(message.kind) && envelope.toIncarnation !== 0;
+    return ASKING_KINDS.has(message.kind) ||
+      (JOINING_KINDS.has(message.kind) && envelope.toIncarnation !== 0);
   }
   if (formationId !== state.formationId) {
     state.event("foreignGroupRefused", { peer: from, formationId });
--- a/src/process/replication/follower.ts
+++ b/src/process/replication/follower.ts
@@ -12,6 +12,9 @@
 /** The largest snapshot that a member takes in. */
 export const SNAPSHOT_LIMIT_BYTES = 256 * 1024 * 1024;
 
+/** A member without a vote repeats its answer after this many periods. */
+const TOLD_FOLLOW_PERIODS = 5;
+
 /** Takes entries or a heartbeat of the leader's. */
 export function handleAppend(
   state: RaftState,
@@ -30,6 +33,9 @@
     noteCurrency(state, message);
   }
   settleRole(state);
+  if (isAccepted && isToldAlready(state, message)) {
+    return;
+  }
   state.send(from.id, {
     kind: "appendReply",
     term: state.term,
@@ -40,6 +46,25 @@
   }, from.incarnation);
 }
 
+/**
+ * A member without a vote answers a heartbeat that brings nothing only now
+ * and then: it has asked for it.
+ */
+function isToldAlready(
+  state: RaftState,
+  message: RaftMessageOf<"append">,
+): boolean {
+  const { told, nowMs } = state;
+  const isSame = state.role === "learner" && message.entries.length === 0 &&
+    told?.term === message.term && told.index === message.previousIndex &&
+    nowMs - told.atMs < state.timing.followMs * TOLD_FOLLOW_PERIODS;
+  if (!isSame) {
+    const index = message.previousIndex + message.entries.length;
+    state.told = { term: message.term, index, atMs: nowMs };
+  }
+  return isSame;
+}
+
 /**
  * The stamp is a moment of this member's own clock before which the leader
  * sent the message; the leader led for certain as it did, so that all that
@@ -140,6 +165,11 @@
   if (!acceptLeader(state, from, message)) {
     return;
   }
+  // Entries after the snapshot's may have been acknowledged: where the log
+  // agrees with the snapshot, it stays.
+  if (state.log.termAt(message.index) === message.indexTerm) {
+    state.commitTo(message.index);
+  }
   const nextOffsetBytes = message.index <= state.commitIndex
     ? message.totalBytes
     : takeChunk(state, from, message);
--- a/src/process/replication/formation.ts
+++ b/src/process/replication/formation.ts
@@ -18,6 +18,9 @@
 /** Before the first election, so that the founders hear of the group. */
 const FIRST_ELECTION_MS = 100;
 
+/** The group's identity goes with every message, so it is short. */
+const FORMATION_RADIX = 36;
+
 /** The members that form the group, lowest name first. */
 function founderIds(state: RaftState): string[] {
   return state.options.members
@@ -34,7 +37,7 @@
   if (!isDue) {
     return;
   }
-  state.pledgeFormationId ??= `${state.selfId}:${state.incarnation}`;
+  state.pledgeFormationId ??= state.incarnation.toString(FORMATION_RADIX);
   state.pledges.set(state.selfId, state.incarnation);
   for (const id of founders) {
     if (id !== state.selfId) {
--- a/src/process/replication/group_configuration.ts
+++ b/src/process/replication/group_configuration.ts
@@ -75,20 +75,23 @@
 }
 
 /**
- * Whether a candidate with these votes leads: a majority, or every voter that
- * still remembers anything while no durable one has forgotten. The second
- * lets a group go on after a restart of all its members, as nobody who could
- * have agreed to something else is left.
+ * Whether a candidate with these votes leads: by a majority; or because
+ * everyone who might vote has answered this very election, and all that
+ * still remember anything agreed while no durable voter has forgotten. The
+ * second lets a group go on after a restart of all its members.
  */
 export function isElectionQuorum(
   configuration: GroupConfiguration,
-  evidence: VoterEvidence,
+  known: { evidence: VoterEvidence; electorateIds: readonly InstanceId[] },
 ): boolean {
-  const isAccepted = (voter: Voter) =>
-    evidence.isDeclaredLost(voter.id) ||
-    (!voter.isDurable && evidence.isForgotten(voter.id));
+  const { evidence, electorateIds } = known;
+  const isAccepted = (id: InstanceId) =>
+    evidence.isDeclaredLost(id) ||
+    (evidence.isForgotten(id) &&
+      findVoter(configuration, id)?.isDurable !== true);
   return isMajority(configuration, evidence) ||
-    isAllThatRemember(configuration, { evidence, isAccepted });
+    (configuration.voters.some((voter) => evidence.hasAgreed(voter.id)) &&
+      electorateIds.every((id) => evidence.hasAgreed(id) || isAccepted(id)));
 }
 
 /**
@@ -101,12 +104,15 @@
   configuration: GroupConfiguration,
   evidence: VoterEvidence,
 ): boolean {
-  const isAccepted = (voter: Voter) => evidence.isForgotten(voter.id);
-  if (isAllThatRemember(configuration, { evidence, isAccepted })) {
-    return true;
-  }
-  return isMajority(configuration, evidence) &&
-    isDurablyKept(configuration, evidence);
+  const { voters } = configuration;
+  const isAllThatRemember =
+    voters.some((voter) => evidence.hasAgreed(voter.id)) &&
+    voters.every((voter) =>
+      evidence.hasAgreed(voter.id) || evidence.isForgotten(voter.id)
+    );
+  return isAllThatRemember ||
+    (isMajority(configuration, evidence) &&
+      isDurablyKept(configuration, evidence));
 }
 
 function isDurablyKept(
@@ -120,20 +126,6 @@
     durable.some((voter) => evidence.hasAgreed(voter.id));
 }
 
-/** Whether all agreed but those whose loss of memory is accepted. */
-function isAllThatRemember(
-  configuration: GroupConfiguration,
-  known: {
-    evidence: VoterEvidence;
-    isAccepted: (voter: Voter) => boolean;
-  },
-): boolean {
-  const { voters } = configuration;
-  const { evidence, isAccepted } = known;
-  return voters.some((voter) => evidence.hasAgreed(voter.id)) &&
-    voters.every((voter) => evidence.hasAgreed(voter.id) || isAccepted(voter));
-}
-
 /**
  * The greatest value that a majority of the voters has reached, given the
  * value of each; below every value when there are no voters.
--- a/src/process/replication/raft_core.ts
+++ b/src/process/replication/raft_core.ts
@@ -165,7 +165,11 @@
     const { from, envelope } = input;
     const state = this.#state;
     if (isForThisMember(state, from, envelope)) {
-      const sender = { id: from, incarnation: envelope.fromIncarnation };
+      const sender = {
+        id: from,
+        incarnation: envelope.fromIncarnation,
+        isGroupless: envelope.formationId === undefined,
+      };
       adoptGroup(state, envelope);
       handleMessage(state, sender, envelope);
     }
@@ -210,9 +214,12 @@
 }
 
 function declareLost(state: RaftState, id: InstanceId): void {
+  if (id === state.selfId) {
+    return;
+  }
+  state.declaredLost.add(id);
   const voter = findVoter(state.configuration, id);
-  if (voter !== undefined && id !== state.selfId) {
-    state.declaredLost.add(id);
+  if (voter !== undefined) {
     noteForgotten(state, id, voter.incarnation);
   }
 }
--- a/src/process/replication/raft_message.ts
+++ b/src/process/replication/raft_message.ts
@@ -153,10 +153,21 @@
 /** A message with the incarnations between which it passes. */
 export type RaftEnvelope = z.infer<typeof envelopeSchema>;
 
+/** The fields of each kind of message, in the order in which they travel. */
+export const MESSAGE_FIELDS: Readonly<Record<string, readonly string[]>> =
+  Object.fromEntries(
+    raftMessageSchema.options.map((option) => [
+      option.shape.kind.value,
+      Object.keys(option.shape).filter((name) => name !== "kind"),
+    ]),
+  );
+
 /** Who sent a message, and as which incarnation. */
 export interface Sender {
   readonly id: InstanceId;
   readonly incarnation: number;
+  /** Whether it holds nothing of any group. */
+  readonly isGroupless: boolean;
 }
 
 /** Checks what came from a peer. */
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -48,6 +48,8 @@
 export interface Ballot {
   readonly isPreVote: boolean;
   readonly granted: Set<InstanceId>;
+  /** Members that agreed as another than the voter that they were. */
+  readonly successors: Set<InstanceId>;
 }
 
 /** A snapshot that is arriving in chunks. */
@@ -90,6 +92,8 @@
   readonly forgotten = new Map<InstanceId, number>();
   /** Voters whose loss an operator took on. */
   readonly declaredLost = new Set<InstanceId>();
+  /** The last answer to a leader's entries or heartbeat. */
+  told: { term: number; index: number; atMs: number } | undefined;
   incoming: IncomingSnapshot | undefined;
 
   /** What the leader knows of each other member. */
@@ -178,6 +182,21 @@
       (this.forgotten.get(id) ?? -1) >= voter.incarnation;
   }
 
+  /** Whether an operator vouches that the member is gone as it was. */
+  isDeclaredLost(id: InstanceId): boolean {
+    const isVoter = findVoter(this.configuration, id) !== undefined;
+    return this.declaredLost.has(id) && (!isVoter || this.isForgotten(id));
+  }
+
+  /** Everyone who votes, or might by a change that isn't known here. */
+  electorateIds(): InstanceId[] {
+    const wanted = this.options.members
+      .filter((member) => member.isVoter)
+      .map((member) => member.id);
+    const voting = this.configuration.voters.map((voter) => voter.id);
+    return [...new Set([...wanted, ...voting])];
+  }
+
   /** Evidence for quorums, given who agreed. */
   evidence(hasAgreed: (id: InstanceId) => boolean): VoterEvidence {
     return {
--- a/src/process/replication/replication_member.ts
+++ b/src/process/replication/replication_member.ts
@@ -25,12 +25,13 @@
 } from "../../connection/peer_network.ts";
 import { AppliedState } from "./applied_state.ts";
 import { CoreDriver } from "./core_driver.ts";
+import { openEnvelopeChannel } from "./envelope_codec.ts";
 import { LeaderCalls } from "./leader_calls.ts";
 import { LogStore } from "./log_store.ts";
 import { openStore } from "./member_opening.ts";
 import { RaftCore } from "./raft_core.ts";
 import type { GroupMember } from "./raft_effect.ts";
-import { decodeEnvelope, type RaftEnvelope } from "./raft_message.ts";
+import type { RaftEnvelope } from "./raft_message.ts";
 import type { RaftMutation } from "./raft_mutation.ts";
 import type {
   MemberStatus,
@@ -135,10 +136,7 @@
         (() => UNLIMITED_BYTES_PER_SECOND),
       ...(mutations === undefined ? {} : { mutations }),
     });
-    const channel = network.channel({
-      name: `replication.${groupId}`,
-      decode: decodeEnvelope,
-    });
+    const channel = openEnvelopeChannel(network, groupId);
     this.#channel = channel;
     this.#driver = new CoreDriver({
       groupId,
--- a/src/process/replication/testing/member_group.ts
+++ b/src/process/replication/testing/member_group.ts
@@ -40,17 +40,15 @@
 /** Further options of each member. */
 export interface MoreOptions {
   readonly catchUpBytesPerSecond?: (peer: string) => number;
+  /** Sees every message that is sent. */
+  readonly onSend?: (from: string, to: string, body: unknown) => void;
 }
 
 /** Members over one fake clock, network and a disk each. */
 export class MemberGroup {
   readonly clock = new FakeClock({ startMs: 1_000_000 });
   readonly random = new SeededRandom({ seed: 7 });
-  readonly hub = new FakePeerHub({
-    clock: this.clock,
-    random: this.random,
-    delayMs: () => 1,
-  });
+  readonly hub: FakePeerHub;
   readonly members = new Map<string, Member>();
   readonly machines = new Map<string, TextList>();
   readonly disks = new Map<string, FakeStorage>();
@@ -65,6 +63,12 @@
   ) {
     this.settings = settings;
     this.more = more;
+    this.hub = new FakePeerHub({
+      clock: this.clock,
+      random: this.random,
+      delayMs: () => 1,
+      ...more,
+    });
     this.timing = timing;
     for (const { id, isDurable } of settings) {
       if (isDurable) {
