--- a/src/process/ledger/ledger_state.ts
+++ b/src/process/ledger/ledger_state.ts
@@ -53,29 +53,18 @@
 
 type Entry = z.infer<typeof entrySchema>;
 
-/** Deliberate faults, for tests of the tests. */
-export interface LedgerFaults {
-  readonly grantsTwice?: boolean;
-  readonly forgetsDigest?: boolean;
-  readonly acceptsAnyEnd?: boolean;
-}
-
 const PACKR = new Packr({ useRecords: false });
 
 /** Claims and outcomes by request, bounded, forgotten when they expire. */
 export class LedgerState implements StateMachine<LedgerCommand, LedgerReply> {
   readonly #limits: LedgerLimits;
-  readonly #faults: LedgerFaults;
   #entries = new Map<string, Entry>();
   #keysByExpiry = new Map<number, Set<string>>();
   #bytes = 0;
   #nowMs = 0;
 
-  constructor(
-    options: { limits?: Partial<LedgerLimits>; faults?: LedgerFaults } = {},
-  ) {
+  constructor(options: { limits?: Partial<LedgerLimits> } = {}) {
     this.#limits = { ...DEFAULT_LEDGER_LIMITS, ...options.limits };
-    this.#faults = options.faults ?? {};
   }
 
   get size(): number {
@@ -139,18 +128,13 @@
       return { kind: "granted" };
     }
     const isOwn = known.claimant === claimant && known.outcome === undefined;
-    if (isOwn || this.#faults.grantsTwice === true) {
-      return { kind: "granted" };
-    }
-    return describe(known, this.#faults.forgetsDigest ? known.digest : digest);
+    return isOwn ? { kind: "granted" } : describe(known, digest);
   }
 
   /** An outcome stays; only "unknown" gives way to what came of it. */
   #end(command: EndCommand): LedgerReply {
     const known = this.#entries.get(command.key);
-    const isHolder = known?.claimant === command.claimant ||
-      this.#faults.acceptsAnyEnd === true;
-    if (known === undefined || !isHolder) {
+    if (known === undefined || known.claimant !== command.claimant) {
       return { kind: "notHeld" };
     }
     const isSettled = known.outcome !== undefined &&
--- a/src/process/routing/core/server_table.ts
+++ b/src/process/routing/core/server_table.ts
@@ -266,7 +266,10 @@
       Math.max(slowFloorMs, slowFactor * usualMs);
   }
 
-  /** Ejects, unless too large a fraction would be out. */
+  /**
+   * Ejects, unless too large a fraction would be out. An ejected server that
+   * is silent counts too, since it may come back.
+   */
   #eject(
     server: ServerEntry,
     options: { reason: "failing" | "slow"; nowMs: number },
@@ -274,7 +277,7 @@
     const open = [...this.#servers.values()].filter((other) =>
       other.isOpen(options.nowMs, this.#service)
     );
-    const out = open.filter((other) =>
+    const out = [...this.#servers.values()].filter((other) =>
       other.health.state !== HealthState.healthy
     );
     const most = Math.floor(open.length * this.#service.ejectionFractionLimit);
--- a/src/process/routing/core/service_router.ts
+++ b/src/process/routing/core/service_router.ts
@@ -135,10 +135,11 @@
       !this.remoteLoads.canTake(call, this.#remoteOptions(nowMs));
   }
 
-  /** The caller has gone; what is on its way goes on. */
+  /** The caller has gone: nothing more is sent; what is on its way goes on. */
   abandon(key: CallKey): void {
     const call = this.#calls.get(key);
-    if (call !== undefined && this.#queues.remove(call)) {
+    if (call !== undefined) {
+      this.#queues.remove(call);
       this.#calls.delete(key);
     }
   }
@@ -166,7 +167,7 @@
       case AttemptResult.serverError:
         return [{ kind: "endWithAnswer", key, attemptId: undefined }];
       case AttemptResult.notSent:
-        return [endWithError(key, "overloaded", "No data centre has room.")];
+        return [this.#giveUp(call)];
       case AttemptResult.ambiguous:
         return [endWithError(
           key,
@@ -270,7 +271,6 @@
       return undefined;
     }
     call.isForwardedOn = true;
-    call.mayHaveRun = true;
     this.#calls.set(call.key, call);
     return { kind: "forwardCall", key: call.key, dataCentre };
   }
@@ -383,14 +383,15 @@
       const detail = "The backend server gave no whole answer of its own.";
       return endWithError(call.key, "outcomeUnknown", detail);
     }
-    const detail = "No backend server could be reached.";
+    const detail = "No backend server could take it.";
     return endWithError(call.key, "unavailable", detail);
   }
 
   #expire(call: OpenCall): RoutingDecision {
     this.#calls.delete(call.key);
     this.#queues.remove(call);
-    const mayRun = call.mayHaveRun || call.attemptId !== undefined;
+    const mayRun = call.mayHaveRun || call.isForwardedOn ||
+      call.attemptId !== undefined;
     if (mayRun) {
       const detail = "No answer came before the deadline.";
       return endWithError(call.key, "outcomeUnknown", detail);
--- a/src/process/routing/router.ts
+++ b/src/process/routing/router.ts
@@ -272,12 +272,13 @@
   }
 
   #abandon(key: CallKey, call: OpenCall): void {
-    const wasQueued = this.#core.isQueued(key);
-    this.handle({ kind: "callAbandoned", atMs: this.#nowMs(), key });
-    if (wasQueued) {
-      const detail = "The caller went away.";
-      call.endWithError(new SesameError("unavailable", { detail }));
+    if (call.hasEnded) {
+      return;
     }
+    const error = this.#core.isQueued(key) ? "unavailable" : "outcomeUnknown";
+    this.handle({ kind: "callAbandoned", atMs: this.#nowMs(), key });
+    const detail = "The caller went away.";
+    call.endWithError(new SesameError(error, { detail }));
     this.#forgetIfSettled(key);
   }
 
