Prove at most once by random sessions over the whole request path

Cause: retries through other instances, crashes, lost ledger answers and lossy links had been tried one by one only. Change: three instances over fake clock, links, ledgers and servers that keep the truth; four broken variants that the oracle notices. It found that a reply to an earlier run's question reached the restarted instance, which took it for the reply to its own and gave a caller another's answer: questions now carry the incarnation. Conclusion: no request was sent twice, answered by another's answer or called not run wrongly in the sessions tried.

--- a/src/process/ledger/ledger.ts
+++ b/src/process/ledger/ledger.ts
@@ -30,6 +30,8 @@
   readonly dataCentre: DataCentreId;
   /** The data centre of each peer. */
   readonly peerDataCentres: ReadonlyMap<InstanceId, DataCentreId>;
+  /** Greater than at any earlier start of this instance. */
+  readonly incarnation: number;
   readonly clock: Clock;
   readonly network: PeerNetwork;
   /** The log of this data centre's group. */
@@ -153,7 +155,15 @@
         resolve(result);
       };
       this.#asks.set(askId, { settle });
-      const message = { kind: "ask", askId, timeoutMs, question } as const;
+      const { incarnation } = this.#options;
+      const kind = "ask";
+      const message = {
+        kind,
+        incarnation,
+        askId,
+        timeoutMs,
+        question,
+      } as const;
       if (!this.#channel.send(peer, message)) {
         settle(failure("unavailable", { detail: "The link is down." }));
       }
@@ -165,7 +175,8 @@
       void this.#answer(from, message);
       return;
     }
-    const ask = this.#asks.get(message.askId);
+    const isOwn = message.incarnation === this.#options.incarnation;
+    const ask = isOwn ? this.#asks.get(message.askId) : undefined;
     if (message.reply !== undefined) {
       ask?.settle(Right(message.reply));
     } else {
@@ -177,12 +188,17 @@
     from: InstanceId,
     ask: Extract<LedgerPeerMessage, { kind: "ask" }>,
   ): Promise<void> {
-    const { askId } = ask;
+    const { askId, incarnation } = ask;
     const deadlineMs = this.#options.clock.nowMs() + ask.timeoutMs;
     const result = await this.#askOwn(ask.question, deadlineMs);
     const message = result.caseOf<LedgerPeerMessage>({
-      Left: (error) => ({ kind: "reply", askId, error: error.kind }),
-      Right: (reply) => ({ kind: "reply", askId, reply }),
+      Left: (error) => ({
+        kind: "reply",
+        incarnation,
+        askId,
+        error: error.kind,
+      }),
+      Right: (reply) => ({ kind: "reply", incarnation, askId, reply }),
     });
     this.#channel.send(from, message);
   }
--- a/src/process/ledger/ledger_peer_message.ts
+++ b/src/process/ledger/ledger_peer_message.ts
@@ -17,6 +17,8 @@
 const ledgerPeerMessageSchema = z.discriminatedUnion("kind", [
   z.strictObject({
     kind: z.literal("ask"),
+    /** Grows with every run of the asker, so that no run gets a reply to another's. */
+    incarnation: z.int().min(0),
     askId: z.int(),
     /** How much time is left; clocks of instances may differ. */
     timeoutMs: z.number(),
@@ -31,6 +33,7 @@
   }),
   z.strictObject({
     kind: z.literal("reply"),
+    incarnation: z.int().min(0),
     askId: z.int(),
     reply: ledgerReplySchema.optional(),
     error: errorKind.optional(),
--- /dev/null
+++ b/src/process/routing/at_most_once_test.ts
@@ -0,0 +1,400 @@
+import test from "ava";
+import fc from "fast-check";
+import { Channel, FakeClock, SeededRandom } from "../../base/mod.ts";
+import { Execution } from "../../base/error_kind.ts";
+import type { ConfigurationVersion } from "../../version/configuration_version.ts";
+import { documentSchema } from "../../version/document/document.ts";
+import { MetricsRegistry } from "../http/mod.ts";
+import {
+  type LedgerCommand,
+  type LedgerReply,
+  LedgerState,
+} from "../ledger/mod.ts";
+import {
+  MemoryFault,
+  MemoryGroup,
+  type MemoryMember,
+} from "../ledger/memory_group.ts";
+import { FakePeerHub } from "../replication/fake_peer_network.ts";
+import type { BackendAttempt, BackendAttemptEnd } from "./backend_client.ts";
+import { RequestRouting } from "./request_routing.ts";
+
+const INSTANCES = [
+  { id: "e1", dataCentre: "east", region: "r1" },
+  { id: "e2", dataCentre: "east", region: "r1" },
+  { id: "w1", dataCentre: "west", region: "r2" },
+];
+
+const SERVERS = [
+  { id: "s1", dataCentre: "east" },
+  { id: "s2", dataCentre: "east" },
+  { id: "s3", dataCentre: "west" },
+];
+
+/** How a server of the model treats one sending. */
+type Fate = "answer" | "late" | "lost" | "refused" | "error";
+
+/** Turns the system into a broken one, to see that the oracle notices. */
+interface Mutation {
+  /** The ledgers forget everything now and again. */
+  readonly forgets?: boolean;
+  /** Instances disagree about the data centres. */
+  readonly disagrees?: boolean;
+  /** A lost answer is taken for a request that was never sent. */
+  readonly misjudges?: boolean;
+  /** An answer carries what another request got. */
+  readonly crosses?: boolean;
+}
+
+function versionWith(dataCentres: readonly string[]): ConfigurationVersion {
+  return {
+    version: 1,
+    acceptedAtMs: 0,
+    document: documentSchema.parse({
+      formatVersion: 1,
+      dataCentres: Object.fromEntries(
+        dataCentres.map((id) => [id, { owner: "o", region: "r" }]),
+      ),
+      services: {
+        loft: {
+          owner: "o",
+          slotsPerServer: 2,
+          retryBudgetFraction: 1,
+          classes: [{ name: "quote", rank: 0, queueLimit: 2 }],
+        },
+      },
+    }),
+  };
+}
+
+/** The whole request path of three instances over fakes. */
+class World {
+  readonly #mutation: Mutation;
+  readonly #clock = new FakeClock({ startMs: 1_000_000 });
+  readonly #random: SeededRandom;
+  readonly #hub: FakePeerHub;
+  readonly #states = new Map<string, LedgerState>();
+  readonly #groups = new Map<string, MemoryGroup<LedgerCommand, LedgerReply>>();
+  readonly #routings = new Map<string, RequestRouting>();
+  readonly #logs = new Map<string, MemoryMember<LedgerCommand, LedgerReply>>();
+  /** How often each request may have reached a server. */
+  readonly #sent = new Map<string, number>();
+  readonly #incarnations = new Map<string, number>();
+  readonly #open = new Map<Promise<void>, string>();
+  #lastAnswered = "";
+  broken: string | undefined;
+
+  constructor(mutation: Mutation, seed: number) {
+    this.#mutation = mutation;
+    this.#random = new SeededRandom({ seed });
+    this.#hub = new FakePeerHub({
+      clock: this.#clock,
+      random: new SeededRandom({ seed: seed + 1 }),
+      delayMs: () => 2,
+    });
+    for (const groupId of ["east", "west"]) {
+      const state = new LedgerState();
+      this.#states.set(groupId, state);
+      this.#groups.set(groupId, new MemoryGroup({ groupId, state }));
+    }
+    INSTANCES.forEach(({ id }) => this.start(id));
+  }
+
+  /** Starts the instance, after a crash if it ran before. */
+  start(id: string): void {
+    void this.#routings.get(id)?.close();
+    for (const [ended, at] of this.#open) {
+      if (at === id) {
+        this.#open.delete(ended);
+      }
+    }
+    const self = INSTANCES.find((instance) => instance.id === id);
+    const group = this.#groups.get(self?.dataCentre ?? "");
+    const state = this.#states.get(self?.dataCentre ?? "");
+    if (self === undefined || group === undefined || state === undefined) {
+      throw new Error(`unknown instance ${id}`);
+    }
+    const incarnation = (this.#incarnations.get(id) ?? 0) + 1;
+    this.#incarnations.set(id, incarnation);
+    const log = group.member(id);
+    this.#logs.set(id, log);
+    const isOdd = this.#mutation.disagrees === true && id === "e2";
+    const version = versionWith(isOdd ? ["west"] : ["east", "west"]);
+    const peerIds = INSTANCES.map((instance) => instance.id);
+    const routing = new RequestRouting({
+      self,
+      peers: INSTANCES.filter((instance) => instance.id !== id),
+      incarnation,
+      clock: this.#clock,
+      random: new SeededRandom({ seed: incarnation }),
+      network: this.#hub.join(id, { peerIds }),
+      configuration: {
+        current: () => version,
+        versions: new Channel<ConfigurationVersion>().stream,
+        currentAtMs: () => this.#clock.nowMs(),
+      },
+      ledgerLog: log,
+      ledgerState: state,
+      metrics: new MetricsRegistry(),
+      client: {
+        send: (attempt) => this.#send(attempt),
+        close: () => Promise.resolve(),
+      },
+    });
+    this.#routings.set(id, routing);
+    this.#announceTo(routing, self.dataCentre);
+  }
+
+  /** A caller's try; its end is judged when it comes. */
+  call(
+    id: string,
+    options: { request: string; content: string; timeoutMs: number },
+  ): void {
+    const ended = this.#judgeCall(id, options);
+    this.#open.set(ended, id);
+    void ended.then(() => this.#open.delete(ended));
+  }
+
+  setLogFault(id: string, fault: MemoryFault): void {
+    const log = this.#logs.get(id);
+    if (log !== undefined) {
+      log.fault = fault;
+    }
+  }
+
+  setLinkFaults(rate: number, jitterMs: number): void {
+    Object.assign(this.#hub.faults, {
+      lossRate: rate,
+      doublingRate: rate,
+      jitterMs,
+    });
+  }
+
+  isolate(id: string): void {
+    this.#hub.isolate(id);
+  }
+
+  heal(): void {
+    this.#hub.heal();
+  }
+
+  forget(): void {
+    if (this.#mutation.forgets === true) {
+      const empty = new LedgerState().snapshot();
+      this.#states.forEach((state) => state.restore(empty));
+    }
+  }
+
+  async advance(byMs: number): Promise<void> {
+    for (let leftMs = byMs; leftMs > 0; leftMs -= 25) {
+      this.#clock.advance(Math.min(25, leftMs));
+      await settle();
+    }
+    this.#routings.forEach((routing, id) => {
+      const self = INSTANCES.find((instance) => instance.id === id);
+      this.#announceTo(routing, self?.dataCentre ?? "");
+    });
+  }
+
+  /** Every call must end. */
+  async finish(): Promise<void> {
+    this.heal();
+    this.setLinkFaults(0, 0);
+    this.#logs.forEach((log) => log.fault = MemoryFault.none);
+    for (let step = 0; step < 12 && this.#open.size > 0; step += 1) {
+      await this.advance(500);
+    }
+    this.#check(this.#open.size === 0, "a call never ended");
+    await Promise.all(
+      [...this.#routings.values()].map((routing) => routing.close()),
+    );
+  }
+
+  #announceTo(routing: RequestRouting, dataCentre: string): void {
+    for (const server of SERVERS) {
+      if (server.dataCentre === dataCentre) {
+        routing.announce({
+          serverId: server.id,
+          service: "loft",
+          address: "127.0.0.1:1",
+          slots: 2,
+          dataCentre,
+          incarnation: 1,
+          leaving: false,
+        });
+      }
+    }
+  }
+
+  async #judgeCall(
+    id: string,
+    options: { request: string; content: string; timeoutMs: number },
+  ): Promise<void> {
+    const { request, content, timeoutMs } = options;
+    const nowMs = this.#clock.nowMs();
+    const result = await this.#routings.get(id)?.answer({
+      isNamed: true,
+      record: {
+        requestId: request,
+        service: "loft",
+        clientAccount: undefined,
+        requestClass: "quote",
+        isIdempotent: false,
+        receivedAtMs: nowMs,
+        deadlineMs: nowMs + timeoutMs,
+        path: "/",
+        contentType: undefined,
+        body: new TextEncoder().encode(content),
+        configurationVersion: 1,
+      },
+    }, { signal: new AbortController().signal });
+    result?.caseOf({
+      Left: (error) => {
+        const isSent = (this.#sent.get(request) ?? 0) > 0;
+        const isRefused = error.answer.execution === Execution.notRun;
+        this.#check(!isRefused || !isSent, `"not run" of a request sent`);
+      },
+      Right: ({ answer }) => {
+        const text = new TextDecoder().decode(answer.body);
+        const isOwn = text === `${request}=${content}`;
+        this.#check(isOwn, "an answer of another request");
+      },
+    });
+  }
+
+  /** The servers of the model. */
+  async #send(attempt: BackendAttempt): Promise<BackendAttemptEnd> {
+    const { requestId, body } = attempt.record;
+    const fate = this.#drawFate();
+    if (fate === "refused") {
+      return { result: "notSent", answer: undefined, fault: undefined };
+    }
+    const sent = (this.#sent.get(requestId) ?? 0) + 1;
+    this.#sent.set(requestId, sent);
+    this.#check(sent === 1, "sent twice");
+    const waitMs = fate === "late"
+      ? attempt.giveUpAtMs - this.#clock.nowMs() - 100
+      : this.#random.nextInt(150);
+    await new Promise<void>((resolve) => this.#clock.after(waitMs, resolve));
+    if (fate === "lost") {
+      const result = this.#mutation.misjudges === true
+        ? "notSent" as const
+        : "ambiguous" as const;
+      return { result, answer: undefined, fault: undefined };
+    }
+    const own = `${requestId}=${new TextDecoder().decode(body)}`;
+    const text = this.#mutation.crosses === true && this.#lastAnswered !== ""
+      ? this.#lastAnswered
+      : own;
+    this.#lastAnswered = own;
+    return {
+      result: fate === "error" ? "serverError" : "answered",
+      fault: undefined,
+      answer: {
+        requestId,
+        httpStatus: fate === "error" ? 500 : 200,
+        contentType: undefined,
+        body: new TextEncoder().encode(text),
+      },
+    };
+  }
+
+  #drawFate(): Fate {
+    const fates: readonly Fate[] = [
+      "answer",
+      "answer",
+      "answer",
+      "answer",
+      "late",
+      "lost",
+      "refused",
+      "error",
+    ];
+    return fates[this.#random.nextInt(fates.length)] ?? "answer";
+  }
+
+  #check(holds: boolean, broken: string): void {
+    if (!holds) {
+      this.broken ??= broken;
+    }
+  }
+}
+
+/** Lets every promise that is ready run on. */
+async function settle(): Promise<void> {
+  for (let turn = 0; turn < 3; turn += 1) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+type Step = (world: World) => void | Promise<void>;
+
+const ids = fc.constantFrom(...INSTANCES.map(({ id }) => id));
+
+const steps: fc.Arbitrary<Step>[] = [
+  ...[0, 1, 2, 3].map(() =>
+    fc.record({
+      id: ids,
+      request: fc.constantFrom("east:a", "west:b", "c", "d", "e", "f"),
+      content: fc.constantFrom("bale", "bale", "bale", "quilt"),
+      timeoutMs: fc.constantFrom(40, 300, 1_500),
+    }).map(({ id, ...options }) => (world: World) => world.call(id, options))
+  ),
+  fc.tuple(ids, fc.constantFrom(...Object.values(MemoryFault)))
+    .map(([id, fault]) => (world) => world.setLogFault(id, fault)),
+  fc.tuple(fc.constantFrom(0, 0.2, 0.5), fc.constantFrom(0, 100))
+    .map(([rate, jitterMs]) => (world) => world.setLinkFaults(rate, jitterMs)),
+  ids.map((id) => (world) => world.isolate(id)),
+  fc.constant((world) => world.heal()),
+  ids.map((id) => (world) => world.start(id)),
+  fc.constant((world) => world.forget()),
+  ...[0, 1].map(() =>
+    fc.constantFrom(25, 100, 500).map((byMs) => (world: World) =>
+      world.advance(byMs)
+    )
+  ),
+];
+
+/** Runs random sessions; gives what broke, if anything did. */
+async function fuzz(
+  mutation: Mutation,
+  runs: number,
+): Promise<string | undefined> {
+  let broken: string | undefined;
+  const session = fc.tuple(
+    fc.nat({ max: 1_000_000 }),
+    fc.array(fc.oneof(...steps), { minLength: 20, maxLength: 50 }),
+  );
+  await fc.check(
+    fc.asyncProperty(session, async ([seed, chosen]) => {
+      const world = new World(mutation, seed);
+      await world.advance(200);
+      for (const step of chosen) {
+        await step(world);
+        await settle();
+      }
+      await world.finish();
+      broken ??= world.broken;
+      return world.broken === undefined;
+    }),
+    { numRuns: runs, seed: 31, endOnFailure: true },
+  );
+  return broken;
+}
+
+test("random sessions send no request twice", async (t) => {
+  t.is(await fuzz({}, 800), undefined);
+});
+
+const MUTATIONS: readonly (readonly [string, Mutation, RegExp])[] = [
+  ["whose ledgers forget", { forgets: true }, /sent twice|not run/],
+  ["whose instances disagree", { disagrees: true }, /sent twice|not run/],
+  ["that misjudges a lost answer", { misjudges: true }, /sent twice|not run/],
+  ["that crosses answers", { crosses: true }, /another request/],
+];
+
+for (const [name, mutation, expected] of MUTATIONS) {
+  test(`the oracle notices a system ${name}`, async (t) => {
+    t.regex(await fuzz(mutation, 400) ?? "nothing", expected);
+  });
+}
--- a/src/process/routing/request_routing.ts
+++ b/src/process/routing/request_routing.ts
@@ -8,6 +8,7 @@
 import { type EventLog, SILENT_EVENT_LOG } from "../../base/event_log.ts";
 import type { Clock } from "../../base/clock.ts";
 import type { InstanceId } from "../../base/identity.ts";
+import type { Result } from "../../base/sesame_error.ts";
 import type { RandomSource } from "../../base/random_source.ts";
 import type { PeerNetwork } from "../../connection/peer_network.ts";
 import type { ConfigurationSource } from "../configuration/configuration_source.ts";
@@ -19,7 +20,8 @@
 import { backendEndpoints } from "./backend_endpoints.ts";
 import type { RoutingOptions, ServerAnnouncement } from "./core/mod.ts";
 import { requestEndpoint } from "./request_endpoint.ts";
-import { RequestService } from "./request_service.ts";
+import type { ReadRequest } from "./read_request.ts";
+import { type CallerAnswer, RequestService } from "./request_service.ts";
 import { Router } from "./router.ts";
 import { RoutingMetrics } from "./routing_metrics.ts";
 import { Forwarding } from "./forwarding.ts";
@@ -45,6 +47,8 @@
   readonly eventLog?: EventLog;
   readonly routing?: Partial<RoutingOptions>;
   readonly connectionsPerServer?: number;
+  /** How requests reach backend servers; over HTTP when absent. */
+  readonly client?: Pick<BackendClient, "send" | "close">;
   /**
    * The instances of this data centre that take new work, this one included
    * unless it is leaving; all that are linked when absent.
@@ -85,7 +89,7 @@
       ...common,
       random: options.random,
       ...(options.routing === undefined ? {} : { routing: options.routing }),
-      client: new BackendClient({
+      client: options.client ?? new BackendClient({
         clock: options.clock,
         connectionsPerServer: options.connectionsPerServer ??
           CONNECTIONS_PER_SERVER,
@@ -95,6 +99,7 @@
     this.#ledger = new Ledger({
       dataCentre: options.self.dataCentre,
       peerDataCentres,
+      incarnation: options.incarnation,
       clock: options.clock,
       network: options.network,
       log: options.ledgerLog,
@@ -128,6 +133,20 @@
     showGauges(metrics, this.#router, options.ledgerState);
   }
 
+  /** Ends one request that was read already. */
+  answer(
+    request: ReadRequest,
+    options: { signal: AbortSignal },
+  ): Promise<Result<CallerAnswer>> {
+    return this.#service.answer(request, options);
+  }
+
+  /** Takes an announcement and passes it on. */
+  announce(announcement: ServerAnnouncement): void {
+    this.#hear(announcement);
+    this.#spread.spread(announcement);
+  }
+
   /** For the HTTP front. */
   get endpoints(): HttpEndpoint[] {
     const { configuration, clock } = this.#options;
@@ -137,10 +156,7 @@
         clock,
         configuration,
         router: this.#router,
-        onAnnounced: (announcement) => {
-          this.#hear(announcement);
-          this.#spread.spread(announcement);
-        },
+        onAnnounced: (announcement) => this.announce(announcement),
       }),
     ];
   }
