--- a/src/process/ledger/ledger_state.ts
+++ b/src/process/ledger/ledger_state.ts
@@ -127,7 +127,8 @@
       this.#put(entry);
       return { kind: "granted" };
     }
-    const isOwn = known.claimant === claimant && known.outcome === undefined;
+    const isOwn = known.claimant === claimant && known.digest === digest &&
+      known.outcome === undefined;
     return isOwn ? { kind: "granted" } : describe(known, digest);
   }
 
