--- /dev/null
+++ b/bench/routing/added_latency.ts
@@ -0,0 +1,216 @@
+/**
+ * Measures, over real sockets on loopback, what an instance adds to calling
+ * the stand-in servers directly, and how many requests a second one instance
+ * carries. The instance and the servers have a thread each; direct and routed
+ * blocks alternate within the run.
+ *
+ * `npm run build && node dist/bench/routing/added_latency.js [seed]`
+ *
+ * @module
+ */
+
+import process from "node:process";
+import { performance } from "node:perf_hooks";
+import { Worker } from "node:worker_threads";
+import { Agent, type Dispatcher } from "undici";
+import { SeededRandom } from "../../src/base/mod.ts";
+import { RequestHeader } from "../../src/process/routing/mod.ts";
+import {
+  type BenchWorkerData,
+  type BenchWorkerReady,
+  SOCKET_SIZES,
+} from "./bench_worker.ts";
+
+/** Direct calls of the servers, or requests through the instance. */
+type Way = "direct" | "idempotent" | "claimed";
+
+interface Target {
+  readonly servers: readonly string[];
+  readonly instance: string;
+  readonly dispatcher: Dispatcher;
+}
+
+const MEAN_SERVICE_MS = 20;
+const LOAD = 0.5;
+const BLOCK_MS = 4_000;
+const BLOCKS = 3;
+const WARM_UP_MS = 1_000;
+const THROUGHPUT_MS = 3_000;
+const CALLERS = 64;
+const WAYS: readonly Way[] = ["direct", "idempotent", "claimed"];
+
+async function main(): Promise<void> {
+  const seed = Number(process.argv[2] ?? 1);
+  console.log(`seed ${seed}; ${JSON.stringify(SOCKET_SIZES)}`);
+  await measureLatency(seed);
+  await measureThroughput(seed);
+}
+
+async function measureLatency(seed: number): Promise<void> {
+  const { target, stop } = await startTarget(MEAN_SERVICE_MS, seed);
+  const { servers, slots } = SOCKET_SIZES;
+  const perSecond = LOAD * servers * slots * 1_000 / MEAN_SERVICE_MS;
+  for (const way of WAYS) {
+    await offer(way, { target, perSecond, seed, durationMs: WARM_UP_MS });
+  }
+  const overheads = new Map<Way, number[]>(WAYS.map((way) => [way, []]));
+  for (let block = 0; block < BLOCKS; block += 1) {
+    for (const way of WAYS) {
+      const durationMs = BLOCK_MS;
+      const taken = await offer(way, {
+        target,
+        perSecond,
+        seed: seed + block,
+        durationMs,
+      });
+      overheads.get(way)?.push(...taken);
+    }
+  }
+  await stop();
+  console.log(
+    `\nat half load, ${perSecond} requests/s; time beside the ` +
+      "server's own, ms",
+  );
+  const direct = quantiles(overheads.get("direct") ?? []);
+  for (const way of WAYS) {
+    const own = quantiles(overheads.get(way) ?? []);
+    console.log(
+      `${way}: ${own.count} answers, p50 ${own.p50.toFixed(2)}, ` +
+        `p99 ${own.p99.toFixed(2)}; added p50 ` +
+        `${(own.p50 - direct.p50).toFixed(2)}, ` +
+        `added p99 ${(own.p99 - direct.p99).toFixed(2)}`,
+    );
+  }
+}
+
+async function measureThroughput(seed: number): Promise<void> {
+  const { target, stop } = await startTarget(0.01, seed);
+  console.log(`\n${CALLERS} callers without pause, servers answer at once`);
+  for (const way of WAYS) {
+    await saturate(way, target, WARM_UP_MS);
+    const answers = await saturate(way, target, THROUGHPUT_MS);
+    const perSecond = answers * 1_000 / THROUGHPUT_MS;
+    console.log(`${way}: ${perSecond.toFixed(0)} requests/s`);
+  }
+  await stop();
+}
+
+async function startTarget(meanServiceMs: number, seed: number) {
+  const common = { meanServiceMs, seed };
+  const instance = await startThread({
+    ...common,
+    role: "instance",
+    instanceAddress: "",
+  });
+  const [address = ""] = instance.addresses;
+  const servers = await startThread({
+    ...common,
+    role: "servers",
+    instanceAddress: address,
+  });
+  const dispatcher = new Agent({ connections: 256 });
+  const stop = async (): Promise<void> => {
+    await dispatcher.destroy();
+    await servers.worker.terminate();
+    await instance.worker.terminate();
+  };
+  const target = { servers: servers.addresses, instance: address, dispatcher };
+  return { target, stop };
+}
+
+async function startThread(data: BenchWorkerData) {
+  const url = new URL("./socket_thread.js", import.meta.url);
+  const worker = new Worker(url, { workerData: data });
+  const ready = await new Promise<BenchWorkerReady>((resolve, reject) => {
+    worker.once("message", resolve);
+    worker.once("error", reject);
+  });
+  return { worker, addresses: ready.addresses };
+}
+
+/** Requests at random moments at the given rate; their overheads in ms. */
+async function offer(
+  way: Way,
+  options: {
+    target: Target;
+    perSecond: number;
+    seed: number;
+    durationMs: number;
+  },
+): Promise<number[]> {
+  const { target, perSecond, seed, durationMs } = options;
+  const random = new SeededRandom({ seed });
+  const overheads: number[] = [];
+  const open: Promise<void>[] = [];
+  const startMs = performance.now();
+  let dueMs = 0;
+  while (dueMs < durationMs) {
+    dueMs -= Math.log(1 - random.nextUnit()) * 1_000 / perSecond;
+    const waitMs = startMs + dueMs - performance.now();
+    if (waitMs > 0) {
+      await new Promise((resolve) => setTimeout(resolve, waitMs));
+    }
+    open.push(
+      call(way, target, open.length).then((overheadMs) => {
+        overheads.push(overheadMs);
+      }),
+    );
+  }
+  await Promise.all(open);
+  return overheads;
+}
+
+/** As many requests as the callers get through; how many were answered. */
+async function saturate(
+  way: Way,
+  target: Target,
+  durationMs: number,
+): Promise<number> {
+  const endMs = performance.now() + durationMs;
+  let answers = 0;
+  const callers = Array.from({ length: CALLERS }, async (_, caller) => {
+    for (let at = caller; performance.now() < endMs; at += CALLERS) {
+      await call(way, target, at);
+      answers += 1;
+    }
+  });
+  await Promise.all(callers);
+  return answers;
+}
+
+let lastRequest = 0;
+
+/** One request; the time that it took beside the server's own, in ms. */
+async function call(way: Way, target: Target, at: number): Promise<number> {
+  const requestId = `bench-${++lastRequest}`;
+  const isDirect = way === "direct";
+  const address = isDirect
+    ? target.servers[at % target.servers.length]
+    : target.instance;
+  const startMs = performance.now();
+  const response = await target.dispatcher.request({
+    origin: `http://${address}`,
+    path: isDirect ? "/" : `/v1/services/${SOCKET_SIZES.service}/requests`,
+    method: "POST",
+    headers: {
+      [RequestHeader.requestId]: requestId,
+      [RequestHeader.idempotent]: String(way !== "claimed"),
+      ...(isDirect ? { [RequestHeader.correlation]: requestId } : {}),
+    },
+    body: "bale 7731, loft at 20 C and 65 percent",
+  });
+  const body = await response.body.json() as { serviceMs?: number };
+  if (response.statusCode !== 200 || body.serviceMs === undefined) {
+    throw new Error(`status ${response.statusCode}: ${JSON.stringify(body)}`);
+  }
+  return performance.now() - startMs - body.serviceMs;
+}
+
+function quantiles(values: number[]) {
+  const sorted = [...values].sort((left, right) => left - right);
+  const at = (part: number): number =>
+    sorted[Math.floor(sorted.length * part)] ?? 0;
+  return { count: sorted.length, p50: at(0.5), p99: at(0.99) };
+}
+
+await main();
--- /dev/null
+++ b/bench/routing/socket_thread.ts
@@ -0,0 +1,89 @@
+/**
+ * A thread of the socket bench: the stand-in servers or the instance.
+ *
+ * @module
+ */
+
+import { parentPort, workerData } from "node:worker_threads";
+import { Channel, SeededRandom, SystemClock } from "../../src/base/mod.ts";
+import { HttpFront, MetricsRegistry } from "../../src/process/http/mod.ts";
+import { LedgerState } from "../../src/process/ledger/mod.ts";
+import { MemoryGroup } from "../../src/process/ledger/memory_group.ts";
+import { FakePeerHub } from "../../src/process/replication/fake_peer_network.ts";
+import { RequestRouting } from "../../src/process/routing/mod.ts";
+import type { ConfigurationVersion } from "../../src/version/configuration_version.ts";
+import { documentSchema } from "../../src/version/document/document.ts";
+import { StandinBackendServer } from "../../standins/backend_server/mod.ts";
+import {
+  type BenchWorkerData,
+  type BenchWorkerReady,
+  SOCKET_SIZES,
+} from "./bench_worker.ts";
+
+const HOST = "127.0.0.1";
+
+async function startServers(data: BenchWorkerData): Promise<string[]> {
+  const clock = new SystemClock();
+  const places = Array.from({ length: SOCKET_SIZES.servers }, (_, at) => at);
+  return await Promise.all(places.map((at) =>
+    new StandinBackendServer({
+      serverId: `s${at}`,
+      service: SOCKET_SIZES.service,
+      dataCentre: SOCKET_SIZES.dataCentre,
+      slots: SOCKET_SIZES.slots,
+      instances: [data.instanceAddress],
+      clock,
+      random: new SeededRandom({ seed: data.seed + at }),
+      meanServiceMs: data.meanServiceMs,
+    }).start()
+  ));
+}
+
+async function startInstance(): Promise<string[]> {
+  const clock = new SystemClock();
+  const self = { id: "i1", dataCentre: SOCKET_SIZES.dataCentre, region: "r" };
+  const state = new LedgerState();
+  const group = new MemoryGroup({ groupId: "ledger", state });
+  const hub = new FakePeerHub({ clock, random: new SeededRandom({ seed: 1 }) });
+  const version: ConfigurationVersion = {
+    version: 1,
+    acceptedAtMs: 0,
+    document: documentSchema.parse({
+      formatVersion: 1,
+      dataCentres: { dc: { owner: "o", region: "r" } },
+      services: {
+        [SOCKET_SIZES.service]: {
+          owner: "o",
+          classes: [{ name: "quote", rank: 0, defaultTimeoutMs: 30_000 }],
+        },
+      },
+    }),
+  };
+  const routing = new RequestRouting({
+    self,
+    peers: [],
+    incarnation: 1,
+    clock,
+    random: new SeededRandom({ seed: 1 }),
+    network: hub.join(self.id, { peerIds: [self.id] }),
+    configuration: {
+      current: () => version,
+      versions: new Channel<ConfigurationVersion>().stream,
+      currentAtMs: () => clock.nowMs(),
+    },
+    ledgerLog: group.member(self.id),
+    ledgerState: state,
+    metrics: new MetricsRegistry(),
+  });
+  const front = new HttpFront({ endpoints: routing.endpoints, clock });
+  const listening = await front.listen({ host: HOST, port: 0 });
+  front.markReady();
+  return [`${HOST}:${listening.unsafeCoerce().port}`];
+}
+
+const data = workerData as BenchWorkerData;
+const addresses = data.role === "servers"
+  ? await startServers(data)
+  : await startInstance();
+const ready: BenchWorkerReady = { addresses };
+parentPort?.postMessage(ready);
--- a/standins/backend_server/standin_backend_server.ts
+++ b/standins/backend_server/standin_backend_server.ts
@@ -71,6 +71,7 @@
   readonly correlationId: string;
   readonly timeoutMs: number;
   readonly body: Buffer;
+  readonly begunAtMs: number;
   readonly response: ServerResponse;
 }
 
@@ -176,6 +177,7 @@
       correlationId: headerOf(request, RequestHeader.correlation),
       timeoutMs: Number(headerOf(request, RequestHeader.timeoutMs)),
       body,
+      begunAtMs: this.#options.clock.nowMs(),
       response,
     });
   }
@@ -282,6 +284,7 @@
       requestId,
       server: this.#options.serverId,
       run: this.#runs.get(requestId),
+      serviceMs: this.#options.clock.nowMs() - running.begunAtMs,
       body: body.toString("utf8"),
     }, { [RequestHeader.correlation]: correlationId });
   }
