--- a/src/process/scheduler/core/placer.ts
+++ b/src/process/scheduler/core/placer.ts
@@ -10,6 +10,7 @@
   minimumAmounts,
   noAmounts,
 } from "./amounts.ts";
+import { hasExcess } from "./cell_upkeep.ts";
 import type { CoreContext } from "./core_context.ts";
 import { type EvictionPlan, planEviction } from "./eviction.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
@@ -115,7 +116,7 @@
     const plan = planEviction(
       [...index.racks.values()].map((rack) => rack.workers),
       { ...requestOf(job), avoided: new Set() },
-      this.#evictionOptions((victim) => isDrainable(victim, job)),
+      this.#evictionOptions(job, (victim) => isDrainable(victim, job)),
     );
     if (plan === undefined) {
       return false;
@@ -209,8 +210,12 @@
       this.#context.mutations.has("evictsGuarantees");
     const plan = planEviction(racks, request, {
       nowMs: this.#context.nowMs,
+      hasTimeToCheckpoint: job.rank !== URGENT_RANK,
       potentialOf: (worker) => ownPotential(worker, account, isOwnLower),
-      roomOf: roomForGuarantees,
+      roomOf: (worker) => {
+        const room = roomForGuarantees(worker);
+        return withoutSlowStops(worker, room, this.#slowFromMs(job));
+      },
       isEvictable,
     });
     if (plan === undefined) {
@@ -218,9 +223,26 @@
       return false;
     }
     this.#openEviction(job, ReservationKind.reclaim, plan);
+    this.#demoteLower(plan.block, isOwnLower);
     return true;
   }
 
+  /** Own lower work that needn't go counts as on loan where both can't be. */
+  #demoteLower(
+    block: Block,
+    isOwnLower: (job: JobState) => boolean,
+  ): void {
+    for (const worker of block.keys()) {
+      for (const { job } of worker.allocations.values()) {
+        const isDemoted = job.isGuaranteed && isOwnLower(job) &&
+          job.phase !== JobPhase.stopping && hasExcess(worker, job);
+        if (isDemoted) {
+          this.#context.ledger.setGuaranteed(job, false);
+        }
+      }
+    }
+  }
+
   /** Evicts lower work on loan for urgent work. */
   #preempt(job: JobState, request: BlockRequest): boolean {
     const mayPreempt = job.rank === URGENT_RANK && this.#mayBorrow(job);
@@ -231,11 +253,10 @@
     const plan = planEviction(
       this.#racksToPreempt(job),
       request,
-      this.#evictionOptions((victim) =>
+      this.#evictionOptions(job, (victim) =>
         victim.rank > job.rank &&
         (!victim.isGuaranteed ||
-          this.#context.mutations.has("evictsGuarantees"))
-      ),
+          this.#context.mutations.has("evictsGuarantees"))),
     );
     if (plan === undefined) {
       this.#noteVain(key, request);
@@ -310,18 +331,28 @@
     return candidates.slice(0, RACKS_WEIGHED).map(({ rack }) => rack.workers);
   }
 
-  #evictionOptions(isEvictable: (job: JobState) => boolean) {
+  /** Stops that end later than this are too slow for the job. */
+  #slowFromMs(job: JobState): number {
+    return job.rank === URGENT_RANK ? this.#checkpointDeadline(job) : Infinity;
+  }
+
+  #evictionOptions(job: JobState, isEvictable: (job: JobState) => boolean) {
+    const slowFromMs = this.#slowFromMs(job);
     const roomOf = (worker: WorkerState) =>
-      worker.isPlaceable ? worker.futureRoom() : NOTHING;
+      worker.isPlaceable
+        ? withoutSlowStops(worker, worker.futureRoom(), slowFromMs)
+        : NOTHING;
     return {
       nowMs: this.#context.nowMs,
+      hasTimeToCheckpoint: job.rank !== URGENT_RANK,
       isEvictable,
       roomOf,
       potentialOf: (worker: WorkerState) => {
         if (!worker.isPlaceable) {
           return NOTHING;
         }
-        return withEvictable(worker, worker.futureRoom(), isEvictable);
+        const room = withoutSlowStops(worker, worker.futureRoom(), slowFromMs);
+        return withEvictable(worker, room, isEvictable);
       },
     };
   }
@@ -401,6 +432,27 @@
   return room;
 }
 
+/** The room without that of gangs whose stop takes too long. */
+function withoutSlowStops(
+  worker: WorkerState,
+  room: Amounts,
+  slowFromMs: number,
+): Amounts {
+  const hasStops = worker.stopping.accelerators > 0 ||
+    worker.stopping.milliCores > 0 || worker.stopping.memoryBytes > 0;
+  if (slowFromMs === Infinity || !hasStops) {
+    return room;
+  }
+  for (const { job, tasks } of worker.allocations.values()) {
+    const isSlow = job.phase === JobPhase.stopping &&
+      job.stopDeadlineMs > slowFromMs;
+    if (isSlow) {
+      addAmounts(room, job.need, { factor: -tasks });
+    }
+  }
+  return room;
+}
+
 /** What is there for guarantees once all that stops has stopped. */
 function roomForGuarantees(worker: WorkerState): Amounts {
   const room = worker.free();
