--- a/bench/routing/added_latency.ts
+++ b/bench/routing/added_latency.ts
@@ -21,23 +21,27 @@
   SOCKET_SIZES,
 } from "./bench_worker.ts";
 
-/** Direct calls of the servers, or requests through the instance. */
-type Way = "direct" | "idempotent" | "claimed";
+/**
+ * Direct calls of the servers, calls through a bare relay (the cost of one
+ * more hop on this machine), or requests through the instance.
+ */
+type Way = "direct" | "relay" | "idempotent" | "claimed";
 
 interface Target {
   readonly servers: readonly string[];
   readonly instance: string;
+  readonly relay: string;
   readonly dispatcher: Dispatcher;
 }
 
 const MEAN_SERVICE_MS = 20;
 const LOAD = 0.5;
-const BLOCK_MS = 4_000;
-const BLOCKS = 3;
+const BLOCK_MS = 2_500;
+const BLOCKS = 4;
 const WARM_UP_MS = 1_000;
 const THROUGHPUT_MS = 3_000;
 const CALLERS = 64;
-const WAYS: readonly Way[] = ["direct", "idempotent", "claimed"];
+const WAYS: readonly Way[] = ["direct", "relay", "idempotent", "claimed"];
 
 async function main(): Promise<void> {
   const seed = Number(process.argv[2] ?? 1);
@@ -101,20 +105,34 @@
     ...common,
     role: "instance",
     instanceAddress: "",
+    serverAddresses: [],
   });
   const [address = ""] = instance.addresses;
   const servers = await startThread({
     ...common,
     role: "servers",
     instanceAddress: address,
+    serverAddresses: [],
+  });
+  const relay = await startThread({
+    ...common,
+    role: "relay",
+    instanceAddress: address,
+    serverAddresses: servers.addresses,
   });
   const dispatcher = new Agent({ connections: 256 });
   const stop = async (): Promise<void> => {
     await dispatcher.destroy();
     await servers.worker.terminate();
     await instance.worker.terminate();
+    await relay.worker.terminate();
+  };
+  const target: Target = {
+    servers: servers.addresses,
+    instance: address,
+    relay: relay.addresses[0] ?? "",
+    dispatcher,
   };
-  const target = { servers: servers.addresses, instance: address, dispatcher };
   return { target, stop };
 }
 
@@ -183,10 +201,8 @@
 /** One request; the time that it took beside the server's own, in ms. */
 async function call(way: Way, target: Target, at: number): Promise<number> {
   const requestId = `bench-${++lastRequest}`;
-  const isDirect = way === "direct";
-  const address = isDirect
-    ? target.servers[at % target.servers.length]
-    : target.instance;
+  const isDirect = way === "direct" || way === "relay";
+  const address = addressOf(way, target, at);
   const startMs = performance.now();
   const response = await target.dispatcher.request({
     origin: `http://${address}`,
@@ -206,6 +222,18 @@
   return performance.now() - startMs - body.serviceMs;
 }
 
+function addressOf(way: Way, target: Target, at: number): string {
+  switch (way) {
+    case "direct":
+      return target.servers[at % target.servers.length] ?? "";
+    case "relay":
+      return target.relay;
+    case "idempotent":
+    case "claimed":
+      return target.instance;
+  }
+}
+
 function quantiles(values: number[]) {
   const sorted = [...values].sort((left, right) => left - right);
   const at = (part: number): number =>
--- a/bench/routing/bench_worker.ts
+++ b/bench/routing/bench_worker.ts
@@ -6,11 +6,13 @@
 
 /** What a thread is to run. */
 export interface BenchWorkerData {
-  readonly role: "servers" | "instance";
+  readonly role: "servers" | "instance" | "relay";
   readonly meanServiceMs: number;
   readonly seed: number;
   /** Where the instance listens, for the servers' announcements. */
   readonly instanceAddress: string;
+  /** Where the servers listen, for the relay. */
+  readonly serverAddresses: readonly string[];
 }
 
 /** What a thread says once it serves. */
--- a/bench/routing/socket_thread.ts
+++ b/bench/routing/socket_thread.ts
@@ -1,16 +1,27 @@
 /**
- * A thread of the socket bench: the stand-in servers or the instance.
+ * A thread of the socket bench: the stand-in servers, the instance, or a bare
+ * relay that passes every call on to the servers in turn and decides nothing.
  *
  * @module
  */
 
+import {
+  createServer,
+  type IncomingMessage,
+  type ServerResponse,
+} from "node:http";
+import type { AddressInfo } from "node:net";
 import { parentPort, workerData } from "node:worker_threads";
+import { Agent } from "undici";
 import { Channel, SeededRandom, SystemClock } from "../../src/base/mod.ts";
 import { HttpFront, MetricsRegistry } from "../../src/process/http/mod.ts";
 import { LedgerState } from "../../src/process/ledger/mod.ts";
 import { MemoryGroup } from "../../src/process/ledger/memory_group.ts";
 import { FakePeerHub } from "../../src/process/replication/fake_peer_network.ts";
-import { RequestRouting } from "../../src/process/routing/mod.ts";
+import {
+  RequestHeader,
+  RequestRouting,
+} from "../../src/process/routing/mod.ts";
 import type { ConfigurationVersion } from "../../src/version/configuration_version.ts";
 import { documentSchema } from "../../src/version/document/document.ts";
 import { StandinBackendServer } from "../../standins/backend_server/mod.ts";
@@ -21,6 +32,7 @@
 } from "./bench_worker.ts";
 
 const HOST = "127.0.0.1";
+const RELAY_CONNECTIONS = 60;
 
 async function startServers(data: BenchWorkerData): Promise<string[]> {
   const clock = new SystemClock();
@@ -81,9 +93,47 @@
   return [`${HOST}:${listening.unsafeCoerce().port}`];
 }
 
-const data = workerData as BenchWorkerData;
-const addresses = data.role === "servers"
-  ? await startServers(data)
-  : await startInstance();
+async function startRelay(data: BenchWorkerData): Promise<string[]> {
+  const agent = new Agent({ connections: RELAY_CONNECTIONS });
+  let next = 0;
+  const relay = async (
+    call: IncomingMessage,
+    answer: ServerResponse,
+  ): Promise<void> => {
+    const chunks: Buffer[] = [];
+    for await (const chunk of call) {
+      chunks.push(chunk as Buffer);
+    }
+    const address = data.serverAddresses[next++ % data.serverAddresses.length];
+    const response = await agent.request({
+      origin: `http://${address}`,
+      path: "/",
+      method: "POST",
+      headers: { [RequestHeader.correlation]: String(next) },
+      body: Buffer.concat(chunks),
+    });
+    const body = Buffer.from(await response.body.arrayBuffer());
+    answer.writeHead(response.statusCode, { "content-length": body.length });
+    answer.end(body);
+  };
+  const server = createServer((call, answer) => void relay(call, answer));
+  await new Promise<void>((resolve) => {
+    server.listen({ host: HOST, port: 0 }, resolve);
+  });
+  return [`${HOST}:${(server.address() as AddressInfo).port}`];
+}
+
+function start(data: BenchWorkerData): Promise<string[]> {
+  switch (data.role) {
+    case "servers":
+      return startServers(data);
+    case "instance":
+      return startInstance();
+    case "relay":
+      return startRelay(data);
+  }
+}
+
+const addresses = await start(workerData as BenchWorkerData);
 const ready: BenchWorkerReady = { addresses };
 parentPort?.postMessage(ready);
