Let half of the voters go on after the others lost their state

Cause: in a data centre of two instances with disks, the loss of the leader's disk stopped the group for good although both instances were up again: the other one, which holds all that was ever committed, never led, since a durable voter had forgotten. Ruled out: the link to the wiped instance (it answered and was reported as forgotten) and its formation (it stayed a learner without a group). Change: an election without a majority also counts when at least half of the voters remember and agree, and all others have answered this very election as forgotten. Whatever a majority kept, a member of any half keeps too, and nobody is left who could vote otherwise. A third of the voters still waits for an operator.

--- a/src/process/replication/group_configuration.ts
+++ b/src/process/replication/group_configuration.ts
@@ -77,23 +77,37 @@
 /**
  * Whether a candidate with these votes leads: by a majority; or because
  * everyone who might vote has answered this very election, and all that
- * still remember anything agreed while no durable voter has forgotten. The
- * second lets a group go on after a restart of all its members.
+ * still remember anything agreed while no durable voter has forgotten or
+ * half of the voters remember. The second lets a group go on after a restart
+ * of all its members, and one of two voters after the other lost its disk:
+ * whatever a majority kept, one voter of any half keeps too.
  */
 export function isElectionQuorum(
   configuration: GroupConfiguration,
   known: { evidence: VoterEvidence; electorateIds: readonly InstanceId[] },
 ): boolean {
   const { evidence, electorateIds } = known;
+  const isHalf = isHalfAgreed(configuration, evidence);
   const isAccepted = (id: InstanceId) =>
     evidence.isDeclaredLost(id) ||
     (evidence.isForgotten(id) &&
-      findVoter(configuration, id)?.isDurable !== true);
+      (isHalf || findVoter(configuration, id)?.isDurable !== true));
   return isMajority(configuration, evidence) ||
     (configuration.voters.some((voter) => evidence.hasAgreed(voter.id)) &&
       electorateIds.every((id) => evidence.hasAgreed(id) || isAccepted(id)));
 }
 
+/** Whether at least half of the voters agreed. */
+function isHalfAgreed(
+  configuration: GroupConfiguration,
+  evidence: VoterEvidence,
+): boolean {
+  const agreed = configuration.voters.filter((voter) =>
+    evidence.hasAgreed(voter.id)
+  );
+  return agreed.length > 0 && agreed.length * 2 >= configuration.voters.length;
+}
+
 /**
  * Whether entries that these voters keep are committed: a majority, and one
  * of the voters is durable while there is one that can be reached. Or all
