Fuzz the whole system against an oracle of its promises

Cause: faults come together and twice, and across parts; the parts' own fuzzing cannot show what two real parts do to one another. Change: random histories (submissions, cancellations, racing and resent edits, data centres out and in, crashes, restarts, a wiped disk and then another loss, processes that stand still, one-way and silent cuts, loss, doubling and reordering, failing and dying workers, requests retried through other instances, graceful stops), judged by edits, requests and tasks as users and workers saw them. Seven broken variants are noticed.

--- /dev/null
+++ b/test/fuzz/main.ts
@@ -0,0 +1,51 @@
+/**
+ * `npm run fuzz -- --seed N --runs M`: random histories of the whole system.
+ * Each failing one is printed with its seed, steps and time line.
+ *
+ * @module
+ */
+
+import { cac } from "cac";
+import process from "node:process";
+import { type FailedHistory, runCampaign } from "../system/campaign.ts";
+
+/** The lines of a failing history's time line that are printed. */
+const TIMELINE_LINES = 400;
+
+function print(line: string): void {
+  process.stdout.write(line + "\n");
+}
+
+function printFailure(failed: FailedHistory): void {
+  print(`FAILED: seed ${failed.seed}`);
+  failed.violations.forEach((text) => print(`  ${text}`));
+  print("steps:");
+  failed.steps.forEach((step) => print(`  ${JSON.stringify(step)}`));
+  print("time line (ms):");
+  failed.timeline.slice(-TIMELINE_LINES).forEach((line) => print(`  ${line}`));
+}
+
+async function main(): Promise<void> {
+  const cli = cac("fuzz");
+  cli.option("--seed <n>", "Seed of the first history", { default: 1 });
+  cli.option("--runs <n>", "How many histories", { default: 100 });
+  cli.option("--shrink <n>", "Tries to shorten a failing one", { default: 60 });
+  cli.help();
+  const { options } = cli.parse();
+  if (options["help"] === true) {
+    return;
+  }
+  const { passed, failures } = await runCampaign({
+    seed: Number(options["seed"]),
+    runs: Number(options["runs"]),
+    shrinkTries: Number(options["shrink"]),
+  }, (_seed, failed) => {
+    if (failed !== undefined) {
+      printFailure(failed);
+    }
+  });
+  print(`${passed} passed, ${failures.length} failed`);
+  process.exitCode = failures.length === 0 ? 0 : 1;
+}
+
+await main();
--- /dev/null
+++ b/test/system/system_fuzz_test.ts
@@ -0,0 +1,154 @@
+import test from "ava";
+import { type CampaignOptions, runCampaign } from "./campaign.ts";
+import { runHistory } from "./system_history.ts";
+import type { SystemStep } from "./system_step.ts";
+
+test("random histories of the whole keep every promise", async (t) => {
+  const { passed, failures } = await runCampaign({ seed: 1, runs: 10 });
+  t.deepEqual(failures.map(({ seed, violations }) => [seed, violations]), []);
+  t.is(passed, 10);
+});
+
+/** Broken variants: what must be noticed, and in which histories. */
+const BROKEN: readonly {
+  readonly name: string;
+  readonly notices: RegExp;
+  readonly campaign: CampaignOptions;
+}[] = [
+  {
+    name: "disks that lie about syncs revert edits",
+    notices: /went back|two documents|has version|shared? a version|accepted/,
+    campaign: {
+      seed: 11,
+      runs: 20,
+      mutation: { syncLies: true },
+      favoured: ["race", "crash", "start", "switch"],
+    },
+  },
+  {
+    name: "a lost answer taken for an unsent request runs it twice",
+    notices: /run twice|untrue|ran after/,
+    campaign: {
+      seed: 7,
+      runs: 20,
+      mutation: { misjudgesLoss: true },
+      favoured: ["request", "serverFaults"],
+    },
+  },
+  {
+    name: "forgotten requests run twice",
+    notices: /run twice/,
+    campaign: {
+      seed: 3,
+      runs: 20,
+      mutation: { forgetsRequests: true },
+      favoured: ["request", "crash", "start"],
+    },
+  },
+  {
+    name: "crossed answers reach the wrong caller",
+    notices: /got: answer to/,
+    campaign: {
+      seed: 1,
+      runs: 20,
+      mutation: { crossesAnswers: true },
+      favoured: ["request"],
+    },
+  },
+  {
+    name: "gangs that aren't released whole run in part",
+    notices: /a part of a gang/,
+    campaign: {
+      seed: 46,
+      runs: 60,
+      mutation: {
+        omittedChecks: ["releaseAll", "gangEvidence"],
+        omittedFences: ["lease"],
+      },
+      favoured: ["submit", "worker", "weather", "freeze"],
+    },
+  },
+  {
+    name: "a recovery that doesn't wait runs a job beside itself",
+    notices: /beside attempt|done already|had ended/,
+    campaign: {
+      seed: 45,
+      runs: 60,
+      mutation: {
+        omittedChecks: ["intentFirst", "recoveryWait", "lapseWait"],
+        omittedFences: ["term", "late", "released", "lease"],
+      },
+      favoured: ["submit", "crash", "start", "freeze", "resume"],
+    },
+  },
+];
+
+for (const { name, notices, campaign } of BROKEN) {
+  test(`the oracle notices: ${name}`, async (t) => {
+    let noticed: string | undefined;
+    let at = 0;
+    while (noticed === undefined && at < campaign.runs) {
+      const { failures } = await runCampaign({
+        ...campaign,
+        seed: campaign.seed + at,
+        runs: 1,
+      });
+      noticed = failures.flatMap(({ violations }) => violations)
+        .find((text) => notices.test(text));
+      at += 1;
+    }
+    t.log(`history ${at}: ${noticed}`);
+    t.truthy(noticed);
+  });
+}
+
+/** The south is cut off and taken out; then jobs come to it. */
+const CUT_OFF_AND_OUT: readonly SystemStep[] = [
+  { kind: "pass", byMs: 1_000 },
+  { kind: "cutRegions" },
+  { kind: "switch", at: "n1", dataCentre: "south", status: "out" },
+  { kind: "pass", byMs: 6_000 },
+  { kind: "resend", at: "n1" },
+  { kind: "pass", byMs: 3_000 },
+  ...[1, 2, 3, 4].map((job) => ({
+    kind: "submit" as const,
+    at: "s1" as const,
+    job,
+    tasks: 1,
+    runMs: 500,
+  })),
+  { kind: "pass", byMs: 3_000 },
+];
+
+test("nothing starts in a data centre that was cut off and taken out", async (t) => {
+  const { violations, timeline } = await runHistory(CUT_OFF_AND_OUT, {
+    seed: 1,
+  });
+  t.deepEqual(violations, []);
+  t.true(timeline.some((line) => /dataCentres.south.*accepted/.test(line)));
+});
+
+test("the oracle notices: copies that seem current start tasks", async (t) => {
+  const { violations } = await runHistory(CUT_OFF_AND_OUT, {
+    seed: 1,
+    mutation: { copiesSeemCurrent: true },
+  });
+  t.true(violations.some((text) => /south is out/.test(text)));
+});
+
+test("the leader of a data centre of two loses its disk", async (t) => {
+  const { violations } = await runHistory([
+    {
+      kind: "submit",
+      at: "s2",
+      job: 7,
+      tasks: 1,
+      runMs: 500,
+    },
+    { kind: "wipe", at: "s1", next: "s1" },
+    { kind: "submit", at: "s1", job: 4, tasks: 1, runMs: 500 },
+    { kind: "pass", byMs: 1_000 },
+    { kind: "wipe", at: "s2", next: "n1" },
+  ], { seed: 2 });
+  t.deepEqual(violations, []);
+});
--- a/test/system/system_workers.ts
+++ b/test/system/system_workers.ts
@@ -37,6 +37,7 @@
     happening: TaskHappening,
     dataCentre: SystemDataCentre,
   ) => void;
+  readonly onDeath: (id: SystemWorkerId) => void;
   /** The scheduler of an instance that can be called. */
   readonly schedulerOf: (
     id: SystemInstanceId,
@@ -61,6 +62,7 @@
 
   die(id: SystemWorkerId): void {
     this.all.get(id)?.die();
+    this.#options.onDeath(id);
   }
 
   revive(id: SystemWorkerId): void {
