--- a/src/process/routing/core/slot_allocator.ts
+++ b/src/process/routing/core/slot_allocator.ts
@@ -33,6 +33,12 @@
 /** Fewer slots than this aren't taken back. */
 const SMALLEST_CHANGE = 2;
 
+/**
+ * The part of an even share that an idle instance keeps, so that its first
+ * calls needn't wait for a round.
+ */
+const IDLE_FRACTION = 0.25;
+
 /** How much of an earlier peak of demand counts after one round. */
 const DEMAND_DECAY = 0.9;
 
@@ -89,7 +95,13 @@
     const holders = [...this.#holders.values()]
       .sort((left, right) => left.instanceId < right.instanceId ? -1 : 1);
     const total = sum(capacity.values());
-    const targets = shareOut(total, holders.map(({ demand }) => demand));
+    const floor = Math.ceil(
+      total * IDLE_FRACTION / Math.max(1, holders.length),
+    );
+    const targets = shareOut(
+      total,
+      holders.map(({ demand }) => Math.max(floor, demand)),
+    );
     const changed = new Set<Holder>();
     holders.forEach((holder, at) => {
       if (this.#lower(holder, targets[at] ?? 0, capacity)) {
