--- a/src/process/http/body_reader.ts
+++ b/src/process/http/body_reader.ts
@@ -33,8 +33,7 @@
   request: IncomingMessage,
   options: BodyReadOptions,
 ): Promise<Result<ReadBody>> {
-  const declaredBytes = Number(request.headers["content-length"] ?? 0);
-  if (declaredBytes > options.limitBytes) {
+  if ((declaredBytesOf(request) ?? 0) > options.limitBytes) {
     return Promise.resolve(tooLarge(options.limitBytes));
   }
   return new Promise((resolve) => {
@@ -42,6 +41,11 @@
   });
 }
 
+function declaredBytesOf(request: IncomingMessage): number | undefined {
+  const declared = request.headers["content-length"];
+  return declared === undefined ? undefined : Number(declared);
+}
+
 function tooLarge(limitBytes: number): Result<never> {
   return failure("tooLarge", {
     detail: `The body is over ${limitBytes} bytes.`,
@@ -57,6 +61,7 @@
   readonly #options: BodyReadOptions;
   readonly #resolve: (result: Result<ReadBody>) => void;
   readonly #timer;
+  readonly #declaredBytes: number;
   #buffer = new Uint8Array(0);
   #lengthBytes = 0;
 
@@ -68,6 +73,7 @@
     this.#request = request;
     this.#options = options;
     this.#resolve = resolve;
+    this.#declaredBytes = declaredBytesOf(request) ?? FIRST_BUFFER_BYTES;
     const leftMs = options.deadlineMs - options.clock.nowMs();
     this.#timer = options.clock.after(
       leftMs,
@@ -98,7 +104,8 @@
     if (lengthBytes <= oldBytes) {
       return true;
     }
-    const newBytes = Math.max(lengthBytes, oldBytes * 2, FIRST_BUFFER_BYTES);
+    const firstBytes = Math.min(this.#declaredBytes, FIRST_BUFFER_BYTES);
+    const newBytes = Math.max(lengthBytes, oldBytes * 2, firstBytes);
     if (!this.#options.budget.take(newBytes - oldBytes)) {
       return false;
     }
--- a/src/process/http/http_front.ts
+++ b/src/process/http/http_front.ts
@@ -190,8 +190,15 @@
       return;
     }
     this.#count(socket, 1);
-    await exchange.run();
-    this.#count(socket, -1);
+    try {
+      await exchange.run();
+    } catch (thrown) {
+      const detail = thrown instanceof Error ? thrown.message : String(thrown);
+      this.#eventLog.emit("callFailed", { path: request.url ?? "", detail });
+      socket.destroy();
+    } finally {
+      this.#count(socket, -1);
+    }
   }
 
   #exchange(
--- a/src/process/http/http_front_test.ts
+++ b/src/process/http/http_front_test.ts
@@ -66,6 +66,15 @@
   handle: () => Promise.reject(new Error("broken")),
 };
 
+const UNBOUNDED: HttpEndpoint = {
+  method: "GET",
+  path: "/unbounded",
+  bodyLimitBytes: () => {
+    throw new Error("no limit");
+  },
+  handle: () => Promise.reject(new Error("not reached")),
+};
+
 const REFUSING: HttpEndpoint = {
   method: "GET",
   path: "/refusing",
@@ -78,7 +87,7 @@
   const held = new HeldEndpoint();
   const front = new HttpFront({
     clock,
-    endpoints: [held, ECHO, LARGE, FAULTY, REFUSING],
+    endpoints: [held, ECHO, LARGE, FAULTY, UNBOUNDED, REFUSING],
     ...(limits === undefined ? {} : { limits }),
   });
   const address = await front.listen({ host: "127.0.0.1", port: 0 });
@@ -201,7 +210,7 @@
 });
 
 test("bodies of many callers stay within the held bytes", async (t) => {
-  const limits = { heldBytes: 10_000, bodyReadMs: 5_000 };
+  const limits = { heldBytes: 3_000, bodyReadMs: 5_000 };
   const { port, front } = await startFront(t, limits);
   const callers = Array.from({ length: 5 }, () => new RawCaller(port));
   for (const caller of callers) {
@@ -323,6 +332,47 @@
   }
 });
 
+test("odd targets are refused and harm nothing", async (t) => {
+  const { port, front } = await startFront(t);
+  const targets = [
+    "/held/%ff",
+    "/%",
+    "*",
+    "http://other/echo",
+    "//echo",
+    "/held/" + "x".repeat(4_000),
+    "/held/..%2f..%2fecho",
+    "/echo;x=1?%zz=%ff",
+  ];
+  for (const target of targets) {
+    const caller = new RawCaller(port);
+    caller.send(`GET ${target} HTTP/1.1`, "host: x", "", "");
+    t.regex(await caller.until("}}"), /HTTP\/1.1 4\d\d /, target);
+    caller.socket.destroy();
+  }
+  const tunnel = new RawCaller(port);
+  tunnel.send("CONNECT other:443 HTTP/1.1", "host: x", "", "");
+  t.notRegex(await tunnel.closed, /200/);
+  const upgrade = new RawCaller(port);
+  upgrade.send("GET /healthz HTTP/1.1", "host: x", "connection: upgrade");
+  upgrade.send("", "upgrade: websocket", "", "");
+  t.regex(await upgrade.until("}"), /200 OK/);
+  upgrade.socket.destroy();
+  await eventually(() => front.calls === 0);
+});
+
+test("a fault before the body is read closes its connection only", async (t) => {
+  const { port, front } = await startFront(t);
+  const caller = new RawCaller(port);
+  caller.send("GET /unbounded HTTP/1.1", "host: x", "", "");
+  t.is(await caller.closed, "");
+  await eventually(() => front.calls === 0);
+  const next = new RawCaller(port);
+  next.send("GET /healthz HTTP/1.1", "host: x", "", "");
+  t.regex(await next.until("}"), /200 OK/);
+  next.socket.destroy();
+});
+
 test("leave to send a body is given only within the limit", async (t) => {
   const { port } = await startFront(t);
   const caller = new RawCaller(port);
--- a/src/process/ledger/ledger_state.ts
+++ b/src/process/ledger/ledger_state.ts
@@ -148,13 +148,14 @@
     return { kind: "done" };
   }
 
+  /** A copy, since the body may be a view of a whole frame. */
   #keepable(outcome: RecordedOutcome): RecordedOutcome {
     if (outcome.kind !== "answered") {
       return outcome;
     }
     const bodyBytes = outcome.body.length;
     if (this.#bytes + bodyBytes <= this.#limits.bytes) {
-      return outcome;
+      return { ...outcome, body: new Uint8Array(outcome.body) };
     }
     const { httpStatus } = outcome;
     return { kind: "answeredUnkept", httpStatus, bodyBytes };
--- a/src/process/routing/answer_faults.ts
+++ b/src/process/routing/answer_faults.ts
@@ -21,29 +21,34 @@
 /** One of the values of {@link AnswerFault}. */
 export type AnswerFault = typeof AnswerFault[keyof typeof AnswerFault];
 
-/** Remembers how the latest sendings ended, to name faults rightly. */
+/** How one sending ended. */
+type CorrelationEnd = "answered" | "givenUp";
+
+/**
+ * Remembers how the latest sendings ended, to name faults rightly. The two
+ * halves take turns, so that forgetting costs nothing.
+ */
 export class CorrelationMemory {
   readonly #limit: number;
-  readonly #ends = new Map<string, "answered" | "givenUp">();
+  #newer = new Map<string, CorrelationEnd>();
+  #older = new Map<string, CorrelationEnd>();
 
   constructor(options: { limit: number }) {
     this.#limit = options.limit;
   }
 
-  remember(correlationId: string, end: "answered" | "givenUp"): void {
-    this.#ends.set(correlationId, end);
-    if (this.#ends.size > this.#limit) {
-      const [oldest] = this.#ends.keys();
-      this.#ends.delete(oldest ?? correlationId);
+  remember(correlationId: string, end: CorrelationEnd): void {
+    if (this.#newer.size >= this.#limit / 2) {
+      this.#older = this.#newer;
+      this.#newer = new Map();
     }
+    this.#newer.set(correlationId, end);
   }
 
   /** The fault of an answer that names another sending than was awaited. */
   classify(correlationId: string | undefined): AnswerFault {
-    const end = correlationId === undefined
-      ? undefined
-      : this.#ends.get(correlationId);
-    switch (end) {
+    const known = correlationId ?? "";
+    switch (this.#newer.get(known) ?? this.#older.get(known)) {
       case "answered":
         return AnswerFault.doubled;
       case "givenUp":
--- a/src/process/routing/router.ts
+++ b/src/process/routing/router.ts
@@ -6,6 +6,7 @@
  */
 
 import type { Clock, Timer } from "../../base/clock.ts";
+import type { ErrorKind } from "../../base/error_kind.ts";
 import type { EventLog } from "../../base/event_log.ts";
 import type { DataCentreId, InstanceId } from "../../base/identity.ts";
 import type { RandomSource } from "../../base/random_source.ts";
@@ -95,6 +96,10 @@
   ): Promise<RoutedEnd> {
     const key = `c${++this.#lastKey}`;
     const call = new OpenCall(record);
+    if (options.signal?.aborted === true) {
+      call.endWithError(callerLeft("unavailable"));
+      return call.end;
+    }
     this.#calls.set(key, call);
     options.signal?.addEventListener("abort", () => this.#abandon(key, call));
     this.handle({
@@ -277,8 +282,7 @@
     }
     const error = this.#core.isQueued(key) ? "unavailable" : "outcomeUnknown";
     this.handle({ kind: "callAbandoned", atMs: this.#nowMs(), key });
-    const detail = "The caller went away.";
-    call.endWithError(new SesameError(error, { detail }));
+    call.endWithError(callerLeft(error));
     this.#forgetIfSettled(key);
   }
 
@@ -292,6 +296,10 @@
   }
 }
 
+function callerLeft(kind: ErrorKind): SesameError {
+  return new SesameError(kind, { detail: "The caller went away." });
+}
+
 function callOf(
   record: RequestRecord,
   options: { key: CallKey; isForwarded: boolean },
--- a/src/process/routing/routing_metrics.ts
+++ b/src/process/routing/routing_metrics.ts
@@ -4,36 +4,60 @@
  * @module
  */
 
-import type { MetricsRegistry } from "../http/mod.ts";
+import type {
+  Counter,
+  DurationHistogram,
+  MetricsRegistry,
+} from "../http/mod.ts";
 import type { AnswerFault } from "./answer_faults.ts";
 
 /** Counts and times what happens to requests. */
 export class RoutingMetrics {
   readonly #registry: MetricsRegistry;
+  /** Found once for each set of labels, since rendering labels is slow. */
+  readonly #ends = new Map<string, Counter>();
+  readonly #completions = new Map<string, DurationHistogram>();
+  readonly #attempts = new Map<string, Counter>();
 
   constructor(options: { registry: MetricsRegistry }) {
     this.#registry = options.registry;
   }
 
   countEnd(requestClass: string, outcome: string): void {
-    this.#registry.counter("sesamethread_requests_total", {
-      help: "Requests by class and how they ended.",
-      labels: { class: requestClass, outcome },
-    }).add();
+    memoized(
+      this.#ends,
+      `${requestClass} ${outcome}`,
+      () =>
+        this.#registry.counter("sesamethread_requests_total", {
+          help: "Requests by class and how they ended.",
+          labels: { class: requestClass, outcome },
+        }),
+    ).add();
   }
 
   recordCompletion(requestClass: string, durationMs: number): void {
-    this.#registry.histogram("sesamethread_request_milliseconds", {
-      help: "Time from a request's arrival to its end.",
-      labels: { class: requestClass },
-    }).record(durationMs);
+    memoized(
+      this.#completions,
+      requestClass,
+      () =>
+        this.#registry.histogram("sesamethread_request_milliseconds", {
+          help: "Time from a request's arrival to its end.",
+          labels: { class: requestClass },
+        }),
+    ).record(durationMs);
   }
 
   countAttempt(tryNumber: number): void {
-    this.#registry.counter("sesamethread_attempts_total", {
-      help: "Requests sent to backend servers, first tries and retries.",
-      labels: { try: tryNumber === 1 ? "first" : "retry" },
-    }).add();
+    const kind = tryNumber === 1 ? "first" : "retry";
+    memoized(
+      this.#attempts,
+      kind,
+      () =>
+        this.#registry.counter("sesamethread_attempts_total", {
+          help: "Requests sent to backend servers, first tries and retries.",
+          labels: { try: kind },
+        }),
+    ).add();
   }
 
   countFault(fault: AnswerFault): void {
@@ -54,3 +78,9 @@
     this.#registry.gauge(name, options);
   }
 }
+
+function memoized<T>(known: Map<string, T>, key: string, make: () => T): T {
+  const found = known.get(key) ?? make();
+  known.set(key, found);
+  return found;
+}
