--- a/test/process/edit_load.ts
+++ b/test/process/edit_load.ts
@@ -8,11 +8,14 @@
 import { randomUUID } from "node:crypto";
 import type { SectionId } from "../../src/version/document/section_id.ts";
 import { SectionClient } from "../../src/programs/commands/config/section_client.ts";
-import type { Cluster } from "./cluster.ts";
+import { type Cluster, pause } from "./cluster.ts";
 
 const KEY = "operations:demo-operations-key";
 const SECTION: SectionId = { kind: "jobClasses", name: "overnight" };
 
+/** Keeps the load far below the edits that are remembered for a day. */
+const EDIT_PAUSE_MS = 250;
+
 interface Accepted {
   readonly editId: string;
   readonly version: number;
@@ -72,6 +75,7 @@
         pauseMs: 200,
       });
       await this.#edit(sections);
+      await pause(EDIT_PAUSE_MS);
     }
   }
 
