Let short work behind a reservation go before longer work of its shape

Cause: the order by run time put a short job behind longer ones of its shape, so none went on behind a reservation; a test noticed. Change: short and long jobs wait in groups of their own; usage reports join the fuzz.

--- a/src/process/scheduler/core/evictor.ts
+++ b/src/process/scheduler/core/evictor.ts
@@ -18,7 +18,7 @@
 import { reservedForGuarantees } from "./ledger.ts";
 import { type Block, type BlockRequest, requestOf } from "./placement.ts";
 import type { RackState } from "./rack_index.ts";
-import { ReservationKind } from "./reservation.ts";
+import { DRAIN_LIMIT_MS, ReservationKind } from "./reservation.ts";
 import { isDrainable, type ReservationManager } from "./reservation_manager.ts";
 import type { VainTries } from "./vain_tries.ts";
 import { RANK_COUNT, type WorkerState } from "./worker_state.ts";
@@ -31,8 +31,6 @@
 const RACKS_WEIGHED = 12;
 /** Most of all accelerators that may be held by draining reservations. */
 const DRAINING_FRACTION = 0.25;
-/** The longest that a reservation drains. */
-const DRAIN_LIMIT_MS = 60_000;
 
 const NOTHING: Readonly<Amounts> = Object.freeze(noAmounts());
 
--- a/src/process/scheduler/core/job_queue.ts
+++ b/src/process/scheduler/core/job_queue.ts
@@ -7,6 +7,7 @@
 
 import type { ClientAccountId } from "../../../base/identity.ts";
 import { gangAccelerators, type JobState } from "./job_state.ts";
+import { DRAIN_LIMIT_MS } from "./reservation.ts";
 import type { WaitReason } from "./scheduler_decision.ts";
 
 /** Run time up to which a job is of level 0. */
@@ -48,7 +49,9 @@
   add(job: JobState): void {
     const shapeKey = shapeKeyOf(job);
     const { clientAccount } = job.specification;
-    const key = `${clientAccount}|${job.rank}|${shapeKey}`;
+    // Short jobs can go on behind a reservation where the others can't.
+    const length = job.expectedRunMs <= DRAIN_LIMIT_MS ? "short" : "long";
+    const key = `${clientAccount}|${job.rank}|${length}|${shapeKey}`;
     let group = this.#groups.get(key);
     if (group === undefined) {
       group = {
--- a/src/process/scheduler/core/reservation.ts
+++ b/src/process/scheduler/core/reservation.ts
@@ -7,6 +7,9 @@
 import type { JobState } from "./job_state.ts";
 import type { Block } from "./placement.ts";
 
+/** The longest that a reservation drains before work is moved for it. */
+export const DRAIN_LIMIT_MS = 60_000;
+
 /** Why room is held. */
 export const ReservationKind = {
   /** For a guarantee, whose borrowers are being evicted. */
--- a/src/process/scheduler/core/scheduler_core_fuzz_test.ts
+++ b/src/process/scheduler/core/scheduler_core_fuzz_test.ts
@@ -27,6 +27,7 @@
   | { kind: "permit"; forMs: number }
   | { kind: "guarantees"; at: number }
   | { kind: "leader"; startsArrive: boolean }
+  | { kind: "usage"; at: number; factor: number }
   | { kind: "repeat" };
 
 const GUARANTEES = [
@@ -149,6 +150,14 @@
       startsArrive: fc.boolean(),
     }),
   },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      kind: fc.constant("usage" as const),
+      at: index,
+      factor: fc.constantFrom(0.1, 1, 3, 10),
+    }),
+  },
   { weight: 1, arbitrary: fc.constant({ kind: "repeat" as const }) },
 );
 
@@ -207,6 +216,8 @@
       });
     case "leader":
       return world.changeLeader({ startsArrive: step.startsArrive });
+    case "usage":
+      return world.reportUsage(step.at, { factor: step.factor });
     case "repeat":
       return world.repeat();
   }
--- a/src/process/scheduler/core/testing/fake_executor.ts
+++ b/src/process/scheduler/core/testing/fake_executor.ts
@@ -229,6 +229,30 @@
     });
   }
 
+  /** A worker reports that a running gang uses so much of what it asked. */
+  reportUsage(at: number, options: { factor: number }): void {
+    const running = [...this.gangs.values()].filter((gang) => gang.isRunning);
+    const gang = running[at % Math.max(1, running.length)];
+    if (gang === undefined) {
+      return;
+    }
+    const { jobId, attempt, placements, resources } = gang.start;
+    this.send({
+      kind: "workerUsageReported",
+      atMs: this.nowMs,
+      workerId: placements[0]?.workerId ?? "",
+      usages: placements.map(({ taskIndex }) => ({
+        jobId,
+        attempt,
+        taskIndex,
+        cores: resources.cores * options.factor,
+        memoryBytes: resources.memoryBytes * options.factor,
+        accelerators: resources.accelerators,
+        checkpointedAtMs: this.nowMs,
+      })),
+    });
+  }
+
   /** Carries out all that is pending, in order. */
   deliverAll(): void {
     while (this.pending.length > 0) {
