--- a/src/process/scheduler/core/job_events.ts
+++ b/src/process/scheduler/core/job_events.ts
@@ -54,7 +54,10 @@
   submitted(event: JobSubmitted): void {
     const context = this.#context;
     const specification = event.job;
-    if (context.jobs.has(specification.jobId)) {
+    const known = context.jobs.get(specification.jobId);
+    const isBack = event.isReturned === true &&
+      known?.phase === JobPhase.ended;
+    if (known !== undefined && !isBack) {
       return;
     }
     const job = newJobState(specification, {
--- a/src/process/scheduler/runtime/job_mover.ts
+++ b/src/process/scheduler/runtime/job_mover.ts
@@ -11,7 +11,7 @@
 import type { DataCentreId, JobId } from "../../../base/identity.ts";
 import type { Result } from "../../../base/sesame_error.ts";
 import type { ConfigurationSource } from "../../configuration/configuration_source.ts";
-import { moveTarget } from "./data_centre_choice.ts";
+import { moveTargets } from "./data_centre_choice.ts";
 import type { JobLedger } from "./job_ledger.ts";
 import { isOwned, type JobRecord } from "./job_record.ts";
 import type { LedgerWriter } from "./ledger_writer.ts";
@@ -40,6 +40,8 @@
 export class JobMover {
   readonly #options: JobMoverOptions;
   readonly #moving = new Set<JobId>();
+  /** Jobs that the log says are on their way. */
+  readonly #underWay = new Set<JobId>();
 
   constructor(options: JobMoverOptions) {
     this.#options = options;
@@ -47,40 +49,76 @@
 
   /** Whether the job is to go elsewhere rather than to the core. */
   isToMove(record: JobRecord): boolean {
-    return this.#target(record) !== undefined;
+    return this.#targets(record).length > 0;
   }
 
-  /** Takes up what waits to be moved. */
-  tick(): void {
+  /** Takes up again what an earlier leader began to move. */
+  resume(): void {
     for (const record of this.#options.ledger.liveRecords()) {
-      if (this.#moving.size >= MOVES_LIMIT) {
-        return;
-      }
-      const { jobId } = record.specification;
-      const isUnderWay = record.transfer !== undefined &&
-        record.transfer.acceptedAtMs === undefined;
-      if (!this.#moving.has(jobId) && (isUnderWay || this.isToMove(record))) {
-        this.#moving.add(jobId);
-        void this.#move(record).finally(() => this.#moving.delete(jobId));
+      this.noteIntended(record);
+    }
+  }
+
+  /** From now on the job is to be handed over until that is done. */
+  noteIntended(record: JobRecord): void {
+    if (isUnderWay(record)) {
+      this.#underWay.add(record.specification.jobId);
+    }
+  }
+
+  /** Takes up what waits to be moved: `aside`, or any job once out. */
+  tick(aside: Iterable<JobId>): void {
+    for (const jobId of this.#underWay) {
+      this.#begin(this.#options.ledger.get(jobId));
+    }
+    if (!this.#isOut()) {
+      for (const jobId of aside) {
+        this.#begin(this.#options.ledger.get(jobId));
       }
+      return;
+    }
+    for (const record of this.#options.ledger.liveRecords()) {
+      this.#begin(record);
     }
   }
 
-  #target(record: JobRecord): DataCentreId | undefined {
+  #begin(record: JobRecord | undefined): void {
+    if (record === undefined || this.#moving.size >= MOVES_LIMIT) {
+      return;
+    }
+    const { jobId } = record.specification;
+    if (!isUnderWay(record)) {
+      this.#underWay.delete(jobId);
+    }
+    const isDue = isUnderWay(record) || this.isToMove(record);
+    if (isDue && !this.#moving.has(jobId)) {
+      this.#moving.add(jobId);
+      void this.#move(record).finally(() => this.#moving.delete(jobId));
+    }
+  }
+
+  #isOut(): boolean {
+    const { configuration, dataCentre } = this.#options;
+    const { document } = configuration.current();
+    return document.dataCentres[dataCentre]?.status === "out";
+  }
+
+  #targets(record: JobRecord): readonly DataCentreId[] {
     const isFree = isOwned(record) && !record.isCancelled &&
       record.openAttempt === undefined;
     if (!isFree) {
-      return undefined;
+      return [];
     }
     const { configuration, dataCentre } = this.#options;
     const { document } = configuration.current();
-    return moveTarget(record.specification, { here: dataCentre, document });
+    return moveTargets(record.specification, { here: dataCentre, document });
   }
 
   async #move(record: JobRecord): Promise<void> {
     const { writer, ledger, events } = this.#options;
     const { jobId } = record.specification;
-    const to = record.transfer?.toDataCentre ?? this.#target(record);
+    const to = record.transfer?.toDataCentre ??
+      await this.#findReachable(record);
     if (to === undefined) {
       return;
     }
@@ -109,6 +147,21 @@
     }
   }
 
+  /**
+   * The best data centre that answers now: once the log says where the job
+   * goes, it waits for that one, however long.
+   */
+  async #findReachable(record: JobRecord): Promise<DataCentreId | undefined> {
+    const { jobId } = record.specification;
+    for (const target of this.#targets(record)) {
+      const answer = await this.#options.ask(target, { kind: "job", jobId });
+      if (answer.isRight()) {
+        return target;
+      }
+    }
+    return undefined;
+  }
+
   /** Whether the other log has the job, and its cancellation if any. */
   async #handOver(record: JobRecord, to: DataCentreId): Promise<boolean> {
     const { ask } = this.#options;
@@ -131,6 +184,11 @@
   }
 }
 
+function isUnderWay(record: JobRecord): boolean {
+  return record.transfer !== undefined &&
+    record.transfer.acceptedAtMs === undefined;
+}
+
 function isJob(result: Result<SchedulerAnswer>): boolean {
   return result.map((answer) => answer.kind === "job").orDefault(false);
 }
