--- a/src/process/scheduler/runtime/leader_session.ts
+++ b/src/process/scheduler/runtime/leader_session.ts
@@ -10,23 +10,17 @@
 import type { DataCentreId, JobId } from "../../../base/identity.ts";
 import type { ConfigurationSource } from "../../configuration/configuration_source.ts";
 import type { ReplicatedLog } from "../../replication/replicated_log.ts";
-import type {
-  JobEnds,
-  SchedulerDecision,
-  StartGang,
-  ThrottleGang,
-  WaitReason,
-} from "../core/scheduler_decision.ts";
-import type { TaskReference } from "../core/scheduler_event.ts";
+import type { WaitReason } from "../core/scheduler_decision.ts";
+import type { SchedulerEvent, TaskReference } from "../core/scheduler_event.ts";
 import { CoreDriver } from "./core_driver.ts";
 import { toCoreRecord } from "./core_record.ts";
 import type { DecisionCore } from "./decision_core.ts";
+import { DecisionRunner } from "./decision_runner.ts";
 import { GangTable } from "./gang_table.ts";
 import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
 import { JobIntake } from "./job_intake.ts";
 import type { JobLedger } from "./job_ledger.ts";
 import { JobMover, type JobMoverOptions } from "./job_mover.ts";
-import { isOwned } from "./job_record.ts";
 import type { LeaseOptions } from "./lease_rule.ts";
 import { LedgerWriter, pause } from "./ledger_writer.ts";
 import { Recovery } from "./recovery.ts";
@@ -40,6 +34,9 @@
 /** How often deadlines, silence and permissions are looked at. */
 const TICK_MS = 250;
 
+/** How long news waits for more before the core looks at the queue. */
+const SOON_MS = 20;
+
 /** How often jobs that are to move are looked at. */
 const MOVE_PERIOD_MS = 1_000;
 
@@ -72,7 +69,7 @@
   readonly #context: SessionContext;
   readonly #gangs: GangTable;
   readonly #watcher: WorkerWatcher;
-  readonly #quarantined = new Set<string>();
+  readonly #runner: DecisionRunner;
   readonly #mover: JobMover;
   readonly #intake: JobIntake;
   readonly #driver: CoreDriver;
@@ -80,6 +77,7 @@
   #isRecovering = true;
   #isClosed = false;
   #permittedUntilMs = 0;
+  #soon: Timer | undefined;
   #moveAtMs = 0;
 
   constructor(options: LeaderSessionOptions) {
@@ -87,10 +85,15 @@
     this.#context = this.#makeContext();
     this.#gangs = new GangTable(this.#context);
     this.#watcher = new WorkerWatcher(this.#context);
+    this.#runner = new DecisionRunner({
+      context: this.#context,
+      gangs: this.#gangs,
+      ledger: options.ledger,
+    });
     this.#driver = new CoreDriver({
       core: options.core,
       isLive: () => this.#context.isLive(),
-      onDecision: (decision) => this.#carryOut(decision),
+      onDecision: (decision) => this.#runner.carryOut(decision),
       onFailure: (error) => this.#fail(error),
     });
     this.#mover = new JobMover({
@@ -109,10 +112,6 @@
     return this.#isRecovering;
   }
 
-  get writer(): LedgerWriter {
-    return this.#context.writer;
-  }
-
   /** Whether the start of some gang has begun and not ended. */
   hasStartsUnderWay(): boolean {
     return this.#gangs.hasStartsUnderWay();
@@ -128,13 +127,13 @@
   }
 
   isQuarantined(workerId: string): boolean {
-    return this.#quarantined.has(workerId);
+    return this.#runner.isQuarantined(workerId);
   }
 
   /** Begins; returns once it schedules or the period is over. */
   async run(): Promise<void> {
     const { clock, lease } = this.#options;
-    const began = await this.writer.write({ kind: "termBegan" });
+    const began = await this.#context.writer.write({ kind: "termBegan" });
     if (began?.kind !== "applied") {
       return;
     }
@@ -154,6 +153,7 @@
     this.#isClosed = true;
     this.#closers.forEach((close) => close());
     this.#closers.length = 0;
+    this.#soon?.close();
   }
 
   /** Returns once this member has applied all that earlier leaders wrote. */
@@ -278,80 +278,21 @@
     });
   }
 
-  #fail(error: unknown): void {
-    this.close();
-    this.#options.onFailure(error);
-  }
-
-  #carryOut(decision: SchedulerDecision): void {
-    switch (decision.kind) {
-      case "startGang":
-        this.#startGang(decision);
-        return;
-      case "stopGang":
-        void this.#gangs.stop(decision);
-        return;
-      case "throttleGang":
-        this.#throttle(decision);
-        return;
-      case "jobWaits":
-        // Whoever wants to know asks the core.
-        return;
-      case "jobEnds":
-        void this.#endJob(decision);
-        return;
-      case "quarantineWorker":
-        this.#quarantined.add(decision.workerId);
-        return;
-      case "releaseWorker":
-        this.#quarantined.delete(decision.workerId);
-        return;
-    }
-  }
-
-  #startGang(decision: StartGang): void {
-    const { jobId, attempt } = decision;
-    const record = this.#options.ledger.get(jobId);
-    const isStartable = record !== undefined && isOwned(record) &&
-      attempt > record.attemptsUsed &&
-      this.#gangs.get(jobId, attempt) === undefined;
-    if (!isStartable) {
-      const atMs = this.#options.clock.nowMs();
-      const workerIds: string[] = [];
-      this.#driver.feed({
-        kind: "gangStartFailed",
-        atMs,
-        jobId,
-        attempt,
-        workerIds,
-      });
+  /** Feeds news; what it makes possible is looked at soon. */
+  #feed(event: SchedulerEvent): void {
+    this.#driver.feed(event);
+    if (this.#isRecovering || event.kind === "workerUsageReported") {
       return;
     }
-    void this.#gangs.start(decision, record.specification.command);
-  }
-
-  #throttle(decision: ThrottleGang): void {
-    const { jobId, attempt, coresFraction } = decision;
-    const gang = this.#gangs.get(jobId, attempt);
-    for (const workerId of gang?.workerIds ?? []) {
-      void this.#context.caller.call(workerId, {
-        write: () => ({ kind: "throttle", jobId, attempt, coresFraction }),
-      });
-    }
+    this.#soon ??= this.#options.clock.after(SOON_MS, () => {
+      this.#soon = undefined;
+      this.#tick();
+    });
   }
 
-  async #endJob(decision: JobEnds): Promise<void> {
-    const { jobId, outcome, error, detail } = decision;
-    const result = await this.writer.write({
-      kind: "ended",
-      jobId,
-      outcome,
-      ...(error === undefined ? {} : { error }),
-      ...(detail === undefined ? {} : { detail }),
-    });
-    if (result?.kind === "applied") {
-      this.#options.events.emit("jobEnded", { jobId, outcome });
-    }
+  #fail(error: unknown): void {
+    this.close();
+    this.#options.onFailure(error);
   }
 
   #makeContext(): SessionContext {
@@ -378,7 +319,7 @@
       gate: new StartGate({ configuration, dataCentre }),
       isLive,
       openAttempt: (jobId) => ledger.get(jobId)?.openAttempt,
-      feed: (event) => this.#driver.feed(event),
+      feed: (event) => this.#feed(event),
       omits: (check) => omittedChecks.includes(check),
     };
   }
