--- a/src/process/replication/group_configuration.ts
+++ b/src/process/replication/group_configuration.ts
@@ -51,6 +51,8 @@
   readonly hasAgreed: (id: InstanceId) => boolean;
   /** Whether the voter's state is proved to be gone. */
   readonly isForgotten: (id: InstanceId) => boolean;
+  /** Whether an operator takes the loss of what only this voter kept. */
+  readonly isDeclaredLost: (id: InstanceId) => boolean;
 }
 
 /** The voter of that name, if it is one. */
@@ -73,55 +75,57 @@
 }
 
 /**
- * Whether a candidate with these votes leads: a majority, or every voter that
- * still remembers anything while no durable one has forgotten. The second
- * lets a group go on after a restart of all its members, as nobody who could
- * have agreed to something else is left.
+ * Whether a candidate with these votes leads: by a majority; or because
+ * everyone who might vote has answered this very election, and all that
+ * still remember anything agreed while no durable voter has forgotten. The
+ * second lets a group go on after a restart of all its members.
  */
 export function isElectionQuorum(
   configuration: GroupConfiguration,
-  evidence: VoterEvidence,
+  known: { evidence: VoterEvidence; electorateIds: readonly InstanceId[] },
 ): boolean {
+  const { evidence, electorateIds } = known;
+  const isAccepted = (id: InstanceId) =>
+    evidence.isDeclaredLost(id) ||
+    (evidence.isForgotten(id) &&
+      findVoter(configuration, id)?.isDurable !== true);
   return isMajority(configuration, evidence) ||
-    isAllThatRemember(configuration, evidence);
+    (configuration.voters.some((voter) => evidence.hasAgreed(voter.id)) &&
+      electorateIds.every((id) => evidence.hasAgreed(id) || isAccepted(id)));
 }
 
 /**
- * Whether entries that these voters keep are committed: as for an election,
- * and one of the voters is durable while there is one that can be reached.
+ * Whether entries that these voters keep are committed: a majority, and one
+ * of the voters is durable while there is one that can be reached. Or all
+ * that remember anything: a leader has all that was ever committed, so that
+ * nothing is lost with those who forgot while it leads.
  */
 export function isCommitQuorum(
   configuration: GroupConfiguration,
   evidence: VoterEvidence,
 ): boolean {
-  if (isAllThatRemember(configuration, evidence)) {
-    return true;
-  }
-  return isMajority(configuration, evidence) &&
-    isDurablyKept(configuration, evidence);
+  const { voters } = configuration;
+  const isAllThatRemember =
+    voters.some((voter) => evidence.hasAgreed(voter.id)) &&
+    voters.every((voter) =>
+      evidence.hasAgreed(voter.id) || evidence.isForgotten(voter.id)
+    );
+  return isAllThatRemember ||
+    (isMajority(configuration, evidence) &&
+      isDurablyKept(configuration, evidence));
 }
 
 function isDurablyKept(
   configuration: GroupConfiguration,
   evidence: VoterEvidence,
 ): boolean {
-  const durable = configuration.voters.filter((voter) => voter.isDurable);
+  const durable = configuration.voters.filter((voter) =>
+    voter.isDurable && !evidence.isForgotten(voter.id)
+  );
   return configuration.isDurabilityWaived || durable.length === 0 ||
     durable.some((voter) => evidence.hasAgreed(voter.id));
 }
 
-function isAllThatRemember(
-  configuration: GroupConfiguration,
-  evidence: VoterEvidence,
-): boolean {
-  const { voters } = configuration;
-  return voters.some((voter) => evidence.hasAgreed(voter.id)) &&
-    voters.every((voter) =>
-      evidence.hasAgreed(voter.id) ||
-      (!voter.isDurable && evidence.isForgotten(voter.id))
-    );
-}
-
 /**
  * The greatest value that a majority of the voters has reached, given the
  * value of each; below every value when there are no voters.
--- a/src/process/scheduler/core/reservation_manager.ts
+++ b/src/process/scheduler/core/reservation_manager.ts
@@ -62,11 +62,12 @@
 
   /** Accelerators held by reservations that drain. */
   drainingAccelerators(): number {
-    let total = 0;
-    for (const { kind, job } of this.#open) {
-      total += kind === ReservationKind.drain ? gangAccelerators(job) : 0;
-    }
-    return total;
+    return this.#accelerators(ReservationKind.drain);
+  }
+
+  /** Accelerators held for guarantees whose borrowers are leaving. */
+  reclaimingAccelerators(): number {
+    return this.#accelerators(ReservationKind.reclaim);
   }
 
   /** Holds a block for a queued job, and evicts the victims. */
@@ -136,10 +137,18 @@
     }
   }
 
+  #accelerators(wanted: ReservationKind): number {
+    let total = 0;
+    for (const { kind, job } of this.#open) {
+      total += kind === wanted ? gangAccelerators(job) : 0;
+    }
+    return total;
+  }
+
   #startIfReady(reservation: Reservation): void {
     const { job, block, kind } = reservation;
     const isReady = this.#open.has(reservation) &&
-      this.#context.startBarrier() === undefined &&
+      this.#context.startBarrierFor(job) === undefined &&
       hasAllRoom(reservation);
     if (!isReady) {
       return;
@@ -228,7 +237,8 @@
 export function isDrainable(victim: JobState, claimant: JobState): boolean {
   const isOwn = victim.specification.clientAccount ===
     claimant.specification.clientAccount;
-  return (isOwn || !victim.isGuaranteed) && victim.rank >= claimant.rank &&
+  return (isOwn || !victim.isGuaranteed) &&
+    victim.specification.canCheckpoint && victim.rank >= claimant.rank &&
     gangAccelerators(victim) < gangAccelerators(claimant) &&
     victim.drainEvictions < DRAIN_EVICTIONS_LIMIT;
 }
--- a/src/programs/commands/config/config_edit.ts
+++ b/src/programs/commands/config/config_edit.ts
@@ -5,7 +5,7 @@
  */
 
 import { randomUUID } from "node:crypto";
-import { createTwoFilesPatch } from "diff";
+import { createTwoFilesPatch, FILE_HEADERS_ONLY } from "diff";
 import { Right } from "purify-ts/Either";
 import type { Clock } from "../../../base/clock.ts";
 import { failure, type Result } from "../../../base/sesame_error.ts";
@@ -145,12 +145,16 @@
   const { current, file } = texts;
   const before = current.text ?? "";
   const after = file?.text.trimStart() ?? "";
+  if (before.trim() === after.trim()) {
+    return `${name} as edited is the same as version ${current.version}`;
+  }
   return createTwoFilesPatch(
     `${name} at version ${current.version}`,
     `${name} as edited`,
     before,
     after,
-    "",
-    "",
+    undefined,
+    undefined,
+    { headerOptions: FILE_HEADERS_ONLY },
   ).trimEnd();
 }
