Hear a worker whose clock went back between two starts

Its incarnation is lower than the known one, and its reports were dropped for ten minutes; they are now taken once the earlier one was silent for 30 s.

--- a/src/process/scheduler/runtime/worker_table.ts
+++ b/src/process/scheduler/runtime/worker_table.ts
@@ -16,6 +16,9 @@
   WorkerReport,
 } from "./worker_report.ts";
 
+/** How long an incarnation is silent before a lower one may follow it. */
+const REPLACED_AFTER_MS = 30_000;
+
 /** One worker as last heard of. */
 export interface WorkerEntry {
   readonly description: WorkerDescription;
@@ -56,7 +59,10 @@
   /** Takes a report in; one that is older than what is known is dropped. */
   acceptReport(report: WorkerReport, receivedAtMs: number): void {
     const previous = this.#entries.get(report.workerId);
-    if (!isNewer(report, previous)) {
+    if (
+      !isNewer(report, previous) &&
+      !isReplaced(report, { previous, receivedAtMs })
+    ) {
       return;
     }
     this.#put({
@@ -125,6 +131,20 @@
   };
 }
 
+/**
+ * Whether a lower incarnation is a new start all the same, on a machine whose
+ * clock went back: the higher one has been silent for longer than any lease.
+ */
+function isReplaced(
+  report: WorkerReport,
+  options: { previous: WorkerEntry | undefined; receivedAtMs: number },
+): boolean {
+  const { previous, receivedAtMs } = options;
+  return previous !== undefined &&
+    report.incarnation < previous.incarnation &&
+    previous.anchor.receivedAtMs + REPLACED_AFTER_MS < receivedAtMs;
+}
+
 function isNewer(
   holdings: WorkerHoldings,
   previous: WorkerEntry | undefined,
--- /dev/null
+++ b/src/process/scheduler/runtime/worker_table_test.ts
@@ -0,0 +1,75 @@
+import test from "ava";
+import { type WorkerReport, workerReportSchema } from "./worker_report.ts";
+import { type WorkerNews, WorkerTable } from "./worker_table.ts";
+
+function makeReport(
+  incarnation: number,
+  workerClockMs: number,
+): WorkerReport {
+  return workerReportSchema.parse({
+    protocolVersion: 1,
+    workerId: "w1",
+    incarnation,
+    workerClockMs,
+    highestTerm: 0,
+    isLeaving: false,
+    tasks: [],
+    address: "10.0.0.1:1",
+    rack: "r1",
+    cores: 1,
+    memoryBytes: 1,
+    accelerators: 1,
+  });
+}
+
+function makeTable() {
+  const table = new WorkerTable();
+  const news: WorkerNews[] = [];
+  table.news.observe((each) => news.push(each));
+  return { table, news };
+}
+
+test("late, doubled and crossed reports change nothing", (t) => {
+  const { table, news } = makeTable();
+  table.acceptReport(makeReport(5, 200), 1_000);
+  table.acceptReport(makeReport(5, 200), 1_001);
+  table.acceptReport(makeReport(5, 100), 1_002);
+  table.acceptReport(makeReport(4, 900), 1_003);
+  t.is(news.length, 1);
+  t.deepEqual(table.get("w1")?.anchor, {
+    workerClockMs: 200,
+    receivedAtMs: 1_000,
+  });
+});
+
+test("a new incarnation is known as such, whatever its clock says", (t) => {
+  const { table, news } = makeTable();
+  table.acceptReport(makeReport(5, 200), 1_000);
+  table.acceptReport(makeReport(6, 10), 1_500);
+  t.deepEqual(news.map((each) => each.previousIncarnation), [undefined, 5]);
+});
+
+test("a worker whose clock went back is heard after a silence", (t) => {
+  const { table } = makeTable();
+  table.acceptReport(makeReport(5, 200), 1_000);
+  table.acceptReport(makeReport(4, 10), 31_000);
+  t.is(table.get("w1")?.incarnation, 5);
+  table.acceptReport(makeReport(4, 20), 31_001);
+  t.is(table.get("w1")?.incarnation, 4);
+});
+
+test("an answer of another incarnation changes nothing", (t) => {
+  const { table, news } = makeTable();
+  table.acceptReport(makeReport(5, 200), 1_000);
+  table.acceptHoldings(makeReport(6, 300), 1_100);
+  t.is(news.length, 1);
+});
+
+test("a worker that was silent for long is forgotten", (t) => {
+  const { table } = makeTable();
+  table.acceptReport(makeReport(5, 200), 1_000);
+  table.forgetSilent(1_000);
+  t.not(table.get("w1"), undefined);
+  table.forgetSilent(1_001);
+  t.is(table.get("w1"), undefined);
+});
