Send commands of one turn of the loop together

Each command sent a message of its own to every member. Commands that come in the same turn now go in one. In memory, 128 callers at the leader, regions 20 ms apart: 2944, 2487 and 1637 commits/s of 3, 5 and 9 members before; 2976, 3040 and 2976 after, which is 128 callers over one round trip. The bench now has 1,024 callers.

--- a/bench/replication/commit_bench.ts
+++ b/bench/replication/commit_bench.ts
@@ -15,8 +15,8 @@
 const SEED = 11;
 const COMMAND = new Uint8Array(200).fill(7);
 const SINGLE_COMMANDS = 60;
-const CALLERS = 128;
-const LOAD_MS = 4_000;
+const CALLERS = 1_024;
+const LOAD_MS = 3_000;
 const DEADLINE_MS = 10_000;
 
 async function propose(from: BenchMember, group: BenchGroup): Promise<void> {
--- a/src/process/replication/core_driver.ts
+++ b/src/process/replication/core_driver.ts
@@ -41,6 +41,7 @@
   #proposals = new ProposalTable<Outcome>();
   #inputs: RaftInput[] = [];
   #isStepping = false;
+  #isDrainDue = false;
   #isStopped = false;
   #timer: Timer;
 
@@ -94,7 +95,12 @@
       return;
     }
     const token = this.#proposals.add(listener);
-    this.step({ kind: "propose", token, data });
+    this.#inputs.push({ kind: "propose", token, data });
+    if (!this.#isDrainDue) {
+      // Commands of the same turn of the loop travel together.
+      this.#isDrainDue = true;
+      queueMicrotask(() => this.#drainSafely());
+    }
   }
 
   /** Feeds an input; what it causes in turn comes after it. */
@@ -103,7 +109,21 @@
       return;
     }
     this.#inputs.push(input);
-    if (this.#isStepping) {
+    this.#drainSafely();
+  }
+
+  /** Nothing is taken, sent or persisted any more. */
+  stop(): void {
+    this.#isStopped = true;
+    this.#inputs = [];
+    this.#timer.close();
+    this.#pump.stop();
+    this.#proposals.endAll();
+  }
+
+  #drainSafely(): void {
+    this.#isDrainDue = false;
+    if (this.#isStepping || this.#isStopped) {
       return;
     }
     this.#isStepping = true;
@@ -117,15 +137,6 @@
     this.#options.onStep();
   }
 
-  /** Nothing is taken, sent or persisted any more. */
-  stop(): void {
-    this.#isStopped = true;
-    this.#inputs = [];
-    this.#timer.close();
-    this.#pump.stop();
-    this.#proposals.endAll();
-  }
-
   #drain(): void {
     const { core, clock } = this.#options;
     while (this.#inputs.length > 0) {
