--- a/src/base/events/replication_events.ts
+++ b/src/base/events/replication_events.ts
@@ -29,8 +29,8 @@
   groupRecovered: {
     number: 3503,
     level: "warn",
-    text: "The group goes on with the members that remember.",
-    fields: ["group", "term", "isComplete"],
+    text: "The group goes on from what the members that remember have.",
+    fields: ["group", "term"],
   },
   membersChanged: {
     number: 3504,
--- a/src/process/replication/leader.ts
+++ b/src/process/replication/leader.ts
@@ -36,11 +36,7 @@
   }
   state.event("leadershipGained", { term: state.term });
   if (options.isRecovery) {
-    state.event("groupRecovered", {
-      term: state.term,
-      isComplete: !state.configuration.isDurabilityWaived &&
-        state.configuration.voters.some((voter) => voter.isDurable),
-    });
+    state.event("groupRecovered", { term: state.term });
   }
   state.termStartIndex = appendOwn(state, "start", new Uint8Array()).index;
   broadcast(state);
