--- a/src/process/configuration/configuration_machine.ts
+++ b/src/process/configuration/configuration_machine.ts
@@ -7,7 +7,7 @@
 
 import type { Stream } from "most";
 import { Channel } from "../../base/channel.ts";
-import type { DataCentreId } from "../../base/identity.ts";
+import type { DataCentreId, TeamId } from "../../base/identity.ts";
 import type { Result } from "../../base/sesame_error.ts";
 import type { ConfigurationVersion } from "../../version/configuration_version.ts";
 import {
@@ -34,6 +34,7 @@
 import {
   CONFIGURATION_LIMITS,
   type ConfigurationLimits,
+  hasRoom,
 } from "./configuration_limits.ts";
 import {
   type ConfigurationSnapshot,
@@ -51,13 +52,11 @@
   refusedBy,
 } from "./edit_evaluation.ts";
 import { digestEdit, EditMemory, type KeptEdit } from "./edit_memory.ts";
+import { GroupTime } from "./group_time.ts";
 import { RemovalLedger } from "./removal_ledger.ts";
 import { SectionStore, type SectionText } from "./section_store.ts";
 import { canonicalTexts, documentOf, sectionsOf } from "./snapshot_document.ts";
 
-/** How often, by the group's time, old entries are looked for. */
-const PRUNE_PERIOD_MS = 60_000;
-
 /** The section under which the first document stands in the history. */
 export const WHOLE_DOCUMENT = "*";
 
@@ -88,13 +87,13 @@
   #edits: EditMemory;
   #history: HistoryEntry[] = [];
   #removals = new RemovalLedger();
-  #nowMs = 0;
-  #prunedAtMs = 0;
+  #time: GroupTime;
 
   constructor(options: ConfigurationMachineOptions = {}) {
     this.#limits = { ...CONFIGURATION_LIMITS, ...options.limits };
     this.#evaluate = options.evaluate ?? evaluateEdit;
     this.#edits = new EditMemory({ limits: this.#limits });
+    this.#time = new GroupTime({ stepLimitMs: this.#limits.clockStepLimitMs });
   }
 
   /** The version that came into force last. */
@@ -143,7 +142,9 @@
   }
 
   apply(command: ConfigurationCommand): ConfigurationOutcome {
-    this.#advance(command.atMs);
+    if (this.#time.advance(command.atMs)) {
+      this.#prune();
+    }
     switch (command.kind) {
       case "bootstrap":
         return this.#bootstrap(command);
@@ -160,8 +161,7 @@
       documentFormatVersion: DOCUMENT_FORMAT_VERSION,
       version: this.#current.version,
       acceptedAtMs: this.#current.acceptedAtMs,
-      nowMs: this.#nowMs,
-      prunedAtMs: this.#prunedAtMs,
+      ...this.#time.moments,
       sections: this.#sections.listCurrent(),
       replaced: this.#sections.listReplaced(),
       edits: this.#edits.list(),
@@ -193,8 +193,10 @@
     });
     this.#history = [...state.history];
     this.#removals = new RemovalLedger(state);
-    this.#nowMs = state.nowMs;
-    this.#prunedAtMs = state.prunedAtMs;
+    this.#time = new GroupTime({
+      stepLimitMs: this.#limits.clockStepLimitMs,
+      moments: state,
+    });
     this.#current = { version, document, acceptedAtMs };
     this.#changes.push(this.#current);
   }
@@ -208,7 +210,8 @@
       Right: (document) => {
         const { atMs } = command;
         for (const entry of canonicalTexts(command.text)) {
-          this.#sections.put({ ...entry, version: 1, atMs: this.#nowMs });
+          const atMs = this.#time.nowMs;
+          this.#sections.put({ ...entry, version: 1, atMs }, WHOLE_DOCUMENT);
         }
         return this.#install(document, {
           section: WHOLE_DOCUMENT,
@@ -268,19 +271,29 @@
         detail: "the key is no longer one of the team's",
       });
     }
-    const hasRoom = this.#edits.hasRoom(edit.team) &&
-      this.#sections.replacedBytes < this.#limits.replacedTextBytesLimit;
-    return hasRoom ? undefined : refuse(sectionId, {
+    const mayKeep = this.#edits.hasRoom(edit.team) &&
+      this.#hasTextRoom(edit.team);
+    return mayKeep ? undefined : refuse(sectionId, {
       error: "overloaded",
       detail: "too many edits in a day; none can be remembered now",
     });
   }
 
+  #hasTextRoom(team: TeamId): boolean {
+    const own = this.#sections.replacedBytesOf(team);
+    return hasRoom({ own, total: this.#sections.replacedBytes }, {
+      limit: this.#limits.replacedBytesLimit,
+      perTeamLimit: this.#limits.replacedBytesPerTeamLimit,
+      perTeamReserve: this.#limits.replacedBytesPerTeamReserve,
+    });
+  }
+
   #accept(edit: EditCommand, acceptable: AcceptableEdit): AcceptedOutcome {
     const section = formatSectionId(edit.sectionId);
     const version = this.#current.version + 1;
     const { text } = acceptable;
-    this.#sections.put({ section, version, text, atMs: this.#nowMs });
+    const atMs = this.#time.nowMs;
+    this.#sections.put({ section, version, text, atMs }, edit.team);
     return this.#install(acceptable.document, {
       section,
       change: edit.change.kind,
@@ -302,13 +315,14 @@
       before,
       after: document,
       version,
-      atMs: this.#nowMs,
+      atMs: this.#time.nowMs,
     });
     this.#history.push({ version, ...cause });
     this.#current = { version, document, acceptedAtMs: atMs };
     this.#changes.push(this.#current);
     const removal = this.#removals.removals().find((entry) =>
-      entry.version === version
+      formatSectionId({ kind: "dataCentres", name: entry.dataCentre }) ===
+        cause.section
     );
     const removedDataCentre = removal?.dataCentre ?? null;
     return { kind: "accepted", version, atMs, removedDataCentre };
@@ -323,7 +337,7 @@
       outcome: outcome.kind === "conflict"
         ? { kind: "conflict", currentVersion: outcome.currentVersion }
         : outcome,
-      atMs: this.#nowMs,
+      atMs: this.#time.nowMs,
     });
   }
 
@@ -346,25 +360,16 @@
       document: this.#current.document,
       sections: this.#sections,
       removals: this.#removals.removals(),
+      documentBytesLimit: this.#limits.documentBytesLimit,
     };
   }
 
-  /** The group's time follows the commands, but never jumps far ahead. */
-  #advance(atMs: number): void {
-    const furthestMs = this.#nowMs + this.#limits.clockStepLimitMs;
-    const reachedMs = this.#nowMs === 0 ? atMs : Math.min(atMs, furthestMs);
-    this.#nowMs = Math.max(this.#nowMs, reachedMs);
-    if (this.#nowMs - this.#prunedAtMs >= PRUNE_PERIOD_MS) {
-      this.#prune();
-    }
-  }
-
   #prune(): void {
-    this.#prunedAtMs = this.#nowMs;
-    this.#edits.prune(this.#nowMs);
-    this.#sections.prune(this.#nowMs - this.#limits.editRetentionMs);
+    const { nowMs } = this.#time;
+    this.#edits.prune(nowMs);
+    this.#sections.prune(nowMs - this.#limits.editRetentionMs);
     const { historyRetentionMs, historyLimit } = this.#limits;
-    const beforeMs = this.#nowMs - historyRetentionMs;
+    const beforeMs = nowMs - historyRetentionMs;
     this.#history = this.#history.filter((entry) => entry.atMs >= beforeMs)
       .slice(-historyLimit);
   }
--- a/src/process/configuration/configuration_service_test.ts
+++ b/src/process/configuration/configuration_service_test.ts
@@ -2,10 +2,14 @@
 import { setImmediate } from "node:timers/promises";
 import { FakeClock } from "../../base/fake_clock.ts";
 import type { EventFields } from "../../base/event_log.ts";
+import { SeededRandom } from "../../base/random_source.ts";
 import type { Result } from "../../base/sesame_error.ts";
+import { EndpointTable } from "../http/endpoint_table.ts";
 import type { HttpAnswer, HttpCall } from "../http/http_endpoint.ts";
+import { FakePeerHub } from "../replication/fake_peer_network.ts";
 import {
   FIXTURE_DOCUMENT,
+  fixtureHash,
   fixtureKey,
   jobClassText,
   matchesFixture,
@@ -17,7 +21,6 @@
   FakeConfigurationGroup,
   type FakeMember,
 } from "./fake_configuration_group.ts";
-import { FakePeerLinks } from "./fake_peer_network.ts";
 import { KeyVerifier } from "./key_verifier.ts";
 
 const INSTANCES = [
@@ -34,21 +37,23 @@
 class ServiceSystem {
   readonly clock = new FakeClock({ startMs: 50_000 });
   readonly group = new FakeConfigurationGroup({ clock: this.clock });
-  readonly links = new FakePeerLinks({
-    instanceIds: INSTANCES.map((instance) => instance.id),
+  readonly hub = new FakePeerHub({
+    clock: this.clock,
+    random: new SeededRandom({ seed: 1 }),
   });
   readonly logged: string[] = [];
   readonly members: FakeMember[] = [];
   readonly services: ConfigurationService[];
 
   constructor() {
+    const peerIds = INSTANCES.map((instance) => instance.id);
     this.services = INSTANCES.map(({ id }) => {
       const member = this.group.join(id);
       this.members.push(member);
       return new ConfigurationService({
         machine: member.machine,
         log: member,
-        network: this.links.network(id),
+        network: this.hub.join(id, { peerIds }),
         clock: this.clock,
         events: {
           emit: (name: string, fields?: EventFields) =>
@@ -87,16 +92,8 @@
     path: string,
     options: CallOptions = {},
   ): Promise<Result<HttpAnswer>> {
-    const parts = path.split("/");
-    const endpoint = this.service(0).endpoints().find((candidate) =>
-      candidate.method === method && isMatch(candidate.path, parts)
-    );
-    const names = (endpoint?.path ?? "").split("/");
-    const parameters = Object.fromEntries(
-      names.flatMap((name, at) =>
-        name.startsWith(":") ? [[name.slice(1), parts[at] ?? ""]] : []
-      ),
-    );
+    const table = new EndpointTable({ endpoints: this.service(0).endpoints() });
+    const { endpoint, parameters } = table.find(method, path).unsafeCoerce();
     const call: HttpCall = {
       method,
       path,
@@ -107,9 +104,7 @@
       body: Buffer.from(options.body ?? ""),
       signal: new AbortController().signal,
     };
-    return endpoint === undefined
-      ? Promise.reject(new Error("no such endpoint"))
-      : endpoint.handle(call);
+    return endpoint.handle(call);
   }
 
   put(section: string, options: {
@@ -137,12 +132,6 @@
   }
 }
 
-function isMatch(path: string, parts: readonly string[]): boolean {
-  const names = path.split("/");
-  return names.length === parts.length &&
-    names.every((name, at) => name.startsWith(":") || name === parts[at]);
-}
-
 function bodyOf(answer: Result<HttpAnswer>): Record<string, unknown> {
   return JSON.parse(String(answer.unsafeCoerce().body));
 }
@@ -247,7 +236,7 @@
 test("a removal is pending till it holds, then accepted", async (t) => {
   const system = await new ServiceSystem().start();
   system.member(1).isConnected = false;
-  system.links.cutOff("north-1");
+  system.hub.isolate("north-1");
   const edit = {
     editId: "out-1",
     team: "operations",
@@ -268,6 +257,37 @@
   system.close();
 });
 
+test("a copy that lags names no moment for a removal", async (t) => {
+  const system = await new ServiceSystem().start();
+  const lagging = system.service(1);
+  const answering = lagging.edit({
+    editId: "out-1",
+    team: "operations",
+    keyHash: fixtureHash(fixtureKey("operations")),
+    sectionId: { kind: "dataCentres", name: "north" },
+    baseVersion: 1,
+    change: { kind: "replace", text: northText("out") },
+  });
+  await system.run(2_000);
+  t.is((await answering).unsafeCoerce().standing?.state, "pending");
+  system.member(1).holdsBack = true;
+  const again = lagging.edit({
+    editId: "out-2",
+    team: "operations",
+    keyHash: fixtureHash(fixtureKey("operations")),
+    sectionId: { kind: "dataCentres", name: "north" },
+    baseVersion: 2,
+    change: { kind: "replace", text: northText("out") },
+  });
+  await system.run(2_000);
+  t.like((await again).unsafeCoerce().standing, {
+    state: "pending",
+    version: 3,
+    holdsByMs: null,
+  });
+  system.close();
+});
+
 test("an acknowledged removal is answered as accepted", async (t) => {
   const system = await new ServiceSystem().start();
   const answering = system.put("dataCentres/north", {
--- a/src/process/scheduler/core/job_events.ts
+++ b/src/process/scheduler/core/job_events.ts
@@ -8,10 +8,9 @@
 import type { ConfigurationVersion } from "../../../version/configuration_version.ts";
 import { refusalOf } from "./admission.ts";
 import type { CellUpkeep } from "./cell_upkeep.ts";
-import type { CoreContext } from "./core_context.ts";
+import { type CoreContext, URGENT_RANK } from "./core_context.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
 import { isLive, JobPhase, type JobState, newJobState } from "./job_state.ts";
-import { URGENT_RANK } from "./placer.ts";
 import type { PlacingPass } from "./placing_pass.ts";
 import { Policy } from "./policy.ts";
 import type { ReservationManager } from "./reservation_manager.ts";
@@ -55,7 +54,10 @@
   submitted(event: JobSubmitted): void {
     const context = this.#context;
     const specification = event.job;
-    if (context.jobs.has(specification.jobId)) {
+    const known = context.jobs.get(specification.jobId);
+    const isBack = event.isReturned === true &&
+      known?.phase === JobPhase.ended;
+    if (known !== undefined && !isBack) {
       return;
     }
     const job = newJobState(specification, {
--- a/src/process/scheduler/core/job_queue.ts
+++ b/src/process/scheduler/core/job_queue.ts
@@ -7,11 +7,12 @@
 
 import type { ClientAccountId } from "../../../base/identity.ts";
 import { gangAccelerators, type JobState } from "./job_state.ts";
+import { DRAIN_LIMIT_MS } from "./reservation.ts";
 import type { WaitReason } from "./scheduler_decision.ts";
 
-/** Work in accelerator-milliseconds up to which a job is of level 0. */
-const FIRST_LEVEL_ACCELERATOR_MS = 600_000;
-/** By how much more work each further level is set apart. */
+/** Run time up to which a job is of level 0. */
+const FIRST_LEVEL_MS = 600_000;
+/** By how much more run time each further level is set apart. */
 const LEVEL_FACTOR = 8;
 
 /** Jobs of one client account, rank and shape, in order. */
@@ -48,7 +49,9 @@
   add(job: JobState): void {
     const shapeKey = shapeKeyOf(job);
     const { clientAccount } = job.specification;
-    const key = `${clientAccount}|${job.rank}|${shapeKey}`;
+    // Short jobs can go on behind a reservation where the others can't.
+    const length = job.expectedRunMs <= DRAIN_LIMIT_MS ? "short" : "long";
+    const key = `${clientAccount}|${job.rank}|${length}|${shapeKey}`;
     let group = this.#groups.get(key);
     if (group === undefined) {
       group = {
@@ -88,14 +91,18 @@
     left.order - right.order;
 }
 
-/** The level of a job by the work that it had or is expected to need. */
+/**
+ * The level of a job by the run time that it had or is expected to need. The
+ * size of its gang doesn't count, so that small jobs don't always take the
+ * room that a large one waits for.
+ */
 export function levelOf(job: JobState): number {
   const accelerators = Math.max(1, gangAccelerators(job));
-  const work = Math.max(
-    job.attainedAcceleratorMs,
-    accelerators * job.expectedRunMs,
+  const runMs = Math.max(
+    job.attainedAcceleratorMs / accelerators,
+    job.expectedRunMs,
   );
-  const ratio = Math.max(1, work / FIRST_LEVEL_ACCELERATOR_MS);
+  const ratio = Math.max(1, runMs / FIRST_LEVEL_MS);
   return Math.floor(Math.log(ratio) / Math.log(LEVEL_FACTOR));
 }
 
--- a/src/process/scheduler/core/scheduler_event.ts
+++ b/src/process/scheduler/core/scheduler_event.ts
@@ -123,6 +123,11 @@
    * centre it came from; the next start takes a higher one. Absent for none.
    */
   readonly attemptsUsed?: number;
+  /**
+   * Whether it came from another data centre: it is then taken in even if it
+   * left this one before.
+   */
+  readonly isReturned?: boolean;
 }
 
 /** Its submitter wants a job no more. */
