Bound what a leader holds, and say unknown where it is

A command longer than a frame would have broken its links for ever, and uncommitted commands were bounded in number alone: now 2 MiB each and about 16 MiB together. A command whose entry was overwritten in this log was called not run, though another member might still have committed it; it ends as unknown now. A throw while persisting stops the member.

--- a/src/process/replication/leader.ts
+++ b/src/process/replication/leader.ts
@@ -13,7 +13,7 @@
 import { LeaderProgress } from "./leader_progress.ts";
 import { sendToMember } from "./leader_send.ts";
 import { hasQuorumContact } from "./lease.ts";
-import { encodeConfiguration, type LogEntry } from "./log_entry.ts";
+import { encodeConfiguration, entryBytes, type LogEntry } from "./log_entry.ts";
 import type { RaftInputOf, RaftState } from "./raft_state.ts";
 import { becomeFollower } from "./role.ts";
 
@@ -26,6 +26,7 @@
   state.leaderId = state.selfId;
   state.electionDueMs = Infinity;
   state.electionAttempts = 0;
+  state.pendingBytes = 0;
   state.leadsSinceMs = state.nowMs;
   state.durableSeenMs = state.nowMs;
   state.progress.clear();
@@ -72,6 +73,7 @@
     data,
   };
   state.appendEntry(entry);
+  state.pendingBytes += entryBytes(entry);
   return entry;
 }
 
@@ -85,7 +87,9 @@
     return;
   }
   const pending = state.log.lastIndex - state.commitIndex;
-  if (pending >= state.timing.pendingEntries) {
+  const isFull = pending >= state.timing.pendingEntries ||
+    state.pendingBytes >= state.timing.pendingBytes;
+  if (isFull) {
     refuse(state, input.token, "overloaded");
     return;
   }
--- a/src/process/replication/mod.ts
+++ b/src/process/replication/mod.ts
@@ -17,6 +17,7 @@
   type ReplicationMemberOptions,
 } from "./replication_member.ts";
 export {
+  COMMAND_LIMIT_BYTES,
   leaseMs,
   MAX_CLOCK_DRIFT,
   REPLICATION_TIMING,
--- a/src/process/replication/persist_pump.ts
+++ b/src/process/replication/persist_pump.ts
@@ -5,7 +5,11 @@
  * @module
  */
 
-import type { SesameError } from "../../base/sesame_error.ts";
+import {
+  failure,
+  type Result,
+  type SesameError,
+} from "../../base/sesame_error.ts";
 import type { LogStore } from "./log_store.ts";
 import type { PersistEffect, SendEffect } from "./raft_effect.ts";
 
@@ -70,7 +74,7 @@
     while (this.#queue.length > 0 && !this.#isStopped) {
       const batch = this.#queue;
       this.#queue = [];
-      const result = await this.#options.store!.persist(batch);
+      const result = await this.#write(batch);
       if (this.#isStopped) {
         break;
       }
@@ -85,6 +89,14 @@
     this.#isRunning = false;
   }
 
+  async #write(batch: readonly PersistEffect[]): Promise<Result<void>> {
+    try {
+      return await this.#options.store!.persist(batch);
+    } catch (error) {
+      return failure("storageFailed", { detail: String(error) });
+    }
+  }
+
   #release(sequence: number): void {
     this.#persistedSequence = sequence;
     const ready = this.#held.filter((held) => held.afterSequence <= sequence);
--- a/src/process/replication/proposal_table.ts
+++ b/src/process/replication/proposal_table.ts
@@ -41,8 +41,9 @@
     const listener = this.#unlogged.get(token);
     this.#unlogged.delete(token);
     if (listener !== undefined) {
-      // An entry that stood there was overwritten: its term is over.
-      this.#end(place.index, { kind: "discarded" });
+      // The entry that stood there is gone from this log, but another member
+      // may have it still and commit it once this one leads no more.
+      this.#end(place.index, { kind: "unknown" });
       this.#logged.set(place.index, { term: place.term, listener });
     }
   }
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -12,7 +12,12 @@
   type VoterEvidence,
 } from "./group_configuration.ts";
 import type { LeaderProgress } from "./leader_progress.ts";
-import type { HardState, LogEntry, LogSnapshot } from "./log_entry.ts";
+import {
+  entryBytes,
+  type HardState,
+  type LogEntry,
+  type LogSnapshot,
+} from "./log_entry.ts";
 import { PersistTracker } from "./persist_tracker.ts";
 import type {
   GroupMember,
@@ -101,6 +106,8 @@
   /** The first entry of this leader's term. */
   termStartIndex = Infinity;
   leadsSinceMs = 0;
+  /** About what this leader's entries take that await their commit. */
+  pendingBytes = 0;
   /** When a durable voter last acknowledged something. */
   durableSeenMs = 0;
 
@@ -292,6 +299,9 @@
     }
     const entries = this.log.range(this.commitIndex + 1, index);
     this.commitIndex = index;
+    for (const entry of entries) {
+      this.pendingBytes = Math.max(0, this.pendingBytes - entryBytes(entry));
+    }
     this.emit({ kind: "commit", entries });
   }
 }
--- a/src/process/replication/replicated_log.ts
+++ b/src/process/replication/replicated_log.ts
@@ -63,7 +63,8 @@
   /**
    * Commits a command and gives what applying it gave, from any member: it is
    * passed on to the leader. `unavailable` means not committed for certain;
-   * `outcomeUnknown` that it may still be committed.
+   * `outcomeUnknown` that it may still be committed, `tooLarge` that it never
+   * can be.
    */
   propose(
     command: Command,
--- a/src/process/replication/replication_member.ts
+++ b/src/process/replication/replication_member.ts
@@ -39,6 +39,7 @@
   StateMachine,
 } from "./replicated_log.ts";
 import {
+  COMMAND_LIMIT_BYTES,
   REPLICATION_TIMING,
   type ReplicationTiming,
 } from "./replication_timing.ts";
@@ -188,6 +189,9 @@
     options: { deadlineMs: number },
   ): Promise<Result<Outcome>> {
     const data = pack(command);
+    if (data.byteLength > COMMAND_LIMIT_BYTES) {
+      return failure("tooLarge", { detail: `${data.byteLength} bytes` });
+    }
     for (;;) {
       const refusal = this.#refusal(options.deadlineMs);
       if (refusal !== undefined) {
--- a/src/process/replication/replication_member_test.ts
+++ b/src/process/replication/replication_member_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { COMMAND_LIMIT_BYTES } from "./replication_timing.ts";
 import { disks, learners, memories } from "./testing/fault_session.ts";
 import { MemberGroup } from "./testing/member_group.ts";
 
@@ -224,6 +225,17 @@
   await group.close();
 });
 
+test("a command that fits into no frame is refused", async (t) => {
+  const group = new MemberGroup(disks("a", "b", "c"));
+  await group.startAll();
+  await group.run(1_000);
+  const fits = await group.propose("b", "x".repeat(COMMAND_LIMIT_BYTES - 16));
+  t.true(fits.isRight());
+  const result = await group.propose("b", "x".repeat(COMMAND_LIMIT_BYTES));
+  t.is(result.swap().unsafeCoerce().kind, "tooLarge");
+  await group.close();
+});
+
 test("catch-up stays inside the byte budget of its peer", async (t) => {
   const group = new MemberGroup(
     [...disks("a", "b", "c"), ...learners("d")],
--- a/src/process/replication/replication_timing.ts
+++ b/src/process/replication/replication_timing.ts
@@ -11,6 +11,9 @@
  */
 export const MAX_CLOCK_DRIFT = 0.01;
 
+/** The longest encoded command, in bytes: it must fit into one frame. */
+export const COMMAND_LIMIT_BYTES = 2 * 1024 * 1024;
+
 /** Every period and limit, with its default. */
 export const REPLICATION_TIMING = {
   /** How often the core looks at its deadlines. */
@@ -43,6 +46,8 @@
   tailEntries: 512,
   /** Commands that may await their commit at the leader. */
   pendingEntries: 4_096,
+  /** The same in bytes, about. */
+  pendingBytes: 16 * 1024 * 1024,
 } as const;
 
 /** Every period and limit. */
