--- a/bench/routing/socket_thread.ts
+++ b/bench/routing/socket_thread.ts
@@ -13,8 +13,9 @@
 import type { AddressInfo } from "node:net";
 import { parentPort, workerData } from "node:worker_threads";
 import { Agent } from "undici";
-import { Channel, SeededRandom, SystemClock } from "../../src/base/mod.ts";
+import { SeededRandom, SystemClock } from "../../src/base/mod.ts";
 import { HttpFront, MetricsRegistry } from "../../src/process/http/mod.ts";
+import { fixedConfiguration } from "../../src/process/routing/fixed_configuration.ts";
 import { LedgerState } from "../../src/process/ledger/mod.ts";
 import { MemoryGroup } from "../../src/process/ledger/memory_group.ts";
 import { FakePeerHub } from "../../src/process/replication/fake_peer_network.ts";
@@ -22,8 +23,6 @@
   RequestHeader,
   RequestRouting,
 } from "../../src/process/routing/mod.ts";
-import type { ConfigurationVersion } from "../../src/version/configuration_version.ts";
-import { documentSchema } from "../../src/version/document/document.ts";
 import { StandinBackendServer } from "../../standins/backend_server/mod.ts";
 import {
   type BenchWorkerData,
@@ -57,20 +56,6 @@
   const state = new LedgerState();
   const group = new MemoryGroup({ groupId: "ledger", state });
   const hub = new FakePeerHub({ clock, random: new SeededRandom({ seed: 1 }) });
-  const version: ConfigurationVersion = {
-    version: 1,
-    acceptedAtMs: 0,
-    document: documentSchema.parse({
-      formatVersion: 1,
-      dataCentres: { dc: { owner: "o", region: "r" } },
-      services: {
-        [SOCKET_SIZES.service]: {
-          owner: "o",
-          classes: [{ name: "quote", rank: 0, defaultTimeoutMs: 30_000 }],
-        },
-      },
-    }),
-  };
   const routing = new RequestRouting({
     self,
     peers: [],
@@ -78,11 +63,14 @@
     clock,
     random: new SeededRandom({ seed: 1 }),
     network: hub.join(self.id, { peerIds: [self.id] }),
-    configuration: {
-      current: () => version,
-      versions: new Channel<ConfigurationVersion>().stream,
-      currentAtMs: () => clock.nowMs(),
-    },
+    configuration: fixedConfiguration({
+      dataCentres: [SOCKET_SIZES.dataCentre],
+      services: {
+        [SOCKET_SIZES.service]: {
+          classes: [{ name: "quote", rank: 0, defaultTimeoutMs: 30_000 }],
+        },
+      },
+    }),
     ledgerLog: group.member(self.id),
     ledgerState: state,
     metrics: new MetricsRegistry(),
--- /dev/null
+++ b/src/process/http/http_front_fixture.ts
@@ -0,0 +1,149 @@
+/**
+ * A front on loopback with endpoints for tests, and callers that write raw
+ * bytes.
+ *
+ * @module
+ */
+
+import type { ExecutionContext } from "ava";
+import { connect, type Socket } from "node:net";
+import { Right } from "purify-ts/Either";
+import { FakeClock } from "../../base/fake_clock.ts";
+import { failure } from "../../base/sesame_error.ts";
+import {
+  type HttpCall,
+  type HttpEndpoint,
+  jsonAnswer,
+} from "./http_endpoint.ts";
+import { HttpFront } from "./http_front.ts";
+import type { HttpLimits } from "./http_limits.ts";
+
+const BODY_LIMIT_BYTES = 1_000;
+
+/** An endpoint whose calls wait until the test answers them. */
+export class HeldEndpoint implements HttpEndpoint {
+  readonly method = "POST";
+  readonly path = "/held/:name";
+  readonly bodyLimitBytes = BODY_LIMIT_BYTES;
+  readonly calls: HttpCall[] = [];
+  #answers: (() => void)[] = [];
+  #waiters: (() => void)[] = [];
+
+  async handle(call: HttpCall) {
+    this.calls.push(call);
+    this.#waiters.splice(0).forEach((wake) => wake());
+    await new Promise<void>((resolve) => this.#answers.push(resolve));
+    const size = call.body.length;
+    return Right(jsonAnswer(200, { name: call.parameters["name"], size }));
+  }
+
+  answerAll(): void {
+    this.#answers.splice(0).forEach((answer) => answer());
+  }
+
+  async reached(count: number): Promise<void> {
+    while (this.calls.length < count) {
+      await new Promise<void>((resolve) => this.#waiters.push(resolve));
+    }
+  }
+}
+
+const ECHO: HttpEndpoint = {
+  method: "PUT",
+  path: "/echo",
+  bodyLimitBytes: BODY_LIMIT_BYTES,
+  handle: (call) =>
+    Promise.resolve(Right({ status: 200, headers: {}, body: call.body })),
+};
+
+const LARGE: HttpEndpoint = {
+  method: "GET",
+  path: "/large",
+  bodyLimitBytes: 0,
+  handle: () =>
+    Promise.resolve(
+      Right({ status: 200, headers: {}, body: new Uint8Array(32_000_000) }),
+    ),
+};
+
+const FAULTY: HttpEndpoint = {
+  method: "GET",
+  path: "/faulty",
+  bodyLimitBytes: 0,
+  handle: () => Promise.reject(new Error("broken")),
+};
+
+const UNBOUNDED: HttpEndpoint = {
+  method: "GET",
+  path: "/unbounded",
+  bodyLimitBytes: () => {
+    throw new Error("no limit");
+  },
+  handle: () => Promise.reject(new Error("not reached")),
+};
+
+const REFUSING: HttpEndpoint = {
+  method: "GET",
+  path: "/refusing",
+  bodyLimitBytes: 0,
+  handle: () => Promise.resolve(failure("overloaded", { location: "queue" })),
+};
+
+export async function startFront(
+  t: ExecutionContext,
+  limits?: Partial<HttpLimits>,
+) {
+  const clock = new FakeClock();
+  const held = new HeldEndpoint();
+  const front = new HttpFront({
+    clock,
+    endpoints: [held, ECHO, LARGE, FAULTY, UNBOUNDED, REFUSING],
+    ...(limits === undefined ? {} : { limits }),
+  });
+  const address = await front.listen({ host: "127.0.0.1", port: 0 });
+  const { port } = address.unsafeCoerce();
+  front.markReady();
+  t.teardown(() => {
+    held.answerAll();
+    return front.close({ leaveMs: 0, deadlineMs: clock.nowMs() });
+  });
+  return { clock, held, front, port };
+}
+
+/** A caller that writes bytes as the test says. */
+export class RawCaller {
+  readonly socket: Socket;
+  readonly closed: Promise<string>;
+  #text = "";
+  #waiters: (() => void)[] = [];
+
+  constructor(port: number) {
+    this.socket = connect(port, "127.0.0.1");
+    this.socket.on("error", () => undefined);
+    this.socket.on("data", (chunk) => {
+      this.#text += chunk.toString("latin1");
+      this.#waiters.splice(0).forEach((wake) => wake());
+    });
+    this.closed = new Promise((resolve) => {
+      this.socket.on("close", () => resolve(this.#text));
+    });
+  }
+
+  send(...lines: string[]): void {
+    this.socket.write(lines.join("\r\n"));
+  }
+
+  async until(part: string): Promise<string> {
+    while (!this.#text.includes(part)) {
+      await new Promise<void>((resolve) => this.#waiters.push(resolve));
+    }
+    return this.#text;
+  }
+}
+
+/** Waits for a state that another task of the loop brings about. */
+export async function eventually(isReached: () => boolean): Promise<void> {
+  while (!isReached()) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
--- a/src/process/routing/core/service_router.ts
+++ b/src/process/routing/core/service_router.ts
@@ -4,7 +4,6 @@
  * @module
  */
 
-import type { ErrorKind } from "../../../base/error_kind.ts";
 import type {
   BackendServerId,
   DataCentreId,
@@ -17,6 +16,7 @@
 } from "../../../version/document/document.ts";
 import { ClassQueues } from "./class_queues.ts";
 import { RemoteLoads, type RemoteOptions } from "./remote_loads.ts";
+import { endWithError, type OpenCall, openCall } from "./open_call.ts";
 import type { RoutingDecision } from "./routing_decision.ts";
 import {
   type AttemptId,
@@ -42,17 +42,6 @@
 
 const NO_SERVERS: ReadonlySet<BackendServerId> = new Set();
 
-/** A call that hasn't ended yet. */
-interface OpenCall extends RoutedCall {
-  readonly rank: number;
-  readonly triedServers: Set<BackendServerId>;
-  /** The attempt on its way; undefined while it waits. */
-  attemptId: AttemptId | undefined;
-  isForwardedOn: boolean;
-  /** Whether a server may have run it. */
-  mayHaveRun: boolean;
-}
-
 /** The calls and servers of one service. */
 export class ServiceRouter {
   readonly #options: ServiceRouterOptions;
@@ -400,22 +389,3 @@
     return endWithError(call.key, "deadlineExceeded", detail);
   }
 }
-
-function openCall(call: RoutedCall, rank: number): OpenCall {
-  return {
-    ...call,
-    rank,
-    triedServers: new Set(),
-    attemptId: undefined,
-    isForwardedOn: false,
-    mayHaveRun: false,
-  };
-}
-
-function endWithError(
-  key: CallKey,
-  error: ErrorKind,
-  detail: string,
-): RoutingDecision {
-  return { kind: "endWithError", key, error, detail };
-}
--- a/src/process/routing/leaving_server_test.ts
+++ b/src/process/routing/leaving_server_test.ts
@@ -1,11 +1,10 @@
 import test from "ava";
-import { Channel, FakeClock, SeededRandom } from "../../base/mod.ts";
-import type { ConfigurationVersion } from "../../version/configuration_version.ts";
-import { documentSchema } from "../../version/document/document.ts";
+import { FakeClock, SeededRandom } from "../../base/mod.ts";
 import { MetricsRegistry } from "../http/mod.ts";
 import { LedgerState } from "../ledger/mod.ts";
 import { MemoryGroup } from "../ledger/memory_group.ts";
 import { FakePeerHub } from "../replication/fake_peer_network.ts";
+import { fixedConfiguration } from "./fixed_configuration.ts";
 import { RequestRouting } from "./request_routing.ts";
 
 /** A leaving server gets nothing new after this. */
@@ -13,17 +12,10 @@
 const ANNOUNCE_MS = 900;
 const INSTANCE_IDS = ["i1", "i2", "i3"];
 
-const VERSION: ConfigurationVersion = {
-  version: 1,
-  acceptedAtMs: 0,
-  document: documentSchema.parse({
-    formatVersion: 1,
-    dataCentres: { dc: { owner: "o", region: "r" } },
-    services: {
-      loft: { owner: "o", classes: [{ name: "quote", rank: 0 }] },
-    },
-  }),
-};
+const CONFIGURATION = fixedConfiguration({
+  dataCentres: ["dc"],
+  services: { loft: { classes: [{ name: "quote", rank: 0 }] } },
+});
 
 /**
  * Three instances under load; one of two servers leaves and says so to the
@@ -47,11 +39,7 @@
       clock,
       random,
       network: hub.join(id, { peerIds: INSTANCE_IDS }),
-      configuration: {
-        current: () => VERSION,
-        versions: new Channel<ConfigurationVersion>().stream,
-        currentAtMs: () => clock.nowMs(),
-      },
+      configuration: CONFIGURATION,
       ledgerLog: new MemoryGroup({ groupId: id, state }).member(id),
       ledgerState: state,
       metrics: new MetricsRegistry(),
--- a/src/process/routing/request_routing_test.ts
+++ b/src/process/routing/request_routing_test.ts
@@ -4,36 +4,26 @@
   StandinBackendServer,
   type StandinBackendServerOptions,
 } from "../../../standins/backend_server/mod.ts";
-import { Channel, SeededRandom, SystemClock } from "../../base/mod.ts";
-import type { ConfigurationVersion } from "../../version/configuration_version.ts";
-import { documentSchema } from "../../version/document/document.ts";
+import { SeededRandom, SystemClock } from "../../base/mod.ts";
 import { HttpFront, metricsEndpoint, MetricsRegistry } from "../http/mod.ts";
 import { LedgerState } from "../ledger/mod.ts";
 import { MemoryGroup } from "../ledger/memory_group.ts";
 import { FakePeerHub } from "../replication/fake_peer_network.ts";
+import { fixedConfiguration } from "./fixed_configuration.ts";
 import { RequestRouting } from "./request_routing.ts";
 
-const SERVICE = {
-  owner: "operations",
-  classes: [
-    { name: "quote", rank: 0, defaultTimeoutMs: 5_000 },
-    { name: "normal", rank: 4, defaultTimeoutMs: 5_000 },
-  ],
-  retryBudgetFraction: 1,
-};
-
-const VERSION: ConfigurationVersion = {
-  version: 1,
-  acceptedAtMs: 0,
-  document: documentSchema.parse({
-    formatVersion: 1,
-    dataCentres: {
-      east: { owner: "operations", region: "r" },
-      west: { owner: "operations", region: "r" },
+const CONFIGURATION = fixedConfiguration({
+  dataCentres: ["east", "west"],
+  services: {
+    loft: {
+      classes: [
+        { name: "quote", rank: 0, defaultTimeoutMs: 5_000 },
+        { name: "normal", rank: 4, defaultTimeoutMs: 5_000 },
+      ],
+      retryBudgetFraction: 1,
     },
-    services: { loft: SERVICE },
-  }),
-};
+  },
+});
 
 const INSTANCES = [
   { id: "e1", dataCentre: "east", region: "r" },
@@ -68,11 +58,7 @@
       clock,
       random: new SeededRandom({ seed: 1 }),
       network: hub.join(self.id, { peerIds }),
-      configuration: {
-        current: () => VERSION,
-        versions: new Channel<ConfigurationVersion>().stream,
-        currentAtMs: () => clock.nowMs(),
-      },
+      configuration: CONFIGURATION,
       ledgerLog: log,
       ledgerState: state,
       metrics,
