Check the region link's budget in the random sessions

Cause: nothing checked that forwarding stays within its bytes and is of use. Change: the oracle counts forwarded bytes and the time left; two broken variants that it notices.

--- a/src/process/routing/core/routing_core_fixture.ts
+++ b/src/process/routing/core/routing_core_fixture.ts
@@ -17,12 +17,16 @@
   owner: "operations",
   slotsPerServer: 3,
   retryBudgetFraction: 0.5,
+  crossRegionBytesPerSecond: 4_000,
   classes: [
     { name: "urgent", rank: 0, queueLimit: 4 },
     { name: "late", rank: 5, queueLimit: 8 },
   ],
 });
 
+const BODY_BYTES = 1_500;
+const ROUND_TRIP_MS = 40;
+
 /** Turns the core into a broken one, to see that the oracle notices. */
 export interface Mutation {
   readonly event?: (event: RoutingEvent) => RoutingEvent;
@@ -68,6 +72,7 @@
   readonly #ejected = new Set<string>();
   #firstTries = 0;
   #retries = 0;
+  #forwardedBytes = 0;
 
   constructor(mutation: Mutation) {
     this.#mutation = mutation;
@@ -159,7 +164,7 @@
         requestClass: options.rank === 0 ? "urgent" : "late",
         isIdempotent: options.isIdempotent,
         deadlineMs,
-        bodyBytes: 100,
+        bodyBytes: BODY_BYTES,
         isForwarded: false,
       },
     });
@@ -213,7 +218,7 @@
       dataCentre: "other",
       service: "svc",
       freeSlots,
-      roundTripMs: 40,
+      roundTripMs: ROUND_TRIP_MS,
       isOtherRegion: true,
     };
     this.#feed({ kind: "remoteLoadReported", atMs: this.#nowMs, load });
@@ -258,6 +263,7 @@
           call.isIdempotent || call.reached === 0,
           "sent to a second server",
         );
+        this.#countForward(call);
         call.forwarded = true;
         call.waits = false;
         break;
@@ -294,6 +300,17 @@
     }
   }
 
+  /** Only what can be in time goes over the region link, within its budget. */
+  #countForward(call: TrueCall): void {
+    check(this.#nowMs + ROUND_TRIP_MS < call.deadlineMs, "forwarded in vain");
+    this.#forwardedBytes += BODY_BYTES;
+    const seconds = 1 + this.#nowMs / 1_000;
+    check(
+      this.#forwardedBytes <= SERVICE.crossRegionBytesPerSecond * seconds,
+      "more over the region link than the budget",
+    );
+  }
+
   #judgeSending(
     decision: Extract<RoutingDecision, { kind: "sendAttempt" }>,
   ): void {
--- a/src/process/routing/core/routing_core_test.ts
+++ b/src/process/routing/core/routing_core_test.ts
@@ -123,6 +123,26 @@
     },
     /slots/,
   ],
+  [
+    "reckons with no bytes over the region link",
+    {
+      event: (event) =>
+        event.kind === "remoteLoadReported"
+          ? { ...event, load: { ...event.load, isOtherRegion: false } }
+          : event,
+    },
+    /region link/,
+  ],
+  [
+    "takes the other region for near",
+    {
+      event: (event) =>
+        event.kind === "remoteLoadReported"
+          ? { ...event, load: { ...event.load, roundTripMs: 0 } }
+          : event,
+    },
+    /in vain/,
+  ],
   [
     "gives an answer to another call",
     {
