Report what a hop costs beside a bare relay

Cause: on a shared machine the added tail alone says little. Change: the bench reports how long the hop's thread is busy for a request.

--- a/bench/routing/added_latency.ts
+++ b/bench/routing/added_latency.ts
@@ -31,6 +31,8 @@
   readonly servers: readonly string[];
   readonly instance: string;
   readonly relay: string;
+  /** The threads that stand between the callers and the servers. */
+  readonly threads: Readonly<Record<"instance" | "relay", Worker>>;
   readonly dispatcher: Dispatcher;
 }
 
@@ -58,9 +60,11 @@
     await offer(way, { target, perSecond, seed, durationMs: WARM_UP_MS });
   }
   const overheads = new Map<Way, number[]>(WAYS.map((way) => [way, []]));
+  const busyMs = new Map<Way, number>();
   for (let block = 0; block < BLOCKS; block += 1) {
     for (const way of WAYS) {
       const durationMs = BLOCK_MS;
+      const beforeMs = busyTimeMs(way, target);
       const taken = await offer(way, {
         target,
         perSecond,
@@ -68,6 +72,8 @@
         durationMs,
       });
       overheads.get(way)?.push(...taken);
+      const spentMs = busyTimeMs(way, target) - beforeMs;
+      busyMs.set(way, (busyMs.get(way) ?? 0) + spentMs);
     }
   }
   await stop();
@@ -82,7 +88,10 @@
       `${way}: ${own.count} answers, p50 ${own.p50.toFixed(2)}, ` +
         `p99 ${own.p99.toFixed(2)}; added p50 ` +
         `${(own.p50 - direct.p50).toFixed(2)}, ` +
-        `added p99 ${(own.p99 - direct.p99).toFixed(2)}`,
+        `added p99 ${(own.p99 - direct.p99).toFixed(2)}; ` +
+        `its thread busy ${
+          (1_000 * (busyMs.get(way) ?? 0) / own.count).toFixed(0)
+        } us a request`,
     );
   }
 }
@@ -131,6 +140,7 @@
     servers: servers.addresses,
     instance: address,
     relay: relay.addresses[0] ?? "",
+    threads: { instance: instance.worker, relay: relay.worker },
     dispatcher,
   };
   return { target, stop };
@@ -222,6 +232,19 @@
   return performance.now() - startMs - body.serviceMs;
 }
 
+/** How long the thread of the way's hop has been busy so far. */
+function busyTimeMs(way: Way, { threads }: Target): number {
+  switch (way) {
+    case "direct":
+      return 0;
+    case "relay":
+      return threads.relay.performance.eventLoopUtilization().active;
+    case "idempotent":
+    case "claimed":
+      return threads.instance.performance.eventLoopUtilization().active;
+  }
+}
+
 function addressOf(way: Way, target: Target, at: number): string {
   switch (way) {
     case "direct":
