Refuse at submission what no declared hardware can hold

Cause: a job that can never fit was first accepted and ended as refused a moment later; and what fits was decided in two places by two formulas. Change: the submission is refused with the reason of each data centre, unless the job was accepted while it still fitted; the choice of a data centre uses the core's own check. Conclusion: the demo and a test show it refused at once and not found after.

--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -17,6 +17,7 @@
   INSTANCES,
   jobIn,
   submit,
+  submitRefused,
   switchStatus,
   waitFor,
 } from "./demo_api.ts";
@@ -118,11 +119,10 @@
     expect(ended.end?.outcome === "succeeded", `job ${jobId} succeeded`);
     noteJob(ended);
   }
-  const { jobId } = await submit("never_fits");
-  const refused = await jobIn("ended", { jobId, withinMs: JOB_LIMIT_MS });
+  const refusal = await submitRefused("never_fits");
   expect(
-    refused.end?.outcome === "refused",
-    `job ${jobId} refused: ${refused.end?.detail}`,
+    refusal?.kind === "neverFits",
+    `job never-fits refused at once: ${refusal?.message}`,
   );
 }
 
--- a/demo/demo_api.ts
+++ b/demo/demo_api.ts
@@ -7,6 +7,7 @@
 import { readFile } from "node:fs/promises";
 import process from "node:process";
 import { parse } from "smol-toml";
+import type { Result, SesameError } from "../src/base/mod.ts";
 import { ApiClient } from "../src/programs/commands/api_client.ts";
 import { switchDataCentre } from "../src/programs/commands/config/mod.ts";
 import { RequestHeader } from "../src/process/routing/mod.ts";
@@ -99,13 +100,28 @@
   file: string,
   change: Readonly<Record<string, unknown>> = {},
 ): Promise<DemoJob> {
+  const result = await sendJob(file, change);
+  return (result.unsafeCoerce() as { job: DemoJob }).job;
+}
+
+/** Submits a job that is to be refused; gives the refusal. */
+export async function submitRefused(
+  file: string,
+): Promise<SesameError | undefined> {
+  const result = await sendJob(file, {});
+  return result.swap().toMaybe().extract();
+}
+
+async function sendJob(
+  file: string,
+  change: Readonly<Record<string, unknown>>,
+): Promise<Result<unknown>> {
   const text = await readFile(`examples/demo/jobs/${file}.toml`, "utf8");
-  const result = await clientOf("east-2").json({
+  return await clientOf("east-2").json({
     method: "POST",
     path: "/v1/jobs",
     body: JSON.stringify({ ...parse(text), ...change }),
   });
-  return (result.unsafeCoerce() as { job: DemoJob }).job;
 }
 
 /** One job, asked through an instance that need not be its home. */
--- a/src/process/scheduler/core/admission.ts
+++ b/src/process/scheduler/core/admission.ts
@@ -7,8 +7,9 @@
 import type { DataCentreId } from "../../../base/identity.ts";
 import type { ErrorKind } from "../../../base/error_kind.ts";
 import { amountsOf, tasksFitting } from "./amounts.ts";
+import type { DeclaredRack } from "./declared_rack.ts";
 import type { JobSpecification } from "./job.ts";
-import type { DeclaredRack, Policy } from "./policy.ts";
+import type { Policy } from "./policy.ts";
 
 /** Why a job is refused. */
 export interface Refusal {
--- a/src/process/scheduler/core/mod.ts
+++ b/src/process/scheduler/core/mod.ts
@@ -5,6 +5,8 @@
  */
 
 export { findUnplacedGuarantee } from "./cell_packing.ts";
+export { whyNeverFits } from "./admission.ts";
+export { declaredRacks } from "./declared_rack.ts";
 export {
   GANG_TASKS_LIMIT,
   type JobSpecification,
--- a/src/process/scheduler/core/policy.ts
+++ b/src/process/scheduler/core/policy.ts
@@ -12,7 +12,8 @@
   type JobClass,
   jobClassSchema,
 } from "../../../version/document/document.ts";
-import { type Amounts, amountsOf } from "./amounts.ts";
+import type { Amounts } from "./amounts.ts";
+import { type DeclaredRack, declaredRacks } from "./declared_rack.ts";
 
 /** What holds for a job whose class was taken out of the document. */
 const FALLBACK_JOB_CLASS: JobClass = jobClassSchema.parse({
@@ -20,12 +21,6 @@
   rank: 9,
 });
 
-/** A rack as declared. */
-export interface DeclaredRack {
-  readonly workers: number;
-  readonly worker: Readonly<Amounts>;
-}
-
 /** One configuration version, as one data centre sees it. */
 export class Policy {
   readonly version: number;
@@ -49,14 +44,7 @@
     this.version = configuration.version;
     this.acceptedAtMs = configuration.acceptedAtMs;
     this.section = configuration.document.dataCentres[dataCentre];
-    this.racks = (this.section?.racks ?? []).map((rack) => ({
-      workers: rack.workers,
-      worker: amountsOf({
-        cores: rack.coresPerWorker,
-        memoryBytes: rack.memoryBytesPerWorker,
-        accelerators: rack.acceleratorsPerWorker,
-      }),
-    }));
+    this.racks = declaredRacks(this.section);
     this.borrowingWeights = sum(
       Object.values(configuration.document.clientAccounts)
         .map((account) => account.borrowingWeight),
--- a/src/process/scheduler/runtime/data_centre_choice.ts
+++ b/src/process/scheduler/runtime/data_centre_choice.ts
@@ -9,9 +9,12 @@
 import type {
   DataCentre,
   Document,
-  Rack,
 } from "../../../version/document/document.ts";
-import type { JobSpecification } from "../core/job.ts";
+import {
+  declaredRacks,
+  type JobSpecification,
+  whyNeverFits,
+} from "../core/mod.ts";
 
 /**
  * The data centre whose log decides whether the job is new: the first that
@@ -60,6 +63,26 @@
   return couldRunHere ? [] : others.map(([id]) => id);
 }
 
+/**
+ * Why no data centre that the job allows could ever hold it, as a sentence;
+ * undefined when one could.
+ */
+export function findMisfit(
+  job: JobSpecification,
+  document: Document,
+): string | undefined {
+  const reasons = Object.entries(document.dataCentres)
+    .filter(([id]) => isAllowed(job, id))
+    .map(([id, section]) => ({
+      id,
+      reason: whyNeverFits(job, declaredRacks(section)),
+    }));
+  if (reasons.some(({ reason }) => reason === undefined)) {
+    return undefined;
+  }
+  return reasons.map(({ id, reason }) => `${id}: ${reason}`).join(" ");
+}
+
 /** A name in the job that the document doesn't have, as a sentence. */
 export function findUnknownName(
   job: JobSpecification,
@@ -90,31 +113,7 @@
 
 /** Whether the declared hardware, all free, could hold the gang. */
 function fits(job: JobSpecification, section: DataCentre): boolean {
-  const byRack = section.racks.map((rack) => ({
-    perWorker: tasksPerWorker(job, rack),
-    workers: rack.workers,
-  }));
-  const most = byRack.map((rack) =>
-    job.adjacency === "worker" ? rack.perWorker : rack.perWorker * rack.workers
-  );
-  const tasks = job.adjacency === "any"
-    ? most.reduce((sum, each) => sum + each, 0)
-    : Math.max(0, ...most);
-  return tasks >= job.tasks;
-}
-
-function tasksPerWorker(job: JobSpecification, rack: Rack): number {
-  const { cores, memoryBytes, accelerators } = job.resources;
-  return Math.min(
-    share(rack.coresPerWorker, cores),
-    share(rack.memoryBytesPerWorker, memoryBytes),
-    share(rack.acceleratorsPerWorker, accelerators),
-    job.tasks,
-  );
-}
-
-function share(has: number, takes: number): number {
-  return takes === 0 ? Number.POSITIVE_INFINITY : Math.floor(has / takes);
+  return whyNeverFits(job, declaredRacks(section)) === undefined;
 }
 
 /** The same region first: the link between regions is slow. */
--- a/src/process/scheduler/runtime/scheduler_runtime.ts
+++ b/src/process/scheduler/runtime/scheduler_runtime.ts
@@ -18,7 +18,11 @@
 import type { ConfigurationSource } from "../../configuration/configuration_source.ts";
 import type { ReplicatedLog } from "../../replication/replicated_log.ts";
 import type { JobSpecification } from "../core/job.ts";
-import { findUnknownName, homeDataCentre } from "./data_centre_choice.ts";
+import {
+  findMisfit,
+  findUnknownName,
+  homeDataCentre,
+} from "./data_centre_choice.ts";
 import type { DecisionCoreFactory } from "./decision_core.ts";
 import { CallAnswerer } from "./call_answerer.ts";
 import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
@@ -135,6 +139,13 @@
     if (unknown !== undefined) {
       return failure("invalid", { detail: unknown });
     }
+    const misfit = findMisfit(specification, document);
+    if (misfit !== undefined) {
+      const refusal = await this.#refuseMisfit(specification.jobId, misfit);
+      if (refusal !== undefined) {
+        return refusal;
+      }
+    }
     const home = homeDataCentre(specification, document) ??
       this.#options.dataCentre;
     const answer = await this.#ask(home, {
@@ -147,6 +158,21 @@
     return answer.chain(asAccepted);
   }
 
+  /** A job that was accepted while it still fitted keeps its first answer. */
+  async #refuseMisfit(
+    jobId: JobId,
+    detail: string,
+  ): Promise<Result<JobAccepted> | undefined> {
+    const known = await this.findJob(jobId);
+    return known.caseOf({
+      Left: (error) =>
+        error.kind === "notFound"
+          ? failure<JobAccepted>("neverFits", { detail })
+          : Left(error),
+      Right: () => undefined,
+    });
+  }
+
   /** Cancels a job wherever it is; one that has ended stays as it is. */
   async cancel(jobId: JobId): Promise<Result<JobAccepted>> {
     const found = await this.findJob(jobId);
--- a/src/process/scheduler/runtime/scheduler_runtime_test.ts
+++ b/src/process/scheduler/runtime/scheduler_runtime_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import { jobSpecificationSchema } from "../core/mod.ts";
 import { makeWorld, TestBed } from "./testing/test_bed.ts";
 
 function makeBed(
@@ -55,3 +56,24 @@
   t.deepEqual(await Promise.all(runs), [true, true, false]);
   t.is(bed.history.starts("j1"), 1);
 });
+
+test("a job that no declared hardware holds is refused at once", async (t) => {
+  const bed = makeBed();
+  await bed.pass(1_000);
+  const id = bed.instanceIds[0] ?? "";
+  const refused = bed.instance(id).runtime.submit(jobSpecificationSchema.parse({
+    jobId: "huge",
+    clientAccount: "lab",
+    jobClass: "batch",
+    tasks: 64,
+    resources: { cores: 1, memoryBytes: 1, accelerators: 64 },
+    adjacency: "worker",
+    declaredRunMs: 1_000,
+  }));
+  await bed.pass(2_000);
+  const error = (await refused).swap().toMaybe().extract();
+  t.is(error?.kind, "neverFits");
+  const found = bed.instance(id).runtime.findJob("huge");
+  await bed.pass(2_000);
+  t.is((await found).swap().toMaybe().extract()?.kind, "notFound");
+});
