--- a/src/process/scheduler/core/evictor.ts
+++ b/src/process/scheduler/core/evictor.ts
@@ -17,11 +17,14 @@
 import { gangAccelerators, JobPhase, type JobState } from "./job_state.ts";
 import { reservedForGuarantees } from "./ledger.ts";
 import { type Block, type BlockRequest, requestOf } from "./placement.ts";
-import type { RackState } from "./rack_index.ts";
 import { DRAIN_LIMIT_MS, ReservationKind } from "./reservation.ts";
 import { isDrainable, type ReservationManager } from "./reservation_manager.ts";
 import type { VainTries } from "./vain_tries.ts";
-import { RANK_COUNT, type WorkerState } from "./worker_state.ts";
+import {
+  type RackState,
+  RANK_COUNT,
+  type WorkerState,
+} from "./worker_state.ts";
 
 /** Within what time urgent work starts when its class doesn't say. */
 const URGENT_START_TARGET_MS = 1_900;
--- a/src/process/scheduler/core/invariants.ts
+++ b/src/process/scheduler/core/invariants.ts
@@ -17,9 +17,8 @@
 import { isLive, JobPhase, type JobState } from "./job_state.ts";
 import { isQuarantined } from "./quarantine.ts";
 import type { Quarantine } from "./quarantine.ts";
-import type { RackState } from "./rack_index.ts";
 import { WaitReason } from "./scheduler_decision.ts";
-import type { WorkerState } from "./worker_state.ts";
+import type { RackState, WorkerState } from "./worker_state.ts";
 
 /** A retry follows on the first tick after its time. */
 const RETRY_SLACK_MS = 1_000;
--- a/src/process/scheduler/core/placement.ts
+++ b/src/process/scheduler/core/placement.ts
@@ -7,8 +7,12 @@
 import type { WorkerId } from "../../../base/identity.ts";
 import { type Amounts, tasksFitting } from "./amounts.ts";
 import type { JobState } from "./job_state.ts";
-import type { RackIndex, RackState } from "./rack_index.ts";
-import { type WorkerState, WorkerStatus } from "./worker_state.ts";
+import type { RackIndex } from "./rack_index.ts";
+import {
+  type RackState,
+  type WorkerState,
+  WorkerStatus,
+} from "./worker_state.ts";
 
 /** How many tasks of a gang each worker takes. */
 export type Block = ReadonlyMap<WorkerState, number>;
--- a/src/process/scheduler/core/placer.ts
+++ b/src/process/scheduler/core/placer.ts
@@ -17,12 +17,11 @@
   findFreeBlock,
   requestOf,
 } from "./placement.ts";
-import type { RackState } from "./rack_index.ts";
 import { type Reservation, ReservationKind } from "./reservation.ts";
 import type { ReservationManager } from "./reservation_manager.ts";
 import type { WaitReason } from "./scheduler_decision.ts";
 import type { VainTries } from "./vain_tries.ts";
-import type { WorkerState } from "./worker_state.ts";
+import type { RackState, WorkerState } from "./worker_state.ts";
 
 /** Longer work that can't be checkpointed keeps off promised workers. */
 const FRAGILE_RUN_LIMIT_MS = 600_000;
--- a/src/process/scheduler/core/rack_index.ts
+++ b/src/process/scheduler/core/rack_index.ts
@@ -7,17 +7,7 @@
 
 import type { RackId, WorkerId } from "../../../base/identity.ts";
 import type { WorkerDescription } from "./scheduler_event.ts";
-import { RANK_COUNT, WorkerState } from "./worker_state.ts";
-
-/** One rack and the workers that have announced themselves in it. */
-export interface RackState {
-  readonly rackId: RackId;
-  readonly workers: WorkerState[];
-  /** Free accelerators on its workers that take work. */
-  freeAccelerators: number;
-  /** Accelerators held beyond guarantees, by rank; not those stopping. */
-  readonly evictableByRank: Int32Array;
-}
+import { type RackState, RANK_COUNT, WorkerState } from "./worker_state.ts";
 
 /** All workers by rack, in buckets by free accelerators. */
 export class RackIndex {
--- a/src/process/scheduler/core/worker_state.ts
+++ b/src/process/scheduler/core/worker_state.ts
@@ -8,6 +8,7 @@
 import type {
   ClientAccountId,
   JobId,
+  RackId,
   WorkerId,
 } from "../../../base/identity.ts";
 import {
@@ -19,7 +20,6 @@
   noAmounts,
 } from "./amounts.ts";
 import type { JobState } from "./job_state.ts";
-import type { RackState } from "./rack_index.ts";
 import type { Reservation } from "./reservation.ts";
 import type { WorkerDescription } from "./scheduler_event.ts";
 
@@ -47,6 +47,16 @@
   readonly tasks: number;
 }
 
+/** One rack and the workers that have announced themselves in it. */
+export interface RackState {
+  readonly rackId: RackId;
+  readonly workers: WorkerState[];
+  /** Free accelerators on its workers that take work. */
+  freeAccelerators: number;
+  /** Accelerators held beyond guarantees, by rank; not those stopping. */
+  readonly evictableByRank: Int32Array;
+}
+
 /** One worker. */
 export class WorkerState {
   readonly workerId: WorkerId;
