Probe with non-idempotent calls when no other come

Cause: a service with only non-idempotent calls never took an ejected server back, since probes had to be idempotent. Conclusion: ejected servers come back under any traffic.

--- a/src/process/routing/core/routing_options.ts
+++ b/src/process/routing/core/routing_options.ts
@@ -23,6 +23,8 @@
   /** The first wait before a probe; doubles with every failed probe. */
   readonly probeDelayMs: number;
   readonly probeDelayLimitMs: number;
+  /** How long an idempotent call is waited for to be the probe. */
+  readonly probePatienceMs: number;
   /** Retries that may be saved up. */
   readonly retryTokens: number;
   /** Deviations above the mean that a call must still have time for. */
@@ -46,6 +48,7 @@
   slowFloorMs: 10,
   probeDelayMs: 1_000,
   probeDelayLimitMs: 30_000,
+  probePatienceMs: 5_000,
   retryTokens: 10,
   serviceTimeDeviations: 1.5,
   crossRegionBurstSeconds: 1,
--- a/src/process/routing/core/server_table.ts
+++ b/src/process/routing/core/server_table.ts
@@ -132,15 +132,18 @@
   /** A server with a free slot, but for the excluded ones. */
   choose(
     nowMs: number,
-    options: { exclude: ReadonlySet<BackendServerId>; mayProbe: boolean },
+    options: { exclude: ReadonlySet<BackendServerId>; isIdempotent: boolean },
   ): ServerEntry | undefined {
     const all = this.#candidates(nowMs);
     const others = all.filter(({ server }) =>
       !options.exclude.has(server.serverId)
     );
-    const probe = options.mayProbe
-      ? others.find(({ server }) => server.health.isProbeDue(nowMs))
-      : undefined;
+    const patienceMs = options.isIdempotent
+      ? 0
+      : this.#options.routing.probePatienceMs;
+    const probe = others.find(({ server }) =>
+      server.health.isProbeDue(nowMs - patienceMs)
+    );
     const trusted = others.filter(({ server }) =>
       server.health.state === HealthState.healthy
     );
--- a/src/process/routing/core/service_router.ts
+++ b/src/process/routing/core/service_router.ts
@@ -298,10 +298,8 @@
     const exclude = this.servers.hasOther(nowMs, call.triedServers)
       ? call.triedServers
       : NO_SERVERS;
-    return this.servers.choose(nowMs, {
-      exclude,
-      mayProbe: call.isIdempotent,
-    });
+    const { isIdempotent } = call;
+    return this.servers.choose(nowMs, { exclude, isIdempotent });
   }
 
   #send(
