--- a/src/process/scheduler/core/evictor.ts
+++ b/src/process/scheduler/core/evictor.ts
@@ -17,11 +17,14 @@
 import { gangAccelerators, JobPhase, type JobState } from "./job_state.ts";
 import { reservedForGuarantees } from "./ledger.ts";
 import { type Block, type BlockRequest, requestOf } from "./placement.ts";
-import type { RackState } from "./rack_index.ts";
-import { ReservationKind } from "./reservation.ts";
+import { DRAIN_LIMIT_MS, ReservationKind } from "./reservation.ts";
 import { isDrainable, type ReservationManager } from "./reservation_manager.ts";
 import type { VainTries } from "./vain_tries.ts";
-import { RANK_COUNT, type WorkerState } from "./worker_state.ts";
+import {
+  type RackState,
+  RANK_COUNT,
+  type WorkerState,
+} from "./worker_state.ts";
 
 /** Within what time urgent work starts when its class doesn't say. */
 const URGENT_START_TARGET_MS = 1_900;
@@ -31,8 +34,6 @@
 const RACKS_WEIGHED = 12;
 /** Most of all accelerators that may be held by draining reservations. */
 const DRAINING_FRACTION = 0.25;
-/** The longest that a reservation drains. */
-const DRAIN_LIMIT_MS = 60_000;
 
 const NOTHING: Readonly<Amounts> = Object.freeze(noAmounts());
 
