End a job together with the attempt that finished it

Cause: a leader wrote the end of the last attempt and the end of the job as two commands. When its leadership ended between them, the next leader found a job with no open attempt and no end, and ran the whole gang again although every task had succeeded. Ruled out: a lost report (the tasks' ends had reached the leader) and forgotten tasks on the workers. Change: the command that ends an attempt says when every task succeeded, and the log then ends the job in the same step; the job's own end, which follows, finds it there. Conclusion: a job that is known as done is never run again by a new leader.

--- a/src/process/scheduler/runtime/decision_runner.ts
+++ b/src/process/scheduler/runtime/decision_runner.ts
@@ -103,7 +103,8 @@
       ...(error === undefined ? {} : { error }),
       ...(detail === undefined ? {} : { detail }),
     });
-    if (result?.kind === "applied") {
+    // It exists already when the end of its last attempt ended the job too.
+    if (result !== undefined && result.kind !== "refused") {
       this.#options.context.events.emit("jobEnded", { jobId, outcome });
     }
   }
--- a/src/process/scheduler/runtime/gang.ts
+++ b/src/process/scheduler/runtime/gang.ts
@@ -96,6 +96,12 @@
     return this.#outcomes.size === this.placements.length;
   }
 
+  /** Whether every task succeeded. */
+  get hasSucceeded(): boolean {
+    return this.hasEnded &&
+      [...this.#outcomes.values()].every((outcome) => outcome === "succeeded");
+  }
+
   /** Whether every task ended by a checkpoint or by itself, well. */
   get isCheckpointed(): boolean {
     return this.hasEnded && [...this.#outcomes.values()].every(endedWell);
--- a/src/process/scheduler/runtime/gang_table.ts
+++ b/src/process/scheduler/runtime/gang_table.ts
@@ -74,7 +74,10 @@
   async breakUp(gang: Gang): Promise<void> {
     gang.phase = "stopping";
     await this.#stopper.stop(gang, STOP_AT_ONCE);
-    await this.#close(gang, "not whole after a change of leader");
+    await this.#close(gang, {
+      detail: "not whole after a change of leader",
+      hasSucceeded: false,
+    });
   }
 
   async start(decision: StartGang, command: readonly string[]): Promise<void> {
@@ -112,7 +115,7 @@
       return; // The start under way sees the phase and releases.
     }
     await this.#stopper.stop(gang, decision);
-    await this.#close(gang, reason);
+    await this.#close(gang, { detail: reason, hasSucceeded: false });
     this.#feedSuccesses(gang);
     const { isCheckpointed } = gang;
     this.#feedStopped({ jobId, attempt, isCheckpointed });
@@ -182,7 +185,7 @@
     if (!this.#context.omits("releaseAll")) {
       await this.#stopper.stop(gang, STOP_AT_ONCE);
     }
-    await this.#close(gang, detail);
+    await this.#close(gang, { detail: detail, hasSucceeded: false });
     const { jobId, attempt } = gang;
     if (wasStopped) {
       this.#feedStopped({ jobId, attempt, isCheckpointed: false });
@@ -199,14 +202,19 @@
   }
 
   /** Nothing of it runs: the log is told before anything else happens. */
-  async #close(gang: Gang, detail: string): Promise<void> {
+  async #close(
+    gang: Gang,
+    end: { detail: string; hasSucceeded: boolean },
+  ): Promise<void> {
     const { jobId, attempt } = gang;
+    const { detail, hasSucceeded } = end;
     gang.phase = "over";
     await this.#context.writer.write({
       kind: "attemptEnded",
       jobId,
       attempt,
       hasFailed: gang.hasFailed,
+      ...(hasSucceeded ? { hasSucceeded } : {}),
       detail,
     });
     this.#remove(gang);
@@ -231,7 +239,8 @@
       gang.noteOutcome(end.taskIndex, end.outcome)
     );
     if (gang.hasEnded && gang.phase === "running") {
-      void this.#close(gang, "every task ended");
+      const { hasSucceeded } = gang;
+      void this.#close(gang, { detail: "every task ended", hasSucceeded });
     }
     for (const end of news) {
       this.#feedEnd(gang, end);
--- a/src/process/scheduler/runtime/job_command.ts
+++ b/src/process/scheduler/runtime/job_command.ts
@@ -69,6 +69,8 @@
     ...ofAttempt,
     /** Whether a task failed by itself. */
     hasFailed: z.boolean(),
+    /** Whether every task succeeded, which ends the job too. */
+    hasSucceeded: z.boolean().optional(),
     detail: z.string().max(256),
   }),
   z.strictObject({
--- a/src/process/scheduler/runtime/job_ledger.ts
+++ b/src/process/scheduler/runtime/job_ledger.ts
@@ -218,8 +218,14 @@
       return this.#change(record, { attemptsUsed });
     }
     const { openAttempt: _closed, ...rest } = record;
+    if (command.hasSucceeded === true) {
+      this.#retire(command.jobId, command.atMs);
+    }
     return this.#put({
       ...rest,
+      ...(command.hasSucceeded === true
+        ? { end: { outcome: "succeeded" as const, atMs: command.atMs } }
+        : {}),
       attemptsUsed,
       failures,
       pastAttempts: this.#past(record, {
