Report load between data centres when it changes

Cause: with nine idle instances the busiest sent 7,934 B/s, of which 4,376 were reports of free slots every 300 ms and their echoes; the target is 5,000 B/s idle. Heartbeats (1,176) and the logs (2,172) were ruled out. Change: a report goes out at once on a change of a tenth, and else each second; a report counts for 2.5 s.

--- a/src/connection/outgoing_link.ts
+++ b/src/connection/outgoing_link.ts
@@ -76,18 +76,19 @@
     return this.#connection?.isOpen ?? false;
   }
 
-  /** Sends if the link is open and its buffer has room. */
-  send(frame: MessageFrame): boolean {
+  /** Sends if the link is open and has room; gives the bytes, or 0. */
+  send(frame: MessageFrame): number {
     const connection = this.#connection;
     if (connection === undefined || !connection.isOpen) {
-      return false;
+      return 0;
     }
     const { bufferLimitBytes } = OUTGOING_LINK_DEFAULTS;
     if (connection.socket.bufferedAmount > bufferLimitBytes) {
-      return false;
+      return 0;
     }
-    connection.socket.send(encodeFrame(frame));
-    return true;
+    const bytes = encodeFrame(frame);
+    connection.socket.send(bytes);
+    return bytes.length;
   }
 
   close(): void {
--- a/src/connection/ws_peer_network.ts
+++ b/src/connection/ws_peer_network.ts
@@ -69,6 +69,10 @@
 /** Counts of what the network has carried. */
 export interface PeerTraffic {
   sentMessages: number;
+  /** Bytes of frames, without those of WebSocket and TCP. */
+  sentBytes: number;
+  /** The same for each channel. */
+  readonly sentBytesByChannel: Record<string, number>;
   droppedMessages: number;
   receivedMessages: number;
   rejectedConnections: number;
@@ -80,6 +84,8 @@
   readonly peerIds: readonly InstanceId[];
   readonly traffic: PeerTraffic = {
     sentMessages: 0,
+    sentBytes: 0,
+    sentBytesByChannel: {},
     droppedMessages: 0,
     receivedMessages: 0,
     rejectedConnections: 0,
@@ -156,13 +162,16 @@
       ...this.#options.hybridClock.next(),
       body,
     };
-    const isSent = this.#outgoing.get(to)?.send(frame) ?? false;
-    if (isSent) {
-      this.traffic.sentMessages += 1;
-    } else {
+    const bytes = this.#outgoing.get(to)?.send(frame) ?? 0;
+    if (bytes === 0) {
       this.traffic.droppedMessages += 1;
+      return false;
     }
-    return isSent;
+    this.traffic.sentMessages += 1;
+    this.traffic.sentBytes += bytes;
+    const { sentBytesByChannel } = this.traffic;
+    sentBytesByChannel[channel] = (sentBytesByChannel[channel] ?? 0) + bytes;
+    return true;
   }
 
   #dial(peer: PeerAddress): OutgoingLink {
--- a/src/process/daemon/daemon_base.ts
+++ b/src/process/daemon/daemon_base.ts
@@ -65,6 +65,8 @@
     clock,
     events: timeline,
   });
+  const metrics = new MetricsRegistry();
+  showTraffic(metrics, network);
   return {
     settings,
     clock,
@@ -74,10 +76,25 @@
     network,
     membership,
     timelineService: new TimelineService({ timeline, network, clock }),
-    metrics: new MetricsRegistry(),
+    metrics,
   };
 }
 
+function showTraffic(metrics: MetricsRegistry, network: WsPeerNetwork): void {
+  metrics.gauge("sesamethread_peer_sent_bytes", {
+    help: "Bytes of frames sent to other instances since the start.",
+    read: () => network.traffic.sentBytes,
+  });
+  metrics.gauge("sesamethread_peer_sent_messages", {
+    help: "Messages sent to other instances since the start.",
+    read: () => network.traffic.sentMessages,
+  });
+  metrics.gauge("sesamethread_peer_rejected_connections", {
+    help: "Connections of peers that were refused or closed for a fault.",
+    read: () => network.traffic.rejectedConnections,
+  });
+}
+
 function createNetwork(
   settings: Settings,
   options: {
--- a/src/process/routing/forwarding.ts
+++ b/src/process/routing/forwarding.ts
@@ -47,9 +47,15 @@
   readonly router: Router;
 }
 
-/** How often the free slots are reported to other data centres. */
+/** How often the free slots are looked at for other data centres. */
 const LOAD_PERIOD_MS = 300;
 
+/** How often they are reported though they have hardly changed. */
+const LOAD_REFRESH_MS = 1_000;
+
+/** A change by less than this fraction of the slots is no news. */
+const LOAD_CHANGE_FRACTION = 0.1;
+
 /** How long past its deadline the end of a call is waited for. */
 const GRACE_MS = 6_000;
 
@@ -71,6 +77,7 @@
   readonly #timer: Timer;
   readonly #waiting = new Map<number, (end: BackendAttemptEnd) => void>();
   #lastForwardId = 0;
+  #lastReport: LoadReport = { atMs: -Infinity, freeSlots: {} };
 
   constructor(options: ForwardingOptions) {
     this.#options = options;
@@ -217,6 +224,11 @@
       const free = servers.freeSlots(nowMs) - queued;
       freeSlots[service] = Math.max(0, free);
     }
+    const isDue = nowMs >= this.#lastReport.atMs + LOAD_REFRESH_MS;
+    if (!isDue && !isNews(freeSlots, this.#lastReport.freeSlots)) {
+      return;
+    }
+    this.#lastReport = { atMs: nowMs, freeSlots };
     for (const peer of network.linkedPeerIds()) {
       if (this.#remotes.isRemote(peer)) {
         this.#channel.send(peer, { kind: "load", sentAtMs: nowMs, freeSlots });
@@ -225,6 +237,23 @@
   }
 }
 
+/** What other data centres were last told. */
+interface LoadReport {
+  readonly atMs: number;
+  readonly freeSlots: Readonly<Record<ServiceId, number>>;
+}
+
+function isNews(
+  freeSlots: LoadReport["freeSlots"],
+  before: LoadReport["freeSlots"],
+): boolean {
+  return Object.entries(freeSlots).some(([service, free]) => {
+    const told = before[service];
+    const margin = Math.max(1, LOAD_CHANGE_FRACTION * (told ?? 0));
+    return told === undefined || Math.abs(free - told) >= margin;
+  });
+}
+
 /** Waits for what becomes known late, when the end itself is unknown. */
 async function describeEnd(end: RoutedEnd): Promise<ForwardedEnd> {
   const routed = end.result.caseOf({
--- a/src/process/routing/remote_peers.ts
+++ b/src/process/routing/remote_peers.ts
@@ -19,7 +19,7 @@
 const ROUND_TRIP_WEIGHT = 0.2;
 
 /** A report counts for this long. */
-const LIFETIME_MS = 1_000;
+const LIFETIME_MS = 2_500;
 
 interface RemotePeer {
   readonly instance: RoutingInstance;
