Avoid a server that fails at once, also when it can't be ejected

Cause: a server that fails fast has few calls in flight and low latency, so two choices preferred it; with two servers the cap lets none be ejected.

--- a/src/process/routing/core/server_choice.ts
+++ b/src/process/routing/core/server_choice.ts
@@ -9,7 +9,7 @@
 
 /** A server that could take the call. */
 export interface Candidate {
-  /** Smoothed time of its answers; 0 when it has none yet. */
+  /** How long it is expected to take; 0 when nothing is known. */
   readonly latencyMs: number;
   readonly inFlight: number;
   /** Slots that this instance may use. */
--- a/src/process/routing/core/server_health.ts
+++ b/src/process/routing/core/server_health.ts
@@ -25,6 +25,7 @@
   readonly latency = new ServiceTime();
   #state: HealthState = HealthState.healthy;
   #failuresInRow = 0;
+  #failedAtMs = -Infinity;
   #ejections = 0;
   #probeAtMs = 0;
 
@@ -60,8 +61,18 @@
     this.latency.record(durationMs);
   }
 
-  recordFailure(): void {
+  recordFailure(atMs: number): void {
     this.#failuresInRow += 1;
+    this.#failedAtMs = atMs;
+  }
+
+  /**
+   * How many times worse than its latency the server looks for a while after
+   * failures; without it one that fails at once would seem the fastest.
+   */
+  penalty(nowMs: number): number {
+    const isRecent = nowMs - this.#failedAtMs < this.#options.probeDelayMs;
+    return isRecent ? (1 + this.#failuresInRow) ** 2 : 1;
   }
 
   eject(nowMs: number): void {
--- a/src/process/routing/core/server_table.ts
+++ b/src/process/routing/core/server_table.ts
@@ -186,7 +186,7 @@
       place.server.health.recordSuccess(durationMs);
       this.serviceTime.record(durationMs);
     } else {
-      place.server.health.recordFailure();
+      place.server.health.recordFailure(atMs);
     }
     return place.isProbe
       ? this.#judgeProbe(place.server, { isGood, durationMs, atMs })
@@ -217,7 +217,9 @@
       const isFree = inFlight < slots &&
         server.isOpen(nowMs, this.#service) && server.isTrusted(nowMs);
       if (isFree) {
-        const latencyMs = server.health.latency.meanMs;
+        const { latency } = server.health;
+        const usualMs = latency.meanMs || this.serviceTime.meanMs;
+        const latencyMs = usualMs * server.health.penalty(nowMs);
         candidates.push({ server, slots, inFlight, latencyMs });
       }
     }
