Let timers name jobs, not hold them

Cause: the timer for an overrun held its job, placements and all, for up to ten times the expected run time after the job had ended. Change: timers keep the job's name; emptied entries about unwanted attempts go.

--- a/src/process/scheduler/core/core_context.ts
+++ b/src/process/scheduler/core/core_context.ts
@@ -115,6 +115,33 @@
     this.due.push({ atMs, action });
   }
 
+  /**
+   * Sets an action about a job. It must not hold on to the job itself, which
+   * may end and be forgotten long before.
+   */
+  atForJob(
+    atMs: number,
+    jobId: JobId,
+    action: (job: JobState) => void,
+  ): void {
+    this.at(atMs, () => {
+      const job = this.jobs.get(jobId);
+      if (job !== undefined) {
+        action(job);
+      }
+    });
+  }
+
+  /** Forgets an attempt that nobody wants and that a worker ran. */
+  dropStale(worker: WorkerState, key: string): void {
+    worker.staleAttempts.delete(key);
+    const workers = this.staleWorkers.get(key);
+    workers?.delete(worker);
+    if (workers?.size === 0) {
+      this.staleWorkers.delete(key);
+    }
+  }
+
   roomFreed(): void {
     this.isPlacingDue = true;
     this.isRoomFreed = true;
@@ -208,9 +235,12 @@
     job.agingFromMs = queuedAtMs;
     const { reservationAfterMs } = this.policy
       .jobClass(job.specification.jobClass);
-    this.at(queuedAtMs + reservationAfterMs, () => {
-      if (job.phase === JobPhase.queued && job.queuedAtMs === queuedAtMs) {
-        this.aged.add(job);
+    const agedAtMs = queuedAtMs + reservationAfterMs;
+    this.atForJob(agedAtMs, job.specification.jobId, (waiting) => {
+      const isStillWaiting = waiting.phase === JobPhase.queued &&
+        waiting.queuedAtMs === queuedAtMs;
+      if (isStillWaiting) {
+        this.aged.add(waiting);
         this.isPlacingDue = true;
       }
     });
--- a/src/process/scheduler/core/gang_events.ts
+++ b/src/process/scheduler/core/gang_events.ts
@@ -137,17 +137,22 @@
     const spread = corrections.spreadOf(job.specification);
     const expectedMs = Math.max(LEAST_EXPECTED_MS, job.expectedRunMs * spread);
     const startedAtMs = job.startedAtMs ?? this.#context.nowMs;
-    const attempt = job.attempt;
-    const isSameRun = () =>
-      job.attempt === attempt && job.phase === JobPhase.running;
-    this.#context.at(startedAtMs + expectedMs * jobClass.throttleFactor, () => {
-      if (isSameRun()) {
-        this.#throttle(job);
-      }
-    });
-    this.#context.at(startedAtMs + expectedMs * jobClass.stopFactor, () => {
-      if (isSameRun()) {
-        this.#stopOverrun(job);
+    const throttleAtMs = startedAtMs + expectedMs * jobClass.throttleFactor;
+    const stopAtMs = startedAtMs + expectedMs * jobClass.stopFactor;
+    this.#atIfRunning(throttleAtMs, job, (late) => this.#throttle(late));
+    this.#atIfRunning(stopAtMs, job, (late) => this.#stopOverrun(late));
+  }
+
+  /** Sets an action for the case that the same attempt still runs then. */
+  #atIfRunning(
+    atMs: number,
+    job: JobState,
+    action: (job: JobState) => void,
+  ): void {
+    const { attempt } = job;
+    this.#context.atForJob(atMs, job.specification.jobId, (late) => {
+      if (late.attempt === attempt && late.phase === JobPhase.running) {
+        action(late);
       }
     });
   }
--- a/src/process/scheduler/core/gang_lifecycle.ts
+++ b/src/process/scheduler/core/gang_lifecycle.ts
@@ -138,13 +138,13 @@
     }
     context.setWaitReason(job, "retryDelay");
     const attempt = job.attempt;
-    context.at(job.retryAtMs, () => {
-      const isWaiting = job.phase === JobPhase.queued &&
-        job.attempt === attempt && job.queueGroup === undefined &&
-        job.reservation === undefined;
+    context.atForJob(job.retryAtMs, job.specification.jobId, (waiting) => {
+      const isWaiting = waiting.phase === JobPhase.queued &&
+        waiting.attempt === attempt && waiting.queueGroup === undefined &&
+        waiting.reservation === undefined;
       if (isWaiting) {
-        context.setWaitReason(job, "capacity");
-        context.enqueue(job);
+        context.setWaitReason(waiting, "capacity");
+        context.enqueue(waiting);
       }
     });
   }
--- a/src/process/scheduler/core/job_events.ts
+++ b/src/process/scheduler/core/job_events.ts
@@ -158,15 +158,17 @@
   }
 
   #armDeadline(job: JobState): void {
-    const { deadlineMs } = job.specification;
+    const { deadlineMs, jobId } = job.specification;
     if (deadlineMs === undefined || job.phase === JobPhase.ended) {
       return;
     }
-    this.#context.at(deadlineMs, () => {
-      this.#giveUp(job, {
-        reason: "deadlinePassed",
-        outcome: "deadlinePassed",
-      });
+    this.#context.atForJob(deadlineMs, jobId, (late) => {
+      if (late.specification.deadlineMs === deadlineMs) {
+        this.#giveUp(late, {
+          reason: "deadlinePassed",
+          outcome: "deadlinePassed",
+        });
+      }
     });
   }
 
--- a/src/process/scheduler/core/worker_events.ts
+++ b/src/process/scheduler/core/worker_events.ts
@@ -84,8 +84,8 @@
     for (const job of jobs) {
       this.#context.ledger.releaseWorker(job, worker);
     }
-    for (const key of worker.staleAttempts) {
-      this.#context.staleWorkers.get(key)?.delete(worker);
+    for (const key of [...worker.staleAttempts]) {
+      this.#context.dropStale(worker, key);
     }
     this.#context.index.remove(worker);
     for (const job of jobs) {
@@ -107,7 +107,7 @@
   /** Orders the end of attempts that the worker runs and nobody wants. */
   markStale(worker: WorkerState, running: readonly TaskReference[]): void {
     const reported = new Set<string>();
-    const { jobs, staleWorkers } = this.#context;
+    const { jobs } = this.#context;
     for (const { jobId, attempt } of running) {
       const job = jobs.get(jobId);
       const isWanted = job !== undefined && isLive(job) &&
@@ -129,8 +129,7 @@
     }
     for (const key of [...worker.staleAttempts]) {
       if (!reported.has(key)) {
-        worker.staleAttempts.delete(key);
-        staleWorkers.get(key)?.delete(worker);
+        this.#context.dropStale(worker, key);
       }
     }
   }
