--- a/src/process/replication/follower.ts
+++ b/src/process/replication/follower.ts
@@ -40,12 +40,28 @@
     kind: "appendReply",
     term: state.term,
     isAccepted,
-    index: isAccepted ? lastNewIndex : retryIndex(state, message.previousIndex),
+    index: isAccepted
+      ? claimedIndex(state, message)
+      : retryIndex(state, message.previousIndex),
     sentAtMs: message.sentAtMs,
     stampMs: state.makeStamp(),
   }, from.incarnation);
 }
 
+/**
+ * How far the log is said to match. The answer to a heartbeat claims only
+ * what is synced, so that a slow disk doesn't hold it back.
+ */
+function claimedIndex(
+  state: RaftState,
+  message: RaftMessageOf<"append">,
+): number {
+  const { previousIndex, entries } = message;
+  return entries.length === 0
+    ? Math.min(previousIndex, state.persists.persistedIndex)
+    : previousIndex + entries.length;
+}
+
 /**
  * A member without a vote answers a heartbeat that brings nothing only now
  * and then: it has asked for it.
--- a/src/process/replication/log_store.ts
+++ b/src/process/replication/log_store.ts
@@ -9,7 +9,7 @@
 import { failure, type Result } from "../../base/sesame_error.ts";
 import type { Storage } from "../../base/storage.ts";
 import { encodeRecord, scanRecords } from "../storage/record_codec.ts";
-import type { HardState, LogEntry } from "./log_entry.ts";
+import type { HardState, LogEntry, LogSnapshot } from "./log_entry.ts";
 import type { PersistEffect } from "./raft_effect.ts";
 import {
   decodeEntry,
@@ -32,6 +32,10 @@
   #prefix: string;
   #segments: Segment[] = [];
   #nextSegment = 1;
+  /** Snapshots of this member's own on their way to the disk. */
+  #background: Promise<Result<void>> = Promise.resolve(Right(undefined));
+  #backgroundFailure: Result<void> | undefined;
+  #isClosed = false;
 
   constructor(options: { storage: Storage; groupId: string }) {
     this.#storage = options.storage;
@@ -62,14 +66,14 @@
   /** Makes the effects durable, in order, with as few syncs as possible. */
   async persist(effects: readonly PersistEffect[]): Promise<Result<void>> {
     let entries: LogEntry[] = [];
-    let result: Result<void> = Right(undefined);
+    let result: Result<void> = this.#backgroundFailure ?? Right(undefined);
     for (const effect of effects) {
       if (effect.snapshot !== undefined || effect.hardState !== undefined) {
         result = await this.#writeEntries(entries);
         entries = [];
       }
       if (result.isRight() && effect.snapshot !== undefined) {
-        result = await this.#writeSnapshot(effect);
+        result = await this.#takeSnapshot(effect);
       }
       if (result.isRight() && effect.hardState !== undefined) {
         result = await this.#writeHardState(effect.hardState);
@@ -106,6 +110,12 @@
     return Right(undefined);
   }
 
+  /** Begins nothing more, and waits for what is under way. */
+  async close(): Promise<void> {
+    this.#isClosed = true;
+    await this.#background;
+  }
+
   get #stateName(): string {
     return `${this.#prefix}.state`;
   }
@@ -206,26 +216,52 @@
     return segment;
   }
 
-  async #writeSnapshot(effect: PersistEffect): Promise<Result<void>> {
+  /**
+   * A snapshot of the leader's replaces the entries at once. One of this
+   * member's own holds nothing that the entries don't, so that no answer has
+   * to wait for it.
+   */
+  async #takeSnapshot(effect: PersistEffect): Promise<Result<void>> {
     const snapshot = effect.snapshot!;
+    const covered = this.#segments.filter((segment) =>
+      effect.replacesEntries || segment.lastIndex <= snapshot.index
+    );
+    this.#segments = this.#segments.filter((item) => !covered.includes(item));
+    this.#startSegment();
+    const earlier = this.#background;
+    this.#background = earlier.then((result) =>
+      result.isLeft() ? result : this.#writeSnapshot(snapshot, covered)
+    );
+    if (effect.replacesEntries) {
+      return await this.#background;
+    }
+    void this.#background.then((result) => {
+      if (result.isLeft()) {
+        this.#backgroundFailure = result;
+      }
+    });
+    return Right(undefined);
+  }
+
+  async #writeSnapshot(
+    snapshot: LogSnapshot,
+    covered: readonly Segment[],
+  ): Promise<Result<void>> {
+    if (this.#isClosed) {
+      return Right(undefined);
+    }
     const written = await this.#storage.replace(
       this.#snapshotName,
       encodeSnapshot(snapshot),
     );
-    if (written.isLeft()) {
-      return written;
-    }
-    const needed = effect.replacesEntries
-      ? []
-      : this.#segments.filter((segment) => segment.lastIndex > snapshot.index);
-    const removed = this.#segments.filter((item) => !needed.includes(item));
-    this.#segments = needed;
-    this.#startSegment();
-    return await this.#removeSegments(removed);
+    return written.isLeft() ? written : await this.#removeSegments(covered);
   }
 
   async #removeSegments(segments: readonly Segment[]): Promise<Result<void>> {
     for (const segment of segments) {
+      if (this.#isClosed) {
+        break;
+      }
       const removed = await this.#storage.remove(segment.name);
       if (removed.isLeft()) {
         return removed;
--- a/src/process/replication/log_store_test.ts
+++ b/src/process/replication/log_store_test.ts
@@ -33,6 +33,11 @@
   return { index, term, configuration: EMPTY_CONFIGURATION, data: pack(index) };
 }
 
+/** Lets what goes on in the background come to its end. */
+function settle(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
 async function load(storage: FakeStorage): Promise<LoadedLog> {
   const store = new LogStore({ storage, groupId: "g" });
   return (await store.load()).unsafeCoerce();
@@ -84,6 +89,7 @@
   await store.persist([effect({ snapshot: snapshot(4, 3) })]);
   await store.persist([effect({ entries: [entry(6, 3)] })]);
   await store.persist([effect({ snapshot: snapshot(6, 3) })]);
+  await settle();
   const log = await wholeLog(storage);
   t.is(log.snapshot.index, 6);
   t.deepEqual(log.entries, []);
@@ -120,6 +126,7 @@
   for (const name of ["g.log.00000001", "g.state", "g.snapshot"]) {
     const { storage, store } = await storeWith(4);
     await store.persist([effect({ snapshot: snapshot(1, 3) })]);
+    await settle();
     storage.corrupt(name, 25);
     t.is((await load(storage)).kind, "corrupt", name);
   }
@@ -141,3 +148,15 @@
     t.is(result.swap().unsafeCoerce().kind, "storageFailed", fault);
   }
 });
+
+test("a snapshot that can't be written fails what comes after it", async (t) => {
+  const { storage, store } = await storeWith(4);
+  storage.faults.isFull = true;
+  const begun = await store.persist([effect({ snapshot: snapshot(4, 3) })]);
+  t.true(begun.isRight());
+  await settle();
+  storage.faults.isFull = false;
+  const later = await store.persist([effect({ entries: [entry(5, 3)] })]);
+  t.is(later.swap().unsafeCoerce().kind, "storageFailed");
+  t.is((await wholeLog(storage)).entries.length, 4);
+});
--- a/src/process/replication/persist_tracker.ts
+++ b/src/process/replication/persist_tracker.ts
@@ -49,9 +49,10 @@
     this.#entries = [];
     this.#snapshot = snapshot;
     this.#replacesEntries = true;
-    this.#persistedIndex = Math.min(this.#persistedIndex, snapshot.index);
+    // Until the snapshot is synced, the disk may hold another history.
+    this.#persistedIndex = 0;
     for (const issued of this.#issued) {
-      issued.lastIndex = Math.min(issued.lastIndex, snapshot.index);
+      issued.lastIndex = 0;
     }
   }
 
@@ -97,12 +98,14 @@
 
   /**
    * The persist effect that a message must wait for. A leader's entries may
-   * travel while it syncs them itself; all else waits for all.
+   * travel while it syncs them itself, and an answer that claims no entry but
+   * synced ones needn't wait for others; all else waits for all.
    */
   sequenceFor(message: RaftMessage): number {
-    return message.kind === "append"
-      ? this.#hardStateSequence
-      : this.#issuedSequence;
+    const claimsNothingNew = message.kind === "append" ||
+      (message.kind === "appendReply" &&
+        (!message.isAccepted || message.index <= this.#persistedIndex));
+    return claimsNothingNew ? this.#hardStateSequence : this.#issuedSequence;
   }
 
   #remember(effect: PersistEffect): void {
--- a/src/process/replication/replication_member.ts
+++ b/src/process/replication/replication_member.ts
@@ -94,6 +94,7 @@
   #driver: CoreDriver<Command, Outcome>;
   #calls: LeaderCalls<Command, Outcome>;
   #channel: PeerChannel<RaftEnvelope>;
+  #store: LogStore | undefined;
   #statuses = new Channel<MemberStatus>();
   #subscription: { unsubscribe(): void };
   #isClosed = false;
@@ -139,6 +140,7 @@
     });
     const channel = openEnvelopeChannel(network, groupId);
     this.#channel = channel;
+    this.#store = store;
     this.#driver = new CoreDriver({
       groupId,
       core,
@@ -268,11 +270,11 @@
     }
   }
 
-  close(): Promise<void> {
+  async close(): Promise<void> {
     this.#isClosed = true;
     this.#driver.stop();
     this.#stop();
-    return Promise.resolve();
+    await this.#store?.close();
   }
 
   #stop(): void {
