Share slots only among instances that can be used

Cause: slots were shared among all linked instances, leaving ones included. Change: routing asks membership which instances of the data centre take work.

--- a/src/process/daemon/data_centre_part.ts
+++ b/src/process/daemon/data_centre_part.ts
@@ -148,6 +148,8 @@
     ledgerState: state.requests,
     metrics: base.metrics,
     eventLog: base.timeline,
+    usableInstances: () =>
+      base.membership.usable(base.settings.instance.dataCentre),
   });
 }
 
