--- a/src/programs/cli/flags.ts
+++ b/src/programs/cli/flags.ts
@@ -47,11 +47,27 @@
   const value = flags[flag];
   const part: { [Key in Name]?: string } = {};
   if (value !== undefined) {
-    part[name] = String(value);
+    part[name] = asWritten(flag, process.argv) ?? String(value);
   }
   return part;
 }
 
+/**
+ * The flag's value as it was written: `cac` turns what looks like a number
+ * into one, and so would take the identity `007` for 7.
+ */
+export function asWritten(
+  flag: string,
+  words: readonly string[],
+): string | undefined {
+  const option = "--" + flag.replace(/[A-Z]/g, (c) => `-${c.toLowerCase()}`);
+  const at = words.findLastIndex((word) =>
+    word === option || word.startsWith(`${option}=`)
+  );
+  const word = words[at];
+  return word === option ? words[at + 1] : word?.slice(option.length + 1);
+}
+
 /** The flag as a whole number, or nothing when it is absent. */
 export function count(flags: Flags, flag: "limit"): { limit?: number } {
   const value = flags[flag];
--- /dev/null
+++ b/src/programs/commands/api_client_test.ts
@@ -0,0 +1,92 @@
+import { once } from "node:events";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import test from "ava";
+import { Right } from "purify-ts/Either";
+import { ERROR_ANSWERS } from "../../base/error_kind.ts";
+import { ApiClient } from "./api_client.ts";
+import type { CommandContext } from "./command_context.ts";
+import { showJob, submitJob } from "./job_commands.ts";
+
+interface Canned {
+  readonly status: number;
+  readonly body: unknown;
+}
+
+async function serve(canned: Canned): Promise<{
+  server: Server;
+  address: string;
+  seen: string[];
+}> {
+  const seen: string[] = [];
+  const server = createServer((request, response) => {
+    seen.push(`${request.method} ${request.url}`);
+    response.writeHead(canned.status).end(JSON.stringify(canned.body));
+  }).listen(0, "127.0.0.1");
+  await once(server, "listening");
+  const { port } = server.address() as AddressInfo;
+  return { server, address: `127.0.0.1:${port}`, seen };
+}
+
+function contextOf(servers: string[], printed: string[]): CommandContext {
+  return {
+    client: new ApiClient({ servers }),
+    wantsJson: false,
+    io: {
+      out: (text) => printed.push(text),
+      error: (text) => printed.push(text),
+      read: () => Promise.resolve(Right('jobClass = "urgent"\n')),
+    },
+  };
+}
+
+const JOB = {
+  jobId: "j-1",
+  dataCentre: "east",
+  state: "queued",
+  waitText: "the data centre is out",
+  pastAttempts: [],
+  specification: {
+    clientAccount: "a",
+    jobClass: "urgent",
+    tasks: 2,
+    resources: { accelerators: 8 },
+  },
+};
+
+test("a refused connection leads to the next instance, once", async (t) => {
+  const gone = await serve({ status: 200, body: {} });
+  gone.server.close();
+  await once(gone.server, "close");
+  const { server, address, seen } = await serve({
+    status: 200,
+    body: { job: JOB, unaskedDataCentres: ["west"] },
+  });
+  const printed: string[] = [];
+  const context = contextOf([gone.address, address], printed);
+  t.is(await showJob(context, { jobId: "j-1" }), 0);
+  t.deepEqual(seen, ["GET /v1/jobs/j-1"]);
+  t.regex(printed[0] ?? "", /queued: the data centre is out/);
+  t.regex(printed[0] ?? "", /out of reach: west/);
+  server.close();
+});
+
+test("an error's kind decides the exit code, its detail is shown", async (t) => {
+  const { server, address } = await serve({
+    status: 422,
+    body: { error: { kind: "neverFits", detail: "A rack holds 4." } },
+  });
+  const printed: string[] = [];
+  const code = await submitJob(contextOf([address], printed), { file: "f" });
+  t.is(code, ERROR_ANSWERS.neverFits.exitCode);
+  t.deepEqual(printed, ["neverFits: A rack holds 4."]);
+  server.close();
+});
+
+test("an answer that is no JSON is an error, not a fault", async (t) => {
+  const { server, address } = await serve({ status: 200, body: undefined });
+  const printed: string[] = [];
+  const code = await showJob(contextOf([address], printed), { jobId: "j" });
+  t.is(code, ERROR_ANSWERS.internal.exitCode);
+  server.close();
+});
