Count no evidence from starts that were to be stopped

Cause: a worker that refused a start whose stop had come first was suspected. Change: only starts that still wanted to go ahead count; the test fails without it. Conclusion: waves of cancellations quarantine no worker.

--- a/src/process/scheduler/core/gang_events.ts
+++ b/src/process/scheduler/core/gang_events.ts
@@ -62,7 +62,9 @@
     if (job === undefined || !isReleased) {
       return;
     }
-    for (const workerId of event.workerIds) {
+    // A start that was to be stopped anyway says nothing about the workers.
+    const suspects = job.phase === JobPhase.starting ? event.workerIds : [];
+    for (const workerId of suspects) {
       const worker = this.#context.index.workers.get(workerId);
       if (worker !== undefined) {
         this.#quarantine.noteFailure(worker, job);
--- a/src/process/scheduler/core/scheduler_core_test.ts
+++ b/src/process/scheduler/core/scheduler_core_test.ts
@@ -212,6 +212,23 @@
   t.deepEqual(ofKind(world, "quarantineWorker"), []);
 });
 
+test("a start that was cancelled on its way speaks against no worker", (t) => {
+  const world = makeWorld();
+  for (const workerId of [...world.workers.keys()].slice(1)) {
+    world.lose(workerId, { leavesZombies: false });
+  }
+  for (let at = 0; at < 4; at++) {
+    world.submit(makeJob(`job-${at}`));
+    world.permit(MINUTE_MS);
+    world.tick(100);
+    world.cancel(`job-${at}`);
+    world.deliver(0, { fails: true });
+    world.deliverAll();
+  }
+  t.deepEqual(ofKind(world, "quarantineWorker"), []);
+  t.is(world.core.jobView("job-3")?.outcome, "cancelled");
+});
+
 test("an overrunning job is throttled, then stopped", (t) => {
   const world = makeWorld();
   world.submit(makeJob("long", { declaredRunMs: MINUTE_MS }));
