--- a/src/process/routing/core/server_table.ts
+++ b/src/process/routing/core/server_table.ts
@@ -132,15 +132,18 @@
   /** A server with a free slot, but for the excluded ones. */
   choose(
     nowMs: number,
-    options: { exclude: ReadonlySet<BackendServerId>; mayProbe: boolean },
+    options: { exclude: ReadonlySet<BackendServerId>; isIdempotent: boolean },
   ): ServerEntry | undefined {
     const all = this.#candidates(nowMs);
     const others = all.filter(({ server }) =>
       !options.exclude.has(server.serverId)
     );
-    const probe = options.mayProbe
-      ? others.find(({ server }) => server.health.isProbeDue(nowMs))
-      : undefined;
+    const patienceMs = options.isIdempotent
+      ? 0
+      : this.#options.routing.probePatienceMs;
+    const probe = others.find(({ server }) =>
+      server.health.isProbeDue(nowMs - patienceMs)
+    );
     const trusted = others.filter(({ server }) =>
       server.health.state === HealthState.healthy
     );
@@ -183,7 +186,7 @@
       place.server.health.recordSuccess(durationMs);
       this.serviceTime.record(durationMs);
     } else {
-      place.server.health.recordFailure();
+      place.server.health.recordFailure(atMs);
     }
     return place.isProbe
       ? this.#judgeProbe(place.server, { isGood, durationMs, atMs })
@@ -214,7 +217,9 @@
       const isFree = inFlight < slots &&
         server.isOpen(nowMs, this.#service) && server.isTrusted(nowMs);
       if (isFree) {
-        const latencyMs = server.health.latency.meanMs;
+        const { latency } = server.health;
+        const usualMs = latency.meanMs || this.serviceTime.meanMs;
+        const latencyMs = usualMs * server.health.penalty(nowMs);
         candidates.push({ server, slots, inFlight, latencyMs });
       }
     }
