--- a/src/process/replication/raft_core_test.ts
+++ b/src/process/replication/raft_core_test.ts
@@ -209,3 +209,69 @@
   mutant.acknowledge(1);
   t.is(mutant.core.view.commitIndex, 1);
 });
+
+test("a snapshot that comes late drops no acknowledged entry", (t) => {
+  const { core, acknowledge } = leaderWithOldEntry([]);
+  acknowledge(2);
+  const entries = [3, 4].map((index) => ({
+    index,
+    term: 3,
+    kind: "command" as const,
+    data: pack(index),
+  }));
+  const hear = (message: RaftMessage) =>
+    core.step([{
+      kind: "message",
+      from: "c",
+      envelope: {
+        formationId: "g",
+        fromIncarnation: 1,
+        toIncarnation: 1,
+        message,
+      },
+    }], 5_100);
+  hear({
+    kind: "append",
+    term: 3,
+    previousIndex: 2,
+    previousTerm: 2,
+    entries,
+    commitIndex: 2,
+    sentAtMs: 1,
+    stampMs: 0,
+    isLeaseHeld: false,
+  });
+  t.is(core.view.log.lastIndex, 4);
+  hear({
+    kind: "snapshotChunk",
+    term: 3,
+    index: 3,
+    indexTerm: 3,
+    configuration: core.view.configuration,
+    totalBytes: 0,
+    offsetBytes: 0,
+    data: new Uint8Array(),
+    sentAtMs: 2,
+  });
+  t.is(core.view.commitIndex, 3);
+  t.is(core.view.log.lastIndex, 4);
+});
+
+test("a cut-off leader that changed voters alone doesn't go on", (t) => {
+  for (let seed = 1; seed <= 30; seed++) {
+    const members = memories("a", "b", "c");
+    const simulation = new RaftSimulation({ members, seed });
+    simulation.startAll();
+    simulation.run(3_000);
+    const leader = leaderOf(simulation);
+    const [forgetful, removed] = others(simulation, leader);
+    simulation.isolate(leader);
+    simulation.input(leader, { kind: "removeMember", id: removed! });
+    simulation.run(3_000);
+    simulation.proposeToLeader();
+    simulation.run(300);
+    simulation.crash(forgetful!);
+    simulation.start(forgetful!);
+    t.notThrows(() => recover(simulation), `seed ${seed}`);
+  }
+});
