Measure the slopes of state, messages and time in one command

The size in two years can't be set up on one machine, so what it takes has to be worked out from slopes. Three benches had what is wanted but only printed it, and ran when imported.

The cost run, the traffic count and the edit run move into modules of their own, from which the old benches print as before.

--- /dev/null
+++ b/bench/replication/traffic.ts
@@ -0,0 +1,122 @@
+/**
+ * What a group sends, counted frame by frame, and logs to weigh.
+ *
+ * @module
+ */
+
+import { encodeFrame } from "../../src/connection/peer_frame.ts";
+import type { LogEntry } from "../../src/process/replication/log_entry.ts";
+import type { GroupMember } from "../../src/process/replication/mod.ts";
+import { RaftLog } from "../../src/process/replication/raft_log.ts";
+import {
+  disks,
+  learners,
+  memories,
+} from "../../src/process/replication/testing/fault_session.ts";
+import { MemberGroup } from "../../src/process/replication/testing/member_group.ts";
+
+/** IPv4, TCP with timestamps, a TLS record and a WebSocket header. */
+const OVERHEAD_BYTES = 20 + 32 + 22 + 6;
+
+/** What the receiver's acknowledgement takes: IPv4 and TCP alone. */
+const ACKNOWLEDGEMENT_BYTES = 20 + 32;
+
+const MEASURED_MS = 96_000;
+const CHANGE_PERIOD_MS = 86_400_000 / 1_800;
+const CHANGE_BYTES = 4_096;
+
+interface Traffic {
+  sentBytes: number;
+  receivedBytes: number;
+  messages: number;
+}
+
+/** Bytes and messages a second of the busiest instance of one role. */
+export interface TrafficRate {
+  readonly role: string;
+  readonly sent: number;
+  readonly received: number;
+  readonly messages: number;
+}
+
+class TrafficCount {
+  readonly byInstance = new Map<string, Traffic>();
+
+  add(from: string, to: string, body: unknown): void {
+    const frame = encodeFrame({
+      kind: "message",
+      channel: "replication.configuration",
+      wallMs: 1_764_840_000_000.5,
+      counter: 1,
+      body,
+    });
+    const bytes = frame.byteLength + OVERHEAD_BYTES;
+    this.#of(from).sentBytes += bytes;
+    this.#of(from).messages += 1;
+    this.#of(from).receivedBytes += ACKNOWLEDGEMENT_BYTES;
+    this.#of(to).receivedBytes += bytes;
+    this.#of(to).sentBytes += ACKNOWLEDGEMENT_BYTES;
+  }
+
+  #of(id: string): Traffic {
+    const known = this.byInstance.get(id);
+    const traffic = known ?? { sentBytes: 0, receivedBytes: 0, messages: 0 };
+    this.byInstance.set(id, traffic);
+    return traffic;
+  }
+}
+
+/** What a group sends at rest, or at 1,800 changes a day. */
+export async function measureTraffic(
+  settings: readonly GroupMember[],
+  options: { hasChanges: boolean },
+): Promise<TrafficRate[]> {
+  let count = new TrafficCount();
+  const group = new MemberGroup(settings, {}, {
+    onSend: (from, to, body) => count.add(from, to, body),
+  });
+  await group.startAll();
+  await group.run(5_000);
+  count = new TrafficCount();
+  const leaderId = group.leader()!.status().leaderId!;
+  for (let passedMs = 0; passedMs < MEASURED_MS; passedMs += CHANGE_PERIOD_MS) {
+    if (options.hasChanges) {
+      await group.propose("a", "x".repeat(CHANGE_BYTES));
+    }
+    await group.run(CHANGE_PERIOD_MS);
+  }
+  const seconds = MEASURED_MS / 1_000;
+  const rates = [...count.byInstance].map(([id, traffic]) => ({
+    role: id === leaderId ? "leader" : "other",
+    sent: traffic.sentBytes / seconds,
+    received: traffic.receivedBytes / seconds,
+    messages: traffic.messages / seconds,
+  }));
+  await group.close();
+  return ["leader", "other"].map((role) =>
+    rates.filter((rate) => rate.role === role)
+      .sort((left, right) => right.sent - left.sent)[0]!
+  );
+}
+
+/** A log of entries with so much data each. */
+export function fillLog(
+  dataBytes: number,
+  entries = 50_000,
+): RaftLog {
+  const log = new RaftLog();
+  for (let index = 1; index <= entries; index++) {
+    const data = new Uint8Array(dataBytes);
+    const entry: LogEntry = { index, term: 1, kind: "command", data };
+    log.append(entry);
+  }
+  return log;
+}
+
+/** The configuration group: 3 voters and 6 others. */
+export const CONFIGURATION_GROUP = [
+  ...disks("a", "b", "c"),
+  ...learners("d", "e", "f", "g", "h", "i"),
+];
+/** The group of one data centre. */
+export const DATA_CENTRE_GROUP = [...disks("a"), ...memories("b", "c")];
