--- a/bench/capacity/scheduler_states.ts
+++ b/bench/capacity/scheduler_states.ts
@@ -10,7 +10,7 @@
   SchedulerCore,
   type SchedulerEvent,
 } from "../../src/process/scheduler/core/mod.ts";
-import { type CostFigures, CostRun } from "../scheduler/cost_run.ts";
+import { type CostFigures, CostRun, spreadsOf } from "../scheduler/cost_run.ts";
 import {
   type BenchSize,
   DATA_CENTRE,
@@ -59,18 +59,25 @@
   };
 }
 
+/** The figures of one size with the spread of its times, of one run. */
+export type TimedFigures = CostFigures & {
+  readonly microseconds: ReturnType<typeof spreadsOf>;
+};
+
 /** Decisions of a full data centre, timed at several sizes. */
 export async function timeScheduler(
   options: { seed: number; steps: number },
-): Promise<CostFigures[]> {
-  const figures: CostFigures[] = [];
+): Promise<TimedFigures[]> {
+  const figures: TimedFigures[] = [];
   for (const racks of RACKS) {
     const size = {
       ...SIZES.twoYears,
       racks,
       clientAccounts: Math.min(180, racks * 2),
     };
-    figures.push(new CostRun({ size, seed: options.seed }).run(options.steps));
+    const run = new CostRun({ size, seed: options.seed });
+    const sizes = run.run(options.steps);
+    figures.push({ ...sizes, microseconds: spreadsOf([run.times]) });
     await new Promise((resolve) => setImmediate(resolve));
   }
   return figures;
--- a/bench/scheduler/cost_run.ts
+++ b/bench/scheduler/cost_run.ts
@@ -28,7 +28,7 @@
   readonly placements: readonly { taskIndex: number; workerId: string }[];
 }
 
-/** The figures of one size; bytes of heap and microseconds. */
+/** The figures of one size; bytes of heap. */
 export interface CostFigures {
   readonly workers: number;
   readonly clientAccounts: number;
@@ -37,7 +37,12 @@
   readonly heapBytesPerWorker: number;
   readonly heapBytesPerTask: number;
   readonly heapBytesPerJob: number;
-  readonly microseconds: Readonly<Record<string, Record<string, number>>>;
+}
+
+/** One event and the time that its decision took. */
+export interface TimedEvent {
+  readonly kind: string;
+  readonly microseconds: number;
 }
 
 /** One data centre, kept full. */
@@ -46,7 +51,8 @@
   readonly #random: SeededRandom;
   readonly #size: BenchSize;
   readonly #running: RunningGang[] = [];
-  readonly #times = new Map<string, number[]>();
+  /** Each timed event in order. */
+  readonly times: TimedEvent[] = [];
   #nowMs = 1_000;
   #order = 0;
   #isTimed = false;
@@ -79,9 +85,6 @@
       heapBytesPerWorker: Math.round((joined - empty) / workers),
       heapBytesPerTask: Math.round((filled - joined) / tasks),
       heapBytesPerJob: Math.round((filled - joined) / jobs),
-      microseconds: Object.fromEntries(
-        [...this.#times].map(([kind, values]) => [kind, spreadOf(values)]),
-      ),
     };
   }
 
@@ -256,9 +259,7 @@
     const decisions = this.#core.handle(event);
     const tookMs = performance.now() - before;
     if (this.#isTimed) {
-      const values = this.#times.get(event.kind) ?? [];
-      values.push(tookMs * 1_000);
-      this.#times.set(event.kind, values);
+      this.times.push({ kind: event.kind, microseconds: tookMs * 1_000 });
     }
     for (const decision of decisions) {
       this.#carryOut(decision);
@@ -307,6 +308,23 @@
   return process.memoryUsage().heapUsed;
 }
 
+/** The spread by kind of the least time that each event took in any run. */
+export function spreadsOf(
+  runs: readonly (readonly TimedEvent[])[],
+): Record<string, Record<string, number>> {
+  const byKind = new Map<string, number[]>();
+  runs[0]?.forEach(({ kind }, at) => {
+    const values = byKind.get(kind) ?? [];
+    values.push(
+      Math.min(...runs.map((times) => times[at]?.microseconds ?? Infinity)),
+    );
+    byKind.set(kind, values);
+  });
+  return Object.fromEntries(
+    [...byKind].map(([kind, values]) => [kind, spreadOf(values)]),
+  );
+}
+
 function spreadOf(values: readonly number[]): Record<string, number> {
   const sorted = [...values].sort((left, right) => left - right);
   const at = (fraction: number) =>
