--- a/test/system/system_bed.ts
+++ b/test/system/system_bed.ts
@@ -70,17 +70,17 @@
     const { clock } = this;
     this.#options = options;
     this.mutation = options.mutation ?? {};
-    this.random = new SeededRandom({ seed: options.seed ?? 1 });
-    this.#workerLinks = new FakeLinks({ clock, random: this.random });
+    this.random = this.#randomFor(1);
+    this.#workerLinks = new FakeLinks({ clock, random: this.#randomFor(2) });
     const hub = new FakePeerHub({
       clock,
-      random: this.random,
+      random: this.#randomFor(3),
       delayMs: (from, to) => delayMs(from, to),
     });
     this.links = new SystemLinks({ hub, workerLinks: this.#workerLinks });
     this.workers = new SystemWorkers({
       clock,
-      random: this.random,
+      random: this.#randomFor(4),
       links: this.#workerLinks,
       mutation: this.mutation,
       onHappening: (happening, dataCentre) => {
@@ -92,7 +92,7 @@
     });
     this.servers = new SystemServers({
       clock,
-      random: this.random,
+      random: this.#randomFor(5),
       judge: this.oracle.requests,
       mutation: this.mutation,
     });
@@ -140,7 +140,7 @@
       id,
       incarnation,
       clock,
-      random: this.random,
+      random: this.#randomFor(10 + incarnation),
       network: this.links.join(id),
       storage: this.disk(id),
       events: { emit: (...event) => this.#hear(id, event) },
@@ -246,6 +246,11 @@
     this.workers.close();
   }
 
+  /** Apart for each user, so that a draw of one doesn't move the others. */
+  #randomFor(user: number): SeededRandom {
+    return new SeededRandom({ seed: (this.#options.seed ?? 1) * 1_000 + user });
+  }
+
   #hear(
     id: SystemInstanceId,
     [name, fields]: Parameters<EventLog["emit"]>,
--- a/test/system/system_fuzz_test.ts
+++ b/test/system/system_fuzz_test.ts
@@ -20,7 +20,7 @@
     notices: /went back|two documents|has version|shared? a version|accepted/,
     campaign: {
       seed: 11,
-      runs: 20,
+      runs: 60,
       mutation: { syncLies: true },
       favoured: ["race", "crash", "start", "switch"],
     },
@@ -30,7 +30,7 @@
     notices: /run twice|untrue|ran after/,
     campaign: {
       seed: 7,
-      runs: 20,
+      runs: 60,
       mutation: { misjudgesLoss: true },
       favoured: ["request", "serverFaults"],
     },
@@ -40,7 +40,7 @@
     notices: /run twice/,
     campaign: {
       seed: 3,
-      runs: 20,
+      runs: 60,
       mutation: { forgetsRequests: true },
       favoured: ["request", "crash", "start"],
     },
@@ -50,7 +50,7 @@
     notices: /got: answer to/,
     campaign: {
       seed: 1,
-      runs: 20,
+      runs: 60,
       mutation: { crossesAnswers: true },
       favoured: ["request"],
     },
@@ -72,7 +72,7 @@
     name: "a recovery that doesn't wait runs a job beside itself",
     notices: /beside attempt|done already|had ended/,
     campaign: {
-      seed: 45,
+      seed: 57,
       runs: 60,
       mutation: {
         omittedChecks: ["intentFirst", "recoveryWait", "lapseWait"],
@@ -155,21 +155,21 @@
 
 // The start's answer is lost and the task is over before it can be asked.
 test.failing("a short job whose start was lost isn't run twice", async (t) => {
-  const { violations } = await runHistory([
-    { kind: "submit", at: "n1", job: 5, tasks: 4, runMs: 3_000 },
-    { kind: "pass", byMs: 1_000 },
-    { kind: "pass", byMs: 3_000 },
-    { kind: "request", at: "s2", other: "n3", request: 9, timeoutMs: 600 },
-    { kind: "request", at: "n1", other: "s2", request: 2, timeoutMs: 2_000 },
+  const steps: readonly SystemStep[] = [
     { kind: "weather", rate: 0.2 },
-    { kind: "submit", at: "n3", job: 0, tasks: 1, runMs: 500 },
-    { kind: "freeze", at: "s1" },
-    { kind: "worker", worker: "w2", lives: true },
-    { kind: "pass", byMs: 1_000 },
-    { kind: "submit", at: "n3", job: 1, tasks: 4, runMs: 25_000 },
-    { kind: "failing", worker: "w2", isOn: false },
-  ], { seed: 3168 });
-  t.deepEqual(violations, []);
+    ...[0, 1, 2, 3, 4, 5].map((job) => ({
+      kind: "submit" as const,
+      at: "n1" as const,
+      job,
+      tasks: 1,
+      runMs: 500,
+    })),
+    { kind: "pass", byMs: 3_000 },
+  ];
+  for (const seed of [1, 2, 3, 4]) {
+    const { violations } = await runHistory(steps, { seed });
+    t.deepEqual(violations, [], `seed ${seed}`);
+  }
 });
 
 test("a job that is done isn't run again by the next leader", async (t) => {
@@ -180,7 +180,7 @@
     { kind: "pass", byMs: 13_000 },
     { kind: "start", at: "s2" },
   ];
-  for (const seed of [2, 8]) {
+  for (const seed of [5, 8, 12]) {
     const { violations } = await runHistory(steps, { seed });
     t.deepEqual(violations, []);
   }
