Let operators change who votes

Cause: the group could change its members one at a time, but no operator could reach that. Change: an endpoint and a command, member add|remove|lost, for the team that owns the member's data centre; a member that doesn't lead names the leader, and the tool goes there.

--- a/src/process/daemon/daemon.ts
+++ b/src/process/daemon/daemon.ts
@@ -23,6 +23,7 @@
 import { ConfigurationPart } from "./configuration_part.ts";
 import { createDaemonBase, type DaemonBase } from "./daemon_base.ts";
 import { DataCentrePart } from "./data_centre_part.ts";
+import { groupEndpoints } from "./group_endpoints.ts";
 import { instanceEndpoints } from "./instance_endpoints.ts";
 
 /** How a {@link Daemon} is started. */
@@ -126,6 +127,13 @@
       ...configuration.service.endpoints(),
       ...dataCentre.endpoints(),
       metricsEndpoint(base.metrics),
+      ...groupEndpoints({
+        clock,
+        members: [configuration.member, dataCentre.member],
+        configuration: configuration.service,
+        instances: [settings.instance, ...settings.peers],
+        httpAddressOf: (id) => base.membership.httpAddressOf(id),
+      }),
       ...instanceEndpoints(base, {
         groups:
           () => [configuration.member.status(), dataCentre.member.status()],
--- a/src/process/membership/membership.ts
+++ b/src/process/membership/membership.ts
@@ -81,6 +81,14 @@
     return isOwn ? [self.id, ...ids] : ids;
   }
 
+  /** Where an instance answers HTTP; undefined while that isn't known. */
+  httpAddressOf(id: InstanceId): string | undefined {
+    const { self, httpAddress } = this.#options;
+    return id === self.id
+      ? httpAddress
+      : this.#core.peers().find((peer) => peer.id === id)?.httpAddress;
+  }
+
   /** Tells all peers at once that this instance stops. */
   leave(): void {
     this.#isLeaving = true;
--- a/src/programs/cli/config_cli.ts
+++ b/src/programs/cli/config_cli.ts
@@ -16,6 +16,7 @@
   switchDataCentre,
   validateConfiguration,
 } from "../commands/config/mod.ts";
+import { changeMember } from "../commands/member_commands.ts";
 import { count, type Flags, run, text } from "./flags.ts";
 
 /** Exit code for an unknown action of a command. */
@@ -23,7 +24,7 @@
 
 type Action = (context: CommandContext) => Promise<number>;
 
-/** Adds `config`, `datacentre` and `key`. */
+/** Adds `config`, `datacentre`, `key` and `member`. */
 export function addConfigCommands(program: CAC): void {
   program
     .command(
@@ -48,6 +49,15 @@
     .action((action: string, dataCentre: string, flags: Flags) =>
       run(flags, switchAction(action, { dataCentre, flags }))
     );
+  program
+    .command(
+      "member <action> <group> <id>",
+      "add, remove, or vouch that its state is lost",
+    )
+    .option("--key <team:key>", `The team and its key; or ${KEY_VARIABLE}`)
+    .action((action: string, group: string, member: string, flags: Flags) =>
+      run(flags, memberAction(action, { group, member, flags }))
+    );
   program
     .command("key <action>", "hash: the salted hash of a key, or a new key")
     .option("--file <file>", "Where the key is; a new one when absent")
@@ -130,9 +140,24 @@
     });
 }
 
+function memberAction(
+  action: string,
+  options: { group: string; member: string; flags: Flags },
+): Action {
+  const { group, member, flags } = options;
+  if (action !== "add" && action !== "remove" && action !== "lost") {
+    return (context) => unknownAction(context, `member ${action}`);
+  }
+  return (context) =>
+    changeMember(context, { action, group, member, ...keyOf(flags) });
+}
+
 function keyOf(flags: Flags): { key?: string } {
-  const key = flags["key"] ?? process.env[KEY_VARIABLE];
-  return key === undefined ? {} : { key: String(key) };
+  const fromVariable = process.env[KEY_VARIABLE];
+  return {
+    ...(fromVariable === undefined ? {} : { key: fromVariable }),
+    ...text(flags, "key", "key"),
+  };
 }
 
 function unknownAction(
--- a/src/programs/commands/completion.ts
+++ b/src/programs/commands/completion.ts
@@ -19,6 +19,7 @@
   "config",
   "datacentre",
   "key",
+  "member",
   "timeline",
   "status",
   "completion",
--- a/src/programs/commands/config/mod.ts
+++ b/src/programs/commands/config/mod.ts
@@ -16,4 +16,4 @@
   switchDataCentre,
 } from "./data_centre_switch.ts";
 export { type KeyHashOptions, printKeyHash } from "./key_hash.ts";
-export { KEY_VARIABLE } from "./team_key_option.ts";
+export { KEY_VARIABLE, requireKey } from "./team_key_option.ts";
