--- a/src/process/scheduler/core/testing/fake_executor.ts
+++ b/src/process/scheduler/core/testing/fake_executor.ts
@@ -49,7 +49,6 @@
   /** Every decision so far. */
   readonly decisions: SchedulerDecision[] = [];
   readonly #mutations: readonly Mutation[];
-  #quarantined = new Set<string>();
   document: Document;
   #version = 1;
   permittedUntilMs = -1;
@@ -170,7 +169,6 @@
       ? [...worker.running.values()].flat()
       : [];
     worker.running.clear();
-    this.#quarantined.delete(workerId);
     this.send({ kind: "workerLost", atMs: this.nowMs, workerId });
   }
 
@@ -286,7 +284,6 @@
       this.#runs(start as StartGang);
     }
     this.core = this.#newCore();
-    this.#quarantined.clear();
     this.permittedUntilMs = -1;
     this.core.restore(records, {
       atMs: this.nowMs,
@@ -338,11 +335,7 @@
         this.#oracle.checkEnd(decision.jobId, decision.outcome);
         return;
       case "quarantineWorker":
-        this.#quarantined.add(decision.workerId);
-        return;
       case "releaseWorker":
-        this.#quarantined.delete(decision.workerId);
-        return;
       case "jobWaits":
       case "throttleGang":
         return;
