Show a copy that was never current as moment zero

Minus infinity isn't a number in JSON, and a status with it said null. 14,370 sessions of faults at seed 1001 passed with the code before this change, which touches no decision.

--- a/src/process/replication/raft_core.ts
+++ b/src/process/replication/raft_core.ts
@@ -118,7 +118,7 @@
       return state.currentAtMs;
     }
     const isComplete = state.commitIndex >= state.termStartIndex;
-    const ownMs = isComplete ? Math.min(nowMs, leaseEndMs(state)) : -Infinity;
+    const ownMs = isComplete ? Math.min(nowMs, leaseEndMs(state)) : 0;
     return Math.max(state.currentAtMs, ownMs);
   }
 
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -84,7 +84,7 @@
   role: MemberRole = "learner";
   leaderId: InstanceId | undefined;
   commitIndex: number;
-  currentAtMs = -Infinity;
+  currentAtMs = 0;
 
   /** Till when this member gives no vote, as it promised its leader. */
   promiseEndMs: number;
--- a/src/process/replication/replicated_log.ts
+++ b/src/process/replication/replicated_log.ts
@@ -52,7 +52,7 @@
    * can exist before. Zero on members that don't lead.
    */
   readonly leaseEndMs: number;
-  /** When this member last heard that its copy was current; own clock. */
+  /** When this copy was last known to be current, own clock; 0 for never. */
   readonly currentAtMs: number;
   readonly voterIds: readonly InstanceId[];
   readonly learnerIds: readonly InstanceId[];
