--- a/test/system/system_bed.ts
+++ b/test/system/system_bed.ts
@@ -9,10 +9,12 @@
 import type { EventLog } from "../../src/base/event_log.ts";
 import { FakeClock } from "../../src/base/fake_clock.ts";
 import { SeededRandom } from "../../src/base/random_source.ts";
+import { LedgerState } from "../../src/process/ledger/mod.ts";
 import { FakePeerHub } from "../../src/process/replication/fake_peer_network.ts";
 import { FakeLinks } from "../../src/process/scheduler/runtime/testing/fake_links.ts";
 import { FakeWorkerClient } from "../../src/process/scheduler/runtime/testing/fake_worker.ts";
 import { FakeStorage } from "../../src/process/storage/fake_storage.ts";
+import type { TaskHappening } from "../../standins/worker/worker_types.ts";
 import { PausableClock } from "./pausable_clock.ts";
 import {
   SYSTEM_DOCUMENT,
@@ -35,6 +37,8 @@
     instance: SystemInstanceId,
     ...event: Parameters<EventLog["emit"]>
   ) => void;
+  /** Sees every start and end of a task, in words. */
+  readonly onTask?: (line: string) => void;
 }
 
 /** Time moves on in steps of this length. */
@@ -79,8 +83,11 @@
       random: this.random,
       links: this.#workerLinks,
       mutation: this.mutation,
-      onHappening: (happening, dataCentre) =>
-        this.oracle.tasks.note(happening, { atMs: clock.nowMs(), dataCentre }),
+      onHappening: (happening, dataCentre) => {
+        this.oracle.tasks.note(happening, { atMs: clock.nowMs(), dataCentre });
+        options.onTask?.(describeTask(happening));
+      },
+      onDeath: (id) => this.oracle.tasks.noteWorkerDied(id),
       schedulerOf: (id) => this.awake(id)?.scheduler,
     });
     this.servers = new SystemServers({
@@ -136,7 +143,7 @@
       random: this.random,
       network: this.links.join(id),
       storage: this.disk(id),
-      events: { emit: (...event) => this.#options.onEvent?.(id, ...event) },
+      events: { emit: (...event) => this.#hear(id, event) },
       workers: new FakeWorkerClient({
         clock,
         links: this.#workerLinks,
@@ -147,9 +154,12 @@
         send: (attempt) => this.servers.send(attempt),
         close: () => Promise.resolve(),
       },
-      omittedChecks: this.mutation.omittedChecks ?? [],
+      mutation: this.mutation,
     });
     this.#running.set(id, { node, clock, incarnation });
+    if (this.mutation.forgetsRequests) {
+      this.#forgetRequests();
+    }
     this.#announceTo(id);
   }
 
@@ -236,6 +246,24 @@
     this.workers.close();
   }
 
+  #hear(
+    id: SystemInstanceId,
+    [name, fields]: Parameters<EventLog["emit"]>,
+  ): void {
+    const jobId = fields?.["jobId"];
+    if (name === "jobEnded" && typeof jobId === "string") {
+      this.oracle.tasks.noteJobEnded(jobId);
+    }
+    this.#options.onEvent?.(id, name, fields);
+  }
+
+  #forgetRequests(): void {
+    const empty = new LedgerState().snapshot();
+    for (const { node } of this.#running.values()) {
+      node.requests.restore(empty);
+    }
+  }
+
   /** Shows the oracle every copy, and announces the servers again. */
   #look(): void {
     for (const [id, { node, incarnation }] of this.#running) {
@@ -264,6 +292,12 @@
   }
 }
 
+function describeTask(happening: TaskHappening): string {
+  const { workerId, jobId, attempt, taskIndex, kind } = happening;
+  const end = kind === "ended" ? `ended ${happening.outcome}` : kind;
+  return `${workerId} ${jobId}/${attempt}/${taskIndex} ${end}`;
+}
+
 function placeOf(id: string) {
   const place = SYSTEM_INSTANCES.find((instance) => instance.id === id);
   if (place === undefined) {
