Count a gang as done whose start's answer was lost

Ruled out: the log (the attempt was open), the fences (no second start). Change: a start that is given up is stopped, not released; a worker keeps listing how tasks ended; a gang all of whose tasks succeeded ends its job.

--- a/src/process/scheduler/runtime/gang_stopper.ts
+++ b/src/process/scheduler/runtime/gang_stopper.ts
@@ -70,15 +70,15 @@
   ) => CommandBody {
     const { jobId, attempt } = gang;
     const { wantsCheckpoint, checkpointDeadlineMs } = manner;
-    if (!wantsCheckpoint) {
-      return () => ({ kind: "release", jobId, attempt });
-    }
+    // A `release` would make the worker forget a task that has succeeded.
     return (toWorkerMs) => ({
       kind: "stop",
       jobId,
       attempt,
       wantsCheckpoint,
-      checkpointDeadlineMs: toWorkerMs(checkpointDeadlineMs),
+      checkpointDeadlineMs: wantsCheckpoint
+        ? toWorkerMs(checkpointDeadlineMs)
+        : 0,
     });
   }
 
--- a/src/process/scheduler/runtime/gang_table.ts
+++ b/src/process/scheduler/runtime/gang_table.ts
@@ -74,9 +74,10 @@
   async breakUp(gang: Gang): Promise<void> {
     gang.phase = "stopping";
     await this.#stopper.stop(gang, STOP_AT_ONCE);
+    const { hasSucceeded } = gang;
     await this.#close(gang, {
       detail: "not whole after a change of leader",
-      hasSucceeded: false,
+      hasSucceeded,
     });
   }
 
@@ -185,7 +186,11 @@
     if (!this.#context.omits("releaseAll")) {
       await this.#stopper.stop(gang, STOP_AT_ONCE);
     }
-    await this.#close(gang, { detail: detail, hasSucceeded: false });
+    if (gang.hasSucceeded && !wasStopped) {
+      await this.#closeSucceeded(gang);
+      return;
+    }
+    await this.#close(gang, { detail, hasSucceeded: false });
     const { jobId, attempt } = gang;
     if (wasStopped) {
       this.#feedStopped({ jobId, attempt, isCheckpointed: false });
@@ -201,6 +206,16 @@
     });
   }
 
+  /** The answer to a start was lost, and the gang ran to its end unseen. */
+  async #closeSucceeded(gang: Gang): Promise<void> {
+    const { jobId, attempt } = gang;
+    await this.#close(gang, { detail: "every task ended", hasSucceeded: true });
+    this.#context.events.emit("gangStarted", { jobId, attempt });
+    const atMs = this.#context.clock.nowMs();
+    this.#context.feed({ kind: "gangStarted", atMs, jobId, attempt });
+    this.#feedSuccesses(gang);
+  }
+
   /** Nothing of it runs: the log is told before anything else happens. */
   async #close(
     gang: Gang,
--- a/test/system/system_fuzz_test.ts
+++ b/test/system/system_fuzz_test.ts
@@ -154,7 +154,7 @@
 });
 
 // The start's answer is lost and the task is over before it can be asked.
-test.failing("a short job whose start was lost isn't run twice", async (t) => {
+test("a short job whose start was lost isn't run twice", async (t) => {
   const steps: readonly SystemStep[] = [
     { kind: "weather", rate: 0.2 },
     ...[0, 1, 2, 3, 4, 5].map((job) => ({
