Let a member stand whose removal isn't known to be committed

Cause: a group of two could stop for good when one voter was removed and the other crashed before it kept the removal: the removed one might not stand, the other one's log was older. Ruled out: the election by half of the voters (it needs no disk lost). Change: such a member may still be elected; a leader syncs a change of who votes before it sends it; groups of two and four disks are in the suite. The suite's two disks fail with the change taken out. Conclusion: groups of two outlive a removal and a crash together.

--- a/src/process/replication/persist_tracker.ts
+++ b/src/process/replication/persist_tracker.ts
@@ -99,15 +99,25 @@
   /**
    * The persist effect that a message must wait for. A leader's entries may
    * travel while it syncs them itself, and an answer that claims no entry but
-   * synced ones needn't wait for others; all else waits for all.
+   * synced ones needn't wait for others; all else waits for all. A change of
+   * who votes must not travel ahead: if its leader forgot it in a crash, a
+   * member that holds it as the newest entry, and by it may not lead, would
+   * keep the leader of two from being elected again.
    */
   sequenceFor(message: RaftMessage): number {
-    const claimsNothingNew = message.kind === "append" ||
+    const claimsNothingNew =
+      (message.kind === "append" && !this.#carriesNewVoters(message.entries)) ||
       (message.kind === "appendReply" &&
         (!message.isAccepted || message.index <= this.#persistedIndex));
     return claimsNothingNew ? this.#hardStateSequence : this.#issuedSequence;
   }
 
+  #carriesNewVoters(entries: readonly LogEntry[]): boolean {
+    return entries.some((entry) =>
+      entry.kind === "configuration" && entry.index > this.#persistedIndex
+    );
+  }
+
   #remember(effect: PersistEffect): void {
     if (effect.hardState !== undefined) {
       this.#hardStateSequence = effect.sequence;
--- a/src/process/replication/raft_core_fuzz_test.ts
+++ b/src/process/replication/raft_core_fuzz_test.ts
@@ -20,6 +20,8 @@
   ],
   "one disk of three": [...memories("a", "b"), ...disks("c")],
   "no disk of three": memories("a", "b", "c"),
+  "two disks": disks("a", "b"),
+  "four disks": disks("a", "b", "c", "d"),
 };
 
 for (const [name, members] of Object.entries(GROUPS)) {
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -183,6 +183,21 @@
     return voter?.incarnation === this.incarnation;
   }
 
+  /**
+   * Whether this member may be elected: it votes, or its removal isn't known
+   * to be committed. In a group of two nobody else could then be elected, when
+   * the other one lacks the entry that removes this one.
+   */
+  mayStand(): boolean {
+    if (this.isVoterNow()) {
+      return true;
+    }
+    const { configurationIndex } = this.log;
+    const before = this.log.configurationAt(configurationIndex - 1);
+    return configurationIndex > this.commitIndex &&
+      findVoter(before, this.selfId)?.incarnation === this.incarnation;
+  }
+
   isForgotten(id: InstanceId): boolean {
     const voter = findVoter(this.configuration, id);
     return voter !== undefined &&
--- a/src/process/replication/role.ts
+++ b/src/process/replication/role.ts
@@ -19,7 +19,7 @@
   if (state.isLeader) {
     state.event("leadershipLost", { term: state.term });
   }
-  state.role = state.isVoterNow() ? "follower" : "learner";
+  state.role = state.mayStand() ? "follower" : "learner";
   state.leaderId = options.leaderId;
   state.ballot = undefined;
   if (options.leaderId !== undefined) {
@@ -32,12 +32,12 @@
 
 /** Puts the role right after the log's configuration changed. */
 export function settleRole(state: RaftState): void {
-  if (state.role === "learner" && state.isVoterNow()) {
+  if (state.role === "learner" && state.mayStand()) {
     state.role = "follower";
     resetElectionTimer(state);
   }
   const isFollowing = state.role === "follower" || state.role === "candidate";
-  if (isFollowing && !state.isVoterNow()) {
+  if (isFollowing && !state.mayStand()) {
     state.role = "learner";
     state.ballot = undefined;
     state.electionDueMs = Infinity;
