--- a/src/version/document/document.ts
+++ b/src/version/document/document.ts
@@ -125,7 +125,7 @@
   /** Most of the servers that may be ejected at once. */
   ejectionFractionLimit: fraction.default(0.3),
   /** How long the outcome of a non-idempotent request is remembered. */
-  outcomeRetentionMs: milliseconds.default(86_400_000),
+  outcomeRetentionMs: milliseconds.default(600_000),
   /** Backend servers that operators are draining. */
   drainedServers: z.array(identity).max(1000).default([]),
 });
