Count a gang as done that ended before its stop came

Ruled out: recovery (no attempt was open) and the workers' memory of ended tasks. Change: a stop or a start given up records the success that the workers list.

--- a/src/process/scheduler/runtime/gang_table.ts
+++ b/src/process/scheduler/runtime/gang_table.ts
@@ -116,7 +116,9 @@
       return; // The start under way sees the phase and releases.
     }
     await this.#stopper.stop(gang, decision);
-    await this.#close(gang, { detail: reason, hasSucceeded: false });
+    // It may have run to its end before the stop reached it.
+    const { hasSucceeded } = gang;
+    await this.#close(gang, { detail: reason, hasSucceeded });
     this.#feedSuccesses(gang);
     const { isCheckpointed } = gang;
     this.#feedStopped({ jobId, attempt, isCheckpointed });
@@ -190,9 +192,11 @@
       await this.#closeSucceeded(gang);
       return;
     }
-    await this.#close(gang, { detail, hasSucceeded: false });
+    const { hasSucceeded } = gang;
+    await this.#close(gang, { detail, hasSucceeded });
     const { jobId, attempt } = gang;
     if (wasStopped) {
+      this.#feedSuccesses(gang);
       this.#feedStopped({ jobId, attempt, isCheckpointed: false });
       return;
     }
--- a/test/system/edit_judge.ts
+++ b/test/system/edit_judge.ts
@@ -71,7 +71,14 @@
       !this.#rejected.has(edit.editId),
       `edit ${edit.editId} was rejected, then accepted`,
     );
-    this.#judgeOrder({ ...edit, version, answeredAtMs: atMs });
+    const sentAtMs = this.#firstSentAtMs(edit);
+    this.#judgeOrder({ ...edit, sentAtMs, version, answeredAtMs: atMs });
+  }
+
+  /** An edit sent again may have been made since its first sending. */
+  #firstSentAtMs({ editId, sentAtMs }: SeenEdit): number {
+    const first = this.#sent.find((edit) => edit.editId === editId);
+    return Math.min(sentAtMs, first?.sentAtMs ?? sentAtMs);
   }
 
   /** A running instance's copy; `run` differs for each start of it. */
--- a/test/system/system_fuzz_test.ts
+++ b/test/system/system_fuzz_test.ts
@@ -185,3 +185,69 @@
     t.deepEqual(violations, []);
   }
 });
+
+test("a job done before its stop came isn't run again", async (t) => {
+  const { violations } = await runHistory([
+    { kind: "pass", byMs: 1000 },
+    { kind: "crash", at: "n3" },
+    { kind: "submit", at: "n1", job: 7, tasks: 4, runMs: 500 },
+    { kind: "pass", byMs: 1000 },
+    { kind: "submit", at: "n1", job: 7, tasks: 3, runMs: 3000 },
+    { kind: "crash", at: "n2" },
+    { kind: "pass", byMs: 1000 },
+    { kind: "cutOneWay", at: "n2", other: "s2" },
+    { kind: "serverFaults", rate: 0 },
+    { kind: "pass", byMs: 50 },
+    { kind: "pass", byMs: 50 },
+    { kind: "resend", at: "n1" },
+    { kind: "crash", at: "n3" },
+    { kind: "pass", byMs: 300 },
+    { kind: "resume", at: "s1" },
+    { kind: "stop", at: "n1" },
+    { kind: "crash", at: "s2" },
+    { kind: "heal" },
+    { kind: "request", at: "n1", other: "n2", request: 6, timeoutMs: 100 },
+    { kind: "pass", byMs: 300 },
+    { kind: "pass", byMs: 3000 },
+    { kind: "race", at: "n1", other: "n2", rank: 3 },
+    { kind: "switch", at: "s2", dataCentre: "south", status: "in" },
+    { kind: "crash", at: "s1" },
+    { kind: "serverFaults", rate: 0 },
+    { kind: "cancel", at: "n2", job: 1 },
+    { kind: "resume", at: "n2" },
+    { kind: "freeze", at: "s2" },
+    { kind: "submit", at: "n1", job: 1, tasks: 3, runMs: 25000 },
+    { kind: "pass", byMs: 1000 },
+    { kind: "pass", byMs: 1000 },
+  ], { seed: 35172 });
+  t.deepEqual(violations, []);
+});
+
+test("an edit sent again counts from its first sending", async (t) => {
+  const { violations } = await runHistory([
+    { kind: "switch", at: "s1", dataCentre: "north", status: "in" },
+    { kind: "switch", at: "n2", dataCentre: "south", status: "in" },
+    { kind: "crash", at: "n2" },
+    { kind: "pass", byMs: 50 },
+    { kind: "switch", at: "n2", dataCentre: "north", status: "out" },
+    { kind: "resume", at: "n3" },
+    { kind: "pass", byMs: 50 },
+    { kind: "resend", at: "n3" },
+    { kind: "resend", at: "s1" },
+    { kind: "crash", at: "s2" },
+    { kind: "pass", byMs: 300 },
+    { kind: "submit", at: "n1", job: 3, tasks: 1, runMs: 3000 },
+    { kind: "request", at: "s2", other: "n3", request: 0, timeoutMs: 600 },
+    { kind: "submit", at: "n2", job: 1, tasks: 4, runMs: 3000 },
+    { kind: "race", at: "s2", other: "s2", rank: 5 },
+    { kind: "pass", byMs: 300 },
+    { kind: "race", at: "s1", other: "n1", rank: 8 },
+    { kind: "race", at: "s1", other: "n3", rank: 3 },
+    { kind: "start", at: "n1" },
+    { kind: "heal" },
+    { kind: "submit", at: "n1", job: 7, tasks: 4, runMs: 25000 },
+    { kind: "weather", rate: 0.05 },
+    { kind: "pass", byMs: 50 },
+  ], { seed: 35220 });
+  t.deepEqual(violations, []);
+});
