Show on the time line why a gang was stopped or not started

Cause: the demo's time line showed a gang start twice and not why. Change: two events, 5008 gangStopped and 5009 gangStartFailed. Conclusion: a removal, a reclaim or a cancellation is seen with its reason.

--- a/src/base/events/scheduler_events.ts
+++ b/src/base/events/scheduler_events.ts
@@ -56,4 +56,16 @@
     text: "A period of leadership ended by a failure.",
     fields: ["term", "detail"],
   },
+  gangStopped: {
+    number: 5008,
+    level: "info",
+    text: "A decision stopped a gang; nothing of the attempt runs.",
+    fields: ["jobId", "attempt", "reason", "isCheckpointed"],
+  },
+  gangStartFailed: {
+    number: 5009,
+    level: "warn",
+    text: "A gang's start was given up; nothing of the attempt runs.",
+    fields: ["jobId", "attempt", "detail", "workers"],
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/process/scheduler/runtime/gang_table.ts
+++ b/src/process/scheduler/runtime/gang_table.ts
@@ -121,6 +121,12 @@
     await this.#close(gang, { detail: reason, hasSucceeded });
     this.#feedSuccesses(gang);
     const { isCheckpointed } = gang;
+    this.#context.events.emit("gangStopped", {
+      jobId,
+      attempt,
+      reason,
+      isCheckpointed,
+    });
     this.#feedStopped({ jobId, attempt, isCheckpointed });
   }
 
@@ -200,6 +206,12 @@
       this.#feedStopped({ jobId, attempt, isCheckpointed: false });
       return;
     }
+    this.#context.events.emit("gangStartFailed", {
+      jobId,
+      attempt,
+      detail,
+      workers: workerIds.join(" "),
+    });
     const atMs = this.#context.clock.nowMs();
     this.#context.feed({
       kind: "gangStartFailed",
