--- a/src/programs/commands/config/config_history.ts
+++ b/src/programs/commands/config/config_history.ts
@@ -6,6 +6,7 @@
  */
 
 import { type CommandContext, report } from "../command_context.ts";
+import { queryString } from "../query_string.ts";
 import { renderTable } from "../table.ts";
 
 /** Which entries `config history` shows. */
@@ -34,12 +35,7 @@
   context: CommandContext,
   options: ConfigHistoryOptions,
 ): Promise<number> {
-  const query = new URLSearchParams();
-  for (const [name, value] of Object.entries(options)) {
-    if (value !== undefined) {
-      query.set(name, String(value));
-    }
-  }
+  const query = queryString({ ...options });
   const result = await context.client.json({
     method: "GET",
     path: `/v1/configuration/history?${query}`,
--- a/src/programs/commands/instance_commands.ts
+++ b/src/programs/commands/instance_commands.ts
@@ -8,6 +8,7 @@
 import type { MemberStatus } from "../../process/replication/replicated_log.ts";
 import type { TimelineRecord } from "../../process/timeline/timeline_record.ts";
 import { type CommandContext, report } from "./command_context.ts";
+import { queryString } from "./query_string.ts";
 import { renderTable } from "./table.ts";
 
 interface StatusView {
@@ -81,12 +82,7 @@
   context: CommandContext,
   options: TimelineOptions,
 ): Promise<number> {
-  const query = new URLSearchParams();
-  for (const [name, value] of Object.entries(options)) {
-    if (value !== undefined) {
-      query.set(name, String(value));
-    }
-  }
+  const query = queryString({ ...options });
   const result = await context.client.json({
     method: "GET",
     path: `/v1/timeline?${query}`,
