Drop a function and a limit that nothing used

Cause: hasPositive had no caller, and RECORD_LIMIT_BYTES named a limit that was enforced nowhere. Change: both are gone. Conclusion: no behaviour changes.

--- a/src/process/scheduler/core/amounts.ts
+++ b/src/process/scheduler/core/amounts.ts
@@ -95,12 +95,6 @@
   return isWithin(left, right) && isWithin(right, left);
 }
 
-/** Whether any resource has something left. */
-export function hasPositive(amounts: Readonly<Amounts>): boolean {
-  return amounts.milliCores > 0 || amounts.memoryBytes > 0 ||
-    amounts.accelerators > 0;
-}
-
 /** How many tasks of `need` each fit into `room`, at most a whole gang. */
 export function tasksFitting(
   room: Readonly<Amounts>,
--- a/src/process/storage/record_codec.ts
+++ b/src/process/storage/record_codec.ts
@@ -15,9 +15,6 @@
 const MARK = 0x52_4c_53_54;
 const HEADER_BYTES = 16;
 
-/** The longest payload of one record. */
-export const RECORD_LIMIT_BYTES = 512 * 1024 * 1024;
-
 /** What a scan of a file's records found. */
 export interface RecordScan {
   readonly payloads: readonly Uint8Array[];
