--- /dev/null
+++ b/src/base/events/batch_events.ts
@@ -0,0 +1,155 @@
+/**
+ * Log events about the batch scheduler. Numbers 7000 to 7999.
+ *
+ * @module
+ */
+
+import type { EventDefinition } from "./event_definition.ts";
+
+/** Events about batch jobs, their tasks and their workers. */
+export const BATCH_EVENTS = {
+  batchLeaderBegan: {
+    number: 7000,
+    level: "info",
+    text: "This instance leads the batch scheduler under a new epoch.",
+    fields: ["epoch", "jobs", "openRuns", "workers"],
+  },
+  batchLeaderEnded: {
+    number: 7001,
+    level: "info",
+    text: "This instance no longer leads the batch scheduler.",
+    fields: ["epoch"],
+  },
+  batchLeaderFailed: {
+    number: 7002,
+    level: "warn",
+    text: "A time in office ended, or could not begin.",
+    fields: ["detail"],
+  },
+  batchJobAccepted: {
+    number: 7010,
+    level: "info",
+    text: "A job was stored.",
+    fields: ["jobId", "queue", "account"],
+  },
+  batchJobRefused: {
+    number: 7011,
+    level: "info",
+    text: "A job was refused; nothing of it is stored.",
+    fields: ["jobId", "queue", "reason", "retryAfterS", "detail"],
+  },
+  batchJobEnded: {
+    number: 7012,
+    level: "info",
+    text: "A job came to its end.",
+    fields: ["jobId", "phase", "tookMs"],
+  },
+  batchCallUnanswered: {
+    number: 7013,
+    level: "warn",
+    text: "A call got no certain answer from a leader in time.",
+    fields: ["jobId", "call", "detail", "triedMs"],
+  },
+  batchCallUnavailable: {
+    number: 7014,
+    level: "info",
+    text: "A call was turned away because no leader could take it.",
+    fields: ["jobId", "call", "detail"],
+  },
+  taskStarted: {
+    number: 7020,
+    level: "info",
+    text: "A start of tasks is stored and goes out to their workers.",
+    fields: ["jobId", "occurrence", "step", "run", "tasks", "workers"],
+  },
+  taskEnded: {
+    number: 7021,
+    level: "info",
+    text: "The end of a run is stored.",
+    fields: ["jobId", "task", "run", "how"],
+  },
+  taskStartRefused: {
+    number: 7022,
+    level: "info",
+    text: "A worker refused to start a run.",
+    fields: ["jobId", "task", "run", "worker", "reason", "startsSent"],
+  },
+  taskOrderUnanswered: {
+    number: 7023,
+    level: "info",
+    text: "An order got no answer and is sent again.",
+    fields: ["jobId", "task", "run", "worker", "order", "detail"],
+  },
+  taskStoppedUnknown: {
+    number: 7024,
+    level: "warn",
+    text: "A worker ran something that isn't open; it is stopped.",
+    fields: ["jobId", "task", "run", "worker"],
+  },
+  taskPreempted: {
+    number: 7025,
+    level: "info",
+    text: "A run is stopped to make room for more urgent work.",
+    fields: ["jobId", "task"],
+  },
+  batchWorkerJoined: {
+    number: 7030,
+    level: "info",
+    text: "A worker announced itself or changed.",
+    fields: ["worker", "dataCentre", "isDraining"],
+  },
+  batchWorkerLeft: {
+    number: 7031,
+    level: "info",
+    text: "A life of a worker is over.",
+    fields: ["worker"],
+  },
+  batchWorkerReached: {
+    number: 7032,
+    level: "info",
+    text: "A worker answers, for the first time or again.",
+    fields: ["worker"],
+  },
+  batchWorkerSilent: {
+    number: 7033,
+    level: "warn",
+    text: "A worker didn't answer a renewal.",
+    fields: ["worker", "detail"],
+  },
+  batchWorkerSuspect: {
+    number: 7034,
+    level: "warn",
+    text: "Runs of different jobs failed on a worker; it is avoided.",
+    fields: ["worker", "task"],
+  },
+  batchCommitSlow: {
+    number: 7040,
+    level: "warn",
+    text: "A batch took long to commit.",
+    fields: ["durationMs", "items"],
+  },
+  batchConfigured: {
+    number: 7041,
+    level: "info",
+    text: "A configuration was stored, or an older one acknowledged.",
+    fields: ["version", "versionInForce"],
+  },
+  batchConfigurationRefused: {
+    number: 7042,
+    level: "info",
+    text: "A configuration was refused and changes nothing.",
+    fields: ["detail"],
+  },
+  batchDataCentreSwitched: {
+    number: 7043,
+    level: "info",
+    text: "A data centre was taken out of service or back in.",
+    fields: ["dataCentre", "isOut"],
+  },
+  settingsReloaded: {
+    number: 7050,
+    level: "info",
+    text: "The settings file was read again.",
+    fields: ["detail"],
+  },
+} as const satisfies Record<string, EventDefinition>;
--- a/src/base/events/event_catalogue.ts
+++ b/src/base/events/event_catalogue.ts
@@ -4,6 +4,7 @@
  * @module
  */
 
+import { BATCH_EVENTS } from "./batch_events.ts";
 import { CONFIGURATION_EVENTS } from "./configuration_events.ts";
 import { CONNECTION_EVENTS } from "./connection_events.ts";
 import { HTTP_EVENTS } from "./http_events.ts";
@@ -21,6 +22,7 @@
   ...ROUTING_EVENTS,
   ...SCHEDULER_EVENTS,
   ...HTTP_EVENTS,
+  ...BATCH_EVENTS,
 } as const;
 
 /** The name of one event. */
--- a/src/base/events/process_events.ts
+++ b/src/base/events/process_events.ts
@@ -32,4 +32,16 @@
     text: "The daemon cannot go on.",
     fields: ["detail"],
   },
+  logLinesSuppressed: {
+    number: 1004,
+    level: "warn",
+    text: "Lines of one event were left out in the last period.",
+    fields: ["suppressed", "lines"],
+  },
+  settingsLoaded: {
+    number: 1005,
+    level: "info",
+    text: "The settings in effect, without keys.",
+    fields: ["settings", "version"],
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/base/events/replication_events.ts
+++ b/src/base/events/replication_events.ts
@@ -80,4 +80,10 @@
     text: "This member stopped, as its disk or its state failed.",
     fields: ["group", "detail"],
   },
+  votersChanged: {
+    number: 3512,
+    level: "info",
+    text: "The leader replaced or let in a voter, or failed to.",
+    fields: ["change", "member", "isDone"],
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -6,6 +6,7 @@
 
 export { Channel } from "./channel.ts";
 export { type Clock, SystemClock, type Timer } from "./clock.ts";
+export { SuspendAwareClock } from "./suspend_aware_clock.ts";
 export {
   ERROR_ANSWERS,
   type ErrorAnswer,
--- a/src/connection/incoming_link.ts
+++ b/src/connection/incoming_link.ts
@@ -24,7 +24,9 @@
 export interface IncomingLinkOptions {
   readonly socket: WebSocket;
   readonly selfId: InstanceId;
-  readonly peerIds: readonly InstanceId[];
+  /** Whether a peer of that name may prove itself. */
+  readonly isAdmitted: (id: InstanceId) => boolean;
+  readonly onProved: (id: InstanceId) => void;
   readonly clusterName: string;
   readonly clusterKey: ClusterKey;
   readonly onMessage: (from: InstanceId, frame: MessageFrame) => void;
@@ -121,7 +123,7 @@
     if (hello.to !== this.#options.selfId) {
       return `meant for ${hello.to}`;
     }
-    if (!this.#options.peerIds.includes(hello.from)) {
+    if (!this.#options.isAdmitted(hello.from)) {
       return `unknown peer ${hello.from}`;
     }
     return undefined;
@@ -138,6 +140,7 @@
       return;
     }
     this.#state = { kind: "open", from: input.from };
+    this.#options.onProved(input.from);
     const mac = key.prove({ ...input, side: "accepting" });
     this.#send({ kind: "welcome", mac });
   }
--- a/src/connection/ws_peer_network.ts
+++ b/src/connection/ws_peer_network.ts
@@ -62,6 +62,12 @@
   readonly hybridClock: HybridClock;
   readonly random: RandomSource;
   readonly events: EventLog;
+  /**
+   * Where a peer listens that the settings don't name and that proved itself
+   * by the cluster key; undefined for one that is not let in. Absent where
+   * only the peers of the settings are let in.
+   */
+  readonly admit?: (id: InstanceId) => PeerAddress | undefined;
 }
 
 type Deliver = (from: InstanceId, body: unknown) => boolean;
@@ -81,7 +87,7 @@
 /** The links of this instance to its peers, over loopback or a network. */
 export class WsPeerNetwork implements PeerNetwork {
   readonly selfId: InstanceId;
-  readonly peerIds: readonly InstanceId[];
+  readonly #peerIds = new Set<InstanceId>();
   readonly traffic: PeerTraffic = {
     sentMessages: 0,
     sentBytes: 0,
@@ -99,7 +105,21 @@
   constructor(options: WsPeerNetworkOptions) {
     this.#options = options;
     this.selfId = options.self.id;
-    this.peerIds = options.peers.map((peer) => peer.id);
+    options.peers.forEach((peer) => this.#peerIds.add(peer.id));
+  }
+
+  /** All peers that are known, reachable or not, without this one. */
+  get peerIds(): readonly InstanceId[] {
+    return [...this.#peerIds];
+  }
+
+  /** Dials one more peer from now on. */
+  addPeer(peer: PeerAddress): void {
+    if (peer.id === this.selfId || this.#peerIds.has(peer.id)) {
+      return;
+    }
+    this.#peerIds.add(peer.id);
+    this.#outgoing.set(peer.id, this.#dial(peer));
   }
 
   /** Listens, and dials every peer; rejects when the address is taken. */
@@ -200,7 +220,8 @@
     const link: IncomingLink = new IncomingLink({
       socket,
       selfId: this.selfId,
-      peerIds: this.peerIds,
+      isAdmitted: (id) => this.#isAdmitted(id),
+      onProved: (id) => this.#admit(id),
       clusterName: this.#options.clusterName,
       clusterKey: this.#options.clusterKey,
       onMessage: (from, frame) => this.#deliver(link, from, frame),
@@ -218,6 +239,18 @@
     });
   }
 
+  #isAdmitted(id: InstanceId): boolean {
+    return this.#peerIds.has(id) ||
+      this.#options.admit?.(id) !== undefined;
+  }
+
+  #admit(id: InstanceId): void {
+    const peer = this.#peerIds.has(id) ? undefined : this.#options.admit?.(id);
+    if (peer !== undefined) {
+      this.addPeer(peer);
+    }
+  }
+
   #countUnproved(): number {
     let unproved = 0;
     for (const link of this.#incoming) {
--- /dev/null
+++ b/src/process/batch/batch_timing.ts
@@ -0,0 +1,40 @@
+/**
+ * Periods and limits of the batch scheduler.
+ *
+ * @module
+ */
+
+/** Every period and limit, with its default. */
+export const BATCH_TIMING = {
+  /** The longest lease that workers take; the deployment's settings say it. */
+  leaseLimitMs: 10_000,
+  /** The lease that a renewal gives: longer than a change of leader takes. */
+  leaseMs: 7_000,
+  /** How long a worker may hold a renewal open until something ends. */
+  reportWaitMs: 1_500,
+  /** Beyond the wait, when a renewal is given up: a round trip and a stall. */
+  reportSlackMs: 600,
+  /** The first and the longest pause after a failed renewal. */
+  renewRetryMs: 100,
+  renewRetryLimitMs: 800,
+  /** When an order without an answer is sent again: ten round trips. */
+  orderTimeoutMs: 400,
+  orderRetryMs: 50,
+  /** When a gang that isn't whole yet is given up; workers wait 3 s. */
+  gangStartMs: 2_000,
+  /** How often open runs are looked over. */
+  tickMs: 100,
+  /** How long ended jobs stay known. */
+  rememberMs: 300_000,
+  /** When a batch without a commit is given up. */
+  commitTimeoutMs: 4_000,
+  /** A worker's clock may run slow by this fraction. */
+  clockDrift: 0.02,
+  /** Beyond a lease's end, before its runs count as gone. */
+  lapseSlackMs: 300,
+} as const;
+
+/** Every period and limit. */
+export type BatchTiming = {
+  readonly [Name in keyof typeof BATCH_TIMING]: number;
+};
--- /dev/null
+++ b/src/process/batch/decisions/planner.ts
@@ -0,0 +1,204 @@
+/**
+ * One look over all that waits: what starts where, and what is stopped to make
+ * room. Pure; the leader commits and carries out what comes of it.
+ *
+ * @module
+ */
+
+import type { BatchItem, TaskRef, WorkerKey } from "../batch_command.ts";
+import type { BatchState } from "../batch_state.ts";
+import type { JobRecord } from "../job_record.ts";
+import { guaranteedJobs } from "./guarantee.ts";
+import { placeTasks } from "./placement.ts";
+import { type OpenRun, PoolView, type WorkerCondition } from "./pool_view.ts";
+import { chooseStops, mayPreempt } from "./preemption.ts";
+import { urgency } from "./rank.ts";
+import { waitingUnits, type WorkUnit } from "./work_unit.ts";
+
+/** A start of tasks of one step. */
+export type StartItem = Extract<BatchItem, { kind: "start" }>;
+
+/** What the planner is given. */
+export interface PlannerInput {
+  readonly state: BatchState;
+  readonly nowMs: number;
+  readonly condition: (key: WorkerKey) => WorkerCondition;
+  /** Workers on which earlier runs of the task failed. */
+  readonly failedOn: (task: TaskRef) => ReadonlySet<WorkerKey> | undefined;
+  /** Runs that are being stopped already. */
+  readonly isStopping: (task: TaskRef) => boolean;
+}
+
+/** What the planner decided. */
+export interface Plan {
+  readonly starts: readonly StartItem[];
+  /** Runs to stop so that more urgent work can start. */
+  readonly stops: readonly TaskRef[];
+}
+
+/** How long a step waits for room near its data, in parts of its estimate. */
+const DATA_PATIENCE_FACTOR = 2;
+
+/** Plans all starts that are possible now. */
+export function plan(input: PlannerInput): Plan {
+  const { state } = input;
+  const index = state.inForce?.index;
+  if (index === undefined) {
+    return { starts: [], stops: [] };
+  }
+  const view = new PoolView(input);
+  const covered = guaranteedJobs(state);
+  const units = rankedUnits(input, covered);
+  const starts: StartItem[] = [];
+  const stops: TaskRef[] = [];
+  for (const unit of units) {
+    const start = placeUnit(view, unit, input);
+    if (start !== undefined) {
+      starts.push(start);
+    }
+    const isWhole = start?.tasks.length === unit.waiting.length;
+    if (!isWhole && covered.has(unit.job.id)) {
+      const mayStop = (job: JobRecord) =>
+        !covered.has(job.id) &&
+        mayPreempt(unit.queue, index.queueNamed(job.queue));
+      stops.push(...makeRoom(view, unit, { ...input, mayStop }));
+    }
+  }
+  return { starts, stops };
+}
+
+function rankedUnits(
+  { state, nowMs }: PlannerInput,
+  covered: ReadonlySet<string>,
+): WorkUnit[] {
+  const index = state.inForce!.index;
+  const ranked: { unit: WorkUnit; urgency: number }[] = [];
+  for (const job of state.jobs.values()) {
+    const queue = index.queueNamed(job.queue);
+    if (queue === undefined) {
+      continue;
+    }
+    for (const unit of waitingUnits(job, { queue, nowMs })) {
+      ranked.push({
+        unit,
+        urgency: covered.has(job.id) ? Infinity : urgency(unit, nowMs),
+      });
+    }
+  }
+  ranked.sort((a, b) =>
+    compare(b.urgency, a.urgency) ||
+    a.unit.job.acceptedAtMs - b.unit.job.acceptedAtMs
+  );
+  return ranked.map(({ unit }) => unit);
+}
+
+/** Equal infinities compare as equal. */
+function compare(left: number, right: number): number {
+  return left === right ? 0 : left - right;
+}
+
+function placeUnit(
+  view: PoolView,
+  unit: WorkUnit,
+  input: PlannerInput,
+): StartItem | undefined {
+  const { job, occurrence, step, spec, tasks, waiting, nextRun } = unit;
+  const onWorker = (key: WorkerKey) =>
+    tasks.filter((task) => task.worker === key).length;
+  const placed = placeTasks(view.ofService(unit.queue.service), {
+    step: spec,
+    indices: waiting,
+    avoided: avoidedWorkers(unit, input),
+    onWorker,
+    mayLeaveRack: mayLeaveRack(view, unit, input.nowMs),
+  });
+  if (placed.length === 0) {
+    return undefined;
+  }
+  return {
+    kind: "start",
+    jobId: job.id,
+    occurrence,
+    step,
+    run: nextRun,
+    tasks: placed,
+  };
+}
+
+/** Workers on which a waiting task failed before, if others are left. */
+function avoidedWorkers(
+  unit: WorkUnit,
+  input: PlannerInput,
+): ReadonlySet<WorkerKey> {
+  const avoided = new Set<WorkerKey>();
+  for (const index of unit.waiting) {
+    const { job, occurrence, step } = unit;
+    const task = { jobId: job.id, occurrence, step, index };
+    input.failedOn(task)?.forEach((key) => avoided.add(key));
+  }
+  return avoided;
+}
+
+/**
+ * A slower place is taken when the data's rack is gone or too small, or after
+ * a wait as long as the work itself.
+ */
+function mayLeaveRack(
+  view: PoolView,
+  unit: WorkUnit,
+  nowMs: number,
+): boolean {
+  const { spec, job, queue } = unit;
+  if (!spec.prefersOneRack && spec.dataRack === undefined) {
+    return true;
+  }
+  const waitedMs = nowMs - Math.max(job.acceptedAtMs, dueOf(unit));
+  if (waitedMs > spec.estimateMs * DATA_PATIENCE_FACTOR) {
+    return true;
+  }
+  const rooms = new Map<string, number>();
+  for (const slot of view.ofService(queue.service)) {
+    const { rack, capacity } = slot.worker;
+    const counts = slot.isUsable &&
+      (spec.dataRack === undefined || rack === spec.dataRack);
+    if (counts) {
+      const { accelerators, cpuMilli } = spec.demand;
+      const tasks = Math.min(
+        accelerators === 0 ? Infinity : capacity.accelerators / accelerators,
+        cpuMilli === 0 ? Infinity : capacity.cpuMilli / cpuMilli,
+      );
+      rooms.set(rack, (rooms.get(rack) ?? 0) + Math.floor(tasks));
+    }
+  }
+  const largest = Math.max(0, ...rooms.values());
+  return largest < (spec.isGang ? spec.taskCount : 1);
+}
+
+function dueOf({ job, occurrence }: WorkUnit): number {
+  const { recurrence } = job.spec;
+  return recurrence === undefined
+    ? 0
+    : recurrence.firstAtMs + occurrence * recurrence.intervalMs;
+}
+
+/** Chooses what stops for a unit, and keeps the room for it in the view. */
+function makeRoom(
+  view: PoolView,
+  unit: WorkUnit,
+  input: PlannerInput & { mayStop: (job: JobRecord) => boolean },
+): TaskRef[] {
+  const { nowMs, mayStop } = input;
+  const isStopping = (run: OpenRun) => input.isStopping(refOf(run));
+  const slots = view.ofService(unit.queue.service);
+  const chosen = chooseStops(slots, unit, { nowMs, mayStop, isStopping });
+  if (chosen === undefined) {
+    return [];
+  }
+  chosen.forEach((run) => view.release(run));
+  placeUnit(view, unit, input);
+  return chosen.filter((run) => !isStopping(run)).map(refOf);
+}
+
+function refOf({ job, occurrence, step, index }: OpenRun): TaskRef {
+  return { jobId: job.id, occurrence, step, index };
+}
--- /dev/null
+++ b/src/process/batch/decisions/pool_view.ts
@@ -0,0 +1,167 @@
+/**
+ * The workers as the planner sees them: what is free where.
+ *
+ * @module
+ */
+
+import type { DataCentreId } from "../../../base/identity.ts";
+import type { WorkerKey, WorkerRecord } from "../batch_command.ts";
+import type { BatchState } from "../batch_state.ts";
+import type { JobRecord } from "../job_record.ts";
+import type { StepSpec, TaskDemand } from "../job_spec.ts";
+
+/** What the leader knows of a worker beside the replicated state. */
+export interface WorkerCondition {
+  /** Whether it answers, so that it can be given work. */
+  readonly isReachable: boolean;
+  /** Whether its recent runs make it a worker to avoid. */
+  readonly isSuspect: boolean;
+}
+
+/** An open run, as a use of a worker. */
+export interface OpenRun {
+  readonly job: JobRecord;
+  readonly occurrence: number;
+  readonly step: number;
+  readonly index: number;
+  readonly startedAtMs: number;
+}
+
+/** One worker with its free amounts, which placing takes from. */
+export interface WorkerSlot {
+  readonly worker: WorkerRecord;
+  readonly key: WorkerKey;
+  readonly isUsable: boolean;
+  readonly free: { cpuMilli: number; memoryMb: number; accelerators: number };
+  readonly runs: OpenRun[];
+}
+
+/** All workers with what is free on them. */
+export class PoolView {
+  readonly slots: readonly WorkerSlot[];
+  readonly #byKey = new Map<WorkerKey, WorkerSlot>();
+  readonly #byService = new Map<string, WorkerSlot[]>();
+
+  constructor(options: {
+    state: BatchState;
+    condition: (key: WorkerKey) => WorkerCondition;
+  }) {
+    const { state, condition } = options;
+    this.slots = [...state.workers.values()].map((worker) =>
+      newSlot(worker, {
+        condition: condition(worker.key),
+        dataCentresOut: state.dataCentresOut,
+      })
+    );
+    for (const slot of this.slots) {
+      this.#byKey.set(slot.key, slot);
+      const { service } = slot.worker;
+      const slots = this.#byService.get(service) ?? [];
+      slots.push(slot);
+      this.#byService.set(service, slots);
+    }
+    for (const job of state.jobs.values()) {
+      this.#addRuns(job);
+    }
+  }
+
+  slotOf(key: WorkerKey): WorkerSlot | undefined {
+    return this.#byKey.get(key);
+  }
+
+  ofService(service: string): readonly WorkerSlot[] {
+    return this.#byService.get(service) ?? [];
+  }
+
+  /** Counts a run as ended, so that its room can be planned with. */
+  release(run: OpenRun): void {
+    for (const slot of this.slots) {
+      const position = slot.runs.indexOf(run);
+      if (position >= 0) {
+        slot.runs.splice(position, 1);
+        giveBack(slot, run.job.spec.steps[run.step]!.demand);
+      }
+    }
+  }
+
+  #addRuns(job: JobRecord): void {
+    for (const [occurrence, { steps }] of job.occurrences.entries()) {
+      for (const [step, { tasks }] of steps.entries()) {
+        for (const [index, task] of tasks.entries()) {
+          const slot = task.worker && this.#byKey.get(task.worker);
+          if (slot) {
+            const { startedAtMs } = task;
+            take(slot, job.spec.steps[step]!.demand);
+            slot.runs.push({ job, occurrence, step, index, startedAtMs });
+          }
+        }
+      }
+    }
+  }
+}
+
+function newSlot(
+  worker: WorkerRecord,
+  options: {
+    condition: WorkerCondition;
+    dataCentresOut: ReadonlySet<DataCentreId>;
+  },
+): WorkerSlot {
+  const { condition, dataCentresOut } = options;
+  return {
+    worker,
+    key: worker.key,
+    isUsable: condition.isReachable && !condition.isSuspect &&
+      !worker.isDraining && !dataCentresOut.has(worker.dataCentre),
+    free: { ...worker.capacity },
+    runs: [],
+  };
+}
+
+/** Takes a task's demand from what is free. */
+export function take(slot: WorkerSlot, demand: TaskDemand): void {
+  slot.free.cpuMilli -= demand.cpuMilli;
+  slot.free.memoryMb -= demand.memoryMb;
+  slot.free.accelerators -= demand.accelerators;
+}
+
+/** Gives a task's demand back. */
+export function giveBack(slot: WorkerSlot, demand: TaskDemand): void {
+  slot.free.cpuMilli += demand.cpuMilli;
+  slot.free.memoryMb += demand.memoryMb;
+  slot.free.accelerators += demand.accelerators;
+}
+
+/** Whether one task fits into amounts. */
+export function fits(demand: TaskDemand, free: TaskDemand): boolean {
+  return demand.cpuMilli <= free.cpuMilli &&
+    demand.memoryMb <= free.memoryMb &&
+    demand.accelerators <= free.accelerators;
+}
+
+/** How many tasks fit into amounts, at most `limit`. */
+export function countFitting(
+  demand: TaskDemand,
+  free: TaskDemand,
+  limit: number,
+): number {
+  return Math.max(
+    0,
+    Math.min(
+      limit,
+      quotient(free.cpuMilli, demand.cpuMilli),
+      quotient(free.memoryMb, demand.memoryMb),
+      quotient(free.accelerators, demand.accelerators),
+    ),
+  );
+}
+
+function quotient(free: number, demand: number): number {
+  return demand === 0 ? Infinity : Math.floor(free / demand);
+}
+
+/** Whether the worker is of the kind that the step asks for. */
+export function isEligible(step: StepSpec, worker: WorkerRecord): boolean {
+  return step.requiredLabel === undefined ||
+    worker.labels.includes(step.requiredLabel);
+}
--- /dev/null
+++ b/src/process/batch/http_call_transport.ts
@@ -0,0 +1,108 @@
+/**
+ * Calls between instances over HTTP with `msgpackr` bodies.
+ *
+ * @module
+ */
+
+import { pack, unpack } from "msgpackr";
+import { Right } from "purify-ts/Either";
+import { Agent, request } from "undici";
+import { failure, type Result } from "../../base/sesame_error.ts";
+import type { HttpEndpoint } from "../http/mod.ts";
+import type { JobAnswer, JobCall } from "./job_call.ts";
+import type { CallTransport } from "./leader_finder.ts";
+
+/** Where an instance takes calls for the leader. */
+const CALLS_PATH = "/internal/batch/calls";
+
+/** The most bytes of a call: a job's steps and payload, with room. */
+const CALL_LIMIT_BYTES = 1_048_576;
+
+/** Connections to one instance: calls on one of them wait for each other. */
+const CONNECTIONS = 8;
+
+/** How long an idle connection is kept. */
+const KEEP_ALIVE_MS = 20_000;
+
+/** What a transport is made from. */
+export interface HttpCallTransportOptions {
+  /** The address at which an instance takes calls. */
+  readonly addressOf: (instanceId: string) => string;
+  /** How long a connection may take to open. */
+  readonly connectTimeoutMs?: number;
+}
+
+/** Brings calls to other instances. */
+export class HttpCallTransport implements CallTransport {
+  readonly #options: HttpCallTransportOptions;
+  readonly #agent: Agent;
+
+  constructor(options: HttpCallTransportOptions) {
+    this.#options = options;
+    this.#agent = new Agent({
+      connections: CONNECTIONS,
+      pipelining: 1,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      keepAliveMaxTimeout: KEEP_ALIVE_MS,
+      connect: { timeout: options.connectTimeoutMs ?? 500 },
+    });
+  }
+
+  async call(
+    instanceId: string,
+    call: JobCall,
+    options: { timeoutMs: number },
+  ): Promise<Result<JobAnswer>> {
+    const address = this.#options.addressOf(instanceId);
+    try {
+      const answer = await request(`http://${address}${CALLS_PATH}`, {
+        method: "POST",
+        dispatcher: this.#agent,
+        headers: { "content-type": "application/msgpack" },
+        body: pack(call),
+        signal: AbortSignal.timeout(Math.ceil(options.timeoutMs)),
+      });
+      const body = new Uint8Array(await answer.body.arrayBuffer());
+      if (answer.statusCode !== 200) {
+        return failure("outcomeUnknown", { detail: `${answer.statusCode}` });
+      }
+      return Right(unpack(body) as JobAnswer);
+    } catch (error) {
+      return failure(wasNeverSent(error) ? "unavailable" : "outcomeUnknown", {
+        detail: error instanceof Error ? error.message : String(error),
+      });
+    }
+  }
+
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+}
+
+/** Whether an error proves that no byte of a call left. */
+export function wasNeverSent(error: unknown): boolean {
+  const code = error instanceof Error && "code" in error
+    ? error.code
+    : undefined;
+  return code === "ECONNREFUSED" || code === "UND_ERR_CONNECT_TIMEOUT" ||
+    code === "EHOSTUNREACH" || code === "ENETUNREACH";
+}
+
+/** The endpoint that takes other instances' calls. */
+export function callsEndpoint(options: {
+  answer: (call: JobCall) => Promise<JobAnswer>;
+}): HttpEndpoint {
+  return {
+    method: "POST",
+    path: CALLS_PATH,
+    bodyLimitBytes: CALL_LIMIT_BYTES,
+    handle: async ({ body }) => {
+      const answer = await options.answer(unpack(body) as JobCall);
+      return Right({
+        status: 200,
+        headers: { "content-type": "application/msgpack" },
+        body: pack(answer),
+      });
+    },
+  };
+}
--- /dev/null
+++ b/src/process/batch/leader/call_answerer.ts
@@ -0,0 +1,238 @@
+/**
+ * Answers callers' and workers' calls on the leader.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/clock.ts";
+import type { EventLog } from "../../../base/event_log.ts";
+import type { WorkerRecord } from "../batch_command.ts";
+import type { BatchState } from "../batch_state.ts";
+import { decideAdmission } from "../decisions/admission.ts";
+import type { CallTarget, JobAnswer, JobCall } from "../job_call.ts";
+import { JobPhase, type JobRecord } from "../job_record.ts";
+import { findSpecFault } from "../job_spec.ts";
+import type {
+  AccountConfiguration,
+  QueueConfiguration,
+} from "../pool_configuration.ts";
+import type { LeaderSession } from "./leader_session.ts";
+
+/** What an answerer is made from. */
+export interface CallAnswererOptions {
+  readonly session: LeaderSession;
+  readonly state: BatchState;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly selfId: string;
+}
+
+/** The queue and the client account that a call is for. */
+interface CallScope {
+  readonly queue: QueueConfiguration;
+  readonly account: AccountConfiguration | undefined;
+}
+
+type CallOf<Kind extends JobCall["kind"]> = Extract<JobCall, { kind: Kind }>;
+
+/** Answers calls within one leader's time in office. */
+export class CallAnswerer {
+  readonly #options: CallAnswererOptions;
+  readonly #sequences = new Map<string, number>();
+
+  constructor(options: CallAnswererOptions) {
+    this.#options = options;
+  }
+
+  async answer(call: JobCall): Promise<JobAnswer> {
+    switch (call.kind) {
+      case "ping":
+        return { kind: "noted", leaderId: this.#options.selfId };
+      case "workerSeen":
+        return await this.#noteWorker(call);
+      case "workerLeaves":
+        return await this.#noteLeave(call.workerId);
+      case "submit":
+      case "state":
+      case "cancel":
+      case "pending":
+        return await this.#answerCaller(call);
+    }
+  }
+
+  async #answerCaller(
+    call: CallOf<"submit" | "state" | "cancel" | "pending">,
+  ): Promise<JobAnswer> {
+    const scope = this.#scopeOf(call.target);
+    if ("kind" in scope) {
+      return scope;
+    }
+    switch (call.kind) {
+      case "submit":
+        return await this.#submit(call, scope);
+      case "state":
+        return this.#stateOf(call.jobId);
+      case "cancel":
+        return await this.#cancel(call.jobId);
+      case "pending":
+        return this.#countPending(scope.queue);
+    }
+  }
+
+  #scopeOf({ host, path, apiKey }: CallTarget): CallScope | JobAnswer {
+    const index = this.#options.state.inForce?.index;
+    if (index === undefined) {
+      return { kind: "notLeader", leaderId: undefined, memberIds: [] };
+    }
+    const queue = index.queueAt(host, path);
+    if (queue === undefined) {
+      return { kind: "unknownQueue" };
+    }
+    const account = apiKey === undefined
+      ? undefined
+      : index.accountWithKey(apiKey);
+    return account === undefined && !queue.isPublic
+      ? { kind: "unauthenticated" }
+      : { queue, account };
+  }
+
+  async #submit(
+    call: CallOf<"submit">,
+    { queue, account }: CallScope,
+  ): Promise<JobAnswer> {
+    const { state, session, clock, events } = this.#options;
+    const { jobId, spec } = call;
+    if (state.jobs.has(jobId)) {
+      return { kind: "accepted" };
+    }
+    const fault = findSpecFault(spec);
+    if (fault !== undefined) {
+      return { kind: "invalid", detail: fault };
+    }
+    const admission = decideAdmission({
+      state,
+      queue,
+      account,
+      spec,
+      nowMs: clock.nowMs(),
+    });
+    if (admission.kind === "refuse") {
+      const { reason, retryAfterS, detail } = admission;
+      events.emit("batchJobRefused", {
+        jobId,
+        queue: queue.name,
+        reason,
+        retryAfterS,
+        detail,
+      });
+      return { kind: "refused", reason, retryAfterS };
+    }
+    const applied = await session.write({
+      kind: "accept",
+      jobId,
+      queue: queue.name,
+      account: account?.name,
+      spec,
+      submittedAtMs: Math.floor(call.receivedAtMs),
+    });
+    return applied === undefined ? { kind: "unknown" } : { kind: "accepted" };
+  }
+
+  #stateOf(jobId: string): JobAnswer {
+    const job = this.#options.state.jobs.get(jobId);
+    if (job === undefined) {
+      return { kind: "unknownJob" };
+    }
+    const isQueued = job.phase === JobPhase.active && !job.hasStarted;
+    return { kind: "state", phase: isQueued ? "queued" : job.phase };
+  }
+
+  async #cancel(jobId: string): Promise<JobAnswer> {
+    const { state, session } = this.#options;
+    if (!state.jobs.has(jobId)) {
+      return { kind: "unknownJob" };
+    }
+    const applied = await session.write({ kind: "cancel", jobId });
+    return applied === undefined ? { kind: "unknown" } : { kind: "cancelled" };
+  }
+
+  #countPending(queue: QueueConfiguration): JobAnswer {
+    let jobs = 0;
+    for (const job of this.#options.state.jobs.values()) {
+      if (job.queue === queue.name && isPending(job)) {
+        jobs += 1;
+      }
+    }
+    return { kind: "pending", jobs };
+  }
+
+  async #noteWorker(call: CallOf<"workerSeen">): Promise<JobAnswer> {
+    const { session, state, selfId } = this.#options;
+    const { worker, sequence, clockMs } = call;
+    const noted: JobAnswer = { kind: "noted", leaderId: selfId };
+    const known = state.workers.get(worker.key);
+    const isOld = this.#isSuperseded(worker) ||
+      sequence < (this.#sequences.get(worker.key) ?? -1);
+    if (isOld) {
+      return noted;
+    }
+    this.#sequences.set(worker.key, sequence);
+    for (const other of this.#earlierLives(worker)) {
+      this.#sequences.delete(other.key);
+      void session.write({ kind: "workerGone", key: other.key });
+    }
+    if (known === undefined || !isSameWorker(known, worker)) {
+      const applied = await session.write({ kind: "worker", worker });
+      if (applied === undefined) {
+        return { kind: "unknown" };
+      }
+    }
+    session.noteClock(worker.key, clockMs);
+    return noted;
+  }
+
+  /** A later life at the same place has announced itself already. */
+  #isSuperseded(worker: WorkerRecord): boolean {
+    return this.#othersAt(worker).some((other) => other.bornMs > worker.bornMs);
+  }
+
+  #earlierLives(worker: WorkerRecord): WorkerRecord[] {
+    return this.#othersAt(worker).filter((other) =>
+      other.bornMs <= worker.bornMs
+    );
+  }
+
+  #othersAt(worker: WorkerRecord): WorkerRecord[] {
+    return [...this.#options.state.workers.values()].filter((other) =>
+      other.key !== worker.key &&
+      (other.id === worker.id || other.address === worker.address)
+    );
+  }
+
+  async #noteLeave(workerId: string): Promise<JobAnswer> {
+    const { state, session, selfId } = this.#options;
+    for (const worker of [...state.workers.values()]) {
+      if (worker.id === workerId) {
+        const write = { kind: "workerGone", key: worker.key } as const;
+        if (await session.write(write) === undefined) {
+          return { kind: "unknown" };
+        }
+      }
+    }
+    return { kind: "noted", leaderId: selfId };
+  }
+}
+
+function isPending(job: JobRecord): boolean {
+  return job.phase === JobPhase.active && !job.hasStarted;
+}
+
+function isSameWorker(left: WorkerRecord, right: WorkerRecord): boolean {
+  return left.address === right.address &&
+    left.service === right.service &&
+    left.isDraining === right.isDraining &&
+    left.capacity.accelerators === right.capacity.accelerators &&
+    left.capacity.cpuMilli === right.capacity.cpuMilli &&
+    left.capacity.memoryMb === right.capacity.memoryMb &&
+    left.labels.join() === right.labels.join();
+}
--- /dev/null
+++ b/src/process/batch/leader/leader_session.ts
@@ -0,0 +1,372 @@
+/**
+ * One leader's time in office: takes jobs in, plans, commits, sees every open
+ * run through to its end, and answers callers from the state that it leads.
+ *
+ * @module
+ */
+
+import type { Clock, Timer } from "../../../base/clock.ts";
+import type { EventLog } from "../../../base/event_log.ts";
+import type { JobId } from "../../../base/identity.ts";
+import type { ReplicatedLog } from "../../replication/mod.ts";
+import {
+  type BatchCommand,
+  type BatchItem,
+  type BatchOutcome,
+  RunEnd,
+  type TaskRef,
+  type WorkerKey,
+  type WorkerRecord,
+} from "../batch_command.ts";
+import type { BatchState } from "../batch_state.ts";
+import type { BatchTiming } from "../batch_timing.ts";
+import { plan } from "../decisions/planner.ts";
+import type { WorkerCondition } from "../decisions/pool_view.ts";
+import { JobPhase } from "../job_record.ts";
+import type { WorkerCalls, WorkerReport } from "../worker_calls.ts";
+import { BatchWriter } from "./batch_writer.ts";
+import { RunDriver } from "./run_driver.ts";
+import { RunTable, StopReason, taskKey } from "./run_table.ts";
+import { WorkerHealth } from "./worker_health.ts";
+import { WorkerLink } from "./worker_link.ts";
+
+/** What a session is made from. */
+export interface LeaderSessionOptions {
+  readonly log: ReplicatedLog<BatchCommand, BatchOutcome>;
+  readonly state: BatchState;
+  readonly clock: Clock;
+  readonly calls: WorkerCalls;
+  readonly events: EventLog;
+  readonly timing: BatchTiming;
+  readonly epoch: number;
+  /** Called once when the session can't go on. */
+  readonly onEnded: (detail: string) => void;
+}
+
+/** One leader's time in office. */
+export class LeaderSession {
+  readonly #options: LeaderSessionOptions;
+  readonly #writer: BatchWriter;
+  readonly #runs: RunTable;
+  readonly #driver: RunDriver;
+  readonly #health: WorkerHealth;
+  readonly #links = new Map<WorkerKey, WorkerLink>();
+  readonly #ticker: Timer;
+  #isClosed = false;
+
+  constructor(options: LeaderSessionOptions) {
+    this.#options = options;
+    const { clock, state, timing, epoch, events, calls, log } = options;
+    this.#health = new WorkerHealth({ clock });
+    this.#runs = RunTable.fromState(state, clock.nowMs());
+    this.#writer = new BatchWriter({
+      log,
+      clock,
+      epoch,
+      commitTimeoutMs: timing.commitTimeoutMs,
+      plan: () => this.#plan(),
+      onApplied: (item) => this.#follow(item),
+      onBatch: (durationMs, items) => this.#noteBatch(durationMs, items),
+      onDeposed: (detail) => this.#end(detail),
+    });
+    this.#driver = new RunDriver({
+      runs: this.#runs,
+      state,
+      clock,
+      calls,
+      events,
+      timing,
+      epoch,
+      linkOf: (key) => this.#links.get(key),
+      mayLead: () => this.isCurrent(),
+      onEnd: (task, run, how) => this.#writeEnd(task, { run, how }),
+      onUnwell: (key) => this.#health.noteUnwell(key),
+    });
+    state.workers.forEach((worker) => this.#openLink(worker));
+    this.#ticker = clock.every(timing.tickMs, () => this.#tick());
+    events.emit("batchLeaderBegan", {
+      epoch,
+      jobs: state.jobs.size,
+      openRuns: this.#runs.size,
+      workers: state.workers.size,
+    });
+    this.#writer.touch();
+  }
+
+  get epoch(): number {
+    return this.#options.epoch;
+  }
+
+  /** Open runs and changes that wait for a commit, for the metrics. */
+  get depths(): { openRuns: number; uncommitted: number } {
+    return {
+      openRuns: this.#runs.size,
+      uncommitted: this.#writer.queueLength,
+    };
+  }
+
+  /** Whether no other leader can have decided anything by now. */
+  isCurrent(): boolean {
+    const { log, clock, state, epoch } = this.#options;
+    return !this.#isClosed && state.epoch === epoch &&
+      log.status().leaseEndMs > clock.nowMs();
+  }
+
+  /** Commits a change; undefined when its outcome isn't known. */
+  write(item: BatchItem): Promise<boolean | undefined> {
+    return this.#writer.write(item);
+  }
+
+  /** The configuration, or which data centres are out, has changed. */
+  touch(): void {
+    this.#writer.touch();
+  }
+
+  /** Takes a moment of a worker's clock. */
+  noteClock(key: WorkerKey, clockMs: number | undefined): void {
+    this.#links.get(key)?.noteClock(clockMs);
+  }
+
+  close(): void {
+    if (!this.#isClosed) {
+      this.#isClosed = true;
+      this.#ticker.close();
+      this.#writer.close();
+      this.#links.forEach((link) => link.close());
+      this.#options.events.emit("batchLeaderEnded", { epoch: this.epoch });
+    }
+  }
+
+  #end(detail: string): void {
+    this.close();
+    this.#options.onEnded(detail);
+  }
+
+  #plan(): BatchItem[] {
+    if (!this.isCurrent()) {
+      return [];
+    }
+    const { state, clock, events } = this.#options;
+    const { starts, stops } = plan({
+      state,
+      nowMs: clock.nowMs(),
+      condition: (key) => this.#conditionOf(key),
+      failedOn: (task) => this.#health.failedOn(task),
+      isStopping: (task) => this.#runs.get(task)?.stopReason !== undefined,
+    });
+    for (const task of stops) {
+      this.#driver.stop(task, StopReason.preempted);
+      events.emit("taskPreempted", { jobId: task.jobId, task: taskKey(task) });
+    }
+    return [...starts];
+  }
+
+  #conditionOf(key: WorkerKey): WorkerCondition {
+    return {
+      isReachable: this.#links.get(key)?.isReachable ?? false,
+      isSuspect: this.#health.isSuspect(key),
+    };
+  }
+
+  #follow(item: BatchItem): void {
+    const { state, clock, events } = this.#options;
+    this.#runs.follow(item, state, clock.nowMs());
+    switch (item.kind) {
+      case "accept":
+        events.emit("batchJobAccepted", {
+          jobId: item.jobId,
+          queue: item.queue,
+          account: item.account,
+        });
+        return;
+      case "cancel":
+        this.#noteJobOver(item.jobId);
+        return;
+      case "start":
+        events.emit("taskStarted", {
+          jobId: item.jobId,
+          occurrence: item.occurrence,
+          step: item.step,
+          run: item.run,
+          tasks: item.tasks.length,
+          workers: [...new Set(item.tasks.map(({ worker }) => worker))]
+            .join(" "),
+        });
+        this.#driver.drive();
+        return;
+      case "end":
+        this.#followEnd(item);
+        return;
+      case "worker":
+        this.#openLink(item.worker);
+        return;
+      case "workerGone":
+        this.#links.get(item.key)?.close();
+        this.#links.delete(item.key);
+        events.emit("batchWorkerLeft", { worker: item.key });
+        return;
+      case "forget":
+        item.jobIds.forEach((id) => this.#health.forgetJob(id));
+        return;
+    }
+  }
+
+  #followEnd({ task, run, how }: Extract<BatchItem, { kind: "end" }>): void {
+    const { state, events } = this.#options;
+    events.emit("taskEnded", {
+      jobId: task.jobId,
+      task: taskKey(task),
+      run,
+      how,
+    });
+    const job = state.jobs.get(task.jobId);
+    if (job !== undefined && job.phase !== JobPhase.active) {
+      this.#noteJobOver(task.jobId);
+    } else if (how !== RunEnd.done) {
+      const isGang = job?.spec.steps[task.step]?.isGang === true;
+      if (isGang) {
+        this.#driver.stopStep(task, StopReason.gangBroken);
+      }
+    }
+  }
+
+  #noteJobOver(jobId: JobId): void {
+    const { state, events, clock } = this.#options;
+    const job = state.jobs.get(jobId);
+    events.emit("batchJobEnded", {
+      jobId,
+      phase: job?.phase,
+      tookMs: job === undefined
+        ? undefined
+        : Math.round(clock.nowMs() - job.submittedAtMs),
+    });
+    this.#driver.stopJob(jobId);
+  }
+
+  #openLink(worker: WorkerRecord): void {
+    const known = this.#links.get(worker.key);
+    if (known !== undefined) {
+      known.worker = worker;
+      return;
+    }
+    const { calls, clock, timing, epoch, events } = this.#options;
+    const link = new WorkerLink({
+      worker,
+      calls,
+      clock,
+      timing,
+      epoch,
+      mayLead: () => this.isCurrent(),
+      onReport: (from, report, sentAtMs) =>
+        this.#takeReport(from, report, sentAtMs),
+      onReach: ({ worker: { key } }, detail) => {
+        if (detail === undefined) {
+          events.emit("batchWorkerReached", { worker: key });
+          this.#writer.touch();
+        } else {
+          events.emit("batchWorkerSilent", { worker: key, detail });
+        }
+      },
+    });
+    this.#links.set(worker.key, link);
+    events.emit("batchWorkerJoined", {
+      worker: worker.key,
+      dataCentre: worker.dataCentre,
+      isDraining: worker.isDraining,
+    });
+  }
+
+  async #takeReport(
+    link: WorkerLink,
+    report: WorkerReport,
+    sentAtMs: number,
+  ): Promise<void> {
+    const { key } = link.worker;
+    const writes: Promise<boolean | undefined>[] = [];
+    for (const { number, task, run, how, checkpoint } of report.ended) {
+      const open = this.#runs.get(task);
+      const isOpen = open?.run === run && open.worker === key;
+      if (number > link.notedEnd && isOpen) {
+        this.#noteHealth(key, task, how);
+        writes.push(this.#writeEnd(task, { run, how, checkpoint }));
+      }
+    }
+    this.#driver.compare(key, report, sentAtMs);
+    const outcomes = await Promise.all(writes);
+    const last = report.ended.at(-1);
+    if (last !== undefined && outcomes.every((known) => known !== undefined)) {
+      link.noteEnds(last.number);
+    }
+  }
+
+  #noteHealth(key: WorkerKey, task: TaskRef, how: RunEnd): void {
+    if (this.#health.note(key, task, how)) {
+      this.#options.events.emit("batchWorkerSuspect", {
+        worker: key,
+        task: taskKey(task),
+      });
+    }
+  }
+
+  #writeEnd(
+    task: TaskRef,
+    end: { run: number; how: RunEnd; checkpoint?: string },
+  ): Promise<boolean | undefined> {
+    const { run, how, checkpoint } = end;
+    return this.#writer.write({
+      kind: "end",
+      task,
+      run,
+      how,
+      checkpoint: checkpoint ?? "",
+    });
+  }
+
+  #noteBatch(durationMs: number, items: number): void {
+    if (durationMs > SLOW_COMMIT_MS) {
+      this.#options.events.emit("batchCommitSlow", {
+        durationMs: Math.round(durationMs),
+        items,
+      });
+    }
+  }
+
+  #tick(): void {
+    if (!this.isCurrent()) {
+      return;
+    }
+    this.#driver.drive();
+    this.#dropGoneWorkers();
+    this.#forgetOldJobs();
+    this.#writer.touch();
+  }
+
+  /** A worker whose process is gone leaves together with its runs. */
+  #dropGoneWorkers(): void {
+    for (const [key, link] of this.#links) {
+      if (link.isGone && !this.#driver.hasRunsOn(key)) {
+        void this.#writer.write({ kind: "workerGone", key });
+        link.close();
+        this.#links.delete(key);
+      }
+    }
+  }
+
+  #forgetOldJobs(): void {
+    const { state, clock, timing } = this.#options;
+    const beforeMs = clock.nowMs() - timing.rememberMs;
+    const jobIds: JobId[] = [];
+    for (const job of state.jobs.values()) {
+      const isOver = job.phase !== JobPhase.active && job.endedAtMs < beforeMs;
+      if (isOver && !this.#driver.hasRunsOf(job.id)) {
+        jobIds.push(job.id);
+      }
+    }
+    if (jobIds.length > 0) {
+      void this.#writer.write({ kind: "forget", jobIds });
+    }
+  }
+}
+
+/** A commit that takes longer is worth a line: a sync takes 4 to 9 ms. */
+const SLOW_COMMIT_MS = 250;
--- /dev/null
+++ b/src/process/batch/leader/run_driver.ts
@@ -0,0 +1,338 @@
+/**
+ * Sees each open run through: sends its start until the worker has it, its
+ * stop until the worker has acknowledged it, and finds out when it is gone.
+ *
+ * @module
+ */
+
+import type { Clock } from "../../../base/clock.ts";
+import type { EventLog } from "../../../base/event_log.ts";
+import type { JobId } from "../../../base/identity.ts";
+import { RunEnd, type TaskRef, type WorkerKey } from "../batch_command.ts";
+import type { BatchState } from "../batch_state.ts";
+import type { BatchTiming } from "../batch_timing.ts";
+import { JobPhase } from "../job_record.ts";
+import type { StepSpec } from "../job_spec.ts";
+import {
+  type StartAnswer,
+  StartRefusal,
+  type WorkerCalls,
+  type WorkerReport,
+} from "../worker_calls.ts";
+import {
+  type OpenRunState,
+  type RunTable,
+  StopReason,
+  taskKey,
+} from "./run_table.ts";
+import type { WorkerLink } from "./worker_link.ts";
+
+/** What a driver is made from. */
+export interface RunDriverOptions {
+  readonly runs: RunTable;
+  readonly state: BatchState;
+  readonly clock: Clock;
+  readonly calls: WorkerCalls;
+  readonly events: EventLog;
+  readonly timing: BatchTiming;
+  readonly epoch: number;
+  readonly linkOf: (key: WorkerKey) => WorkerLink | undefined;
+  readonly mayLead: () => boolean;
+  /** A run is over for certain without a worker's own word on it. */
+  readonly onEnd: (task: TaskRef, run: number, how: RunEnd) => void;
+  readonly onUnwell: (key: WorkerKey) => void;
+}
+
+/** Drives all open runs of a leader. */
+export class RunDriver {
+  readonly #options: RunDriverOptions;
+  /** Runs whose end is being written. */
+  readonly #ending = new WeakSet<OpenRunState>();
+
+  constructor(options: RunDriverOptions) {
+    this.#options = options;
+  }
+
+  hasRunsOn(key: WorkerKey): boolean {
+    return [...this.#options.runs.all()].some((run) => run.worker === key);
+  }
+
+  hasRunsOf(jobId: JobId): boolean {
+    return [...this.#options.runs.all()].some((run) =>
+      run.task.jobId === jobId
+    );
+  }
+
+  /** Stops a task's run. */
+  stop(task: TaskRef, reason: StopReason): void {
+    const run = this.#options.runs.get(task);
+    if (run !== undefined && run.stopReason === undefined) {
+      run.stopReason = reason;
+      run.nextCallAtMs = this.#options.clock.nowMs();
+      this.#driveRun(run);
+    }
+  }
+
+  /** Stops what is open of a step. */
+  stopStep(task: TaskRef, reason: StopReason): void {
+    this.#options.runs.ofStep(task).forEach((run) =>
+      this.stop(run.task, reason)
+    );
+  }
+
+  /** Stops what is open of a job. */
+  stopJob(jobId: JobId): void {
+    for (const run of [...this.#options.runs.all()]) {
+      if (run.task.jobId === jobId) {
+        this.stop(run.task, StopReason.jobOver);
+      }
+    }
+  }
+
+  /** Does what is due for every open run. */
+  drive(): void {
+    if (this.#options.mayLead()) {
+      for (const run of [...this.#options.runs.all()]) {
+        this.#driveRun(run);
+      }
+    }
+  }
+
+  /** Compares what a worker reports with what is open there. */
+  compare(key: WorkerKey, report: WorkerReport, sentAtMs: number): void {
+    const { runs } = this.#options;
+    const listed = new Set<string>();
+    for (const { task, run } of report.running) {
+      listed.add(`${taskKey(task)} ${run}`);
+      const open = runs.get(task);
+      if (open?.run === run && open.worker === key) {
+        open.confirmedAtMs ??= this.#options.clock.nowMs();
+      } else {
+        void this.#stopUnknown(key, task, run);
+      }
+    }
+    for (const { task, run } of report.ended) {
+      listed.add(`${taskKey(task)} ${run}`);
+    }
+    for (const open of [...runs.all()]) {
+      const name = `${taskKey(open.task)} ${open.run}`;
+      if (open.worker === key && !listed.has(name)) {
+        this.#noteAbsent(open, sentAtMs);
+      }
+    }
+  }
+
+  /** The worker has neither the run nor its end. */
+  #noteAbsent(open: OpenRunState, sentAtMs: number): void {
+    const { confirmedAtMs, stoppedAtMs } = open;
+    if (stoppedAtMs !== undefined && stoppedAtMs < sentAtMs) {
+      this.#endOnce(open, RunEnd.stopped);
+    } else if (confirmedAtMs !== undefined && confirmedAtMs < sentAtMs) {
+      this.#endOnce(open, RunEnd.lost);
+    }
+  }
+
+  #endOnce(open: OpenRunState, how: RunEnd): void {
+    if (!this.#ending.has(open)) {
+      this.#ending.add(open);
+      this.#options.onEnd(open.task, open.run, how);
+    }
+  }
+
+  #driveRun(run: OpenRunState): void {
+    const { clock, linkOf, state, timing } = this.#options;
+    const nowMs = clock.nowMs();
+    const link = linkOf(run.worker);
+    const isKnown = state.workers.has(run.worker);
+    if (!isKnown || link === undefined || link.isGone) {
+      this.#endOnce(run, RunEnd.lost);
+      return;
+    }
+    if (!link.isReachable && link.hasLapsed(nowMs)) {
+      this.#endOnce(run, RunEnd.lost);
+      return;
+    }
+    this.#checkJob(run, nowMs);
+    if (run.callsOpen > 0 || nowMs < run.nextCallAtMs) {
+      return;
+    }
+    if (run.stopReason !== undefined) {
+      if (run.stoppedAtMs === undefined) {
+        void this.#sendStop(run, link);
+      }
+    } else if (run.confirmedAtMs === undefined) {
+      const leaseEndMs = link.isReachable ? link.nextLeaseEndMs() : undefined;
+      if (leaseEndMs !== undefined) {
+        void this.#sendStart(run, { link, leaseEndMs });
+      } else {
+        run.nextCallAtMs = nowMs + timing.orderRetryMs;
+      }
+    }
+  }
+
+  /** A job that is over has nothing running; a gang must be whole soon. */
+  #checkJob(run: OpenRunState, nowMs: number): void {
+    const { state, timing } = this.#options;
+    const job = state.jobs.get(run.task.jobId);
+    if (run.stopReason !== undefined) {
+      return;
+    }
+    if (job === undefined || job.phase !== JobPhase.active) {
+      run.stopReason = StopReason.jobOver;
+    } else if (
+      job.spec.steps[run.task.step]!.isGang &&
+      run.confirmedAtMs === undefined &&
+      nowMs - run.sinceMs > timing.gangStartMs
+    ) {
+      this.stopStep(run.task, StopReason.gangBroken);
+    }
+  }
+
+  async #sendStart(
+    run: OpenRunState,
+    options: { link: WorkerLink; leaseEndMs: number },
+  ): Promise<void> {
+    const { clock, calls, timing, epoch, state } = this.#options;
+    const { link, leaseEndMs } = options;
+    const { task } = run;
+    const job = state.jobs.get(task.jobId)!;
+    run.callsOpen += 1;
+    run.startsSent += 1;
+    const result = await calls.start(link.worker, {
+      task,
+      run: run.run,
+      payload: job.spec.payload,
+      leaseEndMs,
+      epoch,
+      checkpoint: this.#checkpointOf(run, job.spec.steps[task.step]!),
+    }, { timeoutMs: timing.orderTimeoutMs });
+    run.callsOpen -= 1;
+    run.nextCallAtMs = clock.nowMs() + timing.orderRetryMs;
+    result.caseOf({
+      Left: (error) => this.#noteNoAnswer(run, "start", error.kind),
+      Right: (answer) => this.#takeStartAnswer(run, link, answer),
+    });
+  }
+
+  /** All members of a gang resume from the same checkpoint. */
+  #checkpointOf(run: OpenRunState, spec: StepSpec): string {
+    const { task } = run;
+    const tasks = this.#options.state.jobs.get(task.jobId)
+      ?.occurrences[task.occurrence]?.steps[task.step]?.tasks ?? [];
+    if (!spec.isCheckpointing) {
+      return "";
+    }
+    return spec.isGang
+      ? tasks.map(({ checkpoint }) => checkpoint).find((text) => text !== "") ??
+        ""
+      : tasks[task.index]?.checkpoint ?? "";
+  }
+
+  #takeStartAnswer(
+    run: OpenRunState,
+    link: WorkerLink,
+    answer: StartAnswer,
+  ): void {
+    link.noteClock(answer.clockMs);
+    const { refusal } = answer;
+    if (refusal === undefined) {
+      run.confirmedAtMs ??= this.#options.clock.nowMs();
+      return;
+    }
+    const { events, onUnwell } = this.#options;
+    events.emit("taskStartRefused", {
+      jobId: run.task.jobId,
+      task: taskKey(run.task),
+      run: run.run,
+      worker: run.worker,
+      reason: refusal,
+      startsSent: run.startsSent,
+    });
+    switch (refusal) {
+      case StartRefusal.late:
+      case StartRefusal.fenced:
+        return;
+      case StartRefusal.old:
+        // It was stopped, or has ended; the worker's report tells.
+        this.stop(run.task, StopReason.gangBroken);
+        return;
+      case StartRefusal.unwell:
+        onUnwell(run.worker);
+        return this.#giveUpStart(run);
+      case StartRefusal.noRoom:
+      case StartRefusal.wrong:
+        return this.#giveUpStart(run);
+    }
+  }
+
+  /** An earlier order without an answer may be carried out yet: stop it. */
+  #giveUpStart(run: OpenRunState): void {
+    if (run.startsSent > 1) {
+      this.stop(run.task, StopReason.gangBroken);
+    } else {
+      this.#endOnce(run, RunEnd.rejected);
+    }
+  }
+
+  async #sendStop(run: OpenRunState, link: WorkerLink): Promise<void> {
+    const { clock, calls, timing, epoch } = this.#options;
+    run.callsOpen += 1;
+    const order = { task: run.task, run: run.run, epoch };
+    const result = await calls.stop(link.worker, order, {
+      timeoutMs: timing.orderTimeoutMs,
+    });
+    run.callsOpen -= 1;
+    run.nextCallAtMs = clock.nowMs() + timing.orderRetryMs;
+    result.caseOf({
+      Left: (error) => this.#noteNoAnswer(run, "stop", error.kind),
+      Right: () => {
+        run.stoppedAtMs = clock.nowMs();
+        link.wake();
+      },
+    });
+  }
+
+  #noteNoAnswer(run: OpenRunState, order: string, detail: string): void {
+    this.#options.events.emit("taskOrderUnanswered", {
+      jobId: run.task.jobId,
+      task: taskKey(run.task),
+      run: run.run,
+      worker: run.worker,
+      order,
+      detail,
+    });
+  }
+
+  /** An order that was given up was carried out late. */
+  async #stopUnknown(
+    key: WorkerKey,
+    task: TaskRef,
+    run: number,
+  ): Promise<void> {
+    const { calls, events, timing, epoch, linkOf, mayLead } = this.#options;
+    const link = linkOf(key);
+    if (link === undefined || !mayLead()) {
+      return;
+    }
+    events.emit("taskStoppedUnknown", {
+      jobId: task.jobId,
+      task: taskKey(task),
+      run,
+      worker: key,
+    });
+    const { worker } = link;
+    const result = await calls.stop(worker, { task, run, epoch }, {
+      timeoutMs: timing.orderTimeoutMs,
+    });
+    result.ifLeft((error) =>
+      events.emit("taskOrderUnanswered", {
+        jobId: task.jobId,
+        task: taskKey(task),
+        run,
+        worker: key,
+        order: "stop",
+        detail: error.kind,
+      })
+    );
+  }
+}
--- /dev/null
+++ b/src/process/batch/leader/run_table.ts
@@ -0,0 +1,144 @@
+/**
+ * The runs that the leader has to see to: each is to be started and confirmed,
+ * or stopped, until its end is stored.
+ *
+ * @module
+ */
+
+import {
+  type BatchItem,
+  type TaskRef,
+  type WorkerKey,
+} from "../batch_command.ts";
+import type { BatchState } from "../batch_state.ts";
+
+/** Why a run is to be stopped. */
+export const StopReason = {
+  /** Its job was cancelled, or has failed or completed. */
+  jobOver: "jobOver",
+  /** More urgent work needs the room. */
+  preempted: "preempted",
+  /** Its gang isn't whole. */
+  gangBroken: "gangBroken",
+} as const;
+
+/** One of the values of {@link StopReason}. */
+export type StopReason = typeof StopReason[keyof typeof StopReason];
+
+/** One open run, as the leader sees it. */
+export interface OpenRunState {
+  readonly task: TaskRef;
+  readonly run: number;
+  readonly worker: WorkerKey;
+  /** When this leader learned of the run. */
+  readonly sinceMs: number;
+  /** When the worker was known to have it; undefined before. */
+  confirmedAtMs: number | undefined;
+  stopReason: StopReason | undefined;
+  /** When the worker acknowledged the stop. */
+  stoppedAtMs: number | undefined;
+  /** Calls that are on their way. */
+  callsOpen: number;
+  /** How often the start was sent. */
+  startsSent: number;
+  nextCallAtMs: number;
+}
+
+/** The name of a task within this process. */
+export function taskKey(task: TaskRef): string {
+  return `${task.jobId}.${task.occurrence}.${task.step}.${task.index}`;
+}
+
+/** All open runs by task. */
+export class RunTable {
+  readonly #runs = new Map<string, OpenRunState>();
+
+  /** Takes over what the replicated state holds as open. */
+  static fromState(state: BatchState, nowMs: number): RunTable {
+    const table = new RunTable();
+    for (const job of state.jobs.values()) {
+      for (const [occurrence, { steps }] of job.occurrences.entries()) {
+        for (const [step, { tasks }] of steps.entries()) {
+          for (const [index, { worker, run }] of tasks.entries()) {
+            if (worker !== undefined) {
+              const task = { jobId: job.id, occurrence, step, index };
+              table.open({ task, run, worker }, nowMs);
+            }
+          }
+        }
+      }
+    }
+    return table;
+  }
+
+  get size(): number {
+    return this.#runs.size;
+  }
+
+  all(): IterableIterator<OpenRunState> {
+    return this.#runs.values();
+  }
+
+  get(task: TaskRef): OpenRunState | undefined {
+    return this.#runs.get(taskKey(task));
+  }
+
+  open(
+    run: Pick<OpenRunState, "task" | "run" | "worker">,
+    nowMs: number,
+  ): void {
+    this.#runs.set(taskKey(run.task), {
+      ...run,
+      sinceMs: nowMs,
+      confirmedAtMs: undefined,
+      stopReason: undefined,
+      stoppedAtMs: undefined,
+      callsOpen: 0,
+      startsSent: 0,
+      nextCallAtMs: nowMs,
+    });
+  }
+
+  /** Follows an item that took effect. */
+  follow(item: BatchItem, state: BatchState, nowMs: number): void {
+    switch (item.kind) {
+      case "start": {
+        const { jobId, occurrence, step, run } = item;
+        for (const { index, worker } of item.tasks) {
+          const task = { jobId, occurrence, step, index };
+          this.open({ task, run, worker }, nowMs);
+        }
+        return;
+      }
+      case "end":
+        this.#closeEnded(item.task, state);
+        return;
+      case "accept":
+      case "cancel":
+      case "worker":
+      case "workerGone":
+      case "forget":
+        return;
+    }
+  }
+
+  /** A gang's end closes the runs of all its members. */
+  #closeEnded(ended: TaskRef, state: BatchState): void {
+    const tasks = state.jobs.get(ended.jobId)?.occurrences[ended.occurrence]
+      ?.steps[ended.step]?.tasks ?? [];
+    for (const [index, { worker }] of tasks.entries()) {
+      if (worker === undefined) {
+        this.#runs.delete(taskKey({ ...ended, index }));
+      }
+    }
+  }
+
+  /** The runs of one step that are open. */
+  ofStep(task: TaskRef): OpenRunState[] {
+    return [...this.#runs.values()].filter((other) =>
+      other.task.jobId === task.jobId &&
+      other.task.occurrence === task.occurrence &&
+      other.task.step === task.step
+    );
+  }
+}
--- /dev/null
+++ b/src/process/batch/leader_finder.ts
@@ -0,0 +1,161 @@
+/**
+ * Finds the leader among the instances that keep the scheduler's state, and
+ * brings calls to it within their deadline.
+ *
+ * @module
+ */
+
+import type { Clock, Timer } from "../../base/clock.ts";
+import type { EventLog } from "../../base/event_log.ts";
+import type { Result } from "../../base/sesame_error.ts";
+import type { JobAnswer, JobCall } from "./job_call.ts";
+
+/**
+ * Brings one call to one instance. `unavailable` says that the call didn't
+ * get there, `outcomeUnknown` that it may have been carried out.
+ */
+export interface CallTransport {
+  call(
+    instanceId: string,
+    call: JobCall,
+    options: { timeoutMs: number },
+  ): Promise<Result<JobAnswer>>;
+  close(): Promise<void>;
+}
+
+/** What a finder is made from. */
+export interface LeaderFinderOptions {
+  readonly transport: CallTransport;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  /** Instances that may lead, from the settings. */
+  readonly seedIds: readonly string[];
+}
+
+/** How a call to the leader ended. */
+export type FoundAnswer =
+  | { readonly kind: "answered"; readonly answer: JobAnswer }
+  /** No leader took the call. */
+  | { readonly kind: "notTaken" }
+  /** A leader may have taken the call, and its answer is not known. */
+  | { readonly kind: "unknown" };
+
+/** How long one instance may take before another one is asked. */
+const TRY_MS = 900;
+
+/** Between two rounds over all instances. */
+const PAUSE_MS = 60;
+
+/** How often an instance that serves callers looks for the leader. */
+const PING_MS = 1_000;
+
+/** How long the last answer of a leader counts as contact. */
+const CONTACT_MS = 2_500;
+
+/** The way from this instance to the leader. */
+export class LeaderFinder {
+  readonly #options: LeaderFinderOptions;
+  #candidates: readonly string[];
+  #leaderId: string | undefined;
+  #heardAtMs = -Infinity;
+  #turn = 0;
+  #pinger: Timer | undefined;
+
+  constructor(options: LeaderFinderOptions) {
+    this.#options = options;
+    this.#candidates = options.seedIds;
+  }
+
+  get leaderId(): string | undefined {
+    return this.#leaderId;
+  }
+
+  /** Whether a leader answered lately. */
+  hasContact(): boolean {
+    return this.#options.clock.nowMs() - this.#heardAtMs < CONTACT_MS;
+  }
+
+  /** Keeps contact with the leader from now on. */
+  startPinging(): void {
+    this.#pinger = this.#options.clock.every(PING_MS, () => {
+      const deadlineMs = this.#options.clock.nowMs() + PING_MS;
+      void this.call({ kind: "ping" }, { deadlineMs });
+    });
+  }
+
+  /** The settings name other instances now. */
+  setSeeds(seedIds: readonly string[]): void {
+    this.#candidates = [...new Set([...seedIds, ...this.#candidates])];
+  }
+
+  /** Brings a call to the leader; it may be sent more than once. */
+  async call(
+    call: JobCall,
+    options: { deadlineMs: number },
+  ): Promise<FoundAnswer> {
+    const { clock } = this.#options;
+    let mayBeTaken = false;
+    for (;;) {
+      const leftMs = options.deadlineMs - clock.nowMs();
+      if (leftMs <= 0) {
+        return { kind: mayBeTaken ? "unknown" : "notTaken" };
+      }
+      const target = this.#nextTarget();
+      const timeoutMs = Math.min(leftMs, TRY_MS);
+      const result = await this.#options.transport.call(target, call, {
+        timeoutMs,
+      });
+      const answer = result.caseOf<JobAnswer | "notTaken" | "unknown">({
+        Left: (error) => error.kind === "unavailable" ? "notTaken" : "unknown",
+        Right: (found) => found,
+      });
+      if (typeof answer === "string") {
+        mayBeTaken ||= answer === "unknown";
+        this.#leaderId = undefined;
+      } else if (answer.kind === "notLeader") {
+        this.#follow(target, answer);
+      } else if (answer.kind === "unknown") {
+        mayBeTaken = true;
+        this.#leaderId = undefined;
+      } else {
+        this.#leaderId = target;
+        this.#heardAtMs = clock.nowMs();
+        return { kind: "answered", answer };
+      }
+      if (this.#leaderId === undefined) {
+        await this.#pause(Math.min(PAUSE_MS, options.deadlineMs));
+      }
+    }
+  }
+
+  async close(): Promise<void> {
+    this.#pinger?.close();
+    await this.#options.transport.close();
+  }
+
+  #nextTarget(): string {
+    if (this.#leaderId !== undefined) {
+      return this.#leaderId;
+    }
+    this.#turn += 1;
+    return this.#candidates[this.#turn % this.#candidates.length]!;
+  }
+
+  #follow(
+    from: string,
+    { leaderId, memberIds }: Extract<JobAnswer, { kind: "notLeader" }>,
+  ): void {
+    this.#leaderId = leaderId === from ? undefined : leaderId;
+    if (memberIds.length > 0) {
+      this.#candidates = [
+        ...new Set([...memberIds, ...this.#options.seedIds]),
+      ];
+    }
+  }
+
+  #pause(pauseMs: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.#options.clock.after(pauseMs, resolve);
+    });
+  }
+}
--- /dev/null
+++ b/src/process/batch/mod.ts
@@ -0,0 +1,43 @@
+/**
+ * The batch scheduler: jobs of steps over one pool of workers in all data
+ * centres, with one leader and a log on the instances that have a disk.
+ *
+ * @module
+ */
+
+export {
+  type BatchCommand,
+  type BatchOutcome,
+  RunEnd,
+  type TaskRef,
+  type WorkerRecord,
+} from "./batch_command.ts";
+export { BatchService } from "./batch_service.ts";
+export { BatchState } from "./batch_state.ts";
+export { BATCH_TIMING, type BatchTiming } from "./batch_timing.ts";
+export {
+  callsEndpoint,
+  HttpCallTransport,
+  wasNeverSent,
+} from "./http_call_transport.ts";
+export type { CallTarget, JobAnswer, JobCall } from "./job_call.ts";
+export type { JobSpec, StepSpec, TaskDemand } from "./job_spec.ts";
+export { type FoundAnswer, LeaderFinder } from "./leader_finder.ts";
+export type {
+  AccountConfiguration,
+  PoolConfiguration,
+  QueueConfiguration,
+  ServiceConfiguration,
+} from "./pool_configuration.ts";
+export {
+  type EndedTask,
+  type LeaseOrder,
+  type RunningTask,
+  type StartAnswer,
+  type StartOrder,
+  StartRefusal,
+  type WorkerCallOptions,
+  type WorkerCalls,
+  type WorkerReport,
+} from "./worker_calls.ts";
+export { StateHost, type StateHostOptions } from "./state_host.ts";
--- /dev/null
+++ b/src/process/batch/state_host.ts
@@ -0,0 +1,174 @@
+/**
+ * An instance that keeps the batch scheduler's state: its links to the other
+ * ones, its member of the group, and the scheduler on top.
+ *
+ * @module
+ */
+
+import type { Result } from "../../base/sesame_error.ts";
+import type {
+  Clock,
+  EventLog,
+  RandomSource,
+  Storage,
+  Timer,
+} from "../../base/mod.ts";
+import { ClusterKey, WsPeerNetwork } from "../../connection/mod.ts";
+import {
+  type GroupMember,
+  ReplicationMember,
+  VoterKeeper,
+} from "../replication/mod.ts";
+import { HybridClock } from "../timeline/mod.ts";
+import type { BatchCommand, BatchOutcome } from "./batch_command.ts";
+import { BatchService } from "./batch_service.ts";
+import { BatchState } from "./batch_state.ts";
+import type { BatchTiming } from "./batch_timing.ts";
+import type { WorkerCalls } from "./worker_calls.ts";
+
+/** The group's name in its messages and on disk. */
+const GROUP_ID = "batch";
+
+/** How often the voters of the log are compared with the known peers. */
+const PEER_CHECK_MS = 1_000;
+
+/** What a host is made from. */
+export interface StateHostOptions {
+  readonly selfId: string;
+  /** Instances that keep the state too, as far as the settings know. */
+  readonly seedIds: readonly string[];
+  /** Whether the seeds form the group: at the system's first start only. */
+  readonly formsGroup: boolean;
+  /** The peer address of an instance. */
+  readonly peerAddressOf: (id: string) => string;
+  readonly clusterName: string;
+  readonly clusterKey: Uint8Array;
+  readonly storage: Storage;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+  readonly calls: WorkerCalls;
+  readonly timing: BatchTiming;
+}
+
+/** An instance's share in keeping the state. */
+export class StateHost {
+  readonly service: BatchService;
+  readonly member: ReplicationMember<BatchCommand, BatchOutcome>;
+  readonly #network: WsPeerNetwork;
+  readonly #keeper: VoterKeeper;
+  readonly #peerCheck: Timer;
+
+  private constructor(
+    options: StateHostOptions,
+    opened: {
+      network: WsPeerNetwork;
+      member: ReplicationMember<BatchCommand, BatchOutcome>;
+      state: BatchState;
+      peers: PeerList;
+    },
+  ) {
+    const { network, member, state, peers } = opened;
+    const { clock, events, selfId, calls, timing } = options;
+    this.#network = network;
+    this.member = member;
+    this.service = new BatchService({
+      member,
+      state,
+      selfId,
+      clock,
+      calls,
+      events,
+      timing,
+    });
+    this.#keeper = new VoterKeeper({
+      member,
+      clock,
+      events,
+      wantedVoters: WANTED_VOTERS,
+    });
+    this.#peerCheck = clock.every(PEER_CHECK_MS, () => {
+      member.status().voterIds.forEach((id) => peers.add(id));
+    });
+  }
+
+  /** Reads the disk, opens the links and takes part in the group. */
+  static async open(options: StateHostOptions): Promise<Result<StateHost>> {
+    const peers = new PeerList(options);
+    await peers.network.open();
+    const state = new BatchState();
+    const opened = await ReplicationMember.open<BatchCommand, BatchOutcome>({
+      groupId: GROUP_ID,
+      members: peers.members,
+      founderIds: options.formsGroup ? options.seedIds : [],
+      network: peers.network,
+      clock: options.clock,
+      random: options.random,
+      machine: state,
+      storage: options.storage,
+      events: options.events,
+    });
+    const { network } = peers;
+    return opened.map((member) => {
+      member.status().voterIds.forEach((id) => peers.add(id));
+      return new StateHost(options, { network, member, state, peers });
+    });
+  }
+
+  async close(): Promise<void> {
+    this.#peerCheck.close();
+    this.#keeper.close();
+    await this.service.close();
+    await this.#network.close();
+  }
+}
+
+/** Voters of the group: with one in each of three places one may be lost. */
+const WANTED_VOTERS = 3;
+
+/** The instances that keep the state, as they become known. */
+class PeerList {
+  readonly members: GroupMember[];
+  readonly network: WsPeerNetwork;
+  readonly #options: StateHostOptions;
+
+  constructor(options: StateHostOptions) {
+    this.#options = options;
+    const { selfId, seedIds, clock, events, random, peerAddressOf } = options;
+    this.members = [...new Set([selfId, ...seedIds])].map(newMember);
+    this.network = new WsPeerNetwork({
+      self: { id: selfId, address: peerAddressOf(selfId) },
+      peers: seedIds.filter((id) => id !== selfId).map((id) => ({
+        id,
+        address: peerAddressOf(id),
+      })),
+      clusterName: options.clusterName,
+      clusterKey: new ClusterKey({ key: options.clusterKey }),
+      clock,
+      hybridClock: new HybridClock({ clock }),
+      random,
+      events,
+      admit: (id) => {
+        this.#noteMember(id);
+        return { id, address: peerAddressOf(id) };
+      },
+    });
+  }
+
+  add(id: string): void {
+    if (id !== this.#options.selfId) {
+      this.#noteMember(id);
+      this.network.addPeer({ id, address: this.#options.peerAddressOf(id) });
+    }
+  }
+
+  #noteMember(id: string): void {
+    if (!this.members.some((member) => member.id === id)) {
+      this.members.push(newMember(id));
+    }
+  }
+}
+
+function newMember(id: string): GroupMember {
+  return { id, isVoter: true, isDurable: true };
+}
--- a/src/process/replication/formation.ts
+++ b/src/process/replication/formation.ts
@@ -23,10 +23,10 @@
 
 /** The members that form the group, lowest name first. */
 function founderIds(state: RaftState): string[] {
-  return state.options.members
-    .filter((member) => member.isVoter)
-    .map((member) => member.id)
-    .sort();
+  const { founderIds: named, members } = state.options;
+  const founders = named ??
+    members.filter((member) => member.isVoter).map((member) => member.id);
+  return [...founders].sort();
 }
 
 /** Asks the founders for their pledges, if this member is to ask. */
--- a/src/process/replication/raft_core.ts
+++ b/src/process/replication/raft_core.ts
@@ -57,6 +57,8 @@
 export type RaftView = Pick<
   RaftState,
   | "role"
+  | "progress"
+  | "leadsSinceMs"
   | "term"
   | "leaderId"
   | "commitIndex"
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -34,8 +34,10 @@
 /** What the core is made from. */
 export interface RaftCoreOptions {
   readonly selfId: InstanceId;
-  /** Every member of the group, this one included. */
+  /** Every member that is known, this one included; it may grow. */
   readonly members: readonly GroupMember[];
+  /** Who forms the group; all voters of `members` if absent. */
+  readonly founderIds?: readonly InstanceId[] | undefined;
   readonly random: RandomSource;
   readonly timing: ReplicationTiming;
   /** What was persisted. */
--- a/src/process/replication/replication_member.ts
+++ b/src/process/replication/replication_member.ts
@@ -29,7 +29,7 @@
 import { LeaderCalls } from "./leader_calls.ts";
 import { LogStore } from "./log_store.ts";
 import { openStore } from "./member_opening.ts";
-import { RaftCore } from "./raft_core.ts";
+import { RaftCore, type RaftView } from "./raft_core.ts";
 import type { GroupMember } from "./raft_effect.ts";
 import type { RaftEnvelope } from "./raft_message.ts";
 import type { RaftMutation } from "./raft_mutation.ts";
@@ -55,8 +55,10 @@
 export interface ReplicationMemberOptions<Command, Outcome> {
   /** The group's name, the same on every member. */
   readonly groupId: string;
-  /** Every member of the group, this one included; the same everywhere. */
+  /** Every member that is known, this one included; it may grow. */
   readonly members: readonly GroupMember[];
+  /** Who forms the group, the same everywhere; all voters if absent. */
+  readonly founderIds?: readonly InstanceId[];
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -76,6 +78,34 @@
   | { readonly kind: "add"; readonly id: InstanceId }
   | { readonly kind: "remove"; readonly id: InstanceId };
 
+/** Who answers a leader and who doesn't. */
+export interface MemberContacts {
+  readonly silentVoterIds: readonly InstanceId[];
+  readonly readyIds: readonly InstanceId[];
+}
+
+function memberContacts(
+  view: RaftView,
+  options: { selfId: InstanceId; heardAfterMs: number },
+): MemberContacts {
+  const voterIds = view.configuration.voters.map((voter) => voter.id);
+  const silentVoterIds = voterIds.filter((id) =>
+    id !== options.selfId &&
+    lastHeardMs(view, id) < options.heardAfterMs
+  );
+  const readyIds = [...view.progress.values()]
+    .filter(({ id, matchIndex, lastHeardMs }) =>
+      !voterIds.includes(id) && matchIndex >= view.commitIndex &&
+      lastHeardMs >= options.heardAfterMs
+    )
+    .map(({ id }) => id);
+  return { silentVoterIds, readyIds };
+}
+
+function lastHeardMs(view: RaftView, id: InstanceId): number {
+  return Math.max(view.leadsSinceMs, view.progress.get(id)?.lastHeardMs ?? 0);
+}
+
 /** Bytes a second for catch-up where no budget is set. */
 const UNLIMITED_BYTES_PER_SECOND = 1e12;
 
@@ -130,6 +160,7 @@
     const core = new RaftCore({
       selfId: network.selfId,
       members: options.members,
+      founderIds: options.founderIds,
       random: options.random,
       timing,
       ...log,
@@ -251,6 +282,21 @@
     }
   }
 
+  /**
+   * The voters that this leader has not heard from for a while, and the
+   * members without a vote that have caught up; nothing on other members.
+   */
+  contacts(silenceMs: number): MemberContacts {
+    const { view } = this.#driver;
+    if (view.role !== "leader") {
+      return { silentVoterIds: [], readyIds: [] };
+    }
+    return memberContacts(view, {
+      selfId: this.#options.network.selfId,
+      heardAfterMs: this.#options.clock.nowMs() - silenceMs,
+    });
+  }
+
   /**
    * An operator vouches that a voter's state is gone and that it will not
    * come back with it; see docs/operator/recovery.md.
