Stop what throws the least away, gangs counted whole; pause full workers

Change: victims are gangs or single tasks; the cheapest set that makes the whole unit fit is taken and what is needless is dropped again. A worker that refused for want of room gets nothing for 250 ms. Eleven tests of the planner.

--- a/src/process/batch/decisions/planner.ts
+++ b/src/process/batch/decisions/planner.ts
@@ -9,7 +9,7 @@
 import type { BatchState } from "../batch_state.ts";
 import type { JobRecord } from "../job_record.ts";
 import { guaranteedJobs } from "./guarantee.ts";
-import { placeTasks } from "./placement.ts";
+import { type PlacementRequest, placeTasks } from "./placement.ts";
 import { type OpenRun, PoolView, type WorkerCondition } from "./pool_view.ts";
 import { chooseStops, mayPreempt } from "./preemption.ts";
 import { urgency } from "./rank.ts";
@@ -102,16 +102,9 @@
   unit: WorkUnit,
   input: PlannerInput,
 ): StartItem | undefined {
-  const { job, occurrence, step, spec, tasks, waiting, nextRun } = unit;
-  const onWorker = (key: WorkerKey) =>
-    tasks.filter((task) => task.worker === key).length;
-  const placed = placeTasks(view.ofService(unit.queue.service), {
-    step: spec,
-    indices: waiting,
-    avoided: avoidedWorkers(unit, input),
-    onWorker,
-    mayLeaveRack: mayLeaveRack(view, unit, input.nowMs),
-  });
+  const { job, occurrence, step, nextRun } = unit;
+  const slots = view.ofService(unit.queue.service);
+  const placed = placeTasks(slots, requestOf(view, unit, input));
   if (placed.length === 0) {
     return undefined;
   }
@@ -125,6 +118,21 @@
   };
 }
 
+function requestOf(
+  view: PoolView,
+  unit: WorkUnit,
+  input: PlannerInput,
+): PlacementRequest {
+  const { spec, waiting, tasks } = unit;
+  return {
+    step: spec,
+    indices: waiting,
+    avoided: avoidedWorkers(unit, input),
+    onWorker: (key) => tasks.filter((task) => task.worker === key).length,
+    mayLeaveRack: mayLeaveRack(view, unit, input.nowMs),
+  };
+}
+
 /** Workers on which a waiting task failed before, if others are left. */
 function avoidedWorkers(
   unit: WorkUnit,
@@ -189,8 +197,14 @@
 ): TaskRef[] {
   const { nowMs, mayStop } = input;
   const isStopping = (run: OpenRun) => input.isStopping(refOf(run));
-  const slots = view.ofService(unit.queue.service);
-  const chosen = chooseStops(slots, unit, { nowMs, mayStop, isStopping });
+  const request = requestOf(view, unit, input);
+  const chosen = chooseStops(view.ofService(unit.queue.service), {
+    nowMs,
+    mayStop,
+    isStopping,
+    prefersOneRack: unit.spec.prefersOneRack,
+    fits: (slots) => placeTasks(slots, request).length === unit.waiting.length,
+  });
   if (chosen === undefined) {
     return [];
   }
--- /dev/null
+++ b/src/process/batch/decisions/planner_fixture.ts
@@ -0,0 +1,180 @@
+/**
+ * A small pool for tests of the planner: state, clock, and what a leader
+ * would do with a plan.
+ *
+ * @module
+ */
+
+import type { RunEnd, TaskRef, WorkerRecord } from "../batch_command.ts";
+import { BatchState } from "../batch_state.ts";
+import type { Recurrence, StepSpec } from "../job_spec.ts";
+import type { QueueConfiguration } from "../pool_configuration.ts";
+import { type Plan, plan } from "./planner.ts";
+
+/** What tests say of a step; the rest is plain. */
+export interface StepSketch extends Partial<Omit<StepSpec, "demand">> {
+  readonly accelerators?: number;
+  readonly queue?: "urgent" | "normal" | "background";
+}
+
+const PRIORITIES = { urgent: 0, normal: 1, background: 2 } as const;
+
+/** A pool with a clock. */
+export class PlannerWorld {
+  readonly state = new BatchState();
+  nowMs = 1_000_000;
+  readonly failedOn = new Set<string>();
+  readonly #stopping = new Set<string>();
+
+  constructor(options: { workers: number; guaranteed?: number }) {
+    this.state.apply({ kind: "epoch", leaderId: "leader" });
+    this.state.apply({
+      kind: "configure",
+      document: "{}",
+      configuration: {
+        version: 1,
+        queues: Object.entries(PRIORITIES).map(([name, priority]) =>
+          newQueue(name, priority)
+        ),
+        services: [{ name: "pool", guardsCapacity: true }],
+        accounts: [{
+          name: "account",
+          apiKeys: ["key"],
+          guaranteedAccelerators: options.guaranteed ?? 0,
+        }],
+      },
+    });
+    for (let number = 1; number <= options.workers; number++) {
+      this.addWorker(`w${number}`);
+    }
+  }
+
+  addWorker(key: string, options: Partial<WorkerRecord> = {}): void {
+    this.#apply({
+      kind: "worker",
+      worker: {
+        key,
+        id: key,
+        bornMs: 1,
+        service: "pool",
+        address: `10.0.0.1:${this.state.workers.size}`,
+        dataCentre: "east",
+        capacity: { cpuMilli: 32_000, memoryMb: 64_000, accelerators: 8 },
+        labels: ["a", "r-1"],
+        rack: "r-1",
+        isDraining: false,
+        ...options,
+      },
+    });
+  }
+
+  submit(id: string, step: StepSketch, recurrence?: Recurrence): void {
+    this.submitSteps(id, [step], recurrence);
+  }
+
+  submitSteps(
+    id: string,
+    steps: readonly StepSketch[],
+    recurrence?: Recurrence,
+  ): void {
+    this.#apply({
+      kind: "accept",
+      jobId: id,
+      queue: steps[0]?.queue ?? "normal",
+      account: "account",
+      submittedAtMs: this.nowMs,
+      spec: { payload: "", steps: steps.map(newStep), recurrence },
+    });
+  }
+
+  plan(): Plan {
+    return plan({
+      state: this.state,
+      nowMs: this.nowMs,
+      condition: () => ({
+        isReachable: true,
+        isSuspect: false,
+        isFull: false,
+      }),
+      failedOn: () => this.failedOn,
+      isStopping: (task) => this.#stopping.has(nameOf(task)),
+    });
+  }
+
+  /** Commits the starts of a plan. */
+  carryOut({ starts }: Plan): void {
+    starts.forEach((start) => this.#apply(start));
+  }
+
+  noteStopping(tasks: readonly TaskRef[]): void {
+    tasks.forEach((task) => this.#stopping.add(nameOf(task)));
+  }
+
+  workerOf(task: TaskRef): string | undefined {
+    return this.state.taskOf(task)?.worker;
+  }
+
+  end(
+    jobId: string,
+    options: { step: number; index: number; how: RunEnd },
+  ): void {
+    const { step, index, how } = options;
+    const task = { jobId, occurrence: 0, step, index };
+    const run = this.state.taskOf(task)?.run ?? 0;
+    this.#apply({ kind: "end", task, run, how, checkpoint: "" });
+  }
+
+  #apply(
+    item: Parameters<BatchState["apply"]>[0] extends infer Command
+      ? Command extends { kind: "batch"; items: readonly (infer Item)[] } ? Item
+      : never
+      : never,
+  ): void {
+    this.state.apply({
+      kind: "batch",
+      epoch: this.state.epoch,
+      atMs: this.nowMs,
+      items: [item],
+    });
+  }
+}
+
+function nameOf(task: TaskRef): string {
+  return `${task.jobId}.${task.occurrence}.${task.step}.${task.index}`;
+}
+
+function newQueue(name: string, priority: number): QueueConfiguration {
+  return {
+    name,
+    host: "jobs.example",
+    pathPrefix: `/${name}/`,
+    service: "pool",
+    priority,
+    attempts: 2,
+    stretch: 2,
+    objectiveSlackMs: 1_000,
+    isPublic: false,
+  };
+}
+
+function newStep(sketch: StepSketch): StepSpec {
+  const { accelerators, queue: _queue, ...rest } = sketch;
+  return {
+    taskCount: 1,
+    demand: {
+      cpuMilli: 1_000,
+      memoryMb: 1_000,
+      accelerators: accelerators ?? 1,
+    },
+    estimateMs: 2_000,
+    afterSteps: [],
+    isCheckpointing: false,
+    isGang: false,
+    prefersOneRack: false,
+    isLasting: false,
+    requiredLabel: undefined,
+    dataRack: undefined,
+    tasksPerWorkerLimit: undefined,
+    ...rest,
+  };
+}
--- /dev/null
+++ b/src/process/batch/decisions/planner_test.ts
@@ -0,0 +1,124 @@
+import test from "ava";
+import { RunEnd } from "../batch_command.ts";
+import { PlannerWorld } from "./planner_fixture.ts";
+
+test("a gang starts whole or not at all", (t) => {
+  const world = new PlannerWorld({ workers: 2 });
+  world.submit("a", { isGang: true, taskCount: 3, accelerators: 8 });
+  t.deepEqual(world.plan().starts, []);
+  world.addWorker("w3");
+  const [start] = world.plan().starts;
+  t.is(start?.tasks.length, 3);
+});
+
+test("independent tasks start as far as they fit", (t) => {
+  const world = new PlannerWorld({ workers: 1 });
+  world.submit("a", { taskCount: 12, accelerators: 1 });
+  t.is(world.plan().starts[0]?.tasks.length, 8);
+});
+
+test("a step waits for the steps before it", (t) => {
+  const world = new PlannerWorld({ workers: 1 });
+  world.submitSteps("a", [{ taskCount: 1 }, { taskCount: 2, afterSteps: [0] }]);
+  world.carryOut(world.plan());
+  t.deepEqual(world.plan().starts, []);
+  world.end("a", { step: 0, index: 0, how: RunEnd.done });
+  t.is(world.plan().starts[0]?.step, 1);
+});
+
+test("nothing starts in a data centre that is out or on a leaving worker", (t) => {
+  const world = new PlannerWorld({ workers: 2 });
+  world.state.apply({ kind: "dataCentre", dataCentre: "east", isOut: true });
+  world.submit("a", { taskCount: 1 });
+  t.deepEqual(world.plan().starts, []);
+  world.addWorker("w3", { dataCentre: "west", isDraining: true });
+  t.deepEqual(world.plan().starts, []);
+  world.addWorker("w4", { dataCentre: "west" });
+  t.is(world.plan().starts[0]?.tasks[0]?.worker, "w4");
+});
+
+test("a guaranteed job makes room at once, and its stops aren't repeated", (t) => {
+  const world = new PlannerWorld({ workers: 2, guaranteed: 8 });
+  world.submit("bulk", { taskCount: 16, accelerators: 1, queue: "background" });
+  world.carryOut(world.plan());
+  world.submit("urgent", { taskCount: 1, accelerators: 8, queue: "urgent" });
+  const first = world.plan();
+  t.is(first.stops.length, 8);
+  t.is(new Set(first.stops.map((task) => world.workerOf(task))).size, 1);
+  world.noteStopping(first.stops);
+  t.deepEqual(world.plan().stops, []);
+});
+
+test("work beyond the guarantee stops nothing", (t) => {
+  const world = new PlannerWorld({ workers: 1, guaranteed: 4 });
+  world.submit("bulk", { taskCount: 8, accelerators: 1, queue: "background" });
+  world.carryOut(world.plan());
+  world.submit("urgent", { taskCount: 1, accelerators: 8, queue: "urgent" });
+  t.deepEqual(world.plan().stops, []);
+});
+
+test("what stops is what throws the least away, gangs counted whole", (t) => {
+  const world = new PlannerWorld({ workers: 2, guaranteed: 8 });
+  world.submit("gang", {
+    taskCount: 2,
+    accelerators: 4,
+    isGang: true,
+    queue: "background",
+  });
+  world.carryOut(world.plan());
+  world.submit("single", {
+    taskCount: 2,
+    accelerators: 4,
+    queue: "background",
+  });
+  world.nowMs += 1_000;
+  world.carryOut(world.plan());
+  world.nowMs += 1_000;
+  world.submit("urgent", { taskCount: 2, accelerators: 4, queue: "urgent" });
+  const { stops } = world.plan();
+  t.deepEqual([...new Set(stops.map(({ jobId }) => jobId))], ["single"]);
+});
+
+test("a step stays near its data until it has waited for it", (t) => {
+  const world = new PlannerWorld({ workers: 1 });
+  world.addWorker("far", { rack: "r-2" });
+  world.submit("first", { taskCount: 8, accelerators: 1, dataRack: "r-1" });
+  world.carryOut(world.plan());
+  world.submit("second", { taskCount: 1, accelerators: 1, dataRack: "r-1" });
+  t.deepEqual(world.plan().starts, []);
+  world.nowMs += 10_000;
+  t.is(world.plan().starts[0]?.tasks[0]?.worker, "far");
+});
+
+test("a task isn't put back on the worker where it failed", (t) => {
+  const world = new PlannerWorld({ workers: 2 });
+  world.submit("a", { taskCount: 1, accelerators: 8 });
+  const first = world.plan();
+  world.carryOut(first);
+  const failedOn = first.starts[0]!.tasks[0]!.worker;
+  world.end("a", { step: 0, index: 0, how: RunEnd.failed });
+  world.failedOn.add(failedOn);
+  const [second] = world.plan().starts;
+  t.is(second?.run, 2);
+  t.not(second?.tasks[0]?.worker, failedOn);
+});
+
+test("jobs that can be on time go before those that can't", (t) => {
+  const world = new PlannerWorld({ workers: 1 });
+  world.submit("late", { taskCount: 1, accelerators: 8 });
+  world.nowMs += 60_000;
+  world.submit("fresh", { taskCount: 1, accelerators: 8 });
+  t.is(world.plan().starts[0]?.jobId, "fresh");
+});
+
+test("an occurrence starts at its time and not before", (t) => {
+  const world = new PlannerWorld({ workers: 1 });
+  world.submit("timed", { taskCount: 1 }, {
+    count: 2,
+    firstAtMs: world.nowMs + 1_000,
+    intervalMs: 5_000,
+  });
+  t.deepEqual(world.plan().starts, []);
+  world.nowMs += 1_000;
+  t.is(world.plan().starts.length, 1);
+});
--- a/src/process/batch/decisions/pool_view.ts
+++ b/src/process/batch/decisions/pool_view.ts
@@ -16,6 +16,8 @@
   readonly isReachable: boolean;
   /** Whether its recent runs make it a worker to avoid. */
   readonly isSuspect: boolean;
+  /** Whether it has just refused a start for want of room. */
+  readonly isFull: boolean;
 }
 
 /** An open run, as a use of a worker. */
@@ -24,6 +26,7 @@
   readonly occurrence: number;
   readonly step: number;
   readonly index: number;
+  readonly worker: WorkerKey;
   readonly startedAtMs: number;
 }
 
@@ -75,12 +78,11 @@
 
   /** Counts a run as ended, so that its room can be planned with. */
   release(run: OpenRun): void {
-    for (const slot of this.slots) {
-      const position = slot.runs.indexOf(run);
-      if (position >= 0) {
-        slot.runs.splice(position, 1);
-        giveBack(slot, run.job.spec.steps[run.step]!.demand);
-      }
+    const slot = this.#byKey.get(run.worker);
+    const position = slot?.runs.indexOf(run) ?? -1;
+    if (slot !== undefined && position >= 0) {
+      slot.runs.splice(position, 1);
+      giveBack(slot, run.job.spec.steps[run.step]!.demand);
     }
   }
 
@@ -92,7 +94,14 @@
           if (slot) {
             const { startedAtMs } = task;
             take(slot, job.spec.steps[step]!.demand);
-            slot.runs.push({ job, occurrence, step, index, startedAtMs });
+            slot.runs.push({
+              job,
+              occurrence,
+              step,
+              index,
+              worker: slot.key,
+              startedAtMs,
+            });
           }
         }
       }
@@ -112,7 +121,8 @@
     worker,
     key: worker.key,
     isUsable: condition.isReachable && !condition.isSuspect &&
-      !worker.isDraining && !dataCentresOut.has(worker.dataCentre),
+      !condition.isFull && !worker.isDraining &&
+      !dataCentresOut.has(worker.dataCentre),
     free: { ...worker.capacity },
     runs: [],
   };
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -81,6 +81,7 @@
       mayLead: () => this.isCurrent(),
       onEnd: (task, run, how) => this.#writeEnd(task, { run, how }),
       onUnwell: (key) => this.#health.noteUnwell(key),
+      onFull: (key) => this.#health.noteFull(key),
     });
     state.workers.forEach((worker) => this.#openLink(worker));
     this.#ticker = clock.every(timing.tickMs, () => this.#tick());
@@ -165,6 +166,7 @@
     return {
       isReachable: this.#links.get(key)?.isReachable ?? false,
       isSuspect: this.#health.isSuspect(key),
+      isFull: this.#health.isFull(key),
     };
   }
 
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -41,6 +41,7 @@
   /** A run is over for certain without a worker's own word on it. */
   readonly onEnd: (task: TaskRef, run: number, how: RunEnd) => void;
   readonly onUnwell: (key: WorkerKey) => void;
+  readonly onFull: (key: WorkerKey) => void;
 }
 
 /** Drives all open runs of a leader. */
@@ -260,6 +261,8 @@
         onUnwell(run.worker);
         return this.#giveUpStart(run);
       case StartRefusal.noRoom:
+        this.#options.onFull(run.worker);
+        return this.#giveUpStart(run);
       case StartRefusal.wrong:
         return this.#giveUpStart(run);
     }
--- a/src/process/batch/leader/worker_health.ts
+++ b/src/process/batch/leader/worker_health.ts
@@ -18,6 +18,9 @@
 const AVOID_MS = 4_000;
 const AVOID_LIMIT_MS = 16_000;
 
+/** How long a worker that had no room gets nothing: a stop takes as long. */
+const FULL_MS = 250;
+
 interface Evidence {
   failedJobs: Set<string>;
   avoidedUntilMs: number;
@@ -28,6 +31,7 @@
 export class WorkerHealth {
   readonly #clock: Clock;
   readonly #evidence = new Map<WorkerKey, Evidence>();
+  readonly #fullUntilMs = new Map<WorkerKey, number>();
   readonly #failedOn = new Map<string, Set<WorkerKey>>();
 
   constructor(options: { clock: Clock }) {
@@ -59,6 +63,16 @@
     return this.#noteFailure(key, task);
   }
 
+  /** Whether the worker has just refused a start for want of room. */
+  isFull(key: WorkerKey): boolean {
+    return this.#clock.nowMs() < (this.#fullUntilMs.get(key) ?? 0);
+  }
+
+  /** The worker has less room than is known of here. */
+  noteFull(key: WorkerKey): void {
+    this.#fullUntilMs.set(key, this.#clock.nowMs() + FULL_MS);
+  }
+
   /** The worker itself says that it is unwell. */
   noteUnwell(key: WorkerKey): void {
     this.#avoid(key, this.#evidenceOf(key));
