Stop in a worker's next life what was ordered from its last one

Causes: a start without an answer reaches the next life of a worker that came back under its name, while the run counted as lost and ran elsewhere; leases from such an order outlast those of this leader; and a gang that had failed on every worker was never placed again. Changes: a run whose worker's life is over is stopped in the next life before it counts as lost; without a next life yet it waits 2.5 s if an order may be on its way; starts without an answer are barred when a new life announces itself. Workers on which a task failed are avoided only while others would do.

--- a/src/process/batch/batch_command.ts
+++ b/src/process/batch/batch_command.ts
@@ -20,6 +20,16 @@
 /** One life of a worker: its identity and the moment of its start. */
 export type WorkerKey = string;
 
+/** The name of one life of a worker. */
+export function lifeKey(id: string, bornMs: number): WorkerKey {
+  return `${id}@${bornMs}`;
+}
+
+/** The worker that a life is of. */
+export function idOfLife(key: WorkerKey): string {
+  return key.slice(0, key.lastIndexOf("@"));
+}
+
 /** A worker as it announced itself. */
 export interface WorkerRecord {
   readonly key: WorkerKey;
--- a/src/process/batch/batch_timing.ts
+++ b/src/process/batch/batch_timing.ts
@@ -25,6 +25,11 @@
   orderRetryMs: 50,
   /** When a gang that isn't whole yet is given up; workers wait 3 s. */
   gangStartMs: 2_000,
+  /**
+   * How long the next life of a worker is waited for, where an order may be on
+   * its way to it: a restart and a heartbeat.
+   */
+  nextLifeMs: 2_500,
   /** How often open runs are looked over. */
   tickMs: 100,
   /** How long ended jobs stay known. */
--- a/src/process/batch/decisions/planner.ts
+++ b/src/process/batch/decisions/planner.ts
@@ -196,14 +196,15 @@
   return {
     step: spec,
     indices: waiting,
-    avoided: avoidedWorkers(unit, input),
+    avoided: avoidedWorkers(view, unit, input),
     onWorker: (key) => tasks.filter((task) => task.worker === key).length,
     mayLeaveRack: mayLeaveRack(view, unit, input.nowMs),
   };
 }
 
-/** Workers on which a waiting task failed before, if others are left. */
+/** Workers on which a waiting task failed before, if enough are left. */
 function avoidedWorkers(
+  view: PoolView,
   unit: WorkUnit,
   input: PlannerInput,
 ): ReadonlySet<WorkerKey> {
@@ -213,7 +214,19 @@
     const task = { jobId: job.id, occurrence, step, index };
     input.failedOn(task)?.forEach((key) => avoided.add(key));
   }
-  return avoided;
+  if (avoided.size === 0) {
+    return avoided;
+  }
+  const others = view.ofService(unit.queue.service)
+    .filter((slot) => slot.isUsable && !avoided.has(slot.key))
+    .map((slot) => ({ ...slot, free: { ...slot.worker.capacity } }));
+  const placed = placeTasks(others, {
+    step: unit.spec,
+    indices: unit.waiting,
+    onWorker: () => 0,
+    mayLeaveRack: true,
+  });
+  return placed.length > 0 ? avoided : new Set();
 }
 
 /**
--- a/src/process/batch/decisions/planner_test.ts
+++ b/src/process/batch/decisions/planner_test.ts
@@ -161,3 +161,13 @@
   world.nowMs += 1_000;
   t.is(world.plan().starts.length, 1);
 });
+
+test("a gang that failed on every worker is tried again", (t) => {
+  const world = new PlannerWorld({ workers: 2 });
+  world.submit("a", { isGang: true, taskCount: 2, accelerators: 8 });
+  world.carryOut(world.plan());
+  world.failedOn.add("w1").add("w2");
+  world.end("a", { step: 0, index: 0, how: RunEnd.failed });
+  world.end("a", { step: 0, index: 1, how: RunEnd.broken });
+  t.is(world.plan().starts[0]?.run, 2);
+});
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -13,6 +13,7 @@
   type BatchCommand,
   type BatchItem,
   type BatchOutcome,
+  idOfLife,
   RunEnd,
   type TaskRef,
   type WorkerKey,
@@ -78,12 +79,13 @@
       timing,
       epoch,
       linkOf: (key) => this.#links.get(key),
+      successorOf: (key) => this.#successorOf(key),
       mayLead: () => this.isCurrent(),
       onEnd: (task, run, how) => this.#writeEnd(task, { run, how }),
       onUnwell: (key) => this.#health.noteUnwell(key),
       onFull: (key) => this.#health.noteFull(key),
     });
-    state.workers.forEach((worker) => this.#openLink(worker));
+    state.workers.forEach((worker) => this.#openLink(worker, timing.leaseMs));
     this.#ticker = clock.every(timing.tickMs, () => this.#tick());
     events.emit("batchLeaderBegan", {
       epoch,
@@ -200,7 +202,8 @@
         this.#followEnd(item);
         return;
       case "worker":
-        this.#openLink(item.worker);
+        // An order meant for an earlier life gives the longest lease.
+        this.#openLink(item.worker, this.#options.timing.leaseLimitMs);
         return;
       case "workerGone":
         this.#links.get(item.key)?.close();
@@ -245,7 +248,15 @@
     this.#driver.stopJob(jobId);
   }
 
-  #openLink(worker: WorkerRecord): void {
+  /** The latest life of the same worker, other than the given one. */
+  #successorOf(key: WorkerKey): WorkerKey | undefined {
+    const id = idOfLife(key);
+    return [...this.#options.state.workers.values()]
+      .filter((worker) => worker.id === id && worker.key !== key)
+      .sort((a, b) => b.bornMs - a.bornMs)[0]?.key;
+  }
+
+  #openLink(worker: WorkerRecord, earlierLeaseMs: number): void {
     const known = this.#links.get(worker.key);
     if (known !== undefined) {
       known.worker = worker;
@@ -258,6 +269,7 @@
       clock,
       timing,
       epoch,
+      earlierLeaseMs,
       mayLead: () => this.isCurrent(),
       onReport: (from, report, sentAtMs) =>
         this.#takeReport(from, report, sentAtMs),
@@ -271,6 +283,7 @@
       },
     });
     this.#links.set(worker.key, link);
+    this.#driver.barLateOrders(worker.key);
     events.emit("batchWorkerJoined", {
       worker: worker.key,
       dataCentre: worker.dataCentre,
@@ -287,7 +300,7 @@
     const writes: Promise<boolean | undefined>[] = [];
     for (const { number, task, run, how, checkpoint } of report.ended) {
       const open = this.#runs.get(task);
-      const isOpen = open?.run === run && open.worker === key;
+      const isOpen = open?.run === run && open.holder === key;
       if (number > link.notedEnd && isOpen) {
         this.#noteHealth(key, task, how);
         writes.push(this.#writeEnd(task, { run, how, checkpoint }));
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -8,7 +8,12 @@
 import type { Clock } from "../../../base/clock.ts";
 import type { EventLog } from "../../../base/event_log.ts";
 import type { JobId } from "../../../base/identity.ts";
-import { RunEnd, type TaskRef, type WorkerKey } from "../batch_command.ts";
+import {
+  idOfLife,
+  RunEnd,
+  type TaskRef,
+  type WorkerKey,
+} from "../batch_command.ts";
 import type { BatchState } from "../batch_state.ts";
 import type { BatchTiming } from "../batch_timing.ts";
 import { JobPhase } from "../job_record.ts";
@@ -19,6 +24,7 @@
   type WorkerCalls,
   type WorkerReport,
 } from "../worker_calls.ts";
+import { LateOrders } from "./late_orders.ts";
 import {
   type OpenRunState,
   type RunTable,
@@ -37,6 +43,8 @@
   readonly timing: BatchTiming;
   readonly epoch: number;
   readonly linkOf: (key: WorkerKey) => WorkerLink | undefined;
+  /** The present life of the worker whose life is over, if it has one. */
+  readonly successorOf: (key: WorkerKey) => WorkerKey | undefined;
   readonly mayLead: () => boolean;
   /** A run is over for certain without a worker's own word on it. */
   readonly onEnd: (task: TaskRef, run: number, how: RunEnd) => void;
@@ -49,13 +57,14 @@
   readonly #options: RunDriverOptions;
   /** Runs whose end is being written. */
   readonly #ending = new WeakSet<OpenRunState>();
+  readonly #late = new LateOrders();
 
   constructor(options: RunDriverOptions) {
     this.#options = options;
   }
 
   hasRunsOn(key: WorkerKey): boolean {
-    return [...this.#options.runs.all()].some((run) => run.worker === key);
+    return [...this.#options.runs.all()].some((run) => run.holder === key);
   }
 
   hasRunsOf(jobId: JobId): boolean {
@@ -99,6 +108,18 @@
     }
   }
 
+  /** Bars what was ordered from an earlier life of the worker. */
+  barLateOrders(key: WorkerKey): void {
+    const nowMs = this.#options.clock.nowMs();
+    for (const { task, run } of this.#late.of(idOfLife(key), nowMs)) {
+      const open = this.#options.runs.get(task);
+      const isOpenHere = open?.run === run && open.holder === key;
+      if (!isOpenHere) {
+        void this.#stopUnknown(key, task, run);
+      }
+    }
+  }
+
   /** Compares what a worker reports with what is open there. */
   compare(key: WorkerKey, report: WorkerReport, sentAtMs: number): void {
     const { runs } = this.#options;
@@ -106,7 +127,7 @@
     for (const { task, run } of report.running) {
       listed.add(`${taskKey(task)} ${run}`);
       const open = runs.get(task);
-      if (open?.run === run && open.worker === key) {
+      if (open?.run === run && open.holder === key) {
         open.confirmedAtMs ??= this.#options.clock.nowMs();
       } else {
         void this.#stopUnknown(key, task, run);
@@ -117,7 +138,7 @@
     }
     for (const open of [...runs.all()]) {
       const name = `${taskKey(open.task)} ${open.run}`;
-      if (open.worker === key && !listed.has(name)) {
+      if (open.holder === key && !listed.has(name)) {
         this.#noteAbsent(open, sentAtMs);
       }
     }
@@ -143,10 +164,10 @@
   #driveRun(run: OpenRunState): void {
     const { clock, linkOf, state, timing } = this.#options;
     const nowMs = clock.nowMs();
-    const link = linkOf(run.worker);
-    const isKnown = state.workers.has(run.worker);
+    const link = linkOf(run.holder);
+    const isKnown = state.workers.has(run.holder);
     if (!isKnown || link === undefined || link.isGone) {
-      this.#endOnce(run, RunEnd.lost);
+      this.#leaveLife(run, nowMs);
       return;
     }
     if (!link.isReachable && link.hasLapsed(nowMs)) {
@@ -171,6 +192,26 @@
     }
   }
 
+  /** The run is gone with its worker, or stopped in the worker's next life. */
+  #leaveLife(run: OpenRunState, nowMs: number): void {
+    const { successorOf, timing } = this.#options;
+    const successor = successorOf(run.holder);
+    run.lifeOverAtMs ??= nowMs;
+    if (successor === undefined) {
+      const mayBeLate = run.hasUnansweredStart ||
+        run.confirmedAtMs === undefined;
+      const waitMs = mayBeLate ? timing.nextLifeMs : 0;
+      if (nowMs - run.lifeOverAtMs >= waitMs) {
+        this.#endOnce(run, RunEnd.lost);
+      }
+      return;
+    }
+    run.holder = successor;
+    run.stopReason = StopReason.lifeOver;
+    run.stoppedAtMs = undefined;
+    run.nextCallAtMs = nowMs;
+  }
+
   /** A job that is over has nothing running; a gang must be whole soon. */
   #checkJob(run: OpenRunState, nowMs: number): void {
     const { state, timing } = this.#options;
@@ -210,7 +251,11 @@
     run.callsOpen -= 1;
     run.nextCallAtMs = clock.nowMs() + timing.orderRetryMs;
     result.caseOf({
-      Left: (error) => this.#noteNoAnswer(run, "start", error.kind),
+      Left: (error) => {
+        run.hasUnansweredStart = true;
+        this.#late.add(idOfLife(run.holder), run, clock.nowMs());
+        this.#noteNoAnswer(run, "start", error.kind);
+      },
       Right: (answer) => this.#takeStartAnswer(run, link, answer),
     });
   }
@@ -258,10 +303,10 @@
         this.stop(run.task, StopReason.gangBroken);
         return;
       case StartRefusal.unwell:
-        onUnwell(run.worker);
+        onUnwell(run.holder);
         return this.#giveUpStart(run);
       case StartRefusal.noRoom:
-        this.#options.onFull(run.worker);
+        this.#options.onFull(run.holder);
         return this.#giveUpStart(run);
       case StartRefusal.wrong:
         return this.#giveUpStart(run);
--- a/src/process/batch/leader/run_table.ts
+++ b/src/process/batch/leader/run_table.ts
@@ -20,6 +20,8 @@
   preempted: "preempted",
   /** Its gang isn't whole. */
   gangBroken: "gangBroken",
+  /** The life of the worker that it was for is over. */
+  lifeOver: "lifeOver",
 } as const;
 
 /** One of the values of {@link StopReason}. */
@@ -30,6 +32,11 @@
   readonly task: TaskRef;
   readonly run: number;
   readonly worker: WorkerKey;
+  /**
+   * The life of the worker that may have the run: an order on its way when a
+   * life ends may reach the next one under the same name.
+   */
+  holder: WorkerKey;
   /** When this leader learned of the run. */
   readonly sinceMs: number;
   /** When the worker was known to have it; undefined before. */
@@ -42,6 +49,10 @@
   /** How often the start was sent. */
   startsSent: number;
   nextCallAtMs: number;
+  /** Whether a start got no answer, so that it may be carried out late. */
+  hasUnansweredStart: boolean;
+  /** When the life that has it was found to be over. */
+  lifeOverAtMs: number | undefined;
 }
 
 /** The name of a task within this process. */
@@ -89,6 +100,7 @@
   ): void {
     this.#runs.set(taskKey(run.task), {
       ...run,
+      holder: run.worker,
       sinceMs: nowMs,
       confirmedAtMs: undefined,
       stopReason: undefined,
@@ -96,6 +108,8 @@
       callsOpen: 0,
       startsSent: 0,
       nextCallAtMs: nowMs,
+      hasUnansweredStart: false,
+      lifeOverAtMs: undefined,
     });
   }
 
--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -24,6 +24,8 @@
   readonly clock: Clock;
   readonly timing: BatchTiming;
   readonly epoch: number;
+  /** The longest lease that others may have given to this life until now. */
+  readonly earlierLeaseMs: number;
   /** Whether this leader may still give leases. */
   readonly mayLead: () => boolean;
   /** Stores what ended; resolves once it is stored, or can't be. */
@@ -54,7 +56,7 @@
     this.#options = options;
     this.worker = options.worker;
     // An earlier leader may have given a lease until just now.
-    this.#leasesEndAtMs = this.#leaseEndBoundMs();
+    this.#leasesEndAtMs = this.#leaseEndBoundMs(options.earlierLeaseMs);
     void this.#run();
   }
 
@@ -102,7 +104,7 @@
     const nowMs = this.#options.clock.nowMs();
     this.#leasesEndAtMs = Math.max(
       this.#leasesEndAtMs,
-      this.#leaseEndBoundMs(),
+      this.#leaseEndBoundMs(this.#leaseMs()),
     );
     return Math.floor(this.#workerNowMs(nowMs) + this.#leaseMs());
   }
@@ -122,9 +124,9 @@
     return Math.min(timing.leaseMs, timing.leaseLimitMs);
   }
 
-  #leaseEndBoundMs(): number {
+  #leaseEndBoundMs(leaseMs: number): number {
     const { clock, timing } = this.#options;
-    return clock.nowMs() + this.#leaseMs() * (1 + 2 * timing.clockDrift) +
+    return clock.nowMs() + leaseMs * (1 + 2 * timing.clockDrift) +
       timing.lapseSlackMs;
   }
 
--- a/src/process/batch/mod.ts
+++ b/src/process/batch/mod.ts
@@ -8,6 +8,7 @@
 export {
   type BatchCommand,
   type BatchOutcome,
+  lifeKey,
   RunEnd,
   type TaskRef,
   type WorkerRecord,
