--- a/src/process/batch/batch_service.ts
+++ b/src/process/batch/batch_service.ts
@@ -31,6 +31,8 @@
   readonly calls: WorkerCalls;
   readonly events: EventLog;
   readonly timing: BatchTiming;
+  /** Takes note of how long each batch took to commit. */
+  readonly onCommit?: (durationMs: number) => void;
 }
 
 interface Office {
@@ -193,7 +195,7 @@
   }
 
   #beginSession(epoch: number): void {
-    const { member, state, clock, calls, events, timing, selfId } =
+    const { member, state, clock, calls, events, timing, selfId, onCommit } =
       this.#options;
     if (state.epoch !== epoch || member.status().role !== MemberRole.leader) {
       return;
@@ -206,6 +208,7 @@
       events,
       timing,
       epoch,
+      ...(onCommit === undefined ? {} : { onCommit }),
       onEnded: (detail) => {
         events.emit("batchLeaderFailed", { detail });
         this.#leaveOffice();
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -40,6 +40,8 @@
   readonly events: EventLog;
   readonly timing: BatchTiming;
   readonly epoch: number;
+  /** Takes note of how long each batch took to commit. */
+  readonly onCommit?: (durationMs: number) => void;
   /** Called once when the session can't go on. */
   readonly onEnded: (detail: string) => void;
 }
@@ -85,7 +87,9 @@
       onUnwell: (key) => this.#health.noteUnwell(key),
       onFull: (key) => this.#health.noteFull(key),
     });
-    state.workers.forEach((worker) => this.#openLink(worker, timing.leaseMs));
+    state.workers.forEach((worker) =>
+      this.#openLink(worker, this.#earlierLeaseMs(worker))
+    );
     this.#ticker = clock.every(timing.tickMs, () => this.#tick());
     events.emit("batchLeaderBegan", {
       epoch,
@@ -248,6 +252,16 @@
     this.#driver.stopJob(jobId);
   }
 
+  /**
+   * The longest lease that an earlier leader may have given. An order meant
+   * for the life before gives a young one the longest that there is.
+   */
+  #earlierLeaseMs({ bornMs }: WorkerRecord): number {
+    const { clock, timing } = this.#options;
+    const isYoung = clock.nowMs() - bornMs < 2 * timing.leaseLimitMs;
+    return isYoung ? timing.leaseLimitMs : timing.leaseMs;
+  }
+
   /** The latest life of the same worker, other than the given one. */
   #successorOf(key: WorkerKey): WorkerKey | undefined {
     const id = idOfLife(key);
@@ -338,6 +352,7 @@
   }
 
   #noteBatch(durationMs: number, items: number): void {
+    this.#options.onCommit?.(durationMs);
     if (durationMs > SLOW_COMMIT_MS) {
       this.#options.events.emit("batchCommitSlow", {
         durationMs: Math.round(durationMs),
--- a/src/process/batch/state_host.ts
+++ b/src/process/batch/state_host.ts
@@ -19,8 +19,10 @@
   ReplicationMember,
   VoterKeeper,
 } from "../replication/mod.ts";
+import type { MetricsRegistry } from "../http/mod.ts";
 import { HybridClock } from "../timeline/mod.ts";
 import type { BatchCommand, BatchOutcome } from "./batch_command.ts";
+import { showBatchMetrics } from "./batch_metrics.ts";
 import { BatchService } from "./batch_service.ts";
 import { BatchState } from "./batch_state.ts";
 import type { BatchTiming } from "./batch_timing.ts";
@@ -63,6 +65,7 @@
   readonly events: EventLog;
   readonly calls: WorkerCalls;
   readonly timing: BatchTiming;
+  readonly metrics: MetricsRegistry;
 }
 
 /** An instance's share in keeping the state. */
@@ -86,6 +89,9 @@
     const { clock, events, selfId, calls, timing } = options;
     this.#network = network;
     this.member = member;
+    const commits = options.metrics.histogram("sesamethread_commit_ms", {
+      help: "From handing in a batch to its commit, in milliseconds.",
+    });
     this.service = new BatchService({
       member,
       state,
@@ -94,7 +100,9 @@
       calls,
       events,
       timing,
+      onCommit: (durationMs) => commits.record(durationMs),
     });
+    showBatchMetrics(options.metrics, this.service, member);
     this.#keeper = new VoterKeeper({
       member,
       clock,
--- /dev/null
+++ b/src/process/logging/counted_event_log.ts
@@ -0,0 +1,66 @@
+/**
+ * Counts events for the metrics on their way to the log, also those of which
+ * the log suppresses lines.
+ *
+ * @module
+ */
+
+import type { EventFields, EventLog, EventName } from "../../base/mod.ts";
+import type { MetricsRegistry } from "../http/mod.ts";
+
+/** Events that are counted by one of their fields, from a closed list. */
+const LABEL_FIELDS: Partial<Record<EventName, string>> = {
+  taskEnded: "how",
+  taskStartRefused: "reason",
+  taskOrderUnanswered: "order",
+  batchJobRefused: "reason",
+  batchJobEnded: "phase",
+  batchCallUnanswered: "call",
+  batchCallUnavailable: "call",
+};
+
+/** Events with a duration, and the histogram that it goes into. */
+const DURATION_FIELDS: Partial<
+  Record<EventName, { field: string; metric: string; help: string }>
+> = {
+  batchJobEnded: {
+    field: "tookMs",
+    metric: "sesamethread_job_duration_ms",
+    help: "From a job's submission to its end, in milliseconds.",
+  },
+};
+
+/** What a counted log is made from. */
+export interface CountedEventLogOptions {
+  readonly log: EventLog;
+  readonly metrics: MetricsRegistry;
+}
+
+/** An event log that also counts. */
+export class CountedEventLog implements EventLog {
+  readonly #options: CountedEventLogOptions;
+
+  constructor(options: CountedEventLogOptions) {
+    this.#options = options;
+  }
+
+  emit(name: EventName, fields: EventFields = {}): void {
+    const { log, metrics } = this.#options;
+    const field = LABEL_FIELDS[name];
+    const value = field === undefined ? undefined : fields[field];
+    metrics.counter("sesamethread_events_total", {
+      help: "Events by name; where it matters, by their reason.",
+      labels: {
+        event: name,
+        ...(value === undefined ? {} : { reason: String(value) }),
+      },
+    }).add();
+    const duration = DURATION_FIELDS[name];
+    const tookMs = duration === undefined ? undefined : fields[duration.field];
+    if (duration !== undefined && typeof tookMs === "number") {
+      const { metric, help } = duration;
+      metrics.histogram(metric, { help }).record(tookMs);
+    }
+    log.emit(name, fields);
+  }
+}
--- /dev/null
+++ b/src/process/logging/line_writer_test.ts
@@ -0,0 +1,86 @@
+import test from "ava";
+import { FakeClock } from "../../base/mod.ts";
+import { EventLineLog } from "./event_line_log.ts";
+import { LineWriter } from "./line_writer.ts";
+
+test("a reader that stalls costs lines, not time", (t) => {
+  const chunks: Uint8Array[] = [];
+  let release = () => {};
+  const writer = new LineWriter({
+    limitBytes: 1_000,
+    write: (chunk, done) => {
+      chunks.push(chunk);
+      release = () => done(null, chunk.length);
+    },
+  });
+  for (let line = 0; line < 10_000; line++) {
+    writer.push("a line of some length");
+  }
+  t.is(chunks.length, 1);
+  t.true(writer.dropped > 9_900);
+  release();
+  t.is(chunks.length, 2);
+  release();
+  t.true(writer.push("taken again"));
+});
+
+test("what is written in part goes on where it stopped", (t) => {
+  let text = "";
+  const writer = new LineWriter({
+    write: (chunk, done) => {
+      const part = chunk.subarray(0, 3);
+      text += new TextDecoder().decode(part);
+      done(null, part.length);
+    },
+  });
+  writer.push("hello");
+  t.is(text, "hello\n");
+});
+
+test("each event has a budget, and what it lost is told", (t) => {
+  const lines: Record<string, unknown>[] = [];
+  const clock = new FakeClock();
+  const log = new EventLineLog({
+    instanceId: "i",
+    clock,
+    linesPerPeriod: 5,
+    writer: new LineWriter({
+      write: (chunk, done) => {
+        const text = new TextDecoder().decode(chunk);
+        text.trim().split("\n").forEach((line) => lines.push(JSON.parse(line)));
+        done(null, chunk.length);
+      },
+    }),
+  });
+  for (let call = 0; call < 100; call++) {
+    log.emit("batchJobRefused", { jobId: `j${call}` });
+  }
+  log.emit("batchJobAccepted", { jobId: "other" });
+  t.is(lines.length, 6);
+  clock.advance(1_000);
+  const told = lines.at(-1);
+  t.is(told?.event, "logLinesSuppressed");
+  t.is(told?.lines, 95);
+  t.is(told?.suppressed, "batchJobRefused");
+});
+
+test("a line is flat, and text from outside stays within it", (t) => {
+  const chunks: string[] = [];
+  const log = new EventLineLog({
+    instanceId: "door-1",
+    clock: new FakeClock(),
+    writer: new LineWriter({
+      write: (chunk, done) => {
+        chunks.push(new TextDecoder().decode(chunk));
+        done(null, chunk.length);
+      },
+    }),
+  });
+  log.emit("batchJobRefused", { jobId: 'a"\n\u001b[31m', reason: "queueFull" });
+  t.is(chunks.join("").split("\n").length, 2);
+  t.false(chunks.join("").includes("\u001b"));
+  const line = JSON.parse(chunks.join("")) as Record<string, unknown>;
+  t.is(line.number, 7_011);
+  t.is(line.instance, "door-1");
+  t.is(line.reason, "queueFull");
+});
