--- a/src/programs/cli/instance_cli.ts
+++ b/src/programs/cli/instance_cli.ts
@@ -7,10 +7,11 @@
 import type { CAC } from "cac";
 import { report } from "../commands/command_context.ts";
 import { completionScript } from "../commands/completion.ts";
+import { explain } from "../commands/explain.ts";
 import { showStatus, showTimeline } from "../commands/instance_commands.ts";
 import { count, type Flags, run, text } from "./flags.ts";
 
-/** Adds `status`, `timeline` and `completion`. */
+/** Adds `status`, `timeline`, `explain` and `completion`. */
 export function addInstanceCommands(program: CAC): void {
   program
     .command("status", "Show the instance, its peers and its groups")
@@ -30,6 +31,17 @@
           ...count(flags, "limit"),
         }))
     );
+  program
+    .command("explain <id>", "Tell from log files what became of a job")
+    .option("--logs <files>", "Files of log lines, separated by commas")
+    .action((id: string, flags: Flags) =>
+      run(flags, (context) =>
+        explain(context, {
+          id,
+          logs: (text(flags, "logs", "logs").logs ?? "").split(",")
+            .filter((path) => path !== ""),
+        }))
+    );
   program
     .command("completion <shell>", "Print completion for bash, zsh or fish")
     .action((shell: string, flags: Flags) =>
--- a/src/programs/commands/completion.ts
+++ b/src/programs/commands/completion.ts
@@ -22,6 +22,7 @@
   "member",
   "timeline",
   "status",
+  "explain",
   "completion",
 ] as const;
 
