--- a/bench/report/capacity_charts.ts
+++ b/bench/report/capacity_charts.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { ChartOptions, ChartRow } from "./chart.ts";
 
 const seriesSchema = z.object({
--- a/bench/report/policy_charts.ts
+++ b/bench/report/policy_charts.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import type { ChartOptions } from "./chart.ts";
 
 const spreads = z.record(
--- a/src/connection/peer_frame.ts
+++ b/src/connection/peer_frame.ts
@@ -11,7 +11,7 @@
 
 import { Packr, Unpackr } from "msgpackr";
 import { Left, Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import { failure, type Result, SesameError } from "../base/mod.ts";
 import { IDENTITY_PATTERN } from "../base/identity.ts";
 
--- a/src/process/configuration/configuration_snapshot.ts
+++ b/src/process/configuration/configuration_snapshot.ts
@@ -6,7 +6,7 @@
 
 import { pack, unpack } from "msgpackr";
 import { Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import { failure, type Result } from "../../base/sesame_error.ts";
 import { ERROR_ANSWERS, type ErrorKind } from "../../base/error_kind.ts";
 
--- a/src/process/configuration/in_force_tracker.ts
+++ b/src/process/configuration/in_force_tracker.ts
@@ -7,7 +7,7 @@
 
 import { Right } from "purify-ts/Either";
 import type { Subscription } from "most";
-import { z } from "zod";
+import * as z from "zod";
 import { Channel } from "../../base/channel.ts";
 import type { Clock, Timer } from "../../base/clock.ts";
 import {
--- a/src/process/daemon/group_endpoints.ts
+++ b/src/process/daemon/group_endpoints.ts
@@ -6,7 +6,7 @@
  */
 
 import { Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import type { InstanceId, TeamId } from "../../base/identity.ts";
 import { type Clock, failure, type Result } from "../../base/mod.ts";
 import type { ConfigurationService } from "../configuration/configuration_service.ts";
--- a/src/process/data_centre/shared_machine.ts
+++ b/src/process/data_centre/shared_machine.ts
@@ -7,7 +7,7 @@
 
 import { pack, unpack } from "msgpackr";
 import { Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import { failure, type Result } from "../../base/mod.ts";
 import type { StateMachine } from "../replication/replicated_log.ts";
 
--- a/src/process/jobs/json_body.ts
+++ b/src/process/jobs/json_body.ts
@@ -6,7 +6,7 @@
 
 import { Buffer } from "node:buffer";
 import { Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import { failure, type Result } from "../../base/sesame_error.ts";
 
 /** The body as the validator's type, or `malformed` with the reason. */
--- a/src/process/ledger/ledger_peer_message.ts
+++ b/src/process/ledger/ledger_peer_message.ts
@@ -5,7 +5,7 @@
  */
 
 import { Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import { ERROR_ANSWERS, type ErrorKind } from "../../base/error_kind.ts";
 import { failure, type Result } from "../../base/sesame_error.ts";
 import { ledgerCommandSchema, ledgerReplySchema } from "./ledger_record.ts";
--- a/src/process/ledger/ledger_record.ts
+++ b/src/process/ledger/ledger_record.ts
@@ -6,7 +6,7 @@
  * @module
  */
 
-import { z } from "zod";
+import * as z from "zod";
 
 /** The version of the ledger's commands and snapshots. */
 export const LEDGER_FORMAT_VERSION = 1;
--- a/src/process/ledger/ledger_state.ts
+++ b/src/process/ledger/ledger_state.ts
@@ -7,7 +7,7 @@
 
 import { Packr } from "msgpackr";
 import { Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import { failure, type Result } from "../../base/sesame_error.ts";
 import type { StateMachine } from "../replication/replicated_log.ts";
 import {
--- a/src/process/membership/heartbeat.ts
+++ b/src/process/membership/heartbeat.ts
@@ -5,7 +5,7 @@
  */
 
 import { Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import { failure, type Result } from "../../base/mod.ts";
 
 /** The shape of a heartbeat. */
--- a/src/process/replication/group_configuration.ts
+++ b/src/process/replication/group_configuration.ts
@@ -8,7 +8,7 @@
  * @module
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { IDENTITY_PATTERN, type InstanceId } from "../../base/identity.ts";
 
 /** The most voters that one group may have. */
--- a/src/process/replication/log_entry.ts
+++ b/src/process/replication/log_entry.ts
@@ -5,7 +5,7 @@
  */
 
 import { pack, unpack } from "msgpackr";
-import { z } from "zod";
+import * as z from "zod";
 import {
   type GroupConfiguration,
   groupConfigurationSchema,
--- a/src/process/replication/raft_message.ts
+++ b/src/process/replication/raft_message.ts
@@ -5,7 +5,7 @@
  */
 
 import { Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import { IDENTITY_PATTERN, type InstanceId } from "../../base/identity.ts";
 import { failure, type Result } from "../../base/sesame_error.ts";
 import { groupConfigurationSchema } from "./group_configuration.ts";
--- a/src/process/replication/stored_log.ts
+++ b/src/process/replication/stored_log.ts
@@ -5,7 +5,7 @@
  */
 
 import { pack, unpack } from "msgpackr";
-import { z } from "zod";
+import * as z from "zod";
 import type { Result } from "../../base/sesame_error.ts";
 import { encodeRecord, readOnlyRecord } from "../storage/record_codec.ts";
 import { groupConfigurationSchema } from "./group_configuration.ts";
--- a/src/process/routing/core/server_announcement.ts
+++ b/src/process/routing/core/server_announcement.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { IDENTITY_PATTERN } from "../../../base/identity.ts";
 
 const identity = z.string().regex(IDENTITY_PATTERN);
--- a/src/process/routing/forward_message.ts
+++ b/src/process/routing/forward_message.ts
@@ -5,7 +5,7 @@
  */
 
 import { Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import { IDENTITY_PATTERN } from "../../base/identity.ts";
 import { failure, type Result } from "../../base/sesame_error.ts";
 import { AttemptResult } from "./core/mod.ts";
--- a/src/process/scheduler/runtime/job_command.ts
+++ b/src/process/scheduler/runtime/job_command.ts
@@ -8,7 +8,7 @@
  */
 
 import { Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import type { ErrorKind } from "../../../base/error_kind.ts";
 import { IDENTITY_PATTERN } from "../../../base/identity.ts";
 import { failure, type Result } from "../../../base/sesame_error.ts";
--- a/src/process/scheduler/runtime/job_snapshot.ts
+++ b/src/process/scheduler/runtime/job_snapshot.ts
@@ -6,7 +6,7 @@
 
 import { Buffer } from "node:buffer";
 import { Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import { failure, type Result } from "../../../base/sesame_error.ts";
 import { jobRecordSchema } from "./job_record.ts";
 import { migrate, type Migration } from "./migration.ts";
--- a/src/process/scheduler/runtime/job_view.ts
+++ b/src/process/scheduler/runtime/job_view.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { IDENTITY_PATTERN } from "../../../base/identity.ts";
 import { jobSpecificationSchema } from "../core/job.ts";
 import { WaitReason } from "../core/scheduler_decision.ts";
--- a/src/process/scheduler/runtime/migration.ts
+++ b/src/process/scheduler/runtime/migration.ts
@@ -5,7 +5,7 @@
  */
 
 import { Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import { failure, type Result } from "../../../base/sesame_error.ts";
 
 const versioned = z.looseObject({ formatVersion: z.int().min(1) });
--- a/src/process/scheduler/runtime/worker_command.ts
+++ b/src/process/scheduler/runtime/worker_command.ts
@@ -8,7 +8,7 @@
  * @module
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { IDENTITY_PATTERN } from "../../../base/identity.ts";
 import { taskResourcesSchema } from "../core/job.ts";
 import {
--- a/src/process/timeline/timeline_record.ts
+++ b/src/process/timeline/timeline_record.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { z } from "zod";
+import * as z from "zod";
 import { compareStamps } from "./hybrid_clock.ts";
 
 /** The shape of a record, as it travels between instances. */
--- a/src/process/timeline/timeline_service.ts
+++ b/src/process/timeline/timeline_service.ts
@@ -6,7 +6,7 @@
  */
 
 import { Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import type { InstanceId } from "../../base/identity.ts";
 import {
   type Clock,
--- a/src/programs/commands/config/section_client.ts
+++ b/src/programs/commands/config/section_client.ts
@@ -6,7 +6,7 @@
  */
 
 import { Left, Right } from "purify-ts/Either";
-import { z } from "zod";
+import * as z from "zod";
 import { type Clock, SystemClock } from "../../../base/clock.ts";
 import {
   failure,
--- a/standins/backend_server/answer_fault.ts
+++ b/standins/backend_server/answer_fault.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { z } from "zod";
+import * as z from "zod";
 
 /** What a server does wrong with a request. */
 export const ServerFault = {
--- a/standins/backend_server/main.ts
+++ b/standins/backend_server/main.ts
@@ -6,7 +6,7 @@
 
 import process from "node:process";
 import { cac } from "cac";
-import { z } from "zod";
+import * as z from "zod";
 import { SeededRandom, SystemClock } from "../../src/base/mod.ts";
 import { StandinBackendServer } from "./mod.ts";
 
--- a/standins/link_proxy/main.ts
+++ b/standins/link_proxy/main.ts
@@ -9,7 +9,7 @@
 import process from "node:process";
 import { json } from "node:stream/consumers";
 import { cac } from "cac";
-import { z } from "zod";
+import * as z from "zod";
 import { LinkMode, LinkProxy } from "./link_proxy.ts";
 
 const orderSchema = z.strictObject({
--- a/standins/worker/main.ts
+++ b/standins/worker/main.ts
@@ -7,7 +7,7 @@
 import { appendFileSync } from "node:fs";
 import process from "node:process";
 import { cac } from "cac";
-import { z } from "zod";
+import * as z from "zod";
 import { SystemClock } from "../../src/base/clock.ts";
 import { StandInWorker } from "./worker.ts";
 
--- a/standins/worker/worker_faults.ts
+++ b/standins/worker/worker_faults.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { z } from "zod";
+import * as z from "zod";
 
 /** What goes wrong on the worker. */
 export const workerFaultsSchema = z.strictObject({
