--- a/bench/batch/simulation.ts
+++ b/bench/batch/simulation.ts
@@ -41,6 +41,10 @@
   readonly workers: number;
   readonly lengthMs: number;
   readonly planner?: PlannerOptions;
+  /** Whether the run goes on until all jobs are done. */
+  readonly settles?: boolean;
+  /** Calls the planner, to measure it. */
+  readonly onPlan?: (plan: () => void) => void;
 }
 
 interface OpenRun {
@@ -96,7 +100,8 @@
   run(): SimulationResult {
     const waiting = [...this.#jobs];
     const stepMs = COMMIT_MS;
-    const endMs = this.#options.lengthMs * 2 + 60_000;
+    const { lengthMs, settles = true } = this.#options;
+    const endMs = settles ? lengthMs * 2 + 60_000 : lengthMs;
     while (this.#nowMs < endMs) {
       const arrived: LoadedJob[] = [];
       while (
@@ -108,7 +113,8 @@
       const ended = this.#endRuns();
       const isTick = this.#nowMs % 100 === 0;
       if (arrived.length > 0 || ended || isTick) {
-        this.#plan();
+        const plan = () => this.#plan();
+        (this.#options.onPlan ?? ((run) => run()))(plan);
       }
       if (waiting.length === 0 && this.#open.size === 0) {
         break;
--- a/test/fuzz/main.ts
+++ b/test/fuzz/main.ts
@@ -1,5 +1,6 @@
 /**
- * `npm run fuzz -- --seed N --runs M`: random histories of the whole system.
+ * `npm run fuzz -- --seed N --runs M`: random histories of the whole system,
+ * or with `--suite platform` of the batch scheduler.
  * Each failing one is printed with its seed, steps and time line.
  *
  * @module
@@ -7,6 +8,7 @@
 
 import { cac } from "cac";
 import process from "node:process";
+import { runPlatformCampaign } from "./platform_campaign.ts";
 import { type FailedHistory, runCampaign } from "../system/campaign.ts";
 
 /** The lines of a failing history's time line that are printed. */
@@ -30,11 +32,21 @@
   cli.option("--seed <n>", "Seed of the first history", { default: 1 });
   cli.option("--runs <n>", "How many histories", { default: 100 });
   cli.option("--shrink <n>", "Tries to shorten a failing one", { default: 60 });
+  cli.option("--suite <name>", "system or platform", { default: "system" });
   cli.help();
   const { options } = cli.parse();
   if (options["help"] === true) {
     return;
   }
+  if (options["suite"] === "platform") {
+    const { passed, failed } = await runPlatformCampaign({
+      seed: Number(options["seed"]),
+      runs: Number(options["runs"]),
+    }, print);
+    print(`${passed} passed, ${failed} failed`);
+    process.exitCode = failed === 0 ? 0 : 1;
+    return;
+  }
   const { passed, failures } = await runCampaign({
     seed: Number(options["seed"]),
     runs: Number(options["runs"]),
