Split the leader's ties to workers from its session, and the pool's oracle

One job a file: worker_links.ts, fake_worker.ts, pool_oracle.ts. A job's end is told once: every later end of its runs told it again, so that it was counted twice in the histogram of jobs. A queue's prefix has the product's own name.

--- a/bench/batch/simulation.ts
+++ b/bench/batch/simulation.ts
@@ -135,7 +135,7 @@
         queues: load.kinds.map((kind) => ({
           name: kind.queue,
           host: "",
-          pathPrefix: `/${kind.queue}/`,
+          prefix: `/${kind.queue}/`,
           service: "pool",
           priority: kind.priority,
           attempts: kind.attempts,
--- a/src/process/batch/decisions/planner_fixture.ts
+++ b/src/process/batch/decisions/planner_fixture.ts
@@ -148,7 +148,7 @@
   return {
     name,
     host: "jobs.example",
-    pathPrefix: `/${name}/`,
+    prefix: `/${name}/`,
     service: "pool",
     priority,
     attempts: 2,
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -13,11 +13,9 @@
   type BatchCommand,
   type BatchItem,
   type BatchOutcome,
-  idOfLife,
   RunEnd,
   type TaskRef,
   type WorkerKey,
-  type WorkerRecord,
 } from "../batch_command.ts";
 import type { BatchState } from "../batch_state.ts";
 import type { BatchTiming } from "../batch_timing.ts";
@@ -29,7 +27,8 @@
 import { RunDriver } from "./run_driver.ts";
 import { RunTable, StopReason, taskKey } from "./run_table.ts";
 import { WorkerHealth } from "./worker_health.ts";
-import { WorkerLink } from "./worker_link.ts";
+import type { WorkerLink } from "./worker_link.ts";
+import { WorkerLinks } from "./worker_links.ts";
 
 /** What a session is made from. */
 export interface LeaderSessionOptions {
@@ -53,7 +52,9 @@
   readonly #runs: RunTable;
   readonly #driver: RunDriver;
   readonly #health: WorkerHealth;
-  readonly #links = new Map<WorkerKey, WorkerLink>();
+  readonly #links: WorkerLinks;
+  /** Jobs whose end was told. */
+  readonly #toldOver = new Set<JobId>();
   readonly #ticker: Timer;
   #isClosed = false;
 
@@ -72,6 +73,18 @@
       onBatch: (durationMs, items) => this.#noteBatch(durationMs, items),
       onDeposed: (detail) => this.#end(detail),
     });
+    this.#links = new WorkerLinks({
+      state,
+      clock,
+      calls,
+      events,
+      timing,
+      epoch,
+      mayLead: () => this.isCurrent(),
+      onReport: (from, report, sentAtMs) =>
+        this.#takeReport(from, report, sentAtMs),
+      onReached: () => this.#writer.touch(),
+    });
     this.#driver = new RunDriver({
       runs: this.#runs,
       state,
@@ -81,15 +94,13 @@
       timing,
       epoch,
       linkOf: (key) => this.#links.get(key),
-      successorOf: (key) => this.#successorOf(key),
+      successorOf: (key) => this.#links.successorOf(key),
       mayLead: () => this.isCurrent(),
       onEnd: (task, run, how) => this.#writeEnd(task, { run, how }),
       onUnwell: (key) => this.#health.noteUnwell(key),
       onFull: (key) => this.#health.noteFull(key),
     });
-    state.workers.forEach((worker) =>
-      this.#openLink(worker, this.#earlierLeaseMs(worker))
-    );
+    this.#links.openKnown();
     this.#ticker = clock.every(timing.tickMs, () => this.#tick());
     events.emit("batchLeaderBegan", {
       epoch,
@@ -139,7 +150,7 @@
       this.#isClosed = true;
       this.#ticker.close();
       this.#writer.close();
-      this.#links.forEach((link) => link.close());
+      this.#links.close();
       this.#options.events.emit("batchLeaderEnded", { epoch: this.epoch });
     }
   }
@@ -206,16 +217,19 @@
         this.#followEnd(item);
         return;
       case "worker":
-        // An order meant for an earlier life gives the longest lease.
-        this.#openLink(item.worker, this.#options.timing.leaseLimitMs);
+        if (this.#links.announce(item.worker)) {
+          this.#driver.barLateOrders(item.worker.key);
+        }
         return;
       case "workerGone":
-        this.#links.get(item.key)?.close();
-        this.#links.delete(item.key);
+        this.#links.drop(item.key);
         events.emit("batchWorkerLeft", { worker: item.key });
         return;
       case "forget":
-        item.jobIds.forEach((id) => this.#health.forgetJob(id));
+        item.jobIds.forEach((id) => {
+          this.#health.forgetJob(id);
+          this.#toldOver.delete(id);
+        });
         return;
     }
   }
@@ -242,67 +256,15 @@
   #noteJobOver(jobId: JobId): void {
     const { state, events, clock } = this.#options;
     const job = state.jobs.get(jobId);
-    events.emit("batchJobEnded", {
-      jobId,
-      phase: job?.phase,
-      tookMs: job === undefined
-        ? undefined
-        : Math.round(clock.nowMs() - job.submittedAtMs),
-    });
-    this.#driver.stopJob(jobId);
-  }
-
-  /**
-   * The longest lease that an earlier leader may have given. An order meant
-   * for the life before gives a young one the longest that there is.
-   */
-  #earlierLeaseMs({ bornMs }: WorkerRecord): number {
-    const { clock, timing } = this.#options;
-    const isYoung = clock.nowMs() - bornMs < 2 * timing.leaseLimitMs;
-    return isYoung ? timing.leaseLimitMs : timing.leaseMs;
-  }
-
-  /** The latest life of the same worker, other than the given one. */
-  #successorOf(key: WorkerKey): WorkerKey | undefined {
-    const id = idOfLife(key);
-    return [...this.#options.state.workers.values()]
-      .filter((worker) => worker.id === id && worker.key !== key)
-      .sort((a, b) => b.bornMs - a.bornMs)[0]?.key;
-  }
-
-  #openLink(worker: WorkerRecord, earlierLeaseMs: number): void {
-    const known = this.#links.get(worker.key);
-    if (known !== undefined) {
-      known.worker = worker;
-      return;
+    if (job !== undefined && !this.#toldOver.has(jobId)) {
+      this.#toldOver.add(jobId);
+      events.emit("batchJobEnded", {
+        jobId,
+        phase: job.phase,
+        tookMs: Math.round(clock.nowMs() - job.submittedAtMs),
+      });
     }
-    const { calls, clock, timing, epoch, events } = this.#options;
-    const link = new WorkerLink({
-      worker,
-      calls,
-      clock,
-      timing,
-      epoch,
-      earlierLeaseMs,
-      mayLead: () => this.isCurrent(),
-      onReport: (from, report, sentAtMs) =>
-        this.#takeReport(from, report, sentAtMs),
-      onReach: ({ worker: { key } }, detail) => {
-        if (detail === undefined) {
-          events.emit("batchWorkerReached", { worker: key });
-          this.#writer.touch();
-        } else {
-          events.emit("batchWorkerSilent", { worker: key, detail });
-        }
-      },
-    });
-    this.#links.set(worker.key, link);
-    this.#driver.barLateOrders(worker.key);
-    events.emit("batchWorkerJoined", {
-      worker: worker.key,
-      dataCentre: worker.dataCentre,
-      isDraining: worker.isDraining,
-    });
+    this.#driver.stopJob(jobId);
   }
 
   async #takeReport(
@@ -373,11 +335,10 @@
 
   /** A worker whose process is gone leaves together with its runs. */
   #dropGoneWorkers(): void {
-    for (const [key, link] of this.#links) {
-      if (link.isGone && !this.#driver.hasRunsOn(key)) {
+    for (const key of this.#links.goneKeys()) {
+      if (!this.#driver.hasRunsOn(key)) {
         void this.#writer.write({ kind: "workerGone", key });
-        link.close();
-        this.#links.delete(key);
+        this.#links.drop(key);
       }
     }
   }
--- a/src/process/batch/pool_configuration.ts
+++ b/src/process/batch/pool_configuration.ts
@@ -12,7 +12,7 @@
   readonly name: string;
   readonly host: string;
   /** Calls whose path begins with it belong to the queue. */
-  readonly pathPrefix: string;
+  readonly prefix: string;
   /** The service whose workers run the queue's tasks. */
   readonly service: ServiceId;
   /** 0 is the most urgent and may preempt the others. */
@@ -60,7 +60,7 @@
     if (!services.has(queue.service)) {
       return `queue ${queue.name} names the unknown service ${queue.service}`;
     }
-    const place = `${queue.host} ${queue.pathPrefix}`;
+    const place = `${queue.host} ${queue.prefix}`;
     if (places.has(place)) {
       return `two queues at ${place}`;
     }
@@ -99,7 +99,7 @@
       this.#queuesByName.set(queue.name, queue);
     }
     for (const queues of this.#queuesByHost.values()) {
-      queues.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
+      queues.sort((a, b) => b.prefix.length - a.prefix.length);
     }
     for (const account of configuration.accounts) {
       account.apiKeys.forEach((key) => this.#accountsByKey.set(key, account));
@@ -109,7 +109,7 @@
   /** The queue with the longest prefix that the path begins with. */
   queueAt(host: string, path: string): QueueConfiguration | undefined {
     return this.#queuesByHost.get(host)?.find((queue) =>
-      path.startsWith(queue.pathPrefix)
+      path.startsWith(queue.prefix)
     );
   }
 
--- a/src/process/batch/testing/batch_bed.ts
+++ b/src/process/batch/testing/batch_bed.ts
@@ -141,7 +141,7 @@
         queues: [{
           name: QUEUE,
           host: "jobs",
-          pathPrefix: "/",
+          prefix: "/",
           service: "pool",
           priority: 1,
           attempts: ATTEMPTS,
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -6,7 +6,7 @@
  */
 
 import { Right } from "purify-ts/Either";
-import type { FakeClock, RandomSource, Timer } from "../../../base/mod.ts";
+import type { FakeClock, RandomSource } from "../../../base/mod.ts";
 import { failure, type Result } from "../../../base/mod.ts";
 import {
   lifeKey,
@@ -16,7 +16,6 @@
 } from "../batch_command.ts";
 import type { JobSpec } from "../job_spec.ts";
 import type {
-  EndedTask,
   LeaseOrder,
   StartAnswer,
   StartOrder,
@@ -25,6 +24,8 @@
   WorkerReport,
 } from "../worker_calls.ts";
 import { taskKey } from "../leader/run_table.ts";
+import { FakeWorker, type HeldRun } from "./fake_worker.ts";
+import { PoolOracle } from "./pool_oracle.ts";
 
 /** How the network and the tasks misbehave, each as a share of calls. */
 export interface PoolFaults {
@@ -35,31 +36,6 @@
   failingRuns: number;
 }
 
-interface HeldRun {
-  readonly task: TaskRef;
-  readonly run: number;
-  timer: Timer | undefined;
-}
-
-/** One machine with its present life. */
-class FakeWorker {
-  bornMs = 1;
-  isDown = false;
-  isCut = false;
-  epoch = 0;
-  leaseEndMs = 0;
-  readonly running = new Map<string, HeldRun>();
-  readonly barred = new Map<string, number>();
-  ended: EndedTask[] = [];
-  endCount = 0;
-  notedEnd = 0;
-  /** Ends up to this number came before the lease last ran out. */
-  lapsedEnd = 0;
-  waiters: (() => void)[] = [];
-
-  constructor(readonly id: string, readonly clockRate: number) {}
-}
-
 /** How late a late call is carried out, at most. */
 const LATE_LIMIT_MS = 8_000;
 const LEASE_LIMIT_MS = 10_000;
@@ -84,16 +60,14 @@
     lateCalls: 0,
     failingRuns: 0,
   };
-  readonly violations: string[] = [];
   starts = 0;
   readonly #options: FakePoolOptions;
   readonly #workers = new Map<string, FakeWorker>();
-  readonly #doneTasks = new Set<string>();
-  readonly #notedFailures = new Map<string, number>();
-  readonly #notedDone = new Set<string>();
+  readonly #oracle: PoolOracle;
 
   constructor(options: FakePoolOptions) {
     this.#options = options;
+    this.#oracle = new PoolOracle(options);
     for (let number = 0; number < options.workers; number++) {
       const rate = 1 - 0.02 * options.random.nextUnit();
       this.#workers.set(`w${number}`, new FakeWorker(`w${number}`, rate));
@@ -101,6 +75,11 @@
     options.clock.every(LEASE_CHECK_MS, () => this.#lapse());
   }
 
+  /** What must never happen, and did. */
+  get violations(): readonly string[] {
+    return this.#oracle.violations;
+  }
+
   /** What each worker would announce now. */
   records(): WorkerRecord[] {
     return [...this.#workers.values()].filter(({ isDown }) => !isDown)
@@ -165,7 +144,7 @@
   }
 
   isDone(task: TaskRef): boolean {
-    return this.#doneTasks.has(taskKey(task));
+    return this.#oracle.isDone(task);
   }
 
   start(
@@ -317,7 +296,7 @@
     if (used + this.#acceleratorsOf(task) > 8) {
       return "noRoom";
     }
-    this.#judgeStart(worker, task);
+    this.#oracle.judgeStart(worker.id, task, this.#workers.values());
     const held: HeldRun = { task, run, timer: undefined };
     worker.running.set(name, held);
     worker.barred.set(name, run - 1);
@@ -343,31 +322,6 @@
     return this.#options.specOf(task.jobId)!.steps[task.step]!;
   }
 
-  #judgeStart(worker: FakeWorker, task: TaskRef): void {
-    const name = taskKey(task);
-    for (const other of this.#workers.values()) {
-      if (other.running.has(name)) {
-        this.violations.push(
-          `${name} starts on ${worker.id} while it runs on ${other.id}`,
-        );
-      }
-    }
-    if (this.#notedDone.has(name)) {
-      this.violations.push(`${name} starts after its end was noted`);
-    }
-    if ((this.#notedFailures.get(name) ?? 0) >= this.#options.attempts) {
-      this.violations.push(`${name} starts beyond its attempts`);
-    }
-    for (const after of this.#stepOf(task).afterSteps) {
-      const { taskCount } = this.#options.specOf(task.jobId)!.steps[after]!;
-      for (let index = 0; index < taskCount; index++) {
-        if (!this.isDone({ ...task, step: after, index })) {
-          this.violations.push(`${name} starts before step ${after} is done`);
-        }
-      }
-    }
-  }
-
   #begin(worker: FakeWorker, held: HeldRun): void {
     const { clock, random } = this.#options;
     const step = this.#stepOf(held.task);
@@ -423,7 +377,7 @@
     const number = worker.endCount;
     worker.ended.push({ number, task, run, how, checkpoint: "" });
     if (how === RunEnd.done) {
-      this.#doneTasks.add(name);
+      this.#oracle.noteDone(task);
     }
     worker.waiters.splice(0).forEach((resume) => resume());
   }
@@ -431,14 +385,8 @@
   #note(worker: FakeWorker, notedEnd: number): void {
     for (const { number, task, how } of worker.ended) {
       const isNew = number > worker.notedEnd && number <= notedEnd;
-      const isLeased = number > worker.lapsedEnd;
-      if (isNew && isLeased && how === RunEnd.done) {
-        this.#notedDone.add(taskKey(task));
-      }
-      if (isNew && isLeased && how === RunEnd.failed) {
-        const name = taskKey(task);
-        const failures = this.#notedFailures.get(name) ?? 0;
-        this.#notedFailures.set(name, failures + 1);
+      if (isNew && number > worker.lapsedEnd) {
+        this.#oracle.noteEnd(task, how);
       }
     }
     worker.notedEnd = Math.max(worker.notedEnd, notedEnd);
