Count a run that another leader opened as ordered

Cause: a leader that took a run over, sent its start and was refused for want of room took that as proof that the run never began, though the last leader's order could still be on its way; the task then began elsewhere. Change: such runs count as ordered once, so that a refusal leads to a stop that the worker acknowledges.

--- a/src/process/batch/leader/run_table.ts
+++ b/src/process/batch/leader/run_table.ts
@@ -46,7 +46,7 @@
   stoppedAtMs: number | undefined;
   /** Calls that are on their way. */
   callsOpen: number;
-  /** How often the start was sent. */
+  /** How often the start was sent, by this leader or the last one. */
   startsSent: number;
   nextCallAtMs: number;
   /** Whether a start got no answer, so that it may be carried out late. */
@@ -74,6 +74,10 @@
             if (worker !== undefined) {
               const task = { jobId: job.id, occurrence, step, index };
               table.open({ task, run, worker }, nowMs);
+              // The last leader's order may be on its way.
+              const open = table.get(task)!;
+              open.startsSent = 1;
+              open.hasUnansweredStart = true;
             }
           }
         }
