--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -8,6 +8,7 @@
 import type { Clock } from "../../../base/clock.ts";
 import type { EventLog } from "../../../base/event_log.ts";
 import type { JobId } from "../../../base/identity.ts";
+import type { SesameError } from "../../../base/sesame_error.ts";
 import {
   idOfLife,
   RunEnd,
@@ -351,36 +352,47 @@
     });
   }
 
-  /** An order that was given up was carried out late. */
+  /** Stops what was given up; an order may be carried out late. */
   async #stopUnknown(
     key: WorkerKey,
     task: TaskRef,
     run: number,
   ): Promise<void> {
-    const { calls, events, timing, epoch, linkOf, mayLead } = this.#options;
+    const { events } = this.#options;
+    const fields = { jobId: task.jobId, task: taskKey(task), run, worker: key };
+    events.emit("taskStoppedUnknown", fields);
+    for (let tries = 0; tries < BAR_TRIES; tries++) {
+      const error = await this.#tryStop(key, { task, run });
+      if (error === undefined) {
+        return;
+      }
+      events.emit("taskOrderUnanswered", {
+        ...fields,
+        order: "stop",
+        detail: error.kind,
+      });
+    }
+  }
+
+  /** Nothing where the worker took the stop, or nothing is left to stop. */
+  async #tryStop(
+    key: WorkerKey,
+    order: { task: TaskRef; run: number },
+  ): Promise<SesameError | undefined> {
+    const { calls, timing, epoch, linkOf, mayLead } = this.#options;
     const link = linkOf(key);
     if (link === undefined || !mayLead()) {
-      return;
+      return undefined;
     }
-    events.emit("taskStoppedUnknown", {
-      jobId: task.jobId,
-      task: taskKey(task),
-      run,
-      worker: key,
-    });
-    const { worker } = link;
-    const result = await calls.stop(worker, { task, run, epoch }, {
+    const result = await calls.stop(link.worker, { ...order, epoch }, {
       timeoutMs: timing.orderTimeoutMs,
     });
-    result.ifLeft((error) =>
-      events.emit("taskOrderUnanswered", {
-        jobId: task.jobId,
-        task: taskKey(task),
-        run,
-        worker: key,
-        order: "stop",
-        detail: error.kind,
-      })
-    );
+    return result.caseOf<SesameError | undefined>({
+      Left: (error) => error,
+      Right: () => undefined,
+    });
   }
 }
+
+/** How often a stop without an answer is sent again: over two seconds. */
+const BAR_TRIES = 6;
