Let a core try the leader however long nothing asked it to

Cause, found by reading: the rule that a door which nobody answers is cut off also held for cores, which keep no contact of their own. 1.5 s after its last call a core turned every heartbeat away untried, for ever, so that workers whose leader was gone had to come to the next one by chance.

--- a/src/process/batch/leader_finder.ts
+++ b/src/process/batch/leader_finder.ts
@@ -87,9 +87,13 @@
     return this.#options.clock.nowMs() - this.#heardAtMs < CONTACT_MS;
   }
 
-  /** Whether no instance has answered for a while, leader or not. */
+  /**
+   * Whether no instance has answered for a while, leader or not. Only one that
+   * keeps contact can tell.
+   */
   isCutOff(): boolean {
-    return this.#options.clock.nowMs() - this.#reachedAtMs > CUT_OFF_MS;
+    return this.#pinger !== undefined &&
+      this.#options.clock.nowMs() - this.#reachedAtMs > CUT_OFF_MS;
   }
 
   /** Keeps contact with the leader from now on. */
--- a/src/process/batch/state_host.ts
+++ b/src/process/batch/state_host.ts
@@ -90,7 +90,7 @@
     this.#network = network;
     this.member = member;
     const commits = options.metrics.histogram("sesamethread_commit_ms", {
-      help: "From handing in a batch to its commit, in milliseconds.",
+      help: "From proposing a batch to its commit, in milliseconds.",
     });
     this.service = new BatchService({
       member,
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -24,25 +24,18 @@
   WorkerReport,
 } from "../worker_calls.ts";
 import { taskKey } from "../leader/run_table.ts";
-import { FakeWorker, type HeldRun } from "./fake_worker.ts";
+import {
+  FakeWorker,
+  GANG_WAIT_MS,
+  type HeldRun,
+  LATE_LIMIT_MS,
+  LEASE_CHECK_MS,
+  LEASE_LIMIT_MS,
+  type PoolFaults,
+  WAY_MS,
+} from "./fake_worker.ts";
 import { PoolOracle } from "./pool_oracle.ts";
 
-/** How the network and the tasks misbehave, each as a share of calls. */
-export interface PoolFaults {
-  lostCalls: number;
-  lostAnswers: number;
-  /** Carried out seconds after the caller gave up. */
-  lateCalls: number;
-  failingRuns: number;
-}
-
-/** How late a late call is carried out, at most. */
-const LATE_LIMIT_MS = 8_000;
-const LEASE_LIMIT_MS = 10_000;
-const GANG_WAIT_MS = 3_000;
-const LEASE_CHECK_MS = 50;
-const WAY_MS = 5;
-
 /** What a pool is made from. */
 export interface FakePoolOptions {
   readonly clock: FakeClock;
