--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -163,6 +163,10 @@
   }
 
   #driveRun(run: OpenRunState): void {
+    // Until its end is committed the run is still in the table.
+    if (this.#ending.has(run)) {
+      return;
+    }
     const { clock, linkOf, state, timing } = this.#options;
     const nowMs = clock.nowMs();
     const link = linkOf(run.holder);
--- /dev/null
+++ b/src/process/batch/leader/run_driver_test.ts
@@ -0,0 +1,57 @@
+import test from "ava";
+import { Right } from "purify-ts/Either";
+import { FakeClock } from "../../../base/mod.ts";
+import { SILENT_EVENT_LOG } from "../../../base/event_log.ts";
+import { BATCH_TIMING } from "../batch_timing.ts";
+import { PlannerWorld } from "../decisions/planner_fixture.ts";
+import { type WorkerCalls } from "../worker_calls.ts";
+import { RunDriver } from "./run_driver.ts";
+import { RunTable } from "./run_table.ts";
+import type { WorkerLink } from "./worker_link.ts";
+
+test("a run whose end is being stored isn't ordered again", async (t) => {
+  const world = new PlannerWorld({ workers: 1 });
+  world.submit("a", { taskCount: 1 });
+  const clock = new FakeClock({ startMs: world.nowMs });
+  const runs = RunTable.fromState(world.state, world.nowMs);
+  const plan = world.plan();
+  world.carryOut(plan);
+  plan.starts.forEach((start) => runs.follow(start, world.state, world.nowMs));
+  let starts = 0;
+  const ends: string[] = [];
+  const driver = new RunDriver({
+    runs,
+    state: world.state,
+    clock,
+    events: SILENT_EVENT_LOG,
+    timing: BATCH_TIMING,
+    epoch: 1,
+    calls: {
+      start: () => {
+        starts += 1;
+        const refusal = starts === 1 ? "noRoom" : undefined;
+        return Promise.resolve(Right({ refusal, clockMs: 0 }));
+      },
+    } as unknown as WorkerCalls,
+    linkOf: () =>
+      ({
+        isGone: false,
+        isReachable: true,
+        nextLeaseEndMs: () => 5_000,
+        noteClock: () => undefined,
+        hasLapsed: () => false,
+      }) as unknown as WorkerLink,
+    successorOf: () => undefined,
+    mayLead: () => true,
+    onEnd: (_task, _run, how) => void ends.push(how),
+    onUnwell: () => undefined,
+    onFull: () => undefined,
+  });
+  for (let tick = 0; tick < 20; tick++) {
+    driver.drive();
+    await new Promise((done) => setImmediate(done));
+    clock.advance(BATCH_TIMING.tickMs);
+  }
+  t.deepEqual(ends, ["rejected"]);
+  t.is(starts, 1);
+});
