Keep as many voters as the deployment's losses ask for

Cause: where six instances have a disk, all six became voters, and the keeper then took silent ones out down to three. After two short losses a group that is to bear the loss of two disks bore one. Change: 2 x losses + 1 voters, from the settings; members get a vote by themselves only up to that number, and the keeper may go one beyond it while it replaces a silent one.

--- a/src/process/batch/state_host.ts
+++ b/src/process/batch/state_host.ts
@@ -53,6 +53,8 @@
   readonly selfId: string;
   /** Instances that keep the state too, as far as the settings know. */
   readonly seedIds: readonly string[];
+  /** Instances that may be lost at once, with their disks. */
+  readonly lossesBorne: number;
   /** Whether the seeds form the group: at the system's first start only. */
   readonly formsGroup: boolean;
   /** The peer address of an instance. */
@@ -107,7 +109,7 @@
       member,
       clock,
       events,
-      wantedVoters: WANTED_VOTERS,
+      wantedVoters: wantedVoters(options),
     });
     this.#peerCheck = clock.every(PEER_CHECK_MS, () => {
       member.status().voterIds.forEach((id) => peers.add(id));
@@ -123,6 +125,7 @@
       groupId: GROUP_ID,
       members: peers.members,
       founderIds: options.formsGroup ? options.seedIds : [],
+      wantedVoters: wantedVoters(options),
       network: peers.network,
       clock: options.clock,
       random: options.random,
@@ -146,8 +149,10 @@
   }
 }
 
-/** Voters of the group: with one in each of three places one may be lost. */
-const WANTED_VOTERS = 3;
+/** The fewest voters of which a majority is left after the losses. */
+function wantedVoters({ lossesBorne }: { lossesBorne: number }): number {
+  return 2 * lossesBorne + 1;
+}
 
 /** The instances that keep the state, as they become known. */
 class PeerList {
--- a/src/process/replication/membership.ts
+++ b/src/process/replication/membership.ts
@@ -34,12 +34,14 @@
     changeVoters(state, voters.filter((voter) => voter !== gone));
     return;
   }
-  const ready = [...state.progress.values()].find((progress) =>
-    isReadyToVote(state, progress)
-  );
+  const { wantedVoters = Infinity } = state.options;
+  const ready = voters.length < wantedVoters
+    ? [...state.progress.values()].find((progress) =>
+      isReadyToVote(state, progress)
+    )
+    : undefined;
   if (ready !== undefined) {
-    const { id, incarnation, isDurable } = ready;
-    changeVoters(state, [...voters, { id, incarnation, isDurable }]);
+    giveVote(state, ready);
     return;
   }
   waiveDurability(state);
@@ -50,6 +52,12 @@
   appendConfiguration(state, { ...state.configuration, voters });
 }
 
+function giveVote(state: RaftState, progress: LeaderProgress): void {
+  const { id, incarnation, isDurable } = progress;
+  const { voters } = state.configuration;
+  changeVoters(state, [...voters, { id, incarnation, isDurable }]);
+}
+
 function isReadyToVote(state: RaftState, progress: LeaderProgress): boolean {
   const { configuration } = state;
   return progress.wantsVote &&
@@ -129,7 +137,10 @@
   return true;
 }
 
-/** An operator lets a member vote again; it does once it has caught up. */
+/**
+ * A member is let in to vote, also beyond the wanted number, and if it was
+ * removed before; it votes once it has caught up.
+ */
 export function addMember(state: RaftState, id: InstanceId): boolean {
   const { configuration } = state;
   if (!canChangeMembers(state)) {
@@ -140,6 +151,11 @@
       ...configuration,
       removedIds: configuration.removedIds.filter((removed) => removed !== id),
     });
+    return true;
+  }
+  const progress = state.progress.get(id);
+  if (progress !== undefined && isReadyToVote(state, progress)) {
+    giveVote(state, progress);
   }
   return true;
 }
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -38,6 +38,8 @@
   readonly members: readonly GroupMember[];
   /** Who forms the group; all voters of `members` if absent. */
   readonly founderIds?: readonly InstanceId[] | undefined;
+  /** Members get a vote by themselves up to that many voters. */
+  readonly wantedVoters?: number | undefined;
   readonly random: RandomSource;
   readonly timing: ReplicationTiming;
   /** What was persisted. */
--- a/src/process/replication/replication_member.ts
+++ b/src/process/replication/replication_member.ts
@@ -59,6 +59,8 @@
   readonly members: readonly GroupMember[];
   /** Who forms the group, the same everywhere; all voters if absent. */
   readonly founderIds?: readonly InstanceId[];
+  /** Members get a vote by themselves up to that many voters; no bound if absent. */
+  readonly wantedVoters?: number;
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -161,6 +163,7 @@
       selfId: network.selfId,
       members: options.members,
       founderIds: options.founderIds,
+      wantedVoters: options.wantedVoters,
       random: options.random,
       timing,
       ...log,
--- a/src/process/replication/testing/member_group.ts
+++ b/src/process/replication/testing/member_group.ts
@@ -40,6 +40,8 @@
 /** Further options of each member. */
 export interface MoreOptions {
   readonly catchUpBytesPerSecond?: (peer: string) => number;
+  readonly founderIds?: readonly string[];
+  readonly wantedVoters?: number;
   /** Sees every message that is sent. */
   readonly onSend?: (from: string, to: string, body: unknown) => void;
 }
