Look only at live jobs, and at a worker's own runs

Cause: each look of the planner went over all jobs of the last five minutes, and each report of a worker over all open runs. Change: the state keeps the jobs that are active or have open runs apart; the run table groups by worker and by job; fewer copies per step.

--- a/src/process/batch/batch_state.ts
+++ b/src/process/batch/batch_state.ts
@@ -21,6 +21,7 @@
   type WorkerRecord,
 } from "./batch_command.ts";
 import {
+  hasOpenRuns,
   isStepDone,
   isStepDue,
   JobPhase,
@@ -59,6 +60,8 @@
   #inForce: ConfigurationInForce | undefined;
   #dataCentresOut = new Set<DataCentreId>();
   #jobs = new Map<JobId, JobRecord>();
+  /** Derived: the jobs that are active or have open runs. */
+  #liveJobs = new Map<JobId, JobRecord>();
   #workers = new Map<WorkerKey, WorkerRecord>();
 
   /** The number of the latest leader's time in office. */
@@ -78,6 +81,11 @@
     return this.#jobs;
   }
 
+  /** The jobs that are active or have open runs, in the order of acceptance. */
+  get liveJobs(): ReadonlyMap<JobId, JobRecord> {
+    return this.#liveJobs;
+  }
+
   get workers(): ReadonlyMap<WorkerKey, WorkerRecord> {
     return this.#workers;
   }
@@ -142,6 +150,8 @@
       : { document, index: new ConfigurationIndex(configuration) };
     this.#dataCentresOut = new Set(snapshot.dataCentresOut);
     this.#jobs = new Map(jobs.map((job) => [job.id, job]));
+    this.#liveJobs = new Map(this.#jobs);
+    jobs.forEach((job) => this.#settle(job));
     this.#workers = new Map(workers.map((worker) => [worker.key, worker]));
     return Right(undefined);
   }
@@ -180,7 +190,10 @@
       case "workerGone":
         return this.#workers.delete(item.key);
       case "forget":
-        item.jobIds.forEach((id) => this.#jobs.delete(id));
+        for (const id of item.jobIds) {
+          this.#jobs.delete(id);
+          this.#liveJobs.delete(id);
+        }
         return true;
     }
   }
@@ -194,17 +207,16 @@
       return false;
     }
     const { jobId, queue, account, spec, submittedAtMs } = item;
-    this.#jobs.set(
-      jobId,
-      newJobRecord({
-        id: jobId,
-        queue,
-        account,
-        spec,
-        submittedAtMs,
-        acceptedAtMs: atMs,
-      }),
-    );
+    const job = newJobRecord({
+      id: jobId,
+      queue,
+      account,
+      spec,
+      submittedAtMs,
+      acceptedAtMs: atMs,
+    });
+    this.#jobs.set(jobId, job);
+    this.#liveJobs.set(jobId, job);
     return true;
   }
 
@@ -214,6 +226,7 @@
       return false;
     }
     endJob(job, JobPhase.cancelled, atMs);
+    this.#settle(job);
     return true;
   }
 
@@ -277,9 +290,17 @@
     if (how === RunEnd.failed) {
       this.#countFailure(job, { ref, task, step, run }, atMs);
     }
+    this.#settle(job);
     return true;
   }
 
+  /** Nothing more is planned for a job that is over and runs nowhere. */
+  #settle(job: JobRecord): void {
+    if (job.phase !== JobPhase.active && !hasOpenRuns(job)) {
+      this.#liveJobs.delete(job.id);
+    }
+  }
+
   #countFailure(
     job: JobRecord,
     failed: { ref: TaskRef; task: TaskRecord; step: StepRecord; run: number },
--- a/src/process/batch/decisions/admission.ts
+++ b/src/process/batch/decisions/admission.ts
@@ -45,7 +45,7 @@
 /** Decides on one job. */
 export function decideAdmission(input: AdmissionInput): Admission {
   let active = 0;
-  for (const job of input.state.jobs.values()) {
+  for (const job of input.state.liveJobs.values()) {
     active += job.phase === JobPhase.active ? 1 : 0;
   }
   if (active >= ACTIVE_JOBS_LIMIT) {
--- a/src/process/batch/decisions/guarantee.ts
+++ b/src/process/batch/decisions/guarantee.ts
@@ -32,7 +32,7 @@
       account.guaranteedAccelerators,
     ]),
   );
-  for (const job of state.jobs.values()) {
+  for (const job of state.liveJobs.values()) {
     const { account } = job;
     const isUrgent = job.phase === JobPhase.active && account !== undefined &&
       index.queueNamed(job.queue)?.priority === 0;
--- a/src/process/batch/decisions/planner.ts
+++ b/src/process/batch/decisions/planner.ts
@@ -103,7 +103,7 @@
 ): WorkUnit[] {
   const index = state.inForce!.index;
   const ranked: { unit: WorkUnit; urgency: number }[] = [];
-  for (const job of state.jobs.values()) {
+  for (const job of state.liveJobs.values()) {
     const queue = index.queueNamed(job.queue);
     if (queue === undefined) {
       continue;
@@ -134,9 +134,7 @@
   if (unit.queue.priority === 0 || settings.urgentReserveShare === 0) {
     return false;
   }
-  const slots = view.ofService(unit.queue.service).filter(({ isUsable }) =>
-    isUsable
-  );
+  const slots = view.usableOf(unit.queue.service);
   const total = sumOf(slots, (slot) => slot.worker.capacity.accelerators);
   const free = sumOf(slots, (slot) => slot.free.accelerators);
   const { accelerators } = unit.spec.demand;
--- a/src/process/batch/decisions/pool_view.ts
+++ b/src/process/batch/decisions/pool_view.ts
@@ -7,7 +7,7 @@
 import type { DataCentreId } from "../../../base/identity.ts";
 import type { WorkerKey, WorkerRecord } from "../batch_command.ts";
 import type { BatchState } from "../batch_state.ts";
-import type { JobRecord } from "../job_record.ts";
+import { isStepDone, type JobRecord } from "../job_record.ts";
 import type { StepSpec, TaskDemand } from "../job_spec.ts";
 
 /** What the leader knows of a worker beside the replicated state. */
@@ -44,6 +44,7 @@
   readonly slots: readonly WorkerSlot[];
   readonly #byKey = new Map<WorkerKey, WorkerSlot>();
   readonly #byService = new Map<string, WorkerSlot[]>();
+  readonly #usable = new Map<string, WorkerSlot[]>();
 
   constructor(options: {
     state: BatchState;
@@ -63,7 +64,7 @@
       slots.push(slot);
       this.#byService.set(service, slots);
     }
-    for (const job of state.jobs.values()) {
+    for (const job of state.liveJobs.values()) {
       this.#addRuns(job);
     }
   }
@@ -76,6 +77,15 @@
     return this.#byService.get(service) ?? [];
   }
 
+  /** The service's workers that can be given work. */
+  usableOf(service: string): readonly WorkerSlot[] {
+    const known = this.#usable.get(service);
+    const usable = known ??
+      this.ofService(service).filter(({ isUsable }) => isUsable);
+    this.#usable.set(service, usable);
+    return usable;
+  }
+
   /** Counts a run as ended, so that its room can be planned with. */
   release(run: OpenRun): void {
     const slot = this.#byKey.get(run.worker);
@@ -88,8 +98,11 @@
 
   #addRuns(job: JobRecord): void {
     for (const [occurrence, { steps }] of job.occurrences.entries()) {
-      for (const [step, { tasks }] of steps.entries()) {
-        for (const [index, task] of tasks.entries()) {
+      for (const [step, record] of steps.entries()) {
+        if (isStepDone(record)) {
+          continue;
+        }
+        for (const [index, task] of record.tasks.entries()) {
           const slot = task.worker && this.#byKey.get(task.worker);
           if (slot) {
             const { startedAtMs } = task;
--- a/src/process/batch/decisions/work_unit.ts
+++ b/src/process/batch/decisions/work_unit.ts
@@ -48,8 +48,9 @@
       break;
     }
     const occurrence = job.occurrences[number];
-    for (const step of job.spec.steps.keys()) {
-      const unit = unitOf(job, { ...options, number, occurrence, step });
+    const place = { queue: options.queue, number, occurrence };
+    for (let step = 0; step < job.spec.steps.length; step++) {
+      const unit = unitOf(job, step, place);
       if (unit !== undefined) {
         units.push(unit);
       }
@@ -60,14 +61,14 @@
 
 function unitOf(
   job: JobRecord,
+  step: number,
   place: {
     queue: QueueConfiguration;
     number: number;
     occurrence: OccurrenceRecord | undefined;
-    step: number;
   },
 ): WorkUnit | undefined {
-  const { queue, number, occurrence, step } = place;
+  const { queue, number, occurrence } = place;
   const spec = job.spec.steps[step]!;
   const record = occurrence?.steps[step];
   const isOver = record !== undefined && isStepDone(record);
--- a/src/process/batch/job_record.ts
+++ b/src/process/batch/job_record.ts
@@ -131,3 +131,10 @@
     occurrence !== undefined && isStepDone(occurrence.steps[after]!)
   );
 }
+
+/** Whether a run of the job isn't known to have ended. */
+export function hasOpenRuns(job: JobRecord): boolean {
+  return job.occurrences.some(({ steps }) =>
+    steps.some(({ tasks }) => tasks.some(({ worker }) => worker !== undefined))
+  );
+}
--- a/src/process/batch/leader/call_answerer.ts
+++ b/src/process/batch/leader/call_answerer.ts
@@ -158,7 +158,7 @@
 
   #countPending(queue: QueueConfiguration): JobAnswer {
     let jobs = 0;
-    for (const job of this.#options.state.jobs.values()) {
+    for (const job of this.#options.state.liveJobs.values()) {
       if (job.queue === queue.name && isPending(job)) {
         jobs += 1;
       }
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -211,7 +211,7 @@
           workers: [...new Set(item.tasks.map(({ worker }) => worker))]
             .join(" "),
         });
-        this.#driver.drive();
+        this.#driver.driveJob(item.jobId);
         return;
       case "end":
         this.#followEnd(item);
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -28,6 +28,7 @@
 import { LateOrders } from "./late_orders.ts";
 import {
   type OpenRunState,
+  runName,
   type RunTable,
   StopReason,
   taskKey,
@@ -65,13 +66,11 @@
   }
 
   hasRunsOn(key: WorkerKey): boolean {
-    return [...this.#options.runs.all()].some((run) => run.holder === key);
+    return this.#options.runs.onHolder(key).length > 0;
   }
 
   hasRunsOf(jobId: JobId): boolean {
-    return [...this.#options.runs.all()].some((run) =>
-      run.task.jobId === jobId
-    );
+    return this.#options.runs.ofJob(jobId).length > 0;
   }
 
   /** Stops a task's run. */
@@ -93,10 +92,8 @@
 
   /** Stops what is open of a job. */
   stopJob(jobId: JobId): void {
-    for (const run of [...this.#options.runs.all()]) {
-      if (run.task.jobId === jobId) {
-        this.stop(run.task, StopReason.jobOver);
-      }
+    for (const run of this.#options.runs.ofJob(jobId)) {
+      this.stop(run.task, StopReason.jobOver);
     }
   }
 
@@ -109,6 +106,13 @@
     }
   }
 
+  /** Does what is due for one job's runs. */
+  driveJob(jobId: JobId): void {
+    if (this.#options.mayLead()) {
+      this.#options.runs.ofJob(jobId).forEach((run) => this.#driveRun(run));
+    }
+  }
+
   /** Bars what was ordered from an earlier life of the worker. */
   barLateOrders(key: WorkerKey): void {
     const nowMs = this.#options.clock.nowMs();
@@ -126,7 +130,7 @@
     const { runs } = this.#options;
     const listed = new Set<string>();
     for (const { task, run } of report.running) {
-      listed.add(`${taskKey(task)} ${run}`);
+      listed.add(runName(task, run));
       const open = runs.get(task);
       if (open?.run === run && open.holder === key) {
         open.confirmedAtMs ??= this.#options.clock.nowMs();
@@ -135,11 +139,10 @@
       }
     }
     for (const { task, run } of report.ended) {
-      listed.add(`${taskKey(task)} ${run}`);
+      listed.add(runName(task, run));
     }
-    for (const open of [...runs.all()]) {
-      const name = `${taskKey(open.task)} ${open.run}`;
-      if (open.holder === key && !listed.has(name)) {
+    for (const open of runs.onHolder(key)) {
+      if (!listed.has(open.name)) {
         this.#noteAbsent(open, sentAtMs);
       }
     }
@@ -211,7 +214,7 @@
       }
       return;
     }
-    run.holder = successor;
+    this.#options.runs.moveTo(run, successor);
     run.stopReason = StopReason.lifeOver;
     run.stoppedAtMs = undefined;
     run.nextCallAtMs = nowMs;
--- a/src/process/batch/leader/run_table.ts
+++ b/src/process/batch/leader/run_table.ts
@@ -5,6 +5,7 @@
  * @module
  */
 
+import type { JobId } from "../../../base/identity.ts";
 import {
   type BatchItem,
   type TaskRef,
@@ -32,9 +33,13 @@
   readonly task: TaskRef;
   readonly run: number;
   readonly worker: WorkerKey;
+  /** The task's name within this process, and the run's. */
+  readonly key: string;
+  readonly name: string;
   /**
    * The life of the worker that may have the run: an order on its way when a
-   * life ends may reach the next one under the same name.
+   * life ends may reach the next one under the same name. Changed by
+   * {@link RunTable.moveTo} only.
    */
   holder: WorkerKey;
   /** When this leader learned of the run. */
@@ -60,14 +65,21 @@
   return `${task.jobId}.${task.occurrence}.${task.step}.${task.index}`;
 }
 
-/** All open runs by task. */
+/** The name of one run of a task within this process. */
+export function runName(task: TaskRef, run: number): string {
+  return `${taskKey(task)} ${run}`;
+}
+
+/** All open runs by task, and by the worker and the job that they are of. */
 export class RunTable {
   readonly #runs = new Map<string, OpenRunState>();
+  readonly #byHolder = new RunGroups();
+  readonly #byJob = new RunGroups();
 
   /** Takes over what the replicated state holds as open. */
   static fromState(state: BatchState, nowMs: number): RunTable {
     const table = new RunTable();
-    for (const job of state.jobs.values()) {
+    for (const job of state.liveJobs.values()) {
       for (const [occurrence, { steps }] of job.occurrences.entries()) {
         for (const [step, { tasks }] of steps.entries()) {
           for (const [index, { worker, run }] of tasks.entries()) {
@@ -102,8 +114,12 @@
     run: Pick<OpenRunState, "task" | "run" | "worker">,
     nowMs: number,
   ): void {
-    this.#runs.set(taskKey(run.task), {
+    const key = taskKey(run.task);
+    this.#close(key);
+    const open: OpenRunState = {
       ...run,
+      key,
+      name: `${key} ${run.run}`,
       holder: run.worker,
       sinceMs: nowMs,
       confirmedAtMs: undefined,
@@ -114,7 +130,27 @@
       nextCallAtMs: nowMs,
       hasUnansweredStart: false,
       lifeOverAtMs: undefined,
-    });
+    };
+    this.#runs.set(key, open);
+    this.#byHolder.add(open.holder, open);
+    this.#byJob.add(open.task.jobId, open);
+  }
+
+  /** The run may be at another life of its worker. */
+  moveTo(run: OpenRunState, holder: WorkerKey): void {
+    this.#byHolder.delete(run.holder, run);
+    run.holder = holder;
+    this.#byHolder.add(holder, run);
+  }
+
+  /** The runs that one life of a worker may have. */
+  onHolder(key: WorkerKey): readonly OpenRunState[] {
+    return this.#byHolder.of(key);
+  }
+
+  /** The open runs of one job. */
+  ofJob(jobId: JobId): readonly OpenRunState[] {
+    return this.#byJob.of(jobId);
   }
 
   /** Follows an item that took effect. */
@@ -146,17 +182,47 @@
       ?.steps[ended.step]?.tasks ?? [];
     for (const [index, { worker }] of tasks.entries()) {
       if (worker === undefined) {
-        this.#runs.delete(taskKey({ ...ended, index }));
+        this.#close(taskKey({ ...ended, index }));
       }
     }
   }
 
+  #close(key: string): void {
+    const open = this.#runs.get(key);
+    if (open !== undefined) {
+      this.#runs.delete(key);
+      this.#byHolder.delete(open.holder, open);
+      this.#byJob.delete(open.task.jobId, open);
+    }
+  }
+
   /** The runs of one step that are open. */
   ofStep(task: TaskRef): OpenRunState[] {
-    return [...this.#runs.values()].filter((other) =>
-      other.task.jobId === task.jobId &&
+    return this.ofJob(task.jobId).filter((other) =>
       other.task.occurrence === task.occurrence &&
       other.task.step === task.step
     );
   }
 }
+
+/** Open runs by a name that several of them share. */
+class RunGroups {
+  readonly #groups = new Map<string, Set<OpenRunState>>();
+
+  of(name: string): readonly OpenRunState[] {
+    return [...this.#groups.get(name) ?? []];
+  }
+
+  add(name: string, run: OpenRunState): void {
+    const group = this.#groups.get(name) ?? new Set();
+    this.#groups.set(name, group.add(run));
+  }
+
+  delete(name: string, run: OpenRunState): void {
+    const group = this.#groups.get(name);
+    group?.delete(run);
+    if (group?.size === 0) {
+      this.#groups.delete(name);
+    }
+  }
+}
