--- a/src/process/batch/decisions/preemption.ts
+++ b/src/process/batch/decisions/preemption.ts
@@ -76,10 +76,10 @@
   if (!wouldFit(useful)) {
     return undefined;
   }
-  let count = 0;
-  while (!wouldFit(useful.slice(0, count))) {
-    count += 1;
-  }
+  const count = fewestThatFit(
+    useful.length,
+    (first) => wouldFit(useful.slice(0, first)),
+  );
   const chosen = dropNeedless(useful.slice(0, count), wouldFit);
   return {
     runs: chosen.flatMap((victim) => victim.runs),
@@ -87,6 +87,31 @@
   };
 }
 
+/** The least number that fits, where `limit` does and more never fit less. */
+function fewestThatFit(
+  limit: number,
+  fitsWith: (count: number) => boolean,
+): number {
+  let tooFew = -1;
+  let enough = limit;
+  for (let step = 1; tooFew + step < enough; step *= 2) {
+    if (fitsWith(tooFew + step)) {
+      enough = tooFew + step;
+    } else {
+      tooFew += step;
+    }
+  }
+  while (enough - tooFew > 1) {
+    const middle = Math.floor((tooFew + enough) / 2);
+    if (fitsWith(middle)) {
+      enough = middle;
+    } else {
+      tooFew = middle;
+    }
+  }
+  return enough;
+}
+
 /** Leaves out, the dearest first, what isn't needed for the room. */
 function dropNeedless(
   chosen: readonly Victim[],
