Resume a lost run from the checkpoint that was last heard of

Cause: workers list each run's checkpoint in every report, and only those in ends were kept; what ran on a worker that crashed began anew. A gang's members could also hold checkpoints of different runs, and the first one counted. Change: the open run keeps what its last report listed, and its end as lost carries it; a gang keeps one checkpoint, that of its latest run.

--- a/src/process/batch/batch_state.ts
+++ b/src/process/batch/batch_state.ts
@@ -268,7 +268,7 @@
   }
 
   #end(item: Extract<BatchItem, { kind: "end" }>, atMs: number): boolean {
-    const { task: ref, run, how, checkpoint } = item;
+    const { task: ref, run, how } = item;
     const job = this.#jobs.get(ref.jobId);
     const step = job?.occurrences[ref.occurrence]?.steps[ref.step];
     const task = step?.tasks[ref.index];
@@ -279,10 +279,8 @@
       return false;
     }
     task.worker = undefined;
-    if (checkpoint !== "") {
-      task.checkpoint = checkpoint;
-    }
     const spec = job.spec.steps[ref.step]!;
+    keepCheckpoint({ step, task, isGang: spec.isGang }, item);
     if (how === RunEnd.done && !spec.isLasting) {
       markDone(step, { isGang: spec.isGang, task, run });
       this.#completeIfDone(job, ref, atMs);
@@ -344,6 +342,26 @@
   job.endedAtMs = atMs;
 }
 
+/**
+ * A gang resumes from one checkpoint: that of the latest run. What was last
+ * heard of a run that is lost yields to what a worker said at its end.
+ */
+function keepCheckpoint(
+  kept: { step: StepRecord; task: TaskRecord; isGang: boolean },
+  { run, how, checkpoint }: Extract<BatchItem, { kind: "end" }>,
+): void {
+  const { step, task, isGang } = kept;
+  if (checkpoint === "") {
+    return;
+  }
+  if (!isGang) {
+    task.checkpoint = checkpoint;
+  } else if (how !== RunEnd.lost || (step.checkpointRun ?? 0) < run) {
+    step.checkpointRun = run;
+    step.tasks.forEach((member) => member.checkpoint = checkpoint);
+  }
+}
+
 /** One member's end stands for its whole gang. */
 function markDone(
   step: StepRecord,
--- a/src/process/batch/job_record.ts
+++ b/src/process/batch/job_record.ts
@@ -37,6 +37,8 @@
   /** Failed runs of the gang, and the latest of them. */
   gangFailures: number;
   lastFailedRun: number;
+  /** The run of a gang that its members' checkpoint is of; absent for none. */
+  checkpointRun?: number;
 }
 
 /** One occurrence, from its first start on. */
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -96,7 +96,8 @@
       linkOf: (key) => this.#links.get(key),
       successorOf: (key) => this.#links.successorOf(key),
       mayLead: () => this.isCurrent(),
-      onEnd: (task, run, how) => this.#writeEnd(task, { run, how }),
+      onEnd: ({ task, run, checkpoint }, how) =>
+        void this.#writeEnd(task, { run, how, checkpoint }),
       onUnwell: (key) => this.#health.noteUnwell(key),
       onFull: (key) => this.#health.noteFull(key),
     });
@@ -301,7 +302,7 @@
 
   #writeEnd(
     task: TaskRef,
-    end: { run: number; how: RunEnd; checkpoint?: string },
+    end: { run: number; how: RunEnd; checkpoint: string },
   ): Promise<boolean | undefined> {
     const { run, how, checkpoint } = end;
     return this.#writer.write({
@@ -309,7 +310,7 @@
       task,
       run,
       how,
-      checkpoint: checkpoint ?? "",
+      checkpoint,
     });
   }
 
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -49,7 +49,7 @@
   readonly successorOf: (key: WorkerKey) => WorkerKey | undefined;
   readonly mayLead: () => boolean;
   /** A run is over for certain without a worker's own word on it. */
-  readonly onEnd: (task: TaskRef, run: number, how: RunEnd) => void;
+  readonly onEnd: (run: OpenRunState, how: RunEnd) => void;
   readonly onUnwell: (key: WorkerKey) => void;
   readonly onFull: (key: WorkerKey) => void;
 }
@@ -129,11 +129,12 @@
   compare(key: WorkerKey, report: WorkerReport, sentAtMs: number): void {
     const { runs } = this.#options;
     const listed = new Set<string>();
-    for (const { task, run } of report.running) {
+    for (const { task, run, checkpoint } of report.running) {
       listed.add(runName(task, run));
       const open = runs.get(task);
       if (open?.run === run && open.holder === key) {
         open.confirmedAtMs ??= this.#options.clock.nowMs();
+        open.checkpoint = checkpoint;
       } else {
         void this.#stopUnknown(key, task, run);
       }
@@ -161,7 +162,7 @@
   #endOnce(open: OpenRunState, how: RunEnd): void {
     if (!this.#ending.has(open)) {
       this.#ending.add(open);
-      this.#options.onEnd(open.task, open.run, how);
+      this.#options.onEnd(open, how);
     }
   }
 
--- a/src/process/batch/leader/run_driver_test.ts
+++ b/src/process/batch/leader/run_driver_test.ts
@@ -9,7 +9,8 @@
 import { RunTable } from "./run_table.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
-test("a run whose end is being stored isn't ordered again", async (t) => {
+/** A driver with one run that is to start, and what it tells of ends. */
+function driveOneRun(calls: Partial<WorkerCalls>) {
   const world = new PlannerWorld({ workers: 1 });
   world.submit("a", { taskCount: 1 });
   const clock = new FakeClock({ startMs: world.nowMs });
@@ -17,8 +18,7 @@
   const plan = world.plan();
   world.carryOut(plan);
   plan.starts.forEach((start) => runs.follow(start, world.state, world.nowMs));
-  let starts = 0;
-  const ends: string[] = [];
+  const ends: { how: string; checkpoint: string }[] = [];
   const driver = new RunDriver({
     runs,
     state: world.state,
@@ -26,13 +26,7 @@
     events: SILENT_EVENT_LOG,
     timing: BATCH_TIMING,
     epoch: 1,
-    calls: {
-      start: () => {
-        starts += 1;
-        const refusal = starts === 1 ? "noRoom" : undefined;
-        return Promise.resolve(Right({ refusal, clockMs: 0 }));
-      },
-    } as unknown as WorkerCalls,
+    calls: calls as WorkerCalls,
     linkOf: () =>
       ({
         isGone: false,
@@ -43,15 +37,37 @@
       }) as unknown as WorkerLink,
     successorOf: () => undefined,
     mayLead: () => true,
-    onEnd: (_task, _run, how) => void ends.push(how),
+    onEnd: ({ checkpoint }, how) => void ends.push({ how, checkpoint }),
     onUnwell: () => undefined,
     onFull: () => undefined,
   });
+  return { driver, clock, ends, run: [...runs.all()][0]! };
+}
+
+test("a run whose end is being stored isn't ordered again", async (t) => {
+  let starts = 0;
+  const { driver, clock, ends } = driveOneRun({
+    start: () => {
+      starts += 1;
+      const refusal = starts === 1 ? "noRoom" : undefined;
+      return Promise.resolve(Right({ refusal, clockMs: 0 }));
+    },
+  });
   for (let tick = 0; tick < 20; tick++) {
     driver.drive();
     await new Promise((done) => setImmediate(done));
     clock.advance(BATCH_TIMING.tickMs);
   }
-  t.deepEqual(ends, ["rejected"]);
+  t.deepEqual(ends.map(({ how }) => how), ["rejected"]);
   t.is(starts, 1);
 });
+
+test("a run that is lost keeps the checkpoint that was last heard of", (t) => {
+  const { driver, clock, ends, run } = driveOneRun({});
+  const report = { clockMs: 0, bornMs: 0, ended: [] };
+  const listed = { task: run.task, run: run.run, checkpoint: "half way" };
+  driver.compare(run.holder, { ...report, running: [listed] }, clock.nowMs());
+  clock.advance(1);
+  driver.compare(run.holder, { ...report, running: [] }, clock.nowMs());
+  t.deepEqual(ends, [{ how: "lost", checkpoint: "half way" }]);
+});
--- a/src/process/batch/leader/run_table.ts
+++ b/src/process/batch/leader/run_table.ts
@@ -46,6 +46,8 @@
   readonly sinceMs: number;
   /** When the worker was known to have it; undefined before. */
   confirmedAtMs: number | undefined;
+  /** The last checkpoint that a report of the run listed; empty for none. */
+  checkpoint: string;
   stopReason: StopReason | undefined;
   /** When the worker acknowledged the stop. */
   stoppedAtMs: number | undefined;
@@ -123,6 +125,7 @@
       holder: run.worker,
       sinceMs: nowMs,
       confirmedAtMs: undefined,
+      checkpoint: "",
       stopReason: undefined,
       stoppedAtMs: undefined,
       callsOpen: 0,
