End a call's timer with the call; find a worker's other lives by index

Cause: from a processor profile of three cores and two doors under 246 stand-in workers and 8 jobs of 12 tasks a second. Each heartbeat went over all workers twice (5 of 56 % of the time used), and the timer of each call out outlived it and made an error when it fired.

--- a/src/process/batch/batch_state.ts
+++ b/src/process/batch/batch_state.ts
@@ -63,6 +63,8 @@
   /** Derived: the jobs that are active or have open runs. */
   #liveJobs = new Map<JobId, JobRecord>();
   #workers = new Map<WorkerKey, WorkerRecord>();
+  /** Derived: the lives that share an identity or an address. */
+  #lives = new Map<string, Set<WorkerKey>>();
 
   /** The number of the latest leader's time in office. */
   get epoch(): number {
@@ -90,6 +92,15 @@
     return this.#workers;
   }
 
+  /** Other lives of the same worker, or at the same address. */
+  otherLivesOf(worker: WorkerRecord): WorkerRecord[] {
+    const keys = new Set(
+      placesOf(worker).flatMap((place) => [...this.#lives.get(place) ?? []]),
+    );
+    keys.delete(worker.key);
+    return [...keys].map((key) => this.#workers.get(key)!);
+  }
+
   /** The task's record, if the job is kept and has come that far. */
   taskOf(task: TaskRef): TaskRecord | undefined {
     return this.#jobs.get(task.jobId)?.occurrences[task.occurrence]
@@ -152,7 +163,9 @@
     this.#jobs = new Map(jobs.map((job) => [job.id, job]));
     this.#liveJobs = new Map(this.#jobs);
     jobs.forEach((job) => this.#settle(job));
-    this.#workers = new Map(workers.map((worker) => [worker.key, worker]));
+    this.#workers = new Map();
+    this.#lives = new Map();
+    workers.forEach((worker) => this.#addWorker(worker));
     return Right(undefined);
   }
 
@@ -185,10 +198,11 @@
       case "end":
         return this.#end(item, atMs);
       case "worker":
-        this.#workers.set(item.worker.key, item.worker);
+        this.#removeWorker(item.worker.key);
+        this.#addWorker(item.worker);
         return true;
       case "workerGone":
-        return this.#workers.delete(item.key);
+        return this.#removeWorker(item.key);
       case "forget":
         for (const id of item.jobIds) {
           this.#jobs.delete(id);
@@ -198,6 +212,29 @@
     }
   }
 
+  #addWorker(worker: WorkerRecord): void {
+    this.#workers.set(worker.key, worker);
+    for (const place of placesOf(worker)) {
+      const lives = this.#lives.get(place) ?? new Set();
+      this.#lives.set(place, lives.add(worker.key));
+    }
+  }
+
+  #removeWorker(key: WorkerKey): boolean {
+    const worker = this.#workers.get(key);
+    if (worker === undefined) {
+      return false;
+    }
+    for (const place of placesOf(worker)) {
+      const lives = this.#lives.get(place);
+      lives?.delete(key);
+      if (lives?.size === 0) {
+        this.#lives.delete(place);
+      }
+    }
+    return this.#workers.delete(key);
+  }
+
   /** A job that is known already stays as it is. */
   #accept(
     item: Extract<BatchItem, { kind: "accept" }>,
@@ -337,6 +374,11 @@
   }
 }
 
+/** Where only one life can be: an identity, an address. */
+function placesOf({ id, address }: WorkerRecord): string[] {
+  return [`id ${id}`, `address ${address}`];
+}
+
 function endJob(job: JobRecord, phase: JobPhase, atMs: number): void {
   job.phase = phase;
   job.endedAtMs = atMs;
--- a/src/process/batch/http_call_transport.ts
+++ b/src/process/batch/http_call_transport.ts
@@ -9,6 +9,7 @@
 import { Agent, request } from "undici";
 import { failure, type Result } from "../../base/sesame_error.ts";
 import type { HttpEndpoint } from "../http/mod.ts";
+import { withCallDeadline } from "./call_deadline.ts";
 import type { JobAnswer, JobCall } from "./job_call.ts";
 import type { CallTransport } from "./leader_finder.ts";
 
@@ -58,18 +59,19 @@
   ): Promise<Result<JobAnswer>> {
     const address = this.#options.addressOf(instanceId);
     try {
-      const answer = await request(`http://${address}${CALLS_PATH}`, {
-        method: "POST",
-        dispatcher: this.#agent,
-        headers: { "content-type": "application/msgpack" },
-        body: pack(call),
-        signal: AbortSignal.timeout(Math.ceil(options.timeoutMs)),
+      return await withCallDeadline(options.timeoutMs, async (signal) => {
+        const answer = await request(`http://${address}${CALLS_PATH}`, {
+          method: "POST",
+          dispatcher: this.#agent,
+          headers: { "content-type": "application/msgpack" },
+          body: pack(call),
+          signal,
+        });
+        const body = new Uint8Array(await answer.body.arrayBuffer());
+        return answer.statusCode === 200
+          ? Right(unpack(body) as JobAnswer)
+          : failure("outcomeUnknown", { detail: `${answer.statusCode}` });
       });
-      const body = new Uint8Array(await answer.body.arrayBuffer());
-      if (answer.statusCode !== 200) {
-        return failure("outcomeUnknown", { detail: `${answer.statusCode}` });
-      }
-      return Right(unpack(body) as JobAnswer);
     } catch (error) {
       return failure(wasNeverSent(error) ? "unavailable" : "outcomeUnknown", {
         detail: error instanceof Error ? error.message : String(error),
--- a/src/process/batch/leader/call_answerer.ts
+++ b/src/process/batch/leader/call_answerer.ts
@@ -203,10 +203,7 @@
   }
 
   #othersAt(worker: WorkerRecord): WorkerRecord[] {
-    return [...this.#options.state.workers.values()].filter((other) =>
-      other.key !== worker.key &&
-      (other.id === worker.id || other.address === worker.address)
-    );
+    return this.#options.state.otherLivesOf(worker);
   }
 
   async #noteLeave(workerId: string): Promise<JobAnswer> {
