--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -1,53 +1,31 @@
 /**
- * Sees each open run through: sends its start until the worker has it, its
+ * Sees each open run through: orders its start until the worker has it, its
  * stop until the worker has acknowledged it, and finds out when it is gone.
  *
  * @module
  */
 
-import type { Clock } from "../../../base/clock.ts";
-import type { EventLog } from "../../../base/event_log.ts";
 import type { JobId } from "../../../base/identity.ts";
-import type { SesameError } from "../../../base/sesame_error.ts";
-import {
-  idOfLife,
-  RunEnd,
-  type TaskRef,
-  type WorkerKey,
-} from "../batch_command.ts";
-import type { BatchState } from "../batch_state.ts";
-import type { BatchTiming } from "../batch_timing.ts";
+import { RunEnd, type TaskRef, type WorkerKey } from "../batch_command.ts";
 import { JobPhase } from "../job_record.ts";
-import type { StepSpec } from "../job_spec.ts";
 import {
   type StartAnswer,
   StartRefusal,
-  type WorkerCalls,
   type WorkerReport,
 } from "../worker_calls.ts";
-import { LateOrders } from "./late_orders.ts";
+import { RunOrders, type RunOrdersOptions } from "./run_orders.ts";
 import {
   type OpenRunState,
   runName,
-  type RunTable,
   StopReason,
   taskKey,
 } from "./run_table.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
 /** What a driver is made from. */
-export interface RunDriverOptions {
-  readonly runs: RunTable;
-  readonly state: BatchState;
-  readonly clock: Clock;
-  readonly calls: WorkerCalls;
-  readonly events: EventLog;
-  readonly timing: BatchTiming;
-  readonly epoch: number;
-  readonly linkOf: (key: WorkerKey) => WorkerLink | undefined;
+export interface RunDriverOptions extends RunOrdersOptions {
   /** The present life of the worker whose life is over, if it has one. */
   readonly successorOf: (key: WorkerKey) => WorkerKey | undefined;
-  readonly mayLead: () => boolean;
   /** A run is over for certain without a worker's own word on it. */
   readonly onEnd: (run: OpenRunState, how: RunEnd) => void;
   readonly onUnwell: (key: WorkerKey) => void;
@@ -59,10 +37,11 @@
   readonly #options: RunDriverOptions;
   /** Runs whose end is being written. */
   readonly #ending = new WeakSet<OpenRunState>();
-  readonly #late = new LateOrders();
+  readonly #orders: RunOrders;
 
   constructor(options: RunDriverOptions) {
     this.#options = options;
+    this.#orders = new RunOrders(options);
   }
 
   hasRunsOn(key: WorkerKey): boolean {
@@ -115,14 +94,7 @@
 
   /** Bars what was ordered from an earlier life of the worker. */
   barLateOrders(key: WorkerKey): void {
-    const nowMs = this.#options.clock.nowMs();
-    for (const { task, run } of this.#late.of(idOfLife(key), nowMs)) {
-      const open = this.#options.runs.get(task);
-      const isOpenHere = open?.run === run && open.holder === key;
-      if (!isOpenHere) {
-        void this.#stopUnknown(key, task, run);
-      }
-    }
+    this.#orders.barLate(key);
   }
 
   /** Compares what a worker reports with what is open there. */
@@ -136,7 +108,7 @@
         open.confirmedAtMs ??= this.#options.clock.nowMs();
         open.checkpoint = checkpoint;
       } else {
-        void this.#stopUnknown(key, task, run);
+        void this.#orders.bar(key, task, run);
       }
     }
     for (const { task, run } of report.ended) {
@@ -189,7 +161,7 @@
     }
     if (run.stopReason !== undefined) {
       if (run.stoppedAtMs === undefined) {
-        void this.#sendStop(run, link);
+        void this.#orders.stop(run, link);
       }
     } else if (run.confirmedAtMs === undefined) {
       const leaseEndMs = link.isReachable ? link.nextLeaseEndMs() : undefined;
@@ -238,49 +210,14 @@
       this.stopStep(run.task, StopReason.gangBroken);
     }
   }
-
   async #sendStart(
     run: OpenRunState,
     options: { link: WorkerLink; leaseEndMs: number },
   ): Promise<void> {
-    const { clock, calls, timing, epoch, state } = this.#options;
-    const { link, leaseEndMs } = options;
-    const { task } = run;
-    const job = state.jobs.get(task.jobId)!;
-    run.callsOpen += 1;
-    run.startsSent += 1;
-    const result = await calls.start(link.worker, {
-      task,
-      run: run.run,
-      payload: job.spec.payload,
-      leaseEndMs,
-      epoch,
-      checkpoint: this.#checkpointOf(run, job.spec.steps[task.step]!),
-    }, { timeoutMs: timing.orderTimeoutMs });
-    run.callsOpen -= 1;
-    run.nextCallAtMs = clock.nowMs() + timing.orderRetryMs;
-    result.caseOf({
-      Left: (error) => {
-        run.hasUnansweredStart = true;
-        this.#late.add(idOfLife(run.holder), run, clock.nowMs());
-        this.#noteNoAnswer(run, "start", error.kind);
-      },
-      Right: (answer) => this.#takeStartAnswer(run, link, answer),
-    });
-  }
-
-  /** All members of a gang resume from the same checkpoint. */
-  #checkpointOf(run: OpenRunState, spec: StepSpec): string {
-    const { task } = run;
-    const tasks = this.#options.state.jobs.get(task.jobId)
-      ?.occurrences[task.occurrence]?.steps[task.step]?.tasks ?? [];
-    if (!spec.isCheckpointing) {
-      return "";
+    const answer = await this.#orders.start(run, options);
+    if (answer !== undefined) {
+      this.#takeStartAnswer(run, options.link, answer);
     }
-    return spec.isGang
-      ? tasks.map(({ checkpoint }) => checkpoint).find((text) => text !== "") ??
-        ""
-      : tasks[task.index]?.checkpoint ?? "";
   }
 
   #takeStartAnswer(
@@ -330,77 +267,4 @@
       this.#endOnce(run, RunEnd.rejected);
     }
   }
-
-  async #sendStop(run: OpenRunState, link: WorkerLink): Promise<void> {
-    const { clock, calls, timing, epoch } = this.#options;
-    run.callsOpen += 1;
-    const order = { task: run.task, run: run.run, epoch };
-    const result = await calls.stop(link.worker, order, {
-      timeoutMs: timing.orderTimeoutMs,
-    });
-    run.callsOpen -= 1;
-    run.nextCallAtMs = clock.nowMs() + timing.orderRetryMs;
-    result.caseOf({
-      Left: (error) => this.#noteNoAnswer(run, "stop", error.kind),
-      Right: () => {
-        run.stoppedAtMs = clock.nowMs();
-        link.wake();
-      },
-    });
-  }
-
-  #noteNoAnswer(run: OpenRunState, order: string, detail: string): void {
-    this.#options.events.emit("taskOrderUnanswered", {
-      jobId: run.task.jobId,
-      task: taskKey(run.task),
-      run: run.run,
-      worker: run.worker,
-      order,
-      detail,
-    });
-  }
-
-  /** Stops what was given up; an order may be carried out late. */
-  async #stopUnknown(
-    key: WorkerKey,
-    task: TaskRef,
-    run: number,
-  ): Promise<void> {
-    const { events } = this.#options;
-    const fields = { jobId: task.jobId, task: taskKey(task), run, worker: key };
-    events.emit("taskStoppedUnknown", fields);
-    for (let tries = 0; tries < BAR_TRIES; tries++) {
-      const error = await this.#tryStop(key, { task, run });
-      if (error === undefined) {
-        return;
-      }
-      events.emit("taskOrderUnanswered", {
-        ...fields,
-        order: "stop",
-        detail: error.kind,
-      });
-    }
-  }
-
-  /** Nothing where the worker took the stop, or nothing is left to stop. */
-  async #tryStop(
-    key: WorkerKey,
-    order: { task: TaskRef; run: number },
-  ): Promise<SesameError | undefined> {
-    const { calls, timing, epoch, linkOf, mayLead } = this.#options;
-    const link = linkOf(key);
-    if (link === undefined || !mayLead()) {
-      return undefined;
-    }
-    const result = await calls.stop(link.worker, { ...order, epoch }, {
-      timeoutMs: timing.orderTimeoutMs,
-    });
-    return result.caseOf<SesameError | undefined>({
-      Left: (error) => error,
-      Right: () => undefined,
-    });
-  }
 }
-
-/** How often a stop without an answer is sent again: over two seconds. */
-const BAR_TRIES = 6;
