--- a/src/process/batch/testing/batch_history.ts
+++ b/src/process/batch/testing/batch_history.ts
@@ -131,7 +131,7 @@
     },
     estimateMs: 300 + random.nextInt(6_000),
     afterSteps: position === 0 ? [] : [position - 1],
-    isCheckpointing: false,
+    isCheckpointing: true,
     isGang: random.nextInt(2) === 0,
     prefersOneRack: false,
     isLasting: false,
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -5,7 +5,6 @@
  * @module
  */
 
-import { Right } from "purify-ts/Either";
 import type { FakeClock, RandomSource } from "../../../base/mod.ts";
 import { failure, type Result } from "../../../base/mod.ts";
 import {
@@ -28,12 +27,14 @@
   FakeWorker,
   GANG_WAIT_MS,
   type HeldRun,
-  LATE_LIMIT_MS,
   LEASE_CHECK_MS,
   LEASE_LIMIT_MS,
-  type PoolFaults,
-  WAY_MS,
 } from "./fake_worker.ts";
+import {
+  FakePoolNetwork,
+  NO_FAULTS,
+  type PoolFaults,
+} from "./fake_pool_network.ts";
 import { PoolOracle } from "./pool_oracle.ts";
 
 /** What a pool is made from. */
@@ -47,19 +48,15 @@
 
 /** All workers; the leader's only way to them. */
 export class FakePool implements WorkerCalls {
-  readonly faults: PoolFaults = {
-    lostCalls: 0,
-    lostAnswers: 0,
-    lateCalls: 0,
-    failingRuns: 0,
-  };
   starts = 0;
+  readonly #network: FakePoolNetwork;
   readonly #options: FakePoolOptions;
   readonly #workers = new Map<string, FakeWorker>();
   readonly #oracle: PoolOracle;
 
   constructor(options: FakePoolOptions) {
     this.#options = options;
+    this.#network = new FakePoolNetwork(options);
     this.#oracle = new PoolOracle(options);
     for (let number = 0; number < options.workers; number++) {
       const rate = 1 - 0.02 * options.random.nextUnit();
@@ -68,6 +65,10 @@
     options.clock.every(LEASE_CHECK_MS, () => this.#lapse());
   }
 
+  get faults(): PoolFaults {
+    return this.#network.faults;
+  }
+
   /** What must never happen, and did. */
   get violations(): readonly string[] {
     return this.#oracle.violations;
@@ -124,12 +125,7 @@
 
   /** Everything works again. */
   heal(): void {
-    Object.assign(this.faults, {
-      lostCalls: 0,
-      lostAnswers: 0,
-      lateCalls: 0,
-      failingRuns: 0,
-    });
+    Object.assign(this.faults, NO_FAULTS);
     for (const worker of this.#workers.values()) {
       worker.isCut = false;
       this.restart(worker.id);
@@ -145,10 +141,14 @@
     order: StartOrder,
     options: WorkerCallOptions,
   ): Promise<Result<StartAnswer>> {
-    return this.#call(record, options, (worker) => ({
-      refusal: this.#start(worker, order),
-      clockMs: this.#clockMs(worker),
-    }));
+    return this.#network.call(
+      this.#workers.get(record.id)!,
+      options,
+      (worker) => ({
+        refusal: this.#start(worker, order),
+        clockMs: this.#clockMs(worker),
+      }),
+    );
   }
 
   stop(
@@ -156,23 +156,27 @@
     order: { task: TaskRef; run: number; epoch: number },
     options: WorkerCallOptions,
   ): Promise<Result<void>> {
-    return this.#call(record, options, (worker) => {
-      if (order.epoch < worker.epoch) {
-        return;
-      }
-      worker.epoch = order.epoch;
-      const name = taskKey(order.task);
-      worker.barred.set(
-        name,
-        Math.max(order.run, worker.barred.get(name) ?? 0),
-      );
-      const held = worker.running.get(name);
-      if (held?.run === order.run) {
-        this.#options.clock.after(this.#randomMs(400), () => {
-          this.#end(worker, held, RunEnd.stopped);
-        });
-      }
-    });
+    return this.#network.call(
+      this.#workers.get(record.id)!,
+      options,
+      (worker) => {
+        if (order.epoch < worker.epoch) {
+          return;
+        }
+        worker.epoch = order.epoch;
+        const name = taskKey(order.task);
+        worker.barred.set(
+          name,
+          Math.max(order.run, worker.barred.get(name) ?? 0),
+        );
+        const held = worker.running.get(name);
+        if (held?.run === order.run) {
+          this.#options.clock.after(this.#randomMs(400), () => {
+            this.#end(worker, held, RunEnd.stopped);
+          });
+        }
+      },
+    );
   }
 
   async lease(
@@ -180,15 +184,19 @@
     order: LeaseOrder,
     options: WorkerCallOptions,
   ): Promise<Result<WorkerReport>> {
-    const waited = await this.#call(record, options, (worker) => {
-      if (order.epoch < worker.epoch) {
-        return false;
-      }
-      worker.epoch = order.epoch;
-      this.#extendLease(worker, order.leaseEndMs ?? 0);
-      this.#note(worker, order.notedEnd);
-      return true;
-    });
+    const waited = await this.#network.call(
+      this.#workers.get(record.id)!,
+      options,
+      (worker) => {
+        if (order.epoch < worker.epoch) {
+          return false;
+        }
+        worker.epoch = order.epoch;
+        this.#extendLease(worker, order.leaseEndMs ?? 0);
+        this.#note(worker, order.notedEnd);
+        return true;
+      },
+    );
     if (waited.isLeft() || !waited.unsafeCoerce()) {
       return failure("outcomeUnknown");
     }
@@ -196,13 +204,15 @@
     if (worker.ended.length === 0 && order.waitMs > 0) {
       await this.#waitForEnd(worker, order.waitMs);
     }
-    return await this.#call(record, { timeoutMs: 500 }, (answering) => ({
+    return await this.#network.call(this.#workers.get(record.id)!, {
+      timeoutMs: 500,
+    }, (answering) => ({
       clockMs: this.#clockMs(answering),
       bornMs: answering.bornMs,
       running: [...answering.running.values()].map(({ task, run }) => ({
         task,
         run,
-        checkpoint: "",
+        checkpoint: this.#checkpointOf({ task, run }),
       })),
       ended: [...answering.ended],
     }));
@@ -222,46 +232,6 @@
     return this.#options.random.nextUnit() * limitMs;
   }
 
-  /** Brings a call to the life that it is for, or doesn't. */
-  #call<T>(
-    record: WorkerRecord,
-    { timeoutMs }: WorkerCallOptions,
-    act: (worker: FakeWorker) => T,
-  ): Promise<Result<T>> {
-    const { clock, random } = this.#options;
-    const worker = this.#workers.get(record.id)!;
-    const draw = random.nextUnit();
-    const { lostCalls, lostAnswers, lateCalls } = this.faults;
-    return new Promise((resolve) => {
-      const giveUp = () =>
-        clock.after(timeoutMs, () => resolve(failure("outcomeUnknown")));
-      if (worker.isCut || draw < lostCalls) {
-        giveUp();
-      } else if (draw < lostCalls + lateCalls) {
-        giveUp();
-        const lateMs = timeoutMs + this.#randomMs(LATE_LIMIT_MS);
-        clock.after(lateMs, () => {
-          if (!worker.isDown && !worker.isCut) {
-            act(worker);
-          }
-        });
-      } else {
-        clock.after(WAY_MS, () => {
-          if (worker.isDown) {
-            resolve(failure("unavailable"));
-            return;
-          }
-          const answer = act(worker);
-          if (draw > 1 - lostAnswers) {
-            giveUp();
-          } else {
-            clock.after(WAY_MS, () => resolve(Right(answer)));
-          }
-        });
-      }
-    });
-  }
-
   #start(
     worker: FakeWorker,
     order: StartOrder,
@@ -290,6 +260,10 @@
       return "noRoom";
     }
     this.#oracle.judgeStart(worker.id, task, this.#workers.values());
+    this.#oracle.judgeCheckpoint(task, {
+      checkpoint: order.checkpoint,
+      owner: this.#checkpointOwner(task),
+    });
     const held: HeldRun = { task, run, timer: undefined };
     worker.running.set(name, held);
     worker.barred.set(name, run - 1);
@@ -315,6 +289,17 @@
     return this.#options.specOf(task.jobId)!.steps[task.step]!;
   }
 
+  /** A gang's members may resume from each other's checkpoints. */
+  #checkpointOwner(task: TaskRef): string {
+    const { jobId, occurrence, step, index } = task;
+    const member = this.#stepOf(task).isGang ? "all" : index;
+    return `${jobId}.${occurrence}.${step}.${member}/`;
+  }
+
+  #checkpointOf({ task, run }: Pick<HeldRun, "task" | "run">): string {
+    return `${this.#checkpointOwner(task)}${run}`;
+  }
+
   #begin(worker: FakeWorker, held: HeldRun): void {
     const { clock, random } = this.#options;
     const step = this.#stepOf(held.task);
@@ -368,7 +353,8 @@
     worker.endCount += 1;
     const { task, run } = held;
     const number = worker.endCount;
-    worker.ended.push({ number, task, run, how, checkpoint: "" });
+    const checkpoint = this.#checkpointOf(held);
+    worker.ended.push({ number, task, run, how, checkpoint });
     if (how === RunEnd.done) {
       this.#oracle.noteDone(task);
     }
--- a/src/process/batch/testing/fake_worker.ts
+++ b/src/process/batch/testing/fake_worker.ts
@@ -34,18 +34,6 @@
   constructor(readonly id: string, readonly clockRate: number) {}
 }
 
-/** How the network and the tasks misbehave, each as a share of calls. */
-export interface PoolFaults {
-  lostCalls: number;
-  lostAnswers: number;
-  /** Carried out seconds after the caller gave up. */
-  lateCalls: number;
-  failingRuns: number;
-}
-
-/** How late a late call is carried out, at most. */
-export const LATE_LIMIT_MS = 8_000;
 export const LEASE_LIMIT_MS = 10_000;
 export const GANG_WAIT_MS = 3_000;
 export const LEASE_CHECK_MS = 50;
-export const WAY_MS = 5;
--- a/src/process/batch/testing/pool_oracle.ts
+++ b/src/process/batch/testing/pool_oracle.ts
@@ -70,6 +70,16 @@
     this.#judgeOrder(task);
   }
 
+  /** A run resumes only from what its own task, or its gang, saved. */
+  judgeCheckpoint(
+    task: TaskRef,
+    { checkpoint, owner }: { checkpoint: string; owner: string },
+  ): void {
+    if (checkpoint !== "" && !checkpoint.startsWith(owner)) {
+      this.violations.push(`${taskKey(task)} resumes from ${checkpoint}`);
+    }
+  }
+
   #judgeOrder(task: TaskRef): void {
     const { steps } = this.#options.specOf(task.jobId)!;
     for (const after of steps[task.step]!.afterSteps) {
