Elect a leader at once when everyone who may vote knows of none

Change: whoever would vote but for such a promise says so. A candidate that has this from everyone who might vote knows that nobody leads, and its vote request says so. Who says so takes the candidate's term, so that it is elected in no earlier one. A voter that restarts asks soon, without its own vote while it may have promised it.

--- a/src/process/replication/election.ts
+++ b/src/process/replication/election.ts
@@ -13,7 +13,7 @@
 import { startLeading } from "./leader.ts";
 import { hasQuorumContact } from "./lease.ts";
 import type { RaftMessageOf, Sender } from "./raft_message.ts";
-import type { RaftState } from "./raft_state.ts";
+import type { Ballot, RaftState } from "./raft_state.ts";
 import { becomeFollower, resetElectionTimer } from "./role.ts";
 
 /** How often the time for an election is doubled at most. */
@@ -23,7 +23,7 @@
 export function tickElection(state: RaftState): void {
   const mayCampaign = state.role === "follower" || state.role === "candidate";
   if (mayCampaign && state.nowMs >= state.electionDueMs) {
-    campaign(state, { isPreVote: true, isHandOver: false });
+    campaign(state, { kind: "preVote" });
   }
 }
 
@@ -33,25 +33,35 @@
   message: RaftMessageOf<"handOver">,
 ): void {
   if (message.term === state.term && state.role === "follower") {
-    campaign(state, { isPreVote: false, isHandOver: true });
+    campaign(state, { kind: "vote", isHandOver: true, isLeaderless: false });
   }
 }
 
-function campaign(
-  state: RaftState,
-  options: { isPreVote: boolean; isHandOver: boolean },
-): void {
+/** What a candidate asks for. */
+type Campaign =
+  | { readonly kind: "preVote" }
+  | {
+    readonly kind: "vote";
+    readonly isHandOver: boolean;
+    readonly isLeaderless: boolean;
+  };
+
+function campaign(state: RaftState, options: Campaign): void {
+  const isPreVote = options.kind === "preVote";
   const { retryMinMs, retryMaxMs } = state.timing;
+  // One that restarted may have promised its vote to a leader, too.
+  const hasOwnVote = !isPreVote || !isPromiseKept(state);
   state.role = "candidate";
   state.leaderId = undefined;
   state.electionDueMs = state.nowMs +
     state.randomMs(retryMinMs, retryMaxMs) * slowdown(state);
   state.ballot = {
-    isPreVote: options.isPreVote,
-    granted: new Set([state.selfId]),
+    isPreVote,
+    granted: new Set(hasOwnVote ? [state.selfId] : []),
+    willing: new Set([state.selfId]),
     successors: new Set(),
   };
-  if (!options.isPreVote) {
+  if (!isPreVote) {
     state.term += 1;
     state.votedFor = state.selfId;
     state.electionAttempts += 1;
@@ -67,10 +77,7 @@
   return 2 ** Math.min(failures, SLOWDOWN_LIMIT);
 }
 
-function askForVotes(
-  state: RaftState,
-  options: { isPreVote: boolean; isHandOver: boolean },
-): void {
+function askForVotes(state: RaftState, options: Campaign): void {
   const request = {
     lastIndex: state.log.lastIndex,
     lastTerm: state.log.lastTerm,
@@ -79,14 +86,9 @@
     if (id === state.selfId) {
       continue;
     }
-    const message = options.isPreVote
-      ? { kind: "preVote" as const, term: state.term + 1, ...request }
-      : {
-        kind: "vote" as const,
-        term: state.term,
-        ...request,
-        isHandOver: options.isHandOver,
-      };
+    const message = options.kind === "preVote"
+      ? { ...options, term: state.term + 1, ...request }
+      : { ...options, term: state.term, ...request };
     // Whatever incarnation it has now may answer; see handleVoteReply.
     state.send(id, message, 0);
   }
@@ -98,8 +100,10 @@
   if (ballot === undefined) {
     return false;
   }
+  const isLeaderless = ballot.isPreVote && isLeaderlessFor(state, ballot);
   const evidence = {
-    hasAgreed: (id: InstanceId) => ballot.granted.has(id),
+    hasAgreed: (id: InstanceId) =>
+      ballot.granted.has(id) || (isLeaderless && ballot.willing.has(id)),
     isForgotten: (id: InstanceId) => ballot.successors.has(id),
     isDeclaredLost: (id: InstanceId) => state.isDeclaredLost(id),
   };
@@ -112,7 +116,7 @@
     return false;
   }
   if (ballot.isPreVote) {
-    campaign(state, { isPreVote: false, isHandOver: false });
+    campaign(state, { kind: "vote", isHandOver: false, isLeaderless });
     return true;
   }
   const isRecovery = !isMajority(state.configuration, evidence);
@@ -121,6 +125,33 @@
   return true;
 }
 
+/**
+ * Whether no leader can exist: everyone who might vote has answered this very
+ * ballot, and neither leads nor follows another one. A leader elected later
+ * takes the term that this candidate asks for, in which nobody votes twice.
+ */
+function isLeaderlessFor(state: RaftState, ballot: Ballot): boolean {
+  return state.electorateIds().every((id) =>
+    ballot.willing.has(id) || ballot.successors.has(id)
+  );
+}
+
+/** Whether this member knows of no leader but perhaps the one that asks. */
+function knowsNoLeader(state: RaftState, asker: InstanceId): boolean {
+  const mayLeadYet = state.ballot !== undefined && !state.ballot.isPreVote;
+  const isLed = state.leaderId !== undefined && state.leaderId !== asker;
+  return state.hasMutation("leaderDenied") ||
+    (!state.isLeader && !mayLeadYet && !isLed);
+}
+
+/** Whoever is willing to vote in a term is elected in no earlier one. */
+function leaveEarlierTerms(state: RaftState, term: number): void {
+  const isBehind = term - 1 > state.term;
+  if (isBehind && !state.hasMutation("staysInEarlierTerm")) {
+    becomeFollower(state, { term: term - 1, leaderId: undefined });
+  }
+}
+
 /** Says whether a vote would be given. */
 export function handlePreVote(
   state: RaftState,
@@ -131,13 +162,18 @@
     sayNothingHeld(state, from, message);
     return;
   }
-  const isGranted = message.term > state.term && !isPromiseKept(state) &&
-    isLogRecent(state, message);
+  const mayVote = message.term > state.term && isLogRecent(state, message);
+  const isGranted = mayVote && !isPromiseKept(state);
+  const isWilling = mayVote && knowsNoLeader(state, from.id);
+  if (isWilling) {
+    leaveEarlierTerms(state, message.term);
+  }
   state.send(from.id, {
     kind: "voteReply",
-    term: isGranted ? message.term : state.term,
+    term: isGranted || isWilling ? message.term : state.term,
     isPreVote: true,
     isGranted,
+    isWilling,
   }, from.incarnation);
 }
 
@@ -152,7 +188,9 @@
     return;
   }
   if (message.term > state.term) {
-    if (isPromiseKept(state) && !message.isHandOver) {
+    const isReleased = message.isHandOver ||
+      (message.isLeaderless && knowsNoLeader(state, from.id));
+    if (isPromiseKept(state) && !isReleased) {
       return;
     }
     becomeFollower(state, { term: message.term, leaderId: undefined });
@@ -169,6 +207,7 @@
     term: state.term,
     isPreVote: false,
     isGranted,
+    isWilling: isGranted,
   }, from.incarnation);
 }
 
@@ -183,6 +222,7 @@
     term: message.term,
     isPreVote: message.kind === "preVote",
     isGranted: true,
+    isWilling: true,
   }, from.incarnation);
 }
 
@@ -192,7 +232,7 @@
   from: Sender,
   message: RaftMessageOf<"voteReply">,
 ): void {
-  if (!message.isGranted) {
+  if (!message.isGranted && !message.isWilling) {
     if (message.term > state.term) {
       becomeFollower(state, { term: message.term, leaderId: undefined });
     }
@@ -209,11 +249,24 @@
   if (voter === undefined || from.incarnation > voter.incarnation) {
     ballot.successors.add(from.id);
   } else if (!from.isGroupless) {
-    ballot.granted.add(from.id);
+    noteVote(ballot, from.id, message);
   }
   countBallot(state);
 }
 
+function noteVote(
+  ballot: Ballot,
+  id: InstanceId,
+  { isGranted, isWilling }: RaftMessageOf<"voteReply">,
+): void {
+  if (isGranted) {
+    ballot.granted.add(id);
+  }
+  if (isWilling) {
+    ballot.willing.add(id);
+  }
+}
+
 /** Whether this member must leave its leader alone for now. */
 function isPromiseKept(state: RaftState): boolean {
   if (state.hasMutation("promiseBroken")) {
--- a/src/process/replication/envelope_codec_test.ts
+++ b/src/process/replication/envelope_codec_test.ts
@@ -6,8 +6,21 @@
 
 const MESSAGES: readonly RaftMessage[] = [
   { kind: "preVote", term: 3, lastIndex: 9, lastTerm: 2 },
-  { kind: "vote", term: 3, lastIndex: 9, lastTerm: 2, isHandOver: true },
-  { kind: "voteReply", term: 3, isPreVote: false, isGranted: true },
+  {
+    kind: "vote",
+    term: 3,
+    lastIndex: 9,
+    lastTerm: 2,
+    isHandOver: true,
+    isLeaderless: false,
+  },
+  {
+    kind: "voteReply",
+    term: 3,
+    isPreVote: false,
+    isGranted: true,
+    isWilling: true,
+  },
   {
     kind: "append",
     term: 3,
--- a/src/process/replication/raft_core.ts
+++ b/src/process/replication/raft_core.ts
@@ -78,7 +78,7 @@
     this.#state = state;
     if (!state.isFresh) {
       becomeFollower(state, { term: state.term, leaderId: undefined });
-      startAloneAtOnce(state);
+      askSoon(state);
     }
   }
 
@@ -178,10 +178,16 @@
   }
 }
 
-function startAloneAtOnce(state: RaftState): void {
+/**
+ * A voter that restarts asks soon whether there is a leader: if all of them
+ * restarted, or the leader did, there is none, and nothing to wait for.
+ */
+function askSoon(state: RaftState): void {
   const { voters } = state.configuration;
-  if (voters.length === 1 && state.isVoterNow()) {
-    state.electionDueMs = state.nowMs;
+  const { retryMinMs, retryMaxMs } = state.timing;
+  if (state.isVoterNow()) {
+    state.electionDueMs = state.nowMs +
+      (voters.length === 1 ? 0 : state.randomMs(retryMinMs, retryMaxMs));
   }
 }
 
--- a/src/process/replication/raft_core_test.ts
+++ b/src/process/replication/raft_core_test.ts
@@ -78,6 +78,23 @@
       }
     },
   },
+  {
+    mutation: RaftMutation.leaderDenied,
+    options: { members: disks("a", "b", "c"), delayMs: 40 },
+    play: (simulation) => {
+      for (let at = 0; at < 40; at++) {
+        const leader = leaderOf(simulation);
+        const restarted = others(simulation, leader)[0]!;
+        simulation.crash(restarted);
+        simulation.start(restarted);
+        simulation.run(200 + at * 10);
+        separate(simulation, leader, restarted);
+        simulation.run(700);
+        simulation.heal();
+        simulation.run(4_000);
+      }
+    },
+  },
   {
     mutation: RaftMutation.commitsWithoutDurable,
     options: { members: [...memories("a", "b"), ...disks("c")] },
@@ -142,6 +159,103 @@
   });
 }
 
+/** A voter of term 1, and a way to let it hear its peers b and c. */
+function voterOfTermOne(mutations: RaftMutation[] = []) {
+  const voters = ["a", "b", "c"].map((id) => ({
+    id,
+    incarnation: 1,
+    isDurable: false,
+  }));
+  const core = new RaftCore({
+    selfId: "a",
+    members: memories("a", "b", "c"),
+    random: new SeededRandom({ seed: 1 }),
+    timing: REPLICATION_TIMING,
+    hardState: {
+      incarnation: 1,
+      formationId: "g",
+      term: 1,
+      votedFor: undefined,
+    },
+    snapshot: {
+      ...EMPTY_SNAPSHOT,
+      configuration: { ...EMPTY_CONFIGURATION, voters },
+    },
+    entries: [],
+    nowMs: 0,
+    catchUpBytesPerSecond: () => 1e9,
+    mutations: new Set(mutations),
+  });
+  const hear = (from: string, message: RaftMessage) =>
+    core.step([{
+      kind: "message",
+      from,
+      envelope: {
+        formationId: "g",
+        fromIncarnation: 1,
+        toIncarnation: 1,
+        message,
+      },
+    }], 10);
+  return { core, hear };
+}
+
+function voteReplies(effects: readonly RaftEffect[]) {
+  return effects.flatMap((effect) =>
+    effect.kind === "send" && effect.envelope.message.kind === "voteReply"
+      ? [effect.envelope.message]
+      : []
+  );
+}
+
+const ASKED_IN_TERM_5 = {
+  kind: "preVote",
+  term: 5,
+  lastIndex: 0,
+  lastTerm: 0,
+} as const;
+
+test("one that restarted grants nothing, but is willing without a leader", (t) => {
+  const { core, hear } = voterOfTermOne();
+  const [reply] = voteReplies(hear("b", ASKED_IN_TERM_5));
+  t.false(reply?.isGranted);
+  t.true(reply?.isWilling);
+  t.is(core.view.term, 4, "it is elected in no term before");
+  const lax = voterOfTermOne([RaftMutation.staysInEarlierTerm]);
+  lax.hear("b", ASKED_IN_TERM_5);
+  t.is(lax.core.view.term, 1);
+});
+
+test("one that follows a leader is willing for that leader only", (t) => {
+  const { hear } = voterOfTermOne();
+  hear("b", {
+    kind: "append",
+    term: 2,
+    previousIndex: 0,
+    previousTerm: 0,
+    entries: [],
+    commitIndex: 0,
+    sentAtMs: 0,
+    stampMs: 0,
+    isLeaseHeld: false,
+  });
+  t.false(voteReplies(hear("c", ASKED_IN_TERM_5))[0]?.isWilling);
+  t.true(voteReplies(hear("b", ASKED_IN_TERM_5))[0]?.isWilling);
+});
+
+test("a group that restarts whole elects a leader before its promises end", (t) => {
+  const simulation = new RaftSimulation({
+    members: disks("a", "b", "c"),
+    seed: 1,
+  });
+  simulation.startAll();
+  simulation.run(3_000);
+  crashAll(simulation);
+  simulation.ids.forEach((id) => simulation.start(id));
+  simulation.run(REPLICATION_TIMING.leaderSilenceMs / 2);
+  t.is(simulation.leaseHolders().length, 1);
+});
+
 /** A leader of term 2 whose log holds one entry of term 1. */
 function leaderWithOldEntry(mutations: RaftMutation[]) {
   const voters = ["a", "b", "c"].map((id) => ({
@@ -183,7 +297,13 @@
     });
   step({ kind: "tick" });
   for (const isPreVote of [true, false]) {
-    hear({ kind: "voteReply", term: 2, isPreVote, isGranted: true });
+    hear({
+      kind: "voteReply",
+      term: 2,
+      isPreVote,
+      isGranted: true,
+      isWilling: true,
+    });
   }
   step({ kind: "persisted", sequence: 10 });
   const acknowledge = (index: number) =>
--- a/src/process/replication/raft_message.ts
+++ b/src/process/replication/raft_message.ts
@@ -29,12 +29,16 @@
     ...voteRequestFields,
     /** Whether the leader itself asked for the election. */
     isHandOver: z.boolean(),
+    /** Whether everyone who might vote said that there is no leader. */
+    isLeaderless: z.boolean(),
   }),
   z.strictObject({
     kind: z.literal("voteReply"),
     term: count,
     isPreVote: z.boolean(),
     isGranted: z.boolean(),
+    /** Whether only the promise to some earlier leader speaks against it. */
+    isWilling: z.boolean(),
   }),
   /** Entries for a follower; a heartbeat when there are none. */
   z.strictObject({
--- a/src/process/replication/raft_mutation.ts
+++ b/src/process/replication/raft_mutation.ts
@@ -15,6 +15,10 @@
   leaseTooLong: "leaseTooLong",
   /** Followers vote although their leader is not silent. */
   promiseBroken: "promiseBroken",
+  /** Members say that they know of no leader though they follow one. */
+  leaderDenied: "leaderDenied",
+  /** Members that are willing to vote in a term may lead in an earlier one. */
+  staysInEarlierTerm: "staysInEarlierTerm",
   /** A restarted voter forgets its promise. */
   promiseForgottenOnRestart: "promiseForgottenOnRestart",
   /** Entries of earlier terms are committed by counting. */
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -57,6 +57,8 @@
 export interface Ballot {
   readonly isPreVote: boolean;
   readonly granted: Set<InstanceId>;
+  /** Members that know of no leader and would vote if there is none. */
+  readonly willing: Set<InstanceId>;
   /** Members that agreed as another than the voter that they were. */
   readonly successors: Set<InstanceId>;
 }
