Acknowledge known heartbeats on every core; order nothing for listed ends

The new leader had no processor time left for callers. Change: a heartbeat that repeats what the replicated state holds is answered by any core, which stays its address; a listed end counts as being stored from the moment it is read. A life that drains stays draining even for a leader that saw no sequence number of it.

--- a/src/process/batch/batch_command.ts
+++ b/src/process/batch/batch_command.ts
@@ -45,6 +45,17 @@
   readonly isDraining: boolean;
 }
 
+/** Whether two records of one life of a worker say the same. */
+export function isSameWorker(left: WorkerRecord, right: WorkerRecord): boolean {
+  return left.address === right.address &&
+    left.service === right.service &&
+    left.isDraining === right.isDraining &&
+    left.capacity.accelerators === right.capacity.accelerators &&
+    left.capacity.cpuMilli === right.capacity.cpuMilli &&
+    left.capacity.memoryMb === right.capacity.memoryMb &&
+    left.labels.join() === right.labels.join();
+}
+
 /** One task of one occurrence of a job. */
 export interface TaskRef {
   readonly jobId: JobId;
--- a/src/process/batch/batch_service.ts
+++ b/src/process/batch/batch_service.ts
@@ -10,7 +10,12 @@
 import type { EventLog } from "../../base/event_log.ts";
 import { failure, type Result } from "../../base/sesame_error.ts";
 import { MemberRole, type ReplicationMember } from "../replication/mod.ts";
-import type { BatchCommand, BatchOutcome } from "./batch_command.ts";
+import {
+  type BatchCommand,
+  type BatchOutcome,
+  isSameWorker,
+  type WorkerRecord,
+} from "./batch_command.ts";
 import type { BatchState, ConfigurationInForce } from "./batch_state.ts";
 import type { BatchTiming } from "./batch_timing.ts";
 import type { JobAnswer, JobCall } from "./job_call.ts";
@@ -68,6 +73,15 @@
     return this.#options.state;
   }
 
+  /**
+   * Whether this copy of the state holds the worker as it says it is, so that
+   * nothing has to be stored.
+   */
+  knowsWorker(worker: WorkerRecord): boolean {
+    const known = this.#options.state.workers.get(worker.key);
+    return known !== undefined && isSameWorker(known, worker);
+  }
+
   /** Answers a call if this instance leads, or says who may. */
   async answer(call: JobCall): Promise<JobAnswer> {
     const office = this.#office;
@@ -195,7 +209,7 @@
   }
 
   #beginSession(epoch: number): void {
-    const { member, state, clock, calls, events, timing, selfId, onCommit } =
+    const { member, state, clock, calls, events, timing, onCommit } =
       this.#options;
     if (state.epoch !== epoch || member.status().role !== MemberRole.leader) {
       return;
@@ -219,7 +233,6 @@
       state,
       clock,
       events,
-      selfId,
     });
     this.#office = { session, answerer };
   }
--- a/src/process/batch/job_call.ts
+++ b/src/process/batch/job_call.ts
@@ -80,7 +80,7 @@
   | { readonly kind: "unauthenticated" }
   | { readonly kind: "invalid"; readonly detail: string }
   /** Noted; the next announcement may go straight to this instance. */
-  | { readonly kind: "noted"; readonly leaderId: string }
+  | { readonly kind: "noted" }
   /** Nothing was done, and another instance may know more. */
   | {
     readonly kind: "notLeader";
--- a/src/process/batch/leader/call_answerer.ts
+++ b/src/process/batch/leader/call_answerer.ts
@@ -6,7 +6,7 @@
 
 import type { Clock } from "../../../base/clock.ts";
 import type { EventLog } from "../../../base/event_log.ts";
-import type { WorkerRecord } from "../batch_command.ts";
+import { isSameWorker, type WorkerRecord } from "../batch_command.ts";
 import type { BatchState } from "../batch_state.ts";
 import { decideAdmission } from "../decisions/admission.ts";
 import type { CallTarget, JobAnswer, JobCall } from "../job_call.ts";
@@ -24,7 +24,6 @@
   readonly state: BatchState;
   readonly clock: Clock;
   readonly events: EventLog;
-  readonly selfId: string;
 }
 
 /** The queue and the client account that a call is for. */
@@ -47,7 +46,7 @@
   async answer(call: JobCall): Promise<JobAnswer> {
     switch (call.kind) {
       case "ping":
-        return { kind: "noted", leaderId: this.#options.selfId };
+        return { kind: "noted" };
       case "workerSeen":
         return await this.#noteWorker(call);
       case "workerLeaves":
@@ -167,11 +166,14 @@
   }
 
   async #noteWorker(call: CallOf<"workerSeen">): Promise<JobAnswer> {
-    const { session, state, selfId } = this.#options;
+    const { session, state } = this.#options;
     const { worker, sequence, clockMs } = call;
-    const noted: JobAnswer = { kind: "noted", leaderId: selfId };
+    const noted: JobAnswer = { kind: "noted" };
     const known = state.workers.get(worker.key);
-    const isOld = this.#isSuperseded(worker) ||
+    // A life that drains never stops doing so: a report that says otherwise
+    // is late, whoever led when it was sent.
+    const isBeforeDrain = known?.isDraining === true && !worker.isDraining;
+    const isOld = isBeforeDrain || this.#isSuperseded(worker) ||
       sequence < (this.#sequences.get(worker.key) ?? -1);
     if (isOld) {
       return noted;
@@ -207,7 +209,7 @@
   }
 
   async #noteLeave(workerId: string): Promise<JobAnswer> {
-    const { state, session, selfId } = this.#options;
+    const { state, session } = this.#options;
     for (const worker of [...state.workers.values()]) {
       if (worker.id === workerId) {
         const write = { kind: "workerGone", key: worker.key } as const;
@@ -216,20 +218,10 @@
         }
       }
     }
-    return { kind: "noted", leaderId: selfId };
+    return { kind: "noted" };
   }
 }
 
 function isPending(job: JobRecord): boolean {
   return job.phase === JobPhase.active && !job.hasStarted;
 }
-
-function isSameWorker(left: WorkerRecord, right: WorkerRecord): boolean {
-  return left.address === right.address &&
-    left.service === right.service &&
-    left.isDraining === right.isDraining &&
-    left.capacity.accelerators === right.capacity.accelerators &&
-    left.capacity.cpuMilli === right.capacity.cpuMilli &&
-    left.capacity.memoryMb === right.capacity.memoryMb &&
-    left.labels.join() === right.labels.join();
-}
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -279,6 +279,7 @@
       const open = this.#runs.get(task);
       const isOpen = open?.run === run && open.holder === key;
       if (number > link.notedEnd && isOpen) {
+        this.#driver.noteEnding(open);
         this.#noteHealth(key, task, how);
         writes.push(this.#writeEnd(task, { run, how, checkpoint }));
       }
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -131,6 +131,11 @@
     }
   }
 
+  /** A worker listed the run's end, which is being stored. */
+  noteEnding(open: OpenRunState): void {
+    this.#ending.add(open);
+  }
+
   #endOnce(open: OpenRunState, how: RunEnd): void {
     if (!this.#ending.has(open)) {
       this.#ending.add(open);
--- a/src/process/batch/testing/batch_bed.ts
+++ b/src/process/batch/testing/batch_bed.ts
@@ -193,7 +193,6 @@
         state: member.state,
         clock: this.clock,
         events: this.#events,
-        selfId: "self",
       });
     }
     await this.settle();
--- a/standins/platform/standin_platform.ts
+++ b/standins/platform/standin_platform.ts
@@ -121,6 +121,13 @@
     return call(method, `http://${this.controlAddresses[core]}${path}`, {});
   }
 
+  /** What a worker says of itself, to one of the machines with a disk. */
+  heartbeat(id: string, beat: unknown, core: number): Promise<CallResult> {
+    const control = this.controlAddresses[core]!;
+    const url = `http://${control}/sesamethread/instances/${id}`;
+    return call("PUT", url, { body: beat });
+  }
+
   client(
     method: "GET" | "POST" | "DELETE",
     path: string,
