Call out through the client library's dispatch interface

Cause: each call to a worker went through streams and an abort signal made for large bodies. Tests: http_caller_test.

--- a/src/process/batch/http_call_transport.ts
+++ b/src/process/batch/http_call_transport.ts
@@ -6,10 +6,8 @@
 
 import { pack, unpack } from "msgpackr";
 import { Right } from "purify-ts/Either";
-import { Agent, request } from "undici";
 import { failure, type Result } from "../../base/sesame_error.ts";
-import type { HttpEndpoint } from "../http/mod.ts";
-import { withCallDeadline } from "./call_deadline.ts";
+import { HttpCaller, type HttpEndpoint } from "../http/mod.ts";
 import type { JobAnswer, JobCall } from "./job_call.ts";
 import type { CallTransport } from "./leader_finder.ts";
 
@@ -39,16 +37,14 @@
 /** Brings calls to other instances. */
 export class HttpCallTransport implements CallTransport {
   readonly #options: HttpCallTransportOptions;
-  readonly #agent: Agent;
+  readonly #caller: HttpCaller;
 
   constructor(options: HttpCallTransportOptions) {
     this.#options = options;
-    this.#agent = new Agent({
+    this.#caller = new HttpCaller({
       connections: CONNECTIONS,
-      pipelining: 1,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      keepAliveMaxTimeout: KEEP_ALIVE_MS,
-      connect: { timeout: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS },
+      keepAliveMs: KEEP_ALIVE_MS,
+      connectTimeoutMs: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
     });
   }
 
@@ -59,19 +55,17 @@
   ): Promise<Result<JobAnswer>> {
     const address = this.#options.addressOf(instanceId);
     try {
-      return await withCallDeadline(options.timeoutMs, async (signal) => {
-        const answer = await request(`http://${address}${CALLS_PATH}`, {
-          method: "POST",
-          dispatcher: this.#agent,
-          headers: { "content-type": "application/msgpack" },
-          body: pack(call),
-          signal,
-        });
-        const body = new Uint8Array(await answer.body.arrayBuffer());
-        return answer.statusCode === 200
-          ? Right(unpack(body) as JobAnswer)
-          : failure("outcomeUnknown", { detail: `${answer.statusCode}` });
+      const { status, body } = await this.#caller.call({
+        address,
+        method: "POST",
+        path: CALLS_PATH,
+        headers: { "content-type": "application/msgpack" },
+        body: pack(call),
+        timeoutMs: options.timeoutMs,
       });
+      return status === 200
+        ? Right(unpack(body) as JobAnswer)
+        : failure("outcomeUnknown", { detail: `${status}` });
     } catch (error) {
       return failure(wasNeverSent(error) ? "unavailable" : "outcomeUnknown", {
         detail: error instanceof Error ? error.message : String(error),
@@ -80,7 +74,7 @@
   }
 
   async close(): Promise<void> {
-    await this.#agent.destroy();
+    await this.#caller.close();
   }
 }
 
--- a/src/process/batch/mod.ts
+++ b/src/process/batch/mod.ts
@@ -16,7 +16,6 @@
 export { BatchService } from "./batch_service.ts";
 export { BatchState } from "./batch_state.ts";
 export { BATCH_TIMING, type BatchTiming } from "./batch_timing.ts";
-export { withCallDeadline } from "./call_deadline.ts";
 export {
   callsEndpoint,
   HttpCallTransport,
--- a/src/process/http/mod.ts
+++ b/src/process/http/mod.ts
@@ -27,3 +27,4 @@
   type MetricLabels,
   MetricsRegistry,
 } from "./metrics_registry.ts";
+export { CallTimeoutError, HttpCaller } from "./http_caller.ts";
