Ask on for what became of a change that may have been taken

Change: a submission or a cancel that may have been taken goes on being asked until a leader answers or its caller's time is over; asking is idempotent. Test: leader_finder_test (failed before: unknown instead of the answer).

--- a/src/process/batch/leader_finder.ts
+++ b/src/process/batch/leader_finder.ts
@@ -61,6 +61,16 @@
 /** How long the last answer of a leader counts as contact. */
 const CONTACT_MS = 2_500;
 
+/**
+ * Whether a call goes on though no instance answers. A change that may have
+ * been taken does, until a leader says what became of it: a caller that is
+ * told "unknown" may not ask again.
+ */
+function isWorthAsking(call: JobCall, mayBeTaken: boolean): boolean {
+  const isChange = call.kind === "submit" || call.kind === "cancel";
+  return call.kind === "ping" || (isChange && mayBeTaken);
+}
+
 /** The way from this instance to the leader. */
 export class LeaderFinder {
   readonly #options: LeaderFinderOptions;
@@ -119,7 +129,7 @@
     for (;;) {
       const leftMs = options.deadlineMs - clock.nowMs();
       const isHopeless = leftMs <= 0 ||
-        (call.kind !== "ping" && this.isCutOff());
+        (!isWorthAsking(call, mayBeTaken) && this.isCutOff());
       if (isHopeless) {
         this.#noteGivenUp(call, { mayBeTaken, leftMs });
         return { kind: mayBeTaken ? "unknown" : "notTaken" };
--- a/src/process/batch/leader_finder_test.ts
+++ b/src/process/batch/leader_finder_test.ts
@@ -125,3 +125,27 @@
   );
   t.is(answer.kind, "answered");
 });
+
+test("a change that may have been taken is asked until its outcome is known", async (t) => {
+  let answer: () => Result<JobAnswer> = broken("outcomeUnknown");
+  const { clock, finder } = newFinder({
+    a: () => answer(),
+    b: () => answer(),
+  });
+  finder.startPinging();
+  clock.advance(1_400);
+  const change = { ...QUESTION, kind: "cancel" } as const;
+  const deadlineMs = clock.nowMs() + 3_000;
+  const asked = finder.call(change, { deadlineMs });
+  for (let turn = 0; turn < 100; turn++) {
+    clock.advance(10);
+    await new Promise((done) => setImmediate(done));
+  }
+  t.true(finder.isCutOff());
+  answer = () => Right({ kind: "cancelled" });
+  t.deepEqual(await settle(clock, asked), {
+    kind: "answered",
+    answer: { kind: "cancelled" },
+  });
+  await finder.close();
+});
