--- a/src/process/batch/testing/batch_history.ts
+++ b/src/process/batch/testing/batch_history.ts
@@ -24,7 +24,8 @@
   readonly starts: number;
 }
 
-const WORKERS = 4;
+/** Workers of a history. */
+export const WORKERS = 4;
 
 /** Long enough for leases to run out and for every job to be done. */
 const SETTLE_MS = 120_000;
@@ -53,7 +54,8 @@
   return { violations, steps, starts: bed.pool.starts };
 }
 
-async function takeStep(
+/** Takes one random step of a history; gives what it was. */
+export async function takeStep(
   bed: BatchBed,
   { number, cancelled }: { number: number; cancelled: Set<string> },
 ): Promise<string> {
@@ -142,7 +144,10 @@
 }
 
 /** Each accepted job is over, and a completed one truly done. */
-function judgeJobs(bed: BatchBed, cancelled: ReadonlySet<string>): string[] {
+export function judgeJobs(
+  bed: BatchBed,
+  cancelled: ReadonlySet<string>,
+): string[] {
   const violations: string[] = [];
   for (const job of bed.state!.jobs.values()) {
     if (job.phase === JobPhase.active) {
--- a/test/fuzz/main.ts
+++ b/test/fuzz/main.ts
@@ -1,6 +1,7 @@
 /**
  * `npm run fuzz -- --seed N --runs M`: random histories of the whole system,
- * or with `--suite platform` of the batch scheduler.
+ * or with `--suite platform` of the batch scheduler, or with `--suite soak` one
+ * pool of it through many rounds of faults.
  * Each failing one is printed with its seed, steps and time line.
  *
  * @module
@@ -8,6 +9,7 @@
 
 import { cac } from "cac";
 import process from "node:process";
+import { playSoak } from "../../src/process/batch/testing/batch_soak.ts";
 import { runPlatformCampaign } from "./platform_campaign.ts";
 import { type FailedHistory, runCampaign } from "../system/campaign.ts";
 
@@ -32,12 +34,27 @@
   cli.option("--seed <n>", "Seed of the first history", { default: 1 });
   cli.option("--runs <n>", "How many histories", { default: 100 });
   cli.option("--shrink <n>", "Tries to shorten a failing one", { default: 60 });
-  cli.option("--suite <name>", "system or platform", { default: "system" });
+  cli.option("--suite <name>", "system, platform or soak", {
+    default: "system",
+  });
   cli.help();
   const { options } = cli.parse();
   if (options["help"] === true) {
     return;
   }
+  if (options["suite"] === "soak") {
+    const last = await playSoak({
+      seed: Number(options["seed"]),
+      rounds: Number(options["runs"]),
+      onRound: ({ number, atMinutes, starts, violations }) =>
+        print(
+          `round ${number}, minute ${atMinutes}: ${starts} starts, ` +
+            (violations.join("; ") || "all at rest"),
+        ),
+    });
+    process.exitCode = last.violations.length === 0 ? 0 : 1;
+    return;
+  }
   if (options["suite"] === "platform") {
     const { passed, failed } = await runPlatformCampaign({
       seed: Number(options["seed"]),
