Let a covered job that has to begin take lent room and a slower place

Covered jobs stopped only less urgent work, never urgent work beyond anyone's guarantee, and stayed in one rack for twice their estimate, so that nothing bounded their wait. Tests: planner_test, three (the first and third failed before).

--- a/src/process/batch/batch_timing.ts
+++ b/src/process/batch/batch_timing.ts
@@ -30,6 +30,11 @@
    * its way to it: a restart and a heartbeat.
    */
   nextLifeMs: 2_500,
+  /**
+   * How long a job within its guarantee waits for room in one rack; the
+   * deployment's settings say when it has to begin.
+   */
+  guaranteeWaitMs: 1_800,
   /** How often open runs are looked over. */
   tickMs: 100,
   /** How long ended jobs stay known. */
--- a/src/process/batch/decisions/planner.ts
+++ b/src/process/batch/decisions/planner.ts
@@ -8,6 +8,7 @@
 import type { BatchItem, TaskRef, WorkerKey } from "../batch_command.ts";
 import type { BatchState } from "../batch_state.ts";
 import type { JobRecord } from "../job_record.ts";
+import type { ConfigurationIndex } from "../pool_configuration.ts";
 import { guaranteedJobs } from "./guarantee.ts";
 import { type PlacementRequest, placeTasks } from "./placement.ts";
 import { type OpenRun, PoolView, type WorkerCondition } from "./pool_view.ts";
@@ -38,6 +39,11 @@
   readonly urgentReserveShare?: number;
   /** Work of that share of its objective's slack left can't wait any more. */
   readonly patienceShare?: number;
+  /**
+   * How long a covered job waits for a good place: the guarantee is about when
+   * it begins.
+   */
+  readonly guaranteeWaitMs?: number;
   /** Whether urgent work beyond a guarantee may stop other work too. */
   readonly stopsForAllUrgent?: boolean;
 }
@@ -46,6 +52,7 @@
 export const PLANNER_DEFAULTS = {
   urgentReserveShare: 0.3,
   patienceShare: 0.5,
+  guaranteeWaitMs: 1_800,
   stopsForAllUrgent: true,
 } as const satisfies PlannerOptions;
 
@@ -73,25 +80,27 @@
   const view = new PoolView(input);
   const covered = guaranteedJobs(state);
   const units = rankedUnits(input, covered);
+  const { nowMs } = input;
   const starts: StartItem[] = [];
   const stops: TaskRef[] = [];
   for (const unit of units) {
     if (mustWait(view, unit, { settings, nowMs: input.nowMs })) {
       continue;
     }
-    const start = placeUnit(view, unit, input);
+    const start = placeUnit(view, unit, { ...input, mayLeaveRack: false });
     if (start !== undefined) {
       starts.push(start);
     }
-    const isWhole = start?.tasks.length === unit.waiting.length;
-    const mayMakeRoom = covered.has(unit.job.id) ||
-      (settings.stopsForAllUrgent && unit.queue.priority === 0 &&
-        hasTime(unit, 0, input.nowMs));
-    if (!isWhole && mayMakeRoom) {
-      const mayStop = (job: JobRecord) =>
-        !covered.has(job.id) &&
-        mayPreempt(unit.queue, index.queueNamed(job.queue));
-      stops.push(...makeRoom(view, unit, { ...input, mayStop }));
+    if (start?.tasks.length === unit.waiting.length) {
+      continue;
+    }
+    for (const way of waysToRoom(unit, { covered, settings, nowMs, index })) {
+      const found = takeWay(view, unit, { ...input, ...way });
+      if (found !== undefined) {
+        starts.push(...found.starts);
+        stops.push(...found.stops);
+        break;
+      }
     }
   }
   return { starts, stops };
@@ -164,10 +173,76 @@
   return left === right ? 0 : left - right;
 }
 
+/** What placing a unit goes by. */
+interface PlacingInput extends PlannerInput {
+  /** Whether it takes a slower place though it hasn't waited for long. */
+  readonly mayLeaveRack: boolean;
+}
+
+/** A way to room for a unit that finds none. */
+interface WayToRoom {
+  /** Which jobs' runs may be stopped for it. */
+  readonly mayStop: (job: JobRecord) => boolean;
+  readonly mayLeaveRack: boolean;
+}
+
+/**
+ * The ways to room, the best first: less urgent work stops. A covered job that
+ * has to begin now also takes room from urgent work beyond any guarantee, and
+ * in the end a slower place.
+ */
+function waysToRoom(
+  unit: WorkUnit,
+  { covered, settings, nowMs, index }: {
+    covered: ReadonlySet<string>;
+    settings: Required<PlannerOptions>;
+    nowMs: number;
+    index: ConfigurationIndex;
+  },
+): WayToRoom[] {
+  const isCovered = covered.has(unit.job.id);
+  const mayMakeRoom = isCovered ||
+    (settings.stopsForAllUrgent && unit.queue.priority === 0 &&
+      hasTime(unit, 0, nowMs));
+  if (!mayMakeRoom) {
+    return [];
+  }
+  const isLent = (job: JobRecord) => !covered.has(job.id);
+  const isLessUrgent = (job: JobRecord) =>
+    isLent(job) && mayPreempt(unit.queue, index.queueNamed(job.queue));
+  const mustBegin = isCovered &&
+    waitedMs(unit, nowMs) > settings.guaranteeWaitMs;
+  return [
+    { mayStop: isLessUrgent, mayLeaveRack: false },
+    ...(mustBegin
+      ? [
+        { mayStop: isLent, mayLeaveRack: false },
+        { mayStop: isLent, mayLeaveRack: true },
+      ]
+      : []),
+  ];
+}
+
+/** Starts the unit now in a slower place, or stops what is in its way. */
+function takeWay(
+  view: PoolView,
+  unit: WorkUnit,
+  input: PlacingInput & WayToRoom,
+): Plan | undefined {
+  if (input.mayLeaveRack && unit.spec.isGang) {
+    const start = placeUnit(view, unit, input);
+    if (start !== undefined) {
+      return { starts: [start], stops: [] };
+    }
+  }
+  const stops = makeRoom(view, unit, input);
+  return stops === undefined ? undefined : { starts: [], stops };
+}
+
 function placeUnit(
   view: PoolView,
   unit: WorkUnit,
-  input: PlannerInput,
+  input: PlacingInput,
 ): StartItem | undefined {
   const { job, occurrence, step, nextRun } = unit;
   const slots = view.ofService(unit.queue.service);
@@ -188,7 +263,7 @@
 function requestOf(
   view: PoolView,
   unit: WorkUnit,
-  input: PlannerInput,
+  input: PlacingInput,
 ): PlacementRequest {
   const { spec, waiting, tasks } = unit;
   return {
@@ -196,7 +271,7 @@
     indices: waiting,
     avoided: avoidedWorkers(view, unit, input),
     onWorker: (key) => tasks.filter((task) => task.worker === key).length,
-    mayLeaveRack: mayLeaveRack(view, unit, input.nowMs),
+    mayLeaveRack: mayLeaveRack(view, unit, input),
   };
 }
 
@@ -234,14 +309,14 @@
 function mayLeaveRack(
   view: PoolView,
   unit: WorkUnit,
-  nowMs: number,
+  input: PlacingInput,
 ): boolean {
-  const { spec, job, queue } = unit;
+  const { spec, queue } = unit;
   if (!spec.prefersOneRack && spec.dataRack === undefined) {
     return true;
   }
-  const waitedMs = nowMs - Math.max(job.acceptedAtMs, dueOf(unit));
-  if (waitedMs > spec.estimateMs * DATA_PATIENCE_FACTOR) {
+  const patienceMs = spec.estimateMs * DATA_PATIENCE_FACTOR;
+  if (input.mayLeaveRack || waitedMs(unit, input.nowMs) > patienceMs) {
     return true;
   }
   const rooms = new Map<string, number>();
@@ -262,6 +337,11 @@
   return largest < (spec.isGang ? spec.taskCount : 1);
 }
 
+/** How long the unit could have started, had there been room. */
+function waitedMs(unit: WorkUnit, nowMs: number): number {
+  return nowMs - Math.max(unit.job.acceptedAtMs, dueOf(unit));
+}
+
 function dueOf({ job, occurrence }: WorkUnit): number {
   const { recurrence } = job.spec;
   return recurrence === undefined
@@ -270,14 +350,15 @@
 }
 
 /**
- * Chooses what stops for a unit, and keeps the room for it in the view. What
+ * Chooses what stops for a unit, and keeps the room for it in the view;
+ * undefined where no stops would make enough room. What
  * is left of that room is nobody's yet: the runs are still there.
  */
 function makeRoom(
   view: PoolView,
   unit: WorkUnit,
-  input: PlannerInput & { mayStop: (job: JobRecord) => boolean },
-): TaskRef[] {
+  input: PlacingInput & { mayStop: (job: JobRecord) => boolean },
+): TaskRef[] | undefined {
   const { nowMs, mayStop } = input;
   const isStopping = (run: OpenRun) => input.isStopping(refOf(run));
   const request = requestOf(view, unit, input);
@@ -289,7 +370,7 @@
     fits: (slots) => placeTasks(slots, request).length === unit.waiting.length,
   });
   if (chosen === undefined) {
-    return [];
+    return undefined;
   }
   chosen.forEach((run) => view.release(run));
   placeUnit(view, unit, input);
--- a/src/process/batch/decisions/planner_fixture.ts
+++ b/src/process/batch/decisions/planner_fixture.ts
@@ -15,6 +15,8 @@
 export interface StepSketch extends Partial<Omit<StepSpec, "demand">> {
   readonly accelerators?: number;
   readonly queue?: "urgent" | "normal" | "background";
+  /** The client account; the one with a guarantee if absent. */
+  readonly account?: string;
 }
 
 const PRIORITIES = { urgent: 0, normal: 1, background: 2 } as const;
@@ -81,7 +83,7 @@
       kind: "accept",
       jobId: id,
       queue: steps[0]?.queue ?? "normal",
-      account: "account",
+      account: steps[0]?.account ?? "account",
       submittedAtMs: this.nowMs,
       spec: { payload: "", steps: steps.map(newStep), recurrence },
     });
@@ -159,7 +161,7 @@
 }
 
 function newStep(sketch: StepSketch): StepSpec {
-  const { accelerators, queue: _queue, ...rest } = sketch;
+  const { accelerators, queue: _queue, account: _account, ...rest } = sketch;
   return {
     taskCount: 1,
     demand: {
--- a/src/process/batch/decisions/planner_test.ts
+++ b/src/process/batch/decisions/planner_test.ts
@@ -187,3 +187,70 @@
   world.end("a", { step: 0, index: 1, how: RunEnd.broken });
   t.is(world.plan().starts[0]?.run, 2);
 });
+
+/** Two racks of two workers; a borrower's gang holds a worker of each. */
+function crowdedRacks(): PlannerWorld {
+  const world = new PlannerWorld({ workers: 0, guaranteed: 16 });
+  for (const [key, rack] of [["a", 1], ["b", 1], ["c", 2], ["d", 2]] as const) {
+    world.addWorker(key, { rack: `r-${rack}`, labels: ["a", `r-${rack}`] });
+  }
+  for (const job of ["lent-1", "lent-2", "lent-3"]) {
+    world.submit(job, {
+      taskCount: 1,
+      accelerators: 8,
+      isGang: true,
+      queue: "urgent",
+      account: "borrower",
+    });
+  }
+  world.carryOut(world.plan());
+  return world;
+}
+
+const COVERED_GANG = {
+  taskCount: 2,
+  accelerators: 8,
+  isGang: true,
+  prefersOneRack: true,
+  queue: "urgent",
+  estimateMs: 2_000,
+} as const;
+
+test("a guarantee is had from urgent work beyond anyone's guarantee", (t) => {
+  const world = crowdedRacks();
+  world.submit("covered", COVERED_GANG);
+  t.deepEqual(world.plan().stops, [], "others may end by themselves yet");
+  world.nowMs += 1_801;
+  const first = world.plan();
+  t.is(first.stops.length, 1, "one rack needs only one more worker");
+  world.noteStopping(first.stops);
+  first.stops.forEach(({ jobId }) =>
+    world.end(jobId, { step: 0, index: 0, how: RunEnd.stopped })
+  );
+  t.is(world.plan().starts[0]?.jobId, "covered");
+});
+
+test("less urgent work makes room before urgent work does", (t) => {
+  const world = crowdedRacks();
+  world.submit("bulk", { taskCount: 1, accelerators: 8, queue: "background" });
+  world.carryOut(world.plan());
+  world.submit("covered", { ...COVERED_GANG, taskCount: 1 });
+  t.deepEqual(world.plan().stops.map(({ jobId }) => jobId), ["bulk"]);
+});
+
+test("a covered gang starts spread rather than later than its guarantee", (t) => {
+  const world = new PlannerWorld({ workers: 0, guaranteed: 32 });
+  for (const [key, rack] of [["a", 1], ["b", 1], ["c", 2], ["d", 2]] as const) {
+    world.addWorker(key, { rack: `r-${rack}`, labels: ["a", `r-${rack}`] });
+  }
+  for (const [job, dataRack] of [["one", "r-1"], ["two", "r-2"]] as const) {
+    const place = { dataRack, queue: "urgent" } as const;
+    world.submit(job, { taskCount: 1, accelerators: 8, ...place });
+  }
+  world.carryOut(world.plan());
+  world.submit("covered", COVERED_GANG);
+  const options = { urgentReserveShare: 0, guaranteeWaitMs: 1_800 };
+  t.deepEqual(world.plan(options).starts, []);
+  world.nowMs += 1_801;
+  t.is(world.plan(options).starts[0]?.jobId, "covered");
+});
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -165,14 +165,14 @@
     if (!this.isCurrent()) {
       return [];
     }
-    const { state, clock, events } = this.#options;
+    const { state, clock, events, timing } = this.#options;
     const { starts, stops } = plan({
       state,
       nowMs: clock.nowMs(),
       condition: (key) => this.#conditionOf(key),
       failedOn: (task) => this.#health.failedOn(task),
       isStopping: (task) => this.#runs.get(task)?.stopReason !== undefined,
-    });
+    }, { guaranteeWaitMs: timing.guaranteeWaitMs });
     for (const task of stops) {
       this.#driver.stop(task, StopReason.preempted);
       events.emit("taskPreempted", { jobId: task.jobId, task: taskKey(task) });
