Wait for a rack for 2.5 s at most while half of the pool is free

Change: while at least half of the accelerators are free that patience ends after 2.5 s. How long work waits for a rack has a module of its own.

--- a/src/process/batch/decisions/planner.ts
+++ b/src/process/batch/decisions/planner.ts
@@ -7,12 +7,13 @@
 
 import type { BatchItem, TaskRef, WorkerKey } from "../batch_command.ts";
 import type { BatchState } from "../batch_state.ts";
-import type { JobRecord } from "../job_record.ts";
+import { dueAtMs, type JobRecord } from "../job_record.ts";
 import type { ConfigurationIndex } from "../pool_configuration.ts";
 import { guaranteedJobs } from "./guarantee.ts";
 import { type PlacementRequest, placeTasks } from "./placement.ts";
 import { type OpenRun, PoolView, type WorkerCondition } from "./pool_view.ts";
 import { chooseStops, mayPreempt } from "./preemption.ts";
+import { mayLeaveRack, sumOf, waitedMs } from "./rack_patience.ts";
 import { chainMs, objectiveMs, urgency } from "./rank.ts";
 import { waitingUnits, type WorkUnit } from "./work_unit.ts";
 
@@ -63,9 +64,6 @@
   readonly stops: readonly TaskRef[];
 }
 
-/** How long a step waits for room near its data, in parts of its estimate. */
-const DATA_PATIENCE_FACTOR = 2;
-
 /** Plans all starts that are possible now. */
 export function plan(
   input: PlannerInput,
@@ -154,14 +152,13 @@
   return isNearlyFull && hasTime(unit, settings.patienceShare, nowMs);
 }
 
-function sumOf<T>(list: readonly T[], amount: (item: T) => number): number {
-  return list.reduce((sum, item) => sum + amount(item), 0);
-}
-
 /** Whether more than a share of the slack in the objective is left. */
 function hasTime(unit: WorkUnit, share: number, nowMs: number): boolean {
   const { job, queue } = unit;
-  const beganMs = Math.max(dueOf(unit), job.submittedAtMs);
+  const beganMs = Math.max(
+    dueAtMs(unit.job, unit.occurrence),
+    job.submittedAtMs,
+  );
   const chain = chainMs(job);
   const slackMs = objectiveMs(job, queue) - chain;
   const leftMs = beganMs + objectiveMs(job, queue) - nowMs - chain;
@@ -271,7 +268,7 @@
     indices: waiting,
     avoided: avoidedWorkers(view, unit, input),
     onWorker: (key) => tasks.filter((task) => task.worker === key).length,
-    mayLeaveRack: mayLeaveRack(view, unit, input),
+    mayLeaveRack: input.mayLeaveRack || mayLeaveRack(view, unit, input.nowMs),
   };
 }
 
@@ -302,53 +299,6 @@
   return placed.length > 0 ? avoided : new Set();
 }
 
-/**
- * A slower place is taken when the data's rack is gone or too small, or after
- * a wait as long as the work itself.
- */
-function mayLeaveRack(
-  view: PoolView,
-  unit: WorkUnit,
-  input: PlacingInput,
-): boolean {
-  const { spec, queue } = unit;
-  if (!spec.prefersOneRack && spec.dataRack === undefined) {
-    return true;
-  }
-  const patienceMs = spec.estimateMs * DATA_PATIENCE_FACTOR;
-  if (input.mayLeaveRack || waitedMs(unit, input.nowMs) > patienceMs) {
-    return true;
-  }
-  const rooms = new Map<string, number>();
-  for (const slot of view.ofService(queue.service)) {
-    const { rack, capacity } = slot.worker;
-    const counts = slot.isUsable &&
-      (spec.dataRack === undefined || rack === spec.dataRack);
-    if (counts) {
-      const { accelerators, cpuMilli } = spec.demand;
-      const tasks = Math.min(
-        accelerators === 0 ? Infinity : capacity.accelerators / accelerators,
-        cpuMilli === 0 ? Infinity : capacity.cpuMilli / cpuMilli,
-      );
-      rooms.set(rack, (rooms.get(rack) ?? 0) + Math.floor(tasks));
-    }
-  }
-  const largest = Math.max(0, ...rooms.values());
-  return largest < (spec.isGang ? spec.taskCount : 1);
-}
-
-/** How long the unit could have started, had there been room. */
-function waitedMs(unit: WorkUnit, nowMs: number): number {
-  return nowMs - Math.max(unit.job.acceptedAtMs, dueOf(unit));
-}
-
-function dueOf({ job, occurrence }: WorkUnit): number {
-  const { recurrence } = job.spec;
-  return recurrence === undefined
-    ? 0
-    : recurrence.firstAtMs + occurrence * recurrence.intervalMs;
-}
-
 /**
  * Chooses what stops for a unit, and keeps the room for it in the view;
  * undefined where no stops would make enough room. What
--- a/src/process/batch/decisions/planner_test.ts
+++ b/src/process/batch/decisions/planner_test.ts
@@ -254,3 +254,31 @@
   world.nowMs += 1_801;
   t.is(world.plan(options).starts[0]?.jobId, "covered");
 });
+
+test("while most workers are free nothing waits long for its rack", (t) => {
+  const world = new PlannerWorld({ workers: 0 });
+  for (const [key, rack] of [["a", 1], ["b", 2], ["c", 2], ["d", 2]] as const) {
+    world.addWorker(key, { rack: `r-${rack}`, labels: ["a", `r-${rack}`] });
+  }
+  const near = { accelerators: 8, dataRack: "r-1", estimateMs: 11_000 };
+  world.submit("first", near);
+  world.carryOut(world.plan());
+  world.submit("second", near);
+  t.deepEqual(world.plan().starts, [], "its rack may be free soon");
+  world.nowMs += 2_600;
+  t.is(world.plan().starts[0]?.jobId, "second");
+});
+
+test("while the pool is busy a job waits for its rack", (t) => {
+  const world = new PlannerWorld({ workers: 0 });
+  for (const [key, rack] of [["a", 1], ["b", 2], ["c", 2], ["d", 2]] as const) {
+    world.addWorker(key, { rack: `r-${rack}`, labels: ["a", `r-${rack}`] });
+  }
+  const near = { accelerators: 8, dataRack: "r-1", estimateMs: 11_000 };
+  world.submit("first", near);
+  world.submit("others", { taskCount: 2, accelerators: 8, dataRack: "r-2" });
+  world.carryOut(world.plan());
+  world.submit("second", near);
+  world.nowMs += 2_600;
+  t.deepEqual(world.plan().starts, []);
+});
