--- a/src/process/batch/batch_state.ts
+++ b/src/process/batch/batch_state.ts
@@ -36,6 +36,7 @@
   ConfigurationIndex,
   type PoolConfiguration,
 } from "./pool_configuration.ts";
+import { WorkerLives } from "./worker_lives.ts";
 
 /** The configuration in force and the text that it was made from. */
 export interface ConfigurationInForce {
@@ -62,9 +63,7 @@
   #jobs = new Map<JobId, JobRecord>();
   /** Derived: the jobs that are active or have open runs. */
   #liveJobs = new Map<JobId, JobRecord>();
-  #workers = new Map<WorkerKey, WorkerRecord>();
-  /** Derived: the lives that share an identity or an address. */
-  #lives = new Map<string, Set<WorkerKey>>();
+  #lives = new WorkerLives();
 
   /** The number of the latest leader's time in office. */
   get epoch(): number {
@@ -89,16 +88,12 @@
   }
 
   get workers(): ReadonlyMap<WorkerKey, WorkerRecord> {
-    return this.#workers;
+    return this.#lives.byKey;
   }
 
   /** Other lives of the same worker, or at the same address. */
   otherLivesOf(worker: WorkerRecord): WorkerRecord[] {
-    const keys = new Set(
-      placesOf(worker).flatMap((place) => [...this.#lives.get(place) ?? []]),
-    );
-    keys.delete(worker.key);
-    return [...keys].map((key) => this.#workers.get(key)!);
+    return this.#lives.othersOf(worker);
   }
 
   /** The task's record, if the job is kept and has come that far. */
@@ -142,7 +137,7 @@
       configuration: this.#inForce?.index.configuration,
       dataCentresOut: [...this.#dataCentresOut],
       jobs: [...this.#jobs.values()],
-      workers: [...this.#workers.values()],
+      workers: [...this.#lives.byKey.values()],
     };
     return pack(snapshot);
   }
@@ -163,9 +158,7 @@
     this.#jobs = new Map(jobs.map((job) => [job.id, job]));
     this.#liveJobs = new Map(this.#jobs);
     jobs.forEach((job) => this.#settle(job));
-    this.#workers = new Map();
-    this.#lives = new Map();
-    workers.forEach((worker) => this.#addWorker(worker));
+    this.#lives = new WorkerLives(workers);
     return Right(undefined);
   }
 
@@ -198,11 +191,10 @@
       case "end":
         return this.#end(item, atMs);
       case "worker":
-        this.#removeWorker(item.worker.key);
-        this.#addWorker(item.worker);
+        this.#lives.put(item.worker);
         return true;
       case "workerGone":
-        return this.#removeWorker(item.key);
+        return this.#lives.delete(item.key);
       case "forget":
         for (const id of item.jobIds) {
           this.#jobs.delete(id);
@@ -212,29 +204,6 @@
     }
   }
 
-  #addWorker(worker: WorkerRecord): void {
-    this.#workers.set(worker.key, worker);
-    for (const place of placesOf(worker)) {
-      const lives = this.#lives.get(place) ?? new Set();
-      this.#lives.set(place, lives.add(worker.key));
-    }
-  }
-
-  #removeWorker(key: WorkerKey): boolean {
-    const worker = this.#workers.get(key);
-    if (worker === undefined) {
-      return false;
-    }
-    for (const place of placesOf(worker)) {
-      const lives = this.#lives.get(place);
-      lives?.delete(key);
-      if (lives?.size === 0) {
-        this.#lives.delete(place);
-      }
-    }
-    return this.#workers.delete(key);
-  }
-
   /** A job that is known already stays as it is. */
   #accept(
     item: Extract<BatchItem, { kind: "accept" }>,
@@ -299,7 +268,7 @@
   }
 
   #mayRunOn(key: WorkerKey): boolean {
-    const worker = this.#workers.get(key);
+    const worker = this.#lives.byKey.get(key);
     return worker !== undefined && !worker.isDraining &&
       !this.#dataCentresOut.has(worker.dataCentre);
   }
@@ -374,11 +343,6 @@
   }
 }
 
-/** Where only one life can be: an identity, an address. */
-function placesOf({ id, address }: WorkerRecord): string[] {
-  return [`id ${id}`, `address ${address}`];
-}
-
 function endJob(job: JobRecord, phase: JobPhase, atMs: number): void {
   job.phase = phase;
   job.endedAtMs = atMs;
--- a/src/process/replication/raft_core_test.ts
+++ b/src/process/replication/raft_core_test.ts
@@ -6,6 +6,7 @@
 import type { RaftEffect, RaftInput } from "./raft_effect.ts";
 import type { RaftMessage } from "./raft_message.ts";
 import { RaftMutation } from "./raft_mutation.ts";
+import type { RaftCoreOptions } from "./raft_state.ts";
 import { EMPTY_SNAPSHOT } from "./raft_log.ts";
 import { REPLICATION_TIMING } from "./replication_timing.ts";
 import { disks, learners, memories, recover } from "./testing/fault_session.ts";
@@ -159,14 +160,17 @@
   });
 }
 
-/** A voter of term 1, and a way to let it hear its peers b and c. */
-function voterOfTermOne(mutations: RaftMutation[] = []) {
+/** Voter a of three, in term 1, with these entries in its log. */
+function coreOfTermOne(
+  mutations: RaftMutation[],
+  entries: RaftCoreOptions["entries"],
+): RaftCore {
   const voters = ["a", "b", "c"].map((id) => ({
     id,
     incarnation: 1,
     isDurable: false,
   }));
-  const core = new RaftCore({
+  return new RaftCore({
     selfId: "a",
     members: memories("a", "b", "c"),
     random: new SeededRandom({ seed: 1 }),
@@ -181,11 +185,16 @@
       ...EMPTY_SNAPSHOT,
       configuration: { ...EMPTY_CONFIGURATION, voters },
     },
-    entries: [],
+    entries,
     nowMs: 0,
     catchUpBytesPerSecond: () => 1e9,
     mutations: new Set(mutations),
   });
+}
+
+/** A voter of term 1, and a way to let it hear its peers b and c. */
+function voterOfTermOne(mutations: RaftMutation[] = []) {
+  const core = coreOfTermOne(mutations, []);
   const hear = (from: string, message: RaftMessage) =>
     core.step([{
       kind: "message",
@@ -258,31 +267,9 @@
 
 /** A leader of term 2 whose log holds one entry of term 1. */
 function leaderWithOldEntry(mutations: RaftMutation[]) {
-  const voters = ["a", "b", "c"].map((id) => ({
-    id,
-    incarnation: 1,
-    isDurable: false,
-  }));
-  const core = new RaftCore({
-    selfId: "a",
-    members: memories("a", "b", "c"),
-    random: new SeededRandom({ seed: 1 }),
-    timing: REPLICATION_TIMING,
-    hardState: {
-      incarnation: 1,
-      formationId: "g",
-      term: 1,
-      votedFor: undefined,
-    },
-    snapshot: {
-      ...EMPTY_SNAPSHOT,
-      configuration: { ...EMPTY_CONFIGURATION, voters },
-    },
-    entries: [{ index: 1, term: 1, kind: "command", data: pack(1) }],
-    nowMs: 0,
-    catchUpBytesPerSecond: () => 1e9,
-    mutations: new Set(mutations),
-  });
+  const core = coreOfTermOne(mutations, [
+    { index: 1, term: 1, kind: "command", data: pack(1) },
+  ]);
   const step = (input: RaftInput): RaftEffect[] => core.step([input], 5_000);
   const hear = (message: RaftMessage) =>
     step({
