Work out the bounds of a deployment in the product; one context for the parts of a leader's session

The margins that keep a gang's wait and a guarantee's inside what a deployment promises were worked out in the adapter; timingFor does it in the scheduler's own timing, with a test. LeaderContext names what the parts of a leader's session share, PoolView.acceleratorsOf what a service has and what of it is free: both stood in the code twice.

--- a/src/process/batch/batch_timing.ts
+++ b/src/process/batch/batch_timing.ts
@@ -47,6 +47,38 @@
   lapseSlackMs: 300,
 } as const;
 
+/** What a deployment says of its workers and its guarantees. */
+export interface DeploymentBounds {
+  /** The longest lease that workers take. */
+  readonly leaseLimitMs: number;
+  /** How long a gang's member waits for the others. */
+  readonly gangWaitMs: number;
+  /** When a job within its client account's guarantee has to have begun. */
+  readonly guaranteeMs: number;
+  /** How long a worker takes to stop a run, at most. */
+  readonly stopLimitMs: number;
+}
+
+/** Before a gang is given up, its members' orders get this long to arrive. */
+const GANG_MARGIN_MS = 1_000;
+
+/** After the stops of others a start takes two commits and an order. */
+const GUARANTEE_MARGIN_MS = 700;
+
+/** The periods and limits of a deployment. */
+export function timingFor(bounds: DeploymentBounds): BatchTiming {
+  const { leaseLimitMs, gangWaitMs, guaranteeMs, stopLimitMs } = bounds;
+  return {
+    ...BATCH_TIMING,
+    leaseLimitMs,
+    gangStartMs: Math.max(0, gangWaitMs - GANG_MARGIN_MS),
+    guaranteeWaitMs: Math.max(
+      0,
+      guaranteeMs - stopLimitMs - GUARANTEE_MARGIN_MS,
+    ),
+  };
+}
+
 /** Every period and limit. */
 export type BatchTiming = {
   readonly [Name in keyof typeof BATCH_TIMING]: number;
--- /dev/null
+++ b/src/process/batch/batch_timing_test.ts
@@ -0,0 +1,23 @@
+import test from "ava";
+import { BATCH_TIMING, timingFor } from "./batch_timing.ts";
+
+test("the defaults are those of the first site", (t) => {
+  const bounds = {
+    leaseLimitMs: 10_000,
+    gangWaitMs: 3_000,
+    guaranteeMs: 3_400,
+    stopLimitMs: 900,
+  };
+  t.deepEqual(timingFor(bounds), BATCH_TIMING);
+});
+
+test("bounds that leave no time to wait leave none, and never less", (t) => {
+  const timing = timingFor({
+    leaseLimitMs: 500,
+    gangWaitMs: 500,
+    guaranteeMs: 1_000,
+    stopLimitMs: 900,
+  });
+  t.is(timing.gangStartMs, 0);
+  t.is(timing.guaranteeWaitMs, 0);
+});
--- a/src/process/batch/decisions/planner.ts
+++ b/src/process/batch/decisions/planner.ts
@@ -13,7 +13,7 @@
 import { type PlacementRequest, placeTasks } from "./placement.ts";
 import { type OpenRun, PoolView, type WorkerCondition } from "./pool_view.ts";
 import { chooseStops, mayPreempt } from "./preemption.ts";
-import { mayLeaveRack, sumOf, waitedMs } from "./rack_patience.ts";
+import { mayLeaveRack, waitedMs } from "./rack_patience.ts";
 import { chainMs, objectiveMs, urgency } from "./rank.ts";
 import { waitingUnits, type WorkUnit } from "./work_unit.ts";
 
@@ -141,9 +141,7 @@
   if (unit.queue.priority === 0 || settings.urgentReserveShare === 0) {
     return false;
   }
-  const slots = view.usableOf(unit.queue.service);
-  const total = sumOf(slots, (slot) => slot.worker.capacity.accelerators);
-  const free = sumOf(slots, (slot) => slot.free.accelerators);
+  const { total, free } = view.acceleratorsOf(unit.queue.service);
   const { accelerators } = unit.spec.demand;
   const needed = unit.spec.isGang
     ? accelerators * unit.waiting.length
@@ -155,10 +153,7 @@
 /** Whether more than a share of the slack in the objective is left. */
 function hasTime(unit: WorkUnit, share: number, nowMs: number): boolean {
   const { job, queue } = unit;
-  const beganMs = Math.max(
-    dueAtMs(unit.job, unit.occurrence),
-    job.submittedAtMs,
-  );
+  const beganMs = Math.max(dueAtMs(job, unit.occurrence), job.submittedAtMs);
   const chain = chainMs(job);
   const slackMs = objectiveMs(job, queue) - chain;
   const leftMs = beganMs + objectiveMs(job, queue) - nowMs - chain;
@@ -301,8 +296,8 @@
 
 /**
  * Chooses what stops for a unit, and keeps the room for it in the view;
- * undefined where no stops would make enough room. What
- * is left of that room is nobody's yet: the runs are still there.
+ * undefined where no stops would make enough room. What is left of that room
+ * is nobody's yet: the runs are still there.
  */
 function makeRoom(
   view: PoolView,
--- a/src/process/batch/decisions/pool_view.ts
+++ b/src/process/batch/decisions/pool_view.ts
@@ -44,6 +44,7 @@
   readonly slots: readonly WorkerSlot[];
   readonly #byKey = new Map<WorkerKey, WorkerSlot>();
   readonly #byService = new Map<string, WorkerSlot[]>();
+  /** Derived, once for each service that is asked for. */
   readonly #usable = new Map<string, WorkerSlot[]>();
 
   constructor(options: {
@@ -86,6 +87,18 @@
     return usable;
   }
 
+  /** The accelerators of the service's usable workers, and what is free. */
+  acceleratorsOf(service: string): { total: number; free: number } {
+    const slots = this.usableOf(service);
+    let total = 0;
+    let free = 0;
+    for (const slot of slots) {
+      total += slot.worker.capacity.accelerators;
+      free += slot.free.accelerators;
+    }
+    return { total, free };
+  }
+
   /** Counts a run as ended, so that its room can be planned for one unit. */
   release(run: OpenRun): void {
     const slot = this.#byKey.get(run.worker);
--- a/src/process/batch/decisions/rack_patience.ts
+++ b/src/process/batch/decisions/rack_patience.ts
@@ -16,8 +16,9 @@
 const DATA_PATIENCE_FACTOR = 2;
 
 /**
- * While most of the pool is free nothing waits for a rack for longer: the
- * users count a job as forgotten when it doesn't run for 3 s.
+ * While most of the pool is free nothing waits for a rack for longer. A job
+ * that doesn't run beside free workers for 3 s counts as lost (LOST in RULES.md
+ * of the platform); half a second is left for the commit and the order.
  */
 const IDLE_RACK_WAIT_MS = 2_500;
 
@@ -65,18 +66,8 @@
     Math.max(unit.job.acceptedAtMs, dueAtMs(unit.job, unit.occurrence));
 }
 
-/** Whether at least half of the accelerators in use are free. */
+/** Whether at least half of the accelerators that can be used are free. */
 function isMostlyFree(view: PoolView, service: string): boolean {
-  const slots = view.usableOf(service);
-  const total = sumOf(slots, (slot) => slot.worker.capacity.accelerators);
-  const free = sumOf(slots, (slot) => slot.free.accelerators);
+  const { total, free } = view.acceleratorsOf(service);
   return free * 2 >= total;
 }
-
-/** The sum of an amount over a list. */
-export function sumOf<T>(
-  list: readonly T[],
-  amount: (item: T) => number,
-): number {
-  return list.reduce((sum, item) => sum + amount(item), 0);
-}
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -5,8 +5,7 @@
  * @module
  */
 
-import type { Clock, Timer } from "../../../base/clock.ts";
-import type { EventLog } from "../../../base/event_log.ts";
+import type { Timer } from "../../../base/clock.ts";
 import type { JobId } from "../../../base/identity.ts";
 import type { ReplicatedLog } from "../../replication/mod.ts";
 import {
@@ -17,28 +16,21 @@
   type TaskRef,
   type WorkerKey,
 } from "../batch_command.ts";
-import type { BatchState } from "../batch_state.ts";
-import type { BatchTiming } from "../batch_timing.ts";
 import { plan } from "../decisions/planner.ts";
 import type { WorkerCondition } from "../decisions/pool_view.ts";
 import { JobPhase } from "../job_record.ts";
-import type { WorkerCalls, WorkerReport } from "../worker_calls.ts";
+import type { WorkerReport } from "../worker_calls.ts";
 import { BatchWriter } from "./batch_writer.ts";
 import { RunDriver } from "./run_driver.ts";
 import { RunTable, StopReason, taskKey } from "./run_table.ts";
 import { WorkerHealth } from "./worker_health.ts";
 import type { WorkerLink } from "./worker_link.ts";
+import type { LeaderContext } from "./leader_context.ts";
 import { WorkerLinks } from "./worker_links.ts";
 
 /** What a session is made from. */
-export interface LeaderSessionOptions {
+export interface LeaderSessionOptions extends LeaderContext {
   readonly log: ReplicatedLog<BatchCommand, BatchOutcome>;
-  readonly state: BatchState;
-  readonly clock: Clock;
-  readonly calls: WorkerCalls;
-  readonly events: EventLog;
-  readonly timing: BatchTiming;
-  readonly epoch: number;
   /** Takes note of how long each batch took to commit. */
   readonly onCommit?: (durationMs: number) => void;
   /** Called once when the session can't go on. */
--- a/src/process/batch/leader/run_orders.ts
+++ b/src/process/batch/leader/run_orders.ts
@@ -5,27 +5,18 @@
  * @module
  */
 
-import type { Clock } from "../../../base/clock.ts";
-import type { EventLog } from "../../../base/event_log.ts";
 import type { SesameError } from "../../../base/sesame_error.ts";
 import { idOfLife, type TaskRef, type WorkerKey } from "../batch_command.ts";
-import type { BatchState } from "../batch_state.ts";
-import type { BatchTiming } from "../batch_timing.ts";
 import type { StepSpec } from "../job_spec.ts";
-import type { StartAnswer, WorkerCalls } from "../worker_calls.ts";
+import type { StartAnswer } from "../worker_calls.ts";
 import { LateOrders } from "./late_orders.ts";
 import { type OpenRunState, type RunTable, taskKey } from "./run_table.ts";
+import type { LeaderContext } from "./leader_context.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
 /** What the orders are made from. */
-export interface RunOrdersOptions {
+export interface RunOrdersOptions extends LeaderContext {
   readonly runs: RunTable;
-  readonly state: BatchState;
-  readonly clock: Clock;
-  readonly calls: WorkerCalls;
-  readonly events: EventLog;
-  readonly timing: BatchTiming;
-  readonly epoch: number;
   readonly linkOf: (key: WorkerKey) => WorkerLink | undefined;
   readonly mayLead: () => boolean;
 }
--- a/src/process/batch/leader/run_table.ts
+++ b/src/process/batch/leader/run_table.ts
@@ -121,7 +121,7 @@
     const open: OpenRunState = {
       ...run,
       key,
-      name: `${key} ${run.run}`,
+      name: runName(run.task, run.run),
       holder: run.worker,
       sinceMs: nowMs,
       confirmedAtMs: undefined,
--- a/src/process/batch/leader/worker_links.ts
+++ b/src/process/batch/leader/worker_links.ts
@@ -4,26 +4,16 @@
  * @module
  */
 
-import type { Clock } from "../../../base/clock.ts";
-import type { EventLog } from "../../../base/event_log.ts";
 import {
   idOfLife,
   type WorkerKey,
   type WorkerRecord,
 } from "../batch_command.ts";
-import type { BatchState } from "../batch_state.ts";
-import type { BatchTiming } from "../batch_timing.ts";
-import type { WorkerCalls } from "../worker_calls.ts";
+import type { LeaderContext } from "./leader_context.ts";
 import { WorkerLink, type WorkerLinkOptions } from "./worker_link.ts";
 
 /** What the ties are made from. */
-export interface WorkerLinksOptions {
-  readonly state: BatchState;
-  readonly clock: Clock;
-  readonly calls: WorkerCalls;
-  readonly events: EventLog;
-  readonly timing: BatchTiming;
-  readonly epoch: number;
+export interface WorkerLinksOptions extends LeaderContext {
   readonly mayLead: () => boolean;
   readonly onReport: WorkerLinkOptions["onReport"];
   /** A worker can be given work again. */
--- a/src/process/batch/mod.ts
+++ b/src/process/batch/mod.ts
@@ -15,7 +15,12 @@
 } from "./batch_command.ts";
 export { BatchService } from "./batch_service.ts";
 export { BatchState } from "./batch_state.ts";
-export { BATCH_TIMING, type BatchTiming } from "./batch_timing.ts";
+export {
+  BATCH_TIMING,
+  type BatchTiming,
+  type DeploymentBounds,
+  timingFor,
+} from "./batch_timing.ts";
 export {
   callsEndpoint,
   HttpCallTransport,
--- a/src/process/http/mod.ts
+++ b/src/process/http/mod.ts
@@ -27,4 +27,4 @@
   type MetricLabels,
   MetricsRegistry,
 } from "./metrics_registry.ts";
-export { CallTimeoutError, HttpCaller } from "./http_caller.ts";
+export { HttpCaller } from "./http_caller.ts";
