A leader that stops stays until the next one is known

Cause: the request to take over waits for the leader's syncs in flight; close() came 4 ms later and dropped it, so the data centre's group had no leader for 1.54 s (of the configuration's group, which has no traffic, it took 27 ms), longer than callers ask on. Ruled out: a target without the last entries (it would have stayed leader for 600 ms). Change: handOver returns once the next leader is known here and the commands in this log have ended, or after 600 ms. FakeStorage can hang its syncs; two tests failed before.

--- a/src/process/replication/core_driver.ts
+++ b/src/process/replication/core_driver.ts
@@ -82,6 +82,11 @@
     return this.#options.core.currentAtMs(this.#options.clock.nowMs());
   }
 
+  /** Whether the end of no command of this member's own log is awaited. */
+  get hasEndedProposals(): boolean {
+    return this.#proposals.isEmpty;
+  }
+
   /** Whether this member leads for certain at this moment. */
   isLeaseHeld(): boolean {
     return !this.#isStopped &&
--- a/src/process/replication/proposal_table.ts
+++ b/src/process/replication/proposal_table.ts
@@ -29,6 +29,11 @@
   #logged = new Map<number, LoggedProposal<Outcome>>();
   #nextToken = 1;
 
+  /** Whether nobody waits. */
+  get isEmpty(): boolean {
+    return this.#unlogged.size === 0 && this.#logged.size === 0;
+  }
+
   /** Registers a command that is about to go into the log. */
   add(listener: ProposalListener<Outcome>): number {
     const token = this.#nextToken;
--- a/src/process/replication/replication_member.ts
+++ b/src/process/replication/replication_member.ts
@@ -48,7 +48,7 @@
 /** Between two looks at whether a waiting command can go on. */
 const RETRY_MS = 25;
 
-/** How long a leader waits for a member that is ready to take over. */
+/** How long a leader waits for the next one when it stops. */
 const HAND_OVER_MS = 600;
 
 /** What a member is made from. */
@@ -308,14 +308,22 @@
     this.#driver.step({ kind: "declareLost", id });
   }
 
+  /**
+   * Returns once the next leader is known here and has told how the commands
+   * in this member's log ended, or after a while without one. A member that
+   * closed earlier might not have sent what it holds back for its disk.
+   */
   async handOver(): Promise<void> {
+    if (!this.#mayHandOver()) {
+      return;
+    }
     const { clock } = this.#options;
     const endMs = clock.nowMs() + HAND_OVER_MS;
-    while (this.#mayHandOver() && clock.nowMs() < endMs) {
-      this.#driver.step({ kind: "handOver" });
+    while (!this.#isSucceeded() && clock.nowMs() < endMs) {
       if (this.#mayHandOver()) {
-        await this.#pause();
+        this.#driver.step({ kind: "handOver" });
       }
+      await this.#pause();
     }
   }
 
@@ -368,6 +376,13 @@
       this.#driver.view.configuration.voters.length > 1;
   }
 
+  #isSucceeded(): boolean {
+    const { role, leaderId } = this.#driver.view;
+    const isFollowing = role !== "leader" && leaderId !== undefined;
+    return this.#driver.isStopped ||
+      (isFollowing && this.#driver.hasEndedProposals);
+  }
+
   #isInEffect(change: MemberChange): boolean {
     const { configuration, log, commitIndex } = this.#driver.view;
     const isVoter = configuration.voters.some((voter) =>
--- a/src/process/replication/replication_member_test.ts
+++ b/src/process/replication/replication_member_test.ts
@@ -145,6 +145,44 @@
   await group.close();
 });
 
+test("a leader that stops behind a slow disk is succeeded at once", async (t) => {
+  const group = new MemberGroup(disks("a", "b", "c"));
+  await group.startAll();
+  await group.run(1_000);
+  const old = group.leader()!;
+  const oldId = old.status().leaderId!;
+  const disk = group.disks.get(oldId)!;
+  disk.faults.syncHangs = true;
+  t.true((await group.propose(oldId, "held by the others")).isRight());
+  const stopped = old.handOver().then(() => group.stop(oldId));
+  await group.run(20);
+  disk.endHang();
+  await group.finish(stopped);
+  await group.run(100);
+  t.not(group.leader(), undefined);
+  await group.close();
+});
+
+test("a leader that stops learns how its last commands ended", async (t) => {
+  const group = new MemberGroup(disks("a", "b", "c"));
+  await group.startAll();
+  await group.run(1_000);
+  const old = group.leader()!;
+  const oldId = old.status().leaderId!;
+  const disk = group.disks.get(oldId)!;
+  disk.faults.syncHangs = true;
+  group.hub.isolate(["a", "b", "c"].find((id) => id !== oldId)!);
+  const deadlineMs = group.clock.nowMs() + 5_000;
+  const proposed = old.propose("held by one other", { deadlineMs });
+  await group.run(20);
+  const stopped = old.handOver().then(() => group.stop(oldId));
+  await group.run(20);
+  disk.endHang();
+  await group.finish(stopped);
+  t.deepEqual((await proposed).extract(), 1);
+  await group.close();
+});
+
 test("members change one at a time and keep what is committed", async (t) => {
   const group = new MemberGroup(disks("a", "b", "c"));
   await group.startAll();
--- a/src/process/storage/fake_storage.ts
+++ b/src/process/storage/fake_storage.ts
@@ -23,6 +23,8 @@
   syncFails: boolean;
   /** Syncs report success and do nothing. */
   syncLies: boolean;
+  /** Syncs of files don't end before {@link FakeStorage.endHang}. */
+  syncHangs: boolean;
 }
 
 /** A folder of files that outlives the members that use it. */
@@ -31,8 +33,10 @@
     isFull: false,
     syncFails: false,
     syncLies: false,
+    syncHangs: false,
   };
   #files = new Map<string, FakeFile>();
+  #hanging: (() => void)[] = [];
   /** How many syncs succeeded, of files or replacements. */
   syncs = 0;
 
@@ -54,16 +58,19 @@
     return settled(Right(undefined));
   }
 
-  sync(name: string): Promise<Result<void>> {
+  async sync(name: string): Promise<Result<void>> {
+    if (this.faults.syncHangs) {
+      await new Promise<void>((resume) => this.#hanging.push(resume));
+    }
     if (this.faults.syncFails) {
-      return settled(failure("storageFailed", { detail: `${name}: EIO` }));
+      return failure("storageFailed", { detail: `${name}: EIO` });
     }
     const file = this.#file(name);
     if (!this.faults.syncLies) {
       file.durable = file.written;
     }
     this.syncs += 1;
-    return settled(Right(undefined));
+    return Right(undefined);
   }
 
   replace(name: string, bytes: Uint8Array): Promise<Result<void>> {
@@ -97,6 +104,14 @@
     return Promise.resolve();
   }
 
+  /** Syncs go on, those that hang first. */
+  endHang(): void {
+    this.faults.syncHangs = false;
+    for (const resume of this.#hanging.splice(0)) {
+      resume();
+    }
+  }
+
   /**
    * The machine goes down: of what was not synced, a part of random length
    * stays, and pieces of that may never have been written.
