--- a/standins/platform/standin_platform.ts
+++ b/standins/platform/standin_platform.ts
@@ -65,6 +65,7 @@
   readonly #subnet: number;
   readonly #events: EventLog;
   readonly #cores = new Map<string, PlatformCore>();
+  readonly #metrics = new Map<string, MetricsRegistry>();
   readonly #doors: PlatformDoor[] = [];
   #folder = "";
 
@@ -108,6 +109,14 @@
     throw new Error("no machine leads");
   }
 
+  /** How many workers the copy of each machine that is up holds. */
+  workersKnown(): number[] {
+    return [...this.#cores.keys()].map((id) => {
+      const text = this.#metrics.get(id)!.render();
+      return Number(/^sesamethread_workers (\d+)$/m.exec(text)?.[1]);
+    });
+  }
+
   configure(configuration: unknown, core = 0): Promise<CallResult> {
     const control = this.controlAddresses[core]!;
     return call("PUT", `http://${control}/sesamethread/config`, {
@@ -178,12 +187,14 @@
       dataDir: join(this.#folder, id),
       bounds: { graceS: 6, maxHoldMs: 10_000, gangTimeoutMs: 3_000 },
     }).unsafeCoerce();
+    const metrics = new MetricsRegistry();
+    this.#metrics.set(id, metrics);
     return {
       settings,
       clock: new SystemClock(),
       random: new SeededRandom({ seed: this.#subnet }),
       events: this.#events,
-      metrics: new MetricsRegistry(),
+      metrics,
       timing: BATCH_TIMING,
     };
   }
--- a/standins/platform/standin_worker.ts
+++ b/standins/platform/standin_worker.ts
@@ -112,6 +112,10 @@
     });
   }
 
+  get id(): string {
+    return this.#options.id;
+  }
+
   async open(): Promise<void> {
     await new Promise<void>((done) =>
       this.#server.listen(0, "127.0.0.1", done)
@@ -136,14 +140,11 @@
     await new Promise<void>((done) => this.#server.close(() => done()));
   }
 
-  #clockMs(): number {
-    return Date.now() - this.#bornAtMs;
-  }
-
-  async #beat(): Promise<void> {
+  /** What it says of itself next. */
+  nextHeartbeat(): Record<string, unknown> {
     const { address, port } = this.#server.address() as AddressInfo;
-    const { service, zone, rack, accelerators, id } = this.#options;
-    const body = JSON.stringify({
+    const { service, zone, rack, accelerators } = this.#options;
+    return {
       service,
       zone,
       address: `${address}:${port}`,
@@ -156,9 +157,17 @@
       clockMs: this.#clockMs(),
       born: this.#bornAtMs,
       seq: this.#sequence++,
-    });
+    };
+  }
+
+  #clockMs(): number {
+    return Date.now() - this.#bornAtMs;
+  }
+
+  async #beat(): Promise<void> {
+    const body = JSON.stringify(this.nextHeartbeat());
     for (const control of this.#options.controlAddresses) {
-      if (await this.#tell(control, id, body)) {
+      if (await this.#tell(control, this.#options.id, body)) {
         return;
       }
     }
--- a/test/platform/calm_day_test.ts
+++ b/test/platform/calm_day_test.ts
@@ -230,23 +230,11 @@
   await closeDay(day);
 });
 
-const BEAT = {
-  service: "pool",
-  address: "127.0.39.99:9",
-  zone: "zone-1",
-  state: "ready",
-  capacity: { cpu: 1_000, memMb: 1_024, gpu: 1 },
-  labels: ["a", "r-1"],
-  born: 1,
-  seq: 1,
-};
-
 test("what is known of a worker needs no leader to be acknowledged", async (t) => {
   const { platform, ...day } = await openDay(39);
   const at = platform.controlAddresses;
-  await until(async () =>
-    (await platform.heartbeat("i-9", BEAT, 0)).status === 200
-  );
+  const worker = day.workers[0]!;
+  await until(() => Promise.resolve(isKnownEverywhere(platform)));
   const stopped = [await platform.stopLeader()];
   await until(async () =>
     (await platform.client("GET", "/queue/")).status === 200
@@ -255,10 +243,15 @@
   const left = at.findIndex((address) =>
     !stopped.some((id) => address.startsWith(`${id}:`))
   );
-  const known = await platform.heartbeat("i-9", { ...BEAT, seq: 2 }, left);
+  const beat = worker.nextHeartbeat();
+  const known = await platform.heartbeat(worker.id, beat, left);
   t.is(known.status, 200);
   t.is(known.body.heartbeatUrl, at[left]);
-  const draining = { ...BEAT, seq: 3, state: "draining" };
-  t.is((await platform.heartbeat("i-9", draining, left)).status, 503);
+  const draining = { ...worker.nextHeartbeat(), state: "draining" };
+  t.is((await platform.heartbeat(worker.id, draining, left)).status, 503);
   await closeDay({ platform, ...day });
 });
+
+function isKnownEverywhere(platform: StandinPlatform): boolean {
+  return platform.workersKnown().every((count) => count === 3);
+}
