Late work leaves the last 15 % of the accelerators to urgent work

Cause: the reserve of 30 % binds only while work has time; late gangs start into the last free room and are the cheapest to stop for the next urgent job. Change: work without time leaves 15 %, unless it needs more than the rest or lasts. Tests failed before (late work took the room). The test of the reserve names a floor of 0, which it isn't about.

--- a/src/process/batch/decisions/planner.ts
+++ b/src/process/batch/decisions/planner.ts
@@ -38,6 +38,12 @@
    * while the rest can wait.
    */
   readonly urgentReserveShare?: number;
+  /**
+   * The share that work which can't wait any more leaves to urgent work. What
+   * takes the last room is stopped for urgent work within a second or two, and
+   * all that it did is thrown away.
+   */
+  readonly urgentFloorShare?: number;
   /** Work of that share of its objective's slack left can't wait any more. */
   readonly patienceShare?: number;
   /**
@@ -52,6 +58,7 @@
 /** The defaults; docs/design/batch_policy.md has the measurements. */
 export const PLANNER_DEFAULTS = {
   urgentReserveShare: 0.3,
+  urgentFloorShare: 0.15,
   patienceShare: 0.5,
   guaranteeWaitMs: 1_800,
   stopsForAllUrgent: true,
@@ -130,15 +137,15 @@
 }
 
 /**
- * Whether less urgent work leaves its room to urgent work that may come: it
- * has time, and the pool is nearly full.
+ * Whether less urgent work leaves its room to urgent work that may come: the
+ * pool is nearly full, and the work has time or would take the last room.
  */
 function mustWait(
   view: PoolView,
   unit: WorkUnit,
   { settings, nowMs }: { settings: Required<PlannerOptions>; nowMs: number },
 ): boolean {
-  if (unit.queue.priority === 0 || settings.urgentReserveShare === 0) {
+  if (unit.queue.priority === 0) {
     return false;
   }
   const { total, free } = view.acceleratorsOf(unit.queue.service);
@@ -146,8 +153,14 @@
   const needed = unit.spec.isGang
     ? accelerators * unit.waiting.length
     : accelerators;
-  const isNearlyFull = free - needed < total * settings.urgentReserveShare;
-  return isNearlyFull && hasTime(unit, settings.patienceShare, nowMs);
+  const leavesFree = (share: number) => free - needed >= total * share;
+  if (hasTime(unit, settings.patienceShare, nowMs)) {
+    return !leavesFree(settings.urgentReserveShare);
+  }
+  const { urgentFloorShare } = settings;
+  const canEverLeaveIt = needed <= total * (1 - urgentFloorShare);
+  return canEverLeaveIt && !unit.spec.isLasting &&
+    !leavesFree(urgentFloorShare);
 }
 
 /** Whether more than a share of the slack in the objective is left. */
--- a/src/process/batch/decisions/planner_fixture.ts
+++ b/src/process/batch/decisions/planner_fixture.ts
@@ -90,7 +90,9 @@
   }
 
   /** Without a reserve, so that tests of placing can use the whole pool. */
-  plan(options: PlannerOptions = { urgentReserveShare: 0 }): Plan {
+  plan(
+    options: PlannerOptions = { urgentReserveShare: 0, urgentFloorShare: 0 },
+  ): Plan {
     return plan({
       state: this.state,
       nowMs: this.nowMs,
--- a/src/process/batch/decisions/planner_test.ts
+++ b/src/process/batch/decisions/planner_test.ts
@@ -79,7 +79,11 @@
 
 test("other work leaves room for urgent work while it can wait", (t) => {
   const world = new PlannerWorld({ workers: 2 });
-  const reserve = { urgentReserveShare: 0.5, patienceShare: 0.5 };
+  const reserve = {
+    urgentReserveShare: 0.5,
+    patienceShare: 0.5,
+    urgentFloorShare: 0,
+  };
   world.submit("first", { taskCount: 8, accelerators: 1 });
   world.carryOut(world.plan(reserve));
   world.submit("second", { taskCount: 1, accelerators: 4 });
@@ -91,6 +95,35 @@
   t.true(world.plan(reserve).starts.some(({ jobId }) => jobId === "second"));
 });
 
+test("late work leaves the last room to urgent work", (t) => {
+  const floor = { urgentReserveShare: 0.5, urgentFloorShare: 0.25 };
+  const world = new PlannerWorld({ workers: 2 });
+  world.submit("first", { taskCount: 12, accelerators: 1 });
+  world.carryOut(world.plan());
+  world.submit("late", { taskCount: 1, accelerators: 2 });
+  world.nowMs += 60_000;
+  t.deepEqual(world.plan(floor).starts, []);
+  world.submit("urgent", { taskCount: 1, accelerators: 4, queue: "urgent" });
+  t.deepEqual(world.plan(floor).starts.map(({ jobId }) => jobId), ["urgent"]);
+  for (let index = 0; index < 6; index++) {
+    world.end("first", { step: 0, index, how: RunEnd.done });
+  }
+  const started = world.plan(floor).starts.map(({ jobId }) => jobId);
+  t.deepEqual(started, ["urgent", "late"]);
+});
+
+test("late work that needs the last room isn't kept from it for ever", (t) => {
+  const floor = { urgentReserveShare: 0.5, urgentFloorShare: 0.25 };
+  const world = new PlannerWorld({ workers: 2 });
+  world.submit("wide", { taskCount: 2, accelerators: 8, isGang: true });
+  world.nowMs += 60_000;
+  t.is(world.plan(floor).starts[0]?.jobId, "wide");
+  const calm = new PlannerWorld({ workers: 2 });
+  calm.submit("lasting", { taskCount: 2, accelerators: 7, isLasting: true });
+  calm.nowMs += 60_000;
+  t.is(calm.plan(floor).starts[0]?.tasks.length, 2);
+});
+
 test("small work fills one rack and leaves the other whole", (t) => {
   const world = new PlannerWorld({ workers: 2 });
   world.addWorker("w3", { rack: "r-2" });
