--- a/src/process/replication/replication_member_test.ts
+++ b/src/process/replication/replication_member_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { COMMAND_LIMIT_BYTES } from "./replication_timing.ts";
 import { disks, learners, memories } from "./testing/fault_session.ts";
-import { MemberGroup } from "./testing/member_group.ts";
+import { type Member, MemberGroup } from "./testing/member_group.ts";
 
 test("a group forms, commits from any member and keeps learners", async (t) => {
   const group = new MemberGroup([...disks("a", "b", "c"), ...learners("d")]);
@@ -146,42 +146,44 @@
 });
 
 test("a leader that stops behind a slow disk is succeeded at once", async (t) => {
-  const group = new MemberGroup(disks("a", "b", "c"));
-  await group.startAll();
-  await group.run(1_000);
-  const old = group.leader()!;
-  const oldId = old.status().leaderId!;
-  const disk = group.disks.get(oldId)!;
-  disk.faults.syncHangs = true;
+  const { group, old, oldId } = await groupWithSlowLeader();
   t.true((await group.propose(oldId, "held by the others")).isRight());
-  const stopped = old.handOver().then(() => group.stop(oldId));
-  await group.run(20);
-  disk.endHang();
-  await group.finish(stopped);
+  await stopBehindDisk(group, old);
   await group.run(100);
   t.not(group.leader(), undefined);
   await group.close();
 });
 
 test("a leader that stops learns how its last commands ended", async (t) => {
+  const { group, old, oldId } = await groupWithSlowLeader();
+  group.hub.isolate(["a", "b", "c"].find((id) => id !== oldId)!);
+  const deadlineMs = group.clock.nowMs() + 5_000;
+  const proposed = old.propose("held by one other", { deadlineMs });
+  await group.run(20);
+  await stopBehindDisk(group, old);
+  t.deepEqual((await proposed).extract(), 1);
+  await group.close();
+});
+
+/** A group whose leader's syncs hang. */
+async function groupWithSlowLeader() {
   const group = new MemberGroup(disks("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
   const old = group.leader()!;
   const oldId = old.status().leaderId!;
-  const disk = group.disks.get(oldId)!;
-  disk.faults.syncHangs = true;
-  group.hub.isolate(["a", "b", "c"].find((id) => id !== oldId)!);
-  const deadlineMs = group.clock.nowMs() + 5_000;
-  const proposed = old.propose("held by one other", { deadlineMs });
-  await group.run(20);
+  group.disks.get(oldId)!.faults.syncHangs = true;
+  return { group, old, oldId };
+}
+
+/** Stops the leader as a process does; its syncs end 20 ms after it began. */
+async function stopBehindDisk(group: MemberGroup, old: Member): Promise<void> {
+  const oldId = old.status().leaderId!;
   const stopped = old.handOver().then(() => group.stop(oldId));
   await group.run(20);
-  disk.endHang();
+  group.disks.get(oldId)!.endHang();
   await group.finish(stopped);
-  t.deepEqual((await proposed).extract(), 1);
-  await group.close();
-});
+}
 
 test("members change one at a time and keep what is committed", async (t) => {
   const group = new MemberGroup(disks("a", "b", "c"));
