Keep no room where no urgent work can come

Noticed while reading the floor for urgent work: a service whose queues are all of lower priority kept 15 % of its accelerators from late work for good, and 30 % while it had time. Test failed before.

--- a/src/process/batch/decisions/planner.ts
+++ b/src/process/batch/decisions/planner.ts
@@ -89,7 +89,8 @@
   const starts: StartItem[] = [];
   const stops: TaskRef[] = [];
   for (const unit of units) {
-    if (mustWait(view, unit, { settings, nowMs: input.nowMs })) {
+    const yields = index.hasUrgentQueue(unit.queue.service);
+    if (yields && mustWait(view, unit, { settings, nowMs })) {
       continue;
     }
     const start = placeUnit(view, unit, { ...input, mayLeaveRack: false });
--- a/src/process/batch/decisions/planner_fixture.ts
+++ b/src/process/batch/decisions/planner_fixture.ts
@@ -19,7 +19,11 @@
   readonly account?: string;
 }
 
-const PRIORITIES = { urgent: 0, normal: 1, background: 2 } as const;
+const PRIORITIES: Readonly<Record<string, number>> = {
+  urgent: 0,
+  normal: 1,
+  background: 2,
+};
 
 /** A pool with a clock. */
 export class PlannerWorld {
@@ -28,14 +32,22 @@
   readonly failedOn = new Set<string>();
   readonly #stopping = new Set<string>();
 
-  constructor(options: { workers: number; guaranteed?: number }) {
+  constructor(
+    options: {
+      workers: number;
+      guaranteed?: number;
+      /** Queues by priority. */
+      priorities?: Readonly<Record<string, number>>;
+    },
+  ) {
+    const priorities = options.priorities ?? PRIORITIES;
     this.state.apply({ kind: "epoch", leaderId: "leader" });
     this.state.apply({
       kind: "configure",
       document: "{}",
       configuration: {
         version: 1,
-        queues: Object.entries(PRIORITIES).map(([name, priority]) =>
+        queues: Object.entries(priorities).map(([name, priority]) =>
           newQueue(name, priority)
         ),
         services: [{ name: "pool", guardsCapacity: true }],
--- a/src/process/batch/decisions/planner_test.ts
+++ b/src/process/batch/decisions/planner_test.ts
@@ -124,6 +124,16 @@
   t.is(calm.plan(floor).starts[0]?.tasks.length, 2);
 });
 
+test("no room is kept where no urgent work can come", (t) => {
+  const world = new PlannerWorld({ workers: 1, priorities: { normal: 1 } });
+  world.submit("all", { taskCount: 8, accelerators: 1 });
+  t.is(world.plan({}).starts[0]?.tasks.length, 8);
+  world.carryOut(world.plan({}));
+  world.end("all", { step: 0, index: 0, how: RunEnd.done });
+  world.submit("last", { taskCount: 1, accelerators: 1 });
+  t.is(world.plan({}).starts[0]?.jobId, "last");
+});
+
 test("small work fills one rack and leaves the other whole", (t) => {
   const world = new PlannerWorld({ workers: 2 });
   world.addWorker("w3", { rack: "r-2" });
--- a/src/process/batch/pool_configuration.ts
+++ b/src/process/batch/pool_configuration.ts
@@ -113,6 +113,13 @@
     );
   }
 
+  /** Whether urgent work may come to the service. */
+  hasUrgentQueue(service: ServiceId): boolean {
+    return this.configuration.queues.some((queue) =>
+      queue.service === service && queue.priority === 0
+    );
+  }
+
   queueNamed(name: string): QueueConfiguration | undefined {
     return this.#queuesByName.get(name);
   }
