--- a/src/process/batch/decisions/rack_patience.ts
+++ b/src/process/batch/decisions/rack_patience.ts
@@ -16,9 +16,9 @@
 const DATA_PATIENCE_FACTOR = 2;
 
 /**
- * While most of the pool is free nothing waits for a rack for longer. A job
- * that doesn't run beside free workers for 3 s counts as lost (LOST in RULES.md
- * of the platform); half a second is left for the commit and the order.
+ * While most of the pool is free nothing waits for a rack for longer: a job
+ * has to run within 3 s beside free workers (docs/platform_rules.md), and half
+ * a second is left for the commit and the order.
  */
 const IDLE_RACK_WAIT_MS = 2_500;
 
--- a/src/process/batch/pool_configuration.ts
+++ b/src/process/batch/pool_configuration.ts
@@ -89,6 +89,7 @@
   readonly #queuesByHost = new Map<string, QueueConfiguration[]>();
   readonly #queuesByName = new Map<string, QueueConfiguration>();
   readonly #accountsByKey = new Map<string, AccountConfiguration>();
+  readonly #urgentServices = new Set<ServiceId>();
 
   constructor(configuration: PoolConfiguration) {
     this.configuration = configuration;
@@ -97,6 +98,9 @@
       queues.push(queue);
       this.#queuesByHost.set(queue.host, queues);
       this.#queuesByName.set(queue.name, queue);
+      if (queue.priority === 0) {
+        this.#urgentServices.add(queue.service);
+      }
     }
     for (const queues of this.#queuesByHost.values()) {
       queues.sort((a, b) => b.prefix.length - a.prefix.length);
@@ -115,9 +119,7 @@
 
   /** Whether urgent work may come to the service. */
   hasUrgentQueue(service: ServiceId): boolean {
-    return this.configuration.queues.some((queue) =>
-      queue.service === service && queue.priority === 0
-    );
+    return this.#urgentServices.has(service);
   }
 
   queueNamed(name: string): QueueConfiguration | undefined {
--- a/src/process/replication/replicated_log.ts
+++ b/src/process/replication/replicated_log.ts
@@ -75,7 +75,10 @@
   status(): MemberStatus;
   /** Changes of role, term, leader and members. */
   readonly statuses: Stream<MemberStatus>;
-  /** Gives up leadership to a caught-up member, if this member leads. */
+  /**
+   * Gives up leadership to a caught-up member, if this member leads, and
+   * returns once that one is known to lead, or after a while without one.
+   */
   handOver(): Promise<void>;
   close(): Promise<void>;
 }
--- a/src/process/replication/replication_member.ts
+++ b/src/process/replication/replication_member.ts
@@ -28,8 +28,9 @@
 import { openEnvelopeChannel } from "./envelope_codec.ts";
 import { LeaderCalls } from "./leader_calls.ts";
 import { LogStore } from "./log_store.ts";
+import { type MemberContacts, memberContacts } from "./member_contacts.ts";
 import { openStore } from "./member_opening.ts";
-import { RaftCore, type RaftView } from "./raft_core.ts";
+import { RaftCore } from "./raft_core.ts";
 import type { GroupMember } from "./raft_effect.ts";
 import type { RaftEnvelope } from "./raft_message.ts";
 import type { RaftMutation } from "./raft_mutation.ts";
@@ -80,34 +81,6 @@
   | { readonly kind: "add"; readonly id: InstanceId }
   | { readonly kind: "remove"; readonly id: InstanceId };
 
-/** Who answers a leader and who doesn't. */
-export interface MemberContacts {
-  readonly silentVoterIds: readonly InstanceId[];
-  readonly readyIds: readonly InstanceId[];
-}
-
-function memberContacts(
-  view: RaftView,
-  options: { selfId: InstanceId; heardAfterMs: number },
-): MemberContacts {
-  const voterIds = view.configuration.voters.map((voter) => voter.id);
-  const silentVoterIds = voterIds.filter((id) =>
-    id !== options.selfId &&
-    lastHeardMs(view, id) < options.heardAfterMs
-  );
-  const readyIds = [...view.progress.values()]
-    .filter(({ id, matchIndex, lastHeardMs }) =>
-      !voterIds.includes(id) && matchIndex >= view.commitIndex &&
-      lastHeardMs >= options.heardAfterMs
-    )
-    .map(({ id }) => id);
-  return { silentVoterIds, readyIds };
-}
-
-function lastHeardMs(view: RaftView, id: InstanceId): number {
-  return Math.max(view.leadsSinceMs, view.progress.get(id)?.lastHeardMs ?? 0);
-}
-
 /** Bytes a second for catch-up where no budget is set. */
 const UNLIMITED_BYTES_PER_SECOND = 1e12;
 
--- a/src/process/replication/voter_keeper.ts
+++ b/src/process/replication/voter_keeper.ts
@@ -8,10 +8,8 @@
 import type { Clock, Timer } from "../../base/clock.ts";
 import { type EventLog, SILENT_EVENT_LOG } from "../../base/event_log.ts";
 import type { InstanceId } from "../../base/identity.ts";
-import type {
-  MemberContacts,
-  ReplicationMember,
-} from "./replication_member.ts";
+import type { MemberContacts } from "./member_contacts.ts";
+import type { ReplicationMember } from "./replication_member.ts";
 import type { MemberStatus } from "./replicated_log.ts";
 
 /** A voter that is silent for so long may be replaced: above a restart. */
