--- a/src/base/events/replication_events.ts
+++ b/src/base/events/replication_events.ts
@@ -11,43 +11,44 @@
   leadershipGained: {
     number: 3500,
     level: "info",
-    text: "This member leads its group.",
+    text: "This member became the leader of its group.",
     fields: ["group", "term"],
   },
   leadershipLost: {
     number: 3501,
     level: "info",
-    text: "This member leads its group no more.",
+    text: "This member is no longer the leader of its group.",
     fields: ["group", "term"],
   },
   groupFormed: {
     number: 3502,
     level: "info",
-    text: "A new group was formed; all founders held nothing.",
+    text: "A new group was formed; no founder had any group state.",
     fields: ["group", "formationId"],
   },
   groupRecovered: {
     number: 3503,
     level: "warn",
-    text: "The group goes on from what the members that remember have.",
+    text:
+      "A leader was elected without a majority, by all voters that have their state.",
     fields: ["group", "term"],
   },
   membersChanged: {
     number: 3504,
     level: "info",
-    text: "This leader changes who votes.",
+    text: "This leader appended a new group configuration.",
     fields: ["group", "voters"],
   },
   voterForgotten: {
     number: 3505,
     level: "warn",
-    text: "A voter came back without its state.",
+    text: "A voter lost its state.",
     fields: ["group", "member"],
   },
   snapshotInstalled: {
     number: 3506,
     level: "info",
-    text: "This member took a snapshot of its leader's.",
+    text: "This member installed a snapshot from its leader.",
     fields: ["group", "index"],
   },
   foreignGroupRefused: {
@@ -59,31 +60,31 @@
   durabilityWaived: {
     number: 3508,
     level: "warn",
-    text: "No durable voter answers; commits go on in memory.",
+    text: "No durable voter answers; commits continue in memory only.",
     fields: ["group"],
   },
   durabilityRestored: {
     number: 3509,
     level: "info",
-    text: "A durable voter keeps all that is committed again.",
+    text: "A durable voter stores all committed entries again.",
     fields: ["group"],
   },
   logCorrupt: {
     number: 3510,
     level: "error",
-    text: "The log on disk is damaged; peers repair this member.",
+    text: "The log on disk is damaged; this member catches up from its peers.",
     fields: ["group", "detail"],
   },
   replicationStopped: {
     number: 3511,
     level: "error",
-    text: "This member stopped, as its disk or its state failed.",
+    text: "This member stopped because its disk or its state machine failed.",
     fields: ["group", "detail"],
   },
   votersChanged: {
     number: 3512,
     level: "info",
-    text: "The leader replaced or let in a voter, or failed to.",
+    text: "The leader added or removed a voter, or failed to.",
     fields: ["change", "member", "isDone"],
   },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/process/replication/applied_state.ts
+++ b/src/process/replication/applied_state.ts
@@ -11,7 +11,7 @@
 import type { StateMachine } from "./replicated_log.ts";
 import type { ReplicationTiming } from "./replication_timing.ts";
 
-/** A state machine with the place in the log that it has reached. */
+/** A state machine and the index up to which the log is applied. */
 export class AppliedState<Command, Outcome> {
   #machine: StateMachine<Command, Outcome>;
   #timing: ReplicationTiming;
@@ -27,12 +27,12 @@
     this.#timing = options.timing;
   }
 
-  /** The last entry that was applied. */
+  /** The index of the last applied entry. */
   get index(): number {
     return this.#index;
   }
 
-  /** Applies an entry; gives the outcome if it is a command. */
+  /** Applies an entry; returns the outcome if it is a command. */
   apply(entry: LogEntry): { outcome: Outcome } | undefined {
     this.#index = entry.index;
     this.#bytesSinceSnapshot += entry.data.byteLength;
@@ -43,7 +43,7 @@
     return { outcome: this.#machine.apply(command, entry.index) };
   }
 
-  /** Goes on from a snapshot; the one before any entry is empty. */
+  /** Continues from a snapshot; the one before any entry is empty. */
   restore(snapshot: LogSnapshot): Result<void> {
     this.#index = snapshot.index;
     this.#snapshotIndex = snapshot.index;
@@ -53,7 +53,7 @@
       : this.#machine.restore(snapshot.data);
   }
 
-  /** A snapshot, if enough was applied since the last one. */
+  /** Takes a snapshot if enough was applied since the last one. */
   snapshotIfDue(): { index: number; data: Uint8Array } | undefined {
     const entries = this.#index - this.#snapshotIndex;
     const isDue = entries >= this.#timing.snapshotEntries ||
--- a/src/process/replication/core_driver.ts
+++ b/src/process/replication/core_driver.ts
@@ -1,5 +1,5 @@
 /**
- * Drives a core: feeds it inputs one by one and carries its effects out.
+ * Drives a core: feeds it inputs one by one and executes its effects.
  *
  * @module
  */
@@ -11,13 +11,13 @@
 import type { AppliedState } from "./applied_state.ts";
 import type { LogSnapshot } from "./log_entry.ts";
 import type { LogStore } from "./log_store.ts";
-import { PersistPump } from "./persist_pump.ts";
+import { PersistQueue } from "./persist_queue.ts";
 import { type ProposalListener, ProposalTable } from "./proposal_table.ts";
 import type { RaftCore, RaftView } from "./raft_core.ts";
 import type { RaftEffect, RaftInput } from "./raft_effect.ts";
 import type { RaftEnvelope } from "./raft_message.ts";
 
-/** What the driver is made from. */
+/** Options of {@link CoreDriver}. */
 export interface CoreDriverOptions<Command, Outcome> {
   readonly groupId: string;
   readonly core: RaftCore;
@@ -26,18 +26,22 @@
   readonly store: LogStore | undefined;
   readonly clock: Clock;
   readonly events: EventLog;
-  /** Between two ticks of the core, in milliseconds. */
+  /** The interval of the core's ticks, in milliseconds. */
   readonly tickMs: number;
-  /** After every step. */
+  /** Called after every step. */
   readonly onStep: () => void;
-  /** The disk or the state machine failed; nothing more is done. */
+  /**
+   * Called when the disk or the state machine failed; the driver has stopped.
+   */
   readonly onFailure: (error: SesameError) => void;
 }
 
-/** Binds a core to the clock, the disk, the links and the state machine. */
+/**
+ * Connects a core to the clock, the disk, the network and the state machine.
+ */
 export class CoreDriver<Command, Outcome> {
   #options: CoreDriverOptions<Command, Outcome>;
-  #pump: PersistPump;
+  #persistQueue: PersistQueue;
   #proposals = new ProposalTable<Outcome>();
   #inputs: RaftInput[] = [];
   #isStepping = false;
@@ -48,7 +52,7 @@
   constructor(options: CoreDriverOptions<Command, Outcome>) {
     this.#options = options;
     const { channel, clock } = options;
-    this.#pump = new PersistPump({
+    this.#persistQueue = new PersistQueue({
       store: options.store,
       send: (effect) => void channel.send(effect.to, effect.envelope),
       onPersisted: (sequence) => this.step({ kind: "persisted", sequence }),
@@ -82,18 +86,18 @@
     return this.#options.core.currentAtMs(this.#options.clock.nowMs());
   }
 
-  /** Whether the end of no command of this member's own log is awaited. */
-  get hasEndedProposals(): boolean {
+  /** Whether the results of all commands in this member's own log are known. */
+  get hasFinishedProposals(): boolean {
     return this.#proposals.isEmpty;
   }
 
-  /** Whether this member leads for certain at this moment. */
+  /** Whether this member leads under a valid lease. */
   isLeaseHeld(): boolean {
     return !this.#isStopped &&
       this.#options.core.isLeaseHeld(this.#options.clock.nowMs());
   }
 
-  /** Puts a command into this leader's log, if it may take one. */
+  /** Appends a command to this leader's log, if it may accept one. */
   propose(data: Uint8Array, listener: ProposalListener<Outcome>): void {
     if (!this.isLeaseHeld() || !this.#options.core.isRedundant()) {
       listener({ kind: "notAppended" });
@@ -102,13 +106,13 @@
     const token = this.#proposals.add(listener);
     this.#inputs.push({ kind: "propose", token, data });
     if (!this.#isDrainDue) {
-      // Commands of the same turn of the loop travel together.
+      // Commands from the same turn of the event loop are sent together.
       this.#isDrainDue = true;
       queueMicrotask(() => this.#drainSafely());
     }
   }
 
-  /** Feeds an input; what it causes in turn comes after it. */
+  /** Feeds an input; inputs that it causes are processed after it. */
   step(input: RaftInput): void {
     if (this.#isStopped) {
       return;
@@ -117,13 +121,13 @@
     this.#drainSafely();
   }
 
-  /** Nothing is taken, sent or persisted any more. */
+  /** Stops all processing; nothing more is sent or persisted. */
   stop(): void {
     this.#isStopped = true;
     this.#inputs = [];
     this.#timer.close();
-    this.#pump.stop();
-    this.#proposals.endAll();
+    this.#persistQueue.stop();
+    this.#proposals.finishAll();
   }
 
   #drainSafely(): void {
@@ -149,26 +153,26 @@
       this.#inputs = [];
       for (const effect of core.step(inputs, clock.nowMs())) {
         if (!this.#isStopped) {
-          this.#carryOut(effect);
+          this.#execute(effect);
         }
       }
     }
   }
 
-  #carryOut(effect: RaftEffect): void {
+  #execute(effect: RaftEffect): void {
     switch (effect.kind) {
       case "send":
-        return this.#pump.send(effect);
+        return this.#persistQueue.send(effect);
       case "persist":
-        return this.#pump.persist(effect);
+        return this.#persistQueue.persist(effect);
       case "commit":
         return this.#applyAll(effect.entries);
       case "restore":
         return this.#restore(effect.snapshot);
-      case "proposalTaken":
-        return this.#proposals.markLogged(effect.token, effect);
-      case "proposalRefused":
-        return this.#proposals.markRefused(effect.token);
+      case "proposalAppended":
+        return this.#proposals.markAppended(effect.token, effect);
+      case "proposalRejected":
+        return this.#proposals.markRejected(effect.token);
       case "event":
         return this.#options.events.emit(effect.name, {
           group: this.#options.groupId,
--- a/src/process/replication/election.ts
+++ b/src/process/replication/election.ts
@@ -13,11 +13,10 @@
 import { startLeading } from "./leader.ts";
 import { hasQuorumContact } from "./lease.ts";
 import type { RaftMessageOf, Sender } from "./raft_message.ts";
-import type { Ballot, RaftState } from "./raft_state.ts";
+import type { RaftState, VoteTally } from "./raft_state.ts";
 import { becomeFollower, resetElectionTimer } from "./role.ts";
 
-/** How often the time for an election is doubled at most. */
-const SLOWDOWN_LIMIT = 4;
+const MAX_DELAY_DOUBLINGS = 4;
 
 /** Starts or repeats an election when it is due. */
 export function tickElection(state: RaftState): void {
@@ -27,7 +26,7 @@
   }
 }
 
-/** The leader asked this member to take over. */
+/** Starts an election at once, as the leader asked this member to take over. */
 export function handleHandOver(
   state: RaftState,
   message: RaftMessageOf<"handOver">,
@@ -37,7 +36,7 @@
   }
 }
 
-/** What a candidate asks for. */
+/** The kind of vote that a candidate requests. */
 type Campaign =
   | { readonly kind: "preVote" }
   | {
@@ -49,35 +48,39 @@
 function campaign(state: RaftState, options: Campaign): void {
   const isPreVote = options.kind === "preVote";
   const { retryMinMs, retryMaxMs } = state.timing;
-  // One that restarted may have promised its vote to a leader, too.
-  const hasOwnVote = !isPreVote || !isPromiseKept(state);
+  // A restarted member withholds its own pre-vote, too: before the restart, it
+  // may have followed a leader that still holds its lease.
+  const hasOwnVote = !isPreVote || !mustWithholdVote(state);
   state.role = "candidate";
   state.leaderId = undefined;
   state.electionDueMs = state.nowMs +
-    state.randomMs(retryMinMs, retryMaxMs) * slowdown(state);
-  state.ballot = {
+    state.randomMs(retryMinMs, retryMaxMs) * retryDelayFactor(state);
+  state.tally = {
     isPreVote,
     granted: new Set(hasOwnVote ? [state.selfId] : []),
     willing: new Set([state.selfId]),
-    successors: new Set(),
+    withoutVote: new Set(),
   };
   if (!isPreVote) {
     state.term += 1;
     state.votedFor = state.selfId;
     state.electionAttempts += 1;
   }
-  if (!countBallot(state)) {
-    askForVotes(state, options);
+  if (!advanceIfElected(state)) {
+    requestVotes(state, options);
   }
 }
 
-/** After two attempts, slow disks and networks get longer and longer. */
-function slowdown(state: RaftState): number {
+/**
+ * From the third attempt on, doubles the retry delay, as disks or networks may
+ * be slow.
+ */
+function retryDelayFactor(state: RaftState): number {
   const failures = Math.max(0, state.electionAttempts - 1);
-  return 2 ** Math.min(failures, SLOWDOWN_LIMIT);
+  return 2 ** Math.min(failures, MAX_DELAY_DOUBLINGS);
 }
 
-function askForVotes(state: RaftState, options: Campaign): void {
+function requestVotes(state: RaftState, options: Campaign): void {
   const request = {
     lastIndex: state.log.lastIndex,
     lastTerm: state.log.lastTerm,
@@ -89,22 +92,25 @@
     const message = options.kind === "preVote"
       ? { ...options, term: state.term + 1, ...request }
       : { ...options, term: state.term, ...request };
-    // Whatever incarnation it has now may answer; see handleVoteReply.
+    // Any incarnation may answer; handleVoteReply tells them apart.
     state.send(id, message, 0);
   }
 }
 
-/** Moves on when the votes suffice; true when they did. */
-function countBallot(state: RaftState): boolean {
-  const { ballot } = state;
-  if (ballot === undefined) {
+/**
+ * Goes on to the vote or to leadership if the votes suffice; returns whether
+ * they did.
+ */
+function advanceIfElected(state: RaftState): boolean {
+  const { tally } = state;
+  if (tally === undefined) {
     return false;
   }
-  const isLeaderless = ballot.isPreVote && isLeaderlessFor(state, ballot);
+  const isLeaderless = tally.isPreVote && isLeaderlessFor(state, tally);
   const evidence = {
     hasAgreed: (id: InstanceId) =>
-      ballot.granted.has(id) || (isLeaderless && ballot.willing.has(id)),
-    isForgotten: (id: InstanceId) => ballot.successors.has(id),
+      tally.granted.has(id) || (isLeaderless && tally.willing.has(id)),
+    hasLostState: (id: InstanceId) => tally.withoutVote.has(id),
     isDeclaredLost: (id: InstanceId) => state.isDeclaredLost(id),
   };
   const electorateIds = state.electorateIds();
@@ -115,36 +121,41 @@
   if (!isElected) {
     return false;
   }
-  if (ballot.isPreVote) {
+  if (tally.isPreVote) {
     campaign(state, { kind: "vote", isHandOver: false, isLeaderless });
     return true;
   }
   const isRecovery = !isMajority(state.configuration, evidence);
-  state.ballot = undefined;
+  state.tally = undefined;
   startLeading(state, { isRecovery });
   return true;
 }
 
 /**
- * Whether no leader can exist: everyone who might vote has answered this very
- * ballot, and neither leads nor follows another one. A leader elected later
- * takes the term that this candidate asks for, in which nobody votes twice.
+ * Whether no leader can exist: everyone who might vote has answered this
+ * pre-vote, and none of them leads or follows another leader. A leader elected
+ * later needs at least the term that this candidate requests, in which nobody
+ * votes twice.
  */
-function isLeaderlessFor(state: RaftState, ballot: Ballot): boolean {
+function isLeaderlessFor(state: RaftState, tally: VoteTally): boolean {
   return state.electorateIds().every((id) =>
-    ballot.willing.has(id) || ballot.successors.has(id)
+    tally.willing.has(id) || tally.withoutVote.has(id)
   );
 }
 
-/** Whether this member knows of no leader but perhaps the one that asks. */
-function knowsNoLeader(state: RaftState, asker: InstanceId): boolean {
-  const mayLeadYet = state.ballot !== undefined && !state.ballot.isPreVote;
-  const isLed = state.leaderId !== undefined && state.leaderId !== asker;
-  return state.hasMutation("leaderDenied") ||
-    (!state.isLeader && !mayLeadYet && !isLed);
+/** Whether this member knows of no leader, except possibly the requester. */
+function knowsNoLeader(state: RaftState, requesterId: InstanceId): boolean {
+  const isAwaitingVotes = state.tally !== undefined && !state.tally.isPreVote;
+  const followsOther = state.leaderId !== undefined &&
+    state.leaderId !== requesterId;
+  return state.hasMutation("deniesKnownLeader") ||
+    (!state.isLeader && !isAwaitingVotes && !followsOther);
 }
 
-/** Whoever is willing to vote in a term is elected in no earlier one. */
+/**
+ * Moves to the term before `term`: a member that is willing to vote in a term
+ * must not be elected in an earlier one.
+ */
 function leaveEarlierTerms(state: RaftState, term: number): void {
   const isBehind = term - 1 > state.term;
   if (isBehind && !state.hasMutation("staysInEarlierTerm")) {
@@ -152,18 +163,18 @@
   }
 }
 
-/** Says whether a vote would be given. */
+/** Replies whether a vote would be granted. */
 export function handlePreVote(
   state: RaftState,
   from: Sender,
   message: RaftMessageOf<"preVote">,
 ): void {
   if (state.isFresh) {
-    sayNothingHeld(state, from, message);
+    replyWithoutGroupState(state, from, message);
     return;
   }
-  const mayVote = message.term > state.term && isLogRecent(state, message);
-  const isGranted = mayVote && !isPromiseKept(state);
+  const mayVote = message.term > state.term && isLogUpToDate(state, message);
+  const isGranted = mayVote && !mustWithholdVote(state);
   const isWilling = mayVote && knowsNoLeader(state, from.id);
   if (isWilling) {
     leaveEarlierTerms(state, message.term);
@@ -177,27 +188,28 @@
   }, from.incarnation);
 }
 
-/** Gives or refuses a vote. */
+/** Grants or refuses a vote; doesn't reply while votes are withheld. */
 export function handleVote(
   state: RaftState,
   from: Sender,
   message: RaftMessageOf<"vote">,
 ): void {
   if (state.isFresh) {
-    sayNothingHeld(state, from, message);
+    replyWithoutGroupState(state, from, message);
     return;
   }
   if (message.term > state.term) {
-    const isReleased = message.isHandOver ||
+    const isExempt = message.isHandOver ||
       (message.isLeaderless && knowsNoLeader(state, from.id));
-    if (isPromiseKept(state) && !isReleased) {
+    if (mustWithholdVote(state) && !isExempt) {
       return;
     }
     becomeFollower(state, { term: message.term, leaderId: undefined });
   }
-  const isFree = state.votedFor === undefined || state.votedFor === from.id;
-  const isGranted = message.term === state.term && isFree &&
-    isLogRecent(state, message);
+  const hasVoteLeft = state.votedFor === undefined ||
+    state.votedFor === from.id;
+  const isGranted = message.term === state.term && hasVoteLeft &&
+    isLogUpToDate(state, message);
   if (isGranted) {
     state.votedFor = from.id;
     resetElectionTimer(state);
@@ -211,8 +223,10 @@
   }, from.incarnation);
 }
 
-/** A member that holds nothing has no vote, and nothing against anyone. */
-function sayNothingHeld(
+/**
+ * Replies for a member without group state: it has no vote and no objection.
+ */
+function replyWithoutGroupState(
   state: RaftState,
   from: Sender,
   message: RaftMessageOf<"preVote" | "vote">,
@@ -226,7 +240,10 @@
   }, from.incarnation);
 }
 
-/** Counts a vote, if it comes from a voter that still is what it was. */
+/**
+ * Counts a vote. Those of newer incarnations of voters, and of members that
+ * aren't voters, are recorded separately.
+ */
 export function handleVoteReply(
   state: RaftState,
   from: Sender,
@@ -238,46 +255,46 @@
     }
     return;
   }
-  const { ballot } = state;
+  const { tally } = state;
   const awaitedTerm = state.term + (message.isPreVote ? 1 : 0);
-  const isAwaited = ballot?.isPreVote === message.isPreVote &&
+  const isAwaited = tally?.isPreVote === message.isPreVote &&
     message.term === awaitedTerm;
   if (!isAwaited) {
     return;
   }
   const voter = findVoter(state.configuration, from.id);
   if (voter === undefined || from.incarnation > voter.incarnation) {
-    ballot.successors.add(from.id);
+    tally.withoutVote.add(from.id);
   } else if (!from.isGroupless) {
-    noteVote(ballot, from.id, message);
+    recordVote(tally, from.id, message);
   }
-  countBallot(state);
+  advanceIfElected(state);
 }
 
-function noteVote(
-  ballot: Ballot,
+function recordVote(
+  tally: VoteTally,
   id: InstanceId,
   { isGranted, isWilling }: RaftMessageOf<"voteReply">,
 ): void {
   if (isGranted) {
-    ballot.granted.add(id);
+    tally.granted.add(id);
   }
   if (isWilling) {
-    ballot.willing.add(id);
+    tally.willing.add(id);
   }
 }
 
-/** Whether this member must leave its leader alone for now. */
-function isPromiseKept(state: RaftState): boolean {
-  if (state.hasMutation("promiseBroken")) {
+/** Whether this member must not vote for another leader yet. */
+function mustWithholdVote(state: RaftState): boolean {
+  if (state.hasMutation("votesDespiteLeader")) {
     return false;
   }
   return state.isLeader
     ? hasQuorumContact(state)
-    : state.nowMs < state.promiseEndMs;
+    : state.nowMs < state.withholdVotesUntilMs;
 }
 
-function isLogRecent(
+function isLogUpToDate(
   state: RaftState,
   candidate: { lastIndex: number; lastTerm: number },
 ): boolean {
--- a/src/process/replication/envelope_codec.ts
+++ b/src/process/replication/envelope_codec.ts
@@ -1,6 +1,6 @@
 /**
- * Envelopes as lists: fields go by their place in the schema instead of by
- * name, which more than halves a heartbeat.
+ * Encoding of envelopes as arrays: fields are identified by their position in
+ * the schema instead of by name, which more than halves a heartbeat.
  *
  * @module
  */
@@ -17,34 +17,34 @@
   type RaftEnvelope,
 } from "./raft_message.ts";
 
-/** An envelope as it travels. */
-type EnvelopeList = readonly unknown[];
+/** An encoded envelope. */
+type EncodedEnvelope = readonly unknown[];
 
-const KINDS = Object.keys(MESSAGE_FIELDS);
+const MESSAGE_KINDS = Object.keys(MESSAGE_FIELDS);
 const ENTRY_FIELDS = ["index", "term", "kind", "data"] as const;
 const ENTRY_KINDS = ["command", "configuration", "start"] as const;
 
-/** The list for an envelope. */
-export function listEnvelope(envelope: RaftEnvelope): EnvelopeList {
+/** Encodes an envelope. */
+export function encodeEnvelope(envelope: RaftEnvelope): EncodedEnvelope {
   const message: Record<string, unknown> = envelope.message;
   const { kind } = envelope.message;
   return [
     envelope.formationId ?? null,
     envelope.fromIncarnation,
     envelope.toIncarnation,
-    KINDS.indexOf(kind),
-    ...MESSAGE_FIELDS[kind]!.map((name) => listField(name, message[name])),
+    MESSAGE_KINDS.indexOf(kind),
+    ...MESSAGE_FIELDS[kind]!.map((name) => encodeField(name, message[name])),
   ];
 }
 
-function listField(name: string, value: unknown): unknown {
+function encodeField(name: string, value: unknown): unknown {
   if (name === "entries" && Array.isArray(value)) {
-    return value.map(listEntry);
+    return value.map(encodeEntry);
   }
   return value ?? null;
 }
 
-function listEntry(entry: Record<string, unknown>): unknown[] {
+function encodeEntry(entry: Record<string, unknown>): unknown[] {
   return ENTRY_FIELDS.map((name) =>
     name === "kind"
       ? ENTRY_KINDS.findIndex((kind) => kind === entry[name])
@@ -52,19 +52,20 @@
   );
 }
 
-/** The envelope of a list; `malformed` for anything else. */
-export function readEnvelope(body: unknown): Result<RaftEnvelope> {
-  return decodeEnvelope(Array.isArray(body) ? nameFields(body) : body);
+/** Decodes an envelope; `malformed` for anything else. */
+export function parseEnvelope(body: unknown): Result<RaftEnvelope> {
+  return decodeEnvelope(Array.isArray(body) ? decodeFields(body) : body);
 }
 
-function nameFields(list: readonly unknown[]): unknown {
-  const [formationId, fromIncarnation, toIncarnation, place, ...values] = list;
-  const kind = KINDS[Number(place)];
+function decodeFields(list: readonly unknown[]): unknown {
+  const [formationId, fromIncarnation, toIncarnation, kindIndex, ...values] =
+    list;
+  const kind = MESSAGE_KINDS[Number(kindIndex)];
   const fields = kind === undefined ? [] : MESSAGE_FIELDS[kind]!;
   if (values.length !== fields.length) {
     return undefined;
   }
-  const named = fields.map((name, at) => [name, nameField(name, values[at])]);
+  const named = fields.map((name, at) => [name, decodeField(name, values[at])]);
   const present = named.filter(([, value]) => value !== undefined);
   return {
     ...(formationId === null ? {} : { formationId }),
@@ -74,19 +75,19 @@
   };
 }
 
-function nameField(name: string, value: unknown): unknown {
+function decodeField(name: string, value: unknown): unknown {
   if (name === "entries" && Array.isArray(value)) {
-    return value.map(nameEntry);
+    return value.map(decodeEntry);
   }
   return value ?? undefined;
 }
 
-function nameEntry(list: unknown): unknown {
+function decodeEntry(list: unknown): unknown {
   if (!Array.isArray(list) || list.length !== ENTRY_FIELDS.length) {
     return undefined;
   }
-  const [index, term, place, data] = list as unknown[];
-  return { index, term, kind: ENTRY_KINDS[Number(place)], data };
+  const [index, term, kindIndex, data] = list as unknown[];
+  return { index, term, kind: ENTRY_KINDS[Number(kindIndex)], data };
 }
 
 /** Opens the channel of a group. */
@@ -94,17 +95,17 @@
   network: PeerNetwork,
   groupId: string,
 ): PeerChannel<RaftEnvelope> {
-  // What comes is an envelope already; what goes is a list.
-  const channel = network.channel<RaftEnvelope | EnvelopeList>({
+  // Received messages are decoded envelopes, sent ones are encoded arrays.
+  const channel = network.channel<RaftEnvelope | EncodedEnvelope>({
     name: `replication.${groupId}`,
-    decode: readEnvelope,
+    decode: parseEnvelope,
   });
   return {
     received: map(
       ({ from, message }) => ({ from, message: message as RaftEnvelope }),
       channel.received,
     ),
-    send: (to, envelope) => channel.send(to, listEnvelope(envelope)),
+    send: (to, envelope) => channel.send(to, encodeEnvelope(envelope)),
     close: () => channel.close(),
   };
 }
--- a/src/process/replication/envelope_codec_test.ts
+++ b/src/process/replication/envelope_codec_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import * as fc from "fast-check";
 import { pack, unpack } from "msgpackr";
-import { listEnvelope, readEnvelope } from "./envelope_codec.ts";
+import { encodeEnvelope, parseEnvelope } from "./envelope_codec.ts";
 import type { RaftEnvelope, RaftMessage } from "./raft_message.ts";
 
 const MESSAGES: readonly RaftMessage[] = [
@@ -41,7 +41,7 @@
   { kind: "formPledge", formationId: "a:1" },
 ];
 
-test("every envelope comes back as it was", (t) => {
+test("every envelope is decoded as it was encoded", (t) => {
   for (const message of MESSAGES) {
     const envelope: RaftEnvelope = {
       formationId: "a:7",
@@ -49,8 +49,8 @@
       toIncarnation: 0,
       message,
     };
-    const body: unknown = unpack(pack(listEnvelope(envelope)));
-    const read = readEnvelope(body).unsafeCoerce();
+    const body: unknown = unpack(pack(encodeEnvelope(envelope)));
+    const read = parseEnvelope(body).unsafeCoerce();
     t.deepEqual(pack(read), pack(envelope), message.kind);
   }
   const groupless: RaftEnvelope = {
@@ -59,17 +59,17 @@
     message: { kind: "formPledge", formationId: "a:1" },
   };
   t.deepEqual(
-    readEnvelope(listEnvelope(groupless)).unsafeCoerce(),
+    parseEnvelope(encodeEnvelope(groupless)).unsafeCoerce(),
     groupless,
   );
 });
 
-test("anything else is malformed and never throws", (t) => {
+test("other input is malformed and never throws", (t) => {
   const property = fc.property(
     fc.anything(),
     fc.array(fc.anything()),
     (a, b) =>
-      readEnvelope(a).isLeft() && readEnvelope(["g", 1, 1, 3, ...b]).isLeft(),
+      parseEnvelope(a).isLeft() && parseEnvelope(["g", 1, 1, 3, ...b]).isLeft(),
   );
   t.notThrows(() => fc.assert(property, { seed: 8, numRuns: 2_000 }));
 });
--- a/src/process/replication/envelope_filter.ts
+++ b/src/process/replication/envelope_filter.ts
@@ -1,5 +1,5 @@
 /**
- * Which messages a member listens to, and what their incarnations tell.
+ * Which messages a member accepts, and what the senders' incarnations reveal.
  *
  * @module
  */
@@ -12,24 +12,28 @@
 import { becomeFollower } from "./role.ts";
 
 /**
- * Remembers that a voter's state is gone. A leader counts on others' loss of
- * memory only if no other leader can have been among them.
+ * Records that a voter lost its state. A leader whose lease has ended steps
+ * down first: the lost voters may have elected another leader, so that their
+ * loss must not count towards a quorum of this one.
  */
-export function noteForgotten(
+export function markStateLost(
   state: RaftState,
   id: InstanceId,
   incarnation: number,
 ): void {
-  if ((state.forgotten.get(id) ?? -1) < incarnation) {
+  if ((state.lostIncarnations.get(id) ?? -1) < incarnation) {
     if (state.isLeader && state.nowMs >= leaseEndMs(state)) {
       becomeFollower(state, { term: state.term, leaderId: undefined });
     }
-    state.forgotten.set(id, incarnation);
-    state.event("voterForgotten", { member: id });
+    state.lostIncarnations.set(id, incarnation);
+    state.emitEvent("voterForgotten", { member: id });
   }
 }
 
-/** Drops what isn't meant for this member as it is now. */
+/**
+ * Whether a message is meant for the current incarnation of this member, and
+ * valid for its group.
+ */
 export function isForThisMember(
   state: RaftState,
   from: InstanceId,
@@ -37,13 +41,14 @@
 ): boolean {
   const isAddressed = envelope.toIncarnation === 0 ||
     envelope.toIncarnation === state.incarnation;
-  if (!isAddressed || state.memberOf(from) === undefined) {
+  if (!isAddressed || state.findMember(from) === undefined) {
     return false;
   }
   return isOfThisGroup(state, from, envelope) &&
-    isFromLatest(state, from, envelope);
+    isFromCurrentIncarnation(state, from, envelope);
 }
 
+/** Messages that members without group state may send. */
 const GROUPLESS_KINDS: ReadonlySet<RaftMessage["kind"]> = new Set([
   "voteReply",
   "follow",
@@ -51,12 +56,19 @@
   "formPledge",
 ]);
 
-/** What tells nothing about the group to a member that holds nothing. */
-const ASKING_KINDS: ReadonlySet<RaftMessage["kind"]> = new Set([
+/**
+ * Messages that a member without group state accepts under any incarnation, as
+ * they reveal nothing about the group.
+ */
+const VOTE_REQUEST_KINDS: ReadonlySet<RaftMessage["kind"]> = new Set([
   "preVote",
   "vote",
 ]);
 
+/**
+ * Messages that a member without group state accepts only if addressed to its
+ * own incarnation.
+ */
 const JOINING_KINDS: ReadonlySet<RaftMessage["kind"]> = new Set([
   "append",
   "snapshotChunk",
@@ -74,18 +86,20 @@
     return GROUPLESS_KINDS.has(message.kind);
   }
   if (state.formationId === undefined) {
-    return ASKING_KINDS.has(message.kind) ||
+    return VOTE_REQUEST_KINDS.has(message.kind) ||
       (JOINING_KINDS.has(message.kind) && envelope.toIncarnation !== 0);
   }
   if (formationId !== state.formationId) {
-    state.event("foreignGroupRefused", { peer: from, formationId });
+    state.emitEvent("foreignGroupRefused", { peer: from, formationId });
     return false;
   }
   return true;
 }
 
-/** Notices that a voter has lost its state, or that a message is old. */
-function isFromLatest(
+/**
+ * Detects a voter that lost its state, and messages from outdated incarnations.
+ */
+function isFromCurrentIncarnation(
   state: RaftState,
   from: InstanceId,
   envelope: RaftEnvelope,
@@ -95,7 +109,7 @@
     return true;
   }
   if (envelope.fromIncarnation > voter.incarnation) {
-    noteForgotten(state, from, voter.incarnation);
+    markStateLost(state, from, voter.incarnation);
   }
   return envelope.fromIncarnation >= voter.incarnation ||
     envelope.message.kind === "follow";
--- a/src/process/replication/fake_peer_network.ts
+++ b/src/process/replication/fake_peer_network.ts
@@ -1,6 +1,6 @@
 /**
- * Links between instances of one process, with delay, loss, doubling,
- * reordering and one-way cuts, for tests and benches.
+ * Simulated links between instances of one process, with delay, loss,
+ * duplication, reordering and one-way cuts, for tests and benchmarks.
  *
  * @module
  */
@@ -16,22 +16,22 @@
   Received,
 } from "../../connection/peer_network.ts";
 
-/** How the links behave from now on. */
+/** The current faults of all links. */
 export interface FakeLinkFaults {
   /** Fractions of all messages. */
   lossRate: number;
   doublingRate: number;
-  /** Up to this much is added to each message's delay. */
+  /** The largest random addition to each message's delay. */
   jitterMs: number;
 }
 
-/** What the hub is made from. */
+/** Options of {@link FakePeerHub}. */
 export interface FakePeerHubOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
-  /** One way, in milliseconds. */
+  /** The one-way delay, in milliseconds. */
   readonly delayMs?: (from: InstanceId, to: InstanceId) => number;
-  /** Sees every message that is sent. */
+  /** Called with every message that is sent. */
   readonly onSend?: (from: InstanceId, to: InstanceId, body: unknown) => void;
 }
 
@@ -40,7 +40,7 @@
   readonly deliver: (from: InstanceId, body: unknown) => void;
 }
 
-/** All links among the instances that join. */
+/** The simulated links among all instances that join. */
 export class FakePeerHub {
   readonly faults: FakeLinkFaults = {
     lossRate: 0,
@@ -55,7 +55,7 @@
     this.#options = options;
   }
 
-  /** The view of one instance. */
+  /** Adds an instance and returns its network. */
   join(
     selfId: InstanceId,
     options: { peerIds: readonly InstanceId[] },
@@ -73,12 +73,12 @@
     };
   }
 
-  /** Nothing passes from one to the other. */
+  /** Drops all messages in one direction. */
   cut(from: InstanceId, to: InstanceId): void {
     this.#cuts.add(`${from} ${to}`);
   }
 
-  /** Nothing passes to or from the instance. */
+  /** Drops all messages to and from the instance. */
   isolate(id: InstanceId): void {
     for (const other of this.#endpoints.keys()) {
       this.cut(id, other);
@@ -86,7 +86,7 @@
     }
   }
 
-  /** Every cut ends. */
+  /** Removes all cuts. */
   heal(): void {
     this.#cuts.clear();
   }
--- a/src/process/replication/follower.ts
+++ b/src/process/replication/follower.ts
@@ -1,5 +1,5 @@
 /**
- * What a member does with its leader's entries and snapshots.
+ * Handling of the leader's entries and snapshots.
  *
  * @module
  */
@@ -7,15 +7,15 @@
 import type { LogSnapshot } from "./log_entry.ts";
 import type { RaftMessageOf, Sender } from "./raft_message.ts";
 import type { RaftState } from "./raft_state.ts";
-import { becomeFollower, resetElectionTimer, settleRole } from "./role.ts";
+import { becomeFollower, resetElectionTimer, updateRole } from "./role.ts";
 
-/** The largest snapshot that a member takes in. */
+/** The largest snapshot that a member accepts. */
 export const SNAPSHOT_LIMIT_BYTES = 256 * 1024 * 1024;
 
-/** A member without a vote repeats its answer after this many periods. */
-const TOLD_FOLLOW_PERIODS = 5;
+/** A learner repeats an unchanged reply after this many follow periods. */
+const REPLY_REPEAT_FOLLOW_PERIODS = 5;
 
-/** Takes entries or a heartbeat of the leader's. */
+/** Handles entries or a heartbeat from the leader. */
 export function handleAppend(
   state: RaftState,
   from: Sender,
@@ -24,16 +24,16 @@
   if (!acceptLeader(state, from, message)) {
     return;
   }
-  const isAccepted = takeEntries(state, message);
+  const isAccepted = appendEntries(state, message);
   const lastNewIndex = message.previousIndex + message.entries.length;
   if (isAccepted) {
     state.commitTo(
       Math.min(message.commitIndex, lastNewIndex, state.log.lastIndex),
     );
-    noteCurrency(state, message);
+    updateCurrentAt(state, message);
   }
-  settleRole(state);
-  if (isAccepted && isToldAlready(state, message)) {
+  updateRole(state);
+  if (isAccepted && isUnchangedReply(state, message)) {
     return;
   }
   state.send(from.id, {
@@ -41,52 +41,54 @@
     term: state.term,
     isAccepted,
     index: isAccepted
-      ? claimedIndex(state, message)
+      ? acknowledgedIndex(state, message)
       : retryIndex(state, message.previousIndex),
     sentAtMs: message.sentAtMs,
-    stampMs: state.makeStamp(),
+    stampMs: state.issueTimestamp(),
   }, from.incarnation);
 }
 
 /**
- * How far the log is said to match. The answer to a heartbeat claims only
- * what is synced, so that a slow disk doesn't hold it back.
+ * The last entry that a reply acknowledges. The reply to a heartbeat
+ * acknowledges only synced entries, so that it needn't wait for a slow disk.
  */
-function claimedIndex(
+function acknowledgedIndex(
   state: RaftState,
   message: RaftMessageOf<"append">,
 ): number {
   const { previousIndex, entries } = message;
   return entries.length === 0
-    ? Math.min(previousIndex, state.persists.persistedIndex)
+    ? Math.min(previousIndex, state.persistTracker.persistedIndex)
     : previousIndex + entries.length;
 }
 
 /**
- * A member without a vote answers a heartbeat that brings nothing only now
- * and then: it has asked for it.
+ * Whether a learner may skip its reply to a heartbeat that brings nothing new:
+ * the heartbeat itself only answers the learner's `follow`.
  */
-function isToldAlready(
+function isUnchangedReply(
   state: RaftState,
   message: RaftMessageOf<"append">,
 ): boolean {
-  const { told, nowMs } = state;
+  const { lastAppendReply, nowMs } = state;
   const isSame = state.role === "learner" && message.entries.length === 0 &&
-    told?.term === message.term && told.index === message.previousIndex &&
-    nowMs - told.atMs < state.timing.followMs * TOLD_FOLLOW_PERIODS;
+    lastAppendReply?.term === message.term &&
+    lastAppendReply.index === message.previousIndex &&
+    nowMs - lastAppendReply.atMs <
+      state.timing.followMs * REPLY_REPEAT_FOLLOW_PERIODS;
   if (!isSame) {
     const index = message.previousIndex + message.entries.length;
-    state.told = { term: message.term, index, atMs: nowMs };
+    state.lastAppendReply = { term: message.term, index, atMs: nowMs };
   }
   return isSame;
 }
 
 /**
- * The stamp is a moment of this member's own clock before which the leader
- * sent the message; the leader led for certain as it did, so that all that
- * was committed by then is known here now.
+ * Updates the time at which this copy was current. The leader sent the message
+ * after this member issued the timestamp in it, and held its lease then, so
+ * that everything committed before the timestamp is known here now.
  */
-function noteCurrency(
+function updateCurrentAt(
   state: RaftState,
   message: RaftMessageOf<"append">,
 ): void {
@@ -95,35 +97,35 @@
   }
   if (state.hasMutation("currentAtReceipt")) {
     state.currentAtMs = state.nowMs;
-  } else if (state.isOwnStamp(message.stampMs)) {
+  } else if (state.isOwnTimestamp(message.stampMs)) {
     state.currentAtMs = Math.max(state.currentAtMs, message.stampMs);
   }
 }
 
-/** Follows the sender, unless its term is over. */
+/** Accepts the sender as leader, unless its term is over. */
 function acceptLeader(
   state: RaftState,
   from: Sender,
   message: { term: number },
 ): boolean {
   if (message.term < state.term) {
-    sendRefusal(state, from);
+    sendRejection(state, from);
     return false;
   }
-  const isNews = message.term > state.term || state.leaderId !== from.id ||
+  const isNewLeader = message.term > state.term || state.leaderId !== from.id ||
     state.role === "candidate";
-  if (isNews) {
+  if (isNewLeader) {
     becomeFollower(state, { term: message.term, leaderId: from.id });
   }
-  // An entry of this term is here from now on: no other candidate of the
-  // term may get this vote, not even in an election without a majority.
+  // This member may store entries of this term from now on: no other candidate
+  // of the term may get its vote, not even in an election without a majority.
   state.votedFor ??= from.id;
-  state.promiseEndMs = state.nowMs + state.timing.leaderSilenceMs;
+  state.withholdVotesUntilMs = state.nowMs + state.timing.leaderSilenceMs;
   resetElectionTimer(state);
   return true;
 }
 
-function sendRefusal(state: RaftState, from: Sender): void {
+function sendRejection(state: RaftState, from: Sender): void {
   state.send(from.id, {
     kind: "appendReply",
     term: state.term,
@@ -134,8 +136,11 @@
   }, from.incarnation);
 }
 
-/** Puts the entries in their places; false when the one before is missing. */
-function takeEntries(
+/**
+ * Appends the entries, replacing conflicting ones; returns false if the entry
+ * before them is missing or differs.
+ */
+function appendEntries(
   state: RaftState,
   message: RaftMessageOf<"append">,
 ): boolean {
@@ -159,7 +164,10 @@
   return true;
 }
 
-/** The last entry that may match: before the whole term that conflicts. */
+/**
+ * The last entry that may match: the one before all entries of the conflicting
+ * term.
+ */
 function retryIndex(state: RaftState, previousIndex: number): number {
   if (previousIndex > state.log.lastIndex) {
     return state.log.lastIndex;
@@ -172,7 +180,7 @@
   return index;
 }
 
-/** Takes one piece of a snapshot; the last one replaces the log. */
+/** Stores a chunk of a snapshot; the last one replaces the log. */
 export function handleSnapshotChunk(
   state: RaftState,
   from: Sender,
@@ -181,26 +189,26 @@
   if (!acceptLeader(state, from, message)) {
     return;
   }
-  // Entries after the snapshot's may have been acknowledged: where the log
-  // agrees with the snapshot, it stays.
+  // Entries after the snapshot may have been acknowledged, so a log that
+  // matches the snapshot is kept.
   if (state.log.termAt(message.index) === message.indexTerm) {
     state.commitTo(message.index);
   }
   const nextOffsetBytes = message.index <= state.commitIndex
     ? message.totalBytes
-    : takeChunk(state, from, message);
-  settleRole(state);
+    : storeChunk(state, from, message);
+  updateRole(state);
   state.send(from.id, {
     kind: "snapshotReply",
     term: state.term,
     index: message.index,
     nextOffsetBytes,
     sentAtMs: message.sentAtMs,
-    stampMs: state.makeStamp(),
+    stampMs: state.issueTimestamp(),
   }, from.incarnation);
 }
 
-function takeChunk(
+function storeChunk(
   state: RaftState,
   from: Sender,
   message: RaftMessageOf<"snapshotChunk">,
@@ -208,16 +216,16 @@
   if (message.totalBytes > SNAPSHOT_LIMIT_BYTES) {
     return 0;
   }
-  const incoming = incomingFor(state, from, message);
-  const fits = message.offsetBytes === incoming.receivedBytes &&
+  const incoming = incomingSnapshotFor(state, from, message);
+  const isExpected = message.offsetBytes === incoming.receivedBytes &&
     message.offsetBytes + message.data.byteLength <= message.totalBytes;
-  if (!fits) {
+  if (!isExpected) {
     return incoming.receivedBytes;
   }
   incoming.buffer.set(message.data, message.offsetBytes);
   incoming.receivedBytes += message.data.byteLength;
   if (incoming.receivedBytes === message.totalBytes) {
-    install(state, {
+    installSnapshot(state, {
       index: message.index,
       term: message.indexTerm,
       configuration: message.configuration,
@@ -227,7 +235,7 @@
   return message.offsetBytes + message.data.byteLength;
 }
 
-function incomingFor(
+function incomingSnapshotFor(
   state: RaftState,
   from: Sender,
   message: RaftMessageOf<"snapshotChunk">,
@@ -248,11 +256,11 @@
   return state.incoming!;
 }
 
-function install(state: RaftState, snapshot: LogSnapshot): void {
+function installSnapshot(state: RaftState, snapshot: LogSnapshot): void {
   state.incoming = undefined;
   state.log.reset(snapshot);
-  state.persists.reset(snapshot);
+  state.persistTracker.reset(snapshot);
   state.commitIndex = snapshot.index;
   state.emit({ kind: "restore", snapshot });
-  state.event("snapshotInstalled", { index: snapshot.index });
+  state.emitEvent("snapshotInstalled", { index: snapshot.index });
 }
--- a/src/process/replication/following.ts
+++ b/src/process/replication/following.ts
@@ -1,5 +1,5 @@
 /**
- * How a member without a vote finds its leader and asks for what is new.
+ * How a learner finds its leader and requests new entries from it.
  *
  * @module
  */
@@ -11,16 +11,16 @@
 import type { RaftMessageOf, Sender } from "./raft_message.ts";
 import type { RaftState } from "./raft_state.ts";
 
-/** A member that knows no leader asks more often, by this factor. */
-const SEARCH_FACTOR = 0.3;
+/** Shortens the period of `follow` messages while no leader is known. */
+const SEARCH_PERIOD_FACTOR = 0.3;
 
-/** Asks the leader, or everyone while none is known. */
+/** Sends a `follow` to the leader, or to every member while none is known. */
 export function tickFollowing(state: RaftState): void {
   if (state.role !== "learner" || state.nowMs < state.followDueMs) {
     return;
   }
   const { followMs } = state.timing;
-  const isSilent = state.nowMs >= state.promiseEndMs;
+  const isSilent = state.nowMs >= state.withholdVotesUntilMs;
   if (isSilent) {
     state.leaderId = undefined;
   }
@@ -34,7 +34,7 @@
   }
   const isSearching = state.leaderId === undefined;
   state.followDueMs = state.nowMs +
-    followMs * (isSearching ? SEARCH_FACTOR : 1);
+    followMs * (isSearching ? SEARCH_PERIOD_FACTOR : 1);
 }
 
 function sendFollow(state: RaftState, to: string): void {
@@ -42,14 +42,14 @@
     kind: "follow",
     term: state.term,
     lastIndex: state.log.lastIndex,
-    stampMs: state.makeStamp(),
+    stampMs: state.issueTimestamp(),
     wantsVote: state.self?.isVoter ?? false,
     isDurable: state.self?.isDurable ?? false,
     isFresh: state.isFresh,
   }, 0);
 }
 
-/** A member asks what is new. */
+/** Answers a learner's `follow`. */
 export function handleFollow(
   state: RaftState,
   from: Sender,
@@ -65,9 +65,9 @@
     state.send(from.id, { kind: "welcome", configuration }, from.incarnation);
     return;
   }
-  const isOld = from.incarnation < (voter?.incarnation ?? 0);
-  if (state.isLeader && !isOld) {
-    serve(state, from, message);
+  const isOutdated = from.incarnation < (voter?.incarnation ?? 0);
+  if (state.isLeader && !isOutdated) {
+    serveLearner(state, from, message);
     return;
   }
   state.send(from.id, {
@@ -77,8 +77,8 @@
   }, from.incarnation);
 }
 
-/** Keeps track of a member that showed up, unless it is an old message. */
-export function attend(
+/** Tracks the sender of a message, unless it is an outdated incarnation. */
+export function trackMember(
   state: RaftState,
   from: Sender,
 ): LeaderProgress | undefined {
@@ -93,12 +93,12 @@
   return progress;
 }
 
-function serve(
+function serveLearner(
   state: RaftState,
   from: Sender,
   message: RaftMessageOf<"follow">,
 ): void {
-  const progress = attend(state, from);
+  const progress = trackMember(state, from);
   if (progress === undefined) {
     return;
   }
@@ -115,7 +115,10 @@
   }
 }
 
-/** Someone said where the leader is, or that this incarnation is too low. */
+/**
+ * Follows the leader that a member named, and raises this member's incarnation
+ * if it is too low.
+ */
 export function handleRedirect(
   state: RaftState,
   message: RaftMessageOf<"redirect">,
@@ -123,9 +126,10 @@
   if (state.isFresh && message.lowerIncarnation >= state.incarnation) {
     state.incarnation = message.lowerIncarnation + 1;
   }
-  const isNews = state.role === "learner" && state.leaderId === undefined &&
+  const isNewLeader = state.role === "learner" &&
+    state.leaderId === undefined &&
     message.leaderId !== undefined && message.leaderId !== state.selfId;
-  if (isNews) {
+  if (isNewLeader) {
     sendFollow(state, message.leaderId!);
   }
 }
--- a/src/process/replication/formation.ts
+++ b/src/process/replication/formation.ts
@@ -1,10 +1,10 @@
 /**
- * How a group comes into being: once, from the settings' list of members.
+ * Formation of a group, which happens once, from the configured members.
  *
- * Only the founder with the lowest name forms the group, and only after every
- * founder has said, in answer to this very attempt, that it holds nothing of
- * any group. A founder that is missing delays the group; two groups never
- * form. Whoever holds nothing later joins the group that there is.
+ * Only the founder with the lowest id forms the group, and only after every
+ * founder has confirmed, in answer to the same attempt, that it has no group
+ * state. A missing founder delays the group, but two groups never form. Members
+ * without group state that start later join the existing group.
  *
  * @module
  */
@@ -15,21 +15,23 @@
 import type { RaftState } from "./raft_state.ts";
 import { becomeFollower } from "./role.ts";
 
-/** Before the first election, so that the founders hear of the group. */
-const FIRST_ELECTION_MS = 100;
+/** Delays the first election so that the founders learn of the group before. */
+const FIRST_ELECTION_DELAY_MS = 100;
 
-/** The group's identity goes with every message, so it is short. */
-const FORMATION_RADIX = 36;
+/** Keeps the group's id short, as every message carries it. */
+const FORMATION_ID_RADIX = 36;
 
-/** The members that form the group, lowest name first. */
+/** The members that form the group, lowest id first. */
 function founderIds(state: RaftState): string[] {
-  const { founderIds: named, members } = state.options;
-  const founders = named ??
+  const { founderIds: configuredIds, members } = state.options;
+  const founders = configuredIds ??
     members.filter((member) => member.isVoter).map((member) => member.id);
   return [...founders].sort();
 }
 
-/** Asks the founders for their pledges, if this member is to ask. */
+/**
+ * Requests the founders' confirmations, if this member is to form the group.
+ */
 export function tickFormation(state: RaftState): void {
   const founders = founderIds(state);
   const isDue = state.isFresh && founders[0] === state.selfId &&
@@ -37,13 +39,13 @@
   if (!isDue) {
     return;
   }
-  state.pledgeFormationId ??= state.incarnation.toString(FORMATION_RADIX);
-  state.pledges.set(state.selfId, state.incarnation);
+  state.proposedFormationId ??= state.incarnation.toString(FORMATION_ID_RADIX);
+  state.confirmedFounders.set(state.selfId, state.incarnation);
   for (const id of founders) {
     if (id !== state.selfId) {
       state.send(id, {
         kind: "formRequest",
-        formationId: state.pledgeFormationId,
+        formationId: state.proposedFormationId,
         founderIds: founders,
       }, 0);
     }
@@ -51,16 +53,16 @@
   formIfComplete(state);
 }
 
-/** Pledges, if this member holds nothing and knows the same founders. */
+/** Confirms, if this member has no group state and knows the same founders. */
 export function handleFormRequest(
   state: RaftState,
   from: Sender,
   message: RaftMessageOf<"formRequest">,
 ): void {
   const founders = founderIds(state);
-  const isAgreed = founders.join() === message.founderIds.join() &&
+  const isValidRequest = founders.join() === message.founderIds.join() &&
     founders[0] === from.id;
-  if (state.isFresh && isAgreed) {
+  if (state.isFresh && isValidRequest) {
     state.send(from.id, {
       kind: "formPledge",
       formationId: message.formationId,
@@ -68,43 +70,45 @@
   }
 }
 
-/** Counts a pledge to this very attempt. */
+/** Counts a confirmation of the current attempt. */
 export function handleFormPledge(
   state: RaftState,
   from: Sender,
   message: RaftMessageOf<"formPledge">,
 ): void {
   const isCounted = state.isFresh &&
-    message.formationId === state.pledgeFormationId &&
+    message.formationId === state.proposedFormationId &&
     founderIds(state).includes(from.id);
   if (isCounted) {
-    const known = state.pledges.get(from.id) ?? 0;
-    state.pledges.set(from.id, Math.max(known, from.incarnation));
+    const known = state.confirmedFounders.get(from.id) ?? 0;
+    state.confirmedFounders.set(from.id, Math.max(known, from.incarnation));
     formIfComplete(state);
   }
 }
 
 function formIfComplete(state: RaftState): void {
   const founders = founderIds(state);
-  const missing = founders.filter((id) => !state.pledges.has(id));
-  const mayMiss = state.hasMutation("formsWithoutAll")
+  const missing = founders.filter((id) => !state.confirmedFounders.has(id));
+  const allowedMissing = state.hasMutation("formsWithoutAll")
     ? Math.floor((founders.length - 1) / 2)
     : 0;
-  if (missing.length > mayMiss) {
+  if (missing.length > allowedMissing) {
     return;
   }
   const configuration: GroupConfiguration = {
-    voters: founders.filter((id) => state.pledges.has(id)).map((id) => ({
+    voters: founders.filter((id) => state.confirmedFounders.has(id)).map((
+      id,
+    ) => ({
       id,
-      incarnation: state.pledges.get(id)!,
-      isDurable: state.memberOf(id)!.isDurable,
+      incarnation: state.confirmedFounders.get(id)!,
+      isDurable: state.findMember(id)!.isDurable,
     })),
     removedIds: [],
     isDurabilityWaived: false,
   };
-  enterGroup(state, state.pledgeFormationId!, configuration);
-  state.event("groupFormed", { formationId: state.formationId! });
-  state.electionDueMs = state.nowMs + FIRST_ELECTION_MS;
+  joinGroup(state, state.proposedFormationId!, configuration);
+  state.emitEvent("groupFormed", { formationId: state.formationId! });
+  state.electionDueMs = state.nowMs + FIRST_ELECTION_DELAY_MS;
   for (const voter of configuration.voters) {
     if (voter.id !== state.selfId) {
       state.send(
@@ -116,21 +120,21 @@
   }
 }
 
-/** The group exists and names this incarnation as a voter: it takes part. */
+/** Joins a formed group that lists this incarnation as a voter. */
 export function handleWelcome(
   state: RaftState,
   formationId: string | undefined,
   message: RaftMessageOf<"welcome">,
 ): void {
-  const isNamed = message.configuration.voters.some((voter) =>
+  const isListed = message.configuration.voters.some((voter) =>
     voter.id === state.selfId && voter.incarnation === state.incarnation
   );
-  if (state.isFresh && isNamed && formationId !== undefined) {
-    enterGroup(state, formationId, message.configuration);
+  if (state.isFresh && isListed && formationId !== undefined) {
+    joinGroup(state, formationId, message.configuration);
   }
 }
 
-function enterGroup(
+function joinGroup(
   state: RaftState,
   formationId: string,
   configuration: GroupConfiguration,
@@ -138,7 +142,7 @@
   const snapshot = { ...EMPTY_SNAPSHOT, configuration };
   state.formationId = formationId;
   state.log.reset(snapshot);
-  state.persists.reset(snapshot);
-  state.promiseEndMs = state.nowMs;
+  state.persistTracker.reset(snapshot);
+  state.withholdVotesUntilMs = state.nowMs;
   becomeFollower(state, { term: state.term, leaderId: undefined });
 }
--- a/src/process/replication/group_configuration.ts
+++ b/src/process/replication/group_configuration.ts
@@ -1,9 +1,9 @@
 /**
- * Who votes in a group, and which sets of voters decide.
+ * The voters of a group, and which sets of voters are quorums.
  *
  * A voter is a member together with its incarnation: a member that lost its
- * state comes back under a higher incarnation, and what it says then never
- * counts for the voter that it was.
+ * state comes back under a higher incarnation, whose messages never count as
+ * those of the voter that it was.
  *
  * @module
  */
@@ -19,16 +19,16 @@
 const voterSchema = z.strictObject({
   id: identity,
   incarnation: z.int().min(0),
-  /** Whether it keeps its log on a disk. */
+  /** Whether it stores its log on a disk. */
   isDurable: z.boolean(),
 });
 
 /** Validates a {@link GroupConfiguration}. */
 export const groupConfigurationSchema = z.strictObject({
   voters: z.array(voterSchema).max(VOTERS_LIMIT),
-  /** Members that operators took out; they follow, but get no vote. */
+  /** Members that an operator removed: they stay learners. */
   removedIds: z.array(identity).max(64),
-  /** Whether commits go on though no durable voter can be reached. */
+  /** Whether commits don't need a durable voter, as none can be reached. */
   isDurabilityWaived: z.boolean(),
 });
 
@@ -38,24 +38,24 @@
 /** The voters of a group, as replicated in its log. */
 export type GroupConfiguration = z.infer<typeof groupConfigurationSchema>;
 
-/** The configuration of a member that knows of no group yet. */
+/** The configuration of a member without group state. */
 export const EMPTY_CONFIGURATION: GroupConfiguration = {
   voters: [],
   removedIds: [],
   isDurabilityWaived: false,
 };
 
-/** What is known of the voters when a quorum is looked for. */
+/** What is known about the voters when a quorum is checked. */
 export interface VoterEvidence {
-  /** Whether the voter granted, or acknowledged. */
+  /** Whether the voter granted its vote, or acknowledged an entry. */
   readonly hasAgreed: (id: InstanceId) => boolean;
-  /** Whether the voter's state is proved to be gone. */
-  readonly isForgotten: (id: InstanceId) => boolean;
-  /** Whether an operator takes the loss of what only this voter kept. */
+  /** Whether the voter has provably lost its state. */
+  readonly hasLostState: (id: InstanceId) => boolean;
+  /** Whether an operator accepts the loss of what only this voter stored. */
   readonly isDeclaredLost: (id: InstanceId) => boolean;
 }
 
-/** The voter of that name, if it is one. */
+/** The voter with this id, if there is one. */
 export function findVoter(
   configuration: GroupConfiguration,
   id: InstanceId,
@@ -75,12 +75,13 @@
 }
 
 /**
- * Whether a candidate with these votes leads: by a majority; or because
- * everyone who might vote has answered this very election, and all that
- * still remember anything agreed while no durable voter has forgotten or
- * half of the voters remember. The second lets a group go on after a restart
- * of all its members, and one of two voters after the other lost its disk:
- * whatever a majority kept, one voter of any half keeps too.
+ * Whether a candidate with these votes is elected. Either a majority agreed; or
+ * everyone who might vote has answered this election and all that still have
+ * their state agreed, while no durable voter has lost its state or at least
+ * half of the voters agreed. The second case lets a group continue after a
+ * restart of all its members, and one of two voters after the other lost its
+ * disk: what a majority stored, at least one voter of any half stores too.
+ * Members that an operator declared lost needn't answer.
  */
 export function isElectionQuorum(
   configuration: GroupConfiguration,
@@ -90,7 +91,7 @@
   const isHalf = isHalfAgreed(configuration, evidence);
   const isAccepted = (id: InstanceId) =>
     evidence.isDeclaredLost(id) ||
-    (evidence.isForgotten(id) &&
+    (evidence.hasLostState(id) &&
       (isHalf || findVoter(configuration, id)?.isDurable !== true));
   return isMajority(configuration, evidence) ||
     (configuration.voters.some((voter) => evidence.hasAgreed(voter.id)) &&
@@ -109,40 +110,40 @@
 }
 
 /**
- * Whether entries that these voters keep are committed: a majority, and one
- * of the voters is durable while there is one that can be reached. Or all
- * that remember anything: a leader has all that was ever committed, so that
- * nothing is lost with those who forgot while it leads.
+ * Whether entries that these voters store are committed. Either a majority
+ * stores them, including a durable voter if one still has its state and
+ * durability isn't waived; or all voters store them that still have their
+ * state. The second case is safe as a leader has all committed entries: while
+ * it leads, nothing is lost with the voters that lost their state.
  */
 export function isCommitQuorum(
   configuration: GroupConfiguration,
   evidence: VoterEvidence,
 ): boolean {
   const { voters } = configuration;
-  const isAllThatRemember =
-    voters.some((voter) => evidence.hasAgreed(voter.id)) &&
+  const isAllWithState = voters.some((voter) => evidence.hasAgreed(voter.id)) &&
     voters.every((voter) =>
-      evidence.hasAgreed(voter.id) || evidence.isForgotten(voter.id)
+      evidence.hasAgreed(voter.id) || evidence.hasLostState(voter.id)
     );
-  return isAllThatRemember ||
+  return isAllWithState ||
     (isMajority(configuration, evidence) &&
-      isDurablyKept(configuration, evidence));
+      isDurablyStored(configuration, evidence));
 }
 
-function isDurablyKept(
+function isDurablyStored(
   configuration: GroupConfiguration,
   evidence: VoterEvidence,
 ): boolean {
   const durable = configuration.voters.filter((voter) =>
-    voter.isDurable && !evidence.isForgotten(voter.id)
+    voter.isDurable && !evidence.hasLostState(voter.id)
   );
   return configuration.isDurabilityWaived || durable.length === 0 ||
     durable.some((voter) => evidence.hasAgreed(voter.id));
 }
 
 /**
- * The greatest value that a majority of the voters has reached, given the
- * value of each; below every value when there are no voters.
+ * The greatest value that a majority of the voters has reached, given the value
+ * of each; -Infinity without voters.
  */
 export function majorityValue(
   configuration: GroupConfiguration,
--- a/src/process/replication/leader.ts
+++ b/src/process/replication/leader.ts
@@ -1,5 +1,5 @@
 /**
- * What a leader does: it appends, sends, counts and commits.
+ * Leadership: appending, replicating and committing entries.
  *
  * @module
  */
@@ -17,7 +17,7 @@
 import type { RaftInputOf, RaftState } from "./raft_state.ts";
 import { becomeFollower } from "./role.ts";
 
-/** Begins to lead in the current term. */
+/** Starts leading in the current term. */
 export function startLeading(
   state: RaftState,
   options: { isRecovery: boolean },
@@ -27,23 +27,23 @@
   state.electionDueMs = Infinity;
   state.electionAttempts = 0;
   state.pendingBytes = 0;
-  state.leadsSinceMs = state.nowMs;
-  state.durableSeenMs = state.nowMs;
+  state.leaderSinceMs = state.nowMs;
+  state.lastDurableReplyMs = state.nowMs;
   state.progress.clear();
   for (const voter of state.configuration.voters) {
     if (voter.id !== state.selfId) {
       addProgress(state, voter.id, voter.incarnation);
     }
   }
-  state.event("leadershipGained", { term: state.term });
+  state.emitEvent("leadershipGained", { term: state.term });
   if (options.isRecovery) {
-    state.event("groupRecovered", { term: state.term });
+    state.emitEvent("groupRecovered", { term: state.term });
   }
-  state.termStartIndex = appendOwn(state, "start", new Uint8Array()).index;
+  state.termStartIndex = appendNewEntry(state, "start", new Uint8Array()).index;
   broadcast(state);
 }
 
-/** Starts to keep track of a member. */
+/** Starts tracking the progress of a member. */
 export function addProgress(
   state: RaftState,
   id: InstanceId,
@@ -60,8 +60,8 @@
   return progress;
 }
 
-/** Puts an entry of this leader's into the log. */
-function appendOwn(
+/** Appends a new entry in this leader's term. */
+function appendNewEntry(
   state: RaftState,
   kind: LogEntry["kind"],
   data: Uint8Array,
@@ -77,64 +77,64 @@
   return entry;
 }
 
-/** Takes a command into the log, or says why not. */
+/** Appends a proposed command, or rejects it with the reason. */
 export function handleProposal(
   state: RaftState,
   input: RaftInputOf<"propose">,
 ): void {
   if (!state.isLeader) {
-    refuse(state, input.token, "notLeader");
+    rejectProposal(state, input.token, "notLeader");
     return;
   }
   const pending = state.log.lastIndex - state.commitIndex;
   const isFull = pending >= state.timing.pendingEntries ||
     state.pendingBytes >= state.timing.pendingBytes;
   if (isFull) {
-    refuse(state, input.token, "overloaded");
+    rejectProposal(state, input.token, "overloaded");
     return;
   }
-  const entry = appendOwn(state, "command", input.data);
+  const entry = appendNewEntry(state, "command", input.data);
   state.emit({
-    kind: "proposalTaken",
+    kind: "proposalAppended",
     token: input.token,
     index: entry.index,
     term: entry.term,
   });
 }
 
-function refuse(
+function rejectProposal(
   state: RaftState,
   token: number,
   reason: "notLeader" | "overloaded",
 ): void {
-  state.emit({ kind: "proposalRefused", token, reason });
+  state.emit({ kind: "proposalRejected", token, reason });
 }
 
-/** Puts a new configuration into the log; it counts from now on. */
+/** Appends a new configuration, which takes effect at once. */
 export function appendConfiguration(
   state: RaftState,
   configuration: GroupConfiguration,
 ): void {
-  appendOwn(state, "configuration", encodeConfiguration(configuration));
+  appendNewEntry(state, "configuration", encodeConfiguration(configuration));
   for (const voter of configuration.voters) {
     if (voter.id !== state.selfId && !state.progress.has(voter.id)) {
       addProgress(state, voter.id, voter.incarnation);
     }
   }
-  state.event("membersChanged", {
+  state.emitEvent("membersChanged", {
     voters: configuration.voters.map((voter) => voter.id).join(","),
   });
   broadcast(state);
 }
 
-/** Sends every member what it lacks. */
+/** Sends every tracked member the data that it lacks. */
 export function broadcast(state: RaftState): void {
   for (const progress of state.progress.values()) {
     sendToMember(state, progress);
   }
 }
 
-/** Commits what enough voters keep, and tells the others. */
+/** Commits entries that enough voters store, and notifies the other members. */
 export function advanceCommit(state: RaftState): void {
   if (!state.isLeader) {
     return;
@@ -153,9 +153,9 @@
 }
 
 function committableIndex(state: RaftState): number {
-  const matchOf = (id: InstanceId) => keptIndex(state, id);
+  const storedIndexOf = (id: InstanceId) => storedIndex(state, id);
   const candidates = state.configuration.voters
-    .map((voter) => matchOf(voter.id))
+    .map((voter) => storedIndexOf(voter.id))
     .sort((left, right) => right - left);
   const found = candidates.find((index) => isCommittable(state, index));
   return found ?? 0;
@@ -169,15 +169,15 @@
   const configuration = state.hasMutation("commitsWithoutDurable")
     ? { ...state.configuration, isDurabilityWaived: true }
     : state.configuration;
-  const evidence = state.evidence((id) => keptIndex(state, id) >= index);
+  const evidence = state.evidence((id) => storedIndex(state, id) >= index);
   return isCommitQuorum(configuration, evidence);
 }
 
-function keptIndex(state: RaftState, id: InstanceId): number {
+function storedIndex(state: RaftState, id: InstanceId): number {
   if (id === state.selfId) {
     return state.hasMutation("answersBeforeSync")
       ? state.log.lastIndex
-      : state.persists.persistedIndex;
+      : state.persistTracker.persistedIndex;
   }
   const progress = state.progress.get(id);
   const voter = findVoter(state.configuration, id);
@@ -186,7 +186,10 @@
     : 0;
 }
 
-/** Heartbeats, repeated sends, and stepping down when cut off. */
+/**
+ * Sends heartbeats, resends entries, and steps down without contact to a
+ * majority.
+ */
 export function tickLeader(state: RaftState): void {
   if (!state.isLeader) {
     return;
@@ -201,7 +204,10 @@
   }
 }
 
-/** Asks the voter that has most to take over, and stops leading. */
+/**
+ * Steps down, and asks the voter that answered last of those with the whole log
+ * to take over. Keeps leading if there is none.
+ */
 export function handOver(state: RaftState): void {
   if (!state.isLeader) {
     return;
@@ -209,7 +215,7 @@
   const target = state.configuration.voters
     .map((voter) => state.progress.get(voter.id))
     .filter((progress) => progress !== undefined)
-    .filter((progress) => !state.isForgotten(progress.id))
+    .filter((progress) => !state.hasLostState(progress.id))
     .filter((progress) => progress.matchIndex === state.log.lastIndex)
     .sort((left, right) => right.answeredSentAtMs - left.answeredSentAtMs)[0];
   if (target === undefined) {
--- a/src/process/replication/leader_calls.ts
+++ b/src/process/replication/leader_calls.ts
@@ -1,5 +1,5 @@
 /**
- * Commands and reads that pass between a member and its leader.
+ * Calls from a member to its leader: proposals and reads.
  *
  * @module
  */
@@ -9,33 +9,34 @@
 import type { InstanceId } from "../../base/identity.ts";
 import type { PeerChannel } from "../../connection/peer_network.ts";
 import type { CoreDriver } from "./core_driver.ts";
-import { type PeerAnswer, PeerCalls, SeenCalls } from "./peer_calls.ts";
-import type { ProposalEnd } from "./proposal_table.ts";
+import { CallDeduplicator, PeerCalls, type PeerReply } from "./peer_calls.ts";
+import type { ProposalResult } from "./proposal_table.ts";
 import type {
   RaftEnvelope,
   RaftMessage,
   RaftMessageOf,
 } from "./raft_message.ts";
 
-/** How long a question about what to read waits for its answer. */
-const READ_ANSWER_MS = 600;
+const READ_REPLY_TIMEOUT_MS = 600;
 
 const NO_BYTES = new Uint8Array();
 
-/** What the calls are made from. */
+/** Options of {@link LeaderCalls}. */
 export interface LeaderCallsOptions<Command, Outcome> {
   readonly driver: CoreDriver<Command, Outcome>;
   readonly channel: PeerChannel<RaftEnvelope>;
   readonly clock: Clock;
 }
 
-/** Asks the leader, and serves others while this member leads. */
+/**
+ * Calls the leader, and answers the calls of others while this member leads.
+ */
 export class LeaderCalls<Command, Outcome> {
   #driver: CoreDriver<Command, Outcome>;
   #channel: PeerChannel<RaftEnvelope>;
   #clock: Clock;
   #calls: PeerCalls;
-  #seen = new SeenCalls();
+  #receivedCalls = new CallDeduplicator();
 
   constructor(options: LeaderCallsOptions<Command, Outcome>) {
     this.#driver = options.driver;
@@ -44,32 +45,35 @@
     this.#calls = new PeerCalls({ nowMs: options.clock.nowMs() });
   }
 
-  /** Puts a command into the leader's log, here or there. */
+  /** Appends a command to the leader's log, on this member or by a call. */
   async propose(
     data: Uint8Array,
     deadlineMs: number,
-  ): Promise<ProposalEnd<Outcome>> {
+  ): Promise<ProposalResult<Outcome>> {
     const { leaderId, role, term } = this.#driver.view;
     if (role === "leader") {
-      return await this.#awaitEnd(deadlineMs, (end) => {
-        this.#driver.propose(data, end);
+      return await this.#awaitResult(deadlineMs, (listener) => {
+        this.#driver.propose(data, listener);
       });
     }
     if (leaderId === undefined) {
       return { kind: "notAppended" };
     }
     let id = 0;
-    const end = await this.#awaitEnd(deadlineMs, (listener) => {
-      id = this.#calls.open((answer) => listener(readEnd(answer)));
-      if (!this.#tell(leaderId, { kind: "propose", id, term, data })) {
+    const result = await this.#awaitResult(deadlineMs, (listener) => {
+      id = this.#calls.open((reply) => listener(resultOfReply(reply)));
+      if (!this.#send(leaderId, { kind: "propose", id, term, data })) {
         listener({ kind: "notAppended" });
       }
     });
-    this.#calls.abandon(id);
-    return end;
+    this.#calls.cancel(id);
+    return result;
   }
 
-  /** What must be applied for a read; undefined when nobody can tell now. */
+  /**
+   * The index that must be applied before a read; undefined if no leader with a
+   * lease answers.
+   */
   async readIndex(): Promise<number | undefined> {
     const { leaderId, role, commitIndex } = this.#driver.view;
     if (role === "leader") {
@@ -79,22 +83,22 @@
       return undefined;
     }
     let id = 0;
-    const answer = await new Promise<PeerAnswer | undefined>((resolve) => {
+    const reply = await new Promise<PeerReply | undefined>((resolve) => {
       const timer = this.#clock.after(
-        READ_ANSWER_MS,
+        READ_REPLY_TIMEOUT_MS,
         () => resolve(undefined),
       );
-      id = this.#calls.open((found) => {
+      id = this.#calls.open((received) => {
         timer.close();
-        resolve(found);
+        resolve(received);
       });
-      this.#tell(leaderId, { kind: "read", id });
+      this.#send(leaderId, { kind: "read", id });
     });
-    this.#calls.abandon(id);
-    return answer?.kind === "readReply" ? answer.index : undefined;
+    this.#calls.cancel(id);
+    return reply?.kind === "readReply" ? reply.index : undefined;
   }
 
-  /** Deals with a call or an answer; false when it is the core's. */
+  /** Handles a call or a reply; returns false for messages of the core. */
   receive(from: InstanceId, envelope: RaftEnvelope): boolean {
     const { message } = envelope;
     switch (message.kind) {
@@ -106,35 +110,35 @@
         return true;
       case "proposeReply":
       case "readReply":
-        this.#calls.answer(message);
+        this.#calls.handleReply(message);
         return true;
       default:
         return false;
     }
   }
 
-  /** No answers are awaited any more. */
+  /** Ends all pending calls without a reply. */
   stop(): void {
     this.#calls.endAll();
   }
 
-  #awaitEnd(
+  #awaitResult(
     deadlineMs: number,
-    begin: (listener: (end: ProposalEnd<Outcome>) => void) => void,
-  ): Promise<ProposalEnd<Outcome>> {
+    begin: (listener: (result: ProposalResult<Outcome>) => void) => void,
+  ): Promise<ProposalResult<Outcome>> {
     return new Promise((resolve) => {
       const timer = this.#clock.after(
         deadlineMs - this.#clock.nowMs(),
         () => resolve({ kind: "unknown" }),
       );
-      begin((end) => {
+      begin((result) => {
         timer.close();
-        resolve(end);
+        resolve(result);
       });
     });
   }
 
-  #tell(to: InstanceId, message: RaftMessage): boolean {
+  #send(to: InstanceId, message: RaftMessage): boolean {
     const { formationId, incarnation } = this.#driver.view;
     return this.#channel.send(to, {
       ...(formationId === undefined ? {} : { formationId }),
@@ -154,24 +158,24 @@
     envelope: RaftEnvelope,
     message: RaftMessageOf<"propose">,
   ): void {
-    const isNew = this.#seen.isNew(from, message.id);
+    const isNew = this.#receivedCalls.isNew(from, message.id);
     if (!isNew || !this.#isOwnGroup(envelope)) {
       return;
     }
-    const answer = (end: ProposalEnd<Outcome>) => {
-      this.#tell(from, {
+    const reply = (result: ProposalResult<Outcome>) => {
+      this.#send(from, {
         kind: "proposeReply",
         id: message.id,
-        status: end.kind,
-        data: end.kind === "applied" ? pack(end.outcome) : NO_BYTES,
+        status: result.kind,
+        data: result.kind === "applied" ? pack(result.outcome) : NO_BYTES,
       });
     };
-    // In another term the caller may have been told already that the command
-    // was not taken.
+    // In another term, the caller may already know that the command was not
+    // appended.
     if (message.term === this.#driver.view.term) {
-      this.#driver.propose(message.data, answer);
+      this.#driver.propose(message.data, reply);
     } else {
-      answer({ kind: "notAppended" });
+      reply({ kind: "notAppended" });
     }
   }
 
@@ -184,7 +188,7 @@
       return;
     }
     const isHeld = this.#driver.isLeaseHeld();
-    this.#tell(from, {
+    this.#send(from, {
       kind: "readReply",
       id: message.id,
       ...(isHeld ? { index: this.#driver.view.commitIndex } : {}),
@@ -192,13 +196,13 @@
   }
 }
 
-function readEnd<Outcome>(
-  answer: PeerAnswer | undefined,
-): ProposalEnd<Outcome> {
-  if (answer?.kind !== "proposeReply") {
+function resultOfReply<Outcome>(
+  reply: PeerReply | undefined,
+): ProposalResult<Outcome> {
+  if (reply?.kind !== "proposeReply") {
     return { kind: "unknown" };
   }
-  return answer.status === "applied"
-    ? { kind: "applied", outcome: unpack(answer.data) as Outcome }
-    : { kind: answer.status };
+  return reply.status === "applied"
+    ? { kind: "applied", outcome: unpack(reply.data) as Outcome }
+    : { kind: reply.status };
 }
--- a/src/process/replication/leader_progress.ts
+++ b/src/process/replication/leader_progress.ts
@@ -1,5 +1,5 @@
 /**
- * What a leader knows of one other member, and what it may send to it.
+ * A leader's view of one other member, and the flow control of what it sends.
  *
  * @module
  */
@@ -8,7 +8,7 @@
 import type { LogSnapshot } from "./log_entry.ts";
 import { TokenBucket } from "./token_bucket.ts";
 
-/** Bytes of entries that may be on their way to one member. */
+/** Unacknowledged bytes of entries above which a member gets no more. */
 const IN_FLIGHT_BYTES_LIMIT = 1024 * 1024;
 
 interface SentEntries {
@@ -16,36 +16,36 @@
   readonly bytes: number;
 }
 
-/** How far a snapshot has got; it stays the same till it has arrived. */
+/** A snapshot transfer, which goes on even when a newer snapshot is made. */
 export interface SnapshotProgress {
   readonly snapshot: LogSnapshot;
   offsetBytes: number;
   sentAtMs: number;
 }
 
-/** One other member as its leader sees it. */
+/** A leader's view of one other member. */
 export class LeaderProgress {
   readonly id: InstanceId;
   readonly incarnation: number;
   readonly bucket: TokenBucket;
-  /** The last entry that the member is known to keep. */
+  /** The last entry that the member is known to store. */
   matchIndex = 0;
   /** The next entry to send. */
   nextIndex: number;
   wantsVote = false;
   isDurable = false;
-  /** When the newest message was sent that the member has answered. */
+  /** The send time of the newest message that the member has answered. */
   answeredSentAtMs = -Infinity;
   lastHeardMs: number;
   lastSentMs = -Infinity;
   sentMessages = 0;
-  /** The newest stamp of the member's own clock. */
+  /** The newest timestamp of the member's own clock. */
   stampMs = 0;
   sentCommitIndex = 0;
   snapshot: SnapshotProgress | undefined;
   #inFlight: SentEntries[] = [];
   #inFlightBytes = 0;
-  #progressedMs: number;
+  #lastProgressMs: number;
 
   constructor(options: {
     id: InstanceId;
@@ -58,7 +58,7 @@
     this.incarnation = options.incarnation;
     this.nextIndex = options.nextIndex;
     this.lastHeardMs = options.nowMs;
-    this.#progressedMs = options.nowMs;
+    this.#lastProgressMs = options.nowMs;
     this.bucket = new TokenBucket({
       bytesPerSecond: options.bytesPerSecond,
       nowMs: options.nowMs,
@@ -66,14 +66,14 @@
   }
 
   /** Whether more entries may be sent now. */
-  hasRoom(nowMs: number): boolean {
+  canSendEntries(nowMs: number): boolean {
     return this.#inFlightBytes < IN_FLIGHT_BYTES_LIMIT &&
       this.bucket.hasTokens(nowMs);
   }
 
-  markSent(sent: SentEntries, nowMs: number): void {
+  markEntriesSent(sent: SentEntries, nowMs: number): void {
     if (this.#inFlight.length === 0) {
-      this.#progressedMs = nowMs;
+      this.#lastProgressMs = nowMs;
     }
     this.#inFlight.push(sent);
     this.#inFlightBytes += sent.bytes;
@@ -81,7 +81,7 @@
     this.nextIndex = sent.lastIndex + 1;
   }
 
-  markMessage(nowMs: number): void {
+  markMessageSent(nowMs: number): void {
     this.lastSentMs = nowMs;
     this.sentMessages += 1;
   }
@@ -89,7 +89,7 @@
   markMatched(index: number, nowMs: number): void {
     if (index > this.matchIndex) {
       this.matchIndex = index;
-      this.#progressedMs = nowMs;
+      this.#lastProgressMs = nowMs;
     }
     this.nextIndex = Math.max(this.nextIndex, this.matchIndex + 1);
     while ((this.#inFlight[0]?.lastIndex ?? Infinity) <= this.matchIndex) {
@@ -97,17 +97,17 @@
     }
   }
 
-  /** Goes back to an earlier entry, as the member lacks it. */
+  /** Goes back to an earlier entry, which the member lacks. */
   rewindTo(index: number): void {
     this.nextIndex = Math.max(this.matchIndex + 1, index);
     this.#inFlight = [];
     this.#inFlightBytes = 0;
   }
 
-  /** Sends again what was not answered for `resendMs`. */
+  /** Resends what has not been acknowledged for `resendMs`. */
   rewindIfStalled(nowMs: number, resendMs: number): void {
     const isStalled = this.#inFlight.length > 0 &&
-      nowMs - this.#progressedMs >= resendMs;
+      nowMs - this.#lastProgressMs >= resendMs;
     if (isStalled) {
       this.rewindTo(this.matchIndex + 1);
     }
--- a/src/process/replication/leader_send.ts
+++ b/src/process/replication/leader_send.ts
@@ -1,6 +1,6 @@
 /**
- * What a leader sends to one member: entries, a heartbeat, or a piece of a
- * snapshot; and how it takes the answers.
+ * Messages from a leader to one member (entries, heartbeats and snapshot
+ * chunks), and the handling of the replies.
  *
  * @module
  */
@@ -12,15 +12,17 @@
 import type { RaftMessageOf } from "./raft_message.ts";
 import type { RaftState } from "./raft_state.ts";
 
-/** A member without a vote that is silent for this many periods is left. */
-const SILENT_FOLLOW_PERIODS = 4;
+/**
+ * A learner that is silent for this many follow periods gets no more messages.
+ */
+const LEARNER_TIMEOUT_FOLLOW_PERIODS = 4;
 
-/** Sends what the member lacks, or a heartbeat when one is due. */
+/** Sends the data that the member lacks, or a heartbeat when one is due. */
 export function sendToMember(
   state: RaftState,
   progress: LeaderProgress,
 ): void {
-  if (!isAttended(state, progress)) {
+  if (!isActive(state, progress)) {
     return;
   }
   if (needsSnapshot(state, progress)) {
@@ -28,14 +30,14 @@
   } else {
     sendEntries(state, progress);
   }
-  const hasNews = progress.sentCommitIndex < state.commitIndex &&
+  const hasUnsentCommit = progress.sentCommitIndex < state.commitIndex &&
     progress.nextIndex > state.commitIndex;
-  if (hasNews || isHeartbeatDue(state, progress)) {
+  if (hasUnsentCommit || isHeartbeatDue(state, progress)) {
     sendAppend(state, progress, []);
   }
 }
 
-/** Answers a member that asked what is new. */
+/** Sends a heartbeat at once. */
 export function sendHeartbeat(
   state: RaftState,
   progress: LeaderProgress,
@@ -48,10 +50,10 @@
   return voter?.incarnation === progress.incarnation;
 }
 
-function isAttended(state: RaftState, progress: LeaderProgress): boolean {
+function isActive(state: RaftState, progress: LeaderProgress): boolean {
   const silentMs = state.nowMs - progress.lastHeardMs;
   return isVoter(state, progress) ||
-    silentMs < state.timing.followMs * SILENT_FOLLOW_PERIODS;
+    silentMs < state.timing.followMs * LEARNER_TIMEOUT_FOLLOW_PERIODS;
 }
 
 function isHeartbeatDue(state: RaftState, progress: LeaderProgress): boolean {
@@ -65,7 +67,8 @@
 
 function sendEntries(state: RaftState, progress: LeaderProgress): void {
   while (
-    progress.nextIndex <= state.log.lastIndex && progress.hasRoom(state.nowMs)
+    progress.nextIndex <= state.log.lastIndex &&
+    progress.canSendEntries(state.nowMs)
   ) {
     const { appendBytes } = state.timing;
     const entries = state.log.slice(progress.nextIndex, appendBytes);
@@ -94,10 +97,10 @@
   if (entries.length > 0) {
     const bytes = entries.reduce((sum, entry) => sum + entryBytes(entry), 0);
     const lastIndex = entries.at(-1)!.index;
-    progress.markSent({ lastIndex, bytes }, state.nowMs);
+    progress.markEntriesSent({ lastIndex, bytes }, state.nowMs);
   }
   progress.sentCommitIndex = state.commitIndex;
-  progress.markMessage(state.nowMs);
+  progress.markMessageSent(state.nowMs);
   state.send(progress.id, message, progress.incarnation);
 }
 
@@ -109,16 +112,16 @@
   };
   const transfer = progress.snapshot;
   const { snapshot } = transfer;
-  const mayNotSend = transfer.sentAtMs > -Infinity ||
+  const isBlocked = transfer.sentAtMs > -Infinity ||
     !progress.bucket.hasTokens(state.nowMs);
-  if (mayNotSend) {
+  if (isBlocked) {
     return;
   }
   const start = transfer.offsetBytes;
   const data = snapshot.data.subarray(start, start + state.timing.chunkBytes);
   transfer.sentAtMs = state.nowMs;
   progress.bucket.take(data.byteLength, state.nowMs);
-  progress.markMessage(state.nowMs);
+  progress.markMessageSent(state.nowMs);
   state.send(progress.id, {
     kind: "snapshotChunk",
     term: state.term,
@@ -132,13 +135,13 @@
   }, progress.incarnation);
 }
 
-/** Takes an answer to entries or a heartbeat in. */
+/** Handles the reply to entries or a heartbeat. */
 export function handleAppendReply(
   state: RaftState,
   progress: LeaderProgress,
   message: RaftMessageOf<"appendReply">,
 ): void {
-  markHeard(state, progress, message);
+  recordReply(state, progress, message);
   if (message.isAccepted) {
     progress.markMatched(message.index, state.nowMs);
   } else {
@@ -146,13 +149,13 @@
   }
 }
 
-/** Takes an answer to a piece of a snapshot in. */
+/** Handles the reply to a snapshot chunk. */
 export function handleSnapshotReply(
   state: RaftState,
   progress: LeaderProgress,
   message: RaftMessageOf<"snapshotReply">,
 ): void {
-  markHeard(state, progress, message);
+  recordReply(state, progress, message);
   const transfer = progress.snapshot;
   if (transfer?.snapshot.index !== message.index) {
     return;
@@ -165,7 +168,7 @@
   }
 }
 
-function markHeard(
+function recordReply(
   state: RaftState,
   progress: LeaderProgress,
   message: { sentAtMs: number; stampMs: number },
@@ -180,6 +183,6 @@
   const isDurable = voter?.isDurable === true &&
     voter.incarnation === progress.incarnation;
   if (isDurable) {
-    state.durableSeenMs = state.nowMs;
+    state.lastDurableReplyMs = state.nowMs;
   }
 }
--- a/src/process/replication/lease.ts
+++ b/src/process/replication/lease.ts
@@ -1,5 +1,5 @@
 /**
- * Till when a leader may act alone, and when it must step down.
+ * Leader leases, and when a leader must step down for lack of contact.
  *
  * @module
  */
@@ -9,7 +9,10 @@
 import type { RaftState } from "./raft_state.ts";
 import { leaseMs } from "./replication_timing.ts";
 
-/** When the newest messages were sent that a majority has answered. */
+/**
+ * The latest time such that a majority has answered messages sent then or
+ * later.
+ */
 export function confirmedAtMs(state: RaftState): number {
   return majorityValue(
     state.configuration,
@@ -18,13 +21,16 @@
 }
 
 function voterConfirmedAtMs(state: RaftState, id: InstanceId): number {
-  if (id === state.selfId || state.isForgotten(id)) {
+  if (id === state.selfId || state.hasLostState(id)) {
     return state.nowMs;
   }
   return state.progress.get(id)?.answeredSentAtMs ?? -Infinity;
 }
 
-/** Till when no other leader can exist, by this leader's clock; or zero. */
+/**
+ * Until when no other leader can exist, by this leader's clock; zero if it
+ * doesn't lead.
+ */
 export function leaseEndMs(state: RaftState): number {
   if (!state.isLeader) {
     return 0;
@@ -35,14 +41,17 @@
   return Math.max(0, confirmedAtMs(state) + lengthMs);
 }
 
-/** Whether this member leads for certain and knows all that is committed. */
+/**
+ * Whether this member leads under a valid lease and knows all committed
+ * entries.
+ */
 export function isLeaseHeld(state: RaftState): boolean {
   return state.commitIndex >= state.termStartIndex &&
     state.nowMs < leaseEndMs(state);
 }
 
-/** Whether a majority answered this leader lately. */
+/** Whether a majority answered this leader recently. */
 export function hasQuorumContact(state: RaftState): boolean {
-  const sinceMs = Math.max(state.leadsSinceMs, confirmedAtMs(state));
+  const sinceMs = Math.max(state.leaderSinceMs, confirmedAtMs(state));
   return state.nowMs - sinceMs < state.timing.electionMaxMs;
 }
--- a/src/process/replication/log_entry.ts
+++ b/src/process/replication/log_entry.ts
@@ -18,11 +18,11 @@
 
 /** Validates a {@link LogEntry}. */
 export const logEntrySchema = z.strictObject({
-  /** Counts the entries of a group, from 1. */
+  /** Position in the group's log, from 1. */
   index: z.int().min(1),
-  /** The term of the leader that made it. */
+  /** The term of the leader that created the entry. */
   term: z.int().min(1),
-  /** `start` opens a leader's term and changes nothing. */
+  /** `start` is the empty entry with which a leader begins its term. */
   kind: z.enum(["command", "configuration", "start"]),
   /** The encoded command or configuration. */
   data: bytesSchema,
@@ -36,36 +36,39 @@
   readonly index: number;
   readonly term: number;
   readonly configuration: GroupConfiguration;
-  /** What the state machine made of itself. */
+  /** The encoded state machine. */
   readonly data: Uint8Array;
 }
 
-/** What a member must remember besides entries, before it answers. */
+/** The state, besides entries, that a member must persist before it answers. */
 export interface HardState {
-  /** Which start of this member; a member that lost its state has a new one. */
+  /**
+   * Identifies the stored state: a member that lost its state gets a higher
+   * one.
+   */
   readonly incarnation: number;
-  /** The group's identity, or undefined while none is known. */
+  /** The group's id, or undefined while the member belongs to none. */
   readonly formationId: string | undefined;
   readonly term: number;
-  /** The member that got this one's vote in the term. */
+  /** The member that got this member's vote in the term. */
   readonly votedFor: string | undefined;
 }
 
-/** About what an entry takes in a message, in bytes. */
+/** The approximate size of an entry in a message, in bytes. */
 export function entryBytes(entry: LogEntry): number {
   return entry.data.byteLength + ENTRY_OVERHEAD_BYTES;
 }
 
 const ENTRY_OVERHEAD_BYTES = 24;
 
-/** The configuration as an entry carries it. */
+/** Encodes a configuration as the data of an entry. */
 export function encodeConfiguration(
   configuration: GroupConfiguration,
 ): Uint8Array {
   return pack(configuration);
 }
 
-/** The configuration that an entry carries. */
+/** Decodes the configuration in an entry's data. */
 export function decodeConfiguration(data: Uint8Array): GroupConfiguration {
   return groupConfigurationSchema.parse(unpack(data));
 }
--- a/src/process/replication/log_store.ts
+++ b/src/process/replication/log_store.ts
@@ -32,9 +32,9 @@
   #prefix: string;
   #segments: Segment[] = [];
   #nextSegment = 1;
-  /** Snapshots of this member's own on their way to the disk. */
-  #background: Promise<Result<void>> = Promise.resolve(Right(undefined));
-  #backgroundFailure: Result<void> | undefined;
+  /** Writes of snapshots in progress, one after another. */
+  #snapshotWrites: Promise<Result<void>> = Promise.resolve(Right(undefined));
+  #snapshotFailure: Result<void> | undefined;
   #isClosed = false;
 
   constructor(options: { storage: Storage; groupId: string }) {
@@ -42,7 +42,7 @@
     this.#prefix = options.groupId.replaceAll(":", "_");
   }
 
-  /** Reads everything; cuts a torn tail off. */
+  /** Reads all files; truncates a torn tail. */
   async load(): Promise<Result<LoadedLog>> {
     const state = await this.#storage.read(this.#stateName);
     const snapshot = await this.#storage.read(this.#snapshotName);
@@ -66,14 +66,14 @@
   /** Makes the effects durable, in order, with as few syncs as possible. */
   async persist(effects: readonly PersistEffect[]): Promise<Result<void>> {
     let entries: LogEntry[] = [];
-    let result: Result<void> = this.#backgroundFailure ?? Right(undefined);
+    let result: Result<void> = this.#snapshotFailure ?? Right(undefined);
     for (const effect of effects) {
       if (effect.snapshot !== undefined || effect.hardState !== undefined) {
         result = await this.#writeEntries(entries);
         entries = [];
       }
       if (result.isRight() && effect.snapshot !== undefined) {
-        result = await this.#takeSnapshot(effect);
+        result = await this.#storeSnapshot(effect);
       }
       if (result.isRight() && effect.hardState !== undefined) {
         result = await this.#writeHardState(effect.hardState);
@@ -86,7 +86,7 @@
     return await this.#writeEntries(entries);
   }
 
-  /** Removes everything; what a crash leaves of it counts as nothing. */
+  /** Removes all files. What a crash leaves of them is loaded as empty. */
   async wipe(): Promise<Result<void>> {
     const names = await this.#storage.list();
     if (names.isLeft()) {
@@ -95,7 +95,7 @@
     const own = (names.extract() as readonly string[]).filter((name) =>
       name.startsWith(`${this.#prefix}.`)
     );
-    // Without the state file the others mean nothing, so that it goes first.
+    // Without the state file the others are ignored, so it is removed first.
     const ordered = [
       ...own.filter((name) => name === this.#stateName),
       ...own.filter((name) => name !== this.#stateName),
@@ -110,10 +110,10 @@
     return Right(undefined);
   }
 
-  /** Begins nothing more, and waits for what is under way. */
+  /** Starts no more background writes, and waits for those in progress. */
   async close(): Promise<void> {
     this.#isClosed = true;
-    await this.#background;
+    await this.#snapshotWrites;
   }
 
   get #stateName(): string {
@@ -128,7 +128,10 @@
     return `${this.#prefix}.log.${String(number).padStart(8, "0")}`;
   }
 
-  /** The entries of all segments, or what is wrong with them. */
+  /**
+   * Reads the entries of all segments. The outer result tells whether they
+   * could be read, the inner one whether they are intact.
+   */
   async #readSegments(): Promise<Result<Result<LogEntry[]>>> {
     const names = await this.#storage.list();
     if (names.isLeft()) {
@@ -217,27 +220,27 @@
   }
 
   /**
-   * A snapshot of the leader's replaces the entries at once. One of this
-   * member's own holds nothing that the entries don't, so that no answer has
-   * to wait for it.
+   * A snapshot from the leader replaces the entries at once. One of this
+   * member's own contains nothing that the entries don't, so no reply has to
+   * wait for it.
    */
-  async #takeSnapshot(effect: PersistEffect): Promise<Result<void>> {
+  async #storeSnapshot(effect: PersistEffect): Promise<Result<void>> {
     const snapshot = effect.snapshot!;
-    const covered = this.#segments.filter((segment) =>
+    const obsolete = this.#segments.filter((segment) =>
       effect.replacesEntries || segment.lastIndex <= snapshot.index
     );
-    this.#segments = this.#segments.filter((item) => !covered.includes(item));
+    this.#segments = this.#segments.filter((item) => !obsolete.includes(item));
     this.#startSegment();
-    const earlier = this.#background;
-    this.#background = earlier.then((result) =>
-      result.isLeft() ? result : this.#writeSnapshot(snapshot, covered)
+    const earlier = this.#snapshotWrites;
+    this.#snapshotWrites = earlier.then((result) =>
+      result.isLeft() ? result : this.#writeSnapshot(snapshot, obsolete)
     );
     if (effect.replacesEntries) {
-      return await this.#background;
+      return await this.#snapshotWrites;
     }
-    void this.#background.then((result) => {
+    void this.#snapshotWrites.then((result) => {
       if (result.isLeft()) {
-        this.#backgroundFailure = result;
+        this.#snapshotFailure = result;
       }
     });
     return Right(undefined);
@@ -245,7 +248,7 @@
 
   async #writeSnapshot(
     snapshot: LogSnapshot,
-    covered: readonly Segment[],
+    obsolete: readonly Segment[],
   ): Promise<Result<void>> {
     if (this.#isClosed) {
       return Right(undefined);
@@ -254,7 +257,7 @@
       this.#snapshotName,
       encodeSnapshot(snapshot),
     );
-    return written.isLeft() ? written : await this.#removeSegments(covered);
+    return written.isLeft() ? written : await this.#removeSegments(obsolete);
   }
 
   async #removeSegments(segments: readonly Segment[]): Promise<Result<void>> {
--- a/src/process/replication/log_store_test.ts
+++ b/src/process/replication/log_store_test.ts
@@ -33,7 +33,7 @@
   return { index, term, configuration: EMPTY_CONFIGURATION, data: pack(index) };
 }
 
-/** Lets what goes on in the background come to its end. */
+/** Waits for background writes. */
 function settle(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
@@ -43,7 +43,7 @@
   return (await store.load()).unsafeCoerce();
 }
 
-async function wholeLog(storage: FakeStorage) {
+async function loadWholeLog(storage: FakeStorage) {
   const loaded = await load(storage);
   if (loaded.kind !== "whole") {
     throw new Error(`the log is ${loaded.kind}`);
@@ -61,10 +61,10 @@
   return { storage, store };
 }
 
-test("later entries replace earlier ones of their index", async (t) => {
+test("a later entry replaces those stored from its index on", async (t) => {
   const { storage, store } = await storeWith(5);
   await store.persist([effect({ entries: [entry(3, 4)] })]);
-  const log = await wholeLog(storage);
+  const log = await loadWholeLog(storage);
   t.deepEqual(log.entries.map(({ index, term }) => [index, term]), [
     [1, 3],
     [2, 3],
@@ -84,13 +84,13 @@
   t.is(storage.syncs, before + 1);
 });
 
-test("a snapshot of its own lets go of the entries before it", async (t) => {
+test("a local snapshot removes the entries before it", async (t) => {
   const { storage, store } = await storeWith(5);
   await store.persist([effect({ snapshot: snapshot(4, 3) })]);
   await store.persist([effect({ entries: [entry(6, 3)] })]);
   await store.persist([effect({ snapshot: snapshot(6, 3) })]);
   await settle();
-  const log = await wholeLog(storage);
+  const log = await loadWholeLog(storage);
   t.is(log.snapshot.index, 6);
   t.deepEqual(log.entries, []);
   const segments = (await storage.list()).unsafeCoerce()
@@ -98,31 +98,31 @@
   t.true(segments.length <= 1, segments.join());
 });
 
-test("a leader's snapshot makes an older history void", async (t) => {
+test("a leader's snapshot replaces the entries of an older term", async (t) => {
   const { storage, store } = await storeWith(5);
   await store.persist([
     effect({ snapshot: snapshot(3, 9), replacesEntries: true }),
   ]);
-  t.deepEqual((await wholeLog(storage)).entries, []);
-  // Between the new snapshot and the removal of the old entries.
+  t.deepEqual((await loadWholeLog(storage)).entries, []);
+  // A crash before the removal of the old entries.
   const crashed = await storeWith(5);
   const replaced = await storage.read("g.snapshot");
   await crashed.storage.replace("g.snapshot", replaced.unsafeCoerce()!);
-  t.deepEqual((await wholeLog(crashed.storage)).entries, []);
+  t.deepEqual((await loadWholeLog(crashed.storage)).entries, []);
 });
 
-test("a torn tail is cut and what was synced stays", async (t) => {
+test("a torn tail is truncated and synced entries remain", async (t) => {
   const property = fc.asyncProperty(fc.integer(), async (seed) => {
     const { storage } = await storeWith(4);
     await storage.append("g.log.00000001", pack("never synced, half written"));
     storage.crash(new SeededRandom({ seed }));
-    const log = await wholeLog(storage);
+    const log = await loadWholeLog(storage);
     return log.entries.length === 4;
   });
   await t.notThrowsAsync(fc.assert(property, { seed: 3, numRuns: 50 }));
 });
 
-test("damage in the middle is refused, in whatever file", async (t) => {
+test("damage in the middle of any file is detected", async (t) => {
   for (const name of ["g.log.00000001", "g.state", "g.snapshot"]) {
     const { storage, store } = await storeWith(4);
     await store.persist([effect({ snapshot: snapshot(1, 3) })]);
@@ -132,7 +132,7 @@
   }
 });
 
-test("a wiped store is empty, however far the wipe got", async (t) => {
+test("a wiped store is empty, even after an interrupted wipe", async (t) => {
   const { storage, store } = await storeWith(4);
   await storage.remove("g.state");
   t.is((await load(storage)).kind, "empty");
@@ -149,7 +149,7 @@
   }
 });
 
-test("a snapshot that can't be written fails what comes after it", async (t) => {
+test("a failed write of a snapshot fails later writes", async (t) => {
   const { storage, store } = await storeWith(4);
   storage.faults.isFull = true;
   const begun = await store.persist([effect({ snapshot: snapshot(4, 3) })]);
@@ -158,5 +158,5 @@
   storage.faults.isFull = false;
   const later = await store.persist([effect({ entries: [entry(5, 3)] })]);
   t.is(later.swap().unsafeCoerce().kind, "storageFailed");
-  t.is((await wholeLog(storage)).entries.length, 4);
+  t.is((await loadWholeLog(storage)).entries.length, 4);
 });
--- a/src/process/replication/member_opening.ts
+++ b/src/process/replication/member_opening.ts
@@ -1,5 +1,5 @@
 /**
- * What a member does with its disk before it takes part.
+ * Opening of a member's stored log at start.
  *
  * @module
  */
@@ -13,10 +13,10 @@
 import { EMPTY_SNAPSHOT } from "./raft_log.ts";
 import type { StoredLog } from "./stored_log.ts";
 
-/** Incarnations that fit into one millisecond of the clock. */
+/** Incarnations within one millisecond of the clock. */
 const INCARNATIONS_PER_MS = 1_024;
 
-/** What opening needs. */
+/** Options of {@link openStore}. */
 export interface OpeningOptions {
   readonly groupId: string;
   readonly store: LogStore | undefined;
@@ -26,8 +26,8 @@
 }
 
 /**
- * Reads the member's log. Where there is none, or it is damaged, the member
- * starts with nothing under a new incarnation and is repaired by its peers.
+ * Loads the member's log. If there is none, or it is damaged, the member starts
+ * without state under a new incarnation and catches up from its peers.
  */
 export async function openStore(
   options: OpeningOptions,
@@ -49,13 +49,13 @@
         group: options.groupId,
         detail: found.detail,
       });
-      return await startAnew(options, store);
+      return await startEmpty(options, store);
     case "empty":
-      return await startAnew(options, store);
+      return await startEmpty(options, store);
   }
 }
 
-async function startAnew(
+async function startEmpty(
   options: OpeningOptions,
   store: LogStore,
 ): Promise<Result<StoredLog>> {
@@ -76,8 +76,8 @@
 }
 
 /**
- * Nothing, under an incarnation that no start of this member has had: it
- * grows with the clock, and a peer that knows a higher one says so.
+ * An empty log, under an incarnation that this member has never had: it grows
+ * with the clock, and a peer that knows a higher one reports it.
  */
 function emptyLog(options: OpeningOptions): StoredLog {
   const nowMs = Math.max(1, Math.floor(options.clock.nowMs()));
--- a/src/process/replication/member_contacts.ts
+++ b/src/process/replication/member_reachability.ts
@@ -1,5 +1,5 @@
 /**
- * Which members answer a leader, for those who keep the group whole.
+ * Which members a leader hears from, for the replacement of voters.
  *
  * @module
  */
@@ -7,17 +7,22 @@
 import type { InstanceId } from "../../base/identity.ts";
 import type { RaftView } from "./raft_core.ts";
 
-/** Who answers a leader and who doesn't. */
-export interface MemberContacts {
+/**
+ * Voters that a leader hears nothing from, and others that are ready to vote.
+ */
+export interface MemberReachability {
   readonly silentVoterIds: readonly InstanceId[];
   readonly readyIds: readonly InstanceId[];
 }
 
-/** Whom a leader has heard from since `heardAfterMs`, by its view. */
-export function memberContacts(
+/**
+ * Finds the members that a leader has or hasn't heard from since
+ * `heardAfterMs`.
+ */
+export function memberReachability(
   view: RaftView,
   options: { selfId: InstanceId; heardAfterMs: number },
-): MemberContacts {
+): MemberReachability {
   const voterIds = view.configuration.voters.map((voter) => voter.id);
   const silentVoterIds = voterIds.filter((id) =>
     id !== options.selfId &&
@@ -33,5 +38,5 @@
 }
 
 function lastHeardMs(view: RaftView, id: InstanceId): number {
-  return Math.max(view.leadsSinceMs, view.progress.get(id)?.lastHeardMs ?? 0);
+  return Math.max(view.leaderSinceMs, view.progress.get(id)?.lastHeardMs ?? 0);
 }
--- a/src/process/replication/membership.ts
+++ b/src/process/replication/membership.ts
@@ -1,5 +1,5 @@
 /**
- * Changes of a group's voters: one at a time, each by an entry of its own.
+ * Membership changes: one at a time, each with an entry of its own.
  *
  * @module
  */
@@ -16,32 +16,32 @@
 import { confirmedAtMs } from "./lease.ts";
 import type { RaftState } from "./raft_state.ts";
 
-/** Whether a change of the voters may begin. */
+/** Whether a membership change may start. */
 export function canChangeMembers(state: RaftState): boolean {
   return state.isLeader && state.commitIndex >= state.termStartIndex &&
     state.log.configurationIndex <= state.commitIndex;
 }
 
-/** Begins the change that is most needed, if one is. */
+/** Starts the most urgent membership change, if one is needed. */
 export function reconcileMembers(state: RaftState): void {
   if (!canChangeMembers(state)) {
     waiveDurability(state);
     return;
   }
   const { voters } = state.configuration;
-  const gone = voters.find((voter) => state.isForgotten(voter.id));
-  if (gone !== undefined) {
-    changeVoters(state, voters.filter((voter) => voter !== gone));
+  const lostVoter = voters.find((voter) => state.hasLostState(voter.id));
+  if (lostVoter !== undefined) {
+    changeVoters(state, voters.filter((voter) => voter !== lostVoter));
     return;
   }
   const { wantedVoters = Infinity } = state.options;
-  const ready = voters.length < wantedVoters
+  const candidate = voters.length < wantedVoters
     ? [...state.progress.values()].find((progress) =>
       isReadyToVote(state, progress)
     )
     : undefined;
-  if (ready !== undefined) {
-    giveVote(state, ready);
+  if (candidate !== undefined) {
+    promoteToVoter(state, candidate);
     return;
   }
   waiveDurability(state);
@@ -52,7 +52,7 @@
   appendConfiguration(state, { ...state.configuration, voters });
 }
 
-function giveVote(state: RaftState, progress: LeaderProgress): void {
+function promoteToVoter(state: RaftState, progress: LeaderProgress): void {
   const { id, incarnation, isDurable } = progress;
   const { voters } = state.configuration;
   changeVoters(state, [...voters, { id, incarnation, isDurable }]);
@@ -61,17 +61,17 @@
 function isReadyToVote(state: RaftState, progress: LeaderProgress): boolean {
   const { configuration } = state;
   return progress.wantsVote &&
-    state.memberOf(progress.id)?.isVoter === true &&
+    state.findMember(progress.id)?.isVoter === true &&
     findVoter(configuration, progress.id) === undefined &&
     !configuration.removedIds.includes(progress.id) &&
     state.nowMs - progress.lastHeardMs < state.timing.followMs * 2 &&
     progress.matchIndex >= state.commitIndex;
 }
 
-/** Goes on without a durable voter after a while, and says so. */
+/** Waives the need for a durable voter after none has answered for a while. */
 function waiveDurability(state: RaftState): void {
   const { configuration } = state;
-  const silentMs = state.nowMs - state.durableSeenMs;
+  const silentMs = state.nowMs - state.lastDurableReplyMs;
   const isMissing = state.isLeader && !configuration.isDurabilityWaived &&
     durableVoters(configuration).length > 0 &&
     findVoter(configuration, state.selfId)?.isDurable !== true &&
@@ -79,21 +79,21 @@
     state.nowMs - confirmedAtMs(state) < state.timing.heartbeatMs * 2;
   if (isMissing) {
     appendConfiguration(state, { ...configuration, isDurabilityWaived: true });
-    state.event("durabilityWaived");
+    state.emitEvent("durabilityWaived");
   }
 }
 
-/** Asks for a durable voter again once one keeps all that is committed. */
+/** Requires a durable voter again once one stores all committed entries. */
 function restoreDurability(state: RaftState): void {
   const { configuration } = state;
-  const isBack = configuration.isDurabilityWaived &&
+  const isRestored = configuration.isDurabilityWaived &&
     durableVoters(configuration).some((voter) =>
       voter.id === state.selfId ||
       (state.progress.get(voter.id)?.matchIndex ?? 0) >= state.commitIndex
     );
-  if (isBack) {
+  if (isRestored) {
     appendConfiguration(state, { ...configuration, isDurabilityWaived: false });
-    state.event("durabilityRestored");
+    state.emitEvent("durabilityRestored");
   }
 }
 
@@ -101,23 +101,26 @@
   return configuration.voters.filter((voter) => voter.isDurable);
 }
 
-/** Whether the voters that answer suffice for the configuration. */
+/** Whether the voters that answer suffice to commit under the configuration. */
 function canCommitUnder(
   state: RaftState,
   configuration: GroupConfiguration,
 ): boolean {
-  const answers = (id: InstanceId) =>
-    id === state.selfId || isHeardFrom(state, id);
-  return isCommitQuorum(configuration, state.evidence(answers));
+  const hasReplied = (id: InstanceId) =>
+    id === state.selfId || hasRepliedRecently(state, id);
+  return isCommitQuorum(configuration, state.evidence(hasReplied));
 }
 
-function isHeardFrom(state: RaftState, id: InstanceId): boolean {
+function hasRepliedRecently(state: RaftState, id: InstanceId): boolean {
   const progress = state.progress.get(id);
-  return progress !== undefined && !state.isForgotten(id) &&
+  return progress !== undefined && !state.hasLostState(id) &&
     state.nowMs - progress.answeredSentAtMs < state.timing.electionMaxMs;
 }
 
-/** An operator takes a member out for good; false when it can't be now. */
+/**
+ * Removes a member for good, as an operator requested; returns false if it
+ * can't be removed now.
+ */
 export function removeMember(state: RaftState, id: InstanceId): boolean {
   const { configuration } = state;
   if (configuration.removedIds.includes(id)) {
@@ -138,8 +141,9 @@
 }
 
 /**
- * A member is let in to vote, also beyond the wanted number, and if it was
- * removed before; it votes once it has caught up.
+ * Makes a member a voter, even beyond the target number of voters or after its
+ * removal, once it has caught up. Returns false if the voters can't be changed
+ * now.
  */
 export function addMember(state: RaftState, id: InstanceId): boolean {
   const { configuration } = state;
@@ -155,7 +159,7 @@
   }
   const progress = state.progress.get(id);
   if (progress !== undefined && isReadyToVote(state, progress)) {
-    giveVote(state, progress);
+    promoteToVoter(state, progress);
   }
   return true;
 }
--- a/src/process/replication/peer_calls.ts
+++ b/src/process/replication/peer_calls.ts
@@ -1,66 +1,66 @@
 /**
- * Questions to other members that await an answer.
+ * Calls to other members that await a reply.
  *
  * @module
  */
 
 import type { RaftMessageOf } from "./raft_message.ts";
 
-/** An answer to a question. */
-export type PeerAnswer = RaftMessageOf<"proposeReply" | "readReply">;
+/** A reply to a call. */
+export type PeerReply = RaftMessageOf<"proposeReply" | "readReply">;
 
-/** Calls that a member remembers having taken, so as to take none twice. */
-const SEEN_LIMIT = 8_192;
+/** How many received calls a member remembers to detect duplicates. */
+const SEEN_CALLS_LIMIT = 8_192;
 
-/** The open questions of one member. */
+/** The pending calls of one member. */
 export class PeerCalls {
   #nextId: number;
-  #waiting = new Map<number, (answer: PeerAnswer | undefined) => void>();
+  #pending = new Map<number, (reply: PeerReply | undefined) => void>();
 
-  /** Identities go on from the clock, so that a restart repeats none. */
+  /** Ids start from the clock, so that a restart repeats none. */
   constructor(options: { nowMs: number }) {
     this.#nextId = Math.floor(Math.max(1, options.nowMs)) * 1_024;
   }
 
-  /** Opens a question; the listener gets undefined when none will come. */
-  open(listener: (answer: PeerAnswer | undefined) => void): number {
+  /** Registers a call; the listener gets undefined if no reply will come. */
+  open(listener: (reply: PeerReply | undefined) => void): number {
     const id = this.#nextId;
     this.#nextId += 1;
-    this.#waiting.set(id, listener);
+    this.#pending.set(id, listener);
     return id;
   }
 
-  answer(answer: PeerAnswer): void {
-    const listener = this.#waiting.get(answer.id);
-    this.#waiting.delete(answer.id);
-    listener?.(answer);
+  handleReply(reply: PeerReply): void {
+    const listener = this.#pending.get(reply.id);
+    this.#pending.delete(reply.id);
+    listener?.(reply);
   }
 
-  abandon(id: number): void {
-    this.#waiting.delete(id);
+  cancel(id: number): void {
+    this.#pending.delete(id);
   }
 
   endAll(): void {
-    const listeners = [...this.#waiting.values()];
-    this.#waiting.clear();
+    const listeners = [...this.#pending.values()];
+    this.#pending.clear();
     for (const listener of listeners) {
       listener(undefined);
     }
   }
 }
 
-/** Notices a call that came twice. */
-export class SeenCalls {
+/** Detects calls that arrive twice. */
+export class CallDeduplicator {
   #seen = new Set<string>();
 
-  /** True the first time that it is given this call. */
+  /** Whether this call has not been received before. */
   isNew(from: string, id: number): boolean {
     const key = `${from} ${id}`;
     if (this.#seen.has(key)) {
       return false;
     }
     this.#seen.add(key);
-    if (this.#seen.size > SEEN_LIMIT) {
+    if (this.#seen.size > SEEN_CALLS_LIMIT) {
       const [oldest] = this.#seen;
       this.#seen.delete(oldest!);
     }
--- a/src/process/replication/persist_pump.ts
+++ b/src/process/replication/persist_queue.ts
@@ -1,6 +1,6 @@
 /**
- * Carries persist effects out, one sync for as many as have gathered, and
- * holds back what must wait for them.
+ * Executes persist effects, with one sync for all that are queued, and holds
+ * back the messages that must wait for them.
  *
  * @module
  */
@@ -13,9 +13,9 @@
 import type { LogStore } from "./log_store.ts";
 import type { PersistEffect, SendEffect } from "./raft_effect.ts";
 
-/** What the pump is made from. */
-export interface PersistPumpOptions {
-  /** Where to persist; absent for a member that keeps nothing. */
+/** Options of {@link PersistQueue}. */
+export interface PersistQueueOptions {
+  /** Where to persist; absent for a member without a disk. */
   readonly store: LogStore | undefined;
   readonly send: (effect: SendEffect) => void;
   /** Everything up to this sequence is durable. */
@@ -24,16 +24,16 @@
   readonly onFailure: (error: SesameError) => void;
 }
 
-/** Orders sends after the syncs that they depend on. */
-export class PersistPump {
-  #options: PersistPumpOptions;
+/** Sends messages after the syncs that they depend on. */
+export class PersistQueue {
+  #options: PersistQueueOptions;
   #queue: PersistEffect[] = [];
-  #held: SendEffect[] = [];
+  #heldMessages: SendEffect[] = [];
   #persistedSequence = 0;
   #isRunning = false;
   #isStopped = false;
 
-  constructor(options: PersistPumpOptions) {
+  constructor(options: PersistQueueOptions) {
     this.#options = options;
   }
 
@@ -59,15 +59,15 @@
     if (effect.afterSequence <= this.#persistedSequence) {
       this.#options.send(effect);
     } else {
-      this.#held.push(effect);
+      this.#heldMessages.push(effect);
     }
   }
 
-  /** Nothing is sent or begun any more. */
+  /** Drops all queued effects and messages. */
   stop(): void {
     this.#isStopped = true;
     this.#queue = [];
-    this.#held = [];
+    this.#heldMessages = [];
   }
 
   async #run(): Promise<void> {
@@ -99,8 +99,12 @@
 
   #release(sequence: number): void {
     this.#persistedSequence = sequence;
-    const ready = this.#held.filter((held) => held.afterSequence <= sequence);
-    this.#held = this.#held.filter((held) => held.afterSequence > sequence);
+    const ready = this.#heldMessages.filter((message) =>
+      message.afterSequence <= sequence
+    );
+    this.#heldMessages = this.#heldMessages.filter((message) =>
+      message.afterSequence > sequence
+    );
     for (const effect of ready) {
       this.#options.send(effect);
     }
--- a/src/process/replication/persist_tracker.ts
+++ b/src/process/replication/persist_tracker.ts
@@ -1,5 +1,5 @@
 /**
- * Which changes of a member's state still have to be persisted, and which
+ * Which changes of a member's state are still to be persisted, and which
  * messages must wait for them.
  *
  * @module
@@ -14,7 +14,7 @@
   lastIndex: number;
 }
 
-/** Gathers changes into persist effects and counts them. */
+/** Collects changes into persist effects and numbers them. */
 export class PersistTracker {
   #issuedSequence = 0;
   #hardStateSequence = 0;
@@ -30,7 +30,7 @@
     this.#persistedIndex = options.lastIndex;
   }
 
-  /** The last entry of the log that is synced here. */
+  /** The last synced entry of this member's log. */
   get persistedIndex(): number {
     return this.#persistedIndex;
   }
@@ -39,17 +39,17 @@
     this.#entries.push(entry);
   }
 
-  /** A snapshot made here: entries stay. */
+  /** Adds a locally taken snapshot, which keeps the entries. */
   addSnapshot(snapshot: LogSnapshot): void {
     this.#snapshot = snapshot;
   }
 
-  /** A snapshot of the leader's, in place of all entries. */
+  /** Adds a snapshot that replaces all entries. */
   reset(snapshot: LogSnapshot): void {
     this.#entries = [];
     this.#snapshot = snapshot;
     this.#replacesEntries = true;
-    // Until the snapshot is synced, the disk may hold another history.
+    // Until the snapshot is synced, the disk may hold conflicting entries.
     this.#persistedIndex = 0;
     for (const issued of this.#issued) {
       issued.lastIndex = 0;
@@ -64,7 +64,7 @@
     }
   }
 
-  /** The changes since the last call, if there are any. */
+  /** Returns the changes since the last call, if there are any. */
   take(hardState: HardState): PersistEffect | undefined {
     const isChanged = !isSameHardState(hardState, this.#hardState);
     if (
@@ -80,7 +80,7 @@
       replacesEntries: this.#replacesEntries,
       entries: this.#entries,
     };
-    this.#remember(effect);
+    this.#recordIssued(effect);
     this.#hardState = hardState;
     this.#snapshot = undefined;
     this.#replacesEntries = false;
@@ -97,28 +97,29 @@
   }
 
   /**
-   * The persist effect that a message must wait for. A leader's entries may
-   * travel while it syncs them itself, and an answer that claims no entry but
-   * synced ones needn't wait for others; all else waits for all. A change of
-   * who votes must not travel ahead: if its leader forgot it in a crash, a
-   * member that holds it as the newest entry, and by it may not lead, would
-   * keep the leader of two from being elected again.
+   * The persist effect that a message must wait for. A leader's entries may be
+   * sent while it syncs them itself, and a reply that acknowledges only synced
+   * entries needn't wait for others: these wait only for the hard state, all
+   * other messages for all changes. An unsynced change of the configuration
+   * must not be sent: if its leader lost it in a crash, a member that has it as
+   * its newest entry, and may not lead because of it, would prevent the
+   * re-election of the leader in a group of two.
    */
   sequenceFor(message: RaftMessage): number {
-    const claimsNothingNew =
-      (message.kind === "append" && !this.#carriesNewVoters(message.entries)) ||
+    const needsOnlyHardState = (message.kind === "append" &&
+      !this.#hasUnsyncedConfiguration(message.entries)) ||
       (message.kind === "appendReply" &&
         (!message.isAccepted || message.index <= this.#persistedIndex));
-    return claimsNothingNew ? this.#hardStateSequence : this.#issuedSequence;
+    return needsOnlyHardState ? this.#hardStateSequence : this.#issuedSequence;
   }
 
-  #carriesNewVoters(entries: readonly LogEntry[]): boolean {
+  #hasUnsyncedConfiguration(entries: readonly LogEntry[]): boolean {
     return entries.some((entry) =>
       entry.kind === "configuration" && entry.index > this.#persistedIndex
     );
   }
 
-  #remember(effect: PersistEffect): void {
+  #recordIssued(effect: PersistEffect): void {
     if (effect.hardState !== undefined) {
       this.#hardStateSequence = effect.sequence;
     }
--- a/src/process/replication/proposal_table.ts
+++ b/src/process/replication/proposal_table.ts
@@ -1,73 +1,77 @@
 /**
- * Commands on their way: those in this leader's log, and those that were
- * passed on to another leader.
+ * Proposed commands that wait for their result: those about to be appended to
+ * this leader's log, and those in it.
  *
  * @module
  */
 
-/** How a command ended. */
-export type ProposalEnd<Outcome> =
+/** The result of a proposed command. */
+export type ProposalResult<Outcome> =
   | { readonly kind: "applied"; readonly outcome: Outcome }
-  /** It never got into a log. */
+  /** It was never appended to a log. */
   | { readonly kind: "notAppended" }
-  /** Another entry was committed in its place. */
+  /** Another entry was committed at its index. */
   | { readonly kind: "discarded" }
-  /** It may be committed still. */
+  /** It may still be committed. */
   | { readonly kind: "unknown" };
 
-/** Called once, when it is known how the command ended. */
-export type ProposalListener<Outcome> = (end: ProposalEnd<Outcome>) => void;
+/** Called once, when the result of the command is known. */
+export type ProposalListener<Outcome> = (
+  result: ProposalResult<Outcome>,
+) => void;
 
-interface LoggedProposal<Outcome> {
+interface AppendedProposal<Outcome> {
   readonly term: number;
   readonly listener: ProposalListener<Outcome>;
 }
 
-/** Who waits for which command. */
+/** The listeners of proposed commands. */
 export class ProposalTable<Outcome> {
-  #unlogged = new Map<number, ProposalListener<Outcome>>();
-  #logged = new Map<number, LoggedProposal<Outcome>>();
+  #unappended = new Map<number, ProposalListener<Outcome>>();
+  #appended = new Map<number, AppendedProposal<Outcome>>();
   #nextToken = 1;
 
-  /** Whether nobody waits. */
+  /** Whether no proposal is pending. */
   get isEmpty(): boolean {
-    return this.#unlogged.size === 0 && this.#logged.size === 0;
+    return this.#unappended.size === 0 && this.#appended.size === 0;
   }
 
-  /** Registers a command that is about to go into the log. */
+  /** Registers a command that is about to be appended. */
   add(listener: ProposalListener<Outcome>): number {
     const token = this.#nextToken;
     this.#nextToken += 1;
-    this.#unlogged.set(token, listener);
+    this.#unappended.set(token, listener);
     return token;
   }
 
-  markLogged(token: number, place: { index: number; term: number }): void {
-    const listener = this.#unlogged.get(token);
-    this.#unlogged.delete(token);
+  markAppended(token: number, position: { index: number; term: number }): void {
+    const listener = this.#unappended.get(token);
+    this.#unappended.delete(token);
     if (listener !== undefined) {
-      // The entry that stood there is gone from this log, but another member
-      // may have it still and commit it once this one leads no more.
-      this.#end(place.index, { kind: "unknown" });
-      this.#logged.set(place.index, { term: place.term, listener });
+      // The earlier entry at this index is gone from this log, but another
+      // member may still have it and commit it after this one stops leading.
+      this.#finish(position.index, { kind: "unknown" });
+      this.#appended.set(position.index, { term: position.term, listener });
     }
   }
 
-  markRefused(token: number): void {
-    const listener = this.#unlogged.get(token);
-    this.#unlogged.delete(token);
+  markRejected(token: number): void {
+    const listener = this.#unappended.get(token);
+    this.#unappended.delete(token);
     listener?.({ kind: "notAppended" });
   }
 
-  /** The entry at `index` was applied; `command` is absent for others. */
+  /**
+   * The entry at `index` was applied; `command` is undefined for other kinds.
+   */
   markApplied(
     index: number,
     applied: { term: number; command: { outcome: Outcome } | undefined },
   ): void {
     const { command } = applied;
-    const isSame = this.#logged.get(index)?.term === applied.term &&
+    const isSame = this.#appended.get(index)?.term === applied.term &&
       command !== undefined;
-    this.#end(
+    this.#finish(
       index,
       isSame
         ? { kind: "applied", outcome: command.outcome }
@@ -75,26 +79,26 @@
     );
   }
 
-  /** A snapshot went past these entries. */
+  /** A snapshot replaced these entries. */
   markSkipped(throughIndex: number): void {
-    for (const index of [...this.#logged.keys()]) {
+    for (const index of [...this.#appended.keys()]) {
       if (index <= throughIndex) {
-        this.#end(index, { kind: "unknown" });
+        this.#finish(index, { kind: "unknown" });
       }
     }
   }
 
-  /** Nothing more will be heard. */
-  endAll(): void {
-    for (const token of [...this.#unlogged.keys()]) {
-      this.markRefused(token);
+  /** Ends all proposals, as no more results will arrive. */
+  finishAll(): void {
+    for (const token of [...this.#unappended.keys()]) {
+      this.markRejected(token);
     }
     this.markSkipped(Infinity);
   }
 
-  #end(index: number, end: ProposalEnd<Outcome>): void {
-    const proposal = this.#logged.get(index);
-    this.#logged.delete(index);
-    proposal?.listener(end);
+  #finish(index: number, result: ProposalResult<Outcome>): void {
+    const proposal = this.#appended.get(index);
+    this.#appended.delete(index);
+    proposal?.listener(result);
   }
 }
--- a/src/process/replication/proposal_table_test.ts
+++ b/src/process/replication/proposal_table_test.ts
@@ -1,42 +1,42 @@
 import test from "ava";
-import { type ProposalEnd, ProposalTable } from "./proposal_table.ts";
+import { type ProposalResult, ProposalTable } from "./proposal_table.ts";
 
-/** A command at index 5 of term 2, and how it ended. */
-function loggedProposal() {
+/** A command at index 5 of term 2, and its results. */
+function appendedProposal() {
   const table = new ProposalTable<string>();
-  const ends: ProposalEnd<string>[] = [];
-  const token = table.add((end) => ends.push(end));
-  table.markLogged(token, { index: 5, term: 2 });
-  return { table, ends };
+  const results: ProposalResult<string>[] = [];
+  const token = table.add((result) => results.push(result));
+  table.markAppended(token, { index: 5, term: 2 });
+  return { table, results };
 }
 
-test("a command ends with what its entry gave", (t) => {
-  const { table, ends } = loggedProposal();
+test("the result of a command is the outcome of its entry", (t) => {
+  const { table, results } = appendedProposal();
   table.markApplied(4, { term: 2, command: { outcome: "another" } });
-  t.deepEqual(ends, []);
+  t.deepEqual(results, []);
   table.markApplied(5, { term: 2, command: { outcome: "done" } });
-  t.deepEqual(ends, [{ kind: "applied", outcome: "done" }]);
+  t.deepEqual(results, [{ kind: "applied", outcome: "done" }]);
 });
 
-test("only another committed entry proves that it won't be run", (t) => {
-  const committed = loggedProposal();
+test("a command is discarded only by another committed entry", (t) => {
+  const committed = appendedProposal();
   committed.table.markApplied(5, { term: 3, command: { outcome: "other" } });
-  t.deepEqual(committed.ends, [{ kind: "discarded" }]);
-  // Overwritten here, it may stand in another log.
-  const overwritten = loggedProposal();
+  t.deepEqual(committed.results, [{ kind: "discarded" }]);
+  // An entry that was overwritten here may still be in another log.
+  const overwritten = appendedProposal();
   const token = overwritten.table.add(() => undefined);
-  overwritten.table.markLogged(token, { index: 5, term: 4 });
-  t.deepEqual(overwritten.ends, [{ kind: "unknown" }]);
-  const skipped = loggedProposal();
+  overwritten.table.markAppended(token, { index: 5, term: 4 });
+  t.deepEqual(overwritten.results, [{ kind: "unknown" }]);
+  const skipped = appendedProposal();
   skipped.table.markSkipped(9);
-  t.deepEqual(skipped.ends, [{ kind: "unknown" }]);
+  t.deepEqual(skipped.results, [{ kind: "unknown" }]);
 });
 
-test("at the end nothing is left waiting", (t) => {
-  const { table, ends } = loggedProposal();
-  const unlogged: ProposalEnd<string>[] = [];
-  table.add((end) => unlogged.push(end));
-  table.endAll();
-  t.deepEqual(ends, [{ kind: "unknown" }]);
-  t.deepEqual(unlogged, [{ kind: "notAppended" }]);
+test("finishAll ends every pending command", (t) => {
+  const { table, results } = appendedProposal();
+  const unappended: ProposalResult<string>[] = [];
+  table.add((result) => unappended.push(result));
+  table.finishAll();
+  t.deepEqual(results, [{ kind: "unknown" }]);
+  t.deepEqual(unappended, [{ kind: "notAppended" }]);
 });
--- a/src/process/replication/raft_core.ts
+++ b/src/process/replication/raft_core.ts
@@ -1,13 +1,13 @@
 /**
- * The consensus of one member as a pure state machine: inputs go in with
- * their moment, effects come out. Raft with pre-votes, leader leases,
- * snapshots, single-server membership changes and members without a vote.
+ * The Raft core of one member as a pure state machine: a step takes inputs and
+ * the current time and returns effects. It implements pre-votes, leader leases,
+ * snapshots, single-server membership changes and learners.
  *
  * @module
  */
 
 import type { InstanceId } from "../../base/identity.ts";
-import { isForThisMember, noteForgotten } from "./envelope_filter.ts";
+import { isForThisMember, markStateLost } from "./envelope_filter.ts";
 import {
   handleHandOver,
   handlePreVote,
@@ -17,10 +17,10 @@
 } from "./election.ts";
 import { handleAppend, handleSnapshotChunk } from "./follower.ts";
 import {
-  attend,
   handleFollow,
   handleRedirect,
   tickFollowing,
+  trackMember,
 } from "./following.ts";
 import {
   handleFormPledge,
@@ -53,12 +53,12 @@
 } from "./raft_state.ts";
 import { becomeFollower } from "./role.ts";
 
-/** What others may know of a core. */
+/** The part of a core's state that others may read. */
 export type RaftView = Pick<
   RaftState,
   | "role"
   | "progress"
-  | "leadsSinceMs"
+  | "leaderSinceMs"
   | "term"
   | "leaderId"
   | "commitIndex"
@@ -69,7 +69,7 @@
   | "log"
 >;
 
-/** One member's consensus. */
+/** The Raft core of one member. */
 export class RaftCore {
   #state: RaftState;
 
@@ -78,7 +78,7 @@
     this.#state = state;
     if (!state.isFresh) {
       becomeFollower(state, { term: state.term, leaderId: undefined });
-      askSoon(state);
+      scheduleEarlyElection(state);
     }
   }
 
@@ -86,13 +86,16 @@
     return this.#state;
   }
 
-  /** Takes inputs in at a moment and gives what must be done, in order. */
+  /**
+   * Processes inputs at the given time and returns the effects to execute, in
+   * order.
+   */
   step(inputs: readonly RaftInput[], nowMs: number): RaftEffect[] {
     const state = this.#state;
     state.nowMs = nowMs;
     const lastIndex = state.log.lastIndex;
     for (const input of inputs) {
-      this.#take(input);
+      this.#handleInput(input);
     }
     if (state.isLeader && state.log.lastIndex !== lastIndex) {
       broadcast(state);
@@ -100,19 +103,19 @@
     return state.takeEffects();
   }
 
-  /** Till when this leader may act alone; zero when it doesn't lead. */
+  /** When this leader's lease ends; zero if it doesn't lead. */
   leaseEndMs(nowMs: number): number {
     this.#state.nowMs = nowMs;
     return leaseEndMs(this.#state);
   }
 
-  /** Whether this member leads for certain at this moment. */
+  /** Whether this member leads under a valid lease. */
   isLeaseHeld(nowMs: number): boolean {
     this.#state.nowMs = nowMs;
     return isLeaseHeld(this.#state);
   }
 
-  /** When this member's copy was last known to be current. */
+  /** The latest time at which this member's copy was known to be current. */
   currentAtMs(nowMs: number): number {
     const state = this.#state;
     state.nowMs = nowMs;
@@ -125,30 +128,33 @@
   }
 
   /**
-   * Whether a command that is acknowledged now outlasts the loss of any one
-   * member. After a restart of all members it waits for a second one.
+   * Whether a command that is acknowledged now survives the loss of any one
+   * member. False after a restart of all members until a second one is back.
    */
   isRedundant(): boolean {
     const state = this.#state;
-    const wanted = state.options.members.filter((member) => member.isVoter);
-    const removed = state.configuration.removedIds.length;
-    const alive = state.configuration.voters.filter((voter) =>
-      !state.isForgotten(voter.id)
+    const configuredVoters = state.options.members.filter((member) =>
+      member.isVoter
+    );
+    const removedCount = state.configuration.removedIds.length;
+    const votersWithState = state.configuration.voters.filter((voter) =>
+      !state.hasLostState(voter.id)
     );
-    return alive.length >= Math.min(2, wanted.length - removed);
+    return votersWithState.length >=
+      Math.min(2, configuredVoters.length - removedCount);
   }
 
-  #take(input: RaftInput): void {
+  #handleInput(input: RaftInput): void {
     const state = this.#state;
     switch (input.kind) {
       case "tick":
         return tick(state);
       case "message":
-        return this.#takeMessage(input);
+        return this.#handleEnvelope(input);
       case "propose":
         return handleProposal(state, input);
       case "persisted":
-        state.persists.markPersisted(input.sequence);
+        state.persistTracker.markPersisted(input.sequence);
         return advance(state);
       case "snapshotMade":
         return compact(state, input);
@@ -163,7 +169,7 @@
     }
   }
 
-  #takeMessage(input: RaftInputOf<"message">): void {
+  #handleEnvelope(input: RaftInputOf<"message">): void {
     const { from, envelope } = input;
     const state = this.#state;
     if (isForThisMember(state, from, envelope)) {
@@ -179,10 +185,10 @@
 }
 
 /**
- * A voter that restarts asks soon whether there is a leader: if all of them
- * restarted, or the leader did, there is none, and nothing to wait for.
+ * Lets a restarted voter start an election early: if all members restarted, or
+ * the leader did, there is no leader to wait for.
  */
-function askSoon(state: RaftState): void {
+function scheduleEarlyElection(state: RaftState): void {
   const { voters } = state.configuration;
   const { retryMinMs, retryMaxMs } = state.timing;
   if (state.isVoterNow()) {
@@ -218,7 +224,7 @@
     data: input.data,
   };
   state.log.compact(snapshot, state.timing.tailEntries);
-  state.persists.addSnapshot(snapshot);
+  state.persistTracker.addSnapshot(snapshot);
 }
 
 function declareLost(state: RaftState, id: InstanceId): void {
@@ -228,15 +234,15 @@
   state.declaredLost.add(id);
   const voter = findVoter(state.configuration, id);
   if (voter !== undefined) {
-    noteForgotten(state, id, voter.incarnation);
+    markStateLost(state, id, voter.incarnation);
   }
 }
 
-/** A member that holds nothing belongs to the first group that serves it. */
+/** A member without group state joins the first group that sends it its log. */
 function adoptGroup(state: RaftState, envelope: RaftEnvelope): void {
   const { kind } = envelope.message;
-  const isServed = kind === "append" || kind === "snapshotChunk";
-  if (state.isFresh && isServed) {
+  const carriesLog = kind === "append" || kind === "snapshotChunk";
+  if (state.isFresh && carriesLog) {
     state.formationId = envelope.formationId;
   }
 }
@@ -250,7 +256,7 @@
   switch (message.kind) {
     case "preVote":
       handlePreVote(state, from, message);
-      return tellRemoved(state, from);
+      return notifyRemovedVoter(state, from);
     case "vote":
       return handleVote(state, from, message);
     case "voteReply":
@@ -263,7 +269,7 @@
     case "snapshotReply":
       return handleReply(state, from, message);
     case "follow":
-      takeTerm(state, message.term);
+      adoptTerm(state, message.term);
       return handleFollow(state, from, message);
     case "redirect":
       return handleRedirect(state, message);
@@ -279,12 +285,12 @@
     case "proposeReply":
     case "read":
     case "readReply":
-      // Dealt with before they get here.
+      // LeaderCalls handles these before they get here.
       return;
   }
 }
 
-function takeTerm(state: RaftState, term: number): void {
+function adoptTerm(state: RaftState, term: number): void {
   if (term > state.term) {
     becomeFollower(state, { term, leaderId: undefined });
   }
@@ -295,11 +301,11 @@
   from: Sender,
   message: Extract<RaftMessage, { kind: "appendReply" | "snapshotReply" }>,
 ): void {
-  takeTerm(state, message.term);
+  adoptTerm(state, message.term);
   const progress = state.progress.get(from.id);
-  const isCounted = state.isLeader && message.term === state.term &&
+  const isCurrent = state.isLeader && message.term === state.term &&
     progress?.incarnation === from.incarnation;
-  if (!isCounted) {
+  if (!isCurrent) {
     return;
   }
   if (message.kind === "appendReply") {
@@ -313,12 +319,15 @@
   }
 }
 
-/** A voter that missed its own removal would campaign for ever. */
-function tellRemoved(state: RaftState, from: Sender): void {
+/**
+ * Informs a voter that was removed: if it missed the removal, it would campaign
+ * forever.
+ */
+function notifyRemovedVoter(state: RaftState, from: Sender): void {
   const isRemoved = state.isLeader &&
     findVoter(state.configuration, from.id) === undefined;
   if (isRemoved) {
-    const progress = attend(state, from);
+    const progress = trackMember(state, from);
     if (progress !== undefined) {
       sendHeartbeat(state, progress);
     }
--- a/src/process/replication/raft_core_fuzz_test.ts
+++ b/src/process/replication/raft_core_fuzz_test.ts
@@ -9,7 +9,7 @@
   sessionProperty,
 } from "./testing/fault_session.ts";
 
-/** Sessions for each group. */
+/** Sessions per group. */
 const SESSIONS = 100;
 
 const GROUPS: Readonly<Record<string, readonly GroupMember[]>> = {
@@ -25,7 +25,7 @@
 };
 
 for (const [name, members] of Object.entries(GROUPS)) {
-  test(`sessions with faults keep every promise: ${name}`, (t) => {
+  test(`all invariants hold in sessions with faults: ${name}`, (t) => {
     t.notThrows(() =>
       fc.assert(sessionProperty({ members }), {
         seed: 41,
@@ -36,16 +36,16 @@
   });
 }
 
-/** Faults that the sessions find by themselves. */
+/** Faults that random sessions detect. */
 const FOUND_BY_SESSIONS: readonly RaftMutation[] = [
-  RaftMutation.forgottenMemberVotes,
+  RaftMutation.lostMemberKeepsIncarnation,
   RaftMutation.leaseTooLong,
   RaftMutation.votesForOlderLog,
   RaftMutation.formsWithoutAll,
 ];
 
 for (const mutation of FOUND_BY_SESSIONS) {
-  test(`sessions notice the fault: ${mutation}`, (t) => {
+  test(`sessions detect the fault: ${mutation}`, (t) => {
     const members = GROUPS["one disk of three"]!;
     const property = sessionProperty({ members, mutations: [mutation] });
     const run = fc.check(property, {
--- a/src/process/replication/raft_core_test.ts
+++ b/src/process/replication/raft_core_test.ts
@@ -10,7 +10,7 @@
 import { EMPTY_SNAPSHOT } from "./raft_log.ts";
 import { REPLICATION_TIMING } from "./replication_timing.ts";
 import { disks, learners, memories, recover } from "./testing/fault_session.ts";
-import { BrokenPromise } from "./testing/group_oracle.ts";
+import { InvariantViolation } from "./testing/group_oracle.ts";
 import {
   RaftSimulation,
   type RaftSimulationOptions,
@@ -18,11 +18,13 @@
 
 type Scenario = (simulation: RaftSimulation) => void;
 
-/** A story that ends well, but with the fault, in a broken promise. */
+/**
+ * A scenario that succeeds, but violates an invariant if the fault is injected.
+ */
 interface FaultScenario {
   readonly mutation: RaftMutation;
   readonly options: Omit<RaftSimulationOptions, "seed" | "mutations">;
-  readonly play: Scenario;
+  readonly run: Scenario;
 }
 
 function leaderOf(simulation: RaftSimulation): string {
@@ -33,7 +35,11 @@
   return simulation.ids.filter((other) => other !== id);
 }
 
-function separate(simulation: RaftSimulation, one: string, two: string): void {
+function cutBothWays(
+  simulation: RaftSimulation,
+  one: string,
+  two: string,
+): void {
   simulation.cut(one, two);
   simulation.cut(two, one);
 }
@@ -48,7 +54,7 @@
   {
     mutation: RaftMutation.answersBeforeSync,
     options: { members: disks("a", "b", "c"), syncMs: 900 },
-    play: (simulation) => {
+    run: (simulation) => {
       simulation.run(5_000);
       simulation.proposeToLeader();
       simulation.run(80);
@@ -56,21 +62,21 @@
     },
   },
   {
-    mutation: RaftMutation.promiseBroken,
+    mutation: RaftMutation.votesDespiteLeader,
     options: { members: disks("a", "b", "c") },
-    play: (simulation) => {
+    run: (simulation) => {
       const leader = leaderOf(simulation);
-      separate(simulation, leader, others(simulation, leader)[0]!);
+      cutBothWays(simulation, leader, others(simulation, leader)[0]!);
       simulation.run(6_000);
     },
   },
   {
-    mutation: RaftMutation.promiseForgottenOnRestart,
+    mutation: RaftMutation.votesRightAfterRestart,
     options: { members: disks("a", "b", "c") },
-    play: (simulation) => {
+    run: (simulation) => {
       const leader = leaderOf(simulation);
-      const [cutOff, between] = others(simulation, leader);
-      separate(simulation, leader, cutOff!);
+      const [isolated, between] = others(simulation, leader);
+      cutBothWays(simulation, leader, isolated!);
       simulation.run(3_000);
       for (let at = 0; at < 5; at++) {
         simulation.crash(between!);
@@ -80,16 +86,16 @@
     },
   },
   {
-    mutation: RaftMutation.leaderDenied,
+    mutation: RaftMutation.deniesKnownLeader,
     options: { members: disks("a", "b", "c"), delayMs: 40 },
-    play: (simulation) => {
+    run: (simulation) => {
       for (let at = 0; at < 40; at++) {
         const leader = leaderOf(simulation);
         const restarted = others(simulation, leader)[0]!;
         simulation.crash(restarted);
         simulation.start(restarted);
         simulation.run(200 + at * 10);
-        separate(simulation, leader, restarted);
+        cutBothWays(simulation, leader, restarted);
         simulation.run(700);
         simulation.heal();
         simulation.run(4_000);
@@ -99,7 +105,7 @@
   {
     mutation: RaftMutation.commitsWithoutDurable,
     options: { members: [...memories("a", "b"), ...disks("c")] },
-    play: (simulation) => {
+    run: (simulation) => {
       simulation.isolate("c");
       simulation.run(300);
       simulation.proposeToLeader();
@@ -110,12 +116,12 @@
   {
     mutation: RaftMutation.changesOverlap,
     options: { members: disks("a", "b", "c", "d", "e") },
-    play: (simulation) => {
+    run: (simulation) => {
       const leader = leaderOf(simulation);
       const [near, ...far] = others(simulation, leader);
       for (const id of far) {
-        separate(simulation, id, leader);
-        separate(simulation, id, near!);
+        cutBothWays(simulation, id, leader);
+        cutBothWays(simulation, id, near!);
       }
       simulation.input(leader, { kind: "removeMember", id: far[0]! });
       simulation.input(leader, { kind: "removeMember", id: far[1]! });
@@ -128,7 +134,7 @@
       members: [...disks("a", "b", "c"), ...learners("d")],
       delayMs: 200,
     },
-    play: (simulation) => {
+    run: (simulation) => {
       for (let at = 0; at < 100; at++) {
         simulation.proposeToLeader();
         simulation.run(70);
@@ -137,7 +143,7 @@
   },
 ];
 
-function playOut(scenario: FaultScenario, mutations: RaftMutation[]): void {
+function runScenario(scenario: FaultScenario, mutations: RaftMutation[]): void {
   for (let seed = 1; seed <= 8; seed++) {
     const simulation = new RaftSimulation({
       ...scenario.options,
@@ -146,16 +152,16 @@
     });
     simulation.startAll();
     simulation.run(3_000);
-    scenario.play(simulation);
+    scenario.run(simulation);
     recover(simulation);
   }
 }
 
 for (const scenario of SCENARIOS) {
-  test(`a story ends well, but not with: ${scenario.mutation}`, (t) => {
-    t.notThrows(() => playOut(scenario, []));
-    t.throws(() => playOut(scenario, [scenario.mutation]), {
-      instanceOf: BrokenPromise,
+  test(`a scenario succeeds, but not with: ${scenario.mutation}`, (t) => {
+    t.notThrows(() => runScenario(scenario, []));
+    t.throws(() => runScenario(scenario, [scenario.mutation]), {
+      instanceOf: InvariantViolation,
     });
   });
 }
@@ -192,10 +198,12 @@
   });
 }
 
-/** A voter of term 1, and a way to let it hear its peers b and c. */
+/**
+ * A voter in term 1, and a function that delivers messages from b and c to it.
+ */
 function voterOfTermOne(mutations: RaftMutation[] = []) {
   const core = coreOfTermOne(mutations, []);
-  const hear = (from: string, message: RaftMessage) =>
+  const receive = (from: string, message: RaftMessage) =>
     core.step([{
       kind: "message",
       from,
@@ -206,7 +214,7 @@
         message,
       },
     }], 10);
-  return { core, hear };
+  return { core, receive };
 }
 
 function voteReplies(effects: readonly RaftEffect[]) {
@@ -217,27 +225,27 @@
   );
 }
 
-const ASKED_IN_TERM_5 = {
+const PRE_VOTE_OF_TERM_5 = {
   kind: "preVote",
   term: 5,
   lastIndex: 0,
   lastTerm: 0,
 } as const;
 
-test("one that restarted grants nothing, but is willing without a leader", (t) => {
-  const { core, hear } = voterOfTermOne();
-  const [reply] = voteReplies(hear("b", ASKED_IN_TERM_5));
+test("a restarted voter grants no vote, but is willing without a leader", (t) => {
+  const { core, receive } = voterOfTermOne();
+  const [reply] = voteReplies(receive("b", PRE_VOTE_OF_TERM_5));
   t.false(reply?.isGranted);
   t.true(reply?.isWilling);
-  t.is(core.view.term, 4, "it is elected in no term before");
-  const lax = voterOfTermOne([RaftMutation.staysInEarlierTerm]);
-  lax.hear("b", ASKED_IN_TERM_5);
-  t.is(lax.core.view.term, 1);
+  t.is(core.view.term, 4, "it can't be elected in an earlier term");
+  const mutant = voterOfTermOne([RaftMutation.staysInEarlierTerm]);
+  mutant.receive("b", PRE_VOTE_OF_TERM_5);
+  t.is(mutant.core.view.term, 1);
 });
 
-test("one that follows a leader is willing for that leader only", (t) => {
-  const { hear } = voterOfTermOne();
-  hear("b", {
+test("a follower is willing to vote for its own leader only", (t) => {
+  const { receive } = voterOfTermOne();
+  receive("b", {
     kind: "append",
     term: 2,
     previousIndex: 0,
@@ -248,11 +256,11 @@
     stampMs: 0,
     isLeaseHeld: false,
   });
-  t.false(voteReplies(hear("c", ASKED_IN_TERM_5))[0]?.isWilling);
-  t.true(voteReplies(hear("b", ASKED_IN_TERM_5))[0]?.isWilling);
+  t.false(voteReplies(receive("c", PRE_VOTE_OF_TERM_5))[0]?.isWilling);
+  t.true(voteReplies(receive("b", PRE_VOTE_OF_TERM_5))[0]?.isWilling);
 });
 
-test("a group that restarts whole elects a leader before its promises end", (t) => {
+test("a restarted group elects a leader while votes are still withheld", (t) => {
   const simulation = new RaftSimulation({
     members: disks("a", "b", "c"),
     seed: 1,
@@ -271,7 +279,7 @@
     { index: 1, term: 1, kind: "command", data: pack(1) },
   ]);
   const step = (input: RaftInput): RaftEffect[] => core.step([input], 5_000);
-  const hear = (message: RaftMessage) =>
+  const receive = (message: RaftMessage) =>
     step({
       kind: "message",
       from: "b",
@@ -284,7 +292,7 @@
     });
   step({ kind: "tick" });
   for (const isPreVote of [true, false]) {
-    hear({
+    receive({
       kind: "voteReply",
       term: 2,
       isPreVote,
@@ -294,7 +302,7 @@
   }
   step({ kind: "persisted", sequence: 10 });
   const acknowledge = (index: number) =>
-    hear({
+    receive({
       kind: "appendReply",
       term: 2,
       isAccepted: true,
@@ -305,7 +313,7 @@
   return { core, acknowledge };
 }
 
-test("an entry of an earlier term is committed by a later one only", (t) => {
+test("an entry of an earlier term is committed only by one of the leader's term", (t) => {
   const { core, acknowledge } = leaderWithOldEntry([]);
   t.is(core.view.role, "leader");
   acknowledge(1);
@@ -317,7 +325,7 @@
   t.is(mutant.core.view.commitIndex, 1);
 });
 
-test("a snapshot that comes late drops no acknowledged entry", (t) => {
+test("a late snapshot drops no acknowledged entry", (t) => {
   const { core, acknowledge } = leaderWithOldEntry([]);
   acknowledge(2);
   const entries = [3, 4].map((index) => ({
@@ -326,7 +334,7 @@
     kind: "command" as const,
     data: pack(index),
   }));
-  const hear = (message: RaftMessage) =>
+  const receive = (message: RaftMessage) =>
     core.step([{
       kind: "message",
       from: "c",
@@ -337,7 +345,7 @@
         message,
       },
     }], 5_100);
-  hear({
+  receive({
     kind: "append",
     term: 3,
     previousIndex: 2,
@@ -349,7 +357,7 @@
     isLeaseHeld: false,
   });
   t.is(core.view.log.lastIndex, 4);
-  hear({
+  receive({
     kind: "snapshotChunk",
     term: 3,
     index: 3,
@@ -364,21 +372,21 @@
   t.is(core.view.log.lastIndex, 4);
 });
 
-test("a cut-off leader that changed voters alone doesn't go on", (t) => {
+test("a leader isolated while it removes a voter doesn't lead alone", (t) => {
   for (let seed = 1; seed <= 30; seed++) {
     const members = memories("a", "b", "c");
     const simulation = new RaftSimulation({ members, seed });
     simulation.startAll();
     simulation.run(3_000);
     const leader = leaderOf(simulation);
-    const [forgetful, removed] = others(simulation, leader);
+    const [restarted, removed] = others(simulation, leader);
     simulation.isolate(leader);
     simulation.input(leader, { kind: "removeMember", id: removed! });
     simulation.run(3_000);
     simulation.proposeToLeader();
     simulation.run(300);
-    simulation.crash(forgetful!);
-    simulation.start(forgetful!);
+    simulation.crash(restarted!);
+    simulation.start(restarted!);
     t.notThrows(() => recover(simulation), `seed ${seed}`);
   }
 });
--- a/src/process/replication/raft_effect.ts
+++ b/src/process/replication/raft_effect.ts
@@ -1,5 +1,5 @@
 /**
- * What goes into the core of a member and what comes out of it.
+ * Inputs and effects of a member's Raft core.
  *
  * @module
  */
@@ -8,12 +8,12 @@
 import type { HardState, LogEntry, LogSnapshot } from "./log_entry.ts";
 import type { RaftEnvelope, RaftMessage } from "./raft_message.ts";
 
-/** One member of a group as the settings name it. */
+/** One member of a group, as configured. */
 export interface GroupMember {
   readonly id: InstanceId;
-  /** Whether it is to vote; the others follow for good. */
+  /** Whether it may vote; other members stay learners. */
   readonly isVoter: boolean;
-  /** Whether it keeps its log on a disk. */
+  /** Whether it stores its log on a disk. */
   readonly isDurable: boolean;
 }
 
@@ -25,7 +25,7 @@
     readonly from: InstanceId;
     readonly envelope: RaftEnvelope;
   }
-  /** A command for the leader; see {@link ProposalTaken}. */
+  /** Answered by {@link ProposalTaken} or {@link ProposalRefused}. */
   | {
     readonly kind: "propose";
     readonly token: number;
@@ -33,7 +33,7 @@
   }
   /** Everything up to this persist effect is synced. */
   | { readonly kind: "persisted"; readonly sequence: number }
-  /** The state machine's copy of itself after the entry at `index`. */
+  /** A snapshot of the state machine after the entry at `index`. */
   | {
     readonly kind: "snapshotMade";
     readonly index: number;
@@ -42,7 +42,7 @@
   | { readonly kind: "handOver" }
   | { readonly kind: "addMember"; readonly id: InstanceId }
   | { readonly kind: "removeMember"; readonly id: InstanceId }
-  /** An operator vouches that this member's state is gone for good. */
+  /** An operator declares that the member's state is lost for good. */
   | { readonly kind: "declareLost"; readonly id: InstanceId };
 
 /** An effect that the runtime must carry out, in order. */
@@ -51,8 +51,8 @@
   | PersistEffect
   | RestoreEffect
   | CommitEffect
-  | ProposalTaken
-  | ProposalRefused
+  | ProposalAppended
+  | ProposalRejected
   | EventEffect;
 
 /** A message to send once the persist effect `afterSequence` is synced. */
@@ -63,54 +63,54 @@
   readonly afterSequence: number;
 }
 
-/** State to make durable; effects of one kind are carried out in order. */
+/** State to make durable, in the order of `sequence`. */
 export interface PersistEffect {
   readonly kind: "persist";
   /** Counts persist effects, from 1. */
   readonly sequence: number;
   readonly hardState: HardState | undefined;
   readonly snapshot: LogSnapshot | undefined;
-  /** Whether the snapshot makes all earlier entries void. */
+  /** Whether the snapshot replaces all entries stored before. */
   readonly replacesEntries: boolean;
-  /** An entry replaces one of its index and all after that. */
+  /** Each entry replaces the stored one at its index and all after it. */
   readonly entries: readonly LogEntry[];
 }
 
-/** The state machine must become that of the snapshot. */
+/** Replaces the state machine with that of a snapshot. */
 export interface RestoreEffect {
   readonly kind: "restore";
   readonly snapshot: LogSnapshot;
 }
 
-/** Entries to apply, in order and without gaps. */
+/** Committed entries to apply, in order and without gaps. */
 export interface CommitEffect {
   readonly kind: "commit";
   readonly entries: readonly LogEntry[];
 }
 
-/** A proposal stands in the log of this leader. */
-export interface ProposalTaken {
-  readonly kind: "proposalTaken";
+/** A proposal was appended to this leader's log. */
+export interface ProposalAppended {
+  readonly kind: "proposalAppended";
   readonly token: number;
   readonly index: number;
   readonly term: number;
 }
 
-/** A proposal was not put into the log. */
-export interface ProposalRefused {
-  readonly kind: "proposalRefused";
+/** A proposal was not appended to the log. */
+export interface ProposalRejected {
+  readonly kind: "proposalRejected";
   readonly token: number;
   readonly reason: "notLeader" | "overloaded";
 }
 
-/** Something for the log of events. */
+/** An event to log. */
 export interface EventEffect {
   readonly kind: "event";
   readonly name: RaftEventName;
   readonly fields: Readonly<Record<string, string | number | boolean>>;
 }
 
-/** The events of the core. */
+/** The events that the core logs. */
 export type RaftEventName =
   | "leadershipGained"
   | "leadershipLost"
@@ -123,7 +123,7 @@
   | "snapshotInstalled"
   | "foreignGroupRefused";
 
-/** A message of the core, before it is addressed. */
+/** A message of the core, before it gets its envelope. */
 export interface OutgoingMessage {
   readonly to: InstanceId;
   readonly message: RaftMessage;
--- a/src/process/replication/raft_log.ts
+++ b/src/process/replication/raft_log.ts
@@ -16,12 +16,12 @@
   type LogSnapshot,
 } from "./log_entry.ts";
 
-interface PlacedConfiguration {
+interface IndexedConfiguration {
   readonly index: number;
   readonly configuration: GroupConfiguration;
 }
 
-/** The log before anything happened. */
+/** The snapshot of an empty log. */
 export const EMPTY_SNAPSHOT: LogSnapshot = {
   index: 0,
   term: 0,
@@ -35,7 +35,7 @@
   #baseIndex: number;
   #baseTerm: number;
   #entries: LogEntry[] = [];
-  #configurations: PlacedConfiguration[];
+  #configurations: IndexedConfiguration[];
   #bytes = 0;
 
   constructor(snapshot: LogSnapshot = EMPTY_SNAPSHOT) {
@@ -49,7 +49,7 @@
     return this.#snapshot;
   }
 
-  /** The entry just before the first one held. */
+  /** The index before the first entry in memory. */
   get baseIndex(): number {
     return this.#baseIndex;
   }
@@ -62,7 +62,7 @@
     return this.#entries.at(-1)?.term ?? this.#baseTerm;
   }
 
-  /** About what the entries after the snapshot take, in bytes. */
+  /** The approximate size of the entries in memory, in bytes. */
   get bytes(): number {
     return this.#bytes;
   }
@@ -72,15 +72,15 @@
     return this.#configurations.at(-1)!.configuration;
   }
 
-  /** The index of the entry that brought the newest configuration. */
+  /** The index of the entry with the newest configuration. */
   get configurationIndex(): number {
     return this.#configurations.at(-1)!.index;
   }
 
   /** The configuration in force at an index not before the snapshot. */
   configurationAt(index: number): GroupConfiguration {
-    const placed = this.#configurations.findLast((item) => item.index <= index);
-    return (placed ?? this.#configurations[0]!).configuration;
+    const newest = this.#configurations.findLast((item) => item.index <= index);
+    return (newest ?? this.#configurations[0]!).configuration;
   }
 
   /** The term of an entry, or undefined where it isn't known. */
@@ -96,18 +96,18 @@
 
   /** Entries from `fromIndex` on, at least one, up to about `limitBytes`. */
   slice(fromIndex: number, limitBytes: number): LogEntry[] {
-    const taken: LogEntry[] = [];
+    const slice: LogEntry[] = [];
     let bytes = 0;
     for (let at = fromIndex - this.#baseIndex - 1;; at++) {
       const entry = this.#entries[at];
       if (entry === undefined) {
-        return taken;
+        return slice;
       }
       bytes += entryBytes(entry);
-      if (taken.length > 0 && bytes > limitBytes) {
-        return taken;
+      if (slice.length > 0 && bytes > limitBytes) {
+        return slice;
       }
-      taken.push(entry);
+      slice.push(entry);
     }
   }
 
@@ -132,12 +132,15 @@
     for (const entry of dropped) {
       this.#bytes -= entryBytes(entry);
     }
-    this.#configurations = this.#configurations.filter((placed, at) =>
-      at === 0 || placed.index < index
+    this.#configurations = this.#configurations.filter((item, at) =>
+      at === 0 || item.index < index
     );
   }
 
-  /** Takes a snapshot of applied entries in, keeping `tailEntries` of them. */
+  /**
+   * Adopts a snapshot of applied entries, and keeps the last `tailEntries`
+   * entries before it.
+   */
   compact(snapshot: LogSnapshot, tailEntries: number): void {
     const baseIndex = Math.max(this.#baseIndex, snapshot.index - tailEntries);
     const baseTerm = this.termAt(baseIndex) ?? snapshot.term;
@@ -148,13 +151,13 @@
     this.#baseIndex = baseIndex;
     this.#baseTerm = baseTerm;
     this.#snapshot = snapshot;
-    const later = this.#configurations.filter((placed) =>
-      placed.index > snapshot.index
+    const later = this.#configurations.filter((item) =>
+      item.index > snapshot.index
     );
     this.#configurations = [snapshot, ...later];
   }
 
-  /** Forgets everything and goes on from a snapshot of the leader's. */
+  /** Replaces the whole log with a snapshot. */
   reset(snapshot: LogSnapshot): void {
     this.#snapshot = snapshot;
     this.#baseIndex = snapshot.index;
--- a/src/process/replication/raft_message.ts
+++ b/src/process/replication/raft_message.ts
@@ -1,5 +1,5 @@
 /**
- * What the members of one group say to each other.
+ * Messages between the members of a group.
  *
  * @module
  */
@@ -22,14 +22,14 @@
 };
 
 const raftMessageSchema = z.discriminatedUnion("kind", [
-  /** Asks whether a vote would be given; changes nothing. */
+  /** Asks whether the receiver would grant its vote, without casting it. */
   z.strictObject({ kind: z.literal("preVote"), ...voteRequestFields }),
   z.strictObject({
     kind: z.literal("vote"),
     ...voteRequestFields,
-    /** Whether the leader itself asked for the election. */
+    /** Whether the leader itself requested the election. */
     isHandOver: z.boolean(),
-    /** Whether everyone who might vote said that there is no leader. */
+    /** Whether everyone who might vote reported that it knows of no leader. */
     isLeaderless: z.boolean(),
   }),
   z.strictObject({
@@ -37,10 +37,13 @@
     term: count,
     isPreVote: z.boolean(),
     isGranted: z.boolean(),
-    /** Whether only the promise to some earlier leader speaks against it. */
+    /**
+     * Whether the member would vote if no leader exists: it knows of none, and
+     * at most withholds its vote for an earlier one.
+     */
     isWilling: z.boolean(),
   }),
-  /** Entries for a follower; a heartbeat when there are none. */
+  /** Entries for a follower, or a heartbeat if there are none. */
   z.strictObject({
     kind: z.literal("append"),
     term: count,
@@ -48,18 +51,22 @@
     previousTerm: count,
     entries: z.array(logEntrySchema),
     commitIndex: count,
-    /** The leader's clock; comes back in the reply. */
+    /** The leader's clock; echoed in the reply. */
     sentAtMs: z.number(),
-    /** The newest stamp of the receiver's clock that the leader had. */
+    /** The newest timestamp of the receiver's clock that the leader has. */
     stampMs: z.number(),
-    /** Whether no other leader can exist as this is sent. */
+    /**
+     * Whether the leader held its lease when sending: no other leader existed.
+     */
     isLeaseHeld: z.boolean(),
   }),
   z.strictObject({
     kind: z.literal("appendReply"),
     term: count,
     isAccepted: z.boolean(),
-    /** The last entry known to match, or where to try next. */
+    /**
+     * If accepted, the last entry known to match; else the last that may match.
+     */
     index: count,
     sentAtMs: z.number(),
     stampMs: z.number(),
@@ -83,7 +90,7 @@
     sentAtMs: z.number(),
     stampMs: z.number(),
   }),
-  /** A member without a vote asks its leader, or anyone, for what is new. */
+  /** A learner requests new entries from its leader, or from anyone. */
   z.strictObject({
     kind: z.literal("follow"),
     term: count,
@@ -91,33 +98,34 @@
     stampMs: z.number(),
     wantsVote: z.boolean(),
     isDurable: z.boolean(),
-    /** Whether it holds nothing of any group. */
+    /** Whether the sender has no group state. */
     isFresh: z.boolean(),
   }),
-  /** Where the leader is, and what incarnation the asker must exceed. */
+  /** Names the leader, and the incarnation that the receiver must exceed. */
   z.strictObject({
     kind: z.literal("redirect"),
     leaderId: identity.optional(),
     lowerIncarnation: count,
   }),
-  /** Tells a founder that holds nothing yet that its group exists. */
+  /** Tells a founder without group state that its group was formed. */
   z.strictObject({
     kind: z.literal("welcome"),
     configuration: groupConfigurationSchema,
   }),
-  /** Asks whether every founder is there and holds nothing. */
+  /** Asks a founder to confirm that it has no group state. */
   z.strictObject({
     kind: z.literal("formRequest"),
     formationId: identity,
     founderIds: z.array(identity),
   }),
+  /** Confirms that the sender has no group state. */
   z.strictObject({ kind: z.literal("formPledge"), formationId: identity }),
-  /** The leader gives up; the receiver starts an election at once. */
+  /** The leader steps down; the receiver starts an election at once. */
   z.strictObject({ kind: z.literal("handOver"), term: count }),
   z.strictObject({
     kind: z.literal("propose"),
     id: count,
-    /** The term in which the receiver was thought to lead. */
+    /** The term in which the sender believes that the receiver leads. */
     term: count,
     data: bytes,
   }),
@@ -131,16 +139,16 @@
   z.strictObject({
     kind: z.literal("readReply"),
     id: count,
-    /** What the reader must have applied; absent when it can't be told. */
+    /** What the reader must have applied; absent if the receiver can't tell. */
     index: count.optional(),
   }),
 ]);
 
 const envelopeSchema = z.strictObject({
-  /** The sender's group; absent while it knows of none. */
+  /** The sender's group; absent if it belongs to none. */
   formationId: identity.optional(),
   fromIncarnation: count,
-  /** For which incarnation it is meant; zero for any. */
+  /** The incarnation that it is meant for; zero for any. */
   toIncarnation: count,
   message: raftMessageSchema,
 });
@@ -154,10 +162,10 @@
   { kind: Kind }
 >;
 
-/** A message with the incarnations between which it passes. */
+/** A message with the incarnations of its sender and receiver. */
 export type RaftEnvelope = z.infer<typeof envelopeSchema>;
 
-/** The fields of each kind of message, in the order in which they travel. */
+/** The fields of each kind of message, in the order of their encoding. */
 export const MESSAGE_FIELDS: Readonly<Record<string, readonly string[]>> =
   Object.fromEntries(
     raftMessageSchema.options.map((option) => [
@@ -166,15 +174,15 @@
     ]),
   );
 
-/** Who sent a message, and as which incarnation. */
+/** The sender of a message, and its incarnation. */
 export interface Sender {
   readonly id: InstanceId;
   readonly incarnation: number;
-  /** Whether it holds nothing of any group. */
+  /** Whether it has no group state. */
   readonly isGroupless: boolean;
 }
 
-/** Checks what came from a peer. */
+/** Validates a received envelope; `malformed` if it is none. */
 export function decodeEnvelope(body: unknown): Result<RaftEnvelope> {
   const parsed = envelopeSchema.safeParse(body);
   if (parsed.success) {
--- a/src/process/replication/raft_mutation.ts
+++ b/src/process/replication/raft_mutation.ts
@@ -1,37 +1,40 @@
 /**
- * Deliberate faults, by which tests show that they would notice them.
+ * Deliberate faults (mutations), with which tests show that they detect them.
  *
  * @module
  * @internal
  */
 
-/** Faults that a test may put into a member. */
+/** Faults that a test can inject into a member. */
 export const RaftMutation = {
-  /** Votes and acknowledgements leave before they are synced. */
+  /** Votes and acknowledgements are sent before they are synced. */
   answersBeforeSync: "answersBeforeSync",
   /** A member that lost its state keeps its old incarnation. */
-  forgottenMemberVotes: "forgottenMemberVotes",
-  /** The lease lasts longer than the followers' promise. */
+  lostMemberKeepsIncarnation: "lostMemberKeepsIncarnation",
+  /** The lease outlasts the time for which followers withhold their votes. */
   leaseTooLong: "leaseTooLong",
-  /** Followers vote although their leader is not silent. */
-  promiseBroken: "promiseBroken",
-  /** Members say that they know of no leader though they follow one. */
-  leaderDenied: "leaderDenied",
+  /** Followers vote although they heard from their leader recently. */
+  votesDespiteLeader: "votesDespiteLeader",
+  /** Members report that they know of no leader while they follow one. */
+  deniesKnownLeader: "deniesKnownLeader",
   /** Members that are willing to vote in a term may lead in an earlier one. */
   staysInEarlierTerm: "staysInEarlierTerm",
-  /** A restarted voter forgets its promise. */
-  promiseForgottenOnRestart: "promiseForgottenOnRestart",
-  /** Entries of earlier terms are committed by counting. */
+  /** A restarted voter doesn't withhold its vote. */
+  votesRightAfterRestart: "votesRightAfterRestart",
+  /**
+   * Entries of earlier terms are committed by counting the voters that store
+   * them.
+   */
   commitsEarlierTerms: "commitsEarlierTerms",
-  /** Votes go to candidates with an older log. */
+  /** Votes are granted to candidates with an older log. */
   votesForOlderLog: "votesForOlderLog",
-  /** Commits need no durable voter. */
+  /** Commits don't require a durable voter. */
   commitsWithoutDurable: "commitsWithoutDurable",
-  /** A group is formed though not every founder pledged. */
+  /** A group is formed without a confirmation from every founder. */
   formsWithoutAll: "formsWithoutAll",
   /** Several membership changes run at once. */
   changesOverlap: "changesOverlap",
-  /** A follower takes the receipt of a heartbeat as the current moment. */
+  /** A follower considers its copy current as of the receipt of a heartbeat. */
   currentAtReceipt: "currentAtReceipt",
 } as const;
 
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -1,5 +1,5 @@
 /**
- * The state of one member's core, and the effects that a step gathers.
+ * The state of one member's core, and the effects collected during a step.
  *
  * @module
  */
@@ -31,39 +31,39 @@
 import type { MemberRole } from "./replicated_log.ts";
 import type { ReplicationTiming } from "./replication_timing.ts";
 
-/** What the core is made from. */
+/** Options of the core. */
 export interface RaftCoreOptions {
   readonly selfId: InstanceId;
-  /** Every member that is known, this one included; it may grow. */
+  /** Every known member, this one included; it may grow. */
   readonly members: readonly GroupMember[];
-  /** Who forms the group; all voters of `members` if absent. */
+  /** The members that form the group; all voters of `members` if absent. */
   readonly founderIds?: readonly InstanceId[] | undefined;
-  /** Members get a vote by themselves up to that many voters. */
+  /** Members become voters automatically up to this number of voters. */
   readonly wantedVoters?: number | undefined;
   readonly random: RandomSource;
   readonly timing: ReplicationTiming;
-  /** What was persisted. */
+  /** The persisted state. */
   readonly hardState: HardState;
   readonly snapshot: LogSnapshot;
   readonly entries: readonly LogEntry[];
   readonly nowMs: number;
-  /** Bytes a second that catch-up of a peer may take. */
+  /** Bytes per second that catching up a peer may take. */
   readonly catchUpBytesPerSecond: (peer: InstanceId) => number;
   /** @internal */
   readonly mutations?: ReadonlySet<RaftMutation>;
 }
 
-/** Votes that a candidate gathers. */
-export interface Ballot {
+/** The votes that a candidate has received. */
+export interface VoteTally {
   readonly isPreVote: boolean;
   readonly granted: Set<InstanceId>;
-  /** Members that know of no leader and would vote if there is none. */
+  /** Members that know of no leader and would vote if none exists. */
   readonly willing: Set<InstanceId>;
-  /** Members that agreed as another than the voter that they were. */
-  readonly successors: Set<InstanceId>;
+  /** Members that agreed, but don't vote in their current incarnation. */
+  readonly withoutVote: Set<InstanceId>;
 }
 
-/** A snapshot that is arriving in chunks. */
+/** A snapshot that is being received in chunks. */
 export interface IncomingSnapshot {
   readonly index: number;
   readonly term: number;
@@ -72,14 +72,14 @@
   receivedBytes: number;
 }
 
-/** Stamps that a member remembers having sent. */
-const STAMPS_LIMIT = 64;
+/** Older timestamps are no longer recognized as this member's own. */
+const ISSUED_TIMESTAMPS_LIMIT = 64;
 
 /** Mutable state that the modules of the core share. */
 export class RaftState {
   readonly options: RaftCoreOptions;
   readonly log: RaftLog;
-  readonly persists: PersistTracker;
+  readonly persistTracker: PersistTracker;
   nowMs: number;
 
   incarnation: number;
@@ -92,37 +92,39 @@
   commitIndex: number;
   currentAtMs = 0;
 
-  /** Till when this member gives no vote, as it promised its leader. */
-  promiseEndMs: number;
+  /** This member grants no vote until then: its leader may hold a lease. */
+  withholdVotesUntilMs: number;
   electionDueMs = Infinity;
   followDueMs = 0;
-  ballot: Ballot | undefined;
-  /** Elections since a leader was last known. */
+  tally: VoteTally | undefined;
+  /** Elections since a leader was last known, pre-votes not counted. */
   electionAttempts = 0;
-  /** Voters whose state is gone, with the incarnation that is. */
-  readonly forgotten = new Map<InstanceId, number>();
-  /** Voters whose loss an operator took on. */
+  /** Voters that lost their state, each with the incarnation that is lost. */
+  readonly lostIncarnations = new Map<InstanceId, number>();
+  /** Members whose loss an operator has declared. */
   readonly declaredLost = new Set<InstanceId>();
-  /** The last answer to a leader's entries or heartbeat. */
-  told: { term: number; index: number; atMs: number } | undefined;
+  /** The last reply to a leader's entries or heartbeat. */
+  lastAppendReply: { term: number; index: number; atMs: number } | undefined;
   incoming: IncomingSnapshot | undefined;
 
-  /** What the leader knows of each other member. */
+  /** The leader's view of each other member. */
   readonly progress = new Map<InstanceId, LeaderProgress>();
   /** The first entry of this leader's term. */
   termStartIndex = Infinity;
-  leadsSinceMs = 0;
-  /** About what this leader's entries take that await their commit. */
+  leaderSinceMs = 0;
+  /** The approximate size of this leader's uncommitted entries, in bytes. */
   pendingBytes = 0;
-  /** When a durable voter last acknowledged something. */
-  durableSeenMs = 0;
+  /** When a durable voter last replied. */
+  lastDurableReplyMs = 0;
 
-  /** Founders that pledged to the group which this one forms. */
-  pledges = new Map<InstanceId, number>();
-  pledgeFormationId: string | undefined;
+  /**
+   * Founders, with incarnations, that confirmed the group that this one forms.
+   */
+  confirmedFounders = new Map<InstanceId, number>();
+  proposedFormationId: string | undefined;
 
   #effects: RaftEffect[] = [];
-  #stamps: number[] = [];
+  #issuedTimestamps: number[] = [];
 
   constructor(options: RaftCoreOptions) {
     this.options = options;
@@ -136,13 +138,13 @@
       this.log.append(entry);
     }
     this.commitIndex = options.snapshot.index;
-    this.persists = new PersistTracker({
+    this.persistTracker = new PersistTracker({
       hardState: options.hardState,
       lastIndex: this.log.lastIndex,
     });
-    const keepsPromise = !this.hasMutation("promiseForgottenOnRestart");
-    this.promiseEndMs = options.nowMs +
-      (keepsPromise ? options.timing.leaderSilenceMs : 0);
+    const withholdsVotes = !this.hasMutation("votesRightAfterRestart");
+    this.withholdVotesUntilMs = options.nowMs +
+      (withholdsVotes ? options.timing.leaderSilenceMs : 0);
   }
 
   get selfId(): InstanceId {
@@ -165,9 +167,9 @@
     return this.role === "leader";
   }
 
-  /** This member as the settings name it. */
+  /** This member's own configuration. */
   get self(): GroupMember | undefined {
-    return this.memberOf(this.selfId);
+    return this.findMember(this.selfId);
   }
 
   get hardState(): HardState {
@@ -179,22 +181,23 @@
     };
   }
 
-  memberOf(id: InstanceId): GroupMember | undefined {
+  findMember(id: InstanceId): GroupMember | undefined {
     return this.options.members.find((member) => member.id === id);
   }
 
-  /** Whether this member, as it is now, has a vote by its own log. */
+  /** Whether this member's log lists its current incarnation as a voter. */
   isVoterNow(): boolean {
     const voter = findVoter(this.configuration, this.selfId);
     return voter?.incarnation === this.incarnation;
   }
 
   /**
-   * Whether this member may be elected: it votes, or its removal isn't known
-   * to be committed. In a group of two nobody else could then be elected, when
-   * the other one lacks the entry that removes this one.
+   * Whether this member may be elected: it is a voter, or its removal isn't
+   * known to be committed. Without the latter, a group of two might get no
+   * leader: the other member's log, if it lacks the entry that removes this
+   * one, is older, so that it can't be elected either.
    */
-  mayStand(): boolean {
+  isElectable(): boolean {
     if (this.isVoterNow()) {
       return true;
     }
@@ -204,33 +207,38 @@
       findVoter(before, this.selfId)?.incarnation === this.incarnation;
   }
 
-  isForgotten(id: InstanceId): boolean {
+  hasLostState(id: InstanceId): boolean {
     const voter = findVoter(this.configuration, id);
     return voter !== undefined &&
-      (this.forgotten.get(id) ?? -1) >= voter.incarnation;
+      (this.lostIncarnations.get(id) ?? -1) >= voter.incarnation;
   }
 
-  /** Whether an operator vouches that the member is gone as it was. */
+  /**
+   * Whether an operator declared the loss of the member's current incarnation.
+   */
   isDeclaredLost(id: InstanceId): boolean {
     const isVoter = findVoter(this.configuration, id) !== undefined;
-    return this.declaredLost.has(id) && (!isVoter || this.isForgotten(id));
+    return this.declaredLost.has(id) && (!isVoter || this.hasLostState(id));
   }
 
-  /** Everyone who votes, or might by a change that isn't known here. */
+  /**
+   * All voters, and members that a change unknown here may have made voters.
+   */
   electorateIds(): InstanceId[] {
-    const wanted = this.options.members
+    const configuredIds = this.options.members
       .filter((member) => member.isVoter)
       .map((member) => member.id);
-    const voting = this.configuration.voters.map((voter) => voter.id);
-    return [...new Set([...wanted, ...voting])];
+    const voterIds = this.configuration.voters.map((voter) => voter.id);
+    return [...new Set([...configuredIds, ...voterIds])];
   }
 
-  /** Evidence for quorums, given who agreed. */
+  /** Evidence for quorum checks, given which voters agreed. */
   evidence(hasAgreed: (id: InstanceId) => boolean): VoterEvidence {
     return {
       hasAgreed,
-      isForgotten: (id) => this.isForgotten(id),
-      isDeclaredLost: (id) => this.declaredLost.has(id) && this.isForgotten(id),
+      hasLostState: (id) => this.hasLostState(id),
+      isDeclaredLost: (id) =>
+        this.declaredLost.has(id) && this.hasLostState(id),
     };
   }
 
@@ -238,40 +246,40 @@
     return this.options.mutations?.has(mutation) === true;
   }
 
-  /** A whole number of milliseconds between two bounds. */
+  /** A random whole number of milliseconds between two bounds. */
   randomMs(minimumMs: number, maximumMs: number): number {
     return minimumMs + this.options.random.nextInt(maximumMs - minimumMs + 1);
   }
 
-  /** A moment of this member's clock for its leader to send back. */
-  makeStamp(): number {
-    this.#stamps.push(this.nowMs);
-    if (this.#stamps.length > STAMPS_LIMIT) {
-      this.#stamps.shift();
+  /** A timestamp of this member's clock for its leader to echo. */
+  issueTimestamp(): number {
+    this.#issuedTimestamps.push(this.nowMs);
+    if (this.#issuedTimestamps.length > ISSUED_TIMESTAMPS_LIMIT) {
+      this.#issuedTimestamps.shift();
     }
     return this.nowMs;
   }
 
-  /** Whether the stamp was made by this very process, not long ago. */
-  isOwnStamp(stampMs: number): boolean {
-    return this.#stamps.includes(stampMs);
+  /** Whether this process issued the timestamp, not long ago. */
+  isOwnTimestamp(stampMs: number): boolean {
+    return this.#issuedTimestamps.includes(stampMs);
   }
 
   emit(effect: RaftEffect): void {
     this.#effects.push(effect);
   }
 
-  event(
+  emitEvent(
     name: RaftEventName,
     fields: Readonly<Record<string, string | number | boolean>> = {},
   ): void {
     this.emit({ kind: "event", name, fields });
   }
 
-  /** Sends a message after all state changed so far has been persisted. */
+  /** Sends a message once the state that it depends on has been persisted. */
   send(to: InstanceId, message: RaftMessage, toIncarnation: number): void {
     this.flush();
-    const answersEarly = this.hasMutation("answersBeforeSync");
+    const sendsEarly = this.hasMutation("answersBeforeSync");
     this.emit({
       kind: "send",
       to,
@@ -283,19 +291,19 @@
         toIncarnation,
         message,
       },
-      afterSequence: answersEarly ? 0 : this.persists.sequenceFor(message),
+      afterSequence: sendsEarly ? 0 : this.persistTracker.sequenceFor(message),
     });
   }
 
-  /** Issues what changed and isn't persisted yet. */
+  /** Emits a persist effect for changes that have none yet. */
   flush(): void {
-    const effect = this.persists.take(this.hardState);
+    const effect = this.persistTracker.take(this.hardState);
     if (effect !== undefined) {
       this.emit(effect);
     }
   }
 
-  /** The effects since the last call. */
+  /** Returns and clears the effects since the last call. */
   takeEffects(): RaftEffect[] {
     this.flush();
     const effects = this.#effects;
@@ -305,15 +313,15 @@
 
   appendEntry(entry: LogEntry): void {
     this.log.append(entry);
-    this.persists.addEntry(entry);
+    this.persistTracker.addEntry(entry);
   }
 
   truncateFrom(index: number): void {
     this.log.truncateFrom(index);
-    this.persists.truncateFrom(index);
+    this.persistTracker.truncateFrom(index);
   }
 
-  /** Moves the commit index on and hands out what is committed. */
+  /** Advances the commit index and emits the newly committed entries. */
   commitTo(index: number): void {
     if (index <= this.commitIndex) {
       return;
--- a/src/process/replication/replicated_log.ts
+++ b/src/process/replication/replicated_log.ts
@@ -1,10 +1,11 @@
 /**
- * What replication offers to the parts that keep state with it: a log of
- * commands, applied in the same order by every member.
+ * A replicated log of commands, which every member of a group applies in the
+ * same order.
  *
- * Two kinds of group use it: the configuration group (the instances with a
- * disk, over all data centres) and one group in each data centre (all of its
- * instances) for jobs and for the ledger of non-idempotent requests.
+ * Three kinds of group use it: the configuration group (the instances with a
+ * disk, in all data centres), one group per data centre (all of its instances)
+ * for jobs and for the ledger of non-idempotent requests, and the group of the
+ * batch scheduler.
  *
  * @module
  */
@@ -14,21 +15,24 @@
 import type { Result } from "../../base/sesame_error.ts";
 
 /**
- * The state that a group replicates. `apply` must be deterministic: time and
- * randomness travel inside the command.
+ * The state that a group replicates. `apply` must be deterministic: the command
+ * carries any time or random value that it needs.
  */
 export interface StateMachine<Command, Outcome> {
-  /** Applies the committed command at `index`; the same on every member. */
+  /**
+   * Applies the committed command at `index`, with the same result on every
+   * member.
+   */
   apply(command: Command, index: number): Outcome;
-  /** A self-contained copy of the state, with its format version inside. */
+  /** Encodes the whole state, including its format version. */
   snapshot(): Uint8Array;
-  /** Replaces the state by that of a snapshot. */
+  /** Replaces the state with that of a snapshot. */
   restore(snapshot: Uint8Array): Result<void>;
 }
 
-/** What a member is to its group at a moment. */
+/** The role of a group member. */
 export const MemberRole = {
-  /** Follows, without a vote, until it has caught up. */
+  /** Replicates the log without a vote. */
   learner: "learner",
   follower: "follower",
   candidate: "candidate",
@@ -38,46 +42,52 @@
 /** One of the values of {@link MemberRole}. */
 export type MemberRole = typeof MemberRole[keyof typeof MemberRole];
 
-/** Where a member stands. */
+/** The status of a group member. */
 export interface MemberStatus {
   readonly groupId: string;
   readonly role: MemberRole;
-  /** The term of the group's current election period. */
+  /** The current Raft term. */
   readonly term: number;
   readonly leaderId: InstanceId | undefined;
   readonly commitIndex: number;
   readonly appliedIndex: number;
   /**
-   * Till when this leader may act alone, by its own clock: no other leader
-   * can exist before. Zero on members that don't lead.
+   * When this leader's lease ends, by its own clock: no other leader can exist
+   * before. Zero on members that don't lead.
    */
   readonly leaseEndMs: number;
-  /** When this copy was last known to be current, own clock; 0 for never. */
+  /**
+   * The latest time at which this copy was known to be current, by this
+   * member's clock; 0 if never.
+   */
   readonly currentAtMs: number;
   readonly voterIds: readonly InstanceId[];
   readonly learnerIds: readonly InstanceId[];
 }
 
-/** One member's hold on its group's log. */
+/** One member's access to its group's log. */
 export interface ReplicatedLog<Command, Outcome> {
   /**
-   * Commits a command and gives what applying it gave, from any member: it is
-   * passed on to the leader. `unavailable` means not committed for certain;
-   * `outcomeUnknown` that it may still be committed, `tooLarge` that it never
-   * can be.
+   * Commits a command and returns the outcome of applying it. Any member may
+   * propose: it forwards the command to the leader. Fails with `unavailable` if
+   * the command was certainly not committed, `outcomeUnknown` if it may still
+   * be committed, and `tooLarge` if it exceeds the size limit.
    */
   propose(
     command: Command,
     options: { deadlineMs: number },
   ): Promise<Result<Outcome>>;
-  /** Returns once this member has applied all that was committed before. */
+  /**
+   * Resolves once this member has applied everything that was committed before
+   * the call.
+   */
   readBarrier(options: { deadlineMs: number }): Promise<Result<void>>;
   status(): MemberStatus;
-  /** Changes of role, term, leader and members. */
+  /** Emits the status when the role, term, leader or members change. */
   readonly statuses: Stream<MemberStatus>;
   /**
-   * Gives up leadership to a caught-up member, if this member leads, and
-   * returns once that one is known to lead, or after a while without one.
+   * If this member leads, transfers leadership to a member that has caught up.
+   * Resolves once another leader is known, or after a time limit.
    */
   handOver(): Promise<void>;
   close(): Promise<void>;
--- a/src/process/replication/replication_member.ts
+++ b/src/process/replication/replication_member.ts
@@ -1,5 +1,5 @@
 /**
- * One member of a replicated group: the pure core bound to the network, the
+ * One member of a replicated group: the Raft core connected to the network, the
  * disk and the clock.
  *
  * @module
@@ -28,7 +28,10 @@
 import { openEnvelopeChannel } from "./envelope_codec.ts";
 import { LeaderCalls } from "./leader_calls.ts";
 import { LogStore } from "./log_store.ts";
-import { type MemberContacts, memberContacts } from "./member_contacts.ts";
+import {
+  type MemberReachability,
+  memberReachability,
+} from "./member_reachability.ts";
 import { openStore } from "./member_opening.ts";
 import { RaftCore } from "./raft_core.ts";
 import type { GroupMember } from "./raft_effect.ts";
@@ -46,45 +49,50 @@
 } from "./replication_timing.ts";
 import type { StoredLog } from "./stored_log.ts";
 
-/** Between two looks at whether a waiting command can go on. */
-const RETRY_MS = 25;
+/** The interval at which waiting calls check whether they can proceed. */
+const RETRY_INTERVAL_MS = 25;
 
-/** How long a leader waits for the next one when it stops. */
-const HAND_OVER_MS = 600;
+/** How long a leader that stops waits for the next one. */
+const HAND_OVER_TIMEOUT_MS = 600;
 
-/** What a member is made from. */
+/** Options of {@link ReplicationMember.open}. */
 export interface ReplicationMemberOptions<Command, Outcome> {
   /** The group's name, the same on every member. */
   readonly groupId: string;
-  /** Every member that is known, this one included; it may grow. */
+  /** Every known member, this one included; it may grow. */
   readonly members: readonly GroupMember[];
-  /** Who forms the group, the same everywhere; all voters if absent. */
+  /**
+   * The members that form the group, the same everywhere; all voters if absent.
+   */
   readonly founderIds?: readonly InstanceId[];
-  /** Members get a vote by themselves up to that many voters; no bound if absent. */
+  /**
+   * Members become voters automatically up to this number of voters; no limit
+   * if absent.
+   */
   readonly wantedVoters?: number;
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly machine: StateMachine<Command, Outcome>;
-  /** The data folder; absent for a member that keeps nothing. */
+  /** The data folder; absent for a member without a disk. */
   readonly storage?: Storage | undefined;
   readonly events?: EventLog;
   readonly timing?: Partial<ReplicationTiming>;
-  /** Bytes a second that catch-up of a peer may take; unlimited if absent. */
+  /** Bytes per second that catching up a peer may take; unlimited if absent. */
   readonly catchUpBytesPerSecond?: (peer: InstanceId) => number;
   /** @internal */
   readonly mutations?: ReadonlySet<RaftMutation>;
 }
 
-/** A change of who votes, by an operator. */
+/** A change of a group's voters. */
 export type MemberChange =
   | { readonly kind: "add"; readonly id: InstanceId }
   | { readonly kind: "remove"; readonly id: InstanceId };
 
-/** Bytes a second for catch-up where no budget is set. */
+/** The catch-up rate if no limit is set. */
 const UNLIMITED_BYTES_PER_SECOND = 1e12;
 
-/** What opening a member found and made. */
+/** The parts of a member that opening it creates. */
 interface OpenedMember<Command, Outcome> {
   readonly log: StoredLog;
   readonly store: LogStore | undefined;
@@ -92,7 +100,7 @@
   readonly timing: ReplicationTiming;
 }
 
-/** A hold on the group's log; open one with {@link ReplicationMember.open}. */
+/** Access to a group's log; opened with {@link ReplicationMember.open}. */
 export class ReplicationMember<Command, Outcome>
   implements ReplicatedLog<Command, Outcome> {
   #options: ReplicationMemberOptions<Command, Outcome>;
@@ -107,8 +115,8 @@
   #lastStatusKey = "";
 
   /**
-   * Reads what the disk holds and takes part in the group: `storageFailed`
-   * when the disk can't be read or written.
+   * Loads the stored state and joins the group. Fails with `storageFailed` if
+   * the disk can't be read or written.
    */
   static async open<Command, Outcome>(
     options: ReplicationMemberOptions<Command, Outcome>,
@@ -202,14 +210,14 @@
       return failure("tooLarge", { detail: `${data.byteLength} bytes` });
     }
     for (;;) {
-      const refusal = this.#refusal(options.deadlineMs);
+      const refusal = this.#rejection(options.deadlineMs);
       if (refusal !== undefined) {
         return refusal;
       }
-      const end = await this.#calls.propose(data, options.deadlineMs);
-      switch (end.kind) {
+      const result = await this.#calls.propose(data, options.deadlineMs);
+      switch (result.kind) {
         case "applied":
-          return Right(end.outcome);
+          return Right(result.outcome);
         case "unknown":
           return failure("outcomeUnknown");
         case "notAppended":
@@ -222,7 +230,7 @@
   async readBarrier(options: { deadlineMs: number }): Promise<Result<void>> {
     let index: number | undefined;
     for (;;) {
-      const refusal = this.#refusal(options.deadlineMs);
+      const refusal = this.#rejection(options.deadlineMs);
       if (refusal !== undefined) {
         return refusal;
       }
@@ -235,15 +243,15 @@
   }
 
   /**
-   * Changes who votes, from the leader; done once it is committed.
-   * `unavailable` when it could not be by the deadline.
+   * Changes the voters, on the leader; resolves once the change is committed.
+   * Fails with `unavailable` if it isn't committed by the deadline.
    */
   async changeMembers(
     change: MemberChange,
     options: { deadlineMs: number },
   ): Promise<Result<void>> {
     for (;;) {
-      const refusal = this.#refusal(options.deadlineMs);
+      const refusal = this.#rejection(options.deadlineMs);
       if (refusal !== undefined) {
         return refusal;
       }
@@ -259,40 +267,40 @@
   }
 
   /**
-   * The voters that this leader has not heard from for a while, and the
-   * members without a vote that have caught up; nothing on other members.
+   * The voters that this leader has not heard from for `silenceMs`, and other
+   * members that have caught up; empty on members that don't lead.
    */
-  contacts(silenceMs: number): MemberContacts {
+  reachability(silenceMs: number): MemberReachability {
     const { view } = this.#driver;
     if (view.role !== "leader") {
       return { silentVoterIds: [], readyIds: [] };
     }
-    return memberContacts(view, {
+    return memberReachability(view, {
       selfId: this.#options.network.selfId,
       heardAfterMs: this.#options.clock.nowMs() - silenceMs,
     });
   }
 
   /**
-   * An operator vouches that a voter's state is gone and that it will not
-   * come back with it; see docs/operator/recovery.md.
+   * Records an operator's declaration that a voter's state is lost and will not
+   * come back; see docs/operator/recovery.md.
    */
   declareLost(id: InstanceId): void {
     this.#driver.step({ kind: "declareLost", id });
   }
 
   /**
-   * Returns once the next leader is known here and has told how the commands
-   * in this member's log ended, or after a while without one. A member that
-   * closed earlier might not have sent what it holds back for its disk.
+   * Resolves once the next leader is known here and so are the results of the
+   * commands in this member's log, or after a time limit. A member that closed
+   * earlier might not have sent the messages that still wait for its disk.
    */
   async handOver(): Promise<void> {
     if (!this.#mayHandOver()) {
       return;
     }
     const { clock } = this.#options;
-    const endMs = clock.nowMs() + HAND_OVER_MS;
-    while (!this.#isSucceeded() && clock.nowMs() < endMs) {
+    const endMs = clock.nowMs() + HAND_OVER_TIMEOUT_MS;
+    while (!this.#hasSuccessor() && clock.nowMs() < endMs) {
       if (this.#mayHandOver()) {
         this.#driver.step({ kind: "handOver" });
       }
@@ -314,7 +322,7 @@
     this.#statuses.close();
   }
 
-  /** From now on this member says nothing. */
+  /** Stops this member; it sends nothing from now on. */
   #fail(error: SesameError): void {
     this.#failure = error;
     this.#options.events?.emit("replicationStopped", {
@@ -325,7 +333,7 @@
     this.#stop();
   }
 
-  #refusal(deadlineMs: number): Result<never> | undefined {
+  #rejection(deadlineMs: number): Result<never> | undefined {
     if (this.#isClosed) {
       return failure("shuttingDown");
     }
@@ -340,7 +348,7 @@
 
   #pause(): Promise<void> {
     return new Promise((resolve) => {
-      this.#options.clock.after(RETRY_MS, resolve);
+      this.#options.clock.after(RETRY_INTERVAL_MS, resolve);
     });
   }
 
@@ -349,11 +357,11 @@
       this.#driver.view.configuration.voters.length > 1;
   }
 
-  #isSucceeded(): boolean {
+  #hasSuccessor(): boolean {
     const { role, leaderId } = this.#driver.view;
     const isFollowing = role !== "leader" && leaderId !== undefined;
     return this.#driver.isStopped ||
-      (isFollowing && this.#driver.hasEndedProposals);
+      (isFollowing && this.#driver.hasFinishedProposals);
   }
 
   #isInEffect(change: MemberChange): boolean {
