--- a/src/process/replication/replication_member_test.ts
+++ b/src/process/replication/replication_member_test.ts
@@ -3,7 +3,7 @@
 import { disks, learners, memories } from "./testing/fault_session.ts";
 import { type Member, MemberGroup } from "./testing/member_group.ts";
 
-test("a group forms, commits from any member and keeps learners", async (t) => {
+test("a group forms, commits from any member and updates learners", async (t) => {
   const group = new MemberGroup([...disks("a", "b", "c"), ...learners("d")]);
   await group.startAll();
   await group.run(1_000);
@@ -21,7 +21,7 @@
   await group.close();
 });
 
-test("a restart of every member keeps what was acknowledged", async (t) => {
+test("a restart of every member keeps all acknowledged commands", async (t) => {
   const group = new MemberGroup(
     [...disks("a"), ...memories("b", "c")],
     { snapshotEntries: 20, tailEntries: 5 },
@@ -59,13 +59,13 @@
   await group.run(3_000);
   t.is(group.leader()?.status().voterIds.length, 3);
   t.is(group.machines.get("c")!.texts.length, 30);
-  // A second member is lost right after the repair.
+  // A second member is lost as soon as the first has caught up.
   await group.stop("a");
   t.deepEqual((await group.propose("c", "more")).extract(), 31);
   await group.close();
 });
 
-test("a memory-only group goes on without its one disk", async (t) => {
+test("a group continues without its only durable voter", async (t) => {
   const group = new MemberGroup([...disks("a"), ...memories("b", "c")]);
   await group.startAll();
   await group.run(1_000);
@@ -79,7 +79,7 @@
   await group.close();
 });
 
-test("a cut-off leader's lease ends and another leads within 3 s", async (t) => {
+test("an isolated leader's lease ends and another leads within 3 s", async (t) => {
   const group = new MemberGroup(disks("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
@@ -133,40 +133,40 @@
   await group.close();
 });
 
-test("leadership is handed over without a pause for an election", async (t) => {
+test("a leadership transfer doesn't wait for an election timeout", async (t) => {
   const group = new MemberGroup(disks("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
   const old = group.leader()!;
-  await group.finish(old.handOver());
+  await group.runUntilDone(old.handOver());
   await group.run(200);
   t.not(group.leader(), undefined);
   t.not(group.leader(), old);
   await group.close();
 });
 
-test("a leader that stops behind a slow disk is succeeded at once", async (t) => {
-  const { group, old, oldId } = await groupWithSlowLeader();
+test("a leader that stops during a slow sync is replaced at once", async (t) => {
+  const { group, old, oldId } = await groupWithHangingLeader();
   t.true((await group.propose(oldId, "held by the others")).isRight());
-  await stopBehindDisk(group, old);
+  await stopDuringSync(group, old);
   await group.run(100);
   t.not(group.leader(), undefined);
   await group.close();
 });
 
-test("a leader that stops learns how its last commands ended", async (t) => {
-  const { group, old, oldId } = await groupWithSlowLeader();
+test("a leader that stops learns the results of its last commands", async (t) => {
+  const { group, old, oldId } = await groupWithHangingLeader();
   group.hub.isolate(["a", "b", "c"].find((id) => id !== oldId)!);
   const deadlineMs = group.clock.nowMs() + 5_000;
   const proposed = old.propose("held by one other", { deadlineMs });
   await group.run(20);
-  await stopBehindDisk(group, old);
+  await stopDuringSync(group, old);
   t.deepEqual((await proposed).extract(), 1);
   await group.close();
 });
 
 /** A group whose leader's syncs hang. */
-async function groupWithSlowLeader() {
+async function groupWithHangingLeader() {
   const group = new MemberGroup(disks("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
@@ -176,16 +176,16 @@
   return { group, old, oldId };
 }
 
-/** Stops the leader as a process does; its syncs end 20 ms after it began. */
-async function stopBehindDisk(group: MemberGroup, old: Member): Promise<void> {
+/** Stops the leader as its process would; hanging syncs end 20 ms later. */
+async function stopDuringSync(group: MemberGroup, old: Member): Promise<void> {
   const oldId = old.status().leaderId!;
   const stopped = old.handOver().then(() => group.stop(oldId));
   await group.run(20);
   group.disks.get(oldId)!.endHang();
-  await group.finish(stopped);
+  await group.runUntilDone(stopped);
 }
 
-test("members change one at a time and keep what is committed", async (t) => {
+test("members change one at a time and committed commands remain", async (t) => {
   const group = new MemberGroup(disks("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
@@ -193,7 +193,7 @@
   const id = group.leader()!.status().leaderId!;
   const deadlineMs = group.clock.nowMs() + 60_000;
   const change = (kind: "add" | "remove") =>
-    group.finish(
+    group.runUntilDone(
       group.leader()!.changeMembers({ kind, id }, { deadlineMs }),
     );
   t.true((await change("remove")).isRight());
@@ -228,7 +228,7 @@
   await group.close();
 });
 
-test("a leader goes on when all its followers lost their state", async (t) => {
+test("a leader continues when all its followers lost their state", async (t) => {
   const group = new MemberGroup(disks("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
@@ -245,7 +245,7 @@
   await group.close();
 });
 
-test("only instances that lack everything form a group", async (t) => {
+test("a group forms only after every founder has started", async (t) => {
   const group = new MemberGroup(disks("a", "b", "c"));
   await group.start("a");
   await group.start("b");
@@ -257,7 +257,7 @@
   await group.close();
 });
 
-test("a command that can't reach a leader was certainly not run", async (t) => {
+test("a command that reaches no leader fails as not committed", async (t) => {
   const group = new MemberGroup(disks("a", "b", "c"));
   await group.start("a");
   const result = await group.propose("a", "nobody there");
@@ -265,7 +265,7 @@
   await group.close();
 });
 
-test("a command that fits into no frame is refused", async (t) => {
+test("a command that is too large for a frame is rejected", async (t) => {
   const group = new MemberGroup(disks("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
@@ -276,7 +276,7 @@
   await group.close();
 });
 
-test("catch-up stays inside the byte budget of its peer", async (t) => {
+test("catch-up stays within the byte budget of its peer", async (t) => {
   const group = new MemberGroup(
     [...disks("a", "b", "c"), ...learners("d")],
     { snapshotEntries: 50, tailEntries: 5, chunkBytes: 4_096 },
@@ -294,7 +294,7 @@
   while (group.machines.get("d")!.texts.length < 100) {
     await group.run(100);
   }
-  // 100 kB at 20 kB a second, with a quarter of a second saved up.
+  // 100 kB at 20 kB per second, after a burst of a quarter of a second.
   const elapsedMs = group.clock.nowMs() - startMs;
   t.true(elapsedMs >= 4_500 && elapsedMs <= 8_000, `${elapsedMs} ms`);
   await group.close();
--- a/src/process/replication/replication_timing.ts
+++ b/src/process/replication/replication_timing.ts
@@ -5,60 +5,62 @@
  */
 
 /**
- * The most by which two instances' clocks may run apart, as a fraction. The
- * monotonic clock of an ordinary machine is within 0.05 %, and NTP slews by
- * at most 0.05 % more; 1 % leaves room for a virtual machine's worst.
+ * The largest deviation of an instance's clock rate, as a fraction. The
+ * monotonic clock of an ordinary machine is within 0.05 %, and NTP slews by at
+ * most 0.05 % more; 1 % leaves a margin for virtual machines.
  */
 export const MAX_CLOCK_DRIFT = 0.01;
 
 /** The longest encoded command, in bytes: it must fit into one frame. */
 export const COMMAND_LIMIT_BYTES = 2 * 1024 * 1024;
 
-/** Every period and limit, with its default. */
+/** The default periods and limits. */
 export const REPLICATION_TIMING = {
-  /** How often the core looks at its deadlines. */
+  /** How often the core checks its deadlines. */
   tickMs: 50,
-  /** Between two heartbeats of a leader to a voter. */
+  /** The interval of a leader's heartbeats to a voter. */
   heartbeatMs: 500,
-  /** Between two questions of a member without a vote. */
+  /** The interval of a learner's `follow` messages. */
   followMs: 1_000,
-  /** A follower gives no vote for this long after its leader's message. */
+  /**
+   * A follower grants no vote for this long after a message from its leader.
+   */
   leaderSilenceMs: 1_300,
-  /** When a silent leader is first and last given up. */
+  /** The bounds of the random time after which a silent leader is given up. */
   electionMinMs: 1_400,
   electionMaxMs: 1_800,
-  /** Before a candidate without a result tries again. */
+  /** The bounds of the random time after which a candidate tries again. */
   retryMinMs: 150,
   retryMaxMs: 450,
-  /** How long no durable voter may answer before commits go on without. */
+  /** Without a reply from a durable voter for this long, commits need none. */
   durableGraceMs: 2_000,
   /** Without a reply for this long, entries are sent again. */
   resendMs: 600,
-  /** Entries in one message, about, in bytes. */
+  /** The approximate size of the entries in one message. */
   appendBytes: 128 * 1024,
-  /** Snapshot bytes in one message. */
+  /** The snapshot bytes in one message. */
   chunkBytes: 32 * 1024,
-  /** Entries after the snapshot before the next one is made. */
+  /** The entries applied after a snapshot before the next one is taken. */
   snapshotEntries: 4_096,
-  /** The same in bytes. */
+  /** The same limit in bytes. */
   snapshotBytes: 2 * 1024 * 1024,
   /** Applied entries kept in memory for slow followers. */
   tailEntries: 512,
-  /** Commands that may await their commit at the leader. */
+  /** The uncommitted entries above which a leader rejects commands. */
   pendingEntries: 4_096,
-  /** The same in bytes, about. */
+  /** The same limit in bytes, approximately. */
   pendingBytes: 16 * 1024 * 1024,
 } as const;
 
-/** Every period and limit. */
+/** The periods and limits of replication. */
 export type ReplicationTiming = {
   readonly [Name in keyof typeof REPLICATION_TIMING]: number;
 };
 
 /**
- * How long a leader may act alone after it sent the messages that a majority
- * answered. A follower keeps its promise for `leaderSilenceMs` of a clock
- * that may run fast, the leader counts with one that may run slow.
+ * The length of a leader's lease from the time at which it sent the messages
+ * that a majority answered. A follower withholds its vote for `leaderSilenceMs`
+ * by a clock that may run fast; the leader's own clock may run slow.
  */
 export function leaseMs(timing: ReplicationTiming): number {
   return timing.leaderSilenceMs * (1 - MAX_CLOCK_DRIFT) /
--- a/src/process/replication/role.ts
+++ b/src/process/replication/role.ts
@@ -1,5 +1,5 @@
 /**
- * What a member is to its group, other than by winning an election.
+ * Role changes of a member, except becoming a candidate or leader.
  *
  * @module
  */
@@ -7,7 +7,10 @@
 import type { InstanceId } from "../../base/identity.ts";
 import type { RaftState } from "./raft_state.ts";
 
-/** Follows, in a term that may be new; the leader may be unknown yet. */
+/**
+ * Becomes a follower, or a learner if it isn't electable, and adopts the term
+ * if it is newer. The leader may be unknown.
+ */
 export function becomeFollower(
   state: RaftState,
   options: { term: number; leaderId: InstanceId | undefined },
@@ -17,11 +20,11 @@
     state.votedFor = undefined;
   }
   if (state.isLeader) {
-    state.event("leadershipLost", { term: state.term });
+    state.emitEvent("leadershipLost", { term: state.term });
   }
-  state.role = state.mayStand() ? "follower" : "learner";
+  state.role = state.isElectable() ? "follower" : "learner";
   state.leaderId = options.leaderId;
-  state.ballot = undefined;
+  state.tally = undefined;
   if (options.leaderId !== undefined) {
     state.electionAttempts = 0;
   }
@@ -30,21 +33,21 @@
   resetElectionTimer(state);
 }
 
-/** Puts the role right after the log's configuration changed. */
-export function settleRole(state: RaftState): void {
-  if (state.role === "learner" && state.mayStand()) {
+/** Updates the role after the log's configuration changed. */
+export function updateRole(state: RaftState): void {
+  if (state.role === "learner" && state.isElectable()) {
     state.role = "follower";
     resetElectionTimer(state);
   }
   const isFollowing = state.role === "follower" || state.role === "candidate";
-  if (isFollowing && !state.mayStand()) {
+  if (isFollowing && !state.isElectable()) {
     state.role = "learner";
-    state.ballot = undefined;
+    state.tally = undefined;
     state.electionDueMs = Infinity;
   }
 }
 
-/** Gives the leader another while before it counts as silent. */
+/** Restarts the election timeout with a new random length. */
 export function resetElectionTimer(state: RaftState): void {
   const { electionMinMs, electionMaxMs } = state.timing;
   state.electionDueMs = state.role === "learner"
--- a/src/process/replication/stored_log.ts
+++ b/src/process/replication/stored_log.ts
@@ -1,5 +1,5 @@
 /**
- * A member's hard state, snapshot and entries as its files hold them.
+ * The file formats of a member's hard state, snapshot and entries.
  *
  * @module
  */
@@ -43,20 +43,20 @@
   bytesSchema,
 ]);
 
-/** What a member kept. */
+/** The persisted state of a member. */
 export interface StoredLog {
   readonly hardState: HardState;
   readonly snapshot: LogSnapshot;
   readonly entries: readonly LogEntry[];
 }
 
-/** What was found at the start of a member. */
+/** The result of loading a member's files. */
 export type LoadedLog =
   | { readonly kind: "empty" }
   | { readonly kind: "corrupt"; readonly detail: string }
   | { readonly kind: "whole"; readonly log: StoredLog };
 
-/** The hard state as the content of its file. */
+/** Encodes the hard state as the content of its file. */
 export function encodeHardState(hardState: HardState): Uint8Array {
   const { incarnation, formationId, term, votedFor } = hardState;
   const payload = pack({
@@ -69,7 +69,7 @@
   return encodeRecord(payload, { syncedBytes: 0 });
 }
 
-/** A snapshot as the content of its file. */
+/** Encodes a snapshot as the content of its file. */
 export function encodeSnapshot(snapshot: LogSnapshot): Uint8Array {
   const { index, term, configuration, data } = snapshot;
   const payload = pack({
@@ -82,18 +82,18 @@
   return encodeRecord(payload, { syncedBytes: 0 });
 }
 
-/** An entry as its record's payload. */
+/** Encodes an entry as its record's payload. */
 export function encodeEntry(entry: LogEntry): Uint8Array {
   return pack([entry.index, entry.term, entry.kind, entry.data]);
 }
 
-/** An entry from its record's payload. */
+/** Decodes an entry from its record's payload. */
 export function decodeEntry(payload: Uint8Array): LogEntry {
   const [index, term, kind, data] = entryRecordSchema.parse(unpack(payload));
   return { index, term, kind, data };
 }
 
-/** Puts together what the files hold, or says what is wrong. */
+/** Assembles the log from its files, or reports what is damaged. */
 export function parseLog(
   files: {
     state: Uint8Array;
@@ -113,7 +113,7 @@
   }
   return files.entries.caseOf<LoadedLog>({
     Left: (error) => ({ kind: "corrupt", detail: error.message }),
-    Right: (found) => joinLog(hardState, snapshot, found),
+    Right: (found) => assembleLog(hardState, snapshot, found),
   });
 }
 
@@ -138,27 +138,30 @@
   return snapshotSchema.safeParse(unpack(payload)).data;
 }
 
-/** Puts the entries in their places; later records replace earlier ones. */
-function joinLog(
+/**
+ * Orders the entries by index; a later record replaces an earlier one and all
+ * entries after it.
+ */
+function assembleLog(
   hardState: HardState,
   snapshot: LogSnapshot,
   found: readonly LogEntry[],
 ): LoadedLog {
   const entries: LogEntry[] = [];
   for (const entry of found) {
-    const at = entry.index - snapshot.index - 1;
-    if (at > entries.length) {
-      return { kind: "corrupt", detail: `entry ${entry.index} stands alone` };
+    const position = entry.index - snapshot.index - 1;
+    if (position > entries.length) {
+      return { kind: "corrupt", detail: `entry ${entry.index} follows a gap` };
     }
-    if (at >= 0) {
-      entries.length = at;
+    if (position >= 0) {
+      entries.length = position;
       entries.push(entry);
     }
   }
-  // A crash while a leader's snapshot replaced the log leaves entries of
-  // before, which it made void.
-  const isVoid = (entries[0]?.term ?? Infinity) < snapshot.term;
-  const kept = isVoid ? [] : entries;
+  // A crash while a leader's snapshot replaced the log leaves older entries
+  // behind, which are obsolete.
+  const isObsolete = (entries[0]?.term ?? Infinity) < snapshot.term;
+  const kept = isObsolete ? [] : entries;
   const lastTerm = kept.at(-1)?.term ?? snapshot.term;
   const term = Math.max(hardState.term, lastTerm);
   const votedFor = term === hardState.term ? hardState.votedFor : undefined;
--- a/src/process/replication/testing/fault_session.ts
+++ b/src/process/replication/testing/fault_session.ts
@@ -1,5 +1,5 @@
 /**
- * Sessions of faults for a simulated group, as commands of `fast-check`.
+ * Random sessions of faults for a simulated group, as commands of `fast-check`.
  *
  * @module
  */
@@ -9,7 +9,9 @@
 import type { RaftMutation } from "../raft_mutation.ts";
 import { RaftSimulation } from "./raft_simulation.ts";
 
-/** What may happen to a group; a member is meant by its place. */
+/**
+ * An action on a simulated group; a number selects a member by its position.
+ */
 export type Action =
   | { kind: "run"; ms: number }
   | { kind: "propose"; count: number }
@@ -21,12 +23,12 @@
   | { kind: "cut"; from: number; to: number }
   | { kind: "isolate"; member: number }
   | { kind: "heal" }
-  | { kind: "weather"; lossRate: number; doublingRate: number }
+  | { kind: "linkFaults"; lossRate: number; duplicateRate: number }
   | { kind: "handOver" }
   | { kind: "remove"; member: number }
   | { kind: "add"; member: number };
 
-const place = fc.nat({ max: 8 });
+const memberPosition = fc.nat({ max: 8 });
 
 const ACTIONS: fc.Arbitrary<Action>[] = [
   fc.record({
@@ -38,26 +40,30 @@
     kind: fc.constant("propose"),
     count: fc.integer({ min: 1, max: 20 }),
   }),
-  fc.record({ kind: fc.constant("proposeTo"), member: place }),
-  fc.record({ kind: fc.constant("crash"), member: place }),
-  fc.record({ kind: fc.constant("start"), member: place }),
-  fc.record({ kind: fc.constant("start"), member: place }),
-  fc.record({ kind: fc.constant("wipe"), member: place }),
+  fc.record({ kind: fc.constant("proposeTo"), member: memberPosition }),
+  fc.record({ kind: fc.constant("crash"), member: memberPosition }),
+  fc.record({ kind: fc.constant("start"), member: memberPosition }),
+  fc.record({ kind: fc.constant("start"), member: memberPosition }),
+  fc.record({ kind: fc.constant("wipe"), member: memberPosition }),
   fc.record({ kind: fc.constant("restartAll") }),
-  fc.record({ kind: fc.constant("cut"), from: place, to: place }),
-  fc.record({ kind: fc.constant("isolate"), member: place }),
+  fc.record({
+    kind: fc.constant("cut"),
+    from: memberPosition,
+    to: memberPosition,
+  }),
+  fc.record({ kind: fc.constant("isolate"), member: memberPosition }),
   fc.record({ kind: fc.constant("heal") }),
   fc.record({
-    kind: fc.constant("weather"),
+    kind: fc.constant("linkFaults"),
     lossRate: fc.double({ min: 0, max: 0.4, noNaN: true }),
-    doublingRate: fc.double({ min: 0, max: 0.4, noNaN: true }),
+    duplicateRate: fc.double({ min: 0, max: 0.4, noNaN: true }),
   }),
   fc.record({ kind: fc.constant("handOver") }),
-  fc.record({ kind: fc.constant("remove"), member: place }),
-  fc.record({ kind: fc.constant("add"), member: place }),
+  fc.record({ kind: fc.constant("remove"), member: memberPosition }),
+  fc.record({ kind: fc.constant("add"), member: memberPosition }),
 ];
 
-/** One action as a command of the model run; the oracle is the model. */
+/** One action as a command of the model run; the oracle serves as the model. */
 class ActionCommand implements fc.Command<object, RaftSimulation> {
   readonly action: Action;
 
@@ -70,7 +76,7 @@
   }
 
   run(_model: object, simulation: RaftSimulation): void {
-    act(simulation, this.action);
+    performAction(simulation, this.action);
   }
 
   toString(): string {
@@ -78,8 +84,11 @@
   }
 }
 
-/** Carries one action out. */
-export function act(simulation: RaftSimulation, action: Action): void {
+/** Performs one action. */
+export function performAction(
+  simulation: RaftSimulation,
+  action: Action,
+): void {
   const idOf = (at: number) => simulation.ids[at % simulation.ids.length]!;
   switch (action.kind) {
     case "run":
@@ -105,23 +114,23 @@
       return simulation.isolate(idOf(action.member));
     case "heal":
       return simulation.heal();
-    case "weather":
+    case "linkFaults":
       simulation.lossRate = action.lossRate;
-      simulation.doublingRate = action.doublingRate;
+      simulation.duplicateRate = action.duplicateRate;
       return;
     case "handOver":
-      return forLeader(simulation, { kind: "handOver" });
+      return inputToLeader(simulation, { kind: "handOver" });
     case "remove":
       return remove(simulation, idOf(action.member));
     case "add":
-      return forLeader(simulation, {
+      return inputToLeader(simulation, {
         kind: "addMember",
         id: idOf(action.member),
       });
   }
 }
 
-function forLeader(
+function inputToLeader(
   simulation: RaftSimulation,
   input: RaftInput,
 ): void {
@@ -131,34 +140,42 @@
   }
 }
 
-/** A crash that forgets must find the group whole: one loss at a time. */
+/**
+ * Crashes a member. One that loses its state crashes only while all voters are
+ * intact, so that there is one loss at a time.
+ */
 function crash(simulation: RaftSimulation, id: string): void {
-  const forgets = !simulation.member(id).options.self.isDurable;
-  if (!forgets || simulation.isWhole()) {
+  const losesState = !simulation.member(id).options.self.isDurable;
+  if (!losesState || simulation.hasAllVoters()) {
     simulation.crash(id);
   }
 }
 
 function wipe(simulation: RaftSimulation, id: string): void {
-  if (simulation.isWhole()) {
+  if (simulation.hasAllVoters()) {
     simulation.crash(id);
-    simulation.member(id).forget();
+    simulation.member(id).eraseDisk();
   }
 }
 
-/** An operator takes no member out while another one is being repaired. */
+/**
+ * Removes a member, but not while another one is still catching up, as no
+ * operator would.
+ */
 function remove(simulation: RaftSimulation, id: string): void {
-  if (simulation.isWhole()) {
-    forLeader(simulation, { kind: "removeMember", id });
+  if (simulation.hasAllVoters()) {
+    inputToLeader(simulation, { kind: "removeMember", id });
   }
 }
 
-/** Everything stops at once; only what is on the disks stays. */
+/** Restarts all members at once; only what is on the disks remains. */
 export function restartAll(simulation: RaftSimulation): void {
   const hasDisk = [...simulation.members.values()].some((member) =>
     member.options.self.isDurable && member.core !== undefined
   );
-  if (!hasDisk || !simulation.isWhole() || simulation.isWaived()) {
+  if (
+    !hasDisk || !simulation.hasAllVoters() || simulation.isDurabilityWaived()
+  ) {
     return;
   }
   for (const id of simulation.ids) {
@@ -167,34 +184,34 @@
   simulation.startAll();
 }
 
-/** All members come back, and the group must work again. */
+/** Starts all members and checks that the group works again. */
 export function recover(simulation: RaftSimulation): void {
   simulation.heal();
   simulation.startAll();
   simulation.run(12_000);
   for (const id of simulation.ids) {
-    forLeader(simulation, { kind: "addMember", id });
+    inputToLeader(simulation, { kind: "addMember", id });
     simulation.run(400);
   }
   simulation.run(4_000);
   if (!simulation.proposeToLeader()) {
-    throw new Error("no leader, though all members are back");
+    throw new Error("no leader after all members were restarted");
   }
   const before = simulation.oracle.acknowledged.length;
   simulation.run(3_000);
   if (simulation.oracle.acknowledged.length === before) {
-    throw new Error("no commit, though all members are back");
+    throw new Error("no commit after all members were restarted");
   }
   simulation.oracle.checkEnd(simulation);
 }
 
-/** Which group a session is played with. */
+/** Options of {@link sessionProperty}. */
 export interface FuzzOptions {
   readonly members: readonly GroupMember[];
   readonly mutations?: readonly RaftMutation[];
 }
 
-/** Whatever happens in a session, every promise holds. */
+/** The property that all invariants hold in any session. */
 export function sessionProperty(options: FuzzOptions) {
   const commands = fc.commands(
     ACTIONS.map((arbitrary) =>
@@ -221,7 +238,7 @@
   return ids.map((id) => ({ id, isVoter: true, isDurable: false }));
 }
 
-/** Members without a vote. */
+/** Members that never vote. */
 export function learners(...ids: string[]): GroupMember[] {
   return ids.map((id) => ({ id, isVoter: false, isDurable: false }));
 }
--- a/src/process/replication/testing/group_oracle.ts
+++ b/src/process/replication/testing/group_oracle.ts
@@ -1,5 +1,5 @@
 /**
- * What a replicated group promises, checked from outside.
+ * Test oracle: checks the invariants of a replicated group from outside.
  *
  * @module
  */
@@ -14,45 +14,48 @@
   readonly atMs: number;
 }
 
-/** A promise that was broken. */
-export class BrokenPromise extends Error {
-  constructor(promise: string, detail: string) {
-    super(`${promise}: ${detail}`);
+/** A violated invariant. */
+export class InvariantViolation extends Error {
+  constructor(invariant: string, detail: string) {
+    super(`${invariant}: ${detail}`);
     this.name = "BrokenPromise";
   }
 }
 
-/** Watches a simulated group. */
+/** Checks the invariants of a simulated group. */
 export class GroupOracle {
   readonly acknowledged: Acknowledged[] = [];
-  #mayForget: boolean;
+  #mayLoseState: boolean;
   #committed = new Map<number, LogEntry>();
-  /** Commands by the leader, term and index of their entries. */
-  #taken = new Map<string, number>();
-  /** The highest acknowledged index when a command was handed in. */
-  #floors = new Map<number, number>();
+  /** Appended commands, by the leader, term and index of their entries. */
+  #appended = new Map<string, number>();
+  /** The highest acknowledged index when each command was proposed. */
+  #acknowledgedBefore = new Map<number, number>();
   #highestIndex = 0;
 
-  constructor(options: { mayForget: boolean }) {
-    this.#mayForget = options.mayForget;
+  constructor(options: { mayLoseState: boolean }) {
+    this.#mayLoseState = options.mayLoseState;
   }
 
-  /** A command is about to be handed in. */
-  invoke(command: number): void {
-    this.#floors.set(command, this.#highestIndex);
+  /** Records that a command is about to be proposed. */
+  recordProposal(command: number): void {
+    this.#acknowledgedBefore.set(command, this.#highestIndex);
   }
 
-  /** A leader put the command into its log. */
-  take(
+  /** Records that a leader appended a command to its log. */
+  recordAppend(
     memberId: string,
-    taken: { token: number; index: number; term: number },
+    appended: { token: number; index: number; term: number },
   ): void {
-    this.#taken.set(`${memberId} ${taken.term} ${taken.index}`, taken.token);
+    this.#appended.set(
+      `${memberId} ${appended.term} ${appended.index}`,
+      appended.token,
+    );
   }
 
-  /** A member applied an entry: every member must apply the same there. */
+  /** Checks that every member applies the same entry at an index. */
   commit(memberId: string, entry: LogEntry): void {
-    if (this.#mayForget) {
+    if (this.#mayLoseState) {
       return;
     }
     const known = this.#committed.get(entry.index);
@@ -63,7 +66,7 @@
     const isSame = known.term === entry.term && known.kind === entry.kind &&
       String(known.data) === String(entry.data);
     if (!isSame) {
-      throw new BrokenPromise(
+      throw new InvariantViolation(
         "a committed entry is never lost or changed",
         `${memberId} has term ${entry.term} at ${entry.index}, ` +
           `where term ${known.term} was committed`,
@@ -71,35 +74,40 @@
     }
   }
 
-  /** The leader that took a command applied it, and so answers its caller. */
+  /**
+   * Records that the leader that appended a command applied it, and so
+   * acknowledges it to the caller.
+   */
   acknowledge(
     memberId: string,
     applied: { entry: LogEntry; command: number; atMs: number },
   ): void {
     const { entry, command, atMs } = applied;
-    const taken = this.#taken.get(`${memberId} ${entry.term} ${entry.index}`);
-    if (taken !== command) {
+    const appended = this.#appended.get(
+      `${memberId} ${entry.term} ${entry.index}`,
+    );
+    if (appended !== command) {
       return;
     }
-    const floor = this.#floors.get(command) ?? 0;
-    if (entry.index <= floor && !this.#mayForget) {
-      throw new BrokenPromise(
-        "commands take effect between their call and their answer",
-        `command ${command} went before one that was answered earlier`,
+    const acknowledgedIndex = this.#acknowledgedBefore.get(command) ?? 0;
+    if (entry.index <= acknowledgedIndex && !this.#mayLoseState) {
+      throw new InvariantViolation(
+        "commands take effect between their call and their acknowledgement",
+        `command ${command} precedes one that was acknowledged earlier`,
       );
     }
     this.acknowledged.push({ command, index: entry.index, atMs });
     this.#highestIndex = Math.max(this.#highestIndex, entry.index);
   }
 
-  /** A member's state became that of a snapshot. */
+  /** Checks the state of a member that was restored from a snapshot. */
   restore(memberId: string, commands: readonly number[]): void {
-    if (this.#mayForget) {
+    if (this.#mayLoseState) {
       return;
     }
     const expected = this.committedCommands().slice(0, commands.length);
     if (expected.join() !== commands.join()) {
-      throw new BrokenPromise(
+      throw new InvariantViolation(
         "members with the same index have the same state",
         `${memberId} was restored to ${commands.join()}`,
       );
@@ -114,26 +122,26 @@
       .map((entry) => unpack(entry.data) as number);
   }
 
-  /** What must hold at every moment. */
+  /** Checks the invariants that must hold at any time. */
   check(simulation: RaftSimulation): void {
     const holders = simulation.leaseHolders();
     if (holders.length > 1) {
-      throw new BrokenPromise(
+      throw new InvariantViolation(
         "at most one lease is valid at a time",
         holders.map((holder) => holder.id).join(),
       );
     }
-    if (!this.#mayForget) {
+    if (!this.#mayLoseState) {
       this.#checkReads(simulation);
-      this.#checkCurrency(simulation);
+      this.#checkCurrentAt(simulation);
     }
   }
 
   #checkReads(simulation: RaftSimulation): void {
     for (const holder of simulation.leaseHolders()) {
       if (holder.appliedIndex < this.#highestIndex) {
-        throw new BrokenPromise(
-          "a leader under lease knows all that was acknowledged",
+        throw new InvariantViolation(
+          "a leader with a lease has applied all acknowledged commands",
           `${holder.id} applied ${holder.appliedIndex}, ` +
             `but ${this.#highestIndex} was acknowledged`,
         );
@@ -141,8 +149,11 @@
     }
   }
 
-  /** Nothing acknowledged before a member's currency moment is missing. */
-  #checkCurrency(simulation: RaftSimulation): void {
+  /**
+   * Checks that no member lacks a command that was acknowledged before its
+   * `currentAtMs`.
+   */
+  #checkCurrentAt(simulation: RaftSimulation): void {
     const newest = this.acknowledged.at(-1);
     for (const member of simulation.members.values()) {
       const { core } = member;
@@ -158,30 +169,32 @@
         item.index > member.appliedIndex && item.atMs < currentMs
       );
       if (missed !== undefined) {
-        throw new BrokenPromise(
-          "a copy holds all that was acknowledged before its moment",
-          `${member.id} lacks ${missed.index} of ${missed.atMs}, ` +
-            `yet says that it was current at ${currentMs}`,
+        throw new InvariantViolation(
+          "a copy has all commands acknowledged before its currentAtMs",
+          `${member.id} lacks ${missed.index}, acknowledged at ${missed.atMs}, ` +
+            `but reports that it was current at ${currentMs}`,
         );
       }
     }
   }
 
-  /** At the end, with all healed: every member has everything. */
+  /**
+   * Checks, at the end and without faults, that every member has every command.
+   */
   checkEnd(simulation: RaftSimulation): void {
     const lists = [...simulation.members.values()].map((member) =>
       member.commands.join()
     );
     if (new Set(lists).size !== 1) {
-      throw new BrokenPromise(
+      throw new InvariantViolation(
         "members with the same index have the same state",
         lists.join(" | "),
       );
     }
     const held = new Set([...simulation.members.values()][0]!.commands);
     const lost = this.acknowledged.find((item) => !held.has(item.command));
-    if (lost !== undefined && !this.#mayForget) {
-      throw new BrokenPromise(
+    if (lost !== undefined && !this.#mayLoseState) {
+      throw new InvariantViolation(
         "an acknowledged command is never lost",
         `command ${lost.command} at ${lost.index}`,
       );
--- a/src/process/replication/testing/member_group.ts
+++ b/src/process/replication/testing/member_group.ts
@@ -1,5 +1,5 @@
 /**
- * Whole members over one fake clock and network, with a fake disk each.
+ * Complete members with a shared fake clock and network, and a fake disk each.
  *
  * @module
  */
@@ -16,7 +16,7 @@
 import { ReplicationMember } from "../replication_member.ts";
 import type { ReplicationTiming } from "../replication_timing.ts";
 
-/** A list of texts; adding one gives its place. */
+/** A list of texts; adding a text returns the new length. */
 export class TextList implements StateMachine<string, number> {
   texts: string[] = [];
 
@@ -38,15 +38,15 @@
 export type Member = ReplicationMember<string, number>;
 
 /** Further options of each member. */
-export interface MoreOptions {
+export interface ExtraMemberOptions {
   readonly catchUpBytesPerSecond?: (peer: string) => number;
   readonly founderIds?: readonly string[];
   readonly wantedVoters?: number;
-  /** Sees every message that is sent. */
+  /** Called with every message that is sent. */
   readonly onSend?: (from: string, to: string, body: unknown) => void;
 }
 
-/** Members over one fake clock, network and a disk each. */
+/** Members with a shared fake clock and network, and a fake disk each. */
 export class MemberGroup {
   readonly clock = new FakeClock({ startMs: 1_000_000 });
   readonly random = new SeededRandom({ seed: 7 });
@@ -54,22 +54,22 @@
   readonly members = new Map<string, Member>();
   readonly machines = new Map<string, TextList>();
   readonly disks = new Map<string, FakeStorage>();
-  readonly settings: readonly GroupMember[];
+  readonly groupMembers: readonly GroupMember[];
   readonly timing: Partial<ReplicationTiming>;
-  readonly more: MoreOptions;
+  readonly extraOptions: ExtraMemberOptions;
 
   constructor(
     settings: readonly GroupMember[],
     timing: Partial<ReplicationTiming> = {},
-    more: MoreOptions = {},
+    extraOptions: ExtraMemberOptions = {},
   ) {
-    this.settings = settings;
-    this.more = more;
+    this.groupMembers = settings;
+    this.extraOptions = extraOptions;
     this.hub = new FakePeerHub({
       clock: this.clock,
       random: this.random,
       delayMs: () => 1,
-      ...more,
+      ...extraOptions,
     });
     this.timing = timing;
     for (const { id, isDurable } of settings) {
@@ -83,23 +83,23 @@
     const machine = new TextList();
     const opened = await ReplicationMember.open({
       groupId: "test",
-      members: this.settings,
+      members: this.groupMembers,
       network: this.hub.join(id, {
-        peerIds: this.settings.map((member) => member.id),
+        peerIds: this.groupMembers.map((member) => member.id),
       }),
       clock: this.clock,
       random: this.random,
       machine,
       storage: this.disks.get(id),
       timing: this.timing,
-      ...this.more,
+      ...this.extraOptions,
     });
     this.members.set(id, opened.unsafeCoerce());
     this.machines.set(id, machine);
   }
 
   async startAll(): Promise<void> {
-    for (const { id } of this.settings) {
+    for (const { id } of this.groupMembers) {
       await this.start(id);
     }
   }
@@ -117,7 +117,7 @@
     }
   }
 
-  async finish<T>(work: Promise<T>): Promise<T> {
+  async runUntilDone<T>(work: Promise<T>): Promise<T> {
     let isDone = false;
     void work.then(() => isDone = true);
     while (!isDone) {
@@ -128,7 +128,9 @@
 
   propose(id: string, text: string): Promise<Result<number>> {
     const deadlineMs = this.clock.nowMs() + 5_000;
-    return this.finish(this.members.get(id)!.propose(text, { deadlineMs }));
+    return this.runUntilDone(
+      this.members.get(id)!.propose(text, { deadlineMs }),
+    );
   }
 
   leader(): Member | undefined {
--- a/src/process/replication/testing/raft_simulation.ts
+++ b/src/process/replication/testing/raft_simulation.ts
@@ -1,7 +1,7 @@
 /**
- * A whole group of cores under one true clock, with a network that delays,
- * loses, doubles and reorders, and disks that lose what wasn't synced. An
- * oracle watches every step and throws at the first broken promise.
+ * A simulated group of cores under one true clock, with a network that delays,
+ * loses, duplicates and reorders messages, and disks that lose what wasn't
+ * synced. An oracle checks every step and throws when an invariant is violated.
  *
  * @module
  */
@@ -19,7 +19,7 @@
 import { GroupOracle } from "./group_oracle.ts";
 import { type MemberListener, SimulatedMember } from "./simulated_member.ts";
 
-/** What a simulation is made from. */
+/** Options of {@link RaftSimulation}. */
 export interface RaftSimulationOptions {
   readonly members: readonly GroupMember[];
   readonly seed: number;
@@ -29,8 +29,8 @@
   readonly delayMs?: number;
   /** The longest sync, in milliseconds. */
   readonly syncMs?: number;
-  /** Whether state may be lost, so that only leases are watched. */
-  readonly mayForget?: boolean;
+  /** Whether state may be lost, so that only leases are checked. */
+  readonly mayLoseState?: boolean;
 }
 
 interface ScheduledAction {
@@ -41,13 +41,13 @@
 
 const START_MS = 1_000_000;
 
-/** A group under simulation. */
+/** A simulated group. */
 export class RaftSimulation implements MemberListener {
   readonly members = new Map<string, SimulatedMember>();
   readonly oracle: GroupOracle;
   /** Fractions of messages. */
   lossRate = 0;
-  doublingRate = 0;
+  duplicateRate = 0;
   nowMs = START_MS;
   #options: RaftSimulationOptions;
   #random: SeededRandom;
@@ -68,7 +68,9 @@
       chunkBytes: 16,
       ...options.timing,
     };
-    this.oracle = new GroupOracle({ mayForget: options.mayForget ?? false });
+    this.oracle = new GroupOracle({
+      mayLoseState: options.mayLoseState ?? false,
+    });
     for (const self of options.members) {
       this.members.set(self.id, this.#newMember(self));
     }
@@ -99,7 +101,7 @@
     const member = this.member(id);
     if (member.core === undefined) {
       member.start(this.nowMs);
-      this.#tickLater(member, member.life);
+      this.#tickLater(member, member.generation);
     }
   }
 
@@ -128,41 +130,44 @@
   heal(): void {
     this.#cuts.clear();
     this.lossRate = 0;
-    this.doublingRate = 0;
+    this.duplicateRate = 0;
   }
 
-  /** The members that hold a lease now. */
+  /** The members that hold a lease. */
   leaseHolders(): SimulatedMember[] {
     return [...this.members.values()].filter((member) =>
       member.core?.isLeaseHeld(member.clockMs(this.nowMs))
     );
   }
 
-  /** Whether every member votes as it is, so that one more may be lost. */
-  isWhole(): boolean {
+  /**
+   * Whether every voter runs in its current incarnation, so that one more may
+   * be lost.
+   */
+  hasAllVoters(): boolean {
     const leader = this.leaseHolders()[0];
     const view = leader?.core?.view;
     if (view === undefined || view.log.configurationIndex > view.commitIndex) {
       return false;
     }
     const { voters, isDurabilityWaived } = view.configuration;
-    const wanted = [...this.members.values()].filter((member) =>
+    const configuredVoters = [...this.members.values()].filter((member) =>
       member.options.self.isVoter
     );
-    return !isDurabilityWaived && voters.length === wanted.length &&
+    return !isDurabilityWaived && voters.length === configuredVoters.length &&
       voters.every((voter) =>
         this.member(voter.id).core?.view.incarnation === voter.incarnation
       );
   }
 
-  /** Whether any member thinks that commits need no durable voter. */
-  isWaived(): boolean {
+  /** Whether any member considers the need for a durable voter waived. */
+  isDurabilityWaived(): boolean {
     return [...this.members.values()].some((member) =>
       member.core?.view.configuration.isDurabilityWaived === true
     );
   }
 
-  /** Hands a command to a member; only one that leads takes it. */
+  /** Proposes a command to a member, if it may accept one. */
   propose(id: string): void {
     const member = this.member(id);
     const { core } = member;
@@ -171,12 +176,12 @@
     if (mayServe) {
       const token = this.#nextCommand;
       this.#nextCommand += 1;
-      this.oracle.invoke(token);
+      this.oracle.recordProposal(token);
       this.#step(member, { kind: "propose", token, data: pack(token) });
     }
   }
 
-  /** Hands a command to whoever holds the lease. */
+  /** Proposes a command to the lease holder; returns false if there is none. */
   proposeToLeader(): boolean {
     const leader = this.leaseHolders()[0];
     if (leader !== undefined) {
@@ -189,11 +194,11 @@
     this.#step(this.member(id), input);
   }
 
-  /** Lets true time pass. */
+  /** Advances the true time. */
   run(byMs: number): void {
     const endMs = this.nowMs + byMs;
     for (;;) {
-      const next = this.#takeDue(endMs);
+      const next = this.#takeNextDue(endMs);
       if (next === undefined) {
         break;
       }
@@ -206,7 +211,7 @@
   }
 
   onSend(member: SimulatedMember, effect: SendEffect): void {
-    const copies = this.#random.nextUnit() < this.doublingRate ? 2 : 1;
+    const copies = this.#random.nextUnit() < this.duplicateRate ? 2 : 1;
     for (let copy = 0; copy < copies; copy++) {
       if (this.#random.nextUnit() >= this.lossRate) {
         this.#deliverLater(member.id, effect);
@@ -228,11 +233,11 @@
     this.oracle.restore(member.id, commands);
   }
 
-  onTaken(
+  onAppended(
     member: SimulatedMember,
-    taken: { token: number; index: number; term: number },
+    appended: { token: number; index: number; term: number },
   ): void {
-    this.oracle.take(member.id, taken);
+    this.oracle.recordAppend(member.id, appended);
   }
 
   schedule(member: SimulatedMember, action: () => void): void {
@@ -240,9 +245,9 @@
     const lastMs = this.#syncEndMs.get(member.id) ?? 0;
     const dueMs = Math.max(lastMs, this.nowMs + syncMs);
     this.#syncEndMs.set(member.id, dueMs);
-    const { life } = member;
+    const { generation } = member;
     this.#at(dueMs, () => {
-      if (member.life === life) {
+      if (member.generation === generation) {
         action();
         const sequence = member.persistedSequence;
         this.#step(member, { kind: "persisted", sequence });
@@ -250,12 +255,12 @@
     });
   }
 
-  #tickLater(member: SimulatedMember, life: number): void {
+  #tickLater(member: SimulatedMember, generation: number): void {
     const { tickMs } = this.#timing;
     this.#at(this.nowMs + tickMs, () => {
-      if (member.life === life) {
+      if (member.generation === generation) {
         this.#step(member, { kind: "tick" });
-        this.#tickLater(member, life);
+        this.#tickLater(member, generation);
       }
     });
   }
@@ -282,7 +287,7 @@
     this.#queue.push({ dueMs, order: this.#order++, action });
   }
 
-  #takeDue(endMs: number): ScheduledAction | undefined {
+  #takeNextDue(endMs: number): ScheduledAction | undefined {
     let best = -1;
     for (let at = 0; at < this.#queue.length; at++) {
       if (best === -1 || isBefore(this.#queue[at]!, this.#queue[best]!)) {
--- a/src/process/replication/testing/simulated_member.ts
+++ b/src/process/replication/testing/simulated_member.ts
@@ -1,6 +1,6 @@
 /**
- * One member of a simulated group: its core, its drifting clock, its disk and
- * a state machine that is a list of commands.
+ * One member of a simulated group: its core, its drifting clock, its disk and a
+ * state machine that is a list of commands.
  *
  * @module
  */
@@ -27,26 +27,26 @@
   entries: LogEntry[];
 }
 
-/** A clock that runs a little fast or slow. */
+/** A clock that runs slightly fast or slow. */
 export interface DriftingClock {
   readonly rate: number;
   readonly offsetMs: number;
 }
 
-/** What a member tells the simulation. */
+/** Callbacks from a member to the simulation. */
 export interface MemberListener {
   onSend(member: SimulatedMember, effect: SendEffect): void;
   onCommit(member: SimulatedMember, entry: LogEntry): void;
   onRestore(member: SimulatedMember, commands: readonly number[]): void;
-  onTaken(
+  onAppended(
     member: SimulatedMember,
-    taken: { token: number; index: number; term: number },
+    appended: { token: number; index: number; term: number },
   ): void;
-  /** Later, unless the member crashes first. */
+  /** Runs the action later, unless the member crashes first. */
   schedule(member: SimulatedMember, action: () => void): void;
 }
 
-/** What a member is made from. */
+/** Options of {@link SimulatedMember}. */
 export interface SimulatedMemberOptions {
   readonly self: GroupMember;
   readonly members: readonly GroupMember[];
@@ -57,20 +57,20 @@
   readonly listener: MemberListener;
 }
 
-/** A member that can crash, forget and come back. */
+/** A member that can crash, lose its state and restart. */
 export class SimulatedMember {
   readonly options: SimulatedMemberOptions;
   core: RaftCore | undefined;
-  /** Counts the starts; what was scheduled for an earlier one is void. */
-  life = 0;
+  /** Counts starts and crashes; actions of earlier generations are dropped. */
+  generation = 0;
   commands: number[] = [];
   appliedIndex = 0;
   startedAtMs = 0;
   #snapshotIndex = 0;
   #disk: SimulatedDisk = emptyDisk();
-  #keptIncarnation: number | undefined;
+  #lastIncarnation: number | undefined;
   #inputs: RaftInput[] = [];
-  #held: SendEffect[] = [];
+  #heldMessages: SendEffect[] = [];
   #persistedSequence = 0;
 
   constructor(options: SimulatedMemberOptions) {
@@ -86,13 +86,13 @@
     return this.#persistedSequence;
   }
 
-  /** This member's clock at a true moment. */
+  /** The reading of this member's clock at a true time. */
   clockMs(trueMs: number): number {
     const { rate, offsetMs } = this.options.clock;
     return offsetMs + trueMs * rate;
   }
 
-  /** The true moment at which this member's clock shows a time. */
+  /** The true time at which this member's clock has a reading. */
   trueMs(clockMs: number): number {
     const { rate, offsetMs } = this.options.clock;
     return (clockMs - offsetMs) / rate;
@@ -101,14 +101,14 @@
   start(trueMs: number): void {
     const { options } = this;
     const disk = this.#disk;
-    this.life += 1;
+    this.generation += 1;
     this.startedAtMs = trueMs;
-    this.#held = [];
+    this.#heldMessages = [];
     this.#persistedSequence = 0;
     const nowMs = this.clockMs(trueMs);
     disk.hardState ??= this.#newHardState(nowMs);
-    this.#keptIncarnation = disk.hardState.incarnation;
-    this.#become(disk.snapshot);
+    this.#lastIncarnation = disk.hardState.incarnation;
+    this.#restore(disk.snapshot);
     this.core = new RaftCore({
       selfId: this.id,
       members: options.members,
@@ -123,17 +123,17 @@
     });
   }
 
-  /** The process dies; a member without a disk forgets everything. */
+  /** Stops the process; a member without a disk loses its state. */
   crash(): void {
     this.core = undefined;
-    this.life += 1;
+    this.generation += 1;
     if (!this.options.self.isDurable) {
-      this.forget();
+      this.eraseDisk();
     }
   }
 
-  /** The disk is lost. */
-  forget(): void {
+  /** Erases the disk. */
+  eraseDisk(): void {
     this.#disk = emptyDisk();
   }
 
@@ -145,16 +145,16 @@
     for (let next = input; next !== undefined; next = this.#inputs[0]!) {
       const effects = this.core?.step([next], this.clockMs(trueMs)) ?? [];
       for (const effect of effects) {
-        this.#carryOut(effect, trueMs);
+        this.#execute(effect, trueMs);
       }
       this.#inputs.shift();
     }
   }
 
   #newHardState(nowMs: number): HardState {
-    const mutated = this.options.mutations.has("forgottenMemberVotes");
-    const incarnation = mutated && this.#keptIncarnation !== undefined
-      ? this.#keptIncarnation
+    const mutated = this.options.mutations.has("lostMemberKeepsIncarnation");
+    const incarnation = mutated && this.#lastIncarnation !== undefined
+      ? this.#lastIncarnation
       : Math.floor(nowMs) * 1_024 + this.options.random.nextInt(1_024);
     return {
       incarnation,
@@ -164,39 +164,39 @@
     };
   }
 
-  #carryOut(effect: RaftEffect, trueMs: number): void {
+  #execute(effect: RaftEffect, trueMs: number): void {
     const { listener } = this.options;
     switch (effect.kind) {
       case "send":
         if (effect.afterSequence <= this.#persistedSequence) {
           return listener.onSend(this, effect);
         }
-        return void this.#held.push(effect);
+        return void this.#heldMessages.push(effect);
       case "persist":
-        return listener.schedule(this, () => this.#finish(effect));
+        return listener.schedule(this, () => this.#completePersist(effect));
       case "commit":
         for (const entry of effect.entries) {
           this.#apply(entry);
         }
         return this.#snapshotIfDue(trueMs);
       case "restore":
-        this.#become(effect.snapshot);
+        this.#restore(effect.snapshot);
         return listener.onRestore(this, this.commands);
-      case "proposalTaken":
-        return listener.onTaken(this, effect);
-      case "proposalRefused":
+      case "proposalAppended":
+        return listener.onAppended(this, effect);
+      case "proposalRejected":
       case "event":
         return;
     }
   }
 
-  #finish(effect: PersistEffect): void {
-    keep(this.#disk, effect);
+  #completePersist(effect: PersistEffect): void {
+    applyPersist(this.#disk, effect);
     this.#persistedSequence = effect.sequence;
-    const ready = this.#held.filter((send) =>
+    const ready = this.#heldMessages.filter((send) =>
       send.afterSequence <= effect.sequence
     );
-    this.#held = this.#held.filter((send) =>
+    this.#heldMessages = this.#heldMessages.filter((send) =>
       send.afterSequence > effect.sequence
     );
     for (const send of ready) {
@@ -212,7 +212,7 @@
     this.options.listener.onCommit(this, entry);
   }
 
-  #become(snapshot: LogSnapshot): void {
+  #restore(snapshot: LogSnapshot): void {
     this.appliedIndex = snapshot.index;
     this.#snapshotIndex = snapshot.index;
     this.commands = snapshot.data.byteLength === 0
@@ -235,7 +235,7 @@
   return { hardState: undefined, snapshot: EMPTY_SNAPSHOT, entries: [] };
 }
 
-function keep(disk: SimulatedDisk, effect: PersistEffect): void {
+function applyPersist(disk: SimulatedDisk, effect: PersistEffect): void {
   if (effect.snapshot !== undefined) {
     const { index } = effect.snapshot;
     disk.snapshot = effect.snapshot;
--- a/src/process/replication/token_bucket.ts
+++ b/src/process/replication/token_bucket.ts
@@ -1,13 +1,16 @@
 /**
- * A byte budget over time.
+ * A limit on bytes per second.
  *
  * @module
  */
 
-/** How much of the budget may be saved up, in seconds. */
+/** How much unused budget can accumulate, in seconds. */
 const BURST_SECONDS = 0.25;
 
-/** Lets bytes through at a rate; a debt delays what comes next. */
+/**
+ * Limits the rate of bytes. `take` may overdraw the bucket, which delays what
+ * follows.
+ */
 export class TokenBucket {
   #bytesPerSecond: number;
   #tokens: number;
--- a/src/process/replication/voter_count_test.ts
+++ b/src/process/replication/voter_count_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { type Member, MemberGroup } from "./testing/member_group.ts";
-import { VoterKeeper } from "./voter_keeper.ts";
+import { VoterKeeper } from "./voter_reconciler.ts";
 
 const IDS = ["a", "b", "c", "d", "e", "f"];
 const WANTED_VOTERS = 5;
@@ -17,7 +17,7 @@
   return group;
 }
 
-function keepVoters(group: MemberGroup, member: Member): VoterKeeper {
+function reconcileVoters(group: MemberGroup, member: Member): VoterKeeper {
   const { clock } = group;
   return new VoterKeeper({ member, clock, wantedVoters: WANTED_VOTERS });
 }
@@ -26,16 +26,16 @@
   return group.leader()?.status().voterIds ?? [];
 }
 
-test("a group grows to the wanted number of voters and no further", async (t) => {
+test("a group grows to the target number of voters and no further", async (t) => {
   const group = await openGroup();
   t.is(voterIds(group).length, WANTED_VOTERS);
   await group.close();
 });
 
-test("two lost voters leave a group that can lose two again", async (t) => {
+test("a group that replaced two lost voters can lose two again", async (t) => {
   const group = await openGroup();
-  const keepers = [...group.members.values()].map((member) =>
-    keepVoters(group, member)
+  const reconcilers = [...group.members.values()].map((member) =>
+    reconcileVoters(group, member)
   );
   const others = (): string[] =>
     voterIds(group).filter((id) =>
@@ -49,7 +49,7 @@
   t.true((await group.propose(others()[0]!, "one")).isRight());
   for (const id of lost) {
     await group.start(id);
-    keepers.push(keepVoters(group, group.members.get(id)!));
+    reconcilers.push(reconcileVoters(group, group.members.get(id)!));
   }
   await group.run(8_000);
   t.is(voterIds(group).length, WANTED_VOTERS);
@@ -58,6 +58,6 @@
   }
   await group.run(3_000);
   t.true((await group.propose(others()[0]!, "two")).isRight());
-  keepers.forEach((keeper) => keeper.close());
+  reconcilers.forEach((reconciler) => reconciler.close());
   await group.close();
 });
--- a/src/process/replication/voter_keeper.ts
+++ b/src/process/replication/voter_reconciler.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps a group at its number of voters when instances are replaced: a voter
- * that is gone makes way for a member that has caught up.
+ * Keeps the number of a group's voters when instances are replaced: a voter
+ * that is silent is replaced by a member that has caught up.
  *
  * @module
  */
@@ -8,28 +8,27 @@
 import type { Clock, Timer } from "../../base/clock.ts";
 import { type EventLog, SILENT_EVENT_LOG } from "../../base/event_log.ts";
 import type { InstanceId } from "../../base/identity.ts";
-import type { MemberContacts } from "./member_contacts.ts";
+import type { MemberReachability } from "./member_reachability.ts";
 import type { ReplicationMember } from "./replication_member.ts";
 import type { MemberStatus } from "./replicated_log.ts";
 
-/** A voter that is silent for so long may be replaced: above a restart. */
-const SILENCE_MS = 3_000;
+/** A voter that is silent for longer may be replaced. A restart takes less. */
+const VOTER_SILENCE_MS = 3_000;
 
-/** How often the voters are looked over, and how long a change may take. */
-const CHECK_MS = 500;
-const CHANGE_MS = 3_000;
+const CHECK_INTERVAL_MS = 500;
+const CHANGE_TIMEOUT_MS = 3_000;
 
-/** A change of the voters that should be made next. */
+/** The next membership change to make. */
 export type VoterChange =
   | { readonly kind: "remove"; readonly id: InstanceId }
   | { readonly kind: "add"; readonly id: InstanceId };
 
-/** Decides on the next change, if one is needed. */
+/** Chooses the next change, if one is needed. */
 export function nextVoterChange(
   status: Pick<MemberStatus, "voterIds">,
-  options: { contacts: MemberContacts; wantedVoters: number },
+  options: { reachability: MemberReachability; wantedVoters: number },
 ): VoterChange | undefined {
-  const { contacts: { silentVoterIds, readyIds }, wantedVoters } = options;
+  const { reachability: { silentVoterIds, readyIds }, wantedVoters } = options;
   const silentId = silentVoterIds[0];
   if (silentId !== undefined && status.voterIds.length > wantedVoters) {
     return { kind: "remove", id: silentId };
@@ -43,26 +42,29 @@
   return undefined;
 }
 
-/** What a keeper is made from. */
-export interface VoterKeeperOptions {
+/** Options of {@link VoterKeeper}. */
+export interface VoterReconcilerOptions {
   readonly member: Pick<
     ReplicationMember<unknown, unknown>,
-    "status" | "contacts" | "changeMembers"
+    "status" | "reachability" | "changeMembers"
   >;
   readonly clock: Clock;
   readonly events?: EventLog;
   readonly wantedVoters: number;
 }
 
-/** Looks after the voters while its member leads. */
+/** Adds and removes voters while its member leads. */
 export class VoterKeeper {
-  readonly #options: VoterKeeperOptions;
+  readonly #options: VoterReconcilerOptions;
   readonly #timer: Timer;
   #isChanging = false;
 
-  constructor(options: VoterKeeperOptions) {
+  constructor(options: VoterReconcilerOptions) {
     this.#options = options;
-    this.#timer = options.clock.every(CHECK_MS, () => void this.#check());
+    this.#timer = options.clock.every(
+      CHECK_INTERVAL_MS,
+      () => void this.#check(),
+    );
   }
 
   close(): void {
@@ -75,13 +77,13 @@
     if (this.#isChanging || status.role !== "leader") {
       return;
     }
-    const contacts = member.contacts(SILENCE_MS);
-    const change = nextVoterChange(status, { contacts, wantedVoters });
+    const reachability = member.reachability(VOTER_SILENCE_MS);
+    const change = nextVoterChange(status, { reachability, wantedVoters });
     if (change === undefined) {
       return;
     }
     this.#isChanging = true;
-    const deadlineMs = clock.nowMs() + CHANGE_MS;
+    const deadlineMs = clock.nowMs() + CHANGE_TIMEOUT_MS;
     const result = await member.changeMembers(change, { deadlineMs });
     this.#isChanging = false;
     const events = this.#options.events ?? SILENT_EVENT_LOG;
