--- a/src/process/replication/core_driver.ts
+++ b/src/process/replication/core_driver.ts
@@ -1,5 +1,5 @@
 /**
- * Drives a core: feeds it inputs one by one and executes its effects.
+ * Drives a core: feeds it inputs and executes its effects.
  *
  * @module
  */
--- a/src/process/replication/log_store_test.ts
+++ b/src/process/replication/log_store_test.ts
@@ -152,8 +152,8 @@
 test("a failed write of a snapshot fails later writes", async (t) => {
   const { storage, store } = await storeWith(4);
   storage.faults.isFull = true;
-  const begun = await store.persist([effect({ snapshot: snapshot(4, 3) })]);
-  t.true(begun.isRight());
+  const started = await store.persist([effect({ snapshot: snapshot(4, 3) })]);
+  t.true(started.isRight());
   await settle();
   storage.faults.isFull = false;
   const later = await store.persist([effect({ entries: [entry(5, 3)] })]);
--- a/src/process/replication/membership.ts
+++ b/src/process/replication/membership.ts
@@ -35,13 +35,13 @@
     return;
   }
   const { wantedVoters = Infinity } = state.options;
-  const candidate = voters.length < wantedVoters
+  const readyMember = voters.length < wantedVoters
     ? [...state.progress.values()].find((progress) =>
       isReadyToVote(state, progress)
     )
     : undefined;
-  if (candidate !== undefined) {
-    promoteToVoter(state, candidate);
+  if (readyMember !== undefined) {
+    promoteToVoter(state, readyMember);
     return;
   }
   waiveDurability(state);
--- a/src/process/replication/raft_message.ts
+++ b/src/process/replication/raft_message.ts
@@ -43,7 +43,7 @@
      */
     isWilling: z.boolean(),
   }),
-  /** Entries for a follower, or a heartbeat if there are none. */
+  /** Entries for a member, or a heartbeat if there are none. */
   z.strictObject({
     kind: z.literal("append"),
     term: count,
--- a/src/process/replication/replication_member.ts
+++ b/src/process/replication/replication_member.ts
@@ -210,9 +210,9 @@
       return failure("tooLarge", { detail: `${data.byteLength} bytes` });
     }
     for (;;) {
-      const refusal = this.#rejection(options.deadlineMs);
-      if (refusal !== undefined) {
-        return refusal;
+      const rejection = this.#rejection(options.deadlineMs);
+      if (rejection !== undefined) {
+        return rejection;
       }
       const result = await this.#calls.propose(data, options.deadlineMs);
       switch (result.kind) {
@@ -230,9 +230,9 @@
   async readBarrier(options: { deadlineMs: number }): Promise<Result<void>> {
     let index: number | undefined;
     for (;;) {
-      const refusal = this.#rejection(options.deadlineMs);
-      if (refusal !== undefined) {
-        return refusal;
+      const rejection = this.#rejection(options.deadlineMs);
+      if (rejection !== undefined) {
+        return rejection;
       }
       index ??= await this.#calls.readIndex();
       if (index !== undefined && this.#driver.appliedIndex >= index) {
@@ -251,9 +251,9 @@
     options: { deadlineMs: number },
   ): Promise<Result<void>> {
     for (;;) {
-      const refusal = this.#rejection(options.deadlineMs);
-      if (refusal !== undefined) {
-        return refusal;
+      const rejection = this.#rejection(options.deadlineMs);
+      if (rejection !== undefined) {
+        return rejection;
       }
       if (this.#isInEffect(change)) {
         return Right(undefined);
--- a/src/process/replication/testing/fault_session.ts
+++ b/src/process/replication/testing/fault_session.ts
@@ -195,12 +195,12 @@
   }
   simulation.run(4_000);
   if (!simulation.proposeToLeader()) {
-    throw new Error("no leader after all members were restarted");
+    throw new Error("no leader with all members running");
   }
   const before = simulation.oracle.acknowledged.length;
   simulation.run(3_000);
   if (simulation.oracle.acknowledged.length === before) {
-    throw new Error("no commit after all members were restarted");
+    throw new Error("no commit with all members running");
   }
   simulation.oracle.checkEnd(simulation);
 }
--- a/src/process/replication/testing/group_oracle.ts
+++ b/src/process/replication/testing/group_oracle.ts
@@ -18,7 +18,7 @@
 export class InvariantViolation extends Error {
   constructor(invariant: string, detail: string) {
     super(`${invariant}: ${detail}`);
-    this.name = "BrokenPromise";
+    this.name = "InvariantViolation";
   }
 }
 
--- a/src/process/replication/testing/member_group.ts
+++ b/src/process/replication/testing/member_group.ts
@@ -59,11 +59,11 @@
   readonly extraOptions: ExtraMemberOptions;
 
   constructor(
-    settings: readonly GroupMember[],
+    groupMembers: readonly GroupMember[],
     timing: Partial<ReplicationTiming> = {},
     extraOptions: ExtraMemberOptions = {},
   ) {
-    this.groupMembers = settings;
+    this.groupMembers = groupMembers;
     this.extraOptions = extraOptions;
     this.hub = new FakePeerHub({
       clock: this.clock,
@@ -72,7 +72,7 @@
       ...extraOptions,
     });
     this.timing = timing;
-    for (const { id, isDurable } of settings) {
+    for (const { id, isDurable } of groupMembers) {
       if (isDurable) {
         this.disks.set(id, new FakeStorage());
       }
--- a/src/process/replication/testing/simulated_member.ts
+++ b/src/process/replication/testing/simulated_member.ts
@@ -248,7 +248,9 @@
   }
   for (const entry of effect.entries) {
     if (entry.index > disk.snapshot.index) {
-      disk.entries = disk.entries.filter((kept) => kept.index < entry.index);
+      disk.entries = disk.entries.filter((stored) =>
+        stored.index < entry.index
+      );
       disk.entries.push(entry);
     }
   }
--- a/src/process/replication/voter_reconciler.ts
+++ b/src/process/replication/voter_reconciler.ts
@@ -42,7 +42,7 @@
   return undefined;
 }
 
-/** Options of {@link VoterKeeper}. */
+/** Options of the voter reconciler. */
 export interface VoterReconcilerOptions {
   readonly member: Pick<
     ReplicationMember<unknown, unknown>,
