--- a/src/base/events/batch_events.ts
+++ b/src/base/events/batch_events.ts
@@ -23,7 +23,7 @@
   batchLeaderFailed: {
     number: 7002,
     level: "warn",
-    text: "A time in office ended, or could not begin.",
+    text: "A leader's session failed, or could not begin.",
     fields: ["detail"],
   },
   batchJobAccepted: {
@@ -41,25 +41,26 @@
   batchJobEnded: {
     number: 7012,
     level: "info",
-    text: "A job came to its end.",
+    text: "A job ended.",
     fields: ["jobId", "phase", "tookMs"],
   },
   batchCallUnanswered: {
     number: 7013,
     level: "warn",
-    text: "A call got no certain answer from a leader in time.",
+    text:
+      "A call may have been carried out, but no leader confirmed it in time.",
     fields: ["jobId", "call", "leftMs", "leaderId", "reachedAgoMs"],
   },
   batchCallUnavailable: {
     number: 7014,
     level: "info",
-    text: "A call was turned away because no leader could take it.",
+    text: "A call was rejected because no leader could be reached.",
     fields: ["jobId", "call", "leftMs", "leaderId", "reachedAgoMs"],
   },
   taskStarted: {
     number: 7020,
     level: "info",
-    text: "A start of tasks is stored and goes out to their workers.",
+    text: "A start of tasks is stored and is sent to their workers.",
     fields: ["jobId", "occurrence", "step", "run", "tasks", "workers"],
   },
   taskEnded: {
@@ -83,7 +84,7 @@
   taskStoppedUnknown: {
     number: 7024,
     level: "warn",
-    text: "A worker ran something that isn't open; it is stopped.",
+    text: "A run that isn't open on a worker is stopped there.",
     fields: ["jobId", "task", "run", "worker"],
   },
   taskPreempted: {
@@ -101,13 +102,13 @@
   batchWorkerLeft: {
     number: 7031,
     level: "info",
-    text: "A life of a worker is over.",
+    text: "A worker left, its process is gone, or a new one replaced it.",
     fields: ["worker"],
   },
   batchWorkerReached: {
     number: 7032,
     level: "info",
-    text: "A worker answers, for the first time or again.",
+    text: "A worker answers renewals, for the first time or again.",
     fields: ["worker"],
   },
   batchWorkerSilent: {
@@ -125,7 +126,7 @@
   batchCommitSlow: {
     number: 7040,
     level: "warn",
-    text: "A batch took long to commit.",
+    text: "A batch was slow to commit.",
     fields: ["durationMs", "items"],
   },
   batchConfigured: {
--- a/src/process/batch/batch_command.ts
+++ b/src/process/batch/batch_command.ts
@@ -1,5 +1,5 @@
 /**
- * The commands of the batch scheduler's log.
+ * The commands of the batch scheduler's replicated log.
  *
  * @module
  */
@@ -14,19 +14,22 @@
 import type { JobSpec, TaskDemand } from "./job_spec.ts";
 import type { PoolConfiguration } from "./pool_configuration.ts";
 
-/** The format of commands and snapshots; a reader refuses a newer one. */
+/** The format of snapshots; a reader refuses any other one. */
 export const BATCH_FORMAT_VERSION = 1;
 
-/** One life of a worker: its identity and the moment of its start. */
+/**
+ * The key of one worker incarnation, from the worker's id and the time of its
+ * process's start. See {@link lifeKey}.
+ */
 export type WorkerKey = string;
 
-/** The name of one life of a worker. */
+/** The key of the incarnation of a worker that started at a time. */
 export function lifeKey(id: string, bornMs: number): WorkerKey {
   return `${id}@${bornMs}`;
 }
 
-/** The worker that a life is of. */
-export function idOfLife(key: WorkerKey): string {
+/** The id of the worker that an incarnation belongs to. */
+export function workerIdOf(key: WorkerKey): string {
   return key.slice(0, key.lastIndexOf("@"));
 }
 
@@ -34,7 +37,7 @@
 export interface WorkerRecord {
   readonly key: WorkerKey;
   readonly id: string;
-  /** Unix time of this life's start, by the worker; 0 where it says none. */
+  /** Unix time of this incarnation's start; 0 if the worker reports none. */
   readonly bornMs: number;
   readonly service: ServiceId;
   readonly address: string;
@@ -45,8 +48,13 @@
   readonly isDraining: boolean;
 }
 
-/** Whether two records of one life of a worker say the same. */
-export function isSameWorker(left: WorkerRecord, right: WorkerRecord): boolean {
+/**
+ * Whether two records of one incarnation agree in the fields that may change.
+ */
+export function isSameWorkerRecord(
+  left: WorkerRecord,
+  right: WorkerRecord,
+): boolean {
   return left.address === right.address &&
     left.service === right.service &&
     left.isDraining === right.isDraining &&
@@ -64,20 +72,22 @@
   readonly index: number;
 }
 
-/** How a run came to its end. */
+/** How a run ended. */
 export const RunEnd = {
   done: "done",
-  /** Through the task's or the worker's fault; counts as an attempt. */
+  /** The task or its worker failed; counts as an attempt. */
   failed: "failed",
   /** Stopped by this scheduler. */
   stopped: "stopped",
-  /** Its lease ran out. */
+  /** Its lease expired. */
   lapsed: "lapsed",
-  /** Another member of its gang ended. */
+  /** Another task of its gang ended. */
   broken: "broken",
-  /** It waited too long for the rest of its gang. */
+  /** It waited too long for the other tasks of its gang. */
   alone: "alone",
-  /** Its worker is gone, or was silent for a whole lease. */
+  /**
+   * Its worker is gone, no longer has it, or didn't answer for a whole lease.
+   */
   lost: "lost",
   /** The worker refused to start it. */
   rejected: "rejected",
@@ -86,13 +96,13 @@
 /** One of the values of {@link RunEnd}. */
 export type RunEnd = typeof RunEnd[keyof typeof RunEnd];
 
-/** One task's place in a start. */
+/** One task of a start, and the worker that it starts on. */
 export interface StartedTask {
   readonly index: number;
   readonly worker: WorkerKey;
 }
 
-/** One change that the leader decided; applied in order. */
+/** One change of the state; the items of a batch are applied in order. */
 export type BatchItem =
   | {
     readonly kind: "accept";
@@ -100,11 +110,11 @@
     readonly queue: string;
     readonly account: ClientAccountId | undefined;
     readonly spec: JobSpec;
-    /** When the caller first sent it, as far as known. */
+    /** Unix time at which an instance received the caller's call. */
     readonly submittedAtMs: number;
   }
   | { readonly kind: "cancel"; readonly jobId: JobId }
-  /** Tasks of one step are to start under one run number; all or none. */
+  /** Starts tasks of one step under one run number; all of them or none. */
   | {
     readonly kind: "start";
     readonly jobId: JobId;
@@ -123,12 +133,12 @@
   }
   | { readonly kind: "worker"; readonly worker: WorkerRecord }
   | { readonly kind: "workerGone"; readonly key: WorkerKey }
-  /** Ended jobs that nobody may ask for any more. */
+  /** Removes ended jobs that were kept long enough for callers to read them. */
   | { readonly kind: "forget"; readonly jobIds: readonly JobId[] };
 
 /** A command of the log. */
 export type BatchCommand =
-  /** A leader begins; the epoch that it gets fences all earlier ones. */
+  /** Begins a new epoch for a leader; it fences all earlier ones. */
   | { readonly kind: "epoch"; readonly leaderId: InstanceId }
   | {
     readonly kind: "batch";
@@ -148,12 +158,12 @@
     readonly isOut: boolean;
   };
 
-/** What applying a command gave. */
+/** The outcome of applying a command. */
 export type BatchOutcome =
   | { readonly kind: "epoch"; readonly epoch: number }
-  /** Which items took effect, by position. */
+  /** Whether each item took effect. */
   | { readonly kind: "batch"; readonly applied: readonly boolean[] }
-  /** The batch's leader is no longer the latest one; nothing took effect. */
+  /** The batch is of an earlier epoch than the latest; nothing took effect. */
   | { readonly kind: "deposed" }
   | { readonly kind: "configured"; readonly version: number }
   | { readonly kind: "dataCentre" };
--- a/src/process/batch/batch_metrics.ts
+++ b/src/process/batch/batch_metrics.ts
@@ -1,5 +1,5 @@
 /**
- * Gauges of the batch scheduler, read whenever the metrics are.
+ * Gauges of the batch scheduler, computed when the metrics are read.
  *
  * @module
  */
@@ -9,8 +9,8 @@
 import type { BatchService } from "./batch_service.ts";
 import { JobPhase, type JobRecord } from "./job_record.ts";
 
-/** Shows leadership, depths and the workers of one instance. */
-export function showBatchMetrics(
+/** Registers the gauges of one instance: leadership, log, jobs and workers. */
+export function registerBatchMetrics(
   metrics: MetricsRegistry,
   service: BatchService,
   log: Pick<ReplicatedLog<unknown, unknown>, "status">,
@@ -23,8 +23,8 @@
     "1 while this instance leads the batch scheduler.",
     () => service.session === undefined ? 0 : 1,
   );
-  gauge("epoch", "The latest leader's epoch.", () => state.epoch);
-  gauge("term", "The term of the group.", () => log.status().term);
+  gauge("epoch", "Epoch of the latest leader.", () => state.epoch);
+  gauge("term", "Term of the group.", () => log.status().term);
   gauge("voters", "Voters of the group.", () => log.status().voterIds.length);
   gauge(
     "committed_entries",
@@ -33,38 +33,38 @@
   );
   gauge(
     "configuration_version",
-    "The configuration in force here; -1 before the first.",
+    "Version of the configuration in force here; -1 before the first.",
     () => state.inForce?.index.configuration.version ?? -1,
   );
   gauge(
     "workers",
-    "Workers that announced themselves.",
+    "Workers in the state.",
     () => state.workers.size,
   );
-  gauge("jobs", "Jobs kept.", () => state.jobs.size);
+  gauge("jobs", "Jobs in the state, ended ones too.", () => state.jobs.size);
   gauge(
     "jobs_queued",
-    "Jobs of which nothing has started.",
-    () => count(service, (job) => !job.hasStarted),
+    "Active jobs of which no task has started.",
+    () => countActiveJobs(service, (job) => !job.hasStarted),
   );
   gauge(
     "jobs_running",
-    "Jobs that have started and aren't over.",
-    () => count(service, (job) => job.hasStarted),
+    "Active jobs of which a task has started.",
+    () => countActiveJobs(service, (job) => job.hasStarted),
   );
   gauge(
     "open_runs",
-    "Runs that the leader sees to.",
+    "Open runs that this instance tracks as the leader.",
     () => service.session?.depths.openRuns ?? 0,
   );
   gauge(
     "uncommitted_changes",
-    "Changes that wait for the next batch.",
+    "Changes that wait for the leader's next batch.",
     () => service.session?.depths.uncommitted ?? 0,
   );
 }
 
-function count(
+function countActiveJobs(
   { state }: BatchService,
   matches: (job: JobRecord) => boolean,
 ): number {
--- a/src/process/batch/batch_service.ts
+++ b/src/process/batch/batch_service.ts
@@ -1,6 +1,6 @@
 /**
- * The batch scheduler on an instance that keeps its state: a member of the
- * group, and while it leads, the leader's session.
+ * The batch scheduler on an instance that replicates its state: a member of the
+ * group, and the leader's session while this instance leads.
  *
  * @module
  */
@@ -13,13 +13,13 @@
 import {
   type BatchCommand,
   type BatchOutcome,
-  isSameWorker,
+  isSameWorkerRecord,
   type WorkerRecord,
 } from "./batch_command.ts";
 import type { BatchState, ConfigurationInForce } from "./batch_state.ts";
 import type { BatchTiming } from "./batch_timing.ts";
 import type { JobAnswer, JobCall } from "./job_call.ts";
-import { CallAnswerer } from "./leader/call_answerer.ts";
+import { CallHandler } from "./leader/call_handler.ts";
 import { LeaderSession } from "./leader/leader_session.ts";
 import {
   findConfigurationFault,
@@ -27,7 +27,7 @@
 } from "./pool_configuration.ts";
 import type { WorkerCalls } from "./worker_calls.ts";
 
-/** What the service is made from. */
+/** Options of {@link BatchService}. */
 export interface BatchServiceOptions {
   readonly member: ReplicationMember<BatchCommand, BatchOutcome>;
   readonly state: BatchState;
@@ -36,37 +36,37 @@
   readonly calls: WorkerCalls;
   readonly events: EventLog;
   readonly timing: BatchTiming;
-  /** Takes note of how long each batch took to commit. */
+  /** Called with the time that each batch took to commit. */
   readonly onCommit?: (durationMs: number) => void;
 }
 
-interface Office {
+interface Leadership {
   readonly session: LeaderSession;
-  readonly answerer: CallAnswerer;
+  readonly handler: CallHandler;
 }
 
-/** How often leadership is looked at. */
-const OFFICE_CHECK_MS = 20;
+/** How often the member's role and epoch are checked. */
+const LEADERSHIP_CHECK_MS = 20;
 
 /** The batch scheduler of one instance. */
 export class BatchService {
   readonly #options: BatchServiceOptions;
   readonly #checker: Timer;
-  #office: Office | undefined;
-  #isTakingOffice = false;
+  #leadership: Leadership | undefined;
+  #isBecomingLeader = false;
   #isClosed = false;
 
   constructor(options: BatchServiceOptions) {
     this.#options = options;
     this.#checker = options.clock.every(
-      OFFICE_CHECK_MS,
-      () => this.#checkOffice(),
+      LEADERSHIP_CHECK_MS,
+      () => this.#checkLeadership(),
     );
   }
 
-  /** The session while this instance leads, for metrics. */
+  /** The leader's session, while this instance leads. */
   get session(): LeaderSession | undefined {
-    return this.#office?.session;
+    return this.#leadership?.session;
   }
 
   get state(): BatchState {
@@ -74,31 +74,36 @@
   }
 
   /**
-   * Whether this copy of the state holds the worker as it says it is, so that
-   * nothing has to be stored.
+   * Whether this replica's record of the worker agrees with the given one, so
+   * that nothing has to be stored.
    */
   knowsWorker(worker: WorkerRecord): boolean {
     const known = this.#options.state.workers.get(worker.key);
-    return known !== undefined && isSameWorker(known, worker);
+    return known !== undefined && isSameWorkerRecord(known, worker);
   }
 
-  /** Answers a call if this instance leads, or says who may. */
+  /**
+   * Answers a call if this instance leads; otherwise names the known leader.
+   */
   async answer(call: JobCall): Promise<JobAnswer> {
-    const office = this.#office;
-    if (office === undefined || !office.session.isCurrent()) {
+    const leadership = this.#leadership;
+    if (leadership === undefined || !leadership.session.isCurrent()) {
       const { leaderId, voterIds } = this.#options.member.status();
       return { kind: "notLeader", leaderId, memberIds: voterIds };
     }
-    const answer = await office.answerer.answer(call);
+    const answer = await leadership.handler.answer(call);
     const isRead = answer.kind === "state" || answer.kind === "unknownJob" ||
       answer.kind === "pending";
-    if (isRead && !office.session.isCurrent()) {
+    if (isRead && !leadership.session.isCurrent()) {
       return { kind: "notLeader", leaderId: undefined, memberIds: [] };
     }
     return answer;
   }
 
-  /** Puts a configuration in force unless a higher version is. */
+  /**
+   * Stores a configuration; gives the version then in force, maybe a higher
+   * one.
+   */
   async configure(
     document: string,
     options: { configuration: PoolConfiguration; deadlineMs: number },
@@ -120,12 +125,12 @@
         version: configuration.version,
         versionInForce: outcome.version,
       });
-      this.#office?.session.touch();
+      this.#leadership?.session.requestPlan();
       return Right({ version: outcome.version });
     });
   }
 
-  /** The newest configuration, or an error while that can't be known. */
+  /** The latest committed configuration, or an error if that can't be known. */
   async readConfiguration(
     options: { deadlineMs: number },
   ): Promise<Result<ConfigurationInForce>> {
@@ -134,7 +139,7 @@
     return barrier.chain(() =>
       inForce === undefined
         ? failure<ConfigurationInForce>("unavailable", {
-          detail: "There is no configuration yet.",
+          detail: "no configuration was stored yet",
         })
         : Right(inForce)
     );
@@ -153,50 +158,50 @@
       Left: (error) => Left(error),
       Right: () => {
         events.emit("batchDataCentreSwitched", { dataCentre, isOut });
-        this.#office?.session.touch();
+        this.#leadership?.session.requestPlan();
         return Right(undefined);
       },
     });
   }
 
-  /** Lets another member lead; this one decides nothing more. */
+  /** Hands leadership over to another member; this one doesn't lead again. */
   async handOver(): Promise<void> {
     this.#isClosed = true;
-    this.#leaveOffice();
+    this.#endLeadership();
     await this.#options.member.handOver();
   }
 
   async close(): Promise<void> {
     this.#isClosed = true;
     this.#checker.close();
-    this.#leaveOffice();
+    this.#endLeadership();
     await this.#options.member.close();
   }
 
-  #checkOffice(): void {
+  #checkLeadership(): void {
     const { member, clock, state } = this.#options;
     const status = member.status();
-    const leads = status.role === MemberRole.leader &&
+    const isLeader = status.role === MemberRole.leader &&
       status.leaseEndMs > clock.nowMs();
-    const office = this.#office;
-    if (office !== undefined) {
+    const leadership = this.#leadership;
+    if (leadership !== undefined) {
       const isOver = status.role !== MemberRole.leader ||
-        state.epoch !== office.session.epoch;
+        state.epoch !== leadership.session.epoch;
       if (isOver) {
-        this.#leaveOffice();
+        this.#endLeadership();
       }
-    } else if (leads && !this.#isTakingOffice && !this.#isClosed) {
-      void this.#takeOffice();
+    } else if (isLeader && !this.#isBecomingLeader && !this.#isClosed) {
+      void this.#becomeLeader();
     }
   }
 
-  async #takeOffice(): Promise<void> {
-    this.#isTakingOffice = true;
+  async #becomeLeader(): Promise<void> {
+    this.#isBecomingLeader = true;
     const { member, clock, selfId, timing, events } = this.#options;
     const deadlineMs = clock.nowMs() + timing.commitTimeoutMs;
     const command = { kind: "epoch", leaderId: selfId } as const;
     const result = await member.propose(command, { deadlineMs });
-    this.#isTakingOffice = false;
+    this.#isBecomingLeader = false;
     result.caseOf({
       Left: (error) =>
         events.emit("batchLeaderFailed", { detail: error.message }),
@@ -225,20 +230,20 @@
       ...(onCommit === undefined ? {} : { onCommit }),
       onEnded: (detail) => {
         events.emit("batchLeaderFailed", { detail });
-        this.#leaveOffice();
+        this.#endLeadership();
       },
     });
-    const answerer = new CallAnswerer({
+    const handler = new CallHandler({
       session,
       state,
       clock,
       events,
     });
-    this.#office = { session, answerer };
+    this.#leadership = { session, handler };
   }
 
-  #leaveOffice(): void {
-    this.#office?.session.close();
-    this.#office = undefined;
+  #endLeadership(): void {
+    this.#leadership?.session.close();
+    this.#leadership = undefined;
   }
 }
--- a/src/process/batch/batch_state.ts
+++ b/src/process/batch/batch_state.ts
@@ -1,6 +1,6 @@
 /**
- * The replicated state of the batch scheduler: configuration, jobs, workers
- * and which run of which task is open where.
+ * The replicated state of the batch scheduler: the configuration, the workers,
+ * and the jobs with the open runs of their tasks.
  *
  * @module
  */
@@ -23,7 +23,7 @@
 import {
   hasOpenRuns,
   isStepDone,
-  isStepDue,
+  isStepReady,
   JobPhase,
   type JobRecord,
   newJobRecord,
@@ -36,15 +36,15 @@
   ConfigurationIndex,
   type PoolConfiguration,
 } from "./pool_configuration.ts";
-import { WorkerLives } from "./worker_lives.ts";
+import { WorkerIncarnations } from "./worker_incarnations.ts";
 
-/** The configuration in force and the text that it was made from. */
+/** The configuration in force, and the operator's document that it is from. */
 export interface ConfigurationInForce {
   readonly document: string;
   readonly index: ConfigurationIndex;
 }
 
-/** The plain form of the state in a snapshot. */
+/** The state as stored in a snapshot. */
 interface BatchSnapshot {
   readonly formatVersion: number;
   readonly epoch: number;
@@ -55,7 +55,7 @@
   readonly workers: readonly WorkerRecord[];
 }
 
-/** The state machine; read-only for all but the log. */
+/** The state machine; only the log applies commands to it. */
 export class BatchState implements StateMachine<BatchCommand, BatchOutcome> {
   #epoch = 0;
   #inForce: ConfigurationInForce | undefined;
@@ -63,9 +63,9 @@
   #jobs = new Map<JobId, JobRecord>();
   /** Derived: the jobs that are active or have open runs. */
   #liveJobs = new Map<JobId, JobRecord>();
-  #lives = new WorkerLives();
+  #workers = new WorkerIncarnations();
 
-  /** The number of the latest leader's time in office. */
+  /** The epoch of the latest leader; 0 before the first. */
   get epoch(): number {
     return this.#epoch;
   }
@@ -88,15 +88,15 @@
   }
 
   get workers(): ReadonlyMap<WorkerKey, WorkerRecord> {
-    return this.#lives.byKey;
+    return this.#workers.byKey;
   }
 
-  /** Other lives of the same worker, or at the same address. */
-  otherLivesOf(worker: WorkerRecord): WorkerRecord[] {
-    return this.#lives.othersOf(worker);
+  /** Other incarnations of the same worker, or at the same address. */
+  conflictingWorkers(worker: WorkerRecord): WorkerRecord[] {
+    return this.#workers.conflictingWith(worker);
   }
 
-  /** The task's record, if the job is kept and has come that far. */
+  /** The task's record, if the job is known and the occurrence has started. */
   taskOf(task: TaskRef): TaskRecord | undefined {
     return this.#jobs.get(task.jobId)?.occurrences[task.occurrence]
       ?.steps[task.step]?.tasks[task.index];
@@ -137,7 +137,7 @@
       configuration: this.#inForce?.index.configuration,
       dataCentresOut: [...this.#dataCentresOut],
       jobs: [...this.#jobs.values()],
-      workers: [...this.#lives.byKey.values()],
+      workers: [...this.#workers.byKey.values()],
     };
     return pack(snapshot);
   }
@@ -157,18 +157,20 @@
     this.#dataCentresOut = new Set(snapshot.dataCentresOut);
     this.#jobs = new Map(jobs.map((job) => [job.id, job]));
     this.#liveJobs = new Map(this.#jobs);
-    jobs.forEach((job) => this.#settle(job));
-    this.#lives = new WorkerLives(workers);
+    jobs.forEach((job) => this.#dropIfFinished(job));
+    this.#workers = new WorkerIncarnations(workers);
     return Right(undefined);
   }
 
-  /** The highest version wins; any other changes nothing. */
+  /**
+   * Puts a configuration in force if its version is higher than the present.
+   */
   #configure(
     document: string,
     configuration: PoolConfiguration,
   ): BatchOutcome {
-    const held = this.#inForce?.index.configuration.version ?? -1;
-    if (configuration.version > held) {
+    const currentVersion = this.#inForce?.index.configuration.version ?? -1;
+    if (configuration.version > currentVersion) {
       this.#inForce = {
         document,
         index: new ConfigurationIndex(configuration),
@@ -176,7 +178,7 @@
     }
     return {
       kind: "configured",
-      version: Math.max(held, configuration.version),
+      version: Math.max(currentVersion, configuration.version),
     };
   }
 
@@ -191,10 +193,10 @@
       case "end":
         return this.#end(item, atMs);
       case "worker":
-        this.#lives.put(item.worker);
+        this.#workers.put(item.worker);
         return true;
       case "workerGone":
-        return this.#lives.delete(item.key);
+        return this.#workers.delete(item.key);
       case "forget":
         for (const id of item.jobIds) {
           this.#jobs.delete(id);
@@ -204,7 +206,7 @@
     }
   }
 
-  /** A job that is known already stays as it is. */
+  /** Adds a job; one that is known already isn't changed. */
   #accept(
     item: Extract<BatchItem, { kind: "accept" }>,
     atMs: number,
@@ -232,7 +234,7 @@
       return false;
     }
     endJob(job, JobPhase.cancelled, atMs);
-    this.#settle(job);
+    this.#dropIfFinished(job);
     return true;
   }
 
@@ -247,7 +249,7 @@
     const occurrence = occurrenceOf(job, item.occurrence);
     const step = occurrence.steps[item.step];
     const mayStart = step !== undefined &&
-      isStepDue(job, occurrence, item.step) &&
+      isStepReady(job, occurrence, item.step) &&
       item.tasks.every(({ index, worker }) => {
         const task = step.tasks[index];
         return task !== undefined && !task.isDone &&
@@ -268,7 +270,7 @@
   }
 
   #mayRunOn(key: WorkerKey): boolean {
-    const worker = this.#lives.byKey.get(key);
+    const worker = this.#workers.byKey.get(key);
     return worker !== undefined && !worker.isDraining &&
       !this.#dataCentresOut.has(worker.dataCentre);
   }
@@ -286,7 +288,7 @@
     }
     task.worker = undefined;
     const spec = job.spec.steps[ref.step]!;
-    keepCheckpoint({ step, task, isGang: spec.isGang }, item);
+    storeCheckpoint({ step, task, isGang: spec.isGang }, item);
     if (how === RunEnd.done && !spec.isLasting) {
       markDone(step, { isGang: spec.isGang, task, run });
       this.#completeIfDone(job, ref, atMs);
@@ -294,12 +296,12 @@
     if (how === RunEnd.failed) {
       this.#countFailure(job, { ref, task, step, run }, atMs);
     }
-    this.#settle(job);
+    this.#dropIfFinished(job);
     return true;
   }
 
-  /** Nothing more is planned for a job that is over and runs nowhere. */
-  #settle(job: JobRecord): void {
+  /** Drops a job from the live ones once it is over and has no open runs. */
+  #dropIfFinished(job: JobRecord): void {
     if (job.phase !== JobPhase.active && !hasOpenRuns(job)) {
       this.#liveJobs.delete(job.id);
     }
@@ -320,8 +322,8 @@
     const attempts = this.#inForce?.index.queueNamed(job.queue)?.attempts ??
       Infinity;
     const failures = spec.isGang ? step.gangFailures : task.failures;
-    const isHopeless = failures >= attempts && !spec.isLasting;
-    if (isHopeless && job.phase === JobPhase.active) {
+    const isOutOfAttempts = failures >= attempts && !spec.isLasting;
+    if (isOutOfAttempts && job.phase === JobPhase.active) {
       endJob(job, JobPhase.failed, atMs);
     }
   }
@@ -331,8 +333,8 @@
     if (job.phase !== JobPhase.active) {
       return;
     }
-    const wasCounted = occurrence.steps.every(isStepDone);
-    if (!wasCounted) {
+    const isOccurrenceDone = occurrence.steps.every(isStepDone);
+    if (!isOccurrenceDone) {
       return;
     }
     job.doneOccurrences =
@@ -349,14 +351,15 @@
 }
 
 /**
- * A gang resumes from one checkpoint: that of the latest run. What was last
- * heard of a run that is lost yields to what a worker said at its end.
+ * Stores the checkpoint of a run that ended. All tasks of a gang resume from
+ * one checkpoint: the one stored last. The checkpoint of a lost run is only its
+ * last reported one, so that it doesn't replace one of the same or a later run.
  */
-function keepCheckpoint(
-  kept: { step: StepRecord; task: TaskRecord; isGang: boolean },
+function storeCheckpoint(
+  target: { step: StepRecord; task: TaskRecord; isGang: boolean },
   { run, how, checkpoint }: Extract<BatchItem, { kind: "end" }>,
 ): void {
-  const { step, task, isGang } = kept;
+  const { step, task, isGang } = target;
   if (checkpoint === "") {
     return;
   }
@@ -368,7 +371,7 @@
   }
 }
 
-/** One member's end stands for its whole gang. */
+/** Marks a task as done; for a gang, one task's end marks all of them. */
 function markDone(
   step: StepRecord,
   ended: { isGang: boolean; task: TaskRecord; run: number },
--- a/src/process/batch/batch_state_test.ts
+++ b/src/process/batch/batch_state_test.ts
@@ -1,46 +1,46 @@
 import test from "ava";
 import { RunEnd } from "./batch_command.ts";
-import { PlannerWorld } from "./decisions/planner_fixture.ts";
+import { PlannerFixture } from "./decisions/planner_fixture.ts";
 
-const LOST = "heard of before the worker was lost";
+const LOST = "reported before the worker was lost";
 const STOPPED = "saved at the stop";
 
-function startGang(): PlannerWorld {
-  const world = new PlannerWorld({ workers: 2 });
-  world.submit("a", { isGang: true, taskCount: 2, accelerators: 8 });
-  world.carryOut(world.plan());
-  return world;
+function startGang(): PlannerFixture {
+  const fixture = new PlannerFixture({ workers: 2 });
+  fixture.submit("a", { isGang: true, taskCount: 2, accelerators: 8 });
+  fixture.applyStarts(fixture.plan());
+  return fixture;
 }
 
 function endMember(
-  world: PlannerWorld,
+  fixture: PlannerFixture,
   index: number,
   end: { how: RunEnd; checkpoint: string; run?: number },
 ): void {
   const { how, checkpoint, run = 1 } = end;
   const task = { jobId: "a", occurrence: 0, step: 0, index };
-  world.state.apply({
+  fixture.state.apply({
     kind: "batch",
     epoch: 1,
-    atMs: world.nowMs,
+    atMs: fixture.nowMs,
     items: [{ kind: "end", task, run, how, checkpoint }],
   });
 }
 
-function checkpoints(world: PlannerWorld): (string | undefined)[] {
+function checkpoints(fixture: PlannerFixture): (string | undefined)[] {
   return [0, 1].map((index) =>
-    world.state.taskOf({ jobId: "a", occurrence: 0, step: 0, index })
+    fixture.state.taskOf({ jobId: "a", occurrence: 0, step: 0, index })
       ?.checkpoint
   );
 }
 
-test("a gang keeps what was last heard of a member that is lost", (t) => {
-  const world = startGang();
-  endMember(world, 1, { how: RunEnd.lost, checkpoint: LOST });
-  t.deepEqual(checkpoints(world), [LOST, LOST]);
+test("a gang resumes from the last reported checkpoint of a lost run", (t) => {
+  const fixture = startGang();
+  endMember(fixture, 1, { how: RunEnd.lost, checkpoint: LOST });
+  t.deepEqual(checkpoints(fixture), [LOST, LOST]);
 });
 
-test("what a member saved at its end counts more than what was heard", (t) => {
+test("a checkpoint saved at a run's end goes before one reported earlier", (t) => {
   const lostLast = startGang();
   endMember(lostLast, 0, { how: RunEnd.stopped, checkpoint: STOPPED });
   endMember(lostLast, 1, { how: RunEnd.lost, checkpoint: LOST });
@@ -51,18 +51,18 @@
   t.deepEqual(checkpoints(lostFirst), [STOPPED, STOPPED]);
 });
 
-test("only live jobs are planned with, and a job lives while it runs", (t) => {
-  const world = startGang();
-  world.state.apply({
+test("a cancelled job stays live until its last run has ended", (t) => {
+  const fixture = startGang();
+  fixture.state.apply({
     kind: "batch",
     epoch: 1,
-    atMs: world.nowMs,
+    atMs: fixture.nowMs,
     items: [{ kind: "cancel", jobId: "a" }],
   });
-  t.true(world.state.liveJobs.has("a"));
-  endMember(world, 0, { how: RunEnd.stopped, checkpoint: "" });
-  t.true(world.state.liveJobs.has("a"));
-  endMember(world, 1, { how: RunEnd.stopped, checkpoint: "" });
-  t.false(world.state.liveJobs.has("a"));
-  t.true(world.state.jobs.has("a"));
+  t.true(fixture.state.liveJobs.has("a"));
+  endMember(fixture, 0, { how: RunEnd.stopped, checkpoint: "" });
+  t.true(fixture.state.liveJobs.has("a"));
+  endMember(fixture, 1, { how: RunEnd.stopped, checkpoint: "" });
+  t.false(fixture.state.liveJobs.has("a"));
+  t.true(fixture.state.jobs.has("a"));
 });
--- a/src/process/batch/batch_timing.ts
+++ b/src/process/batch/batch_timing.ts
@@ -1,77 +1,85 @@
 /**
- * Periods and limits of the batch scheduler.
+ * Periods, timeouts and limits of the batch scheduler.
  *
  * @module
  */
 
-/** Every period and limit, with its default. */
+/** Every period, timeout and limit, with its default. */
 export const BATCH_TIMING = {
-  /** The longest lease that workers take; the deployment's settings say it. */
+  /** The longest lease that workers accept; set by the deployment. */
   leaseLimitMs: 10_000,
   /**
-   * The lease that a renewal gives. A change of leader takes about 2.5 s and a
-   * renewal is at most 2 s old; a worker that is lost costs as long as this.
+   * The lease that a renewal gives. It has to outlast a change of leader, which
+   * takes about 2.5 s, after a renewal that is up to 2 s old. The runs of a
+   * lost worker can only be restarted after it.
    */
   leaseMs: 5_500,
-  /** How long a worker may hold a renewal open until something ends. */
+  /** How long a worker may delay its answer to a renewal until a run ends. */
   reportWaitMs: 1_500,
-  /** Beyond the wait, when a renewal is given up: a round trip and a stall. */
+  /** Added to the wait for a renewal's timeout: a round trip and a stall. */
   reportSlackMs: 600,
-  /** The first and the longest pause after a failed renewal. */
-  renewRetryMs: 100,
-  renewRetryLimitMs: 800,
-  /** When an order without an answer is sent again: ten round trips. */
+  /**
+   * The delay after n failed renewals in a row: 2^n times this, up to the
+   * limit.
+   */
+  renewRetryDelayMs: 100,
+  renewRetryDelayLimitMs: 800,
+  /** Timeout of an order, which is then sent again: ten round trips. */
   orderTimeoutMs: 400,
-  orderRetryMs: 50,
-  /** When a gang that isn't whole yet is given up; workers wait 3 s. */
-  gangStartMs: 2_000,
+  /** Delay before an order is sent again. */
+  orderRetryDelayMs: 50,
+  /** Timeout for all tasks of a gang to start; workers wait for 3 s. */
+  gangStartTimeoutMs: 2_000,
   /**
-   * How long the next life of a worker is waited for, where an order may be on
-   * its way to it: a restart and a heartbeat.
+   * How long the leader waits for a worker that is gone to come back, if a
+   * start may still reach the new incarnation: a restart and a heartbeat.
    */
-  nextLifeMs: 2_500,
+  workerRestartWaitMs: 2_500,
   /**
-   * How long a job within its guarantee waits for room in one rack; the
-   * deployment's settings say when it has to begin.
+   * How long a guaranteed job waits for room in its preferred rack; derived
+   * from the deployment's time limit for its start.
    */
   guaranteeWaitMs: 1_800,
-  /** How often open runs are looked over. */
+  /** How often all open runs are checked. */
   tickMs: 100,
-  /** How long ended jobs stay known. */
-  rememberMs: 300_000,
-  /** When a batch without a commit is given up. */
+  /** How long ended jobs are kept. */
+  endedJobRetentionMs: 300_000,
+  /** Timeout of a batch's commit. */
   commitTimeoutMs: 4_000,
-  /** A worker's clock may run slow by this fraction. */
-  clockDrift: 0.02,
-  /** Beyond a lease's end, before its runs count as gone. */
-  lapseSlackMs: 300,
+  /** The fraction by which a worker's clock may run slow. */
+  clockDriftFraction: 0.02,
+  /** Time after a lease's end before its runs count as ended. */
+  leaseExpirySlackMs: 300,
 } as const;
 
-/** What a deployment says of its workers and its guarantees. */
+/** A deployment's limits for its workers and its guarantees. */
 export interface DeploymentBounds {
-  /** The longest lease that workers take. */
+  /** The longest lease that workers accept. */
   readonly leaseLimitMs: number;
-  /** How long a gang's member waits for the others. */
+  /** How long a gang's task waits on its worker for the others. */
   readonly gangWaitMs: number;
-  /** When a job within its client account's guarantee has to have begun. */
+  /** Within this time a job in its client account's guarantee has to start. */
   readonly guaranteeMs: number;
   /** How long a worker takes to stop a run, at most. */
   readonly stopLimitMs: number;
 }
 
-/** Before a gang is given up, its members' orders get this long to arrive. */
+/**
+ * A gang is given up so long before its tasks stop waiting on their workers,
+ * since the start orders take up to this long to arrive.
+ */
 const GANG_MARGIN_MS = 1_000;
 
-/** After the stops of others a start takes two commits and an order. */
+/** Once preempted runs have stopped, a start takes two commits and an order. */
 const GUARANTEE_MARGIN_MS = 700;
 
-/** The periods and limits of a deployment. */
+/** The timing for a deployment's limits. */
 export function timingFor(bounds: DeploymentBounds): BatchTiming {
   const { leaseLimitMs, gangWaitMs, guaranteeMs, stopLimitMs } = bounds;
   return {
     ...BATCH_TIMING,
     leaseLimitMs,
-    gangStartMs: Math.max(0, gangWaitMs - GANG_MARGIN_MS),
+    gangStartTimeoutMs: Math.max(0, gangWaitMs - GANG_MARGIN_MS),
     guaranteeWaitMs: Math.max(
       0,
       guaranteeMs - stopLimitMs - GUARANTEE_MARGIN_MS,
@@ -79,7 +87,7 @@
   };
 }
 
-/** Every period and limit. */
+/** Values for all of {@link BATCH_TIMING}. */
 export type BatchTiming = {
   readonly [Name in keyof typeof BATCH_TIMING]: number;
 };
--- a/src/process/batch/batch_timing_test.ts
+++ b/src/process/batch/batch_timing_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { BATCH_TIMING, timingFor } from "./batch_timing.ts";
 
-test("the defaults are those of the first site", (t) => {
+test("the defaults match the limits of the first site", (t) => {
   const bounds = {
     leaseLimitMs: 10_000,
     gangWaitMs: 3_000,
@@ -11,13 +11,13 @@
   t.deepEqual(timingFor(bounds), BATCH_TIMING);
 });
 
-test("bounds that leave no time to wait leave none, and never less", (t) => {
+test("limits that leave no time to wait give waits of zero", (t) => {
   const timing = timingFor({
     leaseLimitMs: 500,
     gangWaitMs: 500,
     guaranteeMs: 1_000,
     stopLimitMs: 900,
   });
-  t.is(timing.gangStartMs, 0);
+  t.is(timing.gangStartTimeoutMs, 0);
   t.is(timing.guaranteeWaitMs, 0);
 });
--- a/src/process/batch/decisions/admission.ts
+++ b/src/process/batch/decisions/admission.ts
@@ -1,9 +1,7 @@
 /**
- * Whether a job is taken in, or refused at once with a time to come back.
- *
- * For bursts and overload: a job that could only be done when its result is
- * worth nothing any more is refused, so that its caller can act on it, and it
- * takes no room from work that can be on time.
+ * Decides whether a submitted job is accepted, or refused at once with a time
+ * after which the caller may retry. In bursts and under overload, jobs are
+ * refused while too many are active.
  *
  * @module
  */
@@ -17,7 +15,7 @@
   QueueConfiguration,
 } from "../pool_configuration.ts";
 
-/** What the decision is made from. */
+/** The submitted job and what the decision depends on. */
 export interface AdmissionInput {
   readonly state: BatchState;
   readonly queue: QueueConfiguration;
@@ -26,7 +24,7 @@
   readonly nowMs: number;
 }
 
-/** What was decided. */
+/** The decision. */
 export type Admission =
   | { readonly kind: "accept" }
   | {
@@ -36,13 +34,13 @@
     readonly detail: string;
   };
 
-/** The most active jobs that are kept; a bound on memory. */
+/** The most active jobs; limits memory. */
 const ACTIVE_JOBS_LIMIT = 5_000;
 
-/** When a caller may come back after a full queue: about a job's length. */
+/** Retry time after a full queue: about the duration of one job. */
 const FULL_RETRY_S = 5;
 
-/** Decides on one job. */
+/** Decides whether one job is accepted. */
 export function decideAdmission(input: AdmissionInput): Admission {
   let active = 0;
   for (const job of input.state.liveJobs.values()) {
--- a/src/process/batch/decisions/guarantee.ts
+++ b/src/process/batch/decisions/guarantee.ts
@@ -1,6 +1,7 @@
 /**
- * Which jobs a client account's guarantee covers: its most urgent jobs, as
- * long as together they need no more than what is guaranteed.
+ * Decides which jobs are within their client account's guarantee: its active
+ * jobs of priority 0, oldest first, as long as their summed peak demand is at
+ * most the guaranteed number of accelerators.
  *
  * @module
  */
@@ -9,8 +10,8 @@
 import type { BatchState } from "../batch_state.ts";
 import { JobPhase, type JobRecord } from "../job_record.ts";
 
-/** Accelerators that the widest step of a job needs at once. */
-function acceleratorsOf(job: JobRecord): number {
+/** The most accelerators that one step of the job needs at once. */
+function peakAcceleratorsOf(job: JobRecord): number {
   return job.spec.steps.reduce(
     (most, { demand, taskCount }) =>
       Math.max(most, demand.accelerators * taskCount),
@@ -18,15 +19,15 @@
   );
 }
 
-/** The active jobs that can be had at any time, oldest first. */
+/** The active jobs that are within their client account's guarantee. */
 export function guaranteedJobs(state: BatchState): Set<JobId> {
-  const covered = new Set<JobId>();
+  const guaranteedIds = new Set<JobId>();
   const index = state.inForce?.index;
   if (index === undefined) {
-    return covered;
+    return guaranteedIds;
   }
-  const needed = new Map<ClientAccountId, number>();
-  const guaranteed = new Map(
+  const used = new Map<ClientAccountId, number>();
+  const limits = new Map(
     index.configuration.accounts.map((account) => [
       account.name,
       account.guaranteedAccelerators,
@@ -37,12 +38,12 @@
     const isUrgent = job.phase === JobPhase.active && account !== undefined &&
       index.queueNamed(job.queue)?.priority === 0;
     if (isUrgent) {
-      const sum = (needed.get(account) ?? 0) + acceleratorsOf(job);
-      if (sum <= (guaranteed.get(account) ?? 0)) {
-        needed.set(account, sum);
-        covered.add(job.id);
+      const sum = (used.get(account) ?? 0) + peakAcceleratorsOf(job);
+      if (sum <= (limits.get(account) ?? 0)) {
+        used.set(account, sum);
+        guaranteedIds.add(job.id);
       }
     }
   }
-  return covered;
+  return guaranteedIds;
 }
--- a/src/process/batch/decisions/placement.ts
+++ b/src/process/batch/decisions/placement.ts
@@ -1,6 +1,7 @@
 /**
- * Where the waiting tasks of one step go: a gang whole or not at all, near its
- * data and in one rack where that matters, on the tightest workers that fit.
+ * Chooses workers for the waiting tasks of one step: all tasks of a gang or
+ * none, in the data's rack or in one rack where the step prefers that, and on
+ * the workers with the least free capacity that fit.
  *
  * @module
  */
@@ -8,27 +9,31 @@
 import type { StartedTask } from "../batch_command.ts";
 import type { StepSpec } from "../job_spec.ts";
 import {
+  allocate,
   countFitting,
   fits,
   isEligible,
-  take,
   type WorkerSlot,
 } from "./pool_view.ts";
 
-/** What is to be placed. */
+/** The tasks to place, and where they may go. */
 export interface PlacementRequest {
   readonly step: StepSpec;
-  /** The tasks that wait. */
+  /** Indices of the waiting tasks. */
   readonly indices: readonly number[];
-  /** Workers that aren't used for these tasks. */
+  /** Workers that must not be used for these tasks. */
   readonly avoided?: ReadonlySet<string>;
-  /** Tasks of the step on each worker already, for the limit by worker. */
+  /**
+   * Tasks of the step that a worker already runs, for `tasksPerWorkerLimit`.
+   */
   readonly onWorker: (key: string) => number;
-  /** Whether a slower place away from the data is better than waiting. */
-  readonly mayLeaveRack: boolean;
+  /**
+   * Whether tasks may go to other racks than the data's or the preferred one.
+   */
+  readonly mayUseOtherRacks: boolean;
 }
 
-/** Places tasks on usable slots, and takes what they need. */
+/** Places tasks on usable slots, and allocates their demand there. */
 export function placeTasks(
   slots: readonly WorkerSlot[],
   request: PlacementRequest,
@@ -40,31 +45,36 @@
   );
   const placed = step.isGang
     ? placeGang(candidates, request)
-    : placeApart(candidates, request);
+    : placeIndependently(candidates, request);
   const byKey = new Map(candidates.map((slot) => [slot.key, slot]));
-  placed.forEach(({ worker }) => take(byKey.get(worker)!, step.demand));
+  placed.forEach(({ worker }) => allocate(byKey.get(worker)!, step.demand));
   return placed;
 }
 
-/** Each task by itself; those that don't fit keep waiting. */
-function placeApart(
+/** Places each task independently; those that don't fit keep waiting. */
+function placeIndependently(
   slots: readonly WorkerSlot[],
   request: PlacementRequest,
 ): StartedTask[] {
   const { step, indices } = request;
   const { dataRack } = step;
-  const home = dataRack === undefined
+  const inDataRack = dataRack === undefined
     ? slots
     : slots.filter((slot) => slot.worker.rack === dataRack);
-  const placed = fill(home, request, indices);
-  if (dataRack === undefined || !request.mayLeaveRack) {
+  const placed = fill(inDataRack, request, indices);
+  if (dataRack === undefined || !request.mayUseOtherRacks) {
     return placed;
   }
-  const away = slots.filter((slot) => slot.worker.rack !== dataRack);
-  return [...placed, ...fill(away, request, indices.slice(placed.length))];
+  const inOtherRacks = slots.filter((slot) => slot.worker.rack !== dataRack);
+  return [
+    ...placed,
+    ...fill(inOtherRacks, request, indices.slice(placed.length)),
+  ];
 }
 
-/** All tasks in the best group of workers that takes them all, or none. */
+/**
+ * Places all tasks in the first group of workers that fits them all, or none.
+ */
 function placeGang(
   slots: readonly WorkerSlot[],
   request: PlacementRequest,
@@ -78,23 +88,22 @@
   return [];
 }
 
-/** Groups of workers in the order in which they are tried for a gang. */
+/** Groups of workers for a gang, in the order of trial: fullest racks first. */
 function gangGroups(
   slots: readonly WorkerSlot[],
-  { step, mayLeaveRack }: PlacementRequest,
+  { step, mayUseOtherRacks }: PlacementRequest,
 ): (readonly WorkerSlot[])[] {
-  const needsRack = step.prefersOneRack || step.dataRack !== undefined;
-  if (!needsRack) {
+  const prefersRack = step.prefersOneRack || step.dataRack !== undefined;
+  if (!prefersRack) {
     return [slots];
   }
   const racks = [...groupByRack(slots).entries()]
     .filter(([rack]) => step.dataRack === undefined || rack === step.dataRack)
     .map(([, group]) => group)
     .sort((a, b) => freeAccelerators(a) - freeAccelerators(b));
-  return mayLeaveRack ? [...racks, slots] : racks;
+  return mayUseOtherRacks ? [...racks, slots] : racks;
 }
 
-/** Slots by rack. */
 export function groupByRack(
   slots: readonly WorkerSlot[],
 ): Map<string, WorkerSlot[]> {
@@ -111,7 +120,7 @@
   return slots.reduce((sum, slot) => sum + slot.free.accelerators, 0);
 }
 
-/** Puts as many tasks as fit on the fullest racks and workers first. */
+/** Places as many tasks as fit, on the fullest racks and workers first. */
 function fill(
   slots: readonly WorkerSlot[],
   request: PlacementRequest,
--- a/src/process/batch/decisions/planner.ts
+++ b/src/process/batch/decisions/planner.ts
@@ -1,6 +1,7 @@
 /**
- * One look over all that waits: what starts where, and what is stopped to make
- * room. Pure; the leader commits and carries out what comes of it.
+ * Plans over all waiting work: which tasks start on which workers, and which
+ * runs are stopped to make room. A pure function of its input; the leader
+ * commits the starts and orders the stops.
  *
  * @module
  */
@@ -13,14 +14,14 @@
 import { type PlacementRequest, placeTasks } from "./placement.ts";
 import { type OpenRun, PoolView, type WorkerCondition } from "./pool_view.ts";
 import { chooseStops, mayPreempt } from "./preemption.ts";
-import { mayLeaveRack, waitedMs } from "./rack_patience.ts";
-import { chainMs, objectiveMs, urgency } from "./rank.ts";
+import { mayUseOtherRacks, waitedMs } from "./rack_wait.ts";
+import { criticalPathMs, objectiveMs, urgency } from "./rank.ts";
 import { waitingUnits, type WorkUnit } from "./work_unit.ts";
 
 /** A start of tasks of one step. */
 export type StartItem = Extract<BatchItem, { kind: "start" }>;
 
-/** What the planner is given. */
+/** The planner's input. */
 export interface PlannerInput {
   readonly state: BatchState;
   readonly nowMs: number;
@@ -31,27 +32,32 @@
   readonly isStopping: (task: TaskRef) => boolean;
 }
 
-/** How the planner weighs things; see {@link PLANNER_DEFAULTS}. */
+/** The planner's parameters; see {@link PLANNER_DEFAULTS}. */
 export interface PlannerOptions {
   /**
-   * The share of the accelerators in use that is kept free for urgent work
-   * while the rest can wait.
+   * The share of the usable accelerators that is kept free for urgent work by
+   * less urgent work that can still wait.
    */
   readonly urgentReserveShare?: number;
   /**
-   * The share that work which can't wait any more leaves to urgent work. What
-   * takes the last room is stopped for urgent work within a second or two, and
-   * all that it did is thrown away.
+   * The share of the usable accelerators that less urgent work keeps free even
+   * when it can't wait any more. Work on the last free accelerators would be
+   * preempted within a second or two, and all that it did would be lost.
    */
   readonly urgentFloorShare?: number;
-  /** Work of that share of its objective's slack left can't wait any more. */
-  readonly patienceShare?: number;
   /**
-   * How long a covered job waits for a good place: the guarantee is about when
-   * it begins.
+   * Work can wait while more than this share of its objective's slack is left.
+   */
+  readonly slackShareToWait?: number;
+  /**
+   * How long a guaranteed job waits for room in its preferred rack, before it
+   * also preempts urgent work beyond a guarantee and uses other racks: the
+   * guarantee limits the time until it starts.
    */
   readonly guaranteeWaitMs?: number;
-  /** Whether urgent work beyond a guarantee may stop other work too. */
+  /**
+   * Whether urgent work beyond its guarantee may preempt less urgent work too.
+   */
   readonly stopsForAllUrgent?: boolean;
 }
 
@@ -59,7 +65,7 @@
 export const PLANNER_DEFAULTS = {
   urgentReserveShare: 0.3,
   urgentFloorShare: 0.15,
-  patienceShare: 0.5,
+  slackShareToWait: 0.5,
   guaranteeWaitMs: 1_800,
   stopsForAllUrgent: true,
 } as const satisfies PlannerOptions;
@@ -67,7 +73,7 @@
 /** What the planner decided. */
 export interface Plan {
   readonly starts: readonly StartItem[];
-  /** Runs to stop so that more urgent work can start. */
+  /** Tasks whose runs are to be stopped so that more urgent work can start. */
   readonly stops: readonly TaskRef[];
 }
 
@@ -83,28 +89,35 @@
     return { starts: [], stops: [] };
   }
   const view = new PoolView(input);
-  const covered = guaranteedJobs(state);
-  const units = rankedUnits(input, covered);
+  const guaranteedIds = guaranteedJobs(state);
+  const units = rankedUnits(input, guaranteedIds);
   const { nowMs } = input;
   const starts: StartItem[] = [];
   const stops: TaskRef[] = [];
   for (const unit of units) {
-    const yields = index.hasUrgentQueue(unit.queue.service);
-    if (yields && mustWait(view, unit, { settings, nowMs })) {
+    const hasUrgentQueue = index.hasUrgentQueue(unit.queue.service);
+    if (hasUrgentQueue && mustWait(view, unit, { settings, nowMs })) {
       continue;
     }
-    const start = placeUnit(view, unit, { ...input, mayLeaveRack: false });
+    const start = placeUnit(view, unit, { ...input, mayUseOtherRacks: false });
     if (start !== undefined) {
       starts.push(start);
     }
     if (start?.tasks.length === unit.waiting.length) {
       continue;
     }
-    for (const way of waysToRoom(unit, { covered, settings, nowMs, index })) {
-      const found = takeWay(view, unit, { ...input, ...way });
-      if (found !== undefined) {
-        starts.push(...found.starts);
-        stops.push(...found.stops);
+    for (
+      const option of preemptionOptions(unit, {
+        guaranteedIds,
+        settings,
+        nowMs,
+        index,
+      })
+    ) {
+      const partialPlan = tryPreemption(view, unit, { ...input, ...option });
+      if (partialPlan !== undefined) {
+        starts.push(...partialPlan.starts);
+        stops.push(...partialPlan.stops);
         break;
       }
     }
@@ -114,7 +127,7 @@
 
 function rankedUnits(
   { state, nowMs }: PlannerInput,
-  covered: ReadonlySet<string>,
+  guaranteedIds: ReadonlySet<string>,
 ): WorkUnit[] {
   const index = state.inForce!.index;
   const ranked: { unit: WorkUnit; urgency: number }[] = [];
@@ -126,7 +139,7 @@
     for (const unit of waitingUnits(job, { queue, nowMs })) {
       ranked.push({
         unit,
-        urgency: covered.has(job.id) ? Infinity : urgency(unit, nowMs),
+        urgency: guaranteedIds.has(job.id) ? Infinity : urgency(unit, nowMs),
       });
     }
   }
@@ -138,8 +151,10 @@
 }
 
 /**
- * Whether less urgent work leaves its room to urgent work that may come: the
- * pool is nearly full, and the work has time or would take the last room.
+ * Whether a less urgent unit waits to keep accelerators free for urgent work
+ * that may be submitted. While it has time it leaves the urgent reserve free;
+ * after that it leaves the smaller floor free, unless it is lasting or so wide
+ * that it could never start then.
  */
 function mustWait(
   view: PoolView,
@@ -155,87 +170,92 @@
     ? accelerators * unit.waiting.length
     : accelerators;
   const leavesFree = (share: number) => free - needed >= total * share;
-  if (hasTime(unit, settings.patienceShare, nowMs)) {
+  if (hasSlackLeft(unit, settings.slackShareToWait, nowMs)) {
     return !leavesFree(settings.urgentReserveShare);
   }
   const { urgentFloorShare } = settings;
-  const canEverLeaveIt = needed <= total * (1 - urgentFloorShare);
-  return canEverLeaveIt && !unit.spec.isLasting &&
+  const canLeaveFloorFree = needed <= total * (1 - urgentFloorShare);
+  return canLeaveFloorFree && !unit.spec.isLasting &&
     !leavesFree(urgentFloorShare);
 }
 
-/** Whether more than a share of the slack in the objective is left. */
-function hasTime(unit: WorkUnit, share: number, nowMs: number): boolean {
+/** Whether more than a share of the objective's slack is left. */
+function hasSlackLeft(unit: WorkUnit, share: number, nowMs: number): boolean {
   const { job, queue } = unit;
-  const beganMs = Math.max(dueAtMs(job, unit.occurrence), job.submittedAtMs);
-  const chain = chainMs(job);
-  const slackMs = objectiveMs(job, queue) - chain;
-  const leftMs = beganMs + objectiveMs(job, queue) - nowMs - chain;
+  const objectiveStartMs = Math.max(
+    dueAtMs(job, unit.occurrence),
+    job.submittedAtMs,
+  );
+  const criticalMs = criticalPathMs(job);
+  const slackMs = objectiveMs(job, queue) - criticalMs;
+  const leftMs = objectiveStartMs + objectiveMs(job, queue) - nowMs -
+    criticalMs;
   return leftMs > slackMs * share;
 }
 
-/** Equal infinities compare as equal. */
+/** Orders numbers; unlike subtraction, treats equal infinities as equal. */
 function compare(left: number, right: number): number {
   return left === right ? 0 : left - right;
 }
 
-/** What placing a unit goes by. */
-interface PlacingInput extends PlannerInput {
-  /** Whether it takes a slower place though it hasn't waited for long. */
-  readonly mayLeaveRack: boolean;
+/** The planner's input for placing one unit. */
+interface PlacementInput extends PlannerInput {
+  /** Whether the unit may use other racks even before its wait is over. */
+  readonly mayUseOtherRacks: boolean;
 }
 
-/** A way to room for a unit that finds none. */
-interface WayToRoom {
-  /** Which jobs' runs may be stopped for it. */
+/** A way to make room for a unit that doesn't fit. */
+interface PreemptionOption {
+  /** Whether the job's runs may be stopped for the unit. */
   readonly mayStop: (job: JobRecord) => boolean;
-  readonly mayLeaveRack: boolean;
+  readonly mayUseOtherRacks: boolean;
 }
 
 /**
- * The ways to room, the best first: less urgent work stops. A covered job that
- * has to begin now also takes room from urgent work beyond any guarantee, and
- * in the end a slower place.
+ * The ways to make room for a unit, in the order of trial. Less urgent work is
+ * preempted first. A guaranteed job that has to start now may then preempt any
+ * work beyond a guarantee, urgent work too, and last use other racks.
  */
-function waysToRoom(
+function preemptionOptions(
   unit: WorkUnit,
-  { covered, settings, nowMs, index }: {
-    covered: ReadonlySet<string>;
+  { guaranteedIds, settings, nowMs, index }: {
+    guaranteedIds: ReadonlySet<string>;
     settings: Required<PlannerOptions>;
     nowMs: number;
     index: ConfigurationIndex;
   },
-): WayToRoom[] {
-  const isCovered = covered.has(unit.job.id);
-  const mayMakeRoom = isCovered ||
+): PreemptionOption[] {
+  const isGuaranteed = guaranteedIds.has(unit.job.id);
+  const canPreempt = isGuaranteed ||
     (settings.stopsForAllUrgent && unit.queue.priority === 0 &&
-      hasTime(unit, 0, nowMs));
-  if (!mayMakeRoom) {
+      hasSlackLeft(unit, 0, nowMs));
+  if (!canPreempt) {
     return [];
   }
-  const isLent = (job: JobRecord) => !covered.has(job.id);
+  const isBeyondGuarantee = (job: JobRecord) => !guaranteedIds.has(job.id);
   const isLessUrgent = (job: JobRecord) =>
-    isLent(job) && mayPreempt(unit.queue, index.queueNamed(job.queue));
-  const mustBegin = isCovered &&
+    isBeyondGuarantee(job) &&
+    mayPreempt(unit.queue, index.queueNamed(job.queue));
+  const mustStartNow = isGuaranteed &&
     waitedMs(unit, nowMs) > settings.guaranteeWaitMs;
   return [
-    { mayStop: isLessUrgent, mayLeaveRack: false },
-    ...(mustBegin
+    { mayStop: isLessUrgent, mayUseOtherRacks: false },
+    ...(mustStartNow
       ? [
-        { mayStop: isLent, mayLeaveRack: false },
-        { mayStop: isLent, mayLeaveRack: true },
+        { mayStop: isBeyondGuarantee, mayUseOtherRacks: false },
+        { mayStop: isBeyondGuarantee, mayUseOtherRacks: true },
       ]
       : []),
   ];
 }
 
-/** Starts the unit now in a slower place, or stops what is in its way. */
-function takeWay(
+/** Starts the unit in other racks if allowed, or else chooses runs to stop. */
+function tryPreemption(
   view: PoolView,
   unit: WorkUnit,
-  input: PlacingInput & WayToRoom,
+  input: PlacementInput & PreemptionOption,
 ): Plan | undefined {
-  if (input.mayLeaveRack && unit.spec.isGang) {
+  if (input.mayUseOtherRacks && unit.spec.isGang) {
     const start = placeUnit(view, unit, input);
     if (start !== undefined) {
       return { starts: [start], stops: [] };
@@ -248,7 +268,7 @@
 function placeUnit(
   view: PoolView,
   unit: WorkUnit,
-  input: PlacingInput,
+  input: PlacementInput,
 ): StartItem | undefined {
   const { job, occurrence, step, nextRun } = unit;
   const slots = view.ofService(unit.queue.service);
@@ -269,7 +289,7 @@
 function requestOf(
   view: PoolView,
   unit: WorkUnit,
-  input: PlacingInput,
+  input: PlacementInput,
 ): PlacementRequest {
   const { spec, waiting, tasks } = unit;
   return {
@@ -277,11 +297,15 @@
     indices: waiting,
     avoided: avoidedWorkers(view, unit, input),
     onWorker: (key) => tasks.filter((task) => task.worker === key).length,
-    mayLeaveRack: input.mayLeaveRack || mayLeaveRack(view, unit, input.nowMs),
+    mayUseOtherRacks: input.mayUseOtherRacks ||
+      mayUseOtherRacks(view, unit, input.nowMs),
   };
 }
 
-/** Workers on which a waiting task failed before, if enough are left. */
+/**
+ * Workers on which one of the unit's waiting tasks failed before; none if the
+ * other workers couldn't hold any of its tasks even when empty.
+ */
 function avoidedWorkers(
   view: PoolView,
   unit: WorkUnit,
@@ -303,23 +327,23 @@
     step: unit.spec,
     indices: unit.waiting,
     onWorker: () => 0,
-    mayLeaveRack: true,
+    mayUseOtherRacks: true,
   });
   return placed.length > 0 ? avoided : new Set();
 }
 
 /**
- * Chooses what stops for a unit, and keeps the room for it in the view;
- * undefined where no stops would make enough room. What is left of that room
- * is nobody's yet: the runs are still there.
+ * Chooses the runs to stop for a unit and reserves their capacity for it in the
+ * view; undefined if no stops would make enough room. Capacity that the unit
+ * leaves over stays allocated, since the runs still occupy it.
  */
 function makeRoom(
   view: PoolView,
   unit: WorkUnit,
-  input: PlacingInput & { mayStop: (job: JobRecord) => boolean },
+  input: PlacementInput & { mayStop: (job: JobRecord) => boolean },
 ): TaskRef[] | undefined {
   const { nowMs, mayStop } = input;
-  const isStopping = (run: OpenRun) => input.isStopping(refOf(run));
+  const isStopping = (run: OpenRun) => input.isStopping(taskRefOf(run));
   const request = requestOf(view, unit, input);
   const chosen = chooseStops(view.ofService(unit.queue.service), {
     nowMs,
@@ -333,10 +357,10 @@
   }
   chosen.forEach((run) => view.release(run));
   placeUnit(view, unit, input);
-  chosen.forEach((run) => view.hold(run));
-  return chosen.filter((run) => !isStopping(run)).map(refOf);
+  chosen.forEach((run) => view.reallocate(run));
+  return chosen.filter((run) => !isStopping(run)).map(taskRefOf);
 }
 
-function refOf({ job, occurrence, step, index }: OpenRun): TaskRef {
+function taskRefOf({ job, occurrence, step, index }: OpenRun): TaskRef {
   return { jobId: job.id, occurrence, step, index };
 }
--- a/src/process/batch/decisions/planner_fixture.ts
+++ b/src/process/batch/decisions/planner_fixture.ts
@@ -1,6 +1,6 @@
 /**
- * A small pool for tests of the planner: state, clock, and what a leader
- * would do with a plan.
+ * A small pool for tests of the planner: replicated state, a clock, and the
+ * commits that a leader would make.
  *
  * @module
  */
@@ -11,11 +11,11 @@
 import type { QueueConfiguration } from "../pool_configuration.ts";
 import { type Plan, plan, type PlannerOptions } from "./planner.ts";
 
-/** What tests say of a step; the rest is plain. */
-export interface StepSketch extends Partial<Omit<StepSpec, "demand">> {
+/** The fields of a step that a test sets; the others have defaults. */
+export interface StepOverrides extends Partial<Omit<StepSpec, "demand">> {
   readonly accelerators?: number;
   readonly queue?: "urgent" | "normal" | "background";
-  /** The client account; the one with a guarantee if absent. */
+  /** The client account; by default the one with a guarantee. */
   readonly account?: string;
 }
 
@@ -25,8 +25,8 @@
   background: 2,
 };
 
-/** A pool with a clock. */
-export class PlannerWorld {
+/** A pool with a clock, and one client account with a guarantee. */
+export class PlannerFixture {
   readonly state = new BatchState();
   nowMs = 1_000_000;
   readonly failedOn = new Set<string>();
@@ -35,8 +35,9 @@
   constructor(
     options: {
       workers: number;
+      /** Accelerators that the client account is guaranteed. */
       guaranteed?: number;
-      /** Queues by priority. */
+      /** Priorities of the queues by name. */
       priorities?: Readonly<Record<string, number>>;
     },
   ) {
@@ -82,13 +83,13 @@
     });
   }
 
-  submit(id: string, step: StepSketch, recurrence?: Recurrence): void {
+  submit(id: string, step: StepOverrides, recurrence?: Recurrence): void {
     this.submitSteps(id, [step], recurrence);
   }
 
   submitSteps(
     id: string,
-    steps: readonly StepSketch[],
+    steps: readonly StepOverrides[],
     recurrence?: Recurrence,
   ): void {
     this.#apply({
@@ -101,7 +102,7 @@
     });
   }
 
-  /** Without a reserve, so that tests of placing can use the whole pool. */
+  /** By default without a reserve, so that tests can fill the whole pool. */
   plan(
     options: PlannerOptions = { urgentReserveShare: 0, urgentFloorShare: 0 },
   ): Plan {
@@ -114,17 +115,18 @@
         isFull: false,
       }),
       failedOn: () => this.failedOn,
-      isStopping: (task) => this.#stopping.has(nameOf(task)),
+      isStopping: (task) => this.#stopping.has(taskName(task)),
     }, options);
   }
 
   /** Commits the starts of a plan. */
-  carryOut({ starts }: Plan): void {
+  applyStarts({ starts }: Plan): void {
     starts.forEach((start) => this.#apply(start));
   }
 
-  noteStopping(tasks: readonly TaskRef[]): void {
-    tasks.forEach((task) => this.#stopping.add(nameOf(task)));
+  /** Makes the planner see the tasks' runs as being stopped. */
+  markStopping(tasks: readonly TaskRef[]): void {
+    tasks.forEach((task) => this.#stopping.add(taskName(task)));
   }
 
   workerOf(task: TaskRef): string | undefined {
@@ -156,7 +158,7 @@
   }
 }
 
-function nameOf(task: TaskRef): string {
+function taskName(task: TaskRef): string {
   return `${task.jobId}.${task.occurrence}.${task.step}.${task.index}`;
 }
 
@@ -174,8 +176,8 @@
   };
 }
 
-function newStep(sketch: StepSketch): StepSpec {
-  const { accelerators, queue: _queue, account: _account, ...rest } = sketch;
+function newStep(overrides: StepOverrides): StepSpec {
+  const { accelerators, queue: _queue, account: _account, ...rest } = overrides;
   return {
     taskCount: 1,
     demand: {
--- a/src/process/batch/decisions/pool_view.ts
+++ b/src/process/batch/decisions/pool_view.ts
@@ -1,5 +1,5 @@
 /**
- * The workers as the planner sees them: what is free where.
+ * The planner's view of the workers: their free capacity and their open runs.
  *
  * @module
  */
@@ -10,17 +10,17 @@
 import { isStepDone, type JobRecord } from "../job_record.ts";
 import type { StepSpec, TaskDemand } from "../job_spec.ts";
 
-/** What the leader knows of a worker beside the replicated state. */
+/** What the leader knows of a worker beyond the replicated state. */
 export interface WorkerCondition {
-  /** Whether it answers, so that it can be given work. */
+  /** Whether it answers lease renewals. */
   readonly isReachable: boolean;
-  /** Whether its recent runs make it a worker to avoid. */
+  /** Whether it is avoided because of failed runs, or because it is unwell. */
   readonly isSuspect: boolean;
-  /** Whether it has just refused a start for want of room. */
+  /** Whether it has just refused a start for lack of capacity. */
   readonly isFull: boolean;
 }
 
-/** An open run, as a use of a worker. */
+/** A run that occupies a worker. */
 export interface OpenRun {
   readonly job: JobRecord;
   readonly occurrence: number;
@@ -30,7 +30,7 @@
   readonly startedAtMs: number;
 }
 
-/** One worker with its free amounts, which placing takes from. */
+/** One worker with its free capacity, from which placement allocates. */
 export interface WorkerSlot {
   readonly worker: WorkerRecord;
   readonly key: WorkerKey;
@@ -39,12 +39,12 @@
   readonly runs: OpenRun[];
 }
 
-/** All workers with what is free on them. */
+/** All workers with their free capacity. */
 export class PoolView {
   readonly slots: readonly WorkerSlot[];
   readonly #byKey = new Map<WorkerKey, WorkerSlot>();
   readonly #byService = new Map<string, WorkerSlot[]>();
-  /** Derived, once for each service that is asked for. */
+  /** Cache of {@link usableOf}. */
   readonly #usable = new Map<string, WorkerSlot[]>();
 
   constructor(options: {
@@ -78,7 +78,7 @@
     return this.#byService.get(service) ?? [];
   }
 
-  /** The service's workers that can be given work. */
+  /** The service's workers on which tasks can be placed. */
   usableOf(service: string): readonly WorkerSlot[] {
     const known = this.#usable.get(service);
     const usable = known ??
@@ -87,7 +87,7 @@
     return usable;
   }
 
-  /** The accelerators of the service's usable workers, and what is free. */
+  /** Total and free accelerators of the service's usable workers. */
   acceleratorsOf(service: string): { total: number; free: number } {
     const slots = this.usableOf(service);
     let total = 0;
@@ -99,21 +99,25 @@
     return { total, free };
   }
 
-  /** Counts a run as ended, so that its room can be planned for one unit. */
+  /**
+   * Frees the capacity of a run that is to stop, so that a unit can be placed.
+   */
   release(run: OpenRun): void {
     const slot = this.#byKey.get(run.worker);
     const position = slot?.runs.indexOf(run) ?? -1;
     if (slot !== undefined && position >= 0) {
       slot.runs.splice(position, 1);
-      giveBack(slot, run.job.spec.steps[run.step]!.demand);
+      deallocate(slot, run.job.spec.steps[run.step]!.demand);
     }
   }
 
-  /** Takes the room of a run that was released, but hasn't ended yet. */
-  hold(run: OpenRun): void {
+  /**
+   * Allocates again the capacity of a released run, which still occupies it.
+   */
+  reallocate(run: OpenRun): void {
     const slot = this.#byKey.get(run.worker);
     if (slot !== undefined) {
-      take(slot, run.job.spec.steps[run.step]!.demand);
+      allocate(slot, run.job.spec.steps[run.step]!.demand);
     }
   }
 
@@ -127,7 +131,7 @@
           const slot = task.worker && this.#byKey.get(task.worker);
           if (slot) {
             const { startedAtMs } = task;
-            take(slot, job.spec.steps[step]!.demand);
+            allocate(slot, job.spec.steps[step]!.demand);
             slot.runs.push({
               job,
               occurrence,
@@ -162,28 +166,28 @@
   };
 }
 
-/** Takes a task's demand from what is free. */
-export function take(slot: WorkerSlot, demand: TaskDemand): void {
+/** Subtracts a task's demand from the free capacity. */
+export function allocate(slot: WorkerSlot, demand: TaskDemand): void {
   slot.free.cpuMilli -= demand.cpuMilli;
   slot.free.memoryMb -= demand.memoryMb;
   slot.free.accelerators -= demand.accelerators;
 }
 
-/** Gives a task's demand back. */
-export function giveBack(slot: WorkerSlot, demand: TaskDemand): void {
+/** Adds a task's demand to the free capacity. */
+export function deallocate(slot: WorkerSlot, demand: TaskDemand): void {
   slot.free.cpuMilli += demand.cpuMilli;
   slot.free.memoryMb += demand.memoryMb;
   slot.free.accelerators += demand.accelerators;
 }
 
-/** Whether one task fits into amounts. */
+/** Whether one task fits into the free capacity. */
 export function fits(demand: TaskDemand, free: TaskDemand): boolean {
   return demand.cpuMilli <= free.cpuMilli &&
     demand.memoryMb <= free.memoryMb &&
     demand.accelerators <= free.accelerators;
 }
 
-/** How many tasks fit into amounts, at most `limit`. */
+/** How many tasks fit into the free capacity, at most `limit`. */
 export function countFitting(
   demand: TaskDemand,
   free: TaskDemand,
@@ -204,7 +208,7 @@
   return demand === 0 ? Infinity : Math.floor(free / demand);
 }
 
-/** Whether the worker is of the kind that the step asks for. */
+/** Whether the worker has the label that the step requires, if any. */
 export function isEligible(step: StepSpec, worker: WorkerRecord): boolean {
   return step.requiredLabel === undefined ||
     worker.labels.includes(step.requiredLabel);
--- a/src/process/batch/decisions/preemption.ts
+++ b/src/process/batch/decisions/preemption.ts
@@ -1,46 +1,52 @@
 /**
- * What has to stop so that urgent work can start: the runs whose stop throws
- * the least away.
+ * Chooses which runs to stop so that urgent work can start: those whose stop
+ * loses the least work.
  *
- * For bursts of urgent jobs while their client account's guaranteed
- * accelerators are lent to less urgent work.
+ * Less urgent work may use a client account's guaranteed accelerators; a burst
+ * of urgent jobs of that account needs them back.
  *
  * @module
  */
 
 import type { JobRecord } from "../job_record.ts";
 import type { QueueConfiguration } from "../pool_configuration.ts";
-import { giveBack, type OpenRun, type WorkerSlot } from "./pool_view.ts";
+import { deallocate, type OpenRun, type WorkerSlot } from "./pool_view.ts";
 import { groupByRack } from "./placement.ts";
 import { coreSeconds } from "./rank.ts";
 
-/** Which runs may be stopped for a unit, and which are being stopped. */
+/** Which runs may be stopped for a unit, and when the unit fits. */
 export interface StopRules {
   readonly mayStop: (job: JobRecord) => boolean;
+  /**
+   * Whether the run is being stopped already, so that choosing it costs
+   * nothing.
+   */
   readonly isStopping: (run: OpenRun) => boolean;
-  /** Whether the unit fits on these slots as a whole. */
+  /** Whether all tasks of the unit fit on these slots. */
   readonly fits: (slots: readonly WorkerSlot[]) => boolean;
-  /** Whether the unit is better off in one rack. */
+  /** Whether the unit runs faster within one rack. */
   readonly prefersOneRack: boolean;
   readonly nowMs: number;
 }
 
-/** Work that a stop after a checkpoint costs: the resume. */
-const CHECKPOINT_LOSS_MS = 300;
+/** Run time lost by stopping a run that checkpoints: the resume costs it. */
+const RESUME_COST_MS = 300;
 
-/** Runs that end together: one task's, or those of a whole gang. */
+/** Runs that are stopped together: one task's run, or all runs of a gang. */
 interface Victim {
   readonly runs: OpenRun[];
-  /** Core-seconds that a stop throws away. */
+  /** Core-seconds of work lost by stopping the runs. */
   loss: number;
 }
 
-interface Choice {
+interface StopChoice {
   readonly runs: readonly OpenRun[];
   readonly loss: number;
 }
 
-/** The runs to stop, or undefined where no stops would make enough room. */
+/**
+ * The runs to stop, or undefined if even stopping all allowed runs won't do.
+ */
 export function chooseStops(
   slots: readonly WorkerSlot[],
   rules: StopRules,
@@ -49,22 +55,25 @@
   const victims = listVictims(slots, rules);
   if (rules.prefersOneRack) {
     const choices = [...groupByRack(usable).values()]
-      .map((rack) => chooseIn(rack, victims, rules))
+      .map((rack) => chooseStopsOn(rack, victims, rules))
       .filter((choice) => choice !== undefined)
       .sort((a, b) => a.loss - b.loss);
     if (choices[0] !== undefined) {
       return choices[0].runs;
     }
   }
-  return chooseIn(usable, victims, rules)?.runs;
+  return chooseStopsOn(usable, victims, rules)?.runs;
 }
 
-/** The cheapest choice found that makes room on these slots. */
-function chooseIn(
+/**
+ * Chooses victims on these slots by the least loss for what they free. The
+ * choice is greedy, so that a cheaper one may exist.
+ */
+function chooseStopsOn(
   slots: readonly WorkerSlot[],
   victims: readonly Victim[],
   rules: StopRules,
-): Choice | undefined {
+): StopChoice | undefined {
   const keys = new Set(slots.map((slot) => slot.key));
   const useful = victims
     .map((victim) => ({ victim, freed: freedOn(victim, keys) }))
@@ -80,14 +89,17 @@
     useful.length,
     (first) => wouldFit(useful.slice(0, first)),
   );
-  const chosen = dropNeedless(useful.slice(0, count), wouldFit);
+  const chosen = dropUnneeded(useful.slice(0, count), wouldFit);
   return {
     runs: chosen.flatMap((victim) => victim.runs),
     loss: chosen.reduce((sum, victim) => sum + victim.loss, 0),
   };
 }
 
-/** The least number that fits, where `limit` does and more never fit less. */
+/**
+ * The smallest count that fits, by galloping and binary search. Expects that
+ * `limit` fits, and that every count above a fitting one fits too.
+ */
 function fewestThatFit(
   limit: number,
   fitsWith: (count: number) => boolean,
@@ -112,8 +124,8 @@
   return enough;
 }
 
-/** Leaves out, the dearest first, what isn't needed for the room. */
-function dropNeedless(
+/** Drops victims that aren't needed for the unit to fit, highest loss first. */
+function dropUnneeded(
   chosen: readonly Victim[],
   wouldFit: (stopped: readonly Victim[]) => boolean,
 ): readonly Victim[] {
@@ -148,19 +160,21 @@
   return [...victims.values()];
 }
 
-/** What stopping one run throws away, in core-seconds. */
+/** Core-seconds of work lost by stopping one run. */
 function lossOf(run: OpenRun, rules: StopRules): number {
   if (rules.isStopping(run)) {
     return 0;
   }
   const spec = run.job.spec.steps[run.step]!;
-  const ranMs = spec.isCheckpointing
-    ? CHECKPOINT_LOSS_MS
-    : Math.max(CHECKPOINT_LOSS_MS, rules.nowMs - run.startedAtMs);
-  return coreSeconds(spec.demand, { tasks: 1, estimateMs: ranMs });
+  const lostMs = spec.isCheckpointing
+    ? RESUME_COST_MS
+    : Math.max(RESUME_COST_MS, rules.nowMs - run.startedAtMs);
+  return coreSeconds(spec.demand, { tasks: 1, estimateMs: lostMs });
 }
 
-/** How much a victim frees on some workers, in core-seconds a second. */
+/**
+ * Cores that stopping a victim frees on some workers, accelerators included.
+ */
 function freedOn(victim: Victim, keys: ReadonlySet<string>): number {
   return victim.runs
     .filter((run) => keys.has(run.worker))
@@ -170,7 +184,7 @@
     }, 0);
 }
 
-/** Copies of the slots on which the victims no longer run. */
+/** Copies of the slots with the victims' demand freed. */
 function withoutRuns(
   slots: readonly WorkerSlot[],
   stopped: readonly Victim[],
@@ -180,13 +194,15 @@
   for (const run of stopped.flatMap((victim) => victim.runs)) {
     const slot = byKey.get(run.worker);
     if (slot !== undefined) {
-      giveBack(slot, run.job.spec.steps[run.step]!.demand);
+      deallocate(slot, run.job.spec.steps[run.step]!.demand);
     }
   }
   return copies;
 }
 
-/** Whether a queue's work may stop that of another. */
+/**
+ * Whether one queue's work may preempt another's; an unknown queue's can't be.
+ */
 export function mayPreempt(
   urgent: QueueConfiguration,
   other: QueueConfiguration | undefined,
--- a/src/process/batch/decisions/rank.ts
+++ b/src/process/batch/decisions/rank.ts
@@ -1,10 +1,10 @@
 /**
- * The order in which waiting work gets its turn: by what waiting loses, for
- * each unit of the scarcest resource that the work takes.
+ * Ranks waiting work by the job's value for each core-second that it still
+ * needs.
  *
- * For the days on which more work waits than fits: the jobs that fit their
- * objective with the least work are served first, and work that is late
- * already yields to work that can still be on time.
+ * When more work waits than fits, jobs that can meet their objective with the
+ * least remaining work come first, and jobs that are already late come after
+ * those that can still be on time.
  *
  * @module
  */
@@ -14,22 +14,24 @@
 import type { QueueConfiguration } from "../pool_configuration.ts";
 import type { WorkUnit } from "./work_unit.ts";
 
-/** What one accelerator weighs in cores where work is summed up. */
+/** Cores that one accelerator counts as when work is summed up. */
 const CORES_PER_ACCELERATOR = 8;
 
-/** What a job is worth by its queue's priority, the most urgent first. */
+/** The value of a job by its queue's priority, the most urgent first. */
 const PRIORITY_WEIGHTS = [4, 3, 1] as const;
 
-/** The worth of a job that misses its objective, against one that meets it. */
-const LATE_SHARE = 0.25;
+/**
+ * The value of a job that misses its objective, as a share of its full value.
+ */
+const LATE_VALUE_SHARE = 0.25;
 
-/** A job that is later than this many times its objective earns nothing. */
+/** A job that takes more than this many times its objective ranks last. */
 export const LATE_LIMIT_FACTOR = 3;
 
-/** The share of its worth that every job has, however small. */
-const FLAT_SHARE = 0.3;
+/** The share of a job's value that doesn't depend on its size. */
+const BASE_VALUE_SHARE = 0.3;
 
-/** Core-seconds of a job of middling size, to weigh sizes against. */
+/** Core-seconds of a typical job; sizes are measured against it. */
 const TYPICAL_CORE_SECONDS = 300;
 
 /** The work of `tasks` tasks in core-seconds. */
@@ -42,8 +44,8 @@
   return cores * options.tasks * options.estimateMs / 1_000;
 }
 
-/** The longest chain of a job's steps by its estimates, in milliseconds. */
-export function chainMs(job: JobRecord): number {
+/** The critical path through a job's steps by its estimates. */
+export function criticalPathMs(job: JobRecord): number {
   const ends: number[] = [];
   for (const step of job.spec.steps) {
     const startMs = step.afterSteps.reduce(
@@ -55,15 +57,15 @@
   return Math.max(0, ...ends);
 }
 
-/** How long after its submission a job is on time. */
+/** The time from its submission within which a job is on time. */
 export function objectiveMs(
   job: JobRecord,
   queue: QueueConfiguration,
 ): number {
-  return queue.stretch * chainMs(job) + queue.objectiveSlackMs;
+  return queue.stretch * criticalPathMs(job) + queue.objectiveSlackMs;
 }
 
-/** The work of a job that isn't done, in one occurrence. */
+/** The work that is left in one occurrence of a job, in core-seconds. */
 export function remainingCoreSeconds(
   job: JobRecord,
   occurrence: number,
@@ -77,8 +79,10 @@
   }, 0);
 }
 
-/** What a job on time is worth, by priority and size. */
-function worthOf(job: JobRecord, queue: QueueConfiguration): number {
+/**
+ * The value of one occurrence of a job that is on time, by priority and size.
+ */
+function valueOf(job: JobRecord, queue: QueueConfiguration): number {
   const last = PRIORITY_WEIGHTS.length - 1;
   const weight = PRIORITY_WEIGHTS[Math.min(queue.priority, last)]!;
   const work = job.spec.steps.reduce(
@@ -87,24 +91,25 @@
     0,
   );
   const size = Math.min(4, work / TYPICAL_CORE_SECONDS);
-  return weight * (FLAT_SHARE + (1 - FLAT_SHARE) * size) /
+  return weight * (BASE_VALUE_SHARE + (1 - BASE_VALUE_SHARE) * size) /
     occurrenceCount(job);
 }
 
-/** What a unit would lose by waiting, for each core-second; more goes first. */
+/** A job's expected value for each core-second left; higher is placed first. */
 export function urgency(unit: WorkUnit, nowMs: number): number {
   const { job, queue, occurrence } = unit;
-  const dueMs = job.spec.recurrence === undefined
+  const objectiveStartMs = job.spec.recurrence === undefined
     ? job.submittedAtMs
     : job.spec.recurrence.firstAtMs +
       occurrence * job.spec.recurrence.intervalMs;
   const objective = objectiveMs(job, queue);
-  const endMs = nowMs + chainMs(job) - dueMs;
-  const worth = worthOf(job, queue);
+  const expectedDurationMs = nowMs + criticalPathMs(job) - objectiveStartMs;
+  const value = valueOf(job, queue);
   const remaining = Math.max(1, remainingCoreSeconds(job, occurrence));
-  if (endMs <= objective) {
-    return worth / remaining;
+  if (expectedDurationMs <= objective) {
+    return value / remaining;
   }
-  const isHopeless = endMs > objective * LATE_LIMIT_FACTOR;
-  return worth * (isHopeless ? LATE_SHARE / 10 : LATE_SHARE) / remaining;
+  const isFarTooLate = expectedDurationMs > objective * LATE_LIMIT_FACTOR;
+  return value * (isFarTooLate ? LATE_VALUE_SHARE / 10 : LATE_VALUE_SHARE) /
+    remaining;
 }
--- a/src/process/batch/decisions/work_unit.ts
+++ b/src/process/batch/decisions/work_unit.ts
@@ -1,5 +1,5 @@
 /**
- * The units of work that wait: the waiting tasks of one due step.
+ * Finds the tasks of a job that are ready to start, grouped by step.
  *
  * @module
  */
@@ -8,7 +8,7 @@
 import {
   dueAtMs,
   isStepDone,
-  isStepDue,
+  isStepReady,
   JobPhase,
   type JobRecord,
   occurrenceCount,
@@ -17,22 +17,25 @@
 } from "../job_record.ts";
 import type { StepSpec } from "../job_spec.ts";
 
-/** The waiting tasks of one due step of one occurrence. */
+/** The waiting tasks of one ready step of one occurrence. */
 export interface WorkUnit {
   readonly job: JobRecord;
   readonly queue: QueueConfiguration;
   readonly occurrence: number;
   readonly step: number;
   readonly spec: StepSpec;
-  /** Empty where the step has no record yet. */
+  /**
+   * All tasks of the step by index; empty before the occurrence's first start.
+   */
   readonly tasks: readonly TaskRecord[];
+  /** Indices of the tasks that wait to be started. */
   readonly waiting: readonly number[];
   /** The run number of the next start. */
   readonly nextRun: number;
 }
 
-/** How far ahead of its due time nothing of an occurrence may start. */
-const EARLY_MS = 0;
+/** How long before its due time an occurrence may start. */
+const EARLY_START_MS = 0;
 
 /** All units of a job that may start now. */
 export function waitingUnits(
@@ -44,13 +47,13 @@
     return units;
   }
   for (let number = 0; number < occurrenceCount(job); number++) {
-    if (dueAtMs(job, number) > options.nowMs + EARLY_MS) {
+    if (dueAtMs(job, number) > options.nowMs + EARLY_START_MS) {
       break;
     }
     const occurrence = job.occurrences[number];
-    const place = { queue: options.queue, number, occurrence };
+    const context = { queue: options.queue, number, occurrence };
     for (let step = 0; step < job.spec.steps.length; step++) {
-      const unit = unitOf(job, step, place);
+      const unit = unitOf(job, step, context);
       if (unit !== undefined) {
         units.push(unit);
       }
@@ -62,17 +65,17 @@
 function unitOf(
   job: JobRecord,
   step: number,
-  place: {
+  context: {
     queue: QueueConfiguration;
     number: number;
     occurrence: OccurrenceRecord | undefined;
   },
 ): WorkUnit | undefined {
-  const { queue, number, occurrence } = place;
+  const { queue, number, occurrence } = context;
   const spec = job.spec.steps[step]!;
   const record = occurrence?.steps[step];
   const isOver = record !== undefined && isStepDone(record);
-  if (isOver || !isStepDue(job, occurrence, step)) {
+  if (isOver || !isStepReady(job, occurrence, step)) {
     return undefined;
   }
   const tasks = record?.tasks ?? [];
@@ -96,7 +99,10 @@
   };
 }
 
-/** A gang waits only as a whole. */
+/**
+ * Indices of tasks that are neither done nor running; none if a gang's task
+ * runs.
+ */
 function waitingIndices(
   spec: StepSpec,
   tasks: readonly TaskRecord[],
--- a/src/process/batch/http_call_transport.ts
+++ b/src/process/batch/http_call_transport.ts
@@ -1,5 +1,5 @@
 /**
- * Calls between instances over HTTP with `msgpackr` bodies.
+ * Sends calls between instances over HTTP with `msgpackr` bodies.
  *
  * @module
  */
@@ -11,30 +11,30 @@
 import type { JobAnswer, JobCall } from "./job_call.ts";
 import type { CallTransport } from "./leader_finder.ts";
 
-/** Where an instance takes calls for the leader. */
+/** The path at which an instance accepts calls for the leader. */
 const CALLS_PATH = "/internal/batch/calls";
 
-/** The most bytes of a call: a job's steps and payload, with room. */
+/** The largest call: a job's steps and payload, with a margin. */
 const CALL_LIMIT_BYTES = 1_048_576;
 
-/** Connections to one instance: calls on one of them wait for each other. */
+/** Connections to one instance; calls on one connection wait for each other. */
 const CONNECTIONS = 8;
 
-/** How long an idle connection is kept. */
+/** How long an idle connection is kept open. */
 const KEEP_ALIVE_MS = 20_000;
 
-/** How long a connection may take to open: six times the longest way. */
+/** Timeout for opening a connection: six times the longest one-way latency. */
 const CONNECT_TIMEOUT_MS = 250;
 
-/** What a transport is made from. */
+/** Options of {@link HttpCallTransport}. */
 export interface HttpCallTransportOptions {
-  /** The address at which an instance takes calls. */
+  /** The address at which an instance accepts calls. */
   readonly addressOf: (instanceId: string) => string;
-  /** How long a connection may take to open. */
+  /** Timeout for opening a connection. */
   readonly connectTimeoutMs?: number;
 }
 
-/** Brings calls to other instances. */
+/** Sends calls to other instances. */
 export class HttpCallTransport implements CallTransport {
   readonly #options: HttpCallTransportOptions;
   readonly #caller: HttpCaller;
@@ -78,7 +78,7 @@
   }
 }
 
-/** Whether an error proves that no byte of a call left. */
+/** Whether an error proves that no byte of a call was sent. */
 export function wasNeverSent(error: unknown): boolean {
   const code = error instanceof Error && "code" in error
     ? error.code
@@ -87,7 +87,7 @@
     code === "EHOSTUNREACH" || code === "ENETUNREACH";
 }
 
-/** The endpoint that takes other instances' calls. */
+/** The endpoint that accepts calls of other instances. */
 export function callsEndpoint(options: {
   answer: (call: JobCall) => Promise<JobAnswer>;
 }): HttpEndpoint {
--- a/src/process/batch/job_call.ts
+++ b/src/process/batch/job_call.ts
@@ -1,6 +1,6 @@
 /**
- * What callers and workers ask of the leader, and its answers; they travel
- * from any instance to the leader.
+ * The calls of callers and workers to the leader, and its answers. Any instance
+ * may receive them, and forwards them to the leader.
  *
  * @module
  */
@@ -10,7 +10,7 @@
 import type { JobPhase } from "./job_record.ts";
 import type { JobSpec } from "./job_spec.ts";
 
-/** Where a caller's call goes, and with which key. */
+/** The host, path and API key of a caller's call. */
 export interface CallTarget {
   readonly host: string;
   readonly path: string;
@@ -24,7 +24,7 @@
     readonly target: CallTarget;
     readonly jobId: JobId;
     readonly spec: JobSpec;
-    /** Unix time at which the door took the call in. */
+    /** Unix time at which an instance received the caller's call. */
     readonly receivedAtMs: number;
   }
   | {
@@ -45,26 +45,26 @@
     readonly clockMs: number | undefined;
     readonly sequence: number;
   }
-  /** A worker ends; with the start of its life where that is known. */
+  /** A worker announced that it leaves. */
   | { readonly kind: "workerLeaves"; readonly workerId: string }
-  /** Whether there is a leader that can answer. */
+  /** Checks that there is a leader that answers. */
   | { readonly kind: "ping" };
 
 /** A job's state as callers see it. */
 export type CallerPhase = JobPhase | "queued";
 
-/** Why a job was not taken. */
+/** Why a job was refused. */
 export const RefusalReason = {
-  /** It could not be done within any time that is worth something. */
+  /** It couldn't complete while its result is still of value. */
   tooLate: "tooLate",
-  /** More waits than the queue may hold. */
+  /** Too many jobs are active. */
   queueFull: "queueFull",
 } as const;
 
 /** One of the values of {@link RefusalReason}. */
 export type RefusalReason = typeof RefusalReason[keyof typeof RefusalReason];
 
-/** What the leader answers. */
+/** An instance's answer to a call. */
 export type JobAnswer =
   | { readonly kind: "accepted" }
   | {
@@ -79,9 +79,12 @@
   | { readonly kind: "unknownJob" }
   | { readonly kind: "unauthenticated" }
   | { readonly kind: "invalid"; readonly detail: string }
-  /** Noted; the next announcement may go straight to this instance. */
+  /**
+   * A ping, announcement or leave was handled; this instance takes the next
+   * too.
+   */
   | { readonly kind: "noted" }
-  /** Nothing was done, and another instance may know more. */
+  /** This instance doesn't lead, so that nothing was done. */
   | {
     readonly kind: "notLeader";
     readonly leaderId: string | undefined;
--- a/src/process/batch/job_record.ts
+++ b/src/process/batch/job_record.ts
@@ -1,5 +1,5 @@
 /**
- * What is kept of a job, in the replicated state.
+ * The record of a job in the replicated state.
  *
  * @module
  */
@@ -8,7 +8,7 @@
 import type { WorkerKey } from "./batch_command.ts";
 import type { JobSpec, StepSpec } from "./job_spec.ts";
 
-/** What became of a job. */
+/** Whether a job is still active, or how it ended. */
 export const JobPhase = {
   active: "active",
   completed: "completed",
@@ -19,14 +19,17 @@
 /** One of the values of {@link JobPhase}. */
 export type JobPhase = typeof JobPhase[keyof typeof JobPhase];
 
-/** One task. A task with a worker has a run that isn't known to have ended. */
+/** One task of a step. */
 export interface TaskRecord {
   /** The highest run number used; 0 before the first start. */
   run: number;
+  /** Where a run is open: started and not known to have ended. */
   worker: WorkerKey | undefined;
+  /** Unix time of the commit of the latest start. */
   startedAtMs: number;
   isDone: boolean;
   failures: number;
+  /** Where the next run resumes; empty for the beginning. */
   checkpoint: string;
 }
 
@@ -34,19 +37,20 @@
 export interface StepRecord {
   readonly tasks: TaskRecord[];
   doneTasks: number;
-  /** Failed runs of the gang, and the latest of them. */
+  /** Failed runs of the gang, however many of its tasks failed in each. */
   gangFailures: number;
+  /** The latest failed run of the gang. */
   lastFailedRun: number;
-  /** The run of a gang that its members' checkpoint is of; absent for none. */
+  /** The gang's run that saved its checkpoint; absent for none. */
   checkpointRun?: number;
 }
 
-/** One occurrence, from its first start on. */
+/** One occurrence; it has a record from its first start on. */
 export interface OccurrenceRecord {
   readonly steps: StepRecord[];
 }
 
-/** One job. */
+/** One job; the times are Unix times in milliseconds. */
 export interface JobRecord {
   readonly id: JobId;
   readonly queue: string;
@@ -61,7 +65,7 @@
   doneOccurrences: number;
 }
 
-/** A job that nothing was started of. */
+/** An active job of which nothing has started. */
 export function newJobRecord(
   options: Pick<
     JobRecord,
@@ -83,7 +87,9 @@
   return job.spec.recurrence?.count ?? 1;
 }
 
-/** When an occurrence may start; 0 for a job without set times. */
+/**
+ * Unix time at which an occurrence is due; 0 for a job without a recurrence.
+ */
 export function dueAtMs(job: JobRecord, occurrence: number): number {
   const { recurrence } = job.spec;
   return recurrence === undefined
@@ -91,7 +97,7 @@
     : recurrence.firstAtMs + occurrence * recurrence.intervalMs;
 }
 
-/** The occurrence's record, made when it is new. */
+/** The occurrence's record, created together with earlier ones if missing. */
 export function occurrenceOf(
   job: JobRecord,
   occurrence: number,
@@ -123,8 +129,8 @@
   return step.doneTasks === step.tasks.length;
 }
 
-/** Whether every step that this one waits for is done. */
-export function isStepDue(
+/** Whether every step that this one depends on is done. */
+export function isStepReady(
   job: JobRecord,
   occurrence: OccurrenceRecord | undefined,
   step: number,
@@ -134,7 +140,7 @@
   );
 }
 
-/** Whether a run of the job isn't known to have ended. */
+/** Whether the job has a run that isn't known to have ended. */
 export function hasOpenRuns(job: JobRecord): boolean {
   return job.occurrences.some(({ steps }) =>
     steps.some(({ tasks }) => tasks.some(({ worker }) => worker !== undefined))
--- a/src/process/batch/job_spec.ts
+++ b/src/process/batch/job_spec.ts
@@ -1,30 +1,35 @@
 /**
- * What a caller submits: a job of steps, each of equal tasks.
+ * The job that a caller submits: steps, each of equal tasks.
  *
  * @module
  */
 
-/** What one task needs of a worker. */
+/** The resources that one task needs on a worker. */
 export interface TaskDemand {
   readonly cpuMilli: number;
   readonly memoryMb: number;
   readonly accelerators: number;
 }
 
-/** One step: `taskCount` equal tasks that may start together. */
+/** One step of `taskCount` equal tasks. */
 export interface StepSpec {
   readonly taskCount: number;
   readonly demand: TaskDemand;
-  /** The caller's rough idea of one task's duration. */
+  /** The caller's estimate of one task's duration. */
   readonly estimateMs: number;
-  /** Steps, by position, whose tasks must all be done first. */
+  /** Positions of the steps whose tasks must all be done first. */
   readonly afterSteps: readonly number[];
+  /**
+   * Whether a run resumes from the last checkpoint of the task, or its gang.
+   */
   readonly isCheckpointing: boolean;
-  /** Whether the tasks only work together, and end together. */
+  /** Whether the tasks can only run at the same time, and end together. */
   readonly isGang: boolean;
-  /** Whether tasks slow down when they are spread over several racks. */
+  /** Whether tasks run more slowly when they are spread over several racks. */
   readonly prefersOneRack: boolean;
-  /** Whether tasks are restarted however they end, until the job's cancel. */
+  /**
+   * Whether tasks are restarted however they end, until the job is cancelled.
+   */
   readonly isLasting: boolean;
   /** A label that the worker must carry. */
   readonly requiredLabel: string | undefined;
@@ -34,7 +39,7 @@
   readonly tasksPerWorkerLimit: number | undefined;
 }
 
-/** When a job's steps run, if more than once or at a set time. */
+/** When a job's steps run, if they run at a set time or repeatedly. */
 export interface Recurrence {
   readonly count: number;
   /** Unix time of the first occurrence. */
@@ -44,7 +49,7 @@
 
 /** A job as submitted. */
 export interface JobSpec {
-  /** Opaque text that every task is started with. */
+  /** Opaque text that is passed to every task. */
   readonly payload: string;
   readonly steps: readonly StepSpec[];
   readonly recurrence: Recurrence | undefined;
@@ -59,21 +64,21 @@
 /** The most occurrences of one job. */
 export const OCCURRENCES_LIMIT = 10_000;
 
-/** Why a job can't be taken as it is, or undefined for a sound one. */
+/** What is wrong with a job; undefined if it is valid. */
 export function findSpecFault(spec: JobSpec): string | undefined {
   if (spec.steps.length === 0 || spec.steps.length > STEPS_LIMIT) {
     return `expected 1 to ${STEPS_LIMIT} steps, not ${spec.steps.length}`;
   }
   const tasks = spec.steps.reduce((sum, step) => sum + step.taskCount, 0);
   if (tasks > TASKS_LIMIT) {
-    return `${tasks} tasks are over the limit of ${TASKS_LIMIT}`;
+    return `${tasks} tasks exceed the limit of ${TASKS_LIMIT}`;
   }
   if ((spec.recurrence?.count ?? 1) > OCCURRENCES_LIMIT) {
     return `more than ${OCCURRENCES_LIMIT} occurrences`;
   }
   for (const [position, step] of spec.steps.entries()) {
     if (step.afterSteps.some((after) => after >= position || after < 0)) {
-      return `step ${position} may only wait for earlier steps`;
+      return `step ${position} may only depend on earlier steps`;
     }
   }
   return undefined;
--- a/src/process/batch/leader/batch_writer.ts
+++ b/src/process/batch/leader/batch_writer.ts
@@ -1,5 +1,5 @@
 /**
- * Gathers a leader's changes and commits them together, one batch at a time.
+ * Collects a leader's changes and commits them in batches, one at a time.
  *
  * @module
  */
@@ -12,23 +12,23 @@
 } from "../batch_command.ts";
 import type { ReplicatedLog } from "../../replication/mod.ts";
 
-/** What a writer is made from. */
+/** Options of {@link BatchWriter}. */
 export interface BatchWriterOptions {
   readonly log: ReplicatedLog<BatchCommand, BatchOutcome>;
   readonly clock: Clock;
   readonly epoch: number;
   readonly commitTimeoutMs: number;
-  /** More items to commit with those that wait; asked before each batch. */
+  /** Called before each batch for further items to commit with it. */
   readonly plan: () => BatchItem[];
   /** Called with each item that took effect, in order. */
   readonly onApplied: (item: BatchItem) => void;
-  /** Called after each batch. */
+  /** Called after each committed batch. */
   readonly onBatch: (durationMs: number, items: number) => void;
-  /** Another leader came, or nobody can tell what was committed. */
+  /** Called once if a batch failed, or belonged to a deposed leader. */
   readonly onDeposed: (detail: string) => void;
 }
 
-interface Waiting {
+interface PendingItem {
   readonly item: BatchItem;
   readonly resolve: (applied: boolean | undefined) => void;
 }
@@ -39,47 +39,47 @@
 /** Commits items in order; after the first failure it commits nothing more. */
 export class BatchWriter {
   readonly #options: BatchWriterOptions;
-  #waiting: Waiting[] = [];
+  #pending: PendingItem[] = [];
   #isWriting = false;
   #isClosed = false;
-  #isDirty = false;
+  #needsPlan = false;
 
   constructor(options: BatchWriterOptions) {
     this.#options = options;
   }
 
   get queueLength(): number {
-    return this.#waiting.length;
+    return this.#pending.length;
   }
 
   /**
-   * Whether the item took effect once it is committed; undefined when nobody
-   * can tell whether it ever will.
+   * Commits an item; gives whether it took effect. Undefined if that isn't
+   * known: the commit failed, or the writer was closed.
    */
   write(item: BatchItem): Promise<boolean | undefined> {
     if (this.#isClosed) {
       return Promise.resolve(undefined);
     }
     return new Promise((resolve) => {
-      this.#waiting.push({ item, resolve });
+      this.#pending.push({ item, resolve });
       this.#schedule();
     });
   }
 
-  /** Something changed that the plan depends on. */
-  touch(): void {
-    this.#isDirty = true;
+  /** Plans again, after a change that the plan depends on. */
+  requestPlan(): void {
+    this.#needsPlan = true;
     this.#schedule();
   }
 
   close(): void {
     this.#isClosed = true;
-    const waiting = this.#waiting;
-    this.#waiting = [];
-    waiting.forEach(({ resolve }) => resolve(undefined));
+    const pending = this.#pending;
+    this.#pending = [];
+    pending.forEach(({ resolve }) => resolve(undefined));
   }
 
-  /** Begins in a turn of its own, so that what comes together goes together. */
+  /** Defers the batch, so that it holds all items of this event loop turn. */
   #schedule(): void {
     if (!this.#isWriting && !this.#isClosed) {
       this.#isWriting = true;
@@ -88,14 +88,14 @@
   }
 
   async #run(): Promise<void> {
-    while (!this.#isClosed && (this.#isDirty || this.#waiting.length > 0)) {
-      this.#isDirty = false;
-      const waiting = this.#waiting.splice(0, ITEMS_LIMIT);
+    while (!this.#isClosed && (this.#needsPlan || this.#pending.length > 0)) {
+      this.#needsPlan = false;
+      const pending = this.#pending.splice(0, ITEMS_LIMIT);
       const planned = this.#options.plan();
-      const items = [...waiting.map(({ item }) => item), ...planned];
+      const items = [...pending.map(({ item }) => item), ...planned];
       if (items.length > 0) {
         const applied = await this.#commit(items);
-        waiting.forEach(({ resolve }, at) => resolve(applied?.[at]));
+        pending.forEach(({ resolve }, index) => resolve(applied?.[index]));
       }
     }
     this.#isWriting = false;
@@ -123,12 +123,12 @@
       return undefined;
     }
     this.#options.onBatch(clock.nowMs() - beganAtMs, items.length);
-    items.forEach((item, at) => {
-      if (outcome.applied[at]) {
+    items.forEach((item, index) => {
+      if (outcome.applied[index]) {
         this.#options.onApplied(item);
       }
     });
-    this.#isDirty = true;
+    this.#needsPlan = true;
     return outcome.applied;
   }
 
--- a/src/process/batch/leader/call_answerer.ts
+++ b/src/process/batch/leader/call_handler.ts
@@ -1,12 +1,12 @@
 /**
- * Answers callers' and workers' calls on the leader.
+ * Handles calls of callers and workers on the leader.
  *
  * @module
  */
 
 import type { Clock } from "../../../base/clock.ts";
 import type { EventLog } from "../../../base/event_log.ts";
-import { isSameWorker, type WorkerRecord } from "../batch_command.ts";
+import { isSameWorkerRecord, type WorkerRecord } from "../batch_command.ts";
 import type { BatchState } from "../batch_state.ts";
 import { decideAdmission } from "../decisions/admission.ts";
 import type { CallTarget, JobAnswer, JobCall } from "../job_call.ts";
@@ -18,15 +18,15 @@
 } from "../pool_configuration.ts";
 import type { LeaderSession } from "./leader_session.ts";
 
-/** What an answerer is made from. */
-export interface CallAnswererOptions {
+/** Options of {@link CallHandler}. */
+export interface CallHandlerOptions {
   readonly session: LeaderSession;
   readonly state: BatchState;
   readonly clock: Clock;
   readonly events: EventLog;
 }
 
-/** The queue and the client account that a call is for. */
+/** The queue and the client account of a call. */
 interface CallScope {
   readonly queue: QueueConfiguration;
   readonly account: AccountConfiguration | undefined;
@@ -34,12 +34,12 @@
 
 type CallOf<Kind extends JobCall["kind"]> = Extract<JobCall, { kind: Kind }>;
 
-/** Answers calls within one leader's time in office. */
-export class CallAnswerer {
-  readonly #options: CallAnswererOptions;
+/** Handles calls during one leader's session. */
+export class CallHandler {
+  readonly #options: CallHandlerOptions;
   readonly #sequences = new Map<string, number>();
 
-  constructor(options: CallAnswererOptions) {
+  constructor(options: CallHandlerOptions) {
     this.#options = options;
   }
 
@@ -48,9 +48,9 @@
       case "ping":
         return { kind: "noted" };
       case "workerSeen":
-        return await this.#noteWorker(call);
+        return await this.#recordWorker(call);
       case "workerLeaves":
-        return await this.#noteLeave(call.workerId);
+        return await this.#removeWorker(call.workerId);
       case "submit":
       case "state":
       case "cancel":
@@ -165,17 +165,18 @@
     return { kind: "pending", jobs };
   }
 
-  async #noteWorker(call: CallOf<"workerSeen">): Promise<JobAnswer> {
+  async #recordWorker(call: CallOf<"workerSeen">): Promise<JobAnswer> {
     const { session, state } = this.#options;
     const { worker, sequence, clockMs } = call;
     const noted: JobAnswer = { kind: "noted" };
     const known = state.workers.get(worker.key);
-    // A life that drains never stops doing so: a report that says otherwise
-    // is late, whoever led when it was sent.
+    // An incarnation never stops draining, so that an announcement without it
+    // is out of date. Sequence numbers don't show that after a change of
+    // leader.
     const isBeforeDrain = known?.isDraining === true && !worker.isDraining;
-    const isOld = isBeforeDrain || this.#isSuperseded(worker) ||
+    const isOutdated = isBeforeDrain || this.#isSuperseded(worker) ||
       sequence < (this.#sequences.get(worker.key) ?? -1);
-    if (isOld) {
+    if (isOutdated) {
       return noted;
     }
     this.#sequences.set(worker.key, sequence);
@@ -183,32 +184,36 @@
       this.#sequences.delete(other.key);
       void session.write({ kind: "workerGone", key: other.key });
     }
-    if (known === undefined || !isSameWorker(known, worker)) {
+    if (known === undefined || !isSameWorkerRecord(known, worker)) {
       const applied = await session.write({ kind: "worker", worker });
       if (applied === undefined) {
         return { kind: "unknown" };
       }
     }
-    session.noteClock(worker.key, clockMs);
+    session.recordClock(worker.key, clockMs);
     return noted;
   }
 
-  /** A later life at the same place has announced itself already. */
+  /**
+   * Whether a later incarnation, or a later worker at its address, is known.
+   */
   #isSuperseded(worker: WorkerRecord): boolean {
-    return this.#othersAt(worker).some((other) => other.bornMs > worker.bornMs);
+    return this.#conflictingWorkers(worker).some((other) =>
+      other.bornMs > worker.bornMs
+    );
   }
 
   #earlierLives(worker: WorkerRecord): WorkerRecord[] {
-    return this.#othersAt(worker).filter((other) =>
+    return this.#conflictingWorkers(worker).filter((other) =>
       other.bornMs <= worker.bornMs
     );
   }
 
-  #othersAt(worker: WorkerRecord): WorkerRecord[] {
-    return this.#options.state.otherLivesOf(worker);
+  #conflictingWorkers(worker: WorkerRecord): WorkerRecord[] {
+    return this.#options.state.conflictingWorkers(worker);
   }
 
-  async #noteLeave(workerId: string): Promise<JobAnswer> {
+  async #removeWorker(workerId: string): Promise<JobAnswer> {
     const { state, session } = this.#options;
     for (const worker of [...state.workers.values()]) {
       if (worker.id === workerId) {
--- /dev/null
+++ b/src/process/batch/leader/call_handler_test.ts
@@ -0,0 +1,35 @@
+import test from "ava";
+import { FakeClock, SILENT_EVENT_LOG } from "../../../base/mod.ts";
+import type { BatchItem } from "../batch_command.ts";
+import { PlannerFixture } from "../decisions/planner_fixture.ts";
+import { CallHandler } from "./call_handler.ts";
+import type { LeaderSession } from "./leader_session.ts";
+
+/** A handler whose writes take effect at once. */
+function handlerOf({ state, nowMs }: PlannerFixture): CallHandler {
+  const write = (item: BatchItem) => {
+    state.apply({ kind: "batch", epoch: 1, atMs: nowMs, items: [item] });
+    return Promise.resolve(true);
+  };
+  const session = { write, recordClock: () => undefined };
+  return new CallHandler({
+    session: session as unknown as LeaderSession,
+    state,
+    clock: new FakeClock({ startMs: nowMs }),
+    events: SILENT_EVENT_LOG,
+  });
+}
+
+test("a draining worker stays so after a late announcement to a new leader", async (t) => {
+  const fixture = new PlannerFixture({ workers: 1 });
+  const ready = [...fixture.state.workers.values()][0]!;
+  const draining = { ...ready, isDraining: true };
+  const seen = { kind: "workerSeen", clockMs: undefined } as const;
+  await handlerOf(fixture).answer({ ...seen, worker: draining, sequence: 8 });
+  t.true(fixture.state.workers.get(ready.key)?.isDraining);
+  // The next leader has no sequence numbers yet.
+  const next = handlerOf(fixture);
+  const late = await next.answer({ ...seen, worker: ready, sequence: 7 });
+  t.is(late.kind, "noted");
+  t.true(fixture.state.workers.get(ready.key)?.isDraining);
+});
--- a/src/process/batch/leader/leader_context.ts
+++ b/src/process/batch/leader/leader_context.ts
@@ -1,5 +1,5 @@
 /**
- * What every part of a leader's time in office stands on.
+ * Options that every part of a leader's session needs.
  *
  * @module
  */
@@ -10,7 +10,7 @@
 import type { BatchTiming } from "../batch_timing.ts";
 import type { WorkerCalls } from "../worker_calls.ts";
 
-/** The state that it leads, and its way to the workers. */
+/** The replicated state, the calls to workers, and the leader's epoch. */
 export interface LeaderContext {
   readonly state: BatchState;
   readonly clock: Clock;
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -1,6 +1,6 @@
 /**
- * One leader's time in office: takes jobs in, plans, commits, sees every open
- * run through to its end, and answers callers from the state that it leads.
+ * The work of one leader in its epoch: plans starts, commits changes, and
+ * tracks every open run until its end is stored.
  *
  * @module
  */
@@ -28,16 +28,18 @@
 import type { LeaderContext } from "./leader_context.ts";
 import { WorkerLinks } from "./worker_links.ts";
 
-/** What a session is made from. */
+/** Options of {@link LeaderSession}. */
 export interface LeaderSessionOptions extends LeaderContext {
   readonly log: ReplicatedLog<BatchCommand, BatchOutcome>;
-  /** Takes note of how long each batch took to commit. */
+  /** Called with the time that each batch took to commit. */
   readonly onCommit?: (durationMs: number) => void;
-  /** Called once when the session can't go on. */
+  /**
+   * Called once if the session can't go on: another leader, or a failed commit.
+   */
   readonly onEnded: (detail: string) => void;
 }
 
-/** One leader's time in office. */
+/** Leads the batch scheduler from its construction until it is closed. */
 export class LeaderSession {
   readonly #options: LeaderSessionOptions;
   readonly #writer: BatchWriter;
@@ -45,8 +47,8 @@
   readonly #driver: RunDriver;
   readonly #health: WorkerHealth;
   readonly #links: WorkerLinks;
-  /** Jobs whose end was told. */
-  readonly #toldOver = new Set<JobId>();
+  /** Ended jobs for which `batchJobEnded` was emitted. */
+  readonly #reportedOver = new Set<JobId>();
   readonly #ticker: Timer;
   #isClosed = false;
 
@@ -61,8 +63,8 @@
       epoch,
       commitTimeoutMs: timing.commitTimeoutMs,
       plan: () => this.#plan(),
-      onApplied: (item) => this.#follow(item),
-      onBatch: (durationMs, items) => this.#noteBatch(durationMs, items),
+      onApplied: (item) => this.#onApplied(item),
+      onBatch: (durationMs, items) => this.#recordBatch(durationMs, items),
       onDeposed: (detail) => this.#end(detail),
     });
     this.#links = new WorkerLinks({
@@ -74,8 +76,8 @@
       epoch,
       mayLead: () => this.isCurrent(),
       onReport: (from, report, sentAtMs) =>
-        this.#takeReport(from, report, sentAtMs),
-      onReached: () => this.#writer.touch(),
+        this.#handleReport(from, report, sentAtMs),
+      onReached: () => this.#writer.requestPlan(),
     });
     this.#driver = new RunDriver({
       runs: this.#runs,
@@ -90,8 +92,8 @@
       mayLead: () => this.isCurrent(),
       onEnd: ({ task, run, checkpoint }, how) =>
         void this.#writeEnd(task, { run, how, checkpoint }),
-      onUnwell: (key) => this.#health.noteUnwell(key),
-      onFull: (key) => this.#health.noteFull(key),
+      onUnwell: (key) => this.#health.recordUnwell(key),
+      onFull: (key) => this.#health.recordFull(key),
     });
     this.#links.openKnown();
     this.#ticker = clock.every(timing.tickMs, () => this.#tick());
@@ -101,14 +103,16 @@
       openRuns: this.#runs.size,
       workers: state.workers.size,
     });
-    this.#writer.touch();
+    this.#writer.requestPlan();
   }
 
   get epoch(): number {
     return this.#options.epoch;
   }
 
-  /** Open runs and changes that wait for a commit, for the metrics. */
+  /**
+   * The numbers of open runs and of changes waiting for a commit, for metrics.
+   */
   get depths(): { openRuns: number; uncommitted: number } {
     return {
       openRuns: this.#runs.size,
@@ -116,26 +120,29 @@
     };
   }
 
-  /** Whether no other leader can have decided anything by now. */
+  /**
+   * Whether this is certainly the only leader: its epoch is the latest one
+   * applied, and its leader lease is valid.
+   */
   isCurrent(): boolean {
     const { log, clock, state, epoch } = this.#options;
     return !this.#isClosed && state.epoch === epoch &&
       log.status().leaseEndMs > clock.nowMs();
   }
 
-  /** Commits a change; undefined when its outcome isn't known. */
+  /** Commits a change; gives whether it took effect, undefined if unknown. */
   write(item: BatchItem): Promise<boolean | undefined> {
     return this.#writer.write(item);
   }
 
-  /** The configuration, or which data centres are out, has changed. */
-  touch(): void {
-    this.#writer.touch();
+  /** Plans again, after a change of the configuration or of a data centre. */
+  requestPlan(): void {
+    this.#writer.requestPlan();
   }
 
-  /** Takes a moment of a worker's clock. */
-  noteClock(key: WorkerKey, clockMs: number | undefined): void {
-    this.#links.get(key)?.noteClock(clockMs);
+  /** Records what a worker's clock showed in a message that just arrived. */
+  recordClock(key: WorkerKey, clockMs: number | undefined): void {
+    this.#links.get(key)?.recordClock(clockMs);
   }
 
   close(): void {
@@ -180,9 +187,9 @@
     };
   }
 
-  #follow(item: BatchItem): void {
+  #onApplied(item: BatchItem): void {
     const { state, clock, events } = this.#options;
-    this.#runs.follow(item, state, clock.nowMs());
+    this.#runs.applyItem(item, state, clock.nowMs());
     switch (item.kind) {
       case "accept":
         events.emit("batchJobAccepted", {
@@ -192,7 +199,7 @@
         });
         return;
       case "cancel":
-        this.#noteJobOver(item.jobId);
+        this.#handleJobOver(item.jobId);
         return;
       case "start":
         events.emit("taskStarted", {
@@ -207,11 +214,11 @@
         this.#driver.driveJob(item.jobId);
         return;
       case "end":
-        this.#followEnd(item);
+        this.#onEndApplied(item);
         return;
       case "worker":
         if (this.#links.announce(item.worker)) {
-          this.#driver.barLateOrders(item.worker.key);
+          this.#driver.revokeUnansweredStarts(item.worker.key);
         }
         return;
       case "workerGone":
@@ -221,13 +228,13 @@
       case "forget":
         item.jobIds.forEach((id) => {
           this.#health.forgetJob(id);
-          this.#toldOver.delete(id);
+          this.#reportedOver.delete(id);
         });
         return;
     }
   }
 
-  #followEnd({ task, run, how }: Extract<BatchItem, { kind: "end" }>): void {
+  #onEndApplied({ task, run, how }: Extract<BatchItem, { kind: "end" }>): void {
     const { state, events } = this.#options;
     events.emit("taskEnded", {
       jobId: task.jobId,
@@ -237,7 +244,7 @@
     });
     const job = state.jobs.get(task.jobId);
     if (job !== undefined && job.phase !== JobPhase.active) {
-      this.#noteJobOver(task.jobId);
+      this.#handleJobOver(task.jobId);
     } else if (how !== RunEnd.done) {
       const isGang = job?.spec.steps[task.step]?.isGang === true;
       if (isGang) {
@@ -246,11 +253,11 @@
     }
   }
 
-  #noteJobOver(jobId: JobId): void {
+  #handleJobOver(jobId: JobId): void {
     const { state, events, clock } = this.#options;
     const job = state.jobs.get(jobId);
-    if (job !== undefined && !this.#toldOver.has(jobId)) {
-      this.#toldOver.add(jobId);
+    if (job !== undefined && !this.#reportedOver.has(jobId)) {
+      this.#reportedOver.add(jobId);
       events.emit("batchJobEnded", {
         jobId,
         phase: job.phase,
@@ -260,7 +267,7 @@
     this.#driver.stopJob(jobId);
   }
 
-  async #takeReport(
+  async #handleReport(
     link: WorkerLink,
     report: WorkerReport,
     sentAtMs: number,
@@ -270,22 +277,22 @@
     for (const { number, task, run, how, checkpoint } of report.ended) {
       const open = this.#runs.get(task);
       const isOpen = open?.run === run && open.holder === key;
-      if (number > link.notedEnd && isOpen) {
-        this.#driver.noteEnding(open);
-        this.#noteHealth(key, task, how);
+      if (number > link.acknowledgedEnd && isOpen) {
+        this.#driver.recordEnding(open);
+        this.#recordHealth(key, task, how);
         writes.push(this.#writeEnd(task, { run, how, checkpoint }));
       }
     }
-    this.#driver.compare(key, report, sentAtMs);
+    this.#driver.reconcile(key, report, sentAtMs);
     const outcomes = await Promise.all(writes);
     const last = report.ended.at(-1);
     if (last !== undefined && outcomes.every((known) => known !== undefined)) {
-      link.noteEnds(last.number);
+      link.acknowledgeEnds(last.number);
     }
   }
 
-  #noteHealth(key: WorkerKey, task: TaskRef, how: RunEnd): void {
-    if (this.#health.note(key, task, how)) {
+  #recordHealth(key: WorkerKey, task: TaskRef, how: RunEnd): void {
+    if (this.#health.recordEnd(key, task, how)) {
       this.#options.events.emit("batchWorkerSuspect", {
         worker: key,
         task: taskKey(task),
@@ -307,7 +314,7 @@
     });
   }
 
-  #noteBatch(durationMs: number, items: number): void {
+  #recordBatch(durationMs: number, items: number): void {
     this.#options.onCommit?.(durationMs);
     if (durationMs > SLOW_COMMIT_MS) {
       this.#options.events.emit("batchCommitSlow", {
@@ -324,10 +331,10 @@
     this.#driver.drive();
     this.#dropGoneWorkers();
     this.#forgetOldJobs();
-    this.#writer.touch();
+    this.#writer.requestPlan();
   }
 
-  /** A worker whose process is gone leaves together with its runs. */
+  /** Removes workers whose process is gone, once their runs have ended. */
   #dropGoneWorkers(): void {
     for (const key of this.#links.goneKeys()) {
       if (!this.#driver.hasRunsOn(key)) {
@@ -339,7 +346,7 @@
 
   #forgetOldJobs(): void {
     const { state, clock, timing } = this.#options;
-    const beforeMs = clock.nowMs() - timing.rememberMs;
+    const beforeMs = clock.nowMs() - timing.endedJobRetentionMs;
     const jobIds: JobId[] = [];
     for (const job of state.jobs.values()) {
       const isOver = job.phase !== JobPhase.active && job.endedAtMs < beforeMs;
@@ -353,5 +360,5 @@
   }
 }
 
-/** A commit that takes longer is worth a line: a sync takes 4 to 9 ms. */
+/** A slower commit is logged; a sync to disk takes 4 to 9 ms. */
 const SLOW_COMMIT_MS = 250;
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -1,6 +1,7 @@
 /**
- * Sees each open run through: orders its start until the worker has it, its
- * stop until the worker has acknowledged it, and finds out when it is gone.
+ * Drives each open run to its end: repeats its start order until the worker
+ * confirms it, repeats its stop order until the worker acknowledges it, and
+ * detects runs that are lost.
  *
  * @module
  */
@@ -22,20 +23,20 @@
 } from "./run_table.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
-/** What a driver is made from. */
+/** Options of {@link RunDriver}. */
 export interface RunDriverOptions extends RunOrdersOptions {
-  /** The present life of the worker whose life is over, if it has one. */
+  /** The latest other incarnation of the same worker, if there is one. */
   readonly successorOf: (key: WorkerKey) => WorkerKey | undefined;
-  /** A run is over for certain without a worker's own word on it. */
+  /** Called when a run is certainly over though no worker reported its end. */
   readonly onEnd: (run: OpenRunState, how: RunEnd) => void;
   readonly onUnwell: (key: WorkerKey) => void;
   readonly onFull: (key: WorkerKey) => void;
 }
 
-/** Drives all open runs of a leader. */
+/** Drives all open runs of one leader. */
 export class RunDriver {
   readonly #options: RunDriverOptions;
-  /** Runs whose end is being written. */
+  /** Runs whose end is being committed. */
   readonly #ending = new WeakSet<OpenRunState>();
   readonly #orders: RunOrders;
 
@@ -62,21 +63,21 @@
     }
   }
 
-  /** Stops what is open of a step. */
+  /** Stops all open runs of the task's step. */
   stopStep(task: TaskRef, reason: StopReason): void {
     this.#options.runs.ofStep(task).forEach((run) =>
       this.stop(run.task, reason)
     );
   }
 
-  /** Stops what is open of a job. */
+  /** Stops all open runs of a job that is over. */
   stopJob(jobId: JobId): void {
     for (const run of this.#options.runs.ofJob(jobId)) {
       this.stop(run.task, StopReason.jobOver);
     }
   }
 
-  /** Does what is due for every open run. */
+  /** Takes the next step for every open run, where one is due. */
   drive(): void {
     if (this.#options.mayLead()) {
       for (const run of [...this.#options.runs.all()]) {
@@ -85,20 +86,23 @@
     }
   }
 
-  /** Does what is due for one job's runs. */
+  /** Takes the next step for one job's open runs, where one is due. */
   driveJob(jobId: JobId): void {
     if (this.#options.mayLead()) {
       this.#options.runs.ofJob(jobId).forEach((run) => this.#driveRun(run));
     }
   }
 
-  /** Bars what was ordered from an earlier life of the worker. */
-  barLateOrders(key: WorkerKey): void {
-    this.#orders.barLate(key);
+  /** Revokes unanswered starts that were sent to earlier incarnations. */
+  revokeUnansweredStarts(key: WorkerKey): void {
+    this.#orders.revokeUnanswered(key);
   }
 
-  /** Compares what a worker reports with what is open there. */
-  compare(key: WorkerKey, report: WorkerReport, sentAtMs: number): void {
+  /**
+   * Compares a worker's report with the runs that are open there. Confirms
+   * listed runs, revokes unknown ones, and ends open ones that are gone.
+   */
+  reconcile(key: WorkerKey, report: WorkerReport, sentAtMs: number): void {
     const { runs } = this.#options;
     const listed = new Set<string>();
     for (const { task, run, checkpoint } of report.running) {
@@ -108,7 +112,7 @@
         open.confirmedAtMs ??= this.#options.clock.nowMs();
         open.checkpoint = checkpoint;
       } else {
-        void this.#orders.bar(key, task, run);
+        void this.#orders.revoke(key, task, run);
       }
     }
     for (const { task, run } of report.ended) {
@@ -116,13 +120,17 @@
     }
     for (const open of runs.onHolder(key)) {
       if (!listed.has(open.name)) {
-        this.#noteAbsent(open, sentAtMs);
+        this.#handleAbsent(open, sentAtMs);
       }
     }
   }
 
-  /** The worker has neither the run nor its end. */
-  #noteAbsent(open: OpenRunState, sentAtMs: number): void {
+  /**
+   * The worker reported neither the run nor its end. The run is over if it was
+   * stopped or confirmed before the request for the report was sent; otherwise
+   * its start may still arrive.
+   */
+  #handleAbsent(open: OpenRunState, sentAtMs: number): void {
     const { confirmedAtMs, stoppedAtMs } = open;
     if (stoppedAtMs !== undefined && stoppedAtMs < sentAtMs) {
       this.#endOnce(open, RunEnd.stopped);
@@ -131,8 +139,8 @@
     }
   }
 
-  /** A worker listed the run's end, which is being stored. */
-  noteEnding(open: OpenRunState): void {
+  /** Records that a worker reported the run's end, which is being committed. */
+  recordEnding(open: OpenRunState): void {
     this.#ending.add(open);
   }
 
@@ -144,7 +152,7 @@
   }
 
   #driveRun(run: OpenRunState): void {
-    // Until its end is committed the run is still in the table.
+    // The run stays in the table until its end is committed.
     if (this.#ending.has(run)) {
       return;
     }
@@ -153,15 +161,15 @@
     const link = linkOf(run.holder);
     const isKnown = state.workers.has(run.holder);
     if (!isKnown || link === undefined || link.isGone) {
-      this.#leaveLife(run, nowMs);
+      this.#handleIncarnationOver(run, nowMs);
       return;
     }
-    if (!link.isReachable && link.hasLapsed(nowMs)) {
+    if (!link.isReachable && link.haveLeasesExpired(nowMs)) {
       this.#endOnce(run, RunEnd.lost);
       return;
     }
     this.#checkJob(run, nowMs);
-    if (run.callsOpen > 0 || nowMs < run.nextCallAtMs) {
+    if (run.pendingOrders > 0 || nowMs < run.nextCallAtMs) {
       return;
     }
     if (run.stopReason !== undefined) {
@@ -173,32 +181,37 @@
       if (leaseEndMs !== undefined) {
         void this.#sendStart(run, { link, leaseEndMs });
       } else {
-        run.nextCallAtMs = nowMs + timing.orderRetryMs;
+        run.nextCallAtMs = nowMs + timing.orderRetryDelayMs;
       }
     }
   }
 
-  /** The run is gone with its worker, or stopped in the worker's next life. */
-  #leaveLife(run: OpenRunState, nowMs: number): void {
+  /**
+   * Handles a run whose worker incarnation is over. If the worker restarted,
+   * the run is stopped on the new incarnation, which may have received its
+   * start. Otherwise the run is lost: at once, or if a start may still arrive,
+   * after the time that a restart takes.
+   */
+  #handleIncarnationOver(run: OpenRunState, nowMs: number): void {
     const { successorOf, timing } = this.#options;
     const successor = successorOf(run.holder);
-    run.lifeOverAtMs ??= nowMs;
+    run.incarnationOverAtMs ??= nowMs;
     if (successor === undefined) {
-      const mayBeLate = run.hasUnansweredStart ||
+      const mayStillArrive = run.hasUnansweredStart ||
         run.confirmedAtMs === undefined;
-      const waitMs = mayBeLate ? timing.nextLifeMs : 0;
-      if (nowMs - run.lifeOverAtMs >= waitMs) {
+      const waitMs = mayStillArrive ? timing.workerRestartWaitMs : 0;
+      if (nowMs - run.incarnationOverAtMs >= waitMs) {
         this.#endOnce(run, RunEnd.lost);
       }
       return;
     }
     this.#options.runs.moveTo(run, successor);
-    run.stopReason = StopReason.lifeOver;
+    run.stopReason = StopReason.workerRestarted;
     run.stoppedAtMs = undefined;
     run.nextCallAtMs = nowMs;
   }
 
-  /** A job that is over has nothing running; a gang must be whole soon. */
+  /** Stops runs of a job that is over, and gangs that don't start in time. */
   #checkJob(run: OpenRunState, nowMs: number): void {
     const { state, timing } = this.#options;
     const job = state.jobs.get(run.task.jobId);
@@ -210,27 +223,28 @@
     } else if (
       job.spec.steps[run.task.step]!.isGang &&
       run.confirmedAtMs === undefined &&
-      nowMs - run.sinceMs > timing.gangStartMs
+      nowMs - run.openedAtMs > timing.gangStartTimeoutMs
     ) {
       this.stopStep(run.task, StopReason.gangBroken);
     }
   }
+
   async #sendStart(
     run: OpenRunState,
     options: { link: WorkerLink; leaseEndMs: number },
   ): Promise<void> {
     const answer = await this.#orders.start(run, options);
     if (answer !== undefined) {
-      this.#takeStartAnswer(run, options.link, answer);
+      this.#handleStartAnswer(run, options.link, answer);
     }
   }
 
-  #takeStartAnswer(
+  #handleStartAnswer(
     run: OpenRunState,
     link: WorkerLink,
     answer: StartAnswer,
   ): void {
-    link.noteClock(answer.clockMs);
+    link.recordClock(answer.clockMs);
     const { refusal } = answer;
     if (refusal === undefined) {
       run.confirmedAtMs ??= this.#options.clock.nowMs();
@@ -250,7 +264,7 @@
       case StartRefusal.fenced:
         return;
       case StartRefusal.old:
-        // It was stopped, or has ended; the worker's report tells.
+        // The run was stopped or has ended; the worker's report will say how.
         this.stop(run.task, StopReason.gangBroken);
         return;
       case StartRefusal.unwell:
@@ -264,7 +278,7 @@
     }
   }
 
-  /** An earlier order without an answer may be carried out yet: stop it. */
+  /** Ends a refused run, or stops it if an earlier start may still arrive. */
   #giveUpStart(run: OpenRunState): void {
     if (run.startsSent > 1) {
       this.stop(run.task, StopReason.gangBroken);
--- a/src/process/batch/leader/run_driver_test.ts
+++ b/src/process/batch/leader/run_driver_test.ts
@@ -3,25 +3,27 @@
 import { FakeClock } from "../../../base/mod.ts";
 import { SILENT_EVENT_LOG } from "../../../base/event_log.ts";
 import { BATCH_TIMING } from "../batch_timing.ts";
-import { PlannerWorld } from "../decisions/planner_fixture.ts";
+import { PlannerFixture } from "../decisions/planner_fixture.ts";
 import { type WorkerCalls } from "../worker_calls.ts";
 import { RunDriver } from "./run_driver.ts";
 import { RunTable } from "./run_table.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
-/** A driver with one run that is to start, and what it tells of ends. */
+/** A driver with one open run to start, and the ends that it reports. */
 function driveOneRun(calls: Partial<WorkerCalls>) {
-  const world = new PlannerWorld({ workers: 1 });
-  world.submit("a", { taskCount: 1 });
-  const clock = new FakeClock({ startMs: world.nowMs });
-  const runs = RunTable.fromState(world.state, world.nowMs);
-  const plan = world.plan();
-  world.carryOut(plan);
-  plan.starts.forEach((start) => runs.follow(start, world.state, world.nowMs));
+  const fixture = new PlannerFixture({ workers: 1 });
+  fixture.submit("a", { taskCount: 1 });
+  const clock = new FakeClock({ startMs: fixture.nowMs });
+  const runs = RunTable.fromState(fixture.state, fixture.nowMs);
+  const plan = fixture.plan();
+  fixture.applyStarts(plan);
+  plan.starts.forEach((start) =>
+    runs.applyItem(start, fixture.state, fixture.nowMs)
+  );
   const ends: { how: string; checkpoint: string }[] = [];
   const driver = new RunDriver({
     runs,
-    state: world.state,
+    state: fixture.state,
     clock,
     events: SILENT_EVENT_LOG,
     timing: BATCH_TIMING,
@@ -32,8 +34,8 @@
         isGone: false,
         isReachable: true,
         nextLeaseEndMs: () => 5_000,
-        noteClock: () => undefined,
-        hasLapsed: () => false,
+        recordClock: () => undefined,
+        haveLeasesExpired: () => false,
       }) as unknown as WorkerLink,
     successorOf: () => undefined,
     mayLead: () => true,
@@ -44,7 +46,7 @@
   return { driver, clock, ends, run: [...runs.all()][0]! };
 }
 
-test("a run whose end is being stored isn't ordered again", async (t) => {
+test("a run whose end is being committed isn't started again", async (t) => {
   let starts = 0;
   const { driver, clock, ends } = driveOneRun({
     start: () => {
@@ -62,12 +64,12 @@
   t.is(starts, 1);
 });
 
-test("a run that is lost keeps the checkpoint that was last heard of", (t) => {
+test("a lost run keeps the last reported checkpoint", (t) => {
   const { driver, clock, ends, run } = driveOneRun({});
   const report = { clockMs: 0, bornMs: 0, ended: [] };
   const listed = { task: run.task, run: run.run, checkpoint: "half way" };
-  driver.compare(run.holder, { ...report, running: [listed] }, clock.nowMs());
+  driver.reconcile(run.holder, { ...report, running: [listed] }, clock.nowMs());
   clock.advance(1);
-  driver.compare(run.holder, { ...report, running: [] }, clock.nowMs());
+  driver.reconcile(run.holder, { ...report, running: [] }, clock.nowMs());
   t.deepEqual(ends, [{ how: "lost", checkpoint: "half way" }]);
 });
--- a/src/process/batch/leader/run_orders.ts
+++ b/src/process/batch/leader/run_orders.ts
@@ -1,36 +1,36 @@
 /**
- * The orders of a leader to workers: starts, stops, and the stops that keep a
- * late order from being carried out.
+ * Sends a leader's orders to workers: starts, stops, and stops that revoke
+ * starts which may still arrive.
  *
  * @module
  */
 
 import type { SesameError } from "../../../base/sesame_error.ts";
-import { idOfLife, type TaskRef, type WorkerKey } from "../batch_command.ts";
+import { type TaskRef, workerIdOf, type WorkerKey } from "../batch_command.ts";
 import type { StepSpec } from "../job_spec.ts";
 import type { StartAnswer } from "../worker_calls.ts";
-import { LateOrders } from "./late_orders.ts";
+import { UnansweredStarts } from "./unanswered_starts.ts";
 import { type OpenRunState, type RunTable, taskKey } from "./run_table.ts";
 import type { LeaderContext } from "./leader_context.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
-/** What the orders are made from. */
+/** Options of {@link RunOrders}. */
 export interface RunOrdersOptions extends LeaderContext {
   readonly runs: RunTable;
   readonly linkOf: (key: WorkerKey) => WorkerLink | undefined;
   readonly mayLead: () => boolean;
 }
 
-/** Sends orders, and remembers those that may be carried out late. */
+/** Sends orders, and keeps the starts that got no answer. */
 export class RunOrders {
   readonly #options: RunOrdersOptions;
-  readonly #late = new LateOrders();
+  readonly #unanswered = new UnansweredStarts();
 
   constructor(options: RunOrdersOptions) {
     this.#options = options;
   }
 
-  /** What the worker said to a start; undefined without an answer. */
+  /** Sends a start; gives the worker's answer, or undefined for none. */
   async start(
     run: OpenRunState,
     options: { link: WorkerLink; leaseEndMs: number },
@@ -39,7 +39,7 @@
     const { link, leaseEndMs } = options;
     const { task } = run;
     const job = state.jobs.get(task.jobId)!;
-    run.callsOpen += 1;
+    run.pendingOrders += 1;
     run.startsSent += 1;
     const result = await calls.start(link.worker, {
       task,
@@ -49,31 +49,31 @@
       epoch,
       checkpoint: this.#checkpointOf(run, job.spec.steps[task.step]!),
     }, { timeoutMs: timing.orderTimeoutMs });
-    run.callsOpen -= 1;
-    run.nextCallAtMs = clock.nowMs() + timing.orderRetryMs;
+    run.pendingOrders -= 1;
+    run.nextCallAtMs = clock.nowMs() + timing.orderRetryDelayMs;
     return result.caseOf<StartAnswer | undefined>({
       Left: (error) => {
         run.hasUnansweredStart = true;
-        this.#late.add(idOfLife(run.holder), run, clock.nowMs());
-        this.#noteNoAnswer(run, "start", error.kind);
+        this.#unanswered.add(workerIdOf(run.holder), run, clock.nowMs());
+        this.#logNoAnswer(run, "start", error.kind);
         return undefined;
       },
       Right: (answer) => answer,
     });
   }
 
-  /** Notes on the run when its worker took the stop. */
+  /** Sends a stop, and records on the run when the worker acknowledged it. */
   async stop(run: OpenRunState, link: WorkerLink): Promise<void> {
     const { clock, calls, timing, epoch } = this.#options;
-    run.callsOpen += 1;
+    run.pendingOrders += 1;
     const order = { task: run.task, run: run.run, epoch };
     const result = await calls.stop(link.worker, order, {
       timeoutMs: timing.orderTimeoutMs,
     });
-    run.callsOpen -= 1;
-    run.nextCallAtMs = clock.nowMs() + timing.orderRetryMs;
+    run.pendingOrders -= 1;
+    run.nextCallAtMs = clock.nowMs() + timing.orderRetryDelayMs;
     result.caseOf({
-      Left: (error) => this.#noteNoAnswer(run, "stop", error.kind),
+      Left: (error) => this.#logNoAnswer(run, "stop", error.kind),
       Right: () => {
         run.stoppedAtMs = clock.nowMs();
         link.wake();
@@ -81,20 +81,25 @@
     });
   }
 
-  /** Bars what was ordered from an earlier life of the worker. */
-  barLate(key: WorkerKey): void {
+  /** Revokes unanswered starts that were sent to earlier incarnations. */
+  revokeUnanswered(key: WorkerKey): void {
     const { clock, runs } = this.#options;
-    for (const { task, run } of this.#late.of(idOfLife(key), clock.nowMs())) {
+    for (
+      const { task, run } of this.#unanswered.of(workerIdOf(key), clock.nowMs())
+    ) {
       const open = runs.get(task);
       const isOpenHere = open?.run === run && open.holder === key;
       if (!isOpenHere) {
-        void this.bar(key, task, run);
+        void this.revoke(key, task, run);
       }
     }
   }
 
-  /** Stops what was given up; an order may be carried out late. */
-  async bar(
+  /**
+   * Stops a run that isn't open on this worker. The worker then refuses a start
+   * of the run that arrives later.
+   */
+  async revoke(
     key: WorkerKey,
     task: TaskRef,
     run: number,
@@ -102,7 +107,7 @@
     const { events } = this.#options;
     const fields = { jobId: task.jobId, task: taskKey(task), run, worker: key };
     events.emit("taskStoppedUnknown", fields);
-    for (let tries = 0; tries < BAR_TRIES; tries++) {
+    for (let attempt = 0; attempt < REVOKE_ATTEMPTS_LIMIT; attempt++) {
       const error = await this.#tryStop(key, { task, run });
       if (error === undefined) {
         return;
@@ -115,7 +120,7 @@
     }
   }
 
-  /** Nothing where the worker took the stop, or nothing is left to stop. */
+  /** Undefined if the worker acknowledged the stop, or no stop can be sent. */
   async #tryStop(
     key: WorkerKey,
     order: { task: TaskRef; run: number },
@@ -148,7 +153,7 @@
       : tasks[task.index]?.checkpoint ?? "";
   }
 
-  #noteNoAnswer(run: OpenRunState, order: string, detail: string): void {
+  #logNoAnswer(run: OpenRunState, order: string, detail: string): void {
     this.#options.events.emit("taskOrderUnanswered", {
       jobId: run.task.jobId,
       task: taskKey(run.task),
@@ -160,5 +165,5 @@
   }
 }
 
-/** How often a stop without an answer is sent again: over two seconds. */
-const BAR_TRIES = 6;
+/** How often a revocation is sent without an answer: for up to 2.4 s. */
+const REVOKE_ATTEMPTS_LIMIT = 6;
--- a/src/process/batch/leader/run_table.ts
+++ b/src/process/batch/leader/run_table.ts
@@ -1,6 +1,6 @@
 /**
- * The runs that the leader has to see to: each is to be started and confirmed,
- * or stopped, until its end is stored.
+ * The open runs that the leader tracks: each is started and confirmed, or
+ * stopped, until its end is stored.
  *
  * @module
  */
@@ -19,66 +19,70 @@
   jobOver: "jobOver",
   /** More urgent work needs the room. */
   preempted: "preempted",
-  /** Its gang isn't whole. */
+  /** Its gang can't go on: a task of it ended, or didn't start in time. */
   gangBroken: "gangBroken",
-  /** The life of the worker that it was for is over. */
-  lifeOver: "lifeOver",
+  /** Its worker restarted; the new incarnation may have got its start. */
+  workerRestarted: "workerRestarted",
 } as const;
 
 /** One of the values of {@link StopReason}. */
 export type StopReason = typeof StopReason[keyof typeof StopReason];
 
-/** One open run, as the leader sees it. */
+/** One open run, as the leader tracks it. */
 export interface OpenRunState {
   readonly task: TaskRef;
   readonly run: number;
+  /** The worker incarnation that the run was planned for. */
   readonly worker: WorkerKey;
-  /** The task's name within this process, and the run's. */
+  /** The {@link taskKey} of the task. */
   readonly key: string;
+  /** The {@link runName} of the run. */
   readonly name: string;
   /**
-   * The life of the worker that may have the run: an order on its way when a
-   * life ends may reach the next one under the same name. Changed by
+   * The worker incarnation that may have the run. An order that is on its way
+   * when the worker restarts may reach the next incarnation. Changed by
    * {@link RunTable.moveTo} only.
    */
   holder: WorkerKey;
   /** When this leader learned of the run. */
-  readonly sinceMs: number;
-  /** When the worker was known to have it; undefined before. */
+  readonly openedAtMs: number;
+  /** When the worker was first known to have the run. */
   confirmedAtMs: number | undefined;
-  /** The last checkpoint that a report of the run listed; empty for none. */
+  /** The last checkpoint that the worker reported; empty for none. */
   checkpoint: string;
   stopReason: StopReason | undefined;
   /** When the worker acknowledged the stop. */
   stoppedAtMs: number | undefined;
-  /** Calls that are on their way. */
-  callsOpen: number;
-  /** How often the start was sent, by this leader or the last one. */
+  /** Orders that were sent and not answered yet. */
+  pendingOrders: number;
+  /** How often the start was sent; 1 for an inherited run. */
   startsSent: number;
   nextCallAtMs: number;
-  /** Whether a start got no answer, so that it may be carried out late. */
+  /** Whether a start got no answer, so that it may still arrive. */
   hasUnansweredStart: boolean;
-  /** When the life that has it was found to be over. */
-  lifeOverAtMs: number | undefined;
+  /** When the holder's incarnation was found to be over. */
+  incarnationOverAtMs: number | undefined;
 }
 
-/** The name of a task within this process. */
+/** A string that identifies a task. */
 export function taskKey(task: TaskRef): string {
   return `${task.jobId}.${task.occurrence}.${task.step}.${task.index}`;
 }
 
-/** The name of one run of a task within this process. */
+/** A string that identifies one run of a task. */
 export function runName(task: TaskRef, run: number): string {
   return `${taskKey(task)} ${run}`;
 }
 
-/** All open runs by task, and by the worker and the job that they are of. */
+/** All open runs, indexed by task, worker incarnation and job. */
 export class RunTable {
   readonly #runs = new Map<string, OpenRunState>();
   readonly #byHolder = new RunGroups();
   readonly #byJob = new RunGroups();
 
-  /** Takes over what the replicated state holds as open. */
+  /**
+   * The runs that are open in the replicated state, inherited by a new leader.
+   */
   static fromState(state: BatchState, nowMs: number): RunTable {
     const table = new RunTable();
     for (const job of state.liveJobs.values()) {
@@ -88,7 +92,7 @@
             if (worker !== undefined) {
               const task = { jobId: job.id, occurrence, step, index };
               table.open({ task, run, worker }, nowMs);
-              // The last leader's order may be on its way.
+              // A start sent by the previous leader may still arrive.
               const open = table.get(task)!;
               open.startsSent = 1;
               open.hasUnansweredStart = true;
@@ -123,30 +127,30 @@
       key,
       name: runName(run.task, run.run),
       holder: run.worker,
-      sinceMs: nowMs,
+      openedAtMs: nowMs,
       confirmedAtMs: undefined,
       checkpoint: "",
       stopReason: undefined,
       stoppedAtMs: undefined,
-      callsOpen: 0,
+      pendingOrders: 0,
       startsSent: 0,
       nextCallAtMs: nowMs,
       hasUnansweredStart: false,
-      lifeOverAtMs: undefined,
+      incarnationOverAtMs: undefined,
     };
     this.#runs.set(key, open);
     this.#byHolder.add(open.holder, open);
     this.#byJob.add(open.task.jobId, open);
   }
 
-  /** The run may be at another life of its worker. */
+  /** Records that the run may be on another incarnation of its worker. */
   moveTo(run: OpenRunState, holder: WorkerKey): void {
     this.#byHolder.delete(run.holder, run);
     run.holder = holder;
     this.#byHolder.add(holder, run);
   }
 
-  /** The runs that one life of a worker may have. */
+  /** The open runs that one worker incarnation may have. */
   onHolder(key: WorkerKey): readonly OpenRunState[] {
     return this.#byHolder.of(key);
   }
@@ -156,8 +160,8 @@
     return this.#byJob.of(jobId);
   }
 
-  /** Follows an item that took effect. */
-  follow(item: BatchItem, state: BatchState, nowMs: number): void {
+  /** Opens or closes runs after a committed item that took effect. */
+  applyItem(item: BatchItem, state: BatchState, nowMs: number): void {
     switch (item.kind) {
       case "start": {
         const { jobId, occurrence, step, run } = item;
@@ -179,7 +183,7 @@
     }
   }
 
-  /** A gang's end closes the runs of all its members. */
+  /** Closes all ended runs of the step: one end may stand for a whole gang. */
   #closeEnded(ended: TaskRef, state: BatchState): void {
     const tasks = state.jobs.get(ended.jobId)?.occurrences[ended.occurrence]
       ?.steps[ended.step]?.tasks ?? [];
@@ -199,7 +203,7 @@
     }
   }
 
-  /** The runs of one step that are open. */
+  /** The open runs of the task's step. */
   ofStep(task: TaskRef): OpenRunState[] {
     return this.ofJob(task.jobId).filter((other) =>
       other.task.occurrence === task.occurrence &&
@@ -208,7 +212,7 @@
   }
 }
 
-/** Open runs by a name that several of them share. */
+/** Open runs grouped by a key. */
 class RunGroups {
   readonly #groups = new Map<string, Set<OpenRunState>>();
 
--- a/src/process/batch/leader/run_table_test.ts
+++ b/src/process/batch/leader/run_table_test.ts
@@ -1,12 +1,12 @@
 import test from "ava";
-import { PlannerWorld } from "../decisions/planner_fixture.ts";
+import { PlannerFixture } from "../decisions/planner_fixture.ts";
 import { RunTable } from "./run_table.ts";
 
-test("an inherited run counts as ordered: the last leader may have", (t) => {
-  const world = new PlannerWorld({ workers: 1 });
-  world.submit("a", { taskCount: 2 });
-  world.carryOut(world.plan());
-  const table = RunTable.fromState(world.state, world.nowMs);
+test("an inherited run counts as sent: the last leader may have done so", (t) => {
+  const fixture = new PlannerFixture({ workers: 1 });
+  fixture.submit("a", { taskCount: 2 });
+  fixture.applyStarts(fixture.plan());
+  const table = RunTable.fromState(fixture.state, fixture.nowMs);
   t.is(table.size, 2);
   for (const run of table.all()) {
     t.is(run.startsSent, 1);
@@ -15,11 +15,11 @@
   }
 });
 
-test("a run that this leader opens was never ordered before", (t) => {
-  const world = new PlannerWorld({ workers: 1 });
-  world.submit("a", { taskCount: 1 });
-  const table = RunTable.fromState(world.state, world.nowMs);
-  const [start] = world.plan().starts;
-  table.follow(start!, world.state, world.nowMs);
+test("a run that this leader opens has no start sent yet", (t) => {
+  const fixture = new PlannerFixture({ workers: 1 });
+  fixture.submit("a", { taskCount: 1 });
+  const table = RunTable.fromState(fixture.state, fixture.nowMs);
+  const [start] = fixture.plan().starts;
+  table.applyItem(start!, fixture.state, fixture.nowMs);
   t.deepEqual([...table.all()].map(({ startsSent }) => startsSent), [0]);
 });
--- a/src/process/batch/leader/worker_health.ts
+++ b/src/process/batch/leader/worker_health.ts
@@ -1,8 +1,8 @@
 /**
- * Which workers to avoid, from how the runs on them ended.
+ * Decides which workers to avoid, from how the runs on them ended.
  *
- * For workers that fail or stall all that they start while they say that they
- * are well: without it, every task in turn would lose an attempt there.
+ * A worker may fail or stall every run that it starts and still report that it
+ * is well. Without this, every task in turn would lose an attempt there.
  *
  * @module
  */
@@ -11,26 +11,26 @@
 import { RunEnd, type TaskRef, type WorkerKey } from "../batch_command.ts";
 import { taskKey } from "./run_table.ts";
 
-/** Failed runs in a row, of different jobs, that make a worker suspect. */
+/** A worker is suspect when runs of so many jobs failed there in a row. */
 const FAILED_JOBS_LIMIT = 2;
 
-/** How long a suspect worker gets nothing; it doubles with each time. */
-const AVOID_MS = 4_000;
-const AVOID_LIMIT_MS = 16_000;
+/** How long a suspect worker is avoided; doubled each time, up to the limit. */
+const AVOID_MIN_MS = 4_000;
+const AVOID_MAX_MS = 16_000;
 
-/** How long a worker that had no room gets nothing: a stop takes as long. */
+/** How long a worker without room is avoided: about as long as a stop takes. */
 const FULL_MS = 250;
 
-interface Evidence {
+interface WorkerFailures {
   failedJobs: Set<string>;
   avoidedUntilMs: number;
-  times: number;
+  avoidedTimes: number;
 }
 
-/** Evidence about workers, kept by a leader. */
+/** Failures and refusals of workers, as one leader has seen them. */
 export class WorkerHealth {
   readonly #clock: Clock;
-  readonly #evidence = new Map<WorkerKey, Evidence>();
+  readonly #failures = new Map<WorkerKey, WorkerFailures>();
   readonly #fullUntilMs = new Map<WorkerKey, number>();
   readonly #failedOn = new Map<string, Set<WorkerKey>>();
 
@@ -39,9 +39,9 @@
   }
 
   isSuspect(key: WorkerKey): boolean {
-    const evidence = this.#evidence.get(key);
-    return evidence !== undefined &&
-      this.#clock.nowMs() < evidence.avoidedUntilMs;
+    const failures = this.#failures.get(key);
+    return failures !== undefined &&
+      this.#clock.nowMs() < failures.avoidedUntilMs;
   }
 
   /** Workers on which runs of the task failed. */
@@ -49,10 +49,10 @@
     return this.#failedOn.get(taskKey(task));
   }
 
-  /** Takes note of how a run ended; true when the worker became suspect. */
-  note(key: WorkerKey, task: TaskRef, how: RunEnd): boolean {
+  /** Records how a run ended; true if the failure makes the worker suspect. */
+  recordEnd(key: WorkerKey, task: TaskRef, how: RunEnd): boolean {
     if (how === RunEnd.done) {
-      this.#evidence.delete(key);
+      this.#failures.delete(key);
       return false;
     }
     if (how !== RunEnd.failed) {
@@ -60,25 +60,25 @@
     }
     const failedOn = this.#failedOn.get(taskKey(task)) ?? new Set();
     this.#failedOn.set(taskKey(task), failedOn.add(key));
-    return this.#noteFailure(key, task);
+    return this.#recordFailure(key, task);
   }
 
-  /** Whether the worker has just refused a start for want of room. */
+  /** Whether the worker has just refused a start for lack of room. */
   isFull(key: WorkerKey): boolean {
     return this.#clock.nowMs() < (this.#fullUntilMs.get(key) ?? 0);
   }
 
-  /** The worker has less room than is known of here. */
-  noteFull(key: WorkerKey): void {
+  /** Records that the worker has less room than the replicated state says. */
+  recordFull(key: WorkerKey): void {
     this.#fullUntilMs.set(key, this.#clock.nowMs() + FULL_MS);
   }
 
-  /** The worker itself says that it is unwell. */
-  noteUnwell(key: WorkerKey): void {
-    this.#avoid(key, this.#evidenceOf(key));
+  /** Records that the worker reported itself unwell. */
+  recordUnwell(key: WorkerKey): void {
+    this.#avoid(key, this.#failuresOf(key));
   }
 
-  /** Drops what was kept of a job's tasks. */
+  /** Drops what was recorded of a job's tasks. */
   forgetJob(jobId: string): void {
     for (const name of this.#failedOn.keys()) {
       if (name.startsWith(`${jobId}.`)) {
@@ -87,28 +87,31 @@
     }
   }
 
-  #noteFailure(key: WorkerKey, task: TaskRef): boolean {
-    const evidence = this.#evidenceOf(key);
-    evidence.failedJobs.add(task.jobId);
-    if (evidence.failedJobs.size < FAILED_JOBS_LIMIT) {
+  #recordFailure(key: WorkerKey, task: TaskRef): boolean {
+    const failures = this.#failuresOf(key);
+    failures.failedJobs.add(task.jobId);
+    if (failures.failedJobs.size < FAILED_JOBS_LIMIT) {
       return false;
     }
-    this.#avoid(key, evidence);
+    this.#avoid(key, failures);
     return true;
   }
 
-  #avoid(key: WorkerKey, evidence: Evidence): void {
-    const avoidMs = Math.min(AVOID_LIMIT_MS, AVOID_MS * 2 ** evidence.times);
-    evidence.avoidedUntilMs = this.#clock.nowMs() + avoidMs;
-    evidence.times += 1;
-    this.#evidence.set(key, evidence);
+  #avoid(key: WorkerKey, failures: WorkerFailures): void {
+    const avoidMs = Math.min(
+      AVOID_MAX_MS,
+      AVOID_MIN_MS * 2 ** failures.avoidedTimes,
+    );
+    failures.avoidedUntilMs = this.#clock.nowMs() + avoidMs;
+    failures.avoidedTimes += 1;
+    this.#failures.set(key, failures);
   }
 
-  #evidenceOf(key: WorkerKey): Evidence {
-    const known = this.#evidence.get(key);
-    const evidence = known ??
-      { failedJobs: new Set(), avoidedUntilMs: 0, times: 0 };
-    this.#evidence.set(key, evidence);
-    return evidence;
+  #failuresOf(key: WorkerKey): WorkerFailures {
+    const known = this.#failures.get(key);
+    const failures = known ??
+      { failedJobs: new Set(), avoidedUntilMs: 0, avoidedTimes: 0 };
+    this.#failures.set(key, failures);
+    return failures;
   }
 }
--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -1,7 +1,7 @@
 /**
- * The leader's tie to one life of a worker: renews the lease of all that runs
- * there, learns what runs and what ended, and knows when a silent worker's
- * runs are gone for certain.
+ * The leader's link to one worker incarnation: renews the lease of all runs
+ * there, receives reports of running and ended runs, and knows when the runs of
+ * a worker that doesn't answer have certainly ended.
  *
  * @module
  */
@@ -11,56 +11,67 @@
 import type { BatchTiming } from "../batch_timing.ts";
 import type { WorkerCalls, WorkerReport } from "../worker_calls.ts";
 
-/** A moment of the worker's clock, and of this process's when it was heard. */
+/** A reading of the worker's clock, and when it arrived by the local clock. */
 interface ClockSample {
   readonly workerMs: number;
-  readonly heardAtMs: number;
+  readonly receivedAtMs: number;
 }
 
-/** What a link is made from. */
+/** Options of {@link WorkerLink}. */
 export interface WorkerLinkOptions {
   readonly worker: WorkerRecord;
   readonly calls: WorkerCalls;
   readonly clock: Clock;
   readonly timing: BatchTiming;
   readonly epoch: number;
-  /** The longest lease that others may have given to this life until now. */
+  /**
+   * The longest lease that others may have given to this incarnation so far.
+   */
   readonly earlierLeaseMs: number;
   /** Whether this leader may still give leases. */
   readonly mayLead: () => boolean;
-  /** Stores what ended; resolves once it is stored, or can't be. */
+  /**
+   * Called with each report; resolves once its ends are stored, or can't be.
+   */
   readonly onReport: (
     link: WorkerLink,
     report: WorkerReport,
     sentAtMs: number,
   ) => Promise<void>;
-  /** The worker answered again, or stopped answering. */
-  readonly onReach: (link: WorkerLink, detail: string | undefined) => void;
+  /**
+   * Called when the worker answers for the first time or again (without
+   * detail), and when it stops answering or is found gone (with the kind of
+   * error).
+   */
+  readonly onReachabilityChange: (
+    link: WorkerLink,
+    detail: string | undefined,
+  ) => void;
 }
 
-/** The tie to one life of a worker. */
+/** The link to one worker incarnation. */
 export class WorkerLink {
   readonly #options: WorkerLinkOptions;
   worker: WorkerRecord;
   #sample: ClockSample | undefined;
-  /** By this process's clock, when the last lease given has run out. */
+  /** When all leases given have expired, by the local clock. */
   #leasesEndAtMs: number;
-  #notedEnd = 0;
+  #acknowledgedEnd = 0;
   #failures = 0;
   #refusedConnections = 0;
   #hasReported = false;
   #isClosed = false;
-  #pause: { timer: Timer; resume: () => void } | undefined;
+  #delay: { timer: Timer; resume: () => void } | undefined;
 
   constructor(options: WorkerLinkOptions) {
     this.#options = options;
     this.worker = options.worker;
-    // An earlier leader may have given a lease until just now.
+    // An earlier leader may have given a lease just before this moment.
     this.#leasesEndAtMs = this.#leaseEndBoundMs(options.earlierLeaseMs);
     void this.#run();
   }
 
-  /** Whether a report of this life of the worker came in this epoch. */
+  /** Whether this incarnation has reported in this epoch. */
   get hasReported(): boolean {
     return this.#hasReported;
   }
@@ -69,34 +80,37 @@
     return this.#hasReported && this.#failures === 0;
   }
 
-  get notedEnd(): number {
-    return this.#notedEnd;
+  get acknowledgedEnd(): number {
+    return this.#acknowledgedEnd;
   }
 
-  /** Nothing listens at the worker's address: this life is over. */
+  /** Whether the worker's process is gone: its address refuses connections. */
   get isGone(): boolean {
     return this.#refusedConnections >= REFUSED_CONNECTIONS_LIMIT;
   }
 
-  /** Whether all leases have run out, so that nothing runs there any more. */
-  hasLapsed(nowMs: number): boolean {
+  /** Whether all leases have expired, so that nothing runs there any more. */
+  haveLeasesExpired(nowMs: number): boolean {
     return nowMs >= this.#leasesEndAtMs;
   }
 
-  /** Ends up to this number are stored. */
-  noteEnds(number: number): void {
-    this.#notedEnd = Math.max(this.#notedEnd, number);
+  /** Records that ends up to this number are stored. */
+  acknowledgeEnds(number: number): void {
+    this.#acknowledgedEnd = Math.max(this.#acknowledgedEnd, number);
   }
 
-  /** Takes a moment of the worker's clock from any of its messages. */
-  noteClock(workerMs: number | undefined): void {
-    const heardAtMs = this.#options.clock.nowMs();
-    if (workerMs !== undefined && workerMs >= this.#workerNowMs(heardAtMs)) {
-      this.#sample = { workerMs, heardAtMs };
+  /** Records a reading of the worker's clock, unless it is out of date. */
+  recordClock(workerMs: number | undefined): void {
+    const receivedAtMs = this.#options.clock.nowMs();
+    if (workerMs !== undefined && workerMs >= this.#workerNowMs(receivedAtMs)) {
+      this.#sample = { workerMs, receivedAtMs: receivedAtMs };
     }
   }
 
-  /** The end of a lease given now, by the worker's clock. */
+  /**
+   * The end of a lease given now, by the worker's clock; undefined while that
+   * clock isn't known. Counts the lease as given.
+   */
   nextLeaseEndMs(): number | undefined {
     if (this.#sample === undefined) {
       return undefined;
@@ -109,9 +123,9 @@
     return Math.floor(this.#workerNowMs(nowMs) + this.#leaseMs());
   }
 
-  /** Asks for a report at once where the link is pausing. */
+  /** Ends the delay before the next renewal. */
   wake(): void {
-    this.#pause?.resume();
+    this.#delay?.resume();
   }
 
   close(): void {
@@ -126,31 +140,31 @@
 
   #leaseEndBoundMs(leaseMs: number): number {
     const { clock, timing } = this.#options;
-    return clock.nowMs() + leaseMs * (1 + 2 * timing.clockDrift) +
-      timing.lapseSlackMs;
+    return clock.nowMs() + leaseMs * (1 + 2 * timing.clockDriftFraction) +
+      timing.leaseExpirySlackMs;
   }
 
-  /** At most what the worker's clock shows now. */
+  /** A lower bound on what the worker's clock shows now. */
   #workerNowMs(nowMs: number): number {
     if (this.#sample === undefined) {
       return 0;
     }
-    const { workerMs, heardAtMs } = this.#sample;
+    const { workerMs, receivedAtMs: heardAtMs } = this.#sample;
     return workerMs +
-      (nowMs - heardAtMs) * (1 - this.#options.timing.clockDrift);
+      (nowMs - heardAtMs) * (1 - this.#options.timing.clockDriftFraction);
   }
 
   async #run(): Promise<void> {
     const { timing, mayLead } = this.#options;
     while (!this.#isClosed) {
-      const pauseMs = mayLead() ? await this.#renew() : timing.tickMs;
-      if (pauseMs > 0 && !this.#isClosed) {
-        await this.#sleep(pauseMs);
+      const delayMs = mayLead() ? await this.#renew() : timing.tickMs;
+      if (delayMs > 0 && !this.#isClosed) {
+        await this.#sleep(delayMs);
       }
     }
   }
 
-  /** Gives the pause until the next renewal. */
+  /** Renews the lease; gives the delay until the next renewal. */
   async #renew(): Promise<number> {
     const { calls, clock, timing, epoch } = this.#options;
     const sentAtMs = clock.nowMs();
@@ -159,39 +173,39 @@
       : 0;
     const answer = await calls.lease(this.worker, {
       epoch,
-      // Without a lease while the worker is silent, so that its runs end.
+      // An unreachable worker gets no lease, so that its runs end.
       leaseEndMs: this.isReachable ? this.nextLeaseEndMs() : undefined,
-      notedEnd: this.#notedEnd,
+      notedEnd: this.#acknowledgedEnd,
       waitMs,
     }, { timeoutMs: waitMs + timing.reportSlackMs });
     if (this.#isClosed) {
       return 0;
     }
     return await answer.caseOf({
-      Left: (error) => Promise.resolve(this.#noteFailure(error.kind)),
-      Right: (report) => this.#noteReport(report, sentAtMs),
+      Left: (error) => Promise.resolve(this.#recordFailure(error.kind)),
+      Right: (report) => this.#handleReport(report, sentAtMs),
     });
   }
 
-  async #noteReport(report: WorkerReport, sentAtMs: number): Promise<number> {
+  async #handleReport(report: WorkerReport, sentAtMs: number): Promise<number> {
     const { bornMs } = this.worker;
     if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) {
-      return this.#noteFailure("unavailable");
+      return this.#recordFailure("unavailable");
     }
-    const isBack = !this.#hasReported || this.#failures > 0;
+    const isReachableAgain = !this.#hasReported || this.#failures > 0;
     this.#failures = 0;
     this.#refusedConnections = 0;
     this.#hasReported = true;
-    this.noteClock(report.clockMs);
-    if (isBack) {
-      this.#options.onReach(this, undefined);
+    this.recordClock(report.clockMs);
+    if (isReachableAgain) {
+      this.#options.onReachabilityChange(this, undefined);
     }
     await this.#options.onReport(this, report, sentAtMs);
     return 0;
   }
 
-  #noteFailure(kind: string): number {
-    const { timing, onReach } = this.#options;
+  #recordFailure(kind: string): number {
+    const { timing, onReachabilityChange: onReach } = this.#options;
     this.#failures += 1;
     this.#refusedConnections = kind === "unavailable"
       ? this.#refusedConnections + 1
@@ -200,23 +214,23 @@
       onReach(this, kind);
     }
     return Math.min(
-      timing.renewRetryLimitMs,
-      timing.renewRetryMs * 2 ** Math.min(this.#failures, 5),
+      timing.renewRetryDelayLimitMs,
+      timing.renewRetryDelayMs * 2 ** Math.min(this.#failures, 5),
     );
   }
 
-  #sleep(pauseMs: number): Promise<void> {
+  #sleep(delayMs: number): Promise<void> {
     return new Promise((resolve) => {
       const resume = () => {
         timer.close();
-        this.#pause = undefined;
+        this.#delay = undefined;
         resolve();
       };
-      const timer = this.#options.clock.after(pauseMs, resume);
-      this.#pause = { timer, resume };
+      const timer = this.#options.clock.after(delayMs, resume);
+      this.#delay = { timer, resume };
     });
   }
 }
 
-/** Refused connections in a row that prove that a worker's process is gone. */
+/** A worker counts as gone after so many refused connections in a row. */
 const REFUSED_CONNECTIONS_LIMIT = 2;
--- a/src/process/batch/leader/worker_links.ts
+++ b/src/process/batch/leader/worker_links.ts
@@ -1,26 +1,26 @@
 /**
- * The leader's ties to all workers, by the lives that it knows of.
+ * The leader's links to all known worker incarnations.
  *
  * @module
  */
 
 import {
-  idOfLife,
+  workerIdOf,
   type WorkerKey,
   type WorkerRecord,
 } from "../batch_command.ts";
 import type { LeaderContext } from "./leader_context.ts";
 import { WorkerLink, type WorkerLinkOptions } from "./worker_link.ts";
 
-/** What the ties are made from. */
+/** Options of {@link WorkerLinks}. */
 export interface WorkerLinksOptions extends LeaderContext {
   readonly mayLead: () => boolean;
   readonly onReport: WorkerLinkOptions["onReport"];
-  /** A worker can be given work again. */
+  /** Called when a worker answers for the first time, or again. */
   readonly onReached: () => void;
 }
 
-/** All ties of one leader. */
+/** All links of one leader. */
 export class WorkerLinks {
   readonly #options: WorkerLinksOptions;
   readonly #links = new Map<WorkerKey, WorkerLink>();
@@ -33,40 +33,44 @@
     return this.#links.get(key);
   }
 
-  /** Ties to the workers that earlier leaders knew. */
+  /** Opens links to the workers in the replicated state. */
   openKnown(): void {
     this.#options.state.workers.forEach((worker) =>
       this.#open(worker, this.#earlierLeaseMs(worker))
     );
   }
 
-  /** Ties to a worker that announced itself or changed; true for a new life. */
+  /**
+   * Opens or updates the link to a worker that announced itself or changed.
+   * True if the incarnation is new.
+   */
   announce(worker: WorkerRecord): boolean {
     const known = this.#links.get(worker.key);
     if (known !== undefined) {
       known.worker = worker;
       return false;
     }
-    // An order meant for an earlier life gives the longest lease.
+    // It may receive a start meant for an earlier incarnation. By the clock of
+    // the new one that start's lease may last up to the limit.
     this.#open(worker, this.#options.timing.leaseLimitMs);
     return true;
   }
 
-  /** Cuts the tie to a life that is over. */
+  /** Closes the link to an incarnation that is over. */
   drop(key: WorkerKey): void {
     this.#links.get(key)?.close();
     this.#links.delete(key);
   }
 
-  /** Lives whose process is gone. */
+  /** The incarnations whose process is gone. */
   goneKeys(): WorkerKey[] {
     return [...this.#links].filter(([, link]) => link.isGone)
       .map(([key]) => key);
   }
 
-  /** The latest life of the same worker, other than the given one. */
+  /** The latest other incarnation of the same worker. */
   successorOf(key: WorkerKey): WorkerKey | undefined {
-    const id = idOfLife(key);
+    const id = workerIdOf(key);
     return [...this.#options.state.workers.values()]
       .filter((worker) => worker.id === id && worker.key !== key)
       .sort((a, b) => b.bornMs - a.bornMs)[0]?.key;
@@ -77,13 +81,14 @@
   }
 
   /**
-   * The longest lease that an earlier leader may have given. An order meant
-   * for the life before gives a young one the longest that there is.
+   * The longest lease that an earlier leader may have given. A recently started
+   * incarnation may have received a start meant for the one before, and with it
+   * the longest lease that workers accept.
    */
   #earlierLeaseMs({ bornMs }: WorkerRecord): number {
     const { clock, timing } = this.#options;
-    const isYoung = clock.nowMs() - bornMs < 2 * timing.leaseLimitMs;
-    return isYoung ? timing.leaseLimitMs : timing.leaseMs;
+    const isRecent = clock.nowMs() - bornMs < 2 * timing.leaseLimitMs;
+    return isRecent ? timing.leaseLimitMs : timing.leaseMs;
   }
 
   #open(worker: WorkerRecord, earlierLeaseMs: number): void {
@@ -98,7 +103,8 @@
       earlierLeaseMs,
       mayLead,
       onReport,
-      onReach: ({ worker: { key } }, detail) => this.#noteReach(key, detail),
+      onReachabilityChange: ({ worker: { key } }, detail) =>
+        this.#recordReachability(key, detail),
     });
     this.#links.set(worker.key, link);
     events.emit("batchWorkerJoined", {
@@ -108,7 +114,7 @@
     });
   }
 
-  #noteReach(key: WorkerKey, detail: string | undefined): void {
+  #recordReachability(key: WorkerKey, detail: string | undefined): void {
     const { events, onReached } = this.#options;
     if (detail === undefined) {
       events.emit("batchWorkerReached", { worker: key });
--- a/src/process/batch/leader_finder.ts
+++ b/src/process/batch/leader_finder.ts
@@ -1,6 +1,6 @@
 /**
- * Finds the leader among the instances that keep the scheduler's state, and
- * brings calls to it within their deadline.
+ * Finds the leader among the instances that replicate the scheduler's state,
+ * and sends calls to it within their deadline.
  *
  * @module
  */
@@ -11,8 +11,8 @@
 import type { JobAnswer, JobCall } from "./job_call.ts";
 
 /**
- * Brings one call to one instance. `unavailable` says that the call didn't
- * get there, `outcomeUnknown` that it may have been carried out.
+ * Sends calls to instances. Fails with `unavailable` if the call certainly
+ * wasn't carried out, and with `outcomeUnknown` if it may have been.
  */
 export interface CallTransport {
   call(
@@ -23,119 +23,126 @@
   close(): Promise<void>;
 }
 
-/** What a finder is made from. */
+/** Options of {@link LeaderFinder}. */
 export interface LeaderFinderOptions {
   readonly transport: CallTransport;
   readonly clock: Clock;
   readonly events: EventLog;
-  /** Instances that may lead, from the settings. */
+  /** Instances from the settings that may lead. */
   readonly seedIds: readonly string[];
 }
 
 /** How a call to the leader ended. */
 export type FoundAnswer =
   | { readonly kind: "answered"; readonly answer: JobAnswer }
-  /** No leader took the call. */
+  /** No leader carried out the call. */
   | { readonly kind: "notTaken" }
-  /** A leader may have taken the call, and its answer is not known. */
+  /** A leader may have carried out the call, and its answer isn't known. */
   | { readonly kind: "unknown" };
 
 /**
- * How long one instance may take before another one is asked: a round trip
- * between regions and a commit on a disk that is slow.
+ * How long one instance may take before another one is called: a round trip
+ * between regions and a commit on a slow disk.
  */
-const TRY_MS = 700;
+const ATTEMPT_TIMEOUT_MS = 700;
 
-/** Between two rounds over all instances. */
-const PAUSE_MS = 60;
+/** Delay before the next instance is tried while the leader isn't known. */
+const RETRY_DELAY_MS = 60;
 
-/** How often an instance that serves callers looks for the leader. */
-const PING_MS = 500;
+/** How often an instance that serves callers calls the leader. */
+const PING_PERIOD_MS = 500;
 
 /**
- * Without an answer from any instance for so long, this one is cut off, and
- * its callers are better off elsewhere: three pings.
+ * An instance that gets no answer from any instance for three pings counts as
+ * isolated: its callers are refused, so that they can use another instance.
  */
-const CUT_OFF_MS = 1_500;
+const ISOLATION_TIMEOUT_MS = 1_500;
 
-/** How long the last answer of a leader counts as contact. */
-const CONTACT_MS = 2_500;
+/** How long contact with the leader lasts after its latest answer. */
+const LEADER_CONTACT_TIMEOUT_MS = 2_500;
 
 /**
- * Whether a call goes on though no instance answers. A change that may have
- * been taken does, until a leader says what became of it: a caller that is
- * told "unknown" may not ask again.
+ * Whether a call is retried until its deadline though this instance is
+ * isolated. A change that may have taken effect is, since a caller that gets
+ * "unknown" may never find out what became of it.
  */
-function isWorthAsking(call: JobCall, mayBeTaken: boolean): boolean {
+function shouldRetryWhenIsolated(
+  call: JobCall,
+  mayHaveTakenEffect: boolean,
+): boolean {
   const isChange = call.kind === "submit" || call.kind === "cancel";
-  return call.kind === "ping" || (isChange && mayBeTaken);
+  return call.kind === "ping" || (isChange && mayHaveTakenEffect);
 }
 
-/** The way from this instance to the leader. */
+/** Sends calls from this instance to the leader. */
 export class LeaderFinder {
   readonly #options: LeaderFinderOptions;
   #candidates: readonly string[];
   #leaderId: string | undefined;
-  #heardAtMs = -Infinity;
-  /** When any instance last answered; one that is starting has time. */
-  #reachedAtMs: number;
-  #turn = 0;
-  #pinger: Timer | undefined;
+  #leaderAnsweredAtMs = -Infinity;
+  /** When any instance last answered; initially the start of this one. */
+  #lastAnswerAtMs: number;
+  #candidateIndex = 0;
+  #pingTimer: Timer | undefined;
 
   constructor(options: LeaderFinderOptions) {
     this.#options = options;
     this.#candidates = options.seedIds;
-    this.#reachedAtMs = options.clock.nowMs();
+    this.#lastAnswerAtMs = options.clock.nowMs();
   }
 
   get leaderId(): string | undefined {
     return this.#leaderId;
   }
 
-  /** Whether a leader answered lately. */
+  /** Whether a leader answered recently. */
   hasContact(): boolean {
-    return this.#options.clock.nowMs() - this.#heardAtMs < CONTACT_MS;
+    return this.#options.clock.nowMs() - this.#leaderAnsweredAtMs <
+      LEADER_CONTACT_TIMEOUT_MS;
   }
 
   /**
-   * Whether no instance has answered for a while, leader or not. Only one that
-   * keeps contact can tell.
+   * Whether no instance, leader or not, has answered for a while. False unless
+   * this instance pings, since without pings nothing is known.
    */
-  isCutOff(): boolean {
-    return this.#pinger !== undefined &&
-      this.#options.clock.nowMs() - this.#reachedAtMs > CUT_OFF_MS;
+  isIsolated(): boolean {
+    return this.#pingTimer !== undefined &&
+      this.#options.clock.nowMs() - this.#lastAnswerAtMs > ISOLATION_TIMEOUT_MS;
   }
 
-  /** Keeps contact with the leader from now on. */
+  /** Starts calling the leader periodically. */
   startPinging(): void {
-    this.#pinger = this.#options.clock.every(PING_MS, () => {
-      const deadlineMs = this.#options.clock.nowMs() + PING_MS;
+    this.#pingTimer = this.#options.clock.every(PING_PERIOD_MS, () => {
+      const deadlineMs = this.#options.clock.nowMs() + PING_PERIOD_MS;
       void this.call({ kind: "ping" }, { deadlineMs });
     });
   }
 
-  /** The settings name other instances now. */
+  /** Adds the instances of changed settings to those that are tried. */
   setSeeds(seedIds: readonly string[]): void {
     this.#candidates = [...new Set([...seedIds, ...this.#candidates])];
   }
 
-  /** Brings a call to the leader; it may be sent more than once. */
+  /**
+   * Sends a call to the leader until its deadline, more than once if needed.
+   */
   async call(
     call: JobCall,
     options: { deadlineMs: number },
   ): Promise<FoundAnswer> {
     const { clock } = this.#options;
-    let mayBeTaken = false;
+    let mayHaveTakenEffect = false;
     for (;;) {
       const leftMs = options.deadlineMs - clock.nowMs();
-      const isHopeless = leftMs <= 0 ||
-        (!isWorthAsking(call, mayBeTaken) && this.isCutOff());
-      if (isHopeless) {
-        this.#noteGivenUp(call, { mayBeTaken, leftMs });
-        return { kind: mayBeTaken ? "unknown" : "notTaken" };
+      const shouldGiveUp = leftMs <= 0 ||
+        (!shouldRetryWhenIsolated(call, mayHaveTakenEffect) &&
+          this.isIsolated());
+      if (shouldGiveUp) {
+        this.#logGivenUp(call, { mayHaveTakenEffect, leftMs });
+        return { kind: mayHaveTakenEffect ? "unknown" : "notTaken" };
       }
       const target = this.#nextTarget();
-      const timeoutMs = Math.min(leftMs, TRY_MS);
+      const timeoutMs = Math.min(leftMs, ATTEMPT_TIMEOUT_MS);
       const result = await this.#options.transport.call(target, call, {
         timeoutMs,
       });
@@ -144,46 +151,50 @@
         Right: (found) => found,
       });
       if (typeof answer === "string") {
-        mayBeTaken ||= answer === "unknown";
+        mayHaveTakenEffect ||= answer === "unknown";
         this.#leaderId = undefined;
       } else if (answer.kind === "notLeader") {
-        this.#reachedAtMs = clock.nowMs();
-        this.#follow(target, answer);
+        this.#lastAnswerAtMs = clock.nowMs();
+        this.#followHint(target, answer);
       } else if (answer.kind === "unknown") {
-        mayBeTaken = true;
+        mayHaveTakenEffect = true;
         this.#leaderId = undefined;
       } else {
         this.#leaderId = target;
-        this.#heardAtMs = clock.nowMs();
-        this.#reachedAtMs = this.#heardAtMs;
+        this.#leaderAnsweredAtMs = clock.nowMs();
+        this.#lastAnswerAtMs = this.#leaderAnsweredAtMs;
         return { kind: "answered", answer };
       }
       if (this.#leaderId === undefined) {
-        await this.#pause(PAUSE_MS);
+        await this.#delay(RETRY_DELAY_MS);
       }
     }
   }
 
   async close(): Promise<void> {
-    this.#pinger?.close();
+    this.#pingTimer?.close();
     await this.#options.transport.close();
   }
 
-  #noteGivenUp(
+  #logGivenUp(
     call: JobCall,
-    options: { mayBeTaken: boolean; leftMs: number },
+    options: { mayHaveTakenEffect: boolean; leftMs: number },
   ): void {
     if (call.kind === "ping") {
       return;
     }
-    const { mayBeTaken, leftMs } = options;
-    const name = mayBeTaken ? "batchCallUnanswered" : "batchCallUnavailable";
+    const { mayHaveTakenEffect, leftMs } = options;
+    const name = mayHaveTakenEffect
+      ? "batchCallUnanswered"
+      : "batchCallUnavailable";
     this.#options.events.emit(name, {
       jobId: "jobId" in call ? call.jobId : undefined,
       call: call.kind,
       leftMs: Math.round(leftMs),
       leaderId: this.#leaderId,
-      reachedAgoMs: Math.round(this.#options.clock.nowMs() - this.#reachedAtMs),
+      reachedAgoMs: Math.round(
+        this.#options.clock.nowMs() - this.#lastAnswerAtMs,
+      ),
     });
   }
 
@@ -191,11 +202,11 @@
     if (this.#leaderId !== undefined) {
       return this.#leaderId;
     }
-    this.#turn += 1;
-    return this.#candidates[this.#turn % this.#candidates.length]!;
+    this.#candidateIndex += 1;
+    return this.#candidates[this.#candidateIndex % this.#candidates.length]!;
   }
 
-  #follow(
+  #followHint(
     from: string,
     { leaderId, memberIds }: Extract<JobAnswer, { kind: "notLeader" }>,
   ): void {
@@ -207,9 +218,9 @@
     }
   }
 
-  #pause(pauseMs: number): Promise<void> {
+  #delay(delayMs: number): Promise<void> {
     return new Promise((resolve) => {
-      this.#options.clock.after(pauseMs, resolve);
+      this.#options.clock.after(delayMs, resolve);
     });
   }
 }
--- a/src/process/batch/leader_finder_test.ts
+++ b/src/process/batch/leader_finder_test.ts
@@ -5,9 +5,9 @@
 import type { JobAnswer, JobCall } from "./job_call.ts";
 import { type CallTransport, LeaderFinder } from "./leader_finder.ts";
 
-/** Instances that answer as a test says, and take 10 ms. */
+/** Instances that give a test's answers after 10 ms. */
 class FakeTransport implements CallTransport {
-  readonly asked: string[] = [];
+  readonly calledIds: string[] = [];
 
   constructor(
     readonly clock: FakeClock,
@@ -15,7 +15,7 @@
   ) {}
 
   async call(instanceId: string): Promise<Result<JobAnswer>> {
-    this.asked.push(instanceId);
+    this.calledIds.push(instanceId);
     await new Promise<void>((done) => this.clock.after(10, done));
     return this.answers[instanceId]!();
   }
@@ -25,7 +25,7 @@
   }
 }
 
-const QUESTION: JobCall = {
+const STATE_CALL: JobCall = {
   kind: "state",
   target: { host: "h", path: "/q/1", apiKey: undefined },
   jobId: "1",
@@ -37,7 +37,7 @@
     Right<JobAnswer>({ kind: "notLeader", leaderId, memberIds: ["a", "b"] });
 }
 
-function broken(kind: "unavailable" | "outcomeUnknown") {
+function failWith(kind: "unavailable" | "outcomeUnknown") {
   return () => Left(new SesameError(kind));
 }
 
@@ -53,7 +53,7 @@
   return { clock, transport, finder };
 }
 
-/** Lets logical time pass until a promise is settled. */
+/** Advances the fake clock until a promise is settled. */
 async function settle<T>(clock: FakeClock, promise: Promise<T>): Promise<T> {
   let isSettled = false;
   void promise.finally(() => isSettled = true);
@@ -64,20 +64,23 @@
   return await promise;
 }
 
-test("a hint is followed to the leader, which is asked first next time", async (t) => {
+test("a hint leads to the leader, which the next call goes to first", async (t) => {
   const { clock, transport, finder } = newFinder({
     a: notLeader("b"),
     b: () => Right(NOTED),
   });
   const ask = () =>
-    settle(clock, finder.call(QUESTION, { deadlineMs: clock.nowMs() + 1_000 }));
+    settle(
+      clock,
+      finder.call(STATE_CALL, { deadlineMs: clock.nowMs() + 1_000 }),
+    );
   t.is((await ask()).kind, "answered");
-  transport.asked.length = 0;
+  transport.calledIds.length = 0;
   await ask();
-  t.deepEqual(transport.asked, ["b"]);
+  t.deepEqual(transport.calledIds, ["b"]);
 });
 
-test("what was never sent isn't taken; what may have been isn't certain", async (t) => {
+test("a call that was never sent is notTaken, one that may have been unknown", async (t) => {
   for (
     const [kind, found] of [
       ["unavailable", "notTaken"],
@@ -85,35 +88,35 @@
     ] as const
   ) {
     const { clock, finder } = newFinder({
-      a: broken(kind),
-      b: broken("unavailable"),
+      a: failWith(kind),
+      b: failWith("unavailable"),
     });
     const deadlineMs = clock.nowMs() + 500;
-    const answer = await settle(clock, finder.call(QUESTION, { deadlineMs }));
+    const answer = await settle(clock, finder.call(STATE_CALL, { deadlineMs }));
     t.is(answer.kind, found);
   }
 });
 
-test("a door that is cut off answers at once", async (t) => {
+test("an isolated instance fails calls at once", async (t) => {
   const { clock, transport, finder } = newFinder({
-    a: broken("unavailable"),
-    b: broken("unavailable"),
+    a: failWith("unavailable"),
+    b: failWith("unavailable"),
   });
   finder.startPinging();
   await settle(
     clock,
-    finder.call(QUESTION, { deadlineMs: clock.nowMs() + 2_000 }),
+    finder.call(STATE_CALL, { deadlineMs: clock.nowMs() + 2_000 }),
   );
-  transport.asked.length = 0;
-  const answer = await finder.call(QUESTION, {
+  transport.calledIds.length = 0;
+  const answer = await finder.call(STATE_CALL, {
     deadlineMs: clock.nowMs() + 2_000,
   });
   t.is(answer.kind, "notTaken");
-  t.deepEqual(transport.asked, []);
+  t.deepEqual(transport.calledIds, []);
   await finder.close();
 });
 
-test("one that keeps no contact tries however long it was idle", async (t) => {
+test("an instance that doesn't ping tries even after a long idle time", async (t) => {
   const { clock, finder } = newFinder({
     a: notLeader("b"),
     b: () => Right(NOTED),
@@ -121,29 +124,29 @@
   clock.advance(60_000);
   const answer = await settle(
     clock,
-    finder.call(QUESTION, { deadlineMs: clock.nowMs() + 1_000 }),
+    finder.call(STATE_CALL, { deadlineMs: clock.nowMs() + 1_000 }),
   );
   t.is(answer.kind, "answered");
 });
 
-test("a change that may have been taken is asked until its outcome is known", async (t) => {
-  let answer: () => Result<JobAnswer> = broken("outcomeUnknown");
+test("a change that may have taken effect is retried until its outcome is known", async (t) => {
+  let answer: () => Result<JobAnswer> = failWith("outcomeUnknown");
   const { clock, finder } = newFinder({
     a: () => answer(),
     b: () => answer(),
   });
   finder.startPinging();
   clock.advance(1_400);
-  const change = { ...QUESTION, kind: "cancel" } as const;
+  const change = { ...STATE_CALL, kind: "cancel" } as const;
   const deadlineMs = clock.nowMs() + 3_000;
-  const asked = finder.call(change, { deadlineMs });
+  const answered = finder.call(change, { deadlineMs });
   for (let turn = 0; turn < 100; turn++) {
     clock.advance(10);
     await new Promise((done) => setImmediate(done));
   }
-  t.true(finder.isCutOff());
+  t.true(finder.isIsolated());
   answer = () => Right({ kind: "cancelled" });
-  t.deepEqual(await settle(clock, asked), {
+  t.deepEqual(await settle(clock, answered), {
     kind: "answered",
     answer: { kind: "cancelled" },
   });
--- a/src/process/batch/mod.ts
+++ b/src/process/batch/mod.ts
@@ -1,6 +1,7 @@
 /**
- * The batch scheduler: jobs of steps over one pool of workers in all data
- * centres, with one leader and a log on the instances that have a disk.
+ * The batch scheduler: runs jobs of steps on one pool of workers in all data
+ * centres. One leader decides; its log is replicated on the instances that have
+ * a disk.
  *
  * @module
  */
--- a/src/process/batch/pool_configuration.ts
+++ b/src/process/batch/pool_configuration.ts
@@ -1,5 +1,5 @@
 /**
- * What operators configure of the batch scheduler: queues, services and
+ * The operators' configuration of the batch scheduler: queues, services and
  * client accounts.
  *
  * @module
@@ -11,26 +11,26 @@
 export interface QueueConfiguration {
   readonly name: string;
   readonly host: string;
-  /** Calls whose path begins with it belong to the queue. */
+  /** Calls to the host whose path begins with this belong to the queue. */
   readonly prefix: string;
   /** The service whose workers run the queue's tasks. */
   readonly service: ServiceId;
-  /** 0 is the most urgent and may preempt the others. */
+  /** 0 is the most urgent, and may preempt all others. */
   readonly priority: number;
-  /** Failed runs of one task, or gang, after which its job has failed. */
+  /** A job fails after so many failed runs of one of its tasks or gangs. */
   readonly attempts: number;
-  /** A job's objective is this many times its chain of work, ... */
+  /** A job's time objective is its critical path times this, ... */
   readonly stretch: number;
-  /** ... and this much more. */
+  /** ... plus this. */
   readonly objectiveSlackMs: number;
-  /** Whether calls need no key. */
+  /** Whether calls need no API key. */
   readonly isPublic: boolean;
 }
 
 /** One service: a pool of workers. */
 export interface ServiceConfiguration {
   readonly name: ServiceId;
-  /** Whether its workers refuse what doesn't fit. */
+  /** Whether its workers refuse tasks that exceed their capacity. */
   readonly guardsCapacity: boolean;
 }
 
@@ -38,7 +38,7 @@
 export interface AccountConfiguration {
   readonly name: ClientAccountId;
   readonly apiKeys: readonly string[];
-  /** Accelerators that its most urgent jobs can always have. */
+  /** Accelerators that its jobs of priority 0 can always have together. */
   readonly guaranteedAccelerators: number;
 }
 
@@ -50,26 +50,26 @@
   readonly accounts: readonly AccountConfiguration[];
 }
 
-/** Why a configuration can't be in force, or undefined for a sound one. */
+/** What is wrong with a configuration; undefined if it is valid. */
 export function findConfigurationFault(
   configuration: PoolConfiguration,
 ): string | undefined {
   const services = new Set(configuration.services.map(({ name }) => name));
-  const places = new Set<string>();
+  const routes = new Set<string>();
   for (const queue of configuration.queues) {
     if (!services.has(queue.service)) {
-      return `queue ${queue.name} names the unknown service ${queue.service}`;
+      return `queue ${queue.name} refers to the unknown service ${queue.service}`;
     }
-    const place = `${queue.host} ${queue.prefix}`;
-    if (places.has(place)) {
-      return `two queues at ${place}`;
+    const route = `${queue.host} ${queue.prefix}`;
+    if (routes.has(route)) {
+      return `two queues have the host and path prefix ${route}`;
     }
-    places.add(place);
+    routes.add(route);
   }
-  return findKeyFault(configuration);
+  return findSharedKey(configuration);
 }
 
-function findKeyFault(configuration: PoolConfiguration): string | undefined {
+function findSharedKey(configuration: PoolConfiguration): string | undefined {
   const owners = new Map<string, ClientAccountId>();
   for (const { name, apiKeys } of configuration.accounts) {
     for (const key of apiKeys) {
@@ -83,7 +83,9 @@
   return undefined;
 }
 
-/** Finds queues by host and path, and accounts by key, in one version. */
+/**
+ * Finds the queues by host and path, and the accounts by key, of one version.
+ */
 export class ConfigurationIndex {
   readonly configuration: PoolConfiguration;
   readonly #queuesByHost = new Map<string, QueueConfiguration[]>();
@@ -117,7 +119,7 @@
     );
   }
 
-  /** Whether urgent work may come to the service. */
+  /** Whether the service has a queue of priority 0. */
   hasUrgentQueue(service: ServiceId): boolean {
     return this.#urgentServices.has(service);
   }
--- a/src/process/batch/state_host.ts
+++ b/src/process/batch/state_host.ts
@@ -1,6 +1,7 @@
 /**
- * An instance that keeps the batch scheduler's state: its links to the other
- * ones, its member of the group, and the scheduler on top.
+ * An instance that replicates the batch scheduler's state: its connections to
+ * the other ones, its member of the replication group, and the scheduler on
+ * top.
  *
  * @module
  */
@@ -22,21 +23,21 @@
 import type { MetricsRegistry } from "../http/mod.ts";
 import { HybridClock } from "../timeline/mod.ts";
 import type { BatchCommand, BatchOutcome } from "./batch_command.ts";
-import { showBatchMetrics } from "./batch_metrics.ts";
+import { registerBatchMetrics } from "./batch_metrics.ts";
 import { BatchService } from "./batch_service.ts";
 import { BatchState } from "./batch_state.ts";
 import type { BatchTiming } from "./batch_timing.ts";
 import type { WorkerCalls } from "./worker_calls.ts";
 
-/** The group's name in its messages and on disk. */
+/** The group's id in its messages and on disk. */
 const GROUP_ID = "batch";
 
-/** How often the voters of the log are compared with the known peers. */
+/** How often the group's voters are added to the known peers. */
 const PEER_CHECK_MS = 1_000;
 
 /**
- * Elections come soon: urgent jobs have 1.7 s to spare, and the members are at
- * most 20 ms apart. Four heartbeats may be lost before the leader is given up.
+ * Elections are fast: urgent jobs leave 1.7 s for one, and the members are at
+ * most 20 ms apart. A leader is given up after four lost heartbeats.
  */
 const GROUP_TIMING = {
   tickMs: 25,
@@ -48,14 +49,14 @@
   retryMaxMs: 250,
 } as const;
 
-/** What a host is made from. */
+/** Options of {@link StateHost}. */
 export interface StateHostOptions {
   readonly selfId: string;
-  /** Instances that keep the state too, as far as the settings know. */
+  /** The instances from the settings that replicate the state. */
   readonly seedIds: readonly string[];
-  /** Instances that may be lost at once, with their disks. */
+  /** How many instances may be lost at once, with their disks. */
   readonly lossesBorne: number;
-  /** Whether the seeds form the group: at the system's first start only. */
+  /** Whether the seeds form a new group; only at the system's first start. */
   readonly formsGroup: boolean;
   /** The peer address of an instance. */
   readonly peerAddressOf: (id: string) => string;
@@ -70,12 +71,12 @@
   readonly metrics: MetricsRegistry;
 }
 
-/** An instance's share in keeping the state. */
+/** Replicates the state on this instance, and runs the scheduler on it. */
 export class StateHost {
   readonly service: BatchService;
   readonly member: ReplicationMember<BatchCommand, BatchOutcome>;
   readonly #network: WsPeerNetwork;
-  readonly #keeper: VoterKeeper;
+  readonly #voterReconciler: VoterKeeper;
   readonly #peerCheck: Timer;
 
   private constructor(
@@ -92,7 +93,7 @@
     this.#network = network;
     this.member = member;
     const commits = options.metrics.histogram("sesamethread_commit_ms", {
-      help: "From proposing a batch to its commit, in milliseconds.",
+      help: "Time from the proposal of a batch to its commit, in milliseconds.",
     });
     this.service = new BatchService({
       member,
@@ -104,8 +105,8 @@
       timing,
       onCommit: (durationMs) => commits.record(durationMs),
     });
-    showBatchMetrics(options.metrics, this.service, member);
-    this.#keeper = new VoterKeeper({
+    registerBatchMetrics(options.metrics, this.service, member);
+    this.#voterReconciler = new VoterKeeper({
       member,
       clock,
       events,
@@ -116,7 +117,7 @@
     });
   }
 
-  /** Reads the disk, opens the links and takes part in the group. */
+  /** Connects to the peers, reads the stored state and joins the group. */
   static async open(options: StateHostOptions): Promise<Result<StateHost>> {
     const peers = new PeerList(options);
     await peers.network.open();
@@ -143,18 +144,18 @@
 
   async close(): Promise<void> {
     this.#peerCheck.close();
-    this.#keeper.close();
+    this.#voterReconciler.close();
     await this.service.close();
     await this.#network.close();
   }
 }
 
-/** The fewest voters of which a majority is left after the losses. */
+/** The smallest number of voters of which a majority survives the losses. */
 function wantedVoters({ lossesBorne }: { lossesBorne: number }): number {
   return 2 * lossesBorne + 1;
 }
 
-/** The instances that keep the state, as they become known. */
+/** The known instances that replicate the state, and the network to them. */
 class PeerList {
   readonly members: GroupMember[];
   readonly network: WsPeerNetwork;
@@ -177,7 +178,7 @@
       random,
       events,
       admit: (id) => {
-        this.#noteMember(id);
+        this.#addMember(id);
         return { id, address: peerAddressOf(id) };
       },
     });
@@ -185,12 +186,12 @@
 
   add(id: string): void {
     if (id !== this.#options.selfId) {
-      this.#noteMember(id);
+      this.#addMember(id);
       this.network.addPeer({ id, address: this.#options.peerAddressOf(id) });
     }
   }
 
-  #noteMember(id: string): void {
+  #addMember(id: string): void {
     if (!this.members.some((member) => member.id === id)) {
       this.members.push(newMember(id));
     }
--- a/src/process/batch/testing/batch_history.ts
+++ b/src/process/batch/testing/batch_history.ts
@@ -1,5 +1,5 @@
 /**
- * Random histories of the batch scheduler, judged at their end.
+ * Runs random histories of the batch scheduler and checks their outcome.
  *
  * @module
  */
@@ -7,59 +7,59 @@
 import type { EventLog, RandomSource } from "../../../base/mod.ts";
 import { JobPhase } from "../job_record.ts";
 import type { JobSpec, StepSpec } from "../job_spec.ts";
-import { BatchBed } from "./batch_bed.ts";
+import { BatchSimulation } from "./batch_simulation.ts";
 
-/** What a history is drawn from. */
+/** Options of a history. */
 export interface HistoryOptions {
   readonly seed: number;
   readonly steps: number;
-  /** Where the leaders' events go, to read a failing history. */
+  /** Receives the leaders' events, to analyse a failing history. */
   readonly events?: EventLog;
 }
 
-/** What went wrong in a history, and what happened in it. */
+/** The violations in a history, and its steps. */
 export interface HistoryResult {
   readonly violations: readonly string[];
   readonly steps: readonly string[];
   readonly starts: number;
 }
 
-/** Workers of a history. */
+/** The number of workers in a history. */
 export const WORKERS = 4;
 
-/** Long enough for leases to run out and for every job to be done. */
+/** Long enough for leases to expire and for every job to end. */
 const SETTLE_MS = 120_000;
 
-/** Plays one history. */
+/** Runs one history. */
 export async function playHistory(
   options: HistoryOptions,
 ): Promise<HistoryResult> {
-  const bed = new BatchBed({ ...options, workers: WORKERS });
-  await bed.open();
+  const simulation = new BatchSimulation({ ...options, workers: WORKERS });
+  await simulation.open();
   const steps: string[] = [];
   const cancelled = new Set<string>();
   for (let number = 0; number < options.steps; number++) {
-    steps.push(await takeStep(bed, { number, cancelled }));
-    if (bed.pool.violations.length > 0) {
+    steps.push(await takeStep(simulation, { number, cancelled }));
+    if (simulation.pool.violations.length > 0) {
       break;
     }
   }
-  bed.pool.heal();
-  await bed.pass(SETTLE_MS);
+  simulation.pool.heal();
+  await simulation.advance(SETTLE_MS);
   const violations = [
-    ...bed.pool.violations,
-    ...judgeJobs(bed, cancelled),
+    ...simulation.pool.violations,
+    ...checkJobs(simulation, cancelled),
   ];
-  bed.close();
-  return { violations, steps, starts: bed.pool.starts };
+  simulation.close();
+  return { violations, steps, starts: simulation.pool.starts };
 }
 
-/** Takes one random step of a history; gives what it was. */
+/** Takes one random step of a history; gives a description of it. */
 export async function takeStep(
-  bed: BatchBed,
+  simulation: BatchSimulation,
   { number, cancelled }: { number: number; cancelled: Set<string> },
 ): Promise<string> {
-  const { random, pool } = bed;
+  const { random, pool } = simulation;
   const worker = `w${random.nextInt(WORKERS)}`;
   const kind = random.nextInt(12);
   switch (kind) {
@@ -68,33 +68,33 @@
     case 2:
     case 3: {
       const jobId = `job${number}`;
-      void bed.submit(jobId, drawSpec(random));
-      await bed.pass(random.nextInt(300));
+      void simulation.submit(jobId, drawSpec(random));
+      await simulation.advance(random.nextInt(300));
       return `submit ${jobId}`;
     }
     case 4: {
-      const known = [...bed.specs.keys()];
+      const known = [...simulation.specs.keys()];
       const jobId = known[random.nextInt(Math.max(1, known.length))];
       if (jobId !== undefined) {
         cancelled.add(jobId);
-        void bed.cancel(jobId);
+        void simulation.cancel(jobId);
       }
-      await bed.pass(random.nextInt(300));
+      await simulation.advance(random.nextInt(300));
       return `cancel ${jobId}`;
     }
     case 5:
-      await bed.elect();
-      await bed.pass(random.nextInt(200));
+      await simulation.elect();
+      await simulation.advance(random.nextInt(200));
       return "elect";
     case 6:
       pool.crash(worker);
-      await bed.pass(random.nextInt(3_000));
+      await simulation.advance(random.nextInt(3_000));
       pool.restart(worker);
       return `crash ${worker}`;
     case 7: {
       const isCut = random.nextInt(2) === 0;
-      pool.setCut(worker, isCut);
-      await bed.pass(random.nextInt(4_000));
+      pool.setPartitioned(worker, isCut);
+      await simulation.advance(random.nextInt(4_000));
       return `cut ${worker} ${isCut}`;
     }
     case 8:
@@ -106,7 +106,7 @@
       return `faults ${JSON.stringify(pool.faults)}`;
     }
     default:
-      await bed.pass(random.nextInt(4_000));
+      await simulation.advance(random.nextInt(4_000));
       return "pass";
   }
 }
@@ -143,25 +143,27 @@
   };
 }
 
-/** Each accepted job is over, and a completed one truly done. */
-export function judgeJobs(
-  bed: BatchBed,
+/** Checks that all jobs are over, and all tasks of completed ones were done. */
+export function checkJobs(
+  simulation: BatchSimulation,
   cancelled: ReadonlySet<string>,
 ): string[] {
   const violations: string[] = [];
-  for (const job of bed.state!.jobs.values()) {
+  for (const job of simulation.state!.jobs.values()) {
     if (job.phase === JobPhase.active) {
       violations.push(`${job.id} is still active`);
     }
     if (job.phase === JobPhase.cancelled && !cancelled.has(job.id)) {
-      violations.push(`${job.id} is cancelled, and nobody asked for it`);
+      violations.push(`${job.id} is cancelled without a call to cancel it`);
     }
     if (job.phase === JobPhase.completed) {
       for (const [step, { taskCount, isGang }] of job.spec.steps.entries()) {
         for (let index = 0; index < (isGang ? 1 : taskCount); index++) {
           const task = { jobId: job.id, occurrence: 0, step, index };
-          if (!bed.pool.isDone(task)) {
-            violations.push(`${job.id} is completed without ${step}.${index}`);
+          if (!simulation.pool.isDone(task)) {
+            violations.push(
+              `${job.id} completed without task ${step}.${index}`,
+            );
           }
         }
       }
