--- a/src/process/batch/testing/batch_history_test.ts
+++ b/src/process/batch/testing/batch_history_test.ts
@@ -1,7 +1,7 @@
 /**
- * Random histories with lost, late and repeated calls, crashes, cuts and
- * changes of leader: nothing runs twice, out of order or beyond its attempts,
- * and every job comes to its end.
+ * Random histories with lost and late calls, lost answers, crashes, partitions
+ * and changes of leader: no task runs twice at once, before the steps that it
+ * depends on or beyond its attempts, and every job ends.
  */
 
 import test from "ava";
@@ -10,7 +10,7 @@
 const HISTORIES = 60;
 const STEPS = 25;
 
-test("random histories break no rule and end every job", async (t) => {
+test("random histories violate no invariant and end every job", async (t) => {
   let starts = 0;
   for (let seed = 1; seed <= HISTORIES; seed++) {
     const result = await playHistory({ seed, steps: STEPS });
@@ -21,5 +21,5 @@
     );
     starts += result.starts;
   }
-  t.true(starts > HISTORIES, `${starts} starts exercise too little`);
+  t.true(starts > HISTORIES, `${starts} starts are too few to test anything`);
 });
--- a/src/process/batch/testing/batch_bed.ts
+++ b/src/process/batch/testing/batch_simulation.ts
@@ -1,6 +1,6 @@
 /**
- * Leaders in logical time: a log that several instances lead in turn, and the
- * pool of workers that they command.
+ * Simulates the batch scheduler with a fake clock: a log that several instances
+ * lead in turn, and a pool of workers that they give orders to.
  *
  * @module
  */
@@ -25,42 +25,42 @@
 import { BATCH_TIMING } from "../batch_timing.ts";
 import type { JobSpec } from "../job_spec.ts";
 import type { JobAnswer } from "../job_call.ts";
-import { CallAnswerer } from "../leader/call_answerer.ts";
+import { CallHandler } from "../leader/call_handler.ts";
 import { LeaderSession } from "../leader/leader_session.ts";
 import { FakePool } from "./fake_pool.ts";
 
-/** Turns of the real loop that promises may take at one moment. */
-const TURNS = 12;
-const COMMIT_MS = 15;
-const HEARTBEAT_MS = 500;
+/** Turns of the real event loop in which pending promises settle. */
+const FLUSH_TURNS = 12;
+const COMMIT_DELAY_MS = 15;
+const ANNOUNCE_PERIOD_MS = 500;
 const ATTEMPTS = 3;
 const QUEUE = "queue";
 
-/** One instance's view of the log. */
-class Member implements ReplicatedLog<BatchCommand, BatchOutcome> {
+/** One instance's member of the group, with its replica of the state. */
+class SimulatedMember implements ReplicatedLog<BatchCommand, BatchOutcome> {
   readonly state = new BatchState();
   readonly statuses: Stream<MemberStatus> = never();
   applied = 0;
   leaseEndMs = Infinity;
-  isCut = false;
+  isPartitioned = false;
 
-  constructor(readonly bed: BatchBed) {}
+  constructor(readonly simulation: BatchSimulation) {}
 
   async propose(command: BatchCommand): Promise<Result<BatchOutcome>> {
-    const { clock } = this.bed;
-    await new Promise<void>((done) => clock.after(COMMIT_MS, done));
-    if (this.bed.leader?.member !== this || this.isCut) {
+    const { clock } = this.simulation;
+    await new Promise<void>((done) => clock.after(COMMIT_DELAY_MS, done));
+    if (this.simulation.leader?.member !== this || this.isPartitioned) {
       return failure("outcomeUnknown");
     }
-    this.bed.log.push(command);
+    this.simulation.log.push(command);
     return Right(this.catchUp()!);
   }
 
-  /** Applies what is committed; the outcome of the last command. */
+  /** Applies all committed commands; gives the outcome of the last one. */
   catchUp(): BatchOutcome | undefined {
     let outcome: BatchOutcome | undefined;
-    while (this.applied < this.bed.log.length) {
-      const command = structuredClone(this.bed.log[this.applied]!);
+    while (this.applied < this.simulation.log.length) {
+      const command = structuredClone(this.simulation.log[this.applied]!);
       outcome = this.state.apply(command);
       this.applied += 1;
     }
@@ -95,20 +95,20 @@
   }
 }
 
-interface Office {
-  readonly member: Member;
+interface SimulatedLeader {
+  readonly member: SimulatedMember;
   session: LeaderSession | undefined;
-  answerer: CallAnswerer | undefined;
+  handler: CallHandler | undefined;
 }
 
-/** Leaders, workers and callers in logical time. */
-export class BatchBed {
+/** Leaders, workers and callers with a fake clock. */
+export class BatchSimulation {
   readonly clock = new FakeClock({ startMs: 1_000_000 });
   readonly random: RandomSource;
   readonly pool: FakePool;
   readonly log: BatchCommand[] = [];
   readonly specs = new Map<string, JobSpec>();
-  leader: Office | undefined;
+  leader: SimulatedLeader | undefined;
   #sequence = 0;
 
   readonly #events: EventLog;
@@ -125,7 +125,7 @@
       specOf: (jobId) => this.specs.get(jobId),
       attempts: ATTEMPTS,
     });
-    this.clock.every(HEARTBEAT_MS, () => this.#beat());
+    this.clock.every(ANNOUNCE_PERIOD_MS, () => this.#announceWorkers());
   }
 
   get state(): BatchState | undefined {
@@ -157,22 +157,22 @@
   }
 
   /**
-   * The next leader takes office; the last one may not know yet, but its
-   * lease is over. Some of what it had in hand is lost.
+   * Makes a new member the leader. The previous leader isn't told, but its
+   * leader lease has ended and its pending proposals fail.
    */
   async elect(): Promise<void> {
-    const old = this.leader;
-    if (old !== undefined) {
-      old.member.isCut = true;
-      old.member.leaseEndMs = this.clock.nowMs();
+    const previous = this.leader;
+    if (previous !== undefined) {
+      previous.member.isPartitioned = true;
+      previous.member.leaseEndMs = this.clock.nowMs();
     }
-    const member = new Member(this);
-    const office: Office = {
+    const member = new SimulatedMember(this);
+    const newLeader: SimulatedLeader = {
       member,
       session: undefined,
-      answerer: undefined,
+      handler: undefined,
     };
-    this.leader = office;
+    this.leader = newLeader;
     member.catchUp();
     this.log.push({ kind: "epoch", leaderId: "self" });
     const outcome = member.catchUp();
@@ -187,20 +187,20 @@
         epoch: outcome.epoch,
         onEnded: () => undefined,
       });
-      office.session = session;
-      office.answerer = new CallAnswerer({
+      newLeader.session = session;
+      newLeader.handler = new CallHandler({
         session,
         state: member.state,
         clock: this.clock,
         events: this.#events,
       });
     }
-    await this.settle();
+    await this.flushPromises();
   }
 
   submit(jobId: string, spec: JobSpec): Promise<JobAnswer> {
     this.specs.set(jobId, spec);
-    return this.leader!.answerer!.answer({
+    return this.leader!.handler!.answer({
       kind: "submit",
       target: { host: "jobs", path: `/${jobId}`, apiKey: undefined },
       jobId,
@@ -210,31 +210,31 @@
   }
 
   cancel(jobId: string): Promise<JobAnswer> {
-    return this.leader!.answerer!.answer({
+    return this.leader!.handler!.answer({
       kind: "cancel",
       target: { host: "jobs", path: `/${jobId}`, apiKey: undefined },
       jobId,
     });
   }
 
-  /** Lets logical time pass. */
-  async pass(durationMs: number): Promise<void> {
+  /** Advances the fake clock timer by timer. */
+  async advance(durationMs: number): Promise<void> {
     const endMs = this.clock.nowMs() + durationMs;
     for (;;) {
-      await this.settle();
+      await this.flushPromises();
       const dueMs = this.clock.nextDueMs() ?? endMs;
       if (dueMs > endMs) {
         this.clock.advance(endMs - this.clock.nowMs());
-        await this.settle();
+        await this.flushPromises();
         return;
       }
       this.clock.advance(Math.max(0, dueMs - this.clock.nowMs()));
     }
   }
 
-  /** Lets promises run that wait for no time. */
-  async settle(): Promise<void> {
-    for (let turn = 0; turn < TURNS; turn++) {
+  /** Waits until promises that don't depend on the clock have settled. */
+  async flushPromises(): Promise<void> {
+    for (let turn = 0; turn < FLUSH_TURNS; turn++) {
       await new Promise<void>((done) => setImmediate(done));
     }
   }
@@ -243,10 +243,10 @@
     this.leader?.session?.close();
   }
 
-  #beat(): void {
+  #announceWorkers(): void {
     for (const worker of this.pool.records()) {
       this.#sequence += 1;
-      void this.leader?.answerer?.answer({
+      void this.leader?.handler?.answer({
         kind: "workerSeen",
         worker,
         clockMs: this.pool.clockOf(worker.id),
--- a/src/process/batch/testing/batch_soak.ts
+++ b/src/process/batch/testing/batch_soak.ts
@@ -1,15 +1,15 @@
 /**
- * A soak: one pool through round after round of faults, each followed by a
- * calm in which everything must come to rest and nothing may pile up.
+ * A soak test: one pool goes through rounds of faults. After each there is a
+ * quiet period, in which every job has to end and be removed.
  *
  * @module
  */
 
 import { BATCH_TIMING } from "../batch_timing.ts";
-import { BatchBed } from "./batch_bed.ts";
-import { judgeJobs, takeStep, WORKERS } from "./batch_history.ts";
+import { BatchSimulation } from "./batch_simulation.ts";
+import { checkJobs, takeStep, WORKERS } from "./batch_history.ts";
 
-/** How a soak is set up. */
+/** Options of a soak test. */
 export interface SoakOptions {
   readonly seed: number;
   readonly rounds: number;
@@ -17,10 +17,10 @@
   readonly onRound?: (round: SoakRound) => void;
 }
 
-/** What stood at the end of a round. */
+/** The totals at the end of a round. */
 export interface SoakRound {
   readonly number: number;
-  /** Logical time since the soak began, in minutes. */
+  /** Simulated time since the start, in minutes. */
   readonly atMinutes: number;
   readonly starts: number;
   readonly jobsKept: number;
@@ -30,32 +30,32 @@
 /** Steps of one round: about a minute of faults. */
 const STEPS = 30;
 
-/** Long enough for every job of a round to be over, and forgotten. */
-const CALM_MS = BATCH_TIMING.rememberMs + 120_000;
+/** Long enough for every job of a round to end and be removed. */
+const QUIET_PERIOD_MS = BATCH_TIMING.endedJobRetentionMs + 120_000;
 
-/** Plays rounds until one breaks a rule or leaves something behind. */
+/** Runs rounds until one has violations; gives the last one. */
 export async function playSoak(options: SoakOptions): Promise<SoakRound> {
-  const bed = new BatchBed({ ...options, workers: WORKERS });
-  await bed.open();
-  const beganMs = bed.clock.nowMs();
+  const simulation = new BatchSimulation({ ...options, workers: WORKERS });
+  await simulation.open();
+  const beganMs = simulation.clock.nowMs();
   const cancelled = new Set<string>();
   let round: SoakRound | undefined;
   for (let number = 1; number <= options.rounds; number++) {
     for (let step = 0; step < STEPS; step++) {
       const jobNumber = number * STEPS + step;
-      await takeStep(bed, { number: jobNumber, cancelled });
+      await takeStep(simulation, { number: jobNumber, cancelled });
     }
-    bed.pool.heal();
-    await bed.pass(CALM_MS);
+    simulation.pool.heal();
+    await simulation.advance(QUIET_PERIOD_MS);
     round = {
       number,
-      atMinutes: Math.round((bed.clock.nowMs() - beganMs) / 60_000),
-      starts: bed.pool.starts,
-      jobsKept: bed.state!.jobs.size,
+      atMinutes: Math.round((simulation.clock.nowMs() - beganMs) / 60_000),
+      starts: simulation.pool.starts,
+      jobsKept: simulation.state!.jobs.size,
       violations: [
-        ...bed.pool.violations,
-        ...judgeJobs(bed, cancelled),
-        ...judgeRest(bed),
+        ...simulation.pool.violations,
+        ...checkJobs(simulation, cancelled),
+        ...checkIdle(simulation),
       ],
     };
     options.onRound?.(round);
@@ -63,22 +63,22 @@
       break;
     }
   }
-  bed.close();
+  simulation.close();
   return round!;
 }
 
-/** After a calm nothing is open, and nothing is kept for good. */
-function judgeRest(bed: BatchBed): string[] {
-  const { jobs, liveJobs, workers } = bed.state!;
-  const depths = bed.leader!.session!.depths;
+/** Checks that nothing is left open or stored after the quiet period. */
+function checkIdle(simulation: BatchSimulation): string[] {
+  const { jobs, liveJobs, workers } = simulation.state!;
+  const depths = simulation.leader!.session!.depths;
   const amounts: Readonly<Record<string, readonly [number, number]>> = {
     "jobs kept": [jobs.size, 0],
     "live jobs": [liveJobs.size, 0],
-    "lives of workers": [workers.size, WORKERS],
+    "worker incarnations": [workers.size, WORKERS],
     "open runs": [depths.openRuns, 0],
     "uncommitted changes": [depths.uncommitted, 0],
   };
   return Object.entries(amounts).flatMap(([name, [found, wanted]]) =>
-    found === wanted ? [] : [`${found} ${name} after a calm, not ${wanted}`]
+    found === wanted ? [] : [`${found} ${name} when idle, not ${wanted}`]
   );
 }
--- a/src/process/batch/testing/batch_soak_test.ts
+++ b/src/process/batch/testing/batch_soak_test.ts
@@ -3,12 +3,12 @@
 
 const ROUNDS = 4;
 
-test("rounds of faults leave nothing behind", async (t) => {
+test("nothing is left open after rounds of faults", async (t) => {
   const last = await playSoak({ seed: 3, rounds: ROUNDS });
   t.deepEqual(last.violations, []);
   t.is(last.number, ROUNDS);
   t.true(
     last.starts > ROUNDS * 10,
-    `${last.starts} starts exercise too little`,
+    `${last.starts} starts are too few to test anything`,
   );
 });
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -1,6 +1,6 @@
 /**
- * Workers in logical time behind a network that loses, delays and repeats,
- * with an oracle of what must never happen on them.
+ * Simulated workers behind a network that loses and delays calls, with an
+ * oracle that checks the runs on them.
  *
  * @module
  */
@@ -37,7 +37,7 @@
 } from "./fake_pool_network.ts";
 import { PoolOracle } from "./pool_oracle.ts";
 
-/** What a pool is made from. */
+/** Options of {@link FakePool}. */
 export interface FakePoolOptions {
   readonly clock: FakeClock;
   readonly random: RandomSource;
@@ -46,7 +46,7 @@
   readonly attempts: number;
 }
 
-/** All workers; the leader's only way to them. */
+/** All workers of the pool, and the leader's calls to them. */
 export class FakePool implements WorkerCalls {
   starts = 0;
   readonly #network: FakePoolNetwork;
@@ -62,19 +62,19 @@
       const rate = 1 - 0.02 * options.random.nextUnit();
       this.#workers.set(`w${number}`, new FakeWorker(`w${number}`, rate));
     }
-    options.clock.every(LEASE_CHECK_MS, () => this.#lapse());
+    options.clock.every(LEASE_CHECK_MS, () => this.#expireLeases());
   }
 
   get faults(): PoolFaults {
     return this.#network.faults;
   }
 
-  /** What must never happen, and did. */
+  /** Violated invariants, in the order in which they were found. */
   get violations(): readonly string[] {
     return this.#oracle.violations;
   }
 
-  /** What each worker would announce now. */
+  /** The records that running workers would announce now. */
   records(): WorkerRecord[] {
     return [...this.#workers.values()].filter(({ isDown }) => !isDown)
       .map((worker) => ({
@@ -96,20 +96,20 @@
     return this.#clockMs(worker);
   }
 
-  setCut(id: string, isCut: boolean): void {
-    this.#workers.get(id)!.isCut = isCut;
+  setPartitioned(id: string, isPartitioned: boolean): void {
+    this.#workers.get(id)!.isPartitioned = isPartitioned;
   }
 
-  /** Ends this life; the next one begins at once or when told. */
+  /** Ends a worker's incarnation; {@link restart} begins the next one. */
   crash(id: string): void {
     const worker = this.#workers.get(id)!;
-    worker.running.forEach((held) => held.timer?.close());
+    worker.running.forEach((heldRun) => heldRun.timer?.close());
     worker.running.clear();
-    worker.barred.clear();
+    worker.highestRefusedRun.clear();
     worker.ended = [];
     worker.endCount = 0;
-    worker.notedEnd = 0;
-    worker.lapsedEnd = 0;
+    worker.acknowledgedEnd = 0;
+    worker.expiredEnd = 0;
     worker.epoch = 0;
     worker.leaseEndMs = 0;
     worker.isDown = true;
@@ -123,11 +123,11 @@
     }
   }
 
-  /** Everything works again. */
+  /** Ends all faults, and restarts workers that are down. */
   heal(): void {
     Object.assign(this.faults, NO_FAULTS);
     for (const worker of this.#workers.values()) {
-      worker.isCut = false;
+      worker.isPartitioned = false;
       this.restart(worker.id);
     }
   }
@@ -165,14 +165,14 @@
         }
         worker.epoch = order.epoch;
         const name = taskKey(order.task);
-        worker.barred.set(
+        worker.highestRefusedRun.set(
           name,
-          Math.max(order.run, worker.barred.get(name) ?? 0),
+          Math.max(order.run, worker.highestRefusedRun.get(name) ?? 0),
         );
-        const held = worker.running.get(name);
-        if (held?.run === order.run) {
+        const heldRun = worker.running.get(name);
+        if (heldRun?.run === order.run) {
           this.#options.clock.after(this.#randomMs(400), () => {
-            this.#end(worker, held, RunEnd.stopped);
+            this.#end(worker, heldRun, RunEnd.stopped);
           });
         }
       },
@@ -184,7 +184,7 @@
     order: LeaseOrder,
     options: WorkerCallOptions,
   ): Promise<Result<WorkerReport>> {
-    const waited = await this.#network.call(
+    const renewed = await this.#network.call(
       this.#workers.get(record.id)!,
       options,
       (worker) => {
@@ -193,11 +193,11 @@
         }
         worker.epoch = order.epoch;
         this.#extendLease(worker, order.leaseEndMs ?? 0);
-        this.#note(worker, order.notedEnd);
+        this.#acknowledgeEnds(worker, order.notedEnd);
         return true;
       },
     );
-    if (waited.isLeft() || !waited.unsafeCoerce()) {
+    if (renewed.isLeft() || !renewed.unsafeCoerce()) {
       return failure("outcomeUnknown");
     }
     const worker = this.#workers.get(record.id)!;
@@ -246,33 +246,33 @@
     if (worker.running.get(name)?.run === run) {
       return undefined;
     }
-    if (run <= (worker.barred.get(name) ?? 0)) {
+    if (run <= (worker.highestRefusedRun.get(name) ?? 0)) {
       return "old";
     }
     if (order.leaseEndMs <= this.#clockMs(worker)) {
       return "late";
     }
     const used = [...worker.running.values()].reduce(
-      (sum, held) => sum + this.#acceleratorsOf(held.task),
+      (sum, heldRun) => sum + this.#acceleratorsOf(heldRun.task),
       0,
     );
     if (used + this.#acceleratorsOf(task) > 8) {
       return "noRoom";
     }
-    this.#oracle.judgeStart(worker.id, task, this.#workers.values());
-    this.#oracle.judgeCheckpoint(task, {
+    this.#oracle.checkStart(worker.id, task, this.#workers.values());
+    this.#oracle.checkCheckpoint(task, {
       checkpoint: order.checkpoint,
       owner: this.#checkpointOwner(task),
     });
-    const held: HeldRun = { task, run, timer: undefined };
-    worker.running.set(name, held);
-    worker.barred.set(name, run - 1);
+    const heldRun: HeldRun = { task, run, timer: undefined };
+    worker.running.set(name, heldRun);
+    worker.highestRefusedRun.set(name, run - 1);
     this.starts += 1;
-    this.#begin(worker, held);
+    this.#begin(worker, heldRun);
     return undefined;
   }
 
-  /** A longer lease than the limit is shortened to it. */
+  /** Extends the worker's lease, at most to the limit from now. */
   #extendLease(worker: FakeWorker, leaseEndMs: number): void {
     const longestMs = this.#clockMs(worker) + LEASE_LIMIT_MS;
     worker.leaseEndMs = Math.max(
@@ -289,7 +289,7 @@
     return this.#options.specOf(task.jobId)!.steps[task.step]!;
   }
 
-  /** A gang's members may resume from each other's checkpoints. */
+  /** The prefix of a task's checkpoints; tasks of a gang share theirs. */
   #checkpointOwner(task: TaskRef): string {
     const { jobId, occurrence, step, index } = task;
     const member = this.#stepOf(task).isGang ? "all" : index;
@@ -300,85 +300,87 @@
     return `${this.#checkpointOwner(task)}${run}`;
   }
 
-  #begin(worker: FakeWorker, held: HeldRun): void {
+  #begin(worker: FakeWorker, heldRun: HeldRun): void {
     const { clock, random } = this.#options;
-    const step = this.#stepOf(held.task);
+    const step = this.#stepOf(heldRun.task);
     const fails = random.nextUnit() < this.faults.failingRuns;
     const lastsMs = step.estimateMs * (0.5 + random.nextUnit());
     if (!step.isGang) {
-      held.timer = clock.after(
+      heldRun.timer = clock.after(
         lastsMs,
-        () => this.#end(worker, held, fails ? RunEnd.failed : RunEnd.done),
+        () => this.#end(worker, heldRun, fails ? RunEnd.failed : RunEnd.done),
       );
       return;
     }
-    held.timer = clock.after(
+    heldRun.timer = clock.after(
       GANG_WAIT_MS,
-      () => this.#end(worker, held, RunEnd.alone),
+      () => this.#end(worker, heldRun, RunEnd.alone),
     );
-    const members = this.#membersOf(held);
+    const members = this.#membersOf(heldRun);
     if (members.length === step.taskCount) {
-      members.forEach((member) => member.held.timer?.close());
+      members.forEach((member) => member.heldRun.timer?.close());
       clock.after(lastsMs, () => {
-        const whole = this.#membersOf(held).length === step.taskCount;
+        const isComplete = this.#membersOf(heldRun).length === step.taskCount;
         members.forEach((member) => {
           const how = fails
             ? RunEnd.failed
-            : (whole ? RunEnd.done : RunEnd.broken);
-          this.#end(member.worker, member.held, how);
+            : (isComplete ? RunEnd.done : RunEnd.broken);
+          this.#end(member.worker, member.heldRun, how);
         });
       });
     }
   }
 
-  #membersOf({ task, run }: HeldRun): { worker: FakeWorker; held: HeldRun }[] {
+  #membersOf(
+    { task, run }: HeldRun,
+  ): { worker: FakeWorker; heldRun: HeldRun }[] {
     return [...this.#workers.values()].flatMap((worker) =>
       [...worker.running.values()]
-        .filter((held) =>
-          held.run === run && held.task.jobId === task.jobId &&
-          held.task.step === task.step
+        .filter((heldRun) =>
+          heldRun.run === run && heldRun.task.jobId === task.jobId &&
+          heldRun.task.step === task.step
         )
-        .map((held) => ({ worker, held }))
+        .map((heldRun) => ({ worker, heldRun }))
     );
   }
 
-  #end(worker: FakeWorker, held: HeldRun, how: RunEnd): void {
-    const name = taskKey(held.task);
-    if (worker.running.get(name) !== held) {
+  #end(worker: FakeWorker, heldRun: HeldRun, how: RunEnd): void {
+    const name = taskKey(heldRun.task);
+    if (worker.running.get(name) !== heldRun) {
       return;
     }
-    held.timer?.close();
+    heldRun.timer?.close();
     worker.running.delete(name);
-    worker.barred.set(name, held.run);
+    worker.highestRefusedRun.set(name, heldRun.run);
     worker.endCount += 1;
-    const { task, run } = held;
+    const { task, run } = heldRun;
     const number = worker.endCount;
-    const checkpoint = this.#checkpointOf(held);
+    const checkpoint = this.#checkpointOf(heldRun);
     worker.ended.push({ number, task, run, how, checkpoint });
     if (how === RunEnd.done) {
-      this.#oracle.noteDone(task);
+      this.#oracle.recordDone(task);
     }
     worker.waiters.splice(0).forEach((resume) => resume());
   }
 
-  #note(worker: FakeWorker, notedEnd: number): void {
+  #acknowledgeEnds(worker: FakeWorker, notedEnd: number): void {
     for (const { number, task, how } of worker.ended) {
-      const isNew = number > worker.notedEnd && number <= notedEnd;
-      if (isNew && number > worker.lapsedEnd) {
-        this.#oracle.noteEnd(task, how);
+      const isNew = number > worker.acknowledgedEnd && number <= notedEnd;
+      if (isNew && number > worker.expiredEnd) {
+        this.#oracle.recordAcknowledgedEnd(task, how);
       }
     }
-    worker.notedEnd = Math.max(worker.notedEnd, notedEnd);
+    worker.acknowledgedEnd = Math.max(worker.acknowledgedEnd, notedEnd);
     worker.ended = worker.ended.filter(({ number }) => number > notedEnd);
   }
 
-  #lapse(): void {
+  #expireLeases(): void {
     for (const worker of this.#workers.values()) {
       if (this.#clockMs(worker) >= worker.leaseEndMs) {
-        for (const held of [...worker.running.values()]) {
-          this.#end(worker, held, RunEnd.lapsed);
+        for (const heldRun of [...worker.running.values()]) {
+          this.#end(worker, heldRun, RunEnd.lapsed);
         }
-        worker.lapsedEnd = worker.endCount;
+        worker.expiredEnd = worker.endCount;
       }
     }
   }
--- a/src/process/batch/testing/fake_pool_network.ts
+++ b/src/process/batch/testing/fake_pool_network.ts
@@ -1,5 +1,6 @@
 /**
- * The network between a leader and the fake pool: loses, delays and repeats.
+ * A simulated network between leaders and the fake pool, which loses calls and
+ * answers and delays calls.
  *
  * @module
  */
@@ -14,16 +15,15 @@
 import type { WorkerCallOptions } from "../worker_calls.ts";
 import type { FakeWorker } from "./fake_worker.ts";
 
-/** How the network and the tasks misbehave, each as a share of calls. */
+/** Fault rates, each as a share of calls or of runs. */
 export interface PoolFaults {
   lostCalls: number;
   lostAnswers: number;
-  /** Carried out seconds after the caller gave up. */
+  /** Calls that are carried out after the caller's timeout. */
   lateCalls: number;
   failingRuns: number;
 }
 
-/** Everything works. */
 export const NO_FAULTS: PoolFaults = {
   lostCalls: 0,
   lostAnswers: 0,
@@ -31,12 +31,12 @@
   failingRuns: 0,
 };
 
-/** How late a late call is carried out, at most. */
+/** The longest time after the caller's timeout until a late call arrives. */
 const LATE_LIMIT_MS = 8_000;
 
-const WAY_MS = 5;
+const ONE_WAY_LATENCY_MS = 5;
 
-/** Brings calls to workers, or doesn't. */
+/** Delivers calls to workers, with faults. */
 export class FakePoolNetwork {
   readonly faults: PoolFaults = { ...NO_FAULTS };
   readonly #options: { clock: FakeClock; random: RandomSource };
@@ -45,7 +45,10 @@
     this.#options = options;
   }
 
-  /** Brings a call to the present life of a worker, or doesn't. */
+  /**
+   * Delivers a call to the worker's present incarnation, if no fault prevents
+   * it; a late call may reach the next incarnation.
+   */
   call<T>(
     worker: FakeWorker,
     { timeoutMs }: WorkerCallOptions,
@@ -57,18 +60,18 @@
     return new Promise((resolve) => {
       const giveUp = () =>
         clock.after(timeoutMs, () => resolve(failure("outcomeUnknown")));
-      if (worker.isCut || draw < lostCalls) {
+      if (worker.isPartitioned || draw < lostCalls) {
         giveUp();
       } else if (draw < lostCalls + lateCalls) {
         giveUp();
         const lateMs = timeoutMs + random.nextUnit() * LATE_LIMIT_MS;
         clock.after(lateMs, () => {
-          if (!worker.isDown && !worker.isCut) {
+          if (!worker.isDown && !worker.isPartitioned) {
             act(worker);
           }
         });
       } else {
-        clock.after(WAY_MS, () => {
+        clock.after(ONE_WAY_LATENCY_MS, () => {
           if (worker.isDown) {
             resolve(failure("unavailable"));
             return;
@@ -77,7 +80,7 @@
           if (draw > 1 - lostAnswers) {
             giveUp();
           } else {
-            clock.after(WAY_MS, () => resolve(Right(answer)));
+            clock.after(ONE_WAY_LATENCY_MS, () => resolve(Right(answer)));
           }
         });
       }
--- a/src/process/batch/testing/fake_worker.ts
+++ b/src/process/batch/testing/fake_worker.ts
@@ -1,5 +1,5 @@
 /**
- * What a worker of the fake pool holds.
+ * The state of one worker of the fake pool.
  *
  * @module
  */
@@ -8,27 +8,29 @@
 import type { TaskRef } from "../batch_command.ts";
 import type { EndedTask } from "../worker_calls.ts";
 
-/** A run that is on a worker. */
+/** A run that a worker has. */
 export interface HeldRun {
   readonly task: TaskRef;
   readonly run: number;
   timer: Timer | undefined;
 }
 
-/** One machine with its present life. */
+/** One worker in its present incarnation. */
 export class FakeWorker {
   bornMs = 1;
   isDown = false;
-  isCut = false;
+  isPartitioned = false;
   epoch = 0;
   leaseEndMs = 0;
   readonly running = new Map<string, HeldRun>();
-  readonly barred = new Map<string, number>();
+  /** The highest run of each task that the worker no longer starts. */
+  readonly highestRefusedRun = new Map<string, number>();
   ended: EndedTask[] = [];
   endCount = 0;
-  notedEnd = 0;
-  /** Ends up to this number came before the lease last ran out. */
-  lapsedEnd = 0;
+  acknowledgedEnd = 0;
+  /** Ends up to this number came before the lease last expired. */
+  expiredEnd = 0;
+  /** Lease calls that wait for a run to end. */
   waiters: (() => void)[] = [];
 
   constructor(readonly id: string, readonly clockRate: number) {}
--- a/src/process/batch/testing/pool_oracle.ts
+++ b/src/process/batch/testing/pool_oracle.ts
@@ -1,5 +1,5 @@
 /**
- * Judges what happens on the workers of a fake pool.
+ * Checks the invariants of runs on the workers of a fake pool.
  *
  * @module
  */
@@ -9,19 +9,21 @@
 import { taskKey } from "../leader/run_table.ts";
 import type { FakeWorker } from "./fake_worker.ts";
 
-/** What an oracle is made from. */
+/** Options of {@link PoolOracle}. */
 export interface PoolOracleOptions {
   readonly specOf: (jobId: string) => JobSpec | undefined;
   readonly attempts: number;
 }
 
-/** Remembers what was done and noted, and finds what must never happen. */
+/** Records which tasks are done and which ends are stored; finds violations. */
 export class PoolOracle {
   readonly violations: string[] = [];
   readonly #options: PoolOracleOptions;
+  /** Tasks that were done on a worker, whether the leader knows it or not. */
   readonly #doneTasks = new Set<string>();
-  readonly #notedDone = new Set<string>();
-  readonly #notedFailures = new Map<string, number>();
+  /** Done tasks whose end the leader acknowledged as stored. */
+  readonly #acknowledgedDone = new Set<string>();
+  readonly #acknowledgedFailures = new Map<string, number>();
 
   constructor(options: PoolOracleOptions) {
     this.#options = options;
@@ -31,24 +33,24 @@
     return this.#doneTasks.has(taskKey(task));
   }
 
-  noteDone(task: TaskRef): void {
+  recordDone(task: TaskRef): void {
     this.#doneTasks.add(taskKey(task));
   }
 
-  /** An end was noted while the lease that it ended under still ran. */
-  noteEnd(task: TaskRef, how: RunEnd): void {
+  /** Records an end that the leader acknowledged before its lease expired. */
+  recordAcknowledgedEnd(task: TaskRef, how: RunEnd): void {
     const name = taskKey(task);
     if (how === RunEnd.done) {
-      this.#notedDone.add(name);
+      this.#acknowledgedDone.add(name);
     }
     if (how === RunEnd.failed) {
-      const failures = this.#notedFailures.get(name) ?? 0;
-      this.#notedFailures.set(name, failures + 1);
+      const failures = this.#acknowledgedFailures.get(name) ?? 0;
+      this.#acknowledgedFailures.set(name, failures + 1);
     }
   }
 
-  /** A worker begins a run. */
-  judgeStart(
+  /** Checks that a worker may begin a run of the task. */
+  checkStart(
     workerId: string,
     task: TaskRef,
     workers: Iterable<FakeWorker>,
@@ -61,17 +63,17 @@
         );
       }
     }
-    if (this.#notedDone.has(name)) {
-      this.violations.push(`${name} starts after its end was noted`);
+    if (this.#acknowledgedDone.has(name)) {
+      this.violations.push(`${name} starts after its end was acknowledged`);
     }
-    if ((this.#notedFailures.get(name) ?? 0) >= this.#options.attempts) {
-      this.violations.push(`${name} starts beyond its attempts`);
+    if ((this.#acknowledgedFailures.get(name) ?? 0) >= this.#options.attempts) {
+      this.violations.push(`${name} starts after its last attempt`);
     }
-    this.#judgeOrder(task);
+    this.#checkStepOrder(task);
   }
 
-  /** A run resumes only from what its own task, or its gang, saved. */
-  judgeCheckpoint(
+  /** Checks that a run resumes from a checkpoint of its own task or gang. */
+  checkCheckpoint(
     task: TaskRef,
     { checkpoint, owner }: { checkpoint: string; owner: string },
   ): void {
@@ -80,7 +82,7 @@
     }
   }
 
-  #judgeOrder(task: TaskRef): void {
+  #checkStepOrder(task: TaskRef): void {
     const { steps } = this.#options.specOf(task.jobId)!;
     for (const after of steps[task.step]!.afterSteps) {
       for (let index = 0; index < steps[after]!.taskCount; index++) {
--- a/src/process/batch/worker_calls.ts
+++ b/src/process/batch/worker_calls.ts
@@ -1,5 +1,5 @@
 /**
- * What the scheduler's leader asks of workers.
+ * The calls of the scheduler's leader to workers.
  *
  * @module
  */
@@ -12,9 +12,9 @@
   readonly task: TaskRef;
   readonly run: number;
   readonly payload: string;
-  /** Until when everything on the worker may run, by the worker's clock. */
+  /** The end of the lease for all runs on the worker, by the worker's clock. */
   readonly leaseEndMs: number;
-  /** The leader's epoch; the worker obeys the highest that it has seen. */
+  /** The leader's epoch; the worker refuses orders of an earlier one. */
   readonly epoch: number;
   /** Where the run resumes; empty for the beginning. */
   readonly checkpoint: string;
@@ -22,31 +22,31 @@
 
 /** Why a worker didn't start a run. */
 export const StartRefusal = {
-  /** It has seen a later leader. */
+  /** The worker has seen a later epoch. */
   fenced: "fenced",
   /** This run, or a later one, was stopped or has ended there. */
   old: "old",
-  /** The lease in the order had run out. */
+  /** The lease in the order had expired. */
   late: "late",
-  /** The task doesn't fit beside what runs. */
+  /** The task doesn't fit beside the running ones. */
   noRoom: "noRoom",
-  /** The worker says that it is unwell; it has done nothing. */
+  /** The worker reports that it is unwell; nothing was done. */
   unwell: "unwell",
-  /** The order can't be read, or meant another life of the worker. */
+  /** The order can't be read, or was meant for another incarnation. */
   wrong: "wrong",
 } as const;
 
 /** One of the values of {@link StartRefusal}. */
 export type StartRefusal = typeof StartRefusal[keyof typeof StartRefusal];
 
-/** What a worker said to a start. */
+/** A worker's answer to a start. */
 export interface StartAnswer {
   readonly refusal: StartRefusal | undefined;
-  /** The worker's clock, where it told it. */
+  /** The worker's clock, if the answer holds it. */
   readonly clockMs: number | undefined;
 }
 
-/** A run that is on a worker. */
+/** A run that a worker has. */
 export interface RunningTask {
   readonly task: TaskRef;
   readonly run: number;
@@ -55,7 +55,7 @@
 
 /** A run that ended on a worker. */
 export interface EndedTask {
-  /** Counts the ends of this life of the worker, from 1. */
+  /** Position among the ends of this worker incarnation, from 1. */
   readonly number: number;
   readonly task: TaskRef;
   readonly run: number;
@@ -63,35 +63,36 @@
   readonly checkpoint: string;
 }
 
-/** What a worker says of itself in answer to a lease. */
+/** A worker's report of its runs, in answer to a lease. */
 export interface WorkerReport {
   readonly clockMs: number;
-  /** The start of this life of the worker; 0 where it says none. */
+  /** Unix time of the worker's start; 0 if it reports none. */
   readonly bornMs: number;
   readonly running: readonly RunningTask[];
-  /** Ends after the last one noted, oldest first; maybe not all. */
+  /** Ends after the last acknowledged one, oldest first; possibly not all. */
   readonly ended: readonly EndedTask[];
 }
 
-/** A lease for all that runs on a worker, and a request for its report. */
+/** A lease for all runs on a worker, and a request for its report. */
 export interface LeaseOrder {
   readonly epoch: number;
-  /** Absent while the worker's clock isn't known. */
+  /** By the worker's clock; undefined to request a report without a lease. */
   readonly leaseEndMs: number | undefined;
-  /** Ends up to this number are stored and may be forgotten. */
+  /** Ends up to this number are stored; the worker may drop them. */
   readonly notedEnd: number;
-  /** How long the worker may wait for an end before it answers. */
+  /** How long the worker may wait for a run to end before it answers. */
   readonly waitMs: number;
 }
 
-/** Bounds of one call. */
+/** Options of one call. */
 export interface WorkerCallOptions {
   readonly timeoutMs: number;
 }
 
 /**
- * Calls to workers. `unavailable` says that nothing listens there, so that
- * nothing was done; `outcomeUnknown` that the call may be carried out yet.
+ * Calls to workers. They fail with `unavailable` if nothing listens at the
+ * address, so that nothing was done, and with `outcomeUnknown` if the call may
+ * have been carried out or may still be.
  */
 export interface WorkerCalls {
   start(
