Second reading of the batch scheduler's wording

Shorter comments, plain names for the last odd locals, and no mention of how the planner's defaults were found.

--- a/src/process/batch/batch_command.ts
+++ b/src/process/batch/batch_command.ts
@@ -18,8 +18,8 @@
 export const BATCH_FORMAT_VERSION = 1;
 
 /**
- * The key of one worker incarnation, from the worker's id and the time of its
- * process's start. See {@link lifeKey}.
+ * The key of one worker incarnation, `<worker id>@<Unix time of its start>`. An
+ * incarnation is one process of a worker, from its start to its end.
  */
 export type WorkerKey = string;
 
--- a/src/process/batch/batch_service.ts
+++ b/src/process/batch/batch_service.ts
@@ -82,9 +82,7 @@
     return known !== undefined && isSameWorkerRecord(known, worker);
   }
 
-  /**
-   * Answers a call if this instance leads; otherwise names the known leader.
-   */
+  /** Answers a call if this instance leads; otherwise refers to the leader. */
   async answer(call: JobCall): Promise<JobAnswer> {
     const leadership = this.#leadership;
     if (leadership === undefined || !leadership.session.isCurrent()) {
@@ -100,10 +98,7 @@
     return answer;
   }
 
-  /**
-   * Stores a configuration; gives the version then in force, maybe a higher
-   * one.
-   */
+  /** Stores a configuration; gives the version in force, maybe a higher one. */
   async configure(
     document: string,
     options: { configuration: PoolConfiguration; deadlineMs: number },
--- a/src/process/batch/batch_timing.ts
+++ b/src/process/batch/batch_timing.ts
@@ -18,10 +18,7 @@
   reportWaitMs: 1_500,
   /** Added to the wait for a renewal's timeout: a round trip and a stall. */
   reportSlackMs: 600,
-  /**
-   * The delay after n failed renewals in a row: 2^n times this, up to the
-   * limit.
-   */
+  /** Multiplied by 2^n after n failed renewals in a row, up to the limit. */
   renewRetryDelayMs: 100,
   renewRetryDelayLimitMs: 800,
   /** Timeout of an order, which is then sent again: ten round trips. */
--- a/src/process/batch/decisions/placement.ts
+++ b/src/process/batch/decisions/placement.ts
@@ -23,12 +23,10 @@
   readonly indices: readonly number[];
   /** Workers that must not be used for these tasks. */
   readonly avoided?: ReadonlySet<string>;
-  /**
-   * Tasks of the step that a worker already runs, for `tasksPerWorkerLimit`.
-   */
+  /** Tasks of the step that already run on a worker, for the limit of these. */
   readonly onWorker: (key: string) => number;
   /**
-   * Whether tasks may go to other racks than the data's or the preferred one.
+   * Whether tasks may go outside the data's rack, or a gang to several racks.
    */
   readonly mayUseOtherRacks: boolean;
 }
@@ -72,9 +70,7 @@
   ];
 }
 
-/**
- * Places all tasks in the first group of workers that fits them all, or none.
- */
+/** Places all tasks on the first group of workers that fits them, or none. */
 function placeGang(
   slots: readonly WorkerSlot[],
   request: PlacementRequest,
--- a/src/process/batch/decisions/planner.ts
+++ b/src/process/batch/decisions/planner.ts
@@ -45,9 +45,7 @@
    * preempted within a second or two, and all that it did would be lost.
    */
   readonly urgentFloorShare?: number;
-  /**
-   * Work can wait while more than this share of its objective's slack is left.
-   */
+  /** Work can wait while more than this share of its slack is left. */
   readonly slackShareToWait?: number;
   /**
    * How long a guaranteed job waits for room in its preferred rack, before it
@@ -55,13 +53,11 @@
    * guarantee limits the time until it starts.
    */
   readonly guaranteeWaitMs?: number;
-  /**
-   * Whether urgent work beyond its guarantee may preempt less urgent work too.
-   */
+  /** Whether urgent jobs beyond a guarantee may preempt less urgent work. */
   readonly stopsForAllUrgent?: boolean;
 }
 
-/** The defaults; docs/design/batch_policy.md has the measurements. */
+/** The defaults; see docs/design/batch_policy.md. */
 export const PLANNER_DEFAULTS = {
   urgentReserveShare: 0.3,
   urgentFloorShare: 0.15,
--- a/src/process/batch/decisions/preemption.ts
+++ b/src/process/batch/decisions/preemption.ts
@@ -18,8 +18,7 @@
 export interface StopRules {
   readonly mayStop: (job: JobRecord) => boolean;
   /**
-   * Whether the run is being stopped already, so that choosing it costs
-   * nothing.
+   * Whether the run is being stopped already, so that its stop costs nothing.
    */
   readonly isStopping: (run: OpenRun) => boolean;
   /** Whether all tasks of the unit fit on these slots. */
@@ -44,9 +43,7 @@
   readonly loss: number;
 }
 
-/**
- * The runs to stop, or undefined if even stopping all allowed runs won't do.
- */
+/** The runs to stop; undefined if stopping all allowed runs isn't enough. */
 export function chooseStops(
   slots: readonly WorkerSlot[],
   rules: StopRules,
@@ -172,9 +169,7 @@
   return coreSeconds(spec.demand, { tasks: 1, estimateMs: lostMs });
 }
 
-/**
- * Cores that stopping a victim frees on some workers, accelerators included.
- */
+/** Cores, accelerators included, that a victim's stop frees on some workers. */
 function freedOn(victim: Victim, keys: ReadonlySet<string>): number {
   return victim.runs
     .filter((run) => keys.has(run.worker))
@@ -200,9 +195,7 @@
   return copies;
 }
 
-/**
- * Whether one queue's work may preempt another's; an unknown queue's can't be.
- */
+/** Whether one queue may preempt another; not if the other is unknown. */
 export function mayPreempt(
   urgent: QueueConfiguration,
   other: QueueConfiguration | undefined,
--- a/src/process/batch/decisions/rack_wait.ts
+++ b/src/process/batch/decisions/rack_wait.ts
@@ -61,9 +61,7 @@
   return largestRackTasks < (spec.isGang ? spec.taskCount : 1);
 }
 
-/**
- * Time since the job was accepted, or the unit's occurrence was due if later.
- */
+/** Time since the job was accepted and the unit's occurrence was due. */
 export function waitedMs(unit: WorkUnit, nowMs: number): number {
   return nowMs -
     Math.max(unit.job.acceptedAtMs, dueAtMs(unit.job, unit.occurrence));
--- a/src/process/batch/decisions/rank.ts
+++ b/src/process/batch/decisions/rank.ts
@@ -20,12 +20,12 @@
 /** The value of a job by its queue's priority, the most urgent first. */
 const PRIORITY_WEIGHTS = [4, 3, 1] as const;
 
-/**
- * The value of a job that misses its objective, as a share of its full value.
- */
+/** The share of its value that a job has if it misses its objective. */
 const LATE_VALUE_SHARE = 0.25;
 
-/** A job that takes more than this many times its objective ranks last. */
+/**
+ * Beyond this many times its objective, a job has a tenth of its late value.
+ */
 export const LATE_LIMIT_FACTOR = 3;
 
 /** The share of a job's value that doesn't depend on its size. */
--- a/src/process/batch/decisions/work_unit.ts
+++ b/src/process/batch/decisions/work_unit.ts
@@ -24,9 +24,7 @@
   readonly occurrence: number;
   readonly step: number;
   readonly spec: StepSpec;
-  /**
-   * All tasks of the step by index; empty before the occurrence's first start.
-   */
+  /** All tasks of the step; empty before the occurrence's first start. */
   readonly tasks: readonly TaskRecord[];
   /** Indices of the tasks that wait to be started. */
   readonly waiting: readonly number[];
@@ -99,10 +97,7 @@
   };
 }
 
-/**
- * Indices of tasks that are neither done nor running; none if a gang's task
- * runs.
- */
+/** Indices of the tasks to start; none while any task of a gang runs. */
 function waitingIndices(
   spec: StepSpec,
   tasks: readonly TaskRecord[],
--- a/src/process/batch/job_call.ts
+++ b/src/process/batch/job_call.ts
@@ -79,10 +79,7 @@
   | { readonly kind: "unknownJob" }
   | { readonly kind: "unauthenticated" }
   | { readonly kind: "invalid"; readonly detail: string }
-  /**
-   * A ping, announcement or leave was handled; this instance takes the next
-   * too.
-   */
+  /** A ping, announcement or leave was handled; this instance leads. */
   | { readonly kind: "noted" }
   /** This instance doesn't lead, so that nothing was done. */
   | {
--- a/src/process/batch/leader/batch_writer.ts
+++ b/src/process/batch/leader/batch_writer.ts
@@ -24,7 +24,9 @@
   readonly onApplied: (item: BatchItem) => void;
   /** Called after each committed batch. */
   readonly onBatch: (durationMs: number, items: number) => void;
-  /** Called once if a batch failed, or belonged to a deposed leader. */
+  /**
+   * Called once if a batch's commit failed, or another leader has taken over.
+   */
   readonly onDeposed: (detail: string) => void;
 }
 
--- a/src/process/batch/leader/call_handler.ts
+++ b/src/process/batch/leader/call_handler.ts
@@ -170,9 +170,8 @@
     const { worker, sequence, clockMs } = call;
     const noted: JobAnswer = { kind: "noted" };
     const known = state.workers.get(worker.key);
-    // An incarnation never stops draining, so that an announcement without it
-    // is out of date. Sequence numbers don't show that after a change of
-    // leader.
+    // An incarnation that drains never stops doing so: an announcement without
+    // it is out of date. A new leader can't tell by the sequence numbers.
     const isBeforeDrain = known?.isDraining === true && !worker.isDraining;
     const isOutdated = isBeforeDrain || this.#isSuperseded(worker) ||
       sequence < (this.#sequences.get(worker.key) ?? -1);
@@ -180,7 +179,7 @@
       return noted;
     }
     this.#sequences.set(worker.key, sequence);
-    for (const other of this.#earlierLives(worker)) {
+    for (const other of this.#earlierIncarnations(worker)) {
       this.#sequences.delete(other.key);
       void session.write({ kind: "workerGone", key: other.key });
     }
@@ -195,7 +194,7 @@
   }
 
   /**
-   * Whether a later incarnation, or a later worker at its address, is known.
+   * Whether a later incarnation, or a later worker at the address, is known.
    */
   #isSuperseded(worker: WorkerRecord): boolean {
     return this.#conflictingWorkers(worker).some((other) =>
@@ -203,7 +202,7 @@
     );
   }
 
-  #earlierLives(worker: WorkerRecord): WorkerRecord[] {
+  #earlierIncarnations(worker: WorkerRecord): WorkerRecord[] {
     return this.#conflictingWorkers(worker).filter((other) =>
       other.bornMs <= worker.bornMs
     );
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -33,9 +33,7 @@
   readonly log: ReplicatedLog<BatchCommand, BatchOutcome>;
   /** Called with the time that each batch took to commit. */
   readonly onCommit?: (durationMs: number) => void;
-  /**
-   * Called once if the session can't go on: another leader, or a failed commit.
-   */
+  /** Called once if a commit fails or another leader has taken over. */
   readonly onEnded: (detail: string) => void;
 }
 
@@ -110,9 +108,7 @@
     return this.#options.epoch;
   }
 
-  /**
-   * The numbers of open runs and of changes waiting for a commit, for metrics.
-   */
+  /** Counts of open runs and of changes waiting for a commit, for metrics. */
   get depths(): { openRuns: number; uncommitted: number } {
     return {
       openRuns: this.#runs.size,
--- a/src/process/batch/leader/run_table.ts
+++ b/src/process/batch/leader/run_table.ts
@@ -19,7 +19,7 @@
   jobOver: "jobOver",
   /** More urgent work needs the room. */
   preempted: "preempted",
-  /** Its gang can't go on: a task of it ended, or didn't start in time. */
+  /** Its gang can't go on, or its worker refused a start of it. */
   gangBroken: "gangBroken",
   /** Its worker restarted; the new incarnation may have got its start. */
   workerRestarted: "workerRestarted",
@@ -80,9 +80,7 @@
   readonly #byHolder = new RunGroups();
   readonly #byJob = new RunGroups();
 
-  /**
-   * The runs that are open in the replicated state, inherited by a new leader.
-   */
+  /** A new leader's table of the runs that are open in the replicated state. */
   static fromState(state: BatchState, nowMs: number): RunTable {
     const table = new RunTable();
     for (const job of state.liveJobs.values()) {
--- a/src/process/batch/leader/worker_health.ts
+++ b/src/process/batch/leader/worker_health.ts
@@ -19,7 +19,7 @@
 const AVOID_MAX_MS = 16_000;
 
 /** How long a worker without room is avoided: about as long as a stop takes. */
-const FULL_MS = 250;
+const FULL_AVOIDANCE_MS = 250;
 
 interface WorkerFailures {
   failedJobs: Set<string>;
@@ -70,7 +70,7 @@
 
   /** Records that the worker has less room than the replicated state says. */
   recordFull(key: WorkerKey): void {
-    this.#fullUntilMs.set(key, this.#clock.nowMs() + FULL_MS);
+    this.#fullUntilMs.set(key, this.#clock.nowMs() + FULL_AVOIDANCE_MS);
   }
 
   /** Records that the worker reported itself unwell. */
--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -24,15 +24,11 @@
   readonly clock: Clock;
   readonly timing: BatchTiming;
   readonly epoch: number;
-  /**
-   * The longest lease that others may have given to this incarnation so far.
-   */
+  /** The longest lease that this incarnation may have from others so far. */
   readonly earlierLeaseMs: number;
   /** Whether this leader may still give leases. */
   readonly mayLead: () => boolean;
-  /**
-   * Called with each report; resolves once its ends are stored, or can't be.
-   */
+  /** Stores a report's ends; resolves once they are stored, or can't be. */
   readonly onReport: (
     link: WorkerLink,
     report: WorkerReport,
@@ -103,7 +99,7 @@
   recordClock(workerMs: number | undefined): void {
     const receivedAtMs = this.#options.clock.nowMs();
     if (workerMs !== undefined && workerMs >= this.#workerNowMs(receivedAtMs)) {
-      this.#sample = { workerMs, receivedAtMs: receivedAtMs };
+      this.#sample = { workerMs, receivedAtMs };
     }
   }
 
@@ -149,9 +145,9 @@
     if (this.#sample === undefined) {
       return 0;
     }
-    const { workerMs, receivedAtMs: heardAtMs } = this.#sample;
+    const { workerMs, receivedAtMs } = this.#sample;
     return workerMs +
-      (nowMs - heardAtMs) * (1 - this.#options.timing.clockDriftFraction);
+      (nowMs - receivedAtMs) * (1 - this.#options.timing.clockDriftFraction);
   }
 
   async #run(): Promise<void> {
@@ -205,13 +201,13 @@
   }
 
   #recordFailure(kind: string): number {
-    const { timing, onReachabilityChange: onReach } = this.#options;
+    const { timing, onReachabilityChange } = this.#options;
     this.#failures += 1;
     this.#refusedConnections = kind === "unavailable"
       ? this.#refusedConnections + 1
       : 0;
     if (this.#failures === 1 || this.isGone) {
-      onReach(this, kind);
+      onReachabilityChange(this, kind);
     }
     return Math.min(
       timing.renewRetryDelayLimitMs,
--- a/src/process/batch/leader_finder.ts
+++ b/src/process/batch/leader_finder.ts
@@ -124,7 +124,7 @@
   }
 
   /**
-   * Sends a call to the leader until its deadline, more than once if needed.
+   * Sends a call to the leader, more than once if needed until its deadline.
    */
   async call(
     call: JobCall,
--- a/src/process/batch/state_host.ts
+++ b/src/process/batch/state_host.ts
@@ -1,7 +1,6 @@
 /**
  * An instance that replicates the batch scheduler's state: its connections to
- * the other ones, its member of the replication group, and the scheduler on
- * top.
+ * the others, its member of the replication group, and the scheduler itself.
  *
  * @module
  */
--- a/src/process/batch/testing/batch_history.ts
+++ b/src/process/batch/testing/batch_history.ts
@@ -92,10 +92,10 @@
       pool.restart(worker);
       return `crash ${worker}`;
     case 7: {
-      const isCut = random.nextInt(2) === 0;
-      pool.setPartitioned(worker, isCut);
+      const isPartitioned = random.nextInt(2) === 0;
+      pool.setPartitioned(worker, isPartitioned);
       await simulation.advance(random.nextInt(4_000));
-      return `cut ${worker} ${isCut}`;
+      return `partition ${worker} ${isPartitioned}`;
     }
     case 8:
     case 9: {
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -363,15 +363,15 @@
     worker.waiters.splice(0).forEach((resume) => resume());
   }
 
-  #acknowledgeEnds(worker: FakeWorker, notedEnd: number): void {
+  #acknowledgeEnds(worker: FakeWorker, storedEnd: number): void {
     for (const { number, task, how } of worker.ended) {
-      const isNew = number > worker.acknowledgedEnd && number <= notedEnd;
+      const isNew = number > worker.acknowledgedEnd && number <= storedEnd;
       if (isNew && number > worker.expiredEnd) {
         this.#oracle.recordAcknowledgedEnd(task, how);
       }
     }
-    worker.acknowledgedEnd = Math.max(worker.acknowledgedEnd, notedEnd);
-    worker.ended = worker.ended.filter(({ number }) => number > notedEnd);
+    worker.acknowledgedEnd = Math.max(worker.acknowledgedEnd, storedEnd);
+    worker.ended = worker.ended.filter(({ number }) => number > storedEnd);
   }
 
   #expireLeases(): void {
--- a/src/process/batch/worker_incarnations.ts
+++ b/src/process/batch/worker_incarnations.ts
@@ -52,9 +52,9 @@
   /** Other incarnations of the same worker, or at the same address. */
   conflictingWith(worker: WorkerRecord): WorkerRecord[] {
     const keys = new Set(
-      exclusiveKeysOf(worker).flatMap((
-        exclusiveKey,
-      ) => [...this.#byExclusiveKey.get(exclusiveKey) ?? []]),
+      exclusiveKeysOf(worker).flatMap((key) => [
+        ...this.#byExclusiveKey.get(key) ?? [],
+      ]),
     );
     keys.delete(worker.key);
     return [...keys].map((key) => this.#byKey.get(key)!);
