--- a/src/base/events/routing_events.ts
+++ b/src/base/events/routing_events.ts
@@ -23,25 +23,25 @@
   requestEnded: {
     number: 4002,
     level: "debug",
-    text: "A request came to its end.",
+    text: "A request ended.",
     fields: ["requestId", "outcome"],
   },
   serverEjected: {
     number: 4003,
     level: "warn",
-    text: "A backend server failed or was slow and gets probes only.",
+    text: "A failing or slow backend server was ejected; it gets only probes.",
     fields: ["server", "service", "reason"],
   },
   serverReadmitted: {
     number: 4004,
     level: "info",
-    text: "A backend server answered its probe and takes its share again.",
+    text: "An ejected backend server answered its probe and was readmitted.",
     fields: ["server", "service"],
   },
   answerRejected: {
     number: 4005,
     level: "warn",
-    text: "An answer of a backend server was kept from the caller.",
+    text: "A faulty answer of a backend server was withheld from the caller.",
     fields: ["server", "requestId", "fault"],
   },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/process/routing/server_spread.ts
+++ b/src/process/routing/announcement_relay.ts
@@ -1,6 +1,6 @@
 /**
- * Passes the announcements of backend servers on to the other instances of
- * the server's data centre.
+ * Relays the announcements of backend servers to the other instances of the
+ * server's data centre.
  *
  * @module
  */
@@ -17,19 +17,19 @@
   serverAnnouncementSchema,
 } from "./core/mod.ts";
 
-/** What a spread is built from. */
-export interface ServerSpreadOptions {
+/** Options of an {@link AnnouncementRelay}. */
+export interface AnnouncementRelayOptions {
   readonly network: PeerNetwork;
   readonly peerDataCentres: ReadonlyMap<InstanceId, DataCentreId>;
   readonly onAnnounced: (announcement: ServerAnnouncement) => void;
 }
 
-/** Announcements between instances; each is passed on once, not further. */
-export class ServerSpread {
-  readonly #options: ServerSpreadOptions;
+/** Relays announcements; one that was relayed here isn't relayed again. */
+export class AnnouncementRelay {
+  readonly #options: AnnouncementRelayOptions;
   readonly #channel: PeerChannel<ServerAnnouncement>;
 
-  constructor(options: ServerSpreadOptions) {
+  constructor(options: AnnouncementRelayOptions) {
     this.#options = options;
     this.#channel = options.network.channel({
       name: "backend_servers",
@@ -41,7 +41,7 @@
   }
 
   /** Sends to every linked instance of the server's data centre. */
-  spread(announcement: ServerAnnouncement): void {
+  relay(announcement: ServerAnnouncement): void {
     const { network, peerDataCentres } = this.#options;
     for (const peer of network.linkedPeerIds()) {
       if (peerDataCentres.get(peer) === announcement.dataCentre) {
--- a/src/process/routing/answer_faults.ts
+++ b/src/process/routing/answer_faults.ts
@@ -1,43 +1,43 @@
 /**
- * What can be wrong with what a backend server sends back.
+ * Faults of the answers of backend servers.
  *
  * @module
  */
 
-/** Why an answer was kept from the caller. */
+/** Why an answer was withheld from the caller. */
 export const AnswerFault = {
-  /** It came after its request had been given up. */
+  /** It came after its attempt had ended without an answer. */
   late: "late",
   /** It belongs to another request. */
   crossed: "crossed",
-  /** It belongs to a request that was answered already. */
+  /** It belongs to an attempt that was answered already. */
   doubled: "doubled",
-  /** It ended early, or nothing tells where it ends. */
+  /** It ended early, or no header tells where it ends. */
   truncated: "truncated",
-  /** It is over the service's limit. */
+  /** It is over the service's size limit. */
   tooLarge: "tooLarge",
 } as const;
 
 /** One of the values of {@link AnswerFault}. */
 export type AnswerFault = typeof AnswerFault[keyof typeof AnswerFault];
 
-/** How one sending ended. */
-type CorrelationEnd = "answered" | "givenUp";
+/** How one attempt ended. */
+type CorrelationOutcome = "answered" | "givenUp";
 
 /**
- * Remembers how the latest sendings ended, to name faults rightly. The two
- * halves take turns, so that forgetting costs nothing.
+ * Records how recent attempts ended, to classify faulty answers. The records
+ * are kept in two generations, so that the oldest are dropped at no cost.
  */
-export class CorrelationMemory {
+export class RecentCorrelations {
   readonly #limit: number;
-  #newer = new Map<string, CorrelationEnd>();
-  #older = new Map<string, CorrelationEnd>();
+  #newer = new Map<string, CorrelationOutcome>();
+  #older = new Map<string, CorrelationOutcome>();
 
   constructor(options: { limit: number }) {
     this.#limit = options.limit;
   }
 
-  remember(correlationId: string, end: CorrelationEnd): void {
+  record(correlationId: string, end: CorrelationOutcome): void {
     if (this.#newer.size >= this.#limit / 2) {
       this.#older = this.#newer;
       this.#newer = new Map();
@@ -45,10 +45,10 @@
     this.#newer.set(correlationId, end);
   }
 
-  /** The fault of an answer that names another sending than was awaited. */
+  /** The fault of an answer with an unexpected correlation id. */
   classify(correlationId: string | undefined): AnswerFault {
-    const known = correlationId ?? "";
-    switch (this.#newer.get(known) ?? this.#older.get(known)) {
+    const id = correlationId ?? "";
+    switch (this.#newer.get(id) ?? this.#older.get(id)) {
       case "answered":
         return AnswerFault.doubled;
       case "givenUp":
--- a/src/process/routing/at_most_once_test.ts
+++ b/src/process/routing/at_most_once_test.ts
@@ -2,13 +2,13 @@
 import fc from "fast-check";
 import { MemoryFault } from "../ledger/memory_group.ts";
 import {
+  flushPromises,
   INSTANCES,
   type Mutation,
-  settle,
-  World,
+  RequestPathSimulation,
 } from "./request_path_fixture.ts";
 
-type Step = (world: World) => void | Promise<void>;
+type Step = (simulation: RequestPathSimulation) => void | Promise<void>;
 
 const ids = fc.constantFrom(...INSTANCES.map(({ id }) => id));
 
@@ -19,53 +19,57 @@
       request: fc.constantFrom("east:a", "west:b", "c", "d", "e", "f"),
       content: fc.constantFrom("bale", "bale", "bale", "quilt"),
       timeoutMs: fc.constantFrom(40, 300, 1_500),
-    }).map(({ id, ...options }) => (world: World) => world.call(id, options))
+    }).map(({ id, ...options }) => (simulation: RequestPathSimulation) =>
+      simulation.call(id, options)
+    )
   ),
   fc.tuple(ids, fc.constantFrom(...Object.values(MemoryFault)))
-    .map(([id, fault]) => (world) => world.setLogFault(id, fault)),
+    .map(([id, fault]) => (simulation) => simulation.setLogFault(id, fault)),
   fc.tuple(fc.constantFrom(0, 0.2, 0.5), fc.constantFrom(0, 100))
-    .map(([rate, jitterMs]) => (world) => world.setLinkFaults(rate, jitterMs)),
-  ids.map((id) => (world) => world.isolate(id)),
+    .map(([rate, jitterMs]) => (simulation) =>
+      simulation.setLinkFaults(rate, jitterMs)
+    ),
+  ids.map((id) => (simulation) => simulation.isolate(id)),
   fc.tuple(fc.constantFrom("east", "west"), fc.boolean())
-    .map(([dataCentre, isSilent]) => async (world) => {
-      world.setSilent(dataCentre, isSilent);
-      await world.advance(2_000);
+    .map(([dataCentre, isSilent]) => async (simulation) => {
+      simulation.setSilent(dataCentre, isSilent);
+      await simulation.advance(2_000);
     }),
-  fc.constant((world) => world.heal()),
-  ids.map((id) => (world) => world.start(id)),
-  fc.constant((world) => world.forget()),
+  fc.constant((simulation) => simulation.heal()),
+  ids.map((id) => (simulation) => simulation.start(id)),
+  fc.constant((simulation) => simulation.loseEntries()),
   ...[0, 1].map(() =>
-    fc.constantFrom(25, 100, 500).map((byMs) => (world: World) =>
-      world.advance(byMs)
+    fc.constantFrom(25, 100, 500).map(
+      (byMs) => (simulation: RequestPathSimulation) => simulation.advance(byMs),
     )
   ),
 ];
 
-/** Runs random sessions; gives what broke, if anything did. */
+/** Runs random sessions; returns the first violation, if any. */
 async function fuzz(
   mutation: Mutation,
   runs: number,
 ): Promise<string | undefined> {
-  let broken: string | undefined;
+  let violation: string | undefined;
   const session = fc.tuple(
     fc.nat({ max: 1_000_000 }),
     fc.array(fc.oneof(...steps), { minLength: 20, maxLength: 50 }),
   );
   await fc.check(
     fc.asyncProperty(session, async ([seed, chosen]) => {
-      const world = new World(mutation, seed);
-      await world.advance(200);
+      const simulation = new RequestPathSimulation(mutation, seed);
+      await simulation.advance(200);
       for (const step of chosen) {
-        await step(world);
-        await settle();
+        await step(simulation);
+        await flushPromises();
       }
-      await world.finish();
-      broken ??= world.broken;
-      return world.broken === undefined;
+      await simulation.finish();
+      violation ??= simulation.violation;
+      return simulation.violation === undefined;
     }),
     { numRuns: runs, seed: 31, endOnFailure: true },
   );
-  return broken;
+  return violation;
 }
 
 test("random sessions send no request twice", async (t) => {
@@ -73,10 +77,16 @@
 });
 
 const MUTATIONS: readonly (readonly [string, Mutation, RegExp])[] = [
-  ["whose ledgers forget", { forgets: true }, /sent twice|not run/],
-  ["whose instances disagree", { disagrees: true }, /sent twice|not run/],
-  ["that misjudges a lost answer", { misjudges: true }, /sent twice|not run/],
-  ["that crosses answers", { crosses: true }, /another request/],
+  ["whose ledgers lose entries", { losesEntries: true }, /sent twice|not run/],
+  ["whose instances disagree about the data centres", {
+    splitsConfiguration: true,
+  }, /sent twice|not run/],
+  [
+    "that reports a lost answer as not sent",
+    { reportsLostAsNotSent: true },
+    /sent twice|not run/,
+  ],
+  ["that mixes up answers", { mixesAnswers: true }, /another request/],
 ];
 
 for (const [name, mutation, expected] of MUTATIONS) {
--- a/src/process/routing/backend_client.ts
+++ b/src/process/routing/backend_client.ts
@@ -7,7 +7,7 @@
 import { Agent, type Dispatcher } from "undici";
 import type { Clock } from "../../base/clock.ts";
 import type { RequestRecord } from "../../request/request_record.ts";
-import { CorrelationMemory } from "./answer_faults.ts";
+import { RecentCorrelations } from "./answer_faults.ts";
 import {
   type BackendAttempt,
   type BackendAttemptEnd,
@@ -17,24 +17,26 @@
 
 export type { BackendAttempt, BackendAttemptEnd } from "./backend_exchange.ts";
 
-/** What a client is built from. */
+/** Options of a {@link BackendClient}. */
 export interface BackendClientOptions {
   readonly clock: Clock;
   readonly connectionsPerServer: number;
-  /** Called for input that no request was waiting for. */
-  readonly onStrayInput?: () => void;
+  /** Called when a server sends bytes that no request is waiting for. */
+  readonly onUnsolicitedInput?: () => void;
 }
 
-/** An idle connection is closed before servers close it themselves. */
+/** Idle connections are closed after this long, before servers close them. */
 const KEEP_ALIVE_MS = 4_000;
-const CONNECT_MS = 1_000;
+const CONNECT_TIMEOUT_MS = 1_000;
 const CORRELATIONS_REMEMBERED = 4_096;
 
-/** The connections to the backend servers. */
+/** Pooled connections to the backend servers. */
 export class BackendClient {
   readonly #clock: Clock;
   readonly #agent: Agent;
-  readonly #memory = new CorrelationMemory({ limit: CORRELATIONS_REMEMBERED });
+  readonly #correlations = new RecentCorrelations({
+    limit: CORRELATIONS_REMEMBERED,
+  });
 
   constructor(options: BackendClientOptions) {
     this.#clock = options.clock;
@@ -42,22 +44,22 @@
       connections: options.connectionsPerServer,
       pipelining: 1,
       keepAliveTimeout: KEEP_ALIVE_MS,
-      connect: { timeout: CONNECT_MS },
+      connect: { timeout: CONNECT_TIMEOUT_MS },
     });
     this.#agent.on("disconnect", (_origin, _targets, error) => {
-      if (isStrayInput(error)) {
-        options.onStrayInput?.();
+      if (isUnsolicitedInput(error)) {
+        options.onUnsolicitedInput?.();
       }
     });
   }
 
-  /** Sends once, and never again by itself. */
+  /** Sends the request once; doesn't retry. */
   send(attempt: BackendAttempt): Promise<BackendAttemptEnd> {
     return new Promise((resolve) => {
       const exchange = new BackendExchange({
         attempt,
         clock: this.#clock,
-        memory: this.#memory,
+        correlations: this.#correlations,
         onEnded: resolve,
       });
       this.#agent.dispatch(this.#optionsOf(attempt), exchange);
@@ -102,8 +104,8 @@
   }
 }
 
-/** Whether a connection closed since bytes came that nobody awaited. */
-function isStrayInput(error: unknown): boolean {
+/** Whether an HTTP parse error closed a connection, as unawaited bytes do. */
+function isUnsolicitedInput(error: unknown): boolean {
   const { code } = error as { code?: string };
   return code?.startsWith("HPE_") === true;
 }
--- a/src/process/routing/backend_endpoints.ts
+++ b/src/process/routing/backend_endpoints.ts
@@ -21,7 +21,7 @@
 
 const ANNOUNCEMENT_LIMIT_BYTES = 4_096;
 
-/** What the endpoints need. */
+/** Options of {@link backendEndpoints}. */
 export interface BackendEndpointsOptions {
   readonly clock: Clock;
   readonly router: Router;
@@ -29,7 +29,7 @@
   readonly onAnnounced: (announcement: ServerAnnouncement) => void;
 }
 
-/** The endpoints about backend servers. */
+/** The endpoints for announcing and listing backend servers. */
 export function backendEndpoints(
   options: BackendEndpointsOptions,
 ): HttpEndpoint[] {
@@ -74,7 +74,7 @@
   }
   const [issue] = parsed.error.issues;
   return failure("malformed", {
-    detail: issue?.message ?? "That isn't an announcement.",
+    detail: issue?.message ?? "The body isn't an announcement.",
     location: issue?.path.join(".") ?? "",
   });
 }
@@ -95,7 +95,7 @@
       const { announcement, health } = server;
       backends.push({
         ...announcement,
-        heardMsAgo: Math.round(nowMs - server.heardAtMs),
+        heardMsAgo: Math.round(nowMs - server.announcedAtMs),
         health: health.state,
         latencyMs: Math.round(health.latency.meanMs * 10) / 10,
         slotsHere: servers.slotsOf(server),
--- a/src/process/routing/backend_exchange.ts
+++ b/src/process/routing/backend_exchange.ts
@@ -1,5 +1,5 @@
 /**
- * One sending to a backend server, from its dispatch to the last byte of the
+ * One attempt on a backend server, from its dispatch to the last byte of the
  * answer.
  *
  * @module
@@ -11,21 +11,21 @@
   RequestRecord,
   ServerAnswer,
 } from "../../request/request_record.ts";
-import { AnswerFault, type CorrelationMemory } from "./answer_faults.ts";
+import { AnswerFault, type RecentCorrelations } from "./answer_faults.ts";
 import { AttemptResult } from "./core/mod.ts";
 import { RequestHeader } from "./request_headers.ts";
 
-/** One sending. */
+/** One attempt to send a request to a backend server. */
 export interface BackendAttempt {
   readonly record: RequestRecord;
   readonly address: string;
-  /** Never used twice, over all instances and their runs. */
+  /** Unique over all instances and their restarts. */
   readonly correlationId: string;
   readonly giveUpAtMs: number;
   readonly answerLimitBytes: number;
 }
 
-/** How a sending ended. */
+/** How an attempt ended. */
 export interface BackendAttemptEnd {
   readonly result: AttemptResult;
   /** Present when the result is `answered` or `serverError`. */
@@ -33,15 +33,15 @@
   readonly fault: AnswerFault | undefined;
 }
 
-/** What an exchange is built from. */
+/** Options of a {@link BackendExchange}. */
 export interface BackendExchangeOptions {
   readonly attempt: BackendAttempt;
   readonly clock: Clock;
-  readonly memory: CorrelationMemory;
+  readonly correlations: RecentCorrelations;
   readonly onEnded: (end: BackendAttemptEnd) => void;
 }
 
-/** Statuses by which a server says that it failed, not the request. */
+/** Statuses that report a failure of the server, not of the request. */
 const SERVER_ERROR_STATUSES: ReadonlySet<number> = new Set([
   500,
   502,
@@ -49,10 +49,10 @@
   504,
 ]);
 
-/** The first status that ends an exchange; those below inform only. */
+/** Lower statuses are informational and don't end an exchange. */
 const FIRST_FINAL_STATUS = 200;
 
-/** Collects the answer to one sending and lets no other one through. */
+/** Collects the answer to one attempt and rejects any other. */
 export class BackendExchange implements Dispatcher.DispatchHandler {
   readonly #options: BackendExchangeOptions;
   readonly #timer: Timer;
@@ -68,13 +68,13 @@
     this.#options = options;
     const { clock, attempt } = options;
     const leftMs = attempt.giveUpAtMs - clock.nowMs();
-    this.#timer = clock.after(leftMs, () => this.#giveUp());
+    this.#timer = clock.after(leftMs, () => this.#timeOut());
   }
 
   /** Called before the first byte is written. */
   onRequestStart(controller: Dispatcher.DispatchController): void {
     if (this.#hasEnded) {
-      controller.abort(new Error("given up"));
+      controller.abort(new Error("attempt already ended"));
       return;
     }
     this.#controller = controller;
@@ -89,7 +89,7 @@
     if (status < FIRST_FINAL_STATUS) {
       return;
     }
-    const fault = this.#faultOfHead(headers);
+    const fault = this.#headerFault(headers);
     if (fault !== undefined) {
       this.#reject(fault);
       return;
@@ -128,21 +128,23 @@
   }
 
   onResponseError(): void {
-    const wasCut = this.#status !== 0;
-    this.#fail(wasCut ? AnswerFault.truncated : undefined);
+    const isTruncated = this.#status !== 0;
+    this.#fail(isTruncated ? AnswerFault.truncated : undefined);
   }
 
-  #faultOfHead(
+  #headerFault(
     headers: Record<string, string | string[] | undefined>,
   ): AnswerFault | undefined {
-    const { attempt, memory } = this.#options;
+    const { attempt, correlations } = this.#options;
     const echoed = headers[RequestHeader.correlation];
     if (echoed !== attempt.correlationId) {
-      return memory.classify(typeof echoed === "string" ? echoed : undefined);
+      return correlations.classify(
+        typeof echoed === "string" ? echoed : undefined,
+      );
     }
-    const isFramed = headers["content-length"] !== undefined ||
+    const hasKnownEnd = headers["content-length"] !== undefined ||
       headers["transfer-encoding"] !== undefined;
-    return isFramed ? undefined : AnswerFault.truncated;
+    return hasKnownEnd ? undefined : AnswerFault.truncated;
   }
 
   #reject(fault: AnswerFault): void {
@@ -150,12 +152,12 @@
     this.#controller?.abort(new Error(fault));
   }
 
-  #giveUp(): void {
+  #timeOut(): void {
     this.#fail(undefined);
-    this.#controller?.abort(new Error("given up"));
+    this.#controller?.abort(new Error("attempt timed out"));
   }
 
-  /** Before the start no byte was written, and none will be. */
+  /** Before `onRequestStart` no byte was written, and none will be. */
   #fail(fault: AnswerFault | undefined): void {
     const result = this.#hasStarted
       ? AttemptResult.ambiguous
@@ -169,9 +171,12 @@
     }
     this.#hasEnded = true;
     this.#timer.close();
-    const { memory, attempt, onEnded } = this.#options;
+    const { correlations, attempt, onEnded } = this.#options;
     const isAnswered = end.answer !== undefined;
-    memory.remember(attempt.correlationId, isAnswered ? "answered" : "givenUp");
+    correlations.record(
+      attempt.correlationId,
+      isAnswered ? "answered" : "givenUp",
+    );
     onEnded(end);
   }
 }
--- a/src/process/routing/core/class_queues.ts
+++ b/src/process/routing/core/call_queue.ts
@@ -1,19 +1,18 @@
 /**
- * The calls of one service that wait for a slot: by rank of class, within a
- * rank by deadline.
+ * The queue of one service's calls that wait for a slot.
  *
  * @module
  */
 
-/** What the queues need to know of a call. */
+/** The properties of a call that its place in the queue depends on. */
 export interface QueuedCall {
   readonly requestClass: string;
   readonly rank: number;
   readonly deadlineMs: number;
 }
 
-/** Sorted by rank, then deadline, then arrival. */
-export class ClassQueues<Call extends QueuedCall> {
+/** Calls ordered by rank of their class, then deadline, then arrival. */
+export class CallQueue<Call extends QueuedCall> {
   #calls: Call[] = [];
   #countByClass = new Map<string, number>();
 
@@ -29,37 +28,37 @@
     return this.#countByClass.get(requestClass) ?? 0;
   }
 
-  /** How many calls would go before this one. */
+  /** Number of queued calls that come before this one. */
   countBefore(call: QueuedCall): number {
-    return this.#placeOf(call);
+    return this.#insertionIndex(call);
   }
 
   add(call: Call): void {
-    this.#calls.splice(this.#placeOf(call), 0, call);
+    this.#calls.splice(this.#insertionIndex(call), 0, call);
     this.#count(call, 1);
   }
 
   remove(call: Call): boolean {
-    const at = this.#calls.indexOf(call);
-    if (at < 0) {
+    const index = this.#calls.indexOf(call);
+    if (index < 0) {
       return false;
     }
-    this.#calls.splice(at, 1);
+    this.#calls.splice(index, 1);
     this.#count(call, -1);
     return true;
   }
 
-  /** Takes out every call for which `isDue` holds. */
-  removeWhere(isDue: (call: Call) => boolean): Call[] {
-    const due = this.#calls.filter(isDue);
-    if (due.length > 0) {
-      this.#calls = this.#calls.filter((call) => !due.includes(call));
-      due.forEach((call) => this.#count(call, -1));
+  /** Removes and returns every call for which `isDue` holds. */
+  removeWhere(matches: (call: Call) => boolean): Call[] {
+    const removed = this.#calls.filter(matches);
+    if (removed.length > 0) {
+      this.#calls = this.#calls.filter((call) => !removed.includes(call));
+      removed.forEach((call) => this.#count(call, -1));
     }
-    return due;
+    return removed;
   }
 
-  #placeOf(call: QueuedCall): number {
+  #insertionIndex(call: QueuedCall): number {
     let low = 0;
     let high = this.#calls.length;
     while (low < high) {
--- a/src/process/routing/core/ejection_test.ts
+++ b/src/process/routing/core/ejection_test.ts
@@ -12,27 +12,28 @@
 
 const SERVERS = ["s1", "s2", "s3", "s4"];
 
-/** How a server of the model answers. */
-interface Manner {
+/** How a simulated server answers. */
+interface ServerBehaviour {
   readonly result: AttemptResult;
   readonly durationMs: number;
 }
 
-const GOOD: Manner = { result: "answered", durationMs: 20 };
-const FAILING: Manner = { result: "serverError", durationMs: 5 };
-const SLOW: Manner = { result: "answered", durationMs: 400 };
+const GOOD: ServerBehaviour = { result: "answered", durationMs: 20 };
+const FAILING: ServerBehaviour = { result: "serverError", durationMs: 5 };
+const SLOW: ServerBehaviour = { result: "answered", durationMs: 400 };
 
-/** A core whose servers answer as told, under steady load. */
-class World {
+/** A routing core and simulated servers under steady load. */
+class EjectionSimulation {
   readonly #core = new RoutingCore({
     dataCentre: "dc",
     random: new SeededRandom({ seed: 2 }),
   });
-  readonly manners = new Map<string, Manner>();
+  readonly behaviours = new Map<string, ServerBehaviour>();
   readonly ejected: string[] = [];
   readonly readmitted: string[] = [];
   readonly sentTo = new Map<string, number>();
-  readonly #due: { atMs: number; attemptId: number; serverId: string }[] = [];
+  readonly #attempts: { atMs: number; attemptId: number; serverId: string }[] =
+    [];
   readonly #isIdempotent: boolean;
   readonly #serverIds: readonly string[];
   #nowMs = 0;
@@ -43,28 +44,28 @@
   ) {
     this.#serverIds = options.serverIds ?? SERVERS;
     this.#isIdempotent = options.isIdempotent;
-    this.#feed({
+    this.#handle({
       kind: "configurationChanged",
       atMs: 0,
       services: { svc: SERVICE },
     });
   }
 
-  /** A call every 5 ms. */
-  run(forMs: number): void {
-    for (const endMs = this.#nowMs + forMs; this.#nowMs < endMs;) {
+  /** Sends a call every 5 ms. */
+  run(periodMs: number): void {
+    for (const endMs = this.#nowMs + periodMs; this.#nowMs < endMs;) {
       this.#nowMs += 5;
       if (this.#nowMs % 500 === 5) {
         this.#serverIds.forEach((serverId) => this.#announce(serverId));
       }
-      this.#endDue();
-      this.#feed({ kind: "tick", atMs: this.#nowMs });
+      this.#endDueAttempts();
+      this.#handle({ kind: "tick", atMs: this.#nowMs });
       this.#call();
     }
   }
 
   #announce(serverId: string): void {
-    this.#feed({
+    this.#handle({
       kind: "serverAnnounced",
       atMs: this.#nowMs,
       announcement: {
@@ -80,7 +81,7 @@
   }
 
   #call(): void {
-    this.#feed({
+    this.#handle({
       kind: "callArrived",
       atMs: this.#nowMs,
       call: {
@@ -95,30 +96,30 @@
     });
   }
 
-  #endDue(): void {
-    const due = this.#due.filter(({ atMs }) => atMs <= this.#nowMs);
+  #endDueAttempts(): void {
+    const due = this.#attempts.filter(({ atMs }) => atMs <= this.#nowMs);
     for (const { attemptId, serverId } of due) {
-      const { result } = this.manners.get(serverId) ?? GOOD;
-      this.#due.splice(
-        this.#due.findIndex((other) => other.attemptId === attemptId),
+      const { result } = this.behaviours.get(serverId) ?? GOOD;
+      this.#attempts.splice(
+        this.#attempts.findIndex((other) => other.attemptId === attemptId),
         1,
       );
       const atMs = this.#nowMs;
-      this.#feed({ kind: "attemptEnded", atMs, attemptId, result });
+      this.#handle({ kind: "attemptEnded", atMs, attemptId, result });
     }
   }
 
-  #feed(event: RoutingEvent): void {
-    this.#core.handle(event).forEach((decision) => this.#obey(decision));
+  #handle(event: RoutingEvent): void {
+    this.#core.handle(event).forEach((decision) => this.#carryOut(decision));
   }
 
-  #obey(decision: RoutingDecision): void {
+  #carryOut(decision: RoutingDecision): void {
     switch (decision.kind) {
       case "sendAttempt": {
         const { attemptId, serverId } = decision;
-        const { durationMs } = this.manners.get(serverId) ?? GOOD;
+        const { durationMs } = this.behaviours.get(serverId) ?? GOOD;
         const atMs = this.#nowMs + durationMs;
-        this.#due.push({ attemptId, serverId, atMs });
+        this.#attempts.push({ attemptId, serverId, atMs });
         this.sentTo.set(serverId, (this.sentTo.get(serverId) ?? 0) + 1);
         break;
       }
@@ -137,50 +138,50 @@
 for (const isIdempotent of [true, false]) {
   const kind = isIdempotent ? "idempotent" : "non-idempotent";
 
-  test(`a failing server is ejected and comes back: ${kind}`, (t) => {
-    const world = new World({ isIdempotent });
-    world.manners.set("s1", FAILING);
-    world.run(5_000);
-    t.is(world.ejected[0], "s1 failing");
-    world.manners.set("s1", GOOD);
-    world.run(30_000);
-    t.deepEqual(world.readmitted, ["s1"]);
+  test(`a failing server is ejected and readmitted: ${kind}`, (t) => {
+    const simulation = new EjectionSimulation({ isIdempotent });
+    simulation.behaviours.set("s1", FAILING);
+    simulation.run(5_000);
+    t.is(simulation.ejected[0], "s1 failing");
+    simulation.behaviours.set("s1", GOOD);
+    simulation.run(30_000);
+    t.deepEqual(simulation.readmitted, ["s1"]);
   });
 }
 
-test("a slow server is ejected, probed and kept out while slow", (t) => {
-  const world = new World({ isIdempotent: true });
-  world.run(1_000);
-  world.manners.set("s2", SLOW);
-  world.run(5_000);
-  t.true(world.ejected.includes("s2 slow"));
-  const before = world.sentTo.get("s2") ?? 0;
-  world.run(20_000);
-  t.deepEqual(world.readmitted, []);
-  const probes = (world.sentTo.get("s2") ?? 0) - before;
+test("a slow server is ejected and probed, and stays ejected while slow", (t) => {
+  const simulation = new EjectionSimulation({ isIdempotent: true });
+  simulation.run(1_000);
+  simulation.behaviours.set("s2", SLOW);
+  simulation.run(5_000);
+  t.true(simulation.ejected.includes("s2 slow"));
+  const before = simulation.sentTo.get("s2") ?? 0;
+  simulation.run(20_000);
+  t.deepEqual(simulation.readmitted, []);
+  const probes = (simulation.sentTo.get("s2") ?? 0) - before;
   t.true(probes >= 1 && probes <= 10, `${probes}`);
 });
 
-test("servers are kept when too many would be out", (t) => {
-  const world = new World({ isIdempotent: true });
-  SERVERS.forEach((serverId) => world.manners.set(serverId, FAILING));
-  world.run(5_000);
-  const out = new Set(world.ejected.map((text) => text.split(" ")[0]));
+test("servers over the ejection limit are not ejected", (t) => {
+  const simulation = new EjectionSimulation({ isIdempotent: true });
+  SERVERS.forEach((serverId) => simulation.behaviours.set(serverId, FAILING));
+  simulation.run(5_000);
+  const out = new Set(simulation.ejected.map((text) => text.split(" ")[0]));
   t.is(out.size, Math.floor(SERVERS.length * SERVICE.ejectionFractionLimit));
 });
 
-test("a server that fails at once is avoided though it can't be ejected", (t) => {
+test("a fast-failing server is avoided even if it can't be ejected", (t) => {
   const serverIds = ["s1", "s2"];
-  const world = new World({ isIdempotent: false, serverIds });
-  world.run(1_000);
-  world.manners.set("s1", FAILING);
-  const before = world.sentTo.get("s1") ?? 0;
-  world.run(10_000);
-  t.deepEqual(world.ejected, []);
-  const sent = (world.sentTo.get("s1") ?? 0) - before;
+  const simulation = new EjectionSimulation({ isIdempotent: false, serverIds });
+  simulation.run(1_000);
+  simulation.behaviours.set("s1", FAILING);
+  const before = simulation.sentTo.get("s1") ?? 0;
+  simulation.run(10_000);
+  t.deepEqual(simulation.ejected, []);
+  const sent = (simulation.sentTo.get("s1") ?? 0) - before;
   t.true(sent <= 60, `${sent} of 2000`);
-  world.manners.set("s1", GOOD);
-  world.run(5_000);
-  const after = (world.sentTo.get("s1") ?? 0) - before - sent;
+  simulation.behaviours.set("s1", GOOD);
+  simulation.run(5_000);
+  const after = (simulation.sentTo.get("s1") ?? 0) - before - sent;
   t.true(after >= 250, `${after} of 1000`);
 });
--- a/src/process/routing/core/mod.ts
+++ b/src/process/routing/core/mod.ts
@@ -1,5 +1,5 @@
 /**
- * The decisions of request routing, free of time and I/O.
+ * The decision logic of request routing, without clocks or I/O.
  *
  * @module
  */
--- a/src/process/routing/core/open_call.ts
+++ b/src/process/routing/core/open_call.ts
@@ -1,5 +1,5 @@
 /**
- * A call as its service's router follows it.
+ * The state of a call in its service's router.
  *
  * @module
  */
@@ -13,21 +13,21 @@
 export interface OpenCall extends RoutedCall {
   readonly rank: number;
   readonly triedServers: Set<BackendServerId>;
-  /** The attempt on its way; undefined while it waits. */
+  /** The attempt in flight; undefined while the call is queued or forwarded. */
   attemptId: AttemptId | undefined;
-  isForwardedOn: boolean;
+  hasBeenForwarded: boolean;
   /** Whether a server may have run it. */
   mayHaveRun: boolean;
 }
 
-/** A call that has just arrived. */
-export function openCall(call: RoutedCall, rank: number): OpenCall {
+/** The state of a call that has just arrived. */
+export function createOpenCall(call: RoutedCall, rank: number): OpenCall {
   return {
     ...call,
     rank,
     triedServers: new Set(),
     attemptId: undefined,
-    isForwardedOn: false,
+    hasBeenForwarded: false,
     mayHaveRun: false,
   };
 }
--- a/src/process/routing/core/remote_loads.ts
+++ b/src/process/routing/core/remote_loads.ts
@@ -1,5 +1,5 @@
 /**
- * What other data centres could take on, and the budget of the region link.
+ * Free capacity of other data centres, and the byte budget of the region link.
  *
  * @module
  */
@@ -10,17 +10,17 @@
 import type { RoutingOptions } from "./routing_options.ts";
 import { TokenBucket } from "./token_bucket.ts";
 
-/** Bytes of an answer that are reckoned with beside those of the body. */
-const ANSWER_BYTES = 2_048;
+/** Budgeted for the answer, in addition to the bytes of the request body. */
+const ANSWER_ALLOWANCE_BYTES = 2_048;
 
-interface HeardLoad {
+interface ReportedLoad {
   readonly load: RemoteLoad;
-  readonly heardAtMs: number;
+  readonly reportedAtMs: number;
   freeSlots: number;
 }
 
-/** What a choice among data centres looks at. */
-export interface RemoteOptions {
+/** Inputs of a choice among data centres. */
+export interface RemoteChoiceOptions {
   readonly service: Service;
   readonly nowMs: number;
   readonly serviceTimeMs: number;
@@ -29,76 +29,87 @@
 /** The latest load reports of other data centres for one service. */
 export class RemoteLoads {
   readonly #options: RoutingOptions;
-  readonly #loads = new Map<DataCentreId, HeardLoad>();
-  readonly #bytes = new TokenBucket({ limit: 0 });
+  readonly #loads = new Map<DataCentreId, ReportedLoad>();
+  readonly #byteBudget = new TokenBucket({ limit: 0 });
 
   constructor(options: RoutingOptions) {
     this.#options = options;
   }
 
-  hear(load: RemoteLoad, heardAtMs: number): void {
+  recordReport(load: RemoteLoad, reportedAtMs: number): void {
     const { freeSlots } = load;
-    this.#loads.set(load.dataCentre, { load, heardAtMs, freeSlots });
+    this.#loads.set(load.dataCentre, { load, reportedAtMs, freeSlots });
   }
 
   /**
-   * The data centre that can answer the call within its deadline, or
-   * undefined; one within the region goes first, since its link is free.
+   * Reserves a slot in a data centre that can answer the call within its
+   * deadline; undefined if there is none. Those of the same region come first,
+   * since bytes within the region aren't limited.
    */
-  claim(call: RoutedCall, options: RemoteOptions): DataCentreId | undefined {
-    const chosen = this.#find(call, options);
+  reserve(
+    call: RoutedCall,
+    options: RemoteChoiceOptions,
+  ): DataCentreId | undefined {
+    const chosen = this.#findBest(call, options);
     if (chosen === undefined) {
       return undefined;
     }
     chosen.freeSlots -= 1;
     if (chosen.load.isOtherRegion) {
-      this.#bytes.take(bytesOf(call));
+      this.#byteBudget.tryTake(bytesOf(call));
     }
     return chosen.load.dataCentre;
   }
 
-  /** Whether {@link claim} would find a data centre. */
-  canTake(call: RoutedCall, options: RemoteOptions): boolean {
-    return this.#find(call, options) !== undefined;
+  /** Whether {@link reserve} would find a data centre. */
+  canReserve(call: RoutedCall, options: RemoteChoiceOptions): boolean {
+    return this.#findBest(call, options) !== undefined;
   }
 
-  #find(call: RoutedCall, options: RemoteOptions): HeardLoad | undefined {
+  #findBest(
+    call: RoutedCall,
+    options: RemoteChoiceOptions,
+  ): ReportedLoad | undefined {
     const { service, nowMs, serviceTimeMs } = options;
     if (call.isForwarded) {
       return undefined;
     }
-    this.#fill(service, nowMs);
-    const fitting = [...this.#loads.values()].filter((heard) => {
-      const { roundTripMs, dataCentre } = heard.load;
-      const ageMs = nowMs - heard.heardAtMs;
+    this.#refillBudget(service, nowMs);
+    const candidates = [...this.#loads.values()].filter((report) => {
+      const { roundTripMs, dataCentre } = report.load;
+      const ageMs = nowMs - report.reportedAtMs;
       return ageMs < this.#options.remoteLoadLifetimeMs &&
-        heard.freeSlots >= 1 &&
+        report.freeSlots >= 1 &&
         (service.dataCentreWeights[dataCentre] ?? 1) > 0 &&
         nowMs + roundTripMs + serviceTimeMs < call.deadlineMs;
     });
-    fitting.sort((left, right) => compare(left, right, service));
-    return fitting.find((heard) =>
-      !heard.load.isOtherRegion || this.#bytes.tokens >= bytesOf(call)
+    candidates.sort((left, right) => compare(left, right, service));
+    return candidates.find((report) =>
+      !report.load.isOtherRegion || this.#byteBudget.tokens >= bytesOf(call)
     );
   }
 
-  #fill(service: Service, nowMs: number): void {
+  #refillBudget(service: Service, nowMs: number): void {
     const perSecond = service.crossRegionBytesPerSecond;
     const limit = perSecond * this.#options.crossRegionBurstSeconds;
-    this.#bytes.fill(nowMs, { perSecond, limit });
+    this.#byteBudget.refill(nowMs, { perSecond, limit });
   }
 }
 
 function bytesOf(call: RoutedCall): number {
-  return call.bodyBytes + ANSWER_BYTES;
+  return call.bodyBytes + ANSWER_ALLOWANCE_BYTES;
 }
 
-function compare(left: HeardLoad, right: HeardLoad, service: Service): number {
+function compare(
+  left: ReportedLoad,
+  right: ReportedLoad,
+  service: Service,
+): number {
   const byRegion = Number(left.load.isOtherRegion) -
     Number(right.load.isOtherRegion);
   return byRegion || score(right, service) - score(left, service);
 }
 
-function score({ load, freeSlots }: HeardLoad, service: Service): number {
+function score({ load, freeSlots }: ReportedLoad, service: Service): number {
   return freeSlots * (service.dataCentreWeights[load.dataCentre] ?? 1);
 }
--- a/src/process/routing/core/routing_core.ts
+++ b/src/process/routing/core/routing_core.ts
@@ -1,5 +1,5 @@
 /**
- * The routing of one instance as a pure function of events.
+ * Routing of one instance as a pure function of events.
  *
  * @module
  */
@@ -21,14 +21,14 @@
 import type { ServerAnnouncement } from "./server_announcement.ts";
 import { ServiceRouter } from "./service_router.ts";
 
-/** What a core is built from. */
+/** Options of a {@link RoutingCore}. */
 export interface RoutingCoreOptions {
   readonly dataCentre: DataCentreId;
   readonly random: RandomSource;
   readonly routing?: Partial<RoutingOptions>;
 }
 
-/** Events in, decisions out. */
+/** Turns routing events into decisions. */
 export class RoutingCore {
   readonly #options: RoutingCoreOptions;
   readonly #routing: RoutingOptions;
@@ -47,17 +47,17 @@
     return this.#serviceByCall.size;
   }
 
-  /** The services of the configuration, with their calls and servers. */
+  /** Routers of the configured services, and of removed ones in use. */
   get services(): ReadonlyMap<ServiceId, ServiceRouter> {
     return this.#services;
   }
 
-  /** Whether the call waits, so that no server can have run it. */
+  /** Whether the call is queued and no server can have run it. */
   isQueued(key: CallKey): boolean {
     return this.#serviceByCall.get(key)?.isQueued(key) === true;
   }
 
-  /** Whether the call would be refused at once; changes nothing. */
+  /** Whether the call would be refused on arrival; changes nothing. */
   wouldRefuse(call: RoutedCall, atMs: number): boolean {
     return this.#services.get(call.service)?.wouldRefuse(call, atMs) === true;
   }
@@ -93,15 +93,17 @@
         return this.#services.get(event.service)?.dispatch(event.atMs) ?? [];
       case "remoteLoadReported":
         this.#services.get(event.load.service)?.remoteLoads
-          .hear(event.load, event.atMs);
+          .recordReport(event.load, event.atMs);
         return [];
       case "tick":
-        return this.#all((service) => service.tick(event.atMs));
+        return this.#forAllServices((service) => service.tick(event.atMs));
     }
   }
 
-  #all(act: (service: ServiceRouter) => RoutingDecision[]): RoutingDecision[] {
-    return [...this.#services.values()].flatMap(act);
+  #forAllServices(
+    decide: (service: ServiceRouter) => RoutingDecision[],
+  ): RoutingDecision[] {
+    return [...this.#services.values()].flatMap(decide);
   }
 
   #configure(
@@ -117,11 +119,11 @@
       }
     }
     for (const [serviceId, router] of this.#services) {
-      if (services[serviceId] === undefined && router.open === 0) {
+      if (services[serviceId] === undefined && router.openCalls === 0) {
         this.#services.delete(serviceId);
       }
     }
-    return this.#all((service) => service.dispatch(atMs));
+    return this.#forAllServices((service) => service.dispatch(atMs));
   }
 
   #create(
--- a/src/process/routing/core/routing_core_fixture.ts
+++ b/src/process/routing/core/routing_core_fixture.ts
@@ -1,6 +1,6 @@
 /**
- * Servers and callers around a routing core, with the truth about them, for
- * tests of its promises.
+ * Simulated servers and callers around a routing core, with a model of their
+ * state against which every decision is checked.
  *
  * @module
  */
@@ -27,50 +27,50 @@
 const BODY_BYTES = 1_500;
 const ROUND_TRIP_MS = 40;
 
-/** Turns the core into a broken one, to see that the oracle notices. */
+/** Breaks the core on purpose, to test that the oracle notices. */
 export interface Mutation {
   readonly event?: (event: RoutingEvent) => RoutingEvent;
   readonly decision?: (decision: RoutingDecision) => RoutingDecision;
 }
 
-interface TrueServer {
-  leavingHeard: boolean;
+interface ServerModel {
+  leavingAnnounced: boolean;
   incarnation: number;
-  heardAtMs: number;
+  announcedAtMs: number;
 }
 
-interface TrueCall {
+interface CallModel {
   readonly rank: number;
   readonly isIdempotent: boolean;
   readonly deadlineMs: number;
   /** Attempts that may have reached a server. */
-  reached: number;
-  tries: number;
-  open: number;
-  waits: boolean;
+  possibleRuns: number;
+  attemptCount: number;
+  openAttempts: number;
+  isQueued: boolean;
   ended: boolean;
   forwarded: boolean;
   abandoned: boolean;
 }
 
-interface TrueAttempt {
+interface AttemptModel {
   readonly key: string;
   readonly serverId: string;
   result: AttemptResult | undefined;
 }
 
-/** Plays servers and callers around a core and checks every decision. */
-export class World {
+/** Simulates servers and callers around a core and checks every decision. */
+export class RoutingSimulation {
   readonly #core: RoutingCore;
   readonly #mutation: Mutation;
-  readonly servers = new Map<string, TrueServer>();
-  readonly calls = new Map<string, TrueCall>();
-  readonly attempts = new Map<number, TrueAttempt>();
+  readonly servers = new Map<string, ServerModel>();
+  readonly calls = new Map<string, CallModel>();
+  readonly attempts = new Map<number, AttemptModel>();
   #nowMs = 0;
   #slots: ReadonlyMap<string, number> | undefined;
   #drained: readonly string[] = [];
   readonly #ejected = new Set<string>();
-  #firstTries = 0;
+  #firstAttempts = 0;
   #retries = 0;
   #forwardedBytes = 0;
 
@@ -86,7 +86,7 @@
   configure(drained: readonly string[]): void {
     this.#drained = drained;
     const service = { ...SERVICE, drainedServers: [...drained] };
-    this.#feed({
+    this.#handle({
       kind: "configurationChanged",
       atMs: this.#nowMs,
       services: { svc: service },
@@ -99,22 +99,22 @@
   ): void {
     const isNew = !this.servers.has(serverId);
     const known = this.servers.get(serverId) ??
-      { leavingHeard: false, incarnation: 1, heardAtMs: this.#nowMs };
-    const silentMs = this.#nowMs - known.heardAtMs;
+      { leavingAnnounced: false, incarnation: 1, announcedAtMs: this.#nowMs };
+    const silentMs = this.#nowMs - known.announcedAtMs;
     const isForgotten = silentMs > DEFAULT_ROUTING_OPTIONS.forgetAfterMs;
     if (options.old && (isNew || isForgotten)) {
       return;
     }
     this.servers.set(serverId, known);
     if (isForgotten) {
-      known.leavingHeard = false;
+      known.leavingAnnounced = false;
       this.#ejected.delete(serverId);
     }
     if (!options.old) {
-      known.heardAtMs = this.#nowMs;
-      known.leavingHeard ||= options.leaving;
+      known.announcedAtMs = this.#nowMs;
+      known.leavingAnnounced ||= options.leaving;
     }
-    this.#feed({
+    this.#handle({
       kind: "serverAnnounced",
       atMs: this.#nowMs,
       announcement: {
@@ -133,7 +133,7 @@
     const known = this.servers.get(serverId);
     if (known !== undefined) {
       known.incarnation += 1;
-      known.leavingHeard = false;
+      known.leavingAnnounced = false;
       this.#ejected.delete(serverId);
       this.announce(serverId, { leaving: false, old: false });
     }
@@ -147,15 +147,15 @@
     this.calls.set(key, {
       ...options,
       deadlineMs,
-      reached: 0,
-      tries: 0,
-      open: 0,
-      waits: true,
+      possibleRuns: 0,
+      attemptCount: 0,
+      openAttempts: 0,
+      isQueued: true,
       ended: false,
       forwarded: false,
       abandoned: false,
     });
-    this.#feed({
+    this.#handle({
       kind: "callArrived",
       atMs: this.#nowMs,
       call: {
@@ -170,47 +170,52 @@
     });
   }
 
-  endAttempt(place: number, result: AttemptResult): void {
+  endAttempt(index: number, result: AttemptResult): void {
     const open = [...this.attempts].filter(([, { result }]) =>
       result === undefined
     );
-    const [attemptId, attempt] = open[place % Math.max(1, open.length)] ?? [];
+    const [attemptId, attempt] = open[index % Math.max(1, open.length)] ?? [];
     if (attemptId === undefined || attempt === undefined) {
       return;
     }
     attempt.result = result;
     const call = this.#callOf(attempt.key);
-    call.open -= 1;
-    call.reached += result === "notSent" ? 0 : 1;
-    call.waits = true;
-    this.#feed({ kind: "attemptEnded", atMs: this.#nowMs, attemptId, result });
+    call.openAttempts -= 1;
+    call.possibleRuns += result === "notSent" ? 0 : 1;
+    call.isQueued = true;
+    this.#handle({
+      kind: "attemptEnded",
+      atMs: this.#nowMs,
+      attemptId,
+      result,
+    });
   }
 
-  endForward(place: number, result: AttemptResult): void {
+  endForward(index: number, result: AttemptResult): void {
     const open = [...this.calls].filter(([, call]) =>
       call.forwarded && !call.ended
     );
-    const [key] = open[place % Math.max(1, open.length)] ?? [];
+    const [key] = open[index % Math.max(1, open.length)] ?? [];
     if (key !== undefined) {
       this.#callOf(key).forwarded = result !== "notSent";
-      this.#feed({ kind: "forwardEnded", atMs: this.#nowMs, key, result });
+      this.#handle({ kind: "forwardEnded", atMs: this.#nowMs, key, result });
     }
   }
 
-  abandon(place: number): void {
+  abandon(index: number): void {
     const open = [...this.calls].filter(([, call]) => !call.ended);
-    const [key, call] = open[place % Math.max(1, open.length)] ?? [];
+    const [key, call] = open[index % Math.max(1, open.length)] ?? [];
     if (key !== undefined && call !== undefined) {
       call.abandoned = true;
-      call.waits = false;
-      this.#feed({ kind: "callAbandoned", atMs: this.#nowMs, key });
+      call.isQueued = false;
+      this.#handle({ kind: "callAbandoned", atMs: this.#nowMs, key });
     }
   }
 
   allot(slots: ReadonlyMap<string, number>): void {
     this.#slots = slots;
     const kind = "slotsAllotted";
-    this.#feed({ kind, atMs: this.#nowMs, service: "svc", slots });
+    this.#handle({ kind, atMs: this.#nowMs, service: "svc", slots });
   }
 
   reportRemote(freeSlots: number): void {
@@ -221,18 +226,18 @@
       roundTripMs: ROUND_TRIP_MS,
       isOtherRegion: true,
     };
-    this.#feed({ kind: "remoteLoadReported", atMs: this.#nowMs, load });
+    this.#handle({ kind: "remoteLoadReported", atMs: this.#nowMs, load });
   }
 
   advance(byMs: number): void {
     const endMs = this.#nowMs + byMs;
     while (this.#nowMs < endMs) {
       this.#nowMs = Math.min(endMs, this.#nowMs + 10);
-      this.#feed({ kind: "tick", atMs: this.#nowMs });
+      this.#handle({ kind: "tick", atMs: this.#nowMs });
     }
   }
 
-  /** Every call must end, once its time is up. */
+  /** Advances past all deadlines and checks that every call has ended. */
   finish(): void {
     const lastMs = Math.max(
       0,
@@ -244,54 +249,55 @@
     }
   }
 
-  #feed(event: RoutingEvent): void {
-    const seen = this.#mutation.event?.(event) ?? event;
-    for (const decision of this.#core.handle(seen)) {
-      this.#judge(this.#mutation.decision?.(decision) ?? decision);
+  #handle(event: RoutingEvent): void {
+    const mutated = this.#mutation.event?.(event) ?? event;
+    for (const decision of this.#core.handle(mutated)) {
+      this.#checkDecision(this.#mutation.decision?.(decision) ?? decision);
     }
   }
 
-  #judge(decision: RoutingDecision): void {
+  #checkDecision(decision: RoutingDecision): void {
     switch (decision.kind) {
       case "sendAttempt":
-        this.#judgeSending(decision);
+        this.#checkAttempt(decision);
         break;
       case "forwardCall": {
         const call = this.#callOf(decision.key);
-        check(call.open === 0, "on its way twice");
+        check(call.openAttempts === 0, "two attempts at once");
         check(
-          call.isIdempotent || call.reached === 0,
+          call.isIdempotent || call.possibleRuns === 0,
           "sent to a second server",
         );
-        this.#countForward(call);
+        this.#checkForward(call);
         call.forwarded = true;
-        call.waits = false;
+        call.isQueued = false;
         break;
       }
       case "endWithAnswer": {
-        const call = this.#end(decision.key);
+        const call = this.#endCall(decision.key);
         const attempt = this.attempts.get(decision.attemptId ?? -1);
         const isOwn = decision.attemptId === undefined
           ? call.forwarded
           : attempt?.key === decision.key &&
             (attempt.result === "answered" || attempt.result === "serverError");
-        check(isOwn, "an answer of another call");
+        check(isOwn, "ended with the answer of another call");
         break;
       }
       case "endWithError": {
-        const call = this.#end(decision.key);
+        const call = this.#endCall(decision.key);
         const { execution } = ERROR_ANSWERS[decision.error];
-        const mayHaveRun = call.reached + call.open > 0 || call.forwarded;
+        const mayHaveRun = call.possibleRuns + call.openAttempts > 0 ||
+          call.forwarded;
         check(
           execution !== Execution.notRun || !mayHaveRun,
-          `"not run" of a call that may have run`,
+          `reported "not run" for a call that may have run`,
         );
         break;
       }
       case "ejectServer": {
         this.#ejected.add(decision.serverId);
-        const most = this.servers.size * SERVICE.ejectionFractionLimit;
-        check(this.#ejected.size <= most, "too many servers ejected");
+        const limit = this.servers.size * SERVICE.ejectionFractionLimit;
+        check(this.#ejected.size <= limit, "too many servers ejected");
         break;
       }
       case "readmitServer":
@@ -300,34 +306,40 @@
     }
   }
 
-  /** Only what can be in time goes over the region link, within its budget. */
-  #countForward(call: TrueCall): void {
-    check(this.#nowMs + ROUND_TRIP_MS < call.deadlineMs, "forwarded in vain");
+  /** Checks that the call can be in time and fits the region link's budget. */
+  #checkForward(call: CallModel): void {
+    check(
+      this.#nowMs + ROUND_TRIP_MS < call.deadlineMs,
+      "forwarded in vain, past its deadline",
+    );
     this.#forwardedBytes += BODY_BYTES;
     const seconds = 1 + this.#nowMs / 1_000;
     check(
       this.#forwardedBytes <= SERVICE.crossRegionBytesPerSecond * seconds,
-      "more over the region link than the budget",
+      "more bytes over the region link than its budget",
     );
   }
 
-  #judgeSending(
+  #checkAttempt(
     decision: Extract<RoutingDecision, { kind: "sendAttempt" }>,
   ): void {
     const { key, attemptId, serverId } = decision;
     const call = this.#callOf(key);
     const server = this.servers.get(serverId);
     const { announcementLifetimeMs } = DEFAULT_ROUTING_OPTIONS;
-    check(!call.ended && !call.abandoned, "sent after its end");
-    check(call.open === 0, "on its way twice");
-    check(call.isIdempotent || call.reached === 0, "sent to a second server");
-    check(server?.leavingHeard === false, "sent to a leaving server");
+    check(!call.ended && !call.abandoned, "sent after the call ended");
+    check(call.openAttempts === 0, "two attempts at once");
     check(
-      this.#nowMs - (server?.heardAtMs ?? 0) < announcementLifetimeMs,
+      call.isIdempotent || call.possibleRuns === 0,
+      "sent to a second server",
+    );
+    check(server?.leavingAnnounced === false, "sent to a leaving server");
+    check(
+      this.#nowMs - (server?.announcedAtMs ?? 0) < announcementLifetimeMs,
       "sent to a silent server",
     );
     check(!this.#drained.includes(serverId), "sent to a drained server");
-    this.#judgeOrder(call, serverId);
+    this.#checkOrder(call, serverId);
     this.attempts.set(attemptId, { key, serverId, result: undefined });
     const inFlight =
       [...this.attempts.values()].filter((attempt) =>
@@ -336,33 +348,36 @@
     const slots = this.#slots === undefined
       ? 2
       : Math.min(2, this.#slots.get(serverId) ?? 0);
-    check(inFlight <= slots, "more at once than slots");
-    call.open += 1;
-    call.tries += 1;
-    call.waits = false;
-    this.#countTry(decision.tryNumber > 1);
+    check(inFlight <= slots, "more attempts in flight than slots");
+    call.openAttempts += 1;
+    call.attemptCount += 1;
+    call.isQueued = false;
+    this.#checkRetryBudget(decision.tryNumber > 1);
   }
 
-  /** A first try of a more urgent class goes first, but for probes. */
-  #judgeOrder(call: TrueCall, serverId: string): void {
+  /** Checks that first attempts of more urgent classes go first, save probes. */
+  #checkOrder(call: CallModel, serverId: string): void {
     const overtaken = [...this.calls.values()].some((other) =>
-      other.waits && !other.ended && other.tries === 0 &&
+      other.isQueued && !other.ended && other.attemptCount === 0 &&
       other.rank < call.rank && !other.forwarded &&
       other.deadlineMs > this.#nowMs
     );
-    check(!overtaken || this.#ejected.has(serverId), "overtook an urgent call");
+    check(
+      !overtaken || this.#ejected.has(serverId),
+      "overtook a call of a more urgent class",
+    );
   }
 
-  #countTry(isRetry: boolean): void {
-    this.#firstTries += isRetry ? 0 : 1;
+  #checkRetryBudget(isRetry: boolean): void {
+    this.#firstAttempts += isRetry ? 0 : 1;
     this.#retries += isRetry ? 1 : 0;
     const arrived = this.calls.size;
     const budget = DEFAULT_ROUTING_OPTIONS.retryTokens +
       arrived * SERVICE.retryBudgetFraction;
-    check(this.#retries <= budget, "more retries than the budget");
+    check(this.#retries <= budget, "more retries than the retry budget");
   }
 
-  #callOf(key: string): TrueCall {
+  #callOf(key: string): CallModel {
     const call = this.calls.get(key);
     if (call === undefined) {
       throw new Error(`unknown call ${key}`);
@@ -370,17 +385,17 @@
     return call;
   }
 
-  #end(key: string): TrueCall {
+  #endCall(key: string): CallModel {
     const call = this.#callOf(key);
     check(!call.ended, "ended twice");
     call.ended = true;
-    call.waits = false;
+    call.isQueued = false;
     return call;
   }
 }
 
-function check(holds: boolean, broken: string): void {
-  if (!holds) {
-    throw new Error(broken);
+function check(condition: boolean, violation: string): void {
+  if (!condition) {
+    throw new Error(violation);
   }
 }
--- a/src/process/routing/core/routing_core_test.ts
+++ b/src/process/routing/core/routing_core_test.ts
@@ -1,13 +1,13 @@
 import test from "ava";
 import fc from "fast-check";
-import { type Mutation, World } from "./routing_core_fixture.ts";
+import { type Mutation, RoutingSimulation } from "./routing_core_fixture.ts";
 import type { AttemptResult } from "./routing_event.ts";
 
-type Step = (world: World) => void;
+type Step = (simulation: RoutingSimulation) => void;
 
 const SERVER_IDS = ["s1", "s2", "s3", "s4", "s5", "s6", "s7"];
 const serverIds = fc.constantFrom(...SERVER_IDS);
-const places = fc.nat({ max: 20 });
+const indexes = fc.nat({ max: 20 });
 const results = fc.constantFrom<AttemptResult>(
   "answered",
   "answered",
@@ -19,40 +19,47 @@
 
 const steps: fc.Arbitrary<Step>[] = [
   fc.record({ id: serverIds, leaving: fc.boolean(), old: fc.boolean() })
-    .map(({ id, leaving, old }) => (world) =>
-      world.announce(id, { leaving: leaving && id > "s4", old })
+    .map(({ id, leaving, old }) => (simulation) =>
+      simulation.announce(id, { leaving: leaving && id > "s4", old })
     ),
-  serverIds.map((id) => (world) =>
-    world.announce(id, { leaving: false, old: false })
+  serverIds.map((id) => (simulation) =>
+    simulation.announce(id, { leaving: false, old: false })
   ),
-  serverIds.map((id) => (world) => world.restart(id)),
+  serverIds.map((id) => (simulation) => simulation.restart(id)),
   ...[0, 1, 2].map(() =>
     fc.record({
       rank: fc.constantFrom(0, 5),
       isIdempotent: fc.boolean(),
       timeoutMs: fc.constantFrom(30, 200, 1_000, 4_000),
-    }).map((options) => (world: World) => world.arrive(options))
+    }).map((options) => (simulation: RoutingSimulation) =>
+      simulation.arrive(options)
+    )
   ),
   ...[0, 1].map(() =>
-    fc.tuple(places, results).map(([place, result]) => (world: World) =>
-      world.endAttempt(place, result)
+    fc.tuple(indexes, results).map(
+      ([index, result]) => (simulation: RoutingSimulation) =>
+        simulation.endAttempt(index, result),
     )
   ),
-  fc.tuple(places, results).map(([place, result]) => (world) =>
-    world.endForward(place, result)
+  fc.tuple(indexes, results).map(([index, result]) => (simulation) =>
+    simulation.endForward(index, result)
+  ),
+  indexes.map((index) => (simulation) => simulation.abandon(index)),
+  fc.nat({ max: 3 }).map((free) => (simulation) =>
+    simulation.reportRemote(free)
+  ),
+  fc.array(fc.tuple(serverIds, fc.nat({ max: 3 }))).map(
+    (slots) => (simulation) => simulation.allot(new Map(slots)),
   ),
-  places.map((place) => (world) => world.abandon(place)),
-  fc.nat({ max: 3 }).map((free) => (world) => world.reportRemote(free)),
-  fc.array(fc.tuple(serverIds, fc.nat({ max: 3 }))).map((slots) => (world) =>
-    world.allot(new Map(slots))
+  fc.subarray(["s1", "s2"]).map((ids) => (simulation) =>
+    simulation.configure(ids)
   ),
-  fc.subarray(["s1", "s2"]).map((ids) => (world) => world.configure(ids)),
-  fc.constantFrom(1, 10, 50, 400, 2_000).map((byMs) => (world) =>
-    world.advance(byMs)
+  fc.constantFrom(1, 10, 50, 400, 2_000).map((byMs) => (simulation) =>
+    simulation.advance(byMs)
   ),
 ];
 
-/** Runs random sessions; gives what broke, if anything did. */
+/** Runs random sessions; returns the first violation, if any. */
 function fuzz(mutation: Mutation, runs: number): string | undefined {
   const session = fc.array(fc.oneof(...steps), {
     minLength: 20,
@@ -61,12 +68,12 @@
   });
   const checked = fc.check(
     fc.property(session, (chosen) => {
-      const world = new World(mutation);
+      const simulation = new RoutingSimulation(mutation);
       ["s1", "s2", "s3", "s4"].forEach((id) =>
-        world.announce(id, { leaving: false, old: false })
+        simulation.announce(id, { leaving: false, old: false })
       );
-      chosen.forEach((step) => step(world));
-      world.finish();
+      chosen.forEach((step) => step(simulation));
+      simulation.finish();
     }),
     { numRuns: runs, seed: 20_240, endOnFailure: true },
   );
@@ -75,13 +82,13 @@
     : undefined;
 }
 
-test("random sessions break no promise", (t) => {
+test("random sessions violate no guarantee", (t) => {
   t.is(fuzz({}, 4_000), undefined);
 });
 
 const MUTATIONS: readonly (readonly [string, Mutation, RegExp])[] = [
   [
-    "takes an ambiguous failure for an unsent request",
+    "treats an ambiguous failure as an unsent request",
     {
       event: (event) =>
         event.kind === "attemptEnded" && event.result === "ambiguous"
@@ -91,7 +98,7 @@
     /second server|not run/,
   ],
   [
-    "doesn't hear that a server leaves",
+    "ignores that a server is leaving",
     {
       event: (event) =>
         event.kind === "serverAnnounced"
@@ -104,7 +111,7 @@
     /leaving/,
   ],
   [
-    "doesn't notice that a server is silent",
+    "treats a silent server as alive",
     {
       event: (event) =>
         event.kind === "serverAnnounced"
@@ -114,7 +121,7 @@
     /silent/,
   ],
   [
-    "takes every slot for its own",
+    "uses slots of other instances",
     {
       event: (event) =>
         event.kind === "slotsAllotted"
@@ -124,7 +131,7 @@
     /slots/,
   ],
   [
-    "reckons with no bytes over the region link",
+    "ignores the byte budget of the region link",
     {
       event: (event) =>
         event.kind === "remoteLoadReported"
@@ -134,7 +141,7 @@
     /region link/,
   ],
   [
-    "takes the other region for near",
+    "ignores the round trip to the other region",
     {
       event: (event) =>
         event.kind === "remoteLoadReported"
@@ -144,7 +151,7 @@
     /in vain/,
   ],
   [
-    "gives an answer to another call",
+    "gives an answer to the wrong call",
     {
       decision: (decision) =>
         decision.kind === "endWithAnswer" && decision.attemptId !== undefined
@@ -154,7 +161,7 @@
     /another call/,
   ],
   [
-    "says that nothing was run when that isn't known",
+    "reports an unknown outcome as not run",
     {
       decision: (decision) =>
         decision.kind === "endWithError" && decision.error === "outcomeUnknown"
@@ -164,7 +171,7 @@
     /not run/,
   ],
   [
-    "lets a call outlive its deadline",
+    "keeps a call open past its deadline",
     {
       event: (event) =>
         event.kind === "callArrived"
--- a/src/process/routing/core/routing_decision.ts
+++ b/src/process/routing/core/routing_decision.ts
@@ -1,6 +1,6 @@
 /**
- * What an instance's routing decides. The runtime carries decisions out and
- * answers with events.
+ * Decisions of the routing core. The runtime carries them out and reports
+ * their results as events.
  *
  * @module
  */
@@ -13,7 +13,7 @@
 } from "../../../base/identity.ts";
 import type { AttemptId, CallKey } from "./routing_event.ts";
 
-/** A decision out of the routing core. */
+/** A decision of the routing core. */
 export type RoutingDecision =
   | SendAttempt
   | ForwardCall
@@ -22,7 +22,7 @@
   | EjectServer
   | ReadmitServer;
 
-/** Send the call to the server, and report how that ended. */
+/** Send the call to the server and report the result. */
 export interface SendAttempt {
   readonly kind: "sendAttempt";
   readonly key: CallKey;
@@ -32,8 +32,8 @@
   /** Counts from 1; above 1 it is a retry. */
   readonly tryNumber: number;
   /**
-   * When the server is given up on; after the call's own deadline, since its
-   * slot is taken for as long as it may be working.
+   * When the attempt times out. Later than the call's deadline, since the slot
+   * stays in use while the server may still be working.
    */
   readonly giveUpAtMs: number;
 }
@@ -45,7 +45,7 @@
   readonly dataCentre: DataCentreId;
 }
 
-/** The call ends with the answer of its attempt or forwarding. */
+/** End the call with the answer of its attempt or of another data centre. */
 export interface EndWithAnswer {
   readonly kind: "endWithAnswer";
   readonly key: CallKey;
@@ -53,7 +53,7 @@
   readonly attemptId: AttemptId | undefined;
 }
 
-/** The call ends without an answer. */
+/** End the call without an answer. */
 export interface EndWithError {
   readonly kind: "endWithError";
   readonly key: CallKey;
@@ -61,7 +61,7 @@
   readonly detail: string;
 }
 
-/** The server gets nothing but probes, the first after `probeAtMs`. */
+/** The server gets only probes, the first at `probeAtMs` or later. */
 export interface EjectServer {
   readonly kind: "ejectServer";
   readonly serverId: BackendServerId;
@@ -70,7 +70,7 @@
   readonly probeAtMs: number;
 }
 
-/** The server has answered a probe well and takes its share again. */
+/** The server answered a probe in time and gets normal traffic again. */
 export interface ReadmitServer {
   readonly kind: "readmitServer";
   readonly serverId: BackendServerId;
--- a/src/process/routing/core/routing_event.ts
+++ b/src/process/routing/core/routing_event.ts
@@ -1,6 +1,6 @@
 /**
- * What happens to an instance's routing. The core is a pure function of its
- * state, its random source and these; every event carries its moment.
+ * Input events of the routing core, which is a pure function of its state, its
+ * random source and these events. Every event carries its time.
  *
  * @module
  */
@@ -13,13 +13,13 @@
 import type { Service } from "../../../version/document/document.ts";
 import type { ServerAnnouncement } from "./server_announcement.ts";
 
-/** Names one call of a caller within its entry instance. */
+/** Identifies a call within the instance that routes it. */
 export type CallKey = string;
 
-/** Names one sending of a call to a backend server. */
+/** Identifies one attempt to send a call to a backend server. */
 export type AttemptId = number;
 
-/** What routing needs to know of a call; its body stays with the runtime. */
+/** The properties of a call that routing depends on, without its body. */
 export interface RoutedCall {
   readonly key: CallKey;
   readonly service: ServiceId;
@@ -27,15 +27,15 @@
   readonly isIdempotent: boolean;
   readonly deadlineMs: number;
   readonly bodyBytes: number;
-  /** Whether it came from an instance of another data centre. */
+  /** Whether another data centre forwarded it; it isn't forwarded again. */
   readonly isForwarded: boolean;
 }
 
 /** How one attempt ended. */
 export const AttemptResult = {
-  /** The server's whole answer to this very request came. */
+  /** The server's complete answer to this request arrived. */
   answered: "answered",
-  /** The server's whole answer came and says that the server failed. */
+  /** A complete answer arrived and says that the server failed. */
   serverError: "serverError",
   /** It is certain that no byte of the request reached the server. */
   notSent: "notSent",
@@ -46,18 +46,18 @@
 /** One of the values of {@link AttemptResult}. */
 export type AttemptResult = typeof AttemptResult[keyof typeof AttemptResult];
 
-/** What another data centre could take on, as it last reported. */
+/** Free capacity of another data centre, as it last reported. */
 export interface RemoteLoad {
   readonly dataCentre: DataCentreId;
   readonly service: ServiceId;
   readonly freeSlots: number;
-  /** One way, to its instances and back. */
+  /** To its instances and back. */
   readonly roundTripMs: number;
   /** Whether bytes to it count against the budget of the region link. */
   readonly isOtherRegion: boolean;
 }
 
-/** An event into the routing core. */
+/** An input event of the routing core. */
 export type RoutingEvent =
   | {
     readonly kind: "configurationChanged";
@@ -95,7 +95,7 @@
     readonly kind: "slotsAllotted";
     readonly atMs: number;
     readonly service: ServiceId;
-    /** Slots of each server that this instance may use; the rest are 0. */
+    /** Slots that this instance may use, by server; 0 for the others. */
     readonly slots: ReadonlyMap<BackendServerId, number>;
   }
   | {
--- a/src/process/routing/core/routing_options.ts
+++ b/src/process/routing/core/routing_options.ts
@@ -1,54 +1,61 @@
 /**
- * The constants of routing.
+ * Limits and periods of request routing.
  *
  * @module
  */
 
-/** How routing decides. */
+/** Limits and periods that routing decides by. */
 export interface RoutingOptions {
-  /** A server that hasn't announced itself for this long gets nothing new. */
+  /**
+   * A server that hasn't announced itself for this long gets no new calls.
+   * Below 2 s, so that an instance that misses the announcement that a server
+   * is leaving stops sending to it within 2 s.
+   */
   readonly announcementLifetimeMs: number;
-  /** A server unheard of for this long is forgotten once it is idle. */
+  /** An idle server that has been silent for longer than this is removed. */
   readonly forgetAfterMs: number;
   /** How long past its call's deadline an attempt may hold its slot. */
   readonly attemptGraceMs: number;
-  /** Failures in a row after which a server is ejected. */
+  /** Consecutive failures after which a server is ejected. */
   readonly failuresToEject: number;
-  /** How many times the median latency makes a server slow. */
+  /** A server is slow when its latency is over this many times the median. */
   readonly slowFactor: number;
-  /** Answers of a server before its latency is judged. */
-  readonly slowSamples: number;
-  /** A server faster than this is never slow. */
+  /** Answers needed before latencies are judged. */
+  readonly minLatencySamples: number;
+  /** A server with a latency up to this is never slow. */
   readonly slowFloorMs: number;
-  /** The first wait before a probe; doubles with every failed probe. */
+  /** Wait before the first probe; doubles with every failed probe. */
   readonly probeDelayMs: number;
   readonly probeDelayLimitMs: number;
-  /** How long an idempotent call is waited for to be the probe. */
-  readonly probePatienceMs: number;
-  /** Retries that may be saved up. */
+  /** How long only an idempotent call may be a due probe; then any call may. */
+  readonly nonIdempotentProbeDelayMs: number;
+  /** Largest retry budget that may accumulate, in retries. */
   readonly retryTokens: number;
-  /** Deviations above the mean that a call must still have time for. */
+  /** Deviations above the mean service time that a call must have time for. */
   readonly serviceTimeDeviations: number;
-  /** Most bytes of the region link that may be saved up, in seconds. */
+  /** Largest byte budget of the region link that may accumulate, in seconds. */
   readonly crossRegionBurstSeconds: number;
-  /** A report of another data centre's load counts for this long. */
+  /** A load report of another data centre expires after this long. */
   readonly remoteLoadLifetimeMs: number;
-  /** How long calls are held when no server is known after a start. */
+  /**
+   * How long after a start, or after a service is added, calls are queued
+   * although no server is known yet.
+   */
   readonly discoveryMs: number;
 }
 
-/** The constants where none are given. */
+/** The defaults. */
 export const DEFAULT_ROUTING_OPTIONS: RoutingOptions = {
   announcementLifetimeMs: 1_900,
   forgetAfterMs: 60_000,
   attemptGraceMs: 5_000,
   failuresToEject: 3,
   slowFactor: 3,
-  slowSamples: 5,
+  minLatencySamples: 5,
   slowFloorMs: 10,
   probeDelayMs: 1_000,
   probeDelayLimitMs: 30_000,
-  probePatienceMs: 5_000,
+  nonIdempotentProbeDelayMs: 5_000,
   retryTokens: 10,
   serviceTimeDeviations: 1.5,
   crossRegionBurstSeconds: 1,
--- a/src/process/routing/core/server_announcement.ts
+++ b/src/process/routing/core/server_announcement.ts
@@ -1,5 +1,5 @@
 /**
- * What a backend server says of itself, about once a second.
+ * The announcement that a backend server sends about once a second.
  *
  * @module
  */
@@ -9,7 +9,7 @@
 
 const identity = z.string().regex(IDENTITY_PATTERN);
 
-/** Where a server listens: an IP number and a port. */
+/** The IP address and port on which a server listens. */
 const serverAddress = z.string().regex(
   /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$/,
   "an IP number and port, such as 127.0.0.1:9001",
@@ -19,16 +19,16 @@
 export const announcementBodySchema = z.strictObject({
   service: identity,
   address: serverAddress,
-  /** Most requests that it takes at once. */
+  /** Maximum number of requests that it takes at once. */
   slots: z.int().min(1).max(1_000),
   dataCentre: identity,
-  /** Grows with every start of the server; its start time will do. */
+  /** Greater after every restart of the server; its start time will do. */
   incarnation: z.int().min(0),
-  /** Whether it wants nothing new; holds for the rest of its incarnation. */
+  /** Whether it takes no new requests; holds for the whole incarnation. */
   leaving: z.boolean().default(false),
 });
 
-/** An announcement with the server's name. */
+/** An announcement with the server's id. */
 export const serverAnnouncementSchema = announcementBodySchema.extend({
   serverId: identity,
 });
--- a/src/process/routing/core/server_choice.ts
+++ b/src/process/routing/core/server_choice.ts
@@ -1,6 +1,6 @@
 /**
- * Chooses among servers with a free slot: of two picked at random, the one
- * that is expected to answer sooner.
+ * Chooses among servers with a free slot by the power of two choices: picks
+ * two at random and takes the one that is expected to answer sooner.
  *
  * @module
  */
@@ -9,7 +9,7 @@
 
 /** A server that could take the call. */
 export interface Candidate {
-  /** How long it is expected to take; 0 when nothing is known. */
+  /** Expected latency; 0 when unknown. */
   readonly latencyMs: number;
   readonly inFlight: number;
   /** Slots that this instance may use. */
@@ -24,10 +24,10 @@
   if (candidates.length < 2) {
     return candidates[0];
   }
-  const firstAt = random.nextInt(candidates.length);
-  const step = 1 + random.nextInt(candidates.length - 1);
-  const first = candidates[firstAt];
-  const second = candidates[(firstAt + step) % candidates.length];
+  const firstIndex = random.nextInt(candidates.length);
+  const offset = 1 + random.nextInt(candidates.length - 1);
+  const first = candidates[firstIndex];
+  const second = candidates[(firstIndex + offset) % candidates.length];
   if (first === undefined || second === undefined) {
     return first ?? second;
   }
@@ -35,6 +35,6 @@
 }
 
 function cost(candidate: Candidate): number {
-  const use = (candidate.inFlight + 1) / Math.max(1, candidate.slots);
-  return (1 + candidate.latencyMs) * use;
+  const load = (candidate.inFlight + 1) / Math.max(1, candidate.slots);
+  return (1 + candidate.latencyMs) * load;
 }
--- a/src/process/routing/core/server_entry.ts
+++ b/src/process/routing/core/server_entry.ts
@@ -1,5 +1,5 @@
 /**
- * One backend server as this instance knows it.
+ * One backend server as known to this instance.
  *
  * @module
  */
@@ -11,14 +11,14 @@
 import type { ServerAnnouncement } from "./server_announcement.ts";
 import { HealthState, ServerHealth } from "./server_health.ts";
 
-/** A server, its latest announcement and what it works on for us. */
+/** A server's latest announcement, health and attempts of this instance. */
 export class ServerEntry {
   readonly serverId: BackendServerId;
   readonly #options: RoutingOptions;
   #announcement: ServerAnnouncement;
-  #heardAtMs: number;
+  #announcedAtMs: number;
   health: ServerHealth;
-  /** The attempts in flight, with the moment each began. */
+  /** Start times of the attempts in flight, oldest first. */
   readonly attempts = new Map<AttemptId, number>();
 
   constructor(
@@ -28,7 +28,7 @@
     this.serverId = announcement.serverId;
     this.#options = options.routing;
     this.#announcement = announcement;
-    this.#heardAtMs = options.atMs;
+    this.#announcedAtMs = options.atMs;
     this.health = new ServerHealth(options.routing);
   }
 
@@ -36,20 +36,21 @@
     return this.#announcement;
   }
 
-  get heardAtMs(): number {
-    return this.#heardAtMs;
+  get announcedAtMs(): number {
+    return this.#announcedAtMs;
   }
 
   /**
-   * Takes a newer announcement. An older incarnation is ignored, and leaving
-   * holds until the next one, in whatever order announcements come.
+   * Applies an announcement. An older incarnation is ignored. `leaving` stays
+   * set until the next incarnation, since announcements may arrive out of
+   * order.
    */
-  hear(announcement: ServerAnnouncement, atMs: number): void {
+  update(announcement: ServerAnnouncement, atMs: number): void {
     const known = this.#announcement;
     if (announcement.incarnation < known.incarnation) {
       return;
     }
-    this.#heardAtMs = Math.max(this.#heardAtMs, atMs);
+    this.#announcedAtMs = Math.max(this.#announcedAtMs, atMs);
     if (announcement.incarnation > known.incarnation) {
       this.health = new ServerHealth(this.#options);
       this.#announcement = announcement;
@@ -59,28 +60,28 @@
     this.#announcement = { ...announcement, leaving };
   }
 
-  /** Whether it may get new work at all. */
-  isOpen(nowMs: number, service: Service): boolean {
-    const ageMs = nowMs - this.#heardAtMs;
+  /** Whether it announced itself recently and is neither leaving nor drained. */
+  acceptsNewWork(nowMs: number, service: Service): boolean {
+    const ageMs = nowMs - this.#announcedAtMs;
     return !this.#announcement.leaving &&
       ageMs < this.#options.announcementLifetimeMs &&
       !service.drainedServers.includes(this.serverId);
   }
 
-  /** Slots that the service's rules and the server itself allow. */
+  /** The lower of the service's limit and the server's own. */
   slots(service: Service): number {
     return Math.min(service.slotsPerServer, this.#announcement.slots);
   }
 
-  /** Whether health lets it take one more. */
-  isTrusted(nowMs: number): boolean {
+  /** Whether its health allows an attempt: healthy, or idle and due a probe. */
+  allowsAttempt(nowMs: number): boolean {
     return this.health.state === HealthState.healthy ||
       (this.health.isProbeDue(nowMs) && this.attempts.size === 0);
   }
 
-  /** How long its oldest attempt has been on its way. */
-  oldestAgeMs(nowMs: number): number {
-    const first = this.attempts.values().next();
-    return first.done === true ? 0 : nowMs - first.value;
+  /** Age of its oldest attempt in flight; 0 without one. */
+  oldestAttemptAgeMs(nowMs: number): number {
+    const oldest = this.attempts.values().next();
+    return oldest.done === true ? 0 : nowMs - oldest.value;
   }
 }
--- a/src/process/routing/core/server_health.ts
+++ b/src/process/routing/core/server_health.ts
@@ -1,5 +1,5 @@
 /**
- * Whether a backend server answers well, judged by its own answers.
+ * The health of a backend server, judged by its answers and failures.
  *
  * @module
  */
@@ -7,25 +7,25 @@
 import type { RoutingOptions } from "./routing_options.ts";
 import { ServiceTime } from "./service_time.ts";
 
-/** How much a server is trusted. */
+/** Whether a server gets normal traffic or only probes. */
 export const HealthState = {
   healthy: "healthy",
   /** Gets nothing until its next probe is due. */
   ejected: "ejected",
-  /** One probe is on its way. */
+  /** One probe is in flight. */
   probing: "probing",
 } as const;
 
 /** One of the values of {@link HealthState}. */
 export type HealthState = typeof HealthState[keyof typeof HealthState];
 
-/** The record of one server's answers. */
+/** The health of one server. */
 export class ServerHealth {
   readonly #options: RoutingOptions;
   readonly latency = new ServiceTime();
   #state: HealthState = HealthState.healthy;
-  #failuresInRow = 0;
-  #failedAtMs = -Infinity;
+  #consecutiveFailures = 0;
+  #lastFailureAtMs = -Infinity;
   #ejections = 0;
   #probeAtMs = 0;
 
@@ -42,37 +42,37 @@
   }
 
   get isFailing(): boolean {
-    return this.#failuresInRow >= this.#options.failuresToEject;
+    return this.#consecutiveFailures >= this.#options.failuresToEject;
   }
 
   isProbeDue(nowMs: number): boolean {
     return this.#state === HealthState.ejected && nowMs >= this.#probeAtMs;
   }
 
-  /** Whether its latency stands out from the median of its like. */
+  /** Whether its latency is far above `medianMs`, that of the other servers. */
   isSlow(medianMs: number): boolean {
-    const { slowFactor, slowSamples, slowFloorMs } = this.#options;
-    return this.latency.samples >= slowSamples &&
+    const { slowFactor, minLatencySamples, slowFloorMs } = this.#options;
+    return this.latency.samples >= minLatencySamples &&
       this.latency.meanMs > Math.max(slowFloorMs, slowFactor * medianMs);
   }
 
   recordSuccess(durationMs: number): void {
-    this.#failuresInRow = 0;
+    this.#consecutiveFailures = 0;
     this.latency.record(durationMs);
   }
 
   recordFailure(atMs: number): void {
-    this.#failuresInRow += 1;
-    this.#failedAtMs = atMs;
+    this.#consecutiveFailures += 1;
+    this.#lastFailureAtMs = atMs;
   }
 
   /**
-   * How many times worse than its latency the server looks for a while after
-   * failures; without it one that fails at once would seem the fastest.
+   * Factor on the server's latency for a while after a failure; without it, a
+   * server that fails immediately would look the fastest.
    */
-  penalty(nowMs: number): number {
-    const isRecent = nowMs - this.#failedAtMs < this.#options.probeDelayMs;
-    return isRecent ? (1 + this.#failuresInRow) ** 2 : 1;
+  latencyFactor(nowMs: number): number {
+    const isRecent = nowMs - this.#lastFailureAtMs < this.#options.probeDelayMs;
+    return isRecent ? (1 + this.#consecutiveFailures) ** 2 : 1;
   }
 
   eject(nowMs: number): void {
@@ -90,10 +90,10 @@
     this.#state = HealthState.probing;
   }
 
-  /** Takes the server back with a clean record. */
+  /** Makes the server healthy again and clears its failures and latency. */
   readmit(): void {
     this.#state = HealthState.healthy;
-    this.#failuresInRow = 0;
+    this.#consecutiveFailures = 0;
     this.#ejections = 0;
     this.latency.clear();
   }
--- a/src/process/routing/core/server_table.ts
+++ b/src/process/routing/core/server_table.ts
@@ -1,6 +1,6 @@
 /**
- * The backend servers of one service in this data centre: who may get the
- * next call, who is ejected, and what each works on for this instance.
+ * The backend servers of one service in this data centre: which may get the
+ * next call, which are ejected, and this instance's attempts on each.
  *
  * @module
  */
@@ -17,10 +17,10 @@
 import { HealthState } from "./server_health.ts";
 import { ServiceTime } from "./service_time.ts";
 
-/** Deviations above the mean at which an unanswered attempt looks hung. */
+/** Deviations above the mean service time in the limit of a hung attempt. */
 const HUNG_DEVIATIONS = 6;
 
-/** What a table is built from. */
+/** Options of a {@link ServerTable}. */
 export interface ServerTableOptions {
   readonly serviceId: ServiceId;
   readonly service: Service;
@@ -28,8 +28,8 @@
   readonly routing: RoutingOptions;
 }
 
-/** Where one attempt went and when. */
-interface AttemptPlace {
+/** An attempt in flight. */
+interface OpenAttempt {
   readonly server: ServerEntry;
   readonly startedAtMs: number;
   readonly isProbe: boolean;
@@ -40,9 +40,9 @@
   readonly #options: ServerTableOptions;
   #service: Service;
   readonly #servers = new Map<BackendServerId, ServerEntry>();
-  readonly #attempts = new Map<AttemptId, AttemptPlace>();
+  readonly #attempts = new Map<AttemptId, OpenAttempt>();
   #allotted: ReadonlyMap<BackendServerId, number> | undefined;
-  /** How long any server of the service takes. */
+  /** Service time over all servers. */
   readonly serviceTime = new ServiceTime();
 
   constructor(options: ServerTableOptions) {
@@ -71,7 +71,7 @@
     const { serverId } = announcement;
     const known = this.#servers.get(serverId);
     if (known !== undefined) {
-      known.hear(announcement, atMs);
+      known.update(announcement, atMs);
       return;
     }
     const { routing } = this.#options;
@@ -88,18 +88,18 @@
       : Math.min(slots, allotted ?? 0);
   }
 
-  /** All slots, whoever may use them, of each server that takes new work. */
+  /** Slots of each server that accepts new work, over all instances. */
   capacity(nowMs: number): Map<BackendServerId, number> {
     const capacity = new Map<BackendServerId, number>();
     for (const server of this.#servers.values()) {
-      if (server.isOpen(nowMs, this.#service)) {
+      if (server.acceptsNewWork(nowMs, this.#service)) {
         capacity.set(server.serverId, server.slots(this.#service));
       }
     }
     return capacity;
   }
 
-  /** Slots of each server that this instance uses now. */
+  /** Slots in use by this instance, by server. */
   inUse(): Map<BackendServerId, number> {
     const inUse = new Map<BackendServerId, number>();
     for (const server of this.#servers.values()) {
@@ -110,18 +110,18 @@
     return inUse;
   }
 
-  /** Slots over all servers that take new work. */
-  openSlots(nowMs: number): number {
+  /** Slots that this instance may use on healthy servers, free or not. */
+  usableSlots(nowMs: number): number {
     let slots = 0;
     for (const server of this.#servers.values()) {
-      const isUsed = server.isOpen(nowMs, this.#service) &&
+      const isUsable = server.acceptsNewWork(nowMs, this.#service) &&
         server.health.state === HealthState.healthy;
-      slots += isUsed ? this.slotsOf(server) : 0;
+      slots += isUsable ? this.slotsOf(server) : 0;
     }
     return slots;
   }
 
-  /** Slots that are free now. */
+  /** Free slots of servers that may get an attempt now. */
   freeSlots(nowMs: number): number {
     return this.#candidates(nowMs).reduce(
       (sum, candidate) => sum + candidate.slots - candidate.inFlight,
@@ -129,7 +129,7 @@
     );
   }
 
-  /** A server with a free slot, but for the excluded ones. */
+  /** A server with a free slot that isn't excluded; one due a probe first. */
   choose(
     nowMs: number,
     options: { exclude: ReadonlySet<BackendServerId>; isIdempotent: boolean },
@@ -138,22 +138,26 @@
     const others = all.filter(({ server }) =>
       !options.exclude.has(server.serverId)
     );
-    const patienceMs = options.isIdempotent
+    const probeDelayMs = options.isIdempotent
       ? 0
-      : this.#options.routing.probePatienceMs;
+      : this.#options.routing.nonIdempotentProbeDelayMs;
     const probe = others.find(({ server }) =>
-      server.health.isProbeDue(nowMs - patienceMs)
+      server.health.isProbeDue(nowMs - probeDelayMs)
     );
-    const trusted = others.filter(({ server }) =>
+    const healthy = others.filter(({ server }) =>
       server.health.state === HealthState.healthy
     );
-    return (probe ?? chooseOfTwo(trusted, this.#options.random))?.server;
+    return (probe ?? chooseOfTwo(healthy, this.#options.random))?.server;
   }
 
-  /** Whether some open server is not among the excluded ones. */
-  hasOther(nowMs: number, exclude: ReadonlySet<BackendServerId>): boolean {
+  /** Whether a server that accepts new work isn't excluded. */
+  hasServerExcept(
+    nowMs: number,
+    exclude: ReadonlySet<BackendServerId>,
+  ): boolean {
     return [...this.#servers.values()].some((server) =>
-      server.isOpen(nowMs, this.#service) && !exclude.has(server.serverId)
+      server.acceptsNewWork(nowMs, this.#service) &&
+      !exclude.has(server.serverId)
     );
   }
 
@@ -169,40 +173,42 @@
     this.#attempts.set(attemptId, { server, startedAtMs: atMs, isProbe });
   }
 
-  /** Frees the slot and judges the server by the result. */
+  /** Frees the slot and updates the server's health by the result. */
   endAttempt(
     attemptId: AttemptId,
     { result, atMs }: { result: AttemptResult; atMs: number },
   ): RoutingDecision[] {
-    const place = this.#attempts.get(attemptId);
-    if (place === undefined) {
+    const attempt = this.#attempts.get(attemptId);
+    if (attempt === undefined) {
       return [];
     }
     this.#attempts.delete(attemptId);
-    place.server.attempts.delete(attemptId);
-    const durationMs = atMs - place.startedAtMs;
+    attempt.server.attempts.delete(attemptId);
+    const durationMs = atMs - attempt.startedAtMs;
     const isGood = result === AttemptResult.answered;
     if (isGood) {
-      place.server.health.recordSuccess(durationMs);
+      attempt.server.health.recordSuccess(durationMs);
       this.serviceTime.record(durationMs);
     } else {
-      place.server.health.recordFailure(atMs);
+      attempt.server.health.recordFailure(atMs);
     }
-    return place.isProbe
-      ? this.#judgeProbe(place.server, { isGood, durationMs, atMs })
-      : this.#judge(place.server, atMs);
+    return attempt.isProbe
+      ? this.#applyProbeResult(attempt.server, { isGood, durationMs, atMs })
+      : this.#ejectIfUnhealthy(attempt.server, atMs);
   }
 
-  /** Ejects servers whose attempts look hung; forgets those long gone. */
+  /** Ejects servers with hung attempts; removes idle, long silent servers. */
   tick(nowMs: number): RoutingDecision[] {
     const decisions: RoutingDecision[] = [];
     for (const server of this.#servers.values()) {
       if (this.#isHung(server, nowMs)) {
-        decisions.push(...this.#eject(server, { reason: "slow", nowMs }));
+        decisions.push(
+          ...this.#ejectWithinLimit(server, { reason: "slow", nowMs }),
+        );
       }
-      const silentMs = nowMs - server.heardAtMs;
-      const isGone = silentMs > this.#options.routing.forgetAfterMs;
-      if (isGone && server.attempts.size === 0) {
+      const silentMs = nowMs - server.announcedAtMs;
+      const isExpired = silentMs > this.#options.routing.forgetAfterMs;
+      if (isExpired && server.attempts.size === 0) {
         this.#servers.delete(server.serverId);
       }
     }
@@ -215,18 +221,19 @@
       const slots = this.slotsOf(server);
       const inFlight = server.attempts.size;
       const isFree = inFlight < slots &&
-        server.isOpen(nowMs, this.#service) && server.isTrusted(nowMs);
+        server.acceptsNewWork(nowMs, this.#service) &&
+        server.allowsAttempt(nowMs);
       if (isFree) {
         const { latency } = server.health;
-        const usualMs = latency.meanMs || this.serviceTime.meanMs;
-        const latencyMs = usualMs * server.health.penalty(nowMs);
+        const expectedMs = latency.meanMs || this.serviceTime.meanMs;
+        const latencyMs = expectedMs * server.health.latencyFactor(nowMs);
         candidates.push({ server, slots, inFlight, latencyMs });
       }
     }
     return candidates;
   }
 
-  #judgeProbe(
+  #applyProbeResult(
     server: ServerEntry,
     probe: { isGood: boolean; durationMs: number; atMs: number },
   ): RoutingDecision[] {
@@ -244,49 +251,50 @@
     return [{ kind: "readmitServer", serverId, service: serviceId }];
   }
 
-  #judge(server: ServerEntry, nowMs: number): RoutingDecision[] {
+  #ejectIfUnhealthy(server: ServerEntry, nowMs: number): RoutingDecision[] {
     const { health } = server;
     if (health.state !== HealthState.healthy) {
       return [];
     }
     if (health.isFailing) {
-      return this.#eject(server, { reason: "failing", nowMs });
+      return this.#ejectWithinLimit(server, { reason: "failing", nowMs });
     }
     const medianMs = this.#medianMs(server);
     return medianMs > 0 && health.isSlow(medianMs)
-      ? this.#eject(server, { reason: "slow", nowMs })
+      ? this.#ejectWithinLimit(server, { reason: "slow", nowMs })
       : [];
   }
 
   #isHung(server: ServerEntry, nowMs: number): boolean {
-    const { slowFactor, slowFloorMs, slowSamples } = this.#options.routing;
+    const { slowFactor, slowFloorMs, minLatencySamples } =
+      this.#options.routing;
     if (
       server.health.state !== HealthState.healthy ||
-      this.serviceTime.samples < slowSamples
+      this.serviceTime.samples < minLatencySamples
     ) {
       return false;
     }
-    const usualMs = this.serviceTime.boundMs(HUNG_DEVIATIONS);
-    return server.oldestAgeMs(nowMs) >
-      Math.max(slowFloorMs, slowFactor * usualMs);
+    const boundMs = this.serviceTime.upperBoundMs(HUNG_DEVIATIONS);
+    return server.oldestAttemptAgeMs(nowMs) >
+      Math.max(slowFloorMs, slowFactor * boundMs);
   }
 
   /**
-   * Ejects, unless too large a fraction would be out. An ejected server that
-   * is silent counts too, since it may come back.
+   * Ejects the server unless too large a fraction would be ejected. Silent
+   * ejected servers count too, since they may come back.
    */
-  #eject(
+  #ejectWithinLimit(
     server: ServerEntry,
     options: { reason: "failing" | "slow"; nowMs: number },
   ): RoutingDecision[] {
     const open = [...this.#servers.values()].filter((other) =>
-      other.isOpen(options.nowMs, this.#service)
+      other.acceptsNewWork(options.nowMs, this.#service)
     );
-    const out = [...this.#servers.values()].filter((other) =>
+    const ejected = [...this.#servers.values()].filter((other) =>
       other.health.state !== HealthState.healthy
     );
-    const most = Math.floor(open.length * this.#service.ejectionFractionLimit);
-    return out.length < most ? [this.#ejectNow(server, options)] : [];
+    const limit = Math.floor(open.length * this.#service.ejectionFractionLimit);
+    return ejected.length < limit ? [this.#ejectNow(server, options)] : [];
   }
 
   #ejectNow(
@@ -303,10 +311,10 @@
     };
   }
 
-  /** The middle latency of the other servers; 0 when none is known. */
-  #medianMs(except: ServerEntry): number {
+  /** Median latency of the other servers; 0 when none is known. */
+  #medianMs(excluded: ServerEntry): number {
     const latencies = [...this.#servers.values()]
-      .filter((server) => server !== except)
+      .filter((server) => server !== excluded)
       .map((server) => server.health.latency.meanMs)
       .filter((latencyMs) => latencyMs > 0)
       .sort((left, right) => left - right);
--- a/src/process/routing/core/service_router.ts
+++ b/src/process/routing/core/service_router.ts
@@ -1,5 +1,5 @@
 /**
- * Routing of one service's calls: admits, queues, sends, retries and refuses.
+ * Routes one service's calls: admits, queues, sends, retries or refuses them.
  *
  * @module
  */
@@ -14,9 +14,9 @@
   RequestClass,
   Service,
 } from "../../../version/document/document.ts";
-import { ClassQueues } from "./class_queues.ts";
-import { RemoteLoads, type RemoteOptions } from "./remote_loads.ts";
-import { endWithError, type OpenCall, openCall } from "./open_call.ts";
+import { CallQueue } from "./call_queue.ts";
+import { type RemoteChoiceOptions, RemoteLoads } from "./remote_loads.ts";
+import { createOpenCall, endWithError, type OpenCall } from "./open_call.ts";
 import type { RoutingDecision } from "./routing_decision.ts";
 import {
   type AttemptId,
@@ -29,7 +29,7 @@
 import { ServerTable } from "./server_table.ts";
 import { TokenBucket } from "./token_bucket.ts";
 
-/** What a service's router is built from. */
+/** Options of a {@link ServiceRouter}. */
 export interface ServiceRouterOptions {
   readonly serviceId: ServiceId;
   readonly service: Service;
@@ -42,14 +42,14 @@
 
 const NO_SERVERS: ReadonlySet<BackendServerId> = new Set();
 
-/** The calls and servers of one service. */
+/** Routes the calls of one service. */
 export class ServiceRouter {
   readonly #options: ServiceRouterOptions;
   readonly #routing: RoutingOptions;
   #service: Service;
   readonly servers: ServerTable;
   readonly remoteLoads: RemoteLoads;
-  readonly #queues = new ClassQueues<OpenCall>();
+  readonly #queue = new CallQueue<OpenCall>();
   readonly #calls = new Map<CallKey, OpenCall>();
   readonly #callByAttempt = new Map<AttemptId, OpenCall>();
   readonly #retryBudget: TokenBucket;
@@ -64,13 +64,13 @@
     this.#retryBudget = new TokenBucket({ limit });
   }
 
-  /** Calls that wait for a slot. */
-  get queued(): number {
-    return this.#queues.size;
+  /** Number of calls that wait for a slot. */
+  get queuedCalls(): number {
+    return this.#queue.size;
   }
 
-  /** Calls that haven't ended. */
-  get open(): number {
+  /** Number of calls that haven't ended. */
+  get openCalls(): number {
     return this.#calls.size;
   }
 
@@ -80,55 +80,62 @@
   }
 
   arrive(call: RoutedCall, nowMs: number): RoutingDecision[] {
-    const known = this.#classOf(call);
-    if (known === undefined) {
+    const requestClass = this.#classOf(call);
+    if (requestClass === undefined) {
       const detail = `The service has no class ${call.requestClass}.`;
       return [endWithError(call.key, "invalid", detail)];
     }
     if (call.deadlineMs <= nowMs) {
-      return [endWithError(call.key, "deadlineExceeded", "It came too late.")];
+      return [
+        endWithError(
+          call.key,
+          "deadlineExceeded",
+          "The deadline had passed on arrival.",
+        ),
+      ];
     }
-    const open = openCall(call, known.rank);
-    const refusal = this.#refusal(open, known.queueLimit, nowMs);
+    const openCall = createOpenCall(call, requestClass.rank);
+    const refusal = this.#refusal(openCall, requestClass.queueLimit, nowMs);
     const forwarding = refusal === undefined
       ? undefined
-      : this.#forward(open, nowMs);
+      : this.#forward(openCall, nowMs);
     if (forwarding !== undefined) {
       return [forwarding];
     }
-    if (refusal !== undefined && !this.#mayYetDiscover(nowMs)) {
+    if (refusal !== undefined && !this.#isDiscovering(nowMs)) {
       return [refusal];
     }
     this.#retryBudget.add(this.#service.retryBudgetFraction);
-    this.#calls.set(open.key, open);
-    this.#queues.add(open);
+    this.#calls.set(openCall.key, openCall);
+    this.#queue.add(openCall);
     return this.dispatch(nowMs);
   }
 
-  /** Whether the call waits, so that no server can have run it. */
+  /** Whether the call is queued and no server can have run it. */
   isQueued(key: CallKey): boolean {
     const call = this.#calls.get(key);
-    return call !== undefined && this.#queues.calls.includes(call) &&
+    return call !== undefined && this.#queue.calls.includes(call) &&
       !call.mayHaveRun;
   }
 
-  /** Whether the call would be refused at once. */
+  /** Whether the call would be refused on arrival. */
   wouldRefuse(call: RoutedCall, nowMs: number): boolean {
-    const known = this.#classOf(call);
-    if (known === undefined) {
+    const requestClass = this.#classOf(call);
+    if (requestClass === undefined) {
       return false;
     }
-    const open = openCall(call, known.rank);
-    return this.#refusal(open, known.queueLimit, nowMs) !== undefined &&
-      !this.#mayYetDiscover(nowMs) &&
-      !this.remoteLoads.canTake(call, this.#remoteOptions(nowMs));
+    const openCall = createOpenCall(call, requestClass.rank);
+    return this.#refusal(openCall, requestClass.queueLimit, nowMs) !==
+        undefined &&
+      !this.#isDiscovering(nowMs) &&
+      !this.remoteLoads.canReserve(call, this.#remoteOptions(nowMs));
   }
 
-  /** The caller has gone: nothing more is sent; what is on its way goes on. */
+  /** Drops a call whose caller disconnected; an attempt in flight runs on. */
   abandon(key: CallKey): void {
     const call = this.#calls.get(key);
     if (call !== undefined) {
-      this.#queues.remove(call);
+      this.#queue.remove(call);
       this.#calls.delete(key);
     }
   }
@@ -137,12 +144,14 @@
     attemptId: AttemptId,
     { result, atMs }: { result: AttemptResult; atMs: number },
   ): RoutingDecision[] {
-    const judged = this.servers.endAttempt(attemptId, { result, atMs });
+    const ejections = this.servers.endAttempt(attemptId, { result, atMs });
     const call = this.#callByAttempt.get(attemptId);
     this.#callByAttempt.delete(attemptId);
     const isOpen = call !== undefined && this.#calls.get(call.key) === call;
-    const ended = isOpen ? this.#settle(call, { result, atMs, attemptId }) : [];
-    return [...judged, ...ended, ...this.dispatch(atMs)];
+    const ended = isOpen
+      ? this.#endOrRetry(call, { result, atMs, attemptId })
+      : [];
+    return [...ejections, ...ended, ...this.dispatch(atMs)];
   }
 
   endForward(key: CallKey, result: AttemptResult): RoutingDecision[] {
@@ -156,44 +165,44 @@
       case AttemptResult.serverError:
         return [{ kind: "endWithAnswer", key, attemptId: undefined }];
       case AttemptResult.notSent:
-        return [this.#giveUp(call)];
+        return [this.#endUnanswered(call)];
       case AttemptResult.ambiguous:
         return [endWithError(
           key,
           "outcomeUnknown",
-          "The other data centre gave no answer.",
+          "No answer came from the other data centre.",
         )];
     }
   }
 
   tick(nowMs: number): RoutingDecision[] {
-    const judged = this.servers.tick(nowMs);
+    const ejections = this.servers.tick(nowMs);
     const ended = [...this.#calls.values()]
       .filter((call) => call.deadlineMs <= nowMs)
       .map((call) => this.#expire(call));
-    const forwarded = this.#forwardStranded(nowMs);
-    return [...judged, ...ended, ...forwarded, ...this.dispatch(nowMs)];
+    const forwarded = this.#forwardIfNoServers(nowMs);
+    return [...ejections, ...ended, ...forwarded, ...this.dispatch(nowMs)];
   }
 
-  /** Sends waiting calls, in order, as far as slots are free. */
+  /** Sends queued calls, in order, while slots are free. */
   dispatch(nowMs: number): RoutingDecision[] {
     const decisions: RoutingDecision[] = [];
-    if (this.#queues.size === 0) {
+    if (this.#queue.size === 0) {
       return decisions;
     }
-    let free = this.servers.freeSlots(nowMs);
-    for (const call of [...this.#queues.calls]) {
-      if (free <= 0) {
+    let freeSlots = this.servers.freeSlots(nowMs);
+    for (const call of [...this.#queue.calls]) {
+      if (freeSlots <= 0) {
         break;
       }
-      if (this.#isHopeless(call, nowMs)) {
+      if (this.#shouldExpire(call, nowMs)) {
         decisions.push(this.#expire(call));
         continue;
       }
       const server = this.#chooseFor(call, nowMs);
       if (server !== undefined) {
         decisions.push(this.#send(call, { server, nowMs }));
-        free -= 1;
+        freeSlots -= 1;
       }
     }
     return decisions;
@@ -203,27 +212,27 @@
     return this.#service.classes.find(({ name }) => name === call.requestClass);
   }
 
-  /** Why a new call can't be taken on; undefined when it can. */
+  /** The refusal of a new call; undefined when it can be admitted. */
   #refusal(
     call: OpenCall,
     queueLimit: number,
     nowMs: number,
   ): RoutingDecision | undefined {
     if (!this.#hasServers(nowMs)) {
-      const detail = "No backend server of the service takes new work.";
+      const detail = "No backend server of the service accepts new work.";
       return endWithError(call.key, "unavailable", detail);
     }
-    const mustWait = this.#queues.size > 0 ||
+    const mustWait = this.#queue.size > 0 ||
       this.servers.freeSlots(nowMs) === 0;
     if (!mustWait) {
       return undefined;
     }
-    if (this.#queues.countOf(call.requestClass) >= queueLimit) {
+    if (this.#queue.countOf(call.requestClass) >= queueLimit) {
       return endWithError(call.key, "overloaded", "The class's queue is full.");
     }
     const waitMs = this.#expectedWaitMs(call, nowMs);
-    if (nowMs + waitMs + this.#serviceBoundMs() > call.deadlineMs) {
-      const detail = "It would miss its deadline.";
+    if (nowMs + waitMs + this.#serviceTimeBoundMs() > call.deadlineMs) {
+      const detail = "The request would miss its deadline.";
       return endWithError(call.key, "overloaded", detail);
     }
     return undefined;
@@ -232,70 +241,70 @@
   #hasServers(nowMs: number): boolean {
     const weight =
       this.#service.dataCentreWeights[this.#options.selfDataCentre] ?? 1;
-    return weight > 0 && this.servers.hasOther(nowMs, NO_SERVERS);
+    return weight > 0 && this.servers.hasServerExcept(nowMs, NO_SERVERS);
   }
 
-  /** Whether servers may be there that haven't announced themselves yet. */
-  #mayYetDiscover(nowMs: number): boolean {
+  /** Whether servers may exist that haven't announced themselves yet. */
+  #isDiscovering(nowMs: number): boolean {
     const ageMs = nowMs - this.#options.createdAtMs;
     return ageMs <= this.#routing.discoveryMs && !this.#hasServers(nowMs);
   }
 
-  /** How long the calls that go first will keep the slots busy. */
+  /** Expected wait for a slot behind the calls that come first. */
   #expectedWaitMs(call: OpenCall, nowMs: number): number {
-    const before = this.#queues.countBefore(call) + 1;
-    const slots = Math.max(1, this.servers.openSlots(nowMs));
-    return before * this.servers.serviceTime.meanMs / slots;
+    const callsAhead = this.#queue.countBefore(call) + 1;
+    const slots = Math.max(1, this.servers.usableSlots(nowMs));
+    return callsAhead * this.servers.serviceTime.meanMs / slots;
   }
 
-  #serviceBoundMs(): number {
+  #serviceTimeBoundMs(): number {
     const deviations = this.#routing.serviceTimeDeviations;
-    return this.servers.serviceTime.boundMs(deviations);
+    return this.servers.serviceTime.upperBoundMs(deviations);
   }
 
   #forward(call: OpenCall, nowMs: number): RoutingDecision | undefined {
     const options = this.#remoteOptions(nowMs);
-    const dataCentre = this.remoteLoads.claim(call, options);
+    const dataCentre = this.remoteLoads.reserve(call, options);
     if (dataCentre === undefined) {
       return undefined;
     }
-    call.isForwardedOn = true;
+    call.hasBeenForwarded = true;
     this.#calls.set(call.key, call);
     return { kind: "forwardCall", key: call.key, dataCentre };
   }
 
-  /** Forwards what waits here though no server is left. */
-  #forwardStranded(nowMs: number): RoutingDecision[] {
-    if (this.#queues.size === 0 || this.#hasServers(nowMs)) {
+  /** Forwards queued calls when no server is left here. */
+  #forwardIfNoServers(nowMs: number): RoutingDecision[] {
+    if (this.#queue.size === 0 || this.#hasServers(nowMs)) {
       return [];
     }
     const decisions: RoutingDecision[] = [];
-    for (const call of [...this.#queues.calls]) {
+    for (const call of [...this.#queue.calls]) {
       const decision = this.#forward(call, nowMs);
       if (decision !== undefined) {
-        this.#queues.remove(call);
+        this.#queue.remove(call);
         decisions.push(decision);
       }
     }
     return decisions;
   }
 
-  #remoteOptions(nowMs: number): RemoteOptions {
-    const serviceTimeMs = this.#serviceBoundMs();
+  #remoteOptions(nowMs: number): RemoteChoiceOptions {
+    const serviceTimeMs = this.#serviceTimeBoundMs();
     return { service: this.#service, nowMs, serviceTimeMs };
   }
 
-  /** Whether a slot is better spent on one of the others that wait. */
-  #isHopeless(call: OpenCall, nowMs: number): boolean {
+  /** Whether it is overdue, or would be and other queued calls need the slot. */
+  #shouldExpire(call: OpenCall, nowMs: number): boolean {
     if (call.deadlineMs <= nowMs) {
       return true;
     }
-    return this.#queues.size > 1 &&
-      nowMs + this.#serviceBoundMs() > call.deadlineMs;
+    return this.#queue.size > 1 &&
+      nowMs + this.#serviceTimeBoundMs() > call.deadlineMs;
   }
 
   #chooseFor(call: OpenCall, nowMs: number): ServerEntry | undefined {
-    const exclude = this.servers.hasOther(nowMs, call.triedServers)
+    const exclude = this.servers.hasServerExcept(nowMs, call.triedServers)
       ? call.triedServers
       : NO_SERVERS;
     const { isIdempotent } = call;
@@ -307,7 +316,7 @@
     { server, nowMs }: { server: ServerEntry; nowMs: number },
   ): RoutingDecision {
     const attemptId = this.#options.nextAttemptId();
-    this.#queues.remove(call);
+    this.#queue.remove(call);
     call.attemptId = attemptId;
     call.triedServers.add(server.serverId);
     this.#callByAttempt.set(attemptId, call);
@@ -324,7 +333,7 @@
   }
 
   /** Ends or retries a call whose attempt has ended. */
-  #settle(
+  #endOrRetry(
     call: OpenCall,
     end: { result: AttemptResult; atMs: number; attemptId: AttemptId },
   ): RoutingDecision[] {
@@ -337,53 +346,53 @@
         return [{ kind: "endWithAnswer", key, attemptId }];
       case AttemptResult.serverError:
         call.mayHaveRun = true;
-        if (this.#retry(call, atMs)) {
+        if (this.#tryRetry(call, atMs)) {
           return [];
         }
         this.#calls.delete(key);
         return [{ kind: "endWithAnswer", key, attemptId }];
       case AttemptResult.ambiguous:
         call.mayHaveRun = true;
-        return this.#retry(call, atMs) ? [] : [this.#giveUp(call)];
+        return this.#tryRetry(call, atMs) ? [] : [this.#endUnanswered(call)];
       case AttemptResult.notSent:
-        return this.#retry(call, atMs) ? [] : [this.#giveUp(call)];
+        return this.#tryRetry(call, atMs) ? [] : [this.#endUnanswered(call)];
     }
   }
 
-  /** Queues the call again, if the rules and the budget allow it. */
-  #retry(call: OpenCall, nowMs: number): boolean {
+  /** Queues the call again if the retry rules and the retry budget allow it. */
+  #tryRetry(call: OpenCall, nowMs: number): boolean {
     const mayRepeat = call.isIdempotent || !call.mayHaveRun;
     const isAllowed = mayRepeat &&
       call.triedServers.size <= this.#service.retryLimit &&
       nowMs + this.servers.serviceTime.meanMs < call.deadlineMs &&
-      this.servers.hasOther(nowMs, call.triedServers) &&
-      this.#retryBudget.take(1);
+      this.servers.hasServerExcept(nowMs, call.triedServers) &&
+      this.#retryBudget.tryTake(1);
     if (isAllowed) {
-      this.#queues.add(call);
+      this.#queue.add(call);
     }
     return isAllowed;
   }
 
-  #giveUp(call: OpenCall): RoutingDecision {
+  #endUnanswered(call: OpenCall): RoutingDecision {
     this.#calls.delete(call.key);
     if (call.mayHaveRun) {
-      const detail = "The backend server gave no whole answer of its own.";
+      const detail = "No complete answer came from the backend server.";
       return endWithError(call.key, "outcomeUnknown", detail);
     }
-    const detail = "No backend server could take it.";
+    const detail = "No backend server could take the request.";
     return endWithError(call.key, "unavailable", detail);
   }
 
   #expire(call: OpenCall): RoutingDecision {
     this.#calls.delete(call.key);
-    this.#queues.remove(call);
-    const mayRun = call.mayHaveRun || call.isForwardedOn ||
+    this.#queue.remove(call);
+    const mayRun = call.mayHaveRun || call.hasBeenForwarded ||
       call.attemptId !== undefined;
     if (mayRun) {
       const detail = "No answer came before the deadline.";
       return endWithError(call.key, "outcomeUnknown", detail);
     }
-    const detail = "Its turn did not come before the deadline.";
+    const detail = "The request was still queued at its deadline.";
     return endWithError(call.key, "deadlineExceeded", detail);
   }
 }
--- a/src/process/routing/core/service_time.ts
+++ b/src/process/routing/core/service_time.ts
@@ -29,15 +29,15 @@
       this.#deviationMs = durationMs / 2;
       return;
     }
-    const offMs = durationMs - this.#meanMs;
+    const differenceMs = durationMs - this.#meanMs;
     const weight = Math.max(MEAN_WEIGHT, 1 / this.#samples);
-    this.#meanMs += offMs * weight;
-    this.#deviationMs += (Math.abs(offMs) - this.#deviationMs) *
+    this.#meanMs += differenceMs * weight;
+    this.#deviationMs += (Math.abs(differenceMs) - this.#deviationMs) *
       DEVIATION_WEIGHT;
   }
 
-  /** The mean and so many deviations. */
-  boundMs(deviations: number): number {
+  /** The mean plus the given number of deviations. */
+  upperBoundMs(deviations: number): number {
     return this.#meanMs + deviations * this.#deviationMs;
   }
 
--- a/src/process/routing/core/slot_allocator.ts
+++ b/src/process/routing/core/slot_allocator.ts
@@ -1,8 +1,8 @@
 /**
- * Shares out the slots of one service's backend servers among the instances
- * of a data centre, by demand. A slot that is taken from one instance is
- * given to another only after the first has said that it no longer uses it,
- * so a server's slots are never promised twice.
+ * Divides the slots of one service's backend servers among the instances of a
+ * data centre, by demand. A slot that is taken back from one instance is
+ * granted to another only after the first has confirmed that it no longer uses
+ * it, so no slot is granted to two instances at once.
  *
  * @module
  */
@@ -12,14 +12,17 @@
 /** Slots by server. */
 export type SlotCounts = ReadonlyMap<BackendServerId, number>;
 
-/** What one instance reports. */
+/** One instance's report to the allocator. */
 export interface SlotReport {
   readonly instanceId: InstanceId;
-  /** Calls of the service that it has on their way or waiting. */
+  /** Calls of the service that haven't ended at the instance. */
   readonly demand: number;
-  /** The newest grant that it obeys; 0 for none. */
+  /** The newest grant that it has applied; 0 for none. */
   readonly grantId: number;
-  /** Slots in use or still promised by an earlier allocator. */
+  /**
+   * Slots in use beyond that grant. When `grantId` is 0: all slots in use or
+   * granted by an earlier allocator.
+   */
   readonly holds: SlotCounts;
 }
 
@@ -30,30 +33,30 @@
   readonly slots: SlotCounts;
 }
 
-/** Fewer slots than this aren't taken back. */
-const SMALLEST_CHANGE = 2;
+/** A smaller excess over an instance's target isn't taken back. */
+const MIN_RECLAIMED_SLOTS = 2;
 
 /**
- * The part of an even share that an idle instance keeps, so that its first
- * calls needn't wait for a round.
+ * The fraction of an even share that an idle instance keeps, so that its first
+ * calls needn't wait for a round of allocation.
  */
-const IDLE_FRACTION = 0.25;
+const IDLE_SHARE_FRACTION = 0.25;
 
-/** How much of an earlier peak of demand counts after one round. */
+/** Decay of a past peak of demand with each report. */
 const DEMAND_DECAY = 0.9;
 
-/** Reports without a confirmation after which a grant is sent again. */
-const REPORTS_TO_RESEND = 3;
+/** A grant is sent again after this many reports that don't confirm it. */
+const RESEND_AFTER_REPORTS = 3;
 
 interface Holder {
   readonly instanceId: InstanceId;
   demand: number;
   grantId: number;
-  /** Reports since the latest grant that did not confirm it. */
+  /** Reports since the latest grant was sent that don't confirm it. */
   unconfirmedReports: number;
   granted: Map<BackendServerId, number>;
-  /** What it may still use, though it was told not to. */
-  lingering: Map<BackendServerId, number>;
+  /** Slots that it may still use although they were taken back. */
+  unreleased: Map<BackendServerId, number>;
 }
 
 /** Decides which instance may use which slots. */
@@ -79,45 +82,45 @@
     }
     if (isFirst || report.grantId >= holder.grantId) {
       holder.unconfirmedReports = 0;
-      holder.lingering = new Map(report.holds);
+      holder.unreleased = new Map(report.holds);
     } else {
       holder.unconfirmedReports += 1;
     }
   }
 
-  /** Forgets an instance that is gone, with all that it held. */
-  drop(instanceId: InstanceId): void {
+  /** Removes an instance that is gone and frees its slots. */
+  removeInstance(instanceId: InstanceId): void {
     this.#holders.delete(instanceId);
   }
 
-  /** The grants that change now. */
+  /** The grants to send: those that change, and unconfirmed ones again. */
   allocate(capacity: SlotCounts): SlotGrant[] {
     const holders = [...this.#holders.values()]
       .sort((left, right) => left.instanceId < right.instanceId ? -1 : 1);
     const total = sum(capacity.values());
-    const floor = Math.ceil(
-      total * IDLE_FRACTION / Math.max(1, holders.length),
+    const idleShare = Math.ceil(
+      total * IDLE_SHARE_FRACTION / Math.max(1, holders.length),
     );
-    const targets = shareOut(
+    const targets = fairShares(
       total,
-      holders.map(({ demand }) => Math.max(floor, demand)),
+      holders.map(({ demand }) => Math.max(idleShare, demand)),
     );
     const changed = new Set<Holder>();
-    holders.forEach((holder, at) => {
-      if (this.#lower(holder, targets[at] ?? 0, capacity)) {
+    holders.forEach((holder, index) => {
+      if (this.#reduce(holder, targets[index] ?? 0, capacity)) {
         changed.add(holder);
       }
     });
-    holders.forEach((holder, at) => {
-      if (this.#raise(holder, { target: targets[at] ?? 0, capacity })) {
+    holders.forEach((holder, index) => {
+      if (this.#increase(holder, { target: targets[index] ?? 0, capacity })) {
         changed.add(holder);
       }
     });
     const grants = [...changed].map((holder) => this.#grant(holder));
-    const lost = holders.filter((holder) =>
-      !changed.has(holder) && holder.unconfirmedReports >= REPORTS_TO_RESEND
+    const unconfirmed = holders.filter((holder) =>
+      !changed.has(holder) && holder.unconfirmedReports >= RESEND_AFTER_REPORTS
     );
-    return [...grants, ...lost.map(describeGrant)];
+    return [...grants, ...unconfirmed.map(describeGrant)];
   }
 
   #holderOf(instanceId: InstanceId): Holder {
@@ -128,35 +131,39 @@
       grantId: 0,
       unconfirmedReports: 0,
       granted: new Map<BackendServerId, number>(),
-      lingering: new Map<BackendServerId, number>(),
+      unreleased: new Map<BackendServerId, number>(),
     };
     this.#holders.set(instanceId, holder);
     return holder;
   }
 
-  /** Takes back what is over the target, and slots that no longer exist. */
-  #lower(holder: Holder, target: number, capacity: SlotCounts): boolean {
+  /** Takes back slots over the target and slots that no longer exist. */
+  #reduce(holder: Holder, target: number, capacity: SlotCounts): boolean {
     let isChanged = false;
     for (const [serverId, slots] of [...holder.granted]) {
-      const most = capacity.get(serverId) ?? 0;
-      if (slots > most) {
-        this.#set(holder, serverId, most);
+      const limit = capacity.get(serverId) ?? 0;
+      if (slots > limit) {
+        this.#setGranted(holder, serverId, limit);
         isChanged = true;
       }
     }
     let excess = sum(holder.granted.values()) - target;
-    if (excess < SMALLEST_CHANGE) {
+    if (excess < MIN_RECLAIMED_SLOTS) {
       return isChanged;
     }
     while (excess > 0) {
       const serverId = largest(holder.granted);
-      this.#set(holder, serverId, (holder.granted.get(serverId) ?? 0) - 1);
+      this.#setGranted(
+        holder,
+        serverId,
+        (holder.granted.get(serverId) ?? 0) - 1,
+      );
       excess -= 1;
     }
     return true;
   }
 
-  #raise(
+  #increase(
     holder: Holder,
     options: { target: number; capacity: SlotCounts },
   ): boolean {
@@ -178,22 +185,22 @@
     return isChanged;
   }
 
-  /** Slots of each server that nobody holds or may still use. */
+  /** Slots of each server that no instance is granted or may still use. */
   #freeSlots(capacity: SlotCounts): Map<BackendServerId, number> {
     const free = new Map(capacity);
     for (const holder of this.#holders.values()) {
       for (const serverId of capacity.keys()) {
-        const taken = Math.max(
+        const reserved = Math.max(
           holder.granted.get(serverId) ?? 0,
-          holder.lingering.get(serverId) ?? 0,
+          holder.unreleased.get(serverId) ?? 0,
         );
-        free.set(serverId, (free.get(serverId) ?? 0) - taken);
+        free.set(serverId, (free.get(serverId) ?? 0) - reserved);
       }
     }
     return free;
   }
 
-  /** Where the instance has least, and among those where most is free. */
+  /** Server with the fewest slots of the instance, then with the most free. */
   #bestServer(
     holder: Holder,
     free: SlotCounts,
@@ -210,12 +217,12 @@
     return best;
   }
 
-  #set(holder: Holder, serverId: BackendServerId, slots: number): void {
-    const before = Math.max(
+  #setGranted(holder: Holder, serverId: BackendServerId, slots: number): void {
+    const reserved = Math.max(
       holder.granted.get(serverId) ?? 0,
-      holder.lingering.get(serverId) ?? 0,
+      holder.unreleased.get(serverId) ?? 0,
     );
-    holder.lingering.set(serverId, before);
+    holder.unreleased.set(serverId, reserved);
     if (slots <= 0) {
       holder.granted.delete(serverId);
     } else {
@@ -236,24 +243,26 @@
   return { instanceId, grantId, slots: new Map(holder.granted) };
 }
 
-/** Max-min fair shares of the total; what nobody asks for is split evenly. */
-export function shareOut(
+/** Max-min fair shares of the total; a surplus over demand is split evenly. */
+export function fairShares(
   total: number,
   demands: readonly number[],
 ): number[] {
   const shares = demands.map(() => 0);
-  let left = total;
-  const order = demands.map((_, at) => at)
+  let remaining = total;
+  const order = demands.map((_, index) => index)
     .sort((a, b) => (demands[a] ?? 0) - (demands[b] ?? 0));
-  order.forEach((at, place) => {
-    const fair = left / (order.length - place);
-    const share = Math.min(demands[at] ?? 0, Math.floor(fair));
-    shares[at] = Math.floor(share);
-    left -= shares[at] ?? 0;
+  order.forEach((index, position) => {
+    const fair = remaining / (order.length - position);
+    const share = Math.min(demands[index] ?? 0, Math.floor(fair));
+    shares[index] = Math.floor(share);
+    remaining -= shares[index] ?? 0;
   });
-  const each = Math.floor(left / Math.max(1, shares.length));
-  const rest = left - each * shares.length;
-  return shares.map((share, at) => share + each + (at < rest ? 1 : 0));
+  const each = Math.floor(remaining / Math.max(1, shares.length));
+  const remainder = remaining - each * shares.length;
+  return shares.map((share, index) =>
+    share + each + (index < remainder ? 1 : 0)
+  );
 }
 
 function sum(values: Iterable<number>): number {
--- a/src/process/routing/core/slot_allocator_test.ts
+++ b/src/process/routing/core/slot_allocator_test.ts
@@ -1,11 +1,11 @@
 import test from "ava";
 import fc from "fast-check";
-import { shareOut, SlotAllocator, type SlotGrant } from "./slot_allocator.ts";
+import { fairShares, SlotAllocator, type SlotGrant } from "./slot_allocator.ts";
 
 const CAPACITY = new Map([["s1", 4], ["s2", 4], ["s3", 2]]);
 
-/** An instance that takes slots up to its grant and keeps some in use. */
-interface TrueHolder {
+/** Model of an instance that uses slots up to its grant and frees them late. */
+interface HolderModel {
   grantId: number;
   granted: ReadonlyMap<string, number>;
   inUse: Map<string, number>;
@@ -36,52 +36,52 @@
   ),
 });
 
-/** Plays a session; gives the server that was promised twice, if any. */
-function play(
+/** Runs a session; returns a server with slots granted twice, if any. */
+function run(
   session: Session,
   options: { hidesUse: boolean },
 ): string | undefined {
   const allocator = new SlotAllocator({ firstGrantId: 0 });
-  const holders: TrueHolder[] = [0, 1, 2].map(() => ({
+  const holders: HolderModel[] = [0, 1, 2].map(() => ({
     grantId: 0,
     granted: new Map(),
     inUse: new Map(),
     demand: 0,
   }));
   for (const { demands, lost, use } of session.rounds) {
-    holders.forEach((holder, at) => {
-      holder.demand = demands[at] ?? 0;
-      if (lost[at] !== true) {
+    holders.forEach((holder, index) => {
+      holder.demand = demands[index] ?? 0;
+      if (lost[index] !== true) {
         const holds = options.hidesUse
           ? new Map<string, number>()
-          : overUse(holder);
+          : usedOverGrant(holder);
         const { demand, grantId } = holder;
-        allocator.report({ instanceId: `i${at}`, demand, grantId, holds });
+        allocator.report({ instanceId: `i${index}`, demand, grantId, holds });
       }
     });
     for (const grant of allocator.allocate(CAPACITY)) {
-      const at = Number(grant.instanceId.slice(1));
-      if (lost[3 + at] !== true) {
-        obey(holders[at], grant);
+      const index = Number(grant.instanceId.slice(1));
+      if (lost[3 + index] !== true) {
+        applyGrant(holders[index], grant);
       }
     }
-    holders.forEach((holder, at) => takeSlots(holder, use[at] ?? 0));
-    const broken = promisedTwice(holders);
-    if (broken !== undefined) {
-      return broken;
+    holders.forEach((holder, index) => useSlots(holder, use[index] ?? 0));
+    const grantedTwice = findGrantedTwice(holders);
+    if (grantedTwice !== undefined) {
+      return grantedTwice;
     }
   }
   return undefined;
 }
 
-function obey(holder: TrueHolder | undefined, grant: SlotGrant): void {
+function applyGrant(holder: HolderModel | undefined, grant: SlotGrant): void {
   if (holder !== undefined && grant.grantId > holder.grantId) {
     holder.grantId = grant.grantId;
     holder.granted = grant.slots;
   }
 }
 
-function overUse(holder: TrueHolder): Map<string, number> {
+function usedOverGrant(holder: HolderModel): Map<string, number> {
   return new Map(
     [...holder.inUse].filter(([id, used]) =>
       used > (holder.granted.get(id) ?? 0)
@@ -89,8 +89,8 @@
   );
 }
 
-/** Starts up to the grant; what runs already ends only now and then. */
-function takeSlots(holder: TrueHolder, use: number): void {
+/** Starts calls up to the grant; a running call ends only at low use. */
+function useSlots(holder: HolderModel, use: number): void {
   for (const serverId of CAPACITY.keys()) {
     const granted = holder.granted.get(serverId) ?? 0;
     const running = holder.inUse.get(serverId) ?? 0;
@@ -100,7 +100,7 @@
   }
 }
 
-function promisedTwice(holders: readonly TrueHolder[]): string | undefined {
+function findGrantedTwice(holders: readonly HolderModel[]): string | undefined {
   return [...CAPACITY.keys()].find((serverId) => {
     const used = holders.reduce(
       (sum, holder) =>
@@ -114,11 +114,11 @@
   });
 }
 
-test("no slot is promised twice, whatever is lost or in use", (t) => {
+test("no slot is granted twice, whatever is lost or in use", (t) => {
   const checked = fc.check(
     fc.property(
       sessions,
-      (session) => play(session, { hidesUse: false }) === undefined,
+      (session) => run(session, { hidesUse: false }) === undefined,
     ),
     { numRuns: 2_000, seed: 4 },
   );
@@ -128,27 +128,27 @@
   );
 });
 
-test("the check notices holders that hide what they use", (t) => {
+test("the check notices instances that don't report slots in use", (t) => {
   const checked = fc.check(
     fc.property(
       sessions,
-      (session) => play(session, { hidesUse: true }) === undefined,
+      (session) => run(session, { hidesUse: true }) === undefined,
     ),
     { numRuns: 2_000, seed: 4, endOnFailure: true },
   );
   t.true(checked.failed);
 });
 
-test("shares are max-min fair and use everything", (t) => {
-  t.deepEqual(shareOut(11, [1, 20, 20]), [1, 5, 5]);
-  t.deepEqual(shareOut(10, [0, 0, 0]), [4, 3, 3]);
-  t.deepEqual(shareOut(12, [2, 2, 2]), [4, 4, 4]);
+test("shares are max-min fair and add up to the total", (t) => {
+  t.deepEqual(fairShares(11, [1, 20, 20]), [1, 5, 5]);
+  t.deepEqual(fairShares(10, [0, 0, 0]), [4, 3, 3]);
+  t.deepEqual(fairShares(12, [2, 2, 2]), [4, 4, 4]);
   fc.assert(
     fc.property(
       fc.nat({ max: 300 }),
       fc.array(fc.nat({ max: 100 }), { minLength: 1, maxLength: 9 }),
       (total, demands) => {
-        const shares = shareOut(total, demands);
+        const shares = fairShares(total, demands);
         return shares.reduce((sum, share) => sum + share, 0) === total;
       },
     ),
--- a/src/process/routing/core/token_bucket.ts
+++ b/src/process/routing/core/token_bucket.ts
@@ -1,14 +1,14 @@
 /**
- * A budget that fills up to a limit and is drawn from.
+ * A token bucket.
  *
  * @module
  */
 
-/** Tokens, added by hand or at a rate, and taken. */
+/** Tokens up to a limit, added explicitly or at a rate. */
 export class TokenBucket {
   #limit: number;
   #tokens: number;
-  #filledAtMs = 0;
+  #refilledAtMs = 0;
 
   constructor(options: { limit: number; tokens?: number }) {
     this.#limit = options.limit;
@@ -23,16 +23,16 @@
     this.#tokens = Math.min(this.#limit, this.#tokens + tokens);
   }
 
-  /** Adds what the rate gives since the last fill. */
-  fill(nowMs: number, options: { perSecond: number; limit: number }): void {
+  /** Sets the limit and adds the tokens accrued since the last refill. */
+  refill(nowMs: number, options: { perSecond: number; limit: number }): void {
     this.#limit = options.limit;
-    const elapsedMs = Math.max(0, nowMs - this.#filledAtMs);
-    this.#filledAtMs = Math.max(this.#filledAtMs, nowMs);
+    const elapsedMs = Math.max(0, nowMs - this.#refilledAtMs);
+    this.#refilledAtMs = Math.max(this.#refilledAtMs, nowMs);
     this.add(options.perSecond * elapsedMs / 1_000);
   }
 
-  /** Whether the tokens could be taken. */
-  take(tokens: number): boolean {
+  /** Takes the tokens; false, and takes none, when there are too few. */
+  tryTake(tokens: number): boolean {
     if (this.#tokens < tokens) {
       return false;
     }
--- a/src/process/routing/fixed_configuration.ts
+++ b/src/process/routing/fixed_configuration.ts
@@ -9,13 +9,13 @@
 import { documentSchema } from "../../version/document/document.ts";
 import type { ConfigurationSource } from "../configuration/configuration_source.ts";
 
-/** What stands in the document; sections get an owner and their defaults. */
+/** Content of the document; an owner and defaults are filled in. */
 export interface FixedConfigurationOptions {
   readonly dataCentres: readonly string[];
   readonly services: Readonly<Record<string, object>>;
 }
 
-/** A source with one version. */
+/** A configuration source with a single version. */
 export function fixedConfiguration(
   options: FixedConfigurationOptions,
 ): ConfigurationSource {
--- a/src/process/routing/forward_message.ts
+++ b/src/process/routing/forward_message.ts
@@ -1,5 +1,5 @@
 /**
- * What instances of different data centres say to one another about requests.
+ * Messages about requests between instances of different data centres.
  *
  * @module
  */
@@ -14,18 +14,18 @@
 const bytes = z.instanceof(Uint8Array);
 
 const forwardMessageSchema = z.discriminatedUnion("kind", [
-  /** What the sender could take on; the receiver echoes it. */
+  /** The sender's free slots; the receiver answers with a `loadEcho`. */
   z.strictObject({
     kind: z.literal("load"),
     sentAtMs: z.number(),
     freeSlots: z.record(identity, z.int().min(0)),
   }),
   z.strictObject({ kind: z.literal("loadEcho"), sentAtMs: z.number() }),
-  /** A part of a packed call or of the packed end of one. */
+  /** A part of a packed call or of its packed result. */
   z.strictObject({
     kind: z.literal("part"),
     flow: z.enum(["call", "end"]),
-    /** Grows with every run of the sender of the call. */
+    /** Incarnation of the instance that forwarded the call. */
     incarnation: z.int().min(0),
     forwardId: z.int().min(1),
     index: z.int().min(0),
@@ -34,10 +34,10 @@
   }),
 ]);
 
-/** A call for another data centre. */
+/** A call forwarded to another data centre. */
 export const forwardedCallSchema = z.strictObject({
   formatVersion: z.literal(1),
-  /** How long its caller still waits; clocks of instances may differ. */
+  /** Time left to its deadline; the clocks of instances may differ. */
   timeoutMs: z.number(),
   record: z.strictObject({
     requestId: identity,
@@ -52,7 +52,7 @@
   }),
 });
 
-/** How a forwarded call ended. */
+/** The result of a forwarded call. */
 export const forwardedEndSchema = z.strictObject({
   formatVersion: z.literal(1),
   result: z.enum(AttemptResult),
@@ -68,7 +68,7 @@
 export type ForwardedCall = z.infer<typeof forwardedCallSchema>;
 export type ForwardedEnd = z.infer<typeof forwardedEndSchema>;
 
-/** Checks a message from a peer; `malformed` when it has another shape. */
+/** Validates a message from a peer; `malformed` when its shape is wrong. */
 export function decodeForwardMessage(body: unknown): Result<ForwardMessage> {
   const parsed = forwardMessageSchema.safeParse(body);
   return parsed.success ? Right(parsed.data) : failure("malformed", {
--- a/src/process/routing/forward_parts.ts
+++ b/src/process/routing/forward_parts.ts
@@ -1,6 +1,6 @@
 /**
- * Cuts what is forwarded into parts and puts parts together again, within
- * bounds of memory and time. Nothing comes of a call of which a part is lost.
+ * Splits forwarded messages into parts and reassembles them, within limits of
+ * memory and time. A message that has lost a part is never delivered.
  *
  * @module
  */
@@ -9,17 +9,17 @@
 import type { InstanceId } from "../../base/identity.ts";
 import type { ForwardPart } from "./forward_message.ts";
 
-/** Small enough that other messages get through between two parts. */
+/** Small enough for other messages to get through between two parts. */
 const PART_BYTES = 65_536;
 
-/** What parts say of the whole that they belong to. */
+/** The fields that identify a part's message. */
 export type PartHead = Pick<
   ForwardPart,
   "flow" | "incarnation" | "forwardId"
 >;
 
-/** The parts of a packed call or end, in order. */
-export function cutIntoParts(
+/** Splits a packed call or result into parts, in order. */
+export function splitIntoParts(
   packed: Uint8Array,
   head: PartHead,
 ): ForwardPart[] {
@@ -33,7 +33,7 @@
   }));
 }
 
-/** Bounds of what may lie incomplete. */
+/** Options of a {@link PartAssembler}: limits on incomplete messages. */
 export interface PartAssemblerOptions {
   readonly clock: Clock;
   readonly limitBytes?: number;
@@ -43,17 +43,17 @@
 const LIMIT_BYTES = 32 * 1_048_576;
 const LIFETIME_MS = 30_000;
 
-interface Incomplete {
+interface IncompleteMessage {
   readonly parts: (Uint8Array | undefined)[];
   readonly expiresAtMs: number;
   missing: number;
   bytes: number;
 }
 
-/** Wholes of which parts are missing. */
+/** Reassembles messages from their parts. */
 export class PartAssembler {
   readonly #options: Required<PartAssemblerOptions>;
-  readonly #incomplete = new Map<string, Incomplete>();
+  readonly #incomplete = new Map<string, IncompleteMessage>();
   #bytes = 0;
 
   constructor(options: PartAssemblerOptions) {
@@ -64,57 +64,57 @@
     };
   }
 
-  get heldBytes(): number {
+  get bufferedBytes(): number {
     return this.#bytes;
   }
 
-  /** The whole, when this was its last part. */
+  /** Adds a part; returns the message once all its parts have arrived. */
   add(from: InstanceId, part: ForwardPart): Uint8Array | undefined {
     this.#expire();
     const { flow, incarnation, forwardId, index, count } = part;
     const key = `${from}/${flow}/${incarnation}/${forwardId}`;
-    const whole = this.#incomplete.get(key) ?? this.#begin(key, count);
-    const isUseful = index < whole.parts.length &&
-      whole.parts[index] === undefined &&
+    const message = this.#incomplete.get(key) ?? this.#begin(key, count);
+    const isAccepted = index < message.parts.length &&
+      message.parts[index] === undefined &&
       this.#bytes + part.bytes.length <= this.#options.limitBytes;
-    if (!isUseful) {
+    if (!isAccepted) {
       return undefined;
     }
-    whole.parts[index] = part.bytes;
-    whole.missing -= 1;
-    whole.bytes += part.bytes.length;
+    message.parts[index] = part.bytes;
+    message.missing -= 1;
+    message.bytes += part.bytes.length;
     this.#bytes += part.bytes.length;
-    if (whole.missing > 0) {
+    if (message.missing > 0) {
       return undefined;
     }
-    this.#drop(key, whole);
-    return Buffer.concat(whole.parts.filter((bytes) => bytes !== undefined));
+    this.#drop(key, message);
+    return Buffer.concat(message.parts.filter((bytes) => bytes !== undefined));
   }
 
-  #begin(key: string, count: number): Incomplete {
+  #begin(key: string, count: number): IncompleteMessage {
     const { clock, lifetimeMs } = this.#options;
-    const whole: Incomplete = {
+    const message: IncompleteMessage = {
       parts: new Array<Uint8Array | undefined>(count).fill(undefined),
       expiresAtMs: clock.nowMs() + lifetimeMs,
       missing: count,
       bytes: 0,
     };
-    this.#incomplete.set(key, whole);
-    return whole;
+    this.#incomplete.set(key, message);
+    return message;
   }
 
   #expire(): void {
     const nowMs = this.#options.clock.nowMs();
-    for (const [key, whole] of this.#incomplete) {
-      if (whole.expiresAtMs > nowMs) {
+    for (const [key, message] of this.#incomplete) {
+      if (message.expiresAtMs > nowMs) {
         return;
       }
-      this.#drop(key, whole);
+      this.#drop(key, message);
     }
   }
 
-  #drop(key: string, whole: Incomplete): void {
+  #drop(key: string, message: IncompleteMessage): void {
     this.#incomplete.delete(key);
-    this.#bytes -= whole.bytes;
+    this.#bytes -= message.bytes;
   }
 }
--- a/src/process/routing/forwarding.ts
+++ b/src/process/routing/forwarding.ts
@@ -1,6 +1,6 @@
 /**
- * Has requests answered in another data centre when that saves their
- * deadline, and answers those of others.
+ * Forwards requests to other data centres, which may answer them in time when
+ * this one can't, and answers the requests that they forward.
  *
  * @module
  */
@@ -21,7 +21,7 @@
 import type { RequestRecord } from "../../request/request_record.ts";
 import type { BackendAttemptEnd } from "./backend_client.ts";
 import { AttemptResult } from "./core/mod.ts";
-import { ForwardMemory } from "./forward_memory.ts";
+import { ForwardDeduplicator } from "./forward_deduplicator.ts";
 import {
   decodeForwardMessage,
   type ForwardedCall,
@@ -31,13 +31,13 @@
   type ForwardMessage,
   type ForwardPart,
 } from "./forward_message.ts";
-import { cutIntoParts, PartAssembler } from "./forward_parts.ts";
+import { PartAssembler, splitIntoParts } from "./forward_parts.ts";
 import { RemotePeers } from "./remote_peers.ts";
-import type { RoutedEnd } from "./routed_call.ts";
+import type { RouteResult } from "./routed_call.ts";
 import type { Router } from "./router.ts";
 import type { RoutingInstance } from "./routing_instance.ts";
 
-/** What forwarding is built from. */
+/** Options of a {@link Forwarding}. */
 export interface ForwardingOptions {
   readonly self: RoutingInstance;
   readonly peers: readonly RoutingInstance[];
@@ -47,17 +47,17 @@
   readonly router: Router;
 }
 
-/** How often the free slots are looked at for other data centres. */
-const LOAD_PERIOD_MS = 300;
+/** Period of the check whether free slots are to be reported. */
+const LOAD_CHECK_PERIOD_MS = 300;
 
-/** How often they are reported though they have hardly changed. */
+/** Age of the last report at which hardly changed free slots are reported. */
 const LOAD_REFRESH_MS = 1_000;
 
-/** A change by less than this fraction of the slots is no news. */
+/** A change by at least this fraction of the free slots is reported at once. */
 const LOAD_CHANGE_FRACTION = 0.1;
 
-/** How long past its deadline the end of a call is waited for. */
-const GRACE_MS = 6_000;
+/** How long past its deadline a forwarded call's result is waited for. */
+const RESULT_GRACE_MS = 6_000;
 
 const PACKR = new Packr({ useRecords: false });
 
@@ -72,34 +72,40 @@
   readonly #options: ForwardingOptions;
   readonly #channel: PeerChannel<ForwardMessage>;
   readonly #assembler: PartAssembler;
-  readonly #memory = new ForwardMemory();
-  readonly #remotes: RemotePeers;
+  readonly #deduplicator = new ForwardDeduplicator();
+  readonly #remotePeers: RemotePeers;
   readonly #timer: Timer;
-  readonly #waiting = new Map<number, (end: BackendAttemptEnd) => void>();
+  readonly #pendingResults = new Map<
+    number,
+    (end: BackendAttemptEnd) => void
+  >();
   #lastForwardId = 0;
   #lastReport: LoadReport = { atMs: -Infinity, freeSlots: {} };
 
   constructor(options: ForwardingOptions) {
     this.#options = options;
-    this.#remotes = new RemotePeers(options);
+    this.#remotePeers = new RemotePeers(options);
     this.#assembler = new PartAssembler({ clock: options.clock });
     this.#channel = options.network.channel({
       name: "forwarding",
       decode: decodeForwardMessage,
     });
     this.#channel.received.observe((received) => this.#receive(received));
-    this.#timer = options.clock.every(LOAD_PERIOD_MS, () => this.#report());
+    this.#timer = options.clock.every(
+      LOAD_CHECK_PERIOD_MS,
+      () => this.#reportLoad(),
+    );
     options.router.setForwarder((decision, record) =>
       this.forward(record, decision.dataCentre)
     );
   }
 
-  /** Has the request answered there; `notSent` when that can't have been. */
+  /** Forwards the request; `notSent` when it can't have arrived whole. */
   forward(
     record: RequestRecord,
     dataCentre: DataCentreId,
   ): Promise<BackendAttemptEnd> {
-    const peer = this.#remotes.choose(dataCentre, record.service);
+    const peer = this.#remotePeers.reserveSlot(dataCentre, record.service);
     const forwardId = ++this.#lastForwardId;
     const packed = this.#packCall(record);
     const isSent = peer !== undefined &&
@@ -110,21 +116,21 @@
     }
     const { clock } = this.#options;
     return new Promise((resolve) => {
-      const leftMs = record.deadlineMs + GRACE_MS - clock.nowMs();
+      const leftMs = record.deadlineMs + RESULT_GRACE_MS - clock.nowMs();
       const timer = clock.after(leftMs, () => settle(UNKNOWN_END));
       const settle = (end: BackendAttemptEnd): void => {
         timer.close();
-        this.#waiting.delete(forwardId);
+        this.#pendingResults.delete(forwardId);
         resolve(end);
       };
-      this.#waiting.set(forwardId, settle);
+      this.#pendingResults.set(forwardId, settle);
     });
   }
 
   close(): void {
     this.#timer.close();
     this.#channel.close();
-    [...this.#waiting.values()].forEach((settle) => settle(UNKNOWN_END));
+    [...this.#pendingResults.values()].forEach((settle) => settle(UNKNOWN_END));
   }
 
   #packCall(record: RequestRecord): Uint8Array {
@@ -133,14 +139,14 @@
     return PACKR.pack({ formatVersion: 1, timeoutMs, record: rest });
   }
 
-  /** False when a part was dropped at once: then nothing can come of it. */
+  /** False when a part was dropped, so the message can't arrive whole. */
   #sendParts(
     to: InstanceId,
     packed: Uint8Array,
     head: { flow: "call" | "end"; forwardId: number; incarnation?: number },
   ): boolean {
     const { incarnation } = this.#options;
-    return cutIntoParts(packed, { incarnation, ...head })
+    return splitIntoParts(packed, { incarnation, ...head })
       .every((part) => this.#channel.send(to, part));
   }
 
@@ -149,11 +155,11 @@
       case "load": {
         const { sentAtMs, freeSlots } = message;
         this.#channel.send(from, { kind: "loadEcho", sentAtMs });
-        this.#remotes.hear(from, freeSlots);
+        this.#remotePeers.recordLoad(from, freeSlots);
         break;
       }
       case "loadEcho":
-        this.#remotes.measure(from, message.sentAtMs);
+        this.#remotePeers.recordEcho(from, message.sentAtMs);
         break;
       case "part":
         this.#receivePart(from, message);
@@ -162,23 +168,23 @@
   }
 
   #receivePart(from: InstanceId, part: ForwardPart): void {
-    const whole = this.#assembler.add(from, part);
-    if (whole === undefined) {
+    const packed = this.#assembler.add(from, part);
+    if (packed === undefined) {
       return;
     }
     if (part.flow === "end") {
-      this.#receiveEnd(part, unpack(whole));
+      this.#receiveEnd(part, unpack(packed));
       return;
     }
-    const call = forwardedCallSchema.safeParse(unpack(whole));
-    if (call.success && this.#memory.take(from, part)) {
+    const call = forwardedCallSchema.safeParse(unpack(packed));
+    if (call.success && this.#deduplicator.accept(from, part)) {
       void this.#answer(from, part, call.data);
     }
   }
 
   #receiveEnd(part: ForwardPart, body: unknown): void {
     const end = forwardedEndSchema.safeParse(body);
-    const settle = this.#waiting.get(part.forwardId);
+    const settle = this.#pendingResults.get(part.forwardId);
     const isOurs = part.incarnation === this.#options.incarnation;
     if (!end.success || settle === undefined || !isOurs) {
       return;
@@ -211,51 +217,51 @@
       deadlineMs: receivedAtMs + call.timeoutMs,
     };
     const end = await router.route(record, { isForwarded: true });
-    const packed = PACKR.pack(await describeEnd(end));
+    const packed = PACKR.pack(await toForwardedEnd(end));
     const { forwardId, incarnation } = part;
     this.#sendParts(from, packed, { flow: "end", forwardId, incarnation });
   }
 
-  #report(): void {
+  #reportLoad(): void {
     const { clock, network, router } = this.#options;
     const nowMs = clock.nowMs();
     const freeSlots: Record<ServiceId, number> = {};
-    for (const [service, { servers, queued }] of router.core.services) {
-      const free = servers.freeSlots(nowMs) - queued;
+    for (const [service, { servers, queuedCalls }] of router.core.services) {
+      const free = servers.freeSlots(nowMs) - queuedCalls;
       freeSlots[service] = Math.max(0, free);
     }
     const isDue = nowMs >= this.#lastReport.atMs + LOAD_REFRESH_MS;
-    if (!isDue && !isNews(freeSlots, this.#lastReport.freeSlots)) {
+    if (!isDue && !isSignificantChange(freeSlots, this.#lastReport.freeSlots)) {
       return;
     }
     this.#lastReport = { atMs: nowMs, freeSlots };
     for (const peer of network.linkedPeerIds()) {
-      if (this.#remotes.isRemote(peer)) {
+      if (this.#remotePeers.isRemote(peer)) {
         this.#channel.send(peer, { kind: "load", sentAtMs: nowMs, freeSlots });
       }
     }
   }
 }
 
-/** What other data centres were last told. */
+/** The last load report to other data centres. */
 interface LoadReport {
   readonly atMs: number;
   readonly freeSlots: Readonly<Record<ServiceId, number>>;
 }
 
-function isNews(
+function isSignificantChange(
   freeSlots: LoadReport["freeSlots"],
   before: LoadReport["freeSlots"],
 ): boolean {
   return Object.entries(freeSlots).some(([service, free]) => {
-    const told = before[service];
-    const margin = Math.max(1, LOAD_CHANGE_FRACTION * (told ?? 0));
-    return told === undefined || Math.abs(free - told) >= margin;
+    const reported = before[service];
+    const margin = Math.max(1, LOAD_CHANGE_FRACTION * (reported ?? 0));
+    return reported === undefined || Math.abs(free - reported) >= margin;
   });
 }
 
-/** Waits for what becomes known late, when the end itself is unknown. */
-async function describeEnd(end: RoutedEnd): Promise<ForwardedEnd> {
+/** Waits for the final outcome when the result doesn't tell it. */
+async function toForwardedEnd(end: RouteResult): Promise<ForwardedEnd> {
   const routed = end.result.caseOf({
     Left: () => undefined,
     Right: (answer) => answer,
@@ -267,16 +273,16 @@
   if (isNotRun) {
     return { formatVersion: 1, result: AttemptResult.notSent };
   }
-  const knowledge = routed === undefined
-    ? await end.knowledge
+  const finalOutcome = routed === undefined
+    ? await end.finalOutcome
     : { kind: "answered" as const, routed };
-  switch (knowledge.kind) {
+  switch (finalOutcome.kind) {
     case "notRun":
       return { formatVersion: 1, result: AttemptResult.notSent };
     case "unknown":
       return { formatVersion: 1, result: AttemptResult.ambiguous };
     case "answered": {
-      const { httpStatus, contentType, body } = knowledge.routed.answer;
+      const { httpStatus, contentType, body } = finalOutcome.routed.answer;
       return {
         formatVersion: 1,
         result: AttemptResult.answered,
--- a/src/process/routing/leaving_server_test.ts
+++ b/src/process/routing/leaving_server_test.ts
@@ -7,9 +7,9 @@
 import { fixedConfiguration } from "./fixed_configuration.ts";
 import { RequestRouting } from "./request_routing.ts";
 
-/** A leaving server gets nothing new after this. */
-const BOUND_MS = 2_000;
-const ANNOUNCE_MS = 900;
+/** How long after its announcement a leaving server may get new requests. */
+const SEND_LIMIT_MS = 2_000;
+const ANNOUNCEMENT_PERIOD_MS = 900;
 const INSTANCE_IDS = ["i1", "i2", "i3"];
 
 const CONFIGURATION = fixedConfiguration({
@@ -18,11 +18,12 @@
 });
 
 /**
- * Three instances under load; one of two servers leaves and says so to the
- * first instance only. Gives how long after that it was last sent to.
+ * Runs three instances under load. One of two servers leaves and announces it
+ * to the first instance only. Returns how long after that its last request was
+ * sent, in milliseconds.
  */
 async function leaveUnderLoad(
-  options: { lossRate: number; isCut: boolean; lifetimeMs?: number },
+  options: { lossRate: number; isPartitioned: boolean; lifetimeMs?: number },
 ): Promise<number> {
   const clock = new FakeClock({ startMs: 1_000_000 });
   const random = new SeededRandom({ seed: 6 });
@@ -75,7 +76,7 @@
       leaving,
     });
   };
-  const timer = clock.every(ANNOUNCE_MS, () => {
+  const timer = clock.every(ANNOUNCEMENT_PERIOD_MS, () => {
     announce(1, clock.nowMs() >= leavingAtMs);
     announce(2, false);
   });
@@ -90,7 +91,7 @@
   };
   await run(3_000);
   hub.faults.lossRate = options.lossRate;
-  if (options.isCut) {
+  if (options.isPartitioned) {
     hub.cut("i1", "i2");
     hub.cut("i1", "i3");
   }
@@ -105,7 +106,7 @@
 async function load(routing: RequestRouting, clock: FakeClock): Promise<void> {
   const nowMs = clock.nowMs();
   await routing.answer({
-    isNamed: false,
+    hasCallerId: false,
     record: {
       requestId: "r",
       service: "loft",
@@ -122,28 +123,28 @@
   }, { signal: new AbortController().signal });
 }
 
-test("a leaving server gets nothing once its instances heard", async (t) => {
-  const lastMs = await leaveUnderLoad({ lossRate: 0, isCut: false });
+test("a leaving server gets nothing once all instances know", async (t) => {
+  const lastMs = await leaveUnderLoad({ lossRate: 0, isPartitioned: false });
   t.true(lastMs <= 10, `${lastMs}`);
 });
 
 for (const lossRate of [0.3, 0.9]) {
-  test(`it gets nothing late when ${lossRate} of messages are lost`, async (t) => {
-    const lastMs = await leaveUnderLoad({ lossRate, isCut: false });
-    t.true(lastMs < BOUND_MS, `${lastMs}`);
+  test(`a leaving server gets nothing late with ${lossRate} of messages lost`, async (t) => {
+    const lastMs = await leaveUnderLoad({ lossRate, isPartitioned: false });
+    t.true(lastMs < SEND_LIMIT_MS, `${lastMs}`);
   });
 }
 
-test("it gets nothing late from instances that never hear", async (t) => {
-  const lastMs = await leaveUnderLoad({ lossRate: 0, isCut: true });
-  t.true(lastMs < BOUND_MS, `${lastMs}`);
+test("a leaving server gets nothing late from instances that never know", async (t) => {
+  const lastMs = await leaveUnderLoad({ lossRate: 0, isPartitioned: true });
+  t.true(lastMs < SEND_LIMIT_MS, `${lastMs}`);
 });
 
-test("the check notices announcements that are used too long", async (t) => {
+test("the check notices announcements that expire too late", async (t) => {
   const lastMs = await leaveUnderLoad({
     lossRate: 0,
-    isCut: true,
+    isPartitioned: true,
     lifetimeMs: 3_500,
   });
-  t.true(lastMs >= BOUND_MS, `${lastMs}`);
+  t.true(lastMs >= SEND_LIMIT_MS, `${lastMs}`);
 });
--- a/src/process/routing/read_request.ts
+++ b/src/process/routing/read_request.ts
@@ -1,5 +1,5 @@
 /**
- * Reads a caller's call as a request, checked and with defaults filled in.
+ * Parses and validates a caller's HTTP call and fills in defaults.
  *
  * @module
  */
@@ -13,7 +13,7 @@
 import type { HttpCall } from "../http/http_endpoint.ts";
 import { RequestHeader } from "./request_headers.ts";
 
-/** The longest timeout that a caller may state. */
+/** The longest timeout that a caller may set. */
 const TIMEOUT_LIMIT_MS = 3_600_000;
 
 const identity = z.string().regex(IDENTITY_PATTERN, "an identity");
@@ -33,17 +33,17 @@
     .default("/"),
 });
 
-/** A request, and whether its caller named it. */
-export interface ReadRequest {
+/** A request, and whether its id comes from its caller. */
+export interface ParsedRequest {
   readonly record: RequestRecord;
-  readonly isNamed: boolean;
+  readonly hasCallerId: boolean;
 }
 
-/** The request of a call; `malformed`, `notFound` or `invalid` otherwise. */
+/** Parses a call; fails with `malformed`, `notFound` or `invalid`. */
 export function readRequest(
   call: HttpCall,
   options: { version: ConfigurationVersion; newRequestId: () => string },
-): Result<ReadRequest> {
+): Result<ParsedRequest> {
   const { document, version } = options.version;
   const serviceId = call.parameters["service"] ?? "";
   const service = document.services[serviceId];
@@ -67,11 +67,11 @@
       facts: { classes: service.classes.map(({ name }) => name) },
     });
   }
-  const named = headers[RequestHeader.requestId];
+  const callerId = headers[RequestHeader.requestId];
   const timeoutMs = headers[RequestHeader.timeoutMs] ??
     requestClass.defaultTimeoutMs;
   const record: RequestRecord = {
-    requestId: named ?? options.newRequestId(),
+    requestId: callerId ?? options.newRequestId(),
     service: serviceId,
     clientAccount: headers[RequestHeader.clientAccount],
     requestClass: requestClass.name,
@@ -83,7 +83,7 @@
     body: call.body,
     configurationVersion: version,
   };
-  return Right({ record, isNamed: named !== undefined });
+  return Right({ record, hasCallerId: callerId !== undefined });
 }
 
 function malformedHeader(error: z.ZodError): Result<never> {
--- a/src/process/routing/remote_peers.ts
+++ b/src/process/routing/remote_peers.ts
@@ -1,6 +1,5 @@
 /**
- * The instances of other data centres: how far they are and what they could
- * take on.
+ * Round-trip times and free slots of the instances of other data centres.
  *
  * @module
  */
@@ -14,21 +13,21 @@
 import type { Router } from "./router.ts";
 import type { RoutingInstance } from "./routing_instance.ts";
 
-/** What is reckoned with before a round trip was measured. */
+/** Assumed before any round trip has been measured. */
 const DEFAULT_ROUND_TRIP_MS = 50;
 const ROUND_TRIP_WEIGHT = 0.2;
 
-/** A report counts for this long. */
-const LIFETIME_MS = 2_500;
+/** A load report expires after this long. */
+const LOAD_LIFETIME_MS = 2_500;
 
 interface RemotePeer {
   readonly instance: RoutingInstance;
   roundTripMs: number;
-  heardAtMs: number;
+  reportedAtMs: number;
   freeSlots: Map<ServiceId, number>;
 }
 
-/** The peers of other data centres. */
+/** Tracks the peers of other data centres. */
 export class RemotePeers {
   readonly #self: RoutingInstance;
   readonly #clock: Clock;
@@ -51,7 +50,7 @@
         this.#peers.set(instance.id, {
           instance,
           roundTripMs: DEFAULT_ROUND_TRIP_MS,
-          heardAtMs: -Infinity,
+          reportedAtMs: -Infinity,
           freeSlots: new Map(),
         });
       }
@@ -62,22 +61,25 @@
     return this.#peers.has(peer);
   }
 
-  /** Takes a report, and tells the core what the data centre has free. */
-  hear(from: InstanceId, freeSlots: Readonly<Record<ServiceId, number>>): void {
+  /** Records a load report and updates the data centre's load in the core. */
+  recordLoad(
+    from: InstanceId,
+    freeSlots: Readonly<Record<ServiceId, number>>,
+  ): void {
     const peer = this.#peers.get(from);
     if (peer === undefined) {
       return;
     }
-    peer.heardAtMs = this.#clock.nowMs();
+    peer.reportedAtMs = this.#clock.nowMs();
     peer.freeSlots = new Map(Object.entries(freeSlots));
     const { dataCentre } = peer.instance;
     for (const service of peer.freeSlots.keys()) {
-      this.#tell(dataCentre, service);
+      this.#reportLoad(dataCentre, service);
     }
   }
 
-  /** Takes the echo of a report of this instance. */
-  measure(from: InstanceId, sentAtMs: number): void {
+  /** Updates the round-trip time from the echo of a load report. */
+  recordEcho(from: InstanceId, sentAtMs: number): void {
     const peer = this.#peers.get(from);
     if (peer !== undefined) {
       const tripMs = Math.max(0, this.#clock.nowMs() - sentAtMs);
@@ -85,26 +87,31 @@
     }
   }
 
-  /** The instance there with the most free slots, one of which is taken. */
-  choose(dataCentre: DataCentreId, service: ServiceId): InstanceId | undefined {
-    const peers = this.#freshIn(dataCentre);
-    peers.sort((left, right) => freeOf(right, service) - freeOf(left, service));
+  /** Reserves a slot of the instance with the most free slots there. */
+  reserveSlot(
+    dataCentre: DataCentreId,
+    service: ServiceId,
+  ): InstanceId | undefined {
+    const peers = this.#recentPeersIn(dataCentre);
+    peers.sort((left, right) =>
+      freeSlotsOf(right, service) - freeSlotsOf(left, service)
+    );
     const [chosen] = peers;
-    chosen?.freeSlots.set(service, freeOf(chosen, service) - 1);
+    chosen?.freeSlots.set(service, freeSlotsOf(chosen, service) - 1);
     return chosen?.instance.id;
   }
 
-  #freshIn(dataCentre: DataCentreId): RemotePeer[] {
-    const sinceMs = this.#clock.nowMs() - LIFETIME_MS;
+  #recentPeersIn(dataCentre: DataCentreId): RemotePeer[] {
+    const sinceMs = this.#clock.nowMs() - LOAD_LIFETIME_MS;
     return [...this.#peers.values()].filter((peer) =>
-      peer.instance.dataCentre === dataCentre && peer.heardAtMs >= sinceMs
+      peer.instance.dataCentre === dataCentre && peer.reportedAtMs >= sinceMs
     );
   }
 
-  #tell(dataCentre: DataCentreId, service: ServiceId): void {
-    const peers = this.#freshIn(dataCentre);
+  #reportLoad(dataCentre: DataCentreId, service: ServiceId): void {
+    const peers = this.#recentPeersIn(dataCentre);
     const freeSlots = peers.reduce(
-      (sum, peer) => sum + freeOf(peer, service),
+      (sum, peer) => sum + freeSlotsOf(peer, service),
       0,
     );
     const isOtherRegion = peers.some(({ instance }) =>
@@ -119,6 +126,6 @@
   }
 }
 
-function freeOf(peer: RemotePeer, service: ServiceId): number {
+function freeSlotsOf(peer: RemotePeer, service: ServiceId): number {
   return peer.freeSlots.get(service) ?? 0;
 }
--- a/src/process/routing/request_claim.ts
+++ b/src/process/routing/request_claim.ts
@@ -1,6 +1,6 @@
 /**
- * The claim on one non-idempotent request in its home's ledger: taken before
- * any byte is sent, settled when no more can become known.
+ * The claim on one non-idempotent request in its home's ledger: acquired before
+ * any byte is sent, ended when the final outcome is known.
  *
  * @module
  */
@@ -16,28 +16,28 @@
   LedgerReply,
   RecordedOutcome,
 } from "../ledger/mod.ts";
-import type { FinalKnowledge } from "./routed_call.ts";
+import type { FinalOutcome } from "./routed_call.ts";
 
-/** What a claim is built from. */
+/** Options of a {@link RequestClaim}. */
 export interface RequestClaimOptions {
   readonly ledger: Pick<Ledger, "ask">;
   readonly clock: Clock;
   readonly record: RequestRecord;
   readonly home: DataCentreId;
-  /** Never used twice, over all instances and their runs. */
+  /** Unique over all instances and their restarts. */
   readonly claimant: string;
   readonly retentionMs: number;
 }
 
-/** The first wait before a held claim is asked for again; it doubles. */
-const HELD_WAIT_MS = 10;
-const HELD_WAIT_LIMIT_MS = 200;
+/** First wait before a claim held by another call is retried; it doubles. */
+const RETRY_DELAY_MS = 10;
+const RETRY_DELAY_LIMIT_MS = 200;
 
-/** How long the record of an end is tried for. */
-const SETTLE_MS = 10_000;
-const SETTLE_TRY_MS = 2_000;
+/** How long the recording of an outcome is retried. */
+const RECORD_TIMEOUT_MS = 10_000;
+const RECORD_TRY_TIMEOUT_MS = 2_000;
 
-/** One call's claim. */
+/** The claim of one call. */
 export class RequestClaim {
   readonly #options: RequestClaimOptions;
   readonly #key: string;
@@ -51,12 +51,12 @@
   }
 
   /**
-   * Asks for the claim, and again while another holds it, till the request's
-   * deadline. `held` means that the other hadn't ended by then.
+   * Requests the claim, and again while another call holds it, until the
+   * request's deadline. `held` means that the other hadn't ended by then.
    */
-  async take(): Promise<Result<LedgerReply>> {
+  async acquire(): Promise<Result<LedgerReply>> {
     const { clock, record } = this.#options;
-    let waitMs = HELD_WAIT_MS;
+    let waitMs = RETRY_DELAY_MS;
     for (;;) {
       const result = await this.#ask(this.#claimCommand());
       const isHeld = result.map(({ kind }) => kind === "held").orDefault(false);
@@ -66,12 +66,12 @@
       }
       const pauseMs = waitMs;
       await new Promise<void>((resolve) => clock.after(pauseMs, resolve));
-      waitMs = Math.min(HELD_WAIT_LIMIT_MS, waitMs * 2);
+      waitMs = Math.min(RETRY_DELAY_LIMIT_MS, waitMs * 2);
     }
   }
 
-  /** What the ledger knows, without a claim. */
-  find(): Promise<Result<LedgerReply>> {
+  /** Looks the request up in the ledger without claiming it. */
+  lookUp(): Promise<Result<LedgerReply>> {
     const { ledger, home, record } = this.#options;
     const { deadlineMs } = record;
     return ledger.ask({
@@ -81,19 +81,19 @@
     }, { home, deadlineMs });
   }
 
-  /** Records what became known; gives the claim up when nothing was run. */
-  async settle(knowledge: FinalKnowledge): Promise<void> {
+  /** Records the outcome; releases the claim when nothing was run. */
+  async recordOutcome(finalOutcome: FinalOutcome): Promise<void> {
     const { clock, ledger, home } = this.#options;
-    const endMs = clock.nowMs() + SETTLE_MS;
+    const endMs = clock.nowMs() + RECORD_TIMEOUT_MS;
     while (clock.nowMs() < endMs) {
-      const deadlineMs = clock.nowMs() + SETTLE_TRY_MS;
-      const command = this.#settleCommand(knowledge);
+      const deadlineMs = clock.nowMs() + RECORD_TRY_TIMEOUT_MS;
+      const command = this.#outcomeCommand(finalOutcome);
       const result = await ledger.ask(command, { home, deadlineMs });
       if (result.isRight()) {
         return;
       }
       await new Promise<void>((resolve) =>
-        clock.after(HELD_WAIT_LIMIT_MS, resolve)
+        clock.after(RETRY_DELAY_LIMIT_MS, resolve)
       );
     }
   }
@@ -127,27 +127,27 @@
     };
   }
 
-  #settleCommand(knowledge: FinalKnowledge): LedgerCommand {
-    if (knowledge.kind === "notRun") {
+  #outcomeCommand(finalOutcome: FinalOutcome): LedgerCommand {
+    if (finalOutcome.kind === "notRun") {
       return { ...this.#common(), kind: "release" };
     }
     const { clock, retentionMs } = this.#options;
     return {
       ...this.#common(),
       kind: "end",
-      outcome: outcomeOf(knowledge),
+      outcome: outcomeOf(finalOutcome),
       expiresAtMs: clock.nowMs() + retentionMs,
     };
   }
 }
 
 function outcomeOf(
-  knowledge: Exclude<FinalKnowledge, { kind: "notRun" }>,
+  finalOutcome: Exclude<FinalOutcome, { kind: "notRun" }>,
 ): RecordedOutcome {
-  if (knowledge.kind === "unknown") {
+  if (finalOutcome.kind === "unknown") {
     return { kind: "unknown" };
   }
-  const { httpStatus, contentType, body } = knowledge.routed.answer;
+  const { httpStatus, contentType, body } = finalOutcome.routed.answer;
   return {
     kind: "answered",
     httpStatus,
@@ -156,7 +156,7 @@
   };
 }
 
-/** The same for the same content, whatever its class and timeout. */
+/** Digest of the request's content, without its class and timeout. */
 function digestOf(record: RequestRecord): string {
   const head = [record.service, record.path, record.contentType ?? ""];
   return createHash("sha256")
--- a/src/process/routing/request_endpoint.ts
+++ b/src/process/routing/request_endpoint.ts
@@ -17,7 +17,7 @@
 import { RequestHeader } from "./request_headers.ts";
 import type { CallerAnswer, RequestService } from "./request_service.ts";
 
-/** The endpoint of callers. */
+/** The endpoint for callers' requests. */
 export function requestEndpoint(options: {
   readonly service: RequestService;
   readonly configuration: ConfigurationSource;
--- a/src/process/routing/request_headers.ts
+++ b/src/process/routing/request_headers.ts
@@ -1,12 +1,12 @@
 /**
- * The HTTP headers of the caller's protocol and of the backend servers'.
+ * HTTP headers between callers, instances and backend servers.
  *
  * @module
  */
 
 /** Header fields of requests and answers. */
 export const RequestHeader = {
-  /** The caller's name of its request; the same on every retry. */
+  /** The caller's id of its request; the same on every retry. */
   requestId: "sesamethread-request",
   requestClass: "sesamethread-class",
   /** How long the caller waits. */
@@ -18,8 +18,8 @@
   path: "sesamethread-path",
   /** The backend server that answered. */
   server: "sesamethread-server",
-  /** `true` on an answer that is given again from the ledger. */
+  /** `true` on an earlier answer that was recorded in the ledger. */
   recorded: "sesamethread-recorded",
-  /** Names one sending to a server, which must echo it. */
+  /** Identifies one attempt on a server, which must echo it. */
   correlation: "sesamethread-correlation",
 } as const;
--- a/src/process/routing/request_path_fixture.ts
+++ b/src/process/routing/request_path_fixture.ts
@@ -1,6 +1,6 @@
 /**
- * The whole request path of three instances over fakes, with the truth about
- * what was sent, for tests of its promises.
+ * Simulates the whole request path of three instances over fakes, and checks
+ * every result against what was sent.
  *
  * @module
  */
@@ -35,19 +35,19 @@
   { id: "s3", dataCentre: "west" },
 ];
 
-/** How a server of the model treats one sending. */
-type Fate = "answer" | "late" | "lost" | "refused" | "error";
+/** How a simulated server treats one attempt. */
+type ServerBehaviour = "answer" | "late" | "lost" | "refused" | "error";
 
-/** Turns the system into a broken one, to see that the oracle notices. */
+/** Breaks the system on purpose, to test that the oracle notices. */
 export interface Mutation {
-  /** The ledgers forget everything now and again. */
-  readonly forgets?: boolean;
+  /** The ledgers lose all entries from time to time. */
+  readonly losesEntries?: boolean;
   /** Instances disagree about the data centres. */
-  readonly disagrees?: boolean;
-  /** A lost answer is taken for a request that was never sent. */
-  readonly misjudges?: boolean;
-  /** An answer carries what another request got. */
-  readonly crosses?: boolean;
+  readonly splitsConfiguration?: boolean;
+  /** A lost answer is reported as a request that was never sent. */
+  readonly reportsLostAsNotSent?: boolean;
+  /** An answer carries the body of another request's answer. */
+  readonly mixesAnswers?: boolean;
 }
 
 function configurationWith(dataCentres: readonly string[]) {
@@ -64,7 +64,7 @@
 }
 
 /** The whole request path of three instances over fakes. */
-export class World {
+export class RequestPathSimulation {
   readonly #mutation: Mutation;
   readonly #clock = new FakeClock({ startMs: 1_000_000 });
   readonly #random: SeededRandom;
@@ -76,10 +76,10 @@
   /** How often each request may have reached a server. */
   readonly #sent = new Map<string, number>();
   readonly #incarnations = new Map<string, number>();
-  readonly #open = new Map<Promise<void>, string>();
+  readonly #openCalls = new Map<Promise<void>, string>();
   #lastAnswered = "";
-  readonly #silent = new Set<string>();
-  broken: string | undefined;
+  readonly #silentDataCentres = new Set<string>();
+  violation: string | undefined;
 
   constructor(mutation: Mutation, seed: number) {
     this.#mutation = mutation;
@@ -97,12 +97,12 @@
     INSTANCES.forEach(({ id }) => this.start(id));
   }
 
-  /** Starts the instance, after a crash if it ran before. */
+  /** Starts the instance, or restarts it as after a crash. */
   start(id: string): void {
     void this.#routings.get(id)?.close();
-    for (const [ended, at] of this.#open) {
-      if (at === id) {
-        this.#open.delete(ended);
+    for (const [ended, instanceId] of this.#openCalls) {
+      if (instanceId === id) {
+        this.#openCalls.delete(ended);
       }
     }
     const self = INSTANCES.find((instance) => instance.id === id);
@@ -115,7 +115,8 @@
     this.#incarnations.set(id, incarnation);
     const log = group.member(id);
     this.#logs.set(id, log);
-    const isOdd = this.#mutation.disagrees === true && id === "e2";
+    const hasOtherConfiguration = this.#mutation.splitsConfiguration === true &&
+      id === "e2";
     const peerIds = INSTANCES.map((instance) => instance.id);
     const routing = new RequestRouting({
       self,
@@ -124,7 +125,9 @@
       clock: this.#clock,
       random: new SeededRandom({ seed: incarnation }),
       network: this.#hub.join(id, { peerIds }),
-      configuration: configurationWith(isOdd ? ["west"] : ["east", "west"]),
+      configuration: configurationWith(
+        hasOtherConfiguration ? ["west"] : ["east", "west"],
+      ),
       ledgerLog: log,
       ledgerState: state,
       metrics: new MetricsRegistry(),
@@ -137,14 +140,14 @@
     this.#announceTo(routing, self.dataCentre);
   }
 
-  /** A caller's try; its end is judged when it comes. */
+  /** Sends a caller's request and checks its result when it arrives. */
   call(
     id: string,
     options: { request: string; content: string; timeoutMs: number },
   ): void {
-    const ended = this.#judgeCall(id, options);
-    this.#open.set(ended, id);
-    void ended.then(() => this.#open.delete(ended));
+    const ended = this.#checkCall(id, options);
+    this.#openCalls.set(ended, id);
+    void ended.then(() => this.#openCalls.delete(ended));
   }
 
   setLogFault(id: string, fault: MemoryFault): void {
@@ -162,12 +165,12 @@
     });
   }
 
-  /** The data centre's servers announce themselves or don't. */
+  /** Stops or resumes the announcements of the data centre's servers. */
   setSilent(dataCentre: string, isSilent: boolean): void {
     if (isSilent) {
-      this.#silent.add(dataCentre);
+      this.#silentDataCentres.add(dataCentre);
     } else {
-      this.#silent.delete(dataCentre);
+      this.#silentDataCentres.delete(dataCentre);
     }
   }
 
@@ -179,8 +182,8 @@
     this.#hub.heal();
   }
 
-  forget(): void {
-    if (this.#mutation.forgets === true) {
+  loseEntries(): void {
+    if (this.#mutation.losesEntries === true) {
       const empty = new LedgerState().snapshot();
       this.#states.forEach((state) => state.restore(empty));
     }
@@ -189,7 +192,7 @@
   async advance(byMs: number): Promise<void> {
     for (let leftMs = byMs; leftMs > 0; leftMs -= 25) {
       this.#clock.advance(Math.min(25, leftMs));
-      await settle();
+      await flushPromises();
     }
     this.#routings.forEach((routing, id) => {
       const self = INSTANCES.find((instance) => instance.id === id);
@@ -197,15 +200,15 @@
     });
   }
 
-  /** Every call must end. */
+  /** Ends all faults and checks that every call ends. */
   async finish(): Promise<void> {
     this.heal();
     this.setLinkFaults(0, 0);
     this.#logs.forEach((log) => log.fault = MemoryFault.none);
-    for (let step = 0; step < 12 && this.#open.size > 0; step += 1) {
+    for (let step = 0; step < 12 && this.#openCalls.size > 0; step += 1) {
       await this.advance(500);
     }
-    this.#check(this.#open.size === 0, "a call never ended");
+    this.#check(this.#openCalls.size === 0, "a call never ended");
     await Promise.all(
       [...this.#routings.values()].map((routing) => routing.close()),
     );
@@ -213,7 +216,7 @@
 
   #announceTo(routing: RequestRouting, dataCentre: string): void {
     for (const server of SERVERS) {
-      const isHeard = !this.#silent.has(dataCentre);
+      const isHeard = !this.#silentDataCentres.has(dataCentre);
       if (isHeard && server.dataCentre === dataCentre) {
         routing.announce({
           serverId: server.id,
@@ -228,14 +231,14 @@
     }
   }
 
-  async #judgeCall(
+  async #checkCall(
     id: string,
     options: { request: string; content: string; timeoutMs: number },
   ): Promise<void> {
     const { request, content, timeoutMs } = options;
     const nowMs = this.#clock.nowMs();
     const result = await this.#routings.get(id)?.answer({
-      isNamed: true,
+      hasCallerId: true,
       record: {
         requestId: request,
         service: "loft",
@@ -254,55 +257,59 @@
       Left: (error) => {
         const isSent = (this.#sent.get(request) ?? 0) > 0;
         const isRefused = error.answer.execution === Execution.notRun;
-        this.#check(!isRefused || !isSent, `"not run" of a request sent`);
+        this.#check(
+          !isRefused || !isSent,
+          `reported "not run" for a request that was sent`,
+        );
       },
       Right: ({ answer }) => {
         const text = new TextDecoder().decode(answer.body);
         const isOwn = text === `${request}=${content}`;
-        this.#check(isOwn, "an answer of another request");
+        this.#check(isOwn, "ended with the answer of another request");
       },
     });
   }
 
-  /** The servers of the model. */
+  /** Answers as the simulated backend servers. */
   async #send(attempt: BackendAttempt): Promise<BackendAttemptEnd> {
     const { requestId, body } = attempt.record;
-    const fate = this.#drawFate();
-    if (fate === "refused") {
+    const behaviour = this.#drawBehaviour();
+    if (behaviour === "refused") {
       return { result: "notSent", answer: undefined, fault: undefined };
     }
     const sent = (this.#sent.get(requestId) ?? 0) + 1;
     this.#sent.set(requestId, sent);
     this.#check(sent === 1, "sent twice");
-    const waitMs = fate === "late"
+    const waitMs = behaviour === "late"
       ? attempt.giveUpAtMs - this.#clock.nowMs() - 100
       : this.#random.nextInt(150);
     await new Promise<void>((resolve) => this.#clock.after(waitMs, resolve));
-    if (fate === "lost") {
-      const result = this.#mutation.misjudges === true
+    if (behaviour === "lost") {
+      const result = this.#mutation.reportsLostAsNotSent === true
         ? "notSent" as const
         : "ambiguous" as const;
       return { result, answer: undefined, fault: undefined };
     }
     const own = `${requestId}=${new TextDecoder().decode(body)}`;
-    const text = this.#mutation.crosses === true && this.#lastAnswered !== ""
-      ? this.#lastAnswered
-      : own;
+    const text =
+      this.#mutation.mixesAnswers === true && this.#lastAnswered !== ""
+        ? this.#lastAnswered
+        : own;
     this.#lastAnswered = own;
     return {
-      result: fate === "error" ? "serverError" : "answered",
+      result: behaviour === "error" ? "serverError" : "answered",
       fault: undefined,
       answer: {
         requestId,
-        httpStatus: fate === "error" ? 500 : 200,
+        httpStatus: behaviour === "error" ? 500 : 200,
         contentType: undefined,
         body: new TextEncoder().encode(text),
       },
     };
   }
 
-  #drawFate(): Fate {
-    const fates: readonly Fate[] = [
+  #drawBehaviour(): ServerBehaviour {
+    const behaviours: readonly ServerBehaviour[] = [
       "answer",
       "answer",
       "answer",
@@ -312,18 +319,18 @@
       "refused",
       "error",
     ];
-    return fates[this.#random.nextInt(fates.length)] ?? "answer";
+    return behaviours[this.#random.nextInt(behaviours.length)] ?? "answer";
   }
 
-  #check(holds: boolean, broken: string): void {
-    if (!holds) {
-      this.broken ??= broken;
+  #check(condition: boolean, violation: string): void {
+    if (!condition) {
+      this.violation ??= violation;
     }
   }
 }
 
-/** Lets every promise that is ready run on. */
-export async function settle(): Promise<void> {
+/** Lets pending promise callbacks run. */
+export async function flushPromises(): Promise<void> {
   for (let turn = 0; turn < 3; turn += 1) {
     await new Promise((resolve) => setImmediate(resolve));
   }
--- a/src/process/routing/request_routing.ts
+++ b/src/process/routing/request_routing.ts
@@ -1,6 +1,6 @@
 /**
- * Request routing as the daemon sees it: built, asked for its endpoints,
- * drained and closed.
+ * Request routing as a whole, for the daemon: sets up its components and
+ * provides its endpoints, draining and closing.
  *
  * @module
  */
@@ -20,16 +20,16 @@
 import { backendEndpoints } from "./backend_endpoints.ts";
 import type { RoutingOptions, ServerAnnouncement } from "./core/mod.ts";
 import { requestEndpoint } from "./request_endpoint.ts";
-import type { ReadRequest } from "./read_request.ts";
+import type { ParsedRequest } from "./read_request.ts";
 import { type CallerAnswer, RequestService } from "./request_service.ts";
 import { Router } from "./router.ts";
 import { RoutingMetrics } from "./routing_metrics.ts";
 import { Forwarding } from "./forwarding.ts";
 import type { RoutingInstance } from "./routing_instance.ts";
-import { ServerSpread } from "./server_spread.ts";
+import { AnnouncementRelay } from "./announcement_relay.ts";
 import { SlotSharing } from "./slot_sharing.ts";
 
-/** What routing is built from. */
+/** Options of a {@link RequestRouting}. */
 export interface RequestRoutingOptions {
   readonly self: RoutingInstance;
   /** Every other instance. */
@@ -47,11 +47,11 @@
   readonly eventLog?: EventLog;
   readonly routing?: Partial<RoutingOptions>;
   readonly connectionsPerServer?: number;
-  /** How requests reach backend servers; over HTTP when absent. */
+  /** Sends requests to backend servers; over HTTP when absent. */
   readonly client?: Pick<BackendClient, "send" | "close">;
   /**
-   * The instances of this data centre that take new work, this one included
-   * unless it is leaving; all that are linked when absent.
+   * The instances of this data centre that accept new work, with this one
+   * unless it is leaving; all linked ones when absent.
    */
   readonly usableInstances?: () => readonly InstanceId[];
 }
@@ -65,7 +65,7 @@
   readonly #router: Router;
   readonly #ledger: Ledger;
   readonly #service: RequestService;
-  readonly #spread: ServerSpread;
+  readonly #relay: AnnouncementRelay;
   readonly #sharing: SlotSharing;
   readonly #forwarding: Forwarding;
 
@@ -93,7 +93,7 @@
         clock: options.clock,
         connectionsPerServer: options.connectionsPerServer ??
           CONNECTIONS_PER_SERVER,
-        onStrayInput: () => metrics.countFault("doubled"),
+        onUnsolicitedInput: () => metrics.countFault("doubled"),
       }),
     });
     this.#ledger = new Ledger({
@@ -110,12 +110,12 @@
       router: this.#router,
       ledger: this.#ledger,
     });
-    this.#spread = new ServerSpread({
+    this.#relay = new AnnouncementRelay({
       network: options.network,
       peerDataCentres,
-      onAnnounced: (announcement) => this.#hear(announcement),
+      onAnnounced: (announcement) => this.#applyAnnouncement(announcement),
     });
-    const presentInstances = (): InstanceId[] => [
+    const linkedInstances = (): InstanceId[] => [
       options.self.id,
       ...options.network.linkedPeerIds().filter((id) =>
         peerDataCentres.get(id) === options.self.dataCentre
@@ -123,31 +123,31 @@
     ];
     this.#sharing = new SlotSharing({
       selfId: options.self.id,
-      usableInstances: options.usableInstances ?? presentInstances,
-      presentInstances,
+      usableInstances: options.usableInstances ?? linkedInstances,
+      reachableInstances: linkedInstances,
       network: options.network,
       clock: options.clock,
       router: this.#router,
     });
     this.#forwarding = new Forwarding({ ...options, router: this.#router });
-    showGauges(metrics, this.#router, options.ledgerState);
+    registerGauges(metrics, this.#router, options.ledgerState);
   }
 
-  /** Ends one request that was read already. */
+  /** Answers one parsed request. */
   answer(
-    request: ReadRequest,
+    request: ParsedRequest,
     options: { signal: AbortSignal },
   ): Promise<Result<CallerAnswer>> {
     return this.#service.answer(request, options);
   }
 
-  /** Takes an announcement and passes it on. */
+  /** Applies an announcement and relays it within the data centre. */
   announce(announcement: ServerAnnouncement): void {
-    this.#hear(announcement);
-    this.#spread.spread(announcement);
+    this.#applyAnnouncement(announcement);
+    this.#relay.relay(announcement);
   }
 
-  /** For the HTTP front. */
+  /** The HTTP endpoints for callers, backend servers and operators. */
   get endpoints(): HttpEndpoint[] {
     const { configuration, clock } = this.#options;
     return [
@@ -162,8 +162,8 @@
   }
 
   /**
-   * To be called after the front has closed: returns once every attempt has
-   * ended and every outcome is recorded, or at the deadline.
+   * Resolves once every attempt has ended and every outcome is recorded, or at
+   * the deadline. To be called after the HTTP front has closed.
    */
   async drain(options: { deadlineMs: number }): Promise<void> {
     const leftMs = options.deadlineMs - this.#options.clock.nowMs();
@@ -178,12 +178,12 @@
   async close(): Promise<void> {
     this.#forwarding.close();
     this.#sharing.close();
-    this.#spread.close();
+    this.#relay.close();
     this.#ledger.close();
     await this.#router.close();
   }
 
-  #hear(announcement: ServerAnnouncement): void {
+  #applyAnnouncement(announcement: ServerAnnouncement): void {
     const { serverId, service, leaving } = announcement;
     const known = this.#router.core.services.get(service)?.servers
       .find(serverId);
@@ -197,21 +197,21 @@
   }
 }
 
-function showGauges(
+function registerGauges(
   metrics: RoutingMetrics,
   router: Router,
   ledgerState: LedgerState,
 ): void {
-  metrics.showGauge("sesamethread_requests_open", {
-    help: "Requests of which more may become known.",
-    read: () => router.open,
+  metrics.registerGauge("sesamethread_requests_open", {
+    help: "Requests whose final outcome isn't known yet.",
+    read: () => router.openCalls,
   });
-  metrics.showGauge("sesamethread_ledger_entries", {
-    help: "Non-idempotent requests that the ledger remembers.",
+  metrics.registerGauge("sesamethread_ledger_entries", {
+    help: "Non-idempotent requests recorded in the ledger.",
     read: () => ledgerState.size,
   });
-  metrics.showGauge("sesamethread_ledger_bytes", {
-    help: "Bytes that the ledger reckons to hold.",
+  metrics.registerGauge("sesamethread_ledger_bytes", {
+    help: "Estimated bytes held by the ledger.",
     read: () => ledgerState.bytes,
   });
 }
--- a/src/process/routing/request_routing_test.ts
+++ b/src/process/routing/request_routing_test.ts
@@ -103,11 +103,11 @@
     return standin;
   };
   const call = async (
-    at: number,
+    index: number,
     body: string,
     headers: Record<string, string> = {},
   ) => {
-    const address = instances[at]?.address ?? "";
+    const address = instances[index]?.address ?? "";
     const url = `http://${address}/v1/services/loft/requests`;
     const response = await request(url, {
       method: "POST",
@@ -122,7 +122,7 @@
   return { instances, addServer, call, clock };
 }
 
-test("a caller gets its own server's whole answer", async (t) => {
+test("a caller gets the complete answer to its own request", async (t) => {
   const { addServer, call } = await startSystem(t);
   await addServer("s1");
   const { status, headers, json } = await call(0, "loft of bale 7");
@@ -155,18 +155,18 @@
   }
 });
 
-test("two tries at once run once", async (t) => {
+test("concurrent tries of a request run once", async (t) => {
   const { addServer, call } = await startSystem(t);
   const server = await addServer("s1", { meanServiceMs: 50 });
   const headers = { "sesamethread-request": "order-1" };
   const answers = await Promise.all(
-    [0, 1, 0, 1].map((at) => call(at, "bale", headers)),
+    [0, 1, 0, 1].map((index) => call(index, "bale", headers)),
   );
   answers.forEach(({ json }) => t.is(json.body, "bale"));
   t.is(server.truth.runs.get("order-1"), 1);
 });
 
-test("no retry is sent while the home's ledger is out of reach", async (t) => {
+test("nothing is sent while the home's ledger is unavailable", async (t) => {
   const { addServer, call, instances } = await startSystem(t);
   const server = await addServer("s1");
   instances.forEach(({ log }) => log.fault = "unavailable");
@@ -180,7 +180,7 @@
 const WRONG_ANSWERS = ["crossed", "truncated", "drop"] as const;
 
 for (const fault of WRONG_ANSWERS) {
-  test(`an order with a ${fault} answer ends as unknown`, async (t) => {
+  test(`a claimed request with a ${fault} answer ends as unknown`, async (t) => {
     const { addServer, call, instances } = await startSystem(t);
     const servers = [await addServer("s1"), await addServer("s2")];
     servers.forEach((server) =>
@@ -201,34 +201,34 @@
     }
   });
 
-  test(`an idempotent ask with a ${fault} answer is retried`, async (t) => {
+  test(`an idempotent request with a ${fault} answer is retried`, async (t) => {
     const { addServer, call } = await startSystem(t);
     const bad = await addServer("s1");
     await addServer("s2");
     bad.setFaults({ fault, fraction: 1, slowFactor: 1 });
     const headers = { "sesamethread-idempotent": "true" };
-    for (let at = 0; at < 10; at += 1) {
-      const { json } = await call(0, `ask ${at}`, headers);
-      t.is(json.body, `ask ${at}`);
+    for (let index = 0; index < 10; index += 1) {
+      const { json } = await call(0, `ask ${index}`, headers);
+      t.is(json.body, `ask ${index}`);
     }
   });
 }
 
-test("a doubled answer reaches nobody else", async (t) => {
+test("a doubled answer reaches no other caller", async (t) => {
   const { addServer, call } = await startSystem(t);
   const server = await addServer("s1", { meanServiceMs: 1 });
   server.setFaults({ fault: "doubled", fraction: 1, slowFactor: 1 });
-  for (let at = 0; at < 20; at += 1) {
-    const { json, headers } = await call(0, `ask ${at}`, {
+  for (let index = 0; index < 20; index += 1) {
+    const { json, headers } = await call(0, `ask ${index}`, {
       "sesamethread-idempotent": "true",
     });
-    const isOwn = json.body === `ask ${at}` &&
+    const isOwn = json.body === `ask ${index}` &&
       json.requestId === headers["sesamethread-request"];
     t.true(isOwn || json.error?.kind === "outcomeUnknown");
   }
 });
 
-test("a late answer is kept for the retry, not for others", async (t) => {
+test("a late answer is kept for the caller's retry only", async (t) => {
   const { addServer, call, instances } = await startSystem(t);
   const server = await addServer("s1");
   await call(0, "first");
@@ -246,7 +246,7 @@
   t.regex(instances[0]?.metrics.render() ?? "", /fault="late"} 1/);
 });
 
-test("a request is forwarded when no server is near", async (t) => {
+test("a request is forwarded when its data centre has no server", async (t) => {
   const { addServer, call, instances } = await startSystem(t);
   await addServer("far", { dataCentre: "west" });
   const large = "x".repeat(300_000);
@@ -284,14 +284,14 @@
   t.is(announcement.statusCode, 400);
 });
 
-test("a stop under load loses and doubles nothing", async (t) => {
+test("a stop under load loses and repeats no request", async (t) => {
   const { addServer, call, instances, clock } = await startSystem(t);
   const server = await addServer("s1", { meanServiceMs: 5 });
   const requests = Array.from(
     { length: 200 },
-    (_, at) =>
-      call(0, `bale ${at}`, {
-        "sesamethread-request": `order-${at}`,
+    (_, index) =>
+      call(0, `bale ${index}`, {
+        "sesamethread-request": `order-${index}`,
         "sesamethread-timeout-ms": "30000",
       }),
   );
@@ -305,7 +305,7 @@
   const stopped = first?.front.close({ leaveMs: 0, deadlineMs })
     .then(() => first.routing.drain({ deadlineMs }));
   const answers = await Promise.all(requests);
-  answers.forEach(({ json }, at) => t.is(json.body, `bale ${at}`));
+  answers.forEach(({ json }, index) => t.is(json.body, `bale ${index}`));
   await stopped;
   t.is(server.truth.runs.size, 200);
   t.true([...server.truth.runs.values()].every((runs) => runs === 1));
--- a/src/process/routing/request_service.ts
+++ b/src/process/routing/request_service.ts
@@ -1,6 +1,7 @@
 /**
- * Answers callers' requests: idempotent ones by routing them, others by
- * routing them under a claim in the ledger of their home data centre.
+ * Answers callers' requests. Non-idempotent requests with an id of their caller
+ * are routed under a claim in the ledger of their home data centre, all others
+ * without one.
  *
  * @module
  */
@@ -18,19 +19,19 @@
   type LedgerReply,
   requestHome,
 } from "../ledger/mod.ts";
-import type { ReadRequest } from "./read_request.ts";
+import type { ParsedRequest } from "./read_request.ts";
 import { RequestClaim } from "./request_claim.ts";
-import type { RoutedAnswer, RoutedEnd } from "./routed_call.ts";
+import type { RoutedAnswer, RouteResult } from "./routed_call.ts";
 import type { Router } from "./router.ts";
 import type { RoutingMetrics } from "./routing_metrics.ts";
 
 /** An answer for a caller. */
 export interface CallerAnswer extends RoutedAnswer {
-  /** Whether the ledger gave it again. */
+  /** Whether it is an earlier answer recorded in the ledger. */
   readonly isRecorded: boolean;
 }
 
-/** What the service is built from. */
+/** Options of a {@link RequestService}. */
 export interface RequestServiceOptions {
   readonly instanceId: InstanceId;
   readonly incarnation: number;
@@ -43,30 +44,33 @@
   readonly configuration: ConfigurationSource;
 }
 
-/** Ends every request of a caller truthfully. */
+/**
+ * Answers callers' requests. No error says that a request wasn't run when a
+ * server may have run it.
+ */
 export class RequestService {
   readonly #options: RequestServiceOptions;
-  readonly #settling = new Set<Promise<void>>();
+  readonly #pendingRecordings = new Set<Promise<void>>();
   #lastId = 0;
 
   constructor(options: RequestServiceOptions) {
     this.#options = options;
   }
 
-  /** A name for a request whose caller gave none; its home is here. */
+  /** An id for a request without one; its home is this data centre. */
   newRequestId(): string {
     const { dataCentre, instanceId, incarnation } = this.#options;
     const id = `${instanceId}.${incarnation}.${++this.#lastId}`;
     return `${dataCentre}${HOME_SEPARATOR}${id}`;
   }
 
-  /** Ends one request. */
+  /** Answers one request. */
   async answer(
-    { record, isNamed }: ReadRequest,
+    { record, hasCallerId }: ParsedRequest,
     options: { signal: AbortSignal },
   ): Promise<Result<CallerAnswer>> {
     const { clock, eventLog, metrics } = this.#options;
-    const needsClaim = isNamed && !record.isIdempotent;
+    const needsClaim = hasCallerId && !record.isIdempotent;
     const result = needsClaim
       ? await this.#answerClaimed(record, options)
       : (await this.#options.router.route(record, options)).result
@@ -76,17 +80,17 @@
       Right: () => "answered",
     });
     const durationMs = clock.nowMs() - record.receivedAtMs;
-    metrics.countEnd(record.requestClass, outcome);
+    metrics.countOutcome(record.requestClass, outcome);
     metrics.recordCompletion(record.requestClass, durationMs);
     const { requestId } = record;
     eventLog.emit("requestEnded", { requestId, outcome });
     return result;
   }
 
-  /** Returns once all outcomes are recorded, as far as that succeeds. */
+  /** Resolves once all outcomes are recorded or recording has timed out. */
   async drain(): Promise<void> {
-    while (this.#settling.size > 0) {
-      await Promise.all(this.#settling);
+    while (this.#pendingRecordings.size > 0) {
+      await Promise.all(this.#pendingRecordings);
     }
   }
 
@@ -97,33 +101,33 @@
     const claim = this.#claimOf(record);
     const { router } = this.#options;
     if (router.wouldRefuse(record)) {
-      const found = await claim.find();
+      const found = await claim.lookUp();
       return found.caseOf({
-        Left: unknownEnd,
+        Left: ledgerUnreachable,
         Right: (reply) =>
           reply.kind === "absent"
-            ? this.#refuse(record, options)
-            : Promise.resolve(recordedEnd(reply, record)),
+            ? this.#refuseOrRestart(record, options)
+            : Promise.resolve(recordedResult(reply, record)),
       });
     }
-    const taken = await claim.take();
+    const taken = await claim.acquire();
     return taken.caseOf({
-      Left: unknownEnd,
+      Left: ledgerUnreachable,
       Right: (reply) =>
         reply.kind === "granted"
           ? this.#routeClaimed(record, claim, options)
-          : Promise.resolve(recordedEnd(reply, record)),
+          : Promise.resolve(recordedResult(reply, record)),
     });
   }
 
-  /** Words the refusal; routing can't have changed its mind to a sending. */
-  #refuse(
+  /** Refuses the request, or starts over if routing now admits it. */
+  #refuseOrRestart(
     record: RequestRecord,
     options: { signal: AbortSignal },
   ): Promise<Result<CallerAnswer>> {
     const { router } = this.#options;
     if (router.wouldRefuse(record)) {
-      const detail = "The queue can't meet its deadline.";
+      const detail = "The service can't take the request in time.";
       return Promise.resolve(failure("overloaded", { detail }));
     }
     return this.#answerClaimed(record, options);
@@ -135,14 +139,14 @@
     options: { signal: AbortSignal },
   ): Promise<Result<CallerAnswer>> {
     const end = await this.#options.router.route(record, options);
-    const settling = this.#settle(claim, end);
-    this.#settling.add(settling);
-    void settling.then(() => this.#settling.delete(settling));
+    const recording = this.#recordOutcome(claim, end);
+    this.#pendingRecordings.add(recording);
+    void recording.then(() => this.#pendingRecordings.delete(recording));
     return end.result.map(freshAnswer);
   }
 
-  async #settle(claim: RequestClaim, end: RoutedEnd): Promise<void> {
-    await claim.settle(await end.knowledge);
+  async #recordOutcome(claim: RequestClaim, end: RouteResult): Promise<void> {
+    await claim.recordOutcome(await end.finalOutcome);
   }
 
   #claimOf(record: RequestRecord): RequestClaim {
@@ -165,25 +169,25 @@
   return { ...routed, isRecorded: false };
 }
 
-/** Nothing was sent now; whether an earlier try was, can't be told. */
-function unknownEnd(error: SesameError): Promise<Result<CallerAnswer>> {
-  const detail = "The ledger of requests can't be asked. " + error.message;
+/** Nothing was sent now, but an earlier try may have been. */
+function ledgerUnreachable(error: SesameError): Promise<Result<CallerAnswer>> {
+  const detail = "The request ledger can't be reached. " + error.message;
   const facts = { isSentNow: false };
   return Promise.resolve(failure("outcomeUnknown", { detail, facts }));
 }
 
-/** The end of a request that another call of its caller has. */
-function recordedEnd(
+/** The result of a request that its home's ledger doesn't let through. */
+function recordedResult(
   reply: LedgerReply,
   { requestId }: RequestRecord,
 ): Result<CallerAnswer> {
   switch (reply.kind) {
     case "ended":
-      return endedBefore(reply, requestId);
+      return earlierResult(reply, requestId);
     case "reused":
       return failure("identityReused");
     case "full": {
-      const detail = "There is no room to remember the request.";
+      const detail = "The ledger has no room for the request.";
       return failure("overloaded", { detail });
     }
     case "held": {
@@ -198,7 +202,7 @@
   }
 }
 
-function endedBefore(
+function earlierResult(
   { outcome }: Extract<LedgerReply, { kind: "ended" }>,
   requestId: string,
 ): Result<CallerAnswer> {
@@ -211,13 +215,13 @@
     case "answeredUnkept":
       return Left(
         new SesameError("outcomeUnknown", {
-          detail: "It was run; its answer was too large to be kept.",
+          detail: "The request was run; its answer was too large to be stored.",
           facts: { wasRun: true, httpStatus: outcome.httpStatus },
         }),
       );
     case "unknown":
       return failure("outcomeUnknown", {
-        detail: "An earlier try was sent and no answer came.",
+        detail: "An earlier try was sent, but no answer came.",
       });
   }
 }
