--- a/src/process/routing/routed_call.ts
+++ b/src/process/routing/routed_call.ts
@@ -1,6 +1,6 @@
 /**
- * One request on its way through routing, from arrival till nothing more can
- * become known of it.
+ * One request's course through routing, from its arrival until its final
+ * outcome is known.
  *
  * @module
  */
@@ -14,71 +14,71 @@
 } from "../../request/request_record.ts";
 import { AttemptResult } from "./core/mod.ts";
 
-/** A server's answer with its server. */
+/** An answer and its server, or its data centre when it was forwarded. */
 export interface RoutedAnswer {
   readonly answer: ServerAnswer;
   readonly serverId: BackendServerId;
 }
 
-/** What in the end became known of a request. */
-export type FinalKnowledge =
+/** What is known of a request once all its attempts have ended. */
+export type FinalOutcome =
   | { readonly kind: "answered"; readonly routed: RoutedAnswer }
   | { readonly kind: "unknown" }
   | { readonly kind: "notRun" };
 
-/** A request's end for its caller, and what becomes known later. */
-export interface RoutedEnd {
+/** A request's result for its caller, and its final outcome. */
+export interface RouteResult {
   readonly result: Result<RoutedAnswer>;
-  /** Settles when every attempt has ended. */
-  readonly knowledge: Promise<FinalKnowledge>;
+  /** Resolves when every attempt has ended. */
+  readonly finalOutcome: Promise<FinalOutcome>;
 }
 
-/** The bookkeeping of one request. */
-export class OpenCall {
+/** Tracks the attempts and the result of one request. */
+export class CallTracker {
   readonly record: RequestRecord;
-  readonly end: Promise<RoutedEnd>;
-  readonly #resolveEnd: (end: RoutedEnd) => void;
-  readonly #knowledge: Promise<FinalKnowledge>;
-  #resolveKnowledge: (knowledge: FinalKnowledge) => void = () => undefined;
-  #attempts = 0;
+  readonly routeResult: Promise<RouteResult>;
+  readonly #resolveRouteResult: (end: RouteResult) => void;
+  readonly #finalOutcome: Promise<FinalOutcome>;
+  #resolveFinalOutcome: (knowledge: FinalOutcome) => void = () => undefined;
+  #openAttempts = 0;
   #mayHaveRun = false;
   #answer: RoutedAnswer | undefined;
   #hasEnded = false;
 
   constructor(record: RequestRecord) {
     this.record = record;
-    let resolveEnd: (end: RoutedEnd) => void = () => undefined;
-    this.end = new Promise((resolve) => {
+    let resolveEnd: (end: RouteResult) => void = () => undefined;
+    this.routeResult = new Promise((resolve) => {
       resolveEnd = resolve;
     });
-    this.#resolveEnd = resolveEnd;
-    this.#knowledge = new Promise((resolve) => {
-      this.#resolveKnowledge = resolve;
+    this.#resolveRouteResult = resolveEnd;
+    this.#finalOutcome = new Promise((resolve) => {
+      this.#resolveFinalOutcome = resolve;
     });
   }
 
-  /** Whether its caller has got its end. */
+  /** Whether the caller's result is known. */
   get hasEnded(): boolean {
     return this.#hasEnded;
   }
 
-  /** Whether nothing more can become known. */
-  get isSettled(): boolean {
-    return this.#hasEnded && this.#attempts === 0;
+  /** Whether the final outcome is known. */
+  get isFinal(): boolean {
+    return this.#hasEnded && this.#openAttempts === 0;
   }
 
   attemptStarted(): void {
-    this.#attempts += 1;
+    this.#openAttempts += 1;
   }
 
   attemptEnded(
     result: AttemptResult,
     routed: RoutedAnswer | undefined,
   ): void {
-    this.#attempts -= 1;
+    this.#openAttempts -= 1;
     this.#mayHaveRun ||= result !== AttemptResult.notSent;
     this.#answer = routed ?? this.#answer;
-    this.#settle();
+    this.#resolveIfFinal();
   }
 
   endWithAnswer(routed: RoutedAnswer): void {
@@ -91,18 +91,18 @@
 
   #end(result: Result<RoutedAnswer>): void {
     this.#hasEnded = true;
-    this.#resolveEnd({ result, knowledge: this.#knowledge });
-    this.#settle();
+    this.#resolveRouteResult({ result, finalOutcome: this.#finalOutcome });
+    this.#resolveIfFinal();
   }
 
-  #settle(): void {
-    if (!this.isSettled) {
+  #resolveIfFinal(): void {
+    if (!this.isFinal) {
       return;
     }
     if (this.#answer !== undefined) {
-      this.#resolveKnowledge({ kind: "answered", routed: this.#answer });
+      this.#resolveFinalOutcome({ kind: "answered", routed: this.#answer });
     } else {
-      this.#resolveKnowledge({
+      this.#resolveFinalOutcome({
         kind: this.#mayHaveRun ? "unknown" : "notRun",
       });
     }
--- a/src/process/routing/router.ts
+++ b/src/process/routing/router.ts
@@ -1,6 +1,6 @@
 /**
- * Carries out what the routing core decides: sends requests to backend
- * servers and tells the core how that ended.
+ * Carries out the decisions of the routing core: sends requests to backend
+ * servers and reports the results to the core.
  *
  * @module
  */
@@ -24,10 +24,14 @@
   type SendAttempt,
   type ServerAnnouncement,
 } from "./core/mod.ts";
-import { OpenCall, type RoutedAnswer, type RoutedEnd } from "./routed_call.ts";
+import {
+  CallTracker,
+  type RoutedAnswer,
+  type RouteResult,
+} from "./routed_call.ts";
 import type { RoutingMetrics } from "./routing_metrics.ts";
 
-/** What a router is built from. */
+/** Options of a {@link Router}. */
 export interface RouterOptions {
   readonly instanceId: InstanceId;
   /** Greater than at any earlier start of this instance. */
@@ -42,16 +46,16 @@
   readonly routing?: Partial<RoutingOptions>;
 }
 
-/** How often deadlines and hung servers are looked for while calls are open. */
+/** Period of the check for deadlines and hung servers while calls are open. */
 const BUSY_TICK_MS = 10;
 
-/** How often due probes are looked for while none is. */
+/** Period of the core's tick while no call is open. */
 const IDLE_TICK_MS = 100;
 
-/** A decision to have another data centre answer a call. */
+/** A decision to forward a call to another data centre. */
 export type ForwardDecision = Extract<RoutingDecision, { kind: "forwardCall" }>;
 
-/** Has a call answered in another data centre. */
+/** Forwards a call to another data centre and resolves with its result. */
 export type Forwarder = (
   decision: ForwardDecision,
   record: RequestRecord,
@@ -61,13 +65,13 @@
 export class Router {
   readonly #options: RouterOptions;
   readonly #core: RoutingCore;
-  readonly #calls = new Map<CallKey, OpenCall>();
+  readonly #calls = new Map<CallKey, CallTracker>();
   readonly #answers = new Map<number, RoutedAnswer>();
   #timer: Timer;
-  #isTickingBusily = false;
+  #isTickBusy = false;
   #lastKey = 0;
   #forwarder: Forwarder | undefined;
-  #waiters: (() => void)[] = [];
+  #drainWaiters: (() => void)[] = [];
 
   constructor(options: RouterOptions) {
     this.#options = options;
@@ -77,13 +81,13 @@
     this.#timer = options.clock.every(IDLE_TICK_MS, () => this.#tick());
   }
 
-  /** The core, to be looked at. */
+  /** The core, for inspection. */
   get core(): RoutingCore {
     return this.#core;
   }
 
-  /** Calls of which more may become known. */
-  get open(): number {
+  /** Number of calls whose final outcome isn't known yet. */
+  get openCalls(): number {
     return this.#calls.size;
   }
 
@@ -91,31 +95,37 @@
     this.#forwarder = forwarder;
   }
 
-  /** Routes one request; the caller's going away drops it while it waits. */
+  /**
+   * Routes one request. An abort of `signal` says that the caller disconnected:
+   * the call ends, a queued request isn't sent, and an attempt runs on.
+   */
   route(
     record: RequestRecord,
     options: { isForwarded?: boolean; signal?: AbortSignal } = {},
-  ): Promise<RoutedEnd> {
+  ): Promise<RouteResult> {
     const key = `c${++this.#lastKey}`;
-    const call = new OpenCall(record);
+    const call = new CallTracker(record);
     if (options.signal?.aborted === true) {
-      call.endWithError(callerLeft("unavailable"));
-      return call.end;
+      call.endWithError(callerDisconnected("unavailable"));
+      return call.routeResult;
     }
     this.#calls.set(key, call);
-    this.#setPace();
+    this.#updateTickPeriod();
     options.signal?.addEventListener("abort", () => this.#abandon(key, call));
     this.handle({
       kind: "callArrived",
       atMs: this.#nowMs(),
-      call: callOf(record, { key, isForwarded: options.isForwarded ?? false }),
+      call: toRoutedCall(record, {
+        key,
+        isForwarded: options.isForwarded ?? false,
+      }),
     });
-    return call.end;
+    return call.routeResult;
   }
 
-  /** Whether the request would be refused at once. */
+  /** Whether the request would be refused on arrival. */
   wouldRefuse(record: RequestRecord): boolean {
-    const call = callOf(record, { key: "", isForwarded: false });
+    const call = toRoutedCall(record, { key: "", isForwarded: false });
     return this.#core.wouldRefuse(call, this.#nowMs());
   }
 
@@ -124,17 +134,17 @@
     this.handle({ kind, atMs: this.#nowMs(), announcement });
   }
 
-  /** Gives the core an event and carries out what it decides. */
+  /** Passes an event to the core and carries out its decisions. */
   handle(event: RoutingEvent): void {
     for (const decision of this.#core.handle(event)) {
       this.#carryOut(decision);
     }
   }
 
-  /** Returns once nothing more can become known of any call. */
+  /** Resolves once the final outcome of every call is known. */
   async drain(): Promise<void> {
     while (this.#calls.size > 0) {
-      await new Promise<void>((resolve) => this.#waiters.push(resolve));
+      await new Promise<void>((resolve) => this.#drainWaiters.push(resolve));
     }
   }
 
@@ -145,16 +155,16 @@
 
   #tick(): void {
     this.handle({ kind: "tick", atMs: this.#nowMs() });
-    this.#setPace();
+    this.#updateTickPeriod();
   }
 
-  /** An idle instance wakes up ten times a second, not a hundred times. */
-  #setPace(): void {
+  /** Ticks ten times a second while no call is open, else a hundred times. */
+  #updateTickPeriod(): void {
     const isBusy = this.#calls.size > 0;
-    if (isBusy === this.#isTickingBusily) {
+    if (isBusy === this.#isTickBusy) {
       return;
     }
-    this.#isTickingBusily = isBusy;
+    this.#isTickBusy = isBusy;
     this.#timer.close();
     const periodMs = isBusy ? BUSY_TICK_MS : IDLE_TICK_MS;
     this.#timer = this.#options.clock.every(periodMs, () => this.#tick());
@@ -187,7 +197,7 @@
       case "endWithError": {
         const { key, error, detail } = decision;
         this.#calls.get(key)?.endWithError(new SesameError(error, { detail }));
-        this.#forgetIfSettled(key);
+        this.#removeIfFinal(key);
         break;
       }
       case "ejectServer": {
@@ -237,7 +247,7 @@
     const atMs = this.#nowMs();
     this.handle({ kind: "attemptEnded", atMs, attemptId, result });
     this.#answers.delete(attemptId);
-    this.#forgetIfSettled(key);
+    this.#removeIfFinal(key);
   }
 
   async #forward(decision: ForwardDecision): Promise<void> {
@@ -260,7 +270,7 @@
       call.endWithAnswer(routed);
     }
     this.handle({ kind: "forwardEnded", atMs, key, result: end.result });
-    this.#forgetIfSettled(key);
+    this.#removeIfFinal(key);
   }
 
   #endWithAnswer(
@@ -273,7 +283,7 @@
     if (routed !== undefined) {
       this.#calls.get(key)?.endWithAnswer(routed);
     }
-    this.#forgetIfSettled(key);
+    this.#removeIfFinal(key);
   }
 
   #reportFault(
@@ -296,31 +306,31 @@
     return document.services[record.service]?.answerLimitBytes ?? 0;
   }
 
-  #abandon(key: CallKey, call: OpenCall): void {
+  #abandon(key: CallKey, call: CallTracker): void {
     if (call.hasEnded) {
       return;
     }
     const error = this.#core.isQueued(key) ? "unavailable" : "outcomeUnknown";
     this.handle({ kind: "callAbandoned", atMs: this.#nowMs(), key });
-    call.endWithError(callerLeft(error));
-    this.#forgetIfSettled(key);
+    call.endWithError(callerDisconnected(error));
+    this.#removeIfFinal(key);
   }
 
-  #forgetIfSettled(key: CallKey): void {
-    if (this.#calls.get(key)?.isSettled === true) {
+  #removeIfFinal(key: CallKey): void {
+    if (this.#calls.get(key)?.isFinal === true) {
       this.#calls.delete(key);
     }
     if (this.#calls.size === 0) {
-      this.#waiters.splice(0).forEach((wake) => wake());
+      this.#drainWaiters.splice(0).forEach((wake) => wake());
     }
   }
 }
 
-function callerLeft(kind: ErrorKind): SesameError {
-  return new SesameError(kind, { detail: "The caller went away." });
+function callerDisconnected(kind: ErrorKind): SesameError {
+  return new SesameError(kind, { detail: "The caller disconnected." });
 }
 
-function callOf(
+function toRoutedCall(
   record: RequestRecord,
   options: { key: CallKey; isForwarded: boolean },
 ): RoutedCall {
--- a/src/process/routing/routing_instance.ts
+++ b/src/process/routing/routing_instance.ts
@@ -1,5 +1,5 @@
 /**
- * Where an instance stands.
+ * An instance and its location.
  *
  * @module
  */
--- a/src/process/routing/routing_metrics.ts
+++ b/src/process/routing/routing_metrics.ts
@@ -14,7 +14,7 @@
 /** Counts and times what happens to requests. */
 export class RoutingMetrics {
   readonly #registry: MetricsRegistry;
-  /** Found once for each set of labels, since rendering labels is slow. */
+  /** Cached by labels, like those below, since rendering labels is slow. */
   readonly #ends = new Map<string, Counter>();
   readonly #completions = new Map<string, DurationHistogram>();
   readonly #attempts = new Map<string, Counter>();
@@ -23,13 +23,13 @@
     this.#registry = options.registry;
   }
 
-  countEnd(requestClass: string, outcome: string): void {
+  countOutcome(requestClass: string, outcome: string): void {
     memoized(
       this.#ends,
       `${requestClass} ${outcome}`,
       () =>
         this.#registry.counter("sesamethread_requests_total", {
-          help: "Requests by class and how they ended.",
+          help: "Requests by class and outcome.",
           labels: { class: requestClass, outcome },
         }),
     ).add();
@@ -62,25 +62,28 @@
 
   countFault(fault: AnswerFault): void {
     this.#registry.counter("sesamethread_answer_faults_total", {
-      help: "Answers of backend servers that were kept from callers.",
+      help: "Answers of backend servers that were withheld from callers.",
       labels: { fault },
     }).add();
   }
 
   countForward(end: string): void {
     this.#registry.counter("sesamethread_forwards_total", {
-      help: "Requests given to another data centre, by how that ended.",
+      help: "Requests forwarded to another data centre, by result.",
       labels: { end },
     }).add();
   }
 
-  showGauge(name: string, options: { help: string; read: () => number }): void {
+  registerGauge(
+    name: string,
+    options: { help: string; read: () => number },
+  ): void {
     this.#registry.gauge(name, options);
   }
 }
 
-function memoized<T>(known: Map<string, T>, key: string, make: () => T): T {
-  const found = known.get(key) ?? make();
-  known.set(key, found);
+function memoized<T>(cache: Map<string, T>, key: string, make: () => T): T {
+  const found = cache.get(key) ?? make();
+  cache.set(key, found);
   return found;
 }
--- a/src/process/routing/slot_message.ts
+++ b/src/process/routing/slot_message.ts
@@ -1,5 +1,5 @@
 /**
- * What the instances of a data centre say to one another about slots.
+ * Messages about slots between the instances of a data centre.
  *
  * @module
  */
@@ -31,7 +31,7 @@
 /** One message about the slots of one service. */
 export type SlotMessage = z.infer<typeof slotMessageSchema>;
 
-/** Checks a message from a peer; `malformed` when it has another shape. */
+/** Validates a message from a peer; `malformed` when its shape is wrong. */
 export function decodeSlotMessage(body: unknown): Result<SlotMessage> {
   const parsed = slotMessageSchema.safeParse(body);
   return parsed.success ? Right(parsed.data) : failure("malformed", {
--- a/src/process/routing/slot_sharing.ts
+++ b/src/process/routing/slot_sharing.ts
@@ -1,6 +1,6 @@
 /**
- * Shares the backend servers' slots among the instances of a data centre:
- * the instance with the lowest name allocates, the others report to it.
+ * Shares the backend servers' slots among the instances of a data centre: the
+ * usable instance with the lowest id allocates, the others report to it.
  *
  * @module
  */
@@ -21,29 +21,29 @@
 import type { Router } from "./router.ts";
 import { decodeSlotMessage, type SlotMessage } from "./slot_message.ts";
 
-/** What the sharing is built from. */
+/** Options of a {@link SlotSharing}. */
 export interface SlotSharingOptions {
   readonly selfId: InstanceId;
   /**
-   * The instances of this data centre that take new work, this one included
+   * The instances of this data centre that accept new work, with this one
    * unless it is leaving.
    */
   readonly usableInstances: () => readonly InstanceId[];
-  /** Those that are there at all; one that leaves still uses its slots. */
-  readonly presentInstances: () => readonly InstanceId[];
+  /** All reachable ones; also leaving ones, since they still use slots. */
+  readonly reachableInstances: () => readonly InstanceId[];
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly router: Pick<Router, "core" | "handle">;
 }
 
-/** How often demand is reported and slots are shared out. */
+/** Period of demand reports and slot allocation. */
 const ROUND_MS = 100;
 
-/** How long a new allocator waits for the reports of all. */
-const GATHER_MS = 1_000;
+/** How long a new allocator waits for the reports of all instances. */
+const REPORT_WAIT_MS = 1_000;
 
-/** How long an instance without a grant waits before it takes its part. */
-const FALLBACK_MS = 2_000;
+/** How long an instance waits for a grant before it uses an even share. */
+const FALLBACK_DELAY_MS = 2_000;
 
 interface ServiceShare {
   grantId: number;
@@ -52,7 +52,7 @@
   allocator: SlotAllocator | undefined;
 }
 
-/** One instance's part in the sharing. */
+/** One instance's side of slot sharing. */
 export class SlotSharing {
   readonly #options: SlotSharingOptions;
   readonly #channel: PeerChannel<SlotMessage>;
@@ -68,8 +68,8 @@
       decode: decodeSlotMessage,
     });
     this.#channel.received.observe((received) => this.#receive(received));
-    this.#timer = options.clock.every(ROUND_MS, () => this.#round());
-    this.#round();
+    this.#timer = options.clock.every(ROUND_MS, () => this.#runRound());
+    this.#runRound();
   }
 
   close(): void {
@@ -77,14 +77,14 @@
     this.#channel.close();
   }
 
-  #round(): void {
+  #runRound(): void {
     this.#chooseAllocator();
     for (const service of this.#options.router.core.services.keys()) {
-      this.#roundOf(service, this.#shareOf(service));
+      this.#runServiceRound(service, this.#shareOf(service));
     }
   }
 
-  /** The lowest name among those that work; every instance finds the same. */
+  /** The lowest id among usable instances, so that all choose the same one. */
   #chooseAllocator(): void {
     const { selfId, usableInstances, clock } = this.#options;
     const [lowest = selfId] = [...usableInstances()].sort();
@@ -111,11 +111,11 @@
       allocator: undefined,
     };
     this.#shares.set(service, share);
-    this.#obey(service, { share, slots: share.granted });
+    this.#applySlots(service, { share, slots: share.granted });
     return share;
   }
 
-  #roundOf(service: ServiceId, share: ServiceShare): void {
+  #runServiceRound(service: ServiceId, share: ServiceShare): void {
     const { selfId, clock } = this.#options;
     const report = this.#report(service, share);
     if (this.#allocatorId === selfId) {
@@ -130,12 +130,12 @@
       });
     }
     const waitedMs = clock.nowMs() - this.#allocatorSinceMs;
-    if (!share.hasGrant && waitedMs > FALLBACK_MS) {
-      this.#obey(service, { share, slots: this.#evenPart(service) });
+    if (!share.hasGrant && waitedMs > FALLBACK_DELAY_MS) {
+      this.#applySlots(service, { share, slots: this.#evenShare(service) });
     }
   }
 
-  /** Full holds for a new allocator, else only what is over the grant. */
+  /** Lists all held slots for a new allocator, else only those over the grant. */
   #report(service: ServiceId, share: ServiceShare): SlotReport {
     const router = this.#options.router.core.services.get(service);
     const inUse = router?.servers.inUse() ?? new Map<string, number>();
@@ -152,7 +152,7 @@
     }
     return {
       instanceId: this.#options.selfId,
-      demand: router?.open ?? 0,
+      demand: router?.openCalls ?? 0,
       grantId: share.grantId,
       holds,
     };
@@ -162,32 +162,33 @@
     service: ServiceId,
     { share, report }: { share: ServiceShare; report: SlotReport },
   ): void {
-    const { clock, presentInstances, selfId } = this.#options;
+    const { clock, reachableInstances: presentInstances, selfId } =
+      this.#options;
     share.allocator ??= new SlotAllocator({
       firstGrantId: Math.floor(clock.nowMs()),
     });
     const { allocator } = share;
     allocator.report(report);
-    const present = new Set([selfId, ...presentInstances()]);
-    allocator.instanceIds.filter((id) => !present.has(id))
-      .forEach((id) => allocator.drop(id));
-    const isGathered = allocator.instanceIds.length >= present.size ||
-      clock.nowMs() - this.#allocatorSinceMs > GATHER_MS;
-    if (isGathered) {
+    const reachable = new Set([selfId, ...presentInstances()]);
+    allocator.instanceIds.filter((id) => !reachable.has(id))
+      .forEach((id) => allocator.removeInstance(id));
+    const hasAllReports = allocator.instanceIds.length >= reachable.size ||
+      clock.nowMs() - this.#allocatorSinceMs > REPORT_WAIT_MS;
+    if (hasAllReports) {
       const capacity = this.#capacity(service);
       allocator.allocate(capacity).forEach((grant) =>
-        this.#give(service, { share, grant })
+        this.#sendGrant(service, { share, grant })
       );
     }
   }
 
-  #give(
+  #sendGrant(
     service: ServiceId,
     { share, grant }: { share: ServiceShare; grant: SlotGrant },
   ): void {
     const { instanceId, grantId, slots } = grant;
     if (instanceId === this.#options.selfId) {
-      this.#accept(service, { share, grantId, slots });
+      this.#acceptGrant(service, { share, grantId, slots });
       return;
     }
     const message = { kind: "grant", service, grantId } as const;
@@ -207,20 +208,20 @@
       message.grantId > share.grantId;
     if (isCurrent) {
       const slots = new Map(message.slots);
-      this.#accept(service, { share, grantId: message.grantId, slots });
+      this.#acceptGrant(service, { share, grantId: message.grantId, slots });
     }
   }
 
-  #accept(
+  #acceptGrant(
     service: ServiceId,
     grant: { share: ServiceShare; grantId: number; slots: SlotCounts },
   ): void {
     grant.share.grantId = grant.grantId;
     grant.share.hasGrant = true;
-    this.#obey(service, grant);
+    this.#applySlots(service, grant);
   }
 
-  #obey(
+  #applySlots(
     service: ServiceId,
     { share, slots }: { share: ServiceShare; slots: SlotCounts },
   ): void {
@@ -236,21 +237,24 @@
     return router?.servers.capacity(nowMs) ?? new Map();
   }
 
-  /** This instance's part when no allocator answers, disjoint from others'. */
-  #evenPart(service: ServiceId): Map<string, number> {
-    const { selfId, presentInstances } = this.#options;
+  /**
+   * An even share for use while no allocator answers. Shares of instances that
+   * see the same instances and servers are disjoint.
+   */
+  #evenShare(service: ServiceId): Map<string, number> {
+    const { selfId, reachableInstances: presentInstances } = this.#options;
     const ids = [...new Set([selfId, ...presentInstances()])].sort();
-    const place = ids.indexOf(selfId);
-    const part = new Map<string, number>();
-    let at = 0;
+    const ownIndex = ids.indexOf(selfId);
+    const share = new Map<string, number>();
+    let slotIndex = 0;
     for (const [serverId, slots] of [...this.#capacity(service)].sort()) {
       for (let slot = 0; slot < slots; slot += 1) {
-        if (at % ids.length === place) {
-          part.set(serverId, (part.get(serverId) ?? 0) + 1);
+        if (slotIndex % ids.length === ownIndex) {
+          share.set(serverId, (share.get(serverId) ?? 0) + 1);
         }
-        at += 1;
+        slotIndex += 1;
       }
     }
-    return part;
+    return share;
   }
 }
--- a/src/process/routing/slot_sharing_test.ts
+++ b/src/process/routing/slot_sharing_test.ts
@@ -15,7 +15,7 @@
 const SLOTS = SERVERS.length * 8;
 
 /** Instances of one data centre that share slots over fake links. */
-class World {
+class SlotSharingSimulation {
   readonly clock = new FakeClock({ startMs: 1_000_000 });
   readonly hub = new FakePeerHub({
     clock: this.clock,
@@ -24,7 +24,7 @@
   });
   readonly cores = new Map<string, RoutingCore>();
   readonly sharings = new Map<string, SlotSharing>();
-  readonly present: string[] = [];
+  readonly instanceIds: string[] = [];
   #calls = 0;
 
   constructor(ids: readonly string[]) {
@@ -32,42 +32,42 @@
   }
 
   add(id: string, peerIds: readonly string[]): void {
-    this.present.push(id);
+    this.instanceIds.push(id);
     const core = new RoutingCore({
       dataCentre: "dc",
       random: new SeededRandom({ seed: 1 }),
     });
     this.cores.set(id, core);
-    this.#feed(core, {
+    this.#handle(core, {
       kind: "configurationChanged",
       atMs: this.clock.nowMs(),
       services: { svc: SERVICE },
     });
     this.announce();
     const instances = (): string[] =>
-      this.present.filter((other) => !this.hub.isCut(id, other));
+      this.instanceIds.filter((other) => !this.hub.isCut(id, other));
     const sharing = new SlotSharing({
       selfId: id,
       usableInstances: instances,
-      presentInstances: instances,
+      reachableInstances: instances,
       network: this.hub.join(id, { peerIds }),
       clock: this.clock,
-      router: { core, handle: (event) => this.#feed(core, event) },
+      router: { core, handle: (event) => this.#handle(core, event) },
     });
     this.sharings.set(id, sharing);
   }
 
   remove(id: string): void {
     this.sharings.get(id)?.close();
-    this.present.splice(this.present.indexOf(id), 1);
+    this.instanceIds.splice(this.instanceIds.indexOf(id), 1);
     this.cores.delete(id);
   }
 
-  /** Calls that stay, and so make demand. */
+  /** Adds calls that never end, to create demand. */
   load(id: string, calls: number): void {
     const core = this.cores.get(id);
     for (let call = 0; call < calls && core !== undefined; call += 1) {
-      this.#feed(core, {
+      this.#handle(core, {
         kind: "callArrived",
         atMs: this.clock.nowMs(),
         call: {
@@ -83,8 +83,8 @@
     }
   }
 
-  run(forMs: number): void {
-    for (let leftMs = forMs; leftMs > 0; leftMs -= 500) {
+  run(periodMs: number): void {
+    for (let leftMs = periodMs; leftMs > 0; leftMs -= 500) {
       this.announce();
       this.clock.advance(Math.min(500, leftMs));
     }
@@ -93,7 +93,7 @@
   announce(): void {
     for (const serverId of SERVERS) {
       for (const core of this.cores.values()) {
-        this.#feed(core, {
+        this.#handle(core, {
           kind: "serverAnnounced",
           atMs: this.clock.nowMs(),
           announcement: {
@@ -113,13 +113,13 @@
   /** Slots that the instance may use. */
   slotsOf(id: string): number {
     const servers = this.cores.get(id)?.services.get("svc")?.servers;
-    return servers?.openSlots(this.clock.nowMs()) ?? 0;
+    return servers?.usableSlots(this.clock.nowMs()) ?? 0;
   }
 
   inFlight(): number {
     return [...this.cores.values()].reduce((sum, core) => {
       const inUse = core.services.get("svc")?.servers.inUse().values() ?? [];
-      return [...inUse].reduce((total, slots) => total + slots, sum);
+      return [...inUse].reduce((totalSlots, slots) => totalSlots + slots, sum);
     }, 0);
   }
 
@@ -130,72 +130,72 @@
     );
   }
 
-  #feed(core: RoutingCore, event: RoutingEvent): void {
+  #handle(core: RoutingCore, event: RoutingEvent): void {
     core.handle(event);
   }
 }
 
 test("an instance alone has all slots", (t) => {
-  const world = new World(["i1"]);
-  world.run(1_000);
-  t.is(world.slotsOf("i1"), SLOTS);
+  const simulation = new SlotSharingSimulation(["i1"]);
+  simulation.run(1_000);
+  t.is(simulation.slotsOf("i1"), SLOTS);
 });
 
-test("instances share all slots and go by demand", (t) => {
-  const world = new World(["i1", "i2", "i3"]);
-  world.run(3_000);
-  t.is(world.total(), SLOTS);
-  world.load("i2", 40);
-  world.run(3_000);
-  t.is(world.total(), SLOTS);
-  t.true(world.slotsOf("i2") > SLOTS / 2);
-  t.true(world.slotsOf("i1") > 0);
-  t.true(world.inFlight() <= SLOTS);
+test("instances share all slots by demand", (t) => {
+  const simulation = new SlotSharingSimulation(["i1", "i2", "i3"]);
+  simulation.run(3_000);
+  t.is(simulation.total(), SLOTS);
+  simulation.load("i2", 40);
+  simulation.run(3_000);
+  t.is(simulation.total(), SLOTS);
+  t.true(simulation.slotsOf("i2") > SLOTS / 2);
+  t.true(simulation.slotsOf("i1") > 0);
+  t.true(simulation.inFlight() <= SLOTS);
 });
 
 test("another instance allocates when the allocator is gone", (t) => {
-  const world = new World(["i1", "i2", "i3"]);
-  world.run(3_000);
-  world.remove("i1");
-  world.run(5_000);
-  t.is(world.total(), SLOTS);
-  world.load("i3", 40);
-  world.run(3_000);
-  t.true(world.slotsOf("i3") > SLOTS / 2);
+  const simulation = new SlotSharingSimulation(["i1", "i2", "i3"]);
+  simulation.run(3_000);
+  simulation.remove("i1");
+  simulation.run(5_000);
+  t.is(simulation.total(), SLOTS);
+  simulation.load("i3", 40);
+  simulation.run(3_000);
+  t.true(simulation.slotsOf("i3") > SLOTS / 2);
 });
 
-test("an instance that comes back gets its part again", (t) => {
-  const world = new World(["i1", "i2"]);
-  world.run(3_000);
-  world.remove("i1");
-  world.run(3_000);
-  t.is(world.slotsOf("i2"), SLOTS);
-  world.add("i1", ["i1", "i2"]);
-  world.run(5_000);
-  t.is(world.total(), SLOTS);
-  t.true(world.slotsOf("i1") > 0);
+test("an instance that comes back gets its share again", (t) => {
+  const simulation = new SlotSharingSimulation(["i1", "i2"]);
+  simulation.run(3_000);
+  simulation.remove("i1");
+  simulation.run(3_000);
+  t.is(simulation.slotsOf("i2"), SLOTS);
+  simulation.add("i1", ["i1", "i2"]);
+  simulation.run(5_000);
+  t.is(simulation.total(), SLOTS);
+  t.true(simulation.slotsOf("i1") > 0);
 });
 
-test("lost messages delay the sharing, and no slot is promised twice", (t) => {
-  const world = new World(["i1", "i2", "i3"]);
-  world.run(3_000);
-  world.hub.faults.lossRate = 0.5;
-  world.load("i3", 30);
-  world.run(10_000);
-  t.true(world.total() <= SLOTS);
-  world.hub.faults.lossRate = 0;
-  world.run(3_000);
-  t.is(world.total(), SLOTS);
-  t.true(world.inFlight() <= SLOTS);
+test("lost messages delay the sharing, and no slot is granted twice", (t) => {
+  const simulation = new SlotSharingSimulation(["i1", "i2", "i3"]);
+  simulation.run(3_000);
+  simulation.hub.faults.lossRate = 0.5;
+  simulation.load("i3", 30);
+  simulation.run(10_000);
+  t.true(simulation.total() <= SLOTS);
+  simulation.hub.faults.lossRate = 0;
+  simulation.run(3_000);
+  t.is(simulation.total(), SLOTS);
+  t.true(simulation.inFlight() <= SLOTS);
 });
 
-test("an instance that is cut off goes on with all that it can", (t) => {
-  const world = new World(["i1", "i2"]);
-  world.run(3_000);
-  world.hub.isolate("i2");
-  world.run(3_000);
-  t.is(world.slotsOf("i2"), SLOTS);
-  world.hub.heal();
-  world.run(5_000);
-  t.is(world.total(), SLOTS);
+test("an isolated instance uses all slots", (t) => {
+  const simulation = new SlotSharingSimulation(["i1", "i2"]);
+  simulation.run(3_000);
+  simulation.hub.isolate("i2");
+  simulation.run(3_000);
+  t.is(simulation.slotsOf("i2"), SLOTS);
+  simulation.hub.heal();
+  simulation.run(5_000);
+  t.is(simulation.total(), SLOTS);
 });
