--- a/src/process/routing/answer_faults.ts
+++ b/src/process/routing/answer_faults.ts
@@ -12,7 +12,7 @@
   crossed: "crossed",
   /** It belongs to an attempt that was answered already. */
   doubled: "doubled",
-  /** It ended early, or no header tells where it ends. */
+  /** It ended early, or no header says where it ends. */
   truncated: "truncated",
   /** It is over the service's size limit. */
   tooLarge: "tooLarge",
@@ -37,12 +37,12 @@
     this.#limit = options.limit;
   }
 
-  record(correlationId: string, end: CorrelationOutcome): void {
+  record(correlationId: string, outcome: CorrelationOutcome): void {
     if (this.#newer.size >= this.#limit / 2) {
       this.#older = this.#newer;
       this.#newer = new Map();
     }
-    this.#newer.set(correlationId, end);
+    this.#newer.set(correlationId, outcome);
   }
 
   /** The fault of an answer with an unexpected correlation id. */
--- a/src/process/routing/backend_client.ts
+++ b/src/process/routing/backend_client.ts
@@ -28,14 +28,14 @@
 /** Idle connections are closed after this long, before servers close them. */
 const KEEP_ALIVE_MS = 4_000;
 const CONNECT_TIMEOUT_MS = 1_000;
-const CORRELATIONS_REMEMBERED = 4_096;
+const CORRELATION_LIMIT = 4_096;
 
 /** Pooled connections to the backend servers. */
 export class BackendClient {
   readonly #clock: Clock;
   readonly #agent: Agent;
   readonly #correlations = new RecentCorrelations({
-    limit: CORRELATIONS_REMEMBERED,
+    limit: CORRELATION_LIMIT,
   });
 
   constructor(options: BackendClientOptions) {
--- a/src/process/routing/core/call_queue.ts
+++ b/src/process/routing/core/call_queue.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-/** The properties of a call that its place in the queue depends on. */
+/** The properties of a call that the queue depends on. */
 export interface QueuedCall {
   readonly requestClass: string;
   readonly rank: number;
@@ -48,7 +48,7 @@
     return true;
   }
 
-  /** Removes and returns every call for which `isDue` holds. */
+  /** Removes and returns every call that matches. */
   removeWhere(matches: (call: Call) => boolean): Call[] {
     const removed = this.#calls.filter(matches);
     if (removed.length > 0) {
--- a/src/process/routing/core/routing_core_fixture.ts
+++ b/src/process/routing/core/routing_core_fixture.ts
@@ -101,12 +101,12 @@
     const known = this.servers.get(serverId) ??
       { leavingAnnounced: false, incarnation: 1, announcedAtMs: this.#nowMs };
     const silentMs = this.#nowMs - known.announcedAtMs;
-    const isForgotten = silentMs > DEFAULT_ROUTING_OPTIONS.forgetAfterMs;
-    if (options.old && (isNew || isForgotten)) {
+    const isRemoved = silentMs > DEFAULT_ROUTING_OPTIONS.removeAfterMs;
+    if (options.old && (isNew || isRemoved)) {
       return;
     }
     this.servers.set(serverId, known);
-    if (isForgotten) {
+    if (isRemoved) {
       known.leavingAnnounced = false;
       this.#ejected.delete(serverId);
     }
@@ -179,7 +179,7 @@
       return;
     }
     attempt.result = result;
-    const call = this.#callOf(attempt.key);
+    const call = this.#findCall(attempt.key);
     call.openAttempts -= 1;
     call.possibleRuns += result === "notSent" ? 0 : 1;
     call.isQueued = true;
@@ -197,7 +197,7 @@
     );
     const [key] = open[index % Math.max(1, open.length)] ?? [];
     if (key !== undefined) {
-      this.#callOf(key).forwarded = result !== "notSent";
+      this.#findCall(key).forwarded = result !== "notSent";
       this.#handle({ kind: "forwardEnded", atMs: this.#nowMs, key, result });
     }
   }
@@ -262,7 +262,7 @@
         this.#checkAttempt(decision);
         break;
       case "forwardCall": {
-        const call = this.#callOf(decision.key);
+        const call = this.#findCall(decision.key);
         check(call.openAttempts === 0, "two attempts at once");
         check(
           call.isIdempotent || call.possibleRuns === 0,
@@ -308,10 +308,7 @@
 
   /** Checks that the call can be in time and fits the region link's budget. */
   #checkForward(call: CallModel): void {
-    check(
-      this.#nowMs + ROUND_TRIP_MS < call.deadlineMs,
-      "forwarded in vain, past its deadline",
-    );
+    check(this.#nowMs + ROUND_TRIP_MS < call.deadlineMs, "forwarded in vain");
     this.#forwardedBytes += BODY_BYTES;
     const seconds = 1 + this.#nowMs / 1_000;
     check(
@@ -324,7 +321,7 @@
     decision: Extract<RoutingDecision, { kind: "sendAttempt" }>,
   ): void {
     const { key, attemptId, serverId } = decision;
-    const call = this.#callOf(key);
+    const call = this.#findCall(key);
     const server = this.servers.get(serverId);
     const { announcementLifetimeMs } = DEFAULT_ROUTING_OPTIONS;
     check(!call.ended && !call.abandoned, "sent after the call ended");
@@ -355,17 +352,14 @@
     this.#checkRetryBudget(decision.tryNumber > 1);
   }
 
-  /** Checks that first attempts of more urgent classes go first, save probes. */
+  /** Checks that only probes overtake a first attempt of a more urgent class. */
   #checkOrder(call: CallModel, serverId: string): void {
     const overtaken = [...this.calls.values()].some((other) =>
       other.isQueued && !other.ended && other.attemptCount === 0 &&
       other.rank < call.rank && !other.forwarded &&
       other.deadlineMs > this.#nowMs
     );
-    check(
-      !overtaken || this.#ejected.has(serverId),
-      "overtook a call of a more urgent class",
-    );
+    check(!overtaken || this.#ejected.has(serverId), "overtook an urgent call");
   }
 
   #checkRetryBudget(isRetry: boolean): void {
@@ -377,7 +371,7 @@
     check(this.#retries <= budget, "more retries than the retry budget");
   }
 
-  #callOf(key: string): CallModel {
+  #findCall(key: string): CallModel {
     const call = this.calls.get(key);
     if (call === undefined) {
       throw new Error(`unknown call ${key}`);
@@ -386,7 +380,7 @@
   }
 
   #endCall(key: string): CallModel {
-    const call = this.#callOf(key);
+    const call = this.#findCall(key);
     check(!call.ended, "ended twice");
     call.ended = true;
     call.isQueued = false;
--- a/src/process/routing/core/routing_options.ts
+++ b/src/process/routing/core/routing_options.ts
@@ -13,7 +13,7 @@
    */
   readonly announcementLifetimeMs: number;
   /** An idle server that has been silent for longer than this is removed. */
-  readonly forgetAfterMs: number;
+  readonly removeAfterMs: number;
   /** How long past its call's deadline an attempt may hold its slot. */
   readonly attemptGraceMs: number;
   /** Consecutive failures after which a server is ejected. */
@@ -27,7 +27,7 @@
   /** Wait before the first probe; doubles with every failed probe. */
   readonly probeDelayMs: number;
   readonly probeDelayLimitMs: number;
-  /** How long only an idempotent call may be a due probe; then any call may. */
+  /** How long a due probe is left to idempotent calls; then any call will do. */
   readonly nonIdempotentProbeDelayMs: number;
   /** Largest retry budget that may accumulate, in retries. */
   readonly retryTokens: number;
@@ -47,7 +47,7 @@
 /** The defaults. */
 export const DEFAULT_ROUTING_OPTIONS: RoutingOptions = {
   announcementLifetimeMs: 1_900,
-  forgetAfterMs: 60_000,
+  removeAfterMs: 60_000,
   attemptGraceMs: 5_000,
   failuresToEject: 3,
   slowFactor: 3,
--- a/src/process/routing/core/server_table.ts
+++ b/src/process/routing/core/server_table.ts
@@ -185,15 +185,15 @@
     this.#attempts.delete(attemptId);
     attempt.server.attempts.delete(attemptId);
     const durationMs = atMs - attempt.startedAtMs;
-    const isGood = result === AttemptResult.answered;
-    if (isGood) {
+    const isSuccess = result === AttemptResult.answered;
+    if (isSuccess) {
       attempt.server.health.recordSuccess(durationMs);
       this.serviceTime.record(durationMs);
     } else {
       attempt.server.health.recordFailure(atMs);
     }
     return attempt.isProbe
-      ? this.#applyProbeResult(attempt.server, { isGood, durationMs, atMs })
+      ? this.#applyProbeResult(attempt.server, { isSuccess, durationMs, atMs })
       : this.#ejectIfUnhealthy(attempt.server, atMs);
   }
 
@@ -207,7 +207,7 @@
         );
       }
       const silentMs = nowMs - server.announcedAtMs;
-      const isExpired = silentMs > this.#options.routing.forgetAfterMs;
+      const isExpired = silentMs > this.#options.routing.removeAfterMs;
       if (isExpired && server.attempts.size === 0) {
         this.#servers.delete(server.serverId);
       }
@@ -235,14 +235,14 @@
 
   #applyProbeResult(
     server: ServerEntry,
-    probe: { isGood: boolean; durationMs: number; atMs: number },
+    probe: { isSuccess: boolean; durationMs: number; atMs: number },
   ): RoutingDecision[] {
     const { slowFactor, slowFloorMs } = this.#options.routing;
     const medianMs = this.#medianMs(server);
     const isFast = medianMs === 0 ||
       probe.durationMs <= Math.max(slowFloorMs, slowFactor * medianMs);
-    if (!probe.isGood || !isFast) {
-      const reason = probe.isGood ? "slow" : "failing";
+    if (!probe.isSuccess || !isFast) {
+      const reason = probe.isSuccess ? "slow" : "failing";
       return [this.#ejectNow(server, { reason, nowMs: probe.atMs })];
     }
     server.health.readmit();
--- a/src/process/routing/core/service_router.ts
+++ b/src/process/routing/core/service_router.ts
@@ -86,13 +86,7 @@
       return [endWithError(call.key, "invalid", detail)];
     }
     if (call.deadlineMs <= nowMs) {
-      return [
-        endWithError(
-          call.key,
-          "deadlineExceeded",
-          "The deadline had passed on arrival.",
-        ),
-      ];
+      return [endWithError(call.key, "deadlineExceeded", "Deadline passed.")];
     }
     const openCall = createOpenCall(call, requestClass.rank);
     const refusal = this.#refusal(openCall, requestClass.queueLimit, nowMs);
@@ -144,14 +138,17 @@
     attemptId: AttemptId,
     { result, atMs }: { result: AttemptResult; atMs: number },
   ): RoutingDecision[] {
-    const ejections = this.servers.endAttempt(attemptId, { result, atMs });
+    const healthDecisions = this.servers.endAttempt(attemptId, {
+      result,
+      atMs,
+    });
     const call = this.#callByAttempt.get(attemptId);
     this.#callByAttempt.delete(attemptId);
     const isOpen = call !== undefined && this.#calls.get(call.key) === call;
     const ended = isOpen
       ? this.#endOrRetry(call, { result, atMs, attemptId })
       : [];
-    return [...ejections, ...ended, ...this.dispatch(atMs)];
+    return [...healthDecisions, ...ended, ...this.dispatch(atMs)];
   }
 
   endForward(key: CallKey, result: AttemptResult): RoutingDecision[] {
@@ -250,7 +247,7 @@
     return ageMs <= this.#routing.discoveryMs && !this.#hasServers(nowMs);
   }
 
-  /** Expected wait for a slot behind the calls that come first. */
+  /** Expected wait for a slot behind the queued calls that come first. */
   #expectedWaitMs(call: OpenCall, nowMs: number): number {
     const callsAhead = this.#queue.countBefore(call) + 1;
     const slots = Math.max(1, this.servers.usableSlots(nowMs));
@@ -294,7 +291,7 @@
     return { service: this.#service, nowMs, serviceTimeMs };
   }
 
-  /** Whether it is overdue, or would be and other queued calls need the slot. */
+  /** Whether the call is past its deadline, or would miss it while others wait. */
   #shouldExpire(call: OpenCall, nowMs: number): boolean {
     if (call.deadlineMs <= nowMs) {
       return true;
--- a/src/process/routing/core/slot_allocator.ts
+++ b/src/process/routing/core/slot_allocator.ts
@@ -42,7 +42,7 @@
  */
 const IDLE_SHARE_FRACTION = 0.25;
 
-/** Decay of a past peak of demand with each report. */
+/** Factor by which a past peak of demand decays with each report. */
 const DEMAND_DECAY = 0.9;
 
 /** A grant is sent again after this many reports that don't confirm it. */
@@ -200,7 +200,7 @@
     return free;
   }
 
-  /** Server with the fewest slots of the instance, then with the most free. */
+  /** The server with the fewest granted slots, among these the most free. */
   #bestServer(
     holder: Holder,
     free: SlotCounts,
--- a/src/process/routing/core/slot_allocator_test.ts
+++ b/src/process/routing/core/slot_allocator_test.ts
@@ -39,7 +39,7 @@
 /** Runs a session; returns a server with slots granted twice, if any. */
 function run(
   session: Session,
-  options: { hidesUse: boolean },
+  options: { omitsUse: boolean },
 ): string | undefined {
   const allocator = new SlotAllocator({ firstGrantId: 0 });
   const holders: HolderModel[] = [0, 1, 2].map(() => ({
@@ -52,7 +52,7 @@
     holders.forEach((holder, index) => {
       holder.demand = demands[index] ?? 0;
       if (lost[index] !== true) {
-        const holds = options.hidesUse
+        const holds = options.omitsUse
           ? new Map<string, number>()
           : usedOverGrant(holder);
         const { demand, grantId } = holder;
@@ -118,7 +118,7 @@
   const checked = fc.check(
     fc.property(
       sessions,
-      (session) => run(session, { hidesUse: false }) === undefined,
+      (session) => run(session, { omitsUse: false }) === undefined,
     ),
     { numRuns: 2_000, seed: 4 },
   );
@@ -132,7 +132,7 @@
   const checked = fc.check(
     fc.property(
       sessions,
-      (session) => run(session, { hidesUse: true }) === undefined,
+      (session) => run(session, { omitsUse: true }) === undefined,
     ),
     { numRuns: 2_000, seed: 4, endOnFailure: true },
   );
--- a/src/process/routing/forward_deduplicator.ts
+++ b/src/process/routing/forward_deduplicator.ts
@@ -20,7 +20,7 @@
 export class ForwardDeduplicator {
   readonly #senders = new Map<InstanceId, SenderWindow>();
 
-  /** True once for each call; false for one too old to tell. */
+  /** True once for each call; false for one too old to be known. */
   accept(
     from: InstanceId,
     call: { incarnation: number; forwardId: number },
--- a/src/process/routing/forward_parts.ts
+++ b/src/process/routing/forward_parts.ts
@@ -40,8 +40,8 @@
   readonly lifetimeMs?: number;
 }
 
-const LIMIT_BYTES = 32 * 1_048_576;
-const LIFETIME_MS = 30_000;
+const BUFFER_LIMIT_BYTES = 32 * 1_048_576;
+const INCOMPLETE_LIFETIME_MS = 30_000;
 
 interface IncompleteMessage {
   readonly parts: (Uint8Array | undefined)[];
@@ -58,8 +58,8 @@
 
   constructor(options: PartAssemblerOptions) {
     this.#options = {
-      limitBytes: LIMIT_BYTES,
-      lifetimeMs: LIFETIME_MS,
+      limitBytes: BUFFER_LIMIT_BYTES,
+      lifetimeMs: INCOMPLETE_LIFETIME_MS,
       ...options,
     };
   }
--- a/src/process/routing/forwarding.ts
+++ b/src/process/routing/forwarding.ts
@@ -100,7 +100,7 @@
     );
   }
 
-  /** Forwards the request; `notSent` when it can't have arrived whole. */
+  /** Forwards the request; `notSent` when it can't have arrived complete. */
   forward(
     record: RequestRecord,
     dataCentre: DataCentreId,
@@ -139,7 +139,7 @@
     return PACKR.pack({ formatVersion: 1, timeoutMs, record: rest });
   }
 
-  /** False when a part was dropped, so the message can't arrive whole. */
+  /** False when a part was dropped, so the message can't arrive complete. */
   #sendParts(
     to: InstanceId,
     packed: Uint8Array,
@@ -216,8 +216,8 @@
       receivedAtMs,
       deadlineMs: receivedAtMs + call.timeoutMs,
     };
-    const end = await router.route(record, { isForwarded: true });
-    const packed = PACKR.pack(await toForwardedEnd(end));
+    const routeResult = await router.route(record, { isForwarded: true });
+    const packed = PACKR.pack(await toForwardedEnd(routeResult));
     const { forwardId, incarnation } = part;
     this.#sendParts(from, packed, { flow: "end", forwardId, incarnation });
   }
@@ -260,13 +260,13 @@
   });
 }
 
-/** Waits for the final outcome when the result doesn't tell it. */
-async function toForwardedEnd(end: RouteResult): Promise<ForwardedEnd> {
-  const routed = end.result.caseOf({
+/** Waits for the final outcome when the result leaves it open. */
+async function toForwardedEnd(routeResult: RouteResult): Promise<ForwardedEnd> {
+  const routed = routeResult.result.caseOf({
     Left: () => undefined,
     Right: (answer) => answer,
   });
-  const isNotRun = end.result.caseOf({
+  const isNotRun = routeResult.result.caseOf({
     Left: (error) => error.answer.execution !== Execution.unknown,
     Right: () => false,
   });
@@ -274,7 +274,7 @@
     return { formatVersion: 1, result: AttemptResult.notSent };
   }
   const finalOutcome = routed === undefined
-    ? await end.finalOutcome
+    ? await routeResult.finalOutcome
     : { kind: "answered" as const, routed };
   switch (finalOutcome.kind) {
     case "notRun":
--- a/src/process/routing/leaving_server_test.ts
+++ b/src/process/routing/leaving_server_test.ts
@@ -82,9 +82,9 @@
   });
   announce(1, false);
   announce(2, false);
-  const run = async (forMs: number): Promise<void> => {
-    for (let leftMs = forMs; leftMs > 0; leftMs -= 10) {
-      routings.forEach((routing) => void load(routing, clock));
+  const run = async (periodMs: number): Promise<void> => {
+    for (let leftMs = periodMs; leftMs > 0; leftMs -= 10) {
+      routings.forEach((routing) => void sendRequest(routing, clock));
       clock.advance(10);
       await new Promise((resolve) => setImmediate(resolve));
     }
@@ -103,7 +103,10 @@
   return (lastSentAtMs.get("127.0.0.1:1") ?? Infinity) - leavingAtMs;
 }
 
-async function load(routing: RequestRouting, clock: FakeClock): Promise<void> {
+async function sendRequest(
+  routing: RequestRouting,
+  clock: FakeClock,
+): Promise<void> {
   const nowMs = clock.nowMs();
   await routing.answer({
     hasCallerId: false,
--- a/src/process/routing/remote_peers.ts
+++ b/src/process/routing/remote_peers.ts
@@ -15,6 +15,7 @@
 
 /** Assumed before any round trip has been measured. */
 const DEFAULT_ROUND_TRIP_MS = 50;
+/** Weight of a new measurement in the smoothed round trip. */
 const ROUND_TRIP_WEIGHT = 0.2;
 
 /** A load report expires after this long. */
--- a/src/process/routing/request_claim.ts
+++ b/src/process/routing/request_claim.ts
@@ -31,10 +31,12 @@
 
 /** First wait before a claim held by another call is retried; it doubles. */
 const RETRY_DELAY_MS = 10;
+/** Limit of that wait; also the wait before an outcome is recorded again. */
 const RETRY_DELAY_LIMIT_MS = 200;
 
 /** How long the recording of an outcome is retried. */
 const RECORD_TIMEOUT_MS = 10_000;
+/** Timeout of each try to record it. */
 const RECORD_TRY_TIMEOUT_MS = 2_000;
 
 /** The claim of one call. */
@@ -108,7 +110,7 @@
     return ledger.ask(command, { home, deadlineMs });
   }
 
-  #common() {
+  #commonFields() {
     return {
       formatVersion: 1,
       key: this.#key,
@@ -120,7 +122,7 @@
   #claimCommand(): LedgerCommand {
     const { record, retentionMs } = this.#options;
     return {
-      ...this.#common(),
+      ...this.#commonFields(),
       kind: "claim",
       digest: this.#digest,
       expiresAtMs: record.deadlineMs + retentionMs,
@@ -129,11 +131,11 @@
 
   #outcomeCommand(finalOutcome: FinalOutcome): LedgerCommand {
     if (finalOutcome.kind === "notRun") {
-      return { ...this.#common(), kind: "release" };
+      return { ...this.#commonFields(), kind: "release" };
     }
     const { clock, retentionMs } = this.#options;
     return {
-      ...this.#common(),
+      ...this.#commonFields(),
       kind: "end",
       outcome: outcomeOf(finalOutcome),
       expiresAtMs: clock.nowMs() + retentionMs,
--- a/src/process/routing/request_path_fixture.ts
+++ b/src/process/routing/request_path_fixture.ts
@@ -216,8 +216,8 @@
 
   #announceTo(routing: RequestRouting, dataCentre: string): void {
     for (const server of SERVERS) {
-      const isHeard = !this.#silentDataCentres.has(dataCentre);
-      if (isHeard && server.dataCentre === dataCentre) {
+      const isAnnouncing = !this.#silentDataCentres.has(dataCentre);
+      if (isAnnouncing && server.dataCentre === dataCentre) {
         routing.announce({
           serverId: server.id,
           service: "loft",
--- a/src/process/routing/request_routing_test.ts
+++ b/src/process/routing/request_routing_test.ts
@@ -239,8 +239,8 @@
   };
   const first = await call(0, "bale", headers);
   t.is(first.json.error.kind, "outcomeUnknown");
-  const patient = { ...headers, "sesamethread-timeout-ms": "20000" };
-  const second = await call(1, "bale", patient);
+  const longTimeout = { ...headers, "sesamethread-timeout-ms": "20000" };
+  const second = await call(1, "bale", longTimeout);
   t.is(second.json.body, "bale");
   t.is(server.truth.runs.get("order-1"), 1);
   t.regex(instances[0]?.metrics.render() ?? "", /fault="late"} 1/);
--- a/src/process/routing/request_service.ts
+++ b/src/process/routing/request_service.ts
@@ -138,15 +138,18 @@
     claim: RequestClaim,
     options: { signal: AbortSignal },
   ): Promise<Result<CallerAnswer>> {
-    const end = await this.#options.router.route(record, options);
-    const recording = this.#recordOutcome(claim, end);
+    const routeResult = await this.#options.router.route(record, options);
+    const recording = this.#recordOutcome(claim, routeResult);
     this.#pendingRecordings.add(recording);
     void recording.then(() => this.#pendingRecordings.delete(recording));
-    return end.result.map(freshAnswer);
+    return routeResult.result.map(freshAnswer);
   }
 
-  async #recordOutcome(claim: RequestClaim, end: RouteResult): Promise<void> {
-    await claim.recordOutcome(await end.finalOutcome);
+  async #recordOutcome(
+    claim: RequestClaim,
+    routeResult: RouteResult,
+  ): Promise<void> {
+    await claim.recordOutcome(await routeResult.finalOutcome);
   }
 
   #claimOf(record: RequestRecord): RequestClaim {
@@ -176,7 +179,7 @@
   return Promise.resolve(failure("outcomeUnknown", { detail, facts }));
 }
 
-/** The result of a request that its home's ledger doesn't let through. */
+/** The result of a request that the ledger knows already or can't record. */
 function recordedResult(
   reply: LedgerReply,
   { requestId }: RequestRecord,
--- a/src/process/routing/routed_call.ts
+++ b/src/process/routing/routed_call.ts
@@ -37,9 +37,9 @@
 export class CallTracker {
   readonly record: RequestRecord;
   readonly routeResult: Promise<RouteResult>;
-  readonly #resolveRouteResult: (end: RouteResult) => void;
+  readonly #resolveRouteResult: (result: RouteResult) => void;
   readonly #finalOutcome: Promise<FinalOutcome>;
-  #resolveFinalOutcome: (knowledge: FinalOutcome) => void = () => undefined;
+  #resolveFinalOutcome: (outcome: FinalOutcome) => void = () => undefined;
   #openAttempts = 0;
   #mayHaveRun = false;
   #answer: RoutedAnswer | undefined;
@@ -47,17 +47,17 @@
 
   constructor(record: RequestRecord) {
     this.record = record;
-    let resolveEnd: (end: RouteResult) => void = () => undefined;
+    let resolveRouteResult: (result: RouteResult) => void = () => undefined;
     this.routeResult = new Promise((resolve) => {
-      resolveEnd = resolve;
+      resolveRouteResult = resolve;
     });
-    this.#resolveRouteResult = resolveEnd;
+    this.#resolveRouteResult = resolveRouteResult;
     this.#finalOutcome = new Promise((resolve) => {
       this.#resolveFinalOutcome = resolve;
     });
   }
 
-  /** Whether the caller's result is known. */
+  /** Whether the caller has its result. */
   get hasEnded(): boolean {
     return this.#hasEnded;
   }
--- a/src/process/routing/router.ts
+++ b/src/process/routing/router.ts
@@ -97,7 +97,7 @@
 
   /**
    * Routes one request. An abort of `signal` says that the caller disconnected:
-   * the call ends, a queued request isn't sent, and an attempt runs on.
+   * the call ends, a queued request isn't sent, an attempt in flight runs on.
    */
   route(
     record: RequestRecord,
@@ -321,7 +321,7 @@
       this.#calls.delete(key);
     }
     if (this.#calls.size === 0) {
-      this.#drainWaiters.splice(0).forEach((wake) => wake());
+      this.#drainWaiters.splice(0).forEach((resolve) => resolve());
     }
   }
 }
--- a/src/process/routing/slot_sharing.ts
+++ b/src/process/routing/slot_sharing.ts
@@ -162,14 +162,13 @@
     service: ServiceId,
     { share, report }: { share: ServiceShare; report: SlotReport },
   ): void {
-    const { clock, reachableInstances: presentInstances, selfId } =
-      this.#options;
+    const { clock, reachableInstances, selfId } = this.#options;
     share.allocator ??= new SlotAllocator({
       firstGrantId: Math.floor(clock.nowMs()),
     });
     const { allocator } = share;
     allocator.report(report);
-    const reachable = new Set([selfId, ...presentInstances()]);
+    const reachable = new Set([selfId, ...reachableInstances()]);
     allocator.instanceIds.filter((id) => !reachable.has(id))
       .forEach((id) => allocator.removeInstance(id));
     const hasAllReports = allocator.instanceIds.length >= reachable.size ||
@@ -242,8 +241,8 @@
    * see the same instances and servers are disjoint.
    */
   #evenShare(service: ServiceId): Map<string, number> {
-    const { selfId, reachableInstances: presentInstances } = this.#options;
-    const ids = [...new Set([selfId, ...presentInstances()])].sort();
+    const { selfId, reachableInstances } = this.#options;
+    const ids = [...new Set([selfId, ...reachableInstances()])].sort();
     const ownIndex = ids.indexOf(selfId);
     const share = new Map<string, number>();
     let slotIndex = 0;
