--- a/src/process/scheduler/leader_core.ts
+++ b/src/process/scheduler/leader_core.ts
@@ -1,5 +1,5 @@
 /**
- * The scheduling core as the runtime of a leader drives it.
+ * Adapts the scheduling core to the interface that the runtime uses.
  *
  * @module
  */
@@ -15,7 +15,7 @@
 } from "./core/mod.ts";
 import type { DecisionCore } from "./runtime/mod.ts";
 
-/** A core under the runtime's narrow interface. */
+/** A {@link SchedulerCore} behind the runtime's interface. */
 export class LeaderCore implements DecisionCore {
   readonly #core: SchedulerCore;
 
--- a/src/process/scheduler/removal_acknowledger.ts
+++ b/src/process/scheduler/removal_acknowledger.ts
@@ -1,7 +1,7 @@
 /**
- * Tells the configuration when this data centre's leading scheduler has
- * carried out a removal, so that operators needn't wait for its start
- * permission to lapse.
+ * Acknowledges the removal of this data centre once its leading scheduler has
+ * carried it out, so that operators need not wait for its start permission to
+ * expire.
  *
  * @module
  */
@@ -11,17 +11,17 @@
 import type { ConfigurationVersion } from "../../version/configuration_version.ts";
 import type { ConfigurationSource } from "../configuration/configuration_source.ts";
 
-/** How often a removal that isn't carried out yet is looked at. */
+/** How often a pending removal is checked. */
 const LOOK_PERIOD_MS = 100;
 
-/** How a {@link RemovalAcknowledger} is made. */
+/** Options of {@link RemovalAcknowledger}. */
 export interface RemovalAcknowledgerOptions {
   readonly clock: Clock;
   readonly dataCentre: DataCentreId;
   readonly configuration: ConfigurationSource;
-  /** Whether the scheduler here leads and has no earlier start under way. */
+  /** Whether the local scheduler leads and has no gang start in progress. */
   readonly hasSettled: () => boolean;
-  /** Whether its leadership holds at this moment. */
+  /** Whether this instance's leader lease is valid now. */
   readonly isLeaseHeld: () => boolean;
   readonly acknowledge: (version: number) => void;
 }
--- a/src/process/scheduler/removal_acknowledger_test.ts
+++ b/src/process/scheduler/removal_acknowledger_test.ts
@@ -33,7 +33,7 @@
   return { clock, versions, state, acknowledged, acknowledger };
 }
 
-test("a removal is acknowledged once, when no start is under way", (t) => {
+test("a removal is acknowledged once, when no start is in progress", (t) => {
   const { clock, versions, state, acknowledged } = setUp();
   versions.push(versionOf(2, "out"));
   clock.advance(5_000);
@@ -43,7 +43,7 @@
   t.deepEqual(acknowledged, [2]);
 });
 
-test("an instance whose lease is gone acknowledges nothing", (t) => {
+test("an instance without a valid lease acknowledges nothing", (t) => {
   const { clock, versions, state, acknowledged } = setUp();
   state.hasSettled = true;
   state.isLeaseHeld = false;
--- a/src/process/scheduler/runtime/call_answerer.ts
+++ b/src/process/scheduler/runtime/call_answerer.ts
@@ -1,6 +1,6 @@
 /**
- * Answers what a data centre is asked about its jobs and workers, on any of
- * its instances.
+ * Handles calls about a data centre's jobs and workers, on any of its
+ * instances.
  *
  * @module
  */
@@ -36,7 +36,7 @@
   readonly log: ReplicatedLog<JobCommand, JobCommandOutcome>;
   readonly ledger: JobLedger;
   readonly workers: WorkerTable;
-  /** This instance's period of leadership, if it leads. */
+  /** This instance's leader session, if it leads. */
   readonly session: () => LeaderSession | undefined;
   readonly askInstance: (
     to: InstanceId,
@@ -48,7 +48,7 @@
   ) => Promise<Result<SchedulerAnswer>>;
 }
 
-/** Answers calls on one instance. */
+/** Handles calls on one instance. */
 export class CallAnswerer {
   readonly #options: CallAnswererOptions;
 
@@ -56,7 +56,7 @@
     this.#options = options;
   }
 
-  /** A call that was passed on once is answered here. */
+  /** Handles a call; one that was already forwarded isn't forwarded again. */
   async answer(
     call: SchedulerCall,
     how: { isPassedOn: boolean },
@@ -115,7 +115,11 @@
     }
     const { record } = outcome;
     return record === undefined
-      ? { kind: "failed", error: "internal", detail: "no record" }
+      ? {
+        kind: "failed",
+        error: "internal",
+        detail: "the outcome has no record",
+      }
       : {
         kind: "job",
         isNew: outcome.kind === "applied",
@@ -123,7 +127,7 @@
       };
   }
 
-  /** Lets the leader answer, which alone knows why jobs wait. */
+  /** Forwards a query to the leader, which alone knows why jobs wait. */
   async #query(
     call: SchedulerCall,
     how: { isPassedOn: boolean },
--- a/src/process/scheduler/runtime/core_driver.ts
+++ b/src/process/scheduler/runtime/core_driver.ts
@@ -1,6 +1,6 @@
 /**
- * Hands events to the core one at a time, in the order of their coming, also
- * when carrying out a decision gives the next event at once.
+ * Feeds events to the core one at a time, in order of arrival, even when
+ * carrying out a decision synchronously produces the next event.
  *
  * @module
  */
@@ -14,7 +14,7 @@
   readonly core: DecisionCore;
   readonly isLive: () => boolean;
   readonly onDecision: (decision: SchedulerDecision) => void;
-  /** Called when the core throws; nothing more is fed then. */
+  /** Called when the core throws; no more events are fed afterwards. */
   readonly onFailure: (error: unknown) => void;
 }
 
--- a/src/process/scheduler/runtime/core_record.ts
+++ b/src/process/scheduler/runtime/core_record.ts
@@ -1,5 +1,5 @@
 /**
- * What the log keeps of a job, in the form that the core takes over.
+ * Converts a job's record in the log to the core's own record.
  *
  * @module
  */
@@ -7,10 +7,10 @@
 import { JobPhase, type JobRecord as CoreJobRecord } from "../core/mod.ts";
 import type { AttemptRecord, JobRecord } from "./job_record.ts";
 
-/** The version of the core's record that is written here. */
+/** The format version of the core's records made here. */
 const CORE_RECORD_FORMAT_VERSION = 1;
 
-/** The job as the core takes it over; an open attempt counts as running. */
+/** The core's record of the job; an open attempt counts as running. */
 export function toCoreRecord(record: JobRecord): CoreJobRecord {
   const { specification, openAttempt, submittedAtMs } = record;
   const startedAtMs = openAttempt?.startedAtMs ?? openAttempt?.intendedAtMs;
--- a/src/process/scheduler/runtime/data_centre_choice.ts
+++ b/src/process/scheduler/runtime/data_centre_choice.ts
@@ -1,5 +1,5 @@
 /**
- * Which data centre a job belongs in. Pure functions of the document.
+ * Chooses the data centre of a job, by pure functions of the document.
  *
  * @module
  */
@@ -18,8 +18,8 @@
 
 /**
  * The data centre whose log decides whether the job is new: the first that
- * the job names, or one drawn by its identity. It depends on nothing that
- * operators change in passing, so that a resent job finds the first one.
+ * the job names, or one chosen by rendezvous hashing of the job's id. A data
+ * centre's status doesn't matter, so that a resubmission reaches the same log.
  */
 export function homeDataCentre(
   job: JobSpecification,
@@ -36,8 +36,8 @@
 }
 
 /**
- * Where a job that waits in `here` may go, best first: nowhere when it can run
- * here, or when no other data centre can take it.
+ * The data centres to which a job that waits in `here` may be transferred, best
+ * first: none when it can run here, or when waiting elsewhere has no advantage.
  */
 export function moveTargets(
   job: JobSpecification,
@@ -58,13 +58,13 @@
   if (open.length > 0) {
     return open.map(([id]) => id);
   }
-  // Nobody can take it now: it waits where it could run one day.
+  // No data centre can run it now: it waits where it could run once in again.
   const couldRunHere = isAllowed(job, here) && fits(job, own);
   return couldRunHere ? [] : others.map(([id]) => id);
 }
 
 /**
- * Why no data centre that the job allows could ever hold it, as a sentence;
+ * Error text when none of the job's allowed data centres could ever hold it;
  * undefined when one could.
  */
 export function findMisfit(
@@ -83,7 +83,7 @@
   return reasons.map(({ id, reason }) => `${id}: ${reason}`).join(" ");
 }
 
-/** A name in the job that the document doesn't have, as a sentence. */
+/** Error text for a name in the job that the document doesn't define. */
 export function findUnknownName(
   job: JobSpecification,
   document: Document,
@@ -111,12 +111,12 @@
   return job.dataCentres.length === 0 || job.dataCentres.includes(id);
 }
 
-/** Whether the declared hardware, all free, could hold the gang. */
+/** Whether the declared hardware could hold the gang if all were free. */
 function fits(job: JobSpecification, section: DataCentre): boolean {
   return whyNeverFits(job, declaredRacks(section)) === undefined;
 }
 
-/** The same region first: the link between regions is slow. */
+/** Ranks the same region first, because links between regions are slow. */
 function rankOf(section: DataCentre, own: DataCentre): number {
   return section.region === own.region ? 0 : 1;
 }
--- a/src/process/scheduler/runtime/data_centre_out_test.ts
+++ b/src/process/scheduler/runtime/data_centre_out_test.ts
@@ -14,7 +14,7 @@
   bed.history.noteRemoval(bed.world.clock.nowMs());
 }
 
-/** Takes a data centre out and puts it back, over links that are bad. */
+/** Takes a data centre out and puts it back in, over unreliable links. */
 async function removeInStorm(
   options: Partial<TestBedOptions> & { isCutOff: boolean; seed: number },
 ): Promise<{ bed: TestBed; waiting: number }> {
@@ -45,7 +45,7 @@
   return { bed, waiting };
 }
 
-test("no task starts two seconds after a removal, cut off or not", async (t) => {
+test("no task starts later than two seconds after a removal, even with copies cut off", async (t) => {
   for (let seed = 1; seed <= 10; seed++) {
     const isCutOff = seed % 2 === 0;
     const { bed, waiting } = await removeInStorm({ seed, isCutOff });
@@ -61,7 +61,7 @@
 ];
 
 for (const omitted of LATE_STARTS) {
-  test(`a late start is caught without ${JSON.stringify(omitted)}`, async (t) => {
+  test(`a late start is detected with ${JSON.stringify(omitted)}`, async (t) => {
     let violations = 0;
     for (let seed = 1; seed <= 20 && violations === 0; seed++) {
       const options = { ...omitted, seed, isCutOff: true };
@@ -120,16 +120,16 @@
   t.deepEqual(unaskedDataCentres, []);
 });
 
-test("a hand-over is done once, whatever answer or leader is lost", async (t) => {
+test("a job is transferred once, whichever answer or leader is lost", async (t) => {
   for (let stepMs = 0; stepMs <= 40; stepMs += 2) {
     const { world, first, second } = makePair();
     await first.pass(2_000);
     takeOut(first);
-    await first.pass(500); // Every copy knows, so that nothing starts here.
+    await first.pass(500); // Now every copy says so, and nothing starts here.
     const job = { jobId: "j1", dataCentres: ["dc1", "dc2"] };
     const submitted = first.submit(job);
     await first.pass(250 + stepMs);
-    // The answers of dc2 are lost for a while, and a leader dies.
+    // The answers of dc2 are lost for a while, and the leader of dc1 dies.
     for (const to of first.instanceIds) {
       second.instanceIds.forEach((from) => world.links.cut(from, to));
     }
@@ -147,7 +147,7 @@
   }
 });
 
-test("a cancellation follows a job that moves", async (t) => {
+test("a cancellation follows a job that is transferred", async (t) => {
   for (let stepMs = 0; stepMs <= 30; stepMs += 3) {
     const { first, second } = makePair({ workers: 0 });
     await first.pass(2_000);
@@ -166,7 +166,7 @@
   }
 });
 
-test("a job not found says which data centres could not be asked", async (t) => {
+test("a job that isn't found names the data centres that did not answer", async (t) => {
   const { world, first, second } = makePair();
   for (const to of second.instanceIds) {
     first.instanceIds.forEach((from) => world.links.cut(from, to));
@@ -178,7 +178,7 @@
   t.deepEqual(error.facts, { unaskedDataCentres: ["dc2"] });
 });
 
-test("a job that moved away and came back runs under the real core", async (t) => {
+test("a job that is transferred away and back runs under the real core", async (t) => {
   const world = makeWorld({ seed: 6, dataCentres: ["dc1", "dc2"] });
   const [first, second] = ["dc1", "dc2"].map((dataCentre) =>
     new TestBed({
@@ -209,7 +209,7 @@
   t.deepEqual(second.history.violations, []);
 });
 
-test("a job moves to a data centre that can be reached", async (t) => {
+test("a job is transferred to a data centre that can be reached", async (t) => {
   const dataCentres = ["dc1", "dc2", "dc3"];
   const world = makeWorld({ seed: 8, dataCentres });
   const [first, second, third] = dataCentres
@@ -229,14 +229,14 @@
   t.is(third.ledger.get("j1")?.end?.outcome, "succeeded");
 });
 
-test("letting a job go before the other log has it is caught", async (t) => {
+test("giving a job up before the target has accepted it is detected", async (t) => {
   const { world, first, second } = makePair({
     omittedChecks: ["transferOnce"],
   });
   takeOut(first);
   await first.pass(2_000);
   void first.submit({ jobId: "j1", dataCentres: ["dc1", "dc2"] });
-  // The question is answered, and the job itself is lost on its way.
+  // The target answers the query, but the job itself is lost on its way.
   let owner = first.ledger.get("j1")?.transfer;
   while (owner === undefined) {
     await first.pass(1);
@@ -252,7 +252,7 @@
   t.is(second.ledger.get("j1"), undefined);
 });
 
-test("a submission is called not run only when it wasn't accepted", async (t) => {
+test("a submission is `unavailable` only if it wasn't accepted", async (t) => {
   for (const isHeard of [true, false]) {
     const { world, first, second } = makePair();
     await first.pass(1_000);
--- a/src/process/scheduler/runtime/decision_core.ts
+++ b/src/process/scheduler/runtime/decision_core.ts
@@ -1,5 +1,5 @@
 /**
- * The narrow face of the scheduler core that the runtime drives.
+ * The interface of the scheduler core that the runtime uses.
  *
  * @module
  */
@@ -12,14 +12,14 @@
 import type { JobRecord, RestoreOptions } from "../core/mod.ts";
 import type { SchedulerEvent } from "../core/scheduler_event.ts";
 
-/** Decides; holds no time, randomness or I/O of its own. */
+/** Makes decisions, without a clock, randomness or I/O of its own. */
 export interface DecisionCore {
-  /** Takes over from an earlier leader; what runs is told by events. */
+  /** Restores jobs of earlier leaders; events then report what is running. */
   restore(records: readonly JobRecord[], options: RestoreOptions): void;
   handle(event: SchedulerEvent): readonly SchedulerDecision[];
-  /** Why a job waits now; undefined when it doesn't, or isn't known. */
+  /** Why a job waits now; undefined when it doesn't wait or isn't known. */
   waitReason(jobId: JobId): WaitReason | undefined;
 }
 
-/** Makes the core of a new leader, with nothing in it. */
+/** Creates an empty core for a new leader session. */
 export type DecisionCoreFactory = () => DecisionCore;
--- a/src/process/scheduler/runtime/decision_runner.ts
+++ b/src/process/scheduler/runtime/decision_runner.ts
@@ -1,5 +1,5 @@
 /**
- * Carries the core's decisions out.
+ * Carries out the core's decisions.
  *
  * @module
  */
@@ -23,7 +23,7 @@
   readonly ledger: JobLedger;
 }
 
-/** Carries out the decisions of one period of leadership. */
+/** Carries out the decisions of one leader session. */
 export class DecisionRunner {
   readonly #options: DecisionRunnerOptions;
   readonly #quarantined = new Set<WorkerId>();
@@ -36,7 +36,7 @@
     return this.#quarantined.has(workerId);
   }
 
-  /** Carries a decision out; events tell later how it went. */
+  /** Begins to carry out a decision; later events give the outcome. */
   carryOut(decision: SchedulerDecision): void {
     switch (decision.kind) {
       case "startGang":
@@ -49,7 +49,7 @@
         this.#throttle(decision);
         return;
       case "jobWaits":
-        // Whoever wants to know asks the core.
+        // Callers get the wait reason from the core.
         return;
       case "jobEnds":
         void this.#endJob(decision);
@@ -103,7 +103,7 @@
       ...(error === undefined ? {} : { error }),
       ...(detail === undefined ? {} : { detail }),
     });
-    // It exists already when the end of its last attempt ended the job too.
+    // The outcome is `existing` if the end of its last attempt ended the job.
     if (result !== undefined && result.kind !== "refused") {
       this.#options.context.events.emit("jobEnded", { jobId, outcome });
     }
--- a/src/process/scheduler/runtime/gang.ts
+++ b/src/process/scheduler/runtime/gang.ts
@@ -1,6 +1,6 @@
 /**
- * One attempt of a job as its leader follows it: what each worker was allowed
- * and what each was seen to do.
+ * One attempt of a job as its leader tracks it: the leases granted to each
+ * worker, and what each worker reported.
  *
  * @module
  */
@@ -10,7 +10,7 @@
 import type { TaskOutcome, TaskReference } from "../core/scheduler_event.ts";
 import type { HeldTask } from "./worker_report.ts";
 
-/** Where an attempt stands. */
+/** The phase of an attempt. */
 export type GangPhase = "starting" | "running" | "stopping" | "over";
 
 /** Options of {@link Gang}. */
@@ -19,25 +19,25 @@
   readonly attempt: number;
   readonly placements: readonly TaskPlacement[];
   readonly phase: GangPhase;
-  /** Till when an earlier leader's leases may hold; 0 for none. */
+  /** Until when an earlier leader's leases may be valid; 0 for none. */
   readonly grantedUntilMs: number;
 }
 
 interface Member {
   readonly taskIndexes: readonly number[];
-  /** The latest moment at which the worker surely held its tasks. */
+  /** The latest time at which the worker is known to have held its tasks. */
   provenAtMs: number;
-  /** Till when its tasks may run without another renewal. */
+  /** Until when its tasks may run without another renewal. */
   grantedUntilMs: number;
 }
 
-/** The attempt of one gang. */
+/** One attempt of a gang. */
 export class Gang {
   readonly jobId: JobId;
   readonly attempt: number;
   readonly placements: readonly TaskPlacement[];
   phase: GangPhase;
-  /** Whether a stop under way waits for checkpoints. */
+  /** Whether a stop in progress waits for checkpoints. */
   isCheckpointing = false;
   readonly #members = new Map<WorkerId, Member>();
   readonly #outcomes = new Map<number, TaskOutcome>();
@@ -72,7 +72,7 @@
     return { jobId: this.jobId, attempt: this.attempt, taskIndex };
   }
 
-  /** Notes how a task ended; false when it was known. */
+  /** Records how a task ended; false if that was already known. */
   noteOutcome(taskIndex: number, outcome: TaskOutcome): boolean {
     if (this.#outcomes.has(taskIndex)) {
       return false;
@@ -81,13 +81,13 @@
     return true;
   }
 
-  /** Whether its leases are to be renewed. */
+  /** Whether the gang's leases must be renewed. */
   get isRenewed(): boolean {
     return this.phase === "running" ||
       (this.phase === "stopping" && this.isCheckpointing);
   }
 
-  /** Whether a task failed by itself. */
+  /** Whether a task failed on its own rather than being stopped or lost. */
   get hasFailed(): boolean {
     return [...this.#outcomes.values()].includes("failed");
   }
@@ -102,7 +102,7 @@
       [...this.#outcomes.values()].every((outcome) => outcome === "succeeded");
   }
 
-  /** Whether every task ended by a checkpoint or by itself, well. */
+  /** Whether every task ended after a checkpoint or succeeded. */
   get isCheckpointed(): boolean {
     return this.hasEnded && [...this.#outcomes.values()].every(endedWell);
   }
@@ -126,9 +126,9 @@
   }
 
   /**
-   * Till when each member may run: no longer than a lease after the moment
-   * at which every member still needed was last proven. Zero once a task
-   * ended badly, so that a broken gang isn't kept alive.
+   * The lease end to grant to each worker: `leaseMs` after the earliest
+   * confirmation among the workers with unfinished tasks. Zero once a task
+   * failed, was stopped or was lost, so that a broken gang isn't kept running.
    */
   renewalEndMs(leaseMs: number): number {
     if ([...this.#outcomes.values()].some((outcome) => !endedWell(outcome))) {
@@ -150,7 +150,7 @@
     );
   }
 
-  /** Whether the worker lists all its tasks as running or ended well. */
+  /** Whether the worker lists all its tasks as running or {@link endedWell}. */
   isProvenBy(workerId: WorkerId, tasks: readonly HeldTask[]): boolean {
     const listed = this.tasksAmong(tasks);
     return this.taskIndexes(workerId).every((taskIndex) => {
@@ -165,7 +165,7 @@
   }
 }
 
-/** Whether the other tasks of the gang may go on after such an end. */
+/** Whether the other tasks of the gang may go on after this outcome. */
 export function endedWell(outcome: TaskOutcome | undefined): boolean {
   return outcome === "succeeded" || outcome === "checkpointed";
 }
--- a/src/process/scheduler/runtime/gang_starter.ts
+++ b/src/process/scheduler/runtime/gang_starter.ts
@@ -1,6 +1,6 @@
 /**
- * Starts one attempt in two steps: reserve on every worker, commit the
- * intent, start on every worker.
+ * Starts one attempt in three steps: reserve on every worker, commit the
+ * intent to the log, start on every worker.
  *
  * @module
  */
@@ -11,10 +11,10 @@
 import type { SessionContext } from "./session_context.ts";
 import type { WorkerCallOptions } from "./worker_caller.ts";
 
-/** How a start went. */
+/** The outcome of a start. */
 export type StartOutcome =
   | { readonly kind: "started" }
-  /** What was begun must be released. */
+  /** Reservations and started tasks must be released. */
   | {
     readonly kind: "failed";
     readonly workerIds: readonly WorkerId[];
@@ -31,7 +31,7 @@
     this.#context = context;
   }
 
-  /** Starts every task, or tells why what was begun must be released. */
+  /** Starts every task, or returns why the start failed. */
   async start(
     gang: Gang,
     options: { decision: StartGang; command: readonly string[] },
@@ -91,7 +91,7 @@
     if (outcome?.kind === "applied") {
       return true;
     }
-    // An earlier try of this same command may have been committed unseen.
+    // An earlier proposal of this command may have been committed unanswered.
     const open = this.#context.openAttempt(jobId);
     return outcome !== undefined && open?.attempt === attempt &&
       open.term === this.#context.term;
@@ -123,7 +123,7 @@
       : failed("not every worker started", refusing);
   }
 
-  /** The workers that refused or stayed silent. */
+  /** Calls every worker; returns those that refused or did not answer. */
   async #callAll(
     gang: Gang,
     options: (workerId: WorkerId) => WorkerCallOptions,
--- a/src/process/scheduler/runtime/gang_stopper.ts
+++ b/src/process/scheduler/runtime/gang_stopper.ts
@@ -1,6 +1,6 @@
 /**
- * Ends one attempt on every worker: by command, or by waiting until its last
- * lease must have ended.
+ * Stops one attempt on every worker: by command, or by waiting until the
+ * worker's last lease has expired.
  *
  * @module
  */
@@ -11,7 +11,7 @@
 import type { SessionContext } from "./session_context.ts";
 import type { Answered, CommandBody } from "./worker_caller.ts";
 
-/** How long to wait before a worker is told again. */
+/** Wait between stop commands to a worker that has not yet stopped. */
 const STOP_RETRY_MS = 250;
 
 /** How an attempt is to stop. */
@@ -20,7 +20,7 @@
   readonly checkpointDeadlineMs: number;
 }
 
-/** Stop now, with nothing saved. */
+/** Stop immediately, without a checkpoint. */
 export const STOP_AT_ONCE: StopManner = {
   wantsCheckpoint: false,
   checkpointDeadlineMs: 0,
@@ -34,7 +34,10 @@
     this.#context = context;
   }
 
-  /** Returns once no task of the attempt runs, nor can one start. */
+  /**
+   * Returns once no task of the attempt runs or can still start, or once this
+   * instance no longer leads.
+   */
   async stop(gang: Gang, manner: StopManner): Promise<void> {
     await Promise.all(
       gang.workerIds.map((workerId) =>
@@ -57,7 +60,7 @@
       }
       await pause(clock, STOP_RETRY_MS);
     }
-    // Not needed for safety: it frees the room of a mere reservation early.
+    // The lease has expired; this only frees a leftover reservation early.
     void this.#tell(gang, { workerId, body: this.#body(gang, STOP_AT_ONCE) });
   }
 
@@ -70,7 +73,7 @@
   ) => CommandBody {
     const { jobId, attempt } = gang;
     const { wantsCheckpoint, checkpointDeadlineMs } = manner;
-    // A `release` would make the worker forget a task that has succeeded.
+    // Not `release`: it makes the worker forget tasks that have succeeded.
     return (toWorkerMs) => ({
       kind: "stop",
       jobId,
--- a/src/process/scheduler/runtime/gang_table.ts
+++ b/src/process/scheduler/runtime/gang_table.ts
@@ -1,6 +1,6 @@
 /**
- * The attempts that a leader follows, from the decision to start until
- * nothing of them runs and the log says so.
+ * The attempts that a leader manages, from the decision to start them until
+ * none of their tasks runs and the log has recorded it.
  *
  * @module
  */
@@ -17,7 +17,7 @@
 import type { SessionContext } from "./session_context.ts";
 import type { WorkerEntry } from "./worker_table.ts";
 
-/** Every attempt under way. */
+/** All attempts that have not ended. */
 export class GangTable {
   readonly #context: SessionContext;
   readonly #gangs = new Map<string, Gang>();
@@ -37,7 +37,7 @@
     return this.#gangs.values();
   }
 
-  /** Whether the start of some gang has begun and not ended. */
+  /** Whether the start of a gang is in progress. */
   hasStartsUnderWay(): boolean {
     return [...this.gangs()].some((gang) => gang.phase === "starting");
   }
@@ -46,7 +46,7 @@
     return this.#gangs.get(key(jobId, attempt));
   }
 
-  /** Follows the open attempt of a record that an earlier leader wrote. */
+  /** Adds the open attempt of a job that an earlier leader recorded. */
   recover(record: JobRecord): Gang | undefined {
     const open = record.openAttempt;
     if (open === undefined) {
@@ -64,13 +64,13 @@
     return gang;
   }
 
-  /** A recovered gang is whole: it goes on. */
+  /** Lets a recovered gang that is intact go on running. */
   adopt(gang: Gang): void {
     gang.phase = "running";
     this.#leases.renewGang(gang);
   }
 
-  /** A recovered gang isn't whole: nothing of it may run on. */
+  /** Stops all tasks of a recovered gang that isn't intact. */
   async breakUp(gang: Gang): Promise<void> {
     gang.phase = "stopping";
     await this.#stopper.stop(gang, STOP_AT_ONCE);
@@ -113,10 +113,10 @@
     gang.phase = "stopping";
     gang.isCheckpointing = wantsCheckpoint;
     if (!wasRunning) {
-      return; // The start under way sees the phase and releases.
+      return; // The start in progress notices the phase and stops the gang.
     }
     await this.#stopper.stop(gang, decision);
-    // It may have run to its end before the stop reached it.
+    // The gang may have succeeded before the stop reached its workers.
     const { hasSucceeded } = gang;
     await this.#close(gang, { detail: reason, hasSucceeded });
     this.#feedSuccesses(gang);
@@ -130,7 +130,7 @@
     this.#feedStopped({ jobId, attempt, isCheckpointed });
   }
 
-  /** Compares what a worker holds with what it should hold. */
+  /** Reconciles a worker's tasks with the attempts that it should hold. */
   look(entry: WorkerEntry): void {
     const { workerId } = entry.description;
     for (const gang of this.#byWorker.get(workerId) ?? []) {
@@ -154,7 +154,7 @@
     }
   }
 
-  /** Tasks whose leases must have ended are lost. */
+  /** Records the tasks of expired leases as lost. */
   noteLapses(): void {
     const nowMs = this.#context.clock.nowMs();
     for (const gang of [...this.#gangs.values()]) {
@@ -184,7 +184,7 @@
     this.#context.feed({ kind: "gangStarted", atMs, jobId, attempt });
   }
 
-  /** Ends a start that failed, or that a stop came in between. */
+  /** Ends a start that failed or was interrupted by a stop. */
   async #abandon(gang: Gang, outcome: StartOutcome): Promise<void> {
     const wasStopped = gang.phase === "stopping";
     const workerIds = outcome.kind === "failed" ? outcome.workerIds : [];
@@ -222,7 +222,7 @@
     });
   }
 
-  /** The answer to a start was lost, and the gang ran to its end unseen. */
+  /** Ends a gang that succeeded although the answer to its start was lost. */
   async #closeSucceeded(gang: Gang): Promise<void> {
     const { jobId, attempt } = gang;
     await this.#close(gang, { detail: "every task ended", hasSucceeded: true });
@@ -232,7 +232,10 @@
     this.#feedSuccesses(gang);
   }
 
-  /** Nothing of it runs: the log is told before anything else happens. */
+  /**
+   * Ends an attempt of which no task runs any more. The log records this
+   * before any later command of the job.
+   */
   async #close(
     gang: Gang,
     end: { detail: string; hasSucceeded: boolean },
--- a/src/process/scheduler/runtime/job_command.ts
+++ b/src/process/scheduler/runtime/job_command.ts
@@ -1,8 +1,9 @@
 /**
- * The commands of a data centre's log about jobs. Time travels inside them.
+ * Commands about jobs in a data centre's log. Each carries its own time, so
+ * that applying it is deterministic.
  *
- * Those that only a leader may give carry its term: one that was passed on
- * late, after a higher term began, changes nothing.
+ * Commands that only a leader may issue carry its term: one that arrives late,
+ * after a higher term began, is refused.
  *
  * @module
  */
@@ -22,10 +23,10 @@
 
 const identity = z.string().regex(IDENTITY_PATTERN);
 
-/** The version of the commands' own format. */
+/** The format version of commands. */
 export const JOB_COMMAND_FORMAT_VERSION = 1;
 
-/** How to bring older commands up, one version a step. */
+/** Migrations of older commands, one version per step. */
 const COMMAND_MIGRATIONS: readonly Migration[] = [];
 
 const common = {
@@ -44,7 +45,7 @@
 export const jobCommandSchema = z.discriminatedUnion("kind", [
   /** A leader begins; commands of lower terms are refused from now on. */
   z.strictObject({ kind: z.literal("termBegan"), ...leaderOnly }),
-  /** A job came, from its submitter or from another data centre. */
+  /** A job was submitted by a client or by another data centre. */
   z.strictObject({
     kind: z.literal("submitted"),
     ...common,
@@ -67,9 +68,9 @@
   z.strictObject({
     kind: z.literal("attemptEnded"),
     ...ofAttempt,
-    /** Whether a task failed by itself. */
+    /** Whether a task failed on its own. */
     hasFailed: z.boolean(),
-    /** Whether every task succeeded, which ends the job too. */
+    /** Whether every task succeeded, which also ends the job. */
     hasSucceeded: z.boolean().optional(),
     detail: z.string().max(256),
   }),
@@ -81,7 +82,7 @@
     error: z.string().optional(),
     detail: z.string().max(1024).optional(),
   }),
-  /** From now on the job waits for the other data centre to take it. */
+  /** From now on the job waits for the other data centre to accept it. */
   z.strictObject({
     kind: z.literal("transferIntended"),
     ...leaderOnly,
@@ -92,17 +93,17 @@
     kind: z.literal("transferAccepted"),
     ...leaderOnly,
     jobId: identity,
-    /** Whether the other data centre also took a cancellation. */
+    /** Whether the other data centre also accepted a cancellation. */
     isCancellationPassedOn: z.boolean(),
   }),
 ]);
 
 export type JobCommand = z.infer<typeof jobCommandSchema>;
 
-/** What applying a command gave. */
+/** The outcome of applying a command. */
 export type JobCommandOutcome =
   | { readonly kind: "applied"; readonly record?: JobRecord }
-  /** The same submission was accepted before. */
+  /** An earlier command had the same effect, or the job had ended. */
   | { readonly kind: "existing"; readonly record: JobRecord }
   | {
     readonly kind: "refused";
@@ -110,7 +111,7 @@
     readonly detail: string;
   };
 
-/** Reads a command of this or an earlier format version. */
+/** Decodes a command of this or an earlier format; else `malformed`. */
 export function decodeJobCommand(raw: unknown): Result<JobCommand> {
   const migrated = migrate(raw, {
     migrations: COMMAND_MIGRATIONS,
--- a/src/process/scheduler/runtime/job_intake.ts
+++ b/src/process/scheduler/runtime/job_intake.ts
@@ -1,6 +1,6 @@
 /**
- * Tells the core about jobs as the log takes them in, but for those that are
- * to move to another data centre: these are kept aside.
+ * Feeds jobs to the core as the log accepts them, except those that are to be
+ * transferred to another data centre, which are withheld.
  *
  * @module
  */
@@ -23,7 +23,7 @@
   readonly feed: (event: SchedulerEvent) => void;
 }
 
-/** The jobs of one period of leadership, on their way to the core. */
+/** Feeds the jobs of one leader session to the core. */
 export class JobIntake {
   readonly #options: JobIntakeOptions;
   readonly #aside = new Set<JobId>();
@@ -32,12 +32,12 @@
     this.#options = options;
   }
 
-  /** Jobs that the core doesn't know, since they are to move. */
+  /** Jobs withheld from the core because they are to be transferred. */
   get aside(): ReadonlySet<JobId> {
     return this.#aside;
   }
 
-  /** What the core is to take over at the beginning. */
+  /** Resumes transfers; returns the records from which the core restores. */
   takeOver(): readonly JobRecord[] {
     const { ledger, mover } = this.#options;
     mover.resume();
@@ -48,7 +48,7 @@
       .filter(({ specification }) => !this.#aside.has(specification.jobId));
   }
 
-  /** Hands the core what need not move after all. */
+  /** Feeds the core the withheld jobs that no longer need a transfer. */
   takeBack(): void {
     for (const jobId of [...this.#aside]) {
       const record = this.#options.ledger.get(jobId);
@@ -76,10 +76,10 @@
       this.#options.events.emit("jobSubmitted", { jobId });
       this.#feedSubmitted(record);
     }
-    // A job that moves away leaves the core the way a cancelled one does.
     if (command.kind === "transferIntended") {
       this.#options.mover.noteIntended(record);
     }
+    // The core drops a transferred job in the same way as a cancelled one.
     const leaves = command.kind === "cancelled" ||
       command.kind === "transferIntended";
     if (leaves && !this.#aside.has(jobId)) {
--- a/src/process/scheduler/runtime/job_ledger.ts
+++ b/src/process/scheduler/runtime/job_ledger.ts
@@ -1,5 +1,5 @@
 /**
- * The jobs of one data centre, as its instances replicate them.
+ * The jobs of one data centre, replicated by its instances.
  *
  * @module
  */
@@ -13,17 +13,17 @@
 import { type AttemptRecord, isOwned, type JobRecord } from "./job_record.ts";
 import { decodeJobSnapshot, encodeJobSnapshot } from "./job_snapshot.ts";
 
-/** What the ledger keeps of the past. */
+/** How much of the past the ledger keeps. */
 export interface JobLedgerOptions {
-  /** How long an ended job can be asked about. */
+  /** How long an ended or moved job is kept. */
   readonly endedRetentionMs?: number;
-  /** How many ended jobs are kept at most. */
+  /** How many ended and moved jobs are kept at most. */
   readonly endedLimit?: number;
   /** How many ended attempts are kept of each job. */
   readonly pastAttemptsLimit?: number;
 }
 
-/** What the ledger keeps unless told otherwise. */
+/** Defaults of {@link JobLedgerOptions}. */
 export const JOB_LEDGER_DEFAULTS: Required<JobLedgerOptions> = {
   endedRetentionMs: 7 * 86_400_000,
   endedLimit: 20_000,
@@ -42,9 +42,9 @@
   readonly #options: Required<JobLedgerOptions>;
   readonly #applied = new Channel<JobCommand>();
   #records = new Map<JobId, JobRecord>();
-  /** Jobs that wait, run or are on their way. */
+  /** Jobs that wait, run or are being transferred. */
   readonly #liveJobIds = new Set<JobId>();
-  /** Ended and moved jobs, in the order in which they left. */
+  /** Ended and moved jobs, in the order in which they ended or moved. */
   #endedJobIds = new Set<JobId>();
   #highestTerm = 0;
 
@@ -52,7 +52,7 @@
     this.#options = { ...JOB_LEDGER_DEFAULTS, ...options };
   }
 
-  /** Each command that changed the jobs, after it was applied. */
+  /** Each command that had an effect, after it was applied. */
   get applied(): Channel<JobCommand>["stream"] {
     return this.#applied.stream;
   }
@@ -66,7 +66,7 @@
     return this.#records.values();
   }
 
-  /** Those that wait, run or are on their way to another data centre. */
+  /** Jobs that wait, run or are being transferred to another data centre. */
   *liveRecords(): Generator<JobRecord> {
     for (const jobId of this.#liveJobIds) {
       const record = this.#records.get(jobId);
@@ -76,7 +76,7 @@
     }
   }
 
-  /** The term of the newest leader that began. */
+  /** The highest term in which a leader has begun. */
   get highestTerm(): number {
     return this.#highestTerm;
   }
@@ -111,7 +111,7 @@
 
   #dispatch(command: JobCommand): JobCommandOutcome {
     if ("term" in command && command.term < this.#highestTerm) {
-      return refused("a newer leader has begun");
+      return refused("a leader of a higher term has begun");
     }
     switch (command.kind) {
       case "termBegan":
@@ -151,7 +151,7 @@
     return {
       kind: "refused",
       error: "identityReused",
-      detail: `job ${specification.jobId} was submitted with other content`,
+      detail: `job ${specification.jobId} was submitted with different content`,
     };
   }
 
@@ -173,7 +173,7 @@
   #intendAttempt(command: CommandOf<"attemptIntended">): JobCommandOutcome {
     const record = this.#records.get(command.jobId);
     if (record === undefined || !isOwned(record) || record.isCancelled) {
-      return refused("the job isn't to be started");
+      return refused("the job can't be started");
     }
     if (record.openAttempt !== undefined) {
       return refused("an earlier attempt is still open");
@@ -205,7 +205,7 @@
     });
   }
 
-  /** Also marks the number of an attempt that was never intended as used. */
+  /** Of an attempt that was never intended, only marks the number as used. */
   #endAttempt(command: CommandOf<"attemptEnded">): JobCommandOutcome {
     const record = this.#records.get(command.jobId);
     if (record === undefined) {
@@ -239,7 +239,7 @@
   #endJob(command: CommandOf<"ended">): JobCommandOutcome {
     const record = this.#records.get(command.jobId);
     if (record === undefined || record.transfer !== undefined) {
-      return refused("the job isn't here");
+      return refused("the job isn't in this data centre");
     }
     if (record.end !== undefined) {
       return { kind: "existing", record };
@@ -262,7 +262,7 @@
   #intendTransfer(command: CommandOf<"transferIntended">): JobCommandOutcome {
     const record = this.#records.get(command.jobId);
     if (record === undefined || !isOwned(record) || record.isCancelled) {
-      return refused("the job isn't to be moved");
+      return refused("the job can't be transferred");
     }
     if (record.openAttempt !== undefined) {
       return refused("an attempt is still open");
@@ -278,10 +278,10 @@
   #acceptTransfer(command: CommandOf<"transferAccepted">): JobCommandOutcome {
     const record = this.#records.get(command.jobId);
     if (record?.transfer === undefined) {
-      return refused("no move was intended");
+      return refused("no transfer was intended");
     }
     if (record.isCancelled && !command.isCancellationPassedOn) {
-      return refused("the cancellation must be passed on first");
+      return refused("the cancellation must be forwarded first");
     }
     this.#retire(command.jobId, command.atMs);
     return this.#change(record, {
@@ -315,7 +315,7 @@
       .slice(-this.#options.pastAttemptsLimit);
   }
 
-  /** Notes that a job left, and forgets those that left long ago. */
+  /** Records that a job ended or moved; drops those past the limits. */
   #retire(jobId: JobId, atMs: number): void {
     this.#endedJobIds.delete(jobId);
     this.#endedJobIds.add(jobId);
@@ -348,7 +348,7 @@
   };
 }
 
-/** Whether a job that was moved away comes back. */
+/** Whether a job that was moved away is being transferred back. */
 function returns(
   existing: JobRecord,
   command: CommandOf<"submitted">,
--- a/src/process/scheduler/runtime/job_ledger_test.ts
+++ b/src/process/scheduler/runtime/job_ledger_test.ts
@@ -82,7 +82,7 @@
   return { records: [...ledger.records()], live: live.sort() };
 }
 
-test("a snapshot at any point leads to the same state", (t) => {
+test("restoring a snapshot of any point leads to the same state", (t) => {
   fc.assert(
     fc.property(fc.array(command, { maxLength: 60 }), fc.nat(), (all, cut) => {
       const options = { endedRetentionMs: 20_000, endedLimit: 2 };
@@ -100,7 +100,7 @@
   );
 });
 
-test("attempt numbers only grow, one open at a time, by the newest term", (t) => {
+test("attempt numbers increase, one is open at a time, by the newest term", (t) => {
   fc.assert(
     fc.property(fc.array(command, { maxLength: 80 }), (all) => {
       const ledger = new JobLedger();
@@ -123,7 +123,7 @@
   );
 });
 
-test("ended jobs are forgotten by age and number", (t) => {
+test("ended jobs are dropped by age and by number", (t) => {
   const ledger = new JobLedger({ endedRetentionMs: 1_000, endedLimit: 3 });
   const end = (jobId: string, atMs: number) => {
     const common = { formatVersion: 1 as const, atMs };
@@ -162,7 +162,7 @@
   t.true(new JobLedger().restore(bytes).isLeft());
 });
 
-test("a worker's moment never comes after the leader's", (t) => {
+test("a time of the worker's clock never comes after the leader's", (t) => {
   fc.assert(
     fc.property(
       fc.double({ min: -0.0005, max: 0.0005, noNaN: true }),
--- a/src/process/scheduler/runtime/job_mover.ts
+++ b/src/process/scheduler/runtime/job_mover.ts
@@ -1,7 +1,7 @@
 /**
- * Hands jobs over to another data centre when they can't run here: first the
- * own log says that the job waits for the other one, then the other log takes
- * it, then the own log lets it go. Each step may be done again.
+ * Transfers jobs that can't run here to another data centre in three steps:
+ * commit the target to this log, submit the job to the target's log, commit
+ * to this log that the target has accepted it. Every step may be repeated.
  *
  * @module
  */
@@ -17,7 +17,7 @@
 import type { LedgerWriter } from "./ledger_writer.ts";
 import type { SchedulerAnswer, SchedulerCall } from "./scheduler_message.ts";
 
-/** How many jobs may be on their way at once. */
+/** How many transfers may be in progress at once. */
 const MOVES_LIMIT = 16;
 
 /** Options of {@link JobMover}. */
@@ -32,41 +32,44 @@
     dataCentre: DataCentreId,
     call: SchedulerCall,
   ) => Promise<Result<SchedulerAnswer>>;
-  /** Lets the job go before the other log has it; in tests alone. */
+  /** Gives jobs up before the target has accepted them; only for tests. */
   readonly forgetsAcknowledgement: boolean;
 }
 
-/** Moves the jobs of one period of leadership. */
+/** Transfers jobs during one leader session. */
 export class JobMover {
   readonly #options: JobMoverOptions;
   readonly #moving = new Set<JobId>();
-  /** Jobs that the log says are on their way. */
+  /** Jobs whose transfer is in the log and not yet accepted. */
   readonly #underWay = new Set<JobId>();
 
   constructor(options: JobMoverOptions) {
     this.#options = options;
   }
 
-  /** Whether the job is to go elsewhere rather than to the core. */
+  /** Whether the job is to be transferred rather than fed to the core. */
   isToMove(record: JobRecord): boolean {
     return this.#targets(record).length > 0;
   }
 
-  /** Takes up again what an earlier leader began to move. */
+  /** Resumes the transfers that an earlier leader began. */
   resume(): void {
     for (const record of this.#options.ledger.liveRecords()) {
       this.noteIntended(record);
     }
   }
 
-  /** From now on the job is to be handed over until that is done. */
+  /** Retries the job's transfer from now on until it is accepted. */
   noteIntended(record: JobRecord): void {
     if (isUnderWay(record)) {
       this.#underWay.add(record.specification.jobId);
     }
   }
 
-  /** Takes up what waits to be moved: `aside`, or any job once out. */
+  /**
+   * Begins due transfers: those in the log, then those of `awaitingTransfer`,
+   * or of every live job while this data centre is out.
+   */
   tick(aside: Iterable<JobId>): void {
     for (const jobId of this.#underWay) {
       this.#begin(this.#options.ledger.get(jobId));
@@ -148,8 +151,8 @@
   }
 
   /**
-   * The best data centre that answers now: once the log says where the job
-   * goes, it waits for that one, however long.
+   * The best target that answers now: once a target is in the log, the job
+   * waits for it, however long it can't be reached.
    */
   async #findReachable(record: JobRecord): Promise<DataCentreId | undefined> {
     const { jobId } = record.specification;
@@ -162,7 +165,7 @@
     return undefined;
   }
 
-  /** Whether the other log has the job, and its cancellation if any. */
+  /** Whether the target accepts the job, and its cancellation if any. */
   async #handOver(record: JobRecord, to: DataCentreId): Promise<boolean> {
     const { ask } = this.#options;
     const { specification, submittedAtMs, attemptsUsed } = record;
--- a/src/process/scheduler/runtime/job_record.ts
+++ b/src/process/scheduler/runtime/job_record.ts
@@ -1,5 +1,5 @@
 /**
- * What a data centre's log keeps of one job.
+ * The replicated record of one job.
  *
  * @module
  */
@@ -12,25 +12,25 @@
 const identity = z.string().regex(IDENTITY_PATTERN);
 const moment = z.number();
 
-/** Where one task of a gang goes. */
+/** The worker on which one task of a gang is placed. */
 export const taskPlacementSchema = z.strictObject({
   taskIndex: z.int().min(0),
   workerId: identity,
 });
 
-/** One attempt whose start was intended. */
+/** One attempt whose start was committed to the log. */
 export const attemptRecordSchema = z.strictObject({
   attempt: z.int().min(1),
   /** The term of the leader that intended it. */
   term: z.int().min(0),
   placements: z.array(taskPlacementSchema).min(1),
-  /** What each task takes. */
+  /** The resources of each task. */
   resources: taskResourcesSchema,
   configurationVersion: z.int().min(0),
   intendedAtMs: moment,
   startedAtMs: moment.optional(),
   endedAtMs: moment.optional(),
-  /** Why it ended, for people. */
+  /** Why it ended, as text. */
   detail: z.string().optional(),
 });
 
@@ -46,7 +46,7 @@
 export const jobTransferSchema = z.strictObject({
   toDataCentre: identity,
   intendedAtMs: moment,
-  /** When the other data centre acknowledged that it has the job. */
+  /** When it was recorded here that the other data centre has the job. */
   acceptedAtMs: moment.optional(),
 });
 
@@ -58,11 +58,11 @@
   transfers: z.int().min(0),
   /** The highest attempt number used. */
   attemptsUsed: z.int().min(0),
-  /** In how many attempts a task failed by itself. */
+  /** In how many attempts a task failed on its own. */
   failures: z.int().min(0),
-  /** The attempt of which tasks may run. */
+  /** The attempt whose tasks may be running. */
   openAttempt: attemptRecordSchema.optional(),
-  /** The last attempts that ended, oldest first. */
+  /** The most recent ended attempts, oldest first. */
   pastAttempts: z.array(attemptRecordSchema),
   isCancelled: z.boolean(),
   transfer: jobTransferSchema.optional(),
--- a/src/process/scheduler/runtime/job_snapshot.ts
+++ b/src/process/scheduler/runtime/job_snapshot.ts
@@ -1,5 +1,5 @@
 /**
- * The whole ledger as bytes.
+ * Encodes and decodes snapshots of the job ledger.
  *
  * @module
  */
@@ -11,7 +11,7 @@
 import { jobRecordSchema } from "./job_record.ts";
 import { migrate, type Migration } from "./migration.ts";
 
-/** The version of the snapshot's own format. */
+/** The format version of snapshots. */
 export const JOB_SNAPSHOT_FORMAT_VERSION = 1;
 
 const SNAPSHOT_MIGRATIONS: readonly Migration[] = [];
@@ -23,10 +23,10 @@
   endedJobIds: z.array(z.string()),
 });
 
-/** What a snapshot holds. */
+/** The content of a snapshot. */
 export type JobSnapshot = z.infer<typeof jobSnapshotSchema>;
 
-/** Writes a snapshot of the current format. */
+/** Encodes a snapshot in the current format. */
 export function encodeJobSnapshot(
   content: Omit<JobSnapshot, "formatVersion">,
 ): Uint8Array {
@@ -37,7 +37,7 @@
   return Buffer.from(JSON.stringify(snapshot));
 }
 
-/** Reads a snapshot of this or an earlier format. */
+/** Decodes a snapshot of this or an earlier format; else `malformed`. */
 export function decodeJobSnapshot(
   snapshot: Uint8Array,
 ): Result<JobSnapshot> {
@@ -53,6 +53,6 @@
         : failure("malformed", { detail: z.prettifyError(parsed.error) });
     });
   } catch {
-    return failure("malformed", { detail: "a snapshot that isn't JSON" });
+    return failure("malformed", { detail: "the snapshot isn't valid JSON" });
   }
 }
--- a/src/process/scheduler/runtime/job_view.ts
+++ b/src/process/scheduler/runtime/job_view.ts
@@ -1,5 +1,5 @@
 /**
- * Jobs and workers as callers see them.
+ * Jobs and workers as shown to callers.
  *
  * @module
  */
@@ -21,25 +21,25 @@
 /** One job. */
 export const jobViewSchema = z.strictObject({
   jobId: identity,
-  /** Whose log this was read from. */
+  /** The data centre from whose log this was read. */
   dataCentre: identity,
   state: z.enum(["queued", "running", "moving", "moved", "ended"]),
   isCancelled: z.boolean(),
-  /** Why it waits; absent when it doesn't, or the leader can't be asked. */
+  /** Absent when the job isn't waiting or the leader can't be reached. */
   waitReason: z.enum(waitReasons).optional(),
-  /** The same for people. */
+  /** The wait reason in words. */
   waitText: z.string().optional(),
   submittedAtMs: z.number(),
-  /** The attempt of which tasks may run: placements and version with it. */
+  /** The attempt whose tasks may be running. */
   openAttempt: attemptRecordSchema.optional(),
   pastAttempts: z.array(attemptRecordSchema),
-  /** Where it went, when moving or moved. */
+  /** The other data centre, while moving or once moved. */
   movedTo: identity.optional(),
   end: jobEndSchema.optional(),
   specification: jobSpecificationSchema,
 });
 
-/** One worker, as the leader knows it. */
+/** One worker, as last reported to the instance that answers. */
 export const workerViewSchema = z.strictObject({
   workerId: identity,
   dataCentre: identity,
@@ -58,7 +58,7 @@
 export type JobView = z.infer<typeof jobViewSchema>;
 export type WorkerView = z.infer<typeof workerViewSchema>;
 
-/** What the log says of a job, and why it waits. */
+/** The view of a job's record, with the reason why it waits. */
 export function viewJob(
   record: JobRecord,
   options: { dataCentre: string; waitReason: WaitReason | undefined },
--- a/src/process/scheduler/runtime/leader_failure_test.ts
+++ b/src/process/scheduler/runtime/leader_failure_test.ts
@@ -2,7 +2,7 @@
 import { LEASE_DEFAULTS } from "./lease_rule.ts";
 import { makeWorld, TestBed, type TestBedOptions } from "./testing/test_bed.ts";
 
-/** A lease, and what the stated clock drift adds to it. */
+/** The duration of a lease, lengthened by the permitted clock drift. */
 const PARTIAL_LIMIT_MS = LEASE_DEFAULTS.leaseMs *
   (1 + LEASE_DEFAULTS.clockDriftFraction);
 
@@ -11,7 +11,7 @@
   return new TestBed({ world, ...options });
 }
 
-/** Every rule that the workers' true history must keep. */
+/** Checks what actually ran on the workers against the safety rules. */
 function checkHistory(t: ExecutionContext, bed: TestBed, note = ""): void {
   t.deepEqual(bed.history.violations, [], note);
   const tasksOf = (jobId: string) =>
@@ -20,8 +20,8 @@
   t.true(partialMs <= PARTIAL_LIMIT_MS, `${note}: partial ${partialMs} ms`);
 }
 
-for (const fate of ["dies", "is cut off"] as const) {
-  test(`a leader that ${fate} at any step of a start loses nothing`, async (t) => {
+for (const fate of ["dies", "is partitioned"] as const) {
+  test(`a leader that ${fate} at any step of a start loses no job`, async (t) => {
     for (let stepMs = 0; stepMs <= 24; stepMs++) {
       const bed = makeBed({}, stepMs + 1);
       await bed.pass(2_000);
@@ -47,7 +47,7 @@
   });
 }
 
-test("a cancellation at any step of a start stops the job for good", async (t) => {
+test("a cancellation at any step of a start ends the job", async (t) => {
   for (let stepMs = 0; stepMs <= 30; stepMs += 1) {
     const bed = makeBed({}, stepMs + 1);
     await bed.pass(2_000);
@@ -68,7 +68,7 @@
   }
 });
 
-test("a whole gang runs on through a change of leader", async (t) => {
+test("an intact gang keeps running through a change of leader", async (t) => {
   const bed = makeBed();
   await bed.pass(2_000);
   const command = ["run", "120000"];
@@ -84,7 +84,7 @@
   checkHistory(t, bed);
 });
 
-test("a leader back from a silent partition starts nothing", async (t) => {
+test("a former leader that returns from a partition starts nothing", async (t) => {
   const bed = makeBed();
   await bed.pass(2_000);
   void bed.submit({ jobId: "j1", tasks: 4, command: ["run", "30000"] });
@@ -157,7 +157,7 @@
   checkHistory(t, bed);
 });
 
-test("a leader that doesn't wait for silent workers is caught", async (t) => {
+test("a leader that doesn't wait for silent workers is detected", async (t) => {
   const bed = makeBed({ omittedChecks: ["recoveryWait", "lapseWait"] });
   await bed.pass(2_000);
   void bed.submit({ jobId: "j1", tasks: 3, command: ["run", "300000"] });
--- a/src/process/scheduler/runtime/leader_session.ts
+++ b/src/process/scheduler/runtime/leader_session.ts
@@ -1,6 +1,6 @@
 /**
- * One period of leadership in a data centre: finds out what runs, then feeds
- * the core and carries its decisions out, until the period ends.
+ * One leader session of a data centre: recovers what is running, then feeds
+ * events to the core and carries out its decisions until leadership ends.
  *
  * @module
  */
@@ -31,16 +31,16 @@
 import type { WorkerEntry, WorkerTable } from "./worker_table.ts";
 import { WorkerWatcher } from "./worker_watcher.ts";
 
-/** How often deadlines, silence and permissions are looked at. */
+/** How often leases, workers, start permission and deadlines are checked. */
 const TICK_MS = 250;
 
-/** How long news waits for more before the core looks at the queue. */
+/** Delay from an event to its tick, so that one tick serves several events. */
 const SOON_MS = 20;
 
-/** How often jobs that are to move are looked at. */
+/** How often jobs awaiting transfer are checked. */
 const MOVE_PERIOD_MS = 1_000;
 
-/** How long to wait before the log is asked again whether it is whole. */
+/** Wait before a failed read barrier is retried. */
 const CATCH_UP_RETRY_MS = 100;
 
 /** Options of {@link LeaderSession}. */
@@ -56,14 +56,14 @@
   readonly configuration: ConfigurationSource;
   readonly events: EventLog;
   readonly lease: LeaseOptions;
-  /** Asks another data centre. */
+  /** Calls another data centre. */
   readonly ask: JobMoverOptions["ask"];
-  /** Called when the core fails; the period of leadership is over. */
+  /** Called when the core throws, after the session was closed. */
   readonly onFailure: (error: unknown) => void;
   readonly omittedChecks: readonly OmittedCheck[];
 }
 
-/** One period of leadership. */
+/** One leader session. */
 export class LeaderSession {
   readonly #options: LeaderSessionOptions;
   readonly #context: SessionContext;
@@ -112,7 +112,7 @@
     return this.#isRecovering;
   }
 
-  /** Whether the start of some gang has begun and not ended. */
+  /** Whether the start of a gang is in progress. */
   hasStartsUnderWay(): boolean {
     return this.#gangs.hasStartsUnderWay();
   }
@@ -130,7 +130,7 @@
     return this.#runner.isQuarantined(workerId);
   }
 
-  /** Begins; returns once it schedules or the period is over. */
+  /** Recovers; returns once the session schedules or leadership has ended. */
   async run(): Promise<void> {
     const { clock, lease } = this.#options;
     const began = await this.#context.writer.write({ kind: "termBegan" });
@@ -156,7 +156,7 @@
     this.#soon?.close();
   }
 
-  /** Returns once this member has applied all that earlier leaders wrote. */
+  /** Returns once all commands committed by earlier leaders are applied. */
   async #catchUp(): Promise<void> {
     const { clock, lease, log } = this.#options;
     while (this.#context.isLive()) {
@@ -180,7 +180,7 @@
     await recovery.run(gangs);
   }
 
-  /** Tells the core all that is known, then lets it decide. */
+  /** Feeds the recovered state to the core and starts scheduling. */
   #begin(): void {
     const { clock, core, workers, events, term } = this.#options;
     const atMs = clock.nowMs();
@@ -197,7 +197,7 @@
     this.#tick();
   }
 
-  /** From now on hears what happens. */
+  /** Subscribes to all sources of events and starts the tick timer. */
   #follow(): void {
     const { clock, configuration, ledger, workers } = this.#options;
     this.#observe(
@@ -236,7 +236,7 @@
     }
   }
 
-  /** The tasks of whole gangs that the worker runs. */
+  /** The worker's running tasks that belong to running gangs. */
   #runningOf(entry: WorkerEntry): TaskReference[] {
     return entry.tasks
       .filter((task) =>
@@ -278,7 +278,7 @@
     });
   }
 
-  /** Feeds news; what it makes possible is looked at soon. */
+  /** Feeds an event; all but usage reports trigger a tick shortly after. */
   #feed(event: SchedulerEvent): void {
     this.#driver.feed(event);
     if (this.#isRecovering || event.kind === "workerUsageReported") {
--- a/src/process/scheduler/runtime/lease_keeper.ts
+++ b/src/process/scheduler/runtime/lease_keeper.ts
@@ -1,5 +1,5 @@
 /**
- * Renews the leases of whole gangs and tells workers what to forget.
+ * Renews the leases of gangs, and lets workers forget ended attempts.
  *
  * @module
  */
@@ -15,7 +15,7 @@
   readonly gangs: () => Iterable<Gang>;
 }
 
-/** Keeps whole gangs running. */
+/** Renews leases during one leader session. */
 export class LeaseKeeper {
   readonly #options: LeaseKeeperOptions;
   readonly #forget = new Map<WorkerId, Map<string, AttemptReference>>();
@@ -24,7 +24,7 @@
     this.#options = options;
   }
 
-  /** Has the worker forget an ended attempt at the next renewal. */
+  /** Lets the worker forget an ended attempt with the next renewal. */
   forget(workerId: WorkerId, reference: AttemptReference): void {
     const { jobId, attempt } = reference;
     const references = this.#forget.get(workerId) ?? new Map();
@@ -32,7 +32,7 @@
     this.#forget.set(workerId, references);
   }
 
-  /** One round over all workers that need one. */
+  /** Sends a renewal to each worker with leases or ended attempts. */
   renewAll(): void {
     const byWorker = new Map<WorkerId, Gang[]>();
     for (const gang of this.#options.gangs()) {
@@ -48,7 +48,7 @@
     }
   }
 
-  /** Renews one gang out of turn. */
+  /** Renews one gang's leases immediately. */
   renewGang(gang: Gang): void {
     gang.workerIds.forEach((workerId) => void this.#renew(workerId, [gang]));
   }
--- a/src/process/scheduler/runtime/lease_rule.ts
+++ b/src/process/scheduler/runtime/lease_rule.ts
@@ -1,21 +1,21 @@
 /**
- * How moments of the leader's clock become moments of a worker's clock, so
- * that a lease ends on the worker no later than the leader counts on.
+ * Converts times of the leader's clock to times of a worker's clock, so that a
+ * lease ends on the worker no later than the leader assumes.
  *
  * @module
  */
 
-/** Two clocks read such that the worker's came first. */
+/** A pair of clock readings, of which the worker's was taken first. */
 export interface ClockAnchor {
-  /** The worker's clock, read by the worker before it sent. */
+  /** The worker's clock, read by the worker before it sent a message. */
   readonly workerClockMs: number;
-  /** The leader's clock, read by the leader after it received. */
+  /** The leader's clock, read by the leader after it received the message. */
   readonly receivedAtMs: number;
 }
 
-/** Times and bounds of leases and calls. */
+/** Durations and limits of leases and calls. */
 export interface LeaseOptions {
-  /** How long a task may run without a renewal, or without its gang. */
+  /** How long a task may run without a renewal, or without its whole gang. */
   readonly leaseMs: number;
   /** How often leases are renewed. */
   readonly renewPeriodMs: number;
@@ -23,13 +23,13 @@
   readonly callTimeoutMs: number;
   /** How long a reservation holds without a start. */
   readonly reservationMs: number;
-  /** How much faster or slower two clocks may run, as a fraction. */
+  /** By which fraction the rates of two clocks may differ. */
   readonly clockDriftFraction: number;
-  /** How long leadership must still hold for a call to be sent. */
+  /** How long before the end of leadership commands already expire. */
   readonly leadershipMarginMs: number;
 }
 
-/** Leases and calls as the daemon uses them. */
+/** The lease options of the daemon. */
 export const LEASE_DEFAULTS: LeaseOptions = {
   leaseMs: 10_000,
   renewPeriodMs: 2_000,
@@ -40,8 +40,9 @@
 };
 
 /**
- * The moment of the worker's clock that comes no later than `atMs` of the
- * leader's, whatever the message takes and within the stated drift.
+ * A time of the worker's clock that comes no later than `atMs` of the leader's
+ * clock, whatever the delay of the anchor's message, as long as the clocks keep
+ * to `clockDriftFraction`.
  */
 export function toWorkerClockMs(
   atMs: number,
@@ -54,7 +55,7 @@
 }
 
 /**
- * When every lease that an earlier leader granted has ended, by the clock of
+ * When every lease granted by an earlier leader has expired, by the clock of
  * a leader that began at `beganAtMs`.
  */
 export function earlierLeasesEndMs(
--- a/src/process/scheduler/runtime/ledger_writer.ts
+++ b/src/process/scheduler/runtime/ledger_writer.ts
@@ -1,6 +1,6 @@
 /**
- * Writes a leader's commands to the log: those of one job in the order in
- * which they were given, each until it is known to be committed.
+ * Writes a leader's commands to the log: those of one job in order, each
+ * retried until it is known to be committed.
  *
  * @module
  */
@@ -11,15 +11,15 @@
 import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
 import { JOB_COMMAND_FORMAT_VERSION } from "./job_command.ts";
 
-/** How long one try to commit may take. */
+/** How long one proposal may take. */
 const PROPOSAL_TIMEOUT_MS = 2_000;
 
-/** How long to wait before the next try. */
+/** Wait before a failed proposal is retried. */
 const PROPOSAL_RETRY_MS = 100;
 
 type LeaderCommand = Extract<JobCommand, { term: number }>;
 
-/** A leader's command without what the writer adds. */
+/** A leader's command without the fields that the writer adds. */
 export type LeaderCommandBody = LeaderCommand extends infer Command
   ? Command extends LeaderCommand
     ? Omit<Command, "formatVersion" | "atMs" | "term">
@@ -34,7 +34,7 @@
   readonly isLive: () => boolean;
 }
 
-/** The commands of one period of leadership. */
+/** Writes the commands of one leader session. */
 export class LedgerWriter {
   readonly #options: LedgerWriterOptions;
   readonly #chains = new Map<JobId, Promise<unknown>>();
@@ -44,8 +44,8 @@
   }
 
   /**
-   * Commits the command after the earlier ones of its job, and tries again
-   * until it is done; undefined when leadership ended first.
+   * Commits a command after the earlier ones of its job, retrying until it is
+   * committed; undefined when leadership ended first.
    */
   write(body: LeaderCommandBody): Promise<JobCommandOutcome | undefined> {
     const jobId = "jobId" in body ? body.jobId : "";
@@ -84,7 +84,7 @@
   }
 }
 
-/** Resolves after `delayMs`. */
+/** Resolves after `delayMs` milliseconds of the clock. */
 export function pause(clock: Clock, delayMs: number): Promise<void> {
   return new Promise((resolve) => void clock.after(delayMs, resolve));
 }
--- a/src/process/scheduler/runtime/migration.ts
+++ b/src/process/scheduler/runtime/migration.ts
@@ -1,5 +1,5 @@
 /**
- * How versioned records of older formats are brought up to the current one.
+ * Migrates records of older format versions to the current one.
  *
  * @module
  */
@@ -10,15 +10,15 @@
 
 const versioned = z.looseObject({ formatVersion: z.int().min(1) });
 
-/** A record that says its format version. */
+/** A record with its format version. */
 export type VersionedRecord = z.infer<typeof versioned>;
 
-/** Brings a record of one version to the next. */
+/** Converts a record of one version to the next version. */
 export type Migration = (record: VersionedRecord) => VersionedRecord;
 
 /**
- * Applies the migrations that the record still lacks; the one at index 0
- * leads from version 1 to version 2.
+ * Applies the migrations that the record needs; the one at index 0 converts
+ * version 1 to version 2. `malformed` for a missing or newer version.
  */
 export function migrate(
   raw: unknown,
@@ -29,12 +29,14 @@
 ): Result<VersionedRecord> {
   const parsed = versioned.safeParse(raw);
   if (!parsed.success) {
-    return failure("malformed", { detail: "a record without a version" });
+    return failure("malformed", {
+      detail: "the record has no valid format version",
+    });
   }
   const { formatVersion } = parsed.data;
   if (formatVersion > options.currentVersion) {
     return failure("malformed", {
-      detail: `a record of the newer version ${formatVersion}`,
+      detail: `the record has the newer format version ${formatVersion}`,
     });
   }
   return Right(
--- a/src/process/scheduler/runtime/mod.ts
+++ b/src/process/scheduler/runtime/mod.ts
@@ -1,5 +1,5 @@
 /**
- * The scheduler on an instance: what the daemon wires.
+ * The scheduler runtime of an instance: what the daemon uses of it.
  *
  * @module
  */
--- a/src/process/scheduler/runtime/peer_calls.ts
+++ b/src/process/scheduler/runtime/peer_calls.ts
@@ -1,5 +1,5 @@
 /**
- * Calls with answers between instances, over their one-way messages.
+ * Calls with answers between instances, built on one-way messages.
  *
  * @module
  */
@@ -22,7 +22,7 @@
 } from "./scheduler_message.ts";
 import type { WorkerReport } from "./worker_report.ts";
 
-/** What silence means after the call was sent. */
+/** The error when a call was sent and not answered in time. */
 function silenceOf(call: SchedulerCall): ErrorKind {
   const changes = call.kind === "submit" || call.kind === "cancel";
   return changes ? "outcomeUnknown" : "unavailable";
@@ -75,8 +75,8 @@
   }
 
   /**
-   * `unavailable` when the call changed nothing for certain; a change that
-   * was sent and not answered is `outcomeUnknown`.
+   * Calls one instance. `unavailable` when the call certainly changed nothing;
+   * `outcomeUnknown` when a change was sent and not answered.
    */
   call(
     to: InstanceId,
@@ -104,7 +104,7 @@
     });
   }
 
-  /** Asks one instance of the data centre after another. */
+  /** Calls the data centre's linked instances in turn until one answers. */
   async askDataCentre(
     dataCentre: DataCentreId,
     call: SchedulerCall,
--- a/src/process/scheduler/runtime/recovery.ts
+++ b/src/process/scheduler/runtime/recovery.ts
@@ -1,6 +1,6 @@
 /**
- * What a new leader finds out before it starts anything: for every attempt
- * that the log holds open, whether the whole gang still runs.
+ * Finds out, before a new leader starts anything, whether the gang of each
+ * open attempt in the log is still intact.
  *
  * @module
  */
@@ -12,19 +12,19 @@
 import type { SessionContext } from "./session_context.ts";
 import type { HeldTask } from "./worker_report.ts";
 
-/** How long to wait before a silent worker is asked again. */
+/** Wait before a worker that did not answer is queried again. */
 const QUERY_RETRY_MS = 250;
 
 /** Options of {@link Recovery}. */
 export interface RecoveryOptions {
   readonly context: SessionContext;
-  /** Called as soon as a gang is known to be whole. */
+  /** Called as soon as a gang is known to be intact. */
   readonly onWhole: (gang: Gang) => void;
-  /** Ends a gang that isn't; returns once nothing of it runs. */
+  /** Stops a gang that isn't intact; resolves once none of its tasks runs. */
   readonly onBroken: (gang: Gang) => Promise<void>;
 }
 
-/** Asks the workers of open attempts what they hold. */
+/** Queries the workers of open attempts for the tasks that they hold. */
 export class Recovery {
   readonly #options: RecoveryOptions;
   readonly #endMs: number;
@@ -35,7 +35,7 @@
     this.#endMs = earlierLeasesEndMs(clock.nowMs(), lease);
   }
 
-  /** Returns once the state of every gang is known. */
+  /** Returns once every gang is known to be intact or has been stopped. */
   async run(gangs: readonly Gang[]): Promise<void> {
     await Promise.all(gangs.map((gang) => this.#recover(gang)));
   }
@@ -54,7 +54,7 @@
     await this.#options.onBroken(gang);
   }
 
-  /** What the worker holds; nothing once its leases must have ended. */
+  /** The gang's tasks on the worker; none once its leases have expired. */
   async #ask(gang: Gang, workerId: WorkerId): Promise<readonly HeldTask[]> {
     const { clock, caller } = this.#options.context;
     while (this.#options.context.isLive() && clock.nowMs() <= this.#endMs) {
@@ -75,7 +75,7 @@
   }
 }
 
-/** Whether every task was listed, as running or as ended. */
+/** Whether every task was listed as running, or as ended but not lost. */
 function isWhole(
   gang: Gang,
   holdings: readonly (readonly HeldTask[])[],
--- a/src/process/scheduler/runtime/runtime_fuzz_test.ts
+++ b/src/process/scheduler/runtime/runtime_fuzz_test.ts
@@ -1,6 +1,6 @@
 /**
- * Stateful fuzzing of one data centre: faults of links, workers and
- * instances in any order, against what the workers truly did.
+ * Stateful fuzzing of one data centre: faults of links, workers and instances
+ * in any order, checked against what actually ran on the workers.
  */
 
 import test from "ava";
@@ -23,7 +23,7 @@
   delayMs: 60,
 };
 
-/** Long enough for the longest retry delays, then for every job. */
+/** Long enough for the longest retry delay and then for every job. */
 const SETTLE_MS = 240_000;
 
 interface Real {
@@ -129,7 +129,7 @@
     bed.world.links.heal();
     return Promise.resolve();
   })),
-  fc.constant(step("storm", ({ bed }) => {
+  fc.constant(step("loseMessages", ({ bed }) => {
     bed.world.links.weather = STORM;
     return Promise.resolve();
   })),
@@ -148,7 +148,7 @@
   ),
 ];
 
-/** Ends all faults, lets everything finish, and looks for lost jobs. */
+/** Ends all faults, lets everything finish, and checks the outcome. */
 async function settleAndCheck({ bed }: Real): Promise<void> {
   bed.world.links.heal();
   bed.world.links.weather = { ...STORM, lostPerMille: 0, latePerMille: 0 };
@@ -170,10 +170,10 @@
     bed.ledger.get(jobId)?.specification.tasks ?? 1;
   const partialMs = bed.history.longestPartialMs(tasksOf);
   if (violations.length > 0 || left.length > 0) {
-    throw new Error(`${violations.join("; ")}; still live: ${left.join()}`);
+    throw new Error(`${violations.join("; ")}; not ended: ${left.join()}`);
   }
   if (partialMs > PARTIAL_LIMIT_MS) {
-    throw new Error(`a gang ran in part for ${partialMs} ms`);
+    throw new Error(`a gang ran without all its tasks for ${partialMs} ms`);
   }
 }
 
@@ -211,11 +211,11 @@
   return details.failed ? fc.defaultReportMessage(details) : undefined;
 }
 
-test("any faults in any order break no rule and lose no job", async (t) => {
+test("no sequence of faults violates a rule or loses a job", async (t) => {
   t.is(await fuzz({ runs: 250, seed: 20_261 }), undefined);
 });
 
-test("any faults break no rule under the real core", async (t) => {
+test("no sequence of faults violates a rule under the real core", async (t) => {
   const createCore = () => new LeaderCore({ dataCentre: "dc1" });
   t.is(await fuzz({ runs: 250, seed: 20_264, createCore }), undefined);
 });
@@ -227,7 +227,7 @@
 ];
 
 for (const omitted of BITES) {
-  test(`faults show what is left out: ${JSON.stringify(omitted)}`, async (t) => {
+  test(`an omitted check is detected: ${JSON.stringify(omitted)}`, async (t) => {
     const report = await fuzz({ runs: 300, seed: 20_262, ...omitted });
     t.not(report, undefined);
   });
--- a/src/process/scheduler/runtime/scheduler_message.ts
+++ b/src/process/scheduler/runtime/scheduler_message.ts
@@ -1,5 +1,5 @@
 /**
- * What instances say to one another about jobs and workers.
+ * Messages between instances about jobs and workers.
  *
  * @module
  */
@@ -17,7 +17,7 @@
 
 const errorKinds = Object.keys(ERROR_ANSWERS) as [ErrorKind, ...ErrorKind[]];
 
-/** What a data centre can be asked; all of it may be asked again. */
+/** A call to a data centre; every call may safely be repeated. */
 export const schedulerCallSchema = z.discriminatedUnion("kind", [
   z.strictObject({
     kind: z.literal("submit"),
@@ -30,7 +30,7 @@
   z.strictObject({ kind: z.literal("job"), jobId: identity }),
   z.strictObject({
     kind: z.literal("jobs"),
-    /** At most so many, the newest. */
+    /** Returns at most this many jobs, the newest. */
     limit: z.int().min(1).max(10_000),
   }),
   z.strictObject({ kind: z.literal("workers") }),
@@ -40,7 +40,7 @@
 export const schedulerAnswerSchema = z.discriminatedUnion("kind", [
   z.strictObject({
     kind: z.literal("job"),
-    /** Whether this call made it; false for an earlier one. */
+    /** False if an earlier call had the same effect, or the job had ended. */
     isNew: z.boolean(),
     job: jobViewSchema,
   }),
@@ -65,7 +65,7 @@
   z.strictObject({
     kind: z.literal("call"),
     callId: z.int(),
-    /** Whether another instance passed it on; it isn't passed on again. */
+    /** Whether another instance forwarded it; it isn't forwarded again. */
     isPassedOn: z.boolean(),
     call: schedulerCallSchema,
   }),
@@ -80,7 +80,7 @@
 export type SchedulerAnswer = z.infer<typeof schedulerAnswerSchema>;
 export type SchedulerMessage = z.infer<typeof schedulerMessageSchema>;
 
-/** Checks the shape of a message. */
+/** Decodes a message; `malformed` when its shape is wrong. */
 export function decodeSchedulerMessage(
   body: unknown,
 ): Result<SchedulerMessage> {
--- a/src/process/scheduler/runtime/scheduler_runtime.ts
+++ b/src/process/scheduler/runtime/scheduler_runtime.ts
@@ -1,6 +1,7 @@
 /**
- * The scheduler on one instance: leads its data centre when the log says so,
- * and otherwise passes things on to whoever leads.
+ * The scheduler on one instance: schedules for its data centre while the
+ * instance leads the log, and otherwise forwards reports and queries to the
+ * leader.
  *
  * @module
  */
@@ -37,10 +38,10 @@
 import type { WorkerReport } from "./worker_report.ts";
 import { WorkerTable } from "./worker_table.ts";
 
-/** How often the role is looked at, besides on every change. */
+/** How often the role is checked, in addition to every status change. */
 const ROLE_PERIOD_MS = 500;
 
-/** How long a worker that has fallen silent is still listed. */
+/** How long a worker stays listed after its last message. */
 const WORKER_MEMORY_MS = 600_000;
 
 /** How long one instance may take to answer another. */
@@ -50,7 +51,7 @@
 export interface SchedulerRuntimeOptions {
   readonly clock: Clock;
   readonly dataCentre: DataCentreId;
-  /** Every instance of the system, this one among them. */
+  /** Every instance of the system, including this one. */
   readonly instances: readonly InstancePlace[];
   readonly network: PeerNetwork;
   /** The data centre's log, whose state machine is `ledger`. */
@@ -61,18 +62,18 @@
   readonly createCore: DecisionCoreFactory;
   readonly events?: EventLog;
   readonly lease?: Partial<LeaseOptions>;
-  /** Checks left out on purpose; in tests alone. */
+  /** Safety checks to skip; only for tests. */
   readonly omittedChecks?: readonly OmittedCheck[];
 }
 
 /** An accepted submission or cancellation. */
 export interface JobAccepted {
-  /** Whether this call made it; false for an earlier one. */
+  /** False if an earlier call had the same effect, or the job had ended. */
   readonly isNew: boolean;
   readonly job: JobView;
 }
 
-/** What was found, and which data centres could not be asked. */
+/** The result of a query, and the data centres that did not answer. */
 export interface Found<T> {
   readonly value: T;
   readonly unaskedDataCentres: readonly DataCentreId[];
@@ -122,7 +123,7 @@
     this.#followRole();
   }
 
-  /** Takes a worker's report, and passes it on to the leader. */
+  /** Records a worker's report and forwards it to the leader. */
   acceptWorkerReport(report: WorkerReport): void {
     this.#takeReport(report);
     const { leaderId } = this.#options.log.status();
@@ -131,7 +132,7 @@
     }
   }
 
-  /** Queues a job in its home data centre; the same job again is no error. */
+  /** Queues a job in its home data centre; a resubmission is accepted too. */
   async submit(specification: JobSpecification): Promise<Result<JobAccepted>> {
     const { configuration, clock } = this.#options;
     const { document } = configuration.current();
@@ -158,7 +159,7 @@
     return answer.chain(asAccepted);
   }
 
-  /** A job that was accepted while it still fitted keeps its first answer. */
+  /** Refuses a job that never fits, unless it was accepted while it did. */
   async #refuseMisfit(
     jobId: JobId,
     detail: string,
@@ -173,7 +174,7 @@
     });
   }
 
-  /** Cancels a job wherever it is; one that has ended stays as it is. */
+  /** Cancels a job in any data centre; has no effect on one that has ended. */
   async cancel(jobId: JobId): Promise<Result<JobAccepted>> {
     const found = await this.findJob(jobId);
     if (found.isLeft()) {
@@ -184,7 +185,7 @@
     return answer.chain(asAccepted);
   }
 
-  /** Finds a job in this data centre or in the others. */
+  /** Looks a job up in this data centre, then in the others. */
   async findJob(jobId: JobId): Promise<Result<Found<JobView>>> {
     const call: SchedulerCall = { kind: "job", jobId };
     const own = await this.#ask(this.#options.dataCentre, call);
@@ -204,12 +205,12 @@
     return unaskedDataCentres.length === 0
       ? failure("notFound", { detail: `no job ${jobId}` })
       : failure("unavailable", {
-        detail: `no job ${jobId} in the data centres that could be asked`,
+        detail: `no job ${jobId} in the data centres that answered`,
         facts: { unaskedDataCentres },
       });
   }
 
-  /** The newest jobs of every data centre that can be asked. */
+  /** The `limit` newest jobs of all data centres that answer. */
   async listJobs(limit: number): Promise<Found<readonly JobView[]>> {
     const call: SchedulerCall = { kind: "jobs", limit };
     const { answers, unaskedDataCentres } = await this.#askAll(call);
@@ -220,7 +221,7 @@
     return { value, unaskedDataCentres };
   }
 
-  /** The workers of every data centre that can be asked. */
+  /** The workers of all data centres that answer. */
   async listWorkers(): Promise<Found<readonly WorkerView[]>> {
     const call: SchedulerCall = { kind: "workers" };
     const { answers, unaskedDataCentres } = await this.#askAll(call);
@@ -229,21 +230,21 @@
     return { value, unaskedDataCentres };
   }
 
-  /** Whether this instance leads and has begun to schedule. */
+  /** Whether this instance leads and has finished recovery. */
   get isScheduling(): boolean {
     return this.#session !== undefined && !this.#session.isRecovering;
   }
 
   /**
-   * Whether this instance leads, decides under the configuration in force,
-   * and has no start under way that it began under an earlier one.
+   * Whether this instance leads, has finished recovery and has no gang start
+   * in progress. Later starts are decided under the configuration in force.
    */
   get hasSettled(): boolean {
     return this.#session !== undefined && !this.#session.isRecovering &&
       !this.#session.hasStartsUnderWay();
   }
 
-  /** Stops leading and answering; what runs goes on under its leases. */
+  /** Stops scheduling and answering; running tasks go on until lease end. */
   close(): Promise<void> {
     this.#isClosed = true;
     this.#endSession();
@@ -294,7 +295,7 @@
     session.run().catch((error) => this.#failSession(session, error));
   }
 
-  /** Lets another instance lead; its own next try waits for a lease. */
+  /** Hands leadership over; begins no new session for one lease duration. */
   #failSession(session: LeaderSession, error: unknown): void {
     if (this.#session !== session) {
       return;
--- a/src/process/scheduler/runtime/scheduler_runtime_test.ts
+++ b/src/process/scheduler/runtime/scheduler_runtime_test.ts
@@ -9,7 +9,7 @@
   return new TestBed({ world, ...options });
 }
 
-test("a gang is started whole, ends, and its job with it", async (t) => {
+test("a gang starts all its tasks, ends, and ends its job", async (t) => {
   const bed = makeBed();
   await bed.pass(2_000);
   const submitted = bed.submit({ jobId: "j1", tasks: 4 });
@@ -29,7 +29,7 @@
   );
 });
 
-test("a job is found from every instance, with its reason", async (t) => {
+test("every instance finds a job and its wait reason", async (t) => {
   const bed = makeBed({ workers: 0 });
   await bed.pass(1_000);
   const submitted = bed.submit({ jobId: "j1" });
@@ -44,7 +44,7 @@
   }
 });
 
-test("the same submission is accepted once, another refused", async (t) => {
+test("a repeated submission runs once, one with other content is refused", async (t) => {
   const bed = makeBed();
   await bed.pass(1_000);
   const runs = [
@@ -57,7 +57,7 @@
   t.is(bed.history.starts("j1"), 1);
 });
 
-test("a job that no declared hardware holds is refused at once", async (t) => {
+test("a job that fits no declared hardware is refused immediately", async (t) => {
   const bed = makeBed();
   await bed.pass(1_000);
   const id = bed.instanceIds[0] ?? "";
--- a/src/process/scheduler/runtime/session_context.ts
+++ b/src/process/scheduler/runtime/session_context.ts
@@ -1,5 +1,5 @@
 /**
- * What the parts of one period of leadership share.
+ * State and services shared by the parts of a leader session.
  *
  * @module
  */
@@ -15,19 +15,28 @@
 import type { WorkerCaller } from "./worker_caller.ts";
 import type { WorkerTable } from "./worker_table.ts";
 
-/** A check left out on purpose, in tests of the checks alone. */
+/** A safety check that tests turn off to show that its absence is noticed. */
 export type OmittedCheck =
+  /** The start permission is checked again before the start commands. */
   | "secondGate"
+  /** Start commands expire with the start permission. */
   | "startValidity"
+  /** An attempt is committed to the log before it is started. */
   | "intentFirst"
+  /** A failed start is stopped on every worker. */
   | "releaseAll"
+  /** Recovery waits for silent workers until their leases have expired. */
   | "recoveryWait"
+  /** Leases are renewed only as far as the whole gang was confirmed. */
   | "gangEvidence"
+  /** A stop waits for the worker's confirmation or the end of its lease. */
   | "lapseWait"
+  /** Tasks of attempts that the leader doesn't know are released. */
   | "returnedTasks"
+  /** A job is given up only once the other data centre has accepted it. */
   | "transferOnce";
 
-/** What the parts of one period of leadership share. */
+/** State and services shared by the parts of a leader session. */
 export interface SessionContext {
   readonly clock: Clock;
   readonly term: number;
@@ -39,9 +48,10 @@
   readonly gate: StartGate;
   /** Whether this instance still leads in this term. */
   isLive(): boolean;
-  /** The attempt of the job of which tasks may run, by the log. */
+  /** The job's open attempt in the log, whose tasks may be running. */
   openAttempt(jobId: JobId): AttemptRecord | undefined;
-  /** Tells the core. */
+  /** Feeds an event to the core. */
   feed(event: SchedulerEvent): void;
+  /** Whether a test has turned the check off. */
   omits(check: OmittedCheck): boolean;
 }
--- a/src/process/scheduler/runtime/start_gate.ts
+++ b/src/process/scheduler/runtime/start_gate.ts
@@ -1,5 +1,5 @@
 /**
- * Till when tasks may be started in this data centre.
+ * Until when tasks may be started in this data centre.
  *
  * @module
  */
@@ -14,8 +14,9 @@
 }
 
 /**
- * Starts are allowed for a while after the copy of the configuration was
- * known to be the newest, and only when it says that the data centre is in.
+ * Permits starts for `startPermissionMs` after this instance's copy of the
+ * configuration was last known to be the newest, and only while the copy says
+ * that the data centre is in.
  */
 export class StartGate {
   readonly #options: StartGateOptions;
--- a/src/process/scheduler/runtime/testing/fake_configuration.ts
+++ b/src/process/scheduler/runtime/testing/fake_configuration.ts
@@ -1,5 +1,5 @@
 /**
- * Configuration copies under a test's control.
+ * Configuration copies that tests control.
  *
  * @module
  */
@@ -13,7 +13,7 @@
 } from "../../../../version/document/document.ts";
 import type { ConfigurationSource } from "../../../configuration/configuration_source.ts";
 
-/** The accepted document, and the copies of it. */
+/** The accepted configuration version and the instances' copies of it. */
 export class FakeConfiguration {
   readonly #clock: Clock;
   readonly #copies = new Set<FakeCopy>();
@@ -56,7 +56,7 @@
   }
 }
 
-/** One instance's copy; current until it is cut off. */
+/** One instance's copy; kept current except while it is cut off. */
 export class FakeCopy implements ConfigurationSource {
   readonly #clock: Clock;
   readonly #from: FakeConfiguration;
@@ -109,7 +109,7 @@
   }
 }
 
-/** A document with data centres of two racks, all in. */
+/** A document in which each data centre has two racks and is in. */
 export function testDocument(dataCentres: readonly string[]): Document {
   const rack = {
     workers: 8,
--- a/src/process/scheduler/runtime/testing/fake_core.ts
+++ b/src/process/scheduler/runtime/testing/fake_core.ts
@@ -1,5 +1,5 @@
 /**
- * A small first-in first-out core, for tests of the runtime alone.
+ * A minimal first-in first-out core, for tests of the runtime.
  *
  * @module
  */
@@ -26,7 +26,7 @@
 interface KnownWorker {
   readonly accelerators: number;
   isLeaving: boolean;
-  /** When it may be tried again after it refused or stayed silent. */
+  /** Until when it gets no tasks because a start on it failed. */
   avoidedUntilMs: number;
 }
 
@@ -34,7 +34,7 @@
 
 const AVOIDANCE_MS = 3_000;
 
-/** Starts jobs in their order wherever there is room. */
+/** Starts jobs in order of submission wherever accelerators are free. */
 export class FakeCore implements DecisionCore {
   readonly #dataCentre: string;
   readonly #jobs = new Map<string, KnownJob>();
@@ -252,7 +252,7 @@
     }];
   }
 
-  /** A worker for each task, on different ones where it can. */
+  /** Chooses for each task the worker with the most free accelerators. */
   #place(job: JobSpecification, atMs: number): string[] | undefined {
     const free = new Map<string, number>();
     for (const [workerId, worker] of this.#workers) {
--- a/src/process/scheduler/runtime/testing/fake_group.ts
+++ b/src/process/scheduler/runtime/testing/fake_group.ts
@@ -1,6 +1,6 @@
 /**
- * A replicated group in memory, for tests: one order of commands, members
- * that can be cut off, and a leader under the test's control.
+ * An in-memory replicated group for tests: one list of commands, members that
+ * can be partitioned, and a leader that the test chooses.
  *
  * @module
  */
@@ -22,7 +22,7 @@
   readonly random: RandomSource;
   readonly leaseMs?: number;
   readonly commitDelayMs?: number;
-  /** How many proposals in a thousand are committed without an answer. */
+  /** How many of 1,000 proposals are committed without an answer. */
   readonly lostAnswersPerMille?: number;
 }
 
@@ -33,7 +33,7 @@
   readonly entries: Command[] = [];
   term = 0;
   leaderId: string | undefined;
-  /** When the last leader that was cut off may act no more. */
+  /** When the lease of the last partitioned leader ends. */
   freeAtMs = 0;
 
   constructor(options: FakeGroupOptions) {
@@ -55,7 +55,7 @@
     return member;
   }
 
-  /** A reachable member leads a new term, once no earlier one may act. */
+  /** Begins a term of a reachable member, if no earlier lease is valid. */
   elect(id: string): boolean {
     const member = this.members.get(id);
     const nowMs = this.options.clock.nowMs();
@@ -74,7 +74,7 @@
     return true;
   }
 
-  /** Cuts a member off; as a leader it goes on believing that it leads. */
+  /** Partitions a member; a leader goes on believing that it leads. */
   cut(id: string): void {
     const member = this.members.get(id);
     if (member === undefined || member.isCut) {
@@ -204,7 +204,7 @@
     return Promise.resolve();
   }
 
-  /** Applies what it lacks; gives the outcome of the last command. */
+  /** Applies missing commands; returns the outcome of the last one. */
   catchUp(): Outcome | undefined {
     let outcome: Outcome | undefined;
     while (this.#appliedIndex < this.#group.entries.length) {
@@ -215,7 +215,7 @@
     return outcome;
   }
 
-  /** Learns who leads, if it can hear it. */
+  /** Learns the current term and leader, unless partitioned. */
   hear(): void {
     if (!this.isCut) {
       const { term, leaderId } = this.#group;
--- a/src/process/scheduler/runtime/testing/fake_links.ts
+++ b/src/process/scheduler/runtime/testing/fake_links.ts
@@ -1,5 +1,5 @@
 /**
- * Links that delay, lose and double messages, for tests.
+ * Links that delay, lose and duplicate messages, for tests.
  *
  * @module
  */
@@ -14,17 +14,17 @@
   Received,
 } from "../../../../connection/peer_network.ts";
 
-/** How bad the links are. */
+/** How unreliable the links are. */
 export interface LinkWeather {
   readonly lostPerMille: number;
   readonly doubledPerMille: number;
   readonly latePerMille: number;
-  /** How late a late message may be. */
+  /** The longest delay of a late message. */
   readonly lateMs: number;
   readonly delayMs: number;
 }
 
-/** Links that work. */
+/** Links that lose nothing and deliver within 2 ms. */
 export const FAIR_WEATHER: LinkWeather = {
   lostPerMille: 0,
   doubledPerMille: 0,
@@ -33,7 +33,7 @@
   delayMs: 2,
 };
 
-/** Links between any two named places; each direction may be cut. */
+/** Links between any two named endpoints; each direction may be cut. */
 export class FakeLinks {
   weather: LinkWeather = FAIR_WEATHER;
   readonly #clock: Clock;
@@ -57,7 +57,7 @@
     return this.#cuts.has(`${from}>${to}`);
   }
 
-  /** Delivers none, one or two times, at some time. */
+  /** Delivers never, once or twice, each time after a random delay. */
   send(
     route: { readonly from: string; readonly to: string },
     deliver: () => void,
@@ -82,7 +82,7 @@
   }
 }
 
-/** One instance's place in a network of fakes. */
+/** One instance's peer network over fake links. */
 export class FakePeerNetwork implements PeerNetwork {
   readonly selfId: string;
   readonly #links: FakeLinks;
--- a/src/process/scheduler/runtime/testing/fake_worker.ts
+++ b/src/process/scheduler/runtime/testing/fake_worker.ts
@@ -1,5 +1,5 @@
 /**
- * Workers without sockets, on clocks of their own, for tests.
+ * Workers without sockets, each on its own clock, for tests.
  *
  * @module
  */
@@ -17,7 +17,7 @@
 import type { WorkerReport } from "../worker_report.ts";
 import type { FakeLinks } from "./fake_links.ts";
 
-/** A clock with another origin and rate than the one it is made from. */
+/** A clock whose origin and rate differ from those of its base clock. */
 export class DriftingClock implements Clock {
   readonly #clock: Clock;
   readonly #rate: number;
@@ -56,7 +56,7 @@
   readonly omittedFences?: WorkerTasksOptions["omittedFences"];
 }
 
-/** A machine that can die and come back. */
+/** A worker that can die and start again. */
 export class FakeWorker {
   readonly #options: FakeWorkerOptions;
   #tasks: WorkerTasks | undefined;
@@ -80,7 +80,7 @@
     this.#tasks = undefined;
   }
 
-  /** Comes back with nothing, as another incarnation. */
+  /** Starts a dead worker again without tasks, as a new incarnation. */
   revive(): void {
     if (this.#tasks !== undefined) {
       return;
@@ -107,18 +107,18 @@
   }
 
   report(): WorkerReport | undefined {
-    // The address is read as an identity by the fake client alone.
+    // Only the fake client uses the address, to find the worker's number.
     const number = this.#options.workerId.replace(/\D/g, "");
     return this.#tasks?.report(`10.0.0.1:${number}`);
   }
 }
 
-/** The worker number that a fake address carries. */
+/** The worker number in a fake address. */
 function numberOf(address: string): string {
   return address.slice(address.indexOf(":") + 1);
 }
 
-/** Reaches fake workers over fake links from one instance. */
+/** Calls fake workers from one instance over fake links. */
 export class FakeWorkerClient implements WorkerClient {
   readonly #clock: Clock;
   readonly #links: FakeLinks;
--- a/src/process/scheduler/runtime/testing/run_history.ts
+++ b/src/process/scheduler/runtime/testing/run_history.ts
@@ -1,5 +1,5 @@
 /**
- * What truly happened on the workers, and the rules that it must keep.
+ * Records what actually ran on the workers, and checks the safety rules.
  *
  * @module
  */
@@ -7,7 +7,7 @@
 import type { TaskHappening } from "../../../../../standins/worker/worker_types.ts";
 import { endedWell } from "../gang.ts";
 
-/** One happening, at a moment of the true clock. */
+/** A start or end of a task, with its time by the simulation's clock. */
 export type Happening = TaskHappening & { readonly atMs: number };
 
 interface RunningTask {
@@ -16,7 +16,7 @@
   readonly taskIndex: number;
 }
 
-/** The true history of all workers of one data centre. */
+/** The starts and ends of tasks on all workers of one data centre. */
 export class RunHistory {
   readonly happenings: Happening[] = [];
   readonly violations: string[] = [];
@@ -24,12 +24,12 @@
   #removedAtMs: number | undefined;
   #highestTerm = 0;
 
-  /** From now on a lower term must start nothing. */
+  /** From now on a start by a lower term is a violation. */
   noteTerm(term: number): void {
     this.#highestTerm = Math.max(this.#highestTerm, term);
   }
 
-  /** The data centre was taken out, or put back in. */
+  /** Records when the data centre was taken out; undefined once it is in. */
   noteRemoval(atMs: number | undefined): void {
     this.#removedAtMs = atMs;
   }
@@ -46,7 +46,7 @@
     this.#running.set(id, { jobId, attempt, taskIndex });
   }
 
-  /** How long any gang ran without all of its tasks, at most. */
+  /** The longest time for which a gang ran without all of its tasks. */
   longestPartialMs(tasksOf: (jobId: string) => number): number {
     const byAttempt = new Map<string, Happening[]>();
     for (const happening of this.happenings) {
@@ -61,7 +61,7 @@
     );
   }
 
-  /** How often a task of the job was started. */
+  /** How many times a task of the job was started. */
   starts(jobId: string): number {
     return this.happenings.filter((happening) =>
       happening.jobId === jobId && happening.kind === "started"
@@ -80,19 +80,22 @@
         continue;
       }
       if (other.attempt !== attempt || other.taskIndex === taskIndex) {
-        this.violations.push(`${label} beside attempt ${other.attempt}`);
+        this.violations.push(
+          `${label} started beside attempt ${other.attempt}`,
+        );
       }
     }
     if (term < this.#highestTerm) {
-      this.violations.push(`${label} by term ${term}`);
+      this.violations.push(`${label} started by the earlier term ${term}`);
     }
+    // A removal must take effect within 2 s.
     if (this.#removedAtMs !== undefined && atMs > this.#removedAtMs + 2_000) {
-      this.violations.push(`${label} after the removal`);
+      this.violations.push(`${label} started after the removal`);
     }
   }
 }
 
-/** The longest time in which some tasks ran and others were missing. */
+/** The longest time for which some tasks ran while others were missing. */
 function partialMs(happenings: readonly Happening[], tasks: number): number {
   const running = new Set<number>();
   const done = new Set<number>();
--- a/src/process/scheduler/runtime/testing/test_bed.ts
+++ b/src/process/scheduler/runtime/testing/test_bed.ts
@@ -1,5 +1,6 @@
 /**
- * One data centre of fakes under real runtimes, for tests.
+ * A simulated data centre for tests: real runtimes on fake logs, links,
+ * workers and configurations.
  *
  * @module
  */
@@ -30,7 +31,7 @@
 import { FakeWorker, FakeWorkerClient } from "./fake_worker.ts";
 import { RunHistory } from "./run_history.ts";
 
-/** What several data centres have in common. */
+/** What the simulated data centres of one test share. */
 export interface TestWorld {
   readonly clock: FakeClock;
   readonly random: SeededRandom;
@@ -40,7 +41,7 @@
   readonly places: readonly InstancePlace[];
 }
 
-/** Makes a world; instances are named after their data centre. */
+/** Creates an environment; instances are named after their data centre. */
 export function makeWorld(
   options: { seed: number; dataCentres: readonly string[]; instances?: number },
 ): TestWorld {
@@ -68,9 +69,9 @@
   readonly world: TestWorld;
   readonly dataCentre?: string;
   readonly workers?: number;
-  /** The number of the first worker; distinct over data centres. */
+  /** The number of the first worker; distinct within a shared history. */
   readonly firstWorker?: number;
-  /** One history for several data centres; its own when absent. */
+  /** A history shared by several data centres; by default its own. */
   readonly history?: RunHistory;
   readonly accelerators?: number;
   readonly lease?: Partial<LeaseOptions>;
@@ -88,7 +89,7 @@
   readonly member: FakeMember<JobCommand, JobCommandOutcome>;
 }
 
-/** One data centre. */
+/** One simulated data centre. */
 export class TestBed {
   readonly world: TestWorld;
   readonly dataCentre: string;
@@ -133,7 +134,7 @@
     return instance;
   }
 
-  /** The ledger of the instance that is furthest ahead. */
+  /** The ledger of the instance that has applied the most commands. */
   get ledger(): JobLedger {
     const instances = [...this.instances.values()];
     const ahead = instances.reduce((best, each) =>
@@ -145,8 +146,9 @@
   }
 
   /**
-   * Lets an instance lead. One that leads gives way at once, so that what it
-   * sent before may still arrive, until its lease would have ended.
+   * Makes an instance the leader. An earlier leader steps down immediately, so
+   * that its commands may still arrive until its lease would have ended; only
+   * then does the history count starts by its term as violations.
    */
   elect(id: string): boolean {
     const givesWay = this.group.leaderId !== undefined;
@@ -194,7 +196,7 @@
     this.instances.set(id, { runtime, ledger, member, copy });
   }
 
-  /** The process dies at once. */
+  /** Kills the instance's process without a shutdown. */
   killInstance(id: string): void {
     const instance = this.instances.get(id);
     this.group.leave(id);
@@ -203,7 +205,7 @@
     void instance?.runtime.close();
   }
 
-  /** A small job that runs here, but for what is said. */
+  /** A small job in this data centre, with the fields of `job` replaced. */
   specify(job: Partial<JobSpecification> & { jobId: string }) {
     return jobSpecificationSchema.parse({
       clientAccount: "lab",
@@ -231,7 +233,7 @@
     return result?.isRight() ?? false;
   }
 
-  /** Lets time go by, with all that happens in it. */
+  /** Advances the clock by `byMs`, with all that is due by then. */
   async pass(byMs: number): Promise<void> {
     await passTime(this.world.clock, byMs);
   }
@@ -244,7 +246,7 @@
       workerId,
       rack: `r${1 + at % 2}`,
       accelerators: this.#options.accelerators ?? 8,
-      // Within the stated drift of one in a thousand, either way.
+      // Within the default `clockDriftFraction` of 0.001, either way.
       rate: 1 + (at % 2 === 0 ? 0.0004 : -0.0004),
       onHappening: (happening) =>
         this.history.note({ ...happening, atMs: clock.nowMs() }),
@@ -266,7 +268,7 @@
   }
 }
 
-/** Moves the clock from timer to timer, with the promises in between. */
+/** Advances the clock timer by timer, running promises in between. */
 export async function passTime(clock: FakeClock, byMs: number): Promise<void> {
   const endMs = clock.nowMs() + byMs;
   await settle();
@@ -280,7 +282,7 @@
   await settle();
 }
 
-/** Lets every promise that can go on do so. */
+/** Runs the callbacks of all promises that are resolved. */
 function settle(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
--- a/src/process/scheduler/runtime/transfer_fuzz_test.ts
+++ b/src/process/scheduler/runtime/transfer_fuzz_test.ts
@@ -1,6 +1,6 @@
 /**
- * Fuzzing of two data centres that hand jobs over to one another while
- * messages, leaders and statuses change.
+ * Fuzzing of two data centres that transfer jobs to each other while messages
+ * are lost, leaders change and data centres are taken out.
  */
 
 import test from "ava";
@@ -106,7 +106,7 @@
     await passTime(this.world.clock, 120_000);
   }
 
-  /** Every broken rule, as a sentence. */
+  /** Every violation, as text. */
   findFaults(): string[] {
     const faults = [...this.history.violations];
     for (let job = 0; job < this.#submitted; job++) {
--- a/src/process/scheduler/runtime/worker_caller.ts
+++ b/src/process/scheduler/runtime/worker_caller.ts
@@ -1,5 +1,5 @@
 /**
- * Sends a leader's commands to workers, each under a fence.
+ * Sends a leader's commands to workers, each with a fence against late ones.
  *
  * @module
  */
@@ -21,7 +21,7 @@
   readonly workers: WorkerTable;
   readonly lease: LeaseOptions;
   readonly term: number;
-  /** Till when this instance may act as the leader; 0 when it may not. */
+  /** Until when this instance may act as the leader; 0 when it may not. */
   readonly leadershipEndMs: () => number;
 }
 
@@ -36,15 +36,15 @@
   readonly answer: WorkerAnswer;
 }
 
-/** How a call is made. */
+/** Options of {@link WorkerCaller.call}. */
 export interface WorkerCallOptions {
-  /** When the command loses its validity, if before the usual moment. */
+  /** When the command expires, if earlier than by default. */
   readonly validUntilMs?: number;
-  /** Writes the command; turns moments of the leader into the worker's. */
+  /** Builds the command; `toWorkerMs` converts times to the worker's clock. */
   readonly write: (toWorkerMs: (atMs: number) => number) => CommandBody;
 }
 
-/** Calls workers in the name of one leader. */
+/** Calls workers on behalf of one leader session. */
 export class WorkerCaller {
   readonly #options: WorkerCallerOptions;
 
@@ -52,7 +52,7 @@
     this.#options = options;
   }
 
-  /** A failure says nothing of whether the command arrived. */
+  /** Sends a command, which may have arrived even if the call fails. */
   async call(
     workerId: WorkerId,
     options: WorkerCallOptions,
@@ -66,7 +66,9 @@
       options.validUntilMs ?? Number.POSITIVE_INFINITY,
     );
     if (entry === undefined || validUntilMs <= sentAtMs) {
-      return failure("unavailable", { detail: "not sent" });
+      return failure("unavailable", {
+        detail: "not sent: unknown worker or expired command",
+      });
     }
     const { anchor, incarnation } = entry;
     const { clockDriftFraction } = lease;
@@ -90,7 +92,7 @@
   #take(workerId: WorkerId, answered: Answered): Result<Answered> {
     const { holdings } = answered.answer;
     if (holdings.workerId !== workerId) {
-      return failure("unavailable", { detail: "another worker answered" });
+      return failure("unavailable", { detail: "a different worker answered" });
     }
     this.#options.workers.acceptHoldings(holdings, this.#options.clock.nowMs());
     return Right(answered);
--- a/src/process/scheduler/runtime/worker_client.ts
+++ b/src/process/scheduler/runtime/worker_client.ts
@@ -1,5 +1,5 @@
 /**
- * How the leader reaches workers.
+ * The client with which a leader calls workers.
  *
  * @module
  */
@@ -13,7 +13,7 @@
   type WorkerCommand,
 } from "./worker_command.ts";
 
-/** Calls workers; a failure says nothing of whether the command arrived. */
+/** Calls workers; a command may have arrived even if its call fails. */
 export interface WorkerClient {
   call(
     address: string,
@@ -23,7 +23,7 @@
   close(): Promise<void>;
 }
 
-/** Where a worker takes commands. */
+/** The path of a worker's command endpoint. */
 export const WORKER_COMMANDS_PATH = "/v1/commands";
 
 /** Options of {@link HttpWorkerClient}. */
@@ -75,7 +75,7 @@
     return Right(parsed.data);
   }
   return failure("unavailable", {
-    detail: `the worker answered ${status} with another shape`,
+    detail: `the worker answered ${status} with a malformed body`,
   });
 }
 
--- a/src/process/scheduler/runtime/worker_command.ts
+++ b/src/process/scheduler/runtime/worker_command.ts
@@ -1,9 +1,9 @@
 /**
- * What the leader of a data centre tells its workers, and what they answer.
+ * Commands from the leader of a data centre to its workers, and the answers.
  *
- * Every deadline in a command is a moment of the worker's own clock: the
- * leader knows that clock from the worker's last holdings, so a command that
- * comes late is refused however long it was on its way.
+ * Every time in a command is on the worker's own clock, which the leader knows
+ * from the worker's last holdings. A command that arrives late is therefore
+ * refused, however long it was delayed.
  *
  * @module
  */
@@ -19,14 +19,14 @@
 const identity = z.string().regex(IDENTITY_PATTERN);
 const workerMoment = z.number();
 
-/** What lets a worker tell a command of the past from one of the present. */
+/** What lets a worker recognize and refuse an outdated command. */
 export const commandFenceSchema = z.strictObject({
   protocolVersion: z.literal(WORKER_PROTOCOL_VERSION),
-  /** The leader's term; lower ones than the highest seen are refused. */
+  /** The leader's term; one below the highest seen is refused. */
   term: z.int().min(0),
-  /** The incarnation of the worker that is meant. */
+  /** The incarnation of the worker that the command is for. */
   incarnation: z.int().min(1),
-  /** After this moment of its own clock the worker refuses the command. */
+  /** After this time of its own clock the worker refuses the command. */
   validUntilMs: workerMoment,
 });
 
@@ -36,7 +36,7 @@
   attempt: z.int().min(1),
 };
 
-/** One attempt whose tasks here may go on running. */
+/** Until when the worker's tasks of one attempt may run. */
 export const attemptLeaseSchema = z.strictObject({
   jobId: identity,
   attempt: z.int().min(1),
@@ -51,7 +51,7 @@
 
 /** A command. */
 export const workerCommandSchema = z.discriminatedUnion("kind", [
-  /** Keep room for the tasks until the reservation ends. */
+  /** Reserve capacity for the tasks until `reservationEndMs`. */
   z.strictObject({
     kind: z.literal("reserve"),
     ...attemptFields,
@@ -60,30 +60,30 @@
     command: z.array(z.string()),
     reservationEndMs: workerMoment,
   }),
-  /** Run what was reserved, until the lease ends. */
+  /** Start the reserved tasks; they may run until `leaseEndMs`. */
   z.strictObject({
     kind: z.literal("start"),
     ...attemptFields,
     leaseEndMs: workerMoment,
   }),
-  /** Longer leases for some attempts; what to forget of ended ones. */
+  /** Extend the leases of some attempts, and forget ended attempts. */
   z.strictObject({
     kind: z.literal("renew"),
     fence: commandFenceSchema,
     leases: z.array(attemptLeaseSchema).max(4096),
     forget: z.array(attemptReferenceSchema).max(4096),
   }),
-  /** Drop reservations and stop tasks of this and earlier attempts at once. */
+  /** Drop reservations and stop tasks of this and earlier attempts now. */
   z.strictObject({ kind: z.literal("release"), ...attemptFields }),
   /** Write a checkpoint and go on running. */
   z.strictObject({ kind: z.literal("checkpoint"), ...attemptFields }),
-  /** Run on a fraction of the processors. */
+  /** Limit the tasks to a fraction of their processors. */
   z.strictObject({
     kind: z.literal("throttle"),
     ...attemptFields,
     coresFraction: z.number().min(0).max(1),
   }),
-  /** Stop, after a checkpoint where one is wanted and done in time. */
+  /** Stop the tasks, after a checkpoint if one is wanted and done in time. */
   z.strictObject({
     kind: z.literal("stop"),
     ...attemptFields,
@@ -96,11 +96,11 @@
 export const WorkerRefusal = {
   staleTerm: "a higher term was seen",
   otherIncarnation: "the command is for another incarnation",
-  late: "the command came after its validity",
+  late: "the command arrived after it had expired",
   releasedAttempt: "the attempt was released before",
   unknownAttempt: "the attempt is not reserved here",
   earlierAttemptRuns: "tasks of an earlier attempt of the job still run here",
-  noRoom: "the worker has no room",
+  noRoom: "the worker has too little free capacity",
   leaving: "the worker is leaving",
 } as const;
 
--- a/src/process/scheduler/runtime/worker_failure_test.ts
+++ b/src/process/scheduler/runtime/worker_failure_test.ts
@@ -18,7 +18,7 @@
   t.true(partialMs <= PARTIAL_LIMIT_MS, `partial for ${partialMs} ms`);
 }
 
-test("a worker that dies takes its gang with it; the job runs again", async (t) => {
+test("a worker that dies ends its gang, and the job runs again", async (t) => {
   const bed = makeBed();
   await bed.pass(2_000);
   void bed.submit({ jobId: "j1", tasks: 4, command: ["run", "20000"] });
@@ -30,7 +30,7 @@
   checkHistory(t, bed);
 });
 
-/** One worker is cut off while another dies, and both come back. */
+/** Partitions one worker and restarts another, then heals the links. */
 async function loseTwo(options: Partial<TestBedOptions>): Promise<TestBed> {
   const bed = makeBed(options);
   await bed.pass(2_000);
@@ -54,20 +54,20 @@
   return placements.map((placement) => placement.workerId);
 }
 
-test("a worker cut off stops its tasks by their lease", async (t) => {
+test("a partitioned worker stops its tasks when their lease expires", async (t) => {
   const bed = await loseTwo({});
   t.is(bed.ledger.get("j1")?.end?.outcome, "succeeded");
   checkHistory(t, bed);
 });
 
-test("not waiting for the lease of a silent worker is caught", async (t) => {
+test("not waiting for the lease of a silent worker is detected", async (t) => {
   const bed = await loseTwo({ omittedChecks: ["lapseWait"] });
   t.not(bed.history.violations.length, 0);
 });
 
 for (const isLeftOut of [false, true]) {
-  const label = isLeftOut ? "is caught when left out" : "follows at once";
-  test(`the release of given-up tasks on their return ${label}`, async (t) => {
+  const label = isLeftOut ? "go on without the check" : "are released";
+  test(`stale tasks of a worker that returns ${label}`, async (t) => {
     const bed = makeBed({
       omittedFences: ["lease"],
       omittedChecks: isLeftOut ? ["returnedTasks"] : [],
@@ -91,7 +91,7 @@
   });
 }
 
-/** One worker hears all and says nothing, from some step of a start on. */
+/** From `stepMs` on, one worker receives messages but can't send any. */
 async function startOnMute(
   options: Partial<TestBedOptions> & { stepMs: number },
 ): Promise<TestBed> {
@@ -108,7 +108,7 @@
   return bed;
 }
 
-test("a start that one worker doesn't confirm is taken back", async (t) => {
+test("a start that one worker doesn't confirm is undone", async (t) => {
   for (let stepMs = 3; stepMs <= 15; stepMs++) {
     const bed = await startOnMute({ stepMs });
     t.is(bed.ledger.get("j1")?.end?.outcome, "succeeded");
@@ -116,7 +116,7 @@
   }
 });
 
-test("not releasing a start that failed is caught", async (t) => {
+test("not releasing a failed start is detected", async (t) => {
   let violations = 0;
   for (let stepMs = 3; stepMs <= 15; stepMs++) {
     const omittedChecks = ["releaseAll"] as const;
--- a/src/process/scheduler/runtime/worker_report.ts
+++ b/src/process/scheduler/runtime/worker_report.ts
@@ -1,5 +1,5 @@
 /**
- * What a worker says of itself, about once a second, to any instance of its
+ * The report that a worker sends, about once a second, to any instance of its
  * data centre.
  *
  * @module
@@ -11,10 +11,10 @@
 const identity = z.string().regex(IDENTITY_PATTERN);
 const attemptNumber = z.int().min(1);
 
-/** The version of the worker protocol that this code speaks. */
+/** The version of the worker protocol. */
 export const WORKER_PROTOCOL_VERSION = 1;
 
-/** Where a worker listens: an IP number and port. */
+/** The IP address and port at which a worker listens. */
 export const workerAddressSchema = z.string().regex(
   /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$/,
 );
@@ -30,7 +30,7 @@
     .optional(),
 });
 
-/** What one task was seen to use. */
+/** The measured resource usage of one task. */
 export const heldTaskUsageSchema = z.strictObject({
   jobId: identity,
   attempt: attemptNumber,
@@ -38,23 +38,23 @@
   cores: z.number().min(0),
   memoryBytes: z.int().min(0),
   accelerators: z.number().min(0),
-  /** How long ago the last checkpoint was finished; absent for never. */
+  /** The age of the last finished checkpoint; absent when there is none. */
   checkpointAgeMs: z.number().min(0).optional(),
 });
 
-/** What a worker holds at a moment of its own clock. */
+/** The tasks that a worker holds at a time of its own clock. */
 export const workerHoldingsSchema = z.strictObject({
   workerId: identity,
-  /** Grows with every start of the worker's process. */
+  /** Increases with every start of the worker's process. */
   incarnation: z.int().min(1),
-  /** The worker's own clock when it wrote this; grows with every writing. */
+  /** The worker's own clock at the time of writing; it always increases. */
   workerClockMs: z.number().min(0),
   highestTerm: z.int().min(0),
   isLeaving: z.boolean(),
   tasks: z.array(heldTaskSchema).max(4096),
 });
 
-/** One report. */
+/** A worker's report. */
 export const workerReportSchema = workerHoldingsSchema.extend({
   protocolVersion: z.literal(WORKER_PROTOCOL_VERSION),
   address: workerAddressSchema,
--- a/src/process/scheduler/runtime/worker_table.ts
+++ b/src/process/scheduler/runtime/worker_table.ts
@@ -1,6 +1,6 @@
 /**
- * What one instance has heard of the workers of its data centre. Nothing of
- * it is replicated: workers' reports build it anew.
+ * What the workers of a data centre have reported to one instance. It isn't
+ * replicated, since workers' reports soon rebuild it.
  *
  * @module
  */
@@ -16,10 +16,10 @@
   WorkerReport,
 } from "./worker_report.ts";
 
-/** How long an incarnation is silent before a lower one may follow it. */
+/** How long an incarnation is silent before a lower one may replace it. */
 const REPLACED_AFTER_MS = 30_000;
 
-/** One worker as last heard of. */
+/** The latest known state of one worker. */
 export interface WorkerEntry {
   readonly description: WorkerDescription;
   readonly address: string;
@@ -30,20 +30,20 @@
   readonly usages: readonly HeldTaskUsage[];
 }
 
-/** News of one worker. */
+/** An update of one worker's state. */
 export interface WorkerNews {
   readonly entry: WorkerEntry;
-  /** The incarnation before, when this is another one or the first. */
+  /** The incarnation before this update; undefined for a new worker. */
   readonly previousIncarnation: number | undefined;
   readonly hasUsages: boolean;
 }
 
-/** The workers that this instance has heard of. */
+/** The workers that have reported to this instance. */
 export class WorkerTable {
   readonly #entries = new Map<WorkerId, WorkerEntry>();
   readonly #news = new Channel<WorkerNews>();
 
-  /** Each report or answer that was newer than what was known. */
+  /** Updates by reports and answers that were newer than the known state. */
   get news(): Channel<WorkerNews>["stream"] {
     return this.#news.stream;
   }
@@ -56,7 +56,7 @@
     return this.#entries.values();
   }
 
-  /** Takes a report in; one that is older than what is known is dropped. */
+  /** Records a report; one that is older than the known state is dropped. */
   acceptReport(report: WorkerReport, receivedAtMs: number): void {
     const previous = this.#entries.get(report.workerId);
     if (
@@ -79,7 +79,7 @@
     }, { previous, hasUsages: report.usages.length > 0 });
   }
 
-  /** Takes in what a worker said in an answer. */
+  /** Records the holdings in a worker's answer, under the same condition. */
   acceptHoldings(holdings: WorkerHoldings, receivedAtMs: number): void {
     const previous = this.#entries.get(holdings.workerId);
     if (
@@ -94,7 +94,7 @@
     });
   }
 
-  /** Forgets the workers that were last heard of before `beforeMs`. */
+  /** Removes the workers whose last message came before `beforeMs`. */
   forgetSilent(beforeMs: number): void {
     for (const [workerId, entry] of this.#entries) {
       if (entry.anchor.receivedAtMs < beforeMs) {
@@ -132,8 +132,9 @@
 }
 
 /**
- * Whether a lower incarnation is a new start all the same, on a machine whose
- * clock went back: the higher one has been silent for longer than any lease.
+ * Whether a lower incarnation replaces a higher one, as after a restart on a
+ * machine whose clock went back: the higher one must have been silent for
+ * longer than any lease.
  */
 function isReplaced(
   report: WorkerReport,
--- a/src/process/scheduler/runtime/worker_table_test.ts
+++ b/src/process/scheduler/runtime/worker_table_test.ts
@@ -29,7 +29,7 @@
   return { table, news };
 }
 
-test("late, doubled and crossed reports change nothing", (t) => {
+test("late, duplicate and reordered reports are ignored", (t) => {
   const { table, news } = makeTable();
   table.acceptReport(makeReport(5, 200), 1_000);
   table.acceptReport(makeReport(5, 200), 1_001);
@@ -42,14 +42,14 @@
   });
 });
 
-test("a new incarnation is known as such, whatever its clock says", (t) => {
+test("a higher incarnation is accepted, whatever its clock says", (t) => {
   const { table, news } = makeTable();
   table.acceptReport(makeReport(5, 200), 1_000);
   table.acceptReport(makeReport(6, 10), 1_500);
   t.deepEqual(news.map((each) => each.previousIncarnation), [undefined, 5]);
 });
 
-test("a worker whose clock went back is heard after a silence", (t) => {
+test("a lower incarnation is accepted after a long silence", (t) => {
   const { table } = makeTable();
   table.acceptReport(makeReport(5, 200), 1_000);
   table.acceptReport(makeReport(4, 10), 31_000);
@@ -58,14 +58,14 @@
   t.is(table.get("w1")?.incarnation, 4);
 });
 
-test("an answer of another incarnation changes nothing", (t) => {
+test("an answer of a different incarnation is ignored", (t) => {
   const { table, news } = makeTable();
   table.acceptReport(makeReport(5, 200), 1_000);
   table.acceptHoldings(makeReport(6, 300), 1_100);
   t.is(news.length, 1);
 });
 
-test("a worker that was silent for long is forgotten", (t) => {
+test("a worker that has been silent for long is removed", (t) => {
   const { table } = makeTable();
   table.acceptReport(makeReport(5, 200), 1_000);
   table.forgetSilent(1_000);
--- a/src/process/scheduler/runtime/worker_watcher.ts
+++ b/src/process/scheduler/runtime/worker_watcher.ts
@@ -1,5 +1,5 @@
 /**
- * Turns what is heard of workers, and their silence, into events.
+ * Turns worker updates, and their absence, into scheduler events.
  *
  * @module
  */
@@ -14,7 +14,7 @@
   isLeaving: boolean;
 }
 
-/** Watches the workers for one leader. */
+/** Watches the workers during one leader session. */
 export class WorkerWatcher {
   readonly #context: SessionContext;
   readonly #watched = new Map<WorkerId, Watched>();
@@ -23,7 +23,7 @@
     this.#context = context;
   }
 
-  /** Joins a worker that runs `running` already. */
+  /** Feeds that a worker has joined, with the tasks that it already runs. */
   join(entry: WorkerEntry, running: readonly TaskReference[]): void {
     const { description, incarnation } = entry;
     const { workerId } = description;
@@ -55,7 +55,7 @@
     }
   }
 
-  /** Loses workers that have been silent for a whole lease. */
+  /** Treats workers as lost that have sent nothing for `leaseMs`. */
   noteSilence(): void {
     const { clock, lease, workers } = this.#context;
     const nowMs = clock.nowMs();
