--- a/src/process/scheduler/removal_acknowledger.ts
+++ b/src/process/scheduler/removal_acknowledger.ts
@@ -12,7 +12,7 @@
 import type { ConfigurationSource } from "../configuration/configuration_source.ts";
 
 /** How often a pending removal is checked. */
-const LOOK_PERIOD_MS = 100;
+const CHECK_PERIOD_MS = 100;
 
 /** Options of {@link RemovalAcknowledger}. */
 export interface RemovalAcknowledgerOptions {
@@ -38,44 +38,44 @@
     this.#options = options;
     this.#wasOut = false;
     this.#subscription = options.configuration.versions.subscribe({
-      next: (version) => this.#follow(version),
+      next: (version) => this.#applyVersion(version),
       error: () => undefined,
       complete: () => undefined,
     });
-    this.#follow(options.configuration.current());
+    this.#applyVersion(options.configuration.current());
   }
 
   close(): void {
     this.#subscription.unsubscribe();
-    this.#settle();
+    this.#clearPending();
   }
 
-  #follow({ document, version }: ConfigurationVersion): void {
+  #applyVersion({ document, version }: ConfigurationVersion): void {
     const section = document.dataCentres[this.#options.dataCentre];
     const isOut = section?.status === "out";
     if (isOut && !this.#wasOut) {
       this.#pendingVersion = version;
       this.#timer ??= this.#options.clock.every(
-        LOOK_PERIOD_MS,
-        () => this.#look(),
+        CHECK_PERIOD_MS,
+        () => this.#checkPending(),
       );
     }
     if (!isOut) {
-      this.#settle();
+      this.#clearPending();
     }
     this.#wasOut = isOut;
   }
 
-  #look(): void {
+  #checkPending(): void {
     const { hasSettled, isLeaseHeld, acknowledge } = this.#options;
     const version = this.#pendingVersion;
     if (version !== undefined && hasSettled() && isLeaseHeld()) {
       acknowledge(version);
-      this.#settle();
+      this.#clearPending();
     }
   }
 
-  #settle(): void {
+  #clearPending(): void {
     this.#pendingVersion = undefined;
     this.#timer?.close();
     this.#timer = undefined;
--- a/src/process/scheduler/runtime/call_answerer.ts
+++ b/src/process/scheduler/runtime/call_handler.ts
@@ -28,8 +28,8 @@
 /** How long a submission or cancellation may take to be committed. */
 const PROPOSAL_TIMEOUT_MS = 3_000;
 
-/** Options of {@link CallAnswerer}. */
-export interface CallAnswererOptions {
+/** Options of {@link CallHandler}. */
+export interface CallHandlerOptions {
   readonly clock: Clock;
   readonly dataCentre: DataCentreId;
   readonly selfId: InstanceId;
@@ -38,28 +38,28 @@
   readonly workers: WorkerTable;
   /** This instance's leader session, if it leads. */
   readonly session: () => LeaderSession | undefined;
-  readonly askInstance: (
+  readonly callInstance: (
     to: InstanceId,
     call: SchedulerCall,
   ) => Promise<Result<SchedulerAnswer>>;
-  readonly askDataCentre: (
+  readonly callDataCentre: (
     dataCentre: DataCentreId,
     call: SchedulerCall,
   ) => Promise<Result<SchedulerAnswer>>;
 }
 
 /** Handles calls on one instance. */
-export class CallAnswerer {
-  readonly #options: CallAnswererOptions;
+export class CallHandler {
+  readonly #options: CallHandlerOptions;
 
-  constructor(options: CallAnswererOptions) {
+  constructor(options: CallHandlerOptions) {
     this.#options = options;
   }
 
   /** Handles a call; one that was already forwarded isn't forwarded again. */
-  async answer(
+  async handle(
     call: SchedulerCall,
-    how: { isPassedOn: boolean },
+    options: { isPassedOn: boolean },
   ): Promise<SchedulerAnswer> {
     switch (call.kind) {
       case "submit":
@@ -69,7 +69,7 @@
       case "job":
       case "jobs":
       case "workers":
-        return await this.#query(call, how);
+        return await this.#query(call, options);
     }
   }
 
@@ -81,11 +81,11 @@
     if (movedTo === undefined) {
       return answer;
     }
-    const passedOn = await this.#options.askDataCentre(movedTo, {
+    const forwarded = await this.#options.callDataCentre(movedTo, {
       kind: "cancel",
       jobId,
     });
-    return passedOn.caseOf({
+    return forwarded.caseOf({
       Right: (value) => value,
       Left: (error) => failedAnswer(error),
     });
@@ -130,13 +130,13 @@
   /** Forwards a query to the leader, which alone knows why jobs wait. */
   async #query(
     call: SchedulerCall,
-    how: { isPassedOn: boolean },
+    options: { isPassedOn: boolean },
   ): Promise<SchedulerAnswer> {
     const { leaderId } = this.#options.log.status();
     const knowsLeader = leaderId !== undefined &&
       leaderId !== this.#options.selfId;
-    if (knowsLeader && !how.isPassedOn) {
-      const answer = await this.#options.askInstance(leaderId, call);
+    if (knowsLeader && !options.isPassedOn) {
+      const answer = await this.#options.callInstance(leaderId, call);
       if (answer.isRight()) {
         return answer.unsafeCoerce();
       }
--- a/src/process/scheduler/runtime/core_driver.ts
+++ b/src/process/scheduler/runtime/core_driver.ts
@@ -12,7 +12,7 @@
 /** Options of {@link CoreDriver}. */
 export interface CoreDriverOptions {
   readonly core: DecisionCore;
-  readonly isLive: () => boolean;
+  readonly isLeading: () => boolean;
   readonly onDecision: (decision: SchedulerDecision) => void;
   /** Called when the core throws; no more events are fed afterwards. */
   readonly onFailure: (error: unknown) => void;
@@ -48,7 +48,7 @@
   }
 
   #canFeed(): boolean {
-    return !this.#hasFailed && this.#options.isLive();
+    return !this.#hasFailed && this.#options.isLeading();
   }
 
   #decide(event: SchedulerEvent): void {
--- a/src/process/scheduler/runtime/data_centre_choice.ts
+++ b/src/process/scheduler/runtime/data_centre_choice.ts
@@ -29,17 +29,17 @@
   if (named !== undefined) {
     return named;
   }
-  const drawn = Object.keys(document.dataCentres)
-    .map((id) => ({ id, weight: drawWeight(job.jobId, id) }))
-    .sort((left, right) => left.weight.localeCompare(right.weight));
-  return drawn[0]?.id;
+  const ranked = Object.keys(document.dataCentres)
+    .map((id) => ({ id, hash: rendezvousHash(job.jobId, id) }))
+    .sort((left, right) => left.hash.localeCompare(right.hash));
+  return ranked[0]?.id;
 }
 
 /**
  * The data centres to which a job that waits in `here` may be transferred, best
  * first: none when it can run here, or when waiting elsewhere has no advantage.
  */
-export function moveTargets(
+export function transferTargets(
   job: JobSpecification,
   options: { here: DataCentreId; document: Document },
 ): readonly DataCentreId[] {
@@ -121,6 +121,6 @@
   return section.region === own.region ? 0 : 1;
 }
 
-function drawWeight(jobId: string, id: DataCentreId): string {
+function rendezvousHash(jobId: string, id: DataCentreId): string {
   return createHash("sha256").update(`${jobId}\n${id}`).digest("hex");
 }
--- a/src/process/scheduler/runtime/decision_runner.ts
+++ b/src/process/scheduler/runtime/decision_runner.ts
@@ -89,7 +89,12 @@
     const gang = this.#options.gangs.get(jobId, attempt);
     for (const workerId of gang?.workerIds ?? []) {
       void this.#options.context.caller.call(workerId, {
-        write: () => ({ kind: "throttle", jobId, attempt, coresFraction }),
+        buildCommand: () => ({
+          kind: "throttle",
+          jobId,
+          attempt,
+          coresFraction,
+        }),
       });
     }
   }
--- a/src/process/scheduler/runtime/gang.ts
+++ b/src/process/scheduler/runtime/gang.ts
@@ -26,7 +26,7 @@
 interface Member {
   readonly taskIndexes: readonly number[];
   /** The latest time at which the worker is known to have held its tasks. */
-  provenAtMs: number;
+  confirmedAtMs: number;
   /** Until when its tasks may run without another renewal. */
   grantedUntilMs: number;
 }
@@ -50,7 +50,7 @@
     for (const { workerId } of options.placements) {
       this.#members.set(workerId, {
         taskIndexes: tasksOf(options.placements, workerId),
-        provenAtMs: 0,
+        confirmedAtMs: 0,
         grantedUntilMs: options.grantedUntilMs,
       });
     }
@@ -73,7 +73,7 @@
   }
 
   /** Records how a task ended; false if that was already known. */
-  noteOutcome(taskIndex: number, outcome: TaskOutcome): boolean {
+  recordOutcome(taskIndex: number, outcome: TaskOutcome): boolean {
     if (this.#outcomes.has(taskIndex)) {
       return false;
     }
@@ -82,7 +82,7 @@
   }
 
   /** Whether the gang's leases must be renewed. */
-  get isRenewed(): boolean {
+  get needsRenewal(): boolean {
     return this.phase === "running" ||
       (this.phase === "stopping" && this.isCheckpointing);
   }
@@ -107,10 +107,10 @@
     return this.hasEnded && [...this.#outcomes.values()].every(endedWell);
   }
 
-  prove(workerId: WorkerId, atMs: number): void {
+  confirm(workerId: WorkerId, atMs: number): void {
     const member = this.#members.get(workerId);
     if (member !== undefined) {
-      member.provenAtMs = Math.max(member.provenAtMs, atMs);
+      member.confirmedAtMs = Math.max(member.confirmedAtMs, atMs);
     }
   }
 
@@ -134,13 +134,13 @@
     if ([...this.#outcomes.values()].some((outcome) => !endedWell(outcome))) {
       return 0;
     }
-    let provenAtMs = Number.POSITIVE_INFINITY;
+    let confirmedAtMs = Number.POSITIVE_INFINITY;
     for (const member of this.#members.values()) {
       if (!this.#isDone(member)) {
-        provenAtMs = Math.min(provenAtMs, member.provenAtMs);
+        confirmedAtMs = Math.min(confirmedAtMs, member.confirmedAtMs);
       }
     }
-    return Number.isFinite(provenAtMs) ? provenAtMs + leaseMs : 0;
+    return Number.isFinite(confirmedAtMs) ? confirmedAtMs + leaseMs : 0;
   }
 
   /** The gang's tasks among those that a worker lists. */
@@ -151,7 +151,7 @@
   }
 
   /** Whether the worker lists all its tasks as running or {@link endedWell}. */
-  isProvenBy(workerId: WorkerId, tasks: readonly HeldTask[]): boolean {
+  isConfirmedBy(workerId: WorkerId, tasks: readonly HeldTask[]): boolean {
     const listed = this.tasksAmong(tasks);
     return this.taskIndexes(workerId).every((taskIndex) => {
       const task = listed.find((each) => each.taskIndex === taskIndex);
--- a/src/process/scheduler/runtime/gang_starter.ts
+++ b/src/process/scheduler/runtime/gang_starter.ts
@@ -36,17 +36,17 @@
     gang: Gang,
     options: { decision: StartGang; command: readonly string[] },
   ): Promise<StartOutcome> {
-    const { clock, gate, lease } = this.#context;
+    const { clock, startPermission, lease } = this.#context;
     const beganAtMs = clock.nowMs();
-    if (gate.permittedUntilMs() <= beganAtMs) {
+    if (startPermission.permittedUntilMs() <= beganAtMs) {
       return failed("no permission to start");
     }
-    const refusing = await this.#reserveAll(gang, options);
-    if (refusing.length > 0) {
-      return failed("not every worker reserved", refusing);
+    const failedWorkerIds = await this.#reserveAll(gang, options);
+    if (failedWorkerIds.length > 0) {
+      return failed("not every worker reserved", failedWorkerIds);
     }
     if (!this.#context.omits("intentFirst")) {
-      const isIntended = await this.#intend(gang, options.decision);
+      const isIntended = await this.#commitIntent(gang, options.decision);
       if (!isIntended) {
         return failed("the intent was not committed");
       }
@@ -66,7 +66,7 @@
     const { resources } = options.decision;
     const reservationEndMs = clock.nowMs() + lease.reservationMs;
     return this.#callAll(gang, (workerId) => ({
-      write: (toWorkerMs) => ({
+      buildCommand: (toWorkerMs) => ({
         kind: "reserve",
         jobId,
         attempt,
@@ -78,7 +78,7 @@
     }));
   }
 
-  async #intend(gang: Gang, decision: StartGang): Promise<boolean> {
+  async #commitIntent(gang: Gang, decision: StartGang): Promise<boolean> {
     const { jobId, attempt } = gang;
     const outcome = await this.#context.writer.write({
       kind: "attemptIntended",
@@ -98,19 +98,19 @@
   }
 
   async #startAll(gang: Gang, leaseEndMs: number): Promise<StartOutcome> {
-    const { clock, gate } = this.#context;
-    const permittedUntilMs = gate.permittedUntilMs();
+    const { clock, startPermission } = this.#context;
+    const permittedUntilMs = startPermission.permittedUntilMs();
     const isPermitted = permittedUntilMs > clock.nowMs();
     if (!isPermitted && !this.#context.omits("secondGate")) {
       return failed("no permission to start");
     }
     const { jobId, attempt } = gang;
     const isChecked = !this.#context.omits("startValidity");
-    const refusing = await this.#callAll(gang, (workerId) => {
+    const failedWorkerIds = await this.#callAll(gang, (workerId) => {
       gang.grant(workerId, leaseEndMs);
       return {
         ...(isChecked ? { validUntilMs: permittedUntilMs } : {}),
-        write: (toWorkerMs) => ({
+        buildCommand: (toWorkerMs) => ({
           kind: "start",
           jobId,
           attempt,
@@ -118,9 +118,9 @@
         }),
       };
     });
-    return refusing.length === 0
+    return failedWorkerIds.length === 0
       ? STARTED
-      : failed("not every worker started", refusing);
+      : failed("not every worker started", failedWorkerIds);
   }
 
   /** Calls every worker; returns those that refused or did not answer. */
@@ -129,18 +129,18 @@
     options: (workerId: WorkerId) => WorkerCallOptions,
   ): Promise<WorkerId[]> {
     const { caller } = this.#context;
-    const refusing: WorkerId[] = [];
+    const failedWorkerIds: WorkerId[] = [];
     const calls = gang.workerIds.map(async (workerId) => {
       const result = await caller.call(workerId, options(workerId));
       const answered = result.toMaybe().extract();
       if (answered === undefined || answered.answer.refusal !== undefined) {
-        refusing.push(workerId);
+        failedWorkerIds.push(workerId);
         return;
       }
-      gang.prove(workerId, answered.sentAtMs);
+      gang.confirm(workerId, answered.sentAtMs);
     });
     await Promise.all(calls);
-    return refusing;
+    return failedWorkerIds;
   }
 }
 
--- a/src/process/scheduler/runtime/gang_stopper.ts
+++ b/src/process/scheduler/runtime/gang_stopper.ts
@@ -7,21 +7,21 @@
 
 import type { WorkerId } from "../../../base/identity.ts";
 import type { Gang } from "./gang.ts";
-import { pause } from "./ledger_writer.ts";
+import { delay } from "./ledger_writer.ts";
 import type { SessionContext } from "./session_context.ts";
-import type { Answered, CommandBody } from "./worker_caller.ts";
+import type { CommandBody, TimedAnswer } from "./worker_caller.ts";
 
 /** Wait between stop commands to a worker that has not yet stopped. */
 const STOP_RETRY_MS = 250;
 
 /** How an attempt is to stop. */
-export interface StopManner {
+export interface StopMode {
   readonly wantsCheckpoint: boolean;
   readonly checkpointDeadlineMs: number;
 }
 
 /** Stop immediately, without a checkpoint. */
-export const STOP_AT_ONCE: StopManner = {
+export const STOP_IMMEDIATELY: StopMode = {
   wantsCheckpoint: false,
   checkpointDeadlineMs: 0,
 };
@@ -38,41 +38,42 @@
    * Returns once no task of the attempt runs or can still start, or once this
    * instance no longer leads.
    */
-  async stop(gang: Gang, manner: StopManner): Promise<void> {
+  async stop(gang: Gang, mode: StopMode): Promise<void> {
     await Promise.all(
-      gang.workerIds.map((workerId) =>
-        this.#stopOn(gang, { workerId, manner })
-      ),
+      gang.workerIds.map((workerId) => this.#stopOn(gang, { workerId, mode })),
     );
   }
 
   async #stopOn(
     gang: Gang,
-    options: { workerId: WorkerId; manner: StopManner },
+    options: { workerId: WorkerId; mode: StopMode },
   ): Promise<void> {
-    const { workerId, manner } = options;
+    const { workerId, mode } = options;
     const { clock } = this.#context;
-    while (this.#context.isLive() && !this.#hasLapsed(gang, workerId)) {
-      const body = this.#body(gang, manner);
-      const isStopped = await this.#tell(gang, { workerId, body });
+    while (this.#context.isLeading() && !this.#hasExpired(gang, workerId)) {
+      const body = this.#stopBody(gang, mode);
+      const isStopped = await this.#sendStop(gang, { workerId, body });
       if (isStopped || this.#context.omits("lapseWait")) {
         return;
       }
-      await pause(clock, STOP_RETRY_MS);
+      await delay(clock, STOP_RETRY_MS);
     }
     // The lease has expired; this only frees a leftover reservation early.
-    void this.#tell(gang, { workerId, body: this.#body(gang, STOP_AT_ONCE) });
+    void this.#sendStop(gang, {
+      workerId,
+      body: this.#stopBody(gang, STOP_IMMEDIATELY),
+    });
   }
 
-  #hasLapsed(gang: Gang, workerId: WorkerId): boolean {
+  #hasExpired(gang: Gang, workerId: WorkerId): boolean {
     return this.#context.clock.nowMs() > gang.grantedUntilMs(workerId);
   }
 
-  #body(gang: Gang, manner: StopManner): (
+  #stopBody(gang: Gang, mode: StopMode): (
     toWorkerMs: (atMs: number) => number,
   ) => CommandBody {
     const { jobId, attempt } = gang;
-    const { wantsCheckpoint, checkpointDeadlineMs } = manner;
+    const { wantsCheckpoint, checkpointDeadlineMs } = mode;
     // Not `release`: it makes the worker forget tasks that have succeeded.
     return (toWorkerMs) => ({
       kind: "stop",
@@ -85,7 +86,7 @@
     });
   }
 
-  async #tell(
+  async #sendStop(
     gang: Gang,
     options: {
       workerId: WorkerId;
@@ -93,25 +94,29 @@
     },
   ): Promise<boolean> {
     const { workerId, body } = options;
-    const result = await this.#context.caller.call(workerId, { write: body });
-    return result.map((answered) => this.#note(gang, { workerId, answered }))
+    const result = await this.#context.caller.call(workerId, {
+      buildCommand: body,
+    });
+    return result.map((answered) =>
+      this.#recordAnswer(gang, { workerId, answered })
+    )
       .orDefault(false);
   }
 
-  #note(
+  #recordAnswer(
     gang: Gang,
-    options: { workerId: WorkerId; answered: Answered },
+    options: { workerId: WorkerId; answered: TimedAnswer },
   ): boolean {
     const { workerId, answered } = options;
     const { refusal, holdings } = answered.answer;
     const listed = gang.tasksAmong(holdings.tasks);
     for (const task of listed) {
       if (task.outcome !== undefined) {
-        gang.noteOutcome(task.taskIndex, task.outcome);
+        gang.recordOutcome(task.taskIndex, task.outcome);
       }
     }
-    if (gang.isProvenBy(workerId, holdings.tasks)) {
-      gang.prove(workerId, answered.sentAtMs);
+    if (gang.isConfirmedBy(workerId, holdings.tasks)) {
+      gang.confirm(workerId, answered.sentAtMs);
     }
     return refusal === undefined &&
       listed.every((task) => task.state === "ended");
--- a/src/process/scheduler/runtime/gang_table.ts
+++ b/src/process/scheduler/runtime/gang_table.ts
@@ -10,9 +10,9 @@
 import type { TaskOutcome } from "../core/scheduler_event.ts";
 import { Gang } from "./gang.ts";
 import { GangStarter, type StartOutcome } from "./gang_starter.ts";
-import { GangStopper, STOP_AT_ONCE } from "./gang_stopper.ts";
+import { GangStopper, STOP_IMMEDIATELY } from "./gang_stopper.ts";
 import type { JobRecord } from "./job_record.ts";
-import { LeaseKeeper } from "./lease_keeper.ts";
+import { LeaseRenewer } from "./lease_renewer.ts";
 import { earlierLeasesEndMs } from "./lease_rule.ts";
 import type { SessionContext } from "./session_context.ts";
 import type { WorkerEntry } from "./worker_table.ts";
@@ -24,13 +24,13 @@
   readonly #byWorker = new Map<WorkerId, Set<Gang>>();
   readonly #starter: GangStarter;
   readonly #stopper: GangStopper;
-  readonly #leases: LeaseKeeper;
+  readonly #leases: LeaseRenewer;
 
   constructor(context: SessionContext) {
     this.#context = context;
     this.#starter = new GangStarter(context);
     this.#stopper = new GangStopper(context);
-    this.#leases = new LeaseKeeper({ context, gangs: () => this.gangs() });
+    this.#leases = new LeaseRenewer({ context, gangs: () => this.gangs() });
   }
 
   gangs(): IterableIterator<Gang> {
@@ -38,7 +38,7 @@
   }
 
   /** Whether the start of a gang is in progress. */
-  hasStartsUnderWay(): boolean {
+  hasStartsInProgress(): boolean {
     return [...this.gangs()].some((gang) => gang.phase === "starting");
   }
 
@@ -71,11 +71,11 @@
   }
 
   /** Stops all tasks of a recovered gang that isn't intact. */
-  async breakUp(gang: Gang): Promise<void> {
+  async stopBroken(gang: Gang): Promise<void> {
     gang.phase = "stopping";
-    await this.#stopper.stop(gang, STOP_AT_ONCE);
+    await this.#stopper.stop(gang, STOP_IMMEDIATELY);
     const { hasSucceeded } = gang;
-    await this.#close(gang, {
+    await this.#closeAttempt(gang, {
       detail: "not whole after a change of leader",
       hasSucceeded,
     });
@@ -96,7 +96,7 @@
       this.#beginRunning(gang);
       return;
     }
-    await this.#abandon(gang, outcome);
+    await this.#abortStart(gang, outcome);
   }
 
   async stop(decision: StopGang): Promise<void> {
@@ -118,7 +118,7 @@
     await this.#stopper.stop(gang, decision);
     // The gang may have succeeded before the stop reached its workers.
     const { hasSucceeded } = gang;
-    await this.#close(gang, { detail: reason, hasSucceeded });
+    await this.#closeAttempt(gang, { detail: reason, hasSucceeded });
     this.#feedSuccesses(gang);
     const { isCheckpointed } = gang;
     this.#context.events.emit("gangStopped", {
@@ -131,14 +131,14 @@
   }
 
   /** Reconciles a worker's tasks with the attempts that it should hold. */
-  look(entry: WorkerEntry): void {
+  reconcile(entry: WorkerEntry): void {
     const { workerId } = entry.description;
     for (const gang of this.#byWorker.get(workerId) ?? []) {
       if (gang.phase === "running") {
-        this.#lookAt(gang, entry);
+        this.#reconcileGang(gang, entry);
       }
     }
-    const strangers = new Map<string, { jobId: JobId; attempt: number }>();
+    const staleAttempts = new Map<string, { jobId: JobId; attempt: number }>();
     for (const task of entry.tasks) {
       if (this.get(task.jobId, task.attempt) !== undefined) {
         continue;
@@ -146,28 +146,28 @@
       if (task.state === "ended") {
         this.#leases.forget(workerId, task);
       } else {
-        strangers.set(key(task.jobId, task.attempt), task);
+        staleAttempts.set(key(task.jobId, task.attempt), task);
       }
     }
     if (!this.#context.omits("returnedTasks")) {
-      strangers.forEach((task) => this.#release(workerId, task));
+      staleAttempts.forEach((task) => this.#release(workerId, task));
     }
   }
 
   /** Records the tasks of expired leases as lost. */
-  noteLapses(): void {
+  expireLeases(): void {
     const nowMs = this.#context.clock.nowMs();
     for (const gang of [...this.#gangs.values()]) {
       if (gang.phase !== "running") {
         continue;
       }
-      const lapsed = gang.workerIds
+      const expired = gang.workerIds
         .filter((workerId) => gang.grantedUntilMs(workerId) < nowMs);
-      const ends: TaskEnd[] = lapsed.flatMap((workerId) =>
+      const ends: TaskEnd[] = expired.flatMap((workerId) =>
         gang.taskIndexes(workerId)
           .map((taskIndex) => ({ workerId, taskIndex, outcome: "lost" }))
       );
-      this.#noteEnds(gang, ends);
+      this.#recordEnds(gang, ends);
     }
   }
 
@@ -185,21 +185,21 @@
   }
 
   /** Ends a start that failed or was interrupted by a stop. */
-  async #abandon(gang: Gang, outcome: StartOutcome): Promise<void> {
+  async #abortStart(gang: Gang, outcome: StartOutcome): Promise<void> {
     const wasStopped = gang.phase === "stopping";
     const workerIds = outcome.kind === "failed" ? outcome.workerIds : [];
     const detail = outcome.kind === "failed" ? outcome.detail : "stopped";
     gang.phase = "stopping";
     gang.isCheckpointing = false;
     if (!this.#context.omits("releaseAll")) {
-      await this.#stopper.stop(gang, STOP_AT_ONCE);
+      await this.#stopper.stop(gang, STOP_IMMEDIATELY);
     }
     if (gang.hasSucceeded && !wasStopped) {
       await this.#closeSucceeded(gang);
       return;
     }
     const { hasSucceeded } = gang;
-    await this.#close(gang, { detail, hasSucceeded });
+    await this.#closeAttempt(gang, { detail, hasSucceeded });
     const { jobId, attempt } = gang;
     if (wasStopped) {
       this.#feedSuccesses(gang);
@@ -225,7 +225,10 @@
   /** Ends a gang that succeeded although the answer to its start was lost. */
   async #closeSucceeded(gang: Gang): Promise<void> {
     const { jobId, attempt } = gang;
-    await this.#close(gang, { detail: "every task ended", hasSucceeded: true });
+    await this.#closeAttempt(gang, {
+      detail: "every task ended",
+      hasSucceeded: true,
+    });
     this.#context.events.emit("gangStarted", { jobId, attempt });
     const atMs = this.#context.clock.nowMs();
     this.#context.feed({ kind: "gangStarted", atMs, jobId, attempt });
@@ -236,7 +239,7 @@
    * Ends an attempt of which no task runs any more. The log records this
    * before any later command of the job.
    */
-  async #close(
+  async #closeAttempt(
     gang: Gang,
     end: { detail: string; hasSucceeded: boolean },
   ): Promise<void> {
@@ -254,7 +257,7 @@
     this.#remove(gang);
   }
 
-  #lookAt(gang: Gang, entry: WorkerEntry): void {
+  #reconcileGang(gang: Gang, entry: WorkerEntry): void {
     const { workerId } = entry.description;
     const listed = gang.tasksAmong(entry.tasks);
     const ends: TaskEnd[] = [];
@@ -265,18 +268,21 @@
         ends.push({ workerId, taskIndex, outcome });
       }
     }
-    this.#noteEnds(gang, ends);
+    this.#recordEnds(gang, ends);
   }
 
-  #noteEnds(gang: Gang, ends: readonly TaskEnd[]): void {
-    const news = ends.filter((end) =>
-      gang.noteOutcome(end.taskIndex, end.outcome)
+  #recordEnds(gang: Gang, ends: readonly TaskEnd[]): void {
+    const newEnds = ends.filter((end) =>
+      gang.recordOutcome(end.taskIndex, end.outcome)
     );
     if (gang.hasEnded && gang.phase === "running") {
       const { hasSucceeded } = gang;
-      void this.#close(gang, { detail: "every task ended", hasSucceeded });
+      void this.#closeAttempt(gang, {
+        detail: "every task ended",
+        hasSucceeded,
+      });
     }
-    for (const end of news) {
+    for (const end of newEnds) {
       this.#feedEnd(gang, end);
     }
   }
@@ -311,7 +317,7 @@
     { jobId, attempt }: { jobId: JobId; attempt: number },
   ): void {
     void this.#context.caller.call(workerId, {
-      write: () => ({ kind: "release", jobId, attempt }),
+      buildCommand: () => ({ kind: "release", jobId, attempt }),
     });
   }
 
--- a/src/process/scheduler/runtime/job_intake.ts
+++ b/src/process/scheduler/runtime/job_intake.ts
@@ -11,7 +11,7 @@
 import type { SchedulerEvent } from "../core/scheduler_event.ts";
 import type { JobCommand } from "./job_command.ts";
 import type { JobLedger } from "./job_ledger.ts";
-import type { JobMover } from "./job_mover.ts";
+import type { JobTransferrer } from "./job_transferrer.ts";
 import { isOwned, type JobRecord } from "./job_record.ts";
 
 /** Options of {@link JobIntake}. */
@@ -19,49 +19,53 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly ledger: JobLedger;
-  readonly mover: JobMover;
+  readonly transferrer: JobTransferrer;
   readonly feed: (event: SchedulerEvent) => void;
 }
 
 /** Feeds the jobs of one leader session to the core. */
 export class JobIntake {
   readonly #options: JobIntakeOptions;
-  readonly #aside = new Set<JobId>();
+  readonly #awaitingTransfer = new Set<JobId>();
 
   constructor(options: JobIntakeOptions) {
     this.#options = options;
   }
 
   /** Jobs withheld from the core because they are to be transferred. */
-  get aside(): ReadonlySet<JobId> {
-    return this.#aside;
+  get awaitingTransfer(): ReadonlySet<JobId> {
+    return this.#awaitingTransfer;
   }
 
   /** Resumes transfers; returns the records from which the core restores. */
-  takeOver(): readonly JobRecord[] {
-    const { ledger, mover } = this.#options;
-    mover.resume();
+  prepareInitialRecords(): readonly JobRecord[] {
+    const { ledger, transferrer } = this.#options;
+    transferrer.resume();
     const records = [...ledger.liveRecords()].filter(isOwned);
-    records.filter((record) => mover.isToMove(record))
-      .forEach((record) => this.#aside.add(record.specification.jobId));
+    records.filter((record) => transferrer.shouldTransfer(record))
+      .forEach((record) =>
+        this.#awaitingTransfer.add(record.specification.jobId)
+      );
     return records
-      .filter(({ specification }) => !this.#aside.has(specification.jobId));
+      .filter(({ specification }) =>
+        !this.#awaitingTransfer.has(specification.jobId)
+      );
   }
 
   /** Feeds the core the withheld jobs that no longer need a transfer. */
-  takeBack(): void {
-    for (const jobId of [...this.#aside]) {
+  returnToCore(): void {
+    for (const jobId of [...this.#awaitingTransfer]) {
       const record = this.#options.ledger.get(jobId);
       if (record === undefined || !isOwned(record)) {
-        this.#aside.delete(jobId);
-      } else if (!this.#options.mover.isToMove(record)) {
-        this.#aside.delete(jobId);
+        this.#awaitingTransfer.delete(jobId);
+      } else if (!this.#options.transferrer.shouldTransfer(record)) {
+        this.#awaitingTransfer.delete(jobId);
         this.#feedSubmitted(record);
       }
     }
   }
 
-  noteApplied(command: JobCommand): void {
+  handleApplied(command: JobCommand): void {
     if (!("jobId" in command) && command.kind !== "submitted") {
       return;
     }
@@ -77,12 +81,12 @@
       this.#feedSubmitted(record);
     }
     if (command.kind === "transferIntended") {
-      this.#options.mover.noteIntended(record);
+      this.#options.transferrer.trackIntended(record);
     }
     // The core drops a transferred job in the same way as a cancelled one.
-    const leaves = command.kind === "cancelled" ||
+    const leavesCore = command.kind === "cancelled" ||
       command.kind === "transferIntended";
-    if (leaves && !this.#aside.has(jobId)) {
+    if (leavesCore && !this.#awaitingTransfer.has(jobId)) {
       this.feedCancelled(record);
     }
   }
@@ -90,8 +94,8 @@
   #feedSubmitted(record: JobRecord): void {
     const { specification, attemptsUsed } = record;
     const { jobId } = specification;
-    if (this.#options.mover.isToMove(record)) {
-      this.#aside.add(jobId);
+    if (this.#options.transferrer.shouldTransfer(record)) {
+      this.#awaitingTransfer.add(jobId);
       return;
     }
     this.#options.feed({
--- a/src/process/scheduler/runtime/job_ledger.ts
+++ b/src/process/scheduler/runtime/job_ledger.ts
@@ -105,7 +105,7 @@
       );
       this.#endedJobIds = new Set(decoded.endedJobIds);
       this.#liveJobIds.clear();
-      decoded.records.forEach((record) => this.#noteLive(record));
+      decoded.records.forEach((record) => this.#updateLive(record));
     });
   }
 
@@ -139,7 +139,7 @@
   #submit(command: CommandOf<"submitted">): JobCommandOutcome {
     const { specification } = command;
     const existing = this.#records.get(specification.jobId);
-    if (existing === undefined || returns(existing, command)) {
+    if (existing === undefined || isReturning(existing, command)) {
       const record = newRecord(command);
       this.#endedJobIds.delete(specification.jobId);
       this.#put(record);
@@ -228,7 +228,7 @@
         : {}),
       attemptsUsed,
       failures,
-      pastAttempts: this.#past(record, {
+      pastAttempts: this.#appendPastAttempt(record, {
         ...open,
         endedAtMs: command.atMs,
         detail: command.detail,
@@ -295,11 +295,11 @@
 
   #put(record: JobRecord): JobCommandOutcome {
     this.#records.set(record.specification.jobId, record);
-    this.#noteLive(record);
+    this.#updateLive(record);
     return { kind: "applied", record };
   }
 
-  #noteLive(record: JobRecord): void {
+  #updateLive(record: JobRecord): void {
     const { jobId } = record.specification;
     const hasLeft = record.end !== undefined ||
       record.transfer?.acceptedAtMs !== undefined;
@@ -310,7 +310,7 @@
     }
   }
 
-  #past(record: JobRecord, ended: AttemptRecord): AttemptRecord[] {
+  #appendPastAttempt(record: JobRecord, ended: AttemptRecord): AttemptRecord[] {
     return [...record.pastAttempts, ended]
       .slice(-this.#options.pastAttemptsLimit);
   }
@@ -349,7 +349,7 @@
 }
 
 /** Whether a job that was moved away is being transferred back. */
-function returns(
+function isReturning(
   existing: JobRecord,
   command: CommandOf<"submitted">,
 ): boolean {
--- a/src/process/scheduler/runtime/job_ledger_test.ts
+++ b/src/process/scheduler/runtime/job_ledger_test.ts
@@ -84,18 +84,22 @@
 
 test("restoring a snapshot of any point leads to the same state", (t) => {
   fc.assert(
-    fc.property(fc.array(command, { maxLength: 60 }), fc.nat(), (all, cut) => {
-      const options = { endedRetentionMs: 20_000, endedLimit: 2 };
-      const whole = new JobLedger(options);
-      const resumed = new JobLedger(options);
-      const at = cut % (all.length + 1);
-      all.slice(0, at).forEach((each) => whole.apply(each));
-      t.true(resumed.restore(whole.snapshot()).isRight());
-      for (const each of all.slice(at)) {
-        t.deepEqual(resumed.apply(each), whole.apply(each));
-      }
-      t.deepEqual(contentOf(resumed), contentOf(whole));
-    }),
+    fc.property(
+      fc.array(command, { maxLength: 60 }),
+      fc.nat(),
+      (all, cutPoint) => {
+        const options = { endedRetentionMs: 20_000, endedLimit: 2 };
+        const original = new JobLedger(options);
+        const resumed = new JobLedger(options);
+        const snapshotIndex = cutPoint % (all.length + 1);
+        all.slice(0, snapshotIndex).forEach((each) => original.apply(each));
+        t.true(resumed.restore(original.snapshot()).isRight());
+        for (const each of all.slice(snapshotIndex)) {
+          t.deepEqual(resumed.apply(each), original.apply(each));
+        }
+        t.deepEqual(contentOf(resumed), contentOf(original));
+      },
+    ),
     { seed: 41, numRuns: 300 },
   );
 });
--- a/src/process/scheduler/runtime/job_record.ts
+++ b/src/process/scheduler/runtime/job_record.ts
@@ -10,7 +10,7 @@
 import { JobOutcome } from "../core/scheduler_decision.ts";
 
 const identity = z.string().regex(IDENTITY_PATTERN);
-const moment = z.number();
+const timestampMs = z.number();
 
 /** The worker on which one task of a gang is placed. */
 export const taskPlacementSchema = z.strictObject({
@@ -27,9 +27,9 @@
   /** The resources of each task. */
   resources: taskResourcesSchema,
   configurationVersion: z.int().min(0),
-  intendedAtMs: moment,
-  startedAtMs: moment.optional(),
-  endedAtMs: moment.optional(),
+  intendedAtMs: timestampMs,
+  startedAtMs: timestampMs.optional(),
+  endedAtMs: timestampMs.optional(),
   /** Why it ended, as text. */
   detail: z.string().optional(),
 });
@@ -37,7 +37,7 @@
 /** How a job ended. */
 export const jobEndSchema = z.strictObject({
   outcome: z.enum(JobOutcome),
-  atMs: moment,
+  atMs: timestampMs,
   error: z.string().optional(),
   detail: z.string().optional(),
 });
@@ -45,15 +45,15 @@
 /** A move to another data centre. */
 export const jobTransferSchema = z.strictObject({
   toDataCentre: identity,
-  intendedAtMs: moment,
+  intendedAtMs: timestampMs,
   /** When it was recorded here that the other data centre has the job. */
-  acceptedAtMs: moment.optional(),
+  acceptedAtMs: timestampMs.optional(),
 });
 
 /** One job. */
 export const jobRecordSchema = z.strictObject({
   specification: jobSpecificationSchema,
-  submittedAtMs: moment,
+  submittedAtMs: timestampMs,
   /** How often the job has moved between data centres. */
   transfers: z.int().min(0),
   /** The highest attempt number used. */
--- a/src/process/scheduler/runtime/job_mover.ts
+++ b/src/process/scheduler/runtime/job_transferrer.ts
@@ -11,58 +11,58 @@
 import type { DataCentreId, JobId } from "../../../base/identity.ts";
 import type { Result } from "../../../base/sesame_error.ts";
 import type { ConfigurationSource } from "../../configuration/configuration_source.ts";
-import { moveTargets } from "./data_centre_choice.ts";
+import { transferTargets } from "./data_centre_choice.ts";
 import type { JobLedger } from "./job_ledger.ts";
 import { isOwned, type JobRecord } from "./job_record.ts";
 import type { LedgerWriter } from "./ledger_writer.ts";
 import type { SchedulerAnswer, SchedulerCall } from "./scheduler_message.ts";
 
 /** How many transfers may be in progress at once. */
-const MOVES_LIMIT = 16;
+const TRANSFERS_LIMIT = 16;
 
-/** Options of {@link JobMover}. */
-export interface JobMoverOptions {
+/** Options of {@link JobTransferrer}. */
+export interface JobTransferrerOptions {
   readonly clock: Clock;
   readonly dataCentre: DataCentreId;
   readonly configuration: ConfigurationSource;
   readonly ledger: JobLedger;
   readonly writer: LedgerWriter;
   readonly events: EventLog;
-  readonly ask: (
+  readonly callDataCentre: (
     dataCentre: DataCentreId,
     call: SchedulerCall,
   ) => Promise<Result<SchedulerAnswer>>;
   /** Gives jobs up before the target has accepted them; only for tests. */
-  readonly forgetsAcknowledgement: boolean;
+  readonly skipsAcknowledgement: boolean;
 }
 
 /** Transfers jobs during one leader session. */
-export class JobMover {
-  readonly #options: JobMoverOptions;
-  readonly #moving = new Set<JobId>();
+export class JobTransferrer {
+  readonly #options: JobTransferrerOptions;
+  readonly #inProgress = new Set<JobId>();
   /** Jobs whose transfer is in the log and not yet accepted. */
-  readonly #underWay = new Set<JobId>();
+  readonly #intended = new Set<JobId>();
 
-  constructor(options: JobMoverOptions) {
+  constructor(options: JobTransferrerOptions) {
     this.#options = options;
   }
 
   /** Whether the job is to be transferred rather than fed to the core. */
-  isToMove(record: JobRecord): boolean {
+  shouldTransfer(record: JobRecord): boolean {
     return this.#targets(record).length > 0;
   }
 
   /** Resumes the transfers that an earlier leader began. */
   resume(): void {
     for (const record of this.#options.ledger.liveRecords()) {
-      this.noteIntended(record);
+      this.trackIntended(record);
     }
   }
 
   /** Retries the job's transfer from now on until it is accepted. */
-  noteIntended(record: JobRecord): void {
-    if (isUnderWay(record)) {
-      this.#underWay.add(record.specification.jobId);
+  trackIntended(record: JobRecord): void {
+    if (isTransferring(record)) {
+      this.#intended.add(record.specification.jobId);
     }
   }
 
@@ -70,33 +70,33 @@
    * Begins due transfers: those in the log, then those of `awaitingTransfer`,
    * or of every live job while this data centre is out.
    */
-  tick(aside: Iterable<JobId>): void {
-    for (const jobId of this.#underWay) {
-      this.#begin(this.#options.ledger.get(jobId));
+  tick(awaitingTransfer: Iterable<JobId>): void {
+    for (const jobId of this.#intended) {
+      this.#beginIfDue(this.#options.ledger.get(jobId));
     }
     if (!this.#isOut()) {
-      for (const jobId of aside) {
-        this.#begin(this.#options.ledger.get(jobId));
+      for (const jobId of awaitingTransfer) {
+        this.#beginIfDue(this.#options.ledger.get(jobId));
       }
       return;
     }
     for (const record of this.#options.ledger.liveRecords()) {
-      this.#begin(record);
+      this.#beginIfDue(record);
     }
   }
 
-  #begin(record: JobRecord | undefined): void {
-    if (record === undefined || this.#moving.size >= MOVES_LIMIT) {
+  #beginIfDue(record: JobRecord | undefined): void {
+    if (record === undefined || this.#inProgress.size >= TRANSFERS_LIMIT) {
       return;
     }
     const { jobId } = record.specification;
-    if (!isUnderWay(record)) {
-      this.#underWay.delete(jobId);
+    if (!isTransferring(record)) {
+      this.#intended.delete(jobId);
     }
-    const isDue = isUnderWay(record) || this.isToMove(record);
-    if (isDue && !this.#moving.has(jobId)) {
-      this.#moving.add(jobId);
-      void this.#move(record).finally(() => this.#moving.delete(jobId));
+    const isDue = isTransferring(record) || this.shouldTransfer(record);
+    if (isDue && !this.#inProgress.has(jobId)) {
+      this.#inProgress.add(jobId);
+      void this.#transfer(record).finally(() => this.#inProgress.delete(jobId));
     }
   }
 
@@ -114,10 +114,13 @@
     }
     const { configuration, dataCentre } = this.#options;
     const { document } = configuration.current();
-    return moveTargets(record.specification, { here: dataCentre, document });
+    return transferTargets(record.specification, {
+      here: dataCentre,
+      document,
+    });
   }
 
-  async #move(record: JobRecord): Promise<void> {
+  async #transfer(record: JobRecord): Promise<void> {
     const { writer, ledger, events } = this.#options;
     const { jobId } = record.specification;
     const to = record.transfer?.toDataCentre ??
@@ -137,8 +140,8 @@
       return;
     }
     const isCancellationPassedOn = intended.isCancelled;
-    const isTaken = await this.#handOver(intended, to);
-    if (isTaken || this.#options.forgetsAcknowledgement) {
+    const isAccepted = await this.#submitToTarget(intended, to);
+    if (isAccepted || this.#options.skipsAcknowledgement) {
       const outcome = await writer.write({
         kind: "transferAccepted",
         jobId,
@@ -157,7 +160,10 @@
   async #findReachable(record: JobRecord): Promise<DataCentreId | undefined> {
     const { jobId } = record.specification;
     for (const target of this.#targets(record)) {
-      const answer = await this.#options.ask(target, { kind: "job", jobId });
+      const answer = await this.#options.callDataCentre(target, {
+        kind: "job",
+        jobId,
+      });
       if (answer.isRight()) {
         return target;
       }
@@ -166,32 +172,32 @@
   }
 
   /** Whether the target accepts the job, and its cancellation if any. */
-  async #handOver(record: JobRecord, to: DataCentreId): Promise<boolean> {
-    const { ask } = this.#options;
+  async #submitToTarget(record: JobRecord, to: DataCentreId): Promise<boolean> {
+    const { callDataCentre } = this.#options;
     const { specification, submittedAtMs, attemptsUsed } = record;
-    const taken = await ask(to, {
+    const submitted = await callDataCentre(to, {
       kind: "submit",
       specification,
       submittedAtMs,
       transfers: record.transfers + 1,
       attemptsUsed,
     });
-    if (!isJob(taken)) {
+    if (!isJobAnswer(submitted)) {
       return false;
     }
     const { jobId } = specification;
     if (!record.isCancelled) {
       return true;
     }
-    return isJob(await ask(to, { kind: "cancel", jobId }));
+    return isJobAnswer(await callDataCentre(to, { kind: "cancel", jobId }));
   }
 }
 
-function isUnderWay(record: JobRecord): boolean {
+function isTransferring(record: JobRecord): boolean {
   return record.transfer !== undefined &&
     record.transfer.acceptedAtMs === undefined;
 }
 
-function isJob(result: Result<SchedulerAnswer>): boolean {
+function isJobAnswer(result: Result<SchedulerAnswer>): boolean {
   return result.map((answer) => answer.kind === "job").orDefault(false);
 }
--- a/src/process/scheduler/runtime/leader_session.ts
+++ b/src/process/scheduler/runtime/leader_session.ts
@@ -20,25 +20,28 @@
 import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
 import { JobIntake } from "./job_intake.ts";
 import type { JobLedger } from "./job_ledger.ts";
-import { JobMover, type JobMoverOptions } from "./job_mover.ts";
+import {
+  JobTransferrer,
+  type JobTransferrerOptions,
+} from "./job_transferrer.ts";
 import type { LeaseOptions } from "./lease_rule.ts";
-import { LedgerWriter, pause } from "./ledger_writer.ts";
+import { delay, LedgerWriter } from "./ledger_writer.ts";
 import { Recovery } from "./recovery.ts";
 import type { OmittedCheck, SessionContext } from "./session_context.ts";
-import { StartGate } from "./start_gate.ts";
+import { StartPermission } from "./start_permission.ts";
 import { WorkerCaller } from "./worker_caller.ts";
 import type { WorkerClient } from "./worker_client.ts";
 import type { WorkerEntry, WorkerTable } from "./worker_table.ts";
 import { WorkerWatcher } from "./worker_watcher.ts";
 
 /** How often leases, workers, start permission and deadlines are checked. */
-const TICK_MS = 250;
+const TICK_PERIOD_MS = 250;
 
 /** Delay from an event to its tick, so that one tick serves several events. */
-const SOON_MS = 20;
+const EVENT_TICK_DELAY_MS = 20;
 
 /** How often jobs awaiting transfer are checked. */
-const MOVE_PERIOD_MS = 1_000;
+const TRANSFER_CHECK_PERIOD_MS = 1_000;
 
 /** Wait before a failed read barrier is retried. */
 const CATCH_UP_RETRY_MS = 100;
@@ -57,7 +60,7 @@
   readonly events: EventLog;
   readonly lease: LeaseOptions;
   /** Calls another data centre. */
-  readonly ask: JobMoverOptions["ask"];
+  readonly callDataCentre: JobTransferrerOptions["callDataCentre"];
   /** Called when the core throws, after the session was closed. */
   readonly onFailure: (error: unknown) => void;
   readonly omittedChecks: readonly OmittedCheck[];
@@ -70,15 +73,15 @@
   readonly #gangs: GangTable;
   readonly #watcher: WorkerWatcher;
   readonly #runner: DecisionRunner;
-  readonly #mover: JobMover;
+  readonly #transferrer: JobTransferrer;
   readonly #intake: JobIntake;
   readonly #driver: CoreDriver;
-  readonly #closers: (() => void)[] = [];
+  readonly #cleanups: (() => void)[] = [];
   #isRecovering = true;
   #isClosed = false;
   #permittedUntilMs = 0;
-  #soon: Timer | undefined;
-  #moveAtMs = 0;
+  #eventTickTimer: Timer | undefined;
+  #nextTransferCheckAtMs = 0;
 
   constructor(options: LeaderSessionOptions) {
     this.#options = options;
@@ -92,18 +95,18 @@
     });
     this.#driver = new CoreDriver({
       core: options.core,
-      isLive: () => this.#context.isLive(),
+      isLeading: () => this.#context.isLeading(),
       onDecision: (decision) => this.#runner.carryOut(decision),
       onFailure: (error) => this.#fail(error),
     });
-    this.#mover = new JobMover({
+    this.#transferrer = new JobTransferrer({
       ...options,
       writer: this.#context.writer,
-      forgetsAcknowledgement: this.#context.omits("transferOnce"),
+      skipsAcknowledgement: this.#context.omits("transferOnce"),
     });
     this.#intake = new JobIntake({
       ...options,
-      mover: this.#mover,
+      transferrer: this.#transferrer,
       feed: this.#context.feed,
     });
   }
@@ -113,15 +116,15 @@
   }
 
   /** Whether the start of a gang is in progress. */
-  hasStartsUnderWay(): boolean {
-    return this.#gangs.hasStartsUnderWay();
+  hasStartsInProgress(): boolean {
+    return this.#gangs.hasStartsInProgress();
   }
 
   waitReason(jobId: JobId): WaitReason | undefined {
     if (this.#isRecovering) {
       return "recovering";
     }
-    return this.#intake.aside.has(jobId)
+    return this.#intake.awaitingTransfer.has(jobId)
       ? "dataCentreOut"
       : this.#options.core.waitReason(jobId);
   }
@@ -142,38 +145,38 @@
       lease.renewPeriodMs,
       () => this.#gangs.renewLeases(),
     );
-    this.#closers.push(() => renewal.close());
+    this.#cleanups.push(() => renewal.close());
     await this.#recover();
-    if (this.#context.isLive()) {
-      this.#begin();
+    if (this.#context.isLeading()) {
+      this.#startScheduling();
     }
   }
 
   close(): void {
     this.#isClosed = true;
-    this.#closers.forEach((close) => close());
-    this.#closers.length = 0;
-    this.#soon?.close();
+    this.#cleanups.forEach((close) => close());
+    this.#cleanups.length = 0;
+    this.#eventTickTimer?.close();
   }
 
   /** Returns once all commands committed by earlier leaders are applied. */
   async #catchUp(): Promise<void> {
     const { clock, lease, log } = this.#options;
-    while (this.#context.isLive()) {
+    while (this.#context.isLeading()) {
       const deadlineMs = clock.nowMs() + lease.leaseMs;
       const barrier = await log.readBarrier({ deadlineMs });
       if (barrier.isRight()) {
         return;
       }
-      await pause(clock, CATCH_UP_RETRY_MS);
+      await delay(clock, CATCH_UP_RETRY_MS);
     }
   }
 
   async #recover(): Promise<void> {
     const recovery = new Recovery({
       context: this.#context,
-      onWhole: (gang) => this.#gangs.adopt(gang),
-      onBroken: (gang) => this.#gangs.breakUp(gang),
+      onIntact: (gang) => this.#gangs.adopt(gang),
+      onBroken: (gang) => this.#gangs.stopBroken(gang),
     });
     const gangs = [...this.#options.ledger.liveRecords()]
       .flatMap((record) => this.#gangs.recover(record) ?? []);
@@ -181,36 +184,36 @@
   }
 
   /** Feeds the recovered state to the core and starts scheduling. */
-  #begin(): void {
+  #startScheduling(): void {
     const { clock, core, workers, events, term } = this.#options;
     const atMs = clock.nowMs();
-    const records = this.#intake.takeOver();
+    const records = this.#intake.prepareInitialRecords();
     this.#isRecovering = false;
     this.#feedConfiguration();
     core.restore(records.map(toCoreRecord), { atMs, recoverUntilMs: atMs });
-    this.#joinAll(atMs);
-    [...workers.entries()].forEach((entry) => this.#gangs.look(entry));
+    this.#joinKnownWorkers(atMs);
+    [...workers.entries()].forEach((entry) => this.#gangs.reconcile(entry));
     records.filter((record) => record.isCancelled)
       .forEach((record) => this.#intake.feedCancelled(record));
-    this.#follow();
+    this.#subscribe();
     events.emit("schedulingBegan", { term, jobs: records.length });
     this.#tick();
   }
 
   /** Subscribes to all sources of events and starts the tick timer. */
-  #follow(): void {
+  #subscribe(): void {
     const { clock, configuration, ledger, workers } = this.#options;
     this.#observe(
       ledger.applied,
-      (command) => this.#intake.noteApplied(command),
+      (command) => this.#intake.handleApplied(command),
     );
     this.#observe(configuration.versions, () => this.#feedConfiguration());
-    this.#observe(workers.news, (news) => {
-      this.#watcher.hear(news);
-      this.#gangs.look(news.entry);
+    this.#observe(workers.updates, (update) => {
+      this.#watcher.handleUpdate(update);
+      this.#gangs.reconcile(update.entry);
     });
-    const tick: Timer = clock.every(TICK_MS, () => this.#tick());
-    this.#closers.push(() => tick.close());
+    const tick: Timer = clock.every(TICK_PERIOD_MS, () => this.#tick());
+    this.#cleanups.push(() => tick.close());
   }
 
   #observe<T>(
@@ -224,20 +227,20 @@
       },
       complete: () => undefined,
     });
-    this.#closers.push(() => subscription.unsubscribe());
+    this.#cleanups.push(() => subscription.unsubscribe());
   }
 
-  #joinAll(atMs: number): void {
+  #joinKnownWorkers(atMs: number): void {
     const { workers, lease } = this.#options;
     for (const entry of workers.entries()) {
       if (entry.anchor.receivedAtMs + lease.leaseMs >= atMs) {
-        this.#watcher.join(entry, this.#runningOf(entry));
+        this.#watcher.join(entry, this.#runningTasks(entry));
       }
     }
   }
 
   /** The worker's running tasks that belong to running gangs. */
-  #runningOf(entry: WorkerEntry): TaskReference[] {
+  #runningTasks(entry: WorkerEntry): TaskReference[] {
     return entry.tasks
       .filter((task) =>
         task.state === "running" &&
@@ -247,13 +250,13 @@
   }
 
   #tick(): void {
-    if (!this.#context.isLive()) {
+    if (!this.#context.isLeading()) {
       return;
     }
-    this.#gangs.noteLapses();
-    this.#watcher.noteSilence();
+    this.#gangs.expireLeases();
+    this.#watcher.loseSilentWorkers();
     const atMs = this.#options.clock.nowMs();
-    const permittedUntilMs = this.#context.gate.permittedUntilMs();
+    const permittedUntilMs = this.#context.startPermission.permittedUntilMs();
     if (permittedUntilMs > this.#permittedUntilMs) {
       this.#permittedUntilMs = permittedUntilMs;
       this.#driver.feed({
@@ -263,10 +266,10 @@
       });
     }
     this.#driver.feed({ kind: "clockTicked", atMs });
-    if (atMs >= this.#moveAtMs) {
-      this.#moveAtMs = atMs + MOVE_PERIOD_MS;
-      this.#intake.takeBack();
-      this.#mover.tick(this.#intake.aside);
+    if (atMs >= this.#nextTransferCheckAtMs) {
+      this.#nextTransferCheckAtMs = atMs + TRANSFER_CHECK_PERIOD_MS;
+      this.#intake.returnToCore();
+      this.#transferrer.tick(this.#intake.awaitingTransfer);
     }
   }
 
@@ -284,10 +287,13 @@
     if (this.#isRecovering || event.kind === "workerUsageReported") {
       return;
     }
-    this.#soon ??= this.#options.clock.after(SOON_MS, () => {
-      this.#soon = undefined;
-      this.#tick();
-    });
+    this.#eventTickTimer ??= this.#options.clock.after(
+      EVENT_TICK_DELAY_MS,
+      () => {
+        this.#eventTickTimer = undefined;
+        this.#tick();
+      },
+    );
   }
 
   #fail(error: unknown): void {
@@ -299,8 +305,8 @@
     const { clock, configuration, dataCentre, ledger, log, term } =
       this.#options;
     const { client, events, lease, omittedChecks, workers } = this.#options;
-    const isLive = () => this.#isLive();
-    const leadershipEndMs = () => isLive() ? log.status().leaseEndMs : 0;
+    const isLeading = () => this.#isLeading();
+    const leadershipEndMs = () => isLeading() ? log.status().leaseEndMs : 0;
     return {
       clock,
       term,
@@ -315,16 +321,16 @@
         term,
         leadershipEndMs,
       }),
-      writer: new LedgerWriter({ clock, log, term, isLive }),
-      gate: new StartGate({ configuration, dataCentre }),
-      isLive,
+      writer: new LedgerWriter({ clock, log, term, isLeading }),
+      startPermission: new StartPermission({ configuration, dataCentre }),
+      isLeading,
       openAttempt: (jobId) => ledger.get(jobId)?.openAttempt,
       feed: (event) => this.#feed(event),
       omits: (check) => omittedChecks.includes(check),
     };
   }
 
-  #isLive(): boolean {
+  #isLeading(): boolean {
     const status = this.#options.log.status();
     return !this.#isClosed && status.role === "leader" &&
       status.term === this.#options.term;
--- a/src/process/scheduler/runtime/lease_keeper.ts
+++ b/src/process/scheduler/runtime/lease_renewer.ts
@@ -9,40 +9,43 @@
 import type { SessionContext } from "./session_context.ts";
 import type { AttemptReference } from "./worker_command.ts";
 
-/** Options of {@link LeaseKeeper}. */
-export interface LeaseKeeperOptions {
+/** Options of {@link LeaseRenewer}. */
+export interface LeaseRenewerOptions {
   readonly context: SessionContext;
   readonly gangs: () => Iterable<Gang>;
 }
 
 /** Renews leases during one leader session. */
-export class LeaseKeeper {
-  readonly #options: LeaseKeeperOptions;
-  readonly #forget = new Map<WorkerId, Map<string, AttemptReference>>();
+export class LeaseRenewer {
+  readonly #options: LeaseRenewerOptions;
+  readonly #pendingForgets = new Map<WorkerId, Map<string, AttemptReference>>();
 
-  constructor(options: LeaseKeeperOptions) {
+  constructor(options: LeaseRenewerOptions) {
     this.#options = options;
   }
 
   /** Lets the worker forget an ended attempt with the next renewal. */
   forget(workerId: WorkerId, reference: AttemptReference): void {
     const { jobId, attempt } = reference;
-    const references = this.#forget.get(workerId) ?? new Map();
+    const references = this.#pendingForgets.get(workerId) ?? new Map();
     references.set(`${jobId}/${attempt}`, { jobId, attempt });
-    this.#forget.set(workerId, references);
+    this.#pendingForgets.set(workerId, references);
   }
 
   /** Sends a renewal to each worker with leases or ended attempts. */
   renewAll(): void {
     const byWorker = new Map<WorkerId, Gang[]>();
     for (const gang of this.#options.gangs()) {
-      if (gang.isRenewed) {
+      if (gang.needsRenewal) {
         gang.workerIds.forEach((workerId) => {
           byWorker.set(workerId, [...byWorker.get(workerId) ?? [], gang]);
         });
       }
     }
-    const workerIds = new Set([...byWorker.keys(), ...this.#forget.keys()]);
+    const workerIds = new Set([
+      ...byWorker.keys(),
+      ...this.#pendingForgets.keys(),
+    ]);
     for (const workerId of workerIds) {
       void this.#renew(workerId, byWorker.get(workerId) ?? []);
     }
@@ -55,15 +58,15 @@
 
   async #renew(workerId: WorkerId, gangs: readonly Gang[]): Promise<void> {
     const { caller, clock } = this.#options.context;
-    const forget = [...this.#forget.get(workerId)?.values() ?? []];
-    this.#forget.delete(workerId);
+    const forget = [...this.#pendingForgets.get(workerId)?.values() ?? []];
+    this.#pendingForgets.delete(workerId);
     const leases = gangs.map((gang) => ({
       gang,
       endMs: this.#leaseEndMs(gang),
     })).filter(({ endMs }) => endMs > clock.nowMs());
     leases.forEach(({ gang, endMs }) => gang.grant(workerId, endMs));
     const result = await caller.call(workerId, {
-      write: (toWorkerMs) => ({
+      buildCommand: (toWorkerMs) => ({
         kind: "renew",
         leases: leases.map(({ gang, endMs }) => ({
           jobId: gang.jobId,
@@ -78,8 +81,8 @@
         return;
       }
       for (const gang of gangs) {
-        if (gang.isProvenBy(workerId, answer.holdings.tasks)) {
-          gang.prove(workerId, sentAtMs);
+        if (gang.isConfirmedBy(workerId, answer.holdings.tasks)) {
+          gang.confirm(workerId, sentAtMs);
         }
       }
     });
--- a/src/process/scheduler/runtime/ledger_writer.ts
+++ b/src/process/scheduler/runtime/ledger_writer.ts
@@ -31,13 +31,13 @@
   readonly clock: Clock;
   readonly log: ReplicatedLog<JobCommand, JobCommandOutcome>;
   readonly term: number;
-  readonly isLive: () => boolean;
+  readonly isLeading: () => boolean;
 }
 
 /** Writes the commands of one leader session. */
 export class LedgerWriter {
   readonly #options: LedgerWriterOptions;
-  readonly #chains = new Map<JobId, Promise<unknown>>();
+  readonly #pendingWrites = new Map<JobId, Promise<unknown>>();
 
   constructor(options: LedgerWriterOptions) {
     this.#options = options;
@@ -49,12 +49,12 @@
    */
   write(body: LeaderCommandBody): Promise<JobCommandOutcome | undefined> {
     const jobId = "jobId" in body ? body.jobId : "";
-    const before = this.#chains.get(jobId) ?? Promise.resolve();
-    const done = before.then(() => this.#commit(body));
-    this.#chains.set(jobId, done);
+    const previous = this.#pendingWrites.get(jobId) ?? Promise.resolve();
+    const done = previous.then(() => this.#commit(body));
+    this.#pendingWrites.set(jobId, done);
     void done.then(() => {
-      if (this.#chains.get(jobId) === done) {
-        this.#chains.delete(jobId);
+      if (this.#pendingWrites.get(jobId) === done) {
+        this.#pendingWrites.delete(jobId);
       }
     });
     return done;
@@ -63,8 +63,8 @@
   async #commit(
     body: LeaderCommandBody,
   ): Promise<JobCommandOutcome | undefined> {
-    const { clock, log, term, isLive } = this.#options;
-    while (isLive()) {
+    const { clock, log, term, isLeading } = this.#options;
+    while (isLeading()) {
       const atMs = clock.nowMs();
       const command = {
         ...body,
@@ -78,13 +78,13 @@
       if (result.isRight()) {
         return result.extract();
       }
-      await pause(clock, PROPOSAL_RETRY_MS);
+      await delay(clock, PROPOSAL_RETRY_MS);
     }
     return undefined;
   }
 }
 
 /** Resolves after `delayMs` milliseconds of the clock. */
-export function pause(clock: Clock, delayMs: number): Promise<void> {
+export function delay(clock: Clock, delayMs: number): Promise<void> {
   return new Promise((resolve) => void clock.after(delayMs, resolve));
 }
--- a/src/process/scheduler/runtime/mod.ts
+++ b/src/process/scheduler/runtime/mod.ts
@@ -17,10 +17,10 @@
 } from "./job_ledger.ts";
 export type { JobView, WorkerView } from "./job_view.ts";
 export { LEASE_DEFAULTS, type LeaseOptions } from "./lease_rule.ts";
-export type { InstancePlace } from "./peer_calls.ts";
+export type { InstanceLocation } from "./peer_calls.ts";
 export {
-  type Found,
   type JobAccepted,
+  type QueryResult,
   SchedulerRuntime,
   type SchedulerRuntimeOptions,
 } from "./scheduler_runtime.ts";
--- a/src/process/scheduler/runtime/peer_calls.ts
+++ b/src/process/scheduler/runtime/peer_calls.ts
@@ -23,13 +23,13 @@
 import type { WorkerReport } from "./worker_report.ts";
 
 /** The error when a call was sent and not answered in time. */
-function silenceOf(call: SchedulerCall): ErrorKind {
+function unansweredErrorOf(call: SchedulerCall): ErrorKind {
   const changes = call.kind === "submit" || call.kind === "cancel";
   return changes ? "outcomeUnknown" : "unavailable";
 }
 
 /** Which data centre an instance belongs to. */
-export interface InstancePlace {
+export interface InstanceLocation {
   readonly id: InstanceId;
   readonly dataCentre: DataCentreId;
 }
@@ -39,7 +39,7 @@
   readonly clock: Clock;
   readonly network: PeerNetwork;
   /** Every instance of the system. */
-  readonly instances: readonly InstancePlace[];
+  readonly instances: readonly InstanceLocation[];
   /** How long one instance may take to answer. */
   readonly timeoutMs: number;
   readonly onCall: (
@@ -54,7 +54,7 @@
   readonly #options: PeerCallsOptions;
   readonly #channel: PeerChannel<SchedulerMessage>;
   readonly #subscription: { unsubscribe(): void };
-  readonly #waiting = new Map<number, (answer: SchedulerAnswer) => void>();
+  readonly #pending = new Map<number, (answer: SchedulerAnswer) => void>();
   #lastCallId = 0;
 
   constructor(options: PeerCallsOptions) {
@@ -64,13 +64,13 @@
       decode: decodeSchedulerMessage,
     });
     this.#subscription = this.#channel.received.subscribe({
-      next: (received) => this.#take(received),
+      next: (received) => this.#receive(received),
       error: () => undefined,
       complete: () => undefined,
     });
   }
 
-  passReport(to: InstanceId, report: WorkerReport): void {
+  forwardReport(to: InstanceId, report: WorkerReport): void {
     this.#channel.send(to, { kind: "workerReport", report });
   }
 
@@ -88,24 +88,26 @@
     const { isPassedOn } = options;
     return new Promise((resolve) => {
       const timer = clock.after(timeoutMs, () => {
-        this.#waiting.delete(callId);
-        resolve(failure(silenceOf(call), { detail: `${to} did not answer` }));
+        this.#pending.delete(callId);
+        resolve(
+          failure(unansweredErrorOf(call), { detail: `${to} did not answer` }),
+        );
       });
-      this.#waiting.set(callId, (answer) => {
+      this.#pending.set(callId, (answer) => {
         timer.close();
         resolve(Right(answer));
       });
       const message = { kind: "call", callId, isPassedOn, call } as const;
       if (!this.#channel.send(to, message)) {
         timer.close();
-        this.#waiting.delete(callId);
+        this.#pending.delete(callId);
         resolve(failure("unavailable", { detail: `no link to ${to}` }));
       }
     });
   }
 
   /** Calls the data centre's linked instances in turn until one answers. */
-  async askDataCentre(
+  async callDataCentre(
     dataCentre: DataCentreId,
     call: SchedulerCall,
   ): Promise<Result<SchedulerAnswer>> {
@@ -132,7 +134,7 @@
     this.#channel.close();
   }
 
-  #take(received: Received<SchedulerMessage>): void {
+  #receive(received: Received<SchedulerMessage>): void {
     const { from, message } = received;
     switch (message.kind) {
       case "workerReport":
@@ -142,8 +144,8 @@
         void this.#answer(from, message);
         return;
       case "answer":
-        this.#waiting.get(message.callId)?.(message.answer);
-        this.#waiting.delete(message.callId);
+        this.#pending.get(message.callId)?.(message.answer);
+        this.#pending.delete(message.callId);
         return;
     }
   }
--- a/src/process/scheduler/runtime/recovery.ts
+++ b/src/process/scheduler/runtime/recovery.ts
@@ -8,7 +8,7 @@
 import type { WorkerId } from "../../../base/identity.ts";
 import type { Gang } from "./gang.ts";
 import { earlierLeasesEndMs } from "./lease_rule.ts";
-import { pause } from "./ledger_writer.ts";
+import { delay } from "./ledger_writer.ts";
 import type { SessionContext } from "./session_context.ts";
 import type { HeldTask } from "./worker_report.ts";
 
@@ -19,7 +19,7 @@
 export interface RecoveryOptions {
   readonly context: SessionContext;
   /** Called as soon as a gang is known to be intact. */
-  readonly onWhole: (gang: Gang) => void;
+  readonly onIntact: (gang: Gang) => void;
   /** Stops a gang that isn't intact; resolves once none of its tasks runs. */
   readonly onBroken: (gang: Gang) => Promise<void>;
 }
@@ -42,41 +42,44 @@
 
   async #recover(gang: Gang): Promise<void> {
     const holdings = await Promise.all(
-      gang.workerIds.map((workerId) => this.#ask(gang, workerId)),
+      gang.workerIds.map((workerId) => this.#queryWorker(gang, workerId)),
     );
-    if (!this.#options.context.isLive()) {
+    if (!this.#options.context.isLeading()) {
       return;
     }
-    if (isWhole(gang, holdings)) {
-      this.#options.onWhole(gang);
+    if (isIntact(gang, holdings)) {
+      this.#options.onIntact(gang);
       return;
     }
     await this.#options.onBroken(gang);
   }
 
   /** The gang's tasks on the worker; none once its leases have expired. */
-  async #ask(gang: Gang, workerId: WorkerId): Promise<readonly HeldTask[]> {
+  async #queryWorker(
+    gang: Gang,
+    workerId: WorkerId,
+  ): Promise<readonly HeldTask[]> {
     const { clock, caller } = this.#options.context;
-    while (this.#options.context.isLive() && clock.nowMs() <= this.#endMs) {
+    while (this.#options.context.isLeading() && clock.nowMs() <= this.#endMs) {
       const result = await caller.call(workerId, {
-        write: () => ({ kind: "renew", leases: [], forget: [] }),
+        buildCommand: () => ({ kind: "renew", leases: [], forget: [] }),
       });
       const answered = result.toMaybe().extract();
       if (answered !== undefined && answered.answer.refusal === undefined) {
-        gang.prove(workerId, answered.sentAtMs);
+        gang.confirm(workerId, answered.sentAtMs);
         return gang.tasksAmong(answered.answer.holdings.tasks);
       }
       if (this.#options.context.omits("recoveryWait")) {
         return [];
       }
-      await pause(clock, QUERY_RETRY_MS);
+      await delay(clock, QUERY_RETRY_MS);
     }
     return [];
   }
 }
 
 /** Whether every task was listed as running, or as ended but not lost. */
-function isWhole(
+function isIntact(
   gang: Gang,
   holdings: readonly (readonly HeldTask[])[],
 ): boolean {
--- a/src/process/scheduler/runtime/runtime_fuzz_test.ts
+++ b/src/process/scheduler/runtime/runtime_fuzz_test.ts
@@ -10,12 +10,12 @@
 import type { DecisionCoreFactory } from "./decision_core.ts";
 import { LEASE_DEFAULTS } from "./lease_rule.ts";
 import type { OmittedCheck } from "./session_context.ts";
-import { makeWorld, TestBed } from "./testing/test_bed.ts";
+import { DataCentreSimulation, makeWorld } from "./testing/test_bed.ts";
 
 const PARTIAL_LIMIT_MS = LEASE_DEFAULTS.leaseMs *
   (1 + LEASE_DEFAULTS.clockDriftFraction);
 
-const STORM = {
+const UNRELIABLE_LINKS = {
   lostPerMille: 60,
   doubledPerMille: 200,
   latePerMille: 150,
@@ -27,7 +27,7 @@
 const SETTLE_MS = 240_000;
 
 interface Real {
-  readonly bed: TestBed;
+  readonly simulation: DataCentreSimulation;
   submitted: number;
 }
 
@@ -40,8 +40,8 @@
     check: () => true,
     run: async (_model, real) => {
       await act(real);
-      if (real.bed.history.violations.length > 0) {
-        throw new Error(real.bed.history.violations.join("; "));
+      if (real.simulation.history.violations.length > 0) {
+        throw new Error(real.simulation.history.violations.join("; "));
       }
     },
     toString: () => label,
@@ -57,118 +57,129 @@
       step(`submit(${tasks}, ${halfSeconds / 2} s)`, (real) => {
         const jobId = `j${real.submitted++}`;
         const command = ["run", String(halfSeconds * 500)];
-        void real.bed.submit({ jobId, tasks, command });
-        return real.bed.pass(30);
+        void real.simulation.submit({ jobId, tasks, command });
+        return real.simulation.advance(30);
       })
     ),
-  fc.nat({ max: 9 }).map((at) =>
-    step(`cancel(j${at})`, (real) => {
-      void real.bed.cancel(`j${at}`);
+  fc.nat({ max: 9 }).map((index) =>
+    step(`cancel(j${index})`, (real) => {
+      void real.simulation.cancel(`j${index}`);
       return Promise.resolve();
     })
   ),
   fc.integer({ min: 1, max: 4_000 }).map((byMs) =>
-    step(`pass(${byMs})`, (real) => real.bed.pass(byMs))
+    step(`advance(${byMs})`, (real) => real.simulation.advance(byMs))
   ),
   fc.integer({ min: 4_000, max: 14_000 }).map((byMs) =>
-    step(`pass(${byMs})`, (real) => real.bed.pass(byMs))
+    step(`advance(${byMs})`, (real) => real.simulation.advance(byMs))
   ),
   fc.tuple(instance, instance).map(([cut, next]) =>
-    step(`cutLeader(${cut}, ${next})`, async ({ bed }) => {
-      const ids = bed.instanceIds as string[];
-      bed.group.cut(ids[cut] ?? "");
-      if (bed.group.leaderId === undefined) {
-        await bed.pass(1_600);
-        bed.elect(ids[next] ?? "");
+    step(`cutLeader(${cut}, ${next})`, async ({ simulation }) => {
+      const ids = simulation.instanceIds as string[];
+      simulation.group.cut(ids[cut] ?? "");
+      if (simulation.group.leaderId === undefined) {
+        await simulation.advance(1_600);
+        simulation.elect(ids[next] ?? "");
       }
     })
   ),
-  instance.map((at) =>
-    step(`elect(${at})`, ({ bed }) => {
-      bed.elect(bed.instanceIds[at] ?? "");
+  instance.map((index) =>
+    step(`elect(${index})`, ({ simulation }) => {
+      simulation.elect(simulation.instanceIds[index] ?? "");
       return Promise.resolve();
     })
   ),
-  instance.map((at) =>
-    step(`healMember(${at})`, ({ bed }) => {
-      bed.group.heal(bed.instanceIds[at] ?? "");
+  instance.map((index) =>
+    step(`healMember(${index})`, ({ simulation }) => {
+      simulation.group.heal(simulation.instanceIds[index] ?? "");
       return Promise.resolve();
     })
   ),
-  instance.map((at) =>
-    step(`restart(${at})`, async ({ bed }) => {
-      const id = bed.instanceIds[at] ?? "";
-      bed.killInstance(id);
-      await bed.pass(1_600);
-      bed.startInstance(id);
-      const next = bed.instanceIds.find((each) => bed.elect(each));
+  instance.map((index) =>
+    step(`restart(${index})`, async ({ simulation }) => {
+      const id = simulation.instanceIds[index] ?? "";
+      simulation.killInstance(id);
+      await simulation.advance(1_600);
+      simulation.startInstance(id);
+      const next = simulation.instanceIds.find((each) =>
+        simulation.elect(each)
+      );
       void next;
     })
   ),
-  worker.map((at) =>
-    step(`killWorker(w${at})`, ({ bed }) => {
-      bed.workers.get(`w${at}`)?.die();
+  worker.map((index) =>
+    step(`killWorker(w${index})`, ({ simulation }) => {
+      simulation.workers.get(`w${index}`)?.die();
       return Promise.resolve();
     })
   ),
-  worker.map((at) =>
-    step(`reviveWorker(w${at})`, ({ bed }) => {
-      bed.workers.get(`w${at}`)?.revive();
+  worker.map((index) =>
+    step(`reviveWorker(w${index})`, ({ simulation }) => {
+      simulation.workers.get(`w${index}`)?.revive();
       return Promise.resolve();
     })
   ),
-  fc.tuple(instance, worker, fc.boolean()).map(([at, to, isInward]) =>
-    step(`cutWorker(${at}, w${to}, ${isInward})`, ({ bed }) => {
-      const id = bed.instanceIds[at] ?? "";
+  fc.tuple(instance, worker, fc.boolean()).map(([index, to, isInward]) =>
+    step(`cutWorker(${index}, w${to}, ${isInward})`, ({ simulation }) => {
+      const id = simulation.instanceIds[index] ?? "";
       const [from, into] = isInward ? [id, `w${to}`] : [`w${to}`, id];
-      bed.world.links.cut(from, into);
+      simulation.environment.links.cut(from, into);
       return Promise.resolve();
     })
   ),
-  fc.constant(step("healLinks", ({ bed }) => {
-    bed.world.links.heal();
+  fc.constant(step("healLinks", ({ simulation }) => {
+    simulation.environment.links.heal();
     return Promise.resolve();
   })),
-  fc.constant(step("loseMessages", ({ bed }) => {
-    bed.world.links.weather = STORM;
+  fc.constant(step("loseMessages", ({ simulation }) => {
+    simulation.environment.links.weather = UNRELIABLE_LINKS;
     return Promise.resolve();
   })),
-  instance.map((at) =>
-    step(`cutCopy(${at})`, ({ bed }) => {
-      bed.instances.get(bed.instanceIds[at] ?? "")?.copy.cut();
+  instance.map((index) =>
+    step(`cutCopy(${index})`, ({ simulation }) => {
+      simulation.instances.get(simulation.instanceIds[index] ?? "")?.copy.cut();
       return Promise.resolve();
     })
   ),
   fc.boolean().map((isOut) =>
-    step(isOut ? "takeOut" : "putIn", ({ bed }) => {
-      bed.world.configuration.setStatus("dc1", isOut ? "out" : "in");
-      bed.history.noteRemoval(isOut ? bed.world.clock.nowMs() : undefined);
+    step(isOut ? "takeOut" : "putIn", ({ simulation }) => {
+      simulation.environment.configuration.setStatus(
+        "dc1",
+        isOut ? "out" : "in",
+      );
+      simulation.history.recordRemoval(
+        isOut ? simulation.environment.clock.nowMs() : undefined,
+      );
       return Promise.resolve();
     })
   ),
 ];
 
 /** Ends all faults, lets everything finish, and checks the outcome. */
-async function settleAndCheck({ bed }: Real): Promise<void> {
-  bed.world.links.heal();
-  bed.world.links.weather = { ...STORM, lostPerMille: 0, latePerMille: 0 };
-  for (const id of bed.instanceIds) {
-    bed.startInstance(id);
-    bed.group.heal(id);
-    bed.instances.get(id)?.copy.heal();
+async function settleAndCheck({ simulation }: Real): Promise<void> {
+  simulation.environment.links.heal();
+  simulation.environment.links.weather = {
+    ...UNRELIABLE_LINKS,
+    lostPerMille: 0,
+    latePerMille: 0,
+  };
+  for (const id of simulation.instanceIds) {
+    simulation.startInstance(id);
+    simulation.group.heal(id);
+    simulation.instances.get(id)?.copy.heal();
   }
-  bed.workers.forEach((each) => each.revive());
-  bed.world.configuration.setStatus("dc1", "in");
-  bed.history.noteRemoval(undefined);
-  await bed.pass(1_600);
-  bed.elect(bed.instanceIds[1] ?? "");
-  await bed.pass(SETTLE_MS);
-  const { violations } = bed.history;
-  const left = [...bed.ledger.liveRecords()]
+  simulation.workers.forEach((each) => each.revive());
+  simulation.environment.configuration.setStatus("dc1", "in");
+  simulation.history.recordRemoval(undefined);
+  await simulation.advance(1_600);
+  simulation.elect(simulation.instanceIds[1] ?? "");
+  await simulation.advance(SETTLE_MS);
+  const { violations } = simulation.history;
+  const left = [...simulation.ledger.liveRecords()]
     .map((record) => record.specification.jobId);
   const tasksOf = (jobId: string) =>
-    bed.ledger.get(jobId)?.specification.tasks ?? 1;
-  const partialMs = bed.history.longestPartialMs(tasksOf);
+    simulation.ledger.get(jobId)?.specification.tasks ?? 1;
+  const partialMs = simulation.history.longestPartialMs(tasksOf);
   if (violations.length > 0 || left.length > 0) {
     throw new Error(`${violations.join("; ")}; not ended: ${left.join()}`);
   }
@@ -194,10 +205,14 @@
     fc.commands(steps, { maxCommands: 40, size: "max" }),
     fc.nat(),
     async (commands, seed) => {
-      const world = makeWorld({ seed, dataCentres: ["dc1"] });
-      const bed = new TestBed({ world, lostAnswersPerMille: 50, ...options });
-      const real: Real = { bed, submitted: 0 };
-      await bed.pass(2_000);
+      const environment = makeWorld({ seed, dataCentres: ["dc1"] });
+      const simulation = new DataCentreSimulation({
+        environment,
+        lostAnswersPerMille: 50,
+        ...options,
+      });
+      const real: Real = { simulation, submitted: 0 };
+      await simulation.advance(2_000);
       await fc.asyncModelRun(() => ({ model: {}, real }), commands);
       await settleAndCheck(real);
     },
@@ -220,13 +235,13 @@
   t.is(await fuzz({ runs: 250, seed: 20_264, createCore }), undefined);
 });
 
-const BITES: readonly Omitted[] = [
+const DETECTED_OMISSIONS: readonly Omitted[] = [
   { omittedChecks: ["intentFirst"] },
   { omittedChecks: ["gangEvidence"] },
   { omittedFences: ["lease"] },
 ];
 
-for (const omitted of BITES) {
+for (const omitted of DETECTED_OMISSIONS) {
   test(`an omitted check is detected: ${JSON.stringify(omitted)}`, async (t) => {
     const report = await fuzz({ runs: 300, seed: 20_262, ...omitted });
     t.not(report, undefined);
--- a/src/process/scheduler/runtime/scheduler_runtime.ts
+++ b/src/process/scheduler/runtime/scheduler_runtime.ts
@@ -25,13 +25,13 @@
   homeDataCentre,
 } from "./data_centre_choice.ts";
 import type { DecisionCoreFactory } from "./decision_core.ts";
-import { CallAnswerer } from "./call_answerer.ts";
+import { CallHandler } from "./call_handler.ts";
 import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
 import type { JobLedger } from "./job_ledger.ts";
 import type { JobView, WorkerView } from "./job_view.ts";
 import { LeaderSession } from "./leader_session.ts";
 import { LEASE_DEFAULTS, type LeaseOptions } from "./lease_rule.ts";
-import { type InstancePlace, PeerCalls } from "./peer_calls.ts";
+import { type InstanceLocation, PeerCalls } from "./peer_calls.ts";
 import type { SchedulerAnswer, SchedulerCall } from "./scheduler_message.ts";
 import type { OmittedCheck } from "./session_context.ts";
 import type { WorkerClient } from "./worker_client.ts";
@@ -39,10 +39,10 @@
 import { WorkerTable } from "./worker_table.ts";
 
 /** How often the role is checked, in addition to every status change. */
-const ROLE_PERIOD_MS = 500;
+const ROLE_CHECK_PERIOD_MS = 500;
 
 /** How long a worker stays listed after its last message. */
-const WORKER_MEMORY_MS = 600_000;
+const WORKER_RETENTION_MS = 600_000;
 
 /** How long one instance may take to answer another. */
 const PEER_TIMEOUT_MS = 1_500;
@@ -52,7 +52,7 @@
   readonly clock: Clock;
   readonly dataCentre: DataCentreId;
   /** Every instance of the system, including this one. */
-  readonly instances: readonly InstancePlace[];
+  readonly instances: readonly InstanceLocation[];
   readonly network: PeerNetwork;
   /** The data centre's log, whose state machine is `ledger`. */
   readonly log: ReplicatedLog<JobCommand, JobCommandOutcome>;
@@ -74,7 +74,7 @@
 }
 
 /** The result of a query, and the data centres that did not answer. */
-export interface Found<T> {
+export interface QueryResult<T> {
   readonly value: T;
   readonly unaskedDataCentres: readonly DataCentreId[];
 }
@@ -85,12 +85,12 @@
   readonly #lease: LeaseOptions;
   readonly #workers = new WorkerTable();
   readonly #peers: PeerCalls;
-  readonly #answerer: CallAnswerer;
+  readonly #callHandler: CallHandler;
   readonly #roleTimer: Timer;
   readonly #statuses: { unsubscribe(): void };
   #session: LeaderSession | undefined;
   #sessionTerm = 0;
-  #notBeforeMs = 0;
+  #nextSessionAtMs = 0;
   #isClosed = false;
 
   constructor(options: SchedulerRuntimeOptions) {
@@ -99,36 +99,37 @@
     this.#peers = new PeerCalls({
       ...options,
       timeoutMs: PEER_TIMEOUT_MS,
-      onCall: (call, how) => this.#answerer.answer(call, how),
-      onWorkerReport: (report) => this.#takeReport(report),
+      onCall: (call, options) => this.#callHandler.handle(call, options),
+      onWorkerReport: (report) => this.#recordReport(report),
     });
-    this.#answerer = new CallAnswerer({
+    this.#callHandler = new CallHandler({
       ...options,
       selfId: options.network.selfId,
       workers: this.#workers,
       session: () => this.#session,
-      askInstance: (to, call) =>
+      callInstance: (to, call) =>
         this.#peers.call(to, call, { isPassedOn: true }),
-      askDataCentre: (dataCentre, call) => this.#ask(dataCentre, call),
+      callDataCentre: (dataCentre, call) =>
+        this.#callDataCentre(dataCentre, call),
     });
     this.#statuses = options.log.statuses.subscribe({
-      next: () => this.#followRole(),
+      next: () => this.#updateRole(),
       error: () => undefined,
       complete: () => undefined,
     });
     this.#roleTimer = options.clock.every(
-      ROLE_PERIOD_MS,
-      () => this.#followRole(),
+      ROLE_CHECK_PERIOD_MS,
+      () => this.#updateRole(),
     );
-    this.#followRole();
+    this.#updateRole();
   }
 
   /** Records a worker's report and forwards it to the leader. */
   acceptWorkerReport(report: WorkerReport): void {
-    this.#takeReport(report);
+    this.#recordReport(report);
     const { leaderId } = this.#options.log.status();
     if (leaderId !== undefined && leaderId !== this.#selfId) {
-      this.#peers.passReport(leaderId, report);
+      this.#peers.forwardReport(leaderId, report);
     }
   }
 
@@ -149,7 +150,7 @@
     }
     const home = homeDataCentre(specification, document) ??
       this.#options.dataCentre;
-    const answer = await this.#ask(home, {
+    const answer = await this.#callDataCentre(home, {
       kind: "submit",
       specification,
       submittedAtMs: clock.nowMs(),
@@ -181,19 +182,22 @@
       return Left(found.extract());
     }
     const { dataCentre } = found.unsafeCoerce().value;
-    const answer = await this.#ask(dataCentre, { kind: "cancel", jobId });
+    const answer = await this.#callDataCentre(dataCentre, {
+      kind: "cancel",
+      jobId,
+    });
     return answer.chain(asAccepted);
   }
 
   /** Looks a job up in this data centre, then in the others. */
-  async findJob(jobId: JobId): Promise<Result<Found<JobView>>> {
+  async findJob(jobId: JobId): Promise<Result<QueryResult<JobView>>> {
     const call: SchedulerCall = { kind: "job", jobId };
-    const own = await this.#ask(this.#options.dataCentre, call);
+    const own = await this.#callDataCentre(this.#options.dataCentre, call);
     const ownJob = own.chain(asAccepted).toMaybe().extract()?.job;
     if (ownJob !== undefined && ownJob.state !== "moved") {
       return Right({ value: ownJob, unaskedDataCentres: [] });
     }
-    const { answers, unaskedDataCentres } = await this.#askOthers(call);
+    const { answers, unaskedDataCentres } = await this.#callOthers(call);
     const jobs = answers.flatMap((answer) =>
       answer.kind === "job" ? [answer.job] : []
     );
@@ -211,9 +215,9 @@
   }
 
   /** The `limit` newest jobs of all data centres that answer. */
-  async listJobs(limit: number): Promise<Found<readonly JobView[]>> {
+  async listJobs(limit: number): Promise<QueryResult<readonly JobView[]>> {
     const call: SchedulerCall = { kind: "jobs", limit };
-    const { answers, unaskedDataCentres } = await this.#askAll(call);
+    const { answers, unaskedDataCentres } = await this.#callAll(call);
     const value = answers
       .flatMap((answer) => answer.kind === "jobs" ? answer.jobs : [])
       .sort((left, right) => right.submittedAtMs - left.submittedAtMs)
@@ -222,9 +226,9 @@
   }
 
   /** The workers of all data centres that answer. */
-  async listWorkers(): Promise<Found<readonly WorkerView[]>> {
+  async listWorkers(): Promise<QueryResult<readonly WorkerView[]>> {
     const call: SchedulerCall = { kind: "workers" };
-    const { answers, unaskedDataCentres } = await this.#askAll(call);
+    const { answers, unaskedDataCentres } = await this.#callAll(call);
     const value = answers
       .flatMap((answer) => answer.kind === "workers" ? answer.workers : []);
     return { value, unaskedDataCentres };
@@ -241,7 +245,7 @@
    */
   get hasSettled(): boolean {
     return this.#session !== undefined && !this.#session.isRecovering &&
-      !this.#session.hasStartsUnderWay();
+      !this.#session.hasStartsInProgress();
   }
 
   /** Stops scheduling and answering; running tasks go on until lease end. */
@@ -259,19 +263,19 @@
     return this.#options.network.selfId;
   }
 
-  #takeReport(report: WorkerReport): void {
+  #recordReport(report: WorkerReport): void {
     this.#workers.acceptReport(report, this.#options.clock.nowMs());
   }
 
-  #followRole(): void {
+  #updateRole(): void {
     const nowMs = this.#options.clock.nowMs();
-    this.#workers.forgetSilent(nowMs - WORKER_MEMORY_MS);
+    this.#workers.removeSilent(nowMs - WORKER_RETENTION_MS);
     const { role, term } = this.#options.log.status();
     const leads = role === "leader" && !this.#isClosed;
     if (this.#session !== undefined && (!leads || term !== this.#sessionTerm)) {
       this.#endSession();
     }
-    const isDue = nowMs >= this.#notBeforeMs;
+    const isDue = nowMs >= this.#nextSessionAtMs;
     if (leads && isDue && this.#session === undefined) {
       this.#beginSession(term);
     }
@@ -286,7 +290,8 @@
       workers: this.#workers,
       events: events ?? SILENT_EVENT_LOG,
       lease: this.#lease,
-      ask: (dataCentre, call) => this.#ask(dataCentre, call),
+      callDataCentre: (dataCentre, call) =>
+        this.#callDataCentre(dataCentre, call),
       onFailure: (error) => this.#failSession(session, error),
       omittedChecks: omittedChecks ?? [],
     });
@@ -306,7 +311,7 @@
       detail: error instanceof Error ? error.message : String(error),
     });
     this.#endSession();
-    this.#notBeforeMs = clock.nowMs() + this.#lease.leaseMs;
+    this.#nextSessionAtMs = clock.nowMs() + this.#lease.leaseMs;
     void log.handOver();
   }
 
@@ -315,27 +320,28 @@
     this.#session = undefined;
   }
 
-  #ask(
+  #callDataCentre(
     dataCentre: DataCentreId,
     call: SchedulerCall,
   ): Promise<Result<SchedulerAnswer>> {
     if (dataCentre !== this.#options.dataCentre) {
-      return this.#peers.askDataCentre(dataCentre, call);
+      return this.#peers.callDataCentre(dataCentre, call);
     }
-    return this.#answerer.answer(call, { isPassedOn: false })
+    return this.#callHandler.handle(call, { isPassedOn: false })
       .then((answer) => Right(answer));
   }
 
-  async #askOthers(call: SchedulerCall) {
+  async #callOthers(call: SchedulerCall) {
     const others = new Set(
       this.#options.instances.map((instance) => instance.dataCentre),
     );
     others.delete(this.#options.dataCentre);
-    const asked = [...others].map(async (dataCentre) => ({
+    const calls = [...others].map(async (dataCentre) => ({
       dataCentre,
-      answer: (await this.#ask(dataCentre, call)).toMaybe().extract(),
+      answer: (await this.#callDataCentre(dataCentre, call)).toMaybe()
+        .extract(),
     }));
-    const results = await Promise.all(asked);
+    const results = await Promise.all(calls);
     return {
       answers: results.flatMap(({ answer }) => answer ?? []),
       unaskedDataCentres: results
@@ -344,10 +350,10 @@
     };
   }
 
-  async #askAll(call: SchedulerCall) {
+  async #callAll(call: SchedulerCall) {
     const [own, others] = await Promise.all([
-      this.#answerer.answer(call, { isPassedOn: false }),
-      this.#askOthers(call),
+      this.#callHandler.handle(call, { isPassedOn: false }),
+      this.#callOthers(call),
     ]);
     return { ...others, answers: [own, ...others.answers] };
   }
--- a/src/process/scheduler/runtime/session_context.ts
+++ b/src/process/scheduler/runtime/session_context.ts
@@ -11,7 +11,7 @@
 import type { AttemptRecord } from "./job_record.ts";
 import type { LeaseOptions } from "./lease_rule.ts";
 import type { LedgerWriter } from "./ledger_writer.ts";
-import type { StartGate } from "./start_gate.ts";
+import type { StartPermission } from "./start_permission.ts";
 import type { WorkerCaller } from "./worker_caller.ts";
 import type { WorkerTable } from "./worker_table.ts";
 
@@ -45,9 +45,9 @@
   readonly workers: WorkerTable;
   readonly caller: WorkerCaller;
   readonly writer: LedgerWriter;
-  readonly gate: StartGate;
+  readonly startPermission: StartPermission;
   /** Whether this instance still leads in this term. */
-  isLive(): boolean;
+  isLeading(): boolean;
   /** The job's open attempt in the log, whose tasks may be running. */
   openAttempt(jobId: JobId): AttemptRecord | undefined;
   /** Feeds an event to the core. */
--- a/src/process/scheduler/runtime/start_gate.ts
+++ b/src/process/scheduler/runtime/start_permission.ts
@@ -7,8 +7,8 @@
 import type { DataCentreId } from "../../../base/identity.ts";
 import type { ConfigurationSource } from "../../configuration/configuration_source.ts";
 
-/** Options of {@link StartGate}. */
-export interface StartGateOptions {
+/** Options of {@link StartPermission}. */
+export interface StartPermissionOptions {
   readonly configuration: ConfigurationSource;
   readonly dataCentre: DataCentreId;
 }
@@ -18,10 +18,10 @@
  * configuration was last known to be the newest, and only while the copy says
  * that the data centre is in.
  */
-export class StartGate {
-  readonly #options: StartGateOptions;
+export class StartPermission {
+  readonly #options: StartPermissionOptions;
 
-  constructor(options: StartGateOptions) {
+  constructor(options: StartPermissionOptions) {
     this.#options = options;
   }
 
--- a/src/process/scheduler/runtime/testing/fake_configuration.ts
+++ b/src/process/scheduler/runtime/testing/fake_configuration.ts
@@ -52,7 +52,7 @@
       },
       acceptedAtMs: this.#clock.nowMs(),
     };
-    this.#copies.forEach((copy) => copy.learnSoon());
+    this.#copies.forEach((copy) => copy.refreshSoon());
   }
 }
 
@@ -95,10 +95,10 @@
 
   heal(): void {
     this.#isCut = false;
-    this.learnSoon();
+    this.refreshSoon();
   }
 
-  learnSoon(): void {
+  refreshSoon(): void {
     this.#clock.after(100, () => {
       const { accepted } = this.#from;
       if (!this.#isCut && this.#current !== accepted) {
--- a/src/process/scheduler/runtime/testing/fake_core.ts
+++ b/src/process/scheduler/runtime/testing/fake_core.ts
@@ -30,7 +30,7 @@
   avoidedUntilMs: number;
 }
 
-const RETRY_MS = 500;
+const RETRY_DELAY_MS = 500;
 
 const AVOIDANCE_MS = 3_000;
 
@@ -54,7 +54,7 @@
   }
 
   handle(event: SchedulerEvent): readonly SchedulerDecision[] {
-    const decisions = this.#take(event);
+    const decisions = this.#applyEvent(event);
     return [...decisions, ...this.#startAll(event.atMs)];
   }
 
@@ -62,7 +62,7 @@
     return this.#jobs.get(jobId)?.state === "queued" ? "capacity" : undefined;
   }
 
-  #take(event: SchedulerEvent): SchedulerDecision[] {
+  #applyEvent(event: SchedulerEvent): SchedulerDecision[] {
     switch (event.kind) {
       case "configurationChanged":
         return this.#configure(event.configuration);
@@ -201,7 +201,7 @@
     known.workerIds = [];
     known.succeeded.clear();
     known.state = "queued";
-    known.notBeforeMs = atMs + RETRY_MS;
+    known.notBeforeMs = atMs + RETRY_DELAY_MS;
     if (!known.isCancelled) {
       return [{ kind: "jobWaits", jobId, reason: "retryDelay" }];
     }
@@ -257,7 +257,10 @@
     const free = new Map<string, number>();
     for (const [workerId, worker] of this.#workers) {
       if (!worker.isLeaving && worker.avoidedUntilMs <= atMs) {
-        free.set(workerId, worker.accelerators - this.#taken(workerId));
+        free.set(
+          workerId,
+          worker.accelerators - this.#usedAccelerators(workerId),
+        );
       }
     }
     const chosen: string[] = [];
@@ -273,7 +276,7 @@
     return chosen;
   }
 
-  #taken(workerId: string): number {
+  #usedAccelerators(workerId: string): number {
     return [...this.#jobs.values()].reduce((sum, known) => {
       const tasks = known.workerIds.filter((each) => each === workerId).length;
       return sum + tasks * known.job.resources.accelerators;
--- a/src/process/scheduler/runtime/testing/fake_group.ts
+++ b/src/process/scheduler/runtime/testing/fake_group.ts
@@ -34,7 +34,7 @@
   term = 0;
   leaderId: string | undefined;
   /** When the lease of the last partitioned leader ends. */
-  freeAtMs = 0;
+  leaderLeaseEndMs = 0;
 
   constructor(options: FakeGroupOptions) {
     this.options = {
@@ -59,7 +59,7 @@
   elect(id: string): boolean {
     const member = this.members.get(id);
     const nowMs = this.options.clock.nowMs();
-    if (member === undefined || member.isCut || nowMs < this.freeAtMs) {
+    if (member === undefined || member.isCut || nowMs < this.leaderLeaseEndMs) {
       return false;
     }
     const previous = this.leaderId === undefined
@@ -69,8 +69,8 @@
     this.leaderId = id;
     member.catchUp();
     member.belief = { term: this.term, leaderId: id };
-    previous?.tell();
-    this.members.forEach((each) => each.hear());
+    previous?.publishStatus();
+    this.members.forEach((each) => each.learnLeader());
     return true;
   }
 
@@ -84,7 +84,7 @@
     member.isCut = true;
     member.frozenLeaseEndMs = leaseEndMs;
     if (this.leaderId === id) {
-      this.freeAtMs = leaseEndMs;
+      this.leaderLeaseEndMs = leaseEndMs;
       this.leaderId = undefined;
     }
   }
@@ -96,7 +96,7 @@
       if (member.belief.leaderId === id) {
         member.belief = { term: member.belief.term, leaderId: undefined };
       }
-      member.hear();
+      member.learnLeader();
       member.catchUp();
     }
   }
@@ -216,15 +216,15 @@
   }
 
   /** Learns the current term and leader, unless partitioned. */
-  hear(): void {
+  learnLeader(): void {
     if (!this.isCut) {
       const { term, leaderId } = this.#group;
       this.belief = { term, leaderId };
-      this.tell();
+      this.publishStatus();
     }
   }
 
-  tell(): void {
+  publishStatus(): void {
     this.#statuses.push(this.status());
   }
 
--- a/src/process/scheduler/runtime/testing/fake_links.ts
+++ b/src/process/scheduler/runtime/testing/fake_links.ts
@@ -15,7 +15,7 @@
 } from "../../../../connection/peer_network.ts";
 
 /** How unreliable the links are. */
-export interface LinkWeather {
+export interface LinkConditions {
   readonly lostPerMille: number;
   readonly doubledPerMille: number;
   readonly latePerMille: number;
@@ -25,7 +25,7 @@
 }
 
 /** Links that lose nothing and deliver within 2 ms. */
-export const FAIR_WEATHER: LinkWeather = {
+export const RELIABLE_LINKS: LinkConditions = {
   lostPerMille: 0,
   doubledPerMille: 0,
   latePerMille: 0,
@@ -35,7 +35,7 @@
 
 /** Links between any two named endpoints; each direction may be cut. */
 export class FakeLinks {
-  weather: LinkWeather = FAIR_WEATHER;
+  weather: LinkConditions = RELIABLE_LINKS;
   readonly #clock: Clock;
   readonly #random: RandomSource;
   readonly #cuts = new Set<string>();
--- a/src/process/scheduler/runtime/testing/run_history.ts
+++ b/src/process/scheduler/runtime/testing/run_history.ts
@@ -8,7 +8,7 @@
 import { endedWell } from "../gang.ts";
 
 /** A start or end of a task, with its time by the simulation's clock. */
-export type Happening = TaskHappening & { readonly atMs: number };
+export type TimedTaskEvent = TaskHappening & { readonly atMs: number };
 
 interface RunningTask {
   readonly jobId: string;
@@ -18,53 +18,53 @@
 
 /** The starts and ends of tasks on all workers of one data centre. */
 export class RunHistory {
-  readonly happenings: Happening[] = [];
+  readonly events: TimedTaskEvent[] = [];
   readonly violations: string[] = [];
   readonly #running = new Map<string, RunningTask>();
   #removedAtMs: number | undefined;
   #highestTerm = 0;
 
   /** From now on a start by a lower term is a violation. */
-  noteTerm(term: number): void {
+  recordTerm(term: number): void {
     this.#highestTerm = Math.max(this.#highestTerm, term);
   }
 
   /** Records when the data centre was taken out; undefined once it is in. */
-  noteRemoval(atMs: number | undefined): void {
+  recordRemoval(atMs: number | undefined): void {
     this.#removedAtMs = atMs;
   }
 
-  note(happening: Happening): void {
-    this.happenings.push(happening);
-    const { jobId, attempt, taskIndex, workerId } = happening;
+  note(event: TimedTaskEvent): void {
+    this.events.push(event);
+    const { jobId, attempt, taskIndex, workerId } = event;
     const id = `${workerId}/${jobId}/${attempt}/${taskIndex}`;
-    if (happening.kind === "ended") {
+    if (event.kind === "ended") {
       this.#running.delete(id);
       return;
     }
-    this.#checkStart(happening);
+    this.#checkStart(event);
     this.#running.set(id, { jobId, attempt, taskIndex });
   }
 
   /** The longest time for which a gang ran without all of its tasks. */
   longestPartialMs(tasksOf: (jobId: string) => number): number {
-    const byAttempt = new Map<string, Happening[]>();
-    for (const happening of this.happenings) {
-      const id = `${happening.jobId}/${happening.attempt}`;
-      byAttempt.set(id, [...byAttempt.get(id) ?? [], happening]);
+    const byAttempt = new Map<string, TimedTaskEvent[]>();
+    for (const event of this.events) {
+      const id = `${event.jobId}/${event.attempt}`;
+      byAttempt.set(id, [...byAttempt.get(id) ?? [], event]);
     }
     return Math.max(
       0,
-      ...[...byAttempt.values()].map((happenings) =>
-        partialMs(happenings, tasksOf(happenings[0]?.jobId ?? ""))
+      ...[...byAttempt.values()].map((events) =>
+        partialMs(events, tasksOf(events[0]?.jobId ?? ""))
       ),
     );
   }
 
   /** How many times a task of the job was started. */
   starts(jobId: string): number {
-    return this.happenings.filter((happening) =>
-      happening.jobId === jobId && happening.kind === "started"
+    return this.events.filter((event) =>
+      event.jobId === jobId && event.kind === "started"
     ).length;
   }
 
@@ -72,7 +72,7 @@
     return [...this.#running.values()].some((task) => task.jobId === jobId);
   }
 
-  #checkStart(started: Happening & { readonly kind: "started" }): void {
+  #checkStart(started: TimedTaskEvent & { readonly kind: "started" }): void {
     const { jobId, attempt, taskIndex, term, atMs } = started;
     const label = `${jobId}/${attempt}/${taskIndex} at ${atMs}`;
     for (const other of this.#running.values()) {
@@ -96,25 +96,25 @@
 }
 
 /** The longest time for which some tasks ran while others were missing. */
-function partialMs(happenings: readonly Happening[], tasks: number): number {
+function partialMs(events: readonly TimedTaskEvent[], tasks: number): number {
   const running = new Set<number>();
   const done = new Set<number>();
   let sinceMs: number | undefined;
   let longestMs = 0;
-  for (const happening of happenings) {
+  for (const event of events) {
     if (sinceMs !== undefined) {
-      longestMs = Math.max(longestMs, happening.atMs - sinceMs);
+      longestMs = Math.max(longestMs, event.atMs - sinceMs);
     }
-    if (happening.kind === "started") {
-      running.add(happening.taskIndex);
+    if (event.kind === "started") {
+      running.add(event.taskIndex);
     } else {
-      running.delete(happening.taskIndex);
-      if (endedWell(happening.outcome)) {
-        done.add(happening.taskIndex);
+      running.delete(event.taskIndex);
+      if (endedWell(event.outcome)) {
+        done.add(event.taskIndex);
       }
     }
     const isPartial = running.size > 0 && running.size + done.size < tasks;
-    sinceMs = isPartial ? sinceMs ?? happening.atMs : undefined;
+    sinceMs = isPartial ? sinceMs ?? event.atMs : undefined;
   }
   return longestMs;
 }
--- a/src/process/scheduler/runtime/testing/test_bed.ts
+++ b/src/process/scheduler/runtime/testing/test_bed.ts
@@ -17,7 +17,7 @@
 import type { JobCommand, JobCommandOutcome } from "../job_command.ts";
 import { JobLedger } from "../job_ledger.ts";
 import type { LeaseOptions } from "../lease_rule.ts";
-import type { InstancePlace } from "../peer_calls.ts";
+import type { InstanceLocation } from "../peer_calls.ts";
 import { SchedulerRuntime } from "../scheduler_runtime.ts";
 import type { OmittedCheck } from "../session_context.ts";
 import {
@@ -32,24 +32,24 @@
 import { RunHistory } from "./run_history.ts";
 
 /** What the simulated data centres of one test share. */
-export interface TestWorld {
+export interface SimulationEnvironment {
   readonly clock: FakeClock;
   readonly random: SeededRandom;
   readonly links: FakeLinks;
   readonly peers: Map<string, FakePeerNetwork>;
   readonly configuration: FakeConfiguration;
-  readonly places: readonly InstancePlace[];
+  readonly places: readonly InstanceLocation[];
 }
 
 /** Creates an environment; instances are named after their data centre. */
 export function makeWorld(
   options: { seed: number; dataCentres: readonly string[]; instances?: number },
-): TestWorld {
+): SimulationEnvironment {
   const clock = new FakeClock({ startMs: 1_000_000 });
   const random = new SeededRandom({ seed: options.seed });
   const places = options.dataCentres.flatMap((dataCentre) =>
-    Array.from({ length: options.instances ?? 3 }, (_, at) => ({
-      id: `${dataCentre}-${at}`,
+    Array.from({ length: options.instances ?? 3 }, (_, index) => ({
+      id: `${dataCentre}-${index}`,
       dataCentre,
     }))
   );
@@ -64,9 +64,9 @@
   };
 }
 
-/** Options of {@link TestBed}. */
-export interface TestBedOptions {
-  readonly world: TestWorld;
+/** Options of {@link DataCentreSimulation}. */
+export interface DataCentreSimulationOptions {
+  readonly environment: SimulationEnvironment;
   readonly dataCentre?: string;
   readonly workers?: number;
   /** The number of the first worker; distinct within a shared history. */
@@ -90,40 +90,40 @@
 }
 
 /** One simulated data centre. */
-export class TestBed {
-  readonly world: TestWorld;
+export class DataCentreSimulation {
+  readonly environment: SimulationEnvironment;
   readonly dataCentre: string;
   readonly group: FakeGroup<JobCommand, JobCommandOutcome>;
   readonly instances = new Map<string, Instance>();
   readonly workers = new Map<string, FakeWorker>();
   readonly history: RunHistory;
-  readonly #options: TestBedOptions;
+  readonly #options: DataCentreSimulationOptions;
 
-  constructor(options: TestBedOptions) {
-    const { world, dataCentre, lostAnswersPerMille } = options;
-    this.world = world;
+  constructor(options: DataCentreSimulationOptions) {
+    const { environment, dataCentre, lostAnswersPerMille } = options;
+    this.environment = environment;
     this.#options = options;
     this.dataCentre = dataCentre ?? "dc1";
     this.history = options.history ?? new RunHistory();
     this.group = new FakeGroup({
-      ...world,
+      ...environment,
       lostAnswersPerMille: lostAnswersPerMille ?? 0,
     });
-    for (const { id, dataCentre } of world.places) {
+    for (const { id, dataCentre } of environment.places) {
       if (dataCentre === this.dataCentre) {
         this.startInstance(id);
       }
     }
-    for (let at = 0; at < (options.workers ?? 4); at++) {
-      this.#addWorker((options.firstWorker ?? 1) + at);
+    for (let index = 0; index < (options.workers ?? 4); index++) {
+      this.#addWorker((options.firstWorker ?? 1) + index);
     }
     this.elect(this.instanceIds[0] ?? "");
   }
 
   get instanceIds(): readonly string[] {
-    return this.world.places
-      .filter((place) => place.dataCentre === this.dataCentre)
-      .map((place) => place.id);
+    return this.environment.places
+      .filter((location) => location.dataCentre === this.dataCentre)
+      .map((location) => location.id);
   }
 
   instance(id: string): Instance {
@@ -151,13 +151,16 @@
    * then does the history count starts by its term as violations.
    */
   elect(id: string): boolean {
-    const givesWay = this.group.leaderId !== undefined;
+    const replacesLeader = this.group.leaderId !== undefined;
     const isElected = this.instances.has(id) && this.group.elect(id);
     const { term, options } = this.group;
     // Terms of several data centres can't be compared.
     if (isElected && this.#options.history === undefined) {
-      const delayMs = givesWay ? options.leaseMs : 0;
-      this.world.clock.after(delayMs, () => this.history.noteTerm(term));
+      const delayMs = replacesLeader ? options.leaseMs : 0;
+      this.environment.clock.after(
+        delayMs,
+        () => this.history.recordTerm(term),
+      );
     }
     return isElected;
   }
@@ -166,11 +169,11 @@
     if (this.instances.has(id)) {
       return;
     }
-    const { world } = this;
-    const { clock, links, peers, places } = world;
+    const { environment } = this;
+    const { clock, links, peers, places } = environment;
     const ledger = new JobLedger();
     const member = this.group.join(id, ledger);
-    const copy = world.configuration.copy();
+    const copy = environment.configuration.copy();
     const runtime = new SchedulerRuntime({
       clock,
       dataCentre: this.dataCentre,
@@ -201,7 +204,7 @@
     const instance = this.instances.get(id);
     this.group.leave(id);
     this.instances.delete(id);
-    this.world.peers.delete(id);
+    this.environment.peers.delete(id);
     void instance?.runtime.close();
   }
 
@@ -234,20 +237,20 @@
   }
 
   /** Advances the clock by `byMs`, with all that is due by then. */
-  async pass(byMs: number): Promise<void> {
-    await passTime(this.world.clock, byMs);
+  async advance(byMs: number): Promise<void> {
+    await advanceTime(this.environment.clock, byMs);
   }
 
-  #addWorker(at: number): void {
-    const { clock, random, links } = this.world;
-    const workerId = `w${at}`;
+  #addWorker(workerNumber: number): void {
+    const { clock, random, links } = this.environment;
+    const workerId = `w${workerNumber}`;
     const worker = new FakeWorker({
       clock,
       workerId,
-      rack: `r${1 + at % 2}`,
+      rack: `r${1 + workerNumber % 2}`,
       accelerators: this.#options.accelerators ?? 8,
       // Within the default `clockDriftFraction` of 0.001, either way.
-      rate: 1 + (at % 2 === 0 ? 0.0004 : -0.0004),
+      rate: 1 + (workerNumber % 2 === 0 ? 0.0004 : -0.0004),
       onHappening: (happening) =>
         this.history.note({ ...happening, atMs: clock.nowMs() }),
       omittedFences: this.#options.omittedFences ?? [],
@@ -269,20 +272,23 @@
 }
 
 /** Advances the clock timer by timer, running promises in between. */
-export async function passTime(clock: FakeClock, byMs: number): Promise<void> {
+export async function advanceTime(
+  clock: FakeClock,
+  byMs: number,
+): Promise<void> {
   const endMs = clock.nowMs() + byMs;
-  await settle();
+  await runPromises();
   let dueMs = clock.nextDueMs();
   while (dueMs !== undefined && dueMs <= endMs) {
     clock.advance(Math.max(0, dueMs - clock.nowMs()));
-    await settle();
+    await runPromises();
     dueMs = clock.nextDueMs();
   }
   clock.advance(Math.max(0, endMs - clock.nowMs()));
-  await settle();
+  await runPromises();
 }
 
 /** Runs the callbacks of all promises that are resolved. */
-function settle(): Promise<void> {
+function runPromises(): Promise<void> {
   return new Promise((resolve) => setImmediate(resolve));
 }
--- a/src/process/scheduler/runtime/transfer_fuzz_test.ts
+++ b/src/process/scheduler/runtime/transfer_fuzz_test.ts
@@ -6,11 +6,15 @@
 import test from "ava";
 import fc from "fast-check";
 import { RunHistory } from "./testing/run_history.ts";
-import { makeWorld, passTime, TestBed } from "./testing/test_bed.ts";
+import {
+  advanceTime,
+  DataCentreSimulation,
+  makeWorld,
+} from "./testing/test_bed.ts";
 
 const DATA_CENTRES = ["dc1", "dc2"];
 
-const STORM = {
+const UNRELIABLE_LINKS = {
   lostPerMille: 100,
   doubledPerMille: 200,
   latePerMille: 150,
@@ -18,28 +22,32 @@
   delayMs: 30,
 };
 
-const at = fc.nat({ max: 1 });
+const dataCentreIndex = fc.nat({ max: 1 });
 
 const step = fc.oneof(
-  fc.record({ kind: fc.constant("submit" as const), at, resend: fc.boolean() }),
+  fc.record({
+    kind: fc.constant("submit" as const),
+    dataCentreIndex,
+    resend: fc.boolean(),
+  }),
   fc.record({
     kind: fc.constant("cancel" as const),
-    at,
+    dataCentreIndex,
     job: fc.nat({ max: 5 }),
   }),
   fc.record({
     kind: fc.constant("status" as const),
-    at,
+    dataCentreIndex,
     status: fc.constantFrom("in" as const, "out" as const),
   }),
-  fc.record({ kind: fc.constant("newLeader" as const), at }),
+  fc.record({ kind: fc.constant("newLeader" as const), dataCentreIndex }),
   fc.record({
     kind: fc.constant("link" as const),
-    from: at,
+    from: dataCentreIndex,
     isCut: fc.boolean(),
   }),
   fc.record({
-    kind: fc.constant("pass" as const),
+    kind: fc.constant("advance" as const),
     byMs: fc.integer({ min: 1, max: 5_000 }),
   }),
 );
@@ -47,27 +55,27 @@
 type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
 
 class Pair {
-  readonly world: ReturnType<typeof makeWorld>;
+  readonly environment: ReturnType<typeof makeWorld>;
   readonly history = new RunHistory();
-  readonly beds: readonly TestBed[];
+  readonly simulations: readonly DataCentreSimulation[];
   #submitted = 0;
 
   constructor(seed: number) {
-    this.world = makeWorld({ seed, dataCentres: DATA_CENTRES });
-    this.beds = DATA_CENTRES.map((dataCentre, index) =>
-      new TestBed({
-        world: this.world,
+    this.environment = makeWorld({ seed, dataCentres: DATA_CENTRES });
+    this.simulations = DATA_CENTRES.map((dataCentre, index) =>
+      new DataCentreSimulation({
+        environment: this.environment,
         dataCentre,
         firstWorker: 1 + 10 * index,
         history: this.history,
         lostAnswersPerMille: 50,
       })
     );
-    this.world.links.weather = STORM;
+    this.environment.links.weather = UNRELIABLE_LINKS;
   }
 
-  bed(index: number): TestBed {
-    return this.beds[index] as TestBed;
+  simulation(index: number): DataCentreSimulation {
+    return this.simulations[index] as DataCentreSimulation;
   }
 
   async run(step: Step): Promise<void> {
@@ -76,55 +84,62 @@
         this.#submit(step);
         return;
       case "cancel":
-        void this.bed(step.at).cancel(`j${step.job}`);
+        void this.simulation(step.dataCentreIndex).cancel(`j${step.job}`);
         return;
       case "status":
-        this.world.configuration
-          .setStatus(this.bed(step.at).dataCentre, step.status);
+        this.environment.configuration
+          .setStatus(
+            this.simulation(step.dataCentreIndex).dataCentre,
+            step.status,
+          );
         return;
       case "newLeader":
-        await this.#replaceLeader(this.bed(step.at));
+        await this.#replaceLeader(this.simulation(step.dataCentreIndex));
         return;
       case "link":
         this.#link(step);
         return;
-      case "pass":
-        await passTime(this.world.clock, step.byMs);
+      case "advance":
+        await advanceTime(this.environment.clock, step.byMs);
         return;
     }
   }
 
   /** Ends all faults and lets everything finish. */
   async settle(): Promise<void> {
-    this.world.links.heal();
-    this.world.links.weather = { ...STORM, lostPerMille: 0, latePerMille: 0 };
-    for (const bed of this.beds) {
-      this.world.configuration.setStatus(bed.dataCentre, "in");
-      bed.instanceIds.forEach((id) => bed.startInstance(id));
-      bed.elect(bed.instanceIds[0] ?? "");
+    this.environment.links.heal();
+    this.environment.links.weather = {
+      ...UNRELIABLE_LINKS,
+      lostPerMille: 0,
+      latePerMille: 0,
+    };
+    for (const simulation of this.simulations) {
+      this.environment.configuration.setStatus(simulation.dataCentre, "in");
+      simulation.instanceIds.forEach((id) => simulation.startInstance(id));
+      simulation.elect(simulation.instanceIds[0] ?? "");
     }
-    await passTime(this.world.clock, 120_000);
+    await advanceTime(this.environment.clock, 120_000);
   }
 
   /** Every violation, as text. */
-  findFaults(): string[] {
-    const faults = [...this.history.violations];
+  findViolations(): string[] {
+    const violations = [...this.history.violations];
     for (let job = 0; job < this.#submitted; job++) {
-      const records = this.beds
-        .flatMap((bed) => bed.ledger.get(`j${job}`) ?? []);
+      const records = this.simulations
+        .flatMap((simulation) => simulation.ledger.get(`j${job}`) ?? []);
       const ends = records.filter((record) => record.end !== undefined);
       const isLive = records.length > ends.length && ends.length === 0;
       if (isLive || ends.length > 1) {
-        faults.push(`j${job} ended ${ends.length} times`);
+        violations.push(`j${job} ended ${ends.length} times`);
       }
     }
-    return faults;
+    return violations;
   }
 
   #submit(step: Extract<Step, { kind: "submit" }>): void {
     const isResend = step.resend && this.#submitted > 0;
     const number = isResend ? this.#submitted - 1 : this.#submitted++;
-    void this.bed(step.at).submit({
+    void this.simulation(step.dataCentreIndex).submit({
       jobId: `j${number}`,
       tasks: 2,
       dataCentres: number % 2 === 0 ? ["dc1", "dc2"] : ["dc2", "dc1"],
@@ -132,23 +147,24 @@
     });
   }
 
-  async #replaceLeader(bed: TestBed): Promise<void> {
-    const old = bed.group.leaderId ?? bed.instanceIds[0] as string;
-    bed.killInstance(old);
-    await passTime(this.world.clock, 1_600);
-    bed.instanceIds.find((id) => bed.elect(id));
-    bed.startInstance(old);
+  async #replaceLeader(simulation: DataCentreSimulation): Promise<void> {
+    const old = simulation.group.leaderId ??
+      simulation.instanceIds[0] as string;
+    simulation.killInstance(old);
+    await advanceTime(this.environment.clock, 1_600);
+    simulation.instanceIds.find((id) => simulation.elect(id));
+    simulation.startInstance(old);
   }
 
   #link(step: Extract<Step, { kind: "link" }>): void {
     if (!step.isCut) {
-      this.world.links.heal();
+      this.environment.links.heal();
       return;
     }
-    const from = this.bed(step.from);
-    const to = this.bed(1 - step.from);
+    const from = this.simulation(step.from);
+    const to = this.simulation(1 - step.from);
     for (const id of from.instanceIds) {
-      to.instanceIds.forEach((other) => this.world.links.cut(id, other));
+      to.instanceIds.forEach((other) => this.environment.links.cut(id, other));
     }
   }
 }
@@ -159,12 +175,12 @@
     fc.nat(),
     async (steps, seed) => {
       const pair = new Pair(seed);
-      await passTime(pair.world.clock, 2_000);
+      await advanceTime(pair.environment.clock, 2_000);
       for (const each of steps) {
         await pair.run(each);
       }
       await pair.settle();
-      const faults = pair.findFaults();
+      const faults = pair.findViolations();
       if (faults.length > 0) {
         throw new Error(faults.join("; "));
       }
--- a/src/process/scheduler/runtime/worker_caller.ts
+++ b/src/process/scheduler/runtime/worker_caller.ts
@@ -31,7 +31,7 @@
   : never;
 
 /** A worker's answer, and when the command was sent. */
-export interface Answered {
+export interface TimedAnswer {
   readonly sentAtMs: number;
   readonly answer: WorkerAnswer;
 }
@@ -41,7 +41,7 @@
   /** When the command expires, if earlier than by default. */
   readonly validUntilMs?: number;
   /** Builds the command; `toWorkerMs` converts times to the worker's clock. */
-  readonly write: (toWorkerMs: (atMs: number) => number) => CommandBody;
+  readonly buildCommand: (toWorkerMs: (atMs: number) => number) => CommandBody;
 }
 
 /** Calls workers on behalf of one leader session. */
@@ -56,7 +56,7 @@
   async call(
     workerId: WorkerId,
     options: WorkerCallOptions,
-  ): Promise<Result<Answered>> {
+  ): Promise<Result<TimedAnswer>> {
     const { clock, client, workers, lease } = this.#options;
     const entry = workers.get(workerId);
     const sentAtMs = clock.nowMs();
@@ -75,7 +75,7 @@
     const toWorkerMs = (atMs: number) =>
       toWorkerClockMs(atMs, { anchor, clockDriftFraction });
     const command = {
-      ...options.write(toWorkerMs),
+      ...options.buildCommand(toWorkerMs),
       fence: {
         protocolVersion: WORKER_PROTOCOL_VERSION,
         term: this.#options.term,
@@ -86,10 +86,15 @@
     const result = await client.call(entry.address, command, {
       timeoutMs: lease.callTimeoutMs,
     });
-    return result.chain((answer) => this.#take(workerId, { sentAtMs, answer }));
+    return result.chain((answer) =>
+      this.#recordAnswer(workerId, { sentAtMs, answer })
+    );
   }
 
-  #take(workerId: WorkerId, answered: Answered): Result<Answered> {
+  #recordAnswer(
+    workerId: WorkerId,
+    answered: TimedAnswer,
+  ): Result<TimedAnswer> {
     const { holdings } = answered.answer;
     if (holdings.workerId !== workerId) {
       return failure("unavailable", { detail: "a different worker answered" });
--- a/src/process/scheduler/runtime/worker_command.ts
+++ b/src/process/scheduler/runtime/worker_command.ts
@@ -17,7 +17,7 @@
 } from "./worker_report.ts";
 
 const identity = z.string().regex(IDENTITY_PATTERN);
-const workerMoment = z.number();
+const workerTimeMs = z.number();
 
 /** What lets a worker recognize and refuse an outdated command. */
 export const commandFenceSchema = z.strictObject({
@@ -27,7 +27,7 @@
   /** The incarnation of the worker that the command is for. */
   incarnation: z.int().min(1),
   /** After this time of its own clock the worker refuses the command. */
-  validUntilMs: workerMoment,
+  validUntilMs: workerTimeMs,
 });
 
 const attemptFields = {
@@ -40,7 +40,7 @@
 export const attemptLeaseSchema = z.strictObject({
   jobId: identity,
   attempt: z.int().min(1),
-  leaseEndMs: workerMoment,
+  leaseEndMs: workerTimeMs,
 });
 
 /** Names one attempt of one job. */
@@ -58,13 +58,13 @@
     taskIndexes: z.array(z.int().min(0)).min(1).max(64),
     resources: taskResourcesSchema,
     command: z.array(z.string()),
-    reservationEndMs: workerMoment,
+    reservationEndMs: workerTimeMs,
   }),
   /** Start the reserved tasks; they may run until `leaseEndMs`. */
   z.strictObject({
     kind: z.literal("start"),
     ...attemptFields,
-    leaseEndMs: workerMoment,
+    leaseEndMs: workerTimeMs,
   }),
   /** Extend the leases of some attempts, and forget ended attempts. */
   z.strictObject({
@@ -88,7 +88,7 @@
     kind: z.literal("stop"),
     ...attemptFields,
     wantsCheckpoint: z.boolean(),
-    checkpointDeadlineMs: workerMoment,
+    checkpointDeadlineMs: workerTimeMs,
   }),
 ]);
 
--- a/src/process/scheduler/runtime/worker_table.ts
+++ b/src/process/scheduler/runtime/worker_table.ts
@@ -31,7 +31,7 @@
 }
 
 /** An update of one worker's state. */
-export interface WorkerNews {
+export interface WorkerUpdate {
   readonly entry: WorkerEntry;
   /** The incarnation before this update; undefined for a new worker. */
   readonly previousIncarnation: number | undefined;
@@ -41,11 +41,11 @@
 /** The workers that have reported to this instance. */
 export class WorkerTable {
   readonly #entries = new Map<WorkerId, WorkerEntry>();
-  readonly #news = new Channel<WorkerNews>();
+  readonly #updates = new Channel<WorkerUpdate>();
 
   /** Updates by reports and answers that were newer than the known state. */
-  get news(): Channel<WorkerNews>["stream"] {
-    return this.#news.stream;
+  get updates(): Channel<WorkerUpdate>["stream"] {
+    return this.#updates.stream;
   }
 
   get(workerId: WorkerId): WorkerEntry | undefined {
@@ -75,7 +75,7 @@
       },
       address: report.address,
       usages: report.usages,
-      ...heard(report, receivedAtMs),
+      ...observedState(report, receivedAtMs),
     }, { previous, hasUsages: report.usages.length > 0 });
   }
 
@@ -88,14 +88,14 @@
     ) {
       return;
     }
-    this.#put({ ...previous, ...heard(holdings, receivedAtMs) }, {
+    this.#put({ ...previous, ...observedState(holdings, receivedAtMs) }, {
       previous,
       hasUsages: false,
     });
   }
 
   /** Removes the workers whose last message came before `beforeMs`. */
-  forgetSilent(beforeMs: number): void {
+  removeSilent(beforeMs: number): void {
     for (const [workerId, entry] of this.#entries) {
       if (entry.anchor.receivedAtMs < beforeMs) {
         this.#entries.delete(workerId);
@@ -104,7 +104,7 @@
   }
 
   close(): void {
-    this.#news.close();
+    this.#updates.close();
   }
 
   #put(
@@ -114,7 +114,7 @@
     this.#entries.set(entry.description.workerId, entry);
     const { previous, hasUsages } = options;
     const isSame = previous?.incarnation === entry.incarnation;
-    this.#news.push({
+    this.#updates.push({
       entry,
       previousIncarnation: isSame ? entry.incarnation : previous?.incarnation,
       hasUsages,
@@ -122,7 +122,7 @@
   }
 }
 
-function heard(holdings: WorkerHoldings, receivedAtMs: number) {
+function observedState(holdings: WorkerHoldings, receivedAtMs: number) {
   return {
     incarnation: holdings.incarnation,
     isLeaving: holdings.isLeaving,
--- a/src/process/scheduler/runtime/worker_table_test.ts
+++ b/src/process/scheduler/runtime/worker_table_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { type WorkerReport, workerReportSchema } from "./worker_report.ts";
-import { type WorkerNews, WorkerTable } from "./worker_table.ts";
+import { WorkerTable, type WorkerUpdate } from "./worker_table.ts";
 
 function makeReport(
   incarnation: number,
@@ -24,18 +24,18 @@
 
 function makeTable() {
   const table = new WorkerTable();
-  const news: WorkerNews[] = [];
-  table.news.observe((each) => news.push(each));
-  return { table, news };
+  const updates: WorkerUpdate[] = [];
+  table.updates.observe((each) => updates.push(each));
+  return { table, updates };
 }
 
 test("late, duplicate and reordered reports are ignored", (t) => {
-  const { table, news } = makeTable();
+  const { table, updates } = makeTable();
   table.acceptReport(makeReport(5, 200), 1_000);
   table.acceptReport(makeReport(5, 200), 1_001);
   table.acceptReport(makeReport(5, 100), 1_002);
   table.acceptReport(makeReport(4, 900), 1_003);
-  t.is(news.length, 1);
+  t.is(updates.length, 1);
   t.deepEqual(table.get("w1")?.anchor, {
     workerClockMs: 200,
     receivedAtMs: 1_000,
@@ -43,10 +43,10 @@
 });
 
 test("a higher incarnation is accepted, whatever its clock says", (t) => {
-  const { table, news } = makeTable();
+  const { table, updates } = makeTable();
   table.acceptReport(makeReport(5, 200), 1_000);
   table.acceptReport(makeReport(6, 10), 1_500);
-  t.deepEqual(news.map((each) => each.previousIncarnation), [undefined, 5]);
+  t.deepEqual(updates.map((each) => each.previousIncarnation), [undefined, 5]);
 });
 
 test("a lower incarnation is accepted after a long silence", (t) => {
@@ -59,17 +59,17 @@
 });
 
 test("an answer of a different incarnation is ignored", (t) => {
-  const { table, news } = makeTable();
+  const { table, updates } = makeTable();
   table.acceptReport(makeReport(5, 200), 1_000);
   table.acceptHoldings(makeReport(6, 300), 1_100);
-  t.is(news.length, 1);
+  t.is(updates.length, 1);
 });
 
 test("a worker that has been silent for long is removed", (t) => {
   const { table } = makeTable();
   table.acceptReport(makeReport(5, 200), 1_000);
-  table.forgetSilent(1_000);
+  table.removeSilent(1_000);
   t.not(table.get("w1"), undefined);
-  table.forgetSilent(1_001);
+  table.removeSilent(1_001);
   t.is(table.get("w1"), undefined);
 });
--- a/src/process/scheduler/runtime/worker_watcher.ts
+++ b/src/process/scheduler/runtime/worker_watcher.ts
@@ -7,7 +7,7 @@
 import type { WorkerId } from "../../../base/identity.ts";
 import type { TaskReference } from "../core/scheduler_event.ts";
 import type { SessionContext } from "./session_context.ts";
-import type { WorkerEntry, WorkerNews } from "./worker_table.ts";
+import type { WorkerEntry, WorkerUpdate } from "./worker_table.ts";
 
 interface Watched {
   readonly incarnation: number;
@@ -36,11 +36,11 @@
       worker: description,
       running,
     });
-    this.#noteLeaving(entry);
+    this.#recordLeaving(entry);
   }
 
-  hear(news: WorkerNews): void {
-    const { entry } = news;
+  handleUpdate(update: WorkerUpdate): void {
+    const { entry } = update;
     const { workerId } = entry.description;
     const watched = this.#watched.get(workerId);
     if (watched?.incarnation !== entry.incarnation) {
@@ -49,14 +49,14 @@
       }
       this.join(entry, []);
     }
-    this.#noteLeaving(entry);
-    if (news.hasUsages) {
+    this.#recordLeaving(entry);
+    if (update.hasUsages) {
       this.#feedUsages(entry);
     }
   }
 
   /** Treats workers as lost that have sent nothing for `leaseMs`. */
-  noteSilence(): void {
+  loseSilentWorkers(): void {
     const { clock, lease, workers } = this.#context;
     const nowMs = clock.nowMs();
     for (const workerId of [...this.#watched.keys()]) {
@@ -74,7 +74,7 @@
     this.#context.feed({ kind: "workerLost", atMs, workerId });
   }
 
-  #noteLeaving(entry: WorkerEntry): void {
+  #recordLeaving(entry: WorkerEntry): void {
     const { workerId } = entry.description;
     const watched = this.#watched.get(workerId);
     if (!entry.isLeaving || watched === undefined || watched.isLeaving) {
