--- a/src/process/scheduler/runtime/testing/test_bed.ts
+++ b/src/process/scheduler/runtime/testing/test_bed.ts
@@ -47,7 +47,7 @@
 ): SimulationEnvironment {
   const clock = new FakeClock({ startMs: 1_000_000 });
   const random = new SeededRandom({ seed: options.seed });
-  const places = options.dataCentres.flatMap((dataCentre) =>
+  const instanceLocations = options.dataCentres.flatMap((dataCentre) =>
     Array.from({ length: options.instances ?? 3 }, (_, index) => ({
       id: `${dataCentre}-${index}`,
       dataCentre,
@@ -60,7 +60,7 @@
     links: new FakeLinks({ clock, random }),
     peers: new Map(),
     configuration: new FakeConfiguration({ clock, document }),
-    places,
+    places: instanceLocations,
   };
 }
 
