--- a/src/process/scheduler/runtime/data_centre_choice.ts
+++ b/src/process/scheduler/runtime/data_centre_choice.ts
@@ -58,7 +58,7 @@
   if (open.length > 0) {
     return open.map(([id]) => id);
   }
-  // No data centre can run it now: it waits where it could run once in again.
+  // No data centre can run it now: it waits in one that can once it is in.
   const couldRunHere = isAllowed(job, here) && fits(job, own);
   return couldRunHere ? [] : others.map(([id]) => id);
 }
--- a/src/process/scheduler/runtime/gang_starter.ts
+++ b/src/process/scheduler/runtime/gang_starter.ts
@@ -91,7 +91,7 @@
     if (outcome?.kind === "applied") {
       return true;
     }
-    // An earlier proposal of this command may have been committed unanswered.
+    // An earlier proposal of this command may be committed without an answer.
     const open = this.#context.openAttempt(jobId);
     return outcome !== undefined && open?.attempt === attempt &&
       open.term === this.#context.term;
--- a/src/process/scheduler/runtime/job_ledger.ts
+++ b/src/process/scheduler/runtime/job_ledger.ts
@@ -205,7 +205,7 @@
     });
   }
 
-  /** Of an attempt that was never intended, only marks the number as used. */
+  /** If no attempt up to this one is open, only marks the number as used. */
   #endAttempt(command: CommandOf<"attemptEnded">): JobCommandOutcome {
     const record = this.#records.get(command.jobId);
     if (record === undefined) {
--- a/src/process/scheduler/runtime/mod.ts
+++ b/src/process/scheduler/runtime/mod.ts
@@ -1,5 +1,5 @@
 /**
- * The scheduler runtime of an instance: what the daemon uses of it.
+ * The parts of the scheduler runtime that the daemon uses.
  *
  * @module
  */
--- a/src/process/scheduler/runtime/scheduler_runtime.ts
+++ b/src/process/scheduler/runtime/scheduler_runtime.ts
@@ -160,7 +160,7 @@
     return answer.chain(asAccepted);
   }
 
-  /** Refuses a job that never fits, unless it was accepted while it did. */
+  /** Refuses a job that never fits, unless it was accepted while it could. */
   async #refuseMisfit(
     jobId: JobId,
     detail: string,
@@ -248,7 +248,7 @@
       !this.#session.hasStartsInProgress();
   }
 
-  /** Stops scheduling and answering; running tasks go on until lease end. */
+  /** Stops scheduling and answering; running tasks go on under leases. */
   close(): Promise<void> {
     this.#isClosed = true;
     this.#endSession();
--- a/src/process/scheduler/runtime/session_context.ts
+++ b/src/process/scheduler/runtime/session_context.ts
@@ -27,7 +27,7 @@
   | "releaseAll"
   /** Recovery waits for silent workers until their leases have expired. */
   | "recoveryWait"
-  /** Leases are renewed only as far as the whole gang was confirmed. */
+  /** Leases end at most `leaseMs` after all of the gang was confirmed. */
   | "gangEvidence"
   /** A stop waits for the worker's confirmation or the end of its lease. */
   | "lapseWait"
--- a/src/process/scheduler/runtime/testing/fake_group.ts
+++ b/src/process/scheduler/runtime/testing/fake_group.ts
@@ -55,7 +55,7 @@
     return member;
   }
 
-  /** Begins a term of a reachable member, if no earlier lease is valid. */
+  /** Lets a reachable member lead a new term, if no earlier lease is valid. */
   elect(id: string): boolean {
     const member = this.members.get(id);
     const nowMs = this.options.clock.nowMs();
--- a/src/process/scheduler/runtime/testing/fake_worker.ts
+++ b/src/process/scheduler/runtime/testing/fake_worker.ts
@@ -52,7 +52,7 @@
   readonly rack: string;
   readonly accelerators: number;
   readonly rate?: number;
-  readonly onHappening: (happening: TaskHappening) => void;
+  readonly onHappening: (event: TaskHappening) => void;
   readonly omittedFences?: WorkerTasksOptions["omittedFences"];
 }
 
--- a/src/process/scheduler/runtime/testing/test_bed.ts
+++ b/src/process/scheduler/runtime/testing/test_bed.ts
@@ -251,8 +251,8 @@
       accelerators: this.#options.accelerators ?? 8,
       // Within the default `clockDriftFraction` of 0.001, either way.
       rate: 1 + (workerNumber % 2 === 0 ? 0.0004 : -0.0004),
-      onHappening: (happening) =>
-        this.history.note({ ...happening, atMs: clock.nowMs() }),
+      onHappening: (event) =>
+        this.history.note({ ...event, atMs: clock.nowMs() }),
       omittedFences: this.#options.omittedFences ?? [],
     });
     this.workers.set(workerId, worker);
--- a/src/process/scheduler/runtime/worker_caller.ts
+++ b/src/process/scheduler/runtime/worker_caller.ts
@@ -1,5 +1,5 @@
 /**
- * Sends a leader's commands to workers, each with a fence against late ones.
+ * Sends a leader's commands to workers, each fenced against late arrival.
  *
  * @module
  */
--- a/src/process/scheduler/runtime/worker_table.ts
+++ b/src/process/scheduler/runtime/worker_table.ts
@@ -79,7 +79,7 @@
     }, { previous, hasUsages: report.usages.length > 0 });
   }
 
-  /** Records the holdings in a worker's answer, under the same condition. */
+  /** Records an answer's holdings, if newer and of the known incarnation. */
   acceptHoldings(holdings: WorkerHoldings, receivedAtMs: number): void {
     const previous = this.#entries.get(holdings.workerId);
     if (
--- a/src/process/scheduler/runtime/worker_watcher.ts
+++ b/src/process/scheduler/runtime/worker_watcher.ts
@@ -23,7 +23,7 @@
     this.#context = context;
   }
 
-  /** Feeds that a worker has joined, with the tasks that it already runs. */
+  /** Feeds `workerJoined`, with the tasks that the worker already runs. */
   join(entry: WorkerEntry, running: readonly TaskReference[]): void {
     const { description, incarnation } = entry;
     const { workerId } = description;
@@ -55,7 +55,7 @@
     }
   }
 
-  /** Treats workers as lost that have sent nothing for `leaseMs`. */
+  /** Feeds `workerLost` for workers that sent nothing for `leaseMs`. */
   loseSilentWorkers(): void {
     const { clock, lease, workers } = this.#context;
     const nowMs = clock.nowMs();
