--- a/src/process/scheduler/runtime/call_answerer.ts
+++ b/src/process/scheduler/runtime/call_handler.ts
@@ -1,6 +1,6 @@
 /**
- * Answers what a data centre is asked about its jobs and workers, on any of
- * its instances.
+ * Handles calls about a data centre's jobs and workers, on any of its
+ * instances.
  *
  * @module
  */
@@ -28,38 +28,38 @@
 /** How long a submission or cancellation may take to be committed. */
 const PROPOSAL_TIMEOUT_MS = 3_000;
 
-/** Options of {@link CallAnswerer}. */
-export interface CallAnswererOptions {
+/** Options of {@link CallHandler}. */
+export interface CallHandlerOptions {
   readonly clock: Clock;
   readonly dataCentre: DataCentreId;
   readonly selfId: InstanceId;
   readonly log: ReplicatedLog<JobCommand, JobCommandOutcome>;
   readonly ledger: JobLedger;
   readonly workers: WorkerTable;
-  /** This instance's period of leadership, if it leads. */
+  /** This instance's leader session, if it leads. */
   readonly session: () => LeaderSession | undefined;
-  readonly askInstance: (
+  readonly callInstance: (
     to: InstanceId,
     call: SchedulerCall,
   ) => Promise<Result<SchedulerAnswer>>;
-  readonly askDataCentre: (
+  readonly callDataCentre: (
     dataCentre: DataCentreId,
     call: SchedulerCall,
   ) => Promise<Result<SchedulerAnswer>>;
 }
 
-/** Answers calls on one instance. */
-export class CallAnswerer {
-  readonly #options: CallAnswererOptions;
+/** Handles calls on one instance. */
+export class CallHandler {
+  readonly #options: CallHandlerOptions;
 
-  constructor(options: CallAnswererOptions) {
+  constructor(options: CallHandlerOptions) {
     this.#options = options;
   }
 
-  /** A call that was passed on once is answered here. */
-  async answer(
+  /** Handles a call; one that was already forwarded isn't forwarded again. */
+  async handle(
     call: SchedulerCall,
-    how: { isPassedOn: boolean },
+    options: { isPassedOn: boolean },
   ): Promise<SchedulerAnswer> {
     switch (call.kind) {
       case "submit":
@@ -69,7 +69,7 @@
       case "job":
       case "jobs":
       case "workers":
-        return await this.#query(call, how);
+        return await this.#query(call, options);
     }
   }
 
@@ -81,11 +81,11 @@
     if (movedTo === undefined) {
       return answer;
     }
-    const passedOn = await this.#options.askDataCentre(movedTo, {
+    const forwarded = await this.#options.callDataCentre(movedTo, {
       kind: "cancel",
       jobId,
     });
-    return passedOn.caseOf({
+    return forwarded.caseOf({
       Right: (value) => value,
       Left: (error) => failedAnswer(error),
     });
@@ -115,7 +115,11 @@
     }
     const { record } = outcome;
     return record === undefined
-      ? { kind: "failed", error: "internal", detail: "no record" }
+      ? {
+        kind: "failed",
+        error: "internal",
+        detail: "the outcome has no record",
+      }
       : {
         kind: "job",
         isNew: outcome.kind === "applied",
@@ -123,16 +127,16 @@
       };
   }
 
-  /** Lets the leader answer, which alone knows why jobs wait. */
+  /** Forwards a query to the leader, which alone knows why jobs wait. */
   async #query(
     call: SchedulerCall,
-    how: { isPassedOn: boolean },
+    options: { isPassedOn: boolean },
   ): Promise<SchedulerAnswer> {
     const { leaderId } = this.#options.log.status();
     const knowsLeader = leaderId !== undefined &&
       leaderId !== this.#options.selfId;
-    if (knowsLeader && !how.isPassedOn) {
-      const answer = await this.#options.askInstance(leaderId, call);
+    if (knowsLeader && !options.isPassedOn) {
+      const answer = await this.#options.callInstance(leaderId, call);
       if (answer.isRight()) {
         return answer.unsafeCoerce();
       }
--- a/src/process/scheduler/runtime/core_driver.ts
+++ b/src/process/scheduler/runtime/core_driver.ts
@@ -1,6 +1,6 @@
 /**
- * Hands events to the core one at a time, in the order of their coming, also
- * when carrying out a decision gives the next event at once.
+ * Feeds events to the core one at a time, in order of arrival, even when
+ * carrying out a decision synchronously produces the next event.
  *
  * @module
  */
@@ -12,9 +12,9 @@
 /** Options of {@link CoreDriver}. */
 export interface CoreDriverOptions {
   readonly core: DecisionCore;
-  readonly isLive: () => boolean;
+  readonly isLeading: () => boolean;
   readonly onDecision: (decision: SchedulerDecision) => void;
-  /** Called when the core throws; nothing more is fed then. */
+  /** Called when the core throws; no more events are fed afterwards. */
   readonly onFailure: (error: unknown) => void;
 }
 
@@ -48,7 +48,7 @@
   }
 
   #canFeed(): boolean {
-    return !this.#hasFailed && this.#options.isLive();
+    return !this.#hasFailed && this.#options.isLeading();
   }
 
   #decide(event: SchedulerEvent): void {
--- a/src/process/scheduler/runtime/gang_table.ts
+++ b/src/process/scheduler/runtime/gang_table.ts
@@ -1,6 +1,6 @@
 /**
- * The attempts that a leader follows, from the decision to start until
- * nothing of them runs and the log says so.
+ * The attempts that a leader manages, from the decision to start them until
+ * none of their tasks runs and the log has recorded it.
  *
  * @module
  */
@@ -10,35 +10,35 @@
 import type { TaskOutcome } from "../core/scheduler_event.ts";
 import { Gang } from "./gang.ts";
 import { GangStarter, type StartOutcome } from "./gang_starter.ts";
-import { GangStopper, STOP_AT_ONCE } from "./gang_stopper.ts";
+import { GangStopper, STOP_IMMEDIATELY } from "./gang_stopper.ts";
 import type { JobRecord } from "./job_record.ts";
-import { LeaseKeeper } from "./lease_keeper.ts";
+import { LeaseRenewer } from "./lease_renewer.ts";
 import { earlierLeasesEndMs } from "./lease_rule.ts";
 import type { SessionContext } from "./session_context.ts";
 import type { WorkerEntry } from "./worker_table.ts";
 
-/** Every attempt under way. */
+/** All attempts that have not ended. */
 export class GangTable {
   readonly #context: SessionContext;
   readonly #gangs = new Map<string, Gang>();
   readonly #byWorker = new Map<WorkerId, Set<Gang>>();
   readonly #starter: GangStarter;
   readonly #stopper: GangStopper;
-  readonly #leases: LeaseKeeper;
+  readonly #leases: LeaseRenewer;
 
   constructor(context: SessionContext) {
     this.#context = context;
     this.#starter = new GangStarter(context);
     this.#stopper = new GangStopper(context);
-    this.#leases = new LeaseKeeper({ context, gangs: () => this.gangs() });
+    this.#leases = new LeaseRenewer({ context, gangs: () => this.gangs() });
   }
 
   gangs(): IterableIterator<Gang> {
     return this.#gangs.values();
   }
 
-  /** Whether the start of some gang has begun and not ended. */
-  hasStartsUnderWay(): boolean {
+  /** Whether the start of a gang is in progress. */
+  hasStartsInProgress(): boolean {
     return [...this.gangs()].some((gang) => gang.phase === "starting");
   }
 
@@ -46,7 +46,7 @@
     return this.#gangs.get(key(jobId, attempt));
   }
 
-  /** Follows the open attempt of a record that an earlier leader wrote. */
+  /** Adds the open attempt of a job that an earlier leader recorded. */
   recover(record: JobRecord): Gang | undefined {
     const open = record.openAttempt;
     if (open === undefined) {
@@ -64,18 +64,18 @@
     return gang;
   }
 
-  /** A recovered gang is whole: it goes on. */
+  /** Lets a recovered gang that is intact go on running. */
   adopt(gang: Gang): void {
     gang.phase = "running";
     this.#leases.renewGang(gang);
   }
 
-  /** A recovered gang isn't whole: nothing of it may run on. */
-  async breakUp(gang: Gang): Promise<void> {
+  /** Stops all tasks of a recovered gang that isn't intact. */
+  async stopBroken(gang: Gang): Promise<void> {
     gang.phase = "stopping";
-    await this.#stopper.stop(gang, STOP_AT_ONCE);
+    await this.#stopper.stop(gang, STOP_IMMEDIATELY);
     const { hasSucceeded } = gang;
-    await this.#close(gang, {
+    await this.#closeAttempt(gang, {
       detail: "not whole after a change of leader",
       hasSucceeded,
     });
@@ -96,7 +96,7 @@
       this.#beginRunning(gang);
       return;
     }
-    await this.#abandon(gang, outcome);
+    await this.#abortStart(gang, outcome);
   }
 
   async stop(decision: StopGang): Promise<void> {
@@ -113,12 +113,12 @@
     gang.phase = "stopping";
     gang.isCheckpointing = wantsCheckpoint;
     if (!wasRunning) {
-      return; // The start under way sees the phase and releases.
+      return; // The start in progress notices the phase and stops the gang.
     }
     await this.#stopper.stop(gang, decision);
-    // It may have run to its end before the stop reached it.
+    // The gang may have succeeded before the stop reached its workers.
     const { hasSucceeded } = gang;
-    await this.#close(gang, { detail: reason, hasSucceeded });
+    await this.#closeAttempt(gang, { detail: reason, hasSucceeded });
     this.#feedSuccesses(gang);
     const { isCheckpointed } = gang;
     this.#context.events.emit("gangStopped", {
@@ -130,15 +130,15 @@
     this.#feedStopped({ jobId, attempt, isCheckpointed });
   }
 
-  /** Compares what a worker holds with what it should hold. */
-  look(entry: WorkerEntry): void {
+  /** Reconciles a worker's tasks with the attempts that it should hold. */
+  reconcile(entry: WorkerEntry): void {
     const { workerId } = entry.description;
     for (const gang of this.#byWorker.get(workerId) ?? []) {
       if (gang.phase === "running") {
-        this.#lookAt(gang, entry);
+        this.#reconcileGang(gang, entry);
       }
     }
-    const strangers = new Map<string, { jobId: JobId; attempt: number }>();
+    const staleAttempts = new Map<string, { jobId: JobId; attempt: number }>();
     for (const task of entry.tasks) {
       if (this.get(task.jobId, task.attempt) !== undefined) {
         continue;
@@ -146,28 +146,28 @@
       if (task.state === "ended") {
         this.#leases.forget(workerId, task);
       } else {
-        strangers.set(key(task.jobId, task.attempt), task);
+        staleAttempts.set(key(task.jobId, task.attempt), task);
       }
     }
     if (!this.#context.omits("returnedTasks")) {
-      strangers.forEach((task) => this.#release(workerId, task));
+      staleAttempts.forEach((task) => this.#release(workerId, task));
     }
   }
 
-  /** Tasks whose leases must have ended are lost. */
-  noteLapses(): void {
+  /** Records the tasks of expired leases as lost. */
+  expireLeases(): void {
     const nowMs = this.#context.clock.nowMs();
     for (const gang of [...this.#gangs.values()]) {
       if (gang.phase !== "running") {
         continue;
       }
-      const lapsed = gang.workerIds
+      const expired = gang.workerIds
         .filter((workerId) => gang.grantedUntilMs(workerId) < nowMs);
-      const ends: TaskEnd[] = lapsed.flatMap((workerId) =>
+      const ends: TaskEnd[] = expired.flatMap((workerId) =>
         gang.taskIndexes(workerId)
           .map((taskIndex) => ({ workerId, taskIndex, outcome: "lost" }))
       );
-      this.#noteEnds(gang, ends);
+      this.#recordEnds(gang, ends);
     }
   }
 
@@ -184,22 +184,22 @@
     this.#context.feed({ kind: "gangStarted", atMs, jobId, attempt });
   }
 
-  /** Ends a start that failed, or that a stop came in between. */
-  async #abandon(gang: Gang, outcome: StartOutcome): Promise<void> {
+  /** Ends a start that failed or was interrupted by a stop. */
+  async #abortStart(gang: Gang, outcome: StartOutcome): Promise<void> {
     const wasStopped = gang.phase === "stopping";
     const workerIds = outcome.kind === "failed" ? outcome.workerIds : [];
     const detail = outcome.kind === "failed" ? outcome.detail : "stopped";
     gang.phase = "stopping";
     gang.isCheckpointing = false;
     if (!this.#context.omits("releaseAll")) {
-      await this.#stopper.stop(gang, STOP_AT_ONCE);
+      await this.#stopper.stop(gang, STOP_IMMEDIATELY);
     }
     if (gang.hasSucceeded && !wasStopped) {
       await this.#closeSucceeded(gang);
       return;
     }
     const { hasSucceeded } = gang;
-    await this.#close(gang, { detail, hasSucceeded });
+    await this.#closeAttempt(gang, { detail, hasSucceeded });
     const { jobId, attempt } = gang;
     if (wasStopped) {
       this.#feedSuccesses(gang);
@@ -222,18 +222,24 @@
     });
   }
 
-  /** The answer to a start was lost, and the gang ran to its end unseen. */
+  /** Ends a gang that succeeded although the answer to its start was lost. */
   async #closeSucceeded(gang: Gang): Promise<void> {
     const { jobId, attempt } = gang;
-    await this.#close(gang, { detail: "every task ended", hasSucceeded: true });
+    await this.#closeAttempt(gang, {
+      detail: "every task ended",
+      hasSucceeded: true,
+    });
     this.#context.events.emit("gangStarted", { jobId, attempt });
     const atMs = this.#context.clock.nowMs();
     this.#context.feed({ kind: "gangStarted", atMs, jobId, attempt });
     this.#feedSuccesses(gang);
   }
 
-  /** Nothing of it runs: the log is told before anything else happens. */
-  async #close(
+  /**
+   * Ends an attempt of which no task runs any more. The log records this
+   * before any later command of the job.
+   */
+  async #closeAttempt(
     gang: Gang,
     end: { detail: string; hasSucceeded: boolean },
   ): Promise<void> {
@@ -251,7 +257,7 @@
     this.#remove(gang);
   }
 
-  #lookAt(gang: Gang, entry: WorkerEntry): void {
+  #reconcileGang(gang: Gang, entry: WorkerEntry): void {
     const { workerId } = entry.description;
     const listed = gang.tasksAmong(entry.tasks);
     const ends: TaskEnd[] = [];
@@ -262,18 +268,21 @@
         ends.push({ workerId, taskIndex, outcome });
       }
     }
-    this.#noteEnds(gang, ends);
+    this.#recordEnds(gang, ends);
   }
 
-  #noteEnds(gang: Gang, ends: readonly TaskEnd[]): void {
-    const news = ends.filter((end) =>
-      gang.noteOutcome(end.taskIndex, end.outcome)
+  #recordEnds(gang: Gang, ends: readonly TaskEnd[]): void {
+    const newEnds = ends.filter((end) =>
+      gang.recordOutcome(end.taskIndex, end.outcome)
     );
     if (gang.hasEnded && gang.phase === "running") {
       const { hasSucceeded } = gang;
-      void this.#close(gang, { detail: "every task ended", hasSucceeded });
+      void this.#closeAttempt(gang, {
+        detail: "every task ended",
+        hasSucceeded,
+      });
     }
-    for (const end of news) {
+    for (const end of newEnds) {
       this.#feedEnd(gang, end);
     }
   }
@@ -308,7 +317,7 @@
     { jobId, attempt }: { jobId: JobId; attempt: number },
   ): void {
     void this.#context.caller.call(workerId, {
-      write: () => ({ kind: "release", jobId, attempt }),
+      buildCommand: () => ({ kind: "release", jobId, attempt }),
     });
   }
 
--- a/src/process/scheduler/runtime/job_ledger_test.ts
+++ b/src/process/scheduler/runtime/job_ledger_test.ts
@@ -82,25 +82,29 @@
   return { records: [...ledger.records()], live: live.sort() };
 }
 
-test("a snapshot at any point leads to the same state", (t) => {
+test("restoring a snapshot of any point leads to the same state", (t) => {
   fc.assert(
-    fc.property(fc.array(command, { maxLength: 60 }), fc.nat(), (all, cut) => {
-      const options = { endedRetentionMs: 20_000, endedLimit: 2 };
-      const whole = new JobLedger(options);
-      const resumed = new JobLedger(options);
-      const at = cut % (all.length + 1);
-      all.slice(0, at).forEach((each) => whole.apply(each));
-      t.true(resumed.restore(whole.snapshot()).isRight());
-      for (const each of all.slice(at)) {
-        t.deepEqual(resumed.apply(each), whole.apply(each));
-      }
-      t.deepEqual(contentOf(resumed), contentOf(whole));
-    }),
+    fc.property(
+      fc.array(command, { maxLength: 60 }),
+      fc.nat(),
+      (all, cutPoint) => {
+        const options = { endedRetentionMs: 20_000, endedLimit: 2 };
+        const original = new JobLedger(options);
+        const resumed = new JobLedger(options);
+        const snapshotIndex = cutPoint % (all.length + 1);
+        all.slice(0, snapshotIndex).forEach((each) => original.apply(each));
+        t.true(resumed.restore(original.snapshot()).isRight());
+        for (const each of all.slice(snapshotIndex)) {
+          t.deepEqual(resumed.apply(each), original.apply(each));
+        }
+        t.deepEqual(contentOf(resumed), contentOf(original));
+      },
+    ),
     { seed: 41, numRuns: 300 },
   );
 });
 
-test("attempt numbers only grow, one open at a time, by the newest term", (t) => {
+test("attempt numbers increase, one is open at a time, by the newest term", (t) => {
   fc.assert(
     fc.property(fc.array(command, { maxLength: 80 }), (all) => {
       const ledger = new JobLedger();
@@ -123,7 +127,7 @@
   );
 });
 
-test("ended jobs are forgotten by age and number", (t) => {
+test("ended jobs are dropped by age and by number", (t) => {
   const ledger = new JobLedger({ endedRetentionMs: 1_000, endedLimit: 3 });
   const end = (jobId: string, atMs: number) => {
     const common = { formatVersion: 1 as const, atMs };
@@ -162,7 +166,7 @@
   t.true(new JobLedger().restore(bytes).isLeft());
 });
 
-test("a worker's moment never comes after the leader's", (t) => {
+test("a time of the worker's clock never comes after the leader's", (t) => {
   fc.assert(
     fc.property(
       fc.double({ min: -0.0005, max: 0.0005, noNaN: true }),
--- a/src/process/scheduler/runtime/job_record.ts
+++ b/src/process/scheduler/runtime/job_record.ts
@@ -1,5 +1,5 @@
 /**
- * What a data centre's log keeps of one job.
+ * The replicated record of one job.
  *
  * @module
  */
@@ -10,34 +10,34 @@
 import { JobOutcome } from "../core/scheduler_decision.ts";
 
 const identity = z.string().regex(IDENTITY_PATTERN);
-const moment = z.number();
+const timestampMs = z.number();
 
-/** Where one task of a gang goes. */
+/** The worker on which one task of a gang is placed. */
 export const taskPlacementSchema = z.strictObject({
   taskIndex: z.int().min(0),
   workerId: identity,
 });
 
-/** One attempt whose start was intended. */
+/** One attempt whose start was committed to the log. */
 export const attemptRecordSchema = z.strictObject({
   attempt: z.int().min(1),
   /** The term of the leader that intended it. */
   term: z.int().min(0),
   placements: z.array(taskPlacementSchema).min(1),
-  /** What each task takes. */
+  /** The resources of each task. */
   resources: taskResourcesSchema,
   configurationVersion: z.int().min(0),
-  intendedAtMs: moment,
-  startedAtMs: moment.optional(),
-  endedAtMs: moment.optional(),
-  /** Why it ended, for people. */
+  intendedAtMs: timestampMs,
+  startedAtMs: timestampMs.optional(),
+  endedAtMs: timestampMs.optional(),
+  /** Why it ended, as text. */
   detail: z.string().optional(),
 });
 
 /** How a job ended. */
 export const jobEndSchema = z.strictObject({
   outcome: z.enum(JobOutcome),
-  atMs: moment,
+  atMs: timestampMs,
   error: z.string().optional(),
   detail: z.string().optional(),
 });
@@ -45,24 +45,24 @@
 /** A move to another data centre. */
 export const jobTransferSchema = z.strictObject({
   toDataCentre: identity,
-  intendedAtMs: moment,
-  /** When the other data centre acknowledged that it has the job. */
-  acceptedAtMs: moment.optional(),
+  intendedAtMs: timestampMs,
+  /** When it was recorded here that the other data centre has the job. */
+  acceptedAtMs: timestampMs.optional(),
 });
 
 /** One job. */
 export const jobRecordSchema = z.strictObject({
   specification: jobSpecificationSchema,
-  submittedAtMs: moment,
+  submittedAtMs: timestampMs,
   /** How often the job has moved between data centres. */
   transfers: z.int().min(0),
   /** The highest attempt number used. */
   attemptsUsed: z.int().min(0),
-  /** In how many attempts a task failed by itself. */
+  /** In how many attempts a task failed on its own. */
   failures: z.int().min(0),
-  /** The attempt of which tasks may run. */
+  /** The attempt whose tasks may be running. */
   openAttempt: attemptRecordSchema.optional(),
-  /** The last attempts that ended, oldest first. */
+  /** The most recent ended attempts, oldest first. */
   pastAttempts: z.array(attemptRecordSchema),
   isCancelled: z.boolean(),
   transfer: jobTransferSchema.optional(),
--- a/src/process/scheduler/runtime/job_mover.ts
+++ b/src/process/scheduler/runtime/job_transferrer.ts
@@ -1,7 +1,7 @@
 /**
- * Hands jobs over to another data centre when they can't run here: first the
- * own log says that the job waits for the other one, then the other log takes
- * it, then the own log lets it go. Each step may be done again.
+ * Transfers jobs that can't run here to another data centre in three steps:
+ * commit the target to this log, submit the job to the target's log, commit
+ * to this log that the target has accepted it. Every step may be repeated.
  *
  * @module
  */
@@ -11,89 +11,92 @@
 import type { DataCentreId, JobId } from "../../../base/identity.ts";
 import type { Result } from "../../../base/sesame_error.ts";
 import type { ConfigurationSource } from "../../configuration/configuration_source.ts";
-import { moveTargets } from "./data_centre_choice.ts";
+import { transferTargets } from "./data_centre_choice.ts";
 import type { JobLedger } from "./job_ledger.ts";
 import { isOwned, type JobRecord } from "./job_record.ts";
 import type { LedgerWriter } from "./ledger_writer.ts";
 import type { SchedulerAnswer, SchedulerCall } from "./scheduler_message.ts";
 
-/** How many jobs may be on their way at once. */
-const MOVES_LIMIT = 16;
+/** How many transfers may be in progress at once. */
+const TRANSFERS_LIMIT = 16;
 
-/** Options of {@link JobMover}. */
-export interface JobMoverOptions {
+/** Options of {@link JobTransferrer}. */
+export interface JobTransferrerOptions {
   readonly clock: Clock;
   readonly dataCentre: DataCentreId;
   readonly configuration: ConfigurationSource;
   readonly ledger: JobLedger;
   readonly writer: LedgerWriter;
   readonly events: EventLog;
-  readonly ask: (
+  readonly callDataCentre: (
     dataCentre: DataCentreId,
     call: SchedulerCall,
   ) => Promise<Result<SchedulerAnswer>>;
-  /** Lets the job go before the other log has it; in tests alone. */
-  readonly forgetsAcknowledgement: boolean;
+  /** Gives jobs up before the target has accepted them; only for tests. */
+  readonly skipsAcknowledgement: boolean;
 }
 
-/** Moves the jobs of one period of leadership. */
-export class JobMover {
-  readonly #options: JobMoverOptions;
-  readonly #moving = new Set<JobId>();
-  /** Jobs that the log says are on their way. */
-  readonly #underWay = new Set<JobId>();
+/** Transfers jobs during one leader session. */
+export class JobTransferrer {
+  readonly #options: JobTransferrerOptions;
+  readonly #inProgress = new Set<JobId>();
+  /** Jobs whose transfer is in the log and not yet accepted. */
+  readonly #intended = new Set<JobId>();
 
-  constructor(options: JobMoverOptions) {
+  constructor(options: JobTransferrerOptions) {
     this.#options = options;
   }
 
-  /** Whether the job is to go elsewhere rather than to the core. */
-  isToMove(record: JobRecord): boolean {
+  /** Whether the job is to be transferred rather than fed to the core. */
+  shouldTransfer(record: JobRecord): boolean {
     return this.#targets(record).length > 0;
   }
 
-  /** Takes up again what an earlier leader began to move. */
+  /** Resumes the transfers that an earlier leader began. */
   resume(): void {
     for (const record of this.#options.ledger.liveRecords()) {
-      this.noteIntended(record);
+      this.trackIntended(record);
     }
   }
 
-  /** From now on the job is to be handed over until that is done. */
-  noteIntended(record: JobRecord): void {
-    if (isUnderWay(record)) {
-      this.#underWay.add(record.specification.jobId);
+  /** Retries the job's transfer from now on until it is accepted. */
+  trackIntended(record: JobRecord): void {
+    if (isTransferring(record)) {
+      this.#intended.add(record.specification.jobId);
     }
   }
 
-  /** Takes up what waits to be moved: `aside`, or any job once out. */
-  tick(aside: Iterable<JobId>): void {
-    for (const jobId of this.#underWay) {
-      this.#begin(this.#options.ledger.get(jobId));
+  /**
+   * Begins due transfers: those in the log, then those of `awaitingTransfer`,
+   * or of every live job while this data centre is out.
+   */
+  tick(awaitingTransfer: Iterable<JobId>): void {
+    for (const jobId of this.#intended) {
+      this.#beginIfDue(this.#options.ledger.get(jobId));
     }
     if (!this.#isOut()) {
-      for (const jobId of aside) {
-        this.#begin(this.#options.ledger.get(jobId));
+      for (const jobId of awaitingTransfer) {
+        this.#beginIfDue(this.#options.ledger.get(jobId));
       }
       return;
     }
     for (const record of this.#options.ledger.liveRecords()) {
-      this.#begin(record);
+      this.#beginIfDue(record);
     }
   }
 
-  #begin(record: JobRecord | undefined): void {
-    if (record === undefined || this.#moving.size >= MOVES_LIMIT) {
+  #beginIfDue(record: JobRecord | undefined): void {
+    if (record === undefined || this.#inProgress.size >= TRANSFERS_LIMIT) {
       return;
     }
     const { jobId } = record.specification;
-    if (!isUnderWay(record)) {
-      this.#underWay.delete(jobId);
+    if (!isTransferring(record)) {
+      this.#intended.delete(jobId);
     }
-    const isDue = isUnderWay(record) || this.isToMove(record);
-    if (isDue && !this.#moving.has(jobId)) {
-      this.#moving.add(jobId);
-      void this.#move(record).finally(() => this.#moving.delete(jobId));
+    const isDue = isTransferring(record) || this.shouldTransfer(record);
+    if (isDue && !this.#inProgress.has(jobId)) {
+      this.#inProgress.add(jobId);
+      void this.#transfer(record).finally(() => this.#inProgress.delete(jobId));
     }
   }
 
@@ -111,10 +114,13 @@
     }
     const { configuration, dataCentre } = this.#options;
     const { document } = configuration.current();
-    return moveTargets(record.specification, { here: dataCentre, document });
+    return transferTargets(record.specification, {
+      here: dataCentre,
+      document,
+    });
   }
 
-  async #move(record: JobRecord): Promise<void> {
+  async #transfer(record: JobRecord): Promise<void> {
     const { writer, ledger, events } = this.#options;
     const { jobId } = record.specification;
     const to = record.transfer?.toDataCentre ??
@@ -134,8 +140,8 @@
       return;
     }
     const isCancellationPassedOn = intended.isCancelled;
-    const isTaken = await this.#handOver(intended, to);
-    if (isTaken || this.#options.forgetsAcknowledgement) {
+    const isAccepted = await this.#submitToTarget(intended, to);
+    if (isAccepted || this.#options.skipsAcknowledgement) {
       const outcome = await writer.write({
         kind: "transferAccepted",
         jobId,
@@ -148,13 +154,16 @@
   }
 
   /**
-   * The best data centre that answers now: once the log says where the job
-   * goes, it waits for that one, however long.
+   * The best target that answers now: once a target is in the log, the job
+   * waits for it, however long it can't be reached.
    */
   async #findReachable(record: JobRecord): Promise<DataCentreId | undefined> {
     const { jobId } = record.specification;
     for (const target of this.#targets(record)) {
-      const answer = await this.#options.ask(target, { kind: "job", jobId });
+      const answer = await this.#options.callDataCentre(target, {
+        kind: "job",
+        jobId,
+      });
       if (answer.isRight()) {
         return target;
       }
@@ -162,33 +171,33 @@
     return undefined;
   }
 
-  /** Whether the other log has the job, and its cancellation if any. */
-  async #handOver(record: JobRecord, to: DataCentreId): Promise<boolean> {
-    const { ask } = this.#options;
+  /** Whether the target accepts the job, and its cancellation if any. */
+  async #submitToTarget(record: JobRecord, to: DataCentreId): Promise<boolean> {
+    const { callDataCentre } = this.#options;
     const { specification, submittedAtMs, attemptsUsed } = record;
-    const taken = await ask(to, {
+    const submitted = await callDataCentre(to, {
       kind: "submit",
       specification,
       submittedAtMs,
       transfers: record.transfers + 1,
       attemptsUsed,
     });
-    if (!isJob(taken)) {
+    if (!isJobAnswer(submitted)) {
       return false;
     }
     const { jobId } = specification;
     if (!record.isCancelled) {
       return true;
     }
-    return isJob(await ask(to, { kind: "cancel", jobId }));
+    return isJobAnswer(await callDataCentre(to, { kind: "cancel", jobId }));
   }
 }
 
-function isUnderWay(record: JobRecord): boolean {
+function isTransferring(record: JobRecord): boolean {
   return record.transfer !== undefined &&
     record.transfer.acceptedAtMs === undefined;
 }
 
-function isJob(result: Result<SchedulerAnswer>): boolean {
+function isJobAnswer(result: Result<SchedulerAnswer>): boolean {
   return result.map((answer) => answer.kind === "job").orDefault(false);
 }
--- a/src/process/scheduler/runtime/ledger_writer.ts
+++ b/src/process/scheduler/runtime/ledger_writer.ts
@@ -1,6 +1,6 @@
 /**
- * Writes a leader's commands to the log: those of one job in the order in
- * which they were given, each until it is known to be committed.
+ * Writes a leader's commands to the log: those of one job in order, each
+ * retried until it is known to be committed.
  *
  * @module
  */
@@ -11,15 +11,15 @@
 import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
 import { JOB_COMMAND_FORMAT_VERSION } from "./job_command.ts";
 
-/** How long one try to commit may take. */
+/** How long one proposal may take. */
 const PROPOSAL_TIMEOUT_MS = 2_000;
 
-/** How long to wait before the next try. */
+/** Wait before a failed proposal is retried. */
 const PROPOSAL_RETRY_MS = 100;
 
 type LeaderCommand = Extract<JobCommand, { term: number }>;
 
-/** A leader's command without what the writer adds. */
+/** A leader's command without the fields that the writer adds. */
 export type LeaderCommandBody = LeaderCommand extends infer Command
   ? Command extends LeaderCommand
     ? Omit<Command, "formatVersion" | "atMs" | "term">
@@ -31,30 +31,30 @@
   readonly clock: Clock;
   readonly log: ReplicatedLog<JobCommand, JobCommandOutcome>;
   readonly term: number;
-  readonly isLive: () => boolean;
+  readonly isLeading: () => boolean;
 }
 
-/** The commands of one period of leadership. */
+/** Writes the commands of one leader session. */
 export class LedgerWriter {
   readonly #options: LedgerWriterOptions;
-  readonly #chains = new Map<JobId, Promise<unknown>>();
+  readonly #pendingWrites = new Map<JobId, Promise<unknown>>();
 
   constructor(options: LedgerWriterOptions) {
     this.#options = options;
   }
 
   /**
-   * Commits the command after the earlier ones of its job, and tries again
-   * until it is done; undefined when leadership ended first.
+   * Commits a command after the earlier ones of its job, retrying until it is
+   * committed; undefined when leadership ended first.
    */
   write(body: LeaderCommandBody): Promise<JobCommandOutcome | undefined> {
     const jobId = "jobId" in body ? body.jobId : "";
-    const before = this.#chains.get(jobId) ?? Promise.resolve();
-    const done = before.then(() => this.#commit(body));
-    this.#chains.set(jobId, done);
+    const previous = this.#pendingWrites.get(jobId) ?? Promise.resolve();
+    const done = previous.then(() => this.#commit(body));
+    this.#pendingWrites.set(jobId, done);
     void done.then(() => {
-      if (this.#chains.get(jobId) === done) {
-        this.#chains.delete(jobId);
+      if (this.#pendingWrites.get(jobId) === done) {
+        this.#pendingWrites.delete(jobId);
       }
     });
     return done;
@@ -63,8 +63,8 @@
   async #commit(
     body: LeaderCommandBody,
   ): Promise<JobCommandOutcome | undefined> {
-    const { clock, log, term, isLive } = this.#options;
-    while (isLive()) {
+    const { clock, log, term, isLeading } = this.#options;
+    while (isLeading()) {
       const atMs = clock.nowMs();
       const command = {
         ...body,
@@ -78,13 +78,13 @@
       if (result.isRight()) {
         return result.extract();
       }
-      await pause(clock, PROPOSAL_RETRY_MS);
+      await delay(clock, PROPOSAL_RETRY_MS);
     }
     return undefined;
   }
 }
 
-/** Resolves after `delayMs`. */
-export function pause(clock: Clock, delayMs: number): Promise<void> {
+/** Resolves after `delayMs` milliseconds of the clock. */
+export function delay(clock: Clock, delayMs: number): Promise<void> {
   return new Promise((resolve) => void clock.after(delayMs, resolve));
 }
--- a/src/process/scheduler/runtime/recovery.ts
+++ b/src/process/scheduler/runtime/recovery.ts
@@ -1,6 +1,6 @@
 /**
- * What a new leader finds out before it starts anything: for every attempt
- * that the log holds open, whether the whole gang still runs.
+ * Finds out, before a new leader starts anything, whether the gang of each
+ * open attempt in the log is still intact.
  *
  * @module
  */
@@ -8,23 +8,23 @@
 import type { WorkerId } from "../../../base/identity.ts";
 import type { Gang } from "./gang.ts";
 import { earlierLeasesEndMs } from "./lease_rule.ts";
-import { pause } from "./ledger_writer.ts";
+import { delay } from "./ledger_writer.ts";
 import type { SessionContext } from "./session_context.ts";
 import type { HeldTask } from "./worker_report.ts";
 
-/** How long to wait before a silent worker is asked again. */
+/** Wait before a worker that did not answer is queried again. */
 const QUERY_RETRY_MS = 250;
 
 /** Options of {@link Recovery}. */
 export interface RecoveryOptions {
   readonly context: SessionContext;
-  /** Called as soon as a gang is known to be whole. */
-  readonly onWhole: (gang: Gang) => void;
-  /** Ends a gang that isn't; returns once nothing of it runs. */
+  /** Called as soon as a gang is known to be intact. */
+  readonly onIntact: (gang: Gang) => void;
+  /** Stops a gang that isn't intact; resolves once none of its tasks runs. */
   readonly onBroken: (gang: Gang) => Promise<void>;
 }
 
-/** Asks the workers of open attempts what they hold. */
+/** Queries the workers of open attempts for the tasks that they hold. */
 export class Recovery {
   readonly #options: RecoveryOptions;
   readonly #endMs: number;
@@ -35,48 +35,51 @@
     this.#endMs = earlierLeasesEndMs(clock.nowMs(), lease);
   }
 
-  /** Returns once the state of every gang is known. */
+  /** Returns once every gang is known to be intact or has been stopped. */
   async run(gangs: readonly Gang[]): Promise<void> {
     await Promise.all(gangs.map((gang) => this.#recover(gang)));
   }
 
   async #recover(gang: Gang): Promise<void> {
     const holdings = await Promise.all(
-      gang.workerIds.map((workerId) => this.#ask(gang, workerId)),
+      gang.workerIds.map((workerId) => this.#queryWorker(gang, workerId)),
     );
-    if (!this.#options.context.isLive()) {
+    if (!this.#options.context.isLeading()) {
       return;
     }
-    if (isWhole(gang, holdings)) {
-      this.#options.onWhole(gang);
+    if (isIntact(gang, holdings)) {
+      this.#options.onIntact(gang);
       return;
     }
     await this.#options.onBroken(gang);
   }
 
-  /** What the worker holds; nothing once its leases must have ended. */
-  async #ask(gang: Gang, workerId: WorkerId): Promise<readonly HeldTask[]> {
+  /** The gang's tasks on the worker; none once its leases have expired. */
+  async #queryWorker(
+    gang: Gang,
+    workerId: WorkerId,
+  ): Promise<readonly HeldTask[]> {
     const { clock, caller } = this.#options.context;
-    while (this.#options.context.isLive() && clock.nowMs() <= this.#endMs) {
+    while (this.#options.context.isLeading() && clock.nowMs() <= this.#endMs) {
       const result = await caller.call(workerId, {
-        write: () => ({ kind: "renew", leases: [], forget: [] }),
+        buildCommand: () => ({ kind: "renew", leases: [], forget: [] }),
       });
       const answered = result.toMaybe().extract();
       if (answered !== undefined && answered.answer.refusal === undefined) {
-        gang.prove(workerId, answered.sentAtMs);
+        gang.confirm(workerId, answered.sentAtMs);
         return gang.tasksAmong(answered.answer.holdings.tasks);
       }
       if (this.#options.context.omits("recoveryWait")) {
         return [];
       }
-      await pause(clock, QUERY_RETRY_MS);
+      await delay(clock, QUERY_RETRY_MS);
     }
     return [];
   }
 }
 
-/** Whether every task was listed, as running or as ended. */
-function isWhole(
+/** Whether every task was listed as running, or as ended but not lost. */
+function isIntact(
   gang: Gang,
   holdings: readonly (readonly HeldTask[])[],
 ): boolean {
--- a/src/process/scheduler/runtime/scheduler_runtime.ts
+++ b/src/process/scheduler/runtime/scheduler_runtime.ts
@@ -1,6 +1,7 @@
 /**
- * The scheduler on one instance: leads its data centre when the log says so,
- * and otherwise passes things on to whoever leads.
+ * The scheduler on one instance: schedules for its data centre while the
+ * instance leads the log, and otherwise forwards reports and queries to the
+ * leader.
  *
  * @module
  */
@@ -24,24 +25,24 @@
   homeDataCentre,
 } from "./data_centre_choice.ts";
 import type { DecisionCoreFactory } from "./decision_core.ts";
-import { CallAnswerer } from "./call_answerer.ts";
+import { CallHandler } from "./call_handler.ts";
 import type { JobCommand, JobCommandOutcome } from "./job_command.ts";
 import type { JobLedger } from "./job_ledger.ts";
 import type { JobView, WorkerView } from "./job_view.ts";
 import { LeaderSession } from "./leader_session.ts";
 import { LEASE_DEFAULTS, type LeaseOptions } from "./lease_rule.ts";
-import { type InstancePlace, PeerCalls } from "./peer_calls.ts";
+import { type InstanceLocation, PeerCalls } from "./peer_calls.ts";
 import type { SchedulerAnswer, SchedulerCall } from "./scheduler_message.ts";
 import type { OmittedCheck } from "./session_context.ts";
 import type { WorkerClient } from "./worker_client.ts";
 import type { WorkerReport } from "./worker_report.ts";
 import { WorkerTable } from "./worker_table.ts";
 
-/** How often the role is looked at, besides on every change. */
-const ROLE_PERIOD_MS = 500;
+/** How often the role is checked, in addition to every status change. */
+const ROLE_CHECK_PERIOD_MS = 500;
 
-/** How long a worker that has fallen silent is still listed. */
-const WORKER_MEMORY_MS = 600_000;
+/** How long a worker stays listed after its last message. */
+const WORKER_RETENTION_MS = 600_000;
 
 /** How long one instance may take to answer another. */
 const PEER_TIMEOUT_MS = 1_500;
@@ -50,8 +51,8 @@
 export interface SchedulerRuntimeOptions {
   readonly clock: Clock;
   readonly dataCentre: DataCentreId;
-  /** Every instance of the system, this one among them. */
-  readonly instances: readonly InstancePlace[];
+  /** Every instance of the system, including this one. */
+  readonly instances: readonly InstanceLocation[];
   readonly network: PeerNetwork;
   /** The data centre's log, whose state machine is `ledger`. */
   readonly log: ReplicatedLog<JobCommand, JobCommandOutcome>;
@@ -61,19 +62,19 @@
   readonly createCore: DecisionCoreFactory;
   readonly events?: EventLog;
   readonly lease?: Partial<LeaseOptions>;
-  /** Checks left out on purpose; in tests alone. */
+  /** Safety checks to skip; only for tests. */
   readonly omittedChecks?: readonly OmittedCheck[];
 }
 
 /** An accepted submission or cancellation. */
 export interface JobAccepted {
-  /** Whether this call made it; false for an earlier one. */
+  /** False if an earlier call had the same effect, or the job had ended. */
   readonly isNew: boolean;
   readonly job: JobView;
 }
 
-/** What was found, and which data centres could not be asked. */
-export interface Found<T> {
+/** The result of a query, and the data centres that did not answer. */
+export interface QueryResult<T> {
   readonly value: T;
   readonly unaskedDataCentres: readonly DataCentreId[];
 }
@@ -84,12 +85,12 @@
   readonly #lease: LeaseOptions;
   readonly #workers = new WorkerTable();
   readonly #peers: PeerCalls;
-  readonly #answerer: CallAnswerer;
+  readonly #callHandler: CallHandler;
   readonly #roleTimer: Timer;
   readonly #statuses: { unsubscribe(): void };
   #session: LeaderSession | undefined;
   #sessionTerm = 0;
-  #notBeforeMs = 0;
+  #nextSessionAtMs = 0;
   #isClosed = false;
 
   constructor(options: SchedulerRuntimeOptions) {
@@ -98,40 +99,41 @@
     this.#peers = new PeerCalls({
       ...options,
       timeoutMs: PEER_TIMEOUT_MS,
-      onCall: (call, how) => this.#answerer.answer(call, how),
-      onWorkerReport: (report) => this.#takeReport(report),
+      onCall: (call, options) => this.#callHandler.handle(call, options),
+      onWorkerReport: (report) => this.#recordReport(report),
     });
-    this.#answerer = new CallAnswerer({
+    this.#callHandler = new CallHandler({
       ...options,
       selfId: options.network.selfId,
       workers: this.#workers,
       session: () => this.#session,
-      askInstance: (to, call) =>
+      callInstance: (to, call) =>
         this.#peers.call(to, call, { isPassedOn: true }),
-      askDataCentre: (dataCentre, call) => this.#ask(dataCentre, call),
+      callDataCentre: (dataCentre, call) =>
+        this.#callDataCentre(dataCentre, call),
     });
     this.#statuses = options.log.statuses.subscribe({
-      next: () => this.#followRole(),
+      next: () => this.#updateRole(),
       error: () => undefined,
       complete: () => undefined,
     });
     this.#roleTimer = options.clock.every(
-      ROLE_PERIOD_MS,
-      () => this.#followRole(),
+      ROLE_CHECK_PERIOD_MS,
+      () => this.#updateRole(),
     );
-    this.#followRole();
+    this.#updateRole();
   }
 
-  /** Takes a worker's report, and passes it on to the leader. */
+  /** Records a worker's report and forwards it to the leader. */
   acceptWorkerReport(report: WorkerReport): void {
-    this.#takeReport(report);
+    this.#recordReport(report);
     const { leaderId } = this.#options.log.status();
     if (leaderId !== undefined && leaderId !== this.#selfId) {
-      this.#peers.passReport(leaderId, report);
+      this.#peers.forwardReport(leaderId, report);
     }
   }
 
-  /** Queues a job in its home data centre; the same job again is no error. */
+  /** Queues a job in its home data centre; a resubmission is accepted too. */
   async submit(specification: JobSpecification): Promise<Result<JobAccepted>> {
     const { configuration, clock } = this.#options;
     const { document } = configuration.current();
@@ -148,7 +150,7 @@
     }
     const home = homeDataCentre(specification, document) ??
       this.#options.dataCentre;
-    const answer = await this.#ask(home, {
+    const answer = await this.#callDataCentre(home, {
       kind: "submit",
       specification,
       submittedAtMs: clock.nowMs(),
@@ -158,7 +160,7 @@
     return answer.chain(asAccepted);
   }
 
-  /** A job that was accepted while it still fitted keeps its first answer. */
+  /** Refuses a job that never fits, unless it was accepted while it could. */
   async #refuseMisfit(
     jobId: JobId,
     detail: string,
@@ -173,26 +175,29 @@
     });
   }
 
-  /** Cancels a job wherever it is; one that has ended stays as it is. */
+  /** Cancels a job in any data centre; has no effect on one that has ended. */
   async cancel(jobId: JobId): Promise<Result<JobAccepted>> {
     const found = await this.findJob(jobId);
     if (found.isLeft()) {
       return Left(found.extract());
     }
     const { dataCentre } = found.unsafeCoerce().value;
-    const answer = await this.#ask(dataCentre, { kind: "cancel", jobId });
+    const answer = await this.#callDataCentre(dataCentre, {
+      kind: "cancel",
+      jobId,
+    });
     return answer.chain(asAccepted);
   }
 
-  /** Finds a job in this data centre or in the others. */
-  async findJob(jobId: JobId): Promise<Result<Found<JobView>>> {
+  /** Looks a job up in this data centre, then in the others. */
+  async findJob(jobId: JobId): Promise<Result<QueryResult<JobView>>> {
     const call: SchedulerCall = { kind: "job", jobId };
-    const own = await this.#ask(this.#options.dataCentre, call);
+    const own = await this.#callDataCentre(this.#options.dataCentre, call);
     const ownJob = own.chain(asAccepted).toMaybe().extract()?.job;
     if (ownJob !== undefined && ownJob.state !== "moved") {
       return Right({ value: ownJob, unaskedDataCentres: [] });
     }
-    const { answers, unaskedDataCentres } = await this.#askOthers(call);
+    const { answers, unaskedDataCentres } = await this.#callOthers(call);
     const jobs = answers.flatMap((answer) =>
       answer.kind === "job" ? [answer.job] : []
     );
@@ -204,15 +209,15 @@
     return unaskedDataCentres.length === 0
       ? failure("notFound", { detail: `no job ${jobId}` })
       : failure("unavailable", {
-        detail: `no job ${jobId} in the data centres that could be asked`,
+        detail: `no job ${jobId} in the data centres that answered`,
         facts: { unaskedDataCentres },
       });
   }
 
-  /** The newest jobs of every data centre that can be asked. */
-  async listJobs(limit: number): Promise<Found<readonly JobView[]>> {
+  /** The `limit` newest jobs of all data centres that answer. */
+  async listJobs(limit: number): Promise<QueryResult<readonly JobView[]>> {
     const call: SchedulerCall = { kind: "jobs", limit };
-    const { answers, unaskedDataCentres } = await this.#askAll(call);
+    const { answers, unaskedDataCentres } = await this.#callAll(call);
     const value = answers
       .flatMap((answer) => answer.kind === "jobs" ? answer.jobs : [])
       .sort((left, right) => right.submittedAtMs - left.submittedAtMs)
@@ -220,30 +225,30 @@
     return { value, unaskedDataCentres };
   }
 
-  /** The workers of every data centre that can be asked. */
-  async listWorkers(): Promise<Found<readonly WorkerView[]>> {
+  /** The workers of all data centres that answer. */
+  async listWorkers(): Promise<QueryResult<readonly WorkerView[]>> {
     const call: SchedulerCall = { kind: "workers" };
-    const { answers, unaskedDataCentres } = await this.#askAll(call);
+    const { answers, unaskedDataCentres } = await this.#callAll(call);
     const value = answers
       .flatMap((answer) => answer.kind === "workers" ? answer.workers : []);
     return { value, unaskedDataCentres };
   }
 
-  /** Whether this instance leads and has begun to schedule. */
+  /** Whether this instance leads and has finished recovery. */
   get isScheduling(): boolean {
     return this.#session !== undefined && !this.#session.isRecovering;
   }
 
   /**
-   * Whether this instance leads, decides under the configuration in force,
-   * and has no start under way that it began under an earlier one.
+   * Whether this instance leads, has finished recovery and has no gang start
+   * in progress. Later starts are decided under the configuration in force.
    */
   get hasSettled(): boolean {
     return this.#session !== undefined && !this.#session.isRecovering &&
-      !this.#session.hasStartsUnderWay();
+      !this.#session.hasStartsInProgress();
   }
 
-  /** Stops leading and answering; what runs goes on under its leases. */
+  /** Stops scheduling and answering; running tasks go on under leases. */
   close(): Promise<void> {
     this.#isClosed = true;
     this.#endSession();
@@ -258,19 +263,19 @@
     return this.#options.network.selfId;
   }
 
-  #takeReport(report: WorkerReport): void {
+  #recordReport(report: WorkerReport): void {
     this.#workers.acceptReport(report, this.#options.clock.nowMs());
   }
 
-  #followRole(): void {
+  #updateRole(): void {
     const nowMs = this.#options.clock.nowMs();
-    this.#workers.forgetSilent(nowMs - WORKER_MEMORY_MS);
+    this.#workers.removeSilent(nowMs - WORKER_RETENTION_MS);
     const { role, term } = this.#options.log.status();
     const leads = role === "leader" && !this.#isClosed;
     if (this.#session !== undefined && (!leads || term !== this.#sessionTerm)) {
       this.#endSession();
     }
-    const isDue = nowMs >= this.#notBeforeMs;
+    const isDue = nowMs >= this.#nextSessionAtMs;
     if (leads && isDue && this.#session === undefined) {
       this.#beginSession(term);
     }
@@ -285,7 +290,8 @@
       workers: this.#workers,
       events: events ?? SILENT_EVENT_LOG,
       lease: this.#lease,
-      ask: (dataCentre, call) => this.#ask(dataCentre, call),
+      callDataCentre: (dataCentre, call) =>
+        this.#callDataCentre(dataCentre, call),
       onFailure: (error) => this.#failSession(session, error),
       omittedChecks: omittedChecks ?? [],
     });
@@ -294,7 +300,7 @@
     session.run().catch((error) => this.#failSession(session, error));
   }
 
-  /** Lets another instance lead; its own next try waits for a lease. */
+  /** Hands leadership over; begins no new session for one lease duration. */
   #failSession(session: LeaderSession, error: unknown): void {
     if (this.#session !== session) {
       return;
@@ -305,7 +311,7 @@
       detail: error instanceof Error ? error.message : String(error),
     });
     this.#endSession();
-    this.#notBeforeMs = clock.nowMs() + this.#lease.leaseMs;
+    this.#nextSessionAtMs = clock.nowMs() + this.#lease.leaseMs;
     void log.handOver();
   }
 
@@ -314,27 +320,28 @@
     this.#session = undefined;
   }
 
-  #ask(
+  #callDataCentre(
     dataCentre: DataCentreId,
     call: SchedulerCall,
   ): Promise<Result<SchedulerAnswer>> {
     if (dataCentre !== this.#options.dataCentre) {
-      return this.#peers.askDataCentre(dataCentre, call);
+      return this.#peers.callDataCentre(dataCentre, call);
     }
-    return this.#answerer.answer(call, { isPassedOn: false })
+    return this.#callHandler.handle(call, { isPassedOn: false })
       .then((answer) => Right(answer));
   }
 
-  async #askOthers(call: SchedulerCall) {
+  async #callOthers(call: SchedulerCall) {
     const others = new Set(
       this.#options.instances.map((instance) => instance.dataCentre),
     );
     others.delete(this.#options.dataCentre);
-    const asked = [...others].map(async (dataCentre) => ({
+    const calls = [...others].map(async (dataCentre) => ({
       dataCentre,
-      answer: (await this.#ask(dataCentre, call)).toMaybe().extract(),
+      answer: (await this.#callDataCentre(dataCentre, call)).toMaybe()
+        .extract(),
     }));
-    const results = await Promise.all(asked);
+    const results = await Promise.all(calls);
     return {
       answers: results.flatMap(({ answer }) => answer ?? []),
       unaskedDataCentres: results
@@ -343,10 +350,10 @@
     };
   }
 
-  async #askAll(call: SchedulerCall) {
+  async #callAll(call: SchedulerCall) {
     const [own, others] = await Promise.all([
-      this.#answerer.answer(call, { isPassedOn: false }),
-      this.#askOthers(call),
+      this.#callHandler.handle(call, { isPassedOn: false }),
+      this.#callOthers(call),
     ]);
     return { ...others, answers: [own, ...others.answers] };
   }
--- a/src/process/scheduler/runtime/start_gate.ts
+++ b/src/process/scheduler/runtime/start_permission.ts
@@ -1,5 +1,5 @@
 /**
- * Till when tasks may be started in this data centre.
+ * Until when tasks may be started in this data centre.
  *
  * @module
  */
@@ -7,20 +7,21 @@
 import type { DataCentreId } from "../../../base/identity.ts";
 import type { ConfigurationSource } from "../../configuration/configuration_source.ts";
 
-/** Options of {@link StartGate}. */
-export interface StartGateOptions {
+/** Options of {@link StartPermission}. */
+export interface StartPermissionOptions {
   readonly configuration: ConfigurationSource;
   readonly dataCentre: DataCentreId;
 }
 
 /**
- * Starts are allowed for a while after the copy of the configuration was
- * known to be the newest, and only when it says that the data centre is in.
+ * Permits starts for `startPermissionMs` after this instance's copy of the
+ * configuration was last known to be the newest, and only while the copy says
+ * that the data centre is in.
  */
-export class StartGate {
-  readonly #options: StartGateOptions;
+export class StartPermission {
+  readonly #options: StartPermissionOptions;
 
-  constructor(options: StartGateOptions) {
+  constructor(options: StartPermissionOptions) {
     this.#options = options;
   }
 
--- a/src/process/scheduler/runtime/testing/fake_group.ts
+++ b/src/process/scheduler/runtime/testing/fake_group.ts
@@ -1,6 +1,6 @@
 /**
- * A replicated group in memory, for tests: one order of commands, members
- * that can be cut off, and a leader under the test's control.
+ * An in-memory replicated group for tests: one list of commands, members that
+ * can be partitioned, and a leader that the test chooses.
  *
  * @module
  */
@@ -22,7 +22,7 @@
   readonly random: RandomSource;
   readonly leaseMs?: number;
   readonly commitDelayMs?: number;
-  /** How many proposals in a thousand are committed without an answer. */
+  /** How many of 1,000 proposals are committed without an answer. */
   readonly lostAnswersPerMille?: number;
 }
 
@@ -33,8 +33,8 @@
   readonly entries: Command[] = [];
   term = 0;
   leaderId: string | undefined;
-  /** When the last leader that was cut off may act no more. */
-  freeAtMs = 0;
+  /** When the lease of the last partitioned leader ends. */
+  leaderLeaseEndMs = 0;
 
   constructor(options: FakeGroupOptions) {
     this.options = {
@@ -55,11 +55,11 @@
     return member;
   }
 
-  /** A reachable member leads a new term, once no earlier one may act. */
+  /** Lets a reachable member lead a new term, if no earlier lease is valid. */
   elect(id: string): boolean {
     const member = this.members.get(id);
     const nowMs = this.options.clock.nowMs();
-    if (member === undefined || member.isCut || nowMs < this.freeAtMs) {
+    if (member === undefined || member.isCut || nowMs < this.leaderLeaseEndMs) {
       return false;
     }
     const previous = this.leaderId === undefined
@@ -69,12 +69,12 @@
     this.leaderId = id;
     member.catchUp();
     member.belief = { term: this.term, leaderId: id };
-    previous?.tell();
-    this.members.forEach((each) => each.hear());
+    previous?.publishStatus();
+    this.members.forEach((each) => each.learnLeader());
     return true;
   }
 
-  /** Cuts a member off; as a leader it goes on believing that it leads. */
+  /** Partitions a member; a leader goes on believing that it leads. */
   cut(id: string): void {
     const member = this.members.get(id);
     if (member === undefined || member.isCut) {
@@ -84,7 +84,7 @@
     member.isCut = true;
     member.frozenLeaseEndMs = leaseEndMs;
     if (this.leaderId === id) {
-      this.freeAtMs = leaseEndMs;
+      this.leaderLeaseEndMs = leaseEndMs;
       this.leaderId = undefined;
     }
   }
@@ -96,7 +96,7 @@
       if (member.belief.leaderId === id) {
         member.belief = { term: member.belief.term, leaderId: undefined };
       }
-      member.hear();
+      member.learnLeader();
       member.catchUp();
     }
   }
@@ -204,7 +204,7 @@
     return Promise.resolve();
   }
 
-  /** Applies what it lacks; gives the outcome of the last command. */
+  /** Applies missing commands; returns the outcome of the last one. */
   catchUp(): Outcome | undefined {
     let outcome: Outcome | undefined;
     while (this.#appliedIndex < this.#group.entries.length) {
@@ -215,16 +215,16 @@
     return outcome;
   }
 
-  /** Learns who leads, if it can hear it. */
-  hear(): void {
+  /** Learns the current term and leader, unless partitioned. */
+  learnLeader(): void {
     if (!this.isCut) {
       const { term, leaderId } = this.#group;
       this.belief = { term, leaderId };
-      this.tell();
+      this.publishStatus();
     }
   }
 
-  tell(): void {
+  publishStatus(): void {
     this.#statuses.push(this.status());
   }
 
--- a/src/process/scheduler/runtime/worker_caller.ts
+++ b/src/process/scheduler/runtime/worker_caller.ts
@@ -1,5 +1,5 @@
 /**
- * Sends a leader's commands to workers, each under a fence.
+ * Sends a leader's commands to workers, each fenced against late arrival.
  *
  * @module
  */
@@ -21,7 +21,7 @@
   readonly workers: WorkerTable;
   readonly lease: LeaseOptions;
   readonly term: number;
-  /** Till when this instance may act as the leader; 0 when it may not. */
+  /** Until when this instance may act as the leader; 0 when it may not. */
   readonly leadershipEndMs: () => number;
 }
 
@@ -31,20 +31,20 @@
   : never;
 
 /** A worker's answer, and when the command was sent. */
-export interface Answered {
+export interface TimedAnswer {
   readonly sentAtMs: number;
   readonly answer: WorkerAnswer;
 }
 
-/** How a call is made. */
+/** Options of {@link WorkerCaller.call}. */
 export interface WorkerCallOptions {
-  /** When the command loses its validity, if before the usual moment. */
+  /** When the command expires, if earlier than by default. */
   readonly validUntilMs?: number;
-  /** Writes the command; turns moments of the leader into the worker's. */
-  readonly write: (toWorkerMs: (atMs: number) => number) => CommandBody;
+  /** Builds the command; `toWorkerMs` converts times to the worker's clock. */
+  readonly buildCommand: (toWorkerMs: (atMs: number) => number) => CommandBody;
 }
 
-/** Calls workers in the name of one leader. */
+/** Calls workers on behalf of one leader session. */
 export class WorkerCaller {
   readonly #options: WorkerCallerOptions;
 
@@ -52,11 +52,11 @@
     this.#options = options;
   }
 
-  /** A failure says nothing of whether the command arrived. */
+  /** Sends a command, which may have arrived even if the call fails. */
   async call(
     workerId: WorkerId,
     options: WorkerCallOptions,
-  ): Promise<Result<Answered>> {
+  ): Promise<Result<TimedAnswer>> {
     const { clock, client, workers, lease } = this.#options;
     const entry = workers.get(workerId);
     const sentAtMs = clock.nowMs();
@@ -66,14 +66,16 @@
       options.validUntilMs ?? Number.POSITIVE_INFINITY,
     );
     if (entry === undefined || validUntilMs <= sentAtMs) {
-      return failure("unavailable", { detail: "not sent" });
+      return failure("unavailable", {
+        detail: "not sent: unknown worker or expired command",
+      });
     }
     const { anchor, incarnation } = entry;
     const { clockDriftFraction } = lease;
     const toWorkerMs = (atMs: number) =>
       toWorkerClockMs(atMs, { anchor, clockDriftFraction });
     const command = {
-      ...options.write(toWorkerMs),
+      ...options.buildCommand(toWorkerMs),
       fence: {
         protocolVersion: WORKER_PROTOCOL_VERSION,
         term: this.#options.term,
@@ -84,13 +86,18 @@
     const result = await client.call(entry.address, command, {
       timeoutMs: lease.callTimeoutMs,
     });
-    return result.chain((answer) => this.#take(workerId, { sentAtMs, answer }));
+    return result.chain((answer) =>
+      this.#recordAnswer(workerId, { sentAtMs, answer })
+    );
   }
 
-  #take(workerId: WorkerId, answered: Answered): Result<Answered> {
+  #recordAnswer(
+    workerId: WorkerId,
+    answered: TimedAnswer,
+  ): Result<TimedAnswer> {
     const { holdings } = answered.answer;
     if (holdings.workerId !== workerId) {
-      return failure("unavailable", { detail: "another worker answered" });
+      return failure("unavailable", { detail: "a different worker answered" });
     }
     this.#options.workers.acceptHoldings(holdings, this.#options.clock.nowMs());
     return Right(answered);
--- a/src/process/scheduler/runtime/worker_table.ts
+++ b/src/process/scheduler/runtime/worker_table.ts
@@ -1,6 +1,6 @@
 /**
- * What one instance has heard of the workers of its data centre. Nothing of
- * it is replicated: workers' reports build it anew.
+ * What the workers of a data centre have reported to one instance. It isn't
+ * replicated, since workers' reports soon rebuild it.
  *
  * @module
  */
@@ -16,10 +16,10 @@
   WorkerReport,
 } from "./worker_report.ts";
 
-/** How long an incarnation is silent before a lower one may follow it. */
+/** How long an incarnation is silent before a lower one may replace it. */
 const REPLACED_AFTER_MS = 30_000;
 
-/** One worker as last heard of. */
+/** The latest known state of one worker. */
 export interface WorkerEntry {
   readonly description: WorkerDescription;
   readonly address: string;
@@ -30,22 +30,22 @@
   readonly usages: readonly HeldTaskUsage[];
 }
 
-/** News of one worker. */
-export interface WorkerNews {
+/** An update of one worker's state. */
+export interface WorkerUpdate {
   readonly entry: WorkerEntry;
-  /** The incarnation before, when this is another one or the first. */
+  /** The incarnation before this update; undefined for a new worker. */
   readonly previousIncarnation: number | undefined;
   readonly hasUsages: boolean;
 }
 
-/** The workers that this instance has heard of. */
+/** The workers that have reported to this instance. */
 export class WorkerTable {
   readonly #entries = new Map<WorkerId, WorkerEntry>();
-  readonly #news = new Channel<WorkerNews>();
+  readonly #updates = new Channel<WorkerUpdate>();
 
-  /** Each report or answer that was newer than what was known. */
-  get news(): Channel<WorkerNews>["stream"] {
-    return this.#news.stream;
+  /** Updates by reports and answers that were newer than the known state. */
+  get updates(): Channel<WorkerUpdate>["stream"] {
+    return this.#updates.stream;
   }
 
   get(workerId: WorkerId): WorkerEntry | undefined {
@@ -56,7 +56,7 @@
     return this.#entries.values();
   }
 
-  /** Takes a report in; one that is older than what is known is dropped. */
+  /** Records a report; one that is older than the known state is dropped. */
   acceptReport(report: WorkerReport, receivedAtMs: number): void {
     const previous = this.#entries.get(report.workerId);
     if (
@@ -75,11 +75,11 @@
       },
       address: report.address,
       usages: report.usages,
-      ...heard(report, receivedAtMs),
+      ...observedState(report, receivedAtMs),
     }, { previous, hasUsages: report.usages.length > 0 });
   }
 
-  /** Takes in what a worker said in an answer. */
+  /** Records an answer's holdings, if newer and of the known incarnation. */
   acceptHoldings(holdings: WorkerHoldings, receivedAtMs: number): void {
     const previous = this.#entries.get(holdings.workerId);
     if (
@@ -88,14 +88,14 @@
     ) {
       return;
     }
-    this.#put({ ...previous, ...heard(holdings, receivedAtMs) }, {
+    this.#put({ ...previous, ...observedState(holdings, receivedAtMs) }, {
       previous,
       hasUsages: false,
     });
   }
 
-  /** Forgets the workers that were last heard of before `beforeMs`. */
-  forgetSilent(beforeMs: number): void {
+  /** Removes the workers whose last message came before `beforeMs`. */
+  removeSilent(beforeMs: number): void {
     for (const [workerId, entry] of this.#entries) {
       if (entry.anchor.receivedAtMs < beforeMs) {
         this.#entries.delete(workerId);
@@ -104,7 +104,7 @@
   }
 
   close(): void {
-    this.#news.close();
+    this.#updates.close();
   }
 
   #put(
@@ -114,7 +114,7 @@
     this.#entries.set(entry.description.workerId, entry);
     const { previous, hasUsages } = options;
     const isSame = previous?.incarnation === entry.incarnation;
-    this.#news.push({
+    this.#updates.push({
       entry,
       previousIncarnation: isSame ? entry.incarnation : previous?.incarnation,
       hasUsages,
@@ -122,7 +122,7 @@
   }
 }
 
-function heard(holdings: WorkerHoldings, receivedAtMs: number) {
+function observedState(holdings: WorkerHoldings, receivedAtMs: number) {
   return {
     incarnation: holdings.incarnation,
     isLeaving: holdings.isLeaving,
@@ -132,8 +132,9 @@
 }
 
 /**
- * Whether a lower incarnation is a new start all the same, on a machine whose
- * clock went back: the higher one has been silent for longer than any lease.
+ * Whether a lower incarnation replaces a higher one, as after a restart on a
+ * machine whose clock went back: the higher one must have been silent for
+ * longer than any lease.
  */
 function isReplaced(
   report: WorkerReport,
--- a/src/process/scheduler/runtime/worker_watcher.ts
+++ b/src/process/scheduler/runtime/worker_watcher.ts
@@ -1,5 +1,5 @@
 /**
- * Turns what is heard of workers, and their silence, into events.
+ * Turns worker updates, and their absence, into scheduler events.
  *
  * @module
  */
@@ -7,14 +7,14 @@
 import type { WorkerId } from "../../../base/identity.ts";
 import type { TaskReference } from "../core/scheduler_event.ts";
 import type { SessionContext } from "./session_context.ts";
-import type { WorkerEntry, WorkerNews } from "./worker_table.ts";
+import type { WorkerEntry, WorkerUpdate } from "./worker_table.ts";
 
 interface Watched {
   readonly incarnation: number;
   isLeaving: boolean;
 }
 
-/** Watches the workers for one leader. */
+/** Watches the workers during one leader session. */
 export class WorkerWatcher {
   readonly #context: SessionContext;
   readonly #watched = new Map<WorkerId, Watched>();
@@ -23,7 +23,7 @@
     this.#context = context;
   }
 
-  /** Joins a worker that runs `running` already. */
+  /** Feeds `workerJoined`, with the tasks that the worker already runs. */
   join(entry: WorkerEntry, running: readonly TaskReference[]): void {
     const { description, incarnation } = entry;
     const { workerId } = description;
@@ -36,11 +36,11 @@
       worker: description,
       running,
     });
-    this.#noteLeaving(entry);
+    this.#recordLeaving(entry);
   }
 
-  hear(news: WorkerNews): void {
-    const { entry } = news;
+  handleUpdate(update: WorkerUpdate): void {
+    const { entry } = update;
     const { workerId } = entry.description;
     const watched = this.#watched.get(workerId);
     if (watched?.incarnation !== entry.incarnation) {
@@ -49,14 +49,14 @@
       }
       this.join(entry, []);
     }
-    this.#noteLeaving(entry);
-    if (news.hasUsages) {
+    this.#recordLeaving(entry);
+    if (update.hasUsages) {
       this.#feedUsages(entry);
     }
   }
 
-  /** Loses workers that have been silent for a whole lease. */
-  noteSilence(): void {
+  /** Feeds `workerLost` for workers that sent nothing for `leaseMs`. */
+  loseSilentWorkers(): void {
     const { clock, lease, workers } = this.#context;
     const nowMs = clock.nowMs();
     for (const workerId of [...this.#watched.keys()]) {
@@ -74,7 +74,7 @@
     this.#context.feed({ kind: "workerLost", atMs, workerId });
   }
 
-  #noteLeaving(entry: WorkerEntry): void {
+  #recordLeaving(entry: WorkerEntry): void {
     const { workerId } = entry.description;
     const watched = this.#watched.get(workerId);
     if (!entry.isLeaving || watched === undefined || watched.isLeaving) {
