Play the renames that cross parts of replication, batch, routing and runtime

Cause: names private to the project (VoterKeeper, lifeKey, FoundAnswer, makeWorld, TaskHappening, hear) are used from several folders.

--- a/bench/capacity/other_states.ts
+++ b/bench/capacity/other_states.ts
@@ -125,7 +125,7 @@
     routing: DEFAULT_ROUTING_OPTIONS,
   });
   for (let at = 0; at < servers; at++) {
-    table.hear({
+    table.applyAnnouncement({
       serverId: `server-${at}`,
       service: "search",
       address: `10.0.${at >> 8}.${at & 255}:9001`,
--- a/bench/replication/leader_change_bench.ts
+++ b/bench/replication/leader_change_bench.ts
@@ -8,7 +8,7 @@
  * @module
  */
 
-import { disks } from "../../src/process/replication/testing/fault_session.ts";
+import { diskVoters } from "../../src/process/replication/testing/fault_session.ts";
 import { RaftSimulation } from "../../src/process/replication/testing/raft_simulation.ts";
 
 const RUNS = 400;
@@ -16,7 +16,10 @@
 const LIMIT_MS = 30_000;
 
 function measureChange(members: string[], seed: number): number {
-  const simulation = new RaftSimulation({ members: disks(...members), seed });
+  const simulation = new RaftSimulation({
+    members: diskVoters(...members),
+    seed,
+  });
   simulation.startAll();
   simulation.run(3_000 + (seed % 500));
   simulation.crash(simulation.leaseHolders()[0]!.id);
--- a/bench/replication/traffic.ts
+++ b/bench/replication/traffic.ts
@@ -9,9 +9,9 @@
 import type { GroupMember } from "../../src/process/replication/mod.ts";
 import { RaftLog } from "../../src/process/replication/raft_log.ts";
 import {
-  disks,
+  diskVoters,
   learners,
-  memories,
+  memoryVoters,
 } from "../../src/process/replication/testing/fault_session.ts";
 import { MemberGroup } from "../../src/process/replication/testing/member_group.ts";
 
@@ -115,8 +115,11 @@
 
 /** The configuration group: 3 voters and 6 others. */
 export const CONFIGURATION_GROUP = [
-  ...disks("a", "b", "c"),
+  ...diskVoters("a", "b", "c"),
   ...learners("d", "e", "f", "g", "h", "i"),
 ];
 /** The group of one data centre. */
-export const DATA_CENTRE_GROUP = [...disks("a"), ...memories("b", "c")];
+export const DATA_CENTRE_GROUP = [
+  ...diskVoters("a"),
+  ...memoryVoters("b", "c"),
+];
--- a/bench/routing/sweep_policy.ts
+++ b/bench/routing/sweep_policy.ts
@@ -141,7 +141,7 @@
   }
 
   get demand(): number {
-    return this.#core.open;
+    return this.#core.totalOpenCalls;
   }
 
   take(request: SweepRequest): void {
--- a/src/process/batch/batch_command.ts
+++ b/src/process/batch/batch_command.ts
@@ -24,7 +24,7 @@
 export type WorkerKey = string;
 
 /** The key of the incarnation of a worker that started at a time. */
-export function lifeKey(id: string, bornMs: number): WorkerKey {
+export function workerKeyOf(id: string, bornMs: number): WorkerKey {
   return `${id}@${bornMs}`;
 }
 
--- a/src/process/batch/batch_service.ts
+++ b/src/process/batch/batch_service.ts
@@ -77,7 +77,7 @@
    * Whether this replica's record of the worker agrees with the given one, so
    * that nothing has to be stored.
    */
-  knowsWorker(worker: WorkerRecord): boolean {
+  hasCurrentRecord(worker: WorkerRecord): boolean {
     const known = this.#options.state.workers.get(worker.key);
     return known !== undefined && isSameWorkerRecord(known, worker);
   }
--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -171,7 +171,7 @@
       epoch,
       // An unreachable worker gets no lease, so that its runs end.
       leaseEndMs: this.isReachable ? this.nextLeaseEndMs() : undefined,
-      notedEnd: this.#acknowledgedEnd,
+      acknowledgedUpTo: this.#acknowledgedEnd,
       waitMs,
     }, { timeoutMs: waitMs + timing.reportSlackMs });
     if (this.#isClosed) {
--- a/src/process/batch/leader_finder.ts
+++ b/src/process/batch/leader_finder.ts
@@ -33,7 +33,7 @@
 }
 
 /** How a call to the leader ended. */
-export type FoundAnswer =
+export type LeaderCallResult =
   | { readonly kind: "answered"; readonly answer: JobAnswer }
   /** No leader carried out the call. */
   | { readonly kind: "notTaken" }
@@ -96,7 +96,7 @@
   }
 
   /** Whether a leader answered recently. */
-  hasContact(): boolean {
+  hasLeaderContact(): boolean {
     return this.#options.clock.nowMs() - this.#leaderAnsweredAtMs <
       LEADER_CONTACT_TIMEOUT_MS;
   }
@@ -129,7 +129,7 @@
   async call(
     call: JobCall,
     options: { deadlineMs: number },
-  ): Promise<FoundAnswer> {
+  ): Promise<LeaderCallResult> {
     const { clock } = this.#options;
     let mayHaveTakenEffect = false;
     for (;;) {
--- a/src/process/batch/mod.ts
+++ b/src/process/batch/mod.ts
@@ -9,9 +9,9 @@
 export {
   type BatchCommand,
   type BatchOutcome,
-  lifeKey,
   RunEnd,
   type TaskRef,
+  workerKeyOf,
   type WorkerRecord,
 } from "./batch_command.ts";
 export { BatchService } from "./batch_service.ts";
@@ -29,7 +29,7 @@
 } from "./http_call_transport.ts";
 export type { CallTarget, JobAnswer, JobCall } from "./job_call.ts";
 export type { JobSpec, StepSpec, TaskDemand } from "./job_spec.ts";
-export { type FoundAnswer, LeaderFinder } from "./leader_finder.ts";
+export { type LeaderCallResult, LeaderFinder } from "./leader_finder.ts";
 export type {
   AccountConfiguration,
   PoolConfiguration,
--- a/src/process/batch/state_host.ts
+++ b/src/process/batch/state_host.ts
@@ -17,7 +17,7 @@
 import {
   type GroupMember,
   ReplicationMember,
-  VoterKeeper,
+  VoterReconciler,
 } from "../replication/mod.ts";
 import type { MetricsRegistry } from "../http/mod.ts";
 import { HybridClock } from "../timeline/mod.ts";
@@ -75,7 +75,7 @@
   readonly service: BatchService;
   readonly member: ReplicationMember<BatchCommand, BatchOutcome>;
   readonly #network: WsPeerNetwork;
-  readonly #voterReconciler: VoterKeeper;
+  readonly #voterReconciler: VoterReconciler;
   readonly #peerCheck: Timer;
 
   private constructor(
@@ -105,7 +105,7 @@
       onCommit: (durationMs) => commits.record(durationMs),
     });
     registerBatchMetrics(options.metrics, this.service, member);
-    this.#voterReconciler = new VoterKeeper({
+    this.#voterReconciler = new VoterReconciler({
       member,
       clock,
       events,
--- a/src/process/batch/testing/batch_history.ts
+++ b/src/process/batch/testing/batch_history.ts
@@ -31,7 +31,7 @@
 const SETTLE_MS = 120_000;
 
 /** Runs one history. */
-export async function playHistory(
+export async function runHistory(
   options: HistoryOptions,
 ): Promise<HistoryResult> {
   const simulation = new BatchSimulation({ ...options, workers: WORKERS });
--- a/src/process/batch/testing/batch_history_test.ts
+++ b/src/process/batch/testing/batch_history_test.ts
@@ -5,7 +5,7 @@
  */
 
 import test from "ava";
-import { playHistory } from "./batch_history.ts";
+import { runHistory } from "./batch_history.ts";
 
 const HISTORIES = 60;
 const STEPS = 25;
@@ -13,7 +13,7 @@
 test("random histories violate no invariant and end every job", async (t) => {
   let starts = 0;
   for (let seed = 1; seed <= HISTORIES; seed++) {
-    const result = await playHistory({ seed, steps: STEPS });
+    const result = await runHistory({ seed, steps: STEPS });
     t.deepEqual(
       result.violations,
       [],
--- a/src/process/batch/testing/batch_soak.ts
+++ b/src/process/batch/testing/batch_soak.ts
@@ -34,7 +34,7 @@
 const QUIET_PERIOD_MS = BATCH_TIMING.endedJobRetentionMs + 120_000;
 
 /** Runs rounds until one has violations; gives the last one. */
-export async function playSoak(options: SoakOptions): Promise<SoakRound> {
+export async function runSoak(options: SoakOptions): Promise<SoakRound> {
   const simulation = new BatchSimulation({ ...options, workers: WORKERS });
   await simulation.open();
   const beganMs = simulation.clock.nowMs();
--- a/src/process/batch/testing/batch_soak_test.ts
+++ b/src/process/batch/testing/batch_soak_test.ts
@@ -1,10 +1,10 @@
 import test from "ava";
-import { playSoak } from "./batch_soak.ts";
+import { runSoak } from "./batch_soak.ts";
 
 const ROUNDS = 4;
 
 test("nothing is left open after rounds of faults", async (t) => {
-  const last = await playSoak({ seed: 3, rounds: ROUNDS });
+  const last = await runSoak({ seed: 3, rounds: ROUNDS });
   t.deepEqual(last.violations, []);
   t.is(last.number, ROUNDS);
   t.true(
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -8,9 +8,9 @@
 import type { FakeClock, RandomSource } from "../../../base/mod.ts";
 import { failure, type Result } from "../../../base/mod.ts";
 import {
-  lifeKey,
   RunEnd,
   type TaskRef,
+  workerKeyOf,
   type WorkerRecord,
 } from "../batch_command.ts";
 import type { JobSpec } from "../job_spec.ts";
@@ -78,7 +78,7 @@
   records(): WorkerRecord[] {
     return [...this.#workers.values()].filter(({ isDown }) => !isDown)
       .map((worker) => ({
-        key: lifeKey(worker.id, worker.bornMs),
+        key: workerKeyOf(worker.id, worker.bornMs),
         id: worker.id,
         bornMs: worker.bornMs,
         service: "pool",
@@ -193,7 +193,7 @@
         }
         worker.epoch = order.epoch;
         this.#extendLease(worker, order.leaseEndMs ?? 0);
-        this.#acknowledgeEnds(worker, order.notedEnd);
+        this.#acknowledgeEnds(worker, order.acknowledgedUpTo);
         return true;
       },
     );
--- a/src/process/batch/worker_calls.ts
+++ b/src/process/batch/worker_calls.ts
@@ -79,7 +79,7 @@
   /** By the worker's clock; undefined to request a report without a lease. */
   readonly leaseEndMs: number | undefined;
   /** Ends up to this number are stored; the worker may drop them. */
-  readonly notedEnd: number;
+  readonly acknowledgedUpTo: number;
   /** How long the worker may wait for a run to end before it answers. */
   readonly waitMs: number;
 }
--- a/src/process/batch/worker_incarnations_test.ts
+++ b/src/process/batch/worker_incarnations_test.ts
@@ -1,5 +1,5 @@
 import test from "ava";
-import { lifeKey, type WorkerRecord } from "./batch_command.ts";
+import { workerKeyOf, type WorkerRecord } from "./batch_command.ts";
 import { WorkerIncarnations } from "./worker_incarnations.ts";
 
 function incarnation(
@@ -8,7 +8,7 @@
   address: string,
 ): WorkerRecord {
   return {
-    key: lifeKey(id, bornMs),
+    key: workerKeyOf(id, bornMs),
     id,
     bornMs,
     service: "pool",
--- a/src/process/jobs/job_endpoints_test.ts
+++ b/src/process/jobs/job_endpoints_test.ts
@@ -7,7 +7,7 @@
 import { FakeCore } from "../scheduler/runtime/testing/fake_core.ts";
 import { FakeGroup } from "../scheduler/runtime/testing/fake_group.ts";
 import { FakePeerNetwork } from "../scheduler/runtime/testing/fake_links.ts";
-import { makeWorld } from "../scheduler/runtime/testing/test_bed.ts";
+import { makeEnvironment } from "../scheduler/runtime/testing/data_centre_simulation.ts";
 import {
   HttpWorkerClient,
   type JobCommand,
@@ -28,8 +28,12 @@
 };
 
 function makeRuntime() {
-  const world = makeWorld({ seed: 3, dataCentres: ["dc1"], instances: 1 });
-  const { clock, links, peers, places, configuration } = world;
+  const world = makeEnvironment({
+    seed: 3,
+    dataCentres: ["dc1"],
+    instances: 1,
+  });
+  const { clock, links, peers, locations: places, configuration } = world;
   const ledger = new JobLedger();
   const group = new FakeGroup<JobCommand, JobCommandOutcome>(world);
   const log = group.join("dc1-0", ledger);
--- a/src/process/replication/mod.ts
+++ b/src/process/replication/mod.ts
@@ -11,7 +11,7 @@
   type ReplicatedLog,
   type StateMachine,
 } from "./replicated_log.ts";
-export { VoterKeeper } from "./voter_reconciler.ts";
+export { VoterReconciler } from "./voter_reconciler.ts";
 export {
   type MemberChange,
   ReplicationMember,
--- a/src/process/replication/raft_core_fuzz_test.ts
+++ b/src/process/replication/raft_core_fuzz_test.ts
@@ -3,9 +3,9 @@
 import type { GroupMember } from "./raft_effect.ts";
 import { RaftMutation } from "./raft_mutation.ts";
 import {
-  disks,
+  diskVoters,
   learners,
-  memories,
+  memoryVoters,
   sessionProperty,
 } from "./testing/fault_session.ts";
 
@@ -13,15 +13,15 @@
 const SESSIONS = 100;
 
 const GROUPS: Readonly<Record<string, readonly GroupMember[]>> = {
-  "three disks": disks("a", "b", "c"),
+  "three disks": diskVoters("a", "b", "c"),
   "five disks and two learners": [
-    ...disks("a", "b", "c", "d", "e"),
+    ...diskVoters("a", "b", "c", "d", "e"),
     ...learners("f", "g"),
   ],
-  "one disk of three": [...memories("a", "b"), ...disks("c")],
-  "no disk of three": memories("a", "b", "c"),
-  "two disks": disks("a", "b"),
-  "four disks": disks("a", "b", "c", "d"),
+  "one disk of three": [...memoryVoters("a", "b"), ...diskVoters("c")],
+  "no disk of three": memoryVoters("a", "b", "c"),
+  "two disks": diskVoters("a", "b"),
+  "four disks": diskVoters("a", "b", "c", "d"),
 };
 
 for (const [name, members] of Object.entries(GROUPS)) {
--- a/src/process/replication/raft_core_test.ts
+++ b/src/process/replication/raft_core_test.ts
@@ -9,7 +9,12 @@
 import type { RaftCoreOptions } from "./raft_state.ts";
 import { EMPTY_SNAPSHOT } from "./raft_log.ts";
 import { REPLICATION_TIMING } from "./replication_timing.ts";
-import { disks, learners, memories, recover } from "./testing/fault_session.ts";
+import {
+  diskVoters,
+  learners,
+  memoryVoters,
+  recover,
+} from "./testing/fault_session.ts";
 import { InvariantViolation } from "./testing/group_oracle.ts";
 import {
   RaftSimulation,
@@ -53,7 +58,7 @@
 const SCENARIOS: readonly FaultScenario[] = [
   {
     mutation: RaftMutation.answersBeforeSync,
-    options: { members: disks("a", "b", "c"), syncMs: 900 },
+    options: { members: diskVoters("a", "b", "c"), syncMs: 900 },
     run: (simulation) => {
       simulation.run(5_000);
       simulation.proposeToLeader();
@@ -63,7 +68,7 @@
   },
   {
     mutation: RaftMutation.votesDespiteLeader,
-    options: { members: disks("a", "b", "c") },
+    options: { members: diskVoters("a", "b", "c") },
     run: (simulation) => {
       const leader = leaderOf(simulation);
       cutBothWays(simulation, leader, others(simulation, leader)[0]!);
@@ -72,7 +77,7 @@
   },
   {
     mutation: RaftMutation.votesRightAfterRestart,
-    options: { members: disks("a", "b", "c") },
+    options: { members: diskVoters("a", "b", "c") },
     run: (simulation) => {
       const leader = leaderOf(simulation);
       const [isolated, between] = others(simulation, leader);
@@ -87,7 +92,7 @@
   },
   {
     mutation: RaftMutation.deniesKnownLeader,
-    options: { members: disks("a", "b", "c"), delayMs: 40 },
+    options: { members: diskVoters("a", "b", "c"), delayMs: 40 },
     run: (simulation) => {
       for (let at = 0; at < 40; at++) {
         const leader = leaderOf(simulation);
@@ -104,7 +109,7 @@
   },
   {
     mutation: RaftMutation.commitsWithoutDurable,
-    options: { members: [...memories("a", "b"), ...disks("c")] },
+    options: { members: [...memoryVoters("a", "b"), ...diskVoters("c")] },
     run: (simulation) => {
       simulation.isolate("c");
       simulation.run(300);
@@ -115,7 +120,7 @@
   },
   {
     mutation: RaftMutation.changesOverlap,
-    options: { members: disks("a", "b", "c", "d", "e") },
+    options: { members: diskVoters("a", "b", "c", "d", "e") },
     run: (simulation) => {
       const leader = leaderOf(simulation);
       const [near, ...far] = others(simulation, leader);
@@ -131,7 +136,7 @@
   {
     mutation: RaftMutation.currentAtReceipt,
     options: {
-      members: [...disks("a", "b", "c"), ...learners("d")],
+      members: [...diskVoters("a", "b", "c"), ...learners("d")],
       delayMs: 200,
     },
     run: (simulation) => {
@@ -178,7 +183,7 @@
   }));
   return new RaftCore({
     selfId: "a",
-    members: memories("a", "b", "c"),
+    members: memoryVoters("a", "b", "c"),
     random: new SeededRandom({ seed: 1 }),
     timing: REPLICATION_TIMING,
     hardState: {
@@ -262,7 +267,7 @@
 
 test("a restarted group elects a leader while votes are still withheld", (t) => {
   const simulation = new RaftSimulation({
-    members: disks("a", "b", "c"),
+    members: diskVoters("a", "b", "c"),
     seed: 1,
   });
   simulation.startAll();
@@ -374,7 +379,7 @@
 
 test("a leader isolated while it removes a voter doesn't lead alone", (t) => {
   for (let seed = 1; seed <= 30; seed++) {
-    const members = memories("a", "b", "c");
+    const members = memoryVoters("a", "b", "c");
     const simulation = new RaftSimulation({ members, seed });
     simulation.startAll();
     simulation.run(3_000);
--- a/src/process/replication/replication_member_test.ts
+++ b/src/process/replication/replication_member_test.ts
@@ -1,10 +1,13 @@
 import test from "ava";
 import { COMMAND_LIMIT_BYTES } from "./replication_timing.ts";
-import { disks, learners, memories } from "./testing/fault_session.ts";
+import { diskVoters, learners, memoryVoters } from "./testing/fault_session.ts";
 import { type Member, MemberGroup } from "./testing/member_group.ts";
 
 test("a group forms, commits from any member and updates learners", async (t) => {
-  const group = new MemberGroup([...disks("a", "b", "c"), ...learners("d")]);
+  const group = new MemberGroup([
+    ...diskVoters("a", "b", "c"),
+    ...learners("d"),
+  ]);
   await group.startAll();
   await group.run(1_000);
   for (const id of ["a", "b", "c", "d"]) {
@@ -23,7 +26,7 @@
 
 test("a restart of every member keeps all acknowledged commands", async (t) => {
   const group = new MemberGroup(
-    [...disks("a"), ...memories("b", "c")],
+    [...diskVoters("a"), ...memoryVoters("b", "c")],
     { snapshotEntries: 20, tailEntries: 5 },
   );
   await group.startAll();
@@ -44,7 +47,7 @@
 });
 
 test("a wiped member votes again only after it has caught up", async (t) => {
-  const group = new MemberGroup(disks("a", "b", "c"), {
+  const group = new MemberGroup(diskVoters("a", "b", "c"), {
     snapshotEntries: 10,
     tailEntries: 2,
   });
@@ -66,7 +69,10 @@
 });
 
 test("a group continues without its only durable voter", async (t) => {
-  const group = new MemberGroup([...disks("a"), ...memories("b", "c")]);
+  const group = new MemberGroup([
+    ...diskVoters("a"),
+    ...memoryVoters("b", "c"),
+  ]);
   await group.startAll();
   await group.run(1_000);
   (await group.propose("b", "one")).unsafeCoerce();
@@ -80,7 +86,7 @@
 });
 
 test("an isolated leader's lease ends and another leads within 3 s", async (t) => {
-  const group = new MemberGroup(disks("a", "b", "c"));
+  const group = new MemberGroup(diskVoters("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
   const old = group.leader()!;
@@ -97,7 +103,7 @@
 
 test("a failed sync stops the member, which acknowledges nothing", async (t) => {
   for (const fault of ["syncFails", "isFull"] as const) {
-    const group = new MemberGroup(disks("a", "b", "c"));
+    const group = new MemberGroup(diskVoters("a", "b", "c"));
     await group.startAll();
     await group.run(1_000);
     const leaderId = group.leader()!.status().leaderId!;
@@ -116,7 +122,7 @@
 });
 
 test("a member with a damaged log is repaired by its peers", async (t) => {
-  const group = new MemberGroup(disks("a", "b", "c"));
+  const group = new MemberGroup(diskVoters("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
   for (let at = 0; at < 20; at++) {
@@ -134,7 +140,7 @@
 });
 
 test("a leadership transfer doesn't wait for an election timeout", async (t) => {
-  const group = new MemberGroup(disks("a", "b", "c"));
+  const group = new MemberGroup(diskVoters("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
   const old = group.leader()!;
@@ -167,7 +173,7 @@
 
 /** A group whose leader's syncs hang. */
 async function groupWithHangingLeader() {
-  const group = new MemberGroup(disks("a", "b", "c"));
+  const group = new MemberGroup(diskVoters("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
   const old = group.leader()!;
@@ -186,7 +192,7 @@
 }
 
 test("members change one at a time and committed commands remain", async (t) => {
-  const group = new MemberGroup(disks("a", "b", "c"));
+  const group = new MemberGroup(diskVoters("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
   (await group.propose("a", "one")).unsafeCoerce();
@@ -207,7 +213,7 @@
 });
 
 test("a group whose majority lost its disks waits for an operator", async (t) => {
-  const group = new MemberGroup(disks("a", "b", "c"));
+  const group = new MemberGroup(diskVoters("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
   (await group.propose("a", "one")).unsafeCoerce();
@@ -229,7 +235,7 @@
 });
 
 test("a leader continues when all its followers lost their state", async (t) => {
-  const group = new MemberGroup(disks("a", "b", "c"));
+  const group = new MemberGroup(diskVoters("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
   (await group.propose("a", "one")).unsafeCoerce();
@@ -246,7 +252,7 @@
 });
 
 test("a group forms only after every founder has started", async (t) => {
-  const group = new MemberGroup(disks("a", "b", "c"));
+  const group = new MemberGroup(diskVoters("a", "b", "c"));
   await group.start("a");
   await group.start("b");
   await group.run(5_000);
@@ -258,7 +264,7 @@
 });
 
 test("a command that reaches no leader fails as not committed", async (t) => {
-  const group = new MemberGroup(disks("a", "b", "c"));
+  const group = new MemberGroup(diskVoters("a", "b", "c"));
   await group.start("a");
   const result = await group.propose("a", "nobody there");
   t.is(result.swap().unsafeCoerce().kind, "unavailable");
@@ -266,7 +272,7 @@
 });
 
 test("a command that is too large for a frame is rejected", async (t) => {
-  const group = new MemberGroup(disks("a", "b", "c"));
+  const group = new MemberGroup(diskVoters("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
   const fits = await group.propose("b", "x".repeat(COMMAND_LIMIT_BYTES - 16));
@@ -278,7 +284,7 @@
 
 test("catch-up stays within the byte budget of its peer", async (t) => {
   const group = new MemberGroup(
-    [...disks("a", "b", "c"), ...learners("d")],
+    [...diskVoters("a", "b", "c"), ...learners("d")],
     { snapshotEntries: 50, tailEntries: 5, chunkBytes: 4_096 },
     { catchUpBytesPerSecond: (peer) => peer === "d" ? 20_000 : 1e9 },
   );
--- a/src/process/replication/testing/fault_session.ts
+++ b/src/process/replication/testing/fault_session.ts
@@ -229,12 +229,12 @@
 }
 
 /** Voters with a disk. */
-export function disks(...ids: string[]): GroupMember[] {
+export function diskVoters(...ids: string[]): GroupMember[] {
   return ids.map((id) => ({ id, isVoter: true, isDurable: true }));
 }
 
 /** Voters without a disk. */
-export function memories(...ids: string[]): GroupMember[] {
+export function memoryVoters(...ids: string[]): GroupMember[] {
   return ids.map((id) => ({ id, isVoter: true, isDurable: false }));
 }
 
--- a/src/process/replication/voter_count_test.ts
+++ b/src/process/replication/voter_count_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { type Member, MemberGroup } from "./testing/member_group.ts";
-import { VoterKeeper } from "./voter_reconciler.ts";
+import { VoterReconciler } from "./voter_reconciler.ts";
 
 const IDS = ["a", "b", "c", "d", "e", "f"];
 const WANTED_VOTERS = 5;
@@ -17,9 +17,9 @@
   return group;
 }
 
-function reconcileVoters(group: MemberGroup, member: Member): VoterKeeper {
+function reconcileVoters(group: MemberGroup, member: Member): VoterReconciler {
   const { clock } = group;
-  return new VoterKeeper({ member, clock, wantedVoters: WANTED_VOTERS });
+  return new VoterReconciler({ member, clock, wantedVoters: WANTED_VOTERS });
 }
 
 function voterIds(group: MemberGroup): readonly string[] {
--- a/src/process/replication/voter_reconciler.ts
+++ b/src/process/replication/voter_reconciler.ts
@@ -54,7 +54,7 @@
 }
 
 /** Adds and removes voters while its member leads. */
-export class VoterKeeper {
+export class VoterReconciler {
   readonly #options: VoterReconcilerOptions;
   readonly #timer: Timer;
   #isChanging = false;
--- a/src/process/routing/core/routing_core.ts
+++ b/src/process/routing/core/routing_core.ts
@@ -43,7 +43,7 @@
   }
 
   /** Calls that haven't ended. */
-  get open(): number {
+  get totalOpenCalls(): number {
     return this.#serviceByCall.size;
   }
 
@@ -150,7 +150,7 @@
     if (announcement.dataCentre !== this.#options.dataCentre) {
       return [];
     }
-    service?.servers.hear(announcement, atMs);
+    service?.servers.applyAnnouncement(announcement, atMs);
     return service?.dispatch(atMs) ?? [];
   }
 
--- a/src/process/routing/core/server_table.ts
+++ b/src/process/routing/core/server_table.ts
@@ -67,7 +67,7 @@
     this.#allotted = slots;
   }
 
-  hear(announcement: ServerAnnouncement, atMs: number): void {
+  applyAnnouncement(announcement: ServerAnnouncement, atMs: number): void {
     const { serverId } = announcement;
     const known = this.#servers.get(serverId);
     if (known !== undefined) {
--- a/src/process/scheduler/runtime/data_centre_out_test.ts
+++ b/src/process/scheduler/runtime/data_centre_out_test.ts
@@ -3,11 +3,11 @@
 import {
   DataCentreSimulation,
   type DataCentreSimulationOptions,
-  makeWorld,
-} from "./testing/test_bed.ts";
+  makeEnvironment,
+} from "./testing/data_centre_simulation.ts";
 
 function makePair(options: Partial<DataCentreSimulationOptions> = {}) {
-  const environment = makeWorld({ seed: 5, dataCentres: ["dc1", "dc2"] });
+  const environment = makeEnvironment({ seed: 5, dataCentres: ["dc1", "dc2"] });
   const first = new DataCentreSimulation({ environment, ...options });
   const second = new DataCentreSimulation({
     environment,
@@ -29,9 +29,12 @@
     seed: number;
   },
 ): Promise<{ simulation: DataCentreSimulation; waiting: number }> {
-  const environment = makeWorld({ seed: options.seed, dataCentres: ["dc1"] });
+  const environment = makeEnvironment({
+    seed: options.seed,
+    dataCentres: ["dc1"],
+  });
   const simulation = new DataCentreSimulation({ environment, ...options });
-  environment.links.weather = {
+  environment.links.conditions = {
     lostPerMille: 20,
     doubledPerMille: 200,
     latePerMille: 300,
@@ -195,7 +198,7 @@
 });
 
 test("a job that is transferred away and back runs under the real core", async (t) => {
-  const environment = makeWorld({ seed: 6, dataCentres: ["dc1", "dc2"] });
+  const environment = makeEnvironment({ seed: 6, dataCentres: ["dc1", "dc2"] });
   const [first, second] = ["dc1", "dc2"].map((dataCentre) =>
     new DataCentreSimulation({
       environment,
@@ -227,7 +230,7 @@
 
 test("a job is transferred to a data centre that can be reached", async (t) => {
   const dataCentres = ["dc1", "dc2", "dc3"];
-  const environment = makeWorld({ seed: 8, dataCentres });
+  const environment = makeEnvironment({ seed: 8, dataCentres });
   const [first, second, third] = dataCentres
     .map((dataCentre) =>
       new DataCentreSimulation({ environment, dataCentre })
--- a/src/process/scheduler/runtime/leader_failure_test.ts
+++ b/src/process/scheduler/runtime/leader_failure_test.ts
@@ -3,8 +3,8 @@
 import {
   DataCentreSimulation,
   type DataCentreSimulationOptions,
-  makeWorld,
-} from "./testing/test_bed.ts";
+  makeEnvironment,
+} from "./testing/data_centre_simulation.ts";
 
 /** The duration of a lease, lengthened by the permitted clock drift. */
 const PARTIAL_LIMIT_MS = LEASE_DEFAULTS.leaseMs *
@@ -14,7 +14,7 @@
   options: Partial<DataCentreSimulationOptions> = {},
   seed = 11,
 ): DataCentreSimulation {
-  const environment = makeWorld({ seed, dataCentres: ["dc1"] });
+  const environment = makeEnvironment({ seed, dataCentres: ["dc1"] });
   return new DataCentreSimulation({ environment, ...options });
 }
 
--- a/src/process/scheduler/runtime/runtime_fuzz_test.ts
+++ b/src/process/scheduler/runtime/runtime_fuzz_test.ts
@@ -10,7 +10,10 @@
 import type { DecisionCoreFactory } from "./decision_core.ts";
 import { LEASE_DEFAULTS } from "./lease_rule.ts";
 import type { OmittedCheck } from "./session_context.ts";
-import { DataCentreSimulation, makeWorld } from "./testing/test_bed.ts";
+import {
+  DataCentreSimulation,
+  makeEnvironment,
+} from "./testing/data_centre_simulation.ts";
 
 const PARTIAL_LIMIT_MS = LEASE_DEFAULTS.leaseMs *
   (1 + LEASE_DEFAULTS.clockDriftFraction);
@@ -132,7 +135,7 @@
     return Promise.resolve();
   })),
   fc.constant(step("loseMessages", ({ simulation }) => {
-    simulation.environment.links.weather = UNRELIABLE_LINKS;
+    simulation.environment.links.conditions = UNRELIABLE_LINKS;
     return Promise.resolve();
   })),
   instance.map((index) =>
@@ -158,7 +161,7 @@
 /** Ends all faults, lets everything finish, and checks the outcome. */
 async function settleAndCheck({ simulation }: Real): Promise<void> {
   simulation.environment.links.heal();
-  simulation.environment.links.weather = {
+  simulation.environment.links.conditions = {
     ...UNRELIABLE_LINKS,
     lostPerMille: 0,
     latePerMille: 0,
@@ -205,7 +208,7 @@
     fc.commands(steps, { maxCommands: 40, size: "max" }),
     fc.nat(),
     async (commands, seed) => {
-      const environment = makeWorld({ seed, dataCentres: ["dc1"] });
+      const environment = makeEnvironment({ seed, dataCentres: ["dc1"] });
       const simulation = new DataCentreSimulation({
         environment,
         lostAnswersPerMille: 50,
--- a/src/process/scheduler/runtime/scheduler_runtime_test.ts
+++ b/src/process/scheduler/runtime/scheduler_runtime_test.ts
@@ -1,11 +1,14 @@
 import test from "ava";
 import { jobSpecificationSchema } from "../core/mod.ts";
-import { DataCentreSimulation, makeWorld } from "./testing/test_bed.ts";
+import {
+  DataCentreSimulation,
+  makeEnvironment,
+} from "./testing/data_centre_simulation.ts";
 
 function makeSimulation(
   options: Partial<ConstructorParameters<typeof DataCentreSimulation>[0]> = {},
 ): DataCentreSimulation {
-  const environment = makeWorld({ seed: 7, dataCentres: ["dc1"] });
+  const environment = makeEnvironment({ seed: 7, dataCentres: ["dc1"] });
   return new DataCentreSimulation({ environment, ...options });
 }
 
--- a/src/process/scheduler/runtime/testing/test_bed.ts
+++ b/src/process/scheduler/runtime/testing/data_centre_simulation.ts
@@ -38,11 +38,11 @@
   readonly links: FakeLinks;
   readonly peers: Map<string, FakePeerNetwork>;
   readonly configuration: FakeConfiguration;
-  readonly places: readonly InstanceLocation[];
+  readonly locations: readonly InstanceLocation[];
 }
 
 /** Creates an environment; instances are named after their data centre. */
-export function makeWorld(
+export function makeEnvironment(
   options: { seed: number; dataCentres: readonly string[]; instances?: number },
 ): SimulationEnvironment {
   const clock = new FakeClock({ startMs: 1_000_000 });
@@ -60,7 +60,7 @@
     links: new FakeLinks({ clock, random }),
     peers: new Map(),
     configuration: new FakeConfiguration({ clock, document }),
-    places: instanceLocations,
+    locations: instanceLocations,
   };
 }
 
@@ -109,7 +109,7 @@
       ...environment,
       lostAnswersPerMille: lostAnswersPerMille ?? 0,
     });
-    for (const { id, dataCentre } of environment.places) {
+    for (const { id, dataCentre } of environment.locations) {
       if (dataCentre === this.dataCentre) {
         this.startInstance(id);
       }
@@ -121,7 +121,7 @@
   }
 
   get instanceIds(): readonly string[] {
-    return this.environment.places
+    return this.environment.locations
       .filter((location) => location.dataCentre === this.dataCentre)
       .map((location) => location.id);
   }
@@ -170,14 +170,14 @@
       return;
     }
     const { environment } = this;
-    const { clock, links, peers, places } = environment;
+    const { clock, links, peers, locations } = environment;
     const ledger = new JobLedger();
     const member = this.group.join(id, ledger);
     const copy = environment.configuration.copy();
     const runtime = new SchedulerRuntime({
       clock,
       dataCentre: this.dataCentre,
-      instances: places,
+      instances: locations,
       network: new FakePeerNetwork({ selfId: id, links, peers }),
       log: member,
       ledger,
@@ -251,8 +251,8 @@
       accelerators: this.#options.accelerators ?? 8,
       // Within the default `clockDriftFraction` of 0.001, either way.
       rate: 1 + (workerNumber % 2 === 0 ? 0.0004 : -0.0004),
-      onHappening: (event) =>
-        this.history.note({ ...event, atMs: clock.nowMs() }),
+      onTaskEvent: (event) =>
+        this.history.record({ ...event, atMs: clock.nowMs() }),
       omittedFences: this.#options.omittedFences ?? [],
     });
     this.workers.set(workerId, worker);
--- a/src/process/scheduler/runtime/testing/fake_links.ts
+++ b/src/process/scheduler/runtime/testing/fake_links.ts
@@ -35,7 +35,7 @@
 
 /** Links between any two named endpoints; each direction may be cut. */
 export class FakeLinks {
-  weather: LinkConditions = RELIABLE_LINKS;
+  conditions: LinkConditions = RELIABLE_LINKS;
   readonly #clock: Clock;
   readonly #random: RandomSource;
   readonly #cuts = new Set<string>();
@@ -62,7 +62,7 @@
     route: { readonly from: string; readonly to: string },
     deliver: () => void,
   ): void {
-    const { lostPerMille, doubledPerMille } = this.weather;
+    const { lostPerMille, doubledPerMille } = this.conditions;
     const isLost = this.#random.nextInt(1_000) < lostPerMille;
     if (isLost || this.isCut(route.from, route.to)) {
       return;
@@ -74,7 +74,7 @@
   }
 
   #delayMs(): number {
-    const { latePerMille, lateMs, delayMs } = this.weather;
+    const { latePerMille, lateMs, delayMs } = this.conditions;
     const isLate = this.#random.nextInt(1_000) < latePerMille;
     return isLate
       ? this.#random.nextInt(lateMs + 1)
--- a/src/process/scheduler/runtime/testing/fake_worker.ts
+++ b/src/process/scheduler/runtime/testing/fake_worker.ts
@@ -11,7 +11,7 @@
   WorkerTasks,
   type WorkerTasksOptions,
 } from "../../../../../standins/worker/worker_tasks.ts";
-import type { TaskHappening } from "../../../../../standins/worker/worker_types.ts";
+import type { TaskEvent } from "../../../../../standins/worker/worker_types.ts";
 import type { WorkerClient } from "../worker_client.ts";
 import type { WorkerAnswer, WorkerCommand } from "../worker_command.ts";
 import type { WorkerReport } from "../worker_report.ts";
@@ -52,7 +52,7 @@
   readonly rack: string;
   readonly accelerators: number;
   readonly rate?: number;
-  readonly onHappening: (event: TaskHappening) => void;
+  readonly onTaskEvent: (event: TaskEvent) => void;
   readonly omittedFences?: WorkerTasksOptions["omittedFences"];
 }
 
@@ -101,7 +101,7 @@
         accelerators,
       },
       incarnation: this.#incarnation,
-      onHappening: this.#options.onHappening,
+      onTaskEvent: this.#options.onTaskEvent,
       omittedFences: this.#options.omittedFences ?? [],
     });
   }
--- a/src/process/scheduler/runtime/testing/run_history.ts
+++ b/src/process/scheduler/runtime/testing/run_history.ts
@@ -4,11 +4,11 @@
  * @module
  */
 
-import type { TaskHappening } from "../../../../../standins/worker/worker_types.ts";
+import type { TaskEvent } from "../../../../../standins/worker/worker_types.ts";
 import { endedWell } from "../gang.ts";
 
 /** A start or end of a task, with its time by the simulation's clock. */
-export type TimedTaskEvent = TaskHappening & { readonly atMs: number };
+export type TimedTaskEvent = TaskEvent & { readonly atMs: number };
 
 interface RunningTask {
   readonly jobId: string;
@@ -34,7 +34,7 @@
     this.#removedAtMs = atMs;
   }
 
-  note(event: TimedTaskEvent): void {
+  record(event: TimedTaskEvent): void {
     this.events.push(event);
     const { jobId, attempt, taskIndex, workerId } = event;
     const id = `${workerId}/${jobId}/${attempt}/${taskIndex}`;
--- a/src/process/scheduler/runtime/transfer_fuzz_test.ts
+++ b/src/process/scheduler/runtime/transfer_fuzz_test.ts
@@ -9,8 +9,8 @@
 import {
   advanceTime,
   DataCentreSimulation,
-  makeWorld,
-} from "./testing/test_bed.ts";
+  makeEnvironment,
+} from "./testing/data_centre_simulation.ts";
 
 const DATA_CENTRES = ["dc1", "dc2"];
 
@@ -55,13 +55,13 @@
 type Step = typeof step extends fc.Arbitrary<infer Value> ? Value : never;
 
 class Pair {
-  readonly environment: ReturnType<typeof makeWorld>;
+  readonly environment: ReturnType<typeof makeEnvironment>;
   readonly history = new RunHistory();
   readonly simulations: readonly DataCentreSimulation[];
   #submitted = 0;
 
   constructor(seed: number) {
-    this.environment = makeWorld({ seed, dataCentres: DATA_CENTRES });
+    this.environment = makeEnvironment({ seed, dataCentres: DATA_CENTRES });
     this.simulations = DATA_CENTRES.map((dataCentre, index) =>
       new DataCentreSimulation({
         environment: this.environment,
@@ -71,7 +71,7 @@
         lostAnswersPerMille: 50,
       })
     );
-    this.environment.links.weather = UNRELIABLE_LINKS;
+    this.environment.links.conditions = UNRELIABLE_LINKS;
   }
 
   simulation(index: number): DataCentreSimulation {
@@ -108,7 +108,7 @@
   /** Ends all faults and lets everything finish. */
   async settle(): Promise<void> {
     this.environment.links.heal();
-    this.environment.links.weather = {
+    this.environment.links.conditions = {
       ...UNRELIABLE_LINKS,
       lostPerMille: 0,
       latePerMille: 0,
--- a/src/process/scheduler/runtime/worker_failure_test.ts
+++ b/src/process/scheduler/runtime/worker_failure_test.ts
@@ -3,8 +3,8 @@
 import {
   DataCentreSimulation,
   type DataCentreSimulationOptions,
-  makeWorld,
-} from "./testing/test_bed.ts";
+  makeEnvironment,
+} from "./testing/data_centre_simulation.ts";
 
 const PARTIAL_LIMIT_MS = LEASE_DEFAULTS.leaseMs *
   (1 + LEASE_DEFAULTS.clockDriftFraction);
@@ -12,7 +12,7 @@
 function makeSimulation(
   options: Partial<DataCentreSimulationOptions> = {},
 ): DataCentreSimulation {
-  const environment = makeWorld({ seed: 23, dataCentres: ["dc1"] });
+  const environment = makeEnvironment({ seed: 23, dataCentres: ["dc1"] });
   return new DataCentreSimulation({ environment, ...options });
 }
 
--- a/standins/worker/main.ts
+++ b/standins/worker/main.ts
@@ -50,7 +50,7 @@
     port: flags.port,
     clock,
     tasks: {
-      onHappening: (happening) => {
+      onTaskEvent: (happening) => {
         if (flags.history !== undefined) {
           const line = { ...happening, atMs: clock.nowMs() };
           appendFileSync(flags.history, JSON.stringify(line) + "\n");
--- a/standins/worker/worker.ts
+++ b/standins/worker/worker.ts
@@ -68,8 +68,8 @@
       capacity: options.capacity,
       incarnation: Math.max(1, Math.floor(this.#clock.nowMs())),
       ...options.tasks,
-      onHappening: (happening) => {
-        options.tasks?.onHappening?.(happening);
+      onTaskEvent: (happening) => {
+        options.tasks?.onTaskEvent?.(happening);
         if (happening.kind === "ended") {
           this.#reportSoon();
         }
--- a/standins/worker/worker_tasks.ts
+++ b/standins/worker/worker_tasks.ts
@@ -23,7 +23,7 @@
 import { PretendTask } from "./pretend_task.ts";
 import type {
   OmittedFence,
-  TaskHappening,
+  TaskEvent,
   WorkerCapacity,
 } from "./worker_types.ts";
 import { NO_FAULTS, type WorkerFaults } from "./worker_faults.ts";
@@ -38,7 +38,7 @@
   readonly checkpointMs?: number;
   /** How long ago the usage in a report was seen. */
   readonly usageLagMs?: number;
-  readonly onHappening?: (happening: TaskHappening) => void;
+  readonly onTaskEvent?: (happening: TaskEvent) => void;
   readonly omittedFences?: readonly OmittedFence[];
 }
 
@@ -367,7 +367,7 @@
   ): void {
     const { jobId, attempt, taskIndex } = task.held();
     const { workerId } = this.#options;
-    this.#options.onHappening?.({
+    this.#options.onTaskEvent?.({
       workerId,
       jobId,
       attempt,
--- a/standins/worker/worker_tasks_test.ts
+++ b/standins/worker/worker_tasks_test.ts
@@ -2,7 +2,7 @@
 import { FakeClock } from "../../src/base/fake_clock.ts";
 import type { WorkerCommand } from "../../src/process/scheduler/runtime/worker_command.ts";
 import { WorkerTasks } from "./worker_tasks.ts";
-import type { OmittedFence, TaskHappening } from "./worker_types.ts";
+import type { OmittedFence, TaskEvent } from "./worker_types.ts";
 
 type Body = WorkerCommand extends infer Command
   ? Command extends WorkerCommand ? Omit<Command, "fence"> : never
@@ -12,13 +12,13 @@
 
 function makeWorker(omittedFences: readonly OmittedFence[] = []) {
   const clock = new FakeClock({ startMs: 1_000 });
-  const happenings: TaskHappening[] = [];
+  const happenings: TaskEvent[] = [];
   const worker = new WorkerTasks({
     clock,
     workerId: "w1",
     capacity: { rack: "r1", cores: 8, memoryBytes: 8, accelerators: 4 },
     incarnation: 7,
-    onHappening: (happening) => happenings.push(happening),
+    onTaskEvent: (happening) => happenings.push(happening),
     omittedFences,
   });
   const tell = (
--- a/standins/worker/worker_types.ts
+++ b/standins/worker/worker_types.ts
@@ -15,7 +15,7 @@
 }
 
 /** A start or an end of a task, as it truly happened. */
-export type TaskHappening =
+export type TaskEvent =
   & {
     readonly workerId: string;
     readonly jobId: string;
--- a/test/fuzz/main.ts
+++ b/test/fuzz/main.ts
@@ -9,7 +9,7 @@
 
 import { cac } from "cac";
 import process from "node:process";
-import { playSoak } from "../../src/process/batch/testing/batch_soak.ts";
+import { runSoak } from "../../src/process/batch/testing/batch_soak.ts";
 import { runPlatformCampaign } from "./platform_campaign.ts";
 import { type FailedHistory, runCampaign } from "../system/campaign.ts";
 
@@ -43,7 +43,7 @@
     return;
   }
   if (options["suite"] === "soak") {
-    const last = await playSoak({
+    const last = await runSoak({
       seed: Number(options["seed"]),
       rounds: Number(options["runs"]),
       onRound: ({ number, atMinutes, starts, violations }) =>
--- a/test/fuzz/platform_campaign.ts
+++ b/test/fuzz/platform_campaign.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-import { playHistory } from "../../src/process/batch/testing/batch_history.ts";
+import { runHistory } from "../../src/process/batch/testing/batch_history.ts";
 
 /** Steps of one history. */
 const STEPS = 25;
@@ -20,7 +20,7 @@
   let failed = 0;
   for (let run = 0; run < options.runs; run++) {
     const seed = options.seed + run;
-    const { violations, steps } = await playHistory({ seed, steps: STEPS });
+    const { violations, steps } = await runHistory({ seed, steps: STEPS });
     if (violations.length > 0) {
       failed += 1;
       print(`FAILED: seed ${seed}: ${violations.join("; ")}`);
--- a/test/system/system_bed.ts
+++ b/test/system/system_bed.ts
@@ -14,7 +14,7 @@
 import { FakeLinks } from "../../src/process/scheduler/runtime/testing/fake_links.ts";
 import { FakeWorkerClient } from "../../src/process/scheduler/runtime/testing/fake_worker.ts";
 import { FakeStorage } from "../../src/process/storage/fake_storage.ts";
-import type { TaskHappening } from "../../standins/worker/worker_types.ts";
+import type { TaskEvent } from "../../standins/worker/worker_types.ts";
 import { PausableClock } from "./pausable_clock.ts";
 import {
   SYSTEM_DOCUMENT,
@@ -297,7 +297,7 @@
   }
 }
 
-function describeTask(happening: TaskHappening): string {
+function describeTask(happening: TaskEvent): string {
   const { workerId, jobId, attempt, taskIndex, kind } = happening;
   const end = kind === "ended" ? `ended ${happening.outcome}` : kind;
   return `${workerId} ${jobId}/${attempt}/${taskIndex} ${end}`;
--- a/test/system/system_links.ts
+++ b/test/system/system_links.ts
@@ -59,7 +59,7 @@
       doublingRate: rate,
       jitterMs,
     });
-    this.#workerLinks.weather = {
+    this.#workerLinks.conditions = {
       lostPerMille: rate * 1_000,
       doubledPerMille: rate * 1_000,
       latePerMille: rate * 1_000,
--- a/test/system/system_workers.ts
+++ b/test/system/system_workers.ts
@@ -10,7 +10,7 @@
 import type { SchedulerRuntime } from "../../src/process/scheduler/runtime/mod.ts";
 import type { FakeLinks } from "../../src/process/scheduler/runtime/testing/fake_links.ts";
 import { FakeWorker } from "../../src/process/scheduler/runtime/testing/fake_worker.ts";
-import type { TaskHappening } from "../../standins/worker/worker_types.ts";
+import type { TaskEvent } from "../../standins/worker/worker_types.ts";
 import { NO_FAULTS } from "../../standins/worker/worker_faults.ts";
 import {
   SYSTEM_INSTANCES,
@@ -34,7 +34,7 @@
   readonly links: FakeLinks;
   readonly mutation: SystemMutation;
   readonly onHappening: (
-    happening: TaskHappening,
+    happening: TaskEvent,
     dataCentre: SystemDataCentre,
   ) => void;
   readonly onDeath: (id: SystemWorkerId) => void;
@@ -92,7 +92,7 @@
       accelerators: 8,
       // Within the stated drift of one in a thousand, either way.
       rate: id === "w1" || id === "w3" ? 1.0004 : 0.9996,
-      onHappening: (happening) => onHappening(happening, dataCentre),
+      onTaskEvent: (happening) => onHappening(happening, dataCentre),
       omittedFences: mutation.omittedFences ?? [],
     });
     this.all.set(id, worker);
--- a/test/system/task_judge.ts
+++ b/test/system/task_judge.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import type { TaskHappening } from "../../standins/worker/worker_types.ts";
+import type { TaskEvent } from "../../standins/worker/worker_types.ts";
 import { LEASE_DEFAULTS } from "../../src/process/scheduler/runtime/lease_rule.ts";
 import { RunHistory } from "../../src/process/scheduler/runtime/testing/run_history.ts";
 import type { HeldRemoval } from "./edit_judge.ts";
@@ -46,11 +46,11 @@
   }
 
   note(
-    happening: TaskHappening,
+    happening: TaskEvent,
     seen: { atMs: number; dataCentre: SystemDataCentre },
   ): void {
     const { atMs, dataCentre } = seen;
-    this.#history.note({ ...happening, atMs });
+    this.#history.record({ ...happening, atMs });
     const { jobId, attempt, taskIndex, workerId } = happening;
     const label = `${jobId}/${attempt}/${taskIndex} on ${workerId} at ${atMs}`;
     if (happening.kind === "started") {
