--- a/src/base/events/scheduler_events.ts
+++ b/src/base/events/scheduler_events.ts
@@ -11,7 +11,7 @@
   workerJoined: {
     number: 5000,
     level: "info",
-    text: "A worker announced itself.",
+    text: "A worker joined this data centre's scheduler.",
     fields: ["worker"],
   },
   jobSubmitted: {
@@ -23,49 +23,49 @@
   gangStarted: {
     number: 5002,
     level: "info",
-    text: "Every task of a gang runs.",
+    text: "Every task of a gang has started.",
     fields: ["jobId", "attempt"],
   },
   jobEnded: {
     number: 5003,
     level: "info",
-    text: "A job came to its end.",
+    text: "A job ended.",
     fields: ["jobId", "outcome"],
   },
   workerLost: {
     number: 5004,
     level: "warn",
-    text: "A worker was silent for a whole lease, or came back anew.",
+    text: "A worker was lost: its lease expired, or it restarted.",
     fields: ["worker"],
   },
   schedulingBegan: {
     number: 5005,
     level: "info",
-    text: "This leader knows what runs and starts work.",
+    text: "A new leader finished its recovery and starts scheduling.",
     fields: ["term", "jobs"],
   },
   jobMoved: {
     number: 5006,
     level: "info",
-    text: "Another data centre has taken a job over.",
+    text: "A job was transferred to another data centre.",
     fields: ["jobId", "dataCentre"],
   },
   schedulingFailed: {
     number: 5007,
     level: "error",
-    text: "A period of leadership ended by a failure.",
+    text: "A leadership ended because of an error.",
     fields: ["term", "detail"],
   },
   gangStopped: {
     number: 5008,
     level: "info",
-    text: "A decision stopped a gang; nothing of the attempt runs.",
+    text: "A gang was stopped by a scheduler decision; none of its tasks runs.",
     fields: ["jobId", "attempt", "reason", "isCheckpointed"],
   },
   gangStartFailed: {
     number: 5009,
     level: "warn",
-    text: "A gang's start was given up; nothing of the attempt runs.",
+    text: "A gang failed to start; none of its tasks runs.",
     fields: ["jobId", "attempt", "detail", "workers"],
   },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/process/scheduler/core/admission.ts
+++ b/src/process/scheduler/core/admission.ts
@@ -1,5 +1,5 @@
 /**
- * Refuses at once what can never run here.
+ * Checks submitted jobs, and refuses those that can never run here.
  *
  * @module
  */
@@ -17,7 +17,7 @@
   readonly detail: string;
 }
 
-/** The reason to refuse a job, or undefined to take it. */
+/** Why a job is refused, or undefined to accept it. */
 export function refusalOf(
   job: JobSpecification,
   options: {
@@ -56,8 +56,8 @@
 }
 
 /**
- * Why a job can't be placed even on the whole declared hardware, or undefined
- * when it can.
+ * Why a job can't be placed even if all the declared hardware is free, or
+ * undefined if it can.
  */
 export function whyNeverFits(
   job: JobSpecification,
@@ -72,7 +72,9 @@
   if (job.adjacency === "worker" && largest < job.tasks) {
     return `A worker holds at most ${largest} of the ${job.tasks} tasks.`;
   }
-  const perRack = racks.map((rack, at) => rack.workers * (perWorker[at] ?? 0));
+  const perRack = racks.map((rack, index) =>
+    rack.workers * (perWorker[index] ?? 0)
+  );
   const largestRack = Math.max(...perRack);
   if (job.adjacency === "rack" && largestRack < job.tasks) {
     return `A rack holds at most ${largestRack} of the ${job.tasks} tasks.`;
--- a/src/process/scheduler/core/amounts.ts
+++ b/src/process/scheduler/core/amounts.ts
@@ -1,5 +1,5 @@
 /**
- * Processors, memory and accelerators as whole numbers, so that sums and
+ * Amounts of processors, memory and accelerators as integers, so that sums and
  * differences are exact.
  *
  * @module
@@ -14,9 +14,9 @@
   accelerators: number;
 }
 
-const MILLI = 1_000;
+const MILLICORES_PER_CORE = 1_000;
 
-export function noAmounts(): Amounts {
+export function zeroAmounts(): Amounts {
   return { milliCores: 0, memoryBytes: 0, accelerators: 0 };
 }
 
@@ -28,19 +28,19 @@
   };
 }
 
-/** What one task takes; part cores are rounded up to a thousandth. */
+/** The amounts of one task; cores are rounded up to thousandths. */
 export function amountsOf(resources: TaskResources): Amounts {
   return {
-    milliCores: Math.ceil(resources.cores * MILLI),
+    milliCores: Math.ceil(resources.cores * MILLICORES_PER_CORE),
     memoryBytes: resources.memoryBytes,
     accelerators: resources.accelerators,
   };
 }
 
-/** The amounts as a worker is told of them. */
+/** The amounts in the form that is sent to workers. */
 export function resourcesOf(amounts: Readonly<Amounts>): TaskResources {
   return {
-    cores: amounts.milliCores / MILLI,
+    cores: amounts.milliCores / MILLICORES_PER_CORE,
     memoryBytes: amounts.memoryBytes,
     accelerators: amounts.accelerators,
   };
@@ -95,28 +95,31 @@
   return isWithin(left, right) && isWithin(right, left);
 }
 
-/** How many tasks of `need` each fit into `room`, at most a whole gang. */
+/** How many tasks of `need` fit; without accelerators at most a whole gang. */
 export function tasksFitting(
-  room: Readonly<Amounts>,
+  available: Readonly<Amounts>,
   need: Readonly<Amounts>,
 ): number {
   let fitting = GANG_TASKS_LIMIT;
   if (need.accelerators > 0) {
-    fitting = Math.floor(room.accelerators / need.accelerators);
+    fitting = Math.floor(available.accelerators / need.accelerators);
   }
   if (need.milliCores > 0) {
-    fitting = Math.min(fitting, Math.floor(room.milliCores / need.milliCores));
+    fitting = Math.min(
+      fitting,
+      Math.floor(available.milliCores / need.milliCores),
+    );
   }
   if (need.memoryBytes > 0) {
     fitting = Math.min(
       fitting,
-      Math.floor(room.memoryBytes / need.memoryBytes),
+      Math.floor(available.memoryBytes / need.memoryBytes),
     );
   }
   return Math.max(0, fitting);
 }
 
-/** The part of a worker's processors and memory that goes with accelerators. */
+/** The share of a worker's resources proportional to its accelerators. */
 export function proportionalShare(
   capacity: Readonly<Amounts>,
   accelerators: number,
--- a/src/process/scheduler/core/binary_heap.ts
+++ b/src/process/scheduler/core/binary_heap.ts
@@ -1,10 +1,10 @@
 /**
- * A priority queue.
+ * A priority queue as a binary heap.
  *
  * @module
  */
 
-/** A binary heap; `isBefore` says which of two comes out first. */
+/** A binary heap; `isBefore` tells which of two items is popped first. */
 export class BinaryHeap<T> {
   readonly #items: T[] = [];
   readonly #isBefore: (left: T, right: T) => boolean;
@@ -23,17 +23,17 @@
 
   push(item: T): void {
     const items = this.#items;
-    let at = items.length;
+    let index = items.length;
     items.push(item);
-    while (at > 0) {
-      const parent = (at - 1) >> 1;
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
       if (!this.#isBefore(item, items[parent] as T)) {
         break;
       }
-      items[at] = items[parent] as T;
-      at = parent;
+      items[index] = items[parent] as T;
+      index = parent;
     }
-    items[at] = item;
+    items[index] = item;
   }
 
   pop(): T | undefined {
@@ -48,9 +48,9 @@
 
   #sink(item: T): void {
     const items = this.#items;
-    let at = 0;
+    let index = 0;
     for (;;) {
-      let child = 2 * at + 1;
+      let child = 2 * index + 1;
       if (child >= items.length) {
         break;
       }
@@ -64,9 +64,9 @@
       if (!this.#isBefore(items[child] as T, item)) {
         break;
       }
-      items[at] = items[child] as T;
-      at = child;
+      items[index] = items[child] as T;
+      index = child;
     }
-    items[at] = item;
+    items[index] = item;
   }
 }
--- a/src/process/scheduler/core/borrowing.ts
+++ b/src/process/scheduler/core/borrowing.ts
@@ -1,5 +1,5 @@
 /**
- * Whether a client account may hold more beyond its guarantee.
+ * Whether a client account may borrow: hold capacity beyond its guarantee.
  *
  * @module
  */
@@ -8,8 +8,8 @@
 import { gangAccelerators, type JobState } from "./job_state.ts";
 import type { WaitReason } from "./scheduler_decision.ts";
 
-/** Why the job may not run on loan; undefined when it may. */
-export function borrowingBarrier(
+/** Why the job may not run on borrowed capacity; undefined if it may. */
+export function borrowingWaitReason(
   job: JobState,
   context: CoreContext,
 ): WaitReason | undefined {
@@ -26,16 +26,16 @@
     : undefined;
 }
 
-/** Whether the job's client account holds more on loan than its fair part. */
+/** Whether the job's client account borrows more than its fair share. */
 export function isOverShare(job: JobState, context: CoreContext): boolean {
   const { policy, ledger } = context;
   const name = job.specification.clientAccount;
   const weight = policy.clientAccount(name)?.borrowingWeight ?? 0;
   const held = ledger.account(name).borrowedAccelerators;
-  const fairPart = weight / Math.max(weight, policy.borrowingWeights);
-  return held > fairPart * ledger.borrowedAccelerators;
+  const fairFraction = weight / Math.max(weight, policy.borrowingWeights);
+  return held > fairFraction * ledger.borrowedAccelerators;
 }
 
 export function mayBorrow(job: JobState, context: CoreContext): boolean {
-  return borrowingBarrier(job, context) === undefined;
+  return borrowingWaitReason(job, context) === undefined;
 }
--- a/src/process/scheduler/core/core_context.ts
+++ b/src/process/scheduler/core/core_context.ts
@@ -1,5 +1,5 @@
 /**
- * The state of one data centre's scheduler that its managers share.
+ * The state that the components of one data centre's scheduler share.
  *
  * @module
  */
@@ -10,7 +10,7 @@
   JobId,
 } from "../../../base/identity.ts";
 import { BinaryHeap } from "./binary_heap.ts";
-import { Corrections } from "./corrections.ts";
+import { JobEstimator } from "./job_estimator.ts";
 import { GuaranteeCells } from "./guarantee_cells.ts";
 import { JobQueue } from "./job_queue.ts";
 import { JobPhase, type JobState } from "./job_state.ts";
@@ -21,7 +21,7 @@
 import type { WorkerState } from "./worker_state.ts";
 
 /**
- * Deliberate faults, which tests put in to see that the checks notice them.
+ * Deliberate faults that tests inject to verify that the checks detect them.
  *
  * @internal
  */
@@ -32,52 +32,54 @@
   | "overcommitsWorkers"
   | "breaksGangs"
   | "ignoresAdjacency"
-  | "claimsForeignCells"
-  | "leavesCellsOnLostWorkers"
+  | "claimsForeignGuarantees"
+  | "leavesGuaranteesOnLostWorkers"
   | "forgetsQueuedJobs"
   | "keepsStaleIndex"
   | "evictsGuarantees";
 
-/** The rank of job classes that start at once. */
+/** The rank of urgent job classes, whose jobs are tried on submission. */
 export const URGENT_RANK = 0;
 
 const MINUTE_MS = 60_000;
 
-/** What falls due at a moment. */
-export interface DueAction {
+/** An action to run at a given time. */
+export interface Timer {
   readonly atMs: number;
   readonly action: () => void;
 }
 
-/** What the managers share. */
 export class CoreContext {
   readonly dataCentre: DataCentreId;
   readonly mutations: ReadonlySet<Mutation>;
   readonly index: RackIndex;
   readonly ledger: Ledger;
-  readonly cells: GuaranteeCells;
+  readonly guarantees: GuaranteeCells;
   readonly queue = new JobQueue();
-  readonly corrections = new Corrections();
+  readonly estimator = new JobEstimator();
   readonly jobs = new Map<JobId, JobState>();
-  /** Workers that run an attempt that nobody wants, by attempt. */
+  /** Workers on which a stale attempt may still run, by attempt key. */
   readonly staleWorkers = new Map<string, Set<WorkerState>>();
-  readonly due = new BinaryHeap<DueAction>({
+  readonly timers = new BinaryHeap<Timer>({
     isBefore: (left, right) => left.atMs < right.atMs,
   });
-  /** Jobs that have waited long enough for a reservation. */
-  readonly aged = new Set<JobState>();
-  /** Client accounts whose work on loan may now fit their guarantee. */
-  readonly promotable = new Set<ClientAccountId>();
+  /** Jobs that have waited long enough to get a draining reservation. */
+  readonly agedJobs = new Set<JobState>();
+  /** Client accounts whose borrowing gangs may now fit their guarantee. */
+  readonly accountsToPromote = new Set<ClientAccountId>();
   policy: Policy;
   nowMs = 0;
   permittedUntilMs = -Infinity;
-  /** When the data centre was last taken in again; absent for never out. */
+  /**
+   * When the data centre last returned; undefined once it may be fully used
+   * again, or if it was never out.
+   */
   returnedAtMs: number | undefined;
   isRecovering = false;
-  /** Whether something changed that may let a waiting job start. */
-  isPlacingDue = true;
-  /** Whether room came free since shapes were last tried. */
-  isRoomFreed = true;
+  /** Whether something changed that may allow a waiting job to start. */
+  isPlacementDue = true;
+  /** Whether capacity was freed since failed searches were last cleared. */
+  isCapacityFreed = true;
   decisions: SchedulerDecision[] = [];
 
   constructor(
@@ -89,7 +91,7 @@
       isFrozen: options.mutations.has("keepsStaleIndex"),
     });
     this.ledger = new Ledger({ index: this.index });
-    this.cells = new GuaranteeCells({ index: this.index });
+    this.guarantees = new GuaranteeCells({ index: this.index });
     this.policy = new Policy({
       dataCentre: options.dataCentre,
       configuration: {
@@ -107,24 +109,25 @@
     });
   }
 
-  decide(decision: SchedulerDecision): void {
+  emit(decision: SchedulerDecision): void {
     this.decisions.push(decision);
   }
 
-  at(atMs: number, action: () => void): void {
-    this.due.push({ atMs, action });
+  schedule(atMs: number, action: () => void): void {
+    this.timers.push({ atMs, action });
   }
 
   /**
-   * Sets an action about a job. It must not hold on to the job itself, which
-   * may end and be forgotten long before.
+   * Schedules an action on a job; it is skipped if the job is forgotten by
+   * then. The action must not capture the job, so that an ended job can be
+   * garbage-collected before the timer fires.
    */
-  atForJob(
+  scheduleForJob(
     atMs: number,
     jobId: JobId,
     action: (job: JobState) => void,
   ): void {
-    this.at(atMs, () => {
+    this.schedule(atMs, () => {
       const job = this.jobs.get(jobId);
       if (job !== undefined) {
         action(job);
@@ -132,8 +135,8 @@
     });
   }
 
-  /** Forgets an attempt that nobody wants and that a worker ran. */
-  dropStale(worker: WorkerState, key: string): void {
+  /** Forgets a stale attempt on one worker. */
+  dropStaleAttempt(worker: WorkerState, key: string): void {
     worker.staleAttempts.delete(key);
     const workers = this.staleWorkers.get(key);
     workers?.delete(worker);
@@ -142,13 +145,13 @@
     }
   }
 
-  roomFreed(): void {
-    this.isPlacingDue = true;
-    this.isRoomFreed = true;
+  recordFreedCapacity(): void {
+    this.isPlacementDue = true;
+    this.isCapacityFreed = true;
   }
 
-  /** Why nothing at all may start now; undefined when starts are allowed. */
-  startBarrier(): WaitReason | undefined {
+  /** Why no job may start now; undefined when starts are allowed. */
+  startWaitReason(): WaitReason | undefined {
     if (this.isRecovering && !this.mutations.has("startsWhileRecovering")) {
       return "recovering";
     }
@@ -160,12 +163,12 @@
     return isPermitted ? undefined : "startPermission";
   }
 
-  /** Why this job may not start now, whatever room there is. */
-  startBarrierFor(job: JobState): WaitReason | undefined {
-    return this.startBarrier() ?? this.#returnBarrier(job);
+  /** Why this job may not start now, regardless of free capacity. */
+  startWaitReasonFor(job: JobState): WaitReason | undefined {
+    return this.startWaitReason() ?? this.#returnWaitReason(job);
   }
 
-  /** The reason for which a job waits, as of now. */
+  /** Why a job waits now; undefined if it runs or has ended. */
   waitReasonOf(job: JobState): WaitReason | undefined {
     if (job.phase === JobPhase.ended || job.phase === JobPhase.running) {
       return undefined;
@@ -173,45 +176,45 @@
     if (job.phase === JobPhase.starting) {
       return "starting";
     }
-    const barrier = this.startBarrier();
-    if (barrier !== undefined) {
-      return barrier;
+    const startReason = this.startWaitReason();
+    if (startReason !== undefined) {
+      return startReason;
     }
     return this.queue.groupOf(job)?.waitReason ?? job.waitReason;
   }
 
-  /** Notes the reason for which a job waits, and tells of a change. */
+  /** Records why a job waits; emits a decision if the reason changed. */
   setWaitReason(job: JobState, reason: WaitReason): void {
     if (job.waitReason === reason) {
       return;
     }
     job.waitReason = reason;
-    this.decide({
+    this.emit({
       kind: "jobWaits",
       jobId: job.specification.jobId,
       reason,
     });
   }
 
-  /** Whether a job waits for a place, with none reserved for it. */
+  /** Whether a job is in the queue, without a reservation. */
   isQueued(job: JobState): boolean {
     return job.phase === JobPhase.queued && job.queueGroup !== undefined;
   }
 
-  /** Works out anew what a waiting job needs, and queues it. */
+  /** Queues a waiting job with a new estimate of what it needs. */
   enqueue(job: JobState): void {
     const { specification } = job;
-    const expectation = this.corrections.expect(specification, this.policy);
-    job.need = expectation.need;
-    job.expectedRunMs = expectation.expectedRunMs;
+    const estimate = this.estimator.estimate(specification, this.policy);
+    job.need = estimate.need;
+    job.expectedRunMs = estimate.expectedRunMs;
     job.rank = this.policy.jobClass(specification.jobClass).rank;
     this.queue.add(job);
-    this.isPlacingDue = true;
-    this.#armAging(job);
+    this.isPlacementDue = true;
+    this.#scheduleAging(job);
   }
 
-  /** Holds work back after a return, but for urgent work. */
-  #returnBarrier(job: JobState): WaitReason | undefined {
+  /** Limits starts after a return to a growing share; urgent jobs excepted. */
+  #returnWaitReason(job: JobState): WaitReason | undefined {
     if (this.returnedAtMs === undefined || job.rank === URGENT_RANK) {
       return undefined;
     }
@@ -226,8 +229,8 @@
     return this.ledger.liveAccelerators < allowed ? undefined : "returning";
   }
 
-  /** Has the job considered for a reservation once it has waited long. */
-  #armAging(job: JobState): void {
+  /** Schedules the job's ageing, after which it may get a reservation. */
+  #scheduleAging(job: JobState): void {
     const queuedAtMs = job.queuedAtMs;
     if (job.agingFromMs === queuedAtMs) {
       return;
@@ -236,12 +239,12 @@
     const { reservationAfterMs } = this.policy
       .jobClass(job.specification.jobClass);
     const agedAtMs = queuedAtMs + reservationAfterMs;
-    this.atForJob(agedAtMs, job.specification.jobId, (waiting) => {
+    this.scheduleForJob(agedAtMs, job.specification.jobId, (waiting) => {
       const isStillWaiting = waiting.phase === JobPhase.queued &&
         waiting.queuedAtMs === queuedAtMs;
       if (isStillWaiting) {
-        this.aged.add(waiting);
-        this.isPlacingDue = true;
+        this.agedJobs.add(waiting);
+        this.isPlacementDue = true;
       }
     });
   }
--- a/src/process/scheduler/core/data_centre_change_test.ts
+++ b/src/process/scheduler/core/data_centre_change_test.ts
@@ -1,122 +1,122 @@
 import test from "ava";
 import {
-  fill,
+  advance,
+  decisionsOfKind,
+  fillWorkers,
   makeJob,
-  makeWorld,
+  makeRuntime,
   MINUTE_MS,
-  ofKind,
-  reasonOf,
-  run,
-} from "./testing/small_world.ts";
+  waitReasonOf,
+} from "./testing/test_runtime.ts";
 import { DATA_CENTRE } from "./testing/test_document.ts";
 import { settle } from "./testing/settle.ts";
 
 test("a job waits with a reason when it could fit later", (t) => {
-  const world = makeWorld();
-  world.setStatus("out");
-  world.submit(makeJob("later"));
-  t.is(reasonOf(world, "later"), "dataCentreOut");
-  t.deepEqual(ofKind(world, "startGang"), []);
+  const runtime = makeRuntime();
+  runtime.setStatus("out");
+  runtime.submit(makeJob("later"));
+  t.is(waitReasonOf(runtime, "later"), "dataCentreOut");
+  t.deepEqual(decisionsOfKind(runtime, "startGang"), []);
 });
 
-test("a data centre taken out checkpoints and stops within its time", (t) => {
-  const world = makeWorld();
-  fill(world, { canCheckpoint: true });
-  world.endJob("fill-0", { fails: false });
-  world.submit(makeJob("fixed", { canCheckpoint: false }));
-  run(world);
-  const outAtMs = world.nowMs;
-  world.setStatus("out");
-  run(world, 100_000);
-  const stops = ofKind(world, "stopGang");
+test("a data centre taken out stops its gangs within its drain time", (t) => {
+  const runtime = makeRuntime();
+  fillWorkers(runtime, { canCheckpoint: true });
+  runtime.endJob("fill-0", { fails: false });
+  runtime.submit(makeJob("fixed", { canCheckpoint: false }));
+  advance(runtime);
+  const outAtMs = runtime.nowMs;
+  runtime.setStatus("out");
+  advance(runtime, 100_000);
+  const stops = decisionsOfKind(runtime, "stopGang");
   t.is(stops.length, 8);
   for (const stop of stops) {
     t.is(stop.reason, "drained");
     t.true(stop.checkpointDeadlineMs <= outAtMs + 120_000);
   }
-  t.is(reasonOf(world, "fixed"), "dataCentreOut");
-  t.is(world.core.metrics().liveGangs, 0);
+  t.is(waitReasonOf(runtime, "fixed"), "dataCentreOut");
+  t.is(runtime.core.metrics().liveGangs, 0);
 });
 
-test("work flows back step by step after a return", (t) => {
-  const world = makeWorld();
-  world.setStatus("out");
+test("jobs start gradually after a data centre returns", (t) => {
+  const runtime = makeRuntime();
+  runtime.setStatus("out");
   for (let at = 0; at < 8; at++) {
-    world.submit(makeJob(`job-${at}`));
+    runtime.submit(makeJob(`job-${at}`));
   }
-  world.setStatus("in");
+  runtime.setStatus("in");
   const live: number[] = [];
   for (let minute = 0; minute < 5; minute++) {
-    run(world, 30_000);
-    t.true(world.core.metrics().liveGangs <= 2 * minute + 2);
-    run(world, 30_000);
-    live.push(world.core.metrics().liveGangs);
+    advance(runtime, 30_000);
+    t.true(runtime.core.metrics().liveGangs <= 2 * minute + 2);
+    advance(runtime, 30_000);
+    live.push(runtime.core.metrics().liveGangs);
   }
   t.true((live[0] ?? 0) < 8);
   t.is(live[4], 8);
-  t.deepEqual(world.broken, []);
+  t.deepEqual(runtime.violations, []);
 });
 
 test("nothing starts without permission", (t) => {
-  const world = makeWorld();
-  world.tick(2 * MINUTE_MS);
-  world.submit(makeJob("job", { jobClass: "urgent" }));
-  world.tick(100);
-  t.is(reasonOf(world, "job"), "startPermission");
-  t.deepEqual(ofKind(world, "startGang"), []);
-  run(world);
-  t.is(world.core.jobView("job")?.phase, "running");
+  const runtime = makeRuntime();
+  runtime.tick(2 * MINUTE_MS);
+  runtime.submit(makeJob("job", { jobClass: "urgent" }));
+  runtime.tick(100);
+  t.is(waitReasonOf(runtime, "job"), "startPermission");
+  t.deepEqual(decisionsOfKind(runtime, "startGang"), []);
+  advance(runtime);
+  t.is(runtime.core.jobView("job")?.phase, "running");
 });
 
-test("a deadline ends a job that waits and one that runs", (t) => {
-  const world = makeWorld();
-  fill(world, { deadlineMs: world.nowMs + MINUTE_MS });
-  world.submit(makeJob("late", { deadlineMs: world.nowMs + 1_000 }));
-  run(world, 2_000);
-  t.is(world.core.jobView("late")?.outcome, "deadlinePassed");
-  run(world, MINUTE_MS);
-  t.is(world.core.jobView("fill-0")?.outcome, "deadlinePassed");
-  t.is(world.core.metrics().liveGangs, 0);
+test("a deadline ends waiting and running jobs", (t) => {
+  const runtime = makeRuntime();
+  fillWorkers(runtime, { deadlineMs: runtime.nowMs + MINUTE_MS });
+  runtime.submit(makeJob("late", { deadlineMs: runtime.nowMs + 1_000 }));
+  advance(runtime, 2_000);
+  t.is(runtime.core.jobView("late")?.outcome, "deadlinePassed");
+  advance(runtime, MINUTE_MS);
+  t.is(runtime.core.jobView("fill-0")?.outcome, "deadlinePassed");
+  t.is(runtime.core.metrics().liveGangs, 0);
 });
 
-test("a new leader takes running gangs over and starts nothing early", (t) => {
-  const world = makeWorld();
-  fill(world, {});
-  world.submit(makeJob("next"));
-  world.changeLeader({ startsArrive: true });
-  t.true(world.core.isRecovering);
-  t.is(reasonOf(world, "next"), "recovering");
-  world.permit(MINUTE_MS);
-  world.tick(100);
-  t.false(world.core.isRecovering);
-  t.is(world.core.metrics().liveGangs, 8);
-  t.is(world.core.jobView("fill-0")?.attempt, 1);
-  settle(world);
-  t.deepEqual(world.broken, []);
+test("a new leader adopts running gangs and starts nothing before that", (t) => {
+  const runtime = makeRuntime();
+  fillWorkers(runtime, {});
+  runtime.submit(makeJob("next"));
+  runtime.changeLeader({ startsArrive: true });
+  t.true(runtime.core.isRecovering);
+  t.is(waitReasonOf(runtime, "next"), "recovering");
+  runtime.permit(MINUTE_MS);
+  runtime.tick(100);
+  t.false(runtime.core.isRecovering);
+  t.is(runtime.core.metrics().liveGangs, 8);
+  t.is(runtime.core.jobView("fill-0")?.attempt, 1);
+  settle(runtime);
+  t.deepEqual(runtime.violations, []);
 });
 
-test("tasks that the leader had given up are stopped on return", (t) => {
-  const world = makeWorld();
-  world.submit(makeJob("job"));
-  run(world);
-  const workerId = world.core.jobView("job")?.placements[0]?.workerId ?? "";
-  world.lose(workerId, { leavesZombies: true });
-  run(world, 2_000);
-  t.is(world.core.jobView("job")?.attempt, 2);
-  world.join(workerId);
-  const stops = ofKind(world, "stopGang");
+test("tasks of an abandoned attempt are stopped when their worker returns", (t) => {
+  const runtime = makeRuntime();
+  runtime.submit(makeJob("job"));
+  advance(runtime);
+  const workerId = runtime.core.jobView("job")?.placements[0]?.workerId ?? "";
+  runtime.lose(workerId, { leavesZombies: true });
+  advance(runtime, 2_000);
+  t.is(runtime.core.jobView("job")?.attempt, 2);
+  runtime.join(workerId);
+  const stops = decisionsOfKind(runtime, "stopGang");
   t.deepEqual(stops.map(({ attempt, reason }) => [attempt, reason]), [
     [1, "gangBroken"],
   ]);
-  t.is(world.core.jobView("job")?.phase, "running");
+  t.is(runtime.core.jobView("job")?.phase, "running");
 });
 
-test("a job of another data centre is refused, a resubmission is not", (t) => {
-  const world = makeWorld();
-  world.submit(makeJob("away", { dataCentres: ["howrah"] }));
-  world.submit(makeJob("here", { dataCentres: [DATA_CENTRE] }));
-  world.submit(makeJob("here", { dataCentres: [DATA_CENTRE] }));
-  run(world);
-  t.is(world.core.jobView("away")?.outcome, "refused");
-  t.is(ofKind(world, "startGang").length, 1);
+test("a job for another data centre is refused, a resubmission ignored", (t) => {
+  const runtime = makeRuntime();
+  runtime.submit(makeJob("away", { dataCentres: ["howrah"] }));
+  runtime.submit(makeJob("here", { dataCentres: [DATA_CENTRE] }));
+  runtime.submit(makeJob("here", { dataCentres: [DATA_CENTRE] }));
+  advance(runtime);
+  t.is(runtime.core.jobView("away")?.outcome, "refused");
+  t.is(decisionsOfKind(runtime, "startGang").length, 1);
 });
--- a/src/process/scheduler/core/declared_rack.ts
+++ b/src/process/scheduler/core/declared_rack.ts
@@ -1,5 +1,5 @@
 /**
- * The hardware of a data centre as its section declares it.
+ * The hardware of a data centre as declared in its configuration section.
  *
  * @module
  */
@@ -7,13 +7,13 @@
 import type { DataCentre } from "../../../version/document/document.ts";
 import { type Amounts, amountsOf } from "./amounts.ts";
 
-/** A rack as declared. */
+/** A declared rack; all its workers are alike. */
 export interface DeclaredRack {
   readonly workers: number;
   readonly worker: Readonly<Amounts>;
 }
 
-/** The racks of a data centre's section; none when there is no section. */
+/** The racks declared in a data centre's section; none without a section. */
 export function declaredRacks(
   section: DataCentre | undefined,
 ): readonly DeclaredRack[] {
--- a/src/process/scheduler/core/eviction.ts
+++ b/src/process/scheduler/core/eviction.ts
@@ -1,10 +1,10 @@
 /**
- * Finds the block for which the cheapest work has to be evicted.
+ * Finds the block with the lowest cost of eviction.
  *
  * @module
  */
 
-import { addAmounts, type Amounts, noAmounts } from "./amounts.ts";
+import { addAmounts, type Amounts, zeroAmounts } from "./amounts.ts";
 import {
   gangAccelerators,
   JobPhase,
@@ -12,49 +12,49 @@
   workAtRisk,
 } from "./job_state.ts";
 import {
+  type AvailableOf,
   type Block,
   type BlockRequest,
   fillRack,
   fillRacks,
-  type RoomOf,
 } from "./placement.ts";
 import type { Allocation, WorkerState } from "./worker_state.ts";
 
-/** A block, and whom to evict for it. */
+/** A block, and the gangs to evict for it. */
 export interface EvictionPlan {
   readonly block: Block;
   readonly victims: ReadonlySet<JobState>;
-  /** Work lost and gangs disturbed, in accelerator-milliseconds. */
+  /** Work lost plus the overhead of evictions, in accelerator-milliseconds. */
   readonly cost: number;
 }
 
-/** What may be evicted for a request, and what is there for it. */
+/** What may be evicted for a request, and what is available for it. */
 export interface EvictionOptions {
   readonly nowMs: number;
-  /** Whether victims have the time for a checkpoint. */
+  /** Whether victims have time for a checkpoint. */
   readonly hasTimeToCheckpoint: boolean;
-  /** What a worker has once all that may be evicted is gone. */
-  readonly potentialOf: RoomOf;
-  /** What a worker has once all that stops already is gone. */
-  readonly roomOf: RoomOf;
+  /** What a worker offers if all evictable gangs are evicted. */
+  readonly maxAvailableOf: AvailableOf;
+  /** What a worker offers once the gangs being stopped are gone. */
+  readonly availableOf: AvailableOf;
   readonly isEvictable: (job: JobState) => boolean;
 }
 
 type RiskOptions = Pick<EvictionOptions, "nowMs" | "hasTimeToCheckpoint">;
 
-/** Every gang stopped counts like so much work lost on each accelerator. */
-const DISTURBANCE_MS = 60_000;
-/** Blocks whose victims are worked out before the cheapest is taken. */
-const BLOCKS_WEIGHED = 6;
+/** Cost of evicting a gang besides the work lost, per accelerator. */
+const EVICTION_OVERHEAD_MS = 60_000;
+/** Blocks whose victims are evaluated before the cheapest is taken. */
+const EVALUATED_BLOCKS_LIMIT = 6;
 
-/** The cheapest block among the racks, or undefined when there is none. */
+/** The cheapest block in the racks, or undefined if there is none. */
 export function planEviction(
   racks: readonly (readonly WorkerState[])[],
   request: BlockRequest,
   options: EvictionOptions,
 ): EvictionPlan | undefined {
   let best: EvictionPlan | undefined;
-  for (const block of promisingBlocks(racks, request, options)) {
+  for (const block of candidateBlocks(racks, request, options)) {
     const victims = chooseVictims(block, request.need, options);
     if (victims === undefined) {
       continue;
@@ -67,75 +67,82 @@
   return best;
 }
 
-/** The cheapest gangs whose going makes room for the block. */
+/** The cheapest gangs whose eviction frees the block, if that is possible. */
 export function chooseVictims(
   block: Block,
   need: Readonly<Amounts>,
-  options: Omit<EvictionOptions, "potentialOf">,
+  options: Omit<EvictionOptions, "maxAvailableOf">,
 ): Set<JobState> | undefined {
   const chosen = new Set<JobState>();
   for (const [worker, tasks] of block) {
-    const isFreed = chooseOnWorker(worker, chosen, {
+    const isFreed = chooseVictimsOnWorker(worker, chosen, {
       ...options,
-      wanted: timesAmounts(need, tasks),
+      needed: scaledAmounts(need, tasks),
     });
     if (!isFreed) {
       return undefined;
     }
   }
-  return spareNeedless(block, need, { ...options, chosen });
+  return removeRedundantVictims(block, need, { ...options, chosen });
 }
 
-function promisingBlocks(
+function candidateBlocks(
   racks: readonly (readonly WorkerState[])[],
   request: BlockRequest,
   options: EvictionOptions,
 ): Block[] {
   const isOneWorker = request.adjacency === "worker" || request.tasks === 1;
   const groups = isOneWorker ? racks.flat().map((worker) => [worker]) : racks;
-  const weighed: { block: Block; missing: number }[] = [];
+  const candidates: { block: Block; missing: number }[] = [];
   for (const workers of groups) {
     const block = fillRack(workers, request, {
-      roomOf: options.potentialOf,
-      preferenceOf: (worker) => -options.roomOf(worker).accelerators,
+      availableOf: options.maxAvailableOf,
+      preferenceOf: (worker) => -options.availableOf(worker).accelerators,
     });
     if (block !== undefined) {
-      weighed.push({ block, missing: missingFor(block, request, options) });
+      candidates.push({
+        block,
+        missing: missingAccelerators(block, request, options),
+      });
     }
   }
-  weighed.sort((left, right) => left.missing - right.missing);
-  const blocks = weighed.slice(0, BLOCKS_WEIGHED).map(({ block }) => block);
+  candidates.sort((left, right) => left.missing - right.missing);
+  const blocks = candidates.slice(0, EVALUATED_BLOCKS_LIMIT).map(({ block }) =>
+    block
+  );
   if (blocks.length === 0 && request.adjacency === "any") {
-    const spread = fillRacks(racks, request, { roomOf: options.potentialOf });
+    const spread = fillRacks(racks, request, {
+      availableOf: options.maxAvailableOf,
+    });
     return spread === undefined ? [] : [spread];
   }
   return blocks;
 }
 
-function missingFor(
+function missingAccelerators(
   block: Block,
   request: BlockRequest,
   options: EvictionOptions,
 ): number {
   let missing = 0;
   for (const [worker, tasks] of block) {
-    const room = options.roomOf(worker).accelerators;
-    missing += Math.max(0, request.need.accelerators * tasks - room);
+    const available = options.availableOf(worker).accelerators;
+    missing += Math.max(0, request.need.accelerators * tasks - available);
   }
   return missing;
 }
 
-interface WorkerGoal extends Omit<EvictionOptions, "potentialOf"> {
-  readonly wanted: Readonly<Amounts>;
+interface WorkerGoal extends Omit<EvictionOptions, "maxAvailableOf"> {
+  readonly needed: Readonly<Amounts>;
 }
 
-function chooseOnWorker(
+function chooseVictimsOnWorker(
   worker: WorkerState,
   chosen: Set<JobState>,
   goal: WorkerGoal,
 ): boolean {
   const missing = missingOn(worker, chosen, goal);
-  if (isMet(missing)) {
+  if (isCovered(missing)) {
     return true;
   }
   const candidates = [...worker.allocations.values()]
@@ -145,41 +152,41 @@
     )
     .sort((left, right) => compareVictims(left, right, goal));
   for (const { job, tasks } of candidates) {
-    if (helps(job.need, missing)) {
+    if (reducesShortage(job.need, missing)) {
       chosen.add(job);
       addAmounts(missing, job.need, { factor: -tasks });
     }
-    if (isMet(missing)) {
+    if (isCovered(missing)) {
       return true;
     }
   }
   return false;
 }
 
-/** Lets those live who, it turns out, needn't go; the dearest first. */
-function spareNeedless(
+/** Removes victims that turn out not to be needed, the costliest first. */
+function removeRedundantVictims(
   block: Block,
   need: Readonly<Amounts>,
-  options: Omit<EvictionOptions, "potentialOf"> & {
+  options: Omit<EvictionOptions, "maxAvailableOf"> & {
     readonly chosen: Set<JobState>;
   },
 ): Set<JobState> {
   const { chosen } = options;
-  const dearestFirst = [...chosen]
+  const costliestFirst = [...chosen]
     .sort((left, right) =>
       workAtRisk(right, options) - workAtRisk(left, options)
     );
-  for (const job of dearestFirst) {
+  for (const job of costliestFirst) {
     chosen.delete(job);
-    const isNeedless = [...block].every(([worker, tasks]) =>
-      !job.workers.has(worker) || isMet(
+    const isRedundant = [...block].every(([worker, tasks]) =>
+      !job.workers.has(worker) || isCovered(
         missingOn(worker, chosen, {
           ...options,
-          wanted: timesAmounts(need, tasks),
+          needed: scaledAmounts(need, tasks),
         }),
       )
     );
-    if (!isNeedless) {
+    if (!isRedundant) {
       chosen.add(job);
     }
   }
@@ -191,9 +198,9 @@
   chosen: ReadonlySet<JobState>,
   goal: WorkerGoal,
 ): Amounts {
-  const missing = noAmounts();
-  addAmounts(missing, goal.wanted);
-  addAmounts(missing, goal.roomOf(worker), { factor: -1 });
+  const missing = zeroAmounts();
+  addAmounts(missing, goal.needed);
+  addAmounts(missing, goal.availableOf(worker), { factor: -1 });
   for (const job of chosen) {
     const tasks = job.workers.get(worker);
     if (tasks !== undefined) {
@@ -220,24 +227,27 @@
   let cost = 0;
   for (const job of victims) {
     cost += workAtRisk(job, options) +
-      DISTURBANCE_MS * Math.max(1, gangAccelerators(job));
+      EVICTION_OVERHEAD_MS * Math.max(1, gangAccelerators(job));
   }
   return cost;
 }
 
-function helps(need: Readonly<Amounts>, missing: Readonly<Amounts>): boolean {
+function reducesShortage(
+  need: Readonly<Amounts>,
+  missing: Readonly<Amounts>,
+): boolean {
   return (missing.accelerators > 0 && need.accelerators > 0) ||
     (missing.milliCores > 0 && need.milliCores > 0) ||
     (missing.memoryBytes > 0 && need.memoryBytes > 0);
 }
 
-function isMet(missing: Readonly<Amounts>): boolean {
+function isCovered(missing: Readonly<Amounts>): boolean {
   return missing.accelerators <= 0 && missing.milliCores <= 0 &&
     missing.memoryBytes <= 0;
 }
 
-function timesAmounts(amounts: Readonly<Amounts>, factor: number): Amounts {
-  const total = noAmounts();
+function scaledAmounts(amounts: Readonly<Amounts>, factor: number): Amounts {
+  const total = zeroAmounts();
   addAmounts(total, amounts, { factor });
   return total;
 }
--- a/src/process/scheduler/core/evictor.ts
+++ b/src/process/scheduler/core/evictor.ts
@@ -1,13 +1,13 @@
 /**
- * Makes room by eviction: for guarantees, for urgent work and, with a deadline,
- * for gangs that have waited long.
+ * Frees capacity by evictions: for guarantees, for urgent jobs and, after a
+ * drain, for gangs that have waited long.
  *
  * @module
  */
 
-import { addAmounts, type Amounts, noAmounts } from "./amounts.ts";
+import { addAmounts, type Amounts, zeroAmounts } from "./amounts.ts";
 import { mayBorrow } from "./borrowing.ts";
-import { hasExcess } from "./cell_upkeep.ts";
+import { exceedsGuarantee } from "./guarantee_reconciler.ts";
 import { type CoreContext, URGENT_RANK } from "./core_context.ts";
 import {
   type EvictionOptions,
@@ -19,85 +19,91 @@
 import { type Block, type BlockRequest, requestOf } from "./placement.ts";
 import { DRAIN_LIMIT_MS, ReservationKind } from "./reservation.ts";
 import { isDrainable, type ReservationManager } from "./reservation_manager.ts";
-import type { VainTries } from "./vain_tries.ts";
+import type { FailedSearchCache } from "./failed_search_cache.ts";
 import {
   type RackState,
   RANK_COUNT,
   type WorkerState,
 } from "./worker_state.ts";
 
-/** Within what time urgent work starts when its class doesn't say. */
+/** Start target of urgent jobs whose class sets none. */
 const URGENT_START_TARGET_MS = 1_900;
-/** Left over of the start target for the start itself. */
+/** Part of the start target that is kept for the start itself. */
 const START_MARGIN_MS = 700;
-/** Racks whose victims are weighed for one job. */
-const RACKS_WEIGHED = 12;
-/** Most of all accelerators that may be held by draining reservations. */
+/** Racks whose victims are evaluated for one urgent job. */
+const EVALUATED_RACKS_LIMIT = 12;
+/**
+ * Largest fraction of the declared accelerators that several draining
+ * reservations may hold; a single one may hold more.
+ */
 const DRAINING_FRACTION = 0.25;
 
-const NOTHING: Readonly<Amounts> = Object.freeze(noAmounts());
+const ZERO_AMOUNTS: Readonly<Amounts> = Object.freeze(zeroAmounts());
 
-/** The evictions of one data centre. */
 export class Evictor {
   readonly #context: CoreContext;
   readonly #reservations: ReservationManager;
-  readonly #vain: VainTries;
+  readonly #failedSearches: FailedSearchCache;
 
   constructor(
     options: {
       context: CoreContext;
       reservations: ReservationManager;
-      vain: VainTries;
+      failedSearches: FailedSearchCache;
     },
   ) {
     this.#context = options.context;
     this.#reservations = options.reservations;
-    this.#vain = options.vain;
+    this.#failedSearches = options.failedSearches;
   }
 
-  /** Evicts work beyond guarantees from the client account's own cells. */
+  /** Evicts borrowing gangs from the client account's own guarantees. */
   reclaim(job: JobState, request: BlockRequest): boolean {
-    const { cells } = this.#context;
+    const { guarantees } = this.#context;
     const account = job.specification.clientAccount;
-    const racks = cells.racksOf(account);
+    const racks = guarantees.racksOf(account);
     const key = `reclaim|${this.#context.queue.groupOf(job)?.key}`;
-    if (racks.length === 0 || this.#vain.has(key)) {
+    if (racks.length === 0 || this.#failedSearches.has(key)) {
       return false;
     }
-    const isOwnLower = (victim: JobState) =>
+    const isOwnLowerRanked = (victim: JobState) =>
       job.rank === URGENT_RANK && victim.rank > job.rank &&
       victim.specification.clientAccount === account;
     const isEvictable = (victim: JobState) =>
-      !victim.isGuaranteed || isOwnLower(victim) ||
+      !victim.isGuaranteed || isOwnLowerRanked(victim) ||
       this.#context.mutations.has("evictsGuarantees");
     const plan = planEviction(racks, request, {
       nowMs: this.#context.nowMs,
       hasTimeToCheckpoint: job.rank !== URGENT_RANK,
-      potentialOf: (worker) => ownPotential(worker, account, isOwnLower),
-      roomOf: (worker) => {
-        const room = roomForGuarantees(worker);
-        return withoutSlowStops(worker, room, this.#slowFromMs(job));
+      maxAvailableOf: (worker) =>
+        maxAvailableForAccount(worker, account, isOwnLowerRanked),
+      availableOf: (worker) => {
+        const available = availableForGuarantees(worker);
+        return withoutSlowStops(worker, available, this.#latestStopMs(job));
       },
       isEvictable,
     });
     if (plan === undefined) {
-      this.#vain.note(key, request);
+      this.#failedSearches.record(key, request);
       return false;
     }
     this.#openEviction(job, ReservationKind.reclaim, plan);
-    this.#demoteLower(plan.block, isOwnLower);
+    this.#demoteLowerRanked(plan.block, isOwnLowerRanked);
     return true;
   }
 
-  /** Own lower work that needn't go counts as on loan where both can't be. */
-  #demoteLower(
+  /**
+   * Counts the account's own lower-ranked gangs on the block as borrowing
+   * where they don't fit the guarantee together with the reservation.
+   */
+  #demoteLowerRanked(
     block: Block,
-    isOwnLower: (job: JobState) => boolean,
+    isOwnLowerRanked: (job: JobState) => boolean,
   ): void {
     for (const worker of block.keys()) {
       for (const { job } of worker.allocations.values()) {
-        const isDemoted = job.isGuaranteed && isOwnLower(job) &&
-          job.phase !== JobPhase.stopping && hasExcess(worker, job);
+        const isDemoted = job.isGuaranteed && isOwnLowerRanked(job) &&
+          job.phase !== JobPhase.stopping && exceedsGuarantee(worker, job);
         if (isDemoted) {
           this.#context.ledger.setGuaranteed(job, false);
         }
@@ -105,12 +111,12 @@
     }
   }
 
-  /** Evicts lower work on loan for urgent work. */
+  /** Evicts lower-ranked borrowing gangs for an urgent job. */
   preempt(job: JobState, request: BlockRequest): boolean {
     const mayPreempt = job.rank === URGENT_RANK &&
       mayBorrow(job, this.#context);
     const key = `preempt|${this.#context.queue.groupOf(job)?.shapeKey}`;
-    if (!mayPreempt || this.#vain.has(key)) {
+    if (!mayPreempt || this.#failedSearches.has(key)) {
       return false;
     }
     const plan = planEviction(
@@ -122,21 +128,21 @@
           this.#context.mutations.has("evictsGuarantees"))),
     );
     if (plan === undefined) {
-      this.#vain.note(key, request);
+      this.#failedSearches.record(key, request);
       return false;
     }
     this.#openEviction(job, ReservationKind.preemption, plan);
     return true;
   }
 
-  /** Reserves a block that drains for a job that has waited long. */
-  drainFor(job: JobState): boolean {
+  /** Opens a draining reservation for a job that has waited long. */
+  openDrain(job: JobState): boolean {
     const { index, policy, nowMs } = this.#context;
     const limit = policy.declaredAccelerators * DRAINING_FRACTION;
     const draining = this.#reservations.drainingAccelerators();
     const accelerators = gangAccelerators(job);
     const isAllowed = mayBorrow(job, this.#context) &&
-      this.#context.startBarrierFor(job) === undefined &&
+      this.#context.startWaitReasonFor(job) === undefined &&
       (draining === 0 || draining + accelerators <= limit);
     if (!isAllowed) {
       return false;
@@ -173,7 +179,7 @@
     this.#reservations.startReady(plan.block.keys());
   }
 
-  /** Until when victims may checkpoint for this job. */
+  /** The time until which victims of this job may make a checkpoint. */
   #checkpointDeadline(job: JobState): number {
     const { policy, nowMs } = this.#context;
     const jobClass = policy.jobClass(job.specification.jobClass);
@@ -200,11 +206,13 @@
         .map((rack) => rack.workers);
     }
     candidates.sort((left, right) => left.missing - right.missing);
-    return candidates.slice(0, RACKS_WEIGHED).map(({ rack }) => rack.workers);
+    return candidates.slice(0, EVALUATED_RACKS_LIMIT).map(({ rack }) =>
+      rack.workers
+    );
   }
 
-  /** Stops that end later than this are too slow for the job. */
-  #slowFromMs(job: JobState): number {
+  /** Gangs that may take longer than this to stop don't count as free. */
+  #latestStopMs(job: JobState): number {
     return job.rank === URGENT_RANK ? this.#checkpointDeadline(job) : Infinity;
   }
 
@@ -212,22 +220,26 @@
     job: JobState,
     isEvictable: (job: JobState) => boolean,
   ): EvictionOptions {
-    const slowFromMs = this.#slowFromMs(job);
-    const roomOf = (worker: WorkerState) =>
+    const latestStopMs = this.#latestStopMs(job);
+    const availableOf = (worker: WorkerState) =>
       worker.isPlaceable
-        ? withoutSlowStops(worker, worker.futureRoom(), slowFromMs)
-        : NOTHING;
+        ? withoutSlowStops(worker, worker.availableAfterStops(), latestStopMs)
+        : ZERO_AMOUNTS;
     return {
       nowMs: this.#context.nowMs,
       hasTimeToCheckpoint: job.rank !== URGENT_RANK,
       isEvictable,
-      roomOf,
-      potentialOf: (worker: WorkerState) => {
+      availableOf,
+      maxAvailableOf: (worker: WorkerState) => {
         if (!worker.isPlaceable) {
-          return NOTHING;
+          return ZERO_AMOUNTS;
         }
-        const room = withoutSlowStops(worker, worker.futureRoom(), slowFromMs);
-        return withEvictable(worker, room, isEvictable);
+        const available = withoutSlowStops(
+          worker,
+          worker.availableAfterStops(),
+          latestStopMs,
+        );
+        return withEvictable(worker, available, isEvictable);
       },
     };
   }
@@ -243,57 +255,57 @@
 
 function withEvictable(
   worker: WorkerState,
-  room: Amounts,
+  available: Amounts,
   isEvictable: (job: JobState) => boolean,
 ): Amounts {
   for (const { job, tasks } of worker.allocations.values()) {
     if (job.phase !== JobPhase.stopping && isEvictable(job)) {
-      addAmounts(room, job.need, { factor: tasks });
+      addAmounts(available, job.need, { factor: tasks });
     }
   }
-  return room;
+  return available;
 }
 
-/** The room without that of gangs whose stop takes too long. */
+/** Subtracts the resources of gangs whose stop may take too long. */
 function withoutSlowStops(
   worker: WorkerState,
-  room: Amounts,
-  slowFromMs: number,
+  available: Amounts,
+  latestStopMs: number,
 ): Amounts {
   const hasStops = worker.stopping.accelerators > 0 ||
     worker.stopping.milliCores > 0 || worker.stopping.memoryBytes > 0;
-  if (slowFromMs === Infinity || !hasStops) {
-    return room;
+  if (latestStopMs === Infinity || !hasStops) {
+    return available;
   }
   for (const { job, tasks } of worker.allocations.values()) {
     const isSlow = job.phase === JobPhase.stopping &&
-      job.stopDeadlineMs > slowFromMs;
+      job.stopDeadlineMs > latestStopMs;
     if (isSlow) {
-      addAmounts(room, job.need, { factor: -tasks });
+      addAmounts(available, job.need, { factor: -tasks });
     }
   }
-  return room;
+  return available;
 }
 
-/** What is there for guarantees once all that stops has stopped. */
-function roomForGuarantees(worker: WorkerState): Amounts {
-  const room = worker.free();
-  addAmounts(room, worker.stopping);
-  addAmounts(room, reservedForGuarantees(worker), { factor: -1 });
-  return room;
+/** What guarantees can use once the gangs being stopped are gone. */
+function availableForGuarantees(worker: WorkerState): Amounts {
+  const available = worker.free();
+  addAmounts(available, worker.stopping);
+  addAmounts(available, reservedForGuarantees(worker), { factor: -1 });
+  return available;
 }
 
-function ownPotential(
+function maxAvailableForAccount(
   worker: WorkerState,
   account: string,
-  isOwnLower: (job: JobState) => boolean,
+  isOwnLowerRanked: (job: JobState) => boolean,
 ): Readonly<Amounts> {
   if (!worker.isPlaceable) {
-    return NOTHING;
+    return ZERO_AMOUNTS;
   }
   return withEvictable(
     worker,
-    worker.unusedPromise(account),
-    (job) => job.isGuaranteed && isOwnLower(job),
+    worker.unusedGuarantee(account),
+    (job) => job.isGuaranteed && isOwnLowerRanked(job),
   );
 }
--- a/src/process/scheduler/core/gang_events.ts
+++ b/src/process/scheduler/core/gang_event_handler.ts
@@ -1,5 +1,5 @@
 /**
- * What the executor tells about gangs and their tasks.
+ * Handles the runtime's events about gangs and their tasks.
  *
  * @module
  */
@@ -19,16 +19,15 @@
 } from "./scheduler_event.ts";
 import type { WorkerState } from "./worker_state.ts";
 
-/** The wait before another try after a failure; doubled with each. */
+/** Delay before a job is started again; doubled with each of its failures. */
 const RETRY_DELAY_MS = 1_000;
 const RETRY_DELAY_LIMIT_MS = 60_000;
-/** The slowest that an overrunning gang is made. */
+/** Fraction of its processors that a throttled gang keeps. */
 const THROTTLED_CORES_FRACTION = 0.5;
-/** Overruns are counted from at least this much run time. */
-const LEAST_EXPECTED_MS = 10_000;
+/** Least expected run time assumed when overruns are determined. */
+const MIN_EXPECTED_RUN_MS = 10_000;
 
-/** The handling of the executor's reports. */
-export class GangEvents {
+export class GangEventHandler {
   readonly #context: CoreContext;
   readonly #lifecycle: GangLifecycle;
   readonly #quarantine: Quarantine;
@@ -46,28 +45,28 @@
   }
 
   started(event: GangStarted): void {
-    const job = this.#current(event);
+    const job = this.#currentJob(event);
     if (job?.phase === JobPhase.starting) {
       job.phase = JobPhase.running;
       job.startedAtMs = event.atMs;
-      this.watchRun(job);
+      this.scheduleOverrunTimers(job);
     }
   }
 
   startFailed(event: GangStartFailed): void {
-    const job = this.#current(event);
-    this.#clearStale(event);
+    const job = this.#currentJob(event);
+    this.#clearStaleAttempt(event);
     const isReleased = job?.phase === JobPhase.starting ||
       job?.phase === JobPhase.stopping;
     if (job === undefined || !isReleased) {
       return;
     }
-    // A start that was to be stopped anyway says nothing about the workers.
+    // A start that was being stopped anyway doesn't count against the workers.
     const suspects = job.phase === JobPhase.starting ? event.workerIds : [];
     for (const workerId of suspects) {
       const worker = this.#context.index.workers.get(workerId);
       if (worker !== undefined) {
-        this.#quarantine.noteFailure(worker, job);
+        this.#quarantine.recordFailure(worker, job);
       }
     }
     this.#delayRetry(job, 0);
@@ -75,8 +74,8 @@
   }
 
   stopped(event: GangStopped): void {
-    this.#clearStale(event);
-    const job = this.#current(event);
+    this.#clearStaleAttempt(event);
+    const job = this.#currentJob(event);
     if (job === undefined || !isLive(job)) {
       return;
     }
@@ -87,7 +86,7 @@
   }
 
   taskEnded(event: TaskEnded): void {
-    const job = this.#current(event);
+    const job = this.#currentJob(event);
     const isKnown = job !== undefined && isLive(job) &&
       event.taskIndex < job.specification.tasks &&
       !job.endedTasks.has(event.taskIndex);
@@ -113,46 +112,49 @@
 
   usageReported(event: WorkerUsageReported): void {
     for (const usage of event.usages) {
-      const job = this.#current(usage);
+      const job = this.#currentJob(usage);
       if (job?.phase !== JobPhase.running) {
         continue;
       }
       const seenMs = usage.checkpointedAtMs ?? 0;
       job.checkpointedAtMs = Math.max(job.checkpointedAtMs ?? 0, seenMs);
-      this.#context.corrections.observeUsage(job.specification, usage);
+      this.#context.estimator.observeUsage(job.specification, usage);
     }
   }
 
-  /** Stops what is left of a gang that lost a task. */
+  /** Stops the remaining tasks of a gang that lost one. */
   breakGang(job: JobState): void {
     if (job.phase === JobPhase.stopping) {
       return;
     }
     this.#delayRetry(job, 0);
-    this.#stopRest(job, {});
+    this.#stopRemaining(job, {});
   }
 
-  /** Sets the moments at which a running gang counts as overrunning. */
-  watchRun(job: JobState): void {
-    const { policy, corrections } = this.#context;
+  /** Schedules the throttling and the stop of a gang that overruns. */
+  scheduleOverrunTimers(job: JobState): void {
+    const { policy, estimator } = this.#context;
     const jobClass = policy.jobClass(job.specification.jobClass);
-    const spread = corrections.spreadOf(job.specification);
-    const expectedMs = Math.max(LEAST_EXPECTED_MS, job.expectedRunMs * spread);
+    const spread = estimator.runTimeSpread(job.specification);
+    const expectedMs = Math.max(
+      MIN_EXPECTED_RUN_MS,
+      job.expectedRunMs * spread,
+    );
     const startedAtMs = job.startedAtMs ?? this.#context.nowMs;
     const throttleAtMs = startedAtMs + expectedMs * jobClass.throttleFactor;
     const stopAtMs = startedAtMs + expectedMs * jobClass.stopFactor;
-    this.#atIfRunning(throttleAtMs, job, (late) => this.#throttle(late));
-    this.#atIfRunning(stopAtMs, job, (late) => this.#stopOverrun(late));
+    this.#scheduleIfRunning(throttleAtMs, job, (late) => this.#throttle(late));
+    this.#scheduleIfRunning(stopAtMs, job, (late) => this.#stopOverrun(late));
   }
 
-  /** Sets an action for the case that the same attempt still runs then. */
-  #atIfRunning(
+  /** Schedules an action; it is skipped unless this attempt runs then. */
+  #scheduleIfRunning(
     atMs: number,
     job: JobState,
     action: (job: JobState) => void,
   ): void {
     const { attempt } = job;
-    this.#context.atForJob(atMs, job.specification.jobId, (late) => {
+    this.#context.scheduleForJob(atMs, job.specification.jobId, (late) => {
       if (late.attempt === attempt && late.phase === JobPhase.running) {
         action(late);
       }
@@ -162,16 +164,16 @@
   #taskSucceeded(job: JobState, worker: WorkerState | undefined): void {
     job.succeededTasks += 1;
     if (worker !== undefined) {
-      this.#quarantine.noteSuccess(worker);
+      this.#quarantine.recordSuccess(worker);
     }
     if (job.succeededTasks < job.specification.tasks) {
       return;
     }
-    const { nowMs, corrections } = this.#context;
+    const { nowMs, estimator } = this.#context;
     if (job.startedAtMs !== undefined && job.attainedAcceleratorMs === 0) {
-      corrections.observeRun(job.specification, nowMs - job.startedAtMs);
+      estimator.observeRun(job.specification, nowMs - job.startedAtMs);
     }
-    this.#lifecycle.giveBack(job);
+    this.#lifecycle.releaseCapacity(job);
     this.#lifecycle.end(job, JobOutcome.succeeded);
   }
 
@@ -181,16 +183,16 @@
     }
     job.failures += 1;
     if (worker !== undefined) {
-      this.#quarantine.noteFailure(worker, job);
+      this.#quarantine.recordFailure(worker, job);
     }
     const { attemptsLimit } = this.#context.policy
       .jobClass(job.specification.jobClass);
     const isLast = job.failures >= attemptsLimit;
     this.#delayRetry(job, job.failures);
-    this.#stopRest(job, isLast ? { outcome: JobOutcome.failed } : {});
+    this.#stopRemaining(job, isLast ? { outcome: JobOutcome.failed } : {});
   }
 
-  #stopRest(job: JobState, options: { outcome?: JobOutcome }): void {
+  #stopRemaining(job: JobState, options: { outcome?: JobOutcome }): void {
     if (job.phase === JobPhase.stopping) {
       return;
     }
@@ -208,7 +210,7 @@
       return;
     }
     job.isThrottled = true;
-    this.#context.decide({
+    this.#context.emit({
       kind: "throttleGang",
       jobId: job.specification.jobId,
       attempt: job.attempt,
@@ -218,7 +220,7 @@
 
   #stopOverrun(job: JobState): void {
     const ranMs = this.#context.nowMs - (job.startedAtMs ?? 0);
-    this.#context.corrections.observeRun(job.specification, ranMs);
+    this.#context.estimator.observeRun(job.specification, ranMs);
     const { checkpointMs } = this.#context.policy
       .jobClass(job.specification.jobClass);
     this.#lifecycle.stop(job, {
@@ -236,28 +238,28 @@
     job.retryAtMs = this.#context.nowMs + delayMs;
   }
 
-  #current(
+  #currentJob(
     event: { readonly jobId: string; readonly attempt: number },
   ): JobState | undefined {
     const job = this.#context.jobs.get(event.jobId);
     return job?.attempt === event.attempt ? job : undefined;
   }
 
-  #clearStale(
+  #clearStaleAttempt(
     event: { readonly jobId: string; readonly attempt: number },
   ): void {
-    const key = staleKey(event.jobId, event.attempt);
+    const key = attemptKey(event.jobId, event.attempt);
     for (const worker of this.#context.staleWorkers.get(key) ?? []) {
       worker.staleAttempts.delete(key);
       this.#context.index.refresh(worker);
     }
     if (this.#context.staleWorkers.delete(key)) {
-      this.#context.roomFreed();
+      this.#context.recordFreedCapacity();
     }
   }
 }
 
-/** Names an attempt of a job. */
-export function staleKey(jobId: string, attempt: number): string {
+/** The key that identifies an attempt of a job. */
+export function attemptKey(jobId: string, attempt: number): string {
   return `${jobId}#${attempt}`;
 }
--- a/src/process/scheduler/core/gang_lifecycle.ts
+++ b/src/process/scheduler/core/gang_lifecycle.ts
@@ -1,5 +1,5 @@
 /**
- * Starts gangs, stops them and brings jobs to their end.
+ * Starts and stops gangs, and queues and ends jobs.
  *
  * @module
  */
@@ -21,47 +21,46 @@
 } from "./scheduler_decision.ts";
 import type { WorkerState } from "./worker_state.ts";
 
-/** Ended jobs that are remembered, so that a resubmission is noticed. */
+/** Ended jobs that are remembered, so that resubmissions are recognized. */
 export const ENDED_JOBS_KEPT = 2_000;
 
 /** How a gang is stopped. */
 export interface StopOptions {
   readonly reason: StopReason;
-  /** What the job comes to then; absent to queue it again. */
+  /** The job's outcome after the stop; absent to queue it again. */
   readonly outcome?: JobOutcome;
-  /** When to stop without a checkpoint; absent for none wanted. */
+  /** Until when to wait for a checkpoint; absent if none is wanted. */
   readonly checkpointDeadlineMs?: number;
 }
 
-/** What the job's end says besides its outcome. */
+/** Why a job ended, besides its outcome. */
 export interface EndOptions {
   readonly error?: ErrorKind;
   readonly detail?: string;
 }
 
-/** What others do when a gang has given its room back. */
-export type RoomListener = (workers: readonly WorkerState[]) => void;
+/** Called when a gang has released its capacity on these workers. */
+export type CapacityListener = (workers: readonly WorkerState[]) => void;
 
-/** The steps of every gang. */
 export class GangLifecycle {
   readonly #context: CoreContext;
   readonly #ended: JobState[] = [];
-  readonly #roomListeners: RoomListener[] = [];
+  readonly #capacityListeners: CapacityListener[] = [];
 
   constructor(options: { context: CoreContext }) {
     this.#context = options.context;
   }
 
-  onRoom(listener: RoomListener): void {
-    this.#roomListeners.push(listener);
+  onCapacityFreed(listener: CapacityListener): void {
+    this.#capacityListeners.push(listener);
   }
 
   /** Starts a queued job on a block. */
-  start(job: JobState, wholeBlock: Block, isGuaranteed: boolean): void {
+  start(job: JobState, requestedBlock: Block, isGuaranteed: boolean): void {
     const context = this.#context;
     const block = context.mutations.has("breaksGangs")
-      ? withoutFirst(wholeBlock)
-      : wholeBlock;
+      ? withoutFirstWorker(requestedBlock)
+      : requestedBlock;
     context.queue.remove(job);
     job.attempt += 1;
     job.phase = JobPhase.starting;
@@ -69,13 +68,13 @@
     job.configurationVersion = context.policy.version;
     job.waitReason = "starting";
     job.placements = placementsOf(block);
-    this.#clearAttempt(job);
+    this.#resetAttempt(job);
     context.ledger.setWaiting(job, false);
-    context.ledger.occupy(job, block);
+    context.ledger.allocate(job, block);
     if (!isGuaranteed) {
-      context.promotable.add(job.specification.clientAccount);
+      context.accountsToPromote.add(job.specification.clientAccount);
     }
-    context.decide({
+    context.emit({
       kind: "startGang",
       jobId: job.specification.jobId,
       attempt: job.attempt,
@@ -85,7 +84,7 @@
     });
   }
 
-  /** Stops a live gang; a gang that stops already keeps its first reason. */
+  /** Stops a live gang; one that is already being stopped keeps its reason. */
   stop(job: JobState, options: StopOptions): void {
     if (!isLive(job)) {
       return;
@@ -102,7 +101,7 @@
       : this.#context.nowMs;
     job.outcomeAfterStop = options.outcome;
     this.#context.ledger.beginStopping(job);
-    this.#context.decide({
+    this.#context.emit({
       kind: "stopGang",
       jobId: job.specification.jobId,
       attempt: job.attempt,
@@ -112,9 +111,9 @@
     });
   }
 
-  /** Takes in that no task of the attempt runs any more. */
+  /** Completes a stop: none of the tasks of the attempt runs any more. */
   finishStop(job: JobState): void {
-    this.giveBack(job);
+    this.releaseCapacity(job);
     if (job.outcomeAfterStop !== undefined) {
       this.end(job, job.outcomeAfterStop);
       return;
@@ -122,7 +121,7 @@
     this.requeue(job);
   }
 
-  /** Puts a job that holds no room back in the queue. */
+  /** Queues a job without an attempt, after its retry delay if it has one. */
   requeue(job: JobState): void {
     const context = this.#context;
     job.phase = JobPhase.queued;
@@ -138,18 +137,22 @@
     }
     context.setWaitReason(job, "retryDelay");
     const attempt = job.attempt;
-    context.atForJob(job.retryAtMs, job.specification.jobId, (waiting) => {
-      const isWaiting = waiting.phase === JobPhase.queued &&
-        waiting.attempt === attempt && waiting.queueGroup === undefined &&
-        waiting.reservation === undefined;
-      if (isWaiting) {
-        context.setWaitReason(waiting, "capacity");
-        context.enqueue(waiting);
-      }
-    });
+    context.scheduleForJob(
+      job.retryAtMs,
+      job.specification.jobId,
+      (waiting) => {
+        const isWaiting = waiting.phase === JobPhase.queued &&
+          waiting.attempt === attempt && waiting.queueGroup === undefined &&
+          waiting.reservation === undefined;
+        if (isWaiting) {
+          context.setWaitReason(waiting, "capacity");
+          context.enqueue(waiting);
+        }
+      },
+    );
   }
 
-  /** Brings a job that holds no room to its end. */
+  /** Ends a job that holds no capacity. */
   end(
     job: JobState,
     outcome: JobOutcome,
@@ -161,7 +164,7 @@
     job.phase = JobPhase.ended;
     job.outcome = outcome;
     job.placements = [];
-    context.decide({
+    context.emit({
       kind: "jobEnds",
       jobId: job.specification.jobId,
       outcome,
@@ -171,31 +174,31 @@
     if (this.#ended.length > ENDED_JOBS_KEPT) {
       const oldest = this.#ended.shift();
       const jobId = oldest?.specification.jobId ?? "";
-      // The job may have come back since.
+      // The job may have been transferred back since.
       if (context.jobs.get(jobId) === oldest) {
         context.jobs.delete(jobId);
       }
     }
   }
 
-  /** Takes a live gang's room back, counting the work that it had. */
-  giveBack(job: JobState): void {
+  /** Releases a live gang's capacity, and adds up the work that it did. */
+  releaseCapacity(job: JobState): void {
     const context = this.#context;
     if (job.startedAtMs !== undefined) {
       job.attainedAcceleratorMs += (context.nowMs - job.startedAtMs) *
         Math.max(1, gangAccelerators(job));
     }
     const workers = [...job.workers.keys()];
-    context.promotable.add(job.specification.clientAccount);
+    context.accountsToPromote.add(job.specification.clientAccount);
     context.ledger.release(job);
-    context.roomFreed();
+    context.recordFreedCapacity();
     job.phase = JobPhase.queued;
-    for (const listener of this.#roomListeners) {
+    for (const listener of this.#capacityListeners) {
       listener(workers);
     }
   }
 
-  #clearAttempt(job: JobState): void {
+  #resetAttempt(job: JobState): void {
     job.startedAtMs = undefined;
     job.checkpointedAtMs = undefined;
     job.stopReason = undefined;
@@ -206,8 +209,8 @@
   }
 }
 
-/** What is left of a block of several workers without one of them. */
-function withoutFirst(block: Block): Block {
+/** A block without its first worker, unless that is the only one. */
+function withoutFirstWorker(block: Block): Block {
   return block.size > 1 ? new Map([...block].slice(1)) : block;
 }
 
--- a/src/process/scheduler/core/guarantee_cells.ts
+++ b/src/process/scheduler/core/guarantee_cells.ts
@@ -1,6 +1,6 @@
 /**
- * Assigns every guaranteed shape to concrete workers, and moves it to others
- * when a worker is lost.
+ * Assigns every guaranteed shape to concrete workers, and to other ones when a
+ * worker is lost.
  *
  * @module
  */
@@ -11,8 +11,8 @@
   addAmounts,
   type Amounts,
   isWithin,
-  noAmounts,
   proportionalShare,
+  zeroAmounts,
 } from "./amounts.ts";
 import {
   compareShapes,
@@ -20,45 +20,45 @@
   type PackingRack,
   packShape,
   type Shape,
-} from "./cell_packing.ts";
+} from "./guarantee_packing.ts";
 import type { RackIndex } from "./rack_index.ts";
 import { addToAccount, type WorkerState } from "./worker_state.ts";
 
-/** One guaranteed shape and the workers that it lies on. */
-export interface GuaranteeCell {
-  /** Names it over changes of configuration. */
+/** One guaranteed shape and the workers that it is assigned to. */
+export interface GuaranteeAssignment {
+  /** Identifies the assignment across configuration versions. */
   readonly key: string;
   readonly clientAccount: ClientAccountId;
   readonly shape: Shape;
-  /** Its workers; empty while the hardware lacks room. */
+  /** Its workers; empty while there are not enough for the shape. */
   workers: readonly WorkerState[];
 }
 
-/** The cells of one data centre. */
+/** The guarantees of one data centre. */
 export class GuaranteeCells {
   readonly #index: RackIndex;
-  #cells = new Map<string, GuaranteeCell>();
-  #byAccount = new Map<ClientAccountId, GuaranteeCell[]>();
+  #assignments = new Map<string, GuaranteeAssignment>();
+  #byAccount = new Map<ClientAccountId, GuaranteeAssignment[]>();
   #racksByAccount = new Map<ClientAccountId, WorkerState[][]>();
-  #isDirty = false;
+  #needsRepair = false;
 
   constructor(options: { index: RackIndex }) {
     this.#index = options.index;
   }
 
-  /** Every cell, placed or not. */
-  all(): Iterable<GuaranteeCell> {
-    return this.#cells.values();
+  /** Every guarantee, placed or not. */
+  all(): Iterable<GuaranteeAssignment> {
+    return this.#assignments.values();
   }
 
-  /** Whether cells wait to be placed or placed anew. */
-  get isDirty(): boolean {
-    return this.#isDirty;
+  /** Whether {@link repair} may have something to place. */
+  get needsRepair(): boolean {
+    return this.#needsRepair;
   }
 
-  /** Takes the shapes of a new configuration; those unchanged stay. */
+  /** Applies a new configuration; unchanged shapes keep their workers. */
   configure(document: Document, dataCentre: DataCentreId): void {
-    const wanted = new Map<string, GuaranteeCell>();
+    const wanted = new Map<string, GuaranteeAssignment>();
     for (
       const { clientAccount, guarantee } of guaranteesOf(document, dataCentre)
     ) {
@@ -67,57 +67,57 @@
       const name = `${clientAccount}/${racks}x${workersPerRack}x` +
         `${acceleratorsPerWorker}`;
       const key = nextFreeKey(name, wanted);
-      const known = this.#cells.get(key);
+      const known = this.#assignments.get(key);
       wanted.set(key, known ?? { key, clientAccount, shape, workers: [] });
-      this.#isDirty ||= known === undefined;
+      this.#needsRepair ||= known === undefined;
     }
-    for (const [key, cell] of this.#cells) {
+    for (const [key, assignment] of this.#assignments) {
       if (!wanted.has(key)) {
-        this.#lift(cell);
-        this.#isDirty = true;
+        this.#unassign(assignment);
+        this.#needsRepair = true;
       }
     }
-    this.#cells = wanted;
+    this.#assignments = wanted;
     this.#groupByAccount();
   }
 
-  /** Lifts the cells off a worker that no longer serves them. */
-  workerGone(worker: WorkerState): void {
-    for (const clientAccount of [...worker.promisedByAccount.keys()]) {
-      for (const cell of this.#byAccount.get(clientAccount) ?? []) {
-        if (cell.workers.includes(worker)) {
-          this.#lift(cell);
-          this.#isDirty = true;
+  /** Releases the assignments on a worker that is no longer healthy. */
+  handleWorkerUnavailable(worker: WorkerState): void {
+    for (const clientAccount of [...worker.guaranteeCapacityByAccount.keys()]) {
+      for (const assignment of this.#byAccount.get(clientAccount) ?? []) {
+        if (assignment.workers.includes(worker)) {
+          this.#unassign(assignment);
+          this.#needsRepair = true;
         }
       }
     }
   }
 
-  /** Says that there may be room for cells that had none. */
-  workerCame(): void {
-    for (const cell of this.#cells.values()) {
-      if (cell.workers.length === 0) {
-        this.#isDirty = true;
+  /** Requests a repair if guarantees are unplaced, as a worker is available. */
+  handleWorkerAvailable(): void {
+    for (const assignment of this.#assignments.values()) {
+      if (assignment.workers.length === 0) {
+        this.#needsRepair = true;
         return;
       }
     }
   }
 
   /**
-   * Places what has no place: first beside the rest, then with unused cells
-   * moved, then all anew.
+   * Places the unplaced guarantees: at first without moving others, then
+   * moving those not in use, at last moving all.
    *
-   * @returns whether any cell changed its place
+   * @returns false if there was nothing to do
    */
   repair(): boolean {
-    if (!this.#isDirty) {
+    if (!this.#needsRepair) {
       return false;
     }
-    this.#isDirty = false;
+    this.#needsRepair = false;
     const unplacedBefore = this.#unplaced();
     this.#placeAll(unplacedBefore);
     if (this.#unplaced().length > 0) {
-      this.#repack((cell) => this.#isInUse(cell));
+      this.#repack((assignment) => this.#isInUse(assignment));
     }
     if (this.#unplaced().length > 0) {
       this.#repack(() => false);
@@ -126,15 +126,15 @@
     return true;
   }
 
-  /** The workers of a client account's cells, by rack. */
+  /** The workers assigned to a client account's guarantees, by rack. */
   racksOf(clientAccount: ClientAccountId): readonly WorkerState[][] {
     const known = this.#racksByAccount.get(clientAccount);
     if (known !== undefined) {
       return known;
     }
     const byRack = new Map<unknown, Set<WorkerState>>();
-    for (const cell of this.#byAccount.get(clientAccount) ?? []) {
-      for (const worker of cell.workers) {
+    for (const assignment of this.#byAccount.get(clientAccount) ?? []) {
+      for (const worker of assignment.workers) {
         const workers = byRack.get(worker.rack) ?? new Set();
         byRack.set(worker.rack, workers.add(worker));
       }
@@ -144,73 +144,77 @@
     return racks;
   }
 
-  /** What of its guarantee a client account doesn't use, over all workers. */
+  /** The unused part of a client account's guarantee, over all workers. */
   unusedTotal(clientAccount: ClientAccountId): Amounts {
-    const total = noAmounts();
+    const total = zeroAmounts();
     for (const workers of this.racksOf(clientAccount)) {
       for (const worker of workers) {
-        addAmounts(total, worker.unusedPromise(clientAccount));
+        addAmounts(total, worker.unusedGuarantee(clientAccount));
       }
     }
     return total;
   }
 
-  /** The cells of one client account. */
-  cellsOf(clientAccount: ClientAccountId): readonly GuaranteeCell[] {
+  /** The guarantees of one client account. */
+  assignmentsOf(
+    clientAccount: ClientAccountId,
+  ): readonly GuaranteeAssignment[] {
     return this.#byAccount.get(clientAccount) ?? [];
   }
 
-  /** Moves a placed cell to other workers, which must have room for it. */
-  move(cell: GuaranteeCell, workers: readonly WorkerState[]): void {
-    this.#lift(cell);
-    this.#put(cell, workers);
-    this.#racksByAccount.delete(cell.clientAccount);
+  /** Moves a placed guarantee to other workers, which must have capacity. */
+  move(assignment: GuaranteeAssignment, workers: readonly WorkerState[]): void {
+    this.#unassign(assignment);
+    this.#assign(assignment, workers);
+    this.#racksByAccount.delete(assignment.clientAccount);
   }
 
-  /** Whether work within the guarantee needs this cell where it lies. */
-  isInUse(cell: GuaranteeCell): boolean {
-    return this.#isInUse(cell);
+  /** Whether guaranteed gangs use the assignment on its present workers. */
+  isInUse(assignment: GuaranteeAssignment): boolean {
+    return this.#isInUse(assignment);
   }
 
-  #unplaced(): GuaranteeCell[] {
-    return [...this.#cells.values()]
-      .filter((cell) => cell.workers.length === 0);
+  #unplaced(): GuaranteeAssignment[] {
+    return [...this.#assignments.values()]
+      .filter((assignment) => assignment.workers.length === 0);
   }
 
-  #placeAll(cells: readonly GuaranteeCell[]): void {
-    if (cells.length === 0) {
+  #placeAll(assignments: readonly GuaranteeAssignment[]): void {
+    if (assignments.length === 0) {
       return;
     }
     const racks = this.#packingRacks();
-    const ordered = [...cells]
+    const ordered = [...assignments]
       .sort((left, right) => compareShapes(left.shape, right.shape));
-    for (const cell of ordered) {
-      const workers = packShape(racks, cell.shape);
+    for (const assignment of ordered) {
+      const workers = packShape(racks, assignment.shape);
       if (workers !== undefined) {
-        this.#put(cell, workers);
+        this.#assign(assignment, workers);
       }
     }
   }
 
-  /** Places all but the pinned cells anew; keeps the better of the two. */
-  #repack(isPinned: (cell: GuaranteeCell) => boolean): void {
-    const before = new Map<GuaranteeCell, readonly WorkerState[]>();
-    const loose = [...this.#cells.values()].filter((cell) => !isPinned(cell));
+  /** Places all but the pinned ones again; undone unless more are placed. */
+  #repack(isPinned: (assignment: GuaranteeAssignment) => boolean): void {
+    const before = new Map<GuaranteeAssignment, readonly WorkerState[]>();
+    const movable = [...this.#assignments.values()].filter((assignment) =>
+      !isPinned(assignment)
+    );
     const unplacedBefore = this.#unplaced().length;
-    for (const cell of loose) {
-      before.set(cell, cell.workers);
-      this.#lift(cell);
+    for (const assignment of movable) {
+      before.set(assignment, assignment.workers);
+      this.#unassign(assignment);
     }
-    this.#placeAll(loose);
+    this.#placeAll(movable);
     if (this.#unplaced().length < unplacedBefore) {
       return;
     }
-    for (const cell of loose) {
-      this.#lift(cell);
+    for (const assignment of movable) {
+      this.#unassign(assignment);
     }
-    for (const [cell, workers] of before) {
+    for (const [assignment, workers] of before) {
       if (workers.length > 0) {
-        this.#put(cell, workers);
+        this.#assign(assignment, workers);
       }
     }
   }
@@ -223,52 +227,59 @@
         .map((worker) => ({
           item: worker,
           accelerators: worker.capacity.accelerators -
-            worker.promised.accelerators,
+            worker.guaranteeCapacity.accelerators,
         }))
     );
   }
 
-  #isInUse(cell: GuaranteeCell): boolean {
-    return cell.workers.some((worker) => {
+  #isInUse(assignment: GuaranteeAssignment): boolean {
+    return assignment.workers.some((worker) => {
       const share = proportionalShare(
         worker.capacity,
-        cell.shape.acceleratorsPerWorker,
+        assignment.shape.acceleratorsPerWorker,
       );
-      return !isWithin(share, worker.unusedPromise(cell.clientAccount));
+      return !isWithin(share, worker.unusedGuarantee(assignment.clientAccount));
     });
   }
 
-  #put(cell: GuaranteeCell, workers: readonly WorkerState[]): void {
-    cell.workers = workers;
-    this.#promise(cell, 1);
+  #assign(
+    assignment: GuaranteeAssignment,
+    workers: readonly WorkerState[],
+  ): void {
+    assignment.workers = workers;
+    this.#addToWorkers(assignment, 1);
   }
 
-  #lift(cell: GuaranteeCell): void {
-    this.#promise(cell, -1);
-    cell.workers = [];
-    this.#racksByAccount.delete(cell.clientAccount);
+  #unassign(assignment: GuaranteeAssignment): void {
+    this.#addToWorkers(assignment, -1);
+    assignment.workers = [];
+    this.#racksByAccount.delete(assignment.clientAccount);
   }
 
-  #promise(cell: GuaranteeCell, factor: number): void {
-    for (const worker of cell.workers) {
+  #addToWorkers(assignment: GuaranteeAssignment, factor: number): void {
+    for (const worker of assignment.workers) {
       const amounts = proportionalShare(
         worker.capacity,
-        cell.shape.acceleratorsPerWorker,
+        assignment.shape.acceleratorsPerWorker,
+      );
+      addAmounts(worker.guaranteeCapacity, amounts, { factor });
+      addToAccount(
+        worker.guaranteeCapacityByAccount,
+        assignment.clientAccount,
+        {
+          amounts,
+          factor,
+        },
       );
-      addAmounts(worker.promised, amounts, { factor });
-      addToAccount(worker.promisedByAccount, cell.clientAccount, {
-        amounts,
-        factor,
-      });
     }
   }
 
   #groupByAccount(): void {
     this.#byAccount = new Map();
-    for (const cell of this.#cells.values()) {
-      const cells = this.#byAccount.get(cell.clientAccount) ?? [];
-      cells.push(cell);
-      this.#byAccount.set(cell.clientAccount, cells);
+    for (const assignment of this.#assignments.values()) {
+      const assignments = this.#byAccount.get(assignment.clientAccount) ?? [];
+      assignments.push(assignment);
+      this.#byAccount.set(assignment.clientAccount, assignments);
     }
     this.#racksByAccount.clear();
   }
--- a/src/process/scheduler/core/cell_packing.ts
+++ b/src/process/scheduler/core/guarantee_packing.ts
@@ -1,5 +1,5 @@
 /**
- * The packing of guaranteed shapes, as the document's check does it.
+ * The packing of guaranteed shapes, shared with the document check.
  *
  * @module
  */
--- a/src/process/scheduler/core/cell_packing_test.ts
+++ b/src/process/scheduler/core/guarantee_packing_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import fc from "fast-check";
 import { findUnplacedGuarantee } from "../../../version/document/guarantee_packing.ts";
-import { FakeExecutor } from "./testing/fake_executor.ts";
+import { FakeRuntime } from "./testing/fake_runtime.ts";
 import {
   DATA_CENTRE,
   makeDocument,
@@ -23,7 +23,7 @@
   looms: fc.array(shapes, { maxLength: 3 }),
 });
 
-test("what a document may promise is placed, in whatever order workers join", (t) => {
+test("guarantees that a document may grant are placed in any order of joins", (t) => {
   let fitting = 0;
   const property = fc.property(
     guarantees,
@@ -35,21 +35,21 @@
         return;
       }
       fitting += 1;
-      const world = new FakeExecutor({ document, workers });
-      world.tick(100);
+      const runtime = new FakeRuntime({ document, workers });
+      runtime.tick(100);
       const workerId = workers[lost]?.workerId ?? "";
-      world.lose(workerId, { leavesZombies: false });
-      world.join(workerId);
-      world.tick(100);
-      t.deepEqual(world.broken, []);
-      t.is(world.core.metrics().unplacedCells, 0);
+      runtime.lose(workerId, { leavesZombies: false });
+      runtime.join(workerId);
+      runtime.tick(100);
+      t.deepEqual(runtime.violations, []);
+      t.is(runtime.core.metrics().unplacedGuarantees, 0);
     },
   );
   fc.assert(property, { seed: 20_261_204, numRuns: 300 });
   t.true(fitting > 50);
 });
 
-test("a document that promises too much is found out", (t) => {
+test("a document that guarantees more than the hardware holds is rejected", (t) => {
   const document = makeDocument({
     ...HARDWARE,
     guarantees: {
--- a/src/process/scheduler/core/invariants.ts
+++ b/src/process/scheduler/core/invariants.ts
@@ -1,6 +1,6 @@
 /**
- * What must hold after every event. It is counted anew from the gangs and the
- * cells, never from the sums that the scheduler keeps; for tests only.
+ * Checks the invariants that hold after every event. Every sum is recounted
+ * from the gangs and the guarantees. For tests only.
  *
  * @module
  */
@@ -10,39 +10,39 @@
   type Amounts,
   isSameAmounts,
   isWithin,
-  noAmounts,
+  zeroAmounts,
 } from "./amounts.ts";
 import type { CoreContext } from "./core_context.ts";
-import type { GuaranteeCell } from "./guarantee_cells.ts";
+import type { GuaranteeAssignment } from "./guarantee_cells.ts";
 import { isLive, JobPhase, type JobState } from "./job_state.ts";
 import { isQuarantined } from "./quarantine.ts";
 import type { Quarantine } from "./quarantine.ts";
 import { WaitReason } from "./scheduler_decision.ts";
 import type { RackState, WorkerState } from "./worker_state.ts";
 
-/** A retry follows on the first tick after its time. */
+/** Longest time until the tick on which a due retry is queued. */
 const RETRY_SLACK_MS = 1_000;
 
-/** Everything that doesn't hold; empty when all is well. */
-export function findBrokenInvariants(
+/** Describes every violated invariant; empty if all hold. */
+export function findInvariantViolations(
   context: CoreContext,
   options: { readonly quarantine: Quarantine },
 ): string[] {
   return [
-    ...context.index.findBroken(),
-    ...findBrokenWorkers(context),
-    ...findBrokenCells(context),
-    ...findBrokenGangs(context),
-    ...findBrokenWaits(context),
-    ...findBrokenQuarantine(context, options.quarantine),
+    ...context.index.findViolations(),
+    ...findWorkerViolations(context),
+    ...findAssignmentViolations(context),
+    ...findGangViolations(context),
+    ...findWaitViolations(context),
+    ...findQuarantineViolations(context, options.quarantine),
   ];
 }
 
-function findBrokenWorkers(context: CoreContext): string[] {
-  const broken: string[] = [];
+function findWorkerViolations(context: CoreContext): string[] {
+  const violations: string[] = [];
   for (const worker of context.index.workers.values()) {
-    const used = noAmounts();
-    const stopping = noAmounts();
+    const used = zeroAmounts();
+    const stopping = zeroAmounts();
     for (const { job, tasks } of worker.allocations.values()) {
       addAmounts(used, job.need, { factor: tasks });
       if (job.phase === JobPhase.stopping) {
@@ -51,114 +51,129 @@
     }
     const name = `worker ${worker.workerId}`;
     if (!isSameAmounts(used, worker.used)) {
-      broken.push(`${name}: its sum of used resources is wrong`);
+      violations.push(`${name}: its sum of used resources is wrong`);
     }
     if (!isSameAmounts(stopping, worker.stopping)) {
-      broken.push(`${name}: its sum of stopping resources is wrong`);
+      violations.push(`${name}: its sum of stopping resources is wrong`);
     }
     if (!isWithin(used, worker.capacity)) {
-      broken.push(`${name}: more is used than it has`);
+      violations.push(`${name}: more is used than it has`);
     }
-    broken.push(...findBrokenPromises(worker));
+    violations.push(...findGuaranteeUseViolations(worker));
   }
-  return broken;
+  return violations;
 }
 
-/** Work within guarantees lies in its own client account's cells. */
-function findBrokenPromises(worker: WorkerState): string[] {
-  const claimed = new Map<string, Amounts>();
+/** Guaranteed gangs stay within their own client account's guarantee. */
+function findGuaranteeUseViolations(worker: WorkerState): string[] {
+  const usedByAccount = new Map<string, Amounts>();
   for (const { job, tasks } of worker.allocations.values()) {
     if (job.isGuaranteed && job.phase !== JobPhase.stopping) {
-      const total = claimed.get(job.specification.clientAccount) ?? noAmounts();
+      const total = usedByAccount.get(job.specification.clientAccount) ??
+        zeroAmounts();
       addAmounts(total, job.need, { factor: tasks });
-      claimed.set(job.specification.clientAccount, total);
+      usedByAccount.set(job.specification.clientAccount, total);
     }
   }
-  const broken: string[] = [];
-  for (const [account, amounts] of claimed) {
-    const promised = worker.promisedByAccount.get(account) ?? noAmounts();
-    if (!isWithin(amounts, promised)) {
-      broken.push(
+  const violations: string[] = [];
+  for (const [account, amounts] of usedByAccount) {
+    const assigned = worker.guaranteeCapacityByAccount.get(account) ??
+      zeroAmounts();
+    if (!isWithin(amounts, assigned)) {
+      violations.push(
         `worker ${worker.workerId}: ${account} holds more within its ` +
           `guarantee than its cells`,
       );
     }
   }
-  return broken;
+  return violations;
 }
 
-function findBrokenCells(context: CoreContext): string[] {
-  const broken: string[] = [];
-  const promised = new Map<WorkerState, Amounts>();
-  for (const cell of context.cells.all()) {
-    broken.push(...findBrokenShape(cell, context));
-    for (const worker of cell.workers) {
-      const total = promised.get(worker) ?? noAmounts();
-      total.accelerators += cell.shape.acceleratorsPerWorker;
-      promised.set(worker, total);
+function findAssignmentViolations(context: CoreContext): string[] {
+  const violations: string[] = [];
+  const assigned = new Map<WorkerState, Amounts>();
+  for (const assignment of context.guarantees.all()) {
+    violations.push(...findShapeViolations(assignment, context));
+    for (const worker of assignment.workers) {
+      const total = assigned.get(worker) ?? zeroAmounts();
+      total.accelerators += assignment.shape.acceleratorsPerWorker;
+      assigned.set(worker, total);
     }
   }
-  for (const [worker, total] of promised) {
+  for (const [worker, total] of assigned) {
     if (total.accelerators > worker.capacity.accelerators) {
-      broken.push(`cells: ${worker.workerId} is promised more than it has`);
+      violations.push(
+        `guarantees: ${worker.workerId} is assigned more than it has`,
+      );
     }
-    if (!isWithin(worker.promised, worker.capacity)) {
-      broken.push(`cells: ${worker.workerId} promises more than its share`);
+    if (!isWithin(worker.guaranteeCapacity, worker.capacity)) {
+      violations.push(
+        `guarantees: ${worker.workerId}: their sum exceeds its capacity`,
+      );
     }
   }
-  return broken;
+  return violations;
 }
 
-function findBrokenShape(cell: GuaranteeCell, context: CoreContext): string[] {
-  if (cell.workers.length === 0) {
+function findShapeViolations(
+  assignment: GuaranteeAssignment,
+  context: CoreContext,
+): string[] {
+  if (assignment.workers.length === 0) {
     return [];
   }
   const perRack = new Map<RackState, Set<WorkerState>>();
-  for (const worker of cell.workers) {
+  for (const worker of assignment.workers) {
     const workers = perRack.get(worker.rack) ?? new Set();
     perRack.set(worker.rack, workers.add(worker));
     const isKnown = context.index.workers.get(worker.workerId) === worker;
     if (!isKnown || !worker.isHealthy) {
-      return [`cells: ${cell.key} lies on ${worker.workerId}, out of use`];
+      return [`guarantee ${assignment.key}: ${worker.workerId} is out of use`];
     }
   }
-  const { racks, workersPerRack } = cell.shape;
+  const { racks, workersPerRack } = assignment.shape;
   const isRight = perRack.size === racks &&
     [...perRack.values()].every((workers) => workers.size === workersPerRack);
-  return isRight ? [] : [`cells: ${cell.key} isn't of its shape`];
+  return isRight
+    ? []
+    : [`guarantee ${assignment.key}: its workers don't form its shape`];
 }
 
-function findBrokenGangs(context: CoreContext): string[] {
-  const broken: string[] = [];
+function findGangViolations(context: CoreContext): string[] {
+  const violations: string[] = [];
   for (const job of context.jobs.values()) {
     const { jobId, tasks, adjacency } = job.specification;
     if (!isLive(job)) {
       if (job.workers.size > 0) {
-        broken.push(`gang ${jobId}: holds room though it is ${job.phase}`);
+        violations.push(
+          `gang ${jobId}: holds capacity though it is ${job.phase}`,
+        );
       }
       continue;
     }
-    const isWanted = job.phase !== JobPhase.stopping;
-    if (isWanted && tasksHeld(job) + job.succeededTasks < tasks) {
-      broken.push(`gang ${jobId}: it isn't whole`);
+    const mustBeIntact = job.phase !== JobPhase.stopping;
+    if (mustBeIntact && tasksHeld(job) + job.succeededTasks < tasks) {
+      violations.push(`gang ${jobId}: it isn't whole`);
     }
     const racks = new Set([...job.workers.keys()].map(({ rack }) => rack));
-    const isApart = (adjacency === "rack" && racks.size > 1) ||
+    const isScattered = (adjacency === "rack" && racks.size > 1) ||
       (adjacency === "worker" && job.workers.size > 1);
-    if (isApart) {
-      broken.push(`gang ${jobId}: its tasks aren't adjacent`);
+    if (isScattered) {
+      violations.push(`gang ${jobId}: its tasks aren't adjacent`);
     }
     for (const [worker, count] of job.workers) {
       if (worker.allocations.get(jobId)?.tasks !== count) {
-        broken.push(`gang ${jobId}: ${worker.workerId} doesn't know of it`);
+        violations.push(
+          `gang ${jobId}: ${worker.workerId} has no such allocation`,
+        );
       }
     }
   }
-  return broken;
+  return violations;
 }
 
-function findBrokenWaits(context: CoreContext): string[] {
-  const broken: string[] = [];
+function findWaitViolations(context: CoreContext): string[] {
+  const violations: string[] = [];
   const queued = new Map<JobState, number>();
   for (const group of context.queue.groups()) {
     for (const job of group.jobs) {
@@ -167,26 +182,26 @@
   }
   for (const job of context.jobs.values()) {
     const { jobId } = job.specification;
-    const places = queued.get(job) ?? 0;
+    const entries = queued.get(job) ?? 0;
     const isWaiting = job.phase === JobPhase.queued;
-    if (places > (isWaiting ? 1 : 0)) {
-      broken.push(`job ${jobId}: it is in the queue ${places} times`);
+    if (entries > (isWaiting ? 1 : 0)) {
+      violations.push(`job ${jobId}: it is in the queue ${entries} times`);
     }
-    const isKept = places === 1 || job.reservation !== undefined ||
+    const isAccountedFor = entries === 1 || job.reservation !== undefined ||
       context.isRecovering ||
       job.retryAtMs + RETRY_SLACK_MS > context.nowMs;
-    if (isWaiting && !isKept) {
-      broken.push(`job ${jobId}: it waits outside the queue`);
+    if (isWaiting && !isAccountedFor) {
+      violations.push(`job ${jobId}: it waits outside the queue`);
     }
     const reason = context.waitReasonOf(job);
     if (isWaiting && (reason === undefined || !(reason in WaitReason))) {
-      broken.push(`job ${jobId}: nobody knows why it waits`);
+      violations.push(`job ${jobId}: it waits without a valid reason`);
     }
   }
-  return broken;
+  return violations;
 }
 
-function findBrokenQuarantine(
+function findQuarantineViolations(
   context: CoreContext,
   quarantine: Quarantine,
 ): string[] {
@@ -194,7 +209,7 @@
   for (const worker of context.index.workers.values()) {
     count += isQuarantined(worker) ? 1 : 0;
   }
-  // Workers that are lost lower the limit under those already out.
+  // The limit may fall below the present number when other workers are lost.
   const isOver = count > quarantine.peakLimit;
   return isOver ? [`quarantine: ${count} workers are out of use`] : [];
 }
--- a/src/process/scheduler/core/job.ts
+++ b/src/process/scheduler/core/job.ts
@@ -1,5 +1,5 @@
 /**
- * What a client account submits: a gang of like tasks.
+ * The specification of a job: a gang of identical tasks.
  *
  * @module
  */
@@ -9,10 +9,10 @@
 
 const identity = z.string().regex(IDENTITY_PATTERN);
 
-/** The most tasks that one gang may have. */
+/** Largest number of tasks in one gang. */
 export const GANG_TASKS_LIMIT = 64;
 
-/** What one task takes on its worker. */
+/** The resources that one task takes on its worker. */
 export const taskResourcesSchema = z.strictObject({
   cores: z.number().min(0).max(4096),
   memoryBytes: z.int().min(0),
@@ -24,20 +24,20 @@
   jobId: identity,
   clientAccount: identity,
   jobClass: identity,
-  /** Tasks of the gang; all run or none. */
+  /** Number of tasks of the gang; all of them run, or none. */
   tasks: z.int().min(1).max(GANG_TASKS_LIMIT),
   resources: taskResourcesSchema,
-  /** How close the tasks must lie. */
+  /** Whether all tasks must run in one rack or on one worker. */
   adjacency: z.enum(["any", "rack", "worker"]).default("any"),
-  /** The submitter's guess; never trusted. */
+  /** The submitter's estimate; corrected by the run times of earlier jobs. */
   declaredRunMs: z.int().min(1),
-  /** Data centres where it may run; any when empty. */
+  /** Data centres where it may run; empty for any. */
   dataCentres: z.array(identity).max(16).default([]),
-  /** After this moment the job is of no use; absent for no limit. */
+  /** When the job is ended if it hasn't finished; absent for no deadline. */
   deadlineMs: z.int().optional(),
   /** Whether its tasks can be checkpointed and resumed elsewhere. */
   canCheckpoint: z.boolean().default(true),
-  /** What the worker is to run; passed on unread. */
+  /** The command that the worker runs; the scheduler doesn't interpret it. */
   command: z.array(z.string().max(4096)).max(64).default([]),
 });
 
--- a/src/process/scheduler/core/job_events.ts
+++ b/src/process/scheduler/core/job_event_handler.ts
@@ -1,5 +1,5 @@
 /**
- * Jobs that are submitted and cancelled, and configurations that change.
+ * Handles submissions and cancellations of jobs, and configuration changes.
  *
  * @module
  */
@@ -7,26 +7,25 @@
 import type { JobId } from "../../../base/identity.ts";
 import type { ConfigurationVersion } from "../../../version/configuration_version.ts";
 import { refusalOf } from "./admission.ts";
-import type { CellUpkeep } from "./cell_upkeep.ts";
+import type { GuaranteeReconciler } from "./guarantee_reconciler.ts";
 import { type CoreContext, URGENT_RANK } from "./core_context.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
 import { isLive, JobPhase, type JobState, newJobState } from "./job_state.ts";
-import type { PlacingPass } from "./placing_pass.ts";
+import type { PlacementPass } from "./placement_pass.ts";
 import { Policy } from "./policy.ts";
 import type { ReservationManager } from "./reservation_manager.ts";
 import { JobOutcome } from "./scheduler_decision.ts";
 import type { JobSubmitted } from "./scheduler_event.ts";
 
-/** Work that can't checkpoint may run on for this part of the drain time. */
+/** Gangs that can't be checkpointed run on for this part of the drain time. */
 const UNCHECKPOINTED_DRAIN_FRACTION = 0.8;
 
-/** The handling of jobs and configurations. */
-export class JobEvents {
+export class JobEventHandler {
   readonly #context: CoreContext;
   readonly #lifecycle: GangLifecycle;
   readonly #reservations: ReservationManager;
-  readonly #upkeep: CellUpkeep;
-  readonly #pass: PlacingPass;
+  readonly #reconciler: GuaranteeReconciler;
+  readonly #pass: PlacementPass;
   #order = 0;
 
   constructor(
@@ -34,14 +33,14 @@
       context: CoreContext;
       lifecycle: GangLifecycle;
       reservations: ReservationManager;
-      upkeep: CellUpkeep;
-      pass: PlacingPass;
+      reconciler: GuaranteeReconciler;
+      pass: PlacementPass;
     },
   ) {
     this.#context = options.context;
     this.#lifecycle = options.lifecycle;
     this.#reservations = options.reservations;
-    this.#upkeep = options.upkeep;
+    this.#reconciler = options.reconciler;
     this.#pass = options.pass;
   }
 
@@ -50,14 +49,14 @@
     return this.#order;
   }
 
-  /** Takes a job in; one that is known already is left as it is. */
+  /** Accepts, refuses or ends a new job; a known one is left unchanged. */
   submitted(event: JobSubmitted): void {
     const context = this.#context;
     const specification = event.job;
     const known = context.jobs.get(specification.jobId);
-    const isBack = event.isReturned === true &&
+    const isTransferredBack = event.isReturned === true &&
       known?.phase === JobPhase.ended;
-    if (known !== undefined && !isBack) {
+    if (known !== undefined && !isTransferredBack) {
       return;
     }
     const job = newJobState(specification, {
@@ -87,7 +86,7 @@
   cancelled(jobId: JobId): void {
     const job = this.#context.jobs.get(jobId);
     if (job !== undefined) {
-      this.#giveUp(job, { reason: "cancelled", outcome: "cancelled" });
+      this.#terminate(job, { reason: "cancelled", outcome: "cancelled" });
     }
   }
 
@@ -101,8 +100,8 @@
       configuration,
       dataCentre: context.dataCentre,
     });
-    context.cells.configure(configuration.document, context.dataCentre);
-    this.#upkeep.run();
+    context.guarantees.configure(configuration.document, context.dataCentre);
+    this.#reconciler.reconcile();
     this.#requeueChanged(before);
     const wasOut = before.section?.status === "out";
     if (context.policy.isIn) {
@@ -111,7 +110,7 @@
       context.returnedAtMs = undefined;
       this.#drain();
     }
-    context.roomFreed();
+    context.recordFreedCapacity();
   }
 
   permissionExtended(permittedUntilMs: number): void {
@@ -120,20 +119,20 @@
       context.permittedUntilMs,
       permittedUntilMs,
     );
-    context.isPlacingDue ||= context.queue.size > 0 ||
+    context.isPlacementDue ||= context.queue.size > 0 ||
       this.#reservations.size > 0;
   }
 
-  /** Goes on after a recovery. */
+  /** Resumes normal operation after a recovery. */
   recovered(): void {
     for (const job of this.#context.jobs.values()) {
-      this.#armDeadline(job);
+      this.#scheduleDeadline(job);
     }
     if (this.#context.policy.section?.status === "out") {
       this.#drain();
     }
     for (const clientAccount of this.#context.ledger.accounts().keys()) {
-      this.#upkeep.promote(clientAccount);
+      this.#reconciler.promote(clientAccount);
     }
   }
 
@@ -144,27 +143,27 @@
       return;
     }
     context.enqueue(job);
-    this.#armDeadline(job);
+    this.#scheduleDeadline(job);
     if (job.rank === URGENT_RANK) {
-      this.#upkeep.run();
+      this.#reconciler.reconcile();
       this.#pass.runFor(job);
     }
     const reason = context.waitReasonOf(job);
     if (job.phase === JobPhase.queued && reason !== undefined) {
       job.waitReason = reason;
       const { jobId } = job.specification;
-      context.decide({ kind: "jobWaits", jobId, reason });
+      context.emit({ kind: "jobWaits", jobId, reason });
     }
   }
 
-  #armDeadline(job: JobState): void {
+  #scheduleDeadline(job: JobState): void {
     const { deadlineMs, jobId } = job.specification;
     if (deadlineMs === undefined || job.phase === JobPhase.ended) {
       return;
     }
-    this.#context.atForJob(deadlineMs, jobId, (late) => {
+    this.#context.scheduleForJob(deadlineMs, jobId, (late) => {
       if (late.specification.deadlineMs === deadlineMs) {
-        this.#giveUp(late, {
+        this.#terminate(late, {
           reason: "deadlinePassed",
           outcome: "deadlinePassed",
         });
@@ -172,7 +171,7 @@
     });
   }
 
-  #giveUp(
+  #terminate(
     job: JobState,
     options: {
       reason: "cancelled" | "deadlinePassed";
@@ -187,12 +186,12 @@
       return;
     }
     if (job.reservation !== undefined) {
-      this.#reservations.drop(job.reservation);
+      this.#reservations.close(job.reservation);
     }
     this.#lifecycle.end(job, options.outcome);
   }
 
-  /** Queues jobs anew whose class has changed its rank. */
+  /** Queues jobs again whose job class has changed its rank. */
   #requeueChanged(before: Policy): void {
     const { policy, queue } = this.#context;
     const changed: JobState[] = [];
@@ -210,7 +209,7 @@
     }
   }
 
-  /** Stops all that runs, so that it is gone within the drain time. */
+  /** Stops all gangs within the drain time. */
   #drain(): void {
     const { policy, ledger } = this.#context;
     const drainMs = policy.section?.drainMs ?? 0;
@@ -224,22 +223,25 @@
 
   #drainGang(job: JobState, drainMs: number): void {
     const { nowMs } = this.#context;
-    const isLetRun = job.phase === JobPhase.running &&
+    const isStopDelayed = job.phase === JobPhase.running &&
       !job.specification.canCheckpoint;
     const stop = () =>
       this.#lifecycle.stop(job, {
         reason: "drained",
         checkpointDeadlineMs: nowMs + drainMs,
       });
-    if (!isLetRun) {
+    if (!isStopDelayed) {
       stop();
       return;
     }
     const attempt = job.attempt;
-    this.#context.at(nowMs + drainMs * UNCHECKPOINTED_DRAIN_FRACTION, () => {
-      if (job.attempt === attempt && !this.#context.policy.isIn) {
-        stop();
-      }
-    });
+    this.#context.schedule(
+      nowMs + drainMs * UNCHECKPOINTED_DRAIN_FRACTION,
+      () => {
+        if (job.attempt === attempt && !this.#context.policy.isIn) {
+          stop();
+        }
+      },
+    );
   }
 }
--- a/src/process/scheduler/core/job_queue.ts
+++ b/src/process/scheduler/core/job_queue.ts
@@ -1,6 +1,6 @@
 /**
- * The waiting jobs, in groups of like ones: what holds for the head of a group
- * holds for the rest, so only heads are looked at.
+ * The waiting jobs, in groups with the same needs. If the first job of a group
+ * can't be placed, neither can the others, so only the first one is tried.
  *
  * @module
  */
@@ -10,24 +10,24 @@
 import { DRAIN_LIMIT_MS } from "./reservation.ts";
 import type { WaitReason } from "./scheduler_decision.ts";
 
-/** Run time up to which a job is of level 0. */
+/** Jobs below `LEVEL_FACTOR` times this run time are of level 0. */
 const FIRST_LEVEL_MS = 600_000;
-/** By how much more run time each further level is set apart. */
+/** Ratio between the run times at which two successive levels begin. */
 const LEVEL_FACTOR = 8;
 
-/** Jobs of one client account, rank and shape, in order. */
+/** Jobs of one client account, rank, length and shape, in queue order. */
 export interface QueueGroup {
   readonly key: string;
   readonly clientAccount: ClientAccountId;
   readonly rank: number;
-  /** The same for jobs that need the same room. */
+  /** Equal for jobs whose gangs need the same resources and adjacency. */
   readonly shapeKey: string;
   readonly jobs: JobState[];
-  /** Why its head was last left waiting. */
+  /** Why its first job was not placed when last tried. */
   waitReason: WaitReason;
 }
 
-/** Every job that waits for a place. */
+/** Every job that waits to be placed and has no reservation. */
 export class JobQueue {
   readonly #groups = new Map<string, QueueGroup>();
   #size = 0;
@@ -49,7 +49,7 @@
   add(job: JobState): void {
     const shapeKey = shapeKeyOf(job);
     const { clientAccount } = job.specification;
-    // Short jobs can go on behind a reservation where the others can't.
+    // Only short jobs can run on capacity that drains for a reservation.
     const length = job.expectedRunMs <= DRAIN_LIMIT_MS ? "short" : "long";
     const key = `${clientAccount}|${job.rank}|${length}|${shapeKey}`;
     let group = this.#groups.get(key);
@@ -64,7 +64,7 @@
       };
       this.#groups.set(key, group);
     }
-    group.jobs.splice(placeFor(job, group.jobs), 0, job);
+    group.jobs.splice(insertionIndex(job, group.jobs), 0, job);
     job.queueGroup = key;
     this.#size += 1;
   }
@@ -75,8 +75,8 @@
       return;
     }
     job.queueGroup = undefined;
-    const at = group.jobs.indexOf(job);
-    group.jobs.splice(at, 1);
+    const index = group.jobs.indexOf(job);
+    group.jobs.splice(index, 1);
     this.#size -= 1;
     if (group.jobs.length === 0) {
       this.#groups.delete(group.key);
@@ -84,7 +84,7 @@
   }
 }
 
-/** Which of two jobs of the same rank goes first. */
+/** Orders jobs of the same rank; negative if `left` goes first. */
 export function compareJobs(left: JobState, right: JobState): number {
   return levelOf(left) - levelOf(right) ||
     left.submittedAtMs - right.submittedAtMs ||
@@ -92,9 +92,9 @@
 }
 
 /**
- * The level of a job by the run time that it had or is expected to need. The
- * size of its gang doesn't count, so that small jobs don't always take the
- * room that a large one waits for.
+ * The queue level of a job, by the larger of its past and its expected run
+ * time. It doesn't depend on the size of the gang; otherwise small gangs would
+ * always take the capacity that a large one waits for.
  */
 export function levelOf(job: JobState): number {
   const accelerators = Math.max(1, gangAccelerators(job));
@@ -112,7 +112,7 @@
   return `${tasks}|${accelerators}|${milliCores}|${memoryBytes}|${adjacency}`;
 }
 
-function placeFor(job: JobState, jobs: readonly JobState[]): number {
+function insertionIndex(job: JobState, jobs: readonly JobState[]): number {
   let low = 0;
   let high = jobs.length;
   while (low < high) {
--- a/src/process/scheduler/core/job_record.ts
+++ b/src/process/scheduler/core/job_record.ts
@@ -1,5 +1,5 @@
 /**
- * What is kept of a job, so that a new leader can take it over.
+ * The record of a job from which a new leader can take it over.
  *
  * @module
  */
@@ -14,17 +14,17 @@
 const identity = z.string().regex(IDENTITY_PATTERN);
 const stopReasons = Object.keys(StopReason) as (keyof typeof StopReason)[];
 
-/** The version of the record's own format. */
+/** The version of the record format. */
 export const JOB_RECORD_FORMAT_VERSION = 1;
 
-/** One job as kept. */
+/** The record of one job. */
 export const jobRecordSchema = z.strictObject({
   formatVersion: z.literal(JOB_RECORD_FORMAT_VERSION),
   specification: jobSpecificationSchema,
   submittedAtMs: z.number(),
   phase: z.enum(JobPhase),
   attempt: z.int().min(0),
-  /** What each task of the attempt takes. */
+  /** The resources that each task of the attempt takes. */
   need: taskResourcesSchema,
   placements: z.array(z.strictObject({
     taskIndex: z.int().min(0),
@@ -40,10 +40,10 @@
   outcome: z.enum(JobOutcome).optional(),
 });
 
-/** One job as kept. */
+/** The record of one job. */
 export type JobRecord = z.infer<typeof jobRecordSchema>;
 
-/** What is to be kept of a job. */
+/** Makes the record of a job. */
 export function recordOf(job: JobState): JobRecord {
   return {
     formatVersion: JOB_RECORD_FORMAT_VERSION,
--- a/src/process/scheduler/core/job_state.ts
+++ b/src/process/scheduler/core/job_state.ts
@@ -1,5 +1,5 @@
 /**
- * One job as the scheduler knows it.
+ * The scheduler's state of one job.
  *
  * @module
  */
@@ -16,7 +16,7 @@
 } from "./scheduler_decision.ts";
 import type { WorkerState } from "./worker_state.ts";
 
-/** Where a job stands. */
+/** The phase of a job's life cycle. */
 export const JobPhase = {
   queued: "queued",
   starting: "starting",
@@ -28,62 +28,61 @@
 /** One of the values of {@link JobPhase}. */
 export type JobPhase = typeof JobPhase[keyof typeof JobPhase];
 
-/** One job. */
 export interface JobState {
   readonly specification: JobSpecification;
   readonly submittedAtMs: number;
-  /** Counts submissions; breaks ties of time. */
+  /** Number of the submission; orders jobs submitted at the same time. */
   readonly order: number;
   rank: number;
-  /** What each task takes, corrected by experience. */
+  /** What each task takes, corrected by the observed use of earlier jobs. */
   need: Readonly<Amounts>;
-  /** The run time expected by experience. */
+  /** Declared run time, corrected by the run times of earlier jobs. */
   expectedRunMs: number;
   phase: JobPhase;
   attempt: number;
   placements: readonly TaskPlacement[];
-  /** Tasks of the current attempt on each worker that isn't lost. */
+  /** Tasks of the current attempt by worker, without lost workers. */
   readonly workers: Map<WorkerState, number>;
-  /** Whether the attempt lies within its client account's guarantee. */
+  /** Whether the attempt counts towards its client account's guarantee. */
   isGuaranteed: boolean;
   configurationVersion: number;
   waitReason: WaitReason;
   reservation: Reservation | undefined;
-  /** When the gang of the current attempt ran whole. */
+  /** When every task of the current attempt had started. */
   startedAtMs: number | undefined;
   checkpointedAtMs: number | undefined;
-  /** Accelerator-milliseconds had by all earlier attempts. */
+  /** Accelerator-milliseconds used by all earlier attempts. */
   attainedAcceleratorMs: number;
-  /** Attempts that ended by a failure of the job's own tasks. */
+  /** Attempts that failed because of the job's own tasks. */
   failures: number;
   /** Workers on which its tasks failed. */
   readonly failedOn: Set<WorkerId>;
   retryAtMs: number;
-  /** When it last came into the queue. */
+  /** When it last became queued. */
   queuedAtMs: number;
-  /** Since when its waiting counts towards a reservation. */
+  /** The `queuedAtMs` for which its ageing timer was set. */
   agingFromMs: number | undefined;
   /** Whether it counts among its client account's waiting jobs. */
   isWaiting: boolean;
   stopReason: StopReason | undefined;
-  /** By when the gang that is being stopped should be gone. */
+  /** When the gang that is being stopped is stopped without a checkpoint. */
   stopDeadlineMs: number;
-  /** What the job comes to once it has stopped; absent to queue again. */
+  /** The job's outcome once it has stopped; undefined to queue it again. */
   outcomeAfterStop: JobOutcome | undefined;
   outcome: JobOutcome | undefined;
-  /** Tasks of the current attempt that have ended, with success or not. */
+  /** Tasks of the current attempt that have ended, successfully or not. */
   readonly endedTasks: Set<number>;
   succeededTasks: number;
   isThrottled: boolean;
-  /** Accelerators on loan that count towards the borrowing limit. */
+  /** Accelerators held beyond the guarantee, subject to the borrowing limit. */
   borrowedAccelerators: number;
-  /** How often a reservation of another gang has evicted it. */
+  /** How often it was evicted for the draining reservation of another gang. */
   drainEvictions: number;
-  /** Its key in the queue; absent while it isn't queued. */
+  /** The key of its queue group; undefined while it isn't in the queue. */
   queueGroup: string | undefined;
 }
 
-/** A job as submitted, waiting. */
+/** The state of a job on submission: queued. */
 export function newJobState(
   specification: JobSpecification,
   options: { submittedAtMs: number; order: number },
@@ -125,20 +124,21 @@
   };
 }
 
-/** All accelerators that the whole gang takes. */
+/** Accelerators that the gang takes in total. */
 export function gangAccelerators(job: JobState): number {
   return job.need.accelerators * job.specification.tasks;
 }
 
-/** Whether the attempt holds room on workers. */
+/** Whether the job has an attempt that holds capacity on workers. */
 export function isLive(job: JobState): boolean {
   return job.phase === JobPhase.starting || job.phase === JobPhase.running ||
     job.phase === JobPhase.stopping;
 }
 
 /**
- * Accelerator-milliseconds that would be lost if the gang stopped now, or,
- * with time for a checkpoint, if it can't make one.
+ * Accelerator-milliseconds since the last checkpoint that a stop now would
+ * lose; 0 if there is time for a checkpoint and the gang can make one. Gangs
+ * without accelerators count as one.
  */
 export function workAtRisk(
   job: JobState,
--- a/src/process/scheduler/core/ledger.ts
+++ b/src/process/scheduler/core/ledger.ts
@@ -1,29 +1,29 @@
 /**
- * Enters and strikes out what gangs and reservations take on workers, with
- * every sum that depends on it.
+ * Accounts for what gangs and reservations take on workers, and keeps every sum
+ * that depends on it.
  *
  * @module
  */
 
 import type { ClientAccountId } from "../../../base/identity.ts";
-import { addAmounts, type Amounts, noAmounts } from "./amounts.ts";
+import { addAmounts, type Amounts, zeroAmounts } from "./amounts.ts";
 import { gangAccelerators, JobPhase, type JobState } from "./job_state.ts";
 import type { Block } from "./placement.ts";
 import type { RackIndex } from "./rack_index.ts";
 import { type Reservation, ReservationKind } from "./reservation.ts";
 import { addToAccount, type WorkerState } from "./worker_state.ts";
 
-/** What one client account holds. */
+/** The holdings of one client account. */
 export interface AccountState {
   /** Accelerators held beyond its guarantee. */
   borrowedAccelerators: number;
-  /** Its gangs that hold room. */
+  /** Its jobs with an attempt that holds capacity. */
   readonly live: Set<JobState>;
-  /** Its jobs that haven't ended and hold no room. */
+  /** Its jobs that haven't ended and hold no capacity. */
   waitingJobs: number;
 }
 
-/** The sums over workers and client accounts. */
+/** The accounting of one data centre. */
 export class Ledger {
   readonly #index: RackIndex;
   readonly #accounts = new Map<ClientAccountId, AccountState>();
@@ -57,7 +57,7 @@
     return this.#accounts;
   }
 
-  /** Counts a job among its client account's waiting ones, or no longer. */
+  /** Sets whether a job counts among its client account's waiting jobs. */
   setWaiting(job: JobState, isWaiting: boolean): void {
     if (job.isWaiting !== isWaiting) {
       job.isWaiting = isWaiting;
@@ -66,8 +66,8 @@
     }
   }
 
-  /** Gives a block to a gang. */
-  occupy(job: JobState, block: Block): void {
+  /** Allocates a block to a gang. */
+  allocate(job: JobState, block: Block): void {
     const account = this.account(job.specification.clientAccount);
     account.live.add(job);
     for (const [worker, tasks] of block) {
@@ -75,16 +75,16 @@
       worker.allocations.set(job.specification.jobId, { job, tasks });
       addAmounts(worker.used, job.need, { factor: tasks });
       this.#liveAccelerators += job.need.accelerators * tasks;
-      this.#classify(job, worker, 1);
+      this.#addToSums(job, worker, 1);
       this.#index.refresh(worker);
     }
-    this.#borrow(job, job.isGuaranteed ? 0 : gangAccelerators(job));
+    this.#setBorrowed(job, job.isGuaranteed ? 0 : gangAccelerators(job));
   }
 
-  /** Marks a gang's room as about to be free; before its phase changes. */
+  /** Moves a gang to the phase `stopping`; its capacity will soon be free. */
   beginStopping(job: JobState): void {
     for (const worker of job.workers.keys()) {
-      this.#classify(job, worker, -1);
+      this.#addToSums(job, worker, -1);
     }
     job.phase = JobPhase.stopping;
     for (const [worker, tasks] of job.workers) {
@@ -93,22 +93,22 @@
     }
   }
 
-  /** Takes back all room of a gang. */
+  /** Releases all capacity of a gang. */
   release(job: JobState): void {
     for (const worker of [...job.workers.keys()]) {
       this.releaseWorker(job, worker);
     }
     this.account(job.specification.clientAccount).live.delete(job);
-    this.#borrow(job, 0);
+    this.#setBorrowed(job, 0);
   }
 
-  /** Takes back a gang's room on one worker. */
+  /** Releases a gang's capacity on one worker. */
   releaseWorker(job: JobState, worker: WorkerState): void {
     const tasks = job.workers.get(worker);
     if (tasks === undefined) {
       return;
     }
-    this.#classify(job, worker, -1);
+    this.#addToSums(job, worker, -1);
     if (job.phase === JobPhase.stopping) {
       addAmounts(worker.stopping, job.need, { factor: -tasks });
     }
@@ -119,27 +119,27 @@
     this.#index.refresh(worker);
   }
 
-  /** Moves a live gang into its guarantee, or out of it. */
+  /** Sets whether a live gang counts towards its account's guarantee. */
   setGuaranteed(job: JobState, isGuaranteed: boolean): void {
     if (job.isGuaranteed === isGuaranteed) {
       return;
     }
     for (const worker of job.workers.keys()) {
-      this.#classify(job, worker, -1);
+      this.#addToSums(job, worker, -1);
     }
     job.isGuaranteed = isGuaranteed;
     for (const worker of job.workers.keys()) {
-      this.#classify(job, worker, 1);
+      this.#addToSums(job, worker, 1);
     }
-    this.#borrow(job, isGuaranteed ? 0 : gangAccelerators(job));
+    this.#setBorrowed(job, isGuaranteed ? 0 : gangAccelerators(job));
   }
 
-  /** Holds room; for a guarantee it is claimed as well. */
+  /** Holds a reservation's block; a reclaim also uses up the guarantee. */
   reserve(reservation: Reservation): void {
     for (const [worker, tasks] of reservation.block) {
       worker.reservations.add(reservation);
       addAmounts(worker.reserved, reservation.job.need, { factor: tasks });
-      this.#claim(reservation, worker, tasks);
+      this.#addToGuaranteeUse(reservation, worker, tasks);
       this.#index.refresh(worker);
     }
   }
@@ -148,30 +148,37 @@
     for (const [worker, tasks] of reservation.block) {
       worker.reservations.delete(reservation);
       addAmounts(worker.reserved, reservation.job.need, { factor: -tasks });
-      this.#claim(reservation, worker, -tasks);
+      this.#addToGuaranteeUse(reservation, worker, -tasks);
       this.#index.refresh(worker);
     }
   }
 
-  #claim(reservation: Reservation, worker: WorkerState, factor: number): void {
+  #addToGuaranteeUse(
+    reservation: Reservation,
+    worker: WorkerState,
+    factor: number,
+  ): void {
     if (reservation.kind === ReservationKind.reclaim) {
       const { need, specification } = reservation.job;
-      addToAccount(worker.guaranteedByAccount, specification.clientAccount, {
+      addToAccount(worker.guaranteeUseByAccount, specification.clientAccount, {
         amounts: need,
         factor,
       });
     }
   }
 
-  /** What stops is neither within a guarantee nor evictable. */
-  #classify(job: JobState, worker: WorkerState, sign: number): void {
+  /**
+   * Adds a gang (or, with `sign` -1, subtracts it) to the sums of guaranteed
+   * or evictable resources; a gang being stopped is in neither.
+   */
+  #addToSums(job: JobState, worker: WorkerState, sign: number): void {
     if (job.phase === JobPhase.stopping) {
       return;
     }
     const tasks = job.workers.get(worker) ?? 0;
     if (job.isGuaranteed) {
       addToAccount(
-        worker.guaranteedByAccount,
+        worker.guaranteeUseByAccount,
         job.specification.clientAccount,
         { amounts: job.need, factor: sign * tasks },
       );
@@ -182,7 +189,7 @@
     addAt(worker.rack.evictableByRank, job.rank, accelerators);
   }
 
-  #borrow(job: JobState, accelerators: number): void {
+  #setBorrowed(job: JobState, accelerators: number): void {
     const account = this.account(job.specification.clientAccount);
     const change = accelerators - job.borrowedAccelerators;
     account.borrowedAccelerators += change;
@@ -191,13 +198,13 @@
   }
 }
 
-function addAt(counts: Int32Array, at: number, change: number): void {
-  counts[at] = (counts[at] ?? 0) + change;
+function addAt(counts: Int32Array, index: number, change: number): void {
+  counts[index] = (counts[index] ?? 0) + change;
 }
 
-/** What reservations for guarantees hold on a worker. */
+/** What reclaims for guarantees reserve on a worker. */
 export function reservedForGuarantees(worker: WorkerState): Amounts {
-  const total = noAmounts();
+  const total = zeroAmounts();
   for (const reservation of worker.reservations) {
     if (reservation.kind === ReservationKind.reclaim) {
       addAmounts(total, reservation.job.need, {
--- a/src/process/scheduler/core/mod.ts
+++ b/src/process/scheduler/core/mod.ts
@@ -4,7 +4,7 @@
  * @module
  */
 
-export { findUnplacedGuarantee } from "./cell_packing.ts";
+export { findUnplacedGuarantee } from "./guarantee_packing.ts";
 export { whyNeverFits } from "./admission.ts";
 export { declaredRacks } from "./declared_rack.ts";
 export {
--- a/src/process/scheduler/core/placement.ts
+++ b/src/process/scheduler/core/placement.ts
@@ -14,32 +14,32 @@
   WorkerStatus,
 } from "./worker_state.ts";
 
-/** How many tasks of a gang each worker takes. */
+/** Number of tasks of a gang on each worker. */
 export type Block = ReadonlyMap<WorkerState, number>;
 
-/** What a block must hold. */
+/** What a block must provide. */
 export interface BlockRequest {
   readonly tasks: number;
   readonly need: Readonly<Amounts>;
   readonly adjacency: "any" | "rack" | "worker";
-  /** Workers to leave alone. */
+  /** Workers to exclude. */
   readonly avoided: ReadonlySet<WorkerId>;
-  /** Whether workers that are promised to guarantees are left alone. */
-  readonly isOffPromises?: boolean;
+  /** Whether workers assigned to guarantees are excluded. */
+  readonly avoidsGuarantees?: boolean;
 }
 
-/** What a worker has for the request. */
-export type RoomOf = (worker: WorkerState) => Readonly<Amounts>;
+/** The resources that a worker offers for a request. */
+export type AvailableOf = (worker: WorkerState) => Readonly<Amounts>;
 
-/** Like workers are compared before the one in the fullest rack is taken. */
-const WORKERS_COMPARED = 8;
+/** Equally free workers compared to find one in the fullest rack. */
+const COMPARED_WORKERS_LIMIT = 8;
 
 interface WorkerFit {
   readonly worker: WorkerState;
   readonly fitting: number;
 }
 
-/** What a job asks of a block. */
+/** The block request of a job. */
 export function requestOf(job: JobState): BlockRequest {
   return {
     tasks: job.specification.tasks,
@@ -49,7 +49,7 @@
   };
 }
 
-/** The tightest block that is free now, by the index. */
+/** The tightest free block, found with the index. */
 export function findFreeBlock(
   index: RackIndex,
   request: BlockRequest,
@@ -61,22 +61,26 @@
   if (request.adjacency === "worker" || request.tasks === 1) {
     return findFreeWorker(index, request);
   }
-  for (const rack of index.racksFrom(accelerators)) {
-    const block = fillRack(rack.workers, request, { roomOf });
+  for (const rack of index.racksWithFree(accelerators)) {
+    const block = fillRack(rack.workers, request, {
+      availableOf: placeableAmounts,
+    });
     if (block !== undefined) {
       return block;
     }
   }
   return request.adjacency === "any"
-    ? fillRacks(workersOf(index.racksDown()), request, { roomOf })
+    ? fillRacks(workersOf(index.racksByMostFree()), request, {
+      availableOf: placeableAmounts,
+    })
     : undefined;
 }
 
-/** The tightest block among a few racks, with rooms as given. */
+/** The tightest block in a few racks, by the resources that are offered. */
 export function findBlockAmong(
   racks: readonly (readonly WorkerState[])[],
   request: BlockRequest,
-  options: { readonly roomOf: RoomOf },
+  options: { readonly availableOf: AvailableOf },
 ): Block | undefined {
   if (request.adjacency === "worker" || request.tasks === 1) {
     return tightestWorker(racks.flat(), request, options);
@@ -98,19 +102,19 @@
     : undefined;
 }
 
-/** A block within one rack; `preferenceOf` says which workers go first. */
+/** A block in one rack; workers with a lower `preferenceOf` go first. */
 export function fillRack(
   workers: readonly WorkerState[],
   request: BlockRequest,
   options: {
-    readonly roomOf: RoomOf;
+    readonly availableOf: AvailableOf;
     readonly preferenceOf?: (worker: WorkerState) => number;
   },
 ): Block | undefined {
   const fits: WorkerFit[] = [];
   let total = 0;
   for (const worker of workers) {
-    const fitting = fitOf(worker, request, options.roomOf);
+    const fitting = fittingTasks(worker, request, options.availableOf);
     if (fitting > 0) {
       fits.push({ worker, fitting });
       total += fitting;
@@ -125,27 +129,27 @@
       ? (left, right) => left.fitting - right.fitting
       : (left, right) => preferenceOf(left.worker) - preferenceOf(right.worker),
   );
-  return take(fits, request.tasks);
+  return distributeTasks(fits, request.tasks);
 }
 
-/** A block over several racks, as few as the order given allows. */
+/** A block over as many of the racks, taken in order, as are needed. */
 export function fillRacks(
   racks: Iterable<readonly WorkerState[]>,
   request: BlockRequest,
-  options: { readonly roomOf: RoomOf },
+  options: { readonly availableOf: AvailableOf },
 ): Block | undefined {
   const fits: WorkerFit[] = [];
   let total = 0;
   for (const workers of racks) {
     for (const worker of workers) {
-      const fitting = fitOf(worker, request, options.roomOf);
+      const fitting = fittingTasks(worker, request, options.availableOf);
       if (fitting > 0) {
         fits.push({ worker, fitting });
         total += fitting;
       }
     }
     if (total >= request.tasks) {
-      return take(fits, request.tasks);
+      return distributeTasks(fits, request.tasks);
     }
   }
   return undefined;
@@ -158,19 +162,22 @@
   let best: WorkerState | undefined;
   let compared = 0;
   for (
-    const worker of index.workersFrom(request.need.accelerators * request.tasks)
+    const worker of index.workersWithFree(
+      request.need.accelerators * request.tasks,
+    )
   ) {
     if (best !== undefined && worker.indexedFree > best.indexedFree) {
       break;
     }
     if (
-      worker.isPlaceable && fitOf(worker, request, roomOf) >= request.tasks
+      worker.isPlaceable &&
+      fittingTasks(worker, request, placeableAmounts) >= request.tasks
     ) {
       const isFuller = best === undefined ||
         worker.rack.freeAccelerators < best.rack.freeAccelerators;
       best = isFuller ? worker : best;
       compared += 1;
-      if (compared >= WORKERS_COMPARED) {
+      if (compared >= COMPARED_WORKERS_LIMIT) {
         break;
       }
     }
@@ -181,11 +188,11 @@
 function tightestWorker(
   workers: readonly WorkerState[],
   request: BlockRequest,
-  options: { readonly roomOf: RoomOf },
+  options: { readonly availableOf: AvailableOf },
 ): Block | undefined {
   let best: WorkerFit | undefined;
   for (const worker of workers) {
-    const fitting = fitOf(worker, request, options.roomOf);
+    const fitting = fittingTasks(worker, request, options.availableOf);
     const isBetter = fitting >= request.tasks &&
       (best === undefined || fitting < best.fitting);
     best = isBetter ? { worker, fitting } : best;
@@ -195,7 +202,7 @@
     : new Map([[best.worker, request.tasks]]);
 }
 
-function take(fits: readonly WorkerFit[], tasks: number): Block {
+function distributeTasks(fits: readonly WorkerFit[], tasks: number): Block {
   const block = new Map<WorkerState, number>();
   let left = tasks;
   for (const { worker, fitting } of fits) {
@@ -212,39 +219,40 @@
 function countFits(
   workers: readonly WorkerState[],
   request: BlockRequest,
-  options: { readonly roomOf: RoomOf },
+  options: { readonly availableOf: AvailableOf },
 ): number {
   let total = 0;
   for (const worker of workers) {
-    total += fitOf(worker, request, options.roomOf);
+    total += fittingTasks(worker, request, options.availableOf);
   }
   return total;
 }
 
-function fitOf(
+function fittingTasks(
   worker: WorkerState,
   request: BlockRequest,
-  roomOf: RoomOf,
+  availableOf: AvailableOf,
 ): number {
-  const isLeftAlone = request.avoided.has(worker.workerId) ||
-    (request.isOffPromises === true && worker.promised.accelerators > 0);
-  if (isLeftAlone) {
+  const isExcluded = request.avoided.has(worker.workerId) ||
+    (request.avoidsGuarantees === true &&
+      worker.guaranteeCapacity.accelerators > 0);
+  if (isExcluded) {
     return 0;
   }
-  const fitting = tasksFitting(roomOf(worker), request.need);
-  const isTooWide = worker.status === WorkerStatus.probing &&
+  const fitting = tasksFitting(availableOf(worker), request.need);
+  const needsMoreWorkers = worker.status === WorkerStatus.probing &&
     fitting < request.tasks;
-  return isTooWide ? 0 : fitting;
+  return needsMoreWorkers ? 0 : fitting;
 }
 
-const NO_ROOM: Readonly<Amounts> = {
+const ZERO_AMOUNTS: Readonly<Amounts> = {
   milliCores: 0,
   memoryBytes: 0,
   accelerators: 0,
 };
 
-function roomOf(worker: WorkerState): Readonly<Amounts> {
-  return worker.isPlaceable ? worker.room() : NO_ROOM;
+function placeableAmounts(worker: WorkerState): Readonly<Amounts> {
+  return worker.isPlaceable ? worker.available() : ZERO_AMOUNTS;
 }
 
 function* workersOf(
--- a/src/process/scheduler/core/placing_pass.ts
+++ b/src/process/scheduler/core/placement_pass.ts
@@ -1,5 +1,5 @@
 /**
- * Goes over the waiting jobs in order and places what can be placed.
+ * Places the waiting jobs for which there is capacity, in queue order.
  *
  * @module
  */
@@ -11,79 +11,78 @@
 import type { JobState } from "./job_state.ts";
 import type { Placer } from "./placer.ts";
 import type { ReservationManager } from "./reservation_manager.ts";
-import type { VainTries } from "./vain_tries.ts";
+import type { FailedSearchCache } from "./failed_search_cache.ts";
 
-/** Jobs tried in one pass; the rest follows on the next tick. */
-const TRIES_LIMIT = 96;
-/** Reservations opened in one pass. */
-const DRAINS_LIMIT = 2;
+/** Jobs tried in one pass; the rest is tried on the next tick. */
+const TRIED_JOBS_LIMIT = 96;
+/** Aged jobs considered for a draining reservation in one pass. */
+const AGED_JOBS_LIMIT = 2;
 
-interface Entry {
+interface QueueEntry {
   readonly group: QueueGroup;
   readonly head: JobState;
-  /** Accelerators held on loan, over the weight. */
+  /** The account's borrowed accelerators, divided by its borrowing weight. */
   readonly share: number;
 }
 
-/** The passes over the queue. */
-export class PlacingPass {
+export class PlacementPass {
   readonly #context: CoreContext;
   readonly #placer: Placer;
   readonly #evictor: Evictor;
-  readonly #vain: VainTries;
+  readonly #failedSearches: FailedSearchCache;
   readonly #reservations: ReservationManager;
-  /** Groups tried since the last whole pass. */
-  readonly #tried = new Set<string>();
+  /** Keys of groups whose first job failed since the last complete round. */
+  readonly #failedGroups = new Set<string>();
 
   constructor(
     options: {
       context: CoreContext;
       placer: Placer;
       evictor: Evictor;
-      vain: VainTries;
+      failedSearches: FailedSearchCache;
       reservations: ReservationManager;
     },
   ) {
     this.#context = options.context;
     this.#placer = options.placer;
     this.#evictor = options.evictor;
-    this.#vain = options.vain;
+    this.#failedSearches = options.failedSearches;
     this.#reservations = options.reservations;
   }
 
-  /** Places what can be placed; does nothing when nothing changed. */
+  /** Places what can be placed; does nothing if nothing has changed. */
   run(): void {
     const context = this.#context;
-    if (!context.isPlacingDue || context.startBarrier() !== undefined) {
+    if (!context.isPlacementDue || context.startWaitReason() !== undefined) {
       return;
     }
     this.#reservations.startAllReady();
-    const isNewRound = this.#tried.size === 0;
-    if (isNewRound && context.isRoomFreed) {
-      context.isRoomFreed = false;
-      this.#vain.clear();
+    const isNewRound = this.#failedGroups.size === 0;
+    if (isNewRound && context.isCapacityFreed) {
+      context.isCapacityFreed = false;
+      this.#failedSearches.clear();
     }
-    this.#drainForAged();
-    const isWhole = this.#placeInOrder();
-    if (isWhole) {
-      this.#tried.clear();
-      context.isPlacingDue = context.isRoomFreed ||
+    this.#openDrainsForAged();
+    const isComplete = this.#placeInOrder();
+    if (isComplete) {
+      this.#failedGroups.clear();
+      context.isPlacementDue = context.isCapacityFreed ||
         context.returnedAtMs !== undefined;
     }
   }
 
-  /** Tries one job by itself, at once. */
+  /** Tries a single job, out of turn. */
   runFor(job: JobState): void {
     if (this.#context.isQueued(job)) {
       this.#try(job);
     }
   }
 
-  /** Whether the limit of tries left groups for the next tick. */
+  /** Returns whether all groups were tried, within the limit of this pass. */
   #placeInOrder(): boolean {
-    const heap = new BinaryHeap<Entry>({ isBefore: isEntryBefore });
+    const heap = new BinaryHeap<QueueEntry>({ isBefore: isEntryBefore });
     for (const group of this.#context.queue.groups()) {
-      if (!this.#tried.has(group.key)) {
+      if (!this.#failedGroups.has(group.key)) {
         heap.push(this.#entryOf(group));
       }
     }
@@ -95,7 +94,7 @@
         heap.push(current);
         continue;
       }
-      if (tries >= TRIES_LIMIT) {
+      if (tries >= TRIED_JOBS_LIMIT) {
         return false;
       }
       tries += 1;
@@ -104,7 +103,7 @@
         heap.push(this.#entryOf(group));
       }
       if (!isPlaced) {
-        this.#tried.add(group.key);
+        this.#failedGroups.add(group.key);
       }
     }
     return true;
@@ -123,14 +122,14 @@
     return false;
   }
 
-  #drainForAged(): void {
-    let opened = 0;
+  #openDrainsForAged(): void {
+    let considered = 0;
     const waiting: JobState[] = [];
-    for (const job of this.#context.aged) {
+    for (const job of this.#context.agedJobs) {
       if (this.#context.isQueued(job)) {
         waiting.push(job);
       } else if (job.reservation === undefined) {
-        this.#context.aged.delete(job);
+        this.#context.agedJobs.delete(job);
       }
     }
     waiting.sort((left, right) =>
@@ -138,17 +137,17 @@
       left.order - right.order
     );
     for (const job of waiting) {
-      if (opened >= DRAINS_LIMIT) {
+      if (considered >= AGED_JOBS_LIMIT) {
         return;
       }
-      opened += 1;
+      considered += 1;
       if (job.rank !== URGENT_RANK && !this.#try(job)) {
-        this.#evictor.drainFor(job);
+        this.#evictor.openDrain(job);
       }
     }
   }
 
-  #entryOf(group: QueueGroup): Entry {
+  #entryOf(group: QueueGroup): QueueEntry {
     const { ledger, policy } = this.#context;
     const account = ledger.account(group.clientAccount);
     const weight = policy.clientAccount(group.clientAccount)
@@ -161,7 +160,7 @@
   }
 }
 
-function isEntryBefore(left: Entry, right: Entry): boolean {
+function isEntryBefore(left: QueueEntry, right: QueueEntry): boolean {
   if (left.group.rank !== right.group.rank) {
     return left.group.rank < right.group.rank;
   }
--- a/src/process/scheduler/core/placer.ts
+++ b/src/process/scheduler/core/placer.ts
@@ -1,11 +1,11 @@
 /**
- * Finds a place for one waiting job, or the reason why there is none.
+ * Finds a block for one waiting job, or the reason why it has to wait.
  *
  * @module
  */
 
-import { type Amounts, minimumAmounts, noAmounts } from "./amounts.ts";
-import { borrowingBarrier, isOverShare, mayBorrow } from "./borrowing.ts";
+import { type Amounts, minimumAmounts, zeroAmounts } from "./amounts.ts";
+import { borrowingWaitReason, isOverShare, mayBorrow } from "./borrowing.ts";
 import { type CoreContext, URGENT_RANK } from "./core_context.ts";
 import type { Evictor } from "./evictor.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
@@ -20,28 +20,30 @@
 import { type Reservation, ReservationKind } from "./reservation.ts";
 import type { ReservationManager } from "./reservation_manager.ts";
 import type { WaitReason } from "./scheduler_decision.ts";
-import type { VainTries } from "./vain_tries.ts";
+import type { FailedSearchCache } from "./failed_search_cache.ts";
 import type { RackState, WorkerState } from "./worker_state.ts";
 
-/** Longer work that can't be checkpointed keeps off promised workers. */
-const FRAGILE_RUN_LIMIT_MS = 600_000;
+/**
+ * Jobs expected to run longer, and that can't be checkpointed, don't borrow on
+ * workers assigned to guarantees: a reclaim there would lose too much work.
+ */
+const UNCHECKPOINTABLE_RUN_LIMIT_MS = 600_000;
 
-const NOTHING: Readonly<Amounts> = Object.freeze(noAmounts());
+const ZERO_AMOUNTS: Readonly<Amounts> = Object.freeze(zeroAmounts());
 
-/** What came of looking for a place. */
-export type PlacingResult =
+/** The result of trying to place a job. */
+export type PlacementResult =
   | { readonly isPlaced: true }
   | { readonly isPlaced: false; readonly reason: WaitReason };
 
-const PLACED: PlacingResult = { isPlaced: true };
+const PLACED: PlacementResult = { isPlaced: true };
 
-/** Places jobs one by one. */
 export class Placer {
   readonly #context: CoreContext;
   readonly #lifecycle: GangLifecycle;
   readonly #reservations: ReservationManager;
   readonly #evictor: Evictor;
-  readonly #vain: VainTries;
+  readonly #failedSearches: FailedSearchCache;
 
   constructor(
     options: {
@@ -49,27 +51,27 @@
       lifecycle: GangLifecycle;
       reservations: ReservationManager;
       evictor: Evictor;
-      vain: VainTries;
+      failedSearches: FailedSearchCache;
     },
   ) {
     this.#context = options.context;
     this.#lifecycle = options.lifecycle;
     this.#reservations = options.reservations;
     this.#evictor = options.evictor;
-    this.#vain = options.vain;
+    this.#failedSearches = options.failedSearches;
   }
 
-  /** Starts a queued job, or reserves a place for it, or says why not. */
-  place(job: JobState): PlacingResult {
-    const barrier = this.#context.startBarrierFor(job);
-    if (barrier !== undefined) {
-      return waits(barrier);
+  /** Starts a queued job or reserves a block for it; otherwise says why not. */
+  place(job: JobState): PlacementResult {
+    const waitReason = this.#context.startWaitReasonFor(job);
+    if (waitReason !== undefined) {
+      return waitsFor(waitReason);
     }
     const request = this.#requestOf(job);
-    const isPlaced = this.#placeBy(job, request) ||
+    const isPlaced = this.#tryPlace(job, request) ||
       (request.avoided.size > 0 &&
-        this.#placeBy(job, { ...request, avoided: new Set() }));
-    return isPlaced ? PLACED : waits(this.#reasonFor(job));
+        this.#tryPlace(job, { ...request, avoided: new Set() }));
+    return isPlaced ? PLACED : waitsFor(this.#waitReasonFor(job));
   }
 
   #requestOf(job: JobState): BlockRequest {
@@ -79,38 +81,42 @@
       : request;
   }
 
-  #placeBy(job: JobState, request: BlockRequest): boolean {
+  #tryPlace(job: JobState, request: BlockRequest): boolean {
     return this.#startInGuarantee(job, request) ||
-      this.#startOnLoan(job, request) || this.#evictor.reclaim(job, request) ||
+      this.#startBorrowing(job, request) ||
+      this.#evictor.reclaim(job, request) ||
       this.#evictor.preempt(job, request) || this.#backfill(job, request);
   }
 
   #startInGuarantee(job: JobState, request: BlockRequest): boolean {
-    const { cells, mutations } = this.#context;
+    const { guarantees, mutations } = this.#context;
     const account = job.specification.clientAccount;
-    if (mutations.has("claimsForeignCells")) {
-      return this.#startFree(job, request, true);
+    if (mutations.has("claimsForeignGuarantees")) {
+      return this.#startOnFreeBlock(job, request, true);
     }
-    const racks = cells.racksOf(account);
+    const racks = guarantees.racksOf(account);
     if (racks.length === 0) {
       return false;
     }
     const block = findBlockAmong(racks, request, {
-      roomOf: (worker) =>
+      availableOf: (worker) =>
         worker.isPlaceable
-          ? minimumAmounts(worker.room(), worker.unusedPromise(account))
-          : NOTHING,
+          ? minimumAmounts(worker.available(), worker.unusedGuarantee(account))
+          : ZERO_AMOUNTS,
     });
     if (block === undefined) {
       return false;
     }
-    const tighter = this.#tighterOnLoan(job, request, block);
+    const tighter = this.#tighterBorrowedBlock(job, request, block);
     this.#lifecycle.start(job, tighter ?? block, tighter === undefined);
     return true;
   }
 
-  /** A block on loan in a fuller rack, which keeps emptier racks whole. */
-  #tighterOnLoan(
+  /**
+   * A block outside the guarantee in a fuller rack, if there is one. Borrowing
+   * it leaves emptier racks free for large gangs.
+   */
+  #tighterBorrowedBlock(
     job: JobState,
     request: BlockRequest,
     block: Block,
@@ -122,32 +128,34 @@
     }
     const other = findFreeBlock(this.#context.index, request);
     const isTighter = other !== undefined &&
-      emptiestRack(other) < emptiestRack(block);
+      largestRackFree(other) < largestRackFree(block);
     return isTighter ? other : undefined;
   }
 
-  /** Work that can't be checkpointed keeps off what may be reclaimed. */
-  #startOnLoan(job: JobState, request: BlockRequest): boolean {
+  /** Jobs that can't be checkpointed avoid workers assigned to guarantees. */
+  #startBorrowing(job: JobState, request: BlockRequest): boolean {
     if (!mayBorrow(job, this.#context)) {
       return false;
     }
     if (job.specification.canCheckpoint) {
-      return this.#startFree(job, request, false);
+      return this.#startOnFreeBlock(job, request, false);
     }
-    return this.#startOffPromises(job, request) ||
-      (!this.#isKeptOffPromises(job) && this.#startFree(job, request, false));
+    return this.#startAvoidingGuarantees(job, request) ||
+      (!this.#mustAvoidGuarantees(job) &&
+        this.#startOnFreeBlock(job, request, false));
   }
 
-  /** Whether a reclaim would cost so much that the job waits instead. */
-  #isKeptOffPromises(job: JobState): boolean {
+  /** Whether the job rather waits than risks losing its work in a reclaim. */
+  #mustAvoidGuarantees(job: JobState): boolean {
     return !job.specification.canCheckpoint && job.rank !== URGENT_RANK &&
-      job.expectedRunMs > FRAGILE_RUN_LIMIT_MS && !this.#context.aged.has(job);
+      job.expectedRunMs > UNCHECKPOINTABLE_RUN_LIMIT_MS &&
+      !this.#context.agedJobs.has(job);
   }
 
-  #startOffPromises(job: JobState, request: BlockRequest): boolean {
+  #startAvoidingGuarantees(job: JobState, request: BlockRequest): boolean {
     const block = findFreeBlock(this.#context.index, {
       ...request,
-      isOffPromises: true,
+      avoidsGuarantees: true,
     });
     if (block !== undefined) {
       this.#lifecycle.start(job, block, false);
@@ -155,32 +163,32 @@
     return block !== undefined;
   }
 
-  #startFree(
+  #startOnFreeBlock(
     job: JobState,
     request: BlockRequest,
     isGuaranteed: boolean,
   ): boolean {
     const shape = this.#context.queue.groupOf(job)?.shapeKey ?? "";
-    if (this.#vain.has(shape)) {
+    if (this.#failedSearches.has(shape)) {
       return false;
     }
     const block = findFreeBlock(this.#context.index, request) ??
-      this.#overcommitted(request);
+      this.#overcommittedBlock(request);
     if (block === undefined) {
-      this.#vain.note(shape, request);
+      this.#failedSearches.record(shape, request);
       return false;
     }
     this.#lifecycle.start(job, block, isGuaranteed);
     return true;
   }
 
-  /** Runs short work on room that is being drained for a large gang. */
+  /** Starts a short job on capacity that drains for a larger gang. */
   #backfill(job: JobState, request: BlockRequest): boolean {
     if (this.#reservations.size === 0 || !mayBorrow(job, this.#context)) {
       return false;
     }
-    const { corrections, nowMs } = this.#context;
-    const spread = corrections.spreadOf(job.specification);
+    const { estimator, nowMs } = this.#context;
+    const spread = estimator.runTimeSpread(job.specification);
     const endMs = nowMs + job.expectedRunMs * spread;
     for (const reservation of this.#reservations.all()) {
       const isOpen = reservation.kind === ReservationKind.drain &&
@@ -195,8 +203,8 @@
     return false;
   }
 
-  /** A block where there is no room, under the mutation that wants it. */
-  #overcommitted(request: BlockRequest): Block | undefined {
+  /** A block without free capacity, for the mutation `overcommitsWorkers`. */
+  #overcommittedBlock(request: BlockRequest): Block | undefined {
     const { mutations, index } = this.#context;
     const [worker] = index.workers.values();
     const isWanted = mutations.has("overcommitsWorkers") &&
@@ -204,15 +212,15 @@
     return isWanted ? new Map([[worker, request.tasks]]) : undefined;
   }
 
-  #reasonFor(job: JobState): WaitReason {
-    const borrowing = borrowingBarrier(job, this.#context);
-    if (borrowing !== undefined) {
-      return borrowing;
+  #waitReasonFor(job: JobState): WaitReason {
+    const borrowingReason = borrowingWaitReason(job, this.#context);
+    if (borrowingReason !== undefined) {
+      return borrowingReason;
     }
     const { index, policy, ledger } = this.#context;
     const free = index.freeAccelerators;
     const needed = gangAccelerators(job);
-    if (free >= needed && this.#isKeptOffPromises(job)) {
+    if (free >= needed && this.#mustAvoidGuarantees(job)) {
       return "guaranteeProtection";
     }
     if (free >= needed && needed > 0) {
@@ -229,7 +237,7 @@
 }
 
 /** Free accelerators of the emptiest rack that a block touches. */
-function emptiestRack(block: Block): number {
+function largestRackFree(block: Block): number {
   let most = 0;
   for (const { rack } of block.keys()) {
     most = Math.max(most, rack.freeAccelerators);
@@ -237,7 +245,7 @@
   return most;
 }
 
-function waits(reason: WaitReason): PlacingResult {
+function waitsFor(reason: WaitReason): PlacementResult {
   return { isPlaced: false, reason };
 }
 
@@ -252,9 +260,10 @@
     byRack.set(worker.rack, workers);
   }
   return findBlockAmong([...byRack.values()], request, {
-    roomOf: (worker) => {
-      const isAlone = worker.reservations.size === 1 && worker.isPlaceable;
-      return isAlone ? worker.free() : NOTHING;
+    availableOf: (worker) => {
+      const isOnlyReservation = worker.reservations.size === 1 &&
+        worker.isPlaceable;
+      return isOnlyReservation ? worker.free() : ZERO_AMOUNTS;
     },
   });
 }
--- a/src/process/scheduler/core/policy.ts
+++ b/src/process/scheduler/core/policy.ts
@@ -1,5 +1,5 @@
 /**
- * What one configuration version says to one data centre's scheduler.
+ * The rules of one configuration version for one data centre's scheduler.
  *
  * @module
  */
@@ -15,13 +15,13 @@
 import type { Amounts } from "./amounts.ts";
 import { type DeclaredRack, declaredRacks } from "./declared_rack.ts";
 
-/** What holds for a job whose class was taken out of the document. */
+/** The class of jobs whose own class was removed from the document. */
 const FALLBACK_JOB_CLASS: JobClass = jobClassSchema.parse({
   owner: "none",
   rank: 9,
 });
 
-/** One configuration version, as one data centre sees it. */
+/** One configuration version from the view of one data centre. */
 export class Policy {
   readonly version: number;
   readonly acceptedAtMs: number;
@@ -29,7 +29,7 @@
   readonly section: DataCentre | undefined;
   readonly racks: readonly DeclaredRack[];
   readonly declaredWorkers: number;
-  /** The borrowing weights of all client accounts. */
+  /** Sum of the borrowing weights of all client accounts. */
   readonly borrowingWeights: number;
   readonly declaredAccelerators: number;
 
@@ -55,7 +55,7 @@
     );
   }
 
-  /** Whether the data centre takes new work; not when it isn't declared. */
+  /** Whether the data centre is declared and accepts new work. */
   get isIn(): boolean {
     return this.section?.status === "in";
   }
@@ -72,7 +72,10 @@
     return this.configuration.document.jobClasses[name] !== undefined;
   }
 
-  /** The least processors and memory that go with so many accelerators. */
+  /**
+   * The proportional share of processors and memory that goes with a number
+   * of accelerators on a worker; the smallest over all racks.
+   */
   shareOf(accelerators: number): Amounts {
     const share: Amounts = {
       milliCores: Infinity,
--- a/src/process/scheduler/core/quarantine.ts
+++ b/src/process/scheduler/core/quarantine.ts
@@ -1,6 +1,6 @@
 /**
- * Tells a bad worker from a bad job, and keeps bad workers out of use until a
- * probe shows that they work.
+ * Distinguishes faulty workers from faulty jobs, and withholds work from faulty
+ * workers until a probe succeeds.
  *
  * @module
  */
@@ -10,44 +10,44 @@
 import { JobPhase, type JobState } from "./job_state.ts";
 import { type WorkerState, WorkerStatus } from "./worker_state.ts";
 
-/** So many different jobs must fail on a worker without one success. */
+/** Jobs that must fail on a worker, without a success, to quarantine it. */
 const FAILED_JOBS_LIMIT = 3;
-/** A job that failed on so many good workers is at fault itself. */
+/** Good workers on which a job must fail to be considered faulty itself. */
 const GOOD_WORKERS_LIMIT = 2;
-/** Most of the workers that may be in quarantine at once. */
+/** Largest fraction of the workers that may be in quarantine. */
 const QUARANTINED_FRACTION = 0.1;
-/** When the first probe follows; each further one waits twice as long. */
-const FIRST_PROBE_MS = 60_000;
-const LAST_PROBE_MS = 3_600_000;
+/** Delay before the first probe; doubled for each further one. */
+const FIRST_PROBE_DELAY_MS = 60_000;
+const PROBE_DELAY_LIMIT_MS = 3_600_000;
 
 interface Evidence {
   readonly failedJobs: Set<JobId>;
   hasSucceeded: boolean;
-  /** How often it was quarantined since it last worked. */
+  /** Quarantines since the last success on the worker. */
   quarantines: number;
 }
 
-/** The evidence about workers. */
+/** The failures and successes on each worker. */
 export class Quarantine {
   readonly #context: CoreContext;
-  readonly #onOut: (worker: WorkerState) => void;
+  readonly #onQuarantined: (worker: WorkerState) => void;
   readonly #evidence = new Map<WorkerId, Evidence>();
 
   constructor(
     options: {
       context: CoreContext;
-      /** Called when a worker goes out of use. */
-      onOut: (worker: WorkerState) => void;
+      /** Called when a worker is quarantined. */
+      onQuarantined: (worker: WorkerState) => void;
     },
   ) {
     this.#context = options.context;
-    this.#onOut = options.onOut;
+    this.#onQuarantined = options.onQuarantined;
   }
 
-  /** The highest that the limit was when a worker went out of use. */
+  /** The highest `limit` at which a worker was quarantined. */
   peakLimit = 1;
 
-  /** Most workers that may be in quarantine at once. */
+  /** Largest number of workers that may be in quarantine. */
   get limit(): number {
     const workers = this.#context.index.workers.size;
     return Math.max(1, Math.floor(workers * QUARANTINED_FRACTION));
@@ -61,34 +61,34 @@
     return count;
   }
 
-  /** Takes in that a job's task failed on the worker. */
-  noteFailure(worker: WorkerState, job: JobState): void {
+  /** Records that a task of the job failed on the worker. */
+  recordFailure(worker: WorkerState, job: JobState): void {
     job.failedOn.add(worker.workerId);
-    if (this.#isBadJob(job)) {
-      this.#absolve(job);
+    if (this.#isFaultyJob(job)) {
+      this.#clearEvidenceOf(job);
       return;
     }
-    const evidence = this.#of(worker.workerId);
+    const evidence = this.#evidenceOn(worker.workerId);
     evidence.failedJobs.add(job.specification.jobId);
-    const isBad = worker.status === WorkerStatus.probing ||
+    const isFaulty = worker.status === WorkerStatus.probing ||
       evidence.failedJobs.size >= FAILED_JOBS_LIMIT;
-    if (isBad) {
+    if (isFaulty) {
       this.#quarantine(worker, evidence);
     }
   }
 
-  /** Takes in that a job's task succeeded on the worker. */
-  noteSuccess(worker: WorkerState): void {
-    const evidence = this.#of(worker.workerId);
+  /** Records that a task succeeded on the worker, which ends a quarantine. */
+  recordSuccess(worker: WorkerState): void {
+    const evidence = this.#evidenceOn(worker.workerId);
     evidence.failedJobs.clear();
     evidence.hasSucceeded = true;
     evidence.quarantines = 0;
     if (isQuarantined(worker)) {
       worker.status = WorkerStatus.up;
       this.#context.index.refresh(worker);
-      this.#context.cells.workerCame();
-      this.#context.roomFreed();
-      this.#context.decide({
+      this.#context.guarantees.handleWorkerAvailable();
+      this.#context.recordFreedCapacity();
+      this.#context.emit({
         kind: "releaseWorker",
         workerId: worker.workerId,
       });
@@ -96,46 +96,46 @@
   }
 
   #quarantine(worker: WorkerState, evidence: Evidence): void {
-    const isKnown = isQuarantined(worker);
+    const wasQuarantined = isQuarantined(worker);
     if (worker.status === WorkerStatus.quarantined) {
       return;
     }
-    if (!isKnown && this.count() >= this.limit) {
+    if (!wasQuarantined && this.count() >= this.limit) {
       return;
     }
     if (worker.status === WorkerStatus.leaving) {
       return;
     }
     const delayMs = Math.min(
-      LAST_PROBE_MS,
-      FIRST_PROBE_MS * 2 ** evidence.quarantines,
+      PROBE_DELAY_LIMIT_MS,
+      FIRST_PROBE_DELAY_MS * 2 ** evidence.quarantines,
     );
     evidence.quarantines += 1;
     const probeAtMs = this.#context.nowMs + delayMs;
     worker.status = WorkerStatus.quarantined;
     this.peakLimit = Math.max(this.peakLimit, this.limit);
-    this.#forgiveJobs(evidence);
-    this.#context.decide({
+    this.#discountFailures(evidence);
+    this.#context.emit({
       kind: "quarantineWorker",
       workerId: worker.workerId,
       probeAtMs,
     });
-    this.#context.at(probeAtMs, () => this.#probe(worker));
-    this.#onOut(worker);
+    this.#context.schedule(probeAtMs, () => this.#probe(worker));
+    this.#onQuarantined(worker);
   }
 
-  /** Lets one gang at a time onto the worker. */
+  /** Allows one gang at a time on the worker. */
   #probe(worker: WorkerState): void {
     const isKnown = this.#context.index.workers.get(worker.workerId) === worker;
     if (isKnown && worker.status === WorkerStatus.quarantined) {
       worker.status = WorkerStatus.probing;
       this.#context.index.refresh(worker);
-      this.#context.roomFreed();
+      this.#context.recordFreedCapacity();
     }
   }
 
-  /** Failures on a bad worker don't count against the jobs. */
-  #forgiveJobs(evidence: Evidence): void {
+  /** Reverts the count of failures on a faulty worker against the jobs. */
+  #discountFailures(evidence: Evidence): void {
     for (const jobId of evidence.failedJobs) {
       const job = this.#context.jobs.get(jobId);
       if (job !== undefined && job.phase !== JobPhase.ended) {
@@ -145,21 +145,21 @@
     evidence.failedJobs.clear();
   }
 
-  #isBadJob(job: JobState): boolean {
+  #isFaultyJob(job: JobState): boolean {
     let goodWorkers = 0;
     for (const workerId of job.failedOn) {
-      goodWorkers += this.#of(workerId).hasSucceeded ? 1 : 0;
+      goodWorkers += this.#evidenceOn(workerId).hasSucceeded ? 1 : 0;
     }
     return goodWorkers >= GOOD_WORKERS_LIMIT;
   }
 
-  #absolve(job: JobState): void {
+  #clearEvidenceOf(job: JobState): void {
     for (const workerId of job.failedOn) {
-      this.#of(workerId).failedJobs.delete(job.specification.jobId);
+      this.#evidenceOn(workerId).failedJobs.delete(job.specification.jobId);
     }
   }
 
-  #of(workerId: WorkerId): Evidence {
+  #evidenceOn(workerId: WorkerId): Evidence {
     let evidence = this.#evidence.get(workerId);
     if (evidence === undefined) {
       evidence = { failedJobs: new Set(), hasSucceeded: false, quarantines: 0 };
--- a/src/process/scheduler/core/rack_index.ts
+++ b/src/process/scheduler/core/rack_index.ts
@@ -1,6 +1,6 @@
 /**
- * The free accelerators of racks and workers, kept in buckets so that the
- * tightest place is found without looking at every worker.
+ * An index of racks and workers by free accelerators, so that the tightest
+ * block is found without a scan of all workers.
  *
  * @module
  */
@@ -9,7 +9,7 @@
 import type { WorkerDescription } from "./scheduler_event.ts";
 import { type RackState, RANK_COUNT, WorkerState } from "./worker_state.ts";
 
-/** All workers by rack, in buckets by free accelerators. */
+/** All racks and workers, in buckets by free accelerators. */
 export class RackIndex {
   readonly racks = new Map<RackId, RackState>();
   readonly workers = new Map<WorkerId, WorkerState>();
@@ -22,7 +22,7 @@
     this.#isFrozen = options.isFrozen;
   }
 
-  /** Free accelerators on all workers that take work. */
+  /** Free accelerators on all workers that accept work. */
   get freeAccelerators(): number {
     return this.#freeAccelerators;
   }
@@ -39,7 +39,7 @@
   }
 
   remove(worker: WorkerState): void {
-    this.#move(worker, 0);
+    this.#updateFree(worker, 0);
     bucket(this.#workersByFree, 0).delete(worker);
     this.workers.delete(worker.workerId);
     worker.rack.workers.splice(worker.rack.workers.indexOf(worker), 1);
@@ -50,74 +50,80 @@
     }
   }
 
-  /** Enters a worker's free accelerators anew. */
+  /** Updates a worker's free accelerators. */
   refresh(worker: WorkerState): void {
     const free = worker.isPlaceable
-      ? Math.max(0, worker.room().accelerators)
+      ? Math.max(0, worker.available().accelerators)
       : 0;
-    this.#move(worker, free);
+    this.#updateFree(worker, free);
   }
 
-  /** Racks with at least so many accelerators free, tightest first. */
-  *racksFrom(accelerators: number): Iterable<RackState> {
-    for (let at = accelerators; at < this.#racksByFree.length; at++) {
-      yield* this.#racksByFree[at] ?? [];
+  /** Racks with at least this many free accelerators, tightest first. */
+  *racksWithFree(accelerators: number): Iterable<RackState> {
+    for (let index = accelerators; index < this.#racksByFree.length; index++) {
+      yield* this.#racksByFree[index] ?? [];
     }
   }
 
-  /** Racks with anything free, the emptiest first. */
-  *racksDown(): Iterable<RackState> {
-    for (let at = this.#racksByFree.length - 1; at >= 0; at--) {
-      yield* this.#racksByFree[at] ?? [];
+  /** All racks, those with the most free accelerators first. */
+  *racksByMostFree(): Iterable<RackState> {
+    for (let index = this.#racksByFree.length - 1; index >= 0; index--) {
+      yield* this.#racksByFree[index] ?? [];
     }
   }
 
-  /** Workers with at least so many accelerators free, tightest first. */
-  *workersFrom(accelerators: number): Iterable<WorkerState> {
-    for (let at = accelerators; at < this.#workersByFree.length; at++) {
-      yield* this.#workersByFree[at] ?? [];
+  /** Workers with at least this many free accelerators, tightest first. */
+  *workersWithFree(accelerators: number): Iterable<WorkerState> {
+    for (
+      let index = accelerators;
+      index < this.#workersByFree.length;
+      index++
+    ) {
+      yield* this.#workersByFree[index] ?? [];
     }
   }
 
-  /** The most free accelerators of any one rack. */
+  /** The largest number of free accelerators in one rack. */
   largestFree(): number {
-    for (let at = this.#racksByFree.length - 1; at >= 0; at--) {
-      if ((this.#racksByFree[at]?.size ?? 0) > 0) {
-        return at;
+    for (let index = this.#racksByFree.length - 1; index >= 0; index--) {
+      if ((this.#racksByFree[index]?.size ?? 0) > 0) {
+        return index;
       }
     }
     return 0;
   }
 
-  /** What differs between the index and a count made anew. */
-  findBroken(): string[] {
-    const broken: string[] = [];
+  /** Differences between the index and a full recount. */
+  findViolations(): string[] {
+    const violations: string[] = [];
     let total = 0;
     for (const rack of this.racks.values()) {
       let free = 0;
       for (const worker of rack.workers) {
         free += worker.isPlaceable
-          ? Math.max(0, worker.room().accelerators)
+          ? Math.max(0, worker.available().accelerators)
           : 0;
         if (!this.#workersByFree[worker.indexedFree]?.has(worker)) {
-          broken.push(`index: worker ${worker.workerId} is in no bucket`);
+          violations.push(`index: worker ${worker.workerId} is in no bucket`);
         }
       }
       total += free;
       if (free !== rack.freeAccelerators) {
-        broken.push(
-          `index: rack ${rack.rackId} says ${rack.freeAccelerators} free, ` +
+        violations.push(
+          `index: rack ${rack.rackId} has ${rack.freeAccelerators} free, ` +
             `counted ${free}`,
         );
       }
       if (!this.#racksByFree[rack.freeAccelerators]?.has(rack)) {
-        broken.push(`index: rack ${rack.rackId} is in no bucket`);
+        violations.push(`index: rack ${rack.rackId} is in no bucket`);
       }
     }
     if (total !== this.#freeAccelerators) {
-      broken.push(`index: ${this.#freeAccelerators} free, counted ${total}`);
+      violations.push(
+        `index: ${this.#freeAccelerators} free, counted ${total}`,
+      );
     }
-    return broken;
+    return violations;
   }
 
   #rackOf(rackId: RackId): RackState {
@@ -136,7 +142,7 @@
     return rack;
   }
 
-  #move(worker: WorkerState, free: number): void {
+  #updateFree(worker: WorkerState, free: number): void {
     const isKept = this.#isFrozen && worker.allocations.size > 1;
     if (free === worker.indexedFree || isKept) {
       return;
@@ -153,11 +159,11 @@
   }
 }
 
-function bucket<T>(buckets: Set<T>[], at: number): Set<T> {
-  while (buckets.length <= at) {
+function bucket<T>(buckets: Set<T>[], index: number): Set<T> {
+  while (buckets.length <= index) {
     buckets.push(new Set());
   }
-  return buckets[at] as Set<T>;
+  return buckets[index] as Set<T>;
 }
 
 function byWorkerId(left: WorkerState, right: WorkerState): number {
--- a/src/process/scheduler/core/recovery.ts
+++ b/src/process/scheduler/core/recovery.ts
@@ -1,6 +1,6 @@
 /**
- * How a new leader learns what still runs: from the records of its peers and
- * from the workers' own reports. Until it knows, nothing starts.
+ * Determines which gangs still run after a change of leader, from the job
+ * records and from the workers' reports. Nothing starts before that is known.
  *
  * @module
  */
@@ -8,44 +8,44 @@
 import type { JobId } from "../../../base/identity.ts";
 import { amountsOf } from "./amounts.ts";
 import type { CoreContext } from "./core_context.ts";
-import { type GangEvents, staleKey } from "./gang_events.ts";
+import { attemptKey, type GangEventHandler } from "./gang_event_handler.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
 import type { JobRecord } from "./job_record.ts";
 import { JobPhase, type JobState, newJobState } from "./job_state.ts";
 import { JobOutcome } from "./scheduler_decision.ts";
 import { type TaskEnded, type TaskReference } from "./scheduler_event.ts";
-import type { WorkerEvents } from "./worker_events.ts";
+import type { WorkerEventHandler } from "./worker_event_handler.ts";
 import type { WorkerState } from "./worker_state.ts";
 
-/** The tasks of one attempt as reported, and the worker of each. */
+/** The reported tasks of one attempt: task index to worker. */
 type ReportedTasks = Map<number, WorkerState>;
 
 interface RecoveringJob {
   readonly job: JobState;
   readonly record: JobRecord;
-  /** Tasks that succeeded meanwhile, by attempt. */
+  /** Indexes of tasks that succeeded during the recovery, by attempt. */
   readonly succeeded: Map<number, Set<number>>;
   isCancelled: boolean;
 }
 
-/** One recovery, from the records to the first start. */
+/** The recovery of one leader. */
 export class Recovery {
   readonly #context: CoreContext;
   readonly #lifecycle: GangLifecycle;
-  readonly #gangEvents: GangEvents;
-  readonly #workerEvents: WorkerEvents;
+  readonly #gangEvents: GangEventHandler;
+  readonly #workerEvents: WorkerEventHandler;
   readonly #recoverUntilMs: number;
   readonly #recovering = new Map<JobId, RecoveringJob>();
   readonly #reports = new Map<WorkerState, readonly TaskReference[]>();
-  readonly #gone = new Set<string>();
+  readonly #releasedAttempts = new Set<string>();
 
   constructor(
     options: {
       context: CoreContext;
       lifecycle: GangLifecycle;
-      gangEvents: GangEvents;
-      workerEvents: WorkerEvents;
-      /** By when a worker that stayed silent has stopped its tasks. */
+      gangEvents: GangEventHandler;
+      workerEvents: WorkerEventHandler;
+      /** When a worker that hasn't reported has stopped its tasks. */
       recoverUntilMs: number;
     },
   ) {
@@ -56,8 +56,8 @@
     this.#recoverUntilMs = options.recoverUntilMs;
   }
 
-  /** Takes over one job as kept by a peer. */
-  take(record: JobRecord, options: { order: number }): JobState {
+  /** Restores a job from its record. */
+  restoreJob(record: JobRecord, options: { order: number }): JobState {
     const job = newJobState(record.specification, {
       submittedAtMs: record.submittedAtMs,
       order: options.order,
@@ -83,8 +83,8 @@
     return job;
   }
 
-  /** Takes in what a worker runs; a later report replaces an earlier one. */
-  report(worker: WorkerState, running: readonly TaskReference[]): void {
+  /** Records what a worker runs; replaces its earlier report. */
+  recordReport(worker: WorkerState, running: readonly TaskReference[]): void {
     this.#reports.set(worker, running);
   }
 
@@ -108,12 +108,12 @@
     }
   }
 
-  attemptGone(event: { jobId: JobId; attempt: number }): void {
-    this.#gone.add(staleKey(event.jobId, event.attempt));
+  recordReleasedAttempt(event: { jobId: JobId; attempt: number }): void {
+    this.#releasedAttempts.add(attemptKey(event.jobId, event.attempt));
   }
 
-  /** Notes a cancellation; false when the job isn't being recovered. */
-  cancel(jobId: JobId): boolean {
+  /** Records a cancellation; false if the job isn't being recovered. */
+  recordCancellation(jobId: JobId): boolean {
     const entry = this.#recovering.get(jobId);
     if (entry !== undefined) {
       entry.isCancelled = true;
@@ -121,32 +121,35 @@
     return entry !== undefined;
   }
 
-  /** Whether it is known what still runs. */
+  /** Whether all declared workers have reported, or the time is up. */
   isDone(): boolean {
     const { nowMs, policy } = this.#context;
-    const isWhole = policy.declaredWorkers > 0 &&
+    const haveAllReported = policy.declaredWorkers > 0 &&
       this.#reports.size >= policy.declaredWorkers;
-    return isWhole || nowMs >= this.#recoverUntilMs;
+    return haveAllReported || nowMs >= this.#recoverUntilMs;
   }
 
-  /** Settles every job; from now on gangs may start. */
+  /** Adopts, queues or ends every job; gangs may start from now on. */
   finish(): void {
     const attempts = this.#attemptsByJob();
     this.#context.isRecovering = false;
     for (const entry of this.#recovering.values()) {
-      this.#settle(
+      this.#resolve(
         entry,
         attempts.get(entry.record.specification.jobId) ?? new Map(),
       );
     }
     for (const [worker, running] of this.#reports) {
-      this.#workerEvents.markStale(worker, this.#stillThere(running));
+      this.#workerEvents.stopStaleAttempts(
+        worker,
+        this.#withoutReleased(running),
+      );
       this.#context.index.refresh(worker);
     }
-    this.#context.roomFreed();
+    this.#context.recordFreedCapacity();
   }
 
-  #settle(
+  #resolve(
     entry: RecoveringJob,
     attempts: ReadonlyMap<number, ReportedTasks>,
   ): void {
@@ -159,13 +162,13 @@
     job.attempt = latest;
     const tasks = attempts.get(latest);
     if (tasks === undefined) {
-      this.#settleWithoutTasks(entry);
+      this.#resolveWithoutTasks(entry);
       return;
     }
     this.#adopt(job, { tasks, record, entry });
   }
 
-  #settleWithoutTasks(entry: RecoveringJob): void {
+  #resolveWithoutTasks(entry: RecoveringJob): void {
     const { job, record } = entry;
     const succeeded = entry.succeeded.get(job.attempt)?.size ?? 0;
     const isDone = succeeded === job.specification.tasks;
@@ -207,7 +210,7 @@
     }
     job.succeededTasks = succeeded.size;
     ledger.setWaiting(job, false);
-    ledger.occupy(job, countByWorker(tasks));
+    ledger.allocate(job, countByWorker(tasks));
     this.#resume(job, {
       record: isRecorded ? record : undefined,
       entry,
@@ -224,7 +227,7 @@
     },
   ): void {
     const { record, entry, tasks } = options;
-    const isWhole = tasks.size + job.succeededTasks >= job.specification.tasks;
+    const isIntact = tasks.size + job.succeededTasks >= job.specification.tasks;
     if (entry.isCancelled) {
       this.#lifecycle.stop(job, {
         reason: "cancelled",
@@ -236,17 +239,19 @@
         reason: record.stopReason ?? "gangBroken",
         ...(outcome === undefined ? {} : { outcome }),
       });
-    } else if (!isWhole) {
+    } else if (!isIntact) {
       this.#gangEvents.breakGang(job);
     } else {
-      this.#gangEvents.watchRun(job);
+      this.#gangEvents.scheduleOverrunTimers(job);
     }
   }
 
   #attemptsByJob(): Map<JobId, Map<number, ReportedTasks>> {
     const byJob = new Map<JobId, Map<number, ReportedTasks>>();
     for (const [worker, running] of this.#reports) {
-      for (const { jobId, attempt, taskIndex } of this.#stillThere(running)) {
+      for (
+        const { jobId, attempt, taskIndex } of this.#withoutReleased(running)
+      ) {
         const attempts = byJob.get(jobId) ?? new Map<number, ReportedTasks>();
         const tasks = attempts.get(attempt) ?? new Map<number, WorkerState>();
         tasks.set(taskIndex, worker);
@@ -257,9 +262,11 @@
     return byJob;
   }
 
-  #stillThere(running: readonly TaskReference[]): readonly TaskReference[] {
+  #withoutReleased(
+    running: readonly TaskReference[],
+  ): readonly TaskReference[] {
     return running.filter(({ jobId, attempt }) =>
-      !this.#gone.has(staleKey(jobId, attempt))
+      !this.#releasedAttempts.has(attemptKey(jobId, attempt))
     );
   }
 }
--- a/src/process/scheduler/core/reservation.ts
+++ b/src/process/scheduler/core/reservation.ts
@@ -1,5 +1,5 @@
 /**
- * Room that is held for one gang while work on it ends or is evicted.
+ * Capacity held for one gang while other gangs on it finish or are evicted.
  *
  * @module
  */
@@ -7,16 +7,16 @@
 import type { JobState } from "./job_state.ts";
 import type { Block } from "./placement.ts";
 
-/** The longest that a reservation drains before work is moved for it. */
+/** Longest time that a reservation drains before it evicts gangs. */
 export const DRAIN_LIMIT_MS = 60_000;
 
-/** Why room is held. */
+/** Why capacity is reserved. */
 export const ReservationKind = {
-  /** For a guarantee, whose borrowers are being evicted. */
+  /** For a guarantee whose capacity is taken back from borrowing gangs. */
   reclaim: "reclaim",
-  /** For urgent work, whose victims are being evicted. */
+  /** For urgent work that evicts lower-ranked gangs. */
   preemption: "preemption",
-  /** For a large gang, behind which short work goes on till the deadline. */
+  /** For a gang that has waited long; short jobs may backfill meanwhile. */
   drain: "drain",
 } as const;
 
@@ -24,13 +24,16 @@
 export type ReservationKind =
   typeof ReservationKind[keyof typeof ReservationKind];
 
-/** Room held for one gang. */
+/** Capacity held for one gang. */
 export interface Reservation {
   readonly kind: ReservationKind;
   readonly job: JobState;
   readonly block: Block;
-  /** When what still stands in the way is evicted, or the room given up. */
+  /**
+   * When a draining reservation evicts the remaining gangs, and when one that
+   * is already evicting is cancelled.
+   */
   deadlineMs: number;
-  /** Whether eviction has been ordered. */
+  /** Whether gangs are being evicted for it. */
   isEvicting: boolean;
 }
--- a/src/process/scheduler/core/reservation_manager.ts
+++ b/src/process/scheduler/core/reservation_manager.ts
@@ -1,10 +1,10 @@
 /**
- * Holds room for gangs whose victims are leaving, or behind which work drains.
+ * Holds capacity for gangs while other gangs on it are evicted or finish.
  *
  * @module
  */
 
-import { addAmounts, isWithin, noAmounts } from "./amounts.ts";
+import { addAmounts, isWithin, zeroAmounts } from "./amounts.ts";
 import type { CoreContext } from "./core_context.ts";
 import { chooseVictims } from "./eviction.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
@@ -14,21 +14,21 @@
 import type { StopReason, WaitReason } from "./scheduler_decision.ts";
 import type { WorkerState } from "./worker_state.ts";
 
-/** How long victims may take beyond their checkpoint deadline. */
+/** Time that victims get to stop after their checkpoint deadline. */
 export const EVICTION_GRACE_MS = 60_000;
-/** How often reservations of others may evict the same job. */
+/** How often draining reservations may evict the same job. */
 const DRAIN_EVICTIONS_LIMIT = 2;
 
-/** What a reservation is opened with. */
+/** Options of {@link ReservationManager.open}. */
 export interface ReservationOptions {
   readonly kind: ReservationKind;
   readonly block: Block;
   readonly victims: Iterable<JobState>;
-  /** Until when the victims may checkpoint; for a drain, when it ends. */
+  /** Checkpoint deadline of the victims; for a drain, when draining ends. */
   readonly deadlineMs: number;
 }
 
-const REASONS: Readonly<Record<ReservationKind, WaitReason>> = {
+const WAIT_REASONS: Readonly<Record<ReservationKind, WaitReason>> = {
   reclaim: "preemption",
   preemption: "preemption",
   drain: "reservation",
@@ -40,7 +40,7 @@
   drain: "migrated",
 };
 
-/** Every reservation of one data centre. */
+/** All reservations of one data centre. */
 export class ReservationManager {
   readonly #context: CoreContext;
   readonly #lifecycle: GangLifecycle;
@@ -49,7 +49,7 @@
   constructor(options: { context: CoreContext; lifecycle: GangLifecycle }) {
     this.#context = options.context;
     this.#lifecycle = options.lifecycle;
-    this.#lifecycle.onRoom((workers) => this.startReady(workers));
+    this.#lifecycle.onCapacityFreed((workers) => this.startReady(workers));
   }
 
   get size(): number {
@@ -60,17 +60,17 @@
     return this.#open;
   }
 
-  /** Accelerators held by reservations that drain. */
+  /** Accelerators held by draining reservations. */
   drainingAccelerators(): number {
-    return this.#accelerators(ReservationKind.drain);
+    return this.#heldAccelerators(ReservationKind.drain);
   }
 
-  /** Accelerators held for guarantees whose borrowers are leaving. */
+  /** Accelerators held by reclaims for guarantees. */
   reclaimingAccelerators(): number {
-    return this.#accelerators(ReservationKind.reclaim);
+    return this.#heldAccelerators(ReservationKind.reclaim);
   }
 
-  /** Holds a block for a queued job, and evicts the victims. */
+  /** Reserves a block for a queued job, and evicts the victims. */
   open(job: JobState, options: ReservationOptions): void {
     const { kind, block } = options;
     const isDrain = kind === ReservationKind.drain;
@@ -87,27 +87,27 @@
     job.reservation = reservation;
     this.#open.add(reservation);
     this.#context.ledger.reserve(reservation);
-    this.#context.setWaitReason(job, REASONS[kind]);
+    this.#context.setWaitReason(job, WAIT_REASONS[kind]);
     this.#evict(reservation, options.victims, options.deadlineMs);
-    this.#giveWay(reservation);
-    this.#armDeadline(reservation);
+    this.#cancelConflicting(reservation);
+    this.#scheduleDeadline(reservation);
   }
 
-  /** Gives the room up; the job waits in the queue again. */
+  /** Releases a reservation and puts its job back in the queue. */
   cancel(reservation: Reservation): void {
-    this.drop(reservation);
+    this.close(reservation);
     this.#context.setWaitReason(reservation.job, "capacity");
     this.#context.enqueue(reservation.job);
   }
 
-  /** Gives the room up, as the job needs it no more. */
-  drop(reservation: Reservation): void {
+  /** Releases a reservation whose job no longer needs it. */
+  close(reservation: Reservation): void {
     if (!this.#open.delete(reservation)) {
       return;
     }
     reservation.job.reservation = undefined;
     this.#context.ledger.unreserve(reservation);
-    this.#context.roomFreed();
+    this.#context.recordFreedCapacity();
   }
 
   cancelOn(worker: WorkerState): void {
@@ -122,7 +122,7 @@
     }
   }
 
-  /** Starts what has all its room on these workers. */
+  /** Starts the jobs of reservations here whose whole block is free. */
   startReady(workers: Iterable<WorkerState>): void {
     for (const worker of workers) {
       for (const reservation of [...worker.reservations]) {
@@ -137,7 +137,7 @@
     }
   }
 
-  #accelerators(wanted: ReservationKind): number {
+  #heldAccelerators(wanted: ReservationKind): number {
     let total = 0;
     for (const { kind, job } of this.#open) {
       total += kind === wanted ? gangAccelerators(job) : 0;
@@ -148,12 +148,12 @@
   #startIfReady(reservation: Reservation): void {
     const { job, block, kind } = reservation;
     const isReady = this.#open.has(reservation) &&
-      this.#context.startBarrierFor(job) === undefined &&
-      hasAllRoom(reservation);
+      this.#context.startWaitReasonFor(job) === undefined &&
+      isBlockFree(reservation);
     if (!isReady) {
       return;
     }
-    this.drop(reservation);
+    this.close(reservation);
     this.#lifecycle.start(job, block, kind === ReservationKind.reclaim);
   }
 
@@ -172,14 +172,14 @@
     }
   }
 
-  /** A guarantee goes before whatever else is reserved on its workers. */
-  #giveWay(reservation: Reservation): void {
+  /** Cancels other reservations that a reclaim leaves without capacity. */
+  #cancelConflicting(reservation: Reservation): void {
     if (reservation.kind !== ReservationKind.reclaim) {
       return;
     }
     for (const worker of reservation.block.keys()) {
       for (const other of [...worker.reservations]) {
-        const isShort = !isWithin(noAmounts(), worker.futureRoom());
+        const isShort = !isWithin(zeroAmounts(), worker.availableAfterStops());
         if (isShort && other.kind !== ReservationKind.reclaim) {
           this.cancel(other);
         }
@@ -187,15 +187,15 @@
     }
   }
 
-  #armDeadline(reservation: Reservation): void {
-    this.#context.at(reservation.deadlineMs, () => {
+  #scheduleDeadline(reservation: Reservation): void {
+    this.#context.schedule(reservation.deadlineMs, () => {
       if (this.#open.has(reservation)) {
-        this.#pastDeadline(reservation);
+        this.#handleDeadline(reservation);
       }
     });
   }
 
-  #pastDeadline(reservation: Reservation): void {
+  #handleDeadline(reservation: Reservation): void {
     const victims = reservation.isEvicting
       ? undefined
       : this.#drainVictims(reservation);
@@ -212,7 +212,7 @@
     reservation.isEvicting = true;
     reservation.deadlineMs = deadlineMs + EVICTION_GRACE_MS;
     this.#evict(reservation, victims, deadlineMs);
-    this.#armDeadline(reservation);
+    this.#scheduleDeadline(reservation);
   }
 
   #drainVictims(reservation: Reservation): Set<JobState> | undefined {
@@ -220,10 +220,10 @@
     return chooseVictims(block, job.need, {
       nowMs: this.#context.nowMs,
       hasTimeToCheckpoint: true,
-      roomOf: (worker) => {
-        const room = worker.futureRoom();
-        addAmounts(room, job.need, { factor: block.get(worker) ?? 0 });
-        return room;
+      availableOf: (worker) => {
+        const available = worker.availableAfterStops();
+        addAmounts(available, job.need, { factor: block.get(worker) ?? 0 });
+        return available;
       },
       isEvictable: (victim) => isDrainable(victim, job),
     });
@@ -231,8 +231,8 @@
 }
 
 /**
- * Whether a gang may be moved for a larger one that has waited long: work on
- * loan, and what its own client account runs within the guarantee.
+ * Whether a gang may be evicted for a larger one that has waited long: if it
+ * borrows, or belongs to the same client account.
  */
 export function isDrainable(victim: JobState, claimant: JobState): boolean {
   const isOwn = victim.specification.clientAccount ===
@@ -243,9 +243,9 @@
     victim.drainEvictions < DRAIN_EVICTIONS_LIMIT;
 }
 
-function hasAllRoom(reservation: Reservation): boolean {
+function isBlockFree(reservation: Reservation): boolean {
   for (const [worker, tasks] of reservation.block) {
-    const needed = noAmounts();
+    const needed = zeroAmounts();
     addAmounts(needed, reservation.job.need, { factor: tasks });
     if (!worker.isPlaceable || !isWithin(needed, worker.free())) {
       return false;
--- a/src/process/scheduler/core/scheduler_core.ts
+++ b/src/process/scheduler/core/scheduler_core.ts
@@ -1,27 +1,27 @@
 /**
- * The scheduler of one data centre: a pure function of its state and the
- * events, which carry their own moments.
+ * The scheduler of one data centre. Its decisions depend only on its state and
+ * on the events, which carry their own time stamps.
  *
  * @module
  */
 
 import type { DataCentreId, JobId } from "../../../base/identity.ts";
-import { CellUpkeep } from "./cell_upkeep.ts";
+import { GuaranteeReconciler } from "./guarantee_reconciler.ts";
 import { CoreContext, type Mutation } from "./core_context.ts";
 import { Evictor } from "./evictor.ts";
-import { GangEvents } from "./gang_events.ts";
+import { GangEventHandler } from "./gang_event_handler.ts";
 import { GangLifecycle } from "./gang_lifecycle.ts";
-import { findBrokenInvariants } from "./invariants.ts";
-import { JobEvents } from "./job_events.ts";
+import { findInvariantViolations } from "./invariants.ts";
+import { JobEventHandler } from "./job_event_handler.ts";
 import { type JobRecord, recordOf } from "./job_record.ts";
 import { Placer } from "./placer.ts";
-import { PlacingPass } from "./placing_pass.ts";
+import { PlacementPass } from "./placement_pass.ts";
 import { Quarantine } from "./quarantine.ts";
 import { Recovery } from "./recovery.ts";
 import { ReservationManager } from "./reservation_manager.ts";
 import type { SchedulerDecision } from "./scheduler_decision.ts";
 import type { SchedulerEvent } from "./scheduler_event.ts";
-import { VainTries } from "./vain_tries.ts";
+import { FailedSearchCache } from "./failed_search_cache.ts";
 import {
   type JobView,
   jobViewOf,
@@ -30,28 +30,28 @@
   type WorkerView,
   workerViewOf,
 } from "./views.ts";
-import { WorkerEvents } from "./worker_events.ts";
+import { WorkerEventHandler } from "./worker_event_handler.ts";
 
-/** What a scheduler core is made with. */
+/** Options of {@link SchedulerCore}. */
 export interface SchedulerCoreOptions {
   readonly dataCentre: DataCentreId;
   /** @internal */
   readonly mutations?: readonly Mutation[];
 }
 
-/** What a new leader takes over. */
+/** Options of {@link SchedulerCore.restore}. */
 export interface RestoreOptions {
   readonly atMs: number;
   /**
-   * By when a worker that stays silent has stopped its tasks, because its
-   * lease has run out.
+   * When a worker that hasn't reported has stopped its tasks, since its lease
+   * has expired.
    */
   readonly recoverUntilMs: number;
-  /** When the data centre was last taken in again, if that is known. */
+  /** When the data centre last returned from `out` to `in`, if known. */
   readonly returnedAtMs?: number;
 }
 
-/** What every policy offers to the runtime and the bench. */
+/** The interface that every scheduling policy implements. */
 export interface SchedulerPolicy {
   handle(event: SchedulerEvent): readonly SchedulerDecision[];
 }
@@ -61,12 +61,12 @@
   readonly #context: CoreContext;
   readonly #lifecycle: GangLifecycle;
   readonly #reservations: ReservationManager;
-  readonly #upkeep: CellUpkeep;
+  readonly #reconciler: GuaranteeReconciler;
   readonly #quarantine: Quarantine;
-  readonly #gangEvents: GangEvents;
-  readonly #workerEvents: WorkerEvents;
-  readonly #jobEvents: JobEvents;
-  readonly #pass: PlacingPass;
+  readonly #gangEvents: GangEventHandler;
+  readonly #workerEvents: WorkerEventHandler;
+  readonly #jobEvents: JobEventHandler;
+  readonly #pass: PlacementPass;
   #recovery: Recovery | undefined;
 
   constructor(options: SchedulerCoreOptions) {
@@ -76,53 +76,53 @@
     });
     const lifecycle = new GangLifecycle({ context });
     const reservations = new ReservationManager({ context, lifecycle });
-    const upkeep = new CellUpkeep({ context, reservations });
+    const reconciler = new GuaranteeReconciler({ context, reservations });
     const quarantine = new Quarantine({
       context,
-      onOut: (worker) => this.#workerEvents.outOfUse(worker),
+      onQuarantined: (worker) => this.#workerEvents.withdraw(worker),
     });
-    const gangEvents = new GangEvents({ context, lifecycle, quarantine });
-    const vain = new VainTries();
-    const evictor = new Evictor({ context, reservations, vain });
+    const gangEvents = new GangEventHandler({ context, lifecycle, quarantine });
+    const failedSearches = new FailedSearchCache();
+    const evictor = new Evictor({ context, reservations, failedSearches });
     const placer = new Placer({
       context,
       lifecycle,
       reservations,
       evictor,
-      vain,
+      failedSearches,
     });
     this.#context = context;
     this.#lifecycle = lifecycle;
     this.#reservations = reservations;
-    this.#upkeep = upkeep;
+    this.#reconciler = reconciler;
     this.#quarantine = quarantine;
     this.#gangEvents = gangEvents;
-    this.#workerEvents = new WorkerEvents({
+    this.#workerEvents = new WorkerEventHandler({
       context,
       lifecycle,
       gangEvents,
       reservations,
-      upkeep,
+      reconciler,
     });
-    this.#pass = new PlacingPass({
+    this.#pass = new PlacementPass({
       context,
       placer,
       evictor,
-      vain,
+      failedSearches,
       reservations,
     });
-    this.#jobEvents = new JobEvents({
+    this.#jobEvents = new JobEventHandler({
       context,
       lifecycle,
       reservations,
-      upkeep,
+      reconciler,
       pass: this.#pass,
     });
   }
 
   /**
-   * Takes over from an earlier leader. Nothing starts until every declared
-   * worker has joined or `recoverUntilMs` has come.
+   * Takes over the jobs of an earlier leader. Nothing starts until every
+   * declared worker has joined or `recoverUntilMs` is reached.
    */
   restore(records: readonly JobRecord[], options: RestoreOptions): void {
     this.#context.nowMs = options.atMs;
@@ -137,12 +137,12 @@
     });
     for (const record of records) {
       const order = this.#jobEvents.nextOrder();
-      const job = this.#recovery.take(record, { order });
+      const job = this.#recovery.restoreJob(record, { order });
       this.#context.jobs.set(record.specification.jobId, job);
     }
   }
 
-  /** Takes an event in; returns what is to be done about it, in order. */
+  /** Handles an event; returns the resulting decisions, in order. */
   handle(event: SchedulerEvent): readonly SchedulerDecision[] {
     const context = this.#context;
     context.decisions = [];
@@ -151,13 +151,13 @@
     return context.decisions;
   }
 
-  /** One job, or undefined when it isn't known, or no longer. */
+  /** One job, or undefined if it is unknown or no longer remembered. */
   jobView(jobId: JobId): JobView | undefined {
     const job = this.#context.jobs.get(jobId);
     return job === undefined ? undefined : jobViewOf(job, this.#context);
   }
 
-  /** Every job that is known, ended ones included. */
+  /** Every known job, including ended ones that are still remembered. */
   jobs(): JobView[] {
     return [...this.#context.jobs.values()]
       .map((job) => jobViewOf(job, this.#context));
@@ -171,25 +171,25 @@
     return metricsOf(this.#context, { reservations: this.#reservations.size });
   }
 
-  /** Whether a new leader is still learning what runs. */
+  /** Whether this leader is still finding out which gangs run. */
   get isRecovering(): boolean {
     return this.#context.isRecovering;
   }
 
-  /** What is to be kept of a job, so that another leader can take over. */
+  /** The record from which another leader can take over a job. */
   jobRecord(jobId: JobId): JobRecord | undefined {
     const job = this.#context.jobs.get(jobId);
     return job === undefined ? undefined : recordOf(job);
   }
 
-  /** What is to be kept of every job. */
+  /** The records of all known jobs. */
   jobRecords(): JobRecord[] {
     return [...this.#context.jobs.values()].map(recordOf);
   }
 
-  /** Everything that should hold and doesn't; slow, for tests. */
+  /** Describes every violated invariant; slow, for tests only. */
   findBrokenInvariants(): string[] {
-    return findBrokenInvariants(this.#context, {
+    return findInvariantViolations(this.#context, {
       quarantine: this.#quarantine,
     });
   }
@@ -204,7 +204,7 @@
         return;
       case "workerJoined": {
         const worker = this.#workerEvents.joined(event.worker, event.running);
-        this.#recovery?.report(worker, event.running);
+        this.#recovery?.recordReport(worker, event.running);
         return;
       }
       case "workerUsageReported":
@@ -212,13 +212,13 @@
         return;
       case "workerLeaving":
       case "workerLost":
-        this.#workerOut(event.workerId, event.kind);
+        this.#handleDeparture(event.workerId, event.kind);
         return;
       case "jobSubmitted":
         this.#jobEvents.submitted(event);
         return;
       case "jobCancelled":
-        if (this.#recovery?.cancel(event.jobId) !== true) {
+        if (this.#recovery?.recordCancellation(event.jobId) !== true) {
           this.#jobEvents.cancelled(event.jobId);
         }
         return;
@@ -226,7 +226,7 @@
         this.#gangEvents.started(event);
         return;
       case "gangStartFailed":
-        this.#recovery?.attemptGone(event);
+        this.#recovery?.recordReleasedAttempt(event);
         this.#gangEvents.startFailed(event);
         return;
       case "taskEnded":
@@ -234,7 +234,7 @@
         this.#gangEvents.taskEnded(event);
         return;
       case "gangStopped":
-        this.#recovery?.attemptGone(event);
+        this.#recovery?.recordReleasedAttempt(event);
         this.#gangEvents.stopped(event);
         return;
       case "clockTicked":
@@ -243,7 +243,7 @@
     }
   }
 
-  #workerOut(
+  #handleDeparture(
     workerId: string,
     kind: "workerLeaving" | "workerLost",
   ): void {
@@ -261,9 +261,9 @@
 
   #tick(): void {
     this.#finishRecovery();
-    this.#runDue();
-    this.#upkeep.run();
-    this.#upkeep.promoteChanged();
+    this.#runTimers();
+    this.#reconciler.reconcile();
+    this.#reconciler.promoteChanged();
     this.#pass.run();
   }
 
@@ -276,14 +276,14 @@
     }
   }
 
-  #runDue(): void {
-    const { due, nowMs } = this.#context;
+  #runTimers(): void {
+    const { timers, nowMs } = this.#context;
     for (
-      let next = due.peek();
+      let next = timers.peek();
       next !== undefined && next.atMs <= nowMs;
-      next = due.peek()
+      next = timers.peek()
     ) {
-      due.pop();
+      timers.pop();
       next.action();
     }
   }
--- a/src/process/scheduler/core/scheduler_core_fuzz_test.ts
+++ b/src/process/scheduler/core/scheduler_core_fuzz_test.ts
@@ -2,7 +2,7 @@
 import fc from "fast-check";
 import type { Mutation } from "./core_context.ts";
 import type { JobSpecification } from "./job.ts";
-import { FakeExecutor } from "./testing/fake_executor.ts";
+import { FakeRuntime } from "./testing/fake_runtime.ts";
 import { makeDocument, makeWorkers } from "./testing/test_document.ts";
 import { settle } from "./testing/settle.ts";
 
@@ -14,7 +14,7 @@
 type Step =
   | { kind: "submit"; job: JobSpecification }
   | { kind: "cancel"; at: number }
-  | { kind: "cancelWave" }
+  | { kind: "cancelAll" }
   | { kind: "deliver"; at: number; fails: boolean }
   | { kind: "endGang"; at: number; fails: boolean }
   | { kind: "tick"; byMs: number }
@@ -119,7 +119,7 @@
     weight: 1,
     arbitrary: fc.record({ kind: fc.constant("cancel" as const), at: index }),
   },
-  { weight: 1, arbitrary: fc.constant({ kind: "cancelWave" as const }) },
+  { weight: 1, arbitrary: fc.constant({ kind: "cancelAll" as const }) },
   {
     weight: 1,
     arbitrary: fc.record({
@@ -159,7 +159,7 @@
   { weight: 1, arbitrary: fc.constant({ kind: "repeat" as const }) },
 );
 
-class StepCommand implements fc.Command<object, FakeExecutor> {
+class StepCommand implements fc.Command<object, FakeRuntime> {
   readonly #step: Step;
 
   constructor(step: Step) {
@@ -170,10 +170,10 @@
     return true;
   }
 
-  run(_model: object, world: FakeExecutor): void {
-    apply(this.#step, world);
-    if (world.broken.length > 0) {
-      throw new Error(world.broken.join("\n"));
+  run(_model: object, runtime: FakeRuntime): void {
+    apply(this.#step, runtime);
+    if (runtime.violations.length > 0) {
+      throw new Error(runtime.violations.join("\n"));
     }
   }
 
@@ -182,42 +182,42 @@
   }
 }
 
-function apply(step: Step, world: FakeExecutor): void {
+function apply(step: Step, runtime: FakeRuntime): void {
   switch (step.kind) {
     case "submit":
-      return world.submit(step.job);
+      return runtime.submit(step.job);
     case "cancel":
-      return world.cancel(pick([...world.jobs.keys()], step.at) ?? "none");
-    case "cancelWave":
-      return [...world.jobs.keys()].forEach((jobId) => world.cancel(jobId));
+      return runtime.cancel(pick([...runtime.jobs.keys()], step.at) ?? "none");
+    case "cancelAll":
+      return [...runtime.jobs.keys()].forEach((jobId) => runtime.cancel(jobId));
     case "deliver":
-      return world.deliver(step.at, { fails: step.fails });
+      return runtime.deliver(step.at, { fails: step.fails });
     case "endGang":
-      return world.endGang(step.at, { fails: step.fails });
+      return runtime.endGang(step.at, { fails: step.fails });
     case "tick":
-      return world.tick(step.byMs);
+      return runtime.tick(step.byMs);
     case "lose":
-      return world.lose(pick([...world.workers.keys()], step.at) ?? "", {
+      return runtime.lose(pick([...runtime.workers.keys()], step.at) ?? "", {
         leavesZombies: step.leavesZombies,
       });
     case "join":
-      return world.join(pick([...world.workers.keys()], step.at) ?? "");
+      return runtime.join(pick([...runtime.workers.keys()], step.at) ?? "");
     case "leave":
-      return world.leave(pick([...world.workers.keys()], step.at) ?? "");
+      return runtime.leave(pick([...runtime.workers.keys()], step.at) ?? "");
     case "status":
-      return world.setStatus(step.isOut ? "out" : "in");
+      return runtime.setStatus(step.isOut ? "out" : "in");
     case "permit":
-      return world.permit(step.forMs);
+      return runtime.permit(step.forMs);
     case "guarantees":
-      return world.configure({
+      return runtime.configure({
         clientAccounts: documentOf(step.at % GUARANTEES.length).clientAccounts,
       });
     case "leader":
-      return world.changeLeader({ startsArrive: step.startsArrive });
+      return runtime.changeLeader({ startsArrive: step.startsArrive });
     case "usage":
-      return world.reportUsage(step.at, { factor: step.factor });
+      return runtime.reportUsage(step.at, { factor: step.factor });
     case "repeat":
-      return world.repeat();
+      return runtime.repeat();
   }
 }
 
@@ -240,15 +240,15 @@
     { maxCommands: STEPS_LIMIT, size: "max" },
   );
   const property = fc.property(commands, (all) => {
-    const world = new FakeExecutor({
+    const runtime = new FakeRuntime({
       document: documentOf(0),
       workers: makeWorkers(HARDWARE),
       mutations: options.mutations ?? [],
     });
-    fc.modelRun(() => ({ model: {}, real: world }), all);
-    settle(world);
-    if (world.broken.length > 0) {
-      throw new Error(world.broken.slice(0, 5).join("\n"));
+    fc.modelRun(() => ({ model: {}, real: runtime }), all);
+    settle(runtime);
+    if (runtime.violations.length > 0) {
+      throw new Error(runtime.violations.slice(0, 5).join("\n"));
     }
   });
   const details = fc.check(property, {
@@ -267,7 +267,7 @@
   t.false(details.failed, details.report);
 });
 
-/** Each fault, and the check that must notice it. */
+/** Each injected fault, and the violation that the checks must report. */
 const MUTATIONS: Readonly<Record<Mutation, RegExp>> = {
   startsWhileOut: /while the data centre is out/,
   startsWithoutPermission: /without permission/,
@@ -275,15 +275,15 @@
   overcommitsWorkers: /more is used than it has/,
   breaksGangs: /without every task|isn't whole/,
   ignoresAdjacency: /aren't adjacent/,
-  claimsForeignCells: /more within its guarantee than its cells/,
-  leavesCellsOnLostWorkers: /out of use/,
+  claimsForeignGuarantees: /more within its guarantee than its cells/,
+  leavesGuaranteesOnLostWorkers: /out of use/,
   forgetsQueuedJobs: /waits outside the queue/,
   keepsStaleIndex: /index: rack/,
   evictsGuarantees: /evicted from its guarantee/,
 };
 
 for (const [mutation, expected] of Object.entries(MUTATIONS)) {
-  test(`the checks notice a scheduler that ${mutation}`, (t) => {
+  test(`the checks detect the mutation ${mutation}`, (t) => {
     const details = runFuzz({
       seed: SEED,
       runs: 200,
