--- a/src/process/scheduler/core/scheduler_decision.ts
+++ b/src/process/scheduler/core/scheduler_decision.ts
@@ -1,6 +1,6 @@
 /**
- * What a data centre's scheduler decides. The runtime carries decisions out
- * and answers with events.
+ * The decisions of a data centre's scheduler core. The runtime carries them
+ * out and reports the results as events.
  *
  * @module
  */
@@ -9,13 +9,13 @@
 import type { JobId, WorkerId } from "../../../base/identity.ts";
 import type { TaskResources } from "./job.ts";
 
-/** Where one task of a gang goes. */
+/** The worker of one task of a gang. */
 export interface TaskPlacement {
   readonly taskIndex: number;
   readonly workerId: WorkerId;
 }
 
-/** Why a job waits. */
+/** Why a job waits, with the text shown to users. */
 export const WaitReason = {
   starting: "its gang is being started",
   capacity: "no block of adjacent accelerators is free",
@@ -52,7 +52,7 @@
 /** One of the keys of {@link StopReason}. */
 export type StopReason = keyof typeof StopReason;
 
-/** How a job came to its end. */
+/** How a job ended. */
 export const JobOutcome = {
   succeeded: "succeeded",
   failed: "failed",
@@ -65,7 +65,7 @@
 /** One of the values of {@link JobOutcome}. */
 export type JobOutcome = typeof JobOutcome[keyof typeof JobOutcome];
 
-/** A decision out of the scheduler core. */
+/** A decision of the scheduler core. */
 export type SchedulerDecision =
   | StartGang
   | StopGang
@@ -75,29 +75,29 @@
   | QuarantineWorker
   | ReleaseWorker;
 
-/** Reserve on every worker, then start; any failure releases all. */
+/** Reserve on every worker, then start; on any failure release everywhere. */
 export interface StartGang {
   readonly kind: "startGang";
   readonly jobId: JobId;
   readonly attempt: number;
   readonly resources: TaskResources;
   readonly placements: readonly TaskPlacement[];
-  /** The configuration version under which it was decided. */
+  /** The configuration version that the decision is based on. */
   readonly configurationVersion: number;
 }
 
-/** Stop every task of the attempt, after a checkpoint where one is asked. */
+/** Stop every task of the attempt, after a checkpoint if one is wanted. */
 export interface StopGang {
   readonly kind: "stopGang";
   readonly jobId: JobId;
   readonly attempt: number;
   readonly reason: StopReason;
   readonly wantsCheckpoint: boolean;
-  /** When the stop goes ahead without a checkpoint. */
+  /** When to stop even if the checkpoint isn't finished. */
   readonly checkpointDeadlineMs: number;
 }
 
-/** Slow every task of the attempt down to a fraction of its processors. */
+/** Limit every task of the attempt to a fraction of its processors. */
 export interface ThrottleGang {
   readonly kind: "throttleGang";
   readonly jobId: JobId;
@@ -105,14 +105,14 @@
   readonly coresFraction: number;
 }
 
-/** The reason for waiting has changed. */
+/** The reason for which a job waits has changed. */
 export interface JobWaits {
   readonly kind: "jobWaits";
   readonly jobId: JobId;
   readonly reason: WaitReason;
 }
 
-/** The job has come to its end; nothing of it runs. */
+/** The job has ended; none of its tasks runs. */
 export interface JobEnds {
   readonly kind: "jobEnds";
   readonly jobId: JobId;
@@ -122,14 +122,14 @@
   readonly detail?: string;
 }
 
-/** Place nothing on the worker, but for a probe after `probeAtMs`. */
+/** The worker gets no work except a probe after `probeAtMs`. */
 export interface QuarantineWorker {
   readonly kind: "quarantineWorker";
   readonly workerId: WorkerId;
   readonly probeAtMs: number;
 }
 
-/** The worker has shown that it works. */
+/** A task succeeded on a quarantined worker, which is in use again. */
 export interface ReleaseWorker {
   readonly kind: "releaseWorker";
   readonly workerId: WorkerId;
--- a/src/process/scheduler/core/scheduler_event.ts
+++ b/src/process/scheduler/core/scheduler_event.ts
@@ -1,6 +1,6 @@
 /**
- * What happens to a data centre's scheduler. The core is a pure function of
- * its state and these; every event carries its moment.
+ * The events of a data centre's scheduler core. The core reads no clock: every
+ * event carries the time at which it happened.
  *
  * @module
  */
@@ -12,9 +12,9 @@
 /** A task of one attempt of a job. */
 export interface TaskReference {
   readonly jobId: JobId;
-  /** Counts the starts of the job, from 1. */
+  /** Number of the start of the job, from 1. */
   readonly attempt: number;
-  /** From 0 up to the number of tasks. */
+  /** From 0 to the number of tasks minus 1. */
   readonly taskIndex: number;
 }
 
@@ -27,32 +27,32 @@
   readonly accelerators: number;
 }
 
-/** What one task was seen to use; it lags behind. */
+/** The measured use of one task, which may be out of date. */
 export interface TaskUsage extends TaskReference {
   readonly cores: number;
   readonly memoryBytes: number;
   readonly accelerators: number;
-  /** When the task last finished a checkpoint; absent for never. */
+  /** When the task last finished a checkpoint; absent if it never did. */
   readonly checkpointedAtMs?: number;
 }
 
-/** How one task came to its end. */
+/** How one task ended. */
 export const TaskOutcome = {
   succeeded: "succeeded",
-  /** Its own exit status said so. */
+  /** It exited with an error status. */
   failed: "failed",
-  /** Stopped by a decision of ours, after a checkpoint. */
+  /** Stopped by a decision of the scheduler, after a checkpoint. */
   checkpointed: "checkpointed",
-  /** Stopped by a decision of ours, without one. */
+  /** Stopped by a decision of the scheduler, without a checkpoint. */
   stopped: "stopped",
-  /** Its worker, or its lease, was lost. */
+  /** Its worker was lost, or its lease expired. */
   lost: "lost",
 } as const;
 
 /** One of the values of {@link TaskOutcome}. */
 export type TaskOutcome = typeof TaskOutcome[keyof typeof TaskOutcome];
 
-/** An event into the scheduler core. */
+/** An event that the scheduler core handles. */
 export type SchedulerEvent =
   | ConfigurationChanged
   | StartPermissionExtended
@@ -75,19 +75,19 @@
   readonly configuration: ConfigurationVersion;
 }
 
-/** The copy of the configuration was current; starts are allowed till then. */
+/** The configuration was confirmed as current; extends the time for starts. */
 export interface StartPermissionExtended {
   readonly kind: "startPermissionExtended";
   readonly atMs: number;
   readonly permittedUntilMs: number;
 }
 
-/** A worker announced itself, or came back. */
+/** A worker announced itself, for the first time or again. */
 export interface WorkerJoined {
   readonly kind: "workerJoined";
   readonly atMs: number;
   readonly worker: WorkerDescription;
-  /** What it runs already, such as after a change of leader. */
+  /** Tasks that it runs already, for example after a change of leader. */
   readonly running: readonly TaskReference[];
 }
 
@@ -99,45 +99,45 @@
   readonly usages: readonly TaskUsage[];
 }
 
-/** A worker said that it will leave; it gets nothing new. */
+/** A worker announced that it will leave; it gets no new work. */
 export interface WorkerLeaving {
   readonly kind: "workerLeaving";
   readonly atMs: number;
   readonly workerId: WorkerId;
 }
 
-/** A worker's lease has run out. */
+/** A worker's lease expired. */
 export interface WorkerLost {
   readonly kind: "workerLost";
   readonly atMs: number;
   readonly workerId: WorkerId;
 }
 
-/** A job was accepted into the queue. */
+/** A job was submitted, or transferred from another data centre. */
 export interface JobSubmitted {
   readonly kind: "jobSubmitted";
   readonly atMs: number;
   readonly job: JobSpecification;
   /**
-   * The highest attempt number that the job has used, here or in the data
-   * centre it came from; the next start takes a higher one. Absent for none.
+   * The highest attempt number that the job has used in any data centre; the
+   * next start takes a higher one. Absent if it has never started.
    */
   readonly attemptsUsed?: number;
   /**
-   * Whether it came from another data centre: it is then taken in even if it
-   * left this one before.
+   * Whether it was transferred from another data centre: it is then accepted
+   * even if this one knows it as ended.
    */
   readonly isReturned?: boolean;
 }
 
-/** Its submitter wants a job no more. */
+/** A job was cancelled by its submitter. */
 export interface JobCancelled {
   readonly kind: "jobCancelled";
   readonly atMs: number;
   readonly jobId: JobId;
 }
 
-/** Every task of the attempt runs. */
+/** Every task of the attempt has started. */
 export interface GangStarted {
   readonly kind: "gangStarted";
   readonly atMs: number;
@@ -145,17 +145,17 @@
   readonly attempt: number;
 }
 
-/** The attempt was released on every worker; no task of it runs. */
+/** The start failed; the attempt is released on every worker. */
 export interface GangStartFailed {
   readonly kind: "gangStartFailed";
   readonly atMs: number;
   readonly jobId: JobId;
   readonly attempt: number;
-  /** The workers that refused or stayed silent. */
+  /** The workers that refused the start or didn't answer. */
   readonly workerIds: readonly WorkerId[];
 }
 
-/** One task of a running gang came to its end. */
+/** One task of an attempt ended. */
 export interface TaskEnded extends TaskReference {
   readonly kind: "taskEnded";
   readonly atMs: number;
@@ -163,7 +163,7 @@
   readonly outcome: TaskOutcome;
 }
 
-/** A `stopGang` decision was carried out on every worker. */
+/** A `stopGang` decision was completed on every worker. */
 export interface GangStopped {
   readonly kind: "gangStopped";
   readonly atMs: number;
@@ -172,7 +172,7 @@
   readonly isCheckpointed: boolean;
 }
 
-/** Time went by: deadlines, reservations, probes and drains are looked at. */
+/** Runs due timers (deadlines, reservations, probes) and a placement pass. */
 export interface ClockTicked {
   readonly kind: "clockTicked";
   readonly atMs: number;
--- a/src/process/scheduler/core/testing/fake_executor.ts
+++ b/src/process/scheduler/core/testing/fake_runtime.ts
@@ -1,5 +1,5 @@
 /**
- * A small stand-in for workers and the runtime.
+ * A stand-in for the runtime and its workers, which drives the core under test.
  *
  * @module
  */
@@ -24,29 +24,28 @@
 } from "./oracle.ts";
 import { DATA_CENTRE } from "./test_document.ts";
 
-/** How long a worker's lease lasts. */
 const LEASE_MS = 10_000;
 
-/** What a test world is made of. */
-export interface WorldOptions {
+/** Options of {@link FakeRuntime}. */
+export interface FakeRuntimeOptions {
   readonly document: Document;
   readonly workers: readonly WorkerDescription[];
   readonly mutations?: readonly Mutation[];
 }
 
-/** Workers, the runtime between, and the core under test. */
-export class FakeExecutor {
+/** Simulated workers and runtime, and the core under test. */
+export class FakeRuntime {
   core: SchedulerCore;
   nowMs = 1_000;
-  readonly #oracle = new Oracle({ world: this });
-  /** What the oracle found wrong. */
-  readonly broken = this.#oracle.broken;
+  readonly #oracle = new Oracle({ runtime: this });
+  /** Violations found by the oracle and by the core's invariants. */
+  readonly violations = this.#oracle.violations;
   readonly jobs = new Map<string, JobSpecification>();
   readonly ended = new Map<string, string>();
   readonly workers = new Map<string, FakeWorker>();
   readonly gangs = new Map<string, FakeGang>();
   pending: (StartGang | StopGang)[] = [];
-  /** Every decision so far. */
+  /** All decisions so far. */
   readonly decisions: SchedulerDecision[] = [];
   readonly #mutations: readonly Mutation[];
   document: Document;
@@ -54,7 +53,7 @@
   permittedUntilMs = -1;
   #lastEvent: SchedulerEvent | undefined;
 
-  constructor(options: WorldOptions) {
+  constructor(options: FakeRuntimeOptions) {
     this.#mutations = options.mutations ?? [];
     this.document = options.document;
     this.core = this.#newCore();
@@ -80,12 +79,12 @@
     for (const decision of decisions) {
       this.#apply(decision, wasRecovering && this.core.isRecovering);
     }
-    this.broken.push(...this.core.findBrokenInvariants());
-    this.#oracle.checkKnown();
-    this.#oracle.noteGuaranteed();
+    this.violations.push(...this.core.findBrokenInvariants());
+    this.#oracle.checkJobs();
+    this.#oracle.recordGuaranteed();
   }
 
-  /** The same message again. */
+  /** Sends the last event again, as a duplicate. */
   repeat(): void {
     if (this.#lastEvent !== undefined) {
       this.send({ ...this.#lastEvent, atMs: this.nowMs });
@@ -158,7 +157,7 @@
     }
   }
 
-  /** The worker is cut off; it may come back with its tasks still there. */
+  /** Cuts a worker off; it may join again with its tasks still running. */
   lose(workerId: string, options: { leavesZombies: boolean }): void {
     const worker = this.workers.get(workerId);
     if (worker === undefined || worker.state === "lost") {
@@ -172,9 +171,9 @@
     this.send({ kind: "workerLost", atMs: this.nowMs, workerId });
   }
 
-  /** Carries out one pending decision, in any order. */
-  deliver(at: number, options: { fails: boolean }): void {
-    const decision = this.pending[at % Math.max(1, this.pending.length)];
+  /** Carries out one pending decision; `index` wraps around. */
+  deliver(index: number, options: { fails: boolean }): void {
+    const decision = this.pending[index % Math.max(1, this.pending.length)];
     if (decision === undefined) {
       return;
     }
@@ -187,10 +186,10 @@
       this.workers.get(workerId)?.state !== "lost"
     );
     if (options.fails || !areUp) {
-      this.#startFails(decision);
+      this.#failStart(decision);
       return;
     }
-    this.#runs(decision);
+    this.#startTasks(decision);
     this.send({
       kind: "gangStarted",
       atMs: this.nowMs,
@@ -199,10 +198,10 @@
     });
   }
 
-  /** A worker reports that a running gang uses so much of what it asked. */
-  reportUsage(at: number, options: { factor: number }): void {
+  /** Reports the use of a running gang, as a factor of what it requested. */
+  reportUsage(index: number, options: { factor: number }): void {
     const running = this.#running();
-    const gang = running[at % Math.max(1, running.length)];
+    const gang = running[index % Math.max(1, running.length)];
     if (gang === undefined) {
       return;
     }
@@ -223,26 +222,26 @@
     });
   }
 
-  /** Carries out all that is pending, in order. */
+  /** Carries out all pending decisions, in order. */
   deliverAll(): void {
     while (this.pending.length > 0) {
       this.deliver(0, { fails: false });
     }
   }
 
-  /** Every task of a job's gang succeeds, or one of them fails. */
+  /** Ends a job's gang: every task succeeds, or the first one fails. */
   endJob(jobId: string, options: { fails: boolean }): void {
     const running = this.#running();
-    const at = running.findIndex((gang) => gang.start.jobId === jobId);
-    if (at >= 0) {
-      this.endGang(at, options);
+    const index = running.findIndex((gang) => gang.start.jobId === jobId);
+    if (index >= 0) {
+      this.endGang(index, options);
     }
   }
 
-  /** Every task of a running gang succeeds, or one of them fails. */
-  endGang(at: number, options: { fails: boolean }): void {
+  /** Ends a running gang: every task succeeds, or the first one fails. */
+  endGang(index: number, options: { fails: boolean }): void {
     const running = this.#running();
-    const gang = running[at % Math.max(1, running.length)];
+    const gang = running[index % Math.max(1, running.length)];
     if (gang === undefined) {
       return;
     }
@@ -275,13 +274,13 @@
     }
   }
 
-  /** A new leader takes over from what was kept. */
+  /** Replaces the core by one that restores the job records. */
   changeLeader(options: { startsArrive: boolean }): void {
     const records: JobRecord[] = this.core.jobRecords();
     const starts = this.pending.filter((item) => item.kind === "startGang");
     this.pending = [];
     for (const start of options.startsArrive ? starts : []) {
-      this.#runs(start as StartGang);
+      this.#startTasks(start as StartGang);
     }
     this.core = this.#newCore();
     this.permittedUntilMs = -1;
@@ -342,7 +341,7 @@
     }
   }
 
-  #runs(start: StartGang): void {
+  #startTasks(start: StartGang): void {
     for (const { workerId, taskIndex } of start.placements) {
       const worker = this.workers.get(workerId);
       if (worker === undefined || worker.state === "lost") {
@@ -357,8 +356,8 @@
     this.#setRunning(start, true);
   }
 
-  #startFails({ jobId, attempt, placements }: StartGang): void {
-    this.#clear({ jobId, attempt });
+  #failStart({ jobId, attempt, placements }: StartGang): void {
+    this.#clearAttempt({ jobId, attempt });
     const workerIds = placements.slice(0, 1).map(({ workerId }) => workerId);
     const atMs = this.nowMs;
     this.send({ kind: "gangStartFailed", atMs, jobId, attempt, workerIds });
@@ -368,7 +367,7 @@
     this.pending = this.pending.filter((item) =>
       item.kind !== "startGang" || keyOf(item) !== keyOf(stop)
     );
-    this.#clear(stop);
+    this.#clearAttempt(stop);
     this.send({
       kind: "gangStopped",
       atMs: this.nowMs,
@@ -378,7 +377,7 @@
     });
   }
 
-  #clear(attempt: { jobId: string; attempt: number }): void {
+  #clearAttempt(attempt: { jobId: string; attempt: number }): void {
     const key = keyOf(attempt);
     for (const worker of this.workers.values()) {
       worker.running.delete(key);
--- a/src/process/scheduler/core/testing/test_document.ts
+++ b/src/process/scheduler/core/testing/test_document.ts
@@ -1,5 +1,5 @@
 /**
- * Small documents and their workers, for tests.
+ * Small configuration documents and matching workers for tests.
  *
  * @module
  */
@@ -11,7 +11,7 @@
 } from "../../../../version/document/document.ts";
 import type { WorkerDescription } from "../scheduler_event.ts";
 
-/** The data centre of every test. */
+/** The data centre in all tests. */
 export const DATA_CENTRE = "kalyani";
 
 /** Workers `r0w0`, `r0w1` and so on. */
@@ -33,7 +33,7 @@
   return workers;
 }
 
-/** A document for {@link makeWorkers}, with the guarantees given. */
+/** A document that declares the workers of {@link makeWorkers}. */
 export function makeDocument(options: {
   racks: number;
   workersPerRack: number;
--- a/src/process/scheduler/core/testing/small_world.ts
+++ b/src/process/scheduler/core/testing/test_runtime.ts
@@ -1,5 +1,5 @@
 /**
- * A world of two racks, and short cuts for tests in it.
+ * Helpers for tests with a simulated data centre of two racks.
  *
  * @module
  */
@@ -7,7 +7,7 @@
 import type { Guarantee } from "../../../../version/document/document.ts";
 import { type JobSpecification, jobSpecificationSchema } from "../job.ts";
 import type { SchedulerDecision } from "../scheduler_decision.ts";
-import { FakeExecutor } from "./fake_executor.ts";
+import { FakeRuntime } from "./fake_runtime.ts";
 import { makeDocument, makeWorkers } from "./test_document.ts";
 
 const HARDWARE = { racks: 2, workersPerRack: 4, accelerators: 8 };
@@ -15,7 +15,7 @@
 
 export type Guarantees = Record<string, Omit<Guarantee, "dataCentre">[]>;
 
-/** One shape that takes a whole rack. */
+/** One guaranteed shape that takes a whole rack. */
 export const WHOLE_RACK = {
   racks: 1,
   workersPerRack: 4,
@@ -23,8 +23,8 @@
   count: 1,
 };
 
-export function makeWorld(guarantees: Guarantees = { lakes: [], mills: [] }) {
-  return new FakeExecutor({
+export function makeRuntime(guarantees: Guarantees = { lakes: [], mills: [] }) {
+  return new FakeRuntime({
     document: makeDocument({ ...HARDWARE, guarantees }),
     workers: makeWorkers(HARDWARE),
   });
@@ -45,35 +45,35 @@
   });
 }
 
-export function ofKind<K extends SchedulerDecision["kind"]>(
-  world: FakeExecutor,
+export function decisionsOfKind<K extends SchedulerDecision["kind"]>(
+  runtime: FakeRuntime,
   kind: K,
 ): Extract<SchedulerDecision, { kind: K }>[] {
-  return world.decisions
+  return runtime.decisions
     .filter((each): each is Extract<SchedulerDecision, { kind: K }> =>
       each.kind === kind
     );
 }
 
-export function run(world: FakeExecutor, byMs = 100): void {
-  world.permit(10 * MINUTE_MS);
-  world.tick(byMs);
-  world.deliverAll();
+export function advance(runtime: FakeRuntime, byMs = 100): void {
+  runtime.permit(10 * MINUTE_MS);
+  runtime.tick(byMs);
+  runtime.deliverAll();
 }
 
-export function fill(
-  world: FakeExecutor,
+export function fillWorkers(
+  runtime: FakeRuntime,
   change: Partial<JobSpecification>,
 ): void {
   for (let at = 0; at < 8; at++) {
-    world.submit(makeJob(`fill-${at}`, change));
+    runtime.submit(makeJob(`fill-${at}`, change));
   }
-  run(world);
+  advance(runtime);
 }
 
-export function reasonOf(
-  world: FakeExecutor,
+export function waitReasonOf(
+  runtime: FakeRuntime,
   jobId: string,
 ): string | undefined {
-  return world.core.jobView(jobId)?.waitReason;
+  return runtime.core.jobView(jobId)?.waitReason;
 }
--- a/src/process/scheduler/core/views.ts
+++ b/src/process/scheduler/core/views.ts
@@ -1,5 +1,5 @@
 /**
- * What others see of the scheduler's state.
+ * Read-only views of the scheduler's state.
  *
  * @module
  */
@@ -22,7 +22,7 @@
 } from "./scheduler_decision.ts";
 import type { WorkerState, WorkerStatus } from "./worker_state.ts";
 
-/** One job as others see it. */
+/** A view of one job. */
 export interface JobView {
   readonly jobId: JobId;
   readonly clientAccount: ClientAccountId;
@@ -34,42 +34,42 @@
   readonly isGuaranteed: boolean;
   readonly submittedAtMs: number;
   readonly startedAtMs: number | undefined;
-  /** Why it waits; absent when it runs or has ended. */
+  /** Why it waits; undefined if it runs or has ended. */
   readonly waitReason: WaitReason | undefined;
-  /** The same in words. */
+  /** The text of `waitReason`. */
   readonly waitText: string | undefined;
-  /** The configuration version under which it was last placed. */
+  /** The configuration version at its last start. */
   readonly configurationVersion: number;
   readonly expectedRunMs: number;
   readonly outcome: JobOutcome | undefined;
 }
 
-/** One worker as others see it. */
+/** A view of one worker. */
 export interface WorkerView {
   readonly workerId: WorkerId;
   readonly rack: RackId;
   readonly status: WorkerStatus;
   readonly capacity: TaskResources;
   readonly free: TaskResources;
-  /** Accelerators that guarantees take here. */
-  readonly promisedAccelerators: number;
+  /** Accelerators assigned to guarantees. */
+  readonly guaranteeAccelerators: number;
   readonly gangs: number;
 }
 
-/** Sums over the whole data centre. */
+/** Figures of the whole data centre. */
 export interface SchedulerMetrics {
   readonly workers: number;
   readonly quarantinedWorkers: number;
   readonly freeAccelerators: number;
   readonly liveAccelerators: number;
-  /** The most adjacent accelerators free in one rack. */
+  /** Largest number of free accelerators in one rack. */
   readonly largestStartableGang: number;
-  /** That over all free accelerators; 1 when nothing is free. */
+  /** The same as a fraction of all free accelerators; 1 if none is free. */
   readonly largestStartableFraction: number;
   readonly queuedJobs: number;
   readonly liveGangs: number;
   readonly reservations: number;
-  readonly unplacedCells: number;
+  readonly unplacedGuarantees: number;
 }
 
 export function jobViewOf(job: JobState, context: CoreContext): JobView {
@@ -100,7 +100,7 @@
     status: worker.status,
     capacity: resourcesOf(worker.capacity),
     free: resourcesOf(worker.free()),
-    promisedAccelerators: worker.promised.accelerators,
+    guaranteeAccelerators: worker.guaranteeCapacity.accelerators,
     gangs: worker.allocations.size,
   };
 }
@@ -109,7 +109,7 @@
   context: CoreContext,
   options: { readonly reservations: number },
 ): SchedulerMetrics {
-  const { index, cells, queue, ledger } = context;
+  const { index, guarantees, queue, ledger } = context;
   let liveGangs = 0;
   for (const account of ledger.accounts().values()) {
     liveGangs += [...account.live].filter(isLive).length;
@@ -128,7 +128,7 @@
     queuedJobs: queue.size,
     liveGangs,
     reservations: options.reservations,
-    unplacedCells: [...cells.all()]
-      .filter((cell) => cell.workers.length === 0).length,
+    unplacedGuarantees: [...guarantees.all()]
+      .filter((assignment) => assignment.workers.length === 0).length,
   };
 }
--- a/src/process/scheduler/core/worker_events.ts
+++ b/src/process/scheduler/core/worker_event_handler.ts
@@ -1,49 +1,48 @@
 /**
- * Workers that come, leave and are lost.
+ * Handles workers that join, leave and are lost.
  *
  * @module
  */
 
 import { amountsOf, isSameAmounts } from "./amounts.ts";
-import type { CellUpkeep } from "./cell_upkeep.ts";
+import type { GuaranteeReconciler } from "./guarantee_reconciler.ts";
 import type { CoreContext } from "./core_context.ts";
-import { type GangEvents, staleKey } from "./gang_events.ts";
+import { attemptKey, type GangEventHandler } from "./gang_event_handler.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
 import { isLive, JobPhase, type JobState } from "./job_state.ts";
 import type { ReservationManager } from "./reservation_manager.ts";
 import type { TaskReference, WorkerDescription } from "./scheduler_event.ts";
 import { type WorkerState, WorkerStatus } from "./worker_state.ts";
 
-/** The handling of workers. */
-export class WorkerEvents {
+export class WorkerEventHandler {
   readonly #context: CoreContext;
   readonly #lifecycle: GangLifecycle;
-  readonly #gangEvents: GangEvents;
+  readonly #gangEvents: GangEventHandler;
   readonly #reservations: ReservationManager;
-  readonly #upkeep: CellUpkeep;
+  readonly #reconciler: GuaranteeReconciler;
 
   constructor(
     options: {
       context: CoreContext;
       lifecycle: GangLifecycle;
-      gangEvents: GangEvents;
+      gangEvents: GangEventHandler;
       reservations: ReservationManager;
-      upkeep: CellUpkeep;
+      reconciler: GuaranteeReconciler;
     },
   ) {
     this.#context = options.context;
     this.#lifecycle = options.lifecycle;
     this.#gangEvents = options.gangEvents;
     this.#reservations = options.reservations;
-    this.#upkeep = options.upkeep;
+    this.#reconciler = options.reconciler;
   }
 
-  /** Takes in a worker; returns it as the scheduler knows it. */
+  /** Adds or updates a worker; returns its state. */
   joined(
     description: WorkerDescription,
     running: readonly TaskReference[],
   ): WorkerState {
-    const { index, cells } = this.#context;
+    const { index, guarantees } = this.#context;
     let known = index.workers.get(description.workerId);
     if (known !== undefined && !isSameWorker(known, description)) {
       this.lost(known);
@@ -54,19 +53,19 @@
     }
     const worker = known ?? index.add(description);
     if (!this.#context.isRecovering) {
-      this.#breakMissing(worker, running);
-      this.markStale(worker, running);
-      this.#awaitStops(worker);
+      this.#breakIncompleteGangs(worker, running);
+      this.stopStaleAttempts(worker, running);
+      this.#markPendingStops(worker);
     }
     index.refresh(worker);
-    cells.workerCame();
-    this.#context.roomFreed();
+    guarantees.handleWorkerAvailable();
+    this.#context.recordFreedCapacity();
     return worker;
   }
 
   leaving(worker: WorkerState): void {
     worker.status = WorkerStatus.leaving;
-    this.outOfUse(worker);
+    this.withdraw(worker);
     const { policy, nowMs } = this.#context;
     for (const { job } of [...worker.allocations.values()]) {
       const jobClass = policy.jobClass(job.specification.jobClass);
@@ -79,46 +78,49 @@
 
   lost(worker: WorkerState): void {
     worker.status = WorkerStatus.lost;
-    this.outOfUse(worker);
+    this.withdraw(worker);
     const jobs = [...worker.allocations.values()].map(({ job }) => job);
     for (const job of jobs) {
       this.#context.ledger.releaseWorker(job, worker);
     }
     for (const key of [...worker.staleAttempts]) {
-      this.#context.dropStale(worker, key);
+      this.#context.dropStaleAttempt(worker, key);
     }
     this.#context.index.remove(worker);
     for (const job of jobs) {
-      this.#lostPart(job);
+      this.#handleLostTasks(job);
     }
-    this.#context.roomFreed();
+    this.#context.recordFreedCapacity();
   }
 
-  /** Takes the worker out of cells and reservations. */
-  outOfUse(worker: WorkerState): void {
+  /** Removes the worker from guarantees and reservations. */
+  withdraw(worker: WorkerState): void {
     this.#context.index.refresh(worker);
     this.#reservations.cancelOn(worker);
-    if (!this.#context.mutations.has("leavesCellsOnLostWorkers")) {
-      this.#context.cells.workerGone(worker);
+    if (!this.#context.mutations.has("leavesGuaranteesOnLostWorkers")) {
+      this.#context.guarantees.handleWorkerUnavailable(worker);
     }
-    this.#upkeep.run();
+    this.#reconciler.reconcile();
   }
 
-  /** Orders the end of attempts that the worker runs and nobody wants. */
-  markStale(worker: WorkerState, running: readonly TaskReference[]): void {
+  /** Stops the attempts on the worker that aren't those of a live job. */
+  stopStaleAttempts(
+    worker: WorkerState,
+    running: readonly TaskReference[],
+  ): void {
     const reported = new Set<string>();
     const { jobs } = this.#context;
     for (const { jobId, attempt } of running) {
       const job = jobs.get(jobId);
-      const isWanted = job !== undefined && isLive(job) &&
+      const isCurrent = job !== undefined && isLive(job) &&
         job.attempt === attempt && job.workers.has(worker);
-      const key = staleKey(jobId, attempt);
-      if (isWanted || reported.has(key)) {
+      const key = attemptKey(jobId, attempt);
+      if (isCurrent || reported.has(key)) {
         continue;
       }
       reported.add(key);
-      this.#addStale(worker, key);
-      this.#context.decide({
+      this.#addStaleAttempt(worker, key);
+      this.#context.emit({
         kind: "stopGang",
         jobId,
         attempt,
@@ -129,64 +131,64 @@
     }
     for (const key of [...worker.staleAttempts]) {
       if (!reported.has(key)) {
-        this.#context.dropStale(worker, key);
+        this.#context.dropStaleAttempt(worker, key);
       }
     }
   }
 
   /**
-   * A start may still be on its way to a worker that was lost and came back,
-   * until the stop of that attempt is answered.
+   * Marks attempts that are being stopped as stale on a worker that was lost
+   * and joined again: their start may still reach it until the stop completes.
    */
-  #awaitStops(worker: WorkerState): void {
+  #markPendingStops(worker: WorkerState): void {
     for (const account of this.#context.ledger.accounts().values()) {
       for (const job of account.live) {
         const isAwaited = job.phase === JobPhase.stopping &&
           !job.workers.has(worker) &&
           job.placements.some(({ workerId }) => workerId === worker.workerId);
         if (isAwaited) {
-          const key = staleKey(job.specification.jobId, job.attempt);
-          this.#addStale(worker, key);
+          const key = attemptKey(job.specification.jobId, job.attempt);
+          this.#addStaleAttempt(worker, key);
         }
       }
     }
   }
 
-  #addStale(worker: WorkerState, key: string): void {
+  #addStaleAttempt(worker: WorkerState, key: string): void {
     const { staleWorkers } = this.#context;
     const workers = staleWorkers.get(key) ?? new Set();
     staleWorkers.set(key, workers.add(worker));
     worker.staleAttempts.add(key);
   }
 
-  /** A worker that came back without a task has lost it. */
-  #breakMissing(
+  /** Breaks gangs whose tasks are missing from the worker's report. */
+  #breakIncompleteGangs(
     worker: WorkerState,
     running: readonly TaskReference[],
   ): void {
     const reported = new Set(
-      running.map(({ jobId, attempt }) => staleKey(jobId, attempt)),
+      running.map(({ jobId, attempt }) => attemptKey(jobId, attempt)),
     );
     for (const { job } of [...worker.allocations.values()]) {
-      const key = staleKey(job.specification.jobId, job.attempt);
+      const key = attemptKey(job.specification.jobId, job.attempt);
       const isMissing = job.phase === JobPhase.running &&
-        !reported.has(key) && !this.#haveAllEnded(job, worker);
+        !reported.has(key) && !this.#haveTasksEnded(job, worker);
       if (isMissing) {
         this.#gangEvents.breakGang(job);
       }
     }
   }
 
-  #haveAllEnded(job: JobState, worker: WorkerState): boolean {
+  #haveTasksEnded(job: JobState, worker: WorkerState): boolean {
     return job.placements
       .filter((placement) => placement.workerId === worker.workerId)
       .every((placement) => job.endedTasks.has(placement.taskIndex));
   }
 
-  #lostPart(job: JobState): void {
-    // A start or a stop on its way is answered before the job moves on.
-    const isGone = job.phase === JobPhase.running && job.workers.size === 0;
-    if (isGone) {
+  #handleLostTasks(job: JobState): void {
+    // A pending start or stop must complete before the job can be queued.
+    const hasNoTasks = job.phase === JobPhase.running && job.workers.size === 0;
+    if (hasNoTasks) {
       this.#lifecycle.finishStop(job);
     } else if (isLive(job)) {
       this.#gangEvents.breakGang(job);
--- a/src/process/scheduler/core/worker_state.ts
+++ b/src/process/scheduler/core/worker_state.ts
@@ -1,6 +1,6 @@
 /**
- * One worker as the scheduler knows it: what it has, what is taken, what is
- * reserved and what is promised to guarantees.
+ * The scheduler's state of one worker: its capacity, and how much of it is
+ * used, reserved and assigned to guarantees.
  *
  * @module
  */
@@ -17,18 +17,18 @@
   amountsOf,
   copyAmounts,
   differenceOf,
-  noAmounts,
+  zeroAmounts,
 } from "./amounts.ts";
 import type { JobState } from "./job_state.ts";
 import type { Reservation } from "./reservation.ts";
 import type { WorkerDescription } from "./scheduler_event.ts";
 
-/** Whether a worker takes work. */
+/** Whether a worker accepts work. */
 export const WorkerStatus = {
   up: "up",
   leaving: "leaving",
   quarantined: "quarantined",
-  /** Quarantined, and taking one gang at a time to show that it works. */
+  /** Quarantined, but accepting one gang at a time as a probe. */
   probing: "probing",
   lost: "lost",
 } as const;
@@ -36,10 +36,10 @@
 /** One of the values of {@link WorkerStatus}. */
 export type WorkerStatus = typeof WorkerStatus[keyof typeof WorkerStatus];
 
-/** How many ranks of job class there are. */
+/** Number of job class ranks, 0 to 9. */
 export const RANK_COUNT = 10;
 
-const NOTHING: Readonly<Amounts> = Object.freeze(noAmounts());
+const ZERO_AMOUNTS: Readonly<Amounts> = Object.freeze(zeroAmounts());
 
 /** The tasks of one gang on one worker. */
 export interface Allocation {
@@ -47,38 +47,37 @@
   readonly tasks: number;
 }
 
-/** One rack and the workers that have announced themselves in it. */
+/** One rack and its known workers. */
 export interface RackState {
   readonly rackId: RackId;
   readonly workers: WorkerState[];
-  /** Free accelerators on its workers that take work. */
+  /** Free accelerators on its workers that accept work. */
   freeAccelerators: number;
-  /** Accelerators held beyond guarantees, by rank; not those stopping. */
+  /** Accelerators of borrowing gangs by rank, except gangs being stopped. */
   readonly evictableByRank: Int32Array;
 }
 
-/** One worker. */
 export class WorkerState {
   readonly workerId: WorkerId;
   readonly rack: RackState;
   readonly capacity: Readonly<Amounts>;
   status: WorkerStatus = WorkerStatus.up;
-  readonly used: Amounts = noAmounts();
-  /** The part of `used` whose gangs are being stopped. */
-  readonly stopping: Amounts = noAmounts();
-  readonly reserved: Amounts = noAmounts();
+  readonly used: Amounts = zeroAmounts();
+  /** The part of `used` that belongs to gangs being stopped. */
+  readonly stopping: Amounts = zeroAmounts();
+  readonly reserved: Amounts = zeroAmounts();
   readonly allocations = new Map<JobId, Allocation>();
   readonly reservations = new Set<Reservation>();
-  /** What the guarantee cells take here, by client account. */
-  readonly promisedByAccount = new Map<ClientAccountId, Amounts>();
-  readonly promised: Amounts = noAmounts();
-  /** What work within guarantees takes here, by client account. */
-  readonly guaranteedByAccount = new Map<ClientAccountId, Amounts>();
-  /** Accelerators held beyond guarantees, by rank; not those stopping. */
+  /** Capacity assigned to guarantees here, by client account. */
+  readonly guaranteeCapacityByAccount = new Map<ClientAccountId, Amounts>();
+  readonly guaranteeCapacity: Amounts = zeroAmounts();
+  /** What guaranteed gangs and reclaims use here, by client account. */
+  readonly guaranteeUseByAccount = new Map<ClientAccountId, Amounts>();
+  /** Accelerators of borrowing gangs by rank, except gangs being stopped. */
   readonly evictableByRank = new Int32Array(RANK_COUNT);
-  /** Attempts that it runs though nobody wants them, until they stop. */
+  /** Keys of abandoned attempts that may still run here, until stopped. */
   readonly staleAttempts = new Set<string>();
-  /** Free accelerators as last entered in the rack index. */
+  /** Free accelerators recorded in the rack index. */
   indexedFree = 0;
 
   constructor(options: { description: WorkerDescription; rack: RackState }) {
@@ -87,20 +86,23 @@
     this.capacity = amountsOf(options.description);
   }
 
-  /** Whether work may be placed here; a probe only while nothing runs. */
+  /** Whether work may be placed here; for a probe, only if nothing runs. */
   get isPlaceable(): boolean {
     const isOpen = this.status === WorkerStatus.up ||
       (this.status === WorkerStatus.probing && this.allocations.size === 0);
     return isOpen && this.staleAttempts.size === 0;
   }
 
-  /** Whether guarantee cells may lie here. */
+  /** Whether guarantees may be assigned to this worker. */
   get isHealthy(): boolean {
     return this.status === WorkerStatus.up;
   }
 
-  /** What is free and not needed by any reservation. */
-  room(): Amounts {
+  /**
+   * Free resources that no reservation needs. Reservations are covered by
+   * gangs being stopped first.
+   */
+  available(): Amounts {
     const { capacity, used, reserved, stopping } = this;
     return {
       milliCores: capacity.milliCores - used.milliCores -
@@ -112,29 +114,30 @@
     };
   }
 
-  /** What is free at this moment, whatever is reserved. */
+  /** Resources that are free now, including reserved ones. */
   free(): Amounts {
     return differenceOf(this.capacity, this.used);
   }
 
-  /** What is free once all that stops has stopped and reservations are met. */
-  futureRoom(): Amounts {
-    const room = this.free();
-    addAmounts(room, this.stopping);
-    addAmounts(room, this.reserved, { factor: -1 });
-    return room;
+  /** What `available` will be once the gangs being stopped are gone. */
+  availableAfterStops(): Amounts {
+    const resources = this.free();
+    addAmounts(resources, this.stopping);
+    addAmounts(resources, this.reserved, { factor: -1 });
+    return resources;
   }
 
-  /** What of its promise a client account doesn't use here, or is over. */
-  unusedPromise(clientAccount: ClientAccountId): Amounts {
-    const promised = this.promisedByAccount.get(clientAccount) ?? NOTHING;
-    const used = this.guaranteedByAccount.get(clientAccount);
+  /** Unused guarantee of a client account here; negative if exceeded. */
+  unusedGuarantee(clientAccount: ClientAccountId): Amounts {
+    const capacity = this.guaranteeCapacityByAccount.get(clientAccount) ??
+      ZERO_AMOUNTS;
+    const used = this.guaranteeUseByAccount.get(clientAccount);
     return used === undefined
-      ? copyAmounts(promised)
-      : differenceOf(promised, used);
+      ? copyAmounts(capacity)
+      : differenceOf(capacity, used);
   }
 
-  /** Accelerators that eviction of work above `rank` would free. */
+  /** Accelerators that evicting borrowing gangs above `rank` would free. */
   evictableAbove(rank: number): number {
     let accelerators = 0;
     for (let index = Math.max(0, rank + 1); index < RANK_COUNT; index++) {
@@ -144,13 +147,13 @@
   }
 }
 
-/** Adds to one client account's entry, which vanishes at zero. */
+/** Adds to a client account's entry, and deletes the entry at zero. */
 export function addToAccount(
   byAccount: Map<ClientAccountId, Amounts>,
   clientAccount: ClientAccountId,
   change: { readonly amounts: Readonly<Amounts>; readonly factor: number },
 ): void {
-  const entry = byAccount.get(clientAccount) ?? noAmounts();
+  const entry = byAccount.get(clientAccount) ?? zeroAmounts();
   addAmounts(entry, change.amounts, { factor: change.factor });
   const isEmpty = entry.accelerators === 0 && entry.milliCores === 0 &&
     entry.memoryBytes === 0;
