Finish the wording of the scheduler core

Left over were vague names (live, isIn, shareOf), handlers and managers without a doc comment, and imports out of order after the file renames.

Renamed: Policy.isIn to acceptsNewWork, borrowingWeights to totalBorrowingWeight, shareOf to shareForAccelerators, AccountState.live to liveJobs. Reworded comments on returns, borrowing, repairs and drains. No behaviour changed.

--- a/src/process/scheduler/core/admission.ts
+++ b/src/process/scheduler/core/admission.ts
@@ -4,8 +4,8 @@
  * @module
  */
 
-import type { DataCentreId } from "../../../base/identity.ts";
 import type { ErrorKind } from "../../../base/error_kind.ts";
+import type { DataCentreId } from "../../../base/identity.ts";
 import { amountsOf, tasksFitting } from "./amounts.ts";
 import type { DeclaredRack } from "./declared_rack.ts";
 import type { JobSpecification } from "./job.ts";
--- a/src/process/scheduler/core/borrowing.ts
+++ b/src/process/scheduler/core/borrowing.ts
@@ -32,7 +32,7 @@
   const name = job.specification.clientAccount;
   const weight = policy.clientAccount(name)?.borrowingWeight ?? 0;
   const held = ledger.account(name).borrowedAccelerators;
-  const fairFraction = weight / Math.max(weight, policy.borrowingWeights);
+  const fairFraction = weight / Math.max(weight, policy.totalBorrowingWeight);
   return held > fairFraction * ledger.borrowedAccelerators;
 }
 
--- a/src/process/scheduler/core/core_context.ts
+++ b/src/process/scheduler/core/core_context.ts
@@ -10,8 +10,8 @@
   JobId,
 } from "../../../base/identity.ts";
 import { BinaryHeap } from "./binary_heap.ts";
-import { JobEstimator } from "./job_estimator.ts";
 import { GuaranteeCells } from "./guarantee_cells.ts";
+import { JobEstimator } from "./job_estimator.ts";
 import { JobQueue } from "./job_queue.ts";
 import { JobPhase, type JobState } from "./job_state.ts";
 import { Ledger } from "./ledger.ts";
@@ -49,6 +49,7 @@
   readonly action: () => void;
 }
 
+/** State and helpers that the components of the core share. */
 export class CoreContext {
   readonly dataCentre: DataCentreId;
   readonly mutations: ReadonlySet<Mutation>;
@@ -155,7 +156,7 @@
     if (this.isRecovering && !this.mutations.has("startsWhileRecovering")) {
       return "recovering";
     }
-    if (!this.policy.isIn && !this.mutations.has("startsWhileOut")) {
+    if (!this.policy.acceptsNewWork && !this.mutations.has("startsWhileOut")) {
       return "dataCentreOut";
     }
     const isPermitted = this.nowMs <= this.permittedUntilMs ||
@@ -213,7 +214,10 @@
     this.#scheduleAging(job);
   }
 
-  /** Limits starts after a return to a growing share; urgent jobs excepted. */
+  /**
+   * After a return, limits the accelerators in use to a share that grows with
+   * time. Urgent jobs are exempt.
+   */
   #returnWaitReason(job: JobState): WaitReason | undefined {
     if (this.returnedAtMs === undefined || job.rank === URGENT_RANK) {
       return undefined;
--- a/src/process/scheduler/core/data_centre_change_test.ts
+++ b/src/process/scheduler/core/data_centre_change_test.ts
@@ -1,4 +1,6 @@
 import test from "ava";
+import { settle } from "./testing/settle.ts";
+import { DATA_CENTRE } from "./testing/test_document.ts";
 import {
   advance,
   decisionsOfKind,
@@ -8,8 +10,6 @@
   MINUTE_MS,
   waitReasonOf,
 } from "./testing/test_runtime.ts";
-import { DATA_CENTRE } from "./testing/test_document.ts";
-import { settle } from "./testing/settle.ts";
 
 test("a job waits with a reason when it could fit later", (t) => {
   const runtime = makeRuntime();
--- a/src/process/scheduler/core/evictor.ts
+++ b/src/process/scheduler/core/evictor.ts
@@ -7,19 +7,19 @@
 
 import { addAmounts, type Amounts, zeroAmounts } from "./amounts.ts";
 import { mayBorrow } from "./borrowing.ts";
-import { exceedsGuarantee } from "./guarantee_reconciler.ts";
 import { type CoreContext, URGENT_RANK } from "./core_context.ts";
 import {
   type EvictionOptions,
   type EvictionPlan,
   planEviction,
 } from "./eviction.ts";
+import type { FailedSearchCache } from "./failed_search_cache.ts";
+import { exceedsGuarantee } from "./guarantee_reconciler.ts";
 import { gangAccelerators, JobPhase, type JobState } from "./job_state.ts";
 import { reservedForGuarantees } from "./ledger.ts";
 import { type Block, type BlockRequest, requestOf } from "./placement.ts";
 import { DRAIN_LIMIT_MS, ReservationKind } from "./reservation.ts";
 import { isDrainable, type ReservationManager } from "./reservation_manager.ts";
-import type { FailedSearchCache } from "./failed_search_cache.ts";
 import {
   type RackState,
   RANK_COUNT,
@@ -40,6 +40,7 @@
 
 const ZERO_AMOUNTS: Readonly<Amounts> = Object.freeze(zeroAmounts());
 
+/** Plans evictions, and opens the reservations for them. */
 export class Evictor {
   readonly #context: CoreContext;
   readonly #reservations: ReservationManager;
@@ -211,7 +212,7 @@
     );
   }
 
-  /** Gangs that may take longer than this to stop don't count as free. */
+  /** Gangs with a later stop deadline than this don't count as free. */
   #latestStopMs(job: JobState): number {
     return job.rank === URGENT_RANK ? this.#checkpointDeadline(job) : Infinity;
   }
@@ -266,7 +267,7 @@
   return available;
 }
 
-/** Subtracts the resources of gangs whose stop may take too long. */
+/** Subtracts the resources of gangs whose stop deadline is too late. */
 function withoutSlowStops(
   worker: WorkerState,
   available: Amounts,
--- a/src/process/scheduler/core/gang_event_handler.ts
+++ b/src/process/scheduler/core/gang_event_handler.ts
@@ -27,6 +27,7 @@
 /** Least expected run time assumed when overruns are determined. */
 const MIN_EXPECTED_RUN_MS = 10_000;
 
+/** Handles events about gangs, their tasks and their use. */
 export class GangEventHandler {
   readonly #context: CoreContext;
   readonly #lifecycle: GangLifecycle;
@@ -116,8 +117,8 @@
       if (job?.phase !== JobPhase.running) {
         continue;
       }
-      const seenMs = usage.checkpointedAtMs ?? 0;
-      job.checkpointedAtMs = Math.max(job.checkpointedAtMs ?? 0, seenMs);
+      const reportedAtMs = usage.checkpointedAtMs ?? 0;
+      job.checkpointedAtMs = Math.max(job.checkpointedAtMs ?? 0, reportedAtMs);
       this.#context.estimator.observeUsage(job.specification, usage);
     }
   }
--- a/src/process/scheduler/core/gang_lifecycle.ts
+++ b/src/process/scheduler/core/gang_lifecycle.ts
@@ -42,6 +42,7 @@
 /** Called when a gang has released its capacity on these workers. */
 export type CapacityListener = (workers: readonly WorkerState[]) => void;
 
+/** The transitions of jobs between phases. */
 export class GangLifecycle {
   readonly #context: CoreContext;
   readonly #ended: JobState[] = [];
--- a/src/process/scheduler/core/guarantee_cells.ts
+++ b/src/process/scheduler/core/guarantee_cells.ts
@@ -93,7 +93,7 @@
     }
   }
 
-  /** Requests a repair if guarantees are unplaced, as a worker is available. */
+  /** Requests a repair if a guarantee is unplaced. */
   handleWorkerAvailable(): void {
     for (const assignment of this.#assignments.values()) {
       if (assignment.workers.length === 0) {
@@ -104,8 +104,8 @@
   }
 
   /**
-   * Places the unplaced guarantees: at first without moving others, then
-   * moving those not in use, at last moving all.
+   * Places the unplaced guarantees: first without moving others, then moving
+   * those that aren't in use, and finally moving all.
    *
    * @returns false if there was nothing to do
    */
@@ -266,10 +266,7 @@
       addToAccount(
         worker.guaranteeCapacityByAccount,
         assignment.clientAccount,
-        {
-          amounts,
-          factor,
-        },
+        { amounts, factor },
       );
     }
   }
--- a/src/process/scheduler/core/guarantee_packing_test.ts
+++ b/src/process/scheduler/core/guarantee_packing_test.ts
@@ -29,8 +29,8 @@
     guarantees,
     fc.shuffledSubarray(makeWorkers(HARDWARE), { minLength: 16 }),
     fc.nat({ max: 15 }),
-    (promised, workers, lost) => {
-      const document = makeDocument({ ...HARDWARE, guarantees: promised });
+    (granted, workers, lost) => {
+      const document = makeDocument({ ...HARDWARE, guarantees: granted });
       if (findUnplacedGuarantee(document, DATA_CENTRE) !== undefined) {
         return;
       }
--- a/src/process/scheduler/core/guarantee_reconciler.ts
+++ b/src/process/scheduler/core/guarantee_reconciler.ts
@@ -14,6 +14,7 @@
 import type { ReservationManager } from "./reservation_manager.ts";
 import type { WorkerState } from "./worker_state.ts";
 
+/** Keeps the guarantees of one data centre up to date. */
 export class GuaranteeReconciler {
   readonly #context: CoreContext;
   readonly #reservations: ReservationManager;
@@ -34,7 +35,7 @@
     guarantees.repair();
     this.#demote();
     for (const [clientAccount, account] of ledger.accounts()) {
-      if (account.borrowedAccelerators > 0 || account.live.size > 0) {
+      if (account.borrowedAccelerators > 0 || account.liveJobs.size > 0) {
         this.promote(clientAccount);
       }
     }
@@ -56,7 +57,7 @@
     if (guarantees.assignmentsOf(clientAccount).length === 0) {
       return;
     }
-    for (const job of ledger.account(clientAccount).live) {
+    for (const job of ledger.account(clientAccount).liveJobs) {
       const isBorrowing = !job.isGuaranteed && job.phase !== JobPhase.stopping;
       const fits = isBorrowing &&
         (fitsGuarantee(job) || this.#moveAssignmentUnder(job));
@@ -74,7 +75,7 @@
       }
     }
     for (const account of this.#context.ledger.accounts().values()) {
-      for (const job of account.live) {
+      for (const job of account.liveJobs) {
         const isBeyond = job.isGuaranteed &&
           job.phase !== JobPhase.stopping &&
           [...job.workers.keys()].some((worker) =>
--- a/src/process/scheduler/core/job_estimator.ts
+++ b/src/process/scheduler/core/job_estimator.ts
@@ -123,7 +123,7 @@
   if (history.usages < TRUSTED_OBSERVATIONS) {
     return { ...declared };
   }
-  const share = policy.shareOf(declared.accelerators);
+  const share = policy.shareForAccelerators(declared.accelerators);
   const cores = declared.milliCores *
     Math.max(CORES_FLOOR_FRACTION, history.coresRatio * CORES_HEADROOM_FACTOR);
   const memory = declared.memoryBytes * Math.max(1, history.memoryRatio);
--- a/src/process/scheduler/core/job_event_handler.ts
+++ b/src/process/scheduler/core/job_event_handler.ts
@@ -7,9 +7,9 @@
 import type { JobId } from "../../../base/identity.ts";
 import type { ConfigurationVersion } from "../../../version/configuration_version.ts";
 import { refusalOf } from "./admission.ts";
-import type { GuaranteeReconciler } from "./guarantee_reconciler.ts";
 import { type CoreContext, URGENT_RANK } from "./core_context.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
+import type { GuaranteeReconciler } from "./guarantee_reconciler.ts";
 import { isLive, JobPhase, type JobState, newJobState } from "./job_state.ts";
 import type { PlacementPass } from "./placement_pass.ts";
 import { Policy } from "./policy.ts";
@@ -20,6 +20,7 @@
 /** Gangs that can't be checkpointed run on for this part of the drain time. */
 const UNCHECKPOINTED_DRAIN_FRACTION = 0.8;
 
+/** Handles events about jobs and the configuration. */
 export class JobEventHandler {
   readonly #context: CoreContext;
   readonly #lifecycle: GangLifecycle;
@@ -104,7 +105,7 @@
     this.#reconciler.reconcile();
     this.#requeueChanged(before);
     const wasOut = before.section?.status === "out";
-    if (context.policy.isIn) {
+    if (context.policy.acceptsNewWork) {
       context.returnedAtMs = wasOut ? context.nowMs : context.returnedAtMs;
     } else {
       context.returnedAtMs = undefined;
@@ -209,13 +210,13 @@
     }
   }
 
-  /** Stops all gangs within the drain time. */
+  /** Cancels reservations, and stops all gangs within the drain time. */
   #drain(): void {
     const { policy, ledger } = this.#context;
     const drainMs = policy.section?.drainMs ?? 0;
     this.#reservations.cancelAll();
     for (const account of ledger.accounts().values()) {
-      for (const job of [...account.live]) {
+      for (const job of [...account.liveJobs]) {
         this.#drainGang(job, drainMs);
       }
     }
@@ -238,7 +239,7 @@
     this.#context.schedule(
       nowMs + drainMs * UNCHECKPOINTED_DRAIN_FRACTION,
       () => {
-        if (job.attempt === attempt && !this.#context.policy.isIn) {
+        if (job.attempt === attempt && !this.#context.policy.acceptsNewWork) {
           stop();
         }
       },
--- a/src/process/scheduler/core/job_state.ts
+++ b/src/process/scheduler/core/job_state.ts
@@ -28,6 +28,7 @@
 /** One of the values of {@link JobPhase}. */
 export type JobPhase = typeof JobPhase[keyof typeof JobPhase];
 
+/** The mutable state of one job. */
 export interface JobState {
   readonly specification: JobSpecification;
   readonly submittedAtMs: number;
--- a/src/process/scheduler/core/ledger.ts
+++ b/src/process/scheduler/core/ledger.ts
@@ -18,7 +18,7 @@
   /** Accelerators held beyond its guarantee. */
   borrowedAccelerators: number;
   /** Its jobs with an attempt that holds capacity. */
-  readonly live: Set<JobState>;
+  readonly liveJobs: Set<JobState>;
   /** Its jobs that haven't ended and hold no capacity. */
   waitingJobs: number;
 }
@@ -47,7 +47,11 @@
   account(clientAccount: ClientAccountId): AccountState {
     let account = this.#accounts.get(clientAccount);
     if (account === undefined) {
-      account = { borrowedAccelerators: 0, live: new Set(), waitingJobs: 0 };
+      account = {
+        borrowedAccelerators: 0,
+        liveJobs: new Set(),
+        waitingJobs: 0,
+      };
       this.#accounts.set(clientAccount, account);
     }
     return account;
@@ -69,7 +73,7 @@
   /** Allocates a block to a gang. */
   allocate(job: JobState, block: Block): void {
     const account = this.account(job.specification.clientAccount);
-    account.live.add(job);
+    account.liveJobs.add(job);
     for (const [worker, tasks] of block) {
       job.workers.set(worker, tasks);
       worker.allocations.set(job.specification.jobId, { job, tasks });
@@ -98,7 +102,7 @@
     for (const worker of [...job.workers.keys()]) {
       this.releaseWorker(job, worker);
     }
-    this.account(job.specification.clientAccount).live.delete(job);
+    this.account(job.specification.clientAccount).liveJobs.delete(job);
     this.#setBorrowed(job, 0);
   }
 
--- a/src/process/scheduler/core/placement_pass.ts
+++ b/src/process/scheduler/core/placement_pass.ts
@@ -7,11 +7,11 @@
 import { BinaryHeap } from "./binary_heap.ts";
 import { type CoreContext, URGENT_RANK } from "./core_context.ts";
 import type { Evictor } from "./evictor.ts";
+import type { FailedSearchCache } from "./failed_search_cache.ts";
 import { compareJobs, type QueueGroup } from "./job_queue.ts";
 import type { JobState } from "./job_state.ts";
 import type { Placer } from "./placer.ts";
 import type { ReservationManager } from "./reservation_manager.ts";
-import type { FailedSearchCache } from "./failed_search_cache.ts";
 
 /** Jobs tried in one pass; the rest is tried on the next tick. */
 const TRIED_JOBS_LIMIT = 96;
@@ -25,6 +25,7 @@
   readonly share: number;
 }
 
+/** Runs passes over the job queue. */
 export class PlacementPass {
   readonly #context: CoreContext;
   readonly #placer: Placer;
--- a/src/process/scheduler/core/placer.ts
+++ b/src/process/scheduler/core/placer.ts
@@ -8,6 +8,7 @@
 import { borrowingWaitReason, isOverShare, mayBorrow } from "./borrowing.ts";
 import { type CoreContext, URGENT_RANK } from "./core_context.ts";
 import type { Evictor } from "./evictor.ts";
+import type { FailedSearchCache } from "./failed_search_cache.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
 import { gangAccelerators, type JobState } from "./job_state.ts";
 import {
@@ -20,7 +21,6 @@
 import { type Reservation, ReservationKind } from "./reservation.ts";
 import type { ReservationManager } from "./reservation_manager.ts";
 import type { WaitReason } from "./scheduler_decision.ts";
-import type { FailedSearchCache } from "./failed_search_cache.ts";
 import type { RackState, WorkerState } from "./worker_state.ts";
 
 /**
@@ -38,6 +38,7 @@
 
 const PLACED: PlacementResult = { isPlaced: true };
 
+/** Places single jobs. */
 export class Placer {
   readonly #context: CoreContext;
   readonly #lifecycle: GangLifecycle;
@@ -132,7 +133,10 @@
     return isTighter ? other : undefined;
   }
 
-  /** Jobs that can't be checkpointed avoid workers assigned to guarantees. */
+  /**
+   * Starts a job on borrowed capacity. One that can't be checkpointed prefers
+   * workers that aren't assigned to guarantees, or accepts only such workers.
+   */
   #startBorrowing(job: JobState, request: BlockRequest): boolean {
     if (!mayBorrow(job, this.#context)) {
       return false;
@@ -145,7 +149,7 @@
         this.#startOnFreeBlock(job, request, false));
   }
 
-  /** Whether the job rather waits than risks losing its work in a reclaim. */
+  /** Whether the job should wait rather than risk its work in a reclaim. */
   #mustAvoidGuarantees(job: JobState): boolean {
     return !job.specification.canCheckpoint && job.rank !== URGENT_RANK &&
       job.expectedRunMs > UNCHECKPOINTABLE_RUN_LIMIT_MS &&
--- a/src/process/scheduler/core/policy.ts
+++ b/src/process/scheduler/core/policy.ts
@@ -30,7 +30,7 @@
   readonly racks: readonly DeclaredRack[];
   readonly declaredWorkers: number;
   /** Sum of the borrowing weights of all client accounts. */
-  readonly borrowingWeights: number;
+  readonly totalBorrowingWeight: number;
   readonly declaredAccelerators: number;
 
   constructor(
@@ -45,7 +45,7 @@
     this.acceptedAtMs = configuration.acceptedAtMs;
     this.section = configuration.document.dataCentres[dataCentre];
     this.racks = declaredRacks(this.section);
-    this.borrowingWeights = sum(
+    this.totalBorrowingWeight = sum(
       Object.values(configuration.document.clientAccounts)
         .map((account) => account.borrowingWeight),
     );
@@ -56,7 +56,7 @@
   }
 
   /** Whether the data centre is declared and accepts new work. */
-  get isIn(): boolean {
+  get acceptsNewWork(): boolean {
     return this.section?.status === "in";
   }
 
@@ -76,7 +76,7 @@
    * The proportional share of processors and memory that goes with a number
    * of accelerators on a worker; the smallest over all racks.
    */
-  shareOf(accelerators: number): Amounts {
+  shareForAccelerators(accelerators: number): Amounts {
     const share: Amounts = {
       milliCores: Infinity,
       memoryBytes: Infinity,
--- a/src/process/scheduler/core/recovery.ts
+++ b/src/process/scheduler/core/recovery.ts
@@ -28,7 +28,7 @@
   isCancelled: boolean;
 }
 
-/** The recovery of one leader. */
+/** Collects reports until `finish` resolves what became of each job. */
 export class Recovery {
   readonly #context: CoreContext;
   readonly #lifecycle: GangLifecycle;
--- a/src/process/scheduler/core/scheduler_core.ts
+++ b/src/process/scheduler/core/scheduler_core.ts
@@ -6,22 +6,22 @@
  */
 
 import type { DataCentreId, JobId } from "../../../base/identity.ts";
-import { GuaranteeReconciler } from "./guarantee_reconciler.ts";
 import { CoreContext, type Mutation } from "./core_context.ts";
 import { Evictor } from "./evictor.ts";
+import { FailedSearchCache } from "./failed_search_cache.ts";
 import { GangEventHandler } from "./gang_event_handler.ts";
 import { GangLifecycle } from "./gang_lifecycle.ts";
+import { GuaranteeReconciler } from "./guarantee_reconciler.ts";
 import { findInvariantViolations } from "./invariants.ts";
 import { JobEventHandler } from "./job_event_handler.ts";
 import { type JobRecord, recordOf } from "./job_record.ts";
-import { Placer } from "./placer.ts";
 import { PlacementPass } from "./placement_pass.ts";
+import { Placer } from "./placer.ts";
 import { Quarantine } from "./quarantine.ts";
 import { Recovery } from "./recovery.ts";
 import { ReservationManager } from "./reservation_manager.ts";
 import type { SchedulerDecision } from "./scheduler_decision.ts";
 import type { SchedulerEvent } from "./scheduler_event.ts";
-import { FailedSearchCache } from "./failed_search_cache.ts";
 import {
   type JobView,
   jobViewOf,
--- a/src/process/scheduler/core/scheduler_core_fuzz_test.ts
+++ b/src/process/scheduler/core/scheduler_core_fuzz_test.ts
@@ -3,8 +3,8 @@
 import type { Mutation } from "./core_context.ts";
 import type { JobSpecification } from "./job.ts";
 import { FakeRuntime } from "./testing/fake_runtime.ts";
-import { makeDocument, makeWorkers } from "./testing/test_document.ts";
 import { settle } from "./testing/settle.ts";
+import { makeDocument, makeWorkers } from "./testing/test_document.ts";
 
 const HARDWARE = { racks: 3, workersPerRack: 4, accelerators: 8 };
 const RUNS = Number(process.env["SCHEDULER_FUZZ_RUNS"] ?? 400);
--- a/src/process/scheduler/core/testing/oracle.ts
+++ b/src/process/scheduler/core/testing/oracle.ts
@@ -42,6 +42,7 @@
   readonly pending: readonly (StartGang | StopGang)[];
 }
 
+/** Checks decisions, and collects the violations. */
 export class Oracle {
   /** The violations found. */
   readonly violations: string[] = [];
--- a/src/process/scheduler/core/views.ts
+++ b/src/process/scheduler/core/views.ts
@@ -112,7 +112,7 @@
   const { index, guarantees, queue, ledger } = context;
   let liveGangs = 0;
   for (const account of ledger.accounts().values()) {
-    liveGangs += [...account.live].filter(isLive).length;
+    liveGangs += [...account.liveJobs].filter(isLive).length;
   }
   const largest = index.largestFree();
   return {
--- a/src/process/scheduler/core/worker_event_handler.ts
+++ b/src/process/scheduler/core/worker_event_handler.ts
@@ -5,15 +5,16 @@
  */
 
 import { amountsOf, isSameAmounts } from "./amounts.ts";
-import type { GuaranteeReconciler } from "./guarantee_reconciler.ts";
 import type { CoreContext } from "./core_context.ts";
 import { attemptKey, type GangEventHandler } from "./gang_event_handler.ts";
 import type { GangLifecycle } from "./gang_lifecycle.ts";
+import type { GuaranteeReconciler } from "./guarantee_reconciler.ts";
 import { isLive, JobPhase, type JobState } from "./job_state.ts";
 import type { ReservationManager } from "./reservation_manager.ts";
 import type { TaskReference, WorkerDescription } from "./scheduler_event.ts";
 import { type WorkerState, WorkerStatus } from "./worker_state.ts";
 
+/** Handles events about workers. */
 export class WorkerEventHandler {
   readonly #context: CoreContext;
   readonly #lifecycle: GangLifecycle;
@@ -142,7 +143,7 @@
    */
   #markPendingStops(worker: WorkerState): void {
     for (const account of this.#context.ledger.accounts().values()) {
-      for (const job of account.live) {
+      for (const job of account.liveJobs) {
         const isAwaited = job.phase === JobPhase.stopping &&
           !job.workers.has(worker) &&
           job.placements.some(({ workerId }) => workerId === worker.workerId);
@@ -161,7 +162,7 @@
     worker.staleAttempts.add(key);
   }
 
-  /** Breaks gangs whose tasks are missing from the worker's report. */
+  /** Breaks running gangs that are missing from the worker's report. */
   #breakIncompleteGangs(
     worker: WorkerState,
     running: readonly TaskReference[],
--- a/src/process/scheduler/core/worker_state.ts
+++ b/src/process/scheduler/core/worker_state.ts
@@ -57,6 +57,7 @@
   readonly evictableByRank: Int32Array;
 }
 
+/** The mutable state of one worker. */
 export class WorkerState {
   readonly workerId: WorkerId;
   readonly rack: RackState;
@@ -99,8 +100,8 @@
   }
 
   /**
-   * Free resources that no reservation needs. Reservations are covered by
-   * gangs being stopped first.
+   * Free resources that no reservation needs, given that reservations first
+   * get what gangs being stopped release.
    */
   available(): Amounts {
     const { capacity, used, reserved, stopping } = this;
