--- a/src/process/scheduler/core/policy.ts
+++ b/src/process/scheduler/core/policy.ts
@@ -1,5 +1,5 @@
 /**
- * What one configuration version says to one data centre's scheduler.
+ * The rules of one configuration version for one data centre's scheduler.
  *
  * @module
  */
@@ -15,13 +15,13 @@
 import type { Amounts } from "./amounts.ts";
 import { type DeclaredRack, declaredRacks } from "./declared_rack.ts";
 
-/** What holds for a job whose class was taken out of the document. */
+/** The class of jobs whose own class was removed from the document. */
 const FALLBACK_JOB_CLASS: JobClass = jobClassSchema.parse({
   owner: "none",
   rank: 9,
 });
 
-/** One configuration version, as one data centre sees it. */
+/** One configuration version from the view of one data centre. */
 export class Policy {
   readonly version: number;
   readonly acceptedAtMs: number;
@@ -29,8 +29,8 @@
   readonly section: DataCentre | undefined;
   readonly racks: readonly DeclaredRack[];
   readonly declaredWorkers: number;
-  /** The borrowing weights of all client accounts. */
-  readonly borrowingWeights: number;
+  /** Sum of the borrowing weights of all client accounts. */
+  readonly totalBorrowingWeight: number;
   readonly declaredAccelerators: number;
 
   constructor(
@@ -45,7 +45,7 @@
     this.acceptedAtMs = configuration.acceptedAtMs;
     this.section = configuration.document.dataCentres[dataCentre];
     this.racks = declaredRacks(this.section);
-    this.borrowingWeights = sum(
+    this.totalBorrowingWeight = sum(
       Object.values(configuration.document.clientAccounts)
         .map((account) => account.borrowingWeight),
     );
@@ -55,8 +55,8 @@
     );
   }
 
-  /** Whether the data centre takes new work; not when it isn't declared. */
-  get isIn(): boolean {
+  /** Whether the data centre is declared and accepts new work. */
+  get acceptsNewWork(): boolean {
     return this.section?.status === "in";
   }
 
@@ -72,8 +72,11 @@
     return this.configuration.document.jobClasses[name] !== undefined;
   }
 
-  /** The least processors and memory that go with so many accelerators. */
-  shareOf(accelerators: number): Amounts {
+  /**
+   * The proportional share of processors and memory that goes with a number
+   * of accelerators on a worker; the smallest over all racks.
+   */
+  shareForAccelerators(accelerators: number): Amounts {
     const share: Amounts = {
       milliCores: Infinity,
       memoryBytes: Infinity,
