--- a/bench/scheduler/policy_bench.ts
+++ b/bench/scheduler/policy_bench.ts
@@ -40,7 +40,7 @@
     {
       name: "core",
       policy: core,
-      findBroken: () => core.findBrokenInvariants(),
+      findBroken: () => core.findViolations(),
       freeRoom: () => {
         const metrics = core.metrics();
         return {
--- a/src/process/scheduler/core/core_context.ts
+++ b/src/process/scheduler/core/core_context.ts
@@ -10,7 +10,7 @@
   JobId,
 } from "../../../base/identity.ts";
 import { BinaryHeap } from "./binary_heap.ts";
-import { GuaranteeCells } from "./guarantee_cells.ts";
+import { GuaranteeAssignments } from "./guarantee_assignments.ts";
 import { JobEstimator } from "./job_estimator.ts";
 import { JobQueue } from "./job_queue.ts";
 import { JobPhase, type JobState } from "./job_state.ts";
@@ -55,7 +55,7 @@
   readonly mutations: ReadonlySet<Mutation>;
   readonly index: RackIndex;
   readonly ledger: Ledger;
-  readonly guarantees: GuaranteeCells;
+  readonly guarantees: GuaranteeAssignments;
   readonly queue = new JobQueue();
   readonly estimator = new JobEstimator();
   readonly jobs = new Map<JobId, JobState>();
@@ -92,7 +92,7 @@
       isFrozen: options.mutations.has("keepsStaleIndex"),
     });
     this.ledger = new Ledger({ index: this.index });
-    this.guarantees = new GuaranteeCells({ index: this.index });
+    this.guarantees = new GuaranteeAssignments({ index: this.index });
     this.policy = new Policy({
       dataCentre: options.dataCentre,
       configuration: {
--- a/src/process/scheduler/core/guarantee_cells.ts
+++ b/src/process/scheduler/core/guarantee_assignments.ts
@@ -35,7 +35,7 @@
 }
 
 /** The guarantees of one data centre. */
-export class GuaranteeCells {
+export class GuaranteeAssignments {
   readonly #index: RackIndex;
   #assignments = new Map<string, GuaranteeAssignment>();
   #byAccount = new Map<ClientAccountId, GuaranteeAssignment[]>();
--- a/src/process/scheduler/core/guarantee_reconciler.ts
+++ b/src/process/scheduler/core/guarantee_reconciler.ts
@@ -8,7 +8,7 @@
 import type { ClientAccountId } from "../../../base/identity.ts";
 import { addAmounts, isWithin, zeroAmounts } from "./amounts.ts";
 import type { CoreContext } from "./core_context.ts";
-import type { GuaranteeAssignment } from "./guarantee_cells.ts";
+import type { GuaranteeAssignment } from "./guarantee_assignments.ts";
 import { JobPhase, type JobState } from "./job_state.ts";
 import { type Reservation, ReservationKind } from "./reservation.ts";
 import type { ReservationManager } from "./reservation_manager.ts";
--- a/src/process/scheduler/core/invariants.ts
+++ b/src/process/scheduler/core/invariants.ts
@@ -13,7 +13,7 @@
   zeroAmounts,
 } from "./amounts.ts";
 import type { CoreContext } from "./core_context.ts";
-import type { GuaranteeAssignment } from "./guarantee_cells.ts";
+import type { GuaranteeAssignment } from "./guarantee_assignments.ts";
 import { isLive, JobPhase, type JobState } from "./job_state.ts";
 import { isQuarantined } from "./quarantine.ts";
 import type { Quarantine } from "./quarantine.ts";
--- a/src/process/scheduler/core/scheduler_core.ts
+++ b/src/process/scheduler/core/scheduler_core.ts
@@ -188,7 +188,7 @@
   }
 
   /** Describes every violated invariant; slow, for tests only. */
-  findBrokenInvariants(): string[] {
+  findViolations(): string[] {
     return findInvariantViolations(this.#context, {
       quarantine: this.#quarantine,
     });
--- a/src/process/scheduler/core/testing/fake_runtime.ts
+++ b/src/process/scheduler/core/testing/fake_runtime.ts
@@ -79,7 +79,7 @@
     for (const decision of decisions) {
       this.#apply(decision, wasRecovering && this.core.isRecovering);
     }
-    this.violations.push(...this.core.findBrokenInvariants());
+    this.violations.push(...this.core.findViolations());
     this.#oracle.checkJobs();
     this.#oracle.recordGuaranteed();
   }
--- a/src/version/document/guarantee_packing_test.ts
+++ b/src/version/document/guarantee_packing_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import fc from "fast-check";
-import { GuaranteeCells } from "../../process/scheduler/core/guarantee_cells.ts";
+import { GuaranteeAssignments } from "../../process/scheduler/core/guarantee_assignments.ts";
 import { RackIndex } from "../../process/scheduler/core/rack_index.ts";
 import type { Document, Rack } from "./document.ts";
 import { EMPTY_DOCUMENT, withSection } from "./document_change.ts";
@@ -89,7 +89,7 @@
 /** What is wrong with the cells that the scheduler made, counted anew. */
 function findBroken(
   document: Document,
-  cells: GuaranteeCells,
+  cells: GuaranteeAssignments,
 ): string | undefined {
   const used = new Map<string, number>();
   let count = 0;
@@ -123,7 +123,7 @@
   sequence: readonly Accounts[],
   isAccepted: (document: Document) => boolean,
 ): { accepted: number; broken: string | undefined } {
-  const cells = new GuaranteeCells({ index: indexOf(racks) });
+  const cells = new GuaranteeAssignments({ index: indexOf(racks) });
   let accepted = 0;
   for (const accounts of sequence) {
     const document = documentOf(racks, accounts);
