--- a/src/base/channel.ts
+++ b/src/base/channel.ts
@@ -1,5 +1,5 @@
 /**
- * The bridge from callbacks to `most` streams.
+ * Turns callbacks into `most` streams.
  *
  * @module
  */
@@ -7,14 +7,14 @@
 import { type Sink, Stream } from "most";
 
 /**
- * A hot stream that its owner pushes values into. Every observer gets each
- * value pushed while it observes; nothing is kept for later observers.
+ * A hot stream into which its owner pushes values. Observers receive the
+ * values pushed while they are subscribed; nothing is buffered or replayed.
  */
 export class Channel<T> {
   #sinks = new Set<Sink<T>>();
   #closed = false;
 
-  /** The values pushed from now on; it ends when the channel closes. */
+  /** The values pushed after subscription; ends when the channel closes. */
   readonly stream: Stream<T> = new Stream<T>({
     run: (sink, scheduler) => {
       if (this.#closed) {
@@ -26,7 +26,7 @@
     },
   });
 
-  /** Hands `value` to every observer, in the same turn of the loop. */
+  /** Passes `value` to every observer synchronously. */
   push(value: T): void {
     const time = Date.now();
     for (const sink of [...this.#sinks]) {
--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -1,19 +1,19 @@
 /**
- * Time as the code sees it: passed in, so that a fake clock can drive it.
+ * Clocks and timers, injected so that tests can use a fake clock.
  *
  * @module
  */
 
 import { performance } from "node:perf_hooks";
 
-/** A timer that has been set; `close` cancels it and may be called twice. */
+/** A pending timer; `close` cancels it and may be called repeatedly. */
 export interface Timer {
   close(): void;
 }
 
-/** A source of time that never runs backwards within one process. */
+/** A source of time that never goes backwards within one process. */
 export interface Clock {
-  /** Milliseconds since the Unix epoch; steps of the wall clock don't show. */
+  /** Milliseconds since the Unix epoch, unaffected by wall clock changes. */
   nowMs(): number;
   /** Calls `action` once, `delayMs` milliseconds from now. */
   after(delayMs: number, action: () => void): Timer;
@@ -21,7 +21,7 @@
   every(periodMs: number, action: () => void): Timer;
 }
 
-/** The clock of the running process. */
+/** The real clock of the process. */
 export class SystemClock implements Clock {
   nowMs(): number {
     return performance.timeOrigin + performance.now();
--- a/src/base/event_log.ts
+++ b/src/base/event_log.ts
@@ -1,20 +1,20 @@
 /**
- * Where parts report what happens: one call a numbered event.
+ * The interface through which modules emit numbered log events.
  *
  * @module
  */
 
 import type { EventName } from "./events/event_catalogue.ts";
 
-/** What an event may carry. */
+/** The fields of an event; undefined ones are left out. */
 export type EventFields = Readonly<
   Record<string, string | number | boolean | undefined>
 >;
 
-/** The log and time line of one process. */
+/** The event log of one process. */
 export interface EventLog {
   emit(name: EventName, fields?: EventFields): void;
 }
 
-/** A log that keeps nothing. */
+/** An event log that discards every event. */
 export const SILENT_EVENT_LOG: EventLog = { emit: () => undefined };
--- a/src/base/events/connection_events.ts
+++ b/src/base/events/connection_events.ts
@@ -1,5 +1,5 @@
 /**
- * Log events about links and membership. Numbers 2000 to 2999.
+ * Log events about links and membership, numbered 2000 to 2999.
  *
  * @module
  */
@@ -11,25 +11,25 @@
   linkOpened: {
     number: 2000,
     level: "info",
-    text: "A link to a peer is open.",
+    text: "A link to a peer was opened.",
     fields: ["peer"],
   },
   linkClosed: {
     number: 2001,
     level: "info",
-    text: "A link to a peer has closed.",
+    text: "A link to a peer was closed.",
     fields: ["peer", "detail"],
   },
   frameRejected: {
     number: 2002,
     level: "warn",
-    text: "A frame was refused and its connection closed.",
+    text: "A frame was rejected and its connection was closed.",
     fields: ["peer", "detail"],
   },
   peerStateChanged: {
     number: 2003,
     level: "info",
-    text: "A peer is seen in another state.",
+    text: "The state of a peer has changed, as seen by this instance.",
     fields: ["peer", "before", "state", "incarnation"],
   },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/base/events/event_catalogue.ts
+++ b/src/base/events/event_catalogue.ts
@@ -1,5 +1,5 @@
 /**
- * Every numbered log event of the product, in one closed list.
+ * The closed list of all numbered log events.
  *
  * @module
  */
--- a/src/base/events/event_definition.ts
+++ b/src/base/events/event_definition.ts
@@ -1,19 +1,19 @@
 /**
- * The shape of one numbered log event.
+ * The definition of one numbered log event.
  *
  * @module
  */
 
-/** How much an event matters. */
+/** The severity of an event. */
 export type EventLevel = "debug" | "info" | "warn" | "error";
 
 /** One kind of log event. */
 export interface EventDefinition {
-  /** Never changes and is never used again once released. */
+  /** Once released, it never changes and is never used for another event. */
   readonly number: number;
   readonly level: EventLevel;
-  /** One sentence for the catalogue. */
+  /** One sentence that describes the event in the reference documentation. */
   readonly text: string;
-  /** The names of the fields that it carries. */
+  /** The names of the event's fields. */
   readonly fields: readonly string[];
 }
--- a/src/base/events/http_events.ts
+++ b/src/base/events/http_events.ts
@@ -1,12 +1,12 @@
 /**
- * Log events about the HTTP front. Numbers 6000 to 6999.
+ * Log events about the HTTP server, numbered 6000 to 6999.
  *
  * @module
  */
 
 import type { EventDefinition } from "./event_definition.ts";
 
-/** Events about the HTTP front. */
+/** Events about the HTTP server. */
 export const HTTP_EVENTS = {
   callRefused: {
     number: 6000,
@@ -17,19 +17,20 @@
   callFailed: {
     number: 6001,
     level: "error",
-    text: "A call met a fault of the program.",
+    text: "A call failed with an internal error.",
     fields: ["path", "detail"],
   },
   answerAbandoned: {
     number: 6002,
     level: "warn",
-    text: "A caller was too slow to take its answer, or no memory was left.",
+    text:
+      "A caller read its answer too slowly, or the HTTP server reached its memory limit.",
     fields: ["path"],
   },
   callsCutOff: {
     number: 6003,
     level: "error",
-    text: "A stop passed its deadline and cut calls off.",
+    text: "A graceful stop reached its deadline and aborted the open calls.",
     fields: ["calls"],
   },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/base/events/process_events.ts
+++ b/src/base/events/process_events.ts
@@ -1,5 +1,5 @@
 /**
- * Log events about the process and its settings. Numbers 1000 to 1999.
+ * Log events about the process and its settings, numbered 1000 to 1999.
  *
  * @module
  */
@@ -11,13 +11,13 @@
   processStarted: {
     number: 1000,
     level: "info",
-    text: "The daemon serves.",
+    text: "The daemon has started.",
     fields: ["address"],
   },
   processStopping: {
     number: 1001,
     level: "info",
-    text: "A graceful stop began.",
+    text: "A graceful stop has begun.",
     fields: ["signal"],
   },
   processStopped: {
@@ -29,13 +29,13 @@
   processFailed: {
     number: 1003,
     level: "error",
-    text: "The daemon cannot go on.",
+    text: "The daemon cannot continue.",
     fields: ["detail"],
   },
   logLinesSuppressed: {
     number: 1004,
     level: "warn",
-    text: "Lines of one event were left out in the last period.",
+    text: "Log lines of one event were suppressed in the last period.",
     fields: ["suppressed", "lines"],
   },
   settingsLoaded: {
--- a/src/base/fake_clock.ts
+++ b/src/base/fake_clock.ts
@@ -1,5 +1,5 @@
 /**
- * A clock that moves only when told to, for tests and benches.
+ * A clock for tests and benchmarks that advances only on request.
  *
  * @module
  */
@@ -13,7 +13,10 @@
   action: () => void;
 }
 
-/** A clock under the caller's control; timers fire in order of due time. */
+/**
+ * A clock that the caller advances. Timers fire in order of due time, and in
+ * the order of scheduling when due at the same time.
+ */
 export class FakeClock implements Clock {
   #nowMs: number;
   #order = 0;
@@ -28,31 +31,31 @@
   }
 
   after(delayMs: number, action: () => void): Timer {
-    return this.#set(delayMs, undefined, action);
+    return this.#schedule(delayMs, undefined, action);
   }
 
   every(periodMs: number, action: () => void): Timer {
-    return this.#set(periodMs, periodMs, action);
+    return this.#schedule(periodMs, periodMs, action);
   }
 
   /** The due time of the next timer, or undefined when none is set. */
   nextDueMs(): number | undefined {
-    return this.#next()?.dueMs;
+    return this.#nextTimer()?.dueMs;
   }
 
-  /** Moves time forward, firing every timer that falls due on the way. */
+  /** Advances time by `byMs`, firing each timer at its due time. */
   advance(byMs: number): void {
     const endMs = this.#nowMs + byMs;
-    let next = this.#next();
+    let next = this.#nextTimer();
     while (next !== undefined && next.dueMs <= endMs) {
       this.#nowMs = Math.max(this.#nowMs, next.dueMs);
       this.#fire(next);
-      next = this.#next();
+      next = this.#nextTimer();
     }
     this.#nowMs = endMs;
   }
 
-  #set(
+  #schedule(
     delayMs: number,
     periodMs: number | undefined,
     action: () => void,
@@ -67,7 +70,7 @@
     return { close: () => this.#pending.delete(timer) };
   }
 
-  #next(): PendingTimer | undefined {
+  #nextTimer(): PendingTimer | undefined {
     let first: PendingTimer | undefined;
     for (const timer of this.#pending) {
       if (first === undefined || isEarlier(timer, first)) {
--- a/src/base/fake_clock_test.ts
+++ b/src/base/fake_clock_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { FakeClock } from "./fake_clock.ts";
 
-test("timers fire in order of due time and may set others", (t) => {
+test("timers fire in order of due time and may schedule others", (t) => {
   const clock = new FakeClock();
   const seen: string[] = [];
   clock.after(20, () => seen.push("late"));
--- a/src/base/identity.ts
+++ b/src/base/identity.ts
@@ -1,14 +1,14 @@
 /**
- * Names of the things that the system tells apart. All are opaque strings of
- * 1 to 128 characters from `[A-Za-z0-9._:-]`.
+ * The types of IDs. All IDs are opaque strings of 1 to 128 characters from
+ * `[A-Za-z0-9._:-]`, the first of which is a letter or digit.
  *
  * @module
  */
 
-/** One running entry instance of the daemon, as named in its settings. */
+/** One instance of the daemon, as named in its settings. */
 export type InstanceId = string;
 
-/** One data centre, as named in the document. */
+/** One data centre, as named in the configuration document. */
 export type DataCentreId = string;
 
 /** One region: a group of data centres with fast links between them. */
@@ -26,22 +26,22 @@
 /** One backend server: a machine that answers requests of a service. */
 export type BackendServerId = string;
 
-/** One service, answered by its backend servers. */
+/** One service, provided by its backend servers. */
 export type ServiceId = string;
 
-/** One job, named by its submitter; a resubmission with it is idempotent. */
+/** One job; chosen by the submitter, so that resubmission is idempotent. */
 export type JobId = string;
 
-/** One request, named by its caller; a retry carries the same name. */
+/** One request; chosen by the caller, who sends retries under the same ID. */
 export type RequestId = string;
 
-/** One team that owns sections of the document. */
+/** One team that owns sections of the configuration document. */
 export type TeamId = string;
 
-/** The characters and length that any identity may have. */
+/** The characters and length allowed for any ID. */
 export const IDENTITY_PATTERN = /^[A-Za-z0-9][A-Za-z0-9._:-]{0,127}$/;
 
-/** Whether `text` may serve as an identity. */
+/** Whether `text` is a valid ID. */
 export function isIdentity(text: string): boolean {
   return IDENTITY_PATTERN.test(text);
 }
--- a/src/base/mod.ts
+++ b/src/base/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Types and constants that every part shares.
+ * Types, constants and utilities shared by all modules.
  *
  * @module
  */
--- a/src/base/random_source.ts
+++ b/src/base/random_source.ts
@@ -1,5 +1,5 @@
 /**
- * Randomness as the code sees it: passed in and seeded.
+ * Random numbers, injected and seeded so that runs can be reproduced.
  *
  * @module
  */
@@ -7,9 +7,9 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 
-/** A seeded source of random numbers. */
+/** A source of random numbers. */
 export interface RandomSource {
-  /** A whole number from 0 up to, but not including, `bound`. */
+  /** An integer from 0 up to, but not including, `bound`. */
   nextInt(bound: number): number;
   /** A number from 0 up to, but not including, 1. */
   nextUnit(): number;
@@ -17,7 +17,7 @@
 
 const UNIT_STEPS = 2 ** 31;
 
-/** Random numbers by `pure-rand`; the same seed gives the same numbers. */
+/** Random numbers from `pure-rand`; equal seeds give equal sequences. */
 export class SeededRandom implements RandomSource {
   #generator: ReturnType<typeof xoroshiro128plus>;
 
--- a/src/base/sesame_error.ts
+++ b/src/base/sesame_error.ts
@@ -1,5 +1,5 @@
 /**
- * The one error type that crosses module borders.
+ * The error type that modules return to each other.
  *
  * @module
  */
@@ -11,17 +11,17 @@
   type ErrorKind,
 } from "./error_kind.ts";
 
-/** What an error says besides its kind. */
+/** What an error contains besides its kind. */
 export interface SesameErrorOptions {
-  /** What went wrong here, for the person who reads it. */
+  /** The message; by default, the text of the kind. */
   readonly detail?: string;
-  /** Where in a document or file it went wrong, such as `services.quote`. */
+  /** The place in a document or file, such as `services.quote`. */
   readonly location?: string;
-  /** The current text, version or other facts that help to go on. */
+  /** Data that helps the caller to recover, such as the current version. */
   readonly facts?: Readonly<Record<string, unknown>>;
 }
 
-/** An error of the closed list. */
+/** An error of one of the kinds of {@link ERROR_ANSWERS}. */
 export class SesameError extends Error {
   readonly kind: ErrorKind;
   readonly location: string | undefined;
@@ -35,16 +35,16 @@
     this.facts = options.facts ?? {};
   }
 
-  /** What the caller gets for this error. */
+  /** What the caller receives for this error. */
   get answer(): ErrorAnswer {
     return ERROR_ANSWERS[this.kind];
   }
 }
 
-/** A result, or the error that stood in its way. */
+/** A value, or the error that prevented it. */
 export type Result<T> = Either<SesameError, T>;
 
-/** The error as the left side of a {@link Result}. */
+/** A {@link Result} that holds a new error as its left side. */
 export function failure<T = never>(
   kind: ErrorKind,
   options: SesameErrorOptions = {},
--- a/src/base/storage.ts
+++ b/src/base/storage.ts
@@ -1,27 +1,27 @@
 /**
- * The disk as the code sees it: a flat folder of files with explicit syncs.
- * What was written is lost by a crash until a sync of it has returned.
+ * The interface to the disk: a flat folder of files with explicit syncs.
+ * Appended bytes may be lost in a crash until a sync of the file has returned.
  *
  * @module
  */
 
 import type { Result } from "./sesame_error.ts";
 
-/** One data folder. Names are plain file names, with no separators. */
+/** One data folder. File names contain no path separators. */
 export interface Storage {
-  /** The whole content, or undefined when there is no such file. */
+  /** The complete content, or undefined if the file does not exist. */
   read(name: string): Promise<Result<Uint8Array | undefined>>;
   /** The names of all files, sorted. */
   list(): Promise<Result<readonly string[]>>;
-  /** Adds bytes at the end of the file, which is created if missing. */
+  /** Appends bytes to the file, which is created if missing. */
   append(name: string, bytes: Uint8Array): Promise<Result<void>>;
-  /** Makes durable all that was appended to the file, and its name. */
+  /** Makes the file's appended bytes and its directory entry durable. */
   sync(name: string): Promise<Result<void>>;
-  /** Replaces the whole file at once and durably: old or new, never a mix. */
+  /** Replaces the file atomically and durably. */
   replace(name: string, bytes: Uint8Array): Promise<Result<void>>;
-  /** Cuts the file to its first `lengthBytes` bytes, durably. */
+  /** Truncates the file to its first `lengthBytes` bytes, durably. */
   truncate(name: string, lengthBytes: number): Promise<Result<void>>;
-  /** Removes the file, durably; a missing file is no error. */
+  /** Removes the file durably; a missing file is not an error. */
   remove(name: string): Promise<Result<void>>;
   close(): Promise<void>;
 }
--- a/src/base/suspend_aware_clock.ts
+++ b/src/base/suspend_aware_clock.ts
@@ -1,5 +1,5 @@
 /**
- * A clock that also counts the time for which the machine was suspended.
+ * A clock that includes the time during which the machine was suspended.
  *
  * @module
  */
@@ -7,46 +7,50 @@
 import { performance } from "node:perf_hooks";
 import { SystemClock } from "./clock.ts";
 
-/** Wall and steady clock may drift apart by so much between two looks. */
+/**
+ * Up to this difference between two readings, the clocks are taken to have
+ * drifted apart; a larger gain of the wall clock is taken for a suspension.
+ */
 const DRIFT_LIMIT_MS = 50;
 
-/** The two clocks of a machine. */
+/** The two clocks of a machine, in milliseconds since the Unix epoch. */
 export interface ClockSources {
-  /** Doesn't count time for which the machine was suspended. */
+  /** Never set, but stands still while the machine is suspended. */
   readonly steadyMs: () => number;
-  /** Counts it, and may be set. */
+  /** Advances during a suspension, but can be set to another time. */
   readonly wallMs: () => number;
 }
 
-const MACHINE_SOURCES: ClockSources = {
+const SYSTEM_SOURCES: ClockSources = {
   steadyMs: () => performance.timeOrigin + performance.now(),
   wallMs: () => Date.now(),
 };
 
 /**
- * The steady clock stands still while a machine is suspended, and a lease
- * must not. So a wall clock that gains on the steady clock moves this clock
- * on. A wall clock that is set ahead looks the same and only ends leases
- * early; one that is set back is ignored.
+ * The steady clock stands still while the machine is suspended, but leases
+ * must expire during that time. This clock therefore advances by what the wall
+ * clock gains on the steady clock. A wall clock that is set forward has the
+ * same effect, which only makes leases expire early; setting it back is
+ * ignored.
  */
 export class SuspendAwareClock extends SystemClock {
   readonly #sources: ClockSources;
   #suspendedMs = 0;
-  #aheadMs: number;
+  #wallAheadMs: number;
 
-  constructor(sources: ClockSources = MACHINE_SOURCES) {
+  constructor(sources: ClockSources = SYSTEM_SOURCES) {
     super();
     this.#sources = sources;
-    this.#aheadMs = sources.wallMs() - sources.steadyMs();
+    this.#wallAheadMs = sources.wallMs() - sources.steadyMs();
   }
 
   override nowMs(): number {
     const steadyMs = this.#sources.steadyMs();
-    const aheadMs = this.#sources.wallMs() - steadyMs;
-    const gainedMs = aheadMs - this.#aheadMs;
+    const wallAheadMs = this.#sources.wallMs() - steadyMs;
+    const gainedMs = wallAheadMs - this.#wallAheadMs;
     if (Math.abs(gainedMs) > DRIFT_LIMIT_MS) {
       this.#suspendedMs += Math.max(0, gainedMs);
-      this.#aheadMs = aheadMs;
+      this.#wallAheadMs = wallAheadMs;
     }
     return steadyMs + this.#suspendedMs;
   }
--- a/src/base/suspend_aware_clock_test.ts
+++ b/src/base/suspend_aware_clock_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { SuspendAwareClock } from "./suspend_aware_clock.ts";
 
-/** Clocks as a suspended machine shows them. */
+/** Clock sources whose readings the test sets. */
 function fakeSources() {
   const now = { steadyMs: 1_000, wallMs: 5_000 };
   return {
@@ -13,7 +13,7 @@
   };
 }
 
-test("time for which the machine was suspended counts", (t) => {
+test("the time during which the machine was suspended is included", (t) => {
   const { now, sources } = fakeSources();
   const clock = new SuspendAwareClock(sources);
   const beforeMs = clock.nowMs();
@@ -25,7 +25,7 @@
   t.is(clock.nowMs() - beforeMs, 4_150);
 });
 
-test("a wall clock that is set back moves nothing back", (t) => {
+test("setting the wall clock back does not set this clock back", (t) => {
   const { now, sources } = fakeSources();
   const clock = new SuspendAwareClock(sources);
   const beforeMs = clock.nowMs();
