Reword connection and request in plain terms

Peers "proved themselves", were "let in" and "heard"; links showed "signs of life". They now authenticate, are admitted, and send or receive; details of rejected frames say what was wrong. Renamed prove to computeMac, onProved to onAuthenticated, UNPROVED_LIMIT and PROOF_LIMIT_MS to UNAUTHENTICATED_LIMIT and AUTHENTICATION_TIMEOUT_MS, redial to reconnect, silence limit to idle timeout. Frames keep their kinds and fields.

--- a/src/connection/cluster_key.ts
+++ b/src/connection/cluster_key.ts
@@ -1,5 +1,5 @@
 /**
- * The key that all instances of one system share, and the proofs made by it.
+ * The key shared by all instances of a cluster, and proofs of holding it.
  *
  * @module
  */
@@ -7,9 +7,12 @@
 import { createHmac, timingSafeEqual } from "node:crypto";
 import type { InstanceId } from "../base/identity.ts";
 
-/** What a proof binds together; a proof for one link serves no other. */
+/**
+ * What a proof covers. The nonces of both sides make each proof valid for one
+ * connection only.
+ */
 export interface ProofInput {
-  /** Which side proves, so that a proof can't be sent back. */
+  /** The proving side, so that a proof can't be reflected to its sender. */
   readonly side: "dialling" | "accepting";
   readonly clusterName: string;
   readonly from: InstanceId;
@@ -18,7 +21,7 @@
   readonly acceptingNonce: Uint8Array;
 }
 
-/** The shared key; the key itself never leaves this object. */
+/** The shared key, which can't be read back from this object. */
 export class ClusterKey {
   #key: Uint8Array;
 
@@ -26,8 +29,8 @@
     this.#key = options.key;
   }
 
-  /** HMAC-SHA-256 over all that the proof binds. */
-  prove(input: ProofInput): Uint8Array {
+  /** The proof: HMAC-SHA-256 over all fields of `input`. */
+  computeMac(input: ProofInput): Uint8Array {
     const mac = createHmac("sha256", this.#key);
     mac.update(JSON.stringify([
       input.side,
@@ -40,9 +43,9 @@
     return new Uint8Array(mac.digest());
   }
 
-  /** Whether `mac` is the proof for `input`, in constant time. */
+  /** Whether `mac` is the proof for `input`; compares in constant time. */
   verify(input: ProofInput, mac: Uint8Array): boolean {
-    const expected = this.prove(input);
+    const expected = this.computeMac(input);
     return mac.length === expected.length && timingSafeEqual(mac, expected);
   }
 }
--- a/src/connection/incoming_link.ts
+++ b/src/connection/incoming_link.ts
@@ -1,6 +1,6 @@
 /**
- * The accepting side of one link: proves the dialling peer, then hands on its
- * messages. Any fault closes the connection and changes nothing else.
+ * The accepting side of one link: authenticates the dialling peer, then
+ * delivers its messages. A protocol error only closes the connection.
  *
  * @module
  */
@@ -20,13 +20,13 @@
 
 const NONCE_BYTES = 16;
 
-/** How an {@link IncomingLink} is made. */
+/** Options of an {@link IncomingLink}. */
 export interface IncomingLinkOptions {
   readonly socket: WebSocket;
   readonly selfId: InstanceId;
-  /** Whether a peer of that name may prove itself. */
+  /** Whether a peer with this ID may authenticate. */
   readonly isAdmitted: (id: InstanceId) => boolean;
-  readonly onProved: (id: InstanceId) => void;
+  readonly onAuthenticated: (id: InstanceId) => void;
   readonly clusterName: string;
   readonly clusterKey: ClusterKey;
   readonly onMessage: (from: InstanceId, frame: MessageFrame) => void;
@@ -51,7 +51,7 @@
     options.socket.on("error", (error) => this.#reject(error.message));
   }
 
-  /** The proved peer, or undefined while it is not proved. */
+  /** The authenticated peer; undefined until it is authenticated. */
   get from(): InstanceId | undefined {
     return this.#state.kind === "open" ? this.#state.from : undefined;
   }
@@ -60,14 +60,14 @@
     this.#options.socket.terminate();
   }
 
-  /** Ends the connection for a fault of the peer's. */
+  /** Closes the connection because of an error of the peer. */
   reject(detail: string): void {
     this.#reject(detail);
   }
 
   #receive(data: RawData, isBinary: boolean): void {
     if (!isBinary || !(data instanceof Uint8Array)) {
-      this.#reject("a text frame");
+      this.#reject("not a binary frame");
       return;
     }
     decodeFrame(data).caseOf({
@@ -115,13 +115,13 @@
 
   #findHelloFault(hello: HelloFrame): string | undefined {
     if (hello.protocolVersion !== PEER_PROTOCOL_VERSION) {
-      return `protocol version ${hello.protocolVersion}`;
+      return `unsupported protocol version ${hello.protocolVersion}`;
     }
     if (hello.clusterName !== this.#options.clusterName) {
-      return `cluster ${hello.clusterName}`;
+      return `wrong cluster ${hello.clusterName}`;
     }
     if (hello.to !== this.#options.selfId) {
-      return `meant for ${hello.to}`;
+      return `addressed to ${hello.to}`;
     }
     if (!this.#options.isAdmitted(hello.from)) {
       return `unknown peer ${hello.from}`;
@@ -136,12 +136,12 @@
     }
     const key = this.#options.clusterKey;
     if (!key.verify(input, frame.mac)) {
-      this.#reject("a wrong proof of the cluster key");
+      this.#reject("invalid proof of the cluster key");
       return;
     }
     this.#state = { kind: "open", from: input.from };
-    this.#options.onProved(input.from);
-    const mac = key.prove({ ...input, side: "accepting" });
+    this.#options.onAuthenticated(input.from);
+    const mac = key.computeMac({ ...input, side: "accepting" });
     this.#send({ kind: "welcome", mac });
   }
 
--- a/src/connection/mod.ts
+++ b/src/connection/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Links between instances.
+ * Authenticated links between the instances of a cluster.
  *
  * @module
  */
--- a/src/connection/outgoing_link.ts
+++ b/src/connection/outgoing_link.ts
@@ -1,6 +1,6 @@
 /**
- * The dialling side of one link: keeps a connection to one peer open, proves
- * itself, and sends. A connection on which nothing comes back is given up.
+ * The dialling side of one link: keeps a connection to one peer open,
+ * authenticates, and sends messages. An idle connection is closed and replaced.
  *
  * @module
  */
@@ -19,20 +19,20 @@
   type PeerFrame,
 } from "./peer_frame.ts";
 
-/** The periods and bounds of a link. */
+/** Periods and limits of outgoing links. */
 export const OUTGOING_LINK_DEFAULTS = {
-  /** Between two signs of life. */
+  /** Between two pings. */
   pingPeriodMs: 1_000,
-  /** Without any answer for so long the connection is given up. */
-  silenceLimitMs: 3_000,
-  /** Before the first new try; it doubles with each failure. */
-  redialMs: 100,
-  redialLimitMs: 2_000,
-  /** Bytes not yet taken by the socket beyond which messages are dropped. */
+  /** A connection on which nothing was received for this long is closed. */
+  idleTimeoutMs: 3_000,
+  /** Before the first reconnection attempt; doubles with each failure. */
+  reconnectDelayMs: 100,
+  reconnectDelayLimitMs: 2_000,
+  /** Messages are dropped while the socket buffers more bytes than this. */
   bufferLimitBytes: 8_388_608,
 } as const;
 
-/** How an {@link OutgoingLink} is made. */
+/** Options of an {@link OutgoingLink}. */
 export interface OutgoingLinkOptions {
   readonly url: string;
   readonly socketOptions: ClientOptions;
@@ -51,7 +51,7 @@
   readonly input: Omit<ProofInput, "acceptingNonce">;
   expectedMac: Uint8Array | undefined;
   isOpen: boolean;
-  heardAtMs: number;
+  lastReceivedAtMs: number;
 }
 
 /** The link from this instance to one peer. */
@@ -59,15 +59,15 @@
   #options: OutgoingLinkOptions;
   #connection: Connection | undefined;
   #failures = 0;
-  #redial: Timer | undefined;
-  #pinger: Timer;
+  #reconnectTimer: Timer | undefined;
+  #pingTimer: Timer;
   #isClosed = false;
 
   constructor(options: OutgoingLinkOptions) {
     this.#options = options;
-    this.#pinger = options.clock.every(
+    this.#pingTimer = options.clock.every(
       OUTGOING_LINK_DEFAULTS.pingPeriodMs,
-      () => this.#checkLife(),
+      () => this.#checkActivity(),
     );
     this.#dial();
   }
@@ -76,7 +76,10 @@
     return this.#connection?.isOpen ?? false;
   }
 
-  /** Sends if the link is open and has room; gives the bytes, or 0. */
+  /**
+   * Sends the frame and returns its size in bytes; returns 0 if it was dropped,
+   * because the link is not open or the socket buffers too much.
+   */
   send(frame: MessageFrame): number {
     const connection = this.#connection;
     if (connection === undefined || !connection.isOpen) {
@@ -93,8 +96,8 @@
 
   close(): void {
     this.#isClosed = true;
-    this.#pinger.close();
-    this.#redial?.close();
+    this.#pingTimer.close();
+    this.#reconnectTimer?.close();
     this.#connection?.socket.terminate();
   }
 
@@ -112,17 +115,17 @@
       },
       expectedMac: undefined,
       isOpen: false,
-      heardAtMs: options.clock.nowMs(),
+      lastReceivedAtMs: options.clock.nowMs(),
     };
     this.#connection = connection;
-    socket.on("open", () => this.#sayHello(connection));
+    socket.on("open", () => this.#sendHello(connection));
     socket.on("message", (data) => this.#receive(connection, data));
-    socket.on("pong", () => this.#noteLife(connection));
+    socket.on("pong", () => this.#recordActivity(connection));
     socket.on("error", () => socket.terminate());
-    socket.on("close", () => this.#lose(connection));
+    socket.on("close", () => this.#handleClose(connection));
   }
 
-  #sayHello(connection: Connection): void {
+  #sendHello(connection: Connection): void {
     const { input } = connection;
     sendFrame(connection, {
       kind: "hello",
@@ -135,7 +138,7 @@
   }
 
   #receive(connection: Connection, data: RawData): void {
-    this.#noteLife(connection);
+    this.#recordActivity(connection);
     if (!(data instanceof Uint8Array)) {
       connection.socket.terminate();
       return;
@@ -149,10 +152,10 @@
   #handle(connection: Connection, frame: PeerFrame): void {
     switch (frame.kind) {
       case "challenge":
-        this.#prove(connection, frame.nonce);
+        this.#sendProof(connection, frame.nonce);
         return;
       case "welcome":
-        this.#open(connection, frame.mac);
+        this.#handleWelcome(connection, frame.mac);
         return;
       case "hello":
       case "proof":
@@ -162,14 +165,14 @@
     }
   }
 
-  #prove(connection: Connection, acceptingNonce: Uint8Array): void {
+  #sendProof(connection: Connection, acceptingNonce: Uint8Array): void {
     const key = this.#options.clusterKey;
     const input: ProofInput = { ...connection.input, acceptingNonce };
-    connection.expectedMac = key.prove({ ...input, side: "accepting" });
-    sendFrame(connection, { kind: "proof", mac: key.prove(input) });
+    connection.expectedMac = key.computeMac({ ...input, side: "accepting" });
+    sendFrame(connection, { kind: "proof", mac: key.computeMac(input) });
   }
 
-  #open(connection: Connection, mac: Uint8Array): void {
+  #handleWelcome(connection: Connection, mac: Uint8Array): void {
     const expected = connection.expectedMac;
     if (expected === undefined || Buffer.compare(expected, mac) !== 0) {
       connection.socket.terminate();
@@ -180,17 +183,17 @@
     this.#options.onOpened();
   }
 
-  #noteLife(connection: Connection): void {
-    connection.heardAtMs = this.#options.clock.nowMs();
+  #recordActivity(connection: Connection): void {
+    connection.lastReceivedAtMs = this.#options.clock.nowMs();
   }
 
-  #checkLife(): void {
+  #checkActivity(): void {
     const connection = this.#connection;
     if (connection === undefined) {
       return;
     }
-    const silentMs = this.#options.clock.nowMs() - connection.heardAtMs;
-    if (silentMs > OUTGOING_LINK_DEFAULTS.silenceLimitMs) {
+    const idleMs = this.#options.clock.nowMs() - connection.lastReceivedAtMs;
+    if (idleMs > OUTGOING_LINK_DEFAULTS.idleTimeoutMs) {
       connection.socket.terminate();
       return;
     }
@@ -199,25 +202,26 @@
     }
   }
 
-  #lose(connection: Connection): void {
+  #handleClose(connection: Connection): void {
     if (this.#connection !== connection) {
       return;
     }
     this.#connection = undefined;
     if (connection.isOpen) {
-      this.#options.onClosed("the connection ended");
+      this.#options.onClosed("the connection was closed");
     }
     if (!this.#isClosed) {
-      this.#scheduleRedial();
+      this.#scheduleReconnect();
     }
   }
 
-  #scheduleRedial(): void {
-    const { redialMs, redialLimitMs } = OUTGOING_LINK_DEFAULTS;
+  #scheduleReconnect(): void {
+    const { reconnectDelayMs: redialMs, reconnectDelayLimitMs: redialLimitMs } =
+      OUTGOING_LINK_DEFAULTS;
     const backoffMs = Math.min(redialLimitMs, redialMs * 2 ** this.#failures);
     const jitter = 0.5 + this.#options.random.nextUnit() / 2;
     this.#failures = Math.min(this.#failures + 1, 10);
-    this.#redial = this.#options.clock.after(
+    this.#reconnectTimer = this.#options.clock.after(
       backoffMs * jitter,
       () => this.#dial(),
     );
--- a/src/connection/peer_frame.ts
+++ b/src/connection/peer_frame.ts
@@ -1,10 +1,10 @@
 /**
- * The frames on a link between two instances, encoded by `msgpackr`.
+ * The frames on a link between two instances, encoded with `msgpackr`.
  *
- * The dialling side says `hello`, the accepting side answers `challenge`,
- * the dialling side proves that it holds the cluster key with `proof`, and
- * the accepting side proves it too with `welcome`. After that only the
- * dialling side sends, and only `message` frames.
+ * The dialling side sends `hello`, and the accepting side replies with
+ * `challenge`. The dialling side then proves with `proof` that it holds the
+ * cluster key, and the accepting side proves the same with `welcome`. After
+ * that only the dialling side sends, and only `message` frames.
  *
  * @module
  */
@@ -43,13 +43,13 @@
 const messageSchema = z.strictObject({
   kind: z.literal("message"),
   channel: z.string().min(1).max(64),
-  /** The sender's hybrid clock, for the time line. */
+  /** `wallMs` and `counter` are the sender's hybrid timestamp. */
   wallMs: z.number(),
   counter: z.int().min(0),
   body: z.unknown(),
 });
 
-/** Every frame that may come over a link. */
+/** The schema of all frames. */
 export const peerFrameSchema = z.discriminatedUnion("kind", [
   helloSchema,
   challengeSchema,
@@ -65,12 +65,12 @@
 const packr = new Packr({ useRecords: false, moreTypes: false });
 const unpackr = new Unpackr({ useRecords: false, moreTypes: false });
 
-/** The bytes of a frame. */
+/** Encodes a frame. */
 export function encodeFrame(frame: PeerFrame): Uint8Array {
   return packr.pack(frame);
 }
 
-/** The frame in the bytes; `malformed` for anything else. */
+/** Decodes a frame; `malformed` if `bytes` is not a valid frame. */
 export function decodeFrame(bytes: Uint8Array): Result<PeerFrame> {
   return unpack(bytes).chain(checkFrame);
 }
--- a/src/connection/peer_network.ts
+++ b/src/connection/peer_network.ts
@@ -1,7 +1,7 @@
 /**
- * How instances talk: typed one-way messages on named channels. Delivery is
- * not assured, and a message may come late, twice or out of order; whoever
- * needs more builds it from acknowledgements.
+ * Communication between instances: typed one-way messages on named channels.
+ * Messages may be lost, delayed, duplicated or reordered; users that need
+ * reliable delivery add acknowledgements.
  *
  * @module
  */
@@ -10,35 +10,35 @@
 import type { InstanceId } from "../base/identity.ts";
 import type { Result } from "../base/sesame_error.ts";
 
-/** A message that has arrived, with the instance that sent it. */
+/** A received message and its sender. */
 export interface Received<Message> {
   readonly from: InstanceId;
   readonly message: Message;
 }
 
-/** One part's own messages between instances. */
+/** A module's own channel for messages between instances. */
 export interface PeerChannel<Message> {
   /** Messages from other instances. */
   readonly received: Stream<Received<Message>>;
-  /** Sends if there is a link; false when the message was dropped at once. */
+  /** Sends if a link is open; false if the message was dropped locally. */
   send(to: InstanceId, message: Message): boolean;
   close(): void;
 }
 
-/** What a part says of its channel when it opens it. */
+/** Options of a {@link PeerChannel}. */
 export interface PeerChannelOptions<Message> {
-  /** The channel's name; the same part uses it on every instance. */
+  /** The channel's name, the same on every instance. */
   readonly name: string;
-  /** Checks the shape of what came; a failure closes the connection. */
+  /** Validates a received body; a failure closes the connection. */
   readonly decode: (body: unknown) => Result<Message>;
 }
 
 /** The links of this instance to its peers. */
 export interface PeerNetwork {
   readonly selfId: InstanceId;
-  /** All peers named in the settings, reachable or not, without this one. */
+  /** All known peers, reachable or not, without this instance. */
   readonly peerIds: readonly InstanceId[];
-  /** The peers to which a link is open now. */
+  /** The peers to which a link is currently open. */
   linkedPeerIds(): readonly InstanceId[];
   channel<Message>(
     options: PeerChannelOptions<Message>,
--- a/src/connection/ws_peer_network.ts
+++ b/src/connection/ws_peer_network.ts
@@ -1,6 +1,6 @@
 /**
- * The peer network over `ws`: one dialled and one accepted connection for
- * each peer.
+ * The peer network over WebSocket (`ws`): one dialled and one accepted
+ * connection for each peer.
  *
  * @module
  */
@@ -28,30 +28,33 @@
   Received,
 } from "./peer_network.ts";
 
-/** The most bytes of one frame. */
+/** The maximum size of a frame. */
 export const FRAME_LIMIT_BYTES = 4_194_304;
 
-/** The most connections at once that have not proved themselves. */
-const UNPROVED_LIMIT = 64;
+/** The maximum number of concurrent unauthenticated connections. */
+const UNAUTHENTICATED_LIMIT = 64;
 
-/** How long a connection may take to prove itself. */
-const PROOF_LIMIT_MS = 5_000;
+/**
+ * How long an accepted connection may take to authenticate, and a dialled one to
+ * complete the WebSocket handshake.
+ */
+const AUTHENTICATION_TIMEOUT_MS = 5_000;
 
-/** Where one peer listens. */
+/** The listen address of one peer. */
 export interface PeerAddress {
   readonly id: InstanceId;
-  /** IP number and port. */
+  /** IP address and port. */
   readonly address: string;
 }
 
-/** PEM texts for TLS between instances; both sides show certificates. */
+/** PEM texts for mutual TLS between instances. */
 export interface PeerTls {
   readonly certificate: string;
   readonly key: string;
   readonly authority: string;
 }
 
-/** How a {@link WsPeerNetwork} is made. */
+/** Options of a {@link WsPeerNetwork}. */
 export interface WsPeerNetworkOptions {
   readonly self: PeerAddress;
   readonly peers: readonly PeerAddress[];
@@ -63,28 +66,28 @@
   readonly random: RandomSource;
   readonly events: EventLog;
   /**
-   * Where a peer listens that the settings don't name and that proved itself
-   * by the cluster key; undefined for one that is not let in. Absent where
-   * only the peers of the settings are let in.
+   * The address of a peer that is not in `peers` but may authenticate with the
+   * cluster key; undefined if that peer is not admitted. Without this function,
+   * only `peers` are admitted.
    */
   readonly admit?: (id: InstanceId) => PeerAddress | undefined;
 }
 
 type Deliver = (from: InstanceId, body: unknown) => boolean;
 
-/** Counts of what the network has carried. */
+/** Traffic counters of the network. */
 export interface PeerTraffic {
   sentMessages: number;
-  /** Bytes of frames, without those of WebSocket and TCP. */
+  /** Frame bytes, without WebSocket and TCP overhead. */
   sentBytes: number;
-  /** The same for each channel. */
+  /** The same by channel. */
   readonly sentBytesByChannel: Record<string, number>;
   droppedMessages: number;
   receivedMessages: number;
   rejectedConnections: number;
 }
 
-/** The links of this instance to its peers, over loopback or a network. */
+/** The links of this instance to its peers. */
 export class WsPeerNetwork implements PeerNetwork {
   readonly selfId: InstanceId;
   readonly #peerIds = new Set<InstanceId>();
@@ -108,12 +111,12 @@
     options.peers.forEach((peer) => this.#peerIds.add(peer.id));
   }
 
-  /** All peers that are known, reachable or not, without this one. */
+  /** All known peers, reachable or not, without this instance. */
   get peerIds(): readonly InstanceId[] {
     return [...this.#peerIds];
   }
 
-  /** Dials one more peer from now on. */
+  /** Adds a peer and dials it; does nothing if the peer is known. */
   addPeer(peer: PeerAddress): void {
     if (peer.id === this.selfId || this.#peerIds.has(peer.id)) {
       return;
@@ -122,7 +125,7 @@
     this.#outgoing.set(peer.id, this.#dial(peer));
   }
 
-  /** Listens, and dials every peer; rejects when the address is taken. */
+  /** Listens and dials every peer; rejects if listening fails. */
   async open(): Promise<void> {
     this.#server = createServer(this.#options.tls);
     const sockets = new WebSocketServer({
@@ -213,7 +216,7 @@
   }
 
   #accept(socket: WebSocket): void {
-    if (this.#countUnproved() >= UNPROVED_LIMIT) {
+    if (this.#countUnauthenticated() >= UNAUTHENTICATED_LIMIT) {
       socket.terminate();
       return;
     }
@@ -221,16 +224,16 @@
       socket,
       selfId: this.selfId,
       isAdmitted: (id) => this.#isAdmitted(id),
-      onProved: (id) => this.#admit(id),
+      onAuthenticated: (id) => this.#admit(id),
       clusterName: this.#options.clusterName,
       clusterKey: this.#options.clusterKey,
       onMessage: (from, frame) => this.#deliver(link, from, frame),
       onRejected: (from, detail) => this.#countRejected(from, detail),
     });
     this.#incoming.add(link);
-    const timer = this.#options.clock.after(PROOF_LIMIT_MS, () => {
+    const timer = this.#options.clock.after(AUTHENTICATION_TIMEOUT_MS, () => {
       if (link.from === undefined) {
-        link.reject("no proof in time");
+        link.reject("authentication timed out");
       }
     });
     socket.on("close", () => {
@@ -251,12 +254,12 @@
     }
   }
 
-  #countUnproved(): number {
-    let unproved = 0;
+  #countUnauthenticated(): number {
+    let count = 0;
     for (const link of this.#incoming) {
-      unproved += link.from === undefined ? 1 : 0;
+      count += link.from === undefined ? 1 : 0;
     }
-    return unproved;
+    return count;
   }
 
   #deliver(link: IncomingLink, from: InstanceId, frame: MessageFrame): void {
@@ -266,7 +269,7 @@
       return;
     }
     if (!deliver(from, frame.body)) {
-      link.reject(`a malformed message on channel ${frame.channel}`);
+      link.reject(`malformed message on channel ${frame.channel}`);
       return;
     }
     this.traffic.receivedMessages += 1;
@@ -295,7 +298,7 @@
   const shared: ClientOptions = {
     perMessageDeflate: false,
     maxPayload: FRAME_LIMIT_BYTES,
-    handshakeTimeout: PROOF_LIMIT_MS,
+    handshakeTimeout: AUTHENTICATION_TIMEOUT_MS,
   };
   if (tls === undefined) {
     return shared;
@@ -305,8 +308,9 @@
     cert: tls.certificate,
     key: tls.key,
     ca: tls.authority,
-    // Peers are named by IP number, and the cluster key proves which one it
-    // is; a false value tells Node that the certificate's name is accepted.
+    // Peers are addressed by IP address and authenticated by the cluster key,
+    // so the certificate's host name is not checked. Node accepts the name if
+    // this function returns a falsy value.
     checkServerIdentity: () => false,
   };
 }
--- a/src/connection/ws_peer_network_test.ts
+++ b/src/connection/ws_peer_network_test.ts
@@ -83,35 +83,35 @@
   });
 }
 
-/** Waits for a condition that real sockets bring about. */
-async function until(condition: () => boolean): Promise<void> {
+/** Polls until the condition holds, which depends on real sockets. */
+async function waitUntil(condition: () => boolean): Promise<void> {
   while (!condition()) {
     await new Promise((resolve) => setTimeout(resolve, 5));
   }
 }
 
-test("messages reach the same channel of the peer, in order", async (t) => {
+test("messages arrive on the same channel of the peer, in order", async (t) => {
   const pair = await openPair({ a: "secret", b: "secret" });
-  const heard: Received<string>[] = [];
+  const messages: Received<string>[] = [];
   textChannel(pair.b).received.observe((received) => {
-    heard.push(received);
+    messages.push(received);
   });
   const sender = textChannel(pair.a);
   t.false(sender.send("nobody", "lost"));
-  await until(() => pair.a.linkedPeerIds().includes("b"));
+  await waitUntil(() => pair.a.linkedPeerIds().includes("b"));
   t.true(sender.send("b", "one"));
   t.true(sender.send("b", "two"));
-  await until(() => heard.length === 2);
-  t.deepEqual(heard, [
+  await waitUntil(() => messages.length === 2);
+  t.deepEqual(messages, [
     { from: "a", message: "one" },
     { from: "a", message: "two" },
   ]);
   await closePair(pair);
 });
 
-test("a peer with another cluster key gets no link either way", async (t) => {
+test("no link opens between peers with different cluster keys", async (t) => {
   const pair = await openPair({ a: "secret", b: "guess" });
-  await until(() =>
+  await waitUntil(() =>
     pair.a.traffic.rejectedConnections > 0 &&
     pair.b.traffic.rejectedConnections > 0
   );
@@ -120,7 +120,7 @@
   await closePair(pair);
 });
 
-test("bad frames close their connection, count, and do no more", async (t) => {
+test("invalid frames are counted and only close their own connection", async (t) => {
   const pair = await openPair({ a: "secret", b: "secret" });
   const hello = {
     kind: "hello",
@@ -136,20 +136,20 @@
     encodeFrame({ ...hello, protocolVersion: 99 }),
     encodeFrame({ ...hello, clusterName: "other" }),
     encodeFrame({ ...hello, to: "c" }),
-    encodeFrame({ ...hello, from: "stranger" }),
+    encodeFrame({ ...hello, from: "unknown" }),
     encodeFrame({ kind: "proof", mac: new Uint8Array(32) }),
     encodeFrame({
       kind: "message",
       channel: "text",
       wallMs: 0,
       counter: 0,
-      body: "unproved",
+      body: "unauthenticated",
     }),
     new Uint8Array(FRAME_LIMIT_BYTES + 1),
   ];
-  const heard: unknown[] = [];
+  const messages: unknown[] = [];
   textChannel(pair.b).received.observe((received) => {
-    heard.push(received);
+    messages.push(received);
   });
   for (const frame of frames) {
     const socket = new WebSocket(`ws://${pair.addressOfB}`);
@@ -158,32 +158,32 @@
     const before = pair.b.traffic.rejectedConnections;
     socket.send(frame);
     await once(socket, "close");
-    await until(() => pair.b.traffic.rejectedConnections > before);
+    await waitUntil(() => pair.b.traffic.rejectedConnections > before);
   }
   t.is(pair.b.traffic.rejectedConnections, frames.length);
-  t.deepEqual(heard, []);
-  await until(() => pair.a.linkedPeerIds().includes("b"));
-  t.true(textChannel(pair.a).send("b", "still served"));
-  await until(() => heard.length === 1);
+  t.deepEqual(messages, []);
+  await waitUntil(() => pair.a.linkedPeerIds().includes("b"));
+  t.true(textChannel(pair.a).send("b", "still delivered"));
+  await waitUntil(() => messages.length === 1);
   await closePair(pair);
 });
 
-test("a message that its channel can't read closes the link", async (t) => {
+test("a message that its channel can't decode closes the link", async (t) => {
   const pair = await openPair({ a: "secret", b: "secret" });
   textChannel(pair.b);
   const wrong = pair.a.channel<number>({
     name: "text",
     decode: () => failure("malformed"),
   });
-  await until(() => pair.a.linkedPeerIds().includes("b"));
+  await waitUntil(() => pair.a.linkedPeerIds().includes("b"));
   wrong.send("b", 5);
-  await until(() => pair.b.traffic.rejectedConnections === 1);
+  await waitUntil(() => pair.b.traffic.rejectedConnections === 1);
   t.is(pair.b.traffic.receivedMessages, 0);
-  await until(() => pair.a.linkedPeerIds().includes("b"));
+  await waitUntil(() => pair.a.linkedPeerIds().includes("b"));
   await closePair(pair);
 });
 
-test("with TLS, a peer without a certificate is not let in", async (t) => {
+test("with TLS, a peer without a certificate is rejected", async (t) => {
   const read = (name: string) =>
     readFileSync(`test/fixtures/tls/${name}`, "utf8");
   const tls: PeerTls = {
@@ -192,19 +192,19 @@
     authority: read("authority.pem"),
   };
   const pair = await openPair({ a: "secret", b: "secret", tls });
-  const heard: Received<string>[] = [];
+  const messages: Received<string>[] = [];
   textChannel(pair.b).received.observe((received) => {
-    heard.push(received);
+    messages.push(received);
   });
-  await until(() => pair.a.linkedPeerIds().includes("b"));
-  t.true(textChannel(pair.a).send("b", "sealed"));
-  await until(() => heard.length === 1);
-  const stranger = new WebSocket(`wss://${pair.addressOfB}`, {
+  await waitUntil(() => pair.a.linkedPeerIds().includes("b"));
+  t.true(textChannel(pair.a).send("b", "encrypted"));
+  await waitUntil(() => messages.length === 1);
+  const socket = new WebSocket(`wss://${pair.addressOfB}`, {
     ca: tls.authority,
     checkServerIdentity: () => false,
   });
   const error = await new Promise<NodeJS.ErrnoException>((resolve) => {
-    stranger.once("error", resolve);
+    socket.once("error", resolve);
   });
   t.is(error.code, "ERR_SSL_TLSV13_ALERT_CERTIFICATE_REQUIRED");
   await closePair(pair);
--- a/src/request/request_record.ts
+++ b/src/request/request_record.ts
@@ -1,5 +1,5 @@
 /**
- * One caller's request and how it ends.
+ * A caller's request and its outcome.
  *
  * @module
  */
@@ -11,12 +11,12 @@
 } from "../base/identity.ts";
 import type { SesameError } from "../base/sesame_error.ts";
 
-/** A request, checked and with every default filled in. */
+/** A validated request, with all defaults filled in. */
 export interface RequestRecord {
   readonly requestId: RequestId;
   readonly service: ServiceId;
   readonly clientAccount: ClientAccountId | undefined;
-  /** The name of one of the service's classes. */
+  /** The name of one of the service's request classes. */
   readonly requestClass: string;
   readonly isIdempotent: boolean;
   readonly receivedAtMs: number;
@@ -24,11 +24,11 @@
   readonly path: string;
   readonly contentType: string | undefined;
   readonly body: Uint8Array;
-  /** The configuration version under which it was admitted. */
+  /** The configuration version under which the request was admitted. */
   readonly configurationVersion: number;
 }
 
-/** A whole answer of a backend server. */
+/** A complete answer of a backend server. */
 export interface ServerAnswer {
   readonly requestId: RequestId;
   readonly httpStatus: number;
@@ -36,7 +36,7 @@
   readonly body: Uint8Array;
 }
 
-/** How a request ended. */
+/** The outcome of a request. */
 export type RequestOutcome =
   | { readonly kind: "answered"; readonly answer: ServerAnswer }
   | { readonly kind: "failed"; readonly error: SesameError };
