--- a/src/process/logging/counted_event_log.ts
+++ b/src/process/logging/counted_event_log.ts
@@ -1,6 +1,6 @@
 /**
- * Counts events for the metrics on their way to the log, also those of which
- * the log suppresses lines.
+ * Counts events for the metrics before passing them to the log, including
+ * events whose lines the log suppresses.
  *
  * @module
  */
@@ -8,7 +8,10 @@
 import type { EventFields, EventLog, EventName } from "../../base/mod.ts";
 import type { MetricsRegistry } from "../http/mod.ts";
 
-/** Events that are counted by one of their fields, from a closed list. */
+/**
+ * The field by whose value an event is counted separately. Each of these fields
+ * has a closed list of values, which bounds the number of counters.
+ */
 const LABEL_FIELDS: Partial<Record<EventName, string>> = {
   taskEnded: "how",
   taskStartRefused: "reason",
@@ -19,7 +22,7 @@
   batchCallUnavailable: "call",
 };
 
-/** Events with a duration, and the histogram that it goes into. */
+/** The duration field of an event, and the histogram that records it. */
 const DURATION_FIELDS: Partial<
   Record<EventName, { field: string; metric: string; help: string }>
 > = {
@@ -30,13 +33,13 @@
   },
 };
 
-/** What a counted log is made from. */
+/** Options of a {@link CountedEventLog}. */
 export interface CountedEventLogOptions {
   readonly log: EventLog;
   readonly metrics: MetricsRegistry;
 }
 
-/** An event log that also counts. */
+/** An event log that also counts events. */
 export class CountedEventLog implements EventLog {
   readonly #options: CountedEventLogOptions;
 
--- a/src/process/logging/event_line_log.ts
+++ b/src/process/logging/event_line_log.ts
@@ -1,5 +1,5 @@
 /**
- * An event log as flat JSON lines, each event under a budget of its own.
+ * An event log that writes flat JSON lines and limits the rate of each event.
  *
  * @module
  */
@@ -13,13 +13,13 @@
 } from "../../base/mod.ts";
 import type { LineWriter } from "./line_writer.ts";
 
-/** Lines of one event in each period; more are counted, not written. */
+/** Lines written per event and period; further ones are only counted. */
 const LINES_PER_PERIOD = 200;
 
-/** How long a budget lasts. */
-const PERIOD_MS = 1_000;
+/** The period after which the line budgets are reset. */
+const BUDGET_PERIOD_MS = 1_000;
 
-/** What a log is made from. */
+/** Options of an {@link EventLineLog}. */
 export interface EventLineLogOptions {
   readonly instanceId: string;
   readonly clock: Clock;
@@ -27,7 +27,7 @@
   readonly linesPerPeriod?: number;
 }
 
-/** Writes each event as one line. */
+/** Writes each event as one JSON line. */
 export class EventLineLog implements EventLog {
   readonly #options: EventLineLogOptions;
   readonly #written = new Map<EventName, number>();
@@ -36,7 +36,10 @@
 
   constructor(options: EventLineLogOptions) {
     this.#options = options;
-    this.#timer = options.clock.every(PERIOD_MS, () => this.#beginPeriod());
+    this.#timer = options.clock.every(
+      BUDGET_PERIOD_MS,
+      () => this.#beginPeriod(),
+    );
   }
 
   emit(name: EventName, fields: EventFields = {}): void {
--- a/src/process/logging/line_writer_test.ts
+++ b/src/process/logging/line_writer_test.ts
@@ -3,7 +3,7 @@
 import { EventLineLog } from "./event_line_log.ts";
 import { LineWriter } from "./line_writer.ts";
 
-test("a reader that stalls costs lines, not time", (t) => {
+test("lines are dropped while the reader stalls", (t) => {
   const chunks: Uint8Array[] = [];
   let release = () => {};
   const writer = new LineWriter({
@@ -21,10 +21,10 @@
   release();
   t.is(chunks.length, 2);
   release();
-  t.true(writer.push("taken again"));
+  t.true(writer.push("accepted again"));
 });
 
-test("what is written in part goes on where it stopped", (t) => {
+test("a partial write is continued where it stopped", (t) => {
   let text = "";
   const writer = new LineWriter({
     write: (chunk, done) => {
@@ -37,7 +37,7 @@
   t.is(text, "hello\n");
 });
 
-test("each event has a budget, and what it lost is told", (t) => {
+test("each event has a line budget, and suppressed lines are reported", (t) => {
   const lines: Record<string, unknown>[] = [];
   const clock = new FakeClock();
   const log = new EventLineLog({
@@ -58,16 +58,16 @@
   log.emit("batchJobAccepted", { jobId: "other" });
   t.is(lines.length, 6);
   clock.advance(1_000);
-  const told = lines.at(-1);
-  t.is(told?.event, "logLinesSuppressed");
-  t.is(told?.lines, 95);
-  t.is(told?.suppressed, "batchJobRefused");
+  const summary = lines.at(-1);
+  t.is(summary?.event, "logLinesSuppressed");
+  t.is(summary?.lines, 95);
+  t.is(summary?.suppressed, "batchJobRefused");
 });
 
-test("a line is flat, and text from outside stays within it", (t) => {
+test("untrusted text can't break out of a line", (t) => {
   const chunks: string[] = [];
   const log = new EventLineLog({
-    instanceId: "door-1",
+    instanceId: "instance-1",
     clock: new FakeClock(),
     writer: new LineWriter({
       write: (chunk, done) => {
@@ -81,6 +81,6 @@
   t.false(chunks.join("").includes("\u001b"));
   const line = JSON.parse(chunks.join("")) as Record<string, unknown>;
   t.is(line.number, 7_011);
-  t.is(line.instance, "door-1");
+  t.is(line.instance, "instance-1");
   t.is(line.reason, "queueFull");
 });
--- a/src/process/logging/mod.ts
+++ b/src/process/logging/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Log lines of a process.
+ * Event logs that write lines and count events.
  *
  * @module
  */
