Reword membership in plain terms

Peers were "heard" and "judged"; they are now reachable and evaluated. Renamed heartbeat to applyHeartbeat, judge to evaluate, isHeardByAnother to isReachableFromAnother. States, heartbeat fields and events stay.

--- a/src/process/membership/arrival_window.ts
+++ b/src/process/membership/arrival_window.ts
@@ -1,19 +1,19 @@
 /**
- * When heartbeats came, and how unlikely a silence is: the phi-accrual
- * detector (Hayashibara et al., 2004).
+ * The phi-accrual failure detector (Hayashibara et al., 2004): rates from past
+ * heartbeat intervals how unlikely the time without a heartbeat is.
  *
  * @module
  */
 
-/** The window's bounds. */
+/** Parameters of the window. */
 export const ARRIVAL_WINDOW_DEFAULTS = {
-  /** The intervals that are remembered. */
+  /** The number of intervals kept. */
   size: 32,
-  /** No deviation is taken for smaller than this. */
+  /** The minimum standard deviation assumed. */
   deviationFloorMs: 150,
 } as const;
 
-/** The intervals between the last heartbeats of one peer. */
+/** The intervals between the latest heartbeats of one peer. */
 export class ArrivalWindow {
   #intervalsMs: number[] = [];
   #lastAtMs: number;
@@ -24,12 +24,12 @@
     this.#expectedMs = options.expectedIntervalMs;
   }
 
-  /** When the last heartbeat came. */
+  /** When the latest heartbeat arrived. */
   get lastAtMs(): number {
     return this.#lastAtMs;
   }
 
-  /** Takes note of a heartbeat. */
+  /** Records a heartbeat. */
   add(atMs: number): void {
     this.#intervalsMs.push(atMs - this.#lastAtMs);
     if (this.#intervalsMs.length > ARRIVAL_WINDOW_DEFAULTS.size) {
@@ -38,7 +38,7 @@
     this.#lastAtMs = atMs;
   }
 
-  /** The mean interval; the expected one while there are too few. */
+  /** The mean interval; the expected one while fewer than 3 are known. */
   meanMs(): number {
     const count = this.#intervalsMs.length;
     if (count < 3) {
@@ -48,8 +48,8 @@
   }
 
   /**
-   * How surprising the present silence is: 1 means that a live peer is
-   * silent for so long one time in ten, 8 one time in a hundred million.
+   * How unlikely it is that a live peer has sent no heartbeat for so long: phi
+   * 1 means a probability of 10^-1, phi 8 one of 10^-8.
    */
   phi(nowMs: number): number {
     const meanMs = this.meanMs();
--- a/src/process/membership/membership.ts
+++ b/src/process/membership/membership.ts
@@ -1,6 +1,6 @@
 /**
- * Membership of the running instance: sends its heartbeats, hears those of
- * its peers, and tells the other parts who is there.
+ * Cluster membership as seen by this instance: sends its heartbeats, receives
+ * those of its peers, and publishes changes of their states.
  *
  * @module
  */
@@ -24,19 +24,19 @@
   type PeerView,
 } from "./membership_core.ts";
 
-/** How a {@link Membership} is made. */
+/** Options of a {@link Membership}. */
 export interface MembershipOptions {
   readonly self: ConfiguredPeer;
   readonly httpAddress: string;
   readonly peers: readonly ConfiguredPeer[];
-  /** Greater than that of any earlier run of this instance. */
+  /** Greater than in any earlier run of this instance. */
   readonly incarnation: number;
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly events: EventLog;
 }
 
-/** The membership of one running instance. */
+/** The membership service of one running instance. */
 export class Membership {
   #options: MembershipOptions;
   #core: MembershipCore;
@@ -46,7 +46,7 @@
   #sequence = 0;
   #isLeaving = false;
 
-  /** Every change of state of a peer. */
+  /** Every change of a peer's state. */
   readonly changes: Stream<PeerChange> = this.#changes.stream;
 
   constructor(options: MembershipOptions) {
@@ -58,20 +58,25 @@
     });
     this.#channel.received.observe(({ from, message }) => {
       const atMs = options.clock.nowMs();
-      this.#publish(this.#core.heartbeat(from, { heartbeat: message, atMs }));
+      this.#publish(
+        this.#core.applyHeartbeat(from, { heartbeat: message, atMs }),
+      );
     });
     this.#timer = options.clock.every(
       MEMBERSHIP_DEFAULTS.heartbeatPeriodMs,
-      () => this.#beat(),
+      () => this.#handleHeartbeatTimer(),
     );
   }
 
-  /** Every configured peer, as seen from here. */
+  /** Every configured peer, as seen by this instance. */
   peers(): PeerView[] {
     return this.#core.peers();
   }
 
-  /** The instances of a data centre that take work, this one included. */
+  /**
+   * The instances of a data centre that are alive or slow. Includes this
+   * instance until it leaves.
+   */
   usable(dataCentre: DataCentreId): InstanceId[] {
     const ids = this.#core.peers()
       .filter((peer) => peer.dataCentre === dataCentre && isUsable(peer))
@@ -81,7 +86,7 @@
     return isOwn ? [self.id, ...ids] : ids;
   }
 
-  /** Where an instance answers HTTP; undefined while that isn't known. */
+  /** The HTTP address of an instance; undefined while unknown. */
   httpAddressOf(id: InstanceId): string | undefined {
     const { self, httpAddress } = this.#options;
     return id === self.id
@@ -89,7 +94,7 @@
       : this.#core.peers().find((peer) => peer.id === id)?.httpAddress;
   }
 
-  /** Tells all peers at once that this instance stops. */
+  /** Notifies all peers immediately that this instance is stopping. */
   leave(): void {
     this.#isLeaving = true;
     this.#sendHeartbeat();
@@ -101,7 +106,7 @@
     this.#changes.close();
   }
 
-  #beat(): void {
+  #handleHeartbeatTimer(): void {
     this.#publish(this.#core.tick(this.#options.clock.nowMs()));
     this.#sendHeartbeat();
   }
--- a/src/process/membership/membership_core.ts
+++ b/src/process/membership/membership_core.ts
@@ -1,5 +1,5 @@
 /**
- * Who is there: pure state, driven by heartbeats and by the passing of time.
+ * The state of failure detection, updated by heartbeats and the passing of time.
  *
  * @module
  */
@@ -12,51 +12,51 @@
 import { ArrivalWindow } from "./arrival_window.ts";
 import type { Heartbeat } from "./heartbeat.ts";
 
-/** The periods and bounds of failure detection. */
+/** Periods and thresholds of failure detection. */
 export const MEMBERSHIP_DEFAULTS = {
   heartbeatPeriodMs: 1_000,
-  /** The silence that makes a peer suspect, as phi. */
+  /** The phi value from which a peer is not considered reachable. */
   suspicionPhi: 8,
-  /** A mean interval beyond this multiple of the period is slow. */
+  /** A peer is slow if its mean interval exceeds this multiple of the period. */
   slowFactor: 1.5,
-  /** How long a peer stays suspect before it counts as dead. */
+  /** How long a peer stays suspect before it is considered dead. */
   suspicionMs: 3_000,
 } as const;
 
-/** What is known of one peer. */
+/** The state of a peer as seen by this instance. */
 export const PeerState = {
-  /** Named in the settings, not heard of yet. */
+  /** No heartbeat has been received yet. */
   unknown: "unknown",
-  /** Heard directly and on time. */
+  /** Its heartbeats arrive on time. */
   alive: "alive",
-  /** Heard directly, but late as a rule. */
+  /** Its heartbeats arrive, but their mean interval is too long. */
   slow: "slow",
-  /** Not heard here, but by a peer that is heard. */
+  /** Not reachable from here, but from another peer that is. */
   unreachable: "unreachable",
-  /** Heard by nobody for a surprising time. */
+  /** Not reachable from here or from any reachable peer. */
   suspect: "suspect",
-  /** Suspect for so long that it is taken to have failed. */
+  /** Suspect for so long that it is considered failed. */
   dead: "dead",
-  /** It said that it stops. */
+  /** It has announced that it is stopping. */
   leaving: "leaving",
 } as const;
 
 /** One of the values of {@link PeerState}. */
 export type PeerState = typeof PeerState[keyof typeof PeerState];
 
-/** One peer as this instance sees it. */
+/** One peer as seen by this instance. */
 export interface PeerView {
   readonly id: InstanceId;
   readonly dataCentre: DataCentreId;
   readonly region: RegionId;
   readonly state: PeerState;
-  /** Grows with each restart of the peer; 0 while unknown. */
+  /** Increases with each restart of the peer; 0 while unknown. */
   readonly incarnation: number;
-  /** Where it answers HTTP; absent while unknown. */
+  /** Its HTTP address; undefined while unknown. */
   readonly httpAddress: string | undefined;
 }
 
-/** A peer as the settings name it. */
+/** A peer as named in the settings. */
 export interface ConfiguredPeer {
   readonly id: InstanceId;
   readonly dataCentre: DataCentreId;
@@ -75,13 +75,13 @@
   suspectUntilMs: number | undefined;
 }
 
-/** A change of state of one peer. */
+/** A change of a peer's state. */
 export interface PeerChange {
   readonly peer: PeerView;
   readonly before: PeerState;
 }
 
-/** The state of failure detection in one instance. */
+/** Failure detection in one instance. */
 export class MembershipCore {
   #peers = new Map<InstanceId, PeerRecord>();
   #periodMs: number;
@@ -102,18 +102,18 @@
     return [...this.#peers.values()].map(viewOf);
   }
 
-  /** The peers that this instance doesn't hear; goes into its heartbeats. */
+  /** The peers not reachable from here, for this instance's heartbeats. */
   missing(): InstanceId[] {
     return [...this.#peers.values()]
-      .filter((peer) => !isHeard(peer))
+      .filter((peer) => !isReachable(peer))
       .map((peer) => peer.configured.id);
   }
 
   /**
-   * Takes in a heartbeat. One of an earlier incarnation, or one overtaken by
-   * a later, is dropped.
+   * Applies a heartbeat and returns the state changes. A heartbeat that is not
+   * newer than the latest one is dropped.
    */
-  heartbeat(
+  applyHeartbeat(
     from: InstanceId,
     options: { heartbeat: Heartbeat; atMs: number },
   ): PeerChange[] {
@@ -122,21 +122,21 @@
     if (peer === undefined || isOutdated(peer, heartbeat)) {
       return [];
     }
-    this.#noteArrival(peer, heartbeat, atMs);
+    this.#recordArrival(peer, heartbeat, atMs);
     peer.incarnation = heartbeat.incarnation;
     peer.sequence = heartbeat.sequence;
     peer.httpAddress = heartbeat.httpAddress;
     peer.isLeaving = heartbeat.isLeaving;
     peer.missing = new Set(heartbeat.missing);
-    return this.#judgeAll(atMs);
+    return this.#evaluateAll(atMs);
   }
 
-  /** Lets time pass. */
+  /** Re-evaluates all peers at the given time. */
   tick(atMs: number): PeerChange[] {
-    return this.#judgeAll(atMs);
+    return this.#evaluateAll(atMs);
   }
 
-  #noteArrival(peer: PeerRecord, heartbeat: Heartbeat, atMs: number): void {
+  #recordArrival(peer: PeerRecord, heartbeat: Heartbeat, atMs: number): void {
     const isRestarted = heartbeat.incarnation !== peer.incarnation;
     const wasLost = peer.state === PeerState.dead ||
       peer.state === PeerState.suspect;
@@ -150,11 +150,11 @@
     peer.arrivals.add(atMs);
   }
 
-  #judgeAll(atMs: number): PeerChange[] {
+  #evaluateAll(atMs: number): PeerChange[] {
     const changes: PeerChange[] = [];
     for (const peer of this.#peers.values()) {
       const before = peer.state;
-      peer.state = this.#judge(peer, atMs);
+      peer.state = this.#evaluate(peer, atMs);
       if (peer.state !== before) {
         changes.push({ peer: viewOf(peer), before });
       }
@@ -162,7 +162,7 @@
     return changes;
   }
 
-  #judge(peer: PeerRecord, atMs: number): PeerState {
+  #evaluate(peer: PeerRecord, atMs: number): PeerState {
     if (peer.arrivals === undefined) {
       return PeerState.unknown;
     }
@@ -170,9 +170,9 @@
       peer.arrivals.phi(atMs) >= MEMBERSHIP_DEFAULTS.suspicionPhi;
     if (!isSilent) {
       peer.suspectUntilMs = undefined;
-      return this.#judgeHeard(peer);
+      return this.#evaluateReachable(peer);
     }
-    if (this.#isHeardByAnother(peer, atMs)) {
+    if (this.#isReachableFromAnother(peer, atMs)) {
       peer.suspectUntilMs = undefined;
       return PeerState.unreachable;
     }
@@ -180,7 +180,7 @@
     return atMs < peer.suspectUntilMs ? PeerState.suspect : PeerState.dead;
   }
 
-  #judgeHeard(peer: PeerRecord): PeerState {
+  #evaluateReachable(peer: PeerRecord): PeerState {
     if (peer.isLeaving) {
       return PeerState.leaving;
     }
@@ -189,11 +189,11 @@
     return isSlow ? PeerState.slow : PeerState.alive;
   }
 
-  #isHeardByAnother(silent: PeerRecord, atMs: number): boolean {
+  #isReachableFromAnother(peer: PeerRecord, atMs: number): boolean {
     for (const other of this.#peers.values()) {
-      const isWitness = other !== silent && other.arrivals !== undefined &&
+      const isWitness = other !== peer && other.arrivals !== undefined &&
         other.arrivals.phi(atMs) < MEMBERSHIP_DEFAULTS.suspicionPhi;
-      if (isWitness && !other.missing.has(silent.configured.id)) {
+      if (isWitness && !other.missing.has(peer.configured.id)) {
         return true;
       }
     }
@@ -222,7 +222,7 @@
   return heartbeat.sequence <= peer.sequence;
 }
 
-function isHeard(peer: PeerRecord): boolean {
+function isReachable(peer: PeerRecord): boolean {
   return peer.state === PeerState.alive || peer.state === PeerState.slow ||
     peer.state === PeerState.leaving;
 }
--- a/src/process/membership/mod.ts
+++ b/src/process/membership/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Which instances are there, as this one sees it.
+ * Cluster membership: the states of the instances, as seen by this one.
  *
  * @module
  */
