Reword storage in plain terms

The record's mark is its magic number, damage is classified, not judged, and the fake disk's failures are described by what they do. Formats and values stay.

--- a/src/process/storage/fake_storage.ts
+++ b/src/process/storage/fake_storage.ts
@@ -1,5 +1,5 @@
 /**
- * A disk in memory that fails as disks do, for tests and benches.
+ * An in-memory disk with simulated failures, for tests and benchmarks.
  *
  * @module
  */
@@ -10,24 +10,24 @@
 import type { Storage } from "../../base/storage.ts";
 
 interface FakeFile {
-  /** What survives a crash; undefined while its name was never synced. */
+  /** The content that survives a crash; undefined until the first sync. */
   durable: Uint8Array | undefined;
   written: Uint8Array;
 }
 
-/** How the fake disk fails from now on. */
+/** Which failures the fake disk simulates; may be changed at any time. */
 export interface FakeStorageFaults {
-  /** No byte more can be written. */
+  /** Writes fail with `ENOSPC`. */
   isFull: boolean;
-  /** Syncs fail, and what they were for may be lost. */
+  /** Syncs fail with `EIO`; the unsynced bytes may be lost. */
   syncFails: boolean;
-  /** Syncs report success and do nothing. */
+  /** Syncs report success without making anything durable. */
   syncLies: boolean;
-  /** Syncs of files don't end before {@link FakeStorage.endHang}. */
+  /** File syncs don't complete until {@link FakeStorage.endHang}. */
   syncHangs: boolean;
 }
 
-/** A folder of files that outlives the members that use it. */
+/** A folder in memory; it survives simulated restarts of its users. */
 export class FakeStorage implements Storage {
   readonly faults: FakeStorageFaults = {
     isFull: false,
@@ -37,25 +37,25 @@
   };
   #files = new Map<string, FakeFile>();
   #hanging: (() => void)[] = [];
-  /** How many syncs succeeded, of files or replacements. */
+  /** The number of successful syncs and replacements. */
   syncs = 0;
 
   read(name: string): Promise<Result<Uint8Array | undefined>> {
     const file = this.#files.get(name);
-    return settled(Right(file?.written.slice()));
+    return resolved(Right(file?.written.slice()));
   }
 
   list(): Promise<Result<readonly string[]>> {
-    return settled(Right([...this.#files.keys()].sort()));
+    return resolved(Right([...this.#files.keys()].sort()));
   }
 
   append(name: string, bytes: Uint8Array): Promise<Result<void>> {
     if (this.faults.isFull) {
-      return settled(diskFull(name));
+      return resolved(diskFull(name));
     }
     const file = this.#file(name);
-    file.written = joined(file.written, bytes);
-    return settled(Right(undefined));
+    file.written = concatenate(file.written, bytes);
+    return resolved(Right(undefined));
   }
 
   async sync(name: string): Promise<Result<void>> {
@@ -75,10 +75,10 @@
 
   replace(name: string, bytes: Uint8Array): Promise<Result<void>> {
     if (this.faults.isFull) {
-      return settled(diskFull(name));
+      return resolved(diskFull(name));
     }
     if (this.faults.syncFails) {
-      return settled(failure("storageFailed", { detail: `${name}: EIO` }));
+      return resolved(failure("storageFailed", { detail: `${name}: EIO` }));
     }
     const content = bytes.slice();
     const durable = this.faults.syncLies
@@ -86,7 +86,7 @@
       : content;
     this.#files.set(name, { durable, written: content });
     this.syncs += 1;
-    return settled(Right(undefined));
+    return resolved(Right(undefined));
   }
 
   truncate(name: string, lengthBytes: number): Promise<Result<void>> {
@@ -97,14 +97,14 @@
 
   remove(name: string): Promise<Result<void>> {
     this.#files.delete(name);
-    return settled(Right(undefined));
+    return resolved(Right(undefined));
   }
 
   close(): Promise<void> {
     return Promise.resolve();
   }
 
-  /** Syncs go on, those that hang first. */
+  /** Lets hanging syncs continue, and later ones complete at once. */
   endHang(): void {
     this.faults.syncHangs = false;
     for (const resume of this.#hanging.splice(0)) {
@@ -113,8 +113,9 @@
   }
 
   /**
-   * The machine goes down: of what was not synced, a part of random length
-   * stays, and pieces of that may never have been written.
+   * Simulates a machine crash. Of the unsynced bytes of each file, a prefix of
+   * random length survives, in which a range may be zeroed. A file that was
+   * never synced may disappear.
    */
   crash(random: RandomSource): void {
     for (const [name, file] of this.#files) {
@@ -122,13 +123,13 @@
         this.#files.delete(name);
         continue;
       }
-      const kept = tornTail(file, random);
+      const kept = contentAfterCrash(file, random);
       file.written = kept;
       file.durable = kept;
     }
   }
 
-  /** Turns over bits of one byte; an offset below zero counts from the end. */
+  /** Flips bits of one byte; a negative offset counts from the end. */
   corrupt(name: string, offset: number): void {
     const file = this.#file(name);
     const damaged = file.written.slice();
@@ -138,7 +139,7 @@
     file.durable = damaged;
   }
 
-  /** A new disk in place of this one. */
+  /** Removes all files, as if the disk had been replaced by an empty one. */
   wipe(): void {
     this.#files.clear();
   }
@@ -158,7 +159,7 @@
   }
 }
 
-function tornTail(file: FakeFile, random: RandomSource): Uint8Array {
+function contentAfterCrash(file: FakeFile, random: RandomSource): Uint8Array {
   const durable = file.durable ?? new Uint8Array();
   const unsynced = file.written.byteLength - durable.byteLength;
   if (unsynced <= 0) {
@@ -174,17 +175,17 @@
   return kept;
 }
 
-function joined(left: Uint8Array, right: Uint8Array): Uint8Array {
-  const whole = new Uint8Array(left.byteLength + right.byteLength);
-  whole.set(left, 0);
-  whole.set(right, left.byteLength);
-  return whole;
+function concatenate(left: Uint8Array, right: Uint8Array): Uint8Array {
+  const joined = new Uint8Array(left.byteLength + right.byteLength);
+  joined.set(left, 0);
+  joined.set(right, left.byteLength);
+  return joined;
 }
 
 function diskFull(name: string): Result<never> {
   return failure("storageFailed", { detail: `${name}: ENOSPC` });
 }
 
-function settled<T>(value: T): Promise<T> {
+function resolved<T>(value: T): Promise<T> {
   return Promise.resolve(value);
 }
--- a/src/process/storage/file_storage.ts
+++ b/src/process/storage/file_storage.ts
@@ -1,5 +1,5 @@
 /**
- * A data folder on a disk.
+ * A data folder in the file system.
  *
  * @module
  */
@@ -22,8 +22,8 @@
 const REPLACEMENT_SUFFIX = ".new";
 
 /**
- * Files in one folder. After a failed write or sync nobody can tell what the
- * disk holds, so that every later call fails too: `storageFailed`.
+ * Files in one folder. Because the state of the disk is unknown after a failed
+ * operation, every later call fails with `storageFailed`.
  */
 export class FileStorage implements Storage {
   #folder: string;
@@ -35,7 +35,10 @@
     this.#folder = folder;
   }
 
-  /** Opens a data folder, which is created if missing. */
+  /**
+   * Opens a data folder, which is created if missing. Deletes incomplete
+   * replacements that a crash has left behind.
+   */
   static async open(
     options: { folder: string },
   ): Promise<Result<FileStorage>> {
--- a/src/process/storage/file_storage_test.ts
+++ b/src/process/storage/file_storage_test.ts
@@ -15,17 +15,17 @@
 }
 
 async function withFolder(
-  work: (folder: string) => Promise<void>,
+  run: (folder: string) => Promise<void>,
 ): Promise<void> {
   const folder = await mkdtemp(join(tmpdir(), "storage-"));
   try {
-    await work(folder);
+    await run(folder);
   } finally {
     await rm(folder, { recursive: true });
   }
 }
 
-async function useStorage(storage: Storage): Promise<string[]> {
+async function exerciseStorage(storage: Storage): Promise<string[]> {
   await storage.append("log", text("one"));
   await storage.append("log", text("two"));
   await storage.sync("log");
@@ -45,17 +45,17 @@
   ];
 }
 
-test("a folder and its fake behave alike", async (t) => {
+test("file storage and fake storage behave alike", async (t) => {
   const expected = ["log", "state", "onet!", "new", "undefined"];
-  t.deepEqual(await useStorage(new FakeStorage()), expected);
+  t.deepEqual(await exerciseStorage(new FakeStorage()), expected);
   await withFolder(async (folder) => {
     const storage = (await FileStorage.open({ folder })).unsafeCoerce();
-    t.deepEqual(await useStorage(storage), expected);
+    t.deepEqual(await exerciseStorage(storage), expected);
     await storage.close();
   });
 });
 
-test("a replacement that a crash left behind is dropped", async (t) => {
+test("an incomplete replacement left by a crash is removed", async (t) => {
   await withFolder(async (folder) => {
     await writeFile(join(folder, "state"), "old");
     await writeFile(join(folder, "state.new"), "half of the n");
@@ -66,7 +66,7 @@
   });
 });
 
-test("after a failure every call fails", async (t) => {
+test("after a failure, every later call fails", async (t) => {
   await withFolder(async (folder) => {
     const storage = (await FileStorage.open({ folder })).unsafeCoerce();
     const escape = await storage.append("../outside", text("x"));
@@ -77,7 +77,7 @@
   });
 });
 
-test("a folder that can't be made is an error", async (t) => {
+test("opening fails if the folder can't be created", async (t) => {
   await withFolder(async (folder) => {
     const file = join(folder, "file");
     await writeFile(file, "");
--- a/src/process/storage/mod.ts
+++ b/src/process/storage/mod.ts
@@ -1,5 +1,5 @@
 /**
- * The disk: a data folder, checksummed records, and a fake for tests.
+ * Storage: a data folder on disk, checksummed records, and a fake for tests.
  *
  * @module
  */
--- a/src/process/storage/record_codec.ts
+++ b/src/process/storage/record_codec.ts
@@ -1,10 +1,11 @@
 /**
- * Checksummed records, one after another in a file.
+ * Encodes and decodes checksummed records, stored one after another in a file.
  *
- * A record is a mark, its length, how much of its file was synced when it was
- * written, a CRC-32 (by `node:zlib`) over all but the mark, and its payload.
- * What was synced tells a write that a crash cut short, whose loss harms
- * nobody, from damage to something that was promised.
+ * A record consists of a magic number, the payload's length, how many bytes of
+ * the file were synced when the record was written, a CRC-32 over everything
+ * but the magic number, and the payload. The synced length distinguishes a write
+ * that a crash cut short, which may be discarded, from damage to bytes that had
+ * been acknowledged as durable.
  *
  * @module
  */
@@ -12,34 +13,38 @@
 import { Buffer } from "node:buffer";
 import { crc32 } from "node:zlib";
 
-const MARK = 0x52_4c_53_54;
+const MAGIC = 0x52_4c_53_54;
 const HEADER_BYTES = 16;
 
-/** What a scan of a file's records found. */
+/** The result of scanning a file for records. */
 export interface RecordScan {
   readonly payloads: readonly Uint8Array[];
-  /** How much of the file, from its start, is whole records. */
+  /** The length of the intact records at the start of the file. */
   readonly wholeBytes: number;
   /**
-   * `torn`: the rest was never synced and may be cut off. `corrupt`: synced
-   * bytes are damaged.
+   * `whole`: all records are intact. `torn`: the rest of the file is not known
+   * to have been synced and may be truncated. `corrupt`: synced bytes are
+   * damaged.
    */
   readonly state: "whole" | "torn" | "corrupt";
 }
 
-interface FoundRecord {
+interface DecodedRecord {
   readonly payload: Uint8Array;
   readonly syncedBytes: number;
   readonly endBytes: number;
 }
 
-/** One record with the given payload. */
+/**
+ * Encodes a record. `syncedBytes` is the length of the file's part that had
+ * been synced when the record is written.
+ */
 export function encodeRecord(
   payload: Uint8Array,
   options: { syncedBytes: number },
 ): Uint8Array {
   const record = Buffer.allocUnsafe(HEADER_BYTES + payload.byteLength);
-  record.writeUInt32LE(MARK, 0);
+  record.writeUInt32LE(MAGIC, 0);
   record.writeUInt32LE(payload.byteLength, 4);
   record.writeUInt32LE(options.syncedBytes, 8);
   record.set(payload, HEADER_BYTES);
@@ -48,11 +53,11 @@
 }
 
 function checksum(record: Uint8Array): number {
-  const ofHeader = crc32(record.subarray(4, 12));
-  return crc32(record.subarray(HEADER_BYTES), ofHeader);
+  const headerChecksum = crc32(record.subarray(4, 12));
+  return crc32(record.subarray(HEADER_BYTES), headerChecksum);
 }
 
-/** Reads all records of a file. */
+/** Reads the records of a file up to the first damaged one. */
 export function scanRecords(bytes: Uint8Array): RecordScan {
   const file = Buffer.from(bytes.buffer, bytes.byteOffset, bytes.byteLength);
   const payloads: Uint8Array[] = [];
@@ -60,7 +65,7 @@
   while (wholeBytes < file.byteLength) {
     const record = readRecord(file, wholeBytes);
     if (record === undefined) {
-      const state = judgeDamage(file, wholeBytes);
+      const state = classifyDamage(file, wholeBytes);
       return { payloads, wholeBytes, state };
     }
     payloads.push(record.payload);
@@ -69,16 +74,16 @@
   return { payloads, wholeBytes, state: "whole" };
 }
 
-/** The payload of a file that holds exactly one record. */
+/** The payload if the file is exactly one intact record, else undefined. */
 export function readOnlyRecord(bytes: Uint8Array): Uint8Array | undefined {
   const scan = scanRecords(bytes);
   const isWhole = scan.state === "whole" && scan.payloads.length === 1;
   return isWhole ? scan.payloads[0] : undefined;
 }
 
-function readRecord(file: Buffer, start: number): FoundRecord | undefined {
+function readRecord(file: Buffer, start: number): DecodedRecord | undefined {
   const payloadStart = start + HEADER_BYTES;
-  if (payloadStart > file.byteLength || file.readUInt32LE(start) !== MARK) {
+  if (payloadStart > file.byteLength || file.readUInt32LE(start) !== MAGIC) {
     return undefined;
   }
   const endBytes = payloadStart + file.readUInt32LE(start + 4);
@@ -96,17 +101,17 @@
   };
 }
 
-/** Whether a later record proves that the damaged place had been synced. */
-function judgeDamage(file: Buffer, damagedAt: number): "torn" | "corrupt" {
-  const mark = Buffer.allocUnsafe(4);
-  mark.writeUInt32LE(MARK, 0);
-  let at = file.indexOf(mark, damagedAt + 1);
+/** `corrupt` if a later record proves that the damaged bytes were synced. */
+function classifyDamage(file: Buffer, damagedAt: number): "torn" | "corrupt" {
+  const magic = Buffer.allocUnsafe(4);
+  magic.writeUInt32LE(MAGIC, 0);
+  let at = file.indexOf(magic, damagedAt + 1);
   while (at !== -1) {
     const record = readRecord(file, at);
     if (record !== undefined && record.syncedBytes > damagedAt) {
       return "corrupt";
     }
-    at = file.indexOf(mark, at + 1);
+    at = file.indexOf(magic, at + 1);
   }
   return "torn";
 }
--- a/src/process/storage/record_codec_test.ts
+++ b/src/process/storage/record_codec_test.ts
@@ -3,13 +3,13 @@
 import * as fc from "fast-check";
 import { encodeRecord, scanRecords } from "./record_codec.ts";
 
-/** Batches of records, each batch written after the one before was synced. */
+/** Batches of records; each batch is written after the previous was synced. */
 const batches = fc.array(
   fc.array(fc.uint8Array({ maxLength: 40 }), { minLength: 1, maxLength: 4 }),
   { minLength: 1, maxLength: 5 },
 );
 
-function write(written: readonly (readonly Uint8Array[])[]) {
+function writeBatches(written: readonly (readonly Uint8Array[])[]) {
   let file = Buffer.alloc(0);
   const syncedAt: number[] = [0];
   for (const batch of written) {
@@ -23,18 +23,18 @@
   return { file, syncedAt };
 }
 
-test("what was written is read back", (t) => {
+test("written records are read back", (t) => {
   const property = fc.property(batches, (written) => {
-    const scan = scanRecords(write(written).file);
+    const scan = scanRecords(writeBatches(written).file);
     return scan.state === "whole" &&
       Buffer.concat(scan.payloads).equals(Buffer.concat(written.flat()));
   });
   t.notThrows(() => fc.assert(property, { seed: 5 }));
 });
 
-test("a write that was cut short is cut off, and nothing before it", (t) => {
+test("a torn write is discarded, but nothing that was synced before", (t) => {
   const property = fc.property(batches, fc.nat(), fc.nat(), (w, cut, hole) => {
-    const { file, syncedAt } = write(w);
+    const { file, syncedAt } = writeBatches(w);
     const synced = syncedAt.at(-2)!;
     const kept = synced + cut % (file.byteLength - synced);
     const torn = Buffer.from(file.subarray(0, kept));
@@ -45,13 +45,13 @@
   t.notThrows(() => fc.assert(property, { seed: 6 }));
 });
 
-test("damage to what was synced is told from a cut", (t) => {
+test("damage to synced bytes is distinguished from a torn write", (t) => {
   const property = fc.property(
     batches.filter((written) => written.length > 1),
     fc.nat(),
     fc.integer({ min: 1, max: 255 }),
     (written, place, bits) => {
-      const { file, syncedAt } = write(written);
+      const { file, syncedAt } = writeBatches(written);
       const at = place % syncedAt.at(-2)!;
       file[at] = file[at]! ^ bits;
       return scanRecords(file).state === "corrupt";
