Reword timeline in plain terms

Stamps are timestamps (HybridTimestamp, compareTimestamps), an open ask is a PendingQuery. Message kinds and askId stay.

Run: fmt, lint, build, and the tests of base, connection, logging, membership, storage and timeline (28 passed).

--- a/src/process/timeline/hybrid_clock.ts
+++ b/src/process/timeline/hybrid_clock.ts
@@ -1,33 +1,33 @@
 /**
- * Hybrid logical clock (Kulkarni et al., 2014): close to the wall clock, yet
- * an effect always has a later stamp than its cause in another process.
+ * Hybrid logical clock (Kulkarni et al., 2014): stays close to the wall clock,
+ * yet gives an effect a later timestamp than its cause in another process.
  *
  * @module
  */
 
 import type { Clock } from "../../base/mod.ts";
 
-/** A moment that respects cause and effect over all processes. */
-export interface HybridStamp {
+/** A timestamp that is ordered causally across processes. */
+export interface HybridTimestamp {
   readonly wallMs: number;
-  /** Orders stamps with the same `wallMs`. */
+  /** Orders timestamps with the same `wallMs`. */
   readonly counter: number;
 }
 
-/** Stamps further ahead than this are not taken over from a peer. */
+/** Timestamps of peers that are further ahead than this are ignored. */
 const AHEAD_LIMIT_MS = 60_000;
 
 /** The hybrid logical clock of one process. */
 export class HybridClock {
   #clock: Clock;
-  #last: HybridStamp = { wallMs: 0, counter: 0 };
+  #last: HybridTimestamp = { wallMs: 0, counter: 0 };
 
   constructor(options: { clock: Clock }) {
     this.#clock = options.clock;
   }
 
-  /** A stamp later than all that this process has given or seen. */
-  next(): HybridStamp {
+  /** A timestamp later than all that this clock has returned or observed. */
+  next(): HybridTimestamp {
     const wallMs = Math.floor(this.#clock.nowMs());
     if (wallMs > this.#last.wallMs) {
       this.#last = { wallMs, counter: 0 };
@@ -40,18 +40,21 @@
     return this.#last;
   }
 
-  /** Takes note of a stamp that came from another process. */
-  observe(stamp: HybridStamp): void {
-    if (stamp.wallMs > this.#clock.nowMs() + AHEAD_LIMIT_MS) {
+  /** Advances this clock to a timestamp received from another process. */
+  observe(timestamp: HybridTimestamp): void {
+    if (timestamp.wallMs > this.#clock.nowMs() + AHEAD_LIMIT_MS) {
       return;
     }
-    if (compareStamps(stamp, this.#last) > 0) {
-      this.#last = stamp;
+    if (compareTimestamps(timestamp, this.#last) > 0) {
+      this.#last = timestamp;
     }
   }
 }
 
-/** Negative when `left` is the earlier, positive when it is the later. */
-export function compareStamps(left: HybridStamp, right: HybridStamp): number {
+/** Negative if `left` is earlier than `right`, positive if it is later. */
+export function compareTimestamps(
+  left: HybridTimestamp,
+  right: HybridTimestamp,
+): number {
   return left.wallMs - right.wallMs || left.counter - right.counter;
 }
--- a/src/process/timeline/mod.ts
+++ b/src/process/timeline/mod.ts
@@ -1,13 +1,13 @@
 /**
- * The time line of events over all processes.
+ * The timeline of events across all instances.
  *
  * @module
  */
 
 export {
-  compareStamps,
+  compareTimestamps,
   HybridClock,
-  type HybridStamp,
+  type HybridTimestamp,
 } from "./hybrid_clock.ts";
 export { Timeline, type TimelineOptions } from "./timeline.ts";
 export {
--- a/src/process/timeline/timeline.ts
+++ b/src/process/timeline/timeline.ts
@@ -1,6 +1,6 @@
 /**
- * The event log of one process: a bounded time line in memory, and log lines
- * by `tslog`.
+ * The event log of one process: keeps a bounded timeline in memory and
+ * optionally writes log lines with `tslog`.
  *
  * @module
  */
@@ -20,21 +20,21 @@
   type TimelineRecord,
 } from "./timeline_record.ts";
 
-/** How a {@link Timeline} is made. */
+/** Options of a {@link Timeline}. */
 export interface TimelineOptions {
   readonly instanceId: InstanceId;
   readonly hybridClock: HybridClock;
-  /** The most events kept; the oldest go first. */
+  /** The maximum number of events kept; the oldest are dropped first. */
   readonly capacity: number;
-  /** Absent where no log lines are wanted. */
+  /** Writes the log lines; without it, none are written. */
   readonly logger?: Logger<unknown>;
 }
 
-/** The time line of one process. */
+/** The timeline of one process. */
 export class Timeline implements EventLog {
   #options: TimelineOptions;
   #records: TimelineRecord[] = [];
-  #oldest = 0;
+  #oldestIndex = 0;
   #sequence = 0;
 
   constructor(options: TimelineOptions) {
@@ -52,7 +52,7 @@
       level,
       fields: dropAbsent(fields),
     };
-    this.#keep(record);
+    this.#store(record);
     this.#options.logger?.[level](name, {
       number,
       instance: record.instance,
@@ -60,7 +60,7 @@
     });
   }
 
-  /** The newest records that the query asks for, oldest first. */
+  /** The newest records that match the query, in order of time. */
   read(query: TimelineQuery): TimelineRecord[] {
     const found: TimelineRecord[] = [];
     for (let back = 1; back <= this.#records.length; back++) {
@@ -75,19 +75,19 @@
     return found.reverse();
   }
 
-  #keep(record: TimelineRecord): void {
+  #store(record: TimelineRecord): void {
     if (this.#records.length < this.#options.capacity) {
       this.#records.push(record);
       return;
     }
-    this.#records[this.#oldest] = record;
-    this.#oldest = (this.#oldest + 1) % this.#options.capacity;
+    this.#records[this.#oldestIndex] = record;
+    this.#oldestIndex = (this.#oldestIndex + 1) % this.#options.capacity;
   }
 
   #fromNewest(back: number): TimelineRecord {
     const length = this.#records.length;
-    const at = (this.#oldest + length - back) % length;
-    return this.#records[at] as TimelineRecord;
+    const index = (this.#oldestIndex + length - back) % length;
+    return this.#records[index] as TimelineRecord;
   }
 }
 
--- a/src/process/timeline/timeline_record.ts
+++ b/src/process/timeline/timeline_record.ts
@@ -1,18 +1,18 @@
 /**
- * One event on the time line.
+ * The records of the timeline, their selection and merging.
  *
  * @module
  */
 
 import * as z from "zod";
-import { compareStamps } from "./hybrid_clock.ts";
+import { compareTimestamps } from "./hybrid_clock.ts";
 
-/** The shape of a record, as it travels between instances. */
+/** The schema of a record, as sent between instances. */
 export const timelineRecordSchema = z.strictObject({
   wallMs: z.number(),
   counter: z.int().min(0),
   instance: z.string().max(128),
-  /** Counts the events of one run of the instance. */
+  /** Counts the events of the instance since it was started. */
   sequence: z.int().min(0),
   number: z.int(),
   name: z.string().max(64),
@@ -23,45 +23,45 @@
   ),
 });
 
-/** One event on the time line. */
+/** One event on the timeline. */
 export type TimelineRecord = z.infer<typeof timelineRecordSchema>;
 
-/** Which records are wanted; absent fields don't narrow. */
+/** The schema of a query; absent filters match every record. */
 export const timelineQuerySchema = z.strictObject({
   instance: z.string().max(128).optional(),
   jobId: z.string().max(128).optional(),
   requestId: z.string().max(128).optional(),
-  /** Only records later than this moment. */
+  /** Only records later than this time. */
   afterMs: z.number().optional(),
   limit: z.int().min(1).max(5_000).default(500),
 });
 
-/** Which records are wanted. */
+/** Selects records of the timeline. */
 export type TimelineQuery = z.infer<typeof timelineQuerySchema>;
 
-/** Whether the query asks for the record. */
+/** Whether the record matches the query; ignores the limit. */
 export function matchesQuery(
   record: TimelineRecord,
   query: TimelineQuery,
 ): boolean {
-  return isWanted(query.instance, record.instance) &&
-    isWanted(query.jobId, record.fields["jobId"]) &&
-    isWanted(query.requestId, record.fields["requestId"]) &&
+  return matchesFilter(query.instance, record.instance) &&
+    matchesFilter(query.jobId, record.fields["jobId"]) &&
+    matchesFilter(query.requestId, record.fields["requestId"]) &&
     (query.afterMs === undefined || record.wallMs > query.afterMs);
 }
 
-function isWanted(wanted: string | undefined, value: unknown): boolean {
-  return wanted === undefined || wanted === value;
+function matchesFilter(filter: string | undefined, value: unknown): boolean {
+  return filter === undefined || filter === value;
 }
 
-/** Merges the records of several instances: causes before their effects. */
+/** Merges records of several instances in causal order; keeps the newest. */
 export function mergeRecords(
   parts: readonly (readonly TimelineRecord[])[],
   options: { limit: number },
 ): TimelineRecord[] {
   const merged = parts.flat();
   merged.sort((left, right) =>
-    compareStamps(left, right) ||
+    compareTimestamps(left, right) ||
     left.instance.localeCompare(right.instance) ||
     left.sequence - right.sequence
   );
--- a/src/process/timeline/timeline_service.ts
+++ b/src/process/timeline/timeline_service.ts
@@ -1,6 +1,6 @@
 /**
- * The time line of the whole system: asks the peers for their records and
- * merges them.
+ * The timeline of all instances: queries the peers for their records and merges
+ * them.
  *
  * @module
  */
@@ -34,8 +34,8 @@
   timelineRecordSchema,
 } from "./timeline_record.ts";
 
-/** How long the peers get to answer. */
-const PEER_ANSWER_LIMIT_MS = 1_000;
+/** How long to wait for the answers of peers. */
+const PEER_ANSWER_TIMEOUT_MS = 1_000;
 
 const timelineMessageSchema = z.discriminatedUnion("kind", [
   z.strictObject({
@@ -52,31 +52,31 @@
 
 type TimelineMessage = z.infer<typeof timelineMessageSchema>;
 
-/** A merged time line and the peers that it lacks. */
+/** The merged timeline, and the peers whose records it lacks. */
 export interface MergedTimeline {
   readonly records: readonly TimelineRecord[];
-  /** Instances that did not answer in time. */
+  /** The peers that did not answer in time. */
   readonly missing: readonly InstanceId[];
 }
 
-interface OpenAsk {
+interface PendingQuery {
   readonly waitingFor: Set<InstanceId>;
   readonly parts: TimelineRecord[][];
   readonly finish: () => void;
 }
 
-/** How a {@link TimelineService} is made. */
+/** Options of a {@link TimelineService}. */
 export interface TimelineServiceOptions {
   readonly timeline: Timeline;
   readonly network: PeerNetwork;
   readonly clock: Clock;
 }
 
-/** Answers `GET /v1/timeline`, over all instances that can be reached. */
+/** Serves `GET /v1/timeline` with the records of all reachable instances. */
 export class TimelineService {
   #options: TimelineServiceOptions;
   #channel: PeerChannel<TimelineMessage>;
-  #asks = new Map<number, OpenAsk>();
+  #pendingQueries = new Map<number, PendingQuery>();
   #nextAskId = 1;
 
   constructor(options: TimelineServiceOptions) {
@@ -88,7 +88,7 @@
     this.#channel.received.observe((received) => this.#receive(received));
   }
 
-  /** What the daemon's HTTP front serves. */
+  /** The HTTP endpoints for the daemon's server. */
   endpoints(): HttpEndpoint[] {
     return [{
       method: "GET",
@@ -102,36 +102,36 @@
   collect(query: TimelineQuery): Promise<MergedTimeline> {
     const askId = this.#nextAskId++;
     return new Promise((resolve) => {
-      const ask: OpenAsk = {
+      const pending: PendingQuery = {
         waitingFor: new Set(this.#options.network.peerIds),
         parts: [this.#options.timeline.read(query)],
         finish: () => {
           timer.close();
-          this.#asks.delete(askId);
+          this.#pendingQueries.delete(askId);
           resolve({
-            records: mergeRecords(ask.parts, query),
-            missing: [...ask.waitingFor],
+            records: mergeRecords(pending.parts, query),
+            missing: [...pending.waitingFor],
           });
         },
       };
       const timer: Timer = this.#options.clock.after(
-        PEER_ANSWER_LIMIT_MS,
-        ask.finish,
+        PEER_ANSWER_TIMEOUT_MS,
+        pending.finish,
       );
-      this.#asks.set(askId, ask);
-      this.#askPeers(askId, query);
-      finishWhenComplete(ask);
+      this.#pendingQueries.set(askId, pending);
+      this.#queryPeers(askId, query);
+      finishWhenComplete(pending);
     });
   }
 
   close(): void {
     this.#channel.close();
-    for (const ask of [...this.#asks.values()]) {
-      ask.finish();
+    for (const pending of [...this.#pendingQueries.values()]) {
+      pending.finish();
     }
   }
 
-  #askPeers(askId: number, query: TimelineQuery): void {
+  #queryPeers(askId: number, query: TimelineQuery): void {
     for (const peerId of this.#options.network.peerIds) {
       this.#channel.send(peerId, { kind: "ask", askId, query });
     }
@@ -147,18 +147,22 @@
         });
         return;
       case "tell":
-        this.#takePart(from, message.askId, message.records);
+        this.#addRecords(from, message.askId, message.records);
         return;
     }
   }
 
-  #takePart(from: InstanceId, askId: number, records: TimelineRecord[]): void {
-    const ask = this.#asks.get(askId);
-    if (ask === undefined || !ask.waitingFor.delete(from)) {
+  #addRecords(
+    from: InstanceId,
+    askId: number,
+    records: TimelineRecord[],
+  ): void {
+    const pending = this.#pendingQueries.get(askId);
+    if (pending === undefined || !pending.waitingFor.delete(from)) {
       return;
     }
-    ask.parts.push(records);
-    finishWhenComplete(ask);
+    pending.parts.push(records);
+    finishWhenComplete(pending);
   }
 
   async #answer(call: HttpCall): Promise<Result<HttpAnswer>> {
@@ -171,9 +175,9 @@
   }
 }
 
-function finishWhenComplete(ask: OpenAsk): void {
-  if (ask.waitingFor.size === 0) {
-    ask.finish();
+function finishWhenComplete(pending: PendingQuery): void {
+  if (pending.waitingFor.size === 0) {
+    pending.finish();
   }
 }
 
--- a/src/process/timeline/timeline_test.ts
+++ b/src/process/timeline/timeline_test.ts
@@ -1,29 +1,29 @@
 import test from "ava";
 import { FakeClock } from "../../base/mod.ts";
-import { compareStamps, HybridClock } from "./hybrid_clock.ts";
+import { compareTimestamps, HybridClock } from "./hybrid_clock.ts";
 import { Timeline } from "./timeline.ts";
 import { mergeRecords } from "./timeline_record.ts";
 
-test("an effect is stamped after its cause, though its clock lags", (t) => {
+test("an effect is timestamped after its cause, even if its clock lags", (t) => {
   const ahead = new HybridClock({ clock: new FakeClock({ startMs: 5_000 }) });
   const behind = new HybridClock({ clock: new FakeClock({ startMs: 1_000 }) });
   const cause = ahead.next();
   behind.observe(cause);
   const effect = behind.next();
-  t.true(compareStamps(cause, effect) < 0);
+  t.true(compareTimestamps(cause, effect) < 0);
 });
 
-test("a stamp from a wild clock is not taken over", (t) => {
-  const sane = new HybridClock({ clock: new FakeClock({ startMs: 1_000 }) });
-  sane.observe({ wallMs: 10_000_000, counter: 0 });
-  t.is(sane.next().wallMs, 1_000);
+test("a timestamp that is far ahead is ignored", (t) => {
+  const clock = new HybridClock({ clock: new FakeClock({ startMs: 1_000 }) });
+  clock.observe({ wallMs: 10_000_000, counter: 0 });
+  t.is(clock.next().wallMs, 1_000);
 });
 
 function makeTimeline(instanceId: string, hybridClock: HybridClock): Timeline {
   return new Timeline({ instanceId, hybridClock, capacity: 3 });
 }
 
-test("the oldest events go first when the time line is full", (t) => {
+test("the oldest events are dropped first when the timeline is full", (t) => {
   const hybridClock = new HybridClock({ clock: new FakeClock() });
   const timeline = makeTimeline("a", hybridClock);
   for (const jobId of ["1", "2", "3", "4", "5"]) {
@@ -35,7 +35,7 @@
   t.deepEqual(one.map((each) => each.sequence), [3]);
 });
 
-test("the parts of several instances merge in causal order", (t) => {
+test("the records of several instances are merged in causal order", (t) => {
   const clocks = [9_000, 1_000].map((startMs) =>
     new HybridClock({ clock: new FakeClock({ startMs }) })
   );
