--- a/src/base/events/http_events.ts
+++ b/src/base/events/http_events.ts
@@ -23,8 +23,7 @@
   answerAbandoned: {
     number: 6002,
     level: "warn",
-    text:
-      "A caller read its answer too slowly, or the HTTP server reached its memory limit.",
+    text: "A caller read its answer too slowly, or a memory limit was reached.",
     fields: ["path"],
   },
   callsCutOff: {
--- a/src/connection/outgoing_link.ts
+++ b/src/connection/outgoing_link.ts
@@ -216,9 +216,11 @@
   }
 
   #scheduleReconnect(): void {
-    const { reconnectDelayMs: redialMs, reconnectDelayLimitMs: redialLimitMs } =
-      OUTGOING_LINK_DEFAULTS;
-    const backoffMs = Math.min(redialLimitMs, redialMs * 2 ** this.#failures);
+    const { reconnectDelayMs, reconnectDelayLimitMs } = OUTGOING_LINK_DEFAULTS;
+    const backoffMs = Math.min(
+      reconnectDelayLimitMs,
+      reconnectDelayMs * 2 ** this.#failures,
+    );
     const jitter = 0.5 + this.#options.random.nextUnit() / 2;
     this.#failures = Math.min(this.#failures + 1, 10);
     this.#reconnectTimer = this.#options.clock.after(
--- a/src/connection/ws_peer_network.ts
+++ b/src/connection/ws_peer_network.ts
@@ -35,8 +35,8 @@
 const UNAUTHENTICATED_LIMIT = 64;
 
 /**
- * How long an accepted connection may take to authenticate, and a dialled one to
- * complete the WebSocket handshake.
+ * How long an accepted connection may take to authenticate, and a dialled one
+ * to complete the WebSocket handshake.
  */
 const AUTHENTICATION_TIMEOUT_MS = 5_000;
 
--- a/src/connection/ws_peer_network_test.ts
+++ b/src/connection/ws_peer_network_test.ts
@@ -120,7 +120,7 @@
   await closePair(pair);
 });
 
-test("invalid frames are counted and only close their own connection", async (t) => {
+test("a bad frame is counted and closes only its connection", async (t) => {
   const pair = await openPair({ a: "secret", b: "secret" });
   const hello = {
     kind: "hello",
--- a/src/process/membership/membership_core.ts
+++ b/src/process/membership/membership_core.ts
@@ -1,5 +1,5 @@
 /**
- * The state of failure detection, updated by heartbeats and the passing of time.
+ * The state of failure detection, driven by heartbeats and time.
  *
  * @module
  */
@@ -17,7 +17,7 @@
   heartbeatPeriodMs: 1_000,
   /** The phi value from which a peer is not considered reachable. */
   suspicionPhi: 8,
-  /** A peer is slow if its mean interval exceeds this multiple of the period. */
+  /** A peer is slow if its mean interval exceeds this many periods. */
   slowFactor: 1.5,
   /** How long a peer stays suspect before it is considered dead. */
   suspicionMs: 3_000,
--- a/src/process/membership/membership_core_test.ts
+++ b/src/process/membership/membership_core_test.ts
@@ -74,7 +74,7 @@
   t.is(stateOf(core, "b"), PeerState.slow);
 });
 
-test("after a restart, heartbeats of the earlier incarnation are dropped", (t) => {
+test("heartbeats from before a restart are dropped after it", (t) => {
   const core = new MembershipCore({ peers: PEERS });
   sendHeartbeats(core, { from: ["b"], seconds: [1, 5] });
   const restarted = makeHeartbeat(0, {
--- a/src/process/storage/record_codec.ts
+++ b/src/process/storage/record_codec.ts
@@ -3,9 +3,9 @@
  *
  * A record consists of a magic number, the payload's length, how many bytes of
  * the file were synced when the record was written, a CRC-32 over everything
- * but the magic number, and the payload. The synced length distinguishes a write
- * that a crash cut short, which may be discarded, from damage to bytes that had
- * been acknowledged as durable.
+ * but the magic number, and the payload. The synced length distinguishes a torn
+ * write, which a crash cut short and which may be discarded, from damage to
+ * bytes that had been acknowledged as durable.
  *
  * @module
  */
--- a/src/process/timeline/timeline.ts
+++ b/src/process/timeline/timeline.ts
@@ -60,7 +60,7 @@
     });
   }
 
-  /** The newest records that match the query, in order of time. */
+  /** The newest records that match the query, oldest first. */
   read(query: TimelineQuery): TimelineRecord[] {
     const found: TimelineRecord[] = [];
     for (let back = 1; back <= this.#records.length; back++) {
--- a/src/process/timeline/timeline_test.ts
+++ b/src/process/timeline/timeline_test.ts
@@ -4,7 +4,7 @@
 import { Timeline } from "./timeline.ts";
 import { mergeRecords } from "./timeline_record.ts";
 
-test("an effect is timestamped after its cause, even if its clock lags", (t) => {
+test("an effect is later than its cause, even if its clock lags", (t) => {
   const ahead = new HybridClock({ clock: new FakeClock({ startMs: 5_000 }) });
   const behind = new HybridClock({ clock: new FakeClock({ startMs: 1_000 }) });
   const cause = ahead.next();
