--- a/src/programs/cli/config_cli.ts
+++ b/src/programs/cli/config_cli.ts
@@ -1,5 +1,5 @@
 /**
- * The command line of the document.
+ * Definitions of the commands `config`, `datacentre`, `member` and `key`.
  *
  * @module
  */
@@ -17,9 +17,9 @@
   validateConfiguration,
 } from "../commands/config/mod.ts";
 import { changeMember } from "../commands/member_commands.ts";
-import { count, type Flags, run, text } from "./flags.ts";
+import { type Flags, numberFlag, runCommand, textFlag } from "./flags.ts";
 
-/** Exit code for an unknown action of a command. */
+/** Exit code for command-line usage errors. */
 const EXIT_USAGE = 64;
 
 type Action = (context: CommandContext) => Promise<number>;
@@ -31,43 +31,67 @@
       "config <action> [target]",
       "get [SECTION], edit SECTION, history or validate FILE",
     )
-    .option("--file <file>", "The section's new text; - for standard input")
+    .option(
+      "--file <file>",
+      "File with the section's new text; - for standard input",
+    )
     .option("--remove", "Remove the section")
-    .option("--base <version>", "The version that the edit was made from")
-    .option("--edit-id <id>", "Go on with an edit whose answer was lost")
-    .option("--dry-run", "Only show the difference and what would come")
-    .option("--section <id>", "Only the history of this section")
-    .option("--limit <count>", "At most so many entries")
-    .option("--key <team:key>", `The team and its key; or ${KEY_VARIABLE}`)
+    .option("--base <version>", "Version that the edit is based on")
+    .option("--edit-id <id>", "Resume an edit whose response was lost")
+    .option(
+      "--dry-run",
+      "Show the diff and the expected result, change nothing",
+    )
+    .option("--section <id>", "Show only the history of this section")
+    .option("--limit <count>", "Maximum number of entries")
+    .option(
+      "--key <team:key>",
+      `Team and its key; default from ${KEY_VARIABLE}`,
+    )
     .action((action: string, target: string | undefined, flags: Flags) =>
-      run(flags, configAction(action, { target, flags }))
+      runCommand(flags, configAction(action, { target, flags }))
     );
   program
-    .command("datacentre <action> <name>", "Take it out, or back in")
-    .option("--wait-ms <ms>", "How long to wait till a removal holds")
-    .option("--key <team:key>", `The team and its key; or ${KEY_VARIABLE}`)
+    .command(
+      "datacentre <action> <name>",
+      "out or in: set the status of a data centre",
+    )
+    .option("--wait-ms <ms>", "How long to wait for a removal to take effect")
+    .option(
+      "--key <team:key>",
+      `Team and its key; default from ${KEY_VARIABLE}`,
+    )
     .action((action: string, dataCentre: string, flags: Flags) =>
-      run(flags, switchAction(action, { dataCentre, flags }))
+      runCommand(flags, dataCentreAction(action, { dataCentre, flags }))
     );
   program
     .command(
       "member <action> <group> <id>",
-      "add, remove, or vouch that its state is lost",
+      "add or remove a voter; lost: declare that its state is lost",
+    )
+    .option(
+      "--key <team:key>",
+      `Team and its key; default from ${KEY_VARIABLE}`,
     )
-    .option("--key <team:key>", `The team and its key; or ${KEY_VARIABLE}`)
     .action((action: string, group: string, member: string, flags: Flags) =>
-      run(flags, memberAction(action, { group, member, flags }))
+      runCommand(flags, memberAction(action, { group, member, flags }))
     );
   program
-    .command("key <action>", "hash: the salted hash of a key, or a new key")
-    .option("--file <file>", "Where the key is; a new one when absent")
+    .command(
+      "key <action>",
+      "hash: print the salted hash of a key, or of a new key",
+    )
+    .option(
+      "--file <file>",
+      "File with the key, - for standard input; a new key if absent",
+    )
     .action((action: string, flags: Flags) =>
-      run(
+      runCommand(
         flags,
         (context) =>
           action === "hash"
-            ? printKeyHash(context, text(flags, "file", "file"))
-            : unknownAction(context, `key ${action}`),
+            ? printKeyHash(context, textFlag(flags, "file", "file"))
+            : reportUsageError(context, `unknown action: key ${action}`),
       )
     );
 }
@@ -81,7 +105,7 @@
     case "get":
       return (context) =>
         getConfiguration(context, {
-          ...keyOf(flags),
+          ...teamKeyOption(flags),
           ...(target === undefined ? {} : { section: target }),
         });
     case "edit":
@@ -89,16 +113,17 @@
     case "history":
       return (context) =>
         showConfigurationHistory(context, {
-          ...text(flags, "section", "section"),
-          ...count(flags, "limit"),
+          ...textFlag(flags, "section", "section"),
+          ...numberFlag(flags, "limit"),
         });
     case "validate":
       return (context) =>
         target === undefined
-          ? unknownAction(context, "config validate without a file")
+          ? reportUsageError(context, "config validate without a file")
           : validateConfiguration(context, { file: target });
     default:
-      return (context) => unknownAction(context, `config ${action}`);
+      return (context) =>
+        reportUsageError(context, `unknown action: config ${action}`);
   }
 }
 
@@ -108,32 +133,33 @@
 ): Promise<number> {
   const { target, flags } = options;
   if (target === undefined) {
-    return unknownAction(context, "config edit without a section");
+    return reportUsageError(context, "config edit without a section");
   }
   return editConfiguration(context, {
     section: target,
-    ...keyOf(flags),
-    ...text(flags, "file", "file"),
-    ...text(flags, "editId", "editId"),
+    ...teamKeyOption(flags),
+    ...textFlag(flags, "file", "file"),
+    ...textFlag(flags, "editId", "editId"),
     ...(flags["base"] === undefined ? {} : { base: Number(flags["base"]) }),
     remove: flags["remove"] === true,
     dryRun: flags["dryRun"] === true,
   });
 }
 
-function switchAction(
+function dataCentreAction(
   action: string,
   options: { dataCentre: string; flags: Flags },
 ): Action {
   const { dataCentre, flags } = options;
   if (action !== "in" && action !== "out") {
-    return (context) => unknownAction(context, `datacentre ${action}`);
+    return (context) =>
+      reportUsageError(context, `unknown action: datacentre ${action}`);
   }
   return (context) =>
     switchDataCentre(context, {
       dataCentre,
       status: action,
-      ...keyOf(flags),
+      ...teamKeyOption(flags),
       ...(flags["waitMs"] === undefined
         ? {}
         : { waitMs: Number(flags["waitMs"]) }),
@@ -146,24 +172,25 @@
 ): Action {
   const { group, member, flags } = options;
   if (action !== "add" && action !== "remove" && action !== "lost") {
-    return (context) => unknownAction(context, `member ${action}`);
+    return (context) =>
+      reportUsageError(context, `unknown action: member ${action}`);
   }
   return (context) =>
-    changeMember(context, { action, group, member, ...keyOf(flags) });
+    changeMember(context, { action, group, member, ...teamKeyOption(flags) });
 }
 
-function keyOf(flags: Flags): { key?: string } {
+function teamKeyOption(flags: Flags): { key?: string } {
   const fromVariable = process.env[KEY_VARIABLE];
   return {
     ...(fromVariable === undefined ? {} : { key: fromVariable }),
-    ...text(flags, "key", "key"),
+    ...textFlag(flags, "key", "key"),
   };
 }
 
-function unknownAction(
+function reportUsageError(
   context: CommandContext,
-  what: string,
+  problem: string,
 ): Promise<number> {
-  context.io.error(`sesamethread: ${what}: see sesamethread --help`);
+  context.io.error(`sesamethread: ${problem}: see sesamethread --help`);
   return Promise.resolve(EXIT_USAGE);
 }
--- a/src/programs/cli/flags.ts
+++ b/src/programs/cli/flags.ts
@@ -1,5 +1,5 @@
 /**
- * What the command line's flags say, and running one command with them.
+ * Reads the command-line flags and runs a command with them.
  *
  * @module
  */
@@ -9,14 +9,14 @@
 import type { CommandContext } from "../commands/command_context.ts";
 import { PROCESS_IO } from "../commands/command_io.ts";
 
-/** The variable that names the instances to ask. */
+/** The environment variable with the addresses of the instances to call. */
 const SERVER_VARIABLE = "SESAMETHREAD_SERVER";
 
-/** The flags as `cac` gives them. */
+/** The flags as parsed by `cac`. */
 export type Flags = Readonly<Record<string, unknown>>;
 
-/** Runs one command; its exit code becomes that of the process. */
-export async function run(
+/** Runs a command; its exit code becomes that of the process. */
+export async function runCommand(
   flags: Flags,
   command: (context: CommandContext) => Promise<number>,
 ): Promise<void> {
@@ -38,38 +38,43 @@
   };
 }
 
-/** The flag as a text under another name, or nothing when it is absent. */
-export function text<Name extends string>(
+/**
+ * Returns the flag's text as the property `name`, or an empty object if the
+ * flag is absent.
+ */
+export function textFlag<Name extends string>(
   flags: Flags,
   flag: string,
   name: Name,
 ): { [Key in Name]?: string } {
   const value = flags[flag];
-  const part: { [Key in Name]?: string } = {};
+  const property: { [Key in Name]?: string } = {};
   if (value !== undefined) {
-    part[name] = asWritten(flag, process.argv) ?? String(value);
+    property[name] = rawFlagValue(flag, process.argv) ?? String(value);
   }
-  return part;
+  return property;
 }
 
 /**
- * The flag's value as it was written: `cac` turns what looks like a number
- * into one, and so would take the identity `007` for 7.
+ * Returns the flag's value as typed. `cac` converts values that look like
+ * numbers, which would turn the ID `007` into 7.
  */
-export function asWritten(
+export function rawFlagValue(
   flag: string,
-  words: readonly string[],
+  args: readonly string[],
 ): string | undefined {
   const option = "--" + flag.replace(/[A-Z]/g, (c) => `-${c.toLowerCase()}`);
-  const at = words.findLastIndex((word) =>
-    word === option || word.startsWith(`${option}=`)
+  const index = args.findLastIndex((argument) =>
+    argument === option || argument.startsWith(`${option}=`)
   );
-  const word = words[at];
-  return word === option ? words[at + 1] : word?.slice(option.length + 1);
+  const argument = args[index];
+  return argument === option
+    ? args[index + 1]
+    : argument?.slice(option.length + 1);
 }
 
-/** The flag as a whole number, or nothing when it is absent. */
-export function count(flags: Flags, flag: "limit"): { limit?: number } {
+/** Returns the flag as a number, or an empty object if it is absent. */
+export function numberFlag(flags: Flags, flag: "limit"): { limit?: number } {
   const value = flags[flag];
   return value === undefined ? {} : { limit: Number(value) };
 }
--- a/src/programs/cli/flags_test.ts
+++ b/src/programs/cli/flags_test.ts
@@ -1,13 +1,13 @@
 import test from "ava";
-import { asWritten } from "./flags.ts";
+import { rawFlagValue } from "./flags.ts";
 
-test("an identity that looks like a number stays as it was written", (t) => {
-  const words = ["request", "quote", "--id", "007", "--job-id=1e3"];
-  t.is(asWritten("id", words), "007");
-  t.is(asWritten("jobId", words), "1e3");
-  t.is(asWritten("file", words), undefined);
+test("an ID that looks like a number is returned as typed", (t) => {
+  const args = ["request", "quote", "--id", "007", "--job-id=1e3"];
+  t.is(rawFlagValue("id", args), "007");
+  t.is(rawFlagValue("jobId", args), "1e3");
+  t.is(rawFlagValue("file", args), undefined);
 });
 
-test("of a flag that stands twice the last one counts", (t) => {
-  t.is(asWritten("id", ["--id", "1", "--id", "2"]), "2");
+test("the last occurrence of a repeated flag counts", (t) => {
+  t.is(rawFlagValue("id", ["--id", "1", "--id", "2"]), "2");
 });
--- a/src/programs/cli/job_cli.ts
+++ b/src/programs/cli/job_cli.ts
@@ -1,5 +1,5 @@
 /**
- * The command line of jobs and workers.
+ * Definitions of the commands about jobs and workers.
  *
  * @module
  */
@@ -12,37 +12,40 @@
   showJob,
   submitJob,
 } from "../commands/job_commands.ts";
-import { count, type Flags, run, text } from "./flags.ts";
+import { type Flags, numberFlag, runCommand, textFlag } from "./flags.ts";
 
 /** Adds `submit`, `jobs`, `job`, `cancel` and `workers`. */
 export function addJobCommands(program: CAC): void {
   program
-    .command("submit <file>", "Queue the job that a TOML file describes")
-    .option("--job-id <id>", "Its identity; the file's, or a new one")
+    .command("submit <file>", "Submit the job that a TOML file describes")
+    .option("--job-id <id>", "Job ID; default from the file, or a new one")
     .action((file: string, flags: Flags) =>
-      run(
+      runCommand(
         flags,
         (context) =>
-          submitJob(context, { file, ...text(flags, "jobId", "jobId") }),
+          submitJob(context, { file, ...textFlag(flags, "jobId", "jobId") }),
       )
     );
   program
     .command("jobs", "List the newest jobs")
-    .option("--limit <count>", "At most so many")
+    .option("--limit <count>", "Maximum number of jobs")
     .action((flags: Flags) =>
-      run(flags, (context) => listJobs(context, count(flags, "limit")))
+      runCommand(
+        flags,
+        (context) => listJobs(context, numberFlag(flags, "limit")),
+      )
     );
   program
-    .command("job <id>", "Show one job and the reason for which it waits")
+    .command("job <id>", "Show one job and why it is waiting")
     .action((jobId: string, flags: Flags) =>
-      run(flags, (context) => showJob(context, { jobId }))
+      runCommand(flags, (context) => showJob(context, { jobId }))
     );
   program
     .command("cancel <id>", "Cancel a job")
     .action((jobId: string, flags: Flags) =>
-      run(flags, (context) => cancelJob(context, { jobId }))
+      runCommand(flags, (context) => cancelJob(context, { jobId }))
     );
   program
     .command("workers", "List the workers")
-    .action((flags: Flags) => run(flags, listWorkers));
+    .action((flags: Flags) => runCommand(flags, listWorkers));
 }
--- a/src/programs/cli/request_cli.ts
+++ b/src/programs/cli/request_cli.ts
@@ -1,32 +1,32 @@
 /**
- * The command line of requests and backend servers.
+ * Definitions of the commands `request` and `backends`.
  *
  * @module
  */
 
 import type { CAC } from "cac";
 import { listBackends, sendRequest } from "../commands/request_commands.ts";
-import { type Flags, run, text } from "./flags.ts";
+import { type Flags, runCommand, textFlag } from "./flags.ts";
 
 /** Adds `request` and `backends`. */
 export function addRequestCommands(program: CAC): void {
   program
     .command("request <service>", "Send one request")
-    .option("--id <id>", "Its identity; the same on every retry")
-    .option("--class <name>", "Its class")
-    .option("--deadline-ms <ms>", "How long the answer is of use")
-    .option("--idempotent", "It may be run more than once")
-    .option("--client-account <id>", "For which client account")
-    .option("--file <file>", "Its body; - for standard input")
+    .option("--id <id>", "Request ID; must be the same on every retry")
+    .option("--class <name>", "Request class")
+    .option("--deadline-ms <ms>", "Time until the response is no longer needed")
+    .option("--idempotent", "The request may be run more than once")
+    .option("--client-account <id>", "Client account of the request")
+    .option("--file <file>", "File with the body; - for standard input")
     .action((service: string, flags: Flags) =>
-      run(flags, (context) =>
+      runCommand(flags, (context) =>
         sendRequest(context, {
           service,
           isIdempotent: flags["idempotent"] === true,
-          ...text(flags, "id", "id"),
-          ...text(flags, "class", "requestClass"),
-          ...text(flags, "clientAccount", "clientAccount"),
-          ...text(flags, "file", "file"),
+          ...textFlag(flags, "id", "id"),
+          ...textFlag(flags, "class", "requestClass"),
+          ...textFlag(flags, "clientAccount", "clientAccount"),
+          ...textFlag(flags, "file", "file"),
           ...(flags["deadlineMs"] === undefined
             ? {}
             : { timeoutMs: Number(flags["deadlineMs"]) }),
@@ -34,5 +34,5 @@
     );
   program
     .command("backends", "List the backend servers that the instance knows")
-    .action((flags: Flags) => run(flags, listBackends));
+    .action((flags: Flags) => runCommand(flags, listBackends));
 }
--- a/src/programs/commands/api_client.ts
+++ b/src/programs/commands/api_client.ts
@@ -1,5 +1,5 @@
 /**
- * The command-line tool's calls to an instance.
+ * The HTTP client with which the command-line tool calls instances.
  *
  * @module
  */
@@ -9,14 +9,14 @@
 import { ERROR_ANSWERS, type ErrorKind } from "../../base/error_kind.ts";
 import { failure, type Result, SesameError } from "../../base/sesame_error.ts";
 
-/** What the client does when the caller says nothing. */
+/** Default address and timeout. */
 export const API_CLIENT_DEFAULTS = {
-  /** The instance that is asked. */
+  /** Address of the instance to call. */
   server: "127.0.0.1:7101",
   timeoutMs: 10_000,
 } as const;
 
-/** One call to an instance. */
+/** An HTTP call to an instance. */
 export interface ApiCall {
   readonly method: "GET" | "PUT" | "POST" | "DELETE";
   /** Path and query. */
@@ -25,21 +25,22 @@
   readonly body?: string | Uint8Array;
 }
 
-/** A whole answer. */
+/** A complete HTTP response. */
 export interface ApiAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string | string[] | undefined>>;
   readonly text: string;
 }
 
-/** How an {@link ApiClient} is made. */
+/** Options of {@link ApiClient}. */
 export interface ApiClientOptions {
-  /** Addresses of instances, tried in order while none answers. */
+  /** Addresses of instances, tried in order while connections are refused. */
   readonly servers: readonly string[];
+  /** Timeout for the response headers, and for each gap in the body. */
   readonly timeoutMs?: number;
 }
 
-/** Calls instances over HTTP, and turns their errors into ours. */
+/** Calls instances over HTTP and returns their errors as {@link SesameError}. */
 export class ApiClient {
   #servers: readonly string[];
   #timeoutMs: number;
@@ -50,29 +51,29 @@
   }
 
   /**
-   * Makes the call. Another instance is tried only when the connection was
-   * refused, so that nothing is done twice.
+   * Makes the call. The next instance is tried only if the connection was
+   * refused, so that no call is carried out twice.
    */
   async call(call: ApiCall): Promise<Result<ApiAnswer>> {
     let result: Result<ApiAnswer> = failure("unavailable", {
-      detail: "no server was named",
+      detail: "no server address was given",
     });
     for (const server of this.#servers) {
-      result = await this.#callOne(server, call);
-      if (!isRefused(result)) {
+      result = await this.#callServer(server, call);
+      if (!isConnectionRefused(result)) {
         return result;
       }
     }
     return result;
   }
 
-  /** Makes the call and gives the JSON value of its answer. */
+  /** Makes the call and parses the response body as JSON. */
   async json(call: ApiCall): Promise<Result<unknown>> {
     const answer = await this.call(call);
     return answer.chain(parseJson);
   }
 
-  async #callOne(server: string, call: ApiCall): Promise<Result<ApiAnswer>> {
+  async #callServer(server: string, call: ApiCall): Promise<Result<ApiAnswer>> {
     try {
       const response = await request(`http://${server}${call.path}`, {
         method: call.method,
@@ -100,7 +101,7 @@
   return Left(readError(answer));
 }
 
-/** The error in an answer's body, or the nearest kind for its status. */
+/** The error in the response body; `internal` if it has no known kind. */
 function readError(answer: ApiAnswer): SesameError {
   const body = parseJson(answer).orDefault(undefined);
   const error = (body as { error?: Record<string, unknown> })?.error;
@@ -123,7 +124,7 @@
   try {
     return Right(JSON.parse(answer.text));
   } catch {
-    return failure("internal", { detail: "the answer is not JSON" });
+    return failure("internal", { detail: "the response is not JSON" });
   }
 }
 
@@ -139,7 +140,7 @@
   return failure("outcomeUnknown", { detail: `${server}: ${detail}` });
 }
 
-function isRefused(result: Result<ApiAnswer>): boolean {
+function isConnectionRefused(result: Result<ApiAnswer>): boolean {
   return result.swap().map((error) => error.facts["isRefused"] === true)
     .orDefault(false);
 }
--- a/src/programs/commands/api_client_test.ts
+++ b/src/programs/commands/api_client_test.ts
@@ -8,27 +8,27 @@
 import type { CommandContext } from "./command_context.ts";
 import { showJob, submitJob } from "./job_commands.ts";
 
-interface Canned {
+interface CannedResponse {
   readonly status: number;
   readonly body: unknown;
 }
 
-async function serve(canned: Canned): Promise<{
+async function startServer(canned: CannedResponse): Promise<{
   server: Server;
   address: string;
-  seen: string[];
+  received: string[];
 }> {
-  const seen: string[] = [];
+  const received: string[] = [];
   const server = createServer((request, response) => {
-    seen.push(`${request.method} ${request.url}`);
+    received.push(`${request.method} ${request.url}`);
     response.writeHead(canned.status).end(JSON.stringify(canned.body));
   }).listen(0, "127.0.0.1");
   await once(server, "listening");
   const { port } = server.address() as AddressInfo;
-  return { server, address: `127.0.0.1:${port}`, seen };
+  return { server, address: `127.0.0.1:${port}`, received };
 }
 
-function contextOf(servers: string[], printed: string[]): CommandContext {
+function createContext(servers: string[], printed: string[]): CommandContext {
   return {
     client: new ApiClient({ servers }),
     wantsJson: false,
@@ -54,39 +54,44 @@
   },
 };
 
-test("a refused connection leads to the next instance, once", async (t) => {
-  const gone = await serve({ status: 200, body: {} });
-  gone.server.close();
-  await once(gone.server, "close");
-  const { server, address, seen } = await serve({
+test("the next instance is called once if a connection is refused", async (t) => {
+  const closed = await startServer({ status: 200, body: {} });
+  closed.server.close();
+  await once(closed.server, "close");
+  const { server, address, received } = await startServer({
     status: 200,
     body: { job: JOB, unaskedDataCentres: ["west"] },
   });
   const printed: string[] = [];
-  const context = contextOf([gone.address, address], printed);
+  const context = createContext([closed.address, address], printed);
   t.is(await showJob(context, { jobId: "j-1" }), 0);
-  t.deepEqual(seen, ["GET /v1/jobs/j-1"]);
+  t.deepEqual(received, ["GET /v1/jobs/j-1"]);
   t.regex(printed[0] ?? "", /queued: the data centre is out/);
   t.regex(printed[0] ?? "", /out of reach: west/);
   server.close();
 });
 
-test("an error's kind decides the exit code, its detail is shown", async (t) => {
-  const { server, address } = await serve({
+test("the error kind sets the exit code, and the detail is printed", async (t) => {
+  const { server, address } = await startServer({
     status: 422,
     body: { error: { kind: "neverFits", detail: "A rack holds 4." } },
   });
   const printed: string[] = [];
-  const code = await submitJob(contextOf([address], printed), { file: "f" });
+  const code = await submitJob(createContext([address], printed), {
+    file: "f",
+  });
   t.is(code, ERROR_ANSWERS.neverFits.exitCode);
   t.deepEqual(printed, ["neverFits: A rack holds 4."]);
   server.close();
 });
 
-test("an answer that is no JSON is an error, not a fault", async (t) => {
-  const { server, address } = await serve({ status: 200, body: undefined });
+test("a response that is not JSON is reported as an error", async (t) => {
+  const { server, address } = await startServer({
+    status: 200,
+    body: undefined,
+  });
   const printed: string[] = [];
-  const code = await showJob(contextOf([address], printed), { jobId: "j" });
+  const code = await showJob(createContext([address], printed), { jobId: "j" });
   t.is(code, ERROR_ANSWERS.internal.exitCode);
   server.close();
 });
--- a/src/programs/commands/command_context.ts
+++ b/src/programs/commands/command_context.ts
@@ -1,5 +1,5 @@
 /**
- * What every command of the tool gets.
+ * The context of a command, and how its result is printed.
  *
  * @module
  */
@@ -8,21 +8,21 @@
 import type { ApiClient } from "./api_client.ts";
 import type { CommandIo } from "./command_io.ts";
 
-/** The surroundings of one command and what all commands share. */
+/** What a command runs with. */
 export interface CommandContext {
   readonly client: ApiClient;
   readonly io: CommandIo;
-  /** Whether the answer is wanted as JSON. */
+  /** Whether results and errors are printed as JSON. */
   readonly wantsJson: boolean;
 }
 
-/** Prints a result; gives the exit code. */
-export function report<T>(
+/** Prints a result or its error; returns the exit code. */
+export function printResult<T>(
   context: CommandContext,
   options: { result: Result<T>; render: (value: T) => string },
 ): number {
   return options.result.caseOf({
-    Left: (error) => reportError(context, error),
+    Left: (error) => printError(context, error),
     Right: (value) => {
       const text = context.wantsJson
         ? JSON.stringify(value, null, 2)
@@ -33,8 +33,8 @@
   });
 }
 
-/** Prints an error; gives its exit code. */
-export function reportError(
+/** Prints an error; returns its exit code. */
+export function printError(
   context: CommandContext,
   error: SesameError,
 ): number {
--- a/src/programs/commands/command_io.ts
+++ b/src/programs/commands/command_io.ts
@@ -1,5 +1,5 @@
 /**
- * Where a command reads and writes, so that tests can stand in for it.
+ * Input and output of commands, which tests replace.
  *
  * @module
  */
@@ -10,15 +10,15 @@
 import { Right } from "purify-ts/Either";
 import { failure, type Result } from "../../base/sesame_error.ts";
 
-/** The surroundings of one command. */
+/** Input and output of a command. */
 export interface CommandIo {
   out(text: string): void;
   error(text: string): void;
-  /** The whole of a file, or of the standard input for `-`. */
+  /** Reads a whole file, or standard input if the path is `-`. */
   read(path: string): Promise<Result<string>>;
 }
 
-/** The surroundings of a real process. */
+/** Files and standard streams of the process. */
 export const PROCESS_IO: CommandIo = {
   out: (line) => void process.stdout.write(line + "\n"),
   error: (line) => void process.stderr.write(line + "\n"),
@@ -27,10 +27,10 @@
 
 async function readPath(path: string): Promise<Result<string>> {
   try {
-    const whole = path === "-"
+    const content = path === "-"
       ? await text(process.stdin)
       : await readFile(path, "utf8");
-    return Right(whole);
+    return Right(content);
   } catch (error) {
     const detail = error instanceof Error ? error.message : String(error);
     return failure("notFound", { detail, location: path });
--- a/src/programs/commands/completion.ts
+++ b/src/programs/commands/completion.ts
@@ -1,5 +1,5 @@
 /**
- * Completion of the tool's commands in a shell.
+ * Shell completion of the tool's commands.
  *
  * @module
  */
@@ -7,7 +7,7 @@
 import { failure, type Result } from "../../base/sesame_error.ts";
 import { Right } from "purify-ts/Either";
 
-/** Every command, for completion. */
+/** The names of all commands. */
 export const COMMAND_NAMES = [
   "submit",
   "jobs",
@@ -26,7 +26,7 @@
   "completion",
 ] as const;
 
-/** The script that a shell is to read, such as by `source <(...)`. */
+/** The script for a shell to load, for example with `source <(...)`. */
 export function completionScript(shell: string): Result<string> {
   const words = COMMAND_NAMES.join(" ");
   switch (shell) {
--- a/src/programs/commands/config/config_commands_test.ts
+++ b/src/programs/commands/config/config_commands_test.ts
@@ -11,7 +11,7 @@
 import { matchesTeamKey } from "../../../version/document/team_key.ts";
 import type { ApiAnswer, ApiCall, ApiClient } from "../api_client.ts";
 import type { CommandContext } from "../command_context.ts";
-import { textWithStatus } from "./data_centre_switch.ts";
+import { textWithStatus } from "./data_centre_status.ts";
 import {
   editConfiguration,
   getConfiguration,
@@ -24,7 +24,7 @@
 const TEXT = '# Ours\n[jobClasses.a]\nowner = "x"\nrank = 1\n';
 const KEY = "x:a-secret-key-of-x";
 
-/** An instance that answers from a script, and keeps what was asked. */
+/** An instance that returns the given answers and records the calls. */
 class ScriptedClient {
   readonly calls: ApiCall[] = [];
   readonly #answers: Result<unknown>[];
@@ -70,8 +70,8 @@
   return { client, context, out, errors };
 }
 
-/** A clock whose timers fire at once. */
-class HastyClock extends FakeClock {
+/** A clock whose timers fire in the next microtask. */
+class ImmediateClock extends FakeClock {
   override after(delayMs: number, action: () => void) {
     const timer = super.after(delayMs, action);
     queueMicrotask(() => this.advance(delayMs));
@@ -82,11 +82,11 @@
 const SECTION = Right({ section: "jobClasses.a", version: 7, text: TEXT });
 const ACCEPTED = Right({ state: "accepted", version: 8 });
 
-function lost(kind: ErrorKind): Result<unknown> {
+function failed(kind: ErrorKind): Result<unknown> {
   return Left(new SesameError(kind));
 }
 
-test("an edit shows the difference and names its base version", async (t) => {
+test("an edit prints the diff and sends its base version", async (t) => {
   const edited = TEXT.replace("rank = 1", "rank = 2");
   const { client, context, out } = setUp([SECTION, ACCEPTED], { f: edited });
   const code = await editConfiguration(context, {
@@ -101,10 +101,10 @@
   t.is(client.calls[1]?.headers?.["authorization"], `Bearer ${KEY}`);
 });
 
-test("the version line of a file is the base of its edit", async (t) => {
-  const got = setUp([SECTION]);
-  await getConfiguration(got.context, { section: "jobClasses.a" });
-  const file = got.out.join("\n");
+test("the version line of a file sets the base version of its edit", async (t) => {
+  const fetched = setUp([SECTION]);
+  await getConfiguration(fetched.context, { section: "jobClasses.a" });
+  const file = fetched.out.join("\n");
   t.regex(file, /^# jobClasses\.a at version 7\n/);
   const later = Right({ section: "jobClasses.a", version: 9, text: TEXT });
   const { client, context } = setUp([later, ACCEPTED], { f: file });
@@ -114,16 +114,16 @@
   t.is(client.calls[1]?.body, "\n" + TEXT.trimEnd());
 });
 
-test("an edit whose answer was lost keeps its identity", async (t) => {
+test("an edit whose response was lost is repeated with the same ID", async (t) => {
   const { client, context } = setUp(
-    [SECTION, lost("outcomeUnknown"), lost("unavailable"), ACCEPTED],
+    [SECTION, failed("outcomeUnknown"), failed("unavailable"), ACCEPTED],
     { f: TEXT },
   );
   const code = await editConfiguration(context, {
     section: "jobClasses.a",
     file: "f",
     key: KEY,
-    clock: new HastyClock(),
+    clock: new ImmediateClock(),
   });
   t.is(code, 0);
   const ids = client.calls.slice(1).map((call) =>
@@ -133,26 +133,26 @@
   t.is(new Set(ids).size, 1);
 });
 
-test("an edit that stays unresolved says how to go on", async (t) => {
-  const answers = [SECTION, ...Array(5).fill(lost("outcomeUnknown"))];
+test("an edit whose outcome stays unknown prints how to resume it", async (t) => {
+  const answers = [SECTION, ...Array(5).fill(failed("outcomeUnknown"))];
   const { context, errors } = setUp(answers, { f: TEXT });
   const code = await editConfiguration(context, {
     section: "jobClasses.a",
     file: "f",
     key: KEY,
     editId: "mine",
-    clock: new HastyClock(),
+    clock: new ImmediateClock(),
   });
   t.is(code, 76);
   t.regex(errors.join(), /--edit-id mine --base 7/);
 });
 
-test("refusals have the exit codes of their kinds", async (t) => {
+test("rejected edits exit with the codes of their error kinds", async (t) => {
   const options = { section: "jobClasses.a", file: "f", key: KEY };
   const cases: [Result<unknown>, number][] = [
-    [lost("conflict"), 73],
-    [lost("forbidden"), 77],
-    [lost("invalid"), 65],
+    [failed("conflict"), 73],
+    [failed("forbidden"), 77],
+    [failed("invalid"), 65],
   ];
   for (const [answer, code] of cases) {
     const { context } = setUp([SECTION, answer], { f: TEXT });
@@ -168,7 +168,7 @@
   t.is(await editConfiguration(noKey.context, { section, key: KEY }), 65);
 });
 
-test("a dry run asks for nothing else", async (t) => {
+test("a dry run is marked as such in the call and in the output", async (t) => {
   const { client, context, out } = setUp(
     [SECTION, Right({ state: "wouldBeAccepted" })],
     { f: TEXT },
@@ -190,11 +190,11 @@
 status = "in" # since May
 `;
 
-test("a data centre is taken out and waited for", async (t) => {
+test("taking a data centre out waits until the removal takes effect", async (t) => {
   const pending = { state: "pending", version: 3, dataCentre: "north" };
   const { client, context, out } = setUp([
     Right({ section: "dataCentres.north", version: 2, text: NORTH }),
-    lost("conflict"),
+    failed("conflict"),
     Right({ section: "dataCentres.north", version: 3, text: NORTH }),
     Right({ ...pending, holdsByMs: 5_000 }),
     Right({ ...pending, holdsByMs: 5_000 }),
@@ -204,7 +204,7 @@
     dataCentre: "north",
     status: "out",
     key: KEY,
-    clock: new HastyClock(),
+    clock: new ImmediateClock(),
   });
   t.is(code, 0);
   t.regex(out.join(), /accepted as version 3/);
@@ -212,7 +212,7 @@
   t.regex(String(client.calls[3]?.body), /status = "out"/);
 });
 
-test("a removal that doesn't hold in time isn't called done", async (t) => {
+test("a removal that takes too long is reported as pending", async (t) => {
   const pending = {
     state: "pending",
     version: 3,
@@ -228,13 +228,13 @@
     status: "out",
     key: KEY,
     waitMs: 2_000,
-    clock: new HastyClock(),
+    clock: new ImmediateClock(),
   });
   t.is(code, 75);
   t.regex(out.join(), /may start tasks until 1970-01-01T00:00:05/);
 });
 
-test("a status is set without losing comments where it can", (t) => {
+test("setting a status keeps comments where possible", (t) => {
   const sectionId = { kind: "dataCentres", name: "north" } as const;
   const status = "out";
   const plain = textWithStatus(NORTH, { sectionId, status }).unsafeCoerce();
@@ -248,7 +248,7 @@
   t.regex(rendered.unsafeCoerce(), /status = "out"/);
 });
 
-test("validate checks a whole document without an instance", async (t) => {
+test("validate checks a document without calling an instance", async (t) => {
   const demo = readFileSync("examples/demo/document.toml", "utf8");
   const broken = demo.replace("workersPerRack = 2", "workersPerRack = 9");
   const { context, out, errors } = setUp([], { good: demo, broken });
@@ -258,7 +258,7 @@
   t.regex(errors.join(), /line \d+: .*does not fit.*clientAccounts/);
 });
 
-test("history is a table of who, when and where", async (t) => {
+test("history is a table of edits and where they are in force", async (t) => {
   const { context, out } = setUp([Right({
     version: 2,
     instances: [{ instanceId: "a", version: 2 }, {
@@ -279,7 +279,7 @@
   t.regex(out.join(), /2 +jobClasses.a +replace +x +1 .* 1 of 2: a/);
 });
 
-test("key hash hashes a given key, and makes a new one", async (t) => {
+test("key hash hashes a given key, or a new one", async (t) => {
   const files = { key: "a-long-enough-key\n", short: "short" };
   const { context, out } = setUp([], files);
   t.is(await printKeyHash(context, { file: "key" }), 0);
--- a/src/programs/commands/config/config_edit.ts
+++ b/src/programs/commands/config/config_edit.ts
@@ -1,5 +1,5 @@
 /**
- * `config edit SECTION --file F`: shows the difference, then makes the edit.
+ * `config edit SECTION --file F`: shows the diff, then makes the edit.
  *
  * @module
  */
@@ -17,34 +17,34 @@
 } from "../../../version/document/section_id.ts";
 import {
   type CommandContext,
-  report,
-  reportError,
+  printError,
+  printResult,
 } from "../command_context.ts";
 import { renderEditView } from "./edit_view.ts";
 import { SectionClient, type SectionView } from "./section_client.ts";
 import { readSectionFile, type SectionFile } from "./section_file.ts";
 import { requireKey } from "./team_key_option.ts";
 
-/** What `config edit` is asked for. */
+/** Options of `config edit`. */
 export interface ConfigEditOptions {
   /** `kind.name` of the section. */
   readonly section: string;
-  /** The new text: a file, or `-` for the standard input. */
+  /** File with the new text, `-` for standard input. */
   readonly file?: string;
   /** Removes the section instead. */
   readonly remove?: boolean;
   /** `team:key`. */
   readonly key?: string;
-  /** The version that the edit was made from. */
+  /** The version that the edit is based on. */
   readonly base?: number;
-  /** Goes on with an edit whose answer was lost. */
+  /** ID of an earlier edit to resume because its response was lost. */
   readonly editId?: string;
-  /** Shows the difference and what would come, and changes nothing. */
+  /** Shows the diff and the expected result without changing anything. */
   readonly dryRun?: boolean;
   readonly clock?: Clock;
 }
 
-/** Makes the edit; gives the exit code. */
+/** Makes the edit; returns the exit code. */
 export async function editConfiguration(
   context: CommandContext,
   options: ConfigEditOptions,
@@ -62,7 +62,7 @@
     )
   );
   return input.isLeft()
-    ? report(context, { result: input, render: String })
+    ? printResult(context, { result: input, render: String })
     : await sendEdit(context, { ...options, ...input.unsafeCoerce() });
 }
 
@@ -85,11 +85,11 @@
   });
   const before = await sections.read(sectionId);
   if (before.isLeft()) {
-    return report(context, { result: before, render: String });
+    return printResult(context, { result: before, render: String });
   }
   const current = before.unsafeCoerce();
   if (!context.wantsJson) {
-    context.io.out(differenceOf(sectionId, { current, file }));
+    context.io.out(renderDiff(sectionId, { current, file }));
   }
   const baseVersion = edit.base ?? file?.baseVersion ?? current.version;
   const result = await sections.edit({
@@ -100,9 +100,9 @@
     ...(edit.dryRun === undefined ? {} : { isDryRun: edit.dryRun }),
   });
   return result.caseOf({
-    Left: (error) => reportError(context, error),
+    Left: (error) => printError(context, error),
     Right: (view) =>
-      report(context, { result, render: () => renderEditView(view) }),
+      printResult(context, { result, render: () => renderEditView(view) }),
   });
 }
 
@@ -114,7 +114,7 @@
   const isRemoval = options.remove === true;
   if (isRemoval === (options.file !== undefined)) {
     return failure("malformed", {
-      detail: "give --file FILE, with - for the standard input, or --remove",
+      detail: "expected either --file FILE (- for standard input) or --remove",
     });
   }
   return options.file === undefined
@@ -122,7 +122,7 @@
     : await context.io.read(options.file);
 }
 
-/** Finds faults in the text before any instance is asked. */
+/** Validates the text before any instance is called. */
 function checkFile(
   sectionId: SectionId,
   content: string | undefined,
@@ -134,7 +134,7 @@
   return parseSection(sectionId, file.text).map(() => file);
 }
 
-function differenceOf(
+function renderDiff(
   sectionId: SectionId,
   texts: {
     readonly current: SectionView;
--- a/src/programs/commands/config/config_get.ts
+++ b/src/programs/commands/config/config_get.ts
@@ -1,25 +1,25 @@
 /**
- * `config get [SECTION]`: the document or one section, as TOML.
+ * `config get [SECTION]`: prints the document or one section, as TOML.
  *
  * @module
  */
 
 import { parseSectionId } from "../../../version/document/section_id.ts";
 import { failure, type Result } from "../../../base/sesame_error.ts";
-import { type CommandContext, report } from "../command_context.ts";
+import { type CommandContext, printResult } from "../command_context.ts";
 import { SectionClient } from "./section_client.ts";
 import { writeSectionFile } from "./section_file.ts";
-import { authorizationOf } from "./team_key_option.ts";
+import { authorizationHeader } from "./team_key_option.ts";
 
-/** What `config get` is asked for. */
+/** Options of `config get`. */
 export interface ConfigGetOptions {
   /** `kind.name`; the whole document when undefined. */
   readonly section?: string;
-  /** `team:key`; shows key hashes. */
+  /** `team:key`; with it, key hashes are shown. */
   readonly key?: string;
 }
 
-/** Prints the document or a section; gives the exit code. */
+/** Prints the document or a section; returns the exit code. */
 export async function getConfiguration(
   context: CommandContext,
   options: ConfigGetOptions,
@@ -37,9 +37,9 @@
   const result = await context.client.call({
     method: "GET",
     path: "/v1/configuration",
-    headers: { accept, ...authorizationOf(key) },
+    headers: { accept, ...authorizationHeader(key) },
   });
-  return report(context, {
+  return printResult(context, {
     result: result.map((answer) =>
       context.wantsJson ? JSON.parse(answer.text) : answer.text.trimEnd()
     ),
@@ -55,7 +55,7 @@
   const sections = new SectionClient({ client, key: options.key });
   const sectionId = parseSectionId(options.section);
   if (sectionId.isLeft()) {
-    return report(context, { result: sectionId, render: String });
+    return printResult(context, { result: sectionId, render: String });
   }
   const id = sectionId.unsafeCoerce();
   const view = await sections.read(id);
@@ -68,7 +68,7 @@
         })
         : view.map(() => ({ text, version })),
   );
-  return report(context, {
+  return printResult(context, {
     result: found,
     render: (source) => writeSectionFile(id, source).trimEnd(),
   });
--- a/src/programs/commands/config/config_history.ts
+++ b/src/programs/commands/config/config_history.ts
@@ -1,11 +1,11 @@
 /**
- * `config history`: who changed what, when, from which version, and where it
- * is in force already.
+ * `config history`: lists edits with their team, time and base version, and
+ * the instances on which they are in force.
  *
  * @module
  */
 
-import { type CommandContext, report } from "../command_context.ts";
+import { type CommandContext, printResult } from "../command_context.ts";
 import { queryString } from "../query_string.ts";
 import { renderTable } from "../table.ts";
 
@@ -30,7 +30,7 @@
   }[];
 }
 
-/** Prints the history, the newest first; gives the exit code. */
+/** Prints the history, the newest edit first; returns the exit code. */
 export async function showConfigurationHistory(
   context: CommandContext,
   options: ConfigHistoryOptions,
@@ -40,7 +40,7 @@
     method: "GET",
     path: `/v1/configuration/history?${query}`,
   });
-  return report(context, {
+  return printResult(context, {
     result,
     render: (value) => renderHistory(value as HistoryView),
   });
--- a/src/programs/commands/config/config_validate.ts
+++ b/src/programs/commands/config/config_validate.ts
@@ -1,14 +1,14 @@
 /**
- * `config validate FILE`: checks a whole document, without any instance.
+ * `config validate FILE`: validates a document without calling an instance.
  *
  * @module
  */
 
 import { parseDocument } from "../../../version/document/parse_document.ts";
 import { SECTION_KINDS } from "../../../version/document/section_id.ts";
-import { type CommandContext, report } from "../command_context.ts";
+import { type CommandContext, printResult } from "../command_context.ts";
 
-/** Checks the document in the file; gives the exit code. */
+/** Validates the document in the file; returns the exit code. */
 export async function validateConfiguration(
   context: CommandContext,
   options: { readonly file: string },
@@ -22,10 +22,10 @@
         count: Object.keys(document[kind]).length,
       })),
     }));
-  return report(context, {
+  return printResult(context, {
     result,
     render: ({ file, sections }) =>
-      `${file} is sound: ${
+      `${file} is valid: ${
         sections.map(({ kind, count }) => `${count} ${kind}`).join(", ")
       }`,
   });
--- a/src/programs/commands/config/data_centre_switch.ts
+++ b/src/programs/commands/config/data_centre_status.ts
@@ -19,44 +19,44 @@
   parseToml,
   type PlainTable,
 } from "../../../version/document/toml_text.ts";
-import { type CommandContext, report } from "../command_context.ts";
+import { type CommandContext, printResult } from "../command_context.ts";
 import { renderEditView } from "./edit_view.ts";
 import { type EditView, SectionClient } from "./section_client.ts";
 import { requireKey } from "./team_key_option.ts";
 
-/** What `datacentre out|in` is asked for. */
-export interface DataCentreSwitchOptions {
+/** Options of `datacentre out|in`. */
+export interface DataCentreStatusOptions {
   readonly dataCentre: string;
   readonly status: "in" | "out";
   /** `team:key`. */
   readonly key?: string;
-  /** How long to wait for a removal to hold. */
+  /** How long to wait for a removal to take effect. */
   readonly waitMs?: number;
   readonly clock?: Clock;
 }
 
-/** How long a removal is waited for when the operator says nothing. */
-export const REMOVAL_WAIT_MS = 30_000;
+/** Default time to wait for a removal to take effect. */
+export const DEFAULT_REMOVAL_WAIT_MS = 30_000;
 
-/** How often a lost race with another edit of the section is run again. */
-const CONFLICTS_LIMIT = 5;
+/** Maximum attempts while other edits of the section conflict with this one. */
+const MAX_EDIT_ATTEMPTS = 5;
 
-const FATE_PERIOD_MS = 250;
+const REMOVAL_POLL_INTERVAL_MS = 250;
 
-/** Exit code while a removal doesn't hold yet. */
-export const PENDING_EXIT_CODE = 75;
+/** Exit code if a removal has not taken effect within the wait. */
+export const EXIT_REMOVAL_PENDING = 75;
 
-/** Takes the data centre out, or back in; gives the exit code. */
+/** Sets the data centre's status; returns the exit code. */
 export async function switchDataCentre(
   context: CommandContext,
-  options: DataCentreSwitchOptions,
+  options: DataCentreStatusOptions,
 ): Promise<number> {
   const input = requireKey(options.key).chain((key) =>
     parseSectionId(`dataCentres.${options.dataCentre}`)
       .map((sectionId) => ({ key, sectionId }))
   );
   if (input.isLeft()) {
-    return report(context, { result: input, render: String });
+    return printResult(context, { result: input, render: String });
   }
   const { key, sectionId } = input.unsafeCoerce();
   const { clock, status } = options;
@@ -65,18 +65,22 @@
     key,
     ...(clock === undefined ? {} : { clock }),
   });
-  const made = await setStatus(sections, { sectionId, status });
-  const waitMs = options.waitMs ?? REMOVAL_WAIT_MS;
-  const settled = made.isLeft() || made.unsafeCoerce().view.state !== "pending"
-    ? made.map(({ view }) => view)
-    : await waitForRemoval(sections, { ...made.unsafeCoerce(), waitMs });
-  const code = report(context, { result: settled, render: renderEditView });
-  const isPending = settled.map((view) => view.state === "pending")
+  const submitted = await setStatus(sections, { sectionId, status });
+  const waitMs = options.waitMs ?? DEFAULT_REMOVAL_WAIT_MS;
+  const finalResult =
+    submitted.isLeft() || submitted.unsafeCoerce().view.state !== "pending"
+      ? submitted.map(({ view }) => view)
+      : await waitForRemoval(sections, { ...submitted.unsafeCoerce(), waitMs });
+  const code = printResult(context, {
+    result: finalResult,
+    render: renderEditView,
+  });
+  const isPending = finalResult.map((view) => view.state === "pending")
     .orDefault(false);
-  return isPending ? PENDING_EXIT_CODE : code;
+  return isPending ? EXIT_REMOVAL_PENDING : code;
 }
 
-interface MadeEdit {
+interface SubmittedEdit {
   readonly editId: string;
   readonly view: EditView;
 }
@@ -84,9 +88,9 @@
 async function setStatus(
   sections: SectionClient,
   change: { readonly sectionId: SectionId; readonly status: "in" | "out" },
-): Promise<Result<MadeEdit>> {
-  let result: Result<MadeEdit> = failure("conflict");
-  for (let attempt = 0; attempt < CONFLICTS_LIMIT; attempt++) {
+): Promise<Result<SubmittedEdit>> {
+  let result: Result<SubmittedEdit> = failure("conflict");
+  for (let attempt = 0; attempt < MAX_EDIT_ATTEMPTS; attempt++) {
     result = await trySetStatus(sections, change);
     const isConflict = result.swap().map((error) => error.kind === "conflict")
       .orDefault(false);
@@ -100,7 +104,7 @@
 async function trySetStatus(
   sections: SectionClient,
   change: { readonly sectionId: SectionId; readonly status: "in" | "out" },
-): Promise<Result<MadeEdit>> {
+): Promise<Result<SubmittedEdit>> {
   const { sectionId, status } = change;
   const current = await sections.read(sectionId);
   const text = current.chain((view) =>
@@ -125,8 +129,9 @@
 }
 
 /**
- * The section's text with another status. Comments stay where one line can
- * be replaced with the right result; else the text is rendered anew.
+ * Changes the status in the section's text. Comments are kept if replacing or
+ * adding one line gives the intended section; otherwise they are lost, since
+ * the section is rendered from its values.
  */
 export function textWithStatus(
   text: string,
@@ -136,44 +141,50 @@
   const line = `status = "${change.status}"`;
   return parseToml(text).chain((table) => {
     const before = (table[kind] as PlainTable | undefined)?.[name];
-    const wanted = { ...before as PlainTable, status: change.status };
+    const expected = { ...before as PlainTable, status: change.status };
     const candidates = [
       text.replace(/^status\s*=.*$/m, line),
       text.replace(/^\[.*\][ \t]*$/m, (header) => `${header}\n${line}`),
     ];
-    const fitting = candidates.find((candidate) =>
+    const match = candidates.find((candidate) =>
       isDeepStrictEqual(
-        sectionIn(candidate, change.sectionId),
-        wanted,
+        parseSectionTable(candidate, change.sectionId),
+        expected,
       )
     );
-    return Right(fitting ?? renderSection(change.sectionId, wanted));
+    return Right(match ?? renderSection(change.sectionId, expected));
   });
 }
 
-function sectionIn(text: string, sectionId: SectionId): PlainTable | undefined {
+function parseSectionTable(
+  text: string,
+  sectionId: SectionId,
+): PlainTable | undefined {
   const table = parseToml(text).orDefault({});
   const sections = table[sectionId.kind] as PlainTable | undefined;
   const section = sections?.[sectionId.name] as PlainTable | undefined;
   return section === undefined ? undefined : { ...section };
 }
 
-/** Asks again till the removal holds, is taken back, or time is up. */
+/**
+ * Polls until the removal takes effect, is superseded, or the time is up.
+ * Failed polls are ignored.
+ */
 async function waitForRemoval(
   sections: SectionClient,
-  edit: MadeEdit & { readonly waitMs: number },
+  edit: SubmittedEdit & { readonly waitMs: number },
 ): Promise<Result<EditView>> {
   const endMs = sections.nowMs() + edit.waitMs;
-  let last: Result<EditView> = Right(edit.view);
+  let latest: Result<EditView> = Right(edit.view);
   while (sections.nowMs() < endMs) {
-    await sections.pause(FATE_PERIOD_MS);
-    const fate = await sections.fate(edit.editId);
-    if (fate.isRight()) {
-      last = fate;
+    await sections.pause(REMOVAL_POLL_INTERVAL_MS);
+    const polled = await sections.fate(edit.editId);
+    if (polled.isRight()) {
+      latest = polled;
     }
-    if (last.unsafeCoerce().state !== "pending") {
-      return last;
+    if (latest.unsafeCoerce().state !== "pending") {
+      return latest;
     }
   }
-  return last;
+  return latest;
 }
--- a/src/programs/commands/config/edit_view.ts
+++ b/src/programs/commands/config/edit_view.ts
@@ -1,29 +1,29 @@
 /**
- * Where an edit stands, for people.
+ * Renders the state of an edit as text.
  *
  * @module
  */
 
 import type { EditView } from "./section_client.ts";
 
-/** One sentence about an edit. */
+/** Describes the state of an edit in one sentence. */
 export function renderEditView(view: EditView): string {
   switch (view.state) {
     case "accepted":
       return `accepted as version ${view.version}`;
     case "pending":
       return `version ${view.version} is durable; ${view.dataCentre} may ` +
-        `start tasks until ${timeOf(view.holdsByMs)} at the latest`;
+        `start tasks until ${formatTime(view.holdsByMs)} at the latest`;
     case "superseded":
-      return `version ${view.version} was accepted, and ${view.dataCentre} ` +
-        `has been taken back since`;
+      return `version ${view.version} was accepted, but ${view.dataCentre} ` +
+        `has been changed again since`;
     case "wouldBeAccepted":
       return "would be accepted; nothing was changed";
   }
 }
 
-function timeOf(atMs: number | null | undefined): string {
+function formatTime(atMs: number | null | undefined): string {
   return typeof atMs === "number"
     ? new Date(atMs).toISOString()
-    : "a time that isn't known yet";
+    : "a time not yet known";
 }
--- a/src/programs/commands/config/key_hash.ts
+++ b/src/programs/commands/config/key_hash.ts
@@ -1,5 +1,5 @@
 /**
- * `key hash`: the salted hash of a team's key, for the document.
+ * `key hash`: prints the salted hash of a team's key, for the document.
  *
  * @module
  */
@@ -12,15 +12,15 @@
   KEY_LENGTH_MAX,
   KEY_LENGTH_MIN,
 } from "../../../version/document/team_key.ts";
-import { type CommandContext, report } from "../command_context.ts";
+import { type CommandContext, printResult } from "../command_context.ts";
 
-/** What `key hash` is asked for. */
+/** Options of `key hash`. */
 export interface KeyHashOptions {
-  /** Where the key is read from, `-` for the standard input; none for new. */
+  /** File with the key, `-` for standard input; a new key if absent. */
   readonly file?: string;
 }
 
-/** Prints a hash, with the key when it is a new one; gives the exit code. */
+/** Prints the hash, and the key if it is new; returns the exit code. */
 export async function printKeyHash(
   context: CommandContext,
   options: KeyHashOptions,
@@ -30,12 +30,12 @@
     ? Right(createTeamKey())
     : checkKey(await context.io.read(options.file));
   if (key.isLeft()) {
-    return report(context, { result: key, render: String });
+    return printResult(context, { result: key, render: String });
   }
-  const text = key.unsafeCoerce();
-  const keyHash = await hashTeamKey(text);
-  const result = Right(isNew ? { key: text, keyHash } : { keyHash });
-  return report<{ key?: string; keyHash: string }>(context, {
+  const plainKey = key.unsafeCoerce();
+  const keyHash = await hashTeamKey(plainKey);
+  const result = Right(isNew ? { key: plainKey, keyHash } : { keyHash });
+  return printResult<{ key?: string; keyHash: string }>(context, {
     result,
     render: ({ key: newKey, keyHash: hash }) =>
       newKey === undefined ? hash : `key  ${newKey}\nhash ${hash}`,
@@ -45,11 +45,12 @@
 function checkKey(content: Result<string>): Result<string> {
   return content.chain((text) => {
     const key = text.trim();
-    const isSound = key.length >= KEY_LENGTH_MIN &&
+    const isValid = key.length >= KEY_LENGTH_MIN &&
       key.length <= KEY_LENGTH_MAX && /^[!-~]+$/.test(key);
-    return isSound ? Right(key) : failure("malformed", {
-      detail: `a key has ${KEY_LENGTH_MIN} to ${KEY_LENGTH_MAX} printable ` +
-        "characters and no blanks",
+    return isValid ? Right(key) : failure("malformed", {
+      detail:
+        `a key must have ${KEY_LENGTH_MIN} to ${KEY_LENGTH_MAX} printable ` +
+        "ASCII characters and no spaces",
     });
   });
 }
--- a/src/programs/commands/config/mod.ts
+++ b/src/programs/commands/config/mod.ts
@@ -1,5 +1,5 @@
 /**
- * Commands about the document: `config`, `datacentre` and `key`.
+ * Commands about the configuration document: `config`, `datacentre` and `key`.
  *
  * @module
  */
@@ -12,8 +12,8 @@
 } from "./config_history.ts";
 export { validateConfiguration } from "./config_validate.ts";
 export {
-  type DataCentreSwitchOptions,
+  type DataCentreStatusOptions,
   switchDataCentre,
-} from "./data_centre_switch.ts";
+} from "./data_centre_status.ts";
 export { type KeyHashOptions, printKeyHash } from "./key_hash.ts";
 export { KEY_VARIABLE, requireKey } from "./team_key_option.ts";
--- a/src/programs/commands/config/section_client.ts
+++ b/src/programs/commands/config/section_client.ts
@@ -1,6 +1,6 @@
 /**
- * Reads and edits sections through an instance. An edit whose answer was
- * lost is sent again with the same identity, so that it is made once.
+ * Reads and edits sections of the document through an instance. An edit whose
+ * response was lost is sent again with the same ID, so that it is made once.
  *
  * @module
  */
@@ -15,15 +15,15 @@
 } from "../../../base/sesame_error.ts";
 import type { SectionId } from "../../../version/document/section_id.ts";
 import type { ApiCall, ApiClient } from "../api_client.ts";
-import { authorizationOf } from "./team_key_option.ts";
+import { authorizationHeader } from "./team_key_option.ts";
 
-/** A section as an instance shows it; no text when there is none. */
+/** A section as returned by an instance; no text if it does not exist. */
 export interface SectionView {
   readonly text: string | undefined;
   readonly version: number;
 }
 
-/** An edit to be sent. */
+/** An edit of a section. */
 export interface SectionEdit {
   readonly sectionId: SectionId;
   readonly editId: string;
@@ -42,22 +42,22 @@
   holdsByMs: z.number().nullable().optional(),
 });
 
-/** Where an edit stands, as an instance tells. */
+/** The state of an edit, as returned by an instance. */
 export type EditView = z.infer<typeof editSchema>;
 
-/** How to build a {@link SectionClient}. */
+/** Options of {@link SectionClient}. */
 export interface SectionClientOptions {
   readonly client: Pick<ApiClient, "call" | "json">;
   /** As `team:key`. */
   readonly key: string | undefined;
   readonly clock?: Clock;
-  /** How often an edit is sent before its fate is given up. */
+  /** Maximum number of times that an edit is sent. */
   readonly attemptsLimit?: number;
-  /** The pause before an edit is sent again. */
+  /** Delay before an edit is sent again. */
   readonly pauseMs?: number;
 }
 
-/** The limits of the tool. */
+/** Defaults of {@link SectionClientOptions}. */
 export const SECTION_CLIENT_DEFAULTS = {
   attemptsLimit: 5,
   pauseMs: 500,
@@ -75,7 +75,7 @@
   async read(sectionId: SectionId): Promise<Result<SectionView>> {
     const result = await this.#json({
       method: "GET",
-      path: pathOf(sectionId),
+      path: sectionPath(sectionId),
       headers: { accept: "application/json" },
     }, sectionSchema);
     return result.chainLeft<SesameError, SectionView>((error) => {
@@ -86,21 +86,21 @@
     });
   }
 
-  /** Sends the edit till its fate is known, or the attempts are used up. */
+  /** Sends the edit until its outcome is known or the attempts are used up. */
   async edit(edit: SectionEdit): Promise<Result<EditView>> {
     const { attemptsLimit, pauseMs } = this.#options;
     let result = await this.#send(edit);
     for (let attempt = 1; attempt < attemptsLimit; attempt++) {
-      if (!isWorthRetrying(result)) {
+      if (!shouldRetry(result)) {
         return result;
       }
       await this.pause(pauseMs);
       result = await this.#send(edit);
     }
-    return isWorthRetrying(result) ? giveUp(result, edit) : result;
+    return shouldRetry(result) ? addResumeHint(result, edit) : result;
   }
 
-  /** Where an edit stands now. */
+  /** Reads the current state of an edit. */
   async fate(editId: string): Promise<Result<EditView>> {
     const path = `/v1/configuration/edits/${encodeURIComponent(editId)}`;
     return await this.#json({ method: "GET", path }, editSchema);
@@ -112,7 +112,7 @@
     });
   }
 
-  /** The time now, by the clock that the pauses go by. */
+  /** The current time of the clock that also times the delays. */
   nowMs(): number {
     return this.#options.clock.nowMs();
   }
@@ -121,7 +121,7 @@
     const query = edit.isDryRun ? "?dryRun=true" : "";
     return this.#json({
       method: edit.text === undefined ? "DELETE" : "PUT",
-      path: pathOf(edit.sectionId) + query,
+      path: sectionPath(edit.sectionId) + query,
       headers: {
         "idempotency-key": edit.editId,
         "if-match": `"${edit.baseVersion}"`,
@@ -131,32 +131,38 @@
   }
 
   async #json<T>(call: ApiCall, schema: z.ZodType<T>): Promise<Result<T>> {
-    const headers = { ...authorizationOf(this.#options.key), ...call.headers };
+    const headers = {
+      ...authorizationHeader(this.#options.key),
+      ...call.headers,
+    };
     const answer = await this.#options.client.json({ ...call, headers });
     return answer.chain((value) => {
       const parsed = schema.safeParse(value);
-      return parsed.success
-        ? Right(parsed.data)
-        : failure<T>("internal", { detail: "the answer has another shape" });
+      return parsed.success ? Right(parsed.data) : failure<T>("internal", {
+        detail: "the response does not have the expected shape",
+      });
     });
   }
 }
 
-function pathOf(sectionId: SectionId): string {
+function sectionPath(sectionId: SectionId): string {
   const name = encodeURIComponent(sectionId.name);
   return `/v1/configuration/sections/${sectionId.kind}/${name}`;
 }
 
-function isWorthRetrying(result: Result<EditView>): boolean {
+function shouldRetry(result: Result<EditView>): boolean {
   return result.swap().map((error) =>
     error.kind === "outcomeUnknown" || error.answer.isRetryable
   ).orDefault(false);
 }
 
-function giveUp(result: Result<EditView>, edit: SectionEdit): Result<EditView> {
+function addResumeHint(
+  result: Result<EditView>,
+  edit: SectionEdit,
+): Result<EditView> {
   return result.mapLeft((error) =>
     new SesameError(error.kind, {
-      detail: `${error.message}; to go on with this edit, repeat the ` +
+      detail: `${error.message}; to resume this edit, repeat the ` +
         `command with --edit-id ${edit.editId} --base ${edit.baseVersion}`,
       facts: { ...error.facts, editId: edit.editId },
     })
--- a/src/programs/commands/config/section_file.ts
+++ b/src/programs/commands/config/section_file.ts
@@ -1,6 +1,6 @@
 /**
- * A section's text as a file for an editor: its first line says which version
- * it is, so that an edit made from it can't undo a later one unseen.
+ * A section's text as a file to edit. Its first line holds the section's
+ * version, so that an edit based on it cannot silently undo a later edit.
  *
  * @module
  */
@@ -14,13 +14,13 @@
 
 /** A section's text, with a blank line in place of its version line. */
 export interface SectionFile {
-  /** Its lines have the numbers that they have in the file. */
+  /** Its line numbers are those of the file. */
   readonly text: string;
-  /** The version in the first line; undefined when there is no such line. */
+  /** The version in the first line; undefined if there is no version line. */
   readonly baseVersion: number | undefined;
 }
 
-/** The text with its version line. */
+/** The text with a version line in front. */
 export function writeSectionFile(
   sectionId: SectionId,
   source: { readonly text: string; readonly version: number },
@@ -29,7 +29,7 @@
     source.text;
 }
 
-/** Reads the version line; one of another section counts as a comment. */
+/** Reads the version line; that of another section is taken as a comment. */
 export function readSectionFile(
   sectionId: SectionId,
   content: string,
--- a/src/programs/commands/explain.ts
+++ b/src/programs/commands/explain.ts
@@ -1,14 +1,18 @@
 /**
- * What became of one request or job, from the log lines of all processes.
+ * Explains a request or job from the log lines of all processes.
  *
  * @module
  */
 
 import { Right } from "purify-ts/Either";
 import { failure, type Result } from "../../base/sesame_error.ts";
-import { type CommandContext, report, reportError } from "./command_context.ts";
+import {
+  type CommandContext,
+  printError,
+  printResult,
+} from "./command_context.ts";
 
-/** One log line about the identity that is asked for. */
+/** A log line about the request or job. */
 export interface ExplainedLine {
   readonly time: string;
   readonly instance: string;
@@ -16,7 +20,7 @@
   readonly fields: Readonly<Record<string, unknown>>;
 }
 
-/** The lines in causal order, and the one that decided. */
+/** The lines sorted by time, and the one that decided the outcome. */
 export interface Explanation {
   readonly id: string;
   readonly lines: readonly ExplainedLine[];
@@ -24,8 +28,8 @@
 }
 
 /**
- * Events that decide what a caller gets, the most telling first. A later line
- * of the same event goes before an earlier one.
+ * Events that decide what the caller gets, the most significant first. Of
+ * several lines with the same event, the last one counts.
  */
 const DECISIVE_EVENTS = [
   "batchJobEnded",
@@ -40,60 +44,62 @@
   "batchJobAccepted",
 ] as const;
 
-/** What every line has beside the event's own fields. */
+/** Fields that every line has in addition to those of its event. */
 const COMMON_FIELDS = new Set(["time", "level", "event", "number", "instance"]);
 
-/** Explains a request or job from files of log lines. */
+/** Prints the log lines about a request or job, and the decisive one. */
 export async function explain(
   context: CommandContext,
   options: { id: string; logs: readonly string[] },
 ): Promise<number> {
   const { id, logs } = options;
   if (logs.length === 0) {
-    const missing = failure("invalid", { detail: "--logs FILE is required" });
-    return report(context, { result: missing, render: () => "" });
+    const usageError = failure("invalid", {
+      detail: "--logs FILE is required",
+    });
+    return printResult(context, { result: usageError, render: () => "" });
   }
   const texts: string[] = [];
   for (const path of logs) {
-    const read = await context.io.read(path);
-    if (read.isLeft()) {
-      return read.caseOf({
-        Left: (error) => reportError(context, error),
+    const content = await context.io.read(path);
+    if (content.isLeft()) {
+      return content.caseOf({
+        Left: (error) => printError(context, error),
         Right: () => 0,
       });
     }
-    texts.push(read.unsafeCoerce());
+    texts.push(content.unsafeCoerce());
   }
-  return report(context, {
+  return printResult(context, {
     result: explainLines(id, texts),
     render: renderExplanation,
   });
 }
 
-/** `notFound` when no line is about the identity. */
+/** Finds the lines about the ID; `notFound` if there are none. */
 export function explainLines(
   id: string,
   texts: readonly string[],
 ): Result<Explanation> {
   const lines = texts
     .flatMap((text) => text.split("\n"))
-    .flatMap((line) => readLine(line, id))
+    .flatMap((line) => parseLine(line, id))
     .sort((a, b) => a.time < b.time ? -1 : a.time > b.time ? 1 : 0);
   if (lines.length === 0) {
-    return failure("notFound", { detail: `No line is about ${id}.` });
+    return failure("notFound", { detail: `No log line is about ${id}.` });
   }
-  return Right({ id, lines, decisive: findDecisive(lines) });
+  return Right({ id, lines, decisive: findDecisiveLine(lines) });
 }
 
-/** A line that isn't JSON, or is about something else, gives nothing. */
-function readLine(text: string, id: string): ExplainedLine[] {
-  const begin = text.indexOf('{"time"');
-  if (begin < 0 || !text.includes(id)) {
+/** Returns an empty array if the line is not JSON or not about the ID. */
+function parseLine(text: string, id: string): ExplainedLine[] {
+  const start = text.indexOf('{"time"');
+  if (start < 0 || !text.includes(id)) {
     return [];
   }
   let raw: Record<string, unknown>;
   try {
-    raw = JSON.parse(text.slice(begin)) as Record<string, unknown>;
+    raw = JSON.parse(text.slice(start)) as Record<string, unknown>;
   } catch {
     return [];
   }
@@ -113,7 +119,7 @@
   }];
 }
 
-function findDecisive(
+function findDecisiveLine(
   lines: readonly ExplainedLine[],
 ): ExplainedLine | undefined {
   for (const event of DECISIVE_EVENTS) {
@@ -135,8 +141,8 @@
 }
 
 function renderLine({ time, instance, event, fields }: ExplainedLine): string {
-  const shown = Object.entries(fields)
+  const fieldsText = Object.entries(fields)
     .map(([name, value]) => `${name}=${JSON.stringify(value)}`)
     .join(" ");
-  return `${time} ${instance} ${event} ${shown}`;
+  return `${time} ${instance} ${event} ${fieldsText}`;
 }
--- a/src/programs/commands/explain_test.ts
+++ b/src/programs/commands/explain_test.ts
@@ -3,7 +3,7 @@
 
 const ID = "00000000000000a1";
 
-function line(time: string, event: string, fields: object): string {
+function logLine(time: string, event: string, fields: object): string {
   return JSON.stringify({
     time,
     level: "info",
@@ -14,22 +14,22 @@
   });
 }
 
-test("lines of all files come in order, and the decisive one is named", (t) => {
-  const core = [
-    line("2026-01-01T00:00:02Z", "taskEnded", { task: `${ID}.0.0.0` }),
-    line("2026-01-01T00:00:01Z", "batchJobAccepted", { jobId: ID }),
-    line("2026-01-01T00:00:03Z", "batchJobEnded", {
+test("lines of all files are sorted, and the decisive one is found", (t) => {
+  const coreLog = [
+    logLine("2026-01-01T00:00:02Z", "taskEnded", { task: `${ID}.0.0.0` }),
+    logLine("2026-01-01T00:00:01Z", "batchJobAccepted", { jobId: ID }),
+    logLine("2026-01-01T00:00:03Z", "batchJobEnded", {
       jobId: ID,
       phase: "failed",
     }),
-    "not a line of ours",
+    "not a log line",
   ].join("\n");
-  const door = "  0.1 door-1 " + line(
+  const instanceLog = "  0.1 instance-1 " + logLine(
     "2026-01-01T00:00:00Z",
     "batchCallUnavailable",
     { jobId: ID, call: "submit" },
   );
-  const found = explainLines(ID, [core, door]).unsafeCoerce();
+  const found = explainLines(ID, [coreLog, instanceLog]).unsafeCoerce();
   t.deepEqual(found.lines.map(({ event }) => event), [
     "batchCallUnavailable",
     "batchJobAccepted",
@@ -39,8 +39,8 @@
   t.is(found.decisive?.fields["phase"], "failed");
 });
 
-test("lines that only mention the identity are left out", (t) => {
-  const text = line("2026-01-01T00:00:00Z", "taskStarted", {
+test("lines that mention the ID only in another field are left out", (t) => {
+  const text = logLine("2026-01-01T00:00:00Z", "taskStarted", {
     jobId: "00000000000000b2",
     workers: ID,
   });
--- a/src/programs/commands/instance_commands.ts
+++ b/src/programs/commands/instance_commands.ts
@@ -1,5 +1,5 @@
 /**
- * Commands that look at instances: `status` and `timeline`.
+ * Commands about instances: `status` and `timeline`.
  *
  * @module
  */
@@ -7,7 +7,7 @@
 import type { PeerView } from "../../process/membership/membership_core.ts";
 import type { MemberStatus } from "../../process/replication/replicated_log.ts";
 import type { TimelineRecord } from "../../process/timeline/timeline_record.ts";
-import { type CommandContext, report } from "./command_context.ts";
+import { type CommandContext, printResult } from "./command_context.ts";
 import { queryString } from "./query_string.ts";
 import { renderTable } from "./table.ts";
 
@@ -23,13 +23,13 @@
   readonly peers: readonly PeerView[];
 }
 
-/** `status`: the instance that answers, its peers and its groups. */
+/** `status`: shows the instance that answers, its peers and its groups. */
 export async function showStatus(context: CommandContext): Promise<number> {
   const result = await context.client.json({
     method: "GET",
     path: "/v1/status",
   });
-  return report(context, {
+  return printResult(context, {
     result,
     render: (value) => renderStatus(value as StatusView),
   });
@@ -77,7 +77,7 @@
   readonly missing: readonly string[];
 }
 
-/** `timeline`: the events of all instances, causes before effects. */
+/** `timeline`: shows the events of all instances in causal order. */
 export async function showTimeline(
   context: CommandContext,
   options: TimelineOptions,
@@ -87,7 +87,7 @@
     method: "GET",
     path: `/v1/timeline?${query}`,
   });
-  return report(context, {
+  return printResult(context, {
     result,
     render: (value) => renderTimeline(value as TimelineView),
   });
--- a/src/programs/commands/job_commands.ts
+++ b/src/programs/commands/job_commands.ts
@@ -9,10 +9,14 @@
 import { Right } from "purify-ts/Either";
 import { parse } from "smol-toml";
 import { failure, type Result } from "../../base/sesame_error.ts";
-import { type CommandContext, report, reportError } from "./command_context.ts";
+import {
+  type CommandContext,
+  printError,
+  printResult,
+} from "./command_context.ts";
 import { renderTable } from "./table.ts";
 
-/** The parts of a job's view that people are shown. */
+/** The fields of a job that the commands print. */
 interface JobView {
   readonly jobId: string;
   readonly dataCentre: string;
@@ -60,7 +64,7 @@
   readonly unaskedDataCentres: readonly string[];
 }
 
-/** `submit FILE`: queues the job that a TOML file describes. */
+/** `submit FILE`: submits the job that a TOML file describes. */
 export async function submitJob(
   context: CommandContext,
   options: { file: string; jobId?: string },
@@ -68,7 +72,7 @@
   const text = await context.io.read(options.file);
   const job = text.chain((toml) => parseJob(toml, options));
   if (job.isLeft()) {
-    return reportError(context, job.extract());
+    return printError(context, job.extract());
   }
   const result = await context.client.json({
     method: "POST",
@@ -76,17 +80,19 @@
     headers: { "content-type": "application/json" },
     body: JSON.stringify(job.unsafeCoerce()),
   });
-  return report(context, {
+  return printResult(context, {
     result,
     render: (value) => {
       const { job, isNew } = value as JobAnswer;
-      const word = isNew ? "queued" : "known already";
-      return `${job.jobId}  ${word} in ${job.dataCentre}: ${describe(job)}`;
+      const status = isNew ? "queued" : "already known";
+      return `${job.jobId}  ${status} in ${job.dataCentre}: ${
+        describeState(job)
+      }`;
     },
   });
 }
 
-/** A job without an identity gets one, so that no two are taken for one. */
+/** A job without an ID gets a random one, to keep it apart from all others. */
 function parseJob(
   text: string,
   options: { file: string; jobId?: string },
@@ -101,7 +107,7 @@
   }
 }
 
-/** `jobs`: the newest jobs. */
+/** `jobs`: lists the newest jobs. */
 export async function listJobs(
   context: CommandContext,
   options: { limit?: number },
@@ -110,7 +116,7 @@
     method: "GET",
     path: `/v1/jobs?limit=${options.limit ?? 200}`,
   });
-  return report(context, {
+  return printResult(context, {
     result,
     render: (value) => renderJobs(value as JobsAnswer),
   });
@@ -125,13 +131,13 @@
       job.specification.jobClass,
       job.specification.tasks,
       job.dataCentre,
-      describe(job),
+      describeState(job),
     ]),
   );
-  return table + noteUnasked(unaskedDataCentres);
+  return table + renderUnansweredDataCentres(unaskedDataCentres);
 }
 
-/** `job ID`: one job, with the reason for which it waits. */
+/** `job ID`: shows one job and why it is waiting. */
 export async function showJob(
   context: CommandContext,
   options: { jobId: string },
@@ -140,7 +146,7 @@
     method: "GET",
     path: `/v1/jobs/${encodeURIComponent(options.jobId)}`,
   });
-  return report(context, {
+  return printResult(context, {
     result,
     render: (value) => renderJob(value as JobAnswer),
   });
@@ -155,17 +161,20 @@
     `gang          ${specification.tasks} tasks of ` +
     `${specification.resources.accelerators} accelerators`,
     `data centre   ${job.dataCentre}`,
-    `state         ${describe(job)}`,
+    `state         ${describeState(job)}`,
     `attempts      ${job.pastAttempts.length + (openAttempt ? 1 : 0)}`,
   ];
   if (openAttempt !== undefined) {
-    const workers = new Set(openAttempt.placements.map((at) => at.workerId));
+    const workers = new Set(
+      openAttempt.placements.map((placement) => placement.workerId),
+    );
     lines.push(`workers       ${[...workers].join(", ")}`);
   }
-  return lines.join("\n") + noteUnasked(unaskedDataCentres ?? []);
+  return lines.join("\n") +
+    renderUnansweredDataCentres(unaskedDataCentres ?? []);
 }
 
-/** `cancel ID`: the job is wanted no more. */
+/** `cancel ID`: cancels a job. */
 export async function cancelJob(
   context: CommandContext,
   options: { jobId: string },
@@ -174,22 +183,22 @@
     method: "DELETE",
     path: `/v1/jobs/${encodeURIComponent(options.jobId)}`,
   });
-  return report(context, {
+  return printResult(context, {
     result,
     render: (value) => {
       const { job } = value as JobAnswer;
-      return `${job.jobId}  ${describe(job)}`;
+      return `${job.jobId}  ${describeState(job)}`;
     },
   });
 }
 
-/** `workers`: who runs tasks. */
+/** `workers`: lists the workers. */
 export async function listWorkers(context: CommandContext): Promise<number> {
   const result = await context.client.json({
     method: "GET",
     path: "/v1/workers",
   });
-  return report(context, {
+  return printResult(context, {
     result,
     render: (value) => renderWorkers(value as WorkersAnswer),
   });
@@ -211,16 +220,16 @@
         : "serving",
     ]),
   );
-  return table + noteUnasked(answer.unaskedDataCentres);
+  return table + renderUnansweredDataCentres(answer.unaskedDataCentres);
 }
 
-function describe(job: JobView): string {
+function describeState(job: JobView): string {
   switch (job.state) {
     case "ended":
       return `ended: ${job.end?.outcome}` +
         (job.end?.detail === undefined ? "" : ` (${job.end.detail})`);
     case "queued":
-      return `queued: ${job.waitText ?? "its scheduler can't be asked"}`;
+      return `queued: ${job.waitText ?? "its scheduler cannot be reached"}`;
     case "moving":
     case "moved":
       return `${job.state} to ${job.movedTo}`;
@@ -229,8 +238,8 @@
   }
 }
 
-function noteUnasked(dataCentres: readonly string[]): string {
+function renderUnansweredDataCentres(dataCentres: readonly string[]): string {
   return dataCentres.length === 0
     ? ""
-    : `\nnot asked, since out of reach: ${dataCentres.join(", ")}`;
+    : `\ndata centres out of reach: ${dataCentres.join(", ")}`;
 }
--- a/src/programs/commands/member_commands.ts
+++ b/src/programs/commands/member_commands.ts
@@ -1,15 +1,15 @@
 /**
- * `member add|remove|lost`: changes who votes in a group.
+ * `member add|remove|lost`: changes the voters of a replication group.
  *
  * @module
  */
 
 import type { Result } from "../../base/sesame_error.ts";
 import { ApiClient } from "./api_client.ts";
-import { type CommandContext, report } from "./command_context.ts";
+import { type CommandContext, printResult } from "./command_context.ts";
 import { requireKey } from "./config/mod.ts";
 
-/** What `member` is asked for. */
+/** Options of `member`. */
 export interface MemberOptions {
   readonly action: "add" | "remove" | "lost";
   readonly group: string;
@@ -18,33 +18,36 @@
   readonly key?: string;
 }
 
-/** Asks the instance, and its group's leader when only that can do it. */
+/**
+ * Sends the change to the instance, and then to the group's leader if the
+ * instance's error names one; returns the exit code.
+ */
 export async function changeMember(
   context: CommandContext,
   options: MemberOptions,
 ): Promise<number> {
   const key = requireKey(options.key);
   if (key.isLeft()) {
-    return report(context, { result: key, render: String });
+    return printResult(context, { result: key, render: String });
   }
   const send = (client: ApiClient) =>
-    sendOrder(client, { ...options, key: key.unsafeCoerce() });
-  const first = await send(context.client);
-  const leaderAddress = first.swap().toMaybe().extract()
+    sendMemberChange(client, { ...options, key: key.unsafeCoerce() });
+  const firstResult = await send(context.client);
+  const leaderAddress = firstResult.swap().toMaybe().extract()
     ?.facts["leaderAddress"];
   const result = typeof leaderAddress === "string"
     ? await send(new ApiClient({ servers: [leaderAddress] }))
-    : first;
-  return report(context, {
+    : firstResult;
+  return printResult(context, {
     result,
     render: (status) => {
       const { voterIds } = status as { voterIds: readonly string[] };
-      return `${options.group} votes by ${voterIds.join(", ")}`;
+      return `voters of ${options.group}: ${voterIds.join(", ")}`;
     },
   });
 }
 
-function sendOrder(
+function sendMemberChange(
   client: ApiClient,
   options: MemberOptions & { key: string },
 ): Promise<Result<unknown>> {
--- a/src/programs/commands/query_string.ts
+++ b/src/programs/commands/query_string.ts
@@ -1,10 +1,10 @@
 /**
- * Query strings of calls to an instance.
+ * Query strings for calls to an instance.
  *
  * @module
  */
 
-/** The options that are given, as a query string without its `?`. */
+/** Encodes the options that are defined, without a leading `?`. */
 export function queryString(
   options: Readonly<Record<string, string | number | undefined>>,
 ): string {
--- a/src/programs/commands/request_commands.ts
+++ b/src/programs/commands/request_commands.ts
@@ -8,47 +8,51 @@
 import { Right } from "purify-ts/Either";
 import type { Result } from "../../base/sesame_error.ts";
 import { RequestHeader } from "../../process/routing/request_headers.ts";
-import { type CommandContext, report, reportError } from "./command_context.ts";
+import {
+  type CommandContext,
+  printError,
+  printResult,
+} from "./command_context.ts";
 import { renderTable } from "./table.ts";
 
-/** What `request` sends. */
+/** Options of `request`. */
 export interface RequestOptions {
   readonly service: string;
-  /** The caller's name of the request; a new one when absent. */
+  /** The caller's ID of the request; a new one if absent. */
   readonly id?: string;
   readonly requestClass?: string;
   readonly timeoutMs?: number;
   readonly isIdempotent: boolean;
   readonly clientAccount?: string;
-  /** The body's file, `-` for standard input; empty when absent. */
+  /** File with the body, `-` for standard input; no body if absent. */
   readonly file?: string;
 }
 
-/** `request SERVICE`: one request, and its whole answer. */
+/** `request SERVICE`: sends one request and prints the response. */
 export async function sendRequest(
   context: CommandContext,
   options: RequestOptions,
 ): Promise<number> {
   const body = await readBody(context, options.file);
   if (body.isLeft()) {
-    return reportError(context, body.extract());
+    return printError(context, body.extract());
   }
   const requestId = options.id ?? randomUUID();
   const result = await context.client.call({
     method: "POST",
     path: `/v1/services/${encodeURIComponent(options.service)}/requests`,
-    headers: headersOf(options, requestId),
+    headers: requestHeaders(options, requestId),
     body: body.unsafeCoerce(),
   });
-  const answered = result.map((answer) => ({
+  const output = result.map((answer) => ({
     requestId,
     server: answer.headers[RequestHeader.server],
     isRecorded: answer.headers[RequestHeader.recorded] === "true",
     status: answer.status,
     body: answer.text,
   }));
-  return report(context, {
-    result: answered,
+  return printResult(context, {
+    result: output,
     render: (value) => value.body.trimEnd(),
   });
 }
@@ -62,7 +66,7 @@
     : context.io.read(file);
 }
 
-function headersOf(
+function requestHeaders(
   options: RequestOptions,
   requestId: string,
 ): Record<string, string> {
@@ -95,13 +99,13 @@
   }[];
 }
 
-/** `backends`: the backend servers that the instance knows. */
+/** `backends`: lists the backend servers that the instance knows. */
 export async function listBackends(context: CommandContext): Promise<number> {
   const result = await context.client.json({
     method: "GET",
     path: "/v1/backends",
   });
-  return report(context, {
+  return printResult(context, {
     result,
     render: (value) =>
       renderTable(
--- a/src/programs/commands/table.ts
+++ b/src/programs/commands/table.ts
@@ -1,10 +1,10 @@
 /**
- * Tables for people.
+ * Plain-text tables.
  *
  * @module
  */
 
-/** Lines of left-aligned columns under their headings. */
+/** Renders left-aligned columns under their headings. */
 export function renderTable(
   headings: readonly string[],
   rows: readonly (readonly unknown[])[],
--- a/src/programs/sesamethread.ts
+++ b/src/programs/sesamethread.ts
@@ -12,17 +12,17 @@
 import { addJobCommands } from "./cli/job_cli.ts";
 import { addRequestCommands } from "./cli/request_cli.ts";
 
-/** Exit code for faults in the command line. */
+/** Exit code for command-line usage errors. */
 const EXIT_USAGE = 64;
 
 function main(): void {
   const program = cac("sesamethread");
   program.option(
     "--server <addresses>",
-    "Instances to ask, separated by commas, tried in order",
+    "Addresses of instances, separated by commas, tried in order",
   );
-  program.option("--json", "Answer in JSON");
-  program.option("--timeout-ms <ms>", "How long to wait for an answer");
+  program.option("--json", "Print JSON");
+  program.option("--timeout-ms <ms>", "How long to wait for a response");
   addJobCommands(program);
   addRequestCommands(program);
   addConfigCommands(program);
@@ -32,26 +32,26 @@
   try {
     program.parse(process.argv, { run: false });
     if (program.matchedCommand === undefined) {
-      failOnUnknown(program);
+      reportUnknownCommand(program);
       return;
     }
-    void Promise.resolve(program.runMatchedCommand()).catch(failOnUsage);
+    void Promise.resolve(program.runMatchedCommand()).catch(reportUsageError);
   } catch (error) {
-    failOnUsage(error);
+    reportUsageError(error);
   }
 }
 
-function failOnUnknown(program: CAC): void {
+function reportUnknownCommand(program: CAC): void {
   const { help, version } = program.options;
   if (help || version) {
     return;
   }
   const [name] = program.args;
-  const what = name === undefined ? "no command" : `unknown command ${name}`;
-  failOnUsage(new Error(`${what}: see sesamethread --help`));
+  const problem = name === undefined ? "no command" : `unknown command ${name}`;
+  reportUsageError(new Error(`${problem}: see sesamethread --help`));
 }
 
-function failOnUsage(error: unknown): void {
+function reportUsageError(error: unknown): void {
   const message = error instanceof Error ? error.message : String(error);
   process.stderr.write(`sesamethread: ${message}\n`);
   process.exitCode = EXIT_USAGE;
--- a/src/programs/sesamethreadd.ts
+++ b/src/programs/sesamethreadd.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /**
- * The daemon: one entry instance.
+ * The daemon, which runs one entry instance.
  *
  * @module
  */
@@ -11,15 +11,15 @@
 import { Daemon } from "../process/daemon/daemon.ts";
 import { loadSettings, type Settings } from "../process/settings/mod.ts";
 
-/** Exit code for faults in the settings or the command line. */
+/** Exit code for invalid settings and for command-line usage errors. */
 const EXIT_USAGE = 2;
 
 function main(): void {
   const program = cac("sesamethreadd");
   program
     .command("", "Run one entry instance")
-    .option("--settings <file>", "The settings, as TOML")
-    .option("--check", "Only check the settings and print them in effect")
+    .option("--settings <file>", "Settings file, in TOML")
+    .option("--check", "Check the settings, print the effective ones and exit")
     .action((options: { settings?: string; check?: boolean }) =>
       runCommand(options)
     );
@@ -28,17 +28,17 @@
   try {
     program.parse();
   } catch (error) {
-    fail(error instanceof Error ? error.message : String(error));
+    reportUsageError(error instanceof Error ? error.message : String(error));
   }
 }
 
 function runCommand(options: { settings?: string; check?: boolean }): void {
   if (options.settings === undefined) {
-    fail("--settings FILE is required");
+    reportUsageError("--settings FILE is required");
     return;
   }
   loadSettings(options.settings).caseOf({
-    Left: (error) => fail(error.message),
+    Left: (error) => reportUsageError(error.message),
     Right: (settings) => {
       if (options.check) {
         process.stdout.write(JSON.stringify(settings, null, 2) + "\n");
@@ -49,7 +49,7 @@
   });
 }
 
-function fail(message: string): void {
+function reportUsageError(message: string): void {
   process.stderr.write(message + "\n");
   process.exitCode = EXIT_USAGE;
 }
