--- a/src/process/daemon/data_centre_part.ts
+++ b/src/process/daemon/data_centre_part.ts
@@ -149,7 +149,7 @@
     metrics: base.metrics,
     eventLog: base.timeline,
     usableInstances: () =>
-      base.membership.usable(base.settings.instance.dataCentre),
+      base.membership.usableInstanceIds(base.settings.instance.dataCentre),
   });
 }
 
--- a/src/process/membership/membership.ts
+++ b/src/process/membership/membership.ts
@@ -77,7 +77,7 @@
    * The instances of a data centre that are alive or slow. Includes this
    * instance until it leaves.
    */
-  usable(dataCentre: DataCentreId): InstanceId[] {
+  usableInstanceIds(dataCentre: DataCentreId): InstanceId[] {
     const ids = this.#core.peers()
       .filter((peer) => peer.dataCentre === dataCentre && isUsable(peer))
       .map((peer) => peer.id);
--- a/src/process/replication/stored_log.ts
+++ b/src/process/replication/stored_log.ts
@@ -7,7 +7,7 @@
 import { pack, unpack } from "msgpackr";
 import * as z from "zod";
 import type { Result } from "../../base/sesame_error.ts";
-import { encodeRecord, readOnlyRecord } from "../storage/record_codec.ts";
+import { encodeRecord, readSingleRecord } from "../storage/record_codec.ts";
 import { groupConfigurationSchema } from "./group_configuration.ts";
 import {
   bytesSchema,
@@ -118,7 +118,7 @@
 }
 
 function parseHardState(bytes: Uint8Array): HardState | undefined {
-  const payload = readOnlyRecord(bytes);
+  const payload = readSingleRecord(bytes);
   if (payload === undefined) {
     return undefined;
   }
@@ -131,7 +131,7 @@
 }
 
 function parseSnapshot(bytes: Uint8Array): LogSnapshot | undefined {
-  const payload = readOnlyRecord(bytes);
+  const payload = readSingleRecord(bytes);
   if (payload === undefined) {
     return undefined;
   }
--- a/src/process/storage/mod.ts
+++ b/src/process/storage/mod.ts
@@ -8,7 +8,7 @@
 export { FileStorage } from "./file_storage.ts";
 export {
   encodeRecord,
-  readOnlyRecord,
+  readSingleRecord,
   type RecordScan,
   scanRecords,
 } from "./record_codec.ts";
--- a/src/process/storage/record_codec.ts
+++ b/src/process/storage/record_codec.ts
@@ -75,7 +75,7 @@
 }
 
 /** The payload if the file is exactly one intact record, else undefined. */
-export function readOnlyRecord(bytes: Uint8Array): Uint8Array | undefined {
+export function readSingleRecord(bytes: Uint8Array): Uint8Array | undefined {
   const scan = scanRecords(bytes);
   const isWhole = scan.state === "whole" && scan.payloads.length === 1;
   return isWhole ? scan.payloads[0] : undefined;
