--- a/standins/backend_server/announcer.ts
+++ b/standins/backend_server/announcer.ts
@@ -10,7 +10,7 @@
 /** How often a server announces itself. */
 export const ANNOUNCE_PERIOD_MS = 900;
 
-/** What a server says of itself. */
+/** The body of an announcement, apart from `leaving`. */
 export interface AnnouncementBody {
   readonly service: string;
   readonly address: string;
@@ -19,7 +19,7 @@
   readonly incarnation: number;
 }
 
-/** What an announcer is built from. */
+/** Options of {@link Announcer}. */
 export interface AnnouncerOptions {
   readonly serverId: string;
   readonly body: AnnouncementBody;
@@ -29,7 +29,7 @@
   readonly random: RandomSource;
 }
 
-/** Announces a server about once a second until it is closed. */
+/** Announces a server periodically until it is closed. */
 export class Announcer {
   readonly #options: AnnouncerOptions;
   #timer: Timer | undefined;
@@ -45,7 +45,7 @@
     await this.#announceToAny(false);
   }
 
-  /** Tells every instance that the server leaves, and goes on doing so. */
+  /** Announces periodically to every instance that the server leaves. */
   async leave(): Promise<void> {
     this.#timer?.close();
     this.#timer = this.#options.clock.every(ANNOUNCE_PERIOD_MS, () => {
@@ -63,15 +63,15 @@
     await Promise.all(instances.map((address) => this.#post(address, true)));
   }
 
-  /** Tries the instances from a random one on, until one accepts. */
+  /** Tries the instances in turn, from a random one, until one accepts. */
   async #announceToAny(leaving: boolean): Promise<void> {
     const { instances, random } = this.#options;
     if (instances.length === 0) {
       return;
     }
-    const firstAt = random.nextInt(instances.length);
-    for (let step = 0; step < instances.length; step += 1) {
-      const address = instances[(firstAt + step) % instances.length];
+    const firstIndex = random.nextInt(instances.length);
+    for (let offset = 0; offset < instances.length; offset += 1) {
+      const address = instances[(firstIndex + offset) % instances.length];
       if (address !== undefined && await this.#post(address, leaving)) {
         return;
       }
--- a/standins/backend_server/answer_fault.ts
+++ b/standins/backend_server/answer_fault.ts
@@ -1,17 +1,17 @@
 /**
- * The faults that a stand-in backend server can be told to have.
+ * The faults that can be injected into a stand-in backend server.
  *
  * @module
  */
 
 import * as z from "zod";
 
-/** What a server does wrong with a request. */
+/** How a server mishandles a request. */
 export const ServerFault = {
   none: "none",
-  /** Answers at once that it failed. */
+  /** Answers immediately with status 500. */
   fail: "fail",
-  /** Takes many times as long. */
+  /** Takes `slowFactor` times as long. */
   slow: "slow",
   /** Never answers. */
   hang: "hang",
@@ -19,13 +19,13 @@
   drop: "drop",
   /** Answers after the caller's timeout. */
   late: "late",
-  /** Answers with the correlation identity of another request. */
+  /** Answers with the correlation ID of another request. */
   crossed: "crossed",
   /** Answers twice. */
   doubled: "doubled",
-  /** Ends in the middle of the answer. */
+  /** Closes the connection in the middle of the answer. */
   truncated: "truncated",
-  /** Stops at once, with everything on its way. */
+  /** Stops immediately and cuts off all running requests. */
   die: "die",
 } as const;
 
@@ -35,13 +35,13 @@
 /** The body of `POST /faults`. */
 export const faultPlanSchema = z.strictObject({
   fault: z.enum(ServerFault),
-  /** The part of the requests that meet the fault. */
+  /** The fraction of requests that are affected by the fault. */
   fraction: z.number().min(0).max(1).default(1),
-  /** How many times as long a slow server takes. */
+  /** The factor by which a slow server's service times grow. */
   slowFactor: z.number().min(1).max(1_000).default(10),
 });
 
-/** Which requests meet which fault. */
+/** The fault in force, and which requests it affects. */
 export type FaultPlan = z.infer<typeof faultPlanSchema>;
 
 /** A server without faults. */
--- a/standins/backend_server/main.ts
+++ b/standins/backend_server/main.ts
@@ -25,16 +25,19 @@
 
 async function main(): Promise<void> {
   const tool = cac("standin-backend-server");
-  tool.option("--id <id>", "Its name");
-  tool.option("--service <service>", "The service that it answers");
-  tool.option("--data-centre <dataCentre>", "Where it stands");
+  tool.option("--id <id>", "ID of the server");
+  tool.option("--service <service>", "Service that it provides");
+  tool.option("--data-centre <dataCentre>", "Data centre that it is in");
   tool.option("--announce-to <addresses>", "Instances, separated by commas");
-  tool.option("--host <ip>", "Where it listens");
-  tool.option("--port <port>", "Where it listens; any free port if absent");
-  tool.option("--slots <slots>", "Requests at once");
-  tool.option("--mean-service-ms <ms>", "Mean time that a request takes");
-  tool.option("--service-spread <spread>", "Spread of that time");
-  tool.option("--seed <seed>", "Seed of its randomness");
+  tool.option("--host <ip>", "IP address to listen on");
+  tool.option("--port <port>", "Port to listen on; any free port if absent");
+  tool.option("--slots <slots>", "Most requests that it runs at once");
+  tool.option("--mean-service-ms <ms>", "Mean service time of a request");
+  tool.option(
+    "--service-spread <spread>",
+    "Spread of the service times; 0 for none",
+  );
+  tool.option("--seed <seed>", "Seed of its random numbers");
   tool.help();
   const { options } = tool.parse();
   if (options["help"] === true) {
--- a/standins/backend_server/mod.ts
+++ b/standins/backend_server/mod.ts
@@ -1,5 +1,5 @@
 /**
- * A stand-in for backend servers.
+ * A stand-in backend server, for tests and demos.
  *
  * @module
  */
@@ -12,7 +12,7 @@
 } from "./answer_fault.ts";
 export { ServiceTimes } from "./service_times.ts";
 export {
-  type ServerTruth,
+  type ServerActivity as ServerTruth,
   StandinBackendServer,
   type StandinBackendServerOptions,
 } from "./standin_backend_server.ts";
--- a/standins/backend_server/service_times.ts
+++ b/standins/backend_server/service_times.ts
@@ -1,5 +1,5 @@
 /**
- * Seeded service times with a long tail.
+ * Random service times with a long tail.
  *
  * @module
  */
@@ -12,7 +12,10 @@
   readonly #meanMs: number;
   readonly #spread: number;
 
-  /** A `spread` of 0 gives the mean every time; 0.5 is usual. */
+  /**
+   * `spread` is the standard deviation of the logarithm. With 0 every time
+   * equals the mean; 0.5 is usual.
+   */
   constructor(
     options: { random: RandomSource; meanMs: number; spread: number },
   ) {
--- a/standins/backend_server/standin_backend_server.ts
+++ b/standins/backend_server/standin_backend_server.ts
@@ -1,6 +1,6 @@
 /**
- * A small backend server that keeps the truth about what it ran, and can be
- * told to have faults.
+ * A small backend server that records which requests it actually ran, and into
+ * which faults can be injected.
  *
  * @module
  */
@@ -23,7 +23,7 @@
 } from "./answer_fault.ts";
 import { ServiceTimes } from "./service_times.ts";
 
-/** How a stand-in server is made. */
+/** Options of {@link StandinBackendServer}. */
 export interface StandinBackendServerOptions {
   readonly serverId: string;
   readonly service: string;
@@ -38,16 +38,17 @@
   readonly slots?: number;
   readonly meanServiceMs?: number;
   readonly serviceSpread?: number;
-  /** How long it says that it leaves before it stops. */
+  /** How long it announces that it leaves before it stops. */
   readonly leaveMs?: number;
 }
 
-/** What a server remembers of what it did. */
-export interface ServerTruth {
-  /** How often each request was run, by its identity. */
+/** What a server actually ran. */
+export interface ServerActivity {
+  /** How often each request was run, by request ID. */
   readonly runs: ReadonlyMap<string, number>;
-  /** When each request was last begun. */
-  readonly begunAtMs: ReadonlyMap<string, number>;
+  /** When each request was last started. */
+  readonly startedAtMs: ReadonlyMap<string, number>;
+  /** The most requests that ran at the same time. */
   readonly mostAtOnce: number;
 }
 
@@ -60,10 +61,10 @@
   leaveMs: 2_100,
 } as const;
 
-/** Longer than routing keeps an idle connection. */
+/** Longer than the router keeps an idle connection open. */
 const KEEP_ALIVE_MS = 10_000;
 
-/** How long past the caller's timeout a late answer comes. */
+/** How long after the caller's timeout a late answer is sent. */
 const LATE_BY_MS = 50;
 
 interface RunningRequest {
@@ -71,7 +72,7 @@
   readonly correlationId: string;
   readonly timeoutMs: number;
   readonly body: Buffer;
-  readonly begunAtMs: number;
+  readonly startedAtMs: number;
   readonly response: ServerResponse;
 }
 
@@ -81,13 +82,13 @@
   readonly #server: Server;
   readonly #times: ServiceTimes;
   readonly #runs = new Map<string, number>();
-  readonly #begunAtMs = new Map<string, number>();
+  readonly #startedAtMs = new Map<string, number>();
   readonly #running = new Set<RunningRequest>();
   #lastCorrelationId = "none";
   #mostAtOnce = 0;
   #plan: FaultPlan = NO_FAULTS;
   #announcer: Announcer | undefined;
-  #waiters: (() => void)[] = [];
+  #idleWaiters: (() => void)[] = [];
 
   constructor(options: StandinBackendServerOptions) {
     this.#options = { ...DEFAULTS, ...options };
@@ -103,15 +104,15 @@
     );
   }
 
-  get truth(): ServerTruth {
+  get truth(): ServerActivity {
     return {
       runs: this.#runs,
-      begunAtMs: this.#begunAtMs,
+      startedAtMs: this.#startedAtMs,
       mostAtOnce: this.#mostAtOnce,
     };
   }
 
-  /** Listens and announces itself; gives its address. */
+  /** Listens and announces itself; returns its `HOST:PORT`. */
   async start(): Promise<string> {
     const { host, port, clock, random, instances } = this.#options;
     await new Promise<void>((resolve) => {
@@ -136,19 +137,19 @@
     this.#plan = plan;
   }
 
-  /** A graceful stop: announces that it leaves, then finishes all it has. */
+  /** Announces that it leaves, finishes all requests and stops. */
   async stop(): Promise<void> {
     const { clock, leaveMs } = this.#options;
     await this.#announcer?.leave();
     await new Promise<void>((resolve) => clock.after(leaveMs, resolve));
     while (this.#running.size > 0) {
-      await new Promise<void>((resolve) => this.#waiters.push(resolve));
+      await new Promise<void>((resolve) => this.#idleWaiters.push(resolve));
     }
     this.#announcer?.close();
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
   }
 
-  /** Stops at once, cutting off everything. */
+  /** Stops immediately and cuts off all running requests. */
   die(): void {
     this.#announcer?.close();
     this.#server.close();
@@ -164,7 +165,7 @@
       return;
     }
     if (request.url === "/faults" && request.method === "POST") {
-      this.#takeFaults(body, response);
+      this.#setFaultPlan(body, response);
       return;
     }
     if (request.url === "/runs" && request.method === "GET") {
@@ -177,12 +178,12 @@
       correlationId: headerOf(request, RequestHeader.correlation),
       timeoutMs: Number(headerOf(request, RequestHeader.timeoutMs)),
       body,
-      begunAtMs: this.#options.clock.nowMs(),
+      startedAtMs: this.#options.clock.nowMs(),
       response,
     });
   }
 
-  #takeFaults(body: Buffer, response: ServerResponse): void {
+  #setFaultPlan(body: Buffer, response: ServerResponse): void {
     const parsed = faultPlanSchema.safeParse(parseJson(body));
     if (!parsed.success) {
       answerJson(response, 400, { error: parsed.error.message });
@@ -196,10 +197,10 @@
     const { requestId } = running;
     const { clock } = this.#options;
     this.#runs.set(requestId, (this.#runs.get(requestId) ?? 0) + 1);
-    this.#begunAtMs.set(requestId, clock.nowMs());
+    this.#startedAtMs.set(requestId, clock.nowMs());
     this.#running.add(running);
     this.#mostAtOnce = Math.max(this.#mostAtOnce, this.#running.size);
-    const fault = this.#drawFault();
+    const fault = this.#chooseFault();
     if (fault === ServerFault.hang) {
       return;
     }
@@ -208,10 +209,10 @@
     });
   }
 
-  #drawFault(): ServerFault {
+  #chooseFault(): ServerFault {
     const { fault, fraction } = this.#plan;
-    const isHit = this.#options.random.nextUnit() < fraction;
-    return isHit ? fault : ServerFault.none;
+    const isAffected = this.#options.random.nextUnit() < fraction;
+    return isAffected ? fault : ServerFault.none;
   }
 
   #durationMs(running: RunningRequest, fault: ServerFault): number {
@@ -230,7 +231,7 @@
   #finish(running: RunningRequest, fault: ServerFault): void {
     this.#running.delete(running);
     if (this.#running.size === 0) {
-      this.#waiters.splice(0).forEach((wake) => wake());
+      this.#idleWaiters.splice(0).forEach((resolve) => resolve());
     }
     this.#answer(running, fault);
     this.#lastCorrelationId = running.correlationId;
@@ -254,7 +255,7 @@
       case ServerFault.doubled: {
         const { socket } = response;
         this.#reply(running, 200);
-        socket?.write(rawAnswer(correlationId));
+        socket?.write(rawResponse(correlationId));
         break;
       }
       case ServerFault.truncated:
@@ -277,14 +278,14 @@
     }
   }
 
-  /** The answer repeats the request, so that a caller can tell it is its. */
+  /** Repeats the request, so that a caller can check the answer is its own. */
   #reply(running: RunningRequest, status: number): void {
     const { requestId, correlationId, body, response } = running;
     answerJson(response, status, {
       requestId,
       server: this.#options.serverId,
       run: this.#runs.get(requestId),
-      serviceMs: this.#options.clock.nowMs() - running.begunAtMs,
+      serviceMs: this.#options.clock.nowMs() - running.startedAtMs,
       body: body.toString("utf8"),
     }, { [RequestHeader.correlation]: correlationId });
   }
@@ -332,7 +333,8 @@
   response.end(body);
 }
 
-function rawAnswer(correlationId: string): string {
+/** A whole answer as text: `ServerResponse` sends only one for a request. */
+function rawResponse(correlationId: string): string {
   return [
     "HTTP/1.1 200 OK",
     `${RequestHeader.correlation}: ${correlationId}`,
--- a/standins/link_proxy/link_proxy.ts
+++ b/standins/link_proxy/link_proxy.ts
@@ -1,6 +1,6 @@
 /**
- * A stand-in for a link between two places: carries TCP connections, and can
- * be told to delay them, to hold back what they carry, or to cut them.
+ * A TCP proxy that simulates a network link: it can delay connections, hold
+ * back their bytes or cut them.
  *
  * @module
  */
@@ -14,20 +14,20 @@
 } from "node:net";
 import { once } from "node:events";
 
-/** What the link does to the bytes it carries. */
+/** How the link treats connections. */
 export const LinkMode = {
-  /** Carries everything, after the delay. */
+  /** Forwards everything, after the delay. */
   open: "open",
-  /** Accepts and keeps connections, and carries nothing: a silent cut. */
+  /** Keeps connections, but holds back all bytes until it is open again. */
   silent: "silent",
-  /** Ends every connection and refuses new ones. */
+  /** Closes all connections, and new ones as soon as they are accepted. */
   cut: "cut",
 } as const;
 
 /** One of the values of {@link LinkMode}. */
 export type LinkMode = typeof LinkMode[keyof typeof LinkMode];
 
-/** How a {@link LinkProxy} is made. */
+/** Options of {@link LinkProxy}. */
 export interface LinkProxyOptions {
   readonly listenPort: number;
   readonly targetHost: string;
@@ -35,14 +35,14 @@
   readonly delayMs?: number;
 }
 
-/** One direction of one carried connection. */
+/** One direction of one forwarded connection. */
 interface Flow {
   readonly from: Socket;
   readonly to: Socket;
   readonly held: Uint8Array[];
 }
 
-/** A link on loopback. */
+/** A link from a loopback port to a target address. */
 export class LinkProxy {
   #options: LinkProxyOptions;
   #server: Server;
@@ -56,14 +56,14 @@
     this.#server = createServer((socket) => this.#accept(socket));
   }
 
-  /** Starts to listen; gives the port. */
+  /** Starts to listen; returns the port. */
   async open(): Promise<number> {
     this.#server.listen(this.#options.listenPort, "127.0.0.1");
     await once(this.#server, "listening");
     return (this.#server.address() as AddressInfo).port;
   }
 
-  /** Changes what the link does, for old and new connections. */
+  /** Changes the mode or delay, for open connections as well. */
   set(options: { mode?: LinkMode; delayMs?: number }): void {
     this.#mode = options.mode ?? this.#mode;
     this.#delayMs = options.delayMs ?? this.#delayMs;
@@ -88,14 +88,14 @@
     }
     const { targetHost, targetPort } = this.#options;
     const target = connect(targetPort, targetHost);
-    this.#carry(socket, target);
-    this.#carry(target, socket);
+    this.#forward(socket, target);
+    this.#forward(target, socket);
   }
 
-  #carry(from: Socket, to: Socket): void {
+  #forward(from: Socket, to: Socket): void {
     const flow: Flow = { from, to, held: [] };
     this.#flows.add(flow);
-    from.on("data", (bytes) => this.#pass(flow, bytes));
+    from.on("data", (bytes) => this.#onBytes(flow, bytes));
     from.on("error", () => undefined);
     from.on("close", () => {
       this.#flows.delete(flow);
@@ -103,7 +103,7 @@
     });
   }
 
-  #pass(flow: Flow, bytes: Uint8Array): void {
+  #onBytes(flow: Flow, bytes: Uint8Array): void {
     if (this.#mode === LinkMode.silent) {
       flow.held.push(bytes);
       return;
--- a/standins/link_proxy/main.ts
+++ b/standins/link_proxy/main.ts
@@ -1,6 +1,6 @@
 /**
- * The link proxy as a program: each `--link` is `PORT=HOST:PORT`. It is told
- * what to do by `PUT /links/PORT` with `{"mode": ..., "delayMs": ...}`.
+ * Runs link proxies, one for each `--link PORT=HOST:PORT`. They are controlled
+ * by `PUT /links/PORT` with `{"mode": ..., "delayMs": ...}`.
  *
  * @module
  */
@@ -12,7 +12,7 @@
 import * as z from "zod";
 import { LinkMode, LinkProxy } from "./link_proxy.ts";
 
-const orderSchema = z.strictObject({
+const commandSchema = z.strictObject({
   mode: z.enum([LinkMode.open, LinkMode.silent, LinkMode.cut]).optional(),
   delayMs: z.number().min(0).max(10_000).optional(),
 });
@@ -31,7 +31,7 @@
     links.set(port, proxy);
   }
   const server = createServer((request, response) => {
-    void obey(links, request).then((status) => {
+    void applyCommand(links, request).then((status) => {
       response.writeHead(status).end();
     });
   });
@@ -54,16 +54,18 @@
   return { port, proxy };
 }
 
-async function obey(
+async function applyCommand(
   links: ReadonlyMap<string, LinkProxy>,
   request: IncomingMessage,
 ): Promise<number> {
   const proxy = links.get(request.url?.split("/")[2] ?? "");
-  const order = orderSchema.safeParse(await json(request).catch(() => null));
-  if (proxy === undefined || !order.success) {
+  const command = commandSchema.safeParse(
+    await json(request).catch(() => null),
+  );
+  if (proxy === undefined || !command.success) {
     return 400;
   }
-  const { mode, delayMs } = order.data;
+  const { mode, delayMs } = command.data;
   proxy.set({
     ...(mode === undefined ? {} : { mode }),
     ...(delayMs === undefined ? {} : { delayMs }),
@@ -73,9 +75,9 @@
 
 const program = cac("link-proxy");
 program
-  .command("", "Carry TCP connections")
-  .option("--control <port>", "Where it is told what to do")
-  .option("--link <link>", "PORT=HOST:PORT; may be repeated")
+  .command("", "Forward TCP connections")
+  .option("--control <port>", "Port of the control endpoint")
+  .option("--link <link>", "PORT=HOST:PORT to forward; may be repeated")
   .option("--delay-ms <ms>", "One-way delay", { default: 0 })
   .action((options: ProgramOptions) => run(options));
 program.help();
--- a/standins/platform/standin_platform.ts
+++ b/standins/platform/standin_platform.ts
@@ -1,7 +1,7 @@
 /**
- * The platform around the system: three machines with a disk, two doors,
- * workers, and the calls of an operator and of clients, all over loopback in
- * one process.
+ * A stand-in for the platform: runs three instances with a disk and two that
+ * receive clients' calls in one process, and calls them over loopback as
+ * operators, workers and clients do.
  *
  * @module
  */
@@ -22,7 +22,7 @@
 import { BATCH_TIMING } from "../../src/process/batch/mod.ts";
 import { MetricsRegistry } from "../../src/process/http/mod.ts";
 
-/** What a caller got. */
+/** The answer to a call. */
 export interface CallResult {
   readonly status: number;
   readonly body: Record<string, unknown>;
@@ -32,7 +32,7 @@
 const API_KEY = "key-of-the-first-account";
 const PORTS = { front: 8521, ready: 8523, control: 8526, internal: 7000 };
 
-/** A configuration with one queue, in the platform's words. */
+/** A configuration with one queue, in the platform's wire format. */
 export function standinConfiguration(
   options: { version: number; attempts?: number; prefix?: string },
 ): Record<string, unknown> {
@@ -60,7 +60,7 @@
   };
 }
 
-/** The system under a stand-in of its platform. */
+/** Runs the system's instances and calls them. */
 export class StandinPlatform {
   readonly #subnet: number;
   readonly #events: EventLog;
@@ -69,7 +69,7 @@
   readonly #doors: PlatformDoor[] = [];
   #folder = "";
 
-  /** Each platform of a process needs a subnet of its own, from 1 to 200. */
+  /** Stand-ins in one process need different subnets, from 1 to 200. */
   constructor(options: { subnet: number; events: EventLog }) {
     this.#subnet = options.subnet;
     this.#events = options.events;
@@ -97,7 +97,7 @@
     this.#cores.set(id, await PlatformCore.open(runtime));
   }
 
-  /** Stops the machine that leads, as the platform does, and names it. */
+  /** Stops the leader as the platform does; returns its ID. */
   async stopLeader(): Promise<string> {
     for (const [id, core] of this.#cores) {
       if (core.isLeading) {
@@ -106,10 +106,10 @@
         return id;
       }
     }
-    throw new Error("no machine leads");
+    throw new Error("no instance is the leader");
   }
 
-  /** How many workers the copy of each machine that is up holds. */
+  /** The number of workers in the replica of each running core instance. */
   workersKnown(): number[] {
     return [...this.#cores.keys()].map((id) => {
       const text = this.#metrics.get(id)!.render();
@@ -130,11 +130,11 @@
     return call(method, `http://${this.controlAddresses[core]}${path}`, {});
   }
 
-  /** What a worker says of itself, to one of the machines with a disk. */
-  heartbeat(id: string, beat: unknown, core: number): Promise<CallResult> {
+  /** Sends a worker's heartbeat to one of the core instances. */
+  heartbeat(id: string, body: unknown, core: number): Promise<CallResult> {
     const control = this.controlAddresses[core]!;
     const url = `http://${control}/sesamethread/instances/${id}`;
-    return call("PUT", url, { body: beat });
+    return call("PUT", url, { body });
   }
 
   client(
--- a/standins/platform/standin_worker.ts
+++ b/standins/platform/standin_worker.ts
@@ -1,7 +1,8 @@
 /**
- * A worker of the platform, as small as its protocol allows: starts, stops and
- * leases over HTTP, with fences, gangs that wait for their members, and
- * heartbeats to the control address.
+ * A minimal worker of the platform: accepts starts, stops and leases over HTTP,
+ * checks their fencing tokens, and sends heartbeats to the control address. It
+ * doesn't make the tasks of a gang wait for each other, and ignores the end of
+ * its lease.
  *
  * @module
  */
@@ -10,7 +11,7 @@
 import type { AddressInfo } from "node:net";
 import { request } from "undici";
 
-/** How a stand-in's tasks go. */
+/** Options of {@link StandinWorker}. */
 export interface StandinWorkerOptions {
   readonly id: string;
   readonly service: string;
@@ -18,26 +19,30 @@
   readonly rack: string;
   readonly accelerators: number;
   readonly controlAddresses: readonly string[];
-  /** How long each task takes, by its payload. */
+  /** How long a task with this payload runs. */
   readonly durationMs: (payload: string) => number;
-  /** Whether a run fails at its end. */
+  /** Whether a task's run ends as failed. */
   readonly fails: (payload: string, task: string) => boolean;
-  /** Takes note of every start and end, over all workers. */
+  /** Records all starts and ends; workers may share it. */
   readonly history: RunHistory;
-  /** Ends every start without an answer, but carries it out. */
+  /**
+   * Called for every call that arrives. If true, and the call is a start, the
+   * worker carries it out but closes the connection without an answer.
+   */
   readonly isMute?: () => boolean;
 }
 
-/** One thing that a worker did. */
+/** The start or end of a run on a worker. */
 export interface RunEvent {
   readonly kind: "start" | "end";
   readonly worker: string;
   readonly task: string;
   readonly run: number;
+  /** How the run ended; empty for a start. */
   readonly how: string;
 }
 
-/** All that workers did, in order. */
+/** The starts and ends of runs on workers, in order. */
 export class RunHistory {
   readonly events: RunEvent[] = [];
 
@@ -47,55 +52,57 @@
     );
   }
 
-  /** Tasks of which two runs were open at the same time. */
+  /** Tasks of which two runs were active at the same time. */
   overlaps(): string[] {
-    const open = new Map<string, number>();
-    const found: string[] = [];
+    const activeRuns = new Map<string, number>();
+    const overlapping: string[] = [];
     for (const { kind, task } of this.events) {
-      const count = (open.get(task) ?? 0) + (kind === "start" ? 1 : -1);
-      open.set(task, count);
+      const count = (activeRuns.get(task) ?? 0) + (kind === "start" ? 1 : -1);
+      activeRuns.set(task, count);
       if (count > 1) {
-        found.push(task);
+        overlapping.push(task);
       }
     }
-    return found;
+    return overlapping;
   }
 }
 
-interface Held {
+interface HeldRun {
   readonly task: string;
   readonly run: number;
   readonly timer: NodeJS.Timeout;
 }
 
-type Ended = [number, string, number, string, string];
+/** `[number of the end, task, run, how it ended, checkpoint]`. */
+type EndedRow = [number, string, number, string, string];
 
-const HEARTBEAT_MS = 300;
+const HEARTBEAT_PERIOD_MS = 300;
 
-/** A stand-in worker that serves until it is closed. */
+/** A worker that serves until it is closed. */
 export class StandinWorker {
   readonly #options: StandinWorkerOptions;
   readonly #server: Server;
   readonly #bornAtMs = Date.now();
-  readonly #running = new Map<string, Held>();
-  readonly #barred = new Map<string, number>();
-  #ended: Ended[] = [];
+  readonly #running = new Map<string, HeldRun>();
+  /** Runs of each task up to this one were stopped or have ended. */
+  readonly #revokedUpTo = new Map<string, number>();
+  #ended: EndedRow[] = [];
   #endCount = 0;
-  #fence = 0;
+  #highestToken = 0;
   #leaseEndMs = 0;
   #sequence = 0;
   #isDraining = false;
-  #beater: NodeJS.Timeout | undefined;
-  #waiters: (() => void)[] = [];
+  #heartbeatTimer: NodeJS.Timeout | undefined;
+  #reportWaiters: (() => void)[] = [];
 
   constructor(options: StandinWorkerOptions) {
     this.#options = options;
     this.#server = createServer((incoming, response) => {
       void readJson(incoming).then((body) => {
-        const mute = this.#options.isMute?.() === true &&
+        const isMute = this.#options.isMute?.() === true &&
           incoming.url?.endsWith("run-start") === true;
         void this.#handle(incoming.url ?? "", body).then((answer) => {
-          if (mute) {
+          if (isMute) {
             response.destroy();
             return;
           }
@@ -120,19 +127,22 @@
     await new Promise<void>((done) =>
       this.#server.listen(0, "127.0.0.1", done)
     );
-    this.#beater = setInterval(() => void this.#beat(), HEARTBEAT_MS);
-    await this.#beat();
+    this.#heartbeatTimer = setInterval(
+      () => void this.#sendHeartbeat(),
+      HEARTBEAT_PERIOD_MS,
+    );
+    await this.#sendHeartbeat();
   }
 
-  /** Says that it leaves; what it runs goes on. */
+  /** Reports that it is draining; its runs go on. */
   drain(): Promise<void> {
     this.#isDraining = true;
-    return this.#beat();
+    return this.#sendHeartbeat();
   }
 
-  /** Dies with all that it runs. */
+  /** Ends all runs as lost and stops. */
   async close(): Promise<void> {
-    clearInterval(this.#beater);
+    clearInterval(this.#heartbeatTimer);
     for (const held of [...this.#running.values()]) {
       this.#end(held, "lost");
     }
@@ -140,7 +150,7 @@
     await new Promise<void>((done) => this.#server.close(() => done()));
   }
 
-  /** What it says of itself next. */
+  /** The body of its next heartbeat. */
   nextHeartbeat(): Record<string, unknown> {
     const { address, port } = this.#server.address() as AddressInfo;
     const { service, zone, rack, accelerators } = this.#options;
@@ -164,16 +174,20 @@
     return Date.now() - this.#bornAtMs;
   }
 
-  async #beat(): Promise<void> {
+  async #sendHeartbeat(): Promise<void> {
     const body = JSON.stringify(this.nextHeartbeat());
     for (const control of this.#options.controlAddresses) {
-      if (await this.#tell(control, this.#options.id, body)) {
+      if (await this.#putHeartbeat(control, this.#options.id, body)) {
         return;
       }
     }
   }
 
-  async #tell(control: string, id: string, body: string): Promise<boolean> {
+  async #putHeartbeat(
+    control: string,
+    id: string,
+    body: string,
+  ): Promise<boolean> {
     try {
       const answer = await request(
         `http://${control}/sesamethread/instances/${id}`,
@@ -190,11 +204,11 @@
     url: string,
     body: Record<string, unknown>,
   ): Promise<{ status: number; body: Record<string, unknown> }> {
-    const fence = Number(body.fencingToken ?? 0);
-    if (fence < this.#fence) {
+    const token = Number(body.fencingToken ?? 0);
+    if (token < this.#highestToken) {
       return { status: 409, body: { reason: "fence" } };
     }
-    this.#fence = fence;
+    this.#highestToken = token;
     switch (url) {
       case "/sesamethread/run-start":
         return this.#start(body);
@@ -218,7 +232,7 @@
     if (this.#running.get(task)?.run === run) {
       return { status: 200, body: {} };
     }
-    if (run <= (this.#barred.get(task) ?? 0)) {
+    if (run <= (this.#revokedUpTo.get(task) ?? 0)) {
       return { status: 409, body: { reason: "old" } };
     }
     if (Number(body.deadlineMs) <= this.#clockMs()) {
@@ -244,22 +258,25 @@
   }
 
   #stop(task: string, run: number): void {
-    this.#barred.set(task, Math.max(run, this.#barred.get(task) ?? 0));
+    this.#revokedUpTo.set(
+      task,
+      Math.max(run, this.#revokedUpTo.get(task) ?? 0),
+    );
     const held = this.#running.get(task);
     if (held?.run === run) {
       this.#end(held, "stopped");
     }
   }
 
-  #end({ task, run, timer }: Held, how: string): void {
+  #end({ task, run, timer }: HeldRun, how: string): void {
     clearTimeout(timer);
     this.#running.delete(task);
-    this.#barred.set(task, run);
+    this.#revokedUpTo.set(task, run);
     this.#endCount += 1;
     this.#ended.push([this.#endCount, task, run, how, ""]);
     const { id, history } = this.#options;
     history.events.push({ kind: "end", worker: id, task, run, how });
-    this.#waiters.splice(0).forEach((resume) => resume());
+    this.#reportWaiters.splice(0).forEach((resume) => resume());
   }
 
   async #hold(body: Record<string, unknown>): Promise<{
@@ -267,12 +284,12 @@
     body: Record<string, unknown>;
   }> {
     this.#extendLease(Number(body.deadlineMs ?? Number.NaN));
-    const noted = Number(body.ackCursor ?? 0);
-    this.#ended = this.#ended.filter(([number]) => number > noted);
+    const acknowledged = Number(body.ackCursor ?? 0);
+    this.#ended = this.#ended.filter(([number]) => number > acknowledged);
     const waitMs = Number(body.waitMs ?? 0);
     if (this.#ended.length === 0 && waitMs > 0) {
       await new Promise<void>((resume) => {
-        this.#waiters.push(resume);
+        this.#reportWaiters.push(resume);
         setTimeout(resume, waitMs);
       });
     }
--- a/standins/worker/held_attempt.ts
+++ b/standins/worker/held_attempt.ts
@@ -1,25 +1,25 @@
 /**
- * The tasks of one attempt that lie on one worker, under one lease.
+ * The tasks of one attempt on one worker, under one lease.
  *
  * @module
  */
 
 import type { Clock, Timer } from "../../src/base/clock.ts";
-import type { PretendTask } from "./pretend_task.ts";
+import type { SimulatedTask } from "./simulated_task.ts";
 
 /** Options of {@link HeldAttempt}. */
 export interface HeldAttemptOptions {
   readonly clock: Clock;
   readonly jobId: string;
   readonly attempt: number;
-  /** The term of the leader that reserved it. */
+  /** The term of the leader that made the reservation. */
   readonly term: number;
-  readonly tasks: readonly PretendTask[];
-  /** Called when a reservation ends without a start. */
+  readonly tasks: readonly SimulatedTask[];
+  /** Called when a reservation expires without a start. */
   readonly onReservationEnd: () => void;
 }
 
-/** A reservation, then a lease. */
+/** An attempt that is reserved, and runs under a lease once started. */
 export class HeldAttempt {
   readonly #options: HeldAttemptOptions;
   #endMs = 0;
@@ -42,7 +42,7 @@
     return this.#options.term;
   }
 
-  get tasks(): readonly PretendTask[] {
+  get tasks(): readonly SimulatedTask[] {
     return this.#options.tasks;
   }
 
@@ -54,7 +54,7 @@
     return this.tasks.some((task) => task.state === "running");
   }
 
-  /** Lets the reservation or lease end no earlier than `endMs`. */
+  /** Extends the reservation or lease to `endMs`; never shortens it. */
   extend(endMs: number): void {
     if (endMs <= this.#endMs) {
       return;
@@ -62,10 +62,13 @@
     this.#endMs = endMs;
     this.#timer?.close();
     const { clock } = this.#options;
-    this.#timer = clock.after(endMs - clock.nowMs(), () => this.#lapse());
+    this.#timer = clock.after(endMs - clock.nowMs(), () => this.#expire());
   }
 
-  /** Stops at `atMs`, after a checkpoint when there is time for one. */
+  /**
+   * Stops the tasks at `atMs`, with a checkpoint if `isCheckpointed`. Only the
+   * first call counts.
+   */
   stopAt(atMs: number, options: { isCheckpointed: boolean }): void {
     const { clock } = this.#options;
     this.#stopTimer ??= clock.after(atMs - clock.nowMs(), () => {
@@ -89,7 +92,7 @@
     this.tasks.forEach((task) => task.close());
   }
 
-  #lapse(): void {
+  #expire(): void {
     if (this.isReserved) {
       this.#options.onReservationEnd();
       return;
--- a/standins/worker/main.ts
+++ b/standins/worker/main.ts
@@ -26,16 +26,23 @@
 
 function readFlags(): z.infer<typeof flagsSchema> {
   const tool = cac("worker");
-  tool.option("--id <id>", "Identity of the worker");
-  tool.option("--instances <list>", "host:port of instances, by commas");
+  tool.option("--id <id>", "ID of the worker");
+  tool.option(
+    "--instances <list>",
+    "host:port of instances, separated by commas",
+  );
   tool.option("--rack <id>", "Rack of the worker", { default: "rack-1" });
-  tool.option("--host <ip>", "Where to listen", { default: "127.0.0.1" });
+  tool.option("--host <ip>", "IP address to listen on", {
+    default: "127.0.0.1",
+  });
   tool.option("--port <n>", "Port to listen on", { default: 0 });
   tool.option("--cores <n>", "Processors", { default: 32 });
   tool.option("--memory-bytes <n>", "Memory", { default: 64_000_000_000 });
   tool.option("--accelerators <n>", "Accelerators", { default: 8 });
-  tool.option("--stop-ms <n>", "Longest graceful stop", { default: 10_000 });
-  tool.option("--history <file>", "Where starts and ends are noted down");
+  tool.option("--stop-ms <n>", "Time limit of a graceful stop", {
+    default: 10_000,
+  });
+  tool.option("--history <file>", "File to append starts and ends of tasks to");
   tool.help();
   return flagsSchema.parse(tool.parse().options);
 }
@@ -50,9 +57,9 @@
     port: flags.port,
     clock,
     tasks: {
-      onTaskEvent: (happening) => {
+      onTaskEvent: (event) => {
         if (flags.history !== undefined) {
-          const line = { ...happening, atMs: clock.nowMs() };
+          const line = { ...event, atMs: clock.nowMs() };
           appendFileSync(flags.history, JSON.stringify(line) + "\n");
         }
       },
--- a/standins/worker/simulated_task.ts
+++ b/standins/worker/simulated_task.ts
@@ -1,5 +1,5 @@
 /**
- * One pretend task: a timer that ends it, and what it is seen to use.
+ * A simulated task: a timer that ends it, and the usage that it reports.
  *
  * @module
  */
@@ -12,11 +12,11 @@
   HeldTaskUsage,
 } from "../../src/process/scheduler/runtime/worker_report.ts";
 
-/** How long a pretend task runs when its command doesn't say. */
-export const PRETEND_RUN_MS = 1_000;
+/** How long a task runs if its command has no duration. */
+export const DEFAULT_RUN_MS = 1_000;
 
-/** Options of {@link PretendTask}. */
-export interface PretendTaskOptions {
+/** Options of {@link SimulatedTask}. */
+export interface SimulatedTaskOptions {
   readonly clock: Clock;
   readonly jobId: string;
   readonly attempt: number;
@@ -24,25 +24,25 @@
   readonly resources: TaskResources;
   /** `["run", "<ms>"]` or `["fail", "<ms>"]`. */
   readonly command: readonly string[];
-  readonly onEnd: (task: PretendTask) => void;
+  readonly onEnd: (task: SimulatedTask) => void;
 }
 
-/** How a start of a pretend task is bent by faults. */
-export interface PretendStart {
+/** The faults that a task is started with. */
+export interface StartFaults {
   readonly fails: boolean;
   readonly runTimeFactor: number;
 }
 
-/** A task that does nothing but last. */
-export class PretendTask {
-  readonly #options: PretendTaskOptions;
+/** A task that does nothing until its time is up. */
+export class SimulatedTask {
+  readonly #options: SimulatedTaskOptions;
   #state: HeldTask["state"] = "reserved";
   #outcome: TaskOutcome | undefined;
   #timer: Timer | undefined;
   #checkpointedAtMs: number | undefined;
   #coresFraction = 1;
 
-  constructor(options: PretendTaskOptions) {
+  constructor(options: SimulatedTaskOptions) {
     this.#options = options;
   }
 
@@ -58,14 +58,14 @@
     return this.#options.resources;
   }
 
-  start(how: PretendStart): void {
+  start(faults: StartFaults): void {
     const { clock, command } = this.#options;
-    const [verb, lengthMs] = command;
-    const declaredMs = Number(lengthMs ?? PRETEND_RUN_MS);
-    const fails = how.fails || verb === "fail";
+    const [verb, durationMs] = command;
+    const declaredMs = Number(durationMs ?? DEFAULT_RUN_MS);
+    const fails = faults.fails || verb === "fail";
     this.#state = "running";
     this.#timer = clock.after(
-      declaredMs * how.runTimeFactor,
+      declaredMs * faults.runTimeFactor,
       () => this.end(fails ? "failed" : "succeeded"),
     );
   }
@@ -78,7 +78,7 @@
     this.#checkpointedAtMs = this.#options.clock.nowMs();
   }
 
-  /** Ends a running task; others are left as they are. */
+  /** Ends the task if it runs. */
   end(outcome: TaskOutcome): void {
     if (this.#state !== "running") {
       return;
@@ -89,7 +89,7 @@
     this.#options.onEnd(this);
   }
 
-  held(): HeldTask {
+  toHeldTask(): HeldTask {
     const { jobId, attempt, taskIndex } = this.#options;
     return {
       jobId,
@@ -102,7 +102,7 @@
 
   usage(sizeFactor: number): HeldTaskUsage {
     const { clock, jobId, attempt, taskIndex, resources } = this.#options;
-    const at = this.#checkpointedAtMs;
+    const checkpointedAtMs = this.#checkpointedAtMs;
     return {
       jobId,
       attempt,
@@ -110,11 +110,13 @@
       cores: resources.cores * sizeFactor * this.#coresFraction,
       memoryBytes: Math.round(resources.memoryBytes * sizeFactor),
       accelerators: resources.accelerators,
-      ...(at === undefined ? {} : { checkpointAgeMs: clock.nowMs() - at }),
+      ...(checkpointedAtMs === undefined
+        ? {}
+        : { checkpointAgeMs: clock.nowMs() - checkpointedAtMs }),
     };
   }
 
-  /** Drops its timer, for a worker that dies. */
+  /** Stops the timer, without ending the task. */
   close(): void {
     this.#timer?.close();
   }
--- a/standins/worker/worker.ts
+++ b/standins/worker/worker.ts
@@ -1,6 +1,6 @@
 /**
- * A stand-in worker: an HTTP server that takes commands and faults, and a
- * report about once a second to the instances of its data centre in turn.
+ * A stand-in worker: an HTTP server that accepts commands and injected faults,
+ * and reports to the instances of its data centre in turn, once a second.
  *
  * @module
  */
@@ -23,7 +23,7 @@
 import { WorkerTasks, type WorkerTasksOptions } from "./worker_tasks.ts";
 import type { WorkerCapacity } from "./worker_types.ts";
 
-/** Where faults are set, on loopback test beds. */
+/** The path at which tests inject faults. */
 export const FAULTS_PATH = "/faults";
 
 /** Options of {@link StandInWorker}. */
@@ -39,7 +39,7 @@
   readonly tasks?: Partial<WorkerTasksOptions>;
 }
 
-/** What a stand-in worker does unless told otherwise. */
+/** Defaults of {@link StandInWorkerOptions}. */
 export const STAND_IN_WORKER_DEFAULTS = {
   host: "127.0.0.1",
   port: 0,
@@ -47,7 +47,7 @@
   reportTimeoutMs: 900,
 } as const;
 
-/** A worker that pretends to run tasks. */
+/** A worker that simulates its tasks. */
 export class StandInWorker {
   readonly #options: StandInWorkerOptions;
   readonly #clock: Clock;
@@ -55,9 +55,9 @@
   readonly #server: Server;
   readonly #agent = new Agent({ connections: 2 });
   #timer: Timer | undefined;
-  #soon: Timer | undefined;
+  #nextReport: Timer | undefined;
   #address = "";
-  #turn = 0;
+  #nextInstance = 0;
 
   constructor(options: StandInWorkerOptions) {
     this.#options = options;
@@ -68,10 +68,10 @@
       capacity: options.capacity,
       incarnation: Math.max(1, Math.floor(this.#clock.nowMs())),
       ...options.tasks,
-      onTaskEvent: (happening) => {
-        options.tasks?.onTaskEvent?.(happening);
-        if (happening.kind === "ended") {
-          this.#reportSoon();
+      onTaskEvent: (event) => {
+        options.tasks?.onTaskEvent?.(event);
+        if (event.kind === "ended") {
+          this.#scheduleReport();
         }
       },
     });
@@ -80,12 +80,12 @@
     });
   }
 
-  /** Where it takes commands. */
+  /** The `HOST:PORT` at which it accepts commands; empty before the start. */
   get address(): string {
     return this.#address;
   }
 
-  /** Listens, then announces itself. */
+  /** Listens, then sends the first report. */
   async start(): Promise<void> {
     const defaults = STAND_IN_WORKER_DEFAULTS;
     const host = this.#options.host ?? defaults.host;
@@ -103,14 +103,14 @@
     await this.report();
   }
 
-  /** Sends one report to the first instance in turn that takes it. */
+  /** Sends a report to the next instance that accepts it; false if none. */
   async report(): Promise<boolean> {
     if (this.#tasks.faults.isSilent) {
       return false;
     }
     const addresses = this.#options.instanceAddresses;
     for (let tries = 0; tries < addresses.length; tries++) {
-      const address = addresses[this.#turn++ % addresses.length];
+      const address = addresses[this.#nextInstance++ % addresses.length];
       if (address !== undefined && await this.#reportTo(address)) {
         return true;
       }
@@ -119,7 +119,7 @@
   }
 
   /**
-   * Says that it leaves, and returns once no task runs or the time is up.
+   * Reports that it leaves, and returns once no task runs or at the deadline.
    */
   async leave(options: { deadlineMs: number }): Promise<void> {
     this.#tasks.leave();
@@ -135,18 +135,18 @@
   async close(): Promise<void> {
     this.#timer?.close();
     this.#timer = undefined;
-    this.#soon?.close();
+    this.#nextReport?.close();
     this.#tasks.close();
     this.#server.closeAllConnections();
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
     await this.#agent.destroy();
   }
 
-  /** One report for all that ends in this turn of the loop. */
-  #reportSoon(): void {
+  /** Sends one report for all tasks that end in this turn of the event loop. */
+  #scheduleReport(): void {
     if (this.#timer !== undefined) {
-      this.#soon ??= this.#clock.after(0, () => {
-        this.#soon = undefined;
+      this.#nextReport ??= this.#clock.after(0, () => {
+        this.#nextReport = undefined;
         void this.report();
       });
     }
@@ -177,7 +177,7 @@
       return;
     }
     if (this.#tasks.faults.isSilent) {
-      return; // The caller waits in vain, as for a machine that hangs.
+      return; // The caller gets no answer, as from a machine that hangs.
     }
     if (call.method !== "POST" || call.url !== WORKER_COMMANDS_PATH) {
       send(answer, { status: 404, body: { error: "notFound" } });
--- a/standins/worker/worker_faults.ts
+++ b/standins/worker/worker_faults.ts
@@ -1,25 +1,25 @@
 /**
- * How a stand-in worker can be told to misbehave.
+ * The faults that can be injected into a stand-in worker.
  *
  * @module
  */
 
 import * as z from "zod";
 
-/** What goes wrong on the worker. */
+/** The body of `POST /faults`. */
 export const workerFaultsSchema = z.strictObject({
   failsEveryTask: z.boolean().default(false),
-  /** How much later than usual each command is answered. */
+  /** Delay of each command's answer. */
   slowMs: z.int().min(0).default(0),
-  /** Neither answers nor reports; its tasks run on under their leases. */
+  /** Neither answers nor reports; tasks keep running under their leases. */
   isSilent: z.boolean().default(false),
-  /** Reported sizes as a multiple of the declared ones. */
+  /** Factor of the reported usage over the declared resources. */
   sizeFactor: z.number().min(0).default(1),
-  /** Run times as a multiple of what the command says. */
+  /** Factor of the run times over the durations in the commands. */
   runTimeFactor: z.number().min(0).default(1),
 });
 
 export type WorkerFaults = z.infer<typeof workerFaultsSchema>;
 
-/** A worker that works. */
+/** A worker without faults. */
 export const NO_FAULTS: WorkerFaults = workerFaultsSchema.parse({});
--- a/standins/worker/worker_tasks.ts
+++ b/standins/worker/worker_tasks.ts
@@ -1,6 +1,6 @@
 /**
- * The stand-in worker's rules: fences, reservations, leases and pretend
- * tasks, with no sockets in them.
+ * A stand-in worker without its HTTP server: checks of commands, reservations,
+ * leases and simulated tasks.
  *
  * @module
  */
@@ -19,8 +19,8 @@
   type WorkerReport,
 } from "../../src/process/scheduler/runtime/worker_report.ts";
 import { HeldAttempt } from "./held_attempt.ts";
-import { LaggingUsages } from "./lagging_usages.ts";
-import { PretendTask } from "./pretend_task.ts";
+import { DelayedUsages } from "./delayed_usages.ts";
+import { SimulatedTask } from "./simulated_task.ts";
 import type {
   OmittedFence,
   TaskEvent,
@@ -34,38 +34,39 @@
   readonly workerId: string;
   readonly capacity: WorkerCapacity;
   readonly incarnation: number;
-  /** How long a checkpoint takes. */
+  /** How long a checkpoint takes; 50 ms by default. */
   readonly checkpointMs?: number;
-  /** How long ago the usage in a report was seen. */
+  /** The age of the usage in a report. */
   readonly usageLagMs?: number;
-  readonly onTaskEvent?: (happening: TaskEvent) => void;
+  readonly onTaskEvent?: (event: TaskEvent) => void;
   readonly omittedFences?: readonly OmittedFence[];
 }
 
-const STAMP_STEP_MS = 0.001;
+/** The least difference between the times of successive holdings. */
+const TIME_STEP_MS = 0.001;
 
 type CommandOf<Kind extends WorkerCommand["kind"]> = Extract<
   WorkerCommand,
   { kind: Kind }
 >;
 
-type Refused = WorkerRefusal | undefined;
+type OptionalRefusal = WorkerRefusal | undefined;
 
-/** What one worker holds and how commands change it. */
+/** The attempts that a worker holds, and the commands that change them. */
 export class WorkerTasks {
   readonly #options: WorkerTasksOptions;
   readonly #attempts = new Map<string, HeldAttempt>();
   /** The lowest attempt of each job that may still be reserved or started. */
   readonly #lowestAttempts = new Map<string, number>();
   #highestTerm = 0;
-  #lastStampMs = 0;
+  #lastTimeMs = 0;
   #isLeaving = false;
   #faults: WorkerFaults = NO_FAULTS;
-  readonly #usages: LaggingUsages;
+  readonly #usages: DelayedUsages;
 
   constructor(options: WorkerTasksOptions) {
     this.#options = options;
-    this.#usages = new LaggingUsages(options);
+    this.#usages = new DelayedUsages(options);
   }
 
   get faults(): WorkerFaults {
@@ -76,18 +77,17 @@
     this.#faults = faults;
   }
 
-  /** Takes nothing new from now on. */
+  /** From now on refuses new reservations. */
   leave(): void {
     this.#isLeaving = true;
   }
 
-  /** Whether no task runs. */
   get isIdle(): boolean {
     return [...this.#attempts.values()].every((held) => !held.isRunning);
   }
 
   handle(command: WorkerCommand): WorkerAnswer {
-    const refusal = this.#fence(command) ?? this.#carryOut(command);
+    const refusal = this.#checkFence(command) ?? this.#execute(command);
     const holdings = this.#holdings();
     return refusal === undefined ? { holdings } : { refusal, holdings };
   }
@@ -98,11 +98,11 @@
       ...this.#holdings(),
       ...this.#options.capacity,
       address,
-      usages: this.#laggingUsages(),
+      usages: this.#delayedUsages(),
     };
   }
 
-  /** The worker's process dies: every task with it. */
+  /** Simulates the exit of the worker's process: all tasks are lost. */
   close(): void {
     for (const held of this.#attempts.values()) {
       held.endTasks("lost");
@@ -111,7 +111,7 @@
     this.#attempts.clear();
   }
 
-  #fence(command: WorkerCommand): Refused {
+  #checkFence(command: WorkerCommand): OptionalRefusal {
     const { fence } = command;
     if (fence.incarnation !== this.#options.incarnation) {
       return "otherIncarnation";
@@ -127,7 +127,7 @@
     return undefined;
   }
 
-  #carryOut(command: WorkerCommand): Refused {
+  #execute(command: WorkerCommand): OptionalRefusal {
     switch (command.kind) {
       case "reserve":
         return this.#reserve(command);
@@ -150,8 +150,8 @@
     }
   }
 
-  #reserve(command: CommandOf<"reserve">): Refused {
-    const refusal = this.#refuseAttempt(command);
+  #reserve(command: CommandOf<"reserve">): OptionalRefusal {
+    const refusal = this.#checkAttempt(command);
     if (refusal !== undefined) {
       return refusal;
     }
@@ -165,17 +165,17 @@
     if (this.#isLeaving) {
       return "leaving";
     }
-    this.#dropEarlierReservations(command);
-    if (!this.#hasRoom(command)) {
+    this.#removeEarlierReservations(command);
+    if (!this.#hasCapacity(command)) {
       return "noRoom";
     }
     this.#lowestAttempts.set(command.jobId, command.attempt);
-    this.#hold(command);
+    this.#addAttempt(command);
     return undefined;
   }
 
-  #start(command: CommandOf<"start">): Refused {
-    const refusal = this.#refuseAttempt(command);
+  #start(command: CommandOf<"start">): OptionalRefusal {
+    const refusal = this.#checkAttempt(command);
     if (refusal !== undefined) {
       return refusal;
     }
@@ -193,15 +193,15 @@
     return undefined;
   }
 
-  #startTask(task: PretendTask, command: CommandOf<"start">): void {
-    this.#tell(task, { kind: "started", term: command.fence.term });
+  #startTask(task: SimulatedTask, command: CommandOf<"start">): void {
+    this.#emitEvent(task, { kind: "started", term: command.fence.term });
     task.start({
       fails: this.#faults.failsEveryTask,
       runTimeFactor: this.#faults.runTimeFactor,
     });
   }
 
-  #renew(command: CommandOf<"renew">): Refused {
+  #renew(command: CommandOf<"renew">): OptionalRefusal {
     for (const lease of command.leases) {
       const held = this.#find(lease);
       if (held?.isRunning === true) {
@@ -212,24 +212,24 @@
       const held = this.#find(reference);
       if (held !== undefined && !held.isRunning && !held.isReserved) {
         this.#raiseLowestAttempt(reference);
-        this.#drop(held);
+        this.#removeAttempt(held);
       }
     }
     return undefined;
   }
 
-  #release(command: CommandOf<"release">): Refused {
+  #release(command: CommandOf<"release">): OptionalRefusal {
     this.#raiseLowestAttempt(command);
     for (const held of [...this.#attempts.values()]) {
       if (held.jobId === command.jobId && held.attempt <= command.attempt) {
         held.endTasks("stopped");
-        this.#drop(held);
+        this.#removeAttempt(held);
       }
     }
     return undefined;
   }
 
-  /** From now on this attempt and earlier ones are refused. */
+  /** From now on refuses this attempt and earlier ones of the job. */
   #raiseLowestAttempt(
     reference: { readonly jobId: string; readonly attempt: number },
   ): void {
@@ -238,27 +238,27 @@
     this.#lowestAttempts.set(reference.jobId, next);
   }
 
-  #stop(command: CommandOf<"stop">): Refused {
+  #stop(command: CommandOf<"stop">): OptionalRefusal {
     const held = this.#find(command);
     if (held === undefined || held.isReserved) {
       return this.#release({ ...command, kind: "release" });
     }
     const nowMs = this.#options.clock.nowMs();
-    const doneMs = nowMs + (this.#options.checkpointMs ?? 50);
+    const checkpointEndMs = nowMs + (this.#options.checkpointMs ?? 50);
     const { wantsCheckpoint, checkpointDeadlineMs } = command;
     if (!wantsCheckpoint || checkpointDeadlineMs <= nowMs) {
       held.endTasks("stopped");
       return undefined;
     }
-    held.stopAt(Math.min(doneMs, checkpointDeadlineMs), {
-      isCheckpointed: doneMs <= checkpointDeadlineMs,
+    held.stopAt(Math.min(checkpointEndMs, checkpointDeadlineMs), {
+      isCheckpointed: checkpointEndMs <= checkpointDeadlineMs,
     });
     return undefined;
   }
 
-  #refuseAttempt(
+  #checkAttempt(
     command: { readonly jobId: string; readonly attempt: number },
-  ): Refused {
+  ): OptionalRefusal {
     const lowest = this.#lowestAttempts.get(command.jobId) ?? 0;
     if (command.attempt < lowest && !this.#omits("released")) {
       return "releasedAttempt";
@@ -270,25 +270,25 @@
     return runsEarlier ? "earlierAttemptRuns" : undefined;
   }
 
-  #dropEarlierReservations(command: CommandOf<"reserve">): void {
+  #removeEarlierReservations(command: CommandOf<"reserve">): void {
     for (const held of [...this.#attempts.values()]) {
       if (held.jobId === command.jobId && held.isReserved) {
-        this.#drop(held);
+        this.#removeAttempt(held);
       }
     }
   }
 
-  #hold(command: CommandOf<"reserve">): void {
+  #addAttempt(command: CommandOf<"reserve">): void {
     const { jobId, attempt, resources } = command;
     const tasks = command.taskIndexes.map((taskIndex) =>
-      new PretendTask({
+      new SimulatedTask({
         clock: this.#options.clock,
         jobId,
         attempt,
         taskIndex,
         resources,
         command: command.command,
-        onEnd: (task) => this.#tellEnd(task),
+        onEnd: (task) => this.#emitEnd(task),
       })
     );
     const held = new HeldAttempt({
@@ -297,13 +297,13 @@
       attempt,
       term: command.fence.term,
       tasks,
-      onReservationEnd: () => this.#drop(held),
+      onReservationEnd: () => this.#removeAttempt(held),
     });
     this.#attempts.set(key(command), held);
     held.extend(command.reservationEndMs);
   }
 
-  #drop(held: HeldAttempt): void {
+  #removeAttempt(held: HeldAttempt): void {
     held.close();
     this.#attempts.delete(key(held));
   }
@@ -312,7 +312,7 @@
     held.extend(this.#omits("lease") ? Number.MAX_SAFE_INTEGER : leaseEndMs);
   }
 
-  #hasRoom(command: CommandOf<"reserve">): boolean {
+  #hasCapacity(command: CommandOf<"reserve">): boolean {
     const taken = [...this.#attempts.values()]
       .flatMap((held) => held.tasks)
       .filter((task) => task.state !== "ended")
@@ -331,48 +331,48 @@
     return {
       workerId: this.#options.workerId,
       incarnation: this.#options.incarnation,
-      workerClockMs: this.#nextStampMs(),
+      workerClockMs: this.#nextTimeMs(),
       highestTerm: this.#highestTerm,
       isLeaving: this.#isLeaving,
       tasks: [...this.#attempts.values()]
-        .flatMap((held) => held.tasks.map((task) => task.held())),
+        .flatMap((held) => held.tasks.map((task) => task.toHeldTask())),
     };
   }
 
-  /** The clock, such that no two holdings carry the same moment. */
-  #nextStampMs(): number {
+  /** The time, made unique so that holdings can be ordered by it. */
+  #nextTimeMs(): number {
     const nowMs = this.#options.clock.nowMs();
-    this.#lastStampMs = Math.max(nowMs, this.#lastStampMs + STAMP_STEP_MS);
-    return this.#lastStampMs;
+    this.#lastTimeMs = Math.max(nowMs, this.#lastTimeMs + TIME_STEP_MS);
+    return this.#lastTimeMs;
   }
 
-  #laggingUsages(): WorkerReport["usages"] {
+  #delayedUsages(): WorkerReport["usages"] {
     const usages = [...this.#attempts.values()]
       .flatMap((held) => held.tasks)
       .filter((task) => task.state === "running")
       .map((task) => task.usage(this.#faults.sizeFactor));
-    return this.#usages.show(usages);
+    return this.#usages.nextReport(usages);
   }
 
-  #tellEnd(task: PretendTask): void {
-    const outcome = task.held().outcome ?? "lost";
-    this.#tell(task, { kind: "ended", outcome });
+  #emitEnd(task: SimulatedTask): void {
+    const outcome = task.toHeldTask().outcome ?? "lost";
+    this.#emitEvent(task, { kind: "ended", outcome });
   }
 
-  #tell(
-    task: PretendTask,
-    what:
+  #emitEvent(
+    task: SimulatedTask,
+    change:
       | { kind: "started"; term: number }
       | { kind: "ended"; outcome: TaskOutcome },
   ): void {
-    const { jobId, attempt, taskIndex } = task.held();
+    const { jobId, attempt, taskIndex } = task.toHeldTask();
     const { workerId } = this.#options;
     this.#options.onTaskEvent?.({
       workerId,
       jobId,
       attempt,
       taskIndex,
-      ...what,
+      ...change,
     });
   }
 
@@ -381,13 +381,13 @@
   }
 }
 
-/** Whether all of it together is within the capacity. */
+/** Whether the demands fit into the capacity together. */
 function fits(
-  takers: readonly TaskResources[],
+  demands: readonly TaskResources[],
   capacity: WorkerCapacity,
 ): boolean {
-  const isWithin = (of: keyof TaskResources) =>
-    takers.reduce((sum, each) => sum + each[of], 0) <= capacity[of];
+  const isWithin = (name: keyof TaskResources) =>
+    demands.reduce((sum, each) => sum + each[name], 0) <= capacity[name];
   return isWithin("cores") && isWithin("memoryBytes") &&
     isWithin("accelerators");
 }
--- a/standins/worker/worker_tasks_test.ts
+++ b/standins/worker/worker_tasks_test.ts
@@ -4,7 +4,7 @@
 import { WorkerTasks } from "./worker_tasks.ts";
 import type { OmittedFence, TaskEvent } from "./worker_types.ts";
 
-type Body = WorkerCommand extends infer Command
+type CommandBody = WorkerCommand extends infer Command
   ? Command extends WorkerCommand ? Omit<Command, "fence"> : never
   : never;
 
@@ -12,17 +12,17 @@
 
 function makeWorker(omittedFences: readonly OmittedFence[] = []) {
   const clock = new FakeClock({ startMs: 1_000 });
-  const happenings: TaskEvent[] = [];
+  const events: TaskEvent[] = [];
   const worker = new WorkerTasks({
     clock,
     workerId: "w1",
     capacity: { rack: "r1", cores: 8, memoryBytes: 8, accelerators: 4 },
     incarnation: 7,
-    onTaskEvent: (happening) => happenings.push(happening),
+    onTaskEvent: (event) => events.push(event),
     omittedFences,
   });
-  const tell = (
-    body: Body,
+  const send = (
+    body: CommandBody,
     fence: { term?: number; incarnation?: number; validForMs?: number } = {},
   ) =>
     worker.handle({
@@ -43,114 +43,114 @@
     command: ["run", "5000"],
     reservationEndMs: clock.nowMs() + 1_000,
   });
-  const start = (attempt: number): Body => ({
+  const start = (attempt: number): CommandBody => ({
     kind: "start",
     jobId: "j1",
     attempt,
     leaseEndMs: clock.nowMs() + 2_000,
   });
   const starts = () =>
-    happenings.filter((happening) => happening.kind === "started").length;
-  return { clock, worker, happenings, tell, reserve, start, starts };
+    events.filter((event) => event.kind === "started").length;
+  return { clock, worker, events, send, reserve, start, starts };
 }
 
-test("a lower term is refused once a higher one was seen", (t) => {
-  const { tell, reserve, start, starts } = makeWorker();
-  tell(reserve(1), { term: 4 });
-  t.is(tell(start(1), { term: 3 }).refusal, "staleTerm");
-  t.is(tell(start(1), { term: 5 }).refusal, "unknownAttempt");
+test("a command of a lower term is refused after one of a higher term", (t) => {
+  const { send, reserve, start, starts } = makeWorker();
+  send(reserve(1), { term: 4 });
+  t.is(send(start(1), { term: 3 }).refusal, "staleTerm");
+  t.is(send(start(1), { term: 5 }).refusal, "unknownAttempt");
   t.is(starts(), 0);
   const unfenced = makeWorker(["term"]);
-  unfenced.tell(unfenced.reserve(1), { term: 3 });
-  unfenced.tell({ kind: "renew", leases: [], forget: [] }, { term: 4 });
-  t.is(unfenced.tell(unfenced.start(1), { term: 3 }).refusal, undefined);
+  unfenced.send(unfenced.reserve(1), { term: 3 });
+  unfenced.send({ kind: "renew", leases: [], forget: [] }, { term: 4 });
+  t.is(unfenced.send(unfenced.start(1), { term: 3 }).refusal, undefined);
 });
 
-test("a command after its validity is refused", (t) => {
-  const { clock, tell, reserve, start, starts } = makeWorker();
-  tell(reserve(1));
-  t.is(tell(start(1), { validForMs: -1 }).refusal, "late");
+test("a command that arrives after its validity ended is refused", (t) => {
+  const { clock, send, reserve, start, starts } = makeWorker();
+  send(reserve(1));
+  t.is(send(start(1), { validForMs: -1 }).refusal, "late");
   t.is(starts(), 0);
   const unfenced = makeWorker(["late"]);
-  unfenced.tell(unfenced.reserve(1));
-  t.is(unfenced.tell(unfenced.start(1), { validForMs: -1 }).refusal, undefined);
+  unfenced.send(unfenced.reserve(1));
+  t.is(unfenced.send(unfenced.start(1), { validForMs: -1 }).refusal, undefined);
   t.is(unfenced.starts(), 1);
   clock.advance(1);
 });
 
 test("a command for another incarnation is refused", (t) => {
-  const { tell, reserve } = makeWorker();
-  t.is(tell(reserve(1), { incarnation: 6 }).refusal, "otherIncarnation");
+  const { send, reserve } = makeWorker();
+  t.is(send(reserve(1), { incarnation: 6 }).refusal, "otherIncarnation");
 });
 
-test("nothing of a released attempt starts, however messages cross", (t) => {
-  const { tell, reserve, start, starts } = makeWorker();
-  tell({ kind: "release", jobId: "j1", attempt: 2 });
-  t.is(tell(reserve(2)).refusal, "releasedAttempt");
-  t.is(tell(start(2)).refusal, "releasedAttempt");
+test("commands that arrive after their attempt was released start nothing", (t) => {
+  const { send, reserve, start, starts } = makeWorker();
+  send({ kind: "release", jobId: "j1", attempt: 2 });
+  t.is(send(reserve(2)).refusal, "releasedAttempt");
+  t.is(send(start(2)).refusal, "releasedAttempt");
   t.is(starts(), 0);
   const unfenced = makeWorker(["released"]);
-  unfenced.tell({ kind: "release", jobId: "j1", attempt: 2 });
-  unfenced.tell(unfenced.reserve(2));
-  unfenced.tell(unfenced.start(2));
+  unfenced.send({ kind: "release", jobId: "j1", attempt: 2 });
+  unfenced.send(unfenced.reserve(2));
+  unfenced.send(unfenced.start(2));
   t.is(unfenced.starts(), 1);
 });
 
-test("doubled reservations and starts run one task", (t) => {
-  const { tell, reserve, start, starts } = makeWorker();
-  tell(reserve(1));
-  tell(reserve(1));
-  tell(start(1));
-  tell(start(1));
-  tell(reserve(1));
+test("duplicate reservations and starts run one task", (t) => {
+  const { send, reserve, start, starts } = makeWorker();
+  send(reserve(1));
+  send(reserve(1));
+  send(start(1));
+  send(start(1));
+  send(reserve(1));
   t.is(starts(), 1);
 });
 
-test("a task whose lease isn't renewed is stopped by the worker", (t) => {
-  const { clock, tell, reserve, start, happenings } = makeWorker();
-  tell(reserve(1));
-  tell(start(1));
+test("the worker ends a task whose lease expires", (t) => {
+  const { clock, send, reserve, start, events } = makeWorker();
+  send(reserve(1));
+  send(start(1));
   clock.advance(1_500);
   const leaseEndMs = clock.nowMs() + 2_000;
-  tell({
+  send({
     kind: "renew",
     leases: [{ jobId: "j1", attempt: 1, leaseEndMs }],
     forget: [],
   });
   clock.advance(1_999);
-  t.is(happenings.length, 1);
+  t.is(events.length, 1);
   clock.advance(1);
-  t.like(happenings[1], { kind: "ended", outcome: "lost" });
+  t.like(events[1], { kind: "ended", outcome: "lost" });
   const unfenced = makeWorker(["lease"]);
-  unfenced.tell(unfenced.reserve(1));
-  unfenced.tell(unfenced.start(1));
+  unfenced.send(unfenced.reserve(1));
+  unfenced.send(unfenced.start(1));
   unfenced.clock.advance(5_000);
-  t.like(unfenced.happenings[1], { kind: "ended", outcome: "succeeded" });
+  t.like(unfenced.events[1], { kind: "ended", outcome: "succeeded" });
 });
 
-test("a reservation ends by itself and frees its room", (t) => {
-  const { clock, tell, reserve, start } = makeWorker();
-  t.is(tell(reserve(1, [0, 1])).refusal, undefined);
+test("a reservation expires and frees its capacity", (t) => {
+  const { clock, send, reserve, start } = makeWorker();
+  t.is(send(reserve(1, [0, 1])).refusal, undefined);
   const other = { ...reserve(1), jobId: "j2" };
-  t.is(tell(other).refusal, "noRoom");
+  t.is(send(other).refusal, "noRoom");
   clock.advance(1_000);
-  t.is(tell(start(1)).refusal, "unknownAttempt");
-  t.is(tell({ ...other, reservationEndMs: 9_000 }).refusal, undefined);
+  t.is(send(start(1)).refusal, "unknownAttempt");
+  t.is(send({ ...other, reservationEndMs: 9_000 }).refusal, undefined);
 });
 
 test("no attempt is reserved while an earlier one of its job runs", (t) => {
-  const { tell, reserve, start } = makeWorker();
-  tell(reserve(1));
-  tell(start(1));
-  t.is(tell(reserve(2)).refusal, "earlierAttemptRuns");
+  const { send, reserve, start } = makeWorker();
+  send(reserve(1));
+  send(start(1));
+  t.is(send(reserve(2)).refusal, "earlierAttemptRuns");
 });
 
-test("a stop waits for the checkpoint when there is time for one", (t) => {
+test("a stop waits for the checkpoint if there is time for one", (t) => {
   for (const timeMs of [200, 10]) {
-    const { clock, tell, reserve, start, happenings } = makeWorker();
-    tell(reserve(1));
-    tell(start(1));
-    tell({
+    const { clock, send, reserve, start, events } = makeWorker();
+    send(reserve(1));
+    send(start(1));
+    send({
       kind: "stop",
       jobId: "j1",
       attempt: 1,
@@ -159,12 +159,12 @@
     });
     clock.advance(200);
     const outcome = timeMs === 200 ? "checkpointed" : "stopped";
-    t.like(happenings[1], { kind: "ended", outcome });
+    t.like(events[1], { kind: "ended", outcome });
   }
 });
 
-test("faults bend sizes, run times and outcomes", (t) => {
-  const { clock, worker, tell, reserve, start, happenings } = makeWorker();
+test("faults change usage, run times and outcomes", (t) => {
+  const { clock, worker, send, reserve, start, events } = makeWorker();
   worker.setFaults({
     failsEveryTask: true,
     slowMs: 0,
@@ -172,13 +172,13 @@
     sizeFactor: 3,
     runTimeFactor: 0.1,
   });
-  tell(reserve(1));
-  tell(start(1));
+  send(reserve(1));
+  send(start(1));
   worker.report("127.0.0.1:1");
   clock.advance(499);
   t.deepEqual(worker.report("127.0.0.1:1").usages, []);
   clock.advance(1);
-  t.like(happenings[1], { kind: "ended", outcome: "failed" });
+  t.like(events[1], { kind: "ended", outcome: "failed" });
   clock.advance(1_500);
   t.like(worker.report("127.0.0.1:1").usages[0], { cores: 3 });
 });
--- a/standins/worker/worker_types.ts
+++ b/standins/worker/worker_types.ts
@@ -1,12 +1,12 @@
 /**
- * What a stand-in worker is made with, and what it tells its tests.
+ * The options of a stand-in worker, and the events that it emits in tests.
  *
  * @module
  */
 
 import type { TaskOutcome } from "../../src/process/scheduler/core/scheduler_event.ts";
 
-/** How a worker announces itself. */
+/** The location and capacity that a worker reports. */
 export interface WorkerCapacity {
   readonly rack: string;
   readonly cores: number;
@@ -14,7 +14,7 @@
   readonly accelerators: number;
 }
 
-/** A start or an end of a task, as it truly happened. */
+/** An actual start or end of a task. */
 export type TaskEvent =
   & {
     readonly workerId: string;
@@ -27,5 +27,9 @@
     | { readonly kind: "ended"; readonly outcome: TaskOutcome }
   );
 
-/** A fence left out on purpose, in tests of the checks alone. */
+/**
+ * A check that the worker skips, so that tests can show that they notice when
+ * it is missing: of the leader's term, of a command's validity, for released
+ * attempts, or of a lease's end.
+ */
 export type OmittedFence = "term" | "late" | "released" | "lease";
