Reword demo and deploy in plain terms

The demo's scenario, its checks and its printed lines are named as such, and its calls say what they do (waitForJobState, setStatus).

The demo itself was not run.

--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -1,6 +1,6 @@
 /**
- * The demo's story: requests, gangs, a data centre out and back, and the time
- * line. It exits 0 only if everything came out as promised.
+ * The demo's scenario: requests, gangs, a data centre that is taken out and put
+ * back in, and the timeline. Exits 0 only if every check passes.
  *
  * @module
  */
@@ -9,56 +9,58 @@
 import { WaitReason } from "../src/process/scheduler/core/mod.ts";
 import type { TimelineRecord } from "../src/process/timeline/mod.ts";
 import {
-  ask,
   type DemoAnswer,
   type DemoInstance,
   type DemoJob,
   get,
   INSTANCES,
-  jobIn,
+  sendRequest,
+  setStatus,
   submit,
-  submitRefused,
-  switchStatus,
+  submitExpectingRefusal,
   waitFor,
+  waitForJobState,
 } from "./demo_api.ts";
 
-const START_LIMIT_MS = 15_000;
-const JOB_LIMIT_MS = 20_000;
-const REQUESTS = 60;
-const WORKERS = 12;
-const SERVERS: Readonly<Record<DemoInstance, number>> = {
+const START_TIMEOUT_MS = 15_000;
+const JOB_TIMEOUT_MS = 20_000;
+const REQUEST_COUNT = 60;
+const WORKER_COUNT = 12;
+const SERVER_COUNTS: Readonly<Record<DemoInstance, number>> = {
   "east-1": 2,
   "east-2": 2,
   "west-1": 1,
 };
 
-const faults: string[] = [];
-const ranWhere = new Map<string, string>();
+const failures: string[] = [];
+/** Where each request and job ran: its server or data centre. */
+const ranOn = new Map<string, string>();
 
-function say(text: string): void {
+function print(text: string): void {
   process.stdout.write(text + "\n");
 }
 
-function expect(isRight: boolean, what: string): void {
-  say(`  ${isRight ? "right" : "WRONG"}: ${what}`);
-  if (!isRight) {
-    faults.push(what);
+function check(hasPassed: boolean, description: string): void {
+  print(`  ${hasPassed ? "ok" : "FAILED"}: ${description}`);
+  if (!hasPassed) {
+    failures.push(description);
   }
 }
 
 async function waitForStart(): Promise<void> {
-  say("waiting for three instances, their servers and workers");
+  print("waiting for three instances, their backend servers and workers");
   for (const instance of Object.keys(INSTANCES) as DemoInstance[]) {
     await waitFor(`${instance} is ready`, {
-      withinMs: START_LIMIT_MS,
+      withinMs: START_TIMEOUT_MS,
       isTrue: () => isReady(instance),
     });
   }
   await waitFor("all workers", {
-    withinMs: START_LIMIT_MS,
+    withinMs: START_TIMEOUT_MS,
     isTrue: async () => {
       const answer = await get("east-1", "/v1/workers");
-      return (answer as { workers: unknown[] })?.workers.length === WORKERS;
+      return (answer as { workers: unknown[] })?.workers.length ===
+        WORKER_COUNT;
     },
   });
 }
@@ -69,16 +71,18 @@
     ?.configurationVersion;
   const listed = await get(instance, "/v1/backends");
   const servers = (listed as { backends: unknown[] })?.backends.length;
-  return version > 0 && servers === SERVERS[instance];
+  return version > 0 && servers === SERVER_COUNTS[instance];
 }
 
 async function sendRequests(): Promise<void> {
-  say(`sending ${REQUESTS} non-idempotent requests through all instances`);
+  print(
+    `sending ${REQUEST_COUNT} non-idempotent requests through all instances`,
+  );
   const instances = Object.keys(INSTANCES) as DemoInstance[];
   const answers = await Promise.all(
-    Array.from({ length: REQUESTS }, async (_, number) => {
+    Array.from({ length: REQUEST_COUNT }, async (_, number) => {
       const requestId = `demo-${number}`;
-      const answer = await ask(instances[number % 3] as DemoInstance, {
+      const answer = await sendRequest(instances[number % 3] as DemoInstance, {
         requestId,
         requestClass: number % 4 === 0 ? "urgent" : "normal",
         body: `body of ${requestId}`,
@@ -86,52 +90,61 @@
       return { requestId, answer };
     }),
   );
-  const own = answers.filter(({ requestId, answer }) =>
-    isOwnAnswer(answer, requestId)
+  const correct = answers.filter(({ requestId, answer }) =>
+    isCorrectAnswer(answer, requestId)
+  );
+  check(
+    correct.length === REQUEST_COUNT,
+    `${correct.length} requests got their own answers`,
   );
-  expect(own.length === REQUESTS, `${own.length} got their own answers`);
   for (const { answer } of answers) {
-    ranWhere.set(`request ${answer.requestId}`, answer.server);
+    ranOn.set(`request ${answer.requestId}`, answer.server);
   }
   await resend(answers[1]?.answer as DemoAnswer);
 }
 
-function isOwnAnswer(answer: DemoAnswer, requestId: string): boolean {
+function isCorrectAnswer(answer: DemoAnswer, requestId: string): boolean {
   return answer.requestId === requestId && answer.run === 1 &&
     answer.body === `body of ${requestId}`;
 }
 
 async function resend(first: DemoAnswer): Promise<void> {
-  const again = await ask("east-1", {
+  const again = await sendRequest("east-1", {
     requestId: first.requestId,
     requestClass: "normal",
     body: first.body,
   });
   const isSame = again.run === 1 && again.server === first.server;
-  expect(isSame, "a request sent again got its first answer, and ran once");
+  check(
+    isSame,
+    "a request that was sent twice ran once and got the same answer",
+  );
 }
 
 async function runGangs(): Promise<void> {
-  say("submitting gangs");
+  print("submitting gangs");
   for (const file of ["urgent_gang", "density_sweep"]) {
     const { jobId } = await submit(file);
-    const ended = await jobIn("ended", { jobId, withinMs: JOB_LIMIT_MS });
-    expect(ended.end?.outcome === "succeeded", `job ${jobId} succeeded`);
-    noteJob(ended);
+    const ended = await waitForJobState("ended", {
+      jobId,
+      withinMs: JOB_TIMEOUT_MS,
+    });
+    check(ended.end?.outcome === "succeeded", `job ${jobId} succeeded`);
+    recordJob(ended);
   }
-  const refusal = await submitRefused("never_fits");
-  expect(
+  const refusal = await submitExpectingRefusal("never_fits");
+  check(
     refusal?.kind === "neverFits",
-    `job never-fits refused at once: ${refusal?.message}`,
+    `job never-fits was refused immediately: ${refusal?.message}`,
   );
 }
 
-function noteJob(ended: DemoJob): void {
-  ranWhere.set(`job ${ended.jobId}`, ended.dataCentre);
+function recordJob(ended: DemoJob): void {
+  ranOn.set(`job ${ended.jobId}`, ended.dataCentre);
 }
 
-async function moveDataCentre(): Promise<void> {
-  say("a long gang runs in east");
+async function takeDataCentreOutAndIn(): Promise<void> {
+  print("starting a long gang in data centre east");
   const { jobId } = await submit("urgent_gang", {
     jobId: "long-gang",
     jobClass: "normal",
@@ -139,48 +152,57 @@
     command: ["run", "6000"],
     dataCentres: ["east"],
   });
-  await jobIn("running", { jobId, withinMs: JOB_LIMIT_MS });
-  say("taking east out");
-  expect(await switchStatus("east", "out") === 0, "the removal holds");
-  const waiting = await jobIn("queued", { jobId, withinMs: JOB_LIMIT_MS });
-  expect(
+  await waitForJobState("running", { jobId, withinMs: JOB_TIMEOUT_MS });
+  print("taking data centre east out");
+  check(await setStatus("east", "out") === 0, "the removal took effect");
+  const waiting = await waitForJobState("queued", {
+    jobId,
+    withinMs: JOB_TIMEOUT_MS,
+  });
+  check(
     waiting.waitText === WaitReason.dataCentreOut,
-    `${jobId} was stopped; it waits: ${waiting.waitText}`,
+    `job ${jobId} was stopped and is queued again: ${waiting.waitText}`,
   );
-  const served = await ask("east-1", {
+  const served = await sendRequest("east-1", {
     requestId: "while-out",
     requestClass: "urgent",
     body: "body of while-out",
   });
-  expect(isOwnAnswer(served, "while-out"), "east serves requests all the same");
-  say("taking east back in");
-  expect(await switchStatus("east", "in") === 0, "east is back");
-  const ended = await jobIn("ended", { jobId, withinMs: 2 * JOB_LIMIT_MS });
-  expect(ended.end?.outcome === "succeeded", `${jobId} went on and succeeded`);
-  noteJob(ended);
+  check(isCorrectAnswer(served, "while-out"), "east still serves requests");
+  print("putting data centre east back in");
+  check(await setStatus("east", "in") === 0, "east is in again");
+  const ended = await waitForJobState("ended", {
+    jobId,
+    withinMs: 2 * JOB_TIMEOUT_MS,
+  });
+  check(
+    ended.end?.outcome === "succeeded",
+    `job ${jobId} continued and succeeded`,
+  );
+  recordJob(ended);
 }
 
 async function showTimeline(): Promise<void> {
-  say("the time line of the long gang, over all instances");
+  print("timeline of the long gang, from all instances");
   const answer = await get("west-1", "/v1/timeline?job=long-gang");
   const { records } = answer as { records: TimelineRecord[] };
   for (const { wallMs, instance, name, fields } of records) {
     const time = new Date(wallMs).toISOString().slice(11, 23);
-    say(`  ${time} ${instance} ${name} ${JSON.stringify(fields)}`);
+    print(`  ${time} ${instance} ${name} ${JSON.stringify(fields)}`);
   }
-  expect(records.length > 0, `${records.length} events`);
+  check(records.length > 0, `the timeline has ${records.length} events`);
 }
 
 function summarise(): void {
-  say("what ran where");
+  print("where requests and jobs ran");
   const counts = new Map<string, number>();
-  for (const [what, where] of ranWhere) {
-    const kind = what.split(" ")[0];
-    const key = `${kind}s on ${where}`;
+  for (const [item, place] of ranOn) {
+    const kind = item.split(" ")[0];
+    const key = `${kind}s on ${place}`;
     counts.set(key, (counts.get(key) ?? 0) + 1);
   }
   for (const [key, number] of [...counts].sort()) {
-    say(`  ${String(number).padStart(3)} ${key}`);
+    print(`  ${String(number).padStart(3)} ${key}`);
   }
 }
 
@@ -189,13 +211,13 @@
     await waitForStart();
     await sendRequests();
     await runGangs();
-    await moveDataCentre();
+    await takeDataCentreOutAndIn();
     await showTimeline();
   } catch (error) {
-    expect(false, error instanceof Error ? error.message : String(error));
+    check(false, error instanceof Error ? error.message : String(error));
   }
   summarise();
-  process.exitCode = faults.length === 0 ? 0 : 1;
+  process.exitCode = failures.length === 0 ? 0 : 1;
 }
 
 await main();
--- a/demo/demo_api.ts
+++ b/demo/demo_api.ts
@@ -1,5 +1,5 @@
 /**
- * What the demo's story asks of the instances.
+ * The demo's calls to the instances.
  *
  * @module
  */
@@ -22,12 +22,12 @@
 /** One of the demo's instances. */
 export type DemoInstance = keyof typeof INSTANCES;
 
-/** The demo's well-known key of the team that owns the data centres. */
+/** The key of the team that owns the data centres; not secret. */
 const OPERATIONS_KEY = "operations:demo-operations-key";
 
 const POLL_MS = 100;
 
-/** A job as the demo looks at it. */
+/** The fields of a job that the demo uses. */
 export interface DemoJob {
   readonly jobId: string;
   readonly dataCentre: string;
@@ -48,26 +48,26 @@
   readonly run: number;
 }
 
-/** A client of one instance. */
+/** Creates a client of one instance. */
 export function clientOf(instance: DemoInstance): ApiClient {
   return new ApiClient({ servers: [INSTANCES[instance]] });
 }
 
-/** Asks until the condition holds; throws after `withinMs`. */
+/** Polls until the condition is true; throws after `withinMs`. */
 export async function waitFor(
-  what: string,
+  description: string,
   options: { withinMs: number; isTrue: () => Promise<boolean> },
 ): Promise<void> {
   const endMs = Date.now() + options.withinMs;
   while (!await options.isTrue()) {
     if (Date.now() > endMs) {
-      throw new Error(`waited in vain: ${what}`);
+      throw new Error(`timed out waiting for: ${description}`);
     }
     await new Promise((resolve) => setTimeout(resolve, POLL_MS));
   }
 }
 
-/** One JSON value, or undefined while it can't be had. */
+/** Gets one JSON value; undefined if the call fails. */
 export async function get(
   instance: DemoInstance,
   path: string,
@@ -76,8 +76,8 @@
   return result.toMaybe().extract();
 }
 
-/** Sends one request and gives its answer; throws on an error. */
-export async function ask(
+/** Sends one request and returns its answer; throws on an error. */
+export async function sendRequest(
   instance: DemoInstance,
   options: { requestId: string; requestClass: string; body: string },
 ): Promise<DemoAnswer> {
@@ -95,59 +95,59 @@
   return result.unsafeCoerce() as DemoAnswer;
 }
 
-/** Submits the job of one of the demo's files, changed as asked. */
+/** Submits the job of one of the demo's files, with some fields changed. */
 export async function submit(
   file: string,
-  change: Readonly<Record<string, unknown>> = {},
+  changes: Readonly<Record<string, unknown>> = {},
 ): Promise<DemoJob> {
-  const result = await sendJob(file, change);
+  const result = await postJob(file, changes);
   return (result.unsafeCoerce() as { job: DemoJob }).job;
 }
 
-/** Submits a job that is to be refused; gives the refusal. */
-export async function submitRefused(
+/** Submits a job; returns its refusal, or undefined if it was accepted. */
+export async function submitExpectingRefusal(
   file: string,
 ): Promise<SesameError | undefined> {
-  const result = await sendJob(file, {});
+  const result = await postJob(file, {});
   return result.swap().toMaybe().extract();
 }
 
-async function sendJob(
+async function postJob(
   file: string,
-  change: Readonly<Record<string, unknown>>,
+  changes: Readonly<Record<string, unknown>>,
 ): Promise<Result<unknown>> {
   const text = await readFile(`examples/demo/jobs/${file}.toml`, "utf8");
   return await clientOf("east-2").json({
     method: "POST",
     path: "/v1/jobs",
-    body: JSON.stringify({ ...parse(text), ...change }),
+    body: JSON.stringify({ ...parse(text), ...changes }),
   });
 }
 
-/** One job, asked through an instance that need not be its home. */
-export async function job(jobId: string): Promise<DemoJob | undefined> {
+/** Gets a job through an instance that may be in another data centre. */
+export async function getJob(jobId: string): Promise<DemoJob | undefined> {
   const answer = await get("west-1", `/v1/jobs/${jobId}`);
   return (answer as { job: DemoJob } | undefined)?.job;
 }
 
-/** Waits until a job is in the state, and gives it. */
-export async function jobIn(
+/** Waits until a job is in the state, and returns it. */
+export async function waitForJobState(
   state: string,
   options: { jobId: string; withinMs: number },
 ): Promise<DemoJob> {
-  let seen: DemoJob | undefined;
+  let latest: DemoJob | undefined;
   await waitFor(`job ${options.jobId} ${state}`, {
     withinMs: options.withinMs,
     isTrue: async () => {
-      seen = await job(options.jobId);
-      return seen?.state === state;
+      latest = await getJob(options.jobId);
+      return latest?.state === state;
     },
   });
-  return seen as DemoJob;
+  return latest as DemoJob;
 }
 
-/** Takes a data centre out, or back in; gives the tool's exit code. */
-export function switchStatus(
+/** Takes a data centre out or puts it back in; returns the exit code. */
+export function setStatus(
   dataCentre: string,
   status: "in" | "out",
 ): Promise<number> {
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # The demo: starts three instances, workers and backend servers on loopback,
-# runs the demo's story against them, and stops everything gracefully.
-# Exits 0 only if every answer was right and every program exited 0.
+# runs the demo's scenario against them, and stops everything gracefully.
+# Exits 0 only if every check passed and every program exited with 0.
 set -u
 cd "$(dirname "$0")/.."
 folder=run/demo
@@ -19,15 +19,15 @@
 }
 
 stop_all() {
-  local failed=0 at
-  for ((at = ${#pids[@]} - 1; at >= 0; at--)); do
-    kill -TERM "${pids[$at]}" 2>/dev/null
+  local failed=0 index
+  for ((index = ${#pids[@]} - 1; index >= 0; index--)); do
+    kill -TERM "${pids[$index]}" 2>/dev/null
   done
-  for at in "${!pids[@]}"; do
-    wait "${pids[$at]}"
+  for index in "${!pids[@]}"; do
+    wait "${pids[$index]}"
     local code=$?
     if [ "$code" -ne 0 ]; then
-      echo "  ${names[$at]} exited with code $code" >&2
+      echo "  ${names[$index]} exited with code $code" >&2
       failed=1
     fi
   done
@@ -63,12 +63,12 @@
   --announce-to "$west" --seed 3
 
 node dist/demo/demo.js
-story=$?
+scenario=$?
 echo "stopping everything gracefully"
 stop_all
-stops=$?
-if [ "$story" -eq 0 ] && [ "$stops" -eq 0 ]; then
-  echo "every answer was right, and all ${#pids[@]} programs stopped with 0"
+stopping=$?
+if [ "$scenario" -eq 0 ] && [ "$stopping" -eq 0 ]; then
+  echo "every check passed, and all ${#pids[@]} programs exited with 0"
   exit 0
 fi
 echo "the demo failed; logs are in $folder/processes" >&2
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Builds the platform's programs into target/: one bundle, split by role, so
-# that a process loads only what its role needs.
+# Builds platform/main.ts into target/: one bundle, split into chunks, so that a
+# process loads only the code of its role.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 rm -rf target
