Play the renames of the tool and the stand-ins that cross parts

Cause: fate, pause, truth, switchDataCentre and two classes named alike are used from several folders.

--- a/demo/demo_api.ts
+++ b/demo/demo_api.ts
@@ -9,7 +9,7 @@
 import { parse } from "smol-toml";
 import type { Result, SesameError } from "../src/base/mod.ts";
 import { ApiClient } from "../src/programs/commands/api_client.ts";
-import { switchDataCentre } from "../src/programs/commands/config/mod.ts";
+import { setDataCentreStatus } from "../src/programs/commands/config/mod.ts";
 import { RequestHeader } from "../src/process/routing/mod.ts";
 
 /** The addresses of the demo's instances. */
@@ -151,7 +151,7 @@
   dataCentre: string,
   status: "in" | "out",
 ): Promise<number> {
-  return switchDataCentre({
+  return setDataCentreStatus({
     client: clientOf("west-1"),
     wantsJson: false,
     io: {
--- a/src/process/routing/request_routing_test.ts
+++ b/src/process/routing/request_routing_test.ts
@@ -149,7 +149,7 @@
     t.is(first.status, 200);
     t.deepEqual(second.json, first.json);
     t.is(second.headers["sesamethread-recorded"], "true");
-    t.is(server.truth.runs.get(requestId), 1);
+    t.is(server.activity.runs.get(requestId), 1);
     const other = await call(1, "other bale", headers);
     t.is(other.json.error.kind, "identityReused");
   }
@@ -163,7 +163,7 @@
     [0, 1, 0, 1].map((index) => call(index, "bale", headers)),
   );
   answers.forEach(({ json }) => t.is(json.body, "bale"));
-  t.is(server.truth.runs.get("order-1"), 1);
+  t.is(server.activity.runs.get("order-1"), 1);
 });
 
 test("nothing is sent while the home's ledger is unavailable", async (t) => {
@@ -174,7 +174,7 @@
   const { json } = await call(0, "bale", headers);
   t.is(json.error.kind, "outcomeUnknown");
   t.is(json.error.facts.isSentNow, false);
-  t.is(server.truth.runs.size, 0);
+  t.is(server.activity.runs.size, 0);
 });
 
 const WRONG_ANSWERS = ["crossed", "truncated", "drop"] as const;
@@ -191,7 +191,9 @@
     const second = await call(1, "bale", headers);
     t.is(first.json.error.kind, "outcomeUnknown");
     t.is(second.json.error.kind, "outcomeUnknown");
-    const runs = servers.map(({ truth }) => truth.runs.get("order-1") ?? 0);
+    const runs = servers.map(({ activity: truth }) =>
+      truth.runs.get("order-1") ?? 0
+    );
     t.is((runs[0] ?? 0) + (runs[1] ?? 0), 1);
     if (fault !== "drop") {
       t.regex(
@@ -242,7 +244,7 @@
   const longTimeout = { ...headers, "sesamethread-timeout-ms": "20000" };
   const second = await call(1, "bale", longTimeout);
   t.is(second.json.body, "bale");
-  t.is(server.truth.runs.get("order-1"), 1);
+  t.is(server.activity.runs.get("order-1"), 1);
   t.regex(instances[0]?.metrics.render() ?? "", /fault="late"} 1/);
 });
 
@@ -307,7 +309,7 @@
   const answers = await Promise.all(requests);
   answers.forEach(({ json }, index) => t.is(json.body, `bale ${index}`));
   await stopped;
-  t.is(server.truth.runs.size, 200);
-  t.true([...server.truth.runs.values()].every((runs) => runs === 1));
-  t.true(server.truth.mostAtOnce <= 8);
+  t.is(server.activity.runs.size, 200);
+  t.true([...server.activity.runs.values()].every((runs) => runs === 1));
+  t.true(server.activity.mostAtOnce <= 8);
 });
--- a/src/programs/cli/config_cli.ts
+++ b/src/programs/cli/config_cli.ts
@@ -12,8 +12,8 @@
   getConfiguration,
   KEY_VARIABLE,
   printKeyHash,
+  setDataCentreStatus,
   showConfigurationHistory,
-  switchDataCentre,
   validateConfiguration,
 } from "../commands/config/mod.ts";
 import { changeMember } from "../commands/member_commands.ts";
@@ -156,7 +156,7 @@
       reportUsageError(context, `unknown action: datacentre ${action}`);
   }
   return (context) =>
-    switchDataCentre(context, {
+    setDataCentreStatus(context, {
       dataCentre,
       status: action,
       ...teamKeyOption(flags),
--- a/src/programs/commands/config/config_commands_test.ts
+++ b/src/programs/commands/config/config_commands_test.ts
@@ -16,8 +16,8 @@
   editConfiguration,
   getConfiguration,
   printKeyHash,
+  setDataCentreStatus,
   showConfigurationHistory,
-  switchDataCentre,
   validateConfiguration,
 } from "./mod.ts";
 
@@ -200,7 +200,7 @@
     Right({ ...pending, holdsByMs: 5_000 }),
     Right({ state: "accepted", version: 3 }),
   ]);
-  const code = await switchDataCentre(context, {
+  const code = await setDataCentreStatus(context, {
     dataCentre: "north",
     status: "out",
     key: KEY,
@@ -223,7 +223,7 @@
     Right({ section: "dataCentres.north", version: 2, text: NORTH }),
     ...Array(20).fill(Right(pending)),
   ]);
-  const code = await switchDataCentre(context, {
+  const code = await setDataCentreStatus(context, {
     dataCentre: "north",
     status: "out",
     key: KEY,
--- a/src/programs/commands/config/data_centre_status.ts
+++ b/src/programs/commands/config/data_centre_status.ts
@@ -47,7 +47,7 @@
 export const EXIT_REMOVAL_PENDING = 75;
 
 /** Sets the data centre's status; returns the exit code. */
-export async function switchDataCentre(
+export async function setDataCentreStatus(
   context: CommandContext,
   options: DataCentreStatusOptions,
 ): Promise<number> {
@@ -177,8 +177,8 @@
   const endMs = sections.nowMs() + edit.waitMs;
   let latest: Result<EditView> = Right(edit.view);
   while (sections.nowMs() < endMs) {
-    await sections.pause(REMOVAL_POLL_INTERVAL_MS);
-    const polled = await sections.fate(edit.editId);
+    await sections.delay(REMOVAL_POLL_INTERVAL_MS);
+    const polled = await sections.readEditState(edit.editId);
     if (polled.isRight()) {
       latest = polled;
     }
--- a/src/programs/commands/config/mod.ts
+++ b/src/programs/commands/config/mod.ts
@@ -13,7 +13,7 @@
 export { validateConfiguration } from "./config_validate.ts";
 export {
   type DataCentreStatusOptions,
-  switchDataCentre,
+  setDataCentreStatus,
 } from "./data_centre_status.ts";
 export { type KeyHashOptions, printKeyHash } from "./key_hash.ts";
 export { KEY_VARIABLE, requireKey } from "./team_key_option.ts";
--- a/src/programs/commands/config/section_client.ts
+++ b/src/programs/commands/config/section_client.ts
@@ -54,13 +54,13 @@
   /** Maximum number of times that an edit is sent. */
   readonly attemptsLimit?: number;
   /** Delay before an edit is sent again. */
-  readonly pauseMs?: number;
+  readonly retryDelayMs?: number;
 }
 
 /** Defaults of {@link SectionClientOptions}. */
 export const SECTION_CLIENT_DEFAULTS = {
   attemptsLimit: 5,
-  pauseMs: 500,
+  retryDelayMs: 500,
 } as const;
 
 /** Reads and edits sections. */
@@ -88,25 +88,25 @@
 
   /** Sends the edit until its outcome is known or the attempts are used up. */
   async edit(edit: SectionEdit): Promise<Result<EditView>> {
-    const { attemptsLimit, pauseMs } = this.#options;
+    const { attemptsLimit, retryDelayMs } = this.#options;
     let result = await this.#send(edit);
     for (let attempt = 1; attempt < attemptsLimit; attempt++) {
       if (!shouldRetry(result)) {
         return result;
       }
-      await this.pause(pauseMs);
+      await this.delay(retryDelayMs);
       result = await this.#send(edit);
     }
     return shouldRetry(result) ? addResumeHint(result, edit) : result;
   }
 
   /** Reads the current state of an edit. */
-  async fate(editId: string): Promise<Result<EditView>> {
+  async readEditState(editId: string): Promise<Result<EditView>> {
     const path = `/v1/configuration/edits/${encodeURIComponent(editId)}`;
     return await this.#json({ method: "GET", path }, editSchema);
   }
 
-  pause(delayMs: number): Promise<void> {
+  delay(delayMs: number): Promise<void> {
     return new Promise((resolve) => {
       this.#options.clock.after(delayMs, resolve);
     });
--- a/standins/backend_server/standin_backend_server.ts
+++ b/standins/backend_server/standin_backend_server.ts
@@ -104,7 +104,7 @@
     );
   }
 
-  get truth(): ServerActivity {
+  get activity(): ServerActivity {
     return {
       runs: this.#runs,
       startedAtMs: this.#startedAtMs,
--- a/standins/platform/standin_platform.ts
+++ b/standins/platform/standin_platform.ts
@@ -110,7 +110,7 @@
   }
 
   /** The number of workers in the replica of each running core instance. */
-  workersKnown(): number[] {
+  knownWorkerCounts(): number[] {
     return [...this.#cores.keys()].map((id) => {
       const text = this.#metrics.get(id)!.render();
       return Number(/^sesamethread_workers (\d+)$/m.exec(text)?.[1]);
--- a/standins/platform/standin_worker.ts
+++ b/standins/platform/standin_worker.ts
@@ -11,8 +11,8 @@
 import type { AddressInfo } from "node:net";
 import { request } from "undici";
 
-/** Options of {@link StandinWorker}. */
-export interface StandinWorkerOptions {
+/** Options of {@link PlatformStandinWorker}. */
+export interface PlatformStandinWorkerOptions {
   readonly id: string;
   readonly service: string;
   readonly zone: string;
@@ -79,8 +79,8 @@
 const HEARTBEAT_PERIOD_MS = 300;
 
 /** A worker that serves until it is closed. */
-export class StandinWorker {
-  readonly #options: StandinWorkerOptions;
+export class PlatformStandinWorker {
+  readonly #options: PlatformStandinWorkerOptions;
   readonly #server: Server;
   readonly #bornAtMs = Date.now();
   readonly #running = new Map<string, HeldRun>();
@@ -95,7 +95,7 @@
   #heartbeatTimer: NodeJS.Timeout | undefined;
   #reportWaiters: (() => void)[] = [];
 
-  constructor(options: StandinWorkerOptions) {
+  constructor(options: PlatformStandinWorkerOptions) {
     this.#options = options;
     this.#server = createServer((incoming, response) => {
       void readJson(incoming).then((body) => {
--- a/test/platform/calm_day_test.ts
+++ b/test/platform/calm_day_test.ts
@@ -6,8 +6,8 @@
 import test from "ava";
 import { SILENT_EVENT_LOG } from "../../src/base/mod.ts";
 import {
+  PlatformStandinWorker,
   RunHistory,
-  StandinWorker,
 } from "../../standins/platform/standin_worker.ts";
 import {
   type CallResult,
@@ -18,7 +18,7 @@
 interface Day {
   readonly platform: StandinPlatform;
   readonly history: RunHistory;
-  readonly workers: StandinWorker[];
+  readonly workers: PlatformStandinWorker[];
 }
 
 async function openDay(
@@ -33,7 +33,7 @@
   );
   const history = new RunHistory();
   const workers = [1, 2, 3].map((number) =>
-    new StandinWorker({
+    new PlatformStandinWorker({
       id: `i-${number}`,
       service: "pool",
       zone: number === 3 ? "zone-2" : "zone-1",
@@ -253,5 +253,5 @@
 });
 
 function isKnownEverywhere(platform: StandinPlatform): boolean {
-  return platform.workersKnown().every((count) => count === 3);
+  return platform.knownWorkerCounts().every((count) => count === 3);
 }
--- a/test/process/edit_load.ts
+++ b/test/process/edit_load.ts
@@ -72,7 +72,7 @@
         client: this.#cluster.client(instance?.id ?? ""),
         key: KEY,
         attemptsLimit: 10,
-        pauseMs: 200,
+        retryDelayMs: 200,
       });
       await this.#edit(sections);
       await pause(EDIT_PAUSE_MS);
@@ -82,7 +82,7 @@
   async #edit(sections: SectionClient): Promise<void> {
     const current = (await sections.read(SECTION)).toMaybe().extract();
     if (current?.text === undefined) {
-      await sections.pause(100);
+      await sections.delay(100);
       return;
     }
     const editId = randomUUID();
--- a/test/process/scenarios.ts
+++ b/test/process/scenarios.ts
@@ -272,7 +272,7 @@
 ): Promise<number> {
   const editId = await setStatus(sections, { dataCentre, status: "out" });
   await cluster.until("the removal holds", async () => {
-    const fate = await sections.fate(editId);
+    const fate = await sections.readEditState(editId);
     return fate.map(({ state }) => state === "accepted").orDefault(false);
   });
   return Date.now();
--- a/test/system/operator_session.ts
+++ b/test/system/operator_session.ts
@@ -25,8 +25,8 @@
 import {
   editConfiguration,
   getConfiguration,
+  setDataCentreStatus,
   showConfigurationHistory,
-  switchDataCentre,
 } from "../../src/programs/commands/config/mod.ts";
 
 const INSTANCES = [
@@ -235,11 +235,11 @@
   await session.run(
     "datacentre out north, cut off, --wait-ms 0",
     (context) =>
-      switchDataCentre(context, { ...north, status: "out", waitMs: 0 }),
+      setDataCentreStatus(context, { ...north, status: "out", waitMs: 0 }),
   );
   await session.run(
     "datacentre out north, cut off",
-    (context) => switchDataCentre(context, { ...north, status: "out" }),
+    (context) => setDataCentreStatus(context, { ...north, status: "out" }),
   );
   await session.run(
     "config history --limit 3, while cut off",
@@ -249,7 +249,7 @@
   await session.cluster.run(8_000);
   await session.run(
     "datacentre in north, healed",
-    (context) => switchDataCentre(context, { ...north, status: "in" }),
+    (context) => setDataCentreStatus(context, { ...north, status: "in" }),
   );
   await session.cluster.run(6_000);
   await session.run(
