--- a/src/process/data_centre/part_log.ts
+++ b/src/process/data_centre/component_log.ts
@@ -1,5 +1,5 @@
 /**
- * One part's view of a log that several parts share.
+ * One component's view of a log that several components share.
  *
  * @module
  */
@@ -12,25 +12,25 @@
 } from "../replication/replicated_log.ts";
 import type { PartCommand } from "./shared_machine.ts";
 
-/** How a {@link PartLog} is made. */
+/** How to build a {@link PartLog}. */
 export interface PartLogOptions {
-  /** The part's name in the shared machine. */
+  /** The component's name in the {@link SharedMachine}. */
   readonly part: string;
   readonly log: ReplicatedLog<PartCommand, unknown>;
 }
 
 /**
- * A log for one part. Closing it does nothing, since the shared log has an
- * owner of its own.
+ * A log for one component. Closing it does nothing, since the component
+ * doesn't own the shared log.
  */
 export class PartLog<Command, Outcome>
   implements ReplicatedLog<Command, Outcome> {
   readonly statuses: Stream<MemberStatus>;
-  #part: string;
+  #component: string;
   #log: ReplicatedLog<PartCommand, unknown>;
 
   constructor(options: PartLogOptions) {
-    this.#part = options.part;
+    this.#component = options.part;
     this.#log = options.log;
     this.statuses = options.log.statuses;
   }
@@ -40,7 +40,7 @@
     options: { deadlineMs: number },
   ): Promise<Result<Outcome>> {
     const outcome = await this.#log.propose(
-      { part: this.#part, command },
+      { part: this.#component, command },
       options,
     );
     return outcome as Result<Outcome>;
--- a/src/process/data_centre/mod.ts
+++ b/src/process/data_centre/mod.ts
@@ -1,8 +1,8 @@
 /**
- * The one replicated group of each data centre and the parts that share it.
+ * The replicated log of a data centre and the components that share it.
  *
  * @module
  */
 
-export { PartLog, type PartLogOptions } from "./part_log.ts";
+export { PartLog, type PartLogOptions } from "./component_log.ts";
 export { type PartCommand, SharedMachine } from "./shared_machine.ts";
--- a/src/process/data_centre/shared_machine.ts
+++ b/src/process/data_centre/shared_machine.ts
@@ -1,6 +1,6 @@
 /**
- * Several state machines behind one log, so that a data centre pays for one
- * group's heartbeats and elections, and not for one group a part.
+ * Several state machines behind one log. Sharing one replication group spares
+ * a data centre the heartbeats and elections of a group per state machine.
  *
  * @module
  */
@@ -11,13 +11,14 @@
 import { failure, type Result } from "../../base/mod.ts";
 import type { StateMachine } from "../replication/replicated_log.ts";
 
-/** A command for one of the parts. */
+/** A command for one of the components. */
 export interface PartCommand {
+  /** The component's name. */
   readonly part: string;
   readonly command: unknown;
 }
 
-/** The version of the snapshot's own format. */
+/** Format version of the shared snapshot. */
 const SNAPSHOT_FORMAT_VERSION = 1;
 
 const snapshotSchema = z.strictObject({
@@ -30,34 +31,36 @@
 
 type AnyMachine = StateMachine<unknown, unknown>;
 
-/** Applies each command to the part that it is for. */
+/** Applies each command to the component that it names. */
 export class SharedMachine implements StateMachine<PartCommand, unknown> {
-  #parts: ReadonlyMap<string, AnyMachine>;
+  #components: ReadonlyMap<string, AnyMachine>;
 
   constructor(options: { parts: Readonly<Record<string, AnyMachine>> }) {
-    this.#parts = new Map(Object.entries(options.parts));
+    this.#components = new Map(Object.entries(options.parts));
   }
 
   apply({ part, command }: PartCommand, index: number): unknown {
-    return this.#parts.get(part)?.apply(command, index);
+    return this.#components.get(part)?.apply(command, index);
   }
 
   snapshot(): Uint8Array {
     const parts: Record<string, Uint8Array> = {};
-    for (const [name, machine] of this.#parts) {
+    for (const [name, machine] of this.#components) {
       parts[name] = machine.snapshot();
     }
     return pack({ formatVersion: SNAPSHOT_FORMAT_VERSION, parts });
   }
 
-  /** A part that the snapshot doesn't know stays as it is. */
+  /** A component that the snapshot doesn't contain keeps its state. */
   restore(snapshot: Uint8Array): Result<void> {
     const checked = snapshotSchema.safeParse(unpack(snapshot));
     if (!checked.success) {
-      return failure("storageFailed", { detail: "not a shared snapshot" });
+      return failure("storageFailed", {
+        detail: "not a snapshot of a shared state machine",
+      });
     }
     let result: Result<void> = Right(undefined);
-    for (const [name, machine] of this.#parts) {
+    for (const [name, machine] of this.#components) {
       const bytes = checked.data.parts[name];
       if (bytes !== undefined) {
         result = result.chain(() => machine.restore(bytes));
--- a/src/process/data_centre/shared_machine_test.ts
+++ b/src/process/data_centre/shared_machine_test.ts
@@ -29,14 +29,14 @@
   return { shared: new SharedMachine({ parts }), jobs };
 }
 
-test("each command reaches its part alone", (t) => {
+test("each command reaches only its component", (t) => {
   const { shared, jobs } = makeShared();
   t.is(shared.apply({ part: "jobs", command: 2 }, 1), 2);
   t.is(shared.apply({ part: "requests", command: 5 }, 2), 5);
   t.is(jobs.total, 2);
 });
 
-test("a snapshot carries every part, and a newer part starts empty", (t) => {
+test("a snapshot has every component, and an added one starts empty", (t) => {
   const { shared } = makeShared();
   shared.apply({ part: "jobs", command: 7 }, 1);
   const copy = makeShared();
