--- a/src/process/daemon/data_centre_part.ts
+++ b/src/process/daemon/data_centre_part.ts
@@ -8,8 +8,8 @@
 import type { Result, Storage } from "../../base/mod.ts";
 import type { ConfigurationService } from "../configuration/configuration_service.ts";
 import {
-  type PartCommand,
-  PartLog,
+  type ComponentCommand,
+  ComponentLog,
   SharedMachine,
 } from "../data_centre/mod.ts";
 import type { HttpEndpoint } from "../http/mod.ts";
@@ -45,7 +45,7 @@
 
 /** What the parts of a data centre stand on. */
 interface DataCentreState {
-  readonly member: ReplicationMember<PartCommand, unknown>;
+  readonly member: ReplicationMember<ComponentCommand, unknown>;
   readonly requests: LedgerState;
   readonly jobs: JobLedger;
   readonly configuration: ConfigurationService;
@@ -53,7 +53,7 @@
 
 /** An instance's share in its data centre. */
 export class DataCentrePart {
-  readonly member: ReplicationMember<PartCommand, unknown>;
+  readonly member: ReplicationMember<ComponentCommand, unknown>;
   readonly routing: RequestRouting;
   readonly scheduler: SchedulerRuntime;
   #workerClient = new HttpWorkerClient();
@@ -141,7 +141,7 @@
     random: base.random,
     network: base.network,
     configuration: state.configuration,
-    ledgerLog: new PartLog<LedgerCommand, LedgerReply>({
+    ledgerLog: new ComponentLog<LedgerCommand, LedgerReply>({
       part: PartName.requests,
       log: state.member,
     }),
@@ -164,7 +164,7 @@
     dataCentre,
     instances: [instance, ...peers],
     network: base.network,
-    log: new PartLog<JobCommand, JobCommandOutcome>({
+    log: new ComponentLog<JobCommand, JobCommandOutcome>({
       part: PartName.jobs,
       log: state.member,
     }),
--- a/test/system/system_node.ts
+++ b/test/system/system_node.ts
@@ -18,8 +18,8 @@
 import { CONFIGURATION_GROUP } from "../../src/process/daemon/configuration_part.ts";
 import { dataCentreGroup } from "../../src/process/daemon/data_centre_part.ts";
 import {
-  type PartCommand,
-  PartLog,
+  type ComponentCommand,
+  ComponentLog,
   SharedMachine,
 } from "../../src/process/data_centre/mod.ts";
 import { MetricsRegistry } from "../../src/process/http/mod.ts";
@@ -62,7 +62,7 @@
 }
 
 type ConfigurationMember = Awaited<ReturnType<typeof openConfiguration>>;
-type DataCentreMember = ReplicationMember<PartCommand, unknown>;
+type DataCentreMember = ReplicationMember<ComponentCommand, unknown>;
 
 /** One running instance. */
 export class SystemNode {
@@ -108,7 +108,7 @@
     const requests = new LedgerState({});
     const jobs = new JobLedger({});
     const dataCentre = placeOf(options.id).dataCentre;
-    const member = await ReplicationMember.open<PartCommand, unknown>({
+    const member = await ReplicationMember.open<ComponentCommand, unknown>({
       ...options,
       groupId: dataCentreGroup(dataCentre),
       members: listMembers(dataCentre),
@@ -183,7 +183,7 @@
     self: placeOf(options.id),
     peers: SYSTEM_INSTANCES.filter(({ id }) => id !== options.id),
     configuration: node.configuration,
-    ledgerLog: new PartLog<LedgerCommand, LedgerReply>({
+    ledgerLog: new ComponentLog<LedgerCommand, LedgerReply>({
       part: "requests",
       log: node.member,
     }),
@@ -203,7 +203,7 @@
     ...options,
     dataCentre,
     instances: SYSTEM_INSTANCES,
-    log: new PartLog<JobCommand, JobCommandOutcome>({
+    log: new ComponentLog<JobCommand, JobCommandOutcome>({
       part: "jobs",
       log: node.member,
     }),
--- a/test/system/system_session.ts
+++ b/test/system/system_session.ts
@@ -120,7 +120,7 @@
     const label = `edit ${seen.editId} of ${seen.section} at ${at}`;
     result.caseOf({
       Left: ({ kind }) => this.#note(`${label}: ${kind}`),
-      Right: ({ outcome, standing }) => {
+      Right: ({ outcome, editState: standing }) => {
         if (outcome.kind !== "accepted") {
           oracle.edits.noteRejected(seen.editId);
           this.#note(`${label}: ${outcome.kind}`);
