Put the wording of the HTTP server and client in plain terms

Odd: front, whole calls, held bytes, cut off, give up, leave to send, refusals in words. Changed: HttpFront is HttpServer and HttpCaller is HttpClient, with their files; comments, error details and test titles; reservations of the byte budget. The old class names stay as aliases in mod.ts for users outside this part.

--- a/src/process/http/body_reader.ts
+++ b/src/process/http/body_reader.ts
@@ -1,5 +1,5 @@
 /**
- * Reads a call's body whole, within its bounds of size, time and memory.
+ * Reads the complete body of a call within limits of size, time and memory.
  *
  * @module
  */
@@ -10,7 +10,7 @@
 import { failure, type Result } from "../../base/sesame_error.ts";
 import type { ByteBudget } from "./byte_budget.ts";
 
-/** The bounds under which one body is read. */
+/** The limits under which one body is read. */
 export interface BodyReadOptions {
   readonly clock: Clock;
   readonly budget: ByteBudget;
@@ -18,16 +18,17 @@
   readonly deadlineMs: number;
 }
 
-/** A body and the bytes of the budget that it holds. */
+/** A body and its reservation in the {@link ByteBudget}. */
 export interface ReadBody {
   readonly body: Uint8Array;
-  /** Gives the bytes back to the budget; may be called twice. */
+  /** Releases the reservation; further calls have no effect. */
   release(): void;
 }
 
 /**
- * The whole body. `tooLarge` over the size, `slowCaller` past the deadline,
- * `overloaded` over the budget, `malformed` when the caller breaks off.
+ * Reads the complete body. Fails with `tooLarge` over `limitBytes`,
+ * `slowCaller` after the deadline, `overloaded` when the budget is used up and
+ * `malformed` when the connection closes before the end.
  */
 export function readBody(
   request: IncomingMessage,
@@ -48,14 +49,14 @@
 
 function tooLarge(limitBytes: number): Result<never> {
   return failure("tooLarge", {
-    detail: `The body is over ${limitBytes} bytes.`,
+    detail: `The body exceeds ${limitBytes} bytes.`,
     facts: { limitBytes },
   });
 }
 
-const FIRST_BUFFER_BYTES = 4_096;
+const INITIAL_BUFFER_BYTES = 4_096;
 
-/** One body being read; small chunks are copied together as they come. */
+/** A body being read; its chunks are copied into one growing buffer. */
 class BodyRead {
   readonly #request: IncomingMessage;
   readonly #options: BodyReadOptions;
@@ -73,7 +74,7 @@
     this.#request = request;
     this.#options = options;
     this.#resolve = resolve;
-    this.#declaredBytes = declaredBytesOf(request) ?? FIRST_BUFFER_BYTES;
+    this.#declaredBytes = declaredBytesOf(request) ?? INITIAL_BUFFER_BYTES;
     const leftMs = options.deadlineMs - options.clock.nowMs();
     this.#timer = options.clock.after(
       leftMs,
@@ -81,8 +82,8 @@
     );
     request.on("data", this.#onData);
     request.once("end", this.#onEnd);
-    request.once("error", this.#onBreak);
-    request.once("close", this.#onBreak);
+    request.once("error", this.#onInterrupted);
+    request.once("close", this.#onInterrupted);
   }
 
   #onData = (chunk: Uint8Array): void => {
@@ -91,22 +92,26 @@
       this.#fail(tooLarge(this.#options.limitBytes));
       return;
     }
-    if (!this.#makeRoom(lengthBytes)) {
-      this.#fail(failure("overloaded", { detail: "Too many bytes are held." }));
+    if (!this.#ensureCapacity(lengthBytes)) {
+      this.#fail(
+        failure("overloaded", {
+          detail: "Too many bytes of bodies and answers are in memory.",
+        }),
+      );
       return;
     }
     this.#buffer.set(chunk, this.#lengthBytes);
     this.#lengthBytes = lengthBytes;
   };
 
-  #makeRoom(lengthBytes: number): boolean {
+  #ensureCapacity(lengthBytes: number): boolean {
     const oldBytes = this.#buffer.length;
     if (lengthBytes <= oldBytes) {
       return true;
     }
-    const firstBytes = Math.min(this.#declaredBytes, FIRST_BUFFER_BYTES);
-    const newBytes = Math.max(lengthBytes, oldBytes * 2, firstBytes);
-    if (!this.#options.budget.take(newBytes - oldBytes)) {
+    const initialBytes = Math.min(this.#declaredBytes, INITIAL_BUFFER_BYTES);
+    const newBytes = Math.max(lengthBytes, oldBytes * 2, initialBytes);
+    if (!this.#options.budget.reserve(newBytes - oldBytes)) {
       return false;
     }
     const grown = new Uint8Array(newBytes);
@@ -117,18 +122,22 @@
 
   #onEnd = (): void => {
     this.#detach();
-    let heldBytes = this.#buffer.length;
+    let reservedBytes = this.#buffer.length;
     this.#resolve(Right({
       body: this.#buffer.subarray(0, this.#lengthBytes),
       release: () => {
-        this.#options.budget.release(heldBytes);
-        heldBytes = 0;
+        this.#options.budget.release(reservedBytes);
+        reservedBytes = 0;
       },
     }));
   };
 
-  #onBreak = (): void => {
-    this.#fail(failure("malformed", { detail: "The body broke off." }));
+  #onInterrupted = (): void => {
+    this.#fail(
+      failure("malformed", {
+        detail: "The connection closed before the end of the body.",
+      }),
+    );
   };
 
   #fail(result: Result<never>): void {
@@ -142,8 +151,8 @@
     this.#timer.close();
     this.#request.off("data", this.#onData);
     this.#request.off("end", this.#onEnd);
-    this.#request.off("error", this.#onBreak);
-    this.#request.off("close", this.#onBreak);
+    this.#request.off("error", this.#onInterrupted);
+    this.#request.off("close", this.#onInterrupted);
     this.#request.on("error", () => undefined);
   }
 }
--- a/src/process/http/byte_budget.ts
+++ b/src/process/http/byte_budget.ts
@@ -1,32 +1,32 @@
 /**
- * A count of bytes held, with an upper bound.
+ * Limits the memory that bodies and answers may take together.
  *
  * @module
  */
 
-/** Bytes that may be held at once; every `take` needs its `release`. */
+/** A limited number of bytes; every successful `reserve` needs a `release`. */
 export class ByteBudget {
   readonly #limitBytes: number;
-  #heldBytes = 0;
+  #reservedBytes = 0;
 
   constructor(options: { limitBytes: number }) {
     this.#limitBytes = options.limitBytes;
   }
 
-  get heldBytes(): number {
-    return this.#heldBytes;
+  get reservedBytes(): number {
+    return this.#reservedBytes;
   }
 
-  /** Whether the bytes could be taken. */
-  take(bytes: number): boolean {
-    if (this.#heldBytes + bytes > this.#limitBytes) {
+  /** Reserves the bytes, or returns false if the limit would be exceeded. */
+  reserve(bytes: number): boolean {
+    if (this.#reservedBytes + bytes > this.#limitBytes) {
       return false;
     }
-    this.#heldBytes += bytes;
+    this.#reservedBytes += bytes;
     return true;
   }
 
   release(bytes: number): void {
-    this.#heldBytes -= bytes;
+    this.#reservedBytes -= bytes;
   }
 }
--- a/src/process/http/endpoint_table.ts
+++ b/src/process/http/endpoint_table.ts
@@ -1,5 +1,5 @@
 /**
- * Finds the endpoint of a call by its method and path.
+ * Finds the endpoint of a call by method and path.
  *
  * @module
  */
@@ -9,7 +9,7 @@
 import { failure, type Result } from "../../base/sesame_error.ts";
 import type { HttpEndpoint } from "./http_endpoint.ts";
 
-/** An endpoint and the named parts of the path. */
+/** An endpoint and the parameters of the call's path. */
 export interface EndpointMatch {
   readonly endpoint: HttpEndpoint;
   readonly parameters: Readonly<Record<string, string>>;
@@ -17,7 +17,7 @@
 
 const METHODS = ["GET", "PUT", "POST", "DELETE"] as const;
 
-/** The endpoints of all parts; fixed once it is built. */
+/** The endpoints of all subsystems; immutable. */
 export class EndpointTable {
   readonly #router = findMyWay({ maxParamLength: 256 });
 
@@ -28,7 +28,7 @@
     }
   }
 
-  /** `notFound` for an unknown path, `methodNotAllowed` for a wrong method. */
+  /** Fails with `notFound` for a path, `methodNotAllowed` for a method. */
   find(method: string, path: string): Result<EndpointMatch> {
     const known = METHODS.find((name) => name === method);
     const found = known === undefined ? null : this.#router.find(known, path);
--- a/src/process/http/error_answer.ts
+++ b/src/process/http/error_answer.ts
@@ -1,5 +1,5 @@
 /**
- * Errors of the closed list as HTTP answers.
+ * Converts errors to HTTP answers.
  *
  * @module
  */
@@ -8,10 +8,10 @@
 import type { SesameError } from "../../base/sesame_error.ts";
 import { type HttpAnswer, jsonAnswer } from "./http_endpoint.ts";
 
-/** Tells a refused caller when a retry may be worth it. */
+/** The `Retry-After` header of retryable errors. */
 const RETRY_AFTER_SECONDS = 1;
 
-/** The body of every error, as JSON. */
+/** The JSON body of every error answer. */
 export function errorBody(error: SesameError): unknown {
   return {
     error: {
@@ -24,7 +24,7 @@
   };
 }
 
-/** What a caller gets for an error. */
+/** The HTTP answer for an error. */
 export function errorAnswer(error: SesameError): HttpAnswer {
   const answer = jsonAnswer(error.answer.httpStatus, errorBody(error));
   if (!error.answer.isRetryable) {
@@ -38,8 +38,8 @@
 }
 
 /**
- * The error as the bytes of a whole HTTP/1.1 answer that closes its
- * connection, for callers whose input never became a call.
+ * The error as a complete HTTP/1.1 response that closes the connection, for
+ * input that Node could not parse as a request and for refused connections.
  */
 export function errorBytes(error: SesameError): string {
   const { httpStatus } = error.answer;
--- a/src/process/http/health_endpoint.ts
+++ b/src/process/http/health_endpoint.ts
@@ -1,5 +1,5 @@
 /**
- * `GET /healthz`: whether the platform's balancer should send callers here.
+ * `GET /healthz`: whether a load balancer should send calls to this instance.
  *
  * @module
  */
@@ -7,7 +7,7 @@
 import { Right } from "purify-ts/Either";
 import { type HttpEndpoint, jsonAnswer } from "./http_endpoint.ts";
 
-/** Whether the instance takes new calls. */
+/** Whether the instance is ready for new calls. */
 export const Readiness = {
   starting: "starting",
   ready: "ready",
@@ -17,7 +17,7 @@
 /** One of the values of {@link Readiness}. */
 export type Readiness = typeof Readiness[keyof typeof Readiness];
 
-/** 200 when ready, 503 otherwise; the body says which. */
+/** Answers 200 when ready and 503 otherwise, with the state in the body. */
 export function healthEndpoint(readiness: () => Readiness): HttpEndpoint {
   return {
     method: "GET",
--- a/src/process/http/http_caller.ts
+++ b/src/process/http/http_client.ts
@@ -1,8 +1,8 @@
 /**
- * Calls out over HTTP on connections that are kept.
+ * HTTP client with persistent connections.
  *
- * It uses the client library's dispatch interface: a call with a small body
- * and a small answer takes half the processor time of one with streams.
+ * It uses undici's dispatch interface, since a call with a small body and a
+ * small answer takes half the processor time of one with streams.
  *
  * @module
  */
@@ -10,17 +10,17 @@
 import { Buffer } from "node:buffer";
 import { Agent, type Dispatcher } from "undici";
 
-/** What a caller is made from. */
-export interface HttpCallerOptions {
-  /** Connections to one address; calls on one of them wait for each other. */
+/** Options of {@link HttpClient}. */
+export interface HttpClientOptions {
+  /** Most connections to one address; each carries one call at a time. */
   readonly connections: number;
-  /** How long an idle connection is kept. */
+  /** How long an idle connection stays open. */
   readonly keepAliveMs: number;
   /** How long a connection may take to open. */
   readonly connectTimeoutMs: number;
 }
 
-/** One call. */
+/** A call to send. */
 export interface OutgoingCall {
   /** `HOST:PORT`. */
   readonly address: string;
@@ -37,17 +37,17 @@
   readonly body: Buffer;
 }
 
-/** The call had no whole answer in its time; it may have been carried out. */
+/** The answer was not complete in time; the call may have been executed. */
 export class CallTimeoutError extends Error {
   override readonly name = "CallTimeoutError";
 }
 
-/** Makes calls, with a deadline each. */
-export class HttpCaller {
+/** Sends calls, each with its own timeout. */
+export class HttpClient {
   readonly #agent: Agent;
 
   constructor(
-    { connections, keepAliveMs, connectTimeoutMs }: HttpCallerOptions,
+    { connections, keepAliveMs, connectTimeoutMs }: HttpClientOptions,
   ) {
     this.#agent = new Agent({
       connections,
@@ -58,7 +58,7 @@
     });
   }
 
-  /** Rejects with the client library's error, or {@link CallTimeoutError}. */
+  /** Rejects with undici's error or {@link CallTimeoutError}. */
   call(outgoing: OutgoingCall): Promise<IncomingAnswer> {
     const { address, method, path, headers, body, timeoutMs } = outgoing;
     return new Promise((resolve, reject) => {
@@ -73,13 +73,13 @@
     });
   }
 
-  /** Gives up all calls and closes their connections. */
+  /** Aborts all calls and closes their connections. */
   async close(): Promise<void> {
     await this.#agent.destroy();
   }
 }
 
-/** One call on its way. */
+/** A call that has not been answered yet. */
 class PendingCall implements Dispatcher.DispatchHandler {
   readonly #resolve: (answer: IncomingAnswer) => void;
   readonly #reject: (error: Error) => void;
@@ -87,7 +87,7 @@
   readonly #chunks: Buffer[] = [];
   #controller: Dispatcher.DispatchController | undefined;
   #status = 0;
-  #givenUp: CallTimeoutError | undefined;
+  #timeoutError: CallTimeoutError | undefined;
 
   constructor(options: {
     resolve: (answer: IncomingAnswer) => void;
@@ -98,15 +98,15 @@
     this.#resolve = resolve;
     this.#reject = reject;
     this.#timer = setTimeout(
-      () => this.#giveUp(timeoutMs),
+      () => this.#timeOut(timeoutMs),
       Math.ceil(timeoutMs),
     );
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
-    if (this.#givenUp !== undefined) {
-      controller.abort(this.#givenUp);
+    if (this.#timeoutError !== undefined) {
+      controller.abort(this.#timeoutError);
     }
   }
 
@@ -141,10 +141,12 @@
     this.#reject(error);
   }
 
-  /** One that still waits for a connection is never sent. */
-  #giveUp(timeoutMs: number): void {
-    this.#givenUp = new CallTimeoutError(`no answer within ${timeoutMs} ms`);
-    this.#controller?.abort(this.#givenUp);
-    this.#reject(this.#givenUp);
+  /** A call that still waits for a connection is then never sent. */
+  #timeOut(timeoutMs: number): void {
+    this.#timeoutError = new CallTimeoutError(
+      `no answer within ${timeoutMs} ms`,
+    );
+    this.#controller?.abort(this.#timeoutError);
+    this.#reject(this.#timeoutError);
   }
 }
--- a/src/process/http/http_caller_test.ts
+++ b/src/process/http/http_client_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import { CallTimeoutError, HttpCaller } from "./http_caller.ts";
+import { CallTimeoutError, HttpClient } from "./http_client.ts";
 
 const OPTIONS = { connections: 1, keepAliveMs: 1_000, connectTimeoutMs: 500 };
 
@@ -11,7 +11,7 @@
   headers: { "content-type": "text/plain" },
 } as const;
 
-/** A server that echoes, but leaves calls to /silent unanswered. */
+/** A server that echoes bodies, but never answers calls to /silent. */
 async function openServer(
   seen: string[],
 ): Promise<{ server: Server; address: string }> {
@@ -36,13 +36,13 @@
   await new Promise((done) => server.close(done));
 }
 
-test("calls are answered whole, one after the other on one connection", async (t) => {
+test("consecutive calls get complete answers over one connection", async (t) => {
   const seen: string[] = [];
   const { server, address } = await openServer(seen);
-  const caller = new HttpCaller(OPTIONS);
+  const client = new HttpClient(OPTIONS);
   const long = "x".repeat(300_000);
   for (const body of ["one", "", long]) {
-    const answer = await caller.call({
+    const answer = await client.call({
       ...CALL,
       address,
       body,
@@ -51,32 +51,32 @@
     t.is(answer.status, 202);
     t.is(answer.body.toString(), body);
   }
-  t.is(new Set(seen).size, 1, "all came over the same connection");
-  await caller.close();
+  t.is(new Set(seen).size, 1, "all calls used the same connection");
+  await client.close();
   await closeServer(server);
 });
 
-test("where nothing listens the error says that nothing was sent", async (t) => {
+test("a call to a closed port fails with ECONNREFUSED", async (t) => {
   const { server, address } = await openServer([]);
   await closeServer(server);
-  const caller = new HttpCaller(OPTIONS);
+  const client = new HttpClient(OPTIONS);
   await t.throwsAsync(
-    caller.call({ ...CALL, address, body: "", timeoutMs: 5_000 }),
+    client.call({ ...CALL, address, body: "", timeoutMs: 5_000 }),
     { code: "ECONNREFUSED" },
   );
-  await caller.close();
+  await client.close();
 });
 
-test("a call without an answer is given up, and so is one that waits for it", async (t) => {
+test("calls time out, also one that still waits for a connection", async (t) => {
   const seen: string[] = [];
   const { server, address } = await openServer(seen);
-  const caller = new HttpCaller(OPTIONS);
+  const client = new HttpClient(OPTIONS);
   const silent = { ...CALL, address, path: "/silent", body: "" };
-  const first = caller.call({ ...silent, timeoutMs: 150 });
-  const behind = caller.call({ ...CALL, address, body: "", timeoutMs: 50 });
-  await t.throwsAsync(behind, { instanceOf: CallTimeoutError });
+  const first = client.call({ ...silent, timeoutMs: 150 });
+  const waiting = client.call({ ...CALL, address, body: "", timeoutMs: 50 });
+  await t.throwsAsync(waiting, { instanceOf: CallTimeoutError });
   await t.throwsAsync(first, { instanceOf: CallTimeoutError });
-  const next = await caller.call({
+  const next = await client.call({
     ...CALL,
     address,
     body: "next",
@@ -86,8 +86,8 @@
   t.deepEqual(
     seen.map((line) => line.split(" ")[1]),
     ["/silent", "/echo"],
-    "what was given up before it was sent is never sent",
+    "a call that timed out before it was sent is never sent",
   );
-  await caller.close();
+  await client.close();
   await closeServer(server);
 });
--- a/src/process/http/http_endpoint.ts
+++ b/src/process/http/http_endpoint.ts
@@ -1,7 +1,7 @@
 /**
- * How the parts of the daemon answer HTTP calls: each gives endpoints, and
- * the front collects them. Bodies are read whole, under the endpoint's limit,
- * before `handle` is called.
+ * Endpoints that the subsystems of the daemon provide to its HTTP server. The
+ * server reads the complete body, up to the endpoint's limit, before it calls
+ * `handle`.
  *
  * @module
  */
@@ -9,36 +9,36 @@
 import type { IncomingHttpHeaders } from "node:http";
 import type { Result } from "../../base/sesame_error.ts";
 
-/** What is known of a call before its body is read. */
+/** A call before its body is read. */
 export interface HttpCallHead {
   readonly method: string;
   readonly path: string;
-  /** The named parts of the path, decoded. */
+  /** The decoded parameters of the path. */
   readonly parameters: Readonly<Record<string, string>>;
   readonly query: URLSearchParams;
   readonly headers: IncomingHttpHeaders;
   readonly receivedAtMs: number;
 }
 
-/** A whole call. */
+/** A call with its complete body. */
 export interface HttpCall extends HttpCallHead {
   readonly body: Uint8Array;
-  /** Aborted when the caller goes away before its answer. */
+  /** Aborted when the connection closes before the answer is sent. */
   readonly signal: AbortSignal;
 }
 
-/** A whole answer. */
+/** The answer to a call. */
 export interface HttpAnswer {
   readonly status: number;
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array | string;
 }
 
-/** One method on one path, such as `/v1/jobs/:jobId`. */
+/** Handles one method of one path, such as `/v1/jobs/:jobId`. */
 export interface HttpEndpoint {
   readonly method: "GET" | "PUT" | "POST" | "DELETE";
   readonly path: string;
-  /** The most bytes of a body; a function where the call decides. */
+  /** Limit of the body's size; a function if it depends on the call. */
   readonly bodyLimitBytes: number | ((head: HttpCallHead) => number);
   handle(call: HttpCall): Promise<Result<HttpAnswer>>;
 }
--- a/src/process/http/http_exchange.ts
+++ b/src/process/http/http_exchange.ts
@@ -1,5 +1,5 @@
 /**
- * One call from its headers to the last byte of its answer.
+ * Processes one call, from its headers to the last byte of its answer.
  *
  * @module
  */
@@ -15,7 +15,7 @@
 import type { HttpAnswer, HttpCallHead } from "./http_endpoint.ts";
 import type { HttpLimits } from "./http_limits.ts";
 
-/** What an exchange needs of its front. */
+/** Options of {@link HttpExchange}. */
 export interface HttpExchangeOptions {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
@@ -24,13 +24,13 @@
   readonly eventLog: EventLog;
   readonly limits: HttpLimits;
   readonly budget: ByteBudget;
-  /** Whether the caller waits for leave to send its body. */
+  /** Whether the caller sent `Expect: 100-continue`. */
   readonly expectsContinue: boolean;
-  /** Whether the connection is to close after the answer. */
+  /** Whether to close the connection after the answer. */
   readonly isClosing: () => boolean;
 }
 
-/** Answers one call; the promise ends when the exchange holds nothing more. */
+/** Answers one call; its promises resolve once all resources are released. */
 export class HttpExchange {
   readonly #options: HttpExchangeOptions;
   readonly #abort = new AbortController();
@@ -45,22 +45,22 @@
     options.response.on("error", () => this.#abort.abort());
   }
 
-  /** Refuses the call without reading it. */
+  /** Answers with the error. */
   async refuse(error: SesameError): Promise<void> {
     await this.#write(errorAnswer(error), error);
   }
 
   /** Reads, handles and answers the call. */
   async run(): Promise<void> {
-    const head = this.#head();
-    const match = this.#match(head);
+    const head = this.#readHead();
+    const match = this.#findEndpoint(head);
     await match.caseOf({
       Left: (error) => this.refuse(error),
       Right: (found) => this.#runMatched(found, head),
     });
   }
 
-  #match(head: HttpCallHead): Result<EndpointMatch> {
+  #findEndpoint(head: HttpCallHead): Result<EndpointMatch> {
     const { request, limits, table } = this.#options;
     if (request.rawHeaders.length / 2 > limits.headerFields) {
       return failure("headersTooLarge", { detail: "Too many header fields." });
@@ -68,7 +68,7 @@
     return table.find(head.method, head.path);
   }
 
-  #head(): HttpCallHead {
+  #readHead(): HttpCallHead {
     const { request, clock } = this.#options;
     const target = request.url ?? "/";
     const queryAt = target.indexOf("?");
@@ -137,7 +137,7 @@
       return;
     }
     const bytes = Buffer.byteLength(answer.body);
-    if (!budget.take(bytes)) {
+    if (!budget.reserve(bytes)) {
       request.socket.destroy();
       eventLog.emit("answerAbandoned", { path: request.url ?? "" });
       return;
@@ -146,11 +146,11 @@
     budget.release(bytes);
   }
 
-  /** Ends when the caller has taken the whole answer, or is given up. */
+  /** Resolves once the answer is written or the connection is closed. */
   async #send(answer: HttpAnswer, bytes: number): Promise<void> {
     const { request, response, clock, limits, eventLog } = this.#options;
     const isUnread = !request.complete;
-    const closes = isUnread || this.#options.isClosing();
+    const shouldClose = isUnread || this.#options.isClosing();
     const timer = clock.after(limits.answerWriteMs, () => {
       eventLog.emit("answerAbandoned", { path: request.url ?? "" });
       request.socket.destroy();
@@ -158,7 +158,7 @@
     response.writeHead(answer.status, {
       ...answer.headers,
       "content-length": bytes,
-      ...(closes ? { connection: "close" } : {}),
+      ...(shouldClose ? { connection: "close" } : {}),
     });
     const closed = new Promise<void>((resolve) => {
       response.once("finish", resolve);
@@ -172,7 +172,10 @@
     }
   }
 
-  /** Reads on a little, so that a reset doesn't overtake the answer. */
+  /**
+   * Discards the rest of the body for `lingerMs`. Closing a socket with unread
+   * input resets the connection, and the caller could lose the answer.
+   */
   #discardInput(): void {
     const { request, clock, limits } = this.#options;
     const { socket } = request;
--- a/src/process/http/http_limits.ts
+++ b/src/process/http/http_limits.ts
@@ -1,38 +1,38 @@
 /**
- * The bounds that the HTTP front keeps on every caller.
+ * Limits of the HTTP server.
  *
  * @module
  */
 
-/** Bounds of the HTTP front. */
+/** Limits of the HTTP server. */
 export interface HttpLimits {
-  /** Most connections that are served at once. */
+  /** Most connections served at once. */
   readonly connections: number;
-  /** Connections beyond that number that still get a refusal in words. */
+  /** Connections beyond `connections` that get an error before they close. */
   readonly refusedConnections: number;
-  /** Most calls that are held at once, over all connections. */
+  /** Most calls in progress on all connections. */
   readonly calls: number;
-  /** Most calls held at once for one connection. */
+  /** Most calls in progress on one connection. */
   readonly callsPerConnection: number;
   /** Most bytes of a call's request line and headers. */
   readonly headerBytes: number;
   /** Most header fields of a call. */
   readonly headerFields: number;
-  /** Most bytes of bodies and answers held at once, over all calls. */
+  /** Most bytes of bodies and answers in memory, over all calls. */
   readonly heldBytes: number;
-  /** How long the headers of a call may take. */
+  /** How long the headers of a call may take to arrive. */
   readonly headerReadMs: number;
-  /** How long the body of a call may take. */
+  /** How long a body may take to arrive after the headers. */
   readonly bodyReadMs: number;
   /** How long a caller may take to read its answer. */
   readonly answerWriteMs: number;
-  /** How long an idle connection stays open; callers are told. */
+  /** How long an idle connection stays open; sent in `Keep-Alive`. */
   readonly keepAliveMs: number;
-  /** How long unread input is discarded after an early answer. */
+  /** How long input is discarded after an answer that came before its end. */
   readonly lingerMs: number;
 }
 
-/** The bounds where none are given. */
+/** The default limits. */
 export const DEFAULT_HTTP_LIMITS: HttpLimits = {
   connections: 2_000,
   refusedConnections: 100,
--- a/src/process/http/http_front.ts
+++ b/src/process/http/http_server.ts
@@ -1,6 +1,6 @@
 /**
- * The HTTP server of an instance: gives callers' calls to the endpoints of
- * all parts, within bounds, and stops without cutting a call off.
+ * The HTTP server of an instance: dispatches calls to the endpoints of all
+ * subsystems, enforces limits and closes gracefully.
  *
  * @module
  */
@@ -25,31 +25,31 @@
 import { HttpExchange } from "./http_exchange.ts";
 import { DEFAULT_HTTP_LIMITS, type HttpLimits } from "./http_limits.ts";
 
-/** What a front is built from. */
-export interface HttpFrontOptions {
+/** Options of {@link HttpServer}. */
+export interface HttpServerOptions {
   readonly endpoints: readonly HttpEndpoint[];
   readonly clock: Clock;
   readonly eventLog?: EventLog;
   readonly limits?: Partial<HttpLimits>;
 }
 
-/** How a front stops. */
+/** Options of {@link HttpServer.close}. */
 export interface HttpCloseOptions {
   /**
-   * How long it still accepts while `/healthz` says that it is stopping; at
-   * least the keep-alive time, if no idle connection may be closed while a
-   * call is on its way. The keep-alive time when absent.
+   * How long connections are still accepted while `/healthz` reports
+   * `stopping`. Defaults to the keep-alive time: after a shorter time, an idle
+   * connection may be closed while a call is on its way.
    */
   readonly leaveMs?: number;
-  /** When what is still held is cut off. */
+  /** When the remaining connections are closed. */
   readonly deadlineMs: number;
 }
 
-/** How often Node looks for callers that are late with their headers. */
+/** How often Node checks for calls whose headers exceed their timeout. */
 const HEADER_CHECK_MS = 1_000;
 
-/** Serves the endpoints of all parts over HTTP. */
-export class HttpFront {
+/** Serves the endpoints of all subsystems over HTTP. */
+export class HttpServer {
   readonly #clock: Clock;
   readonly #eventLog: EventLog;
   readonly #limits: HttpLimits;
@@ -61,7 +61,7 @@
   #readiness: Readiness = Readiness.starting;
   #closing: Promise<void> | undefined;
 
-  constructor(options: HttpFrontOptions) {
+  constructor(options: HttpServerOptions) {
     this.#clock = options.clock;
     this.#eventLog = options.eventLog ?? SILENT_EVENT_LOG;
     this.#limits = { ...DEFAULT_HTTP_LIMITS, ...options.limits };
@@ -73,22 +73,22 @@
     this.#server = this.#createServer();
   }
 
-  /** Calls held now. */
+  /** Calls in progress. */
   get calls(): number {
     return this.#calls;
   }
 
-  /** Connections open now. */
+  /** Open connections, without the refused ones. */
   get connections(): number {
     return this.#callsBySocket.size;
   }
 
-  /** Bytes of bodies and answers held now. */
+  /** Bytes of bodies and answers in memory. */
   get heldBytes(): number {
-    return this.#budget.heldBytes;
+    return this.#budget.reservedBytes;
   }
 
-  /** Starts to accept; `unavailable` when the address can't be had. */
+  /** Starts to accept; fails with `unavailable` if it can't bind. */
   listen(
     address: { host: string; port: number },
   ): Promise<Result<AddressInfo>> {
@@ -102,19 +102,22 @@
     });
   }
 
-  /** From now on `/healthz` says that the instance is ready. */
+  /** Makes `/healthz` report `ready`, unless the server is stopping. */
   markReady(): void {
     if (this.#readiness === Readiness.starting) {
       this.#readiness = Readiness.ready;
     }
   }
 
-  /** From now on `/healthz` says that it is stopping; calls go on. */
+  /** Makes `/healthz` report `stopping`; calls are still served. */
   markStopping(): void {
     this.#readiness = Readiness.stopping;
   }
 
-  /** Leaves the balancer, finishes every call and closes. */
+  /**
+   * Reports `stopping`, waits for `leaveMs` so that load balancers notice, then
+   * closes once every call is answered, or at the deadline.
+   */
   close(options: HttpCloseOptions): Promise<void> {
     this.#closing ??= this.#stop(options);
     return this.#closing;
@@ -123,20 +126,20 @@
   async #stop(options: HttpCloseOptions): Promise<void> {
     this.markStopping();
     const leaveMs = options.leaveMs ?? this.#limits.keepAliveMs;
-    const lingerMs = Math.min(
+    const waitMs = Math.min(
       leaveMs,
       Math.max(0, options.deadlineMs - this.#clock.nowMs()),
     );
-    if (lingerMs > 0) {
-      await new Promise<void>((done) => this.#clock.after(lingerMs, done));
+    if (waitMs > 0) {
+      await new Promise<void>((done) => this.#clock.after(waitMs, done));
     }
     const leftMs = options.deadlineMs - this.#clock.nowMs();
-    const timer = this.#clock.after(leftMs, () => this.#cutOff());
+    const timer = this.#clock.after(leftMs, () => this.#abortCalls());
     await new Promise<void>((done) => this.#server.close(() => done()));
     timer.close();
   }
 
-  #cutOff(): void {
+  #abortCalls(): void {
     this.#eventLog.emit("callsCutOff", { calls: this.#calls });
     this.#server.closeAllConnections();
   }
@@ -179,17 +182,17 @@
     expectsContinue: boolean,
   ): Promise<void> {
     const { socket } = request;
-    const exchange = this.#exchange(request, response, expectsContinue);
-    const callsHere = this.#callsBySocket.get(socket);
-    const isFull = callsHere === undefined ||
-      callsHere >= this.#limits.callsPerConnection ||
+    const exchange = this.#createExchange(request, response, expectsContinue);
+    const connectionCalls = this.#callsBySocket.get(socket);
+    const isOverLimit = connectionCalls === undefined ||
+      connectionCalls >= this.#limits.callsPerConnection ||
       this.#calls >= this.#limits.calls;
-    if (isFull) {
-      const detail = "Too many calls are held.";
+    if (isOverLimit) {
+      const detail = "Too many calls are in progress.";
       await exchange.refuse(new SesameError("overloaded", { detail }));
       return;
     }
-    this.#count(socket, 1);
+    this.#countCalls(socket, 1);
     try {
       await exchange.run();
     } catch (thrown) {
@@ -197,11 +200,11 @@
       this.#eventLog.emit("callFailed", { path: request.url ?? "", detail });
       socket.destroy();
     } finally {
-      this.#count(socket, -1);
+      this.#countCalls(socket, -1);
     }
   }
 
-  #exchange(
+  #createExchange(
     request: IncomingMessage,
     response: ServerResponse,
     expectsContinue: boolean,
@@ -219,34 +222,36 @@
     });
   }
 
-  #count(socket: Socket, by: number): void {
+  #countCalls(socket: Socket, by: number): void {
     this.#calls += by;
-    const callsHere = this.#callsBySocket.get(socket);
-    if (callsHere !== undefined) {
-      this.#callsBySocket.set(socket, callsHere + by);
+    const connectionCalls = this.#callsBySocket.get(socket);
+    if (connectionCalls !== undefined) {
+      this.#callsBySocket.set(socket, connectionCalls + by);
     }
   }
 }
 
-/** Input that never became a call: bad, oversized or late headers. */
+/** Answers input that Node rejects: malformed, oversized or late headers. */
 function onClientError(error: NodeJS.ErrnoException, socket: Duplex): void {
   if (!socket.writable || error.code === "ECONNRESET") {
     socket.destroy();
     return;
   }
-  refuseSocket(socket, clientError(error));
+  refuseSocket(socket, toSesameError(error));
 }
 
-function clientError(error: NodeJS.ErrnoException): SesameError {
+function toSesameError(error: NodeJS.ErrnoException): SesameError {
   switch (error.code) {
     case "HPE_HEADER_OVERFLOW":
       return new SesameError("headersTooLarge");
     case "ERR_HTTP_REQUEST_TIMEOUT":
       return new SesameError("slowCaller", {
-        detail: "The headers came too slowly.",
+        detail: "The headers did not arrive in time.",
       });
     default:
-      return new SesameError("malformed", { detail: "That is not HTTP/1.1." });
+      return new SesameError("malformed", {
+        detail: "The input is not valid HTTP/1.1.",
+      });
   }
 }
 
--- a/src/process/http/http_front_fixture.ts
+++ b/src/process/http/http_server_fixture.ts
@@ -1,6 +1,6 @@
 /**
- * A front on loopback with endpoints for tests, and callers that write raw
- * bytes.
+ * An HTTP server on loopback with endpoints for tests, and a caller that sends
+ * raw bytes.
  *
  * @module
  */
@@ -15,12 +15,12 @@
   type HttpEndpoint,
   jsonAnswer,
 } from "./http_endpoint.ts";
-import { HttpFront } from "./http_front.ts";
+import { HttpServer } from "./http_server.ts";
 import type { HttpLimits } from "./http_limits.ts";
 
 const BODY_LIMIT_BYTES = 1_000;
 
-/** An endpoint whose calls wait until the test answers them. */
+/** An endpoint that answers its calls when the test calls `answerAll`. */
 export class HeldEndpoint implements HttpEndpoint {
   readonly method = "POST";
   readonly path = "/held/:name";
@@ -31,7 +31,7 @@
 
   async handle(call: HttpCall) {
     this.calls.push(call);
-    this.#waiters.splice(0).forEach((wake) => wake());
+    this.#waiters.splice(0).forEach((resume) => resume());
     await new Promise<void>((resolve) => this.#answers.push(resolve));
     const size = call.body.length;
     return Right(jsonAnswer(200, { name: call.parameters["name"], size }));
@@ -41,7 +41,7 @@
     this.#answers.splice(0).forEach((answer) => answer());
   }
 
-  async reached(count: number): Promise<void> {
+  async waitForCalls(count: number): Promise<void> {
     while (this.calls.length < count) {
       await new Promise<void>((resolve) => this.#waiters.push(resolve));
     }
@@ -66,14 +66,14 @@
     ),
 };
 
-const FAULTY: HttpEndpoint = {
+const THROWING: HttpEndpoint = {
   method: "GET",
   path: "/faulty",
   bodyLimitBytes: 0,
   handle: () => Promise.reject(new Error("broken")),
 };
 
-const UNBOUNDED: HttpEndpoint = {
+const THROWING_LIMIT: HttpEndpoint = {
   method: "GET",
   path: "/unbounded",
   bodyLimitBytes: () => {
@@ -89,28 +89,28 @@
   handle: () => Promise.resolve(failure("overloaded", { location: "queue" })),
 };
 
-export async function startFront(
+export async function startServer(
   t: ExecutionContext,
   limits?: Partial<HttpLimits>,
 ) {
   const clock = new FakeClock();
   const held = new HeldEndpoint();
-  const front = new HttpFront({
+  const server = new HttpServer({
     clock,
-    endpoints: [held, ECHO, LARGE, FAULTY, UNBOUNDED, REFUSING],
+    endpoints: [held, ECHO, LARGE, THROWING, THROWING_LIMIT, REFUSING],
     ...(limits === undefined ? {} : { limits }),
   });
-  const address = await front.listen({ host: "127.0.0.1", port: 0 });
+  const address = await server.listen({ host: "127.0.0.1", port: 0 });
   const { port } = address.unsafeCoerce();
-  front.markReady();
+  server.markReady();
   t.teardown(() => {
     held.answerAll();
-    return front.close({ leaveMs: 0, deadlineMs: clock.nowMs() });
+    return server.close({ leaveMs: 0, deadlineMs: clock.nowMs() });
   });
-  return { clock, held, front, port };
+  return { clock, held, server, port };
 }
 
-/** A caller that writes bytes as the test says. */
+/** A connection on which a test sends raw bytes. */
 export class RawCaller {
   readonly socket: Socket;
   readonly closed: Promise<string>;
@@ -122,7 +122,7 @@
     this.socket.on("error", () => undefined);
     this.socket.on("data", (chunk) => {
       this.#text += chunk.toString("latin1");
-      this.#waiters.splice(0).forEach((wake) => wake());
+      this.#waiters.splice(0).forEach((resume) => resume());
     });
     this.closed = new Promise((resolve) => {
       this.socket.on("close", () => resolve(this.#text));
@@ -133,17 +133,17 @@
     this.socket.write(lines.join("\r\n"));
   }
 
-  async until(part: string): Promise<string> {
-    while (!this.#text.includes(part)) {
+  async waitFor(text: string): Promise<string> {
+    while (!this.#text.includes(text)) {
       await new Promise<void>((resolve) => this.#waiters.push(resolve));
     }
     return this.#text;
   }
 }
 
-/** Waits for a state that another task of the loop brings about. */
-export async function eventually(isReached: () => boolean): Promise<void> {
-  while (!isReached()) {
+/** Waits, one turn of the event loop at a time, until the condition holds. */
+export async function waitUntil(condition: () => boolean): Promise<void> {
+  while (!condition()) {
     await new Promise((resolve) => setImmediate(resolve));
   }
 }
--- a/src/process/http/metrics_endpoint.ts
+++ b/src/process/http/metrics_endpoint.ts
@@ -10,7 +10,7 @@
 
 const CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
-/** Shows the registry. */
+/** Answers with all metrics of the registry. */
 export function metricsEndpoint(metrics: MetricsRegistry): HttpEndpoint {
   return {
     method: "GET",
--- a/src/process/http/metrics_registry.ts
+++ b/src/process/http/metrics_registry.ts
@@ -1,12 +1,13 @@
 /**
- * Counters and latency histograms of one instance, shown as Prometheus text.
+ * Counters, gauges and duration histograms of one instance, rendered as
+ * Prometheus text.
  *
  * @module
  */
 
 import int32Histogram from "hdr-histogram-js/dist/Int32Histogram.js";
 
-/** Names of labels with their values; from closed lists, never free text. */
+/** Label names and values. Values come from fixed sets, never free text. */
 export type MetricLabels = Readonly<Record<string, string>>;
 
 /** A number that only grows. */
@@ -18,13 +19,13 @@
 /** A distribution of durations. */
 export interface DurationHistogram {
   record(durationMs: number): void;
-  /** Milliseconds at the percentile from 0 to 100. */
+  /** The duration at a percentile, which is from 0 to 100. */
   percentileMs(percentile: number): number;
   readonly count: number;
 }
 
-/** The longest duration that is told apart, in microseconds. */
-const LONGEST_US = 3_600_000_000;
+/** Longer durations, in microseconds, are recorded as this one. */
+const MAX_DURATION_US = 3_600_000_000;
 const SIGNIFICANT_DIGITS = 2;
 const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
 
@@ -40,7 +41,7 @@
   readonly #counters = new Map<string, Counter>();
   readonly #histograms = new Map<string, DurationHistogram>();
 
-  /** The counter of this name and these labels; made when it is new. */
+  /** Returns the counter of this name and labels; creates it if needed. */
   counter(
     name: string,
     options: { help: string; labels?: MetricLabels },
@@ -59,7 +60,7 @@
     return counter;
   }
 
-  /** Shows a number that is read whenever the metrics are. */
+  /** Adds a gauge; `read` is called on each rendering. */
   gauge(
     name: string,
     options: { help: string; labels?: MetricLabels; read: () => number },
@@ -69,7 +70,7 @@
     family.lines.set(id, () => [`${id} ${options.read()}`]);
   }
 
-  /** The histogram of this name and these labels; made when it is new. */
+  /** Returns the histogram of this name and labels; creates it if needed. */
   histogram(
     name: string,
     options: { help: string; labels?: MetricLabels },
@@ -89,7 +90,7 @@
     return histogram;
   }
 
-  /** All metrics in the Prometheus text format. */
+  /** Renders all metrics in the Prometheus text format. */
   render(): string {
     const lines: string[] = [];
     for (const [name, family] of this.#families) {
@@ -125,7 +126,7 @@
 class HdrDurations implements DurationHistogram {
   readonly #histogram = new int32Histogram.default(
     1,
-    LONGEST_US,
+    MAX_DURATION_US,
     SIGNIFICANT_DIGITS,
   );
   #sumMs = 0;
@@ -140,7 +141,9 @@
 
   record(durationMs: number): void {
     const durationUs = Math.round(durationMs * 1_000);
-    this.#histogram.recordValue(Math.min(Math.max(1, durationUs), LONGEST_US));
+    this.#histogram.recordValue(
+      Math.min(Math.max(1, durationUs), MAX_DURATION_US),
+    );
     this.#sumMs += durationMs;
   }
 
--- a/src/process/http/mod.ts
+++ b/src/process/http/mod.ts
@@ -1,5 +1,5 @@
 /**
- * The HTTP front of an instance.
+ * The HTTP server of an instance, its metrics and an HTTP client.
  *
  * @module
  */
@@ -16,9 +16,10 @@
 } from "./http_endpoint.ts";
 export {
   type HttpCloseOptions,
-  HttpFront,
-  type HttpFrontOptions,
-} from "./http_front.ts";
+  HttpServer,
+  HttpServer as HttpFront,
+  type HttpServerOptions,
+} from "./http_server.ts";
 export { DEFAULT_HTTP_LIMITS, type HttpLimits } from "./http_limits.ts";
 export { metricsEndpoint } from "./metrics_endpoint.ts";
 export {
@@ -27,4 +28,4 @@
   type MetricLabels,
   MetricsRegistry,
 } from "./metrics_registry.ts";
-export { HttpCaller } from "./http_caller.ts";
+export { HttpClient, HttpClient as HttpCaller } from "./http_client.ts";
