Put the wording of the daemon in plain terms

Odd: parts, foundation, what parts stand on, handing in the first document, orders, vouching. Changed: the parts are subsystems; comments, error details, test titles and local names.

--- a/src/process/daemon/cluster_files.ts
+++ b/src/process/daemon/cluster_files.ts
@@ -1,5 +1,5 @@
 /**
- * Reads the key and the certificates that the settings name.
+ * Reads the cluster key and the TLS files that the settings name.
  *
  * @module
  */
@@ -10,19 +10,19 @@
 import { ClusterKey, type PeerTls } from "../../connection/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 
-/** A shorter key could be guessed. */
-const KEY_MINIMUM_BYTES = 16;
+/** Shorter keys could be guessed. */
+const MIN_KEY_BYTES = 16;
 
-/** The key of a system whose settings name no key file. */
-const OPEN_KEY = new TextEncoder().encode("sesamethread-open-cluster");
+/** Used when the settings name no key file; not secret. */
+const DEFAULT_KEY = new TextEncoder().encode("sesamethread-open-cluster");
 
-/** What instances of one system share. */
+/** The key and TLS files of this instance's cluster. */
 export interface ClusterFiles {
   readonly clusterKey: ClusterKey;
   readonly tls: PeerTls | undefined;
 }
 
-/** Reads all files that the settings of the cluster name. */
+/** Reads the files; `notFound` or `invalid` names the file at fault. */
 export function readClusterFiles(
   cluster: Settings["cluster"],
 ): Result<ClusterFiles> {
@@ -33,11 +33,11 @@
 
 function readKey(path: string | undefined): Result<ClusterKey> {
   if (path === undefined) {
-    return Right(new ClusterKey({ key: OPEN_KEY }));
+    return Right(new ClusterKey({ key: DEFAULT_KEY }));
   }
   return readBytes(path).chain((bytes) => {
-    if (bytes.length < KEY_MINIMUM_BYTES) {
-      const detail = `${path}: expected at least ${KEY_MINIMUM_BYTES} bytes`;
+    if (bytes.length < MIN_KEY_BYTES) {
+      const detail = `${path}: expected at least ${MIN_KEY_BYTES} bytes`;
       return failure("invalid", { detail, location: path });
     }
     return Right(new ClusterKey({ key: bytes }));
@@ -46,9 +46,9 @@
 
 function readTls(cluster: Settings["cluster"]): Result<PeerTls | undefined> {
   const { tlsCertificateFile, tlsKeyFile, tlsAuthorityFile } = cluster;
-  const isNamed = tlsCertificateFile !== undefined &&
+  const isTlsConfigured = tlsCertificateFile !== undefined &&
     tlsKeyFile !== undefined && tlsAuthorityFile !== undefined;
-  if (!isNamed) {
+  if (!isTlsConfigured) {
     return Right(undefined);
   }
   return readText(tlsCertificateFile).chain((certificate) =>
--- a/src/process/daemon/configuration_part.ts
+++ b/src/process/daemon/configuration_part.ts
@@ -1,6 +1,6 @@
 /**
- * The configuration of an instance: its member of the configuration group
- * and the service on top of it.
+ * Configuration of an instance: its member of the configuration group and the
+ * service on top of it.
  *
  * @module
  */
@@ -19,23 +19,23 @@
 import type { Settings } from "../settings/mod.ts";
 import type { DaemonBase } from "./daemon_base.ts";
 
-/** The name of the one configuration group. */
+/** The ID of the only configuration group. */
 export const CONFIGURATION_GROUP = "configuration";
 
-/** Between two tries to hand in the first document. */
+/** Delay before the initial document is submitted again. */
 const BOOTSTRAP_RETRY_MS = 1_000;
 
 /**
- * Bytes a second that the catch-up of a peer in another region may take; a
- * tenth of a link of 20 Mbit/s.
+ * Limit of the catch-up traffic to a peer in another region: a tenth of a
+ * 20 Mbit/s link.
  */
 const REMOTE_CATCH_UP_BYTES_PER_SECOND = 250_000;
 
-/** The same within the region. */
+/** Limit of the catch-up traffic to a peer in the same region. */
 const LOCAL_CATCH_UP_BYTES_PER_SECOND = 12_500_000;
 
-/** The configuration of an instance. */
-export class ConfigurationPart {
+/** Runs the configuration group's member and service of one instance. */
+export class ConfigurationSubsystem {
   readonly service: ConfigurationService;
   readonly member: ReplicationMember<
     ConfigurationCommand,
@@ -63,11 +63,11 @@
     });
   }
 
-  /** Reads what the disk holds and joins the group. */
+  /** Restores the member's state from storage and joins the group. */
   static async open(
     base: DaemonBase,
     options: { storage: Storage | undefined },
-  ): Promise<Result<ConfigurationPart>> {
+  ): Promise<Result<ConfigurationSubsystem>> {
     const machine = new ConfigurationMachine({});
     const member = await ReplicationMember.open({
       groupId: CONFIGURATION_GROUP,
@@ -78,21 +78,24 @@
       machine,
       storage: options.storage,
       events: base.timeline,
-      catchUpBytesPerSecond: (peer) => catchUpBudget(base.settings, peer),
+      catchUpBytesPerSecond: (peer) => catchUpRateLimit(base.settings, peer),
     });
     return member.map((opened) =>
-      new ConfigurationPart(base, { machine, member: opened })
+      new ConfigurationSubsystem(base, { machine, member: opened })
     );
   }
 
-  /** Hands in the first document, again and again, while there is none. */
+  /**
+   * Starts submitting the document of the bootstrap settings, and retries until
+   * a document exists or this one is rejected. Fails if its file can't be read.
+   */
   bootstrap(): Result<void> {
     const { documentFile } = this.#base.settings.bootstrap;
     if (documentFile === undefined) {
       return Right(undefined);
     }
     return readText(documentFile).map((text) => {
-      void this.#offer(text);
+      void this.#submitInitialDocument(text);
     });
   }
 
@@ -103,23 +106,23 @@
     await this.member.close();
   }
 
-  async #offer(text: string): Promise<void> {
+  async #submitInitialDocument(text: string): Promise<void> {
     if (this.#isClosed || this.service.current().version > 0) {
       return;
     }
     const result = await this.service.bootstrap(text);
-    const isLasting = result.swap().map(isRefusal).orDefault(true);
-    if (!isLasting) {
+    const isDone = result.swap().map(isDocumentRejected).orDefault(true);
+    if (!isDone) {
       this.#base.clock.after(
         BOOTSTRAP_RETRY_MS,
-        () => void this.#offer(text),
+        () => void this.#submitInitialDocument(text),
       );
     }
   }
 }
 
-/** Whether the document itself is at fault, so that no retry can help. */
-function isRefusal(error: SesameError): boolean {
+/** Whether the document itself is faulty, so that a retry would fail too. */
+function isDocumentRejected(error: SesameError): boolean {
   return error.kind === "malformed" || error.kind === "invalid";
 }
 
@@ -131,7 +134,7 @@
   }));
 }
 
-function catchUpBudget(settings: Settings, peerId: string): number {
+function catchUpRateLimit(settings: Settings, peerId: string): number {
   const peer = settings.peers.find(({ id }) => id === peerId);
   return peer?.region === settings.instance.region
     ? LOCAL_CATCH_UP_BYTES_PER_SECOND
--- a/src/process/daemon/daemon.ts
+++ b/src/process/daemon/daemon.ts
@@ -1,6 +1,6 @@
 /**
- * One entry instance: composes the parts, opens them in order and stops them
- * in the reverse order.
+ * One entry instance: creates its subsystems, opens them in order of dependency
+ * and closes them in reverse order.
  *
  * @module
  */
@@ -17,56 +17,61 @@
 } from "../../base/mod.ts";
 import { splitAddress } from "../../base/split_address.ts";
 import type { WsPeerNetwork } from "../../connection/mod.ts";
-import { HttpFront, metricsEndpoint } from "../http/mod.ts";
+import { HttpServer, metricsEndpoint } from "../http/mod.ts";
 import type { Settings } from "../settings/mod.ts";
 import { FileStorage } from "../storage/mod.ts";
-import { ConfigurationPart } from "./configuration_part.ts";
+import { ConfigurationSubsystem } from "./configuration_part.ts";
 import { createDaemonBase, type DaemonBase } from "./daemon_base.ts";
-import { DataCentrePart } from "./data_centre_part.ts";
+import { DataCentreSubsystem } from "./data_centre_part.ts";
 import { groupEndpoints } from "./group_endpoints.ts";
 import { instanceEndpoints } from "./instance_endpoints.ts";
 
-/** How a {@link Daemon} is started. */
+/** Options of {@link Daemon.start}. */
 export interface DaemonOptions {
   readonly settings: Settings;
   readonly clock?: Clock;
   readonly random?: RandomSource;
 }
 
-/** The opened parts of a running daemon. */
-interface DaemonParts {
+/** The opened subsystems of a running daemon. */
+interface DaemonSubsystems {
   readonly base: DaemonBase;
   readonly storage: Storage | undefined;
-  readonly configuration: ConfigurationPart;
-  readonly dataCentre: DataCentrePart;
-  readonly front: HttpFront;
+  readonly configuration: ConfigurationSubsystem;
+  readonly dataCentre: DataCentreSubsystem;
+  readonly httpServer: HttpServer;
 }
 
 /** One running entry instance. */
 export class Daemon {
-  #parts: DaemonParts;
+  #subsystems: DaemonSubsystems;
 
-  private constructor(parts: DaemonParts) {
-    this.#parts = parts;
+  private constructor(subsystems: DaemonSubsystems) {
+    this.#subsystems = subsystems;
   }
 
-  /** Opens everything and serves. */
+  /** Opens all subsystems and starts to serve HTTP. */
   static async start(options: DaemonOptions): Promise<Result<Daemon>> {
     const clock = options.clock ?? new SystemClock();
-    const random = options.random ?? randomOfProcess(clock);
+    const random = options.random ?? createRandomSource(clock);
     const base = createDaemonBase(options.settings, { clock, random });
-    const parts = await thenOpen(base, openParts);
-    const served = await thenOpen(parts, serve);
+    const subsystems = await chainAsync(base, openSubsystems);
+    const served = await chainAsync(subsystems, serve);
     return served.map((opened) => new Daemon(opened));
   }
 
-  /** A graceful stop: leaves the balancer first and cuts no call off. */
+  /**
+   * Stops gracefully: leaves the membership and fails the health check, so that
+   * no new calls arrive, then waits for calls in progress. Calls still open
+   * `limits.stopMs` after the beginning of the stop are aborted.
+   */
   async close(signal = "close"): Promise<void> {
-    const { base, configuration, dataCentre, front, storage } = this.#parts;
+    const { base, configuration, dataCentre, httpServer, storage } =
+      this.#subsystems;
     base.timeline.emit("processStopping", { signal });
     base.membership.leave();
     const deadlineMs = base.clock.nowMs() + base.settings.limits.stopMs;
-    await front.close({ deadlineMs });
+    await httpServer.close({ deadlineMs });
     await dataCentre.drain({ deadlineMs });
     await dataCentre.close();
     await configuration.close();
@@ -78,8 +83,8 @@
   }
 }
 
-/** Goes on with the next step of opening, unless an earlier one failed. */
-async function thenOpen<T, U>(
+/** `Either.chain` for an asynchronous step: skips it after a failure. */
+async function chainAsync<T, U>(
   result: Result<T>,
   step: (value: T) => Promise<Result<U>>,
 ): Promise<Result<U>> {
@@ -89,39 +94,47 @@
   return await step(result.unsafeCoerce());
 }
 
-async function openParts(base: DaemonBase): Promise<Result<DaemonParts>> {
+async function openSubsystems(
+  base: DaemonBase,
+): Promise<Result<DaemonSubsystems>> {
   const network = await openNetwork(base.network);
-  const storage = await thenOpen(network, () => openStorage(base.settings));
-  return await thenOpen(storage, (opened) => openGroups(base, opened));
+  const storage = await chainAsync(network, () => openStorage(base.settings));
+  return await chainAsync(storage, (opened) => openGroups(base, opened));
 }
 
 async function openGroups(
   base: DaemonBase,
   storage: Storage | undefined,
-): Promise<Result<DaemonParts>> {
-  const configuration = await ConfigurationPart.open(base, { storage });
-  return await thenOpen(configuration, async (opened) => {
-    const dataCentre = await DataCentrePart.open(base, {
+): Promise<Result<DaemonSubsystems>> {
+  const configuration = await ConfigurationSubsystem.open(base, { storage });
+  return await chainAsync(configuration, async (opened) => {
+    const dataCentre = await DataCentreSubsystem.open(base, {
       storage,
       configuration: opened.service,
     });
-    return dataCentre.map((part) => ({
+    return dataCentre.map((subsystem) => ({
       base,
       storage,
       configuration: opened,
-      dataCentre: part,
-      front: createFront(base, { configuration: opened, dataCentre: part }),
+      dataCentre: subsystem,
+      httpServer: createHttpServer(base, {
+        configuration: opened,
+        dataCentre: subsystem,
+      }),
     }));
   });
 }
 
-function createFront(
+function createHttpServer(
   base: DaemonBase,
-  parts: { configuration: ConfigurationPart; dataCentre: DataCentrePart },
-): HttpFront {
+  subsystems: {
+    configuration: ConfigurationSubsystem;
+    dataCentre: DataCentreSubsystem;
+  },
+): HttpServer {
   const { clock, settings, timeline } = base;
-  const { configuration, dataCentre } = parts;
-  return new HttpFront({
+  const { configuration, dataCentre } = subsystems;
+  return new HttpServer({
     endpoints: [
       ...base.timelineService.endpoints(),
       ...configuration.service.endpoints(),
@@ -149,14 +162,16 @@
   });
 }
 
-async function serve(parts: DaemonParts): Promise<Result<DaemonParts>> {
-  const { base, configuration, front } = parts;
+async function serve(
+  subsystems: DaemonSubsystems,
+): Promise<Result<DaemonSubsystems>> {
+  const { base, configuration, httpServer } = subsystems;
   const { httpAddress } = base.settings.instance;
-  const listening = await front.listen(splitAddress(httpAddress));
+  const listening = await httpServer.listen(splitAddress(httpAddress));
   return listening.chain(() => configuration.bootstrap()).map(() => {
-    front.markReady();
+    httpServer.markReady();
     base.timeline.emit("processStarted", { address: httpAddress });
-    return parts;
+    return subsystems;
   });
 }
 
@@ -180,6 +195,6 @@
   return await FileStorage.open({ folder });
 }
 
-function randomOfProcess(clock: Clock): RandomSource {
+function createRandomSource(clock: Clock): RandomSource {
   return new SeededRandom({ seed: Math.floor(clock.nowMs()) | 0 });
 }
--- a/src/process/daemon/daemon_base.ts
+++ b/src/process/daemon/daemon_base.ts
@@ -1,6 +1,6 @@
 /**
- * What every part of a daemon stands on: time, randomness, the time line, the
- * network and membership.
+ * What all subsystems of a daemon share: clock, randomness, timeline, peer
+ * network, membership and metrics.
  *
  * @module
  */
@@ -14,12 +14,12 @@
 import { type ClusterFiles, readClusterFiles } from "./cluster_files.ts";
 import { createLogger } from "./logger.ts";
 
-/** The foundation of one daemon. */
+/** Shared by all subsystems of one daemon. */
 export interface DaemonBase {
   readonly settings: Settings;
   readonly clock: Clock;
   readonly random: RandomSource;
-  /** Greater than that of any earlier run of this instance. */
+  /** Start time in ms, and so greater than in earlier runs of the instance. */
   readonly incarnation: number;
   readonly timeline: Timeline;
   readonly network: WsPeerNetwork;
@@ -28,7 +28,7 @@
   readonly metrics: MetricsRegistry;
 }
 
-/** Makes the foundation; nothing is opened yet. */
+/** Reads the cluster's files and creates the rest, without opening it. */
 export function createDaemonBase(
   settings: Settings,
   options: { clock: Clock; random: RandomSource },
@@ -66,7 +66,7 @@
     events: timeline,
   });
   const metrics = new MetricsRegistry();
-  showTraffic(metrics, network);
+  registerTrafficMetrics(metrics, network);
   return {
     settings,
     clock,
@@ -80,7 +80,10 @@
   };
 }
 
-function showTraffic(metrics: MetricsRegistry, network: WsPeerNetwork): void {
+function registerTrafficMetrics(
+  metrics: MetricsRegistry,
+  network: WsPeerNetwork,
+): void {
   metrics.gauge("sesamethread_peer_sent_bytes", {
     help: "Bytes of frames sent to other instances since the start.",
     read: () => network.traffic.sentBytes,
--- a/src/process/daemon/data_centre_part.ts
+++ b/src/process/daemon/data_centre_part.ts
@@ -1,6 +1,6 @@
 /**
- * What an instance does within its data centre: its member of the data
- * centre's group, and request routing and scheduling on top of it.
+ * The work of an instance within its data centre: its member of the data
+ * centre's group, with request routing and job scheduling on top of it.
  *
  * @module
  */
@@ -37,29 +37,29 @@
 import type { Settings } from "../settings/mod.ts";
 import type { DaemonBase } from "./daemon_base.ts";
 
-/** The parts that share the data centre's log. */
-const PartName = {
+/** The state machines that share the data centre's log. */
+const ComponentName = {
   jobs: "jobs",
   requests: "requests",
 } as const;
 
-/** What the parts of a data centre stand on. */
-interface DataCentreState {
+/** What routing and scheduling depend on. */
+interface DataCentreDependencies {
   readonly member: ReplicationMember<PartCommand, unknown>;
   readonly requests: LedgerState;
   readonly jobs: JobLedger;
   readonly configuration: ConfigurationService;
 }
 
-/** An instance's share in its data centre. */
-export class DataCentrePart {
+/** Runs the data centre group's member, routing and scheduling. */
+export class DataCentreSubsystem {
   readonly member: ReplicationMember<PartCommand, unknown>;
   readonly routing: RequestRouting;
   readonly scheduler: SchedulerRuntime;
   #workerClient = new HttpWorkerClient();
   #acknowledger: RemovalAcknowledger;
 
-  private constructor(base: DaemonBase, options: DataCentreState) {
+  private constructor(base: DaemonBase, options: DataCentreDependencies) {
     this.member = options.member;
     this.routing = createRouting(base, options);
     this.scheduler = createScheduler(base, {
@@ -72,21 +72,21 @@
     });
   }
 
-  /** Reads what the disk holds and joins the data centre's group. */
+  /** Restores the member's state from storage and joins the group. */
   static async open(
     base: DaemonBase,
     options: {
       storage: Storage | undefined;
       configuration: ConfigurationService;
     },
-  ): Promise<Result<DataCentrePart>> {
+  ): Promise<Result<DataCentreSubsystem>> {
     const { settings } = base;
     const requests = new LedgerState({});
     const jobs = new JobLedger({});
     const machine = new SharedMachine({
       parts: {
-        [PartName.jobs]: jobs as StateMachine<unknown, unknown>,
-        [PartName.requests]: requests as StateMachine<unknown, unknown>,
+        [ComponentName.jobs]: jobs as StateMachine<unknown, unknown>,
+        [ComponentName.requests]: requests as StateMachine<unknown, unknown>,
       },
     });
     const opened = await ReplicationMember.open({
@@ -101,7 +101,7 @@
     });
     const { configuration } = options;
     return opened.map((member) =>
-      new DataCentrePart(base, { member, requests, jobs, configuration })
+      new DataCentreSubsystem(base, { member, requests, jobs, configuration })
     );
   }
 
@@ -114,7 +114,7 @@
     ];
   }
 
-  /** Returns once everything that was begun has ended, or at the deadline. */
+  /** Waits until all requests have ended, or until the deadline. */
   async drain(options: { deadlineMs: number }): Promise<void> {
     await this.routing.drain(options);
   }
@@ -131,7 +131,7 @@
 
 function createRouting(
   base: DaemonBase,
-  state: DataCentreState,
+  dependencies: DataCentreDependencies,
 ): RequestRouting {
   return new RequestRouting({
     self: base.settings.instance,
@@ -140,12 +140,12 @@
     clock: base.clock,
     random: base.random,
     network: base.network,
-    configuration: state.configuration,
+    configuration: dependencies.configuration,
     ledgerLog: new PartLog<LedgerCommand, LedgerReply>({
-      part: PartName.requests,
-      log: state.member,
+      part: ComponentName.requests,
+      log: dependencies.member,
     }),
-    ledgerState: state.requests,
+    ledgerState: dependencies.requests,
     metrics: base.metrics,
     eventLog: base.timeline,
     usableInstances: () =>
@@ -155,7 +155,7 @@
 
 function createScheduler(
   base: DaemonBase,
-  state: DataCentreState & { client: HttpWorkerClient },
+  dependencies: DataCentreDependencies & { client: HttpWorkerClient },
 ): SchedulerRuntime {
   const { instance, peers } = base.settings;
   const { dataCentre } = instance;
@@ -165,12 +165,12 @@
     instances: [instance, ...peers],
     network: base.network,
     log: new PartLog<JobCommand, JobCommandOutcome>({
-      part: PartName.jobs,
-      log: state.member,
+      part: ComponentName.jobs,
+      log: dependencies.member,
     }),
-    ledger: state.jobs,
-    configuration: state.configuration,
-    client: state.client,
+    ledger: dependencies.jobs,
+    configuration: dependencies.configuration,
+    client: dependencies.client,
     createCore: () => new LeaderCore({ dataCentre }),
     events: base.timeline,
   });
@@ -178,9 +178,9 @@
 
 function createAcknowledger(
   base: DaemonBase,
-  state: DataCentreState & { scheduler: SchedulerRuntime },
+  dependencies: DataCentreDependencies & { scheduler: SchedulerRuntime },
 ): RemovalAcknowledger {
-  const { configuration, member, scheduler } = state;
+  const { configuration, member, scheduler } = dependencies;
   const { dataCentre } = base.settings.instance;
   return new RemovalAcknowledger({
     clock: base.clock,
@@ -193,7 +193,7 @@
   });
 }
 
-/** The name of a data centre's group. */
+/** The ID of a data centre's replication group. */
 export function dataCentreGroup(dataCentre: string): string {
   return `data-centre.${dataCentre}`;
 }
--- a/src/process/daemon/group_endpoints.ts
+++ b/src/process/daemon/group_endpoints.ts
@@ -1,6 +1,6 @@
 /**
- * Who votes in a group, for operators: a team that owns the member's data
- * centre takes it out, back in, or vouches that its state is lost.
+ * Lets operators change the voters of a replication group. The team that owns
+ * a member's data centre can add or remove it or declare its state lost.
  *
  * @module
  */
@@ -19,15 +19,15 @@
 } from "../http/mod.ts";
 import type { MemberChange, MemberStatus } from "../replication/mod.ts";
 
-/** What an operator may ask for. */
-export const memberOrderSchema = z.strictObject({
+/** The body of a member change request. */
+export const memberChangeRequestSchema = z.strictObject({
   action: z.enum(["add", "remove", "lost"]),
 });
 
-/** What an operator asks for. */
-export type MemberOrder = z.infer<typeof memberOrderSchema>;
+/** A change to one member of a group, requested by an operator. */
+export type MemberChangeRequest = z.infer<typeof memberChangeRequestSchema>;
 
-/** The part of a group's member that operators reach. */
+/** The operations of a group's member that operators can call. */
 export interface OperableMember {
   status(): MemberStatus;
   changeMembers(
@@ -37,7 +37,7 @@
   declareLost(id: InstanceId): void;
 }
 
-/** What the endpoint needs. */
+/** Options of {@link groupEndpoints}. */
 export interface GroupEndpointsOptions {
   readonly clock: Clock;
   readonly members: readonly OperableMember[];
@@ -47,14 +47,14 @@
   >;
   /** Every instance of the system and its data centre. */
   readonly instances: readonly { id: InstanceId; dataCentre: string }[];
-  /** Where an instance answers HTTP, if that is known. */
+  /** The HTTP address of an instance, if known. */
   readonly httpAddressOf: (id: InstanceId) => string | undefined;
 }
 
 const BODY_LIMIT_BYTES = 1_024;
 
-/** How long a change of members may take to be committed. */
-const CHANGE_LIMIT_MS = 5_000;
+/** Timeout of the commit of a member change. */
+const CHANGE_TIMEOUT_MS = 5_000;
 
 /** `POST /v1/groups/:groupId/members/:memberId`. */
 export function groupEndpoints(
@@ -73,26 +73,26 @@
   options: GroupEndpointsOptions,
 ): Promise<Result<HttpAnswer>> {
   const { groupId = "", memberId = "" } = call.parameters;
-  const allowed = await authorise(call, { ...options, memberId });
-  if (allowed.isLeft()) {
-    return allowed.map(() => jsonAnswer(200, {}));
+  const authorised = await authorise(call, { ...options, memberId });
+  if (authorised.isLeft()) {
+    return authorised.map(() => jsonAnswer(200, {}));
   }
-  const order = readOrder(call);
+  const request = readChangeRequest(call);
   const member = findMember(groupId, options);
-  const task = order.chain((asked) =>
-    member.map((found) => ({ ...asked, found }))
+  const change = request.chain((requested) =>
+    member.map((found) => ({ ...requested, found }))
   );
-  if (task.isLeft()) {
-    return task.map(() => jsonAnswer(200, {}));
+  if (change.isLeft()) {
+    return change.map(() => jsonAnswer(200, {}));
   }
-  const { action, found } = task.unsafeCoerce();
-  const done = action === "lost"
+  const { action, found } = change.unsafeCoerce();
+  const result = action === "lost"
     ? declareLost(found, memberId)
     : await changeVoters(found, { kind: action, id: memberId, options });
-  return done.map(() => jsonAnswer(200, found.status()));
+  return result.map(() => jsonAnswer(200, found.status()));
 }
 
-/** Only the team that owns the member's data centre may change its vote. */
+/** Checks that the call's key is of the team that owns the data centre. */
 async function authorise(
   call: HttpCall,
   options: GroupEndpointsOptions & { memberId: InstanceId },
@@ -116,10 +116,10 @@
   );
 }
 
-function readOrder(call: HttpCall): Result<MemberOrder> {
-  const checked = memberOrderSchema.safeParse(parseJson(call.body));
+function readChangeRequest(call: HttpCall): Result<MemberChangeRequest> {
+  const checked = memberChangeRequestSchema.safeParse(parseJson(call.body));
   return checked.success ? Right(checked.data) : failure("malformed", {
-    detail: 'expected {"action": "add"}, "remove" or "lost"',
+    detail: 'expected {"action": "add"}, or "remove" or "lost" as the action',
   });
 }
 
@@ -138,7 +138,9 @@
   const found = options.members
     .find((member) => member.status().groupId === groupId);
   return found === undefined
-    ? failure("notFound", { detail: `this instance isn't in ${groupId}` })
+    ? failure("notFound", {
+      detail: `this instance isn't a member of group ${groupId}`,
+    })
     : Right(found);
 }
 
@@ -159,10 +161,10 @@
   if (role !== "leader") {
     const leaderAddress = leaderId && options.httpAddressOf(leaderId);
     return failure("unavailable", {
-      detail: `only the group's leader can do this: ${leaderId ?? "none yet"}`,
+      detail: `only the group's leader can do this: ${leaderId ?? "unknown"}`,
       facts: { leaderId, leaderAddress },
     });
   }
-  const deadlineMs = options.clock.nowMs() + CHANGE_LIMIT_MS;
+  const deadlineMs = options.clock.nowMs() + CHANGE_TIMEOUT_MS;
   return await member.changeMembers({ kind, id }, { deadlineMs });
 }
--- a/src/process/daemon/group_endpoints_test.ts
+++ b/src/process/daemon/group_endpoints_test.ts
@@ -13,15 +13,15 @@
 });
 
 function setUp(role: MemberStatus["role"]) {
-  const done: string[] = [];
+  const changes: string[] = [];
   const status = { groupId: "configuration", role, leaderId: "east-2" };
   const member: OperableMember = {
     status: () => status as MemberStatus,
     changeMembers: ({ kind, id }) => {
-      done.push(`${kind} ${id}`);
+      changes.push(`${kind} ${id}`);
       return Promise.resolve(Right(undefined));
     },
-    declareLost: (id) => done.push(`lost ${id}`),
+    declareLost: (id) => changes.push(`lost ${id}`),
   };
   const [endpoint] = groupEndpoints({
     clock: new FakeClock(),
@@ -38,7 +38,7 @@
     instances: [{ id: "east-1", dataCentre: "east" }],
     httpAddressOf: () => "127.0.0.1:9",
   });
-  async function ask(
+  async function request(
     options: { key?: string; memberId?: string; body?: string },
   ): Promise<string> {
     const call = {
@@ -57,29 +57,29 @@
       Right: () => "done",
     }) ?? "";
   }
-  return { ask, done };
+  return { request, changes };
 }
 
-test("the owner of the data centre changes who votes", async (t) => {
-  const { ask, done } = setUp("leader");
-  t.is(await ask({}), "done");
-  t.is(await ask({ body: '{"action":"add"}' }), "done");
-  t.is(await ask({ body: '{"action":"lost"}' }), "done");
-  t.deepEqual(done, ["remove east-1", "add east-1", "lost east-1"]);
+test("the team that owns the data centre can change its voters", async (t) => {
+  const { request, changes } = setUp("leader");
+  t.is(await request({}), "done");
+  t.is(await request({ body: '{"action":"add"}' }), "done");
+  t.is(await request({ body: '{"action":"lost"}' }), "done");
+  t.deepEqual(changes, ["remove east-1", "add east-1", "lost east-1"]);
 });
 
-test("whoever may not, or asks nonsense, changes nothing", async (t) => {
-  const { ask, done } = setUp("leader");
-  t.is(await ask({ key: "operations:wrong" }), "unauthenticated");
-  t.is(await ask({ key: "quotes:right" }), "forbidden");
-  t.is(await ask({ memberId: "east-9" }), "notFound");
-  t.is(await ask({ body: '{"action":"promote"}' }), "malformed");
-  t.is(await ask({ body: "{" }), "malformed");
-  t.deepEqual(done, []);
+test("unauthorised and malformed requests change nothing", async (t) => {
+  const { request, changes } = setUp("leader");
+  t.is(await request({ key: "operations:wrong" }), "unauthenticated");
+  t.is(await request({ key: "quotes:right" }), "forbidden");
+  t.is(await request({ memberId: "east-9" }), "notFound");
+  t.is(await request({ body: '{"action":"promote"}' }), "malformed");
+  t.is(await request({ body: "{" }), "malformed");
+  t.deepEqual(changes, []);
 });
 
-test("a member that doesn't lead names the one that does", async (t) => {
-  const { ask, done } = setUp("follower");
-  t.is(await ask({}), "unavailable");
-  t.deepEqual(done, []);
+test("a member that isn't the leader refuses the change", async (t) => {
+  const { request, changes } = setUp("follower");
+  t.is(await request({}), "unavailable");
+  t.deepEqual(changes, []);
 });
--- a/src/process/daemon/instance_endpoints.ts
+++ b/src/process/daemon/instance_endpoints.ts
@@ -1,5 +1,5 @@
 /**
- * What an instance says of itself and of its peers.
+ * The status of an instance, its groups and its peers.
  *
  * @module
  */
@@ -9,9 +9,9 @@
 import type { MemberStatus } from "../replication/replicated_log.ts";
 import type { DaemonBase } from "./daemon_base.ts";
 
-/** What the status endpoint looks at besides the foundation. */
+/** Sources of the status besides {@link DaemonBase}. */
 export interface InstanceEndpointsOptions {
-  /** Where this instance stands in each of its groups. */
+  /** The status of this instance's member of each of its groups. */
   readonly groups: () => readonly MemberStatus[];
   readonly configurationVersion: () => number;
 }
--- a/src/process/daemon/logger.ts
+++ b/src/process/daemon/logger.ts
@@ -1,5 +1,5 @@
 /**
- * Log lines by `tslog`.
+ * Writes log lines with `tslog`.
  *
  * @module
  */
@@ -7,10 +7,10 @@
 import { Logger } from "tslog";
 import type { Settings } from "../settings/mod.ts";
 
-/** The levels of the settings as `tslog` numbers them. */
+/** The numbers that `tslog` gives to the levels of the settings. */
 const TSLOG_LEVELS = { debug: 2, info: 3, warn: 4, error: 5 } as const;
 
-/** The logger that the settings ask for; it writes to standard output. */
+/** Creates a logger that writes to standard output. */
 export function createLogger(settings: Settings["log"]): Logger<unknown> {
   return new Logger({
     name: "sesamethreadd",
