Put the wording of the request ledger in plain terms

Odd: questions and asks for calls, remembered and forgotten entries, expiry steps, truth for a model. Changed: comments, names, test titles; message fields and values are as before.

--- a/src/process/ledger/ledger.ts
+++ b/src/process/ledger/ledger.ts
@@ -1,6 +1,6 @@
 /**
- * This instance's access to the ledgers of all data centres: to its own
- * through the replicated log, to the others through a peer there.
+ * Access to the ledgers of all data centres: to the local one through the
+ * replicated log, to the others through peers in their data centre.
  *
  * @module
  */
@@ -19,44 +19,44 @@
 import type { ReplicatedLog } from "../replication/replicated_log.ts";
 import {
   decodeLedgerPeerMessage,
+  type LedgerCall,
   type LedgerPeerMessage,
-  type LedgerQuestion,
 } from "./ledger_peer_message.ts";
 import type { LedgerCommand, LedgerReply } from "./ledger_record.ts";
 import type { LedgerState } from "./ledger_state.ts";
 
-/** What a ledger is built from. */
+/** Options of {@link Ledger}. */
 export interface LedgerOptions {
   readonly dataCentre: DataCentreId;
   /** The data centre of each peer. */
   readonly peerDataCentres: ReadonlyMap<InstanceId, DataCentreId>;
-  /** Greater than at any earlier start of this instance. */
+  /** Greater than in any earlier run of this instance. */
   readonly incarnation: number;
   readonly clock: Clock;
   readonly network: PeerNetwork;
   /** The log of this data centre's group. */
   readonly log: ReplicatedLog<LedgerCommand, LedgerReply>;
-  /** The state that this member applies that log to. */
+  /** The local replica, to which that log is applied. */
   readonly state: LedgerState;
 }
 
-/** The peers that one question may be put to. */
-const PEERS_ASKED = 3;
+/** Most peers that one call is sent to, one after another. */
+const MAX_PEERS_TRIED = 3;
 
-/** The shortest time worth asking one peer. */
-const PEER_ASK_MS = 250;
+/** Least timeout of a call to one peer, unless the deadline is nearer. */
+const MIN_PEER_TIMEOUT_MS = 250;
 
-interface OpenAsk {
+interface PendingCall {
   readonly settle: (result: Result<LedgerReply>) => void;
 }
 
-/** Puts questions to the ledger of any data centre. */
+/** Sends calls to the ledger of any data centre. */
 export class Ledger {
   readonly #options: LedgerOptions;
   readonly #channel: PeerChannel<LedgerPeerMessage>;
   readonly #subscription: Subscription<Received<LedgerPeerMessage>>;
-  readonly #asks = new Map<number, OpenAsk>();
-  #lastAskId = 0;
+  readonly #pendingCalls = new Map<number, PendingCall>();
+  #lastCallId = 0;
 
   constructor(options: LedgerOptions) {
     this.#options = options;
@@ -72,64 +72,73 @@
   }
 
   /**
-   * The answer of the home's ledger. `unavailable` means that nothing was
-   * changed for certain, `outcomeUnknown` that it may have been.
+   * Executes the call on the ledger of data centre `home`. It fails with
+   * `unavailable` if the ledger was certainly not changed, and with
+   * `outcomeUnknown` if it may have been.
    */
   ask(
-    question: LedgerQuestion,
+    call: LedgerCall,
     options: { home: DataCentreId; deadlineMs: number },
   ): Promise<Result<LedgerReply>> {
     return options.home === this.#options.dataCentre
-      ? this.#askOwn(question, options.deadlineMs)
-      : this.#askPeers(question, options);
+      ? this.#executeLocally(call, options.deadlineMs)
+      : this.#executeRemotely(call, options);
   }
 
   close(): void {
     this.#subscription.unsubscribe();
     this.#channel.close();
-    for (const ask of [...this.#asks.values()]) {
-      ask.settle(failure("outcomeUnknown", { detail: "The ledger closed." }));
+    for (const pending of [...this.#pendingCalls.values()]) {
+      pending.settle(
+        failure("outcomeUnknown", { detail: "The ledger was closed." }),
+      );
     }
   }
 
-  async #askOwn(
-    question: LedgerQuestion,
+  async #executeLocally(
+    call: LedgerCall,
     deadlineMs: number,
   ): Promise<Result<LedgerReply>> {
     const { log, state } = this.#options;
-    if (question.kind !== "find") {
-      return log.propose(question, { deadlineMs });
+    if (call.kind !== "find") {
+      return log.propose(call, { deadlineMs });
     }
     const barrier = await log.readBarrier({ deadlineMs });
-    return barrier.map(() => state.find(question.key, question.digest));
+    return barrier.map(() => state.find(call.key, call.digest));
   }
 
-  /** Asks one peer after another; a question may so be put twice. */
-  async #askPeers(
-    question: LedgerQuestion,
+  /**
+   * Tries one peer after another until one gives a conclusive result. A call
+   * whose earlier outcome is unknown may so be executed more than once.
+   */
+  async #executeRemotely(
+    call: LedgerCall,
     options: { home: DataCentreId; deadlineMs: number },
   ): Promise<Result<LedgerReply>> {
-    const peers = this.#peersIn(options.home).slice(0, PEERS_ASKED);
-    let isCertain = true;
-    for (const [at, peer] of peers.entries()) {
+    const peers = this.#peersIn(options.home).slice(0, MAX_PEERS_TRIED);
+    let isUnchanged = true;
+    for (const [index, peer] of peers.entries()) {
       const leftMs = options.deadlineMs - this.#options.clock.nowMs();
       if (leftMs <= 0) {
         break;
       }
-      const shareMs = Math.max(PEER_ASK_MS, leftMs / (peers.length - at));
+      const shareMs = Math.max(
+        MIN_PEER_TIMEOUT_MS,
+        leftMs / (peers.length - index),
+      );
       const timeoutMs = Math.min(leftMs, shareMs);
-      const result = await this.#askPeer(peer, question, timeoutMs);
+      const result = await this.#sendToPeer(peer, call, timeoutMs);
       const kind = result.caseOf<ErrorKind | undefined>({
         Left: (error) => error.kind,
         Right: () => undefined,
       });
-      if (kind === undefined || isFinal(kind)) {
+      if (kind === undefined || isConclusive(kind)) {
         return result;
       }
-      isCertain &&= kind === "unavailable";
+      isUnchanged &&= kind === "unavailable";
     }
     const detail = `The ledger of ${options.home} can't be reached.`;
-    return failure(isCertain ? "unavailable" : "outcomeUnknown", { detail });
+    return failure(isUnchanged ? "unavailable" : "outcomeUnknown", { detail });
   }
 
   #peersIn(home: DataCentreId): InstanceId[] {
@@ -138,23 +147,26 @@
     );
   }
 
-  /** `unavailable` when not done for certain, `outcomeUnknown` otherwise. */
-  #askPeer(
+  /**
+   * Sends the call to one peer. Fails with `unavailable` if it was not sent,
+   * `outcomeUnknown` after the timeout, or the error that the peer reports.
+   */
+  #sendToPeer(
     peer: InstanceId,
-    question: LedgerQuestion,
+    call: LedgerCall,
     timeoutMs: number,
   ): Promise<Result<LedgerReply>> {
-    const askId = ++this.#lastAskId;
+    const askId = ++this.#lastCallId;
     return new Promise((resolve) => {
       const timer = this.#options.clock.after(timeoutMs, () => {
         settle(failure("outcomeUnknown"));
       });
       const settle = (result: Result<LedgerReply>): void => {
         timer.close();
-        this.#asks.delete(askId);
+        this.#pendingCalls.delete(askId);
         resolve(result);
       };
-      this.#asks.set(askId, { settle });
+      this.#pendingCalls.set(askId, { settle });
       const { incarnation } = this.#options;
       const kind = "ask";
       const message = {
@@ -162,7 +174,7 @@
         incarnation,
         askId,
         timeoutMs,
-        question,
+        question: call,
       } as const;
       if (!this.#channel.send(peer, message)) {
         settle(failure("unavailable", { detail: "The link is down." }));
@@ -172,25 +184,27 @@
 
   #receive({ from, message }: Received<LedgerPeerMessage>): void {
     if (message.kind === "ask") {
-      void this.#answer(from, message);
+      void this.#handleCall(from, message);
       return;
     }
-    const isOwn = message.incarnation === this.#options.incarnation;
-    const ask = isOwn ? this.#asks.get(message.askId) : undefined;
+    const isOwnReply = message.incarnation === this.#options.incarnation;
+    const pending = isOwnReply
+      ? this.#pendingCalls.get(message.askId)
+      : undefined;
     if (message.reply !== undefined) {
-      ask?.settle(Right(message.reply));
+      pending?.settle(Right(message.reply));
     } else {
-      ask?.settle(failure(message.error ?? "outcomeUnknown"));
+      pending?.settle(failure(message.error ?? "outcomeUnknown"));
     }
   }
 
-  async #answer(
+  async #handleCall(
     from: InstanceId,
-    ask: Extract<LedgerPeerMessage, { kind: "ask" }>,
+    request: Extract<LedgerPeerMessage, { kind: "ask" }>,
   ): Promise<void> {
-    const { askId, incarnation } = ask;
-    const deadlineMs = this.#options.clock.nowMs() + ask.timeoutMs;
-    const result = await this.#askOwn(ask.question, deadlineMs);
+    const { askId, incarnation } = request;
+    const deadlineMs = this.#options.clock.nowMs() + request.timeoutMs;
+    const result = await this.#executeLocally(request.question, deadlineMs);
     const message = result.caseOf<LedgerPeerMessage>({
       Left: (error) => ({
         kind: "reply",
@@ -204,7 +218,7 @@
   }
 }
 
-/** Whether another peer could say nothing better. */
-function isFinal(kind: ErrorKind): boolean {
+/** Whether to return the error rather than try another peer. */
+function isConclusive(kind: ErrorKind): boolean {
   return kind !== "unavailable" && kind !== "outcomeUnknown";
 }
--- a/src/process/ledger/ledger_peer_message.ts
+++ b/src/process/ledger/ledger_peer_message.ts
@@ -1,5 +1,5 @@
 /**
- * What instances say to one another about the ledgers of their data centres.
+ * Messages by which instances call the ledger of another data centre.
  *
  * @module
  */
@@ -10,17 +10,17 @@
 import { failure, type Result } from "../../base/sesame_error.ts";
 import { ledgerCommandSchema, ledgerReplySchema } from "./ledger_record.ts";
 
-const errorKind = z.string().refine(
+const errorKindSchema = z.string().refine(
   (kind): kind is ErrorKind => kind in ERROR_ANSWERS,
 ).transform((kind) => kind as ErrorKind);
 
 const ledgerPeerMessageSchema = z.discriminatedUnion("kind", [
   z.strictObject({
     kind: z.literal("ask"),
-    /** Grows with every run of the asker, so that no run gets a reply to another's. */
+    /** The sender's run, copied to the reply, so that later runs ignore it. */
     incarnation: z.int().min(0),
     askId: z.int(),
-    /** How much time is left; clocks of instances may differ. */
+    /** Time left; a deadline would depend on the clocks of both instances. */
     timeoutMs: z.number(),
     question: z.union([
       ledgerCommandSchema,
@@ -36,25 +36,25 @@
     incarnation: z.int().min(0),
     askId: z.int(),
     reply: ledgerReplySchema.optional(),
-    error: errorKind.optional(),
+    error: errorKindSchema.optional(),
   }),
 ]);
 
-/** One message on the ledgers' channel. */
+/** A message on the channel `ledger`. */
 export type LedgerPeerMessage = z.infer<typeof ledgerPeerMessageSchema>;
 
-/** A command, or a question that changes nothing. */
-export type LedgerQuestion = Extract<
+/** A command, or a lookup, which changes nothing. */
+export type LedgerCall = Extract<
   LedgerPeerMessage,
   { kind: "ask" }
 >["question"];
 
-/** Checks a message from a peer; `malformed` when it has another shape. */
+/** Validates a message from a peer; fails with `malformed`. */
 export function decodeLedgerPeerMessage(
   body: unknown,
 ): Result<LedgerPeerMessage> {
   const parsed = ledgerPeerMessageSchema.safeParse(body);
   return parsed.success ? Right(parsed.data) : failure("malformed", {
-    detail: "The ledger's message has a wrong shape.",
+    detail: "The ledger message has an invalid format.",
   });
 }
--- a/src/process/ledger/ledger_record.ts
+++ b/src/process/ledger/ledger_record.ts
@@ -1,7 +1,7 @@
 /**
- * The records of the ledger of non-idempotent requests, with their
- * validators. They travel between instances and lie in snapshots, so each
- * carries its format version.
+ * Commands, replies and outcomes of the ledger of non-idempotent requests, with
+ * their schemas. Commands are sent between instances and snapshots are stored,
+ * so both have a format version.
  *
  * @module
  */
@@ -11,31 +11,31 @@
 /** The version of the ledger's commands and snapshots. */
 export const LEDGER_FORMAT_VERSION = 1;
 
-const bytes = z.instanceof(Uint8Array);
+const bytesSchema = z.instanceof(Uint8Array);
 
-/** How a request ended, as far as it is remembered. */
+/** The recorded outcome of a request. */
 export const recordedOutcomeSchema = z.discriminatedUnion("kind", [
   z.strictObject({
     kind: z.literal("answered"),
     httpStatus: z.int(),
     contentType: z.string().optional(),
-    body: bytes,
+    body: bytesSchema,
   }),
-  /** It was answered; the answer was too large to be kept. */
+  /** The request was answered; the body did not fit into the ledger. */
   z.strictObject({
     kind: z.literal("answeredUnkept"),
     httpStatus: z.int(),
     bodyBytes: z.int(),
   }),
-  /** It was sent and nobody knows how it ended. */
+  /** The request was sent, and its outcome is unknown. */
   z.strictObject({ kind: z.literal("unknown") }),
 ]);
 
-const common = {
+const commonFields = {
   formatVersion: z.literal(LEDGER_FORMAT_VERSION),
-  /** The request's name within the system. */
+  /** Identifies the request within the system. */
   key: z.string().max(512),
-  /** Who claims: one call of a caller at one run of one instance. */
+  /** Identifies one call that one run of an instance received. */
   claimant: z.string().max(512),
   atMs: z.number(),
 };
@@ -43,40 +43,40 @@
 /** A command to the ledger. */
 export const ledgerCommandSchema = z.discriminatedUnion("kind", [
   z.strictObject({
-    ...common,
+    ...commonFields,
     kind: z.literal("claim"),
-    /** Tells whether a later claim has the same content. */
+    /** Digest of the content; a later claim of the key must have the same. */
     digest: z.string().max(128),
     expiresAtMs: z.number(),
   }),
   z.strictObject({
-    ...common,
+    ...commonFields,
     kind: z.literal("end"),
     outcome: recordedOutcomeSchema,
     expiresAtMs: z.number(),
   }),
-  z.strictObject({ ...common, kind: z.literal("release") }),
+  z.strictObject({ ...commonFields, kind: z.literal("release") }),
 ]);
 
-/** What the ledger says to a command. */
+/** The reply to a command or a lookup. */
 export const ledgerReplySchema = z.discriminatedUnion("kind", [
-  /** Only this claimant may send the request. */
+  /** The claim was acquired: only this claimant may send the request. */
   z.strictObject({ kind: z.literal("granted") }),
-  /** Another claimant has it, and hasn't said how it ended. */
+  /** Another claimant holds the request, and no outcome is recorded. */
   z.strictObject({ kind: z.literal("held") }),
   z.strictObject({
     kind: z.literal("ended"),
     outcome: recordedOutcomeSchema,
   }),
-  /** The same name was used for other content. */
+  /** The key was claimed with other content. */
   z.strictObject({ kind: z.literal("reused") }),
-  /** The name is new, and there is no room to remember it. */
+  /** The key is new, and the ledger has reached its size limit. */
   z.strictObject({ kind: z.literal("full") }),
-  /** The end was recorded, or the claim given up. */
+  /** The outcome was recorded, or the claim was released. */
   z.strictObject({ kind: z.literal("done") }),
-  /** The claimant doesn't hold the request. */
+  /** The claimant does not hold the request. */
   z.strictObject({ kind: z.literal("notHeld") }),
-  /** Nobody has claimed the name. */
+  /** There is no entry for the key. */
   z.strictObject({ kind: z.literal("absent") }),
 ]);
 
--- a/src/process/ledger/ledger_state.ts
+++ b/src/process/ledger/ledger_state.ts
@@ -1,6 +1,6 @@
 /**
- * The ledger of non-idempotent requests as a replicated state machine: who
- * alone may send a request, and how it ended.
+ * The ledger of non-idempotent requests as a replicated state machine: which
+ * claimant may send a request, and the outcome of the request.
  *
  * @module
  */
@@ -20,22 +20,22 @@
   recordedOutcomeSchema,
 } from "./ledger_record.ts";
 
-/** Bounds of the ledger; the same on every member of its group. */
+/** Limits of the ledger; must be the same on every member of its group. */
 export interface LedgerLimits {
-  /** Most bytes of names, outcomes and their keeping. */
+  /** Most bytes of all entries, by the estimate {@link LedgerState.bytes}. */
   readonly bytes: number;
 }
 
-/** The bounds where none are given. */
+/** The default limits. */
 export const DEFAULT_LEDGER_LIMITS: LedgerLimits = {
   bytes: 64 * 1_048_576,
 };
 
-/** What an entry takes besides its strings and its answer. */
-const ENTRY_BYTES = 250;
+/** Estimated memory of an entry besides its strings and its answer. */
+const ENTRY_OVERHEAD_BYTES = 250;
 
-/** Entries expire in groups of this width. */
-const EXPIRY_STEP_MS = 60_000;
+/** Entries that expire in the same interval are removed together. */
+const EXPIRY_BUCKET_MS = 60_000;
 
 const entrySchema = z.strictObject({
   key: z.string(),
@@ -55,11 +55,11 @@
 
 const PACKR = new Packr({ useRecords: false });
 
-/** Claims and outcomes by request, bounded, forgotten when they expire. */
+/** Claims and outcomes by request, limited in size, removed on expiry. */
 export class LedgerState implements StateMachine<LedgerCommand, LedgerReply> {
   readonly #limits: LedgerLimits;
   #entries = new Map<string, Entry>();
-  #keysByExpiry = new Map<number, Set<string>>();
+  #keysByBucket = new Map<number, Set<string>>();
   #bytes = 0;
   #nowMs = 0;
 
@@ -71,7 +71,7 @@
     return this.#entries.size;
   }
 
-  /** Bytes reckoned as held. */
+  /** Estimated memory of all entries. */
   get bytes(): number {
     return this.#bytes;
   }
@@ -88,10 +88,10 @@
     }
   }
 
-  /** What a claim with this content would meet, without claiming. */
+  /** Looks the key up without a claim; `absent` if there is no entry. */
   find(key: string, digest: string): LedgerReply {
     const entry = this.#entries.get(key);
-    return entry === undefined ? { kind: "absent" } : describe(entry, digest);
+    return entry === undefined ? { kind: "absent" } : replyFor(entry, digest);
   }
 
   snapshot(): Uint8Array {
@@ -109,7 +109,7 @@
       return failure("malformed", { detail });
     }
     this.#entries = new Map();
-    this.#keysByExpiry = new Map();
+    this.#keysByBucket = new Map();
     this.#bytes = 0;
     this.#nowMs = parsed.data.nowMs;
     parsed.data.entries.forEach((entry) => this.#put(entry));
@@ -129,27 +129,30 @@
     }
     const isOwn = known.claimant === claimant && known.digest === digest &&
       known.outcome === undefined;
-    return isOwn ? { kind: "granted" } : describe(known, digest);
+    return isOwn ? { kind: "granted" } : replyFor(known, digest);
   }
 
-  /** An outcome stays; only "unknown" gives way to what came of it. */
+  /** Records the outcome, unless one other than "unknown" is recorded. */
   #end(command: EndCommand): LedgerReply {
     const known = this.#entries.get(command.key);
     if (known === undefined || known.claimant !== command.claimant) {
       return { kind: "notHeld" };
     }
-    const isSettled = known.outcome !== undefined &&
+    const hasFinalOutcome = known.outcome !== undefined &&
       known.outcome.kind !== "unknown";
-    if (!isSettled) {
-      const outcome = this.#keepable(command.outcome);
-      this.#drop(known);
+    if (!hasFinalOutcome) {
+      const outcome = this.#toStoredOutcome(command.outcome);
+      this.#remove(known);
       this.#put({ ...known, outcome, expiresAtMs: command.expiresAtMs });
     }
     return { kind: "done" };
   }
 
-  /** A copy, since the body may be a view of a whole frame. */
-  #keepable(outcome: RecordedOutcome): RecordedOutcome {
+  /**
+   * Omits a body that would exceed the limit. Copies other bodies, since a view
+   * would keep the complete received frame in memory.
+   */
+  #toStoredOutcome(outcome: RecordedOutcome): RecordedOutcome {
     if (outcome.kind !== "answered") {
       return outcome;
     }
@@ -168,52 +171,52 @@
     if (!isHolder) {
       return { kind: "notHeld" };
     }
-    this.#drop(known);
+    this.#remove(known);
     return { kind: "done" };
   }
 
   #put(entry: Entry): void {
     this.#entries.set(entry.key, entry);
     this.#bytes += sizeOf(entry);
-    const step = expiryStep(entry.expiresAtMs);
-    const keys = this.#keysByExpiry.get(step) ?? new Set();
+    const bucket = expiryBucket(entry.expiresAtMs);
+    const keys = this.#keysByBucket.get(bucket) ?? new Set();
     keys.add(entry.key);
-    this.#keysByExpiry.set(step, keys);
+    this.#keysByBucket.set(bucket, keys);
   }
 
-  #drop(entry: Entry): void {
+  #remove(entry: Entry): void {
     this.#entries.delete(entry.key);
     this.#bytes -= sizeOf(entry);
-    this.#keysByExpiry.get(expiryStep(entry.expiresAtMs))?.delete(entry.key);
+    this.#keysByBucket.get(expiryBucket(entry.expiresAtMs))?.delete(entry.key);
   }
 
-  /** Forgets what expired; time never runs backwards here. */
+  /** Advances the time, never backwards, and removes expired entries. */
   #expire(atMs: number): void {
-    const before = expiryStep(this.#nowMs);
+    const previousBucket = expiryBucket(this.#nowMs);
     this.#nowMs = Math.max(this.#nowMs, atMs);
-    const now = expiryStep(this.#nowMs);
-    if (now === before) {
+    const currentBucket = expiryBucket(this.#nowMs);
+    if (currentBucket === previousBucket) {
       return;
     }
-    for (const [step, keys] of this.#keysByExpiry) {
-      if (step < now) {
-        this.#dropAll(keys);
-        this.#keysByExpiry.delete(step);
+    for (const [bucket, keys] of this.#keysByBucket) {
+      if (bucket < currentBucket) {
+        this.#removeAll(keys);
+        this.#keysByBucket.delete(bucket);
       }
     }
   }
 
-  #dropAll(keys: ReadonlySet<string>): void {
+  #removeAll(keys: ReadonlySet<string>): void {
     for (const key of [...keys]) {
       const entry = this.#entries.get(key);
       if (entry !== undefined) {
-        this.#drop(entry);
+        this.#remove(entry);
       }
     }
   }
 }
 
-function describe(entry: Entry, digest: string): LedgerReply {
+function replyFor(entry: Entry, digest: string): LedgerReply {
   if (entry.digest !== digest) {
     return { kind: "reused" };
   }
@@ -222,8 +225,8 @@
     : { kind: "ended", outcome: entry.outcome };
 }
 
-function expiryStep(atMs: number): number {
-  return Math.floor(atMs / EXPIRY_STEP_MS);
+function expiryBucket(atMs: number): number {
+  return Math.floor(atMs / EXPIRY_BUCKET_MS);
 }
 
 function sizeOf(entry: Entry): number {
@@ -232,7 +235,7 @@
     : 0;
   const textLength = 2 * entry.key.length + entry.claimant.length +
     entry.digest.length;
-  return ENTRY_BYTES + textLength + answerBytes;
+  return ENTRY_OVERHEAD_BYTES + textLength + answerBytes;
 }
 
 function unpack(bytes: Uint8Array): unknown {
--- a/src/process/ledger/ledger_state_test.ts
+++ b/src/process/ledger/ledger_state_test.ts
@@ -6,27 +6,27 @@
 const LIMIT_BYTES = 2_500;
 const RETENTION_MS = 200_000;
 
-/** Entries may be kept up to a minute longer. */
+/** The model accepts the removal of an entry this long before it expires. */
 const EXPIRY_SLACK_MS = 60_000;
 
-interface TrueEntry {
+interface ModelEntry {
   readonly claimant: string;
   readonly digest: string;
   expiresAtMs: number;
   outcome: string | undefined;
 }
 
-/** What the ledger must remember, in the simplest form. */
-interface Truth {
+/** The expected entries of the ledger. */
+interface LedgerModel {
   nowMs: number;
-  readonly entries: Map<string, TrueEntry>;
+  readonly entries: Map<string, ModelEntry>;
 }
 
 interface Real {
   state: LedgerState;
 }
 
-class Claim implements fc.Command<Truth, Real> {
+class Claim implements fc.Command<LedgerModel, Real> {
   constructor(
     readonly key: string,
     readonly claimant: string,
@@ -37,25 +37,25 @@
     return true;
   }
 
-  run(truth: Truth, real: Real): void {
+  run(model: LedgerModel, real: Real): void {
     const { key, claimant, digest } = this;
-    forgetExpired(truth, real, key);
-    const expiresAtMs = truth.nowMs + RETENTION_MS;
+    removeExpired(model, real, key);
+    const expiresAtMs = model.nowMs + RETENTION_MS;
     const reply = real.state.apply({
       formatVersion: LEDGER_FORMAT_VERSION,
       kind: "claim",
       key,
       claimant,
       digest,
-      atMs: truth.nowMs,
+      atMs: model.nowMs,
       expiresAtMs,
     });
-    const known = truth.entries.get(key);
+    const known = model.entries.get(key);
     if (reply.kind === "granted") {
-      const isFree = known === undefined || isForgettable(known, truth.nowMs) ||
+      const isFree = known === undefined || mayBeRemoved(known, model.nowMs) ||
         (known.claimant === claimant && known.outcome === undefined);
       expect(isFree, "granted twice");
-      truth.entries.set(
+      model.entries.set(
         key,
         known?.claimant === claimant ? known : {
           claimant,
@@ -67,12 +67,15 @@
       return;
     }
     if (reply.kind === "full") {
-      expect(known === undefined || isForgettable(known, truth.nowMs), "full");
+      expect(known === undefined || mayBeRemoved(known, model.nowMs), "full");
       return;
     }
-    expect(known !== undefined, "an entry from nowhere");
+    expect(known !== undefined, "a reply about an unknown entry");
     expect(reply.kind === expectedKind(known, digest), `wrong ${reply.kind}`);
-    expect(textOf(reply) === textOfEntry(known, digest), "wrong outcome");
+    expect(
+      outcomeOf(reply) === expectedOutcome(known, digest),
+      "wrong outcome",
+    );
   }
 
   toString(): string {
@@ -80,7 +83,7 @@
   }
 }
 
-class End implements fc.Command<Truth, Real> {
+class End implements fc.Command<LedgerModel, Real> {
   constructor(
     readonly key: string,
     readonly claimant: string,
@@ -91,16 +94,16 @@
     return true;
   }
 
-  run(truth: Truth, real: Real): void {
+  run(model: LedgerModel, real: Real): void {
     const { key, claimant, outcome } = this;
-    forgetExpired(truth, real, key);
-    const expiresAtMs = truth.nowMs + RETENTION_MS;
+    removeExpired(model, real, key);
+    const expiresAtMs = model.nowMs + RETENTION_MS;
     const reply = real.state.apply({
       formatVersion: LEDGER_FORMAT_VERSION,
       kind: "end",
       key,
       claimant,
-      atMs: truth.nowMs,
+      atMs: model.nowMs,
       expiresAtMs,
       outcome: outcome === "unknown" ? { kind: "unknown" } : {
         kind: "answered",
@@ -108,9 +111,9 @@
         body: new TextEncoder().encode(outcome),
       },
     });
-    const known = truth.entries.get(key);
+    const known = model.entries.get(key);
     if (known?.claimant !== claimant) {
-      expect(reply.kind === "notHeld", "another's end was taken");
+      expect(reply.kind === "notHeld", "another's end was accepted");
       return;
     }
     expect(reply.kind === "done", "the holder was forgotten");
@@ -125,29 +128,29 @@
   }
 }
 
-class Release implements fc.Command<Truth, Real> {
+class Release implements fc.Command<LedgerModel, Real> {
   constructor(readonly key: string, readonly claimant: string) {}
 
   check(): boolean {
     return true;
   }
 
-  run(truth: Truth, real: Real): void {
+  run(model: LedgerModel, real: Real): void {
     const { key, claimant } = this;
-    forgetExpired(truth, real, key);
+    removeExpired(model, real, key);
     const reply = real.state.apply({
       formatVersion: LEDGER_FORMAT_VERSION,
       kind: "release",
       key,
       claimant,
-      atMs: truth.nowMs,
+      atMs: model.nowMs,
     });
-    const known = truth.entries.get(key);
+    const known = model.entries.get(key);
     if (reply.kind === "done") {
       const isHeld = known?.claimant === claimant &&
         known.outcome === undefined;
-      expect(isHeld, "released what wasn't held");
-      truth.entries.delete(key);
+      expect(isHeld, "released a claim that was not held");
+      model.entries.delete(key);
     }
   }
 
@@ -156,15 +159,15 @@
   }
 }
 
-class Advance implements fc.Command<Truth, Real> {
+class Advance implements fc.Command<LedgerModel, Real> {
   constructor(readonly byMs: number) {}
 
   check(): boolean {
     return true;
   }
 
-  run(truth: Truth): void {
-    truth.nowMs += this.byMs;
+  run(model: LedgerModel): void {
+    model.nowMs += this.byMs;
   }
 
   toString(): string {
@@ -172,17 +175,20 @@
   }
 }
 
-class Restore implements fc.Command<Truth, Real> {
+class Restore implements fc.Command<LedgerModel, Real> {
   check(): boolean {
     return true;
   }
 
-  run(_truth: Truth, real: Real): void {
+  run(_model: LedgerModel, real: Real): void {
     const copy = new LedgerState({ limits: { bytes: LIMIT_BYTES } });
     const restored = copy.restore(real.state.snapshot());
-    expect(restored.isRight(), "a snapshot can't be restored");
-    expect(copy.size === real.state.size, "a snapshot lost entries");
-    expect(copy.bytes === real.state.bytes, "a snapshot changed the size");
+    expect(restored.isRight(), "the snapshot was rejected");
+    expect(copy.size === real.state.size, "the snapshot lost entries");
+    expect(
+      copy.bytes === real.state.bytes,
+      "the snapshot changed the size in bytes",
+    );
     real.state = copy;
   }
 
@@ -191,39 +197,42 @@
   }
 }
 
-/** Follows the ledger in what it may forget by now, and only in that. */
-function forgetExpired(truth: Truth, real: Real, key: string): void {
+/** Removes an expired entry from the model once the ledger has removed it. */
+function removeExpired(model: LedgerModel, real: Real, key: string): void {
   real.state.apply({
     formatVersion: LEDGER_FORMAT_VERSION,
     kind: "release",
     key: "none",
     claimant: "none",
-    atMs: truth.nowMs,
+    atMs: model.nowMs,
   });
-  const known = truth.entries.get(key);
+  const known = model.entries.get(key);
   if (known === undefined || real.state.find(key, "").kind !== "absent") {
     return;
   }
-  expect(isForgettable(known, truth.nowMs), "forgotten too soon");
-  truth.entries.delete(key);
+  expect(mayBeRemoved(known, model.nowMs), "forgotten too soon");
+  model.entries.delete(key);
 }
 
-function isForgettable(entry: TrueEntry, nowMs: number): boolean {
+function mayBeRemoved(entry: ModelEntry, nowMs: number): boolean {
   return entry.expiresAtMs <= nowMs + EXPIRY_SLACK_MS;
 }
 
-function expectedKind(entry: TrueEntry, digest: string): string {
+function expectedKind(entry: ModelEntry, digest: string): string {
   if (entry.digest !== digest) {
     return "reused";
   }
   return entry.outcome === undefined ? "held" : "ended";
 }
 
-function textOfEntry(entry: TrueEntry, digest: string): string | undefined {
+function expectedOutcome(
+  entry: ModelEntry,
+  digest: string,
+): string | undefined {
   return entry.digest === digest ? entry.outcome : undefined;
 }
 
-function textOf(reply: LedgerReply): string | undefined {
+function outcomeOf(reply: LedgerReply): string | undefined {
   if (reply.kind !== "ended") {
     return undefined;
   }
@@ -232,9 +241,9 @@
     : reply.outcome.kind;
 }
 
-function expect(holds: boolean, broken: string): asserts holds {
-  if (!holds) {
-    throw new Error(broken);
+function expect(condition: boolean, violation: string): asserts condition {
+  if (!condition) {
+    throw new Error(violation);
   }
 }
 
@@ -253,12 +262,12 @@
 
 function fuzz(mutate: (state: LedgerState) => LedgerState): string | undefined {
   const checked = fc.check(
-    fc.property(commands, (session) => {
+    fc.property(commands, (commandSequence) => {
       const state = new LedgerState({ limits: { bytes: LIMIT_BYTES } });
       fc.modelRun(() => ({
-        model: { nowMs: 0, entries: new Map<string, TrueEntry>() },
+        model: { nowMs: 0, entries: new Map<string, ModelEntry>() },
         real: { state: mutate(state) },
-      }), session);
+      }), commandSequence);
     }),
     { numRuns: 2_000, seed: 8, endOnFailure: true },
   );
@@ -267,17 +276,17 @@
     : undefined;
 }
 
-test("random sessions match the simplest ledger", (t) => {
+test("random commands have the same results as in the model", (t) => {
   t.is(fuzz((state) => state), undefined);
 });
 
-/** A ledger to whose commands something was done. */
-class BrokenLedger extends LedgerState {
+/** A ledger with a fault: it changes each command before it applies it. */
+class FaultyLedger extends LedgerState {
   readonly #change: (
     command: Parameters<LedgerState["apply"]>[0],
   ) => Parameters<LedgerState["apply"]>[0];
 
-  constructor(change: BrokenLedger["change"]) {
+  constructor(change: FaultyLedger["change"]) {
     super({ limits: { bytes: LIMIT_BYTES } });
     this.#change = change;
   }
@@ -292,25 +301,25 @@
 }
 
 const MUTATIONS:
-  readonly (readonly [string, BrokenLedger["change"], RegExp])[] = [
+  readonly (readonly [string, FaultyLedger["change"], RegExp])[] = [
     [
-      "takes all claimants for one",
+      "ignores the claimant",
       (command) => ({ ...command, claimant: "one" }),
       /granted twice|another's end/,
     ],
     [
-      "takes all contents for one",
+      "ignores the content's digest",
       (command) =>
         command.kind === "claim" ? { ...command, digest: "x" } : command,
       /wrong/,
     ],
     [
-      "forgets too soon",
+      "removes entries too soon",
       (command) => ({ ...command, atMs: command.atMs * 4 }),
       /forgotten/,
     ],
     [
-      "takes every end for an answer",
+      "records every outcome as an answer",
       (command) =>
         command.kind === "end"
           ? {
@@ -327,12 +336,12 @@
   ];
 
 for (const [name, change, expected] of MUTATIONS) {
-  test(`the oracle notices a ledger that ${name}`, (t) => {
-    t.regex(fuzz(() => new BrokenLedger(change)) ?? "nothing", expected);
+  test(`the model detects a ledger that ${name}`, (t) => {
+    t.regex(fuzz(() => new FaultyLedger(change)) ?? "nothing", expected);
   });
 }
 
-test("an unreadable snapshot is refused and changes nothing", (t) => {
+test("an unreadable snapshot is rejected without a change", (t) => {
   const state = new LedgerState();
   state.apply({
     formatVersion: LEDGER_FORMAT_VERSION,
--- a/src/process/ledger/memory_group.ts
+++ b/src/process/ledger/memory_group.ts
@@ -1,6 +1,6 @@
 /**
- * A replicated log within one process: every member applies a command as
- * soon as it is proposed. For tests, and for an instance that is alone.
+ * A replicated log within one process, for tests and benchmarks: a proposed
+ * command is applied immediately.
  *
  * @module
  */
@@ -16,19 +16,19 @@
   type StateMachine,
 } from "../replication/replicated_log.ts";
 
-/** How a member's access to its group fails. */
+/** Simulated faults of a member. */
 export const MemoryFault = {
   none: "none",
-  /** Nothing is committed, and the member says so. */
+  /** Proposals fail with `unavailable` and are not committed. */
   unavailable: "unavailable",
-  /** The command is committed, and the member can't tell. */
+  /** Proposals fail with `outcomeUnknown` although they are committed. */
   lostAnswer: "lostAnswer",
 } as const;
 
 /** One of the values of {@link MemoryFault}. */
 export type MemoryFault = typeof MemoryFault[keyof typeof MemoryFault];
 
-/** A group whose members share one state. */
+/** A replication group whose members share one state machine. */
 export class MemoryGroup<Command, Outcome> {
   readonly #groupId: string;
   readonly #state: StateMachine<Command, Outcome>;
@@ -49,7 +49,7 @@
     return this.#index;
   }
 
-  /** Access for one instance. */
+  /** Creates the member of one instance. */
   member(instanceId: InstanceId): MemoryMember<Command, Outcome> {
     return new MemoryMember({ group: this, instanceId });
   }
@@ -60,14 +60,14 @@
   }
 }
 
-/** One instance's access to a {@link MemoryGroup}. */
+/** The member of a {@link MemoryGroup} on one instance. */
 export class MemoryMember<Command, Outcome>
   implements ReplicatedLog<Command, Outcome> {
   readonly #group: MemoryGroup<Command, Outcome>;
   readonly #instanceId: InstanceId;
   readonly #statuses = new Channel<MemberStatus>();
   readonly statuses = this.#statuses.stream;
-  /** How this member's access fails from now on. */
+  /** The fault of all calls from now on. */
   fault: MemoryFault = MemoryFault.none;
 
   constructor(
--- a/src/process/ledger/mod.ts
+++ b/src/process/ledger/mod.ts
@@ -1,5 +1,5 @@
 /**
- * The ledger that keeps non-idempotent requests from running twice.
+ * The ledger that prevents non-idempotent requests from running twice.
  *
  * @module
  */
--- a/src/process/ledger/request_home.ts
+++ b/src/process/ledger/request_home.ts
@@ -1,5 +1,5 @@
 /**
- * Which data centre's ledger remembers a request.
+ * Chooses the data centre whose ledger records a request.
  *
  * @module
  */
@@ -7,12 +7,13 @@
 import { createHash } from "node:crypto";
 import type { DataCentreId, RequestId } from "../../base/identity.ts";
 
-/** Ends the name of a data centre at the start of a request's identity. */
+/** Separates the data centre's name from the rest of a request's ID. */
 export const HOME_SEPARATOR = ":";
 
 /**
- * The data centre named before the identity's first colon, or else the one
- * that rendezvous hashing chooses. All instances with the same document agree.
+ * Returns the data centre named before the first colon of the ID, or else the
+ * one that rendezvous hashing selects. All instances with the same document
+ * agree on it.
  */
 export function requestHome(
   requestId: RequestId,
@@ -24,18 +25,18 @@
     return prefix;
   }
   let home: DataCentreId | undefined;
-  let highest = "";
+  let highestWeight = "";
   for (const dataCentre of dataCentres) {
-    const weight = weigh(requestId, dataCentre);
-    if (home === undefined || weight > highest) {
+    const weight = weightOf(requestId, dataCentre);
+    if (home === undefined || weight > highestWeight) {
       home = dataCentre;
-      highest = weight;
+      highestWeight = weight;
     }
   }
   return home;
 }
 
-function weigh(requestId: RequestId, dataCentre: DataCentreId): string {
+function weightOf(requestId: RequestId, dataCentre: DataCentreId): string {
   return createHash("sha256").update(`${dataCentre}\n${requestId}`)
     .digest("hex");
 }
