Put the wording of job endpoints and settings in plain terms

Odd: whole and shape checks, identities, limits 'most', seen and wanted in tests. Changed: comments, error details, local names, test titles; settings names are as before.

--- a/src/process/jobs/job_endpoints.ts
+++ b/src/process/jobs/job_endpoints.ts
@@ -1,5 +1,5 @@
 /**
- * Jobs over HTTP: submit, list, look at, cancel.
+ * HTTP endpoints that submit, list, show and cancel jobs.
  *
  * @module
  */
@@ -19,13 +19,13 @@
 } from "../scheduler/runtime/mod.ts";
 import { readJsonBody } from "./json_body.ts";
 
-/** The most bytes of one job's specification. */
+/** Limit of a job specification's size. */
 const JOB_BODY_LIMIT_BYTES = 262_144;
 
-/** How many jobs a list gives when the caller doesn't say. */
-const LIST_LIMIT_DEFAULT = 200;
+/** Length of a list of jobs if the call has no `limit` parameter. */
+const DEFAULT_LIST_LIMIT = 200;
 
-const LIST_LIMIT_MOST = 10_000;
+const MAX_LIST_LIMIT = 10_000;
 
 /** Options of {@link jobEndpoints}. */
 export interface JobEndpointsOptions {
@@ -90,17 +90,17 @@
   call: HttpCall,
   scheduler: JobEndpointsOptions["scheduler"],
 ): Promise<Result<HttpAnswer>> {
-  const limit = Number(call.query.get("limit") ?? LIST_LIMIT_DEFAULT);
-  if (!Number.isInteger(limit) || limit < 1 || limit > LIST_LIMIT_MOST) {
+  const limit = Number(call.query.get("limit") ?? DEFAULT_LIST_LIMIT);
+  if (!Number.isInteger(limit) || limit < 1 || limit > MAX_LIST_LIMIT) {
     return failure("malformed", {
-      detail: `limit: a whole number from 1 to ${LIST_LIMIT_MOST}`,
+      detail: `limit: expected a whole number from 1 to ${MAX_LIST_LIMIT}`,
     });
   }
   const { value, unaskedDataCentres } = await scheduler.listJobs(limit);
   return Right(jsonAnswer(200, { jobs: value, unaskedDataCentres }));
 }
 
-/** `status` for what this call made; 200 for what was there before. */
+/** Answers with `status` if the call had an effect, 200 if it is a repeat. */
 function answerAccepted(accepted: JobAccepted, status: number): HttpAnswer {
   return jsonAnswer(accepted.isNew ? status : 200, accepted);
 }
--- a/src/process/jobs/job_endpoints_test.ts
+++ b/src/process/jobs/job_endpoints_test.ts
@@ -28,20 +28,20 @@
 };
 
 function makeRuntime() {
-  const world = makeEnvironment({
+  const environment = makeEnvironment({
     seed: 3,
     dataCentres: ["dc1"],
     instances: 1,
   });
-  const { clock, links, peers, locations: places, configuration } = world;
+  const { clock, links, peers, locations, configuration } = environment;
   const ledger = new JobLedger();
-  const group = new FakeGroup<JobCommand, JobCommandOutcome>(world);
+  const group = new FakeGroup<JobCommand, JobCommandOutcome>(environment);
   const log = group.join("dc1-0", ledger);
   const client = new HttpWorkerClient();
   const runtime = new SchedulerRuntime({
     clock,
     dataCentre: "dc1",
-    instances: places,
+    instances: locations,
     network: new FakePeerNetwork({ selfId: "dc1-0", links, peers }),
     log,
     ledger,
@@ -55,7 +55,7 @@
 
 async function call(
   endpoints: readonly HttpEndpoint[],
-  wanted: {
+  request: {
     method: HttpEndpoint["method"];
     path: string;
     parameters?: Record<string, string>;
@@ -63,13 +63,13 @@
   },
 ): Promise<{ status: number; body: Record<string, unknown> }> {
   const endpoint = endpoints.find((each) =>
-    each.method === wanted.method && each.path === wanted.path
+    each.method === request.method && each.path === request.path
   );
-  const text = wanted.body === undefined ? "" : JSON.stringify(wanted.body);
+  const text = request.body === undefined ? "" : JSON.stringify(request.body);
   const result = await endpoint?.handle({
-    method: wanted.method,
-    path: wanted.path,
-    parameters: wanted.parameters ?? {},
+    method: request.method,
+    path: request.path,
+    parameters: request.parameters ?? {},
     query: new URLSearchParams(),
     headers: {},
     receivedAtMs: 0,
@@ -90,7 +90,7 @@
   };
 }
 
-/** Takes reports over HTTP the way the daemon's front does. */
+/** Serves the report endpoint over HTTP, as the daemon does. */
 async function serveReports(
   endpoints: readonly HttpEndpoint[],
 ): Promise<{ server: Server; address: string }> {
@@ -114,7 +114,7 @@
   return { server, address: `127.0.0.1:${port}` };
 }
 
-test("a job runs on a worker over HTTP and is seen to end", async (t) => {
+test("a job submitted over HTTP runs on a worker until it ends", async (t) => {
   const { clock, runtime, client } = makeRuntime();
   const endpoints = [
     ...jobEndpoints({ scheduler: runtime }),
@@ -134,19 +134,22 @@
       path: "/v1/jobs/:jobId",
       parameters: { jobId: "j1" },
     });
-  // Fake time goes on a little for every turn of the real loop.
+  // The fake clock advances by 10 ms for about every real millisecond.
   const ticks = setInterval(() => clock.advance(10), 1);
   const post = { method: "POST", path: "/v1/jobs", body: JOB } as const;
   t.is((await call(endpoints, post)).status, 201);
   t.is((await call(endpoints, post)).status, 200);
-  const other = await call(endpoints, { ...post, body: { ...JOB, tasks: 1 } });
-  t.like(other, { status: 422, body: { error: "identityReused" } });
-  let seen = await getJob();
-  while ((seen.body["job"] as { state: string }).state !== "ended") {
-    seen = await getJob();
+  const conflict = await call(endpoints, {
+    ...post,
+    body: { ...JOB, tasks: 1 },
+  });
+  t.like(conflict, { status: 422, body: { error: "identityReused" } });
+  let shown = await getJob();
+  while ((shown.body["job"] as { state: string }).state !== "ended") {
+    shown = await getJob();
     await new Promise((resolve) => setImmediate(resolve));
   }
-  t.like(seen.body["job"], { end: { outcome: "succeeded" } });
+  t.like(shown.body["job"], { end: { outcome: "succeeded" } });
   const workers = await call(endpoints, {
     method: "GET",
     path: "/v1/workers",
@@ -160,7 +163,7 @@
   await new Promise((resolve) => server.close(resolve));
 });
 
-test("malformed bodies and unknown names are refused", async (t) => {
+test("malformed bodies, unknown client accounts and unknown jobs are refused", async (t) => {
   const { clock, runtime } = makeRuntime();
   const endpoints = [
     ...jobEndpoints({ scheduler: runtime }),
@@ -171,8 +174,8 @@
   t.like(await call(endpoints, { ...post, body: { jobId: "!" } }), {
     status: 400,
   });
-  const stranger = { ...JOB, clientAccount: "nobody" };
-  t.like(await call(endpoints, { ...post, body: stranger }), {
+  const unknownAccount = { ...JOB, clientAccount: "nobody" };
+  t.like(await call(endpoints, { ...post, body: unknownAccount }), {
     status: 422,
     body: { error: "invalid" },
   });
--- a/src/process/jobs/json_body.ts
+++ b/src/process/jobs/json_body.ts
@@ -1,5 +1,5 @@
 /**
- * Reads JSON bodies by their validators.
+ * Parses and validates JSON bodies.
  *
  * @module
  */
@@ -9,7 +9,7 @@
 import * as z from "zod";
 import { failure, type Result } from "../../base/sesame_error.ts";
 
-/** The body as the validator's type, or `malformed` with the reason. */
+/** Parses the body by the schema; fails with `malformed` and the reason. */
 export function readJsonBody<T>(
   body: Uint8Array,
   schema: z.ZodType<T>,
--- a/src/process/jobs/worker_endpoints.ts
+++ b/src/process/jobs/worker_endpoints.ts
@@ -1,5 +1,5 @@
 /**
- * Workers over HTTP: their reports, and the list of them.
+ * HTTP endpoints that accept workers' reports and list the workers.
  *
  * @module
  */
@@ -19,7 +19,7 @@
 } from "../scheduler/runtime/mod.ts";
 import { readJsonBody } from "./json_body.ts";
 
-/** The most bytes of one report. */
+/** Limit of a report's size. */
 const REPORT_BODY_LIMIT_BYTES = 1_048_576;
 
 /** Options of {@link workerEndpoints}. */
@@ -39,7 +39,7 @@
       method: "POST",
       path: "/v1/workers/:workerId/report",
       bodyLimitBytes: REPORT_BODY_LIMIT_BYTES,
-      handle: (call) => Promise.resolve(takeReport(call, scheduler)),
+      handle: (call) => Promise.resolve(acceptReport(call, scheduler)),
     },
     {
       method: "GET",
@@ -55,14 +55,16 @@
   ];
 }
 
-function takeReport(
+function acceptReport(
   call: HttpCall,
   scheduler: WorkerEndpointsOptions["scheduler"],
 ): Result<HttpAnswer> {
   const report = readJsonBody<WorkerReport>(call.body, workerReportSchema);
   return report.chain((value) => {
     if (value.workerId !== call.parameters["workerId"]) {
-      return failure("invalid", { detail: "the path names another worker" });
+      return failure("invalid", {
+        detail: "the workerId of the report differs from the path",
+      });
     }
     scheduler.acceptWorkerReport(value);
     return Right(jsonAnswer(200, { accepted: true }));
--- a/src/process/settings/load_settings.ts
+++ b/src/process/settings/load_settings.ts
@@ -1,5 +1,5 @@
 /**
- * Reads and checks a daemon's settings file.
+ * Reads and validates a daemon's settings file.
  *
  * @module
  */
@@ -11,19 +11,19 @@
 import { failure, type Result, SesameError } from "../../base/mod.ts";
 import { type Settings, settingsSchema } from "./settings.ts";
 
-/** Reads the settings file at `path`; every fault names file and key. */
+/** Reads the settings file at `path`; errors name the file and the key. */
 export function loadSettings(path: string): Result<Settings> {
   return readText(path).chain((text) => parseSettings(text, { path }));
 }
 
-/** Checks the text of a settings file; `path` is for the messages. */
+/** Parses the text of a settings file; error messages name `path`. */
 export function parseSettings(
   text: string,
   options: { path: string },
 ): Result<Settings> {
   return parseToml(text, options.path)
-    .chain((raw) => checkShape(raw, options.path))
-    .chain((settings) => checkWhole(settings, options.path));
+    .chain((raw) => checkSchema(raw, options.path))
+    .chain((settings) => checkConsistency(settings, options.path));
 }
 
 function readText(path: string): Result<string> {
@@ -48,7 +48,7 @@
   }
 }
 
-function checkShape(raw: unknown, path: string): Result<Settings> {
+function checkSchema(raw: unknown, path: string): Result<Settings> {
   const checked = settingsSchema.safeParse(raw);
   if (checked.success) {
     return Right(checked.data);
@@ -65,7 +65,7 @@
   return `${key}: ${issue.message}`;
 }
 
-function checkWhole(settings: Settings, path: string): Result<Settings> {
+function checkConsistency(settings: Settings, path: string): Result<Settings> {
   const lines = [
     ...findRepeatedAddresses(settings),
     ...findRepeatedIds(settings),
@@ -104,12 +104,14 @@
   const ids = [settings.instance.id, ...settings.peers.map((peer) => peer.id)];
   return ids
     .filter((id, at) => ids.indexOf(id) !== at)
-    .map((id) => `peers: the instance id ${id} stands twice`);
+    .map((id) => `peers: duplicate instance ID ${id}`);
 }
 
 function findDiskFaults(settings: Settings): string[] {
   if (settings.instance.hasDisk && settings.storage.folder === undefined) {
-    return ["storage.folder: expected a folder, since instance.hasDisk"];
+    return [
+      "storage.folder: expected a folder, since instance.hasDisk is true",
+    ];
   }
   return [];
 }
--- a/src/process/settings/load_settings_test.ts
+++ b/src/process/settings/load_settings_test.ts
@@ -23,13 +23,13 @@
   return detailOf(parseSettings(text, { path: "a.toml" }));
 }
 
-test("a small file is accepted, with defaults filled in", (t) => {
+test("omitted settings get their default values", (t) => {
   const settings = parseSettings(VALID, { path: "a.toml" }).unsafeCoerce();
   t.is(settings.cluster.name, "sesamethread");
   t.is(settings.limits.stopMs, 30_000);
 });
 
-test("every fault names the file, the key and what is expected", (t) => {
+test("errors name the file, the key and what is expected", (t) => {
   const cases: [string, RegExp][] = [
     [VALID + 'colour = "red"\n', /a\.toml: instance: unknown key colour/],
     [VALID + "[limits]\nstopMs = 5\n", /a\.toml: limits\.stopMs: .*>=100/],
