Name the remaining locals of the daemon's part plainly

Odd: known entries, left time, faults of settings, lines that are functions, a bare head. Changed: local names and private fields, three comments.

--- a/src/process/daemon/instance_endpoints.ts
+++ b/src/process/daemon/instance_endpoints.ts
@@ -26,11 +26,11 @@
     path: "/v1/status",
     bodyLimitBytes: 0,
     handle: () =>
-      Promise.resolve(Right(jsonAnswer(200, describe(base, options)))),
+      Promise.resolve(Right(jsonAnswer(200, statusBody(base, options)))),
   }];
 }
 
-function describe(
+function statusBody(
   base: DaemonBase,
   options: InstanceEndpointsOptions,
 ): unknown {
--- a/src/process/http/body_reader.ts
+++ b/src/process/http/body_reader.ts
@@ -75,9 +75,9 @@
     this.#options = options;
     this.#resolve = resolve;
     this.#declaredBytes = declaredBytesOf(request) ?? INITIAL_BUFFER_BYTES;
-    const leftMs = options.deadlineMs - options.clock.nowMs();
+    const remainingMs = options.deadlineMs - options.clock.nowMs();
     this.#timer = options.clock.after(
-      leftMs,
+      remainingMs,
       () => this.#fail(failure("slowCaller")),
     );
     request.on("data", this.#onData);
--- a/src/process/http/endpoint_table.ts
+++ b/src/process/http/endpoint_table.ts
@@ -30,8 +30,10 @@
 
   /** Fails with `notFound` for a path, `methodNotAllowed` for a method. */
   find(method: string, path: string): Result<EndpointMatch> {
-    const known = METHODS.find((name) => name === method);
-    const found = known === undefined ? null : this.#router.find(known, path);
+    const supportedMethod = METHODS.find((name) => name === method);
+    const found = supportedMethod === undefined
+      ? null
+      : this.#router.find(supportedMethod, path);
     if (found !== null) {
       return Right({
         endpoint: found.store as HttpEndpoint,
--- a/src/process/http/http_client_test.ts
+++ b/src/process/http/http_client_test.ts
@@ -13,13 +13,13 @@
 
 /** A server that echoes bodies, but never answers calls to /silent. */
 async function openServer(
-  seen: string[],
+  receivedCalls: string[],
 ): Promise<{ server: Server; address: string }> {
   const server = createServer((request, response) => {
     let text = "";
     request.on("data", (chunk) => text += chunk);
     request.on("end", () => {
-      seen.push(`${request.socket.remotePort} ${request.url}`);
+      receivedCalls.push(`${request.socket.remotePort} ${request.url}`);
       if (request.url !== "/silent") {
         response.statusCode = 202;
         response.end(text);
@@ -37,8 +37,8 @@
 }
 
 test("consecutive calls get complete answers over one connection", async (t) => {
-  const seen: string[] = [];
-  const { server, address } = await openServer(seen);
+  const receivedCalls: string[] = [];
+  const { server, address } = await openServer(receivedCalls);
   const client = new HttpClient(OPTIONS);
   const long = "x".repeat(300_000);
   for (const body of ["one", "", long]) {
@@ -51,7 +51,7 @@
     t.is(answer.status, 202);
     t.is(answer.body.toString(), body);
   }
-  t.is(new Set(seen).size, 1, "all calls used the same connection");
+  t.is(new Set(receivedCalls).size, 1, "all calls used the same connection");
   await client.close();
   await closeServer(server);
 });
@@ -68,11 +68,11 @@
 });
 
 test("calls time out, also one that still waits for a connection", async (t) => {
-  const seen: string[] = [];
-  const { server, address } = await openServer(seen);
+  const receivedCalls: string[] = [];
+  const { server, address } = await openServer(receivedCalls);
   const client = new HttpClient(OPTIONS);
-  const silent = { ...CALL, address, path: "/silent", body: "" };
-  const first = client.call({ ...silent, timeoutMs: 150 });
+  const unanswered = { ...CALL, address, path: "/silent", body: "" };
+  const first = client.call({ ...unanswered, timeoutMs: 150 });
   const waiting = client.call({ ...CALL, address, body: "", timeoutMs: 50 });
   await t.throwsAsync(waiting, { instanceOf: CallTimeoutError });
   await t.throwsAsync(first, { instanceOf: CallTimeoutError });
@@ -84,7 +84,7 @@
   });
   t.is(next.body.toString(), "next");
   t.deepEqual(
-    seen.map((line) => line.split(" ")[1]),
+    receivedCalls.map((line) => line.split(" ")[1]),
     ["/silent", "/echo"],
     "a call that timed out before it was sent is never sent",
   );
--- a/src/process/http/http_exchange.ts
+++ b/src/process/http/http_exchange.ts
@@ -82,8 +82,11 @@
     };
   }
 
-  async #runMatched(match: EndpointMatch, bare: HttpCallHead): Promise<void> {
-    const head = { ...bare, parameters: match.parameters };
+  async #runMatched(
+    match: EndpointMatch,
+    unmatchedHead: HttpCallHead,
+  ): Promise<void> {
+    const head = { ...unmatchedHead, parameters: match.parameters };
     const read = await this.#readBody(match, head);
     await read.caseOf({
       Left: (error) => this.refuse(error),
@@ -173,8 +176,9 @@
   }
 
   /**
-   * Discards the rest of the body for `lingerMs`. Closing a socket with unread
-   * input resets the connection, and the caller could lose the answer.
+   * Discards the rest of the body for `lingerMs` before the socket is closed:
+   * unread input would reset the connection, and the caller could lose the
+   * answer.
    */
   #discardInput(): void {
     const { request, clock, limits } = this.#options;
--- a/src/process/http/http_server.ts
+++ b/src/process/http/http_server.ts
@@ -133,8 +133,8 @@
     if (waitMs > 0) {
       await new Promise<void>((done) => this.#clock.after(waitMs, done));
     }
-    const leftMs = options.deadlineMs - this.#clock.nowMs();
-    const timer = this.#clock.after(leftMs, () => this.#abortCalls());
+    const remainingMs = options.deadlineMs - this.#clock.nowMs();
+    const timer = this.#clock.after(remainingMs, () => this.#abortCalls());
     await new Promise<void>((done) => this.#server.close(() => done()));
     timer.close();
   }
--- a/src/process/http/metrics_registry.ts
+++ b/src/process/http/metrics_registry.ts
@@ -29,15 +29,15 @@
 const SIGNIFICANT_DIGITS = 2;
 const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
 
-interface Family {
+interface MetricFamily {
   readonly kind: "counter" | "gauge" | "summary";
   readonly help: string;
-  readonly lines: Map<string, () => string[]>;
+  readonly renderers: Map<string, () => string[]>;
 }
 
 /** All metrics of an instance, by name and labels. */
 export class MetricsRegistry {
-  readonly #families = new Map<string, Family>();
+  readonly #families = new Map<string, MetricFamily>();
   readonly #counters = new Map<string, Counter>();
   readonly #histograms = new Map<string, DurationHistogram>();
 
@@ -47,13 +47,13 @@
     options: { help: string; labels?: MetricLabels },
   ): Counter {
     const id = name + renderLabels(options.labels ?? {});
-    const known = this.#counters.get(id);
-    if (known !== undefined) {
-      return known;
+    const existing = this.#counters.get(id);
+    if (existing !== undefined) {
+      return existing;
     }
     const counter = new PlainCounter();
     this.#counters.set(id, counter);
-    this.#family(name, "counter", options.help).lines.set(
+    this.#family(name, "counter", options.help).renderers.set(
       id,
       () => [`${id} ${counter.value}`],
     );
@@ -67,7 +67,7 @@
   ): void {
     const id = name + renderLabels(options.labels ?? {});
     const family = this.#family(name, "gauge", options.help);
-    family.lines.set(id, () => [`${id} ${options.read()}`]);
+    family.renderers.set(id, () => [`${id} ${options.read()}`]);
   }
 
   /** Returns the histogram of this name and labels; creates it if needed. */
@@ -77,13 +77,13 @@
   ): DurationHistogram {
     const labels = options.labels ?? {};
     const id = name + renderLabels(labels);
-    const known = this.#histograms.get(id);
-    if (known !== undefined) {
-      return known;
+    const existing = this.#histograms.get(id);
+    if (existing !== undefined) {
+      return existing;
     }
-    const histogram = new HdrDurations();
+    const histogram = new HdrDurationHistogram();
     this.#histograms.set(id, histogram);
-    this.#family(name, "summary", options.help).lines.set(
+    this.#family(name, "summary", options.help).renderers.set(
       id,
       () => renderSummary(name, { labels, histogram }),
     );
@@ -96,16 +96,20 @@
     for (const [name, family] of this.#families) {
       lines.push(`# HELP ${name} ${family.help}`);
       lines.push(`# TYPE ${name} ${family.kind}`);
-      for (const render of family.lines.values()) {
+      for (const render of family.renderers.values()) {
         lines.push(...render());
       }
     }
     return lines.join("\n") + "\n";
   }
 
-  #family(name: string, kind: Family["kind"], help: string): Family {
-    const known = this.#families.get(name);
-    const family = known ?? { kind, help, lines: new Map() };
+  #family(
+    name: string,
+    kind: MetricFamily["kind"],
+    help: string,
+  ): MetricFamily {
+    const existing = this.#families.get(name);
+    const family = existing ?? { kind, help, renderers: new Map() };
     this.#families.set(name, family);
     return family;
   }
@@ -123,7 +127,7 @@
   }
 }
 
-class HdrDurations implements DurationHistogram {
+class HdrDurationHistogram implements DurationHistogram {
   readonly #histogram = new int32Histogram.default(
     1,
     MAX_DURATION_US,
@@ -154,7 +158,7 @@
 
 function renderSummary(
   name: string,
-  options: { labels: MetricLabels; histogram: HdrDurations },
+  options: { labels: MetricLabels; histogram: HdrDurationHistogram },
 ): string[] {
   const { labels, histogram } = options;
   const quantiles = QUANTILES.map((quantile) => {
--- a/src/process/jobs/job_endpoints.ts
+++ b/src/process/jobs/job_endpoints.ts
@@ -100,7 +100,7 @@
   return Right(jsonAnswer(200, { jobs: value, unaskedDataCentres }));
 }
 
-/** Answers with `status` if the call had an effect, 200 if it is a repeat. */
+/** Answers with `status` if the call had an effect, otherwise with 200. */
 function answerAccepted(accepted: JobAccepted, status: number): HttpAnswer {
   return jsonAnswer(accepted.isNew ? status : 200, accepted);
 }
--- a/src/process/ledger/ledger.ts
+++ b/src/process/ledger/ledger.ts
@@ -118,15 +118,15 @@
     const peers = this.#peersIn(options.home).slice(0, MAX_PEERS_TRIED);
     let isUnchanged = true;
     for (const [index, peer] of peers.entries()) {
-      const leftMs = options.deadlineMs - this.#options.clock.nowMs();
-      if (leftMs <= 0) {
+      const remainingMs = options.deadlineMs - this.#options.clock.nowMs();
+      if (remainingMs <= 0) {
         break;
       }
       const shareMs = Math.max(
         MIN_PEER_TIMEOUT_MS,
-        leftMs / (peers.length - index),
+        remainingMs / (peers.length - index),
       );
-      const timeoutMs = Math.min(leftMs, shareMs);
+      const timeoutMs = Math.min(remainingMs, shareMs);
       const result = await this.#sendToPeer(peer, call, timeoutMs);
       const kind = result.caseOf<ErrorKind | undefined>({
         Left: (error) => error.kind,
--- a/src/process/ledger/ledger_state.ts
+++ b/src/process/ledger/ledger_state.ts
@@ -118,8 +118,8 @@
 
   #claim(command: ClaimCommand): LedgerReply {
     const { key, digest, claimant, expiresAtMs } = command;
-    const known = this.#entries.get(key);
-    if (known === undefined) {
+    const existing = this.#entries.get(key);
+    if (existing === undefined) {
       const entry = { key, digest, claimant, expiresAtMs };
       if (this.#bytes + sizeOf(entry) > this.#limits.bytes) {
         return { kind: "full" };
@@ -127,23 +127,24 @@
       this.#put(entry);
       return { kind: "granted" };
     }
-    const isOwn = known.claimant === claimant && known.digest === digest &&
-      known.outcome === undefined;
-    return isOwn ? { kind: "granted" } : replyFor(known, digest);
+    const isOwnClaim = existing.claimant === claimant &&
+      existing.digest === digest &&
+      existing.outcome === undefined;
+    return isOwnClaim ? { kind: "granted" } : replyFor(existing, digest);
   }
 
   /** Records the outcome, unless one other than "unknown" is recorded. */
   #end(command: EndCommand): LedgerReply {
-    const known = this.#entries.get(command.key);
-    if (known === undefined || known.claimant !== command.claimant) {
+    const existing = this.#entries.get(command.key);
+    if (existing === undefined || existing.claimant !== command.claimant) {
       return { kind: "notHeld" };
     }
-    const hasFinalOutcome = known.outcome !== undefined &&
-      known.outcome.kind !== "unknown";
+    const hasFinalOutcome = existing.outcome !== undefined &&
+      existing.outcome.kind !== "unknown";
     if (!hasFinalOutcome) {
       const outcome = this.#toStoredOutcome(command.outcome);
-      this.#remove(known);
-      this.#put({ ...known, outcome, expiresAtMs: command.expiresAtMs });
+      this.#remove(existing);
+      this.#put({ ...existing, outcome, expiresAtMs: command.expiresAtMs });
     }
     return { kind: "done" };
   }
@@ -165,13 +166,13 @@
   }
 
   #release(key: string, claimant: string): LedgerReply {
-    const known = this.#entries.get(key);
-    const isHolder = known !== undefined && known.claimant === claimant &&
-      known.outcome === undefined;
+    const existing = this.#entries.get(key);
+    const isHolder = existing !== undefined && existing.claimant === claimant &&
+      existing.outcome === undefined;
     if (!isHolder) {
       return { kind: "notHeld" };
     }
-    this.#remove(known);
+    this.#remove(existing);
     return { kind: "done" };
   }
 
--- a/src/process/ledger/ledger_state_test.ts
+++ b/src/process/ledger/ledger_state_test.ts
@@ -50,14 +50,15 @@
       atMs: model.nowMs,
       expiresAtMs,
     });
-    const known = model.entries.get(key);
+    const existing = model.entries.get(key);
     if (reply.kind === "granted") {
-      const isFree = known === undefined || mayBeRemoved(known, model.nowMs) ||
-        (known.claimant === claimant && known.outcome === undefined);
+      const isFree = existing === undefined ||
+        mayBeRemoved(existing, model.nowMs) ||
+        (existing.claimant === claimant && existing.outcome === undefined);
       expect(isFree, "granted twice");
       model.entries.set(
         key,
-        known?.claimant === claimant ? known : {
+        existing?.claimant === claimant ? existing : {
           claimant,
           digest,
           expiresAtMs,
@@ -67,13 +68,19 @@
       return;
     }
     if (reply.kind === "full") {
-      expect(known === undefined || mayBeRemoved(known, model.nowMs), "full");
+      expect(
+        existing === undefined || mayBeRemoved(existing, model.nowMs),
+        "full",
+      );
       return;
     }
-    expect(known !== undefined, "a reply about an unknown entry");
-    expect(reply.kind === expectedKind(known, digest), `wrong ${reply.kind}`);
+    expect(existing !== undefined, "a reply about an unknown entry");
+    expect(
+      reply.kind === expectedKind(existing, digest),
+      `wrong ${reply.kind}`,
+    );
     expect(
-      outcomeOf(reply) === expectedOutcome(known, digest),
+      outcomeOf(reply) === expectedOutcome(existing, digest),
       "wrong outcome",
     );
   }
@@ -111,15 +118,15 @@
         body: new TextEncoder().encode(outcome),
       },
     });
-    const known = model.entries.get(key);
-    if (known?.claimant !== claimant) {
+    const existing = model.entries.get(key);
+    if (existing?.claimant !== claimant) {
       expect(reply.kind === "notHeld", "another's end was accepted");
       return;
     }
     expect(reply.kind === "done", "the holder was forgotten");
-    if (known.outcome === undefined || known.outcome === "unknown") {
-      known.outcome = outcome;
-      known.expiresAtMs = expiresAtMs;
+    if (existing.outcome === undefined || existing.outcome === "unknown") {
+      existing.outcome = outcome;
+      existing.expiresAtMs = expiresAtMs;
     }
   }
 
@@ -145,10 +152,10 @@
       claimant,
       atMs: model.nowMs,
     });
-    const known = model.entries.get(key);
+    const existing = model.entries.get(key);
     if (reply.kind === "done") {
-      const isHeld = known?.claimant === claimant &&
-        known.outcome === undefined;
+      const isHeld = existing?.claimant === claimant &&
+        existing.outcome === undefined;
       expect(isHeld, "released a claim that was not held");
       model.entries.delete(key);
     }
@@ -206,11 +213,11 @@
     claimant: "none",
     atMs: model.nowMs,
   });
-  const known = model.entries.get(key);
-  if (known === undefined || real.state.find(key, "").kind !== "absent") {
+  const existing = model.entries.get(key);
+  if (existing === undefined || real.state.find(key, "").kind !== "absent") {
     return;
   }
-  expect(mayBeRemoved(known, model.nowMs), "forgotten too soon");
+  expect(mayBeRemoved(existing, model.nowMs), "forgotten too soon");
   model.entries.delete(key);
 }
 
--- a/src/process/settings/load_settings.ts
+++ b/src/process/settings/load_settings.ts
@@ -31,7 +31,7 @@
     return Right(readFileSync(path, "utf8"));
   } catch (error) {
     return failure("notFound", {
-      detail: `${path}: can't be read: ${describe(error)}`,
+      detail: `${path}: can't be read: ${errorMessageOf(error)}`,
       location: path,
     });
   }
@@ -42,7 +42,7 @@
     return Right(parse(text));
   } catch (error) {
     return failure("malformed", {
-      detail: `${path}: not TOML: ${describe(error)}`,
+      detail: `${path}: not TOML: ${errorMessageOf(error)}`,
       location: path,
     });
   }
@@ -67,25 +67,25 @@
 
 function checkConsistency(settings: Settings, path: string): Result<Settings> {
   const lines = [
-    ...findRepeatedAddresses(settings),
-    ...findRepeatedIds(settings),
-    ...findDiskFaults(settings),
-    ...findTlsFaults(settings),
+    ...findDuplicateAddresses(settings),
+    ...findDuplicateIds(settings),
+    ...findStorageErrors(settings),
+    ...findTlsErrors(settings),
   ];
   return lines.length === 0 ? Right(settings) : invalid(path, lines);
 }
 
-function findRepeatedAddresses(settings: Settings): string[] {
+function findDuplicateAddresses(settings: Settings): string[] {
   const seen = new Map<string, string>();
-  const faults: string[] = [];
+  const errors: string[] = [];
   for (const [key, address] of listAddresses(settings)) {
     const other = seen.get(address);
     if (other !== undefined) {
-      faults.push(`${key}: listen address ${address} is also ${other}`);
+      errors.push(`${key}: listen address ${address} is also ${other}`);
     }
     seen.set(address, key);
   }
-  return faults;
+  return errors;
 }
 
 function listAddresses(settings: Settings): [string, string][] {
@@ -93,21 +93,21 @@
     ["instance.httpAddress", settings.instance.httpAddress],
     ["instance.peerAddress", settings.instance.peerAddress],
   ];
-  const peers = settings.peers.map((peer, at): [string, string] => [
-    `peers.${at}.peerAddress`,
+  const peers = settings.peers.map((peer, index): [string, string] => [
+    `peers.${index}.peerAddress`,
     peer.peerAddress,
   ]);
   return [...own, ...peers];
 }
 
-function findRepeatedIds(settings: Settings): string[] {
+function findDuplicateIds(settings: Settings): string[] {
   const ids = [settings.instance.id, ...settings.peers.map((peer) => peer.id)];
   return ids
-    .filter((id, at) => ids.indexOf(id) !== at)
+    .filter((id, index) => ids.indexOf(id) !== index)
     .map((id) => `peers: duplicate instance ID ${id}`);
 }
 
-function findDiskFaults(settings: Settings): string[] {
+function findStorageErrors(settings: Settings): string[] {
   if (settings.instance.hasDisk && settings.storage.folder === undefined) {
     return [
       "storage.folder: expected a folder, since instance.hasDisk is true",
@@ -116,7 +116,7 @@
   return [];
 }
 
-function findTlsFaults(settings: Settings): string[] {
+function findTlsErrors(settings: Settings): string[] {
   const { tlsCertificateFile, tlsKeyFile, tlsAuthorityFile } = settings.cluster;
   const given = [tlsCertificateFile, tlsKeyFile, tlsAuthorityFile]
     .filter((file) => file !== undefined);
@@ -135,6 +135,6 @@
   );
 }
 
-function describe(error: unknown): string {
+function errorMessageOf(error: unknown): string {
   return error instanceof Error ? error.message : String(error);
 }
