--- a/src/process/daemon/group_endpoints.ts
+++ b/src/process/daemon/group_endpoints.ts
@@ -92,7 +92,7 @@
   return result.map(() => jsonAnswer(200, found.status()));
 }
 
-/** Checks that the call's key is of the team that owns the data centre. */
+/** Checks that the call's key belongs to the owner of the data centre. */
 async function authorise(
   call: HttpCall,
   options: GroupEndpointsOptions & { memberId: InstanceId },
@@ -119,7 +119,7 @@
 function readChangeRequest(call: HttpCall): Result<MemberChangeRequest> {
   const checked = memberChangeRequestSchema.safeParse(parseJson(call.body));
   return checked.success ? Right(checked.data) : failure("malformed", {
-    detail: 'expected {"action": "add"}, or "remove" or "lost" as the action',
+    detail: 'expected {"action": "add" | "remove" | "lost"}',
   });
 }
 
