Merge the wording of daemon, HTTP, jobs, ledger and settings

Played by the compiler with it: Ledger.execute, and HttpServer and HttpClient for HttpFront and HttpCaller in all folders; the two subsystem files of the daemon renamed; reference pages regenerated. Result: formatter, linter and build pass.

--- a/bench/routing/socket_thread.ts
+++ b/bench/routing/socket_thread.ts
@@ -14,7 +14,7 @@
 import { parentPort, workerData } from "node:worker_threads";
 import { Agent } from "undici";
 import { SeededRandom, SystemClock } from "../../src/base/mod.ts";
-import { HttpFront, MetricsRegistry } from "../../src/process/http/mod.ts";
+import { HttpServer, MetricsRegistry } from "../../src/process/http/mod.ts";
 import { fixedConfiguration } from "../../src/process/routing/fixed_configuration.ts";
 import { LedgerState } from "../../src/process/ledger/mod.ts";
 import { MemoryGroup } from "../../src/process/ledger/memory_group.ts";
@@ -75,7 +75,7 @@
     ledgerState: state,
     metrics: new MetricsRegistry(),
   });
-  const front = new HttpFront({ endpoints: routing.endpoints, clock });
+  const front = new HttpServer({ endpoints: routing.endpoints, clock });
   const listening = await front.listen({ host: HOST, port: 0 });
   front.markReady();
   return [`${HOST}:${listening.unsafeCoerce().port}`];
--- a/src/process/batch/http_call_transport.ts
+++ b/src/process/batch/http_call_transport.ts
@@ -7,7 +7,7 @@
 import { pack, unpack } from "msgpackr";
 import { Right } from "purify-ts/Either";
 import { failure, type Result } from "../../base/sesame_error.ts";
-import { HttpCaller, type HttpEndpoint } from "../http/mod.ts";
+import { HttpClient, type HttpEndpoint } from "../http/mod.ts";
 import type { JobAnswer, JobCall } from "./job_call.ts";
 import type { CallTransport } from "./leader_finder.ts";
 
@@ -37,11 +37,11 @@
 /** Sends calls to other instances. */
 export class HttpCallTransport implements CallTransport {
   readonly #options: HttpCallTransportOptions;
-  readonly #caller: HttpCaller;
+  readonly #caller: HttpClient;
 
   constructor(options: HttpCallTransportOptions) {
     this.#options = options;
-    this.#caller = new HttpCaller({
+    this.#caller = new HttpClient({
       connections: CONNECTIONS,
       keepAliveMs: KEEP_ALIVE_MS,
       connectTimeoutMs: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
--- a/src/process/http/metrics_registry.ts
+++ b/src/process/http/metrics_registry.ts
@@ -1,12 +1,13 @@
 /**
- * Counters and latency histograms of one instance, shown as Prometheus text.
+ * Counters, gauges and duration histograms of one instance, rendered as
+ * Prometheus text.
  *
  * @module
  */
 
 import int32Histogram from "hdr-histogram-js/dist/Int32Histogram.js";
 
-/** Names of labels with their values; from closed lists, never free text. */
+/** Label names and values. Values come from fixed sets, never free text. */
 export type MetricLabels = Readonly<Record<string, string>>;
 
 /** A number that only grows. */
@@ -18,93 +19,97 @@
 /** A distribution of durations. */
 export interface DurationHistogram {
   record(durationMs: number): void;
-  /** Milliseconds at the percentile from 0 to 100. */
+  /** The duration at a percentile, which is from 0 to 100. */
   percentileMs(percentile: number): number;
   readonly count: number;
 }
 
-/** The longest duration that is told apart, in microseconds. */
-const LONGEST_US = 3_600_000_000;
+/** Longer durations, in microseconds, are recorded as this one. */
+const MAX_DURATION_US = 3_600_000_000;
 const SIGNIFICANT_DIGITS = 2;
 const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
 
-interface Family {
+interface MetricFamily {
   readonly kind: "counter" | "gauge" | "summary";
   readonly help: string;
-  readonly lines: Map<string, () => string[]>;
+  readonly renderers: Map<string, () => string[]>;
 }
 
 /** All metrics of an instance, by name and labels. */
 export class MetricsRegistry {
-  readonly #families = new Map<string, Family>();
+  readonly #families = new Map<string, MetricFamily>();
   readonly #counters = new Map<string, Counter>();
   readonly #histograms = new Map<string, DurationHistogram>();
 
-  /** The counter of this name and these labels; made when it is new. */
+  /** Returns the counter of this name and labels; creates it if needed. */
   counter(
     name: string,
     options: { help: string; labels?: MetricLabels },
   ): Counter {
     const id = name + renderLabels(options.labels ?? {});
-    const known = this.#counters.get(id);
-    if (known !== undefined) {
-      return known;
+    const existing = this.#counters.get(id);
+    if (existing !== undefined) {
+      return existing;
     }
     const counter = new PlainCounter();
     this.#counters.set(id, counter);
-    this.#family(name, "counter", options.help).lines.set(
+    this.#family(name, "counter", options.help).renderers.set(
       id,
       () => [`${id} ${counter.value}`],
     );
     return counter;
   }
 
-  /** Shows a number that is read whenever the metrics are. */
+  /** Adds a gauge; `read` is called on each rendering. */
   gauge(
     name: string,
     options: { help: string; labels?: MetricLabels; read: () => number },
   ): void {
     const id = name + renderLabels(options.labels ?? {});
     const family = this.#family(name, "gauge", options.help);
-    family.lines.set(id, () => [`${id} ${options.read()}`]);
+    family.renderers.set(id, () => [`${id} ${options.read()}`]);
   }
 
-  /** The histogram of this name and these labels; made when it is new. */
+  /** Returns the histogram of this name and labels; creates it if needed. */
   histogram(
     name: string,
     options: { help: string; labels?: MetricLabels },
   ): DurationHistogram {
     const labels = options.labels ?? {};
     const id = name + renderLabels(labels);
-    const known = this.#histograms.get(id);
-    if (known !== undefined) {
-      return known;
+    const existing = this.#histograms.get(id);
+    if (existing !== undefined) {
+      return existing;
     }
-    const histogram = new HdrDurations();
+    const histogram = new HdrDurationHistogram();
     this.#histograms.set(id, histogram);
-    this.#family(name, "summary", options.help).lines.set(
+    this.#family(name, "summary", options.help).renderers.set(
       id,
       () => renderSummary(name, { labels, histogram }),
     );
     return histogram;
   }
 
-  /** All metrics in the Prometheus text format. */
+  /** Renders all metrics in the Prometheus text format. */
   render(): string {
     const lines: string[] = [];
     for (const [name, family] of this.#families) {
       lines.push(`# HELP ${name} ${family.help}`);
       lines.push(`# TYPE ${name} ${family.kind}`);
-      for (const render of family.lines.values()) {
+      for (const render of family.renderers.values()) {
         lines.push(...render());
       }
     }
     return lines.join("\n") + "\n";
   }
 
-  #family(name: string, kind: Family["kind"], help: string): Family {
-    const known = this.#families.get(name);
-    const family = known ?? { kind, help, lines: new Map() };
+  #family(
+    name: string,
+    kind: MetricFamily["kind"],
+    help: string,
+  ): MetricFamily {
+    const existing = this.#families.get(name);
+    const family = existing ?? { kind, help, renderers: new Map() };
     this.#families.set(name, family);
     return family;
   }
@@ -122,10 +127,10 @@
   }
 }
 
-class HdrDurations implements DurationHistogram {
+class HdrDurationHistogram implements DurationHistogram {
   readonly #histogram = new int32Histogram.default(
     1,
-    LONGEST_US,
+    MAX_DURATION_US,
     SIGNIFICANT_DIGITS,
   );
   #sumMs = 0;
@@ -140,7 +145,9 @@
 
   record(durationMs: number): void {
     const durationUs = Math.round(durationMs * 1_000);
-    this.#histogram.recordValue(Math.min(Math.max(1, durationUs), LONGEST_US));
+    this.#histogram.recordValue(
+      Math.min(Math.max(1, durationUs), MAX_DURATION_US),
+    );
     this.#sumMs += durationMs;
   }
 
@@ -151,7 +158,7 @@
 
 function renderSummary(
   name: string,
-  options: { labels: MetricLabels; histogram: HdrDurations },
+  options: { labels: MetricLabels; histogram: HdrDurationHistogram },
 ): string[] {
   const { labels, histogram } = options;
   const quantiles = QUANTILES.map((quantile) => {
--- a/src/process/http/mod.ts
+++ b/src/process/http/mod.ts
@@ -1,5 +1,5 @@
 /**
- * The HTTP front of an instance.
+ * The HTTP server of an instance, its metrics and an HTTP client.
  *
  * @module
  */
@@ -16,9 +16,9 @@
 } from "./http_endpoint.ts";
 export {
   type HttpCloseOptions,
-  HttpFront,
-  type HttpFrontOptions,
-} from "./http_front.ts";
+  HttpServer,
+  type HttpServerOptions,
+} from "./http_server.ts";
 export { DEFAULT_HTTP_LIMITS, type HttpLimits } from "./http_limits.ts";
 export { metricsEndpoint } from "./metrics_endpoint.ts";
 export {
@@ -27,4 +27,4 @@
   type MetricLabels,
   MetricsRegistry,
 } from "./metrics_registry.ts";
-export { HttpCaller } from "./http_caller.ts";
+export { HttpClient } from "./http_client.ts";
--- a/src/process/routing/request_claim.ts
+++ b/src/process/routing/request_claim.ts
@@ -20,7 +20,7 @@
 
 /** Options of a {@link RequestClaim}. */
 export interface RequestClaimOptions {
-  readonly ledger: Pick<Ledger, "ask">;
+  readonly ledger: Pick<Ledger, "execute">;
   readonly clock: Clock;
   readonly record: RequestRecord;
   readonly home: DataCentreId;
@@ -76,7 +76,7 @@
   lookUp(): Promise<Result<LedgerReply>> {
     const { ledger, home, record } = this.#options;
     const { deadlineMs } = record;
-    return ledger.ask({
+    return ledger.execute({
       kind: "find",
       key: this.#key,
       digest: this.#digest,
@@ -90,7 +90,7 @@
     while (clock.nowMs() < endMs) {
       const deadlineMs = clock.nowMs() + RECORD_TRY_TIMEOUT_MS;
       const command = this.#outcomeCommand(finalOutcome);
-      const result = await ledger.ask(command, { home, deadlineMs });
+      const result = await ledger.execute(command, { home, deadlineMs });
       if (result.isRight()) {
         return;
       }
@@ -107,7 +107,7 @@
       const detail = "The ledger gave no answer before the deadline.";
       return Promise.resolve(failure("outcomeUnknown", { detail }));
     }
-    return ledger.ask(command, { home, deadlineMs });
+    return ledger.execute(command, { home, deadlineMs });
   }
 
   #commonFields() {
--- a/src/process/routing/request_routing_test.ts
+++ b/src/process/routing/request_routing_test.ts
@@ -5,7 +5,7 @@
   type StandinBackendServerOptions,
 } from "../../../standins/backend_server/mod.ts";
 import { SeededRandom, SystemClock } from "../../base/mod.ts";
-import { HttpFront, metricsEndpoint, MetricsRegistry } from "../http/mod.ts";
+import { HttpServer, metricsEndpoint, MetricsRegistry } from "../http/mod.ts";
 import { LedgerState } from "../ledger/mod.ts";
 import { MemoryGroup } from "../ledger/memory_group.ts";
 import { FakePeerHub } from "../replication/fake_peer_network.ts";
@@ -63,7 +63,7 @@
       ledgerState: state,
       metrics,
     });
-    const front = new HttpFront({
+    const front = new HttpServer({
       endpoints: [...routing.endpoints, metricsEndpoint(metrics)],
       clock,
     });
--- a/src/process/routing/request_service.ts
+++ b/src/process/routing/request_service.ts
@@ -40,7 +40,7 @@
   readonly eventLog: EventLog;
   readonly metrics: RoutingMetrics;
   readonly router: Router;
-  readonly ledger: Pick<Ledger, "ask">;
+  readonly ledger: Pick<Ledger, "execute">;
   readonly configuration: ConfigurationSource;
 }
 
--- a/test/process/scenarios.ts
+++ b/test/process/scenarios.ts
@@ -6,8 +6,8 @@
  */
 
 import process from "node:process";
-import { CONFIGURATION_GROUP } from "../../src/process/daemon/configuration_part.ts";
-import { dataCentreGroup } from "../../src/process/daemon/data_centre_part.ts";
+import { CONFIGURATION_GROUP } from "../../src/process/daemon/configuration_subsystem.ts";
+import { dataCentreGroup } from "../../src/process/daemon/data_centre_subsystem.ts";
 import { SectionClient } from "../../src/programs/commands/config/section_client.ts";
 import { Cluster, pause } from "./cluster.ts";
 import { EditLoad } from "./edit_load.ts";
--- a/test/system/system_node.ts
+++ b/test/system/system_node.ts
@@ -15,8 +15,8 @@
 import type { ConfigurationSource } from "../../src/process/configuration/configuration_source.ts";
 import { ConfigurationService } from "../../src/process/configuration/configuration_service.ts";
 import { KeyVerifier } from "../../src/process/configuration/key_verifier.ts";
-import { CONFIGURATION_GROUP } from "../../src/process/daemon/configuration_part.ts";
-import { dataCentreGroup } from "../../src/process/daemon/data_centre_part.ts";
+import { CONFIGURATION_GROUP } from "../../src/process/daemon/configuration_subsystem.ts";
+import { dataCentreGroup } from "../../src/process/daemon/data_centre_subsystem.ts";
 import {
   type ComponentCommand,
   ComponentLog,
