--- a/test/fuzz/bad_input_test.ts
+++ b/test/fuzz/bad_input_test.ts
@@ -11,7 +11,7 @@
 import { jobEndpoints, workerEndpoints } from "../../src/process/jobs/mod.ts";
 import { parseSettings } from "../../src/process/settings/mod.ts";
 import { parseDocument, parseSection } from "../../src/version/mod.ts";
-import { SystemBed } from "../system/system_bed.ts";
+import { SystemSimulation } from "../system/system_simulation.ts";
 import { dataCentreText, SYSTEM_DOCUMENT } from "../system/system_document.ts";
 import { mutatedText } from "./mutated_text.ts";
 
@@ -42,8 +42,8 @@
   accelerators: 1,
 });
 
-/** A value, or an error of the closed list that isn't our own fault. */
-function isAnswered(result: Result<unknown>): boolean {
+/** Whether the result is a value, or an error of a kind other than `internal`. */
+function isValueOrKnownError(result: Result<unknown>): boolean {
   return result.caseOf({
     Left: ({ kind }) =>
       Object.hasOwn(ERROR_ANSWERS, kind) && kind !== "internal",
@@ -51,59 +51,60 @@
   });
 }
 
-/** Never a throw, and something to refuse among all that. */
-function refuses(
+/** Checks that no input makes `read` throw; returns how many it rejects. */
+function countRejected(
   inputs: fc.Arbitrary<string>,
   read: (text: string) => Result<unknown>,
 ): number {
-  let refused = 0;
+  let rejected = 0;
   fc.assert(
     fc.property(inputs, (text) => {
       const result = read(text);
-      refused += result.isLeft() ? 1 : 0;
-      return isAnswered(result);
+      rejected += result.isLeft() ? 1 : 0;
+      return isValueOrKnownError(result);
     }),
     RUNS,
   );
-  return refused;
+  return rejected;
 }
 
-test("documents and sections are read or refused", (t) => {
+test("documents and sections are parsed or rejected", (t) => {
   t.true(
-    refuses(mutatedText(SYSTEM_DOCUMENT), (text) => parseDocument(text)) > 500,
+    countRejected(mutatedText(SYSTEM_DOCUMENT), (text) => parseDocument(text)) >
+      500,
   );
   const sectionId = { kind: "dataCentres", name: "north" } as const;
   const section = mutatedText(dataCentreText("north", "out"));
-  t.true(refuses(section, (text) => parseSection(sectionId, text)) > 500);
+  t.true(countRejected(section, (text) => parseSection(sectionId, text)) > 500);
 });
 
-test("settings are read or refused", (t) => {
+test("settings are parsed or rejected", (t) => {
   const valid = readFileSync(
     "examples/lakeshore/settings/london-on-1.toml",
     "utf8",
   );
   const read = (text: string) => parseSettings(text, { path: "settings.toml" });
   t.true(read(valid).isRight());
-  t.true(refuses(mutatedText(valid), read) > 300);
+  t.true(countRejected(mutatedText(valid), read) > 300);
 });
 
-test("jobs and reports are read or refused", (t) => {
+test("jobs and worker reports are parsed or rejected", (t) => {
   const bytes = (text: string) => new TextEncoder().encode(text);
   t.true(
-    refuses(
+    countRejected(
       mutatedText(JOB),
       (text) => readJsonBody(bytes(text), jobSpecificationSchema),
     ) > 500,
   );
   t.true(
-    refuses(
+    countRejected(
       mutatedText(REPORT),
       (text) => readJsonBody(bytes(text), workerReportSchema),
     ) > 500,
   );
 });
 
-test("frames are read or refused", (t) => {
+test("frames are decoded or rejected", (t) => {
   const valid = encodeFrame({
     kind: "message",
     channel: "c",
@@ -111,7 +112,7 @@
     counter: 0,
     body: { a: [1, 2, 3], b: "text" },
   });
-  const near = fc.array(
+  const mutated = fc.array(
     fc.tuple(fc.nat({ max: valid.length - 1 }), fc.nat({ max: 255 })),
     { minLength: 1, maxLength: 4 },
   ).map((changes) => {
@@ -119,15 +120,16 @@
     changes.forEach(([at, value]) => bytes[at] = value);
     return bytes;
   });
-  const inputs = fc.oneof(near, fc.uint8Array({ maxLength: 64 }));
+  const inputs = fc.oneof(mutated, fc.uint8Array({ maxLength: 64 }));
   fc.assert(
-    fc.property(inputs, (bytes) => isAnswered(decodeFrame(bytes))),
+    fc.property(inputs, (bytes) => isValueOrKnownError(decodeFrame(bytes))),
     RUNS,
   );
   t.pass();
 });
 
-const HEADS: readonly (readonly [string, string, string])[] = [
+/** Method, path and body of valid calls. */
+const CALL_TEMPLATES: readonly (readonly [string, string, string])[] = [
   ["POST", "/v1/jobs", JOB],
   ["GET", "/v1/jobs", ""],
   ["GET", "/v1/jobs/j1", ""],
@@ -158,7 +160,7 @@
   "sesamethread-path",
 ];
 
-const calls = fc.constantFrom(...HEADS).chain(([method, path, body]) =>
+const calls = fc.constantFrom(...CALL_TEMPLATES).chain(([method, path, body]) =>
   fc.record({
     method: fc.oneof(
       { weight: 5, arbitrary: fc.constant(method) },
@@ -180,10 +182,10 @@
   })
 );
 
-test("HTTP calls are answered or refused", async (t) => {
-  const bed = new SystemBed();
-  await bed.open();
-  const node = bed.node("n1");
+test("HTTP calls are answered or rejected", async (t) => {
+  const simulation = new SystemSimulation();
+  await simulation.open();
+  const node = simulation.node("n1");
   if (node === undefined) {
     t.fail("n1 is down");
     return;
@@ -200,23 +202,23 @@
   let handled = 0;
   await fc.assert(
     fc.asyncProperty(calls, async (call) => {
-      const found = table.find(call.method, call.path);
-      if (found.isLeft()) {
-        return isAnswered(found);
+      const route = table.find(call.method, call.path);
+      if (route.isLeft()) {
+        return isValueOrKnownError(route);
       }
       handled += 1;
-      const { endpoint, parameters } = found.unsafeCoerce();
-      const result = await bed.finish(endpoint.handle({
+      const { endpoint, parameters } = route.unsafeCoerce();
+      const result = await simulation.finish(endpoint.handle({
         ...call,
         parameters,
         query: new URLSearchParams(call.query),
-        receivedAtMs: bed.clock.nowMs(),
+        receivedAtMs: simulation.clock.nowMs(),
         signal: new AbortController().signal,
       }));
-      return isAnswered(result);
+      return isValueOrKnownError(result);
     }),
     { numRuns: 500, seed: 12 },
   );
-  bed.close();
+  simulation.close();
   t.true(handled > 200);
 });
--- a/test/fuzz/main.ts
+++ b/test/fuzz/main.ts
@@ -1,8 +1,8 @@
 /**
- * `npm run fuzz -- --seed N --runs M`: random histories of the whole system,
- * or with `--suite platform` of the batch scheduler, or with `--suite soak` one
- * pool of it through many rounds of faults.
- * Each failing one is printed with its seed, steps and time line.
+ * `npm run fuzz -- --seed N --runs M`: runs random histories of the whole
+ * system; with `--suite platform`, of the batch scheduler; with `--suite soak`,
+ * one pool of the batch scheduler through M rounds of faults. A failing history
+ * is printed with its seed and steps, and with the timeline of the system.
  *
  * @module
  */
@@ -13,7 +13,7 @@
 import { runPlatformCampaign } from "./platform_campaign.ts";
 import { type FailedHistory, runCampaign } from "../system/campaign.ts";
 
-/** The lines of a failing history's time line that are printed. */
+/** The most lines of a failing history's timeline that are printed. */
 const TIMELINE_LINES = 400;
 
 function print(line: string): void {
@@ -25,16 +25,18 @@
   failed.violations.forEach((text) => print(`  ${text}`));
   print("steps:");
   failed.steps.forEach((step) => print(`  ${JSON.stringify(step)}`));
-  print("time line (ms):");
+  print("timeline (ms):");
   failed.timeline.slice(-TIMELINE_LINES).forEach((line) => print(`  ${line}`));
 }
 
 async function main(): Promise<void> {
   const cli = cac("fuzz");
   cli.option("--seed <n>", "Seed of the first history", { default: 1 });
-  cli.option("--runs <n>", "How many histories", { default: 100 });
-  cli.option("--shrink <n>", "Tries to shorten a failing one", { default: 60 });
-  cli.option("--suite <name>", "system, platform or soak", {
+  cli.option("--runs <n>", "Number of histories or rounds", { default: 100 });
+  cli.option("--shrink <n>", "Most runs to shorten a failing history", {
+    default: 60,
+  });
+  cli.option("--suite <name>", "Suite: system, platform or soak", {
     default: "system",
   });
   cli.help();
@@ -49,7 +51,7 @@
       onRound: ({ number, atMinutes, starts, violations }) =>
         print(
           `round ${number}, minute ${atMinutes}: ${starts} starts, ` +
-            (violations.join("; ") || "all at rest"),
+            (violations.join("; ") || "no violations"),
         ),
     });
     process.exitCode = last.violations.length === 0 ? 0 : 1;
--- a/test/fuzz/mutated_text.ts
+++ b/test/fuzz/mutated_text.ts
@@ -1,13 +1,13 @@
 /**
- * Text that is nearly right: a valid one with a few random changes.
+ * Random text that is almost valid: a valid text with a few changes.
  *
  * @module
  */
 
 import fc from "fast-check";
 
-/** Pieces that have a meaning in TOML, JSON or JavaScript. */
-const PIECES = [
+/** Fragments that have a meaning in TOML, JSON or JavaScript. */
+const FRAGMENTS = [
   "",
   "[",
   "]]",
@@ -32,23 +32,26 @@
   "1979-05-27T07:32:00Z",
 ];
 
-/** Texts near `valid`, and some far from it. */
+/** Mostly mutations of `valid`, and some random strings and JSON texts. */
 export function mutatedText(valid: string): fc.Arbitrary<string> {
   const change = fc.record({
     at: fc.nat({ max: valid.length }),
-    cut: fc.nat({ max: 12 }),
-    piece: fc.oneof(fc.constantFrom(...PIECES), fc.string({ maxLength: 6 })),
+    removed: fc.nat({ max: 12 }),
+    fragment: fc.oneof(
+      fc.constantFrom(...FRAGMENTS),
+      fc.string({ maxLength: 6 }),
+    ),
   });
-  const near = fc.array(change, { minLength: 1, maxLength: 4 })
+  const mutated = fc.array(change, { minLength: 1, maxLength: 4 })
     .map((changes) =>
       changes.reduce(
-        (text, { at, cut, piece }) =>
-          text.slice(0, at) + piece + text.slice(at + cut),
+        (text, { at, removed, fragment }) =>
+          text.slice(0, at) + fragment + text.slice(at + removed),
         valid,
       )
     );
   return fc.oneof(
-    { weight: 6, arbitrary: near },
+    { weight: 6, arbitrary: mutated },
     { weight: 1, arbitrary: fc.string() },
     { weight: 1, arbitrary: fc.json() },
   );
--- a/test/fuzz/platform_campaign.ts
+++ b/test/fuzz/platform_campaign.ts
@@ -1,18 +1,17 @@
 /**
- * A campaign of random histories of the batch scheduler.
+ * Runs random histories of the batch scheduler.
  *
  * @module
  */
 
 import { runHistory } from "../../src/process/batch/testing/batch_history.ts";
 
-/** Steps of one history. */
-const STEPS = 25;
+const STEPS_PER_HISTORY = 25;
 
-/** Between two lines that tell how far a campaign has got. */
-const PROGRESS_EVERY = 100;
+/** Histories between two progress lines. */
+const PROGRESS_INTERVAL = 100;
 
-/** Plays histories and prints the failing ones; gives how many failed. */
+/** Runs histories, prints the failing ones, and counts both outcomes. */
 export async function runPlatformCampaign(
   options: { seed: number; runs: number },
   print: (line: string) => void,
@@ -20,14 +19,17 @@
   let failed = 0;
   for (let run = 0; run < options.runs; run++) {
     const seed = options.seed + run;
-    const { violations, steps } = await runHistory({ seed, steps: STEPS });
+    const { violations, steps } = await runHistory({
+      seed,
+      steps: STEPS_PER_HISTORY,
+    });
     if (violations.length > 0) {
       failed += 1;
       print(`FAILED: seed ${seed}: ${violations.join("; ")}`);
       print(`  ${steps.join("; ")}`);
     }
-    if ((run + 1) % PROGRESS_EVERY === 0) {
-      print(`${run + 1} of ${options.runs} played, ${failed} failed`);
+    if ((run + 1) % PROGRESS_INTERVAL === 0) {
+      print(`${run + 1} of ${options.runs} run, ${failed} failed`);
     }
   }
   return { passed: options.runs - failed, failed };
--- a/test/system/campaign.ts
+++ b/test/system/campaign.ts
@@ -1,26 +1,27 @@
 /**
- * Many random histories of the whole system from one seed.
+ * Runs random histories of the whole system, one for each seed of a range.
  *
  * @module
  */
 
 import fc from "fast-check";
-import type { SystemMutation } from "./system_faults.ts";
+import type { SystemMutation } from "./system_mutation.ts";
 import { runHistory } from "./system_history.ts";
 import { anySystemStep, type SystemStep } from "./system_step.ts";
 
-/** How many histories, and which. */
+/** Options of a campaign. */
 export interface CampaignOptions {
+  /** The seed of the first history; each further one has the next seed. */
   readonly seed: number;
   readonly runs: number;
   readonly mutation?: SystemMutation;
-  /** Steps that come more often than by default. */
+  /** If not empty, histories have only these steps and `pass`. */
   readonly favoured?: readonly SystemStep["kind"][];
-  /** Bounds the tries to shorten a failing history. */
+  /** The most runs that shorten a failing history; 0 by default. */
   readonly shrinkTries?: number;
 }
 
-/** A history in which a promise was broken, as short as could be found. */
+/** A history that violated an invariant, shortened as far as possible. */
 export interface FailedHistory {
   readonly seed: number;
   readonly steps: readonly SystemStep[];
@@ -28,61 +29,61 @@
   readonly timeline: readonly string[];
 }
 
-/** What a campaign came to. */
+/** The result of a campaign. */
 export interface CampaignReport {
   readonly passed: number;
   readonly failures: readonly FailedHistory[];
 }
 
-const STEPS_LEAST = 10;
-const STEPS_MOST = 40;
+const MIN_STEPS = 10;
+const MAX_STEPS = 40;
 
-/** Runs every history, one after the other; each has a seed of its own. */
+/** Runs the histories one after the other. */
 export async function runCampaign(
   options: CampaignOptions,
   onEnd: (seed: number, failure?: FailedHistory) => void = () => undefined,
 ): Promise<CampaignReport> {
   const failures: FailedHistory[] = [];
-  for (let at = 0; at < options.runs; at++) {
-    const seed = options.seed + at;
-    const failed = await runOne(seed, options);
-    if (failed !== undefined) {
-      failures.push(failed);
+  for (let index = 0; index < options.runs; index++) {
+    const seed = options.seed + index;
+    const failure = await runSeed(seed, options);
+    if (failure !== undefined) {
+      failures.push(failure);
     }
-    onEnd(seed, failed);
+    onEnd(seed, failure);
   }
   return { passed: options.runs - failures.length, failures };
 }
 
-/** The history of one seed, shortened if it fails. */
-async function runOne(
+/** Runs the history of one seed; returns it, shortened, if it fails. */
+async function runSeed(
   seed: number,
   options: CampaignOptions,
 ): Promise<FailedHistory | undefined> {
   const { mutation, shrinkTries } = options;
-  const how = mutation === undefined ? { seed } : { seed, mutation };
+  const historyOptions = mutation === undefined ? { seed } : { seed, mutation };
   let triesLeft = shrinkTries ?? 0;
-  let found: FailedHistory | undefined;
+  let failure: FailedHistory | undefined;
   const histories = fc.array(stepsFor(options), {
-    minLength: STEPS_LEAST,
-    maxLength: STEPS_MOST,
+    minLength: MIN_STEPS,
+    maxLength: MAX_STEPS,
     size: "max",
   });
   await fc.check(
     fc.asyncProperty(histories, async (steps) => {
-      if (found !== undefined && triesLeft-- <= 0) {
+      if (failure !== undefined && triesLeft-- <= 0) {
         return true;
       }
-      const verdict = await runHistory(steps, how);
-      if (verdict.violations.length === 0) {
+      const result = await runHistory(steps, historyOptions);
+      if (result.violations.length === 0) {
         return true;
       }
-      found = { seed, steps, ...verdict };
+      failure = { seed, steps, ...result };
       return false;
     }),
     { seed, numRuns: 1 },
   );
-  return found;
+  return failure;
 }
 
 function stepsFor(options: CampaignOptions): fc.Arbitrary<SystemStep> {
--- a/test/system/edit_judge.ts
+++ b/test/system/edit_checker.ts
@@ -1,70 +1,75 @@
 /**
- * Judges operators' edits: they are linearizable, resent ones have the same
- * end, and no instance's copy goes back or differs from another's.
+ * Checks operators' edits: they are linearizable, a resent edit has the same
+ * outcome, and no instance's copy of the document returns to an older version
+ * or differs from another instance's copy of the same version.
  *
  * @module
  */
 
 import type { SystemDataCentre } from "./system_document.ts";
 
-/** One edit as its operator saw it. */
-export interface SeenEdit {
+/** An edit that an operator has sent. */
+export interface SentEdit {
   readonly editId: string;
   readonly section: string;
   readonly baseVersion: number;
   readonly sentAtMs: number;
-  /** Set when it takes a data centre out or puts it in. */
+  /** Set with `status` if the edit takes a data centre out or puts it in. */
   readonly dataCentre?: SystemDataCentre;
   readonly status?: "in" | "out";
 }
 
-/** An edit that came back as accepted. */
-interface AcceptedEdit extends SeenEdit {
+/** An edit that was reported as accepted. */
+interface AcceptedEdit extends SentEdit {
   readonly version: number;
   readonly answeredAtMs: number;
 }
 
-/** A removal said to hold, and what may have ended it. */
-export interface HeldRemoval {
+/** The period in which a removal of a data centre is in effect. */
+export interface EffectiveRemoval {
   readonly dataCentre: SystemDataCentre;
+  /** When the removal was reported to have taken effect. */
   readonly fromMs: number;
-  /** When the data centre may have been put back in, at the earliest. */
+  /** The earliest time at which the data centre may be in again. */
   readonly untilMs: number;
 }
 
-/** Judges edits. */
-export class EditJudge {
+/** Checks the edits of one history. */
+export class EditChecker {
   readonly violations: string[] = [];
   readonly #accepted = new Map<string, AcceptedEdit>();
-  readonly #sent: SeenEdit[] = [];
-  readonly #held: { edit: AcceptedEdit; fromMs: number }[] = [];
+  readonly #sent: SentEdit[] = [];
+  readonly #effectiveRemovals: { edit: AcceptedEdit; fromMs: number }[] = [];
   readonly #rejected = new Set<string>();
   readonly #contents = new Map<number, string>();
   readonly #copies = new Map<string, number>();
 
-  noteSent(edit: SeenEdit): void {
+  recordSent(edit: SentEdit): void {
     this.#sent.push(edit);
   }
 
-  noteRejected(editId: string): void {
+  recordRejected(editId: string): void {
     this.#rejected.add(editId);
     if (this.#accepted.has(editId)) {
       this.violations.push(`edit ${editId} was accepted, then rejected`);
     }
   }
 
-  noteAccepted(
-    edit: SeenEdit,
-    seen: { version: number; atMs: number; isInForce: boolean },
+  recordAccepted(
+    edit: SentEdit,
+    outcome: { version: number; atMs: number; hasTakenEffect: boolean },
   ): void {
-    const { version, atMs, isInForce } = seen;
-    if (isInForce && edit.status === "out") {
+    const { version, atMs, hasTakenEffect } = outcome;
+    if (hasTakenEffect && edit.status === "out") {
       const accepted = { ...edit, version, answeredAtMs: atMs };
-      this.#held.push({ edit: accepted, fromMs: atMs });
+      this.#effectiveRemovals.push({ edit: accepted, fromMs: atMs });
     }
     const before = this.#accepted.get(edit.editId);
     if (before !== undefined) {
-      this.#check(before.version === version, `edit ${edit.editId} moved`);
+      this.#check(
+        before.version === version,
+        `edit ${edit.editId} changed its version`,
+      );
       return;
     }
     this.#check(
@@ -72,30 +77,33 @@
       `edit ${edit.editId} was rejected, then accepted`,
     );
     const sentAtMs = this.#firstSentAtMs(edit);
-    this.#judgeOrder({ ...edit, sentAtMs, version, answeredAtMs: atMs });
+    this.#checkOrder({ ...edit, sentAtMs, version, answeredAtMs: atMs });
   }
 
-  /** An edit sent again may have been made since its first sending. */
-  #firstSentAtMs({ editId, sentAtMs }: SeenEdit): number {
+  /** A resent edit may have been made at any time since it was first sent. */
+  #firstSentAtMs({ editId, sentAtMs }: SentEdit): number {
     const first = this.#sent.find((edit) => edit.editId === editId);
     return Math.min(sentAtMs, first?.sentAtMs ?? sentAtMs);
   }
 
-  /** A running instance's copy; `run` differs for each start of it. */
-  noteCopy(run: string, copy: { version: number; content: string }): void {
-    const last = this.#copies.get(run) ?? 0;
-    this.#check(copy.version >= last, `the copy of ${run} went back`);
-    this.#copies.set(run, copy.version);
-    const known = this.#contents.get(copy.version) ?? copy.content;
+  /** Checks an instance's copy; `runId` differs for each start of it. */
+  recordCopy(runId: string, copy: { version: number; content: string }): void {
+    const last = this.#copies.get(runId) ?? 0;
+    this.#check(
+      copy.version >= last,
+      `the copy of ${runId} went back to an older version`,
+    );
+    this.#copies.set(runId, copy.version);
+    const expected = this.#contents.get(copy.version) ?? copy.content;
     this.#check(
-      known === copy.content,
+      expected === copy.content,
       `two documents have version ${copy.version}`,
     );
-    this.#contents.set(copy.version, known);
+    this.#contents.set(copy.version, expected);
   }
 
-  /** Each instance's version after all faults ended and time went by. */
-  noteEnd(versions: ReadonlyMap<string, number>): void {
+  /** Checks each instance's version a while after all faults have ended. */
+  checkFinalVersions(versions: ReadonlyMap<string, number>): void {
     const newest = Math.max(
       0,
       ...[...this.#accepted.values()].map(({ version }) => version),
@@ -112,19 +120,19 @@
     );
   }
 
-  /** The removals that were said to hold. */
-  get removals(): readonly HeldRemoval[] {
-    return this.#held.flatMap(({ edit, fromMs }) =>
+  /** The removals that were reported to have taken effect. */
+  get removals(): readonly EffectiveRemoval[] {
+    return this.#effectiveRemovals.flatMap(({ edit, fromMs }) =>
       edit.dataCentre === undefined ? [] : [{
         dataCentre: edit.dataCentre,
         fromMs,
-        untilMs: this.#returnAfter(edit),
+        untilMs: this.#earliestReturnMs(edit),
       }]
     );
   }
 
-  /** The first moment at which an edit that puts it back in was sent. */
-  #returnAfter(removal: AcceptedEdit): number {
+  /** When the first edit that may put the data centre back in was sent. */
+  #earliestReturnMs(removal: AcceptedEdit): number {
     const times = this.#sent
       .filter((edit) =>
         edit.dataCentre === removal.dataCentre && edit.status === "in" &&
@@ -136,7 +144,7 @@
     return Math.min(Infinity, ...times);
   }
 
-  #judgeOrder(edit: AcceptedEdit): void {
+  #checkOrder(edit: AcceptedEdit): void {
     for (const other of this.#accepted.values()) {
       const label = `${edit.editId} and ${other.editId}`;
       this.#check(other.version !== edit.version, `${label} share a version`);
@@ -147,14 +155,14 @@
       );
       this.#check(
         other.answeredAtMs >= edit.sentAtMs || other.version < edit.version,
-        `${label} were accepted against the order in time`,
+        `${label} were accepted in an order that contradicts real time`,
       );
     }
     this.#accepted.set(edit.editId, edit);
   }
 
-  #check(holds: boolean, text: string): void {
-    if (!holds) {
+  #check(isTrue: boolean, text: string): void {
+    if (!isTrue) {
       this.violations.push(text);
     }
   }
--- a/test/system/golden_main.ts
+++ b/test/system/golden_main.ts
@@ -1,6 +1,6 @@
 /**
  * `npm run golden`: runs every golden session and compares it with its file;
- * with `--update`, writes the files anew.
+ * with `--update`, overwrites files that differ.
  *
  * @module
  */
@@ -13,7 +13,7 @@
 
 async function main(): Promise<void> {
   const cli = cac("golden");
-  cli.option("--update", "Write the files anew");
+  cli.option("--update", "Overwrite files that differ");
   cli.help();
   const { options } = cli.parse();
   if (options["help"] === true) {
--- a/test/system/operator_session.ts
+++ b/test/system/operator_session.ts
@@ -1,6 +1,6 @@
 /**
- * A whole session of operators at the command line, against three instances
- * with their replicated log.
+ * A session of operators at the command line, against three instances with a
+ * replicated log.
  *
  * @module
  */
@@ -35,15 +35,15 @@
   { id: "south-2", dataCentre: "south", region: "two", hasDisk: true },
 ];
 
-/** The operators' terminal, and the instance that they call. */
-class Session {
+/** Runs commands against an instance and records what they print. */
+class OperatorTerminal {
   readonly cluster = new VirtualCluster({
     instances: INSTANCES,
     matches: matchesFixture,
   });
   readonly lines: string[] = [];
   readonly files = new Map<string, string>();
-  /** What the last command printed. */
+  /** The output of the last command. */
   printed = "";
 
   async start(): Promise<void> {
@@ -56,7 +56,7 @@
     await this.cluster.run(1_000);
   }
 
-  /** Runs a command and writes down what it printed and its exit code. */
+  /** Runs a command and records its output and exit code. */
   async run(
     title: string,
     command: (context: CommandContext) => Promise<number>,
@@ -68,7 +68,7 @@
     await this.cluster.run(1_000);
   }
 
-  /** Moments differ with the timing of other parts. */
+  /** Times are masked, as they differ with the timing of other components. */
   text(): string {
     return this.lines.join("\n")
       .replaceAll(/\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d\.\d+Z/g, "<time>");
@@ -131,42 +131,42 @@
 const OPERATIONS = `operations:${fixtureKey("operations")}`;
 const NORMAL = "jobClasses.normal";
 
-async function editSections(session: Session): Promise<void> {
-  await session.run(
+async function editSections(terminal: OperatorTerminal): Promise<void> {
+  await terminal.run(
     `config get ${NORMAL}`,
     (context) => getConfiguration(context, { section: NORMAL }),
   );
-  session.files.set("mine", session.printed.replace("rank = 4", "rank = 5"));
+  terminal.files.set("mine", terminal.printed.replace("rank = 4", "rank = 5"));
   const mine = { section: NORMAL, file: "mine", key: RATING };
-  await session.run(
+  await terminal.run(
     `config edit ${NORMAL} --file mine --dry-run`,
     (context) => editConfiguration(context, { ...mine, dryRun: true }),
   );
-  await session.run(
+  await terminal.run(
     `config edit ${NORMAL} --file mine --edit-id e-1`,
     (context) => editConfiguration(context, { ...mine, editId: "e-1" }),
   );
-  await session.run(
+  await terminal.run(
     "the same once more: its first answer",
     (context) => editConfiguration(context, { ...mine, editId: "e-1" }),
   );
-  await session.run(
+  await terminal.run(
     "another edit from the same version",
     (context) => editConfiguration(context, { ...mine, editId: "e-2" }),
   );
   const other = jobClassText("normal", { owner: "rating", rank: 7 });
-  session.files.set("other", other);
-  await session.run(
+  terminal.files.set("other", other);
+  await terminal.run(
     "another edit under the first identity",
     (context) =>
       editConfiguration(context, { ...mine, file: "other", editId: "e-1" }),
   );
 }
 
-async function refuseEdits(session: Session): Promise<void> {
+async function refuseEdits(terminal: OperatorTerminal): Promise<void> {
   const edit = (title: string, section: string, text: string, key: string) => {
-    session.files.set("file", text);
-    return session.run(
+    terminal.files.set("file", text);
+    return terminal.run(
       title,
       (context) => editConfiguration(context, { section, file: "file", key }),
     );
@@ -192,7 +192,7 @@
 `,
     RATING,
   );
-  await session.run(
+  await terminal.run(
     "removing a section in use",
     (context) =>
       editConfiguration(context, {
@@ -203,9 +203,9 @@
   );
 }
 
-async function rotateKey(session: Session): Promise<void> {
-  session.files.set("team", teamText("rating", "operations", ["fresh"]));
-  await session.run(
+async function rotateKey(terminal: OperatorTerminal): Promise<void> {
+  terminal.files.set("team", teamText("rating", "operations", ["fresh"]));
+  await terminal.run(
     "a new key for rating",
     (context) =>
       editConfiguration(context, {
@@ -214,13 +214,13 @@
         key: OPERATIONS,
       }),
   );
-  session.files.set(
+  terminal.files.set(
     "next",
     jobClassText("normal", { owner: "rating", rank: 3 }),
   );
   for (const key of [RATING, "rating:fresh"]) {
     const isOld = key === RATING;
-    await session.run(
+    await terminal.run(
       `${isOld ? "the old" : "the new"} key`,
       (context) =>
         editConfiguration(context, { section: NORMAL, file: "next", key }),
@@ -228,44 +228,44 @@
   }
 }
 
-async function switchNorth(session: Session): Promise<void> {
-  const { clock, hub } = session.cluster;
+async function takeNorthOutAndBack(terminal: OperatorTerminal): Promise<void> {
+  const { clock, hub } = terminal.cluster;
   const north = { dataCentre: "north", key: OPERATIONS, clock };
   hub.isolate("north-1");
-  await session.run(
+  await terminal.run(
     "datacentre out north, cut off, --wait-ms 0",
     (context) =>
       switchDataCentre(context, { ...north, status: "out", waitMs: 0 }),
   );
-  await session.run(
+  await terminal.run(
     "datacentre out north, cut off",
     (context) => switchDataCentre(context, { ...north, status: "out" }),
   );
-  await session.run(
+  await terminal.run(
     "config history --limit 3, while cut off",
     (context) => showConfigurationHistory(context, { limit: 3 }),
   );
   hub.heal();
-  await session.cluster.run(8_000);
-  await session.run(
+  await terminal.cluster.run(8_000);
+  await terminal.run(
     "datacentre in north, healed",
     (context) => switchDataCentre(context, { ...north, status: "in" }),
   );
-  await session.cluster.run(6_000);
-  await session.run(
+  await terminal.cluster.run(6_000);
+  await terminal.run(
     "config history",
     (context) => showConfigurationHistory(context, {}),
   );
 }
 
-/** Runs the session; gives what was typed and printed. */
+/** Runs the session; returns the commands and their output. */
 export async function runOperatorSession(): Promise<string> {
-  const session = new Session();
-  await session.start();
-  await editSections(session);
-  await refuseEdits(session);
-  await rotateKey(session);
-  await switchNorth(session);
-  await session.cluster.close();
-  return session.text();
+  const terminal = new OperatorTerminal();
+  await terminal.start();
+  await editSections(terminal);
+  await refuseEdits(terminal);
+  await rotateKey(terminal);
+  await takeNorthOutAndBack(terminal);
+  await terminal.cluster.close();
+  return terminal.text();
 }
--- a/test/system/pausable_clock.ts
+++ b/test/system/pausable_clock.ts
@@ -1,16 +1,16 @@
 /**
- * The clock of one process that can be stopped for a while and go on: its
- * timers wait, while time passes on.
+ * The clock of one simulated process that can be frozen: its timers wait until
+ * the process resumes, while time goes on.
  *
  * @module
  */
 
 import type { Clock, Timer } from "../../src/base/clock.ts";
 
-/** A clock whose timers can be held back. */
+/** A clock whose timers can be paused. */
 export class PausableClock implements Clock {
   readonly #clock: Clock;
-  readonly #held: (() => void)[] = [];
+  readonly #pending: (() => void)[] = [];
   #isPaused = false;
 
   constructor(clock: Clock) {
@@ -26,36 +26,36 @@
   }
 
   after(delayMs: number, action: () => void): Timer {
-    return this.#guard((fire) => this.#clock.after(delayMs, fire), action);
+    return this.#wrap((fire) => this.#clock.after(delayMs, fire), action);
   }
 
   every(periodMs: number, action: () => void): Timer {
-    return this.#guard((fire) => this.#clock.every(periodMs, fire), action);
+    return this.#wrap((fire) => this.#clock.every(periodMs, fire), action);
   }
 
   pause(): void {
     this.#isPaused = true;
   }
 
-  /** Fires what fell due meanwhile, each timer once. */
+  /** Fires the timers that fell due during the pause, each once. */
   resume(): void {
     this.#isPaused = false;
-    this.#held.splice(0).forEach((fire) => fire());
+    this.#pending.splice(0).forEach((fire) => fire());
   }
 
-  #guard(set: (fire: () => void) => Timer, action: () => void): Timer {
+  #wrap(set: (fire: () => void) => Timer, action: () => void): Timer {
     let isClosed = false;
-    let isHeld = false;
+    let isPending = false;
     const fire = () => {
       if (isClosed) {
         return;
       }
       if (!this.#isPaused) {
-        isHeld = false;
+        isPending = false;
         action();
-      } else if (!isHeld) {
-        isHeld = true;
-        this.#held.push(fire);
+      } else if (!isPending) {
+        isPending = true;
+        this.#pending.push(fire);
       }
     };
     const timer = set(fire);
--- a/test/system/system_document.ts
+++ b/test/system/system_document.ts
@@ -1,5 +1,5 @@
 /**
- * The document of the system bed, and its sections as edits write them.
+ * The document of the simulated system, and the section texts that edits send.
  *
  * @module
  */
@@ -11,7 +11,7 @@
   teamText,
 } from "../../src/process/configuration/configuration_fixture.ts";
 
-/** Where every instance of the bed is. */
+/** The instances of the simulation and their locations. */
 export const SYSTEM_INSTANCES = [
   { id: "n1", dataCentre: "north", region: "one" },
   { id: "n2", dataCentre: "north", region: "one" },
@@ -20,19 +20,19 @@
   { id: "s2", dataCentre: "south", region: "two" },
 ] as const;
 
-/** The identity of one instance of the bed. */
+/** The ID of an instance of the simulation. */
 export type SystemInstanceId = typeof SYSTEM_INSTANCES[number]["id"];
 
-/** The data centres of the bed. */
+/** The data centres of the simulation. */
 export const SYSTEM_DATA_CENTRES = ["north", "south"] as const;
 
-/** One of the bed's data centres. */
+/** The name of a data centre of the simulation. */
 export type SystemDataCentre = typeof SYSTEM_DATA_CENTRES[number];
 
-/** The key of `operations`, as the log carries it. */
+/** The hash of the key of the team `operations`. */
 export const OPERATIONS_HASH = fixtureHash(fixtureKey("operations"));
 
-/** A data centre's section. */
+/** The text of a data centre's section. */
 export function dataCentreText(
   name: SystemDataCentre,
   status: "in" | "out",
@@ -55,7 +55,7 @@
 `;
 }
 
-/** The first document of the bed. */
+/** The initial document of the simulation. */
 export const SYSTEM_DOCUMENT = `formatVersion = 1
 
 ${teamText("operations", "operations")}
--- a/test/system/system_fuzz_test.ts
+++ b/test/system/system_fuzz_test.ts
@@ -3,21 +3,22 @@
 import { runHistory } from "./system_history.ts";
 import type { SystemStep } from "./system_step.ts";
 
-test("random histories of the whole keep every promise", async (t) => {
+test("random histories of the system violate no invariant", async (t) => {
   const { passed, failures } = await runCampaign({ seed: 1, runs: 10 });
   t.deepEqual(failures.map(({ seed, violations }) => [seed, violations]), []);
   t.is(passed, 10);
 });
 
-/** Broken variants: what must be noticed, and in which histories. */
-const BROKEN: readonly {
+/** Defects that the oracle must detect, and the histories that show them. */
+const MUTANTS: readonly {
   readonly name: string;
-  readonly notices: RegExp;
+  /** Matches one of the violations that the defect causes. */
+  readonly violation: RegExp;
   readonly campaign: CampaignOptions;
 }[] = [
   {
-    name: "disks that lie about syncs revert edits",
-    notices: /went back|two documents|has version|shared? a version|accepted/,
+    name: "disks that report syncs they have not done revert edits",
+    violation: /went back|two documents|has version|shared? a version|accepted/,
     campaign: {
       seed: 11,
       runs: 60,
@@ -26,38 +27,38 @@
     },
   },
   {
-    name: "a lost answer taken for an unsent request runs it twice",
-    notices: /run twice|untrue|ran after/,
+    name: "a lost answer reported as not sent runs the request twice",
+    violation: /run twice|untrue|ran after/,
     campaign: {
       seed: 7,
       runs: 60,
-      mutation: { misjudgesLoss: true },
+      mutation: { reportsLostAsNotSent: true },
       favoured: ["request", "serverFaults"],
     },
   },
   {
-    name: "forgotten requests run twice",
-    notices: /run twice/,
+    name: "requests run twice when ledgers are cleared",
+    violation: /run twice/,
     campaign: {
       seed: 3,
       runs: 60,
-      mutation: { forgetsRequests: true },
+      mutation: { clearsLedgers: true },
       favoured: ["request", "crash", "start"],
     },
   },
   {
-    name: "crossed answers reach the wrong caller",
-    notices: /got: answer to/,
+    name: "a backend server's answer reaches the wrong caller",
+    violation: /got: answer to/,
     campaign: {
       seed: 1,
       runs: 60,
-      mutation: { crossesAnswers: true },
+      mutation: { swapsAnswers: true },
       favoured: ["request"],
     },
   },
   {
-    name: "gangs that aren't released whole run in part",
-    notices: /a part of a gang/,
+    name: "gangs that aren't released on every worker run incomplete",
+    violation: /a part of a gang/,
     campaign: {
       seed: 46,
       runs: 60,
@@ -69,8 +70,8 @@
     },
   },
   {
-    name: "a recovery that doesn't wait runs a job beside itself",
-    notices: /beside attempt|done already|had ended/,
+    name: "a recovery that doesn't wait runs two attempts of a job at once",
+    violation: /beside attempt|done already|had ended/,
     campaign: {
       seed: 57,
       runs: 60,
@@ -83,26 +84,26 @@
   },
 ];
 
-for (const { name, notices, campaign } of BROKEN) {
-  test(`the oracle notices: ${name}`, async (t) => {
-    let noticed: string | undefined;
+for (const { name, violation, campaign } of MUTANTS) {
+  test(`the oracle detects: ${name}`, async (t) => {
+    let detected: string | undefined;
     let at = 0;
-    while (noticed === undefined && at < campaign.runs) {
+    while (detected === undefined && at < campaign.runs) {
       const { failures } = await runCampaign({
         ...campaign,
         seed: campaign.seed + at,
         runs: 1,
       });
-      noticed = failures.flatMap(({ violations }) => violations)
-        .find((text) => notices.test(text));
+      detected = failures.flatMap(({ violations }) => violations)
+        .find((text) => violation.test(text));
       at += 1;
     }
-    t.log(`history ${at}: ${noticed}`);
-    t.truthy(noticed);
+    t.log(`history ${at}: ${detected}`);
+    t.truthy(detected);
   });
 }
 
-/** The south is cut off and taken out; then jobs come to it. */
+/** The south is cut off and taken out; then jobs are submitted to it. */
 const CUT_OFF_AND_OUT: readonly SystemStep[] = [
   { kind: "pass", byMs: 1_000 },
   { kind: "cutRegions" },
@@ -128,15 +129,15 @@
   t.true(timeline.some((line) => /dataCentres.south.*accepted/.test(line)));
 });
 
-test("the oracle notices: copies that seem current start tasks", async (t) => {
+test("the oracle detects: stale copies that start tasks", async (t) => {
   const { violations } = await runHistory(CUT_OFF_AND_OUT, {
     seed: 1,
-    mutation: { copiesSeemCurrent: true },
+    mutation: { treatsCopiesAsCurrent: true },
   });
   t.true(violations.some((text) => /south is out/.test(text)));
 });
 
-test("the leader of a data centre of two loses its disk", async (t) => {
+test("the leader of a two-instance data centre loses its disk", async (t) => {
   const { violations } = await runHistory([
     {
       kind: "submit",
@@ -153,8 +154,9 @@
   t.deepEqual(violations, []);
 });
 
-// The start's answer is lost and the task is over before it can be asked.
-test("a short job whose start was lost isn't run twice", async (t) => {
+// The answer to the start command is lost, and the task ends before the worker
+// can be queried.
+test("a short job whose start was not answered isn't run twice", async (t) => {
   const steps: readonly SystemStep[] = [
     { kind: "weather", rate: 0.2 },
     ...[0, 1, 2, 3, 4, 5].map((job) => ({
@@ -186,7 +188,7 @@
   }
 });
 
-test("a job done before its stop came isn't run again", async (t) => {
+test("a job that ended before its stop arrived isn't run again", async (t) => {
   const { violations } = await runHistory([
     { kind: "pass", byMs: 1000 },
     { kind: "crash", at: "n3" },
@@ -223,7 +225,7 @@
   t.deepEqual(violations, []);
 });
 
-test("an edit sent again counts from its first sending", async (t) => {
+test("a resent edit counts from when it was first sent", async (t) => {
   const { violations } = await runHistory([
     { kind: "switch", at: "s1", dataCentre: "north", status: "in" },
     { kind: "switch", at: "n2", dataCentre: "south", status: "in" },
--- a/test/system/system_history.ts
+++ b/test/system/system_history.ts
@@ -1,95 +1,95 @@
 /**
- * Runs one random history on a bed of its own, and judges it.
+ * Runs a random history on a new simulation and checks it.
  *
  * @module
  */
 
-import { SystemBed } from "./system_bed.ts";
+import { SystemSimulation } from "./system_simulation.ts";
 import { SYSTEM_INSTANCES, type SystemInstanceId } from "./system_document.ts";
-import type { SystemMutation } from "./system_faults.ts";
+import type { SystemMutation } from "./system_mutation.ts";
 import { type PreparedEdit, SystemSession } from "./system_session.ts";
 import type { SystemStep } from "./system_step.ts";
 
-/** How a history is run. */
+/** Options of a history. */
 export interface HistoryOptions {
   readonly seed: number;
   readonly mutation?: SystemMutation;
 }
 
-/** What a history came to. */
-export interface HistoryVerdict {
+/** The result of a history. */
+export interface HistoryResult {
   readonly violations: readonly string[];
-  /** Steps, ends of calls and events of all instances, in order. */
+  /** Steps, results of calls and events of all instances, in order. */
   readonly timeline: readonly string[];
 }
 
-/** How long after the last fault everything must have ended. */
-const CALM_MS = 60_000;
+/** Within this time after the last fault the system must have recovered. */
+const QUIET_PERIOD_MS = 60_000;
 
-/** How long jobs may wait for one another after that. */
-const JOBS_END_MS = 400_000;
+/** How long the jobs may take to end after that, as they queue for workers. */
+const JOBS_END_LIMIT_MS = 400_000;
 
-/** How long a retried request waits before it goes to another instance. */
-const RETRY_MS = 40;
+/** The delay before a request is retried at another instance. */
+const RETRY_DELAY_MS = 40;
 
-/** How long the repair of a wiped instance may take. */
-const REPAIR_MS = 15_000;
+/** How long the repair of an instance that lost its disk may take. */
+const REPAIR_LIMIT_MS = 15_000;
 
-/** Runs the steps and judges them. */
+/** Runs the steps and checks the outcome. */
 export async function runHistory(
   steps: readonly SystemStep[],
   options: HistoryOptions,
-): Promise<HistoryVerdict> {
+): Promise<HistoryResult> {
   const run = new HistoryRun(options);
   return await run.run(steps);
 }
 
 class HistoryRun {
-  readonly #bed: SystemBed;
+  readonly #simulation: SystemSimulation;
   readonly #session: SystemSession;
   readonly #timeline: string[] = [];
   readonly #violations: string[] = [];
   #lastEdit: PreparedEdit | undefined;
 
   constructor(options: HistoryOptions) {
-    this.#bed = new SystemBed({
+    this.#simulation = new SystemSimulation({
       ...options,
       onEvent: (instance, name, fields) =>
         name === "serverAnnounced"
           ? undefined
           : this.#write(`${instance} ${name} ${JSON.stringify(fields ?? {})}`),
     });
-    this.#session = new SystemSession(this.#bed, {
-      note: (line) => this.#write(line),
+    this.#session = new SystemSession(this.#simulation, {
+      writeLine: (line) => this.#write(line),
     });
   }
 
-  async run(steps: readonly SystemStep[]): Promise<HistoryVerdict> {
-    await this.#bed.open();
+  async run(steps: readonly SystemStep[]): Promise<HistoryResult> {
+    await this.#simulation.open();
     for (const step of steps) {
       this.#write(`> ${JSON.stringify(step)}`);
-      await this.#take(step);
-      await this.#bed.pass(5);
+      await this.#applyStep(step);
+      await this.#simulation.advance(5);
     }
-    this.#write("> every fault ends");
-    await this.#bed.calm(CALM_MS);
-    await this.#returnDataCentres();
-    await this.#session.judgeEnd();
-    this.#bed.close();
+    this.#write("> all faults end");
+    await this.#simulation.endFaultsAndWait(QUIET_PERIOD_MS);
+    await this.#putDataCentresIn();
+    await this.#session.checkFinalState();
+    this.#simulation.close();
     const violations = [
       ...this.#violations,
-      ...this.#bed.oracle.violations(),
+      ...this.#simulation.oracle.violations(),
     ];
     return { violations, timeline: this.#timeline };
   }
 
-  async #take(step: SystemStep): Promise<void> {
-    const { links, workers, servers } = this.#bed;
+  async #applyStep(step: SystemStep): Promise<void> {
+    const { links, workers, servers } = this.#simulation;
     switch (step.kind) {
       case "pass":
-        return await this.#bed.pass(step.byMs);
+        return await this.#simulation.advance(step.byMs);
       case "submit": {
-        // The same number stands for the same job.
+        // Steps with the same values submit the same job again.
         const { job, at } = step;
         const tasks = 1 + job % step.tasks;
         const jobId = `j${job}.${tasks}.${step.runMs}`;
@@ -102,13 +102,13 @@
         return this.#race(step);
       case "resend":
         if (this.#lastEdit !== undefined) {
-          void this.#session.send(step.at, this.#lastEdit);
+          void this.#session.sendEdit(step.at, this.#lastEdit);
         }
         return;
       case "switch":
-        return this.#sendLast(
+        return this.#sendNewEdit(
           step.at,
-          this.#session.prepareStatus(step.at, step),
+          this.#session.prepareStatusEdit(step.at, step),
         );
       case "request":
         return await this.#request(step);
@@ -118,16 +118,16 @@
       case "crash":
         return this.#crash(step.at);
       case "start":
-        this.#bed.resume(step.at);
-        return await this.#bed.start(step.at);
+        this.#simulation.resume(step.at);
+        return await this.#simulation.start(step.at);
       case "stop":
         return await this.#stop(step.at);
       case "wipe":
         return await this.#wipe(step);
       case "freeze":
-        return this.#bed.freeze(step.at);
+        return this.#simulation.freeze(step.at);
       case "resume":
-        return this.#bed.resume(step.at);
+        return this.#simulation.resume(step.at);
       case "cutOneWay":
         return links.cutOneWay(step.at, step.other);
       case "cutRegions":
@@ -135,7 +135,7 @@
       case "heal":
         return this.#heal();
       case "weather":
-        return links.setWeather({ rate: step.rate, jitterMs: 100 });
+        return links.setConditions({ rate: step.rate, jitterMs: 100 });
       case "failing":
         return workers.setFailing(step.worker, step.isOn);
       case "worker":
@@ -146,7 +146,7 @@
   }
 
   #cancel(at: SystemInstanceId, job: number): void {
-    for (const jobId of this.#bed.oracle.tasks.acknowledged) {
+    for (const jobId of this.#simulation.oracle.tasks.acknowledged) {
       if (jobId.startsWith(`j${job}.`)) {
         void this.#session.cancel(at, jobId);
       }
@@ -154,18 +154,18 @@
   }
 
   #race(step: Extract<SystemStep, { kind: "race" }>): void {
-    const mine = this.#session.prepareRank(step.at, step.rank);
-    const theirs = this.#session.prepareRank(step.other, 9 - step.rank);
-    this.#sendLast(step.at, mine);
-    if (theirs !== undefined) {
-      void this.#session.send(step.other, theirs);
+    const first = this.#session.prepareRankEdit(step.at, step.rank);
+    const second = this.#session.prepareRankEdit(step.other, 9 - step.rank);
+    this.#sendNewEdit(step.at, first);
+    if (second !== undefined) {
+      void this.#session.sendEdit(step.other, second);
     }
   }
 
-  #sendLast(at: SystemInstanceId, edit: PreparedEdit | undefined): void {
+  #sendNewEdit(at: SystemInstanceId, edit: PreparedEdit | undefined): void {
     if (edit !== undefined) {
       this.#lastEdit = edit;
-      void this.#session.send(at, edit);
+      void this.#session.sendEdit(at, edit);
     }
   }
 
@@ -174,61 +174,68 @@
   ): Promise<void> {
     const { timeoutMs } = step;
     const requestId = `r${step.request}`;
-    void this.#session.call(step.at, { requestId, timeoutMs });
-    await this.#bed.pass(RETRY_MS);
-    void this.#session.call(step.other, { requestId, timeoutMs });
+    void this.#session.sendRequest(step.at, { requestId, timeoutMs });
+    await this.#simulation.advance(RETRY_DELAY_MS);
+    void this.#session.sendRequest(step.other, { requestId, timeoutMs });
   }
 
   #crash(at: SystemInstanceId): void {
-    if (this.#bed.isUp(at)) {
-      this.#bed.crash(at);
+    if (this.#simulation.isUp(at)) {
+      this.#simulation.crash(at);
     }
   }
 
-  /** A graceful stop must let every call at the instance end. */
+  /** Stops an instance; a call that does not end by then is a violation. */
   async #stop(at: SystemInstanceId): Promise<void> {
-    const cut = await this.#session.stop(at);
-    if (cut > 0) {
-      this.#violations.push(`a graceful stop of ${at} cut off ${cut} calls`);
+    const cutCalls = await this.#session.stop(at);
+    if (cutCalls > 0) {
+      this.#violations.push(
+        `a graceful stop of ${at} cut off ${cutCalls} calls`,
+      );
     }
   }
 
-  /** Wipes only what is whole, as repairs come one after the other. */
+  /** Ends all faults and waits first: only one instance is repaired at a time. */
   async #wipe(
     step: Extract<SystemStep, { kind: "wipe" }>,
   ): Promise<void> {
-    await this.#bed.calm(REPAIR_MS);
-    this.#bed.crash(step.at);
-    this.#bed.disk(step.at).wipe();
-    await this.#bed.pass(500);
-    await this.#bed.start(step.at);
-    await this.#bed.pass(REPAIR_MS);
+    await this.#simulation.endFaultsAndWait(REPAIR_LIMIT_MS);
+    this.#simulation.crash(step.at);
+    this.#simulation.disk(step.at).wipe();
+    await this.#simulation.advance(500);
+    await this.#simulation.start(step.at);
+    await this.#simulation.advance(REPAIR_LIMIT_MS);
     if (step.next !== step.at) {
-      this.#bed.crash(step.next);
+      this.#simulation.crash(step.next);
     }
   }
 
   #heal(): void {
     const stillFrozen = SYSTEM_INSTANCES.map(({ id }) => id)
-      .filter((id) => this.#bed.isUp(id) && this.#bed.awake(id) === undefined);
-    this.#bed.links.heal();
-    stillFrozen.forEach((id) => this.#bed.links.isolate(id));
+      .filter((id) =>
+        this.#simulation.isUp(id) &&
+        this.#simulation.responsive(id) === undefined
+      );
+    this.#simulation.links.heal();
+    stillFrozen.forEach((id) => this.#simulation.links.isolate(id));
   }
 
-  /** So that every job can run. */
-  async #returnDataCentres(): Promise<void> {
+  /** Puts both data centres in, so that every job can run. */
+  async #putDataCentresIn(): Promise<void> {
     for (const dataCentre of ["north", "south"] as const) {
       const change = { dataCentre, status: "in" as const };
-      const edit = this.#session.prepareStatus("s1", change);
+      const edit = this.#session.prepareStatusEdit("s1", change);
       if (edit !== undefined) {
-        await this.#bed.finish(this.#session.send("s1", edit));
+        await this.#simulation.finish(this.#session.sendEdit("s1", edit));
       }
     }
-    await this.#bed.pass(CALM_MS);
-    await this.#session.untilJobsEnd(JOBS_END_MS);
+    await this.#simulation.advance(QUIET_PERIOD_MS);
+    await this.#session.waitForJobsToEnd(JOBS_END_LIMIT_MS);
   }
 
   #write(line: string): void {
-    this.#timeline.push(`${this.#bed.clock.nowMs() - 1_000_000} ${line}`);
+    this.#timeline.push(
+      `${this.#simulation.clock.nowMs() - 1_000_000} ${line}`,
+    );
   }
 }
--- a/test/system/system_links.ts
+++ b/test/system/system_links.ts
@@ -1,5 +1,5 @@
 /**
- * The links of the system bed: which places are cut off for which reason.
+ * The simulated links of the system, and the cuts and faults on them.
  *
  * @module
  */
@@ -28,7 +28,7 @@
     return this.#hub.join(id, { peerIds });
   }
 
-  /** Nothing passes to or from the instance, workers included. */
+  /** Drops all messages to and from the instance, also those of workers. */
   isolate(id: SystemInstanceId): void {
     this.#isolated.add(id);
     this.#apply();
@@ -39,21 +39,21 @@
     this.#apply();
   }
 
-  /** Nothing passes from the one to the other. */
+  /** Drops all messages from one instance to another. */
   cutOneWay(from: SystemInstanceId, to: SystemInstanceId): void {
     this.#oneWay.add(`${from} ${to}`);
     this.#apply();
   }
 
-  /** Nothing passes between the data centres, silently. */
+  /** Drops all messages between instances of different data centres. */
   cutRegions(): void {
     this.#isRegionCut = true;
     this.#apply();
   }
 
-  /** Loss, doubling and reordering of messages between instances. */
-  setWeather(weather: { rate: number; jitterMs: number }): void {
-    const { rate, jitterMs } = weather;
+  /** Sets the loss, duplication and random delay of messages on all links. */
+  setConditions(conditions: { rate: number; jitterMs: number }): void {
+    const { rate, jitterMs } = conditions;
     Object.assign(this.#hub.faults, {
       lossRate: rate,
       doublingRate: rate,
@@ -68,12 +68,12 @@
     };
   }
 
-  /** Every cut and fault ends. */
+  /** Ends every cut and fault. */
   heal(): void {
     this.#isolated.clear();
     this.#oneWay.clear();
     this.#isRegionCut = false;
-    this.setWeather({ rate: 0, jitterMs: 0 });
+    this.setConditions({ rate: 0, jitterMs: 0 });
     this.#apply();
   }
 
--- a/test/system/system_node.ts
+++ b/test/system/system_node.ts
@@ -1,5 +1,5 @@
 /**
- * The real parts of one instance, composed as in the daemon, over fakes.
+ * The real subsystems of one instance, composed as in the daemon, over fakes.
  *
  * @module
  */
@@ -45,9 +45,9 @@
 import type { WorkerClient } from "../../src/process/scheduler/runtime/worker_client.ts";
 import type { FakeStorage } from "../../src/process/storage/fake_storage.ts";
 import { SYSTEM_INSTANCES, type SystemInstanceId } from "./system_document.ts";
-import type { SystemMutation } from "./system_faults.ts";
+import type { SystemMutation } from "./system_mutation.ts";
 
-/** What one instance is composed from. */
+/** Options of {@link SystemNode}. */
 export interface SystemNodeOptions {
   readonly id: SystemInstanceId;
   readonly incarnation: number;
@@ -102,12 +102,12 @@
     this.#acknowledger = createAcknowledger(options, this);
   }
 
-  /** Reads what the disk holds and joins both groups. */
+  /** Reads the state on the disk and joins both groups. */
   static async open(options: SystemNodeOptions): Promise<SystemNode> {
     const configuration = await openConfiguration(options);
     const requests = new LedgerState({});
     const jobs = new JobLedger({});
-    const dataCentre = placeOf(options.id).dataCentre;
+    const dataCentre = locationOf(options.id).dataCentre;
     const member = await ReplicationMember.open<PartCommand, unknown>({
       ...options,
       groupId: dataCentreGroup(dataCentre),
@@ -127,7 +127,7 @@
     });
   }
 
-  /** A graceful stop. */
+  /** Stops gracefully. */
   async stop(deadlineMs: number): Promise<void> {
     await this.routing.drain({ deadlineMs });
     await this.routing.close();
@@ -136,7 +136,7 @@
     this.crash();
   }
 
-  /** The process dies at once. */
+  /** Ends the process immediately. */
   crash(): void {
     void this.routing.close();
     this.#acknowledger.close();
@@ -147,12 +147,12 @@
   }
 }
 
-function placeOf(id: SystemInstanceId) {
-  const place = SYSTEM_INSTANCES.find((instance) => instance.id === id);
-  if (place === undefined) {
+function locationOf(id: SystemInstanceId) {
+  const location = SYSTEM_INSTANCES.find((instance) => instance.id === id);
+  if (location === undefined) {
     throw new Error(`no such instance: ${id}`);
   }
-  return place;
+  return location;
 }
 
 function listMembers(dataCentre?: string) {
@@ -180,7 +180,7 @@
 ): RequestRouting {
   return new RequestRouting({
     ...options,
-    self: placeOf(options.id),
+    self: locationOf(options.id),
     peers: SYSTEM_INSTANCES.filter(({ id }) => id !== options.id),
     configuration: node.configuration,
     ledgerLog: new PartLog<LedgerCommand, LedgerReply>({
@@ -198,7 +198,7 @@
   options: SystemNodeOptions,
   { node, jobs }: { node: SystemNode; jobs: JobLedger },
 ): SchedulerRuntime {
-  const { dataCentre } = placeOf(options.id);
+  const { dataCentre } = locationOf(options.id);
   return new SchedulerRuntime({
     ...options,
     dataCentre,
@@ -208,8 +208,8 @@
       log: node.member,
     }),
     ledger: jobs,
-    configuration: options.mutation.copiesSeemCurrent
-      ? asIfCurrent(node.configuration, options.clock)
+    configuration: options.mutation.treatsCopiesAsCurrent
+      ? treatAsCurrent(node.configuration, options.clock)
       : node.configuration,
     omittedChecks: options.mutation.omittedChecks ?? [],
     client: options.workers,
@@ -217,7 +217,7 @@
   });
 }
 
-function asIfCurrent(
+function treatAsCurrent(
   configuration: ConfigurationService,
   clock: Clock,
 ): ConfigurationSource {
@@ -233,7 +233,7 @@
   node: SystemNode,
 ): RemovalAcknowledger {
   const { configuration, member, scheduler } = node;
-  const { dataCentre } = placeOf(id);
+  const { dataCentre } = locationOf(id);
   return new RemovalAcknowledger({
     clock,
     dataCentre,
--- a/test/system/system_oracle.ts
+++ b/test/system/system_oracle.ts
@@ -1,21 +1,21 @@
 /**
- * What the system promises, judged on what callers, operators and workers
- * saw; it knows nothing of how the system works.
+ * Checks the invariants of the system against what callers, operators and
+ * workers observed, without knowledge of its implementation.
  *
  * @module
  */
 
-import { EditJudge } from "./edit_judge.ts";
-import { RequestJudge } from "./request_judge.ts";
-import { TaskJudge } from "./task_judge.ts";
+import { EditChecker } from "./edit_checker.ts";
+import { RequestChecker } from "./request_checker.ts";
+import { TaskChecker } from "./task_checker.ts";
 
-/** Judges one whole history. */
+/** Checks one history. */
 export class SystemOracle {
-  readonly edits = new EditJudge();
-  readonly requests = new RequestJudge();
-  readonly tasks = new TaskJudge();
+  readonly edits = new EditChecker();
+  readonly requests = new RequestChecker();
+  readonly tasks = new TaskChecker();
 
-  /** Every broken promise, in words. */
+  /** A description of every violation. */
   violations(): string[] {
     return [
       ...this.edits.violations,
--- a/test/system/system_servers.ts
+++ b/test/system/system_servers.ts
@@ -1,6 +1,6 @@
 /**
- * The backend servers of the system bed: each answers what it was asked, or
- * fails in one of the ways in which servers fail.
+ * The backend servers of the simulated system: each answers a request or fails
+ * in one of several ways.
  *
  * @module
  */
@@ -11,50 +11,54 @@
   BackendAttempt,
   BackendAttemptEnd,
 } from "../../src/process/routing/backend_client.ts";
-import { contentOf, type RequestJudge } from "./request_judge.ts";
-import type { SystemMutation } from "./system_faults.ts";
+import { expectedContent, type RequestChecker } from "./request_checker.ts";
+import type { SystemMutation } from "./system_mutation.ts";
 
 /** Options of {@link SystemServers}. */
 export interface SystemServersOptions {
   readonly clock: Clock;
   readonly random: RandomSource;
-  readonly judge: RequestJudge;
+  readonly checker: RequestChecker;
   readonly mutation: SystemMutation;
 }
 
-/** One way in which a server takes a request. */
-type Fate = "answer" | "lost" | "refused" | "error";
+/** What a server does with a request; `lost` means that its answer is lost. */
+type ServerBehaviour = "answer" | "lost" | "refused" | "error";
 
-const FAULTY_FATES: readonly Fate[] = ["lost", "refused", "error"];
+const FAULTY_BEHAVIOURS: readonly ServerBehaviour[] = [
+  "lost",
+  "refused",
+  "error",
+];
 
-/** Every backend server at once. */
+/** All backend servers together. */
 export class SystemServers {
   readonly #options: SystemServersOptions;
   /** The fraction of requests that fail. */
   faultRate = 0;
-  #last = "";
+  #lastContent = "";
 
   constructor(options: SystemServersOptions) {
     this.#options = options;
   }
 
-  /** What a client of the servers does. */
+  /** Simulates {@link BackendClient.send}. */
   async send(attempt: BackendAttempt): Promise<BackendAttemptEnd> {
-    const { clock, random, judge, mutation } = this.#options;
+    const { clock, random, checker, mutation } = this.#options;
     const { requestId } = attempt.record;
-    const fate = this.#drawFate();
-    if (fate === "refused") {
+    const behaviour = this.#drawBehaviour();
+    if (behaviour === "refused") {
       return { result: "notSent", answer: undefined, fault: undefined };
     }
-    judge.noteSending(requestId);
+    checker.recordAttempt(requestId);
     await new Promise<void>((resolve) => {
       clock.after(5 + random.nextInt(200), resolve);
     });
-    if (fate === "lost") {
-      const result = mutation.misjudgesLoss ? "notSent" : "ambiguous";
+    if (behaviour === "lost") {
+      const result = mutation.reportsLostAsNotSent ? "notSent" : "ambiguous";
       return { result, answer: undefined, fault: undefined };
     }
-    const isError = fate === "error";
+    const isError = behaviour === "error";
     return {
       result: isError ? "serverError" : "answered",
       fault: undefined,
@@ -68,17 +72,17 @@
   }
 
   #contentFor(requestId: string): string {
-    const own = contentOf(requestId);
-    const crosses = this.#options.mutation.crossesAnswers === true;
-    const given = crosses && this.#last !== "" ? this.#last : own;
-    this.#last = own;
+    const own = expectedContent(requestId);
+    const crosses = this.#options.mutation.swapsAnswers === true;
+    const given = crosses && this.#lastContent !== "" ? this.#lastContent : own;
+    this.#lastContent = own;
     return given;
   }
 
-  #drawFate(): Fate {
+  #drawBehaviour(): ServerBehaviour {
     const { random } = this.#options;
     return random.nextUnit() < this.faultRate
-      ? FAULTY_FATES[random.nextInt(FAULTY_FATES.length)] ?? "lost"
+      ? FAULTY_BEHAVIOURS[random.nextInt(FAULTY_BEHAVIOURS.length)] ?? "lost"
       : "answer";
   }
 }
--- a/test/system/system_session.ts
+++ b/test/system/system_session.ts
@@ -1,6 +1,6 @@
 /**
- * What operators, client accounts and callers do with the system bed; every
- * call goes on by itself, and its end is shown to the oracle.
+ * The calls of operators, client accounts and callers in the simulated system.
+ * Calls run concurrently, and the oracle records their results.
  *
  * @module
  */
@@ -13,8 +13,8 @@
 import { RequestHeader } from "../../src/process/routing/request_headers.ts";
 import type { CallerAnswer } from "../../src/process/routing/request_service.ts";
 import { parseSectionId } from "../../src/version/document/section_id.ts";
-import type { SeenEdit } from "./edit_judge.ts";
-import type { SystemBed } from "./system_bed.ts";
+import type { SentEdit } from "./edit_checker.ts";
+import type { SystemSimulation } from "./system_simulation.ts";
 import {
   dataCentreText,
   OPERATIONS_HASH,
@@ -23,42 +23,45 @@
 } from "./system_document.ts";
 import type { SystemNode } from "./system_node.ts";
 
-/** One edit, ready to be sent and resent. */
+/** An edit that can be sent repeatedly. */
 export interface PreparedEdit {
-  readonly seen: Omit<SeenEdit, "sentAtMs">;
+  readonly details: Omit<SentEdit, "sentAtMs">;
   readonly request: EditRequest;
 }
 
-/** How a call ended, as a person would note it. */
-export type SessionNote = (line: string) => void;
+/** Receives a line of text on the result of each call. */
+export type WriteLine = (line: string) => void;
 
-/** How long a stop waits for calls to end. */
+/** How long a graceful stop waits for calls to end. */
 const STOP_MS = 10_000;
 
-/** The users of one bed. */
+/** The callers of one simulation. */
 export class SystemSession {
-  readonly #bed: SystemBed;
-  readonly #note: SessionNote;
-  /** Calls under way, by the process that they were made to. */
-  readonly #open = new Map<SystemNode, number>();
+  readonly #simulation: SystemSimulation;
+  readonly #writeLine: WriteLine;
+  /** The number of calls in progress at each node. */
+  readonly #callsInProgress = new Map<SystemNode, number>();
   #edits = 0;
 
-  constructor(bed: SystemBed, options: { note?: SessionNote } = {}) {
-    this.#bed = bed;
-    this.#note = options.note ?? (() => undefined);
+  constructor(
+    simulation: SystemSimulation,
+    options: { writeLine?: WriteLine } = {},
+  ) {
+    this.#simulation = simulation;
+    this.#writeLine = options.writeLine ?? (() => undefined);
   }
 
-  /** Hands in a job of small tasks; the same job again is no error. */
+  /** Submits a job; submitting the same job again is no error. */
   async submit(
     at: SystemInstanceId,
     job: { jobId: string; tasks: number; runMs: number },
   ): Promise<void> {
     const { jobId, tasks, runMs } = job;
-    const node = this.#bed.awake(at);
+    const node = this.#simulation.responsive(at);
     if (node === undefined) {
       return;
     }
-    this.#bed.oracle.tasks.noteSubmitted(jobId, tasks);
+    this.#simulation.oracle.tasks.recordSubmitted(jobId, tasks);
     const result = await node.scheduler.submit(jobSpecificationSchema.parse({
       jobId,
       clientAccount: "buyers",
@@ -69,33 +72,38 @@
       command: ["run", String(runMs)],
     }));
     result.caseOf({
-      Left: ({ kind }) => this.#note(`submit ${jobId} at ${at}: ${kind}`),
+      Left: ({ kind }) => this.#writeLine(`submit ${jobId} at ${at}: ${kind}`),
       Right: () => {
-        this.#bed.oracle.tasks.noteAcknowledged(jobId);
-        this.#note(`submit ${jobId} at ${at}: accepted`);
+        this.#simulation.oracle.tasks.recordAcknowledged(jobId);
+        this.#writeLine(`submit ${jobId} at ${at}: accepted`);
       },
     });
   }
 
   async cancel(at: SystemInstanceId, jobId: string): Promise<void> {
-    const result = await this.#bed.awake(at)?.scheduler.cancel(jobId);
+    const result = await this.#simulation.responsive(at)?.scheduler.cancel(
+      jobId,
+    );
     const end = result?.caseOf({
       Left: ({ kind }) => String(kind),
       Right: () => "accepted",
     });
-    this.#note(`cancel ${jobId} at ${at}: ${end ?? "instance is down"}`);
+    this.#writeLine(`cancel ${jobId} at ${at}: ${end ?? "instance is down"}`);
   }
 
-  /** An edit of the job class, from the section's version at an instance. */
-  prepareRank(at: SystemInstanceId, rank: number): PreparedEdit | undefined {
+  /** Prepares an edit of a job class, based on the instance's version of it. */
+  prepareRankEdit(
+    at: SystemInstanceId,
+    rank: number,
+  ): PreparedEdit | undefined {
     return this.#prepare(at, {
       section: "jobClasses.normal",
       text: jobClassText("normal", { owner: "operations", rank }),
     });
   }
 
-  /** An edit that takes a data centre out, or puts it in. */
-  prepareStatus(
+  /** Prepares an edit that takes a data centre out or puts it in. */
+  prepareStatusEdit(
     at: SystemInstanceId,
     change: { dataCentre: SystemDataCentre; status: "in" | "out" },
   ): PreparedEdit | undefined {
@@ -107,117 +115,123 @@
     });
   }
 
-  /** Sends an edit, for the first time or once more. */
-  async send(at: SystemInstanceId, edit: PreparedEdit): Promise<void> {
-    const { clock, oracle } = this.#bed;
-    const node = this.#bed.awake(at);
+  /** Sends or resends an edit. */
+  async sendEdit(at: SystemInstanceId, edit: PreparedEdit): Promise<void> {
+    const { clock, oracle } = this.#simulation;
+    const node = this.#simulation.responsive(at);
     if (node === undefined) {
       return;
     }
-    const seen = { ...edit.seen, sentAtMs: clock.nowMs() };
-    oracle.edits.noteSent(seen);
+    const details = { ...edit.details, sentAtMs: clock.nowMs() };
+    oracle.edits.recordSent(details);
     const result = await node.configuration.edit(edit.request);
-    const label = `edit ${seen.editId} of ${seen.section} at ${at}`;
+    const label = `edit ${details.editId} of ${details.section} at ${at}`;
     result.caseOf({
-      Left: ({ kind }) => this.#note(`${label}: ${kind}`),
+      Left: ({ kind }) => this.#writeLine(`${label}: ${kind}`),
       Right: ({ outcome, standing }) => {
         if (outcome.kind !== "accepted") {
-          oracle.edits.noteRejected(seen.editId);
-          this.#note(`${label}: ${outcome.kind}`);
+          oracle.edits.recordRejected(details.editId);
+          this.#writeLine(`${label}: ${outcome.kind}`);
           return;
         }
-        const isInForce = standing?.state === "accepted";
-        oracle.edits.noteAccepted(seen, {
+        const hasTakenEffect = standing?.state === "accepted";
+        oracle.edits.recordAccepted(details, {
           version: outcome.version,
           atMs: clock.nowMs(),
-          isInForce,
+          hasTakenEffect,
         });
-        this.#note(`${label}: ${standing?.state} as ${outcome.version}`);
+        this.#writeLine(`${label}: ${standing?.state} as ${outcome.version}`);
       },
     });
   }
 
-  /** A caller's try of a non-idempotent request. */
-  async call(
+  /** Sends a non-idempotent request, or tries it again. */
+  async sendRequest(
     at: SystemInstanceId,
     request: { requestId: string; timeoutMs: number },
   ): Promise<void> {
     const { requestId, timeoutMs } = request;
-    const node = this.#bed.awake(at);
+    const node = this.#simulation.responsive(at);
     if (node === undefined) {
       return;
     }
-    const end = this.#bed.oracle.requests.begin(requestId);
-    const nowMs = this.#bed.clock.nowMs();
-    this.#countOpen(node, 1);
-    const read = readRequest(callOf(requestId, timeoutMs, nowMs), {
+    const endCall = this.#simulation.oracle.requests.beginCall(requestId);
+    const nowMs = this.#simulation.clock.nowMs();
+    this.#addCallsInProgress(node, 1);
+    const parsed = readRequest(createHttpCall(requestId, timeoutMs, nowMs), {
       version: node.configuration.current(),
       newRequestId: () => requestId,
     });
-    const result = read.isLeft()
-      ? read.map<CallerAnswer>(neverReached)
-      : await node.routing.answer(read.unsafeCoerce(), {
+    const result = parsed.isLeft()
+      ? parsed.map<CallerAnswer>(neverReached)
+      : await node.routing.answer(parsed.unsafeCoerce(), {
         signal: new AbortController().signal,
       });
-    this.#countOpen(node, -1);
-    end(result);
+    this.#addCallsInProgress(node, -1);
+    endCall(result);
     const text = result.caseOf({
       Left: (error) => `${error.kind} (${error.answer.execution})`,
       Right: ({ answer }) => `answered ${answer.httpStatus}`,
     });
-    this.#note(`request ${requestId} at ${at}: ${text}`);
+    this.#writeLine(`request ${requestId} at ${at}: ${text}`);
   }
 
-  /** Waits till every job has ended, for so long at most. */
-  async untilJobsEnd(limitMs: number): Promise<void> {
-    const { clock, oracle } = this.#bed;
+  /** Waits until every job has ended, at most for the limit. */
+  async waitForJobsToEnd(limitMs: number): Promise<void> {
+    const { clock, oracle } = this.#simulation;
     const deadlineMs = clock.nowMs() + limitMs;
     while (!oracle.tasks.haveJobsEnded && clock.nowMs() < deadlineMs) {
-      await this.#bed.pass(5_000);
+      await this.#simulation.advance(5_000);
     }
   }
 
-  /** Looks once more at every job and copy, after all faults ended. */
-  async judgeEnd(): Promise<void> {
-    const { oracle, awakeIds } = this.#bed;
+  /** Checks every job and every instance's version after all faults ended. */
+  async checkFinalState(): Promise<void> {
+    const { oracle, responsiveIds } = this.#simulation;
     const states = new Map<string, string>();
     for (const jobId of oracle.tasks.acknowledged) {
-      const asked = this.#bed.node("s1")?.scheduler.findJob(jobId);
-      const found = asked && await this.#bed.finish(asked);
-      found?.ifRight(({ value }) => states.set(jobId, value.state));
+      const pending = this.#simulation.node("s1")?.scheduler.findJob(jobId);
+      const result = pending && await this.#simulation.finish(pending);
+      result?.ifRight(({ value }) => states.set(jobId, value.state));
     }
-    oracle.tasks.noteEnd(states);
-    oracle.edits.noteEnd(
-      new Map(awakeIds.map((id) => [
+    oracle.tasks.checkFinalStates(states);
+    oracle.edits.checkFinalVersions(
+      new Map(responsiveIds.map((id) => [
         id,
-        this.#bed.node(id)?.configuration.current().version ?? 0,
+        this.#simulation.node(id)?.configuration.current().version ?? 0,
       ])),
     );
   }
 
   /**
-   * Stops an instance as the daemon does: no new calls, an end for all that
-   * were begun, then the parts. Gives how many calls had no end.
+   * Stops an instance as the daemon does: waits for the calls in progress, then
+   * stops the subsystems. Returns the number of calls that did not end.
    */
   async stop(at: SystemInstanceId): Promise<number> {
-    const node = this.#bed.awake(at);
+    const node = this.#simulation.responsive(at);
     if (node === undefined) {
       return 0;
     }
-    const deadlineMs = this.#bed.clock.nowMs() + STOP_MS;
-    while (this.#openAt(node) > 0 && this.#bed.clock.nowMs() < deadlineMs) {
-      await this.#bed.pass(50);
+    const deadlineMs = this.#simulation.clock.nowMs() + STOP_MS;
+    while (
+      this.#callsInProgressAt(node) > 0 &&
+      this.#simulation.clock.nowMs() < deadlineMs
+    ) {
+      await this.#simulation.advance(50);
     }
-    await this.#bed.stop(at);
-    return this.#openAt(node);
+    await this.#simulation.stop(at);
+    return this.#callsInProgressAt(node);
   }
 
-  #openAt(node: SystemNode): number {
-    return this.#open.get(node) ?? 0;
+  #callsInProgressAt(node: SystemNode): number {
+    return this.#callsInProgress.get(node) ?? 0;
   }
 
-  #countOpen(node: SystemNode, by: number): void {
-    this.#open.set(node, (this.#open.get(node) ?? 0) + by);
+  #addCallsInProgress(node: SystemNode, by: number): void {
+    this.#callsInProgress.set(
+      node,
+      (this.#callsInProgress.get(node) ?? 0) + by,
+    );
   }
 
   #prepare(
@@ -230,7 +244,7 @@
   ): PreparedEdit | undefined {
     const { section, text, change } = edit;
     const sectionId = parseSectionId(section).unsafeCoerce();
-    const machine = this.#bed.awake(at)?.configuration.machine;
+    const machine = this.#simulation.responsive(at)?.configuration.machine;
     const baseVersion = machine?.section(sectionId)?.version;
     if (baseVersion === undefined) {
       return undefined;
@@ -238,7 +252,7 @@
     this.#edits += 1;
     const editId = `e${this.#edits}`;
     return {
-      seen: { editId, section, baseVersion, ...change },
+      details: { editId, section, baseVersion, ...change },
       request: {
         editId,
         team: "operations",
@@ -251,8 +265,12 @@
   }
 }
 
-/** The call that the HTTP front would read. */
-function callOf(requestId: string, timeoutMs: number, nowMs: number): HttpCall {
+/** The call as the HTTP server would pass it on. */
+function createHttpCall(
+  requestId: string,
+  timeoutMs: number,
+  nowMs: number,
+): HttpCall {
   return {
     method: "POST",
     path: "/v1/services/loft/requests",
@@ -270,5 +288,5 @@
 }
 
 function neverReached(): never {
-  throw new Error("a refused request has no answer");
+  throw new Error("a rejected request has no answer");
 }
--- a/test/system/system_bed.ts
+++ b/test/system/system_simulation.ts
@@ -1,6 +1,7 @@
 /**
- * The whole system without sockets: the real parts of five instances in two
- * data centres over one fake clock, fake links, disks, workers and servers.
+ * A simulation of the whole system without sockets: the real subsystems of five
+ * instances in two data centres over a fake clock, links, disks, workers and
+ * backend servers.
  *
  * @module
  */
@@ -21,38 +22,38 @@
   SYSTEM_INSTANCES,
   type SystemInstanceId,
 } from "./system_document.ts";
-import type { SystemMutation } from "./system_faults.ts";
+import type { SystemMutation } from "./system_mutation.ts";
 import { SystemLinks } from "./system_links.ts";
 import { SystemNode } from "./system_node.ts";
 import { SystemOracle } from "./system_oracle.ts";
 import { SystemServers } from "./system_servers.ts";
 import { SystemWorkers } from "./system_workers.ts";
 
-/** Options of {@link SystemBed}. */
-export interface SystemBedOptions {
+/** Options of {@link SystemSimulation}. */
+export interface SystemSimulationOptions {
   readonly seed?: number;
   readonly mutation?: SystemMutation;
-  /** Sees every event of every instance. */
+  /** Called with every event of every instance. */
   readonly onEvent?: (
     instance: SystemInstanceId,
     ...event: Parameters<EventLog["emit"]>
   ) => void;
-  /** Sees every start and end of a task, in words. */
+  /** Called with a description of every start and end of a task. */
   readonly onTask?: (line: string) => void;
 }
 
-/** Time moves on in steps of this length. */
+/** Simulated time advances in steps of this length. */
 const STEP_MS = 5;
 
-/** One process of an instance. */
-interface Running {
+/** A running process of an instance. */
+interface RunningInstance {
   readonly node: SystemNode;
   readonly clock: PausableClock;
   readonly incarnation: number;
 }
 
-/** All instances, workers and servers. */
-export class SystemBed {
+/** All instances, workers and backend servers. */
+export class SystemSimulation {
   readonly clock = new FakeClock({ startMs: 1_000_000 });
   readonly oracle = new SystemOracle();
   readonly links: SystemLinks;
@@ -60,13 +61,13 @@
   readonly servers: SystemServers;
   readonly random: SeededRandom;
   readonly mutation: SystemMutation;
-  readonly #options: SystemBedOptions;
+  readonly #options: SystemSimulationOptions;
   readonly #workerLinks: FakeLinks;
-  readonly #running = new Map<SystemInstanceId, Running>();
+  readonly #running = new Map<SystemInstanceId, RunningInstance>();
   readonly #disks = new Map<SystemInstanceId, FakeStorage>();
   #incarnation = 0;
 
-  constructor(options: SystemBedOptions = {}) {
+  constructor(options: SystemSimulationOptions = {}) {
     const { clock } = this;
     this.#options = options;
     this.mutation = options.mutation ?? {};
@@ -83,52 +84,55 @@
       random: this.#randomFor(4),
       links: this.#workerLinks,
       mutation: this.mutation,
-      onHappening: (happening, dataCentre) => {
-        this.oracle.tasks.note(happening, { atMs: clock.nowMs(), dataCentre });
-        options.onTask?.(describeTask(happening));
+      onTaskEvent: (event, dataCentre) => {
+        this.oracle.tasks.recordTaskEvent(event, {
+          atMs: clock.nowMs(),
+          dataCentre,
+        });
+        options.onTask?.(describeTask(event));
       },
-      onDeath: (id) => this.oracle.tasks.noteWorkerDied(id),
-      schedulerOf: (id) => this.awake(id)?.scheduler,
+      onWorkerDied: (id) => this.oracle.tasks.recordWorkerDied(id),
+      schedulerOf: (id) => this.responsive(id)?.scheduler,
     });
     this.servers = new SystemServers({
       clock,
       random: this.#randomFor(5),
-      judge: this.oracle.requests,
+      checker: this.oracle.requests,
       mutation: this.mutation,
     });
   }
 
-  /** Starts everything, and waits till the document is in force. */
+  /** Starts all instances and waits until the document is in force. */
   async open(): Promise<void> {
     for (const { id } of SYSTEM_INSTANCES) {
       await this.start(id);
     }
-    await this.pass(3_000);
+    await this.advance(3_000);
     void this.node("n1")?.configuration.bootstrap(SYSTEM_DOCUMENT);
-    await this.pass(4_000);
+    await this.advance(4_000);
   }
 
   node(id: SystemInstanceId): SystemNode | undefined {
     return this.#running.get(id)?.node;
   }
 
-  /** The instance, unless it is down or stands still. */
-  awake(id: SystemInstanceId): SystemNode | undefined {
+  /** The instance, unless it is down or frozen. */
+  responsive(id: SystemInstanceId): SystemNode | undefined {
     const running = this.#running.get(id);
     return running?.clock.isPaused ? undefined : running?.node;
   }
 
-  /** The instances that run and don't stand still. */
-  get awakeIds(): readonly SystemInstanceId[] {
+  /** The instances that are neither down nor frozen. */
+  get responsiveIds(): readonly SystemInstanceId[] {
     return SYSTEM_INSTANCES.map(({ id }) => id)
-      .filter((id) => this.awake(id) !== undefined);
+      .filter((id) => this.responsive(id) !== undefined);
   }
 
   isUp(id: SystemInstanceId): boolean {
     return this.#running.has(id);
   }
 
-  /** Starts an instance with what its disk holds. */
+  /** Starts an instance from its disk, unless it runs. */
   async start(id: SystemInstanceId): Promise<void> {
     if (this.#running.has(id)) {
       return;
@@ -143,7 +147,7 @@
       random: this.#randomFor(10 + incarnation),
       network: this.links.join(id),
       storage: this.disk(id),
-      events: { emit: (...event) => this.#hear(id, event) },
+      events: { emit: (...event) => this.#recordEvent(id, event) },
       workers: new FakeWorkerClient({
         clock,
         links: this.#workerLinks,
@@ -157,13 +161,13 @@
       mutation: this.mutation,
     });
     this.#running.set(id, { node, clock, incarnation });
-    if (this.mutation.forgetsRequests) {
-      this.#forgetRequests();
+    if (this.mutation.clearsLedgers) {
+      this.#clearLedgers();
     }
     this.#announceTo(id);
   }
 
-  /** The process dies; what its disk hadn't synced may be torn. */
+  /** Ends a process at once; unsynced writes to its disk may be torn. */
   crash(id: SystemInstanceId): void {
     this.resume(id);
     this.node(id)?.crash();
@@ -171,7 +175,7 @@
     this.disk(id).crash(this.random);
   }
 
-  /** Ends well: returns once all that was begun has ended. */
+  /** Stops an instance gracefully: waits until its calls have ended. */
   async stop(id: SystemInstanceId): Promise<void> {
     const node = this.node(id);
     if (node !== undefined) {
@@ -181,13 +185,13 @@
     }
   }
 
-  /** The process stands still; nothing reaches it. */
+  /** Freezes a process: its timers wait and no message reaches it. */
   freeze(id: SystemInstanceId): void {
     this.#running.get(id)?.clock.pause();
     this.links.isolate(id);
   }
 
-  /** The process goes on. */
+  /** Resumes a frozen process. */
   resume(id: SystemInstanceId): void {
     const running = this.#running.get(id);
     if (running?.clock.isPaused) {
@@ -203,39 +207,39 @@
     return disk;
   }
 
-  /** Moves time on, letting what is under way go on in between. */
-  async pass(byMs: number): Promise<void> {
-    for (let passedMs = 0; passedMs < byMs; passedMs += STEP_MS) {
-      this.clock.advance(Math.min(STEP_MS, byMs - passedMs));
+  /** Advances time in small steps, running pending work in between. */
+  async advance(byMs: number): Promise<void> {
+    for (let elapsedMs = 0; elapsedMs < byMs; elapsedMs += STEP_MS) {
+      this.clock.advance(Math.min(STEP_MS, byMs - elapsedMs));
       await setImmediate();
       if (this.clock.nowMs() % 500 < STEP_MS) {
-        this.#look();
+        this.#recordCopiesAndAnnounce();
       }
     }
   }
 
-  /** Moves time on till the work is done. */
+  /** Advances time until the work is done. */
   async finish<T>(work: Promise<T>): Promise<T> {
     let isDone = false;
     void work.finally(() => {
       isDone = true;
     });
     while (!isDone) {
-      await this.pass(STEP_MS);
+      await this.advance(STEP_MS);
     }
     return await work;
   }
 
-  /** Ends every fault and waits till all have gone on. */
-  async calm(byMs: number): Promise<void> {
+  /** Ends every fault, starts what is down, and lets time pass. */
+  async endFaultsAndWait(byMs: number): Promise<void> {
     this.links.heal();
     this.servers.faultRate = 0;
-    this.workers.mend();
+    this.workers.restoreAll();
     for (const { id } of SYSTEM_INSTANCES) {
       this.resume(id);
       await this.start(id);
     }
-    await this.pass(byMs);
+    await this.advance(byMs);
   }
 
   close(): void {
@@ -246,34 +250,34 @@
     this.workers.close();
   }
 
-  /** Apart for each user, so that a draw of one doesn't move the others. */
+  /** Gives each user its own random stream, so that they don't interfere. */
   #randomFor(user: number): SeededRandom {
     return new SeededRandom({ seed: (this.#options.seed ?? 1) * 1_000 + user });
   }
 
-  #hear(
+  #recordEvent(
     id: SystemInstanceId,
     [name, fields]: Parameters<EventLog["emit"]>,
   ): void {
     const jobId = fields?.["jobId"];
     if (name === "jobEnded" && typeof jobId === "string") {
-      this.oracle.tasks.noteJobEnded(jobId);
+      this.oracle.tasks.recordJobEnded(jobId);
     }
     this.#options.onEvent?.(id, name, fields);
   }
 
-  #forgetRequests(): void {
+  #clearLedgers(): void {
     const empty = new LedgerState().snapshot();
     for (const { node } of this.#running.values()) {
       node.requests.restore(empty);
     }
   }
 
-  /** Shows the oracle every copy, and announces the servers again. */
-  #look(): void {
+  /** Checks every copy of the document, and announces the servers again. */
+  #recordCopiesAndAnnounce(): void {
     for (const [id, { node, incarnation }] of this.#running) {
       const { version, document } = node.configuration.current();
-      this.oracle.edits.noteCopy(`${id}#${incarnation}`, {
+      this.oracle.edits.recordCopy(`${id}#${incarnation}`, {
         version,
         content: JSON.stringify(document),
       });
@@ -282,12 +286,12 @@
   }
 
   #announceTo(id: SystemInstanceId): void {
-    const { dataCentre } = placeOf(id);
-    for (const at of [1, 2]) {
-      this.awake(id)?.routing.announce({
-        serverId: `${dataCentre}-server-${at}`,
+    const { dataCentre } = locationOf(id);
+    for (const number of [1, 2]) {
+      this.responsive(id)?.routing.announce({
+        serverId: `${dataCentre}-server-${number}`,
         service: "loft",
-        address: `127.0.0.1:${at}`,
+        address: `127.0.0.1:${number}`,
         slots: 2,
         dataCentre,
         incarnation: 1,
@@ -297,20 +301,20 @@
   }
 }
 
-function describeTask(happening: TaskEvent): string {
-  const { workerId, jobId, attempt, taskIndex, kind } = happening;
-  const end = kind === "ended" ? `ended ${happening.outcome}` : kind;
+function describeTask(event: TaskEvent): string {
+  const { workerId, jobId, attempt, taskIndex, kind } = event;
+  const end = kind === "ended" ? `ended ${event.outcome}` : kind;
   return `${workerId} ${jobId}/${attempt}/${taskIndex} ${end}`;
 }
 
-function placeOf(id: string) {
-  const place = SYSTEM_INSTANCES.find((instance) => instance.id === id);
-  if (place === undefined) {
+function locationOf(id: string) {
+  const location = SYSTEM_INSTANCES.find((instance) => instance.id === id);
+  if (location === undefined) {
     throw new Error(`no such instance: ${id}`);
   }
-  return place;
+  return location;
 }
 
 function delayMs(from: string, to: string): number {
-  return placeOf(from).region === placeOf(to).region ? 0.5 : 20;
+  return locationOf(from).region === locationOf(to).region ? 0.5 : 20;
 }
--- a/test/system/system_step.ts
+++ b/test/system/system_step.ts
@@ -1,6 +1,6 @@
 /**
- * The steps of a random history: what is done to the system, in words that
- * can be printed and read back from a seed.
+ * The steps of a random history. They are plain data: failing histories are
+ * printed, and tests repeat them.
  *
  * @module
  */
@@ -14,7 +14,7 @@
 } from "./system_document.ts";
 import { SYSTEM_WORKER_IDS, type SystemWorkerId } from "./system_workers.ts";
 
-/** One step of a history. */
+/** One step of a history; `at` is the instance that it concerns. */
 export type SystemStep =
   | { readonly kind: "pass"; readonly byMs: number }
   | {
@@ -29,22 +29,23 @@
     readonly at: SystemInstanceId;
     readonly job: number;
   }
-  /** Operators edit the same section from the same version at once. */
+  /** Two operators edit the same section from the same version at once. */
   | {
     readonly kind: "race";
     readonly at: SystemInstanceId;
     readonly other: SystemInstanceId;
     readonly rank: number;
   }
-  /** The last edit once more, as after a lost answer. */
+  /** Resends the last edit, as after a lost answer. */
   | { readonly kind: "resend"; readonly at: SystemInstanceId }
+  /** Puts a data centre in or takes it out. */
   | {
     readonly kind: "switch";
     readonly at: SystemInstanceId;
     readonly dataCentre: SystemDataCentre;
     readonly status: "in" | "out";
   }
-  /** One request through two instances, the second a little later. */
+  /** Sends a request to one instance, and shortly after to another. */
   | {
     readonly kind: "request";
     readonly at: SystemInstanceId;
@@ -52,11 +53,12 @@
     readonly request: number;
     readonly timeoutMs: number;
   }
+  /** Sets the fraction of requests that fail at backend servers. */
   | { readonly kind: "serverFaults"; readonly rate: number }
   | { readonly kind: "crash"; readonly at: SystemInstanceId }
   | { readonly kind: "start"; readonly at: SystemInstanceId }
   | { readonly kind: "stop"; readonly at: SystemInstanceId }
-  /** Loses its disk; after the repair another instance crashes. */
+  /** An instance loses its disk; after its repair `next` crashes. */
   | {
     readonly kind: "wipe";
     readonly at: SystemInstanceId;
@@ -71,12 +73,15 @@
   }
   | { readonly kind: "cutRegions" }
   | { readonly kind: "heal" }
+  /** Sets the rates of lost, duplicated and late messages. */
   | { readonly kind: "weather"; readonly rate: number }
+  /** Sets whether the worker fails all tasks that it starts. */
   | {
     readonly kind: "failing";
     readonly worker: SystemWorkerId;
     readonly isOn: boolean;
   }
+  /** Kills or revives a worker. */
   | {
     readonly kind: "worker";
     readonly worker: SystemWorkerId;
@@ -88,42 +93,45 @@
 const dataCentre = fc.constantFrom(...SYSTEM_DATA_CENTRES);
 const worker = fc.constantFrom(...SYSTEM_WORKER_IDS);
 const job = fc.nat({ max: 7 });
-const is = <Kind extends string>(kind: Kind) => fc.constant(kind);
+const constantKind = <Kind extends string>(kind: Kind) => fc.constant(kind);
 
-/** Any step; work comes more often than faults. */
+/** Any step; work is more frequent than faults. */
 export const anySystemStep: fc.Arbitrary<SystemStep> = fc.oneof(
   {
     weight: 8,
     arbitrary: fc.record({
-      kind: is("pass"),
+      kind: constantKind("pass"),
       byMs: fc.constantFrom(50, 300, 1_000, 3_000),
     }),
   },
   {
     weight: 5,
     arbitrary: fc.record({
-      kind: is("submit"),
+      kind: constantKind("submit"),
       at,
       job,
       tasks: fc.constantFrom(1, 2, 3, 4),
       runMs: fc.constantFrom(500, 3_000, 25_000),
     }),
   },
-  { weight: 1, arbitrary: fc.record({ kind: is("cancel"), at, job }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: constantKind("cancel"), at, job }),
+  },
   {
     weight: 3,
     arbitrary: fc.record({
-      kind: is("race"),
+      kind: constantKind("race"),
       at,
       other,
       rank: fc.nat({ max: 9 }),
     }),
   },
-  { weight: 2, arbitrary: fc.record({ kind: is("resend"), at }) },
+  { weight: 2, arbitrary: fc.record({ kind: constantKind("resend"), at }) },
   {
     weight: 3,
     arbitrary: fc.record({
-      kind: is("switch"),
+      kind: constantKind("switch"),
       at,
       dataCentre,
       status: fc.constantFrom("in" as const, "out" as const),
@@ -132,7 +140,7 @@
   {
     weight: 4,
     arbitrary: fc.record({
-      kind: is("request"),
+      kind: constantKind("request"),
       at,
       other,
       request: fc.nat({ max: 9 }),
@@ -142,32 +150,46 @@
   {
     weight: 1,
     arbitrary: fc.record({
-      kind: is("serverFaults"),
+      kind: constantKind("serverFaults"),
       rate: fc.constantFrom(0, 0.5),
     }),
   },
-  { weight: 2, arbitrary: fc.record({ kind: is("crash"), at }) },
-  { weight: 3, arbitrary: fc.record({ kind: is("start"), at }) },
-  { weight: 1, arbitrary: fc.record({ kind: is("stop"), at }) },
-  { weight: 1, arbitrary: fc.record({ kind: is("wipe"), at, next: at }) },
-  { weight: 1, arbitrary: fc.record({ kind: is("freeze"), at }) },
-  { weight: 1, arbitrary: fc.record({ kind: is("resume"), at }) },
-  { weight: 1, arbitrary: fc.record({ kind: is("cutOneWay"), at, other }) },
-  { weight: 1, arbitrary: fc.record({ kind: is("cutRegions") }) },
-  { weight: 2, arbitrary: fc.record({ kind: is("heal") }) },
+  { weight: 2, arbitrary: fc.record({ kind: constantKind("crash"), at }) },
+  { weight: 3, arbitrary: fc.record({ kind: constantKind("start"), at }) },
+  { weight: 1, arbitrary: fc.record({ kind: constantKind("stop"), at }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: constantKind("wipe"), at, next: at }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: constantKind("freeze"), at }) },
+  { weight: 1, arbitrary: fc.record({ kind: constantKind("resume"), at }) },
+  {
+    weight: 1,
+    arbitrary: fc.record({ kind: constantKind("cutOneWay"), at, other }),
+  },
+  { weight: 1, arbitrary: fc.record({ kind: constantKind("cutRegions") }) },
+  { weight: 2, arbitrary: fc.record({ kind: constantKind("heal") }) },
   {
     weight: 1,
     arbitrary: fc.record({
-      kind: is("weather"),
+      kind: constantKind("weather"),
       rate: fc.constantFrom(0, 0.05, 0.2),
     }),
   },
   {
     weight: 1,
-    arbitrary: fc.record({ kind: is("failing"), worker, isOn: fc.boolean() }),
+    arbitrary: fc.record({
+      kind: constantKind("failing"),
+      worker,
+      isOn: fc.boolean(),
+    }),
   },
   {
     weight: 1,
-    arbitrary: fc.record({ kind: is("worker"), worker, lives: fc.boolean() }),
+    arbitrary: fc.record({
+      kind: constantKind("worker"),
+      worker,
+      lives: fc.boolean(),
+    }),
   },
 );
--- a/test/system/system_test.ts
+++ b/test/system/system_test.ts
@@ -1,23 +1,25 @@
 import test from "ava";
-import { SystemBed } from "./system_bed.ts";
+import { SystemSimulation } from "./system_simulation.ts";
 import { SystemSession } from "./system_session.ts";
 
-test("a quiet system runs jobs, edits and requests", async (t) => {
+test("a system without faults handles jobs, edits and requests", async (t) => {
   const lines: string[] = [];
-  const bed = new SystemBed();
-  const session = new SystemSession(bed, { note: (line) => lines.push(line) });
-  await bed.open();
+  const simulation = new SystemSimulation();
+  const session = new SystemSession(simulation, {
+    writeLine: (line) => lines.push(line),
+  });
+  await simulation.open();
   void session.submit("n2", { jobId: "j1", tasks: 4, runMs: 2_000 });
-  void session.call("s1", { requestId: "r1", timeoutMs: 1_500 });
-  const edit = session.prepareRank("n3", 7);
+  void session.sendRequest("s1", { requestId: "r1", timeoutMs: 1_500 });
+  const edit = session.prepareRankEdit("n3", 7);
   t.truthy(edit);
   if (edit !== undefined) {
-    void session.send("s2", edit);
+    void session.sendEdit("s2", edit);
   }
-  await bed.calm(20_000);
-  await session.judgeEnd();
-  bed.close();
-  t.deepEqual(bed.oracle.violations(), []);
+  await simulation.endFaultsAndWait(20_000);
+  await session.checkFinalState();
+  simulation.close();
+  t.deepEqual(simulation.oracle.violations(), []);
   t.deepEqual(lines, [
     "submit j1 at n2: accepted",
     "edit e1 of jobClasses.normal at s2: accepted as 2",
--- a/test/system/system_workers.ts
+++ b/test/system/system_workers.ts
@@ -1,6 +1,6 @@
 /**
- * The workers of the system bed: two in each data centre, which report to its
- * instances about once a second.
+ * The workers of the simulated system: two in each data centre, which report to
+ * a random instance there about once a second.
  *
  * @module
  */
@@ -17,12 +17,12 @@
   type SystemDataCentre,
   type SystemInstanceId,
 } from "./system_document.ts";
-import type { SystemMutation } from "./system_faults.ts";
+import type { SystemMutation } from "./system_mutation.ts";
 
-/** Every worker of the bed: the first two are in the north. */
+/** The IDs of all workers; the first two are in the north. */
 export const SYSTEM_WORKER_IDS = ["w1", "w2", "w3", "w4"] as const;
 
-/** The identity of one worker of the bed. */
+/** The ID of a worker of the simulation. */
 export type SystemWorkerId = typeof SYSTEM_WORKER_IDS[number];
 
 const REPORT_PERIOD_MS = 1_000;
@@ -33,18 +33,17 @@
   readonly random: RandomSource;
   readonly links: FakeLinks;
   readonly mutation: SystemMutation;
-  readonly onHappening: (
-    happening: TaskEvent,
+  readonly onTaskEvent: (
+    event: TaskEvent,
     dataCentre: SystemDataCentre,
   ) => void;
-  readonly onDeath: (id: SystemWorkerId) => void;
-  /** The scheduler of an instance that can be called. */
+  readonly onWorkerDied: (id: SystemWorkerId) => void;
+  /** The scheduler of an instance; undefined if it can't be called. */
   readonly schedulerOf: (
     id: SystemInstanceId,
   ) => Pick<SchedulerRuntime, "acceptWorkerReport"> | undefined;
 }
 
-/** All workers. */
 export class SystemWorkers {
   readonly all = new Map<string, FakeWorker>();
   readonly #options: SystemWorkersOptions;
@@ -55,22 +54,22 @@
     SYSTEM_WORKER_IDS.forEach((id) => this.#add(id));
   }
 
-  /** From now on the worker fails every task that it starts, or none. */
+  /** Sets whether the worker fails every task that it starts from now on. */
   setFailing(id: SystemWorkerId, failsEveryTask: boolean): void {
     this.all.get(id)?.tasks?.setFaults({ ...NO_FAULTS, failsEveryTask });
   }
 
   die(id: SystemWorkerId): void {
     this.all.get(id)?.die();
-    this.#options.onDeath(id);
+    this.#options.onWorkerDied(id);
   }
 
   revive(id: SystemWorkerId): void {
     this.all.get(id)?.revive();
   }
 
-  /** Every worker lives and works. */
-  mend(): void {
+  /** Revives every worker and ends its faults. */
+  restoreAll(): void {
     for (const id of SYSTEM_WORKER_IDS) {
       this.revive(id);
       this.setFailing(id, false);
@@ -83,16 +82,16 @@
   }
 
   #add(id: SystemWorkerId): void {
-    const { clock, mutation, onHappening } = this.#options;
-    const dataCentre = placeOfWorker(id);
+    const { clock, mutation, onTaskEvent } = this.#options;
+    const dataCentre = dataCentreOf(id);
     const worker = new FakeWorker({
       clock,
       workerId: id,
       rack: "r1",
       accelerators: 8,
-      // Within the stated drift of one in a thousand, either way.
+      // Within the assumed clock drift of 0.1 %, in both directions.
       rate: id === "w1" || id === "w3" ? 1.0004 : 0.9996,
-      onTaskEvent: (happening) => onHappening(happening, dataCentre),
+      onTaskEvent: (event) => onTaskEvent(event, dataCentre),
       omittedFences: mutation.omittedFences ?? [],
     });
     this.all.set(id, worker);
@@ -103,10 +102,10 @@
   #report(worker: FakeWorker, dataCentre: SystemDataCentre): void {
     const { random, links, schedulerOf } = this.#options;
     const report = worker.report();
-    const near = SYSTEM_INSTANCES.filter((instance) =>
+    const instances = SYSTEM_INSTANCES.filter((instance) =>
       instance.dataCentre === dataCentre
     );
-    const to = near[random.nextInt(near.length)]?.id;
+    const to = instances[random.nextInt(instances.length)]?.id;
     if (report !== undefined && to !== undefined) {
       links.send(
         { from: worker.workerId, to },
@@ -116,6 +115,6 @@
   }
 }
 
-function placeOfWorker(id: SystemWorkerId): SystemDataCentre {
+function dataCentreOf(id: SystemWorkerId): SystemDataCentre {
   return id === "w1" || id === "w2" ? "north" : "south";
 }
