Reword the process tests

Notes, faults, patience and places become records, violations, time-outs and locations; the loads and the cluster name what they do. The scenarios themselves were not run.

--- a/test/process/cluster.ts
+++ b/test/process/cluster.ts
@@ -1,5 +1,5 @@
 /**
- * A hold on the running programs of a process test.
+ * Controls and observes the running programs of a process test.
  *
  * @module
  */
@@ -19,11 +19,11 @@
 
 const POLL_MS = 50;
 
-/** After so long a condition that should come about is taken for a fault. */
-const PATIENCE_MS = 40_000;
+/** How long {@link Cluster.waitUntil} waits before it throws. */
+const CONDITION_TIMEOUT_MS = 40_000;
 
-/** A start or an end of a task, as a worker noted it down. */
-export interface TaskNote {
+/** A start or an end of a task, from the history file of a worker. */
+export interface TaskRecord {
   readonly kind: "started" | "ended";
   readonly workerId: string;
   readonly jobId: string;
@@ -42,7 +42,7 @@
     this.layout = JSON.parse(text);
   }
 
-  /** A client of one instance alone. */
+  /** A client that calls only one instance. */
   client(id: string): ApiClient {
     const { httpPort } = this.instance(id);
     return new ApiClient({
@@ -52,14 +52,14 @@
   }
 
   instance(id: string): TestInstance {
-    const found = this.layout.instances.find((each) => each.id === id);
-    if (found === undefined) {
+    const instance = this.layout.instances.find((each) => each.id === id);
+    if (instance === undefined) {
       throw new Error(`no instance ${id}`);
     }
-    return found;
+    return instance;
   }
 
-  /** Where an instance stands in a group; undefined when it can't be asked. */
+  /** The status of an instance in a group; undefined if it does not answer. */
   async member(
     id: string,
     groupId: string,
@@ -69,10 +69,10 @@
     return groups.find((group) => group.groupId === groupId);
   }
 
-  /** The instance that leads a group, as it says itself. */
+  /** Waits for an instance that reports itself as leader of a group. */
   async leader(groupId: string): Promise<string> {
     let leaderId: string | undefined;
-    await this.until(`a leader of ${groupId}`, async () => {
+    await this.waitUntil(`${groupId} has a leader`, async () => {
       leaderId = undefined;
       for (const { id } of this.layout.instances) {
         const member = await this.member(id, groupId);
@@ -84,13 +84,13 @@
     return leaderId ?? "";
   }
 
-  /** One JSON value, or undefined when it can't be had. */
+  /** Gets a JSON value from an instance; undefined if the call fails. */
   async get(id: string, path: string): Promise<unknown> {
     const result = await this.client(id).json({ method: "GET", path });
     return result.toMaybe().extract();
   }
 
-  /** Sends a signal to a program; false when it doesn't run. */
+  /** Sends a signal to a program; returns false if it isn't running. */
   signal(name: string, signal: "SIGKILL" | "SIGSTOP" | "SIGCONT" | "SIGTERM") {
     const path = `${this.layout.folder}/${name}.pid`;
     if (!existsSync(path)) {
@@ -100,46 +100,49 @@
     return true;
   }
 
-  /** Ends a program and keeps it down. */
-  async down(name: string, signal: "SIGKILL" | "SIGTERM"): Promise<void> {
+  /** Ends a program and keeps it stopped. */
+  async stopAndHold(
+    name: string,
+    signal: "SIGKILL" | "SIGTERM",
+  ): Promise<void> {
     writeFileSync(`${this.layout.folder}/${name}.hold`, "");
     this.signal(name, signal);
-    await this.until(
-      `${name} is down`,
+    await this.waitUntil(
+      `${name} is stopped`,
       () => !existsSync(`${this.layout.folder}/${name}.pid`),
     );
   }
 
-  /** Starts a program that was kept down. */
-  up(name: string): void {
+  /** Lets the supervisor start a program that was kept stopped. */
+  release(name: string): void {
     rmSync(`${this.layout.folder}/${name}.hold`, { force: true });
   }
 
-  /** The exit codes of a program's ended runs. */
+  /** The exit codes of a program's runs so far. */
   exitCodes(name: string): number[] {
     const path = `${this.layout.folder}/${name}.codes`;
     const text = existsSync(path) ? readFileSync(path, "utf8") : "";
     return text.split("\n").filter((line) => line !== "").map(Number);
   }
 
-  /** Loses the disk of an instance that is down. */
-  wipe(id: string): void {
+  /** Deletes the data folder of an instance that is stopped. */
+  deleteData(id: string): void {
     rmSync(`${this.layout.folder}/data/${id}`, {
       recursive: true,
       force: true,
     });
   }
 
-  /** Tells the proxy what to do with the links between the data centres. */
+  /** Sets the state of all links between the data centres in the proxy. */
   async setLinks(
-    order: { mode?: "open" | "silent" | "cut"; delayMs?: number },
+    command: { mode?: "open" | "silent" | "cut"; delayMs?: number },
   ): Promise<void> {
     for (const link of this.layout.links) {
       const url =
         `http://127.0.0.1:${this.layout.controlPort}/links/${link.port}`;
       const answer = await request(url, {
         method: "PUT",
-        body: JSON.stringify(order),
+        body: JSON.stringify(command),
       });
       await answer.body.dump();
       if (answer.statusCode !== 204) {
@@ -148,50 +151,49 @@
     }
   }
 
-  /** How often each request was run, over all backend servers. */
-  async runs(): Promise<Map<string, number>> {
-    const total = new Map<string, number>();
+  /** The number of runs of each request, summed over all backend servers. */
+  async runCounts(): Promise<Map<string, number>> {
+    const counts = new Map<string, number>();
     for (const { port } of this.layout.servers) {
       const answer = await request(`http://127.0.0.1:${port}/runs`);
       const { runs } = await answer.body.json() as {
         runs: Record<string, number>;
       };
       for (const [requestId, count] of Object.entries(runs)) {
-        total.set(requestId, (total.get(requestId) ?? 0) + count);
+        counts.set(requestId, (counts.get(requestId) ?? 0) + count);
       }
     }
-    return total;
+    return counts;
   }
 
-  /** What the workers noted down of tasks, in order of time. */
-  taskNotes(): TaskNote[] {
+  /** The starts and ends of tasks on all workers, ordered by time. */
+  taskRecords(): TaskRecord[] {
     return readdirSync(this.layout.folder)
       .filter((name) => name.endsWith(".history"))
       .flatMap((name) =>
         readFileSync(`${this.layout.folder}/${name}`, "utf8")
           .split("\n")
           .filter((line) => line !== "")
-          .map((line) => JSON.parse(line) as TaskNote)
+          .map((line) => JSON.parse(line) as TaskRecord)
       )
       .sort((left, right) => left.atMs - right.atMs);
   }
 
-  /** Waits for what has to come about; throws when it doesn't. */
-  async until(
-    what: string,
+  /** Polls until a condition is true; throws after a time-out. */
+  async waitUntil(
+    condition: string,
     isTrue: () => boolean | Promise<boolean>,
   ): Promise<void> {
-    const endMs = Date.now() + PATIENCE_MS;
+    const endMs = Date.now() + CONDITION_TIMEOUT_MS;
     while (!await isTrue()) {
       if (Date.now() > endMs) {
-        throw new Error(`waited in vain: ${what}`);
+        throw new Error(`timed out waiting until ${condition}`);
       }
-      await pause(POLL_MS);
+      await delay(POLL_MS);
     }
   }
 }
 
-/** Lets real time go by. */
-export function pause(durationMs: number): Promise<void> {
+export function delay(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
--- a/test/process/edit_load.ts
+++ b/test/process/edit_load.ts
@@ -1,6 +1,6 @@
 /**
- * Operators of a process test: they race one another with edits of the same
- * section, and send an edit again whose answer they lost.
+ * Operators of a process test: they concurrently edit the same section, and
+ * resend an edit whose answer was lost.
  *
  * @module
  */
@@ -8,15 +8,15 @@
 import { randomUUID } from "node:crypto";
 import type { SectionId } from "../../src/version/document/section_id.ts";
 import { SectionClient } from "../../src/programs/commands/config/section_client.ts";
-import { type Cluster, pause } from "./cluster.ts";
+import { type Cluster, delay } from "./cluster.ts";
 
 const KEY = "operations:demo-operations-key";
 const SECTION: SectionId = { kind: "jobClasses", name: "overnight" };
 
-/** Keeps the load far below the edits that are remembered for a day. */
-const EDIT_PAUSE_MS = 250;
+/** Keeps the edits of a test far below the number that instances record. */
+const EDIT_DELAY_MS = 250;
 
-interface Accepted {
+interface AcceptedEdit {
   readonly editId: string;
   readonly version: number;
   readonly text: string;
@@ -24,28 +24,28 @@
 
 /** Operators that edit until they are stopped. */
 export class EditLoad {
-  readonly accepted: Accepted[] = [];
-  /** Edits whose fate their operator never learnt. */
-  readonly unknown: string[] = [];
+  readonly accepted: AcceptedEdit[] = [];
+  /** The IDs of edits whose outcome their operator did not learn. */
+  readonly unresolved: string[] = [];
   #cluster: Cluster;
   #operators: Promise<void>[] = [];
   #isStopped = false;
 
   constructor(options: { cluster: Cluster; operators: number }) {
     this.#cluster = options.cluster;
-    for (let at = 0; at < options.operators; at++) {
-      this.#operators.push(this.#operate(at));
+    for (let index = 0; index < options.operators; index++) {
+      this.#operators.push(this.#runOperator(index));
     }
   }
 
-  /** Returns once every operator has its last answer. */
+  /** Stops the operators, and waits for their last answers. */
   async stop(): Promise<void> {
     this.#isStopped = true;
     await Promise.all(this.#operators);
   }
 
-  /** Everything that went against the promises, as one instance shows it. */
-  async faults(instanceId: string): Promise<string[]> {
+  /** Checks that an instance's history has every accepted edit at its version. */
+  async findViolations(instanceId: string): Promise<string[]> {
     const answer = await this.#cluster.get(
       instanceId,
       "/v1/configuration/history?limit=1000&section=jobClasses.overnight",
@@ -59,14 +59,14 @@
     const versions = this.accepted.map(({ version }) => version);
     const lost = this.accepted
       .filter(({ editId, version }) => byEdit.get(editId) !== version)
-      .map(({ editId }) => `the accepted edit ${editId} is gone`);
-    const isRepeated = new Set(versions).size !== versions.length;
-    return isRepeated ? [...lost, "a version was given twice"] : lost;
+      .map(({ editId }) => `the accepted edit ${editId} is lost`);
+    const hasDuplicate = new Set(versions).size !== versions.length;
+    return hasDuplicate ? [...lost, "a version was given twice"] : lost;
   }
 
-  async #operate(first: number): Promise<void> {
+  async #runOperator(firstInstance: number): Promise<void> {
     const { instances } = this.#cluster.layout;
-    for (let turn = first; !this.#isStopped; turn++) {
+    for (let turn = firstInstance; !this.#isStopped; turn++) {
       const instance = instances[turn % instances.length];
       const sections = new SectionClient({
         client: this.#cluster.client(instance?.id ?? ""),
@@ -75,7 +75,7 @@
         pauseMs: 200,
       });
       await this.#edit(sections);
-      await pause(EDIT_PAUSE_MS);
+      await delay(EDIT_DELAY_MS);
     }
   }
 
@@ -86,10 +86,10 @@
       return;
     }
     const editId = randomUUID();
-    const millis = 1_000 + Math.floor(Math.random() * 100_000);
+    const checkpointMs = 1_000 + Math.floor(Math.random() * 100_000);
     const text = current.text.replace(
       /checkpointMs = [\d_]+/,
-      `checkpointMs = ${millis}`,
+      `checkpointMs = ${checkpointMs}`,
     );
     const result = await sections.edit({
       sectionId: SECTION,
@@ -100,7 +100,7 @@
     result.caseOf({
       Left: (error) => {
         if (error.kind !== "conflict") {
-          this.unknown.push(editId);
+          this.unresolved.push(editId);
         }
       },
       Right: ({ version }) => {
--- a/test/process/layout.ts
+++ b/test/process/layout.ts
@@ -1,5 +1,5 @@
 /**
- * Where everything of a process test stands: five instances in two data
+ * The programs of a process test and their ports: five instances in two data
  * centres, with a link proxy between the data centres.
  *
  * @module
@@ -8,7 +8,7 @@
 import { once } from "node:events";
 import { type AddressInfo, createServer, type Server } from "node:net";
 
-/** One instance of the test. */
+/** An instance of the test. */
 export interface TestInstance {
   readonly id: string;
   readonly dataCentre: string;
@@ -16,7 +16,7 @@
   readonly peerPort: number;
 }
 
-/** One link through the proxy, for one direction of dialling. */
+/** A link through the proxy, for connections opened from `from` to `to`. */
 export interface TestLink {
   readonly from: string;
   readonly to: string;
@@ -24,7 +24,7 @@
   readonly targetPort: number;
 }
 
-/** The whole layout, as written to `layout.json`. */
+/** The layout, as written to `layout.json`. */
 export interface TestLayout {
   readonly folder: string;
   readonly instances: readonly TestInstance[];
@@ -38,8 +38,8 @@
   }[];
 }
 
-/** The instances and the data centre of each. */
-export const INSTANCE_PLACES = {
+/** The data centre of each instance. */
+export const INSTANCE_DATA_CENTRES = {
   "east-1": "east",
   "east-2": "east",
   "east-3": "east",
@@ -50,31 +50,33 @@
 const WORKERS_PER_RACK = 4;
 const SERVERS_PER_DATA_CENTRE = 2;
 
-/** Lays everything out on ports that are free now. */
+/** Creates the layout on ports that are free now. */
 export async function createLayout(folder: string): Promise<TestLayout> {
-  const places = Object.entries(INSTANCE_PLACES);
-  const ports = new PortSource(await takePorts(100));
-  const instances = places.map(([id, dataCentre]) => ({
+  const locations = Object.entries(INSTANCE_DATA_CENTRES);
+  const ports = new PortPool(await findFreePorts(100));
+  const instances = locations.map(([id, dataCentre]) => ({
     id,
     dataCentre,
     httpPort: ports.next(),
     peerPort: ports.next(),
   }));
-  const dataCentres = [...new Set(places.map(([, dataCentre]) => dataCentre))];
+  const dataCentres = [
+    ...new Set(locations.map(([, dataCentre]) => dataCentre)),
+  ];
   return {
     folder,
     instances,
     links: createLinks(instances, ports),
     controlPort: ports.next(),
     workers: dataCentres.flatMap((dataCentre) =>
-      Array.from({ length: WORKERS_PER_RACK }, (_, at) => ({
-        id: `${dataCentre}-w${at + 1}`,
+      Array.from({ length: WORKERS_PER_RACK }, (_, index) => ({
+        id: `${dataCentre}-w${index + 1}`,
         rack: `${dataCentre}-rack-1`,
       }))
     ),
     servers: dataCentres.flatMap((dataCentre) =>
-      Array.from({ length: SERVERS_PER_DATA_CENTRE }, (_, at) => ({
-        id: `${dataCentre}-server-${at + 1}`,
+      Array.from({ length: SERVERS_PER_DATA_CENTRE }, (_, index) => ({
+        id: `${dataCentre}-server-${index + 1}`,
         dataCentre,
         port: ports.next(),
       }))
@@ -84,7 +86,7 @@
 
 function createLinks(
   instances: readonly TestInstance[],
-  ports: PortSource,
+  ports: PortPool,
 ): TestLink[] {
   return instances.flatMap((from) =>
     instances
@@ -98,7 +100,7 @@
   );
 }
 
-class PortSource {
+class PortPool {
   #ports: number[];
 
   constructor(ports: number[]) {
@@ -108,22 +110,22 @@
   next(): number {
     const port = this.#ports.pop();
     if (port === undefined) {
-      throw new Error("too few ports were taken");
+      throw new Error("no free port left in the pool");
     }
     return port;
   }
 }
 
-async function takePorts(count: number): Promise<number[]> {
+async function findFreePorts(count: number): Promise<number[]> {
   const servers = await Promise.all(
-    Array.from({ length: count }, () => listenAnywhere()),
+    Array.from({ length: count }, () => listenOnFreePort()),
   );
   const ports = servers.map((server) => (server.address() as AddressInfo).port);
   await Promise.all(servers.map((server) => once(server.close(), "close")));
   return ports;
 }
 
-async function listenAnywhere(): Promise<Server> {
+async function listenOnFreePort(): Promise<Server> {
   const server = createServer().listen(0, "127.0.0.1");
   await once(server, "listening");
   return server;
--- a/test/process/prepare.ts
+++ b/test/process/prepare.ts
@@ -1,6 +1,7 @@
 /**
  * Writes settings, document and a list of programs for a process test:
- * `prepare.js FOLDER`. The list has a line for each program, its name first.
+ * `prepare.js FOLDER`. Each line of the list is the name of a program and the
+ * command that starts it.
  *
  * @module
  */
@@ -46,7 +47,7 @@
   const others = layout.instances.filter(({ id }) => id !== instance.id);
   return {
     instance: {
-      ...placeOf(instance),
+      ...locationOf(instance),
       httpAddress: `127.0.0.1:${instance.httpPort}`,
       peerAddress: `127.0.0.1:${instance.peerPort}`,
       hasDisk: true,
@@ -56,18 +57,18 @@
     bootstrap: { documentFile: `${layout.folder}/document.toml` },
     limits: { stopMs: 20_000 },
     peers: others.map((peer) => ({
-      ...placeOf(peer),
+      ...locationOf(peer),
       peerAddress: `127.0.0.1:${portTo(peer, { from: instance, layout })}`,
       hasDisk: true,
     })),
   };
 }
 
-function placeOf({ id, dataCentre }: TestInstance): Record<string, string> {
+function locationOf({ id, dataCentre }: TestInstance): Record<string, string> {
   return { id, dataCentre, region: `region-${dataCentre}` };
 }
 
-/** The proxy's port to a peer in the other data centre, or its own. */
+/** The proxy's port for a peer in another data centre, else the peer's. */
 function portTo(
   peer: TestInstance,
   options: { from: TestInstance; layout: TestLayout },
--- a/test/process/request_load.ts
+++ b/test/process/request_load.ts
@@ -1,6 +1,6 @@
 /**
  * Callers of a process test: each sends non-idempotent requests one after the
- * other, and goes on through another instance when one refuses.
+ * other, and retries a failed one through another instance.
  *
  * @module
  */
@@ -9,25 +9,27 @@
 import type { Result } from "../../src/base/sesame_error.ts";
 import type { ApiAnswer } from "../../src/programs/commands/api_client.ts";
 import { RequestHeader } from "../../src/process/routing/mod.ts";
-import { type Cluster, pause } from "./cluster.ts";
+import { type Cluster, delay } from "./cluster.ts";
 
-/** How one request ended for its caller. */
-interface Ending {
+/** The outcome of a request for its caller. */
+interface RequestOutcome {
   readonly requestId: string;
   readonly kind: "answered" | "notRun" | "unknown";
-  readonly isOwn: boolean;
+  /** Whether the answer, if any, belongs to this request. */
+  readonly hasOwnAnswer: boolean;
 }
 
-const TRIES = 40;
+/** For a request that fails with a known outcome. */
+const MAX_TRIES = 40;
 
-/** An outcome that nobody knows is asked for a few times more. */
-const TRIES_UNKNOWN = 5;
+/** For a request whose outcome is unknown; it may become known later. */
+const MAX_TRIES_UNKNOWN = 5;
 
-const TRY_PAUSE_MS = 100;
+const RETRY_DELAY_MS = 100;
 
 /** Callers that send until they are stopped. */
 export class RequestLoad {
-  readonly endings: Ending[] = [];
+  readonly outcomes: RequestOutcome[] = [];
   #cluster: Cluster;
   #instanceIds: readonly string[];
   #callers: Promise<void>[] = [];
@@ -44,48 +46,51 @@
     this.#instanceIds = options.cluster.layout.instances
       .filter((each) => each.dataCentre === options.dataCentre)
       .map((each) => each.id);
-    for (let at = 0; at < options.callers; at++) {
-      this.#callers.push(this.#call(options.dataCentre, at));
+    for (let index = 0; index < options.callers; index++) {
+      this.#callers.push(this.#runCaller(options.dataCentre, index));
     }
   }
 
   get answered(): number {
-    return this.endings.filter(({ kind }) => kind === "answered").length;
+    return this.outcomes.filter(({ kind }) => kind === "answered").length;
   }
 
-  /** Returns once every caller has its last answer. */
+  /** Stops the callers, and waits for their last answers. */
   async stop(): Promise<void> {
     this.#isStopped = true;
     await Promise.all(this.#callers);
   }
 
-  /** Everything that went against the promises; empty when all held. */
-  async faults(): Promise<string[]> {
-    const runs = await this.#cluster.runs();
-    return this.endings.flatMap((ending) =>
-      judge(ending, runs.get(ending.requestId) ?? 0)
+  /** Compares the outcomes with the runs on the backend servers. */
+  async findViolations(): Promise<string[]> {
+    const runs = await this.#cluster.runCounts();
+    return this.outcomes.flatMap((outcome) =>
+      checkOutcome(outcome, runs.get(outcome.requestId) ?? 0)
     );
   }
 
-  async #call(dataCentre: string, first: number): Promise<void> {
-    for (let turn = first; !this.#isStopped; turn++) {
+  async #runCaller(dataCentre: string, firstInstance: number): Promise<void> {
+    for (let turn = firstInstance; !this.#isStopped; turn++) {
       const requestId = `${dataCentre}:${randomUUID()}`;
-      this.endings.push(await this.#ask(requestId, turn));
+      this.outcomes.push(await this.#sendUntilEnded(requestId, turn));
     }
   }
 
-  async #ask(requestId: string, turn: number): Promise<Ending> {
+  async #sendUntilEnded(
+    requestId: string,
+    turn: number,
+  ): Promise<RequestOutcome> {
     let result = await this.#try(requestId, turn);
-    for (let tried = 1; tried < triesFor(result); tried++) {
-      await pause(TRY_PAUSE_MS);
-      result = await this.#try(requestId, turn + tried);
+    for (let tries = 1; tries < maxTriesFor(result); tries++) {
+      await delay(RETRY_DELAY_MS);
+      result = await this.#try(requestId, turn + tries);
     }
-    return endingOf(requestId, result);
+    return outcomeOf(requestId, result);
   }
 
   #try(requestId: string, turn: number): Promise<Result<ApiAnswer>> {
-    const at = turn % this.#instanceIds.length;
-    const client = this.#cluster.client(this.#instanceIds[at] as string);
+    const index = turn % this.#instanceIds.length;
+    const client = this.#cluster.client(this.#instanceIds[index] as string);
     return client.call({
       method: "POST",
       path: "/v1/services/clearance/requests",
@@ -100,42 +105,50 @@
   }
 }
 
-/** How often a request that ended so far like this is tried in all. */
-function triesFor(result: Result<ApiAnswer>): number {
+/** The total number of tries of a request, given its latest result. */
+function maxTriesFor(result: Result<ApiAnswer>): number {
   return result.caseOf({
-    Left: (error) => error.kind === "outcomeUnknown" ? TRIES_UNKNOWN : TRIES,
+    Left: (error) =>
+      error.kind === "outcomeUnknown" ? MAX_TRIES_UNKNOWN : MAX_TRIES,
     Right: () => 0,
   });
 }
 
-function endingOf(requestId: string, result: Result<ApiAnswer>): Ending {
-  return result.caseOf<Ending>({
+function outcomeOf(
+  requestId: string,
+  result: Result<ApiAnswer>,
+): RequestOutcome {
+  return result.caseOf<RequestOutcome>({
     Left: (error) => ({
       requestId,
       kind: error.answer.execution === "not run" ? "notRun" : "unknown",
-      isOwn: true,
+      hasOwnAnswer: true,
     }),
     Right: (answer) => {
       const body = JSON.parse(answer.text) as {
         requestId: string;
         body: string;
       };
-      const isOwn = body.requestId === requestId && body.body === requestId;
-      return { requestId, kind: "answered", isOwn };
+      const hasOwnAnswer = body.requestId === requestId &&
+        body.body === requestId;
+      return { requestId, kind: "answered", hasOwnAnswer };
     },
   });
 }
 
-function judge({ requestId, kind, isOwn }: Ending, runs: number): string[] {
-  const faults: string[] = [];
-  if (!isOwn) {
-    faults.push(`${requestId} got another's answer`);
+function checkOutcome(
+  { requestId, kind, hasOwnAnswer }: RequestOutcome,
+  runs: number,
+): string[] {
+  const violations: string[] = [];
+  if (!hasOwnAnswer) {
+    violations.push(`${requestId} got another request's answer`);
   }
   if (runs > 1) {
-    faults.push(`${requestId} ran ${runs} times`);
+    violations.push(`${requestId} ran ${runs} times`);
   }
   if (kind === "answered" && runs === 0) {
-    faults.push(`${requestId} was answered and never ran`);
+    violations.push(`${requestId} was answered but never ran`);
   }
-  return faults;
+  return violations;
 }
--- a/test/process/scenarios.ts
+++ b/test/process/scenarios.ts
@@ -1,6 +1,6 @@
 /**
- * The failures that process tests cause, and what has to come of them. Every
- * verdict is about outcomes: what was answered, kept, run and stopped.
+ * The failure scenarios of the process tests. Checks concern only outcomes:
+ * what was answered, stored, run and stopped.
  *
  * @module
  */
@@ -9,15 +9,15 @@
 import { CONFIGURATION_GROUP } from "../../src/process/daemon/configuration_part.ts";
 import { dataCentreGroup } from "../../src/process/daemon/data_centre_part.ts";
 import { SectionClient } from "../../src/programs/commands/config/section_client.ts";
-import { Cluster, pause } from "./cluster.ts";
+import { Cluster, delay } from "./cluster.ts";
 import { EditLoad } from "./edit_load.ts";
-import { findJobFaults, type SubmittedJob } from "./job_judge.ts";
+import { findJobViolations, type SubmittedJob } from "./job_checker.ts";
 import { RequestLoad } from "./request_load.ts";
 
 const KEY = "operations:demo-operations-key";
 const EAST_GROUP = dataCentreGroup("east");
 
-/** Well past every lease of the system. */
+/** Longer than every lease of the system. */
 const PAST_LEASES_MS = 8_000;
 
 const cluster = new Cluster({ folder: process.argv[2] ?? "run/process" });
@@ -26,52 +26,54 @@
 let passed = 0;
 let failed = 0;
 
-async function scenario(
+async function runScenario(
   name: string,
   run: () => Promise<readonly string[]>,
 ): Promise<void> {
-  let faults: readonly string[];
+  let violations: readonly string[];
   try {
-    faults = await run();
+    violations = await run();
   } catch (error) {
-    faults = [error instanceof Error ? error.message : String(error)];
+    violations = [error instanceof Error ? error.message : String(error)];
   }
-  await tidyUp();
-  if (faults.length === 0) {
+  await cleanUp();
+  if (violations.length === 0) {
     passed += 1;
     process.stdout.write(`ok - ${name}\n`);
     return;
   }
   failed += 1;
   process.stdout.write(`not ok - ${name}\n`);
-  faults.slice(0, 10).forEach((fault) => process.stdout.write(`  ${fault}\n`));
+  violations.slice(0, 10).forEach((violation) =>
+    process.stdout.write(`  ${violation}\n`)
+  );
 }
 
-/** Ends what a scenario left behind, so that the next one starts afresh. */
-async function tidyUp(): Promise<void> {
+/** Ends loads, link cuts and stopped programs that a scenario left behind. */
+async function cleanUp(): Promise<void> {
   await Promise.all(loads.splice(0).map((load) => load.stop()));
   await cluster.setLinks({ mode: "open" });
   for (const id of instanceIds) {
     cluster.signal(id, "SIGCONT");
-    cluster.up(id);
+    cluster.release(id);
   }
 }
 
-function loadRequests(dataCentre: string, callers: number): RequestLoad {
+function startRequestLoad(dataCentre: string, callers: number): RequestLoad {
   const load = new RequestLoad({ cluster, dataCentre, callers });
   loads.push(load);
   return load;
 }
 
-function loadEdits(operators: number): EditLoad {
+function startEditLoad(operators: number): EditLoad {
   const load = new EditLoad({ cluster, operators });
   loads.push(load);
   return load;
 }
 
-/** Waits until every instance serves, and knows workers and servers. */
-async function waitForAll(): Promise<void> {
-  await cluster.until("every instance serves", async () => {
+/** Waits until every instance serves and lists all workers and servers. */
+async function waitUntilAllServe(): Promise<void> {
+  await cluster.waitUntil("every instance serves", async () => {
     for (const id of instanceIds) {
       const status = await cluster.get(id, "/v1/status");
       const backends = await cluster.get(id, "/v1/backends");
@@ -89,10 +91,13 @@
   });
 }
 
-/** Waits until the load has gone on, so that the failure is behind it. */
-async function untilServed(load: RequestLoad, more: number): Promise<void> {
-  const target = load.answered + more;
-  await cluster.until("requests go on", () => load.answered >= target);
+/** Waits until further requests of the load have been answered. */
+async function waitForAnswers(load: RequestLoad, count: number): Promise<void> {
+  const target = load.answered + count;
+  await cluster.waitUntil(
+    "more requests are answered",
+    () => load.answered >= target,
+  );
 }
 
 async function submitJobs(
@@ -123,7 +128,7 @@
     dataCentres: [options.dataCentre],
     command: ["run", String(options.runMs)],
   });
-  await cluster.until(`${job.jobId} is accepted`, async () => {
+  await cluster.waitUntil(`${job.jobId} is accepted`, async () => {
     for (const { id, dataCentre } of cluster.layout.instances) {
       if (dataCentre !== options.dataCentre) {
         continue;
@@ -138,13 +143,13 @@
   });
 }
 
-async function untilJobsEnd(
+async function waitForJobsToEnd(
   jobs: readonly SubmittedJob[],
-  askId: string,
+  instanceId: string,
 ): Promise<void> {
   for (const { jobId } of jobs) {
-    await cluster.until(`${jobId} ends`, async () => {
-      const answer = await cluster.get(askId, `/v1/jobs/${jobId}`);
+    await cluster.waitUntil(`${jobId} ends`, async () => {
+      const answer = await cluster.get(instanceId, `/v1/jobs/${jobId}`);
       const job = (answer as { job: { state: string } } | undefined)?.job;
       return job?.state === "ended";
     });
@@ -152,24 +157,24 @@
 }
 
 async function killLeaders(): Promise<string[]> {
-  const requests = loadRequests("east", 8);
-  const edits = loadEdits(3);
-  await untilServed(requests, 50);
+  const requests = startRequestLoad("east", 8);
+  const edits = startEditLoad(3);
+  await waitForAnswers(requests, 50);
   const configurationLeader = await cluster.leader(CONFIGURATION_GROUP);
   cluster.signal(configurationLeader, "SIGKILL");
-  await untilServed(requests, 50);
+  await waitForAnswers(requests, 50);
   await cluster.leader(CONFIGURATION_GROUP);
   const editsBefore = edits.accepted.length;
-  await cluster.until(
-    "edits go on",
+  await cluster.waitUntil(
+    "more edits are accepted",
     () => edits.accepted.length > editsBefore + 3,
   );
   await requests.stop();
   await edits.stop();
-  await waitForAll();
+  await waitUntilAllServe();
   return [
-    ...await requests.faults(),
-    ...await edits.faults(await cluster.leader(CONFIGURATION_GROUP)),
+    ...await requests.findViolations(),
+    ...await edits.findViolations(await cluster.leader(CONFIGURATION_GROUP)),
   ];
 }
 
@@ -179,11 +184,11 @@
     runMs: 4_000,
     dataCentre: "east",
   });
-  await pause(500);
+  await delay(500);
   cluster.signal(await cluster.leader(EAST_GROUP), "SIGKILL");
-  await waitForAll();
-  await untilJobsEnd(jobs, "west-1");
-  return findJobFaults(cluster.taskNotes(), jobs);
+  await waitUntilAllServe();
+  await waitForJobsToEnd(jobs, "west-1");
+  return findJobViolations(cluster.taskRecords(), jobs);
 }
 
 async function freezeLeader(): Promise<string[]> {
@@ -192,50 +197,59 @@
     runMs: 3_000,
     dataCentre: "east",
   });
-  const requests = loadRequests("east", 4);
-  const edits = loadEdits(2);
-  await untilServed(requests, 20);
+  const requests = startRequestLoad("east", 4);
+  const edits = startEditLoad(2);
+  await waitForAnswers(requests, 20);
   const frozen = await cluster.leader(EAST_GROUP);
   cluster.signal(frozen, "SIGSTOP");
-  await pause(PAST_LEASES_MS);
+  await delay(PAST_LEASES_MS);
   cluster.signal(frozen, "SIGCONT");
-  await untilServed(requests, 20);
+  await waitForAnswers(requests, 20);
   await requests.stop();
   await edits.stop();
-  await waitForAll();
-  await untilJobsEnd(jobs, "west-1");
+  await waitUntilAllServe();
+  await waitForJobsToEnd(jobs, "west-1");
   return [
-    ...await requests.faults(),
-    ...await edits.faults(await cluster.leader(CONFIGURATION_GROUP)),
-    ...findJobFaults(cluster.taskNotes(), jobs),
+    ...await requests.findViolations(),
+    ...await edits.findViolations(await cluster.leader(CONFIGURATION_GROUP)),
+    ...findJobViolations(cluster.taskRecords(), jobs),
   ];
 }
 
-async function wipeAndLoseAnother(): Promise<string[]> {
-  const edits = loadEdits(2);
-  await cluster.until("edits are accepted", () => edits.accepted.length > 3);
-  await cluster.down("east-1", "SIGKILL");
-  cluster.wipe("east-1");
-  cluster.up("east-1");
-  await cluster.until("the wiped member votes again", async () => {
-    const leader = await cluster.leader(CONFIGURATION_GROUP);
-    const member = await cluster.member(leader, CONFIGURATION_GROUP);
-    return member?.voterIds.includes("east-1") === true &&
-      await cluster.member("east-1", CONFIGURATION_GROUP) !== undefined;
-  });
-  await cluster.down("east-2", "SIGKILL");
-  const before = edits.accepted.length;
-  await cluster.until("edits go on", () => edits.accepted.length > before + 3);
-  cluster.up("east-2");
+async function wipeThenKillAnother(): Promise<string[]> {
+  const edits = startEditLoad(2);
+  await cluster.waitUntil(
+    "edits are accepted",
+    () => edits.accepted.length > 3,
+  );
+  await cluster.stopAndHold("east-1", "SIGKILL");
+  cluster.deleteData("east-1");
+  cluster.release("east-1");
+  await cluster.waitUntil(
+    "the member without its data is a voter again",
+    async () => {
+      const leader = await cluster.leader(CONFIGURATION_GROUP);
+      const member = await cluster.member(leader, CONFIGURATION_GROUP);
+      return member?.voterIds.includes("east-1") === true &&
+        await cluster.member("east-1", CONFIGURATION_GROUP) !== undefined;
+    },
+  );
+  await cluster.stopAndHold("east-2", "SIGKILL");
+  const acceptedBefore = edits.accepted.length;
+  await cluster.waitUntil(
+    "more edits are accepted",
+    () => edits.accepted.length > acceptedBefore + 3,
+  );
+  cluster.release("east-2");
   await edits.stop();
-  await waitForAll();
-  return await edits.faults("east-1");
+  await waitUntilAllServe();
+  return await edits.findViolations("east-1");
 }
 
 async function cutDataCentres(): Promise<string[]> {
-  const east = loadRequests("east", 3);
-  const west = loadRequests("west", 3);
-  await untilServed(east, 20);
+  const east = startRequestLoad("east", 3);
+  const west = startRequestLoad("west", 3);
+  await waitForAnswers(east, 20);
   await cluster.setLinks({ mode: "silent" });
   const sections = new SectionClient({
     client: cluster.client("east-3"),
@@ -247,33 +261,33 @@
     runMs: 500,
     dataCentre: "west",
   });
-  await untilServed(east, 20);
-  await untilServed(west, 20);
-  await pause(PAST_LEASES_MS);
-  const early = cluster.taskNotes().filter(({ jobId, kind, atMs }) =>
+  await waitForAnswers(east, 20);
+  await waitForAnswers(west, 20);
+  await delay(PAST_LEASES_MS);
+  const lateStarts = cluster.taskRecords().filter(({ jobId, kind, atMs }) =>
     jobId === "while-cut" && kind === "started" && atMs > acceptedAtMs + 2_000
   );
   await cluster.setLinks({ mode: "open" });
   await east.stop();
   await west.stop();
   await putIn(sections, "west");
-  await untilJobsEnd([{ jobId: "while-cut", tasks: 2 }], "east-1");
+  await waitForJobsToEnd([{ jobId: "while-cut", tasks: 2 }], "east-1");
   return [
-    ...early.map(({ jobId }) => `${jobId} started after the removal`),
-    ...await east.faults(),
-    ...await west.faults(),
+    ...lateStarts.map(({ jobId }) => `${jobId} started after the removal`),
+    ...await east.findViolations(),
+    ...await west.findViolations(),
   ];
 }
 
-/** Gives the moment by which the removal was said to hold. */
+/** Takes a data centre out; returns when the removal was seen as accepted. */
 async function takeOut(
   sections: SectionClient,
   dataCentre: string,
 ): Promise<number> {
   const editId = await setStatus(sections, { dataCentre, status: "out" });
-  await cluster.until("the removal holds", async () => {
-    const fate = await sections.fate(editId);
-    return fate.map(({ state }) => state === "accepted").orDefault(false);
+  await cluster.waitUntil("the removal is accepted", async () => {
+    const edit = await sections.fate(editId);
+    return edit.map(({ state }) => state === "accepted").orDefault(false);
   });
   return Date.now();
 }
@@ -291,7 +305,7 @@
 ): Promise<string> {
   const sectionId = { kind: "dataCentres", name: options.dataCentre } as const;
   const editId = `${options.dataCentre}-${options.status}`;
-  await cluster.until(`${editId} is made`, async () => {
+  await cluster.waitUntil(`${editId} is committed`, async () => {
     const current = (await sections.read(sectionId)).toMaybe().extract();
     const text = current?.text?.replace(
       /status = "\w+"/,
@@ -300,55 +314,58 @@
     if (current === undefined || text === undefined) {
       return false;
     }
-    const made = await sections.edit({
+    const result = await sections.edit({
       sectionId,
       editId,
       baseVersion: current.version,
       text,
     });
-    return made.isRight();
+    return result.isRight();
   });
   return editId;
 }
 
 async function rollingRestart(): Promise<string[]> {
-  const requests = loadRequests("east", 6);
-  const edits = loadEdits(2);
+  const requests = startRequestLoad("east", 6);
+  const edits = startEditLoad(2);
   const codesBefore = instanceIds.map((id) => cluster.exitCodes(id).length);
   for (const id of instanceIds) {
     const runs = cluster.exitCodes(id).length;
     cluster.signal(id, "SIGTERM");
-    await cluster.until(
+    await cluster.waitUntil(
       `${id} has stopped`,
       () => cluster.exitCodes(id).length > runs,
     );
-    await waitForAll();
+    await waitUntilAllServe();
   }
   await requests.stop();
   await edits.stop();
   const codes = instanceIds.flatMap((id, at) =>
     cluster.exitCodes(id).slice(codesBefore[at])
   );
-  const unanswered = requests.endings
+  const unanswered = requests.outcomes
     .filter(({ kind }) => kind !== "answered")
     .map(({ requestId, kind }) => `${requestId} ended as ${kind}`);
   return [
     ...codes.filter((code) => code !== 0).map((code) => `exit code ${code}`),
     ...unanswered,
-    ...await requests.faults(),
-    ...await edits.faults("west-1"),
+    ...await requests.findViolations(),
+    ...await edits.findViolations("west-1"),
   ];
 }
 
-await scenario("everything starts", async () => {
-  await waitForAll();
+await runScenario("everything starts", async () => {
+  await waitUntilAllServe();
   return [];
 });
-await scenario("kill -9 of the configuration's leader", killLeaders);
-await scenario("kill -9 of the scheduler's leader", killSchedulerLeader);
-await scenario("a leader frozen past its leases", freezeLeader);
-await scenario("a wiped member, then another lost", wipeAndLoseAnother);
-await scenario("data centres cut off silently", cutDataCentres);
-await scenario("a graceful restart of every instance", rollingRestart);
+await runScenario("kill -9 of the configuration's leader", killLeaders);
+await runScenario("kill -9 of the scheduler's leader", killSchedulerLeader);
+await runScenario("a leader frozen past its leases", freezeLeader);
+await runScenario(
+  "a member loses its disk, then another is killed",
+  wipeThenKillAnother,
+);
+await runScenario("data centres cut off silently", cutDataCentres);
+await runScenario("a graceful restart of every instance", rollingRestart);
 process.stdout.write(`${passed} passed, ${failed} failed\n`);
 process.exitCode = failed === 0 ? 0 : 1;
