--- a/test/examples_test.ts
+++ b/test/examples_test.ts
@@ -8,14 +8,14 @@
 
 const ROOT = "examples";
 
-function documentOf(name: string): Document {
+function readDocument(name: string): Document {
   const text = readFileSync(`${ROOT}/${name}/document.toml`, "utf8");
   return parseDocument(text).mapLeft((error) => {
     throw error;
   }).unsafeCoerce();
 }
 
-function settingsOf(name: string): Settings[] {
+function readSettings(name: string): Settings[] {
   const folder = `${ROOT}/${name}/settings`;
   return readdirSync(folder).sort().map((file) =>
     loadSettings(`${folder}/${file}`).mapLeft((error) => {
@@ -24,21 +24,21 @@
   );
 }
 
-/** What every instance must say of itself and of each other the same way. */
-function identityOf(instance: Settings["peers"][number]): string {
+/** The fields of an instance that all settings files must state alike. */
+function sharedFields(instance: Settings["peers"][number]): string {
   const { id, dataCentre, region, peerAddress, hasDisk } = instance;
   return JSON.stringify({ id, dataCentre, region, peerAddress, hasDisk });
 }
 
 for (const name of ["demo", "lakeshore", "murshidabad"]) {
-  test(`${name}: settings and document are sound and agree`, (t) => {
-    const document = documentOf(name);
-    const all = settingsOf(name);
-    const identities = all.map(({ instance }) => identityOf(instance)).sort();
+  test(`${name}: settings and document are valid and consistent`, (t) => {
+    const document = readDocument(name);
+    const all = readSettings(name);
+    const expected = all.map(({ instance }) => sharedFields(instance)).sort();
     for (const settings of all) {
       const { instance, peers } = settings;
-      const known = [instance, ...peers].map(identityOf).sort();
-      t.deepEqual(known, identities, instance.id);
+      const actual = [instance, ...peers].map(sharedFields).sort();
+      t.deepEqual(actual, expected, instance.id);
       const dataCentre = document.dataCentres[instance.dataCentre];
       t.is(dataCentre?.region, instance.region);
     }
@@ -51,18 +51,18 @@
 }
 
 for (const name of ["lakeshore", "murshidabad"]) {
-  test(`${name}: any one data centre may be lost`, (t) => {
-    const voters = settingsOf(name).map(({ instance }) => instance)
+  test(`${name}: the loss of a data centre leaves a majority of voters`, (t) => {
+    const voters = readSettings(name).map(({ instance }) => instance)
       .filter((instance) => instance.hasDisk);
-    for (const dataCentre of Object.keys(documentOf(name).dataCentres)) {
+    for (const dataCentre of Object.keys(readDocument(name).dataCentres)) {
       const left = voters.filter((voter) => voter.dataCentre !== dataCentre);
       t.true(left.length > voters.length / 2, dataCentre);
     }
   });
 
-  test(`${name}: the document has the sizes of the deployment`, (t) => {
-    const document = documentOf(name);
-    t.is(settingsOf(name).length, 9);
+  test(`${name}: the document has the size of the deployment`, (t) => {
+    const document = readDocument(name);
+    t.is(readSettings(name).length, 9);
     t.is(Object.keys(document.clientAccounts).length, 4);
     for (const dataCentre of Object.values(document.dataCentres)) {
       for (const rack of dataCentre.racks) {
@@ -75,16 +75,16 @@
   });
 }
 
-test("the demo's keys open the demo's document", async (t) => {
-  const { teams } = documentOf("demo");
+test("the demo's keys match the hashes in its document", async (t) => {
+  const { teams } = readDocument("demo");
   for (const [name, team] of Object.entries(teams)) {
     const hash = team.keyHashes[0] ?? "";
     t.true(await matchesTeamKey(`demo-${name}-key`, hash), name);
   }
 });
 
-test("the demo's jobs are sound and name what the document has", (t) => {
-  const document = documentOf("demo");
+test("the demo's jobs are valid and consistent with its document", (t) => {
+  const document = readDocument("demo");
   const folder = `${ROOT}/demo/jobs`;
   for (const file of readdirSync(folder)) {
     const raw = parse(readFileSync(`${folder}/${file}`, "utf8"));
