Reread the wording of the batch scheduler

Comments that were wrong about their code, clipped or misleading are mended (the batch size limit, the time of a start, what makes a worker count as gone, when its link reports errors, when a worker's log event is emitted). A planner test set an option by its old name, so that it was ignored; it sets slackShareToWait again. Keys of tasks and runs have one name (runKey, taskKey), and the noun room is capacity.

--- a/src/base/events/batch_events.ts
+++ b/src/base/events/batch_events.ts
@@ -78,7 +78,7 @@
   taskOrderUnanswered: {
     number: 7023,
     level: "info",
-    text: "An order got no answer and is sent again.",
+    text: "An order got no answer; it may be sent again.",
     fields: ["jobId", "task", "run", "worker", "order", "detail"],
   },
   taskStoppedUnknown: {
@@ -90,13 +90,13 @@
   taskPreempted: {
     number: 7025,
     level: "info",
-    text: "A run is stopped to make room for more urgent work.",
+    text: "A run is stopped to free capacity for more urgent work.",
     fields: ["jobId", "task"],
   },
   batchWorkerJoined: {
     number: 7030,
     level: "info",
-    text: "A worker announced itself or changed.",
+    text: "The leader opened its link to a worker, new or already known.",
     fields: ["worker", "dataCentre", "isDraining"],
   },
   batchWorkerLeft: {
@@ -132,7 +132,8 @@
   batchConfigured: {
     number: 7041,
     level: "info",
-    text: "A configuration was stored, or an older one acknowledged.",
+    text:
+      "A configuration came into force, or was ignored because it isn't newer.",
     fields: ["version", "versionInForce"],
   },
   batchConfigurationRefused: {
--- a/src/process/batch/batch_command.ts
+++ b/src/process/batch/batch_command.ts
@@ -23,7 +23,7 @@
  */
 export type WorkerKey = string;
 
-/** The key of the incarnation of a worker that started at a time. */
+/** The key of the incarnation of a worker that started at `bornMs`. */
 export function workerKeyOf(id: string, bornMs: number): WorkerKey {
   return `${id}@${bornMs}`;
 }
@@ -143,6 +143,7 @@
   | {
     readonly kind: "batch";
     readonly epoch: number;
+    /** Unix time at which the leader proposed the batch. */
     readonly atMs: number;
     readonly items: readonly BatchItem[];
   }
--- a/src/process/batch/batch_service.ts
+++ b/src/process/batch/batch_service.ts
@@ -90,6 +90,7 @@
       return { kind: "notLeader", leaderId, memberIds: voterIds };
     }
     const answer = await leadership.handler.answer(call);
+    // A read's answer holds only if no other leader can have changed the state.
     const isRead = answer.kind === "state" || answer.kind === "unknownJob" ||
       answer.kind === "pending";
     if (isRead && !leadership.session.isCurrent()) {
--- a/src/process/batch/batch_state.ts
+++ b/src/process/batch/batch_state.ts
@@ -61,7 +61,7 @@
   #inForce: ConfigurationInForce | undefined;
   #dataCentresOut = new Set<DataCentreId>();
   #jobs = new Map<JobId, JobRecord>();
-  /** Derived: the jobs that are active or have open runs. */
+  /** Derived: jobs that are active or have open runs, the only ones planned. */
   #liveJobs = new Map<JobId, JobRecord>();
   #workers = new WorkerIncarnations();
 
@@ -145,7 +145,8 @@
   restore(bytes: Uint8Array): Result<void> {
     const snapshot = unpack(bytes) as Partial<BatchSnapshot>;
     if (snapshot.formatVersion !== BATCH_FORMAT_VERSION) {
-      const detail = `batch snapshot of format ${snapshot.formatVersion}`;
+      const detail =
+        `batch snapshot has the unsupported format ${snapshot.formatVersion}`;
       return failure("storageFailed", { detail });
     }
     const { document, configuration, jobs, workers } =
@@ -163,7 +164,8 @@
   }
 
   /**
-   * Puts a configuration in force if its version is higher than the present.
+   * Puts a configuration in force if its version is higher than the current
+   * one's.
    */
   #configure(
     document: string,
--- a/src/process/batch/batch_state_test.ts
+++ b/src/process/batch/batch_state_test.ts
@@ -40,7 +40,7 @@
   t.deepEqual(checkpoints(fixture), [LOST, LOST]);
 });
 
-test("a checkpoint saved at a run's end goes before one reported earlier", (t) => {
+test("a checkpoint saved at a run's end wins over one of a lost run, in any order", (t) => {
   const lostLast = startGang();
   endMember(lostLast, 0, { how: RunEnd.stopped, checkpoint: STOPPED });
   endMember(lostLast, 1, { how: RunEnd.lost, checkpoint: LOST });
--- a/src/process/batch/batch_timing.ts
+++ b/src/process/batch/batch_timing.ts
@@ -16,9 +16,12 @@
   leaseMs: 5_500,
   /** How long a worker may delay its answer to a renewal until a run ends. */
   reportWaitMs: 1_500,
-  /** Added to the wait for a renewal's timeout: a round trip and a stall. */
+  /** Timeout of a renewal, beyond its wait: a round trip and a stall. */
   reportSlackMs: 600,
-  /** Multiplied by 2^n after n failed renewals in a row, up to the limit. */
+  /**
+   * Delay before the next renewal: this times 2^n after n failures in a row, up
+   * to the limit.
+   */
   renewRetryDelayMs: 100,
   renewRetryDelayLimitMs: 800,
   /** Timeout of an order, which is then sent again: ten round trips. */
@@ -33,8 +36,8 @@
    */
   workerRestartWaitMs: 2_500,
   /**
-   * How long a guaranteed job waits for room in its preferred rack; derived
-   * from the deployment's time limit for its start.
+   * How long a guaranteed job waits for capacity in its preferred rack;
+   * derived from the deployment's time limit for its start.
    */
   guaranteeWaitMs: 1_800,
   /** How often all open runs are checked. */
--- a/src/process/batch/batch_timing_test.ts
+++ b/src/process/batch/batch_timing_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import { BATCH_TIMING, timingFor } from "./batch_timing.ts";
 
-test("the defaults match the limits of the first site", (t) => {
+test("the limits of the first site give the default timing", (t) => {
   const bounds = {
     leaseLimitMs: 10_000,
     gangWaitMs: 3_000,
@@ -11,7 +11,7 @@
   t.deepEqual(timingFor(bounds), BATCH_TIMING);
 });
 
-test("limits that leave no time to wait give waits of zero", (t) => {
+test("limits that leave no time to wait give waits of zero, not negative ones", (t) => {
   const timing = timingFor({
     leaseLimitMs: 500,
     gangWaitMs: 500,
--- a/src/process/batch/decisions/admission.ts
+++ b/src/process/batch/decisions/admission.ts
@@ -1,7 +1,7 @@
 /**
  * Decides whether a submitted job is accepted, or refused at once with a time
  * after which the caller may retry. In bursts and under overload, jobs are
- * refused while too many are active.
+ * refused while too many are active, so that their callers can act on it.
  *
  * @module
  */
--- a/src/process/batch/decisions/placement.ts
+++ b/src/process/batch/decisions/placement.ts
@@ -23,7 +23,7 @@
   readonly indices: readonly number[];
   /** Workers that must not be used for these tasks. */
   readonly avoided?: ReadonlySet<string>;
-  /** Tasks of the step that already run on a worker, for the limit of these. */
+  /** How many of the step's tasks run on a worker; counts toward its limit. */
   readonly onWorker: (key: string) => number;
   /**
    * Whether tasks may go outside the data's rack, or a gang to several racks.
--- a/src/process/batch/decisions/planner.ts
+++ b/src/process/batch/decisions/planner.ts
@@ -35,8 +35,8 @@
 /** The planner's parameters; see {@link PLANNER_DEFAULTS}. */
 export interface PlannerOptions {
   /**
-   * The share of the usable accelerators that is kept free for urgent work by
-   * less urgent work that can still wait.
+   * The share of the usable accelerators that less urgent work keeps free for
+   * urgent work while it can still wait.
    */
   readonly urgentReserveShare?: number;
   /**
@@ -48,8 +48,8 @@
   /** Work can wait while more than this share of its slack is left. */
   readonly slackShareToWait?: number;
   /**
-   * How long a guaranteed job waits for room in its preferred rack, before it
-   * also preempts urgent work beyond a guarantee and uses other racks: the
+   * How long a guaranteed job waits for capacity in its preferred rack, before
+   * it also preempts urgent work beyond a guarantee and uses other racks: the
    * guarantee limits the time until it starts.
    */
   readonly guaranteeWaitMs?: number;
@@ -245,7 +245,10 @@
   ];
 }
 
-/** Starts the unit in other racks if allowed, or else chooses runs to stop. */
+/**
+ * Starts a gang in several racks if that is allowed and it fits there, or else
+ * chooses runs to stop for the unit.
+ */
 function tryPreemption(
   view: PoolView,
   unit: WorkUnit,
@@ -300,7 +303,8 @@
 
 /**
  * Workers on which one of the unit's waiting tasks failed before; none if the
- * other workers couldn't hold any of its tasks even when empty.
+ * other workers couldn't hold any of its tasks, or all tasks of a gang, even
+ * when empty.
  */
 function avoidedWorkers(
   view: PoolView,
--- a/src/process/batch/decisions/planner_fixture.ts
+++ b/src/process/batch/decisions/planner_fixture.ts
@@ -29,6 +29,7 @@
 export class PlannerFixture {
   readonly state = new BatchState();
   nowMs = 1_000_000;
+  /** Workers on which runs of every task count as failed. */
   readonly failedOn = new Set<string>();
   readonly #stopping = new Set<string>();
 
@@ -115,7 +116,7 @@
         isFull: false,
       }),
       failedOn: () => this.failedOn,
-      isStopping: (task) => this.#stopping.has(taskName(task)),
+      isStopping: (task) => this.#stopping.has(taskKey(task)),
     }, options);
   }
 
@@ -126,7 +127,7 @@
 
   /** Makes the planner see the tasks' runs as being stopped. */
   markStopping(tasks: readonly TaskRef[]): void {
-    tasks.forEach((task) => this.#stopping.add(taskName(task)));
+    tasks.forEach((task) => this.#stopping.add(taskKey(task)));
   }
 
   workerOf(task: TaskRef): string | undefined {
@@ -158,7 +159,7 @@
   }
 }
 
-function taskName(task: TaskRef): string {
+function taskKey(task: TaskRef): string {
   return `${task.jobId}.${task.occurrence}.${task.step}.${task.index}`;
 }
 
--- a/src/process/batch/decisions/planner_test.ts
+++ b/src/process/batch/decisions/planner_test.ts
@@ -96,7 +96,7 @@
   const fixture = new PlannerFixture({ workers: 2 });
   const reserve = {
     urgentReserveShare: 0.5,
-    patienceShare: 0.5,
+    slackShareToWait: 0.5,
     urgentFloorShare: 0,
   };
   fixture.submit("first", { taskCount: 8, accelerators: 1 });
@@ -127,7 +127,7 @@
   t.deepEqual(started, ["urgent", "late"]);
 });
 
-test("late work too wide to leave the floor free and lasting work start", (t) => {
+test("late work starts if it is lasting, or too wide to ever leave the floor free", (t) => {
   const floor = { urgentReserveShare: 0.5, urgentFloorShare: 0.25 };
   const fixture = new PlannerFixture({ workers: 2 });
   fixture.submit("wide", { taskCount: 2, accelerators: 8, isGang: true });
@@ -280,7 +280,7 @@
 test("a guaranteed job preempts urgent work beyond any guarantee", (t) => {
   const fixture = crowdedRacks();
   fixture.submit("guaranteed", GUARANTEED_GANG);
-  t.deepEqual(fixture.plan().stops, [], "the wait isn't over yet");
+  t.deepEqual(fixture.plan().stops, [], "other runs may end during the wait");
   fixture.nowMs += 1_801;
   const first = fixture.plan();
   t.is(first.stops.length, 1, "one rack needs only one more worker");
@@ -329,7 +329,11 @@
   fixture.submit("first", near);
   fixture.applyStarts(fixture.plan());
   fixture.submit("second", near);
-  t.deepEqual(fixture.plan().starts, [], "the wait isn't over yet");
+  t.deepEqual(
+    fixture.plan().starts,
+    [],
+    "its rack may become free during the wait",
+  );
   fixture.nowMs += 2_600;
   t.is(fixture.plan().starts[0]?.jobId, "second");
 });
--- a/src/process/batch/decisions/pool_view.ts
+++ b/src/process/batch/decisions/pool_view.ts
@@ -113,6 +113,7 @@
 
   /**
    * Allocates again the capacity of a released run, which still occupies it.
+   * The run isn't listed again: no other unit can count on its stop.
    */
   reallocate(run: OpenRun): void {
     const slot = this.#byKey.get(run.worker);
--- a/src/process/batch/decisions/preemption.ts
+++ b/src/process/batch/decisions/preemption.ts
@@ -28,7 +28,7 @@
   readonly nowMs: number;
 }
 
-/** Run time lost by stopping a run that checkpoints: the resume costs it. */
+/** Run time that the resume costs; the least that the stop of a run loses. */
 const RESUME_COST_MS = 300;
 
 /** Runs that are stopped together: one task's run, or all runs of a gang. */
@@ -43,7 +43,10 @@
   readonly loss: number;
 }
 
-/** The runs to stop; undefined if stopping all allowed runs isn't enough. */
+/**
+ * The runs to stop, which may include runs that are being stopped already;
+ * undefined if stopping all allowed runs isn't enough.
+ */
 export function chooseStops(
   slots: readonly WorkerSlot[],
   rules: StopRules,
@@ -147,11 +150,11 @@
     if (rules.isStopping(run) || rules.mayStop(job)) {
       const isGang = job.spec.steps[step]!.isGang;
       const member = isGang ? "all" : index;
-      const name = `${job.id}.${occurrence}.${step}.${member}`;
-      const victim = victims.get(name) ?? { runs: [], loss: 0 };
+      const key = `${job.id}.${occurrence}.${step}.${member}`;
+      const victim = victims.get(key) ?? { runs: [], loss: 0 };
       victim.runs.push(run);
       victim.loss += lossOf(run, rules);
-      victims.set(name, victim);
+      victims.set(key, victim);
     }
   }
   return [...victims.values()];
--- a/src/process/batch/http_call_transport.ts
+++ b/src/process/batch/http_call_transport.ts
@@ -65,7 +65,7 @@
       });
       return status === 200
         ? Right(unpack(body) as JobAnswer)
-        : failure("outcomeUnknown", { detail: `${status}` });
+        : failure("outcomeUnknown", { detail: `HTTP status ${status}` });
     } catch (error) {
       return failure(wasNeverSent(error) ? "unavailable" : "outcomeUnknown", {
         detail: error instanceof Error ? error.message : String(error),
--- a/src/process/batch/job_call.ts
+++ b/src/process/batch/job_call.ts
@@ -42,7 +42,9 @@
   | {
     readonly kind: "workerSeen";
     readonly worker: WorkerRecord;
+    /** The worker's clock, if the announcement holds it. */
     readonly clockMs: number | undefined;
+    /** Higher in later announcements of one incarnation. */
     readonly sequence: number;
   }
   /** A worker announced that it leaves. */
@@ -55,7 +57,7 @@
 
 /** Why a job was refused. */
 export const RefusalReason = {
-  /** It couldn't complete while its result is still of value. */
+  /** It couldn't complete while its result is still of value; not in use. */
   tooLate: "tooLate",
   /** Too many jobs are active. */
   queueFull: "queueFull",
--- a/src/process/batch/job_record.ts
+++ b/src/process/batch/job_record.ts
@@ -23,9 +23,9 @@
 export interface TaskRecord {
   /** The highest run number used; 0 before the first start. */
   run: number;
-  /** Where a run is open: started and not known to have ended. */
+  /** Where the task's run is open: started and not known to have ended. */
   worker: WorkerKey | undefined;
-  /** Unix time of the commit of the latest start. */
+  /** Unix time at which the leader proposed the latest start. */
   startedAtMs: number;
   isDone: boolean;
   failures: number;
--- a/src/process/batch/leader/batch_writer.ts
+++ b/src/process/batch/leader/batch_writer.ts
@@ -35,7 +35,7 @@
   readonly resolve: (applied: boolean | undefined) => void;
 }
 
-/** The most items of one batch. */
+/** The most written items of one batch; planned items come on top. */
 const ITEMS_LIMIT = 512;
 
 /** Commits items in order; after the first failure it commits nothing more. */
--- a/src/process/batch/leader/call_handler.ts
+++ b/src/process/batch/leader/call_handler.ts
@@ -81,6 +81,7 @@
   #scopeOf({ host, path, apiKey }: CallTarget): CallScope | JobAnswer {
     const index = this.#options.state.inForce?.index;
     if (index === undefined) {
+      // Nothing is configured yet: makes the receiving instance retry.
       return { kind: "notLeader", leaderId: undefined, memberIds: [] };
     }
     const queue = index.queueAt(host, path);
@@ -170,8 +171,9 @@
     const { worker, sequence, clockMs } = call;
     const noted: JobAnswer = { kind: "noted" };
     const known = state.workers.get(worker.key);
-    // An incarnation that drains never stops doing so: an announcement without
-    // it is out of date. A new leader can't tell by the sequence numbers.
+    // An incarnation that drains never stops doing so: an announcement that it
+    // doesn't drain is out of date. A new leader has no sequence numbers yet
+    // that could show this.
     const isBeforeDrain = known?.isDraining === true && !worker.isDraining;
     const isOutdated = isBeforeDrain || this.#isSuperseded(worker) ||
       sequence < (this.#sequences.get(worker.key) ?? -1);
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -15,12 +15,7 @@
   type WorkerReport,
 } from "../worker_calls.ts";
 import { RunOrders, type RunOrdersOptions } from "./run_orders.ts";
-import {
-  type OpenRunState,
-  runName,
-  StopReason,
-  taskKey,
-} from "./run_table.ts";
+import { type OpenRunState, runKey, StopReason, taskKey } from "./run_table.ts";
 import type { WorkerLink } from "./worker_link.ts";
 
 /** Options of {@link RunDriver}. */
@@ -77,7 +72,7 @@
     }
   }
 
-  /** Takes the next step for every open run, where one is due. */
+  /** Sends the orders that are due and ends lost runs, for all open runs. */
   drive(): void {
     if (this.#options.mayLead()) {
       for (const run of [...this.#options.runs.all()]) {
@@ -86,7 +81,7 @@
     }
   }
 
-  /** Takes the next step for one job's open runs, where one is due. */
+  /** Does the same as {@link drive} for one job's open runs. */
   driveJob(jobId: JobId): void {
     if (this.#options.mayLead()) {
       this.#options.runs.ofJob(jobId).forEach((run) => this.#driveRun(run));
@@ -106,7 +101,7 @@
     const { runs } = this.#options;
     const listed = new Set<string>();
     for (const { task, run, checkpoint } of report.running) {
-      listed.add(runName(task, run));
+      listed.add(runKey(task, run));
       const open = runs.get(task);
       if (open?.run === run && open.holder === key) {
         open.confirmedAtMs ??= this.#options.clock.nowMs();
@@ -116,10 +111,10 @@
       }
     }
     for (const { task, run } of report.ended) {
-      listed.add(runName(task, run));
+      listed.add(runKey(task, run));
     }
     for (const open of runs.onHolder(key)) {
-      if (!listed.has(open.name)) {
+      if (!listed.has(open.runKey)) {
         this.#handleAbsent(open, sentAtMs);
       }
     }
--- a/src/process/batch/leader/run_orders.ts
+++ b/src/process/batch/leader/run_orders.ts
@@ -120,7 +120,7 @@
     }
   }
 
-  /** Undefined if the worker acknowledged the stop, or no stop can be sent. */
+  /** Sends a stop; undefined if it was acknowledged, or none can be sent. */
   async #tryStop(
     key: WorkerKey,
     order: { task: TaskRef; run: number },
@@ -165,5 +165,5 @@
   }
 }
 
-/** How often a revocation is sent without an answer: for up to 2.4 s. */
+/** The most times that a revocation is sent: for 2.4 s without an answer. */
 const REVOKE_ATTEMPTS_LIMIT = 6;
--- a/src/process/batch/leader/run_table.ts
+++ b/src/process/batch/leader/run_table.ts
@@ -17,11 +17,11 @@
 export const StopReason = {
   /** Its job was cancelled, or has failed or completed. */
   jobOver: "jobOver",
-  /** More urgent work needs the room. */
+  /** More urgent work needs its capacity. */
   preempted: "preempted",
   /** Its gang can't go on, or its worker refused a start of it. */
   gangBroken: "gangBroken",
-  /** Its worker restarted; the new incarnation may have got its start. */
+  /** Its worker restarted; the new incarnation may have received its start. */
   workerRestarted: "workerRestarted",
 } as const;
 
@@ -35,9 +35,9 @@
   /** The worker incarnation that the run was planned for. */
   readonly worker: WorkerKey;
   /** The {@link taskKey} of the task. */
-  readonly key: string;
-  /** The {@link runName} of the run. */
-  readonly name: string;
+  readonly taskKey: string;
+  /** The {@link runKey} of the run. */
+  readonly runKey: string;
   /**
    * The worker incarnation that may have the run. An order that is on its way
    * when the worker restarts may reach the next incarnation. Changed by
@@ -55,8 +55,9 @@
   stoppedAtMs: number | undefined;
   /** Orders that were sent and not answered yet. */
   pendingOrders: number;
-  /** How often the start was sent; 1 for an inherited run. */
+  /** How often the start was sent; initially 1 for an inherited run. */
   startsSent: number;
+  /** The earliest time of the next order. */
   nextCallAtMs: number;
   /** Whether a start got no answer, so that it may still arrive. */
   hasUnansweredStart: boolean;
@@ -70,7 +71,7 @@
 }
 
 /** A string that identifies one run of a task. */
-export function runName(task: TaskRef, run: number): string {
+export function runKey(task: TaskRef, run: number): string {
   return `${taskKey(task)} ${run}`;
 }
 
@@ -122,8 +123,8 @@
     this.#close(key);
     const open: OpenRunState = {
       ...run,
-      key,
-      name: runName(run.task, run.run),
+      taskKey: key,
+      runKey: runKey(run.task, run.run),
       holder: run.worker,
       openedAtMs: nowMs,
       confirmedAtMs: undefined,
@@ -214,20 +215,20 @@
 class RunGroups {
   readonly #groups = new Map<string, Set<OpenRunState>>();
 
-  of(name: string): readonly OpenRunState[] {
-    return [...this.#groups.get(name) ?? []];
+  of(key: string): readonly OpenRunState[] {
+    return [...this.#groups.get(key) ?? []];
   }
 
-  add(name: string, run: OpenRunState): void {
-    const group = this.#groups.get(name) ?? new Set();
-    this.#groups.set(name, group.add(run));
+  add(key: string, run: OpenRunState): void {
+    const group = this.#groups.get(key) ?? new Set();
+    this.#groups.set(key, group.add(run));
   }
 
-  delete(name: string, run: OpenRunState): void {
-    const group = this.#groups.get(name);
+  delete(key: string, run: OpenRunState): void {
+    const group = this.#groups.get(key);
     group?.delete(run);
     if (group?.size === 0) {
-      this.#groups.delete(name);
+      this.#groups.delete(key);
     }
   }
 }
--- a/src/process/batch/leader/run_table_test.ts
+++ b/src/process/batch/leader/run_table_test.ts
@@ -2,7 +2,7 @@
 import { PlannerFixture } from "../decisions/planner_fixture.ts";
 import { RunTable } from "./run_table.ts";
 
-test("an inherited run counts as sent: the last leader may have done so", (t) => {
+test("an inherited run's start counts as sent, since the last leader may have sent it", (t) => {
   const fixture = new PlannerFixture({ workers: 1 });
   fixture.submit("a", { taskCount: 2 });
   fixture.applyStarts(fixture.plan());
--- a/src/process/batch/leader/unanswered_starts.ts
+++ b/src/process/batch/leader/unanswered_starts.ts
@@ -7,7 +7,7 @@
 
 import type { TaskRef } from "../batch_command.ts";
 
-/** Workers may carry out an order up to 12 s late; after this it is lost. */
+/** A start counts as lost after this; workers may be up to 12 s late. */
 const ARRIVAL_LIMIT_MS = 13_000;
 
 /** The most starts kept for one worker; the oldest are dropped first. */
--- a/src/process/batch/leader/worker_health.ts
+++ b/src/process/batch/leader/worker_health.ts
@@ -18,7 +18,7 @@
 const AVOID_MIN_MS = 4_000;
 const AVOID_MAX_MS = 16_000;
 
-/** How long a worker without room is avoided: about as long as a stop takes. */
+/** How long a full worker is avoided: about as long as a stop takes. */
 const FULL_AVOIDANCE_MS = 250;
 
 interface WorkerFailures {
@@ -63,12 +63,12 @@
     return this.#recordFailure(key, task);
   }
 
-  /** Whether the worker has just refused a start for lack of room. */
+  /** Whether the worker has just refused a start for lack of capacity. */
   isFull(key: WorkerKey): boolean {
     return this.#clock.nowMs() < (this.#fullUntilMs.get(key) ?? 0);
   }
 
-  /** Records that the worker has less room than the replicated state says. */
+  /** Records that the worker has less capacity left than the state says. */
   recordFull(key: WorkerKey): void {
     this.#fullUntilMs.set(key, this.#clock.nowMs() + FULL_AVOIDANCE_MS);
   }
@@ -78,11 +78,11 @@
     this.#avoid(key, this.#failuresOf(key));
   }
 
-  /** Drops what was recorded of a job's tasks. */
+  /** Drops the record of workers on which a job's tasks failed. */
   forgetJob(jobId: string): void {
-    for (const name of this.#failedOn.keys()) {
-      if (name.startsWith(`${jobId}.`)) {
-        this.#failedOn.delete(name);
+    for (const key of this.#failedOn.keys()) {
+      if (key.startsWith(`${jobId}.`)) {
+        this.#failedOn.delete(key);
       }
     }
   }
--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -24,7 +24,7 @@
   readonly clock: Clock;
   readonly timing: BatchTiming;
   readonly epoch: number;
-  /** The longest lease that this incarnation may have from others so far. */
+  /** The longest lease that this incarnation may already have been given. */
   readonly earlierLeaseMs: number;
   /** Whether this leader may still give leases. */
   readonly mayLead: () => boolean;
@@ -35,9 +35,9 @@
     sentAtMs: number,
   ) => Promise<void>;
   /**
-   * Called when the worker answers for the first time or again (without
-   * detail), and when it stops answering or is found gone (with the kind of
-   * error).
+   * Called without a detail when the worker answers for the first time or
+   * again; with the kind of error when it stops answering, and at each failed
+   * renewal while it is gone.
    */
   readonly onReachabilityChange: (
     link: WorkerLink,
@@ -80,7 +80,10 @@
     return this.#acknowledgedEnd;
   }
 
-  /** Whether the worker's process is gone: its address refuses connections. */
+  /**
+   * Whether the worker's process is gone: its address refuses connections, or
+   * another incarnation answers there.
+   */
   get isGone(): boolean {
     return this.#refusedConnections >= REFUSED_CONNECTIONS_LIMIT;
   }
@@ -134,6 +137,7 @@
     return Math.min(timing.leaseMs, timing.leaseLimitMs);
   }
 
+  /** The latest end of a lease given now, by the local clock. */
   #leaseEndBoundMs(leaseMs: number): number {
     const { clock, timing } = this.#options;
     return clock.nowMs() + leaseMs * (1 + 2 * timing.clockDriftFraction) +
@@ -186,6 +190,7 @@
   async #handleReport(report: WorkerReport, sentAtMs: number): Promise<number> {
     const { bornMs } = this.worker;
     if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) {
+      // Another incarnation answered: counts as a refused connection.
       return this.#recordFailure("unavailable");
     }
     const isReachableAgain = !this.#hasReported || this.#failures > 0;
--- a/src/process/batch/leader/worker_links.ts
+++ b/src/process/batch/leader/worker_links.ts
@@ -50,8 +50,9 @@
       known.worker = worker;
       return false;
     }
-    // It may receive a start meant for an earlier incarnation. By the clock of
-    // the new one that start's lease may last up to the limit.
+    // It may receive a start meant for an earlier incarnation. That start's
+    // lease ends by the other one's clock, so that here it may last up to the
+    // limit.
     this.#open(worker, this.#options.timing.leaseLimitMs);
     return true;
   }
--- a/src/process/batch/leader_finder.ts
+++ b/src/process/batch/leader_finder.ts
@@ -63,8 +63,8 @@
 
 /**
  * Whether a call is retried until its deadline though this instance is
- * isolated. A change that may have taken effect is, since a caller that gets
- * "unknown" may never find out what became of it.
+ * isolated: a ping, or a change that may have taken effect, since a caller that
+ * gets "unknown" may never find out what became of it.
  */
 function shouldRetryWhenIsolated(
   call: JobCall,
@@ -80,7 +80,10 @@
   #candidates: readonly string[];
   #leaderId: string | undefined;
   #leaderAnsweredAtMs = -Infinity;
-  /** When any instance last answered; initially the start of this one. */
+  /**
+   * When any instance last answered; initially the start of this one, which
+   * isn't isolated before it had time to get an answer.
+   */
   #lastAnswerAtMs: number;
   #candidateIndex = 0;
   #pingTimer: Timer | undefined;
--- a/src/process/batch/leader_finder_test.ts
+++ b/src/process/batch/leader_finder_test.ts
@@ -64,23 +64,23 @@
   return await promise;
 }
 
-test("a hint leads to the leader, which the next call goes to first", async (t) => {
+test("a hint leads to the leader, and the next call goes to it first", async (t) => {
   const { clock, transport, finder } = newFinder({
     a: notLeader("b"),
     b: () => Right(NOTED),
   });
-  const ask = () =>
+  const callLeader = () =>
     settle(
       clock,
       finder.call(STATE_CALL, { deadlineMs: clock.nowMs() + 1_000 }),
     );
-  t.is((await ask()).kind, "answered");
+  t.is((await callLeader()).kind, "answered");
   transport.calledIds.length = 0;
-  await ask();
+  await callLeader();
   t.deepEqual(transport.calledIds, ["b"]);
 });
 
-test("a call that was never sent is notTaken, one that may have been unknown", async (t) => {
+test("a call ends as notTaken if it was never sent, as unknown if it may have been", async (t) => {
   for (
     const [kind, found] of [
       ["unavailable", "notTaken"],
@@ -116,7 +116,7 @@
   await finder.close();
 });
 
-test("an instance that doesn't ping tries even after a long idle time", async (t) => {
+test("an instance that doesn't ping still calls the leader after a long idle time", async (t) => {
   const { clock, finder } = newFinder({
     a: notLeader("b"),
     b: () => Right(NOTED),
--- a/src/process/batch/testing/batch_simulation.ts
+++ b/src/process/batch/testing/batch_simulation.ts
@@ -157,7 +157,7 @@
   }
 
   /**
-   * Makes a new member the leader. The previous leader isn't told, but its
+   * Makes a new member the leader. The previous leader isn't notified, but its
    * leader lease has ended and its pending proposals fail.
    */
   async elect(): Promise<void> {
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -164,12 +164,12 @@
           return;
         }
         worker.epoch = order.epoch;
-        const name = taskKey(order.task);
+        const key = taskKey(order.task);
         worker.highestRefusedRun.set(
-          name,
-          Math.max(order.run, worker.highestRefusedRun.get(name) ?? 0),
+          key,
+          Math.max(order.run, worker.highestRefusedRun.get(key) ?? 0),
         );
-        const heldRun = worker.running.get(name);
+        const heldRun = worker.running.get(key);
         if (heldRun?.run === order.run) {
           this.#options.clock.after(this.#randomMs(400), () => {
             this.#end(worker, heldRun, RunEnd.stopped);
@@ -237,16 +237,16 @@
     order: StartOrder,
   ): StartAnswer["refusal"] {
     const { task, run } = order;
-    const name = taskKey(task);
+    const key = taskKey(task);
     if (order.epoch < worker.epoch) {
       return "fenced";
     }
     worker.epoch = order.epoch;
     this.#extendLease(worker, order.leaseEndMs);
-    if (worker.running.get(name)?.run === run) {
+    if (worker.running.get(key)?.run === run) {
       return undefined;
     }
-    if (run <= (worker.highestRefusedRun.get(name) ?? 0)) {
+    if (run <= (worker.highestRefusedRun.get(key) ?? 0)) {
       return "old";
     }
     if (order.leaseEndMs <= this.#clockMs(worker)) {
@@ -265,8 +265,8 @@
       owner: this.#checkpointOwner(task),
     });
     const heldRun: HeldRun = { task, run, timer: undefined };
-    worker.running.set(name, heldRun);
-    worker.highestRefusedRun.set(name, run - 1);
+    worker.running.set(key, heldRun);
+    worker.highestRefusedRun.set(key, run - 1);
     this.starts += 1;
     this.#begin(worker, heldRun);
     return undefined;
@@ -345,13 +345,13 @@
   }
 
   #end(worker: FakeWorker, heldRun: HeldRun, how: RunEnd): void {
-    const name = taskKey(heldRun.task);
-    if (worker.running.get(name) !== heldRun) {
+    const key = taskKey(heldRun.task);
+    if (worker.running.get(key) !== heldRun) {
       return;
     }
     heldRun.timer?.close();
-    worker.running.delete(name);
-    worker.highestRefusedRun.set(name, heldRun.run);
+    worker.running.delete(key);
+    worker.highestRefusedRun.set(key, heldRun.run);
     worker.endCount += 1;
     const { task, run } = heldRun;
     const number = worker.endCount;
--- a/src/process/batch/testing/fake_pool_network.ts
+++ b/src/process/batch/testing/fake_pool_network.ts
@@ -58,12 +58,12 @@
     const draw = random.nextUnit();
     const { lostCalls, lostAnswers, lateCalls } = this.faults;
     return new Promise((resolve) => {
-      const giveUp = () =>
+      const failAfterTimeout = () =>
         clock.after(timeoutMs, () => resolve(failure("outcomeUnknown")));
       if (worker.isPartitioned || draw < lostCalls) {
-        giveUp();
+        failAfterTimeout();
       } else if (draw < lostCalls + lateCalls) {
-        giveUp();
+        failAfterTimeout();
         const lateMs = timeoutMs + random.nextUnit() * LATE_LIMIT_MS;
         clock.after(lateMs, () => {
           if (!worker.isDown && !worker.isPartitioned) {
@@ -78,7 +78,7 @@
           }
           const answer = act(worker);
           if (draw > 1 - lostAnswers) {
-            giveUp();
+            failAfterTimeout();
           } else {
             clock.after(ONE_WAY_LATENCY_MS, () => resolve(Right(answer)));
           }
--- a/src/process/batch/testing/fake_worker.ts
+++ b/src/process/batch/testing/fake_worker.ts
@@ -15,7 +15,7 @@
   timer: Timer | undefined;
 }
 
-/** One worker in its present incarnation. */
+/** One worker, with the state of its present incarnation. */
 export class FakeWorker {
   bornMs = 1;
   isDown = false;
--- a/src/process/batch/testing/pool_oracle.ts
+++ b/src/process/batch/testing/pool_oracle.ts
@@ -37,15 +37,18 @@
     this.#doneTasks.add(taskKey(task));
   }
 
-  /** Records an end that the leader acknowledged before its lease expired. */
+  /**
+   * Records an end that the leader acknowledged while the lease under which the
+   * run ended was still valid.
+   */
   recordAcknowledgedEnd(task: TaskRef, how: RunEnd): void {
-    const name = taskKey(task);
+    const key = taskKey(task);
     if (how === RunEnd.done) {
-      this.#acknowledgedDone.add(name);
+      this.#acknowledgedDone.add(key);
     }
     if (how === RunEnd.failed) {
-      const failures = this.#acknowledgedFailures.get(name) ?? 0;
-      this.#acknowledgedFailures.set(name, failures + 1);
+      const failures = this.#acknowledgedFailures.get(key) ?? 0;
+      this.#acknowledgedFailures.set(key, failures + 1);
     }
   }
 
@@ -55,19 +58,19 @@
     task: TaskRef,
     workers: Iterable<FakeWorker>,
   ): void {
-    const name = taskKey(task);
+    const key = taskKey(task);
     for (const other of workers) {
-      if (other.running.has(name)) {
+      if (other.running.has(key)) {
         this.violations.push(
-          `${name} starts on ${workerId} while it runs on ${other.id}`,
+          `${key} starts on ${workerId} while it runs on ${other.id}`,
         );
       }
     }
-    if (this.#acknowledgedDone.has(name)) {
-      this.violations.push(`${name} starts after its end was acknowledged`);
+    if (this.#acknowledgedDone.has(key)) {
+      this.violations.push(`${key} starts after its end was acknowledged`);
     }
-    if ((this.#acknowledgedFailures.get(name) ?? 0) >= this.#options.attempts) {
-      this.violations.push(`${name} starts after its last attempt`);
+    if ((this.#acknowledgedFailures.get(key) ?? 0) >= this.#options.attempts) {
+      this.violations.push(`${key} starts after its last attempt`);
     }
     this.#checkStepOrder(task);
   }
