Second read of the wording of the scheduler core

Comments that disagreed with their code now say what it does: workers where a job failed include those that failed its start, the resource correction is bounded by the declared amounts, a borrowed block isn't necessarily outside the guarantee, an urgent reclaim also evicts the account's own less urgent gangs, the group head stands for its group by assumption only, and a worker is also lost when it restarts.

"Lower-ranked" meant a higher rank number, against the document schema, where lower ranks go first; it is now "less urgent", as in the batch scheduler.

--- a/src/process/scheduler/core/amounts.ts
+++ b/src/process/scheduler/core/amounts.ts
@@ -28,7 +28,7 @@
   };
 }
 
-/** The amounts of one task; cores are rounded up to thousandths. */
+/** Converts resources to amounts; cores are rounded up to thousandths. */
 export function amountsOf(resources: TaskResources): Amounts {
   return {
     milliCores: Math.ceil(resources.cores * MILLICORES_PER_CORE),
@@ -37,7 +37,7 @@
   };
 }
 
-/** The amounts in the form that is sent to workers. */
+/** Converts amounts to the form that is sent to workers. */
 export function resourcesOf(amounts: Readonly<Amounts>): TaskResources {
   return {
     cores: amounts.milliCores / MILLICORES_PER_CORE,
@@ -95,7 +95,7 @@
   return isWithin(left, right) && isWithin(right, left);
 }
 
-/** How many tasks of `need` fit; without accelerators at most a whole gang. */
+/** How many tasks fit; without accelerators at most `GANG_TASKS_LIMIT`. */
 export function tasksFitting(
   available: Readonly<Amounts>,
   need: Readonly<Amounts>,
--- a/src/process/scheduler/core/core_context.ts
+++ b/src/process/scheduler/core/core_context.ts
@@ -38,7 +38,7 @@
   | "keepsStaleIndex"
   | "evictsGuarantees";
 
-/** The rank of urgent job classes, whose jobs are tried on submission. */
+/** The rank of urgent jobs, which are placed on submission if possible. */
 export const URGENT_RANK = 0;
 
 const MINUTE_MS = 60_000;
@@ -72,8 +72,8 @@
   nowMs = 0;
   permittedUntilMs = -Infinity;
   /**
-   * When the data centre last returned; undefined once it may be fully used
-   * again, or if it was never out.
+   * When the data centre last returned from `out` to `in`; undefined once it
+   * may be fully used again, or if it was never out.
    */
   returnedAtMs: number | undefined;
   isRecovering = false;
--- a/src/process/scheduler/core/data_centre_change_test.ts
+++ b/src/process/scheduler/core/data_centre_change_test.ts
@@ -11,7 +11,7 @@
   waitReasonOf,
 } from "./testing/test_runtime.ts";
 
-test("a job waits with a reason when it could fit later", (t) => {
+test("a job submitted while the data centre is out waits for that reason", (t) => {
   const runtime = makeRuntime();
   runtime.setStatus("out");
   runtime.submit(makeJob("later"));
--- a/src/process/scheduler/core/evictor.ts
+++ b/src/process/scheduler/core/evictor.ts
@@ -30,7 +30,7 @@
 const URGENT_START_TARGET_MS = 1_900;
 /** Part of the start target that is kept for the start itself. */
 const START_MARGIN_MS = 700;
-/** Racks whose victims are evaluated for one urgent job. */
+/** Racks in which a block is searched for one urgent job. */
 const EVALUATED_RACKS_LIMIT = 12;
 /**
  * Largest fraction of the declared accelerators that several draining
@@ -58,7 +58,10 @@
     this.#failedSearches = options.failedSearches;
   }
 
-  /** Evicts borrowing gangs from the client account's own guarantees. */
+  /**
+   * Evicts borrowing gangs from the client account's own guarantees; for an
+   * urgent job also the account's own less urgent gangs.
+   */
   reclaim(job: JobState, request: BlockRequest): boolean {
     const { guarantees } = this.#context;
     const account = job.specification.clientAccount;
@@ -67,17 +70,17 @@
     if (racks.length === 0 || this.#failedSearches.has(key)) {
       return false;
     }
-    const isOwnLowerRanked = (victim: JobState) =>
+    const isOwnLessUrgent = (victim: JobState) =>
       job.rank === URGENT_RANK && victim.rank > job.rank &&
       victim.specification.clientAccount === account;
     const isEvictable = (victim: JobState) =>
-      !victim.isGuaranteed || isOwnLowerRanked(victim) ||
+      !victim.isGuaranteed || isOwnLessUrgent(victim) ||
       this.#context.mutations.has("evictsGuarantees");
     const plan = planEviction(racks, request, {
       nowMs: this.#context.nowMs,
       hasTimeToCheckpoint: job.rank !== URGENT_RANK,
       maxAvailableOf: (worker) =>
-        maxAvailableForAccount(worker, account, isOwnLowerRanked),
+        maxAvailableForAccount(worker, account, isOwnLessUrgent),
       availableOf: (worker) => {
         const available = availableForGuarantees(worker);
         return withoutSlowStops(worker, available, this.#latestStopMs(job));
@@ -89,21 +92,21 @@
       return false;
     }
     this.#openEviction(job, ReservationKind.reclaim, plan);
-    this.#demoteLowerRanked(plan.block, isOwnLowerRanked);
+    this.#demoteLessUrgent(plan.block, isOwnLessUrgent);
     return true;
   }
 
   /**
-   * Counts the account's own lower-ranked gangs on the block as borrowing
-   * where they don't fit the guarantee together with the reservation.
+   * Counts the account's own less urgent gangs on the block as borrowing where
+   * they don't fit the guarantee together with the reservation.
    */
-  #demoteLowerRanked(
+  #demoteLessUrgent(
     block: Block,
-    isOwnLowerRanked: (job: JobState) => boolean,
+    isOwnLessUrgent: (job: JobState) => boolean,
   ): void {
     for (const worker of block.keys()) {
       for (const { job } of worker.allocations.values()) {
-        const isDemoted = job.isGuaranteed && isOwnLowerRanked(job) &&
+        const isDemoted = job.isGuaranteed && isOwnLessUrgent(job) &&
           job.phase !== JobPhase.stopping && exceedsGuarantee(worker, job);
         if (isDemoted) {
           this.#context.ledger.setGuaranteed(job, false);
@@ -112,7 +115,7 @@
     }
   }
 
-  /** Evicts lower-ranked borrowing gangs for an urgent job. */
+  /** Evicts less urgent borrowing gangs for an urgent job. */
   preempt(job: JobState, request: BlockRequest): boolean {
     const mayPreempt = job.rank === URGENT_RANK &&
       mayBorrow(job, this.#context);
@@ -212,7 +215,7 @@
     );
   }
 
-  /** Gangs with a later stop deadline than this don't count as free. */
+  /** Capacity of gangs with a later stop deadline doesn't count as free. */
   #latestStopMs(job: JobState): number {
     return job.rank === URGENT_RANK ? this.#checkpointDeadline(job) : Infinity;
   }
@@ -299,7 +302,7 @@
 function maxAvailableForAccount(
   worker: WorkerState,
   account: string,
-  isOwnLowerRanked: (job: JobState) => boolean,
+  isOwnLessUrgent: (job: JobState) => boolean,
 ): Readonly<Amounts> {
   if (!worker.isPlaceable) {
     return ZERO_AMOUNTS;
@@ -307,6 +310,6 @@
   return withEvictable(
     worker,
     worker.unusedGuarantee(account),
-    (job) => job.isGuaranteed && isOwnLowerRanked(job),
+    (job) => job.isGuaranteed && isOwnLessUrgent(job),
   );
 }
--- a/src/process/scheduler/core/failed_search_cache.ts
+++ b/src/process/scheduler/core/failed_search_cache.ts
@@ -15,7 +15,10 @@
     return this.#keys.has(key);
   }
 
-  /** Records a failed search, unless it excluded workers. */
+  /**
+   * Records a failed search, unless it excluded workers: the key is the same
+   * as without exclusions.
+   */
   record(key: string, request: BlockRequest): void {
     if (request.avoided.size === 0) {
       this.#keys.add(key);
--- a/src/process/scheduler/core/gang_event_handler.ts
+++ b/src/process/scheduler/core/gang_event_handler.ts
@@ -19,7 +19,7 @@
 } from "./scheduler_event.ts";
 import type { WorkerState } from "./worker_state.ts";
 
-/** Delay before a job is started again; doubled with each of its failures. */
+/** Delay before a job is started again; doubled from its second failure on. */
 const RETRY_DELAY_MS = 1_000;
 const RETRY_DELAY_LIMIT_MS = 60_000;
 /** Fraction of its processors that a throttled gang keeps. */
@@ -27,7 +27,7 @@
 /** Least expected run time assumed when overruns are determined. */
 const MIN_EXPECTED_RUN_MS = 10_000;
 
-/** Handles events about gangs, their tasks and their use. */
+/** Handles events about gangs, their tasks and their resource usage. */
 export class GangEventHandler {
   readonly #context: CoreContext;
   readonly #lifecycle: GangLifecycle;
@@ -117,8 +117,11 @@
       if (job?.phase !== JobPhase.running) {
         continue;
       }
-      const reportedAtMs = usage.checkpointedAtMs ?? 0;
-      job.checkpointedAtMs = Math.max(job.checkpointedAtMs ?? 0, reportedAtMs);
+      const checkpointedAtMs = usage.checkpointedAtMs ?? 0;
+      job.checkpointedAtMs = Math.max(
+        job.checkpointedAtMs ?? 0,
+        checkpointedAtMs,
+      );
       this.#context.estimator.observeUsage(job.specification, usage);
     }
   }
--- a/src/process/scheduler/core/gang_lifecycle.ts
+++ b/src/process/scheduler/core/gang_lifecycle.ts
@@ -122,7 +122,7 @@
     this.requeue(job);
   }
 
-  /** Queues a job without an attempt, after its retry delay if it has one. */
+  /** Queues a job that holds no capacity, after its retry delay if any. */
   requeue(job: JobState): void {
     const context = this.#context;
     job.phase = JobPhase.queued;
--- a/src/process/scheduler/core/guarantee_assignments.ts
+++ b/src/process/scheduler/core/guarantee_assignments.ts
@@ -194,7 +194,7 @@
     }
   }
 
-  /** Places all but the pinned ones again; undone unless more are placed. */
+  /** Reassigns all but the pinned ones; undone unless more get workers. */
   #repack(isPinned: (assignment: GuaranteeAssignment) => boolean): void {
     const before = new Map<GuaranteeAssignment, readonly WorkerState[]>();
     const movable = [...this.#assignments.values()].filter((assignment) =>
--- a/src/process/scheduler/core/guarantee_packing_test.ts
+++ b/src/process/scheduler/core/guarantee_packing_test.ts
@@ -23,7 +23,7 @@
   looms: fc.array(shapes, { maxLength: 3 }),
 });
 
-test("guarantees that a document may grant are placed in any order of joins", (t) => {
+test("guarantees of an accepted document are placed in whatever order workers join", (t) => {
   let fitting = 0;
   const property = fc.property(
     guarantees,
--- a/src/process/scheduler/core/guarantee_reconciler.ts
+++ b/src/process/scheduler/core/guarantee_reconciler.ts
@@ -60,14 +60,14 @@
     for (const job of ledger.account(clientAccount).liveJobs) {
       const isBorrowing = !job.isGuaranteed && job.phase !== JobPhase.stopping;
       const fits = isBorrowing &&
-        (fitsGuarantee(job) || this.#moveAssignmentUnder(job));
+        (fitsGuarantee(job) || this.#moveAssignmentToWorkersOf(job));
       if (fits) {
         ledger.setGuaranteed(job, true);
       }
     }
   }
 
-  /** Takes gangs and reclaims out of a guarantee that was moved away. */
+  /** Demotes gangs and cancels reclaims that no guarantee covers any longer. */
   #demote(): void {
     for (const reservation of [...this.#reservations.all()]) {
       if (isReclaimBeyondGuarantee(reservation)) {
@@ -89,7 +89,7 @@
   }
 
   /** Moves an unused one-rack assignment onto the gang's workers, if it can. */
-  #moveAssignmentUnder(job: JobState): boolean {
+  #moveAssignmentToWorkersOf(job: JobState): boolean {
     const { guarantees } = this.#context;
     for (
       const assignment of guarantees.assignmentsOf(
--- a/src/process/scheduler/core/invariants.ts
+++ b/src/process/scheduler/core/invariants.ts
@@ -1,6 +1,7 @@
 /**
  * Checks the invariants that hold after every event. Every sum is recounted
- * from the gangs and the guarantees. For tests only.
+ * from the gangs and the guarantees, independently of the sums that the
+ * scheduler keeps. For tests only.
  *
  * @module
  */
@@ -20,7 +21,7 @@
 import { WaitReason } from "./scheduler_decision.ts";
 import type { RackState, WorkerState } from "./worker_state.ts";
 
-/** Longest time until the tick on which a due retry is queued. */
+/** Longest time between a due retry and the tick that queues it. */
 const RETRY_SLACK_MS = 1_000;
 
 /** Describes every violated invariant; empty if all hold. */
@@ -108,7 +109,7 @@
     }
     if (!isWithin(worker.guaranteeCapacity, worker.capacity)) {
       violations.push(
-        `guarantees: ${worker.workerId}: their sum exceeds its capacity`,
+        `guarantees: their sum on ${worker.workerId} exceeds its capacity`,
       );
     }
   }
@@ -211,7 +212,7 @@
   }
   // The limit may fall below the present number when other workers are lost.
   const isOver = count > quarantine.peakLimit;
-  return isOver ? [`quarantine: ${count} workers are out of use`] : [];
+  return isOver ? [`quarantine: ${count} workers exceed its limit`] : [];
 }
 
 function tasksHeld(job: JobState): number {
--- a/src/process/scheduler/core/job_estimator.ts
+++ b/src/process/scheduler/core/job_estimator.ts
@@ -16,9 +16,9 @@
  * usage reports from which resources are corrected.
  */
 const TRUSTED_OBSERVATIONS = 2;
-/** Largest factor by which a run time is corrected, up or down. */
+/** Largest factor of a run time correction, up or down, and of the spread. */
 const CORRECTION_FACTOR_LIMIT = 20;
-/** Headroom factor above the observed use of processors. */
+/** Headroom factor above the observed usage of processors. */
 const CORES_HEADROOM_FACTOR = 1.25;
 /** Smallest fraction of the declared processors that is allocated. */
 const CORES_FLOOR_FRACTION = 0.1;
@@ -39,7 +39,7 @@
   readonly need: Readonly<Amounts>;
 }
 
-/** The observed runs and use of every client account and job class. */
+/** The observed runs and usage of every client account and job class. */
 export class JobEstimator {
   readonly #histories = new Map<string, RunHistory>();
 
@@ -55,7 +55,7 @@
       (history.logRunVariance + weight * deviation * deviation);
   }
 
-  /** Records the observed use of one task. */
+  /** Records the observed usage of one task. */
   observeUsage(
     job: JobSpecification,
     usage: { readonly cores: number; readonly memoryBytes: number },
@@ -112,8 +112,8 @@
 
 /**
  * Processors are corrected up or down, since they can be shared; memory only
- * up. Neither grows beyond the share of a worker that goes with the task's
- * accelerators, nor at all without accelerators.
+ * up. Neither grows beyond the declared amount or, if larger, the share of a
+ * worker that goes with the task's accelerators; without any, neither grows.
  */
 function correctedNeed(
   declared: Readonly<Amounts>,
--- a/src/process/scheduler/core/job_event_handler.ts
+++ b/src/process/scheduler/core/job_event_handler.ts
@@ -17,7 +17,7 @@
 import { JobOutcome } from "./scheduler_decision.ts";
 import type { JobSubmitted } from "./scheduler_event.ts";
 
-/** Gangs that can't be checkpointed run on for this part of the drain time. */
+/** Gangs that can't be checkpointed run on for this fraction of a drain. */
 const UNCHECKPOINTED_DRAIN_FRACTION = 0.8;
 
 /** Handles events about jobs and the configuration. */
@@ -50,7 +50,10 @@
     return this.#order;
   }
 
-  /** Accepts, refuses or ends a new job; a known one is left unchanged. */
+  /**
+   * Accepts, refuses or ends a new job. A known one is left unchanged unless
+   * it ended here and was transferred back.
+   */
   submitted(event: JobSubmitted): void {
     const context = this.#context;
     const specification = event.job;
--- a/src/process/scheduler/core/job_queue.ts
+++ b/src/process/scheduler/core/job_queue.ts
@@ -1,6 +1,6 @@
 /**
- * The waiting jobs, in groups with the same needs. If the first job of a group
- * can't be placed, neither can the others, so only the first one is tried.
+ * The waiting jobs, in groups of similar ones. Only the first job of a group is
+ * tried: if it can't be placed, the others are assumed not to fit either.
  *
  * @module
  */
@@ -15,7 +15,10 @@
 /** Ratio between the run times at which two successive levels begin. */
 const LEVEL_FACTOR = 8;
 
-/** Jobs of one client account, rank, length and shape, in queue order. */
+/**
+ * Jobs of one client account, rank, expected run time (short or long) and gang
+ * shape, in queue order.
+ */
 export interface QueueGroup {
   readonly key: string;
   readonly clientAccount: ClientAccountId;
@@ -50,8 +53,8 @@
     const shapeKey = shapeKeyOf(job);
     const { clientAccount } = job.specification;
     // Only short jobs can run on capacity that drains for a reservation.
-    const length = job.expectedRunMs <= DRAIN_LIMIT_MS ? "short" : "long";
-    const key = `${clientAccount}|${job.rank}|${length}|${shapeKey}`;
+    const runTimeClass = job.expectedRunMs <= DRAIN_LIMIT_MS ? "short" : "long";
+    const key = `${clientAccount}|${job.rank}|${runTimeClass}|${shapeKey}`;
     let group = this.#groups.get(key);
     if (group === undefined) {
       group = {
--- a/src/process/scheduler/core/job_state.ts
+++ b/src/process/scheduler/core/job_state.ts
@@ -42,7 +42,7 @@
   phase: JobPhase;
   attempt: number;
   placements: readonly TaskPlacement[];
-  /** Tasks of the current attempt by worker, without lost workers. */
+  /** Number of tasks of the current attempt by worker, without lost workers. */
   readonly workers: Map<WorkerState, number>;
   /** Whether the attempt counts towards its client account's guarantee. */
   isGuaranteed: boolean;
@@ -56,7 +56,7 @@
   attainedAcceleratorMs: number;
   /** Attempts that failed because of the job's own tasks. */
   failures: number;
-  /** Workers on which its tasks failed. */
+  /** Workers on which a task or a start of it failed; avoided if possible. */
   readonly failedOn: Set<WorkerId>;
   retryAtMs: number;
   /** When it last became queued. */
@@ -66,7 +66,10 @@
   /** Whether it counts among its client account's waiting jobs. */
   isWaiting: boolean;
   stopReason: StopReason | undefined;
-  /** When the gang that is being stopped is stopped without a checkpoint. */
+  /**
+   * Checkpoint deadline of the gang that is being stopped; if it makes no
+   * checkpoint, when its stop began.
+   */
   stopDeadlineMs: number;
   /** The job's outcome once it has stopped; undefined to queue it again. */
   outcomeAfterStop: JobOutcome | undefined;
@@ -138,8 +141,8 @@
 
 /**
  * Accelerator-milliseconds since the last checkpoint that a stop now would
- * lose; 0 if there is time for a checkpoint and the gang can make one. Gangs
- * without accelerators count as one.
+ * lose; 0 if there is time for a checkpoint and the gang can make one. A gang
+ * without accelerators counts as if it had one.
  */
 export function workAtRisk(
   job: JobState,
--- a/src/process/scheduler/core/placement.ts
+++ b/src/process/scheduler/core/placement.ts
@@ -76,7 +76,7 @@
     : undefined;
 }
 
-/** The tightest block in a few racks, by the resources that are offered. */
+/** The tightest block in a few racks, by what `availableOf` offers. */
 export function findBlockAmong(
   racks: readonly (readonly WorkerState[])[],
   request: BlockRequest,
--- a/src/process/scheduler/core/placement_pass.ts
+++ b/src/process/scheduler/core/placement_pass.ts
@@ -32,7 +32,10 @@
   readonly #evictor: Evictor;
   readonly #failedSearches: FailedSearchCache;
   readonly #reservations: ReservationManager;
-  /** Keys of groups whose first job failed since the last complete round. */
+  /**
+   * Keys of groups whose first job couldn't be placed in the current round. A
+   * round ends when every group has been tried, which may take several passes.
+   */
   readonly #failedGroups = new Set<string>();
 
   constructor(
@@ -79,7 +82,7 @@
     }
   }
 
-  /** Returns whether all groups were tried, within the limit of this pass. */
+  /** Returns false if the limit of tries left groups for the next pass. */
   #placeInOrder(): boolean {
     const heap = new BinaryHeap<QueueEntry>({ isBefore: isEntryBefore });
     for (const group of this.#context.queue.groups()) {
--- a/src/process/scheduler/core/placer.ts
+++ b/src/process/scheduler/core/placer.ts
@@ -62,7 +62,7 @@
     this.#failedSearches = options.failedSearches;
   }
 
-  /** Starts a queued job or reserves a block for it; otherwise says why not. */
+  /** Starts a queued job or reserves a block for it; else returns why not. */
   place(job: JobState): PlacementResult {
     const waitReason = this.#context.startWaitReasonFor(job);
     if (waitReason !== undefined) {
@@ -114,8 +114,8 @@
   }
 
   /**
-   * A block outside the guarantee in a fuller rack, if there is one. Borrowing
-   * it leaves emptier racks free for large gangs.
+   * A free block in a fuller rack, if there is one, to borrow instead of using
+   * the guarantee; this leaves emptier racks free for large gangs.
    */
   #tighterBorrowedBlock(
     job: JobState,
@@ -135,7 +135,7 @@
 
   /**
    * Starts a job on borrowed capacity. One that can't be checkpointed prefers
-   * workers that aren't assigned to guarantees, or accepts only such workers.
+   * workers that aren't assigned to guarantees; some jobs take only those.
    */
   #startBorrowing(job: JobState, request: BlockRequest): boolean {
     if (!mayBorrow(job, this.#context)) {
--- a/src/process/scheduler/core/policy.ts
+++ b/src/process/scheduler/core/policy.ts
@@ -21,7 +21,7 @@
   rank: 9,
 });
 
-/** One configuration version from the view of one data centre. */
+/** One configuration version as it applies to one data centre. */
 export class Policy {
   readonly version: number;
   readonly acceptedAtMs: number;
--- a/src/process/scheduler/core/quarantine.ts
+++ b/src/process/scheduler/core/quarantine.ts
@@ -10,11 +10,17 @@
 import { JobPhase, type JobState } from "./job_state.ts";
 import { type WorkerState, WorkerStatus } from "./worker_state.ts";
 
-/** Jobs that must fail on a worker, without a success, to quarantine it. */
+/**
+ * Number of different jobs that must fail on a worker, without a success in
+ * between, to quarantine it.
+ */
 const FAILED_JOBS_LIMIT = 3;
-/** Good workers on which a job must fail to be considered faulty itself. */
+/**
+ * Number of workers with a success on which a job must fail to be considered
+ * faulty itself.
+ */
 const GOOD_WORKERS_LIMIT = 2;
-/** Largest fraction of the workers that may be in quarantine. */
+/** Largest fraction of the workers in quarantine; one is always allowed. */
 const QUARANTINED_FRACTION = 0.1;
 /** Delay before the first probe; doubled for each further one. */
 const FIRST_PROBE_DELAY_MS = 60_000;
@@ -61,7 +67,7 @@
     return count;
   }
 
-  /** Records that a task of the job failed on the worker. */
+  /** Records that a task or a start of the job failed on the worker. */
   recordFailure(worker: WorkerState, job: JobState): void {
     job.failedOn.add(worker.workerId);
     if (this.#isFaultyJob(job)) {
@@ -134,7 +140,7 @@
     }
   }
 
-  /** Reverts the count of failures on a faulty worker against the jobs. */
+  /** Subtracts the failures on a faulty worker from those of its jobs. */
   #discountFailures(evidence: Evidence): void {
     for (const jobId of evidence.failedJobs) {
       const job = this.#context.jobs.get(jobId);
--- a/src/process/scheduler/core/rack_index.ts
+++ b/src/process/scheduler/core/rack_index.ts
@@ -15,6 +15,7 @@
   readonly workers = new Map<WorkerId, WorkerState>();
   readonly #racksByFree: Set<RackState>[] = [];
   readonly #workersByFree: Set<WorkerState>[] = [];
+  /** Set by the mutation `keepsStaleIndex`: some updates are skipped. */
   readonly #isFrozen: boolean;
   #freeAccelerators = 0;
 
--- a/src/process/scheduler/core/recovery.ts
+++ b/src/process/scheduler/core/recovery.ts
@@ -45,7 +45,7 @@
       lifecycle: GangLifecycle;
       gangEvents: GangEventHandler;
       workerEvents: WorkerEventHandler;
-      /** When a worker that hasn't reported has stopped its tasks. */
+      /** By when workers that haven't reported have stopped their tasks. */
       recoverUntilMs: number;
     },
   ) {
--- a/src/process/scheduler/core/reservation.ts
+++ b/src/process/scheduler/core/reservation.ts
@@ -14,7 +14,7 @@
 export const ReservationKind = {
   /** For a guarantee whose capacity is taken back from borrowing gangs. */
   reclaim: "reclaim",
-  /** For urgent work that evicts lower-ranked gangs. */
+  /** For an urgent job that evicts less urgent gangs. */
   preemption: "preemption",
   /** For a gang that has waited long; short jobs may backfill meanwhile. */
   drain: "drain",
@@ -30,8 +30,8 @@
   readonly job: JobState;
   readonly block: Block;
   /**
-   * When a draining reservation evicts the remaining gangs, and when one that
-   * is already evicting is cancelled.
+   * While draining, when the remaining gangs are evicted; once evicting, when
+   * the reservation is cancelled.
    */
   deadlineMs: number;
   /** Whether gangs are being evicted for it. */
--- a/src/process/scheduler/core/reservation_manager.ts
+++ b/src/process/scheduler/core/reservation_manager.ts
@@ -122,7 +122,7 @@
     }
   }
 
-  /** Starts the jobs of reservations here whose whole block is free. */
+  /** Starts the jobs of reservations on these workers whose block is free. */
   startReady(workers: Iterable<WorkerState>): void {
     for (const worker of workers) {
       for (const reservation of [...worker.reservations]) {
--- a/src/process/scheduler/core/scheduler_core.ts
+++ b/src/process/scheduler/core/scheduler_core.ts
@@ -1,6 +1,6 @@
 /**
  * The scheduler of one data centre. Its decisions depend only on its state and
- * on the events, which carry their own time stamps.
+ * on the events, which carry their own timestamps.
  *
  * @module
  */
@@ -43,15 +43,15 @@
 export interface RestoreOptions {
   readonly atMs: number;
   /**
-   * When a worker that hasn't reported has stopped its tasks, since its lease
-   * has expired.
+   * By when workers that haven't reported have stopped their tasks, because
+   * their leases have expired.
    */
   readonly recoverUntilMs: number;
   /** When the data centre last returned from `out` to `in`, if known. */
   readonly returnedAtMs?: number;
 }
 
-/** The interface that every scheduling policy implements. */
+/** A scheduling policy: this core, or one that the bench compares it with. */
 export interface SchedulerPolicy {
   handle(event: SchedulerEvent): readonly SchedulerDecision[];
 }
--- a/src/process/scheduler/core/scheduler_event.ts
+++ b/src/process/scheduler/core/scheduler_event.ts
@@ -27,7 +27,7 @@
   readonly accelerators: number;
 }
 
-/** The measured use of one task, which may be out of date. */
+/** The measured usage of one task, which may be out of date. */
 export interface TaskUsage extends TaskReference {
   readonly cores: number;
   readonly memoryBytes: number;
@@ -75,7 +75,7 @@
   readonly configuration: ConfigurationVersion;
 }
 
-/** The configuration was confirmed as current; extends the time for starts. */
+/** The configuration was confirmed as current; jobs may start for longer. */
 export interface StartPermissionExtended {
   readonly kind: "startPermissionExtended";
   readonly atMs: number;
@@ -106,7 +106,7 @@
   readonly workerId: WorkerId;
 }
 
-/** A worker's lease expired. */
+/** A worker's lease expired, or it restarted. */
 export interface WorkerLost {
   readonly kind: "workerLost";
   readonly atMs: number;
@@ -145,7 +145,7 @@
   readonly attempt: number;
 }
 
-/** The start failed; the attempt is released on every worker. */
+/** The start failed; every worker released the attempt and runs none of it. */
 export interface GangStartFailed {
   readonly kind: "gangStartFailed";
   readonly atMs: number;
--- a/src/process/scheduler/core/testing/fake_runtime.ts
+++ b/src/process/scheduler/core/testing/fake_runtime.ts
@@ -157,7 +157,7 @@
     }
   }
 
-  /** Cuts a worker off; it may join again with its tasks still running. */
+  /** Loses a worker, whose tasks keep running if `leavesZombies` is set. */
   lose(workerId: string, options: { leavesZombies: boolean }): void {
     const worker = this.workers.get(workerId);
     if (worker === undefined || worker.state === "lost") {
@@ -198,7 +198,7 @@
     });
   }
 
-  /** Reports the use of a running gang, as a factor of what it requested. */
+  /** Reports the usage of a running gang, as a factor of its resources. */
   reportUsage(index: number, options: { factor: number }): void {
     const running = this.#running();
     const gang = running[index % Math.max(1, running.length)];
--- a/src/process/scheduler/core/testing/oracle.ts
+++ b/src/process/scheduler/core/testing/oracle.ts
@@ -15,6 +15,7 @@
   state: "up" | "leaving" | "lost";
   /** Tasks that it runs, by attempt key. */
   readonly running: Map<string, TaskReference[]>;
+  /** Tasks that keep running after the worker was lost. */
   zombies: TaskReference[];
 }
 
--- a/src/process/scheduler/core/testing/test_runtime.ts
+++ b/src/process/scheduler/core/testing/test_runtime.ts
@@ -30,6 +30,7 @@
   });
 }
 
+/** A job of one task that takes all accelerators of a worker. */
 export function makeJob(
   jobId: string,
   change: Partial<JobSpecification> = {},
@@ -55,12 +56,14 @@
     );
 }
 
+/** Extends the start permission, ticks, and carries out all decisions. */
 export function advance(runtime: FakeRuntime, byMs = 100): void {
   runtime.permit(10 * MINUTE_MS);
   runtime.tick(byMs);
   runtime.deliverAll();
 }
 
+/** Submits `fill-0` to `fill-7`, one job for each worker. */
 export function fillWorkers(
   runtime: FakeRuntime,
   change: Partial<JobSpecification>,
--- a/src/process/scheduler/core/worker_event_handler.ts
+++ b/src/process/scheduler/core/worker_event_handler.ts
@@ -104,7 +104,10 @@
     this.#reconciler.reconcile();
   }
 
-  /** Stops the attempts on the worker that aren't those of a live job. */
+  /**
+   * Stops reported attempts that aren't the current one of a live job, and
+   * forgets stale attempts that the worker no longer reports.
+   */
   stopStaleAttempts(
     worker: WorkerState,
     running: readonly TaskReference[],
@@ -162,7 +165,7 @@
     worker.staleAttempts.add(key);
   }
 
-  /** Breaks running gangs that are missing from the worker's report. */
+  /** Breaks running gangs whose tasks the worker no longer reports. */
   #breakIncompleteGangs(
     worker: WorkerState,
     running: readonly TaskReference[],
--- a/src/process/scheduler/core/worker_state.ts
+++ b/src/process/scheduler/core/worker_state.ts
@@ -36,7 +36,7 @@
 /** One of the values of {@link WorkerStatus}. */
 export type WorkerStatus = typeof WorkerStatus[keyof typeof WorkerStatus];
 
-/** Number of job class ranks, 0 to 9. */
+/** Number of job class ranks, from 0 (urgent) to 9. */
 export const RANK_COUNT = 10;
 
 const ZERO_AMOUNTS: Readonly<Amounts> = Object.freeze(zeroAmounts());
@@ -87,7 +87,10 @@
     this.capacity = amountsOf(options.description);
   }
 
-  /** Whether work may be placed here; for a probe, only if nothing runs. */
+  /**
+   * Whether work may be placed here: not while a stale attempt may still run,
+   * and on a probing worker only if nothing else runs.
+   */
   get isPlaceable(): boolean {
     const isOpen = this.status === WorkerStatus.up ||
       (this.status === WorkerStatus.probing && this.allocations.size === 0);
@@ -138,7 +141,7 @@
       : differenceOf(capacity, used);
   }
 
-  /** Accelerators that evicting borrowing gangs above `rank` would free. */
+  /** Accelerators that evicting borrowing gangs of ranks above `rank` frees. */
   evictableAbove(rank: number): number {
     let accelerators = 0;
     for (let index = Math.max(0, rank + 1); index < RANK_COUNT; index++) {
