Correct and clarify comments of replication on a second read

Two links named types that no longer exist; the docs of the membership changes, redirects, resends, lease checks and message fields didn't say quite what the code does. parseEnvelope, which decodes, is now decodeEnvelope; decodeEnvelope, which validates, is now validateEnvelope. Three test titles say which failure they guard against.

--- a/src/process/replication/applied_state.ts
+++ b/src/process/replication/applied_state.ts
@@ -43,7 +43,10 @@
     return { outcome: this.#machine.apply(command, entry.index) };
   }
 
-  /** Continues from a snapshot; the one before any entry is empty. */
+  /**
+   * Continues from a snapshot. The one of an empty log, at index 0, has no data
+   * to restore.
+   */
   restore(snapshot: LogSnapshot): Result<void> {
     this.#index = snapshot.index;
     this.#snapshotIndex = snapshot.index;
--- a/src/process/replication/core_driver.ts
+++ b/src/process/replication/core_driver.ts
@@ -91,7 +91,10 @@
     return this.#proposals.isEmpty;
   }
 
-  /** Whether this member leads under a valid lease. */
+  /**
+   * Whether this member leads under a valid lease and knows all committed
+   * entries.
+   */
   isLeaseHeld(): boolean {
     return !this.#isStopped &&
       this.#options.core.isLeaseHeld(this.#options.clock.nowMs());
--- a/src/process/replication/election.ts
+++ b/src/process/replication/election.ts
@@ -242,7 +242,8 @@
 
 /**
  * Counts a vote. Those of newer incarnations of voters, and of members that
- * aren't voters, are recorded separately.
+ * aren't voters, are recorded separately; that of a founder that hasn't joined
+ * the group yet doesn't count.
  */
 export function handleVoteReply(
   state: RaftState,
--- a/src/process/replication/envelope_codec.ts
+++ b/src/process/replication/envelope_codec.ts
@@ -12,9 +12,9 @@
   PeerNetwork,
 } from "../../connection/peer_network.ts";
 import {
-  decodeEnvelope,
   MESSAGE_FIELDS,
   type RaftEnvelope,
+  validateEnvelope,
 } from "./raft_message.ts";
 
 /** An encoded envelope. */
@@ -53,8 +53,8 @@
 }
 
 /** Decodes an envelope; `malformed` for anything else. */
-export function parseEnvelope(body: unknown): Result<RaftEnvelope> {
-  return decodeEnvelope(Array.isArray(body) ? decodeFields(body) : body);
+export function decodeEnvelope(body: unknown): Result<RaftEnvelope> {
+  return validateEnvelope(Array.isArray(body) ? decodeFields(body) : body);
 }
 
 function decodeFields(list: readonly unknown[]): unknown {
@@ -98,7 +98,7 @@
   // Received messages are decoded envelopes, sent ones are encoded arrays.
   const channel = network.channel<RaftEnvelope | EncodedEnvelope>({
     name: `replication.${groupId}`,
-    decode: parseEnvelope,
+    decode: decodeEnvelope,
   });
   return {
     received: map(
--- a/src/process/replication/envelope_codec_test.ts
+++ b/src/process/replication/envelope_codec_test.ts
@@ -1,7 +1,7 @@
 import test from "ava";
 import * as fc from "fast-check";
 import { pack, unpack } from "msgpackr";
-import { encodeEnvelope, parseEnvelope } from "./envelope_codec.ts";
+import { decodeEnvelope, encodeEnvelope } from "./envelope_codec.ts";
 import type { RaftEnvelope, RaftMessage } from "./raft_message.ts";
 
 const MESSAGES: readonly RaftMessage[] = [
@@ -50,7 +50,7 @@
       message,
     };
     const body: unknown = unpack(pack(encodeEnvelope(envelope)));
-    const read = parseEnvelope(body).unsafeCoerce();
+    const read = decodeEnvelope(body).unsafeCoerce();
     t.deepEqual(pack(read), pack(envelope), message.kind);
   }
   const groupless: RaftEnvelope = {
@@ -59,7 +59,7 @@
     message: { kind: "formPledge", formationId: "a:1" },
   };
   t.deepEqual(
-    parseEnvelope(encodeEnvelope(groupless)).unsafeCoerce(),
+    decodeEnvelope(encodeEnvelope(groupless)).unsafeCoerce(),
     groupless,
   );
 });
@@ -69,7 +69,8 @@
     fc.anything(),
     fc.array(fc.anything()),
     (a, b) =>
-      parseEnvelope(a).isLeft() && parseEnvelope(["g", 1, 1, 3, ...b]).isLeft(),
+      decodeEnvelope(a).isLeft() &&
+      decodeEnvelope(["g", 1, 1, 3, ...b]).isLeft(),
   );
   t.notThrows(() => fc.assert(property, { seed: 8, numRuns: 2_000 }));
 });
--- a/src/process/replication/envelope_filter.ts
+++ b/src/process/replication/envelope_filter.ts
@@ -13,8 +13,8 @@
 
 /**
  * Records that a voter lost its state. A leader whose lease has ended steps
- * down first: the lost voters may have elected another leader, so that their
- * loss must not count towards a quorum of this one.
+ * down first: voters may have elected another leader before they lost their
+ * state, so their loss must not count towards a quorum of this one.
  */
 export function markStateLost(
   state: RaftState,
@@ -57,8 +57,8 @@
 ]);
 
 /**
- * Messages that a member without group state accepts under any incarnation, as
- * they reveal nothing about the group.
+ * Messages that a member without group state accepts even if they are addressed
+ * to any incarnation, as they reveal nothing about the group.
  */
 const VOTE_REQUEST_KINDS: ReadonlySet<RaftMessage["kind"]> = new Set([
   "preVote",
@@ -97,7 +97,9 @@
 }
 
 /**
- * Detects a voter that lost its state, and messages from outdated incarnations.
+ * Rejects messages from outdated incarnations of voters, except `follow`, which
+ * is answered with the incarnation to exceed. A newer incarnation shows that the
+ * voter lost its state.
  */
 function isFromCurrentIncarnation(
   state: RaftState,
--- a/src/process/replication/following.ts
+++ b/src/process/replication/following.ts
@@ -49,7 +49,10 @@
   }, 0);
 }
 
-/** Answers a learner's `follow`. */
+/**
+ * Answers a learner's `follow`: a founder that hasn't joined yet gets a welcome;
+ * others get entries if this member leads, or else a redirect.
+ */
 export function handleFollow(
   state: RaftState,
   from: Sender,
@@ -116,8 +119,8 @@
 }
 
 /**
- * Follows the leader that a member named, and raises this member's incarnation
- * if it is too low.
+ * Sends a `follow` to the leader that a member named. A member without group
+ * state raises its incarnation first, if it is too low.
  */
 export function handleRedirect(
   state: RaftState,
--- a/src/process/replication/group_configuration.ts
+++ b/src/process/replication/group_configuration.ts
@@ -26,7 +26,7 @@
 /** Validates a {@link GroupConfiguration}. */
 export const groupConfigurationSchema = z.strictObject({
   voters: z.array(voterSchema).max(VOTERS_LIMIT),
-  /** Members that an operator removed: they stay learners. */
+  /** Removed members: they stay learners until they are added again. */
   removedIds: z.array(identity).max(64),
   /** Whether commits don't need a durable voter, as none can be reached. */
   isDurabilityWaived: z.boolean(),
@@ -79,8 +79,9 @@
  * everyone who might vote has answered this election and all that still have
  * their state agreed, while no durable voter has lost its state or at least
  * half of the voters agreed. The second case lets a group continue after a
- * restart of all its members, and one of two voters after the other lost its
- * disk: what a majority stored, at least one voter of any half stores too.
+ * restart of all its members, and lets one of two voters continue after the
+ * other lost its disk: what a majority stored, at least one voter of any half
+ * stores too.
  * Members that an operator declared lost needn't answer.
  */
 export function isElectionQuorum(
--- a/src/process/replication/leader_progress.ts
+++ b/src/process/replication/leader_progress.ts
@@ -20,6 +20,7 @@
 export interface SnapshotProgress {
   readonly snapshot: LogSnapshot;
   offsetBytes: number;
+  /** When the unanswered chunk was sent; -Infinity if none is unanswered. */
   sentAtMs: number;
 }
 
@@ -104,7 +105,10 @@
     this.#inFlightBytes = 0;
   }
 
-  /** Resends what has not been acknowledged for `resendMs`. */
+  /**
+   * Goes back to what has not been acknowledged for `resendMs`, so that it is
+   * sent again.
+   */
   rewindIfStalled(nowMs: number, resendMs: number): void {
     const isStalled = this.#inFlight.length > 0 &&
       nowMs - this.#lastProgressMs >= resendMs;
--- a/src/process/replication/log_store_test.ts
+++ b/src/process/replication/log_store_test.ts
@@ -74,7 +74,7 @@
   t.is(log.hardState.votedFor, undefined);
 });
 
-test("many effects take one sync", async (t) => {
+test("effects that are persisted together take one sync", async (t) => {
   const { storage, store } = await storeWith(1);
   const before = storage.syncs;
   const effects = [2, 3, 4, 5].map((index) =>
@@ -140,7 +140,7 @@
   t.deepEqual((await storage.list()).unsafeCoerce(), []);
 });
 
-test("a full disk and a failed sync are errors", async (t) => {
+test("a full disk and a failed sync fail the write", async (t) => {
   for (const fault of ["isFull", "syncFails"] as const) {
     const { storage, store } = await storeWith(1);
     storage.faults[fault] = true;
--- a/src/process/replication/member_reachability.ts
+++ b/src/process/replication/member_reachability.ts
@@ -8,7 +8,8 @@
 import type { RaftView } from "./raft_core.ts";
 
 /**
- * Voters that a leader hears nothing from, and others that are ready to vote.
+ * Voters that a leader hears nothing from, and other members that have caught
+ * up.
  */
 export interface MemberReachability {
   readonly silentVoterIds: readonly InstanceId[];
--- a/src/process/replication/membership.ts
+++ b/src/process/replication/membership.ts
@@ -118,8 +118,8 @@
 }
 
 /**
- * Removes a member for good, as an operator requested; returns false if it
- * can't be removed now.
+ * Removes a member, which stays a learner until it is added again; returns
+ * false if it can't be removed now.
  */
 export function removeMember(state: RaftState, id: InstanceId): boolean {
   const { configuration } = state;
@@ -141,9 +141,9 @@
 }
 
 /**
- * Makes a member a voter, even beyond the target number of voters or after its
- * removal, once it has caught up. Returns false if the voters can't be changed
- * now.
+ * Makes a member a voter if it has caught up, even beyond the target number of
+ * voters. If the member was removed, only reverts the removal; a later call can
+ * make it a voter. Returns false if the voters can't be changed now.
  */
 export function addMember(state: RaftState, id: InstanceId): boolean {
   const { configuration } = state;
--- a/src/process/replication/persist_tracker.ts
+++ b/src/process/replication/persist_tracker.ts
@@ -97,13 +97,13 @@
   }
 
   /**
-   * The persist effect that a message must wait for. A leader's entries may be
-   * sent while it syncs them itself, and a reply that acknowledges only synced
-   * entries needn't wait for others: these wait only for the hard state, all
-   * other messages for all changes. An unsynced change of the configuration
-   * must not be sent: if its leader lost it in a crash, a member that has it as
-   * its newest entry, and may not lead because of it, would prevent the
-   * re-election of the leader in a group of two.
+   * The persist effect that a message must wait for. A leader's entries, which
+   * may be sent while it syncs them itself, and replies that acknowledge only
+   * synced entries wait only for the hard state; all other messages wait for all
+   * changes. So do entries with an unsynced configuration: if the leader lost it
+   * in a crash, a member that has it as its newest entry, and may not lead
+   * because of it, would prevent the re-election of the leader in a group of
+   * two.
    */
   sequenceFor(message: RaftMessage): number {
     const needsOnlyHardState = (message.kind === "append" &&
--- a/src/process/replication/proposal_table.ts
+++ b/src/process/replication/proposal_table.ts
@@ -79,7 +79,7 @@
     );
   }
 
-  /** A snapshot replaced these entries. */
+  /** A snapshot replaced the entries up to `throughIndex`. */
   markSkipped(throughIndex: number): void {
     for (const index of [...this.#appended.keys()]) {
       if (index <= throughIndex) {
--- a/src/process/replication/raft_core.ts
+++ b/src/process/replication/raft_core.ts
@@ -109,7 +109,10 @@
     return leaseEndMs(this.#state);
   }
 
-  /** Whether this member leads under a valid lease. */
+  /**
+   * Whether this member leads under a valid lease and knows all committed
+   * entries.
+   */
   isLeaseHeld(nowMs: number): boolean {
     this.#state.nowMs = nowMs;
     return isLeaseHeld(this.#state);
@@ -129,7 +132,8 @@
 
   /**
    * Whether a command that is acknowledged now survives the loss of any one
-   * member. False after a restart of all members until a second one is back.
+   * member, if the group has several voters. It doesn't while only one voter has
+   * its state, as after a restart of all members of which one has a disk.
    */
   isRedundant(): boolean {
     const state = this.#state;
--- a/src/process/replication/raft_effect.ts
+++ b/src/process/replication/raft_effect.ts
@@ -25,7 +25,7 @@
     readonly from: InstanceId;
     readonly envelope: RaftEnvelope;
   }
-  /** Answered by {@link ProposalTaken} or {@link ProposalRefused}. */
+  /** Answered by {@link ProposalAppended} or {@link ProposalRejected}. */
   | {
     readonly kind: "propose";
     readonly token: number;
--- a/src/process/replication/raft_message.ts
+++ b/src/process/replication/raft_message.ts
@@ -38,8 +38,8 @@
     isPreVote: z.boolean(),
     isGranted: z.boolean(),
     /**
-     * Whether the member would vote if no leader exists: it knows of none, and
-     * at most withholds its vote for an earlier one.
+     * Whether the member would vote if no leader exists: it knows of none other
+     * than the candidate, but may still withhold its vote for an earlier one.
      */
     isWilling: z.boolean(),
   }),
@@ -56,7 +56,8 @@
     /** The newest timestamp of the receiver's clock that the leader has. */
     stampMs: z.number(),
     /**
-     * Whether the leader held its lease when sending: no other leader existed.
+     * Whether the leader, when sending, held its lease, so that no other leader
+     * existed, and knew all committed entries.
      */
     isLeaseHeld: z.boolean(),
   }),
@@ -139,7 +140,10 @@
   z.strictObject({
     kind: z.literal("readReply"),
     id: count,
-    /** What the reader must have applied; absent if the receiver can't tell. */
+    /**
+     * The index that must be applied before the read; absent if the sender
+     * holds no lease.
+     */
     index: count.optional(),
   }),
 ]);
@@ -183,7 +187,7 @@
 }
 
 /** Validates a received envelope; `malformed` if it is none. */
-export function decodeEnvelope(body: unknown): Result<RaftEnvelope> {
+export function validateEnvelope(body: unknown): Result<RaftEnvelope> {
   const parsed = envelopeSchema.safeParse(body);
   if (parsed.success) {
     return Right(parsed.data);
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -59,7 +59,7 @@
   readonly granted: Set<InstanceId>;
   /** Members that know of no leader and would vote if none exists. */
   readonly willing: Set<InstanceId>;
-  /** Members that agreed, but don't vote in their current incarnation. */
+  /** Members that agreed, but aren't voters in their current incarnation. */
   readonly withoutVote: Set<InstanceId>;
 }
 
@@ -95,6 +95,7 @@
   /** This member grants no vote until then: its leader may hold a lease. */
   withholdVotesUntilMs: number;
   electionDueMs = Infinity;
+  /** When the next `follow` or `formRequest` messages are due. */
   followDueMs = 0;
   tally: VoteTally | undefined;
   /** Elections since a leader was last known, pre-votes not counted. */
@@ -159,6 +160,7 @@
     return this.log.configuration;
   }
 
+  /** Whether this member has no group state. */
   get isFresh(): boolean {
     return this.formationId === undefined;
   }
@@ -193,9 +195,9 @@
 
   /**
    * Whether this member may be elected: it is a voter, or its removal isn't
-   * known to be committed. Without the latter, a group of two might get no
-   * leader: the other member's log, if it lacks the entry that removes this
-   * one, is older, so that it can't be elected either.
+   * known to be committed. If only voters were electable, a group of two might
+   * get no leader: the other member can't be elected if its log lacks the entry
+   * that removes this one, as an older log gets no votes.
    */
   isElectable(): boolean {
     if (this.isVoterNow()) {
@@ -214,7 +216,8 @@
   }
 
   /**
-   * Whether an operator declared the loss of the member's current incarnation.
+   * Whether an operator declared the member lost; for a voter, whether that
+   * applies to the incarnation in the configuration.
    */
   isDeclaredLost(id: InstanceId): boolean {
     const isVoter = findVoter(this.configuration, id) !== undefined;
--- a/src/process/replication/replicated_log.ts
+++ b/src/process/replication/replicated_log.ts
@@ -45,6 +45,7 @@
 /** The status of a group member. */
 export interface MemberStatus {
   readonly groupId: string;
+  /** `learner` also once the member has stopped. */
   readonly role: MemberRole;
   /** The current Raft term. */
   readonly term: number;
@@ -79,7 +80,7 @@
   ): Promise<Result<Outcome>>;
   /**
    * Resolves once this member has applied everything that was committed before
-   * the call.
+   * the call. Fails with `unavailable` if it hasn't by the deadline.
    */
   readBarrier(options: { deadlineMs: number }): Promise<Result<void>>;
   status(): MemberStatus;
--- a/src/process/replication/replication_member.ts
+++ b/src/process/replication/replication_member.ts
@@ -92,7 +92,7 @@
 /** The catch-up rate if no limit is set. */
 const UNLIMITED_BYTES_PER_SECOND = 1e12;
 
-/** The parts of a member that opening it creates. */
+/** What {@link ReplicationMember.open} loads and creates. */
 interface OpenedMember<Command, Outcome> {
   readonly log: StoredLog;
   readonly store: LogStore | undefined;
@@ -290,9 +290,10 @@
   }
 
   /**
-   * Resolves once the next leader is known here and so are the results of the
-   * commands in this member's log, or after a time limit. A member that closed
-   * earlier might not have sent the messages that still wait for its disk.
+   * Transfers leadership if this member leads. Resolves once the next leader
+   * and the results of all commands in this member's log are known here, or
+   * after a time limit: a member that closed earlier might not have sent the
+   * messages that still wait for its disk.
    */
   async handOver(): Promise<void> {
     if (!this.#mayHandOver()) {
--- a/src/process/replication/replication_member_test.ts
+++ b/src/process/replication/replication_member_test.ts
@@ -191,7 +191,7 @@
   await group.runUntilDone(stopped);
 }
 
-test("members change one at a time and committed commands remain", async (t) => {
+test("a removed leader that is added again has all commands", async (t) => {
   const group = new MemberGroup(diskVoters("a", "b", "c"));
   await group.startAll();
   await group.run(1_000);
--- a/src/process/replication/replication_timing.ts
+++ b/src/process/replication/replication_timing.ts
@@ -26,7 +26,10 @@
    * A follower grants no vote for this long after a message from its leader.
    */
   leaderSilenceMs: 1_300,
-  /** The bounds of the random time after which a silent leader is given up. */
+  /**
+   * The bounds of the random time without a message from the leader after which
+   * a follower starts an election.
+   */
   electionMinMs: 1_400,
   electionMaxMs: 1_800,
   /** The bounds of the random time after which a candidate tries again. */
@@ -44,7 +47,7 @@
   snapshotEntries: 4_096,
   /** The same limit in bytes. */
   snapshotBytes: 2 * 1024 * 1024,
-  /** Applied entries kept in memory for slow followers. */
+  /** Entries before the snapshot kept in memory for slow followers. */
   tailEntries: 512,
   /** The uncommitted entries above which a leader rejects commands. */
   pendingEntries: 4_096,
--- a/src/process/replication/testing/fault_session.ts
+++ b/src/process/replication/testing/fault_session.ts
@@ -168,7 +168,10 @@
   }
 }
 
-/** Restarts all members at once; only what is on the disks remains. */
+/**
+ * Restarts all members at once; only what is on the disks remains. Does nothing
+ * if that might lose committed entries.
+ */
 export function restartAll(simulation: RaftSimulation): void {
   const hasDisk = [...simulation.members.values()].some((member) =>
     member.options.self.isDurable && member.core !== undefined
--- a/src/process/replication/testing/group_oracle.ts
+++ b/src/process/replication/testing/group_oracle.ts
@@ -31,6 +31,7 @@
   #appended = new Map<string, number>();
   /** The highest acknowledged index when each command was proposed. */
   #acknowledgedBefore = new Map<number, number>();
+  /** The highest index of an acknowledged command. */
   #highestIndex = 0;
 
   constructor(options: { mayLoseState: boolean }) {
--- a/src/process/replication/testing/raft_simulation.ts
+++ b/src/process/replication/testing/raft_simulation.ts
@@ -29,7 +29,10 @@
   readonly delayMs?: number;
   /** The longest sync, in milliseconds. */
   readonly syncMs?: number;
-  /** Whether state may be lost, so that only leases are checked. */
+  /**
+   * Whether state may be lost: then the oracle checks only the leases, and that
+   * all members agree at the end.
+   */
   readonly mayLoseState?: boolean;
 }
 
--- a/src/process/replication/voter_count_test.ts
+++ b/src/process/replication/voter_count_test.ts
@@ -5,7 +5,10 @@
 const IDS = ["a", "b", "c", "d", "e", "f"];
 const WANTED_VOTERS = 5;
 
-/** Six instances with a disk, formed by three of them; two may be lost. */
+/**
+ * Six instances with a disk: three form the group and five vote, so that two may
+ * be lost.
+ */
 async function openGroup(): Promise<MemberGroup> {
   const group = new MemberGroup(
     IDS.map((id) => ({ id, isVoter: true, isDurable: true })),
