Second read of the scheduler runtime's wording

Comments that disagreed with the code are corrected: forwarding of calls (only queries are forwarded once), the isNew field of answers, the zero lease end of gangs that have ended, the worker clock's order within an incarnation, histories shared by data centres, and transfer targets. Clipped or ambiguous comments are reworded, the reason of the last stop command is back, undocumented fields are documented, two test titles say what they check, three locals get plain names. No behaviour changes.

--- a/src/process/scheduler/runtime/call_handler.ts
+++ b/src/process/scheduler/runtime/call_handler.ts
@@ -56,7 +56,7 @@
     this.#options = options;
   }
 
-  /** Handles a call; one that was already forwarded isn't forwarded again. */
+  /** Handles a call; a query that was forwarded isn't forwarded again. */
   async handle(
     call: SchedulerCall,
     options: { isPassedOn: boolean },
@@ -127,7 +127,10 @@
       };
   }
 
-  /** Forwards a query to the leader, which alone knows why jobs wait. */
+  /**
+   * Forwards a query to the leader, which alone knows why jobs wait; answers it
+   * here if the leader can't be reached.
+   */
   async #query(
     call: SchedulerCall,
     options: { isPassedOn: boolean },
--- a/src/process/scheduler/runtime/data_centre_choice.ts
+++ b/src/process/scheduler/runtime/data_centre_choice.ts
@@ -37,7 +37,8 @@
 
 /**
  * The data centres to which a job that waits in `here` may be transferred, best
- * first: none when it can run here, or when waiting elsewhere has no advantage.
+ * first. None when it can run here, when no other one could hold it, or when
+ * all that could are out and `here` could run it too once it is in.
  */
 export function transferTargets(
   job: JobSpecification,
--- a/src/process/scheduler/runtime/data_centre_out_test.ts
+++ b/src/process/scheduler/runtime/data_centre_out_test.ts
@@ -142,7 +142,7 @@
     const { environment, first, second } = makePair();
     await first.advance(2_000);
     takeOut(first);
-    await first.advance(500); // Now every copy says so, and nothing starts here.
+    await first.advance(500); // Every copy says "out" now; nothing starts here.
     const job = { jobId: "j1", dataCentres: ["dc1", "dc2"] };
     const submitted = first.submit(job);
     await first.advance(250 + stepMs);
--- a/src/process/scheduler/runtime/gang.ts
+++ b/src/process/scheduler/runtime/gang.ts
@@ -23,6 +23,7 @@
   readonly grantedUntilMs: number;
 }
 
+/** One worker of the gang. */
 interface Member {
   readonly taskIndexes: readonly number[];
   /** The latest time at which the worker is known to have held its tasks. */
@@ -31,7 +32,7 @@
   grantedUntilMs: number;
 }
 
-/** One attempt of a gang. */
+/** One attempt of a job, run as a gang of tasks. */
 export class Gang {
   readonly jobId: JobId;
   readonly attempt: number;
@@ -127,8 +128,9 @@
 
   /**
    * The lease end to grant to each worker: `leaseMs` after the earliest
-   * confirmation among the workers with unfinished tasks. Zero once a task
-   * failed, was stopped or was lost, so that a broken gang isn't kept running.
+   * confirmation among the workers with unfinished tasks. Zero once every task
+   * has ended, or once one failed, was stopped or was lost, so that a broken
+   * gang isn't kept running.
    */
   renewalEndMs(leaseMs: number): number {
     if ([...this.#outcomes.values()].some((outcome) => !endedWell(outcome))) {
--- a/src/process/scheduler/runtime/gang_starter.ts
+++ b/src/process/scheduler/runtime/gang_starter.ts
@@ -17,6 +17,7 @@
   /** Reservations and started tasks must be released. */
   | {
     readonly kind: "failed";
+    /** The workers that refused or did not answer. */
     readonly workerIds: readonly WorkerId[];
     readonly detail: string;
   };
@@ -91,7 +92,7 @@
     if (outcome?.kind === "applied") {
       return true;
     }
-    // An earlier proposal of this command may be committed without an answer.
+    // An earlier proposal may have been committed although its answer was lost.
     const open = this.#context.openAttempt(jobId);
     return outcome !== undefined && open?.attempt === attempt &&
       open.term === this.#context.term;
--- a/src/process/scheduler/runtime/gang_stopper.ts
+++ b/src/process/scheduler/runtime/gang_stopper.ts
@@ -58,7 +58,7 @@
       }
       await delay(clock, STOP_RETRY_MS);
     }
-    // The lease has expired; this only frees a leftover reservation early.
+    // Not needed for safety: it only frees a leftover reservation early.
     void this.#sendStop(gang, {
       workerId,
       body: this.#stopBody(gang, STOP_IMMEDIATELY),
--- a/src/process/scheduler/runtime/gang_table.ts
+++ b/src/process/scheduler/runtime/gang_table.ts
@@ -46,7 +46,7 @@
     return this.#gangs.get(key(jobId, attempt));
   }
 
-  /** Adds the open attempt of a job that an earlier leader recorded. */
+  /** Adds the job's open attempt, if any, which an earlier leader recorded. */
   recover(record: JobRecord): Gang | undefined {
     const open = record.openAttempt;
     if (open === undefined) {
--- a/src/process/scheduler/runtime/job_intake.ts
+++ b/src/process/scheduler/runtime/job_intake.ts
@@ -37,7 +37,7 @@
     return this.#awaitingTransfer;
   }
 
-  /** Resumes transfers; returns the records from which the core restores. */
+  /** Resumes transfers; returns the records of jobs for the core to restore. */
   prepareInitialRecords(): readonly JobRecord[] {
     const { ledger, transferrer } = this.#options;
     transferrer.resume();
--- a/src/process/scheduler/runtime/job_ledger_test.ts
+++ b/src/process/scheduler/runtime/job_ledger_test.ts
@@ -104,7 +104,7 @@
   );
 });
 
-test("attempt numbers increase, one is open at a time, by the newest term", (t) => {
+test("an attempt is intended only with a new number, by the newest term, while no other is open", (t) => {
   fc.assert(
     fc.property(fc.array(command, { maxLength: 80 }), (all) => {
       const ledger = new JobLedger();
@@ -166,7 +166,7 @@
   t.true(new JobLedger().restore(bytes).isLeft());
 });
 
-test("a time of the worker's clock never comes after the leader's", (t) => {
+test("a time converted to the worker's clock never comes later than on the leader's", (t) => {
   fc.assert(
     fc.property(
       fc.double({ min: -0.0005, max: 0.0005, noNaN: true }),
--- a/src/process/scheduler/runtime/job_record.ts
+++ b/src/process/scheduler/runtime/job_record.ts
@@ -42,7 +42,7 @@
   detail: z.string().optional(),
 });
 
-/** A move to another data centre. */
+/** A transfer to another data centre. */
 export const jobTransferSchema = z.strictObject({
   toDataCentre: identity,
   intendedAtMs: timestampMs,
@@ -54,7 +54,7 @@
 export const jobRecordSchema = z.strictObject({
   specification: jobSpecificationSchema,
   submittedAtMs: timestampMs,
-  /** How often the job has moved between data centres. */
+  /** How often the job has been transferred to another data centre. */
   transfers: z.int().min(0),
   /** The highest attempt number used. */
   attemptsUsed: z.int().min(0),
--- a/src/process/scheduler/runtime/job_transferrer.ts
+++ b/src/process/scheduler/runtime/job_transferrer.ts
@@ -107,9 +107,9 @@
   }
 
   #targets(record: JobRecord): readonly DataCentreId[] {
-    const isFree = isOwned(record) && !record.isCancelled &&
+    const isTransferable = isOwned(record) && !record.isCancelled &&
       record.openAttempt === undefined;
-    if (!isFree) {
+    if (!isTransferable) {
       return [];
     }
     const { configuration, dataCentre } = this.#options;
--- a/src/process/scheduler/runtime/job_view.ts
+++ b/src/process/scheduler/runtime/job_view.ts
@@ -51,6 +51,7 @@
   incarnation: z.int(),
   isLeaving: z.boolean(),
   isQuarantined: z.boolean(),
+  /** When its last report or answer arrived at that instance. */
   heardAtMs: z.number(),
   runningTasks: z.int(),
 });
--- a/src/process/scheduler/runtime/leader_failure_test.ts
+++ b/src/process/scheduler/runtime/leader_failure_test.ts
@@ -6,7 +6,7 @@
   makeEnvironment,
 } from "./testing/data_centre_simulation.ts";
 
-/** The duration of a lease, lengthened by the permitted clock drift. */
+/** How long a gang may run partially: a lease, plus the permitted drift. */
 const PARTIAL_LIMIT_MS = LEASE_DEFAULTS.leaseMs *
   (1 + LEASE_DEFAULTS.clockDriftFraction);
 
@@ -22,13 +22,13 @@
 function checkHistory(
   t: ExecutionContext,
   simulation: DataCentreSimulation,
-  note = "",
+  label = "",
 ): void {
-  t.deepEqual(simulation.history.violations, [], note);
+  t.deepEqual(simulation.history.violations, [], label);
   const tasksOf = (jobId: string) =>
     simulation.ledger.get(jobId)?.specification.tasks ?? 1;
   const partialMs = simulation.history.longestPartialMs(tasksOf);
-  t.true(partialMs <= PARTIAL_LIMIT_MS, `${note}: partial ${partialMs} ms`);
+  t.true(partialMs <= PARTIAL_LIMIT_MS, `${label}: partial ${partialMs} ms`);
 }
 
 for (const fault of ["dies", "is partitioned"] as const) {
--- a/src/process/scheduler/runtime/leader_session.ts
+++ b/src/process/scheduler/runtime/leader_session.ts
@@ -281,7 +281,10 @@
     });
   }
 
-  /** Feeds an event; all but usage reports trigger a tick shortly after. */
+  /**
+   * Feeds an event. After recovery, a tick follows shortly after every event
+   * except usage reports.
+   */
   #feed(event: SchedulerEvent): void {
     this.#driver.feed(event);
     if (this.#isRecovering || event.kind === "workerUsageReported") {
--- a/src/process/scheduler/runtime/lease_renewer.ts
+++ b/src/process/scheduler/runtime/lease_renewer.ts
@@ -32,7 +32,7 @@
     this.#pendingForgets.set(workerId, references);
   }
 
-  /** Sends a renewal to each worker with leases or ended attempts. */
+  /** Sends a renewal to each worker with leases to renew or tasks to forget. */
   renewAll(): void {
     const byWorker = new Map<WorkerId, Gang[]>();
     for (const gang of this.#options.gangs()) {
--- a/src/process/scheduler/runtime/lease_rule.ts
+++ b/src/process/scheduler/runtime/lease_rule.ts
@@ -25,11 +25,11 @@
   readonly reservationMs: number;
   /** By which fraction the rates of two clocks may differ. */
   readonly clockDriftFraction: number;
-  /** How long before the end of leadership commands already expire. */
+  /** How long before leadership ends the leader's commands expire. */
   readonly leadershipMarginMs: number;
 }
 
-/** The lease options of the daemon. */
+/** Defaults of {@link LeaseOptions}. */
 export const LEASE_DEFAULTS: LeaseOptions = {
   leaseMs: 10_000,
   renewPeriodMs: 2_000,
--- a/src/process/scheduler/runtime/peer_calls.ts
+++ b/src/process/scheduler/runtime/peer_calls.ts
@@ -1,5 +1,5 @@
 /**
- * Calls with answers between instances, built on one-way messages.
+ * Request-response calls between instances, built on one-way messages.
  *
  * @module
  */
--- a/src/process/scheduler/runtime/recovery.ts
+++ b/src/process/scheduler/runtime/recovery.ts
@@ -35,7 +35,10 @@
     this.#endMs = earlierLeasesEndMs(clock.nowMs(), lease);
   }
 
-  /** Returns once every gang is known to be intact or has been stopped. */
+  /**
+   * Returns once every gang is known to be intact or has been stopped, or once
+   * this instance no longer leads.
+   */
   async run(gangs: readonly Gang[]): Promise<void> {
     await Promise.all(gangs.map((gang) => this.#recover(gang)));
   }
@@ -61,6 +64,7 @@
   ): Promise<readonly HeldTask[]> {
     const { clock, caller } = this.#options.context;
     while (this.#options.context.isLeading() && clock.nowMs() <= this.#endMs) {
+      // An empty renewal, sent for the holdings in its answer.
       const result = await caller.call(workerId, {
         buildCommand: () => ({ kind: "renew", leases: [], forget: [] }),
       });
--- a/src/process/scheduler/runtime/runtime_fuzz_test.ts
+++ b/src/process/scheduler/runtime/runtime_fuzz_test.ts
@@ -15,6 +15,7 @@
   makeEnvironment,
 } from "./testing/data_centre_simulation.ts";
 
+/** How long a gang may run partially: a lease, plus the permitted drift. */
 const PARTIAL_LIMIT_MS = LEASE_DEFAULTS.leaseMs *
   (1 + LEASE_DEFAULTS.clockDriftFraction);
 
--- a/src/process/scheduler/runtime/scheduler_message.ts
+++ b/src/process/scheduler/runtime/scheduler_message.ts
@@ -40,7 +40,7 @@
 export const schedulerAnswerSchema = z.discriminatedUnion("kind", [
   z.strictObject({
     kind: z.literal("job"),
-    /** False if an earlier call had the same effect, or the job had ended. */
+    /** Whether this call changed the job; a query or repeated call doesn't. */
     isNew: z.boolean(),
     job: jobViewSchema,
   }),
@@ -65,7 +65,7 @@
   z.strictObject({
     kind: z.literal("call"),
     callId: z.int(),
-    /** Whether another instance forwarded it; it isn't forwarded again. */
+    /** Whether another instance forwarded it; a query isn't forwarded twice. */
     isPassedOn: z.boolean(),
     call: schedulerCallSchema,
   }),
--- a/src/process/scheduler/runtime/scheduler_runtime.ts
+++ b/src/process/scheduler/runtime/scheduler_runtime.ts
@@ -160,7 +160,7 @@
     return answer.chain(asAccepted);
   }
 
-  /** Refuses a job that never fits, unless it was accepted while it could. */
+  /** Refuses a job that never fits, unless it was accepted when it did fit. */
   async #refuseMisfit(
     jobId: JobId,
     detail: string,
@@ -189,7 +189,10 @@
     return answer.chain(asAccepted);
   }
 
-  /** Looks a job up in this data centre, then in the others. */
+  /**
+   * Looks a job up in this data centre, then in the others. `notFound` only if
+   * all of them answered; else `unavailable`.
+   */
   async findJob(jobId: JobId): Promise<Result<QueryResult<JobView>>> {
     const call: SchedulerCall = { kind: "job", jobId };
     const own = await this.#callDataCentre(this.#options.dataCentre, call);
--- a/src/process/scheduler/runtime/session_context.ts
+++ b/src/process/scheduler/runtime/session_context.ts
@@ -27,7 +27,10 @@
   | "releaseAll"
   /** Recovery waits for silent workers until their leases have expired. */
   | "recoveryWait"
-  /** Leases end at most `leaseMs` after all of the gang was confirmed. */
+  /**
+   * Leases end at most `leaseMs` after the oldest of the latest confirmations
+   * by the gang's workers.
+   */
   | "gangEvidence"
   /** A stop waits for the worker's confirmation or the end of its lease. */
   | "lapseWait"
--- a/src/process/scheduler/runtime/testing/fake_links.ts
+++ b/src/process/scheduler/runtime/testing/fake_links.ts
@@ -21,6 +21,7 @@
   readonly latePerMille: number;
   /** The longest delay of a late message. */
   readonly lateMs: number;
+  /** The longest delay of any other message. */
   readonly delayMs: number;
 }
 
--- a/src/process/scheduler/runtime/testing/run_history.ts
+++ b/src/process/scheduler/runtime/testing/run_history.ts
@@ -16,7 +16,7 @@
   readonly taskIndex: number;
 }
 
-/** The starts and ends of tasks on all workers of one data centre. */
+/** The starts and ends of tasks on the workers of one or more data centres. */
 export class RunHistory {
   readonly events: TimedTaskEvent[] = [];
   readonly violations: string[] = [];
--- a/src/process/scheduler/runtime/worker_caller.ts
+++ b/src/process/scheduler/runtime/worker_caller.ts
@@ -1,5 +1,6 @@
 /**
- * Sends a leader's commands to workers, each fenced against late arrival.
+ * Sends a leader's commands to workers, each with a fence that lets the worker
+ * refuse it once it is outdated.
  *
  * @module
  */
--- a/src/process/scheduler/runtime/worker_report.ts
+++ b/src/process/scheduler/runtime/worker_report.ts
@@ -47,8 +47,9 @@
   workerId: identity,
   /** Increases with every start of the worker's process. */
   incarnation: z.int().min(1),
-  /** The worker's own clock at the time of writing; it always increases. */
+  /** The worker's own clock; higher in each message of an incarnation. */
   workerClockMs: z.number().min(0),
+  /** The highest term of a command whose fence the worker accepted. */
   highestTerm: z.int().min(0),
   isLeaving: z.boolean(),
   tasks: z.array(heldTaskSchema).max(4096),
--- a/src/process/scheduler/runtime/worker_watcher.ts
+++ b/src/process/scheduler/runtime/worker_watcher.ts
@@ -60,8 +60,8 @@
     const { clock, lease, workers } = this.#context;
     const nowMs = clock.nowMs();
     for (const workerId of [...this.#watched.keys()]) {
-      const heardAtMs = workers.get(workerId)?.anchor.receivedAtMs ?? 0;
-      if (heardAtMs + lease.leaseMs < nowMs) {
+      const receivedAtMs = workers.get(workerId)?.anchor.receivedAtMs ?? 0;
+      if (receivedAtMs + lease.leaseMs < nowMs) {
         this.#lose(workerId);
       }
     }
