--- a/src/process/batch/batch_service.ts
+++ b/src/process/batch/batch_service.ts
@@ -142,7 +142,7 @@
   }
 
   /** Takes a data centre out of service, or back in. */
-  async switchDataCentre(
+  async setDataCentreStatus(
     dataCentre: string,
     options: { isOut: boolean; deadlineMs: number },
   ): Promise<Result<void>> {
