Reword the batch benches

Values of jobs were called worth, owed and credit; options and locals had vague names (settles, spread, lasts). Comments and identifiers now use the terms of the batch scheduler.

--- a/bench/batch/decision_cost.ts
+++ b/bench/batch/decision_cost.ts
@@ -1,6 +1,6 @@
 /**
- * What one look of the planner takes, by the number of workers; the load grows
- * with them: `node dist/bench/batch/decision_cost.js`.
+ * Measures the time of one planning pass by the number of workers, with the
+ * load in proportion to them: `node dist/bench/batch/decision_cost.js`.
  *
  * @module
  */
@@ -11,32 +11,33 @@
 import { RATING_LOAD } from "./load.ts";
 import { Simulation } from "./simulation.ts";
 
-const SIZES = [33, 100, 246, 720];
+const WORKER_COUNTS = [33, 100, 246, 720];
 const LENGTH_MS = 12_000;
+/** The number of workers that the load is defined for. */
 const NOMINAL_WORKERS = 33;
 
-for (const workers of SIZES) {
-  const tookMs: number[] = [];
+for (const workers of WORKER_COUNTS) {
+  const timesMs: number[] = [];
   const simulation = new Simulation({
     load: RATING_LOAD,
     random: new SeededRandom({ seed: 77_777 }),
-    factor: workers / NOMINAL_WORKERS,
+    loadFactor: workers / NOMINAL_WORKERS,
     burstFactor: 1,
     workers,
     lengthMs: LENGTH_MS,
-    settles: false,
+    runsToCompletion: false,
     onPlan: (plan) => {
-      const beganMs = performance.now();
+      const startMs = performance.now();
       plan();
-      tookMs.push(performance.now() - beganMs);
+      timesMs.push(performance.now() - startMs);
     },
   });
   simulation.run();
-  tookMs.sort((a, b) => a - b);
-  const at = (share: number) =>
-    tookMs[Math.floor((tookMs.length - 1) * share)]!.toFixed(2);
+  timesMs.sort((a, b) => a - b);
+  const at = (fraction: number) =>
+    timesMs[Math.floor((timesMs.length - 1) * fraction)]!.toFixed(2);
   process.stdout.write(
-    `${workers} workers: ${tookMs.length} looks, ${at(0.5)} ms median, ` +
+    `${workers} workers: ${timesMs.length} plans, ${at(0.5)} ms median, ` +
       `${at(0.99)} ms p99, ${at(1)} ms at most\n`,
   );
 }
--- a/bench/batch/load.ts
+++ b/bench/batch/load.ts
@@ -1,5 +1,5 @@
 /**
- * Seeded loads of batch jobs, shaped like those of the two deployments.
+ * Seeded loads of batch jobs, modelled on those of the two deployments.
  *
  * @module
  */
@@ -7,17 +7,21 @@
 import type { RandomSource } from "../../src/base/mod.ts";
 import type { JobSpec, StepSpec } from "../../src/process/batch/mod.ts";
 
-/** One kind of job. */
+/** A kind of job: its arrival rate, its shape and how it is valued. */
 export interface JobKind {
   readonly queue: string;
   readonly priority: number;
   readonly jobsPerS: number;
-  readonly worth: number;
-  readonly lateWorth: number;
+  /** Value of a job of typical work that meets its objective. */
+  readonly value: number;
+  /** Value of such a job that takes at most three times its objective. */
+  readonly lateValue: number;
   readonly attempts: number;
   readonly stretch: number;
   readonly slackMs: number;
+  /** Duration of a task, log-normal about `mean` with sigma `spread`. */
   readonly workMs: { mean: number; spread: number; limit: number };
+  /** Number of tasks, drawn like `workMs`. */
   readonly width: { mean: number; spread: number; limit: number };
   readonly cpuMilli: number;
   readonly memoryMb: number;
@@ -27,7 +31,7 @@
   readonly checkpointShare: number;
   readonly dataRackShare: number;
   readonly failureShare: number;
-  /** How far estimates are off, as a share either way. */
+  /** Largest relative error of estimates, in either direction. */
   readonly estimateError: number;
 }
 
@@ -40,18 +44,18 @@
   readonly kinds: readonly JobKind[];
 }
 
-/** A job of the load with the truth about its tasks. */
-export interface LoadedJob {
+/** A job of the load with the actual durations of its tasks. */
+export interface SimulatedJob {
   readonly id: string;
   readonly kind: JobKind;
   readonly arrivesAtMs: number;
   readonly account: string;
   readonly spec: JobSpec;
-  /** True durations on a sound worker, by step and task. */
+  /** Actual durations on a worker of normal speed, by step and task. */
   readonly durationsMs: readonly (readonly number[])[];
 }
 
-/** Clearances: short urgent checks, audits and wide scans. */
+/** The clearance deployment: short urgent checks, audits and wide scans. */
 export const CLEARANCE_LOAD: Load = {
   name: "clearance",
   cpuMilli: 32_000,
@@ -61,8 +65,8 @@
     newKind("audit", {
       priority: 1,
       jobsPerS: 0.4,
-      worth: 3,
-      lateWorth: 0.3,
+      value: 3,
+      lateValue: 0.3,
       slackMs: 1_200,
       workMs: { mean: 11_000, spread: 0.3, limit: 11_000 },
       width: { mean: 5, spread: 0.8, limit: 30 },
@@ -76,8 +80,8 @@
     newKind("check", {
       priority: 0,
       jobsPerS: 1.5,
-      worth: 4,
-      lateWorth: 0.8,
+      value: 4,
+      lateValue: 0.8,
       stretch: 1.5,
       slackMs: 500,
       workMs: { mean: 2_500, spread: 0.5, limit: 8_000 },
@@ -90,8 +94,8 @@
     newKind("scan", {
       priority: 2,
       jobsPerS: 0.47,
-      worth: 1,
-      lateWorth: 0.1,
+      value: 1,
+      lateValue: 0.1,
       attempts: 3,
       slackMs: 3_000,
       workMs: { mean: 7_600, spread: 0.3, limit: 11_000 },
@@ -106,7 +110,7 @@
   ],
 };
 
-/** Loft rating: quote checks beside simulations and sweeps. */
+/** The loft rating deployment: quote checks, simulations and sweeps. */
 export const RATING_LOAD: Load = {
   name: "rating",
   cpuMilli: 128_000,
@@ -116,8 +120,8 @@
     newKind("simulation", {
       priority: 1,
       jobsPerS: 0.7,
-      worth: 3,
-      lateWorth: 0.9,
+      value: 3,
+      lateValue: 0.9,
       slackMs: 1_200,
       workMs: { mean: 8_500, spread: 0.3, limit: 11_000 },
       width: { mean: 4, spread: 0.8, limit: 24 },
@@ -132,8 +136,8 @@
     newKind("quote", {
       priority: 0,
       jobsPerS: 1.9,
-      worth: 4,
-      lateWorth: 0.8,
+      value: 4,
+      lateValue: 0.8,
       attempts: 3,
       stretch: 1.5,
       slackMs: 500,
@@ -148,8 +152,8 @@
     newKind("sweep", {
       priority: 2,
       jobsPerS: 0.85,
-      worth: 1,
-      lateWorth: 0.3,
+      value: 1,
+      lateValue: 0.3,
       attempts: 3,
       slackMs: 3_000,
       workMs: { mean: 6_100, spread: 0.3, limit: 11_000 },
@@ -171,8 +175,8 @@
       JobKind,
       | "priority"
       | "jobsPerS"
-      | "worth"
-      | "lateWorth"
+      | "value"
+      | "lateValue"
       | "slackMs"
       | "workMs"
       | "width"
@@ -196,27 +200,27 @@
   };
 }
 
-/** What a run of a load is drawn from. */
+/** Options of {@link drawLoad}. */
 export interface LoadOptions {
   readonly random: RandomSource;
   readonly lengthMs: number;
-  /** How much more of the urgent kind comes in a burst, and when. */
+  /** Multiplies the arrival rate of urgent kinds during the given time. */
   readonly burst: { factor: number; fromMs: number; untilMs: number };
   readonly racks: readonly string[];
-  /** More or less of everything. */
-  readonly factor: number;
+  /** Multiplies the arrival rate of every kind. */
+  readonly loadFactor: number;
 }
 
-/** All jobs of a run, by their arrival. */
-export function drawLoad(load: Load, options: LoadOptions): LoadedJob[] {
-  const jobs: LoadedJob[] = [];
+/** Draws all jobs of a run, in order of arrival. */
+export function drawLoad(load: Load, options: LoadOptions): SimulatedJob[] {
+  const jobs: SimulatedJob[] = [];
   for (const kind of load.kinds) {
     let atMs = 0;
     for (;;) {
-      const { burst, factor, random } = options;
+      const { burst, loadFactor, random } = options;
       const isBurst = kind.priority === 0 && atMs >= burst.fromMs &&
         atMs < burst.untilMs;
-      const perS = kind.jobsPerS * factor * (isBurst ? burst.factor : 1);
+      const perS = kind.jobsPerS * loadFactor * (isBurst ? burst.factor : 1);
       atMs += -Math.log(1 - random.nextUnit()) * 1_000 / perS;
       if (atMs >= options.lengthMs) {
         break;
@@ -232,13 +236,13 @@
   id: string,
   arrivesAtMs: number,
   { random, racks }: LoadOptions,
-): LoadedJob {
-  const draw = (share: number) => random.nextUnit() < share;
+): SimulatedJob {
+  const drawBoolean = (share: number) => random.nextUnit() < share;
   const pick = <T>(list: readonly T[]) => list[random.nextInt(list.length)]!;
-  const taskCount = Math.max(1, Math.round(drawSkewed(kind.width, random)));
-  const workMs = drawSkewed(kind.workMs, random);
-  const isGang = draw(kind.gangShare);
-  const error = 1 + (2 * random.nextUnit() - 1) * kind.estimateError;
+  const taskCount = Math.max(1, Math.round(drawLogNormal(kind.width, random)));
+  const workMs = drawLogNormal(kind.workMs, random);
+  const isGang = drawBoolean(kind.gangShare);
+  const estimateFactor = 1 + (2 * random.nextUnit() - 1) * kind.estimateError;
   const step: StepSpec = {
     taskCount,
     demand: {
@@ -246,14 +250,16 @@
       memoryMb: kind.memoryMb,
       accelerators: pick(kind.accelerators),
     },
-    estimateMs: Math.max(100, workMs * error),
+    estimateMs: Math.max(100, workMs * estimateFactor),
     afterSteps: [],
-    isCheckpointing: draw(kind.checkpointShare),
+    isCheckpointing: drawBoolean(kind.checkpointShare),
     isGang,
-    prefersOneRack: isGang && draw(kind.oneRackShare),
+    prefersOneRack: isGang && drawBoolean(kind.oneRackShare),
     isLasting: false,
     requiredLabel: undefined,
-    dataRack: !isGang && draw(kind.dataRackShare) ? pick(racks) : undefined,
+    dataRack: !isGang && drawBoolean(kind.dataRackShare)
+      ? pick(racks)
+      : undefined,
     tasksPerWorkerLimit: undefined,
   };
   return {
@@ -271,8 +277,8 @@
   };
 }
 
-/** A log-normal draw about a mean, cut off at a limit. */
-function drawSkewed(
+/** Draws from a log-normal distribution, capped at the limit. */
+function drawLogNormal(
   shape: { mean: number; spread: number; limit: number },
   random: RandomSource,
 ): number {
--- a/bench/batch/main.ts
+++ b/bench/batch/main.ts
@@ -1,5 +1,5 @@
 /**
- * Plays both loads over the planner and prints a row for each setting:
+ * Simulates the planner under both loads and prints a row for each setting:
  * `node dist/bench/batch/main.js [SEEDS] [OPTIONS AS JSON]`.
  *
  * @module
@@ -19,12 +19,12 @@
   for (const load of [CLEARANCE_LOAD, RATING_LOAD]) {
     for (const [workers, factor] of [[33, 0.1], [33, 0.6], [33, 1], [22, 1]]) {
       const results: SimulationResult[] = [];
-      const beganMs = performance.now();
+      const startMs = performance.now();
       for (let seed = 1; seed <= seeds; seed++) {
         const simulation = new Simulation({
           load,
-          random: randomOf(seed),
-          factor: factor!,
+          random: makeRandom(seed),
+          loadFactor: factor!,
           burstFactor: 2.3,
           workers: workers!,
           lengthMs: LENGTH_MS,
@@ -32,16 +32,16 @@
         });
         results.push(simulation.run());
       }
-      const tookMs = performance.now() - beganMs;
+      const tookMs = performance.now() - startMs;
       print(`${load.name} ${workers} workers x${factor}`, results, tookMs);
     }
   }
 }
 
-/** Neighbouring seeds begin alike, so the first draws are passed over. */
-function randomOf(seed: number): SeededRandom {
+/** Adjacent seeds give similar first draws, so the first 32 are discarded. */
+function makeRandom(seed: number): SeededRandom {
   const random = new SeededRandom({ seed: seed * 7_919 });
-  for (let drawn = 0; drawn < 32; drawn++) {
+  for (let discarded = 0; discarded < 32; discarded++) {
     random.nextUnit();
   }
   return random;
--- a/bench/batch/simulation.ts
+++ b/bench/batch/simulation.ts
@@ -1,6 +1,6 @@
 /**
- * A load played over the planner in logical time: thousands of jobs in
- * seconds, with stops that take a while, failing runs and slow workers.
+ * Simulates the planner under a load in logical time: thousands of jobs in
+ * seconds, with delayed stops, failing runs and slow workers.
  *
  * @module
  */
@@ -16,40 +16,40 @@
   type PlannerOptions,
 } from "../../src/process/batch/decisions/planner.ts";
 import { RunEnd } from "../../src/process/batch/mod.ts";
-import { drawLoad, type Load, type LoadedJob } from "./load.ts";
+import { drawLoad, type Load, type SimulatedJob } from "./load.ts";
 
-/** What a run found. */
+/** The results of one simulation. */
 export interface SimulationResult {
-  /** Worth earned of the worth owed, over all jobs. */
+  /** Value earned over the maximum value, of all jobs. */
   readonly share: number;
-  /** The same over the two worst spans of two seconds. */
+  /** Mean of that share over the two worst spans of 2 s, by arrival. */
   readonly worstSpans: number;
   readonly shareByQueue: Readonly<Record<string, number>>;
   readonly lateByQueue: Readonly<Record<string, number>>;
-  /** Core-seconds that were stopped and not saved, of those done. */
+  /** Core-time of stopped, unsaved runs over that of completed runs. */
   readonly wastedShare: number;
-  /** Tasks that were started on a worker that had no room for them. */
+  /** Task starts after which the worker's accelerators were overcommitted. */
   readonly overcommitted: number;
   readonly jobs: number;
 }
 
-/** How a run is set up. */
+/** Options of {@link Simulation}. */
 export interface SimulationOptions {
   readonly load: Load;
   readonly random: RandomSource;
-  readonly factor: number;
+  readonly loadFactor: number;
   readonly burstFactor: number;
   /** Workers, in racks of eight. */
   readonly workers: number;
   readonly lengthMs: number;
   readonly planner?: PlannerOptions;
-  /** Whether the run goes on until all jobs are done. */
-  readonly settles?: boolean;
-  /** Calls the planner, to measure it. */
+  /** Whether to go on after `lengthMs` until all jobs have ended. */
+  readonly runsToCompletion?: boolean;
+  /** Called in place of each planning pass, which it must run. */
   readonly onPlan?: (plan: () => void) => void;
 }
 
-interface OpenRun {
+interface ActiveRun {
   readonly task: TaskRef;
   readonly run: number;
   readonly startedAtMs: number;
@@ -58,25 +58,28 @@
   isStopping: boolean;
 }
 
+/** From a decision until it takes effect, and the simulation's time step. */
 const COMMIT_MS = 20;
-const SPREAD_FACTOR = 3;
+/** Slows tasks down whose gang or data lies across racks. */
+const CROSS_RACK_FACTOR = 3;
+/** Slows tasks down on every third worker. */
 const SLOW_WORKER_FACTOR = 1.3;
 const WORKERS_PER_RACK = 8;
-const GUARANTEED = 40;
+const GUARANTEED_ACCELERATORS = 40;
 
-/** Plays one load. */
+/** Simulates one load. */
 export class Simulation {
   readonly #options: SimulationOptions;
   readonly #state = new BatchState();
-  readonly #jobs: LoadedJob[];
-  readonly #byId: Map<string, LoadedJob>;
-  readonly #open = new Map<string, OpenRun>();
+  readonly #jobs: SimulatedJob[];
+  readonly #byId: Map<string, SimulatedJob>;
+  readonly #runs = new Map<string, ActiveRun>();
   readonly #progressMs = new Map<string, number>();
   readonly #failedOn = new Map<string, Set<string>>();
   readonly #completedAtMs = new Map<string, number>();
   #nowMs = 0;
-  #wasted = 0;
-  #done = 0;
+  #wastedCoreMs = 0;
+  #doneCoreMs = 0;
   #overcommitted = 0;
 
   constructor(options: SimulationOptions) {
@@ -94,7 +97,7 @@
         untilMs: options.lengthMs / 3 + 6_000,
       },
       racks,
-      factor: options.factor,
+      loadFactor: options.loadFactor,
     });
     this.#byId = new Map(this.#jobs.map((job) => [job.id, job]));
     this.#setUp(racks);
@@ -103,10 +106,10 @@
   run(): SimulationResult {
     const waiting = [...this.#jobs];
     const stepMs = COMMIT_MS;
-    const { lengthMs, settles = true } = this.#options;
-    const endMs = settles ? lengthMs * 2 + 60_000 : lengthMs;
+    const { lengthMs, runsToCompletion = true } = this.#options;
+    const endMs = runsToCompletion ? lengthMs * 2 + 60_000 : lengthMs;
     while (this.#nowMs < endMs) {
-      const arrived: LoadedJob[] = [];
+      const arrived: SimulatedJob[] = [];
       while (
         waiting[0] !== undefined && waiting[0].arrivesAtMs <= this.#nowMs
       ) {
@@ -119,7 +122,7 @@
         const plan = () => this.#plan();
         (this.#options.onPlan ?? ((run) => run()))(plan);
       }
-      if (waiting.length === 0 && this.#open.size === 0) {
+      if (waiting.length === 0 && this.#runs.size === 0) {
         break;
       }
       this.#nowMs += stepMs;
@@ -150,7 +153,7 @@
         accounts: [0, 1, 2, 3].map((number) => ({
           name: `account-${number}`,
           apiKeys: [],
-          guaranteedAccelerators: GUARANTEED,
+          guaranteedAccelerators: GUARANTEED_ACCELERATORS,
         })),
       },
     });
@@ -188,7 +191,7 @@
     return outcome.kind === "batch" && outcome.applied[0] === true;
   }
 
-  #accept(job: LoadedJob): void {
+  #accept(job: SimulatedJob): void {
     this.#apply({
       kind: "accept",
       jobId: job.id,
@@ -204,21 +207,21 @@
       state: this.#state,
       nowMs: this.#nowMs,
       condition: () => ({ isReachable: true, isSuspect: false, isFull: false }),
-      failedOn: (task) => this.#failedOn.get(nameOf(task)),
-      isStopping: (task) => this.#open.get(nameOf(task))?.isStopping === true,
+      failedOn: (task) => this.#failedOn.get(keyOf(task)),
+      isStopping: (task) => this.#runs.get(keyOf(task))?.isStopping === true,
     }, this.#options.planner);
     for (const start of starts) {
       if (this.#apply(start)) {
-        this.#begin(start);
-        this.#noteOvercommitted(start);
+        this.#startTasks(start);
+        this.#countOvercommitted(start);
       }
     }
     stops.forEach((task) => this.#stop(task));
   }
 
-  #noteOvercommitted(start: Extract<BatchItem, { kind: "start" }>): void {
+  #countOvercommitted(start: Extract<BatchItem, { kind: "start" }>): void {
     const used = new Map<string, number>();
-    for (const { task } of this.#open.values()) {
+    for (const { task } of this.#runs.values()) {
       const worker = this.#state.taskOf(task)!.worker!;
       const { demand } = this.#byId.get(task.jobId)!.spec.steps[task.step]!;
       used.set(worker, (used.get(worker) ?? 0) + demand.accelerators);
@@ -229,29 +232,29 @@
     }
   }
 
-  #begin(start: Extract<BatchItem, { kind: "start" }>): void {
+  #startTasks(start: Extract<BatchItem, { kind: "start" }>): void {
     const job = this.#byId.get(start.jobId)!;
     const spec = job.spec.steps[start.step]!;
     const { random } = this.#options;
     const racks = new Set(
       start.tasks.map(({ worker }) => this.#state.workers.get(worker)!.rack),
     );
-    const isSpread = (spec.prefersOneRack && racks.size > 1) ||
+    const crossesRacks = (spec.prefersOneRack && racks.size > 1) ||
       (spec.dataRack !== undefined && !racks.has(spec.dataRack));
-    const factor = isSpread ? SPREAD_FACTOR : 1;
-    const ends = start.tasks.map(({ index, worker }) => {
+    const factor = crossesRacks ? CROSS_RACK_FACTOR : 1;
+    const durationsMs = start.tasks.map(({ index, worker }) => {
       const workMs = job.durationsMs[start.step]![index]!;
-      const name = `${start.jobId}.${start.step}.${index}`;
-      const leftMs = workMs - (this.#progressMs.get(name) ?? 0);
+      const key = `${start.jobId}.${start.step}.${index}`;
+      const leftMs = workMs - (this.#progressMs.get(key) ?? 0);
       const isSlow = Number(worker.slice(2)) % 3 === 2;
       return leftMs * factor * (isSlow ? SLOW_WORKER_FACTOR : 1);
     });
-    const gangMs = Math.max(...ends);
-    const failsAsGang = random.nextUnit() < job.kind.failureShare;
+    const gangMs = Math.max(...durationsMs);
+    const willGangFail = random.nextUnit() < job.kind.failureShare;
     start.tasks.forEach(({ index }, at) => {
-      const lastsMs = spec.isGang ? gangMs : ends[at]!;
-      const fails = spec.isGang
-        ? failsAsGang
+      const durationMs = spec.isGang ? gangMs : durationsMs[at]!;
+      const willFail = spec.isGang
+        ? willGangFail
         : random.nextUnit() < job.kind.failureShare;
       const task = {
         jobId: start.jobId,
@@ -259,13 +262,13 @@
         step: start.step,
         index,
       };
-      this.#open.set(nameOf(task), {
+      this.#runs.set(keyOf(task), {
         task,
         run: start.run,
         startedAtMs: this.#nowMs,
         endsAtMs: this.#nowMs + COMMIT_MS +
-          lastsMs * (fails ? random.nextUnit() : 1),
-        how: fails ? RunEnd.failed : RunEnd.done,
+          durationMs * (willFail ? random.nextUnit() : 1),
+        how: willFail ? RunEnd.failed : RunEnd.done,
         isStopping: false,
       });
     });
@@ -276,10 +279,10 @@
     const stopMs = this.#options.load.stopMs *
       this.#options.random.nextUnit();
     const members = spec.isGang
-      ? [...this.#open.values()].filter((run) =>
+      ? [...this.#runs.values()].filter((run) =>
         run.task.jobId === task.jobId && run.task.step === task.step
       )
-      : [this.#open.get(nameOf(task))];
+      : [this.#runs.get(keyOf(task))];
     for (const run of members) {
       if (run !== undefined && !run.isStopping) {
         run.isStopping = true;
@@ -291,9 +294,9 @@
 
   #endRuns(): boolean {
     let hasEnded = false;
-    for (const [name, run] of [...this.#open]) {
+    for (const [key, run] of [...this.#runs]) {
       if (run.endsAtMs <= this.#nowMs) {
-        this.#open.delete(name);
+        this.#runs.delete(key);
         this.#endRun(run);
         hasEnded = true;
       }
@@ -301,25 +304,25 @@
     return hasEnded;
   }
 
-  #endRun(run: OpenRun): void {
+  #endRun(run: ActiveRun): void {
     const { task, how } = run;
     const job = this.#byId.get(task.jobId)!;
     const spec = job.spec.steps[task.step]!;
     const worker = this.#state.taskOf(task)?.worker;
     const ranMs = this.#nowMs - run.startedAtMs;
     const cores = spec.demand.cpuMilli / 1_000 + 8 * spec.demand.accelerators;
-    const name = `${task.jobId}.${task.step}.${task.index}`;
+    const key = `${task.jobId}.${task.step}.${task.index}`;
     if (how === RunEnd.done) {
-      this.#done += cores * ranMs;
+      this.#doneCoreMs += cores * ranMs;
     } else if (spec.isCheckpointing) {
-      const known = this.#progressMs.get(name) ?? 0;
-      this.#progressMs.set(name, known + ranMs * 0.9);
+      const savedMs = this.#progressMs.get(key) ?? 0;
+      this.#progressMs.set(key, savedMs + ranMs * 0.9);
     } else if (how === RunEnd.stopped) {
-      this.#wasted += cores * ranMs;
+      this.#wastedCoreMs += cores * ranMs;
     }
     if (how === RunEnd.failed && worker !== undefined) {
-      const failedOn = this.#failedOn.get(nameOf(task)) ?? new Set();
-      this.#failedOn.set(nameOf(task), failedOn.add(worker));
+      const failedOn = this.#failedOn.get(keyOf(task)) ?? new Set();
+      this.#failedOn.set(keyOf(task), failedOn.add(worker));
     }
     this.#apply({ kind: "end", task, run: run.run, how, checkpoint: "" });
     const ended = this.#state.jobs.get(task.jobId);
@@ -329,66 +332,66 @@
   }
 
   #summarize(): SimulationResult {
-    const owedBy: Record<string, number> = {};
+    const maxBy: Record<string, number> = {};
     const earnedBy: Record<string, number> = {};
     const lateBy: Record<string, number> = {};
-    const spans = new Map<number, { owed: number; earned: number }>();
+    const spans = new Map<number, { max: number; earned: number }>();
     for (const job of this.#jobs) {
-      const { owed, earned } = this.#creditOf(job);
+      const { max, earned } = this.#valueOf(job);
       const { queue } = job.kind;
-      owedBy[queue] = (owedBy[queue] ?? 0) + owed;
+      maxBy[queue] = (maxBy[queue] ?? 0) + max;
       earnedBy[queue] = (earnedBy[queue] ?? 0) + earned;
-      lateBy[queue] = (lateBy[queue] ?? 0) + (earned < owed ? 1 : 0);
+      lateBy[queue] = (lateBy[queue] ?? 0) + (earned < max ? 1 : 0);
       const at = Math.floor(job.arrivesAtMs / 2_000);
-      const span = spans.get(at) ?? { owed: 0, earned: 0 };
-      span.owed += owed;
+      const span = spans.get(at) ?? { max: 0, earned: 0 };
+      span.max += max;
       span.earned += earned;
       spans.set(at, span);
     }
     const sum = (amounts: Record<string, number>) =>
       Object.values(amounts).reduce((a, b) => a + b, 0);
-    const worst = [...spans.values()].map(({ owed, earned }) => earned / owed)
+    const worst = [...spans.values()].map(({ max, earned }) => earned / max)
       .sort((a, b) => a - b).slice(0, 2);
     return {
-      share: sum(earnedBy) / sum(owedBy),
+      share: sum(earnedBy) / sum(maxBy),
       worstSpans: worst.reduce((a, b) => a + b, 0) / worst.length,
       shareByQueue: Object.fromEntries(
-        Object.keys(owedBy).map((queue) => [
+        Object.keys(maxBy).map((queue) => [
           queue,
-          earnedBy[queue]! / owedBy[queue]!,
+          earnedBy[queue]! / maxBy[queue]!,
         ]),
       ),
       lateByQueue: lateBy,
       overcommitted: this.#overcommitted,
-      wastedShare: this.#wasted / Math.max(1, this.#done),
+      wastedShare: this.#wastedCoreMs / Math.max(1, this.#doneCoreMs),
       jobs: this.#jobs.length,
     };
   }
 
-  /** A job's worth grows with its work, as the users count it. */
-  #creditOf(job: LoadedJob): { owed: number; earned: number } {
+  /** Users value a job by its work, up to four times the typical work. */
+  #valueOf(job: SimulatedJob): { max: number; earned: number } {
     const spec = job.spec.steps[0]!;
-    const chainMs = Math.max(...job.durationsMs[0]!);
+    const criticalPathMs = Math.max(...job.durationsMs[0]!);
     const cores = spec.demand.cpuMilli / 1_000 + 8 * spec.demand.accelerators;
     const work = cores * job.durationsMs[0]!.reduce((a, b) => a + b, 0);
     const { kind } = job;
     const meanAccelerators = kind.accelerators.reduce((a, b) => a + b, 0) /
       kind.accelerators.length;
-    const typical = (kind.cpuMilli / 1_000 + 8 * meanAccelerators) *
+    const typicalWork = (kind.cpuMilli / 1_000 + 8 * meanAccelerators) *
       kind.workMs.mean * kind.width.mean;
-    const size = 0.3 + 0.7 * Math.min(4, work / typical);
-    const owed = size * kind.worth;
+    const sizeFactor = 0.3 + 0.7 * Math.min(4, work / typicalWork);
+    const max = sizeFactor * kind.value;
     const doneAtMs = this.#completedAtMs.get(job.id);
-    const objectiveMs = kind.stretch * chainMs + kind.slackMs;
+    const objectiveMs = kind.stretch * criticalPathMs + kind.slackMs;
     const tookMs = (doneAtMs ?? Infinity) - job.arrivesAtMs;
     if (tookMs <= objectiveMs) {
-      return { owed, earned: owed };
+      return { max, earned: max };
     }
     const isLate = tookMs <= 3 * objectiveMs;
-    return { owed, earned: isLate ? size * kind.lateWorth : 0 };
+    return { max, earned: isLate ? sizeFactor * kind.lateValue : 0 };
   }
 }
 
-function nameOf(task: TaskRef): string {
+function keyOf(task: TaskRef): string {
   return `${task.jobId}.${task.step}.${task.index}`;
 }
