--- a/bench/capacity/daemon_thread.ts
+++ b/bench/capacity/daemon_thread.ts
@@ -1,5 +1,5 @@
 /**
- * A thread that measures an idle daemon under the limits it was started with.
+ * A thread that measures an idle daemon under the thread's resource limits.
  *
  * @module
  */
--- a/bench/capacity/fit.ts
+++ b/bench/capacity/fit.ts
@@ -1,10 +1,10 @@
 /**
- * Straight lines through measured points.
+ * Fits straight lines to measured points.
  *
  * @module
  */
 
-/** A line: what one unit of the size adds, and what is there at none. */
+/** A line: the value added per unit of size, and the value at size 0. */
 export interface Line {
   readonly slope: number;
   readonly base: number;
@@ -16,7 +16,7 @@
   readonly value: number;
 }
 
-/** The line with the least squared distances to the points. */
+/** Least-squares fit of a line to the points. */
 export function fitLine(points: readonly Point[]): Line {
   const meanSize = meanOf(points.map(({ size }) => size));
   const meanValue = meanOf(points.map(({ value }) => value));
@@ -33,7 +33,7 @@
   };
 }
 
-/** To three decimals. */
+/** Rounds to three decimals. */
 export function rounded(value: number): number {
   return Math.round(value * 1_000) / 1_000;
 }
--- a/bench/capacity/heap.ts
+++ b/bench/capacity/heap.ts
@@ -1,5 +1,5 @@
 /**
- * The heap that a state takes.
+ * Measures the heap that a state takes.
  *
  * @module
  */
@@ -7,38 +7,41 @@
 import process from "node:process";
 import { fitLine, type Line, type Point } from "./fit.ts";
 
-/** Points of several sizes, and the line through them. */
+/** Measurements of several sizes, and the line fitted to them. */
 export interface Series {
   readonly points: readonly Point[];
   readonly line: Line;
 }
 
-/** Bytes in use, buffers included, after two collections. */
-export function heldBytes(): number {
+/** Heap bytes in use after two garbage collections, array buffers included. */
+export function bytesInUse(): number {
   globalThis.gc?.();
   globalThis.gc?.();
   const { heapUsed, arrayBuffers } = process.memoryUsage();
   return heapUsed + arrayBuffers;
 }
 
-/** Builds a state of each size and weighs it; the first is built twice. */
-export async function weighSizes(
+/**
+ * Builds a state of each size and measures its heap in bytes. The first size is
+ * built twice, and its first measurement discarded.
+ */
+export async function measureHeapBySize(
   sizes: readonly number[],
   build: (size: number) => unknown,
 ): Promise<Series> {
   const points: Point[] = [];
   for (const size of [sizes[0] ?? 1, ...sizes]) {
-    points.push({ size, value: weigh(() => build(size)) });
+    points.push({ size, value: measureHeap(() => build(size)) });
     await new Promise((resolve) => setImmediate(resolve));
   }
   points.shift();
   return { points, line: fitLine(points) };
 }
 
-function weigh(build: () => unknown): number {
-  const before = heldBytes();
-  const kept = [build()];
-  const after = heldBytes();
-  kept.length = 0;
+function measureHeap(build: () => unknown): number {
+  const before = bytesInUse();
+  const retained = [build()];
+  const after = bytesInUse();
+  retained.length = 0;
   return after - before;
 }
--- a/bench/capacity/idle_daemon.ts
+++ b/bench/capacity/idle_daemon.ts
@@ -1,7 +1,7 @@
 /**
- * An idle daemon in this thread, alone in its system: memory and processor
- * time. Everything of it is loaded late, so that the process can be looked at
- * before.
+ * Measures memory and processor time of an idle daemon in this thread, the only
+ * instance of its system. Its modules are imported dynamically, so that the
+ * memory of the process can be measured before.
  *
  * @module
  */
@@ -14,11 +14,11 @@
 import process from "node:process";
 import { setTimeout as wait } from "node:timers/promises";
 
-/** Memory in bytes, processor as a fraction of a core. */
+/** Memory in bytes, processor time as a fraction of a core. */
 export interface IdleDaemon {
   readonly residentBytes: number;
   readonly heapBytes: number;
-  /** One of each of the windows, which follow one another. */
+  /** One value for each of the consecutive windows. */
   readonly coreFractions: readonly number[];
 }
 
@@ -26,7 +26,7 @@
 const WINDOW_MS = 5_000;
 const WINDOWS = 5;
 
-/** Starts a daemon, lets it settle, measures and stops it. */
+/** Starts a daemon, waits until it is idle, measures it and stops it. */
 export async function measureIdleDaemon(): Promise<IdleDaemon> {
   const { Daemon } = await import("../../src/process/daemon/daemon.ts");
   const folder = await mkdtemp(join(tmpdir(), "capacity-"));
@@ -60,7 +60,7 @@
   const { settingsSchema } = await import(
     "../../src/process/settings/settings.ts"
   );
-  const [httpPort, peerPort] = await takePorts(2);
+  const [httpPort, peerPort] = await findFreePorts(2);
   return settingsSchema.parse({
     instance: {
       id: "idle-1",
@@ -76,7 +76,7 @@
   });
 }
 
-async function takePorts(count: number): Promise<number[]> {
+async function findFreePorts(count: number): Promise<number[]> {
   const servers = await Promise.all(
     Array.from({ length: count }, async () => {
       const server = createServer().listen(0, "127.0.0.1");
--- a/bench/capacity/main.ts
+++ b/bench/capacity/main.ts
@@ -1,5 +1,5 @@
 /**
- * Measures the slopes that docs/CAPACITY.md reckons with, and writes them to
+ * Measures the slopes that docs/CAPACITY.md calculates with, and writes them to
  * docs/report/capacity.json. Run it from the repository's root by
  * `npm run capacity -- --seed N`.
  *
@@ -60,15 +60,15 @@
   return figures as IdleDaemon;
 }
 
-/** Loaded late, so that the first look at the process is of little else. */
+/** Imports its modules dynamically, to keep them out of the memory readings. */
 async function measureSlopes(seed: number) {
   const scheduler = await import("./scheduler_states.ts");
   const traffic = await import("./worker_traffic.ts");
   const others = await import("./other_states.ts");
   return {
-    schedulerHeap: await scheduler.weighScheduler(),
-    otherHeap: await others.weighOthers(),
-    schedulerDecisions: await scheduler.timeScheduler({ seed, steps: STEPS }),
+    schedulerHeap: await scheduler.measureSchedulerHeap(),
+    otherHeap: await others.measureOtherHeap(),
+    schedulerDecisions: await scheduler.timeDecisions({ seed, steps: STEPS }),
     workerTraffic: await traffic.measureWorkerTraffic(),
     configuration: others.measureConfiguration(),
     replication: await others.measureReplication(),
--- a/bench/capacity/other_states.ts
+++ b/bench/capacity/other_states.ts
@@ -1,6 +1,7 @@
 /**
- * Heap of log entries, kept edits, remembered requests and backend servers,
- * and the bytes of membership and of reports of the version in force.
+ * Measures the heap of log entries, recorded edits, recorded requests and
+ * backend servers, and the bytes sent for replication, for membership and for
+ * reports of the version in force.
  *
  * @module
  */
@@ -20,33 +21,36 @@
   measureTraffic,
 } from "../replication/traffic.ts";
 import { fitLine } from "./fit.ts";
-import { weighSizes } from "./heap.ts";
+import { measureHeapBySize } from "./heap.ts";
 
 const TWO_YEARS = { teams: 180, dataCentres: 5, racksPerDataCentre: 18 };
 
-/** Weighs what grows with use. */
-export async function weighOthers() {
+/** Measures the heap of the states that grow with use. */
+export async function measureOtherHeap() {
   return {
-    perLogEntryOf200Bytes: await weighSizes(
+    perLogEntryOf200Bytes: await measureHeapBySize(
       [5_000, 10_000, 20_000],
       (entries) => fillLog(200, entries),
     ),
-    perRememberedRequest: await weighSizes(
+    perRememberedRequest: await measureHeapBySize(
       [5_000, 10_000, 20_000, 40_000],
-      ledgerOf,
+      makeLedger,
+    ),
+    perBackendServer: await measureHeapBySize(
+      [100, 200, 400, 800],
+      makeServerTable,
     ),
-    perBackendServer: await weighSizes([100, 200, 400, 800], serversOf),
   };
 }
 
-/** Edits at three sizes; the line is over the number of edits. */
+/** Measures three numbers of edits at the size expected in two years. */
 export function measureConfiguration() {
   return [450, 900, 1_800].map((edits) =>
     measureEdits({ ...TWO_YEARS, edits })
   );
 }
 
-/** What both groups send, at rest and at 1,800 changes a day. */
+/** What both groups send when idle and at 1,800 changes a day. */
 export async function measureReplication() {
   const figures: Record<string, unknown> = {};
   for (const hasChanges of [false, true]) {
@@ -59,7 +63,7 @@
   return figures;
 }
 
-/** Bytes a second that one of so many instances sends of itself. */
+/** Bytes per second that one instance sends, by the number of instances. */
 export function measureMembership() {
   const points = [3, 5, 9].map((instances) => ({
     instances,
@@ -92,7 +96,7 @@
   }).length;
 }
 
-function ledgerOf(requests: number): LedgerState {
+function makeLedger(requests: number): LedgerState {
   const ledger = new LedgerState();
   for (let at = 0; at < requests; at++) {
     const common = {
@@ -114,7 +118,7 @@
   return ledger;
 }
 
-function serversOf(servers: number): ServerTable {
+function makeServerTable(servers: number): ServerTable {
   const table = new ServerTable({
     serviceId: "search",
     service: serviceSchema.parse({
--- a/bench/capacity/scheduler_states.ts
+++ b/bench/capacity/scheduler_states.ts
@@ -1,6 +1,7 @@
 /**
- * The heap of the scheduler core by workers, waiting jobs, running tasks and
- * client accounts, one of them growing at a time, and its decision times.
+ * Measures the heap of the scheduler core by workers, waiting jobs, running
+ * tasks and client accounts, varying one of them at a time, and its decision
+ * times.
  *
  * @module
  */
@@ -10,16 +11,20 @@
   SchedulerCore,
   type SchedulerEvent,
 } from "../../src/process/scheduler/core/mod.ts";
-import { type CostFigures, CostRun, spreadsOf } from "../scheduler/cost_run.ts";
+import {
+  type CostFigures,
+  CostRun,
+  distributionsByKind,
+} from "../scheduler/cost_run.ts";
 import {
   type BenchSize,
   DATA_CENTRE,
   documentFor,
   SIZES,
 } from "../scheduler/workload.ts";
-import { type Series, weighSizes } from "./heap.ts";
+import { measureHeapBySize, type Series } from "./heap.ts";
 
-/** The heap of each part of the core's state. */
+/** The heap of each kind of entry in the core's state. */
 export interface SchedulerHeap {
   readonly perWorker: Series;
   readonly perWaitingJob: Series;
@@ -27,49 +32,49 @@
   readonly perClientAccount: Series;
 }
 
-const RACKS = [12, 23, 45, 90, 180];
+const RACK_COUNTS = [12, 23, 45, 90, 180];
 const WORKERS_PER_RACK = 8;
-const AT_MS = 1_000;
+const EVENT_TIME_MS = 1_000;
 const PERMITTED_UNTIL_MS = 600_000;
 const TASKS_PER_JOB = 8;
 
-/** Weighs the core's state. */
-export async function weighScheduler(): Promise<SchedulerHeap> {
+/** Measures the heap of the core's state. */
+export async function measureSchedulerHeap(): Promise<SchedulerHeap> {
   return {
-    perWorker: await weighSizes(
+    perWorker: await measureHeapBySize(
       [180, 360, 720, 1_440],
-      (workers) => coreOf({ workers, clientAccounts: 4 }),
+      (workers) => makeCore({ workers, clientAccounts: 4 }),
     ),
-    perWaitingJob: await weighSizes(
+    perWaitingJob: await measureHeapBySize(
       [500, 1_000, 2_000, 4_000],
-      (jobs) => submitted(coreOf({ workers: 8, clientAccounts: 4 }), jobs),
+      (jobs) => submitJobs(makeCore({ workers: 8, clientAccounts: 4 }), jobs),
     ),
-    perRunningTask: await weighSizes(
+    perRunningTask: await measureHeapBySize(
       [1_600, 3_200, 6_400, 12_800],
       (tasks) =>
-        submitted(
-          coreOf({ workers: 720, clientAccounts: 4 }),
+        submitJobs(
+          makeCore({ workers: 720, clientAccounts: 4 }),
           tasks / TASKS_PER_JOB,
         ),
     ),
-    perClientAccount: await weighSizes(
+    perClientAccount: await measureHeapBySize(
       [45, 90, 180, 360],
-      (clientAccounts) => coreOf({ workers: 720, clientAccounts }),
+      (clientAccounts) => makeCore({ workers: 720, clientAccounts }),
     ),
   };
 }
 
-/** The figures of one size with the spread of its times, of one run. */
+/** The figures of one run with the distributions of its decision times. */
 export type TimedFigures = CostFigures & {
-  readonly microseconds: ReturnType<typeof spreadsOf>;
+  readonly microseconds: ReturnType<typeof distributionsByKind>;
 };
 
-/** Decisions of a full data centre, timed at several sizes. */
-export async function timeScheduler(
+/** Times the decisions of a full data centre at several sizes. */
+export async function timeDecisions(
   options: { seed: number; steps: number },
 ): Promise<TimedFigures[]> {
   const figures: TimedFigures[] = [];
-  for (const racks of RACKS) {
+  for (const racks of RACK_COUNTS) {
     const size = {
       ...SIZES.twoYears,
       racks,
@@ -77,13 +82,16 @@
     };
     const run = new CostRun({ size, seed: options.seed });
     const sizes = run.run(options.steps);
-    figures.push({ ...sizes, microseconds: spreadsOf([run.times]) });
+    figures.push({
+      ...sizes,
+      microseconds: distributionsByKind([run.timedEvents]),
+    });
     await new Promise((resolve) => setImmediate(resolve));
   }
   return figures;
 }
 
-function coreOf(
+function makeCore(
   options: { workers: number; clientAccounts: number },
 ): SchedulerCore {
   const size: BenchSize = {
@@ -94,29 +102,29 @@
   const core = new SchedulerCore({ dataCentre: DATA_CENTRE });
   core.handle({
     kind: "configurationChanged",
-    atMs: AT_MS,
+    atMs: EVENT_TIME_MS,
     configuration: {
       version: 1,
-      acceptedAtMs: AT_MS,
+      acceptedAtMs: EVENT_TIME_MS,
       document: documentFor(size),
     },
   });
   core.handle({
     kind: "startPermissionExtended",
-    atMs: AT_MS,
+    atMs: EVENT_TIME_MS,
     permittedUntilMs: PERMITTED_UNTIL_MS,
   });
   for (let at = 0; at < options.workers; at++) {
-    core.handle(joinOf(size, at));
+    core.handle(makeJoinEvent(size, at));
   }
   return core;
 }
 
-function joinOf(size: BenchSize, at: number): SchedulerEvent {
+function makeJoinEvent(size: BenchSize, at: number): SchedulerEvent {
   const rack = Math.floor(at / WORKERS_PER_RACK);
   return {
     kind: "workerJoined",
-    atMs: AT_MS,
+    atMs: EVENT_TIME_MS,
     worker: {
       workerId: `worker-${rack}-${at % WORKERS_PER_RACK}`,
       rack: `rack-${rack}`,
@@ -128,22 +136,34 @@
   };
 }
 
-/** Submits jobs without accelerators; what fits is started. */
-function submitted(core: SchedulerCore, jobs: number): SchedulerCore {
+/** Submits jobs without accelerators and starts those that fit. */
+function submitJobs(core: SchedulerCore, jobs: number): SchedulerCore {
   for (let at = 0; at < jobs; at++) {
-    core.handle({ kind: "jobSubmitted", atMs: AT_MS, job: jobOf(at) });
+    core.handle({
+      kind: "jobSubmitted",
+      atMs: EVENT_TIME_MS,
+      job: makeJob(at),
+    });
   }
-  const decisions = core.handle({ kind: "clockTicked", atMs: AT_MS + 250 });
+  const decisions = core.handle({
+    kind: "clockTicked",
+    atMs: EVENT_TIME_MS + 250,
+  });
   for (const decision of decisions) {
     if (decision.kind === "startGang") {
       const { jobId, attempt } = decision;
-      core.handle({ kind: "gangStarted", atMs: AT_MS + 300, jobId, attempt });
+      core.handle({
+        kind: "gangStarted",
+        atMs: EVENT_TIME_MS + 300,
+        jobId,
+        attempt,
+      });
     }
   }
   return core;
 }
 
-function jobOf(at: number): JobSpecification {
+function makeJob(at: number): JobSpecification {
   return {
     jobId: `job-${at}`,
     clientAccount: `account-${at % 4}`,
--- a/bench/capacity/worker_traffic.ts
+++ b/bench/capacity/worker_traffic.ts
@@ -1,7 +1,7 @@
 /**
- * Bytes and processor time of a worker's reports and of lease renewals,
- * against the tasks that it holds: over HTTP on loopback, and as the frame
- * that an instance passes on to the leader.
+ * Measures bytes and processor time of a worker's reports and lease renewals by
+ * its number of tasks: over HTTP on loopback, and as the frame that an instance
+ * forwards to the leader.
  *
  * @module
  */
@@ -25,44 +25,44 @@
 import { workerHoldingsSchema } from "../../src/process/scheduler/runtime/worker_report.ts";
 import { fitLine, type Line, rounded } from "./fit.ts";
 
-/** The figures of a worker with so many tasks. */
+/** The figures of a worker with the given number of tasks. */
 export interface WorkerTraffic {
   readonly tasks: number;
-  /** JSON of a report without, and with, what the tasks use. */
+  /** JSON of a report without and with the tasks' resource usage. */
   readonly reportBytes: number;
   readonly reportWithUsagesBytes: number;
-  /** The frames of the same, as passed on to the leader. */
+  /** The frames in which the same reports are forwarded to the leader. */
   readonly passedReportBytes: number;
   readonly passedReportWithUsagesBytes: number;
-  /** TCP payload of one renewal: to the worker, and back. */
+  /** TCP payload of one renewal: to the worker and back. */
   readonly renewalSentBytes: number;
   readonly renewalReceivedBytes: number;
-  /** Reading and checking one report in JSON, and as a frame. */
+  /** Parsing and validating one report from JSON and from a frame. */
   readonly readReportMicroseconds: number;
   readonly readFrameMicroseconds: number;
-  /** Both ends of one renewal over HTTP, in this process. */
+  /** Processor time of both ends of one renewal over HTTP, in this process. */
   readonly renewalBothEndsMicroseconds: number;
 }
 
 const TASK_COUNTS = [0, 5, 10, 20, 40];
-/** Runs whose figures are dropped: the code is compiled in them. */
-const WARM_ROUNDS = 2;
-const WARM_TASKS = 20;
+/** Rounds whose figures are discarded, since the code is compiled in them. */
+const WARM_UP_ROUNDS = 2;
+const WARM_UP_TASKS = 20;
 const READ_ROUNDS = 1_000;
-/** Calls in one round; the median of the rounds after the first counts. */
-const CALLS = 300;
+/** Calls in one round; the result is the median of the rounds but the first. */
+const CALLS_PER_ROUND = 300;
 const CALL_ROUNDS = 6;
-const ALL_CALLS = CALLS * CALL_ROUNDS;
+const TOTAL_CALLS = CALLS_PER_ROUND * CALL_ROUNDS;
 const WALL_MS = 1_764_840_000_000.5;
 
-/** Measures all counts of tasks, and fits the bytes. */
+/** Measures each number of tasks, and fits a line to each figure. */
 export async function measureWorkerTraffic(): Promise<{
   points: WorkerTraffic[];
   lines: Record<string, Line>;
 }> {
   const points: WorkerTraffic[] = [];
-  for (let at = 0; at < WARM_ROUNDS; at++) {
-    await measureAt(WARM_TASKS);
+  for (let at = 0; at < WARM_UP_ROUNDS; at++) {
+    await measureAt(WARM_UP_TASKS);
   }
   for (const tasks of TASK_COUNTS) {
     points.push(await measureAt(tasks));
@@ -77,21 +77,21 @@
 }
 
 async function measureAt(tasks: number): Promise<WorkerTraffic> {
-  const plain = reportOf(tasks, { hasUsages: false });
-  const full = reportOf(tasks, { hasUsages: true });
-  const text = JSON.stringify(plain);
-  const frame = frameOf(plain);
+  const bareReport = makeReport(tasks, { hasUsages: false });
+  const reportWithUsages = makeReport(tasks, { hasUsages: true });
+  const text = JSON.stringify(bareReport);
+  const frame = encodeReport(bareReport);
   return {
     tasks,
     reportBytes: Buffer.byteLength(text),
-    reportWithUsagesBytes: Buffer.byteLength(JSON.stringify(full)),
+    reportWithUsagesBytes: Buffer.byteLength(JSON.stringify(reportWithUsages)),
     passedReportBytes: frame.length,
-    passedReportWithUsagesBytes: frameOf(full).length,
-    ...await measureRenewals(plain),
-    readReportMicroseconds: timeOf(() =>
+    passedReportWithUsagesBytes: encodeReport(reportWithUsages).length,
+    ...await measureRenewals(bareReport),
+    readReportMicroseconds: meanMicroseconds(() =>
       workerReportSchema.parse(JSON.parse(text))
     ),
-    readFrameMicroseconds: timeOf(() =>
+    readFrameMicroseconds: meanMicroseconds(() =>
       decodeFrame(frame).chain((each) =>
         decodeSchedulerMessage(each.kind === "message" ? each.body : each)
       )
@@ -99,7 +99,7 @@
   };
 }
 
-function timeOf(work: () => unknown): number {
+function meanMicroseconds(work: () => unknown): number {
   for (let at = 0; at < READ_ROUNDS; at++) {
     work();
   }
@@ -110,7 +110,7 @@
   return rounded((performance.now() - before) * 1_000 / READ_ROUNDS);
 }
 
-function frameOf(report: WorkerReport): Uint8Array {
+function encodeReport(report: WorkerReport): Uint8Array {
   return encodeFrame({
     kind: "message",
     channel: "scheduler",
@@ -120,8 +120,8 @@
   });
 }
 
-/** A worker whose tasks are each of another job, named by a UUID. */
-function reportOf(
+/** A report of a worker whose tasks all belong to different jobs. */
+function makeReport(
   tasks: number,
   options: { hasUsages: boolean },
 ): WorkerReport {
@@ -143,11 +143,11 @@
     cores: 128,
     memoryBytes: 256e9,
     accelerators: 8,
-    usages: options.hasUsages ? held.map(usageOf) : [],
+    usages: options.hasUsages ? held.map(makeUsage) : [],
   });
 }
 
-function usageOf<T>(task: T) {
+function makeUsage<T>(task: T) {
   return {
     ...task,
     cores: 3.271,
@@ -163,41 +163,41 @@
 
 async function measureRenewals(report: WorkerReport) {
   const answer: WorkerAnswer = { holdings: holdingsOf(report) };
-  const worker = await openWorker(JSON.stringify(answer));
+  const worker = await startWorkerServer(JSON.stringify(answer));
   const client = new HttpWorkerClient();
   const { port } = worker.server.address() as AddressInfo;
   const call = async () => {
     const address = `127.0.0.1:${port}`;
-    const command = renewalOf(report);
+    const command = makeRenewal(report);
     const result = await client.call(address, command, { timeoutMs: 5_000 });
     result.unsafeCoerce();
   };
-  const before = bytesOf(worker.sockets);
+  const before = countSocketBytes(worker.sockets);
   const times: number[] = [];
   for (let round = 0; round < CALL_ROUNDS; round++) {
-    times.push(await timeCalls(call));
+    times.push(await measureCallCpu(call));
   }
-  const after = bytesOf(worker.sockets);
+  const after = countSocketBytes(worker.sockets);
   await client.close();
   worker.server.close();
   await once(worker.server, "close");
   return {
-    renewalSentBytes: Math.round((after.read - before.read) / ALL_CALLS),
+    renewalSentBytes: Math.round((after.read - before.read) / TOTAL_CALLS),
     renewalReceivedBytes: Math.round(
-      (after.written - before.written) / ALL_CALLS,
+      (after.written - before.written) / TOTAL_CALLS,
     ),
     renewalBothEndsMicroseconds: medianOf(times.slice(1)),
   };
 }
 
-/** Processor time of one call, both ends, in microseconds. */
-async function timeCalls(call: () => Promise<unknown>): Promise<number> {
+/** Processor time of both ends of one call, in microseconds. */
+async function measureCallCpu(call: () => Promise<unknown>): Promise<number> {
   const usage = process.cpuUsage();
-  for (let at = 0; at < CALLS; at++) {
+  for (let at = 0; at < CALLS_PER_ROUND; at++) {
     await call();
   }
   const { user, system } = process.cpuUsage(usage);
-  return rounded((user + system) / CALLS);
+  return rounded((user + system) / CALLS_PER_ROUND);
 }
 
 function medianOf(values: readonly number[]): number {
@@ -224,7 +224,7 @@
   });
 }
 
-function renewalOf(report: WorkerReport): WorkerCommand {
+function makeRenewal(report: WorkerReport): WorkerCommand {
   return {
     kind: "renew",
     fence: {
@@ -242,7 +242,7 @@
   };
 }
 
-async function openWorker(
+async function startWorkerServer(
   answer: string,
 ): Promise<{ server: Server; sockets: Set<Socket> }> {
   const sockets = new Set<Socket>();
@@ -259,7 +259,9 @@
   return { server, sockets };
 }
 
-function bytesOf(sockets: Set<Socket>): { read: number; written: number } {
+function countSocketBytes(
+  sockets: Set<Socket>,
+): { read: number; written: number } {
   const all = [...sockets];
   return {
     read: all.reduce((sum, socket) => sum + socket.bytesRead, 0),
--- a/bench/scheduler/baseline_policy.ts
+++ b/bench/scheduler/baseline_policy.ts
@@ -1,6 +1,6 @@
 /**
- * The two policies that the scheduler is measured against: first in, first out
- * with first fit, and greedy best fit. Neither knows guarantees nor evicts.
+ * The two policies that the scheduler is compared with: first in, first out
+ * with first fit, and greedy best fit. Neither honours guarantees or preempts.
  *
  * @module
  */
@@ -19,7 +19,7 @@
   tasksFitting,
 } from "../../src/process/scheduler/core/amounts.ts";
 
-/** Which of the two. */
+/** The two baseline policies. */
 export type BaselineKind = "firstFit" | "bestFit";
 
 interface BaselineWorker {
@@ -34,22 +34,22 @@
   attempt: number;
   failures: number;
   placements: BaselineWorker[];
-  ended: number;
+  endedTasks: number;
   isStopping: boolean;
   isCancelled: boolean;
 }
 
 const ATTEMPTS_LIMIT = 3;
 
-/** A queue in order of submission, and a greedy placement. */
+/** Keeps a queue in order of submission and places jobs greedily. */
 export class BaselinePolicy implements SchedulerPolicy {
   readonly #kind: BaselineKind;
   readonly #dataCentre: string;
   readonly #workers = new Map<string, BaselineWorker>();
   readonly #jobs = new Map<JobId, BaselineJob>();
   #queue: BaselineJob[] = [];
-  #isIn = true;
-  #isDirty = false;
+  #acceptsNewWork = true;
+  #needsPlacement = false;
   #decisions: SchedulerDecision[] = [];
 
   constructor(options: { kind: BaselineKind; dataCentre: string }) {
@@ -62,11 +62,11 @@
     switch (event.kind) {
       case "configurationChanged": {
         const { dataCentres } = event.configuration.document;
-        this.#isIn = dataCentres[this.#dataCentre]?.status !== "out";
-        if (!this.#isIn) {
+        this.#acceptsNewWork = dataCentres[this.#dataCentre]?.status !== "out";
+        if (!this.#acceptsNewWork) {
           this.#drain(event.atMs);
         }
-        this.#isDirty = true;
+        this.#needsPlacement = true;
         break;
       }
       case "workerJoined":
@@ -83,14 +83,14 @@
         this.#cancel(event.jobId, event.atMs);
         break;
       case "taskEnded":
-        this.#taskEnded(event);
+        this.#handleTaskEnded(event);
         break;
       case "gangStopped":
       case "gangStartFailed":
-        this.#stopped(event.jobId, event.attempt);
+        this.#handleGangStopped(event.jobId, event.attempt);
         break;
       case "clockTicked":
-        this.#place();
+        this.#startQueuedJobs();
         break;
       default:
         break;
@@ -98,8 +98,8 @@
     return this.#decisions;
   }
 
-  /** Free accelerators, and the most of them in any one rack. */
-  freeRoom(): { total: number; largest: number } {
+  /** The free accelerators, and the largest number of them in one rack. */
+  freeCapacity(): { total: number; largest: number } {
     const perRack = new Map<string, number>();
     let total = 0;
     for (const { rack, free } of this.#workers.values()) {
@@ -116,13 +116,13 @@
       attempt: 0,
       failures: 0,
       placements: [],
-      ended: 0,
+      endedTasks: 0,
       isStopping: false,
       isCancelled: false,
     };
     this.#jobs.set(specification.jobId, job);
     this.#queue.push(job);
-    this.#isDirty = true;
+    this.#needsPlacement = true;
   }
 
   #cancel(jobId: JobId, atMs: number): void {
@@ -166,7 +166,7 @@
     });
   }
 
-  #taskEnded(
+  #handleTaskEnded(
     event: Extract<SchedulerEvent, { kind: "taskEnded" }>,
   ): void {
     const job = this.#jobs.get(event.jobId);
@@ -178,14 +178,14 @@
       this.#stop(job, event.atMs, "gangBroken");
       return;
     }
-    job.ended += 1;
-    if (job.ended === job.specification.tasks) {
+    job.endedTasks += 1;
+    if (job.endedTasks === job.specification.tasks) {
       this.#release(job);
       this.#end(job, "succeeded");
     }
   }
 
-  #stopped(jobId: JobId, attempt: number): void {
+  #handleGangStopped(jobId: JobId, attempt: number): void {
     const job = this.#jobs.get(jobId);
     if (job?.attempt !== attempt || job.placements.length === 0) {
       return;
@@ -214,36 +214,36 @@
       addAmounts(worker.free, job.need);
     }
     job.placements = [];
-    this.#isDirty = true;
+    this.#needsPlacement = true;
   }
 
-  #place(): void {
-    if (!this.#isDirty || !this.#isIn) {
+  #startQueuedJobs(): void {
+    if (!this.#needsPlacement || !this.#acceptsNewWork) {
       return;
     }
-    this.#isDirty = false;
-    const failed = new Set<string>();
-    const left: BaselineJob[] = [];
+    this.#needsPlacement = false;
+    const failedShapes = new Set<string>();
+    const remaining: BaselineJob[] = [];
     let isBlocked = false;
     for (const job of this.#queue) {
       const { tasks, adjacency } = job.specification;
       const shape = `${tasks}|${JSON.stringify(job.need)}|${adjacency}`;
-      if (isBlocked || failed.has(shape) || !this.#start(job)) {
-        failed.add(shape);
-        left.push(job);
+      if (isBlocked || failedShapes.has(shape) || !this.#start(job)) {
+        failedShapes.add(shape);
+        remaining.push(job);
         isBlocked ||= this.#kind === "firstFit";
       }
     }
-    this.#queue = left;
+    this.#queue = remaining;
   }
 
   #start(job: BaselineJob): boolean {
-    const chosen = this.#choose(job);
+    const chosen = this.#findPlacement(job);
     if (chosen === undefined) {
       return false;
     }
     job.attempt += 1;
-    job.ended = 0;
+    job.endedTasks = 0;
     job.isStopping = false;
     job.placements = chosen;
     for (const worker of chosen) {
@@ -264,12 +264,12 @@
   }
 
   /** One worker for each task, or undefined when the gang doesn't fit. */
-  #choose(job: BaselineJob): BaselineWorker[] | undefined {
+  #findPlacement(job: BaselineJob): BaselineWorker[] | undefined {
     const { tasks, adjacency } = job.specification;
-    const groups = this.#groups(adjacency);
+    const groups = this.#candidateGroups(adjacency);
     for (const workers of groups) {
       const chosen: BaselineWorker[] = [];
-      for (const worker of this.#ordered(workers)) {
+      for (const worker of this.#sortWorkers(workers)) {
         const fitting = tasksFitting(worker.free, job.need);
         for (let at = 0; at < fitting && chosen.length < tasks; at++) {
           chosen.push(worker);
@@ -282,13 +282,15 @@
     return undefined;
   }
 
-  #groups(adjacency: JobSpecification["adjacency"]): BaselineWorker[][] {
+  #candidateGroups(
+    adjacency: JobSpecification["adjacency"],
+  ): BaselineWorker[][] {
     const all = [...this.#workers.values()];
     if (adjacency === "any") {
       return [all];
     }
     if (adjacency === "worker") {
-      return this.#ordered(all).map((worker) => [worker]);
+      return this.#sortWorkers(all).map((worker) => [worker]);
     }
     const racks = new Map<string, BaselineWorker[]>();
     for (const worker of all) {
@@ -302,7 +304,7 @@
       : groups.sort((left, right) => freeOf(left) - freeOf(right));
   }
 
-  #ordered(workers: BaselineWorker[]): BaselineWorker[] {
+  #sortWorkers(workers: BaselineWorker[]): BaselineWorker[] {
     return this.#kind === "firstFit"
       ? workers
       : [...workers].sort((a, b) => a.free.accelerators - b.free.accelerators);
--- a/bench/scheduler/cost_run.ts
+++ b/bench/scheduler/cost_run.ts
@@ -1,6 +1,6 @@
 /**
- * One data centre, kept full, with each decision timed and the heap looked at
- * between the steps.
+ * Keeps one data centre full, times each decision and measures the heap after
+ * the workers have joined and after the data centre has been filled.
  *
  * @module
  */
@@ -15,12 +15,12 @@
 } from "../../src/process/scheduler/core/mod.ts";
 import { type BenchSize, DATA_CENTRE, documentFor } from "./workload.ts";
 
-/** Tasks, jobs waiting and client accounts go with the size. */
+/** Running tasks and waiting jobs are proportional to the workers. */
 const TASKS_PER_WORKER = 14_000 / 720;
-const WAITING_PER_WORKER = 1_000 / 720;
+const WAITING_JOBS_PER_WORKER = 1_000 / 720;
 const TICK_MS = 250;
-/** Kinds from here on, up to 8 more, are gangs with accelerators. */
-const LARGE_KIND = 26;
+/** The 8 kinds from here on are gangs of 8 to 64 tasks with accelerators. */
+const FIRST_LARGE_KIND = 26;
 
 interface RunningGang {
   readonly jobId: string;
@@ -28,7 +28,7 @@
   readonly placements: readonly { taskIndex: number; workerId: string }[];
 }
 
-/** The figures of one size; bytes of heap. */
+/** The figures of one size of data centre; heap in bytes. */
 export interface CostFigures {
   readonly workers: number;
   readonly clientAccounts: number;
@@ -39,22 +39,22 @@
   readonly heapBytesPerJob: number;
 }
 
-/** One event and the time that its decision took. */
+/** One event and the time that its handling took. */
 export interface TimedEvent {
   readonly kind: string;
   readonly microseconds: number;
 }
 
-/** One data centre, kept full. */
+/** A run of the scheduler core over one data centre that is kept full. */
 export class CostRun {
   readonly #core = new SchedulerCore({ dataCentre: DATA_CENTRE });
   readonly #random: SeededRandom;
   readonly #size: BenchSize;
   readonly #running: RunningGang[] = [];
-  /** Each timed event in order. */
-  readonly times: TimedEvent[] = [];
+  /** The timed events, in order; filling the data centre isn't timed. */
+  readonly timedEvents: TimedEvent[] = [];
   #nowMs = 1_000;
-  #order = 0;
+  #submittedJobs = 0;
   #isTimed = false;
 
   constructor(options: { size: BenchSize; seed: number }) {
@@ -63,17 +63,17 @@
   }
 
   run(steps: number): CostFigures {
-    const empty = heapBytes();
-    this.#joinAll();
-    const joined = heapBytes();
+    const emptyBytes = heapBytes();
+    this.#joinWorkers();
+    const joinedBytes = heapBytes();
     const workers = this.#size.racks * this.#size.workersPerRack;
     this.#fill(workers);
-    const filled = heapBytes();
+    const filledBytes = heapBytes();
     this.#isTimed = true;
     for (let step = 0; step < steps; step++) {
       this.#step();
     }
-    this.#cancelWave();
+    this.#cancelQueuedJobs();
     const tasks = this.#runningTasks();
     const jobs = this.#core.metrics().queuedJobs + this.#running.length;
     this.#setStatus("out");
@@ -82,15 +82,15 @@
       clientAccounts: this.#size.clientAccounts,
       tasks,
       jobs,
-      heapBytesPerWorker: Math.round((joined - empty) / workers),
-      heapBytesPerTask: Math.round((filled - joined) / tasks),
-      heapBytesPerJob: Math.round((filled - joined) / jobs),
+      heapBytesPerWorker: Math.round((joinedBytes - emptyBytes) / workers),
+      heapBytesPerTask: Math.round((filledBytes - joinedBytes) / tasks),
+      heapBytesPerJob: Math.round((filledBytes - joinedBytes) / jobs),
     };
   }
 
-  #joinAll(): void {
+  #joinWorkers(): void {
     this.#setStatus("in");
-    this.#permit();
+    this.#extendStartPermission();
     for (let rack = 0; rack < this.#size.racks; rack++) {
       for (let at = 0; at < this.#size.workersPerRack; at++) {
         this.#send({
@@ -111,37 +111,37 @@
   }
 
   #fill(workers: number): void {
-    const wantedTasks = workers * TASKS_PER_WORKER;
-    const wantedWaiting = workers * WAITING_PER_WORKER;
+    const targetTasks = workers * TASKS_PER_WORKER;
+    const targetWaitingJobs = workers * WAITING_JOBS_PER_WORKER;
     for (let round = 0; round < 2_000; round++) {
-      const isBusy = this.#runningTasks() >= wantedTasks;
+      const isBusy = this.#runningTasks() >= targetTasks;
       for (let at = 0; at < 20; at++) {
         this.#submit({ isLarge: isBusy });
       }
       this.#tick();
-      const isFull = this.#runningTasks() >= wantedTasks &&
-        this.#core.metrics().queuedJobs >= wantedWaiting;
+      const isFull = this.#runningTasks() >= targetTasks &&
+        this.#core.metrics().queuedJobs >= targetWaitingJobs;
       if (isFull) {
         return;
       }
     }
   }
 
-  /** Some gangs end, some jobs come, and a tick places what fits. */
+  /** Ends some gangs, submits some jobs, and ticks to start those that fit. */
   #step(): void {
     for (let at = 0; at < 2; at++) {
-      this.#endOne();
+      this.#endGang();
     }
     for (let at = 0; at < 2; at++) {
       this.#submit();
     }
     if (this.#random.nextInt(50) === 0) {
-      this.#loseOne();
+      this.#loseWorker();
     }
     this.#tick();
   }
 
-  #endOne(): void {
+  #endGang(): void {
     const at = this.#random.nextInt(Math.max(1, this.#running.length));
     const [gang] = this.#running.splice(at, 1);
     for (const { taskIndex, workerId } of gang?.placements ?? []) {
@@ -157,7 +157,7 @@
     }
   }
 
-  #loseOne(): void {
+  #loseWorker(): void {
     const rack = this.#random.nextInt(this.#size.racks);
     const worker = {
       workerId: `worker-${rack}-${
@@ -179,7 +179,7 @@
     });
   }
 
-  #cancelWave(): void {
+  #cancelQueuedJobs(): void {
     const waiting = this.#core.jobs()
       .filter(({ phase }) => phase === "queued")
       .slice(0, 500);
@@ -190,14 +190,14 @@
   }
 
   #submit(options: { isLarge: boolean } = { isLarge: false }): void {
-    this.#order += 1;
+    this.#submittedJobs += 1;
     const kind = options.isLarge
-      ? LARGE_KIND + this.#random.nextInt(8)
+      ? FIRST_LARGE_KIND + this.#random.nextInt(8)
       : this.#random.nextInt(100);
     const hasAccelerators = kind < 35;
-    const tasks = pickTasks(kind);
+    const tasks = taskCountOf(kind);
     const job: JobSpecification = {
-      jobId: `job-${this.#order}`,
+      jobId: `job-${this.#submittedJobs}`,
       clientAccount: `account-${
         this.#random.nextInt(this.#size.clientAccounts)
       }`,
@@ -223,11 +223,11 @@
 
   #tick(): void {
     this.#nowMs += TICK_MS;
-    this.#permit();
+    this.#extendStartPermission();
     this.#send({ kind: "clockTicked", atMs: this.#nowMs });
   }
 
-  #permit(): void {
+  #extendStartPermission(): void {
     this.#send({
       kind: "startPermissionExtended",
       atMs: this.#nowMs,
@@ -255,18 +255,18 @@
   }
 
   #send(event: SchedulerEvent): void {
-    const before = performance.now();
+    const startMs = performance.now();
     const decisions = this.#core.handle(event);
-    const tookMs = performance.now() - before;
+    const tookMs = performance.now() - startMs;
     if (this.#isTimed) {
-      this.times.push({ kind: event.kind, microseconds: tookMs * 1_000 });
+      this.timedEvents.push({ kind: event.kind, microseconds: tookMs * 1_000 });
     }
     for (const decision of decisions) {
-      this.#carryOut(decision);
+      this.#applyDecision(decision);
     }
   }
 
-  #carryOut(decision: SchedulerDecision): void {
+  #applyDecision(decision: SchedulerDecision): void {
     if (decision.kind === "startGang") {
       const { jobId, attempt, placements } = decision;
       this.#running.push({ jobId, attempt, placements });
@@ -296,7 +296,7 @@
   }
 }
 
-function pickTasks(kind: number): number {
+function taskCountOf(kind: number): number {
   if (kind < 35) {
     return kind < 20 ? 1 : kind < 28 ? 8 : kind < 32 ? 32 : 64;
   }
@@ -308,8 +308,8 @@
   return process.memoryUsage().heapUsed;
 }
 
-/** The spread by kind of the least time that each event took in any run. */
-export function spreadsOf(
+/** Distributions by kind of event, of the least time of each in any run. */
+export function distributionsByKind(
   runs: readonly (readonly TimedEvent[])[],
 ): Record<string, Record<string, number>> {
   const byKind = new Map<string, number[]>();
@@ -321,11 +321,11 @@
     byKind.set(kind, values);
   });
   return Object.fromEntries(
-    [...byKind].map(([kind, values]) => [kind, spreadOf(values)]),
+    [...byKind].map(([kind, values]) => [kind, distributionOf(values)]),
   );
 }
 
-function spreadOf(values: readonly number[]): Record<string, number> {
+function distributionOf(values: readonly number[]): Record<string, number> {
   const sorted = [...values].sort((left, right) => left - right);
   const at = (fraction: number) =>
     Math.round(sorted[Math.floor(fraction * (sorted.length - 1))] ?? 0);
--- a/bench/scheduler/decision_cost_bench.ts
+++ b/bench/scheduler/decision_cost_bench.ts
@@ -1,14 +1,14 @@
 /**
- * Measures what a decision costs, and what the state takes in memory, at
- * several sizes of one data centre. Run it with `--expose-gc` for the memory.
- * Arguments: the seed and the number of steps. Prints one JSON line a size.
- * The same run is made several times, and of each event the least time counts,
- * so that other programs on the machine don't show.
+ * Measures decision times and the memory of the scheduler's state at several
+ * sizes of one data centre. Run with `--expose-gc` to measure the memory.
+ * Arguments: the seed and the number of steps. Prints one JSON line per size.
+ * Each run is repeated and the least time of each event is reported, to exclude
+ * the influence of other programs on the machine.
  *
  * @module
  */
 
-import { CostRun, spreadsOf } from "./cost_run.ts";
+import { CostRun, distributionsByKind } from "./cost_run.ts";
 import { SIZES } from "./workload.ts";
 
 const RACK_COUNTS = [12, 23, 45, 90, 180];
@@ -29,8 +29,10 @@
     const figures = runs.map((run) => run.run(Number(steps)));
     console.log(JSON.stringify({
       ...figures[0],
-      microseconds: spreadsOf(runs.map((run) => run.times)),
-      firstRunMicroseconds: spreadsOf(runs.slice(0, 1).map((run) => run.times)),
+      microseconds: distributionsByKind(runs.map((run) => run.timedEvents)),
+      firstRunMicroseconds: distributionsByKind(
+        runs.slice(0, 1).map((run) => run.timedEvents),
+      ),
     }));
   }
 }
--- a/bench/scheduler/measurements.ts
+++ b/bench/scheduler/measurements.ts
@@ -1,13 +1,13 @@
 /**
- * What is counted in one run, and the figures that come of it.
+ * Records what happens in one simulated run and computes its figures.
  *
  * @module
  */
 
-import type { TrueJob } from "./workload.ts";
+import type { WorkloadJob } from "./workload.ts";
 
-/** The spread of a set of values. */
-export interface Spread {
+/** The distribution of a set of values. */
+export interface Distribution {
   readonly count: number;
   readonly mean: number;
   readonly p50: number;
@@ -16,16 +16,16 @@
   readonly max: number;
 }
 
-/** The figures of one run; times in seconds where not said otherwise. */
+/** The figures of one run; times in seconds unless stated otherwise. */
 export interface Figures {
-  readonly completionSeconds: Readonly<Record<string, Spread>>;
-  readonly startSeconds: Readonly<Record<string, Spread>>;
-  readonly gangWaitSeconds: Readonly<Record<string, Spread>>;
-  /** From the order to evict until the start, by class. */
-  readonly evictionSeconds: Readonly<Record<string, Spread>>;
-  /** Completion time beyond the run time, of the gangs that succeeded. */
-  readonly gangDelaySeconds: Readonly<Record<string, Spread>>;
-  /** Most adjacent free accelerators over all free, mean over time. */
+  readonly completionSeconds: Readonly<Record<string, Distribution>>;
+  readonly startSeconds: Readonly<Record<string, Distribution>>;
+  readonly gangWaitSeconds: Readonly<Record<string, Distribution>>;
+  /** From the decision to preempt for a job until it starts, by job class. */
+  readonly evictionSeconds: Readonly<Record<string, Distribution>>;
+  /** Completion time minus run time, of succeeded gangs of 32 tasks or more. */
+  readonly gangDelaySeconds: Readonly<Record<string, Distribution>>;
+  /** Largest adjacent free block over all free accelerators, mean over time. */
   readonly largestFreeFraction: number;
   readonly doneAcceleratorHours: number;
   readonly lostByPreemptionAcceleratorHours: number;
@@ -34,16 +34,16 @@
   /** Accelerator-hours lost to stops, by the reason of the stop. */
   readonly lostByReason: Readonly<Record<string, number>>;
   readonly stopsByReason: Readonly<Record<string, number>>;
-  /** Quarantines of workers that really are bad, and of others. */
+  /** Quarantines of workers that are actually faulty, and of others. */
   readonly quarantines: { readonly bad: number; readonly good: number };
   readonly outcomes: Readonly<Record<string, number>>;
   readonly unfinished: number;
-  readonly decisionMilliseconds: Spread;
+  readonly decisionMilliseconds: Distribution;
   readonly slowestDecision: string;
 }
 
 interface JobTimes {
-  readonly job: TrueJob;
+  readonly job: WorkloadJob;
   readonly submittedAtMs: number;
   startedAtMs: number | undefined;
   endedAtMs: number | undefined;
@@ -52,31 +52,33 @@
 
 const ACCELERATOR_HOUR_MS = 3_600_000;
 
-/** Stops in favour of other work. */
+/** Reasons for stopping a gang in favour of other work. */
 const PREEMPTING_REASONS: ReadonlySet<string> = new Set([
   "preempted",
   "migrated",
   "guaranteeReclaimed",
 ]);
 
-/** The counts of one run. */
+/** The measurements of one run. */
 export class Measurements {
   readonly #times = new Map<string, JobTimes>();
-  readonly #fractions: number[] = [];
-  readonly #evictingSince = new Map<string, number>();
-  readonly #evictions: { readonly job: TrueJob; readonly tookMs: number }[] =
-    [];
-  readonly #decisions: number[] = [];
+  readonly #largestFreeFractions: number[] = [];
+  readonly #evictionStartsMs = new Map<string, number>();
+  readonly #evictions: {
+    readonly job: WorkloadJob;
+    readonly tookMs: number;
+  }[] = [];
+  readonly #decisionTimesMs: number[] = [];
   #slowest = { ms: 0, kind: "" };
-  #doneWork = 0;
-  #preemptionLoss = 0;
-  #failureLoss = 0;
+  #doneAcceleratorMs = 0;
+  #preemptionLossAcceleratorHours = 0;
+  #failureLossAcceleratorMs = 0;
   #preemptions = 0;
   readonly #lostByReason: Record<string, number> = {};
   readonly #stopsByReason: Record<string, number> = {};
   readonly #quarantines = { bad: 0, good: 0 };
 
-  submitted(job: TrueJob, atMs: number): void {
+  recordSubmitted(job: WorkloadJob, atMs: number): void {
     this.#times.set(job.specification.jobId, {
       job,
       submittedAtMs: atMs,
@@ -86,19 +88,19 @@
     });
   }
 
-  started(job: TrueJob, atMs: number): void {
+  recordStarted(job: WorkloadJob, atMs: number): void {
     const times = this.#times.get(job.specification.jobId);
     if (times !== undefined) {
       times.startedAtMs ??= atMs;
     }
-    const sinceMs = this.#evictingSince.get(job.specification.jobId);
-    if (sinceMs !== undefined) {
-      this.#evictingSince.delete(job.specification.jobId);
-      this.#evictions.push({ job, tookMs: atMs - sinceMs });
+    const evictionStartMs = this.#evictionStartsMs.get(job.specification.jobId);
+    if (evictionStartMs !== undefined) {
+      this.#evictionStartsMs.delete(job.specification.jobId);
+      this.#evictions.push({ job, tookMs: atMs - evictionStartMs });
     }
   }
 
-  ended(job: TrueJob, outcome: string, atMs: number): void {
+  recordEnded(job: WorkloadJob, outcome: string, atMs: number): void {
     const times = this.#times.get(job.specification.jobId);
     if (times === undefined) {
       return;
@@ -106,52 +108,53 @@
     times.outcome = outcome;
     times.endedAtMs = atMs;
     if (outcome === "succeeded") {
-      this.#doneWork += weightOf(job) * job.actualRunMs;
+      this.#doneAcceleratorMs += acceleratorsOf(job) * job.actualRunMs;
     }
   }
 
-  /** A gang ended by a failure. */
-  failed(job: TrueJob, lostRunMs: number): void {
-    this.#failureLoss += weightOf(job) * lostRunMs;
+  /** Records that a gang failed, and the run time lost. */
+  recordFailed(job: WorkloadJob, lostRunMs: number): void {
+    this.#failureLossAcceleratorMs += acceleratorsOf(job) * lostRunMs;
   }
 
-  evicting(job: TrueJob, atMs: number): void {
-    this.#evictingSince.set(job.specification.jobId, atMs);
+  recordPreemption(job: WorkloadJob, atMs: number): void {
+    this.#evictionStartsMs.set(job.specification.jobId, atMs);
   }
 
-  stopped(job: TrueJob, reason: string, lostRunMs: number): void {
-    const lost = weightOf(job) * lostRunMs / ACCELERATOR_HOUR_MS;
+  recordStopped(job: WorkloadJob, reason: string, lostRunMs: number): void {
+    const lost = acceleratorsOf(job) * lostRunMs / ACCELERATOR_HOUR_MS;
     if (PREEMPTING_REASONS.has(reason)) {
       this.#preemptions += 1;
-      this.#preemptionLoss += lost;
+      this.#preemptionLossAcceleratorHours += lost;
     }
     this.#lostByReason[reason] = (this.#lostByReason[reason] ?? 0) + lost;
     this.#stopsByReason[reason] = (this.#stopsByReason[reason] ?? 0) + 1;
   }
 
-  quarantined(isBad: boolean): void {
-    this.#quarantines[isBad ? "bad" : "good"] += 1;
+  recordQuarantined(isFaulty: boolean): void {
+    this.#quarantines[isFaulty ? "bad" : "good"] += 1;
   }
 
-  sampled(room: { total: number; largest: number }): void {
-    if (room.total > 0) {
-      this.#fractions.push(room.largest / room.total);
+  recordFreeCapacity(free: { total: number; largest: number }): void {
+    if (free.total > 0) {
+      this.#largestFreeFractions.push(free.largest / free.total);
     }
   }
 
-  decided(milliseconds: number, kind: string): void {
-    this.#decisions.push(milliseconds);
+  recordDecision(milliseconds: number, kind: string): void {
+    this.#decisionTimesMs.push(milliseconds);
     if (milliseconds > this.#slowest.ms) {
       this.#slowest = { ms: milliseconds, kind };
     }
   }
 
-  /** Counts what was done of jobs that still run. */
+  /** Adds the work done so far by jobs that are still running. */
   finish(
-    options: { running: readonly { job: TrueJob; doneMs: number }[] },
+    options: { running: readonly { job: WorkloadJob; doneMs: number }[] },
   ): void {
     for (const { job, doneMs } of options.running) {
-      this.#doneWork += weightOf(job) * Math.min(doneMs, job.actualRunMs);
+      this.#doneAcceleratorMs += acceleratorsOf(job) *
+        Math.min(doneMs, job.actualRunMs);
     }
   }
 
@@ -163,29 +166,29 @@
       outcomes[name] = (outcomes[name] ?? 0) + 1;
     }
     return {
-      completionSeconds: groupedSpread(
+      completionSeconds: groupedDistribution(
         all.filter((each) => each.outcome === "succeeded"),
         (each) => each.job.specification.jobClass,
         (each) => ((each.endedAtMs ?? 0) - each.submittedAtMs) / 1_000,
       ),
-      startSeconds: groupedSpread(
+      startSeconds: groupedDistribution(
         all.filter((each) => each.startedAtMs !== undefined),
         (each) => each.job.specification.jobClass,
         (each) => ((each.startedAtMs ?? 0) - each.submittedAtMs) / 1_000,
       ),
-      gangWaitSeconds: groupedSpread(
+      gangWaitSeconds: groupedDistribution(
         all.filter((each) =>
           each.startedAtMs !== undefined && each.job.specification.tasks >= 32
         ),
         (each) => `gang${each.job.specification.tasks}`,
         (each) => ((each.startedAtMs ?? 0) - each.submittedAtMs) / 1_000,
       ),
-      evictionSeconds: groupedSpread(
+      evictionSeconds: groupedDistribution(
         this.#evictions,
         (each) => each.job.specification.jobClass,
         (each) => each.tookMs / 1_000,
       ),
-      gangDelaySeconds: groupedSpread(
+      gangDelaySeconds: groupedDistribution(
         all.filter((each) =>
           each.outcome === "succeeded" && each.job.specification.tasks >= 32
         ),
@@ -194,11 +197,15 @@
           ((each.endedAtMs ?? 0) - each.submittedAtMs - each.job.actualRunMs) /
           1_000,
       ),
-      largestFreeFraction: rounded(meanOf(this.#fractions)),
-      doneAcceleratorHours: rounded(this.#doneWork / ACCELERATOR_HOUR_MS),
-      lostByPreemptionAcceleratorHours: rounded(this.#preemptionLoss),
+      largestFreeFraction: rounded(meanOf(this.#largestFreeFractions)),
+      doneAcceleratorHours: rounded(
+        this.#doneAcceleratorMs / ACCELERATOR_HOUR_MS,
+      ),
+      lostByPreemptionAcceleratorHours: rounded(
+        this.#preemptionLossAcceleratorHours,
+      ),
       lostByFailureAcceleratorHours: rounded(
-        this.#failureLoss / ACCELERATOR_HOUR_MS,
+        this.#failureLossAcceleratorMs / ACCELERATOR_HOUR_MS,
       ),
       preemptions: this.#preemptions,
       lostByReason: this.#lostByReason,
@@ -206,27 +213,27 @@
       quarantines: this.#quarantines,
       outcomes,
       unfinished: outcomes["unfinished"] ?? 0,
-      decisionMilliseconds: spreadOf(this.#decisions),
+      decisionMilliseconds: distributionOf(this.#decisionTimesMs),
       slowestDecision: this.#slowest.kind,
     };
   }
 }
 
-function groupedSpread<T>(
+function groupedDistribution<T>(
   items: readonly T[],
   keyOf: (item: T) => string,
   valueOf: (item: T) => number,
-): Record<string, Spread> {
+): Record<string, Distribution> {
   const groups: Record<string, number[]> = {};
   for (const item of items) {
     (groups[keyOf(item)] ??= []).push(valueOf(item));
   }
-  const spreads = Object.entries(groups).sort()
-    .map(([key, values]) => [key, spreadOf(values)] as const);
-  return Object.fromEntries(spreads);
+  const distributions = Object.entries(groups).sort()
+    .map(([key, values]) => [key, distributionOf(values)] as const);
+  return Object.fromEntries(distributions);
 }
 
-function spreadOf(values: readonly number[]): Spread {
+function distributionOf(values: readonly number[]): Distribution {
   const sorted = [...values].sort((left, right) => left - right);
   const at = (fraction: number) =>
     rounded(sorted[Math.floor(fraction * (sorted.length - 1))] ?? 0);
@@ -249,7 +256,7 @@
   return Math.round(value * 1_000) / 1_000;
 }
 
-function weightOf(job: TrueJob): number {
+function acceleratorsOf(job: WorkloadJob): number {
   const { tasks, resources } = job.specification;
   return tasks * resources.accelerators;
 }
--- a/bench/scheduler/policy_bench.ts
+++ b/bench/scheduler/policy_bench.ts
@@ -1,9 +1,9 @@
 /**
- * Compares the scheduler with the baselines on the same streams. Arguments:
- * the size's name, the load and the seed; then, if wanted, `outage` (the data
- * centre leaves for an hour), `healthy` (no worker fails its tasks), `checked`
- * (the core's invariants are looked at on the way) and the names of the
- * policies. Prints one JSON line for each policy.
+ * Compares the scheduler with the baselines on the same workload. Arguments:
+ * the name of the size, the load and the seed; then, optionally, `outage` (the
+ * data centre is out for an hour), `healthy` (no worker is faulty), `checked`
+ * (checks the core's invariants during the run) and the names of the policies.
+ * Prints one JSON line for each policy.
  *
  * @module
  */
@@ -17,16 +17,16 @@
 import { DATA_CENTRE, drawWorkload, SIZES } from "./workload.ts";
 
 const HOUR_MS = 3_600_000;
-const BAD_WORKER_FRACTION = 0.05;
+const FAULTY_WORKER_FRACTION = 0.05;
 
-interface Contender {
+interface PolicyUnderTest {
   readonly name: string;
   readonly policy: SchedulerPolicy;
-  readonly freeRoom: () => { total: number; largest: number };
-  readonly findBroken?: () => readonly string[];
+  readonly freeCapacity: () => { total: number; largest: number };
+  readonly findViolations?: () => readonly string[];
 }
 
-function makeContenders(names: readonly string[]): Contender[] {
+function makePolicies(names: readonly string[]): PolicyUnderTest[] {
   const core = new SchedulerCore({ dataCentre: DATA_CENTRE });
   const firstFit = new BaselinePolicy({
     kind: "firstFit",
@@ -36,12 +36,12 @@
     kind: "bestFit",
     dataCentre: DATA_CENTRE,
   });
-  const all: Contender[] = [
+  const all: PolicyUnderTest[] = [
     {
       name: "core",
       policy: core,
-      findBroken: () => core.findViolations(),
-      freeRoom: () => {
+      findViolations: () => core.findViolations(),
+      freeCapacity: () => {
         const metrics = core.metrics();
         return {
           total: metrics.freeAccelerators,
@@ -52,9 +52,13 @@
     {
       name: "firstFit",
       policy: firstFit,
-      freeRoom: () => firstFit.freeRoom(),
+      freeCapacity: () => firstFit.freeCapacity(),
+    },
+    {
+      name: "bestFit",
+      policy: bestFit,
+      freeCapacity: () => bestFit.freeCapacity(),
     },
-    { name: "bestFit", policy: bestFit, freeRoom: () => bestFit.freeRoom() },
   ];
   return all.filter(({ name }) => names.includes(name));
 }
@@ -63,22 +67,31 @@
   const [sizeName = "lakeshore", load = "0.9", seed = "1", ...rest] = process
     .argv.slice(2);
   const size = SIZES[sizeName as keyof typeof SIZES];
-  const switches = ["outage", "healthy", "checked"];
-  const chosen = rest.filter((word) => !switches.includes(word));
+  const flags = ["outage", "healthy", "checked"];
+  const requestedNames = rest.filter((word) => !flags.includes(word));
   const isChecked = rest.includes("checked");
   const isHealthy = rest.includes("healthy");
   const outage = { fromMs: 3 * HOUR_MS, toMs: 4 * HOUR_MS };
   const jobs = drawWorkload({ size, load: Number(load), seed: Number(seed) });
-  const names = chosen.length > 0 ? chosen : ["core", "firstFit", "bestFit"];
-  for (const { name, policy, freeRoom, findBroken } of makeContenders(names)) {
+  const names = requestedNames.length > 0
+    ? requestedNames
+    : ["core", "firstFit", "bestFit"];
+  for (
+    const {
+      name,
+      policy,
+      freeCapacity,
+      findViolations,
+    } of makePolicies(names)
+  ) {
     const simulation = new Simulation({
       policy,
       size,
       jobs,
       seed: Number(seed),
-      badWorkerFraction: isHealthy ? 0 : BAD_WORKER_FRACTION,
-      freeRoom,
-      ...(isChecked && findBroken !== undefined ? { findBroken } : {}),
+      faultyWorkerFraction: isHealthy ? 0 : FAULTY_WORKER_FRACTION,
+      freeCapacity,
+      ...(isChecked && findViolations !== undefined ? { findViolations } : {}),
       tailMs: 0,
       ...(rest.includes("outage") ? { outage } : {}),
     });
--- a/bench/scheduler/simulation.ts
+++ b/bench/scheduler/simulation.ts
@@ -1,6 +1,6 @@
 /**
- * Runs one policy over one stream of jobs, with small stand-ins for workers,
- * on a clock that jumps from event to event.
+ * Simulates one policy on one workload, with minimal stand-ins for workers and
+ * a clock that jumps from event to event.
  *
  * @module
  */
@@ -17,57 +17,59 @@
   type BenchSize,
   DATA_CENTRE,
   documentFor,
-  type TrueJob,
+  type WorkloadJob,
 } from "./workload.ts";
 
 type StartGang = Extract<SchedulerDecision, { kind: "startGang" }>;
 type StopGang = Extract<SchedulerDecision, { kind: "stopGang" }>;
 
 const TICK_MS = 500;
-const START_MS = 150;
-const CHECKPOINT_TAKES_MS = 8_000;
-const STOP_TAKES_MS = 100;
-const CHECKPOINT_EVERY_MS = 10 * 60_000;
-const BAD_WORKER_FAILS_MS = 2_000;
-/** Invariants are looked at after every so many events. */
-const CHECKED_EVERY = 97;
-const SAMPLE_MS = 30_000;
+const GANG_START_DELAY_MS = 150;
+const CHECKPOINT_DURATION_MS = 8_000;
+const STOP_DURATION_MS = 100;
+const CHECKPOINT_PERIOD_MS = 10 * 60_000;
+/** From the start of a gang that will fail until its task fails. */
+const FAILURE_DELAY_MS = 2_000;
+/** Invariants are checked once per this many events. */
+const CHECK_EVENTS = 97;
+const SAMPLE_PERIOD_MS = 30_000;
 const PERMISSION_MS = 120_000;
 
-/** What is simulated. */
+/** Options of {@link Simulation}. */
 export interface SimulationOptions {
   readonly policy: SchedulerPolicy;
   readonly size: BenchSize;
-  readonly jobs: readonly TrueJob[];
+  readonly jobs: readonly WorkloadJob[];
   readonly seed: number;
-  readonly badWorkerFraction: number;
-  /** When the data centre is out; absent for never. */
+  readonly faultyWorkerFraction: number;
+  /** When the data centre is out; absent if it never is. */
   readonly outage?: { readonly fromMs: number; readonly toMs: number };
-  /** Free accelerators, and the most adjacent ones, of the policy. */
-  readonly freeRoom: () => { total: number; largest: number };
-  /** What is found broken, looked at now and then; absent for no look. */
-  readonly findBroken?: () => readonly string[];
-  /** How long it goes on after the last submission. */
+  /** The policy's free accelerators, and the largest adjacent block of them. */
+  readonly freeCapacity: () => { total: number; largest: number };
+  /** Finds violated invariants; a run with any throws. Absent for no checks. */
+  readonly findViolations?: () => readonly string[];
+  /** How long the run goes on after the last submission. */
   readonly tailMs: number;
 }
 
+/** A job that has been submitted and hasn't ended. */
 interface RunningJob {
-  readonly job: TrueJob;
-  /** Run time that is safe in checkpoints. */
-  doneMs: number;
+  readonly job: WorkloadJob;
+  /** Run time that is saved in checkpoints. */
+  savedMs: number;
   attempt: number;
   startedAtMs: number | undefined;
   checkpointedAtMs: number | undefined;
   placements: StartGang["placements"];
 }
 
-/** One run. */
+/** One simulated run. */
 export class Simulation {
   readonly #options: SimulationOptions;
   readonly #clock = new FakeClock();
   readonly #measurements = new Measurements();
   readonly #running = new Map<string, RunningJob>();
-  readonly #badWorkers = new Set<string>();
+  readonly #faultyWorkers = new Set<string>();
   #events = 0;
 
   constructor(options: SimulationOptions) {
@@ -82,21 +84,22 @@
     }
     const lastMs = jobs.at(-1)?.submittedAtMs ?? 0;
     this.#clock.every(TICK_MS, () => this.#tick());
-    this.#clock.every(SAMPLE_MS, () => {
-      this.#measurements.sampled(this.#options.freeRoom());
+    this.#clock.every(SAMPLE_PERIOD_MS, () => {
+      this.#measurements.recordFreeCapacity(this.#options.freeCapacity());
     });
     this.#clock.advance(lastMs + tailMs);
     this.#measurements.finish({
       running: [...this.#running.values()].map((each) => ({
         job: each.job,
-        doneMs: each.doneMs + this.#sinceCheckpoint(each),
+        doneMs: each.savedMs + this.#unsavedMs(each),
       })),
     });
     return this.#measurements;
   }
 
   #setUp(): void {
-    const { size, seed, badWorkerFraction, outage } = this.#options;
+    const { size, seed, faultyWorkerFraction: faultyWorkerFraction, outage } =
+      this.#options;
     const random = new SeededRandom({ seed: seed + 1 });
     this.#configure(1, "in");
     this.#send({
@@ -107,8 +110,8 @@
     for (let rack = 0; rack < size.racks; rack++) {
       for (let at = 0; at < size.workersPerRack; at++) {
         const workerId = `worker-${rack}-${at}`;
-        if (random.nextUnit() < badWorkerFraction) {
-          this.#badWorkers.add(workerId);
+        if (random.nextUnit() < faultyWorkerFraction) {
+          this.#faultyWorkers.add(workerId);
         }
         this.#send({
           kind: "workerJoined",
@@ -150,12 +153,12 @@
     });
   }
 
-  #submit(job: TrueJob): void {
-    this.#measurements.submitted(job, this.#clock.nowMs());
+  #submit(job: WorkloadJob): void {
+    this.#measurements.recordSubmitted(job, this.#clock.nowMs());
     const { specification, cancelledAtMs } = job;
     this.#running.set(specification.jobId, {
       job,
-      doneMs: 0,
+      savedMs: 0,
       attempt: 0,
       startedAtMs: undefined,
       checkpointedAtMs: undefined,
@@ -192,28 +195,28 @@
   }
 
   #send(event: SchedulerEvent): void {
-    const before = performance.now();
+    const startMs = performance.now();
     const decisions = this.#options.policy.handle(event);
-    this.#measurements.decided(performance.now() - before, event.kind);
+    this.#measurements.recordDecision(performance.now() - startMs, event.kind);
     for (const decision of decisions) {
-      this.#carryOut(decision);
+      this.#applyDecision(decision);
     }
-    this.#lookForBroken();
+    this.#checkInvariants();
   }
 
-  #lookForBroken(): void {
-    const { findBroken } = this.#options;
+  #checkInvariants(): void {
+    const { findViolations } = this.#options;
     this.#events += 1;
-    if (findBroken === undefined || this.#events % CHECKED_EVERY !== 0) {
+    if (findViolations === undefined || this.#events % CHECK_EVENTS !== 0) {
       return;
     }
-    const broken = findBroken();
-    if (broken.length > 0) {
-      throw new Error(broken.join("\n"));
+    const violations = findViolations();
+    if (violations.length > 0) {
+      throw new Error(violations.join("\n"));
     }
   }
 
-  #carryOut(decision: SchedulerDecision): void {
+  #applyDecision(decision: SchedulerDecision): void {
     switch (decision.kind) {
       case "startGang":
         this.#start(decision);
@@ -225,7 +228,7 @@
         const running = this.#running.get(decision.jobId);
         if (running !== undefined) {
           this.#running.delete(decision.jobId);
-          this.#measurements.ended(
+          this.#measurements.recordEnded(
             running.job,
             decision.outcome,
             this.#clock.nowMs(),
@@ -236,13 +239,13 @@
       case "jobWaits": {
         const job = this.#running.get(decision.jobId)?.job;
         if (job !== undefined && decision.reason === "preemption") {
-          this.#measurements.evicting(job, this.#clock.nowMs());
+          this.#measurements.recordPreemption(job, this.#clock.nowMs());
         }
         return;
       }
       case "quarantineWorker":
-        this.#measurements.quarantined(
-          this.#badWorkers.has(decision.workerId),
+        this.#measurements.recordQuarantined(
+          this.#faultyWorkers.has(decision.workerId),
         );
         return;
       default:
@@ -260,19 +263,19 @@
     const isCurrent = () =>
       this.#running.get(start.jobId) === running &&
       running.attempt === start.attempt && running.placements.length > 0;
-    this.#clock.after(START_MS, () => {
+    this.#clock.after(GANG_START_DELAY_MS, () => {
       if (isCurrent()) {
-        this.#runs(running, isCurrent);
+        this.#gangStarted(running, isCurrent);
       }
     });
   }
 
-  #runs(running: RunningJob, isCurrent: () => boolean): void {
+  #gangStarted(running: RunningJob, isCurrent: () => boolean): void {
     const nowMs = this.#clock.nowMs();
     const { jobId } = running.job.specification;
     running.startedAtMs = nowMs;
     running.checkpointedAtMs = undefined;
-    this.#measurements.started(running.job, nowMs);
+    this.#measurements.recordStarted(running.job, nowMs);
     this.#send({
       kind: "gangStarted",
       atMs: nowMs,
@@ -280,35 +283,35 @@
       attempt: running.attempt,
     });
     const bad = running.placements
-      .find(({ workerId }) => this.#badWorkers.has(workerId));
-    const failing = bad ?? (running.job.isBad && running.placements[0]);
+      .find(({ workerId }) => this.#faultyWorkers.has(workerId));
+    const failing = bad ?? (running.job.alwaysFails && running.placements[0]);
     if (failing) {
-      this.#clock.after(BAD_WORKER_FAILS_MS, () => {
+      this.#clock.after(FAILURE_DELAY_MS, () => {
         if (isCurrent()) {
           this.#endTasks(running, [failing], "failed");
         }
       });
       return;
     }
-    const leftMs = Math.max(1, running.job.actualRunMs - running.doneMs);
+    const leftMs = Math.max(1, running.job.actualRunMs - running.savedMs);
     this.#clock.after(leftMs, () => {
       if (isCurrent()) {
         this.#endTasks(running, running.placements, "succeeded");
       }
     });
-    this.#checkpointLater(running, isCurrent);
+    this.#scheduleCheckpoint(running, isCurrent);
   }
 
-  #checkpointLater(running: RunningJob, isCurrent: () => boolean): void {
+  #scheduleCheckpoint(running: RunningJob, isCurrent: () => boolean): void {
     if (!running.job.specification.canCheckpoint) {
       return;
     }
-    this.#clock.after(CHECKPOINT_EVERY_MS, () => {
+    this.#clock.after(CHECKPOINT_PERIOD_MS, () => {
       if (!isCurrent()) {
         return;
       }
       const nowMs = this.#clock.nowMs();
-      running.doneMs += this.#sinceCheckpoint(running);
+      running.savedMs += this.#unsavedMs(running);
       running.checkpointedAtMs = nowMs;
       const first = running.placements[0];
       const { jobId, resources } = running.job.specification;
@@ -328,7 +331,7 @@
           }],
         });
       }
-      this.#checkpointLater(running, isCurrent);
+      this.#scheduleCheckpoint(running, isCurrent);
     });
   }
 
@@ -349,7 +352,7 @@
       });
     }
     if (outcome === "failed") {
-      this.#measurements.failed(running.job, this.#sinceCheckpoint(running));
+      this.#measurements.recordFailed(running.job, this.#unsavedMs(running));
     }
   }
 
@@ -357,22 +360,22 @@
     const running = this.#running.get(stop.jobId);
     const nowMs = this.#clock.nowMs();
     const isCheckpointed = stop.wantsCheckpoint &&
-      stop.checkpointDeadlineMs - nowMs >= CHECKPOINT_TAKES_MS;
-    const takesMs = isCheckpointed
-      ? CHECKPOINT_TAKES_MS
-      : Math.max(STOP_TAKES_MS, stop.checkpointDeadlineMs - nowMs);
-    this.#clock.after(takesMs, () => {
+      stop.checkpointDeadlineMs - nowMs >= CHECKPOINT_DURATION_MS;
+    const durationMs = isCheckpointed
+      ? CHECKPOINT_DURATION_MS
+      : Math.max(STOP_DURATION_MS, stop.checkpointDeadlineMs - nowMs);
+    this.#clock.after(durationMs, () => {
       if (running === undefined || running.attempt !== stop.attempt) {
         return;
       }
-      const sinceMs = this.#sinceCheckpoint(running);
-      this.#measurements.stopped(
+      const unsavedMs = this.#unsavedMs(running);
+      this.#measurements.recordStopped(
         running.job,
         stop.reason,
-        isCheckpointed ? 0 : sinceMs,
+        isCheckpointed ? 0 : unsavedMs,
       );
       if (isCheckpointed) {
-        running.doneMs += sinceMs;
+        running.savedMs += unsavedMs;
       }
       running.startedAtMs = undefined;
       running.placements = [];
@@ -386,7 +389,7 @@
     });
   }
 
-  #sinceCheckpoint(running: RunningJob): number {
+  #unsavedMs(running: RunningJob): number {
     if (running.startedAtMs === undefined) {
       return 0;
     }
--- a/bench/scheduler/workload.ts
+++ b/bench/scheduler/workload.ts
@@ -1,5 +1,5 @@
 /**
- * Streams of jobs, drawn from a seed.
+ * Workloads: jobs drawn at random from a seed.
  *
  * @module
  */
@@ -12,13 +12,13 @@
   type Guarantee,
 } from "../../src/version/document/document.ts";
 
-/** The data centre of the bench. */
+/** The ID of the simulated data centre. */
 export const DATA_CENTRE = "bench";
 
 const MINUTE_MS = 60_000;
 const HOUR_MS = 3_600_000;
 
-/** A size to measure. */
+/** A size of data centre, and the duration of its workload in hours. */
 export interface BenchSize {
   readonly name: string;
   readonly racks: number;
@@ -28,11 +28,11 @@
   readonly memoryBytes: number;
   readonly clientAccounts: number;
   readonly hours: number;
-  /** How much more of the work comes in gangs of 32 and 64. */
+  /** Multiplies the weight of gangs of 32 and 64 tasks. */
   readonly largeGangFactor: number;
 }
 
-/** Both users' sizes of one data centre, and the size of two years on. */
+/** Both users' sizes of one data centre, and the size expected in two years. */
 export const SIZES = {
   lakeshore: {
     name: "lakeshore",
@@ -69,33 +69,33 @@
   },
 } as const satisfies Record<string, BenchSize>;
 
-/** A job with the truth about it, which the scheduler isn't told. */
-export interface TrueJob {
+/** A job with its actual behaviour, which the scheduler doesn't know. */
+export interface WorkloadJob {
   readonly specification: JobSpecification;
   readonly submittedAtMs: number;
   readonly actualRunMs: number;
-  /** When its submitter gives it up; absent for never. */
+  /** When its submitter cancels it; undefined if it isn't cancelled. */
   readonly cancelledAtMs: number | undefined;
   /** Whether it fails wherever it runs. */
-  readonly isBad: boolean;
+  readonly alwaysFails: boolean;
 }
 
-/** What a stream is drawn with. */
+/** Options of {@link drawWorkload}. */
 export interface WorkloadOptions {
   readonly size: BenchSize;
   readonly seed: number;
-  /** Work offered, as a fraction of all accelerators. */
+  /** Work offered, as a fraction of the capacity of all accelerators. */
   readonly load: number;
 }
 
-interface Kind {
+interface JobShape {
   readonly weight: number;
   readonly tasks: number;
   readonly accelerators: number;
   readonly adjacency: JobSpecification["adjacency"];
 }
 
-const KINDS: readonly Kind[] = [
+const JOB_SHAPES: readonly JobShape[] = [
   { weight: 30, tasks: 1, accelerators: 1, adjacency: "worker" },
   { weight: 25, tasks: 1, accelerators: 4, adjacency: "worker" },
   { weight: 14, tasks: 1, accelerators: 8, adjacency: "worker" },
@@ -104,35 +104,36 @@
   { weight: 4, tasks: 64, accelerators: 1, adjacency: "rack" },
 ];
 
-const CLASSES = {
+const JOB_CLASSES = {
   urgent: { weight: 15, fromMs: MINUTE_MS / 2, toMs: 5 * MINUTE_MS },
   dispatch: { weight: 40, fromMs: 5 * MINUTE_MS, toMs: 40 * MINUTE_MS },
   overnight: { weight: 45, fromMs: 20 * MINUTE_MS, toMs: 3 * HOUR_MS },
 } as const;
 
-type ClassName = keyof typeof CLASSES;
+type ClassName = keyof typeof JOB_CLASSES;
 
-/** Urgent work comes in gangs of at most this size. */
-const URGENT_KINDS = KINDS.slice(0, 4);
-const BURST_EVERY_MS = 2 * HOUR_MS;
+/** Urgent jobs have one of the first four shapes, of at most 8 tasks. */
+const URGENT_SHAPES = JOB_SHAPES.slice(0, 4);
+const BURST_PERIOD_MS = 2 * HOUR_MS;
 const BURST_JOBS_FRACTION = 0.25;
-const WAVE_EVERY_MS = 3 * HOUR_MS;
-const WAVE_FRACTION = 0.08;
-const BAD_JOB_FRACTION = 0.01;
+const CANCELLATION_PERIOD_MS = 3 * HOUR_MS;
+const CANCELLED_FRACTION = 0.08;
+const ALWAYS_FAILING_FRACTION = 0.01;
+/** Declared run times are wrong by up to this factor, in either direction. */
 const DECLARED_FACTOR_LIMIT = 10;
-/** Half of all accelerators are promised, in whole workers. */
-const PROMISED_FRACTION = 0.5;
+/** Half of all accelerators are guaranteed, in whole workers. */
+const GUARANTEED_FRACTION = 0.5;
 
-/** Jobs over the whole time, in order of submission. */
-export function drawWorkload(options: WorkloadOptions): TrueJob[] {
+/** Draws the jobs of the whole duration, in order of submission. */
+export function drawWorkload(options: WorkloadOptions): WorkloadJob[] {
   const { size, load } = options;
   const random = new SeededRandom({ seed: options.seed });
   const total = size.racks * size.workersPerRack * size.accelerators;
   const endMs = size.hours * HOUR_MS;
-  const wanted = total * endMs * load;
-  const jobs: TrueJob[] = [];
+  const targetWork = total * endMs * load;
+  const jobs: WorkloadJob[] = [];
   let work = 0;
-  while (work < wanted) {
+  while (work < targetWork) {
     const job = drawJob(random, { ...options, order: jobs.length, endMs });
     const { tasks, resources } = job.specification;
     work += tasks * resources.accelerators * job.actualRunMs;
@@ -141,18 +142,18 @@
   return jobs.sort((left, right) => left.submittedAtMs - right.submittedAtMs);
 }
 
-/** The document: hardware, classes and guarantees of half the hardware. */
+/** The configuration document: hardware, job classes and guarantees. */
 export function documentFor(size: BenchSize): Document {
   const total = size.racks * size.workersPerRack;
-  const perAccount = Math.max(
+  const workersPerAccount = Math.max(
     1,
-    Math.floor(total * PROMISED_FRACTION / size.clientAccounts),
+    Math.floor(total * GUARANTEED_FRACTION / size.clientAccounts),
   );
   const clientAccounts = Object.fromEntries(
     Array.from({ length: size.clientAccounts }, (_, at) => [accountName(at), {
       owner: "team",
       borrowingWeight: 1 + at % 3,
-      guarantees: guaranteesFor(size, perAccount),
+      guarantees: guaranteesFor(size, workersPerAccount),
     }]),
   );
   const racks = Array.from({ length: size.racks }, (_, at) => ({
@@ -183,7 +184,7 @@
     acceleratorsPerWorker: size.accelerators,
   };
   const wholeRacks = Math.floor(workers / size.workersPerRack);
-  const rest = workers % size.workersPerRack;
+  const remainder = workers % size.workersPerRack;
   const guarantees: Guarantee[] = [];
   if (wholeRacks > 0) {
     guarantees.push({
@@ -192,8 +193,8 @@
       count: wholeRacks,
     });
   }
-  if (rest > 0) {
-    guarantees.push({ ...shape, workersPerRack: rest, count: 1 });
+  if (remainder > 0) {
+    guarantees.push({ ...shape, workersPerRack: remainder, count: 1 });
   }
   return guarantees;
 }
@@ -201,45 +202,45 @@
 function drawJob(
   random: SeededRandom,
   options: WorkloadOptions & { order: number; endMs: number },
-): TrueJob {
+): WorkloadJob {
   const { size, endMs, order } = options;
   const jobClass = pickWeighted(
     random,
-    Object.entries(CLASSES),
+    Object.entries(JOB_CLASSES),
   )[0] as ClassName;
-  const kinds = jobClass === "urgent" ? URGENT_KINDS : KINDS;
-  const kind = pickWeighted(
+  const shapes = jobClass === "urgent" ? URGENT_SHAPES : JOB_SHAPES;
+  const shape = pickWeighted(
     random,
-    kinds.map((each) => [each, weightedFor(each, size)] as const),
+    shapes.map((each) => [each, weightFor(each, size)] as const),
   );
-  const { fromMs, toMs } = CLASSES[jobClass];
+  const { fromMs, toMs } = JOB_CLASSES[jobClass];
   const actualRunMs = Math.round(logUniform(random, fromMs, toMs));
   const factor = logUniform(
     random,
     1 / DECLARED_FACTOR_LIMIT,
     DECLARED_FACTOR_LIMIT,
   );
-  const coresShare = size.cores * kind[0].accelerators / size.accelerators;
-  const memoryShare = size.memoryBytes * kind[0].accelerators /
+  const coresShare = size.cores * shape[0].accelerators / size.accelerators;
+  const memoryShare = size.memoryBytes * shape[0].accelerators /
     size.accelerators;
-  const submittedAtMs = drawSubmission(random, endMs);
+  const submittedAtMs = drawSubmissionTime(random, endMs);
   const account = Math.floor(random.nextUnit() ** 2 * size.clientAccounts);
   return {
     submittedAtMs,
     actualRunMs,
-    isBad: random.nextUnit() < BAD_JOB_FRACTION,
-    cancelledAtMs: drawCancellation(random, submittedAtMs),
+    alwaysFails: random.nextUnit() < ALWAYS_FAILING_FRACTION,
+    cancelledAtMs: drawCancellationTime(random, submittedAtMs),
     specification: {
       jobId: `job-${order}`,
       clientAccount: accountName(account),
       jobClass,
-      tasks: kind[0].tasks,
+      tasks: shape[0].tasks,
       resources: {
         cores: Math.max(0.1, coresShare * logUniform(random, 0.1, 1)),
         memoryBytes: Math.round(memoryShare * logUniform(random, 0.1, 1)),
-        accelerators: kind[0].accelerators,
+        accelerators: shape[0].accelerators,
       },
-      adjacency: kind[0].adjacency,
+      adjacency: shape[0].adjacency,
       declaredRunMs: Math.max(1, Math.round(actualRunMs * factor)),
       dataCentres: [],
       canCheckpoint: random.nextUnit() < 0.9,
@@ -248,29 +249,29 @@
   };
 }
 
-function weightedFor(kind: Kind, size: BenchSize): { weight: number } {
-  const factor = kind.tasks >= 32 ? size.largeGangFactor : 1;
-  return { weight: kind.weight * factor };
+function weightFor(shape: JobShape, size: BenchSize): { weight: number } {
+  const factor = shape.tasks >= 32 ? size.largeGangFactor : 1;
+  return { weight: shape.weight * factor };
 }
 
-/** A quarter of the jobs come in bursts of one minute. */
-function drawSubmission(random: SeededRandom, endMs: number): number {
+/** A quarter of the jobs are submitted in bursts of one minute. */
+function drawSubmissionTime(random: SeededRandom, endMs: number): number {
   const atMs = Math.floor(random.nextUnit() * endMs);
   if (random.nextUnit() >= BURST_JOBS_FRACTION) {
     return atMs;
   }
-  return Math.floor(atMs / BURST_EVERY_MS) * BURST_EVERY_MS +
+  return Math.floor(atMs / BURST_PERIOD_MS) * BURST_PERIOD_MS +
     random.nextInt(MINUTE_MS);
 }
 
-/** Waves in which some of the jobs there are given up together. */
-function drawCancellation(
+/** Some of the jobs are cancelled, together in periodic waves. */
+function drawCancellationTime(
   random: SeededRandom,
   submittedAtMs: number,
 ): number | undefined {
-  const waveAtMs = (Math.floor(submittedAtMs / WAVE_EVERY_MS) + 1) *
-    WAVE_EVERY_MS;
-  return random.nextUnit() < WAVE_FRACTION
+  const waveAtMs = (Math.floor(submittedAtMs / CANCELLATION_PERIOD_MS) + 1) *
+    CANCELLATION_PERIOD_MS;
+  return random.nextUnit() < CANCELLED_FRACTION
     ? waveAtMs + random.nextInt(2_000)
     : undefined;
 }
