--- a/bench/routing/added_latency.ts
+++ b/bench/routing/added_latency.ts
@@ -1,8 +1,8 @@
 /**
- * Measures, over real sockets on loopback, what an instance adds to calling
- * the stand-in servers directly, and how many requests a second one instance
- * carries. The instance and the servers have a thread each; direct and routed
- * blocks alternate within the run.
+ * Measures, over real sockets on loopback, the latency that an instance adds to
+ * direct calls of the stand-in servers, and how many requests per second one
+ * instance handles. The instance and the servers each have a thread; direct and
+ * routed blocks alternate within the run.
  *
  * `npm run build && node dist/bench/routing/added_latency.js [seed]`
  *
@@ -22,16 +22,17 @@
 } from "./bench_worker.ts";
 
 /**
- * Direct calls of the servers, calls through a bare relay (the cost of one
- * more hop on this machine), or requests through the instance.
+ * Direct calls of the servers, calls through a plain relay (the cost of one
+ * more hop on this machine), or idempotent or claimed requests through the
+ * instance.
  */
-type Way = "direct" | "relay" | "idempotent" | "claimed";
+type Route = "direct" | "relay" | "idempotent" | "claimed";
 
 interface Target {
   readonly servers: readonly string[];
   readonly instance: string;
   readonly relay: string;
-  /** The threads that stand between the callers and the servers. */
+  /** The threads between the callers and the servers. */
   readonly threads: Readonly<Record<"instance" | "relay", Worker>>;
   readonly dispatcher: Dispatcher;
 }
@@ -43,7 +44,7 @@
 const WARM_UP_MS = 1_000;
 const THROUGHPUT_MS = 3_000;
 const CALLERS = 64;
-const WAYS: readonly Way[] = ["direct", "relay", "idempotent", "claimed"];
+const ROUTES: readonly Route[] = ["direct", "relay", "idempotent", "claimed"];
 
 async function main(): Promise<void> {
   const seed = Number(process.argv[2] ?? 1);
@@ -56,41 +57,48 @@
   const { target, stop } = await startTarget(MEAN_SERVICE_MS, seed);
   const { servers, slots } = SOCKET_SIZES;
   const perSecond = LOAD * servers * slots * 1_000 / MEAN_SERVICE_MS;
-  for (const way of WAYS) {
-    await offer(way, { target, perSecond, seed, durationMs: WARM_UP_MS });
+  for (const route of ROUTES) {
+    await sendAtRate(route, {
+      target,
+      perSecond,
+      seed,
+      durationMs: WARM_UP_MS,
+    });
   }
-  const overheads = new Map<Way, number[]>(WAYS.map((way) => [way, []]));
-  const busyMs = new Map<Way, number>();
+  const overheads = new Map<Route, number[]>(
+    ROUTES.map((route) => [route, []]),
+  );
+  const busyMs = new Map<Route, number>();
   for (let block = 0; block < BLOCKS; block += 1) {
-    for (const way of WAYS) {
+    for (const route of ROUTES) {
       const durationMs = BLOCK_MS;
-      const beforeMs = busyTimeMs(way, target);
-      const taken = await offer(way, {
+      const beforeMs = busyTimeMs(route, target);
+      const overheadsMs = await sendAtRate(route, {
         target,
         perSecond,
         seed: seed + block,
         durationMs,
       });
-      overheads.get(way)?.push(...taken);
-      const spentMs = busyTimeMs(way, target) - beforeMs;
-      busyMs.set(way, (busyMs.get(way) ?? 0) + spentMs);
+      overheads.get(route)?.push(...overheadsMs);
+      const spentMs = busyTimeMs(route, target) - beforeMs;
+      busyMs.set(route, (busyMs.get(route) ?? 0) + spentMs);
     }
   }
   await stop();
   console.log(
-    `\nat half load, ${perSecond} requests/s; time beside the ` +
+    `\nat half load, ${perSecond} requests/s; time without the ` +
       "server's own, ms",
   );
   const direct = quantiles(overheads.get("direct") ?? []);
-  for (const way of WAYS) {
-    const own = quantiles(overheads.get(way) ?? []);
+  for (const route of ROUTES) {
+    const stats = quantiles(overheads.get(route) ?? []);
     console.log(
-      `${way}: ${own.count} answers, p50 ${own.p50.toFixed(2)}, ` +
-        `p99 ${own.p99.toFixed(2)}; added p50 ` +
-        `${(own.p50 - direct.p50).toFixed(2)}, ` +
-        `added p99 ${(own.p99 - direct.p99).toFixed(2)}; ` +
+      `${route}: ${stats.count} answers, p50 ${stats.p50.toFixed(2)}, ` +
+        `p99 ${stats.p99.toFixed(2)}; added p50 ` +
+        `${(stats.p50 - direct.p50).toFixed(2)}, ` +
+        `added p99 ${(stats.p99 - direct.p99).toFixed(2)}; ` +
         `its thread busy ${
-          (1_000 * (busyMs.get(way) ?? 0) / own.count).toFixed(0)
+          (1_000 * (busyMs.get(route) ?? 0) / stats.count).toFixed(0)
         } us a request`,
     );
   }
@@ -98,12 +106,12 @@
 
 async function measureThroughput(seed: number): Promise<void> {
   const { target, stop } = await startTarget(0.01, seed);
-  console.log(`\n${CALLERS} callers without pause, servers answer at once`);
-  for (const way of WAYS) {
-    await saturate(way, target, WARM_UP_MS);
-    const answers = await saturate(way, target, THROUGHPUT_MS);
+  console.log(`\n${CALLERS} callers without delay, servers answer immediately`);
+  for (const route of ROUTES) {
+    await saturate(route, target, WARM_UP_MS);
+    const answers = await saturate(route, target, THROUGHPUT_MS);
     const perSecond = answers * 1_000 / THROUGHPUT_MS;
-    console.log(`${way}: ${perSecond.toFixed(0)} requests/s`);
+    console.log(`${route}: ${perSecond.toFixed(0)} requests/s`);
   }
   await stop();
 }
@@ -156,9 +164,9 @@
   return { worker, addresses: ready.addresses };
 }
 
-/** Requests at random moments at the given rate; their overheads in ms. */
-async function offer(
-  way: Way,
+/** Sends requests at random times at this rate; returns overheads in ms. */
+async function sendAtRate(
+  route: Route,
   options: {
     target: Target;
     perSecond: number;
@@ -169,7 +177,7 @@
   const { target, perSecond, seed, durationMs } = options;
   const random = new SeededRandom({ seed });
   const overheads: number[] = [];
-  const open: Promise<void>[] = [];
+  const pending: Promise<void>[] = [];
   const startMs = performance.now();
   let dueMs = 0;
   while (dueMs < durationMs) {
@@ -178,19 +186,19 @@
     if (waitMs > 0) {
       await new Promise((resolve) => setTimeout(resolve, waitMs));
     }
-    open.push(
-      call(way, target, open.length).then((overheadMs) => {
+    pending.push(
+      call(route, target, pending.length).then((overheadMs) => {
         overheads.push(overheadMs);
       }),
     );
   }
-  await Promise.all(open);
+  await Promise.all(pending);
   return overheads;
 }
 
-/** As many requests as the callers get through; how many were answered. */
+/** Sends requests from all callers without delay; counts the answers. */
 async function saturate(
-  way: Way,
+  route: Route,
   target: Target,
   durationMs: number,
 ): Promise<number> {
@@ -198,7 +206,7 @@
   let answers = 0;
   const callers = Array.from({ length: CALLERS }, async (_, caller) => {
     for (let at = caller; performance.now() < endMs; at += CALLERS) {
-      await call(way, target, at);
+      await call(route, target, at);
       answers += 1;
     }
   });
@@ -208,11 +216,11 @@
 
 let lastRequest = 0;
 
-/** One request; the time that it took beside the server's own, in ms. */
-async function call(way: Way, target: Target, at: number): Promise<number> {
+/** Sends one request; returns its time in ms without the server's own time. */
+async function call(route: Route, target: Target, at: number): Promise<number> {
   const requestId = `bench-${++lastRequest}`;
-  const isDirect = way === "direct" || way === "relay";
-  const address = addressOf(way, target, at);
+  const isDirect = route === "direct" || route === "relay";
+  const address = addressOf(route, target, at);
   const startMs = performance.now();
   const response = await target.dispatcher.request({
     origin: `http://${address}`,
@@ -220,7 +228,7 @@
     method: "POST",
     headers: {
       [RequestHeader.requestId]: requestId,
-      [RequestHeader.idempotent]: String(way !== "claimed"),
+      [RequestHeader.idempotent]: String(route !== "claimed"),
       ...(isDirect ? { [RequestHeader.correlation]: requestId } : {}),
     },
     body: "bale 7731, loft at 20 C and 65 percent",
@@ -232,9 +240,9 @@
   return performance.now() - startMs - body.serviceMs;
 }
 
-/** How long the thread of the way's hop has been busy so far. */
-function busyTimeMs(way: Way, { threads }: Target): number {
-  switch (way) {
+/** How long the instance's or relay's thread has been busy, in ms. */
+function busyTimeMs(route: Route, { threads }: Target): number {
+  switch (route) {
     case "direct":
       return 0;
     case "relay":
@@ -245,8 +253,8 @@
   }
 }
 
-function addressOf(way: Way, target: Target, at: number): string {
-  switch (way) {
+function addressOf(route: Route, target: Target, at: number): string {
+  switch (route) {
     case "direct":
       return target.servers[at % target.servers.length] ?? "";
     case "relay":
@@ -259,8 +267,8 @@
 
 function quantiles(values: number[]) {
   const sorted = [...values].sort((left, right) => left - right);
-  const at = (part: number): number =>
-    sorted[Math.floor(sorted.length * part)] ?? 0;
+  const at = (fraction: number): number =>
+    sorted[Math.floor(sorted.length * fraction)] ?? 0;
   return { count: sorted.length, p50: at(0.5), p99: at(0.99) };
 }
 
--- a/bench/routing/bench_worker.ts
+++ b/bench/routing/bench_worker.ts
@@ -1,21 +1,21 @@
 /**
- * What the threads of the socket bench tell one another.
+ * Messages between the threads of the socket bench.
  *
  * @module
  */
 
-/** What a thread is to run. */
+/** What a thread runs. */
 export interface BenchWorkerData {
   readonly role: "servers" | "instance" | "relay";
   readonly meanServiceMs: number;
   readonly seed: number;
-  /** Where the instance listens, for the servers' announcements. */
+  /** Address of the instance that the servers announce themselves to. */
   readonly instanceAddress: string;
-  /** Where the servers listen, for the relay. */
+  /** Addresses of the servers that the relay calls. */
   readonly serverAddresses: readonly string[];
 }
 
-/** What a thread says once it serves. */
+/** Sent by a thread once it serves. */
 export interface BenchWorkerReady {
   readonly addresses: readonly string[];
 }
--- a/bench/routing/event_queue.ts
+++ b/bench/routing/event_queue.ts
@@ -1,5 +1,5 @@
 /**
- * Events in order of time, for the load sweeps.
+ * A queue of events in simulated time, for the load sweeps.
  *
  * @module
  */
@@ -10,7 +10,7 @@
   readonly action: () => void;
 }
 
-/** A binary heap of actions by time, then by order of adding. */
+/** A binary heap of actions by time, then by order of insertion. */
 export class EventQueue {
   readonly #heap: TimedAction[] = [];
   #order = 0;
@@ -30,7 +30,7 @@
     this.at(this.#nowMs + delayMs, action);
   }
 
-  /** Runs everything due before `endMs`. */
+  /** Runs all actions due at or before `endMs`. */
   runUntil(endMs: number): void {
     let next = this.#heap[0];
     while (next !== undefined && next.atMs <= endMs) {
--- a/bench/routing/load_model.ts
+++ b/bench/routing/load_model.ts
@@ -1,5 +1,5 @@
 /**
- * The load and the servers of the sweeps: the users' sizes and latencies.
+ * The load and the servers of the sweeps, with the users' sizes and latencies.
  *
  * @module
  */
@@ -16,12 +16,12 @@
 export interface LoadClass {
   readonly name: string;
   readonly rank: number;
-  /** Part of all requests. */
+  /** Share of all requests, 0 to 1. */
   readonly fraction: number;
   readonly timeoutMs: number;
 }
 
-/** Quote checks, density sweeps' lookups, and what can wait. */
+/** Quote checks, lookups of density sweeps, and requests that can wait. */
 export const LOAD_CLASSES: readonly LoadClass[] = [
   { name: "quote", rank: 0, fraction: 0.15, timeoutMs: 500 },
   { name: "dispatch", rank: 3, fraction: 0.35, timeoutMs: 1_000 },
@@ -35,15 +35,15 @@
   slots: 8,
   meanServiceMs: 40,
   serviceSpread: 0.5,
-  /** One way between an instance and a server. */
+  /** One-way delay between an instance and a server. */
   hopMs: 0.5,
 } as const;
 
-/** Requests a second that all slots together can answer. */
+/** Requests per second that all slots together can answer. */
 export const CAPACITY_PER_SECOND = SIZES.servers * SIZES.slots * 1_000 /
   SIZES.meanServiceMs;
 
-/** The service's rules. */
+/** Configuration of the service. */
 export const SWEEP_SERVICE: Service = serviceSchema.parse({
   owner: "operations",
   slotsPerServer: SIZES.slots,
@@ -54,7 +54,7 @@
   })),
 });
 
-/** Draws a class by its part of the load. */
+/** Draws a class with its share of the load as probability. */
 export function drawClass(random: RandomSource): LoadClass {
   let left = random.nextUnit();
   for (const loadClass of LOAD_CLASSES) {
@@ -67,7 +67,7 @@
     { name: "", rank: 0, fraction: 1, timeoutMs: 1 };
 }
 
-/** A server with slots; what comes beyond them waits in its own line. */
+/** A server with slots; requests beyond them wait in its own queue. */
 export class ModelServer {
   readonly serverId: string;
   readonly #queue: EventQueue;
@@ -75,7 +75,8 @@
   readonly #slowFactor: number;
   readonly #waiting: (() => void)[] = [];
   #running = 0;
-  mostAtOnce = 0;
+  /** Largest `load` so far. */
+  maxLoad = 0;
 
   constructor(
     options: {
@@ -95,13 +96,13 @@
     });
   }
 
-  /** Requests that it works on or that wait in its line. */
+  /** Number of running and queued requests. */
   get load(): number {
     return this.#running + this.#waiting.length;
   }
 
   run(done: () => void): void {
-    this.mostAtOnce = Math.max(this.mostAtOnce, this.load + 1);
+    this.maxLoad = Math.max(this.maxLoad, this.load + 1);
     if (this.#running < SIZES.slots) {
       this.#start(done);
     } else {
--- a/bench/routing/load_sweep.ts
+++ b/bench/routing/load_sweep.ts
@@ -1,6 +1,6 @@
 /**
- * Compares ways of balancing under load, and the effect of slow servers, by
- * the product's routing core over model servers and model time.
+ * Compares load balancing policies under load, and the effect of slow servers,
+ * with the real routing core, simulated servers and simulated time.
  *
  * `npm run build && node dist/bench/routing/load_sweep.js [seed]`
  *
@@ -86,7 +86,7 @@
     byClass.join(", "),
     result.p50Ms.toFixed(0),
     result.p99Ms.toFixed(0),
-    result.mostAtOnce,
+    result.maxServerLoad,
   ].join(" | ");
 }
 
--- a/bench/routing/run_sweep.ts
+++ b/bench/routing/run_sweep.ts
@@ -1,5 +1,5 @@
 /**
- * Runs one sweep: a load on all instances for some seconds of model time.
+ * Runs one sweep: a load on all instances for seconds of simulated time.
  *
  * @module
  */
@@ -22,14 +22,14 @@
   readonly load: number;
   readonly seed: number;
   readonly durationMs: number;
-  /** How many times as long the first servers take. */
+  /** Multiplies the service times of the first `slowServers` servers. */
   readonly slowFactor?: number;
   readonly slowServers?: number;
-  /** How many times the load of another the first instance gets. */
+  /** Load of the first instance as a multiple of another instance's. */
   readonly skew?: number;
 }
 
-/** What came of one class. */
+/** Numbers of requests of one class by outcome. */
 export interface ClassResult {
   readonly offered: number;
   readonly inDeadline: number;
@@ -37,20 +37,20 @@
   readonly refused: number;
 }
 
-/** What came of one sweep. */
+/** Results of one sweep. */
 export interface SweepResult {
   readonly classes: ReadonlyMap<string, ClassResult>;
-  /** In-deadline answers as a fraction of the capacity. */
+  /** Answers within the deadline as a fraction of the capacity. */
   readonly goodput: number;
   readonly p50Ms: number;
   readonly p99Ms: number;
-  /** Most requests that one server had at once. */
-  readonly mostAtOnce: number;
+  /** Most requests that any server had at once, queued ones included. */
+  readonly maxServerLoad: number;
 }
 
 const WARM_UP_MS = 1_000;
 
-/** How long after the last arrival the stragglers are waited for. */
+/** How long requests may still end after the last arrival. */
 const COOL_DOWN_MS = 5_000;
 
 interface Tally {
@@ -60,12 +60,12 @@
   refused: number;
 }
 
-/** In-deadline answers within the measured time. */
+/** Answers within the deadline, during the measured time. */
 interface Goodput {
   answers: number;
 }
 
-/** One run, the same for the same options. */
+/** Runs one sweep; the same options give the same result. */
 export function runSweep(options: SweepOptions): SweepResult {
   const queue = new EventQueue();
   const { seed } = options;
@@ -117,7 +117,7 @@
     }
     const key = `r${++lastKey}`;
     const at = drawInstance(random, options.skew ?? 1);
-    instances[at]?.take({ key, loadClass, arrivedAtMs, finish });
+    instances[at]?.submit({ key, loadClass, arrivedAtMs, finish });
     const nextMs = arrivedAtMs - Math.log(1 - random.nextUnit()) * gapMs;
     if (nextMs < endMs) {
       queue.at(nextMs, arrive);
@@ -129,8 +129,8 @@
 }
 
 function drawInstance(random: RandomSource, skew: number): number {
-  const place = random.nextUnit() * (SIZES.instances - 1 + skew);
-  return place < skew ? 0 : Math.floor(place - skew) + 1;
+  const point = random.nextUnit() * (SIZES.instances - 1 + skew);
+  return point < skew ? 0 : Math.floor(point - skew) + 1;
 }
 
 function count(tally: Tally, isAnswered: boolean, isInTime: boolean): void {
@@ -160,6 +160,6 @@
     goodput: run.goodput.answers / capacity,
     p50Ms: durations[Math.floor(durations.length * 0.5)] ?? 0,
     p99Ms: durations[Math.floor(durations.length * 0.99)] ?? 0,
-    mostAtOnce: Math.max(...servers.map((server) => server.mostAtOnce)),
+    maxServerLoad: Math.max(...servers.map((server) => server.maxLoad)),
   };
 }
--- a/bench/routing/socket_thread.ts
+++ b/bench/routing/socket_thread.ts
@@ -1,6 +1,6 @@
 /**
- * A thread of the socket bench: the stand-in servers, the instance, or a bare
- * relay that passes every call on to the servers in turn and decides nothing.
+ * A thread of the socket bench: the stand-in servers, the instance, or a plain
+ * relay that forwards each call to the next server in turn.
  *
  * @module
  */
@@ -35,8 +35,8 @@
 
 async function startServers(data: BenchWorkerData): Promise<string[]> {
   const clock = new SystemClock();
-  const places = Array.from({ length: SOCKET_SIZES.servers }, (_, at) => at);
-  return await Promise.all(places.map((at) =>
+  const indexes = Array.from({ length: SOCKET_SIZES.servers }, (_, at) => at);
+  return await Promise.all(indexes.map((at) =>
     new StandinBackendServer({
       serverId: `s${at}`,
       service: SOCKET_SIZES.service,
@@ -75,9 +75,9 @@
     ledgerState: state,
     metrics: new MetricsRegistry(),
   });
-  const front = new HttpFront({ endpoints: routing.endpoints, clock });
-  const listening = await front.listen({ host: HOST, port: 0 });
-  front.markReady();
+  const httpServer = new HttpFront({ endpoints: routing.endpoints, clock });
+  const listening = await httpServer.listen({ host: HOST, port: 0 });
+  httpServer.markReady();
   return [`${HOST}:${listening.unsafeCoerce().port}`];
 }
 
--- a/bench/routing/sweep_policy.ts
+++ b/bench/routing/sweep_policy.ts
@@ -1,5 +1,5 @@
 /**
- * The ways of balancing that the sweeps compare.
+ * The load balancing policies that the sweeps compare.
  *
  * @module
  */
@@ -18,17 +18,17 @@
   SWEEP_SERVICE,
 } from "./load_model.ts";
 
-/** How slots are shared among the instances. */
+/** How the slots are divided among the instances. */
 export const SweepPolicy = {
-  /** Each instance takes the servers in turn, with no limit and no queue. */
+  /** Each instance uses the servers in turn, with no limit and no queue. */
   roundRobin: "roundRobin",
-  /** Each instance reckons with all slots as if it were alone. */
+  /** Each instance uses all slots as if it were the only one. */
   unshared: "unshared",
-  /** Each instance probes the servers' slot use every few milliseconds. */
+  /** Each instance probes the servers' free slots every 5 ms. */
   probed: "probed",
-  /** Each instance has a fixed part of the slots. */
+  /** Each instance has a fixed share of the slots. */
   fixed: "fixed",
-  /** An allocator shares the slots out by demand. */
+  /** An allocator divides the slots by demand. */
   allotted: "allotted",
 } as const;
 
@@ -43,13 +43,13 @@
   readonly finish: (isAnswered: boolean) => void;
 }
 
-/** One entry instance of a sweep. */
+/** An instance that receives requests of a sweep. */
 export interface SweepInstance {
-  take(request: SweepRequest): void;
+  submit(request: SweepRequest): void;
 }
 
 /** What all instances of a sweep share. */
-export interface SweepWorld {
+export interface SweepEnvironment {
   readonly queue: EventQueue;
   readonly servers: readonly ModelServer[];
   readonly seed: number;
@@ -57,20 +57,20 @@
 
 const SERVICE_ID = "sweep";
 const TICK_MS = 10;
-const ANNOUNCE_MS = 900;
-const PROBE_MS = 5;
-const SHARING_MS = 100;
+const ANNOUNCE_PERIOD_MS = 900;
+const PROBE_PERIOD_MS = 5;
+const ALLOCATION_PERIOD_MS = 100;
 
-/** The instances of one policy. */
+/** Creates the instances of one policy. */
 export function createInstances(
   policy: SweepPolicy,
-  world: SweepWorld,
+  environment: SweepEnvironment,
 ): SweepInstance[] {
-  const places = Array.from({ length: SIZES.instances }, (_, at) => at);
+  const indexes = Array.from({ length: SIZES.instances }, (_, at) => at);
   if (policy === SweepPolicy.roundRobin) {
-    return places.map((at) => new RoundRobinInstance(at, world));
+    return indexes.map((at) => new RoundRobinInstance(at, environment));
   }
-  const instances = places.map((at) => new CoreInstance(at, world));
+  const instances = indexes.map((at) => new CoreInstance(at, environment));
   switch (policy) {
     case SweepPolicy.unshared:
       break;
@@ -79,27 +79,27 @@
       break;
     case SweepPolicy.fixed:
       instances.forEach((instance, at) =>
-        instance.allot(fixedSlots(at, world))
+        instance.setSlots(fixedSlots(at, environment))
       );
       break;
     case SweepPolicy.allotted:
-      share(instances, world);
+      runAllocator(instances, environment);
       break;
   }
   return instances;
 }
 
 class RoundRobinInstance implements SweepInstance {
-  readonly #world: SweepWorld;
+  readonly #environment: SweepEnvironment;
   #next: number;
 
-  constructor(at: number, world: SweepWorld) {
-    this.#world = world;
+  constructor(at: number, environment: SweepEnvironment) {
+    this.#environment = environment;
     this.#next = at * 7;
   }
 
-  take(request: SweepRequest): void {
-    const { servers, queue } = this.#world;
+  submit(request: SweepRequest): void {
+    const { servers, queue } = this.#environment;
     const server = servers[this.#next++ % servers.length];
     queue.after(SIZES.hopMs, () =>
       server?.run(() => {
@@ -108,35 +108,37 @@
   }
 }
 
-/** An instance that runs the product's routing core. */
+/** An instance that runs the real routing core. */
 class CoreInstance implements SweepInstance {
   readonly instanceId: string;
-  readonly #world: SweepWorld;
+  readonly #environment: SweepEnvironment;
   readonly #core: RoutingCore;
   readonly #servers: ReadonlyMap<string, ModelServer>;
   readonly #requests = new Map<string, SweepRequest>();
   grantId = 0;
   granted: ReadonlyMap<string, number> = new Map();
 
-  constructor(at: number, world: SweepWorld) {
+  constructor(at: number, environment: SweepEnvironment) {
     this.instanceId = `i${at}`;
-    this.#world = world;
+    this.#environment = environment;
     this.#core = new RoutingCore({
       dataCentre: "dc",
-      random: new SeededRandom({ seed: world.seed + at }),
+      random: new SeededRandom({ seed: environment.seed + at }),
     });
     this.#servers = new Map(
-      world.servers.map((server) => [server.serverId, server]),
+      environment.servers.map((server) => [server.serverId, server]),
     );
     this.#core.handle({
       kind: "configurationChanged",
       atMs: 0,
       services: { [SERVICE_ID]: SWEEP_SERVICE },
     });
-    this.#every(ANNOUNCE_MS, () => this.#announce());
+    this.#every(ANNOUNCE_PERIOD_MS, () => this.#announce());
     this.#announce();
     this.#every(TICK_MS, () => {
-      this.#carryOut(this.#core.handle({ kind: "tick", atMs: this.#nowMs }));
+      this.#applyDecisions(
+        this.#core.handle({ kind: "tick", atMs: this.#nowMs }),
+      );
     });
   }
 
@@ -144,10 +146,10 @@
     return this.#core.totalOpenCalls;
   }
 
-  take(request: SweepRequest): void {
+  submit(request: SweepRequest): void {
     this.#requests.set(request.key, request);
     const { loadClass, key } = request;
-    this.#carryOut(this.#core.handle({
+    this.#applyDecisions(this.#core.handle({
       kind: "callArrived",
       atMs: this.#nowMs,
       call: {
@@ -162,22 +164,22 @@
     }));
   }
 
-  allot(slots: ReadonlyMap<string, number>): void {
+  setSlots(slots: ReadonlyMap<string, number>): void {
     this.granted = slots;
     const kind = "slotsAllotted";
     const service = SERVICE_ID;
     const atMs = this.#nowMs;
-    this.#carryOut(this.#core.handle({ kind, atMs, service, slots }));
+    this.#applyDecisions(this.#core.handle({ kind, atMs, service, slots }));
   }
 
-  /** Reads every server's slot use now and again, a hop late. */
+  /** Periodically reads each server's free slots, and uses them a hop later. */
   probe(): void {
-    this.#every(PROBE_MS, () => {
-      const slots = new Map(this.#world.servers.map((server) => {
+    this.#every(PROBE_PERIOD_MS, () => {
+      const slots = new Map(this.#environment.servers.map((server) => {
         const free = Math.max(0, SIZES.slots - server.load);
         return [server.serverId, this.inFlight(server.serverId) + free];
       }));
-      this.#world.queue.after(SIZES.hopMs, () => this.allot(slots));
+      this.#environment.queue.after(SIZES.hopMs, () => this.setSlots(slots));
     });
   }
 
@@ -187,18 +189,18 @@
   }
 
   get #nowMs(): number {
-    return this.#world.queue.nowMs;
+    return this.#environment.queue.nowMs;
   }
 
   #every(periodMs: number, action: () => void): void {
-    this.#world.queue.after(periodMs, () => {
+    this.#environment.queue.after(periodMs, () => {
       action();
       this.#every(periodMs, action);
     });
   }
 
   #announce(): void {
-    for (const { serverId } of this.#world.servers) {
+    for (const { serverId } of this.#environment.servers) {
       const announcement = {
         serverId,
         service: SERVICE_ID,
@@ -210,11 +212,11 @@
       };
       const kind = "serverAnnounced";
       const atMs = this.#nowMs;
-      this.#carryOut(this.#core.handle({ kind, atMs, announcement }));
+      this.#applyDecisions(this.#core.handle({ kind, atMs, announcement }));
     }
   }
 
-  #carryOut(decisions: readonly RoutingDecision[]): void {
+  #applyDecisions(decisions: readonly RoutingDecision[]): void {
     for (const decision of decisions) {
       switch (decision.kind) {
         case "sendAttempt":
@@ -233,12 +235,12 @@
   }
 
   #send(decision: Extract<RoutingDecision, { kind: "sendAttempt" }>): void {
-    const { queue } = this.#world;
+    const { queue } = this.#environment;
     const { attemptId, serverId } = decision;
     queue.after(SIZES.hopMs, () =>
       this.#servers.get(serverId)?.run(() => {
         queue.after(SIZES.hopMs, () => {
-          this.#carryOut(this.#core.handle({
+          this.#applyDecisions(this.#core.handle({
             kind: "attemptEnded",
             atMs: this.#nowMs,
             attemptId,
@@ -254,26 +256,32 @@
   }
 }
 
-/** Every eighth slot, each instance starting at another. */
-function fixedSlots(at: number, world: SweepWorld): Map<string, number> {
+/** Every eighth slot; each instance starts at a different one. */
+function fixedSlots(
+  at: number,
+  environment: SweepEnvironment,
+): Map<string, number> {
   const slots = new Map<string, number>();
-  let place = 0;
-  for (const { serverId } of world.servers) {
+  let slotIndex = 0;
+  for (const { serverId } of environment.servers) {
     for (let slot = 0; slot < SIZES.slots; slot += 1) {
-      if (place % SIZES.instances === at) {
+      if (slotIndex % SIZES.instances === at) {
         slots.set(serverId, (slots.get(serverId) ?? 0) + 1);
       }
-      place += 1;
+      slotIndex += 1;
     }
   }
   return slots;
 }
 
-/** Runs the product's allocator over the instances, with message delays. */
-function share(instances: readonly CoreInstance[], world: SweepWorld): void {
+/** Runs the real slot allocator for the instances, with message delays. */
+function runAllocator(
+  instances: readonly CoreInstance[],
+  environment: SweepEnvironment,
+): void {
   const allocator = new SlotAllocator({ firstGrantId: 0 });
   const capacity = new Map(
-    world.servers.map(({ serverId }) => [serverId, SIZES.slots]),
+    environment.servers.map(({ serverId }) => [serverId, SIZES.slots]),
   );
   const byId = new Map(instances.map((one) => [one.instanceId, one]));
   const round = (): void => {
@@ -290,14 +298,14 @@
     }
     for (const grant of allocator.allocate(capacity)) {
       const instance = byId.get(grant.instanceId);
-      world.queue.after(SIZES.hopMs, () => {
+      environment.queue.after(SIZES.hopMs, () => {
         if (instance !== undefined) {
           instance.grantId = grant.grantId;
-          instance.allot(grant.slots);
+          instance.setSlots(grant.slots);
         }
       });
     }
-    world.queue.after(SHARING_MS, round);
+    environment.queue.after(ALLOCATION_PERIOD_MS, round);
   };
   round();
 }
