Reword the benches of configuration

Comments of the removal rules spoke of told, cut and holds; they now speak of reported, partition and taking effect. Printed rows are unchanged: removal_rules, packing_completeness and time_in_force print the same.

--- a/bench/configuration/edit_cost.ts
+++ b/bench/configuration/edit_cost.ts
@@ -1,6 +1,7 @@
 /**
- * What edits cost one instance: time to apply one, bytes of a snapshot and
- * time to restore it, memory for each kept edit, and bytes of a report.
+ * Measures what edits cost one instance: the time to apply one, the bytes of a
+ * snapshot and the time to restore it, the heap per recorded edit, and the
+ * bytes of reports.
  *
  *     node --expose-gc dist/bench/configuration/edit_cost.js
  *
--- a/bench/configuration/edit_run.ts
+++ b/bench/configuration/edit_run.ts
@@ -1,6 +1,6 @@
 /**
- * Edits of one configuration machine, timed and weighed, and the reports that
- * instances send of them.
+ * Measures time and heap of edits in one configuration machine, and the bytes
+ * that instances send to report the version in force.
  *
  * @module
  */
@@ -15,9 +15,9 @@
 import { FakePeerHub } from "../../src/process/replication/fake_peer_network.ts";
 import { InForceTracker } from "../../src/process/configuration/in_force_tracker.ts";
 
-const HASH = "scrypt$00$00";
+const KEY_HASH = "scrypt$00$00";
 
-/** The document's size: teams with a client account each, and hardware. */
+/** Size of the document, with a client account per team, and of the run. */
 export interface EditSize {
   readonly teams: number;
   readonly dataCentres: number;
@@ -25,12 +25,12 @@
   readonly edits: number;
 }
 
-function documentOf(size: EditSize): string {
-  const parts = ["formatVersion = 1\n"];
+function makeDocument(size: EditSize): string {
+  const sections = ["formatVersion = 1\n"];
   for (let at = 0; at < size.teams; at++) {
-    parts.push(`[teams.team-${at}]
+    sections.push(`[teams.team-${at}]
 owner = "team-${at}"
-keyHashes = ["${HASH}"]
+keyHashes = ["${KEY_HASH}"]
 
 [clientAccounts.account-${at}]
 owner = "team-${at}"
@@ -44,12 +44,12 @@
 `);
   }
   for (let at = 0; at < size.dataCentres; at++) {
-    parts.push(`[dataCentres.dc-${at}]
+    sections.push(`[dataCentres.dc-${at}]
 owner = "team-0"
 region = "region"
 `);
     for (let rack = 0; rack < size.racksPerDataCentre; rack++) {
-      parts.push(`[[dataCentres.dc-${at}.racks]]
+      sections.push(`[[dataCentres.dc-${at}.racks]]
 name = "rack-${rack}"
 workers = 8
 coresPerWorker = 32
@@ -58,17 +58,21 @@
 `);
     }
   }
-  return parts.join("\n");
+  return sections.join("\n");
 }
 
-function editOf(size: EditSize, at: number, baseVersion: number): EditCommand {
+function makeEdit(
+  size: EditSize,
+  at: number,
+  baseVersion: number,
+): EditCommand {
   const index = at % size.teams;
   const name = `account-${index}`;
   return {
     kind: "edit",
     editId: `edit-${at}-0123456789abcdef0123456789abcdef`,
     team: `team-${index}`,
-    keyHash: HASH,
+    keyHash: KEY_HASH,
     sectionId: { kind: "clientAccounts", name },
     baseVersion,
     change: {
@@ -99,17 +103,17 @@
   return sorted[Math.min(sorted.length - 1, at)] ?? 0;
 }
 
-/** What edits cost one instance at this size. */
+/** Measures what edits cost one instance; times in ms. */
 export function measureEdits(size: EditSize) {
   const machine = new ConfigurationMachine();
-  machine.apply({ kind: "bootstrap", text: documentOf(size), atMs: 1 });
+  machine.apply({ kind: "bootstrap", text: makeDocument(size), atMs: 1 });
   const beforeBytes = heapBytes();
   const times: number[] = [];
   let accepted = 0;
   for (let at = 0; at < size.edits; at++) {
     const name = `account-${at % size.teams}`;
     const section = machine.section({ kind: "clientAccounts", name });
-    const edit = editOf(size, at, section?.version ?? 0);
+    const edit = makeEdit(size, at, section?.version ?? 0);
     const startMs = performance.now();
     const outcome = machine.apply(edit);
     times.push(performance.now() - startMs);
@@ -134,7 +138,7 @@
   };
 }
 
-/** Bytes that each instance sends for each edit and while idle. */
+/** Measures the bytes that each instance sends per edit and when idle. */
 export function measureReports(instances: number) {
   const instanceIds = Array.from(
     { length: instances },
--- a/bench/configuration/packing_completeness.ts
+++ b/bench/configuration/packing_completeness.ts
@@ -1,7 +1,7 @@
 /**
- * How often the greedy packing of guaranteed shapes refuses what a full
- * search would place, and how often a mere count of accelerators accepts what
- * can't be placed.
+ * Measures how often the greedy packing of guaranteed shapes rejects shapes
+ * that a full search can place, and how often a check that only counts
+ * accelerators would accept shapes that can't be placed.
  *
  *     node dist/bench/configuration/packing_completeness.js
  *
@@ -20,37 +20,38 @@
 const CASES = 5_000;
 const SEED = 11;
 
-/** The most steps of one full search; beyond it the case is left out. */
+/** The most steps of one full search; a case that needs more is left out. */
 const SEARCH_LIMIT = 200_000;
 
 const random = new SeededRandom({ seed: SEED });
 
-function pick(least: number, most: number): number {
+function drawInt(least: number, most: number): number {
   return least + random.nextInt(most - least + 1);
 }
 
-interface Case {
+interface PackingCase {
   readonly racks: number[][];
   readonly shapes: Shape[];
 }
 
-/** Racks of up to 4 workers and shapes that ask for most of them. */
-function makeCase(): Case {
+/** Draws 2 to 4 racks of 2 to 4 workers, and shapes that use most of them. */
+function makeCase(): PackingCase {
   const racks = Array.from(
-    { length: pick(2, 4) },
-    () => Array<number>(pick(2, 4)).fill(8),
+    { length: drawInt(2, 4) },
+    () => Array<number>(drawInt(2, 4)).fill(8),
   );
   const total = racks.flat().length * 8;
-  const wanted = total * (0.5 + random.nextUnit() * 0.5);
+  const targetAccelerators = total * (0.5 + random.nextUnit() * 0.5);
   const shapes: Shape[] = [];
-  for (let sum = 0; shapes.length < 12;) {
+  for (let requested = 0; shapes.length < 12;) {
     const shape = {
-      racks: pick(1, 2),
-      workersPerRack: pick(1, 3),
-      acceleratorsPerWorker: [2, 4, 8][pick(0, 2)] ?? 8,
+      racks: drawInt(1, 2),
+      workersPerRack: drawInt(1, 3),
+      acceleratorsPerWorker: [2, 4, 8][drawInt(0, 2)] ?? 8,
     };
-    sum += shape.racks * shape.workersPerRack * shape.acceleratorsPerWorker;
-    if (sum > wanted) {
+    requested += shape.racks * shape.workersPerRack *
+      shape.acceleratorsPerWorker;
+    if (requested > targetAccelerators) {
       break;
     }
     shapes.push(shape);
@@ -58,21 +59,21 @@
   return { racks, shapes: shapes.sort(compareShapes) };
 }
 
-function isPackedGreedily({ racks, shapes }: Case): boolean {
+function isPackedGreedily({ racks, shapes }: PackingCase): boolean {
   const free: PackingRack<undefined>[] = racks.map((rack) =>
     rack.map((accelerators) => ({ item: undefined, accelerators }))
   );
   return shapes.every((shape) => packShape(free, shape) !== undefined);
 }
 
-/** Every way to choose `count` places out of `items`. */
-function* choose<T>(items: readonly T[], count: number): Iterable<T[]> {
+/** Yields every combination of `count` items. */
+function* combinations<T>(items: readonly T[], count: number): Iterable<T[]> {
   if (count === 0) {
     yield [];
     return;
   }
   for (let at = 0; at + count <= items.length; at++) {
-    for (const rest of choose(items.slice(at + 1), count - 1)) {
+    for (const rest of combinations(items.slice(at + 1), count - 1)) {
       yield [items[at] as T, ...rest];
     }
   }
@@ -83,14 +84,14 @@
 
   constructor(readonly racks: number[][]) {}
 
-  /** Whether all shapes fit; undefined when the search was cut short. */
+  /** Whether all shapes fit; undefined if the search reached its limit. */
   fits(shapes: readonly Shape[]): boolean | undefined {
     const [shape, ...rest] = shapes;
     if (shape === undefined) {
       return true;
     }
     const indexes = this.racks.map((_, index) => index);
-    for (const chosen of choose(indexes, shape.racks)) {
+    for (const chosen of combinations(indexes, shape.racks)) {
       const result = this.#place(shape, chosen, rest);
       if (result !== false) {
         return result;
@@ -114,10 +115,10 @@
     const usable = workers.flatMap((free, index) =>
       free >= shape.acceleratorsPerWorker ? [index] : []
     );
-    for (const taken of choose(usable, shape.workersPerRack)) {
-      this.#take(workers, taken, shape.acceleratorsPerWorker);
+    for (const taken of combinations(usable, shape.workersPerRack)) {
+      this.#allocate(workers, taken, shape.acceleratorsPerWorker);
       const result = this.#place(shape, others, rest);
-      this.#take(workers, taken, -shape.acceleratorsPerWorker);
+      this.#allocate(workers, taken, -shape.acceleratorsPerWorker);
       if (result !== false) {
         return result;
       }
@@ -125,7 +126,7 @@
     return false;
   }
 
-  #take(workers: number[], taken: readonly number[], count: number): void {
+  #allocate(workers: number[], taken: readonly number[], count: number): void {
     for (const index of taken) {
       workers[index] = (workers[index] ?? 0) - count;
     }
@@ -134,9 +135,9 @@
 
 const counts = { fit: 0, greedy: 0, misfit: 0, leftOut: 0 };
 for (let at = 0; at < CASES; at++) {
-  const one = makeCase();
-  const isGreedy = isPackedGreedily(one);
-  const fits = isGreedy || new FullSearch(one.racks).fits(one.shapes);
+  const testCase = makeCase();
+  const isGreedy = isPackedGreedily(testCase);
+  const fits = isGreedy || new FullSearch(testCase.racks).fits(testCase.shapes);
   if (fits === undefined) {
     counts.leftOut++;
   } else if (fits) {
--- a/bench/configuration/removal_rules.ts
+++ b/bench/configuration/removal_rules.ts
@@ -1,12 +1,12 @@
 /**
- * Compares rules for taking a data centre out while it is cut off: how much
- * work it completes through a partition, when the operator is told that the
- * removal holds, and how many tasks start after that.
+ * Compares rules for taking a data centre out while it is partitioned: how much
+ * work it completes during the partition, when the removal is reported to the
+ * operator as having taken effect, and how many tasks start after that.
  *
  *     node dist/bench/configuration/removal_rules.js
  *
- * A model of one data centre in virtual time: gangs of one worker arrive at
- * random and start while workers are free and starts are permitted.
+ * Simulates one data centre in virtual time: gangs of one worker arrive at
+ * random and start when a worker is free and starts are permitted.
  *
  * @module
  */
@@ -23,49 +23,53 @@
   load: 0.8,
   partitionStartMs: 4 * HOUR_MS,
   partitionMs: HOUR_MS,
-  /** After the start of the partition. */
+  /** From the start of the partition until the removal. */
   removalAfterMs: 10 * MINUTE_MS,
   endMs: 6 * HOUR_MS,
   seeds: 40,
-  /** What the confirmation adds to a permission. */
+  /** Added before the report: a start may be in flight at the expiry. */
   startInFlightMs: 500,
 } as const;
 
-/** A rule: how long starts go on, and when the removal is called accepted. */
+/** How long starts continue, and when the removal is reported. */
 interface Rule {
   readonly name: string;
-  /** How long after the cut the data centre may start tasks. */
+  /** From the start of the partition until starts are no longer permitted. */
   readonly permissionMs: number;
-  /** How long after a removal it is called accepted. */
-  readonly answerMs: number;
+  /** From a removal until it is reported to have taken effect. */
+  readonly reportedAfterMs: number;
 }
 
-const CUT_LEFT_MS = SCENARIO.partitionMs - SCENARIO.removalAfterMs;
+const REMAINING_PARTITION_MS = SCENARIO.partitionMs - SCENARIO.removalAfterMs;
 
 const RULES: readonly Rule[] = [
-  { name: "answer at once", permissionMs: Infinity, answerMs: 0 },
-  { name: "stop on silence", permissionMs: 0, answerMs: 0 },
-  permission("permission 2 s", 2_000),
-  permission("permission 1 min", MINUTE_MS),
-  permission("permission 10 min", 10 * MINUTE_MS),
-  permission("permission 30 min", 30 * MINUTE_MS),
-  permission("permission 60 min", HOUR_MS),
+  { name: "answer at once", permissionMs: Infinity, reportedAfterMs: 0 },
+  { name: "stop on silence", permissionMs: 0, reportedAfterMs: 0 },
+  makePermissionRule("permission 2 s", 2_000),
+  makePermissionRule("permission 1 min", MINUTE_MS),
+  makePermissionRule("permission 10 min", 10 * MINUTE_MS),
+  makePermissionRule("permission 30 min", 30 * MINUTE_MS),
+  makePermissionRule("permission 60 min", HOUR_MS),
   {
     name: "wait for its answer",
     permissionMs: Infinity,
-    answerMs: CUT_LEFT_MS,
+    reportedAfterMs: REMAINING_PARTITION_MS,
   },
 ];
 
-function permission(name: string, permissionMs: number): Rule {
-  const lapseMs = permissionMs + SCENARIO.startInFlightMs;
-  return { name, permissionMs, answerMs: Math.min(CUT_LEFT_MS, lapseMs) };
+function makePermissionRule(name: string, permissionMs: number): Rule {
+  const expiryMs = permissionMs + SCENARIO.startInFlightMs;
+  return {
+    name,
+    permissionMs,
+    reportedAfterMs: Math.min(REMAINING_PARTITION_MS, expiryMs),
+  };
 }
 
 interface Run {
-  /** Worker milliseconds done during the partition. */
+  /** Worker milliseconds used during the partition. */
   readonly workedMs: number;
-  /** Starts after the operator was told that the removal holds. */
+  /** Starts after the removal was reported to have taken effect. */
   readonly lateStarts: number;
 }
 
@@ -85,48 +89,49 @@
   return arrivals;
 }
 
-/** When a start at `atMs` may go ahead; the same moment when permitted. */
-function permittedAtMs(atMs: number, options: {
+/** When a start that is due at `atMs` may happen; Infinity for never. */
+function permittedStartMs(atMs: number, options: {
   readonly rule: Rule | undefined;
   readonly isRemoved: boolean;
 }): number {
   const { partitionStartMs, partitionMs } = SCENARIO;
-  const healedMs = partitionStartMs + partitionMs;
-  if (atMs >= healedMs && options.isRemoved) {
+  const healsAtMs = partitionStartMs + partitionMs;
+  if (atMs >= healsAtMs && options.isRemoved) {
     return Infinity;
   }
-  const lapseMs = partitionStartMs + (options.rule?.permissionMs ?? Infinity);
-  if (atMs < lapseMs || atMs >= healedMs) {
+  const expiresAtMs = partitionStartMs +
+    (options.rule?.permissionMs ?? Infinity);
+  if (atMs < expiresAtMs || atMs >= healsAtMs) {
     return atMs;
   }
-  return options.isRemoved ? Infinity : healedMs;
+  return options.isRemoved ? Infinity : healsAtMs;
 }
 
-/** First come, first served on like workers; no rule means no partition. */
+/** First come, first served on equal workers; no rule means no partition. */
 function simulate(
   arrivals: readonly Arrival[],
   options: { readonly rule: Rule | undefined; readonly isRemoved: boolean },
 ): Run {
   const { partitionStartMs, partitionMs, removalAfterMs } = SCENARIO;
-  const healedMs = partitionStartMs + partitionMs;
-  const toldMs = partitionStartMs + removalAfterMs +
-    (options.rule?.answerMs ?? Infinity);
+  const healsAtMs = partitionStartMs + partitionMs;
+  const reportedAtMs = partitionStartMs + removalAfterMs +
+    (options.rule?.reportedAfterMs ?? Infinity);
   const freeAtMs = Array<number>(SCENARIO.workers).fill(0);
   let workedMs = 0;
   let lateStarts = 0;
   for (const { atMs, runMs } of arrivals) {
     freeAtMs.sort((a, b) => a - b);
     const earliestMs = Math.max(atMs, freeAtMs[0] ?? 0);
-    const startMs = permittedAtMs(earliestMs, options);
+    const startMs = permittedStartMs(earliestMs, options);
     if (startMs === Infinity) {
       break;
     }
     const endMs = startMs + runMs;
     freeAtMs[0] = endMs;
-    const overlapMs = Math.min(endMs, healedMs) -
+    const overlapMs = Math.min(endMs, healsAtMs) -
       Math.max(startMs, partitionStartMs);
     workedMs += Math.max(0, overlapMs);
-    if (options.isRemoved && startMs > toldMs && startMs < healedMs) {
+    if (options.isRemoved && startMs > reportedAtMs && startMs < healsAtMs) {
       lateStarts++;
     }
   }
@@ -137,28 +142,29 @@
   return values.reduce((sum, value) => sum + value, 0) / values.length;
 }
 
-function reportFor(meanRunMs: number): void {
+function printResults(meanRunMs: number): void {
   const minutes = meanRunMs / MINUTE_MS;
   process.stdout.write(`mean run time ${minutes} min\n`);
   const seeds = Array.from({ length: SCENARIO.seeds }, (_, seed) => seed);
   const all = seeds.map((seed) => arrivalsOf(seed, meanRunMs));
-  const whole = all.map((arrivals) =>
+  const unpartitionedMs = all.map((arrivals) =>
     simulate(arrivals, { rule: undefined, isRemoved: false }).workedMs
   );
   for (const rule of RULES) {
-    const kept = all.map((arrivals) =>
+    const inService = all.map((arrivals) =>
       simulate(arrivals, { rule, isRemoved: false })
     );
     const removed = all.map((arrivals) =>
       simulate(arrivals, { rule, isRemoved: true })
     );
-    const ratio = meanOf(kept.map((run) => run.workedMs)) / meanOf(whole);
+    const ratio = meanOf(inService.map((run) => run.workedMs)) /
+      meanOf(unpartitionedMs);
     const late = meanOf(removed.map((run) => run.lateStarts));
     process.stdout.write(
       [
         rule.name.padEnd(20),
         `work ${(100 * ratio).toFixed(0).padStart(3)} %`,
-        `told after ${(rule.answerMs / 1_000).toFixed(1).padStart(7)} s`,
+        `told after ${(rule.reportedAfterMs / 1_000).toFixed(1).padStart(7)} s`,
         `late starts ${late.toFixed(1).padStart(6)}`,
       ].join("  ") + "\n",
     );
@@ -166,5 +172,5 @@
 }
 
 for (const meanRunMs of [5 * MINUTE_MS, 30 * MINUTE_MS, 3 * HOUR_MS]) {
-  reportFor(meanRunMs);
+  printResults(meanRunMs);
 }
--- a/bench/configuration/time_in_force.ts
+++ b/bench/configuration/time_in_force.ts
@@ -1,7 +1,7 @@
 /**
- * How long after it was sent an edit is durable, and in force on every
- * instance, in virtual time with 20 ms one way between the regions; and the
- * bytes that each instance sends for it.
+ * Measures how long after it is sent an edit is durable and in force on every
+ * instance, in virtual time with a one-way delay of 20 ms between regions, and
+ * the bytes that each instance sends per edit.
  *
  *     node dist/bench/configuration/time_in_force.js
  *
@@ -22,11 +22,11 @@
 
 const EDITS = 200;
 
-/** Long enough for the cluster to be at rest again. */
+/** Delay between edits, long enough for the cluster to become idle. */
 const PAUSE_MS = 300;
 
-/** Three data centres, two of them in one region; some instances vote. */
-function instancesOf(count: number, voters: number): VirtualInstance[] {
+/** Three data centres, two of them in one region; the first instances vote. */
+function makeInstances(count: number, voters: number): VirtualInstance[] {
   return Array.from({ length: count }, (_, at) => ({
     id: `instance-${at}`,
     dataCentre: `dc-${at % 3}`,
@@ -41,7 +41,9 @@
 }
 
 async function measure(count: number, voters: number): Promise<void> {
-  const cluster = new VirtualCluster({ instances: instancesOf(count, voters) });
+  const cluster = new VirtualCluster({
+    instances: makeInstances(count, voters),
+  });
   await cluster.startAll();
   await cluster.run(3_000);
   const nodes = [...cluster.nodes.values()];
