Reword the drawing of reports

Comments and chart functions are named for what they draw; the data of the charts is the same on sample figures. The message for a missing result file is reworded.

--- a/bench/report/capacity_charts.ts
+++ b/bench/report/capacity_charts.ts
@@ -1,5 +1,5 @@
 /**
- * The charts of docs/report/capacity.json.
+ * Charts of the results in docs/report/capacity.json.
  *
  * @module
  */
@@ -13,7 +13,7 @@
 
 const times = z.record(z.string(), z.number());
 
-/** The part of the results that is drawn. */
+/** The fields of the results that are drawn. */
 export const capacitySchema = z.object({
   schedulerHeap: z.record(z.string(), seriesSchema),
   otherHeap: z.record(z.string(), seriesSchema),
@@ -31,24 +31,26 @@
 
 const BUDGET = { memoryMegabytes: 32, kilobytesPerSecond: 15 };
 const RENEWALS_PER_SECOND = 0.5;
-/** One report in five says what tasks use. */
+/** One report in five contains the tasks' resource usage. */
 const USAGES_FRACTION = 0.2;
 const MEGABYTE = 1_000_000;
 const WORKER_COUNTS = [18, 36, 72, 144];
 
-/** Each chart by the name of its file. */
+/** The charts by file name, without extension. */
 export function capacityCharts(
   figures: CapacityFigures,
 ): Record<string, ChartOptions> {
   return {
-    decision_time: decisionTime(figures),
-    task_heap: taskHeap(figures),
-    worker_bytes: workerBytes(figures),
-    resident: resident(figures),
+    decision_time: decisionTimeChart(figures),
+    task_heap: heapChart(figures),
+    worker_bytes: workerTrafficChart(figures),
+    resident: residentMemory(figures),
   };
 }
 
-function decisionTime({ schedulerDecisions }: CapacityFigures): ChartOptions {
+function decisionTimeChart(
+  { schedulerDecisions }: CapacityFigures,
+): ChartOptions {
   const kinds = ["clockTicked", "workerLost"];
   return {
     title: "Decision time of the scheduler core, full data centre",
@@ -57,17 +59,17 @@
     kind: "line",
     rows: schedulerDecisions.flatMap(({ workers, microseconds }) =>
       kinds.flatMap((kind) =>
-        ["p50", "p99"].map((part) => ({
-          series: `${kind} ${part}`,
+        ["p50", "p99"].map((quantile) => ({
+          series: `${kind} ${quantile}`,
           x: workers,
-          y: (microseconds[kind]?.[part] ?? 0) / 1_000,
+          y: (microseconds[kind]?.[quantile] ?? 0) / 1_000,
         }))
       )
     ),
   };
 }
 
-function taskHeap({ schedulerHeap }: CapacityFigures): ChartOptions {
+function heapChart({ schedulerHeap }: CapacityFigures): ChartOptions {
   return {
     title: "Heap of the scheduler core, one part growing at a time",
     xTitle: "how many",
@@ -90,8 +92,8 @@
   perClientAccount: "client accounts, 720 workers",
 };
 
-/** Reports and renewals of a whole data centre at its leader. */
-function workerBytes({ workerTraffic }: CapacityFigures): ChartOptions {
+/** Traffic of a data centre's leader with all workers. */
+function workerTrafficChart({ workerTraffic }: CapacityFigures): ChartOptions {
   const rows = workerTraffic.points.flatMap((point) =>
     WORKER_COUNTS.map((workers): ChartRow => ({
       series: `${point["tasks"]} tasks a worker`,
@@ -109,7 +111,7 @@
   };
 }
 
-/** Bytes a second of one worker at its leader. */
+/** Bytes per second of one worker with its leader, at one report a second. */
 function leaderBytes(point: Readonly<Record<string, number>>): number {
   const { renewalSentBytes = 0, renewalReceivedBytes = 0 } = point;
   const { reportBytes = 0, reportWithUsagesBytes = 0 } = point;
@@ -118,7 +120,7 @@
     RENEWALS_PER_SECOND * (renewalSentBytes + renewalReceivedBytes);
 }
 
-function resident({ runtime, daemon }: CapacityFigures): ChartOptions {
+function residentMemory({ runtime, daemon }: CapacityFigures): ChartOptions {
   return {
     title: "Resident memory",
     xTitle: "process",
--- a/bench/report/chart.ts
+++ b/bench/report/chart.ts
@@ -1,5 +1,5 @@
 /**
- * Charts drawn without a browser, by Vega.
+ * Draws charts with Vega, without a browser.
  *
  * @module
  */
@@ -14,21 +14,21 @@
   readonly y: number;
 }
 
-/** What is drawn. */
+/** What a chart shows. */
 export interface ChartOptions {
   readonly title: string;
   readonly xTitle: string;
   readonly yTitle: string;
   readonly rows: readonly ChartRow[];
   readonly kind: "line" | "bar";
-  /** A level of `y` to draw across; absent for none. */
+  /** A horizontal line to draw at `y`; absent for none. */
   readonly limit?: { readonly y: number; readonly name: string };
 }
 
 const WIDTH = 520;
 const HEIGHT = 280;
 
-/** The chart as SVG. */
+/** Draws the chart as SVG. */
 export async function drawChart(options: ChartOptions): Promise<string> {
   const { spec } = compile(specOf(options));
   const view = new View(parse(spec), { renderer: "none" });
--- a/bench/report/main.ts
+++ b/bench/report/main.ts
@@ -1,6 +1,6 @@
 /**
- * Draws the results in docs/report as SVG beside them. Results that
- * aren't there are left out, and said so.
+ * Draws the results in docs/report as SVG files in the same folder. Missing
+ * results are skipped with a message.
  *
  * @module
  */
@@ -13,7 +13,7 @@
 
 const FOLDER = "docs/report";
 
-/** Result files, with the charts of each; `.jsonl` has a value a line. */
+/** Result files and their charts; `.jsonl` files have one value per line. */
 const SOURCES: Readonly<
   Record<string, (value: unknown) => Record<string, ChartOptions>>
 > = {
@@ -25,7 +25,7 @@
   for (const [source, chartsOf] of Object.entries(SOURCES)) {
     const path = `${FOLDER}/${source}`;
     if (!existsSync(path)) {
-      process.stdout.write(`${path}: not there, nothing drawn\n`);
+      process.stdout.write(`${path}: not found, skipped\n`);
       continue;
     }
     const charts = chartsOf(readResults(path));
--- a/bench/report/policy_charts.ts
+++ b/bench/report/policy_charts.ts
@@ -1,6 +1,6 @@
 /**
- * The charts of docs/report/policy.jsonl, which is what
- * bench/scheduler/policy_bench.ts prints: a line for each policy.
+ * Charts of the results in docs/report/policy.jsonl, the output of
+ * bench/scheduler/policy_bench.ts: one line per policy.
  *
  * @module
  */
@@ -8,19 +8,19 @@
 import * as z from "zod";
 import type { ChartOptions } from "./chart.ts";
 
-const spreads = z.record(
+const distributions = z.record(
   z.string(),
   z.object({ p50: z.number(), p95: z.number() }),
 );
 
-/** The part of the results that is drawn. */
+/** The fields of the results that are drawn. */
 export const policySchema = z.array(z.object({
   policy: z.string(),
   size: z.string(),
   load: z.string(),
   seed: z.string(),
-  startSeconds: spreads,
-  gangWaitSeconds: spreads,
+  startSeconds: distributions,
+  gangWaitSeconds: distributions,
   doneAcceleratorHours: z.number(),
   lostByPreemptionAcceleratorHours: z.number(),
   lostByFailureAcceleratorHours: z.number(),
@@ -29,7 +29,7 @@
 /** The results that are drawn. */
 export type PolicyFigures = z.infer<typeof policySchema>;
 
-/** Each chart by the name of its file. */
+/** The charts by file name, without extension. */
 export function policyCharts(
   figures: PolicyFigures,
 ): Record<string, ChartOptions> {
