--- a/bench/replication/bench_group.ts
+++ b/bench/replication/bench_group.ts
@@ -1,6 +1,6 @@
 /**
- * A group of members in one process for the benches: real time, links with
- * the delays of two regions, and a disk each if asked for.
+ * A replication group in one process for the benches: real time, links with
+ * delays between regions, and optionally a disk for each member.
  *
  * @module
  */
@@ -24,11 +24,11 @@
 } from "../../src/process/replication/mod.ts";
 import { FileStorage } from "../../src/process/storage/mod.ts";
 
-/** One way between regions and within one, in milliseconds. */
+/** One-way delays between regions and within one. */
 const REGION_DELAY_MS = 20;
 const LOCAL_DELAY_MS = 1;
 
-/** Counts commands and remembers when each was applied here. */
+/** Counts the commands applied at its member, and reports each to `onApply`. */
 export class CountingMachine implements StateMachine<Uint8Array, number> {
   count = 0;
   onApply: (count: number) => void = () => undefined;
@@ -49,21 +49,21 @@
   }
 }
 
-/** A member with its state. */
+/** A member and its state machine. */
 export interface BenchMember {
   readonly id: string;
   readonly machine: CountingMachine;
   readonly member: ReplicationMember<Uint8Array, number>;
 }
 
-/** What a group is made from. */
+/** Options of {@link BenchGroup.open}. */
 export interface BenchGroupOptions {
   readonly members: number;
   readonly seed: number;
   readonly hasDisks: boolean;
 }
 
-/** Members that talk over delayed links. */
+/** Members connected by delayed links, in three regions. */
 export class BenchGroup {
   readonly clock = new SystemClock();
   readonly members: BenchMember[] = [];
--- a/bench/replication/commit_bench.ts
+++ b/bench/replication/commit_bench.ts
@@ -1,7 +1,7 @@
 /**
- * How fast commands are committed: latency one at a time from the leader and
- * from a follower of another region, the time till every member has applied
- * them, and commits a second from many callers.
+ * Measures how fast commands are committed: the latency of single commands from
+ * the leader and from a follower in another region, the time until every member
+ * has applied them, and commits per second from many callers.
  *
  *     node dist/bench/replication/commit_bench.js [--disks]
  *
@@ -16,7 +16,7 @@
 const COMMAND = new Uint8Array(200).fill(7);
 const SINGLE_COMMANDS = 60;
 const CALLERS = 1_024;
-const LOAD_MS = 3_000;
+const LOAD_DURATION_MS = 3_000;
 const DEADLINE_MS = 10_000;
 
 async function propose(from: BenchMember, group: BenchGroup): Promise<void> {
@@ -30,20 +30,20 @@
   return sorted[at]!.toFixed(1);
 }
 
-/** Milliseconds till the answer, and till the last member applied it. */
+/** Measures the time until the answer and until the last member applied it. */
 async function measureOne(
   group: BenchGroup,
   from: BenchMember,
 ): Promise<{ answeredMs: number; everywhereMs: number }> {
   const startMs = performance.now();
-  const applied = group.members.map(({ machine }) =>
+  const allApplied = group.members.map(({ machine }) =>
     new Promise<void>((resolve) => {
       machine.onApply = () => resolve();
     })
   );
   await propose(from, group);
   const answeredMs = performance.now() - startMs;
-  await Promise.all(applied);
+  await Promise.all(allApplied);
   return { answeredMs, everywhereMs: performance.now() - startMs };
 }
 
@@ -54,9 +54,9 @@
   const answered: number[] = [];
   const everywhere: number[] = [];
   for (let at = 0; at < SINGLE_COMMANDS; at++) {
-    const one = await measureOne(group, from);
-    answered.push(one.answeredMs);
-    everywhere.push(one.everywhereMs);
+    const times = await measureOne(group, from);
+    answered.push(times.answeredMs);
+    everywhere.push(times.everywhereMs);
   }
   return `answered p50 ${percentile(answered, 0.5)} ` +
     `p99 ${percentile(answered, 0.99)}, ` +
@@ -68,7 +68,7 @@
   group: BenchGroup,
   from: BenchMember,
 ): Promise<string> {
-  const endMs = performance.now() + LOAD_MS;
+  const endMs = performance.now() + LOAD_DURATION_MS;
   const latencies: number[] = [];
   const call = async () => {
     while (performance.now() < endMs) {
@@ -78,7 +78,7 @@
     }
   };
   await Promise.all(Array.from({ length: CALLERS }, call));
-  const perSecond = latencies.length * 1_000 / LOAD_MS;
+  const perSecond = latencies.length * 1_000 / LOAD_DURATION_MS;
   return `${perSecond.toFixed(0)} commits/s from ${CALLERS} callers, ` +
     `p50 ${percentile(latencies, 0.5)} p99 ${percentile(latencies, 0.99)} ms`;
 }
@@ -89,12 +89,12 @@
   for (const members of [3, 5, 9]) {
     const group = await BenchGroup.open({ members, seed: SEED, hasDisks });
     const leader = await group.waitForLeader();
-    const other = group.members.find(({ id }) =>
+    const follower = group.members.find(({ id }) =>
       Number(id.slice(1)) % 3 !== Number(leader.id.slice(1)) % 3
     )!;
     console.log(`${members} members`);
     console.log("  leader:  ", await measureLatency(group, leader));
-    console.log("  follower:", await measureLatency(group, other));
+    console.log("  follower:", await measureLatency(group, follower));
     console.log("  load:    ", await measureLoad(group, leader));
     await group.close();
   }
--- a/bench/replication/idle_bench.ts
+++ b/bench/replication/idle_bench.ts
@@ -1,6 +1,6 @@
 /**
- * Processor time and memory of members at rest: one group of nine voters in
- * one process.
+ * Measures processor time and memory of idle members: one group of nine voters
+ * in one process.
  *
  *     node --expose-gc dist/bench/replication/idle_bench.js
  *
--- a/bench/replication/leader_change_bench.ts
+++ b/bench/replication/leader_change_bench.ts
@@ -1,7 +1,7 @@
 /**
- * How long a group is without a leader after its leader's process dies, over
- * many seeds of a simulated group with clocks that drift, delays up to 25 ms
- * and syncs up to 20 ms.
+ * Measures how long a group has no leader after its leader crashes, over many
+ * seeds of a simulated group with drifting clocks, delays up to 25 ms and syncs
+ * up to 20 ms.
  *
  *     node dist/bench/replication/leader_change_bench.js
  *
@@ -15,7 +15,7 @@
 const STEP_MS = 5;
 const LIMIT_MS = 30_000;
 
-function measureChange(members: string[], seed: number): number {
+function measureLeaderChange(members: string[], seed: number): number {
   const simulation = new RaftSimulation({
     members: diskVoters(...members),
     seed,
@@ -38,7 +38,7 @@
     const ids = Array.from({ length: size }, (_, at) => `m${at}`);
     const times = Array.from(
       { length: RUNS },
-      (_, at) => measureChange(ids, at + 1),
+      (_, at) => measureLeaderChange(ids, at + 1),
     ).sort((left, right) => left - right);
     const over = times.filter((time) => time > 3_000).length;
     console.log(
--- a/bench/replication/restart_bench.ts
+++ b/bench/replication/restart_bench.ts
@@ -1,6 +1,6 @@
 /**
- * How long a member takes to start with a log of many commands on its disk,
- * and what the folder holds.
+ * Measures how long a member takes to start with a log of many commands on its
+ * disk, and the size of its folder.
  *
  *     node dist/bench/replication/restart_bench.js
  *
--- a/bench/replication/traffic.ts
+++ b/bench/replication/traffic.ts
@@ -1,5 +1,5 @@
 /**
- * What a group sends, counted frame by frame, and logs to weigh.
+ * Counts the bytes of the frames that a group sends, and fills logs to measure.
  *
  * @module
  */
@@ -15,10 +15,10 @@
 } from "../../src/process/replication/testing/fault_session.ts";
 import { MemberGroup } from "../../src/process/replication/testing/member_group.ts";
 
-/** IPv4, TCP with timestamps, a TLS record and a WebSocket header. */
+/** Per frame: IPv4, TCP with timestamps, a TLS record, a WebSocket header. */
 const OVERHEAD_BYTES = 20 + 32 + 22 + 6;
 
-/** What the receiver's acknowledgement takes: IPv4 and TCP alone. */
+/** The receiver's acknowledgement of a frame: IPv4 and TCP with timestamps. */
 const ACKNOWLEDGEMENT_BYTES = 20 + 32;
 
 const MEASURED_MS = 96_000;
@@ -31,7 +31,7 @@
   messages: number;
 }
 
-/** Bytes and messages a second of the busiest instance of one role. */
+/** Bytes and messages per second of the busiest instance of one role. */
 export interface TrafficRate {
   readonly role: string;
   readonly sent: number;
@@ -39,7 +39,7 @@
   readonly messages: number;
 }
 
-class TrafficCount {
+class TrafficCounter {
   readonly byInstance = new Map<string, Traffic>();
 
   add(from: string, to: string, body: unknown): void {
@@ -66,18 +66,18 @@
   }
 }
 
-/** What a group sends at rest, or at 1,800 changes a day. */
+/** Measures a group's traffic when idle, or at 1,800 changes a day. */
 export async function measureTraffic(
   settings: readonly GroupMember[],
   options: { hasChanges: boolean },
 ): Promise<TrafficRate[]> {
-  let count = new TrafficCount();
+  let count = new TrafficCounter();
   const group = new MemberGroup(settings, {}, {
     onSend: (from, to, body) => count.add(from, to, body),
   });
   await group.startAll();
   await group.run(5_000);
-  count = new TrafficCount();
+  count = new TrafficCounter();
   const leaderId = group.leader()!.status().leaderId!;
   for (let passedMs = 0; passedMs < MEASURED_MS; passedMs += CHANGE_PERIOD_MS) {
     if (options.hasChanges) {
@@ -99,7 +99,7 @@
   );
 }
 
-/** A log of entries with so much data each. */
+/** Creates a log of entries with the given amount of data each. */
 export function fillLog(
   dataBytes: number,
   entries = 50_000,
@@ -113,12 +113,12 @@
   return log;
 }
 
-/** The configuration group: 3 voters and 6 others. */
+/** The configuration group: 3 voters and 6 learners. */
 export const CONFIGURATION_GROUP = [
   ...diskVoters("a", "b", "c"),
   ...learners("d", "e", "f", "g", "h", "i"),
 ];
-/** The group of one data centre. */
+/** The group of one data centre: 3 voters, one of them with a disk. */
 export const DATA_CENTRE_GROUP = [
   ...diskVoters("a"),
   ...memoryVoters("b", "c"),
--- a/bench/replication/traffic_bench.ts
+++ b/bench/replication/traffic_bench.ts
@@ -1,6 +1,6 @@
 /**
- * Bytes a second that each instance sends and receives for replication, at
- * rest and at 1,800 changes a day, and the heap that entries take.
+ * Measures the bytes per second that the busiest instances send and receive for
+ * replication, when idle and at 1,800 changes a day, and the heap per entry.
  *
  *     node --expose-gc dist/bench/replication/traffic_bench.js
  *
