--- a/bench/system/bench_cluster.ts
+++ b/bench/system/bench_cluster.ts
@@ -1,6 +1,6 @@
 /**
- * Real daemons in one process, over real sockets on loopback and real files,
- * with an injected delay between regions.
+ * Real daemons in one process, with real sockets on loopback, real files and an
+ * injected delay between regions.
  *
  * @module
  */
@@ -28,23 +28,23 @@
   readonly peerPort: number;
 }
 
-/** How a {@link BenchCluster} is made. */
+/** Options of {@link BenchCluster.start}. */
 export interface BenchClusterOptions {
   readonly instances: number;
-  /** One-way delay between the regions. */
+  /** One-way delay between regions. */
   readonly regionDelayMs: number;
 }
 
-/** Data centres in turn; the first two share a region. */
+/** Assigned to the instances in turn; the first two share a region. */
 const DATA_CENTRES = [
   { dataCentre: "east", region: "region-east" },
   { dataCentre: "east-2", region: "region-east" },
   { dataCentre: "west", region: "region-west" },
 ] as const;
 
-const VOTERS_LIMIT = 5;
+const MAX_VOTERS = 5;
 
-/** Several daemons that form one system. */
+/** Daemons that form one system. */
 export class BenchCluster {
   readonly instances: readonly BenchInstance[];
   #folder = mkdtempSync(join(tmpdir(), "sesamethread-bench-"));
@@ -67,7 +67,7 @@
       instances.push({
         id: `instance-${at + 1}`,
         ...DATA_CENTRES[at % DATA_CENTRES.length] as typeof DATA_CENTRES[0],
-        hasDisk: at < VOTERS_LIMIT,
+        hasDisk: at < MAX_VOTERS,
         httpPort: await freePort(),
         peerPort: await freePort(),
       });
@@ -92,12 +92,12 @@
   async #settingsOf(instance: BenchInstance): Promise<Settings> {
     const others = this.instances.filter(({ id }) => id !== instance.id);
     const peers = await Promise.all(others.map(async (peer) => ({
-      ...placeOf(peer),
-      peerAddress: `127.0.0.1:${await this.#portTo(instance, peer)}`,
+      ...locationOf(peer),
+      peerAddress: `127.0.0.1:${await this.#peerPortFor(instance, peer)}`,
     })));
     return settingsSchema.parse({
       instance: {
-        ...placeOf(instance),
+        ...locationOf(instance),
         httpAddress: `127.0.0.1:${instance.httpPort}`,
         peerAddress: `127.0.0.1:${instance.peerPort}`,
       },
@@ -109,7 +109,7 @@
     });
   }
 
-  async #portTo(from: BenchInstance, to: BenchInstance): Promise<number> {
+  async #peerPortFor(from: BenchInstance, to: BenchInstance): Promise<number> {
     if (from.region === to.region) {
       return to.peerPort;
     }
@@ -124,7 +124,7 @@
   }
 }
 
-function placeOf({ id, dataCentre, region, hasDisk }: BenchInstance) {
+function locationOf({ id, dataCentre, region, hasDisk }: BenchInstance) {
   return { id, dataCentre, region, hasDisk };
 }
 
--- a/bench/system/edits_in_force.ts
+++ b/bench/system/edits_in_force.ts
@@ -1,7 +1,7 @@
 /**
- * How soon an edit is accepted and in force on every instance, how many edits
- * a second racing operators get through, and what an idle instance costs:
- * real daemons on loopback, with a delay between regions.
+ * Measures how soon an edit is accepted and in force on every instance, how
+ * many consecutive edits are accepted per second, and what an idle instance
+ * costs: real daemons on loopback, with a delay between regions.
  *
  * @module
  */
@@ -13,13 +13,15 @@
 import type { TimelineRecord } from "../../src/process/timeline/mod.ts";
 import { BenchCluster } from "./bench_cluster.ts";
 
-const SIZES = process.argv.slice(2).map(Number).filter((size) => size > 0);
-const SIZES_DEFAULT = [3, 5, 9];
+const INSTANCE_COUNTS = process.argv.slice(2).map(Number).filter((size) =>
+  size > 0
+);
+const DEFAULT_INSTANCE_COUNTS = [3, 5, 9];
 const EDITS = 100;
 const REGION_DELAY_MS = 20;
 const IDLE_MS = 10_000;
 const SECTION = { kind: "jobClasses", name: "overnight" } as const;
-const KEY = "operations:demo-operations-key";
+const TEAM_KEY = "operations:demo-operations-key";
 
 interface EditTimes {
   readonly version: number;
@@ -32,10 +34,10 @@
     instances,
     regionDelayMs: REGION_DELAY_MS,
   });
-  await untilServing(cluster);
+  await waitUntilServing(cluster);
   const idle = await measureIdle(cluster);
-  const edits = await makeEdits(cluster);
-  const inForceMs = await timesInForce(cluster, edits);
+  const edits = await submitEdits(cluster);
+  const inForceMs = await measureTimesInForce(cluster, edits);
   const acceptedMs = edits.map((edit) => edit.acceptedMs);
   const row = {
     instances,
@@ -56,10 +58,10 @@
   return new ApiClient({ servers: [`127.0.0.1:${port}`] });
 }
 
-async function untilServing(cluster: BenchCluster): Promise<void> {
+async function waitUntilServing(cluster: BenchCluster): Promise<void> {
   for (let at = 0; at < cluster.instances.length; at++) {
     while (await versionOf(cluster, at) === 0) {
-      await pause(50);
+      await delay(50);
     }
   }
 }
@@ -77,12 +79,12 @@
   return (await statusOf(cluster, at)).configurationVersion ?? 0;
 }
 
-/** Bytes sent and processor time of one instance while nothing happens. */
+/** Measures bytes sent, processor time and memory of an idle cluster. */
 async function measureIdle(cluster: BenchCluster) {
-  await pause(2_000);
+  await delay(2_000);
   const before = await allTraffic(cluster);
   const usageBefore = process.cpuUsage();
-  await pause(IDLE_MS);
+  await delay(IDLE_MS);
   const usage = process.cpuUsage(usageBefore);
   const after = await allTraffic(cluster);
   const perSecond = after.map((traffic, at) =>
@@ -105,7 +107,7 @@
 
 type BytesByChannel = Readonly<Record<string, number>>;
 
-/** What each instance has sent so far, by channel. */
+/** Bytes that each instance has sent so far, by channel. */
 async function allTraffic(cluster: BenchCluster): Promise<BytesByChannel[]> {
   const statuses = await Promise.all(
     cluster.instances.map((_, at) => statusOf(cluster, at)),
@@ -129,23 +131,23 @@
   return sum(Object.values(bytes));
 }
 
-async function makeEdits(cluster: BenchCluster): Promise<EditTimes[]> {
+async function submitEdits(cluster: BenchCluster): Promise<EditTimes[]> {
   const times: EditTimes[] = [];
   for (let edit = 0; edit < EDITS; edit++) {
     const sections = new SectionClient({
       client: clientOf(cluster, edit % cluster.instances.length),
-      key: KEY,
+      key: TEAM_KEY,
     });
-    let made: EditTimes[] = [];
-    while (made.length === 0) {
-      made = await makeEdit(sections, edit);
+    let accepted: EditTimes[] = [];
+    while (accepted.length === 0) {
+      accepted = await submitEdit(sections, edit);
     }
-    times.push(...made);
+    times.push(...accepted);
   }
   return times;
 }
 
-async function makeEdit(
+async function submitEdit(
   sections: SectionClient,
   number: number,
 ): Promise<EditTimes[]> {
@@ -167,12 +169,12 @@
     .orDefault([]);
 }
 
-/** From the sending of an edit till the last instance had it in force. */
-async function timesInForce(
+/** Times from sending an edit until it is in force on every instance, in ms. */
+async function measureTimesInForce(
   cluster: BenchCluster,
   edits: readonly EditTimes[],
 ): Promise<number[]> {
-  await pause(2_000);
+  await delay(2_000);
   const result = await clientOf(cluster, 0)
     .json({ method: "GET", path: "/v1/timeline?limit=5000" });
   const { records } = result.unsafeCoerce() as { records: TimelineRecord[] };
@@ -206,10 +208,14 @@
   return Math.round(value * 100) / 100;
 }
 
-function pause(durationMs: number): Promise<void> {
+function delay(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
 
-for (const instances of SIZES.length > 0 ? SIZES : SIZES_DEFAULT) {
+for (
+  const instances of INSTANCE_COUNTS.length > 0
+    ? INSTANCE_COUNTS
+    : DEFAULT_INSTANCE_COUNTS
+) {
   await measure(instances);
 }
