--- a/bench/batch/load.ts
+++ b/bench/batch/load.ts
@@ -19,7 +19,7 @@
   readonly attempts: number;
   readonly stretch: number;
   readonly slackMs: number;
-  /** Duration of a task, log-normal about `mean` with sigma `spread`. */
+  /** Task duration: log-normal with the given mean and sigma `spread`. */
   readonly workMs: { mean: number; spread: number; limit: number };
   /** Number of tasks, drawn like `workMs`. */
   readonly width: { mean: number; spread: number; limit: number };
@@ -220,8 +220,8 @@
       const { burst, loadFactor, random } = options;
       const isBurst = kind.priority === 0 && atMs >= burst.fromMs &&
         atMs < burst.untilMs;
-      const perS = kind.jobsPerS * loadFactor * (isBurst ? burst.factor : 1);
-      atMs += -Math.log(1 - random.nextUnit()) * 1_000 / perS;
+      const rate = kind.jobsPerS * loadFactor * (isBurst ? burst.factor : 1);
+      atMs += -Math.log(1 - random.nextUnit()) * 1_000 / rate;
       if (atMs >= options.lengthMs) {
         break;
       }
--- a/bench/capacity/other_states.ts
+++ b/bench/capacity/other_states.ts
@@ -23,7 +23,7 @@
 import { fitLine } from "./fit.ts";
 import { measureHeapBySize } from "./heap.ts";
 
-const TWO_YEARS = { teams: 180, dataCentres: 5, racksPerDataCentre: 18 };
+const TWO_YEAR_SIZE = { teams: 180, dataCentres: 5, racksPerDataCentre: 18 };
 
 /** Measures the heap of the states that grow with use. */
 export async function measureOtherHeap() {
@@ -46,7 +46,7 @@
 /** Measures three numbers of edits at the size expected in two years. */
 export function measureConfiguration() {
   return [450, 900, 1_800].map((edits) =>
-    measureEdits({ ...TWO_YEARS, edits })
+    measureEdits({ ...TWO_YEAR_SIZE, edits })
   );
 }
 
--- a/bench/capacity/worker_traffic.ts
+++ b/bench/capacity/worker_traffic.ts
@@ -120,7 +120,7 @@
   });
 }
 
-/** A report of a worker whose tasks all belong to different jobs. */
+/** A report of a worker whose tasks belong to different jobs, with UUIDs. */
 function makeReport(
   tasks: number,
   options: { hasUsages: boolean },
--- a/bench/configuration/removal_rules.ts
+++ b/bench/configuration/removal_rules.ts
@@ -78,7 +78,7 @@
   readonly runMs: number;
 }
 
-function arrivalsOf(seed: number, meanRunMs: number): Arrival[] {
+function drawArrivals(seed: number, meanRunMs: number): Arrival[] {
   const random = new SeededRandom({ seed });
   const exponential = (mean: number) => -mean * Math.log(1 - random.nextUnit());
   const gapMs = meanRunMs / (SCENARIO.workers * SCENARIO.load);
@@ -146,7 +146,7 @@
   const minutes = meanRunMs / MINUTE_MS;
   process.stdout.write(`mean run time ${minutes} min\n`);
   const seeds = Array.from({ length: SCENARIO.seeds }, (_, seed) => seed);
-  const all = seeds.map((seed) => arrivalsOf(seed, meanRunMs));
+  const all = seeds.map((seed) => drawArrivals(seed, meanRunMs));
   const unpartitionedMs = all.map((arrivals) =>
     simulate(arrivals, { rule: undefined, isRemoved: false }).workedMs
   );
--- a/bench/configuration/time_in_force.ts
+++ b/bench/configuration/time_in_force.ts
@@ -23,7 +23,7 @@
 const EDITS = 200;
 
 /** Delay between edits, long enough for the cluster to become idle. */
-const PAUSE_MS = 300;
+const EDIT_DELAY_MS = 300;
 
 /** Three data centres, two of them in one region; the first instances vote. */
 function makeInstances(count: number, voters: number): VirtualInstance[] {
@@ -81,7 +81,7 @@
       await cluster.run(5);
     }
     inForceMs.push(cluster.clock.nowMs() - sentAtMs);
-    await cluster.run(PAUSE_MS);
+    await cluster.run(EDIT_DELAY_MS);
   }
   const seconds = (cluster.clock.nowMs() - startedMs) / 1_000;
   const editBytes = (bytes / count - idleBytesPerSecond * seconds) / EDITS;
--- a/bench/replication/commit_bench.ts
+++ b/bench/replication/commit_bench.ts
@@ -31,7 +31,7 @@
 }
 
 /** Measures the time until the answer and until the last member applied it. */
-async function measureOne(
+async function measureCommand(
   group: BenchGroup,
   from: BenchMember,
 ): Promise<{ answeredMs: number; everywhereMs: number }> {
@@ -54,7 +54,7 @@
   const answered: number[] = [];
   const everywhere: number[] = [];
   for (let at = 0; at < SINGLE_COMMANDS; at++) {
-    const times = await measureOne(group, from);
+    const times = await measureCommand(group, from);
     answered.push(times.answeredMs);
     everywhere.push(times.everywhereMs);
   }
--- a/bench/replication/idle_bench.ts
+++ b/bench/replication/idle_bench.ts
@@ -11,7 +11,7 @@
 import { BenchGroup } from "./bench_group.ts";
 
 const MEMBERS = 9;
-const MEASURED_MS = 10_000;
+const MEASUREMENT_MS = 10_000;
 
 async function main(): Promise<void> {
   const collect = (globalThis as { gc?: () => void }).gc;
@@ -24,12 +24,12 @@
   });
   await group.waitForLeader();
   const startUsage = process.cpuUsage();
-  await new Promise((resolve) => setTimeout(resolve, MEASURED_MS));
+  await new Promise((resolve) => setTimeout(resolve, MEASUREMENT_MS));
   const usage = process.cpuUsage(startUsage);
   collect?.();
   const after = process.memoryUsage();
   const busyMs = (usage.user + usage.system) / 1_000;
-  const percent = busyMs * 100 / MEASURED_MS;
+  const percent = busyMs * 100 / MEASUREMENT_MS;
   const heapBytes = after.heapUsed - before.heapUsed;
   console.log(
     `${MEMBERS} voters at rest: ${percent.toFixed(2)} % of a core together, ` +
--- a/bench/replication/leader_change_bench.ts
+++ b/bench/replication/leader_change_bench.ts
@@ -13,7 +13,7 @@
 
 const RUNS = 400;
 const STEP_MS = 5;
-const LIMIT_MS = 30_000;
+const TIMEOUT_MS = 30_000;
 
 function measureLeaderChange(members: string[], seed: number): number {
   const simulation = new RaftSimulation({
@@ -26,7 +26,7 @@
   const startMs = simulation.nowMs;
   while (simulation.leaseHolders().length === 0) {
     simulation.run(STEP_MS);
-    if (simulation.nowMs - startMs > LIMIT_MS) {
+    if (simulation.nowMs - startMs > TIMEOUT_MS) {
       return Infinity;
     }
   }
--- a/bench/replication/traffic.ts
+++ b/bench/replication/traffic.ts
@@ -21,7 +21,7 @@
 /** The receiver's acknowledgement of a frame: IPv4 and TCP with timestamps. */
 const ACKNOWLEDGEMENT_BYTES = 20 + 32;
 
-const MEASURED_MS = 96_000;
+const MEASUREMENT_MS = 96_000;
 const CHANGE_PERIOD_MS = 86_400_000 / 1_800;
 const CHANGE_BYTES = 4_096;
 
@@ -51,16 +51,16 @@
       body,
     });
     const bytes = frame.byteLength + OVERHEAD_BYTES;
-    this.#of(from).sentBytes += bytes;
-    this.#of(from).messages += 1;
-    this.#of(from).receivedBytes += ACKNOWLEDGEMENT_BYTES;
-    this.#of(to).receivedBytes += bytes;
-    this.#of(to).sentBytes += ACKNOWLEDGEMENT_BYTES;
+    this.#trafficOf(from).sentBytes += bytes;
+    this.#trafficOf(from).messages += 1;
+    this.#trafficOf(from).receivedBytes += ACKNOWLEDGEMENT_BYTES;
+    this.#trafficOf(to).receivedBytes += bytes;
+    this.#trafficOf(to).sentBytes += ACKNOWLEDGEMENT_BYTES;
   }
 
-  #of(id: string): Traffic {
-    const known = this.byInstance.get(id);
-    const traffic = known ?? { sentBytes: 0, receivedBytes: 0, messages: 0 };
+  #trafficOf(id: string): Traffic {
+    const existing = this.byInstance.get(id);
+    const traffic = existing ?? { sentBytes: 0, receivedBytes: 0, messages: 0 };
     this.byInstance.set(id, traffic);
     return traffic;
   }
@@ -71,22 +71,26 @@
   settings: readonly GroupMember[],
   options: { hasChanges: boolean },
 ): Promise<TrafficRate[]> {
-  let count = new TrafficCounter();
+  let counter = new TrafficCounter();
   const group = new MemberGroup(settings, {}, {
-    onSend: (from, to, body) => count.add(from, to, body),
+    onSend: (from, to, body) => counter.add(from, to, body),
   });
   await group.startAll();
   await group.run(5_000);
-  count = new TrafficCounter();
+  counter = new TrafficCounter();
   const leaderId = group.leader()!.status().leaderId!;
-  for (let passedMs = 0; passedMs < MEASURED_MS; passedMs += CHANGE_PERIOD_MS) {
+  for (
+    let elapsedMs = 0;
+    elapsedMs < MEASUREMENT_MS;
+    elapsedMs += CHANGE_PERIOD_MS
+  ) {
     if (options.hasChanges) {
       await group.propose("a", "x".repeat(CHANGE_BYTES));
     }
     await group.run(CHANGE_PERIOD_MS);
   }
-  const seconds = MEASURED_MS / 1_000;
-  const rates = [...count.byInstance].map(([id, traffic]) => ({
+  const seconds = MEASUREMENT_MS / 1_000;
+  const rates = [...counter.byInstance].map(([id, traffic]) => ({
     role: id === leaderId ? "leader" : "other",
     sent: traffic.sentBytes / seconds,
     received: traffic.receivedBytes / seconds,
--- a/bench/routing/load_sweep.ts
+++ b/bench/routing/load_sweep.ts
@@ -59,15 +59,15 @@
       seed,
       durationMs: SLOW_DURATION_MS,
     };
-    const even = runSweep(options);
+    const baseline = runSweep(options);
     const slow = runSweep({
       ...options,
       slowFactor: SLOW_FACTOR,
       slowServers: SIZES.servers / 10,
     });
-    const ratio = slow.p99Ms / even.p99Ms;
+    const ratio = slow.p99Ms / baseline.p99Ms;
     console.log(
-      `${policy}: p99 ${even.p99Ms.toFixed(0)} ms even, ` +
+      `${policy}: p99 ${baseline.p99Ms.toFixed(0)} ms even, ` +
         `${slow.p99Ms.toFixed(0)} ms slow, ratio ${ratio.toFixed(2)}`,
     );
   }
--- a/bench/routing/sweep_policy.ts
+++ b/bench/routing/sweep_policy.ts
@@ -284,7 +284,7 @@
     environment.servers.map(({ serverId }) => [serverId, SIZES.slots]),
   );
   const byId = new Map(instances.map((one) => [one.instanceId, one]));
-  const round = (): void => {
+  const runRound = (): void => {
     for (const { instanceId, demand, grantId, granted } of instances) {
       const inUse = [...capacity.keys()].map((serverId) =>
         [serverId, byId.get(instanceId)?.inFlight(serverId) ?? 0] as const
@@ -305,7 +305,7 @@
         }
       });
     }
-    environment.queue.after(ALLOCATION_PERIOD_MS, round);
+    environment.queue.after(ALLOCATION_PERIOD_MS, runRound);
   };
-  round();
+  runRound();
 }
--- a/bench/scheduler/measurements.ts
+++ b/bench/scheduler/measurements.ts
@@ -149,7 +149,7 @@
   }
 
   /** Adds the work done so far by jobs that are still running. */
-  finish(
+  addRunningWork(
     options: { running: readonly { job: WorkloadJob; doneMs: number }[] },
   ): void {
     for (const { job, doneMs } of options.running) {
--- a/bench/scheduler/simulation.ts
+++ b/bench/scheduler/simulation.ts
@@ -88,7 +88,7 @@
       this.#measurements.recordFreeCapacity(this.#options.freeCapacity());
     });
     this.#clock.advance(lastMs + tailMs);
-    this.#measurements.finish({
+    this.#measurements.addRunningWork({
       running: [...this.#running.values()].map((each) => ({
         job: each.job,
         doneMs: each.savedMs + this.#unsavedMs(each),
--- a/bench/system/edits_in_force.ts
+++ b/bench/system/edits_in_force.ts
@@ -180,9 +180,11 @@
   const { records } = result.unsafeCoerce() as { records: TimelineRecord[] };
   const inForce = records.filter(({ name }) => name === "configurationInForce");
   return edits.flatMap(({ version, sentAtMs }) => {
-    const seen = inForce.filter(({ fields }) => fields["version"] === version);
-    return seen.length === cluster.instances.length
-      ? [Math.max(...seen.map(({ wallMs }) => wallMs)) - sentAtMs]
+    const matching = inForce.filter(({ fields }) =>
+      fields["version"] === version
+    );
+    return matching.length === cluster.instances.length
+      ? [Math.max(...matching.map(({ wallMs }) => wallMs)) - sentAtMs]
       : [];
   });
 }
