--- a/bench/routing/load_sweep.ts
+++ b/bench/routing/load_sweep.ts
@@ -1,6 +1,6 @@
 /**
- * Compares ways of balancing under load, and the effect of slow servers, by
- * the product's routing core over model servers and model time.
+ * Compares load balancing policies under load, and the effect of slow servers,
+ * with the real routing core, simulated servers and simulated time.
  *
  * `npm run build && node dist/bench/routing/load_sweep.js [seed]`
  *
@@ -59,15 +59,15 @@
       seed,
       durationMs: SLOW_DURATION_MS,
     };
-    const even = runSweep(options);
+    const baseline = runSweep(options);
     const slow = runSweep({
       ...options,
       slowFactor: SLOW_FACTOR,
       slowServers: SIZES.servers / 10,
     });
-    const ratio = slow.p99Ms / even.p99Ms;
+    const ratio = slow.p99Ms / baseline.p99Ms;
     console.log(
-      `${policy}: p99 ${even.p99Ms.toFixed(0)} ms even, ` +
+      `${policy}: p99 ${baseline.p99Ms.toFixed(0)} ms even, ` +
         `${slow.p99Ms.toFixed(0)} ms slow, ratio ${ratio.toFixed(2)}`,
     );
   }
@@ -86,7 +86,7 @@
     byClass.join(", "),
     result.p50Ms.toFixed(0),
     result.p99Ms.toFixed(0),
-    result.mostAtOnce,
+    result.maxServerLoad,
   ].join(" | ");
 }
 
