--- a/standins/backend_server/announcer.ts
+++ b/standins/backend_server/announcer.ts
@@ -45,7 +45,7 @@
     await this.#announceToAny(false);
   }
 
-  /** Announces periodically to every instance that the server leaves. */
+  /** Announces to all instances, periodically, that the server is leaving. */
   async leave(): Promise<void> {
     this.#timer?.close();
     this.#timer = this.#options.clock.every(ANNOUNCE_PERIOD_MS, () => {
--- a/standins/backend_server/main.ts
+++ b/standins/backend_server/main.ts
@@ -31,7 +31,7 @@
   tool.option("--announce-to <addresses>", "Instances, separated by commas");
   tool.option("--host <ip>", "IP address to listen on");
   tool.option("--port <port>", "Port to listen on; any free port if absent");
-  tool.option("--slots <slots>", "Most requests that it runs at once");
+  tool.option("--slots <slots>", "Number of slots that it announces");
   tool.option("--mean-service-ms <ms>", "Mean service time of a request");
   tool.option(
     "--service-spread <spread>",
--- a/standins/backend_server/mod.ts
+++ b/standins/backend_server/mod.ts
@@ -12,7 +12,7 @@
 } from "./answer_fault.ts";
 export { ServiceTimes } from "./service_times.ts";
 export {
-  type ServerActivity as ServerTruth,
+  type ServerActivity,
   StandinBackendServer,
   type StandinBackendServerOptions,
 } from "./standin_backend_server.ts";
--- a/standins/backend_server/standin_backend_server.ts
+++ b/standins/backend_server/standin_backend_server.ts
@@ -35,6 +35,7 @@
   readonly host?: string;
   /** 0 for any free port. */
   readonly port?: number;
+  /** The slots that it announces; it runs any number of requests at once. */
   readonly slots?: number;
   readonly meanServiceMs?: number;
   readonly serviceSpread?: number;
@@ -333,7 +334,7 @@
   response.end(body);
 }
 
-/** A whole answer as text: `ServerResponse` sends only one for a request. */
+/** A complete answer as text: `ServerResponse` sends only one per request. */
 function rawResponse(correlationId: string): string {
   return [
     "HTTP/1.1 200 OK",
--- a/standins/worker/delayed_usages.ts
+++ b/standins/worker/delayed_usages.ts
@@ -1,5 +1,5 @@
 /**
- * Simulates usage measurements that reach reports late and not in every one.
+ * Simulates usage that reports contain late, and only every few seconds.
  *
  * @module
  */
@@ -30,7 +30,7 @@
     this.#lagMs = options.usageLagMs ?? USAGE_LAG_MS;
   }
 
-  /** Records the current usage; returns that to report now, empty if none. */
+  /** Records the current usage; returns the usage that is due, if any. */
   nextReport(usages: HeldTaskUsage[]): HeldTaskUsage[] {
     const nowMs = this.#clock.nowMs();
     this.#samples.push({ atMs: nowMs, usages });
--- a/standins/worker/main.ts
+++ b/standins/worker/main.ts
@@ -36,8 +36,10 @@
     default: "127.0.0.1",
   });
   tool.option("--port <n>", "Port to listen on", { default: 0 });
-  tool.option("--cores <n>", "Processors", { default: 32 });
-  tool.option("--memory-bytes <n>", "Memory", { default: 64_000_000_000 });
+  tool.option("--cores <n>", "Processor cores", { default: 32 });
+  tool.option("--memory-bytes <n>", "Memory in bytes", {
+    default: 64_000_000_000,
+  });
   tool.option("--accelerators <n>", "Accelerators", { default: 8 });
   tool.option("--stop-ms <n>", "Time limit of a graceful stop", {
     default: 10_000,
--- a/standins/worker/worker.ts
+++ b/standins/worker/worker.ts
@@ -1,6 +1,7 @@
 /**
- * A stand-in worker: an HTTP server that accepts commands and injected faults,
- * and reports to the instances of its data centre in turn, once a second.
+ * A stand-in worker: an HTTP server that accepts commands and injected faults.
+ * It reports to the instances of its data centre in turn, once a second and
+ * whenever a task ends.
  *
  * @module
  */
@@ -27,7 +28,7 @@
 export const FAULTS_PATH = "/faults";
 
 /** Options of {@link StandInWorker}. */
-export interface StandInWorkerOptions {
+export interface StandinWorkerOptions {
   readonly workerId: string;
   readonly capacity: WorkerCapacity;
   /** `host:port` of the instances it may report to, tried in turn. */
@@ -39,8 +40,8 @@
   readonly tasks?: Partial<WorkerTasksOptions>;
 }
 
-/** Defaults of {@link StandInWorkerOptions}. */
-export const STAND_IN_WORKER_DEFAULTS = {
+/** Defaults of {@link StandinWorkerOptions}. */
+export const STANDIN_WORKER_DEFAULTS = {
   host: "127.0.0.1",
   port: 0,
   reportPeriodMs: 1_000,
@@ -49,7 +50,7 @@
 
 /** A worker that simulates its tasks. */
 export class StandInWorker {
-  readonly #options: StandInWorkerOptions;
+  readonly #options: StandinWorkerOptions;
   readonly #clock: Clock;
   readonly #tasks: WorkerTasks;
   readonly #server: Server;
@@ -59,7 +60,7 @@
   #address = "";
   #nextInstance = 0;
 
-  constructor(options: StandInWorkerOptions) {
+  constructor(options: StandinWorkerOptions) {
     this.#options = options;
     this.#clock = options.clock ?? new SystemClock();
     this.#tasks = new WorkerTasks({
@@ -87,7 +88,7 @@
 
   /** Listens, then sends the first report. */
   async start(): Promise<void> {
-    const defaults = STAND_IN_WORKER_DEFAULTS;
+    const defaults = STANDIN_WORKER_DEFAULTS;
     const host = this.#options.host ?? defaults.host;
     const port = this.#options.port ?? defaults.port;
     await new Promise<void>((resolve, reject) => {
@@ -103,7 +104,7 @@
     await this.report();
   }
 
-  /** Sends a report to the next instance that accepts it; false if none. */
+  /** Sends a report to the next instance that accepts it; false if none does. */
   async report(): Promise<boolean> {
     if (this.#tasks.faults.isSilent) {
       return false;
@@ -161,7 +162,7 @@
         dispatcher: this.#agent,
         headers: { "content-type": "application/json" },
         body: JSON.stringify(this.#tasks.report(this.#address)),
-        signal: AbortSignal.timeout(STAND_IN_WORKER_DEFAULTS.reportTimeoutMs),
+        signal: AbortSignal.timeout(STANDIN_WORKER_DEFAULTS.reportTimeoutMs),
       });
       await answer.body.dump();
       return answer.statusCode === 200;
--- a/standins/worker/worker_faults.ts
+++ b/standins/worker/worker_faults.ts
@@ -13,9 +13,9 @@
   slowMs: z.int().min(0).default(0),
   /** Neither answers nor reports; tasks keep running under their leases. */
   isSilent: z.boolean().default(false),
-  /** Factor of the reported usage over the declared resources. */
+  /** Ratio of the reported usage to the declared resources. */
   sizeFactor: z.number().min(0).default(1),
-  /** Factor of the run times over the durations in the commands. */
+  /** Ratio of the run times to the durations in the commands. */
   runTimeFactor: z.number().min(0).default(1),
 });
 
