Mend comments and texts of base, connection, daemon, http, jobs and ledger

Second read of the wording: comments that were clipped or did not quite match their code (suspend-aware clock, HTTP exchange, ledger expiry, line writer), limits worded as 'most', error texts that did not say what happened, and the reason for Node's disabled header limit, which stood nowhere. Schemas of peer frames are named as schemas.

--- a/src/base/error_kind.ts
+++ b/src/base/error_kind.ts
@@ -6,7 +6,7 @@
 
 /** Whether work may have been carried out despite the error. */
 export const Execution = {
-  /** No backend server or worker has begun the work. */
+  /** It is certain that no backend server or worker has begun the work. */
   notRun: "not run",
   /** The work may or may not have been carried out. */
   unknown: "outcome unknown",
--- a/src/base/suspend_aware_clock.ts
+++ b/src/base/suspend_aware_clock.ts
@@ -8,8 +8,9 @@
 import { SystemClock } from "./clock.ts";
 
 /**
- * Up to this difference between two readings, the clocks are taken to have
- * drifted apart; a larger gain of the wall clock is taken for a suspension.
+ * A difference between the clocks is ignored as drift until, since the last
+ * adjustment, it exceeds this. A larger gain of the wall clock counts as time
+ * of a suspension.
  */
 const DRIFT_LIMIT_MS = 50;
 
@@ -28,8 +29,8 @@
 
 /**
  * The steady clock stands still while the machine is suspended, but leases
- * must expire during that time. This clock therefore advances by what the wall
- * clock gains on the steady clock. A wall clock that is set forward has the
+ * must expire during that time. This clock therefore also advances by what the
+ * wall clock gains on the steady clock. A wall clock that is set forward has the
  * same effect, which only makes leases expire early; setting it back is
  * ignored.
  */
--- a/src/connection/incoming_link.ts
+++ b/src/connection/incoming_link.ts
@@ -1,6 +1,7 @@
 /**
  * The accepting side of one link: authenticates the dialling peer, then
- * delivers its messages. A protocol error only closes the connection.
+ * delivers its messages. A protocol error closes the connection and has no
+ * other effect.
  *
  * @module
  */
--- a/src/connection/peer_frame.ts
+++ b/src/connection/peer_frame.ts
@@ -18,27 +18,33 @@
 /** The version of the protocol between instances. */
 export const PEER_PROTOCOL_VERSION = 1;
 
-const identity = z.string().regex(IDENTITY_PATTERN);
-const nonce = bytesOf(16);
-const mac = bytesOf(32);
+const idSchema = z.string().regex(IDENTITY_PATTERN);
+const nonceSchema = bytesOf(16);
+const macSchema = bytesOf(32);
 
 const helloSchema = z.strictObject({
   kind: z.literal("hello"),
   protocolVersion: z.int(),
-  clusterName: identity,
-  from: identity,
-  to: identity,
-  nonce,
+  clusterName: idSchema,
+  from: idSchema,
+  to: idSchema,
+  nonce: nonceSchema,
 });
 
 const challengeSchema = z.strictObject({
   kind: z.literal("challenge"),
-  nonce,
+  nonce: nonceSchema,
 });
 
-const proofSchema = z.strictObject({ kind: z.literal("proof"), mac });
+const proofSchema = z.strictObject({
+  kind: z.literal("proof"),
+  mac: macSchema,
+});
 
-const welcomeSchema = z.strictObject({ kind: z.literal("welcome"), mac });
+const welcomeSchema = z.strictObject({
+  kind: z.literal("welcome"),
+  mac: macSchema,
+});
 
 const messageSchema = z.strictObject({
   kind: z.literal("message"),
--- a/src/connection/ws_peer_network.ts
+++ b/src/connection/ws_peer_network.ts
@@ -80,7 +80,7 @@
   sentMessages: number;
   /** Frame bytes, without WebSocket and TCP overhead. */
   sentBytes: number;
-  /** The same by channel. */
+  /** `sentBytes` by channel. */
   readonly sentBytesByChannel: Record<string, number>;
   droppedMessages: number;
   receivedMessages: number;
--- a/src/process/daemon/cluster_files.ts
+++ b/src/process/daemon/cluster_files.ts
@@ -22,7 +22,7 @@
   readonly tls: PeerTls | undefined;
 }
 
-/** Reads the files; `notFound` or `invalid` names the file at fault. */
+/** Fails with `notFound` or `invalid`, whose location is the file's path. */
 export function readClusterFiles(
   cluster: Settings["cluster"],
 ): Result<ClusterFiles> {
--- a/src/process/daemon/daemon.ts
+++ b/src/process/daemon/daemon.ts
@@ -1,6 +1,6 @@
 /**
- * One entry instance: creates its subsystems, opens them in order of dependency
- * and closes them in reverse order.
+ * One instance of the daemon: creates its subsystems, opens them in order of
+ * dependency and closes them in reverse order.
  *
  * @module
  */
@@ -42,7 +42,7 @@
   readonly httpServer: HttpServer;
 }
 
-/** One running entry instance. */
+/** One running instance of the daemon. */
 export class Daemon {
   #subsystems: DaemonSubsystems;
 
--- a/src/process/daemon/daemon_base.ts
+++ b/src/process/daemon/daemon_base.ts
@@ -93,7 +93,7 @@
     read: () => network.traffic.sentMessages,
   });
   metrics.gauge("sesamethread_peer_rejected_connections", {
-    help: "Connections of peers that were refused or closed for a fault.",
+    help: "Connections of peers that were closed because of an error.",
     read: () => network.traffic.rejectedConnections,
   });
 }
--- a/src/process/daemon/data_centre_subsystem.ts
+++ b/src/process/daemon/data_centre_subsystem.ts
@@ -37,7 +37,7 @@
 import type { Settings } from "../settings/mod.ts";
 import type { DaemonBase } from "./daemon_base.ts";
 
-/** The state machines that share the data centre's log. */
+/** The names of the state machines that share the data centre's log. */
 const ComponentName = {
   jobs: "jobs",
   requests: "requests",
--- a/src/process/daemon/group_endpoints.ts
+++ b/src/process/daemon/group_endpoints.ts
@@ -161,7 +161,9 @@
   if (role !== "leader") {
     const leaderAddress = leaderId && options.httpAddressOf(leaderId);
     return failure("unavailable", {
-      detail: `only the group's leader can do this: ${leaderId ?? "unknown"}`,
+      detail: `only the group's leader can do this; leader: ${
+        leaderId ?? "unknown"
+      }`,
       facts: { leaderId, leaderAddress },
     });
   }
--- a/src/process/http/endpoint_table.ts
+++ b/src/process/http/endpoint_table.ts
@@ -28,7 +28,10 @@
     }
   }
 
-  /** Fails with `notFound` for a path, `methodNotAllowed` for a method. */
+  /**
+   * Fails with `notFound` if no endpoint has the path, and with
+   * `methodNotAllowed` if only endpoints of other methods have it.
+   */
   find(method: string, path: string): Result<EndpointMatch> {
     const supportedMethod = METHODS.find((name) => name === method);
     const found = supportedMethod === undefined
--- a/src/process/http/http_client.ts
+++ b/src/process/http/http_client.ts
@@ -12,7 +12,7 @@
 
 /** Options of {@link HttpClient}. */
 export interface HttpClientOptions {
-  /** Most connections to one address; each carries one call at a time. */
+  /** Maximum per address; each connection carries one call at a time. */
   readonly connections: number;
   /** How long an idle connection stays open. */
   readonly keepAliveMs: number;
@@ -141,7 +141,7 @@
     this.#reject(error);
   }
 
-  /** A call that still waits for a connection is then never sent. */
+  /** Rejects the call. If it still waits for a connection, it is never sent. */
   #timeOut(timeoutMs: number): void {
     this.#timeoutError = new CallTimeoutError(
       `no answer within ${timeoutMs} ms`,
--- a/src/process/http/http_client_test.ts
+++ b/src/process/http/http_client_test.ts
@@ -67,7 +67,7 @@
   await client.close();
 });
 
-test("calls time out, also one that still waits for a connection", async (t) => {
+test("calls time out, and one that still waits for a connection is never sent", async (t) => {
   const receivedCalls: string[] = [];
   const { server, address } = await openServer(receivedCalls);
   const client = new HttpClient(OPTIONS);
--- a/src/process/http/http_exchange.ts
+++ b/src/process/http/http_exchange.ts
@@ -30,7 +30,10 @@
   readonly isClosing: () => boolean;
 }
 
-/** Answers one call; its promises resolve once all resources are released. */
+/**
+ * Answers one call. Its promises resolve once the answer is written or
+ * abandoned and the memory of body and answer is released.
+ */
 export class HttpExchange {
   readonly #options: HttpExchangeOptions;
   readonly #abort = new AbortController();
--- a/src/process/http/http_limits.ts
+++ b/src/process/http/http_limits.ts
@@ -6,19 +6,22 @@
 
 /** Limits of the HTTP server. */
 export interface HttpLimits {
-  /** Most connections served at once. */
+  /** Maximum number of connections served at once. */
   readonly connections: number;
-  /** Connections beyond `connections` that get an error before they close. */
+  /**
+   * Connections beyond `connections` that get an error answer. Further ones are
+   * closed without an answer.
+   */
   readonly refusedConnections: number;
-  /** Most calls in progress on all connections. */
+  /** Maximum number of calls in progress on all connections. */
   readonly calls: number;
-  /** Most calls in progress on one connection. */
+  /** Maximum number of calls in progress on one connection. */
   readonly callsPerConnection: number;
-  /** Most bytes of a call's request line and headers. */
+  /** Maximum size of a call's request line and headers. */
   readonly headerBytes: number;
-  /** Most header fields of a call. */
+  /** Maximum number of header fields of a call. */
   readonly headerFields: number;
-  /** Most bytes of bodies and answers in memory, over all calls. */
+  /** Maximum size of all bodies and answers in memory. */
   readonly heldBytes: number;
   /** How long the headers of a call may take to arrive. */
   readonly headerReadMs: number;
@@ -28,7 +31,7 @@
   readonly answerWriteMs: number;
   /** How long an idle connection stays open; sent in `Keep-Alive`. */
   readonly keepAliveMs: number;
-  /** How long input is discarded after an answer that came before its end. */
+  /** How long the rest of a body is discarded after an early answer. */
   readonly lingerMs: number;
 }
 
--- a/src/process/http/http_server.ts
+++ b/src/process/http/http_server.ts
@@ -149,10 +149,13 @@
     const server = createServer({
       maxHeaderSize: limits.headerBytes,
       headersTimeout: limits.headerReadMs,
+      // Bodies have their own time limit, `bodyReadMs`.
       requestTimeout: 0,
       keepAliveTimeout: limits.keepAliveMs,
       connectionsCheckingInterval: HEADER_CHECK_MS,
     });
+    // With a limit here, Node would silently drop further header fields.
+    // `HttpExchange` refuses calls that exceed `headerFields`.
     server.maxHeadersCount = 0;
     server.maxConnections = limits.connections + limits.refusedConnections;
     server.on("connection", (socket) => this.#onConnection(socket));
--- a/src/process/http/metrics_registry.ts
+++ b/src/process/http/metrics_registry.ts
@@ -19,12 +19,12 @@
 /** A distribution of durations. */
 export interface DurationHistogram {
   record(durationMs: number): void;
-  /** The duration at a percentile, which is from 0 to 100. */
+  /** The duration in ms at a percentile from 0 to 100. */
   percentileMs(percentile: number): number;
   readonly count: number;
 }
 
-/** Longer durations, in microseconds, are recorded as this one. */
+/** The longest recordable duration; longer ones are recorded as this. */
 const MAX_DURATION_US = 3_600_000_000;
 const SIGNIFICANT_DIGITS = 2;
 const QUANTILES = [0.5, 0.9, 0.99, 0.999] as const;
--- a/src/process/jobs/job_endpoints.ts
+++ b/src/process/jobs/job_endpoints.ts
@@ -22,7 +22,7 @@
 /** Limit of a job specification's size. */
 const JOB_BODY_LIMIT_BYTES = 262_144;
 
-/** Length of a list of jobs if the call has no `limit` parameter. */
+/** Maximum length of a list of jobs if the call has no `limit` parameter. */
 const DEFAULT_LIST_LIMIT = 200;
 
 const MAX_LIST_LIMIT = 10_000;
--- a/src/process/ledger/ledger.ts
+++ b/src/process/ledger/ledger.ts
@@ -40,10 +40,10 @@
   readonly state: LedgerState;
 }
 
-/** Most peers that one call is sent to, one after another. */
+/** Maximum number of peers that a call is sent to, one after another. */
 const MAX_PEERS_TRIED = 3;
 
-/** Least timeout of a call to one peer, unless the deadline is nearer. */
+/** Minimum timeout of a call to one peer, unless the deadline is earlier. */
 const MIN_PEER_TIMEOUT_MS = 250;
 
 interface PendingCall {
@@ -108,8 +108,9 @@
   }
 
   /**
-   * Tries one peer after another until one gives a conclusive result. A call
-   * whose earlier outcome is unknown may so be executed more than once.
+   * Tries one peer after another until one gives a conclusive result. After an
+   * unknown outcome the next peer is tried too, so the call may be executed
+   * more than once.
    */
   async #executeRemotely(
     call: LedgerCall,
@@ -177,7 +178,11 @@
         question: call,
       } as const;
       if (!this.#channel.send(peer, message)) {
-        settle(failure("unavailable", { detail: "The link is down." }));
+        settle(
+          failure("unavailable", {
+            detail: "The message to the peer was dropped.",
+          }),
+        );
       }
     });
   }
--- a/src/process/ledger/ledger_peer_message.ts
+++ b/src/process/ledger/ledger_peer_message.ts
@@ -17,7 +17,7 @@
 const ledgerPeerMessageSchema = z.discriminatedUnion("kind", [
   z.strictObject({
     kind: z.literal("ask"),
-    /** The sender's run, copied to the reply, so that later runs ignore it. */
+    /** The sender's run; copied to the reply, which later runs ignore. */
     incarnation: z.int().min(0),
     askId: z.int(),
     /** Time left; a deadline would depend on the clocks of both instances. */
@@ -43,7 +43,7 @@
 /** A message on the channel `ledger`. */
 export type LedgerPeerMessage = z.infer<typeof ledgerPeerMessageSchema>;
 
-/** A command, or a lookup, which changes nothing. */
+/** A command, or a lookup that changes nothing. */
 export type LedgerCall = Extract<
   LedgerPeerMessage,
   { kind: "ask" }
--- a/src/process/ledger/ledger_state.ts
+++ b/src/process/ledger/ledger_state.ts
@@ -22,7 +22,7 @@
 
 /** Limits of the ledger; must be the same on every member of its group. */
 export interface LedgerLimits {
-  /** Most bytes of all entries, by the estimate {@link LedgerState.bytes}. */
+  /** Maximum size of all entries, estimated as {@link LedgerState.bytes}. */
   readonly bytes: number;
 }
 
@@ -34,7 +34,10 @@
 /** Estimated memory of an entry besides its strings and its answer. */
 const ENTRY_OVERHEAD_BYTES = 250;
 
-/** Entries that expire in the same interval are removed together. */
+/**
+ * Entries that expire in the same interval are removed together at its end, so
+ * up to this long after they expire.
+ */
 const EXPIRY_BUCKET_MS = 60_000;
 
 const entrySchema = z.strictObject({
--- a/src/process/logging/counted_event_log.ts
+++ b/src/process/logging/counted_event_log.ts
@@ -52,7 +52,7 @@
     const field = LABEL_FIELDS[name];
     const value = field === undefined ? undefined : fields[field];
     metrics.counter("sesamethread_events_total", {
-      help: "Events by name; where it matters, by their reason.",
+      help: "Events by name, and for some events by reason.",
       labels: {
         event: name,
         ...(value === undefined ? {} : { reason: String(value) }),
--- a/src/process/logging/line_writer.ts
+++ b/src/process/logging/line_writer.ts
@@ -8,7 +8,10 @@
 import { Buffer } from "node:buffer";
 import { write } from "node:fs";
 
-/** The size of the queued lines beyond which new lines are dropped. */
+/**
+ * The size of the queued lines beyond which new lines are dropped. Counted in
+ * UTF-16 code units, which are bytes for ASCII text.
+ */
 const QUEUE_LIMIT_BYTES = 262_144;
 
 /** Writes a chunk; calls `done` with the bytes written, or an error. */
--- a/src/process/membership/arrival_window.ts
+++ b/src/process/membership/arrival_window.ts
@@ -1,6 +1,6 @@
 /**
- * The phi-accrual failure detector (Hayashibara et al., 2004): rates from past
- * heartbeat intervals how unlikely the time without a heartbeat is.
+ * The phi-accrual failure detector (Hayashibara et al., 2004): estimates from
+ * past heartbeat intervals how unlikely the time since the last heartbeat is.
  *
  * @module
  */
--- a/src/process/membership/membership_core.ts
+++ b/src/process/membership/membership_core.ts
@@ -1,5 +1,5 @@
 /**
- * The state of failure detection, driven by heartbeats and time.
+ * Failure detection without I/O or timers, driven by heartbeats and time.
  *
  * @module
  */
--- a/src/process/settings/settings.ts
+++ b/src/process/settings/settings.ts
@@ -69,7 +69,9 @@
   limits: z.strictObject({
     /** How long a graceful stop waits for calls and requests to end. */
     stopMs: z.int().min(100).max(600_000).default(30_000),
+    /** Maximum number of HTTP connections served at once. */
     callerConnections: z.int().min(1).max(100_000).default(2_000),
+    /** How long the body of an HTTP call may take to arrive. */
     bodyReadMs: z.int().min(100).max(600_000).default(10_000),
   }).prefault({}),
 });
--- a/src/process/storage/record_codec.ts
+++ b/src/process/storage/record_codec.ts
@@ -36,8 +36,8 @@
 }
 
 /**
- * Encodes a record. `syncedBytes` is the length of the file's part that had
- * been synced when the record is written.
+ * Encodes a record. `syncedBytes` is how many bytes of the file are synced when
+ * the record is written.
  */
 export function encodeRecord(
   payload: Uint8Array,
--- a/src/process/storage/record_codec_test.ts
+++ b/src/process/storage/record_codec_test.ts
@@ -50,9 +50,9 @@
     batches.filter((written) => written.length > 1),
     fc.nat(),
     fc.integer({ min: 1, max: 255 }),
-    (written, place, bits) => {
+    (written, offset, bits) => {
       const { file, syncedAt } = writeBatches(written);
-      const at = place % syncedAt.at(-2)!;
+      const at = offset % syncedAt.at(-2)!;
       file[at] = file[at]! ^ bits;
       return scanRecords(file).state === "corrupt";
     },
