Name record lists of the timeline; mend test titles and doc comments

Odd were a vague 'parts' for the records of several instances, two test titles that did not say what they guard against, and an event text that was no sentence.

--- a/src/base/events/process_events.ts
+++ b/src/base/events/process_events.ts
@@ -41,7 +41,7 @@
   settingsLoaded: {
     number: 1005,
     level: "info",
-    text: "The settings in effect, without keys.",
+    text: "The settings were loaded; they are shown without keys.",
     fields: ["settings", "version"],
   },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/base/suspend_aware_clock.ts
+++ b/src/base/suspend_aware_clock.ts
@@ -30,8 +30,8 @@
 /**
  * The steady clock stands still while the machine is suspended, but leases
  * must expire during that time. This clock therefore also advances by what the
- * wall clock gains on the steady clock. A wall clock that is set forward has the
- * same effect, which only makes leases expire early; setting it back is
+ * wall clock gains on the steady clock. A wall clock that is set forward has
+ * the same effect, which only makes leases expire early; setting it back is
  * ignored.
  */
 export class SuspendAwareClock extends SystemClock {
--- a/src/process/daemon/cluster_files.ts
+++ b/src/process/daemon/cluster_files.ts
@@ -22,7 +22,10 @@
   readonly tls: PeerTls | undefined;
 }
 
-/** Fails with `notFound` or `invalid`, whose location is the file's path. */
+/**
+ * Reads the files. Fails with `notFound` or `invalid`, with the path of the file
+ * as the location.
+ */
 export function readClusterFiles(
   cluster: Settings["cluster"],
 ): Result<ClusterFiles> {
--- a/src/process/http/http_client_test.ts
+++ b/src/process/http/http_client_test.ts
@@ -56,7 +56,7 @@
   await closeServer(server);
 });
 
-test("a call to a closed port fails with ECONNREFUSED", async (t) => {
+test("a call to a closed port fails with ECONNREFUSED, so it was never sent", async (t) => {
   const { server, address } = await openServer([]);
   await closeServer(server);
   const client = new HttpClient(OPTIONS);
--- a/src/process/http/http_server_test.ts
+++ b/src/process/http/http_server_test.ts
@@ -97,7 +97,7 @@
   t.regex(await caller.closed, /431 [^]*"kind":"headersTooLarge"/);
 });
 
-test("calls with too many header fields are refused, no field is dropped", async (t) => {
+test("calls with too many header fields are refused rather than truncated", async (t) => {
   const { port } = await startServer(t);
   const caller = new RawCaller(port);
   const fields = Array.from({ length: 150 }, (_, at) => `x${at}: y`);
--- a/src/process/ledger/ledger_peer_message.ts
+++ b/src/process/ledger/ledger_peer_message.ts
@@ -17,7 +17,10 @@
 const ledgerPeerMessageSchema = z.discriminatedUnion("kind", [
   z.strictObject({
     kind: z.literal("ask"),
-    /** The sender's run; copied to the reply, which later runs ignore. */
+    /**
+     * The sender's run. It is copied to the reply, so that a later run of the
+     * sender ignores it.
+     */
     incarnation: z.int().min(0),
     askId: z.int(),
     /** Time left; a deadline would depend on the clocks of both instances. */
--- a/src/process/storage/fake_storage.ts
+++ b/src/process/storage/fake_storage.ts
@@ -19,7 +19,7 @@
 export interface FakeStorageFaults {
   /** Writes fail with `ENOSPC`. */
   isFull: boolean;
-  /** Syncs fail with `EIO`; the unsynced bytes may be lost. */
+  /** Syncs fail with `EIO`; a crash may still lose the unsynced bytes. */
   syncFails: boolean;
   /** Syncs report success without making anything durable. */
   syncLies: boolean;
--- a/src/process/timeline/timeline_record.ts
+++ b/src/process/timeline/timeline_record.ts
@@ -56,10 +56,10 @@
 
 /** Merges records of several instances in causal order; keeps the newest. */
 export function mergeRecords(
-  parts: readonly (readonly TimelineRecord[])[],
+  recordLists: readonly (readonly TimelineRecord[])[],
   options: { limit: number },
 ): TimelineRecord[] {
-  const merged = parts.flat();
+  const merged = recordLists.flat();
   merged.sort((left, right) =>
     compareTimestamps(left, right) ||
     left.instance.localeCompare(right.instance) ||
--- a/src/process/timeline/timeline_service.ts
+++ b/src/process/timeline/timeline_service.ts
@@ -61,7 +61,7 @@
 
 interface PendingQuery {
   readonly waitingFor: Set<InstanceId>;
-  readonly parts: TimelineRecord[][];
+  readonly recordLists: TimelineRecord[][];
   readonly finish: () => void;
 }
 
@@ -104,12 +104,12 @@
     return new Promise((resolve) => {
       const pending: PendingQuery = {
         waitingFor: new Set(this.#options.network.peerIds),
-        parts: [this.#options.timeline.read(query)],
+        recordLists: [this.#options.timeline.read(query)],
         finish: () => {
           timer.close();
           this.#pendingQueries.delete(askId);
           resolve({
-            records: mergeRecords(pending.parts, query),
+            records: mergeRecords(pending.recordLists, query),
             missing: [...pending.waitingFor],
           });
         },
@@ -161,7 +161,7 @@
     if (pending === undefined || !pending.waitingFor.delete(from)) {
       return;
     }
-    pending.parts.push(records);
+    pending.recordLists.push(records);
     finishWhenComplete(pending);
   }
 
--- a/src/process/timeline/timeline_test.ts
+++ b/src/process/timeline/timeline_test.ts
@@ -47,7 +47,9 @@
   b.emit("gangStarted", { jobId: "1" });
   ahead.observe(behind.next());
   a.emit("jobEnded", { jobId: "1" });
-  const parts = [b, a].map((each) => each.read({ limit: 10 }));
-  const names = mergeRecords(parts, { limit: 10 }).map((each) => each.name);
+  const recordLists = [b, a].map((each) => each.read({ limit: 10 }));
+  const names = mergeRecords(recordLists, { limit: 10 }).map((each) =>
+    each.name
+  );
   t.deepEqual(names, ["jobSubmitted", "gangStarted", "jobEnded"]);
 });
