--- a/src/process/daemon/cluster_files.ts
+++ b/src/process/daemon/cluster_files.ts
@@ -23,8 +23,8 @@
 }
 
 /**
- * Reads the files. Fails with `notFound` or `invalid`, with the path of the file
- * as the location.
+ * Reads the files. Fails with `notFound` or `invalid`, with the path of the
+ * file as the location.
  */
 export function readClusterFiles(
   cluster: Settings["cluster"],
