--- a/src/process/daemon/cluster_files.ts
+++ b/src/process/daemon/cluster_files.ts
@@ -22,7 +22,10 @@
   readonly tls: PeerTls | undefined;
 }
 
-/** Reads the files; `notFound` or `invalid` names the file at fault. */
+/**
+ * Reads the files. Fails with `notFound` or `invalid`, with the path of the
+ * file as the location.
+ */
 export function readClusterFiles(
   cluster: Settings["cluster"],
 ): Result<ClusterFiles> {
--- a/src/process/http/http_client_test.ts
+++ b/src/process/http/http_client_test.ts
@@ -56,7 +56,7 @@
   await closeServer(server);
 });
 
-test("a call to a closed port fails with ECONNREFUSED", async (t) => {
+test("a call to a closed port fails with ECONNREFUSED, so it was never sent", async (t) => {
   const { server, address } = await openServer([]);
   await closeServer(server);
   const client = new HttpClient(OPTIONS);
@@ -67,7 +67,7 @@
   await client.close();
 });
 
-test("calls time out, also one that still waits for a connection", async (t) => {
+test("calls time out, and one that still waits for a connection is never sent", async (t) => {
   const receivedCalls: string[] = [];
   const { server, address } = await openServer(receivedCalls);
   const client = new HttpClient(OPTIONS);
