Second read of the wording of configuration, data_centre and version

Odd: comments that disagreed with the code (retries, throttling, checkpoint time, start target and cross-region bytes of the document, the event of an edit without an outcome, changes of the in-force tracker), two names for the initial document, a misleading alias of an edit's state, and three test titles that did not say what fails.

Changed: comments, two event texts, local names and test titles. No behaviour, wire name or assertion changed.

--- a/src/base/events/configuration_events.ts
+++ b/src/base/events/configuration_events.ts
@@ -29,7 +29,7 @@
   editUnresolved: {
     number: 3003,
     level: "warn",
-    text: "An edit was proposed and its outcome is not known here.",
+    text: "An edit got no outcome: it was not committed, or that is not known.",
     fields: ["editId", "team", "section", "error"],
   },
   keyRejected: {
@@ -53,7 +53,7 @@
   bootstrapRefused: {
     number: 3007,
     level: "error",
-    text: "The bootstrap document was refused.",
+    text: "The initial document was refused.",
     fields: ["section", "detail"],
   },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/process/configuration/configuration_command.ts
+++ b/src/process/configuration/configuration_command.ts
@@ -14,7 +14,7 @@
   | { readonly kind: "replace"; readonly text: string }
   | { readonly kind: "remove" };
 
-/** Installs the first document; ignored when there is one already. */
+/** Installs the initial document; ignored when there is one already. */
 export interface BootstrapCommand {
   readonly kind: "bootstrap";
   readonly text: string;
@@ -62,8 +62,9 @@
 /** The section has changed since the edit's base version. */
 export interface ConflictOutcome {
   readonly kind: "conflict";
-  /** The section's version; 0 for none. The text is null without a section. */
+  /** The version that last changed the section; 0 if none is known. */
   readonly currentVersion: number;
+  /** The section's text; null if there is no section. */
   readonly currentText: string | null;
 }
 
--- a/src/process/configuration/configuration_endpoints.ts
+++ b/src/process/configuration/configuration_endpoints.ts
@@ -130,9 +130,9 @@
 }
 
 function describeEdit(result: RecordedEditResult): object {
-  const { team, section, outcome, editState: acceptedState } = result;
-  if (acceptedState !== undefined) {
-    return { team, section, ...acceptedState };
+  const { team, section, outcome, editState } = result;
+  if (editState !== undefined) {
+    return { team, section, ...editState };
   }
   const { kind: state, ...rest } = outcome;
   return { team, section, state, ...rest, currentText: undefined };
@@ -169,14 +169,14 @@
   result: EditResult,
   edit: { editId: string; location: string },
 ): Result<HttpAnswer> {
-  const { outcome, editState: acceptedState } = result;
-  if (acceptedState === undefined) {
+  const { outcome, editState } = result;
+  if (editState === undefined) {
     return rejected(outcome, edit.location);
   }
   const { editId, location: section } = edit;
-  const status = acceptedState.state === "pending" ? 202 : 200;
-  const answer = jsonAnswer(status, { editId, section, ...acceptedState });
-  const headers = { ...answer.headers, etag: `"${acceptedState.version}"` };
+  const status = editState.state === "pending" ? 202 : 200;
+  const answer = jsonAnswer(status, { editId, section, ...editState });
+  const headers = { ...answer.headers, etag: `"${editState.version}"` };
   return Right({ ...answer, headers });
 }
 
--- a/src/process/configuration/configuration_fixture.ts
+++ b/src/process/configuration/configuration_fixture.ts
@@ -13,7 +13,7 @@
   return `scrypt$00$${Buffer.from(key).toString("hex")}`;
 }
 
-/** Whether a hash of {@link fixtureHash} is the key's. */
+/** Whether the key matches a hash made by {@link fixtureHash}. */
 export function matchesFixture(key: string, hash: string): Promise<boolean> {
   return Promise.resolve(fixtureHash(key) === hash);
 }
@@ -108,7 +108,7 @@
   return `[jobClasses.${name}]\nowner = "${owner}"\nrank = ${rank}\n`;
 }
 
-/** An edit of the job class `normal` by its owner `rating`, with changes. */
+/** An edit of the job class `normal` by its owner `rating`, by default. */
 export function fixtureEdit(changes: Partial<EditCommand>): EditCommand {
   const team = changes.team ?? "rating";
   return {
--- a/src/process/configuration/configuration_machine.ts
+++ b/src/process/configuration/configuration_machine.ts
@@ -57,7 +57,7 @@
 import { SectionStore, type SectionText } from "./section_store.ts";
 import { canonicalTexts, documentOf, sectionsOf } from "./snapshot_document.ts";
 
-/** Stands for all sections in the history entry of the first document. */
+/** Stands for all sections in the history entry of the initial document. */
 export const WHOLE_DOCUMENT = "*";
 
 /** How to build a {@link ConfigurationMachine}. */
--- a/src/process/configuration/configuration_service.ts
+++ b/src/process/configuration/configuration_service.ts
@@ -1,6 +1,6 @@
 /**
- * The configuration of one instance: its verified copy, edits through the
- * replicated log, and the versions in force on all instances.
+ * The configuration of one instance: its copy, edits through the replicated
+ * log, and the versions in force on all instances.
  *
  * @module
  */
@@ -146,7 +146,7 @@
     this.#inForce.acknowledge(dataCentre, version);
   }
 
-  /** Proposes the first document; ignored if there is one already. */
+  /** Proposes the initial document; ignored if there is one already. */
   async bootstrap(text: string): Promise<Result<ConfigurationOutcome>> {
     const parsed = parseDocument(text);
     if (parsed.isLeft()) {
@@ -180,7 +180,10 @@
     return result;
   }
 
-  /** Submits an edit; an error if malformed or if the outcome is unknown. */
+  /**
+   * Submits an edit. Fails if it is malformed, was not committed, or may still
+   * be committed (`outcomeUnknown`).
+   */
   async edit(request: EditRequest): Promise<Result<EditResult>> {
     const malformed = findMalformed(request);
     if (malformed !== undefined) {
@@ -333,7 +336,7 @@
   }
 }
 
-/** Faults in the section's text that don't depend on the document. */
+/** The fault in the section's text, if any, regardless of the document. */
 function findMalformed(request: EditRequest): SesameError | undefined {
   if (request.change.kind === "remove") {
     return undefined;
--- a/src/process/configuration/configuration_service_test.ts
+++ b/src/process/configuration/configuration_service_test.ts
@@ -178,7 +178,7 @@
   system.close();
 });
 
-test("a resent edit gets its answer, a changed one is refused", async (t) => {
+test("a resent edit gets the lost outcome, an altered one fails", async (t) => {
   const system = await new ServiceSystem().start();
   system.member(0).losesNextAnswer = true;
   const lost = await system.put("jobClasses/normal", NORMAL);
@@ -257,7 +257,7 @@
   system.close();
 });
 
-test("a lagging copy gives no time for a removal to take effect", async (t) => {
+test("a lagging copy reports a removal as pending without a time", async (t) => {
   const system = await new ServiceSystem().start();
   const lagging = system.service(1);
   const answering = lagging.edit({
--- a/src/process/configuration/configuration_snapshot.ts
+++ b/src/process/configuration/configuration_snapshot.ts
@@ -52,12 +52,13 @@
 
 const historyEntrySchema = z.object({
   version: z.int(),
-  /** `kind.name`, or `*` for the first document. */
+  /** `kind.name`, or `*` for the initial document. */
   section: z.string(),
   change: z.enum(["bootstrap", "replace", "remove"]),
   editId: z.string().nullable(),
   team: z.string().nullable(),
   baseVersion: z.int(),
+  /** By the clock of the instance that proposed the change. */
   atMs: z.number(),
 });
 
--- a/src/process/configuration/configuration_source.ts
+++ b/src/process/configuration/configuration_source.ts
@@ -7,7 +7,7 @@
 import type { Stream } from "most";
 import type { ConfigurationVersion } from "../../version/configuration_version.ts";
 
-/** This instance's verified copy of the configuration. */
+/** This instance's copy of the configuration. */
 export interface ConfigurationSource {
   current(): ConfigurationVersion;
   /** Emits each later version when it comes into force here, in order. */
--- a/src/process/configuration/in_force_tracker.ts
+++ b/src/process/configuration/in_force_tracker.ts
@@ -101,7 +101,10 @@
     );
   }
 
-  /** The instance whose version or acknowledgements may have changed. */
+  /**
+   * Emits the ID of an instance whose report was stored, and this instance's ID
+   * when it acknowledges a removal.
+   */
   get changes() {
     return this.#changes.stream;
   }
--- a/src/process/configuration/key_verifier.ts
+++ b/src/process/configuration/key_verifier.ts
@@ -24,10 +24,9 @@
   readonly key: string;
 }
 
-/** The result of verifying a key of the team. */
+/** A team and which of its key hashes the presented key matched. */
 export interface VerifiedKey {
   readonly team: TeamId;
-  /** The team's key hash that the key matched. */
   readonly keyHash: string;
 }
 
@@ -36,9 +35,9 @@
   readonly clock: Clock;
   /** Slow hashes per second, over all teams. */
   readonly hashesPerSecond?: number;
-  /** Slow hashes that may be saved up while idle. */
+  /** Maximum slow hashes in a burst, which are saved up while idle. */
   readonly hashesBurst?: number;
-  /** Maximum callers waiting; keys are searched one caller at a time. */
+  /** Maximum callers queued for slow hashes, including the one served. */
   readonly waitingLimit?: number;
   /** Maximum verified keys that are recognized without a slow hash. */
   readonly verifiedLimit?: number;
@@ -57,7 +56,7 @@
 /** Verifies teams' keys. */
 export class KeyVerifier {
   readonly #options: Required<KeyVerifierOptions>;
-  /** Key hashes by a digest of the verified key, keyed by a process secret. */
+  /** Matched key hashes, by an HMAC of team and key with `#secret`. */
   readonly #verified = new Map<string, string>();
   readonly #secret = randomBytes(32);
   #tokens: number;
--- a/src/process/configuration/removal_confirmer_test.ts
+++ b/src/process/configuration/removal_confirmer_test.ts
@@ -289,6 +289,6 @@
   t.true(await fuzzRemovals({ startInFlightMs: -1_000 }));
 });
 
-test("the fuzz test detects a confirmer blind to next leaders", async (t) => {
+test("the fuzz test detects a confirmer that ignores followers", async (t) => {
   t.true(await fuzzRemovals({ instances: [] }));
 });
--- a/src/process/configuration/removal_ledger.ts
+++ b/src/process/configuration/removal_ledger.ts
@@ -83,7 +83,7 @@
     this.#prune(atMs);
   }
 
-  /** Marks a pending removal as effective; false unless `version` made it. */
+  /** Marks the removal by `version` as accepted; false if it isn't pending. */
   confirm(dataCentre: DataCentreId, version: number): boolean {
     const removal = this.#removals.get(dataCentre);
     const isPending = removal?.state === RemovalState.pending;
--- a/src/version/document/check_document_test.ts
+++ b/src/version/document/check_document_test.ts
@@ -64,7 +64,7 @@
 );
 
 /** Whether incremental and full checks agree after every change. */
-function givesSameVerdicts(
+function givesSameResults(
   changes: readonly Change[],
   beforeOf: (before: Document, after: Document) => Document,
 ): boolean {
@@ -85,7 +85,7 @@
 test("an incremental check agrees with a full check", (t) => {
   const property = fc.property(
     fc.array(changeArbitrary, { maxLength: 20 }),
-    (changes) => givesSameVerdicts(changes, (before) => before),
+    (changes) => givesSameResults(changes, (before) => before),
   );
   fc.assert(property, { seed: 3, numRuns: 1_000 });
   t.pass();
@@ -94,7 +94,7 @@
 test("the property detects an incremental check that skips changes", (t) => {
   const property = fc.property(
     fc.array(changeArbitrary, { maxLength: 20 }),
-    (changes) => givesSameVerdicts(changes, (_before, after) => after),
+    (changes) => givesSameResults(changes, (_before, after) => after),
   );
   t.true(fc.check(property, { seed: 3, numRuns: 1_000 }).failed);
 });
--- a/src/version/document/document.ts
+++ b/src/version/document/document.ts
@@ -53,13 +53,19 @@
   owner: identity,
   /** Lower ranks are scheduled first; 0 is urgent. */
   rank: z.int().min(0).max(9),
-  /** Time within which an urgent job should start; no target when absent. */
+  /** Time within which an urgent job should start; a default when absent. */
   startTargetMs: milliseconds.optional(),
-  /** Time that a job has to write a checkpoint before it is stopped. */
+  /**
+   * Time that a job has to write a checkpoint before it is stopped. A job that
+   * preempts it may allow less; in a drain `drainMs` applies instead.
+   */
   checkpointMs: milliseconds.default(30_000),
-  /** Waiting time after which a job gets a reservation. */
+  /** Waiting time after which a job may get a reservation. */
   reservationAfterMs: milliseconds.default(600_000),
-  /** A job is throttled after this multiple of its expected run time. */
+  /**
+   * A job that runs beyond its client account's guarantee is throttled after
+   * this multiple of its expected run time.
+   */
   throttleFactor: z.number().min(1).max(100).default(3),
   /** A job is stopped after this multiple of its expected run time. */
   stopFactor: z.number().min(1).max(1000).default(10),
@@ -119,11 +125,14 @@
   classes: z.array(requestClassSchema).min(1).max(10),
   bodyLimitBytes: bytes.default(1_048_576),
   answerLimitBytes: bytes.default(8_388_608),
-  /** Maximum retries of an idempotent request. */
+  /** Maximum retries of a request that is idempotent or can't have run. */
   retryLimit: count.default(2),
   /** Maximum retries of all callers, as a fraction of first attempts. */
   retryBudgetFraction: fraction.default(0.1),
-  /** Maximum bytes per second of requests forwarded to other regions. */
+  /**
+   * Maximum bytes per second of requests forwarded to other regions, with an
+   * allowance for each answer.
+   */
   crossRegionBytesPerSecond: bytes.default(250_000),
   /** Maximum fraction of the servers that may be ejected at the same time. */
   ejectionFractionLimit: fraction.default(0.3),
--- a/src/version/document/guarantee_packing_test.ts
+++ b/src/version/document/guarantee_packing_test.ts
@@ -133,7 +133,7 @@
       assignments.repair();
       const violation = findViolation(document, assignments);
       if (violation !== undefined) {
-        return { accepted, violation: violation };
+        return { accepted, violation };
       }
     }
   }
--- a/src/version/document/parse_document.ts
+++ b/src/version/document/parse_document.ts
@@ -49,7 +49,7 @@
     .chain((table) => migrateDocument(table, options))
     .chain((table) => checkShape(documentSchema, { table, text, prefix: [] }))
     .chain((document) =>
-      options.skipsRules ? Right(document) : checkWhole(document, text)
+      options.skipsRules ? Right(document) : checkRules(document, text)
     );
 }
 
@@ -159,7 +159,7 @@
   return issue.code === "unrecognized_keys";
 }
 
-function checkWhole(document: Document, text: string): Result<Document> {
+function checkRules(document: Document, text: string): Result<Document> {
   const fault = checkDocument(document)[0];
   return fault === undefined ? Right(document) : refuseFault(fault, text);
 }
--- a/src/version/document/parse_document_test.ts
+++ b/src/version/document/parse_document_test.ts
@@ -137,11 +137,11 @@
   const inline = '[jobClasses]\na = { owner = "x", rank = 1 }\n';
   for (const text of [written, dotted, inline]) {
     const section = parseSection(sectionId, text).unsafeCoerce();
-    const kept = storedSectionText(sectionId, { text, section });
-    t.is(kept === text, text === written);
+    const stored = storedSectionText(sectionId, { text, section });
+    t.is(stored === text, text === written);
     const team = '[teams.x]\nowner = "x"\nkeyHashes = ["scrypt$00$00"]\n';
     const more = '[jobClasses.b]\nowner = "x"\nrank = 1\n';
-    const whole = parseDocument(joinSectionTexts([team, kept, more]));
+    const whole = parseDocument(joinSectionTexts([team, stored, more]));
     t.deepEqual(whole.unsafeCoerce().jobClasses["a"], section);
   }
 });
--- a/src/version/document/toml_text.ts
+++ b/src/version/document/toml_text.ts
@@ -118,8 +118,8 @@
 function hasPath(table: unknown, path: readonly PropertyKey[]): boolean {
   let value = table;
   for (const key of path) {
-    const isOpen = typeof value === "object" && value !== null;
-    if (!isOpen || !Object.hasOwn(value as object, key)) {
+    const isObject = typeof value === "object" && value !== null;
+    if (!isObject || !Object.hasOwn(value as object, key)) {
       return false;
     }
     value = (value as Record<PropertyKey, unknown>)[key];
