Correct the wording of request routing on a second read

Some comments didn't agree with their code (tryNumber, the slots that a report lists, the fallback share, late and doubled answers), some were clipped, and a few names and texts were left over (HTTP front, ask, open). Comments, private names, test titles and error texts only.

--- a/src/process/routing/answer_faults.ts
+++ b/src/process/routing/answer_faults.ts
@@ -6,11 +6,11 @@
 
 /** Why an answer was withheld from the caller. */
 export const AnswerFault = {
-  /** It came after its attempt had ended without an answer. */
+  /** It came after its attempt or its call had ended without an answer. */
   late: "late",
   /** It belongs to another request. */
   crossed: "crossed",
-  /** It belongs to an attempt that was answered already. */
+  /** Its attempt was answered already, or the bytes came unrequested. */
   doubled: "doubled",
   /** It ended early, or no header says where it ends. */
   truncated: "truncated",
@@ -22,7 +22,7 @@
 export type AnswerFault = typeof AnswerFault[keyof typeof AnswerFault];
 
 /** How one attempt ended. */
-type CorrelationOutcome = "answered" | "givenUp";
+type CorrelationOutcome = "answered" | "unanswered";
 
 /**
  * Records how recent attempts ended, to classify faulty answers. The records
@@ -51,7 +51,7 @@
     switch (this.#newer.get(id) ?? this.#older.get(id)) {
       case "answered":
         return AnswerFault.doubled;
-      case "givenUp":
+      case "unanswered":
         return AnswerFault.late;
       case undefined:
         return AnswerFault.crossed;
--- a/src/process/routing/backend_client.ts
+++ b/src/process/routing/backend_client.ts
@@ -104,7 +104,10 @@
   }
 }
 
-/** Whether an HTTP parse error closed a connection, as unawaited bytes do. */
+/**
+ * Whether the connection closed on an HTTP parse error, which bytes from the
+ * server cause while no request waits.
+ */
 function isUnsolicitedInput(error: unknown): boolean {
   const { code } = error as { code?: string };
   return code?.startsWith("HPE_") === true;
--- a/src/process/routing/backend_exchange.ts
+++ b/src/process/routing/backend_exchange.ts
@@ -157,7 +157,10 @@
     this.#controller?.abort(new Error("attempt timed out"));
   }
 
-  /** Before `onRequestStart` no byte was written, and none will be. */
+  /**
+   * Ends the attempt without an answer. Before `onRequestStart` no byte was
+   * written, and none will be.
+   */
   #fail(fault: AnswerFault | undefined): void {
     const result = this.#hasStarted
       ? AttemptResult.ambiguous
@@ -175,7 +178,7 @@
     const isAnswered = end.answer !== undefined;
     correlations.record(
       attempt.correlationId,
-      isAnswered ? "answered" : "givenUp",
+      isAnswered ? "answered" : "unanswered",
     );
     onEnded(end);
   }
--- a/src/process/routing/core/ejection_test.ts
+++ b/src/process/routing/core/ejection_test.ts
@@ -166,8 +166,13 @@
   const simulation = new EjectionSimulation({ isIdempotent: true });
   SERVERS.forEach((serverId) => simulation.behaviours.set(serverId, FAILING));
   simulation.run(5_000);
-  const out = new Set(simulation.ejected.map((text) => text.split(" ")[0]));
-  t.is(out.size, Math.floor(SERVERS.length * SERVICE.ejectionFractionLimit));
+  const ejectedIds = new Set(
+    simulation.ejected.map((text) => text.split(" ")[0]),
+  );
+  t.is(
+    ejectedIds.size,
+    Math.floor(SERVERS.length * SERVICE.ejectionFractionLimit),
+  );
 });
 
 test("a fast-failing server is avoided even if it can't be ejected", (t) => {
--- a/src/process/routing/core/open_call.ts
+++ b/src/process/routing/core/open_call.ts
@@ -16,7 +16,7 @@
   /** The attempt in flight; undefined while the call is queued or forwarded. */
   attemptId: AttemptId | undefined;
   hasBeenForwarded: boolean;
-  /** Whether a server may have run it. */
+  /** Whether a server may have run it in an attempt that has ended. */
   mayHaveRun: boolean;
 }
 
--- a/src/process/routing/core/routing_core.ts
+++ b/src/process/routing/core/routing_core.ts
@@ -42,12 +42,12 @@
     this.#routing = { ...DEFAULT_ROUTING_OPTIONS, ...options.routing };
   }
 
-  /** Calls that haven't ended. */
+  /** Number of calls of all services that haven't ended. */
   get totalOpenCalls(): number {
     return this.#serviceByCall.size;
   }
 
-  /** Routers of the configured services, and of removed ones in use. */
+  /** Routers of the configured services, and of removed ones with open calls. */
   get services(): ReadonlyMap<ServiceId, ServiceRouter> {
     return this.#services;
   }
--- a/src/process/routing/core/routing_core_fixture.ts
+++ b/src/process/routing/core/routing_core_fixture.ts
@@ -43,7 +43,7 @@
   readonly rank: number;
   readonly isIdempotent: boolean;
   readonly deadlineMs: number;
-  /** Attempts that may have reached a server. */
+  /** Ended attempts that may have reached a server. */
   possibleRuns: number;
   attemptCount: number;
   openAttempts: number;
@@ -308,7 +308,10 @@
 
   /** Checks that the call can be in time and fits the region link's budget. */
   #checkForward(call: CallModel): void {
-    check(this.#nowMs + ROUND_TRIP_MS < call.deadlineMs, "forwarded in vain");
+    check(
+      this.#nowMs + ROUND_TRIP_MS < call.deadlineMs,
+      "forwarded in vain, too late for its deadline",
+    );
     this.#forwardedBytes += BODY_BYTES;
     const seconds = 1 + this.#nowMs / 1_000;
     check(
--- a/src/process/routing/core/routing_decision.ts
+++ b/src/process/routing/core/routing_decision.ts
@@ -29,7 +29,7 @@
   readonly attemptId: AttemptId;
   readonly serverId: BackendServerId;
   readonly address: string;
-  /** Counts from 1; above 1 it is a retry. */
+  /** Number of distinct servers tried, with this one; a retry if above 1. */
   readonly tryNumber: number;
   /**
    * When the attempt times out. Later than the call's deadline, since the slot
--- a/src/process/routing/core/routing_options.ts
+++ b/src/process/routing/core/routing_options.ts
@@ -27,7 +27,7 @@
   /** Wait before the first probe; doubles with every failed probe. */
   readonly probeDelayMs: number;
   readonly probeDelayLimitMs: number;
-  /** How long a due probe is left to idempotent calls; then any call will do. */
+  /** How long a due probe is reserved for idempotent calls. */
   readonly nonIdempotentProbeDelayMs: number;
   /** Largest retry budget that may accumulate, in retries. */
   readonly retryTokens: number;
--- a/src/process/routing/core/server_announcement.ts
+++ b/src/process/routing/core/server_announcement.ts
@@ -12,7 +12,7 @@
 /** The IP address and port on which a server listens. */
 const serverAddress = z.string().regex(
   /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$/,
-  "an IP number and port, such as 127.0.0.1:9001",
+  "Expected an IP address and port, such as 127.0.0.1:9001.",
 );
 
 /** The body of `POST /v1/backends/:id/announce`. */
--- a/src/process/routing/core/server_table.ts
+++ b/src/process/routing/core/server_table.ts
@@ -17,7 +17,10 @@
 import { HealthState } from "./server_health.ts";
 import { ServiceTime } from "./service_time.ts";
 
-/** Deviations above the mean service time in the limit of a hung attempt. */
+/**
+ * An attempt is hung after `slowFactor` times the sum of the mean service time
+ * and this many deviations.
+ */
 const HUNG_DEVIATIONS = 6;
 
 /** Options of a {@link ServerTable}. */
@@ -110,7 +113,10 @@
     return inUse;
   }
 
-  /** Slots that this instance may use on healthy servers, free or not. */
+  /**
+   * Slots, free or in use, that this instance may use on healthy servers that
+   * accept new work.
+   */
   usableSlots(nowMs: number): number {
     let slots = 0;
     for (const server of this.#servers.values()) {
@@ -150,7 +156,7 @@
     return (probe ?? chooseOfTwo(healthy, this.#options.random))?.server;
   }
 
-  /** Whether a server that accepts new work isn't excluded. */
+  /** Whether any server that isn't excluded accepts new work. */
   hasServerExcept(
     nowMs: number,
     exclude: ReadonlySet<BackendServerId>,
@@ -287,13 +293,15 @@
     server: ServerEntry,
     options: { reason: "failing" | "slow"; nowMs: number },
   ): RoutingDecision[] {
-    const open = [...this.#servers.values()].filter((other) =>
+    const accepting = [...this.#servers.values()].filter((other) =>
       other.acceptsNewWork(options.nowMs, this.#service)
     );
     const ejected = [...this.#servers.values()].filter((other) =>
       other.health.state !== HealthState.healthy
     );
-    const limit = Math.floor(open.length * this.#service.ejectionFractionLimit);
+    const limit = Math.floor(
+      accepting.length * this.#service.ejectionFractionLimit,
+    );
     return ejected.length < limit ? [this.#ejectNow(server, options)] : [];
   }
 
--- a/src/process/routing/core/service_router.ts
+++ b/src/process/routing/core/service_router.ts
@@ -1,5 +1,6 @@
 /**
- * Routes one service's calls: admits, queues, sends, retries or refuses them.
+ * Routes one service's calls: admits, queues, sends, forwards, retries or
+ * refuses them.
  *
  * @module
  */
@@ -249,9 +250,9 @@
 
   /** Expected wait for a slot behind the queued calls that come first. */
   #expectedWaitMs(call: OpenCall, nowMs: number): number {
-    const callsAhead = this.#queue.countBefore(call) + 1;
+    const position = this.#queue.countBefore(call) + 1;
     const slots = Math.max(1, this.servers.usableSlots(nowMs));
-    return callsAhead * this.servers.serviceTime.meanMs / slots;
+    return position * this.servers.serviceTime.meanMs / slots;
   }
 
   #serviceTimeBoundMs(): number {
@@ -291,7 +292,10 @@
     return { service: this.#service, nowMs, serviceTimeMs };
   }
 
-  /** Whether the call is past its deadline, or would miss it while others wait. */
+  /**
+   * Whether the call is past its deadline, or would miss it and other queued
+   * calls could use the slot.
+   */
   #shouldExpire(call: OpenCall, nowMs: number): boolean {
     if (call.deadlineMs <= nowMs) {
       return true;
@@ -389,7 +393,7 @@
       const detail = "No answer came before the deadline.";
       return endWithError(call.key, "outcomeUnknown", detail);
     }
-    const detail = "The request was still queued at its deadline.";
+    const detail = "The request got no slot in time for its deadline.";
     return endWithError(call.key, "deadlineExceeded", detail);
   }
 }
--- a/src/process/routing/core/slot_allocator.ts
+++ b/src/process/routing/core/slot_allocator.ts
@@ -20,8 +20,8 @@
   /** The newest grant that it has applied; 0 for none. */
   readonly grantId: number;
   /**
-   * Slots in use beyond that grant. When `grantId` is 0: all slots in use or
-   * granted by an earlier allocator.
+   * All slots in use on each server where they exceed that grant. When
+   * `grantId` is 0: all slots in use or granted by an earlier allocator.
    */
   readonly holds: SlotCounts;
 }
@@ -64,7 +64,10 @@
   readonly #holders = new Map<InstanceId, Holder>();
   #lastGrantId: number;
 
-  /** `firstGrantId` must be above the ids of earlier allocators. */
+  /**
+   * The first grant gets the id after `firstGrantId`, which must be at least
+   * the last id of earlier allocators.
+   */
   constructor(options: { firstGrantId: number }) {
     this.#lastGrantId = options.firstGrantId;
   }
@@ -200,7 +203,10 @@
     return free;
   }
 
-  /** The server with the fewest granted slots, among these the most free. */
+  /**
+   * Of the servers with a free slot, the one with the fewest slots granted to
+   * the holder; among equals, the one with the most free slots.
+   */
   #bestServer(
     holder: Holder,
     free: SlotCounts,
@@ -237,6 +243,7 @@
   }
 }
 
+/** The grant to send; restarts the count of reports that don't confirm it. */
 function describeGrant(holder: Holder): SlotGrant {
   const { instanceId, grantId } = holder;
   holder.unconfirmedReports = 0;
--- a/src/process/routing/core/slot_allocator_test.ts
+++ b/src/process/routing/core/slot_allocator_test.ts
@@ -15,9 +15,9 @@
 interface Session {
   readonly rounds: readonly {
     readonly demands: readonly number[];
-    /** Which reports and grants are lost. */
+    /** Whether each holder's report, then whether each one's grant is lost. */
     readonly lost: readonly boolean[];
-    /** How many slots each holder keeps in use, as a fraction. */
+    /** How many slots each holder keeps in use, as a fraction of its grant. */
     readonly use: readonly number[];
   }[];
 }
--- a/src/process/routing/forward_deduplicator.ts
+++ b/src/process/routing/forward_deduplicator.ts
@@ -7,7 +7,7 @@
 
 import type { InstanceId } from "../../base/identity.ts";
 
-/** How many ids a call may lie behind the newest call of its sender. */
+/** How far a call's id may be below the newest id of its sender. */
 const WINDOW_CALLS = 4_096;
 
 interface SenderWindow {
@@ -20,7 +20,7 @@
 export class ForwardDeduplicator {
   readonly #senders = new Map<InstanceId, SenderWindow>();
 
-  /** True once for each call; false for one too old to be known. */
+  /** True once for each call; false for one too old to tell. */
   accept(
     from: InstanceId,
     call: { incarnation: number; forwardId: number },
--- a/src/process/routing/forwarding.ts
+++ b/src/process/routing/forwarding.ts
@@ -50,10 +50,10 @@
 /** Period of the check whether free slots are to be reported. */
 const LOAD_CHECK_PERIOD_MS = 300;
 
-/** Age of the last report at which hardly changed free slots are reported. */
+/** Free slots that hardly change are reported again after this long. */
 const LOAD_REFRESH_MS = 1_000;
 
-/** A change by at least this fraction of the free slots is reported at once. */
+/** A change of free slots by this fraction is reported at the next check. */
 const LOAD_CHANGE_FRACTION = 0.1;
 
 /** How long past its deadline a forwarded call's result is waited for. */
--- a/src/process/routing/leaving_server_test.ts
+++ b/src/process/routing/leaving_server_test.ts
@@ -132,13 +132,13 @@
 });
 
 for (const lossRate of [0.3, 0.9]) {
-  test(`a leaving server gets nothing late with ${lossRate} of messages lost`, async (t) => {
+  test(`a leaving server gets nothing after 2 s with ${lossRate} of messages lost`, async (t) => {
     const lastMs = await leaveUnderLoad({ lossRate, isPartitioned: false });
     t.true(lastMs < SEND_LIMIT_MS, `${lastMs}`);
   });
 }
 
-test("a leaving server gets nothing late from instances that never know", async (t) => {
+test("a leaving server gets nothing after 2 s from instances that miss its announcement", async (t) => {
   const lastMs = await leaveUnderLoad({ lossRate: 0, isPartitioned: true });
   t.true(lastMs < SEND_LIMIT_MS, `${lastMs}`);
 });
--- a/src/process/routing/read_request.ts
+++ b/src/process/routing/read_request.ts
@@ -16,20 +16,20 @@
 /** The longest timeout that a caller may set. */
 const TIMEOUT_LIMIT_MS = 3_600_000;
 
-const identity = z.string().regex(IDENTITY_PATTERN, "an identity");
+const identity = z.string().regex(IDENTITY_PATTERN, "expected an ID");
 
 const headersSchema = z.object({
   [RequestHeader.requestId]: identity.optional(),
   [RequestHeader.requestClass]: identity.optional(),
   [RequestHeader.timeoutMs]: z.string()
-    .regex(/^\d{1,7}$/, "whole milliseconds")
+    .regex(/^\d{1,7}$/, "expected whole milliseconds")
     .transform(Number)
     .pipe(z.int().min(1).max(TIMEOUT_LIMIT_MS))
     .optional(),
   [RequestHeader.idempotent]: z.enum(["true", "false"]).default("false"),
   [RequestHeader.clientAccount]: identity.optional(),
   [RequestHeader.path]: z.string().max(1_024)
-    .regex(/^\/[\x21-\x7e]*$/, "a path that starts with /")
+    .regex(/^\/[\x21-\x7e]*$/, "expected a path that starts with /")
     .default("/"),
 });
 
@@ -90,7 +90,7 @@
   const [issue] = error.issues;
   const location = String(issue?.path[0] ?? "");
   return failure("malformed", {
-    detail: `${location}: expected ${issue?.message ?? "another value"}`,
+    detail: `${location}: ${issue?.message ?? "expected another value"}`,
     location,
   });
 }
--- a/src/process/routing/remote_peers.ts
+++ b/src/process/routing/remote_peers.ts
@@ -88,7 +88,10 @@
     }
   }
 
-  /** Reserves a slot of the instance with the most free slots there. */
+  /**
+   * Reserves a slot of the data centre's instance with the most free slots;
+   * undefined when none has reported recently.
+   */
   reserveSlot(
     dataCentre: DataCentreId,
     service: ServiceId,
--- a/src/process/routing/request_claim.ts
+++ b/src/process/routing/request_claim.ts
@@ -1,6 +1,6 @@
 /**
  * The claim on one non-idempotent request in its home's ledger: acquired before
- * any byte is sent, ended when the final outcome is known.
+ * any byte is sent, ended or released once the final outcome is known.
  *
  * @module
  */
@@ -31,7 +31,7 @@
 
 /** First wait before a claim held by another call is retried; it doubles. */
 const RETRY_DELAY_MS = 10;
-/** Limit of that wait; also the wait before an outcome is recorded again. */
+/** Limit of that wait; also the wait before recording an outcome is retried. */
 const RETRY_DELAY_LIMIT_MS = 200;
 
 /** How long the recording of an outcome is retried. */
@@ -60,7 +60,7 @@
     const { clock, record } = this.#options;
     let waitMs = RETRY_DELAY_MS;
     for (;;) {
-      const result = await this.#ask(this.#claimCommand());
+      const result = await this.#execute(this.#claimCommand());
       const isHeld = result.map(({ kind }) => kind === "held").orDefault(false);
       const leftMs = record.deadlineMs - clock.nowMs();
       if (!isHeld || leftMs <= waitMs) {
@@ -100,7 +100,7 @@
     }
   }
 
-  #ask(command: LedgerCommand): Promise<Result<LedgerReply>> {
+  #execute(command: LedgerCommand): Promise<Result<LedgerReply>> {
     const { ledger, home, record, clock } = this.#options;
     const { deadlineMs } = record;
     if (deadlineMs <= clock.nowMs()) {
--- a/src/process/routing/request_headers.ts
+++ b/src/process/routing/request_headers.ts
@@ -9,7 +9,7 @@
   /** The caller's id of its request; the same on every retry. */
   requestId: "sesamethread-request",
   requestClass: "sesamethread-class",
-  /** How long the caller waits. */
+  /** How long the caller still waits. */
   timeoutMs: "sesamethread-timeout-ms",
   /** `true` or `false`; `false` when absent. */
   idempotent: "sesamethread-idempotent",
--- a/src/process/routing/request_routing.ts
+++ b/src/process/routing/request_routing.ts
@@ -50,7 +50,7 @@
   /** Sends requests to backend servers; over HTTP when absent. */
   readonly client?: Pick<BackendClient, "send" | "close">;
   /**
-   * The instances of this data centre that accept new work, with this one
+   * The instances of this data centre that accept new work, including this one
    * unless it is leaving; all linked ones when absent.
    */
   readonly usableInstances?: () => readonly InstanceId[];
@@ -163,7 +163,7 @@
 
   /**
    * Resolves once every attempt has ended and every outcome is recorded, or at
-   * the deadline. To be called after the HTTP front has closed.
+   * the deadline. Call it after the HTTP server has closed.
    */
   async drain(options: { deadlineMs: number }): Promise<void> {
     const leftMs = options.deadlineMs - this.#options.clock.nowMs();
--- a/src/process/routing/request_routing_test.ts
+++ b/src/process/routing/request_routing_test.ts
@@ -48,7 +48,7 @@
     const state = states.get(self.dataCentre);
     const group = groups.get(self.dataCentre);
     if (state === undefined || group === undefined) {
-      throw new Error("no group");
+      throw new Error("unknown data centre");
     }
     const log = group.member(self.id);
     const routing = new RequestRouting({
@@ -63,22 +63,22 @@
       ledgerState: state,
       metrics,
     });
-    const front = new HttpServer({
+    const httpServer = new HttpServer({
       endpoints: [...routing.endpoints, metricsEndpoint(metrics)],
       clock,
     });
-    const listening = await front.listen({ host: "127.0.0.1", port: 0 });
+    const listening = await httpServer.listen({ host: "127.0.0.1", port: 0 });
     const address = `127.0.0.1:${listening.unsafeCoerce().port}`;
-    front.markReady();
-    return { self, routing, front, address, log, metrics };
+    httpServer.markReady();
+    return { self, routing, httpServer, address, log, metrics };
   }));
   const agent = new Agent({ connections: 400 });
   const standins: StandinBackendServer[] = [];
   t.teardown(async () => {
     standins.forEach((standin) => standin.die());
     await agent.destroy();
-    await Promise.all(instances.map(async ({ routing, front }) => {
-      await front.close({ leaveMs: 0, deadlineMs: clock.nowMs() });
+    await Promise.all(instances.map(async ({ routing, httpServer }) => {
+      await httpServer.close({ leaveMs: 0, deadlineMs: clock.nowMs() });
       await routing.close();
     }));
   });
@@ -191,8 +191,8 @@
     const second = await call(1, "bale", headers);
     t.is(first.json.error.kind, "outcomeUnknown");
     t.is(second.json.error.kind, "outcomeUnknown");
-    const runs = servers.map(({ activity: truth }) =>
-      truth.runs.get("order-1") ?? 0
+    const runs = servers.map(({ activity }) =>
+      activity.runs.get("order-1") ?? 0
     );
     t.is((runs[0] ?? 0) + (runs[1] ?? 0), 1);
     if (fault !== "drop") {
@@ -300,11 +300,11 @@
   let answered = 0;
   requests.forEach((request) => void request.then(() => answered++));
   const [first] = instances;
-  while ((first?.front.calls ?? 0) + answered < 200) {
+  while ((first?.httpServer.calls ?? 0) + answered < 200) {
     await new Promise((resolve) => setImmediate(resolve));
   }
   const deadlineMs = clock.nowMs() + 30_000;
-  const stopped = first?.front.close({ leaveMs: 0, deadlineMs })
+  const stopped = first?.httpServer.close({ leaveMs: 0, deadlineMs })
     .then(() => first.routing.drain({ deadlineMs }));
   const answers = await Promise.all(requests);
   answers.forEach(({ json }, index) => t.is(json.body, `bale ${index}`));
--- a/src/process/routing/request_service.ts
+++ b/src/process/routing/request_service.ts
@@ -1,7 +1,7 @@
 /**
- * Answers callers' requests. Non-idempotent requests with an id of their caller
- * are routed under a claim in the ledger of their home data centre, all others
- * without one.
+ * Answers callers' requests. Non-idempotent requests whose caller gave them an
+ * id are routed under a claim in the ledger of their home data centre, all
+ * others without a claim.
  *
  * @module
  */
@@ -110,8 +110,8 @@
             : Promise.resolve(recordedResult(reply, record)),
       });
     }
-    const taken = await claim.acquire();
-    return taken.caseOf({
+    const acquired = await claim.acquire();
+    return acquired.caseOf({
       Left: ledgerUnreachable,
       Right: (reply) =>
         reply.kind === "granted"
--- a/src/process/routing/routing_metrics.ts
+++ b/src/process/routing/routing_metrics.ts
@@ -15,7 +15,7 @@
 export class RoutingMetrics {
   readonly #registry: MetricsRegistry;
   /** Cached by labels, like those below, since rendering labels is slow. */
-  readonly #ends = new Map<string, Counter>();
+  readonly #outcomes = new Map<string, Counter>();
   readonly #completions = new Map<string, DurationHistogram>();
   readonly #attempts = new Map<string, Counter>();
 
@@ -25,7 +25,7 @@
 
   countOutcome(requestClass: string, outcome: string): void {
     memoized(
-      this.#ends,
+      this.#outcomes,
       `${requestClass} ${outcome}`,
       () =>
         this.#registry.counter("sesamethread_requests_total", {
--- a/src/process/routing/slot_sharing.ts
+++ b/src/process/routing/slot_sharing.ts
@@ -25,7 +25,7 @@
 export interface SlotSharingOptions {
   readonly selfId: InstanceId;
   /**
-   * The instances of this data centre that accept new work, with this one
+   * The instances of this data centre that accept new work, including this one
    * unless it is leaving.
    */
   readonly usableInstances: () => readonly InstanceId[];
@@ -42,12 +42,14 @@
 /** How long a new allocator waits for the reports of all instances. */
 const REPORT_WAIT_MS = 1_000;
 
-/** How long an instance waits for a grant before it uses an even share. */
+/** How long an instance waits for its first grant, then uses an even share. */
 const FALLBACK_DELAY_MS = 2_000;
 
 interface ServiceShare {
+  /** The newest grant of the current allocator; 0 for none. */
   grantId: number;
   granted: SlotCounts;
+  /** Whether slots were ever granted, also by an earlier allocator. */
   hasGrant: boolean;
   allocator: SlotAllocator | undefined;
 }
@@ -135,7 +137,10 @@
     }
   }
 
-  /** Lists all held slots for a new allocator, else only those over the grant. */
+  /**
+   * Lists all slots in use or granted for a new allocator, else only the
+   * servers with more slots in use than granted.
+   */
   #report(service: ServiceId, share: ServiceShare): SlotReport {
     const router = this.#options.router.core.services.get(service);
     const inUse = router?.servers.inUse() ?? new Map<string, number>();
@@ -237,8 +242,8 @@
   }
 
   /**
-   * An even share for use while no allocator answers. Shares of instances that
-   * see the same instances and servers are disjoint.
+   * An even share, for use until the first grant. Shares of instances that see
+   * the same instances and servers are disjoint.
    */
   #evenShare(service: ServiceId): Map<string, number> {
     const { selfId, reachableInstances } = this.#options;
