Spell ID alike in routing comments and complete a few of them

Comments of the crossed fault, the probe delay, recorded answers and the load report were incomplete.

Ran: deno fmt, deno lint, build, the tests of src/process/routing (50 passed).

--- a/src/process/routing/answer_faults.ts
+++ b/src/process/routing/answer_faults.ts
@@ -8,7 +8,7 @@
 export const AnswerFault = {
   /** It came after its attempt or its call had ended without an answer. */
   late: "late",
-  /** It belongs to another request. */
+  /** It belongs to another request, or has no correlation ID. */
   crossed: "crossed",
   /** Its attempt was answered already, or the bytes came unrequested. */
   doubled: "doubled",
@@ -45,7 +45,7 @@
     this.#newer.set(correlationId, outcome);
   }
 
-  /** The fault of an answer with an unexpected correlation id. */
+  /** The fault of an answer with an unexpected correlation ID. */
   classify(correlationId: string | undefined): AnswerFault {
     const id = correlationId ?? "";
     switch (this.#newer.get(id) ?? this.#older.get(id)) {
--- a/src/process/routing/core/routing_options.ts
+++ b/src/process/routing/core/routing_options.ts
@@ -24,7 +24,10 @@
   readonly minLatencySamples: number;
   /** A server with a latency up to this is never slow. */
   readonly slowFloorMs: number;
-  /** Wait before the first probe; doubles with every failed probe. */
+  /**
+   * Wait before the first probe; doubles with every failed probe. Also how long
+   * a failure raises a server's expected latency.
+   */
   readonly probeDelayMs: number;
   readonly probeDelayLimitMs: number;
   /** How long a due probe is reserved for idempotent calls. */
--- a/src/process/routing/core/server_announcement.ts
+++ b/src/process/routing/core/server_announcement.ts
@@ -28,7 +28,7 @@
   leaving: z.boolean().default(false),
 });
 
-/** An announcement with the server's id. */
+/** An announcement with the server's ID. */
 export const serverAnnouncementSchema = announcementBodySchema.extend({
   serverId: identity,
 });
--- a/src/process/routing/core/slot_allocator.ts
+++ b/src/process/routing/core/slot_allocator.ts
@@ -65,8 +65,8 @@
   #lastGrantId: number;
 
   /**
-   * The first grant gets the id after `firstGrantId`, which must be at least
-   * the last id of earlier allocators.
+   * The first grant gets the ID after `firstGrantId`, which must be at least
+   * the last ID of earlier allocators.
    */
   constructor(options: { firstGrantId: number }) {
     this.#lastGrantId = options.firstGrantId;
--- a/src/process/routing/forward_deduplicator.ts
+++ b/src/process/routing/forward_deduplicator.ts
@@ -7,7 +7,7 @@
 
 import type { InstanceId } from "../../base/identity.ts";
 
-/** How far a call's id may be below the newest id of its sender. */
+/** How far a call's ID may be below the newest ID of its sender. */
 const WINDOW_CALLS = 4_096;
 
 interface SenderWindow {
--- a/src/process/routing/forwarding.ts
+++ b/src/process/routing/forwarding.ts
@@ -53,7 +53,7 @@
 /** Free slots that hardly change are reported again after this long. */
 const LOAD_REFRESH_MS = 1_000;
 
-/** A change of free slots by this fraction is reported at the next check. */
+/** A change by this fraction or more is reported at the next check. */
 const LOAD_CHANGE_FRACTION = 0.1;
 
 /** How long past its deadline a forwarded call's result is waited for. */
--- a/src/process/routing/read_request.ts
+++ b/src/process/routing/read_request.ts
@@ -33,7 +33,7 @@
     .default("/"),
 });
 
-/** A request, and whether its id comes from its caller. */
+/** A request, and whether its ID comes from its caller. */
 export interface ParsedRequest {
   readonly record: RequestRecord;
   readonly hasCallerId: boolean;
--- a/src/process/routing/request_headers.ts
+++ b/src/process/routing/request_headers.ts
@@ -6,7 +6,7 @@
 
 /** Header fields of requests and answers. */
 export const RequestHeader = {
-  /** The caller's id of its request; the same on every retry. */
+  /** The caller's ID of its request; the same on every retry. */
   requestId: "sesamethread-request",
   requestClass: "sesamethread-class",
   /** How long the caller still waits. */
--- a/src/process/routing/request_service.ts
+++ b/src/process/routing/request_service.ts
@@ -1,6 +1,6 @@
 /**
  * Answers callers' requests. Non-idempotent requests whose caller gave them an
- * id are routed under a claim in the ledger of their home data centre, all
+ * ID are routed under a claim in the ledger of their home data centre, all
  * others without a claim.
  *
  * @module
@@ -25,7 +25,7 @@
 import type { Router } from "./router.ts";
 import type { RoutingMetrics } from "./routing_metrics.ts";
 
-/** An answer for a caller. */
+/** An answer for a caller; a recorded one has an empty `serverId`. */
 export interface CallerAnswer extends RoutedAnswer {
   /** Whether it is an earlier answer recorded in the ledger. */
   readonly isRecorded: boolean;
@@ -57,7 +57,7 @@
     this.#options = options;
   }
 
-  /** An id for a request without one; its home is this data centre. */
+  /** An ID for a request without one; its home is this data centre. */
   newRequestId(): string {
     const { dataCentre, instanceId, incarnation } = this.#options;
     const id = `${instanceId}.${incarnation}.${++this.#lastId}`;
--- a/src/process/routing/slot_sharing.ts
+++ b/src/process/routing/slot_sharing.ts
@@ -1,6 +1,6 @@
 /**
  * Shares the backend servers' slots among the instances of a data centre: the
- * usable instance with the lowest id allocates, the others report to it.
+ * usable instance with the lowest ID allocates, the others report to it.
  *
  * @module
  */
@@ -86,7 +86,7 @@
     }
   }
 
-  /** The lowest id among usable instances, so that all choose the same one. */
+  /** The lowest ID among usable instances, so that all choose the same one. */
   #chooseAllocator(): void {
     const { selfId, usableInstances, clock } = this.#options;
     const [lowest = selfId] = [...usableInstances()].sort();
