--- a/src/process/routing/answer_faults.ts
+++ b/src/process/routing/answer_faults.ts
@@ -6,11 +6,11 @@
 
 /** Why an answer was withheld from the caller. */
 export const AnswerFault = {
-  /** It came after its attempt had ended without an answer. */
+  /** It came after its attempt or its call had ended without an answer. */
   late: "late",
-  /** It belongs to another request. */
+  /** It belongs to another request, or has no correlation ID. */
   crossed: "crossed",
-  /** It belongs to an attempt that was answered already. */
+  /** Its attempt was answered already, or the bytes came unrequested. */
   doubled: "doubled",
   /** It ended early, or no header says where it ends. */
   truncated: "truncated",
@@ -22,7 +22,7 @@
 export type AnswerFault = typeof AnswerFault[keyof typeof AnswerFault];
 
 /** How one attempt ended. */
-type CorrelationOutcome = "answered" | "givenUp";
+type CorrelationOutcome = "answered" | "unanswered";
 
 /**
  * Records how recent attempts ended, to classify faulty answers. The records
@@ -45,13 +45,13 @@
     this.#newer.set(correlationId, outcome);
   }
 
-  /** The fault of an answer with an unexpected correlation id. */
+  /** The fault of an answer with an unexpected correlation ID. */
   classify(correlationId: string | undefined): AnswerFault {
     const id = correlationId ?? "";
     switch (this.#newer.get(id) ?? this.#older.get(id)) {
       case "answered":
         return AnswerFault.doubled;
-      case "givenUp":
+      case "unanswered":
         return AnswerFault.late;
       case undefined:
         return AnswerFault.crossed;
--- a/src/process/routing/core/routing_options.ts
+++ b/src/process/routing/core/routing_options.ts
@@ -24,10 +24,13 @@
   readonly minLatencySamples: number;
   /** A server with a latency up to this is never slow. */
   readonly slowFloorMs: number;
-  /** Wait before the first probe; doubles with every failed probe. */
+  /**
+   * Wait before the first probe; doubles with every failed probe. Also how long
+   * a failure raises a server's expected latency.
+   */
   readonly probeDelayMs: number;
   readonly probeDelayLimitMs: number;
-  /** How long a due probe is left to idempotent calls; then any call will do. */
+  /** How long a due probe is reserved for idempotent calls. */
   readonly nonIdempotentProbeDelayMs: number;
   /** Largest retry budget that may accumulate, in retries. */
   readonly retryTokens: number;
