--- a/src/process/jobs/job_endpoints_test.ts
+++ b/src/process/jobs/job_endpoints_test.ts
@@ -2,7 +2,7 @@
 import { Buffer } from "node:buffer";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
-import { StandInWorker } from "../../../standins/worker/worker.ts";
+import { StandinWorker } from "../../../standins/worker/worker.ts";
 import type { HttpAnswer, HttpEndpoint } from "../http/http_endpoint.ts";
 import { FakeCore } from "../scheduler/runtime/testing/fake_core.ts";
 import { FakeGroup } from "../scheduler/runtime/testing/fake_group.ts";
@@ -121,7 +121,7 @@
     ...workerEndpoints({ scheduler: runtime }),
   ];
   const { server, address } = await serveReports(endpoints);
-  const worker = new StandInWorker({
+  const worker = new StandinWorker({
     workerId: "w1",
     capacity: { rack: "r1", cores: 8, memoryBytes: 100, accelerators: 8 },
     instanceAddresses: [address],
--- a/standins/worker/main.ts
+++ b/standins/worker/main.ts
@@ -9,7 +9,7 @@
 import { cac } from "cac";
 import * as z from "zod";
 import { SystemClock } from "../../src/base/clock.ts";
-import { StandInWorker } from "./worker.ts";
+import { StandinWorker } from "./worker.ts";
 
 const flagsSchema = z.object({
   id: z.coerce.string(),
@@ -52,7 +52,7 @@
 async function main(): Promise<void> {
   const flags = readFlags();
   const clock = new SystemClock();
-  const worker = new StandInWorker({
+  const worker = new StandinWorker({
     workerId: flags.id,
     instanceAddresses: flags.instances.split(","),
     host: flags.host,
--- a/standins/worker/worker.ts
+++ b/standins/worker/worker.ts
@@ -27,7 +27,7 @@
 /** The path at which tests inject faults. */
 export const FAULTS_PATH = "/faults";
 
-/** Options of {@link StandInWorker}. */
+/** Options of {@link StandinWorker}. */
 export interface StandinWorkerOptions {
   readonly workerId: string;
   readonly capacity: WorkerCapacity;
@@ -49,7 +49,7 @@
 } as const;
 
 /** A worker that simulates its tasks. */
-export class StandInWorker {
+export class StandinWorker {
   readonly #options: StandinWorkerOptions;
   readonly #clock: Clock;
   readonly #tasks: WorkerTasks;
