Second read of test: correct comments that differ from their code

Odd: a graceful stop counted requests but spoke of calls; a duration longer than leader leases was called longer than every lease; favoured was the only kinds of steps; the wait for servers named all of them. Changed: comments, titles of the tests with mutated input, four local names, CampaignOptions.favoured to stepKinds.

--- a/test/fuzz/bad_input_test.ts
+++ b/test/fuzz/bad_input_test.ts
@@ -42,7 +42,7 @@
   accelerators: 1,
 });
 
-/** Whether the result is a value, or an error of a kind other than `internal`. */
+/** Whether the result is a value, or a listed error other than `internal`. */
 function isValueOrKnownError(result: Result<unknown>): boolean {
   return result.caseOf({
     Left: ({ kind }) =>
@@ -68,7 +68,7 @@
   return rejected;
 }
 
-test("documents and sections are parsed or rejected", (t) => {
+test("mutated documents and sections are parsed or rejected without an internal error", (t) => {
   t.true(
     countRejected(mutatedText(SYSTEM_DOCUMENT), (text) => parseDocument(text)) >
       500,
@@ -78,7 +78,7 @@
   t.true(countRejected(section, (text) => parseSection(sectionId, text)) > 500);
 });
 
-test("settings are parsed or rejected", (t) => {
+test("mutated settings are parsed or rejected without an internal error", (t) => {
   const valid = readFileSync(
     "examples/lakeshore/settings/london-on-1.toml",
     "utf8",
@@ -88,7 +88,7 @@
   t.true(countRejected(mutatedText(valid), read) > 300);
 });
 
-test("jobs and worker reports are parsed or rejected", (t) => {
+test("mutated jobs and worker reports are parsed or rejected without an internal error", (t) => {
   const bytes = (text: string) => new TextEncoder().encode(text);
   t.true(
     countRejected(
@@ -104,7 +104,7 @@
   );
 });
 
-test("frames are decoded or rejected", (t) => {
+test("mutated frames are decoded or rejected without an internal error", (t) => {
   const valid = encodeFrame({
     kind: "message",
     channel: "c",
@@ -182,7 +182,7 @@
   })
 );
 
-test("HTTP calls are answered or rejected", async (t) => {
+test("mutated HTTP calls are answered or rejected without an internal error", async (t) => {
   const simulation = new SystemSimulation();
   await simulation.open();
   const node = simulation.node("n1");
--- a/test/fuzz/main.ts
+++ b/test/fuzz/main.ts
@@ -2,7 +2,8 @@
  * `npm run fuzz -- --seed N --runs M`: runs random histories of the whole
  * system; with `--suite platform`, of the batch scheduler; with `--suite soak`,
  * one pool of the batch scheduler through M rounds of faults. A failing history
- * is printed with its seed and steps, and with the timeline of the system.
+ * is printed with its seed and steps, one of the whole system also with its
+ * timeline.
  *
  * @module
  */
@@ -13,7 +14,7 @@
 import { runPlatformCampaign } from "./platform_campaign.ts";
 import { type FailedHistory, runCampaign } from "../system/campaign.ts";
 
-/** The most lines of a failing history's timeline that are printed. */
+/** Maximum number of printed lines of a failing history's timeline. */
 const TIMELINE_LINES = 400;
 
 function print(line: string): void {
@@ -33,7 +34,7 @@
   const cli = cac("fuzz");
   cli.option("--seed <n>", "Seed of the first history", { default: 1 });
   cli.option("--runs <n>", "Number of histories or rounds", { default: 100 });
-  cli.option("--shrink <n>", "Most runs to shorten a failing history", {
+  cli.option("--shrink <n>", "Maximum runs to shorten a failing history", {
     default: 60,
   });
   cli.option("--suite <name>", "Suite: system, platform or soak", {
--- a/test/process/cluster.ts
+++ b/test/process/cluster.ts
@@ -59,7 +59,10 @@
     return instance;
   }
 
-  /** The status of an instance in a group; undefined if it does not answer. */
+  /**
+   * The status of an instance in a group; undefined if it does not answer or
+   * is not in the group.
+   */
   async member(
     id: string,
     groupId: string,
@@ -69,7 +72,7 @@
     return groups.find((group) => group.groupId === groupId);
   }
 
-  /** Waits for an instance that reports itself as leader of a group. */
+  /** Waits for an instance that reports that it leads a group with a lease. */
   async leader(groupId: string): Promise<string> {
     let leaderId: string | undefined;
     await this.waitUntil(`${groupId} has a leader`, async () => {
--- a/test/process/edit_load.ts
+++ b/test/process/edit_load.ts
@@ -13,7 +13,7 @@
 const KEY = "operations:demo-operations-key";
 const SECTION: SectionId = { kind: "jobClasses", name: "overnight" };
 
-/** Keeps the edits of a test far below the number that instances record. */
+/** Keeps the edits of a test far below `editsPerTeamLimit`. */
 const EDIT_DELAY_MS = 250;
 
 interface AcceptedEdit {
@@ -44,7 +44,10 @@
     await Promise.all(this.#operators);
   }
 
-  /** Checks that an instance's history has every accepted edit at its version. */
+  /**
+   * Checks that an instance's history has every accepted edit at its version,
+   * and that no two edits share a version.
+   */
   async findViolations(instanceId: string): Promise<string[]> {
     const answer = await this.#cluster.get(
       instanceId,
@@ -61,7 +64,9 @@
       .filter(({ editId, version }) => byEdit.get(editId) !== version)
       .map(({ editId }) => `the accepted edit ${editId} is lost`);
     const hasDuplicate = new Set(versions).size !== versions.length;
-    return hasDuplicate ? [...lost, "a version was given twice"] : lost;
+    return hasDuplicate
+      ? [...lost, "two accepted edits share a version"]
+      : lost;
   }
 
   async #runOperator(firstInstance: number): Promise<void> {
--- a/test/process/scenarios.ts
+++ b/test/process/scenarios.ts
@@ -17,8 +17,11 @@
 const KEY = "operations:demo-operations-key";
 const EAST_GROUP = dataCentreGroup("east");
 
-/** Longer than every lease of the system. */
-const PAST_LEASES_MS = 8_000;
+/**
+ * Longer than leader leases (below 1.3 s) and the start permission (2 s); a
+ * task's lease is longer (10 s).
+ */
+const PAST_LEADER_LEASES_MS = 8_000;
 
 const cluster = new Cluster({ folder: process.argv[2] ?? "run/process" });
 const instanceIds = cluster.layout.instances.map(({ id }) => id);
@@ -49,7 +52,10 @@
   );
 }
 
-/** Ends loads, link cuts and stopped programs that a scenario left behind. */
+/**
+ * Stops the loads, reopens the links, and lets instances run again that a
+ * scenario left frozen or stopped.
+ */
 async function cleanUp(): Promise<void> {
   await Promise.all(loads.splice(0).map((load) => load.stop()));
   await cluster.setLinks({ mode: "open" });
@@ -71,7 +77,10 @@
   return load;
 }
 
-/** Waits until every instance serves and lists all workers and servers. */
+/**
+ * Waits until every instance has a configuration and lists all workers and the
+ * backend servers of its data centre.
+ */
 async function waitUntilAllServe(): Promise<void> {
   await cluster.waitUntil("every instance serves", async () => {
     for (const id of instanceIds) {
@@ -104,8 +113,8 @@
   count: number,
   options: { prefix: string; runMs: number; dataCentre: string },
 ): Promise<SubmittedJob[]> {
-  const jobs = Array.from({ length: count }, (_, at) => ({
-    jobId: `${options.prefix}-${at}`,
+  const jobs = Array.from({ length: count }, (_, index) => ({
+    jobId: `${options.prefix}-${index}`,
     tasks: 2,
   }));
   for (const job of jobs) {
@@ -202,7 +211,7 @@
   await waitForAnswers(requests, 20);
   const frozen = await cluster.leader(EAST_GROUP);
   cluster.signal(frozen, "SIGSTOP");
-  await delay(PAST_LEASES_MS);
+  await delay(PAST_LEADER_LEASES_MS);
   cluster.signal(frozen, "SIGCONT");
   await waitForAnswers(requests, 20);
   await requests.stop();
@@ -263,7 +272,7 @@
   });
   await waitForAnswers(east, 20);
   await waitForAnswers(west, 20);
-  await delay(PAST_LEASES_MS);
+  await delay(PAST_LEADER_LEASES_MS);
   const lateStarts = cluster.taskRecords().filter(({ jobId, kind, atMs }) =>
     jobId === "while-cut" && kind === "started" && atMs > acceptedAtMs + 2_000
   );
@@ -279,7 +288,10 @@
   ];
 }
 
-/** Takes a data centre out; returns when the removal was seen as accepted. */
+/**
+ * Takes a data centre out; returns the time at which the removal was seen to be
+ * accepted.
+ */
 async function takeOut(
   sections: SectionClient,
   dataCentre: string,
@@ -340,8 +352,8 @@
   }
   await requests.stop();
   await edits.stop();
-  const codes = instanceIds.flatMap((id, at) =>
-    cluster.exitCodes(id).slice(codesBefore[at])
+  const codes = instanceIds.flatMap((id, index) =>
+    cluster.exitCodes(id).slice(codesBefore[index])
   );
   const unanswered = requests.outcomes
     .filter(({ kind }) => kind !== "answered")
--- a/test/system/campaign.ts
+++ b/test/system/campaign.ts
@@ -16,8 +16,8 @@
   readonly runs: number;
   readonly mutation?: SystemMutation;
   /** If not empty, histories have only these steps and `pass`. */
-  readonly favoured?: readonly SystemStep["kind"][];
-  /** The most runs that shorten a failing history; 0 by default. */
+  readonly stepKinds?: readonly SystemStep["kind"][];
+  /** Maximum number of runs to shorten a failing history; 0 by default. */
   readonly shrinkTries?: number;
 }
 
@@ -87,11 +87,11 @@
 }
 
 function stepsFor(options: CampaignOptions): fc.Arbitrary<SystemStep> {
-  const { favoured = [] } = options;
-  if (favoured.length === 0) {
+  const { stepKinds = [] } = options;
+  if (stepKinds.length === 0) {
     return anySystemStep;
   }
   return anySystemStep.filter(({ kind }) =>
-    kind === "pass" || favoured.includes(kind)
+    kind === "pass" || stepKinds.includes(kind)
   );
 }
--- a/test/system/golden_sessions.ts
+++ b/test/system/golden_sessions.ts
@@ -1,5 +1,5 @@
 /**
- * The golden sessions: each returns the expected text of its file under
+ * The golden sessions: each returns a text that must equal its file under
  * test/golden.
  *
  * @module
--- a/test/system/operator_session.ts
+++ b/test/system/operator_session.ts
@@ -163,7 +163,7 @@
   );
 }
 
-async function refuseEdits(terminal: OperatorTerminal): Promise<void> {
+async function sendRejectedEdits(terminal: OperatorTerminal): Promise<void> {
   const edit = (title: string, section: string, text: string, key: string) => {
     terminal.files.set("file", text);
     return terminal.run(
@@ -263,7 +263,7 @@
   const terminal = new OperatorTerminal();
   await terminal.start();
   await editSections(terminal);
-  await refuseEdits(terminal);
+  await sendRejectedEdits(terminal);
   await rotateKey(terminal);
   await takeNorthOutAndBack(terminal);
   await terminal.cluster.close();
--- a/test/system/session_transcript.ts
+++ b/test/system/session_transcript.ts
@@ -13,6 +13,7 @@
 /** Events that recur periodically without new information. */
 const OMITTED_EVENTS: ReadonlySet<EventName> = new Set(["serverAnnounced"]);
 
+/** The time at which the clock of the simulation starts. */
 const START_MS = 1_000_000;
 
 /** A session and the lines written about it. */
--- a/test/system/system_fuzz_test.ts
+++ b/test/system/system_fuzz_test.ts
@@ -23,7 +23,7 @@
       seed: 11,
       runs: 60,
       mutation: { syncLies: true },
-      favoured: ["race", "crash", "start", "switch"],
+      stepKinds: ["race", "crash", "start", "switch"],
     },
   },
   {
@@ -33,7 +33,7 @@
       seed: 7,
       runs: 60,
       mutation: { reportsLostAsNotSent: true },
-      favoured: ["request", "serverFaults"],
+      stepKinds: ["request", "serverFaults"],
     },
   },
   {
@@ -43,7 +43,7 @@
       seed: 3,
       runs: 60,
       mutation: { clearsLedgers: true },
-      favoured: ["request", "crash", "start"],
+      stepKinds: ["request", "crash", "start"],
     },
   },
   {
@@ -53,7 +53,7 @@
       seed: 1,
       runs: 60,
       mutation: { swapsAnswers: true },
-      favoured: ["request"],
+      stepKinds: ["request"],
     },
   },
   {
@@ -66,7 +66,7 @@
         omittedChecks: ["releaseAll", "gangEvidence"],
         omittedFences: ["lease"],
       },
-      favoured: ["submit", "worker", "weather", "freeze"],
+      stepKinds: ["submit", "worker", "weather", "freeze"],
     },
   },
   {
@@ -79,7 +79,7 @@
         omittedChecks: ["intentFirst", "recoveryWait", "lapseWait"],
         omittedFences: ["term", "late", "released", "lease"],
       },
-      favoured: ["submit", "crash", "start", "freeze", "resume"],
+      stepKinds: ["submit", "crash", "start", "freeze", "resume"],
     },
   },
 ];
@@ -87,18 +87,18 @@
 for (const { name, violation, campaign } of MUTANTS) {
   test(`the oracle detects: ${name}`, async (t) => {
     let detected: string | undefined;
-    let at = 0;
-    while (detected === undefined && at < campaign.runs) {
+    let tried = 0;
+    while (detected === undefined && tried < campaign.runs) {
       const { failures } = await runCampaign({
         ...campaign,
-        seed: campaign.seed + at,
+        seed: campaign.seed + tried,
         runs: 1,
       });
       detected = failures.flatMap(({ violations }) => violations)
         .find((text) => violation.test(text));
-      at += 1;
+      tried += 1;
     }
-    t.log(`history ${at}: ${detected}`);
+    t.log(`history ${tried}: ${detected}`);
     t.truthy(detected);
   });
 }
@@ -137,7 +137,7 @@
   t.true(violations.some((text) => /south is out/.test(text)));
 });
 
-test("the leader of a two-instance data centre loses its disk", async (t) => {
+test("nothing is lost when the leader of a two-instance data centre loses its disk", async (t) => {
   const { violations } = await runHistory([
     {
       kind: "submit",
@@ -225,7 +225,7 @@
   t.deepEqual(violations, []);
 });
 
-test("a resent edit counts from when it was first sent", async (t) => {
+test("the oracle counts a resent edit from when it was first sent", async (t) => {
   const { violations } = await runHistory([
     { kind: "switch", at: "s1", dataCentre: "north", status: "in" },
     { kind: "switch", at: "n2", dataCentre: "south", status: "in" },
--- a/test/system/system_history.ts
+++ b/test/system/system_history.ts
@@ -89,7 +89,7 @@
       case "pass":
         return await this.#simulation.advance(step.byMs);
       case "submit": {
-        // Steps with the same values submit the same job again.
+        // The ID is made of the values: equal steps submit the same job again.
         const { job, at } = step;
         const tasks = 1 + job % step.tasks;
         const jobId = `j${job}.${tasks}.${step.runMs}`;
@@ -185,7 +185,7 @@
     }
   }
 
-  /** Stops an instance; a call that does not end by then is a violation. */
+  /** Stops an instance; cutting off a request in progress is a violation. */
   async #stop(at: SystemInstanceId): Promise<void> {
     const cutCalls = await this.#session.stop(at);
     if (cutCalls > 0) {
@@ -195,7 +195,10 @@
     }
   }
 
-  /** Ends all faults and waits first: only one instance is repaired at a time. */
+  /**
+   * Ends all faults and waits, as only one instance is repaired at a time; then
+   * wipes an instance's disk, and crashes `next` after the repair.
+   */
   async #wipe(
     step: Extract<SystemStep, { kind: "wipe" }>,
   ): Promise<void> {
@@ -210,6 +213,7 @@
     }
   }
 
+  /** Ends cuts and link faults, except that frozen instances stay isolated. */
   #heal(): void {
     const stillFrozen = SYSTEM_INSTANCES.map(({ id }) => id)
       .filter((id) =>
@@ -220,7 +224,7 @@
     stillFrozen.forEach((id) => this.#simulation.links.isolate(id));
   }
 
-  /** Puts both data centres in, so that every job can run. */
+  /** Puts both data centres in, so that every job can run, and waits for jobs. */
   async #putDataCentresIn(): Promise<void> {
     for (const dataCentre of ["north", "south"] as const) {
       const change = { dataCentre, status: "in" as const };
--- a/test/system/system_links.ts
+++ b/test/system/system_links.ts
@@ -45,7 +45,7 @@
     this.#apply();
   }
 
-  /** Drops all messages between instances of different data centres. */
+  /** Drops all messages between data centres, as each is a region. */
   cutRegions(): void {
     this.#isRegionCut = true;
     this.#apply();
--- a/test/system/system_node.ts
+++ b/test/system/system_node.ts
@@ -127,7 +127,7 @@
     });
   }
 
-  /** Stops gracefully. */
+  /** Waits for requests until the deadline, hands over leadership, and ends. */
   async stop(deadlineMs: number): Promise<void> {
     await this.routing.drain({ deadlineMs });
     await this.routing.close();
--- a/test/system/system_servers.ts
+++ b/test/system/system_servers.ts
@@ -22,7 +22,10 @@
   readonly mutation: SystemMutation;
 }
 
-/** What a server does with a request; `lost` means that its answer is lost. */
+/**
+ * What a server does with a request: answers, loses the answer, refuses the
+ * connection so that nothing is sent, or answers with an error.
+ */
 type ServerBehaviour = "answer" | "lost" | "refused" | "error";
 
 const FAULTY_BEHAVIOURS: readonly ServerBehaviour[] = [
@@ -42,7 +45,7 @@
     this.#options = options;
   }
 
-  /** Simulates {@link BackendClient.send}. */
+  /** Stands in for `BackendClient.send`. */
   async send(attempt: BackendAttempt): Promise<BackendAttemptEnd> {
     const { clock, random, checker, mutation } = this.#options;
     const { requestId } = attempt.record;
@@ -73,10 +76,10 @@
 
   #contentFor(requestId: string): string {
     const own = expectedContent(requestId);
-    const crosses = this.#options.mutation.swapsAnswers === true;
-    const given = crosses && this.#lastContent !== "" ? this.#lastContent : own;
+    const swaps = this.#options.mutation.swapsAnswers === true;
+    const content = swaps && this.#lastContent !== "" ? this.#lastContent : own;
     this.#lastContent = own;
-    return given;
+    return content;
   }
 
   #drawBehaviour(): ServerBehaviour {
--- a/test/system/system_session.ts
+++ b/test/system/system_session.ts
@@ -32,15 +32,15 @@
 /** Receives a line of text on the result of each call. */
 export type WriteLine = (line: string) => void;
 
-/** How long a graceful stop waits for calls to end. */
-const STOP_MS = 10_000;
+/** How long a graceful stop waits for requests to end. */
+const STOP_TIMEOUT_MS = 10_000;
 
-/** The callers of one simulation. */
+/** Makes calls to the instances of one simulation. */
 export class SystemSession {
   readonly #simulation: SystemSimulation;
   readonly #writeLine: WriteLine;
-  /** The number of calls in progress at each node. */
-  readonly #callsInProgress = new Map<SystemNode, number>();
+  /** The number of requests in progress at each node. */
+  readonly #requestsInProgress = new Map<SystemNode, number>();
   #edits = 0;
 
   constructor(
@@ -88,7 +88,9 @@
       Left: ({ kind }) => String(kind),
       Right: () => "accepted",
     });
-    this.#writeLine(`cancel ${jobId} at ${at}: ${end ?? "instance is down"}`);
+    this.#writeLine(
+      `cancel ${jobId} at ${at}: ${end ?? "instance is down or frozen"}`,
+    );
   }
 
   /** Prepares an edit of a job class, based on the instance's version of it. */
@@ -157,7 +159,7 @@
     }
     const endCall = this.#simulation.oracle.requests.beginCall(requestId);
     const nowMs = this.#simulation.clock.nowMs();
-    this.#addCallsInProgress(node, 1);
+    this.#addRequestsInProgress(node, 1);
     const parsed = readRequest(createHttpCall(requestId, timeoutMs, nowMs), {
       version: node.configuration.current(),
       newRequestId: () => requestId,
@@ -167,7 +169,7 @@
       : await node.routing.answer(parsed.unsafeCoerce(), {
         signal: new AbortController().signal,
       });
-    this.#addCallsInProgress(node, -1);
+    this.#addRequestsInProgress(node, -1);
     endCall(result);
     const text = result.caseOf({
       Left: (error) => `${error.kind} (${error.answer.execution})`,
@@ -176,7 +178,7 @@
     this.#writeLine(`request ${requestId} at ${at}: ${text}`);
   }
 
-  /** Waits until every job has ended, at most for the limit. */
+  /** Waits until every accepted job has ended, for at most `limitMs`. */
   async waitForJobsToEnd(limitMs: number): Promise<void> {
     const { clock, oracle } = this.#simulation;
     const deadlineMs = clock.nowMs() + limitMs;
@@ -185,7 +187,7 @@
     }
   }
 
-  /** Checks every job and every instance's version after all faults ended. */
+  /** After all faults have ended, checks accepted jobs and document versions. */
   async checkFinalState(): Promise<void> {
     const { oracle, responsiveIds } = this.#simulation;
     const states = new Map<string, string>();
@@ -204,33 +206,34 @@
   }
 
   /**
-   * Stops an instance as the daemon does: waits for the calls in progress, then
-   * stops the subsystems. Returns the number of calls that did not end.
+   * Stops an instance as the daemon does: waits for the requests in progress,
+   * then stops the subsystems. The caller must send no new requests meanwhile.
+   * Returns the number of requests that did not end.
    */
   async stop(at: SystemInstanceId): Promise<number> {
     const node = this.#simulation.responsive(at);
     if (node === undefined) {
       return 0;
     }
-    const deadlineMs = this.#simulation.clock.nowMs() + STOP_MS;
+    const deadlineMs = this.#simulation.clock.nowMs() + STOP_TIMEOUT_MS;
     while (
-      this.#callsInProgressAt(node) > 0 &&
+      this.#requestsInProgressAt(node) > 0 &&
       this.#simulation.clock.nowMs() < deadlineMs
     ) {
       await this.#simulation.advance(50);
     }
     await this.#simulation.stop(at);
-    return this.#callsInProgressAt(node);
+    return this.#requestsInProgressAt(node);
   }
 
-  #callsInProgressAt(node: SystemNode): number {
-    return this.#callsInProgress.get(node) ?? 0;
+  #requestsInProgressAt(node: SystemNode): number {
+    return this.#requestsInProgress.get(node) ?? 0;
   }
 
-  #addCallsInProgress(node: SystemNode, by: number): void {
-    this.#callsInProgress.set(
+  #addRequestsInProgress(node: SystemNode, by: number): void {
+    this.#requestsInProgress.set(
       node,
-      (this.#callsInProgress.get(node) ?? 0) + by,
+      (this.#requestsInProgress.get(node) ?? 0) + by,
     );
   }
 
--- a/test/system/system_simulation.ts
+++ b/test/system/system_simulation.ts
@@ -175,7 +175,7 @@
     this.disk(id).crash(this.random);
   }
 
-  /** Stops an instance gracefully: waits until its calls have ended. */
+  /** Stops an instance gracefully: waits for its requests, at most 10 s. */
   async stop(id: SystemInstanceId): Promise<void> {
     const node = this.node(id);
     if (node !== undefined) {
@@ -250,9 +250,11 @@
     this.workers.close();
   }
 
-  /** Gives each user its own random stream, so that they don't interfere. */
-  #randomFor(user: number): SeededRandom {
-    return new SeededRandom({ seed: (this.#options.seed ?? 1) * 1_000 + user });
+  /** A random stream of its own for each component: draws don't interfere. */
+  #randomFor(stream: number): SeededRandom {
+    return new SeededRandom({
+      seed: (this.#options.seed ?? 1) * 1_000 + stream,
+    });
   }
 
   #recordEvent(
--- a/test/system/system_step.ts
+++ b/test/system/system_step.ts
@@ -17,6 +17,7 @@
 /** One step of a history; `at` is the instance that it concerns. */
 export type SystemStep =
   | { readonly kind: "pass"; readonly byMs: number }
+  /** Submits a job of `1 + job % tasks` tasks. */
   | {
     readonly kind: "submit";
     readonly at: SystemInstanceId;
@@ -56,9 +57,13 @@
   /** Sets the fraction of requests that fail at backend servers. */
   | { readonly kind: "serverFaults"; readonly rate: number }
   | { readonly kind: "crash"; readonly at: SystemInstanceId }
+  /** Resumes an instance that is frozen, or starts one that is down. */
   | { readonly kind: "start"; readonly at: SystemInstanceId }
   | { readonly kind: "stop"; readonly at: SystemInstanceId }
-  /** An instance loses its disk; after its repair `next` crashes. */
+  /**
+   * Ends all faults; an instance then loses its disk, and after its repair
+   * `next` crashes, unless it is the same instance.
+   */
   | {
     readonly kind: "wipe";
     readonly at: SystemInstanceId;
--- a/test/system/system_workers.ts
+++ b/test/system/system_workers.ts
@@ -1,6 +1,6 @@
 /**
  * The workers of the simulated system: two in each data centre, which report to
- * a random instance there about once a second.
+ * a random instance there once a second.
  *
  * @module
  */
@@ -44,6 +44,7 @@
   ) => Pick<SchedulerRuntime, "acceptWorkerReport"> | undefined;
 }
 
+/** All workers, and the reports that they send to instances. */
 export class SystemWorkers {
   readonly all = new Map<string, FakeWorker>();
   readonly #options: SystemWorkersOptions;
@@ -89,7 +90,7 @@
       workerId: id,
       rack: "r1",
       accelerators: 8,
-      // Within the assumed clock drift of 0.1 %, in both directions.
+      // The rates differ by less than `clockDriftFraction`, which is 0.1 %.
       rate: id === "w1" || id === "w3" ? 1.0004 : 0.9996,
       onTaskEvent: (event) => onTaskEvent(event, dataCentre),
       omittedFences: mutation.omittedFences ?? [],
--- a/test/system/task_checker.ts
+++ b/test/system/task_checker.ts
@@ -14,7 +14,7 @@
 /** Starts later than this after a removal took effect are violations. */
 const REMOVAL_GRACE_MS = 2_000;
 
-/** The longest time that part of a gang may run without the rest: a lease. */
+/** How long part of a gang may run without the rest: a lease, with drift. */
 const MAX_PARTIAL_MS = LEASE_DEFAULTS.leaseMs *
   (1 + LEASE_DEFAULTS.clockDriftFraction);
 
