--- a/test/process/cluster.ts
+++ b/test/process/cluster.ts
@@ -72,7 +72,7 @@
     return groups.find((group) => group.groupId === groupId);
   }
 
-  /** Waits for an instance that reports that it leads a group with a lease. */
+  /** Waits for a leader of the group that has obtained a lease; returns its ID. */
   async leader(groupId: string): Promise<string> {
     let leaderId: string | undefined;
     await this.waitUntil(`${groupId} has a leader`, async () => {
--- a/test/process/scenarios.ts
+++ b/test/process/scenarios.ts
@@ -53,8 +53,8 @@
 }
 
 /**
- * Stops the loads, reopens the links, and lets instances run again that a
- * scenario left frozen or stopped.
+ * Prepares the next scenario: stops the loads, reopens the links, and lets
+ * instances run again that were left frozen or stopped.
  */
 async function cleanUp(): Promise<void> {
   await Promise.all(loads.splice(0).map((load) => load.stop()));
@@ -100,7 +100,10 @@
   });
 }
 
-/** Waits until further requests of the load have been answered. */
+/**
+ * Waits until further requests of the load have been answered, so that the load
+ * has started, or has got past a failure.
+ */
 async function waitForAnswers(load: RequestLoad, count: number): Promise<void> {
   const target = load.answered + count;
   await cluster.waitUntil(
