--- a/src/process/settings/load_settings_test.ts
+++ b/src/process/settings/load_settings_test.ts
@@ -37,7 +37,7 @@
     [VALID + "[limits]\nstopSeconds = 5\n", /limits: unknown key stopSec/],
     [
       VALID.replace("127.0.0.1:7201", "localhost"),
-      /instance\.peerAddress: an IP number and port/,
+      /instance\.peerAddress: an IP address and port/,
     ],
     [
       VALID.replace("127.0.0.1:7201", "127.0.0.1:99999"),
--- a/src/process/settings/settings.ts
+++ b/src/process/settings/settings.ts
@@ -14,7 +14,7 @@
 
 const addressSchema = z.string().regex(
   /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$/,
-  "an IP number and port, such as 127.0.0.1:7001",
+  "an IP address and port, such as 127.0.0.1:7001",
 ).refine(
   (text) => {
     const port = Number(text.slice(text.lastIndexOf(":") + 1));
