Reword the headings of the golden sessions

Headings such as "More comes than can be done" and "the link between the regions goes silent" were riddles, and "cut off N calls" counted requests that did not end.

--- a/test/system/golden_sessions.ts
+++ b/test/system/golden_sessions.ts
@@ -37,13 +37,13 @@
 async function normalDay(): Promise<string> {
   const transcript = await openTranscript("A normal day");
   const { simulation, session } = transcript;
-  transcript.describe("three jobs come, one of them a gang of four");
+  transcript.describe("three jobs are submitted, one of them a gang of four");
   void session.submit("n1", { jobId: "rating", tasks: 1, runMs: 2_000 });
   void session.submit("s1", { jobId: "sweep", tasks: 4, runMs: 4_000 });
   void session.submit("n3", { jobId: "blend", tasks: 2, runMs: 6_000 });
   await simulation.advance(1_000);
   transcript.describe(
-    "a request comes, and once more through another instance",
+    "a request is sent, and sent again to another instance",
   );
   void session.sendRequest("n2", { requestId: "quote-1", timeoutMs: 1_500 });
   await simulation.advance(50);
@@ -63,7 +63,7 @@
     "A data centre is taken out and comes back",
   );
   const { simulation, session } = transcript;
-  transcript.describe("two gangs come");
+  transcript.describe("two gangs are submitted");
   void session.submit("s1", { jobId: "first", tasks: 4, runMs: 10_000 });
   void session.submit("s2", { jobId: "second", tasks: 4, runMs: 10_000 });
   await simulation.advance(2_000);
@@ -71,7 +71,7 @@
   const out = { dataCentre: "north", status: "out" } as const;
   void transcript.edit("s1", session.prepareStatusEdit("s1", out));
   await simulation.advance(8_000);
-  transcript.describe("a job comes while the north is out");
+  transcript.describe("a job is submitted while the north is out");
   void session.submit("n1", { jobId: "third", tasks: 1, runMs: 1_000 });
   await simulation.advance(12_000);
   transcript.describe("the north is put back in");
@@ -85,22 +85,24 @@
 }
 
 async function regionCutAndHealed(): Promise<string> {
-  const transcript = await openTranscript("The regions lose each other");
+  const transcript = await openTranscript(
+    "The regions are cut off from each other",
+  );
   const { simulation, session } = transcript;
   void session.submit("s1", { jobId: "before", tasks: 2, runMs: 9_000 });
   await simulation.advance(1_000);
-  transcript.describe("the link between the regions goes silent");
+  transcript.describe("the link between the regions drops all messages");
   simulation.links.cutRegions();
   await simulation.advance(3_000);
-  transcript.describe("the south is taken out, which it can't learn");
+  transcript.describe("the south is taken out while it can't be reached");
   const out = { dataCentre: "south", status: "out" } as const;
   const removal = session.prepareStatusEdit("n1", out);
   void transcript.edit("n1", removal);
   await simulation.advance(6_000);
-  transcript.describe("the operators ask for their edit again");
+  transcript.describe("the operators resend their edit");
   void transcript.edit("n2", removal);
   await simulation.advance(2_000);
-  transcript.describe("jobs and requests come on both sides");
+  transcript.describe("jobs and requests are sent in both regions");
   for (const at of ["n1", "s1"] as const) {
     for (const number of [1, 2]) {
       const jobId = `cut-${at}-${number}`;
@@ -110,7 +112,7 @@
     }
   }
   await simulation.advance(6_000);
-  transcript.describe("the link is back");
+  transcript.describe("the link is restored");
   simulation.links.heal();
   await simulation.advance(8_000);
   transcript.describe("the south is put back in");
@@ -134,14 +136,14 @@
   edits.forEach(({ edit }) => void transcript.edit("s2", edit));
   await simulation.advance(2_000);
   transcript.describe(
-    "the instance that leads dies right after an edit reaches it",
+    "the leader crashes right after an edit reaches it",
   );
   const last = session.prepareRankEdit("n1", 9);
   void transcript.edit("n1", last);
   await simulation.advance(5);
   simulation.crash("n1");
   await simulation.advance(4_000);
-  transcript.describe("its operator had no answer and resends the edit");
+  transcript.describe("the operator got no answer and resends the edit");
   void transcript.edit("n2", last);
   await simulation.advance(2_000);
   return await transcript.finish();
@@ -159,9 +161,9 @@
     const requestId = `quote-${id}`;
     void session.sendRequest(id, { requestId, timeoutMs: 1_500 });
     await simulation.advance(5);
-    const cutCalls = await session.stop(id);
+    const unfinishedRequests = await session.stop(id);
     transcript.describe(
-      `${id} has stopped and cut off ${cutCalls} calls; it starts again`,
+      `${id} has stopped, ${unfinishedRequests} requests unfinished; it starts again`,
     );
     await simulation.start(id);
     await simulation.advance(6_000);
@@ -170,7 +172,9 @@
 }
 
 async function overload(): Promise<string> {
-  const transcript = await openTranscript("More comes than can be done");
+  const transcript = await openTranscript(
+    "More requests and jobs than the capacity allows",
+  );
   const { simulation, session } = transcript;
   transcript.describe(
     "thirty requests at once, for two servers with two slots each",
@@ -180,13 +184,13 @@
     void session.sendRequest("n1", { requestId, timeoutMs: 400 });
   }
   await simulation.advance(2_000);
-  transcript.describe("six gangs of four at once, for room for two");
+  transcript.describe("six gangs of four at once, with capacity for two");
   for (let number = 1; number <= 6; number++) {
     const jobId = `gang-${number}`;
     void session.submit("n2", { jobId, tasks: 4, runMs: 3_000 });
   }
   await simulation.advance(3_000);
-  transcript.describe("a wave of cancellations");
+  transcript.describe("three jobs are cancelled");
   [2, 4, 6].forEach((number) => void session.cancel("s1", `gang-${number}`));
   await simulation.advance(15_000);
   return await transcript.finish();
