Reword unclear texts of the configuration, versions, base and tests

Odd: "the edit identity stands for another edit", "its keys follow one", "the same key hash stands twice", "two edits won", a clipped reason of the drift limit. Wrong: documentText said that owners wrote the stored texts, which may be canonical; the minimum time between reports counts periodic reports too; a test title said that an added component starts empty, which the test does not check. The schema "identity" is idSchema, as in settings. The test of malformed calls matches "edit's ID" instead of "identity".

--- a/src/base/events/batch_events.ts
+++ b/src/base/events/batch_events.ts
@@ -84,7 +84,7 @@
   taskStoppedUnknown: {
     number: 7024,
     level: "warn",
-    text: "A run that isn't open on a worker is stopped there.",
+    text: "A worker is told to stop a run that isn't open there.",
     fields: ["jobId", "task", "run", "worker"],
   },
   taskPreempted: {
--- a/src/base/suspend_aware_clock.ts
+++ b/src/base/suspend_aware_clock.ts
@@ -8,9 +8,9 @@
 import { SystemClock } from "./clock.ts";
 
 /**
- * A difference between the clocks is ignored as drift until, since the last
- * adjustment, it exceeds this. A larger gain of the wall clock counts as time
- * of a suspension.
+ * A change of the difference between the clocks since the last adjustment is
+ * ignored as drift up to this limit. A larger gain of the wall clock counts as
+ * suspended time.
  */
 const DRIFT_LIMIT_MS = 50;
 
--- a/src/process/configuration/configuration_machine.ts
+++ b/src/process/configuration/configuration_machine.ts
@@ -57,7 +57,7 @@
 import { SectionStore, type SectionText } from "./section_store.ts";
 import { canonicalTexts, documentOf, sectionsOf } from "./snapshot_document.ts";
 
-/** Stands for all sections in the history entry of the initial document. */
+/** Represents all sections in the history entry of the initial document. */
 export const WHOLE_DOCUMENT = "*";
 
 /** How to build a {@link ConfigurationMachine}. */
@@ -126,7 +126,7 @@
     return this.#sections.current(formatSectionId(sectionId));
   }
 
-  /** The whole document as TOML, in the texts that its owners wrote. */
+  /** The whole document as TOML, joined from the stored section texts. */
   documentText(): string {
     const texts: string[] = [];
     for (const kind of SECTION_KINDS) {
@@ -252,7 +252,7 @@
     if (recorded.digest !== digestEdit(edit)) {
       return refuse(edit.sectionId, {
         error: "identityReused",
-        detail: `the edit identity ${edit.editId} stands for another edit`,
+        detail: `the edit ID ${edit.editId} was already used for another edit`,
       });
     }
     return this.outcomeOf(recorded);
--- a/src/process/configuration/configuration_machine_fuzz_test.ts
+++ b/src/process/configuration/configuration_machine_fuzz_test.ts
@@ -60,7 +60,7 @@
   }
 }
 
-/** Three members; options can give them a fault that the test must notice. */
+/** Three members; options can give them a fault that the test must detect. */
 class EditSystem {
   members: ConfigurationMachine[];
   readonly #options: ConfigurationMachineOptions;
@@ -136,7 +136,7 @@
       return outcome.kind;
     });
     const acceptedCount = results.filter((kind) => kind === "accepted").length;
-    assert(acceptedCount <= 1, "two edits won from one base version");
+    assert(acceptedCount <= 1, "two edits were accepted from one base version");
   });
 }
 
@@ -241,6 +241,6 @@
   t.true(run.failed);
 });
 
-test("the fuzz test detects a machine that drops edits too early", (t) => {
+test("the fuzz test detects a machine that prunes edit records early", (t) => {
   t.true(fuzzEdits({ limits: { editRetentionMs: DAY_MS / 48 } }).failed);
 });
--- a/src/process/configuration/configuration_service_test.ts
+++ b/src/process/configuration/configuration_service_test.ts
@@ -351,7 +351,7 @@
   const authorization = `Bearer rating:${key}`;
   const calls: [CallOptions, string, RegExp][] = [
     [{}, "unauthenticated", /authorization/],
-    [{ headers: { authorization } }, "malformed", /identity/],
+    [{ headers: { authorization } }, "malformed", /edit's ID/],
     [
       { headers: { authorization, "idempotency-key": "x" } },
       "malformed",
--- a/src/process/configuration/edit_call.ts
+++ b/src/process/configuration/edit_call.ts
@@ -67,7 +67,7 @@
     ? Right(editId)
     : failure("malformed", {
       location: EDIT_ID_HEADER,
-      detail: "expected the edit's identity: letters, digits and . _ : -",
+      detail: "expected the edit's ID: letters, digits and . _ : -",
     });
 }
 
--- a/src/process/configuration/in_force_tracker.ts
+++ b/src/process/configuration/in_force_tracker.ts
@@ -44,7 +44,7 @@
 export interface InForceTrackerOptions {
   readonly clock: Clock;
   readonly network: PeerNetwork;
-  /** Minimum time between two reports caused by changes. */
+  /** Minimum time between any report and a later one caused by a change. */
   readonly changeReportMs?: number;
   /** Period of the reports that are sent without a change. */
   readonly idleReportMs?: number;
@@ -126,7 +126,7 @@
     }
   }
 
-  /** The version last known to be in force on an instance; 0 for unknown. */
+  /** The version last known to be in force on an instance; 0 if unknown. */
   versionOn(instanceId: InstanceId): number {
     return instanceId === this.#network.selfId
       ? this.#version
--- a/src/process/data_centre/shared_machine_test.ts
+++ b/src/process/data_centre/shared_machine_test.ts
@@ -36,7 +36,7 @@
   t.is(jobs.total, 2);
 });
 
-test("a snapshot has every component, and an added one starts empty", (t) => {
+test("a snapshot restores its components and may lack an added one", (t) => {
   const { shared } = makeShared();
   shared.apply({ part: "jobs", command: 7 }, 1);
   const copy = makeShared();
--- a/src/process/settings/settings.ts
+++ b/src/process/settings/settings.ts
@@ -9,7 +9,7 @@
 
 const idSchema = z.string().regex(
   IDENTITY_PATTERN,
-  "an ID: letters, digits and ._:- , at most 128",
+  "an ID: letters, digits and . _ : - , at most 128 characters",
 );
 
 const addressSchema = z.string().regex(
--- a/src/version/document/check_document.ts
+++ b/src/version/document/check_document.ts
@@ -87,7 +87,8 @@
       faults.push({
         sectionId,
         path: [],
-        reason: "a team's name has no colon, since its keys follow one",
+        reason:
+          "a team name must not contain a colon, which separates it from a key",
       });
     }
     if (team.owner === name && team.keyHashes.length === 0) {
@@ -101,7 +102,7 @@
       faults.push({
         sectionId,
         path: ["keyHashes"],
-        reason: "the same key hash stands twice",
+        reason: "duplicate key hash",
       });
     }
   }
@@ -135,8 +136,11 @@
   if (workers > DATA_CENTRE_WORKERS_LIMIT) {
     return `a data centre has at most ${DATA_CENTRE_WORKERS_LIMIT} workers`;
   }
-  const most = Math.max(0, ...racks.map((rack) => rack.acceleratorsPerWorker));
-  if (most > WORKER_ACCELERATORS_LIMIT) {
+  const maxAccelerators = Math.max(
+    0,
+    ...racks.map((rack) => rack.acceleratorsPerWorker),
+  );
+  if (maxAccelerators > WORKER_ACCELERATORS_LIMIT) {
     return `a worker has at most ${WORKER_ACCELERATORS_LIMIT} accelerators`;
   }
   return undefined;
--- a/src/version/document/document.ts
+++ b/src/version/document/document.ts
@@ -9,7 +9,7 @@
 import * as z from "zod";
 import { IDENTITY_PATTERN } from "../../base/identity.ts";
 
-const identity = z.string().regex(IDENTITY_PATTERN);
+const idSchema = z.string().regex(IDENTITY_PATTERN);
 const count = z.int().min(0).max(1_000_000);
 const positive = z.int().min(1).max(1_000_000);
 const milliseconds = z.int().min(0).max(30 * 86_400_000);
@@ -18,14 +18,14 @@
 
 /** A team: its owner and its keys, as salted hashes. */
 export const teamSchema = z.strictObject({
-  owner: identity,
+  owner: idSchema,
   /** Each as `scrypt$<salt hex>$<hash hex>`. */
   keyHashes: z.array(z.string().regex(/^scrypt\$[0-9a-f]+\$[0-9a-f]+$/)).max(8),
 });
 
 /** A shape of adjacent accelerators guaranteed to a client account. */
 export const guaranteeSchema = z.strictObject({
-  dataCentre: identity,
+  dataCentre: idSchema,
   /** Number of racks that the shape spans. */
   racks: positive,
   /** Number of workers in each of those racks. */
@@ -38,7 +38,7 @@
 
 /** A client account: its guarantees and its share beyond them. */
 export const clientAccountSchema = z.strictObject({
-  owner: identity,
+  owner: idSchema,
   guarantees: z.array(guaranteeSchema).max(64).default([]),
   /** Weight in the fair sharing of capacity beyond guarantees. */
   borrowingWeight: z.number().min(0).max(1000).default(1),
@@ -50,7 +50,7 @@
 
 /** A job class: the rank of its jobs and how they may be interrupted. */
 export const jobClassSchema = z.strictObject({
-  owner: identity,
+  owner: idSchema,
   /** Lower ranks are scheduled first; 0 is urgent. */
   rank: z.int().min(0).max(9),
   /** Time within which an urgent job should start; a default when absent. */
@@ -75,7 +75,7 @@
 
 /** A rack of identical workers. */
 export const rackSchema = z.strictObject({
-  name: identity,
+  name: idSchema,
   workers: positive,
   coresPerWorker: positive,
   memoryBytesPerWorker: bytes,
@@ -84,8 +84,8 @@
 
 /** A data centre: its hardware and whether it accepts new work. */
 export const dataCentreSchema = z.strictObject({
-  owner: identity,
-  region: identity,
+  owner: idSchema,
+  region: idSchema,
   /** When `out`, no task starts here and running ones are moved elsewhere. */
   status: z.enum(["in", "out"]).default("in"),
   /** Time in which running work is checkpointed and moved once out. */
@@ -105,7 +105,7 @@
 
 /** One class of a service's requests. */
 export const requestClassSchema = z.strictObject({
-  name: identity,
+  name: idSchema,
   /** Lower ranks are served first. */
   rank: z.int().min(0).max(9),
   /** Maximum queued requests of this class per instance. */
@@ -116,12 +116,12 @@
 
 /** A service: the rules for its backend servers and its requests. */
 export const serviceSchema = z.strictObject({
-  owner: identity,
+  owner: idSchema,
   /** Maximum concurrent requests per backend server. */
   slotsPerServer: positive.default(8),
   connectionsPerServer: positive.default(60),
   /** Routing weight by data centre: 1 when absent, 0 for no requests. */
-  dataCentreWeights: z.record(identity, z.number().min(0).max(100)).default({}),
+  dataCentreWeights: z.record(idSchema, z.number().min(0).max(100)).default({}),
   classes: z.array(requestClassSchema).min(1).max(10),
   bodyLimitBytes: bytes.default(1_048_576),
   answerLimitBytes: bytes.default(8_388_608),
@@ -139,7 +139,7 @@
   /** How long the outcome of a non-idempotent request is kept. */
   outcomeRetentionMs: milliseconds.default(600_000),
   /** Backend servers that get no new requests. */
-  drainedServers: z.array(identity).max(1000).default([]),
+  drainedServers: z.array(idSchema).max(1000).default([]),
 });
 
 /** The schema of each kind of section. */
@@ -160,11 +160,11 @@
 /** The whole document. */
 export const documentSchema = z.strictObject({
   formatVersion: z.literal(DOCUMENT_FORMAT_VERSION),
-  teams: z.record(identity, teamSchema).default({}),
-  clientAccounts: z.record(identity, clientAccountSchema).default({}),
-  jobClasses: z.record(identity, jobClassSchema).default({}),
-  dataCentres: z.record(identity, dataCentreSchema).default({}),
-  services: z.record(identity, serviceSchema).default({}),
+  teams: z.record(idSchema, teamSchema).default({}),
+  clientAccounts: z.record(idSchema, clientAccountSchema).default({}),
+  jobClasses: z.record(idSchema, jobClassSchema).default({}),
+  dataCentres: z.record(idSchema, dataCentreSchema).default({}),
+  services: z.record(idSchema, serviceSchema).default({}),
 });
 
 export type Team = z.infer<typeof teamSchema>;
--- a/test/system/operator_session.ts
+++ b/test/system/operator_session.ts
@@ -147,7 +147,7 @@
     (context) => editConfiguration(context, { ...mine, editId: "e-1" }),
   );
   await terminal.run(
-    "the same once more: its first answer",
+    "the same edit again: its recorded outcome",
     (context) => editConfiguration(context, { ...mine, editId: "e-1" }),
   );
   await terminal.run(
@@ -157,7 +157,7 @@
   const other = jobClassText("normal", { owner: "rating", rank: 7 });
   terminal.files.set("other", other);
   await terminal.run(
-    "another edit under the first identity",
+    "another edit with the ID of the first",
     (context) =>
       editConfiguration(context, { ...mine, file: "other", editId: "e-1" }),
   );
--- a/test/system/system_history.ts
+++ b/test/system/system_history.ts
@@ -185,12 +185,12 @@
     }
   }
 
-  /** Stops an instance; cutting off a request in progress is a violation. */
+  /** Stops an instance; a request that does not end is a violation. */
   async #stop(at: SystemInstanceId): Promise<void> {
-    const cutCalls = await this.#session.stop(at);
-    if (cutCalls > 0) {
+    const unfinishedRequests = await this.#session.stop(at);
+    if (unfinishedRequests > 0) {
       this.#violations.push(
-        `a graceful stop of ${at} cut off ${cutCalls} calls`,
+        `${unfinishedRequests} requests did not end in a graceful stop of ${at}`,
       );
     }
   }
--- a/test/system/system_simulation.ts
+++ b/test/system/system_simulation.ts
@@ -250,7 +250,7 @@
     this.workers.close();
   }
 
-  /** A random stream of its own for each component: draws don't interfere. */
+  /** A separate random stream, unaffected by the draws of other components. */
   #randomFor(stream: number): SeededRandom {
     return new SeededRandom({
       seed: (this.#options.seed ?? 1) * 1_000 + stream,
@@ -275,7 +275,7 @@
     }
   }
 
-  /** Checks every copy of the document, and announces the servers again. */
+  /** Records every copy of the document, and announces the servers again. */
   #recordCopiesAndAnnounce(): void {
     for (const [id, { node, incarnation }] of this.#running) {
       const { version, document } = node.configuration.current();
