--- a/src/version/document/check_document.ts
+++ b/src/version/document/check_document.ts
@@ -87,8 +87,7 @@
       faults.push({
         sectionId,
         path: [],
-        reason:
-          "a team name must not contain a colon, which separates it from a key",
+        reason: "a team's name has no colon, since its keys follow one",
       });
     }
     if (team.owner === name && team.keyHashes.length === 0) {
@@ -102,7 +101,7 @@
       faults.push({
         sectionId,
         path: ["keyHashes"],
-        reason: "duplicate key hash",
+        reason: "the same key hash stands twice",
       });
     }
   }
--- a/src/version/document/parse_document.ts
+++ b/src/version/document/parse_document.ts
@@ -102,7 +102,7 @@
   if (!isTable(sections) || !isTable(sections[name])) {
     return failure("malformed", {
       location: formatSectionId(sectionId),
-      detail: `the text must contain the table [${formatSectionId(sectionId)}]`,
+      detail: `the text must hold the table [${formatSectionId(sectionId)}]`,
     });
   }
   const other = Object.keys(sections).find((key) => key !== name);
--- a/src/version/document/section_id.ts
+++ b/src/version/document/section_id.ts
@@ -45,7 +45,7 @@
     return failure("malformed", {
       location: text,
       detail: "a section is named as kind.name, such as services.quotes; " +
-        "names have letters, digits and . _ : - , at most 128 characters",
+        "names have letters, digits and . _ : - , at most 128",
     });
   }
   return Right({ kind, name });
