Reword three invariant violations of the scheduler core

The messages said "it isn't whole", "than its cells" and "is out of use", terms that the code no longer has.

--- a/src/process/scheduler/core/invariants.ts
+++ b/src/process/scheduler/core/invariants.ts
@@ -82,8 +82,8 @@
       zeroAmounts();
     if (!isWithin(amounts, assigned)) {
       violations.push(
-        `worker ${worker.workerId}: ${account} holds more within its ` +
-          `guarantee than its cells`,
+        `worker ${worker.workerId}: guaranteed gangs of ${account} use more ` +
+          `than is assigned to its guarantees`,
       );
     }
   }
@@ -129,7 +129,10 @@
     perRack.set(worker.rack, workers.add(worker));
     const isKnown = context.index.workers.get(worker.workerId) === worker;
     if (!isKnown || !worker.isHealthy) {
-      return [`guarantee ${assignment.key}: ${worker.workerId} is out of use`];
+      return [
+        `guarantee ${assignment.key}: its worker ${worker.workerId} is ` +
+        `unavailable`,
+      ];
     }
   }
   const { racks, workersPerRack } = assignment.shape;
@@ -154,7 +157,7 @@
     }
     const mustBeIntact = job.phase !== JobPhase.stopping;
     if (mustBeIntact && tasksHeld(job) + job.succeededTasks < tasks) {
-      violations.push(`gang ${jobId}: it isn't whole`);
+      violations.push(`gang ${jobId}: some of its tasks hold no capacity`);
     }
     const racks = new Set([...job.workers.keys()].map(({ rack }) => rack));
     const isScattered = (adjacency === "rack" && racks.size > 1) ||
