--- a/src/process/batch/batch_metrics.ts
+++ b/src/process/batch/batch_metrics.ts
@@ -68,9 +68,9 @@
   { state }: BatchService,
   matches: (job: JobRecord) => boolean,
 ): number {
-  let found = 0;
+  let count = 0;
   for (const job of state.jobs.values()) {
-    found += job.phase === JobPhase.active && matches(job) ? 1 : 0;
+    count += job.phase === JobPhase.active && matches(job) ? 1 : 0;
   }
-  return found;
+  return count;
 }
--- a/src/process/batch/batch_service.ts
+++ b/src/process/batch/batch_service.ts
@@ -99,7 +99,7 @@
     return answer;
   }
 
-  /** Stores a configuration; gives the version in force, maybe a higher one. */
+  /** Stores a configuration; returns the version in force, maybe higher. */
   async configure(
     document: string,
     options: { configuration: PoolConfiguration; deadlineMs: number },
--- a/src/process/batch/batch_state.ts
+++ b/src/process/batch/batch_state.ts
@@ -340,7 +340,7 @@
       return;
     }
     job.doneOccurrences =
-      job.occurrences.filter((found) => found.steps.every(isStepDone)).length;
+      job.occurrences.filter((each) => each.steps.every(isStepDone)).length;
     if (job.doneOccurrences === occurrenceCount(job)) {
       endJob(job, JobPhase.completed, atMs);
     }
@@ -354,8 +354,8 @@
 
 /**
  * Stores the checkpoint of a run that ended. All tasks of a gang resume from
- * one checkpoint: the one stored last. The checkpoint of a lost run is only its
- * last reported one, so that it doesn't replace one of the same or a later run.
+ * one checkpoint: the one stored last. Of a lost run only the last reported
+ * checkpoint is known; it doesn't replace one of the same or a later run.
  */
 function storeCheckpoint(
   target: { step: StepRecord; task: TaskRecord; isGang: boolean },
--- a/src/process/batch/batch_timing.ts
+++ b/src/process/batch/batch_timing.ts
@@ -9,9 +9,9 @@
   /** The longest lease that workers accept; set by the deployment. */
   leaseLimitMs: 10_000,
   /**
-   * The lease that a renewal gives. It has to outlast a change of leader, which
-   * takes about 2.5 s, after a renewal that is up to 2 s old. The runs of a
-   * lost worker can only be restarted after it.
+   * The lease that a renewal grants. It has to outlast a change of leader,
+   * which takes about 2.5 s, after a renewal that is up to 2 s old. The runs of
+   * a lost worker can only be restarted after it.
    */
   leaseMs: 5_500,
   /** How long a worker may delay its answer to a renewal until a run ends. */
--- a/src/process/batch/decisions/placement.ts
+++ b/src/process/batch/decisions/placement.ts
@@ -84,7 +84,7 @@
   return [];
 }
 
-/** Groups of workers for a gang, in the order of trial: fullest racks first. */
+/** Groups of workers for a gang, in the order tried: fullest racks first. */
 function gangGroups(
   slots: readonly WorkerSlot[],
   { step, mayUseOtherRacks }: PlacementRequest,
--- a/src/process/batch/decisions/planner.ts
+++ b/src/process/batch/decisions/planner.ts
@@ -208,7 +208,7 @@
 }
 
 /**
- * The ways to make room for a unit, in the order of trial. Less urgent work is
+ * The ways to make room for a unit, in the order tried. Less urgent work is
  * preempted first. A guaranteed job that has to start now may then preempt any
  * work beyond a guarantee, urgent work too, and last use other racks.
  */
--- a/src/process/batch/leader/batch_writer.ts
+++ b/src/process/batch/leader/batch_writer.ts
@@ -55,7 +55,7 @@
   }
 
   /**
-   * Commits an item; gives whether it took effect. Undefined if that isn't
+   * Commits an item; returns whether it took effect. Undefined if that isn't
    * known: the commit failed, or the writer was closed.
    */
   write(item: BatchItem): Promise<boolean | undefined> {
@@ -118,7 +118,7 @@
     const result = await log.propose(command, { deadlineMs });
     const outcome = result.caseOf<BatchOutcome | string>({
       Left: (error) => error.kind,
-      Right: (found) => found,
+      Right: (outcome) => outcome,
     });
     if (typeof outcome === "string" || outcome.kind !== "batch") {
       this.#depose(typeof outcome === "string" ? outcome : outcome.kind);
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -126,7 +126,7 @@
       log.status().leaseEndMs > clock.nowMs();
   }
 
-  /** Commits a change; gives whether it took effect, undefined if unknown. */
+  /** Commits a change; returns whether it took effect, undefined if unknown. */
   write(item: BatchItem): Promise<boolean | undefined> {
     return this.#writer.write(item);
   }
--- a/src/process/batch/leader/run_orders.ts
+++ b/src/process/batch/leader/run_orders.ts
@@ -30,7 +30,7 @@
     this.#options = options;
   }
 
-  /** Sends a start; gives the worker's answer, or undefined for none. */
+  /** Sends a start; returns the worker's answer, or undefined for none. */
   async start(
     run: OpenRunState,
     options: { link: WorkerLink; leaseEndMs: number },
--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -26,7 +26,7 @@
   readonly epoch: number;
   /** The longest lease that this incarnation may already have been given. */
   readonly earlierLeaseMs: number;
-  /** Whether this leader may still give leases. */
+  /** Whether this leader may still grant leases. */
   readonly mayLead: () => boolean;
   /** Stores a report's ends; resolves once they are stored, or can't be. */
   readonly onReport: (
@@ -164,7 +164,7 @@
     }
   }
 
-  /** Renews the lease; gives the delay until the next renewal. */
+  /** Renews the lease; returns the delay until the next renewal. */
   async #renew(): Promise<number> {
     const { calls, clock, timing, epoch } = this.#options;
     const sentAtMs = clock.nowMs();
--- a/src/process/batch/leader_finder.ts
+++ b/src/process/batch/leader_finder.ts
@@ -151,7 +151,7 @@
       });
       const answer = result.caseOf<JobAnswer | "notTaken" | "unknown">({
         Left: (error) => error.kind === "unavailable" ? "notTaken" : "unknown",
-        Right: (found) => found,
+        Right: (received) => received,
       });
       if (typeof answer === "string") {
         mayHaveTakenEffect ||= answer === "unknown";
--- a/src/process/batch/leader_finder_test.ts
+++ b/src/process/batch/leader_finder_test.ts
@@ -5,7 +5,7 @@
 import type { JobAnswer, JobCall } from "./job_call.ts";
 import { type CallTransport, LeaderFinder } from "./leader_finder.ts";
 
-/** Instances that give a test's answers after 10 ms. */
+/** Instances that return a test's answers after 10 ms. */
 class FakeTransport implements CallTransport {
   readonly calledIds: string[] = [];
 
@@ -82,7 +82,7 @@
 
 test("a call ends as notTaken if it was never sent, as unknown if it may have been", async (t) => {
   for (
-    const [kind, found] of [
+    const [kind, expected] of [
       ["unavailable", "notTaken"],
       ["outcomeUnknown", "unknown"],
     ] as const
@@ -93,7 +93,7 @@
     });
     const deadlineMs = clock.nowMs() + 500;
     const answer = await settle(clock, finder.call(STATE_CALL, { deadlineMs }));
-    t.is(answer.kind, found);
+    t.is(answer.kind, expected);
   }
 });
 
--- a/src/process/batch/testing/batch_history.ts
+++ b/src/process/batch/testing/batch_history.ts
@@ -54,7 +54,7 @@
   return { violations, steps, starts: simulation.pool.starts };
 }
 
-/** Takes one random step of a history; gives a description of it. */
+/** Takes one random step of a history; returns a description of it. */
 export async function takeStep(
   simulation: BatchSimulation,
   { number, cancelled }: { number: number; cancelled: Set<string> },
--- a/src/process/batch/testing/batch_simulation.ts
+++ b/src/process/batch/testing/batch_simulation.ts
@@ -56,7 +56,7 @@
     return Right(this.catchUp()!);
   }
 
-  /** Applies all committed commands; gives the outcome of the last one. */
+  /** Applies all committed commands; returns the outcome of the last one. */
   catchUp(): BatchOutcome | undefined {
     let outcome: BatchOutcome | undefined;
     while (this.applied < this.simulation.log.length) {
--- a/src/process/batch/testing/batch_soak.ts
+++ b/src/process/batch/testing/batch_soak.ts
@@ -33,7 +33,7 @@
 /** Long enough for every job of a round to end and be removed. */
 const QUIET_PERIOD_MS = BATCH_TIMING.endedJobRetentionMs + 120_000;
 
-/** Runs rounds until one has violations; gives the last one. */
+/** Runs rounds until one has violations; returns the last one. */
 export async function runSoak(options: SoakOptions): Promise<SoakRound> {
   const simulation = new BatchSimulation({ ...options, workers: WORKERS });
   await simulation.open();
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -304,10 +304,10 @@
     const { clock, random } = this.#options;
     const step = this.#stepOf(heldRun.task);
     const fails = random.nextUnit() < this.faults.failingRuns;
-    const lastsMs = step.estimateMs * (0.5 + random.nextUnit());
+    const durationMs = step.estimateMs * (0.5 + random.nextUnit());
     if (!step.isGang) {
       heldRun.timer = clock.after(
-        lastsMs,
+        durationMs,
         () => this.#end(worker, heldRun, fails ? RunEnd.failed : RunEnd.done),
       );
       return;
@@ -319,7 +319,7 @@
     const members = this.#membersOf(heldRun);
     if (members.length === step.taskCount) {
       members.forEach((member) => member.heldRun.timer?.close());
-      clock.after(lastsMs, () => {
+      clock.after(durationMs, () => {
         const isComplete = this.#membersOf(heldRun).length === step.taskCount;
         members.forEach((member) => {
           const how = fails
--- a/src/process/batch/testing/pool_oracle.ts
+++ b/src/process/batch/testing/pool_oracle.ts
@@ -81,7 +81,9 @@
     { checkpoint, owner }: { checkpoint: string; owner: string },
   ): void {
     if (checkpoint !== "" && !checkpoint.startsWith(owner)) {
-      this.violations.push(`${taskKey(task)} resumes from ${checkpoint}`);
+      this.violations.push(
+        `${taskKey(task)} resumes from ${checkpoint}, which isn't its own`,
+      );
     }
   }
 
--- a/src/process/scheduler/core/data_centre_change_test.ts
+++ b/src/process/scheduler/core/data_centre_change_test.ts
@@ -41,8 +41,8 @@
 test("jobs start gradually after a data centre returns", (t) => {
   const runtime = makeRuntime();
   runtime.setStatus("out");
-  for (let at = 0; at < 8; at++) {
-    runtime.submit(makeJob(`job-${at}`));
+  for (let index = 0; index < 8; index++) {
+    runtime.submit(makeJob(`job-${index}`));
   }
   runtime.setStatus("in");
   const live: number[] = [];
--- a/src/process/scheduler/core/invariants.ts
+++ b/src/process/scheduler/core/invariants.ts
@@ -130,15 +130,14 @@
     const isKnown = context.index.workers.get(worker.workerId) === worker;
     if (!isKnown || !worker.isHealthy) {
       return [
-        `guarantee ${assignment.key}: its worker ${worker.workerId} is ` +
-        `unavailable`,
+        `guarantee ${assignment.key}: ${worker.workerId} is unavailable`,
       ];
     }
   }
   const { racks, workersPerRack } = assignment.shape;
-  const isRight = perRack.size === racks &&
+  const formsShape = perRack.size === racks &&
     [...perRack.values()].every((workers) => workers.size === workersPerRack);
-  return isRight
+  return formsShape
     ? []
     : [`guarantee ${assignment.key}: its workers don't form its shape`];
 }
--- a/src/process/scheduler/core/scheduler_core_fuzz_test.ts
+++ b/src/process/scheduler/core/scheduler_core_fuzz_test.ts
@@ -13,19 +13,19 @@
 
 type Step =
   | { kind: "submit"; job: JobSpecification }
-  | { kind: "cancel"; at: number }
+  | { kind: "cancel"; index: number }
   | { kind: "cancelAll" }
-  | { kind: "deliver"; at: number; fails: boolean }
-  | { kind: "endGang"; at: number; fails: boolean }
+  | { kind: "deliver"; index: number; fails: boolean }
+  | { kind: "endGang"; index: number; fails: boolean }
   | { kind: "tick"; byMs: number }
-  | { kind: "lose"; at: number; leavesZombies: boolean }
-  | { kind: "join"; at: number }
-  | { kind: "leave"; at: number }
+  | { kind: "lose"; index: number; leavesZombies: boolean }
+  | { kind: "join"; index: number }
+  | { kind: "leave"; index: number }
   | { kind: "status"; isOut: boolean }
   | { kind: "permit"; forMs: number }
-  | { kind: "guarantees"; at: number }
+  | { kind: "guarantees"; index: number }
   | { kind: "leader"; startsArrive: boolean }
-  | { kind: "usage"; at: number; factor: number }
+  | { kind: "usage"; index: number; factor: number }
   | { kind: "repeat" };
 
 const GUARANTEES = [
@@ -52,10 +52,10 @@
   },
 ];
 
-const index = fc.nat({ max: 50 });
+const anyIndex = fc.nat({ max: 50 });
 
 const jobs: fc.Arbitrary<JobSpecification> = fc.record({
-  jobId: fc.integer({ min: 1, max: 60 }).map((at) => `job-${at}`),
+  jobId: fc.integer({ min: 1, max: 60 }).map((number) => `job-${number}`),
   clientAccount: fc.constantFrom("lakes", "mills", "looms"),
   jobClass: fc.constantFrom("urgent", "dispatch", "overnight"),
   tasks: fc.constantFrom(1, 1, 2, 3, 4, 8),
@@ -80,16 +80,16 @@
     weight: 8,
     arbitrary: fc.record({
       kind: fc.constant("deliver" as const),
-      at: index,
-      fails: fc.integer({ min: 0, max: 9 }).map((at) => at === 0),
+      index: anyIndex,
+      fails: fc.integer({ min: 0, max: 9 }).map((number) => number === 0),
     }),
   },
   {
     weight: 4,
     arbitrary: fc.record({
       kind: fc.constant("endGang" as const),
-      at: index,
-      fails: fc.integer({ min: 0, max: 3 }).map((at) => at === 0),
+      index: anyIndex,
+      fails: fc.integer({ min: 0, max: 3 }).map((number) => number === 0),
     }),
   },
   {
@@ -103,21 +103,30 @@
     weight: 1,
     arbitrary: fc.record({
       kind: fc.constant("lose" as const),
-      at: index,
+      index: anyIndex,
       leavesZombies: fc.boolean(),
     }),
   },
   {
     weight: 2,
-    arbitrary: fc.record({ kind: fc.constant("join" as const), at: index }),
+    arbitrary: fc.record({
+      kind: fc.constant("join" as const),
+      index: anyIndex,
+    }),
   },
   {
     weight: 1,
-    arbitrary: fc.record({ kind: fc.constant("leave" as const), at: index }),
+    arbitrary: fc.record({
+      kind: fc.constant("leave" as const),
+      index: anyIndex,
+    }),
   },
   {
     weight: 1,
-    arbitrary: fc.record({ kind: fc.constant("cancel" as const), at: index }),
+    arbitrary: fc.record({
+      kind: fc.constant("cancel" as const),
+      index: anyIndex,
+    }),
   },
   { weight: 1, arbitrary: fc.constant({ kind: "cancelAll" as const }) },
   {
@@ -138,7 +147,7 @@
     weight: 1,
     arbitrary: fc.record({
       kind: fc.constant("guarantees" as const),
-      at: index,
+      index: anyIndex,
     }),
   },
   {
@@ -152,7 +161,7 @@
     weight: 2,
     arbitrary: fc.record({
       kind: fc.constant("usage" as const),
-      at: index,
+      index: anyIndex,
       factor: fc.constantFrom(0.1, 1, 3, 10),
     }),
   },
@@ -187,48 +196,51 @@
     case "submit":
       return runtime.submit(step.job);
     case "cancel":
-      return runtime.cancel(pick([...runtime.jobs.keys()], step.at) ?? "none");
+      return runtime.cancel(
+        pick([...runtime.jobs.keys()], step.index) ?? "none",
+      );
     case "cancelAll":
       return [...runtime.jobs.keys()].forEach((jobId) => runtime.cancel(jobId));
     case "deliver":
-      return runtime.deliver(step.at, { fails: step.fails });
+      return runtime.deliver(step.index, { fails: step.fails });
     case "endGang":
-      return runtime.endGang(step.at, { fails: step.fails });
+      return runtime.endGang(step.index, { fails: step.fails });
     case "tick":
       return runtime.tick(step.byMs);
     case "lose":
-      return runtime.lose(pick([...runtime.workers.keys()], step.at) ?? "", {
+      return runtime.lose(pick([...runtime.workers.keys()], step.index) ?? "", {
         leavesZombies: step.leavesZombies,
       });
     case "join":
-      return runtime.join(pick([...runtime.workers.keys()], step.at) ?? "");
+      return runtime.join(pick([...runtime.workers.keys()], step.index) ?? "");
     case "leave":
-      return runtime.leave(pick([...runtime.workers.keys()], step.at) ?? "");
+      return runtime.leave(pick([...runtime.workers.keys()], step.index) ?? "");
     case "status":
       return runtime.setStatus(step.isOut ? "out" : "in");
     case "permit":
       return runtime.permit(step.forMs);
     case "guarantees":
       return runtime.configure({
-        clientAccounts: documentOf(step.at % GUARANTEES.length).clientAccounts,
+        clientAccounts:
+          documentOf(step.index % GUARANTEES.length).clientAccounts,
       });
     case "leader":
       return runtime.changeLeader({ startsArrive: step.startsArrive });
     case "usage":
-      return runtime.reportUsage(step.at, { factor: step.factor });
+      return runtime.reportUsage(step.index, { factor: step.factor });
     case "repeat":
       return runtime.repeat();
   }
 }
 
-function pick<T>(items: readonly T[], at: number): T | undefined {
-  return items[at % Math.max(1, items.length)];
+function pick<T>(items: readonly T[], index: number): T | undefined {
+  return items[index % Math.max(1, items.length)];
 }
 
-function documentOf(at: number) {
+function documentOf(index: number) {
   return makeDocument({
     ...HARDWARE,
-    guarantees: GUARANTEES[at] as (typeof GUARANTEES)[0],
+    guarantees: GUARANTEES[index] as (typeof GUARANTEES)[0],
   });
 }
 
@@ -262,7 +274,7 @@
   };
 }
 
-test("no invariant breaks under any sequence of events", (t) => {
+test("no sequence of events violates an invariant", (t) => {
   const details = runFuzz({ seed: SEED, runs: RUNS });
   t.false(details.failed, details.report);
 });
@@ -276,7 +288,7 @@
   breaksGangs: /without every task|some of its tasks hold no capacity/,
   ignoresAdjacency: /aren't adjacent/,
   claimsForeignGuarantees: /use more than is assigned to its guarantees/,
-  leavesGuaranteesOnLostWorkers: /its worker \S+ is unavailable/,
+  leavesGuaranteesOnLostWorkers: /guarantee \S+: \S+ is unavailable/,
   forgetsQueuedJobs: /waits outside the queue/,
   keepsStaleIndex: /index: rack/,
   evictsGuarantees: /evicted from its guarantee/,
--- a/src/process/scheduler/core/scheduler_core_test.ts
+++ b/src/process/scheduler/core/scheduler_core_test.ts
@@ -107,8 +107,8 @@
       job.phase === "running" &&
       job.placements.some(({ workerId }) => workerId === bad)
     );
-  for (let at = 0; at < 30; at++) {
-    runtime.submit(makeJob(`job-${at}`));
+  for (let index = 0; index < 30; index++) {
+    runtime.submit(makeJob(`job-${index}`));
   }
   for (let round = 0; round < 3; round++) {
     advance(runtime, 100);
@@ -142,8 +142,8 @@
 test("a job that fails on good workers ends; the workers stay in use", (t) => {
   const runtime = makeRuntime();
   fillWorkers(runtime, {});
-  for (let at = 0; at < 8; at++) {
-    runtime.endJob(`fill-${at}`, { fails: false });
+  for (let index = 0; index < 8; index++) {
+    runtime.endJob(`fill-${index}`, { fails: false });
   }
   runtime.submit(makeJob("bad"));
   for (let round = 0; round < 5; round++) {
@@ -161,11 +161,11 @@
   for (const workerId of [...runtime.workers.keys()].slice(1)) {
     runtime.lose(workerId, { leavesZombies: false });
   }
-  for (let at = 0; at < 4; at++) {
-    runtime.submit(makeJob(`job-${at}`));
+  for (let index = 0; index < 4; index++) {
+    runtime.submit(makeJob(`job-${index}`));
     runtime.permit(MINUTE_MS);
     runtime.tick(100);
-    runtime.cancel(`job-${at}`);
+    runtime.cancel(`job-${index}`);
     runtime.deliver(0, { fails: true });
     runtime.deliverAll();
   }
@@ -187,11 +187,11 @@
 
 test("expected run times are corrected by the observed ones", (t) => {
   const runtime = makeRuntime();
-  for (let at = 0; at < 12; at++) {
-    runtime.submit(makeJob(`job-${at}`, { declaredRunMs: 4 * MINUTE_MS }));
+  for (let index = 0; index < 12; index++) {
+    runtime.submit(makeJob(`job-${index}`, { declaredRunMs: 4 * MINUTE_MS }));
     advance(runtime);
     advance(runtime, MINUTE_MS);
-    runtime.endJob(`job-${at}`, { fails: false });
+    runtime.endJob(`job-${index}`, { fails: false });
   }
   runtime.submit(makeJob("next", { declaredRunMs: 4 * MINUTE_MS }));
   const expectedMs = runtime.core.jobView("next")?.expectedRunMs ?? 0;
@@ -270,9 +270,9 @@
   runtime.configure({
     clientAccounts: { lakes: { ...lakes, borrowingWeight: 3 }, mills },
   });
-  for (let at = 0; at < 8; at++) {
-    runtime.submit(makeJob(`lakes-${at}`));
-    runtime.submit(makeJob(`mills-${at}`, { clientAccount: "mills" }));
+  for (let index = 0; index < 8; index++) {
+    runtime.submit(makeJob(`lakes-${index}`));
+    runtime.submit(makeJob(`mills-${index}`, { clientAccount: "mills" }));
   }
   advance(runtime);
   const running = runtime.core.jobs().filter(({ phase }) => phase === "running")
--- a/src/process/scheduler/core/testing/oracle.ts
+++ b/src/process/scheduler/core/testing/oracle.ts
@@ -91,7 +91,9 @@
       workerIds.add(workerId);
       racks.add(worker?.description.rack ?? "none");
       if (worker?.state !== "up") {
-        this.violations.push(`${name} on ${workerId}, ${worker?.state}`);
+        this.violations.push(
+          `${name} on ${workerId}, whose state is ${worker?.state}`,
+        );
       }
     }
     const isScattered = (job?.adjacency === "rack" && racks.size > 1) ||
@@ -197,7 +199,7 @@
     }
     if (accelerators > worker.description.accelerators) {
       this.violations.push(
-        `oracle: ${worker.description.workerId} runs more than it has`,
+        `oracle: ${worker.description.workerId} exceeds its accelerators`,
       );
     }
   }
--- a/src/process/scheduler/core/testing/settle.ts
+++ b/src/process/scheduler/core/testing/settle.ts
@@ -28,7 +28,7 @@
     if (!runtime.ended.has(jobId)) {
       const view = runtime.core.jobView(jobId);
       runtime.violations.push(
-        `oracle: job ${jobId} never ended, ${view?.phase} ${view?.waitReason}`,
+        `oracle: job ${jobId} never ended: ${view?.phase}, ${view?.waitReason}`,
       );
     }
   }
--- a/src/process/scheduler/core/testing/test_document.ts
+++ b/src/process/scheduler/core/testing/test_document.ts
@@ -20,9 +20,9 @@
 ): WorkerDescription[] {
   const workers: WorkerDescription[] = [];
   for (let rack = 0; rack < options.racks; rack++) {
-    for (let at = 0; at < options.workersPerRack; at++) {
+    for (let index = 0; index < options.workersPerRack; index++) {
       workers.push({
-        workerId: `r${rack}w${at}`,
+        workerId: `r${rack}w${index}`,
         rack: `r${rack}`,
         cores: 32,
         memoryBytes: 64_000,
@@ -49,8 +49,8 @@
       })),
     }]),
   );
-  const racks = Array.from({ length: options.racks }, (_, at) => ({
-    name: `r${at}`,
+  const racks = Array.from({ length: options.racks }, (_, index) => ({
+    name: `r${index}`,
     workers: options.workersPerRack,
     coresPerWorker: 32,
     memoryBytesPerWorker: 64_000,
--- a/src/process/scheduler/core/testing/test_runtime.ts
+++ b/src/process/scheduler/core/testing/test_runtime.ts
@@ -68,8 +68,8 @@
   runtime: FakeRuntime,
   change: Partial<JobSpecification>,
 ): void {
-  for (let at = 0; at < 8; at++) {
-    runtime.submit(makeJob(`fill-${at}`, change));
+  for (let index = 0; index < 8; index++) {
+    runtime.submit(makeJob(`fill-${index}`, change));
   }
   advance(runtime);
 }
--- a/src/process/scheduler/runtime/data_centre_out_test.ts
+++ b/src/process/scheduler/runtime/data_centre_out_test.ts
@@ -47,14 +47,18 @@
   }
   await simulation.advance(2_500);
   if (options.isCutOff) {
-    simulation.instanceIds.forEach((id) => simulation.instance(id).copy.cut());
+    simulation.instanceIds.forEach((id) =>
+      simulation.instance(id).configurationCopy.cut()
+    );
   }
   takeOut(simulation);
   await simulation.advance(60_000);
   const waiting = [...simulation.ledger.liveRecords()].length;
   simulation.history.recordRemoval(undefined);
   environment.configuration.setStatus("dc1", "in");
-  simulation.instanceIds.forEach((id) => simulation.instance(id).copy.heal());
+  simulation.instanceIds.forEach((id) =>
+    simulation.instance(id).configurationCopy.heal()
+  );
   await simulation.advance(60_000);
   return { simulation, waiting };
 }
--- a/src/process/scheduler/runtime/leader_failure_test.ts
+++ b/src/process/scheduler/runtime/leader_failure_test.ts
@@ -42,7 +42,7 @@
       if (fault === "dies") {
         simulation.killInstance(leader);
       } else {
-        simulation.group.cut(leader);
+        simulation.group.partition(leader);
       }
       await simulation.advance(1_600);
       t.true(simulation.elect(next));
@@ -90,7 +90,7 @@
   void simulation.submit({ jobId: "j1", tasks: 6, command });
   await simulation.advance(3_000);
   const [leader, next] = simulation.instanceIds as [string, string];
-  simulation.group.cut(leader);
+  simulation.group.partition(leader);
   await simulation.advance(1_600);
   t.true(simulation.elect(next));
   await simulation.advance(180_000);
@@ -105,8 +105,8 @@
   void simulation.submit({ jobId: "j1", tasks: 4, command: ["run", "30000"] });
   await simulation.advance(2_000);
   const [leader, next] = simulation.instanceIds as [string, string];
-  simulation.group.cut(leader);
-  simulation.instance(leader).copy.cut();
+  simulation.group.partition(leader);
+  simulation.instance(leader).configurationCopy.cut();
   for (const peer of simulation.instanceIds) {
     simulation.environment.links.cut(leader, peer);
     simulation.environment.links.cut(peer, leader);
@@ -115,7 +115,7 @@
   t.true(simulation.elect(next));
   await simulation.advance(240_000);
   simulation.group.heal(leader);
-  simulation.instance(leader).copy.heal();
+  simulation.instance(leader).configurationCopy.heal();
   simulation.environment.links.heal();
   const submitted = simulation.submit({ jobId: "j2", tasks: 4 });
   await simulation.advance(10_000);
@@ -162,7 +162,7 @@
   for (const id of simulation.instanceIds) {
     simulation.environment.links.cut(id, "w1");
   }
-  simulation.group.cut(leader);
+  simulation.group.partition(leader);
   await simulation.advance(1_600);
   t.true(simulation.elect(next));
   await simulation.advance(8_000);
@@ -188,7 +188,7 @@
     simulation.environment.links.cut(id, "w1");
     simulation.environment.links.cut("w1", id);
   }
-  simulation.group.cut(leader);
+  simulation.group.partition(leader);
   await simulation.advance(1_600);
   t.true(simulation.elect(next));
   await simulation.advance(6_000);
--- a/src/process/scheduler/runtime/runtime_fuzz_test.ts
+++ b/src/process/scheduler/runtime/runtime_fuzz_test.ts
@@ -80,7 +80,7 @@
   fc.tuple(instance, instance).map(([cut, next]) =>
     step(`cutLeader(${cut}, ${next})`, async ({ simulation }) => {
       const ids = simulation.instanceIds as string[];
-      simulation.group.cut(ids[cut] ?? "");
+      simulation.group.partition(ids[cut] ?? "");
       if (simulation.group.leaderId === undefined) {
         await simulation.advance(1_600);
         simulation.elect(ids[next] ?? "");
@@ -141,7 +141,8 @@
   })),
   instance.map((index) =>
     step(`cutCopy(${index})`, ({ simulation }) => {
-      simulation.instances.get(simulation.instanceIds[index] ?? "")?.copy.cut();
+      simulation.instances.get(simulation.instanceIds[index] ?? "")
+        ?.configurationCopy.cut();
       return Promise.resolve();
     })
   ),
@@ -170,7 +171,7 @@
   for (const id of simulation.instanceIds) {
     simulation.startInstance(id);
     simulation.group.heal(id);
-    simulation.instances.get(id)?.copy.heal();
+    simulation.instances.get(id)?.configurationCopy.heal();
   }
   simulation.workers.forEach((each) => each.revive());
   simulation.environment.configuration.setStatus("dc1", "in");
@@ -179,13 +180,15 @@
   simulation.elect(simulation.instanceIds[1] ?? "");
   await simulation.advance(SETTLE_MS);
   const { violations } = simulation.history;
-  const left = [...simulation.ledger.liveRecords()]
+  const unfinishedJobIds = [...simulation.ledger.liveRecords()]
     .map((record) => record.specification.jobId);
   const tasksOf = (jobId: string) =>
     simulation.ledger.get(jobId)?.specification.tasks ?? 1;
   const partialMs = simulation.history.longestPartialMs(tasksOf);
-  if (violations.length > 0 || left.length > 0) {
-    throw new Error(`${violations.join("; ")}; not ended: ${left.join()}`);
+  if (violations.length > 0 || unfinishedJobIds.length > 0) {
+    throw new Error(
+      `${violations.join("; ")}; not ended: ${unfinishedJobIds.join()}`,
+    );
   }
   if (partialMs > PARTIAL_LIMIT_MS) {
     throw new Error(`a gang ran without all its tasks for ${partialMs} ms`);
--- a/src/process/scheduler/runtime/testing/data_centre_simulation.ts
+++ b/src/process/scheduler/runtime/testing/data_centre_simulation.ts
@@ -22,7 +22,7 @@
 import type { OmittedCheck } from "../session_context.ts";
 import {
   FakeConfiguration,
-  type FakeCopy,
+  type FakeConfigurationCopy,
   testDocument,
 } from "./fake_configuration.ts";
 import { FakeCore } from "./fake_core.ts";
@@ -85,7 +85,7 @@
 interface Instance {
   readonly runtime: SchedulerRuntime;
   readonly ledger: JobLedger;
-  readonly copy: FakeCopy;
+  readonly configurationCopy: FakeConfigurationCopy;
   readonly member: FakeMember<JobCommand, JobCommandOutcome>;
 }
 
@@ -196,7 +196,12 @@
         ? {}
         : { events: this.#options.events }),
     });
-    this.instances.set(id, { runtime, ledger, member, copy });
+    this.instances.set(id, {
+      runtime,
+      ledger,
+      member,
+      configurationCopy: copy,
+    });
   }
 
   /** Kills the instance's process without a shutdown. */
--- a/src/process/scheduler/runtime/testing/fake_configuration.ts
+++ b/src/process/scheduler/runtime/testing/fake_configuration.ts
@@ -16,7 +16,7 @@
 /** The accepted configuration version and the instances' copies of it. */
 export class FakeConfiguration {
   readonly #clock: Clock;
-  readonly #copies = new Set<FakeCopy>();
+  readonly #copies = new Set<FakeConfigurationCopy>();
   accepted: ConfigurationVersion;
 
   constructor(options: { clock: Clock; document: Document }) {
@@ -28,8 +28,8 @@
     };
   }
 
-  copy(): FakeCopy {
-    const copy = new FakeCopy({ clock: this.#clock, from: this });
+  copy(): FakeConfigurationCopy {
+    const copy = new FakeConfigurationCopy({ clock: this.#clock, from: this });
     this.#copies.add(copy);
     return copy;
   }
@@ -57,7 +57,7 @@
 }
 
 /** One instance's copy; kept current except while it is cut off. */
-export class FakeCopy implements ConfigurationSource {
+export class FakeConfigurationCopy implements ConfigurationSource {
   readonly #clock: Clock;
   readonly #from: FakeConfiguration;
   readonly #versions = new Channel<ConfigurationVersion>();
--- a/src/process/scheduler/runtime/testing/fake_group.ts
+++ b/src/process/scheduler/runtime/testing/fake_group.ts
@@ -59,7 +59,10 @@
   elect(id: string): boolean {
     const member = this.members.get(id);
     const nowMs = this.options.clock.nowMs();
-    if (member === undefined || member.isCut || nowMs < this.leaderLeaseEndMs) {
+    if (
+      member === undefined || member.isPartitioned ||
+      nowMs < this.leaderLeaseEndMs
+    ) {
       return false;
     }
     const previous = this.leaderId === undefined
@@ -75,13 +78,13 @@
   }
 
   /** Partitions a member; a leader goes on believing that it leads. */
-  cut(id: string): void {
+  partition(id: string): void {
     const member = this.members.get(id);
-    if (member === undefined || member.isCut) {
+    if (member === undefined || member.isPartitioned) {
       return;
     }
     const leaseEndMs = member.status().leaseEndMs;
-    member.isCut = true;
+    member.isPartitioned = true;
     member.frozenLeaseEndMs = leaseEndMs;
     if (this.leaderId === id) {
       this.leaderLeaseEndMs = leaseEndMs;
@@ -91,8 +94,8 @@
 
   heal(id: string): void {
     const member = this.members.get(id);
-    if (member !== undefined && member.isCut) {
-      member.isCut = false;
+    if (member !== undefined && member.isPartitioned) {
+      member.isPartitioned = false;
       if (member.belief.leaderId === id) {
         member.belief = { term: member.belief.term, leaderId: undefined };
       }
@@ -103,7 +106,7 @@
 
   /** Removes a member whose process died. */
   leave(id: string): void {
-    this.cut(id);
+    this.partition(id);
     this.members.delete(id);
   }
 }
@@ -116,7 +119,7 @@
   readonly #group: FakeGroup<Command, Outcome>;
   readonly #statuses = new Channel<MemberStatus>();
   #appliedIndex = 0;
-  isCut = false;
+  isPartitioned = false;
   frozenLeaseEndMs = 0;
   belief: { term: number; leaderId: string | undefined };
 
@@ -144,7 +147,7 @@
       this.#group.options;
     await after(clock, commitDelayMs);
     const group = this.#group;
-    if (this.isCut || group.leaderId === undefined) {
+    if (this.isPartitioned || group.leaderId === undefined) {
       await after(clock, options.deadlineMs - clock.nowMs());
       return failure("unavailable");
     }
@@ -153,14 +156,14 @@
     const outcome = leader?.catchUp();
     group.members.forEach((member) => member.#catchUpSoon());
     await after(clock, commitDelayMs);
-    if (random.nextInt(1_000) < lostAnswersPerMille || this.isCut) {
+    if (random.nextInt(1_000) < lostAnswersPerMille || this.isPartitioned) {
       return failure("outcomeUnknown");
     }
     return outcome === undefined ? failure("unavailable") : Right(outcome);
   }
 
   readBarrier(): Promise<Result<void>> {
-    if (this.isCut) {
+    if (this.isPartitioned) {
       return Promise.resolve(failure("unavailable"));
     }
     this.catchUp();
@@ -171,7 +174,7 @@
     const { term, leaderId } = this.belief;
     const leads = leaderId === this.#id;
     const nowMs = this.#group.options.clock.nowMs();
-    const leaseEndMs = this.isCut
+    const leaseEndMs = this.isPartitioned
       ? this.frozenLeaseEndMs
       : nowMs + this.#group.options.leaseMs;
     return {
@@ -189,9 +192,9 @@
   }
 
   handOver(): Promise<void> {
-    if (this.#group.leaderId === this.#id && !this.isCut) {
+    if (this.#group.leaderId === this.#id && !this.isPartitioned) {
       const next = [...this.#group.members.values()]
-        .find((member) => member.#id !== this.#id && !member.isCut);
+        .find((member) => member.#id !== this.#id && !member.isPartitioned);
       if (next !== undefined) {
         this.#group.elect(next.#id);
       }
@@ -217,7 +220,7 @@
 
   /** Learns the current term and leader, unless partitioned. */
   learnLeader(): void {
-    if (!this.isCut) {
+    if (!this.isPartitioned) {
       const { term, leaderId } = this.#group;
       this.belief = { term, leaderId };
       this.publishStatus();
@@ -231,7 +234,7 @@
   #catchUpSoon(): void {
     const { clock, random } = this.#group.options;
     clock.after(random.nextInt(20), () => {
-      if (!this.isCut) {
+      if (!this.isPartitioned) {
         this.catchUp();
       }
     });
--- a/src/process/scheduler/runtime/testing/run_history.ts
+++ b/src/process/scheduler/runtime/testing/run_history.ts
@@ -90,7 +90,9 @@
     }
     // A removal must take effect within 2 s.
     if (this.#removedAtMs !== undefined && atMs > this.#removedAtMs + 2_000) {
-      this.violations.push(`${label} started after the removal`);
+      this.violations.push(
+        `${label} started over 2 s after the data centre was taken out`,
+      );
     }
   }
 }
--- a/standins/backend_server/standin_backend_server.ts
+++ b/standins/backend_server/standin_backend_server.ts
@@ -279,7 +279,7 @@
     }
   }
 
-  /** Repeats the request, so that a caller can check the answer is its own. */
+  /** Echoes the request, so that a caller can check the answer is its own. */
   #reply(running: RunningRequest, status: number): void {
     const { requestId, correlationId, body, response } = running;
     answerJson(response, status, {
--- a/standins/link_proxy/link_proxy.ts
+++ b/standins/link_proxy/link_proxy.ts
@@ -1,6 +1,6 @@
 /**
- * A TCP proxy that simulates a network link: it can delay connections, hold
- * back their bytes or cut them.
+ * A TCP proxy that simulates a network link: it can delay or hold back bytes,
+ * and close connections.
  *
  * @module
  */
