Say that batch leases are granted, as the scheduler's comments do

Comments of the worker link spoke of leases "given" and "granted".

Run: deno fmt and lint, build, the tests of batch, platform and standins (56 passed).

--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -24,7 +24,7 @@
   readonly clock: Clock;
   readonly timing: BatchTiming;
   readonly epoch: number;
-  /** The longest lease that this incarnation may already have been given. */
+  /** The longest lease that this incarnation may already have been granted. */
   readonly earlierLeaseMs: number;
   /** Whether this leader may still grant leases. */
   readonly mayLead: () => boolean;
@@ -50,7 +50,7 @@
   readonly #options: WorkerLinkOptions;
   worker: WorkerRecord;
   #sample: ClockSample | undefined;
-  /** When all leases given have expired, by the local clock. */
+  /** When all granted leases have expired, by the local clock. */
   #leasesEndAtMs: number;
   #acknowledgedEnd = 0;
   #failures = 0;
@@ -62,7 +62,7 @@
   constructor(options: WorkerLinkOptions) {
     this.#options = options;
     this.worker = options.worker;
-    // An earlier leader may have given a lease just before this moment.
+    // An earlier leader may have granted a lease just before this moment.
     this.#leasesEndAtMs = this.#leaseEndBoundMs(options.earlierLeaseMs);
     void this.#run();
   }
@@ -107,8 +107,8 @@
   }
 
   /**
-   * The end of a lease given now, by the worker's clock; undefined while that
-   * clock isn't known. Counts the lease as given.
+   * The end of a lease granted now, by the worker's clock; undefined while that
+   * clock isn't known. Counts the lease as granted.
    */
   nextLeaseEndMs(): number | undefined {
     if (this.#sample === undefined) {
@@ -137,7 +137,7 @@
     return Math.min(timing.leaseMs, timing.leaseLimitMs);
   }
 
-  /** The latest end of a lease given now, by the local clock. */
+  /** The latest end of a lease granted now, by the local clock. */
   #leaseEndBoundMs(leaseMs: number): number {
     const { clock, timing } = this.#options;
     return clock.nowMs() + leaseMs * (1 + 2 * timing.clockDriftFraction) +
--- a/src/process/batch/leader/worker_links.ts
+++ b/src/process/batch/leader/worker_links.ts
@@ -82,9 +82,9 @@
   }
 
   /**
-   * The longest lease that an earlier leader may have given. A recently started
-   * incarnation may have received a start meant for the one before, and with it
-   * the longest lease that workers accept.
+   * The longest lease that an earlier leader may have granted. A recently
+   * started incarnation may have received a start meant for the one before, and
+   * with it the longest lease that workers accept.
    */
   #earlierLeaseMs({ bornMs }: WorkerRecord): number {
     const { clock, timing } = this.#options;
