--- a/demo/demo_api.ts
+++ b/demo/demo_api.ts
@@ -157,7 +157,7 @@
     io: {
       out: (line) => process.stdout.write(`  ${line}\n`),
       error: (line) => process.stdout.write(`  ${line}\n`),
-      read: () => Promise.reject(new Error("nothing is read")),
+      read: () => Promise.reject(new Error("setting a status reads no file")),
     },
   }, { dataCentre, status, key: OPERATIONS_KEY });
 }
--- a/src/connection/ws_peer_network_test.ts
+++ b/src/connection/ws_peer_network_test.ts
@@ -83,7 +83,7 @@
   });
 }
 
-/** Polls until the condition holds, which depends on real sockets. */
+/** Polls until the condition, which depends on real sockets, is true. */
 async function waitUntil(condition: () => boolean): Promise<void> {
   while (!condition()) {
     await new Promise((resolve) => setTimeout(resolve, 5));
--- a/src/process/ledger/ledger_state_test.ts
+++ b/src/process/ledger/ledger_state_test.ts
@@ -70,14 +70,14 @@
     if (reply.kind === "full") {
       expect(
         existing === undefined || mayBeRemoved(existing, model.nowMs),
-        "full",
+        "full for an existing entry",
       );
       return;
     }
     expect(existing !== undefined, "a reply about an unknown entry");
     expect(
       reply.kind === expectedKind(existing, digest),
-      `wrong ${reply.kind}`,
+      `wrong reply ${reply.kind}`,
     );
     expect(
       outcomeOf(reply) === expectedOutcome(existing, digest),
@@ -123,7 +123,7 @@
       expect(reply.kind === "notHeld", "another's end was accepted");
       return;
     }
-    expect(reply.kind === "done", "the holder was forgotten");
+    expect(reply.kind === "done", "the claimant's entry was forgotten");
     if (existing.outcome === undefined || existing.outcome === "unknown") {
       existing.outcome = outcome;
       existing.expiresAtMs = expiresAtMs;
@@ -217,7 +217,10 @@
   if (existing === undefined || real.state.find(key, "").kind !== "absent") {
     return;
   }
-  expect(mayBeRemoved(existing, model.nowMs), "forgotten too soon");
+  expect(
+    mayBeRemoved(existing, model.nowMs),
+    "an entry was forgotten too soon",
+  );
   model.entries.delete(key);
 }
 
--- a/src/process/replication/fake_peer_network.ts
+++ b/src/process/replication/fake_peer_network.ts
@@ -18,7 +18,7 @@
 
 /** The current faults of all links. */
 export interface FakeLinkFaults {
-  /** Fractions of all messages. */
+  /** Fractions of messages that are lost or duplicated. */
   lossRate: number;
   doublingRate: number;
   /** The largest random addition to each message's delay. */
--- a/src/process/replication/formation.ts
+++ b/src/process/replication/formation.ts
@@ -1,7 +1,7 @@
 /**
  * Formation of a group, which happens once, from the configured members.
  *
- * Only the founder with the lowest id forms the group, and only after every
+ * Only the founder with the lowest ID forms the group, and only after every
  * founder has confirmed, in answer to the same attempt, that it has no group
  * state. A missing founder delays the group, but two groups never form. Members
  * without group state that start later join the existing group.
@@ -18,10 +18,10 @@
 /** Delays the first election so that the founders learn of the group before. */
 const FIRST_ELECTION_DELAY_MS = 100;
 
-/** Keeps the group's id short, as every message carries it. */
+/** Keeps the group's ID short, as every message carries it. */
 const FORMATION_ID_RADIX = 36;
 
-/** The members that form the group, lowest id first. */
+/** The members that form the group, lowest ID first. */
 function founderIds(state: RaftState): string[] {
   const { founderIds: configuredIds, members } = state.options;
   const founders = configuredIds ??
--- a/src/process/replication/group_configuration.ts
+++ b/src/process/replication/group_configuration.ts
@@ -55,7 +55,7 @@
   readonly isDeclaredLost: (id: InstanceId) => boolean;
 }
 
-/** The voter with this id, if there is one. */
+/** The voter with this ID, if there is one. */
 export function findVoter(
   configuration: GroupConfiguration,
   id: InstanceId,
--- a/src/process/replication/leader.ts
+++ b/src/process/replication/leader.ts
@@ -205,8 +205,8 @@
 }
 
 /**
- * Steps down, and asks the voter that answered last of those with the whole log
- * to take over. Keeps leading if there is none.
+ * Steps down and hands over to a voter that stores the complete log, the one
+ * that answered last. Keeps leading if there is none.
  */
 export function handOver(state: RaftState): void {
   if (!state.isLeader) {
--- a/src/process/replication/log_entry.ts
+++ b/src/process/replication/log_entry.ts
@@ -47,7 +47,7 @@
    * one.
    */
   readonly incarnation: number;
-  /** The group's id, or undefined while the member belongs to none. */
+  /** The group's ID, or undefined while the member belongs to none. */
   readonly formationId: string | undefined;
   readonly term: number;
   /** The member that got this member's vote in the term. */
--- a/src/process/replication/peer_calls.ts
+++ b/src/process/replication/peer_calls.ts
@@ -9,7 +9,7 @@
 /** A reply to a call. */
 export type PeerReply = RaftMessageOf<"proposeReply" | "readReply">;
 
-/** How many received calls a member remembers to detect duplicates. */
+/** How many received calls a member records to detect duplicates. */
 const SEEN_CALLS_LIMIT = 8_192;
 
 /** The pending calls of one member. */
@@ -17,7 +17,7 @@
   #nextId: number;
   #pending = new Map<number, (reply: PeerReply | undefined) => void>();
 
-  /** Ids start from the clock, so that a restart repeats none. */
+  /** IDs start from the clock, so that none repeats after a restart. */
   constructor(options: { nowMs: number }) {
     this.#nextId = Math.floor(Math.max(1, options.nowMs)) * 1_024;
   }
--- a/src/process/replication/raft_core_test.ts
+++ b/src/process/replication/raft_core_test.ts
@@ -163,7 +163,7 @@
 }
 
 for (const scenario of SCENARIOS) {
-  test(`a scenario succeeds, but not with: ${scenario.mutation}`, (t) => {
+  test(`a scenario violates an invariant only with the fault ${scenario.mutation}`, (t) => {
     t.notThrows(() => runScenario(scenario, []));
     t.throws(() => runScenario(scenario, [scenario.mutation]), {
       instanceOf: InvariantViolation,
--- a/src/process/replication/testing/fault_session.ts
+++ b/src/process/replication/testing/fault_session.ts
@@ -159,8 +159,8 @@
 }
 
 /**
- * Removes a member, but not while another one is still catching up, as no
- * operator would.
+ * Removes a member if all voters are intact: an operator doesn't remove one
+ * while another is being recovered.
  */
 function remove(simulation: RaftSimulation, id: string): void {
   if (simulation.hasAllVoters()) {
--- a/src/process/replication/testing/raft_simulation.ts
+++ b/src/process/replication/testing/raft_simulation.ts
@@ -48,7 +48,7 @@
 export class RaftSimulation implements MemberListener {
   readonly members = new Map<string, SimulatedMember>();
   readonly oracle: GroupOracle;
-  /** Fractions of messages. */
+  /** Fractions of messages that are lost or duplicated. */
   lossRate = 0;
   duplicateRate = 0;
   nowMs = START_MS;
--- a/src/process/replication/testing/simulated_member.ts
+++ b/src/process/replication/testing/simulated_member.ts
@@ -132,7 +132,6 @@
     }
   }
 
-  /** Erases the disk. */
   eraseDisk(): void {
     this.#disk = emptyDisk();
   }
--- a/src/process/routing/core/service_router.ts
+++ b/src/process/routing/core/service_router.ts
@@ -113,7 +113,7 @@
       !call.mayHaveRun;
   }
 
-  /** Whether the call would be refused on arrival. */
+  /** Whether the call would be refused as `unavailable` or `overloaded`. */
   wouldRefuse(call: RoutedCall, nowMs: number): boolean {
     const requestClass = this.#classOf(call);
     if (requestClass === undefined) {
--- a/src/process/routing/core/slot_allocator.ts
+++ b/src/process/routing/core/slot_allocator.ts
@@ -65,8 +65,8 @@
   #lastGrantId: number;
 
   /**
-   * The first grant gets the ID after `firstGrantId`, which must be at least
-   * the last ID of earlier allocators.
+   * The first grant gets the ID after the given one, which must be at least the
+   * last ID of earlier allocators.
    */
   constructor(options: { firstGrantId: number }) {
     this.#lastGrantId = options.firstGrantId;
@@ -91,7 +91,7 @@
     }
   }
 
-  /** Removes an instance that is gone and frees its slots. */
+  /** Removes an instance that can't be reached and frees its slots. */
   removeInstance(instanceId: InstanceId): void {
     this.#holders.delete(instanceId);
   }
--- a/src/process/routing/forward_deduplicator.ts
+++ b/src/process/routing/forward_deduplicator.ts
@@ -20,7 +20,7 @@
 export class ForwardDeduplicator {
   readonly #senders = new Map<InstanceId, SenderWindow>();
 
-  /** True once for each call; false for one too old to tell. */
+  /** True once for each call; false for a repeat or a call too old to check. */
   accept(
     from: InstanceId,
     call: { incarnation: number; forwardId: number },
--- a/src/process/routing/slot_sharing.ts
+++ b/src/process/routing/slot_sharing.ts
@@ -138,7 +138,7 @@
   }
 
   /**
-   * Lists all slots in use or granted for a new allocator, else only the
+   * For a new allocator, lists all slots in use or granted; otherwise only the
    * servers with more slots in use than granted.
    */
   #report(service: ServiceId, share: ServiceShare): SlotReport {
--- a/src/process/routing/slot_sharing_test.ts
+++ b/src/process/routing/slot_sharing_test.ts
@@ -153,7 +153,7 @@
   t.true(simulation.inFlight() <= SLOTS);
 });
 
-test("another instance allocates when the allocator is gone", (t) => {
+test("another instance allocates when the allocator can't be reached", (t) => {
   const simulation = new SlotSharingSimulation(["i1", "i2", "i3"]);
   simulation.run(3_000);
   simulation.remove("i1");
--- a/src/programs/cli/flags.ts
+++ b/src/programs/cli/flags.ts
@@ -73,7 +73,10 @@
     : argument?.slice(option.length + 1);
 }
 
-/** Returns the flag as a number, or an empty object if it is absent. */
+/**
+ * Returns the flag's number as the property `limit`, or an empty object if the
+ * flag is absent.
+ */
 export function numberFlag(flags: Flags, flag: "limit"): { limit?: number } {
   const value = flags[flag];
   return value === undefined ? {} : { limit: Number(value) };
--- a/src/programs/sesamethreadd.ts
+++ b/src/programs/sesamethreadd.ts
@@ -1,6 +1,6 @@
 #!/usr/bin/env node
 /**
- * The daemon, which runs one entry instance.
+ * The daemon, which runs one instance.
  *
  * @module
  */
@@ -17,7 +17,7 @@
 function main(): void {
   const program = cac("sesamethreadd");
   program
-    .command("", "Run one entry instance")
+    .command("", "Run one instance")
     .option("--settings <file>", "Settings file, in TOML")
     .option("--check", "Check the settings, print the effective ones and exit")
     .action((options: { settings?: string; check?: boolean }) =>
