Say which refusals wouldRefuse predicts, and mend words found by the search

'Refused on arrival' did not say that invalid and late calls are left out; 'judged' and 'benches' were left from earlier. Only comments change.

--- a/src/process/routing/core/routing_core.ts
+++ b/src/process/routing/core/routing_core.ts
@@ -57,7 +57,10 @@
     return this.#serviceByCall.get(key)?.isQueued(key) === true;
   }
 
-  /** Whether the call would be refused on arrival; changes nothing. */
+  /**
+   * Whether the call would be refused as `unavailable` or `overloaded`; changes
+   * nothing.
+   */
   wouldRefuse(call: RoutedCall, atMs: number): boolean {
     return this.#services.get(call.service)?.wouldRefuse(call, atMs) === true;
   }
--- a/src/process/routing/core/routing_options.ts
+++ b/src/process/routing/core/routing_options.ts
@@ -20,7 +20,7 @@
   readonly failuresToEject: number;
   /** A server is slow when its latency is over this many times the median. */
   readonly slowFactor: number;
-  /** Answers needed before latencies are judged. */
+  /** Answers needed before a server's latency is compared. */
   readonly minLatencySamples: number;
   /** A server with a latency up to this is never slow. */
   readonly slowFloorMs: number;
--- a/src/process/routing/core/server_health.ts
+++ b/src/process/routing/core/server_health.ts
@@ -1,5 +1,5 @@
 /**
- * The health of a backend server, judged by its answers and failures.
+ * The health of a backend server, derived from its answers and failures.
  *
  * @module
  */
--- a/src/process/routing/fixed_configuration.ts
+++ b/src/process/routing/fixed_configuration.ts
@@ -1,5 +1,5 @@
 /**
- * A configuration that never changes, for tests and benches.
+ * A configuration that never changes, for tests and benchmarks.
  *
  * @module
  */
--- a/src/process/routing/router.ts
+++ b/src/process/routing/router.ts
@@ -123,7 +123,7 @@
     return call.routeResult;
   }
 
-  /** Whether the request would be refused on arrival. */
+  /** Whether it would be refused as `unavailable` or `overloaded`. */
   wouldRefuse(record: RequestRecord): boolean {
     const call = toRoutedCall(record, { key: "", isForwarded: false });
     return this.#core.wouldRefuse(call, this.#nowMs());
