Play the last renames across parts: lastGrantId, duplicateRate

Cause: the option firstGrantId is the ID before the first grant, and the rate of duplicated messages had two names in two fakes. Change: lastGrantId by the compiler; duplicateRate also in the two untyped literals that the compiler doesn't follow.

--- a/bench/routing/sweep_policy.ts
+++ b/bench/routing/sweep_policy.ts
@@ -279,7 +279,7 @@
   instances: readonly CoreInstance[],
   environment: SweepEnvironment,
 ): void {
-  const allocator = new SlotAllocator({ firstGrantId: 0 });
+  const allocator = new SlotAllocator({ lastGrantId: 0 });
   const capacity = new Map(
     environment.servers.map(({ serverId }) => [serverId, SIZES.slots]),
   );
--- a/src/process/replication/fake_peer_network.ts
+++ b/src/process/replication/fake_peer_network.ts
@@ -20,7 +20,7 @@
 export interface FakeLinkFaults {
   /** Fractions of messages that are lost or duplicated. */
   lossRate: number;
-  doublingRate: number;
+  duplicateRate: number;
   /** The largest random addition to each message's delay. */
   jitterMs: number;
 }
@@ -44,7 +44,7 @@
 export class FakePeerHub {
   readonly faults: FakeLinkFaults = {
     lossRate: 0,
-    doublingRate: 0,
+    duplicateRate: 0,
     jitterMs: 0,
   };
   #options: FakePeerHubOptions;
@@ -131,7 +131,7 @@
     }
     this.#options.onSend?.(from, to, message);
     const { random } = this.#options;
-    const copies = random.nextUnit() < this.faults.doublingRate ? 2 : 1;
+    const copies = random.nextUnit() < this.faults.duplicateRate ? 2 : 1;
     for (let copy = 0; copy < copies; copy++) {
       if (random.nextUnit() >= this.faults.lossRate) {
         this.#deliverLater({ from, to, name, message });
--- a/src/process/routing/core/slot_allocator.ts
+++ b/src/process/routing/core/slot_allocator.ts
@@ -68,8 +68,8 @@
    * The first grant gets the ID after the given one, which must be at least the
    * last ID of earlier allocators.
    */
-  constructor(options: { firstGrantId: number }) {
-    this.#lastGrantId = options.firstGrantId;
+  constructor(options: { lastGrantId: number }) {
+    this.#lastGrantId = options.lastGrantId;
   }
 
   get instanceIds(): InstanceId[] {
--- a/src/process/routing/core/slot_allocator_test.ts
+++ b/src/process/routing/core/slot_allocator_test.ts
@@ -41,7 +41,7 @@
   session: Session,
   options: { omitsUse: boolean },
 ): string | undefined {
-  const allocator = new SlotAllocator({ firstGrantId: 0 });
+  const allocator = new SlotAllocator({ lastGrantId: 0 });
   const holders: HolderModel[] = [0, 1, 2].map(() => ({
     grantId: 0,
     granted: new Map(),
--- a/src/process/routing/request_path_fixture.ts
+++ b/src/process/routing/request_path_fixture.ts
@@ -160,7 +160,7 @@
   setLinkFaults(rate: number, jitterMs: number): void {
     Object.assign(this.#hub.faults, {
       lossRate: rate,
-      doublingRate: rate,
+      duplicateRate: rate,
       jitterMs,
     });
   }
--- a/src/process/routing/slot_sharing.ts
+++ b/src/process/routing/slot_sharing.ts
@@ -169,7 +169,7 @@
   ): void {
     const { clock, reachableInstances, selfId } = this.#options;
     share.allocator ??= new SlotAllocator({
-      firstGrantId: Math.floor(clock.nowMs()),
+      lastGrantId: Math.floor(clock.nowMs()),
     });
     const { allocator } = share;
     allocator.report(report);
--- a/test/system/system_links.ts
+++ b/test/system/system_links.ts
@@ -56,7 +56,7 @@
     const { rate, jitterMs } = conditions;
     Object.assign(this.#hub.faults, {
       lossRate: rate,
-      doublingRate: rate,
+      duplicateRate: rate,
       jitterMs,
     });
     this.#workerLinks.conditions = {
