Second reading of the wording of the benches

Some comments disagreed with their code or left out what a reader needs: what the objective of a batch job is, what wasted time counts, which free accelerators are compared with which, which threads the socket bench has. They now say what the code does. No field of a printed row changed.

--- a/bench/batch/load.ts
+++ b/bench/batch/load.ts
@@ -17,9 +17,10 @@
   /** Value of such a job that takes at most three times its objective. */
   readonly lateValue: number;
   readonly attempts: number;
+  /** Objective: `stretch` times the longest task, plus `slackMs`. */
   readonly stretch: number;
   readonly slackMs: number;
-  /** Task duration: log-normal with the given mean and sigma `spread`. */
+  /** Typical task duration of a job: log-normal, sigma `spread`, capped. */
   readonly workMs: { mean: number; spread: number; limit: number };
   /** Number of tasks, drawn like `workMs`. */
   readonly width: { mean: number; spread: number; limit: number };
@@ -38,8 +39,10 @@
 /** A deployment's load. */
 export interface Load {
   readonly name: string;
+  /** Capacity of each worker. */
   readonly cpuMilli: number;
   readonly memoryMb: number;
+  /** Longest time from a stop decision until the run has ended. */
   readonly stopMs: number;
   readonly kinds: readonly JobKind[];
 }
--- a/bench/batch/main.ts
+++ b/bench/batch/main.ts
@@ -1,6 +1,6 @@
 /**
  * Simulates the planner under both loads and prints a row for each setting:
- * `node dist/bench/batch/main.js [SEEDS] [OPTIONS AS JSON]`.
+ * `node dist/bench/batch/main.js [SEEDS] [PLANNER OPTIONS AS JSON]`.
  *
  * @module
  */
--- a/bench/batch/simulation.ts
+++ b/bench/batch/simulation.ts
@@ -26,7 +26,7 @@
   readonly worstSpans: number;
   readonly shareByQueue: Readonly<Record<string, number>>;
   readonly lateByQueue: Readonly<Record<string, number>>;
-  /** Core-time of stopped, unsaved runs over that of completed runs. */
+  /** Core-time of stopped runs without checkpoints over that of done runs. */
   readonly wastedShare: number;
   /** Task starts after which the worker's accelerators were overcommitted. */
   readonly overcommitted: number;
@@ -43,7 +43,7 @@
   readonly workers: number;
   readonly lengthMs: number;
   readonly planner?: PlannerOptions;
-  /** Whether to go on after `lengthMs` until all jobs have ended. */
+  /** Whether to go on after `lengthMs` until no run is left; default true. */
   readonly runsToCompletion?: boolean;
   /** Called in place of each planning pass, which it must run. */
   readonly onPlan?: (plan: () => void) => void;
@@ -60,9 +60,9 @@
 
 /** From a decision until it takes effect, and the simulation's time step. */
 const COMMIT_MS = 20;
-/** Slows tasks down whose gang or data lies across racks. */
+/** Slows one-rack gangs in several racks, and tasks away from their data. */
 const CROSS_RACK_FACTOR = 3;
-/** Slows tasks down on every third worker. */
+/** Slows down tasks on every third worker. */
 const SLOW_WORKER_FACTOR = 1.3;
 const WORKERS_PER_RACK = 8;
 const GUARANTEED_ACCELERATORS = 40;
@@ -315,6 +315,7 @@
     if (how === RunEnd.done) {
       this.#doneCoreMs += cores * ranMs;
     } else if (spec.isCheckpointing) {
+      // Checkpoints have saved 90 % of the run.
       const savedMs = this.#progressMs.get(key) ?? 0;
       this.#progressMs.set(key, savedMs + ranMs * 0.9);
     } else if (how === RunEnd.stopped) {
--- a/bench/capacity/idle_daemon.ts
+++ b/bench/capacity/idle_daemon.ts
@@ -1,7 +1,7 @@
 /**
  * Measures memory and processor time of an idle daemon in this thread, the only
  * instance of its system. Its modules are imported dynamically, so that the
- * memory of the process can be measured before.
+ * memory of the process can be measured before they are loaded.
  *
  * @module
  */
--- a/bench/capacity/other_states.ts
+++ b/bench/capacity/other_states.ts
@@ -43,14 +43,14 @@
   };
 }
 
-/** Measures three numbers of edits at the size expected in two years. */
+/** Measures runs of 450 to 1,800 edits at the size expected in two years. */
 export function measureConfiguration() {
   return [450, 900, 1_800].map((edits) =>
     measureEdits({ ...TWO_YEAR_SIZE, edits })
   );
 }
 
-/** What both groups send when idle and at 1,800 changes a day. */
+/** Replication traffic of both groups, when idle and at 1,800 changes a day. */
 export async function measureReplication() {
   const figures: Record<string, unknown> = {};
   for (const hasChanges of [false, true]) {
@@ -63,7 +63,10 @@
   return figures;
 }
 
-/** Bytes per second that one instance sends, by the number of instances. */
+/**
+ * Bytes that one instance sends as heartbeats, one per second to each other
+ * instance, and as reports of the version in force, by the number of instances.
+ */
 export function measureMembership() {
   const points = [3, 5, 9].map((instances) => ({
     instances,
--- a/bench/configuration/packing_completeness.ts
+++ b/bench/configuration/packing_completeness.ts
@@ -34,7 +34,10 @@
   readonly shapes: Shape[];
 }
 
-/** Draws 2 to 4 racks of 2 to 4 workers, and shapes that use most of them. */
+/**
+ * Draws 2 to 4 racks of 2 to 4 workers with 8 accelerators each, and up to 12
+ * shapes that together use at most a random 50 to 100 % of the accelerators.
+ */
 function makeCase(): PackingCase {
   const racks = Array.from(
     { length: drawInt(2, 4) },
--- a/bench/configuration/removal_rules.ts
+++ b/bench/configuration/removal_rules.ts
@@ -27,7 +27,10 @@
   removalAfterMs: 10 * MINUTE_MS,
   endMs: 6 * HOUR_MS,
   seeds: 40,
-  /** Added before the report: a start may be in flight at the expiry. */
+  /**
+   * Added to a permission before the removal is reported: a start may still be
+   * in flight when the permission expires.
+   */
   startInFlightMs: 500,
 } as const;
 
@@ -42,6 +45,11 @@
 
 const REMAINING_PARTITION_MS = SCENARIO.partitionMs - SCENARIO.removalAfterMs;
 
+/**
+ * Infinite permissions let starts continue throughout the partition. The last
+ * rule reports a removal once the partition has ended, when the data centre
+ * answers again.
+ */
 const RULES: readonly Rule[] = [
   { name: "answer at once", permissionMs: Infinity, reportedAfterMs: 0 },
   { name: "stop on silence", permissionMs: 0, reportedAfterMs: 0 },
@@ -164,7 +172,9 @@
       [
         rule.name.padEnd(20),
         `work ${(100 * ratio).toFixed(0).padStart(3)} %`,
-        `told after ${(rule.reportedAfterMs / 1_000).toFixed(1).padStart(7)} s`,
+        `reported after ${
+          (rule.reportedAfterMs / 1_000).toFixed(1).padStart(7)
+        } s`,
         `late starts ${late.toFixed(1).padStart(6)}`,
       ].join("  ") + "\n",
     );
--- a/bench/configuration/time_in_force.ts
+++ b/bench/configuration/time_in_force.ts
@@ -25,7 +25,10 @@
 /** Delay between edits, long enough for the cluster to become idle. */
 const EDIT_DELAY_MS = 300;
 
-/** Three data centres, two of them in one region; the first instances vote. */
+/**
+ * Instances in three data centres, two of them in one region. The first
+ * `voters` of them have disks, and therefore vote.
+ */
 function makeInstances(count: number, voters: number): VirtualInstance[] {
   return Array.from({ length: count }, (_, at) => ({
     id: `instance-${at}`,
--- a/bench/replication/idle_bench.ts
+++ b/bench/replication/idle_bench.ts
@@ -32,7 +32,7 @@
   const percent = busyMs * 100 / MEASUREMENT_MS;
   const heapBytes = after.heapUsed - before.heapUsed;
   console.log(
-    `${MEMBERS} voters at rest: ${percent.toFixed(2)} % of a core together, ` +
+    `${MEMBERS} idle voters: ${percent.toFixed(2)} % of a core together, ` +
       `${(percent / MEMBERS).toFixed(3)} % each; ` +
       `${(heapBytes / MEMBERS / 1_024).toFixed(0)} KiB of heap each`,
   );
--- a/bench/replication/traffic.ts
+++ b/bench/replication/traffic.ts
@@ -1,5 +1,6 @@
 /**
- * Counts the bytes of the frames that a group sends, and fills logs to measure.
+ * Counts the bytes of the frames that a group sends, and fills logs whose heap
+ * is to be measured.
  *
  * @module
  */
--- a/bench/replication/traffic_bench.ts
+++ b/bench/replication/traffic_bench.ts
@@ -24,7 +24,7 @@
 ): Promise<void> {
   for (const rate of await measureTraffic(settings, options)) {
     console.log(
-      `${name}${options.hasChanges ? ", 1,800 changes a day" : ", at rest"}: ` +
+      `${name}${options.hasChanges ? ", 1,800 changes a day" : ", idle"}: ` +
         `${rate.role} sends ${rate.sent.toFixed(0)} B/s, ` +
         `receives ${rate.received.toFixed(0)} B/s, ` +
         `${rate.messages.toFixed(1)} messages a second`,
--- a/bench/report/capacity_charts.ts
+++ b/bench/report/capacity_charts.ts
@@ -11,7 +11,7 @@
   points: z.array(z.object({ size: z.number(), value: z.number() })),
 });
 
-const times = z.record(z.string(), z.number());
+const numbersSchema = z.record(z.string(), z.number());
 
 /** The fields of the results that are drawn. */
 export const capacitySchema = z.object({
@@ -19,9 +19,9 @@
   otherHeap: z.record(z.string(), seriesSchema),
   schedulerDecisions: z.array(z.object({
     workers: z.number(),
-    microseconds: z.record(z.string(), times),
+    microseconds: z.record(z.string(), numbersSchema),
   })),
-  workerTraffic: z.object({ points: z.array(times) }),
+  workerTraffic: z.object({ points: z.array(numbersSchema) }),
   runtime: z.object({ residentBytes: z.number() }),
   daemon: z.object({ residentBytes: z.number() }),
 });
--- a/bench/report/policy_charts.ts
+++ b/bench/report/policy_charts.ts
@@ -8,7 +8,7 @@
 import * as z from "zod";
 import type { ChartOptions } from "./chart.ts";
 
-const distributions = z.record(
+const distributionsSchema = z.record(
   z.string(),
   z.object({ p50: z.number(), p95: z.number() }),
 );
@@ -19,8 +19,8 @@
   size: z.string(),
   load: z.string(),
   seed: z.string(),
-  startSeconds: distributions,
-  gangWaitSeconds: distributions,
+  startSeconds: distributionsSchema,
+  gangWaitSeconds: distributionsSchema,
   doneAcceleratorHours: z.number(),
   lostByPreemptionAcceleratorHours: z.number(),
   lostByFailureAcceleratorHours: z.number(),
--- a/bench/routing/added_latency.ts
+++ b/bench/routing/added_latency.ts
@@ -1,8 +1,8 @@
 /**
  * Measures, over real sockets on loopback, the latency that an instance adds to
  * direct calls of the stand-in servers, and how many requests per second one
- * instance handles. The instance and the servers each have a thread; direct and
- * routed blocks alternate within the run.
+ * instance handles. The instance, the relay and all servers together each have
+ * a thread; blocks of each route alternate within the run.
  *
  * `npm run build && node dist/bench/routing/added_latency.js [seed]`
  *
@@ -23,8 +23,8 @@
 
 /**
  * Direct calls of the servers, calls through a plain relay (the cost of one
- * more hop on this machine), or idempotent or claimed requests through the
- * instance.
+ * more hop on this machine), or requests through the instance: idempotent ones,
+ * or others, each of which needs a claim in the ledger.
  */
 type Route = "direct" | "relay" | "idempotent" | "claimed";
 
--- a/bench/routing/load_sweep.ts
+++ b/bench/routing/load_sweep.ts
@@ -67,8 +67,8 @@
     });
     const ratio = slow.p99Ms / baseline.p99Ms;
     console.log(
-      `${policy}: p99 ${baseline.p99Ms.toFixed(0)} ms even, ` +
-        `${slow.p99Ms.toFixed(0)} ms slow, ratio ${ratio.toFixed(2)}`,
+      `${policy}: p99 ${baseline.p99Ms.toFixed(0)} ms without slow servers, ` +
+        `${slow.p99Ms.toFixed(0)} ms with them, ratio ${ratio.toFixed(2)}`,
     );
   }
 }
--- a/bench/routing/run_sweep.ts
+++ b/bench/routing/run_sweep.ts
@@ -34,6 +34,7 @@
   readonly offered: number;
   readonly inDeadline: number;
   readonly late: number;
+  /** Requests that ended with an error. */
   readonly refused: number;
 }
 
--- a/bench/routing/sweep_policy.ts
+++ b/bench/routing/sweep_policy.ts
@@ -75,7 +75,7 @@
     case SweepPolicy.unshared:
       break;
     case SweepPolicy.probed:
-      instances.forEach((instance) => instance.probe());
+      instances.forEach((instance) => instance.startProbing());
       break;
     case SweepPolicy.fixed:
       instances.forEach((instance, at) =>
@@ -172,8 +172,8 @@
     this.#applyDecisions(this.#core.handle({ kind, atMs, service, slots }));
   }
 
-  /** Periodically reads each server's free slots, and uses them a hop later. */
-  probe(): void {
+  /** Reads each server's free slots periodically, and uses them a hop later. */
+  startProbing(): void {
     this.#every(PROBE_PERIOD_MS, () => {
       const slots = new Map(this.#environment.servers.map((server) => {
         const free = Math.max(0, SIZES.slots - server.load);
--- a/bench/scheduler/cost_run.ts
+++ b/bench/scheduler/cost_run.ts
@@ -127,7 +127,7 @@
     }
   }
 
-  /** Ends some gangs, submits some jobs, and ticks to start those that fit. */
+  /** Ends two gangs, submits two jobs, loses a worker at times, and ticks. */
   #step(): void {
     for (let at = 0; at < 2; at++) {
       this.#endGang();
@@ -308,7 +308,10 @@
   return process.memoryUsage().heapUsed;
 }
 
-/** Distributions by kind of event, of the least time of each in any run. */
+/**
+ * Distributions by kind of event, of the least time that each event took in any
+ * of the runs, which must have handled the same events.
+ */
 export function distributionsByKind(
   runs: readonly (readonly TimedEvent[])[],
 ): Record<string, Record<string, number>> {
--- a/bench/scheduler/measurements.ts
+++ b/bench/scheduler/measurements.ts
@@ -18,14 +18,20 @@
 
 /** The figures of one run; times in seconds unless stated otherwise. */
 export interface Figures {
+  /** From submission to the end of succeeded jobs, by job class. */
   readonly completionSeconds: Readonly<Record<string, Distribution>>;
+  /** From submission to the first start, by job class. */
   readonly startSeconds: Readonly<Record<string, Distribution>>;
+  /** The same of gangs of 32 tasks or more, by number of tasks. */
   readonly gangWaitSeconds: Readonly<Record<string, Distribution>>;
   /** From the decision to preempt for a job until it starts, by job class. */
   readonly evictionSeconds: Readonly<Record<string, Distribution>>;
   /** Completion time minus run time, of succeeded gangs of 32 tasks or more. */
   readonly gangDelaySeconds: Readonly<Record<string, Distribution>>;
-  /** Largest adjacent free block over all free accelerators, mean over time. */
+  /**
+   * Largest number of free accelerators in one rack over all free ones: mean of
+   * the samples in which any was free.
+   */
   readonly largestFreeFraction: number;
   readonly doneAcceleratorHours: number;
   readonly lostByPreemptionAcceleratorHours: number;
@@ -63,8 +69,8 @@
 export class Measurements {
   readonly #times = new Map<string, JobTimes>();
   readonly #largestFreeFractions: number[] = [];
-  readonly #evictionStartsMs = new Map<string, number>();
-  readonly #evictions: {
+  readonly #preemptionStartsMs = new Map<string, number>();
+  readonly #startsByPreemption: {
     readonly job: WorkloadJob;
     readonly tookMs: number;
   }[] = [];
@@ -93,10 +99,12 @@
     if (times !== undefined) {
       times.startedAtMs ??= atMs;
     }
-    const evictionStartMs = this.#evictionStartsMs.get(job.specification.jobId);
-    if (evictionStartMs !== undefined) {
-      this.#evictionStartsMs.delete(job.specification.jobId);
-      this.#evictions.push({ job, tookMs: atMs - evictionStartMs });
+    const preemptionStartMs = this.#preemptionStartsMs.get(
+      job.specification.jobId,
+    );
+    if (preemptionStartMs !== undefined) {
+      this.#preemptionStartsMs.delete(job.specification.jobId);
+      this.#startsByPreemption.push({ job, tookMs: atMs - preemptionStartMs });
     }
   }
 
@@ -118,7 +126,7 @@
   }
 
   recordPreemption(job: WorkloadJob, atMs: number): void {
-    this.#evictionStartsMs.set(job.specification.jobId, atMs);
+    this.#preemptionStartsMs.set(job.specification.jobId, atMs);
   }
 
   recordStopped(job: WorkloadJob, reason: string, lostRunMs: number): void {
@@ -148,11 +156,11 @@
     }
   }
 
-  /** Adds the work done so far by jobs that are still running. */
-  addRunningWork(
-    options: { running: readonly { job: WorkloadJob; doneMs: number }[] },
+  /** Adds the work done so far by jobs that haven't ended. */
+  addUnfinishedWork(
+    options: { unfinished: readonly { job: WorkloadJob; doneMs: number }[] },
   ): void {
-    for (const { job, doneMs } of options.running) {
+    for (const { job, doneMs } of options.unfinished) {
       this.#doneAcceleratorMs += acceleratorsOf(job) *
         Math.min(doneMs, job.actualRunMs);
     }
@@ -184,7 +192,7 @@
         (each) => ((each.startedAtMs ?? 0) - each.submittedAtMs) / 1_000,
       ),
       evictionSeconds: groupedDistribution(
-        this.#evictions,
+        this.#startsByPreemption,
         (each) => each.job.specification.jobClass,
         (each) => each.tookMs / 1_000,
       ),
--- a/bench/scheduler/simulation.ts
+++ b/bench/scheduler/simulation.ts
@@ -33,7 +33,8 @@
 /** Invariants are checked once per this many events. */
 const CHECK_EVENTS = 97;
 const SAMPLE_PERIOD_MS = 30_000;
-const PERMISSION_MS = 120_000;
+/** How often the start permission is extended, each time for twice as long. */
+const PERMISSION_PERIOD_MS = 120_000;
 
 /** Options of {@link Simulation}. */
 export interface SimulationOptions {
@@ -44,7 +45,7 @@
   readonly faultyWorkerFraction: number;
   /** When the data centre is out; absent if it never is. */
   readonly outage?: { readonly fromMs: number; readonly toMs: number };
-  /** The policy's free accelerators, and the largest adjacent block of them. */
+  /** The policy's free accelerators, and the largest number in one rack. */
   readonly freeCapacity: () => { total: number; largest: number };
   /** Finds violated invariants; a run with any throws. Absent for no checks. */
   readonly findViolations?: () => readonly string[];
@@ -52,8 +53,8 @@
   readonly tailMs: number;
 }
 
-/** A job that has been submitted and hasn't ended. */
-interface RunningJob {
+/** A job that has been submitted and hasn't ended, queued or running. */
+interface UnfinishedJob {
   readonly job: WorkloadJob;
   /** Run time that is saved in checkpoints. */
   savedMs: number;
@@ -68,7 +69,7 @@
   readonly #options: SimulationOptions;
   readonly #clock = new FakeClock();
   readonly #measurements = new Measurements();
-  readonly #running = new Map<string, RunningJob>();
+  readonly #unfinished = new Map<string, UnfinishedJob>();
   readonly #faultyWorkers = new Set<string>();
   #events = 0;
 
@@ -88,8 +89,8 @@
       this.#measurements.recordFreeCapacity(this.#options.freeCapacity());
     });
     this.#clock.advance(lastMs + tailMs);
-    this.#measurements.addRunningWork({
-      running: [...this.#running.values()].map((each) => ({
+    this.#measurements.addUnfinishedWork({
+      unfinished: [...this.#unfinished.values()].map((each) => ({
         job: each.job,
         doneMs: each.savedMs + this.#unsavedMs(each),
       })),
@@ -98,14 +99,13 @@
   }
 
   #setUp(): void {
-    const { size, seed, faultyWorkerFraction: faultyWorkerFraction, outage } =
-      this.#options;
+    const { size, seed, faultyWorkerFraction, outage } = this.#options;
     const random = new SeededRandom({ seed: seed + 1 });
     this.#configure(1, "in");
     this.#send({
       kind: "startPermissionExtended",
       atMs: 0,
-      permittedUntilMs: PERMISSION_MS,
+      permittedUntilMs: PERMISSION_PERIOD_MS,
     });
     for (let rack = 0; rack < size.racks; rack++) {
       for (let at = 0; at < size.workersPerRack; at++) {
@@ -156,7 +156,7 @@
   #submit(job: WorkloadJob): void {
     this.#measurements.recordSubmitted(job, this.#clock.nowMs());
     const { specification, cancelledAtMs } = job;
-    this.#running.set(specification.jobId, {
+    this.#unfinished.set(specification.jobId, {
       job,
       savedMs: 0,
       attempt: 0,
@@ -171,7 +171,7 @@
     });
     if (cancelledAtMs !== undefined) {
       this.#clock.after(cancelledAtMs - this.#clock.nowMs(), () => {
-        if (this.#running.has(specification.jobId)) {
+        if (this.#unfinished.has(specification.jobId)) {
           this.#send({
             kind: "jobCancelled",
             atMs: this.#clock.nowMs(),
@@ -184,11 +184,11 @@
 
   #tick(): void {
     const atMs = this.#clock.nowMs();
-    if (atMs % PERMISSION_MS < TICK_MS) {
+    if (atMs % PERMISSION_PERIOD_MS < TICK_MS) {
       this.#send({
         kind: "startPermissionExtended",
         atMs,
-        permittedUntilMs: atMs + 2 * PERMISSION_MS,
+        permittedUntilMs: atMs + 2 * PERMISSION_PERIOD_MS,
       });
     }
     this.#send({ kind: "clockTicked", atMs });
@@ -225,11 +225,11 @@
         this.#stop(decision);
         return;
       case "jobEnds": {
-        const running = this.#running.get(decision.jobId);
-        if (running !== undefined) {
-          this.#running.delete(decision.jobId);
+        const entry = this.#unfinished.get(decision.jobId);
+        if (entry !== undefined) {
+          this.#unfinished.delete(decision.jobId);
           this.#measurements.recordEnded(
-            running.job,
+            entry.job,
             decision.outcome,
             this.#clock.nowMs(),
           );
@@ -237,7 +237,7 @@
         return;
       }
       case "jobWaits": {
-        const job = this.#running.get(decision.jobId)?.job;
+        const job = this.#unfinished.get(decision.jobId)?.job;
         if (job !== undefined && decision.reason === "preemption") {
           this.#measurements.recordPreemption(job, this.#clock.nowMs());
         }
@@ -254,56 +254,56 @@
   }
 
   #start(start: StartGang): void {
-    const running = this.#running.get(start.jobId);
-    if (running === undefined) {
+    const entry = this.#unfinished.get(start.jobId);
+    if (entry === undefined) {
       return;
     }
-    running.attempt = start.attempt;
-    running.placements = start.placements;
+    entry.attempt = start.attempt;
+    entry.placements = start.placements;
     const isCurrent = () =>
-      this.#running.get(start.jobId) === running &&
-      running.attempt === start.attempt && running.placements.length > 0;
+      this.#unfinished.get(start.jobId) === entry &&
+      entry.attempt === start.attempt && entry.placements.length > 0;
     this.#clock.after(GANG_START_DELAY_MS, () => {
       if (isCurrent()) {
-        this.#gangStarted(running, isCurrent);
+        this.#handleGangStarted(entry, isCurrent);
       }
     });
   }
 
-  #gangStarted(running: RunningJob, isCurrent: () => boolean): void {
+  #handleGangStarted(entry: UnfinishedJob, isCurrent: () => boolean): void {
     const nowMs = this.#clock.nowMs();
-    const { jobId } = running.job.specification;
-    running.startedAtMs = nowMs;
-    running.checkpointedAtMs = undefined;
-    this.#measurements.recordStarted(running.job, nowMs);
+    const { jobId } = entry.job.specification;
+    entry.startedAtMs = nowMs;
+    entry.checkpointedAtMs = undefined;
+    this.#measurements.recordStarted(entry.job, nowMs);
     this.#send({
       kind: "gangStarted",
       atMs: nowMs,
       jobId,
-      attempt: running.attempt,
+      attempt: entry.attempt,
     });
-    const bad = running.placements
+    const faulty = entry.placements
       .find(({ workerId }) => this.#faultyWorkers.has(workerId));
-    const failing = bad ?? (running.job.alwaysFails && running.placements[0]);
+    const failing = faulty ?? (entry.job.alwaysFails && entry.placements[0]);
     if (failing) {
       this.#clock.after(FAILURE_DELAY_MS, () => {
         if (isCurrent()) {
-          this.#endTasks(running, [failing], "failed");
+          this.#endTasks(entry, [failing], "failed");
         }
       });
       return;
     }
-    const leftMs = Math.max(1, running.job.actualRunMs - running.savedMs);
+    const leftMs = Math.max(1, entry.job.actualRunMs - entry.savedMs);
     this.#clock.after(leftMs, () => {
       if (isCurrent()) {
-        this.#endTasks(running, running.placements, "succeeded");
+        this.#endTasks(entry, entry.placements, "succeeded");
       }
     });
-    this.#scheduleCheckpoint(running, isCurrent);
+    this.#scheduleCheckpoint(entry, isCurrent);
   }
 
-  #scheduleCheckpoint(running: RunningJob, isCurrent: () => boolean): void {
-    if (!running.job.specification.canCheckpoint) {
+  #scheduleCheckpoint(entry: UnfinishedJob, isCurrent: () => boolean): void {
+    if (!entry.job.specification.canCheckpoint) {
       return;
     }
     this.#clock.after(CHECKPOINT_PERIOD_MS, () => {
@@ -311,10 +311,10 @@
         return;
       }
       const nowMs = this.#clock.nowMs();
-      running.savedMs += this.#unsavedMs(running);
-      running.checkpointedAtMs = nowMs;
-      const first = running.placements[0];
-      const { jobId, resources } = running.job.specification;
+      entry.savedMs += this.#unsavedMs(entry);
+      entry.checkpointedAtMs = nowMs;
+      const first = entry.placements[0];
+      const { jobId, resources } = entry.job.specification;
       if (first !== undefined) {
         this.#send({
           kind: "workerUsageReported",
@@ -322,7 +322,7 @@
           workerId: first.workerId,
           usages: [{
             jobId,
-            attempt: running.attempt,
+            attempt: entry.attempt,
             taskIndex: first.taskIndex,
             cores: resources.cores,
             memoryBytes: resources.memoryBytes,
@@ -331,12 +331,12 @@
           }],
         });
       }
-      this.#scheduleCheckpoint(running, isCurrent);
+      this.#scheduleCheckpoint(entry, isCurrent);
     });
   }
 
   #endTasks(
-    running: RunningJob,
+    entry: UnfinishedJob,
     placements: StartGang["placements"],
     outcome: "succeeded" | "failed",
   ): void {
@@ -344,20 +344,20 @@
       this.#send({
         kind: "taskEnded",
         atMs: this.#clock.nowMs(),
-        jobId: running.job.specification.jobId,
-        attempt: running.attempt,
+        jobId: entry.job.specification.jobId,
+        attempt: entry.attempt,
         taskIndex,
         workerId,
         outcome,
       });
     }
     if (outcome === "failed") {
-      this.#measurements.recordFailed(running.job, this.#unsavedMs(running));
+      this.#measurements.recordFailed(entry.job, this.#unsavedMs(entry));
     }
   }
 
   #stop(stop: StopGang): void {
-    const running = this.#running.get(stop.jobId);
+    const entry = this.#unfinished.get(stop.jobId);
     const nowMs = this.#clock.nowMs();
     const isCheckpointed = stop.wantsCheckpoint &&
       stop.checkpointDeadlineMs - nowMs >= CHECKPOINT_DURATION_MS;
@@ -365,20 +365,20 @@
       ? CHECKPOINT_DURATION_MS
       : Math.max(STOP_DURATION_MS, stop.checkpointDeadlineMs - nowMs);
     this.#clock.after(durationMs, () => {
-      if (running === undefined || running.attempt !== stop.attempt) {
+      if (entry === undefined || entry.attempt !== stop.attempt) {
         return;
       }
-      const unsavedMs = this.#unsavedMs(running);
+      const unsavedMs = this.#unsavedMs(entry);
       this.#measurements.recordStopped(
-        running.job,
+        entry.job,
         stop.reason,
         isCheckpointed ? 0 : unsavedMs,
       );
       if (isCheckpointed) {
-        running.savedMs += unsavedMs;
+        entry.savedMs += unsavedMs;
       }
-      running.startedAtMs = undefined;
-      running.placements = [];
+      entry.startedAtMs = undefined;
+      entry.placements = [];
       this.#send({
         kind: "gangStopped",
         atMs: this.#clock.nowMs(),
@@ -389,11 +389,11 @@
     });
   }
 
-  #unsavedMs(running: RunningJob): number {
-    if (running.startedAtMs === undefined) {
+  #unsavedMs(entry: UnfinishedJob): number {
+    if (entry.startedAtMs === undefined) {
       return 0;
     }
     return this.#clock.nowMs() -
-      (running.checkpointedAtMs ?? running.startedAtMs);
+      (entry.checkpointedAtMs ?? entry.startedAtMs);
   }
 }
--- a/bench/scheduler/workload.ts
+++ b/bench/scheduler/workload.ts
@@ -74,7 +74,7 @@
   readonly specification: JobSpecification;
   readonly submittedAtMs: number;
   readonly actualRunMs: number;
-  /** When its submitter cancels it; undefined if it isn't cancelled. */
+  /** When its submitter cancels it, if it still can; undefined for never. */
   readonly cancelledAtMs: number | undefined;
   /** Whether it fails wherever it runs. */
   readonly alwaysFails: boolean;
@@ -104,6 +104,7 @@
   { weight: 4, tasks: 64, accelerators: 1, adjacency: "rack" },
 ];
 
+/** Weights of the job classes, and the ranges of their jobs' run times. */
 const JOB_CLASSES = {
   urgent: { weight: 15, fromMs: MINUTE_MS / 2, toMs: 5 * MINUTE_MS },
   dispatch: { weight: 40, fromMs: 5 * MINUTE_MS, toMs: 40 * MINUTE_MS },
@@ -224,6 +225,7 @@
   const memoryShare = size.memoryBytes * shape[0].accelerators /
     size.accelerators;
   const submittedAtMs = drawSubmissionTime(random, endMs);
+  // Squared, so that the first client accounts submit most of the jobs.
   const account = Math.floor(random.nextUnit() ** 2 * size.clientAccounts);
   return {
     submittedAtMs,
@@ -254,7 +256,7 @@
   return { weight: shape.weight * factor };
 }
 
-/** A quarter of the jobs are submitted in bursts of one minute. */
+/** A quarter of the jobs arrive in bursts: the first minute of each 2 hours. */
 function drawSubmissionTime(random: SeededRandom, endMs: number): number {
   const atMs = Math.floor(random.nextUnit() * endMs);
   if (random.nextUnit() >= BURST_JOBS_FRACTION) {
@@ -264,7 +266,7 @@
     random.nextInt(MINUTE_MS);
 }
 
-/** Some of the jobs are cancelled, together in periodic waves. */
+/** Some jobs are cancelled, in waves of 2 s after each multiple of 3 hours. */
 function drawCancellationTime(
   random: SeededRandom,
   submittedAtMs: number,
--- a/bench/system/bench_cluster.ts
+++ b/bench/system/bench_cluster.ts
@@ -60,7 +60,7 @@
     this.instances = instances;
   }
 
-  /** Starts all daemons; returns once each one serves. */
+  /** Starts all daemons; returns once each one serves HTTP. */
   static async start(options: BenchClusterOptions): Promise<BenchCluster> {
     const instances: BenchInstance[] = [];
     for (let at = 0; at < options.instances; at++) {
--- a/bench/system/edits_in_force.ts
+++ b/bench/system/edits_in_force.ts
@@ -1,7 +1,10 @@
 /**
  * Measures how soon an edit is accepted and in force on every instance, how
  * many consecutive edits are accepted per second, and what an idle instance
- * costs: real daemons on loopback, with a delay between regions.
+ * costs: real daemons on loopback, with a delay between regions. Run it from
+ * the repository's root.
+ *
+ *     node dist/bench/system/edits_in_force.js [NUMBERS OF INSTANCES]
  *
  * @module
  */
@@ -34,7 +37,7 @@
     instances,
     regionDelayMs: REGION_DELAY_MS,
   });
-  await waitUntilServing(cluster);
+  await waitForConfiguration(cluster);
   const idle = await measureIdle(cluster);
   const edits = await submitEdits(cluster);
   const inForceMs = await measureTimesInForce(cluster, edits);
@@ -58,7 +61,7 @@
   return new ApiClient({ servers: [`127.0.0.1:${port}`] });
 }
 
-async function waitUntilServing(cluster: BenchCluster): Promise<void> {
+async function waitForConfiguration(cluster: BenchCluster): Promise<void> {
   for (let at = 0; at < cluster.instances.length; at++) {
     while (await versionOf(cluster, at) === 0) {
       await delay(50);
