Mend the wording that a sample read of routing, replication and connection found

Odd: 'it' without a referent (Router.wouldRefuse), a comment that repeated two constants without their reason (#updateTickPeriod), 'the region link' undefined, a dangling 'before' (formation), a driver getter described by the whole log, the token of a command unexplained in the group oracle, a hello refusal and a claim's time-out whose texts did not say what happened.

Changed: comments, and two texts (detail of a rejected hello; detail of a claim whose deadline passed). No test assertion changed.

--- a/src/connection/incoming_link.ts
+++ b/src/connection/incoming_link.ts
@@ -122,7 +122,7 @@
       return `wrong cluster ${hello.clusterName}`;
     }
     if (hello.to !== this.#options.selfId) {
-      return `addressed to ${hello.to}`;
+      return `addressed to another instance, ${hello.to}`;
     }
     if (!this.#options.isAdmitted(hello.from)) {
       return `unknown peer ${hello.from}`;
--- a/src/process/replication/core_driver.ts
+++ b/src/process/replication/core_driver.ts
@@ -86,7 +86,7 @@
     return this.#options.core.currentAtMs(this.#options.clock.nowMs());
   }
 
-  /** Whether the results of all commands in this member's own log are known. */
+  /** Whether no command proposed to this member still waits for its result. */
   get hasFinishedProposals(): boolean {
     return this.#proposals.isEmpty;
   }
--- a/src/process/replication/formation.ts
+++ b/src/process/replication/formation.ts
@@ -15,7 +15,7 @@
 import type { RaftState } from "./raft_state.ts";
 import { becomeFollower } from "./role.ts";
 
-/** Delays the first election so that the founders learn of the group before. */
+/** Lets the founders learn of the group before the first election. */
 const FIRST_ELECTION_DELAY_MS = 100;
 
 /** Keeps the group's ID short, as every message carries it. */
--- a/src/process/replication/testing/group_oracle.ts
+++ b/src/process/replication/testing/group_oracle.ts
@@ -43,7 +43,10 @@
     this.#acknowledgedBefore.set(command, this.#highestIndex);
   }
 
-  /** Records that a leader appended a command to its log. */
+  /**
+   * Records that a leader appended a command to its log. The simulation
+   * proposes each command with its number as the token.
+   */
   recordAppend(
     memberId: string,
     appended: { token: number; index: number; term: number },
--- a/src/process/routing/core/remote_loads.ts
+++ b/src/process/routing/core/remote_loads.ts
@@ -1,5 +1,5 @@
 /**
- * Free capacity of other data centres, and the byte budget of the region link.
+ * Free capacity of other data centres, and the byte budget for other regions.
  *
  * @module
  */
--- a/src/process/routing/core/routing_core_fixture.ts
+++ b/src/process/routing/core/routing_core_fixture.ts
@@ -306,7 +306,7 @@
     }
   }
 
-  /** Checks that the call can be in time and fits the region link's budget. */
+  /** Checks that the call can be in time and fits the byte budget. */
   #checkForward(call: CallModel): void {
     check(
       this.#nowMs + ROUND_TRIP_MS < call.deadlineMs,
--- a/src/process/routing/core/routing_event.ts
+++ b/src/process/routing/core/routing_event.ts
@@ -53,7 +53,7 @@
   readonly freeSlots: number;
   /** To its instances and back. */
   readonly roundTripMs: number;
-  /** Whether bytes to it count against the budget of the region link. */
+  /** Whether bytes to it count against the byte budget for other regions. */
   readonly isOtherRegion: boolean;
 }
 
--- a/src/process/routing/core/routing_options.ts
+++ b/src/process/routing/core/routing_options.ts
@@ -36,7 +36,7 @@
   readonly retryTokens: number;
   /** Deviations above the mean service time that a call must have time for. */
   readonly serviceTimeDeviations: number;
-  /** Largest byte budget of the region link that may accumulate, in seconds. */
+  /** Largest byte budget for other regions that may accumulate, in seconds. */
   readonly crossRegionBurstSeconds: number;
   /** A load report of another data centre expires after this long. */
   readonly remoteLoadLifetimeMs: number;
--- a/src/process/routing/request_claim.ts
+++ b/src/process/routing/request_claim.ts
@@ -104,7 +104,7 @@
     const { ledger, home, record, clock } = this.#options;
     const { deadlineMs } = record;
     if (deadlineMs <= clock.nowMs()) {
-      const detail = "The ledger gave no answer before the deadline.";
+      const detail = "The deadline passed before the claim was granted.";
       return Promise.resolve(failure("outcomeUnknown", { detail }));
     }
     return ledger.execute(command, { home, deadlineMs });
--- a/src/process/routing/router.ts
+++ b/src/process/routing/router.ts
@@ -123,7 +123,7 @@
     return call.routeResult;
   }
 
-  /** Whether it would be refused as `unavailable` or `overloaded`. */
+  /** Whether the request would be refused as `unavailable` or `overloaded`. */
   wouldRefuse(record: RequestRecord): boolean {
     const call = toRoutedCall(record, { key: "", isForwarded: false });
     return this.#core.wouldRefuse(call, this.#nowMs());
@@ -158,7 +158,7 @@
     this.#updateTickPeriod();
   }
 
-  /** Ticks ten times a second while no call is open, else a hundred times. */
+  /** Ticks less often while no call is open, to save wake-ups when idle. */
   #updateTickPeriod(): void {
     const isBusy = this.#calls.size > 0;
     if (isBusy === this.#isTickBusy) {
