--- a/src/process/routing/core/ejection_test.ts
+++ b/src/process/routing/core/ejection_test.ts
@@ -51,9 +51,9 @@
     });
   }
 
-  /** Sends a call every 5 ms. */
-  run(periodMs: number): void {
-    for (const endMs = this.#nowMs + periodMs; this.#nowMs < endMs;) {
+  /** Sends a call every 5 ms for the given time. */
+  run(durationMs: number): void {
+    for (const endMs = this.#nowMs + durationMs; this.#nowMs < endMs;) {
       this.#nowMs += 5;
       if (this.#nowMs % 500 === 5) {
         this.#serverIds.forEach((serverId) => this.#announce(serverId));
