Reword comments and texts that a sample read stumbled over

A read by sample of configuration, data centre, daemon, jobs, settings, storage, timeline, logging, version, base, request, programs, platform and the stand-ins.

--- a/src/base/events/configuration_events.ts
+++ b/src/base/events/configuration_events.ts
@@ -29,7 +29,7 @@
   editUnresolved: {
     number: 3003,
     level: "warn",
-    text: "An edit got no outcome: it was not committed, or that is not known.",
+    text: "An edit got no outcome; it may or may not have been committed.",
     fields: ["editId", "team", "section", "error"],
   },
   keyRejected: {
--- a/src/process/daemon/daemon_base.ts
+++ b/src/process/daemon/daemon_base.ts
@@ -28,7 +28,7 @@
   readonly metrics: MetricsRegistry;
 }
 
-/** Reads the cluster's files and creates the rest, without opening it. */
+/** Reads the cluster's files and creates the base; opens no connections. */
 export function createDaemonBase(
   settings: Settings,
   options: { clock: Clock; random: RandomSource },
--- a/src/process/data_centre/shared_machine_test.ts
+++ b/src/process/data_centre/shared_machine_test.ts
@@ -36,7 +36,7 @@
   t.is(jobs.total, 2);
 });
 
-test("a snapshot restores its components and may lack an added one", (t) => {
+test("a snapshot that lacks a newer component is restored; an unknown format is refused", (t) => {
   const { shared } = makeShared();
   shared.apply({ part: "jobs", command: 7 }, 1);
   const copy = makeShared();
--- a/src/version/document/document.ts
+++ b/src/version/document/document.ts
@@ -130,8 +130,8 @@
   /** Maximum retries of all callers, as a fraction of first attempts. */
   retryBudgetFraction: fraction.default(0.1),
   /**
-   * Maximum bytes per second of requests forwarded to other regions, with an
-   * allowance for each answer.
+   * Maximum bytes per second of calls forwarded to other regions: the body of
+   * each request and an allowance for its answer.
    */
   crossRegionBytesPerSecond: bytes.default(250_000),
   /** Maximum fraction of the servers that may be ejected at the same time. */
--- a/standins/backend_server/announcer.ts
+++ b/standins/backend_server/announcer.ts
@@ -1,5 +1,5 @@
 /**
- * Announces a stand-in backend server to entry instances.
+ * Announces a stand-in backend server to instances.
  *
  * @module
  */
@@ -23,7 +23,7 @@
 export interface AnnouncerOptions {
   readonly serverId: string;
   readonly body: AnnouncementBody;
-  /** HTTP addresses of entry instances; each announcement goes to one. */
+  /** HTTP addresses of instances; one of them gets each announcement. */
   readonly instances: readonly string[];
   readonly clock: Clock;
   readonly random: RandomSource;
--- a/standins/backend_server/answer_fault.ts
+++ b/standins/backend_server/answer_fault.ts
@@ -25,7 +25,7 @@
   doubled: "doubled",
   /** Closes the connection in the middle of the answer. */
   truncated: "truncated",
-  /** Stops after running the request, and cuts off all running requests. */
+  /** Stops after running the request, and aborts all running requests. */
   die: "die",
 } as const;
 
--- a/standins/backend_server/standin_backend_server.ts
+++ b/standins/backend_server/standin_backend_server.ts
@@ -28,7 +28,7 @@
   readonly serverId: string;
   readonly service: string;
   readonly dataCentre: string;
-  /** HTTP addresses of entry instances. */
+  /** HTTP addresses of instances. */
   readonly instances: readonly string[];
   readonly clock: Clock;
   readonly random: RandomSource;
@@ -150,7 +150,7 @@
     await new Promise<void>((resolve) => this.#server.close(() => resolve()));
   }
 
-  /** Stops immediately and cuts off all running requests. */
+  /** Stops immediately and aborts all running requests. */
   die(): void {
     this.#announcer?.close();
     this.#server.close();
--- a/standins/worker/worker_types.ts
+++ b/standins/worker/worker_types.ts
@@ -28,8 +28,8 @@
   );
 
 /**
- * A check that the worker skips, so that tests can show that they notice when
- * it is missing: of the leader's term, of a command's validity, for released
- * attempts, or of a lease's end.
+ * A check that the worker omits, so that a test can show that it detects the
+ * omission: `term` of the leader, `late` for a command's validity, `released`
+ * for an attempt that was released, `lease` for the lease's end.
  */
 export type OmittedFence = "term" | "late" | "released" | "lease";
