Clarify seven comments of the benches and system tests

Odd: three heads and one doc comment of bench left open what is measured, which loads are run or why a measurement is discarded; three doc comments of test said less or more than their code (edits that share a version, links to workers, the reduced demo document). Changed: comments only.

--- a/bench/batch/main.ts
+++ b/bench/batch/main.ts
@@ -1,5 +1,6 @@
 /**
- * Simulates the planner under both loads and prints a row for each setting:
+ * Simulates the planner under the clearance and the rating load, and prints a
+ * row for each load, number of workers and load factor:
  * `node dist/bench/batch/main.js [SEEDS] [PLANNER OPTIONS AS JSON]`.
  *
  * @module
--- a/bench/capacity/heap.ts
+++ b/bench/capacity/heap.ts
@@ -23,7 +23,7 @@
 
 /**
  * Builds a state of each size and measures its heap in bytes. The first size is
- * built twice, and its first measurement discarded.
+ * built once more as a warm-up, whose measurement is discarded.
  */
 export async function measureHeapBySize(
   sizes: readonly number[],
--- a/bench/configuration/edit_cost.ts
+++ b/bench/configuration/edit_cost.ts
@@ -1,7 +1,7 @@
 /**
  * Measures what edits cost one instance: the time to apply one, the bytes of a
  * snapshot and the time to restore it, the heap per recorded edit, and the
- * bytes of the reports of the version in force.
+ * bytes that it sends to report the version in force.
  *
  *     node --expose-gc dist/bench/configuration/edit_cost.js
  *
--- a/bench/scheduler/measurements.ts
+++ b/bench/scheduler/measurements.ts
@@ -22,7 +22,7 @@
   readonly completionSeconds: Readonly<Record<string, Distribution>>;
   /** From submission to the first start, by job class. */
   readonly startSeconds: Readonly<Record<string, Distribution>>;
-  /** The same of gangs of 32 tasks or more, by number of tasks. */
+  /** The same, for gangs of 32 tasks or more, by number of tasks. */
   readonly gangWaitSeconds: Readonly<Record<string, Distribution>>;
   /** From the decision to preempt for a job until it starts, by job class. */
   readonly evictionSeconds: Readonly<Record<string, Distribution>>;
--- a/test/process/edit_load.ts
+++ b/test/process/edit_load.ts
@@ -46,7 +46,7 @@
 
   /**
    * Checks that an instance's history has every accepted edit at its version,
-   * and that no two edits share a version.
+   * and that no two accepted edits share a version.
    */
   async findViolations(instanceId: string): Promise<string[]> {
     const answer = await this.#cluster.get(
--- a/test/process/prepare.ts
+++ b/test/process/prepare.ts
@@ -24,7 +24,7 @@
   writeFileSync(`${folder}/programs`, listPrograms(layout).join("\n") + "\n");
 }
 
-/** The demo's document with one rack in each data centre. */
+/** The demo's document with one rack per data centre, each guarantee once. */
 function createDocument(): string {
   const text = readFileSync("examples/demo/document.toml", "utf8");
   const document = parse(text) as {
--- a/test/system/system_links.ts
+++ b/test/system/system_links.ts
@@ -10,7 +10,7 @@
 import { SYSTEM_INSTANCES, type SystemInstanceId } from "./system_document.ts";
 import { SYSTEM_WORKER_IDS } from "./system_workers.ts";
 
-/** Links between instances, and from instances to workers. */
+/** Links between instances, and between instances and workers. */
 export class SystemLinks {
   readonly #hub: FakePeerHub;
   readonly #workerLinks: FakeLinks;
