Reword what a sample of the scheduler and the batch scheduler left unclear

Odd were: counts told as "How often", limits as "The most", jobs that are "given up" while they are transferred, zombies beside the stale attempts of the core, and a few lower-case ids in prose.

No behaviour, assertion or constant changed.

--- a/src/process/batch/batch_command.ts
+++ b/src/process/batch/batch_command.ts
@@ -18,7 +18,7 @@
 export const BATCH_FORMAT_VERSION = 1;
 
 /**
- * The key of one worker incarnation, `<worker id>@<Unix time of its start>`. An
+ * The key of one worker incarnation, `<worker ID>@<Unix time of its start>`. An
  * incarnation is one process of a worker, from its start to its end.
  */
 export type WorkerKey = string;
@@ -28,7 +28,7 @@
   return `${id}@${bornMs}`;
 }
 
-/** The id of the worker that an incarnation belongs to. */
+/** The ID of the worker that an incarnation belongs to. */
 export function workerIdOf(key: WorkerKey): string {
   return key.slice(0, key.lastIndexOf("@"));
 }
--- a/src/process/batch/batch_timing.ts
+++ b/src/process/batch/batch_timing.ts
@@ -65,8 +65,8 @@
 }
 
 /**
- * A gang is given up so long before its tasks stop waiting on their workers,
- * since the start orders take up to this long to arrive.
+ * A gang that hasn't started is stopped this long before its tasks stop waiting
+ * on their workers, since start orders take up to this long to arrive.
  */
 const GANG_MARGIN_MS = 1_000;
 
--- a/src/process/batch/decisions/admission.ts
+++ b/src/process/batch/decisions/admission.ts
@@ -34,7 +34,7 @@
     readonly detail: string;
   };
 
-/** The most active jobs; limits memory. */
+/** Maximum number of active jobs; limits memory. */
 const ACTIVE_JOBS_LIMIT = 5_000;
 
 /** Retry time after a full queue: about the duration of one job. */
--- a/src/process/batch/decisions/pool_view.ts
+++ b/src/process/batch/decisions/pool_view.ts
@@ -14,7 +14,7 @@
 export interface WorkerCondition {
   /** Whether it answers lease renewals. */
   readonly isReachable: boolean;
-  /** Whether it is avoided because of failed runs, or because it is unwell. */
+  /** Whether it is avoided after failed runs or a report that it is unwell. */
   readonly isSuspect: boolean;
   /** Whether it has just refused a start for lack of capacity. */
   readonly isFull: boolean;
--- a/src/process/batch/job_record.ts
+++ b/src/process/batch/job_record.ts
@@ -82,7 +82,7 @@
   };
 }
 
-/** How often the job's steps run. */
+/** How many times the job's steps run. */
 export function occurrenceCount(job: JobRecord): number {
   return job.spec.recurrence?.count ?? 1;
 }
--- a/src/process/batch/job_spec.ts
+++ b/src/process/batch/job_spec.ts
@@ -35,7 +35,7 @@
   readonly requiredLabel: string | undefined;
   /** The rack that holds the tasks' data; other racks are slower. */
   readonly dataRack: string | undefined;
-  /** The most tasks of this step on one worker. */
+  /** Maximum number of tasks of this step on one worker. */
   readonly tasksPerWorkerLimit: number | undefined;
 }
 
@@ -55,13 +55,13 @@
   readonly recurrence: Recurrence | undefined;
 }
 
-/** The most steps of one job. */
+/** Maximum number of steps of one job. */
 export const STEPS_LIMIT = 64;
 
-/** The most tasks of one job in one occurrence. */
+/** Maximum number of tasks of one job in one occurrence. */
 export const TASKS_LIMIT = 4_096;
 
-/** The most occurrences of one job. */
+/** Maximum number of occurrences of one job. */
 export const OCCURRENCES_LIMIT = 10_000;
 
 /** What is wrong with a job; undefined if it is valid. */
--- a/src/process/batch/leader/batch_writer.ts
+++ b/src/process/batch/leader/batch_writer.ts
@@ -35,7 +35,7 @@
   readonly resolve: (applied: boolean | undefined) => void;
 }
 
-/** The most written items of one batch; planned items come on top. */
+/** Maximum number of written items in a batch; planned items are extra. */
 const ITEMS_LIMIT = 512;
 
 /** Commits items in order; after the first failure it commits nothing more. */
--- a/src/process/batch/leader/run_orders.ts
+++ b/src/process/batch/leader/run_orders.ts
@@ -81,7 +81,7 @@
     });
   }
 
-  /** Revokes unanswered starts that were sent to earlier incarnations. */
+  /** Revokes a worker's unanswered starts, except of runs open on `key`. */
   revokeUnanswered(key: WorkerKey): void {
     const { clock, runs } = this.#options;
     for (
@@ -165,5 +165,5 @@
   }
 }
 
-/** The most times that a revocation is sent: for 2.4 s without an answer. */
+/** Maximum number of times a revocation is sent: 2.4 s without an answer. */
 const REVOKE_ATTEMPTS_LIMIT = 6;
--- a/src/process/batch/leader/run_table.ts
+++ b/src/process/batch/leader/run_table.ts
@@ -55,7 +55,7 @@
   stoppedAtMs: number | undefined;
   /** Orders that were sent and not answered yet. */
   pendingOrders: number;
-  /** How often the start was sent; initially 1 for an inherited run. */
+  /** How many times the start was sent; initially 1 for an inherited run. */
   startsSent: number;
   /** The earliest time of the next order. */
   nextCallAtMs: number;
@@ -182,7 +182,7 @@
     }
   }
 
-  /** Closes all ended runs of the step: one end may stand for a whole gang. */
+  /** Closes all ended runs of the step: one task's end may end its gang. */
   #closeEnded(ended: TaskRef, state: BatchState): void {
     const tasks = state.jobs.get(ended.jobId)?.occurrences[ended.occurrence]
       ?.steps[ended.step]?.tasks ?? [];
--- a/src/process/batch/leader/unanswered_starts.ts
+++ b/src/process/batch/leader/unanswered_starts.ts
@@ -10,7 +10,7 @@
 /** A start counts as lost after this; workers may be up to 12 s late. */
 const ARRIVAL_LIMIT_MS = 13_000;
 
-/** The most starts kept for one worker; the oldest are dropped first. */
+/** Maximum number of starts kept per worker; the oldest is dropped first. */
 const STARTS_LIMIT = 200;
 
 /** A start that may still be carried out. */
@@ -20,7 +20,7 @@
   readonly expiresAtMs: number;
 }
 
-/** Unanswered starts by the id of their worker. */
+/** Unanswered starts by the ID of their worker. */
 export class UnansweredStarts {
   readonly #starts = new Map<string, UnansweredStart[]>();
 
--- a/src/process/batch/state_host.ts
+++ b/src/process/batch/state_host.ts
@@ -28,7 +28,7 @@
 import type { BatchTiming } from "./batch_timing.ts";
 import type { WorkerCalls } from "./worker_calls.ts";
 
-/** The group's id in its messages and on disk. */
+/** The group's ID in its messages and on disk. */
 const GROUP_ID = "batch";
 
 /** How often the group's voters are added to the known peers. */
@@ -36,7 +36,7 @@
 
 /**
  * Elections are fast: urgent jobs leave 1.7 s for one, and the members are at
- * most 20 ms apart. A leader is given up after four lost heartbeats.
+ * most 20 ms apart. A leader counts as silent after four lost heartbeats.
  */
 const GROUP_TIMING = {
   tickMs: 25,
--- a/src/process/batch/worker_incarnations.ts
+++ b/src/process/batch/worker_incarnations.ts
@@ -10,7 +10,7 @@
 /** Worker incarnations by key, in the order of their last change. */
 export class WorkerIncarnations {
   readonly #byKey = new Map<WorkerKey, WorkerRecord>();
-  /** Derived: the incarnations that share a worker id or an address. */
+  /** Derived: the incarnations that share a worker ID or an address. */
   readonly #byExclusiveKey = new Map<string, Set<WorkerKey>>();
 
   constructor(workers: Iterable<WorkerRecord> = []) {
--- a/src/process/scheduler/core/data_centre_change_test.ts
+++ b/src/process/scheduler/core/data_centre_change_test.ts
@@ -100,7 +100,7 @@
   runtime.submit(makeJob("job"));
   advance(runtime);
   const workerId = runtime.core.jobView("job")?.placements[0]?.workerId ?? "";
-  runtime.lose(workerId, { leavesZombies: true });
+  runtime.lose(workerId, { leavesStaleTasks: true });
   advance(runtime, 2_000);
   t.is(runtime.core.jobView("job")?.attempt, 2);
   runtime.join(workerId);
--- a/src/process/scheduler/core/evictor.ts
+++ b/src/process/scheduler/core/evictor.ts
@@ -30,7 +30,7 @@
 const URGENT_START_TARGET_MS = 1_900;
 /** Part of the start target that is kept for the start itself. */
 const START_MARGIN_MS = 700;
-/** Most racks that are searched for a block for one urgent job. */
+/** Maximum number of racks searched for a block for one urgent job. */
 const EVALUATED_RACKS_LIMIT = 12;
 /**
  * Largest fraction of the declared accelerators that several draining
--- a/src/process/scheduler/core/guarantee_packing_test.ts
+++ b/src/process/scheduler/core/guarantee_packing_test.ts
@@ -38,7 +38,7 @@
       const runtime = new FakeRuntime({ document, workers });
       runtime.tick(100);
       const workerId = workers[lost]?.workerId ?? "";
-      runtime.lose(workerId, { leavesZombies: false });
+      runtime.lose(workerId, { leavesStaleTasks: false });
       runtime.join(workerId);
       runtime.tick(100);
       t.deepEqual(runtime.violations, []);
--- a/src/process/scheduler/core/job_state.ts
+++ b/src/process/scheduler/core/job_state.ts
@@ -80,7 +80,7 @@
   isThrottled: boolean;
   /** Accelerators held beyond the guarantee, subject to the borrowing limit. */
   borrowedAccelerators: number;
-  /** How often it was evicted for the draining reservation of another gang. */
+  /** How many times it was evicted for another gang's draining reservation. */
   drainEvictions: number;
   /** The key of its queue group; undefined while it isn't in the queue. */
   queueGroup: string | undefined;
--- a/src/process/scheduler/core/reservation_manager.ts
+++ b/src/process/scheduler/core/reservation_manager.ts
@@ -16,7 +16,7 @@
 
 /** Time that victims get to stop after their checkpoint deadline. */
 export const EVICTION_GRACE_MS = 60_000;
-/** How often draining reservations may evict the same job. */
+/** How many times draining reservations may evict the same job. */
 const DRAIN_EVICTIONS_LIMIT = 2;
 
 /** Options of {@link ReservationManager.open}. */
--- a/src/process/scheduler/core/scheduler_core_fuzz_test.ts
+++ b/src/process/scheduler/core/scheduler_core_fuzz_test.ts
@@ -18,7 +18,7 @@
   | { kind: "deliver"; index: number; fails: boolean }
   | { kind: "endGang"; index: number; fails: boolean }
   | { kind: "tick"; byMs: number }
-  | { kind: "lose"; index: number; leavesZombies: boolean }
+  | { kind: "lose"; index: number; leavesStaleTasks: boolean }
   | { kind: "join"; index: number }
   | { kind: "leave"; index: number }
   | { kind: "status"; isOut: boolean }
@@ -104,7 +104,7 @@
     arbitrary: fc.record({
       kind: fc.constant("lose" as const),
       index: anyIndex,
-      leavesZombies: fc.boolean(),
+      leavesStaleTasks: fc.boolean(),
     }),
   },
   {
@@ -209,7 +209,7 @@
       return runtime.tick(step.byMs);
     case "lose":
       return runtime.lose(pick([...runtime.workers.keys()], step.index) ?? "", {
-        leavesZombies: step.leavesZombies,
+        leavesStaleTasks: step.leavesStaleTasks,
       });
     case "join":
       return runtime.join(pick([...runtime.workers.keys()], step.index) ?? "");
--- a/src/process/scheduler/core/scheduler_core_test.ts
+++ b/src/process/scheduler/core/scheduler_core_test.ts
@@ -94,7 +94,7 @@
     each.guaranteeAccelerators
   )
     .map(({ workerId }) => workerId);
-  runtime.lose(taken[0] ?? "", { leavesZombies: false });
+  runtime.lose(taken[0] ?? "", { leavesStaleTasks: false });
   t.is(runtime.core.metrics().unplacedGuarantees, 0);
   t.deepEqual(runtime.violations, []);
 });
@@ -159,7 +159,7 @@
 test("a failed start of a cancelled job doesn't count against the workers", (t) => {
   const runtime = makeRuntime();
   for (const workerId of [...runtime.workers.keys()].slice(1)) {
-    runtime.lose(workerId, { leavesZombies: false });
+    runtime.lose(workerId, { leavesStaleTasks: false });
   }
   for (let index = 0; index < 4; index++) {
     runtime.submit(makeJob(`job-${index}`));
--- a/src/process/scheduler/core/testing/fake_runtime.ts
+++ b/src/process/scheduler/core/testing/fake_runtime.ts
@@ -145,7 +145,7 @@
       kind: "workerJoined",
       atMs: this.nowMs,
       worker: worker.description,
-      running: [...running, ...worker.zombies],
+      running: [...running, ...worker.staleTasks],
     });
   }
 
@@ -157,14 +157,14 @@
     }
   }
 
-  /** Loses a worker, whose tasks keep running if `leavesZombies` is set. */
-  lose(workerId: string, options: { leavesZombies: boolean }): void {
+  /** Loses a worker; its tasks keep running if `leavesStaleTasks` is set. */
+  lose(workerId: string, options: { leavesStaleTasks: boolean }): void {
     const worker = this.workers.get(workerId);
     if (worker === undefined || worker.state === "lost") {
       return;
     }
     worker.state = "lost";
-    worker.zombies = options.leavesZombies
+    worker.staleTasks = options.leavesStaleTasks
       ? [...worker.running.values()].flat()
       : [];
     worker.running.clear();
@@ -381,7 +381,9 @@
     const key = keyOf(attempt);
     for (const worker of this.workers.values()) {
       worker.running.delete(key);
-      worker.zombies = worker.zombies.filter((task) => keyOf(task) !== key);
+      worker.staleTasks = worker.staleTasks.filter((task) =>
+        keyOf(task) !== key
+      );
     }
     this.#setRunning(attempt, false);
   }
--- a/src/process/scheduler/core/testing/oracle.ts
+++ b/src/process/scheduler/core/testing/oracle.ts
@@ -16,12 +16,12 @@
   /** Tasks that it runs, by attempt key. */
   readonly running: Map<string, TaskReference[]>;
   /** Tasks that keep running after the worker was lost. */
-  zombies: TaskReference[];
+  staleTasks: TaskReference[];
 }
 
 /** A worker that hasn't joined yet. */
 export function newFakeWorker(description: WorkerDescription): FakeWorker {
-  return { description, state: "lost", running: new Map(), zombies: [] };
+  return { description, state: "lost", running: new Map(), staleTasks: [] };
 }
 
 /** One attempt that the core decided to start. */
--- a/src/process/scheduler/core/testing/settle.ts
+++ b/src/process/scheduler/core/testing/settle.ts
@@ -14,7 +14,7 @@
 export function settle(runtime: FakeRuntime): void {
   runtime.setStatus("in");
   for (const worker of runtime.workers.values()) {
-    worker.zombies = [];
+    worker.staleTasks = [];
     runtime.join(worker.description.workerId);
   }
   for (let round = 0; round < ROUNDS_LIMIT && !isSettled(runtime); round++) {
--- a/src/process/scheduler/runtime/data_centre_choice.ts
+++ b/src/process/scheduler/runtime/data_centre_choice.ts
@@ -18,7 +18,7 @@
 
 /**
  * The data centre whose log decides whether the job is new: the first that
- * the job names, or one chosen by rendezvous hashing of the job's id. A data
+ * the job names, or one chosen by rendezvous hashing of the job's ID. A data
  * centre's status doesn't matter, so that a resubmission reaches the same log.
  */
 export function homeDataCentre(
--- a/src/process/scheduler/runtime/data_centre_out_test.ts
+++ b/src/process/scheduler/runtime/data_centre_out_test.ts
@@ -63,7 +63,7 @@
   return { simulation, waiting };
 }
 
-test("no task starts later than two seconds after a removal, even with copies cut off", async (t) => {
+test("no task starts later than two seconds after a removal, even with configuration copies cut off", async (t) => {
   for (let seed = 1; seed <= 10; seed++) {
     const isCutOff = seed % 2 === 0;
     const { simulation, waiting } = await removeOverUnreliableLinks({
@@ -112,11 +112,11 @@
     const outcomes = [first, second]
       .map((simulation) => simulation.ledger.get(jobId)?.end?.outcome);
     t.deepEqual(outcomes, [undefined, "succeeded"]);
-    const moved = first.ledger.get(jobId);
-    t.not(moved?.transfer?.acceptedAtMs, undefined);
+    const transferred = first.ledger.get(jobId);
+    t.not(transferred?.transfer?.acceptedAtMs, undefined);
     t.true(
       (second.ledger.get(jobId)?.attemptsUsed ?? 0) >
-        (moved?.attemptsUsed ?? 0),
+        (transferred?.attemptsUsed ?? 0),
     );
   }
   t.deepEqual(first.history.violations, []);
@@ -254,7 +254,7 @@
   t.is(third.ledger.get("j1")?.end?.outcome, "succeeded");
 });
 
-test("giving a job up before the target has accepted it is detected", async (t) => {
+test("marking a job as transferred before the target has accepted it loses the job", async (t) => {
   const { environment, first, second } = makePair({
     omittedChecks: ["transferOnce"],
   });
@@ -262,10 +262,10 @@
   await first.advance(2_000);
   void first.submit({ jobId: "j1", dataCentres: ["dc1", "dc2"] });
   // The target answers the query, but the job itself is lost on its way.
-  let owner = first.ledger.get("j1")?.transfer;
-  while (owner === undefined) {
+  let transfer = first.ledger.get("j1")?.transfer;
+  while (transfer === undefined) {
     await first.advance(1);
-    owner = first.ledger.get("j1")?.transfer;
+    transfer = first.ledger.get("j1")?.transfer;
   }
   for (const from of first.instanceIds) {
     second.instanceIds.forEach((to) => environment.links.cut(from, to));
@@ -281,9 +281,9 @@
   for (const isReceived of [true, false]) {
     const { environment, first, second } = makePair();
     await first.advance(1_000);
-    for (const away of first.instanceIds) {
-      for (const home of second.instanceIds) {
-        const [from, to] = isReceived ? [home, away] : [away, home];
+    for (const caller of first.instanceIds) {
+      for (const target of second.instanceIds) {
+        const [from, to] = isReceived ? [target, caller] : [caller, target];
         environment.links.cut(from, to);
       }
     }
--- a/src/process/scheduler/runtime/job_record.ts
+++ b/src/process/scheduler/runtime/job_record.ts
@@ -54,7 +54,7 @@
 export const jobRecordSchema = z.strictObject({
   specification: jobSpecificationSchema,
   submittedAtMs: timestampMs,
-  /** How often the job has been transferred to another data centre. */
+  /** How many times the job was transferred to another data centre. */
   transfers: z.int().min(0),
   /** The highest attempt number used. */
   attemptsUsed: z.int().min(0),
--- a/src/process/scheduler/runtime/job_transferrer.ts
+++ b/src/process/scheduler/runtime/job_transferrer.ts
@@ -32,7 +32,7 @@
     dataCentre: DataCentreId,
     call: SchedulerCall,
   ) => Promise<Result<SchedulerAnswer>>;
-  /** Gives jobs up before the target has accepted them; only for tests. */
+  /** Marks jobs as transferred without the target's answer; only for tests. */
   readonly skipsAcknowledgement: boolean;
 }
 
--- a/src/process/scheduler/runtime/session_context.ts
+++ b/src/process/scheduler/runtime/session_context.ts
@@ -36,7 +36,7 @@
   | "lapseWait"
   /** Tasks of attempts that the leader doesn't know are released. */
   | "returnedTasks"
-  /** A job is given up only once the other data centre has accepted it. */
+  /** A job counts as transferred only once the target has accepted it. */
   | "transferOnce";
 
 /** State and services shared by the parts of a leader session. */
