--- a/src/process/scheduler/core/testing/fake_runtime.ts
+++ b/src/process/scheduler/core/testing/fake_runtime.ts
@@ -381,9 +381,7 @@
     const key = keyOf(attempt);
     for (const worker of this.workers.values()) {
       worker.running.delete(key);
-      worker.staleTasks = worker.staleTasks.filter((task) =>
-        keyOf(task) !== key
-      );
+      worker.staleTasks = worker.staleTasks.filter((ref) => keyOf(ref) !== key);
     }
     this.#setRunning(attempt, false);
   }
