--- a/src/process/routing/core/routing_core_fixture.ts
+++ b/src/process/routing/core/routing_core_fixture.ts
@@ -362,10 +362,7 @@
       other.rank < call.rank && !other.forwarded &&
       other.deadlineMs > this.#nowMs
     );
-    check(
-      !overtaken || this.#ejected.has(serverId),
-      "overtook a more urgent call",
-    );
+    check(!overtaken || this.#ejected.has(serverId), "overtook an urgent call");
   }
 
   #checkRetryBudget(isRetry: boolean): void {
