--- /dev/null
+++ b/review/standins/worker.mjs
@@ -0,0 +1,263 @@
+/**
+ * A worker, as PROTOCOL.md describes it in "Running tasks" and "Service
+ * discovery". Tasks wait for their time to pass; gangs and checkpoints aren't
+ * supported.
+ */
+
+import { createServer } from "node:http";
+import { httpCall } from "./http_call.mjs";
+
+const HEARTBEAT_MS = 1_500;
+const HEARTBEAT_TIMEOUT_MS = 1_000;
+const LEASE_CHECK_MS = 20;
+const STOP_MS = 50;
+const REPORTED_ENDS_LIMIT = 500;
+
+export class Worker {
+  #options;
+  #record;
+  #server;
+  #bornAtMs = Date.now();
+  #steadyBeganAtMs = performance.now();
+  #seq = 0;
+  #state = "ready";
+  #highestToken = 0;
+  #leaseEndMs = 0;
+  #running = new Map();
+  /** Of each task, the highest run that was stopped or has ended. */
+  #revokedUpTo = new Map();
+  #ends = [];
+  #endCount = 0;
+  #waiters = new Set();
+  #timers = [];
+  #heartbeatUrl;
+
+  /** All starts and ends on this worker: task, run, kind, atMs, how. */
+  history = [];
+
+  /**
+   * `taskMs` is how long a task works; `announced` is the address in its
+   * heartbeats, its own by default (the address of a proxy in front of it).
+   */
+  constructor({ id, host, zone, controlAddresses, taskMs, gpu = 1, record }) {
+    this.#options = { id, host, zone, controlAddresses, taskMs, gpu };
+    this.#record = record;
+    this.#server = createServer((request, response) => {
+      void this.#serve(request, response);
+    });
+  }
+
+  get id() {
+    return this.#options.id;
+  }
+
+  get zone() {
+    return this.#options.zone;
+  }
+
+  /** Its own address. */
+  get address() {
+    return `${this.#options.host}:${this.#server.address().port}`;
+  }
+
+  async open(announcedOf = (address) => address) {
+    const { host } = this.#options;
+    await new Promise((done) => this.#server.listen(0, host, done));
+    this.announced = await announcedOf(this.address);
+    await this.#heartbeat();
+    this.#timers = [
+      setInterval(() => void this.#heartbeat(), HEARTBEAT_MS),
+      setInterval(() => this.#checkLease(), LEASE_CHECK_MS),
+    ];
+  }
+
+  /** Reports `draining`; resolves to the time of the acknowledgement. */
+  async drain() {
+    this.#state = "draining";
+    this.#record.note(`worker ${this.id}: reports draining`);
+    while (!await this.#heartbeat()) {
+      // Every node has been called; the next round follows at once.
+    }
+    this.#record.note(`worker ${this.id}: draining is acknowledged`);
+    return this.#record.nowMs();
+  }
+
+  close() {
+    this.#timers.forEach((timer) => clearInterval(timer));
+    this.#running.forEach(({ timer }) => clearTimeout(timer));
+    this.#waiters.forEach((resume) => resume());
+    this.#server.closeAllConnections();
+    this.#server.close();
+  }
+
+  #clockMs() {
+    return Math.floor(performance.now() - this.#steadyBeganAtMs);
+  }
+
+  /** Calls one node after another; true once one acknowledges. */
+  async #heartbeat() {
+    const { id, zone, controlAddresses, gpu } = this.#options;
+    const known = this.#heartbeatUrl;
+    const addresses = [
+      ...(known === undefined ? [] : [known]),
+      ...controlAddresses,
+    ];
+    for (const address of addresses) {
+      const { status, body } = await httpCall({
+        address,
+        method: "PUT",
+        path: `/sesamethread/instances/${id}`,
+        body: {
+          service: "pool",
+          address: this.announced,
+          zone,
+          version: "v1",
+          slots: 8,
+          state: this.#state,
+          coldLeftMs: 0,
+          capacity: { cpu: 32_000, memMb: 65_536, gpu },
+          labels: ["a", `rack-${zone}`],
+          clockMs: this.#clockMs(),
+          born: this.#bornAtMs,
+          seq: ++this.#seq,
+        },
+        timeoutMs: HEARTBEAT_TIMEOUT_MS,
+      });
+      if (status === 200) {
+        this.#heartbeatUrl = body?.heartbeatUrl;
+        return true;
+      }
+      this.#heartbeatUrl = undefined;
+    }
+    return false;
+  }
+
+  async #serve(request, response) {
+    const chunks = [];
+    for await (const chunk of request) {
+      chunks.push(chunk);
+    }
+    const expected = request.headers["sesamethread-expect-instance"];
+    const answer = expected !== undefined && expected !== this.id
+      ? { status: 421, body: {} }
+      : await this.#handle(
+        request.url,
+        JSON.parse(Buffer.concat(chunks).toString("utf8")),
+      );
+    response.writeHead(answer.status, { "content-type": "application/json" });
+    response.end(JSON.stringify({
+      clockMs: this.#clockMs(),
+      born: this.#bornAtMs,
+      ...answer.body,
+    }));
+  }
+
+  async #handle(url, body) {
+    const token = body.fencingToken ?? 0;
+    if (token < this.#highestToken) {
+      return { status: 409, body: { reason: "fence" } };
+    }
+    this.#highestToken = token;
+    switch (url) {
+      case "/sesamethread/run-start":
+        return this.#start(body);
+      case "/sesamethread/run-stop":
+        this.#stop(body.task, body.run);
+        return { status: 200, body: {} };
+      case "/sesamethread/hold":
+        return await this.#hold(body);
+      default:
+        return { status: 404, body: {} };
+    }
+  }
+
+  #start({ task, run, deadlineMs }) {
+    const { gpu, taskMs } = this.#options;
+    this.#record.note(`worker ${this.id}: order to start ${task} run ${run}`);
+    if (this.#running.get(task)?.run === run) {
+      return { status: 200, body: {} };
+    }
+    if (deadlineMs <= this.#clockMs()) {
+      return { status: 409, body: { reason: "late" } };
+    }
+    this.#extendLease(deadlineMs);
+    if (run <= (this.#revokedUpTo.get(task) ?? 0)) {
+      return { status: 409, body: { reason: "old" } };
+    }
+    if (this.#running.size >= gpu) {
+      return { status: 409, body: { reason: "room" } };
+    }
+    const timer = setTimeout(() => this.#end(task, "done"), taskMs);
+    this.#running.set(task, { run, timer, beganAtMs: this.#clockMs() });
+    this.#log("start", task, run, "");
+    return { status: 200, body: {} };
+  }
+
+  #stop(task, run) {
+    this.#record.note(`worker ${this.id}: order to stop ${task} run ${run}`);
+    const revoked = Math.max(run, this.#revokedUpTo.get(task) ?? 0);
+    this.#revokedUpTo.set(task, revoked);
+    const held = this.#running.get(task);
+    if (held?.run === run) {
+      clearTimeout(held.timer);
+      held.timer = setTimeout(() => this.#end(task, "stopped"), STOP_MS);
+    }
+  }
+
+  async #hold({ deadlineMs, ackCursor = 0, waitMs = 0 }) {
+    if (deadlineMs !== undefined) {
+      this.#extendLease(deadlineMs);
+    }
+    this.#ends = this.#ends.filter(([number]) => number > ackCursor);
+    if (this.#ends.length === 0 && waitMs > 0) {
+      await new Promise((done) => {
+        const resume = () => {
+          clearTimeout(timer);
+          this.#waiters.delete(resume);
+          done();
+        };
+        const timer = setTimeout(resume, Math.min(waitMs, 2_000));
+        this.#waiters.add(resume);
+      });
+    }
+    const running = [...this.#running].map(([task, { run, beganAtMs }]) => {
+      const share = (this.#clockMs() - beganAtMs) / this.#options.taskMs;
+      return [task, run, "", Math.min(99, Math.floor(share * 100)), 0];
+    });
+    const finished = this.#ends.slice(0, REPORTED_ENDS_LIMIT);
+    return { status: 200, body: { running, finished } };
+  }
+
+  #extendLease(deadlineMs) {
+    const limitMs = this.#clockMs() + 10_000;
+    this.#leaseEndMs = Math.max(
+      this.#leaseEndMs,
+      Math.min(deadlineMs, limitMs),
+    );
+  }
+
+  #checkLease() {
+    if (this.#clockMs() >= this.#leaseEndMs) {
+      [...this.#running.keys()].forEach((task) => this.#end(task, "lapsed"));
+    }
+  }
+
+  #end(task, how) {
+    const { run, timer } = this.#running.get(task);
+    clearTimeout(timer);
+    this.#running.delete(task);
+    const revoked = Math.max(run, this.#revokedUpTo.get(task) ?? 0);
+    this.#revokedUpTo.set(task, revoked);
+    this.#ends.push([++this.#endCount, task, run, how, ""]);
+    this.#log("end", task, run, how);
+    [...this.#waiters].forEach((resume) => resume());
+  }
+
+  #log(kind, task, run, how) {
+    const atMs = this.#record.nowMs();
+    this.history.push({ kind, worker: this.id, task, run, atMs, how });
+    this.#record.note(
+      `worker ${this.id} in ${this.zone}: ${kind} of ${task} run ${run} ${how}`,
+    );
+  }
+}
