--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -3,6 +3,7 @@
 import { CouldNotRun, HAS_TROUBLE, historyOf, runCase } from
   "../standins/case.mjs";
 import { sleep } from "../standins/deployment.mjs";
+import { findOverlaps } from "../standins/overlaps.mjs";
 
 const WORKERS = 3;
 const TASK_MS = 3_000;
@@ -12,28 +13,6 @@
 /** A random ID; each has a letter. */
 const JOB_ID = HAS_TROUBLE ? "5C0E7A21D94B36F8" : "5c0e7a21d94b36f8";
 
-/** Pairs of runs of one task that were there at the same time. */
-function findOverlaps(history) {
-  const running = new Map();
-  const overlaps = [];
-  for (const { kind, task, run, worker, atMs } of history) {
-    const runs = running.get(task) ?? new Set();
-    running.set(task, runs);
-    if (kind === "end") {
-      runs.delete(run);
-      continue;
-    }
-    for (const other of runs) {
-      overlaps.push(
-        `${task}: run ${run} started on ${worker} at ${atMs} ms while run ` +
-          `${other} was running`,
-      );
-    }
-    runs.add(run);
-  }
-  return overlaps;
-}
-
 await runCase({
   workers: (deployment) =>
     Array.from({ length: WORKERS }, (_, at) => ({
--- a/review/standins/worker.mjs
+++ b/review/standins/worker.mjs
@@ -35,6 +35,9 @@
   /** All starts and ends on this worker: task, run, kind, atMs, how. */
   history = [];
 
+  /** While true, its heartbeats are lost on their way. */
+  isCutOff = false;
+
   /**
    * `taskMs` is how long a task works; `announced` is the address in its
    * heartbeats, its own by default (the address of a proxy in front of it).
@@ -96,6 +99,9 @@
 
   /** Calls one node after another; true once one acknowledges. */
   async #heartbeat() {
+    if (this.isCutOff) {
+      return false;
+    }
     const { id, zone, controlAddresses, gpu } = this.#options;
     const known = this.#heartbeatUrl;
     const addresses = [
