--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,73 +1,75 @@
 /**
- * DRAIN: orders to one worker are lost for a while, one way only, and it reports
- * meanwhile that it drains.
+ * EVAC: a core is suspended while the operator takes a data centre back in, and
+ * wakes after the operator has taken it out again.
  */
 
 import { CouldNotRun, HAS_TROUBLE, historyOf, runCase } from
   "../standins/case.mjs";
 import { BOUNDS, sleep } from "../standins/deployment.mjs";
-import { SilentProxy } from "../standins/silent_proxy.mjs";
 
-const ZONE = "windsor";
-const WORKERS = 6;
+const ZONE = "london-on";
+const OTHER_ZONE = "windsor";
+const EVACUATION = `/sesamethread/evacuate/${ZONE}`;
 
-/** Shorter than the 5.5 s of `node_cut` "servers one_way" in the site file. */
-const CUT_MS = 4_500;
+/** Shorter than the 4 s of `node_freeze` on a core in the site file. */
+const FREEZE_MS = 4_000;
 
-const TASK_MS = 3_000;
-const STEPS = [{
-  count: WORKERS,
-  cpu: 500,
-  memMb: 256,
-  gpu: 1,
-  estimateMs: TASK_MS,
-}];
+const JOBS_FOR_MS = 16_000;
+const JOB_PERIOD_MS = 400;
+const STEPS = [{ count: 2, cpu: 500, memMb: 256, gpu: 1, estimateMs: 1_000 }];
 
-let proxy;
+const workersIn = (deployment, zone, firstHost) =>
+  [0, 1, 2].map((at) => ({
+    id: `i-${zone}-${at}`,
+    host: deployment.hostAt(firstHost + at),
+    zone,
+    taskMs: 1_000,
+  }));
 
 await runCase({
-  workers: (deployment) =>
-    Array.from({ length: WORKERS }, (_, at) => ({
-      id: `i-${at}`,
-      host: deployment.hostAt(51 + at),
-      zone: ZONE,
-      taskMs: TASK_MS,
-      ...(at === 0
-        ? {
-          announcedOf: (target) => {
-            proxy = new SilentProxy({ host: deployment.hostAt(71), target });
-            return proxy.open();
-          },
-        }
-        : {}),
-    })),
-  play: async ({ client, record, workers }) => {
-    const [leaving] = workers;
-    await sleep(BOUNDS.contactMs + 1_000);
+  workers: (deployment) => [
+    ...workersIn(deployment, ZONE, 51),
+    ...workersIn(deployment, OTHER_ZONE, 61),
+  ],
+  play: async ({ deployment, operator, client, record, workers }) => {
+    await sleep(BOUNDS.contactMs);
+    await operator.order("POST", EVACUATION);
+    await sleep(2_000);
+    const follower = deployment.coreIds.findIndex((id) =>
+      id !== deployment.leaderId()
+    );
+    const followerId = deployment.coreIds[follower];
     if (HAS_TROUBLE) {
-      record.note(`link: orders to ${leaving.id} are lost from now on`);
-      proxy.silence();
+      deployment.signal(followerId, "SIGSTOP");
     }
-    const cutAtMs = record.nowMs();
-    await client.submit("5c0e7a21d94b36f8", STEPS);
+    const frozenAtMs = record.nowMs();
     await sleep(200);
-    const drainingAtMs = await leaving.drain();
-    await sleep(Math.max(0, cutAtMs + CUT_MS - record.nowMs()));
+    await operator.order("DELETE", EVACUATION, { first: follower });
+    await sleep(500);
+    const other = deployment.coreIds.findIndex((id) => id !== followerId);
+    const outAtMs = await operator.order("POST", EVACUATION, { first: other });
+    await sleep(Math.max(0, frozenAtMs + FREEZE_MS - record.nowMs()));
     if (HAS_TROUBLE) {
-      record.note(`link: orders to ${leaving.id} arrive again`);
-      proxy.heal();
+      deployment.signal(followerId, "SIGCONT");
+    }
+    const calmAtMs = record.nowMs() + BOUNDS.contactMs;
+    const endAtMs = record.nowMs() + JOBS_FOR_MS;
+    for (let number = 0; record.nowMs() < endAtMs; number++) {
+      const jobId = (0x5c0e7a21d94b0000n + BigInt(number)).toString(16);
+      await client.submit(jobId, STEPS);
+      await sleep(JOB_PERIOD_MS);
     }
-    await sleep(8_000);
-    proxy.close();
     const starts = historyOf(workers).filter(({ kind }) => kind === "start");
-    if (starts.length < WORKERS) {
-      throw new CouldNotRun(`only ${starts.length} tasks started`);
+    if (starts.every(({ atMs }) => atMs < calmAtMs)) {
+      throw new CouldNotRun("no task started once all machines were in touch");
     }
+    const lateFromMs = Math.max(outAtMs + BOUNDS.evacuateMs, calmAtMs);
+    const ids = workers.filter(({ zone }) => zone === ZONE).map(({ id }) => id);
     return starts.filter(({ worker, atMs }) =>
-      worker === leaving.id && atMs > drainingAtMs + BOUNDS.drainMs
+      ids.includes(worker) && atMs > lateFromMs
     ).map(({ task, run, worker, atMs }) =>
-      `${task} run ${run} started on ${worker} ${atMs - drainingAtMs} ms ` +
-      "after its draining was acknowledged"
+      `${task} run ${run} started on ${worker} in ${ZONE} ` +
+      `${atMs - outAtMs} ms after the evacuation was acknowledged`
     );
   },
 });
--- a/review/standins/overlaps.mjs
+++ b/review/standins/overlaps.mjs
@@ -1,4 +1,4 @@
-/** Finds runs of one task that were there at the same time. */
+/** Finds tasks that ran twice in a history of starts and ends. */
 
 /** One text for each pair of runs in a history, which is in order of time. */
 export function findOverlaps(history) {
@@ -21,3 +21,24 @@
   }
   return overlaps;
 }
+
+/**
+ * One text for each start of a task after a run of it that ended `done`, if that
+ * end was taken note of: `acknowledgedEnds` has the last such end of each worker.
+ */
+export function findRepeats(history, acknowledgedEnds) {
+  const doneAtMs = new Map();
+  const repeats = [];
+  for (const { kind, task, run, worker, atMs, how, number } of history) {
+    const isNoted = number <= (acknowledgedEnds.get(worker) ?? 0);
+    if (kind === "end" && how === "done" && isNoted) {
+      doneAtMs.set(task, atMs);
+    } else if (kind === "start" && doneAtMs.has(task)) {
+      repeats.push(
+        `${task}: run ${run} started on ${worker} at ${atMs} ms, after a run ` +
+          `had ended as done at ${doneAtMs.get(task)} ms`,
+      );
+    }
+  }
+  return repeats;
+}
--- a/review/standins/silent_proxy.mjs
+++ b/review/standins/silent_proxy.mjs
@@ -1,7 +1,7 @@
 /**
- * A proxy in front of a worker. While it is silent, as a link that passes one
- * way only, nothing that callers send arrives. What was held up arrives later
- * if the caller's connection is still open, and is lost otherwise.
+ * A proxy in front of a worker. While it is silent, as a link that is cut,
+ * nothing passes either way. What was held up arrives later if the sender's
+ * connection is still open, and is lost otherwise.
  */
 
 import { connect, createServer } from "node:net";
@@ -25,31 +25,32 @@
 
   #join(caller) {
     const [host, port] = this.#target.split(":");
-    const link = { caller, worker: undefined, held: [] };
+    const link = { caller, worker: undefined, toWorker: [], toCaller: [] };
     this.#links.add(link);
     const end = () => {
       this.#links.delete(link);
       caller.destroy();
       link.worker?.destroy();
     };
-    caller.on("error", end);
-    caller.on("close", end);
-    caller.on("data", (bytes) => this.#pass(link, bytes));
-    link.worker = connect({ host, port: Number(port) });
-    link.worker.on("error", end);
-    link.worker.on("close", end);
-    link.worker.on("data", (bytes) => caller.write(bytes));
+    const worker = connect({ host, port: Number(port) });
+    link.worker = worker;
+    for (const socket of [caller, worker]) {
+      socket.on("error", end);
+      socket.on("close", end);
+    }
+    caller.on("data", (bytes) => this.#pass(bytes, worker, link.toWorker));
+    worker.on("data", (bytes) => this.#pass(bytes, caller, link.toCaller));
   }
 
-  #pass(link, bytes) {
+  #pass(bytes, receiver, held) {
     if (this.#isSilent) {
-      link.held.push(bytes);
+      held.push(bytes);
     } else {
-      link.worker.write(bytes);
+      receiver.write(bytes);
     }
   }
 
-  /** From now on nothing that callers send arrives. */
+  /** From now on nothing passes. */
   silence() {
     this.#isSilent = true;
   }
@@ -57,8 +58,9 @@
   /** Passes what was held up on connections that are still open, and all else. */
   heal() {
     this.#isSilent = false;
-    for (const link of this.#links) {
-      link.held.splice(0).forEach((bytes) => link.worker.write(bytes));
+    for (const { caller, worker, toWorker, toCaller } of this.#links) {
+      toWorker.splice(0).forEach((bytes) => worker.write(bytes));
+      toCaller.splice(0).forEach((bytes) => caller.write(bytes));
     }
   }
 
--- a/review/standins/worker.mjs
+++ b/review/standins/worker.mjs
@@ -32,18 +32,41 @@
   #timers = [];
   #heartbeatUrl;
 
-  /** All starts and ends on this worker: task, run, kind, atMs, how. */
+  /** All starts and ends on this worker, in order; ends have a number. */
   history = [];
 
   /** While true, its heartbeats are lost on their way. */
   isCutOff = false;
 
+  /** The ends up to this number are taken note of. */
+  acknowledgedEnd = 0;
+
+  /** When its lease expired while a task was running or an end was listed. */
+  lapsesAtMs = [];
+
   /**
-   * `taskMs` is how long a task works; `announced` is the address in its
-   * heartbeats, its own by default (the address of a proxy in front of it).
+   * `taskMs` is how long a task works; `room` is how many of the case's equal
+   * tasks fit into its `capacity`.
    */
-  constructor({ id, host, zone, controlAddresses, taskMs, gpu = 1, record }) {
-    this.#options = { id, host, zone, controlAddresses, taskMs, gpu };
+  constructor({
+    id,
+    host,
+    zone,
+    controlAddresses,
+    taskMs,
+    capacity = { cpu: 32_000, memMb: 65_536, gpu: 1 },
+    room = 1,
+    record,
+  }) {
+    this.#options = {
+      id,
+      host,
+      zone,
+      controlAddresses,
+      taskMs,
+      capacity,
+      room,
+    };
     this.#record = record;
     this.#server = createServer((request, response) => {
       void this.#serve(request, response);
@@ -63,6 +86,7 @@
     return `${this.#options.host}:${this.#server.address().port}`;
   }
 
+  /** Announces its own address, or that of a proxy in front of it. */
   async open(announcedOf = (address) => address) {
     const { host } = this.#options;
     await new Promise((done) => this.#server.listen(0, host, done));
@@ -102,7 +126,7 @@
     if (this.isCutOff) {
       return false;
     }
-    const { id, zone, controlAddresses, gpu } = this.#options;
+    const { id, zone, controlAddresses, capacity } = this.#options;
     const known = this.#heartbeatUrl;
     const addresses = [
       ...(known === undefined ? [] : [known]),
@@ -121,7 +145,7 @@
           slots: 8,
           state: this.#state,
           coldLeftMs: 0,
-          capacity: { cpu: 32_000, memMb: 65_536, gpu },
+          capacity,
           labels: ["a", `rack-${zone}`],
           clockMs: this.#clockMs(),
           born: this.#bornAtMs,
@@ -178,7 +202,7 @@
   }
 
   #start({ task, run, deadlineMs }) {
-    const { gpu, taskMs } = this.#options;
+    const { room, taskMs } = this.#options;
     this.#record.note(`worker ${this.id}: order to start ${task} run ${run}`);
     if (this.#running.get(task)?.run === run) {
       return { status: 200, body: {} };
@@ -190,7 +214,7 @@
     if (run <= (this.#revokedUpTo.get(task) ?? 0)) {
       return { status: 409, body: { reason: "old" } };
     }
-    if (this.#running.size >= gpu) {
+    if (this.#running.size >= room) {
       return { status: 409, body: { reason: "room" } };
     }
     const timer = setTimeout(() => this.#end(task, "done"), taskMs);
@@ -214,6 +238,7 @@
     if (deadlineMs !== undefined) {
       this.#extendLease(deadlineMs);
     }
+    this.acknowledgedEnd = Math.max(this.acknowledgedEnd, ackCursor);
     this.#ends = this.#ends.filter(([number]) => number > ackCursor);
     if (this.#ends.length === 0 && waitMs > 0) {
       await new Promise((done) => {
@@ -244,6 +269,9 @@
 
   #checkLease() {
     if (this.#clockMs() >= this.#leaseEndMs) {
+      if (this.#running.size + this.#ends.length > 0) {
+        this.lapsesAtMs.push(this.#record.nowMs());
+      }
       [...this.#running.keys()].forEach((task) => this.#end(task, "lapsed"));
     }
   }
@@ -255,13 +283,13 @@
     const revoked = Math.max(run, this.#revokedUpTo.get(task) ?? 0);
     this.#revokedUpTo.set(task, revoked);
     this.#ends.push([++this.#endCount, task, run, how, ""]);
-    this.#log("end", task, run, how);
+    this.#log("end", task, run, how, this.#endCount);
     [...this.#waiters].forEach((resume) => resume());
   }
 
-  #log(kind, task, run, how) {
+  #log(kind, task, run, how, number = 0) {
     const atMs = this.#record.nowMs();
-    this.history.push({ kind, worker: this.id, task, run, atMs, how });
+    this.history.push({ kind, worker: this.id, task, run, atMs, how, number });
     this.#record.note(
       `worker ${this.id} in ${this.zone}: ${kind} of ${task} run ${run} ${how}`,
     );
