--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -3,8 +3,12 @@
  * runs on under its lease.
  */
 
-import { CouldNotRun, HAS_TROUBLE, historyOf, runCase } from
-  "../standins/case.mjs";
+import {
+  CouldNotRun,
+  HAS_TROUBLE,
+  historyOf,
+  runCase,
+} from "../standins/case.mjs";
 import { BOUNDS, sleep } from "../standins/deployment.mjs";
 import { findOverlaps } from "../standins/overlaps.mjs";
 import { RefusingProxy } from "../standins/refusing_proxy.mjs";
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -3,8 +3,12 @@
  * less time than its lease lasts.
  */
 
-import { CouldNotRun, HAS_TROUBLE, historyOf, runCase } from
-  "../standins/case.mjs";
+import {
+  CouldNotRun,
+  HAS_TROUBLE,
+  historyOf,
+  runCase,
+} from "../standins/case.mjs";
 import { BOUNDS, sleep } from "../standins/deployment.mjs";
 import { findRepeats } from "../standins/overlaps.mjs";
 import { SilentProxy } from "../standins/silent_proxy.mjs";
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,7 +1,11 @@
 /** TWICE: a job whose ID is written with the hexadecimal digits A to F. */
 
-import { CouldNotRun, HAS_TROUBLE, historyOf, runCase } from
-  "../standins/case.mjs";
+import {
+  CouldNotRun,
+  HAS_TROUBLE,
+  historyOf,
+  runCase,
+} from "../standins/case.mjs";
 import { sleep } from "../standins/deployment.mjs";
 import { findOverlaps } from "../standins/overlaps.mjs";
 
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -3,8 +3,12 @@
  * wakes after the operator has taken it out again.
  */
 
-import { CouldNotRun, HAS_TROUBLE, historyOf, runCase } from
-  "../standins/case.mjs";
+import {
+  CouldNotRun,
+  HAS_TROUBLE,
+  historyOf,
+  runCase,
+} from "../standins/case.mjs";
 import { BOUNDS, sleep } from "../standins/deployment.mjs";
 
 const ZONE = "london-on";
--- a/review/standins/case.mjs
+++ b/review/standins/case.mjs
@@ -8,6 +8,9 @@
 
 const EXIT = { held: 0, broken: 1, couldNotRun: 2 };
 
+/** A case that takes longer can't run; all cases take less than 30 s. */
+const LIMIT_MS = 110_000;
+
 /** Whether the disruption takes place. */
 export const HAS_TROUBLE = process.env.TROUBLE !== "0";
 
@@ -22,6 +25,19 @@
   const record = new Record();
   const deployment = new Deployment(record);
   const opened = [];
+  const end = async (exitCode) => {
+    opened.forEach((worker) => worker.close());
+    await deployment.close();
+    record.write("record.txt");
+    process.exit(exitCode);
+  };
+  const stop = (reason) => {
+    record.note(`the case could not run: ${reason}`);
+    void end(EXIT.couldNotRun);
+  };
+  process.on("SIGTERM", () => stop("SIGTERM"));
+  process.on("SIGINT", () => stop("SIGINT"));
+  setTimeout(() => stop("it took too long"), LIMIT_MS);
   let exitCode = EXIT.couldNotRun;
   try {
     await deployment.open();
@@ -48,10 +64,7 @@
   } catch (error) {
     record.note(`the case could not run: ${error.stack}`);
   }
-  opened.forEach((worker) => worker.close());
-  await deployment.close();
-  record.write("record.txt");
-  process.exit(exitCode);
+  await end(exitCode);
 }
 
 /** All starts and ends on the workers, in order of time. */
--- a/review/standins/worker.mjs
+++ b/review/standins/worker.mjs
@@ -126,7 +126,7 @@
     if (this.isCutOff) {
       return false;
     }
-    const { id, zone, controlAddresses, capacity } = this.#options;
+    const { id, zone, controlAddresses, capacity, room } = this.#options;
     const known = this.#heartbeatUrl;
     const addresses = [
       ...(known === undefined ? [] : [known]),
@@ -142,7 +142,7 @@
           address: this.announced,
           zone,
           version: "v1",
-          slots: 8,
+          slots: room,
           state: this.#state,
           coldLeftMs: 0,
           capacity,
