--- a/review/standins/http_call.mjs
+++ b/review/standins/http_call.mjs
@@ -1,4 +1,4 @@
-/** One HTTP call on a connection of its own. */
+/** One HTTP call, on a connection of its own or on one of an agent. */
 
 import { request } from "node:http";
 
@@ -6,7 +6,9 @@
  * Resolves to status and body, or to status 0 without a whole answer within the
  * timeout; the connection is then closed.
  */
-export function httpCall({ address, method, path, body, headers, timeoutMs }) {
+export function httpCall(
+  { address, method, path, body, headers, timeoutMs, agent = false },
+) {
   const [host, port] = address.split(":");
   const text = body === undefined ? undefined : JSON.stringify(body);
   return new Promise((done) => {
@@ -15,7 +17,7 @@
       port: Number(port),
       method,
       path,
-      agent: false,
+      agent,
       headers: {
         ...(text === undefined ? {} : {
           "content-type": "application/json",
--- a/review/standins/worker.mjs
+++ b/review/standins/worker.mjs
@@ -4,11 +4,14 @@
  * supported.
  */
 
-import { createServer } from "node:http";
+import { Agent, createServer } from "node:http";
 import { httpCall } from "./http_call.mjs";
 
 const HEARTBEAT_MS = 1_500;
 const HEARTBEAT_TIMEOUT_MS = 1_000;
+
+/** How long a worker that leaves waits for an acknowledgement: some seconds. */
+const LEAVING_LIMIT_MS = 3_000;
 const LEASE_CHECK_MS = 20;
 const STOP_MS = 50;
 const REPORTED_ENDS_LIMIT = 500;
@@ -32,12 +35,21 @@
   #timers = [];
   #heartbeatUrl;
 
+  /** Keeps the connection of its heartbeats open. */
+  #agent = new Agent({ keepAlive: true, maxSockets: 1 });
+
   /** All starts and ends on this worker, in order; ends have a number. */
   history = [];
 
   /** While true, its heartbeats are lost on their way. */
   isCutOff = false;
 
+  /**
+   * While true, what it sends on the connection that it has open arrives, and
+   * all answers are lost, as on a link that is cut one way.
+   */
+  isDeaf = false;
+
   /** The ends up to this number are taken note of. */
   acknowledgedEnd = 0;
 
@@ -109,10 +121,43 @@
     return this.#record.nowMs();
   }
 
+  /**
+   * Reports that it leaves, and ends once that is acknowledged, or anyway. While
+   * it is deaf, it can't open a connection to another node to report it there.
+   */
+  async leave() {
+    this.#timers.forEach((timer) => clearInterval(timer));
+    const endsAtMs = this.#record.nowMs() + LEAVING_LIMIT_MS;
+    this.#timers = [
+      setInterval(() => this.#checkLease(), LEASE_CHECK_MS),
+    ];
+    this.#record.note(`worker ${this.id}: reports that it leaves`);
+    const answer = await httpCall({
+      address: this.#heartbeatUrl ?? this.#options.controlAddresses[0],
+      method: "DELETE",
+      path: `/sesamethread/instances/${this.id}`,
+      timeoutMs: HEARTBEAT_TIMEOUT_MS,
+      agent: this.#agent,
+    });
+    const isAcknowledged = !this.isDeaf && answer.status >= 200 &&
+      answer.status < 300;
+    if (isAcknowledged) {
+      this.#record.note(`worker ${this.id}: that is acknowledged`);
+    } else {
+      this.#record.note(`worker ${this.id}: no acknowledgement arrives`);
+      const waitMs = endsAtMs - this.#record.nowMs();
+      await new Promise((done) => setTimeout(done, Math.max(0, waitMs)));
+    }
+    this.#record.note(`worker ${this.id}: ends`);
+    [...this.#running.keys()].forEach((task) => this.#end(task, "gone"));
+    this.close();
+  }
+
   close() {
     this.#timers.forEach((timer) => clearInterval(timer));
     this.#running.forEach(({ timer }) => clearTimeout(timer));
     this.#waiters.forEach((resume) => resume());
+    this.#agent.destroy();
     this.#server.closeAllConnections();
     this.#server.close();
   }
@@ -152,6 +197,7 @@
           seq: ++this.#seq,
         },
         timeoutMs: HEARTBEAT_TIMEOUT_MS,
+        agent: this.#agent,
       });
       if (status === 200) {
         this.#heartbeatUrl = body?.heartbeatUrl;
