--- a/review/standins/case.mjs
+++ b/review/standins/case.mjs
@@ -31,9 +31,14 @@
       return;
     }
     isEnding = true;
-    opened.forEach((worker) => worker.close());
-    await deployment.close();
-    record.write("record.txt");
+    try {
+      opened.forEach((worker) => worker.close());
+      await deployment.close();
+      record.write("record.txt");
+    } catch (error) {
+      console.error(error);
+      process.exit(EXIT.couldNotRun);
+    }
     process.exit(exitCode);
   };
   const stop = (reason) => {
--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -105,20 +105,19 @@
 
   async open() {
     this.#subnet = await freeSubnet();
+    this.#startGuard();
     this.coreIds.forEach((id, at) => this.#start("core", id, ZONES[at]));
     [11, 12].forEach((number, at) =>
       this.#start("door", this.hostAt(number), ZONES[at])
     );
-    this.#startGuard();
     await this.#waitForLeader();
   }
 
   /** In a process group of its own, so that it outlives the script's. */
   #startGuard() {
-    const pids = [...this.#processes.values()].map(({ child }) => child.pid);
     this.#guard = spawn(
       process.execPath,
-      [join(OWN_FOLDER, "guard.mjs"), this.#folder, ...pids.map(String)],
+      [join(OWN_FOLDER, "guard.mjs"), this.#folder],
       { detached: true, stdio: ["pipe", "ignore", "ignore"] },
     );
     this.#guard.stdin.on("error", () => undefined);
@@ -174,6 +173,7 @@
       },
       stdio: ["ignore", "pipe", "inherit"],
     });
+    this.#guard.stdin.write(`${child.pid}\n`);
     const held = { child, log: [], hasEnded: false };
     child.once("exit", () => held.hasEnded = true);
     let text = "";
