A refused connection no longer ends a worker's runs

Cause: WorkerLink took two refused connections in a row as proof that the worker's process was gone, and the driver then ended its runs as lost at once, seconds before the end of the lease that the worker held.

Change: only a later incarnation that answers at the address ends a run early (isSuperseded). Otherwise its runs end with the last lease, and the worker's record goes after that (isAbsent). The fake pool can refuse connections to a worker that runs on, and passes on the kind of error of a refused report.

--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -350,14 +350,14 @@
       return;
     }
     this.#driver.drive();
-    this.#dropGoneWorkers();
+    this.#dropAbsentWorkers();
     this.#forgetOldJobs();
     this.#writer.requestPlan();
   }
 
-  /** Removes workers whose process is gone, once their runs have ended. */
-  #dropGoneWorkers(): void {
-    for (const key of this.#links.goneKeys()) {
+  /** Removes workers that are over or absent, once their runs have ended. */
+  #dropAbsentWorkers(): void {
+    for (const key of this.#links.absentKeys()) {
       if (!this.#driver.hasRunsOn(key)) {
         void this.#writer.write({ kind: "workerGone", key });
         this.#links.drop(key);
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -157,7 +157,7 @@
     const nowMs = clock.nowMs();
     const link = linkOf(run.holder);
     const isKnown = state.workers.has(run.holder);
-    if (!isKnown || link === undefined || link.isGone) {
+    if (!isKnown || link === undefined || link.isSuperseded) {
       this.#handleIncarnationOver(run, nowMs);
       return;
     }
--- a/src/process/batch/leader/run_driver_test.ts
+++ b/src/process/batch/leader/run_driver_test.ts
@@ -37,7 +37,7 @@
     calls: calls as WorkerCalls,
     linkOf: () =>
       ({
-        isGone: false,
+        isSuperseded: false,
         isReachable: true,
         nextLeaseEndMs: () => 5_000,
         clockBoundMs: () => CLOCK_BOUND_MS,
--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -38,7 +38,7 @@
   /**
    * Called without a detail when the worker answers for the first time or
    * again; with the kind of error when it stops answering, and at each failed
-   * renewal while it is gone.
+   * renewal while it is absent.
    */
   readonly onReachabilityChange: (
     link: WorkerLink,
@@ -56,6 +56,8 @@
   #acknowledgedEnd = 0;
   #failures = 0;
   #refusedConnections = 0;
+  #isSuperseded = false;
+  #mayGrantLeases = true;
   #hasReported = false;
   #isClosed = false;
   #delay: { timer: Timer; resume: () => void } | undefined;
@@ -90,12 +92,20 @@
     return this.#acknowledgedEnd;
   }
 
+  /** Whether a later incarnation answered at the address: this one is over. */
+  get isSuperseded(): boolean {
+    return this.#isSuperseded;
+  }
+
   /**
-   * Whether the worker's process is gone: its address refuses connections, or
-   * another incarnation answers there.
+   * Whether the worker's record is of no use: its incarnation is over, or its
+   * address refuses connections and no lease is left. A refused connection alone
+   * proves nothing, since a network can refuse it while the worker runs on.
    */
-  get isGone(): boolean {
-    return this.#refusedConnections >= REFUSED_CONNECTIONS_LIMIT;
+  get isAbsent(): boolean {
+    const isRefusing = this.#refusedConnections >= REFUSED_CONNECTIONS_LIMIT;
+    return this.#isSuperseded ||
+      (isRefusing && this.haveLeasesExpired(this.#options.clock.nowMs()));
   }
 
   /** Whether all leases have expired, so that nothing runs there any more. */
@@ -118,10 +128,10 @@
 
   /**
    * The end of a lease granted now, by the worker's clock; undefined while that
-   * clock isn't known. Counts the lease as granted.
+   * clock isn't known or no more leases are granted. Counts the lease as granted.
    */
   nextLeaseEndMs(): number | undefined {
-    if (this.#sample === undefined) {
+    if (this.#sample === undefined || !this.#mayGrantLeases) {
       return undefined;
     }
     const nowMs = this.#options.clock.nowMs();
@@ -137,6 +147,11 @@
     return this.#workerNowMs(this.#options.clock.nowMs());
   }
 
+  /** Lets the leases run out, since the worker is about to end. */
+  stopGrantingLeases(): void {
+    this.#mayGrantLeases = false;
+  }
+
   /** Ends the delay before the next renewal. */
   wake(): void {
     this.#delay?.resume();
@@ -214,8 +229,8 @@
   async #handleReport(report: WorkerReport, sentAtMs: number): Promise<number> {
     const { bornMs } = this.worker;
     if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) {
-      // Another incarnation answered: counts as a refused connection.
-      return this.#recordFailure("unavailable");
+      this.#isSuperseded ||= report.bornMs > bornMs;
+      return this.#recordFailure("otherIncarnation");
     }
     const isReachableAgain = !this.#hasReported || this.#failures > 0;
     this.#failures = 0;
@@ -235,7 +250,7 @@
     this.#refusedConnections = kind === "unavailable"
       ? this.#refusedConnections + 1
       : 0;
-    if (this.#failures === 1 || this.isGone) {
+    if (this.#failures === 1 || this.isAbsent) {
       onReachabilityChange(this, kind);
     }
     return Math.min(
@@ -257,5 +272,5 @@
   }
 }
 
-/** A worker counts as gone after so many refused connections in a row. */
+/** Refused connections in a row after which nothing listens at an address. */
 const REFUSED_CONNECTIONS_LIMIT = 2;
--- a/src/process/batch/leader/worker_links.ts
+++ b/src/process/batch/leader/worker_links.ts
@@ -89,9 +89,9 @@
     this.#links.delete(key);
   }
 
-  /** The incarnations whose process is gone. */
-  goneKeys(): WorkerKey[] {
-    return [...this.#links].filter(([, link]) => link.isGone)
+  /** The incarnations that are over, or answer no more. */
+  absentKeys(): WorkerKey[] {
+    return [...this.#links].filter(([, link]) => link.isAbsent)
       .map(([key]) => key);
   }
 
--- a/src/process/batch/leader/worker_links_test.ts
+++ b/src/process/batch/leader/worker_links_test.ts
@@ -31,9 +31,9 @@
   links.openKnown((key) => key === "w29" || key === "w30");
   t.true(calledKeys.length < WORKERS / 2);
   t.deepEqual(calledKeys.slice(0, 2), ["w29", "w30"]);
-  // Until it is called, a worker counts as silent, not as gone.
+  // Until it is called, a worker counts as silent, not as absent.
   t.is(links.get("w28")?.isReachable, false);
-  t.deepEqual(links.goneKeys(), []);
+  t.deepEqual(links.absentKeys(), []);
   // A worker that announces itself meanwhile is called at once.
   const announced = { ...state.workers.get("w1")!, key: "new", id: "new" };
   t.true(links.announce(announced));
--- /dev/null
+++ b/src/process/batch/testing/cut_off_worker_test.ts
@@ -0,0 +1,62 @@
+/**
+ * Workers that can't be reached for a while and run on under their leases.
+ */
+
+import test from "ava";
+import type { StepSpec } from "../job_spec.ts";
+import { BatchSimulation } from "./batch_simulation.ts";
+
+const WORKERS = 6;
+
+const STEP: StepSpec = {
+  taskCount: 4,
+  demand: { cpuMilli: 100, memoryMb: 100, accelerators: 8 },
+  estimateMs: 8_000,
+  afterSteps: [],
+  isCheckpointing: false,
+  isGang: false,
+  prefersOneRack: false,
+  isLasting: false,
+  requiredLabel: undefined,
+  dataRack: undefined,
+  tasksPerWorkerLimit: undefined,
+};
+
+/** A pool on which four tasks run. */
+async function runFourTasks(): Promise<BatchSimulation> {
+  const simulation = new BatchSimulation({ seed: 3, workers: WORKERS });
+  await simulation.open();
+  await simulation.advance(2_000);
+  void simulation.submit("job", {
+    payload: "",
+    steps: [STEP],
+    recurrence: undefined,
+  });
+  await simulation.advance(1_500);
+  return simulation;
+}
+
+// Guards against taking a refused connection for the end of a worker's process.
+test("runs of workers whose connections are refused aren't started elsewhere", async (t) => {
+  const simulation = await runFourTasks();
+  const ids = Array.from({ length: WORKERS }, (_, number) => `w${number}`);
+  ids.slice(0, 3).forEach((id) => simulation.pool.setRefused(id, true));
+  await simulation.advance(4_800);
+  ids.forEach((id) => simulation.pool.setRefused(id, false));
+  await simulation.advance(30_000);
+  t.deepEqual(simulation.pool.violations, []);
+  t.is(simulation.state!.jobs.get("job")?.phase, "completed");
+  simulation.close();
+});
+
+test("runs of workers that refuse connections for good go on elsewhere", async (t) => {
+  const simulation = await runFourTasks();
+  simulation.pool.crash("w0");
+  simulation.pool.crash("w1");
+  simulation.pool.crash("w2");
+  await simulation.advance(30_000);
+  t.deepEqual(simulation.pool.violations, []);
+  t.is(simulation.state!.jobs.get("job")?.phase, "completed");
+  t.is(simulation.state!.workers.size, WORKERS - 3);
+  simulation.close();
+});
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -72,7 +72,8 @@
 
   /** The records that running workers would announce now. */
   records(): WorkerRecord[] {
-    return [...this.#workers.values()].filter(({ isDown }) => !isDown)
+    return [...this.#workers.values()]
+      .filter(({ isDown, isRefused }) => !isDown && !isRefused)
       .map((worker) => worker.record());
   }
 
@@ -85,6 +86,11 @@
     this.#workers.get(id)!.isPartitioned = isPartitioned;
   }
 
+  /** Makes the network refuse connections to a worker, or ends that. */
+  setRefused(id: string, isRefused: boolean): void {
+    this.#workers.get(id)!.isRefused = isRefused;
+  }
+
   /** Ends a worker's incarnation; {@link restart} begins the next one. */
   crash(id: string): void {
     const worker = this.#workers.get(id)!;
@@ -113,6 +119,7 @@
     Object.assign(this.faults, NO_FAULTS);
     for (const worker of this.#workers.values()) {
       worker.isPartitioned = false;
+      worker.isRefused = false;
       this.restart(worker.id);
     }
   }
@@ -182,7 +189,10 @@
         return true;
       },
     );
-    if (renewed.isLeft() || !renewed.unsafeCoerce()) {
+    if (renewed.isLeft()) {
+      return renewed as Result<never>;
+    }
+    if (!renewed.unsafeCoerce()) {
       return failure("outcomeUnknown");
     }
     const worker = this.#workers.get(record.id)!;
--- a/src/process/batch/testing/fake_pool_network.ts
+++ b/src/process/batch/testing/fake_pool_network.ts
@@ -69,13 +69,15 @@
         failAfterTimeout();
         const lateMs = timeoutMs + random.nextUnit() * LATE_LIMIT_MS;
         clock.after(lateMs, () => {
-          if (!worker.isDown && !worker.isPartitioned) {
+          if (
+            !worker.isDown && !worker.isPartitioned && !worker.isRefused
+          ) {
             act(worker);
           }
         });
       } else {
         clock.after(ONE_WAY_LATENCY_MS, () => {
-          if (worker.isDown) {
+          if (worker.isDown || worker.isRefused) {
             resolve(failure("unavailable"));
             return;
           }
--- a/src/process/batch/testing/fake_worker.ts
+++ b/src/process/batch/testing/fake_worker.ts
@@ -27,6 +27,8 @@
   bornMs = 1;
   isDown = false;
   isPartitioned = false;
+  /** Whether the network refuses connections to it while it runs on. */
+  isRefused = false;
   /** The highest fence that it has seen. */
   fence = 0;
   leaseEndMs = 0;
