Runs of a worker that leaves are stopped before it is acknowledged

Cause: the report alone removed the worker's record, and a run without a record counted as lost at once, though the worker runs on for seconds without an answer.

Change: WorkerDepartures stops the runs of a worker that leaves, grants it no more leases, and removes its record once the ends of its runs are stored. The report is acknowledged then, or after the longest stop; runs that are left end with the last lease. A draining worker that stays silent past its leases goes, too.

--- a/src/base/events/batch_events.ts
+++ b/src/base/events/batch_events.ts
@@ -108,7 +108,7 @@
   batchWorkerLeft: {
     number: 7031,
     level: "info",
-    text: "A worker left, its process is gone, or a new one replaced it.",
+    text: "A worker left, is absent with no lease left, or was replaced.",
     fields: ["worker"],
   },
   batchWorkerReached: {
@@ -129,6 +129,12 @@
     text: "Runs of different jobs failed on a worker; it is avoided.",
     fields: ["worker", "task"],
   },
+  batchWorkerLeaving: {
+    number: 7035,
+    level: "info",
+    text: "A worker reported that it leaves; its runs are stopped.",
+    fields: ["worker", "hasRuns"],
+  },
   batchCommitSlow: {
     number: 7040,
     level: "warn",
--- a/src/process/batch/batch_timing.ts
+++ b/src/process/batch/batch_timing.ts
@@ -40,6 +40,13 @@
    * derived from the deployment's time limit for its start.
    */
   guaranteeWaitMs: 1_800,
+  /**
+   * How long the report of a worker that leaves waits for its runs to end: less
+   * than the second within which an answer counts.
+   */
+  departureWaitMs: 700,
+  /** After this a worker that leaves is released though runs are left. */
+  departureLimitMs: 1_400,
   /** How often all open runs are checked. */
   tickMs: 100,
   /** How long ended jobs are kept. */
@@ -73,6 +80,9 @@
 /** Once preempted runs have stopped, a start takes two commits and an order. */
 const GUARANTEE_MARGIN_MS = 700;
 
+/** Stopping the runs of a worker that leaves takes two orders and a commit. */
+const DEPARTURE_MARGIN_MS = 500;
+
 /** The timing for a deployment's limits. */
 export function timingFor(bounds: DeploymentBounds): BatchTiming {
   const { leaseLimitMs, gangWaitMs, guaranteeMs, stopLimitMs } = bounds;
@@ -80,6 +90,7 @@
     ...BATCH_TIMING,
     leaseLimitMs,
     gangStartTimeoutMs: Math.max(0, gangWaitMs - GANG_MARGIN_MS),
+    departureLimitMs: stopLimitMs + DEPARTURE_MARGIN_MS,
     guaranteeWaitMs: Math.max(
       0,
       guaranteeMs - stopLimitMs - GUARANTEE_MARGIN_MS,
--- a/src/process/batch/leader/call_handler.ts
+++ b/src/process/batch/leader/call_handler.ts
@@ -17,6 +17,7 @@
   QueueConfiguration,
 } from "../pool_configuration.ts";
 import type { LeaderSession } from "./leader_session.ts";
+import { DepartureStatus } from "./worker_departures.ts";
 
 /** Options of {@link CallHandler}. */
 export interface CallHandlerOptions {
@@ -215,17 +216,17 @@
   }
 
   /**
-   * Removes the incarnations of a worker that leave. The call names none, and it
+   * Lets the incarnations of a worker that leave go. The call names none, and it
    * may come late, once the next one runs tasks: workers drain before they
-   * leave, so one that doesn't drain isn't meant. If it did leave, its link
-   * finds its address closed.
+   * leave, so one that doesn't drain isn't meant.
    */
   async #removeWorker(workerId: string): Promise<JobAnswer> {
     const { state, session } = this.#options;
     for (const worker of [...state.workers.values()]) {
       if (worker.id === workerId && worker.isDraining) {
-        const write = { kind: "workerGone", key: worker.key } as const;
-        if (await session.write(write) === undefined) {
+        // Without an acknowledgement the worker reports again before it ends.
+        const status = await session.releaseWorker(worker.key);
+        if (status !== DepartureStatus.released) {
           return { kind: "unknown" };
         }
       }
--- a/src/process/batch/leader/call_handler_test.ts
+++ b/src/process/batch/leader/call_handler_test.ts
@@ -4,6 +4,7 @@
 import { PlannerFixture } from "../decisions/planner_fixture.ts";
 import { CallHandler } from "./call_handler.ts";
 import type { LeaderSession } from "./leader_session.ts";
+import { DepartureStatus } from "./worker_departures.ts";
 
 /** A handler whose writes take effect at once. */
 function handlerOf({ state, nowMs }: PlannerFixture): CallHandler {
@@ -11,7 +12,11 @@
     state.apply({ kind: "batch", epoch: 1, atMs: nowMs, items: [item] });
     return Promise.resolve(true);
   };
-  const session = { write, recordClock: () => undefined };
+  const releaseWorker = async (key: string) => {
+    await write({ kind: "workerGone", key });
+    return DepartureStatus.released;
+  };
+  const session = { write, releaseWorker, recordClock: () => undefined };
   return new CallHandler({
     session: session as unknown as LeaderSession,
     state,
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -26,6 +26,7 @@
 import { RunDriver } from "./run_driver.ts";
 import { RunTable, StopReason, taskKey } from "./run_table.ts";
 import { WorkerHealth } from "./worker_health.ts";
+import { type DepartureStatus, WorkerDepartures } from "./worker_departures.ts";
 import type { WorkerLink } from "./worker_link.ts";
 import type { LeaderContext } from "./leader_context.ts";
 import { WorkerLinks } from "./worker_links.ts";
@@ -48,6 +49,7 @@
   readonly #health: WorkerHealth;
   readonly #paces: PaceMonitor;
   readonly #links: WorkerLinks;
+  readonly #departures: WorkerDepartures;
   /** Ended jobs for which `batchJobEnded` was emitted. */
   readonly #reportedOver = new Set<JobId>();
   readonly #ticker: Timer;
@@ -97,6 +99,17 @@
       onUnwell: (key) => this.#health.recordUnwell(key),
       onFull: (key) => this.#health.recordFull(key),
     });
+    this.#departures = new WorkerDepartures({
+      clock,
+      events,
+      timing,
+      hasRunsOn: (key) => this.#driver.hasRunsOn(key),
+      stopRunsOn: (key) => {
+        this.#links.get(key)?.stopGrantingLeases();
+        this.#driver.stopOn(key, StopReason.workerLeaving);
+      },
+      remove: (key) => this.#writer.write({ kind: "workerGone", key }),
+    });
     this.#links.openKnown((key) => this.#driver.hasRunsOn(key));
     this.#ticker = clock.every(timing.tickMs, () => this.#tick());
     events.emit("batchLeaderBegan", {
@@ -140,6 +153,11 @@
     this.#writer.requestPlan();
   }
 
+  /** Ends the runs on a worker that leaves, and then removes its record. */
+  releaseWorker(key: WorkerKey): Promise<DepartureStatus> {
+    return this.#departures.request(key);
+  }
+
   /** Records what a worker's clock showed in a message that just arrived. */
   recordClock(key: WorkerKey, clockMs: number | undefined): void {
     this.#links.get(key)?.recordClock(clockMs);
@@ -247,6 +265,7 @@
       run,
       how,
     });
+    this.#departures.settle();
     const job = state.jobs.get(task.jobId);
     if (job !== undefined && job.phase !== JobPhase.active) {
       this.#handleJobOver(task.jobId);
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -74,6 +74,13 @@
     }
   }
 
+  /** Stops all open runs on a worker. */
+  stopOn(key: WorkerKey, reason: StopReason): void {
+    for (const run of this.#options.runs.onHolder(key)) {
+      this.stop(run.task, reason);
+    }
+  }
+
   /** Sends the orders that are due and ends lost runs, for all open runs. */
   drive(): void {
     if (this.#options.mayLead()) {
--- a/src/process/batch/leader/run_table.ts
+++ b/src/process/batch/leader/run_table.ts
@@ -24,6 +24,8 @@
   gangBroken: "gangBroken",
   /** Its worker restarted; the new incarnation may have received its start. */
   workerRestarted: "workerRestarted",
+  /** Its worker is about to end. */
+  workerLeaving: "workerLeaving",
 } as const;
 
 /** One of the values of {@link StopReason}. */
--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -98,14 +98,17 @@
   }
 
   /**
-   * Whether the worker's record is of no use: its incarnation is over, or its
-   * address refuses connections and no lease is left. A refused connection alone
-   * proves nothing, since a network can refuse it while the worker runs on.
+   * Whether the worker's record is of no use: its incarnation is over, or no
+   * lease is left and its address refuses connections or it was draining. A
+   * refused connection alone proves nothing, since a network can refuse it while
+   * the worker runs on.
    */
   get isAbsent(): boolean {
-    const isRefusing = this.#refusedConnections >= REFUSED_CONNECTIONS_LIMIT;
-    return this.#isSuperseded ||
-      (isRefusing && this.haveLeasesExpired(this.#options.clock.nowMs()));
+    const isExpected = this.worker.isDraining ||
+      this.#refusedConnections >= REFUSED_CONNECTIONS_LIMIT;
+    const isSilent = !this.isReachable &&
+      this.haveLeasesExpired(this.#options.clock.nowMs());
+    return this.#isSuperseded || (isSilent && isExpected);
   }
 
   /** Whether all leases have expired, so that nothing runs there any more. */
--- a/src/process/batch/testing/batch_simulation.ts
+++ b/src/process/batch/testing/batch_simulation.ts
@@ -217,6 +217,11 @@
     });
   }
 
+  /** Delivers a worker's report that it leaves. */
+  leave(workerId: string): Promise<JobAnswer> {
+    return this.leader!.handler!.answer({ kind: "workerLeaves", workerId });
+  }
+
   /** Advances the fake clock timer by timer. */
   async advance(durationMs: number): Promise<void> {
     const endMs = this.clock.nowMs() + durationMs;
--- a/src/process/batch/testing/cut_off_worker_test.ts
+++ b/src/process/batch/testing/cut_off_worker_test.ts
@@ -49,6 +49,49 @@
   simulation.close();
 });
 
+// Guards against taking a report that a worker leaves for the end of its runs.
+test("runs of a worker that leaves unacknowledged aren't started elsewhere", async (t) => {
+  const simulation = await runFourTasks();
+  const { pool } = simulation;
+  pool.drain("w0");
+  await simulation.advance(2_500);
+  // Its report arrives, and nothing gets back to it.
+  pool.setPartitioned("w0", true);
+  void simulation.leave("w0");
+  await simulation.advance(3_000);
+  pool.crash("w0");
+  await simulation.advance(30_000);
+  t.deepEqual(pool.violations, []);
+  t.is(simulation.state!.jobs.get("job")?.phase, "completed");
+  t.is(simulation.state!.workers.size, WORKERS - 1);
+  simulation.close();
+});
+
+test("a worker that leaves is acknowledged once its runs have ended", async (t) => {
+  const simulation = await runFourTasks();
+  const { pool } = simulation;
+  const starts = pool.starts;
+  pool.drain("w0");
+  await simulation.advance(1_000);
+  const reportedAtMs = simulation.clock.nowMs();
+  let kind: string | undefined;
+  void simulation.leave("w0").then((answer) => kind = answer.kind);
+  while (kind === undefined) {
+    await simulation.advance(20);
+  }
+  t.is(kind, "noted");
+  t.true(simulation.clock.nowMs() - reportedAtMs < 700);
+  pool.crash("w0");
+  t.false(simulation.state!.workers.has("w0@1"));
+  // No lease has to run out first.
+  await simulation.advance(300);
+  t.is(pool.starts, starts + 1);
+  await simulation.advance(30_000);
+  t.deepEqual(pool.violations, []);
+  t.is(simulation.state!.jobs.get("job")?.phase, "completed");
+  simulation.close();
+});
+
 test("runs of workers that refuse connections for good go on elsewhere", async (t) => {
   const simulation = await runFourTasks();
   simulation.pool.crash("w0");
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -91,6 +91,11 @@
     this.#workers.get(id)!.isRefused = isRefused;
   }
 
+  /** Makes a worker announce that it drains. */
+  drain(id: string): void {
+    this.#workers.get(id)!.isDraining = true;
+  }
+
   /** Ends a worker's incarnation; {@link restart} begins the next one. */
   crash(id: string): void {
     const worker = this.#workers.get(id)!;
@@ -104,6 +109,7 @@
     worker.fence = 0;
     worker.leaseEndMs = 0;
     worker.isDown = true;
+    worker.isDraining = false;
   }
 
   restart(id: string): void {
--- a/src/process/batch/testing/fake_worker.ts
+++ b/src/process/batch/testing/fake_worker.ts
@@ -26,6 +26,7 @@
 export class FakeWorker {
   bornMs = 1;
   isDown = false;
+  isDraining = false;
   isPartitioned = false;
   /** Whether the network refuses connections to it while it runs on. */
   isRefused = false;
@@ -57,7 +58,7 @@
       capacity: { cpuMilli: 8_000, memoryMb: 8_000, accelerators: 8 },
       labels: ["a", "r-1"],
       rack: "r-1",
-      isDraining: false,
+      isDraining: this.isDraining,
     };
   }
 }
