A report that leaves ends out no longer ends runs

Cause: a run that a report lists neither as running nor as ended counted as lost or, if it had been stopped, as stopped.

Change: WorkerReport.hasAllEnds; only a report that holds all ends shows that a run is absent. The fake pool lists 20 ends at a time.

--- a/src/process/batch/leader/pace_monitor_test.ts
+++ b/src/process/batch/leader/pace_monitor_test.ts
@@ -39,6 +39,7 @@
         progress: share,
       }],
       ended: [],
+      hasAllEnds: true,
     }).length;
   }
   return found;
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -122,6 +122,10 @@
     for (const { task, run } of report.ended) {
       listed.add(runKey(task, run));
     }
+    if (!report.hasAllEnds) {
+      // The end of a run that isn't listed may be among those left out.
+      return;
+    }
     for (const open of runs.onHolder(key)) {
       if (!listed.has(open.runKey)) {
         this.#handleAbsent(open, sentAtMs);
--- a/src/process/batch/leader/run_driver_test.ts
+++ b/src/process/batch/leader/run_driver_test.ts
@@ -74,7 +74,7 @@
 
 test("a lost run keeps the last reported checkpoint", (t) => {
   const { driver, clock, ends, run } = driveOneRun({});
-  const report = { clockMs: 0, bornMs: 0, ended: [] };
+  const report = { clockMs: 0, bornMs: 0, ended: [], hasAllEnds: true };
   const listed = {
     task: run.task,
     run: run.run,
@@ -87,6 +87,19 @@
   t.deepEqual(ends, [{ how: "lost", checkpoint: "half way" }]);
 });
 
+// Guards against taking a run whose end the worker has yet to list for lost.
+test("a run isn't lost by a report that leaves ends out", (t) => {
+  const { driver, clock, ends, run } = driveOneRun({});
+  const report = { clockMs: 0, bornMs: 0, running: [], ended: [] };
+  run.confirmedAtMs = clock.nowMs();
+  run.stoppedAtMs = clock.nowMs();
+  clock.advance(1);
+  driver.reconcile(run.holder, { ...report, hasAllEnds: false }, clock.nowMs());
+  t.deepEqual(ends, []);
+  driver.reconcile(run.holder, { ...report, hasAllEnds: true }, clock.nowMs());
+  t.deepEqual(ends.map(({ how }) => how), ["stopped"]);
+});
+
 test("a start that another incarnation answered isn't confirmed", async (t) => {
   const { driver, run } = driveOneRun({
     start: () =>
--- a/src/process/batch/testing/batch_simulation.ts
+++ b/src/process/batch/testing/batch_simulation.ts
@@ -118,6 +118,10 @@
   ) {
     this.#events = options.events ?? SILENT_EVENT_LOG;
     this.random = new SeededRandom({ seed: options.seed * 7_919 + 17 });
+    this.workerIds = Array.from(
+      { length: options.workers },
+      (_, number) => `w${number}`,
+    );
     this.pool = new FakePool({
       clock: this.clock,
       random: this.random,
@@ -128,6 +132,8 @@
     this.clock.every(ANNOUNCE_PERIOD_MS, () => this.#announceWorkers());
   }
 
+  readonly workerIds: readonly string[];
+
   get state(): BatchState | undefined {
     return this.leader?.member.state;
   }
--- a/src/process/batch/testing/cut_off_worker_test.ts
+++ b/src/process/batch/testing/cut_off_worker_test.ts
@@ -22,14 +22,16 @@
   tasksPerWorkerLimit: undefined,
 };
 
-/** A pool on which four tasks run. */
-async function runFourTasks(): Promise<BatchSimulation> {
+/** A pool on which four tasks run, or those of another step. */
+async function runFourTasks(
+  step: Partial<StepSpec> = {},
+): Promise<BatchSimulation> {
   const simulation = new BatchSimulation({ seed: 3, workers: WORKERS });
   await simulation.open();
   await simulation.advance(2_000);
   void simulation.submit("job", {
     payload: "",
-    steps: [STEP],
+    steps: [{ ...STEP, ...step }],
     recurrence: undefined,
   });
   await simulation.advance(1_500);
@@ -39,10 +41,10 @@
 // Guards against taking a refused connection for the end of a worker's process.
 test("runs of workers whose connections are refused aren't started elsewhere", async (t) => {
   const simulation = await runFourTasks();
-  const ids = Array.from({ length: WORKERS }, (_, number) => `w${number}`);
-  ids.slice(0, 3).forEach((id) => simulation.pool.setRefused(id, true));
+  const { workerIds } = simulation;
+  workerIds.slice(0, 3).forEach((id) => simulation.pool.setRefused(id, true));
   await simulation.advance(4_800);
-  ids.forEach((id) => simulation.pool.setRefused(id, false));
+  workerIds.forEach((id) => simulation.pool.setRefused(id, false));
   await simulation.advance(30_000);
   t.deepEqual(simulation.pool.violations, []);
   t.is(simulation.state!.jobs.get("job")?.phase, "completed");
@@ -67,6 +69,31 @@
   simulation.close();
 });
 
+// Guards against taking runs for lost whose ends didn't fit into a report.
+for (const isLeaderNew of [false, true]) {
+  const who = isLeaderNew ? "a new leader" : "the leader";
+  test(`more ends than a report holds are all kept by ${who}`, async (t) => {
+    const simulation = await runFourTasks({
+      taskCount: 70,
+      estimateMs: 2_000,
+      demand: { cpuMilli: 10, memoryMb: 10, accelerators: 0 },
+    });
+    const { pool } = simulation;
+    const starts = pool.starts;
+    simulation.workerIds.forEach((id) => pool.setPartitioned(id, true));
+    await simulation.advance(2_500);
+    simulation.workerIds.forEach((id) => pool.setPartitioned(id, false));
+    if (isLeaderNew) {
+      await simulation.elect();
+    }
+    await simulation.advance(30_000);
+    t.deepEqual(pool.violations, []);
+    t.is(pool.starts, starts);
+    t.is(simulation.state!.jobs.get("job")?.phase, "completed");
+    simulation.close();
+  });
+}
+
 test("a worker that leaves is acknowledged once its runs have ended", async (t) => {
   const simulation = await runFourTasks();
   const { pool } = simulation;
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -33,6 +33,9 @@
 import { drawWork, progressAt } from "./fake_work.ts";
 import { PoolOracle } from "./pool_oracle.ts";
 
+/** Ends that one report holds at most. */
+const REPORTED_ENDS_LIMIT = 20;
+
 /** Options of {@link FakePool}. */
 export interface FakePoolOptions {
   readonly clock: FakeClock;
@@ -216,7 +219,8 @@
         checkpoint: this.#checkpointOf({ task, run }),
         progress: progressAt(work, this.#options.clock.nowMs()),
       })),
-      ended: [...answering.ended],
+      ended: answering.ended.slice(0, REPORTED_ENDS_LIMIT),
+      hasAllEnds: answering.ended.length <= REPORTED_ENDS_LIMIT,
     }));
   }
 
--- a/src/process/batch/worker_calls.ts
+++ b/src/process/batch/worker_calls.ts
@@ -73,6 +73,8 @@
   readonly running: readonly RunningTask[];
   /** Ends after the last acknowledged one, oldest first; possibly not all. */
   readonly ended: readonly EndedTask[];
+  /** Whether no end is left out: a report holds a limited number of them. */
+  readonly hasAllEnds: boolean;
 }
 
 /** A lease for all runs on a worker, and a request for its report. */
