Workers' leases are waited out by a clock that no step moves

Cause: the process's clock counts each gain of the time of day as suspended time. The bound on a worker's clock went with it, so that leases were granted for longer than the leader waited, and true readings were refused.

Change: Clock.steadyMs, which never runs ahead. WorkerLink, the wait for a worker's next incarnation and the expiry of unanswered starts use it. FakeClock.aheadMs stands for a step.

--- a/src/base/clock.ts
+++ b/src/base/clock.ts
@@ -13,8 +13,18 @@
 
 /** A source of time that never goes backwards within one process. */
 export interface Clock {
-  /** Milliseconds since the Unix epoch, unaffected by wall clock changes. */
+  /**
+   * Milliseconds since the Unix epoch; never falls behind the time that has
+   * passed. May run ahead of it for good when the time of day is set forward.
+   */
   nowMs(): number;
+  /**
+   * Milliseconds from a fixed moment of this process that have certainly passed:
+   * it may leave out the time for which the machine was suspended, and a step of
+   * the time of day doesn't change it. For waiting until others' permissions,
+   * such as leases, have ended; one's own end by {@link nowMs}.
+   */
+  steadyMs(): number;
   /**
    * Milliseconds since the Unix epoch by the machine's time of day, for
    * comparing with times that others have set. May be set forward or back.
@@ -32,6 +42,10 @@
     return performance.timeOrigin + performance.now();
   }
 
+  steadyMs(): number {
+    return performance.now();
+  }
+
   timeOfDayMs(): number {
     return Date.now();
   }
--- a/src/base/fake_clock.ts
+++ b/src/base/fake_clock.ts
@@ -18,22 +18,31 @@
  * the order of scheduling when due at the same time.
  */
 export class FakeClock implements Clock {
-  #nowMs: number;
+  #steadyMs: number;
   #order = 0;
   #pending = new Set<PendingTimer>();
-  /** By how much the time of day is ahead of this clock. */
+  /** By how much the time of day is ahead of {@link nowMs}. */
   timeOfDayAheadMs = 0;
+  /**
+   * By how much {@link nowMs} is ahead of the time that has passed, as after the
+   * time of day was set forward.
+   */
+  aheadMs = 0;
 
   constructor(options: { startMs?: number } = {}) {
-    this.#nowMs = options.startMs ?? 0;
+    this.#steadyMs = options.startMs ?? 0;
   }
 
   nowMs(): number {
-    return this.#nowMs;
+    return this.#steadyMs + this.aheadMs;
+  }
+
+  steadyMs(): number {
+    return this.#steadyMs;
   }
 
   timeOfDayMs(): number {
-    return this.#nowMs + this.timeOfDayAheadMs;
+    return this.nowMs() + this.timeOfDayAheadMs;
   }
 
   after(delayMs: number, action: () => void): Timer {
@@ -44,21 +53,21 @@
     return this.#schedule(periodMs, periodMs, action);
   }
 
-  /** The due time of the next timer, or undefined when none is set. */
+  /** The due time of the next timer by {@link steadyMs}; undefined for none. */
   nextDueMs(): number | undefined {
     return this.#nextTimer()?.dueMs;
   }
 
   /** Advances time by `byMs`, firing each timer at its due time. */
   advance(byMs: number): void {
-    const endMs = this.#nowMs + byMs;
+    const endMs = this.#steadyMs + byMs;
     let next = this.#nextTimer();
     while (next !== undefined && next.dueMs <= endMs) {
-      this.#nowMs = Math.max(this.#nowMs, next.dueMs);
+      this.#steadyMs = Math.max(this.#steadyMs, next.dueMs);
       this.#fire(next);
       next = this.#nextTimer();
     }
-    this.#nowMs = endMs;
+    this.#steadyMs = endMs;
   }
 
   #schedule(
@@ -67,7 +76,7 @@
     action: () => void,
   ): Timer {
     const timer: PendingTimer = {
-      dueMs: this.#nowMs + Math.max(0, delayMs),
+      dueMs: this.#steadyMs + Math.max(0, delayMs),
       order: this.#order++,
       periodMs,
       action,
--- a/src/base/suspend_aware_clock.ts
+++ b/src/base/suspend_aware_clock.ts
@@ -31,9 +31,10 @@
  * The steady clock stands still while the machine is suspended, but leases
  * must expire during that time. This clock therefore also advances by what the
  * wall clock gains on the steady clock. A wall clock that is set forward has
- * the same effect, which only makes leases expire early; setting it back is
- * ignored. After a wall clock that was set forward and back again, this clock
- * therefore stays ahead, by more each time.
+ * the same effect, which only makes this process's own leases expire early;
+ * setting it back is ignored. After a wall clock that was set forward and back
+ * again, this clock therefore stays ahead, by more each time. Leases that others
+ * hold are waited out by {@link steadyMs}, which never runs ahead.
  */
 export class SuspendAwareClock extends SystemClock {
   readonly #sources: ClockSources;
@@ -57,6 +58,10 @@
     return steadyMs + this.#suspendedMs;
   }
 
+  override steadyMs(): number {
+    return this.#sources.steadyMs();
+  }
+
   override timeOfDayMs(): number {
     return this.#sources.wallMs();
   }
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -169,10 +169,10 @@
     const link = linkOf(run.holder);
     const isKnown = state.workers.has(run.holder);
     if (!isKnown || link === undefined || link.isSuperseded) {
-      this.#handleIncarnationOver(run, nowMs);
+      this.#handleIncarnationOver(run);
       return;
     }
-    if (!link.isReachable && link.haveLeasesExpired(nowMs)) {
+    if (!link.isReachable && link.haveLeasesExpired()) {
       this.#endOnce(run, RunEnd.lost);
       return;
     }
@@ -200,15 +200,15 @@
    * start. Otherwise the run is lost: at once, or if a start may still arrive,
    * after the time that a restart takes.
    */
-  #handleIncarnationOver(run: OpenRunState, nowMs: number): void {
-    const { successorOf, timing } = this.#options;
+  #handleIncarnationOver(run: OpenRunState): void {
+    const { clock, successorOf, timing } = this.#options;
     const successor = successorOf(run.holder);
-    run.incarnationOverAtMs ??= nowMs;
+    run.incarnationOverAtMs ??= clock.steadyMs();
     if (successor === undefined) {
       const mayStillArrive = run.hasUnansweredStart ||
         run.confirmedAtMs === undefined;
       const waitMs = mayStillArrive ? timing.workerRestartWaitMs : 0;
-      if (nowMs - run.incarnationOverAtMs >= waitMs) {
+      if (clock.steadyMs() - run.incarnationOverAtMs >= waitMs) {
         this.#endOnce(run, RunEnd.lost);
       }
       return;
@@ -216,7 +216,7 @@
     this.#options.runs.moveTo(run, successor);
     run.stopReason = StopReason.workerRestarted;
     run.stoppedAtMs = undefined;
-    run.nextCallAtMs = nowMs;
+    run.nextCallAtMs = clock.nowMs();
   }
 
   /** Stops runs of a job that is over, and gangs that don't start in time. */
--- a/src/process/batch/leader/run_orders.ts
+++ b/src/process/batch/leader/run_orders.ts
@@ -67,7 +67,7 @@
     this.#unanswered.add(
       workerIdOf(run.holder),
       run,
-      this.#options.clock.nowMs(),
+      this.#options.clock.steadyMs(),
     );
     this.#logNoAnswer(run, "start", detail);
   }
@@ -95,7 +95,10 @@
   revokeUnanswered(key: WorkerKey): void {
     const { clock, runs } = this.#options;
     for (
-      const { task, run } of this.#unanswered.of(workerIdOf(key), clock.nowMs())
+      const { task, run } of this.#unanswered.of(
+        workerIdOf(key),
+        clock.steadyMs(),
+      )
     ) {
       const open = runs.get(task);
       const isOpenHere = open?.run === run && open.holder === key;
--- a/src/process/batch/leader/run_table.ts
+++ b/src/process/batch/leader/run_table.ts
@@ -66,7 +66,7 @@
   nextCallAtMs: number;
   /** Whether a start got no answer, so that it may still arrive. */
   hasUnansweredStart: boolean;
-  /** When the holder's incarnation was found to be over. */
+  /** When the holder's incarnation was found to be over, by the steady clock. */
   incarnationOverAtMs: number | undefined;
 }
 
--- a/src/process/batch/leader/unanswered_starts.ts
+++ b/src/process/batch/leader/unanswered_starts.ts
@@ -17,6 +17,7 @@
 export interface UnansweredStart {
   readonly task: TaskRef;
   readonly run: number;
+  /** By the steady clock, like all times here. */
   readonly expiresAtMs: number;
 }
 
--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -11,7 +11,7 @@
 import type { BatchTiming } from "../batch_timing.ts";
 import type { WorkerCalls, WorkerReport } from "../worker_calls.ts";
 
-/** A reading of the worker's clock, and when it arrived by the local clock. */
+/** A reading of the worker's clock, and when it arrived by the steady clock. */
 interface ClockSample {
   readonly workerMs: number;
   readonly receivedAtMs: number;
@@ -25,8 +25,6 @@
   readonly timing: BatchTiming;
   /** The fence of all orders to this incarnation. */
   readonly fence: number;
-  /** The longest lease that this incarnation may already have been granted. */
-  readonly earlierLeaseMs: number;
   /** Whether this leader may still grant leases. */
   readonly mayLead: () => boolean;
   /** Stores a report's ends; resolves once they are stored, or can't be. */
@@ -51,7 +49,7 @@
   readonly #options: WorkerLinkOptions;
   worker: WorkerRecord;
   #sample: ClockSample | undefined;
-  /** When all granted leases have expired, by the local clock. */
+  /** When all granted leases have expired, by the steady clock. */
   #leasesEndAtMs: number;
   #acknowledgedEnd = 0;
   #failures = 0;
@@ -65,8 +63,10 @@
   constructor(options: WorkerLinkOptions) {
     this.#options = options;
     this.worker = options.worker;
-    // An earlier leader may have granted a lease just before this moment.
-    this.#leasesEndAtMs = this.#leaseEndBoundMs(options.earlierLeaseMs);
+    // An earlier leader may have granted a lease just before this moment. The
+    // worker may also have received a start meant for an earlier incarnation,
+    // whose lease ends by another clock, and so hold the longest lease.
+    this.#leasesEndAtMs = this.#leaseEndBoundMs(options.timing.leaseLimitMs);
   }
 
   /** Renews the lease from now on, until the link is closed. */
@@ -106,14 +106,13 @@
   get isAbsent(): boolean {
     const isExpected = this.worker.isDraining ||
       this.#refusedConnections >= REFUSED_CONNECTIONS_LIMIT;
-    const isSilent = !this.isReachable &&
-      this.haveLeasesExpired(this.#options.clock.nowMs());
+    const isSilent = !this.isReachable && this.haveLeasesExpired();
     return this.#isSuperseded || (isSilent && isExpected);
   }
 
   /** Whether all leases have expired, so that nothing runs there any more. */
-  haveLeasesExpired(nowMs: number): boolean {
-    return nowMs >= this.#leasesEndAtMs;
+  haveLeasesExpired(): boolean {
+    return this.#options.clock.steadyMs() >= this.#leasesEndAtMs;
   }
 
   /** Records that ends up to this number are stored. */
@@ -123,8 +122,8 @@
 
   /** Records a reading of the worker's clock, unless it is out of date. */
   recordClock(workerMs: number | undefined): void {
-    const receivedAtMs = this.#options.clock.nowMs();
-    if (workerMs !== undefined && workerMs >= this.#workerNowMs(receivedAtMs)) {
+    const receivedAtMs = this.#options.clock.steadyMs();
+    if (workerMs !== undefined && workerMs >= this.clockBoundMs()) {
       this.#sample = { workerMs, receivedAtMs };
     }
   }
@@ -137,17 +136,22 @@
     if (this.#sample === undefined || !this.#mayGrantLeases) {
       return undefined;
     }
-    const nowMs = this.#options.clock.nowMs();
     this.#leasesEndAtMs = Math.max(
       this.#leasesEndAtMs,
       this.#leaseEndBoundMs(this.#leaseMs()),
     );
-    return Math.floor(this.#workerNowMs(nowMs) + this.#leaseMs());
+    return Math.floor(this.clockBoundMs() + this.#leaseMs());
   }
 
   /** A lower bound on what the worker's clock shows now; 0 if it is unknown. */
   clockBoundMs(): number {
-    return this.#workerNowMs(this.#options.clock.nowMs());
+    if (this.#sample === undefined) {
+      return 0;
+    }
+    const { clock, timing } = this.#options;
+    const { workerMs, receivedAtMs } = this.#sample;
+    const elapsedMs = clock.steadyMs() - receivedAtMs;
+    return workerMs + elapsedMs * (1 - timing.clockDriftFraction);
   }
 
   /** Lets the leases run out, since the worker is about to end. */
@@ -170,23 +174,13 @@
     return Math.min(timing.leaseMs, timing.leaseLimitMs);
   }
 
-  /** The latest end of a lease granted now, by the local clock. */
+  /** The latest end of a lease granted now, by the steady clock. */
   #leaseEndBoundMs(leaseMs: number): number {
     const { clock, timing } = this.#options;
-    return clock.nowMs() + leaseMs * (1 + 2 * timing.clockDriftFraction) +
+    return clock.steadyMs() + leaseMs * (1 + 2 * timing.clockDriftFraction) +
       timing.leaseExpirySlackMs;
   }
 
-  /** A lower bound on what the worker's clock shows now. */
-  #workerNowMs(nowMs: number): number {
-    if (this.#sample === undefined) {
-      return 0;
-    }
-    const { workerMs, receivedAtMs } = this.#sample;
-    return workerMs +
-      (nowMs - receivedAtMs) * (1 - this.#options.timing.clockDriftFraction);
-  }
-
   async #run(): Promise<void> {
     const { timing, mayLead } = this.#options;
     while (!this.#isClosed) {
--- a/src/process/batch/leader/worker_link_test.ts
+++ b/src/process/batch/leader/worker_link_test.ts
@@ -41,7 +41,6 @@
     clock,
     timing: BATCH_TIMING,
     fence: 1,
-    earlierLeaseMs: 0,
     mayLead: () => true,
     onReport: () =>
       renewals === 1
--- a/src/process/batch/leader/worker_links.ts
+++ b/src/process/batch/leader/worker_links.ts
@@ -50,7 +50,7 @@
   openKnown(hasRuns: (key: WorkerKey) => boolean): void {
     const { workers } = this.#options.state;
     const links = [...workers.values()].sort((a, b) => a.bornMs - b.bornMs)
-      .map((worker) => this.#open(worker, this.#earlierLeaseMs(worker)));
+      .map((worker) => this.#open(worker));
     const isBusy = ({ worker }: WorkerLink) => hasRuns(worker.key);
     this.#startInTurns([
       ...links.filter(isBusy),
@@ -76,10 +76,7 @@
       known.worker = worker;
       return false;
     }
-    // It may receive a start meant for an earlier incarnation. That start's
-    // lease ends by the other one's clock, so that here it may last up to the
-    // limit.
-    this.#open(worker, this.#options.timing.leaseLimitMs).start();
+    this.#open(worker).start();
     return true;
   }
 
@@ -107,18 +104,7 @@
     this.#links.forEach((link) => link.close());
   }
 
-  /**
-   * The longest lease that an earlier leader may have granted. A recently
-   * started incarnation may have received a start meant for the one before, and
-   * with it the longest lease that workers accept.
-   */
-  #earlierLeaseMs({ bornMs }: WorkerRecord): number {
-    const { clock, timing } = this.#options;
-    const isRecent = clock.nowMs() - bornMs < 2 * timing.leaseLimitMs;
-    return isRecent ? timing.leaseLimitMs : timing.leaseMs;
-  }
-
-  #open(worker: WorkerRecord, earlierLeaseMs: number): WorkerLink {
+  #open(worker: WorkerRecord): WorkerLink {
     const { calls, clock, timing, events, mayLead, onReport } = this.#options;
     const link = new WorkerLink({
       worker,
@@ -126,7 +112,6 @@
       clock,
       timing,
       fence: this.#fences.next(worker.id),
-      earlierLeaseMs,
       mayLead,
       onReport,
       onReachabilityChange: ({ worker: { key } }, detail) =>
--- a/src/process/batch/testing/batch_simulation.ts
+++ b/src/process/batch/testing/batch_simulation.ts
@@ -230,16 +230,16 @@
 
   /** Advances the fake clock timer by timer. */
   async advance(durationMs: number): Promise<void> {
-    const endMs = this.clock.nowMs() + durationMs;
+    const endMs = this.clock.steadyMs() + durationMs;
     for (;;) {
       await this.flushPromises();
       const dueMs = this.clock.nextDueMs() ?? endMs;
       if (dueMs > endMs) {
-        this.clock.advance(endMs - this.clock.nowMs());
+        this.clock.advance(endMs - this.clock.steadyMs());
         await this.flushPromises();
         return;
       }
-      this.clock.advance(Math.max(0, dueMs - this.clock.nowMs()));
+      this.clock.advance(Math.max(0, dueMs - this.clock.steadyMs()));
     }
   }
 
--- a/src/process/batch/testing/cut_off_worker_test.ts
+++ b/src/process/batch/testing/cut_off_worker_test.ts
@@ -130,3 +130,23 @@
   t.is(simulation.state!.workers.size, WORKERS - 3);
   simulation.close();
 });
+
+// Guards against waiting leases out by a clock that steps of the time of day move.
+test("leases are waited out in full after steps of the time of day", async (t) => {
+  const simulation = await runFourTasks();
+  const { clock, pool, workerIds } = simulation;
+  for (let step = 0; step < 3; step++) {
+    await simulation.advance(200);
+    clock.aheadMs += 700;
+  }
+  await simulation.advance(300);
+  workerIds.slice(0, 3).forEach((id) => pool.setPartitioned(id, true));
+  await simulation.advance(3_000);
+  clock.aheadMs += 700;
+  await simulation.advance(3_000);
+  workerIds.forEach((id) => pool.setPartitioned(id, false));
+  await simulation.advance(40_000);
+  t.deepEqual(pool.violations, []);
+  t.is(simulation.state!.jobs.get("job")?.phase, "completed");
+  simulation.close();
+});
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -119,7 +119,7 @@
     const worker = this.#workers.get(id)!;
     if (worker.isDown) {
       worker.isDown = false;
-      worker.bornMs = Math.floor(this.#options.clock.nowMs()) + 1;
+      worker.bornMs = Math.floor(this.#options.clock.steadyMs()) + 1;
     }
   }
 
@@ -230,7 +230,7 @@
 
   #clockMs(worker: FakeWorker): number {
     return Math.floor(
-      (this.#options.clock.nowMs() - worker.bornMs) * worker.clockRate,
+      (this.#options.clock.steadyMs() - worker.bornMs) * worker.clockRate,
     );
   }
 
--- a/src/process/scheduler/runtime/testing/data_centre_simulation.ts
+++ b/src/process/scheduler/runtime/testing/data_centre_simulation.ts
@@ -281,15 +281,15 @@
   clock: FakeClock,
   byMs: number,
 ): Promise<void> {
-  const endMs = clock.nowMs() + byMs;
+  const endMs = clock.steadyMs() + byMs;
   await runPromises();
   let dueMs = clock.nextDueMs();
   while (dueMs !== undefined && dueMs <= endMs) {
-    clock.advance(Math.max(0, dueMs - clock.nowMs()));
+    clock.advance(Math.max(0, dueMs - clock.steadyMs()));
     await runPromises();
     dueMs = clock.nextDueMs();
   }
-  clock.advance(Math.max(0, endMs - clock.nowMs()));
+  clock.advance(Math.max(0, endMs - clock.steadyMs()));
   await runPromises();
 }
 
--- a/src/process/scheduler/runtime/testing/fake_worker.ts
+++ b/src/process/scheduler/runtime/testing/fake_worker.ts
@@ -36,6 +36,10 @@
     return this.#originMs + elapsedMs * this.#rate;
   }
 
+  steadyMs(): number {
+    return this.#clock.steadyMs() * this.#rate;
+  }
+
   timeOfDayMs(): number {
     return this.#clock.timeOfDayMs();
   }
--- a/test/system/pausable_clock.ts
+++ b/test/system/pausable_clock.ts
@@ -25,6 +25,10 @@
     return this.#clock.nowMs();
   }
 
+  steadyMs(): number {
+    return this.#clock.steadyMs();
+  }
+
   timeOfDayMs(): number {
     return this.#clock.timeOfDayMs();
   }
