A voter waits for its leader's lease to end by the steady clock

What could be seen: none of it, so far. After a step of the time of day on two of three members, both could have granted their votes while the leader's lease lasted: two leaders at once, and orders given twice.

The time for which a follower withholds its vote went by the clock that counts gains of the time of day.

Change: RaftState.steadyMs, by which votes are withheld. The leader's own lease still ends by nowMs, which never falls behind.

--- a/src/process/replication/core_driver.ts
+++ b/src/process/replication/core_driver.ts
@@ -163,7 +163,8 @@
     while (this.#inputs.length > 0) {
       const inputs = this.#inputs;
       this.#inputs = [];
-      for (const effect of core.step(inputs, clock.nowMs())) {
+      const effects = core.step(inputs, clock.nowMs(), clock.steadyMs());
+      for (const effect of effects) {
         if (!this.#isStopped) {
           this.#execute(effect);
         }
--- a/src/process/replication/election.ts
+++ b/src/process/replication/election.ts
@@ -292,7 +292,7 @@
   }
   return state.isLeader
     ? hasQuorumContact(state)
-    : state.nowMs < state.withholdVotesUntilMs;
+    : state.steadyMs < state.withholdVotesUntilMs;
 }
 
 function isLogUpToDate(
--- a/src/process/replication/follower.ts
+++ b/src/process/replication/follower.ts
@@ -120,7 +120,7 @@
   // This member may store entries of this term from now on: no other candidate
   // of the term may get its vote, not even in an election without a majority.
   state.votedFor ??= from.id;
-  state.withholdVotesUntilMs = state.nowMs + state.timing.leaderSilenceMs;
+  state.withholdVotesUntilMs = state.steadyMs + state.timing.leaderSilenceMs;
   resetElectionTimer(state);
   return true;
 }
--- a/src/process/replication/following.ts
+++ b/src/process/replication/following.ts
@@ -20,7 +20,7 @@
     return;
   }
   const { followMs } = state.timing;
-  const isSilent = state.nowMs >= state.withholdVotesUntilMs;
+  const isSilent = state.steadyMs >= state.withholdVotesUntilMs;
   if (isSilent) {
     state.leaderId = undefined;
   }
--- a/src/process/replication/formation.ts
+++ b/src/process/replication/formation.ts
@@ -143,6 +143,6 @@
   state.formationId = formationId;
   state.log.reset(snapshot);
   state.persistTracker.reset(snapshot);
-  state.withholdVotesUntilMs = state.nowMs;
+  state.withholdVotesUntilMs = state.steadyMs;
   becomeFollower(state, { term: state.term, leaderId: undefined });
 }
--- a/src/process/replication/member_session.ts
+++ b/src/process/replication/member_session.ts
@@ -51,6 +51,7 @@
       timing,
       ...log,
       nowMs: clock.nowMs(),
+      steadyMs: clock.steadyMs(),
       catchUpBytesPerSecond: options.catchUpBytesPerSecond ??
         (() => UNLIMITED_BYTES_PER_SECOND),
       ...(mutations === undefined ? {} : { mutations }),
--- a/src/process/replication/raft_core.ts
+++ b/src/process/replication/raft_core.ts
@@ -90,11 +90,16 @@
 
   /**
    * Processes inputs at the given time and returns the effects to execute, in
-   * order.
+   * order. `nowMs` and `steadyMs` are those of {@link RaftState}.
    */
-  step(inputs: readonly RaftInput[], nowMs: number): RaftEffect[] {
+  step(
+    inputs: readonly RaftInput[],
+    nowMs: number,
+    steadyMs = nowMs,
+  ): RaftEffect[] {
     const state = this.#state;
     state.nowMs = nowMs;
+    state.steadyMs = steadyMs;
     const lastIndex = state.log.lastIndex;
     for (const input of inputs) {
       this.#handleInput(input);
--- a/src/process/replication/raft_core_test.ts
+++ b/src/process/replication/raft_core_test.ts
@@ -208,17 +208,25 @@
  */
 function voterOfTermOne(mutations: RaftMutation[] = []) {
   const core = coreOfTermOne(mutations, []);
-  const receive = (from: string, message: RaftMessage) =>
-    core.step([{
-      kind: "message",
-      from,
-      envelope: {
-        formationId: "g",
-        fromIncarnation: 1,
-        toIncarnation: 1,
-        message,
-      },
-    }], 10);
+  const receive = (
+    from: string,
+    message: RaftMessage,
+    { nowMs, steadyMs } = { nowMs: 10, steadyMs: 10 },
+  ) =>
+    core.step(
+      [{
+        kind: "message",
+        from,
+        envelope: {
+          formationId: "g",
+          fromIncarnation: 1,
+          toIncarnation: 1,
+          message,
+        },
+      }],
+      nowMs,
+      steadyMs,
+    );
   return { core, receive };
 }
 
@@ -248,19 +256,35 @@
   t.is(mutant.core.view.term, 1);
 });
 
+const HEARTBEAT_OF_TERM_2: RaftMessage = {
+  kind: "append",
+  term: 2,
+  previousIndex: 0,
+  previousTerm: 0,
+  entries: [],
+  commitIndex: 0,
+  sentAtMs: 0,
+  stampMs: 0,
+  isLeaseHeld: false,
+};
+
+// Guards against two leaders at once after steps of the followers' clocks.
+test("a step of the clock doesn't make a voter grant its vote early", (t) => {
+  const { receive } = voterOfTermOne();
+  receive("b", HEARTBEAT_OF_TERM_2);
+  const [early] = voteReplies(
+    receive("c", PRE_VOTE_OF_TERM_5, { nowMs: 2_010, steadyMs: 20 }),
+  );
+  t.false(early?.isGranted);
+  const [due] = voteReplies(
+    receive("c", PRE_VOTE_OF_TERM_5, { nowMs: 4_010, steadyMs: 2_020 }),
+  );
+  t.true(due?.isGranted);
+});
+
 test("a follower is willing to vote for its own leader only", (t) => {
   const { receive } = voterOfTermOne();
-  receive("b", {
-    kind: "append",
-    term: 2,
-    previousIndex: 0,
-    previousTerm: 0,
-    entries: [],
-    commitIndex: 0,
-    sentAtMs: 0,
-    stampMs: 0,
-    isLeaseHeld: false,
-  });
+  receive("b", HEARTBEAT_OF_TERM_2);
   t.false(voteReplies(receive("c", PRE_VOTE_OF_TERM_5))[0]?.isWilling);
   t.true(voteReplies(receive("b", PRE_VOTE_OF_TERM_5))[0]?.isWilling);
 });
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -47,6 +47,8 @@
   readonly snapshot: LogSnapshot;
   readonly entries: readonly LogEntry[];
   readonly nowMs: number;
+  /** Initially {@link RaftState.steadyMs}; `nowMs` by default. */
+  readonly steadyMs?: number;
   /** Bytes per second that catching up a peer may take. */
   readonly catchUpBytesPerSecond: (peer: InstanceId) => number;
   /** @internal */
@@ -80,7 +82,10 @@
   readonly options: RaftCoreOptions;
   readonly log: RaftLog;
   readonly persistTracker: PersistTracker;
+  /** Never falls behind the time that has passed; one's own lease ends by it. */
   nowMs: number;
+  /** Never runs ahead; another member's lease is waited out by it. */
+  steadyMs: number;
 
   incarnation: number;
   formationId: string | undefined;
@@ -93,6 +98,7 @@
   currentAtMs = 0;
 
   /** This member grants no vote until then: its leader may hold a lease. */
+  /** By {@link steadyMs}: until then another member's lease may last. */
   withholdVotesUntilMs: number;
   electionDueMs = Infinity;
   /** When the next `follow` or `formRequest` messages are due. */
@@ -130,6 +136,7 @@
   constructor(options: RaftCoreOptions) {
     this.options = options;
     this.nowMs = options.nowMs;
+    this.steadyMs = options.steadyMs ?? options.nowMs;
     this.incarnation = options.hardState.incarnation;
     this.formationId = options.hardState.formationId;
     this.term = options.hardState.term;
@@ -144,7 +151,7 @@
       lastIndex: this.log.lastIndex,
     });
     const withholdsVotes = !this.hasMutation("votesRightAfterRestart");
-    this.withholdVotesUntilMs = options.nowMs +
+    this.withholdVotesUntilMs = this.steadyMs +
       (withholdsVotes ? options.timing.leaderSilenceMs : 0);
   }
 
