Odd entries under a worker's ID name no worker

What callers could see: one heartbeat with a start of 1e300 under a live worker's ID ended that worker's runs and kept it out for good; one unreadable row in a report cost the worker its lease.

Cause: numbers had no bounds, addresses no range, services no check, and rows of a report were read all or none. The clock in a heartbeat, too, moved the bound by which leases are granted.

--- a/bench/batch/simulation.ts
+++ b/bench/batch/simulation.ts
@@ -166,7 +166,7 @@
           id: `w-${number}`,
           bornMs: 1,
           service: "pool",
-          address: `w-${number}`,
+          address: `10.0.0.1:${1 + number}`,
           dataCentre: rack,
           capacity: {
             cpuMilli: load.cpuMilli,
--- a/src/process/batch/batch_command.ts
+++ b/src/process/batch/batch_command.ts
@@ -48,6 +48,44 @@
   readonly isDraining: boolean;
 }
 
+const ADDRESS_PATTERN =
+  /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})$/;
+
+/**
+ * What is wrong with a worker's record; undefined if it names a worker that can
+ * be called. Records come from anyone who writes announcements.
+ */
+export function findWorkerFault(worker: WorkerRecord): string | undefined {
+  const { id, bornMs, service, dataCentre, rack, labels } = worker;
+  const { capacity, isDraining } = worker;
+  const amounts = [
+    capacity?.cpuMilli,
+    capacity?.memoryMb,
+    capacity?.accelerators,
+  ];
+  if (!Number.isSafeInteger(bornMs) || bornMs < 0) {
+    return `the start ${bornMs} isn't a Unix time`;
+  }
+  if (!isAddress(worker.address)) {
+    return `the address ${worker.address} can't be called`;
+  }
+  const texts = [id, service, dataCentre, rack, ...(labels ?? [undefined])];
+  if (texts.some((text) => typeof text !== "string")) {
+    return "a name isn't a text";
+  }
+  if (!amounts.every((amount) => Number.isFinite(amount) && amount >= 0)) {
+    return "an amount of the capacity isn't a number from 0 on";
+  }
+  return typeof isDraining === "boolean" ? undefined : "the state is unknown";
+}
+
+function isAddress(address: string): boolean {
+  const match = ADDRESS_PATTERN.exec(address);
+  const [port, ...bytes] = match === null ? [] : match.slice(1).reverse();
+  return port !== undefined && Number(port) >= 1 && Number(port) <= 65_535 &&
+    bytes.every((byte) => Number(byte) <= 255);
+}
+
 /**
  * Whether two records of one incarnation agree in the fields that may change.
  */
--- a/src/process/batch/batch_state.ts
+++ b/src/process/batch/batch_state.ts
@@ -15,6 +15,7 @@
   type BatchCommand,
   type BatchItem,
   type BatchOutcome,
+  findWorkerFault,
   RunEnd,
   type TaskRef,
   type WorkerKey,
@@ -159,7 +160,10 @@
     this.#jobs = new Map(jobs.map((job) => [job.id, job]));
     this.#liveJobs = new Map(this.#jobs);
     jobs.forEach((job) => this.#dropIfFinished(job));
-    this.#workers = new WorkerIncarnations(workers);
+    // Earlier versions stored what they were told.
+    this.#workers = new WorkerIncarnations(
+      workers.filter((worker) => findWorkerFault(worker) === undefined),
+    );
     return Right(undefined);
   }
 
@@ -195,6 +199,9 @@
       case "end":
         return this.#end(item, atMs);
       case "worker":
+        if (findWorkerFault(item.worker) !== undefined) {
+          return false;
+        }
         this.#workers.put(item.worker);
         return true;
       case "workerGone":
--- a/src/process/batch/batch_state_test.ts
+++ b/src/process/batch/batch_state_test.ts
@@ -1,5 +1,8 @@
 import test from "ava";
+import { pack, unpack } from "msgpackr";
 import { RunEnd } from "./batch_command.ts";
+import type { WorkerRecord } from "./batch_command.ts";
+import { BatchState } from "./batch_state.ts";
 import { PlannerFixture } from "./decisions/planner_fixture.ts";
 
 const LOST = "reported before the worker was lost";
@@ -66,3 +69,29 @@
   t.false(fixture.state.liveJobs.has("a"));
   t.true(fixture.state.jobs.has("a"));
 });
+
+// Guards against an odd record that was stored before records were checked: under
+// a live worker's ID it would keep that one out for good.
+test("odd records of workers aren't restored, and the others are", (t) => {
+  const { state } = new PlannerFixture({ workers: 2 });
+  const snapshot = unpack(state.snapshot()) as { workers: WorkerRecord[] };
+  const odd = [
+    { bornMs: 1e300 },
+    { bornMs: "2" },
+    { address: "10.0.0.1:70000" },
+    { address: undefined },
+    { capacity: undefined },
+    { capacity: { cpuMilli: NaN, memoryMb: 1, accelerators: 1 } },
+    { labels: [[]] },
+  ].map((fields, at) => ({
+    ...snapshot.workers[0]!,
+    ...fields,
+    key: `w1@odd${at}`,
+  }));
+  const restored = new BatchState();
+  restored.restore(
+    pack({ ...snapshot, workers: [...odd, ...snapshot.workers] }),
+  ).unsafeCoerce();
+  t.deepEqual([...restored.workers.keys()], ["w1", "w2"]);
+  t.deepEqual(restored.conflictingWorkers(snapshot.workers[0]!), []);
+});
--- a/src/process/batch/decisions/planner_fixture.ts
+++ b/src/process/batch/decisions/planner_fixture.ts
@@ -76,7 +76,7 @@
         id: key,
         bornMs: 1,
         service: "pool",
-        address: `10.0.0.1:${this.state.workers.size}`,
+        address: `10.0.0.1:${1 + this.state.workers.size}`,
         dataCentre: "east",
         capacity: { cpuMilli: 32_000, memoryMb: 64_000, accelerators: 8 },
         labels: ["a", "r-1"],
--- a/src/process/batch/job_call.ts
+++ b/src/process/batch/job_call.ts
@@ -45,8 +45,6 @@
   | {
     readonly kind: "workerSeen";
     readonly worker: WorkerRecord;
-    /** The worker's clock, if the announcement holds it. */
-    readonly clockMs: number | undefined;
     /** Higher in later announcements of one incarnation. */
     readonly sequence: number;
   }
--- a/src/process/batch/leader/call_handler.ts
+++ b/src/process/batch/leader/call_handler.ts
@@ -171,9 +171,16 @@
 
   async #recordWorker(call: CallOf<"workerSeen">): Promise<JobAnswer> {
     const { session, state } = this.#options;
-    const { worker, sequence, clockMs } = call;
+    const { worker, sequence } = call;
     const noted: JobAnswer = { kind: "noted" };
     const known = state.workers.get(worker.key);
+    const configured = state.inForce?.index.configuration.services;
+    if (configured === undefined) {
+      return { kind: "unknown" };
+    }
+    if (!configured.some(({ name }) => name === worker.service)) {
+      return { kind: "invalid", detail: `unknown service ${worker.service}` };
+    }
     // An incarnation that drains never stops doing so: an announcement that it
     // doesn't drain is out of date. A new leader has no sequence numbers yet
     // that could show this.
@@ -194,7 +201,6 @@
         return { kind: "unknown" };
       }
     }
-    session.recordClock(worker.key, clockMs);
     return noted;
   }
 
--- a/src/process/batch/leader/call_handler_test.ts
+++ b/src/process/batch/leader/call_handler_test.ts
@@ -16,7 +16,7 @@
     await write({ kind: "workerGone", key });
     return DepartureStatus.released;
   };
-  const session = { write, releaseWorker, recordClock: () => undefined };
+  const session = { write, releaseWorker };
   return new CallHandler({
     session: session as unknown as LeaderSession,
     state,
@@ -34,7 +34,7 @@
   t.is((await handler.answer(leaves)).kind, "noted");
   t.true(fixture.state.workers.has(worker.key));
   const draining = { ...worker, isDraining: true };
-  const seen = { kind: "workerSeen", clockMs: undefined } as const;
+  const seen = { kind: "workerSeen" } as const;
   await handler.answer({ ...seen, worker: draining, sequence: 1 });
   await handler.answer(leaves);
   t.false(fixture.state.workers.has(worker.key));
@@ -44,7 +44,7 @@
   const fixture = new PlannerFixture({ workers: 1 });
   const ready = [...fixture.state.workers.values()][0]!;
   const draining = { ...ready, isDraining: true };
-  const seen = { kind: "workerSeen", clockMs: undefined } as const;
+  const seen = { kind: "workerSeen" } as const;
   await handlerOf(fixture).answer({ ...seen, worker: draining, sequence: 8 });
   t.true(fixture.state.workers.get(ready.key)?.isDraining);
   // The next leader has no sequence numbers yet.
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -158,11 +158,6 @@
     return this.#departures.request(key);
   }
 
-  /** Records what a worker's clock showed in a message that just arrived. */
-  recordClock(key: WorkerKey, clockMs: number | undefined): void {
-    this.#links.get(key)?.recordClock(clockMs);
-  }
-
   close(): void {
     if (!this.#isClosed) {
       this.#isClosed = true;
@@ -312,9 +307,9 @@
     this.#driver.reconcile(key, report, sentAtMs);
     this.#logSlowRuns(key, report);
     const outcomes = await Promise.all(writes);
-    const last = report.ended.at(-1);
+    const last = report.lastEndNumber ?? report.ended.at(-1)?.number;
     if (last !== undefined && outcomes.every((known) => known !== undefined)) {
-      link.acknowledgeEnds(last.number);
+      link.acknowledgeEnds(last);
     }
   }
 
--- a/src/process/batch/leader/pace_monitor_test.ts
+++ b/src/process/batch/leader/pace_monitor_test.ts
@@ -39,7 +39,7 @@
         progress: share,
       }],
       ended: [],
-      hasAllEnds: true,
+      isComplete: true,
     }).length;
   }
   return found;
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -122,8 +122,8 @@
     for (const { task, run } of report.ended) {
       listed.add(runKey(task, run));
     }
-    if (!report.hasAllEnds) {
-      // The end of a run that isn't listed may be among those left out.
+    if (!report.isComplete) {
+      // A run that isn't listed, or its end, may be among those left out.
       return;
     }
     for (const open of runs.onHolder(key)) {
--- a/src/process/batch/leader/run_driver_test.ts
+++ b/src/process/batch/leader/run_driver_test.ts
@@ -74,7 +74,7 @@
 
 test("a lost run keeps the last reported checkpoint", (t) => {
   const { driver, clock, ends, run } = driveOneRun({});
-  const report = { clockMs: 0, bornMs: 0, ended: [], hasAllEnds: true };
+  const report = { clockMs: 0, bornMs: 0, ended: [], isComplete: true };
   const listed = {
     task: run.task,
     run: run.run,
@@ -94,9 +94,9 @@
   run.confirmedAtMs = clock.nowMs();
   run.stoppedAtMs = clock.nowMs();
   clock.advance(1);
-  driver.reconcile(run.holder, { ...report, hasAllEnds: false }, clock.nowMs());
+  driver.reconcile(run.holder, { ...report, isComplete: false }, clock.nowMs());
   t.deepEqual(ends, []);
-  driver.reconcile(run.holder, { ...report, hasAllEnds: true }, clock.nowMs());
+  driver.reconcile(run.holder, { ...report, isComplete: true }, clock.nowMs());
   t.deepEqual(ends.map(({ how }) => how), ["stopped"]);
 });
 
--- a/src/process/batch/leader/worker_link_test.ts
+++ b/src/process/batch/leader/worker_link_test.ts
@@ -10,7 +10,7 @@
   bornMs: 1,
   running: [],
   ended: [],
-  hasAllEnds: true,
+  isComplete: true,
 };
 
 test("an unexpected error in a report counts as silence, and renewals go on", async (t) => {
--- a/src/process/batch/mod.ts
+++ b/src/process/batch/mod.ts
@@ -9,6 +9,7 @@
 export {
   type BatchCommand,
   type BatchOutcome,
+  findWorkerFault,
   RunEnd,
   type TaskRef,
   workerKeyOf,
--- a/src/process/batch/testing/batch_simulation.ts
+++ b/src/process/batch/testing/batch_simulation.ts
@@ -260,7 +260,6 @@
       void this.leader?.handler?.answer({
         kind: "workerSeen",
         worker,
-        clockMs: this.pool.clockOf(worker.id),
         sequence: this.#sequence,
       });
     }
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -80,11 +80,6 @@
       .map((worker) => worker.record());
   }
 
-  clockOf(id: string): number {
-    const worker = this.#workers.get(id)!;
-    return this.#clockMs(worker);
-  }
-
   setPartitioned(id: string, isPartitioned: boolean): void {
     this.#workers.get(id)!.isPartitioned = isPartitioned;
   }
@@ -220,7 +215,7 @@
         progress: progressAt(work, this.#options.clock.nowMs()),
       })),
       ended: answering.ended.slice(0, REPORTED_ENDS_LIMIT),
-      hasAllEnds: answering.ended.length <= REPORTED_ENDS_LIMIT,
+      isComplete: answering.ended.length <= REPORTED_ENDS_LIMIT,
     }));
   }
 
--- a/src/process/batch/testing/fake_worker.ts
+++ b/src/process/batch/testing/fake_worker.ts
@@ -53,7 +53,7 @@
       id: this.id,
       bornMs: this.bornMs,
       service: "pool",
-      address: this.id,
+      address: `10.0.0.1:${1 + Number(this.id.slice(1))}`,
       dataCentre: "east",
       capacity: { cpuMilli: 8_000, memoryMb: 8_000, accelerators: 8 },
       labels: ["a", "r-1"],
--- a/src/process/batch/worker_calls.ts
+++ b/src/process/batch/worker_calls.ts
@@ -73,8 +73,13 @@
   readonly running: readonly RunningTask[];
   /** Ends after the last acknowledged one, oldest first; possibly not all. */
   readonly ended: readonly EndedTask[];
-  /** Whether no end is left out: a report holds a limited number of them. */
-  readonly hasAllEnds: boolean;
+  /** The number of the last end listed, whosever task it was of. */
+  readonly lastEndNumber?: number | undefined;
+  /**
+   * Whether no run or end is left out: a report holds a limited number of ends,
+   * and rows that can't be read are skipped.
+   */
+  readonly isComplete: boolean;
 }
 
 /** A lease for all runs on a worker, and a request for its report. */
--- a/test/platform/normal_operation_test.ts
+++ b/test/platform/normal_operation_test.ts
@@ -287,6 +287,41 @@
   await closeFixture({ platform, ...fixture });
 });
 
+// Guards against another writer's entry that is taken for a live worker.
+test("odd entries under a live worker's ID change nothing", async (t) => {
+  const fixture = await openFixture(41);
+  const { platform, history } = fixture;
+  const worker = fixture.workers[0]!;
+  await waitUntil(() => Promise.resolve(isKnownEverywhere(platform)));
+  const id = jobId(9);
+  await submit(fixture, id, { spec: "slow", steps: [GANG_STEP] });
+  await waitForState(fixture, id, "running");
+  const born = Date.now() + 1_000;
+  const nested = "[".repeat(2_000) + "]".repeat(2_000);
+  const entries: readonly Record<string, unknown>[] = [
+    { born: String(born) },
+    { born: 1e300 },
+    { born: 9e15 },
+    { born, seq: 1e300 },
+    { born, address: "127.0.0.1:99999" },
+    { born, service: "another" },
+    { born, capacity: JSON.parse(nested) },
+  ];
+  for (const [at, entry] of entries.entries()) {
+    const body = { ...worker.nextHeartbeat(), ...entry };
+    for (const core of [0, 1, 2]) {
+      const { status } = await platform.heartbeat(worker.id, body, core);
+      t.is(status, 400, `entry ${at}`);
+    }
+  }
+  await new Promise((resume) => setTimeout(resume, 1_500));
+  t.deepEqual(platform.knownWorkerCounts(), [3, 3, 3]);
+  const { body } = await platform.client("GET", `/queue/${id}`);
+  t.is(body.state, "running");
+  t.is(history.starts(`${id}.0.0.0`).length, 1);
+  await closeFixture(fixture);
+});
+
 function isKnownEverywhere(platform: StandinPlatform): boolean {
   return platform.knownWorkerCounts().every((count) => count === 3);
 }
