Workers of a service that was dropped may still report

Change: a known incarnation keeps the service under which it was taken in.

Result: call_handler_test has both cases.

--- a/src/process/batch/leader/call_handler.ts
+++ b/src/process/batch/leader/call_handler.ts
@@ -178,7 +178,10 @@
     if (configured === undefined) {
       return { kind: "unknown" };
     }
-    if (!configured.some(({ name }) => name === worker.service)) {
+    // A service that a configuration has dropped keeps its workers until they end.
+    const isKnownService = known?.service === worker.service ||
+      configured.some(({ name }) => name === worker.service);
+    if (!isKnownService) {
       return { kind: "invalid", detail: `unknown service ${worker.service}` };
     }
     // An incarnation that drains never stops doing so: an announcement that it
--- a/src/process/batch/leader/call_handler_test.ts
+++ b/src/process/batch/leader/call_handler_test.ts
@@ -53,3 +53,34 @@
   t.is(late.kind, "noted");
   t.true(fixture.state.workers.get(ready.key)?.isDraining);
 });
+
+test("a worker of an unknown service isn't taken in, one of a dropped service may drain", async (t) => {
+  const fixture = new PlannerFixture({ workers: 1 });
+  const { state } = fixture;
+  const handler = handlerOf(fixture);
+  const worker = [...state.workers.values()][0]!;
+  const seen = { kind: "workerSeen" } as const;
+  const odd = { ...worker, key: "w1@9", bornMs: 9, service: "another" };
+  const refused = await handler.answer({ ...seen, worker: odd, sequence: 1 });
+  t.is(refused.kind, "invalid");
+  t.deepEqual([...state.workers.keys()], [worker.key]);
+  const { configuration } = state.inForce!.index;
+  state.apply({
+    kind: "configure",
+    document: "",
+    configuration: {
+      ...configuration,
+      version: configuration.version + 1,
+      queues: [],
+      services: [],
+    },
+  });
+  const draining = { ...worker, isDraining: true };
+  const noted = await handler.answer({
+    ...seen,
+    worker: draining,
+    sequence: 2,
+  });
+  t.is(noted.kind, "noted");
+  t.true(state.workers.get(worker.key)?.isDraining);
+});
