A start isn't sent again to a worker that drains or is out meanwhile

Cause: whether a worker may take a run was checked when its start was stored, and not when it was sent, again and again, for as long as no answer came.

Change: RunDriver asks BatchState.mayRunOn at each sending. A start that was never sent ends as rejected; one that may have arrived is stopped.

Result: two new tests of run_driver_test saw 20 further starts each with the code before and see none now.

--- a/src/process/batch/batch_state.ts
+++ b/src/process/batch/batch_state.ts
@@ -103,6 +103,13 @@
       ?.steps[task.step]?.tasks[task.index];
   }
 
+  /** Whether a run may be started on the worker. */
+  mayRunOn(key: WorkerKey): boolean {
+    const worker = this.#workers.byKey.get(key);
+    return worker !== undefined && !worker.isDraining &&
+      !this.#dataCentresOut.has(worker.dataCentre);
+  }
+
   apply(command: BatchCommand): BatchOutcome {
     switch (command.kind) {
       case "epoch":
@@ -263,7 +270,7 @@
         const task = step.tasks[index];
         return task !== undefined && !task.isDone &&
           task.worker === undefined && task.run < item.run &&
-          this.#mayRunOn(worker);
+          this.mayRunOn(worker);
       });
     if (!mayStart) {
       return false;
@@ -278,12 +285,6 @@
     return true;
   }
 
-  #mayRunOn(key: WorkerKey): boolean {
-    const worker = this.#workers.byKey.get(key);
-    return worker !== undefined && !worker.isDraining &&
-      !this.#dataCentresOut.has(worker.dataCentre);
-  }
-
   #end(item: Extract<BatchItem, { kind: "end" }>, atMs: number): boolean {
     const { task: ref, run, how } = item;
     const job = this.#jobs.get(ref.jobId);
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -185,6 +185,10 @@
         void this.#orders.stop(run, link);
       }
     } else if (run.confirmedAtMs === undefined) {
+      if (link.isReachable && !state.mayRunOn(run.holder)) {
+        this.#withdrawStart(run);
+        return;
+      }
       const leaseEndMs = link.isReachable ? link.nextLeaseEndMs() : undefined;
       if (leaseEndMs !== undefined) {
         void this.#sendStart(run, { link, leaseEndMs });
@@ -237,6 +241,18 @@
     }
   }
 
+  /**
+   * Gives up a start whose worker has begun to drain, or whose data centre was
+   * taken out, since it was decided. One that was sent may have been received.
+   */
+  #withdrawStart(run: OpenRunState): void {
+    if (run.startsSent === 0) {
+      this.#endOnce(run, RunEnd.rejected);
+    } else {
+      this.stop(run.task, StopReason.workerLeaving);
+    }
+  }
+
   async #sendStart(
     run: OpenRunState,
     options: { link: WorkerLink; leaseEndMs: number },
--- a/src/process/batch/leader/run_driver_test.ts
+++ b/src/process/batch/leader/run_driver_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { Right } from "purify-ts/Either";
-import { FakeClock } from "../../../base/mod.ts";
+import { failure, FakeClock } from "../../../base/mod.ts";
 import { SILENT_EVENT_LOG } from "../../../base/event_log.ts";
 import { BATCH_TIMING } from "../batch_timing.ts";
 import { PlannerFixture } from "../decisions/planner_fixture.ts";
@@ -51,7 +51,8 @@
     onUnwell: () => undefined,
     onFull: () => undefined,
   });
-  return { driver, clock, ends, run: [...runs.all()][0]! };
+  const run = [...runs.all()][0]!;
+  return { driver, clock, ends, run, state: fixture.state };
 }
 
 test("a run whose end is being committed isn't started again", async (t) => {
@@ -114,6 +115,47 @@
   t.true(run.hasUnansweredStart);
 });
 
+// Guards against a start that was decided before its worker began to drain.
+for (const isDraining of [true, false]) {
+  const why = isDraining ? "its worker drains" : "its data centre is out";
+  test(`a lost start isn't sent again once ${why}`, async (t) => {
+    let starts = 0;
+    let stops = 0;
+    const { driver, clock, ends, run, state } = driveOneRun({
+      start: () => {
+        starts += 1;
+        return Promise.resolve(failure("outcomeUnknown"));
+      },
+      stop: () => {
+        stops += 1;
+        return Promise.resolve(Right(undefined));
+      },
+    });
+    driver.drive();
+    await new Promise((done) => setImmediate(done));
+    const worker = state.workers.get(run.holder)!;
+    state.apply(
+      isDraining
+        ? {
+          kind: "batch",
+          epoch: 1,
+          atMs: clock.nowMs(),
+          items: [{ kind: "worker", worker: { ...worker, isDraining } }],
+        }
+        : { kind: "dataCentre", dataCentre: worker.dataCentre, isOut: true },
+    );
+    for (let tick = 0; tick < 20; tick++) {
+      clock.advance(BATCH_TIMING.tickMs);
+      driver.drive();
+      await new Promise((done) => setImmediate(done));
+    }
+    t.is(starts, 1);
+    // The lost start may still arrive: a stop precludes that.
+    t.is(stops, 1);
+    t.deepEqual(ends, []);
+  });
+}
+
 test("a stop isn't sent while the leader's lease has run out", (t) => {
   let stops = 0;
   let mayLead = false;
--- a/src/process/batch/leader/run_table.ts
+++ b/src/process/batch/leader/run_table.ts
@@ -24,7 +24,7 @@
   gangBroken: "gangBroken",
   /** Its worker restarted; the new incarnation may have received its start. */
   workerRestarted: "workerRestarted",
-  /** Its worker is about to end. */
+  /** Its worker drains or is about to end, or its data centre was taken out. */
   workerLeaving: "workerLeaving",
 } as const;
 
