An order about a data centre isn't carried out once its caller gave up

Cause: such an order has no version, and a core proposed whatever it read, for up to 3 s after its caller had turned to another core.

--- a/src/base/events/batch_events.ts
+++ b/src/base/events/batch_events.ts
@@ -154,6 +154,13 @@
     text: "A configuration was refused and changes nothing.",
     fields: ["detail"],
   },
+  batchOrderAbandoned: {
+    number: 7044,
+    level: "info",
+    text:
+      "An order about a data centre wasn't carried out: its caller gave up.",
+    fields: ["dataCentre", "isOut"],
+  },
   batchDataCentreSwitched: {
     number: 7043,
     level: "info",
--- a/src/process/batch/batch_service.ts
+++ b/src/process/batch/batch_service.ts
@@ -141,13 +141,26 @@
     );
   }
 
-  /** Takes a data centre out of service, or back in. */
+  /**
+   * Takes a data centre out of service, or back in. The order has no version: if
+   * it waited in this process or on its way until its caller gave up, a newer one
+   * may have been acknowledged by another instance. The barrier's round trip
+   * lets the end of the caller's connection arrive first.
+   */
   async setDataCentreStatus(
     dataCentre: string,
-    options: { isOut: boolean; deadlineMs: number },
+    options: { isOut: boolean; deadlineMs: number; caller: AbortSignal },
   ): Promise<Result<void>> {
-    const { isOut, deadlineMs } = options;
+    const { isOut, deadlineMs, caller } = options;
     const { member, events } = this.#options;
+    const barrier = await member.readBarrier({ deadlineMs });
+    if (barrier.isLeft()) {
+      return barrier;
+    }
+    if (caller.aborted) {
+      events.emit("batchOrderAbandoned", { dataCentre, isOut });
+      return failure("unavailable", { detail: "the caller has given up" });
+    }
     const command = { kind: "dataCentre", dataCentre, isOut } as const;
     const result = await member.propose(command, { deadlineMs });
     return result.caseOf<Result<void>>({
