Process scenarios reserve their ports for the whole run

Cause: the layout opened and closed 100 ports of the range from which port 0 is served before the programs used them, while workers listened on port 0 and other tests chose theirs.

Change: reservePorts takes a block below that range. Whoever listens on its first port has it; prepare.js keeps that open until run.sh ends, on every way out.

--- a/test/process/layout.ts
+++ b/test/process/layout.ts
@@ -5,9 +5,6 @@
  * @module
  */
 
-import { once } from "node:events";
-import { type AddressInfo, createServer, type Server } from "node:net";
-
 /** An instance of the test. */
 export interface TestInstance {
   readonly id: string;
@@ -50,10 +47,13 @@
 const WORKERS_PER_RACK = 4;
 const SERVERS_PER_DATA_CENTRE = 2;
 
-/** Creates the layout on ports that are free now. */
-export async function createLayout(folder: string): Promise<TestLayout> {
+/** Creates the layout on the given ports. */
+export function createLayout(
+  folder: string,
+  portNumbers: readonly number[],
+): TestLayout {
   const locations = Object.entries(INSTANCE_DATA_CENTRES);
-  const ports = new PortPool(await findFreePorts(100));
+  const ports = new PortPool([...portNumbers]);
   const instances = locations.map(([id, dataCentre]) => ({
     id,
     dataCentre,
@@ -115,18 +115,3 @@
     return port;
   }
 }
-
-async function findFreePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from({ length: count }, () => listenOnFreePort()),
-  );
-  const ports = servers.map((server) => (server.address() as AddressInfo).port);
-  await Promise.all(servers.map((server) => once(server.close(), "close")));
-  return ports;
-}
-
-async function listenOnFreePort(): Promise<Server> {
-  const server = createServer().listen(0, "127.0.0.1");
-  await once(server, "listening");
-  return server;
-}
--- a/test/process/prepare.ts
+++ b/test/process/prepare.ts
@@ -1,27 +1,31 @@
 /**
  * Writes settings, document and a list of programs for a process test:
  * `prepare.js FOLDER`. Each line of the list is the name of a program and the
- * command that starts it.
+ * command that starts it. Keeps the programs' ports reserved until it is ended.
  *
  * @module
  */
 
-import { mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { mkdirSync, readFileSync, renameSync, writeFileSync } from "node:fs";
 import process from "node:process";
 import { parse, stringify } from "smol-toml";
 import { createLayout, type TestInstance, type TestLayout } from "./layout.ts";
+import { reservePorts } from "./port_reservation.ts";
 
 async function main(): Promise<void> {
   const folder = process.argv[2] ?? "run/process";
   mkdirSync(`${folder}/settings`, { recursive: true });
-  const layout = await createLayout(folder);
+  const reservation = await reservePorts();
+  const layout = createLayout(folder, reservation.ports);
   writeFileSync(`${folder}/layout.json`, JSON.stringify(layout, null, 2));
   writeFileSync(`${folder}/document.toml`, createDocument());
   for (const instance of layout.instances) {
     const text = stringify(createSettings(instance, layout));
     writeFileSync(`${folder}/settings/${instance.id}.toml`, text);
   }
-  writeFileSync(`${folder}/programs`, listPrograms(layout).join("\n") + "\n");
+  const list = listPrograms(layout).join("\n") + "\n";
+  writeFileSync(`${folder}/programs.new`, list);
+  renameSync(`${folder}/programs.new`, `${folder}/programs`);
 }
 
 /** The demo's document with one rack per data centre, each guarantee once. */
--- a/test/process/run.sh
+++ b/test/process/run.sh
@@ -6,7 +6,13 @@
 folder=${1:-run/process}
 rm -rf "$folder"
 mkdir -p "$folder"
-node dist/test/process/prepare.js "$folder" || exit 1
+node dist/test/process/prepare.js "$folder" </dev/null &
+reservation=$!
+trap 'kill "$reservation" 2>/dev/null' EXIT
+while [ ! -e "$folder/programs" ]; do
+  kill -0 "$reservation" 2>/dev/null || exit 1
+  sleep 0.05
+done
 supervisors=()
 while read -r name command; do
   # shellcheck disable=SC2086 # the command is a list of plain words
