Addresses that are announced are checked in one place, with their ports

Cause: the daemon, too, took in workers and backend servers that announced a port of 99999 or a host of 1.2.3.999; there were three patterns for addresses.

Result: the new test of bad_input_test failed with the code before and passes now.

--- a/src/process/batch/batch_command.ts
+++ b/src/process/batch/batch_command.ts
@@ -11,6 +11,7 @@
   JobId,
   ServiceId,
 } from "../../base/identity.ts";
+import { isSocketAddress } from "../../base/socket_address.ts";
 import type { JobSpec, TaskDemand } from "./job_spec.ts";
 import type { PoolConfiguration } from "./pool_configuration.ts";
 
@@ -48,9 +49,6 @@
   readonly isDraining: boolean;
 }
 
-const ADDRESS_PATTERN =
-  /^(\d{1,3})\.(\d{1,3})\.(\d{1,3})\.(\d{1,3}):(\d{1,5})$/;
-
 /**
  * What is wrong with a worker's record; undefined if it names a worker that can
  * be called. Records come from anyone who writes announcements.
@@ -66,8 +64,9 @@
   if (!Number.isSafeInteger(bornMs) || bornMs < 0) {
     return `the start ${bornMs} isn't a Unix time`;
   }
-  if (!isAddress(worker.address)) {
-    return `the address ${worker.address} can't be called`;
+  const { address } = worker;
+  if (typeof address !== "string" || !isSocketAddress(address)) {
+    return `the address ${address} can't be called`;
   }
   const texts = [id, service, dataCentre, rack, ...(labels ?? [undefined])];
   if (texts.some((text) => typeof text !== "string")) {
@@ -79,13 +78,6 @@
   return typeof isDraining === "boolean" ? undefined : "the state is unknown";
 }
 
-function isAddress(address: string): boolean {
-  const match = ADDRESS_PATTERN.exec(address);
-  const [port, ...bytes] = match === null ? [] : match.slice(1).reverse();
-  return port !== undefined && Number(port) >= 1 && Number(port) <= 65_535 &&
-    bytes.every((byte) => Number(byte) <= 255);
-}
-
 /**
  * Whether two records of one incarnation agree in the fields that may change.
  */
--- a/src/process/routing/core/server_announcement.ts
+++ b/src/process/routing/core/server_announcement.ts
@@ -6,12 +6,13 @@
 
 import * as z from "zod";
 import { IDENTITY_PATTERN } from "../../../base/identity.ts";
+import { isSocketAddress } from "../../../base/socket_address.ts";
 
 const identity = z.string().regex(IDENTITY_PATTERN);
 
 /** The IP address and port on which a server listens. */
-const serverAddress = z.string().regex(
-  /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$/,
+const serverAddress = z.string().refine(
+  isSocketAddress,
   "Expected an IP address and port, such as 127.0.0.1:9001.",
 );
 
--- a/src/process/scheduler/runtime/worker_report.ts
+++ b/src/process/scheduler/runtime/worker_report.ts
@@ -7,6 +7,7 @@
 
 import * as z from "zod";
 import { IDENTITY_PATTERN } from "../../../base/identity.ts";
+import { isSocketAddress } from "../../../base/socket_address.ts";
 
 const identity = z.string().regex(IDENTITY_PATTERN);
 const attemptNumber = z.int().min(1);
@@ -15,9 +16,7 @@
 export const WORKER_PROTOCOL_VERSION = 1;
 
 /** The IP address and port at which a worker listens. */
-export const workerAddressSchema = z.string().regex(
-  /^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$|^\[[0-9a-fA-F:]+\]:\d{1,5}$/,
-);
+export const workerAddressSchema = z.string().refine(isSocketAddress);
 
 /** One task that a worker holds. */
 export const heldTaskSchema = z.strictObject({
--- a/test/fuzz/bad_input_test.ts
+++ b/test/fuzz/bad_input_test.ts
@@ -7,6 +7,7 @@
 import { EndpointTable } from "../../src/process/http/endpoint_table.ts";
 import { readJsonBody } from "../../src/process/jobs/json_body.ts";
 import { jobSpecificationSchema } from "../../src/process/scheduler/core/job.ts";
+import { announcementBodySchema } from "../../src/process/routing/core/server_announcement.ts";
 import { workerReportSchema } from "../../src/process/scheduler/runtime/worker_report.ts";
 import { jobEndpoints, workerEndpoints } from "../../src/process/jobs/mod.ts";
 import { parseSettings } from "../../src/process/settings/mod.ts";
@@ -222,3 +223,26 @@
   simulation.close();
   t.true(handled > 200);
 });
+
+// Guards against an announced address that no connection can be opened to.
+test("announced addresses have a port that can be connected to", (t) => {
+  const report = JSON.parse(REPORT) as Record<string, unknown>;
+  const announcement = {
+    service: "clearance",
+    address: "127.0.0.1:1",
+    slots: 1,
+    dataCentre: "east",
+    incarnation: 1,
+  };
+  for (
+    const [schema, body] of [
+      [workerReportSchema, report],
+      [announcementBodySchema, announcement],
+    ] as const
+  ) {
+    t.true(schema.safeParse(body).success);
+    for (const address of ["127.0.0.1:0", "127.0.0.1:99999", "1.2.3.999:1"]) {
+      t.false(schema.safeParse({ ...body, address }).success, address);
+    }
+  }
+});
