Jobs of a queue that a version renames or drops are still run

Cause: a job knows its queue by name, and planning skips jobs whose queue isn't configured.

Result: three tests of batch_state_test failed with the code before and pass now.

--- a/src/process/batch/batch_state.ts
+++ b/src/process/batch/batch_state.ts
@@ -36,6 +36,7 @@
 import {
   ConfigurationIndex,
   type PoolConfiguration,
+  type QueueConfiguration,
 } from "./pool_configuration.ts";
 import { WorkerIncarnations } from "./worker_incarnations.ts";
 
@@ -51,6 +52,8 @@
   readonly epoch: number;
   readonly document: string | undefined;
   readonly configuration: PoolConfiguration | undefined;
+  /** Queues that aren't configured any more and have jobs; none if absent. */
+  readonly droppedQueues?: readonly QueueConfiguration[];
   readonly dataCentresOut: readonly DataCentreId[];
   readonly jobs: readonly JobRecord[];
   readonly workers: readonly WorkerRecord[];
@@ -143,6 +146,7 @@
       epoch: this.#epoch,
       document: this.#inForce?.document,
       configuration: this.#inForce?.index.configuration,
+      droppedQueues: this.#inForce?.index.dropped ?? [],
       dataCentresOut: [...this.#dataCentresOut],
       jobs: [...this.#jobs.values()],
       workers: [...this.#workers.byKey.values()],
@@ -157,12 +161,15 @@
         `batch snapshot has the unsupported format ${snapshot.formatVersion}`;
       return failure("storageFailed", { detail });
     }
-    const { document, configuration, jobs, workers } =
+    const { document, configuration, droppedQueues, jobs, workers } =
       snapshot as BatchSnapshot;
     this.#epoch = snapshot.epoch ?? 0;
     this.#inForce = document === undefined || configuration === undefined
       ? undefined
-      : { document, index: new ConfigurationIndex(configuration) };
+      : {
+        document,
+        index: new ConfigurationIndex(configuration, droppedQueues),
+      };
     this.#dataCentresOut = new Set(snapshot.dataCentresOut);
     this.#jobs = new Map(jobs.map((job) => [job.id, job]));
     this.#liveJobs = new Map(this.#jobs);
@@ -184,9 +191,10 @@
   ): BatchOutcome {
     const currentVersion = this.#inForce?.index.configuration.version ?? -1;
     if (configuration.version > currentVersion) {
+      const dropped = this.#moveJobsOfDroppedQueues(configuration);
       this.#inForce = {
         document,
-        index: new ConfigurationIndex(configuration),
+        index: new ConfigurationIndex(configuration, dropped),
       };
     }
     return {
@@ -195,6 +203,32 @@
     };
   }
 
+  /**
+   * Moves live jobs of queues that a version drops to the queue that takes their
+   * place, at the same host and prefix. Returns the queues without such a
+   * successor, which their jobs keep.
+   */
+  #moveJobsOfDroppedQueues(next: PoolConfiguration): QueueConfiguration[] {
+    const kept = new Set(next.queues.map(({ name }) => name));
+    const known = this.#inForce?.index;
+    const dropped = new Map<string, QueueConfiguration>();
+    for (const job of this.#liveJobs.values()) {
+      const queue = known?.queueNamed(job.queue);
+      if (queue === undefined || kept.has(job.queue)) {
+        continue;
+      }
+      const successor = next.queues.find(({ host, prefix }) =>
+        host === queue.host && prefix === queue.prefix
+      );
+      if (successor === undefined) {
+        dropped.set(queue.name, queue);
+      } else {
+        job.queue = successor.name;
+      }
+    }
+    return [...dropped.values()];
+  }
+
   #applyItem(item: BatchItem, atMs: number): boolean {
     switch (item.kind) {
       case "accept":
--- a/src/process/batch/batch_state_test.ts
+++ b/src/process/batch/batch_state_test.ts
@@ -4,6 +4,7 @@
 import type { WorkerRecord } from "./batch_command.ts";
 import { BatchState } from "./batch_state.ts";
 import { PlannerFixture } from "./decisions/planner_fixture.ts";
+import type { QueueConfiguration } from "./pool_configuration.ts";
 
 const LOST = "reported before the worker was lost";
 const STOPPED = "saved at the stop";
@@ -95,3 +96,66 @@
   t.deepEqual([...restored.workers.keys()], ["w1", "w2"]);
   t.deepEqual(restored.conflictingWorkers(snapshot.workers[0]!), []);
 });
+
+/** Puts a version in force whose queues are those given. */
+function reconfigure(
+  { state }: PlannerFixture,
+  queues: readonly QueueConfiguration[],
+): void {
+  const { configuration } = state.inForce!.index;
+  const version = configuration.version + 1;
+  state.apply({
+    kind: "configure",
+    document: "",
+    configuration: { ...configuration, version, queues },
+  });
+}
+
+// Guards against accepted jobs that wait for good after their route has gone.
+for (const change of ["another name", "no successor"]) {
+  test(`jobs of a queue that a version gives ${change} are still started`, (t) => {
+    const fixture = new PlannerFixture({ workers: 1 });
+    const { state } = fixture;
+    fixture.submit("a", { taskCount: 1 });
+    const queues = state.inForce!.index.configuration.queues;
+    const own = queues.find(({ name }) => name === state.jobs.get("a")!.queue)!;
+    const others = queues.filter((queue) => queue !== own);
+    const isRenamed = change === "another name";
+    const renamed = { ...own, name: "renamed", attempts: own.attempts + 1 };
+    reconfigure(fixture, isRenamed ? [...others, renamed] : others);
+    const restored = new BatchState();
+    restored.restore(state.snapshot()).unsafeCoerce();
+    for (const { inForce, jobs } of [state, restored]) {
+      const queue = inForce!.index.queueNamed(jobs.get("a")!.queue);
+      t.deepEqual(queue, isRenamed ? renamed : own);
+    }
+    t.is(
+      state.inForce!.index.queueAt(own.host, own.prefix)?.name,
+      isRenamed ? "renamed" : undefined,
+    );
+    t.is(fixture.plan().starts.length, 1);
+    // The next version keeps what its jobs still need.
+    reconfigure(fixture, others);
+    t.is(fixture.plan().starts.length, 1);
+  });
+}
+
+test("a dropped queue is forgotten with its last job", (t) => {
+  const fixture = new PlannerFixture({ workers: 1 });
+  const { state } = fixture;
+  fixture.submit("a", { taskCount: 1 });
+  const { queue } = state.jobs.get("a")!;
+  const others = state.inForce!.index.configuration.queues.filter(({ name }) =>
+    name !== queue
+  );
+  reconfigure(fixture, others);
+  t.not(state.inForce!.index.queueNamed(queue), undefined);
+  state.apply({
+    kind: "batch",
+    epoch: 1,
+    atMs: fixture.nowMs,
+    items: [{ kind: "cancel", jobId: "a" }],
+  });
+  reconfigure(fixture, others);
+  t.is(state.inForce!.index.queueNamed(queue), undefined);
+});
--- a/src/process/batch/job_record.ts
+++ b/src/process/batch/job_record.ts
@@ -53,7 +53,8 @@
 /** One job; the times are Unix times in milliseconds. */
 export interface JobRecord {
   readonly id: JobId;
-  readonly queue: string;
+  /** Changes if a version renames the queue. */
+  queue: string;
   readonly account: ClientAccountId | undefined;
   readonly spec: JobSpec;
   readonly submittedAtMs: number;
--- a/src/process/batch/pool_configuration.ts
+++ b/src/process/batch/pool_configuration.ts
@@ -85,16 +85,24 @@
 
 /**
  * Finds the queues by host and path, and the accounts by key, of one version.
+ * Queues that a version has dropped are found by their names only, for the jobs
+ * that were accepted for them.
  */
 export class ConfigurationIndex {
   readonly configuration: PoolConfiguration;
+  readonly dropped: readonly QueueConfiguration[];
   readonly #queuesByHost = new Map<string, QueueConfiguration[]>();
   readonly #queuesByName = new Map<string, QueueConfiguration>();
   readonly #accountsByKey = new Map<string, AccountConfiguration>();
   readonly #urgentServices = new Set<ServiceId>();
 
-  constructor(configuration: PoolConfiguration) {
+  constructor(
+    configuration: PoolConfiguration,
+    dropped: readonly QueueConfiguration[] = [],
+  ) {
     this.configuration = configuration;
+    this.dropped = dropped;
+    dropped.forEach((queue) => this.#queuesByName.set(queue.name, queue));
     for (const queue of configuration.queues) {
       const queues = this.#queuesByHost.get(queue.host) ?? [];
       queues.push(queue);
