A batch that is too large for the log is committed in parts

What could be seen: a batch over 2 MiB, as 200 ends with checkpoints of 10 KB, failed each time it was proposed and ended the leader's session (the review, by reading).

Cause: the writer took each failed commit for the loss of its leadership, though nothing of a batch that is too large is appended.

Change: such a batch is halved until its parts fit, in order. An item that doesn't fit by itself takes no effect, which is logged (batchItemTooLarge).

Result: two new tests of batch_writer_test failed with the code before and pass now. Not tried with real checkpoints of that size.

--- a/src/base/events/batch_events.ts
+++ b/src/base/events/batch_events.ts
@@ -154,6 +154,12 @@
     text: "A configuration was refused and changes nothing.",
     fields: ["detail"],
   },
+  batchItemTooLarge: {
+    number: 7045,
+    level: "error",
+    text: "A change doesn't fit into an entry of the log; it took no effect.",
+    fields: ["kind"],
+  },
   batchOrderAbandoned: {
     number: 7044,
     level: "info",
--- a/src/process/batch/leader/batch_writer.ts
+++ b/src/process/batch/leader/batch_writer.ts
@@ -27,6 +27,8 @@
   readonly onApplied: (item: BatchItem) => void;
   /** Called after each committed batch. */
   readonly onBatch: (durationMs: number, items: number) => void;
+  /** Called with an item that doesn't fit into the log by itself. */
+  readonly onTooLarge: (item: BatchItem) => void;
   /**
    * Called once if planning threw, a batch's commit failed, or another leader
    * has taken over.
@@ -174,6 +176,9 @@
       Left: (error) => error.kind,
       Right: (outcome) => outcome,
     });
+    if (outcome === "tooLarge") {
+      return await this.#commitInParts(items);
+    }
     if (typeof outcome === "string" || outcome.kind !== "batch") {
       this.#depose(typeof outcome === "string" ? outcome : outcome.kind);
       return undefined;
@@ -188,6 +193,26 @@
     return outcome.applied;
   }
 
+  /**
+   * Commits items that don't fit into one entry of the log, nothing of which was
+   * appended. An item that doesn't fit by itself takes no effect.
+   */
+  async #commitInParts(
+    items: BatchItem[],
+  ): Promise<readonly boolean[] | undefined> {
+    if (items.length === 1) {
+      this.#options.onTooLarge(items[0]!);
+      return [false];
+    }
+    const middle = Math.ceil(items.length / 2);
+    const first = await this.#commit(items.slice(0, middle));
+    if (first === undefined || this.#isClosed) {
+      return first;
+    }
+    const second = await this.#commit(items.slice(middle));
+    return [...first, ...second ?? []];
+  }
+
   #depose(detail: string): void {
     if (!this.#isClosed) {
       this.close();
--- a/src/process/batch/leader/batch_writer_test.ts
+++ b/src/process/batch/leader/batch_writer_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { Right } from "purify-ts/Either";
-import { FakeClock, type Result } from "../../../base/mod.ts";
+import { failure, FakeClock, type Result } from "../../../base/mod.ts";
 import type { ReplicatedLog } from "../../replication/mod.ts";
 import type {
   BatchCommand,
@@ -16,14 +16,21 @@
   plan?: () => BatchItem[];
   onApplied?: () => void;
   clock?: FakeClock;
-}): { writer: BatchWriter; deposed: string[] } {
+  /** The log refuses batches with more items than this as too large. */
+  batchLimit?: number;
+}): { writer: BatchWriter; deposed: string[]; batches: BatchItem[][] } {
+  const { batchLimit = Infinity } = options;
+  const batches: BatchItem[][] = [];
   const propose = (
-    command: Extract<BatchCommand, { kind: "batch" }>,
-  ): Promise<Result<BatchOutcome>> =>
-    Promise.resolve(Right({
-      kind: "batch",
-      applied: command.items.map(() => true),
-    }));
+    { items }: Extract<BatchCommand, { kind: "batch" }>,
+  ): Promise<Result<BatchOutcome>> => {
+    if (items.length > batchLimit) {
+      return Promise.resolve(failure("tooLarge"));
+    }
+    batches.push([...items]);
+    const applied = items.map(() => true);
+    return Promise.resolve(Right({ kind: "batch", applied }));
+  };
   const deposed: string[] = [];
   const writer = new BatchWriter({
     log: { propose } as unknown as ReplicatedLog<BatchCommand, BatchOutcome>,
@@ -33,9 +40,11 @@
     plan: options.plan ?? (() => []),
     onApplied: options.onApplied ?? (() => undefined),
     onBatch: () => undefined,
+    onTooLarge: () => undefined,
+
     onDeposed: (detail) => deposed.push(detail),
   });
-  return { writer, deposed };
+  return { writer, deposed, batches };
 }
 
 /** A writer whose planning passes take 50 ms each. */
@@ -68,6 +77,27 @@
   t.deepEqual(deposed, []);
 });
 
+// Guards against a batch that ends the leader each time it is proposed.
+test("a batch that is too large for the log is committed in parts, in order", async (t) => {
+  const { writer, deposed, batches } = writerOf({ batchLimit: 3 });
+  const items = Array.from(
+    { length: 10 },
+    (_, at): BatchItem => ({ kind: "cancel", jobId: `job${at}` }),
+  );
+  const results = await Promise.all(items.map((item) => writer.write(item)));
+  t.true(results.every((applied) => applied === true));
+  t.deepEqual(batches.flat(), items);
+  t.true(batches.every((batch) => batch.length <= 3));
+  t.deepEqual(deposed, []);
+});
+
+test("an item that is too large by itself is refused, and the writer goes on", async (t) => {
+  const { writer, deposed } = writerOf({ batchLimit: 0 });
+  t.is(await writer.write(ITEM), false);
+  t.is(await writer.write(ITEM), false);
+  t.deepEqual(deposed, []);
+});
+
 test("an unexpected error ends the writer, which answers what waits", async (t) => {
   for (
     const failing of [
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -69,6 +69,7 @@
       plan: () => this.#plan(),
       onApplied: (item) => this.#onApplied(item),
       onBatch: (durationMs, items) => this.#recordBatch(durationMs, items),
+      onTooLarge: ({ kind }) => events.emit("batchItemTooLarge", { kind }),
       onDeposed: (detail) => this.#end(detail),
     });
     this.#links = new WorkerLinks({
