--- a/src/base/events/batch_events.ts
+++ b/src/base/events/batch_events.ts
@@ -66,8 +66,9 @@
   taskEnded: {
     number: 7021,
     level: "info",
-    text: "The end of a run is stored.",
-    fields: ["jobId", "task", "run", "how"],
+    text:
+      "The end of a run is stored. worker: where it was started; proof: what showed that it is over.",
+    fields: ["jobId", "task", "run", "how", "worker", "proof"],
   },
   taskStartRefused: {
     number: 7022,
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -23,8 +23,14 @@
 import type { WorkerReport } from "../worker_calls.ts";
 import { BatchWriter } from "./batch_writer.ts";
 import { PaceMonitor } from "./pace_monitor.ts";
+import { RunEndProof } from "./run_end_proof.ts";
 import { RunDriver } from "./run_driver.ts";
-import { RunTable, StopReason, taskKey } from "./run_table.ts";
+import {
+  type OpenRunState,
+  RunTable,
+  StopReason,
+  taskKey,
+} from "./run_table.ts";
 import { WorkerHealth } from "./worker_health.ts";
 import { type DepartureStatus, WorkerDepartures } from "./worker_departures.ts";
 import type { WorkerLink } from "./worker_link.ts";
@@ -50,6 +56,11 @@
   readonly #paces: PaceMonitor;
   readonly #links: WorkerLinks;
   readonly #departures: WorkerDepartures;
+  /** The worker of each end that is being committed, and what proved it. */
+  readonly #endOrigins = new WeakMap<
+    BatchItem,
+    { worker: WorkerKey; proof: RunEndProof }
+  >();
   /** Ended jobs for which `batchJobEnded` was emitted. */
   readonly #reportedOver = new Set<JobId>();
   readonly #ticker: Timer;
@@ -95,8 +106,10 @@
       linkOf: (key) => this.#links.get(key),
       successorOf: (key) => this.#links.successorOf(key),
       mayLead: () => this.isCurrent(),
-      onEnd: ({ task, run, checkpoint }, how) =>
-        void this.#writeEnd(task, { run, how, checkpoint }),
+      onEnd: (open, how, proof) => {
+        const { run, checkpoint } = open;
+        void this.#writeEnd(open, { run, how, checkpoint }, proof);
+      },
       onUnwell: (key) => this.#health.recordUnwell(key),
       onFull: (key) => this.#health.recordFull(key),
     });
@@ -253,13 +266,15 @@
     }
   }
 
-  #onEndApplied({ task, run, how }: Extract<BatchItem, { kind: "end" }>): void {
+  #onEndApplied(item: Extract<BatchItem, { kind: "end" }>): void {
     const { state, events } = this.#options;
+    const { task, run, how } = item;
     events.emit("taskEnded", {
       jobId: task.jobId,
       task: taskKey(task),
       run,
       how,
+      ...this.#endOrigins.get(item),
     });
     this.#departures.settle();
     const job = state.jobs.get(task.jobId);
@@ -302,7 +317,8 @@
       if (number > link.acknowledgedEnd && isOpen) {
         this.#driver.recordEnding(open);
         this.#recordHealth(key, task, how);
-        writes.push(this.#writeEnd(task, { run, how, checkpoint }));
+        const end = { run, how, checkpoint };
+        writes.push(this.#writeEnd(open, end, RunEndProof.report));
       }
     }
     this.#driver.reconcile(key, report, sentAtMs);
@@ -337,17 +353,13 @@
   }
 
   #writeEnd(
-    task: TaskRef,
+    { task, worker }: OpenRunState,
     end: { run: number; how: RunEnd; checkpoint: string },
+    proof: RunEndProof,
   ): Promise<boolean | undefined> {
-    const { run, how, checkpoint } = end;
-    return this.#writer.write({
-      kind: "end",
-      task,
-      run,
-      how,
-      checkpoint,
-    });
+    const item: BatchItem = { kind: "end", task, ...end };
+    this.#endOrigins.set(item, { worker, proof });
+    return this.#writer.write(item);
   }
 
   #recordBatch(durationMs: number, items: number): void {
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -14,6 +14,7 @@
   StartRefusal,
   type WorkerReport,
 } from "../worker_calls.ts";
+import { RunEndProof } from "./run_end_proof.ts";
 import { RunOrders, type RunOrdersOptions } from "./run_orders.ts";
 import { type OpenRunState, runKey, StopReason, taskKey } from "./run_table.ts";
 import type { WorkerLink } from "./worker_link.ts";
@@ -23,7 +24,11 @@
   /** The latest other incarnation of the same worker, if there is one. */
   readonly successorOf: (key: WorkerKey) => WorkerKey | undefined;
   /** Called when a run is certainly over though no worker reported its end. */
-  readonly onEnd: (run: OpenRunState, how: RunEnd) => void;
+  readonly onEnd: (
+    run: OpenRunState,
+    how: RunEnd,
+    proof: RunEndProof,
+  ) => void;
   readonly onUnwell: (key: WorkerKey) => void;
   readonly onFull: (key: WorkerKey) => void;
 }
@@ -140,10 +145,13 @@
    */
   #handleAbsent(open: OpenRunState, sentAtMs: number): void {
     const { confirmedAtMs, stoppedAtMs } = open;
+    const proof = open.holder === open.worker
+      ? RunEndProof.absent
+      : RunEndProof.incarnation;
     if (stoppedAtMs !== undefined && stoppedAtMs < sentAtMs) {
-      this.#endOnce(open, RunEnd.stopped);
+      this.#endOnce(open, RunEnd.stopped, proof);
     } else if (confirmedAtMs !== undefined && confirmedAtMs < sentAtMs) {
-      this.#endOnce(open, RunEnd.lost);
+      this.#endOnce(open, RunEnd.lost, proof);
     }
   }
 
@@ -152,10 +160,10 @@
     this.#ending.add(open);
   }
 
-  #endOnce(open: OpenRunState, how: RunEnd): void {
+  #endOnce(open: OpenRunState, how: RunEnd, proof: RunEndProof): void {
     if (!this.#ending.has(open)) {
       this.#ending.add(open);
-      this.#options.onEnd(open, how);
+      this.#options.onEnd(open, how, proof);
     }
   }
 
@@ -173,7 +181,7 @@
       return;
     }
     if (!link.isReachable && link.haveLeasesExpired()) {
-      this.#endOnce(run, RunEnd.lost);
+      this.#endOnce(run, RunEnd.lost, RunEndProof.lease);
       return;
     }
     this.#checkJob(run, nowMs);
@@ -213,7 +221,10 @@
         run.confirmedAtMs === undefined;
       const waitMs = mayStillArrive ? timing.workerRestartWaitMs : 0;
       if (clock.steadyMs() - run.incarnationOverAtMs >= waitMs) {
-        this.#endOnce(run, RunEnd.lost);
+        const proof = this.#options.linkOf(run.holder)?.isSuperseded
+          ? RunEndProof.incarnation
+          : RunEndProof.removed;
+        this.#endOnce(run, RunEnd.lost, proof);
       }
       return;
     }
@@ -247,7 +258,7 @@
    */
   #withdrawStart(run: OpenRunState): void {
     if (run.startsSent === 0) {
-      this.#endOnce(run, RunEnd.rejected);
+      this.#endOnce(run, RunEnd.rejected, RunEndProof.refused);
     } else {
       this.stop(run.task, StopReason.workerLeaving);
     }
@@ -307,7 +318,7 @@
     if (run.startsSent > 1) {
       this.stop(run.task, StopReason.gangBroken);
     } else {
-      this.#endOnce(run, RunEnd.rejected);
+      this.#endOnce(run, RunEnd.rejected, RunEndProof.refused);
     }
   }
 }
--- a/src/process/batch/leader/run_driver_test.ts
+++ b/src/process/batch/leader/run_driver_test.ts
@@ -26,7 +26,7 @@
   plan.starts.forEach((start) =>
     runs.applyItem(start, fixture.state, fixture.nowMs)
   );
-  const ends: { how: string; checkpoint: string }[] = [];
+  const ends: { how: string; checkpoint: string; proof: string }[] = [];
   const driver = new RunDriver({
     runs,
     state: fixture.state,
@@ -47,7 +47,8 @@
       }) as unknown as WorkerLink,
     successorOf: () => undefined,
     mayLead: options.mayLead ?? (() => true),
-    onEnd: ({ checkpoint }, how) => void ends.push({ how, checkpoint }),
+    onEnd: ({ checkpoint }, how, proof) =>
+      void ends.push({ how, checkpoint, proof }),
     onUnwell: () => undefined,
     onFull: () => undefined,
   });
@@ -70,6 +71,7 @@
     clock.advance(BATCH_TIMING.tickMs);
   }
   t.deepEqual(ends.map(({ how }) => how), ["rejected"]);
+  t.deepEqual(ends.map(({ proof }) => proof), ["refused"]);
   t.is(starts, 1);
 });
 
@@ -85,7 +87,9 @@
   driver.reconcile(run.holder, { ...report, running: [listed] }, clock.nowMs());
   clock.advance(1);
   driver.reconcile(run.holder, { ...report, running: [] }, clock.nowMs());
-  t.deepEqual(ends, [{ how: "lost", checkpoint: "half way" }]);
+  t.deepEqual(ends, [
+    { how: "lost", checkpoint: "half way", proof: "absent" },
+  ]);
 });
 
 // Guards against taking a run whose end the worker has yet to list for lost.
--- /dev/null
+++ b/src/process/batch/leader/run_end_proof.ts
@@ -0,0 +1,28 @@
+/**
+ * What showed a leader that a run is over. Logged with the run's end, and not
+ * part of the replicated state.
+ *
+ * @module
+ */
+
+/** What showed that a run is over. */
+export const RunEndProof = {
+  /** A report of the worker lists the end. */
+  report: "report",
+  /**
+   * A complete report that was asked for after the run was confirmed or stopped
+   * lists neither the run nor its end.
+   */
+  absent: "absent",
+  /** A later incarnation of the worker answered. */
+  incarnation: "incarnation",
+  /** The worker's record was removed, and no later incarnation is known. */
+  removed: "removed",
+  /** Every lease of the silent worker has ended. */
+  lease: "lease",
+  /** The worker refused the only start that was sent, or none was sent. */
+  refused: "refused",
+} as const;
+
+/** One of the values of {@link RunEndProof}. */
+export type RunEndProof = typeof RunEndProof[keyof typeof RunEndProof];
