--- a/src/base/events/batch_events.ts
+++ b/src/base/events/batch_events.ts
@@ -26,6 +26,13 @@
     text: "A leader's session failed, or could not begin.",
     fields: ["detail"],
   },
+  runsInherited: {
+    number: 7003,
+    level: "info",
+    text:
+      "A new leader took over open runs and orders them again. runs: task/run@worker.",
+    fields: ["jobIds", "runs"],
+  },
   batchJobAccepted: {
     number: 7010,
     level: "info",
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -23,6 +23,7 @@
 import type { WorkerReport } from "../worker_calls.ts";
 import { BatchWriter } from "./batch_writer.ts";
 import { PaceMonitor } from "./pace_monitor.ts";
+import { describeInheritedRuns } from "./inherited_runs.ts";
 import { RunEndProof } from "./run_end_proof.ts";
 import { RunDriver } from "./run_driver.ts";
 import {
@@ -132,6 +133,9 @@
       openRuns: this.#runs.size,
       workers: state.workers.size,
     });
+    for (const fields of describeInheritedRuns([...this.#runs.all()])) {
+      events.emit("runsInherited", fields);
+    }
     this.#writer.requestPlan();
   }
 
--- a/src/process/batch/testing/run_events_test.ts
+++ b/src/process/batch/testing/run_events_test.ts
@@ -97,3 +97,16 @@
   t.is(first?.["proof"], "incarnation");
   simulation.close();
 });
+
+test("a new leader names the runs that it takes over, by job", async (t) => {
+  const { simulation, events } = await runTwoTasks();
+  t.deepEqual(events.of("runsInherited"), []);
+  const workers = String(events.of("taskStarted")[0]!["workers"]).split(" ");
+  await simulation.elect();
+  t.deepEqual(events.of("runsInherited"), [{
+    jobIds: "job",
+    runs: workers.map((worker, index) => `job.0.0.${index}/1@${worker}`)
+      .join(" "),
+  }]);
+  simulation.close();
+});
--- a/src/programs/commands/explain.ts
+++ b/src/programs/commands/explain.ts
@@ -104,6 +104,7 @@
     return [];
   }
   const isAbout = raw["jobId"] === id || raw["requestId"] === id ||
+    String(raw["jobIds"] ?? "").split(" ").includes(id) ||
     String(raw["task"] ?? "").startsWith(`${id}.`);
   if (!isAbout) {
     return [];
--- a/src/programs/commands/explain_test.ts
+++ b/src/programs/commands/explain_test.ts
@@ -47,3 +47,15 @@
   const error = explainLines(ID, [text]).swap().unsafeCoerce();
   t.is(error.kind, "notFound");
 });
+
+test("a line about several jobs is found by the ID of each", (t) => {
+  const text = logLine("2026-01-01T00:00:00Z", "runsInherited", {
+    jobIds: `00000000000000b2 ${ID}`,
+    runs: `00000000000000b2.0.0.0/1@w1 ${ID}.0.0.0/2@w2`,
+  });
+  for (const id of [ID, "00000000000000b2"]) {
+    const { lines } = explainLines(id, [text]).unsafeCoerce();
+    t.deepEqual(lines.map(({ event }) => event), ["runsInherited"]);
+  }
+  t.true(explainLines("00000000000000b", [text]).isLeft());
+});
