A deposed leader logs the changes whose outcome it doesn't know

Change: batchOutcomeUnknown with the number of items, the IDs of the first 32 jobs that they are about, and the count of the rest. Result: batch_writer_test, run_events_test.

--- a/src/base/events/batch_events.ts
+++ b/src/base/events/batch_events.ts
@@ -168,6 +168,13 @@
     text: "A change doesn't fit into an entry of the log; it took no effect.",
     fields: ["kind"],
   },
+  batchOutcomeUnknown: {
+    number: 7046,
+    level: "warn",
+    text:
+      "A deposed leader's last changes may take effect; it logs none of them. jobIds: the first of their jobs.",
+    fields: ["items", "jobIds", "moreJobs"],
+  },
   batchOrderAbandoned: {
     number: 7044,
     level: "info",
--- a/src/process/batch/leader/batch_writer.ts
+++ b/src/process/batch/leader/batch_writer.ts
@@ -29,6 +29,8 @@
   readonly onBatch: (durationMs: number, items: number) => void;
   /** Called with an item that doesn't fit into the log by itself. */
   readonly onTooLarge: (item: BatchItem) => void;
+  /** Called with the items of a batch that may still take effect. */
+  readonly onUnknown: (items: readonly BatchItem[]) => void;
   /**
    * Called once if planning threw, a batch's commit failed, or another leader
    * has taken over.
@@ -179,6 +181,9 @@
     if (outcome === "tooLarge") {
       return await this.#commitInParts(items);
     }
+    if (outcome === "outcomeUnknown") {
+      this.#options.onUnknown(items);
+    }
     if (typeof outcome === "string" || outcome.kind !== "batch") {
       this.#depose(typeof outcome === "string" ? outcome : outcome.kind);
       return undefined;
--- a/src/process/batch/leader/batch_writer_test.ts
+++ b/src/process/batch/leader/batch_writer_test.ts
@@ -18,8 +18,16 @@
   clock?: FakeClock;
   /** The log refuses batches with more items than this as too large. */
   batchLimit?: number;
-}): { writer: BatchWriter; deposed: string[]; batches: BatchItem[][] } {
-  const { batchLimit = Infinity } = options;
+  /** The log fails each batch that isn't too large with this kind of error. */
+  failsWith?: "unavailable" | "outcomeUnknown";
+}): {
+  writer: BatchWriter;
+  deposed: string[];
+  batches: BatchItem[][];
+  unknown: BatchItem[];
+} {
+  const { batchLimit = Infinity, failsWith } = options;
+  const unknown: BatchItem[] = [];
   const batches: BatchItem[][] = [];
   const propose = (
     { items }: Extract<BatchCommand, { kind: "batch" }>,
@@ -28,6 +36,9 @@
       return Promise.resolve(failure("tooLarge"));
     }
     batches.push([...items]);
+    if (failsWith !== undefined) {
+      return Promise.resolve(failure(failsWith));
+    }
     const applied = items.map(() => true);
     return Promise.resolve(Right({ kind: "batch", applied }));
   };
@@ -41,10 +52,10 @@
     onApplied: options.onApplied ?? (() => undefined),
     onBatch: () => undefined,
     onTooLarge: () => undefined,
-
+    onUnknown: (items) => unknown.push(...items),
     onDeposed: (detail) => deposed.push(detail),
   });
-  return { writer, deposed, batches };
+  return { writer, deposed, batches, unknown };
 }
 
 /** A writer whose planning passes take 50 ms each. */
@@ -142,3 +153,14 @@
   await new Promise((done) => setImmediate(done));
   t.is(planTimes.length, 2);
 });
+
+for (const failsWith of ["outcomeUnknown", "unavailable"] as const) {
+  const isUnknown = failsWith === "outcomeUnknown";
+  test(`items of a batch that fails with ${failsWith} are ${isUnknown ? "" : "not "}reported as unknown`, async (t) => {
+    const { writer, deposed, unknown } = writerOf({ failsWith });
+    t.is(await writer.write(ITEM), undefined);
+    await new Promise((done) => setImmediate(done));
+    t.deepEqual(unknown, isUnknown ? [ITEM] : []);
+    t.deepEqual(deposed, [failsWith]);
+  });
+}
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -82,6 +82,11 @@
       onApplied: (item) => this.#onApplied(item),
       onBatch: (durationMs, items) => this.#recordBatch(durationMs, items),
       onTooLarge: ({ kind }) => events.emit("batchItemTooLarge", { kind }),
+      onUnknown: (items) =>
+        events.emit("batchOutcomeUnknown", {
+          items: items.length,
+          ...nameJobs(items),
+        }),
       onDeposed: (detail) => this.#end(detail),
     });
     this.#links = new WorkerLinks({
@@ -412,5 +417,34 @@
   }
 }
 
+/** Maximum number of jobs that a line about a batch names. */
+const NAMED_JOBS_LIMIT = 32;
+
+/** The jobs that items are about: the IDs of the first ones, and a count. */
+function nameJobs(
+  items: readonly BatchItem[],
+): { jobIds: string; moreJobs: number } {
+  const jobIds = [...new Set(items.flatMap(jobIdsOf))];
+  return {
+    jobIds: jobIds.slice(0, NAMED_JOBS_LIMIT).join(" "),
+    moreJobs: Math.max(0, jobIds.length - NAMED_JOBS_LIMIT),
+  };
+}
+
+function jobIdsOf(item: BatchItem): readonly JobId[] {
+  switch (item.kind) {
+    case "accept":
+    case "cancel":
+    case "start":
+      return [item.jobId];
+    case "end":
+      return [item.task.jobId];
+    case "worker":
+    case "workerGone":
+    case "forget":
+      return [];
+  }
+}
+
 /** A slower commit is logged; a sync to disk takes 4 to 9 ms. */
 const SLOW_COMMIT_MS = 250;
--- a/src/process/batch/testing/run_events_test.ts
+++ b/src/process/batch/testing/run_events_test.ts
@@ -110,3 +110,27 @@
   }]);
   simulation.close();
 });
+
+test("a leader deposed during a commit names the jobs whose changes may take effect", async (t) => {
+  const { simulation, events } = await runTwoTasks();
+  await simulation.advance(10_000);
+  const submitted = Array.from({ length: 40 }, (_, number) => `late${number}`);
+  for (const jobId of submitted) {
+    void simulation.submit(jobId, {
+      payload: "",
+      steps: [STEP],
+      recurrence: undefined,
+    });
+  }
+  await simulation.flushPromises();
+  await simulation.elect();
+  await simulation.advance(1_000);
+  const [line, ...further] = events.of("batchOutcomeUnknown");
+  t.deepEqual(further, []);
+  t.deepEqual(line, {
+    items: submitted.length,
+    jobIds: submitted.slice(0, 32).join(" "),
+    moreJobs: 8,
+  });
+  simulation.close();
+});
