A log shows which of its lines are missing, and a full pipe loses none at once

A write to a non-blocking pipe that is full failed with EAGAIN, and its lines were dropped at once. Change: each line has life, which identifies the process's life, and line, which counts from 1 and counts suppressed and dropped lines too. logLinesDropped gives the number of dropped lines. On EAGAIN the chunk is written again 20 ms later, within the queue's bound. Result: line_writer_test.

--- a/src/base/events/process_events.ts
+++ b/src/base/events/process_events.ts
@@ -38,6 +38,12 @@
     text: "Log lines of one event were suppressed in the last period.",
     fields: ["suppressed", "lines"],
   },
+  logLinesDropped: {
+    number: 1007,
+    level: "warn",
+    text: "Log lines were dropped: their reader stalled, or a write failed.",
+    fields: ["lines"],
+  },
   unexpectedError: {
     number: 1006,
     level: "error",
--- a/src/process/logging/event_line_log.ts
+++ b/src/process/logging/event_line_log.ts
@@ -33,9 +33,16 @@
   readonly #written = new Map<EventName, number>();
   readonly #suppressed = new Map<EventName, number>();
   readonly #timer: Timer;
+  /** Identifies this life of the process: its start in base 36. */
+  readonly #life: string;
+  /** Counts all lines of this life, with those suppressed or dropped. */
+  #line = 0;
+  /** Dropped lines that were logged. */
+  #reportedDrops = 0;
 
   constructor(options: EventLineLogOptions) {
     this.#options = options;
+    this.#life = Math.floor(options.clock.nowMs()).toString(36);
     this.#timer = options.clock.every(
       BUDGET_PERIOD_MS,
       () => this.#beginPeriod(),
@@ -46,6 +53,7 @@
     const limit = this.#options.linesPerPeriod ?? LINES_PER_PERIOD;
     const written = this.#written.get(name) ?? 0;
     if (written >= limit) {
+      this.#line += 1;
       this.#suppressed.set(name, (this.#suppressed.get(name) ?? 0) + 1);
       return;
     }
@@ -64,17 +72,30 @@
       this.#write("logLinesSuppressed", { suppressed: name, lines });
     }
     this.#suppressed.clear();
+    this.#reportDrops();
   }
 
-  #write(name: EventName, fields: EventFields): void {
+  #reportDrops(): void {
+    const { dropped } = this.#options.writer;
+    const lines = dropped - this.#reportedDrops;
+    if (lines > 0 && this.#write("logLinesDropped", { lines })) {
+      this.#reportedDrops = dropped;
+    }
+  }
+
+  /** Writes a line; false if it was dropped. */
+  #write(name: EventName, fields: EventFields): boolean {
     const { number, level } = EVENT_CATALOGUE[name];
     const { clock, instanceId, writer } = this.#options;
-    writer.push(JSON.stringify({
+    this.#line += 1;
+    return writer.push(JSON.stringify({
       time: new Date(clock.nowMs()).toISOString(),
       level,
       event: name,
       number,
       instance: instanceId,
+      life: this.#life,
+      line: this.#line,
       ...fields,
     }));
   }
--- a/src/process/logging/line_writer.ts
+++ b/src/process/logging/line_writer.ts
@@ -21,23 +21,36 @@
  */
 const WRITE_LIMIT_BYTES = 4_096;
 
+/** How long a write waits before it is tried again on a full pipe. */
+const RETRY_DELAY_MS = 20;
+
 /** Writes a chunk; calls `done` with the bytes written, or an error. */
 export type WriteChunk = (
   chunk: Uint8Array,
   done: (error: Error | null, writtenBytes: number) => void,
 ) => void;
 
+/** Options of a {@link LineWriter}. */
+export interface LineWriterOptions {
+  readonly write: WriteChunk;
+  readonly limitBytes?: number;
+  /** Calls back when a write to a full pipe is to be tried again. */
+  readonly retryLater?: (retry: () => void) => void;
+}
+
 /** Writes lines through a bounded queue. */
 export class LineWriter {
   readonly #write: WriteChunk;
   readonly #limitBytes: number;
+  readonly #retryLater: (retry: () => void) => void;
   #queued: string[] = [];
   #queuedBytes = 0;
   #isWriting = false;
   #dropped = 0;
 
-  constructor(options: { write: WriteChunk; limitBytes?: number }) {
+  constructor(options: LineWriterOptions) {
     this.#write = options.write;
+    this.#retryLater = options.retryLater ?? retryAfterDelay;
     this.#limitBytes = options.limitBytes ?? QUEUE_LIMIT_BYTES;
   }
 
@@ -86,6 +99,10 @@
 
   #writeAll(chunk: Uint8Array): void {
     this.#write(chunk, (error, writtenBytes) => {
+      if (isPipeFull(error)) {
+        this.#retryLater(() => this.#writeAll(chunk));
+        return;
+      }
       if (error !== null) {
         this.#dropped += countLines(chunk);
       } else if (writtenBytes < chunk.length) {
@@ -102,6 +119,16 @@
   }
 }
 
+/** Whether a write failed since a non-blocking pipe is full: none was written. */
+function isPipeFull(error: Error | null): boolean {
+  return error !== null && "code" in error && error.code === "EAGAIN";
+}
+
+/** The process may end while it waits for a stalled reader. */
+function retryAfterDelay(retry: () => void): void {
+  setTimeout(retry, RETRY_DELAY_MS).unref();
+}
+
 const LINE_BREAK = 0x0a;
 
 /** The lines that a chunk completes. */
--- a/src/process/logging/line_writer_test.ts
+++ b/src/process/logging/line_writer_test.ts
@@ -79,6 +79,159 @@
   t.is(chunks.length, 2);
 });
 
+/** A writer whose pipe is full for its first writes, and what it took then. */
+function writerToFullPipe(options: { limitBytes?: number } = {}) {
+  const pipe = { isFull: true, text: "" };
+  const retries: (() => void)[] = [];
+  const writer = new LineWriter({
+    ...options,
+    write: (chunk, done) => {
+      if (pipe.isFull) {
+        done(Object.assign(new Error("try again"), { code: "EAGAIN" }), 0);
+        return;
+      }
+      pipe.text += new TextDecoder().decode(chunk);
+      done(null, chunk.length);
+    },
+    retryLater: (retry) => retries.push(retry),
+  });
+  return { writer, pipe, retries };
+}
+
+// Guards against dropping what a non-blocking pipe doesn't take at once.
+test("lines wait while a non-blocking pipe is full", (t) => {
+  const { writer, pipe, retries } = writerToFullPipe();
+  const lines = ["one", "two", "three"];
+  lines.forEach((line) => writer.push(line));
+  for (let attempt = 0; attempt < 5; attempt++) {
+    t.is(retries.length, 1, "one write waits");
+    retries.shift()!();
+  }
+  t.is(pipe.text, "");
+  pipe.isFull = false;
+  retries.shift()!();
+  t.is(pipe.text, lines.join("\n") + "\n");
+  t.is(writer.dropped, 0);
+  t.is(retries.length, 0);
+});
+
+test("a partly written chunk goes on where a full pipe stopped it", (t) => {
+  let text = "";
+  let writes = 0;
+  const retries: (() => void)[] = [];
+  const writer = new LineWriter({
+    write: (chunk, done) => {
+      writes += 1;
+      if (writes === 2) {
+        done(Object.assign(new Error("try again"), { code: "EAGAIN" }), 0);
+        return;
+      }
+      const part = chunk.subarray(0, 3);
+      text += new TextDecoder().decode(part);
+      done(null, part.length);
+    },
+    retryLater: (retry) => retries.push(retry),
+  });
+  writer.push("hello");
+  t.is(text, "hel");
+  retries.shift()!();
+  t.is(text, "hello\n");
+});
+
+test("lines that wait for a full pipe stay within the queue's bound", (t) => {
+  const { writer, pipe, retries } = writerToFullPipe({ limitBytes: 1_000 });
+  const taken = Array.from({ length: 500 }, (_, n) => writer.push(`line ${n}`))
+    .filter((isTaken) => isTaken).length;
+  t.is(writer.dropped, 500 - taken);
+  t.true(taken < 150);
+  pipe.isFull = false;
+  retries.shift()!();
+  t.is(pipe.text.split("\n").length - 1, taken);
+});
+
+/** A log whose reader can stall, and the lines that it read. */
+function logToReader(options: { linesPerPeriod?: number } = {}) {
+  const clock = new FakeClock();
+  const read: Record<string, unknown>[] = [];
+  const reader = { isStalled: false, resume: () => {} };
+  const log = new EventLineLog({
+    ...options,
+    instanceId: "i",
+    clock,
+    writer: new LineWriter({
+      limitBytes: 2_000,
+      write: (chunk, done) => {
+        const take = () => {
+          const text = new TextDecoder().decode(chunk);
+          text.trim().split("\n").forEach((line) =>
+            read.push(JSON.parse(line))
+          );
+          done(null, chunk.length);
+        };
+        if (reader.isStalled) {
+          reader.resume = take;
+        } else {
+          take();
+        }
+      },
+    }),
+  });
+  return { log, clock, read, reader };
+}
+
+test("lines of one life are counted from 1, and name it", (t) => {
+  const { log, read, clock } = logToReader();
+  log.emit("settingsLoaded");
+  clock.advance(10);
+  log.emit("processStarted");
+  t.deepEqual(read.map(({ line }) => line), [1, 2]);
+  t.is(read[0]!["life"], read[1]!["life"]);
+  const next = logToReader();
+  next.clock.advance(5);
+  const began = new EventLineLog({
+    instanceId: "i",
+    clock: next.clock,
+    writer: new LineWriter({
+      write: (chunk, done) => {
+        next.read.push(JSON.parse(new TextDecoder().decode(chunk)));
+        done(null, chunk.length);
+      },
+    }),
+  });
+  began.emit("settingsLoaded");
+  t.is(next.read[0]!["line"], 1);
+  t.not(next.read[0]!["life"], read[0]!["life"]);
+});
+
+test("lost lines are gaps in the count, of as many lines as the log says", (t) => {
+  const { log, clock, read, reader } = logToReader({ linesPerPeriod: 50 });
+  log.emit("settingsLoaded");
+  for (let call = 0; call < 70; call++) {
+    log.emit("batchJobRefused", { jobId: `j${call}` });
+  }
+  clock.advance(1_000);
+  reader.isStalled = true;
+  for (let call = 0; call < 40; call++) {
+    log.emit("batchJobAccepted", { jobId: `j${call}` });
+  }
+  clock.advance(3_000);
+  reader.isStalled = false;
+  reader.resume();
+  clock.advance(1_000);
+  log.emit("processStopped");
+  const lines = read.map(({ line }) => Number(line));
+  const sum = (event: string) =>
+    read.filter((line) => line["event"] === event)
+      .reduce((total, line) => total + Number(line["lines"]), 0);
+  t.is(sum("logLinesSuppressed"), 20);
+  t.true(sum("logLinesDropped") > 20);
+  t.is(
+    lines.at(-1)! - lines.length,
+    sum("logLinesSuppressed") + sum("logLinesDropped"),
+  );
+  t.deepEqual(lines, [...lines].sort((a, b) => a - b));
+});
+
 test("each event has a line budget, and suppressed lines are reported", (t) => {
   const lines: Record<string, unknown>[] = [];
   const clock = new FakeClock();
--- a/src/programs/commands/explain.ts
+++ b/src/programs/commands/explain.ts
@@ -45,7 +45,15 @@
 ] as const;
 
 /** Fields that every line has in addition to those of its event. */
-const COMMON_FIELDS = new Set(["time", "level", "event", "number", "instance"]);
+const COMMON_FIELDS = new Set([
+  "time",
+  "level",
+  "event",
+  "number",
+  "instance",
+  "life",
+  "line",
+]);
 
 /** Prints the log lines about a request or job, and the decisive one. */
 export async function explain(
--- a/src/programs/commands/explain_test.ts
+++ b/src/programs/commands/explain_test.ts
@@ -10,6 +10,8 @@
     event,
     number: 1,
     instance: "core-1",
+    life: "mhx3k2ab",
+    line: 1,
     ...fields,
   });
 }
@@ -36,7 +38,7 @@
     "taskEnded",
     "batchJobEnded",
   ]);
-  t.is(found.decisive?.fields["phase"], "failed");
+  t.deepEqual(found.decisive?.fields, { jobId: ID, phase: "failed" });
 });
 
 test("lines that mention the ID only in another field are left out", (t) => {
