--- a/src/process/batch/leader/run_driver_test.ts
+++ b/src/process/batch/leader/run_driver_test.ts
@@ -12,10 +12,24 @@
 /** What the worker's clock shows at least. */
 const CLOCK_BOUND_MS = 1_000;
 
+/** The link to a worker that answers. */
+const REACHABLE_LINK = {
+  isSuperseded: false,
+  isReachable: true,
+  nextLeaseEndMs: () => 5_000,
+  clockBoundMs: () => CLOCK_BOUND_MS,
+  recordClock: () => undefined,
+  wake: () => undefined,
+  haveLeasesExpired: () => false,
+} as unknown as WorkerLink;
+
 /** A driver with one open run to start, and the ends that it reports. */
 function driveOneRun(
   calls: Partial<WorkerCalls>,
-  options: { mayLead?: () => boolean } = {},
+  options: {
+    mayLead?: () => boolean;
+    linkOf?: () => WorkerLink | undefined;
+  } = {},
 ) {
   const fixture = new PlannerFixture({ workers: 1 });
   fixture.submit("a", { taskCount: 1 });
@@ -35,16 +49,7 @@
     timing: BATCH_TIMING,
     epoch: 1,
     calls: calls as WorkerCalls,
-    linkOf: () =>
-      ({
-        isSuperseded: false,
-        isReachable: true,
-        nextLeaseEndMs: () => 5_000,
-        clockBoundMs: () => CLOCK_BOUND_MS,
-        recordClock: () => undefined,
-        wake: () => undefined,
-        haveLeasesExpired: () => false,
-      }) as unknown as WorkerLink,
+    linkOf: options.linkOf ?? (() => REACHABLE_LINK),
     successorOf: () => undefined,
     mayLead: options.mayLead ?? (() => true),
     onEnd: ({ checkpoint }, how, proof) =>
@@ -175,3 +180,31 @@
   driver.drive();
   t.is(stops, 1);
 });
+
+for (
+  const { what, link, proof } of [
+    { what: "whose record was removed", link: undefined, proof: "removed" },
+    {
+      what: "at whose address a later incarnation answered",
+      link: { ...REACHABLE_LINK, isSuperseded: true } as WorkerLink,
+      proof: "incarnation",
+    },
+    {
+      what: "whose leases have ended",
+      link: {
+        ...REACHABLE_LINK,
+        isReachable: false,
+        haveLeasesExpired: () => true,
+      } as WorkerLink,
+      proof: "lease",
+    },
+  ]
+) {
+  test(`the end of a run on a worker ${what} has the proof ${proof}`, (t) => {
+    const { driver, clock, ends } = driveOneRun({}, { linkOf: () => link });
+    driver.drive();
+    clock.advance(BATCH_TIMING.workerRestartWaitMs);
+    driver.drive();
+    t.deepEqual(ends, [{ how: "lost", checkpoint: "", proof }]);
+  });
+}
