--- a/src/base/events/batch_events.ts
+++ b/src/base/events/batch_events.ts
@@ -26,6 +26,13 @@
     text: "A leader's session failed, or could not begin.",
     fields: ["detail"],
   },
+  runsInherited: {
+    number: 7003,
+    level: "info",
+    text:
+      "A new leader took over open runs and orders them again. runs: task/run@worker.",
+    fields: ["jobIds", "runs"],
+  },
   batchJobAccepted: {
     number: 7010,
     level: "info",
@@ -66,8 +73,9 @@
   taskEnded: {
     number: 7021,
     level: "info",
-    text: "The end of a run is stored.",
-    fields: ["jobId", "task", "run", "how"],
+    text:
+      "The end of a run is stored. worker: where it was started; proof: what showed that it is over.",
+    fields: ["jobId", "task", "run", "how", "worker", "proof"],
   },
   taskStartRefused: {
     number: 7022,
@@ -160,6 +168,13 @@
     text: "A change doesn't fit into an entry of the log; it took no effect.",
     fields: ["kind"],
   },
+  batchOutcomeUnknown: {
+    number: 7046,
+    level: "warn",
+    text:
+      "A deposed leader's last changes may take effect; it logs none of them. jobIds: the first of their jobs.",
+    fields: ["items", "jobIds", "moreJobs"],
+  },
   batchOrderAbandoned: {
     number: 7044,
     level: "info",
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -23,8 +23,15 @@
 import type { WorkerReport } from "../worker_calls.ts";
 import { BatchWriter } from "./batch_writer.ts";
 import { PaceMonitor } from "./pace_monitor.ts";
+import { describeInheritedRuns } from "./inherited_runs.ts";
+import { RunEndProof } from "./run_end_proof.ts";
 import { RunDriver } from "./run_driver.ts";
-import { RunTable, StopReason, taskKey } from "./run_table.ts";
+import {
+  type OpenRunState,
+  RunTable,
+  StopReason,
+  taskKey,
+} from "./run_table.ts";
 import { WorkerHealth } from "./worker_health.ts";
 import { type DepartureStatus, WorkerDepartures } from "./worker_departures.ts";
 import type { WorkerLink } from "./worker_link.ts";
@@ -50,6 +57,11 @@
   readonly #paces: PaceMonitor;
   readonly #links: WorkerLinks;
   readonly #departures: WorkerDepartures;
+  /** The worker of each end that is being committed, and what proved it. */
+  readonly #endOrigins = new WeakMap<
+    BatchItem,
+    { worker: WorkerKey; proof: RunEndProof }
+  >();
   /** Ended jobs for which `batchJobEnded` was emitted. */
   readonly #reportedOver = new Set<JobId>();
   readonly #ticker: Timer;
@@ -70,6 +82,11 @@
       onApplied: (item) => this.#onApplied(item),
       onBatch: (durationMs, items) => this.#recordBatch(durationMs, items),
       onTooLarge: ({ kind }) => events.emit("batchItemTooLarge", { kind }),
+      onUnknown: (items) =>
+        events.emit("batchOutcomeUnknown", {
+          items: items.length,
+          ...nameJobs(items),
+        }),
       onDeposed: (detail) => this.#end(detail),
     });
     this.#links = new WorkerLinks({
@@ -95,8 +112,10 @@
       linkOf: (key) => this.#links.get(key),
       successorOf: (key) => this.#links.successorOf(key),
       mayLead: () => this.isCurrent(),
-      onEnd: ({ task, run, checkpoint }, how) =>
-        void this.#writeEnd(task, { run, how, checkpoint }),
+      onEnd: (open, how, proof) => {
+        const { run, checkpoint } = open;
+        void this.#writeEnd(open, { run, how, checkpoint }, proof);
+      },
       onUnwell: (key) => this.#health.recordUnwell(key),
       onFull: (key) => this.#health.recordFull(key),
     });
@@ -119,6 +138,9 @@
       openRuns: this.#runs.size,
       workers: state.workers.size,
     });
+    for (const fields of describeInheritedRuns([...this.#runs.all()])) {
+      events.emit("runsInherited", fields);
+    }
     this.#writer.requestPlan();
   }
 
@@ -253,13 +275,15 @@
     }
   }
 
-  #onEndApplied({ task, run, how }: Extract<BatchItem, { kind: "end" }>): void {
+  #onEndApplied(item: Extract<BatchItem, { kind: "end" }>): void {
     const { state, events } = this.#options;
+    const { task, run, how } = item;
     events.emit("taskEnded", {
       jobId: task.jobId,
       task: taskKey(task),
       run,
       how,
+      ...this.#endOrigins.get(item),
     });
     this.#departures.settle();
     const job = state.jobs.get(task.jobId);
@@ -302,7 +326,8 @@
       if (number > link.acknowledgedEnd && isOpen) {
         this.#driver.recordEnding(open);
         this.#recordHealth(key, task, how);
-        writes.push(this.#writeEnd(task, { run, how, checkpoint }));
+        const end = { run, how, checkpoint };
+        writes.push(this.#writeEnd(open, end, RunEndProof.report));
       }
     }
     this.#driver.reconcile(key, report, sentAtMs);
@@ -337,17 +362,13 @@
   }
 
   #writeEnd(
-    task: TaskRef,
+    { task, worker }: OpenRunState,
     end: { run: number; how: RunEnd; checkpoint: string },
+    proof: RunEndProof,
   ): Promise<boolean | undefined> {
-    const { run, how, checkpoint } = end;
-    return this.#writer.write({
-      kind: "end",
-      task,
-      run,
-      how,
-      checkpoint,
-    });
+    const item: BatchItem = { kind: "end", task, ...end };
+    this.#endOrigins.set(item, { worker, proof });
+    return this.#writer.write(item);
   }
 
   #recordBatch(durationMs: number, items: number): void {
@@ -396,5 +417,34 @@
   }
 }
 
+/** Maximum number of jobs that a line about a batch names. */
+const NAMED_JOBS_LIMIT = 32;
+
+/** The jobs that items are about: the IDs of the first ones, and a count. */
+function nameJobs(
+  items: readonly BatchItem[],
+): { jobIds: string; moreJobs: number } {
+  const jobIds = [...new Set(items.flatMap(jobIdsOf))];
+  return {
+    jobIds: jobIds.slice(0, NAMED_JOBS_LIMIT).join(" "),
+    moreJobs: Math.max(0, jobIds.length - NAMED_JOBS_LIMIT),
+  };
+}
+
+function jobIdsOf(item: BatchItem): readonly JobId[] {
+  switch (item.kind) {
+    case "accept":
+    case "cancel":
+    case "start":
+      return [item.jobId];
+    case "end":
+      return [item.task.jobId];
+    case "worker":
+    case "workerGone":
+    case "forget":
+      return [];
+  }
+}
+
 /** A slower commit is logged; a sync to disk takes 4 to 9 ms. */
 const SLOW_COMMIT_MS = 250;
--- a/src/process/batch/leader/run_driver_test.ts
+++ b/src/process/batch/leader/run_driver_test.ts
@@ -12,10 +12,24 @@
 /** What the worker's clock shows at least. */
 const CLOCK_BOUND_MS = 1_000;
 
+/** The link to a worker that answers. */
+const REACHABLE_LINK = {
+  isSuperseded: false,
+  isReachable: true,
+  nextLeaseEndMs: () => 5_000,
+  clockBoundMs: () => CLOCK_BOUND_MS,
+  recordClock: () => undefined,
+  wake: () => undefined,
+  haveLeasesExpired: () => false,
+} as unknown as WorkerLink;
+
 /** A driver with one open run to start, and the ends that it reports. */
 function driveOneRun(
   calls: Partial<WorkerCalls>,
-  options: { mayLead?: () => boolean } = {},
+  options: {
+    mayLead?: () => boolean;
+    linkOf?: () => WorkerLink | undefined;
+  } = {},
 ) {
   const fixture = new PlannerFixture({ workers: 1 });
   fixture.submit("a", { taskCount: 1 });
@@ -26,7 +40,7 @@
   plan.starts.forEach((start) =>
     runs.applyItem(start, fixture.state, fixture.nowMs)
   );
-  const ends: { how: string; checkpoint: string }[] = [];
+  const ends: { how: string; checkpoint: string; proof: string }[] = [];
   const driver = new RunDriver({
     runs,
     state: fixture.state,
@@ -35,19 +49,11 @@
     timing: BATCH_TIMING,
     epoch: 1,
     calls: calls as WorkerCalls,
-    linkOf: () =>
-      ({
-        isSuperseded: false,
-        isReachable: true,
-        nextLeaseEndMs: () => 5_000,
-        clockBoundMs: () => CLOCK_BOUND_MS,
-        recordClock: () => undefined,
-        wake: () => undefined,
-        haveLeasesExpired: () => false,
-      }) as unknown as WorkerLink,
+    linkOf: options.linkOf ?? (() => REACHABLE_LINK),
     successorOf: () => undefined,
     mayLead: options.mayLead ?? (() => true),
-    onEnd: ({ checkpoint }, how) => void ends.push({ how, checkpoint }),
+    onEnd: ({ checkpoint }, how, proof) =>
+      void ends.push({ how, checkpoint, proof }),
     onUnwell: () => undefined,
     onFull: () => undefined,
   });
@@ -70,6 +76,7 @@
     clock.advance(BATCH_TIMING.tickMs);
   }
   t.deepEqual(ends.map(({ how }) => how), ["rejected"]);
+  t.deepEqual(ends.map(({ proof }) => proof), ["refused"]);
   t.is(starts, 1);
 });
 
@@ -85,7 +92,9 @@
   driver.reconcile(run.holder, { ...report, running: [listed] }, clock.nowMs());
   clock.advance(1);
   driver.reconcile(run.holder, { ...report, running: [] }, clock.nowMs());
-  t.deepEqual(ends, [{ how: "lost", checkpoint: "half way" }]);
+  t.deepEqual(ends, [
+    { how: "lost", checkpoint: "half way", proof: "absent" },
+  ]);
 });
 
 // Guards against taking a run whose end the worker has yet to list for lost.
@@ -171,3 +180,31 @@
   driver.drive();
   t.is(stops, 1);
 });
+
+for (
+  const { what, link, proof } of [
+    { what: "whose record was removed", link: undefined, proof: "removed" },
+    {
+      what: "at whose address a later incarnation answered",
+      link: { ...REACHABLE_LINK, isSuperseded: true } as WorkerLink,
+      proof: "incarnation",
+    },
+    {
+      what: "whose leases have ended",
+      link: {
+        ...REACHABLE_LINK,
+        isReachable: false,
+        haveLeasesExpired: () => true,
+      } as WorkerLink,
+      proof: "lease",
+    },
+  ]
+) {
+  test(`the end of a run on a worker ${what} has the proof ${proof}`, (t) => {
+    const { driver, clock, ends } = driveOneRun({}, { linkOf: () => link });
+    driver.drive();
+    clock.advance(BATCH_TIMING.workerRestartWaitMs);
+    driver.drive();
+    t.deepEqual(ends, [{ how: "lost", checkpoint: "", proof }]);
+  });
+}
--- a/src/programs/commands/explain_test.ts
+++ b/src/programs/commands/explain_test.ts
@@ -10,6 +10,8 @@
     event,
     number: 1,
     instance: "core-1",
+    life: "mhx3k2ab",
+    line: 1,
     ...fields,
   });
 }
@@ -36,7 +38,7 @@
     "taskEnded",
     "batchJobEnded",
   ]);
-  t.is(found.decisive?.fields["phase"], "failed");
+  t.deepEqual(found.decisive?.fields, { jobId: ID, phase: "failed" });
 });
 
 test("lines that mention the ID only in another field are left out", (t) => {
@@ -47,3 +49,15 @@
   const error = explainLines(ID, [text]).swap().unsafeCoerce();
   t.is(error.kind, "notFound");
 });
+
+test("a line about several jobs is found by the ID of each", (t) => {
+  const text = logLine("2026-01-01T00:00:00Z", "runsInherited", {
+    jobIds: `00000000000000b2 ${ID}`,
+    runs: `00000000000000b2.0.0.0/1@w1 ${ID}.0.0.0/2@w2`,
+  });
+  for (const id of [ID, "00000000000000b2"]) {
+    const { lines } = explainLines(id, [text]).unsafeCoerce();
+    t.deepEqual(lines.map(({ event }) => event), ["runsInherited"]);
+  }
+  t.true(explainLines("00000000000000b", [text]).isLeft());
+});
