An order about a data centre that a link held doesn't overtake a newer one

Cause: such orders have no version. A proposal that a cut link between two cores held arrived once it healed, after its caller had turned to another core and a newer order was acknowledged, and undid that one.

The core that proposed it makes it again behind a new barrier while its caller waits.

--- a/src/process/batch/batch_command.ts
+++ b/src/process/batch/batch_command.ts
@@ -187,6 +187,12 @@
     readonly kind: "dataCentre";
     readonly dataCentre: DataCentreId;
     readonly isOut: boolean;
+    /**
+     * The revision of the data centres in service that the order was made from.
+     * It takes no effect on another one: a link may have held it while a newer
+     * order was acknowledged. Absent in orders of earlier versions.
+     */
+    readonly revision?: number;
   };
 
 /** The outcome of applying a command. */
@@ -197,4 +203,6 @@
   /** The batch is of an earlier epoch than the latest; nothing took effect. */
   | { readonly kind: "deposed" }
   | { readonly kind: "configured"; readonly version: number }
-  | { readonly kind: "dataCentre" };
+  | { readonly kind: "dataCentre" }
+  /** The data centres in service have changed since the order was made. */
+  | { readonly kind: "superseded" };
--- a/src/process/batch/batch_service.ts
+++ b/src/process/batch/batch_service.ts
@@ -5,7 +5,7 @@
  * @module
  */
 
-import { Left, Right } from "purify-ts/Either";
+import { Right } from "purify-ts/Either";
 import type { Clock, Timer } from "../../base/clock.ts";
 import type { EventLog } from "../../base/event_log.ts";
 import { failure, type Result } from "../../base/sesame_error.ts";
@@ -145,32 +145,42 @@
    * Takes a data centre out of service, or back in. The order has no version: if
    * it waited in this process or on its way until its caller gave up, a newer one
    * may have been acknowledged by another instance. The barrier's round trip
-   * lets the end of the caller's connection arrive first.
+   * lets the end of the caller's connection arrive first, and the revision that
+   * it shows rules out an order that a link holds from then on.
    */
   async setDataCentreStatus(
     dataCentre: string,
     options: { isOut: boolean; deadlineMs: number; caller: AbortSignal },
   ): Promise<Result<void>> {
     const { isOut, deadlineMs, caller } = options;
-    const { member, events } = this.#options;
-    const barrier = await member.readBarrier({ deadlineMs });
-    if (barrier.isLeft()) {
-      return barrier;
-    }
-    if (caller.aborted) {
-      events.emit("batchOrderAbandoned", { dataCentre, isOut });
-      return failure("unavailable", { detail: "the caller has given up" });
-    }
-    const command = { kind: "dataCentre", dataCentre, isOut } as const;
-    const result = await member.propose(command, { deadlineMs });
-    return result.caseOf<Result<void>>({
-      Left: (error) => Left(error),
-      Right: () => {
+    const { member, events, state } = this.#options;
+    for (;;) {
+      const barrier = await member.readBarrier({ deadlineMs });
+      if (barrier.isLeft()) {
+        return barrier;
+      }
+      if (caller.aborted) {
+        events.emit("batchOrderAbandoned", { dataCentre, isOut });
+        return failure("unavailable", { detail: "the caller has given up" });
+      }
+      const revision = state.dataCentreRevision;
+      const command = {
+        kind: "dataCentre",
+        dataCentre,
+        isOut,
+        revision,
+      } as const;
+      const result = await member.propose(command, { deadlineMs });
+      if (result.isLeft()) {
+        return result as Result<never>;
+      }
+      // Another order came first: this one is made again, if it is still wanted.
+      if (result.unsafeCoerce().kind !== "superseded") {
         events.emit("batchDataCentreSwitched", { dataCentre, isOut });
         this.#leadership?.session.requestPlan();
         return Right(undefined);
-      },
-    });
+      }
+    }
   }
 
   /** Hands leadership over to another member; this one doesn't lead again. */
--- a/src/process/batch/batch_service_test.ts
+++ b/src/process/batch/batch_service_test.ts
@@ -56,3 +56,53 @@
   t.true((await cutOff.service.setDataCentreStatus("east", order)).isLeft());
   t.deepEqual(cutOff.proposed, []);
 });
+
+/** A service whose member applies proposals once `release` resolves. */
+function serviceOn(state: BatchState, release: () => Promise<void>) {
+  const member = {
+    readBarrier: () => Promise.resolve(Right(undefined)),
+    propose: async (command: BatchCommand) => {
+      await release();
+      return Right(state.apply(command));
+    },
+  };
+  return new BatchService({
+    member: member as unknown as ReplicationMember<BatchCommand, BatchOutcome>,
+    state,
+    selfId: "self",
+    clock: new FakeClock(),
+    calls: {} as WorkerCalls,
+    events: SILENT_EVENT_LOG,
+    timing: BATCH_TIMING,
+  });
+}
+
+// Guards against an order that a link holds until a newer one was acknowledged.
+test("an order that arrives after a newer one doesn't take effect", async (t) => {
+  const state = new BatchState();
+  const atOnce = serviceOn(state, () => Promise.resolve());
+  const caller = new AbortController();
+  let release: () => void = () => undefined;
+  const cutOff = serviceOn(state, () => new Promise((done) => release = done));
+  const options = { deadlineMs: 900, caller: caller.signal };
+  const held = cutOff.setDataCentreStatus("east", { ...options, isOut: false });
+  await new Promise((done) => setImmediate(done));
+  caller.abort();
+  const newer = { ...ORDER, isOut: true, caller: new AbortController().signal };
+  t.true((await atOnce.setDataCentreStatus("east", newer)).isRight());
+  release();
+  t.true((await held).isLeft());
+  t.deepEqual([...state.dataCentresOut], ["east"]);
+});
+
+test("an order that another one overtakes is made again for its caller", async (t) => {
+  const state = new BatchState();
+  const service = serviceOn(state, () => Promise.resolve());
+  const order = { deadlineMs: 900, caller: new AbortController().signal };
+  const results = await Promise.all([
+    service.setDataCentreStatus("east", { ...order, isOut: true }),
+    service.setDataCentreStatus("west", { ...order, isOut: true }),
+  ]);
+  t.true(results.every((result) => result.isRight()));
+  t.deepEqual([...state.dataCentresOut].sort(), ["east", "west"]);
+});
--- a/src/process/batch/batch_state.ts
+++ b/src/process/batch/batch_state.ts
@@ -55,6 +55,8 @@
   /** Queues that aren't configured any more and have jobs; none if absent. */
   readonly droppedQueues?: readonly QueueConfiguration[];
   readonly dataCentresOut: readonly DataCentreId[];
+  /** Absent in snapshots of earlier versions. */
+  readonly dataCentreRevision?: number;
   readonly jobs: readonly JobRecord[];
   readonly workers: readonly WorkerRecord[];
 }
@@ -64,6 +66,7 @@
   #epoch = 0;
   #inForce: ConfigurationInForce | undefined;
   #dataCentresOut = new Set<DataCentreId>();
+  #dataCentreRevision = 0;
   #jobs = new Map<JobId, JobRecord>();
   /** Derived: jobs that are active or have open runs, the only ones planned. */
   #liveJobs = new Map<JobId, JobRecord>();
@@ -82,6 +85,11 @@
     return this.#dataCentresOut;
   }
 
+  /** How many orders about data centres have taken effect. */
+  get dataCentreRevision(): number {
+    return this.#dataCentreRevision;
+  }
+
   get jobs(): ReadonlyMap<JobId, JobRecord> {
     return this.#jobs;
   }
@@ -131,12 +139,7 @@
       case "configure":
         return this.#configure(command.document, command.configuration);
       case "dataCentre":
-        if (command.isOut) {
-          this.#dataCentresOut.add(command.dataCentre);
-        } else {
-          this.#dataCentresOut.delete(command.dataCentre);
-        }
-        return { kind: "dataCentre" };
+        return this.#switchDataCentre(command);
     }
   }
 
@@ -148,6 +151,7 @@
       configuration: this.#inForce?.index.configuration,
       droppedQueues: this.#inForce?.index.dropped ?? [],
       dataCentresOut: [...this.#dataCentresOut],
+      dataCentreRevision: this.#dataCentreRevision,
       jobs: [...this.#jobs.values()],
       workers: [...this.#workers.byKey.values()],
     };
@@ -171,6 +175,7 @@
         index: new ConfigurationIndex(configuration, droppedQueues),
       };
     this.#dataCentresOut = new Set(snapshot.dataCentresOut);
+    this.#dataCentreRevision = snapshot.dataCentreRevision ?? 0;
     this.#jobs = new Map(jobs.map((job) => [job.id, job]));
     this.#liveJobs = new Map(this.#jobs);
     jobs.forEach((job) => this.#dropIfFinished(job));
@@ -229,6 +234,22 @@
     return [...dropped.values()];
   }
 
+  #switchDataCentre(
+    order: Extract<BatchCommand, { kind: "dataCentre" }>,
+  ): BatchOutcome {
+    const { dataCentre, isOut, revision } = order;
+    if (revision !== undefined && revision !== this.#dataCentreRevision) {
+      return { kind: "superseded" };
+    }
+    this.#dataCentreRevision += 1;
+    if (isOut) {
+      this.#dataCentresOut.add(dataCentre);
+    } else {
+      this.#dataCentresOut.delete(dataCentre);
+    }
+    return { kind: "dataCentre" };
+  }
+
   #applyItem(item: BatchItem, atMs: number): boolean {
     switch (item.kind) {
       case "accept":
--- a/src/process/batch/batch_state_test.ts
+++ b/src/process/batch/batch_state_test.ts
@@ -159,3 +159,18 @@
   reconfigure(fixture, others);
   t.is(state.inForce!.index.queueNamed(queue), undefined);
 });
+
+// Guards against an old order that takes effect after a restart.
+test("a restored state refuses an order made before a newer one", (t) => {
+  const order = {
+    kind: "dataCentre",
+    dataCentre: "east",
+    revision: 0,
+  } as const;
+  const state = new BatchState();
+  state.apply({ ...order, isOut: true });
+  const restored = new BatchState();
+  t.true(restored.restore(state.snapshot()).isRight());
+  t.is(restored.apply({ ...order, isOut: false }).kind, "superseded");
+  t.deepEqual([...restored.dataCentresOut], ["east"]);
+});
