A founder that is killed before the group forms still forms it

Cause: only the first start says that a member is to form the group with the seeds (bootstrap). A core that was killed before the last founder had started came back without that, never confirmed, and the group never formed: nothing was accepted until all data folders were emptied.

Change: the founders are stored with the hard state of a member that has no group yet, and hold until it belongs to one. An empty disk at a later start names none, so a member that lost its disk confirms nothing, as before.

--- a/src/process/replication/formation.ts
+++ b/src/process/replication/formation.ts
@@ -23,9 +23,9 @@
 
 /** The members that form the group, lowest ID first. */
 function founderIds(state: RaftState): string[] {
-  const { founderIds: configuredIds, members } = state.options;
-  const founders = configuredIds ??
-    members.filter((member) => member.isVoter).map((member) => member.id);
+  const founders = state.founderIds ??
+    state.options.members.filter((member) => member.isVoter)
+      .map((member) => member.id);
   return [...founders].sort();
 }
 
--- a/src/process/replication/log_entry.ts
+++ b/src/process/replication/log_entry.ts
@@ -52,6 +52,11 @@
   readonly term: number;
   /** The member that got this member's vote in the term. */
   readonly votedFor: string | undefined;
+  /**
+   * The members that are to form the group with this one; absent once it belongs
+   * to a group, and on members that join one.
+   */
+  readonly founderIds?: readonly string[] | undefined;
 }
 
 /** The approximate size of an entry in a message, in bytes. */
--- a/src/process/replication/member_opening.ts
+++ b/src/process/replication/member_opening.ts
@@ -20,6 +20,8 @@
 export interface OpeningOptions {
   readonly groupId: string;
   readonly store: LogStore | undefined;
+  /** The members that form the group, if this one is to form it with them. */
+  readonly founderIds?: readonly string[] | undefined;
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly events?: EventLog;
@@ -80,6 +82,7 @@
  * with the clock, and a peer that knows a higher one reports it.
  */
 function emptyLog(options: OpeningOptions): StoredLog {
+  const { founderIds } = options;
   const nowMs = Math.max(1, Math.floor(options.clock.nowMs()));
   const incarnation = nowMs * INCARNATIONS_PER_MS +
     options.random.nextInt(INCARNATIONS_PER_MS);
@@ -89,6 +92,7 @@
       formationId: undefined,
       term: 0,
       votedFor: undefined,
+      founderIds,
     },
     snapshot: EMPTY_SNAPSHOT,
     entries: [],
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -91,6 +91,8 @@
   formationId: string | undefined;
   term: number;
   votedFor: InstanceId | undefined;
+  /** The stored ones first: the settings name none after a restart. */
+  readonly founderIds: readonly InstanceId[] | undefined;
 
   role: MemberRole = "learner";
   leaderId: InstanceId | undefined;
@@ -141,6 +143,7 @@
     this.formationId = options.hardState.formationId;
     this.term = options.hardState.term;
     this.votedFor = options.hardState.votedFor;
+    this.founderIds = options.hardState.founderIds ?? options.founderIds;
     this.log = new RaftLog(options.snapshot);
     for (const entry of options.entries) {
       this.log.append(entry);
@@ -187,6 +190,7 @@
       formationId: this.formationId,
       term: this.term,
       votedFor: this.votedFor,
+      founderIds: this.isFresh ? this.founderIds : undefined,
     };
   }
 
--- a/src/process/replication/replication_member_test.ts
+++ b/src/process/replication/replication_member_test.ts
@@ -275,6 +275,40 @@
   await group.close();
 });
 
+// Guards against a founder that restarts without being told to form the group.
+test("a group forms though a founder was killed before it could", async (t) => {
+  const group = new MemberGroup(diskVoters("a", "b", "c"), {}, {
+    founderIds: ["a", "b", "c"],
+  });
+  for (const killed of ["a", "b"]) {
+    await group.start(killed);
+    await group.run(200);
+    await group.stop(killed);
+    await group.start(killed, { founderIds: [] });
+  }
+  await group.start("c");
+  await group.run(2_000);
+  t.not(group.leader(), undefined);
+  await group.close();
+});
+
+// Guards against taking an empty disk for one that never belonged to a group.
+test("a founder that lost its disk doesn't form the group", async (t) => {
+  const group = new MemberGroup(diskVoters("a", "b", "c"), {}, {
+    founderIds: ["a", "b", "c"],
+  });
+  await group.start("a");
+  await group.run(200);
+  await group.stop("a");
+  group.disks.get("a")!.wipe();
+  await group.start("a", { founderIds: [] });
+  await group.start("b");
+  await group.start("c");
+  await group.run(3_000);
+  t.is(group.leader(), undefined);
+  await group.close();
+});
+
 test("a command that reaches no leader fails as not committed", async (t) => {
   const group = new MemberGroup(diskVoters("a", "b", "c"));
   await group.start("a");
--- a/src/process/replication/stored_log.ts
+++ b/src/process/replication/stored_log.ts
@@ -26,6 +26,7 @@
   formationId: z.string().optional(),
   term: z.int(),
   votedFor: z.string().optional(),
+  founderIds: z.array(z.string()).optional(),
 });
 
 const snapshotSchema = z.strictObject({
@@ -58,13 +59,14 @@
 
 /** Encodes the hard state as the content of its file. */
 export function encodeHardState(hardState: HardState): Uint8Array {
-  const { incarnation, formationId, term, votedFor } = hardState;
+  const { incarnation, formationId, term, votedFor, founderIds } = hardState;
   const payload = pack({
     formatVersion: FORMAT_VERSION,
     incarnation,
     ...(formationId === undefined ? {} : { formationId }),
     term,
     ...(votedFor === undefined ? {} : { votedFor }),
+    ...(founderIds === undefined ? {} : { founderIds }),
   });
   return encodeRecord(payload, { syncedBytes: 0 });
 }
@@ -126,8 +128,8 @@
   if (!parsed.success) {
     return undefined;
   }
-  const { incarnation, formationId, term, votedFor } = parsed.data;
-  return { incarnation, formationId, term, votedFor };
+  const { incarnation, formationId, term, votedFor, founderIds } = parsed.data;
+  return { incarnation, formationId, term, votedFor, founderIds };
 }
 
 function parseSnapshot(bytes: Uint8Array): LogSnapshot | undefined {
--- a/src/process/replication/testing/member_group.ts
+++ b/src/process/replication/testing/member_group.ts
@@ -79,7 +79,10 @@
     }
   }
 
-  async start(id: string): Promise<void> {
+  async start(
+    id: string,
+    extraOptions: ExtraMemberOptions = this.extraOptions,
+  ): Promise<void> {
     const machine = new TextList();
     const opened = await ReplicationMember.open({
       groupId: "test",
@@ -92,7 +95,7 @@
       machine,
       storage: this.disks.get(id),
       timing: this.timing,
-      ...this.extraOptions,
+      ...extraOptions,
     });
     this.members.set(id, opened.unsafeCoerce());
     this.machines.set(id, machine);
