A renewal after a failure acknowledges no ends

What callers saw: a task could be done twice. The link to an incarnation that has ended goes on calling its address until the next one answers or is known. It sent the number of the last end that it had stored. The next incarnation counts its ends from 1 again, so that number made it drop ends that no leader had read.

Cause: worker_link.ts sent #acknowledgedEnd whoever was at the address.

Evidence: the new test of worker_link_test.ts sent [0, 7, 7, 7] before.

Why it works: after any failure, and before the first answer, the number is 0, which acknowledges nothing. The next renewal after an answer has it again.

--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -209,9 +209,10 @@
       : 0;
     const answer = await calls.lease(this.worker, {
       fence,
-      // An unreachable worker gets no lease, so that its runs end.
+      // An unreachable worker gets no lease, so that its runs end. Its number
+      // would acknowledge ends of the next incarnation.
       leaseEndMs: this.isReachable ? this.nextLeaseEndMs() : undefined,
-      acknowledgedUpTo: this.#acknowledgedEnd,
+      acknowledgedUpTo: this.isReachable ? this.#acknowledgedEnd : 0,
       waitMs,
     }, { timeoutMs: waitMs + timing.reportSlackMs });
     if (this.#isClosed) {
--- a/src/process/batch/leader/worker_link_test.ts
+++ b/src/process/batch/leader/worker_link_test.ts
@@ -1,6 +1,6 @@
 import test from "ava";
 import { Right } from "purify-ts/Either";
-import { FakeClock } from "../../../base/mod.ts";
+import { failure, FakeClock } from "../../../base/mod.ts";
 import { BATCH_TIMING } from "../batch_timing.ts";
 import type { WorkerCalls, WorkerReport } from "../worker_calls.ts";
 import { WorkerLink } from "./worker_link.ts";
@@ -13,18 +13,11 @@
   isComplete: true,
 };
 
-test("an unexpected error in a report counts as silence, and renewals go on", async (t) => {
-  const clock = new FakeClock({ startMs: 1_000 });
-  const changes: (string | undefined)[] = [];
-  let renewals = 0;
-  const calls: Partial<WorkerCalls> = {
-    lease: async () => {
-      renewals += 1;
-      await new Promise<void>((done) => void clock.after(10, done));
-      return Right(REPORT);
-    },
-  };
-  const link = new WorkerLink({
+/** The options of a link that leads, without its listeners. */
+function linkOptions(
+  { clock, calls }: { clock: FakeClock; calls: Partial<WorkerCalls> },
+) {
+  return {
     worker: {
       key: "w@1",
       id: "w",
@@ -42,6 +35,22 @@
     timing: BATCH_TIMING,
     fence: 1,
     mayLead: () => true,
+  };
+}
+
+test("an unexpected error in a report counts as silence, and renewals go on", async (t) => {
+  const clock = new FakeClock({ startMs: 1_000 });
+  const changes: (string | undefined)[] = [];
+  let renewals = 0;
+  const calls: Partial<WorkerCalls> = {
+    lease: async () => {
+      renewals += 1;
+      await new Promise<void>((done) => void clock.after(10, done));
+      return Right(REPORT);
+    },
+  };
+  const link = new WorkerLink({
+    ...linkOptions({ clock, calls }),
     onReport: () =>
       renewals === 1
         ? Promise.reject(new RangeError("unexpected"))
@@ -58,3 +67,31 @@
   t.true(renewals > 2);
   link.close();
 });
+
+// Guards against dropping ends of the next incarnation, numbered from 1 again.
+test("a renewal after a failure acknowledges no ends", async (t) => {
+  const clock = new FakeClock({ startMs: 1_000 });
+  const acknowledged: number[] = [];
+  const calls: Partial<WorkerCalls> = {
+    lease: async (_, { acknowledgedUpTo }) => {
+      acknowledged.push(acknowledgedUpTo);
+      await new Promise<void>((done) => void clock.after(10, done));
+      return acknowledged.length === 2 ? failure("unavailable") : Right(REPORT);
+    },
+  };
+  const link = new WorkerLink({
+    ...linkOptions({ clock, calls }),
+    onReport: (reporting) => {
+      reporting.acknowledgeEnds(7);
+      return Promise.resolve();
+    },
+    onReachabilityChange: () => undefined,
+  });
+  link.start();
+  while (acknowledged.length < 4) {
+    clock.advance(10);
+    await new Promise((done) => setImmediate(done));
+  }
+  t.deepEqual(acknowledged, [0, 7, 0, 7]);
+  link.close();
+});
