An announcement doesn't end a worker's incarnation

Cause: an announcement that shared a known worker's ID or address and named an equal or later start removed the known one's record at once. Its runs were moved to a record of the same ID wherever that was, or ended as lost: at once, or 2.5 s later. Nothing had answered, and its leases went on. The same for an announcement with its ID and start and another worker's address: calls then went to the other worker, whose later start counted as proof. A new leader waited 2.5 s for runs of a worker without a record.

Change: records that conflict are kept and both are called. An incarnation is over if a process that began later answers at its own address (its own link's call, or that of a later incarnation with the same address), or if its leases have run out. While another is announced at its address it gets no start or lease until it has answered once more. The announced one is called with the fence of the one before until it has answered, since the one before would refuse its own orders after a higher fence; so fences are counted by address. What is silent while another one answers is removed after its leases. A worker's address isn't changed while it answers or may have runs. Workers of one start at one address can't be told apart by answers: the second one is ignored while the first may have runs. workerGone is written only for incarnations without open runs; runs that are committed in between keep their link. Runs without a record wait for the longest lease. Starts without an answer are revoked at an incarnation once it has answered, not before: the call might reach the one before.

One that restarts under its ID at another address has them back when its leases have run out.

--- a/src/process/batch/batch_timing.ts
+++ b/src/process/batch/batch_timing.ts
@@ -98,6 +98,12 @@
   };
 }
 
+/** The longest time that a worker may take for a lease, by the steady clock. */
+export function leaseBoundMs(leaseMs: number, timing: BatchTiming): number {
+  return leaseMs * (1 + 2 * timing.clockDriftFraction) +
+    timing.leaseExpirySlackMs;
+}
+
 /** Values for all of {@link BATCH_TIMING}. */
 export type BatchTiming = {
   readonly [Name in keyof typeof BATCH_TIMING]: number;
--- a/src/process/batch/leader/call_handler.ts
+++ b/src/process/batch/leader/call_handler.ts
@@ -188,13 +188,15 @@
     // doesn't drain is out of date. A new leader has no sequence numbers yet
     // that could show this.
     const isBeforeDrain = known?.isDraining === true && !worker.isDraining;
-    const isOutdated = isBeforeDrain || this.#isSuperseded(worker) ||
+    const isOutdated = isBeforeDrain || session.isRefuted(worker) ||
       sequence < (this.#sequences.get(worker.key) ?? -1);
     if (isOutdated) {
       return noted;
     }
     this.#sequences.set(worker.key, sequence);
-    for (const other of this.#earlierIncarnations(worker)) {
+    // Others with its ID or at its address stay until one of them has proven to
+    // be over. Of those with one start at one address only one can be kept.
+    for (const other of this.#indistinguishableFrom(worker)) {
       this.#sequences.delete(other.key);
       void session.write({ kind: "workerGone", key: other.key });
     }
@@ -207,25 +209,12 @@
     return noted;
   }
 
-  /**
-   * Whether a later incarnation, or a later worker at the address, is known.
-   */
-  #isSuperseded(worker: WorkerRecord): boolean {
-    return this.#conflictingWorkers(worker).some((other) =>
-      other.bornMs > worker.bornMs
+  #indistinguishableFrom(worker: WorkerRecord): WorkerRecord[] {
+    return this.#options.state.conflictingWorkers(worker).filter((other) =>
+      other.address === worker.address && other.bornMs === worker.bornMs
     );
   }
 
-  #earlierIncarnations(worker: WorkerRecord): WorkerRecord[] {
-    return this.#conflictingWorkers(worker).filter((other) =>
-      other.bornMs <= worker.bornMs
-    );
-  }
-
-  #conflictingWorkers(worker: WorkerRecord): WorkerRecord[] {
-    return this.#options.state.conflictingWorkers(worker);
-  }
-
   /**
    * Lets the incarnations of a worker that leave go. The call names none, and it
    * may come late, once the next one runs tasks: workers drain before they
--- a/src/process/batch/leader/call_handler_test.ts
+++ b/src/process/batch/leader/call_handler_test.ts
@@ -16,7 +16,8 @@
     await write({ kind: "workerGone", key });
     return DepartureStatus.released;
   };
-  const session = { write, releaseWorker };
+  const isRefuted = () => false;
+  const session = { write, releaseWorker, isRefuted };
   return new CallHandler({
     session: session as unknown as LeaderSession,
     state,
--- a/src/process/batch/leader/incarnation_fences.ts
+++ b/src/process/batch/leader/incarnation_fences.ts
@@ -9,14 +9,14 @@
 const INCARNATIONS_PER_EPOCH = 1_000;
 
 /**
- * Gives each incarnation of a worker a higher fence than the one before. So an
+ * Gives each incarnation at an address a higher fence than the one before. So an
  * order for an earlier incarnation that arrives late is refused once the present
- * one has received any order: its own ID would not tell them apart, since a
- * worker may restart under the same one.
+ * one has received any order: the address would not tell them apart, nor the ID,
+ * since a worker may restart under the same one.
  */
 export class IncarnationFences {
   readonly #epoch: number;
-  /** Incarnations so far, by worker ID. */
+  /** Incarnations so far, by address. */
   readonly #incarnations = new Map<string, number>();
 
   /** `epoch` is the leader's; later epochs have higher fences throughout. */
@@ -25,15 +25,15 @@
   }
 
   /**
-   * The fence for a worker's next incarnation. After 999 in one epoch further
+   * The fence for the next incarnation at an address. After 999 in one epoch further
    * ones share a fence.
    */
-  next(workerId: string): number {
+  next(address: string): number {
     const incarnation = Math.min(
       INCARNATIONS_PER_EPOCH - 1,
-      (this.#incarnations.get(workerId) ?? 0) + 1,
+      (this.#incarnations.get(address) ?? 0) + 1,
     );
-    this.#incarnations.set(workerId, incarnation);
+    this.#incarnations.set(address, incarnation);
     return this.#epoch * INCARNATIONS_PER_EPOCH + incarnation;
   }
 }
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -16,6 +16,7 @@
   type TaskRef,
   workerIdOf,
   type WorkerKey,
+  type WorkerRecord,
 } from "../batch_command.ts";
 import { plan } from "../decisions/planner.ts";
 import type { WorkerCondition } from "../decisions/pool_view.ts";
@@ -82,7 +83,12 @@
       mayLead: () => this.isCurrent(),
       onReport: (from, report, sentAtMs) =>
         this.#handleReport(from, report, sentAtMs),
-      onReached: () => this.#writer.requestPlan(),
+      onReached: (key, { isFirst }) => {
+        if (isFirst) {
+          this.#driver.revokeUnansweredStarts(key);
+        }
+        this.#writer.requestPlan();
+      },
     });
     this.#driver = new RunDriver({
       runs: this.#runs,
@@ -154,6 +160,11 @@
     this.#writer.requestPlan();
   }
 
+  /** Whether an announcement of a worker is to be ignored. */
+  isRefuted(worker: WorkerRecord): boolean {
+    return this.#links.isRefuted(worker, (key) => this.#driver.hasRunsOn(key));
+  }
+
   /** Ends the runs on a worker that leaves, and then removes its record. */
   releaseWorker(key: WorkerKey): Promise<DepartureStatus> {
     return this.#departures.request(key);
@@ -236,12 +247,13 @@
         this.#onEndApplied(item);
         return;
       case "worker":
-        if (this.#links.announce(item.worker)) {
-          this.#driver.revokeUnansweredStarts(item.worker.key);
-        }
+        this.#links.announce(item.worker);
         return;
       case "workerGone":
-        this.#links.drop(item.key);
+        // Runs that were started meanwhile end by their worker's link.
+        if (!this.#driver.hasRunsOn(item.key)) {
+          this.#links.drop(item.key);
+        }
         events.emit("batchWorkerLeft", { worker: item.key });
         return;
       case "forget":
@@ -297,8 +309,7 @@
     for (const { number, task, run, how, checkpoint } of report.ended) {
       const open = this.#runs.get(task);
       // A start that was on its way when the worker restarted ran here.
-      const isOpen = open?.run === run &&
-        workerIdOf(open.holder) === link.worker.id;
+      const isOpen = open?.run === run && this.#mayHold(link, open.holder);
       if (number > link.acknowledgedEnd && isOpen) {
         this.#driver.recordEnding(open);
         this.#recordHealth(key, task, how);
@@ -314,6 +325,12 @@
     }
   }
 
+  /** Whether runs of the holder may have reached the worker of the link. */
+  #mayHold({ worker }: WorkerLink, holder: WorkerKey): boolean {
+    return workerIdOf(holder) === worker.id ||
+      this.#links.get(holder)?.worker.address === worker.address;
+  }
+
   #logSlowRuns(key: WorkerKey, report: WorkerReport): void {
     for (const run of this.#paces.observe(key, report)) {
       this.#options.events.emit("taskSlow", {
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -8,6 +8,7 @@
 
 import type { JobId } from "../../../base/identity.ts";
 import { RunEnd, type TaskRef, type WorkerKey } from "../batch_command.ts";
+import { leaseBoundMs } from "../batch_timing.ts";
 import { JobPhase } from "../job_record.ts";
 import {
   type StartAnswer,
@@ -20,7 +21,7 @@
 
 /** Options of {@link RunDriver}. */
 export interface RunDriverOptions extends RunOrdersOptions {
-  /** The latest other incarnation of the same worker, if there is one. */
+  /** The incarnation that has answered at the worker's address since. */
   readonly successorOf: (key: WorkerKey) => WorkerKey | undefined;
   /** Called when a run is certainly over though no worker reported its end. */
   readonly onEnd: (run: OpenRunState, how: RunEnd) => void;
@@ -167,8 +168,13 @@
     const { clock, linkOf, state, timing } = this.#options;
     const nowMs = clock.nowMs();
     const link = linkOf(run.holder);
-    const isKnown = state.workers.has(run.holder);
-    if (!isKnown || link === undefined || link.isSuperseded) {
+    if (link === undefined) {
+      this.#handleNoLink(run);
+      return;
+    }
+    if (
+      link.isSuperseded || this.#options.successorOf(run.holder) !== undefined
+    ) {
       this.#handleIncarnationOver(run);
       return;
     }
@@ -198,6 +204,19 @@
     }
   }
 
+  /**
+   * Handles a run of a worker without a record: the leader before removed it, or
+   * an earlier version did. The leases that were granted there run out first.
+   */
+  #handleNoLink(run: OpenRunState): void {
+    const { clock, timing } = this.#options;
+    run.incarnationOverAtMs ??= clock.steadyMs();
+    const waitedMs = clock.steadyMs() - run.incarnationOverAtMs;
+    if (waitedMs >= leaseBoundMs(timing.leaseLimitMs, timing)) {
+      this.#endOnce(run, RunEnd.lost);
+    }
+  }
+
   /**
    * Handles a run whose worker incarnation is over. If the worker restarted,
    * the run is stopped on the new incarnation, which may have received its
--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -8,7 +8,7 @@
 
 import type { Clock, Timer } from "../../../base/clock.ts";
 import type { WorkerRecord } from "../batch_command.ts";
-import type { BatchTiming } from "../batch_timing.ts";
+import { type BatchTiming, leaseBoundMs } from "../batch_timing.ts";
 import type { WorkerCalls, WorkerReport } from "../worker_calls.ts";
 
 /** A reading of the worker's clock, and when it arrived by the steady clock. */
@@ -23,8 +23,13 @@
   readonly calls: WorkerCalls;
   readonly clock: Clock;
   readonly timing: BatchTiming;
-  /** The fence of all orders to this incarnation. */
+  /** The fence of all orders to this incarnation, once it has answered. */
   readonly fence: number;
+  /**
+   * The fence until then; the same by default. The incarnation before may still
+   * be at the address, and has to accept the orders to itself afterwards.
+   */
+  readonly probeFence?: number;
   /** Whether this leader may still grant leases. */
   readonly mayLead: () => boolean;
   /** Stores a report's ends; resolves once they are stored, or can't be. */
@@ -57,6 +62,9 @@
   #isSuperseded = false;
   #mayGrantLeases = true;
   #hasReported = false;
+  #hasProvenStart = false;
+  /** When it became doubtful that this incarnation is still at its address. */
+  #doubtedAtMs: number | undefined;
   #isClosed = false;
   #delay: { timer: Timer; resume: () => void } | undefined;
 
@@ -66,7 +74,9 @@
     // An earlier leader may have granted a lease just before this moment. The
     // worker may also have received a start meant for an earlier incarnation,
     // whose lease ends by another clock, and so hold the longest lease.
-    this.#leasesEndAtMs = this.#leaseEndBoundMs(options.timing.leaseLimitMs);
+    const { clock, timing } = options;
+    this.#leasesEndAtMs = clock.steadyMs() +
+      leaseBoundMs(timing.leaseLimitMs, timing);
   }
 
   /** Renews the lease from now on, until the link is closed. */
@@ -76,7 +86,8 @@
 
   /** The fence of all orders to this incarnation. */
   get fence(): number {
-    return this.#options.fence;
+    const { fence, probeFence = fence } = this.#options;
+    return this.#hasReported ? fence : probeFence;
   }
 
   /** Whether this incarnation has reported in this epoch. */
@@ -84,8 +95,14 @@
     return this.#hasReported;
   }
 
+  /** Whether a report named this incarnation's start: it was at its address. */
+  get hasProvenStart(): boolean {
+    return this.#hasProvenStart;
+  }
+
   get isReachable(): boolean {
-    return this.#hasReported && this.#failures === 0;
+    return this.#hasReported && this.#failures === 0 &&
+      this.#doubtedAtMs === undefined;
   }
 
   get acknowledgedEnd(): number {
@@ -106,8 +123,12 @@
   get isAbsent(): boolean {
     const isExpected = this.worker.isDraining ||
       this.#refusedConnections >= REFUSED_CONNECTIONS_LIMIT;
-    const isSilent = !this.isReachable && this.haveLeasesExpired();
-    return this.#isSuperseded || (isSilent && isExpected);
+    return this.#isSuperseded || (this.isSilent && isExpected);
+  }
+
+  /** Whether it doesn't answer and no lease is left. */
+  get isSilent(): boolean {
+    return !this.isReachable && this.haveLeasesExpired();
   }
 
   /** Whether all leases have expired, so that nothing runs there any more. */
@@ -138,7 +159,8 @@
     }
     this.#leasesEndAtMs = Math.max(
       this.#leasesEndAtMs,
-      this.#leaseEndBoundMs(this.#leaseMs()),
+      this.#options.clock.steadyMs() +
+        leaseBoundMs(this.#leaseMs(), this.#options.timing),
     );
     return Math.floor(this.clockBoundMs() + this.#leaseMs());
   }
@@ -154,6 +176,18 @@
     return workerMs + elapsedMs * (1 - timing.clockDriftFraction);
   }
 
+  /**
+   * Takes the worker for unreachable until it answers a further call, since
+   * another incarnation was announced at its address.
+   */
+  doubt(): void {
+    const wasReachable = this.isReachable;
+    this.#doubtedAtMs = this.#options.clock.nowMs();
+    if (wasReachable) {
+      this.#options.onReachabilityChange(this, "otherAnnounced");
+    }
+  }
+
   /** Lets the leases run out, since the worker is about to end. */
   stopGrantingLeases(): void {
     this.#mayGrantLeases = false;
@@ -174,13 +208,6 @@
     return Math.min(timing.leaseMs, timing.leaseLimitMs);
   }
 
-  /** The latest end of a lease granted now, by the steady clock. */
-  #leaseEndBoundMs(leaseMs: number): number {
-    const { clock, timing } = this.#options;
-    return clock.steadyMs() + leaseMs * (1 + 2 * timing.clockDriftFraction) +
-      timing.leaseExpirySlackMs;
-  }
-
   async #run(): Promise<void> {
     const { timing, mayLead } = this.#options;
     while (!this.#isClosed) {
@@ -202,17 +229,16 @@
 
   /** Renews the lease; returns the delay until the next renewal. */
   async #renew(): Promise<number> {
-    const { calls, clock, timing, fence } = this.#options;
+    const { calls, clock, timing } = this.#options;
     const sentAtMs = clock.nowMs();
-    const waitMs = this.#hasReported && this.#failures === 0
-      ? timing.reportWaitMs
-      : 0;
+    const { isReachable } = this;
+    const waitMs = isReachable ? timing.reportWaitMs : 0;
     const answer = await calls.lease(this.worker, {
-      fence,
+      fence: this.fence,
       // An unreachable worker gets no lease, so that its runs end. Its number
       // would acknowledge ends of the next incarnation.
-      leaseEndMs: this.isReachable ? this.nextLeaseEndMs() : undefined,
-      acknowledgedUpTo: this.isReachable ? this.#acknowledgedEnd : 0,
+      leaseEndMs: isReachable ? this.nextLeaseEndMs() : undefined,
+      acknowledgedUpTo: isReachable ? this.#acknowledgedEnd : 0,
       waitMs,
     }, { timeoutMs: waitMs + timing.reportSlackMs });
     if (this.#isClosed) {
@@ -230,12 +256,16 @@
       this.#isSuperseded ||= report.bornMs > bornMs;
       return this.#recordFailure("otherIncarnation");
     }
-    const isReachableAgain = !this.#hasReported || this.#failures > 0;
+    const wasReachable = this.isReachable;
+    if (this.#doubtedAtMs !== undefined && sentAtMs >= this.#doubtedAtMs) {
+      this.#doubtedAtMs = undefined;
+    }
     this.#failures = 0;
     this.#refusedConnections = 0;
     this.#hasReported = true;
+    this.#hasProvenStart ||= bornMs !== 0 && report.bornMs === bornMs;
     this.recordClock(report.clockMs);
-    if (isReachableAgain) {
+    if (this.isReachable && !wasReachable) {
       this.#options.onReachabilityChange(this, undefined);
     }
     await this.#options.onReport(this, report, sentAtMs);
--- a/src/process/batch/leader/worker_links.ts
+++ b/src/process/batch/leader/worker_links.ts
@@ -4,11 +4,7 @@
  * @module
  */
 
-import {
-  workerIdOf,
-  type WorkerKey,
-  type WorkerRecord,
-} from "../batch_command.ts";
+import type { WorkerKey, WorkerRecord } from "../batch_command.ts";
 import { IncarnationFences } from "./incarnation_fences.ts";
 import type { LeaderContext } from "./leader_context.ts";
 import { WorkerLink, type WorkerLinkOptions } from "./worker_link.ts";
@@ -18,7 +14,7 @@
   readonly mayLead: () => boolean;
   readonly onReport: WorkerLinkOptions["onReport"];
   /** Called when a worker answers for the first time, or again. */
-  readonly onReached: () => void;
+  readonly onReached: (key: WorkerKey, options: { isFirst: boolean }) => void;
 }
 
 /**
@@ -32,6 +28,8 @@
   readonly #options: WorkerLinksOptions;
   readonly #links = new Map<WorkerKey, WorkerLink>();
   readonly #fences: IncarnationFences;
+  /** Incarnations that have not answered yet. */
+  readonly #unreached = new Set<WorkerKey>();
 
   constructor(options: WorkerLinksOptions) {
     this.#options = options;
@@ -84,20 +82,74 @@
   drop(key: WorkerKey): void {
     this.#links.get(key)?.close();
     this.#links.delete(key);
+    this.#unreached.delete(key);
   }
 
-  /** The incarnations that are over, or answer no more. */
+  /**
+   * The incarnations whose records are of no use: they are over, answer no more,
+   * or were removed; or they are silent and another one with their ID or at
+   * their address answers.
+   */
   absentKeys(): WorkerKey[] {
-    return [...this.#links].filter(([, link]) => link.isAbsent)
-      .map(([key]) => key);
+    const { workers } = this.#options.state;
+    return [...this.#links.values()].filter((link) =>
+      link.isAbsent || !workers.has(link.worker.key) ||
+      this.successorOf(link.worker.key) !== undefined ||
+      (link.isSilent &&
+        this.#conflicting(link.worker).some((other) => other.isReachable))
+    ).map(({ worker }) => worker.key);
   }
 
-  /** The latest other incarnation of the same worker. */
+  /**
+   * The latest later incarnation that has answered at the incarnation's own
+   * address, which proves that this one is over. A worker with its ID that
+   * answers at another address proves nothing.
+   */
   successorOf(key: WorkerKey): WorkerKey | undefined {
-    const id = workerIdOf(key);
-    return [...this.#options.state.workers.values()]
-      .filter((worker) => worker.id === id && worker.key !== key)
-      .sort((a, b) => b.bornMs - a.bornMs)[0]?.key;
+    const worker = this.#links.get(key)?.worker;
+    return worker && this.#atAddress(worker)
+      .filter((other) =>
+        other.hasProvenStart && other.worker.bornMs > worker.bornMs
+      )
+      .sort((a, b) => b.worker.bornMs - a.worker.bornMs)[0]?.worker.key;
+  }
+
+  /**
+   * Whether an announcement of a worker is out of date or of another writer: the
+   * known one that it would displace answers, or may have runs.
+   */
+  isRefuted(
+    worker: WorkerRecord,
+    hasRuns: (key: WorkerKey) => boolean,
+  ): boolean {
+    const known = this.#options.state.workers.get(worker.key);
+    if (known !== undefined) {
+      const isMoved = known.address !== worker.address;
+      const isInUse = this.#links.get(worker.key)?.isReachable === true ||
+        hasRuns(worker.key);
+      return isMoved && isInUse;
+    }
+    return this.#conflicting(worker).some((link) => {
+      const { bornMs, key, address } = link.worker;
+      const mayRunOn = link.hasReported && !link.isSilent;
+      // Answers at the address don't tell workers of one start apart.
+      return (bornMs > worker.bornMs && mayRunOn) ||
+        (bornMs === worker.bornMs && address === worker.address &&
+          hasRuns(key));
+    });
+  }
+
+  /** Links to other incarnations with the worker's ID or at its address. */
+  #conflicting(worker: WorkerRecord): WorkerLink[] {
+    return this.#options.state.conflictingWorkers(worker)
+      .map(({ key }) => this.#links.get(key))
+      .filter((link) => link !== undefined);
+  }
+
+  #atAddress(worker: WorkerRecord): WorkerLink[] {
+    return this.#conflicting(worker).filter((other) =>
+      other.worker.address === worker.address
+    );
   }
 
   close(): void {
@@ -106,18 +158,24 @@
 
   #open(worker: WorkerRecord): WorkerLink {
     const { calls, clock, timing, events, mayLead, onReport } = this.#options;
+    const fence = this.#fences.next(worker.address);
+    const others = this.#atAddress(worker);
+    const probeFence = Math.min(fence, ...others.map((other) => other.fence));
+    others.forEach((other) => other.doubt());
     const link = new WorkerLink({
       worker,
       calls,
       clock,
       timing,
-      fence: this.#fences.next(worker.id),
+      fence,
+      probeFence,
       mayLead,
       onReport,
       onReachabilityChange: ({ worker: { key } }, detail) =>
         this.#recordReachability(key, detail),
     });
     this.#links.set(worker.key, link);
+    this.#unreached.add(worker.key);
     events.emit("batchWorkerJoined", {
       worker: worker.key,
       dataCentre: worker.dataCentre,
@@ -130,7 +188,7 @@
     const { events, onReached } = this.#options;
     if (detail === undefined) {
       events.emit("batchWorkerReached", { worker: key });
-      onReached();
+      onReached(key, { isFirst: this.#unreached.delete(key) });
     } else {
       events.emit("batchWorkerSilent", { worker: key, detail });
     }
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -50,7 +50,9 @@
   starts = 0;
   readonly #network: FakePoolNetwork;
   readonly #options: FakePoolOptions;
+  /** By name: the ID, except for a process that {@link add} begins. */
   readonly #workers = new Map<string, FakeWorker>();
+  readonly #strangers = new Map<string, WorkerRecord>();
   readonly #oracle: PoolOracle;
 
   constructor(options: FakePoolOptions) {
@@ -75,9 +77,36 @@
 
   /** The records that running workers would announce now. */
   records(): WorkerRecord[] {
-    return [...this.#workers.values()]
-      .filter(({ isDown, isRefused }) => !isDown && !isRefused)
-      .map((worker) => worker.record());
+    return [
+      ...[...this.#workers.values()]
+        .filter(({ isDown, isRefused }) => !isDown && !isRefused)
+        .map((worker) => worker.record()),
+      ...this.#strangers.values(),
+    ];
+  }
+
+  /** The record that a worker announces. */
+  recordOf(name: string): WorkerRecord {
+    return this.#workers.get(name)!.record();
+  }
+
+  /** Announces a worker from now on, as any other writer may. */
+  announce(record: WorkerRecord): void {
+    this.#strangers.set(record.key, record);
+  }
+
+  /** Begins a process with a worker's ID or at its address. */
+  add(name: string, options: { id: string; address: string }): void {
+    const { id, address } = options;
+    const worker = new FakeWorker(id, 1, address);
+    worker.isDown = true;
+    this.#workers.set(name, worker);
+    this.restart(name);
+  }
+
+  /** Which tasks a worker runs. */
+  runningOn(name: string): string[] {
+    return [...this.#workers.get(name)!.running.keys()].sort();
   }
 
   setPartitioned(id: string, isPartitioned: boolean): void {
@@ -138,7 +167,7 @@
     options: WorkerCallOptions,
   ): Promise<Result<StartAnswer>> {
     return this.#network.call(
-      this.#workers.get(record.id)!,
+      this.#workerAt(record.address),
       options,
       (worker) => ({
         refusal: this.#start(worker, order),
@@ -153,7 +182,7 @@
     options: WorkerCallOptions,
   ): Promise<Result<void>> {
     return this.#network.call(
-      this.#workers.get(record.id)!,
+      this.#workerAt(record.address),
       options,
       (worker) => {
         if (order.fence < worker.fence) {
@@ -181,7 +210,7 @@
     options: WorkerCallOptions,
   ): Promise<Result<WorkerReport>> {
     const renewed = await this.#network.call(
-      this.#workers.get(record.id)!,
+      this.#workerAt(record.address),
       options,
       (worker) => {
         if (order.fence < worker.fence) {
@@ -199,11 +228,11 @@
     if (!renewed.unsafeCoerce()) {
       return failure("outcomeUnknown");
     }
-    const worker = this.#workers.get(record.id)!;
+    const worker = this.#workerAt(record.address);
     if (worker.ended.length === 0 && order.waitMs > 0) {
       await this.#waitForEnd(worker, order.waitMs);
     }
-    return await this.#network.call(this.#workers.get(record.id)!, {
+    return await this.#network.call(this.#workerAt(record.address), {
       timeoutMs: 500,
     }, (answering) => ({
       clockMs: this.#clockMs(answering),
@@ -223,6 +252,15 @@
     return Promise.resolve();
   }
 
+  /** The process that listens at the address; one that is down if none does. */
+  #workerAt(address: string): FakeWorker {
+    const workers = [...this.#workers.values()]
+      .filter((worker) => worker.address === address);
+    const nobody = new FakeWorker("nobody", 1, address);
+    nobody.isDown = true;
+    return workers.find(({ isDown }) => !isDown) ?? workers[0] ?? nobody;
+  }
+
   #clockMs(worker: FakeWorker): number {
     return Math.floor(
       (this.#options.clock.steadyMs() - worker.bornMs) * worker.clockRate,
--- a/src/process/batch/testing/fake_worker.ts
+++ b/src/process/batch/testing/fake_worker.ts
@@ -44,7 +44,11 @@
   /** Lease calls that wait for a run to end. */
   waiters: (() => void)[] = [];
 
-  constructor(readonly id: string, readonly clockRate: number) {}
+  constructor(
+    readonly id: string,
+    readonly clockRate: number,
+    readonly address = `10.0.0.1:${1 + Number(id.slice(1))}`,
+  ) {}
 
   /** The record that the present incarnation would announce. */
   record(): WorkerRecord {
@@ -53,7 +57,7 @@
       id: this.id,
       bornMs: this.bornMs,
       service: "pool",
-      address: `10.0.0.1:${1 + Number(this.id.slice(1))}`,
+      address: this.address,
       dataCentre: "east",
       capacity: { cpuMilli: 8_000, memoryMb: 8_000, accelerators: 8 },
       labels: ["a", "r-1"],
