Starts that may reach a worker's next incarnation are stopped there

Change: a run of which a start may still arrive is stopped on an incarnation that was announced at the address, once its own is over or has no lease left. Starts of runs that are over are revoked at an announcement, which can't harm the one before, and the others at the first answer. A run of which none may arrive is lost at once when its incarnation is over; a start on its way counts as one that may.

--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -85,7 +85,7 @@
         this.#handleReport(from, report, sentAtMs),
       onReached: (key, { isFirst }) => {
         if (isFirst) {
-          this.#driver.revokeUnansweredStarts(key);
+          this.#driver.revokeUnansweredStarts(key, { hasAnswered: true });
         }
         this.#writer.requestPlan();
       },
@@ -100,6 +100,7 @@
       epoch,
       linkOf: (key) => this.#links.get(key),
       successorOf: (key) => this.#links.successorOf(key),
+      announcedAfter: (key) => this.#links.announcedAfter(key),
       mayLead: () => this.isCurrent(),
       onEnd: ({ task, run, checkpoint }, how) =>
         void this.#writeEnd(task, { run, how, checkpoint }),
@@ -247,7 +248,10 @@
         this.#onEndApplied(item);
         return;
       case "worker":
-        this.#links.announce(item.worker);
+        if (this.#links.announce(item.worker)) {
+          const { key } = item.worker;
+          this.#driver.revokeUnansweredStarts(key, { hasAnswered: false });
+        }
         return;
       case "workerGone":
         // Runs that were started meanwhile end by their worker's link.
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -23,6 +23,8 @@
 export interface RunDriverOptions extends RunOrdersOptions {
   /** The incarnation that has answered at the worker's address since. */
   readonly successorOf: (key: WorkerKey) => WorkerKey | undefined;
+  /** One that was announced there since, whether it has answered or not. */
+  readonly announcedAfter: (key: WorkerKey) => WorkerKey | undefined;
   /** Called when a run is certainly over though no worker reported its end. */
   readonly onEnd: (run: OpenRunState, how: RunEnd) => void;
   readonly onUnwell: (key: WorkerKey) => void;
@@ -99,8 +101,11 @@
   }
 
   /** Revokes unanswered starts that were sent to earlier incarnations. */
-  revokeUnansweredStarts(key: WorkerKey): void {
-    this.#orders.revokeUnanswered(key);
+  revokeUnansweredStarts(
+    key: WorkerKey,
+    options: { hasAnswered: boolean },
+  ): void {
+    this.#orders.revokeUnanswered(key, options);
   }
 
   /**
@@ -179,7 +184,8 @@
       return;
     }
     if (!link.isReachable && link.haveLeasesExpired()) {
-      this.#endOnce(run, RunEnd.lost);
+      // The leases don't bind a start that reaches the next incarnation.
+      this.#endUnlessPassedOn(run, this.#options.announcedAfter(run.holder));
       return;
     }
     this.#checkJob(run, nowMs);
@@ -218,28 +224,35 @@
   }
 
   /**
-   * Handles a run whose worker incarnation is over. If the worker restarted,
-   * the run is stopped on the new incarnation, which may have received its
-   * start. Otherwise the run is lost: at once, or if a start may still arrive,
-   * after the time that a restart takes.
+   * Handles a run whose worker incarnation is over. It is lost, unless a start
+   * may still reach the next incarnation; if none is known, this waits for the
+   * time that a restart takes.
    */
   #handleIncarnationOver(run: OpenRunState): void {
-    const { clock, successorOf, timing } = this.#options;
-    const successor = successorOf(run.holder);
+    const { clock, successorOf, announcedAfter, timing } = this.#options;
+    const next = successorOf(run.holder) ?? announcedAfter(run.holder);
     run.incarnationOverAtMs ??= clock.steadyMs();
-    if (successor === undefined) {
-      const mayStillArrive = run.hasUnansweredStart ||
-        run.confirmedAtMs === undefined;
-      const waitMs = mayStillArrive ? timing.workerRestartWaitMs : 0;
-      if (clock.steadyMs() - run.incarnationOverAtMs >= waitMs) {
-        this.#endOnce(run, RunEnd.lost);
-      }
+    const waitedMs = clock.steadyMs() - run.incarnationOverAtMs;
+    const isAwaited = next === undefined && mayStillArrive(run) &&
+      waitedMs < timing.workerRestartWaitMs;
+    if (!isAwaited) {
+      this.#endUnlessPassedOn(run, next);
+    }
+  }
+
+  /**
+   * Ends a run that its worker incarnation doesn't have any more. If a start may
+   * still arrive, the run is stopped on the next incarnation first.
+   */
+  #endUnlessPassedOn(run: OpenRunState, next: WorkerKey | undefined): void {
+    if (next === undefined || !mayStillArrive(run)) {
+      this.#endOnce(run, RunEnd.lost);
       return;
     }
-    this.#options.runs.moveTo(run, successor);
+    this.#options.runs.moveTo(run, next);
     run.stopReason = StopReason.workerRestarted;
     run.stoppedAtMs = undefined;
-    run.nextCallAtMs = clock.nowMs();
+    run.nextCallAtMs = this.#options.clock.nowMs();
   }
 
   /** Stops runs of a job that is over, and gangs that don't start in time. */
@@ -330,3 +343,9 @@
     }
   }
 }
+
+/** Whether a start of the run may still be carried out. */
+function mayStillArrive(run: OpenRunState): boolean {
+  return run.hasUnansweredStart || run.pendingOrders > 0 ||
+    run.confirmedAtMs === undefined;
+}
--- a/src/process/batch/leader/run_driver_test.ts
+++ b/src/process/batch/leader/run_driver_test.ts
@@ -46,6 +46,7 @@
         haveLeasesExpired: () => false,
       }) as unknown as WorkerLink,
     successorOf: () => undefined,
+    announcedAfter: () => undefined,
     mayLead: options.mayLead ?? (() => true),
     onEnd: ({ checkpoint }, how) => void ends.push({ how, checkpoint }),
     onUnwell: () => undefined,
--- a/src/process/batch/leader/run_orders.ts
+++ b/src/process/batch/leader/run_orders.ts
@@ -91,8 +91,12 @@
     });
   }
 
-  /** Revokes a worker's unanswered starts, except of runs open on `key`. */
-  revokeUnanswered(key: WorkerKey): void {
+  /**
+   * Revokes a worker's unanswered starts, except of runs open on `key`. Until
+   * that one has answered, also except of those open on the one before, which
+   * the call may reach.
+   */
+  revokeUnanswered(key: WorkerKey, options: { hasAnswered: boolean }): void {
     const { clock, runs } = this.#options;
     for (
       const { task, run } of this.#unanswered.of(
@@ -101,8 +105,9 @@
       )
     ) {
       const open = runs.get(task);
-      const isOpenHere = open?.run === run && open.holder === key;
-      if (!isOpenHere) {
+      const isOpen = open?.run === run &&
+        (open.holder === key || !options.hasAnswered);
+      if (!isOpen) {
         void this.revoke(key, task, run);
       }
     }
--- a/src/process/batch/leader/worker_links.ts
+++ b/src/process/batch/leader/worker_links.ts
@@ -106,12 +106,24 @@
    * answers at another address proves nothing.
    */
   successorOf(key: WorkerKey): WorkerKey | undefined {
+    return this.#laterAtAddress(key).find((link) => link.hasProvenStart)
+      ?.worker.key;
+  }
+
+  /** The latest later incarnation that was announced at its address. */
+  announcedAfter(key: WorkerKey): WorkerKey | undefined {
+    return this.#laterAtAddress(key)[0]?.worker.key;
+  }
+
+  /** The latest one first. */
+  #laterAtAddress(key: WorkerKey): WorkerLink[] {
     const worker = this.#links.get(key)?.worker;
-    return worker && this.#atAddress(worker)
-      .filter((other) =>
-        other.hasProvenStart && other.worker.bornMs > worker.bornMs
-      )
-      .sort((a, b) => b.worker.bornMs - a.worker.bornMs)[0]?.worker.key;
+    if (worker === undefined) {
+      return [];
+    }
+    return this.#atAddress(worker)
+      .filter((other) => other.worker.bornMs > worker.bornMs)
+      .sort((a, b) => b.worker.bornMs - a.worker.bornMs);
   }
 
   /**
