A refused connection raises a worker's fence

Change: once a worker's address refuses connections, its link uses a higher fence, unless another incarnation is known there, and calls every 200 ms at most instead of 800. The first call that arrives then bars all starts sent before the crash. A worker that was only unreachable goes on under the higher fence.

The new test of worker_link_test fails without the change (fence 1 throughout).

--- a/src/process/batch/batch_timing.ts
+++ b/src/process/batch/batch_timing.ts
@@ -24,6 +24,11 @@
    */
   renewRetryDelayMs: 100,
   renewRetryDelayLimitMs: 800,
+  /**
+   * The limit while connections are refused. A worker that restarts carries out
+   * late starts for the incarnation before until a call has reached it.
+   */
+  refusedRetryDelayMs: 200,
   /** Timeout of an order, which is then sent again: ten round trips. */
   orderTimeoutMs: 400,
   /** Delay before an order is sent again. */
--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -25,6 +25,8 @@
   readonly timing: BatchTiming;
   /** The fence of all orders to this incarnation, once it has answered. */
   readonly fence: number;
+  /** A higher fence than all at the address, unless another one is known there. */
+  readonly nextFence?: () => number | undefined;
   /**
    * The fence until then; the same by default. The incarnation before may still
    * be at the address, and has to accept the orders to itself afterwards.
@@ -63,6 +65,7 @@
   #mayGrantLeases = true;
   #hasReported = false;
   #hasProvenStart = false;
+  #fence: number;
   /** When it became doubtful that this incarnation is still at its address. */
   #doubtedAtMs: number | undefined;
   #isClosed = false;
@@ -71,6 +74,7 @@
   constructor(options: WorkerLinkOptions) {
     this.#options = options;
     this.worker = options.worker;
+    this.#fence = options.fence;
     // An earlier leader may have granted a lease just before this moment. The
     // worker may also have received a start meant for an earlier incarnation,
     // whose lease ends by another clock, and so hold the longest lease.
@@ -86,8 +90,8 @@
 
   /** The fence of all orders to this incarnation. */
   get fence(): number {
-    const { fence, probeFence = fence } = this.#options;
-    return this.#hasReported ? fence : probeFence;
+    const { probeFence = this.#fence } = this.#options;
+    return this.#hasReported ? this.#fence : probeFence;
   }
 
   /** Whether this incarnation has reported in this epoch. */
@@ -281,8 +285,14 @@
     if (this.#failures === 1 || this.isAbsent) {
       onReachabilityChange(this, kind);
     }
+    if (this.#refusedConnections === 1) {
+      // Perhaps it has crashed: the next call that arrives bars all late starts.
+      this.#fence = this.#options.nextFence?.() ?? this.#fence;
+    }
     return Math.min(
-      timing.renewRetryDelayLimitMs,
+      this.#refusedConnections > 0
+        ? timing.refusedRetryDelayMs
+        : timing.renewRetryDelayLimitMs,
       timing.renewRetryDelayMs * 2 ** Math.min(this.#failures, 5),
     );
   }
--- a/src/process/batch/leader/worker_link_test.ts
+++ b/src/process/batch/leader/worker_link_test.ts
@@ -95,3 +95,33 @@
   t.deepEqual(acknowledged, [0, 7, 0, 7]);
   link.close();
 });
+
+// Guards against late starts on a worker that has restarted, before it announces itself.
+test("a refused connection raises the fence, and the next call follows soon", async (t) => {
+  const clock = new FakeClock({ startMs: 1_000 });
+  const sent: { fence: number; atMs: number }[] = [];
+  const calls: Partial<WorkerCalls> = {
+    lease: async (_, { fence }) => {
+      sent.push({ fence, atMs: clock.steadyMs() });
+      await new Promise<void>((done) => void clock.after(10, done));
+      return sent.length > 1 && sent.length < 9
+        ? failure("unavailable")
+        : Right(REPORT);
+    },
+  };
+  const link = new WorkerLink({
+    ...linkOptions({ clock, calls }),
+    nextFence: () => 2,
+    onReport: () => Promise.resolve(),
+    onReachabilityChange: () => undefined,
+  });
+  link.start();
+  while (sent.length < 10) {
+    clock.advance(10);
+    await new Promise((done) => setImmediate(done));
+  }
+  t.deepEqual(sent.map(({ fence }) => fence), [1, 1, 2, 2, 2, 2, 2, 2, 2, 2]);
+  const waitsMs = sent.slice(1).map(({ atMs }, at) => atMs - sent[at]!.atMs);
+  t.true(Math.max(...waitsMs) <= BATCH_TIMING.refusedRetryDelayMs + 50);
+  link.close();
+});
--- a/src/process/batch/leader/worker_links.ts
+++ b/src/process/batch/leader/worker_links.ts
@@ -180,6 +180,10 @@
       clock,
       timing,
       fence,
+      nextFence: () =>
+        this.#atAddress(worker).length === 0
+          ? this.#fences.next(worker.address)
+          : undefined,
       probeFence,
       mayLead,
       onReport,
