A restart that is noticed bars late starts at once

Change: the link then raises its fence, if no other incarnation is known at the address, and calls again at once. Orders with the old fence are refused from then on; the announced incarnation gets a higher one yet.

--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -257,8 +257,7 @@
   async #handleReport(report: WorkerReport, sentAtMs: number): Promise<number> {
     const { bornMs } = this.worker;
     if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) {
-      this.#isSuperseded ||= report.bornMs > bornMs;
-      return this.#recordFailure("otherIncarnation");
+      return this.#recordOther(report.bornMs);
     }
     const wasReachable = this.isReachable;
     if (this.#doubtedAtMs !== undefined && sentAtMs >= this.#doubtedAtMs) {
@@ -276,6 +275,21 @@
     return 0;
   }
 
+  /** Bars late starts from a later incarnation by a further call at once. */
+  #recordOther(bornMs: number): number {
+    const isNew = !this.#isSuperseded && bornMs > this.worker.bornMs;
+    this.#isSuperseded ||= isNew;
+    const delayMs = this.#recordFailure("otherIncarnation");
+    if (isNew) {
+      this.#raiseFence();
+    }
+    return isNew ? 0 : delayMs;
+  }
+
+  #raiseFence(): void {
+    this.#fence = this.#options.nextFence?.() ?? this.#fence;
+  }
+
   #recordFailure(kind: string): number {
     const { timing, onReachabilityChange } = this.#options;
     this.#failures += 1;
@@ -287,7 +301,7 @@
     }
     if (this.#refusedConnections === 1) {
       // Perhaps it has crashed: the next call that arrives bars all late starts.
-      this.#fence = this.#options.nextFence?.() ?? this.#fence;
+      this.#raiseFence();
     }
     return Math.min(
       this.#refusedConnections > 0
--- a/src/process/batch/leader/worker_link_test.ts
+++ b/src/process/batch/leader/worker_link_test.ts
@@ -125,3 +125,31 @@
   t.true(Math.max(...waitsMs) <= BATCH_TIMING.refusedRetryDelayMs + 50);
   link.close();
 });
+
+// Guards against late starts once a restart is known, before it is announced.
+test("a later incarnation is called again at once with a higher fence", async (t) => {
+  const clock = new FakeClock({ startMs: 1_000 });
+  const sent: { fence: number; atMs: number }[] = [];
+  const calls: Partial<WorkerCalls> = {
+    lease: async (_, { fence }) => {
+      sent.push({ fence, atMs: clock.steadyMs() });
+      await new Promise<void>((done) => void clock.after(10, done));
+      return Right(sent.length === 1 ? REPORT : { ...REPORT, bornMs: 2 });
+    },
+  };
+  const link = new WorkerLink({
+    ...linkOptions({ clock, calls }),
+    nextFence: () => 2,
+    onReport: () => Promise.resolve(),
+    onReachabilityChange: () => undefined,
+  });
+  link.start();
+  while (sent.length < 3) {
+    clock.advance(10);
+    await new Promise((done) => setImmediate(done));
+  }
+  t.deepEqual(sent.map(({ fence }) => fence), [1, 1, 2]);
+  t.true(sent[2]!.atMs - sent[1]!.atMs <= 20);
+  t.true(link.isSuperseded);
+  link.close();
+});
