--- a/src/process/batch/batch_timing.ts
+++ b/src/process/batch/batch_timing.ts
@@ -24,6 +24,11 @@
    */
   renewRetryDelayMs: 100,
   renewRetryDelayLimitMs: 800,
+  /**
+   * The limit while connections are refused. A worker that restarts carries out
+   * late starts for the incarnation before until a call has reached it.
+   */
+  refusedRetryDelayMs: 200,
   /** Timeout of an order, which is then sent again: ten round trips. */
   orderTimeoutMs: 400,
   /** Delay before an order is sent again. */
@@ -98,6 +103,12 @@
   };
 }
 
+/** The longest time that a worker may take for a lease, by the steady clock. */
+export function leaseBoundMs(leaseMs: number, timing: BatchTiming): number {
+  return leaseMs * (1 + 2 * timing.clockDriftFraction) +
+    timing.leaseExpirySlackMs;
+}
+
 /** Values for all of {@link BATCH_TIMING}. */
 export type BatchTiming = {
   readonly [Name in keyof typeof BATCH_TIMING]: number;
--- a/src/process/batch/leader/run_driver.ts
+++ b/src/process/batch/leader/run_driver.ts
@@ -8,6 +8,7 @@
 
 import type { JobId } from "../../../base/identity.ts";
 import { RunEnd, type TaskRef, type WorkerKey } from "../batch_command.ts";
+import { leaseBoundMs } from "../batch_timing.ts";
 import { JobPhase } from "../job_record.ts";
 import {
   type StartAnswer,
@@ -21,8 +22,10 @@
 
 /** Options of {@link RunDriver}. */
 export interface RunDriverOptions extends RunOrdersOptions {
-  /** The latest other incarnation of the same worker, if there is one. */
+  /** The incarnation that has answered at the worker's address since. */
   readonly successorOf: (key: WorkerKey) => WorkerKey | undefined;
+  /** One that was announced there since, whether it has answered or not. */
+  readonly announcedAfter: (key: WorkerKey) => WorkerKey | undefined;
   /** Called when a run is certainly over though no worker reported its end. */
   readonly onEnd: (
     run: OpenRunState,
@@ -103,8 +106,11 @@
   }
 
   /** Revokes unanswered starts that were sent to earlier incarnations. */
-  revokeUnansweredStarts(key: WorkerKey): void {
-    this.#orders.revokeUnanswered(key);
+  revokeUnansweredStarts(
+    key: WorkerKey,
+    options: { hasAnswered: boolean },
+  ): void {
+    this.#orders.revokeUnanswered(key, options);
   }
 
   /**
@@ -175,13 +181,20 @@
     const { clock, linkOf, state, timing } = this.#options;
     const nowMs = clock.nowMs();
     const link = linkOf(run.holder);
-    const isKnown = state.workers.has(run.holder);
-    if (!isKnown || link === undefined || link.isSuperseded) {
+    if (link === undefined) {
+      this.#handleNoLink(run);
+      return;
+    }
+    if (
+      link.isSuperseded || this.#options.successorOf(run.holder) !== undefined
+    ) {
       this.#handleIncarnationOver(run);
       return;
     }
     if (!link.isReachable && link.haveLeasesExpired()) {
-      this.#endOnce(run, RunEnd.lost, RunEndProof.lease);
+      // The leases don't bind a start that reaches the next incarnation.
+      const next = this.#options.announcedAfter(run.holder);
+      this.#endUnlessPassedOn(run, next, RunEndProof.lease);
       return;
     }
     this.#checkJob(run, nowMs);
@@ -207,31 +220,52 @@
   }
 
   /**
-   * Handles a run whose worker incarnation is over. If the worker restarted,
-   * the run is stopped on the new incarnation, which may have received its
-   * start. Otherwise the run is lost: at once, or if a start may still arrive,
-   * after the time that a restart takes.
+   * Handles a run of a worker without a record: the leader before removed it, or
+   * an earlier version did. The leases that were granted there run out first.
+   */
+  #handleNoLink(run: OpenRunState): void {
+    const { clock, timing } = this.#options;
+    run.incarnationOverAtMs ??= clock.steadyMs();
+    const waitedMs = clock.steadyMs() - run.incarnationOverAtMs;
+    if (waitedMs >= leaseBoundMs(timing.leaseLimitMs, timing)) {
+      this.#endOnce(run, RunEnd.lost, RunEndProof.lease);
+    }
+  }
+
+  /**
+   * Handles a run whose worker incarnation is over. It is lost, unless a start
+   * may still reach the next incarnation; if none is known, this waits for the
+   * time that a restart takes.
    */
   #handleIncarnationOver(run: OpenRunState): void {
-    const { clock, successorOf, timing } = this.#options;
-    const successor = successorOf(run.holder);
+    const { clock, successorOf, announcedAfter, timing } = this.#options;
+    const next = successorOf(run.holder) ?? announcedAfter(run.holder);
     run.incarnationOverAtMs ??= clock.steadyMs();
-    if (successor === undefined) {
-      const mayStillArrive = run.hasUnansweredStart ||
-        run.confirmedAtMs === undefined;
-      const waitMs = mayStillArrive ? timing.workerRestartWaitMs : 0;
-      if (clock.steadyMs() - run.incarnationOverAtMs >= waitMs) {
-        const proof = this.#options.linkOf(run.holder)?.isSuperseded
-          ? RunEndProof.incarnation
-          : RunEndProof.removed;
-        this.#endOnce(run, RunEnd.lost, proof);
-      }
+    const waitedMs = clock.steadyMs() - run.incarnationOverAtMs;
+    const isAwaited = next === undefined && mayStillArrive(run) &&
+      waitedMs < timing.workerRestartWaitMs;
+    if (!isAwaited) {
+      this.#endUnlessPassedOn(run, next, RunEndProof.incarnation);
+    }
+  }
+
+  /**
+   * Ends a run that its worker incarnation doesn't have any more. If a start may
+   * still arrive, the run is stopped on the next incarnation first.
+   */
+  #endUnlessPassedOn(
+    run: OpenRunState,
+    next: WorkerKey | undefined,
+    proof: RunEndProof,
+  ): void {
+    if (next === undefined || !mayStillArrive(run)) {
+      this.#endOnce(run, RunEnd.lost, proof);
       return;
     }
-    this.#options.runs.moveTo(run, successor);
+    this.#options.runs.moveTo(run, next);
     run.stopReason = StopReason.workerRestarted;
     run.stoppedAtMs = undefined;
-    run.nextCallAtMs = clock.nowMs();
+    run.nextCallAtMs = this.#options.clock.nowMs();
   }
 
   /** Stops runs of a job that is over, and gangs that don't start in time. */
@@ -322,3 +356,9 @@
     }
   }
 }
+
+/** Whether a start of the run may still be carried out. */
+function mayStillArrive(run: OpenRunState): boolean {
+  return run.hasUnansweredStart || run.pendingOrders > 0 ||
+    run.confirmedAtMs === undefined;
+}
