--- a/src/process/batch/batch_state.ts
+++ b/src/process/batch/batch_state.ts
@@ -104,7 +104,7 @@
   }
 
   /** Other incarnations of the same worker, or at the same address. */
-  conflictingWorkers(worker: WorkerRecord): WorkerRecord[] {
+  conflictingWorkers(worker: WorkerRecord): readonly WorkerRecord[] {
     return this.#workers.conflictingWith(worker);
   }
 
--- a/src/process/batch/worker_incarnations.ts
+++ b/src/process/batch/worker_incarnations.ts
@@ -50,17 +50,26 @@
   }
 
   /** Other incarnations of the same worker, or at the same address. */
-  conflictingWith(worker: WorkerRecord): WorkerRecord[] {
-    const keys = new Set(
-      exclusiveKeysOf(worker).flatMap((key) => [
-        ...this.#byExclusiveKey.get(key) ?? [],
-      ]),
+  conflictingWith(worker: WorkerRecord): readonly WorkerRecord[] {
+    const sets = exclusiveKeysOf(worker).map((key) =>
+      this.#byExclusiveKey.get(key)
     );
+    // Asked for each open run, several times a second; nearly all have none.
+    if (sets.every((keys) => keys === undefined || isOnly(worker.key, keys))) {
+      return NONE;
+    }
+    const keys = new Set(sets.flatMap((set) => [...set ?? []]));
     keys.delete(worker.key);
     return [...keys].map((key) => this.#byKey.get(key)!);
   }
 }
 
+const NONE: readonly WorkerRecord[] = [];
+
+function isOnly(key: WorkerKey, keys: ReadonlySet<WorkerKey>): boolean {
+  return keys.size === 1 && keys.has(key);
+}
+
 /** Keys of which each can belong to only one present incarnation. */
 function exclusiveKeysOf({ id, address }: WorkerRecord): string[] {
   return [`id ${id}`, `address ${address}`];
