--- a/src/process/batch/leader/run_driver_test.ts
+++ b/src/process/batch/leader/run_driver_test.ts
@@ -166,6 +166,34 @@
   });
 }
 
+// Guards against a run that goes on, since its worker ignored the only stop.
+test("a stop whose fence was raised on its way is sent again", async (t) => {
+  const fences: number[] = [];
+  let fence = 1;
+  const link = {
+    ...REACHABLE_LINK,
+    get fence() {
+      return fence;
+    },
+  } as WorkerLink;
+  const { driver, clock, run } = driveOneRun({
+    stop: (_, order) => {
+      fences.push(order.fence);
+      // The worker answers, and does nothing for a lower fence.
+      fence = 2;
+      return Promise.resolve(Right(undefined));
+    },
+  }, { linkOf: () => link });
+  run.confirmedAtMs = clock.nowMs();
+  driver.stop(run.task, StopReason.preempted);
+  for (let tick = 0; tick < 5; tick++) {
+    await new Promise((done) => setImmediate(done));
+    clock.advance(BATCH_TIMING.tickMs);
+    driver.drive();
+  }
+  t.deepEqual(fences, [1, 2]);
+});
+
 test("a stop isn't sent while the leader's lease has run out", (t) => {
   let stops = 0;
   let mayLead = false;
--- a/src/process/batch/testing/displaced_worker_test.ts
+++ b/src/process/batch/testing/displaced_worker_test.ts
@@ -112,6 +112,49 @@
   await checkNothingMoves(t, simulation, { starts });
 });
 
+// Guards against taking an earlier answer at another address for a successor's.
+test("a worker goes on though a gone one with a later start is announced at its address", async (t) => {
+  const { simulation, name, starts } = await runTwoJobs();
+  const { pool, workerIds } = simulation;
+  const idle = workerIds.find((id) => pool.runningOn(id).length === 0)!;
+  pool.crash(idle);
+  pool.restart(idle);
+  await simulation.advance(1_500);
+  const { address } = pool.recordOf(name);
+  const gone = { ...pool.recordOf(idle), address };
+  pool.crash(idle);
+  await simulation.advance(500);
+  pool.announce(gone);
+  await checkNothingMoves(t, simulation, { starts });
+});
+
+// Guards against an answer of the process itself that proves its own end.
+test("a worker goes on though it was first announced without its start", async (t) => {
+  const simulation = new BatchSimulation({ seed: 5, workers: 1 });
+  const { pool } = simulation;
+  const record = { ...pool.recordOf("w0"), bornMs: 0 };
+  pool.announce({ ...record, key: workerKeyOf(record.id, 0) });
+  pool.setUnannounced("w0", true);
+  await simulation.open();
+  await simulation.advance(2_000);
+  for (const job of ["one", "two"]) {
+    void simulation.submit(job, {
+      payload: "",
+      steps: [{ ...STEP, taskCount: 1 }],
+      recurrence: undefined,
+    });
+  }
+  await simulation.advance(1_500);
+  pool.setUnannounced("w0", false);
+  await simulation.advance(60_000);
+  t.deepEqual(pool.violations, []);
+  t.is(pool.starts, 2);
+  for (const job of ["one", "two"]) {
+    t.is(simulation.state!.jobs.get(job)?.phase, "completed");
+  }
+  simulation.close();
+});
+
 // Guards against waiting for less than the leases of the leader before.
 test("a new leader waits out the leases of a worker without a record", async (t) => {
   const { simulation, name } = await runTwoJobs();
--- a/src/process/batch/testing/fake_pool.ts
+++ b/src/process/batch/testing/fake_pool.ts
@@ -79,7 +79,9 @@
   records(): WorkerRecord[] {
     return [
       ...[...this.#workers.values()]
-        .filter(({ isDown, isRefused }) => !isDown && !isRefused)
+        .filter(({ isDown, isRefused, isUnannounced }) =>
+          !isDown && !isRefused && !isUnannounced
+        )
         .map((worker) => worker.record()),
       ...this.#strangers.values(),
     ];
@@ -118,6 +120,11 @@
     this.#workers.get(id)!.isRefused = isRefused;
   }
 
+  /** Makes a worker's announcements get lost, or ends that. */
+  setUnannounced(id: string, isUnannounced: boolean): void {
+    this.#workers.get(id)!.isUnannounced = isUnannounced;
+  }
+
   /** Makes a worker announce that it drains. */
   drain(id: string): void {
     this.#workers.get(id)!.isDraining = true;
--- a/src/process/batch/testing/fake_worker.ts
+++ b/src/process/batch/testing/fake_worker.ts
@@ -30,6 +30,8 @@
   isPartitioned = false;
   /** Whether the network refuses connections to it while it runs on. */
   isRefused = false;
+  /** Whether its announcements are lost. */
+  isUnannounced = false;
   /** The highest fence that it has seen. */
   fence = 0;
   leaseEndMs = 0;
