A stop that a raised fence overtook is sent again

Cause: since the fence of a link is raised or changes with the first answer, a stop on its way can arrive with a lower fence than the worker has seen. The worker acknowledges it and does nothing; the run counted as stopped, so no further stop was sent and it ran on. Change: only a stop with the link's present fence counts. Result: the test of it passes.

--- a/src/process/batch/leader/run_orders.ts
+++ b/src/process/batch/leader/run_orders.ts
@@ -85,8 +85,12 @@
     result.caseOf({
       Left: (error) => this.#logNoAnswer(run, "stop", error.kind),
       Right: () => {
-        run.stoppedAtMs = clock.nowMs();
-        link.wake();
+        // A worker that has seen the raised fence acknowledges a stop with a
+        // lower one without carrying it out.
+        if (link.fence === order.fence) {
+          run.stoppedAtMs = clock.nowMs();
+          link.wake();
+        }
       },
     });
   }
