A worker at another address gets a new link

Cause: the record of a silent worker without runs may be announced with another address. Its link kept the proof of an answer at the address before, so a later start counted as the successor of the worker at the new address, whose runs were lost at once. Fences were those of the address before, too. Change: a new link, which has proven nothing. Result: the test of it passes.

--- a/src/process/batch/leader/worker_links.ts
+++ b/src/process/batch/leader/worker_links.ts
@@ -66,14 +66,16 @@
 
   /**
    * Opens or updates the link to a worker that announced itself or changed.
-   * True if the incarnation is new.
+   * True if the link is new. One to another address is, since what the address
+   * before has answered proves nothing there.
    */
   announce(worker: WorkerRecord): boolean {
     const known = this.#links.get(worker.key);
-    if (known !== undefined) {
+    if (known?.worker.address === worker.address) {
       known.worker = worker;
       return false;
     }
+    this.drop(worker.key);
     this.#open(worker).start();
     return true;
   }
