A process doesn't prove the end of its own record without a start

Cause: a record without a start took any process's report. Once the process announced its start, its answer counted as that of a successor and the runs at work on it were lost. Change: a record without a start isn't reachable at a process that reports one, and only its leases end it.

--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -256,7 +256,8 @@
 
   async #handleReport(report: WorkerReport, sentAtMs: number): Promise<number> {
     const { bornMs } = this.worker;
-    if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) {
+    // A record without a start isn't of a process that reports one.
+    if (report.bornMs !== 0 && report.bornMs !== bornMs) {
       return this.#recordOther(report.bornMs);
     }
     const wasReachable = this.isReachable;
@@ -277,7 +278,9 @@
 
   /** Bars late starts from a later incarnation by a further call at once. */
   #recordOther(bornMs: number): number {
-    const isNew = !this.#isSuperseded && bornMs > this.worker.bornMs;
+    // One without a start may be that process, so its leases have to run out.
+    const isLater = this.worker.bornMs !== 0 && bornMs > this.worker.bornMs;
+    const isNew = isLater && !this.#isSuperseded;
     this.#isSuperseded ||= isNew;
     const delayMs = this.#recordFailure("otherIncarnation");
     if (isNew) {
--- a/src/process/batch/leader/worker_links.ts
+++ b/src/process/batch/leader/worker_links.ts
@@ -117,10 +117,10 @@
     return this.#laterAtAddress(key)[0]?.worker.key;
   }
 
-  /** The latest one first. */
+  /** The latest one first. None is known to be later than one without a start. */
   #laterAtAddress(key: WorkerKey): WorkerLink[] {
     const worker = this.#links.get(key)?.worker;
-    if (worker === undefined) {
+    if (worker === undefined || worker.bornMs === 0) {
       return [];
     }
     return this.#atAddress(worker)
