--- a/src/process/batch/leader/worker_link_test.ts
+++ b/src/process/batch/leader/worker_link_test.ts
@@ -153,3 +153,66 @@
   t.true(link.isSuperseded);
   link.close();
 });
+
+// Guards against leases by late orders that were meant for the one before.
+test("the longest lease counts from the first answer to the own fence", async (t) => {
+  const clock = new FakeClock({ startMs: 1_000 });
+  const answeredAtMs: number[] = [];
+  const calls: Partial<WorkerCalls> = {
+    lease: async () => {
+      await new Promise<void>((done) => void clock.after(10, done));
+      if (clock.steadyMs() < 9_000 || answeredAtMs.length === 2) {
+        return failure("outcomeUnknown");
+      }
+      answeredAtMs.push(clock.steadyMs());
+      return Right(REPORT);
+    },
+  };
+  const link = new WorkerLink({
+    ...linkOptions({ clock, calls }),
+    fence: 2,
+    probeFence: 1,
+    onReport: () => Promise.resolve(),
+    onReachabilityChange: () => undefined,
+  });
+  link.start();
+  while (!link.haveLeasesExpired()) {
+    clock.advance(10);
+    await new Promise((done) => setImmediate(done));
+  }
+  t.is(answeredAtMs.length, 2);
+  t.true(
+    clock.steadyMs() - answeredAtMs[1]! >= BATCH_TIMING.leaseLimitMs,
+  );
+  link.close();
+});
+
+// Guards against late starts on a worker that restarted with its clock set back.
+test("an incarnation with an earlier start is called again with a higher fence", async (t) => {
+  const clock = new FakeClock({ startMs: 1_000 });
+  const sent: number[] = [];
+  const calls: Partial<WorkerCalls> = {
+    lease: async (_, { fence }) => {
+      sent.push(fence);
+      await new Promise<void>((done) => void clock.after(10, done));
+      return Right(sent.length === 1 ? { ...REPORT, bornMs: 2 } : REPORT);
+    },
+  };
+  let fence = 1;
+  const options = linkOptions({ clock, calls });
+  const link = new WorkerLink({
+    ...options,
+    worker: { ...options.worker, key: "w@2", bornMs: 2 },
+    nextFence: () => ++fence,
+    onReport: () => Promise.resolve(),
+    onReachabilityChange: () => undefined,
+  });
+  link.start();
+  while (sent.length < 5) {
+    clock.advance(10);
+    await new Promise((done) => setImmediate(done));
+  }
+  t.deepEqual(sent, [1, 1, 2, 2, 2]);
+  t.false(link.isSuperseded);
+  link.close();
+});
--- a/src/process/batch/leader/worker_links_test.ts
+++ b/src/process/batch/leader/worker_links_test.ts
@@ -131,3 +131,12 @@
     );
   });
 }
+
+// Guards against a link that nobody closes, of a batch committed meanwhile.
+test("a worker that is announced after the links are closed isn't called", async (t) => {
+  const { links, fences, announce, answer } = answeredLinks(t);
+  links.close();
+  announce("w", 1_000);
+  await answer(1_000);
+  t.deepEqual(fences, []);
+});
--- a/src/process/replication/raft_core_test.ts
+++ b/src/process/replication/raft_core_test.ts
@@ -419,3 +419,32 @@
     t.notThrows(() => recover(simulation), `seed ${seed}`);
   }
 });
+
+// Guards against a leader that acts on a state without its predecessor's changes.
+test("a leader has no lease before it knows all committed entries", (t) => {
+  const simulation = new RaftSimulation({
+    members: diskVoters("a", "b", "c"),
+    seed: 1,
+    syncMs: 300,
+  });
+  simulation.startAll();
+  let leaders = 0;
+  for (let round = 0; round < 8; round++) {
+    for (let step = 0; step < 400; step++) {
+      simulation.run(10);
+      for (const id of simulation.ids) {
+        const member = simulation.member(id);
+        const nowMs = member.clockMs(simulation.nowMs);
+        const { core } = member;
+        if (core !== undefined && core.leaseEndMs(nowMs) > nowMs) {
+          leaders += 1;
+          t.true(core.isLeaseHeld(nowMs));
+        }
+      }
+    }
+    const leader = leaderOf(simulation);
+    simulation.crash(leader);
+    simulation.start(leader);
+  }
+  t.true(leaders > 0);
+});
