No link is opened once the links are closed

Cause: a batch that was committed after its session had ended opened links to the workers in it. Nobody closed them; each kept the ended session and a timer of 100 ms. Change: announce opens none after close.

--- a/src/process/batch/leader/worker_links.ts
+++ b/src/process/batch/leader/worker_links.ts
@@ -30,6 +30,7 @@
   readonly #fences: IncarnationFences;
   /** Incarnations that have not answered yet. */
   readonly #unreached = new Set<WorkerKey>();
+  #isClosed = false;
 
   constructor(options: WorkerLinksOptions) {
     this.#options = options;
@@ -75,6 +76,9 @@
       known.worker = worker;
       return false;
     }
+    if (this.#isClosed) {
+      return false;
+    }
     this.drop(worker.key);
     this.#open(worker).start();
     return true;
@@ -167,6 +171,7 @@
   }
 
   close(): void {
+    this.#isClosed = true;
     this.#links.forEach((link) => link.close());
   }
 
