A leader's status shows no lease before it knows all committed entries

Cause: the lease in the status was valid as soon as a majority had answered, while entries of earlier terms could still be unknown. A batch session that kept its epoch over a lost and regained leadership, and the acknowledgement of removals, take it for the right to act. Change: it is zero until the first entry of the term is committed.

--- a/src/process/replication/raft_core.ts
+++ b/src/process/replication/raft_core.ts
@@ -110,10 +110,13 @@
     return state.takeEffects();
   }
 
-  /** When this leader's lease ends; zero if it doesn't lead. */
+  /**
+   * When this leader's lease ends; zero if it doesn't lead, or doesn't know all
+   * committed entries yet.
+   */
   leaseEndMs(nowMs: number): number {
     this.#state.nowMs = nowMs;
-    return leaseEndMs(this.#state);
+    return isLeaseHeld(this.#state) ? leaseEndMs(this.#state) : 0;
   }
 
   /**
--- a/src/process/replication/replicated_log.ts
+++ b/src/process/replication/replicated_log.ts
@@ -64,7 +64,8 @@
   readonly appliedIndex: number;
   /**
    * When this leader's lease ends, by its own clock: no other leader can exist
-   * before. Zero on members that don't lead.
+   * before. Zero on members that don't lead, or that lead and don't know all
+   * committed entries yet.
    */
   readonly leaseEndMs: number;
   /**
