The longest lease counts from the answer that bars late orders

Cause: a late order for the incarnation before is a lease for the present one by another clock, so up to the longest lease, until a call with a higher fence has reached it. That could come long after its link was opened, from which the longest lease was counted. Change: it counts from the first answer to a call with the link's own fence.

--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -65,6 +65,8 @@
   #mayGrantLeases = true;
   #hasReported = false;
   #hasProvenStart = false;
+  /** Whether late orders for the incarnation before are refused here. */
+  #hasBarredLateOrders = false;
   #fence: number;
   /** When it became doubtful that this incarnation is still at its address. */
   #doubtedAtMs: number | undefined;
@@ -78,9 +80,7 @@
     // An earlier leader may have granted a lease just before this moment. The
     // worker may also have received a start meant for an earlier incarnation,
     // whose lease ends by another clock, and so hold the longest lease.
-    const { clock, timing } = options;
-    this.#leasesEndAtMs = clock.steadyMs() +
-      leaseBoundMs(timing.leaseLimitMs, timing);
+    this.#leasesEndAtMs = this.#longestLeaseEndMs();
   }
 
   /** Renews the lease from now on, until the link is closed. */
@@ -212,6 +212,12 @@
     return Math.min(timing.leaseMs, timing.leaseLimitMs);
   }
 
+  /** The end of the longest lease that the worker may hold now. */
+  #longestLeaseEndMs(): number {
+    const { clock, timing } = this.#options;
+    return clock.steadyMs() + leaseBoundMs(timing.leaseLimitMs, timing);
+  }
+
   async #run(): Promise<void> {
     const { timing, mayLead } = this.#options;
     while (!this.#isClosed) {
@@ -235,10 +241,10 @@
   async #renew(): Promise<number> {
     const { calls, clock, timing } = this.#options;
     const sentAtMs = clock.nowMs();
-    const { isReachable } = this;
+    const { isReachable, fence } = this;
     const waitMs = isReachable ? timing.reportWaitMs : 0;
     const answer = await calls.lease(this.worker, {
-      fence: this.fence,
+      fence,
       // An unreachable worker gets no lease, so that its runs end. Its number
       // would acknowledge ends of the next incarnation.
       leaseEndMs: isReachable ? this.nextLeaseEndMs() : undefined,
@@ -250,11 +256,14 @@
     }
     return await answer.caseOf({
       Left: (error) => Promise.resolve(this.#recordFailure(error.kind)),
-      Right: (report) => this.#handleReport(report, sentAtMs),
+      Right: (report) => this.#handleReport(report, { sentAtMs, fence }),
     });
   }
 
-  async #handleReport(report: WorkerReport, sentAtMs: number): Promise<number> {
+  async #handleReport(
+    report: WorkerReport,
+    { sentAtMs, fence }: { sentAtMs: number; fence: number },
+  ): Promise<number> {
     const { bornMs } = this.worker;
     // A record without a start isn't of a process that reports one.
     if (report.bornMs !== 0 && report.bornMs !== bornMs) {
@@ -268,6 +277,10 @@
     this.#refusedConnections = 0;
     this.#hasReported = true;
     this.#hasProvenStart ||= bornMs !== 0 && report.bornMs === bornMs;
+    if (!this.#hasBarredLateOrders) {
+      this.#leasesEndAtMs = this.#longestLeaseEndMs();
+      this.#hasBarredLateOrders = fence === this.#fence;
+    }
     this.recordClock(report.clockMs);
     if (this.isReachable && !wasReachable) {
       this.#options.onReachabilityChange(this, undefined);
