An answer of a process with an earlier start raises the fence, too

Cause: a worker that restarts with its clock set back has an earlier start. Its address was called on with the old fence, so late starts for the incarnation before were carried out there until it was announced, after the leases. Change: the first answer with any other start raises the fence.

--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -62,6 +62,8 @@
   #failures = 0;
   #refusedConnections = 0;
   #isSuperseded = false;
+  /** Whether a process with another start has answered. */
+  #hasMetOther = false;
   #mayGrantLeases = true;
   #hasReported = false;
   #hasProvenStart = false;
@@ -289,17 +291,18 @@
     return 0;
   }
 
-  /** Bars late starts from a later incarnation by a further call at once. */
+  /** Bars late starts from another incarnation by a further call at once. */
   #recordOther(bornMs: number): number {
     // One without a start may be that process, so its leases have to run out.
-    const isLater = this.worker.bornMs !== 0 && bornMs > this.worker.bornMs;
-    const isNew = isLater && !this.#isSuperseded;
-    this.#isSuperseded ||= isNew;
+    this.#isSuperseded ||= this.worker.bornMs !== 0 &&
+      bornMs > this.worker.bornMs;
+    const isFirst = !this.#hasMetOther;
+    this.#hasMetOther = true;
     const delayMs = this.#recordFailure("otherIncarnation");
-    if (isNew) {
+    if (isFirst) {
       this.#raiseFence();
     }
-    return isNew ? 0 : delayMs;
+    return isFirst ? 0 : delayMs;
   }
 
   #raiseFence(): void {
