--- a/src/process/batch/leader/worker_link.ts
+++ b/src/process/batch/leader/worker_link.ts
@@ -62,9 +62,13 @@
   #failures = 0;
   #refusedConnections = 0;
   #isSuperseded = false;
+  /** Whether a process with another start has answered. */
+  #hasMetOther = false;
   #mayGrantLeases = true;
   #hasReported = false;
   #hasProvenStart = false;
+  /** Whether late orders for the incarnation before are refused here. */
+  #hasBarredLateOrders = false;
   #fence: number;
   /** When it became doubtful that this incarnation is still at its address. */
   #doubtedAtMs: number | undefined;
@@ -78,9 +82,7 @@
     // An earlier leader may have granted a lease just before this moment. The
     // worker may also have received a start meant for an earlier incarnation,
     // whose lease ends by another clock, and so hold the longest lease.
-    const { clock, timing } = options;
-    this.#leasesEndAtMs = clock.steadyMs() +
-      leaseBoundMs(timing.leaseLimitMs, timing);
+    this.#leasesEndAtMs = this.#longestLeaseEndMs();
   }
 
   /** Renews the lease from now on, until the link is closed. */
@@ -212,6 +214,12 @@
     return Math.min(timing.leaseMs, timing.leaseLimitMs);
   }
 
+  /** The end of the longest lease that the worker may hold now. */
+  #longestLeaseEndMs(): number {
+    const { clock, timing } = this.#options;
+    return clock.steadyMs() + leaseBoundMs(timing.leaseLimitMs, timing);
+  }
+
   async #run(): Promise<void> {
     const { timing, mayLead } = this.#options;
     while (!this.#isClosed) {
@@ -235,10 +243,10 @@
   async #renew(): Promise<number> {
     const { calls, clock, timing } = this.#options;
     const sentAtMs = clock.nowMs();
-    const { isReachable } = this;
+    const { isReachable, fence } = this;
     const waitMs = isReachable ? timing.reportWaitMs : 0;
     const answer = await calls.lease(this.worker, {
-      fence: this.fence,
+      fence,
       // An unreachable worker gets no lease, so that its runs end. Its number
       // would acknowledge ends of the next incarnation.
       leaseEndMs: isReachable ? this.nextLeaseEndMs() : undefined,
@@ -250,13 +258,17 @@
     }
     return await answer.caseOf({
       Left: (error) => Promise.resolve(this.#recordFailure(error.kind)),
-      Right: (report) => this.#handleReport(report, sentAtMs),
+      Right: (report) => this.#handleReport(report, { sentAtMs, fence }),
     });
   }
 
-  async #handleReport(report: WorkerReport, sentAtMs: number): Promise<number> {
+  async #handleReport(
+    report: WorkerReport,
+    { sentAtMs, fence }: { sentAtMs: number; fence: number },
+  ): Promise<number> {
     const { bornMs } = this.worker;
-    if (bornMs !== 0 && report.bornMs !== 0 && report.bornMs !== bornMs) {
+    // A record without a start isn't of a process that reports one.
+    if (report.bornMs !== 0 && report.bornMs !== bornMs) {
       return this.#recordOther(report.bornMs);
     }
     const wasReachable = this.isReachable;
@@ -267,6 +279,10 @@
     this.#refusedConnections = 0;
     this.#hasReported = true;
     this.#hasProvenStart ||= bornMs !== 0 && report.bornMs === bornMs;
+    if (!this.#hasBarredLateOrders) {
+      this.#leasesEndAtMs = this.#longestLeaseEndMs();
+      this.#hasBarredLateOrders = fence === this.#fence;
+    }
     this.recordClock(report.clockMs);
     if (this.isReachable && !wasReachable) {
       this.#options.onReachabilityChange(this, undefined);
@@ -275,15 +291,18 @@
     return 0;
   }
 
-  /** Bars late starts from a later incarnation by a further call at once. */
+  /** Bars late starts from another incarnation by a further call at once. */
   #recordOther(bornMs: number): number {
-    const isNew = !this.#isSuperseded && bornMs > this.worker.bornMs;
-    this.#isSuperseded ||= isNew;
+    // One without a start may be that process, so its leases have to run out.
+    this.#isSuperseded ||= this.worker.bornMs !== 0 &&
+      bornMs > this.worker.bornMs;
+    const isFirst = !this.#hasMetOther;
+    this.#hasMetOther = true;
     const delayMs = this.#recordFailure("otherIncarnation");
-    if (isNew) {
+    if (isFirst) {
       this.#raiseFence();
     }
-    return isNew ? 0 : delayMs;
+    return isFirst ? 0 : delayMs;
   }
 
   #raiseFence(): void {
--- a/src/process/batch/leader/worker_links.ts
+++ b/src/process/batch/leader/worker_links.ts
@@ -30,6 +30,7 @@
   readonly #fences: IncarnationFences;
   /** Incarnations that have not answered yet. */
   readonly #unreached = new Set<WorkerKey>();
+  #isClosed = false;
 
   constructor(options: WorkerLinksOptions) {
     this.#options = options;
@@ -66,14 +67,19 @@
 
   /**
    * Opens or updates the link to a worker that announced itself or changed.
-   * True if the incarnation is new.
+   * True if the link is new. One to another address is, since what the address
+   * before has answered proves nothing there.
    */
   announce(worker: WorkerRecord): boolean {
     const known = this.#links.get(worker.key);
-    if (known !== undefined) {
+    if (known?.worker.address === worker.address) {
       known.worker = worker;
       return false;
     }
+    if (this.#isClosed) {
+      return false;
+    }
+    this.drop(worker.key);
     this.#open(worker).start();
     return true;
   }
@@ -115,10 +121,10 @@
     return this.#laterAtAddress(key)[0]?.worker.key;
   }
 
-  /** The latest one first. */
+  /** The latest one first. None is known to be later than one without a start. */
   #laterAtAddress(key: WorkerKey): WorkerLink[] {
     const worker = this.#links.get(key)?.worker;
-    if (worker === undefined) {
+    if (worker === undefined || worker.bornMs === 0) {
       return [];
     }
     return this.#atAddress(worker)
@@ -165,6 +171,7 @@
   }
 
   close(): void {
+    this.#isClosed = true;
     this.#links.forEach((link) => link.close());
   }
 
