--- a/test/platform_processes/pool_worker.ts
+++ b/test/platform_processes/pool_worker.ts
@@ -277,7 +277,9 @@
 
   /** The next end that is due on this worker. */
   nextDue(): { atMs: number; carryOut: (atMs: number) => void } | undefined {
-    if (!this.isUp || this.#running.size === 0) {
+    const hasUnlapsed = this.#running.size > 0 ||
+      this.#ends.some(({ event }) => event.hasLapsed !== true);
+    if (!this.isUp || !hasUnlapsed) {
       return undefined;
     }
     const due = [...this.#running.values()].map((held) => this.#dueOf(held));
--- a/test/platform_processes/prepare.ts
+++ b/test/platform_processes/prepare.ts
@@ -23,6 +23,9 @@
 
 const SUBNET_ATTEMPTS = 50;
 
+/** How the cores' logs are written to pipes: `blocking` or `nonblocking`. */
+const pipeMode = process.env.PIPES;
+
 async function main(): Promise<void> {
   const folder = resolve(process.argv[2] ?? "run/platform");
   const target = resolve(process.argv[3] ?? "target");
@@ -36,15 +39,32 @@
     const text = JSON.stringify(createSettings(place, layout), null, 2);
     writeFileSync(settingsPath(layout, place), text);
   }
-  const lines = layout.programs.map((place) =>
-    `${place.name} env SESAMETHREAD_BOOT=${settingsPath(layout, place)} ` +
-    commandOf(place.role).replace("target/", `${target}/`)
-  );
+  const lines = layout.programs.flatMap((place) => {
+    const command = `env SESAMETHREAD_BOOT=${settingsPath(layout, place)} ` +
+      commandOf(place.role).replace("target/", `${target}/`);
+    return pipeMode !== undefined && place.role === "core"
+      ? readThroughPipe(layout, place, command)
+      : [`${place.name} ${command}`];
+  });
   writeFileSync(`${folder}/busy.hold`, "");
   lines.push("busy node dist/test/platform_processes/busy.js");
   writeFileSync(`${folder}/programs`, lines.join("\n") + "\n");
 }
 
+/** The commands of a program that logs into a pipe, and of the pipe's reader. */
+function readThroughPipe(
+  layout: PlatformLayout,
+  { name }: ProgramPlace,
+  command: string,
+): string[] {
+  const pipe = `${layout.folder}/${name}.pipe`;
+  return [
+    `reader-${name} bash test/platform_processes/pipe.sh read ${pipe}`,
+    `${name} bash test/platform_processes/pipe.sh ${pipeMode} ${pipe} ` +
+    command,
+  ];
+}
+
 /** A random subnet on which nothing listens at the first core's address. */
 async function findSubnet(): Promise<string> {
   const octet = () => 2 + Math.floor(Math.random() * 250);
--- a/test/platform_processes/programs.ts
+++ b/test/platform_processes/programs.ts
@@ -39,7 +39,10 @@
   constructor(folder: string) {
     this.layout = JSON.parse(readFileSync(`${folder}/layout.json`, "utf8"));
     this.#tails = this.layout.programs.map(({ name }) =>
-      new LogTail(name, `${folder}/${name}.log`)
+      new LogTail(
+        name,
+        [`${folder}/reader-${name}.log`, `${folder}/${name}.log`],
+      )
     );
   }
 
@@ -119,22 +122,24 @@
 /** Reads the lines that are added to a log. */
 class LogTail {
   readonly #program: string;
-  readonly #path: string;
+  readonly #paths: readonly string[];
   readonly #lines: LogLine[] = [];
   #offset = 0;
   #rest = "";
   #life = 0;
 
-  constructor(program: string, path: string) {
+  /** Reads the first of the files that exists. */
+  constructor(program: string, paths: readonly string[]) {
     this.#program = program;
-    this.#path = path;
+    this.#paths = paths;
   }
 
   lines(): readonly LogLine[] {
-    if (!existsSync(this.#path)) {
+    const path = this.#paths.find((each) => existsSync(each));
+    if (path === undefined) {
       return this.#lines;
     }
-    const descriptor = openSync(this.#path, "r");
+    const descriptor = openSync(path, "r");
     const buffer = new Uint8Array(65_536);
     const decoder = new TextDecoder();
     while (true) {
--- a/test/platform_processes/soak.ts
+++ b/test/platform_processes/soak.ts
@@ -120,6 +120,7 @@
     epochs: programs.leadersByEpoch().size,
     logLines: lines,
     unfinished,
+    ...countLogged(),
     overlaps: history.overlaps.length,
     repeats: repeats.length,
   };
@@ -129,6 +130,34 @@
   return history.overlaps.length + repeats.length > 0 ? 1 : 0;
 }
 
+/** Which of the workers' starts a core's log names, and which core's. */
+function countLogged(): Record<string, number> {
+  const { history, programs } = bed;
+  const leaders = programs.leadersByEpoch();
+  const lines = programs.lines();
+  const accepted = new Set(
+    lines.filter(({ event }) => event === "batchJobAccepted")
+      .map(({ fields }) => String(fields.jobId)),
+  );
+  const loggedBy = new Map(
+    lines.filter(({ event }) => event === "taskStarted")
+      .map(({ fields, program }) => [`${fields.jobId}#${fields.run}`, program]),
+  );
+  const starts = history.starts().map(({ task, run, epoch }) => ({
+    logger: loggedBy.get(`${task.slice(0, 16)}#${run}`),
+    orderer: leaders.get(epoch),
+  }));
+  return {
+    acceptedUnlogged:
+      [...bed.clients.accepted].filter((id) => !accepted.has(id)).length,
+    startsUnlogged: starts.filter(({ logger }) => logger === undefined).length,
+    startsLoggedByOther:
+      starts.filter(({ logger, orderer }) =>
+        logger !== undefined && logger !== orderer
+      ).length,
+  };
+}
+
 let exitCode = 2;
 try {
   exitCode = await play();
