Play a heartbeat that names another worker at a worker's address

Change: the plays later_start and same_address send one heartbeat with a later start, under the worker's own ID or another one.

--- a/test/platform_processes/clients.ts
+++ b/test/platform_processes/clients.ts
@@ -87,6 +87,21 @@
   throw new Error("the configuration wasn't acknowledged");
 }
 
+/** Sends a heartbeat that may be untrue to all cores. */
+export async function announce(
+  programs: Programs,
+  workerId: string,
+  heartbeat: Record<string, unknown>,
+): Promise<void> {
+  for (const { host } of programs.cores) {
+    await send(
+      "PUT",
+      `http://${host}:${PORTS.control}/sesamethread/instances/${workerId}`,
+      heartbeat,
+    );
+  }
+}
+
 /** Clients that hand jobs in and know what each consists of. */
 export class JobClients {
   readonly #layout: PlatformLayout;
--- a/test/platform_processes/faults.ts
+++ b/test/platform_processes/faults.ts
@@ -29,10 +29,13 @@
   }
 
   /** Begins one fault after another until the time is over. */
-  async run(durationMs: number): Promise<void> {
+  async run(
+    options: { durationMs: number; longestGapMs: number },
+  ): Promise<void> {
+    const { durationMs, longestGapMs } = options;
     const endMs = performance.now() + durationMs;
     while (performance.now() < endMs) {
-      await delay(this.#between(200, 2_200));
+      await delay(this.#between(100, longestGapMs));
       const lasting = this.#begin().catch((error) =>
         this.#bed.note(`fault failed: ${error}`)
       );
--- a/test/platform_processes/incident.ts
+++ b/test/platform_processes/incident.ts
@@ -8,6 +8,7 @@
 
 import process from "node:process";
 import { delay } from "../process/cluster.ts";
+import { announce } from "./clients.ts";
 import { BOUNDS } from "./layout.ts";
 import type { PoolWorker } from "./pool_worker.ts";
 import { nowMs, type Overlap } from "./run_history.ts";
@@ -86,6 +87,13 @@
     bed.note(`connections to ${worker.id} are accepted again`);
     return;
   }
+  if (cause === "later_start" || cause === "same_address") {
+    const heartbeat = worker.nextHeartbeat();
+    const id = cause === "later_start" ? worker.id : "i-another";
+    bed.note(`a heartbeat of ${id} names a later start at the same address`);
+    await announce(programs, id, { ...heartbeat, born: Date.now() });
+    return;
+  }
   await worker.drain();
   bed.note(`${worker.id}: draining is acknowledged`);
   await delay(BOUNDS.drainMs + 300);
--- a/test/platform_processes/pool_worker.ts
+++ b/test/platform_processes/pool_worker.ts
@@ -548,22 +548,8 @@
 
   /** Calls one core after another; true once one acknowledges. */
   async #heartbeat(): Promise<boolean> {
-    const { linkHost, dataCentre, rack } = this.place;
     for (const address of this.#callAddresses()) {
-      const body = JSON.stringify({
-        service: "loft-rate",
-        address: `${linkHost}:${PORTS.worker}`,
-        zone: dataCentre,
-        version: "v1",
-        slots: 8,
-        state: this.#state,
-        coldLeftMs: 0,
-        capacity: CAPACITY,
-        labels: ["a", rack],
-        clockMs: this.#clockMs(),
-        born: this.#bornMs,
-        seq: ++this.#sequence,
-      });
+      const body = JSON.stringify(this.nextHeartbeat());
       const answer = await this.#call("PUT", address, body);
       if (answer !== undefined) {
         this.#heartbeatAddress = answer.heartbeatUrl as string | undefined;
@@ -577,6 +563,25 @@
     return false;
   }
 
+  /** The body of its next heartbeat. */
+  nextHeartbeat(): Record<string, unknown> {
+    const { linkHost, dataCentre, rack } = this.place;
+    return {
+      service: "loft-rate",
+      address: `${linkHost}:${PORTS.worker}`,
+      zone: dataCentre,
+      version: "v1",
+      slots: 8,
+      state: this.#state,
+      coldLeftMs: 0,
+      capacity: CAPACITY,
+      labels: ["a", rack],
+      clockMs: this.#clockMs(),
+      born: this.#bornMs,
+      seq: ++this.#sequence,
+    };
+  }
+
   /** The body of a 2xx answer; undefined without one in time. */
   async #call(
     method: "PUT" | "DELETE",
--- a/test/platform_processes/soak.ts
+++ b/test/platform_processes/soak.ts
@@ -1,6 +1,7 @@
 /**
  * Plays jobs and random faults against the programs, and checks that no task
- * runs twice: `soak.js FOLDER SEED SECONDS`. Exits with 1 if one did.
+ * runs twice: `soak.js FOLDER SEED SECONDS [LONGEST_GAP_MS]`, with the longest
+ * time between faults. Exits with 1 if one did.
  *
  * @module
  */
@@ -13,7 +14,8 @@
 import { nowMs } from "./run_history.ts";
 import { randomFraction, TestBed } from "./test_bed.ts";
 
-const [folder = "", seedText = "1", secondsText = "40"] = process.argv.slice(2);
+const [folder = "", seedText = "1", secondsText = "40", gapText = "2200"] =
+  process.argv.slice(2);
 const seed = Number(seedText);
 
 /** Mean time between jobs of each queue. */
@@ -37,7 +39,10 @@
       jobs.push(runJob(queue));
     }
   });
-  await new Faults(bed, randomFraction(seed + 3)).run(endMs - nowMs());
+  await new Faults(bed, randomFraction(seed + 3)).run({
+    durationMs: endMs - nowMs(),
+    longestGapMs: Number(gapText),
+  });
   await Promise.all(loads);
   await Promise.all(jobs);
   const unfinished = await waitForJobs();
