Log lines wait while the reader of standard output stalls

Cause: importing node:process reads process.stdout, which makes a pipe on descriptor 1 non-blocking. A write to a full pipe then fails with EAGAIN, and the writer dropped the chunk instead of queueing up to 256 KiB: with a reader that stalled for 24 s, a leader accepted, started and ended two jobs and no line that names them got out. Change: a write to a full pipe is tried again after 10 ms; what comes meanwhile waits in the queue. The soak also fails if a job doesn't end.

--- a/src/process/logging/line_writer.ts
+++ b/src/process/logging/line_writer.ts
@@ -21,6 +21,9 @@
  */
 const WRITE_LIMIT_BYTES = 4_096;
 
+/** When a full pipe is tried again. */
+const FULL_RETRY_MS = 10;
+
 /** Writes a chunk; calls `done` with the bytes written, or an error. */
 export type WriteChunk = (
   chunk: Uint8Array,
@@ -86,6 +89,10 @@
 
   #writeAll(chunk: Uint8Array): void {
     this.#write(chunk, (error, writtenBytes) => {
+      if (error !== null && isPipeFull(error)) {
+        setTimeout(() => this.#writeAll(chunk), FULL_RETRY_MS).unref();
+        return;
+      }
       if (error !== null) {
         this.#dropped += countLines(chunk);
       } else if (writtenBytes < chunk.length) {
@@ -102,6 +109,15 @@
   }
 }
 
+/**
+ * Whether a pipe whose writes don't block is full. Standard output is such a
+ * pipe even if the process got one that blocks: importing `node:process` reads
+ * `process.stdout`, which changes it.
+ */
+function isPipeFull(error: Error): boolean {
+  return "code" in error && error.code === "EAGAIN";
+}
+
 const LINE_BREAK = 0x0a;
 
 /** The lines that a chunk completes. */
--- a/src/process/logging/line_writer_test.ts
+++ b/src/process/logging/line_writer_test.ts
@@ -1,3 +1,4 @@
+import { Buffer } from "node:buffer";
 import test from "ava";
 import { FakeClock } from "../../base/mod.ts";
 import { EventLineLog } from "./event_line_log.ts";
@@ -79,6 +80,30 @@
   t.is(chunks.length, 2);
 });
 
+test("lines are kept while a pipe that doesn't block is full", async (t) => {
+  const full = Object.assign(new Error("pipe is full"), { code: "EAGAIN" });
+  const chunks: Uint8Array[] = [];
+  let attempts = 0;
+  const writer = new LineWriter({
+    write: (chunk, done) => {
+      attempts += 1;
+      if (attempts <= 3) {
+        done(full, 0);
+      } else {
+        chunks.push(chunk);
+        done(null, chunk.length);
+      }
+    },
+  });
+  writer.push("one");
+  writer.push("two");
+  for (let wait = 0; wait < 100 && chunks.length < 2; wait++) {
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+  t.is(new TextDecoder().decode(Buffer.concat(chunks)), "one\ntwo\n");
+  t.is(writer.dropped, 0);
+});
+
 test("each event has a line budget, and suppressed lines are reported", (t) => {
   const lines: Record<string, unknown>[] = [];
   const clock = new FakeClock();
--- a/test/platform_processes/soak.ts
+++ b/test/platform_processes/soak.ts
@@ -1,7 +1,8 @@
 /**
  * Plays jobs and random faults against the programs, and checks that no task
  * runs twice: `soak.js FOLDER SEED SECONDS [LONGEST_GAP_MS]`, with the longest
- * time between faults. Exits with 1 if one did.
+ * time between faults. Exits with 1 if one did or a job didn't end, with 2 if
+ * nothing could be shown.
  *
  * @module
  */
@@ -132,7 +133,8 @@
   const found = { ...result, overlaps: history.overlaps, repeats };
   writeFileSync(`${folder}/report.json`, JSON.stringify(found, null, 2));
   process.stdout.write(JSON.stringify(result) + "\n");
-  return history.overlaps.length + repeats.length > 0 ? 1 : 0;
+  const faults = history.overlaps.length + repeats.length + unfinished.length;
+  return history.starts().length === 0 ? 2 : faults > 0 ? 1 : 0;
 }
 
 /** Which of the workers' starts a core's log names, and which core's. */
