Soak on real processes: late heartbeats and reports, other IDs; in test:processes

Cause: the first soak had no call that arrives after its sender's restart, and no worker with another ID at an address.

--- a/test/platform_processes/clients.ts
+++ b/test/platform_processes/clients.ts
@@ -102,6 +102,18 @@
   }
 }
 
+/** Reports to one core that a worker leaves, as a late call of it would. */
+export async function reportDeparture(
+  programs: Programs,
+  workerId: string,
+): Promise<void> {
+  const { host } = programs.cores[0]!;
+  await send(
+    "DELETE",
+    `http://${host}:${PORTS.control}/sesamethread/instances/${workerId}`,
+  );
+}
+
 /** Clients that hand jobs in and know what each consists of. */
 export class JobClients {
   readonly #layout: PlatformLayout;
--- a/test/platform_processes/faults.ts
+++ b/test/platform_processes/faults.ts
@@ -6,6 +6,7 @@
  */
 
 import { delay } from "../process/cluster.ts";
+import { announce, reportDeparture } from "./clients.ts";
 import { BOUNDS } from "./layout.ts";
 import type { PoolWorker } from "./pool_worker.ts";
 import type { TestBed } from "./test_bed.ts";
@@ -151,7 +152,7 @@
 
   #disturbLink(): Promise<void> {
     return this.#onWorker(async (worker) => {
-      const proxy = this.#bed.proxies.get(worker.id)!;
+      const proxy = this.#bed.proxies.get(worker.place.id)!;
       const deliversAfterClose = this.#random() < 0.5;
       const fault = this.#pick<LinkFault>([
         { refuses: true },
@@ -181,8 +182,19 @@
   #restartWorker(): Promise<void> {
     return this.#onWorker(async (worker) => {
       const downMs = this.#between(100, 1_500);
-      this.#bed.note(`${worker.id} crashes, back after ${downMs} ms`);
-      await worker.restart(downMs);
+      const before = worker.id;
+      const id = this.#random() < 0.6
+        ? before
+        : `${worker.place.id}-${Date.now() % 1_000_000}`;
+      const heartbeat = worker.nextHeartbeat();
+      this.#bed.note(`${before} crashes, back as ${id} after ${downMs} ms`);
+      await worker.restart(downMs, id);
+      if (this.#random() < 0.5) {
+        // A heartbeat from before the crash may arrive after it.
+        await delay(this.#between(0, 3_000));
+        this.#bed.note(`a heartbeat of ${before} arrives late`);
+        await announce(this.#bed.programs, before, heartbeat);
+      }
     });
   }
 
@@ -203,6 +215,11 @@
       await delay(this.#isClosed ? 100 : this.#between(300, 3_000));
       await worker.open();
       this.#bed.note(`${worker.id} is back`);
+      if (this.#random() < 0.3) {
+        await delay(this.#between(0, 2_000));
+        this.#bed.note(`a report that ${worker.id} leaves arrives late`);
+        await reportDeparture(this.#bed.programs, worker.id);
+      }
     });
   }
 
--- a/test/platform_processes/incident.ts
+++ b/test/platform_processes/incident.ts
@@ -76,7 +76,7 @@
 }
 
 async function disturb(worker: PoolWorker): Promise<void> {
-  const proxy = bed.proxies.get(worker.id)!;
+  const proxy = bed.proxies.get(worker.place.id)!;
   if (cause === "refused") {
     bed.note(`connections to ${worker.id} are reset and refused`);
     worker.isCutOff = true;
--- a/test/platform_processes/logs.ts
+++ b/test/platform_processes/logs.ts
@@ -2,7 +2,8 @@
  * Shows which lines that name two jobs get out of the core that orders their
  * runs: `logs.js FOLDER CASE SEED [STALL_MS]`. In the cases `stall` and
  * `stall_kill` the reader of the leader's log stops for the time, in `pause` the
- * leader itself, in `inherit` another core ordered the starts and is killed.
+ * leader itself, in `inherit` another core ordered the starts and is killed. In
+ * `deposed` leaders are paused just after jobs were handed in, again and again.
  *
  * @module
  */
@@ -25,6 +26,10 @@
 const SETTLE_MS = 3_000;
 const LEADER_DOWN_MS = 2_000;
 
+/** Rounds of `deposed`; each waits a little longer before the pause. */
+const ROUNDS = 10;
+const ROUND_DELAY_MS = 3;
+
 let isLoading = true;
 
 /** Hands in jobs of many short tasks, whose lines fill the pipe. */
@@ -45,6 +50,9 @@
 async function play(): Promise<void> {
   await bed.open();
   await delay(SETTLE_MS);
+  if (name === "deposed") {
+    return await deposeAgainAndAgain();
+  }
   const leader = programs.leader()!;
   const loading = name.startsWith("stall") ? load() : Promise.resolve();
   const marked = await disturb(leader);
@@ -82,6 +90,36 @@
   return marked;
 }
 
+/** Counts the jobs whose starts were ordered and that no log names as started. */
+async function deposeAgainAndAgain(): Promise<void> {
+  const marked: string[] = [];
+  for (let round = 0; round < ROUNDS; round++) {
+    const leader = programs.leader()!;
+    const submitted = submit(1, MARKED_TASK_MS);
+    await delay(round * ROUND_DELAY_MS);
+    programs.signal(leader, "SIGSTOP");
+    await delay(stallMs);
+    programs.signal(leader, "SIGCONT");
+    marked.push(await submitted);
+    await delay(SETTLE_MS);
+  }
+  const leaders = programs.leadersByEpoch();
+  const rows = marked.map((jobId) => {
+    const start = history.starts().find(({ task }) => task.startsWith(jobId));
+    const loggers = (event: string) =>
+      programs.lines().filter((line) =>
+        line.event === event && line.fields.jobId === jobId
+      ).map(({ program }) => program).join(" ") || "none";
+    return [
+      `accepted ${loggers("batchJobAccepted")}`,
+      `started ${loggers("taskStarted")}`,
+      `ordered ${start === undefined ? "none" : leaders.get(start.epoch)}`,
+      `ended ${loggers("taskEnded")}`,
+    ].join(", ");
+  });
+  process.stdout.write(JSON.stringify({ case: name, stallMs, rows }) + "\n");
+}
+
 /** The leader's starts are stored but reach no worker before it is killed. */
 async function inherit(leader: string): Promise<string[]> {
   await Promise.all(
--- a/test/platform_processes/pool_worker.ts
+++ b/test/platform_processes/pool_worker.ts
@@ -90,10 +90,6 @@
     await Promise.all(this.workers.map((worker) => worker.open()));
   }
 
-  get(id: string): PoolWorker {
-    return this.workers.find((worker) => worker.id === id)!;
-  }
-
   close(): void {
     clearInterval(this.#timer);
     this.workers.forEach((worker) => worker.close());
@@ -155,6 +151,7 @@
 export class PoolWorker {
   readonly #pool: WorkerPool;
   readonly place: WorkerPlace;
+  #id: string;
   #server: Server | undefined;
   #bornMs = 0;
   #steadyBeganAtMs = 0;
@@ -178,10 +175,12 @@
   constructor(pool: WorkerPool, place: WorkerPlace) {
     this.#pool = pool;
     this.place = place;
+    this.#id = place.id;
   }
 
+  /** The first incarnation has the place's ID; later ones may have another. */
   get id(): string {
-    return this.place.id;
+    return this.#id;
   }
 
   /** The tasks at work, with their runs. */
@@ -234,14 +233,15 @@
     this.#server?.close();
   }
 
-  /** Crashes, and starts again under its ID. */
-  async restart(downMs: number): Promise<void> {
+  /** Crashes, and starts again under its ID or another one. */
+  async restart(downMs: number, id = this.#id): Promise<void> {
     const server = this.#server;
     this.close();
     if (server?.listening === true) {
       await once(server, "close");
     }
     await delay(downMs);
+    this.#id = id;
     await this.open();
   }
 
