--- a/src/process/logging/line_writer.ts
+++ b/src/process/logging/line_writer.ts
@@ -119,7 +119,10 @@
   }
 }
 
-/** Whether a write failed since a non-blocking pipe is full: none was written. */
+/**
+ * Whether a write failed since a non-blocking pipe is full: none was written.
+ * Importing `node:process` makes a pipe on standard output non-blocking.
+ */
 function isPipeFull(error: Error | null): boolean {
   return error !== null && "code" in error && error.code === "EAGAIN";
 }
