--- a/src/process/batch/decisions/planner_fixture.ts
+++ b/src/process/batch/decisions/planner_fixture.ts
@@ -9,6 +9,7 @@
 import { BatchState } from "../batch_state.ts";
 import type { Recurrence, StepSpec } from "../job_spec.ts";
 import type { QueueConfiguration } from "../pool_configuration.ts";
+import { stepSpec } from "../testing/step_fixture.ts";
 import { type Plan, plan, type PlannerOptions } from "./planner.ts";
 
 /** The fields of a step that a test sets; the others have defaults. */
@@ -182,23 +183,10 @@
 }
 
 function newStep(overrides: StepOverrides): StepSpec {
-  const { accelerators, queue: _queue, account: _account, ...rest } = overrides;
-  return {
-    taskCount: 1,
-    demand: {
-      cpuMilli: 1_000,
-      memoryMb: 1_000,
-      accelerators: accelerators ?? 1,
-    },
-    estimateMs: 2_000,
-    afterSteps: [],
-    isCheckpointing: false,
-    isGang: false,
-    prefersOneRack: false,
-    isLasting: false,
-    requiredLabel: undefined,
-    dataRack: undefined,
-    tasksPerWorkerLimit: undefined,
+  const { accelerators = 1, queue: _queue, account: _account, ...rest } =
+    overrides;
+  return stepSpec({
+    demand: { cpuMilli: 1_000, memoryMb: 1_000, accelerators },
     ...rest,
-  };
+  });
 }
--- a/src/process/batch/leader/worker_link_test.ts
+++ b/src/process/batch/leader/worker_link_test.ts
@@ -38,6 +38,16 @@
   };
 }
 
+async function advanceUntil(
+  clock: FakeClock,
+  isDone: () => boolean,
+): Promise<void> {
+  while (!isDone()) {
+    clock.advance(10);
+    await new Promise((done) => setImmediate(done));
+  }
+}
+
 test("an unexpected error in a report counts as silence, and renewals go on", async (t) => {
   const clock = new FakeClock({ startMs: 1_000 });
   const changes: (string | undefined)[] = [];
@@ -88,10 +98,7 @@
     onReachabilityChange: () => undefined,
   });
   link.start();
-  while (acknowledged.length < 4) {
-    clock.advance(10);
-    await new Promise((done) => setImmediate(done));
-  }
+  await advanceUntil(clock, () => acknowledged.length >= 4);
   t.deepEqual(acknowledged, [0, 7, 0, 7]);
   link.close();
 });
@@ -116,10 +123,7 @@
     onReachabilityChange: () => undefined,
   });
   link.start();
-  while (sent.length < 10) {
-    clock.advance(10);
-    await new Promise((done) => setImmediate(done));
-  }
+  await advanceUntil(clock, () => sent.length >= 10);
   t.deepEqual(sent.map(({ fence }) => fence), [1, 1, 2, 2, 2, 2, 2, 2, 2, 2]);
   const waitsMs = sent.slice(1).map(({ atMs }, at) => atMs - sent[at]!.atMs);
   t.true(Math.max(...waitsMs) <= BATCH_TIMING.refusedRetryDelayMs + 50);
@@ -144,10 +148,7 @@
     onReachabilityChange: () => undefined,
   });
   link.start();
-  while (sent.length < 3) {
-    clock.advance(10);
-    await new Promise((done) => setImmediate(done));
-  }
+  await advanceUntil(clock, () => sent.length >= 3);
   t.deepEqual(sent.map(({ fence }) => fence), [1, 1, 2]);
   t.true(sent[2]!.atMs - sent[1]!.atMs <= 20);
   t.true(link.isSuperseded);
@@ -208,10 +209,7 @@
     onReachabilityChange: () => undefined,
   });
   link.start();
-  while (sent.length < 5) {
-    clock.advance(10);
-    await new Promise((done) => setImmediate(done));
-  }
+  await advanceUntil(clock, () => sent.length >= 5);
   t.deepEqual(sent, [1, 1, 2, 2, 2]);
   t.false(link.isSuperseded);
   link.close();
--- a/src/process/batch/testing/cut_off_worker_test.ts
+++ b/src/process/batch/testing/cut_off_worker_test.ts
@@ -5,22 +5,15 @@
 import test from "ava";
 import type { StepSpec } from "../job_spec.ts";
 import { BatchSimulation } from "./batch_simulation.ts";
+import { stepSpec } from "./step_fixture.ts";
 
 const WORKERS = 6;
 
-const STEP: StepSpec = {
+const STEP = stepSpec({
   taskCount: 4,
   demand: { cpuMilli: 100, memoryMb: 100, accelerators: 8 },
   estimateMs: 8_000,
-  afterSteps: [],
-  isCheckpointing: false,
-  isGang: false,
-  prefersOneRack: false,
-  isLasting: false,
-  requiredLabel: undefined,
-  dataRack: undefined,
-  tasksPerWorkerLimit: undefined,
-};
+});
 
 /** A pool on which four tasks run, or those of another step. */
 async function runFourTasks(
--- a/src/process/batch/testing/displaced_worker_test.ts
+++ b/src/process/batch/testing/displaced_worker_test.ts
@@ -4,24 +4,16 @@
 
 import test, { type ExecutionContext } from "ava";
 import { workerKeyOf, type WorkerRecord } from "../batch_command.ts";
-import type { StepSpec } from "../job_spec.ts";
 import { BatchSimulation } from "./batch_simulation.ts";
+import { stepSpec } from "./step_fixture.ts";
 
 const WORKERS = 6;
 
-const STEP: StepSpec = {
+const STEP = stepSpec({
   taskCount: 3,
   demand: { cpuMilli: 100, memoryMb: 100, accelerators: 4 },
   estimateMs: 16_000,
-  afterSteps: [],
-  isCheckpointing: false,
-  isGang: false,
-  prefersOneRack: false,
-  isLasting: false,
-  requiredLabel: undefined,
-  dataRack: undefined,
-  tasksPerWorkerLimit: undefined,
-};
+});
 
 /** A pool on which tasks of two jobs run, those of both on one worker. */
 async function runTwoJobs(): Promise<
--- a/src/process/batch/testing/run_events_test.ts
+++ b/src/process/batch/testing/run_events_test.ts
@@ -4,22 +4,14 @@
 
 import test from "ava";
 import type { EventFields, EventLog } from "../../../base/event_log.ts";
-import type { StepSpec } from "../job_spec.ts";
 import { BatchSimulation } from "./batch_simulation.ts";
+import { stepSpec } from "./step_fixture.ts";
 
-const STEP: StepSpec = {
+const STEP = stepSpec({
   taskCount: 2,
   demand: { cpuMilli: 100, memoryMb: 100, accelerators: 8 },
   estimateMs: 4_000,
-  afterSteps: [],
-  isCheckpointing: false,
-  isGang: false,
-  prefersOneRack: false,
-  isLasting: false,
-  requiredLabel: undefined,
-  dataRack: undefined,
-  tasksPerWorkerLimit: undefined,
-};
+});
 
 /** Keeps all events. */
 class EventRecord implements EventLog {
--- a/src/process/batch/testing/slow_worker_test.ts
+++ b/src/process/batch/testing/slow_worker_test.ts
@@ -5,24 +5,16 @@
 import test from "ava";
 import type { EventLog } from "../../../base/event_log.ts";
 import { JobPhase } from "../job_record.ts";
-import type { StepSpec } from "../job_spec.ts";
 import { runHistory } from "./batch_history.ts";
 import { BatchSimulation } from "./batch_simulation.ts";
 import { HANG_MS } from "./fake_work.ts";
+import { stepSpec } from "./step_fixture.ts";
 
-const STEP: StepSpec = {
+const STEP = stepSpec({
   taskCount: 3,
   demand: { cpuMilli: 100, memoryMb: 100, accelerators: 8 },
   estimateMs: 4_000,
-  afterSteps: [],
-  isCheckpointing: false,
-  isGang: false,
-  prefersOneRack: false,
-  isLasting: false,
-  requiredLabel: undefined,
-  dataRack: undefined,
-  tasksPerWorkerLimit: undefined,
-};
+});
 
 /** Counts events by name. */
 class EventCounts implements EventLog {
