Log what became of a cancel, and what keeps a leader from answering

Cause: a cancel that got no answer left no line at the door that received it unless the call was given up, none at the leader, and none said whether the leader was busy or its log didn't grow.

--- a/src/base/events/batch_events.ts
+++ b/src/base/events/batch_events.ts
@@ -56,13 +56,41 @@
     level: "warn",
     text:
       "A call may have been carried out, but no leader confirmed it in time.",
-    fields: ["jobId", "call", "leftMs", "leaderId", "reachedAgoMs"],
+    fields: [
+      "jobId",
+      "call",
+      "leftMs",
+      "leaderId",
+      "reachedAgoMs",
+      "attempts",
+    ],
   },
   batchCallUnavailable: {
     number: 7014,
     level: "info",
     text: "A call was rejected because no leader could be reached.",
-    fields: ["jobId", "call", "leftMs", "leaderId", "reachedAgoMs"],
+    fields: [
+      "jobId",
+      "call",
+      "leftMs",
+      "leaderId",
+      "reachedAgoMs",
+      "attempts",
+    ],
+  },
+  batchCancelAnswered: {
+    number: 7015,
+    level: "info",
+    text:
+      "The leader answered a cancel that this instance received. attempts: the instances called before, and how each call ended.",
+    fields: ["jobId", "answer", "tookMs", "leaderId", "attempts"],
+  },
+  batchCancelHandled: {
+    number: 7016,
+    level: "info",
+    text:
+      "The leader handled a cancel. answer: unknown if its commit failed or another leader took over.",
+    fields: ["jobId", "answer", "tookMs"],
   },
   taskStarted: {
     number: 7020,
@@ -149,6 +177,12 @@
     text: "A batch was slow to commit.",
     fields: ["durationMs", "items"],
   },
+  batchPlanSlow: {
+    number: 7047,
+    level: "warn",
+    text: "A planning pass took long; the leader did nothing else meanwhile.",
+    fields: ["durationMs", "liveJobs", "openRuns"],
+  },
   batchConfigured: {
     number: 7041,
     level: "info",
--- a/src/base/events/process_events.ts
+++ b/src/base/events/process_events.ts
@@ -50,6 +50,13 @@
     text: "An error that no code expects was contained; the process goes on.",
     fields: ["origin", "detail"],
   },
+  eventLoopBusy: {
+    number: 1008,
+    level: "warn",
+    text:
+      "A timer fired late: the process was suspended, or did one thing for long.",
+    fields: ["delayMs"],
+  },
   settingsLoaded: {
     number: 1005,
     level: "info",
--- a/src/process/batch/leader/call_handler.ts
+++ b/src/process/batch/leader/call_handler.ts
@@ -151,12 +151,17 @@
   }
 
   async #cancel(jobId: string): Promise<JobAnswer> {
-    const { state, session } = this.#options;
-    if (!state.jobs.has(jobId)) {
-      return { kind: "unknownJob" };
-    }
-    const applied = await session.write({ kind: "cancel", jobId });
-    return applied === undefined ? { kind: "unknown" } : { kind: "cancelled" };
+    const { state, session, clock, events } = this.#options;
+    const receivedAtMs = clock.nowMs();
+    const answer = state.jobs.has(jobId)
+      ? toCancelAnswer(await session.write({ kind: "cancel", jobId }))
+      : { kind: "unknownJob" } as const;
+    events.emit("batchCancelHandled", {
+      jobId,
+      answer: answer.kind,
+      tookMs: Math.round(clock.nowMs() - receivedAtMs),
+    });
+    return answer;
   }
 
   #countPending(queue: QueueConfiguration): JobAnswer {
@@ -235,6 +240,11 @@
   }
 }
 
+/** A job that was over already counts as cancelled. */
+function toCancelAnswer(applied: boolean | undefined): JobAnswer {
+  return { kind: applied === undefined ? "unknown" : "cancelled" };
+}
+
 /** Whether a path is that of the queue itself, not of something in it. */
 function isPathOf({ prefix }: QueueConfiguration, path: string): boolean {
   const withoutSlash = (text: string) => text.replace(/\/$/, "");
--- a/src/process/batch/leader/leader_session.ts
+++ b/src/process/batch/leader/leader_session.ts
@@ -213,6 +213,7 @@
       return [];
     }
     const { state, clock, events, timing } = this.#options;
+    const beganAtMs = clock.nowMs();
     const { starts, stops } = plan({
       state,
       nowMs: clock.nowMs(),
@@ -221,6 +222,14 @@
       failedOn: (task) => this.#health.failedOn(task),
       isStopping: (task) => this.#runs.get(task)?.stopReason !== undefined,
     }, { guaranteeWaitMs: timing.guaranteeWaitMs });
+    const durationMs = clock.nowMs() - beganAtMs;
+    if (durationMs > SLOW_PLAN_MS) {
+      events.emit("batchPlanSlow", {
+        durationMs: Math.round(durationMs),
+        liveJobs: state.liveJobs.size,
+        openRuns: this.#runs.size,
+      });
+    }
     for (const { forJobId, ...task } of stops) {
       this.#driver.stop(task, StopReason.preempted);
       events.emit("taskPreempted", {
@@ -467,5 +476,8 @@
   }
 }
 
+/** A slower planning pass is logged; all calls wait meanwhile. */
+const SLOW_PLAN_MS = 100;
+
 /** A slower commit is logged; a sync to disk takes 4 to 9 ms. */
 const SLOW_COMMIT_MS = 250;
--- a/src/process/batch/leader_finder.ts
+++ b/src/process/batch/leader_finder.ts
@@ -74,6 +74,30 @@
   return call.kind === "ping" || (isChange && mayHaveTakenEffect);
 }
 
+/** Maximum number of attempts that a log line names. */
+const LOGGED_ATTEMPTS_LIMIT = 12;
+
+/** The instances that one call was sent to, and how each attempt ended. */
+class AttemptLog {
+  readonly #attempts: string[] = [];
+  #count = 0;
+
+  add(instanceId: string, outcome: string): void {
+    this.#count += 1;
+    this.#attempts.push(`${instanceId}:${outcome}`);
+    if (this.#attempts.length > LOGGED_ATTEMPTS_LIMIT) {
+      this.#attempts.shift();
+    }
+  }
+
+  /** The last attempts, `<instance>:<outcome>`, after the number left out. */
+  toString(): string {
+    const leftOut = this.#count - this.#attempts.length;
+    return [...(leftOut > 0 ? [`+${leftOut}`] : []), ...this.#attempts]
+      .join(" ");
+  }
+}
+
 /** Sends calls from this instance to the leader. */
 export class LeaderFinder {
   readonly #options: LeaderFinderOptions;
@@ -137,6 +161,8 @@
     options: { deadlineMs: number },
   ): Promise<LeaderCallResult> {
     const { clock } = this.#options;
+    const beganAtMs = clock.nowMs();
+    const attempts = new AttemptLog();
     let mayHaveTakenEffect = false;
     for (;;) {
       const leftMs = options.deadlineMs - clock.nowMs();
@@ -144,7 +170,7 @@
         (!shouldRetryWhenIsolated(call, mayHaveTakenEffect) &&
           this.isIsolated());
       if (shouldGiveUp) {
-        this.#logGivenUp(call, { mayHaveTakenEffect, leftMs });
+        this.#logGivenUp(call, { mayHaveTakenEffect, leftMs, attempts });
         return { kind: mayHaveTakenEffect ? "unknown" : "notTaken" };
       }
       const target = this.#nextTarget();
@@ -156,6 +182,7 @@
         Left: (error) => error.kind === "unavailable" ? "notTaken" : "unknown",
         Right: (received) => received,
       });
+      attempts.add(target, typeof answer === "string" ? answer : answer.kind);
       if (typeof answer === "string") {
         mayHaveTakenEffect ||= answer === "unknown";
         this.#leaderId = undefined;
@@ -169,6 +196,7 @@
         this.#leaderId = target;
         this.#leaderAnsweredAtMs = clock.nowMs();
         this.#lastAnswerAtMs = this.#leaderAnsweredAtMs;
+        this.#logCancel(call, { answer, beganAtMs, attempts });
         return { kind: "answered", answer };
       }
       if (this.#leaderId === undefined) {
@@ -184,12 +212,16 @@
 
   #logGivenUp(
     call: JobCall,
-    options: { mayHaveTakenEffect: boolean; leftMs: number },
+    options: {
+      mayHaveTakenEffect: boolean;
+      leftMs: number;
+      attempts: AttemptLog;
+    },
   ): void {
     if (call.kind === "ping") {
       return;
     }
-    const { mayHaveTakenEffect, leftMs } = options;
+    const { mayHaveTakenEffect, leftMs, attempts } = options;
     const name = mayHaveTakenEffect
       ? "batchCallUnanswered"
       : "batchCallUnavailable";
@@ -201,9 +233,30 @@
       reachedAgoMs: Math.round(
         this.#options.clock.nowMs() - this.#lastAnswerAtMs,
       ),
+      attempts: attempts.toString(),
     });
   }
 
+  #logCancel(
+    call: JobCall,
+    { answer, beganAtMs, attempts }: {
+      answer: JobAnswer;
+      beganAtMs: number;
+      attempts: AttemptLog;
+    },
+  ): void {
+    if (call.kind === "cancel") {
+      const { clock, events } = this.#options;
+      events.emit("batchCancelAnswered", {
+        jobId: call.jobId,
+        answer: answer.kind,
+        tookMs: Math.round(clock.nowMs() - beganAtMs),
+        leaderId: this.#leaderId,
+        attempts: attempts.toString(),
+      });
+    }
+  }
+
   #nextTarget(): string {
     if (this.#leaderId !== undefined) {
       return this.#leaderId;
