Answer a cancel or a job that is sent again without another commit

Callers saw: cancels and jobs that a leader had handled, unanswered, and sent again and again while it was busy. Cause: each repeated cancel, also of a job that was over, and each repeated job that was just being committed, added an item to the log. Work that only repeats what is known delayed the answers to the rest. Change: a change that is being committed is awaited by all who ask for it; the cancel of a job that is over is answered at once.

--- a/src/process/batch/leader/call_handler.ts
+++ b/src/process/batch/leader/call_handler.ts
@@ -6,7 +6,12 @@
 
 import type { Clock } from "../../../base/clock.ts";
 import type { EventLog } from "../../../base/event_log.ts";
-import { isSameWorkerRecord, type WorkerRecord } from "../batch_command.ts";
+import type { JobId } from "../../../base/identity.ts";
+import {
+  type BatchItem,
+  isSameWorkerRecord,
+  type WorkerRecord,
+} from "../batch_command.ts";
 import type { BatchState } from "../batch_state.ts";
 import { decideAdmission } from "../decisions/admission.ts";
 import type { CallTarget, JobAnswer, JobCall } from "../job_call.ts";
@@ -39,6 +44,8 @@
 export class CallHandler {
   readonly #options: CallHandlerOptions;
   readonly #sequences = new Map<string, number>();
+  /** The answers to changes that are being committed, by {@link changeKey}. */
+  readonly #changes = new Map<string, Promise<JobAnswer>>();
 
   constructor(options: CallHandlerOptions) {
     this.#options = options;
@@ -103,11 +110,15 @@
     call: CallOf<"submit">,
     { queue, account }: CallScope,
   ): Promise<JobAnswer> {
-    const { state, session, clock, events } = this.#options;
+    const { state, clock, events } = this.#options;
     const { jobId, spec } = call;
     if (state.jobs.has(jobId)) {
       return { kind: "accepted" };
     }
+    const pending = this.#changes.get(changeKey({ kind: "accept", jobId }));
+    if (pending !== undefined) {
+      return await pending;
+    }
     const fault = findSpecFault(spec);
     if (fault !== undefined) {
       return { kind: "invalid", detail: fault };
@@ -130,15 +141,14 @@
       });
       return { kind: "refused", reason, retryAfterS };
     }
-    const applied = await session.write({
+    return await this.#commitOnce({
       kind: "accept",
       jobId,
       queue: queue.name,
       account: account?.name,
       spec,
       submittedAtMs: Math.floor(call.receivedAtMs),
-    });
-    return applied === undefined ? { kind: "unknown" } : { kind: "accepted" };
+    }, "accepted");
   }
 
   #stateOf(jobId: string): JobAnswer {
@@ -151,11 +161,20 @@
   }
 
   async #cancel(jobId: string): Promise<JobAnswer> {
-    const { state, session, clock, events } = this.#options;
+    const { state, clock, events } = this.#options;
     const receivedAtMs = clock.nowMs();
-    const answer = state.jobs.has(jobId)
-      ? toCancelAnswer(await session.write({ kind: "cancel", jobId }))
-      : { kind: "unknownJob" } as const;
+    const pending = this.#changes.get(changeKey({ kind: "cancel", jobId }));
+    if (pending !== undefined) {
+      return await pending;
+    }
+    const job = state.jobs.get(jobId);
+    let answer: JobAnswer = { kind: "unknownJob" };
+    if (job !== undefined) {
+      // A job that was over already counts as cancelled.
+      answer = job.phase === JobPhase.active
+        ? await this.#commitOnce({ kind: "cancel", jobId }, "cancelled")
+        : { kind: "cancelled" };
+    }
     events.emit("batchCancelHandled", {
       jobId,
       answer: answer.kind,
@@ -164,6 +183,28 @@
     return answer;
   }
 
+  /**
+   * Commits a change of a job, or waits for the same change that is being
+   * committed: callers send a call again that isn't answered in time.
+   */
+  async #commitOnce(
+    item: Extract<BatchItem, { kind: "accept" | "cancel" }>,
+    answerKind: "accepted" | "cancelled",
+  ): Promise<JobAnswer> {
+    const key = changeKey(item);
+    const committed = this.#options.session.write(item).then(
+      (applied): JobAnswer => ({
+        kind: applied === undefined ? "unknown" : answerKind,
+      }),
+    );
+    this.#changes.set(key, committed);
+    try {
+      return await committed;
+    } finally {
+      this.#changes.delete(key);
+    }
+  }
+
   #countPending(queue: QueueConfiguration): JobAnswer {
     let jobs = 0;
     for (const job of this.#options.state.liveJobs.values()) {
@@ -240,9 +281,10 @@
   }
 }
 
-/** A job that was over already counts as cancelled. */
-function toCancelAnswer(applied: boolean | undefined): JobAnswer {
-  return { kind: applied === undefined ? "unknown" : "cancelled" };
+function changeKey(
+  { kind, jobId }: { kind: "accept" | "cancel"; jobId: JobId },
+): string {
+  return `${kind} ${jobId}`;
 }
 
 /** Whether a path is that of the queue itself, not of something in it. */
--- a/src/process/batch/leader/call_handler_test.ts
+++ b/src/process/batch/leader/call_handler_test.ts
@@ -2,13 +2,18 @@
 import { FakeClock, SILENT_EVENT_LOG } from "../../../base/mod.ts";
 import type { BatchItem } from "../batch_command.ts";
 import { PlannerFixture } from "../decisions/planner_fixture.ts";
+import { stepSpec } from "../testing/step_fixture.ts";
 import { CallHandler } from "./call_handler.ts";
 import type { LeaderSession } from "./leader_session.ts";
 import { DepartureStatus } from "./worker_departures.ts";
 
 /** A handler whose writes take effect at once. */
-function handlerOf({ state, nowMs }: PlannerFixture): CallHandler {
+function handlerOf(
+  { state, nowMs }: PlannerFixture,
+  onWrite: (item: BatchItem) => void = () => undefined,
+): CallHandler {
   const write = (item: BatchItem) => {
+    onWrite(item);
     state.apply({ kind: "batch", epoch: 1, atMs: nowMs, items: [item] });
     return Promise.resolve(true);
   };
@@ -26,6 +31,45 @@
   });
 }
 
+test("a cancel that is sent again is answered without another commit", async (t) => {
+  const fixture = new PlannerFixture({ workers: 1 });
+  fixture.submit("1", { accelerators: 1 });
+  const written: BatchItem[] = [];
+  const handler = handlerOf(fixture, (item) => written.push(item));
+  const target = { host: "jobs.example", path: "/normal/1", apiKey: "key" };
+  const cancel = { kind: "cancel", target, jobId: "1" } as const;
+  const answers = await Promise.all([
+    handler.answer(cancel),
+    handler.answer(cancel),
+  ]);
+  answers.push(await handler.answer(cancel));
+  t.deepEqual(answers.map(({ kind }) => kind), Array(3).fill("cancelled"));
+  t.is(written.length, 1);
+});
+
+test("a job that is submitted again while it is committed is committed once", async (t) => {
+  const fixture = new PlannerFixture({ workers: 1 });
+  const written: BatchItem[] = [];
+  const handler = handlerOf(fixture, (item) => written.push(item));
+  const submission = {
+    kind: "submit",
+    target: { host: "jobs.example", path: "/normal/1", apiKey: "key" },
+    jobId: "1",
+    spec: {
+      payload: "",
+      steps: [stepSpec({ taskCount: 1 })],
+      recurrence: undefined,
+    },
+    receivedAtMs: fixture.nowMs,
+  } as const;
+  const answers = await Promise.all([
+    handler.answer(submission),
+    handler.answer(submission),
+  ]);
+  t.deepEqual(answers.map(({ kind }) => kind), ["accepted", "accepted"]);
+  t.is(written.length, 1);
+});
+
 test("only a draining incarnation is removed when its worker leaves", async (t) => {
   const fixture = new PlannerFixture({ workers: 1 });
   const worker = [...fixture.state.workers.values()][0]!;
