Keep a call at a slow leader open while others are asked

Callers saw: cancels without an answer and jobs with 504 for seconds after a new leader had begun, though it accepted and cancelled them. Cause: an instance gave each attempt 700 ms, dropped it, forgot the leader and sent the call again, three or four times until the caller's deadline. A leader that took longer, as one does that has just begun, did the work and nobody waited for the answer; the repeated calls and new connections kept it busy. Change: attempts stay open until one is answered (CallAttempts); others are asked meanwhile, the same one again only after 1 s, as its connection may have been lost. A late failure or an older hint no longer hides a leader that has answered since. A rejection counts only if no other attempt may have stored the job. Pings wait 1.5 s, so that a busy leader isn't taken for none. Why it works: the answer is delivered whenever the leader gets to it, and its load no longer grows with its delay. Evidence: 'a cancel is acknowledged by a leader that is slow to answer' and 'a change of leader is found while the one before holds a call' failed before. npm test's unit tests: 624 passed.

--- a/src/process/batch/http_call_transport.ts
+++ b/src/process/batch/http_call_transport.ts
@@ -10,7 +10,7 @@
 import { failure, type Result } from "../../base/sesame_error.ts";
 import { HttpClient, type HttpEndpoint } from "../http/mod.ts";
 import type { JobAnswer, JobCall } from "./job_call.ts";
-import type { CallTransport } from "./leader_finder.ts";
+import type { CallOptions, CallTransport } from "./call_transport.ts";
 
 /** The path at which an instance accepts calls for the leader. */
 const CALLS_PATH = "/internal/batch/calls";
@@ -59,7 +59,7 @@
   async call(
     instanceId: string,
     call: JobCall,
-    options: { timeoutMs: number },
+    { timeoutMs, signal }: CallOptions,
   ): Promise<Result<JobAnswer>> {
     const address = this.#options.addressOf(instanceId);
     try {
@@ -74,7 +74,8 @@
             sentAtMs: this.#options.clock.nowMs(),
           } satisfies SentCall,
         ),
-        timeoutMs: options.timeoutMs,
+        timeoutMs,
+        ...(signal === undefined ? {} : { signal }),
       });
       return status === 200
         ? Right(unpack(body) as JobAnswer)
--- a/src/process/batch/leader_finder.ts
+++ b/src/process/batch/leader_finder.ts
@@ -7,22 +7,10 @@
 
 import type { Clock, Timer } from "../../base/clock.ts";
 import type { EventLog } from "../../base/event_log.ts";
-import type { Result } from "../../base/sesame_error.ts";
+import { CallAttempts, type EndedAttempt } from "./call_attempts.ts";
+import type { CallTransport } from "./call_transport.ts";
 import type { JobAnswer, JobCall } from "./job_call.ts";
 
-/**
- * Sends calls to instances. Fails with `unavailable` if the call certainly
- * wasn't carried out, and with `outcomeUnknown` if it may have been.
- */
-export interface CallTransport {
-  call(
-    instanceId: string,
-    call: JobCall,
-    options: { timeoutMs: number },
-  ): Promise<Result<JobAnswer>>;
-  close(): Promise<void>;
-}
-
 /** Options of {@link LeaderFinder}. */
 export interface LeaderFinderOptions {
   readonly transport: CallTransport;
@@ -41,10 +29,11 @@
   | { readonly kind: "unknown" };
 
 /**
- * How long one instance may take before another one is called: a round trip
- * between regions and a commit on a slow disk.
+ * How long one instance may take before another one is asked, too: a round trip
+ * between regions and a commit on a slow disk. The first attempt stays open: a
+ * busy leader would be asked again and again, and none of its answers awaited.
  */
-const ATTEMPT_TIMEOUT_MS = 700;
+const ATTEMPT_PATIENCE_MS = 700;
 
 /** Delay before the next instance is tried while the leader isn't known. */
 const RETRY_DELAY_MS = 60;
@@ -52,6 +41,9 @@
 /** How often an instance that serves callers calls the leader. */
 const PING_PERIOD_MS = 500;
 
+/** How long a ping waits for an answer, which a busy leader delays. */
+const PING_TIMEOUT_MS = 1_500;
+
 /**
  * An instance that gets no answer from any instance for three pings counts as
  * isolated: its callers are refused, so that they can use another instance.
@@ -74,28 +66,26 @@
   return call.kind === "ping" || (isChange && mayHaveTakenEffect);
 }
 
-/** Maximum number of attempts that a log line names. */
-const LOGGED_ATTEMPTS_LIMIT = 12;
-
-/** The instances that one call was sent to, and how each attempt ended. */
-class AttemptLog {
-  readonly #attempts: string[] = [];
-  #count = 0;
-
-  add(instanceId: string, outcome: string): void {
-    this.#count += 1;
-    this.#attempts.push(`${instanceId}:${outcome}`);
-    if (this.#attempts.length > LOGGED_ATTEMPTS_LIMIT) {
-      this.#attempts.shift();
-    }
-  }
+/** The answer of an instance that leads; undefined for other outcomes. */
+function leaderAnswerOf(
+  outcome: EndedAttempt["outcome"],
+): JobAnswer | undefined {
+  const isAnswer = typeof outcome !== "string" &&
+    outcome.kind !== "notLeader" && outcome.kind !== "unknown";
+  return isAnswer ? outcome : undefined;
+}
 
-  /** The last attempts, `<instance>:<outcome>`, after the number left out. */
-  toString(): string {
-    const leftOut = this.#count - this.#attempts.length;
-    return [...(leftOut > 0 ? [`+${leftOut}`] : []), ...this.#attempts]
-      .join(" ");
-  }
+/**
+ * Whether an answer holds: a rejection of a job doesn't, while another attempt
+ * may have stored the job.
+ */
+function isCertain(
+  call: JobCall,
+  answer: JobAnswer,
+  attempts: CallAttempts,
+): boolean {
+  return call.kind !== "submit" || answer.kind === "accepted" ||
+    !attempts.mayHaveTakenEffect;
 }
 
 /** Sends calls from this instance to the leader. */
@@ -104,7 +94,8 @@
   #seedIds: readonly string[];
   #candidates: readonly string[];
   #leaderId: string | undefined;
-  #leaderAnsweredAtMs = -Infinity;
+  /** The instance that last answered as the leader, and when. */
+  #latestAnswer: { instanceId: string; atMs: number } | undefined;
   /**
    * When any instance last answered; initially the start of this one, which
    * isn't isolated before it had time to get an answer.
@@ -126,8 +117,9 @@
 
   /** Whether a leader answered recently. */
   hasLeaderContact(): boolean {
-    return this.#options.clock.nowMs() - this.#leaderAnsweredAtMs <
-      LEADER_CONTACT_TIMEOUT_MS;
+    const { clock } = this.#options;
+    return this.#latestAnswer !== undefined &&
+      clock.nowMs() - this.#latestAnswer.atMs < LEADER_CONTACT_TIMEOUT_MS;
   }
 
   /**
@@ -142,7 +134,7 @@
   /** Starts calling the leader periodically. */
   startPinging(): void {
     this.#pingTimer = this.#options.clock.every(PING_PERIOD_MS, () => {
-      const deadlineMs = this.#options.clock.nowMs() + PING_PERIOD_MS;
+      const deadlineMs = this.#options.clock.nowMs() + PING_TIMEOUT_MS;
       void this.call({ kind: "ping" }, { deadlineMs });
     });
   }
@@ -154,52 +146,62 @@
   }
 
   /**
-   * Sends a call to the leader, more than once if needed until its deadline.
+   * Sends a call to the leader, to further instances if it doesn't answer, until
+   * its deadline.
    */
   async call(
     call: JobCall,
-    options: { deadlineMs: number },
+    { deadlineMs }: { deadlineMs: number },
+  ): Promise<LeaderCallResult> {
+    const { transport, clock } = this.#options;
+    const attempts = new CallAttempts({ transport, clock, call, deadlineMs });
+    try {
+      return await this.#callUntilAnswered(call, { attempts, deadlineMs });
+    } finally {
+      attempts.close();
+    }
+  }
+
+  async #callUntilAnswered(
+    call: JobCall,
+    { attempts, deadlineMs }: { attempts: CallAttempts; deadlineMs: number },
   ): Promise<LeaderCallResult> {
     const { clock } = this.#options;
     const beganAtMs = clock.nowMs();
-    const attempts = new AttemptLog();
-    let mayHaveTakenEffect = false;
     for (;;) {
-      const leftMs = options.deadlineMs - clock.nowMs();
-      const shouldGiveUp = leftMs <= 0 ||
-        (!shouldRetryWhenIsolated(call, mayHaveTakenEffect) &&
-          this.isIsolated());
-      if (shouldGiveUp) {
-        this.#logGivenUp(call, { mayHaveTakenEffect, leftMs, attempts });
-        return { kind: mayHaveTakenEffect ? "unknown" : "notTaken" };
+      const leftMs = deadlineMs - clock.nowMs();
+      if (
+        !attempts.hasEnded && this.#shouldGiveUp(call, { attempts, leftMs })
+      ) {
+        this.#logGivenUp(call, { leftMs, attempts });
+        return { kind: attempts.mayHaveTakenEffect ? "unknown" : "notTaken" };
       }
-      const target = this.#nextTarget();
-      const timeoutMs = Math.min(leftMs, ATTEMPT_TIMEOUT_MS);
-      const result = await this.#options.transport.call(target, call, {
-        timeoutMs,
-      });
-      const answer = result.caseOf<JobAnswer | "notTaken" | "unknown">({
-        Left: (error) => error.kind === "unavailable" ? "notTaken" : "unknown",
-        Right: (received) => received,
-      });
-      attempts.add(target, typeof answer === "string" ? answer : answer.kind);
-      if (typeof answer === "string") {
-        mayHaveTakenEffect ||= answer === "unknown";
-        this.#leaderId = undefined;
-      } else if (answer.kind === "notLeader") {
-        this.#lastAnswerAtMs = clock.nowMs();
-        this.#followHint(target, answer);
-      } else if (answer.kind === "unknown") {
-        mayHaveTakenEffect = true;
-        this.#leaderId = undefined;
-      } else {
-        this.#leaderId = target;
-        this.#leaderAnsweredAtMs = clock.nowMs();
-        this.#lastAnswerAtMs = this.#leaderAnsweredAtMs;
+      const target = attempts.hasEnded
+        ? undefined
+        : this.#chooseTarget(attempts);
+      if (target !== undefined) {
+        attempts.begin(target);
+      }
+      const patienceMs = target === undefined
+        ? RETRY_DELAY_MS
+        : ATTEMPT_PATIENCE_MS;
+      const ended = await attempts.next(Math.min(leftMs, patienceMs));
+      if (ended === undefined) {
+        this.#doubtLeader(target);
+        continue;
+      }
+      const answer = leaderAnswerOf(ended.outcome);
+      if (answer !== undefined) {
+        this.#recordLeader(ended.instanceId);
         this.#logCancel(call, { answer, beganAtMs, attempts });
-        return { kind: "answered", answer };
+        return isCertain(call, answer, attempts)
+          ? { kind: "answered", answer }
+          : { kind: "unknown" };
       }
-      if (this.#leaderId === undefined) {
+      this.#learnFrom(ended, attempts);
+      if (
+        this.#leaderId === undefined || attempts.isPendingAt(this.#leaderId)
+      ) {
         await this.#delay(RETRY_DELAY_MS);
       }
     }
@@ -210,19 +212,22 @@
     await this.#options.transport.close();
   }
 
+  #shouldGiveUp(
+    call: JobCall,
+    { leftMs, attempts }: { leftMs: number; attempts: CallAttempts },
+  ): boolean {
+    const mayRetry = shouldRetryWhenIsolated(call, attempts.mayHaveTakenEffect);
+    return leftMs <= 0 || (!mayRetry && this.isIsolated());
+  }
+
   #logGivenUp(
     call: JobCall,
-    options: {
-      mayHaveTakenEffect: boolean;
-      leftMs: number;
-      attempts: AttemptLog;
-    },
+    { leftMs, attempts }: { leftMs: number; attempts: CallAttempts },
   ): void {
     if (call.kind === "ping") {
       return;
     }
-    const { mayHaveTakenEffect, leftMs, attempts } = options;
-    const name = mayHaveTakenEffect
+    const name = attempts.mayHaveTakenEffect
       ? "batchCallUnanswered"
       : "batchCallUnavailable";
     this.#options.events.emit(name, {
@@ -233,7 +238,7 @@
       reachedAgoMs: Math.round(
         this.#options.clock.nowMs() - this.#lastAnswerAtMs,
       ),
-      attempts: attempts.toString(),
+      attempts: attempts.describe(),
     });
   }
 
@@ -242,7 +247,7 @@
     { answer, beganAtMs, attempts }: {
       answer: JobAnswer;
       beganAtMs: number;
-      attempts: AttemptLog;
+      attempts: CallAttempts;
     },
   ): void {
     if (call.kind === "cancel") {
@@ -252,29 +257,105 @@
         answer: answer.kind,
         tookMs: Math.round(clock.nowMs() - beganAtMs),
         leaderId: this.#leaderId,
-        attempts: attempts.toString(),
+        attempts: attempts.describe(),
       });
     }
   }
 
-  #nextTarget(): string {
-    if (this.#leaderId !== undefined) {
-      return this.#leaderId;
+  /**
+   * The leader, or else the next candidate; undefined while the leader works on
+   * the call, or all candidates have it.
+   */
+  #chooseTarget(attempts: CallAttempts): string | undefined {
+    const leaderId = this.#leaderId;
+    if (leaderId !== undefined) {
+      if (!attempts.isPendingAt(leaderId)) {
+        return leaderId;
+      }
+      if (this.#isResponsive(leaderId)) {
+        return undefined;
+      }
+    }
+    for (let tried = 0; tried < this.#candidates.length; tried++) {
+      this.#candidateIndex += 1;
+      const candidate = this
+        .#candidates[this.#candidateIndex % this.#candidates.length]!;
+      if (!attempts.isPendingAt(candidate)) {
+        return candidate;
+      }
     }
-    this.#candidateIndex += 1;
-    return this.#candidates[this.#candidateIndex % this.#candidates.length]!;
+    return undefined;
+  }
+
+  /** Whether the leader has answered some call a moment ago. */
+  #isResponsive(leaderId: string): boolean {
+    const sinceMs = this.#options.clock.nowMs() - ATTEMPT_PATIENCE_MS;
+    return this.#hasAnsweredSince(leaderId, sinceMs);
+  }
+
+  #hasAnsweredSince(instanceId: string, sinceMs: number): boolean {
+    return this.#latestAnswer?.instanceId === instanceId &&
+      this.#latestAnswer.atMs >= sinceMs;
+  }
+
+  #recordLeader(instanceId: string): void {
+    const nowMs = this.#options.clock.nowMs();
+    this.#leaderId = instanceId;
+    this.#latestAnswer = { instanceId, atMs: nowMs };
+    this.#lastAnswerAtMs = nowMs;
   }
 
+  /** Lets other calls look for the leader if it doesn't answer any. */
+  #doubtLeader(instanceId: string | undefined): void {
+    const isSilent = instanceId !== undefined &&
+      instanceId === this.#leaderId && !this.#isResponsive(instanceId);
+    if (isSilent) {
+      this.#leaderId = undefined;
+    }
+  }
+
+  /** Learns who leads from an attempt that wasn't answered by the leader. */
+  #learnFrom(ended: EndedAttempt, attempts: CallAttempts): void {
+    const { instanceId, beganAtMs, outcome } = ended;
+    if (typeof outcome !== "string" && outcome.kind === "notLeader") {
+      this.#lastAnswerAtMs = this.#options.clock.nowMs();
+      this.#followHint(ended, outcome, attempts);
+      return;
+    }
+    const isOutdated = typeof outcome === "string" &&
+      this.#hasAnsweredSince(instanceId, beganAtMs);
+    if (this.#leaderId === instanceId && !isOutdated) {
+      this.#leaderId = undefined;
+    }
+  }
+
+  /**
+   * Follows a hint, unless a leader has answered since the attempt began, or the
+   * instance that it names has this call and doesn't answer.
+   */
   #followHint(
-    from: string,
+    { instanceId, beganAtMs }: EndedAttempt,
     { leaderId, memberIds }: Extract<JobAnswer, { kind: "notLeader" }>,
+    attempts: CallAttempts,
   ): void {
-    this.#leaderId = leaderId === from ? undefined : leaderId;
     if (memberIds.length > 0) {
       this.#candidates = [
         ...new Set([...memberIds, ...this.#seedIds]),
       ];
     }
+    const isLeaderKnown = this.#leaderId !== undefined &&
+      this.#leaderId !== instanceId &&
+      this.#hasAnsweredSince(this.#leaderId, beganAtMs);
+    if (isLeaderKnown) {
+      return;
+    }
+    const isUseful = leaderId !== undefined && leaderId !== instanceId &&
+      !attempts.isPendingAt(leaderId);
+    if (isUseful) {
+      this.#leaderId = leaderId;
+    } else if (this.#leaderId === instanceId) {
+      this.#leaderId = undefined;
+    }
   }
 
   #delay(delayMs: number): Promise<void> {
--- a/src/process/batch/leader_finder_test.ts
+++ b/src/process/batch/leader_finder_test.ts
@@ -3,21 +3,31 @@
 import { FakeClock, type Result, SesameError } from "../../base/mod.ts";
 import { SILENT_EVENT_LOG } from "../../base/event_log.ts";
 import type { JobAnswer, JobCall } from "./job_call.ts";
-import { type CallTransport, LeaderFinder } from "./leader_finder.ts";
+import type { CallTransport } from "./call_transport.ts";
+import { LeaderFinder } from "./leader_finder.ts";
 
-/** Instances that return a test's answers after 10 ms. */
+/** Instances that return a test's answers, by default after 10 ms. */
 class FakeTransport implements CallTransport {
   readonly calledIds: string[] = [];
+  readonly delaysMs: Record<string, number> = {};
 
   constructor(
     readonly clock: FakeClock,
     readonly answers: Record<string, () => Result<JobAnswer>>,
   ) {}
 
-  async call(instanceId: string): Promise<Result<JobAnswer>> {
+  async call(
+    instanceId: string,
+    _call: JobCall,
+    { timeoutMs }: { timeoutMs: number },
+  ): Promise<Result<JobAnswer>> {
     this.calledIds.push(instanceId);
-    await new Promise<void>((done) => this.clock.after(10, done));
-    return this.answers[instanceId]!();
+    const delayMs = this.delaysMs[instanceId] ?? 10;
+    const waitMs = Math.min(delayMs, timeoutMs);
+    await new Promise<void>((done) => this.clock.after(waitMs, done));
+    return delayMs > timeoutMs
+      ? Left(new SesameError("outcomeUnknown"))
+      : this.answers[instanceId]!();
   }
 
   close(): Promise<void> {
@@ -30,7 +40,9 @@
   target: { host: "h", path: "/q/1", apiKey: undefined },
   jobId: "1",
 };
+const CANCEL: JobCall = { ...STATE_CALL, kind: "cancel" };
 const NOTED: JobAnswer = { kind: "noted" };
+const CANCELLED: JobAnswer = { kind: "cancelled" };
 
 function notLeader(leaderId: string | undefined): () => Result<JobAnswer> {
   return () =>
@@ -172,3 +184,118 @@
   transport.answers["new"] = () => Right(NOTED);
   t.is((await callLeader(2_000)).kind, "answered");
 });
+
+test("a cancel is acknowledged by a leader that is slow to answer, and sent to it twice at most", async (t) => {
+  const { clock, transport, finder } = newFinder({
+    a: () => Right(CANCELLED),
+    b: notLeader("a"),
+  });
+  transport.delaysMs["a"] = 1_200;
+  const answer = await settle(
+    clock,
+    finder.call(CANCEL, { deadlineMs: clock.nowMs() + 2_850 }),
+  );
+  t.deepEqual(answer, { kind: "answered", answer: CANCELLED });
+  t.true(transport.calledIds.filter((id) => id === "a").length <= 2);
+});
+
+test("a change of leader is found while the one before holds a call", async (t) => {
+  const { clock, transport, finder } = newFinder({
+    a: () => Right(CANCELLED),
+    b: notLeader("a"),
+    c: notLeader("a"),
+  });
+  finder.setSeeds(["c"]);
+  transport.delaysMs["a"] = 60_000;
+  const answered = finder.call(CANCEL, { deadlineMs: clock.nowMs() + 2_850 });
+  clock.after(1_500, () => {
+    transport.answers["b"] = () => Right(CANCELLED);
+    transport.answers["c"] = notLeader("b");
+  });
+  t.is((await settle(clock, answered)).kind, "answered");
+  t.true(transport.calledIds.filter((id) => id === "a").length <= 2);
+});
+
+test("a call whose connection was lost silently is sent to the leader again", async (t) => {
+  const { clock, transport, finder } = newFinder({
+    a: () => Right(CANCELLED),
+    b: notLeader("a"),
+  });
+  transport.delaysMs["a"] = 60_000;
+  const answered = finder.call(CANCEL, { deadlineMs: clock.nowMs() + 2_850 });
+  clock.after(500, () => transport.delaysMs["a"] = 10);
+  t.is((await settle(clock, answered)).kind, "answered");
+});
+
+test("a late failure at the leader before doesn't hide the next leader", async (t) => {
+  const { clock, transport, finder } = newFinder({
+    a: () => Right(CANCELLED),
+    b: () => Right(CANCELLED),
+  });
+  const callLeader = () =>
+    finder.call(CANCEL, { deadlineMs: clock.nowMs() + 2_850 });
+  await settle(clock, callLeader());
+  const [first, second] = finder.leaderId === "a" ? ["a", "b"] : ["b", "a"];
+  transport.delaysMs[first] = 900;
+  transport.answers[first] = failWith("outcomeUnknown");
+  const calls = [callLeader(), callLeader()];
+  clock.advance(400);
+  calls.push(callLeader());
+  await settle(clock, Promise.race(calls));
+  t.is(finder.leaderId, second);
+  for (let turn = 0; turn < 100; turn++) {
+    clock.advance(10);
+    await new Promise((done) => setImmediate(done));
+    t.is(finder.leaderId, second);
+  }
+  await Promise.all(calls);
+});
+
+test("a call that a hung instance still holds at its deadline may have taken effect", async (t) => {
+  const { clock, transport, finder } = newFinder({
+    a: () => Right(CANCELLED),
+    b: () => Right(CANCELLED),
+  });
+  transport.delaysMs["a"] = 60_000;
+  transport.delaysMs["b"] = 60_000;
+  const answer = await settle(
+    clock,
+    finder.call(CANCEL, { deadlineMs: clock.nowMs() + 500 }),
+  );
+  t.is(answer.kind, "unknown");
+});
+
+test("a job isn't reported as rejected while another instance may store it", async (t) => {
+  const { clock, transport, finder } = newFinder({
+    a: () => Right<JobAnswer>({ kind: "accepted" }),
+    b: () =>
+      Right<JobAnswer>({
+        kind: "refused",
+        reason: "queueFull",
+        retryAfterS: 1,
+      }),
+  });
+  const submission: JobCall = {
+    ...STATE_CALL,
+    kind: "submit",
+    spec: { payload: "", steps: [], recurrence: undefined },
+    receivedAtMs: clock.nowMs(),
+  };
+  transport.delaysMs["a"] = 60_000;
+  const submit = () =>
+    settle(
+      clock,
+      finder.call(submission, { deadlineMs: clock.nowMs() + 2_850 }),
+    );
+  // One of them begins with the instance that holds it.
+  const kinds = [(await submit()).kind];
+  finder.setSeeds(["a"]);
+  t.is(finder.leaderId, "b");
+  transport.delaysMs["b"] = 60_000;
+  transport.delaysMs["a"] = 10;
+  await submit();
+  transport.delaysMs["a"] = 60_000;
+  transport.delaysMs["b"] = 10;
+  kinds.push((await submit()).kind);
+  t.true(kinds.includes("unknown"), kinds.join());
+});
--- a/src/process/http/http_client.ts
+++ b/src/process/http/http_client.ts
@@ -30,6 +30,8 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array | string;
   readonly timeoutMs: number;
+  /** Abandons the call: nobody waits for its answer any more. */
+  readonly signal?: AbortSignal;
 }
 
 /** The answer to one call. */
@@ -43,6 +45,11 @@
   override readonly name = "CallTimeoutError";
 }
 
+/** The call was abandoned; it may have been executed. */
+export class CallAbandonedError extends Error {
+  override readonly name = "CallAbandonedError";
+}
+
 /** Sends calls, each with its own timeout. */
 export class HttpClient {
   readonly #agent: Agent;
@@ -59,11 +66,15 @@
     });
   }
 
-  /** Rejects with undici's error or {@link CallTimeoutError}. */
+  /**
+   * Rejects with undici's error, {@link CallTimeoutError} or
+   * {@link CallAbandonedError}.
+   */
   call(outgoing: OutgoingCall): Promise<IncomingAnswer> {
-    const { address, method, path, headers, body, timeoutMs } = outgoing;
+    const { address, method, path, headers, body, timeoutMs, signal } =
+      outgoing;
     return new Promise((resolve, reject) => {
-      const pending = new PendingCall({ resolve, reject, timeoutMs });
+      const pending = new PendingCall({ resolve, reject, timeoutMs, signal });
       this.#agent.dispatch({
         origin: `http://${address}`,
         method,
@@ -85,29 +96,38 @@
   readonly #resolve: (answer: IncomingAnswer) => void;
   readonly #reject: (error: Error) => void;
   readonly #timer: NodeJS.Timeout;
+  readonly #signal: AbortSignal | undefined;
   readonly #chunks: Buffer[] = [];
   #controller: Dispatcher.DispatchController | undefined;
   #status = 0;
-  #timeoutError: CallTimeoutError | undefined;
+  /** Why nobody waits for the answer any more. */
+  #endError: Error | undefined;
 
   constructor(options: {
     resolve: (answer: IncomingAnswer) => void;
     reject: (error: Error) => void;
     timeoutMs: number;
+    signal: AbortSignal | undefined;
   }) {
-    const { resolve, reject, timeoutMs } = options;
+    const { resolve, reject, timeoutMs, signal } = options;
     this.#resolve = resolve;
     this.#reject = reject;
     this.#timer = setTimeout(
-      () => this.#timeOut(timeoutMs),
+      () => this.#end(new CallTimeoutError(`no answer within ${timeoutMs} ms`)),
       Math.ceil(timeoutMs),
     );
+    this.#signal = signal;
+    signal?.addEventListener("abort", this.#onAbort);
   }
 
+  #onAbort = (): void => {
+    this.#end(new CallAbandonedError("the call was abandoned"));
+  };
+
   onRequestStart(controller: Dispatcher.DispatchController): void {
     this.#controller = controller;
-    if (this.#timeoutError !== undefined) {
-      controller.abort(this.#timeoutError);
+    if (this.#endError !== undefined) {
+      controller.abort(this.#endError);
     }
   }
 
@@ -126,7 +146,7 @@
   }
 
   onResponseEnd(): void {
-    clearTimeout(this.#timer);
+    this.#stopWaiting();
     const [first] = this.#chunks;
     const body = this.#chunks.length === 1 && first !== undefined
       ? first
@@ -138,16 +158,20 @@
     _controller: Dispatcher.DispatchController,
     error: Error,
   ): void {
-    clearTimeout(this.#timer);
+    this.#stopWaiting();
     this.#reject(error);
   }
 
   /** Rejects the call. If it still waits for a connection, it is never sent. */
-  #timeOut(timeoutMs: number): void {
-    this.#timeoutError = new CallTimeoutError(
-      `no answer within ${timeoutMs} ms`,
-    );
-    this.#controller?.abort(this.#timeoutError);
-    this.#reject(this.#timeoutError);
+  #end(error: Error): void {
+    this.#stopWaiting();
+    this.#endError = error;
+    this.#controller?.abort(error);
+    this.#reject(error);
+  }
+
+  #stopWaiting(): void {
+    clearTimeout(this.#timer);
+    this.#signal?.removeEventListener("abort", this.#onAbort);
   }
 }
