Read answers that have arrived before a call times out

Callers saw: calls sent again and connections closed by an instance that was busy for a moment, most of all a leader that has just begun. Cause: after a turn that blocks the event loop for longer than a timeout, timers fire before input is read. All calls in progress were dropped with their connections, though their answers were in the sockets' buffers: orders to workers, renewals, calls to the leader. Change: a timeout takes effect after the next reading of input. Evidence: 'an answer that arrived while the event loop was blocked isn't taken for a timeout' failed before.

--- a/src/process/http/http_client.ts
+++ b/src/process/http/http_client.ts
@@ -96,6 +96,7 @@
   readonly #resolve: (answer: IncomingAnswer) => void;
   readonly #reject: (error: Error) => void;
   readonly #timer: NodeJS.Timeout;
+  #lastRead: NodeJS.Immediate | undefined;
   readonly #signal: AbortSignal | undefined;
   readonly #chunks: Buffer[] = [];
   #controller: Dispatcher.DispatchController | undefined;
@@ -113,13 +114,23 @@
     this.#resolve = resolve;
     this.#reject = reject;
     this.#timer = setTimeout(
-      () => this.#end(new CallTimeoutError(`no answer within ${timeoutMs} ms`)),
+      () => this.#timeOut(timeoutMs),
       Math.ceil(timeoutMs),
     );
     this.#signal = signal;
     signal?.addEventListener("abort", this.#onAbort);
   }
 
+  /**
+   * After a turn that blocked the event loop, timers come before input: reads
+   * the answers that have arrived meanwhile first.
+   */
+  #timeOut(timeoutMs: number): void {
+    this.#lastRead = setImmediate(() =>
+      this.#end(new CallTimeoutError(`no answer within ${timeoutMs} ms`))
+    );
+  }
+
   #onAbort = (): void => {
     this.#end(new CallAbandonedError("the call was abandoned"));
   };
@@ -172,6 +183,7 @@
 
   #stopWaiting(): void {
     clearTimeout(this.#timer);
+    clearImmediate(this.#lastRead);
     this.#signal?.removeEventListener("abort", this.#onAbort);
   }
 }
--- a/src/process/http/http_client_test.ts
+++ b/src/process/http/http_client_test.ts
@@ -1,6 +1,8 @@
 import test from "ava";
 import { createServer, type Server } from "node:http";
 import type { AddressInfo } from "node:net";
+import { once } from "node:events";
+import { Worker } from "node:worker_threads";
 import { CallTimeoutError, HttpClient } from "./http_client.ts";
 
 const OPTIONS = { connections: 1, keepAliveMs: 1_000, connectTimeoutMs: 500 };
@@ -91,3 +93,30 @@
   await client.close();
   await closeServer(server);
 });
+
+/** Answers each call after 50 ms, whatever the event loop of the test does. */
+const DELAYED_SERVER = `
+  const { createServer } = require("node:http");
+  const { parentPort } = require("node:worker_threads");
+  const server = createServer((request, response) => {
+    request.resume();
+    setTimeout(() => response.end("answer"), 50);
+  });
+  server.listen(0, "127.0.0.1", () => parentPort.postMessage(server.address().port));
+`;
+
+test("an answer that arrived while the event loop was blocked isn't taken for a timeout", async (t) => {
+  const thread = new Worker(DELAYED_SERVER, { eval: true });
+  t.teardown(() => thread.terminate());
+  const [port] = await once(thread, "message");
+  const client = new HttpClient(OPTIONS);
+  t.teardown(() => client.close());
+  const call = { ...CALL, address: `127.0.0.1:${port}`, body: "" };
+  await client.call({ ...call, timeoutMs: 5_000 });
+  const answered = client.call({ ...call, timeoutMs: 200 });
+  // Timers come before input after a turn like this one.
+  await new Promise((done) => setTimeout(() => setImmediate(done), 10));
+  const blockedUntilMs = performance.now() + 500;
+  while (performance.now() < blockedUntilMs);
+  t.is((await answered).body.toString(), "answer");
+});
