Limit how many calls are sent again to a leader that has them

Callers saw: nothing answered for good, under a steady load of three quarters of what the leader can handle, after a burst that took it longer than 700 ms. Cause: the class of the fault is a retry storm that sustains itself. Each call that waited was sent again, so the load grew with the delay, and the delay never fell below the patience. Sending again after 1 s only moves the limit. Change: a call goes to an instance that has it again only from a budget, a tenth of the calls answered and three at once. Evidence: 'calls are answered again after a burst that a leader took long for': on none of the calls sent later than 6 s after the burst is answered, nor without the budget; all are now.

--- a/src/process/batch/call_attempts.ts
+++ b/src/process/batch/call_attempts.ts
@@ -31,10 +31,9 @@
 
 /**
  * An instance that hasn't answered for this long may be sent the call again: its
- * connection may have been lost silently. A leader answers a call that it has
- * already with little work.
+ * connection may have been lost silently.
  */
-const RESEND_MS = 1_000;
+const OVERDUE_MS = 1_000;
 
 /** Maximum number of attempts that a description names. */
 const DESCRIBED_LIMIT = 12;
@@ -64,12 +63,18 @@
     return this.#hasUnknownOutcome || this.#open.size > 0;
   }
 
-  /** Whether the instance has the call and still has time to answer it. */
-  isPendingAt(instanceId: string): boolean {
-    const sinceMs = this.#options.clock.nowMs() - RESEND_MS;
-    return [...this.#open].some((attempt) =>
-      attempt.instanceId === instanceId && attempt.beganAtMs > sinceMs
-    );
+  /** Whether the instance has the call and hasn't answered it. */
+  isOpenAt(instanceId: string): boolean {
+    return [...this.#open].some((attempt) => attempt.instanceId === instanceId);
+  }
+
+  /** Whether the instance has had the call for so long that it may be lost. */
+  isOverdueAt(instanceId: string): boolean {
+    const beforeMs = this.#options.clock.nowMs() - OVERDUE_MS;
+    return this.isOpenAt(instanceId) &&
+      [...this.#open].every((attempt) =>
+        attempt.instanceId !== instanceId || attempt.beganAtMs <= beforeMs
+      );
   }
 
   /** Sends the call to an instance. */
--- a/src/process/batch/leader_finder.ts
+++ b/src/process/batch/leader_finder.ts
@@ -10,6 +10,7 @@
 import { CallAttempts, type EndedAttempt } from "./call_attempts.ts";
 import type { CallTransport } from "./call_transport.ts";
 import type { JobAnswer, JobCall } from "./job_call.ts";
+import { ResendBudget } from "./resend_budget.ts";
 
 /** Options of {@link LeaderFinder}. */
 export interface LeaderFinderOptions {
@@ -102,6 +103,7 @@
    */
   #lastAnswerAtMs: number;
   #candidateIndex = 0;
+  readonly #resends = new ResendBudget();
   #pingTimer: Timer | undefined;
 
   constructor(options: LeaderFinderOptions) {
@@ -200,7 +202,7 @@
       }
       this.#learnFrom(ended, attempts);
       if (
-        this.#leaderId === undefined || attempts.isPendingAt(this.#leaderId)
+        this.#leaderId === undefined || attempts.isOpenAt(this.#leaderId)
       ) {
         await this.#delay(RETRY_DELAY_MS);
       }
@@ -269,7 +271,9 @@
   #chooseTarget(attempts: CallAttempts): string | undefined {
     const leaderId = this.#leaderId;
     if (leaderId !== undefined) {
-      if (!attempts.isPendingAt(leaderId)) {
+      const mayBegin = !attempts.isOpenAt(leaderId) ||
+        (attempts.isOverdueAt(leaderId) && this.#resends.take());
+      if (mayBegin) {
         return leaderId;
       }
       if (this.#isResponsive(leaderId)) {
@@ -280,7 +284,7 @@
       this.#candidateIndex += 1;
       const candidate = this
         .#candidates[this.#candidateIndex % this.#candidates.length]!;
-      if (!attempts.isPendingAt(candidate)) {
+      if (!attempts.isOpenAt(candidate)) {
         return candidate;
       }
     }
@@ -302,6 +306,7 @@
     const nowMs = this.#options.clock.nowMs();
     this.#leaderId = instanceId;
     this.#latestAnswer = { instanceId, atMs: nowMs };
+    this.#resends.earn();
     this.#lastAnswerAtMs = nowMs;
   }
 
@@ -350,7 +355,7 @@
       return;
     }
     const isUseful = leaderId !== undefined && leaderId !== instanceId &&
-      !attempts.isPendingAt(leaderId);
+      (!attempts.isOpenAt(leaderId) || attempts.isOverdueAt(leaderId));
     if (isUseful) {
       this.#leaderId = leaderId;
     } else if (this.#leaderId === instanceId) {
--- a/src/process/batch/leader_finder_test.ts
+++ b/src/process/batch/leader_finder_test.ts
@@ -35,6 +35,35 @@
   }
 }
 
+/** A leader that handles one call after the other, each in 50 ms. */
+class BusyLeader implements CallTransport {
+  readonly clock: FakeClock;
+  #idleAtMs = 0;
+
+  constructor(clock: FakeClock) {
+    this.clock = clock;
+  }
+
+  async call(
+    _instanceId: string,
+    _call: JobCall,
+    { timeoutMs }: { timeoutMs: number },
+  ): Promise<Result<JobAnswer>> {
+    const nowMs = this.clock.nowMs();
+    this.#idleAtMs = Math.max(this.#idleAtMs, nowMs) + 50;
+    const delayMs = this.#idleAtMs - nowMs;
+    const waitMs = Math.min(delayMs, timeoutMs);
+    await new Promise<void>((done) => this.clock.after(waitMs, done));
+    return delayMs > timeoutMs
+      ? Left(new SesameError("outcomeUnknown"))
+      : Right<JobAnswer>({ kind: "cancelled" });
+  }
+
+  close(): Promise<void> {
+    return Promise.resolve();
+  }
+}
+
 const STATE_CALL: JobCall = {
   kind: "state",
   target: { host: "h", path: "/q/1", apiKey: undefined },
@@ -299,3 +328,37 @@
   kinds.push((await submit()).kind);
   t.true(kinds.includes("unknown"), kinds.join());
 });
+
+test("calls are answered again after a burst that a leader took long for", async (t) => {
+  const clock = new FakeClock({ startMs: 1_000 });
+  const finder = new LeaderFinder({
+    transport: new BusyLeader(clock),
+    clock,
+    events: SILENT_EVENT_LOG,
+    seedIds: ["leader"],
+  });
+  const kinds: string[] = [];
+  const send = async (isCounted: boolean) => {
+    const deadlineMs = clock.nowMs() + 2_850;
+    const { kind } = await finder.call(CANCEL, { deadlineMs });
+    if (isCounted) {
+      kinds.push(kind);
+    }
+  };
+  const sent = Array.from({ length: 25 }, () => send(false));
+  // Steady load of three quarters of what the leader can handle.
+  for (let elapsedMs = 0; elapsedMs < 12_000; elapsedMs += 10) {
+    if (elapsedMs % 70 === 0) {
+      sent.push(send(elapsedMs >= 6_000));
+    }
+    clock.advance(10);
+    await new Promise((done) => setImmediate(done));
+  }
+  for (let turn = 0; turn < 300; turn++) {
+    clock.advance(10);
+    await new Promise((done) => setImmediate(done));
+  }
+  await Promise.all(sent);
+  t.true(kinds.length > 80);
+  t.deepEqual([...new Set(kinds)], ["answered"]);
+});
