Count a leader's reply to a read that was sent again meanwhile

Cause: the class of the retry storm. Change: a read that is sent again stays open; the first reply counts.

--- a/src/process/replication/leader_calls.ts
+++ b/src/process/replication/leader_calls.ts
@@ -17,7 +17,8 @@
   RaftMessageOf,
 } from "./raft_message.ts";
 
-const READ_REPLY_TIMEOUT_MS = 600;
+/** A read without a reply is sent again after this; either reply counts. */
+const READ_RESEND_MS = 600;
 
 const NO_BYTES = new Uint8Array();
 
@@ -72,9 +73,9 @@
 
   /**
    * The index that must be applied before a read; undefined if no leader with a
-   * lease answers.
+   * lease answers by the deadline.
    */
-  async readIndex(): Promise<number | undefined> {
+  async readIndex(deadlineMs: number): Promise<number | undefined> {
     const { leaderId, role, commitIndex } = this.#driver.view;
     if (role === "leader") {
       return this.#driver.isLeaseHeld() ? commitIndex : undefined;
@@ -82,20 +83,35 @@
     if (leaderId === undefined) {
       return undefined;
     }
-    let id = 0;
-    const reply = await new Promise<PeerReply | undefined>((resolve) => {
+    const reply = await this.#awaitReadReply(deadlineMs);
+    return reply?.kind === "readReply" ? reply.index : undefined;
+  }
+
+  /** Asks the leader, again while it doesn't reply; it may have changed. */
+  #awaitReadReply(deadlineMs: number): Promise<PeerReply | undefined> {
+    return new Promise((resolve) => {
+      const ids: number[] = [];
+      const end = (reply: PeerReply | undefined) => {
+        resend.close();
+        timer.close();
+        ids.forEach((id) => this.#calls.cancel(id));
+        resolve(reply);
+      };
+      const ask = () => {
+        const { leaderId } = this.#driver.view;
+        if (leaderId !== undefined) {
+          const id = this.#calls.open(end);
+          ids.push(id);
+          this.#send(leaderId, { kind: "read", id });
+        }
+      };
+      const resend = this.#clock.every(READ_RESEND_MS, ask);
       const timer = this.#clock.after(
-        READ_REPLY_TIMEOUT_MS,
-        () => resolve(undefined),
+        deadlineMs - this.#clock.nowMs(),
+        () => end(undefined),
       );
-      id = this.#calls.open((received) => {
-        timer.close();
-        resolve(received);
-      });
-      this.#send(leaderId, { kind: "read", id });
+      ask();
     });
-    this.#calls.cancel(id);
-    return reply?.kind === "readReply" ? reply.index : undefined;
   }
 
   /** Handles a call or a reply; returns false for messages of the core. */
--- a/src/process/replication/replication_member.ts
+++ b/src/process/replication/replication_member.ts
@@ -172,7 +172,9 @@
       if (rejection !== undefined) {
         return rejection;
       }
-      index ??= await this.#session.calls.readIndex();
+      index ??= await this.#session.calls.readIndex(
+        options.deadlineMs,
+      );
       if (index !== undefined && this.#driver.appliedIndex >= index) {
         return Right(undefined);
       }
