Calls look for the leader together, and notice at once who has found it

Cause: calls that wait on a silent leader asked the others on their own, so that the more waited, the more the instances about to elect the next leader were asked; and each waited out its patience though another call had found it. Change: one candidate is asked every 100 ms by all calls of an instance; a call checks every 60 ms whether a leader is known.

--- a/src/process/batch/call_attempts.ts
+++ b/src/process/batch/call_attempts.ts
@@ -29,12 +29,6 @@
   readonly outcome: JobAnswer | "notTaken" | "unknown";
 }
 
-/**
- * An instance that hasn't answered for this long may be sent the call again: its
- * connection may have been lost silently.
- */
-const OVERDUE_MS = 1_000;
-
 /** Maximum number of attempts that a description names. */
 const DESCRIBED_LIMIT = 12;
 
@@ -63,18 +57,20 @@
     return this.#hasUnknownOutcome || this.#open.size > 0;
   }
 
-  /** Whether the instance has the call and hasn't answered it. */
-  isOpenAt(instanceId: string): boolean {
-    return [...this.#open].some((attempt) => attempt.instanceId === instanceId);
+  /** How many attempts have ended. */
+  get endedCount(): number {
+    return this.#endedCount;
   }
 
-  /** Whether the instance has had the call for so long that it may be lost. */
-  isOverdueAt(instanceId: string): boolean {
-    const beforeMs = this.#options.clock.nowMs() - OVERDUE_MS;
-    return this.isOpenAt(instanceId) &&
-      [...this.#open].every((attempt) =>
-        attempt.instanceId !== instanceId || attempt.beganAtMs <= beforeMs
-      );
+  /**
+   * How long the latest open attempt at the instance has waited; undefined if
+   * none is open there.
+   */
+  waitedAt(instanceId: string): number | undefined {
+    const beganAtMs = [...this.#open]
+      .filter((attempt) => attempt.instanceId === instanceId)
+      .reduce((latest, attempt) => Math.max(latest, attempt.beganAtMs), -1);
+    return beganAtMs < 0 ? undefined : this.#options.clock.nowMs() - beganAtMs;
   }
 
   /** Sends the call to an instance. */
--- a/src/process/batch/leader_finder.ts
+++ b/src/process/batch/leader_finder.ts
@@ -30,14 +30,26 @@
   | { readonly kind: "unknown" };
 
 /**
- * How long one instance may take before another one is asked, too: a round trip
+ * How long the leader may take before another instance is asked, too: a round trip
  * between regions and a commit on a slow disk. The first attempt stays open: a
  * busy leader would be asked again and again, and none of its answers awaited.
  */
 const ATTEMPT_PATIENCE_MS = 700;
 
-/** Delay before the next instance is tried while the leader isn't known. */
-const RETRY_DELAY_MS = 60;
+/**
+ * An instance that hasn't answered for this long may be sent the call again: its
+ * connection may have been lost silently.
+ */
+const OVERDUE_MS = 1_000;
+
+/** How often a call checks whether another instance can be tried. */
+const CHECK_PERIOD_MS = 60;
+
+/** Hints that a call follows at once: two instances may name each other. */
+const HINTS_AT_ONCE = 3;
+
+/** The least time between two instances that are asked who leads. */
+const SEARCH_PERIOD_MS = 100;
 
 /** How often an instance that serves callers calls the leader. */
 const PING_PERIOD_MS = 500;
@@ -103,6 +115,7 @@
    */
   #lastAnswerAtMs: number;
   #candidateIndex = 0;
+  #nextSearchAtMs = 0;
   readonly #resends = new ResendBudget();
   #pingTimer: Timer | undefined;
 
@@ -184,12 +197,8 @@
       if (target !== undefined) {
         attempts.begin(target);
       }
-      const patienceMs = target === undefined
-        ? RETRY_DELAY_MS
-        : ATTEMPT_PATIENCE_MS;
-      const ended = await attempts.next(Math.min(leftMs, patienceMs));
+      const ended = await attempts.next(Math.min(leftMs, CHECK_PERIOD_MS));
       if (ended === undefined) {
-        this.#doubtLeader(target);
         continue;
       }
       const answer = leaderAnswerOf(ended.outcome);
@@ -201,10 +210,8 @@
           : { kind: "unknown" };
       }
       this.#learnFrom(ended, attempts);
-      if (
-        this.#leaderId === undefined || attempts.isOpenAt(this.#leaderId)
-      ) {
-        await this.#delay(RETRY_DELAY_MS);
+      if (attempts.endedCount > HINTS_AT_ONCE) {
+        await this.#delay(CHECK_PERIOD_MS);
       }
     }
   }
@@ -266,25 +273,47 @@
 
   /**
    * The leader, or else the next candidate; undefined while the leader works on
-   * the call, or all candidates have it.
+   * the call, all candidates have it, or another call has just asked one.
    */
   #chooseTarget(attempts: CallAttempts): string | undefined {
     const leaderId = this.#leaderId;
-    if (leaderId !== undefined) {
-      const mayBegin = !attempts.isOpenAt(leaderId) ||
-        (attempts.isOverdueAt(leaderId) && this.#resends.take());
-      if (mayBegin) {
-        return leaderId;
-      }
-      if (this.#isResponsive(leaderId)) {
-        return undefined;
-      }
+    if (leaderId === undefined) {
+      return this.#nextCandidate(attempts);
+    }
+    const waitedMs = attempts.waitedAt(leaderId);
+    if (waitedMs === undefined) {
+      return leaderId;
+    }
+    if (waitedMs < ATTEMPT_PATIENCE_MS) {
+      return undefined;
+    }
+    if (waitedMs >= OVERDUE_MS && this.#resends.take()) {
+      return leaderId;
+    }
+    if (this.#isResponsive(leaderId)) {
+      return undefined;
+    }
+    // Lets other calls look for the leader, too.
+    this.#leaderId = undefined;
+    return this.#nextCandidate(attempts);
+  }
+
+  /**
+   * The next instance to ask who leads. All calls search together: what one of
+   * them learns holds for the others, and the instances that are asked may be
+   * about to elect the next leader.
+   */
+  #nextCandidate(attempts: CallAttempts): string | undefined {
+    const nowMs = this.#options.clock.nowMs();
+    if (nowMs < this.#nextSearchAtMs) {
+      return undefined;
     }
     for (let tried = 0; tried < this.#candidates.length; tried++) {
       this.#candidateIndex += 1;
       const candidate = this
         .#candidates[this.#candidateIndex % this.#candidates.length]!;
-      if (!attempts.isOpenAt(candidate)) {
+      if (attempts.waitedAt(candidate) === undefined) {
+        this.#nextSearchAtMs = nowMs + SEARCH_PERIOD_MS;
         return candidate;
       }
     }
@@ -310,15 +339,6 @@
     this.#lastAnswerAtMs = nowMs;
   }
 
-  /** Lets other calls look for the leader if it doesn't answer any. */
-  #doubtLeader(instanceId: string | undefined): void {
-    const isSilent = instanceId !== undefined &&
-      instanceId === this.#leaderId && !this.#isResponsive(instanceId);
-    if (isSilent) {
-      this.#leaderId = undefined;
-    }
-  }
-
   /** Learns who leads from an attempt that wasn't answered by the leader. */
   #learnFrom(ended: EndedAttempt, attempts: CallAttempts): void {
     const { instanceId, beganAtMs, outcome } = ended;
@@ -355,7 +375,7 @@
       return;
     }
     const isUseful = leaderId !== undefined && leaderId !== instanceId &&
-      (!attempts.isOpenAt(leaderId) || attempts.isOverdueAt(leaderId));
+      (attempts.waitedAt(leaderId) ?? OVERDUE_MS) >= OVERDUE_MS;
     if (isUseful) {
       this.#leaderId = leaderId;
     } else if (this.#leaderId === instanceId) {
--- a/src/programs/commands/explain.ts
+++ b/src/programs/commands/explain.ts
@@ -36,6 +36,8 @@
   "batchJobRefused",
   "batchCallUnanswered",
   "batchCallUnavailable",
+  "batchCancelAnswered",
+  "batchCancelHandled",
   "taskOrderUnanswered",
   "taskStartRefused",
   "taskPreempted",
