--- a/src/process/batch/call_attempts.ts
+++ b/src/process/batch/call_attempts.ts
@@ -29,6 +29,13 @@
   readonly outcome: JobAnswer | "notTaken" | "unknown";
 }
 
+interface OpenAttempt {
+  readonly instanceId: string;
+  readonly beganAtMs: number;
+  /** Whether the instance may have received the call. */
+  isSent: boolean;
+}
+
 /** Maximum number of attempts that a description names. */
 const DESCRIBED_LIMIT = 12;
 
@@ -36,7 +43,7 @@
 export class CallAttempts {
   readonly #options: CallAttemptsOptions;
   readonly #abort = new AbortController();
-  readonly #open = new Set<{ instanceId: string; beganAtMs: number }>();
+  readonly #open = new Set<OpenAttempt>();
   readonly #ended: EndedAttempt[] = [];
   readonly #described: string[] = [];
   #endedCount = 0;
@@ -54,7 +61,8 @@
 
   /** Whether an instance may have carried out the call without answering. */
   get mayHaveTakenEffect(): boolean {
-    return this.#hasUnknownOutcome || this.#open.size > 0;
+    return this.#hasUnknownOutcome ||
+      [...this.#open].some(({ isSent }) => isSent);
   }
 
   /** How many attempts have ended. */
@@ -75,7 +83,8 @@
 
   /** Sends the call to an instance. */
   begin(instanceId: string): void {
-    const attempt = { instanceId, beganAtMs: this.#options.clock.nowMs() };
+    const beganAtMs = this.#options.clock.nowMs();
+    const attempt = { instanceId, beganAtMs, isSent: false };
     this.#open.add(attempt);
     void this.#send(attempt);
   }
@@ -113,14 +122,15 @@
     ].join(" ");
   }
 
-  async #send(
-    attempt: { instanceId: string; beganAtMs: number },
-  ): Promise<void> {
+  async #send(attempt: OpenAttempt): Promise<void> {
     const { instanceId, beganAtMs } = attempt;
     const { transport, call, deadlineMs } = this.#options;
     const result = await transport.call(instanceId, call, {
       timeoutMs: deadlineMs - beganAtMs,
       signal: this.#abort.signal,
+      onSending: () => {
+        attempt.isSent = true;
+      },
     });
     const outcome = result.caseOf<EndedAttempt["outcome"]>({
       Left: (error) => error.kind === "unavailable" ? "notTaken" : "unknown",
--- a/src/process/batch/call_transport.ts
+++ b/src/process/batch/call_transport.ts
@@ -12,6 +12,8 @@
   readonly timeoutMs: number;
   /** Abandons the call, which may be carried out all the same. */
   readonly signal?: AbortSignal;
+  /** Called when the call is about to be sent: from then on it may be received. */
+  readonly onSending?: () => void;
 }
 
 /**
--- a/src/process/batch/http_call_transport.ts
+++ b/src/process/batch/http_call_transport.ts
@@ -8,7 +8,7 @@
 import { Right } from "purify-ts/Either";
 import type { Clock } from "../../base/clock.ts";
 import { failure, type Result } from "../../base/sesame_error.ts";
-import { HttpClient, type HttpEndpoint } from "../http/mod.ts";
+import { CallUnsentError, HttpClient, type HttpEndpoint } from "../http/mod.ts";
 import type { JobAnswer, JobCall } from "./job_call.ts";
 import type { CallOptions, CallTransport } from "./call_transport.ts";
 
@@ -59,7 +59,7 @@
   async call(
     instanceId: string,
     call: JobCall,
-    { timeoutMs, signal }: CallOptions,
+    options: CallOptions,
   ): Promise<Result<JobAnswer>> {
     const address = this.#options.addressOf(instanceId);
     try {
@@ -74,8 +74,7 @@
             sentAtMs: this.#options.clock.nowMs(),
           } satisfies SentCall,
         ),
-        timeoutMs,
-        ...(signal === undefined ? {} : { signal }),
+        ...options,
       });
       return status === 200
         ? Right(unpack(body) as JobAnswer)
@@ -94,6 +93,9 @@
 
 /** Whether an error proves that no byte of a call was sent. */
 export function wasNeverSent(error: unknown): boolean {
+  if (error instanceof CallUnsentError) {
+    return true;
+  }
   const code = error instanceof Error && "code" in error
     ? error.code
     : undefined;
--- a/src/process/batch/leader_finder.ts
+++ b/src/process/batch/leader_finder.ts
@@ -204,10 +204,12 @@
       const answer = leaderAnswerOf(ended.outcome);
       if (answer !== undefined) {
         this.#recordLeader(ended.instanceId);
+        if (!isCertain(call, answer, attempts)) {
+          this.#logGivenUp(call, { leftMs, attempts });
+          return { kind: "unknown" };
+        }
         this.#logCancel(call, { answer, beganAtMs, attempts });
-        return isCertain(call, answer, attempts)
-          ? { kind: "answered", answer }
-          : { kind: "unknown" };
+        return { kind: "answered", answer };
       }
       this.#learnFrom(ended, attempts);
       if (attempts.endedCount > HINTS_AT_ONCE) {
--- a/src/process/batch/leader_finder_test.ts
+++ b/src/process/batch/leader_finder_test.ts
@@ -3,13 +3,15 @@
 import { FakeClock, type Result, SesameError } from "../../base/mod.ts";
 import { SILENT_EVENT_LOG } from "../../base/event_log.ts";
 import type { JobAnswer, JobCall } from "./job_call.ts";
-import type { CallTransport } from "./call_transport.ts";
+import type { CallOptions, CallTransport } from "./call_transport.ts";
 import { LeaderFinder } from "./leader_finder.ts";
 
 /** Instances that return a test's answers, by default after 10 ms. */
 class FakeTransport implements CallTransport {
   readonly calledIds: string[] = [];
   readonly delaysMs: Record<string, number> = {};
+  /** Instances to which no connection is free. */
+  readonly unsentIds = new Set<string>();
 
   constructor(
     readonly clock: FakeClock,
@@ -19,14 +21,18 @@
   async call(
     instanceId: string,
     _call: JobCall,
-    { timeoutMs }: { timeoutMs: number },
+    { timeoutMs, onSending }: CallOptions,
   ): Promise<Result<JobAnswer>> {
     this.calledIds.push(instanceId);
+    if (!this.unsentIds.has(instanceId)) {
+      onSending?.();
+    }
     const delayMs = this.delaysMs[instanceId] ?? 10;
     const waitMs = Math.min(delayMs, timeoutMs);
     await new Promise<void>((done) => this.clock.after(waitMs, done));
+    const isUnsent = this.unsentIds.has(instanceId);
     return delayMs > timeoutMs
-      ? Left(new SesameError("outcomeUnknown"))
+      ? Left(new SesameError(isUnsent ? "unavailable" : "outcomeUnknown"))
       : this.answers[instanceId]!();
   }
 
@@ -47,8 +53,9 @@
   async call(
     _instanceId: string,
     _call: JobCall,
-    { timeoutMs }: { timeoutMs: number },
+    { timeoutMs, onSending }: CallOptions,
   ): Promise<Result<JobAnswer>> {
+    onSending?.();
     const nowMs = this.clock.nowMs();
     this.#idleAtMs = Math.max(this.#idleAtMs, nowMs) + 50;
     const delayMs = this.#idleAtMs - nowMs;
@@ -294,6 +301,22 @@
   t.is(answer.kind, "unknown");
 });
 
+test("a call that no connection was free for was not taken", async (t) => {
+  const { clock, transport, finder } = newFinder({
+    a: () => Right(CANCELLED),
+    b: () => Right(CANCELLED),
+  });
+  for (const id of ["a", "b"]) {
+    transport.delaysMs[id] = 60_000;
+    transport.unsentIds.add(id);
+  }
+  const answer = await settle(
+    clock,
+    finder.call(CANCEL, { deadlineMs: clock.nowMs() + 500 }),
+  );
+  t.is(answer.kind, "notTaken");
+});
+
 test("a job isn't reported as rejected while another instance may store it", async (t) => {
   const { clock, transport, finder } = newFinder({
     a: () => Right<JobAnswer>({ kind: "accepted" }),
--- a/src/process/http/http_client.ts
+++ b/src/process/http/http_client.ts
@@ -32,6 +32,8 @@
   readonly timeoutMs: number;
   /** Abandons the call: nobody waits for its answer any more. */
   readonly signal?: AbortSignal;
+  /** Called when the call has a connection and is about to be sent. */
+  readonly onSending?: () => void;
 }
 
 /** The answer to one call. */
@@ -45,6 +47,9 @@
   override readonly name = "CallTimeoutError";
 }
 
+/** No connection was free in time; the call was never sent. */
+export class CallUnsentError extends CallTimeoutError {}
+
 /** The call was abandoned; it may have been executed. */
 export class CallAbandonedError extends Error {
   override readonly name = "CallAbandonedError";
@@ -67,14 +72,13 @@
   }
 
   /**
-   * Rejects with undici's error, {@link CallTimeoutError} or
-   * {@link CallAbandonedError}.
+   * Rejects with undici's error, {@link CallTimeoutError},
+   * {@link CallUnsentError} or {@link CallAbandonedError}.
    */
   call(outgoing: OutgoingCall): Promise<IncomingAnswer> {
-    const { address, method, path, headers, body, timeoutMs, signal } =
-      outgoing;
+    const { address, method, path, headers, body } = outgoing;
     return new Promise((resolve, reject) => {
-      const pending = new PendingCall({ resolve, reject, timeoutMs, signal });
+      const pending = new PendingCall({ resolve, reject, outgoing });
       this.#agent.dispatch({
         origin: `http://${address}`,
         method,
@@ -97,7 +101,7 @@
   readonly #reject: (error: Error) => void;
   readonly #timer: NodeJS.Timeout;
   #lastRead: NodeJS.Immediate | undefined;
-  readonly #signal: AbortSignal | undefined;
+  readonly #outgoing: OutgoingCall;
   readonly #chunks: Buffer[] = [];
   #controller: Dispatcher.DispatchController | undefined;
   #status = 0;
@@ -107,28 +111,32 @@
   constructor(options: {
     resolve: (answer: IncomingAnswer) => void;
     reject: (error: Error) => void;
-    timeoutMs: number;
-    signal: AbortSignal | undefined;
+    outgoing: OutgoingCall;
   }) {
-    const { resolve, reject, timeoutMs, signal } = options;
+    const { resolve, reject, outgoing } = options;
     this.#resolve = resolve;
     this.#reject = reject;
+    this.#outgoing = outgoing;
     this.#timer = setTimeout(
-      () => this.#timeOut(timeoutMs),
-      Math.ceil(timeoutMs),
+      () => this.#timeOut(),
+      Math.ceil(outgoing.timeoutMs),
     );
-    this.#signal = signal;
-    signal?.addEventListener("abort", this.#onAbort);
+    outgoing.signal?.addEventListener("abort", this.#onAbort);
   }
 
   /**
    * After a turn that blocked the event loop, timers come before input: reads
    * the answers that have arrived meanwhile first.
    */
-  #timeOut(timeoutMs: number): void {
-    this.#lastRead = setImmediate(() =>
-      this.#end(new CallTimeoutError(`no answer within ${timeoutMs} ms`))
-    );
+  #timeOut(): void {
+    this.#lastRead = setImmediate(() => {
+      const text = `no answer within ${this.#outgoing.timeoutMs} ms`;
+      this.#end(
+        this.#controller === undefined
+          ? new CallUnsentError(text)
+          : new CallTimeoutError(text),
+      );
+    });
   }
 
   #onAbort = (): void => {
@@ -139,7 +147,9 @@
     this.#controller = controller;
     if (this.#endError !== undefined) {
       controller.abort(this.#endError);
+      return;
     }
+    this.#outgoing.onSending?.();
   }
 
   onResponseStart(
@@ -184,6 +194,6 @@
   #stopWaiting(): void {
     clearTimeout(this.#timer);
     clearImmediate(this.#lastRead);
-    this.#signal?.removeEventListener("abort", this.#onAbort);
+    this.#outgoing.signal?.removeEventListener("abort", this.#onAbort);
   }
 }
--- a/src/process/http/http_client_test.ts
+++ b/src/process/http/http_client_test.ts
@@ -3,7 +3,11 @@
 import type { AddressInfo } from "node:net";
 import { once } from "node:events";
 import { Worker } from "node:worker_threads";
-import { CallTimeoutError, HttpClient } from "./http_client.ts";
+import {
+  CallTimeoutError,
+  CallUnsentError,
+  HttpClient,
+} from "./http_client.ts";
 
 const OPTIONS = { connections: 1, keepAliveMs: 1_000, connectTimeoutMs: 500 };
 
@@ -76,8 +80,9 @@
   const unanswered = { ...CALL, address, path: "/silent", body: "" };
   const first = client.call({ ...unanswered, timeoutMs: 150 });
   const waiting = client.call({ ...CALL, address, body: "", timeoutMs: 50 });
-  await t.throwsAsync(waiting, { instanceOf: CallTimeoutError });
-  await t.throwsAsync(first, { instanceOf: CallTimeoutError });
+  await t.throwsAsync(waiting, { instanceOf: CallUnsentError });
+  const error = await t.throwsAsync(first, { instanceOf: CallTimeoutError });
+  t.false(error instanceof CallUnsentError);
   const next = await client.call({
     ...CALL,
     address,
--- a/src/process/http/mod.ts
+++ b/src/process/http/mod.ts
@@ -27,4 +27,4 @@
   type MetricLabels,
   MetricsRegistry,
 } from "./metrics_registry.ts";
-export { HttpClient } from "./http_client.ts";
+export { CallUnsentError, HttpClient } from "./http_client.ts";
