A call ends at its deadline, though attempts end late; a property of all calls

Cause: after its third hint a call paused for 60 ms beyond its deadline, once for each attempt that had ended meanwhile: 119 ms late in the case found, of the 150 ms that are left for sending the answer. Change: the pause ends at the deadline, and there is none while ended attempts wait.

--- a/src/process/batch/leader_finder.ts
+++ b/src/process/batch/leader_finder.ts
@@ -212,8 +212,11 @@
         return { kind: "answered", answer };
       }
       this.#learnFrom(ended, attempts);
-      if (attempts.endedCount > HINTS_AT_ONCE) {
-        await this.#delay(CHECK_PERIOD_MS);
+      const untilDeadlineMs = deadlineMs - clock.nowMs();
+      const shouldDelay = attempts.endedCount > HINTS_AT_ONCE &&
+        !attempts.hasEnded && untilDeadlineMs > 0;
+      if (shouldDelay) {
+        await this.#delay(Math.min(untilDeadlineMs, CHECK_PERIOD_MS));
       }
     }
   }
