--- a/src/process/batch/testing/batch_history.ts
+++ b/src/process/batch/testing/batch_history.ts
@@ -8,11 +8,14 @@
 import { JobPhase } from "../job_record.ts";
 import type { JobSpec, StepSpec } from "../job_spec.ts";
 import { BatchSimulation } from "./batch_simulation.ts";
+import { takeNetworkStep } from "./network_steps.ts";
 
 /** Options of a history. */
 export interface HistoryOptions {
   readonly seed: number;
   readonly steps: number;
+  /** Whether some steps are those of {@link takeNetworkStep}. */
+  readonly hasNetworkSteps?: boolean;
   /** Receives the leaders' events, to analyse a failing history. */
   readonly events?: EventLog;
 }
@@ -39,7 +42,17 @@
   const steps: string[] = [];
   const cancelled = new Set<string>();
   for (let number = 0; number < options.steps; number++) {
-    steps.push(await takeStep(simulation, { number, cancelled }));
+    const { random } = simulation;
+    const isNetworkStep = options.hasNetworkSteps === true &&
+      random.nextInt(3) === 0;
+    steps.push(
+      isNetworkStep
+        ? await takeNetworkStep(simulation, {
+          worker: `w${random.nextInt(WORKERS)}`,
+          cancelled,
+        })
+        : await takeStep(simulation, { number, cancelled }),
+    );
     if (simulation.pool.violations.length > 0) {
       break;
     }
--- a/src/process/batch/testing/batch_history_test.ts
+++ b/src/process/batch/testing/batch_history_test.ts
@@ -33,3 +33,18 @@
   }
   t.true(starts > HISTORIES, `${starts} starts are too few to test anything`);
 });
+
+test("histories with refused connections, clock steps, departures and repeated calls violate no invariant", async (t) => {
+  for (let seed = 1; seed <= HISTORIES / 2; seed++) {
+    const result = await runHistory({
+      seed,
+      steps: STEPS,
+      hasNetworkSteps: true,
+    });
+    t.deepEqual(
+      result.violations,
+      [],
+      `seed ${seed}: ${result.steps.join("; ")}`,
+    );
+  }
+});
--- a/test/fuzz/main.ts
+++ b/test/fuzz/main.ts
@@ -1,9 +1,10 @@
 /**
- * `npm run fuzz -- --seed N --runs M`: runs random histories of the whole
- * system; with `--suite platform`, of the batch scheduler; with `--suite soak`,
- * one pool of the batch scheduler through M rounds of faults; with `--suite
- * replication`, of each kind of replication group. A failing history is printed with its seed and steps, one of the whole system also with its
- * timeline.
+ * `npm run fuzz -- --seed N --runs M`: runs random histories of the whole system;
+ * with `--suite platform`, of the batch scheduler; with `--suite network`, the
+ * same with a network and clocks that mislead it; with `--suite soak`, one pool of
+ * the batch scheduler through M rounds of faults; with `--suite replication`, of
+ * each kind of replication group. A failing history is printed with its seed and
+ * steps, one of the whole system also with its timeline.
  *
  * @module
  */
@@ -39,6 +40,8 @@
 
 const CAMPAIGNS: Readonly<Record<string, Campaign>> = {
   platform: runPlatformCampaign,
+  network: (range, print) =>
+    runPlatformCampaign({ ...range, hasNetworkSteps: true }, print),
   replication: runReplicationCampaign,
 };
 
@@ -51,7 +54,7 @@
   });
   cli.option(
     "--suite <name>",
-    "Suite: system, platform, replication or soak",
+    "Suite: system, platform, network, replication or soak",
     { default: "system" },
   );
   cli.help();
--- a/test/fuzz/platform_campaign.ts
+++ b/test/fuzz/platform_campaign.ts
@@ -13,7 +13,7 @@
 
 /** Runs histories, prints the failing ones, and counts both outcomes. */
 export async function runPlatformCampaign(
-  options: { seed: number; runs: number },
+  options: { seed: number; runs: number; hasNetworkSteps?: boolean },
   print: (line: string) => void,
 ): Promise<{ passed: number; failed: number }> {
   let failed = 0;
@@ -22,6 +22,7 @@
     const { violations, steps } = await runHistory({
       seed,
       steps: STEPS_PER_HISTORY,
+      hasNetworkSteps: options.hasNetworkSteps ?? false,
     });
     if (violations.length > 0) {
       failed += 1;
