--- a/src/base/events/replication_events.ts
+++ b/src/base/events/replication_events.ts
@@ -108,4 +108,30 @@
     text: "The leader added or removed a voter, or failed to.",
     fields: ["change", "member", "isDone"],
   },
+  voteAwaited: {
+    number: 3516,
+    level: "info",
+    text:
+      "This member has no vote; `waitingFor` is the next thing that it lacks: an open link, a leader, the leader's state, its latest entries, or a vacancy among the voters.",
+    fields: ["group", "waitingFor", "sinceStartMs", "leader", "linked"],
+  },
+  voteGained: {
+    number: 3517,
+    level: "info",
+    text: "This member is a voter of its group.",
+    fields: ["group", "sinceStartMs"],
+  },
+  groupWithoutLeader: {
+    number: 3518,
+    level: "warn",
+    text:
+      "This member knows no leader. No leader can be elected while fewer than `needed` of `voters` reach each other; this member has no open link to those in `lacking`.",
+    fields: ["group", "leaderlessMs", "voters", "lacking", "needed", "term"],
+  },
+  groupHasLeader: {
+    number: 3519,
+    level: "info",
+    text: "This member knows a leader again.",
+    fields: ["group", "leader", "afterMs"],
+  },
 } as const satisfies Record<string, EventDefinition>;
--- a/src/process/batch/state_host.ts
+++ b/src/process/batch/state_host.ts
@@ -16,6 +16,7 @@
 import { ClusterKey, WsPeerNetwork } from "../../connection/mod.ts";
 import {
   type GroupMember,
+  GroupMonitor,
   ReplicationMember,
   VoterReconciler,
 } from "../replication/mod.ts";
@@ -77,6 +78,7 @@
   readonly #network: WsPeerNetwork;
   readonly #voterReconciler: VoterReconciler;
   readonly #peerCheck: Timer;
+  readonly #monitor: GroupMonitor;
 
   private constructor(
     options: StateHostOptions,
@@ -114,6 +116,13 @@
     this.#peerCheck = clock.every(PEER_CHECK_MS, () => {
       member.status().voterIds.forEach((id) => peers.add(id));
     });
+    this.#monitor = new GroupMonitor({
+      log: member,
+      network,
+      clock,
+      events,
+      metrics: options.metrics,
+    });
   }
 
   /** Connects to the peers, reads the stored state and joins the group. */
@@ -143,6 +152,7 @@
 
   async close(): Promise<void> {
     this.#peerCheck.close();
+    this.#monitor.close();
     this.#voterReconciler.close();
     await this.service.close();
     await this.#network.close();
--- a/src/process/batch/testing/run_events_test.ts
+++ b/src/process/batch/testing/run_events_test.ts
@@ -3,7 +3,7 @@
  */
 
 import test from "ava";
-import type { EventFields, EventLog } from "../../../base/event_log.ts";
+import { EventRecord } from "../../../base/event_record.ts";
 import { BatchSimulation } from "./batch_simulation.ts";
 import { stepSpec } from "./step_fixture.ts";
 
@@ -13,20 +13,6 @@
   estimateMs: 4_000,
 });
 
-/** Keeps all events. */
-class EventRecord implements EventLog {
-  readonly #events: { name: string; fields: EventFields }[] = [];
-
-  emit(name: string, fields: EventFields = {}): void {
-    this.#events.push({ name, fields });
-  }
-
-  of(name: string): EventFields[] {
-    return this.#events.filter((event) => event.name === name)
-      .map(({ fields }) => fields);
-  }
-}
-
 /** A pool of three workers on which the two tasks of one job run. */
 async function runTwoTasks(): Promise<
   { simulation: BatchSimulation; events: EventRecord }
--- a/src/process/replication/mod.ts
+++ b/src/process/replication/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export { registerDiskMetrics } from "./disk_metrics.ts";
+export { GroupMonitor } from "./group_monitor.ts";
 export type { GroupMember } from "./raft_effect.ts";
 export {
   type DiskStatus,
