--- a/src/process/batch/state_host.ts
+++ b/src/process/batch/state_host.ts
@@ -6,16 +6,9 @@
  */
 
 import type { Result } from "../../base/sesame_error.ts";
-import type {
-  Clock,
-  EventLog,
-  RandomSource,
-  Storage,
-  Timer,
-} from "../../base/mod.ts";
+import type { Clock, EventLog, RandomSource, Storage } from "../../base/mod.ts";
 import { ClusterKey, WsPeerNetwork } from "../../connection/mod.ts";
 import {
-  type GroupMember,
   GroupMonitor,
   ReplicationMember,
   VoterReconciler,
@@ -27,14 +20,12 @@
 import { BatchService } from "./batch_service.ts";
 import { BatchState } from "./batch_state.ts";
 import type { BatchTiming } from "./batch_timing.ts";
+import { PeerList } from "./peer_list.ts";
 import type { WorkerCalls } from "./worker_calls.ts";
 
 /** The group's ID in its messages and on disk. */
 const GROUP_ID = "batch";
 
-/** How often the group's voters are added to the known peers. */
-const PEER_CHECK_MS = 1_000;
-
 /**
  * Elections are fast: urgent jobs leave 1.7 s for one, and the members are at
  * most 20 ms apart. A leader counts as silent after four lost heartbeats.
@@ -77,7 +68,7 @@
   readonly member: ReplicationMember<BatchCommand, BatchOutcome>;
   readonly #network: WsPeerNetwork;
   readonly #voterReconciler: VoterReconciler;
-  readonly #peerCheck: Timer;
+  readonly #peers: PeerList;
   readonly #monitor: GroupMonitor;
 
   private constructor(
@@ -113,9 +104,7 @@
       events,
       wantedVoters: wantedVoters(options),
     });
-    this.#peerCheck = clock.every(PEER_CHECK_MS, () => {
-      member.status().voterIds.forEach((id) => peers.add(id));
-    });
+    this.#peers = peers;
     this.#monitor = new GroupMonitor({
       log: member,
       network,
@@ -127,15 +116,36 @@
 
   /** Connects to the peers, reads the stored state and joins the group. */
   static async open(options: StateHostOptions): Promise<Result<StateHost>> {
-    const peers = new PeerList(options);
-    await peers.network.open();
+    const { selfId, seedIds, peerAddressOf } = options;
+    const addressOf = (id: string) => ({ id, address: peerAddressOf(id) });
+    const peers: PeerList = new PeerList({
+      selfId,
+      seedIds,
+      connect: (id) => network.addPeer(addressOf(id)),
+    });
+    const network: WsPeerNetwork = new WsPeerNetwork({
+      self: addressOf(selfId),
+      peers: seedIds.filter((id) => id !== selfId).map(addressOf),
+      clusterName: options.clusterName,
+      clusterKey: new ClusterKey({ key: options.clusterKey }),
+      clock: options.clock,
+      hybridClock: new HybridClock({ clock: options.clock }),
+      random: options.random,
+      events: options.events,
+      admit: (id) => {
+        peers.admit(id);
+        return addressOf(id);
+      },
+    });
+    await network.open();
     const state = new BatchState();
     const opened = await ReplicationMember.open<BatchCommand, BatchOutcome>({
       groupId: GROUP_ID,
       members: peers.members,
       founderIds: options.formsGroup ? options.seedIds : [],
       wantedVoters: wantedVoters(options),
-      network: peers.network,
+      onMemberNamed: (id) => peers.add(id),
+      network,
       clock: options.clock,
       random: options.random,
       machine: state,
@@ -143,15 +153,17 @@
       events: options.events,
       timing: GROUP_TIMING,
     });
-    const { network } = peers;
-    return opened.map((member) => {
-      member.status().voterIds.forEach((id) => peers.add(id));
-      return new StateHost(options, { network, member, state, peers });
-    });
+    return opened.map((member) =>
+      new StateHost(options, { network, member, state, peers })
+    );
+  }
+
+  /** Connects to the instances of settings that were read again. */
+  addSeeds(seedIds: readonly string[]): void {
+    seedIds.forEach((id) => this.#peers.add(id));
   }
 
   async close(): Promise<void> {
-    this.#peerCheck.close();
     this.#monitor.close();
     this.#voterReconciler.close();
     await this.service.close();
@@ -163,50 +175,3 @@
 function wantedVoters({ lossesBorne }: { lossesBorne: number }): number {
   return 2 * lossesBorne + 1;
 }
-
-/** The known instances that replicate the state, and the network to them. */
-class PeerList {
-  readonly members: GroupMember[];
-  readonly network: WsPeerNetwork;
-  readonly #options: StateHostOptions;
-
-  constructor(options: StateHostOptions) {
-    this.#options = options;
-    const { selfId, seedIds, clock, events, random, peerAddressOf } = options;
-    this.members = [...new Set([selfId, ...seedIds])].map(newMember);
-    this.network = new WsPeerNetwork({
-      self: { id: selfId, address: peerAddressOf(selfId) },
-      peers: seedIds.filter((id) => id !== selfId).map((id) => ({
-        id,
-        address: peerAddressOf(id),
-      })),
-      clusterName: options.clusterName,
-      clusterKey: new ClusterKey({ key: options.clusterKey }),
-      clock,
-      hybridClock: new HybridClock({ clock }),
-      random,
-      events,
-      admit: (id) => {
-        this.#addMember(id);
-        return { id, address: peerAddressOf(id) };
-      },
-    });
-  }
-
-  add(id: string): void {
-    if (id !== this.#options.selfId) {
-      this.#addMember(id);
-      this.network.addPeer({ id, address: this.#options.peerAddressOf(id) });
-    }
-  }
-
-  #addMember(id: string): void {
-    if (!this.members.some((member) => member.id === id)) {
-      this.members.push(newMember(id));
-    }
-  }
-}
-
-function newMember(id: string): GroupMember {
-  return { id, isVoter: true, isDurable: true };
-}
--- a/src/process/replication/core_driver.ts
+++ b/src/process/replication/core_driver.ts
@@ -6,6 +6,7 @@
 
 import type { Clock, Timer } from "../../base/clock.ts";
 import type { EventLog } from "../../base/event_log.ts";
+import type { InstanceId } from "../../base/identity.ts";
 import { SesameError } from "../../base/sesame_error.ts";
 import type { PeerChannel } from "../../connection/peer_network.ts";
 import type { AppliedState } from "./applied_state.ts";
@@ -28,6 +29,8 @@
   readonly events: EventLog;
   /** The interval of the core's ticks, in milliseconds. */
   readonly tickMs: number;
+  /** Called with members that aren't among the known ones. */
+  readonly onMemberNamed: (id: InstanceId) => void;
   /** Called after every step. */
   readonly onStep: () => void;
   /** Called when writes to the disk are synced. */
@@ -186,6 +189,8 @@
         return this.#proposals.markAppended(effect.token, effect);
       case "proposalRejected":
         return this.#proposals.markRejected(effect.token);
+      case "memberNamed":
+        return this.#options.onMemberNamed(effect.id);
       case "event":
         return this.#options.events.emit(effect.name, {
           group: this.#options.groupId,
--- a/src/process/replication/following.ts
+++ b/src/process/replication/following.ts
@@ -73,11 +73,17 @@
     serveLearner(state, from, message);
     return;
   }
-  state.send(from.id, {
+  sendRedirect(state, from);
+}
+
+/** Tells a member who leads, as far as this one knows. */
+export function sendRedirect(state: RaftState, to: Sender): void {
+  const voter = findVoter(state.configuration, to.id);
+  state.send(to.id, {
     kind: "redirect",
     ...(state.leaderId === undefined ? {} : { leaderId: state.leaderId }),
     lowerIncarnation: voter?.incarnation ?? 0,
-  }, from.incarnation);
+  }, to.incarnation);
 }
 
 /** Tracks the sender of a message, unless it is an outdated incarnation. */
@@ -119,8 +125,9 @@
 }
 
 /**
- * Sends a `follow` to the leader that a member named. A member without group
- * state raises its incarnation first, if it is too low.
+ * Sends a `follow` to the leader that a member named, or lets the owner connect
+ * to it first. A member without group state raises its incarnation before, if it
+ * is too low.
  */
 export function handleRedirect(
   state: RaftState,
@@ -129,10 +136,12 @@
   if (state.isFresh && message.lowerIncarnation >= state.incarnation) {
     state.incarnation = message.lowerIncarnation + 1;
   }
-  const isNewLeader = state.role === "learner" &&
-    state.leaderId === undefined &&
-    message.leaderId !== undefined && message.leaderId !== state.selfId;
-  if (isNewLeader) {
-    sendFollow(state, message.leaderId!);
+  const { leaderId } = message;
+  if (leaderId === undefined || leaderId === state.selfId) {
+    return;
+  }
+  state.nameMember(leaderId);
+  if (state.role === "learner" && state.leaderId === undefined) {
+    sendFollow(state, leaderId);
   }
 }
--- a/src/process/replication/member_options.ts
+++ b/src/process/replication/member_options.ts
@@ -30,6 +30,12 @@
    * if absent.
    */
   readonly wantedVoters?: number;
+  /**
+   * Called with a member that the log or another member names and that isn't
+   * one of `members`. It can't be reached before it is added there and to the
+   * network.
+   */
+  readonly onMemberNamed?: (id: InstanceId) => void;
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly random: RandomSource;
--- a/src/process/replication/member_session.ts
+++ b/src/process/replication/member_session.ts
@@ -65,6 +65,7 @@
       clock,
       events: options.events ?? SILENT_EVENT_LOG,
       tickMs: timing.tickMs,
+      onMemberNamed: options.onMemberNamed ?? (() => undefined),
       onStep: context.onStep,
       onSynced: () => disk.markSynced(),
       onFailure: context.onFailure,
--- a/src/process/replication/raft_effect.ts
+++ b/src/process/replication/raft_effect.ts
@@ -55,6 +55,7 @@
   | CommitEffect
   | ProposalAppended
   | ProposalRejected
+  | MemberNamed
   | EventEffect;
 
 /** A message to send once the persist effect `afterSequence` is synced. */
@@ -105,6 +106,12 @@
   readonly reason: "notLeader" | "overloaded";
 }
 
+/** A member that isn't among the known ones was named. */
+export interface MemberNamed {
+  readonly kind: "memberNamed";
+  readonly id: InstanceId;
+}
+
 /** An event to log. */
 export interface EventEffect {
   readonly kind: "event";
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -132,6 +132,8 @@
   confirmedFounders = new Map<InstanceId, number>();
   proposedFormationId: string | undefined;
 
+  /** The last configuration whose voters were reported. */
+  #namedConfiguration: GroupConfiguration | undefined;
   #effects: RaftEffect[] = [];
   #issuedTimestamps: number[] = [];
 
@@ -198,6 +200,13 @@
     return this.options.members.find((member) => member.id === id);
   }
 
+  /** Reports a member that isn't known, so that it can be reached from now on. */
+  nameMember(id: InstanceId): void {
+    if (id !== this.selfId && this.findMember(id) === undefined) {
+      this.emit({ kind: "memberNamed", id });
+    }
+  }
+
   /** Whether this member's log lists its current incarnation as a voter. */
   isVoterNow(): boolean {
     const voter = findVoter(this.configuration, this.selfId);
@@ -319,12 +328,21 @@
 
   /** Returns and clears the effects since the last call. */
   takeEffects(): RaftEffect[] {
+    this.#nameVoters();
     this.flush();
     const effects = this.#effects;
     this.#effects = [];
     return effects;
   }
 
+  #nameVoters(): void {
+    const { configuration } = this;
+    if (configuration !== this.#namedConfiguration) {
+      this.#namedConfiguration = configuration;
+      configuration.voters.forEach(({ id }) => this.nameMember(id));
+    }
+  }
+
   appendEntry(entry: LogEntry): void {
     this.log.append(entry);
     this.persistTracker.addEntry(entry);
--- a/src/process/replication/testing/member_group.ts
+++ b/src/process/replication/testing/member_group.ts
@@ -42,6 +42,11 @@
   readonly catchUpBytesPerSecond?: (peer: string) => number;
   readonly founderIds?: readonly string[];
   readonly wantedVoters?: number;
+  /** Those that a member knows, if not all; it may grow. */
+  readonly members?: readonly GroupMember[];
+  readonly onMemberNamed?: (id: string) => void;
+  /** The one-way delay of messages, in milliseconds. */
+  readonly delayMs?: (from: string, to: string) => number;
   /** Called with every message that is sent. */
   readonly onSend?: (from: string, to: string, body: unknown) => void;
 }
--- a/src/process/replication/testing/simulated_member.ts
+++ b/src/process/replication/testing/simulated_member.ts
@@ -227,6 +227,7 @@
       case "proposalAppended":
         return listener.onAppended(this, effect);
       case "proposalRejected":
+      case "memberNamed":
       case "event":
         return;
     }
