--- a/src/base/events/replication_events.ts
+++ b/src/base/events/replication_events.ts
@@ -105,8 +105,9 @@
   votersChanged: {
     number: 3512,
     level: "info",
-    text: "The leader added or removed a voter, or failed to.",
-    fields: ["change", "member", "isDone"],
+    text:
+      "This leader adds or removes a voter: one that lost its state or is silent is removed, one that has caught up fills a vacancy or replaces a silent one.",
+    fields: ["group", "change", "member", "reason"],
   },
   voteAwaited: {
     number: 3516,
--- a/src/process/batch/state_host.ts
+++ b/src/process/batch/state_host.ts
@@ -8,11 +8,7 @@
 import type { Result } from "../../base/sesame_error.ts";
 import type { Clock, EventLog, RandomSource, Storage } from "../../base/mod.ts";
 import { ClusterKey, WsPeerNetwork } from "../../connection/mod.ts";
-import {
-  GroupMonitor,
-  ReplicationMember,
-  VoterReconciler,
-} from "../replication/mod.ts";
+import { GroupMonitor, ReplicationMember } from "../replication/mod.ts";
 import type { MetricsRegistry } from "../http/mod.ts";
 import { HybridClock } from "../timeline/mod.ts";
 import type { BatchCommand, BatchOutcome } from "./batch_command.ts";
@@ -28,7 +24,8 @@
 
 /**
  * Elections are fast: urgent jobs leave 1.7 s for one, and the members are at
- * most 20 ms apart. A leader counts as silent after four lost heartbeats.
+ * most 20 ms apart. A leader counts as silent after four lost heartbeats, another
+ * voter after ten: a lost one must be replaced before the next may be lost.
  */
 const GROUP_TIMING = {
   tickMs: 25,
@@ -38,6 +35,7 @@
   electionMaxMs: 950,
   retryMinMs: 80,
   retryMaxMs: 250,
+  voterSilenceMs: 1_500,
 } as const;
 
 /** Options of {@link StateHost}. */
@@ -67,7 +65,6 @@
   readonly service: BatchService;
   readonly member: ReplicationMember<BatchCommand, BatchOutcome>;
   readonly #network: WsPeerNetwork;
-  readonly #voterReconciler: VoterReconciler;
   readonly #peers: PeerList;
   readonly #monitor: GroupMonitor;
 
@@ -98,12 +95,6 @@
       onCommit: (durationMs) => commits.record(durationMs),
     });
     registerBatchMetrics(options.metrics, this.service, member);
-    this.#voterReconciler = new VoterReconciler({
-      member,
-      clock,
-      events,
-      wantedVoters: wantedVoters(options),
-    });
     this.#peers = peers;
     this.#monitor = new GroupMonitor({
       log: member,
@@ -165,7 +156,6 @@
 
   async close(): Promise<void> {
     this.#monitor.close();
-    this.#voterReconciler.close();
     await this.service.close();
     await this.#network.close();
   }
--- a/src/process/replication/membership.ts
+++ b/src/process/replication/membership.ts
@@ -29,43 +29,128 @@
     waiveDurability(state);
     return;
   }
-  const { voters } = state.configuration;
-  const lostVoter = voters.find((voter) => state.hasLostState(voter.id));
-  if (lostVoter !== undefined) {
-    changeVoters(state, voters.filter((voter) => voter !== lostVoter));
+  const change = nextVoterChange(state);
+  if (change === undefined) {
+    waiveDurability(state);
+    restoreDurability(state);
     return;
   }
+  state.emitEvent("votersChanged", {
+    change: change.kind,
+    member: change.id,
+    reason: change.reason,
+  });
+  changeVoters(state, change.voters);
+}
+
+/** A change of the voters, and why it is made. */
+interface VoterChange {
+  readonly kind: "add" | "remove";
+  readonly id: InstanceId;
+  readonly reason:
+    | "stateLost"
+    | "silent"
+    | "surplus"
+    | "vacancy"
+    | "replacement";
+  /** The voters after the change. */
+  readonly voters: Voter[];
+}
+
+/**
+ * The next change of the voters, if one is needed. A silent voter is removed
+ * only once there is one more than wanted, so that a group whose members can't
+ * be replaced keeps them. If it answers again meanwhile, one voter is too many.
+ */
+function nextVoterChange(state: RaftState): VoterChange | undefined {
+  const { voters } = state.configuration;
   const { wantedVoters = Infinity } = state.options;
-  const readyMember = voters.length < wantedVoters
-    ? [...state.progress.values()].find((progress) =>
-      isReadyToVote(state, progress)
-    )
-    : undefined;
-  if (readyMember !== undefined) {
-    promoteToVoter(state, readyMember);
-    return;
+  const lost = voters.find((voter) => state.hasLostState(voter.id));
+  if (lost !== undefined) {
+    return removal(voters, lost, "stateLost");
+  }
+  const silent = voters.find((voter) => isSilent(state, voter));
+  if (voters.length > wantedVoters) {
+    const change = silent === undefined
+      ? removal(voters, slowestVoter(state), "surplus")
+      : removal(voters, silent, "silent");
+    return canCommitWith(state, change.voters) ? change : undefined;
+  }
+  if (silent === undefined && voters.length === wantedVoters) {
+    return undefined;
   }
-  waiveDurability(state);
-  restoreDurability(state);
+  const reason = voters.length < wantedVoters ? "vacancy" : "replacement";
+  return [...state.progress.values()]
+    .filter((progress) => isReadyToVote(state, progress))
+    .map((progress) => addition(voters, progress, reason))
+    .find((change) => canCommitWith(state, change.voters));
 }
 
-function changeVoters(state: RaftState, voters: Voter[]): void {
-  appendConfiguration(state, { ...state.configuration, voters });
+function removal(
+  voters: readonly Voter[],
+  removed: Voter,
+  reason: VoterChange["reason"],
+): VoterChange {
+  return {
+    kind: "remove",
+    id: removed.id,
+    reason,
+    voters: voters.filter((voter) => voter !== removed),
+  };
 }
 
-function promoteToVoter(state: RaftState, progress: LeaderProgress): void {
-  const { id, incarnation, isDurable } = progress;
-  const { voters } = state.configuration;
-  changeVoters(state, [...voters, { id, incarnation, isDurable }]);
+function addition(
+  voters: readonly Voter[],
+  { id, incarnation, isDurable }: LeaderProgress,
+  reason: VoterChange["reason"],
+): VoterChange {
+  return {
+    kind: "add",
+    id,
+    reason,
+    voters: [...voters, { id, incarnation, isDurable }],
+  };
+}
+
+/** The voter, other than this leader, that has not answered for longest. */
+function slowestVoter(state: RaftState): Voter {
+  const answeredAtMs = ({ id }: Voter) =>
+    id === state.selfId
+      ? Infinity
+      : state.progress.get(id)?.answeredSentAtMs ?? -Infinity;
+  return state.configuration.voters.reduce((slowest, voter) =>
+    answeredAtMs(voter) < answeredAtMs(slowest) ? voter : slowest
+  );
+}
+
+/**
+ * Whether this leader has heard nothing from a voter for so long that another
+ * member should vote in its place. Time in which this member itself was stalled
+ * doesn't count.
+ */
+function isSilent(state: RaftState, { id }: Voter): boolean {
+  const heardAtMs = Math.max(
+    state.progress.get(id)?.lastHeardMs ?? 0,
+    state.leaderSinceMs,
+    state.stalledUntilMs,
+  );
+  return id !== state.selfId &&
+    state.nowMs - heardAtMs >= state.timing.voterSilenceMs;
+}
+
+function changeVoters(state: RaftState, voters: Voter[]): void {
+  appendConfiguration(state, { ...state.configuration, voters });
 }
 
 function isReadyToVote(state: RaftState, progress: LeaderProgress): boolean {
-  const { configuration } = state;
+  const { configuration, timing } = state;
+  // A learner that has nothing to acknowledge is heard from once a follow period.
+  const silenceLimitMs = timing.followMs + timing.heartbeatMs;
   return progress.wantsVote &&
     state.findMember(progress.id)?.isVoter === true &&
     findVoter(configuration, progress.id) === undefined &&
     !configuration.removedIds.includes(progress.id) &&
-    state.nowMs - progress.lastHeardMs < state.timing.followMs * 2 &&
+    state.nowMs - progress.lastHeardMs < silenceLimitMs &&
     progress.matchIndex >= state.commitIndex;
 }
 
@@ -102,16 +187,25 @@
   return configuration.voters.filter((voter) => voter.isDurable);
 }
 
-/** Whether the voters that answer suffice to commit under the configuration. */
+/**
+ * Whether the voters that answer would suffice to commit under a configuration.
+ * A member that isn't a voter yet counts, as it is asked only if it was heard
+ * from.
+ */
 function canCommitUnder(
   state: RaftState,
   configuration: GroupConfiguration,
 ): boolean {
   const hasReplied = (id: InstanceId) =>
-    id === state.selfId || hasRepliedRecently(state, id);
+    id === state.selfId || hasRepliedRecently(state, id) ||
+    findVoter(state.configuration, id) === undefined;
   return isCommitQuorum(configuration, state.evidence(hasReplied));
 }
 
+function canCommitWith(state: RaftState, voters: Voter[]): boolean {
+  return canCommitUnder(state, { ...state.configuration, voters });
+}
+
 function hasRepliedRecently(state: RaftState, id: InstanceId): boolean {
   const progress = state.progress.get(id);
   return progress !== undefined && !state.hasLostState(id) &&
@@ -161,7 +255,8 @@
   }
   const progress = state.progress.get(id);
   if (progress !== undefined && isReadyToVote(state, progress)) {
-    promoteToVoter(state, progress);
+    const { voters } = addition(configuration.voters, progress, "vacancy");
+    changeVoters(state, voters);
   }
   return true;
 }
--- a/src/process/replication/mod.ts
+++ b/src/process/replication/mod.ts
@@ -14,7 +14,6 @@
   type ReplicatedLog,
   type StateMachine,
 } from "./replicated_log.ts";
-export { VoterReconciler } from "./voter_reconciler.ts";
 export type {
   MemberChange,
   ReplicationMemberOptions,
--- a/src/process/replication/raft_core.ts
+++ b/src/process/replication/raft_core.ts
@@ -74,10 +74,12 @@
 /** The Raft core of one member. */
 export class RaftCore {
   #state: RaftState;
+  #lastStepMs: number;
 
   constructor(options: RaftCoreOptions) {
     const state = new RaftState(options);
     this.#state = state;
+    this.#lastStepMs = options.nowMs;
     if (!state.isFresh) {
       becomeFollower(state, { term: state.term, leaderId: undefined });
       scheduleEarlyElection(state);
@@ -100,6 +102,10 @@
     const state = this.#state;
     state.nowMs = nowMs;
     state.steadyMs = steadyMs;
+    if (nowMs - this.#lastStepMs > state.timing.heartbeatMs * 2) {
+      state.stalledUntilMs = nowMs;
+    }
+    this.#lastStepMs = nowMs;
     const lastIndex = state.log.lastIndex;
     for (const input of inputs) {
       this.#handleInput(input);
--- a/src/process/replication/raft_effect.ts
+++ b/src/process/replication/raft_effect.ts
@@ -126,6 +126,7 @@
   | "groupFormed"
   | "groupRecovered"
   | "membersChanged"
+  | "votersChanged"
   | "durabilityWaived"
   | "durabilityRestored"
   | "voterForgotten"
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -121,6 +121,8 @@
   /** The first entry of this leader's term. */
   termStartIndex = Infinity;
   leaderSinceMs = 0;
+  /** The end of the last time in which this member processed nothing. */
+  stalledUntilMs = 0;
   /** The approximate size of this leader's uncommitted entries, in bytes. */
   pendingBytes = 0;
   /** When a durable voter last replied. */
--- a/src/process/replication/replication_member.ts
+++ b/src/process/replication/replication_member.ts
@@ -19,10 +19,6 @@
   MemberChange,
   ReplicationMemberOptions,
 } from "./member_options.ts";
-import {
-  type MemberReachability,
-  memberReachability,
-} from "./member_reachability.ts";
 import { MemberSession, type SessionContext } from "./member_session.ts";
 import type { MemberStatus, ReplicatedLog } from "./replicated_log.ts";
 import {
@@ -206,24 +202,6 @@
     }
   }
 
-  /**
-   * The voters that this leader has not heard from for `silenceMs`, and other
-   * members that may vote and have caught up; empty on members that don't lead.
-   */
-  reachability(silenceMs: number): MemberReachability {
-    const { view, isStopped } = this.#driver;
-    if (view.role !== "leader" || isStopped) {
-      return { silentVoterIds: [], readyIds: [] };
-    }
-    return memberReachability(view, {
-      selfId: this.#options.network.selfId,
-      heardAfterMs: this.#options.clock.nowMs() - silenceMs,
-      mayVote: (id) =>
-        this.#options.members.find((member) => member.id === id)?.isVoter ===
-          true,
-    });
-  }
-
   /**
    * Records an operator's declaration that a voter's state is lost and will not
    * come back; see docs/operator/recovery.md.
--- a/src/process/replication/replication_member_test.ts
+++ b/src/process/replication/replication_member_test.ts
@@ -210,17 +210,17 @@
   await group.close();
 });
 
-test("a learner never counts as ready to vote", async (t) => {
-  const group = new MemberGroup([
-    ...diskVoters("a", "b", "c"),
-    ...learners("d"),
-  ]);
+test("a learner never replaces a silent voter", async (t) => {
+  const group = new MemberGroup(
+    [...diskVoters("a", "b", "c"), ...learners("d")],
+    { voterSilenceMs: 1_500 },
+    { wantedVoters: 3 },
+  );
   await group.startAll();
   await group.run(3_000);
-  t.deepEqual(group.leader()!.reachability(3_000), {
-    silentVoterIds: [],
-    readyIds: [],
-  });
+  await group.stop("c");
+  await group.run(8_000);
+  t.deepEqual([...group.leader()!.status().voterIds].sort(), ["a", "b", "c"]);
   await group.close();
 });
 
--- a/src/process/replication/replication_timing.ts
+++ b/src/process/replication/replication_timing.ts
@@ -35,6 +35,11 @@
   /** The bounds of the random time after which a candidate tries again. */
   retryMinMs: 150,
   retryMaxMs: 450,
+  /**
+   * A voter from which its leader hears nothing for longer is replaced, if a
+   * member without a vote is ready to; by default it never is.
+   */
+  voterSilenceMs: Infinity,
   /** Without a reply from a durable voter for this long, commits need none. */
   durableGraceMs: 2_000,
   /** A leader whose disk takes longer for a write hands over. */
--- a/src/process/replication/voter_count_test.ts
+++ b/src/process/replication/voter_count_test.ts
@@ -1,6 +1,5 @@
 import test from "ava";
-import { type Member, MemberGroup } from "./testing/member_group.ts";
-import { VoterReconciler } from "./voter_reconciler.ts";
+import { MemberGroup } from "./testing/member_group.ts";
 
 const IDS = ["a", "b", "c", "d", "e", "f"];
 const WANTED_VOTERS = 5;
@@ -12,7 +11,7 @@
 async function openGroup(): Promise<MemberGroup> {
   const group = new MemberGroup(
     IDS.map((id) => ({ id, isVoter: true, isDurable: true })),
-    {},
+    { voterSilenceMs: 1_500 },
     { founderIds: ["a", "b", "c"], wantedVoters: WANTED_VOTERS },
   );
   await group.startAll();
@@ -20,11 +19,6 @@
   return group;
 }
 
-function reconcileVoters(group: MemberGroup, member: Member): VoterReconciler {
-  const { clock } = group;
-  return new VoterReconciler({ member, clock, wantedVoters: WANTED_VOTERS });
-}
-
 function voterIds(group: MemberGroup): readonly string[] {
   return group.leader()?.status().voterIds ?? [];
 }
@@ -37,9 +31,6 @@
 
 test("a group that replaced two lost voters can lose two again", async (t) => {
   const group = await openGroup();
-  const reconcilers = [...group.members.values()].map((member) =>
-    reconcileVoters(group, member)
-  );
   const others = (): string[] =>
     voterIds(group).filter((id) =>
       group.members.get(id)?.status().role === "follower"
@@ -52,7 +43,6 @@
   t.true((await group.propose(others()[0]!, "one")).isRight());
   for (const id of lost) {
     await group.start(id);
-    reconcilers.push(reconcileVoters(group, group.members.get(id)!));
   }
   await group.run(8_000);
   t.is(voterIds(group).length, WANTED_VOTERS);
@@ -61,6 +51,5 @@
   }
   await group.run(3_000);
   t.true((await group.propose(others()[0]!, "two")).isRight());
-  reconcilers.forEach((reconciler) => reconciler.close());
   await group.close();
 });
--- a/src/process/replication/voter_replacement_test.ts
+++ b/src/process/replication/voter_replacement_test.ts
@@ -2,7 +2,8 @@
 import type { GroupMember } from "./raft_effect.ts";
 import { MemberGroup } from "./testing/member_group.ts";
 
-const TIMING = { tickMs: 25, heartbeatMs: 150 };
+const SILENCE_MS = 1_500;
+const TIMING = { tickMs: 25, heartbeatMs: 150, voterSilenceMs: SILENCE_MS };
 
 function durableVoter(id: string): GroupMember {
   return { id, isVoter: true, isDurable: true };
@@ -44,6 +45,65 @@
   )!;
 }
 
+test("nothing changes without a silent or missing voter", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"]);
+  await group.run(10_000);
+  t.is(voters(group), "abc");
+  await group.close();
+});
+
+test("a silent voter stays until another member can replace it", async (t) => {
+  const group = await openGroup(["a", "b", "c"]);
+  await group.stop(follower(group));
+  await group.run(10_000);
+  t.is(voters(group), "abc");
+  await group.close();
+});
+
+test("a lost voter is replaced 2 s after its loss, and removed", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"]);
+  const lost = follower(group);
+  await group.stop(lost);
+  await group.run(2_000);
+  t.is(voters(group), "abcd".replace(lost, ""));
+  await group.close();
+});
+
+test("a voter that is back before its replacement stays", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"]);
+  const lost = follower(group);
+  await group.stop(lost);
+  await group.run(SILENCE_MS - 500);
+  await group.start(lost);
+  await group.run(5_000);
+  t.is(voters(group), "abc");
+  await group.close();
+});
+
+test("a leader that was stalled doesn't take its voters for silent", async (t) => {
+  let farId = "";
+  const group = await openGroup(["a", "b", "c", "d"], {
+    delayMs: (from, to) => from === farId || to === farId ? 40 : 1,
+  });
+  const leader = group.leader()!;
+  farId = follower(group);
+  group.clock.aheadMs += SILENCE_MS + 100;
+  const deadlineMs = group.clock.nowMs() + 1_000;
+  await group.runUntilDone(leader.propose("text", { deadlineMs }));
+  await group.run(50);
+  t.is(voters(group), "abc");
+  await group.close();
+});
+
+test("a member that was lost together with a voter doesn't replace it", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"]);
+  await group.stop("d");
+  await group.stop(follower(group));
+  await group.run(10_000);
+  t.is(voters(group), "abc");
+  await group.close();
+});
+
 /** Starts a member that knows its seeds, and later those that it is told of. */
 async function startWithSeeds(
   group: MemberGroup,
