--- a/src/process/replication/leader.ts
+++ b/src/process/replication/leader.ts
@@ -206,6 +206,7 @@
   }
   for (const progress of state.progress.values()) {
     progress.rewindIfStalled(state.nowMs, state.timing.resendMs);
+    progress.recordRound(state.log.lastIndex, state.nowMs);
     sendToMember(state, progress);
   }
 }
--- a/src/process/replication/leader_progress.ts
+++ b/src/process/replication/leader_progress.ts
@@ -5,6 +5,7 @@
  */
 
 import type { InstanceId } from "../../base/identity.ts";
+import { CatchUpRounds } from "./catch_up_rounds.ts";
 import type { LogSnapshot } from "./log_entry.ts";
 import { TokenBucket } from "./token_bucket.ts";
 
@@ -44,6 +45,7 @@
   stampMs = 0;
   sentCommitIndex = 0;
   snapshot: SnapshotProgress | undefined;
+  readonly #rounds: CatchUpRounds;
   #inFlight: SentEntries[] = [];
   #inFlightBytes = 0;
   #lastProgressMs: number;
@@ -60,6 +62,10 @@
     this.nextIndex = options.nextIndex;
     this.lastHeardMs = options.nowMs;
     this.#lastProgressMs = options.nowMs;
+    this.#rounds = new CatchUpRounds({
+      lastIndex: options.nextIndex - 1,
+      nowMs: options.nowMs,
+    });
     this.bucket = new TokenBucket({
       bytesPerSecond: options.bytesPerSecond,
       nowMs: options.nowMs,
@@ -98,6 +104,16 @@
     }
   }
 
+  /** Updates how fast the member catches up with a leader's log. */
+  recordRound(lastIndex: number, nowMs: number): void {
+    this.#rounds.record({ matchIndex: this.matchIndex, lastIndex, nowMs });
+  }
+
+  /** Whether the member stores what the leader had `limitMs` ago. */
+  hasCaughtUp(limitMs: number, nowMs: number): boolean {
+    return this.#rounds.areWithin(limitMs, nowMs);
+  }
+
   /** Goes back to an earlier entry, which the member lacks. */
   rewindTo(index: number): void {
     this.nextIndex = Math.max(this.matchIndex + 1, index);
--- a/src/process/replication/membership.ts
+++ b/src/process/replication/membership.ts
@@ -151,7 +151,7 @@
     findVoter(configuration, progress.id) === undefined &&
     !configuration.removedIds.includes(progress.id) &&
     state.nowMs - progress.lastHeardMs < silenceLimitMs &&
-    progress.matchIndex >= state.commitIndex;
+    progress.hasCaughtUp(timing.electionMinMs, state.nowMs);
 }
 
 /** Waives the need for a durable voter after none has answered for a while. */
--- a/src/process/replication/raft_core.ts
+++ b/src/process/replication/raft_core.ts
@@ -335,6 +335,7 @@
   } else {
     handleSnapshotReply(state, progress, message);
   }
+  progress.recordRound(state.log.lastIndex, state.nowMs);
   advance(state);
   if (state.isLeader) {
     sendToMember(state, progress);
--- a/src/process/replication/voter_replacement_test.ts
+++ b/src/process/replication/voter_replacement_test.ts
@@ -104,6 +104,30 @@
   await group.close();
 });
 
+test("members far away get votes while the leader commits without pause", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"], {
+    startedIds: ["a", "b", "c"],
+    delayMs: (from, to) => from === "d" || to === "d" ? 20 : 1,
+  });
+  const leader = group.leader()!;
+  let isLoaded = true;
+  const load = async (): Promise<void> => {
+    while (isLoaded) {
+      const deadlineMs = group.clock.nowMs() + 1_000;
+      await leader.propose("text", { deadlineMs });
+    }
+  };
+  const loads = [load(), load(), load()];
+  await group.run(200);
+  await group.stop(follower(group));
+  await group.start("d");
+  await group.run(4_000);
+  t.true(voters(group).includes("d"));
+  isLoaded = false;
+  await group.runUntilDone(Promise.all(loads));
+  await group.close();
+});
+
 /** Starts a member that knows its seeds, and later those that it is told of. */
 async function startWithSeeds(
   group: MemberGroup,
