--- a/src/process/replication/election.ts
+++ b/src/process/replication/election.ts
@@ -12,6 +12,7 @@
 } from "./group_configuration.ts";
 import { startLeading } from "./leader.ts";
 import { hasQuorumContact } from "./lease.ts";
+import { sendRedirect } from "./following.ts";
 import type { RaftMessageOf, Sender } from "./raft_message.ts";
 import type { RaftState, VoteTally } from "./raft_state.ts";
 import { becomeFollower, resetElectionTimer } from "./role.ts";
@@ -186,6 +187,12 @@
     isGranted,
     isWilling,
   }, from.incarnation);
+  const knowsOtherLeader = !state.isLeader && state.leaderId !== undefined &&
+    state.leaderId !== from.id;
+  if (!isGranted && knowsOtherLeader) {
+    // A voter that was replaced while it was cut off may never have met it.
+    sendRedirect(state, from);
+  }
 }
 
 /** Grants or refuses a vote; doesn't reply while votes are withheld. */
--- a/src/process/replication/voter_replacement_test.ts
+++ b/src/process/replication/voter_replacement_test.ts
@@ -151,3 +151,25 @@
   t.is(group.members.get("d")!.status().leaderId, leaderId(group));
   await group.close();
 });
+
+test("a voter that was replaced while cut off joins under a leader that it never met", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"], { startedIds: [] });
+  await group.start("a");
+  await group.start("b");
+  await startWithSeeds(group, "c", ["a", "b"]);
+  await group.run(3_000);
+  group.hub.isolate("c");
+  await group.run(2_000);
+  await group.start("d");
+  await group.run(4_000);
+  t.is(voters(group), "abd");
+  for (let id = leaderId(group)!; id !== "d"; id = leaderId(group)!) {
+    await group.stop(id);
+    await group.run(3_000);
+    await group.start(id);
+  }
+  group.hub.heal();
+  await group.run(3_000);
+  t.is(group.members.get("c")!.status().leaderId, "d");
+  await group.close();
+});
