--- a/src/process/replication/following.ts
+++ b/src/process/replication/following.ts
@@ -76,13 +76,20 @@
   sendRedirect(state, from);
 }
 
-/** Tells a member who leads, as far as this one knows. */
+/**
+ * Tells a member who leads, as far as this one knows, and which incarnation it
+ * must exceed.
+ */
 export function sendRedirect(state: RaftState, to: Sender): void {
   const voter = findVoter(state.configuration, to.id);
+  const tracked = state.progress.get(to.id);
   state.send(to.id, {
     kind: "redirect",
     ...(state.leaderId === undefined ? {} : { leaderId: state.leaderId }),
-    lowerIncarnation: voter?.incarnation ?? 0,
+    lowerIncarnation: Math.max(
+      voter?.incarnation ?? 0,
+      tracked?.incarnation ?? 0,
+    ),
   }, to.incarnation);
 }
 
@@ -109,6 +116,7 @@
 ): void {
   const progress = trackMember(state, from);
   if (progress === undefined) {
+    sendRedirect(state, from);
     return;
   }
   if (progress.matchIndex === 0) {
--- a/src/process/replication/testing/member_group.ts
+++ b/src/process/replication/testing/member_group.ts
@@ -6,6 +6,7 @@
 
 import { pack, unpack } from "msgpackr";
 import { Right } from "purify-ts/Either";
+import type { Clock } from "../../../base/clock.ts";
 import { FakeClock } from "../../../base/fake_clock.ts";
 import { SeededRandom } from "../../../base/random_source.ts";
 import type { Result } from "../../../base/sesame_error.ts";
@@ -42,6 +43,7 @@
   readonly catchUpBytesPerSecond?: (peer: string) => number;
   readonly founderIds?: readonly string[];
   readonly wantedVoters?: number;
+  readonly clock?: Clock;
   /** Those that a member knows, if not all; it may grow. */
   readonly members?: readonly GroupMember[];
   readonly onMemberNamed?: (id: string) => void;
--- a/src/process/replication/voter_replacement_test.ts
+++ b/src/process/replication/voter_replacement_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import type { Clock } from "../../base/clock.ts";
 import type { GroupMember } from "./raft_effect.ts";
 import { MemberGroup } from "./testing/member_group.ts";
 
@@ -173,3 +174,28 @@
   t.is(group.members.get("c")!.status().leaderId, "d");
   await group.close();
 });
+
+/** A clock that is behind another. */
+function clockBehind(clock: Clock, behindMs: number): Clock {
+  return {
+    nowMs: () => clock.nowMs() - behindMs,
+    steadyMs: () => clock.steadyMs(),
+    timeOfDayMs: () => clock.timeOfDayMs() - behindMs,
+    after: (delayMs, action) => clock.after(delayMs, action),
+    every: (periodMs, action) => clock.every(periodMs, action),
+  };
+}
+
+test("a standby that comes back empty, its clock behind, is served again", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"]);
+  await group.stop("d");
+  group.disks.get("d")!.wipe();
+  const clock = clockBehind(group.clock, 10_000);
+  await group.start("d", { ...group.extraOptions, founderIds: [], clock });
+  await group.run(5_000);
+  t.is(
+    group.members.get("d")!.status().commitIndex,
+    group.leader()!.status().commitIndex,
+  );
+  await group.close();
+});
