--- a/src/connection/outgoing_link.ts
+++ b/src/connection/outgoing_link.ts
@@ -24,6 +24,8 @@
   pingPeriodMs: 1_000,
   /** A connection on which nothing was received for this long is closed. */
   idleTimeoutMs: 3_000,
+  /** A handshake that got no answer for this long may be given up. */
+  dialPatienceMs: 500,
   /** Before the first reconnection attempt; doubles with each failure. */
   reconnectDelayMs: 100,
   reconnectDelayLimitMs: 2_000,
@@ -93,6 +95,24 @@
     return bytes.length;
   }
 
+  /** Dials again, unless a link is open; for a peer that has just connected. */
+  dialNow(): void {
+    this.#failures = 0;
+    const connection = this.#connection;
+    if (this.#isClosed || connection?.isOpen === true) {
+      return;
+    }
+    if (connection === undefined) {
+      this.#reconnectTimer?.close();
+      this.#dial();
+    } else if (
+      this.#idleMs(connection) > OUTGOING_LINK_DEFAULTS.dialPatienceMs
+    ) {
+      // Its packets may have been lost while the peer was away.
+      connection.socket.terminate();
+    }
+  }
+
   close(): void {
     this.#isClosed = true;
     this.#pingTimer.close();
@@ -186,13 +206,16 @@
     connection.lastReceivedAtMs = this.#options.clock.nowMs();
   }
 
+  #idleMs(connection: Connection): number {
+    return this.#options.clock.nowMs() - connection.lastReceivedAtMs;
+  }
+
   #checkActivity(): void {
     const connection = this.#connection;
     if (connection === undefined) {
       return;
     }
-    const idleMs = this.#options.clock.nowMs() - connection.lastReceivedAtMs;
-    if (idleMs > OUTGOING_LINK_DEFAULTS.idleTimeoutMs) {
+    if (this.#idleMs(connection) > OUTGOING_LINK_DEFAULTS.idleTimeoutMs) {
       connection.socket.terminate();
       return;
     }
--- a/src/connection/ws_peer_network.ts
+++ b/src/connection/ws_peer_network.ts
@@ -247,7 +247,9 @@
       this.#options.admit?.(id) !== undefined;
   }
 
+  /** Connects to a peer that has connected to this instance. */
   #admit(id: InstanceId): void {
+    this.#outgoing.get(id)?.dialNow();
     const peer = this.#peerIds.has(id) ? undefined : this.#options.admit?.(id);
     if (peer !== undefined) {
       this.addPeer(peer);
--- a/src/connection/ws_peer_network_test.ts
+++ b/src/connection/ws_peer_network_test.ts
@@ -109,6 +109,22 @@
   await closePair(pair);
 });
 
+test("a peer that was away is dialled as soon as it connects", async (t) => {
+  const selfA = { id: "a", address: await freeAddress() };
+  const selfB = { id: "b", address: await freeAddress() };
+  const a = makeNetwork(selfA, { peer: selfB, key: "secret" });
+  await a.open();
+  // Attempts to reconnect are up to 2 s apart by then.
+  await new Promise((resolve) => setTimeout(resolve, 4_500));
+  const b = makeNetwork(selfB, { peer: selfA, key: "secret" });
+  await b.open();
+  await waitUntil(() => b.linkedPeerIds().includes("a"));
+  const linkedAtMs = performance.now();
+  await waitUntil(() => a.linkedPeerIds().includes("b"));
+  t.true(performance.now() - linkedAtMs < 500);
+  await Promise.all([a.close(), b.close()]);
+});
+
 test("no link opens between peers with different cluster keys", async (t) => {
   const pair = await openPair({ a: "secret", b: "guess" });
   await waitUntil(() =>
