--- a/src/process/batch/batch_service.ts
+++ b/src/process/batch/batch_service.ts
@@ -85,10 +85,13 @@
   /** Answers a call if this instance leads; otherwise refers to the leader. */
   async answer(call: JobCall): Promise<JobAnswer> {
     const leadership = this.#leadership;
+    const { leaderId, voterIds } = this.#options.member.status();
     if (leadership === undefined || !leadership.session.isCurrent()) {
-      const { leaderId, voterIds } = this.#options.member.status();
       return { kind: "notLeader", leaderId, memberIds: voterIds };
     }
+    if (call.kind === "ping") {
+      return { kind: "leading", memberIds: voterIds };
+    }
     const answer = await leadership.handler.answer(call);
     // A read's answer holds only if no other leader can have changed the state.
     const isRead = answer.kind === "state" || answer.kind === "unknownJob" ||
--- a/src/process/batch/job_call.ts
+++ b/src/process/batch/job_call.ts
@@ -82,8 +82,10 @@
   | { readonly kind: "unknownJob" }
   | { readonly kind: "unauthenticated" }
   | { readonly kind: "invalid"; readonly detail: string }
-  /** A ping, announcement or leave was handled; this instance leads. */
+  /** An announcement or leave was handled. */
   | { readonly kind: "noted" }
+  /** This instance leads; the answer to a ping. */
+  | { readonly kind: "leading"; readonly memberIds: readonly string[] }
   /** This instance doesn't lead, so that nothing was done. */
   | {
     readonly kind: "notLeader";
--- a/src/process/batch/leader/call_handler.ts
+++ b/src/process/batch/leader/call_handler.ts
@@ -51,10 +51,8 @@
     this.#options = options;
   }
 
-  async answer(call: JobCall): Promise<JobAnswer> {
+  async answer(call: Exclude<JobCall, { kind: "ping" }>): Promise<JobAnswer> {
     switch (call.kind) {
-      case "ping":
-        return { kind: "noted" };
       case "workerSeen":
         return await this.#recordWorker(call);
       case "workerLeaves":
--- a/src/process/batch/leader_finder.ts
+++ b/src/process/batch/leader_finder.ts
@@ -48,6 +48,9 @@
 /** Hints that a call follows at once: two instances may name each other. */
 const HINTS_AT_ONCE = 3;
 
+/** The most instances that may be asked who leads: each that is gone delays. */
+const CANDIDATES_LIMIT = 12;
+
 /** The least time between two instances that are asked who leads. */
 const SEARCH_PERIOD_MS = 100;
 
@@ -157,7 +160,7 @@
   /** Replaces the instances of the settings among those that are tried. */
   setSeeds(seedIds: readonly string[]): void {
     this.#seedIds = seedIds;
-    this.#candidates = [...new Set([...seedIds, ...this.#candidates])];
+    this.#rememberMembers([]);
   }
 
   /**
@@ -204,6 +207,9 @@
       const answer = leaderAnswerOf(ended.outcome);
       if (answer !== undefined) {
         this.#recordLeader(ended.instanceId);
+        if (answer.kind === "leading") {
+          this.#rememberMembers(answer.memberIds);
+        }
         if (!isCertain(call, answer, attempts)) {
           this.#logGivenUp(call, { leftMs, attempts });
           return { kind: "unknown" };
@@ -368,11 +374,7 @@
     { leaderId, memberIds }: Extract<JobAnswer, { kind: "notLeader" }>,
     attempts: CallAttempts,
   ): void {
-    if (memberIds.length > 0) {
-      this.#candidates = [
-        ...new Set([...memberIds, ...this.#seedIds]),
-      ];
-    }
+    this.#rememberMembers(memberIds);
     const isLeaderKnown = this.#leaderId !== undefined &&
       this.#leaderId !== instanceId &&
       this.#hasAnsweredSince(this.#leaderId, beganAtMs);
@@ -388,6 +390,15 @@
     }
   }
 
+  /**
+   * Remembers members that an instance named, and some that others named before:
+   * an instance that was cut off may name members that are gone.
+   */
+  #rememberMembers(memberIds: readonly string[]): void {
+    const known = [...memberIds, ...this.#seedIds, ...this.#candidates];
+    this.#candidates = [...new Set(known)].slice(0, CANDIDATES_LIMIT);
+  }
+
   #delay(delayMs: number): Promise<void> {
     return new Promise((resolve) => {
       this.#options.clock.after(delayMs, resolve);
--- a/src/process/batch/leader_finder_test.ts
+++ b/src/process/batch/leader_finder_test.ts
@@ -385,3 +385,81 @@
   t.true(kinds.length > 80);
   t.deepEqual([...new Set(kinds)], ["answered"]);
 });
+
+/** Calls the leader every 500 ms; returns when a call was answered last. */
+async function lastAnsweredAtMs(
+  { clock, finder }: ReturnType<typeof newFinder>,
+  forMs: number,
+): Promise<number> {
+  const endMs = clock.nowMs() + forMs;
+  let lastMs = 0;
+  while (clock.nowMs() < endMs) {
+    const deadlineMs = clock.nowMs() + 500;
+    const result = await settle(clock, finder.call(STATE_CALL, { deadlineMs }));
+    if (result.kind === "answered") {
+      lastMs = clock.nowMs();
+    }
+    clock.advance(Math.max(0, deadlineMs - clock.nowMs()));
+  }
+  return lastMs;
+}
+
+test("a leader is found after all voters that were known were replaced under one leader, and then it, too", async (t) => {
+  const gone = failWith("unavailable");
+  const found = newFinder({
+    a: notLeader("c"),
+    b: notLeader("c"),
+    c: () => Right(NOTED),
+    d: notLeader("c"),
+    e: notLeader("c"),
+    f: gone,
+  });
+  found.finder.setSeeds(["c"]);
+  const { clock, transport, finder } = found;
+  await lastAnsweredAtMs(found, 2_000);
+  t.is(finder.leaderId, "c");
+  // d and e take the places of a and b, the seeds, one after the other.
+  const members = ["c", "d", "e"];
+  transport.answers["c"] = () =>
+    Right<JobAnswer>({ kind: "leading", memberIds: members });
+  const referTo = (leaderId: string) => () =>
+    Right<JobAnswer>({ kind: "notLeader", leaderId, memberIds: members });
+  transport.answers["a"] = gone;
+  transport.answers["b"] = gone;
+  transport.answers["d"] = referTo("c");
+  transport.answers["e"] = referTo("c");
+  await lastAnsweredAtMs(found, 10_000);
+  // The leader is lost; d is elected, and f replaces c.
+  transport.answers["c"] = gone;
+  transport.answers["d"] = () => Right(NOTED);
+  transport.answers["e"] = referTo("d");
+  const lostAtMs = clock.nowMs();
+  t.true(await lastAnsweredAtMs(found, 10_000) > lostAtMs);
+});
+
+test("members that one instance named are still tried after another that is cut off named older ones", async (t) => {
+  const gone = failWith("unavailable");
+  const named = (...memberIds: string[]) => () =>
+    Right<JobAnswer>({ kind: "notLeader", leaderId: undefined, memberIds });
+  // a was replaced while it was cut off from the others, and b is gone.
+  const found = newFinder({
+    a: named("a", "b", "x"),
+    b: gone,
+    x: named("d", "e"),
+    d: gone,
+    e: gone,
+  });
+  await lastAnsweredAtMs(found, 2_000);
+  // x, which knew the new members, is lost; d is elected.
+  found.transport.answers["x"] = gone;
+  await lastAnsweredAtMs(found, 1_000);
+  found.transport.answers["d"] = () => Right(NOTED);
+  found.transport.answers["e"] = () =>
+    Right<JobAnswer>({
+      kind: "notLeader",
+      leaderId: "d",
+      memberIds: ["d", "e"],
+    });
+  const lostAtMs = found.clock.nowMs();
+  t.true(await lastAnsweredAtMs(found, 10_000) > lostAtMs);
+});
