--- a/test/platform_processes/clients.ts
+++ b/test/platform_processes/clients.ts
@@ -25,6 +25,9 @@
 const API_KEY = "key-of-the-account";
 const HOST = "jobs.example";
 const TIMEOUT_MS = 3_000;
+
+/** After a second without an answer an operator turns to another core. */
+const READ_TIMEOUT_MS = 1_000;
 const SUBMIT_ATTEMPTS = 5;
 const ORDER_ATTEMPTS = 60;
 
@@ -87,6 +90,30 @@
   throw new Error("the configuration wasn't acknowledged");
 }
 
+/** One read of the configuration at a core. */
+export interface ConfigurationRead {
+  /** 0 if there was no answer in time. */
+  readonly status: number;
+  readonly version: number | undefined;
+}
+
+/** The version that {@link configure} sets. */
+export const CONFIGURED_VERSION = CONFIGURATION.version;
+
+/** Reads the configuration at one core, once. */
+export async function readConfiguration(
+  { host }: { host: string },
+): Promise<ConfigurationRead> {
+  const { status, body } = await send(
+    "GET",
+    `http://${host}:${PORTS.control}/sesamethread/config`,
+    undefined,
+    READ_TIMEOUT_MS,
+  );
+  const version = status === 200 ? Number(body.version) : undefined;
+  return { status, version };
+}
+
 /** Sends a heartbeat that may be untrue to all cores. */
 export async function announce(
   programs: Programs,
@@ -198,6 +225,7 @@
   method: "GET" | "PUT" | "POST" | "DELETE",
   url: string,
   body?: unknown,
+  timeoutMs = TIMEOUT_MS,
 ): Promise<{ status: number; body: Record<string, unknown> }> {
   try {
     const answer = await request(url, {
@@ -209,7 +237,7 @@
         "x-api-key": API_KEY,
         "sesamethread-timeout-ms": String(TIMEOUT_MS),
       },
-      signal: AbortSignal.timeout(TIMEOUT_MS),
+      signal: AbortSignal.timeout(timeoutMs),
     });
     const text = await answer.body.text();
     return {
--- a/test/platform_processes/incident.ts
+++ b/test/platform_processes/incident.ts
@@ -11,6 +11,7 @@
 import { announce } from "./clients.ts";
 import { BOUNDS } from "./layout.ts";
 import type { PoolWorker } from "./pool_worker.ts";
+import { Programs } from "./programs.ts";
 import { nowMs, type Overlap } from "./run_history.ts";
 import { TestBed } from "./test_bed.ts";
 
@@ -29,7 +30,7 @@
 /** Second runs that begin within this time begin at the same moment. */
 const SAME_MOMENT_MS = 100;
 
-const bed = new TestBed(folder, { seed: Number(seedText) });
+const bed = new TestBed(new Programs(folder), { seed: Number(seedText) });
 const { programs, clients, history, pool } = bed;
 
 async function play(): Promise<number> {
--- a/test/platform_processes/logs.ts
+++ b/test/platform_processes/logs.ts
@@ -11,13 +11,14 @@
 import process from "node:process";
 import { request } from "undici";
 import { delay } from "../process/cluster.ts";
+import { Programs } from "./programs.ts";
 import { TestBed } from "./test_bed.ts";
 
 const [folder = "", name = "stall", seedText = "1", stallText = "5000"] =
   process.argv.slice(2);
 const stallMs = Number(stallText);
 
-const bed = new TestBed(folder, { seed: Number(seedText) });
+const bed = new TestBed(new Programs(folder), { seed: Number(seedText) });
 const { programs, clients, history, pool } = bed;
 
 const MARKED_TASK_MS = 2_000;
--- a/test/platform_processes/pool_worker.ts
+++ b/test/platform_processes/pool_worker.ts
@@ -39,7 +39,7 @@
 /** Options of {@link WorkerPool}. */
 export interface WorkerPoolOptions {
   readonly history: RunHistory;
-  readonly controlAddresses: readonly string[];
+  readonly controlAddresses: () => readonly string[];
   readonly shapeOf: (task: string) => TaskShape;
   /** From 0 to 1. */
   readonly random: () => number;
@@ -543,7 +543,7 @@
   #callAddresses(): string[] {
     const known = this.#heartbeatAddress;
     const { controlAddresses } = this.#pool.options;
-    return [...(known === undefined ? [] : [known]), ...controlAddresses];
+    return [...(known === undefined ? [] : [known]), ...controlAddresses()];
   }
 
   /** Calls one core after another; true once one acknowledges. */
--- a/test/platform_processes/prepare.ts
+++ b/test/platform_processes/prepare.ts
@@ -1,25 +1,25 @@
 /**
  * Writes the settings of all programs and the list of their commands, those of
- * `deploy/system.toml`: `prepare.js FOLDER TARGET`, with the folder of the built
- * programs.
+ * `deploy/system.toml`: `prepare.js FOLDER TARGET PLAY [ARGUMENT...]`, with the
+ * folder of the built programs and what the play is started with.
  *
  * @module
  */
 
-import { mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { mkdirSync, writeFileSync } from "node:fs";
 import { once } from "node:events";
 import { createServer } from "node:net";
 import { resolve } from "node:path";
 import process from "node:process";
-import { parse } from "smol-toml";
 import {
-  BOUNDS,
   controlAddresses,
   createLayout,
   type PlatformLayout,
   PORTS,
   type ProgramPlace,
+  shapeFor,
 } from "./layout.ts";
+import { commandFor, writeSettings } from "./program_settings.ts";
 
 const SUBNET_ATTEMPTS = 50;
 
@@ -27,21 +27,21 @@
 const pipeMode = process.env.PIPES;
 
 async function main(): Promise<void> {
-  const folder = resolve(process.argv[2] ?? "run/platform");
-  const target = resolve(process.argv[3] ?? "target");
+  const [, , folderText, targetText, play, ...playArguments] = process.argv;
+  const folder = resolve(folderText ?? "run/platform");
+  const target = resolve(targetText ?? "target");
   mkdirSync(`${folder}/settings`, { recursive: true });
-  const layout = createLayout(folder, await findSubnet());
+  const layout = createLayout(folder, {
+    subnet: await findSubnet(),
+    shape: shapeFor(play ?? "", playArguments),
+  });
+  const seeds = controlAddresses(layout);
   writeFileSync(`${folder}/layout.json`, JSON.stringify(layout, null, 2));
   for (const place of layout.programs) {
-    if (place.role === "core") {
-      mkdirSync(dataFolder(layout, place), { recursive: true });
-    }
-    const text = JSON.stringify(createSettings(place, layout), null, 2);
-    writeFileSync(settingsPath(layout, place), text);
+    writeSettings(layout, place, { seeds, formsGroup: true });
   }
   const lines = layout.programs.flatMap((place) => {
-    const command = `env SESAMETHREAD_BOOT=${settingsPath(layout, place)} ` +
-      commandOf(place.role).replace("target/", `${target}/`);
+    const command = commandFor(layout, place, target);
     return pipeMode !== undefined && place.role === "core"
       ? readThroughPipe(layout, place, command)
       : [`${place.name} ${command}`];
@@ -83,52 +83,4 @@
   throw new Error("no free subnet");
 }
 
-function commandOf(role: string): string {
-  const text = readFileSync("deploy/system.toml", "utf8");
-  const { roles } = parse(text) as unknown as {
-    roles: Record<string, { run: string }>;
-  };
-  return roles[role]!.run;
-}
-
-function createSettings(
-  place: ProgramPlace,
-  layout: PlatformLayout,
-): Record<string, unknown> {
-  const { name, role, host, dataCentre } = place;
-  const isCore = role === "core";
-  return {
-    node: name,
-    role,
-    machineClass: isCore ? "core" : "edge",
-    serves: [isCore ? "control_plane" : "edge"],
-    ip: host,
-    zone: dataCentre,
-    region: dataCentre === "siliguri" ? "bengal-north" : "bengal-east",
-    listen: isCore
-      ? { control: `${host}:${PORTS.control}` }
-      : { front: `${host}:${PORTS.front}`, ready: `${host}:${PORTS.ready}` },
-    internalPortRange: [PORTS.internal, PORTS.internal + 15],
-    seeds: controlAddresses(layout),
-    bootstrap: true,
-    countsAsLoss: isCore,
-    dataDir: isCore ? dataFolder(layout, place) : null,
-    discovery: "self_register",
-    entry: "vip",
-    heartbeatMs: 1_500,
-    faultTolerance: { machines: 1, zones: 1, regions: 0 },
-    bounds: BOUNDS,
-    config_mode: "highest",
-    orders: "call",
-  };
-}
-
-function settingsPath(layout: PlatformLayout, { name }: ProgramPlace): string {
-  return `${layout.folder}/settings/${name}.json`;
-}
-
-function dataFolder(layout: PlatformLayout, { name }: ProgramPlace): string {
-  return `${layout.folder}/data/${name}`;
-}
-
 await main();
--- a/test/platform_processes/programs.ts
+++ b/test/platform_processes/programs.ts
@@ -34,24 +34,34 @@
 /** The programs of one test. */
 export class Programs {
   readonly layout: PlatformLayout;
-  readonly #tails: LogTail[];
+  readonly #places: ProgramPlace[] = [];
+  readonly #tails: LogTail[] = [];
 
   constructor(folder: string) {
     this.layout = JSON.parse(readFileSync(`${folder}/layout.json`, "utf8"));
-    this.#tails = this.layout.programs.map(({ name }) =>
+    this.layout.programs.forEach((place) => this.add(place));
+  }
+
+  /** Adds a program that is started during the test. */
+  add(place: ProgramPlace): void {
+    const { folder } = this.layout;
+    const { name } = place;
+    this.#places.push(place);
+    this.#tails.push(
       new LogTail(
         name,
         [`${folder}/reader-${name}.log`, `${folder}/${name}.log`],
-      )
+      ),
     );
   }
 
+  /** All cores, with those that have been added. */
   get cores(): ProgramPlace[] {
-    return this.layout.programs.filter(({ role }) => role === "core");
+    return this.#places.filter(({ role }) => role === "core");
   }
 
   get doors(): ProgramPlace[] {
-    return this.layout.programs.filter(({ role }) => role === "door");
+    return this.#places.filter(({ role }) => role === "door");
   }
 
   /** All lines that a program or all programs have logged so far. */
@@ -92,7 +102,10 @@
     }
   }
 
-  signal(name: string, signal: "SIGKILL" | "SIGSTOP" | "SIGCONT"): boolean {
+  signal(
+    name: string,
+    signal: "SIGKILL" | "SIGSTOP" | "SIGCONT" | "SIGHUP",
+  ): boolean {
     try {
       const text = readFileSync(`${this.layout.folder}/${name}.pid`, "utf8");
       return process.kill(Number(text), signal);
--- a/test/platform_processes/soak.ts
+++ b/test/platform_processes/soak.ts
@@ -10,8 +10,9 @@
 import { writeFileSync } from "node:fs";
 import process from "node:process";
 import { delay } from "../process/cluster.ts";
-import type { JobShape } from "./clients.ts";
 import { Faults } from "./faults.ts";
+import { JobLoad, unitOf } from "./job_load.ts";
+import { Programs } from "./programs.ts";
 import { nowMs } from "./run_history.ts";
 import { randomFraction, TestBed } from "./test_bed.ts";
 
@@ -21,101 +22,37 @@
 
 /** Mean time between jobs of each queue. */
 const GAPS_MS = { quote: 1_700, blend: 4_500, sweep: 3_300 } as const;
-const CANCELLED_SHARE = 0.06;
 const FINISH_LIMIT_MS = 30_000;
 const FAILED_SHARE = 0.03;
 
-const bed = new TestBed(folder, { seed, failedShare: FAILED_SHARE });
-const random = randomFraction(seed + 2);
+const bed = new TestBed(new Programs(folder), {
+  seed,
+  failedShare: FAILED_SHARE,
+});
+const load = new JobLoad(bed, {
+  random: randomFraction(seed + 2),
+  gapsMs: GAPS_MS,
+});
 
 async function play(): Promise<number> {
   await bed.open();
   await delay(2_000);
   const endMs = nowMs() + Number(secondsText) * 1_000;
-  const jobs: Promise<void>[] = [];
-  const loads = Object.keys(GAPS_MS).map(async (name) => {
-    const queue = name as keyof typeof GAPS_MS;
-    while (nowMs() < endMs) {
-      await delay(-Math.log(1 - random()) * GAPS_MS[queue]);
-      jobs.push(runJob(queue));
-    }
-  });
+  const jobs = load.run({ durationMs: endMs - nowMs() });
   await new Faults(bed, randomFraction(seed + 3)).run({
     durationMs: endMs - nowMs(),
     longestGapMs: Number(gapText),
   });
-  await Promise.all(loads);
-  await Promise.all(jobs);
-  const unfinished = await waitForJobs();
+  await jobs;
+  const unfinished = await load.waitForJobs({ limitMs: FINISH_LIMIT_MS });
   return report(unfinished);
 }
 
-async function runJob(queue: JobShape["queue"]): Promise<void> {
-  const jobId = await bed.clients.submit(shapeOf(queue));
-  if (random() < CANCELLED_SHARE) {
-    await delay(1_000 + random() * 4_000);
-    await bed.clients.cancel(jobId);
-  }
-}
-
-function shapeOf(queue: JobShape["queue"]): JobShape {
-  const around = (mean: number) => mean * (0.6 + 0.8 * random());
-  const gpu = [1, 2, 4, 8][Math.floor(random() * 4)]!;
-  switch (queue) {
-    case "quote": {
-      const count = 1 + Math.floor(random() * 4);
-      return {
-        ...{ queue, count, gpu, gangSize: count, checkpointing: false },
-        ...{ cpu: 15_000, memMb: 31_000, workMs: around(2_500) },
-      };
-    }
-    case "blend": {
-      const count = 1 + Math.floor(random() * 5);
-      return {
-        ...{ queue, count, gpu, gangSize: count },
-        ...{ cpu: 52_000, memMb: 75_000, workMs: around(8_500) },
-        checkpointing: random() < 0.45,
-      };
-    }
-    case "sweep": {
-      const count = 2 + Math.floor(random() * 12);
-      return {
-        ...{ queue, count, gpu: 1, gangSize: 1 },
-        ...{ cpu: 11_000, memMb: 16_000, workMs: around(6_100) },
-        checkpointing: random() < 0.45,
-      };
-    }
-  }
-}
-
-/** Waits until all accepted jobs have ended; returns those that haven't. */
-async function waitForJobs(): Promise<string[]> {
-  const endMs = nowMs() + FINISH_LIMIT_MS;
-  let left = [...bed.clients.accepted];
-  while (left.length > 0 && nowMs() < endMs) {
-    await delay(500);
-    const states = await Promise.all(
-      left.map((jobId) => bed.clients.state(jobId)),
-    );
-    left = left.filter((_, at) =>
-      !["completed", "failed", "cancelled"].includes(states[at] ?? "")
-    );
-  }
-  return left;
-}
-
-/** A gang's end is the end of all its tasks. */
-function unitOf(task: string): string {
-  return bed.clients.shapeOf(task).gangSize > 1
-    ? task.slice(0, task.lastIndexOf("."))
-    : task;
-}
-
 function report(unfinished: readonly string[]): number {
   const { history, clients, programs } = bed;
   const ends: Record<string, number> = {};
   history.ends().forEach(({ how }) => ends[how] = (ends[how] ?? 0) + 1);
-  const repeats = history.repeats(unitOf);
+  const repeats = history.repeats((task) => unitOf(bed, task));
   const lines = programs.cores.map(({ name }) => programs.lines(name).length);
   const result = {
     seed,
--- a/test/platform_processes/test_bed.ts
+++ b/test/platform_processes/test_bed.ts
@@ -24,16 +24,24 @@
   readonly #beganAtMs = nowMs();
 
   constructor(
-    folder: string,
-    options: { seed: number; failedShare?: number },
+    programs: Programs,
+    options: {
+      seed: number;
+      failedShare?: number;
+      /** Where workers find cores; by default, at the first three. */
+      controlAddresses?: () => readonly string[];
+    },
   ) {
-    this.programs = new Programs(folder);
+    this.programs = programs;
     const random = randomFraction(options.seed);
     const { layout } = this.programs;
     this.clients = new JobClients(layout, randomFraction(options.seed + 1));
+    const {
+      controlAddresses: addresses = () => controlAddresses(layout),
+    } = options;
     this.pool = new WorkerPool(layout.workers, {
       history: this.history,
-      controlAddresses: controlAddresses(layout),
+      controlAddresses: addresses,
       shapeOf: (task) => this.clients.shapeOf(task),
       random,
       failedShare: options.failedShare ?? 0,
