--- a/test/platform_processes/test_bed.ts
+++ b/test/platform_processes/test_bed.ts
@@ -102,3 +102,13 @@
   }
   return () => random.nextUnit();
 }
+
+/** The values in a random order. */
+export function shuffled<T>(
+  values: readonly T[],
+  random: () => number,
+): T[] {
+  return values.map((value) => ({ value, key: random() }))
+    .sort((a, b) => a.key - b.key)
+    .map(({ value }) => value);
+}
