--- a/test/platform_processes/replacement_checks.ts
+++ b/test/platform_processes/replacement_checks.ts
@@ -28,7 +28,7 @@
 /** Options of {@link checkWaves}. */
 export interface WaveCheckOptions {
   readonly waves: readonly PlayedWave[];
-  readonly monitor: ReadMonitor;
+  readonly monitor: Pick<ReadMonitor, "firstAnswer">;
   readonly voterLog: VoterLog;
   readonly bounds: ReplacementBounds;
 }
--- a/test/platform_processes/voter_log.ts
+++ b/test/platform_processes/voter_log.ts
@@ -20,11 +20,14 @@
 
 /** Reads the cores' logs. */
 export class VoterLog {
-  readonly #programs: Programs;
+  readonly #programs: Pick<Programs, "lines">;
   /** The voters of a group that has just been formed. */
   readonly #founderHosts: readonly string[];
 
-  constructor(programs: Programs, founderHosts: readonly string[]) {
+  constructor(
+    programs: Pick<Programs, "lines">,
+    founderHosts: readonly string[],
+  ) {
     this.#programs = programs;
     this.#founderHosts = founderHosts;
   }
