--- a/src/process/replication/mod.ts
+++ b/src/process/replication/mod.ts
@@ -5,6 +5,7 @@
  */
 
 export { registerDiskMetrics } from "./disk_metrics.ts";
+export { GroupMonitor } from "./group_monitor.ts";
 export type { GroupMember } from "./raft_effect.ts";
 export {
   type DiskStatus,
@@ -13,7 +14,6 @@
   type ReplicatedLog,
   type StateMachine,
 } from "./replicated_log.ts";
-export { VoterReconciler } from "./voter_reconciler.ts";
 export type {
   MemberChange,
   ReplicationMemberOptions,
--- /dev/null
+++ b/src/process/replication/voter_replacement_test.ts
@@ -0,0 +1,201 @@
+import test from "ava";
+import type { Clock } from "../../base/clock.ts";
+import type { GroupMember } from "./raft_effect.ts";
+import { MemberGroup } from "./testing/member_group.ts";
+
+const SILENCE_MS = 1_500;
+const TIMING = { tickMs: 25, heartbeatMs: 150, voterSilenceMs: SILENCE_MS };
+
+function durableVoter(id: string): GroupMember {
+  return { id, isVoter: true, isDurable: true };
+}
+
+/** Founders `a`, `b` and `c`, which vote; the others stand by once started. */
+async function openGroup(
+  ids: readonly string[],
+  options: {
+    startedIds?: readonly string[];
+    delayMs?: (from: string, to: string) => number;
+  } = {},
+): Promise<MemberGroup> {
+  const { startedIds = ids, ...hubOptions } = options;
+  const group = new MemberGroup(
+    ids.map(durableVoter),
+    TIMING,
+    { founderIds: ["a", "b", "c"], wantedVoters: 3, ...hubOptions },
+  );
+  for (const id of startedIds) {
+    await group.start(id);
+  }
+  await group.run(3_000);
+  return group;
+}
+
+function voters(group: MemberGroup): string {
+  return [...group.leader()?.status().voterIds ?? []].sort().join("");
+}
+
+function leaderId(group: MemberGroup): string | undefined {
+  return group.leader()?.status().leaderId;
+}
+
+/** A voter that doesn't lead. */
+function follower(group: MemberGroup): string {
+  return voters(group).split("").find((id) =>
+    group.members.get(id)?.status().role === "follower"
+  )!;
+}
+
+test("nothing changes without a silent or missing voter", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"]);
+  await group.run(10_000);
+  t.is(voters(group), "abc");
+  await group.close();
+});
+
+test("a silent voter stays until another member can replace it", async (t) => {
+  const group = await openGroup(["a", "b", "c"]);
+  await group.stop(follower(group));
+  await group.run(10_000);
+  t.is(voters(group), "abc");
+  await group.close();
+});
+
+test("a lost voter is replaced 2 s after its loss, and removed", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"]);
+  const lost = follower(group);
+  await group.stop(lost);
+  await group.run(2_000);
+  t.is(voters(group), "abcd".replace(lost, ""));
+  await group.close();
+});
+
+test("a voter that is back before its replacement stays", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"]);
+  const lost = follower(group);
+  await group.stop(lost);
+  await group.run(SILENCE_MS - 500);
+  await group.start(lost);
+  await group.run(5_000);
+  t.is(voters(group), "abc");
+  await group.close();
+});
+
+test("a leader that was stalled doesn't take its voters for silent", async (t) => {
+  let farId = "";
+  const group = await openGroup(["a", "b", "c", "d"], {
+    delayMs: (from, to) => from === farId || to === farId ? 40 : 1,
+  });
+  const leader = group.leader()!;
+  farId = follower(group);
+  group.clock.aheadMs += SILENCE_MS + 100;
+  const deadlineMs = group.clock.nowMs() + 1_000;
+  await group.runUntilDone(leader.propose("text", { deadlineMs }));
+  await group.run(50);
+  t.is(voters(group), "abc");
+  await group.close();
+});
+
+test("a member that was lost together with a voter doesn't replace it", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"]);
+  await group.stop("d");
+  await group.stop(follower(group));
+  await group.run(10_000);
+  t.is(voters(group), "abc");
+  await group.close();
+});
+
+test("members far away get votes while the leader commits without pause", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"], {
+    startedIds: ["a", "b", "c"],
+    delayMs: (from, to) => from === "d" || to === "d" ? 20 : 1,
+  });
+  const leader = group.leader()!;
+  let isLoaded = true;
+  const load = async (): Promise<void> => {
+    while (isLoaded) {
+      const deadlineMs = group.clock.nowMs() + 1_000;
+      await leader.propose("text", { deadlineMs });
+    }
+  };
+  const loads = [load(), load(), load()];
+  await group.run(200);
+  await group.stop(follower(group));
+  await group.start("d");
+  await group.run(4_000);
+  t.true(voters(group).includes("d"));
+  isLoaded = false;
+  await group.runUntilDone(Promise.all(loads));
+  await group.close();
+});
+
+/** Starts a member that knows its seeds, and later those that it is told of. */
+async function startWithSeeds(
+  group: MemberGroup,
+  id: string,
+  seedIds: readonly string[],
+): Promise<void> {
+  const members = [id, ...seedIds].map(durableVoter);
+  await group.start(id, {
+    ...group.extraOptions,
+    members,
+    onMemberNamed: (named) => members.push(durableVoter(named)),
+  });
+}
+
+test("a member whose seeds don't include the leader joins", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"], {
+    startedIds: ["a", "b", "c"],
+  });
+  await startWithSeeds(group, "d", [follower(group)]);
+  await group.run(2_000);
+  t.is(group.members.get("d")!.status().leaderId, leaderId(group));
+  await group.close();
+});
+
+test("a voter that was replaced while cut off joins under a leader that it never met", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"], { startedIds: [] });
+  await group.start("a");
+  await group.start("b");
+  await startWithSeeds(group, "c", ["a", "b"]);
+  await group.run(3_000);
+  group.hub.isolate("c");
+  await group.run(2_000);
+  await group.start("d");
+  await group.run(4_000);
+  t.is(voters(group), "abd");
+  for (let id = leaderId(group)!; id !== "d"; id = leaderId(group)!) {
+    await group.stop(id);
+    await group.run(3_000);
+    await group.start(id);
+  }
+  group.hub.heal();
+  await group.run(3_000);
+  t.is(group.members.get("c")!.status().leaderId, "d");
+  await group.close();
+});
+
+/** A clock that is behind another. */
+function clockBehind(clock: Clock, behindMs: number): Clock {
+  return {
+    nowMs: () => clock.nowMs() - behindMs,
+    steadyMs: () => clock.steadyMs(),
+    timeOfDayMs: () => clock.timeOfDayMs() - behindMs,
+    after: (delayMs, action) => clock.after(delayMs, action),
+    every: (periodMs, action) => clock.every(periodMs, action),
+  };
+}
+
+test("a standby that comes back empty, its clock behind, is served again", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"]);
+  await group.stop("d");
+  group.disks.get("d")!.wipe();
+  const clock = clockBehind(group.clock, 10_000);
+  await group.start("d", { ...group.extraOptions, founderIds: [], clock });
+  await group.run(5_000);
+  t.is(
+    group.members.get("d")!.status().commitIndex,
+    group.leader()!.status().commitIndex,
+  );
+  await group.close();
+});
