--- a/test/platform_processes/replacement_checks.ts
+++ b/test/platform_processes/replacement_checks.ts
@@ -47,23 +47,30 @@
 
 /** One line for each loss: the next leader, and when who returned votes. */
 export function describeLosses(options: WaveCheckOptions): string[] {
-  const { voterLog, waves } = options;
-  return waves.flatMap((wave, at) =>
-    wave.lost.map(({ name: lostName }) => {
-      const isLeader = lostName === wave.leader;
-      const next = voterLog.nextLeader(wave.atMs);
-      const leader = next === undefined
-        ? "no leader came"
-        : `next leader ${next.core} after ${since(wave.atMs, next.atMs)}`;
-      const returned = wave.returns.find((each) => each.lostName === lostName);
-      return `wave ${at + 1}: ${lostName}${
-        isLeader ? " (leader)" : ""
-      } lost, ` +
-        `${leader}; ${describeReturn(returned, options)}`;
+  return options.waves.flatMap((wave, at) =>
+    wave.lost.map((core) => {
+      const returned = wave.returns.find(({ lostName }) =>
+        lostName === core.name
+      );
+      const leader = core.name === wave.leader
+        ? `, it led, ${describeNextLeader(wave, options)}`
+        : "";
+      return `wave ${at + 1}: ${core.name} lost${leader}; ` +
+        describeReturn(returned, options);
     })
   );
 }
 
+function describeNextLeader(
+  { atMs }: PlayedWave,
+  { voterLog }: WaveCheckOptions,
+): string {
+  const next = voterLog.nextLeader(atMs);
+  return next === undefined
+    ? "no leader came"
+    : `next leader ${next.core} after ${since(atMs, next.atMs)}`;
+}
+
 function describeReturn(
   returned: CoreReturn | undefined,
   { voterLog, bounds }: WaveCheckOptions,
@@ -132,7 +139,7 @@
     const borne = bounds.lossesBorne - laterLosses;
     const times = this.#wave.returns.map(({ host, atMs }) =>
       voterLog.voteAtMs(host, atMs)
-    ).filter((each) => each !== undefined);
+    ).filter((each) => each !== undefined && each <= dueMs);
     const votes = times.length === 0
       ? ""
       : `, the last vote of a core that returned ${
