--- a/test/platform_processes/replacement_checks.ts
+++ b/test/platform_processes/replacement_checks.ts
@@ -139,7 +139,7 @@
     const borne = bounds.lossesBorne - laterLosses;
     const times = this.#wave.returns.map(({ host, atMs }) =>
       voterLog.voteAtMs(host, atMs)
-    ).filter((each) => each !== undefined && each <= dueMs);
+    ).filter((each) => each !== undefined).filter((each) => each <= dueMs);
     const votes = times.length === 0
       ? ""
       : `, the last vote of a core that returned ${
