--- a/src/process/batch/mod.ts
+++ b/src/process/batch/mod.ts
@@ -31,6 +31,7 @@
 export type { CallTarget, JobAnswer, JobCall } from "./job_call.ts";
 export type { JobSpec, StepSpec, TaskDemand } from "./job_spec.ts";
 export { type LeaderCallResult, LeaderFinder } from "./leader_finder.ts";
+export { SeedWatch, type SeedWatchOptions } from "./seed_watch.ts";
 export type {
   AccountConfiguration,
   PoolConfiguration,
