--- a/src/base/events/replication_events.ts
+++ b/src/base/events/replication_events.ts
@@ -106,7 +106,7 @@
     number: 3512,
     level: "info",
     text:
-      "This leader adds or removes a voter: one that lost its state or is silent is removed, one that has caught up fills a vacancy or replaces a silent one.",
+      "This leader adds or removes a voter. Reasons to remove one: `stateLost`, `silent`, `surplus` (the voter that it replaced answers again); to add one that has caught up: `vacancy`, `replacement` (of a silent voter).",
     fields: ["group", "change", "member", "reason"],
   },
   voteAwaited: {
--- a/src/process/batch/state_host.ts
+++ b/src/process/batch/state_host.ts
@@ -36,6 +36,9 @@
   retryMinMs: 80,
   retryMaxMs: 250,
   voterSilenceMs: 1_500,
+  followMs: 500,
+  // A new member gets one chunk a round trip, of 40 ms between regions.
+  chunkBytes: 256 * 1_024,
 } as const;
 
 /** Options of {@link StateHost}. */
@@ -123,10 +126,8 @@
       hybridClock: new HybridClock({ clock: options.clock }),
       random: options.random,
       events: options.events,
-      admit: (id) => {
-        peers.admit(id);
-        return addressOf(id);
-      },
+      admit: addressOf,
+      onAdmitted: (id) => peers.admit(id),
     });
     await network.open();
     const state = new BatchState();
--- a/src/process/replication/follower.ts
+++ b/src/process/replication/follower.ts
@@ -64,14 +64,16 @@
 
 /**
  * Whether a learner may skip its reply to a heartbeat that brings nothing new:
- * the heartbeat itself only answers the learner's `follow`.
+ * the heartbeat itself only answers the learner's `follow`. One that may vote
+ * replies, as its leader needs a recent answer to make it a voter.
  */
 function isUnchangedReply(
   state: RaftState,
   message: RaftMessageOf<"append">,
 ): boolean {
   const { lastAppendReply, nowMs } = state;
-  const isSame = state.role === "learner" && message.entries.length === 0 &&
+  const isSame = state.role === "learner" && state.self?.isVoter !== true &&
+    message.entries.length === 0 &&
     lastAppendReply?.term === message.term &&
     lastAppendReply.index === message.previousIndex &&
     nowMs - lastAppendReply.atMs <
--- a/src/process/replication/following.ts
+++ b/src/process/replication/following.ts
@@ -82,13 +82,13 @@
  */
 export function sendRedirect(state: RaftState, to: Sender): void {
   const voter = findVoter(state.configuration, to.id);
-  const tracked = state.progress.get(to.id);
   state.send(to.id, {
     kind: "redirect",
     ...(state.leaderId === undefined ? {} : { leaderId: state.leaderId }),
     lowerIncarnation: Math.max(
       voter?.incarnation ?? 0,
-      tracked?.incarnation ?? 0,
+      state.progress.get(to.id)?.incarnation ?? 0,
+      state.lostIncarnations.get(to.id) ?? 0,
     ),
   }, to.incarnation);
 }
@@ -99,13 +99,15 @@
   from: Sender,
 ): LeaderProgress | undefined {
   const known = state.progress.get(from.id);
-  if (from.incarnation < (known?.incarnation ?? 0)) {
+  const isOutdated = from.incarnation < (known?.incarnation ?? 0) ||
+    from.incarnation <= (state.lostIncarnations.get(from.id) ?? -1);
+  if (isOutdated) {
     return undefined;
   }
   const progress = known?.incarnation === from.incarnation
     ? known
     : addProgress(state, from.id, from.incarnation);
-  progress.lastHeardMs = state.nowMs;
+  progress.markHeard(state);
   return progress;
 }
 
@@ -139,6 +141,7 @@
  */
 export function handleRedirect(
   state: RaftState,
+  from: Sender,
   message: RaftMessageOf<"redirect">,
 ): void {
   if (state.isFresh && message.lowerIncarnation >= state.incarnation) {
@@ -149,7 +152,9 @@
     return;
   }
   state.nameMember(leaderId);
-  if (state.role === "learner" && state.leaderId === undefined) {
+  const isSearching = state.role === "learner" && state.leaderId === undefined;
+  // A leader that refuses this member is asked again with the next tick.
+  if (isSearching && leaderId !== from.id) {
     sendFollow(state, leaderId);
   }
 }
--- a/src/process/replication/leader.ts
+++ b/src/process/replication/leader.ts
@@ -54,6 +54,7 @@
     incarnation,
     nextIndex: state.log.lastIndex + 1,
     nowMs: state.nowMs,
+    attendedMs: state.attendedMs,
     bytesPerSecond: state.options.catchUpBytesPerSecond(id),
   });
   state.progress.set(id, progress);
--- a/src/process/replication/leader_progress.ts
+++ b/src/process/replication/leader_progress.ts
@@ -39,6 +39,8 @@
   /** The send time of the newest message that the member has answered. */
   answeredSentAtMs = -Infinity;
   lastHeardMs: number;
+  /** {@link lastHeardMs} by {@link RaftState.attendedMs}. */
+  lastHeardAttendedMs: number;
   lastSentMs = -Infinity;
   sentMessages = 0;
   /** The newest timestamp of the member's own clock. */
@@ -55,12 +57,14 @@
     incarnation: number;
     nextIndex: number;
     nowMs: number;
+    attendedMs: number;
     bytesPerSecond: number;
   }) {
     this.id = options.id;
     this.incarnation = options.incarnation;
     this.nextIndex = options.nextIndex;
     this.lastHeardMs = options.nowMs;
+    this.lastHeardAttendedMs = options.attendedMs;
     this.#lastProgressMs = options.nowMs;
     this.#rounds = new CatchUpRounds({
       lastIndex: options.nextIndex - 1,
@@ -88,6 +92,11 @@
     this.nextIndex = sent.lastIndex + 1;
   }
 
+  markHeard(at: { nowMs: number; attendedMs: number }): void {
+    this.lastHeardMs = at.nowMs;
+    this.lastHeardAttendedMs = at.attendedMs;
+  }
+
   markMessageSent(nowMs: number): void {
     this.lastSentMs = nowMs;
     this.sentMessages += 1;
--- a/src/process/replication/leader_send.ts
+++ b/src/process/replication/leader_send.ts
@@ -173,7 +173,7 @@
   progress: LeaderProgress,
   message: { sentAtMs: number; stampMs: number },
 ): void {
-  progress.lastHeardMs = state.nowMs;
+  progress.markHeard(state);
   progress.answeredSentAtMs = Math.max(
     progress.answeredSentAtMs,
     message.sentAtMs,
--- a/src/process/replication/membership.ts
+++ b/src/process/replication/membership.ts
@@ -29,6 +29,11 @@
     waiveDurability(state);
     return;
   }
+  if (state.log.configurationIndex === 0) {
+    // Members that join by entries know the founders from no snapshot.
+    appendConfiguration(state, state.configuration);
+    return;
+  }
   const change = nextVoterChange(state);
   if (change === undefined) {
     waiveDurability(state);
@@ -70,20 +75,23 @@
     return removal(voters, lost, "stateLost");
   }
   const silent = voters.find((voter) => isSilent(state, voter));
+  if (silent !== undefined && voters.length > wantedVoters) {
+    return removal(voters, silent, "silent");
+  }
   if (voters.length > wantedVoters) {
-    const change = silent === undefined
-      ? removal(voters, slowestVoter(state), "surplus")
-      : removal(voters, silent, "silent");
-    return canCommitWith(state, change.voters) ? change : undefined;
+    const isWhole = voters.every(({ id }) =>
+      id === state.selfId || hasRepliedRecently(state, id)
+    );
+    return isWhole ? removal(voters, latestVoter(state), "surplus") : undefined;
   }
   if (silent === undefined && voters.length === wantedVoters) {
     return undefined;
   }
   const reason = voters.length < wantedVoters ? "vacancy" : "replacement";
-  return [...state.progress.values()]
-    .filter((progress) => isReadyToVote(state, progress))
-    .map((progress) => addition(voters, progress, reason))
-    .find((change) => canCommitWith(state, change.voters));
+  const ready = [...state.progress.values()].find((progress) =>
+    isReadyToVote(state, progress)
+  );
+  return ready === undefined ? undefined : addition(voters, ready, reason);
 }
 
 function removal(
@@ -112,45 +120,38 @@
   };
 }
 
-/** The voter, other than this leader, that has not answered for longest. */
-function slowestVoter(state: RaftState): Voter {
-  const answeredAtMs = ({ id }: Voter) =>
-    id === state.selfId
-      ? Infinity
-      : state.progress.get(id)?.answeredSentAtMs ?? -Infinity;
-  return state.configuration.voters.reduce((slowest, voter) =>
-    answeredAtMs(voter) < answeredAtMs(slowest) ? voter : slowest
-  );
+/** The voter, other than this leader, that was added last. */
+function latestVoter(state: RaftState): Voter {
+  return state.configuration.voters.findLast(({ id }) => id !== state.selfId)!;
 }
 
 /**
  * Whether this leader has heard nothing from a voter for so long that another
  * member should vote in its place. Time in which this member itself was stalled
- * doesn't count.
+ * counts only in part.
  */
 function isSilent(state: RaftState, { id }: Voter): boolean {
-  const heardAtMs = Math.max(
-    state.progress.get(id)?.lastHeardMs ?? 0,
-    state.leaderSinceMs,
-    state.stalledUntilMs,
-  );
+  const heardAtMs = state.progress.get(id)?.lastHeardAttendedMs ?? 0;
   return id !== state.selfId &&
-    state.nowMs - heardAtMs >= state.timing.voterSilenceMs;
+    state.attendedMs - heardAtMs >= state.timing.voterSilenceMs;
 }
 
 function changeVoters(state: RaftState, voters: Voter[]): void {
   appendConfiguration(state, { ...state.configuration, voters });
 }
 
+/**
+ * Whether a member may become a voter now. Its next answer must arrive before the
+ * leader, which then needs it for a majority, gives up for lack of contact.
+ */
 function isReadyToVote(state: RaftState, progress: LeaderProgress): boolean {
   const { configuration, timing } = state;
-  // A learner that has nothing to acknowledge is heard from once a follow period.
-  const silenceLimitMs = timing.followMs + timing.heartbeatMs;
+  const answeredAgoMs = state.nowMs - progress.answeredSentAtMs;
   return progress.wantsVote &&
     state.findMember(progress.id)?.isVoter === true &&
     findVoter(configuration, progress.id) === undefined &&
     !configuration.removedIds.includes(progress.id) &&
-    state.nowMs - progress.lastHeardMs < silenceLimitMs &&
+    answeredAgoMs < timing.electionMaxMs / 2 &&
     progress.hasCaughtUp(timing.electionMinMs, state.nowMs);
 }
 
@@ -187,25 +188,16 @@
   return configuration.voters.filter((voter) => voter.isDurable);
 }
 
-/**
- * Whether the voters that answer would suffice to commit under a configuration.
- * A member that isn't a voter yet counts, as it is asked only if it was heard
- * from.
- */
+/** Whether the voters that answer suffice to commit under the configuration. */
 function canCommitUnder(
   state: RaftState,
   configuration: GroupConfiguration,
 ): boolean {
   const hasReplied = (id: InstanceId) =>
-    id === state.selfId || hasRepliedRecently(state, id) ||
-    findVoter(state.configuration, id) === undefined;
+    id === state.selfId || hasRepliedRecently(state, id);
   return isCommitQuorum(configuration, state.evidence(hasReplied));
 }
 
-function canCommitWith(state: RaftState, voters: Voter[]): boolean {
-  return canCommitUnder(state, { ...state.configuration, voters });
-}
-
 function hasRepliedRecently(state: RaftState, id: InstanceId): boolean {
   const progress = state.progress.get(id);
   return progress !== undefined && !state.hasLostState(id) &&
@@ -237,9 +229,10 @@
 }
 
 /**
- * Makes a member a voter if it has caught up, even beyond the target number of
- * voters. If the member was removed, only reverts the removal; a later call can
- * make it a voter. Returns false if the voters can't be changed now.
+ * Makes a member a voter if it has caught up. Beyond the target number of voters
+ * the last one added is removed again. If the member was removed, only reverts
+ * the removal; a later call can make it a voter. Returns false if the voters
+ * can't be changed now.
  */
 export function addMember(state: RaftState, id: InstanceId): boolean {
   const { configuration } = state;
--- a/src/process/replication/raft_core.ts
+++ b/src/process/replication/raft_core.ts
@@ -102,9 +102,8 @@
     const state = this.#state;
     state.nowMs = nowMs;
     state.steadyMs = steadyMs;
-    if (nowMs - this.#lastStepMs > state.timing.heartbeatMs * 2) {
-      state.stalledUntilMs = nowMs;
-    }
+    const pauseMs = Math.max(0, nowMs - this.#lastStepMs);
+    state.attendedMs += Math.min(pauseMs, state.timing.heartbeatMs);
     this.#lastStepMs = nowMs;
     const lastIndex = state.log.lastIndex;
     for (const input of inputs) {
@@ -294,7 +293,7 @@
       adoptTerm(state, message.term);
       return handleFollow(state, from, message);
     case "redirect":
-      return handleRedirect(state, message);
+      return handleRedirect(state, from, message);
     case "welcome":
       return handleWelcome(state, envelope.formationId, message);
     case "formRequest":
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -99,8 +99,10 @@
   commitIndex: number;
   currentAtMs = 0;
 
-  /** This member grants no vote until then: its leader may hold a lease. */
-  /** By {@link steadyMs}: until then another member's lease may last. */
+  /**
+   * This member grants no vote until then, by {@link steadyMs}: its leader may
+   * hold a lease.
+   */
   withholdVotesUntilMs: number;
   electionDueMs = Infinity;
   /** When the next `follow` or `formRequest` messages are due. */
@@ -121,8 +123,11 @@
   /** The first entry of this leader's term. */
   termStartIndex = Infinity;
   leaderSinceMs = 0;
-  /** The end of the last time in which this member processed nothing. */
-  stalledUntilMs = 0;
+  /**
+   * Time in which this member has processed its messages: of a longer pause only
+   * a part counts. Others are judged silent by it.
+   */
+  attendedMs = 0;
   /** The approximate size of this leader's uncommitted entries, in bytes. */
   pendingBytes = 0;
   /** When a durable voter last replied. */
@@ -202,9 +207,9 @@
     return this.options.members.find((member) => member.id === id);
   }
 
-  /** Reports a member that isn't known, so that it can be reached from now on. */
+  /** Reports a member that was named, so that its owner can connect to it. */
   nameMember(id: InstanceId): void {
-    if (id !== this.selfId && this.findMember(id) === undefined) {
+    if (id !== this.selfId) {
       this.emit({ kind: "memberNamed", id });
     }
   }
--- a/src/process/replication/voter_replacement_test.ts
+++ b/src/process/replication/voter_replacement_test.ts
@@ -4,7 +4,18 @@
 import { MemberGroup } from "./testing/member_group.ts";
 
 const SILENCE_MS = 1_500;
-const TIMING = { tickMs: 25, heartbeatMs: 150, voterSilenceMs: SILENCE_MS };
+/** The periods of the batch scheduler's group. */
+const TIMING = {
+  tickMs: 25,
+  heartbeatMs: 150,
+  followMs: 500,
+  leaderSilenceMs: 650,
+  electionMinMs: 700,
+  electionMaxMs: 950,
+  retryMinMs: 80,
+  retryMaxMs: 250,
+  voterSilenceMs: SILENCE_MS,
+};
 
 function durableVoter(id: string): GroupMember {
   return { id, isVoter: true, isDurable: true };
@@ -70,6 +81,39 @@
   await group.close();
 });
 
+test("a standby without anything to acknowledge gets a vote and costs the leader nothing", async (t) => {
+  for (let play = 0; play < 12; play++) {
+    const group = await openGroup(["a", "b", "c", "d"], {
+      delayMs: () => 20,
+    });
+    await group.run(37 * play);
+    const { term } = group.leader()!.status();
+    const lost = follower(group);
+    await group.stop(lost);
+    await group.run(3_000);
+    t.is(voters(group), "abcd".replace(lost, ""));
+    t.is(group.leader()!.status().term, term);
+    await group.close();
+  }
+});
+
+test("a lost leader's voter is replaced 3 s after its successor's start", async (t) => {
+  for (let play = 0; play < 12; play++) {
+    const group = await openGroup(["a", "b", "c", "d"], {
+      startedIds: ["a", "b", "c"],
+      delayMs: () => 20,
+    });
+    await group.run(37 * play);
+    const lost = leaderId(group)!;
+    await group.stop(lost);
+    await group.run(50);
+    await group.start("d");
+    await group.run(3_000);
+    t.is(voters(group), "abcd".replace(lost, ""));
+    await group.close();
+  }
+});
+
 test("a voter that is back before its replacement stays", async (t) => {
   const group = await openGroup(["a", "b", "c", "d"]);
   const lost = follower(group);
@@ -96,6 +140,76 @@
   await group.close();
 });
 
+test("a leader that stalls again and again replaces a lost voter", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"]);
+  const lost = follower(group);
+  await group.stop(lost);
+  for (let second = 0; second < 4; second++) {
+    await group.run(1_000);
+    group.clock.aheadMs += 350;
+  }
+  t.is(voters(group), "abcd".replace(lost, ""));
+  await group.close();
+});
+
+test("a voter that answers again while it is replaced stays", async (t) => {
+  for (let silentMs = 1_400; silentMs <= 1_600; silentMs += 25) {
+    const group = await openGroup(["a", "b", "c", "d"]);
+    const silent = follower(group);
+    group.hub.isolate(silent);
+    await group.run(silentMs);
+    const isReplaced = !voters(group).includes(silent);
+    group.hub.heal();
+    await group.run(3_000);
+    t.is(voters(group), isReplaced ? "abcd".replace(silent, "") : "abc");
+    await group.close();
+  }
+});
+
+test("a member that is behind gets no vote", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"], {
+    startedIds: ["a", "b", "c"],
+  });
+  for (let at = 0; at < 20; at++) {
+    (await group.propose("a", "x".repeat(10_000))).unsafeCoerce();
+  }
+  const lost = follower(group);
+  await group.stop(lost);
+  await group.start("d", {
+    ...group.extraOptions,
+    catchUpBytesPerSecond: () => 1,
+  });
+  const leader = group.leader()!;
+  let isLoaded = true;
+  const load = (async () => {
+    while (isLoaded) {
+      const deadlineMs = group.clock.nowMs() + 1_000;
+      await leader.propose("x".repeat(10_000), { deadlineMs });
+    }
+  })();
+  group.hub.cut(leaderId(group)!, "d");
+  await group.run(4_000);
+  t.false(voters(group).includes("d"));
+  isLoaded = false;
+  await group.runUntilDone(load);
+  await group.close();
+});
+
+test("a voter of the log that isn't among the known members is named", async (t) => {
+  const named: string[] = [];
+  const group = await openGroup(["a", "b", "c", "d"], { startedIds: [] });
+  await group.start("a");
+  await group.start("b");
+  await group.start("c", {
+    ...group.extraOptions,
+    members: ["c", "a"].map(durableVoter),
+    onMemberNamed: (id) => named.push(id),
+  });
+  await group.run(3_000);
+  t.deepEqual([...new Set(named)].sort(), ["a", "b"]);
+  await group.close();
+});
+
 test("a member that was lost together with a voter doesn't replace it", async (t) => {
   const group = await openGroup(["a", "b", "c", "d"]);
   await group.stop("d");
