--- a/src/connection/ws_peer_network.ts
+++ b/src/connection/ws_peer_network.ts
@@ -71,6 +71,8 @@
    * only `peers` are admitted.
    */
   readonly admit?: (id: InstanceId) => PeerAddress | undefined;
+  /** Called when a peer that is not in `peers` has authenticated. */
+  readonly onAdmitted?: (id: InstanceId) => void;
 }
 
 type Deliver = (from: InstanceId, body: unknown) => boolean;
@@ -252,6 +254,7 @@
     this.#outgoing.get(id)?.dialNow();
     const peer = this.#peerIds.has(id) ? undefined : this.#options.admit?.(id);
     if (peer !== undefined) {
+      this.#options.onAdmitted?.(id);
       this.addPeer(peer);
     }
   }
--- a/src/process/replication/core_driver.ts
+++ b/src/process/replication/core_driver.ts
@@ -29,7 +29,7 @@
   readonly events: EventLog;
   /** The interval of the core's ticks, in milliseconds. */
   readonly tickMs: number;
-  /** Called with members that aren't among the known ones. */
+  /** Called with members that the log or other members name. */
   readonly onMemberNamed: (id: InstanceId) => void;
   /** Called after every step. */
   readonly onStep: () => void;
--- a/src/process/replication/member_options.ts
+++ b/src/process/replication/member_options.ts
@@ -31,9 +31,8 @@
    */
   readonly wantedVoters?: number;
   /**
-   * Called with a member that the log or another member names and that isn't
-   * one of `members`. It can't be reached before it is added there and to the
-   * network.
+   * Called with members that the log or other members name. One that isn't among
+   * `members` can't be reached before it is added there and to the network.
    */
   readonly onMemberNamed?: (id: InstanceId) => void;
   readonly network: PeerNetwork;
--- a/src/process/replication/raft_effect.ts
+++ b/src/process/replication/raft_effect.ts
@@ -106,7 +106,7 @@
   readonly reason: "notLeader" | "overloaded";
 }
 
-/** A member that isn't among the known ones was named. */
+/** The log or another member named a member, which may be unknown. */
 export interface MemberNamed {
   readonly kind: "memberNamed";
   readonly id: InstanceId;
