--- a/src/base/events/replication_events.ts
+++ b/src/base/events/replication_events.ts
@@ -106,7 +106,7 @@
     number: 3512,
     level: "info",
     text:
-      "This leader adds or removes a voter. Reasons to remove one: `stateLost`, `silent`, `surplus` (the voter that it replaced answers again); to add one that has caught up: `vacancy`, `replacement` (of a silent voter).",
+      "This leader adds or removes a voter. Reasons to remove one: `stateLost`, or `silent` while another member is ready; to add one that has caught up: `vacancy`.",
     fields: ["group", "change", "member", "reason"],
   },
   voteAwaited: {
--- a/src/process/replication/membership.ts
+++ b/src/process/replication/membership.ts
@@ -52,20 +52,16 @@
 interface VoterChange {
   readonly kind: "add" | "remove";
   readonly id: InstanceId;
-  readonly reason:
-    | "stateLost"
-    | "silent"
-    | "surplus"
-    | "vacancy"
-    | "replacement";
+  readonly reason: "stateLost" | "silent" | "vacancy";
   /** The voters after the change. */
   readonly voters: Voter[];
 }
 
 /**
- * The next change of the voters, if one is needed. A silent voter is removed
- * only once there is one more than wanted, so that a group whose members can't
- * be replaced keeps them. If it answers again meanwhile, one voter is too many.
+ * The next change of the voters, if one is needed. A silent voter is removed once
+ * another member is ready to take its place, and the other is added then: added
+ * first, it would be one voter more beside the silent one, and a majority would be
+ * lost with it.
  */
 function nextVoterChange(state: RaftState): VoterChange | undefined {
   const { voters } = state.configuration;
@@ -74,24 +70,17 @@
   if (lost !== undefined) {
     return removal(voters, lost, "stateLost");
   }
-  const silent = voters.find((voter) => isSilent(state, voter));
-  if (silent !== undefined && voters.length > wantedVoters) {
-    return removal(voters, silent, "silent");
-  }
-  if (voters.length > wantedVoters) {
-    const isWhole = voters.every(({ id }) =>
-      id === state.selfId || hasRepliedRecently(state, id)
-    );
-    return isWhole ? removal(voters, latestVoter(state), "surplus") : undefined;
-  }
-  if (silent === undefined && voters.length === wantedVoters) {
-    return undefined;
-  }
-  const reason = voters.length < wantedVoters ? "vacancy" : "replacement";
   const ready = [...state.progress.values()].find((progress) =>
     isReadyToVote(state, progress)
   );
-  return ready === undefined ? undefined : addition(voters, ready, reason);
+  if (ready !== undefined && voters.length < wantedVoters) {
+    return addition(voters, ready);
+  }
+  const silent = voters.find((voter) => isSilent(state, voter));
+  const isReplaceable = ready !== undefined || voters.length > wantedVoters;
+  return silent !== undefined && isReplaceable
+    ? removal(voters, silent, "silent")
+    : undefined;
 }
 
 function removal(
@@ -110,21 +99,15 @@
 function addition(
   voters: readonly Voter[],
   { id, incarnation, isDurable }: LeaderProgress,
-  reason: VoterChange["reason"],
 ): VoterChange {
   return {
     kind: "add",
     id,
-    reason,
+    reason: "vacancy",
     voters: [...voters, { id, incarnation, isDurable }],
   };
 }
 
-/** The voter, other than this leader, that was added last. */
-function latestVoter(state: RaftState): Voter {
-  return state.configuration.voters.findLast(({ id }) => id !== state.selfId)!;
-}
-
 /**
  * Whether this leader has heard nothing from a voter for so long that another
  * member should vote in its place. Time in which this member itself was stalled
@@ -229,10 +212,9 @@
 }
 
 /**
- * Makes a member a voter if it has caught up. Beyond the target number of voters
- * the last one added is removed again. If the member was removed, only reverts
- * the removal; a later call can make it a voter. Returns false if the voters
- * can't be changed now.
+ * Makes a member a voter if it has caught up, even beyond the target number of
+ * voters. If the member was removed, only reverts the removal; a later call can
+ * make it a voter. Returns false if the voters can't be changed now.
  */
 export function addMember(state: RaftState, id: InstanceId): boolean {
   const { configuration } = state;
@@ -248,7 +230,7 @@
   }
   const progress = state.progress.get(id);
   if (progress !== undefined && isReadyToVote(state, progress)) {
-    const { voters } = addition(configuration.voters, progress, "vacancy");
+    const { voters } = addition(configuration.voters, progress);
     changeVoters(state, voters);
   }
   return true;
