--- a/src/process/replication/following.ts
+++ b/src/process/replication/following.ts
@@ -73,11 +73,24 @@
     serveLearner(state, from, message);
     return;
   }
-  state.send(from.id, {
+  sendRedirect(state, from);
+}
+
+/**
+ * Tells a member who leads, as far as this one knows, and which incarnation it
+ * must exceed.
+ */
+export function sendRedirect(state: RaftState, to: Sender): void {
+  const voter = findVoter(state.configuration, to.id);
+  const tracked = state.progress.get(to.id);
+  state.send(to.id, {
     kind: "redirect",
     ...(state.leaderId === undefined ? {} : { leaderId: state.leaderId }),
-    lowerIncarnation: voter?.incarnation ?? 0,
-  }, from.incarnation);
+    lowerIncarnation: Math.max(
+      voter?.incarnation ?? 0,
+      tracked?.incarnation ?? 0,
+    ),
+  }, to.incarnation);
 }
 
 /** Tracks the sender of a message, unless it is an outdated incarnation. */
@@ -103,6 +116,7 @@
 ): void {
   const progress = trackMember(state, from);
   if (progress === undefined) {
+    sendRedirect(state, from);
     return;
   }
   if (progress.matchIndex === 0) {
@@ -119,8 +133,9 @@
 }
 
 /**
- * Sends a `follow` to the leader that a member named. A member without group
- * state raises its incarnation first, if it is too low.
+ * Sends a `follow` to the leader that a member named, or lets the owner connect
+ * to it first. A member without group state raises its incarnation before, if it
+ * is too low.
  */
 export function handleRedirect(
   state: RaftState,
@@ -129,10 +144,12 @@
   if (state.isFresh && message.lowerIncarnation >= state.incarnation) {
     state.incarnation = message.lowerIncarnation + 1;
   }
-  const isNewLeader = state.role === "learner" &&
-    state.leaderId === undefined &&
-    message.leaderId !== undefined && message.leaderId !== state.selfId;
-  if (isNewLeader) {
-    sendFollow(state, message.leaderId!);
+  const { leaderId } = message;
+  if (leaderId === undefined || leaderId === state.selfId) {
+    return;
+  }
+  state.nameMember(leaderId);
+  if (state.role === "learner" && state.leaderId === undefined) {
+    sendFollow(state, leaderId);
   }
 }
