--- a/test/platform_processes/replacement_play.ts
+++ b/test/platform_processes/replacement_play.ts
@@ -86,7 +86,8 @@
   async run(waves: readonly Wave[]): Promise<boolean> {
     const { bounds: { catchUpMs, contactMs } } = this.#options;
     for (const wave of waves) {
-      await delay(Math.max(0, this.#dueMs(wave) - nowMs()));
+      const dueMs = await this.#dueMs(wave);
+      await delay(Math.max(0, dueMs - nowMs()));
       const leader = await this.#waitForLeader(contactMs);
       if (leader === undefined) {
         return false;
@@ -101,12 +102,14 @@
     return true;
   }
 
-  #dueMs({ losses, afterLeaderMs }: Wave): number {
+  async #dueMs({ losses, afterLeaderMs }: Wave): Promise<number> {
+    const { bounds, voterLog } = this.#options;
     const before = this.waves.at(-1);
     if (afterLeaderMs === undefined || before === undefined) {
       return this.#ledger.earliestMs(losses.length) + GAP_MARGIN_MS;
     }
-    const next = this.#options.voterLog.nextLeader(before.atMs);
+    await this.#waitForLeader(bounds.contactMs, before);
+    const next = voterLog.nextLeader(before.atMs);
     return (next?.atMs ?? nowMs()) + afterLeaderMs;
   }
 
