--- a/src/process/replication/fake_peer_network.ts
+++ b/src/process/replication/fake_peer_network.ts
@@ -15,6 +15,7 @@
   PeerNetwork,
   Received,
 } from "../../connection/peer_network.ts";
+import { FakePeerLink } from "./fake_peer_link.ts";
 
 /** The current faults of all links. */
 export interface FakeLinkFaults {
@@ -31,6 +32,11 @@
   readonly random: RandomSource;
   /** The one-way delay, in milliseconds. */
   readonly delayMs?: (from: InstanceId, to: InstanceId) => number;
+  /**
+   * How long a link takes to open. With it, an instance sends only to peers that
+   * it knows, and over open links; without it, everyone reaches everyone.
+   */
+  readonly linkOpenMs?: (from: InstanceId, to: InstanceId) => number;
   /** Called with every message that is sent. */
   readonly onSend?: (from: InstanceId, to: InstanceId, body: unknown) => void;
 }
@@ -40,6 +46,31 @@
   readonly deliver: (from: InstanceId, body: unknown) => void;
 }
 
+/** Options of {@link FakePeerHub.join}. */
+export interface FakePeerOptions {
+  readonly peerIds: readonly InstanceId[];
+  /** The instance's own clock, which opens its links; the hub's if absent. */
+  readonly clock?: Clock;
+  /** Runs an action of the instance as soon as it isn't frozen. */
+  readonly whenRunning?: (action: () => void) => void;
+  readonly isFrozen?: () => boolean;
+  /** Called with each instance whose link to this one opens. */
+  readonly admit?: (id: InstanceId) => void;
+}
+
+/** An instance's network, whose peers may grow. */
+export interface FakePeerNetwork extends PeerNetwork {
+  /** Adds a peer and dials it; does nothing if the peer is known. */
+  addPeer(id: InstanceId): void;
+}
+
+/** One life of an instance. */
+interface Joined {
+  readonly options: FakePeerOptions;
+  readonly endpoints: Set<Endpoint>;
+  readonly links: Map<InstanceId, FakePeerLink>;
+}
+
 /** The simulated links among all instances that join. */
 export class FakePeerHub {
   readonly faults: FakeLinkFaults = {
@@ -48,31 +79,49 @@
     jitterMs: 0,
   };
   #options: FakePeerHubOptions;
-  #endpoints = new Map<InstanceId, Set<Endpoint>>();
+  #joined = new Map<InstanceId, Joined>();
   #cuts = new Set<string>();
 
   constructor(options: FakePeerHubOptions) {
     this.#options = options;
   }
 
-  /** Adds an instance and returns its network. */
-  join(
-    selfId: InstanceId,
-    options: { peerIds: readonly InstanceId[] },
-  ): PeerNetwork {
-    const endpoints = new Set<Endpoint>();
-    this.#endpoints.set(selfId, endpoints);
+  /** Adds an instance, or its next life, and returns its network. */
+  join(selfId: InstanceId, options: FakePeerOptions): FakePeerNetwork {
+    this.leave(selfId);
+    const joined: Joined = { options, endpoints: new Set(), links: new Map() };
+    this.#joined.set(selfId, joined);
+    const peerIds = new Set<InstanceId>();
+    const addPeer = (id: InstanceId) => {
+      if (id !== selfId && !peerIds.has(id)) {
+        peerIds.add(id);
+        this.#dial(selfId, id);
+      }
+    };
+    options.peerIds.forEach(addPeer);
     return {
       selfId,
-      peerIds: options.peerIds.filter((id) => id !== selfId),
+      get peerIds() {
+        return [...peerIds];
+      },
+      addPeer,
       linkedPeerIds: () =>
-        options.peerIds.filter((id) =>
-          id !== selfId && this.#endpoints.has(id) && !this.isCut(selfId, id)
+        [...peerIds].filter((id) =>
+          this.#hasLink(joined, id) && !this.isCut(selfId, id)
         ),
-      channel: (channel) => this.#open(selfId, endpoints, channel),
+      channel: (channel) => this.#open(selfId, joined, channel),
     };
   }
 
+  /** Ends an instance's life: its links close, and it receives nothing. */
+  leave(id: InstanceId): void {
+    this.#joined.get(id)?.links.forEach((link) => link.close());
+    this.#joined.delete(id);
+    for (const other of this.#joined.values()) {
+      other.links.get(id)?.handleLoss();
+    }
+  }
+
   /** Drops all messages in one direction. */
   cut(from: InstanceId, to: InstanceId): void {
     this.#cuts.add(`${from} ${to}`);
@@ -80,7 +129,7 @@
 
   /** Drops all messages to and from the instance. */
   isolate(id: InstanceId): void {
-    for (const other of this.#endpoints.keys()) {
+    for (const other of this.#joined.keys()) {
       this.cut(id, other);
       this.cut(other, id);
     }
@@ -95,9 +144,42 @@
     return this.#cuts.has(`${from} ${to}`);
   }
 
+  #dial(from: InstanceId, to: InstanceId): void {
+    const { linkOpenMs, clock, random } = this.#options;
+    const joined = this.#joined.get(from);
+    if (linkOpenMs === undefined || joined === undefined) {
+      return;
+    }
+    const link = new FakePeerLink({
+      clock: joined.options.clock ?? clock,
+      random,
+      openMs: () => linkOpenMs(from, to),
+      reachPeer: () => this.#reach(from, to),
+      onOpened: () => this.#joined.get(to)?.options.admit?.(from),
+    });
+    joined.links.set(to, link);
+  }
+
+  #reach(from: InstanceId, to: InstanceId): "open" | "refused" | "silent" {
+    const target = this.#joined.get(to);
+    if (this.isCut(from, to) || this.isCut(to, from)) {
+      return "silent";
+    }
+    if (target === undefined) {
+      return "refused";
+    }
+    return target.options.isFrozen?.() === true ? "silent" : "open";
+  }
+
+  #hasLink(joined: Joined, to: InstanceId): boolean {
+    return this.#options.linkOpenMs === undefined
+      ? this.#joined.has(to)
+      : joined.links.get(to)?.isOpen === true;
+  }
+
   #open<Message>(
     selfId: InstanceId,
-    endpoints: Set<Endpoint>,
+    joined: Joined,
     options: PeerChannelOptions<Message>,
   ): PeerChannel<Message> {
     const received = new Channel<Received<Message>>();
@@ -108,12 +190,14 @@
           received.push({ from, message })
         ),
     };
-    endpoints.add(endpoint);
+    joined.endpoints.add(endpoint);
     return {
       received: received.stream,
-      send: (to, message) => this.#send(selfId, to, options.name, message),
+      send: (to, message) =>
+        this.#hasLink(joined, to) &&
+        this.#send(selfId, to, options.name, message),
       close: () => {
-        endpoints.delete(endpoint);
+        joined.endpoints.delete(endpoint);
         received.close();
       },
     };
@@ -125,8 +209,8 @@
     name: string,
     message: unknown,
   ): boolean {
-    const target = this.#endpoints.get(to);
-    if (target === undefined || target.size === 0) {
+    const target = this.#joined.get(to);
+    if (target === undefined || target.endpoints.size === 0) {
       return false;
     }
     this.#options.onSend?.(from, to, message);
@@ -134,27 +218,40 @@
     const copies = random.nextUnit() < this.faults.duplicateRate ? 2 : 1;
     for (let copy = 0; copy < copies; copy++) {
       if (random.nextUnit() >= this.faults.lossRate) {
-        this.#deliverLater({ from, to, name, message });
+        this.#deliverLater({ from, to, name, message, life: target });
       }
     }
     return true;
   }
 
   #deliverLater(
-    sent: { from: InstanceId; to: InstanceId; name: string; message: unknown },
+    sent: {
+      from: InstanceId;
+      to: InstanceId;
+      name: string;
+      message: unknown;
+      life: Joined;
+    },
   ): void {
     const { from, to, name, message } = sent;
     const { clock, random, delayMs } = this.#options;
     const jitterMs = random.nextUnit() * this.faults.jitterMs;
     clock.after((delayMs?.(from, to) ?? 0) + jitterMs, () => {
-      if (this.isCut(from, to)) {
+      const target = this.#joined.get(to);
+      // A connection ends with the process that accepted it.
+      const isOver = this.#options.linkOpenMs !== undefined &&
+        target !== sent.life;
+      if (target === undefined || isOver || this.isCut(from, to)) {
         return;
       }
-      for (const endpoint of this.#endpoints.get(to) ?? []) {
-        if (endpoint.name === name) {
-          endpoint.deliver(from, message);
+      const runNow = (action: () => void) => action();
+      (target.options.whenRunning ?? runNow)(() => {
+        for (const endpoint of target.endpoints) {
+          if (endpoint.name === name) {
+            endpoint.deliver(from, message);
+          }
         }
-      }
+      });
     });
   }
 }
