--- a/src/process/batch/state_host.ts
+++ b/src/process/batch/state_host.ts
@@ -38,7 +38,7 @@
  * Elections are fast: urgent jobs leave 1.7 s for one, and the members are at
  * most 20 ms apart. A leader counts as silent after four lost heartbeats.
  */
-const GROUP_TIMING = {
+export const GROUP_TIMING = {
   tickMs: 25,
   heartbeatMs: 150,
   leaderSilenceMs: 650,
--- a/test/fuzz/main.ts
+++ b/test/fuzz/main.ts
@@ -3,7 +3,8 @@
  * with `--suite platform`, of the batch scheduler; with `--suite network`, the
  * same with a network and clocks that mislead it; with `--suite soak`, one pool of
  * the batch scheduler through M rounds of faults; with `--suite replication`, of
- * each kind of replication group. A failing history is printed with its seed and
+ * each kind of replication group; with `--suite membership`, of groups whose
+ * members are replaced. A failing history is printed with its seed and
  * steps, one of the whole system also with its timeline.
  *
  * @module
@@ -13,6 +14,7 @@
 import process from "node:process";
 import { runSoak } from "../../src/process/batch/testing/batch_soak.ts";
 import { parseWholeNumber } from "../../src/programs/cli/flags.ts";
+import { runMembershipCampaign } from "./membership_campaign.ts";
 import { runPlatformCampaign } from "./platform_campaign.ts";
 import { runReplicationCampaign } from "./replication_campaign.ts";
 import { type FailedHistory, runCampaign } from "../system/campaign.ts";
@@ -43,6 +45,7 @@
   network: (range, print) =>
     runPlatformCampaign({ ...range, hasNetworkSteps: true }, print),
   replication: runReplicationCampaign,
+  membership: runMembershipCampaign,
 };
 
 async function main(): Promise<void> {
@@ -54,7 +57,7 @@
   });
   cli.option(
     "--suite <name>",
-    "Suite: system, platform, network, replication or soak",
+    "Suite: system, platform, network, replication, membership or soak",
     { default: "system" },
   );
   cli.help();
