--- a/src/process/batch/testing/loss_player.ts
+++ b/src/process/batch/testing/loss_player.ts
@@ -18,6 +18,8 @@
   restart: "restart",
   freeze: "freeze",
   cut: "cut",
+  /** All processes are killed, and start again with their disks. */
+  restartAll: "restartAll",
 } as const;
 
 /** One of the values of {@link LossKind}. */
@@ -32,6 +34,8 @@
   readonly downMs: number;
   /** Between the earliest moment allowed and the loss. */
   readonly pauseMs: number;
+  /** Loses a member that still counts as lost, if one runs again. */
+  readonly isRepeated?: boolean;
 }
 
 /** Which seeds a process gets that starts in a place. */
@@ -58,11 +62,12 @@
 const SEEDS = 3;
 
 const KINDS: readonly LossKind[] = [
-  ...Array<LossKind>(10).fill("replace"),
-  ...Array<LossKind>(3).fill("wipe"),
-  ...Array<LossKind>(2).fill("freeze"),
-  ...Array<LossKind>(2).fill("cut"),
-  "restart",
+  ...Array<LossKind>(20).fill("replace"),
+  ...Array<LossKind>(6).fill("wipe"),
+  ...Array<LossKind>(4).fill("freeze"),
+  ...Array<LossKind>(4).fill("cut"),
+  ...Array<LossKind>(2).fill("restart"),
+  "restartAll",
 ];
 
 /** Loses members, and brings them back. */
@@ -72,6 +77,8 @@
   readonly #options: LossPlayerOptions;
   /** All IDs that processes have had. */
   readonly #usedIds: string[];
+  /** Whole members that restarted with all others: they know the group. */
+  readonly #restarting = new Set<Place>();
 
   constructor(options: LossPlayerOptions) {
     this.#options = options;
@@ -82,7 +89,8 @@
 
   /** How many losses may come now. */
   get budget(): number {
-    return this.#options.deployment.lossesBorne - this.lostPlaces().length;
+    const { lossesBorne } = this.#options.deployment;
+    return Math.max(0, lossesBorne - this.lostPlaces().length);
   }
 
   lostPlaces(): Place[] {
@@ -112,24 +120,49 @@
 
   /** Loses a member; another one if the step's own may not be lost now. */
   lose(step: LossStep): void {
-    const { group } = this.#options;
-    const allowed = this.#mayBeLost();
+    if (step.kind === LossKind.restartAll) {
+      this.#restartAll(step.downMs);
+      return;
+    }
+    const repeated = step.isRepeated === true ? this.#running() : [];
+    const allowed = repeated.length > 0 ? repeated : this.#mayBeLost();
     const wanted = this.#find(step.target);
     const place = allowed.find((other) => other === wanted) ??
       this.#shuffle(allowed)[0]!;
+    this.#losePlace(place, step);
+  }
+
+  /** Those that still count as lost, and run again. */
+  #running(): Place[] {
+    return this.lostPlaces().filter((place) => place.lostUntilMs < Infinity);
+  }
+
+  #restartAll(downMs: number): void {
+    const { group } = this.#options;
+    const kind = LossKind.restart;
+    for (const place of group.places.filter((each) => group.isServing(each))) {
+      const isWhole = place.lostUntilMs <= group.nowMs;
+      this.#losePlace(place, { kind, downMs: Math.min(downMs, 1_000) });
+      if (isWhole) {
+        this.#restarting.add(place);
+      }
+    }
+  }
+
+  #losePlace(place: Place, step: { kind: LossKind; downMs: number }): void {
+    const { group } = this.#options;
     group.note(`${group.idOf(place)} lost: ${step.kind} ${step.downMs} ms`);
     place.lostUntilMs = Infinity;
+    this.#restarting.delete(place);
     switch (step.kind) {
-      case "replace":
-      case "wipe":
-      case "restart":
-        group.kill(place);
-        break;
       case "freeze":
         place.process?.clock.freeze();
         break;
       case "cut":
         group.setCut(place, true);
+        break;
+      default:
+        group.kill(place);
     }
     group.clock.after(step.downMs, () => this.#bringBack(place, step.kind));
   }
@@ -155,7 +188,7 @@
         place.storage.wipe();
         this.#start(place);
         break;
-      case "restart":
+      default:
         this.#start(place);
     }
     place.lostUntilMs = group.nowMs + deployment.catchUpMs;
@@ -179,6 +212,7 @@
       target: targets[random.nextInt(targets.length)]!,
       downMs: random.nextInt(2) === 0 ? 50 : random.nextInt(5_000),
       pauseMs: random.nextInt(4) === 0 ? random.nextInt(6_000) : 0,
+      isRepeated: random.nextInt(8) === 0,
     };
   }
 
@@ -201,7 +235,8 @@
     const whole = group.places.filter((place) => !lost.includes(place));
     const onlySeeds = lost.map((place) => {
       const seedIds = place.process?.seedIds ?? [];
-      const seeds = whole.filter((other) =>
+      const seeds = group.places.filter((other) =>
+        this.#knowsGroup(other) &&
         seedIds.includes(group.idOf(other))
       );
       return seeds.length === 1 ? seeds[0] : undefined;
@@ -215,7 +250,7 @@
     if (seeds === SeedChoice.all) {
       return others.map((other) => group.idOf(other));
     }
-    const livingIds = others.filter((other) => other.lostUntilMs <= group.nowMs)
+    const livingIds = others.filter((other) => this.#knowsGroup(other))
       .map((other) => group.idOf(other));
     const hasLivingSeed = this.firstSeedIds.some((id) =>
       livingIds.includes(id)
@@ -235,6 +270,11 @@
     return this.#shuffle([living!, ...rest.slice(0, SEEDS - 1)]);
   }
 
+  #knowsGroup(place: Place): boolean {
+    return place.lostUntilMs <= this.#options.group.nowMs ||
+      this.#restarting.has(place);
+  }
+
   #shuffle<Item>(items: readonly Item[]): Item[] {
     const { random } = this.#options;
     const rest = [...items];
--- a/src/process/batch/testing/membership_history.ts
+++ b/src/process/batch/testing/membership_history.ts
@@ -157,7 +157,8 @@
     if (this.#violations.length > 0) {
       return;
     }
-    if (group.leader() !== undefined) {
+    const isStopped = !group.places.some((place) => group.isServing(place));
+    if (isStopped || group.leader() !== undefined) {
       this.#lastLeaderMs = group.nowMs;
     } else if (group.nowMs - this.#lastLeaderMs > LEADERLESS_LIMIT_MS) {
       this.#violate(`no leader for ${LEADERLESS_LIMIT_MS} ms`);
