--- a/src/process/batch/peer_list.ts
+++ b/src/process/batch/peer_list.ts
@@ -1,5 +1,6 @@
 /**
- * The known instances that replicate the state; each one is dialled.
+ * The instances that replicate the batch scheduler's state, as far as this one
+ * knows: those of its settings, and those that it learns of later.
  *
  * @module
  */
@@ -7,32 +8,41 @@
 import type { InstanceId } from "../../base/identity.ts";
 import type { GroupMember } from "../replication/mod.ts";
 
+/** Options of {@link PeerList}. */
+export interface PeerListOptions {
+  readonly selfId: InstanceId;
+  /** The instances from the settings. */
+  readonly seedIds: readonly InstanceId[];
+  /** Opens a link to an instance; does nothing if there is one. */
+  readonly connect: (id: InstanceId) => void;
+}
+
 /** The known instances that replicate the state. */
 export class PeerList {
+  /** All known instances, this one included; grows. */
   readonly members: GroupMember[];
   readonly #selfId: InstanceId;
   readonly #connect: (id: InstanceId) => void;
 
-  constructor(options: {
-    selfId: InstanceId;
-    seedIds: readonly InstanceId[];
-    connect: (id: InstanceId) => void;
-  }) {
-    this.#selfId = options.selfId;
-    this.#connect = options.connect;
-    this.members = [...new Set([options.selfId, ...options.seedIds])].map(
-      newMember,
-    );
+  constructor({ selfId, seedIds, connect }: PeerListOptions) {
+    this.members = [...new Set([selfId, ...seedIds])].map(newMember);
+    this.#selfId = selfId;
+    this.#connect = connect;
   }
 
+  /** Adds an instance that may be reached at its address, and connects to it. */
   add(id: InstanceId): void {
-    if (id === this.#selfId) {
-      return;
+    if (id !== this.#selfId) {
+      this.admit(id);
+      this.#connect(id);
     }
+  }
+
+  /** Adds an instance that has connected to this one. */
+  admit(id: InstanceId): void {
     if (!this.members.some((member) => member.id === id)) {
       this.members.push(newMember(id));
     }
-    this.#connect(id);
   }
 }
 
--- a/src/process/batch/testing/group_process.ts
+++ b/src/process/batch/testing/group_process.ts
@@ -13,7 +13,10 @@
   Result,
   Storage,
 } from "../../../base/mod.ts";
-import type { FakePeerHub } from "../../replication/fake_peer_network.ts";
+import type {
+  FakePeerHub,
+  FakePeerNetwork,
+} from "../../replication/fake_peer_network.ts";
 import {
   ReplicationMember,
   type StateMachine,
@@ -23,9 +26,6 @@
 import { GROUP_TIMING } from "../state_host.ts";
 import { FreezableClock } from "./freezable_clock.ts";
 
-/** As in `StateHost`. */
-const PEER_CHECK_MS = 1_000;
-
 /** Snapshots are frequent, so that successors get one and then entries. */
 const SNAPSHOT_ENTRIES = 512;
 
@@ -89,23 +89,27 @@
   async #open(): Promise<void> {
     const { id, seedIds, hub, random, storage, wantedVoters } = this.#options;
     const { clock } = this;
-    const peers = new PeerList({
+    const peers: PeerList = new PeerList({
       selfId: id,
       seedIds,
       connect: (peer) => network.addPeer(peer),
     });
-    const network = hub.join(id, {
+    const network: FakePeerNetwork = hub.join(id, {
       peerIds: seedIds,
       clock,
       whenRunning: (action) => clock.run(action),
       isFrozen: () => clock.isFrozen,
-      admit: (peer) => peers.add(peer),
+      admit: (peer) => {
+        peers.admit(peer);
+        network.addPeer(peer);
+      },
     });
     const opened = await ReplicationMember.open<number, number>({
       groupId: "batch",
       members: peers.members,
       founderIds: this.#options.formsGroup ? seedIds : [],
       wantedVoters,
+      onMemberNamed: (peer) => peers.add(peer),
       network,
       clock,
       random,
@@ -118,10 +122,6 @@
       return void await member.close();
     }
     this.member = member;
-    const addVoters = () =>
-      member.status().voterIds.forEach((peer) => peers.add(peer));
-    addVoters();
-    clock.every(PEER_CHECK_MS, addVoters);
     new VoterReconciler({ member, clock, wantedVoters });
   }
 }
