--- a/src/process/batch/testing/group_process.ts
+++ b/src/process/batch/testing/group_process.ts
@@ -17,11 +17,7 @@
   FakePeerHub,
   FakePeerNetwork,
 } from "../../replication/fake_peer_network.ts";
-import {
-  ReplicationMember,
-  type StateMachine,
-  VoterReconciler,
-} from "../../replication/mod.ts";
+import { ReplicationMember, type StateMachine } from "../../replication/mod.ts";
 import { PeerList } from "../peer_list.ts";
 import { GROUP_TIMING } from "../state_host.ts";
 import { FreezableClock } from "./freezable_clock.ts";
@@ -122,6 +118,5 @@
       return void await member.close();
     }
     this.member = member;
-    new VoterReconciler({ member, clock, wantedVoters });
   }
 }
