--- a/src/process/replication/voter_replacement_test.ts
+++ b/src/process/replication/voter_replacement_test.ts
@@ -1,4 +1,5 @@
 import test from "ava";
+import type { Clock } from "../../base/clock.ts";
 import type { GroupMember } from "./raft_effect.ts";
 import { MemberGroup } from "./testing/member_group.ts";
 
@@ -104,6 +105,30 @@
   await group.close();
 });
 
+test("members far away get votes while the leader commits without pause", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"], {
+    startedIds: ["a", "b", "c"],
+    delayMs: (from, to) => from === "d" || to === "d" ? 20 : 1,
+  });
+  const leader = group.leader()!;
+  let isLoaded = true;
+  const load = async (): Promise<void> => {
+    while (isLoaded) {
+      const deadlineMs = group.clock.nowMs() + 1_000;
+      await leader.propose("text", { deadlineMs });
+    }
+  };
+  const loads = [load(), load(), load()];
+  await group.run(200);
+  await group.stop(follower(group));
+  await group.start("d");
+  await group.run(4_000);
+  t.true(voters(group).includes("d"));
+  isLoaded = false;
+  await group.runUntilDone(Promise.all(loads));
+  await group.close();
+});
+
 /** Starts a member that knows its seeds, and later those that it is told of. */
 async function startWithSeeds(
   group: MemberGroup,
@@ -127,3 +152,50 @@
   t.is(group.members.get("d")!.status().leaderId, leaderId(group));
   await group.close();
 });
+
+test("a voter that was replaced while cut off joins under a leader that it never met", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"], { startedIds: [] });
+  await group.start("a");
+  await group.start("b");
+  await startWithSeeds(group, "c", ["a", "b"]);
+  await group.run(3_000);
+  group.hub.isolate("c");
+  await group.run(2_000);
+  await group.start("d");
+  await group.run(4_000);
+  t.is(voters(group), "abd");
+  for (let id = leaderId(group)!; id !== "d"; id = leaderId(group)!) {
+    await group.stop(id);
+    await group.run(3_000);
+    await group.start(id);
+  }
+  group.hub.heal();
+  await group.run(3_000);
+  t.is(group.members.get("c")!.status().leaderId, "d");
+  await group.close();
+});
+
+/** A clock that is behind another. */
+function clockBehind(clock: Clock, behindMs: number): Clock {
+  return {
+    nowMs: () => clock.nowMs() - behindMs,
+    steadyMs: () => clock.steadyMs(),
+    timeOfDayMs: () => clock.timeOfDayMs() - behindMs,
+    after: (delayMs, action) => clock.after(delayMs, action),
+    every: (periodMs, action) => clock.every(periodMs, action),
+  };
+}
+
+test("a standby that comes back empty, its clock behind, is served again", async (t) => {
+  const group = await openGroup(["a", "b", "c", "d"]);
+  await group.stop("d");
+  group.disks.get("d")!.wipe();
+  const clock = clockBehind(group.clock, 10_000);
+  await group.start("d", { ...group.extraOptions, founderIds: [], clock });
+  await group.run(5_000);
+  t.is(
+    group.members.get("d")!.status().commitIndex,
+    group.leader()!.status().commitIndex,
+  );
+  await group.close();
+});
