--- a/src/process/batch/testing/group_process.ts
+++ b/src/process/batch/testing/group_process.ts
@@ -18,6 +18,7 @@
   FakePeerNetwork,
 } from "../../replication/fake_peer_network.ts";
 import { ReplicationMember, type StateMachine } from "../../replication/mod.ts";
+import type { RaftMutation } from "../../replication/raft_mutation.ts";
 import { PeerList } from "../peer_list.ts";
 import { GROUP_TIMING } from "../state_host.ts";
 import { FreezableClock } from "./freezable_clock.ts";
@@ -53,6 +54,7 @@
   readonly hub: FakePeerHub;
   readonly clock: Clock;
   readonly random: RandomSource;
+  readonly mutations?: ReadonlySet<RaftMutation>;
 }
 
 /** One process, from its start to its end. */
@@ -83,7 +85,8 @@
   }
 
   async #open(): Promise<void> {
-    const { id, seedIds, hub, random, storage, wantedVoters } = this.#options;
+    const { id, seedIds, hub, random, storage, wantedVoters, mutations } =
+      this.#options;
     const { clock } = this;
     const peers: PeerList = new PeerList({
       selfId: id,
@@ -111,6 +114,7 @@
       random,
       machine: this.state,
       storage,
+      ...(mutations === undefined ? {} : { mutations }),
       timing: { ...GROUP_TIMING, snapshotEntries: SNAPSHOT_ENTRIES },
     });
     const member = opened.unsafeCoerce();
--- a/src/process/batch/testing/membership_group.ts
+++ b/src/process/batch/testing/membership_group.ts
@@ -8,6 +8,7 @@
 import { FakeClock } from "../../../base/fake_clock.ts";
 import { SeededRandom } from "../../../base/random_source.ts";
 import { FakePeerHub } from "../../replication/fake_peer_network.ts";
+import type { RaftMutation } from "../../replication/raft_mutation.ts";
 import { FakeStorage } from "../../storage/fake_storage.ts";
 import { GroupProcess } from "./group_process.ts";
 
@@ -42,6 +43,7 @@
   readonly lossesBorne: number;
   /** Between two proposals at the leader. */
   readonly proposalMs: number;
+  readonly mutations?: readonly RaftMutation[];
 }
 
 /** A simulated group. */
@@ -110,6 +112,7 @@
       hub: this.hub,
       clock: this.clock,
       random: this.random,
+      mutations: new Set(this.#options.mutations),
     });
   }
 
--- a/src/process/replication/election.ts
+++ b/src/process/replication/election.ts
@@ -189,7 +189,8 @@
   }, from.incarnation);
   const knowsOtherLeader = !state.isLeader && state.leaderId !== undefined &&
     state.leaderId !== from.id;
-  if (!isGranted && knowsOtherLeader) {
+  const isHidden = state.hasMutation("hidesLeaderFromCandidates");
+  if (!isGranted && knowsOtherLeader && !isHidden) {
     // A voter that was replaced while it was cut off may never have met it.
     sendRedirect(state, from);
   }
--- a/src/process/replication/following.ts
+++ b/src/process/replication/following.ts
@@ -148,7 +148,9 @@
   if (leaderId === undefined || leaderId === state.selfId) {
     return;
   }
-  state.nameMember(leaderId);
+  if (!state.hasMutation("ignoresNamedLeader")) {
+    state.nameMember(leaderId);
+  }
   if (state.role === "learner" && state.leaderId === undefined) {
     sendFollow(state, leaderId);
   }
--- a/src/process/replication/membership.ts
+++ b/src/process/replication/membership.ts
@@ -134,8 +134,9 @@
     state.leaderSinceMs,
     state.stalledUntilMs,
   );
+  const factor = state.hasMutation("replacesSlowly") ? 3 : 1;
   return id !== state.selfId &&
-    state.nowMs - heardAtMs >= state.timing.voterSilenceMs;
+    state.nowMs - heardAtMs >= state.timing.voterSilenceMs * factor;
 }
 
 function changeVoters(state: RaftState, voters: Voter[]): void {
@@ -151,7 +152,9 @@
     findVoter(configuration, progress.id) === undefined &&
     !configuration.removedIds.includes(progress.id) &&
     state.nowMs - progress.lastHeardMs < silenceLimitMs &&
-    progress.hasCaughtUp(timing.electionMinMs, state.nowMs);
+    (state.hasMutation("readyAtCommitOnly")
+      ? progress.matchIndex >= state.commitIndex
+      : progress.hasCaughtUp(timing.electionMinMs, state.nowMs));
 }
 
 /** Waives the need for a durable voter after none has answered for a while. */
--- a/src/process/replication/raft_mutation.ts
+++ b/src/process/replication/raft_mutation.ts
@@ -38,6 +38,14 @@
   currentAtReceipt: "currentAtReceipt",
   /** A member that loads its log again doesn't know whom it voted for. */
   forgetsVoteAtDiskFault: "forgetsVoteAtDiskFault",
+  /** A member doesn't connect to a leader that another one names. */
+  ignoresNamedLeader: "ignoresNamedLeader",
+  /** A member that refuses a pre-vote doesn't name its leader. */
+  hidesLeaderFromCandidates: "hidesLeaderFromCandidates",
+  /** A member has caught up only while it stores all that is committed. */
+  readyAtCommitOnly: "readyAtCommitOnly",
+  /** A silent voter is replaced after three times the time. */
+  replacesSlowly: "replacesSlowly",
 } as const;
 
 /** One of the values of {@link RaftMutation}. */
