--- a/src/process/batch/testing/membership_group.ts
+++ b/src/process/batch/testing/membership_group.ts
@@ -176,8 +176,9 @@
   }
 
   async run(ms: number): Promise<void> {
-    for (let passedMs = 0; passedMs < ms; passedMs++) {
-      this.clock.advance(1);
+    const endMs = this.nowMs + ms;
+    while (this.nowMs < endMs) {
+      this.clock.advance(Math.min(this.#idleMs(), endMs - this.nowMs));
       // Lets the disks' promises settle.
       await new Promise((resolve) => setImmediate(resolve));
       if (this.nowMs % CHECK_MS === 0) {
@@ -214,6 +215,13 @@
     return this.places.find((place) => id.startsWith(place.name))!.isFar;
   }
 
+  /** The whole milliseconds until the next timer or check is due, at least 1. */
+  #idleMs(): number {
+    const nextDueMs = this.clock.nextDueMs() ?? Infinity;
+    const idleMs = Math.ceil(nextDueMs - this.clock.steadyMs());
+    return Math.max(1, Math.min(idleMs, CHECK_MS - this.nowMs % CHECK_MS));
+  }
+
   #propose(): void {
     const member = this.#hasLoad ? this.leader()?.process?.member : undefined;
     if (member === undefined) {
--- a/src/process/replication/fake_peer_link.ts
+++ b/src/process/replication/fake_peer_link.ts
@@ -30,6 +30,7 @@
   readonly #options: FakePeerLinkOptions;
   #timer: Timer | undefined;
   #failures = 0;
+  #dialAtMs = 0;
   #isOpen = false;
   #isClosed = false;
 
@@ -42,6 +43,18 @@
     return this.#isOpen;
   }
 
+  /** Dials again, unless a link is open; for a peer that has just connected. */
+  dialNow(): void {
+    const { clock, openMs } = this.#options;
+    this.#failures = 0;
+    const isUnderWay = this.#dialAtMs <= clock.nowMs() &&
+      clock.nowMs() < this.#dialAtMs + openMs();
+    if (!this.#isOpen && !this.#isClosed && !isUnderWay) {
+      this.#timer?.close();
+      this.#dialAfter(0);
+    }
+  }
+
   /** The peer's process has ended. */
   handleLoss(): void {
     if (this.#isOpen && !this.#isClosed) {
@@ -58,6 +71,7 @@
 
   #dialAfter(delayMs: number): void {
     const { clock, openMs } = this.#options;
+    this.#dialAtMs = clock.nowMs() + delayMs;
     this.#timer = clock.after(delayMs + openMs(), () => this.#finishDial());
   }
 
--- a/src/process/replication/fake_peer_network.ts
+++ b/src/process/replication/fake_peer_network.ts
@@ -155,7 +155,11 @@
       random,
       openMs: () => linkOpenMs(from, to),
       reachPeer: () => this.#reach(from, to),
-      onOpened: () => this.#joined.get(to)?.options.admit?.(from),
+      onOpened: () => {
+        const target = this.#joined.get(to);
+        target?.options.admit?.(from);
+        target?.links.get(from)?.dialNow();
+      },
     });
     joined.links.set(to, link);
   }
