--- a/src/process/batch/testing/membership_history.ts
+++ b/src/process/batch/testing/membership_history.ts
@@ -38,6 +38,8 @@
   readonly seeds?: SeedChoice;
   /** Between two proposals at the leader; random if absent. */
   readonly proposalMs?: number;
+  /** The largest random addition to each message's delay. */
+  readonly jitterMs?: number;
   readonly mutations?: readonly RaftMutation[];
 }
 
@@ -70,6 +72,7 @@
     proposalMs: options.proposalMs ??
       PROPOSAL_MS[random.nextInt(PROPOSAL_MS.length)]!,
   });
+  group.hub.faults.jitterMs = options.jitterMs ?? 0;
   const player = new LossPlayer({ ...options, group, random });
   const history = new History(group, player);
   const violations = await history.play(options);
