--- a/src/process/replication/membership.ts
+++ b/src/process/replication/membership.ts
@@ -29,6 +29,11 @@
     waiveDurability(state);
     return;
   }
+  if (state.log.configurationIndex === 0) {
+    // Members that join by entries know the founders from no snapshot.
+    appendConfiguration(state, state.configuration);
+    return;
+  }
   const change = nextVoterChange(state);
   if (change === undefined) {
     waiveDurability(state);
@@ -47,20 +52,16 @@
 interface VoterChange {
   readonly kind: "add" | "remove";
   readonly id: InstanceId;
-  readonly reason:
-    | "stateLost"
-    | "silent"
-    | "surplus"
-    | "vacancy"
-    | "replacement";
+  readonly reason: "stateLost" | "silent" | "vacancy";
   /** The voters after the change. */
   readonly voters: Voter[];
 }
 
 /**
- * The next change of the voters, if one is needed. A silent voter is removed
- * only once there is one more than wanted, so that a group whose members can't
- * be replaced keeps them. If it answers again meanwhile, one voter is too many.
+ * The next change of the voters, if one is needed. A silent voter is removed once
+ * another member is ready to take its place, and the other is added then: added
+ * first, it would be one voter more beside the silent one, and a majority would be
+ * lost with it.
  */
 function nextVoterChange(state: RaftState): VoterChange | undefined {
   const { voters } = state.configuration;
@@ -69,21 +70,17 @@
   if (lost !== undefined) {
     return removal(voters, lost, "stateLost");
   }
-  const silent = voters.find((voter) => isSilent(state, voter));
-  if (voters.length > wantedVoters) {
-    const change = silent === undefined
-      ? removal(voters, slowestVoter(state), "surplus")
-      : removal(voters, silent, "silent");
-    return canCommitWith(state, change.voters) ? change : undefined;
-  }
-  if (silent === undefined && voters.length === wantedVoters) {
-    return undefined;
+  const ready = [...state.progress.values()].find((progress) =>
+    isReadyToVote(state, progress)
+  );
+  if (ready !== undefined && voters.length < wantedVoters) {
+    return addition(voters, ready);
   }
-  const reason = voters.length < wantedVoters ? "vacancy" : "replacement";
-  return [...state.progress.values()]
-    .filter((progress) => isReadyToVote(state, progress))
-    .map((progress) => addition(voters, progress, reason))
-    .find((change) => canCommitWith(state, change.voters));
+  const silent = voters.find((voter) => isSilent(state, voter));
+  const isReplaceable = ready !== undefined || voters.length > wantedVoters;
+  return silent !== undefined && isReplaceable
+    ? removal(voters, silent, "silent")
+    : undefined;
 }
 
 function removal(
@@ -102,56 +99,43 @@
 function addition(
   voters: readonly Voter[],
   { id, incarnation, isDurable }: LeaderProgress,
-  reason: VoterChange["reason"],
 ): VoterChange {
   return {
     kind: "add",
     id,
-    reason,
+    reason: "vacancy",
     voters: [...voters, { id, incarnation, isDurable }],
   };
 }
 
-/** The voter, other than this leader, that has not answered for longest. */
-function slowestVoter(state: RaftState): Voter {
-  const answeredAtMs = ({ id }: Voter) =>
-    id === state.selfId
-      ? Infinity
-      : state.progress.get(id)?.answeredSentAtMs ?? -Infinity;
-  return state.configuration.voters.reduce((slowest, voter) =>
-    answeredAtMs(voter) < answeredAtMs(slowest) ? voter : slowest
-  );
-}
-
 /**
  * Whether this leader has heard nothing from a voter for so long that another
  * member should vote in its place. Time in which this member itself was stalled
- * doesn't count.
+ * counts only in part.
  */
 function isSilent(state: RaftState, { id }: Voter): boolean {
-  const heardAtMs = Math.max(
-    state.progress.get(id)?.lastHeardMs ?? 0,
-    state.leaderSinceMs,
-    state.stalledUntilMs,
-  );
+  const heardAtMs = state.progress.get(id)?.lastHeardAttendedMs ?? 0;
   const factor = state.hasMutation("replacesSlowly") ? 3 : 1;
   return id !== state.selfId &&
-    state.nowMs - heardAtMs >= state.timing.voterSilenceMs * factor;
+    state.attendedMs - heardAtMs >= state.timing.voterSilenceMs * factor;
 }
 
 function changeVoters(state: RaftState, voters: Voter[]): void {
   appendConfiguration(state, { ...state.configuration, voters });
 }
 
+/**
+ * Whether a member may become a voter now. Its next answer must arrive before the
+ * leader, which then needs it for a majority, gives up for lack of contact.
+ */
 function isReadyToVote(state: RaftState, progress: LeaderProgress): boolean {
   const { configuration, timing } = state;
-  // A learner that has nothing to acknowledge is heard from once a follow period.
-  const silenceLimitMs = timing.followMs + timing.heartbeatMs;
+  const answeredAgoMs = state.nowMs - progress.answeredSentAtMs;
   return progress.wantsVote &&
     state.findMember(progress.id)?.isVoter === true &&
     findVoter(configuration, progress.id) === undefined &&
     !configuration.removedIds.includes(progress.id) &&
-    state.nowMs - progress.lastHeardMs < silenceLimitMs &&
+    answeredAgoMs < timing.electionMaxMs / 2 &&
     (state.hasMutation("readyAtCommitOnly")
       ? progress.matchIndex >= state.commitIndex
       : progress.hasCaughtUp(timing.electionMinMs, state.nowMs));
@@ -190,25 +174,16 @@
   return configuration.voters.filter((voter) => voter.isDurable);
 }
 
-/**
- * Whether the voters that answer would suffice to commit under a configuration.
- * A member that isn't a voter yet counts, as it is asked only if it was heard
- * from.
- */
+/** Whether the voters that answer suffice to commit under the configuration. */
 function canCommitUnder(
   state: RaftState,
   configuration: GroupConfiguration,
 ): boolean {
   const hasReplied = (id: InstanceId) =>
-    id === state.selfId || hasRepliedRecently(state, id) ||
-    findVoter(state.configuration, id) === undefined;
+    id === state.selfId || hasRepliedRecently(state, id);
   return isCommitQuorum(configuration, state.evidence(hasReplied));
 }
 
-function canCommitWith(state: RaftState, voters: Voter[]): boolean {
-  return canCommitUnder(state, { ...state.configuration, voters });
-}
-
 function hasRepliedRecently(state: RaftState, id: InstanceId): boolean {
   const progress = state.progress.get(id);
   return progress !== undefined && !state.hasLostState(id) &&
@@ -258,7 +233,7 @@
   }
   const progress = state.progress.get(id);
   if (progress !== undefined && isReadyToVote(state, progress)) {
-    const { voters } = addition(configuration.voters, progress, "vacancy");
+    const { voters } = addition(configuration.voters, progress);
     changeVoters(state, voters);
   }
   return true;
