--- a/src/process/batch/state_host.ts
+++ b/src/process/batch/state_host.ts
@@ -27,7 +27,7 @@
  * most 20 ms apart. A leader counts as silent after four lost heartbeats, another
  * voter after ten: a lost one must be replaced before the next may be lost.
  */
-const GROUP_TIMING = {
+export const GROUP_TIMING = {
   tickMs: 25,
   heartbeatMs: 150,
   leaderSilenceMs: 650,
--- a/src/process/replication/following.ts
+++ b/src/process/replication/following.ts
@@ -151,7 +151,9 @@
   if (leaderId === undefined || leaderId === state.selfId) {
     return;
   }
-  state.nameMember(leaderId);
+  if (!state.hasMutation("ignoresNamedLeader")) {
+    state.nameMember(leaderId);
+  }
   const isSearching = state.role === "learner" && state.leaderId === undefined;
   // A leader that refuses this member is asked again with the next tick.
   if (isSearching && leaderId !== from.id) {
--- a/src/process/replication/membership.ts
+++ b/src/process/replication/membership.ts
@@ -115,8 +115,9 @@
  */
 function isSilent(state: RaftState, { id }: Voter): boolean {
   const heardAtMs = state.progress.get(id)?.lastHeardAttendedMs ?? 0;
+  const factor = state.hasMutation("replacesSlowly") ? 3 : 1;
   return id !== state.selfId &&
-    state.attendedMs - heardAtMs >= state.timing.voterSilenceMs;
+    state.attendedMs - heardAtMs >= state.timing.voterSilenceMs * factor;
 }
 
 function changeVoters(state: RaftState, voters: Voter[]): void {
@@ -135,7 +136,9 @@
     findVoter(configuration, progress.id) === undefined &&
     !configuration.removedIds.includes(progress.id) &&
     answeredAgoMs < timing.electionMaxMs / 2 &&
-    progress.hasCaughtUp(timing.electionMinMs, state.nowMs);
+    (state.hasMutation("readyAtCommitOnly")
+      ? progress.matchIndex >= state.commitIndex
+      : progress.hasCaughtUp(timing.electionMinMs, state.nowMs));
 }
 
 /** Waives the need for a durable voter after none has answered for a while. */
