--- a/src/process/replication/group_monitor.ts
+++ b/src/process/replication/group_monitor.ts
@@ -162,7 +162,9 @@
       this.#isLeaderless = false;
       return;
     }
-    const isDue = leaderlessMs >= LEADERLESS_LOGGED_MS &&
+    // A member without state knows no voters; voteAwaited says what it lacks.
+    const isDue = status.voterIds.length > 0 &&
+      leaderlessMs >= LEADERLESS_LOGGED_MS &&
       (!this.#isLeaderless || nowMs >= this.#repeatAtMs.groupWithoutLeader);
     if (isDue) {
       this.#isLeaderless = true;
--- a/src/process/replication/group_monitor_test.ts
+++ b/src/process/replication/group_monitor_test.ts
@@ -119,3 +119,10 @@
   ]);
   member.monitor.close();
 });
+
+test("a member that knows no voters doesn't report them as missing", (t) => {
+  const member = new MonitoredMember();
+  member.clock.advance(10_000);
+  t.deepEqual(member.events.of("groupWithoutLeader"), []);
+  member.monitor.close();
+});
