--- a/src/process/replication/hand_over_test.ts
+++ b/src/process/replication/hand_over_test.ts
@@ -1,17 +1,7 @@
 import test from "ava";
 import { diskVoters } from "./testing/fault_session.ts";
 import { MemberGroup } from "./testing/member_group.ts";
-
-/** The periods of the batch scheduler's group. */
-const TIMING = {
-  tickMs: 25,
-  heartbeatMs: 150,
-  leaderSilenceMs: 650,
-  electionMinMs: 700,
-  electionMaxMs: 950,
-  retryMinMs: 80,
-  retryMaxMs: 250,
-};
+import { FAST_TIMING } from "./testing/fast_timing.ts";
 
 /** Five voters bear the loss of two. */
 const IDS = ["a", "b", "c", "d", "e"];
@@ -20,7 +10,7 @@
 const CLOSING_MS = 5_500;
 
 async function openGroup(): Promise<MemberGroup> {
-  const group = new MemberGroup(diskVoters(...IDS), TIMING);
+  const group = new MemberGroup(diskVoters(...IDS), FAST_TIMING);
   await group.startAll();
   await group.run(2_000);
   return group;
--- a/src/process/replication/removed_member_test.ts
+++ b/src/process/replication/removed_member_test.ts
@@ -1,17 +1,7 @@
 import test from "ava";
 import { diskVoters } from "./testing/fault_session.ts";
 import { RaftSimulation } from "./testing/raft_simulation.ts";
-
-/** The periods of the batch scheduler's group. */
-const TIMING = {
-  tickMs: 25,
-  heartbeatMs: 150,
-  leaderSilenceMs: 650,
-  electionMinMs: 700,
-  electionMaxMs: 950,
-  retryMinMs: 80,
-  retryMaxMs: 250,
-};
+import { FAST_TIMING } from "./testing/fast_timing.ts";
 
 test.failing("one of two voters goes on without the other's disk though a removed member is gone for good", (t) => {
   const lateSeeds: number[] = [];
@@ -19,7 +9,7 @@
     const simulation = new RaftSimulation({
       members: diskVoters("a", "b", "z"),
       seed,
-      timing: TIMING,
+      timing: FAST_TIMING,
       mayLoseState: true,
     });
     simulation.startAll();
--- a/src/process/replication/slow_election_test.ts
+++ b/src/process/replication/slow_election_test.ts
@@ -1,17 +1,7 @@
 import test from "ava";
 import { diskVoters } from "./testing/fault_session.ts";
 import { RaftSimulation } from "./testing/raft_simulation.ts";
-
-/** The periods of the batch scheduler's group. */
-const TIMING = {
-  tickMs: 25,
-  heartbeatMs: 150,
-  leaderSilenceMs: 650,
-  electionMinMs: 700,
-  electionMaxMs: 950,
-  retryMinMs: 80,
-  retryMaxMs: 250,
-};
+import { FAST_TIMING } from "./testing/fast_timing.ts";
 
 const LIMIT_MS = 5_000;
 
@@ -21,7 +11,7 @@
     const simulation = new RaftSimulation({
       members: diskVoters("a", "b", "c"),
       seed,
-      timing: TIMING,
+      timing: FAST_TIMING,
       delayMs: 20,
       // Syncs take 0 to 0.8 s, far below `diskTimeoutMs` of a leader.
       syncMs: 800,
--- a/src/process/replication/voter_faults_test.ts
+++ b/src/process/replication/voter_faults_test.ts
@@ -1,19 +1,9 @@
 import test from "ava";
-import type { Clock } from "../../base/clock.ts";
 import { EventRecord } from "../../base/event_record.ts";
 import type { GroupMember } from "./raft_effect.ts";
 import { MemberGroup } from "./testing/member_group.ts";
-
-const TIMING = {
-  tickMs: 25,
-  heartbeatMs: 150,
-  leaderSilenceMs: 650,
-  electionMinMs: 700,
-  electionMaxMs: 950,
-  retryMinMs: 80,
-  retryMaxMs: 250,
-  voterSilenceMs: 1_500,
-};
+import { clockBehind } from "./testing/clock_behind.ts";
+import { FAST_TIMING } from "./testing/fast_timing.ts";
 
 function durableVoter(id: string): GroupMember {
   return { id, isVoter: true, isDurable: true };
@@ -31,7 +21,7 @@
   members: readonly GroupMember[],
   options: Record<string, unknown> = {},
 ): MemberGroup {
-  return new MemberGroup(members, TIMING, {
+  return new MemberGroup(members, FAST_TIMING, {
     founderIds: ["a", "b", "c"],
     wantedVoters: 3,
     ...options,
@@ -120,7 +110,7 @@
     const group = new MemberGroup(
       ["a", "b", "c", "d"].map(durableVoter),
       {
-        ...TIMING,
+        ...FAST_TIMING,
         chunkBytes: 256 * 1_024,
         tailEntries: 1,
         snapshotEntries: 4,
@@ -157,16 +147,6 @@
   });
 }
 
-function clockBehind(clock: Clock, behindMs: number): Clock {
-  return {
-    nowMs: () => clock.nowMs() - behindMs,
-    steadyMs: () => clock.steadyMs(),
-    timeOfDayMs: () => clock.timeOfDayMs() - behindMs,
-    after: (delayMs, action) => clock.after(delayMs, action),
-    every: (periodMs, action) => clock.every(periodMs, action),
-  };
-}
-
 test("a voter that lost its state twice, its clock set back, isn't added and removed again and again", async (t) => {
   const events = new EventRecord();
   const group = openWith(["a", "b", "c", "d"].map(durableVoter), { events });
--- a/src/process/replication/voter_replacement_test.ts
+++ b/src/process/replication/voter_replacement_test.ts
@@ -1,22 +1,10 @@
 import test from "ava";
-import type { Clock } from "../../base/clock.ts";
 import type { GroupMember } from "./raft_effect.ts";
 import { MemberGroup } from "./testing/member_group.ts";
+import { FAST_TIMING } from "./testing/fast_timing.ts";
+import { clockBehind } from "./testing/clock_behind.ts";
 
-const SILENCE_MS = 1_500;
-/** The periods of the batch scheduler's group. */
-const TIMING = {
-  tickMs: 25,
-  heartbeatMs: 150,
-  followMs: 500,
-  leaderSilenceMs: 650,
-  electionMinMs: 700,
-  electionMaxMs: 950,
-  retryMinMs: 80,
-  retryMaxMs: 250,
-  voterSilenceMs: SILENCE_MS,
-};
-
+const SILENCE_MS = FAST_TIMING.voterSilenceMs;
 function durableVoter(id: string): GroupMember {
   return { id, isVoter: true, isDurable: true };
 }
@@ -32,7 +20,7 @@
   const { startedIds = ids, ...hubOptions } = options;
   const group = new MemberGroup(
     ids.map(durableVoter),
-    TIMING,
+    FAST_TIMING,
     { founderIds: ["a", "b", "c"], wantedVoters: 3, ...hubOptions },
   );
   for (const id of startedIds) {
@@ -311,17 +299,6 @@
   await group.close();
 });
 
-/** A clock that is behind another. */
-function clockBehind(clock: Clock, behindMs: number): Clock {
-  return {
-    nowMs: () => clock.nowMs() - behindMs,
-    steadyMs: () => clock.steadyMs(),
-    timeOfDayMs: () => clock.timeOfDayMs() - behindMs,
-    after: (delayMs, action) => clock.after(delayMs, action),
-    every: (periodMs, action) => clock.every(periodMs, action),
-  };
-}
-
 test("a standby that comes back empty, its clock behind, is served again", async (t) => {
   const group = await openGroup(["a", "b", "c", "d"]);
   await group.stop("d");
