--- a/src/process/replication/testing/fault_session.ts
+++ b/src/process/replication/testing/fault_session.ts
@@ -7,6 +7,7 @@
 import * as fc from "fast-check";
 import type { GroupMember, RaftInput } from "../raft_effect.ts";
 import type { RaftMutation } from "../raft_mutation.ts";
+import type { ReplicationTiming } from "../replication_timing.ts";
 import { RaftSimulation } from "./raft_simulation.ts";
 
 /**
@@ -229,6 +230,9 @@
 export interface FuzzOptions {
   readonly members: readonly GroupMember[];
   readonly mutations?: readonly RaftMutation[];
+  readonly founderIds?: readonly string[];
+  readonly wantedVoters?: number;
+  readonly timing?: Partial<ReplicationTiming>;
 }
 
 /** The property that all invariants hold in any session. */
--- a/src/process/replication/testing/raft_simulation.ts
+++ b/src/process/replication/testing/raft_simulation.ts
@@ -34,6 +34,10 @@
    * all members agree at the end.
    */
   readonly mayLoseState?: boolean;
+  /** The members that form the group; all voters if absent. */
+  readonly founderIds?: readonly string[];
+  /** The target number of voters; all voters if absent. */
+  readonly wantedVoters?: number;
 }
 
 interface ScheduledAction {
@@ -89,6 +93,8 @@
       timing: this.#timing,
       mutations: new Set(this.#options.mutations ?? []),
       listener: this,
+      founderIds: this.#options.founderIds,
+      wantedVoters: this.#options.wantedVoters,
     });
   }
 
@@ -191,7 +197,11 @@
     const configuredVoters = [...this.members.values()].filter((member) =>
       member.options.self.isVoter
     );
-    return !isDurabilityWaived && voters.length === configuredVoters.length &&
+    return !isDurabilityWaived && voters.length >=
+        Math.min(
+          this.#options.wantedVoters ?? Infinity,
+          configuredVoters.length,
+        ) &&
       voters.every((voter) =>
         this.member(voter.id).core?.view.incarnation === voter.incarnation
       );
--- a/src/process/replication/testing/simulated_member.ts
+++ b/src/process/replication/testing/simulated_member.ts
@@ -55,6 +55,8 @@
   readonly timing: ReplicationTiming;
   readonly mutations: ReadonlySet<RaftMutation>;
   readonly listener: MemberListener;
+  readonly founderIds?: readonly string[] | undefined;
+  readonly wantedVoters?: number | undefined;
 }
 
 /** A member that can crash, lose its state and restart. */
@@ -149,6 +151,8 @@
     this.core = new RaftCore({
       selfId: this.id,
       members: options.members,
+      founderIds: options.founderIds,
+      wantedVoters: options.wantedVoters,
       random: options.random,
       timing: options.timing,
       hardState: forgetsVote
