--- a/src/process/batch/state_host.ts
+++ b/src/process/batch/state_host.ts
@@ -136,7 +136,7 @@
       members: peers.members,
       founderIds: options.formsGroup ? options.seedIds : [],
       wantedVoters: wantedVoters(options),
-      onMemberNamed: (id) => peers.add(id),
+      onMemberDiscovered: (id) => peers.add(id),
       network,
       clock: options.clock,
       random: options.random,
--- a/src/process/batch/testing/group_process.ts
+++ b/src/process/batch/testing/group_process.ts
@@ -108,7 +108,7 @@
       members: peers.members,
       founderIds: this.#options.formsGroup ? seedIds : [],
       wantedVoters,
-      onMemberNamed: (peer) => peers.add(peer),
+      onMemberDiscovered: (peer) => peers.add(peer),
       network,
       clock,
       random,
--- a/src/process/replication/core_driver.ts
+++ b/src/process/replication/core_driver.ts
@@ -30,7 +30,7 @@
   /** The interval of the core's ticks, in milliseconds. */
   readonly tickMs: number;
   /** Called with members that the log or other members name. */
-  readonly onMemberNamed: (id: InstanceId) => void;
+  readonly onMemberDiscovered: (id: InstanceId) => void;
   /** Called after every step. */
   readonly onStep: () => void;
   /** Called when writes to the disk are synced. */
@@ -189,8 +189,8 @@
         return this.#proposals.markAppended(effect.token, effect);
       case "proposalRejected":
         return this.#proposals.markRejected(effect.token);
-      case "memberNamed":
-        return this.#options.onMemberNamed(effect.id);
+      case "memberDiscovered":
+        return this.#options.onMemberDiscovered(effect.id);
       case "event":
         return this.#options.events.emit(effect.name, {
           group: this.#options.groupId,
--- a/src/process/replication/following.ts
+++ b/src/process/replication/following.ts
@@ -152,7 +152,7 @@
     return;
   }
   if (!state.hasMutation("ignoresNamedLeader")) {
-    state.nameMember(leaderId);
+    state.reportMember(leaderId);
   }
   const isSearching = state.role === "learner" && state.leaderId === undefined;
   // A leader that refuses this member is asked again with the next tick.
--- a/src/process/replication/member_options.ts
+++ b/src/process/replication/member_options.ts
@@ -34,7 +34,7 @@
    * Called with members that the log or other members name. One that isn't among
    * `members` can't be reached before it is added there and to the network.
    */
-  readonly onMemberNamed?: (id: InstanceId) => void;
+  readonly onMemberDiscovered?: (id: InstanceId) => void;
   readonly network: PeerNetwork;
   readonly clock: Clock;
   readonly random: RandomSource;
--- a/src/process/replication/member_session.ts
+++ b/src/process/replication/member_session.ts
@@ -65,7 +65,7 @@
       clock,
       events: options.events ?? SILENT_EVENT_LOG,
       tickMs: timing.tickMs,
-      onMemberNamed: options.onMemberNamed ?? (() => undefined),
+      onMemberDiscovered: options.onMemberDiscovered ?? (() => undefined),
       onStep: context.onStep,
       onSynced: () => disk.markSynced(),
       onFailure: context.onFailure,
--- a/src/process/replication/raft_effect.ts
+++ b/src/process/replication/raft_effect.ts
@@ -55,7 +55,7 @@
   | CommitEffect
   | ProposalAppended
   | ProposalRejected
-  | MemberNamed
+  | MemberDiscovered
   | EventEffect;
 
 /** A message to send once the persist effect `afterSequence` is synced. */
@@ -107,8 +107,8 @@
 }
 
 /** The log or another member named a member, which may be unknown. */
-export interface MemberNamed {
-  readonly kind: "memberNamed";
+export interface MemberDiscovered {
+  readonly kind: "memberDiscovered";
   readonly id: InstanceId;
 }
 
--- a/src/process/replication/raft_state.ts
+++ b/src/process/replication/raft_state.ts
@@ -140,7 +140,7 @@
   proposedFormationId: string | undefined;
 
   /** The last configuration whose voters were reported. */
-  #namedConfiguration: GroupConfiguration | undefined;
+  #reportedConfiguration: GroupConfiguration | undefined;
   #effects: RaftEffect[] = [];
   #issuedTimestamps: number[] = [];
 
@@ -208,9 +208,9 @@
   }
 
   /** Reports a member that was named, so that its owner can connect to it. */
-  nameMember(id: InstanceId): void {
+  reportMember(id: InstanceId): void {
     if (id !== this.selfId) {
-      this.emit({ kind: "memberNamed", id });
+      this.emit({ kind: "memberDiscovered", id });
     }
   }
 
@@ -335,18 +335,18 @@
 
   /** Returns and clears the effects since the last call. */
   takeEffects(): RaftEffect[] {
-    this.#nameVoters();
+    this.#reportVoters();
     this.flush();
     const effects = this.#effects;
     this.#effects = [];
     return effects;
   }
 
-  #nameVoters(): void {
+  #reportVoters(): void {
     const { configuration } = this;
-    if (configuration !== this.#namedConfiguration) {
-      this.#namedConfiguration = configuration;
-      configuration.voters.forEach(({ id }) => this.nameMember(id));
+    if (configuration !== this.#reportedConfiguration) {
+      this.#reportedConfiguration = configuration;
+      configuration.voters.forEach(({ id }) => this.reportMember(id));
     }
   }
 
--- a/src/process/replication/testing/member_group.ts
+++ b/src/process/replication/testing/member_group.ts
@@ -46,7 +46,7 @@
   readonly clock?: Clock;
   /** Those that a member knows, if not all; it may grow. */
   readonly members?: readonly GroupMember[];
-  readonly onMemberNamed?: (id: string) => void;
+  readonly onMemberDiscovered?: (id: string) => void;
   /** The one-way delay of messages, in milliseconds. */
   readonly delayMs?: (from: string, to: string) => number;
   /** Called with every message that is sent. */
--- a/src/process/replication/testing/simulated_member.ts
+++ b/src/process/replication/testing/simulated_member.ts
@@ -231,7 +231,7 @@
       case "proposalAppended":
         return listener.onAppended(this, effect);
       case "proposalRejected":
-      case "memberNamed":
+      case "memberDiscovered":
       case "event":
         return;
     }
--- a/src/process/replication/voter_faults_test.ts
+++ b/src/process/replication/voter_faults_test.ts
@@ -193,7 +193,7 @@
   await group.start("d", {
     ...group.extraOptions,
     members,
-    onMemberNamed: (named) => members.push(durableVoter(named)),
+    onMemberDiscovered: (named) => members.push(durableVoter(named)),
   });
   await group.run(2_000);
   t.deepEqual(
--- a/src/process/replication/voter_replacement_test.ts
+++ b/src/process/replication/voter_replacement_test.ts
@@ -213,7 +213,7 @@
   await group.start("c", {
     ...group.extraOptions,
     members: ["c", "a"].map(durableVoter),
-    onMemberNamed: (id) => named.push(id),
+    onMemberDiscovered: (id) => named.push(id),
   });
   await group.run(3_000);
   t.deepEqual([...new Set(named)].sort(), ["a", "b"]);
@@ -263,7 +263,7 @@
   await group.start(id, {
     ...group.extraOptions,
     members,
-    onMemberNamed: (named) => members.push(durableVoter(named)),
+    onMemberDiscovered: (named) => members.push(durableVoter(named)),
   });
 }
 
