--- a/test/platform_processes/faults.ts
+++ b/test/platform_processes/faults.ts
@@ -136,8 +136,8 @@
   }
 
   async #onWorker(hit: (worker: PoolWorker) => Promise<void>): Promise<void> {
-    const free = this.#bed.pool.workers.filter(({ id, isUp }) =>
-      isUp && !this.#workersHit.has(id)
+    const free = this.#bed.pool.workers.filter(({ place, isUp }) =>
+      isUp && !this.#workersHit.has(place.id)
     );
     // Workers at work are of more interest.
     const busy = free.filter(({ tasks }) => tasks.length > 0);
@@ -145,9 +145,11 @@
     if (worker === undefined) {
       return;
     }
-    this.#workersHit.add(worker.id);
+    // A worker may get another ID while it is hit.
+    const { id } = worker.place;
+    this.#workersHit.add(id);
     await hit(worker);
-    this.#workersHit.delete(worker.id);
+    this.#workersHit.delete(id);
   }
 
   #disturbLink(): Promise<void> {
