--- a/src/connection/ws_peer_network_test.ts
+++ b/src/connection/ws_peer_network_test.ts
@@ -125,6 +125,44 @@
   await Promise.all([a.close(), b.close()]);
 });
 
+test("a stranger is admitted once it has proven the cluster key, not before", async (t) => {
+  const selfA = { id: "a", address: await freeAddress() };
+  const selfB = { id: "b", address: await freeAddress() };
+  const clock = new SystemClock();
+  const admittedIds: string[] = [];
+  const a = new WsPeerNetwork({
+    self: selfA,
+    peers: [],
+    clusterName: "test",
+    clusterKey: new ClusterKey({ key: Buffer.from("secret") }),
+    clock,
+    hybridClock: new HybridClock({ clock }),
+    random: new SeededRandom({ seed: 1 }),
+    events: SILENT_EVENT_LOG,
+    admit: () => selfB,
+    onAdmitted: (id) => admittedIds.push(id),
+  });
+  await a.open();
+  const socket = new WebSocket(`ws://${selfA.address}`);
+  await once(socket, "open");
+  socket.send(encodeFrame({
+    kind: "hello",
+    protocolVersion: PEER_PROTOCOL_VERSION,
+    clusterName: "test",
+    from: "stranger",
+    to: "a",
+    nonce: new Uint8Array(16),
+  }));
+  await once(socket, "message");
+  t.deepEqual(admittedIds, []);
+  const b = makeNetwork(selfB, { peer: selfA, key: "secret" });
+  await b.open();
+  await waitUntil(() => b.linkedPeerIds().includes("a"));
+  t.deepEqual(admittedIds, ["b"]);
+  socket.terminate();
+  await Promise.all([a.close(), b.close()]);
+});
+
 test("no link opens between peers with different cluster keys", async (t) => {
   const pair = await openPair({ a: "secret", b: "guess" });
   await waitUntil(() =>
--- a/src/process/replication/testing/member_group.ts
+++ b/src/process/replication/testing/member_group.ts
@@ -7,6 +7,7 @@
 import { pack, unpack } from "msgpackr";
 import { Right } from "purify-ts/Either";
 import type { Clock } from "../../../base/clock.ts";
+import type { EventLog } from "../../../base/event_log.ts";
 import { FakeClock } from "../../../base/fake_clock.ts";
 import { SeededRandom } from "../../../base/random_source.ts";
 import type { Result } from "../../../base/sesame_error.ts";
@@ -44,6 +45,7 @@
   readonly founderIds?: readonly string[];
   readonly wantedVoters?: number;
   readonly clock?: Clock;
+  readonly events?: EventLog;
   /** Those that a member knows, if not all; it may grow. */
   readonly members?: readonly GroupMember[];
   readonly onMemberDiscovered?: (id: string) => void;
