--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -9,14 +9,17 @@
 
 const PREFIX = "/blend/";
 /** `node_cut` of the site file: share 0.17 of the machines for 5.5 s. */
-const DOORS = 6;
+const DOORS = process.env.HOW === "freeze" ? 10 : 6;
 const CUT_MS = 5500;
 const JOBS = 4;
 const JOB_MS = 40_000;
+/** `freeze`: the door stands still instead (`node_freeze`, 0.11 for 3.5 s). */
+const IS_FREEZE = process.env.HOW === "freeze";
+const FREEZE_MS = 3500;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async (deployment, record) => {
   const events = [];
-  await deployment.open({ cores: 3, doors: DOORS, linkedDoor: 0 });
+  await deployment.open({ cores: 3, doors: DOORS, linkedDoor: IS_FREEZE ? undefined : 0 });
   await deployment.configure(configuration(1, [route("r-blend", PREFIX, 1)]));
   for (let at = 0; at < 3; at++) {
     await deployment.addWorker({ onEvent: (event) => events.push(event) });
@@ -31,7 +34,10 @@
   }
 
   const cutAtMs = now();
-  if (TROUBLE) {
+  if (TROUBLE && IS_FREEZE) {
+    cutDoor.child.kill("SIGSTOP");
+    record.write("frozen", { door: cutDoor.name });
+  } else if (TROUBLE) {
     deployment.links.forEach((link) => link.cut());
     record.write("cut", { door: cutDoor.name });
   }
@@ -54,8 +60,11 @@
     }
     throw new Error(`the cancelling of ${id} was not acknowledged`);
   }));
-  await delay(Math.max(0, cutAtMs + CUT_MS - now()));
-  if (TROUBLE) {
+  await delay(Math.max(0, cutAtMs + (IS_FREEZE ? FREEZE_MS : CUT_MS) - now()));
+  if (TROUBLE && IS_FREEZE) {
+    cutDoor.child.kill("SIGCONT");
+    record.write("thawed");
+  } else if (TROUBLE) {
     deployment.links.forEach((link) => link.heal());
     record.write("healed");
   }
--- a/review/standins-2/kit.mjs
+++ b/review/standins-2/kit.mjs
@@ -339,6 +339,8 @@
   throw new Error("no free subnet");
 }
 
+export const http = call;
+
 function call(method, address, path, { body, headers = {}, timeoutMs }) {
   const [host, port] = address.split(":");
   return new Promise((done) => {
