--- a/review/standins-2/kit.mjs
+++ b/review/standins-2/kit.mjs
@@ -519,7 +519,7 @@
     if (used + demand.gpu > (this.options.capacity?.gpu ?? 8)) {
       return { status: 409, reason: "room" };
     }
-    const { ms, fails } = JSON.parse(spec);
+    const { ms = 100, fails } = parse(spec) ?? {};
     const held = { task, run, gpu: demand.gpu, beganAtMs: now(), ms };
     held.timer = setTimeout(
       () => this.end(held, fails === true ? "failed" : "done"), ms);
