--- a/review/standins-2/kit.mjs
+++ b/review/standins-2/kit.mjs
@@ -68,10 +68,18 @@
     if (!isFinished) {
       isFinished = true;
       clearTimeout(limit);
-      record.write("result", { code, text });
+      try {
+        record.write("result", { code, text });
+      } catch (error) {
+        console.log(String(error));
+        code = 2;
+      }
       console.log(`${code === 0 ? "held" : code === 1 ? "BROKEN" : "not run"}: ${text}`);
-      deployment.close();
-      process.exit(code);
+      try {
+        deployment.close();
+      } finally {
+        process.exit(code);
+      }
     }
   };
   for (const signal of ["SIGINT", "SIGTERM"]) {
@@ -94,10 +102,8 @@
   }
 
   write(what, fields = {}) {
-    appendFileSync(
-      this.path,
-      `${JSON.stringify({ atMs: now(), what, ...fields })}\n`,
-    );
+    const line = JSON.stringify({ atMs: now(), what, ...fields });
+    appendFileSync(this.path, `${line}\n`);
   }
 }
 
