--- a/review/standins-2/kit.mjs
+++ b/review/standins-2/kit.mjs
@@ -82,7 +82,7 @@
       }
     }
   };
-  for (const signal of ["SIGINT", "SIGTERM"]) {
+  for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) {
     process.on(signal, () => finish(2, signal));
   }
   process.on("uncaughtException", (error) => finish(2, error.stack));
@@ -124,7 +124,16 @@
    */
   async open({ cores = 3, doors = 2, linkedDoor, oneWayMs = 0 } = {}) {
     this.oneWayMs = oneWayMs;
+    this.guard = spawn(process.execPath, [join(ROOT, "review/standins-2/guard.mjs")], {
+      stdio: ["pipe", "ignore", "ignore"],
+      detached: true,
+    });
+    this.guard.stdin.on("error", () => undefined);
+    this.guard.unref();
     this.folder = mkdtempSync(join(tmpdir(), "review-"));
+    if (process.env.KEEP !== "1") {
+      this.tellGuard("folder", this.folder);
+    }
     this.subnet = await findSubnet();
     const text = readFileSync(join(ROOT, "deploy/system.toml"), "utf8");
     const runOf = (role) =>
@@ -200,10 +209,16 @@
       env: { PATH, HOME, LANG, SESAMETHREAD_BOOT: path },
       stdio: ["ignore", log, log],
     });
+    this.tellGuard("pid", child.pid);
+    child.once("exit", () => this.tellGuard("ended", child.pid));
     place.child = child;
     this.children.push(child);
   }
 
+  tellGuard(what, value) {
+    this.guard.stdin.write(`${what} ${value}\n`);
+  }
+
   async addWorker(options) {
     const at = this.workers.length;
     const worker = new Worker({
