Share the event loop's turns among all connections of a server

What callers saw: beside 400 connections that send requests ahead and don't read, an ordinary request had no answer within 20 s. Cause: each connection began requests of up to 98,304 bytes in every turn of the event loop, so that a turn grew with the number of connections; an ordinary request needs several turns. Change: a TurnQueue for each server. A connection begins its share at once, and waits in a queue for more. GuardedConnection is split: InputGate decides, RequestInput frames, PendingRequests holds the reservations.

--- a/src/connection/ws_peer_network.ts
+++ b/src/connection/ws_peer_network.ts
@@ -29,6 +29,7 @@
   type MetricsRegistry,
   RefusalReason,
   RequestMemory,
+  TurnQueue,
 } from "../process/http/mod.ts";
 import type { HybridClock } from "../process/timeline/hybrid_clock.ts";
 import type { ClusterKey } from "./cluster_key.ts";
@@ -137,6 +138,7 @@
   readonly #handshakeInput = new ByteBudget({
     limitBytes: HANDSHAKE_MEMORY_BYTES,
   });
+  readonly #turns = new TurnQueue();
   readonly #refusals: ConnectionRefusals;
   #channels = new Map<string, Deliver>();
 
@@ -279,6 +281,7 @@
       socket,
       memory: this.#handshakeMemory,
       heldInput: this.#handshakeInput,
+      turns: this.#turns,
       headerBytes: HANDSHAKE_HEADER_BYTES,
       pendingRequests: 1,
       onOverload: () => this.#refuse(connection),
--- a/src/process/http/guarded_connection.ts
+++ b/src/process/http/guarded_connection.ts
@@ -13,83 +13,40 @@
 import type { Socket } from "node:net";
 import { Duplex } from "node:stream";
 import type { ByteBudget } from "./byte_budget.ts";
-import {
-  countBlankBytes,
-  countLines,
-  declaredBytes,
-  findEmptyLineEnd,
-  isChunked,
-} from "./request_framing.ts";
-import { estimateRequestBytes, type RequestMemory } from "./request_memory.ts";
+import { GateVerdict, InputGate, type InputGateOptions } from "./input_gate.ts";
+import type { TurnClient } from "./turn_queue.ts";
 
 /** Options of a {@link GuardedConnection}. */
-export interface GuardedConnectionOptions {
+export interface GuardedConnectionOptions extends InputGateOptions {
   readonly socket: Socket;
-  readonly memory: RequestMemory;
-  /** Input without the end of a head is held up to this size. */
-  readonly headerBytes: number;
-  /** Requests without a written answer; further ones wait in the socket. */
-  readonly pendingRequests: number;
   /** Limits the input that all connections hold back. */
   readonly heldInput: ByteBudget;
-  /** Called when there is no memory for the connection's only request. */
+  /** Called when there is no memory for what the connection sends. */
   readonly onOverload: (connection: GuardedConnection) => void;
   /** Called when input was dropped, as too much is held back. */
   readonly onInputDropped: () => void;
 }
 
-/** The part of the input that the parser expects next. */
-const InputPart = {
-  head: "head",
-  /** A body of a known length. */
-  body: "body",
-  /** A body in chunks, which ends with an empty line as a head does. */
-  chunks: "chunks",
-} as const;
-type InputPart = (typeof InputPart)[keyof typeof InputPart];
-
-const NO_INPUT = Buffer.alloc(0);
-
-/**
- * The estimated heap of the requests of a connection that begin before the event
- * loop serves the others, about 8 ordinary ones: a chunk of 64 KiB holds up to
- * 3,600, which would keep it busy for 0.2 s.
- */
-const BYTES_PER_TURN = 98_304;
-
 /** The stream that the HTTP server uses in place of the socket. */
-export class GuardedConnection extends Duplex {
+export class GuardedConnection extends Duplex implements TurnClient {
   readonly #options: GuardedConnectionOptions;
   readonly #socket: Socket;
-  /** Reserved bytes of each request whose answer isn't written. */
-  readonly #pending = new Map<ServerResponse, number>();
-  readonly #onClosed = new Map<ServerResponse, () => void>();
-  #input: Buffer = NO_INPUT;
-  #part: InputPart = InputPart.head;
-  #bodyBytes = 0;
-  #current: IncomingMessage | undefined;
-  /** Reserved for a head that the parser hasn't completed. */
-  #unclaimedBytes = 0;
-  /** Whether the parser has the beginning of the current head. */
-  #hasHeadBegun = false;
+  readonly #gate: InputGate;
   #hasEnded = false;
   #isFeeding = false;
-  #turnBytes = 0;
-  #isYielding = false;
   #isRefused = false;
   /** Whether input was dropped: closes once all answers are written. */
   #isDraining = false;
   /** Sent when all answers are written, before the connection closes. */
   #lastBytes: string | undefined;
   #heldBytes = 0;
-  /** Whether the answer to the latest request closes the connection. */
-  #isLast = false;
   #isDetached = false;
 
   constructor(options: GuardedConnectionOptions) {
     super({ decodeStrings: false, emitClose: true });
     this.#options = options;
     this.#socket = options.socket;
+    this.#gate = new InputGate(options, this);
     const socket = this.#socket;
     socket.on("data", this.#onData);
     socket.on("end", this.#onEnd);
@@ -100,7 +57,7 @@
 
   /** Requests whose answers aren't written yet. */
   get pendingRequests(): number {
-    return this.#pending.size;
+    return this.#gate.pendingRequests;
   }
 
   /**
@@ -113,32 +70,13 @@
     response: ServerResponse,
     onClosed: () => void,
   ): void {
-    let bytes = this.#unclaimedBytes;
-    this.#unclaimedBytes = 0;
-    if (bytes === 0) {
-      bytes = estimateRequestBytes({
-        bytes: 0,
-        lines: request.rawHeaders.length / 2,
-      });
-      this.#options.memory.reserveAlways(bytes);
-    }
-    this.#turnBytes += bytes;
-    this.#pending.set(response, bytes);
-    this.#onClosed.set(response, onClosed);
+    this.#gate.begin(request, response, onClosed);
     response.once("close", () => this.#settle(response));
-    this.#current = request;
-    this.#hasHeadBegun = false;
-    if (isChunked(request)) {
-      this.#part = InputPart.chunks;
-      return;
-    }
-    this.#bodyBytes = declaredBytes(request);
-    this.#part = this.#bodyBytes > 0 ? InputPart.body : InputPart.head;
   }
 
   /** Whether no request has begun after this one. */
   isLatest(request: IncomingMessage): boolean {
-    return this.#current === request;
+    return this.#gate.isLatest(request);
   }
 
   /**
@@ -146,13 +84,12 @@
    * connection: the answer to another one would be lost.
    */
   stopAfterLatest(): void {
-    this.#isLast = true;
+    this.#gate.stopAfterLatest();
   }
 
   /** Whether no request has begun and all answers are written. */
   get isIdle(): boolean {
-    return this.#pending.size === 0 && !this.#hasHeadBegun &&
-      this.#input.length === 0;
+    return this.#gate.isIdle;
   }
 
   /**
@@ -164,13 +101,13 @@
     if (this.#isRefused || this.#isDraining) {
       return;
     }
-    if ([...this.#pending.keys()].some(({ req }) => req.complete)) {
+    if (this.#gate.hasCompleteRequest) {
       this.#lastBytes = bytes;
       this.#drain();
       return;
     }
     this.#isRefused = true;
-    this.#input = NO_INPUT;
+    this.#gate.input.clear();
     this.#socket.resume();
     this.end(bytes, () => this.destroy());
   }
@@ -180,12 +117,11 @@
    * input that the parser didn't get; emits "detach".
    */
   detach(): { readonly socket: Socket; readonly input: Buffer } {
-    const input = this.#input;
+    const input = this.#gate.input.take();
     this.#isDetached = true;
-    this.#input = NO_INPUT;
     this.#stopListening();
     this.#holdInput();
-    this.#releaseAll();
+    this.#gate.close();
     this.#socket.setTimeout(0);
     this.emit("detach");
     return { socket: this.#socket, input };
@@ -210,7 +146,7 @@
   }
 
   override _read(): void {
-    if (this.#input.length > 0 || this.#hasEnded) {
+    if (this.#gate.input.length > 0 || this.#hasEnded) {
       process.nextTick(() => this.#feed());
     }
   }
@@ -243,12 +179,12 @@
     error: Error | null,
     done: (error?: Error | null) => void,
   ): void {
-    this.#input = NO_INPUT;
+    this.#gate.input.clear();
     this.#holdInput();
     if (!this.#isDetached) {
       this.#socket.destroy();
     }
-    this.#releaseAll();
+    this.#gate.close();
     done(error);
   }
 
@@ -256,9 +192,7 @@
     if (this.#isRefused || this.#isDraining) {
       return;
     }
-    this.#input = this.#input.length === 0
-      ? chunk
-      : Buffer.concat([this.#input, chunk]);
+    this.#gate.input.append(chunk);
     this.#feed();
   };
 
@@ -276,7 +210,11 @@
   };
 
   #onTimeout = (): void => {
-    this.emit("timeout");
+    const isWaiting = this.#gate.input.length > 0 &&
+      !this.#gate.awaitsMoreOfHead;
+    if (!isWaiting) {
+      this.emit("timeout");
+    }
   };
 
   #stopListening(): void {
@@ -288,24 +226,16 @@
   }
 
   #settle(response: ServerResponse): void {
-    const bytes = this.#pending.get(response);
-    if (bytes === undefined) {
+    if (!this.#gate.settle(response)) {
       return;
     }
-    this.#pending.delete(response);
-    this.#onClosed.delete(response);
-    this.#options.memory.release(bytes);
-    if (this.#current === response.req && this.#current.complete) {
-      // An idle connection would keep the headers of its last request.
-      this.#current = undefined;
-    }
     if (!response.writableFinished || this.#socket.destroyed) {
       // The connection is broken, and about to be closed.
       return;
     }
     if (this.#isDraining) {
       this.#endWhenDrained();
-    } else if (this.#input.length > 0 || this.#hasEnded) {
+    } else if (this.#gate.input.length > 0 || this.#hasEnded) {
       this.#feed();
     }
   }
@@ -318,14 +248,14 @@
 
   #drain(): void {
     this.#isDraining = true;
-    this.#input = NO_INPUT;
+    this.#gate.input.clear();
     this.#holdInput();
     this.#socket.pause();
     this.#endWhenDrained();
   }
 
   #endWhenDrained(): void {
-    if (this.#pending.size > 0) {
+    if (this.#gate.pendingRequests > 0) {
       return;
     }
     if (this.#lastBytes !== undefined && this.writable) {
@@ -336,7 +266,7 @@
 
   /** Adjusts the reservation for input; false if there is too much of it. */
   #holdInput(): boolean {
-    const bytes = this.#input.length === 0 ? 0 : this.#input.buffer.byteLength;
+    const bytes = this.#gate.input.heldBytes;
     const { heldInput } = this.#options;
     if (bytes <= this.#heldBytes) {
       heldInput.release(this.#heldBytes - bytes);
@@ -347,28 +277,14 @@
     return true;
   }
 
-  #releaseAll(): void {
-    let bytes = this.#unclaimedBytes;
-    this.#unclaimedBytes = 0;
-    for (const each of this.#pending.values()) {
-      bytes += each;
-    }
-    this.#pending.clear();
-    this.#current = undefined;
-    const callbacks = [...this.#onClosed.values()];
-    this.#onClosed.clear();
-    callbacks.forEach((call) => call());
-    if (bytes > 0) {
-      // The requests themselves are released by callbacks that come first.
-      setImmediate(() => this.#options.memory.release(bytes));
-    }
+  /** Continues with the input that waited for its turn. */
+  onTurn(): void {
+    this.#feed();
   }
 
   /** Passes input on for as long as the limits allow it. */
   #feed(): void {
-    const hasStopped = this.destroyed || this.#isDetached || this.#isRefused ||
-      this.#isDraining;
-    if (this.#isFeeding || hasStopped) {
+    if (this.#isFeeding || this.#hasStopped) {
       return;
     }
     this.#isFeeding = true;
@@ -377,50 +293,34 @@
     } finally {
       this.#isFeeding = false;
     }
-    const hasChanged = this.#input.length > 0 || this.#heldBytes > 0;
+    const hasChanged = this.#gate.input.length > 0 || this.#heldBytes > 0;
     if (hasChanged && !this.#isDetached && !this.#holdInput()) {
       this.#dropInput();
     }
   }
 
+  /** Whether no more input may be passed on. */
+  get #hasStopped(): boolean {
+    return this.destroyed || this.#isDetached || this.#isRefused ||
+      this.#isDraining;
+  }
+
   #feedSlices(): void {
-    while (this.#input.length > 0) {
-      const canFeed = this.readableFlowing !== false &&
-        this.readableLength === 0;
-      const sliceBytes = canFeed ? this.#nextSliceBytes() : 0;
-      if (sliceBytes === 0) {
-        break;
-      }
-      const slice = this.#input.subarray(0, sliceBytes);
-      this.#input = sliceBytes === this.#input.length
-        ? NO_INPUT
-        : this.#input.subarray(sliceBytes);
-      if (this.#part === InputPart.body) {
-        this.#bodyBytes -= sliceBytes;
-        this.#part = this.#bodyBytes > 0 ? InputPart.body : InputPart.head;
-      }
-      const request = this.#current;
-      this.push(slice);
-      if (request?.complete === true) {
-        // Nothing reads trailers, and no reservation covers them: a request
-        // with 16 kB of short ones takes 117 kB of heap until its answer.
-        request.rawTrailers = [];
-      }
-      if (this.#part === InputPart.chunks && this.#current?.complete === true) {
-        this.#part = InputPart.head;
-      }
-      const hasStopped = this.destroyed || this.#isDetached ||
-        this.#isRefused || this.#isDraining;
-      if (hasStopped) {
+    const { input } = this.#gate;
+    while (input.length > 0 && this.#canFeed && this.#passNext()) {
+      if (this.#hasStopped) {
         return;
       }
     }
-    if (this.#input.length === 0 && this.#hasEnded) {
+    if (this.#hasStopped) {
+      return;
+    }
+    if (input.length === 0 && this.#hasEnded) {
       this.#hasEnded = false;
       this.push(null);
       return;
     }
-    const isHeld = this.#input.length > 0 && !this.#awaitsMoreOfHead();
+    const isHeld = input.length > 0 && !this.#gate.awaitsMoreOfHead;
     if (isHeld) {
       this.#socket.pause();
     } else if (this.#socket.isPaused()) {
@@ -428,98 +328,23 @@
     }
   }
 
-  /** How much of the input may be passed on now; 0 for none. */
-  #nextSliceBytes(): number {
-    const input = this.#input;
-    switch (this.#part) {
-      case InputPart.body:
-        return Math.min(input.length, this.#bodyBytes);
-      case InputPart.chunks: {
-        const endsAt = findEmptyLineEnd(input);
-        return endsAt === 0 ? input.length : endsAt;
-      }
-      case InputPart.head:
-        return this.#nextHeadBytes();
-    }
-  }
-
-  #nextHeadBytes(): number {
-    if (this.#isLast) {
-      this.#input = NO_INPUT;
-      return 0;
-    }
-    if (!this.#hasHeadBegun) {
-      // The parser ignores empty lines before a request.
-      const blankBytes = countBlankBytes(this.#input);
-      if (blankBytes > 0) {
-        this.#input = this.#input.subarray(blankBytes);
-      }
-      if (this.#input.length === 0) {
-        return 0;
-      }
-    }
-    if (this.#turnBytes >= BYTES_PER_TURN) {
-      this.#yieldTurn();
-      return 0;
-    }
-    if (this.#pending.size >= this.#options.pendingRequests) {
-      return 0;
-    }
-    const endsAt = findEmptyLineEnd(this.#input);
-    if (endsAt === 0 && !this.#isHeadOverLimit() && !this.#hasEnded) {
-      // The parser's time limit for a head begins with the first byte. It gets
-      // the rest once that is complete, as it makes strings of what it has.
-      return this.#hasHeadBegun ? 0 : this.#beginHead();
-    }
-    return this.#reserveHead(endsAt === 0 ? this.#input.length : endsAt);
-  }
-
-  #yieldTurn(): void {
-    if (this.#isYielding) {
-      return;
-    }
-    this.#isYielding = true;
-    setImmediate(() => {
-      this.#isYielding = false;
-      this.#turnBytes = 0;
-      this.#feed();
-    });
-  }
-
-  #beginHead(): number {
-    this.#hasHeadBegun = true;
-    return 1;
+  /** Whether the parser has taken all that it was given. */
+  get #canFeed(): boolean {
+    return this.readableFlowing !== false && this.readableLength === 0;
   }
 
-  #isHeadOverLimit(): boolean {
-    return this.#input.length > this.#options.headerBytes;
-  }
-
-  #awaitsMoreOfHead(): boolean {
-    return this.#part === InputPart.head && this.#hasHeadBegun &&
-      this.#pending.size < this.#options.pendingRequests &&
-      !this.#isHeadOverLimit() && findEmptyLineEnd(this.#input) === 0;
-  }
-
-  /** The size of the head if its memory could be reserved, and otherwise 0. */
-  #reserveHead(headBytes: number): number {
-    const { memory, headerBytes, onOverload } = this.#options;
-    // The parser stops at `headerBytes`, whatever follows.
-    const countedBytes = Math.min(headBytes, headerBytes);
-    const bytes = estimateRequestBytes({
-      bytes: countedBytes,
-      lines: countLines(this.#input, countedBytes),
-    });
-    const isFirst = this.#pending.size === 0;
-    if (memory.reserve(bytes, { isFirst })) {
-      this.#unclaimedBytes += bytes;
-      this.#hasHeadBegun = true;
-      return headBytes;
-    }
-    // Otherwise the next answer that is written makes room.
-    if (isFirst) {
-      onOverload(this);
+  /** Passes the next part on; false if nothing is passed on now. */
+  #passNext(): boolean {
+    const { verdict, bytes } = this.#gate.decide({ hasEnded: this.#hasEnded });
+    switch (verdict) {
+      case GateVerdict.pass:
+        this.#gate.passOn(bytes, (slice) => this.push(slice));
+        return true;
+      case GateVerdict.wait:
+        return false;
+      case GateVerdict.overload:
+        this.#options.onOverload(this);
+        return false;
     }
-    return 0;
   }
 }
--- a/src/process/http/guarded_connection_test.ts
+++ b/src/process/http/guarded_connection_test.ts
@@ -6,6 +6,7 @@
 import { GuardedConnection } from "./guarded_connection.ts";
 import { RawCaller, startServer, waitUntil } from "./http_server_fixture.ts";
 import { RequestMemory } from "./request_memory.ts";
+import { TurnQueue } from "./turn_queue.ts";
 
 const HELD = "POST /held/a HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n\r\n";
 
@@ -182,6 +183,7 @@
       headerBytes: 16_384,
       pendingRequests: 10,
       heldInput: new ByteBudget({ limitBytes: 1_000_000 }),
+      turns: new TurnQueue(),
       onOverload: () => t.fail(),
       onInputDropped: () => t.fail(),
     }));
@@ -222,3 +224,32 @@
   await waitUntil(() => server.calls === 0);
   t.is(server.requestBytes, 0);
 });
+
+// Guards against a turn of the event loop that grows with the number of callers:
+// an ordinary request needs several turns.
+test("in a turn each connection begins a share of requests, and all together no more than one", async (t) => {
+  const CONNECTIONS = 60;
+  const { port, held } = await startServer(t, { calls: 100_000 });
+  const callers = Array.from(
+    { length: CONNECTIONS },
+    () => new RawCaller(port),
+  );
+  let most = 0;
+  let known = 0;
+  let isOver = false;
+  const countTurn = () => {
+    most = Math.max(most, held.calls.length - known);
+    known = held.calls.length;
+    held.answerAll();
+    if (!isOver) {
+      setImmediate(countTurn);
+    }
+  };
+  countTurn();
+  callers.forEach((caller) => caller.send(HELD.repeat(200)));
+  await waitUntil(() => held.calls.length === CONNECTIONS * 200);
+  isOver = true;
+  // The share of each, and what all may begin beyond.
+  t.true(most <= CONNECTIONS * 2 + 10, `${most} requests in one turn`);
+  callers.forEach((caller) => caller.socket.destroy());
+});
--- a/src/process/http/http_server.ts
+++ b/src/process/http/http_server.ts
@@ -28,6 +28,7 @@
 import { DEFAULT_HTTP_LIMITS, type HttpLimits } from "./http_limits.ts";
 import type { MetricsRegistry } from "./metrics_registry.ts";
 import { RequestMemory } from "./request_memory.ts";
+import { TurnQueue } from "./turn_queue.ts";
 
 /** Options of {@link HttpServer}. */
 export interface HttpServerOptions {
@@ -73,6 +74,7 @@
   readonly #budget: ByteBudget;
   readonly #server: Server;
   readonly #memory: RequestMemory;
+  readonly #turns = new TurnQueue();
   readonly #heldInput: ByteBudget;
   readonly #refusals: ConnectionRefusals;
   readonly #callsByConnection = new Map<GuardedConnection, number>();
@@ -236,6 +238,7 @@
       socket,
       memory: this.#memory,
       heldInput: this.#heldInput,
+      turns: this.#turns,
       headerBytes: this.#limits.headerBytes,
       pendingRequests: this.#limits.callsPerConnection +
         this.#limits.refusedCallsPerConnection,
--- a/src/process/http/mod.ts
+++ b/src/process/http/mod.ts
@@ -31,4 +31,5 @@
   MetricsRegistry,
 } from "./metrics_registry.ts";
 export { RequestMemory } from "./request_memory.ts";
+export { TurnQueue } from "./turn_queue.ts";
 export { CallUnsentError, HttpClient } from "./http_client.ts";
--- a/src/process/http/request_memory.ts
+++ b/src/process/http/request_memory.ts
@@ -32,8 +32,14 @@
 export function estimateRequestBytes(
   head: { readonly bytes: number; readonly lines: number },
 ): number {
-  return REQUEST_BYTES + head.bytes * HEADER_TEXT_FACTOR +
-    head.lines * HEADER_LINE_BYTES;
+  return REQUEST_BYTES + estimateLineBytes(head);
+}
+
+/** The estimated heap of header or trailer lines, or of the lines of chunks. */
+export function estimateLineBytes(
+  text: { readonly bytes: number; readonly lines: number },
+): number {
+  return text.bytes * HEADER_TEXT_FACTOR + text.lines * HEADER_LINE_BYTES;
 }
 
 /** A share of this process's heap limit, and at most `limitBytes`. */
