Limit and reserve the trailers of requests

What callers saw: 400 connections with trailers that never end, 26 MB in all, ended a daemon and a door with a heap of 64 MB (SIGABRT, out of memory). Cause: the parser keeps trailers until the request is complete. They were in no limit but Node's, which counts names and values only: 64 kB in lines of one letter, 1.6 MB of heap for each connection. What follows its latest byte is reserved like header lines, up to the size of a head: 431 beyond it, 429 without memory.

--- a/src/connection/ws_peer_network.ts
+++ b/src/connection/ws_peer_network.ts
@@ -285,6 +285,7 @@
       headerBytes: HANDSHAKE_HEADER_BYTES,
       pendingRequests: 1,
       onOverload: () => this.#refuse(connection),
+      onHeadTooLarge: () => this.#refuse(connection),
       onInputDropped: () => this.#refuse(connection),
     });
     this.#handshakes.add(connection);
--- a/src/process/http/guarded_connection.ts
+++ b/src/process/http/guarded_connection.ts
@@ -9,10 +9,11 @@
  * @module
  */
 
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { Duplex } from "node:stream";
 import type { ByteBudget } from "./byte_budget.ts";
+import type { CountedRequest } from "./chunked_body.ts";
 import { GateVerdict, InputGate, type InputGateOptions } from "./input_gate.ts";
 import type { TurnClient } from "./turn_queue.ts";
 
@@ -23,6 +24,8 @@
   readonly heldInput: ByteBudget;
   /** Called when there is no memory for what the connection sends. */
   readonly onOverload: (connection: GuardedConnection) => void;
+  /** Called when a head, or the trailers of a request, exceed the limit. */
+  readonly onHeadTooLarge: (connection: GuardedConnection) => void;
   /** Called when input was dropped, as too much is held back. */
   readonly onInputDropped: () => void;
 }
@@ -66,7 +69,7 @@
    * doesn't tell the responses that wait behind another one.
    */
   begin(
-    request: IncomingMessage,
+    request: CountedRequest,
     response: ServerResponse,
     onClosed: () => void,
   ): void {
@@ -75,7 +78,7 @@
   }
 
   /** Whether no request has begun after this one. */
-  isLatest(request: IncomingMessage): boolean {
+  isLatest(request: CountedRequest): boolean {
     return this.#gate.isLatest(request);
   }
 
@@ -342,6 +345,9 @@
         return true;
       case GateVerdict.wait:
         return false;
+      case GateVerdict.tooLarge:
+        this.#options.onHeadTooLarge(this);
+        return false;
       case GateVerdict.overload:
         this.#options.onOverload(this);
         return false;
--- a/src/process/http/guarded_connection_test.ts
+++ b/src/process/http/guarded_connection_test.ts
@@ -1,7 +1,8 @@
 import test from "ava";
-import { createServer, type IncomingMessage } from "node:http";
+import { createServer } from "node:http";
 import type { AddressInfo } from "node:net";
 import { ByteBudget } from "./byte_budget.ts";
+import { CountedRequest } from "./chunked_body.ts";
 import { guardConnections } from "./connection_guard.ts";
 import { GuardedConnection } from "./guarded_connection.ts";
 import { RawCaller, startServer, waitUntil } from "./http_server_fixture.ts";
@@ -168,8 +169,9 @@
 
 // Guards against trailers that are held, without a reservation, until the answer.
 test("the trailers of a request are dropped when it is complete", async (t) => {
-  const requests: IncomingMessage[] = [];
-  const server = createServer((request, response) => {
+  const requests: CountedRequest[] = [];
+  const options = { IncomingMessage: CountedRequest };
+  const server = createServer(options, (request, response) => {
     const connection = request.socket as unknown as GuardedConnection;
     connection.begin(request, response, () => undefined);
     requests.push(request);
@@ -185,6 +187,7 @@
       heldInput: new ByteBudget({ limitBytes: 1_000_000 }),
       turns: new TurnQueue(),
       onOverload: () => t.fail(),
+      onHeadTooLarge: () => t.fail(),
       onInputDropped: () => t.fail(),
     }));
   await new Promise<void>((done) => server.listen(0, "127.0.0.1", done));
@@ -225,6 +228,24 @@
   t.is(server.requestBytes, 0);
 });
 
+// Guards against trailers that are held until the answer and in no limit.
+test("trailers that never end are refused, at the limit of a head or of the memory", async (t) => {
+  const chunked = [
+    "PUT /echo HTTP/1.1",
+    ...["host: x", "transfer-encoding: chunked", "", "0", ""],
+  ].join("\r\n");
+  const { port, server } = await startServer(t);
+  const caller = new RawCaller(port);
+  caller.send(chunked + "a:\r\n".repeat(5_000));
+  t.regex(await caller.closed, /^HTTP\/1\.1 431 /);
+  t.is(server.requestBytes, 0);
+  const small = await startServer(t, { requestBytes: 400_000 });
+  const second = new RawCaller(small.port);
+  second.send(chunked + "a:\r\n".repeat(4_000));
+  t.regex(await second.closed, /^HTTP\/1\.1 429 /);
+  await waitUntil(() => small.server.requestBytes === 0);
+});
+
 // Guards against a turn of the event loop that grows with the number of callers:
 // an ordinary request needs several turns.
 test("in a turn each connection begins a share of requests, and all together no more than one", async (t) => {
--- a/src/process/http/http_exchange.ts
+++ b/src/process/http/http_exchange.ts
@@ -4,12 +4,13 @@
  * @module
  */
 
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ServerResponse } from "node:http";
 import type { Clock } from "../../base/clock.ts";
 import type { EventLog } from "../../base/event_log.ts";
 import { type Result, SesameError } from "../../base/sesame_error.ts";
 import { type ReadBody, readBody } from "./body_reader.ts";
 import type { ByteBudget } from "./byte_budget.ts";
+import type { CountedRequest } from "./chunked_body.ts";
 import {
   type ConnectionRefusals,
   RefusalReason,
@@ -23,7 +24,7 @@
 
 /** Options of {@link HttpExchange}. */
 export interface HttpExchangeOptions {
-  readonly request: IncomingMessage;
+  readonly request: CountedRequest;
   readonly response: ServerResponse;
   readonly table: EndpointTable;
   readonly clock: Clock;
--- a/src/process/http/http_server.ts
+++ b/src/process/http/http_server.ts
@@ -5,18 +5,14 @@
  * @module
  */
 
-import {
-  createServer,
-  type IncomingMessage,
-  type Server,
-  type ServerResponse,
-} from "node:http";
+import { createServer, type Server, type ServerResponse } from "node:http";
 import type { AddressInfo, Socket } from "node:net";
 import { Right } from "purify-ts/Either";
 import type { Clock } from "../../base/clock.ts";
 import { type EventLog, SILENT_EVENT_LOG } from "../../base/event_log.ts";
 import { failure, type Result, SesameError } from "../../base/sesame_error.ts";
 import { ByteBudget } from "./byte_budget.ts";
+import { CountedRequest } from "./chunked_body.ts";
 import { guardConnections } from "./connection_guard.ts";
 import { ConnectionRefusals, RefusalReason } from "./connection_refusals.ts";
 import { EndpointTable } from "./endpoint_table.ts";
@@ -192,6 +188,7 @@
   #createServer(): Server {
     const limits = this.#limits;
     const server = createServer({
+      IncomingMessage: CountedRequest,
       maxHeaderSize: limits.headerBytes,
       headersTimeout: limits.headerReadMs,
       // Bodies have their own time limit, `bodyReadMs`.
@@ -249,6 +246,10 @@
           errorBytes(new SesameError("overloaded", { detail })),
         );
       },
+      onHeadTooLarge: () => {
+        this.#refusals.note(RefusalReason.invalidHead);
+        connection.refuse(errorBytes(new SesameError("headersTooLarge")));
+      },
       onInputDropped: () => this.#refusals.note(RefusalReason.heldInput),
     });
     this.#callsByConnection.set(connection, 0);
@@ -257,7 +258,7 @@
   }
 
   async #onCall(
-    request: IncomingMessage,
+    request: CountedRequest,
     response: ServerResponse,
     expectation: Expectation,
   ): Promise<void> {
@@ -305,7 +306,7 @@
   }
 
   #createExchange(
-    request: IncomingMessage,
+    request: CountedRequest,
     response: ServerResponse,
     expectsContinue: boolean,
   ): HttpExchange {
--- a/src/process/http/input_gate.ts
+++ b/src/process/http/input_gate.ts
@@ -8,8 +8,14 @@
  * @module
  */
 
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { ServerResponse } from "node:http";
+import {
+  ChunkedBody,
+  ChunkVerdict,
+  type CountedRequest,
+} from "./chunked_body.ts";
 import { PendingRequests } from "./pending_requests.ts";
+import { isChunked } from "./request_framing.ts";
 import { InputPart, RequestInput } from "./request_input.ts";
 import {
   estimateLineBytes,
@@ -23,7 +29,7 @@
   readonly memory: RequestMemory;
   /** Divides the turns of the event loop among all connections. */
   readonly turns: TurnQueue;
-  /** Maximum size of a head. */
+  /** Maximum size of a head, and of the trailers of a request. */
   readonly headerBytes: number;
   /** Requests without a written answer; further ones wait in the socket. */
   readonly pendingRequests: number;
@@ -35,6 +41,8 @@
   pass: "pass",
   /** Nothing is passed on until a turn, an answer or more input comes. */
   wait: "wait",
+  /** A head, or the trailers of a request, exceed the limit. */
+  tooLarge: "tooLarge",
   /** There is no memory for what the connection sends. */
   overload: "overload",
 } as const;
@@ -48,6 +56,7 @@
 }
 
 const WAIT: GateDecision = { verdict: GateVerdict.wait, bytes: 0 };
+const TOO_LARGE: GateDecision = { verdict: GateVerdict.tooLarge, bytes: 0 };
 const OVERLOAD: GateDecision = { verdict: GateVerdict.overload, bytes: 0 };
 
 function pass(bytes: number): GateDecision {
@@ -60,7 +69,9 @@
   readonly #options: InputGateOptions;
   readonly #client: TurnClient;
   readonly #pending = new PendingRequests();
-  #current: IncomingMessage | undefined;
+  #current: CountedRequest | undefined;
+  /** The body of the current request, if it comes in chunks. */
+  #chunks: ChunkedBody | undefined;
   /** Reserved for a head that the parser hasn't completed. */
   #unclaimedBytes = 0;
   /** Whether the parser has the beginning of the current head. */
@@ -102,17 +113,17 @@
     this.#isLast = true;
   }
 
-  isLatest(request: IncomingMessage): boolean {
+  isLatest(request: CountedRequest): boolean {
     return this.#current === request;
   }
 
   /** Notes a request that the parser has completed the head of. */
   begin(
-    request: IncomingMessage,
+    request: CountedRequest,
     response: ServerResponse,
     onClosed: () => void,
   ): void {
-    const { memory } = this.#options;
+    const { memory, headerBytes: limitBytes } = this.#options;
     let bytes = this.#unclaimedBytes;
     this.#unclaimedBytes = 0;
     if (bytes === 0) {
@@ -126,6 +137,10 @@
     this.#current = request;
     this.#hasHeadBegun = false;
     this.input.beginBody(request);
+    this.#chunks?.close();
+    this.#chunks = isChunked(request)
+      ? new ChunkedBody({ request, memory, limitBytes })
+      : undefined;
   }
 
   /** Releases a request whose answer is written; false if it isn't pending. */
@@ -146,6 +161,8 @@
   close(): void {
     this.input.clear();
     this.#options.turns.leave(this.#client);
+    this.#chunks?.close();
+    this.#chunks = undefined;
     this.#current = undefined;
     const bytes = this.#unclaimedBytes + this.#pending.clear();
     this.#unclaimedBytes = 0;
@@ -164,6 +181,8 @@
       request.rawTrailers = [];
     }
     if (this.#current?.complete === true) {
+      this.#chunks?.close();
+      this.#chunks = undefined;
       this.input.endChunks();
     }
   }
@@ -241,6 +260,14 @@
     if (!this.#options.turns.take(this.#client, estimateLineBytes(part))) {
       return WAIT;
     }
-    return pass(bytes);
+    const isFirst = this.#pending.size === 1;
+    switch (this.#chunks?.reserve(part, { isFirst })) {
+      case ChunkVerdict.tooLarge:
+        return TOO_LARGE;
+      case ChunkVerdict.overload:
+        return OVERLOAD;
+      default:
+        return pass(bytes);
+    }
   }
 }
