Refuse heads over the limit whatever the length of their lines

What callers saw: heads of up to 80 kB in lines of one letter were served, though the limit is 16,384 bytes in any number of lines. Cause: Node counts names and values, not the characters between them. The reservation ended at 16,384 bytes, so that 16,000 lines were parsed with the memory of 4,096 reserved. Change: the gate refuses the head itself, with 431.

--- a/src/process/http/guarded_connection_test.ts
+++ b/src/process/http/guarded_connection_test.ts
@@ -246,6 +246,16 @@
   await waitUntil(() => small.server.requestBytes === 0);
 });
 
+// Guards against a reservation that ends before the parser's: Node counts names
+// and values, and takes heads of up to 80 kB in lines of one letter.
+test("a head over the limit is refused, whatever the length of its lines", async (t) => {
+  const { port, server } = await startServer(t);
+  const caller = new RawCaller(port);
+  caller.send("GET /refusing HTTP/1.1\r\nhost: x\r\n" + "a:\r\n".repeat(5_000));
+  t.regex(await caller.closed, /^HTTP\/1\.1 431 /);
+  t.is(server.requestBytes, 0);
+});
+
 // Guards against a turn of the event loop that grows with the number of callers:
 // an ordinary request needs several turns.
 test("in a turn each connection begins a share of requests, and all together no more than one", async (t) => {
--- a/src/process/http/input_gate.ts
+++ b/src/process/http/input_gate.ts
@@ -104,7 +104,6 @@
   get awaitsMoreOfHead(): boolean {
     return this.input.part === InputPart.head && this.#hasHeadBegun &&
       this.#pending.size < this.#options.pendingRequests &&
-      this.input.length <= this.#options.headerBytes &&
       this.input.headBytes() === 0;
   }
 
@@ -222,8 +221,10 @@
     }
     const headBytes = this.input.headBytes();
     const isUnended = headBytes === 0;
-    const isOverLimit = length > this.#options.headerBytes;
-    if (isUnended && !hasEnded && !isOverLimit) {
+    if ((isUnended ? length : headBytes) > this.#headLimitBytes) {
+      return TOO_LARGE;
+    }
+    if (isUnended && !hasEnded) {
       // The parser's time limit for a head begins with the first byte. It gets
       // the rest once that is complete, as it makes strings of what it has.
       const isBeginning = !this.#hasHeadBegun;
@@ -233,13 +234,16 @@
     return this.#reserveHead(isUnended ? length : headBytes);
   }
 
+  /** The limit of the rest of the head: the parser may have its first byte. */
+  get #headLimitBytes(): number {
+    return this.#options.headerBytes - (this.#hasHeadBegun ? 1 : 0);
+  }
+
   #reserveHead(headBytes: number): GateDecision {
     const { memory, turns } = this.#options;
-    // The parser stops at `headerBytes`, whatever follows.
-    const countedBytes = Math.min(headBytes, this.#options.headerBytes);
     const bytes = estimateRequestBytes({
-      bytes: countedBytes,
-      lines: this.input.linesIn(countedBytes),
+      bytes: headBytes,
+      lines: this.input.linesIn(headBytes),
     });
     if (!turns.take(this.#client, bytes)) {
       return WAIT;
