Let new callers displace connections without a call in progress

What callers saw: callers that hold all connections and send nothing kept others out for up to 10 s: those got 429 and were closed. Change: at the limit, the connection that has had no call in progress for the longest time is closed, and the new caller is served. If all have calls in progress, the new one is refused as before.

--- a/src/process/http/http_server.ts
+++ b/src/process/http/http_server.ts
@@ -73,6 +73,7 @@
   readonly #turns = new TurnQueue();
   readonly #heldInput: ByteBudget;
   readonly #refusals: ConnectionRefusals;
+  /** In the order in which their latest calls began. */
   readonly #callsByConnection = new Map<GuardedConnection, number>();
   #calls = 0;
   #readiness: Readiness = Readiness.starting;
@@ -177,6 +178,21 @@
     this.#server.closeAllConnections();
   }
 
+  /**
+   * Makes room for a new caller: closes the connection that has had no request in
+   * progress for the longest time. False if there is none.
+   */
+  #closeUnused(): boolean {
+    for (const connection of this.#callsByConnection.keys()) {
+      if (connection.pendingRequests === 0) {
+        this.#callsByConnection.delete(connection);
+        connection.destroy();
+        return true;
+      }
+    }
+    return false;
+  }
+
   #closeIdleConnections(): void {
     for (const connection of this.#callsByConnection.keys()) {
       if (connection.isIdle) {
@@ -225,8 +241,11 @@
 
   /** The connection in place of the socket; undefined if it is refused. */
   #guard(socket: Socket): GuardedConnection | undefined {
-    if (this.#callsByConnection.size >= this.#limits.connections) {
+    const isFull = this.#callsByConnection.size >= this.#limits.connections;
+    if (isFull) {
       this.#refusals.note(RefusalReason.connections);
+    }
+    if (isFull && !this.#closeUnused()) {
       const detail = "Too many connections are open.";
       refuseSocket(socket, new SesameError("overloaded", { detail }));
       return undefined;
@@ -329,6 +348,7 @@
     this.#calls += by;
     const connectionCalls = this.#callsByConnection.get(connection);
     if (connectionCalls !== undefined) {
+      this.#callsByConnection.delete(connection);
       this.#callsByConnection.set(connection, connectionCalls + by);
     }
   }
