Keep strangers from holding all places of a listener of links

What was seen by reading: unknown peers could fill a listener's 64 places for 5 s each, and a peer that dialled meanwhile was refused. Cause: a connection over the limit was refused, whoever held the places. Change: it displaces the oldest one of the remote address that has the most. Servers and options move to link_transport.ts.

--- a/src/connection/mod.ts
+++ b/src/connection/mod.ts
@@ -11,9 +11,9 @@
   PeerNetwork,
   Received,
 } from "./peer_network.ts";
+export type { PeerTls } from "./link_transport.ts";
 export {
   type PeerAddress,
-  type PeerTls,
   WsPeerNetwork,
   type WsPeerNetworkOptions,
 } from "./ws_peer_network.ts";
--- a/src/connection/ws_peer_network.ts
+++ b/src/connection/ws_peer_network.ts
@@ -5,14 +5,9 @@
  * @module
  */
 
-import {
-  createServer as createHttpServer,
-  type IncomingMessage,
-  type Server,
-} from "node:http";
-import { createServer as createTlsServer } from "node:https";
+import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
-import { type ClientOptions, type WebSocket, WebSocketServer } from "ws";
+import { type WebSocket, WebSocketServer } from "ws";
 import type { InstanceId } from "../base/identity.ts";
 import {
   Channel,
@@ -20,7 +15,6 @@
   type EventLog,
   type RandomSource,
 } from "../base/mod.ts";
-import { splitAddress } from "../base/split_address.ts";
 import {
   ByteBudget,
   ConnectionRefusals,
@@ -34,6 +28,15 @@
 import type { HybridClock } from "../process/timeline/hybrid_clock.ts";
 import type { ClusterKey } from "./cluster_key.ts";
 import { IncomingLink } from "./incoming_link.ts";
+import {
+  AUTHENTICATION_TIMEOUT_MS,
+  clientOptions,
+  createLinkServer,
+  FRAME_LIMIT_BYTES,
+  HANDSHAKE_HEADER_BYTES,
+  listen,
+  type PeerTls,
+} from "./link_transport.ts";
 import { OutgoingLink } from "./outgoing_link.ts";
 import type { MessageFrame } from "./peer_frame.ts";
 import type {
@@ -42,9 +45,7 @@
   PeerNetwork,
   Received,
 } from "./peer_network.ts";
-
-/** The maximum size of a frame. */
-export const FRAME_LIMIT_BYTES = 4_194_304;
+import { UnauthenticatedConnections } from "./unauthenticated_connections.ts";
 
 /** The maximum number of concurrent unauthenticated connections. */
 const UNAUTHENTICATED_LIMIT = 64;
@@ -52,18 +53,9 @@
 /** How much an unauthenticated connection may send: `hello` and `proof`. */
 const UNAUTHENTICATED_BYTES = 8_192;
 
-/** The maximum size of the headers of a WebSocket handshake. */
-const HANDSHAKE_HEADER_BYTES = 4_096;
-
 /** Limits of all handshakes together; one takes less than 20 kB. */
 const HANDSHAKE_MEMORY_BYTES = 4_194_304;
 
-/**
- * How long an accepted connection may take to authenticate, and a dialled one
- * to complete the WebSocket handshake.
- */
-const AUTHENTICATION_TIMEOUT_MS = 5_000;
-
 /** The listen address of one peer. */
 export interface PeerAddress {
   readonly id: InstanceId;
@@ -71,13 +63,6 @@
   readonly address: string;
 }
 
-/** PEM texts for mutual TLS between instances. */
-export interface PeerTls {
-  readonly certificate: string;
-  readonly key: string;
-  readonly authority: string;
-}
-
 /** Options of a {@link WsPeerNetwork}. */
 export interface WsPeerNetworkOptions {
   readonly self: PeerAddress;
@@ -139,6 +124,10 @@
     limitBytes: HANDSHAKE_MEMORY_BYTES,
   });
   readonly #turns = new TurnQueue();
+  readonly #unauthenticated = new UnauthenticatedConnections({
+    limit: UNAUTHENTICATED_LIMIT,
+    onDisplaced: (socket) => this.#refuse(socket),
+  });
   readonly #refusals: ConnectionRefusals;
   #channels = new Map<string, Deliver>();
 
@@ -170,7 +159,7 @@
   /** Listens and dials every peer; rejects if listening fails. */
   async open(): Promise<void> {
     const { tls } = this.#options;
-    this.#server = createServer(tls);
+    this.#server = createLinkServer(tls);
     const sockets = new WebSocketServer({
       noServer: true,
       maxPayload: FRAME_LIMIT_BYTES,
@@ -268,15 +257,8 @@
     });
   }
 
-  /** The connection until its handshake; undefined if there are too many. */
-  #guard(socket: Socket): GuardedConnection | undefined {
-    const unauthenticated = this.#handshakes.size +
-      this.#countUnauthenticated();
-    if (unauthenticated >= UNAUTHENTICATED_LIMIT) {
-      socket.on("error", () => undefined);
-      this.#refuse(socket);
-      return undefined;
-    }
+  /** The connection until its handshake. */
+  #guard(socket: Socket): GuardedConnection {
     const connection = new GuardedConnection({
       socket,
       memory: this.#handshakeMemory,
@@ -299,6 +281,7 @@
     };
     connection.once("detach", end);
     connection.once("close", end);
+    this.#unauthenticated.add(socket);
     return connection;
   }
 
@@ -309,7 +292,7 @@
   ): void {
     const { socket, input } = connection.detach();
     sockets.handleUpgrade(request, socket, input, (accepted) => {
-      const link = this.#accept(accepted);
+      const link = this.#accept(accepted, socket);
       this.#limitUnauthenticated(link, { socket, input });
     });
     socket.resume();
@@ -344,12 +327,15 @@
     connection.destroy();
   }
 
-  #accept(socket: WebSocket): IncomingLink {
+  #accept(accepted: WebSocket, socket: Socket): IncomingLink {
     const link: IncomingLink = new IncomingLink({
-      socket,
+      socket: accepted,
       selfId: this.selfId,
       isAdmitted: (id) => this.#isAdmitted(id),
-      onAuthenticated: (id) => this.#admit(id),
+      onAuthenticated: (id) => {
+        this.#unauthenticated.remove(socket);
+        this.#admit(id);
+      },
       clusterName: this.#options.clusterName,
       clusterKey: this.#options.clusterKey,
       onMessage: (from, frame) => this.#deliver(link, from, frame),
@@ -361,7 +347,7 @@
         link.reject("authentication timed out");
       }
     });
-    socket.on("close", () => {
+    accepted.on("close", () => {
       timer.close();
       this.#incoming.delete(link);
     });
@@ -383,14 +369,6 @@
     }
   }
 
-  #countUnauthenticated(): number {
-    let count = 0;
-    for (const link of this.#incoming) {
-      count += link.from === undefined ? 1 : 0;
-    }
-    return count;
-  }
-
   #deliver(link: IncomingLink, from: InstanceId, frame: MessageFrame): void {
     this.#options.hybridClock.observe(frame);
     const deliver = this.#channels.get(frame.channel);
@@ -409,55 +387,3 @@
     this.#options.events.emit("frameRejected", { peer: from, detail });
   }
 }
-
-const HANDSHAKE_OPTIONS = {
-  maxHeaderSize: HANDSHAKE_HEADER_BYTES,
-  // Node's own answer would bypass the limits.
-  requireHostHeader: false,
-} as const;
-
-function createServer(tls: PeerTls | undefined): Server {
-  if (tls === undefined) {
-    return createHttpServer(HANDSHAKE_OPTIONS);
-  }
-  return createTlsServer({
-    ...HANDSHAKE_OPTIONS,
-    cert: tls.certificate,
-    key: tls.key,
-    ca: tls.authority,
-    requestCert: true,
-    rejectUnauthorized: true,
-  });
-}
-
-function clientOptions(tls: PeerTls | undefined): ClientOptions {
-  const shared: ClientOptions = {
-    perMessageDeflate: false,
-    maxPayload: FRAME_LIMIT_BYTES,
-    handshakeTimeout: AUTHENTICATION_TIMEOUT_MS,
-  };
-  if (tls === undefined) {
-    return shared;
-  }
-  return {
-    ...shared,
-    cert: tls.certificate,
-    key: tls.key,
-    ca: tls.authority,
-    // Peers are addressed by IP address and authenticated by the cluster key,
-    // so the certificate's host name is not checked. Node accepts the name if
-    // this function returns a falsy value.
-    checkServerIdentity: () => false,
-  };
-}
-
-function listen(server: Server, address: string): Promise<void> {
-  const { host, port } = splitAddress(address);
-  return new Promise((resolve, reject) => {
-    server.once("error", reject);
-    server.listen({ host, port }, () => {
-      server.off("error", reject);
-      resolve();
-    });
-  });
-}
--- a/src/connection/ws_peer_network_test.ts
+++ b/src/connection/ws_peer_network_test.ts
@@ -2,7 +2,7 @@
 import { once } from "node:events";
 import { readFileSync } from "node:fs";
 import { connect, createServer } from "node:net";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import test from "ava";
 import { Right } from "purify-ts/Either";
 import { WebSocket } from "ws";
@@ -14,13 +14,10 @@
 } from "../base/mod.ts";
 import { HybridClock } from "../process/timeline/mod.ts";
 import { ClusterKey } from "./cluster_key.ts";
+import { FRAME_LIMIT_BYTES, type PeerTls } from "./link_transport.ts";
 import { encodeFrame, PEER_PROTOCOL_VERSION } from "./peer_frame.ts";
 import type { PeerChannel, Received } from "./peer_network.ts";
-import {
-  FRAME_LIMIT_BYTES,
-  type PeerTls,
-  WsPeerNetwork,
-} from "./ws_peer_network.ts";
+import { WsPeerNetwork } from "./ws_peer_network.ts";
 
 async function freeAddress(): Promise<string> {
   const server = createServer().listen(0, "127.0.0.1");
@@ -250,6 +247,46 @@
   await closePair(pair);
 });
 
+// Guards against strangers that hold all places of a listener of links, and come
+// back as soon as they are closed.
+test("a peer links to an instance whose places strangers hold", async (t) => {
+  const selfA = { id: "a", address: await freeAddress() };
+  const selfB = { id: "b", address: await freeAddress() };
+  const b = makeNetwork(selfB, { peer: selfA, key: "secret" });
+  await b.open();
+  const [host, port] = selfB.address.split(":");
+  const strangers = new Set<Socket>();
+  let isOver = false;
+  const hold = () => {
+    const socket = connect({
+      host: host!,
+      port: Number(port),
+      localAddress: "127.0.0.9",
+    });
+    strangers.add(socket);
+    socket.on("error", () => undefined);
+    socket.on("close", () => {
+      strangers.delete(socket);
+      if (!isOver) {
+        setTimeout(hold, 5);
+      }
+    });
+  };
+  Array.from({ length: 100 }, hold);
+  await waitUntil(() => strangers.size >= 64);
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  const a = makeNetwork(selfA, { peer: selfB, key: "secret" });
+  await a.open();
+  const deadlineMs = Date.now() + 4_000;
+  await waitUntil(() =>
+    a.linkedPeerIds().includes("b") || Date.now() > deadlineMs
+  );
+  t.deepEqual(a.linkedPeerIds(), ["b"]);
+  isOver = true;
+  strangers.forEach((socket) => socket.destroy());
+  await Promise.all([a.close(), b.close()]);
+});
+
 // Guards against requests that a listener of links never answers and keeps.
 test("an HTTP request at a listener of links is closed", async (t) => {
   const pair = await openPair({ a: "secret", b: "secret" });
