Limit the memory of the specifications of jobs

What was seen: 400 jobs of a client with a key, each with a rack's name of 200 kB, took a core to 549 MB, 203 MB more than its machine has. Change: labels and racks of 256 characters at most, payloads of 16,384, dependencies of 64 for a step (400). Specifications of all jobs together take 32 MiB at most (429). An ended job keeps no texts. JobTable holds jobs and their size.

--- a/src/process/batch/batch_state.ts
+++ b/src/process/batch/batch_state.ts
@@ -28,7 +28,6 @@
 import type { WorkerSpeedRecord } from "./decisions/worker_speed_class.ts";
 import {
   closeOccurrence,
-  hasOpenRuns,
   isOccurrenceDone,
   isStepReady,
   JobPhase,
@@ -39,6 +38,7 @@
   type StepRecord,
   type TaskRecord,
 } from "./job_record.ts";
+import { JobTable } from "./job_table.ts";
 import {
   endJob,
   isOutOfAttempts,
@@ -60,9 +60,7 @@
   #inForce: ConfigurationInForce | undefined;
   #dataCentresOut = new Set<DataCentreId>();
   #dataCentreRevision = 0;
-  #jobs = new Map<JobId, JobRecord>();
-  /** Derived: jobs that are active or have open runs, the only ones planned. */
-  #liveJobs = new Map<JobId, JobRecord>();
+  #jobs = new JobTable();
   #tombstones = new Map<JobId, number>();
   #workers = new WorkerIncarnations();
   /** Derived from the open runs of all jobs. */
@@ -87,12 +85,17 @@
   }
 
   get jobs(): ReadonlyMap<JobId, JobRecord> {
-    return this.#jobs;
+    return this.#jobs.byId;
   }
 
   /** The jobs that are active or have open runs, in the order of acceptance. */
   get liveJobs(): ReadonlyMap<JobId, JobRecord> {
-    return this.#liveJobs;
+    return this.#jobs.live;
+  }
+
+  /** Estimated heap of the specifications of all jobs, ended ones too. */
+  get jobSpecBytes(): number {
+    return this.#jobs.specBytes;
   }
 
   /**
@@ -124,7 +127,7 @@
 
   /** The task's record, if the job is known and the occurrence has started. */
   taskOf(task: TaskRef): TaskRecord | undefined {
-    return this.#jobs.get(task.jobId)?.occurrences[task.occurrence]
+    return this.#jobs.byId.get(task.jobId)?.occurrences[task.occurrence]
       ?.steps[task.step]?.tasks[task.index];
   }
 
@@ -166,7 +169,7 @@
       droppedQueues: this.#inForce?.index.dropped ?? [],
       dataCentresOut: [...this.#dataCentresOut],
       dataCentreRevision: this.#dataCentreRevision,
-      jobs: [...this.#jobs.values()],
+      jobs: [...this.#jobs.byId.values()],
       tombstones: [...this.#tombstones],
       workers: [...this.#workers.byKey.values()],
       workerSpeeds: [...this.#workers.speeds],
@@ -192,9 +195,7 @@
       };
     this.#dataCentresOut = new Set(snapshot.dataCentresOut);
     this.#dataCentreRevision = snapshot.dataCentreRevision ?? 0;
-    this.#jobs = new Map(jobs.map((job) => [job.id, job]));
-    this.#liveJobs = new Map(this.#jobs);
-    jobs.forEach((job) => this.#dropIfFinished(job));
+    this.#jobs = new JobTable(jobs);
     this.#accountUsage = AccountUsage.ofJobs(jobs);
     this.#tombstones = new Map(snapshot.tombstones);
     // Earlier versions stored what they were told.
@@ -215,7 +216,7 @@
     const { document, configuration, atMs } = command;
     const currentVersion = this.#versionInForce;
     if (configuration.version > currentVersion) {
-      const dropped = moveJobsOfDroppedQueues(this.#liveJobs.values(), {
+      const dropped = moveJobsOfDroppedQueues(this.#jobs.live.values(), {
         known: this.#inForce?.index,
         next: configuration,
       });
@@ -238,13 +239,13 @@
 
   /** Ends the jobs whose failures exhaust the attempts that are in force now. */
   #failJobsOutOfAttempts(atMs: number | undefined): void {
-    for (const job of [...this.#liveJobs.values()]) {
+    for (const job of [...this.#jobs.live.values()]) {
       if (
         job.phase === JobPhase.active &&
         isOutOfAttempts(job, this.#attemptsOf(job))
       ) {
         endJob(job, JobPhase.failed, atMs ?? job.acceptedAtMs);
-        this.#dropIfFinished(job);
+        this.#jobs.dropIfFinished(job);
       }
     }
   }
@@ -293,9 +294,7 @@
         return this.#workers.putSpeed(item.key, item);
       case "forget":
         for (const id of item.jobIds) {
-          this.#accountUsage.removeJob(this.#jobs.get(id));
-          this.#jobs.delete(id);
-          this.#liveJobs.delete(id);
+          this.#accountUsage.removeJob(this.#jobs.remove(id));
           this.#tombstones.delete(id);
         }
         return true;
@@ -314,7 +313,7 @@
     const { version = this.#versionInForce } = item;
     const isCurrent = version === this.#versionInForce &&
       this.#inForce?.index.queueNamed(queue) !== undefined;
-    if (this.#jobs.has(jobId) || !isCurrent) {
+    if (this.#jobs.byId.has(jobId) || !isCurrent) {
       return false;
     }
     const job = newJobRecord({
@@ -325,11 +324,10 @@
       submittedAtMs,
       acceptedAtMs: atMs,
     });
-    this.#jobs.set(jobId, job);
+    this.#jobs.add(job);
     if (this.#tombstones.delete(jobId)) {
       endJob(job, JobPhase.cancelled, atMs);
-    } else {
-      this.#liveJobs.set(jobId, job);
+      this.#jobs.dropIfFinished(job);
     }
     return true;
   }
@@ -342,7 +340,7 @@
     if (version !== this.#versionInForce) {
       return false;
     }
-    const job = this.#jobs.get(jobId);
+    const job = this.#jobs.byId.get(jobId);
     if (job === undefined) {
       this.#tombstones.set(jobId, atMs);
       return true;
@@ -351,7 +349,7 @@
       return false;
     }
     endJob(job, JobPhase.cancelled, atMs);
-    this.#dropIfFinished(job);
+    this.#jobs.dropIfFinished(job);
     return true;
   }
 
@@ -359,7 +357,7 @@
     item: Extract<BatchItem, { kind: "start" }>,
     atMs: number,
   ): boolean {
-    const job = this.#jobs.get(item.jobId);
+    const job = this.#jobs.byId.get(item.jobId);
     if (job?.phase !== JobPhase.active) {
       return false;
     }
@@ -412,7 +410,7 @@
 
   #end(item: Extract<BatchItem, { kind: "end" }>, atMs: number): boolean {
     const { task: ref, run, how } = item;
-    const job = this.#jobs.get(ref.jobId);
+    const job = this.#jobs.byId.get(ref.jobId);
     const step = job?.occurrences[ref.occurrence]?.steps[ref.step];
     const task = step?.tasks[ref.index];
     if (
@@ -433,21 +431,10 @@
     if (how === RunEnd.failed) {
       this.#countFailure(job, { ref, task, step, run }, atMs);
     }
-    this.#dropIfFinished(job);
+    this.#jobs.dropIfFinished(job);
     return true;
   }
 
-  /**
-   * Drops a job from the live ones once it is over and has no open runs, and the
-   * records of its tasks with it.
-   */
-  #dropIfFinished(job: JobRecord): void {
-    if (job.phase !== JobPhase.active && !hasOpenRuns(job)) {
-      this.#liveJobs.delete(job.id);
-      job.occurrences.length = 0;
-    }
-  }
-
   #countFailure(
     job: JobRecord,
     failed: { ref: TaskRef; task: TaskRecord; step: StepRecord; run: number },
--- a/src/process/batch/decisions/admission.ts
+++ b/src/process/batch/decisions/admission.ts
@@ -9,7 +9,7 @@
 import type { JobId } from "../../../base/identity.ts";
 import type { BatchState } from "../batch_state.ts";
 import { JobPhase } from "../job_record.ts";
-import { hasLastingStep, tasksInProgress } from "../job_spec.ts";
+import { hasLastingStep, specBytes, tasksInProgress } from "../job_spec.ts";
 import { RefusalReason } from "../job_call.ts";
 import { findStepBeyondLimit } from "./account_limits.ts";
 import {
@@ -56,7 +56,9 @@
   readonly activeJobsLimit?: number;
   /** Maximum number of tasks of active jobs in progress; limits memory. */
   readonly activeTasksLimit?: number;
-  /** The share of both that is kept for jobs that cost most to refuse. */
+  /** Maximum estimated heap of the specifications of all jobs. */
+  readonly specBytesLimit?: number;
+  /** The share of the first two that is kept for jobs that cost most to refuse. */
   readonly headroomShare?: number;
 }
 
@@ -64,6 +66,7 @@
 export const ADMISSION_DEFAULTS = {
   activeJobsLimit: 5_000,
   activeTasksLimit: 65_536,
+  specBytesLimit: 33_554_432,
   headroomShare: HEADROOM_SHARE,
 } as const satisfies AdmissionOptions;
 
@@ -129,6 +132,11 @@
       detail: beyondLimit,
     };
   }
+  const { jobSpecBytes } = input.state;
+  if (jobSpecBytes + specBytes(spec) > settings.specBytesLimit) {
+    const detail = `the jobs take ${jobSpecBytes} bytes`;
+    return refuse(input, RefusalReason.queueFull, detail);
+  }
   const { jobs, tasks, lastingTasks } = input.load ?? activeLoad(input.state);
   const more = tasksInProgress(spec);
   const isWide = more > WIDE_JOB_TASKS;
--- a/src/process/batch/job_record.ts
+++ b/src/process/batch/job_record.ts
@@ -65,7 +65,8 @@
   /** Changes if a version renames the queue. */
   queue: string;
   readonly account: ClientAccountId | undefined;
-  readonly spec: JobSpec;
+  /** Without its texts once the job has ended and nothing of it runs. */
+  spec: JobSpec;
   readonly submittedAtMs: number;
   readonly acceptedAtMs: number;
   phase: JobPhase;
--- a/src/process/batch/job_spec.ts
+++ b/src/process/batch/job_spec.ts
@@ -58,6 +58,12 @@
 /** Maximum length of a job's ID. */
 export const JOB_ID_LENGTH_LIMIT = 256;
 
+/** Maximum length of the label and the rack that a step names. */
+export const LABEL_LENGTH_LIMIT = 256;
+
+/** Maximum length of a job's payload, in UTF-16 code units. */
+export const PAYLOAD_LENGTH_LIMIT = 16_384;
+
 /** Maximum number of steps of one job. */
 export const STEPS_LIMIT = 64;
 
@@ -92,11 +98,42 @@
   return spec.steps.some((step) => step.isLasting);
 }
 
+/** The heap of a job's record and of a step, measured on Node 20. */
+const JOB_BYTES = 400;
+const STEP_BYTES = 300;
+const DEPENDENCY_BYTES = 8;
+
+/** The estimated heap of a job's specification, in bytes. */
+export function specBytes({ payload, steps }: JobSpec): number {
+  return steps.reduce(
+    (sum, { requiredLabel = "", dataRack = "", afterSteps }) =>
+      sum + STEP_BYTES + afterSteps.length * DEPENDENCY_BYTES +
+      Buffer.byteLength(requiredLabel) + Buffer.byteLength(dataRack),
+    JOB_BYTES + Buffer.byteLength(payload),
+  );
+}
+
+/** The specification without its payload, labels and racks. */
+export function withoutTexts(spec: JobSpec): JobSpec {
+  return {
+    ...spec,
+    payload: "",
+    steps: spec.steps.map((step) => ({
+      ...step,
+      requiredLabel: undefined,
+      dataRack: undefined,
+    })),
+  };
+}
+
 /** What is wrong with a job; undefined if it is valid. */
 export function findSpecFault(spec: JobSpec): string | undefined {
   if (spec.steps.length === 0 || spec.steps.length > STEPS_LIMIT) {
     return `expected 1 to ${STEPS_LIMIT} steps, not ${spec.steps.length}`;
   }
+  if (spec.payload.length > PAYLOAD_LENGTH_LIMIT) {
+    return `the payload is longer than ${PAYLOAD_LENGTH_LIMIT} characters`;
+  }
   const tasks = tasksPerOccurrence(spec);
   if (tasks > TASKS_LIMIT) {
     return `${tasks} tasks exceed the limit of ${TASKS_LIMIT}`;
@@ -115,6 +152,14 @@
       return `a gang of ${step.taskCount} tasks exceeds the limit of ` +
         `${GANG_TASKS_LIMIT}`;
     }
+    const labels = [step.requiredLabel ?? "", step.dataRack ?? ""];
+    if (labels.some(({ length }) => length > LABEL_LENGTH_LIMIT)) {
+      return `step ${position} names a label or rack of more than ` +
+        `${LABEL_LENGTH_LIMIT} characters`;
+    }
+    if (step.afterSteps.length > STEPS_LIMIT) {
+      return `step ${position} depends on more than ${STEPS_LIMIT} steps`;
+    }
     if (step.afterSteps.some((after) => after >= position || after < 0)) {
       return `step ${position} may only depend on earlier steps`;
     }
