Give other calls connections apart from submissions

What callers saw: at a door with hundreds of submissions in progress, reads and cancels of others got 503, and the door itself wasn't ready. Cause: all calls to the leader shared eight connections, one call on each at a time, in the order of arrival; pings waited behind the submissions, too. Change: submissions keep their eight connections, all other calls get four.

--- a/src/process/batch/http_call_transport.ts
+++ b/src/process/batch/http_call_transport.ts
@@ -18,8 +18,12 @@
 /** The largest call: a job's steps and payload, with a margin. */
 const CALL_LIMIT_BYTES = 1_048_576;
 
-/** Connections to one instance; calls on one connection wait for each other. */
-const CONNECTIONS = 8;
+/**
+ * Connections to one instance; calls on one connection wait for each other.
+ * Submissions have their own, as each waits for a commit: a read, a cancel or a
+ * ping doesn't wait behind hundreds of them.
+ */
+const CONNECTIONS = { submissions: 8, otherCalls: 4 } as const;
 
 /** How long an idle connection is kept open. */
 const KEEP_ALIVE_MS = 20_000;
@@ -45,14 +49,20 @@
 /** Sends calls to other instances. */
 export class HttpCallTransport implements CallTransport {
   readonly #options: HttpCallTransportOptions;
-  readonly #caller: HttpClient;
+  readonly #submissions: HttpClient;
+  readonly #otherCalls: HttpClient;
 
   constructor(options: HttpCallTransportOptions) {
     this.#options = options;
-    this.#caller = new HttpClient({
-      connections: CONNECTIONS,
-      keepAliveMs: KEEP_ALIVE_MS,
-      connectTimeoutMs: options.connectTimeoutMs ?? CONNECT_TIMEOUT_MS,
+    const { connectTimeoutMs = CONNECT_TIMEOUT_MS } = options;
+    const shared = { keepAliveMs: KEEP_ALIVE_MS, connectTimeoutMs };
+    this.#submissions = new HttpClient({
+      ...shared,
+      connections: CONNECTIONS.submissions,
+    });
+    this.#otherCalls = new HttpClient({
+      ...shared,
+      connections: CONNECTIONS.otherCalls,
     });
   }
 
@@ -62,8 +72,11 @@
     options: CallOptions,
   ): Promise<Result<JobAnswer>> {
     const address = this.#options.addressOf(instanceId);
+    const client = call.kind === "submit"
+      ? this.#submissions
+      : this.#otherCalls;
     try {
-      const { status, body } = await this.#caller.call({
+      const { status, body } = await client.call({
         address,
         method: "POST",
         path: CALLS_PATH,
@@ -87,7 +100,7 @@
   }
 
   async close(): Promise<void> {
-    await this.#caller.close();
+    await Promise.all([this.#submissions.close(), this.#otherCalls.close()]);
   }
 }
 
--- a/src/process/batch/http_call_transport_test.ts
+++ b/src/process/batch/http_call_transport_test.ts
@@ -45,3 +45,54 @@
   await transport.close();
   await server.close({ leaveMs: 0, deadlineMs: clock.nowMs() + 1_000 });
 });
+
+// Guards against reads and pings that wait behind hundreds of submissions: an
+// entry instance lost contact with the leader, and its callers got 503.
+test("other calls don't wait behind submissions that aren't answered", async (t) => {
+  const clock = new SystemClock();
+  const pending: (() => void)[] = [];
+  const server = new HttpServer({
+    clock,
+    eventLog: SILENT_EVENT_LOG,
+    endpoints: [
+      callsEndpoint({
+        clock,
+        answer: async (call) => {
+          if (call.kind === "submit") {
+            await new Promise<void>((resolve) => pending.push(resolve));
+            return { kind: "accepted" };
+          }
+          return { kind: "unknownJob" };
+        },
+      }),
+    ],
+  });
+  const { port } = (await server.listen({ host: "127.0.0.1", port: 0 }))
+    .unsafeCoerce();
+  const transport = new HttpCallTransport({
+    clock,
+    addressOf: () => `127.0.0.1:${port}`,
+  });
+  const target = { host: "h", path: "/q/1", apiKey: undefined };
+  const submissions = Array.from(
+    { length: 50 },
+    (_, at) =>
+      transport.call("leader", {
+        kind: "submit",
+        target,
+        jobId: `${at}`,
+        spec: { payload: "", steps: [], recurrence: undefined },
+        receivedAtMs: clock.nowMs(),
+      }, { timeoutMs: 60_000 }),
+  );
+  const answer = await transport.call("leader", {
+    kind: "state",
+    target,
+    jobId: "1",
+  }, { timeoutMs: 5_000 });
+  t.deepEqual(answer.unsafeCoerce(), { kind: "unknownJob" });
+  await transport.close();
+  await Promise.all(submissions);
+  pending.forEach((resolve) => resolve());
+  await server.close({ leaveMs: 0, deadlineMs: clock.nowMs() + 1_000 });
+});
