Halve the share of the heap that bodies and answers may take

What was seen: a door with 64-step jobs in progress reached 216 MB resident; the smallest machine has 210 MB. Cause: a body of 30 kB is held as input, as text, as the decoded job and as the message to the leader. Its size was reserved once, up to 0.4 of the heap. Change: 0.2 of the heap limit. With Node's default heap nothing changes, as 64 MiB remain the limit.

--- a/src/process/http/http_limits.ts
+++ b/src/process/http/http_limits.ts
@@ -55,7 +55,7 @@
   refusedCallsPerConnection: 16,
   requestBytes: shareOfHeap({ share: 0.25, limitBytes: 64 * 1_048_576 }),
   heldInputBytes: shareOfHeap({ share: 0.25, limitBytes: 64 * 1_048_576 }),
-  heldBytes: shareOfHeap({ share: 0.4, limitBytes: 64 * 1_048_576 }),
+  heldBytes: shareOfHeap({ share: 0.2, limitBytes: 64 * 1_048_576 }),
   headerReadMs: 10_000,
   bodyReadMs: 10_000,
   answerWriteMs: 30_000,
