--- a/src/process/batch/decisions/admission.ts
+++ b/src/process/batch/decisions/admission.ts
@@ -62,7 +62,7 @@
   readonly activeStepsLimit?: number;
   /** Maximum estimated heap of the specifications of all jobs. */
   readonly specBytesLimit?: number;
-  /** The share of the first two that is kept for jobs that cost most to refuse. */
+  /** The share of all these that is kept for jobs that cost most to refuse. */
   readonly headroomShare?: number;
 }
 
@@ -137,26 +137,20 @@
       detail: beyondLimit,
     };
   }
+  const { jobs, tasks, steps, lastingTasks } = input.load ??
+    activeLoad(input.state);
+  const moreSteps = spec.steps.length;
   const { jobSpecBytes } = input.state;
-  if (jobSpecBytes + specBytes(spec) > settings.specBytesLimit) {
-    const detail = `the jobs take ${jobSpecBytes} bytes`;
-    return refuse(input, RefusalReason.queueFull, detail);
-  }
-  const load = input.load ?? activeLoad(input.state);
-  const { jobs, tasks, lastingTasks } = load;
-  if (load.steps + spec.steps.length > settings.activeStepsLimit) {
-    return refuse(
-      input,
-      RefusalReason.queueFull,
-      `${load.steps} steps of active jobs are in progress`,
-    );
-  }
+  const moreBytes = specBytes(spec);
   const more = tasksInProgress(spec);
   const isWide = more > WIDE_JOB_TASKS;
   const { activeJobsLimit, activeTasksLimit, headroomShare } = settings;
+  const { activeStepsLimit, specBytesLimit } = settings;
   const wideShare = isWide ? WIDE_JOBS_SHARE : 1;
   const nearShare = 1 - headroomShare - RESERVED_SHARE_LIMIT;
   const isNearBound = jobs >= activeJobsLimit * nearShare ||
+    steps + moreSteps > activeStepsLimit * nearShare ||
+    jobSpecBytes + moreBytes > specBytesLimit * nearShare ||
     tasks + more > activeTasksLimit * Math.min(nearShare, wideShare);
   const returns = isNearBound ? refused?.returnsOf(jobId, nowMs) ?? 0 : 0;
   const share = isNearBound
@@ -190,6 +184,13 @@
     const detail = `${tasks} tasks of active jobs are in progress`;
     return refuse(input, RefusalReason.queueFull, detail);
   }
+  if (steps + moreSteps > activeStepsLimit * share) {
+    return refuse(input, RefusalReason.queueFull, `${steps} steps are active`);
+  }
+  if (jobSpecBytes + moreBytes > specBytesLimit * share) {
+    const detail = `the specifications of all jobs take ${jobSpecBytes} bytes`;
+    return refuse(input, RefusalReason.queueFull, detail);
+  }
   if (hasLastingStep(spec) && lastingTasks + more > LASTING_TASKS_LIMIT) {
     return refuse(input, RefusalReason.queueFull, `${lastingTasks} tasks last`);
   }
--- a/src/process/http/guarded_connection.ts
+++ b/src/process/http/guarded_connection.ts
@@ -95,6 +95,11 @@
     return this.#gate.isIdle;
   }
 
+  /** Whether nobody would miss an answer if the connection was closed. */
+  get isUnused(): boolean {
+    return this.#gate.pendingRequests === 0 && !this.#gate.holdsInput;
+  }
+
   /**
    * Sends the last bytes on this connection, and takes no more input. Requests
    * that were read completely get their answers first: their caller would take
@@ -213,9 +218,7 @@
   };
 
   #onTimeout = (): void => {
-    const isWaiting = this.#gate.input.length > 0 &&
-      !this.#gate.awaitsMoreOfHead;
-    if (!isWaiting) {
+    if (!this.#gate.holdsInput) {
       this.emit("timeout");
     }
   };
@@ -323,8 +326,7 @@
       this.push(null);
       return;
     }
-    const isHeld = input.length > 0 && !this.#gate.awaitsMoreOfHead;
-    if (isHeld) {
+    if (this.#gate.holdsInput) {
       this.#socket.pause();
     } else if (this.#socket.isPaused()) {
       this.#socket.resume();
--- a/src/process/http/http_server.ts
+++ b/src/process/http/http_server.ts
@@ -184,7 +184,7 @@
    */
   #closeUnused(): boolean {
     for (const connection of this.#callsByConnection.keys()) {
-      if (connection.pendingRequests === 0) {
+      if (connection.isUnused) {
         this.#callsByConnection.delete(connection);
         connection.destroy();
         return true;
--- a/src/process/http/input_gate.ts
+++ b/src/process/http/input_gate.ts
@@ -100,11 +100,9 @@
       this.input.length === 0;
   }
 
-  /** Whether more input is needed before the parser gets any. */
-  get awaitsMoreOfHead(): boolean {
-    return this.input.part === InputPart.head && this.#hasHeadBegun &&
-      this.#pending.size < this.#options.pendingRequests &&
-      this.input.headBytes() === 0;
+  /** Whether input waits for a turn, for an answer or for the parser. */
+  get holdsInput(): boolean {
+    return this.input.length > 0 && !this.#awaitsMoreOfHead;
   }
 
   /** Begins no further request. */
@@ -206,6 +204,12 @@
     }
   }
 
+  get #awaitsMoreOfHead(): boolean {
+    return this.input.part === InputPart.head && this.#hasHeadBegun &&
+      this.#pending.size < this.#options.pendingRequests &&
+      this.input.headBytes() === 0;
+  }
+
   /** Whether no answer depends on the rest of the input. */
   get #canDropInput(): boolean {
     return this.input.part === InputPart.head || this.#pending.size === 0;
