--- a/src/process/batch/job_table_test.ts
+++ b/src/process/batch/job_table_test.ts
@@ -19,6 +19,15 @@
   return { payload, steps: [stepSpec(step)], recurrence: undefined };
 }
 
+function decideWith(
+  { state, nowMs }: PlannerFixture,
+  options: Parameters<typeof decideAdmission>[1],
+) {
+  const queue = state.inForce!.index.queueNamed("urgent")!;
+  const submission = { queue, account: undefined, spec: specOf({}) };
+  return decideAdmission({ state, nowMs, ...submission }, options);
+}
+
 // Guards against jobs of a legal size that the replicated state can't hold: 400
 // with a rack of 200 kB took a core's process to 549 MB.
 test("a job with long texts or many dependencies is invalid", (t) => {
@@ -37,38 +46,26 @@
 
 test("jobs are refused while the specifications of all jobs take too much memory", (t) => {
   const fixture = new PlannerFixture({ workers: 2 });
-  const { state, nowMs } = fixture;
-  const decide = (specBytesLimit: number) =>
-    decideAdmission({
-      state,
-      nowMs,
-      queue: state.inForce!.index.queueNamed("urgent")!,
-      account: undefined,
-      spec: specOf({}),
-    }, { specBytesLimit });
   const limitBytes = 2 * specBytes(specOf({}));
-  t.is(decide(limitBytes).kind, "accept");
+  t.is(decideWith(fixture, { specBytesLimit: limitBytes }).kind, "accept");
   fixture.submit("a", {});
-  t.is(decide(limitBytes).kind, "accept");
+  t.is(decideWith(fixture, { specBytesLimit: limitBytes }).kind, "accept");
   fixture.submit("b", {});
-  t.like(decide(limitBytes), { kind: "refuse", reason: "queueFull" });
+  t.like(decideWith(fixture, { specBytesLimit: limitBytes }), {
+    kind: "refuse",
+    reason: "queueFull",
+  });
 });
 
 // Guards against planning passes that take seconds: 64,000 steps took 1.9 s.
 test("jobs are refused while the active jobs have too many steps", (t) => {
   const fixture = new PlannerFixture({ workers: 2 });
-  const { state, nowMs } = fixture;
   fixture.submitSteps("a", [{}, {}, {}]);
-  const decide = (activeStepsLimit: number) =>
-    decideAdmission({
-      state,
-      nowMs,
-      queue: state.inForce!.index.queueNamed("urgent")!,
-      account: undefined,
-      spec: specOf({}),
-    }, { activeStepsLimit });
-  t.is(decide(4).kind, "accept");
-  t.like(decide(3), { kind: "refuse", reason: "queueFull" });
+  t.is(decideWith(fixture, { activeStepsLimit: 4 }).kind, "accept");
+  t.like(decideWith(fixture, { activeStepsLimit: 3 }), {
+    kind: "refuse",
+    reason: "queueFull",
+  });
 });
 
 // Guards against ended jobs that keep what only starts need.
--- a/test/platform_processes/uncontrolled_callers.ts
+++ b/test/platform_processes/uncontrolled_callers.ts
@@ -25,6 +25,8 @@
 /** The descriptors of the smallest machine of each role. */
 const DESCRIPTOR_LIMIT = { door: 2_212, core: 4_096 } as const;
 
+const METRICS_PORT = 7_012;
+
 const CONNECTIONS = 40;
 const MANY_CONNECTIONS = 400;
 const ROUNDS = 12;
@@ -41,9 +43,9 @@
   ...{ cpu: 100, memMb: 10, gpu: 0, workMs: 20 },
 };
 
-/** Callers that are connected at the same time. */
+/** Connections to one listener. */
 interface Crowd {
-  readonly at: string;
+  readonly host: string;
   readonly port: number;
   readonly path: string;
   readonly loads: readonly CallerLoadName[];
@@ -73,46 +75,48 @@
   ...["withoutHost", "tinyChunks", "unendedTrailers"] as const,
   ...["jobs", "jobReads", "largeBodies"] as const,
 ];
-const EDGE_MIXTURE = ["shortLines", "manyLines", "withoutHost"] as const;
+/** For listeners that callers have no business with. */
+const SMALL_MIXTURE = ["shortLines", "manyLines", "withoutHost"] as const;
 
-function front(
+function atDoor(
   { host }: ProgramPlace,
   loads: readonly CallerLoadName[],
   connections?: number,
 ): Crowd {
   return {
-    ...{ at: host, port: PORTS.front, path: "/quote/KEY", loads },
+    ...{ host, port: PORTS.front, path: "/quote/KEY", loads },
     ...(connections === undefined ? {} : { connections }),
   };
 }
 
 function everyListener(): Crowd[] {
   return [
-    front(firstDoor, MIXTURE),
-    front(secondDoor, MIXTURE),
+    atDoor(firstDoor, MIXTURE),
+    atDoor(secondDoor, MIXTURE),
     ...[PORTS.ready, METRICS_PORT].map((port) => ({
-      ...{ at: firstDoor.host, port, path: "/", loads: EDGE_MIXTURE },
+      ...{ host: firstDoor.host, port, path: "/", loads: SMALL_MIXTURE },
     })),
     ...[PORTS.control, PORTS.internal, PORTS.internal + 1].map((port) => ({
-      ...{ at: firstCore.host, port, path: "/", loads: EDGE_MIXTURE },
+      ...{ host: firstCore.host, port, path: "/", loads: SMALL_MIXTURE },
     })),
   ];
 }
 
-const METRICS_PORT = 7_012;
-
 const SCENES: readonly Scene[] = [
   ...(["jobs", "jobReads", "largeBodies", "wideJobs", "longLabels"] as const)
-    .map((load): Scene => ({ name: load, crowds: [front(firstDoor, [load])] })),
-  { name: "mixture", crowds: [front(firstDoor, MIXTURE)], rounds: ROUNDS },
+    .map((load): Scene => ({
+      name: load,
+      crowds: [atDoor(firstDoor, [load])],
+    })),
+  { name: "mixture", crowds: [atDoor(firstDoor, MIXTURE)], rounds: ROUNDS },
   { name: "everyListener", crowds: everyListener() },
   {
     name: "manyConnections",
-    crowds: [front(firstDoor, MIXTURE, MANY_CONNECTIONS)],
+    crowds: [atDoor(firstDoor, MIXTURE, MANY_CONNECTIONS)],
   },
   {
     name: "leaderLost",
-    crowds: [front(firstDoor, MIXTURE), front(secondDoor, MIXTURE)],
+    crowds: [atDoor(firstDoor, MIXTURE), atDoor(secondDoor, MIXTURE)],
     beside: async () => {
       const epochs = programs.leadersByEpoch().size;
       await programs.kill(programs.leader()!, 1_000);
@@ -125,7 +129,7 @@
   },
   {
     name: "reload",
-    crowds: [front(firstDoor, MIXTURE), front(secondDoor, MIXTURE)],
+    crowds: [atDoor(firstDoor, MIXTURE), atDoor(secondDoor, MIXTURE)],
     beside: async () => {
       for (const { name } of [...programs.doors, ...programs.cores]) {
         programs.signal(name, "SIGHUP");
@@ -135,7 +139,7 @@
   },
   {
     name: "stop",
-    crowds: [front(firstDoor, MIXTURE), front(secondDoor, MIXTURE)],
+    crowds: [atDoor(firstDoor, MIXTURE), atDoor(secondDoor, MIXTURE)],
     beside: async () => {
       const { name } = firstDoor;
       const codes = exitCodes(name).length;
@@ -149,7 +153,7 @@
   },
   {
     name: "largestJobs",
-    crowds: [front(firstDoor, ["largestJobs"])],
+    crowds: [atDoor(firstDoor, ["largestJobs"])],
     mayFillQueue: true,
   },
 ];
@@ -272,10 +276,10 @@
   const statuses: number[] = [];
   const timer = setInterval(() => usage.read(), LIFE_POLL_MS);
   for (let round = 1; round <= rounds; round++) {
-    const callers = crowds.map(({ at, port, path, loads, connections }) =>
+    const callers = crowds.map(({ host, port, path, loads, connections }) =>
       new CallerProcess({
         loads,
-        target: { host: at, port, path },
+        target: { host, port, path },
         connections: connections ?? CONNECTIONS,
       })
     );
--- a/test/uncontrolled_callers/caller_loads.ts
+++ b/test/uncontrolled_callers/caller_loads.ts
@@ -125,7 +125,7 @@
     request: (path) => lines(`GET ${path} HTTP/1.1`, "host: x", ...LONG_LINES),
   },
   /** Node counts names and values, but not the characters between them. */
-  emptyLines: {
+  oneLetterLines: {
     name: "heads of 64 kB in lines of one letter",
     request: (path) =>
       lines(`GET ${path} HTTP/1.1`, "host: x", ...ONE_LETTER_LINES),
--- a/test/uncontrolled_callers/main.ts
+++ b/test/uncontrolled_callers/main.ts
@@ -58,15 +58,15 @@
 }
 
 const SOME_LOADS = ["shortLines", "manyLines", "withoutHost"] as const;
-const ALL_LOADS = [
+const PIPELINED_LOADS = [
   ...SOME_LOADS,
   ...["unusualLines", "newKeys", "unknownExpect", "oldVersion"] as const,
 ];
-const LATER_LOADS = [
-  ...["longLines", "emptyLines", "unendedHeads"] as const,
+const LARGE_AND_UNENDED_LOADS = [
+  ...["longLines", "oneLetterLines", "unendedHeads"] as const,
   ...["tinyChunks", "unendedTrailers"] as const,
 ];
-const MIXTURE = [...ALL_LOADS, ...LATER_LOADS];
+const MIXTURE = [...PIPELINED_LOADS, ...LARGE_AND_UNENDED_LOADS];
 
 function each(
   loads: readonly CallerLoadName[],
@@ -78,9 +78,9 @@
 
 /** The plays against a listener that untrusted callers reach. */
 const OPEN_LISTENER_PLAYS: readonly Play[] = [
-  ...each(ALL_LOADS),
-  ...each(LATER_LOADS),
-  ...each(["shortLines", "manyLines", ...LATER_LOADS], {
+  ...each(PIPELINED_LOADS),
+  ...each(LARGE_AND_UNENDED_LOADS),
+  ...each(["shortLines", "manyLines", ...LARGE_AND_UNENDED_LOADS], {
     connections: MANY_CONNECTIONS,
   }),
   { loads: MIXTURE, connections: MANY_CONNECTIONS, rounds: 1 },
