--- a/review/standins-3/kit.mjs
+++ b/review/standins-3/kit.mjs
@@ -406,6 +406,10 @@
     /** What each task needs, and how long it works: by the ID of its job. */
     this.shapes = new Map();
     this.isUp = false;
+    /** While true, it refuses all starts with 503; its health check stays good. */
+    this.isUnwell = false;
+    /** The tasks that have ever begun here. */
+    this.begun = new Set();
   }
 
   /** Begins a life; nothing of the one before is known. */
@@ -548,6 +552,11 @@
     if (deadlineMs <= this.clockMs()) {
       return { status: 409, body: { reason: "late" } };
     }
+    if (this.isUnwell) {
+      // As PROTOCOL.md says, it has then done nothing.
+      this.record.write(`${this.id} answers the start of ${task} run ${run} with 503`);
+      return { status: 503 };
+    }
     this.#extend(deadlineMs);
     if (run <= (this.notHigher.get(task) ?? 0)) {
       return { status: 409, body: { reason: "old" } };
@@ -560,6 +569,7 @@
       }
     }
     this.running.set(task, { task, run, shape, checkpoint, doneAtMs: nowMs() + shape.workMs });
+    this.begun.add(task);
     this.record.write(`${this.id} starts ${task} run ${run}`);
     return { status: 200 };
   }
