--- a/review/standins-3/kit.mjs
+++ b/review/standins-3/kit.mjs
@@ -464,6 +464,11 @@
     return Math.floor(nowMs() - this.beganAtMs);
   }
 
+  /** Ends a task that is at work here in another way, as "broken". */
+  end(task, how) {
+    this.#end(task, how);
+  }
+
   /** Lets a task that is at work here fail. */
   fail(task) {
     this.#end(task, "failed");
