--- a/review/standins-3/kit.mjs
+++ b/review/standins-3/kit.mjs
@@ -189,16 +189,23 @@
   }
 }
 
+/** Whether nothing listens at an address. */
+function isFree(host, port) {
+  return new Promise((resolve) => {
+    const server = net.createServer();
+    server.once("error", () => resolve(false));
+    server.listen(port, host, () => server.close(() => resolve(true)));
+  });
+}
+
+/** A loopback subnet on which the first addresses of all kinds are free. */
 async function findSubnet() {
   for (let attempt = 0; attempt < 50; attempt++) {
     const octet = () => 2 + Math.floor(Math.random() * 250);
     const subnet = `127.${octet()}.${octet()}`;
-    const isFree = await new Promise((resolve) => {
-      const server = net.createServer();
-      server.once("error", () => resolve(false));
-      server.listen(PORTS.control, `${subnet}.1`, () => server.close(() => resolve(true)));
-    });
-    if (isFree) {
+    const wanted = [[1, PORTS.control], [1, 7000], [1, 7012], [11, PORTS.front], [50, PORTS.worker]];
+    const free = await Promise.all(wanted.map(([host, port]) => isFree(`${subnet}.${host}`, port)));
+    if (free.every(Boolean)) {
       return subnet;
     }
   }
@@ -339,7 +346,8 @@
     for (let attempt = 0; attempt < 10; attempt++) {
       const door = this.doors[attempt % this.doors.length];
       const { status } = await this.ask("POST", `/${queue}/${id}`, { spec: "text", steps, ...more }, { door });
-      this.record.write(`client POST /${queue}/${id} at ${door.name}: ${status}`);
+      const sent = JSON.stringify({ steps, ...more });
+      this.record.write(`client POST /${queue}/${id} ${sent} at ${door.name}: ${status}`);
       if (status >= 200 && status < 300) {
         return id;
       }
@@ -575,7 +583,7 @@
     }
     this.running.set(task, { task, run, shape, checkpoint, doneAtMs: nowMs() + shape.workMs });
     this.begun.add(task);
-    this.record.write(`${this.id} starts ${task} run ${run}`);
+    this.record.write(`${this.id} starts ${task} run ${run}, fencing token ${this.fence}`);
     return { status: 200 };
   }
 
