--- a/review/standins-3/kit.mjs
+++ b/review/standins-3/kit.mjs
@@ -100,8 +100,8 @@
 
 /** A program of the deployment, started again when it ends unless it is held. */
 class Program {
-  constructor({ name, role, host, zone, folder, record }) {
-    Object.assign(this, { name, role, host, zone, folder, record });
+  constructor({ name, role, host, zone, folder, record, guard }) {
+    Object.assign(this, { name, role, host, zone, folder, record, guard });
     this.dataDir = role === "core" ? join(folder, "data", name) : null;
     this.settingsPath = join(folder, `${name}.json`);
     this.logPath = join(folder, `${name}.log`);
@@ -144,8 +144,10 @@
     }
     this.isUp = true;
     const { child } = this;
+    this.guard.stdin.write(`+${child.pid}\n`);
     child.on("exit", (code, signal) => {
       this.isUp = false;
+      this.guard.stdin.write(`-${child.pid}\n`);
       this.exits.push({ code, signal });
       this.record.write(`${this.name} ended, code ${code}, signal ${signal}`);
       if (!this.isClosed && !this.isHeld) {
@@ -225,9 +227,14 @@
 
   async start() {
     this.subnet = await findSubnet();
+    this.guard = spawn(process.execPath, [join(ROOT, "review/standins-3/guard.mjs"), this.folder], {
+      stdio: ["pipe", "ignore", "ignore"], detached: true,
+    });
+    this.guard.stdin.on("error", () => undefined);
     const make = (name, role, octet, zone) =>
       new Program({
         name, role, zone, host: `${this.subnet}.${octet}`, folder: this.folder, record: this.record,
+        guard: this.guard,
       });
     this.cores = ZONES.map((zone, at) => make(`core-${zone}-1`, "core", 1 + at, zone));
     this.doors = ZONES.slice(0, 2).map((zone, at) => make(`edge-${zone}-1`, "door", 11 + at, zone));
@@ -246,6 +253,7 @@
     for (let wait = 0; wait < 100 && this.programs.some(({ isUp }) => isUp); wait++) {
       await delay(20);
     }
+    this.guard?.stdin.end();
     if (process.env.KEEP_LOGS === undefined) {
       rmSync(this.folder, { recursive: true, force: true });
     } else {
@@ -452,11 +460,11 @@
 
   /** Ends this life at once, as a crash does. */
   close() {
+    this.sockets?.forEach((socket) => socket.destroy());
+    this.server?.close();
     if (this.isUp) {
       this.isUp = false;
       this.timers.forEach(clearInterval);
-      this.sockets.forEach((socket) => socket.destroy());
-      this.server.close();
       for (const run of [...this.running.values()]) {
         this.running.delete(run.task);
         this.record.write(`${this.id} ends with ${run.task} run ${run.run}`);
@@ -464,6 +472,20 @@
     }
   }
 
+  /**
+   * Loses its machine's power for good: nothing of it runs, and nothing answers,
+   * neither on open connections nor on new ones.
+   */
+  losePower() {
+    this.isUp = false;
+    this.timers.forEach(clearInterval);
+    for (const run of [...this.running.values()]) {
+      this.running.delete(run.task);
+      this.record.write(`${this.id} ends with ${run.task} run ${run.run}`);
+    }
+    this.waiters.forEach((wake) => wake());
+  }
+
   has(task) {
     return this.isUp && this.running.has(task);
   }
@@ -522,6 +544,9 @@
       response.end();
       return;
     }
+    if (!this.isUp) {
+      return;
+    }
     const expected = request.headers["sesamethread-expect-instance"];
     const body = JSON.parse(Buffer.concat(chunks).toString() || "{}");
     const answer = expected !== undefined && expected !== this.id
@@ -665,6 +690,7 @@
   }
   process.on("SIGTERM", () => void finish(2, "told to end"));
   process.on("SIGINT", () => void finish(2, "told to end"));
+  process.on("SIGHUP", () => void finish(2, "told to end"));
   try {
     await deployment.start();
     const fault = await play(deployment, record);
