--- a/review/standins-3/kit.mjs
+++ b/review/standins-3/kit.mjs
@@ -688,6 +688,13 @@
     await deployment.close();
     process.exit(code);
   }
+  // An error of the script says nothing about the rule; the guard ends the programs.
+  const giveUp = (error) => {
+    console.error(error);
+    process.exit(2);
+  };
+  process.on("uncaughtException", giveUp);
+  process.on("unhandledRejection", giveUp);
   process.on("SIGTERM", () => void finish(2, "told to end"));
   process.on("SIGINT", () => void finish(2, "told to end"));
   process.on("SIGHUP", () => void finish(2, "told to end"));
